--- /dev/null
+++ b/crates/benchlink/src/settings.rs
@@ -0,0 +1,129 @@
+//! The `conf` object of `INIT`, read into the module's settings and the names that end at the door.
+use birchhub::types::{Effect, Group, MethodSettings, Reports, Settings, TenantSettings};
+use serde_json::Value;
+
+pub struct Conf {
+    pub settings: Settings,
+    pub methods: Vec<String>,
+    pub tenants: Vec<String>,
+    pub zones: Vec<String>,
+}
+
+/// Reads a value at `path` below `at`, or says which path is wrong.
+struct At<'a> {
+    value: &'a Value,
+    path: String,
+}
+
+impl<'a> At<'a> {
+    fn opt(&self, key: &str) -> Option<At<'a>> {
+        let value = self.value.get(key).filter(|v| !v.is_null())?;
+        let dot = if self.path.is_empty() { "" } else { "." };
+        Some(At { value, path: format!("{}{dot}{key}", self.path) })
+    }
+    fn get(&self, key: &str) -> Result<At<'a>, String> {
+        self.opt(key).ok_or_else(|| format!("{}.{key} is missing", self.path))
+    }
+    fn num(&self) -> Result<f64, String> {
+        let number = self.value.as_f64().filter(|n| n.is_finite() && *n >= 0.0);
+        number.ok_or_else(|| format!("{} is not a number of 0 or more", self.path))
+    }
+    fn seconds(&self) -> Result<f64, String> {
+        Ok(self.num()? / 1e9)
+    }
+    fn flag(&self) -> Result<bool, String> {
+        self.value.as_bool().ok_or_else(|| format!("{} is not true or false", self.path))
+    }
+    fn text(&self) -> Result<&'a str, String> {
+        self.value.as_str().ok_or_else(|| format!("{} is not a text", self.path))
+    }
+    fn items(&self) -> Result<Vec<At<'a>>, String> {
+        let list = self.value.as_array().ok_or_else(|| format!("{} is not a list", self.path))?;
+        let item = |(i, value)| At { value, path: format!("{}[{i}]", self.path) };
+        Ok(list.iter().enumerate().map(item).collect())
+    }
+    fn names(&self) -> Result<Vec<String>, String> {
+        self.items()?.iter().map(|item| item.text().map(str::to_owned)).collect()
+    }
+    fn num_or(&self, key: &str, default: f64) -> Result<f64, String> {
+        self.opt(key).map_or(Ok(default), |at| at.num())
+    }
+}
+
+fn method(at: &At) -> Result<(String, MethodSettings), String> {
+    let kind = at.get("idempotency")?;
+    let effect = match kind.text()? {
+        "read_like" => Effect::Idempotent,
+        "non_idempotent" => Effect::NonIdempotent,
+        "idempotency_key" => {
+            let scope = at.get("dedup-scope")?;
+            let group = match scope.text()? {
+                "all" => Group::All,
+                "zone" => Group::Zone,
+                "cell" => Group::Cell,
+                other => return Err(format!("{} is not known: {other}", scope.path)),
+            };
+            Effect::Deduplicated { group, window: at.get("window-ns")?.seconds()? }
+        }
+        other => return Err(format!("{} is not known: {other}", kind.path)),
+    };
+    let method = MethodSettings {
+        effect,
+        latency_target: at.get("latency-target-ns")?.seconds()?,
+        target_stretch: at.num_or("aim-stretch", 0.0)?,
+        utility: at.num_or("utility", 1.0)?,
+        late_utility: at.num_or("tardy-utility", 0.0)?,
+    };
+    Ok((at.get("name")?.text()?.to_owned(), method))
+}
+
+pub fn read(text: &str) -> Result<Conf, String> {
+    let value: Value = serde_json::from_str(text).map_err(|e| format!("is not JSON: {e}"))?;
+    let conf = At { value: &value, path: String::new() };
+    let ceilings = conf.get("ceilings")?;
+    let contract = conf.get("contract")?;
+    let methods: Vec<_> = conf.get("methods")?.items()?.iter().map(method).collect::<Result<_, _>>()?;
+    let mut tenants = Vec::new();
+    let mut quotas = Vec::new();
+    for account in conf.opt("accounts").map_or(Ok(Vec::new()), |at| at.items())? {
+        tenants.push(account.get("name")?.text()?.to_owned());
+        quotas.push(TenantSettings { quota: account.get("quota-per-s")?.num()? });
+    }
+    let ceiling = |key: &str| ceilings.opt(key).map_or(Ok(false), |at| at.flag());
+    let come_back_max = match ceiling("retry-after")? {
+        true => ceilings.num_or("max-retry-after-ns", 0.0)? / 1e9,
+        false => 0.0,
+    };
+    let reports = match conf.opt("report").and_then(|r| r.opt("how")) {
+        None => Reports::None,
+        Some(how) => match how.text()? {
+            "answers" => Reports::InAnswers,
+            "probe" => Reports::ByProbe,
+            _ => Reports::None,
+        },
+    };
+    let weight_source = conf.opt("weight-source").map_or(Ok("none"), |at| at.text())?;
+    let mode = conf.opt("membership-mode").map_or(Ok("pushed"), |at| at.text())?;
+    let settings = Settings {
+        balancers: conf.get("balancers")?.num()?.max(1.0) as usize,
+        methods: methods.iter().map(|(_, m)| m.clone()).collect(),
+        tenants: quotas,
+        most_picks: ceilings.get("most-picks")?.num()? as usize,
+        may_cancel: ceiling("cancel")?,
+        may_probe: ceiling("probes")?,
+        second_copies: ceiling("second-copies")?,
+        come_back_max,
+        probe_price: conf.opt("penalties").map_or(Ok(0.0), |p| p.num_or("probe", 0.0))?,
+        reports,
+        sized: matches!(weight_source, "nominal" | "rough"),
+        list_on_request: mode == "on_request",
+        ask_within: contract.num_or("ask-within-ns", 10e9)? / 1e9,
+        drain_grace: contract.get("drain-grace-ns")?.seconds()?,
+        cold_from: contract.get("cold-from")?.num()?,
+        cold_for: contract.get("cold-ns")?.seconds()?,
+        fall_multiple: contract.get("fall-multiple")?.num()?,
+        fall_window: contract.get("tip-after-ns")?.seconds()?,
+    };
+    let zones = conf.opt("failure-domains").map_or(Ok(Vec::new()), |at| at.names())?;
+    Ok(Conf { settings, methods: methods.into_iter().map(|(name, _)| name).collect(), tenants, zones })
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,3 @@
+//! birchhub's decision core: no I/O and no clock. `policy` decides, `types` is what it is called with.
+pub mod policy;
+pub mod types;
--- /dev/null
+++ b/src/policy.rs
@@ -0,0 +1,711 @@
+//! All decisions of birchhub. The platform makes one `Balancer` per proxy with `Balancer::new`, hands it list
+//! changes, probe results and wake-ups, and gets an `Rpc` handle from `take`; what happens to that RPC later is
+//! a call on the handle. Answers leave through `types::Link`; all interface types stand in `src/types.rs`.
+//!
+//! The design is Join-Idle-Queue (docs/design.md): `report` fills the idle list, `from_list` takes its first
+//! entry, `draw` picks at random when it is empty. Six mechanisms stand beside it, each marked in the code:
+//! 1. health: failures in a row rest a backend;  2. credit: answers earned pay for further picks;
+//! 3. time-outs: no pick outlives its use;  4. cold budget: this proxy's part of what a cold backend can take;
+//! 5. admission: waiting briefly, by share and utility;  6. list and probes: following both, within a budget.
+//! `may_pick` and `may_push_back` alone decide what the four rules allow.
+
+use crate::types::*;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// Idle threshold as a share of the mean reported load: 0 while backends hold about one RPC, rising with load.
+const THRESHOLD: f64 = 0.75;
+/// Age limit of an idle entry, in mean service times: an idle spell lasts about that long at usual load.
+const ENTRY_AGE: f64 = 1.0;
+/// Upper end of the age limit, s: the design's starting figure.
+const ENTRY_AGE_MAX: f64 = 1.0;
+/// The draw skips a backend with more in flight here than this multiple of its own mean ...
+const SKIP_TIMES: f64 = 2.0;
+/// ... plus this many RPCs, so that a mean near 0 does not shut it out.
+const SKIP_PLUS: f64 = 1.0;
+/// Failures in a row that rest a backend: one or two happen to healthy ones.
+const FAILS: u32 = 3;
+/// First rest, s, doubled with each further failure up to `REST_MAX`: pauses end within it, deaths do not.
+const REST: f64 = 0.5;
+const REST_MAX: f64 = 8.0;
+/// Credit, in further picks: earned by an answer, and the most that is kept.
+const CREDIT_EARN: f64 = 0.1;
+const CREDIT_MAX: f64 = 3.0;
+/// Time kept free before a latency target or deadline, s: the answer's way back and a late tick.
+const SLACK: f64 = 0.003;
+/// Part of the cold budget used, as others' parts and the work of one RPC are known only roughly.
+const COLD_SAFETY: f64 = 0.7;
+/// Longest wait for an idle backend, as a share of the latency target: it must leave time for the work.
+const HOLD: f64 = 0.15;
+/// A tenant's slice of its quota here, as a multiple of an even split: clients do not spread evenly.
+const SLICE: f64 = 1.3;
+/// Seconds of its quota that a tenant may send at once.
+const QUOTA_BURST: f64 = 1.0;
+/// Points of service that probing may cost; the price of a probe turns it into probes an RPC.
+const PROBE_SPEND: f64 = 0.006;
+/// Most probes an RPC where they are nearly free, for the backends' sake.
+const PROBES_MOST: f64 = 4.0;
+/// Probes sent at once, and s between rounds.
+const PROBE_FEW: usize = 3;
+const PROBE_EVERY: f64 = 0.05;
+/// Rate of probing without traffic, 1/s: enough to have found an idle backend when the first RPC comes.
+const PROBE_FLOOR: f64 = 2.0;
+/// Time constant of the measured means, s: tens of answers at usual rates, shorter than most troubles.
+const MEAN_OVER: f64 = 4.0;
+/// First pause before a list call is repeated, s; doubled each time, as calls are scarce.
+const LIST_RETRY: f64 = 0.5;
+
+/// A sum that decays with time constant `over`, brought up to date when read.
+#[derive(Clone, Copy, Default)]
+struct Decaying {
+    sum: f64,
+    at: f64,
+}
+
+impl Decaying {
+    fn read(&mut self, now: f64, over: f64) -> f64 {
+        self.sum *= (-(now - self.at).max(0.0) / over).exp();
+        self.at = now;
+        self.sum
+    }
+    fn add(&mut self, what: f64, now: f64, over: f64) {
+        self.sum = self.read(now, over) + what;
+    }
+}
+
+/// Mean of what was measured lately, from two decaying sums.
+#[derive(Clone, Copy, Default)]
+struct Mean {
+    total: Decaying,
+    count: Decaying,
+}
+
+impl Mean {
+    fn add(&mut self, value: f64, now: f64) {
+        self.total.add(value, now, MEAN_OVER);
+        self.count.add(1.0, now, MEAN_OVER);
+    }
+    fn get(&self, default: f64) -> f64 {
+        // Both sums decay alike, so their ratio needs no update; a stale one keeps its last value.
+        if self.count.sum > 1e-9 { self.total.sum / self.count.sum } else { default }
+    }
+}
+
+struct Backend {
+    id: u32,
+    cell: Cell<u64>,
+    zone: Cell<usize>,
+    size: Cell<f64>,
+    started: Cell<Option<f64>>,
+    ready: Cell<bool>,
+    out: Cell<usize>,
+    mean_out: Cell<Mean>,
+    fails: Cell<u32>,
+    rest_until: Cell<f64>,
+    credit: Cell<f64>,
+    listed_at: Cell<Option<f64>>,
+    probe_out: Cell<bool>,
+    cold_sent: Cell<Decaying>,
+}
+
+struct Method {
+    effect: Effect,
+    target: f64,
+    stretch: f64,
+    utility: f64,
+    late: bool,
+}
+
+struct Tenant {
+    /// This proxy's slice of the quota, RPCs a second, and what is left of it now.
+    rate: f64,
+    tokens: Cell<f64>,
+    at: Cell<f64>,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum PickState {
+    Out,
+    NeverRan,
+    MayHaveRun,
+}
+
+struct Pick {
+    backend: Rc<Backend>,
+    sent: f64,
+    state: PickState,
+}
+
+struct Call {
+    id: u64,
+    method: Rc<Method>,
+    deadline: f64,
+    /// When an answer is of no more use: latency target, or deadline where late ones count.
+    useful_until: f64,
+    hold_until: f64,
+    excess: bool,
+    picks: RefCell<Vec<Pick>>,
+    over: Cell<bool>,
+    streaming: Cell<bool>,
+}
+
+struct State {
+    rng: Pcg64,
+    methods: Vec<Rc<Method>>,
+    tenants: Vec<Tenant>,
+    most_picks: usize,
+    may_cancel: bool,
+    one_out: bool,
+    may_probe: bool,
+    hold: f64,
+    come_back_max: f64,
+    probes_each: f64,
+    sized: bool,
+    list_on_request: bool,
+    ask_within: f64,
+    /// Cold budget for each unit of warm rate: multiple x window, and the share a cold start has.
+    cold_window: f64,
+    cold_multiple: f64,
+    cold_from: f64,
+    cold_for: f64,
+    balancers: f64,
+    backends: BTreeMap<u32, Rc<Backend>>,
+    idle: Vec<Rc<Backend>>,
+    waiting: Vec<Rc<Call>>,
+    load: Mean,
+    service: Mean,
+    service_guess: f64,
+    answered: Decaying,
+    probe_tokens: f64,
+    probe_round: f64,
+    started: f64,
+    subscribed: bool,
+    ask_at: f64,
+    asks_failed: i32,
+    alarm: f64,
+}
+
+pub struct Balancer(Rc<RefCell<State>>);
+
+/// An RPC this proxy has taken.
+pub struct Rpc {
+    state: Rc<RefCell<State>>,
+    call: Rc<Call>,
+}
+
+impl Balancer {
+    pub fn new(set: &Settings, seed: u64) -> Self {
+        let method = |m: &MethodSettings| {
+            let (target, stretch) = (m.latency_target, m.target_stretch);
+            Rc::new(Method {
+                effect: m.effect,
+                target,
+                stretch,
+                utility: m.utility,
+                late: m.late_utility > 0.0,
+            })
+        };
+        let slice = SLICE / set.balancers as f64;
+        let tenant = |t: &TenantSettings| Tenant {
+            rate: t.quota * slice,
+            tokens: Cell::new(t.quota * slice * QUOTA_BURST),
+            at: Cell::new(f64::NEG_INFINITY),
+        };
+        let shortest = set.methods.iter().map(|m| m.latency_target).fold(f64::INFINITY, f64::min);
+        let reports = set.reports != Reports::None;
+        Self(Rc::new(RefCell::new(State {
+            rng: Pcg64::seed_from_u64(seed),
+            methods: set.methods.iter().map(method).collect(),
+            tenants: set.tenants.iter().map(tenant).collect(),
+            most_picks: set.most_picks,
+            may_cancel: set.may_cancel,
+            one_out: !set.second_copies,
+            may_probe: set.may_probe && reports,
+            hold: if set.may_probe && reports { HOLD } else { 0.0 },
+            come_back_max: set.come_back_max,
+            probes_each: (PROBE_SPEND / set.probe_price.max(1e-9)).min(PROBES_MOST),
+            sized: set.sized,
+            list_on_request: set.list_on_request,
+            ask_within: set.ask_within,
+            cold_window: set.fall_window,
+            cold_multiple: set.fall_multiple,
+            cold_from: set.cold_from,
+            cold_for: set.cold_for,
+            balancers: set.balancers as f64,
+            backends: BTreeMap::new(),
+            idle: Vec::new(),
+            waiting: Vec::new(),
+            load: Mean::default(),
+            service: Mean::default(),
+            service_guess: if shortest.is_finite() { shortest / 2.0 } else { 0.1 },
+            answered: Decaying::default(),
+            probe_tokens: PROBE_FEW as f64,
+            probe_round: 0.0,
+            started: f64::NAN,
+            subscribed: false,
+            ask_at: f64::INFINITY,
+            asks_failed: 0,
+            alarm: f64::INFINITY,
+        })))
+    }
+
+    /// Discovery's view, applied in the order it comes.
+    pub fn list(&self, kind: ListKind, entries: &[Entry], link: &mut dyn Link) {
+        self.0.borrow_mut().list(kind, entries, link);
+    }
+
+    /// A list call failed or the subscription dropped; the old list stays.
+    pub fn list_failed(&self, link: &mut dyn Link) {
+        let mut state = self.0.borrow_mut();
+        state.subscribed = false;
+        state.asks_failed += 1;
+        let pause = (LIST_RETRY * 2_f64.powi(state.asks_failed.min(10))).min(state.ask_within / 3.0);
+        state.ask_at = link.now() + pause * state.rng.random_range(0.5..1.0);
+        state.arm(link);
+    }
+
+    pub fn probed(&self, backend: u32, outcome: Outcome, report: Option<&LoadReport>, link: &mut dyn Link) {
+        let mut state = self.0.borrow_mut();
+        let Some(backend) = state.backends.get(&backend).cloned() else { return };
+        backend.probe_out.set(false);
+        match (outcome, report) {
+            (Outcome::Ok, Some(report)) => state.report(&backend, report, link.now()),
+            (Outcome::Ok, None) => {}
+            _ => state.failed(&backend, link.now()),
+        }
+        state.serve(link);
+    }
+
+    pub fn wake(&self, link: &mut dyn Link) {
+        let mut state = self.0.borrow_mut();
+        state.alarm = f64::INFINITY;
+        state.follow_list(link);
+        state.serve(link);
+    }
+
+    pub fn take(&self, arrival: &Arrival, link: &mut dyn Link) -> Rpc {
+        let mut state = self.0.borrow_mut();
+        let call = state.take(arrival, link);
+        Rpc { state: self.0.clone(), call }
+    }
+}
+
+impl Rpc {
+    /// Nothing more can happen to this RPC: finished, and no pick out.
+    pub fn is_over(&self) -> bool {
+        self.call.over.get() && self.call.picks.borrow().iter().all(|p| p.state != PickState::Out)
+    }
+
+    /// The answer has started; from here on it is the client's, without time-out or deadline.
+    pub fn begun(&self, _pick: usize) {
+        self.call.streaming.set(true);
+    }
+
+    pub fn hung_up(&self, link: &mut dyn Link) {
+        self.call.over.set(true);
+        let mut state = self.state.borrow_mut();
+        state.waiting.retain(|w| !Rc::ptr_eq(w, &self.call));
+        state.cancel_rest(&self.call, link);
+    }
+
+    pub fn ended(
+        &self,
+        pick: usize,
+        outcome: Outcome,
+        elapsed: f64,
+        over: bool,
+        report: Option<&LoadReport>,
+        link: &mut dyn Link,
+    ) {
+        let now = link.now();
+        let mut state = self.state.borrow_mut();
+        let backend = match self.call.picks.borrow_mut().get_mut(pick) {
+            Some(pick) if pick.state == PickState::Out => {
+                let ran = if outcome.never_ran() { PickState::NeverRan } else { PickState::MayHaveRun };
+                pick.state = ran;
+                pick.backend.clone()
+            }
+            _ => return,
+        };
+        backend.count(-1, now);
+        match outcome {
+            Outcome::Ok => {
+                backend.fails.set(0);
+                backend.credit.set((backend.credit.get() + CREDIT_EARN).min(CREDIT_MAX));
+                state.service.add(elapsed, now);
+                state.answered.add(1.0, now, MEAN_OVER);
+                if let Some(report) = report {
+                    state.report(&backend, report, now);
+                }
+            }
+            Outcome::Cancelled | Outcome::NeverSent | Outcome::Rejected => {}
+            _ => state.failed(&backend, now),
+        }
+        if over || outcome == Outcome::Ok || self.call.streaming.get() {
+            self.call.over.set(true);
+            state.cancel_rest(&self.call, link);
+        } else if !self.call.over.get() {
+            state.again(&self.call, link);
+        }
+        state.serve(link);
+    }
+}
+
+impl Backend {
+    fn count(&self, change: isize, now: f64) {
+        self.out.set(self.out.get().saturating_add_signed(change));
+        let mut mean = self.mean_out.get();
+        mean.add(self.out.get() as f64, now);
+        self.mean_out.set(mean);
+    }
+
+    fn healthy(&self, now: f64) -> bool {
+        now >= self.rest_until.get()
+    }
+
+    fn crowded(&self) -> bool {
+        self.out.get() as f64 > self.mean_out.get().get(0.0) * SKIP_TIMES + SKIP_PLUS
+    }
+}
+
+impl State {
+    // The four rules.
+
+    /// The gate for every pick: rules 1 to 4, and nothing about whether the pick is wise.
+    fn may_pick(&self, call: &Call, to: &Backend, now: f64) -> bool {
+        let picks = call.picks.borrow();
+        let out = picks.iter().any(|p| p.state == PickState::Out);
+        // 1: one final answer, in time, and nothing after it.
+        let open = !call.over.get() && now < call.deadline && picks.len() < self.most_picks;
+        // 2: no effect twice. A pick still out may have run.
+        let mut ran = picks.iter().filter(|p| p.state != PickState::NeverRan);
+        let harmless = match call.method.effect {
+            Effect::Idempotent => true,
+            Effect::NonIdempotent => ran.next().is_none(),
+            Effect::Deduplicated { group, window } => ran.all(|p| {
+                let same = match group {
+                    Group::All => true,
+                    Group::Zone => p.backend.zone == to.zone,
+                    Group::Cell => p.backend.cell == to.cell,
+                };
+                same && now + SLACK < p.sent + window
+            }),
+        };
+        // 3: `ready` falls the moment a drain or removal is told. 4: the cold budget.
+        open && !(out && self.one_out) && harmless && to.ready.get() && self.cold_room(to, now)
+    }
+
+    /// The one judge of whether a client may be told that trying again is harmless.
+    fn may_push_back(&self, call: &Call) -> bool {
+        match call.method.effect {
+            Effect::Idempotent | Effect::Deduplicated { group: Group::All, .. } => true,
+            _ => call.picks.borrow().iter().all(|p| p.state == PickState::NeverRan),
+        }
+    }
+
+    // Mechanism 4: cold budget.
+
+    /// Picks this proxy may send to a cold backend in one window, or none if it is warm. Guards against a
+    /// batch of successors that each look idle and draw everybody's traffic at once.
+    fn cold_budget(&self, to: &Backend, now: f64) -> Option<f64> {
+        let age = now - to.started.get().filter(|at| now - at < self.cold_for)?;
+        let share = self.cold_from + (1.0 - self.cold_from) * (age / self.cold_for).max(0.0);
+        // What one core does, split evenly; or what a warm backend answers here, which sums over proxies by itself.
+        let even = 1.0 / (self.service.get(self.service_guess) * self.balancers);
+        let ready = self.backends.values().filter(|b| b.ready.get()).count().max(1) as f64;
+        let mut answered = self.answered;
+        let own = answered.read(now, MEAN_OVER) / MEAN_OVER / ready;
+        Some(COLD_SAFETY * self.cold_multiple * share * self.cold_window * even.max(own))
+    }
+
+    fn cold_room(&self, to: &Backend, now: f64) -> bool {
+        let mut sent = to.cold_sent.get();
+        // Half of it as a burst and half as what decays within the window: no window holds more than all.
+        self.cold_budget(to, now).is_none_or(|budget| sent.read(now, self.cold_window) < budget / 2.0)
+    }
+
+    // The design: Join-Idle-Queue.
+
+    /// A report at or under the threshold adds its backend to the idle list, once.
+    fn report(&mut self, backend: &Rc<Backend>, report: &LoadReport, now: f64) {
+        let held = match (report.in_flight, report.queued, report.utilisation) {
+            (Some(in_flight), _, _) => in_flight,
+            (None, Some(queued), _) => queued,
+            (None, None, Some(utilisation)) => utilisation,
+            (None, None, None) => return,
+        };
+        let held = held.max(backend.out.get() as f64) / backend.size.get();
+        self.load.add(held, now);
+        let threshold = (self.load.get(0.0) * THRESHOLD).floor();
+        if held > threshold || !backend.ready.get() || !backend.healthy(now) {
+            return;
+        }
+        if backend.listed_at.replace(Some(now)).is_none() {
+            self.idle.push(backend.clone());
+        }
+    }
+
+    fn from_list(&mut self, call: &Call, now: f64) -> Option<Rc<Backend>> {
+        let age = (self.service.get(self.service_guess) * ENTRY_AGE).min(ENTRY_AGE_MAX);
+        self.idle.retain(|b| {
+            let fresh = b.ready.get() && b.listed_at.get().is_some_and(|at| now - at <= age);
+            if !fresh {
+                b.listed_at.set(None);
+            }
+            fresh
+        });
+        let first = self.idle.iter().position(|b| self.may_pick(call, b, now))?;
+        let backend = self.idle.remove(first);
+        backend.listed_at.set(None);
+        Some(backend)
+    }
+
+    /// Empty list: a random ready backend, skipping any far above its own mean in flight.
+    fn draw(&mut self, call: &Call, now: f64) -> Option<Rc<Backend>> {
+        let further = !call.picks.borrow().is_empty();
+        let may = |b: &&Rc<Backend>| self.may_pick(call, b, now) && (!further || b.credit.get() >= 1.0);
+        let all: Vec<_> = self.backends.values().filter(may).cloned().collect();
+        let well: Vec<_> = all.iter().filter(|b| b.healthy(now) && !b.crowded()).cloned().collect();
+        // A fleet-wide slowdown must not empty the ready set: with few left, health no longer counts.
+        let from = if well.len() * 3 >= all.len() { well } else { all };
+        if from.is_empty() { None } else { Some(from[self.rng.random_range(0..from.len())].clone()) }
+    }
+
+    // Mechanism 1: health.
+
+    /// Guards against a quick failure looking idle, and against drawing a dead backend again and again.
+    fn failed(&mut self, backend: &Rc<Backend>, now: f64) {
+        backend.fails.set(backend.fails.get().saturating_add(1));
+        if backend.listed_at.take().is_some() {
+            self.idle.retain(|b| !Rc::ptr_eq(b, backend));
+        }
+        if backend.fails.get() >= FAILS && backend.healthy(now) {
+            let rest = (REST * 2_f64.powi((backend.fails.get() - FAILS).min(10) as i32)).min(REST_MAX);
+            backend.rest_until.set(now + rest * self.rng.random_range(0.8..1.2));
+        }
+    }
+
+    // Mechanisms 2 and 3: credit, time-outs and further picks.
+
+    fn send(&mut self, call: &Rc<Call>, to: Rc<Backend>, link: &mut dyn Link) {
+        let now = link.now();
+        let mut picks = call.picks.borrow_mut();
+        if !picks.is_empty() {
+            to.credit.set(to.credit.get() - 1.0);
+        }
+        if self.cold_budget(&to, now).is_some() {
+            let mut sent = to.cold_sent.get();
+            sent.add(1.0, now, self.cold_window);
+            to.cold_sent.set(sent);
+        }
+        to.count(1, now);
+        // Work whose answer would come too late only keeps others waiting.
+        link.pick(call.id, to.id, (call.useful_until - SLACK - now).max(SLACK));
+        picks.push(Pick { backend: to, sent: now, state: PickState::Out });
+    }
+
+    /// After a failed pick: another one where rules, time and credit allow it, else the final answer.
+    fn again(&mut self, call: &Rc<Call>, link: &mut dyn Link) {
+        if call.picks.borrow().iter().any(|p| p.state == PickState::Out) {
+            return;
+        }
+        let now = link.now();
+        let time = call.useful_until - now > self.service.get(self.service_guess);
+        let next = if time { self.from_list(call, now).or_else(|| self.draw(call, now)) } else { None };
+        match next {
+            Some(backend) => self.send(call, backend, link),
+            None => self.give_up(call, link),
+        }
+    }
+
+    fn give_up(&mut self, call: &Rc<Call>, link: &mut dyn Link) {
+        self.cancel_rest(call, link);
+        call.over.set(true);
+        if self.may_push_back(call) {
+            link.push_back(call.id, self.come_back_max);
+        } else {
+            link.abort(call.id);
+        }
+    }
+
+    fn cancel_rest(&self, call: &Call, link: &mut dyn Link) {
+        let picks = call.picks.borrow();
+        let out = picks.iter().enumerate().filter(|(_, p)| p.state == PickState::Out);
+        for (n, _) in out.filter(|_| self.may_cancel && !call.streaming.get()) {
+            link.cancel(call.id, n);
+        }
+    }
+
+    // Mechanism 5: admission and fairness.
+
+    fn take(&mut self, arrival: &Arrival, link: &mut dyn Link) -> Rc<Call> {
+        let now = link.now();
+        let method = self.methods[arrival.method].clone();
+        let excess = arrival.tenant.is_some_and(|t| !self.tenants[t].within_share(now));
+        let target = now + method.target + method.stretch * arrival.expected_work.unwrap_or(0.0);
+        let useful_until = if method.late { arrival.deadline } else { target.min(arrival.deadline) };
+        let call = Rc::new(Call {
+            id: arrival.id,
+            deadline: arrival.deadline,
+            useful_until,
+            hold_until: (now + self.hold * method.target).min(arrival.deadline - SLACK),
+            method,
+            excess,
+            picks: RefCell::new(Vec::new()),
+            over: Cell::new(false),
+            streaming: Cell::new(false),
+        });
+        self.probe_tokens = (self.probe_tokens + self.probes_each).min(self.probes_each * 20.0 + 3.0);
+        let before = |w: &Rc<Call>| (w.excess, -w.method.utility) <= (call.excess, -call.method.utility);
+        let place = self.waiting.iter().position(|w| !before(w)).unwrap_or(self.waiting.len());
+        self.waiting.insert(place, call.clone());
+        self.serve(link);
+        call
+    }
+
+    /// Serves those who wait, first in rank first, from the list; draws for those whose wait is over.
+    fn serve(&mut self, link: &mut dyn Link) {
+        let now = link.now();
+        for call in std::mem::take(&mut self.waiting) {
+            if let Some(backend) = self.from_list(&call, now) {
+                self.send(&call, backend, link);
+                continue;
+            }
+            // What is beyond a tenant's share gets idle backends only.
+            if call.excess {
+                self.give_up(&call, link);
+                continue;
+            }
+            self.probe(link);
+            let probing = self.backends.values().any(|b| b.probe_out.get());
+            if now < call.hold_until && (probing || self.backends.is_empty()) {
+                self.waiting.push(call);
+                continue;
+            }
+            match self.draw(&call, now) {
+                Some(backend) => self.send(&call, backend, link),
+                None => self.give_up(&call, link),
+            }
+        }
+        self.arm(link);
+    }
+
+    // Mechanism 6: list following and probing.
+
+    /// Probes a few random backends: each interval, and at once when an RPC finds the list empty.
+    fn probe(&mut self, link: &mut dyn Link) {
+        let now = link.now();
+        let open = |b: &&Rc<Backend>| b.ready.get() && !b.probe_out.get() && b.listed_at.get().is_none();
+        if !self.may_probe {
+            return;
+        }
+        let mut from: Vec<_> =
+            self.backends.values().filter(open).filter(|b| b.healthy(now)).cloned().collect();
+        for _ in 0..PROBE_FEW {
+            if from.is_empty() || self.probe_tokens < 1.0 {
+                return;
+            }
+            let backend = from.swap_remove(self.rng.random_range(0..from.len()));
+            backend.probe_out.set(true);
+            self.probe_tokens -= 1.0;
+            link.probe(backend.id);
+        }
+    }
+
+    fn list(&mut self, kind: ListKind, entries: &[Entry], link: &mut dyn Link) {
+        let now = link.now();
+        if kind == ListKind::Stale {
+            self.started = now;
+            // Proxies often start together; spread their calls.
+            self.ask_at = now + self.rng.random_range(0.0..LIST_RETRY);
+            self.probe_round = now;
+        } else {
+            self.subscribed = true;
+            self.asks_failed = 0;
+            self.ask_at = f64::INFINITY;
+        }
+        if kind != ListKind::Changes {
+            let kept = |id: &u32| entries.iter().any(|e| e.backend == *id);
+            self.backends.iter().filter(|(id, _)| !kept(id)).for_each(|(_, b)| b.ready.set(false));
+        }
+        for entry in entries {
+            let made = || Rc::new(Backend::new(entry.backend));
+            let backend = self.backends.entry(entry.backend).or_insert_with(made).clone();
+            backend.ready.set(entry.readiness == Readiness::Ready);
+            backend.cell.set(entry.cell);
+            backend.zone.set(entry.zone);
+            backend.size.set(if self.sized && entry.scale > 0.0 { entry.scale } else { 1.0 });
+            if backend.started.replace(entry.started) != entry.started {
+                backend.fails.set(0);
+                backend.rest_until.set(f64::NEG_INFINITY);
+                let budget = self.cold_budget(&backend, now);
+                // A restarted proxy forgot what it sent: half of the budget counts as spent.
+                let spent = if kind == ListKind::Stale { budget.unwrap_or(0.0) / 4.0 } else { 0.0 };
+                let mut sent = backend.cold_sent.get();
+                sent.add(spent, now, self.cold_window);
+                backend.cold_sent.set(sent);
+            }
+        }
+        self.idle.retain(|b| b.ready.get() || b.listed_at.take().is_none());
+        self.serve(link);
+    }
+
+    fn follow_list(&mut self, link: &mut dyn Link) {
+        let now = link.now();
+        if self.list_on_request && !self.subscribed && now >= self.ask_at {
+            link.watch();
+            // Asked again in good time if nothing at all comes back.
+            self.ask_at = now + self.ask_within * self.rng.random_range(0.5..0.7);
+        }
+        if now >= self.probe_round {
+            self.probe_round = now + PROBE_EVERY;
+            self.probe_tokens = self.probe_tokens.max(0.0) + PROBE_FLOOR * PROBE_EVERY;
+            self.probe(link);
+        }
+    }
+
+    /// Sets the next wake-up, unless an earlier one is coming anyway.
+    fn arm(&mut self, link: &mut dyn Link) {
+        let asked = if self.list_on_request && !self.subscribed { self.ask_at } else { f64::INFINITY };
+        let round = if self.may_probe { self.probe_round } else { f64::INFINITY };
+        let next = self.waiting.iter().map(|w| w.hold_until).fold(asked.min(round), f64::min);
+        if next < self.alarm {
+            self.alarm = next;
+            link.wake_in((next - link.now()).max(0.0));
+        }
+    }
+}
+
+impl Backend {
+    fn new(id: u32) -> Self {
+        Self {
+            id,
+            cell: Cell::new(0),
+            zone: Cell::new(0),
+            size: Cell::new(1.0),
+            started: Cell::new(None),
+            ready: Cell::new(false),
+            out: Cell::new(0),
+            mean_out: Cell::default(),
+            fails: Cell::new(0),
+            rest_until: Cell::new(f64::NEG_INFINITY),
+            credit: Cell::new(0.0),
+            listed_at: Cell::new(None),
+            probe_out: Cell::new(false),
+            cold_sent: Cell::default(),
+        }
+    }
+}
+
+impl Tenant {
+    fn within_share(&self, now: f64) -> bool {
+        let earned = (now - self.at.replace(now)).min(QUOTA_BURST) * self.rate;
+        let tokens = (self.tokens.get() + earned).min(self.rate * QUOTA_BURST);
+        let within = tokens >= 1.0;
+        self.tokens.set(if within { tokens - 1.0 } else { tokens });
+        within
+    }
+}
--- /dev/null
+++ b/src/types.rs
@@ -0,0 +1,146 @@
+//! What the decision module is handed and what it hands out. Times are seconds with fractions.
+
+/// Settings as the platform states them at start; `policy` derives its own figures and drops these.
+#[derive(Clone, Debug, Default)]
+pub struct Settings {
+    pub balancers: usize,
+    pub methods: Vec<MethodSettings>,
+    pub tenants: Vec<TenantSettings>,
+    pub most_picks: usize,
+    pub may_cancel: bool,
+    pub may_probe: bool,
+    pub second_copies: bool,
+    /// Longest come-back time clients obey; 0 where they are told none.
+    pub come_back_max: f64,
+    /// Points of service one probe for every RPC would cost.
+    pub probe_price: f64,
+    pub reports: Reports,
+    /// `scale` of list entries tells the size of a backend.
+    pub sized: bool,
+    pub list_on_request: bool,
+    pub ask_within: f64,
+    pub drain_grace: f64,
+    pub cold_from: f64,
+    pub cold_for: f64,
+    pub fall_multiple: f64,
+    pub fall_window: f64,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum Reports {
+    #[default]
+    None,
+    InAnswers,
+    ByProbe,
+}
+
+#[derive(Clone, Debug)]
+pub struct MethodSettings {
+    pub effect: Effect,
+    pub latency_target: f64,
+    /// The target grows by this multiple of the RPC's own expected work.
+    pub target_stretch: f64,
+    pub utility: f64,
+    /// Share of the utility left for an answer between latency target and deadline.
+    pub late_utility: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Effect {
+    Idempotent,
+    NonIdempotent,
+    Deduplicated { group: Group, window: f64 },
+}
+
+/// The backends that drop each other's repeats.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Debug)]
+pub struct TenantSettings {
+    /// RPCs a second within the tenant's share, summed over all proxies.
+    pub quota: f64,
+}
+
+/// An RPC as it comes in. `method` and `tenant` are places in the settings' lists.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    pub id: u64,
+    pub method: usize,
+    pub tenant: Option<usize>,
+    pub deadline: f64,
+    pub expected_work: Option<f64>,
+    pub client_repeat: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum ListKind {
+    Changes,
+    Full,
+    Stale,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Readiness {
+    Ready,
+    Draining,
+    Gone,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Entry {
+    pub backend: u32,
+    pub scale: f64,
+    /// Time of the latest start; `None` means long ago.
+    pub started: Option<f64>,
+    pub cell: u64,
+    pub zone: usize,
+    pub readiness: Readiness,
+}
+
+/// A backend's report on itself; what it does not carry is `None`.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LoadReport {
+    pub in_flight: Option<f64>,
+    pub queued: Option<f64>,
+    pub utilisation: Option<f64>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Outcome {
+    Ok,
+    Error,
+    Rejected,
+    TimedOut,
+    NoConnection,
+    Reset,
+    Cancelled,
+    NeverSent,
+}
+
+impl Outcome {
+    /// The outcome proves that the pick never ran.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Self::Rejected | Self::NoConnection | Self::NeverSent)
+    }
+}
+
+/// The door outward: what the module may ask of the platform it runs on.
+pub trait Link {
+    fn now(&self) -> f64;
+    fn pick(&mut self, rpc: u64, backend: u32, time_out: f64);
+    fn cancel(&mut self, rpc: u64, pick: usize);
+    /// Final answer: not done, trying again is harmless. 0 gives no advice on when.
+    fn push_back(&mut self, rpc: u64, come_back: f64);
+    /// Final answer: failed, with no promise about what ran.
+    fn abort(&mut self, rpc: u64);
+    fn probe(&mut self, backend: u32);
+    /// Asks for the list's changes from here on.
+    fn watch(&mut self);
+    /// Calls `Balancer::wake` after this many seconds.
+    fn wake_in(&mut self, delay: f64);
+}
