--- a/crates/benchlink/src/settings.rs
+++ b/crates/benchlink/src/settings.rs
@@ -7,6 +7,8 @@
     pub methods: Vec<String>,
     pub tenants: Vec<String>,
     pub zones: Vec<String>,
+    /// The list's `scale` tells sizes.
+    pub sized: bool,
 }
 
 /// Reads a value at `path` below `at`, or says which path is wrong.
@@ -115,7 +117,6 @@
         come_back_max,
         probe_price: conf.opt("penalties").map_or(Ok(0.0), |p| p.num_or("probe", 0.0))?,
         reports,
-        sized: matches!(weight_source, "nominal" | "rough"),
         list_on_request: mode == "on_request",
         ask_within: contract.num_or("ask-within-ns", 10e9)? / 1e9,
         drain_grace: contract.get("drain-grace-ns")?.seconds()?,
@@ -124,6 +125,7 @@
         fall_multiple: contract.get("fall-multiple")?.num()?,
         fall_window: contract.get("tip-after-ns")?.seconds()?,
     };
+    let sized = matches!(weight_source, "nominal" | "rough");
     let zones = conf.opt("failure-domains").map_or(Ok(Vec::new()), |at| at.names())?;
-    Ok(Conf { settings, methods: methods.into_iter().map(|(name, _)| name).collect(), tenants, zones })
+    Ok(Conf { settings, methods: methods.into_iter().map(|(name, _)| name).collect(), tenants, zones, sized })
 }
--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -13,6 +13,7 @@
     methods: Vec<String>,
     tenants: Vec<String>,
     zones: Vec<String>,
+    sized: bool,
     balancer: Balancer,
     rpcs: HashMap<u64, Rpc>,
     /// Clock at `INIT`; the module's times count from here, so that fractions keep their precision.
@@ -180,6 +181,7 @@
             methods: conf.methods,
             tenants: conf.tenants,
             zones: conf.zones,
+            sized: conf.sized,
             balancer: Balancer::new(&conf.settings, seed),
             rpcs: HashMap::new(),
             base: self.clock,
@@ -209,7 +211,12 @@
         let place = |name: &String| instance.zones.iter().position(|z| z == name).unwrap_or(unknown);
         let read = |row: &Row| {
             let started = row.started.map(|clock| instance.seconds(clock));
-            Entry { zone: place(&row.zone), started, ..row.entry }
+            Entry {
+                zone: place(&row.zone),
+                size: if instance.sized && row.entry.size > 0.0 { row.entry.size } else { 1.0 },
+                started,
+                ..row.entry
+            }
         };
         let entries: Vec<Entry> = entries.iter().map(read).collect();
         self.call(proxy, |instance, link| instance.balancer.list(kind, &entries, link));
@@ -259,14 +266,14 @@
         let n = parts.num("n")?;
         parts.num::<u32>("backend")?;
         let outcome = outcome(parts.num("state-code")?)?;
-        let elapsed = parts.num::<u64>("elapsed-ns")? as f64 / 1e9;
+        parts.num::<u64>("elapsed-ns")?;
         let over = match parts.next("over")? {
             "0" => false,
             "1" => true,
             other => return Err(format!("over is not 0 or 1: {other}")),
         };
         let report = report(parts.opt("metrics")?)?;
-        self.on_rpc(proxy, id, |rpc, link| rpc.ended(n, outcome, elapsed, over, report.as_ref(), link));
+        self.on_rpc(proxy, id, |rpc, link| rpc.ended(n, outcome, over, report, link));
         Ok(())
     }
 
@@ -276,7 +283,7 @@
         let backend = parts.num("backend")?;
         parts.num::<u64>("elapsed-ns")?;
         let report = report(parts.opt("metrics")?)?;
-        self.call(proxy, |instance, link| instance.balancer.probed(backend, outcome, report.as_ref(), link));
+        self.call(proxy, |instance, link| instance.balancer.probed(backend, outcome, report, link));
         Ok(())
     }
 
@@ -333,7 +340,7 @@
             "OUT" => Readiness::Gone,
             other => return Err(format!("readiness is not known: {other}")),
         };
-        let entry = Entry { backend, scale, started: None, cell, zone: 0, readiness };
+        let entry = Entry { backend, size: scale, started: None, cell, zone: 0, readiness };
         Ok(Row { zone, started, entry })
     }
 }
--- /dev/null
+++ b/src/measure.rs
@@ -0,0 +1,39 @@
+//! What is measured over time: sums that decay, brought up to date when they are read.
+use std::cell::Cell;
+
+/// A sum that decays with a time constant.
+#[derive(Debug, Default)]
+pub struct Decaying {
+    sum: Cell<f64>,
+    at: Cell<f64>,
+}
+
+impl Decaying {
+    pub fn read(&self, now: f64, over: f64) -> f64 {
+        self.sum.get() * (-(now - self.at.get()).max(0.0) / over).exp()
+    }
+
+    pub fn add(&self, what: f64, now: f64, over: f64) {
+        self.sum.set(self.read(now, over) + what);
+        self.at.set(now);
+    }
+}
+
+/// Mean of what was measured lately, from two sums that decay alike; kept as it was while nothing comes in.
+#[derive(Debug, Default)]
+pub struct Mean {
+    total: Decaying,
+    count: Decaying,
+}
+
+impl Mean {
+    pub fn add(&self, value: f64, now: f64, over: f64) {
+        self.total.add(value, now, over);
+        self.count.add(1.0, now, over);
+    }
+
+    pub fn get(&self, default: f64) -> f64 {
+        let count = self.count.sum.get();
+        if count > 0.0 { self.total.sum.get() / count } else { default }
+    }
+}
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -2,13 +2,14 @@
 //! changes, probe results and wake-ups, and gets an `Rpc` handle from `take`; what happens to that RPC later is
 //! a call on the handle. Answers leave through `types::Link`; all interface types stand in `src/types.rs`.
 //!
-//! The design is Join-Idle-Queue (docs/design.md): `report` fills the idle list, `from_list` takes its first
+//! The design is Join-Idle-Queue (docs/design.md): `report` fills the idle list, `first_idle` takes its first
 //! entry, `draw` picks at random when it is empty. Six mechanisms stand beside it, each marked in the code:
-//! 1. health: failures in a row rest a backend;  2. credit: answers earned pay for further picks;
-//! 3. time-outs: no pick outlives its use;  4. cold budget: this proxy's part of what a cold backend can take;
-//! 5. admission: waiting briefly, by share and utility;  6. list and probes: following both, within a budget.
+//! (1) health: failures in a row rest a backend; (2) credit: answers earned pay for further picks;
+//! (3) time-outs: no pick outlives its use; (4) cold budget: this proxy's part of what a cold backend takes;
+//! (5) admission: waiting briefly, by share and utility; (6) list and probes: following both, within a budget.
 //! `may_pick` and `may_push_back` alone decide what the four rules allow.
 
+use crate::measure::{Decaying, Mean};
 use crate::types::*;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
@@ -42,8 +43,8 @@
 const HOLD: f64 = 0.15;
 /// A tenant's slice of its quota here, as a multiple of an even split: clients do not spread evenly.
 const SLICE: f64 = 1.3;
-/// Seconds of its quota that a tenant may send at once.
-const QUOTA_BURST: f64 = 1.0;
+/// Time over which a tenant's use of its slice is counted, s: lets a short burst through.
+const QUOTA_OVER: f64 = 1.0;
 /// Points of service that probing may cost; the price of a probe turns it into probes an RPC.
 const PROBE_SPEND: f64 = 0.006;
 /// Most probes an RPC where they are nearly free, for the backends' sake.
@@ -57,73 +58,32 @@
 const MEAN_OVER: f64 = 4.0;
 /// First pause before a list call is repeated, s; doubled each time, as calls are scarce.
 const LIST_RETRY: f64 = 0.5;
+/// Longest pause between list calls, as a share of the time after which silence counts as being told.
+const ASK_AGAIN: f64 = 0.5;
 
-/// A sum that decays with time constant `over`, brought up to date when read.
-#[derive(Clone, Copy, Default)]
-struct Decaying {
-    sum: f64,
-    at: f64,
-}
-
-impl Decaying {
-    fn read(&mut self, now: f64, over: f64) -> f64 {
-        self.sum *= (-(now - self.at).max(0.0) / over).exp();
-        self.at = now;
-        self.sum
-    }
-    fn add(&mut self, what: f64, now: f64, over: f64) {
-        self.sum = self.read(now, over) + what;
-    }
-}
-
-/// Mean of what was measured lately, from two decaying sums.
-#[derive(Clone, Copy, Default)]
-struct Mean {
-    total: Decaying,
-    count: Decaying,
-}
-
-impl Mean {
-    fn add(&mut self, value: f64, now: f64) {
-        self.total.add(value, now, MEAN_OVER);
-        self.count.add(1.0, now, MEAN_OVER);
-    }
-    fn get(&self, default: f64) -> f64 {
-        // Both sums decay alike, so their ratio needs no update; a stale one keeps its last value.
-        if self.count.sum > 1e-9 { self.total.sum / self.count.sum } else { default }
-    }
-}
-
+#[derive(Default)]
 struct Backend {
     id: u32,
+    /// Size beside other backends'.
+    size: Cell<f64>,
     cell: Cell<u64>,
     zone: Cell<usize>,
-    size: Cell<f64>,
     started: Cell<Option<f64>>,
     ready: Cell<bool>,
     out: Cell<usize>,
-    mean_out: Cell<Mean>,
+    mean_out: Mean,
     fails: Cell<u32>,
     rest_until: Cell<f64>,
     credit: Cell<f64>,
     listed_at: Cell<Option<f64>>,
     probe_out: Cell<bool>,
-    cold_sent: Cell<Decaying>,
-}
-
-struct Method {
-    effect: Effect,
-    target: f64,
-    stretch: f64,
-    utility: f64,
-    late: bool,
+    cold_sent: Decaying,
 }
 
 struct Tenant {
-    /// This proxy's slice of the quota, RPCs a second, and what is left of it now.
-    rate: f64,
-    tokens: Cell<f64>,
-    at: Cell<f64>,
+    /// RPCs of this proxy's slice of the quota in `QUOTA_OVER`, and those of late.
+    slice: f64,
+    sent: Decaying,
 }
 
 #[derive(Clone, Copy, PartialEq)]
@@ -141,7 +101,7 @@
 
 struct Call {
     id: u64,
-    method: Rc<Method>,
+    method: Rc<MethodSettings>,
     deadline: f64,
     /// When an answer is of no more use: latency target, or deadline where late ones count.
     useful_until: f64,
@@ -152,40 +112,47 @@
     streaming: Cell<bool>,
 }
 
+/// The instance's own chance, from the seed handed over.
+struct Chance(Pcg64);
+
+impl Default for Chance {
+    fn default() -> Self {
+        Self(Pcg64::seed_from_u64(0))
+    }
+}
+
+#[derive(Default)]
 struct State {
-    rng: Pcg64,
-    methods: Vec<Rc<Method>>,
+    chance: Chance,
+    methods: Vec<Rc<MethodSettings>>,
     tenants: Vec<Tenant>,
     most_picks: usize,
     may_cancel: bool,
     one_out: bool,
     may_probe: bool,
-    hold: f64,
-    come_back_max: f64,
+    come_back: f64,
     probes_each: f64,
-    sized: bool,
-    list_on_request: bool,
-    ask_within: f64,
-    /// Cold budget for each unit of warm rate: multiple x window, and the share a cold start has.
+    /// Longest pause between list calls while unsubscribed; none where changes come by themselves.
+    ask_every: Option<f64>,
+    /// Work that may be sent to a warm backend's worth of capacity in one window, by all proxies and safely.
+    cold_allow: f64,
     cold_window: f64,
-    cold_multiple: f64,
     cold_from: f64,
     cold_for: f64,
     balancers: f64,
     backends: BTreeMap<u32, Rc<Backend>>,
     idle: Vec<Rc<Backend>>,
     waiting: Vec<Rc<Call>>,
+    /// RPCs a backend holds by its reports, and seconds from pick to answer.
     load: Mean,
     service: Mean,
     service_guess: f64,
     answered: Decaying,
     probe_tokens: f64,
     probe_round: f64,
-    started: f64,
-    subscribed: bool,
-    ask_at: f64,
+    ask_at: Option<f64>,
     asks_failed: i32,
-    alarm: f64,
+    alarm: Option<f64>,
 }
 
 pub struct Balancer(Rc<RefCell<State>>);
@@ -198,82 +165,48 @@
 
 impl Balancer {
     pub fn new(set: &Settings, seed: u64) -> Self {
-        let method = |m: &MethodSettings| {
-            let (target, stretch) = (m.latency_target, m.target_stretch);
-            Rc::new(Method {
-                effect: m.effect,
-                target,
-                stretch,
-                utility: m.utility,
-                late: m.late_utility > 0.0,
-            })
-        };
-        let slice = SLICE / set.balancers as f64;
-        let tenant = |t: &TenantSettings| Tenant {
-            rate: t.quota * slice,
-            tokens: Cell::new(t.quota * slice * QUOTA_BURST),
-            at: Cell::new(f64::NEG_INFINITY),
-        };
+        let slice = SLICE * QUOTA_OVER / set.balancers as f64;
+        let tenant = |t: &TenantSettings| Tenant { slice: t.quota * slice, sent: Decaying::default() };
         let shortest = set.methods.iter().map(|m| m.latency_target).fold(f64::INFINITY, f64::min);
-        let reports = set.reports != Reports::None;
         Self(Rc::new(RefCell::new(State {
-            rng: Pcg64::seed_from_u64(seed),
-            methods: set.methods.iter().map(method).collect(),
+            chance: Chance(Pcg64::seed_from_u64(seed)),
+            methods: set.methods.iter().cloned().map(Rc::new).collect(),
             tenants: set.tenants.iter().map(tenant).collect(),
             most_picks: set.most_picks,
             may_cancel: set.may_cancel,
             one_out: !set.second_copies,
-            may_probe: set.may_probe && reports,
-            hold: if set.may_probe && reports { HOLD } else { 0.0 },
-            come_back_max: set.come_back_max,
+            may_probe: set.may_probe && set.reports != Reports::None,
+            come_back: set.come_back_max,
             probes_each: (PROBE_SPEND / set.probe_price.max(1e-9)).min(PROBES_MOST),
-            sized: set.sized,
-            list_on_request: set.list_on_request,
-            ask_within: set.ask_within,
+            ask_every: Some(set.ask_within * ASK_AGAIN).filter(|_| set.list_on_request),
+            cold_allow: COLD_SAFETY * set.fall_multiple * set.fall_window,
             cold_window: set.fall_window,
-            cold_multiple: set.fall_multiple,
             cold_from: set.cold_from,
             cold_for: set.cold_for,
             balancers: set.balancers as f64,
-            backends: BTreeMap::new(),
-            idle: Vec::new(),
-            waiting: Vec::new(),
-            load: Mean::default(),
-            service: Mean::default(),
-            service_guess: if shortest.is_finite() { shortest / 2.0 } else { 0.1 },
-            answered: Decaying::default(),
+            service_guess: if shortest.is_finite() { shortest / 2.0 } else { 1.0 },
             probe_tokens: PROBE_FEW as f64,
-            probe_round: 0.0,
-            started: f64::NAN,
-            subscribed: false,
-            ask_at: f64::INFINITY,
-            asks_failed: 0,
-            alarm: f64::INFINITY,
+            ..State::default()
         })))
     }
 
-    /// Discovery's view, applied in the order it comes.
-    pub fn list(&self, kind: ListKind, entries: &[Entry], link: &mut dyn Link) {
-        self.0.borrow_mut().list(kind, entries, link);
-    }
-
     /// A list call failed or the subscription dropped; the old list stays.
     pub fn list_failed(&self, link: &mut dyn Link) {
         let mut state = self.0.borrow_mut();
-        state.subscribed = false;
         state.asks_failed += 1;
-        let pause = (LIST_RETRY * 2_f64.powi(state.asks_failed.min(10))).min(state.ask_within / 3.0);
-        state.ask_at = link.now() + pause * state.rng.random_range(0.5..1.0);
+        let longest = state.ask_every.unwrap_or(0.0);
+        let pause = (LIST_RETRY * 2_f64.powi(state.asks_failed.min(10))).min(longest);
+        let jitter = state.chance.0.random_range(0.5..1.0);
+        state.ask_at = state.ask_every.map(|_| link.now() + pause * jitter);
         state.arm(link);
     }
 
-    pub fn probed(&self, backend: u32, outcome: Outcome, report: Option<&LoadReport>, link: &mut dyn Link) {
+    pub fn probed(&self, backend: u32, outcome: Outcome, report: Option<LoadReport>, link: &mut dyn Link) {
         let mut state = self.0.borrow_mut();
         let Some(backend) = state.backends.get(&backend).cloned() else { return };
         backend.probe_out.set(false);
-        match (outcome, report) {
-            (Outcome::Ok, Some(report)) => state.report(&backend, report, link.now()),
-            (Outcome::Ok, None) => {}
+        match outcome {
+            Outcome::Ok => state.report(&backend, report, link.now()),
             _ => state.failed(&backend, link.now()),
         }
         state.serve(link);
@@ -281,16 +214,20 @@
 
     pub fn wake(&self, link: &mut dyn Link) {
         let mut state = self.0.borrow_mut();
-        state.alarm = f64::INFINITY;
+        state.alarm = None;
         state.follow_list(link);
         state.serve(link);
     }
 
     pub fn take(&self, arrival: &Arrival, link: &mut dyn Link) -> Rpc {
-        let mut state = self.0.borrow_mut();
-        let call = state.take(arrival, link);
+        let call = self.0.borrow_mut().take(arrival, link);
         Rpc { state: self.0.clone(), call }
     }
+
+    /// Discovery's view, applied in the order it comes.
+    pub fn list(&self, kind: ListKind, entries: &[Entry], link: &mut dyn Link) {
+        self.0.borrow_mut().list(kind, entries, link);
+    }
 }
 
 impl Rpc {
@@ -311,40 +248,29 @@
         state.cancel_rest(&self.call, link);
     }
 
-    pub fn ended(
-        &self,
-        pick: usize,
-        outcome: Outcome,
-        elapsed: f64,
-        over: bool,
-        report: Option<&LoadReport>,
-        link: &mut dyn Link,
-    ) {
+    pub fn ended(&self, n: usize, how: Outcome, over: bool, report: Option<LoadReport>, link: &mut dyn Link) {
         let now = link.now();
         let mut state = self.state.borrow_mut();
-        let backend = match self.call.picks.borrow_mut().get_mut(pick) {
+        let (backend, sent) = match self.call.picks.borrow_mut().get_mut(n) {
             Some(pick) if pick.state == PickState::Out => {
-                let ran = if outcome.never_ran() { PickState::NeverRan } else { PickState::MayHaveRun };
-                pick.state = ran;
-                pick.backend.clone()
+                pick.state = if how.never_ran() { PickState::NeverRan } else { PickState::MayHaveRun };
+                (pick.backend.clone(), pick.sent)
             }
             _ => return,
         };
         backend.count(-1, now);
-        match outcome {
+        match how {
             Outcome::Ok => {
                 backend.fails.set(0);
                 backend.credit.set((backend.credit.get() + CREDIT_EARN).min(CREDIT_MAX));
-                state.service.add(elapsed, now);
+                state.service.add(now - sent, now, MEAN_OVER);
                 state.answered.add(1.0, now, MEAN_OVER);
-                if let Some(report) = report {
-                    state.report(&backend, report, now);
-                }
+                state.report(&backend, report, now);
             }
             Outcome::Cancelled | Outcome::NeverSent | Outcome::Rejected => {}
             _ => state.failed(&backend, now),
         }
-        if over || outcome == Outcome::Ok || self.call.streaming.get() {
+        if over || how == Outcome::Ok || self.call.streaming.get() {
             self.call.over.set(true);
             state.cancel_rest(&self.call, link);
         } else if !self.call.over.get() {
@@ -354,12 +280,18 @@
     }
 }
 
+impl Call {
+    /// A further pick goes only where there is credit, and not back to where one failed.
+    fn earned(&self, to: &Rc<Backend>) -> bool {
+        let picks = self.picks.borrow();
+        picks.is_empty() || (to.credit.get() >= 1.0 && picks.iter().all(|p| !Rc::ptr_eq(&p.backend, to)))
+    }
+}
+
 impl Backend {
     fn count(&self, change: isize, now: f64) {
         self.out.set(self.out.get().saturating_add_signed(change));
-        let mut mean = self.mean_out.get();
-        mean.add(self.out.get() as f64, now);
-        self.mean_out.set(mean);
+        self.mean_out.add(self.out.get() as f64, now, MEAN_OVER);
     }
 
     fn healthy(&self, now: f64) -> bool {
@@ -367,7 +299,7 @@
     }
 
     fn crowded(&self) -> bool {
-        self.out.get() as f64 > self.mean_out.get().get(0.0) * SKIP_TIMES + SKIP_PLUS
+        self.out.get() as f64 > self.mean_out.get(0.0) * SKIP_TIMES + SKIP_PLUS
     }
 }
 
@@ -416,31 +348,24 @@
         // What one core does, split evenly; or what a warm backend answers here, which sums over proxies by itself.
         let even = 1.0 / (self.service.get(self.service_guess) * self.balancers);
         let ready = self.backends.values().filter(|b| b.ready.get()).count().max(1) as f64;
-        let mut answered = self.answered;
-        let own = answered.read(now, MEAN_OVER) / MEAN_OVER / ready;
-        Some(COLD_SAFETY * self.cold_multiple * share * self.cold_window * even.max(own))
+        let own = self.answered.read(now, MEAN_OVER) / MEAN_OVER / ready;
+        Some(self.cold_allow * share * even.max(own))
     }
 
     fn cold_room(&self, to: &Backend, now: f64) -> bool {
-        let mut sent = to.cold_sent.get();
         // Half of it as a burst and half as what decays within the window: no window holds more than all.
-        self.cold_budget(to, now).is_none_or(|budget| sent.read(now, self.cold_window) < budget / 2.0)
+        self.cold_budget(to, now).is_none_or(|budget| to.cold_sent.read(now, self.cold_window) < budget / 2.0)
     }
 
     // The design: Join-Idle-Queue.
 
     /// A report at or under the threshold adds its backend to the idle list, once.
-    fn report(&mut self, backend: &Rc<Backend>, report: &LoadReport, now: f64) {
-        let held = match (report.in_flight, report.queued, report.utilisation) {
-            (Some(in_flight), _, _) => in_flight,
-            (None, Some(queued), _) => queued,
-            (None, None, Some(utilisation)) => utilisation,
-            (None, None, None) => return,
-        };
+    fn report(&mut self, backend: &Rc<Backend>, report: Option<LoadReport>, now: f64) {
+        let held = report.and_then(|r| r.in_flight.or(r.queued).or(r.utilisation));
+        let Some(held) = held else { return };
         let held = held.max(backend.out.get() as f64) / backend.size.get();
-        self.load.add(held, now);
-        let threshold = (self.load.get(0.0) * THRESHOLD).floor();
-        if held > threshold || !backend.ready.get() || !backend.healthy(now) {
+        self.load.add(held, now, MEAN_OVER);
+        if held > self.load.get(0.0) * THRESHOLD || !backend.ready.get() || !backend.healthy(now) {
             return;
         }
         if backend.listed_at.replace(Some(now)).is_none() {
@@ -448,7 +373,7 @@
         }
     }
 
-    fn from_list(&mut self, call: &Call, now: f64) -> Option<Rc<Backend>> {
+    fn first_idle(&mut self, call: &Call, now: f64) -> Option<Rc<Backend>> {
         let age = (self.service.get(self.service_guess) * ENTRY_AGE).min(ENTRY_AGE_MAX);
         self.idle.retain(|b| {
             let fresh = b.ready.get() && b.listed_at.get().is_some_and(|at| now - at <= age);
@@ -457,7 +382,7 @@
             }
             fresh
         });
-        let first = self.idle.iter().position(|b| self.may_pick(call, b, now))?;
+        let first = self.idle.iter().position(|b| self.may_pick(call, b, now) && call.earned(b))?;
         let backend = self.idle.remove(first);
         backend.listed_at.set(None);
         Some(backend)
@@ -465,13 +390,12 @@
 
     /// Empty list: a random ready backend, skipping any far above its own mean in flight.
     fn draw(&mut self, call: &Call, now: f64) -> Option<Rc<Backend>> {
-        let further = !call.picks.borrow().is_empty();
-        let may = |b: &&Rc<Backend>| self.may_pick(call, b, now) && (!further || b.credit.get() >= 1.0);
+        let may = |b: &&Rc<Backend>| self.may_pick(call, b, now) && call.earned(b);
         let all: Vec<_> = self.backends.values().filter(may).cloned().collect();
         let well: Vec<_> = all.iter().filter(|b| b.healthy(now) && !b.crowded()).cloned().collect();
         // A fleet-wide slowdown must not empty the ready set: with few left, health no longer counts.
         let from = if well.len() * 3 >= all.len() { well } else { all };
-        if from.is_empty() { None } else { Some(from[self.rng.random_range(0..from.len())].clone()) }
+        if from.is_empty() { None } else { Some(from[self.chance.0.random_range(0..from.len())].clone()) }
     }
 
     // Mechanism 1: health.
@@ -484,7 +408,7 @@
         }
         if backend.fails.get() >= FAILS && backend.healthy(now) {
             let rest = (REST * 2_f64.powi((backend.fails.get() - FAILS).min(10) as i32)).min(REST_MAX);
-            backend.rest_until.set(now + rest * self.rng.random_range(0.8..1.2));
+            backend.rest_until.set(now + rest * self.chance.0.random_range(0.8..1.2));
         }
     }
 
@@ -497,9 +421,7 @@
             to.credit.set(to.credit.get() - 1.0);
         }
         if self.cold_budget(&to, now).is_some() {
-            let mut sent = to.cold_sent.get();
-            sent.add(1.0, now, self.cold_window);
-            to.cold_sent.set(sent);
+            to.cold_sent.add(1.0, now, self.cold_window);
         }
         to.count(1, now);
         // Work whose answer would come too late only keeps others waiting.
@@ -514,7 +436,7 @@
         }
         let now = link.now();
         let time = call.useful_until - now > self.service.get(self.service_guess);
-        let next = if time { self.from_list(call, now).or_else(|| self.draw(call, now)) } else { None };
+        let next = if time { self.first_idle(call, now).or_else(|| self.draw(call, now)) } else { None };
         match next {
             Some(backend) => self.send(call, backend, link),
             None => self.give_up(call, link),
@@ -525,7 +447,7 @@
         self.cancel_rest(call, link);
         call.over.set(true);
         if self.may_push_back(call) {
-            link.push_back(call.id, self.come_back_max);
+            link.push_back(call.id, self.come_back);
         } else {
             link.abort(call.id);
         }
@@ -545,13 +467,16 @@
         let now = link.now();
         let method = self.methods[arrival.method].clone();
         let excess = arrival.tenant.is_some_and(|t| !self.tenants[t].within_share(now));
-        let target = now + method.target + method.stretch * arrival.expected_work.unwrap_or(0.0);
-        let useful_until = if method.late { arrival.deadline } else { target.min(arrival.deadline) };
+        let target =
+            now + method.latency_target + method.target_stretch * arrival.expected_work.unwrap_or(0.0);
+        let useful_until =
+            if method.late_utility > 0.0 { arrival.deadline } else { target.min(arrival.deadline) };
+        let hold = if self.may_probe { HOLD * method.latency_target } else { 0.0 };
         let call = Rc::new(Call {
             id: arrival.id,
             deadline: arrival.deadline,
             useful_until,
-            hold_until: (now + self.hold * method.target).min(arrival.deadline - SLACK),
+            hold_until: (now + hold).min(arrival.deadline - SLACK),
             method,
             excess,
             picks: RefCell::new(Vec::new()),
@@ -570,7 +495,7 @@
     fn serve(&mut self, link: &mut dyn Link) {
         let now = link.now();
         for call in std::mem::take(&mut self.waiting) {
-            if let Some(backend) = self.from_list(&call, now) {
+            if let Some(backend) = self.first_idle(&call, now) {
                 self.send(&call, backend, link);
                 continue;
             }
@@ -608,7 +533,7 @@
             if from.is_empty() || self.probe_tokens < 1.0 {
                 return;
             }
-            let backend = from.swap_remove(self.rng.random_range(0..from.len()));
+            let backend = from.swap_remove(self.chance.0.random_range(0..from.len()));
             backend.probe_out.set(true);
             self.probe_tokens -= 1.0;
             link.probe(backend.id);
@@ -618,35 +543,31 @@
     fn list(&mut self, kind: ListKind, entries: &[Entry], link: &mut dyn Link) {
         let now = link.now();
         if kind == ListKind::Stale {
-            self.started = now;
             // Proxies often start together; spread their calls.
-            self.ask_at = now + self.rng.random_range(0.0..LIST_RETRY);
-            self.probe_round = now;
+            let jitter = self.chance.0.random_range(0.0..LIST_RETRY);
+            self.ask_at = self.ask_every.map(|_| now + jitter);
         } else {
-            self.subscribed = true;
             self.asks_failed = 0;
-            self.ask_at = f64::INFINITY;
+            self.ask_at = None;
         }
         if kind != ListKind::Changes {
             let kept = |id: &u32| entries.iter().any(|e| e.backend == *id);
             self.backends.iter().filter(|(id, _)| !kept(id)).for_each(|(_, b)| b.ready.set(false));
         }
         for entry in entries {
-            let made = || Rc::new(Backend::new(entry.backend));
+            let made = || Rc::new(Backend { id: entry.backend, ..Backend::default() });
             let backend = self.backends.entry(entry.backend).or_insert_with(made).clone();
             backend.ready.set(entry.readiness == Readiness::Ready);
             backend.cell.set(entry.cell);
             backend.zone.set(entry.zone);
-            backend.size.set(if self.sized && entry.scale > 0.0 { entry.scale } else { 1.0 });
+            backend.size.set(entry.size);
             if backend.started.replace(entry.started) != entry.started {
                 backend.fails.set(0);
-                backend.rest_until.set(f64::NEG_INFINITY);
+                backend.rest_until.set(0.0);
                 let budget = self.cold_budget(&backend, now);
                 // A restarted proxy forgot what it sent: half of the budget counts as spent.
                 let spent = if kind == ListKind::Stale { budget.unwrap_or(0.0) / 4.0 } else { 0.0 };
-                let mut sent = backend.cold_sent.get();
-                sent.add(spent, now, self.cold_window);
-                backend.cold_sent.set(sent);
+                backend.cold_sent.add(spent, now, self.cold_window);
             }
         }
         self.idle.retain(|b| b.ready.get() || b.listed_at.take().is_none());
@@ -655,10 +576,11 @@
 
     fn follow_list(&mut self, link: &mut dyn Link) {
         let now = link.now();
-        if self.list_on_request && !self.subscribed && now >= self.ask_at {
+        if self.ask_at.is_some_and(|at| now >= at) {
             link.watch();
             // Asked again in good time if nothing at all comes back.
-            self.ask_at = now + self.ask_within * self.rng.random_range(0.5..0.7);
+            let jitter = self.chance.0.random_range(0.8..1.2);
+            self.ask_at = self.ask_every.map(|every| now + every * jitter);
         }
         if now >= self.probe_round {
             self.probe_round = now + PROBE_EVERY;
@@ -669,43 +591,22 @@
 
     /// Sets the next wake-up, unless an earlier one is coming anyway.
     fn arm(&mut self, link: &mut dyn Link) {
-        let asked = if self.list_on_request && !self.subscribed { self.ask_at } else { f64::INFINITY };
-        let round = if self.may_probe { self.probe_round } else { f64::INFINITY };
-        let next = self.waiting.iter().map(|w| w.hold_until).fold(asked.min(round), f64::min);
-        if next < self.alarm {
-            self.alarm = next;
+        let rounds = self.may_probe.then_some(self.probe_round);
+        let ends = self.waiting.iter().map(|w| w.hold_until);
+        let next = ends.chain(rounds).chain(self.ask_at).fold(f64::INFINITY, f64::min);
+        if next < self.alarm.unwrap_or(f64::INFINITY) {
+            self.alarm = Some(next);
             link.wake_in((next - link.now()).max(0.0));
         }
     }
 }
 
-impl Backend {
-    fn new(id: u32) -> Self {
-        Self {
-            id,
-            cell: Cell::new(0),
-            zone: Cell::new(0),
-            size: Cell::new(1.0),
-            started: Cell::new(None),
-            ready: Cell::new(false),
-            out: Cell::new(0),
-            mean_out: Cell::default(),
-            fails: Cell::new(0),
-            rest_until: Cell::new(f64::NEG_INFINITY),
-            credit: Cell::new(0.0),
-            listed_at: Cell::new(None),
-            probe_out: Cell::new(false),
-            cold_sent: Cell::default(),
-        }
-    }
-}
-
 impl Tenant {
     fn within_share(&self, now: f64) -> bool {
-        let earned = (now - self.at.replace(now)).min(QUOTA_BURST) * self.rate;
-        let tokens = (self.tokens.get() + earned).min(self.rate * QUOTA_BURST);
-        let within = tokens >= 1.0;
-        self.tokens.set(if within { tokens - 1.0 } else { tokens });
+        let within = self.sent.read(now, QUOTA_OVER) < self.slice;
+        if within {
+            self.sent.add(1.0, now, QUOTA_OVER);
+        }
         within
     }
 }
--- a/src/types.rs
+++ b/src/types.rs
@@ -15,8 +15,6 @@
     /// Points of service one probe for every RPC would cost.
     pub probe_price: f64,
     pub reports: Reports,
-    /// `scale` of list entries tells the size of a backend.
-    pub sized: bool,
     pub list_on_request: bool,
     pub ask_within: f64,
     pub drain_grace: f64,
@@ -94,7 +92,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Entry {
     pub backend: u32,
-    pub scale: f64,
+    /// Size beside other backends'; 1 where the list does not tell.
+    pub size: f64,
     /// Time of the latest start; `None` means long ago.
     pub started: Option<f64>,
     pub cell: u64,
