Refuse draws that would miss their target; stop timers from multiplying

Change: expected wait = reported load x time each, measured on drawn picks; threshold capped the same way.

--- a/src/measure.rs
+++ b/src/measure.rs
@@ -36,4 +36,9 @@
         let count = self.count.sum.get();
         if count > 0.0 { self.total.sum.get() / count } else { default }
     }
+
+    /// The mean as if one more value of 0 had just come in: what is no longer measured fades out.
+    pub fn lean(&self, now: f64, over: f64) -> f64 {
+        self.total.read(now, over) / (self.count.read(now, over) + 1.0)
+    }
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -43,6 +43,10 @@
 const HOLD: f64 = 0.15;
 /// A tenant's slice of its quota here, as a multiple of an even split: clients do not spread evenly.
 const SLICE: f64 = 1.3;
+/// A pick that timed out counts as having taken this multiple of its time: the least it can have been short of.
+const LATE: f64 = 1.5;
+/// Room that an RPC beyond its tenant's share must leave, as a multiple of the expected wait.
+const EXCESS_ROOM: f64 = 2.0;
 /// Time over which a tenant's use of its slice is counted, s: lets a short burst through.
 const QUOTA_OVER: f64 = 1.0;
 /// Points of service that probing may cost; the price of a probe turns it into probes an RPC.
@@ -58,6 +62,8 @@
 const MEAN_OVER: f64 = 4.0;
 /// First pause before a list call is repeated, s; doubled each time, as calls are scarce.
 const LIST_RETRY: f64 = 0.5;
+/// What a clock of whole nanoseconds may be off, s.
+const TICK: f64 = 1e-6;
 /// Longest pause between list calls, as a share of the time after which silence counts as being told.
 const ASK_AGAIN: f64 = 0.5;
 
@@ -80,6 +86,12 @@
     cold_sent: Decaying,
 }
 
+struct Method {
+    set: MethodSettings,
+    /// Seconds to an answer from a drawn backend, for each RPC that stood there, counting itself.
+    each: Mean,
+}
+
 struct Tenant {
     /// RPCs of this proxy's slice of the quota in `QUOTA_OVER`, and those of late.
     slice: f64,
@@ -96,12 +108,14 @@
 struct Pick {
     backend: Rc<Backend>,
     sent: f64,
+    /// RPCs a backend held by the reports of the time, where it was drawn blindly.
+    ahead: Option<f64>,
     state: PickState,
 }
 
 struct Call {
     id: u64,
-    method: Rc<MethodSettings>,
+    method: Rc<Method>,
     deadline: f64,
     /// When an answer is of no more use: latency target, or deadline where late ones count.
     useful_until: f64,
@@ -124,7 +138,7 @@
 #[derive(Default)]
 struct State {
     chance: Chance,
-    methods: Vec<Rc<MethodSettings>>,
+    methods: Vec<Rc<Method>>,
     tenants: Vec<Tenant>,
     most_picks: usize,
     may_cancel: bool,
@@ -143,10 +157,12 @@
     backends: BTreeMap<u32, Rc<Backend>>,
     idle: Vec<Rc<Backend>>,
     waiting: Vec<Rc<Call>>,
-    /// RPCs a backend holds by its reports, and seconds from pick to answer.
+    /// RPCs a backend holds by its reports; seconds from pick to answer; `Method::each` of all methods.
     load: Mean,
     service: Mean,
-    service_guess: f64,
+    each: Mean,
+    /// Shortest latency target of all methods.
+    shortest: f64,
     answered: Decaying,
     probe_tokens: f64,
     probe_round: f64,
@@ -165,12 +181,13 @@
 
 impl Balancer {
     pub fn new(set: &Settings, seed: u64) -> Self {
+        let method = |m: &MethodSettings| Rc::new(Method { set: m.clone(), each: Mean::default() });
         let slice = SLICE * QUOTA_OVER / set.balancers as f64;
         let tenant = |t: &TenantSettings| Tenant { slice: t.quota * slice, sent: Decaying::default() };
         let shortest = set.methods.iter().map(|m| m.latency_target).fold(f64::INFINITY, f64::min);
         Self(Rc::new(RefCell::new(State {
             chance: Chance(Pcg64::seed_from_u64(seed)),
-            methods: set.methods.iter().cloned().map(Rc::new).collect(),
+            methods: set.methods.iter().map(method).collect(),
             tenants: set.tenants.iter().map(tenant).collect(),
             most_picks: set.most_picks,
             may_cancel: set.may_cancel,
@@ -184,7 +201,7 @@
             cold_from: set.cold_from,
             cold_for: set.cold_for,
             balancers: set.balancers as f64,
-            service_guess: if shortest.is_finite() { shortest / 2.0 } else { 1.0 },
+            shortest: if shortest.is_finite() { shortest } else { 1.0 },
             probe_tokens: PROBE_FEW as f64,
             ..State::default()
         })))
@@ -214,7 +231,10 @@
 
     pub fn wake(&self, link: &mut dyn Link) {
         let mut state = self.0.borrow_mut();
-        state.alarm = None;
+        // Guards against a flood of timers: only the latest one set asks for the next.
+        if state.alarm.is_some_and(|at| link.now() + TICK >= at) {
+            state.alarm = None;
+        }
         state.follow_list(link);
         state.serve(link);
     }
@@ -251,19 +271,24 @@
     pub fn ended(&self, n: usize, how: Outcome, over: bool, report: Option<LoadReport>, link: &mut dyn Link) {
         let now = link.now();
         let mut state = self.state.borrow_mut();
-        let (backend, sent) = match self.call.picks.borrow_mut().get_mut(n) {
+        let (backend, took, ahead) = match self.call.picks.borrow_mut().get_mut(n) {
             Some(pick) if pick.state == PickState::Out => {
                 pick.state = if how.never_ran() { PickState::NeverRan } else { PickState::MayHaveRun };
-                (pick.backend.clone(), pick.sent)
+                (pick.backend.clone(), now - pick.sent, pick.ahead)
             }
             _ => return,
         };
         backend.count(-1, now);
+        if let Some(ahead) = ahead.filter(|_| matches!(how, Outcome::Ok | Outcome::TimedOut)) {
+            let each = took * if how == Outcome::Ok { 1.0 } else { LATE } / (ahead + 1.0);
+            state.each.add(each, now, MEAN_OVER);
+            self.call.method.each.add(each, now, MEAN_OVER);
+        }
         match how {
             Outcome::Ok => {
                 backend.fails.set(0);
                 backend.credit.set((backend.credit.get() + CREDIT_EARN).min(CREDIT_MAX));
-                state.service.add(now - sent, now, MEAN_OVER);
+                state.service.add(took, now, MEAN_OVER);
                 state.answered.add(1.0, now, MEAN_OVER);
                 state.report(&backend, report, now);
             }
@@ -314,7 +339,7 @@
         let open = !call.over.get() && now < call.deadline && picks.len() < self.most_picks;
         // 2: no effect twice. A pick still out may have run.
         let mut ran = picks.iter().filter(|p| p.state != PickState::NeverRan);
-        let harmless = match call.method.effect {
+        let harmless = match call.method.set.effect {
             Effect::Idempotent => true,
             Effect::NonIdempotent => ran.next().is_none(),
             Effect::Deduplicated { group, window } => ran.all(|p| {
@@ -332,7 +357,7 @@
 
     /// The one judge of whether a client may be told that trying again is harmless.
     fn may_push_back(&self, call: &Call) -> bool {
-        match call.method.effect {
+        match call.method.set.effect {
             Effect::Idempotent | Effect::Deduplicated { group: Group::All, .. } => true,
             _ => call.picks.borrow().iter().all(|p| p.state == PickState::NeverRan),
         }
@@ -346,7 +371,7 @@
         let age = now - to.started.get().filter(|at| now - at < self.cold_for)?;
         let share = self.cold_from + (1.0 - self.cold_from) * (age / self.cold_for).max(0.0);
         // What one core does, split evenly; or what a warm backend answers here, which sums over proxies by itself.
-        let even = 1.0 / (self.service.get(self.service_guess) * self.balancers);
+        let even = 1.0 / (self.service.get(self.shortest / 2.0) * self.balancers);
         let ready = self.backends.values().filter(|b| b.ready.get()).count().max(1) as f64;
         let own = self.answered.read(now, MEAN_OVER) / MEAN_OVER / ready;
         Some(self.cold_allow * share * even.max(own))
@@ -365,7 +390,10 @@
         let Some(held) = held else { return };
         let held = held.max(backend.out.get() as f64) / backend.size.get();
         self.load.add(held, now, MEAN_OVER);
-        if held > self.load.get(0.0) * THRESHOLD || !backend.ready.get() || !backend.healthy(now) {
+        if held > (self.load.get(0.0) * THRESHOLD).min(self.most_ahead())
+            || !backend.ready.get()
+            || !backend.healthy(now)
+        {
             return;
         }
         if backend.listed_at.replace(Some(now)).is_none() {
@@ -373,8 +401,14 @@
         }
     }
 
-    fn first_idle(&mut self, call: &Call, now: f64) -> Option<Rc<Backend>> {
-        let age = (self.service.get(self.service_guess) * ENTRY_AGE).min(ENTRY_AGE_MAX);
+    /// RPCs that may stand ahead of one if even the method with the shortest target is to make it.
+    fn most_ahead(&self) -> f64 {
+        (self.shortest / self.each.get(0.0) - 2.0).max(0.0)
+    }
+
+    fn pick_idle(&mut self, call: &Rc<Call>, link: &mut dyn Link) -> bool {
+        let now = link.now();
+        let age = (self.service.get(self.shortest / 2.0) * ENTRY_AGE).min(ENTRY_AGE_MAX);
         self.idle.retain(|b| {
             let fresh = b.ready.get() && b.listed_at.get().is_some_and(|at| now - at <= age);
             if !fresh {
@@ -382,20 +416,28 @@
             }
             fresh
         });
-        let first = self.idle.iter().position(|b| self.may_pick(call, b, now) && call.earned(b))?;
+        let first = self.idle.iter().position(|b| self.may_pick(call, b, now) && call.earned(b));
+        let Some(first) = first else { return false };
         let backend = self.idle.remove(first);
         backend.listed_at.set(None);
-        Some(backend)
+        self.send(call, backend, None, link);
+        true
     }
 
     /// Empty list: a random ready backend, skipping any far above its own mean in flight.
-    fn draw(&mut self, call: &Call, now: f64) -> Option<Rc<Backend>> {
+    fn pick_drawn(&mut self, call: &Rc<Call>, link: &mut dyn Link) -> bool {
+        let now = link.now();
         let may = |b: &&Rc<Backend>| self.may_pick(call, b, now) && call.earned(b);
         let all: Vec<_> = self.backends.values().filter(may).cloned().collect();
         let well: Vec<_> = all.iter().filter(|b| b.healthy(now) && !b.crowded()).cloned().collect();
         // A fleet-wide slowdown must not empty the ready set: with few left, health no longer counts.
         let from = if well.len() * 3 >= all.len() { well } else { all };
-        if from.is_empty() { None } else { Some(from[self.chance.0.random_range(0..from.len())].clone()) }
+        if from.is_empty() || !self.in_time(call, now) {
+            return false;
+        }
+        let backend = from[self.chance.0.random_range(0..from.len())].clone();
+        self.send(call, backend, Some(self.load.lean(now, MEAN_OVER)), link);
+        true
     }
 
     // Mechanism 1: health.
@@ -414,7 +456,7 @@
 
     // Mechanisms 2 and 3: credit, time-outs and further picks.
 
-    fn send(&mut self, call: &Rc<Call>, to: Rc<Backend>, link: &mut dyn Link) {
+    fn send(&mut self, call: &Rc<Call>, to: Rc<Backend>, ahead: Option<f64>, link: &mut dyn Link) {
         let now = link.now();
         let mut picks = call.picks.borrow_mut();
         if !picks.is_empty() {
@@ -426,7 +468,7 @@
         to.count(1, now);
         // Work whose answer would come too late only keeps others waiting.
         link.pick(call.id, to.id, (call.useful_until - SLACK - now).max(SLACK));
-        picks.push(Pick { backend: to, sent: now, state: PickState::Out });
+        picks.push(Pick { backend: to, sent: now, ahead, state: PickState::Out });
     }
 
     /// After a failed pick: another one where rules, time and credit allow it, else the final answer.
@@ -435,11 +477,9 @@
             return;
         }
         let now = link.now();
-        let time = call.useful_until - now > self.service.get(self.service_guess);
-        let next = if time { self.first_idle(call, now).or_else(|| self.draw(call, now)) } else { None };
-        match next {
-            Some(backend) => self.send(call, backend, link),
-            None => self.give_up(call, link),
+        let time = call.useful_until - now > self.service.get(self.shortest / 2.0);
+        if !time || !(self.pick_idle(call, link) || self.pick_drawn(call, link)) {
+            self.give_up(call, link);
         }
     }
 
@@ -467,11 +507,12 @@
         let now = link.now();
         let method = self.methods[arrival.method].clone();
         let excess = arrival.tenant.is_some_and(|t| !self.tenants[t].within_share(now));
-        let target =
-            now + method.latency_target + method.target_stretch * arrival.expected_work.unwrap_or(0.0);
+        let target = now
+            + method.set.latency_target
+            + method.set.target_stretch * arrival.expected_work.unwrap_or(0.0);
         let useful_until =
-            if method.late_utility > 0.0 { arrival.deadline } else { target.min(arrival.deadline) };
-        let hold = if self.may_probe { HOLD * method.latency_target } else { 0.0 };
+            if method.set.late_utility > 0.0 { arrival.deadline } else { target.min(arrival.deadline) };
+        let hold = if self.may_probe { HOLD * method.set.latency_target } else { 0.0 };
         let call = Rc::new(Call {
             id: arrival.id,
             deadline: arrival.deadline,
@@ -484,35 +525,35 @@
             streaming: Cell::new(false),
         });
         self.probe_tokens = (self.probe_tokens + self.probes_each).min(self.probes_each * 20.0 + 3.0);
-        let before = |w: &Rc<Call>| (w.excess, -w.method.utility) <= (call.excess, -call.method.utility);
+        let before =
+            |w: &Rc<Call>| (w.excess, -w.method.set.utility) <= (call.excess, -call.method.set.utility);
         let place = self.waiting.iter().position(|w| !before(w)).unwrap_or(self.waiting.len());
         self.waiting.insert(place, call.clone());
         self.serve(link);
         call
     }
 
+    /// Whether a backend taken blindly would answer in time by what the reports say; what is beyond a tenant's
+    /// share must leave room for others. Guards against everyone waiting past use behind everyone else.
+    fn in_time(&self, call: &Call, now: f64) -> bool {
+        // Leaning to 0 while nothing is measured, so that a method shut out is tried again.
+        let wait = (self.load.lean(now, MEAN_OVER) + 1.0) * call.method.each.lean(now, MEAN_OVER);
+        wait * if call.excess { EXCESS_ROOM } else { 1.0 } <= call.useful_until - now
+    }
+
     /// Serves those who wait, first in rank first, from the list; draws for those whose wait is over.
     fn serve(&mut self, link: &mut dyn Link) {
         let now = link.now();
         for call in std::mem::take(&mut self.waiting) {
-            if let Some(backend) = self.first_idle(&call, now) {
-                self.send(&call, backend, link);
-                continue;
-            }
-            // What is beyond a tenant's share gets idle backends only.
-            if call.excess {
-                self.give_up(&call, link);
+            if self.pick_idle(&call, link) {
                 continue;
             }
             self.probe(link);
             let probing = self.backends.values().any(|b| b.probe_out.get());
             if now < call.hold_until && (probing || self.backends.is_empty()) {
                 self.waiting.push(call);
-                continue;
-            }
-            match self.draw(&call, now) {
-                Some(backend) => self.send(&call, backend, link),
-                None => self.give_up(&call, link),
+            } else if !self.pick_drawn(&call, link) {
+                self.give_up(&call, link);
             }
         }
         self.arm(link);
