--- a/src/policy.rs
+++ b/src/policy.rs
@@ -45,8 +45,8 @@
 const SLICE: f64 = 1.3;
 /// A pick that timed out counts as having taken this multiple of its time: the least it can have been short of.
 const LATE: f64 = 1.5;
-/// Room that an RPC beyond its tenant's share must leave, as a multiple of the expected wait.
-const EXCESS_ROOM: f64 = 2.0;
+/// Room that an RPC on another tenant's share must leave, as a multiple of the expected wait.
+const BORROWED_ROOM: f64 = 2.0;
 /// Time over which a tenant's use of its slice is counted, s: lets a short burst through.
 const QUOTA_OVER: f64 = 1.0;
 /// Points of service that probing may cost; the price of a probe turns it into probes an RPC.
@@ -92,12 +92,21 @@
     each: Mean,
 }
 
+#[derive(Default)]
 struct Tenant {
     /// RPCs of this proxy's slice of the quota in `QUOTA_OVER`, and those of late.
     slice: f64,
     sent: Decaying,
 }
 
+/// Where an RPC stands: in its tenant's share, on what other tenants leave of theirs, or beyond both.
+#[derive(Clone, Copy, PartialEq, PartialOrd)]
+enum Share {
+    Within,
+    Borrowed,
+    Beyond,
+}
+
 #[derive(Clone, Copy, PartialEq)]
 enum PickState {
     Out,
@@ -120,7 +129,7 @@
     /// When an answer is of no more use: latency target, or deadline where late ones count.
     useful_until: f64,
     hold_until: f64,
-    excess: bool,
+    share: Share,
     picks: RefCell<Vec<Pick>>,
     over: Cell<bool>,
     streaming: Cell<bool>,
@@ -140,6 +149,7 @@
     chance: Chance,
     methods: Vec<Rc<Method>>,
     tenants: Vec<Tenant>,
+    all_tenants: Tenant,
     most_picks: usize,
     may_cancel: bool,
     one_out: bool,
@@ -184,11 +194,13 @@
         let method = |m: &MethodSettings| Rc::new(Method { set: m.clone(), each: Mean::default() });
         let slice = SLICE * QUOTA_OVER / set.balancers as f64;
         let tenant = |t: &TenantSettings| Tenant { slice: t.quota * slice, sent: Decaying::default() };
+        let quota = set.tenants.iter().map(|t| t.quota).sum();
         let shortest = set.methods.iter().map(|m| m.latency_target).fold(f64::INFINITY, f64::min);
         Self(Rc::new(RefCell::new(State {
             chance: Chance(Pcg64::seed_from_u64(seed)),
             methods: set.methods.iter().map(method).collect(),
             tenants: set.tenants.iter().map(tenant).collect(),
+            all_tenants: tenant(&TenantSettings { quota }),
             most_picks: set.most_picks,
             may_cancel: set.may_cancel,
             one_out: !set.second_copies,
@@ -506,7 +518,7 @@
     fn take(&mut self, arrival: &Arrival, link: &mut dyn Link) -> Rc<Call> {
         let now = link.now();
         let method = self.methods[arrival.method].clone();
-        let excess = arrival.tenant.is_some_and(|t| !self.tenants[t].within_share(now));
+        let share = arrival.tenant.map_or(Share::Within, |t| self.share(&self.tenants[t], now));
         let target = now
             + method.set.latency_target
             + method.set.target_stretch * arrival.expected_work.unwrap_or(0.0);
@@ -519,26 +531,44 @@
             useful_until,
             hold_until: (now + hold).min(arrival.deadline - SLACK),
             method,
-            excess,
+            share,
             picks: RefCell::new(Vec::new()),
             over: Cell::new(false),
             streaming: Cell::new(false),
         });
         self.probe_tokens = (self.probe_tokens + self.probes_each).min(self.probes_each * 20.0 + 3.0);
         let before =
-            |w: &Rc<Call>| (w.excess, -w.method.set.utility) <= (call.excess, -call.method.set.utility);
+            |w: &Rc<Call>| (w.share, -w.method.set.utility) <= (call.share, -call.method.set.utility);
         let place = self.waiting.iter().position(|w| !before(w)).unwrap_or(self.waiting.len());
         self.waiting.insert(place, call.clone());
         self.serve(link);
         call
     }
 
+    /// Tenants may use what others leave of the whole quota, which the fleet was sized for.
+    fn share(&self, tenant: &Tenant, now: f64) -> Share {
+        let has_room = |t: &Tenant| t.sent.read(now, QUOTA_OVER) < t.slice;
+        let share = match (has_room(tenant), has_room(&self.all_tenants)) {
+            (true, _) => Share::Within,
+            (false, true) => Share::Borrowed,
+            (false, false) => return Share::Beyond,
+        };
+        tenant.sent.add(if share == Share::Within { 1.0 } else { 0.0 }, now, QUOTA_OVER);
+        self.all_tenants.sent.add(1.0, now, QUOTA_OVER);
+        share
+    }
+
     /// Whether a backend taken blindly would answer in time by what the reports say; what is beyond a tenant's
     /// share must leave room for others. Guards against everyone waiting past use behind everyone else.
     fn in_time(&self, call: &Call, now: f64) -> bool {
         // Leaning to 0 while nothing is measured, so that a method shut out is tried again.
         let wait = (self.load.lean(now, MEAN_OVER) + 1.0) * call.method.each.lean(now, MEAN_OVER);
-        wait * if call.excess { EXCESS_ROOM } else { 1.0 } <= call.useful_until - now
+        let left = call.useful_until - now;
+        match call.share {
+            Share::Within => wait <= left,
+            Share::Borrowed => wait * BORROWED_ROOM <= left,
+            Share::Beyond => false,
+        }
     }
 
     /// Serves those who wait, first in rank first, from the list; draws for those whose wait is over.
@@ -550,7 +580,7 @@
             }
             self.probe(link);
             let probing = self.backends.values().any(|b| b.probe_out.get());
-            if now < call.hold_until && (probing || self.backends.is_empty()) {
+            if now < call.hold_until && call.share < Share::Beyond && (probing || self.backends.is_empty()) {
                 self.waiting.push(call);
             } else if !self.pick_drawn(&call, link) {
                 self.give_up(&call, link);
@@ -641,13 +671,3 @@
         }
     }
 }
-
-impl Tenant {
-    fn within_share(&self, now: f64) -> bool {
-        let within = self.sent.read(now, QUOTA_OVER) < self.slice;
-        if within {
-            self.sent.add(1.0, now, QUOTA_OVER);
-        }
-        within
-    }
-}
