--- a/src/policy.rs
+++ b/src/policy.rs
@@ -194,13 +194,13 @@
         let method = |m: &MethodSettings| Rc::new(Method { set: m.clone(), each: Mean::default() });
         let slice = SLICE * QUOTA_OVER / set.balancers as f64;
         let tenant = |t: &TenantSettings| Tenant { slice: t.quota * slice, sent: Decaying::default() };
-        let quota = set.tenants.iter().map(|t| t.quota).sum();
+        let quota: f64 = set.tenants.iter().map(|t| t.quota).sum();
         let shortest = set.methods.iter().map(|m| m.latency_target).fold(f64::INFINITY, f64::min);
         Self(Rc::new(RefCell::new(State {
             chance: Chance(Pcg64::seed_from_u64(seed)),
             methods: set.methods.iter().map(method).collect(),
             tenants: set.tenants.iter().map(tenant).collect(),
-            all_tenants: tenant(&TenantSettings { quota }),
+            all_tenants: tenant(&TenantSettings { quota: quota / SLICE }),
             most_picks: set.most_picks,
             may_cancel: set.may_cancel,
             one_out: !set.second_copies,
