--- a/src/policy.rs
+++ b/src/policy.rs
@@ -41,8 +41,10 @@
 const COLD_SAFETY: f64 = 0.7;
 /// Longest wait for an idle backend, as a share of the latency target: it must leave time for the work.
 const HOLD: f64 = 0.15;
-/// A tenant's slice of its quota here, as a multiple of an even split: clients do not spread evenly.
-const SLICE: f64 = 1.3;
+/// A tenant may use its quota this much further than all tenants together use theirs: chance takes a part.
+const SLICE: f64 = 1.2;
+/// Most of its even split that a tenant gets however much this proxy carries.
+const SLICE_MOST: f64 = 2.0;
 /// A pick that timed out counts as having taken this multiple of its time: the least it can have been short of.
 const LATE: f64 = 1.5;
 /// Room that an RPC on another tenant's share must leave, as a multiple of the expected wait.
@@ -192,7 +194,7 @@
 impl Balancer {
     pub fn new(set: &Settings, seed: u64) -> Self {
         let method = |m: &MethodSettings| Rc::new(Method { set: m.clone(), each: Mean::default() });
-        let slice = SLICE * QUOTA_OVER / set.balancers as f64;
+        let slice = QUOTA_OVER / set.balancers as f64;
         let tenant = |t: &TenantSettings| Tenant { slice: t.quota * slice, sent: Decaying::default() };
         let quota: f64 = set.tenants.iter().map(|t| t.quota).sum();
         let shortest = set.methods.iter().map(|m| m.latency_target).fold(f64::INFINITY, f64::min);
@@ -200,7 +202,7 @@
             chance: Chance(Pcg64::seed_from_u64(seed)),
             methods: set.methods.iter().map(method).collect(),
             tenants: set.tenants.iter().map(tenant).collect(),
-            all_tenants: tenant(&TenantSettings { quota: quota / SLICE }),
+            all_tenants: tenant(&TenantSettings { quota }),
             most_picks: set.most_picks,
             may_cancel: set.may_cancel,
             one_out: !set.second_copies,
@@ -518,7 +520,9 @@
     fn take(&mut self, arrival: &Arrival, link: &mut dyn Link) -> Rc<Call> {
         let now = link.now();
         let method = self.methods[arrival.method].clone();
-        let share = arrival.tenant.map_or(Share::Within, |t| self.share(&self.tenants[t], now));
+        let share = arrival
+            .tenant
+            .map_or(Share::Within, |t| self.share(&self.tenants[t], arrival.client_repeat, now));
         let target = now
             + method.set.latency_target
             + method.set.target_stretch * arrival.expected_work.unwrap_or(0.0);
@@ -545,15 +549,18 @@
         call
     }
 
-    /// Tenants may use what others leave of the whole quota, which the fleet was sized for.
-    fn share(&self, tenant: &Tenant, now: f64) -> Share {
-        let has_room = |t: &Tenant| t.sent.read(now, QUOTA_OVER) < t.slice;
-        let share = match (has_room(tenant), has_room(&self.all_tenants)) {
-            (true, _) => Share::Within,
-            (false, true) => Share::Borrowed,
-            (false, false) => return Share::Beyond,
+    /// Clients spread unevenly over proxies, so a slice of the quota is an even split of it or, where this proxy
+    /// carries more, a part of what it carries. A tenant may also use what the others leave, and so may a client's
+    /// repeat: guards against those who were turned away crowding out those who come first.
+    fn share(&self, tenant: &Tenant, repeat: bool, now: f64) -> Share {
+        let used = |t: &Tenant| t.sent.read(now, QUOTA_OVER) / t.slice;
+        let all = used(&self.all_tenants);
+        let share = match used(tenant) < (all * SLICE).clamp(1.0, SLICE_MOST) {
+            true if !repeat => Share::Within,
+            _ if all < 1.0 => Share::Borrowed,
+            _ => return Share::Beyond,
         };
-        tenant.sent.add(if share == Share::Within { 1.0 } else { 0.0 }, now, QUOTA_OVER);
+        tenant.sent.add(1.0, now, QUOTA_OVER);
         self.all_tenants.sent.add(1.0, now, QUOTA_OVER);
         share
     }
