--- /dev/null
+++ b/src/held.rs
@@ -0,0 +1,74 @@
+//! What the decision module keeps of backends, methods, tenants and RPCs: data, no decisions.
+use crate::measure::{Decaying, Mean};
+use crate::types::{MethodSettings, Outcome};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+#[derive(Default)]
+pub(crate) struct Backend {
+    pub id: u32,
+    pub size: Cell<f64>, // beside other backends'
+    pub cell: Cell<u64>,
+    pub zone: Cell<usize>,
+    pub started: Cell<Option<f64>>,
+    pub ready: Cell<bool>,
+    pub out: Cell<usize>,
+    pub mean_out: Mean,
+    pub fails: Cell<u32>,
+    pub rest_until: Cell<f64>,
+    pub credit: Cell<f64>,
+    pub listed_at: Cell<Option<f64>>,
+    pub probe_out: Cell<bool>,
+    pub cold_sent: Decaying,
+}
+
+pub(crate) struct Method {
+    pub set: MethodSettings,
+    pub each: Mean, // s to an answer from a drawn backend, for each RPC that stood there, itself too
+}
+
+#[derive(Default)]
+pub(crate) struct Tenant {
+    pub slice: f64, // RPCs in `QUOTA_OVER`: an even split of the quota
+    pub sent: Decaying,
+}
+
+/// Where an RPC stands: in its tenant's share, on what other tenants leave of theirs, or beyond both.
+#[derive(Clone, Copy, PartialEq, PartialOrd)]
+pub(crate) enum Share {
+    Within,
+    Borrowed,
+    Beyond,
+}
+
+pub(crate) struct Pick {
+    pub backend: Rc<Backend>,
+    pub sent: f64,
+    pub ahead: Option<f64>, // RPCs that backends held by the reports of the time, if it was drawn blindly
+    pub ended: Option<Outcome>,
+}
+
+pub(crate) struct Call {
+    pub id: u64,
+    pub method: Rc<Method>,
+    pub deadline: f64,
+    pub useful_until: f64, // latency target, or deadline where late answers count
+    pub hold_until: f64,
+    pub share: Share,
+    pub picks: RefCell<Vec<Pick>>,
+    pub over: Cell<bool>,
+    pub streaming: Cell<bool>,
+}
+
+impl Pick {
+    /// A pick still out may have run.
+    pub fn may_have_run(&self) -> bool {
+        !self.ended.is_some_and(Outcome::never_ran)
+    }
+}
+
+impl Call {
+    pub fn is_out(&self) -> bool {
+        self.picks.borrow().iter().any(|p| p.ended.is_none())
+    }
+}
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,150 +1,50 @@
 //! All decisions of birchhub. The platform makes one `Balancer` per proxy with `Balancer::new`, hands it list
-//! changes, probe results and wake-ups, and gets an `Rpc` handle from `take`; what happens to that RPC later is
-//! a call on the handle. Answers leave through `types::Link`; all interface types stand in `src/types.rs`.
+//! changes, probe results and wake-ups, and gets an `Rpc` handle from `take`; what happens to that RPC later
+//! is a call on the handle. Answers leave through `types::Link`; the interface is defined in `src/types.rs`.
 //!
-//! The design is Join-Idle-Queue (docs/design.md): `report` fills the idle list, `first_idle` takes its first
-//! entry, `draw` picks at random when it is empty. Six mechanisms stand beside it, each marked in the code:
+//! The design is Join-Idle-Queue (docs/design.md): `report` fills the idle list, `pick_idle` takes its first
+//! entry, `pick_drawn` draws one when it is empty. Six mechanisms stand beside it, each marked in the code:
 //! (1) health: failures in a row rest a backend; (2) credit: answers earned pay for further picks;
 //! (3) time-outs: no pick outlives its use; (4) cold budget: this proxy's part of what a cold backend takes;
-//! (5) admission: waiting briefly, by share and utility; (6) list and probes: following both, within a budget.
+//! (5) admission: a brief wait, by share and utility; (6) list and probes: followed within a budget.
 //! `may_pick` and `may_push_back` alone decide what the four rules allow.
 
+use crate::chance::Chance;
+use crate::held::{Backend, Call, Method, Pick, Share, Tenant};
 use crate::measure::{Decaying, Mean};
 use crate::types::*;
-use rand::{Rng, SeedableRng};
-use rand_pcg::Pcg64;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-/// Idle threshold as a share of the mean reported load: 0 while backends hold about one RPC, rising with load.
-const THRESHOLD: f64 = 0.75;
-/// Age limit of an idle entry, in mean service times: an idle spell lasts about that long at usual load.
-const ENTRY_AGE: f64 = 1.0;
-/// Upper end of the age limit, s: the design's starting figure.
-const ENTRY_AGE_MAX: f64 = 1.0;
-/// The draw skips a backend with more in flight here than this multiple of its own mean ...
-const SKIP_TIMES: f64 = 2.0;
-/// ... plus this many RPCs, so that a mean near 0 does not shut it out.
-const SKIP_PLUS: f64 = 1.0;
-/// Failures in a row that rest a backend: one or two happen to healthy ones.
-const FAILS: u32 = 3;
-/// First rest, s, doubled with each further failure up to `REST_MAX`: pauses end within it, deaths do not.
-const REST: f64 = 0.5;
-const REST_MAX: f64 = 8.0;
-/// Credit, in further picks: earned by an answer, and the most that is kept.
-const CREDIT_EARN: f64 = 0.1;
-const CREDIT_MAX: f64 = 3.0;
-/// Time kept free before a latency target or deadline, s: the answer's way back and a late tick.
-const SLACK: f64 = 0.003;
-/// Part of the cold budget used, as others' parts and the work of one RPC are known only roughly.
-const COLD_SAFETY: f64 = 0.7;
-/// Longest wait for an idle backend, as a share of the latency target: it must leave time for the work.
-const HOLD: f64 = 0.15;
-/// A tenant may use its quota this much further than all tenants together use theirs: chance takes a part.
-const SLICE: f64 = 1.2;
-/// Most of its even split that a tenant gets however much this proxy carries.
-const SLICE_MOST: f64 = 2.0;
-/// A pick that timed out counts as having taken this multiple of its time: the least it can have been short of.
-const LATE: f64 = 1.5;
-/// Room that an RPC on another tenant's share must leave, as a multiple of the expected wait.
-const BORROWED_ROOM: f64 = 2.0;
-/// Time over which a tenant's use of its slice is counted, s: lets a short burst through.
-const QUOTA_OVER: f64 = 1.0;
-/// Points of service that probing may cost; the price of a probe turns it into probes an RPC.
-const PROBE_SPEND: f64 = 0.006;
-/// Most probes an RPC where they are nearly free, for the backends' sake.
-const PROBES_MOST: f64 = 4.0;
-/// Probes sent at once, and s between rounds.
-const PROBE_FEW: usize = 3;
-const PROBE_EVERY: f64 = 0.05;
-/// Rate of probing without traffic, 1/s: enough to have found an idle backend when the first RPC comes.
-const PROBE_FLOOR: f64 = 2.0;
-/// Time constant of the measured means, s: tens of answers at usual rates, shorter than most troubles.
-const MEAN_OVER: f64 = 4.0;
-/// First pause before a list call is repeated, s; doubled each time, as calls are scarce.
-const LIST_RETRY: f64 = 0.5;
-/// What a clock of whole nanoseconds may be off, s.
-const TICK: f64 = 1e-6;
-/// Longest pause between list calls, as a share of the time after which silence counts as being told.
-const ASK_AGAIN: f64 = 0.5;
-
-#[derive(Default)]
-struct Backend {
-    id: u32,
-    /// Size beside other backends'.
-    size: Cell<f64>,
-    cell: Cell<u64>,
-    zone: Cell<usize>,
-    started: Cell<Option<f64>>,
-    ready: Cell<bool>,
-    out: Cell<usize>,
-    mean_out: Mean,
-    fails: Cell<u32>,
-    rest_until: Cell<f64>,
-    credit: Cell<f64>,
-    listed_at: Cell<Option<f64>>,
-    probe_out: Cell<bool>,
-    cold_sent: Decaying,
-}
-
-struct Method {
-    set: MethodSettings,
-    /// Seconds to an answer from a drawn backend, for each RPC that stood there, counting itself.
-    each: Mean,
-}
-
-#[derive(Default)]
-struct Tenant {
-    /// RPCs of this proxy's slice of the quota in `QUOTA_OVER`, and those of late.
-    slice: f64,
-    sent: Decaying,
-}
-
-/// Where an RPC stands: in its tenant's share, on what other tenants leave of theirs, or beyond both.
-#[derive(Clone, Copy, PartialEq, PartialOrd)]
-enum Share {
-    Within,
-    Borrowed,
-    Beyond,
-}
-
-#[derive(Clone, Copy, PartialEq)]
-enum PickState {
-    Out,
-    NeverRan,
-    MayHaveRun,
-}
-
-struct Pick {
-    backend: Rc<Backend>,
-    sent: f64,
-    /// RPCs a backend held by the reports of the time, where it was drawn blindly.
-    ahead: Option<f64>,
-    state: PickState,
-}
-
-struct Call {
-    id: u64,
-    method: Rc<Method>,
-    deadline: f64,
-    /// When an answer is of no more use: latency target, or deadline where late ones count.
-    useful_until: f64,
-    hold_until: f64,
-    share: Share,
-    picks: RefCell<Vec<Pick>>,
-    over: Cell<bool>,
-    streaming: Cell<bool>,
-}
-
-/// The instance's own chance, from the seed handed over.
-struct Chance(Pcg64);
-
-impl Default for Chance {
-    fn default() -> Self {
-        Self(Pcg64::seed_from_u64(0))
-    }
-}
+// Constants: unit, and why this size.
+const THRESHOLD: f64 = 0.75; // of the mean reported load: 0 while backends hold about one RPC each
+const ENTRY_AGE: f64 = 1.0; // mean service times an entry lasts: about as long as an idle spell
+const ENTRY_AGE_MAX: f64 = 1.0; // s; the design's starting figure
+const SKIP_TIMES: f64 = 2.0; // times its own mean in flight that makes a draw skip a backend ...
+const SKIP_PLUS: f64 = 1.0; // RPCs; ... and more than this beyond, or a mean near 0 would shut it out
+const FAILS: u32 = 3; // failures in a row that rest a backend; one or two happen to healthy ones
+const REST: f64 = 0.5; // s of the first rest, doubled with each further failure: outlasts a pause
+const REST_MAX: f64 = 8.0; // s; a dead backend costs one pick in this time, a revived one waits no longer
+const CREDIT_EARN: f64 = 0.1; // further picks earned by an answer: at most a tenth more load
+const CREDIT_MAX: f64 = 3.0; // further picks kept: a sudden death of neighbours uses no more
+const SLACK: f64 = 0.003; // s kept free before a latency target or deadline: the way back and a late tick
+const COLD_SAFETY: f64 = 0.7; // part of the cold budget used: the work of one RPC is known only roughly
+const HOLD: f64 = 0.15; // of the latency target spent waiting for an idle backend: leaves time for the work
+const SLICE: f64 = 1.2; // times as far as all tenants have used theirs may one use its quota: room for chance
+const SLICE_MOST: f64 = 2.0; // times its even split that a tenant gets however much this proxy carries
+const LATE: f64 = 1.5; // times its time that a timed-out pick is taken to have needed, at the least
+const BORROWED_ROOM: f64 = 2.0; // times the expected wait that must fit for an RPC on another's share
+const QUOTA_OVER: f64 = 1.0; // s over which use of a quota is counted: lets a short burst through
+const PROBE_SPEND: f64 = 0.006; // points of service that probes may cost; by their price, probes an RPC
+const PROBES_MOST: f64 = 4.0; // probes an RPC where they are nearly free, for the backends' sake
+const PROBE_FEW: usize = 3; // probes sent at once: finds an idle one among busy ones more often than not
+const PROBE_EVERY: f64 = 0.05; // s between rounds: about a service time
+const PROBE_FLOOR: f64 = 2.0; // probes a second without traffic: the first RPC finds a list
+const MEAN_OVER: f64 = 4.0; // s, time constant of means: tens of answers, shorter than most troubles
+const LIST_RETRY: f64 = 0.5; // s before a failed list call is repeated, doubled each time: calls are scarce
+const ASK_AGAIN: f64 = 0.5; // of the time after which silence counts as being told, between list calls
+const TICK: f64 = 1e-6; // s that a clock of whole nanoseconds may be off
 
 #[derive(Default)]
 struct State {
@@ -158,10 +58,8 @@
     may_probe: bool,
     come_back: f64,
     probes_each: f64,
-    /// Longest pause between list calls while unsubscribed; none where changes come by themselves.
-    ask_every: Option<f64>,
-    /// Work that may be sent to a warm backend's worth of capacity in one window, by all proxies and safely.
-    cold_allow: f64,
+    ask_every: Option<f64>, // s between list calls while unsubscribed; none where changes come anyway
+    cold_allow: f64,        // s of a warm backend's work that all proxies may send it in a window
     cold_window: f64,
     cold_from: f64,
     cold_for: f64,
@@ -169,12 +67,9 @@
     backends: BTreeMap<u32, Rc<Backend>>,
     idle: Vec<Rc<Backend>>,
     waiting: Vec<Rc<Call>>,
-    /// RPCs a backend holds by its reports; seconds from pick to answer; `Method::each` of all methods.
-    load: Mean,
-    service: Mean,
-    each: Mean,
-    /// Shortest latency target of all methods.
-    shortest: f64,
+    load: Mean,    // RPCs a backend holds by its reports
+    service: Mean, // s from pick to answer
+    shortest: f64, // of all latency targets, s
     answered: Decaying,
     probe_tokens: f64,
     probe_round: f64,
@@ -199,7 +94,7 @@
         let quota: f64 = set.tenants.iter().map(|t| t.quota).sum();
         let shortest = set.methods.iter().map(|m| m.latency_target).fold(f64::INFINITY, f64::min);
         Self(Rc::new(RefCell::new(State {
-            chance: Chance(Pcg64::seed_from_u64(seed)),
+            chance: Chance::new(seed),
             methods: set.methods.iter().map(method).collect(),
             tenants: set.tenants.iter().map(tenant).collect(),
             all_tenants: tenant(&TenantSettings { quota }),
@@ -227,7 +122,7 @@
         state.asks_failed += 1;
         let longest = state.ask_every.unwrap_or(0.0);
         let pause = (LIST_RETRY * 2_f64.powi(state.asks_failed.min(10))).min(longest);
-        let jitter = state.chance.0.random_range(0.5..1.0);
+        let jitter = state.chance.between(0.5, 1.0);
         state.ask_at = state.ask_every.map(|_| link.now() + pause * jitter);
         state.arm(link);
     }
@@ -267,7 +162,7 @@
 impl Rpc {
     /// Nothing more can happen to this RPC: finished, and no pick out.
     pub fn is_over(&self) -> bool {
-        self.call.over.get() && self.call.picks.borrow().iter().all(|p| p.state != PickState::Out)
+        self.call.over.get() && !self.call.is_out()
     }
 
     /// The answer has started; from here on it is the client's, without time-out or deadline.
@@ -286,8 +181,8 @@
         let now = link.now();
         let mut state = self.state.borrow_mut();
         let (backend, took, ahead) = match self.call.picks.borrow_mut().get_mut(n) {
-            Some(pick) if pick.state == PickState::Out => {
-                pick.state = if how.never_ran() { PickState::NeverRan } else { PickState::MayHaveRun };
+            Some(pick) if pick.ended.is_none() => {
+                pick.ended = Some(how);
                 (pick.backend.clone(), now - pick.sent, pick.ahead)
             }
             _ => return,
@@ -295,7 +190,6 @@
         backend.count(-1, now);
         if let Some(ahead) = ahead.filter(|_| matches!(how, Outcome::Ok | Outcome::TimedOut)) {
             let each = took * if how == Outcome::Ok { 1.0 } else { LATE } / (ahead + 1.0);
-            state.each.add(each, now, MEAN_OVER);
             self.call.method.each.add(each, now, MEAN_OVER);
         }
         match how {
@@ -348,11 +242,10 @@
     /// The gate for every pick: rules 1 to 4, and nothing about whether the pick is wise.
     fn may_pick(&self, call: &Call, to: &Backend, now: f64) -> bool {
         let picks = call.picks.borrow();
-        let out = picks.iter().any(|p| p.state == PickState::Out);
         // 1: one final answer, in time, and nothing after it.
         let open = !call.over.get() && now < call.deadline && picks.len() < self.most_picks;
         // 2: no effect twice. A pick still out may have run.
-        let mut ran = picks.iter().filter(|p| p.state != PickState::NeverRan);
+        let mut ran = picks.iter().filter(|p| p.may_have_run());
         let harmless = match call.method.set.effect {
             Effect::Idempotent => true,
             Effect::NonIdempotent => ran.next().is_none(),
@@ -366,14 +259,14 @@
             }),
         };
         // 3: `ready` falls the moment a drain or removal is told. 4: the cold budget.
-        open && !(out && self.one_out) && harmless && to.ready.get() && self.cold_room(to, now)
+        open && !(self.one_out && call.is_out()) && harmless && to.ready.get() && self.cold_room(to, now)
     }
 
     /// The one judge of whether a client may be told that trying again is harmless.
     fn may_push_back(&self, call: &Call) -> bool {
         match call.method.set.effect {
             Effect::Idempotent | Effect::Deduplicated { group: Group::All, .. } => true,
-            _ => call.picks.borrow().iter().all(|p| p.state == PickState::NeverRan),
+            _ => !call.picks.borrow().iter().any(Pick::may_have_run),
         }
     }
 
@@ -384,7 +277,7 @@
     fn cold_budget(&self, to: &Backend, now: f64) -> Option<f64> {
         let age = now - to.started.get().filter(|at| now - at < self.cold_for)?;
         let share = self.cold_from + (1.0 - self.cold_from) * (age / self.cold_for).max(0.0);
-        // What one core does, split evenly; or what a warm backend answers here, which sums over proxies by itself.
+        // What one core does, split evenly; or what a warm backend answers here, which sums by itself.
         let even = 1.0 / (self.service.get(self.shortest / 2.0) * self.balancers);
         let ready = self.backends.values().filter(|b| b.ready.get()).count().max(1) as f64;
         let own = self.answered.read(now, MEAN_OVER) / MEAN_OVER / ready;
@@ -417,7 +310,8 @@
 
     /// RPCs that may stand ahead of one if even the method with the shortest target is to make it.
     fn most_ahead(&self) -> f64 {
-        (self.shortest / self.each.get(0.0) - 2.0).max(0.0)
+        let room = |m: &Rc<Method>| m.set.latency_target / m.each.get(0.0) - 2.0;
+        self.methods.iter().map(room).fold(f64::INFINITY, f64::min).max(0.0)
     }
 
     fn pick_idle(&mut self, call: &Rc<Call>, link: &mut dyn Link) -> bool {
@@ -441,15 +335,15 @@
     /// Empty list: a random ready backend, skipping any far above its own mean in flight.
     fn pick_drawn(&mut self, call: &Rc<Call>, link: &mut dyn Link) -> bool {
         let now = link.now();
+        if !self.in_time(call, now) {
+            return false;
+        }
         let may = |b: &&Rc<Backend>| self.may_pick(call, b, now) && call.earned(b);
         let all: Vec<_> = self.backends.values().filter(may).cloned().collect();
         let well: Vec<_> = all.iter().filter(|b| b.healthy(now) && !b.crowded()).cloned().collect();
         // A fleet-wide slowdown must not empty the ready set: with few left, health no longer counts.
-        let from = if well.len() * 3 >= all.len() { well } else { all };
-        if from.is_empty() || !self.in_time(call, now) {
-            return false;
-        }
-        let backend = from[self.chance.0.random_range(0..from.len())].clone();
+        let mut from = if well.len() * 3 >= all.len() { well } else { all };
+        let Some(backend) = self.chance.draw(&mut from) else { return false };
         self.send(call, backend, Some(self.load.lean(now, MEAN_OVER)), link);
         true
     }
@@ -464,7 +358,7 @@
         }
         if backend.fails.get() >= FAILS && backend.healthy(now) {
             let rest = (REST * 2_f64.powi((backend.fails.get() - FAILS).min(10) as i32)).min(REST_MAX);
-            backend.rest_until.set(now + rest * self.chance.0.random_range(0.8..1.2));
+            backend.rest_until.set(now + rest * self.chance.between(0.8, 1.2));
         }
     }
 
@@ -482,12 +376,12 @@
         to.count(1, now);
         // Work whose answer would come too late only keeps others waiting.
         link.pick(call.id, to.id, (call.useful_until - SLACK - now).max(SLACK));
-        picks.push(Pick { backend: to, sent: now, ahead, state: PickState::Out });
+        picks.push(Pick { backend: to, sent: now, ahead, ended: None });
     }
 
     /// After a failed pick: another one where rules, time and credit allow it, else the final answer.
     fn again(&mut self, call: &Rc<Call>, link: &mut dyn Link) {
-        if call.picks.borrow().iter().any(|p| p.state == PickState::Out) {
+        if call.is_out() {
             return;
         }
         let now = link.now();
@@ -509,7 +403,7 @@
 
     fn cancel_rest(&self, call: &Call, link: &mut dyn Link) {
         let picks = call.picks.borrow();
-        let out = picks.iter().enumerate().filter(|(_, p)| p.state == PickState::Out);
+        let out = picks.iter().enumerate().filter(|(_, p)| p.ended.is_none());
         for (n, _) in out.filter(|_| self.may_cancel && !call.streaming.get()) {
             link.cancel(call.id, n);
         }
@@ -549,9 +443,9 @@
         call
     }
 
-    /// Clients spread unevenly over proxies, so a slice of the quota is an even split of it or, where this proxy
-    /// carries more, a part of what it carries. A tenant may also use what the others leave, and so may a client's
-    /// repeat: guards against those who were turned away crowding out those who come first.
+    /// Clients spread unevenly over proxies, so a slice of the quota is an even split of it or, where this
+    /// proxy carries more, a part of what it carries. A tenant may also use what the others leave, and so may
+    /// a client's repeat: guards against those turned away crowding out those who come first.
     fn share(&self, tenant: &Tenant, repeat: bool, now: f64) -> Share {
         let used = |t: &Tenant| t.sent.read(now, QUOTA_OVER) / t.slice;
         let all = used(&self.all_tenants);
@@ -565,8 +459,8 @@
         share
     }
 
-    /// Whether a backend taken blindly would answer in time by what the reports say; what is beyond a tenant's
-    /// share must leave room for others. Guards against everyone waiting past use behind everyone else.
+    /// Whether a backend taken blindly would answer in time by what the reports say; what lies beyond a share
+    /// must leave room for others. Guards against everyone waiting past use behind everyone else.
     fn in_time(&self, call: &Call, now: f64) -> bool {
         // Leaning to 0 while nothing is measured, so that a method shut out is tried again.
         let wait = (self.load.lean(now, MEAN_OVER) + 1.0) * call.method.each.lean(now, MEAN_OVER);
@@ -608,10 +502,9 @@
         let mut from: Vec<_> =
             self.backends.values().filter(open).filter(|b| b.healthy(now)).cloned().collect();
         for _ in 0..PROBE_FEW {
-            if from.is_empty() || self.probe_tokens < 1.0 {
+            let Some(backend) = self.chance.draw(&mut from).filter(|_| self.probe_tokens >= 1.0) else {
                 return;
-            }
-            let backend = from.swap_remove(self.chance.0.random_range(0..from.len()));
+            };
             backend.probe_out.set(true);
             self.probe_tokens -= 1.0;
             link.probe(backend.id);
@@ -622,7 +515,7 @@
         let now = link.now();
         if kind == ListKind::Stale {
             // Proxies often start together; spread their calls.
-            let jitter = self.chance.0.random_range(0.0..LIST_RETRY);
+            let jitter = self.chance.between(0.0, LIST_RETRY);
             self.ask_at = self.ask_every.map(|_| now + jitter);
         } else {
             self.asks_failed = 0;
@@ -657,7 +550,7 @@
         if self.ask_at.is_some_and(|at| now >= at) {
             link.watch();
             // Asked again in good time if nothing at all comes back.
-            let jitter = self.chance.0.random_range(0.8..1.2);
+            let jitter = self.chance.between(0.8, 1.2);
             self.ask_at = self.ask_every.map(|every| now + every * jitter);
         }
         if now >= self.probe_round {
