--- a/src/policy.rs
+++ b/src/policy.rs
@@ -34,7 +34,6 @@
 const SLICE: f64 = 1.2; // times as far as all tenants have used theirs may one use its quota: room for chance
 const SLICE_MOST: f64 = 2.0; // times its even split that a tenant gets however much this proxy carries
 const LATE: f64 = 1.5; // times its time that a timed-out pick is taken to have needed, at the least
-const BORROWED_ROOM: f64 = 2.0; // times the expected wait that must fit for an RPC on another's share
 const QUOTA_OVER: f64 = 1.0; // s over which use of a quota is counted: lets a short burst through
 const PROBE_SPEND: f64 = 0.006; // points of service that probes may cost; by their price, probes an RPC
 const PROBES_MOST: f64 = 4.0; // probes an RPC where they are nearly free, for the backends' sake
@@ -464,12 +463,7 @@
     fn in_time(&self, call: &Call, now: f64) -> bool {
         // Leaning to 0 while nothing is measured, so that a method shut out is tried again.
         let wait = (self.load.lean(now, MEAN_OVER) + 1.0) * call.method.each.lean(now, MEAN_OVER);
-        let left = call.useful_until - now;
-        match call.share {
-            Share::Within => wait <= left,
-            Share::Borrowed => wait * BORROWED_ROOM <= left,
-            Share::Beyond => false,
-        }
+        call.share < Share::Beyond && wait <= call.useful_until - now
     }
 
     /// Serves those who wait, first in rank first, from the list; draws for those whose wait is over.
