--- a/src/policy.rs
+++ b/src/policy.rs
@@ -530,8 +530,8 @@
                 backend.fails.set(0);
                 backend.rest_until.set(0.0);
                 let budget = self.cold_budget(&backend, now);
-                // A restarted proxy forgot what it sent: half of the budget counts as spent.
-                let spent = if kind == ListKind::Stale { budget.unwrap_or(0.0) / 4.0 } else { 0.0 };
+                // A restarted proxy forgot what it sent and how long work takes: the burst counts as spent.
+                let spent = if kind == ListKind::Stale { budget.unwrap_or(0.0) } else { 0.0 };
                 backend.cold_sent.add(spent, now, self.cold_window);
             }
         }
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,155 @@
+//! The plain model of the rules beside the module, on generated inputs.
+mod common;
+use birchhub::types::*;
+use common::{Proxy, entry, settings};
+use quickcheck::{Arbitrary, Gen};
+
+const EFFECTS: [Effect; 5] = [
+    Effect::Idempotent,
+    Effect::NonIdempotent,
+    Effect::Deduplicated { group: Group::All, window: 0.3 },
+    Effect::Deduplicated { group: Group::Zone, window: 0.15 },
+    Effect::Deduplicated { group: Group::Cell, window: 0.08 },
+];
+const OUTCOMES: [Outcome; 9] = [
+    Outcome::Ok,
+    Outcome::Ok,
+    Outcome::Error,
+    Outcome::Rejected,
+    Outcome::TimedOut,
+    Outcome::NoConnection,
+    Outcome::Reset,
+    Outcome::Cancelled,
+    Outcome::NeverSent,
+];
+
+fn step(proxy: &mut Proxy, (what, which, size): (u8, u8, u16)) {
+    let which = usize::from(which);
+    let size = f64::from(size) / f64::from(u16::MAX);
+    match what % 16 {
+        0..=4 => drop(proxy.take(which % EFFECTS.len(), 0.001 + size * 0.6)),
+        5..=8 => {
+            let out = proxy.out();
+            if let Some((rpc, n, _)) = out.get(which % out.len().max(1)).copied() {
+                let how = OUTCOMES[(size * 8.99) as usize];
+                proxy.end(rpc, n, how, Some((size * 40.0).round() % 4.0));
+            }
+        }
+        9 => proxy.answer_probes(OUTCOMES[which % 9], |b| f64::from(b % 3) * size.round()),
+        10 => {
+            let readiness = [Readiness::Ready, Readiness::Draining, Readiness::Gone][(size * 2.99) as usize];
+            let started = Some(proxy.world.now).filter(|_| which.is_multiple_of(2));
+            let changed = Entry { readiness, started, ..entry(which as u32 % 8) };
+            proxy.list(ListKind::Changes, &[changed]);
+        }
+        11 => {
+            let listed: Vec<_> = (0..8).filter(|b| which >> b & 1 == 1).map(entry).collect();
+            proxy.list(if size < 0.8 { ListKind::Full } else { ListKind::Stale }, &listed);
+        }
+        12 => proxy.balancer.list_failed(&mut proxy.world),
+        13 => {
+            let rpc = (which % proxy.handles.len().max(1)) as u64;
+            let Some(record) = proxy.world.rpcs.get_mut(&rpc) else { return };
+            if record.answers.is_empty() && size < 0.7 {
+                record.hung_up = true;
+                proxy.handles[&rpc].hung_up(&mut proxy.world);
+            } else if record.answers.is_empty()
+                && record.sent.iter().filter(|s| s.ended.is_none()).count() == 1
+            {
+                record.streaming = true;
+                proxy.handles[&rpc].begun(record.sent.len() - 1);
+            }
+        }
+        _ => proxy.pass(size * size * 0.4),
+    }
+}
+
+#[test]
+fn every_action_is_one_the_plain_model_allows() {
+    for seed in 0..1500 {
+        let mut random = Gen::from_size_and_seed(120, seed);
+        let steps = Vec::<(u8, u8, u16)>::arbitrary(&mut random);
+        let conf = Settings {
+            second_copies: seed % 3 == 0,
+            may_cancel: seed % 2 == 0,
+            may_probe: seed % 5 != 0,
+            come_back_max: (seed % 4) as f64,
+            ..settings(&EFFECTS)
+        };
+        let listed: Vec<_> = (0..(seed % 7) as u32).map(entry).collect();
+        let mut proxy = Proxy::new(conf, seed, &listed);
+        for step_taken in &steps {
+            step(&mut proxy, *step_taken);
+            proxy.check().unwrap_or_else(|broken| panic!("seed {seed}: {broken}\n{steps:?}"));
+        }
+        proxy.pass(1.0);
+        proxy.check().unwrap_or_else(|broken| panic!("seed {seed}, at the end: {broken}\n{steps:?}"));
+    }
+}
+
+/// All proxies of a fleet before one freshly started backend among warm ones that answer steadily.
+fn cold_peak(proxies: u64, seed: u64, restart: bool) -> f64 {
+    const WORK: f64 = 0.05;
+    let conf = Settings { balancers: proxies as usize, ..settings(&EFFECTS[..1]) };
+    let listed: Vec<_> = (0..3).map(entry).collect();
+    let make = |n| Proxy::new(conf.clone(), seed * 100 + n, &listed);
+    let mut fleet: Vec<_> = (0..proxies).map(make).collect();
+    let mut sends: Vec<f64> = Vec::new();
+    for round in 0..600 {
+        for (n, proxy) in fleet.iter_mut().enumerate() {
+            if round == 100 {
+                let fresh = Entry { started: Some(proxy.world.now), ..entry(7) };
+                proxy.list(ListKind::Changes, &[fresh]);
+            }
+            if restart && round == 130 {
+                let (now, started) = (proxy.world.now, proxy.world.entries[&7].started);
+                proxy.balancer = birchhub::policy::Balancer::new(&conf, seed * 100 + 50 + n as u64);
+                (proxy.world.alarms, proxy.handles) = (Vec::new(), std::mem::take(&mut proxy.handles));
+                proxy
+                    .world
+                    .rpcs
+                    .values_mut()
+                    .for_each(|r| r.sent.iter_mut().for_each(|s| s.ended = Some(Outcome::Reset)));
+                proxy.world.rpcs.retain(|_, r| r.answers.len() == 1);
+                proxy.list(ListKind::Stale, &[entry(0), entry(1), entry(2), Entry { started, ..entry(7) }]);
+                assert_eq!(now, proxy.world.now);
+            }
+            // The cold backend always looks idle, the warm ones never: the worst case for the list.
+            proxy.answer_probes(Outcome::Ok, |b| if b == 7 { 0.0 } else { 3.0 });
+            for _ in 0..2 {
+                let rpc = proxy.take(0, 0.5);
+                proxy.pass(0.002);
+                proxy.answer_probes(Outcome::Ok, |b| if b == 7 { 0.0 } else { 3.0 });
+                let to_cold = proxy.world.rpcs[&rpc].sent.iter().filter(|s| s.backend == 7);
+                sends.extend(to_cold.map(|s| s.at));
+            }
+            let due: Vec<_> = proxy.out();
+            for (rpc, n, backend) in due {
+                if proxy.world.now - proxy.world.rpcs[&rpc].sent[n].at >= WORK {
+                    proxy.end(rpc, n, Outcome::Ok, Some(if backend == 7 { 0.0 } else { 3.0 }));
+                }
+            }
+            proxy.pass(0.006);
+        }
+    }
+    // What a warm backend is seen to do: at least one core's work, and its part of all that is answered.
+    let warm = (proxies as f64 * 200.0 / 4.0 * WORK).max(1.0);
+    let start = 1.0;
+    let load = |at: f64| {
+        let share = (0.3 + 0.7 * (at - start) / 8.0).min(1.0);
+        let within = sends.iter().filter(|s| **s >= at && **s < at + 1.0).count() as f64;
+        within * WORK / (3.0 * share * warm)
+    };
+    assert!(sends.len() > 4, "the cold backend gets some RPCs");
+    sends.iter().map(|at| load(*at)).fold(0.0, f64::max)
+}
+
+#[test]
+fn all_proxies_together_keep_the_cold_budget() {
+    for (proxies, seed) in [(1, 1), (2, 2), (4, 3), (6, 4)] {
+        let peak = cold_peak(proxies, seed, false);
+        assert!(peak <= 1.0, "{proxies} proxies used {peak} of the cold budget");
+        let peak = cold_peak(proxies, seed, true);
+        assert!(peak <= 1.0, "{proxies} restarted proxies used {peak} of the cold budget");
+    }
+}
