Space probe rounds and keep probes for RPCs that wait

Cause: background rounds and back-to-back rounds used up the probe budget, so waits ended in blind draws.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -38,7 +38,8 @@
 const PROBE_SPEND: f64 = 0.006; // points of service that probes may cost; by their price, probes an RPC
 const PROBES_MOST: f64 = 4.0; // probes an RPC where they are nearly free, for the backends' sake
 const PROBE_FEW: usize = 3; // probes sent at once: finds an idle one among busy ones more often than not
-const PROBE_EVERY: f64 = 0.05; // s between rounds: about a service time
+const PROBE_EVERY: f64 = 0.05; // s between single probes while the list is empty: about a service time
+const PROBE_GAP: f64 = 0.1; // service times between rounds for RPCs that wait: some backend may be done
 const PROBE_FLOOR: f64 = 2.0; // probes a second without traffic: the first RPC finds a list
 const MEAN_OVER: f64 = 4.0; // s, time constant of means: tens of answers, shorter than most troubles
 const LIST_RETRY: f64 = 0.5; // s before a failed list call is repeated, doubled each time: calls are scarce
@@ -72,6 +73,7 @@
     answered: Decaying,
     probe_tokens: f64,
     probe_round: f64,
+    probe_next: f64,
     ask_at: Option<f64>,
     asks_failed: i32,
     alarm: Option<f64>,
@@ -473,8 +475,11 @@
             if self.pick_idle(&call, link) {
                 continue;
             }
-            self.probe(link);
-            let probing = self.backends.values().any(|b| b.probe_out.get());
+            if now >= self.probe_next {
+                self.probe_next = now + PROBE_GAP * self.service.get(self.shortest / 2.0);
+                self.probe(PROBE_FEW, link);
+            }
+            let probing = self.probe_tokens >= 1.0 || self.backends.values().any(|b| b.probe_out.get());
             if now < call.hold_until && call.share < Share::Beyond && (probing || self.backends.is_empty()) {
                 self.waiting.push(call);
             } else if !self.pick_drawn(&call, link) {
@@ -487,7 +492,7 @@
     // Mechanism 6: list following and probing.
 
     /// Probes a few random backends: each interval, and at once when an RPC finds the list empty.
-    fn probe(&mut self, link: &mut dyn Link) {
+    fn probe(&mut self, most: usize, link: &mut dyn Link) {
         let now = link.now();
         let open = |b: &&Rc<Backend>| b.ready.get() && !b.probe_out.get() && b.listed_at.get().is_none();
         if !self.may_probe {
@@ -495,7 +500,7 @@
         }
         let mut from: Vec<_> =
             self.backends.values().filter(open).filter(|b| b.healthy(now)).cloned().collect();
-        for _ in 0..PROBE_FEW {
+        for _ in 0..most {
             let Some(backend) = self.chance.draw(&mut from).filter(|_| self.probe_tokens >= 1.0) else {
                 return;
             };
@@ -549,14 +554,17 @@
         }
         if now >= self.probe_round {
             self.probe_round = now + PROBE_EVERY;
-            self.probe_tokens = self.probe_tokens.max(0.0) + PROBE_FLOOR * PROBE_EVERY;
-            self.probe(link);
+            self.probe_tokens += PROBE_FLOOR * PROBE_EVERY;
+            if self.idle.is_empty() {
+                self.probe(1, link);
+            }
         }
     }
 
     /// Sets the next wake-up, unless an earlier one is coming anyway.
     fn arm(&mut self, link: &mut dyn Link) {
-        let rounds = self.may_probe.then_some(self.probe_round);
+        let soon = if self.waiting.is_empty() { self.probe_round } else { self.probe_next.max(link.now()) };
+        let rounds = self.may_probe.then_some(soon);
         let ends = self.waiting.iter().map(|w| w.hold_until);
         let next = ends.chain(rounds).chain(self.ask_at).fold(f64::INFINITY, f64::min);
         if next < self.alarm.unwrap_or(f64::INFINITY) {
