--- a/src/policy.rs
+++ b/src/policy.rs
@@ -463,9 +463,13 @@
     /// Whether a backend taken blindly would answer in time by what the reports say; what lies beyond a share
     /// must leave room for others. Guards against everyone waiting past use behind everyone else.
     fn in_time(&self, call: &Call, now: f64) -> bool {
-        // Leaning to 0 while nothing is measured, so that a method shut out is tried again.
-        let wait = (self.load.lean(now, MEAN_OVER) + 1.0) * call.method.each.lean(now, MEAN_OVER);
-        call.share < Share::Beyond && wait <= call.useful_until - now
+        let load = self.load.lean(now, MEAN_OVER) + 1.0;
+        // Methods with long targets would fill the backends until those with short ones are shut out: all are
+        // held to the load that the tightest can bear. Leaning to 0 tries again what is no longer measured.
+        let room = |m: &Rc<Method>| m.set.latency_target / m.each.lean(now, MEAN_OVER);
+        let tightest = self.methods.iter().map(room).fold(f64::INFINITY, f64::min);
+        let wait = load * call.method.each.lean(now, MEAN_OVER);
+        call.share < Share::Beyond && load <= tightest && wait <= call.useful_until - now
     }
 
     /// Serves those who wait, first in rank first, from the list; draws for those whose wait is over.
