--- a/src/policy.rs
+++ b/src/policy.rs
@@ -190,7 +190,9 @@
         };
         backend.count(-1, now);
         if let Some(ahead) = ahead.filter(|_| matches!(how, Outcome::Ok | Outcome::TimedOut)) {
-            let each = took * if how == Outcome::Ok { 1.0 } else { LATE } / (ahead + 1.0);
+            // The load may have grown meanwhile: guards against a first rush counted as slow backends.
+            let stood = ahead.max(state.load.lean(now, MEAN_OVER)) + 1.0;
+            let each = took * if how == Outcome::Ok { 1.0 } else { LATE } / stood;
             self.call.method.each.add(each, now, MEAN_OVER);
         }
         match how {
