--- a/src/measure.rs
+++ b/src/measure.rs
@@ -37,8 +37,8 @@
         if count > 0.0 { self.total.sum.get() / count } else { default }
     }
 
-    /// The mean as if one more value of 0 had just come in: what is no longer measured fades out.
-    pub fn lean(&self, now: f64, over: f64) -> f64 {
-        self.total.read(now, over) / (self.count.read(now, over) + 1.0)
+    /// The mean, fading with a time constant while nothing more is measured.
+    pub fn fading(&self, now: f64, over: f64) -> f64 {
+        self.get(0.0) * (-(now - self.count.at.get()).max(0.0) / over).exp()
     }
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -42,6 +42,7 @@
 const PROBE_GAP: f64 = 0.1; // service times between rounds for RPCs that wait: some backend may be done
 const PROBE_FLOOR: f64 = 2.0; // probes a second without traffic: the first RPC finds a list
 const MEAN_OVER: f64 = 4.0; // s, time constant of means: tens of answers, shorter than most troubles
+const FADE: f64 = 12.0; // service times in which an expected wait fades while no draw renews it: refusals end
 const LIST_RETRY: f64 = 0.5; // s before a failed list call is repeated, doubled each time: calls are scarce
 const ASK_AGAIN: f64 = 0.5; // of the time after which silence counts as being told, between list calls
 const TICK: f64 = 1e-6; // s that a clock of whole nanoseconds may be off
@@ -191,7 +192,7 @@
         backend.count(-1, now);
         if let Some(ahead) = ahead.filter(|_| matches!(how, Outcome::Ok | Outcome::TimedOut)) {
             // The load may have grown meanwhile: guards against a first rush counted as slow backends.
-            let stood = ahead.max(state.load.lean(now, MEAN_OVER)) + 1.0;
+            let stood = ahead.max(state.load.fading(now, MEAN_OVER)) + 1.0;
             let each = took * if how == Outcome::Ok { 1.0 } else { LATE } / stood;
             self.call.method.each.add(each, now, MEAN_OVER);
         }
@@ -347,7 +348,7 @@
         // A fleet-wide slowdown must not empty the ready set: with few left, health no longer counts.
         let mut from = if well.len() * 3 >= all.len() { well } else { all };
         let Some(backend) = self.chance.draw(&mut from) else { return false };
-        self.send(call, backend, Some(self.load.lean(now, MEAN_OVER)), link);
+        self.send(call, backend, Some(self.load.fading(now, MEAN_OVER)), link);
         true
     }
 
@@ -465,12 +466,13 @@
     /// Whether a backend taken blindly would answer in time by what the reports say; what lies beyond a share
     /// must leave room for others. Guards against everyone waiting past use behind everyone else.
     fn in_time(&self, call: &Call, now: f64) -> bool {
-        let load = self.load.lean(now, MEAN_OVER) + 1.0;
+        let load = self.load.fading(now, MEAN_OVER) + 1.0;
+        let fade = FADE * self.service.get(self.shortest / 2.0);
         // Methods with long targets would fill the backends until those with short ones are shut out: all are
-        // held to the load that the tightest can bear. Leaning to 0 tries again what is no longer measured.
-        let room = |m: &Rc<Method>| m.set.latency_target / m.each.lean(now, MEAN_OVER);
+        // held to the load that the tightest can bear. What is no longer measured fades, so it is tried again.
+        let room = |m: &Rc<Method>| m.set.latency_target / m.each.fading(now, fade);
         let tightest = self.methods.iter().map(room).fold(f64::INFINITY, f64::min);
-        let wait = load * call.method.each.lean(now, MEAN_OVER);
+        let wait = load * call.method.each.fading(now, fade);
         call.share < Share::Beyond && load <= tightest && wait <= call.useful_until - now
     }
 
