--- a/src/policy.rs
+++ b/src/policy.rs
@@ -194,7 +194,7 @@
             // The load may have grown meanwhile: guards against a first rush counted as slow backends.
             let stood = ahead.max(state.load.fading(now, MEAN_OVER)) + 1.0;
             let each = took * if how == Outcome::Ok { 1.0 } else { LATE } / stood;
-            self.call.method.each.add(each, now, MEAN_OVER);
+            self.call.method.each.add(each, now, state.fade());
         }
         match how {
             Outcome::Ok => {
@@ -463,11 +463,16 @@
         share
     }
 
+    /// Time over which expected waits are measured and fade: waits change as fast as backends fill and drain.
+    fn fade(&self) -> f64 {
+        FADE * self.service.get(self.shortest / 2.0)
+    }
+
     /// Whether a backend taken blindly would answer in time by what the reports say; what lies beyond a share
     /// must leave room for others. Guards against everyone waiting past use behind everyone else.
     fn in_time(&self, call: &Call, now: f64) -> bool {
         let load = self.load.fading(now, MEAN_OVER) + 1.0;
-        let fade = FADE * self.service.get(self.shortest / 2.0);
+        let fade = self.fade();
         // Methods with long targets would fill the backends until those with short ones are shut out: all are
         // held to the load that the tightest can bear. What is no longer measured fades, so it is tried again.
         let room = |m: &Rc<Method>| m.set.latency_target / m.each.fading(now, fade);
