After a rest one pick at a time tries a backend until one is answered

Cause: in the second cdr incident dead backends drew 20 connects a second for 10 s whenever a rest ended.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -231,8 +231,9 @@
         self.mean_out.add(self.out.get() as f64, now, MEAN_OVER);
     }
 
+    /// After a rest one pick at a time tries it, until one is answered: guards against a rush to the dead.
     fn healthy(&self, now: f64) -> bool {
-        now >= self.rest_until.get()
+        self.fails.get() < FAILS || (now >= self.rest_until.get() && self.out.get() == 0)
     }
 
     fn crowded(&self) -> bool {
@@ -474,7 +475,7 @@
         let load = self.load.fading(now, MEAN_OVER) + 1.0;
         let fade = self.fade();
         // Methods with long targets would fill the backends until those with short ones are shut out: all are
-        // held to the load that the tightest can bear. What is no longer measured fades, so it is tried again.
+        // held to the load that the tightest can bear. What is not measured fades, so it is tried again.
         let room = |m: &Rc<Method>| m.set.latency_target / m.each.fading(now, fade);
         let tightest = self.methods.iter().map(room).fold(f64::INFINITY, f64::min);
         let wait = load * call.method.each.fading(now, fade);
