--- a/src/policy.rs
+++ b/src/policy.rs
@@ -34,6 +34,7 @@
 const SLICE: f64 = 1.2; // times as far as all tenants have used theirs may one use its quota: room for chance
 const SLICE_MOST: f64 = 2.0; // times its even split that a tenant gets however much this proxy carries
 const LATE: f64 = 1.5; // times its time that a timed-out pick is taken to have needed, at the least
+const ROOM: f64 = 0.75; // times the expected wait that must fit: loads vary, and some draws meet an idle backend
 const QUOTA_OVER: f64 = 1.0; // s over which use of a quota is counted: lets a short burst through
 const PROBE_SPEND: f64 = 0.006; // points of service that probes may cost; by their price, probes an RPC
 const PROBES_MOST: f64 = 4.0; // probes an RPC where they are nearly free, for the backends' sake
@@ -476,9 +477,11 @@
         let fade = self.fade();
         // Methods with long targets would fill the backends until those with short ones are shut out: all are
         // held to the load that the tightest can bear. What is not measured fades, so it is tried again.
-        let room = |m: &Rc<Method>| m.set.latency_target / m.each.fading(now, fade);
+        let room = |m: &Rc<Method>| m.set.latency_target / m.each.fading(now, fade) / ROOM;
         let tightest = self.methods.iter().map(room).fold(f64::INFINITY, f64::min);
-        let wait = load * call.method.each.fading(now, fade);
+        let best = self.methods.iter().map(|m| m.set.utility).fold(0.0, f64::max);
+        let room = ROOM * (best / call.method.set.utility).max(1.0).sqrt();
+        let wait = load * call.method.each.fading(now, fade) * room;
         call.share < Share::Beyond && load <= tightest && wait <= call.useful_until - now
     }
 
