--- a/src/policy.rs
+++ b/src/policy.rs
@@ -34,6 +34,7 @@
 const SLICE: f64 = 1.2; // times as far as all tenants have used theirs may one use its quota: room for chance
 const SLICE_MOST: f64 = 2.0; // times its even split that a tenant gets however much this proxy carries
 const LATE: f64 = 1.5; // times its time that a timed-out pick is taken to have needed, at the least
+const STARTED: f64 = 0.75; // of a quota counted as used at the start: about what is usual
 const ROOM: f64 = 0.75; // times the expected wait that must fit: loads vary, and some draws meet a light one
 const QUOTA_OVER: f64 = 3.0; // s over which use of a quota is counted: lets a short burst through
 const PROBE_SPEND: f64 = 0.006; // points of service that probes may cost; by their price, probes an RPC
@@ -93,7 +94,12 @@
     pub fn new(set: &Settings, seed: u64) -> Self {
         let method = |m: &MethodSettings| Rc::new(Method { set: m.clone(), each: Mean::default() });
         let slice = QUOTA_OVER / set.balancers as f64;
-        let tenant = |t: &TenantSettings| Tenant { slice: t.quota * slice, sent: Decaying::default() };
+        let tenant = |t: &TenantSettings| {
+            let tenant = Tenant { slice: t.quota * slice, sent: Decaying::default() };
+            // A proxy that starts has no unused quota behind it: guards against a rush in its first second.
+            tenant.sent.add(tenant.slice * STARTED, 0.0, QUOTA_OVER);
+            tenant
+        };
         let quota: f64 = set.tenants.iter().map(|t| t.quota).sum();
         let shortest = set.methods.iter().map(|m| m.latency_target).fold(f64::INFINITY, f64::min);
         Self(Rc::new(RefCell::new(State {
