--- a/src/policy.rs
+++ b/src/policy.rs
@@ -92,7 +92,11 @@
 
 impl Balancer {
     pub fn new(set: &Settings, seed: u64) -> Self {
-        let method = |m: &MethodSettings| Rc::new(Method { set: m.clone(), each: Mean::default() });
+        let best = set.methods.iter().map(|m| m.utility).fold(0.0, f64::max);
+        let method = |m: &MethodSettings| {
+            let room = ROOM * (best / m.utility).max(1.0).sqrt();
+            Rc::new(Method { set: m.clone(), room, each: Mean::default() })
+        };
         let slice = QUOTA_OVER / set.balancers as f64;
         let tenant = |t: &TenantSettings| {
             let tenant = Tenant { slice: t.quota * slice, sent: Decaying::default() };
@@ -290,7 +294,7 @@
         let age = now - to.started.get().filter(|at| now - at < self.cold_for)?;
         let share = self.cold_from + (1.0 - self.cold_from) * (age / self.cold_for).max(0.0);
         // What one core does, split evenly; or what a warm backend answers here, which sums by itself.
-        let even = 1.0 / (self.service.get(self.shortest / 2.0) * self.balancers);
+        let even = 1.0 / (self.service_time() * self.balancers);
         let ready = self.backends.values().filter(|b| b.ready.get()).count().max(1) as f64;
         let own = self.answered.read(now, MEAN_OVER) / MEAN_OVER / ready;
         Some(self.cold_allow * share * even.max(own))
@@ -309,13 +313,9 @@
         let Some(held) = held else { return };
         let held = held.max(backend.out.get() as f64) / backend.size.get();
         self.load.add(held, now, MEAN_OVER);
-        if held > (self.load.get(0.0) * THRESHOLD).min(self.most_ahead())
-            || !backend.ready.get()
-            || !backend.healthy(now)
-        {
-            return;
-        }
-        if backend.listed_at.replace(Some(now)).is_none() {
+        let threshold = (self.load.get(0.0) * THRESHOLD).min(self.most_ahead());
+        let idle = held <= threshold && backend.ready.get() && backend.healthy(now);
+        if idle && backend.listed_at.replace(Some(now)).is_none() {
             self.idle.push(backend.clone());
         }
     }
@@ -328,7 +328,7 @@
 
     fn pick_idle(&mut self, call: &Rc<Call>, link: &mut dyn Link) -> bool {
         let now = link.now();
-        let age = (self.service.get(self.shortest / 2.0) * ENTRY_AGE).min(ENTRY_AGE_MAX);
+        let age = (self.service_time() * ENTRY_AGE).min(ENTRY_AGE_MAX);
         self.idle.retain(|b| {
             let fresh = b.ready.get() && b.listed_at.get().is_some_and(|at| now - at <= age);
             if !fresh {
@@ -397,7 +397,7 @@
             return;
         }
         let now = link.now();
-        let time = call.useful_until - now > self.service.get(self.shortest / 2.0);
+        let time = call.useful_until - now > self.service_time();
         if !time || !(self.pick_idle(call, link) || self.pick_drawn(call, link)) {
             self.give_up(call, link);
         }
@@ -426,12 +426,10 @@
     fn take(&mut self, arrival: &Arrival, link: &mut dyn Link) -> Rc<Call> {
         let now = link.now();
         let method = self.methods[arrival.method].clone();
-        let share = arrival
-            .tenant
-            .map_or(Share::Within, |t| self.share(&self.tenants[t], arrival.client_repeat, now));
-        let target = now
-            + method.set.latency_target
-            + method.set.target_stretch * arrival.expected_work.unwrap_or(0.0);
+        let tenant = arrival.tenant.map(|t| &self.tenants[t]);
+        let share = tenant.map_or(Share::Within, |t| self.share(t, arrival.client_repeat, now));
+        let stretch = method.set.target_stretch * arrival.expected_work.unwrap_or(0.0);
+        let target = now + method.set.latency_target + stretch;
         let useful_until =
             if method.set.late_utility > 0.0 { arrival.deadline } else { target.min(arrival.deadline) };
         let hold = if self.may_probe { HOLD * method.set.latency_target } else { 0.0 };
@@ -471,9 +469,14 @@
         share
     }
 
+    /// Mean seconds from pick to answer; before the first answer a guess.
+    fn service_time(&self) -> f64 {
+        self.service.get(self.shortest / 2.0)
+    }
+
     /// Time over which expected waits are measured and fade: waits change as fast as backends fill and drain.
     fn fade(&self) -> f64 {
-        FADE * self.service.get(self.shortest / 2.0)
+        FADE * self.service_time()
     }
 
     /// Whether a backend taken blindly would answer in time by what the reports say; what lies beyond a share
@@ -485,9 +488,7 @@
         // held to the load that the tightest can bear. What is not measured fades, so it is tried again.
         let room = |m: &Rc<Method>| m.set.latency_target / m.each.fading(now, fade) / ROOM;
         let tightest = self.methods.iter().map(room).fold(f64::INFINITY, f64::min);
-        let best = self.methods.iter().map(|m| m.set.utility).fold(0.0, f64::max);
-        let room = ROOM * (best / call.method.set.utility).max(1.0).sqrt();
-        let wait = load * call.method.each.fading(now, fade) * room;
+        let wait = load * call.method.each.fading(now, fade) * call.method.room;
         call.share < Share::Beyond && load <= tightest && wait <= call.useful_until - now
     }
 
@@ -499,7 +500,7 @@
                 continue;
             }
             if now >= self.probe_next {
-                self.probe_next = now + PROBE_GAP * self.service.get(self.shortest / 2.0);
+                self.probe_next = now + PROBE_GAP * self.service_time();
                 self.probe(PROBE_FEW, link);
             }
             let probing = self.probe_tokens >= 1.0 || self.backends.values().any(|b| b.probe_out.get());
