--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -1,5 +1,4 @@
 //! Reads the bench's wire on standard input, calls the decision module, writes its answers.
-mod settings;
 mod wire;
 
 use std::process::ExitCode;
--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -1,7 +1,7 @@
 //! Wire text to calls on the module, and the module's answers back to wire text.
-use crate::settings;
 use birchhub::policy::{Balancer, Rpc};
 use birchhub::types::{Arrival, Entry, Link, ListKind, LoadReport, Outcome, Readiness};
+use birchhub_settings as settings;
 use std::any::Any;
 use std::collections::{BTreeMap, HashMap};
 use std::fmt::Write as _;
--- /dev/null
+++ b/crates/daemon/src/answer.rs
@@ -0,0 +1,47 @@
+//! Answers to clients, each encoded once.
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+
+/// The end of an RPC as the client is to see it.
+pub enum Answer {
+    /// A backend's body, unchanged.
+    Ok(Bytes),
+    /// Trying again is harmless; after so many seconds, if not 0.
+    PushedBack { come_back: f64 },
+    /// Failed, with no promise about what ran.
+    Aborted,
+    /// Not an RPC: what came from the client cannot be one.
+    Refused(StatusCode, &'static str),
+    /// The word on this proxy's health.
+    Health(bool),
+}
+
+impl Answer {
+    /// `last`: the connection is closed after it.
+    pub fn encode(self, last: bool) -> Response<Full<Bytes>> {
+        let (status, body) = match &self {
+            Self::Ok(body) => (StatusCode::OK, body.clone()),
+            Self::PushedBack { .. } => {
+                (StatusCode::SERVICE_UNAVAILABLE, Bytes::from_static(b"pushed back\n"))
+            }
+            Self::Aborted => (StatusCode::BAD_GATEWAY, Bytes::from_static(b"aborted\n")),
+            Self::Refused(status, why) => (*status, Bytes::from_static(why.as_bytes())),
+            Self::Health(true) => (StatusCode::OK, Bytes::from_static(b"ready\n")),
+            Self::Health(false) => (StatusCode::SERVICE_UNAVAILABLE, Bytes::from_static(b"not ready\n")),
+        };
+        let mut response = Response::new(Full::new(body));
+        *response.status_mut() = status;
+        if let Self::PushedBack { come_back } = self
+            && come_back > 0.0
+            && let Ok(value) = HeaderValue::from_str(&format!("{come_back:.3}"))
+        {
+            response.headers_mut().insert(RETRY_AFTER, value);
+        }
+        if last {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/backend.rs
@@ -0,0 +1,308 @@
+//! One actor for each backend: its connections, and the picks and probes that go to it. A job owns its
+//! connection while it runs, and its `Ticket` tells the core how it ended, once, when it is dropped.
+use crate::core::ToCore;
+use crate::intake::Message;
+use crate::sockets::{Budget, Conn, Fault, Part, Reply, Spare};
+use birchhub::types::{LoadReport, Outcome};
+use bytes::Bytes;
+use hyper::HeaderMap;
+use hyper::header::{CONNECTION, HeaderValue};
+use std::cell::{Cell, RefCell};
+use std::future::{pending, poll_fn};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::select;
+use tokio::sync::mpsc::{self, OwnedPermit};
+use tokio::sync::{Notify, oneshot, watch};
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep_until, timeout_at};
+
+const MAILBOX: usize = 256; // jobs not yet begun; beyond, they end as never sent
+const KEEP_PART: f64 = 0.8; // of the idle time after which the other side closes: never write to a closed one
+
+/// What the list says of a backend's sockets.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Facts {
+    pub endpoint: SocketAddr,
+    pub ready: bool,
+}
+
+/// Limits on connections, from the settings.
+#[derive(Clone, Copy)]
+pub struct Limits {
+    pub connect: Duration,
+    pub idle: Duration,
+}
+
+/// What a ticket is for.
+#[derive(Clone, Copy)]
+pub enum Errand {
+    Pick { rpc: u64, pick: usize },
+    Probe { backend: u32 },
+}
+
+impl Errand {
+    pub fn end(self, outcome: Outcome, report: Option<LoadReport>, body: Bytes) -> ToCore {
+        match self {
+            Self::Pick { rpc, pick } => ToCore::Ended { rpc, pick, outcome, report, body },
+            Self::Probe { backend } => ToCore::Probed { backend, outcome, report },
+        }
+    }
+}
+
+/// The duty to tell the core how a pick or probe ended; done when dropped.
+pub struct Ticket {
+    errand: Errand,
+    permit: Option<OwnedPermit<ToCore>>,
+    /// A byte of it may be on its way.
+    sent: Cell<bool>,
+    end: Option<(Outcome, Option<LoadReport>, Bytes)>,
+}
+
+impl Ticket {
+    pub fn new(errand: Errand, permit: OwnedPermit<ToCore>) -> Self {
+        Self { errand, permit: Some(permit), sent: Cell::new(false), end: None }
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        let unfinished = if self.sent.get() { Outcome::Cancelled } else { Outcome::NeverSent };
+        let (outcome, report, body) = self.end.take().unwrap_or((unfinished, None, Bytes::new()));
+        let Some(permit) = self.permit.take() else { return };
+        permit.send(self.errand.end(outcome, report, body));
+    }
+}
+
+/// Stops a job once its other end is dropped.
+pub type Stop = Option<oneshot::Receiver<()>>;
+
+/// A pick or probe to be run until a time, or until it is stopped.
+pub struct Job {
+    pub message: Message,
+    pub until: Instant,
+    pub stop: Stop,
+    pub ticket: Ticket,
+}
+
+/// The core's end of a backend.
+pub struct Backend {
+    pub mailbox: mpsc::Sender<Job>,
+    pub facts: watch::Sender<Facts>,
+}
+
+/// An idle connection, which the budget may give up for another.
+struct Kept(RefCell<Option<Conn>>);
+
+impl Spare for Kept {
+    fn give_up(&self) -> bool {
+        self.0.borrow_mut().take().is_some()
+    }
+}
+
+struct Peer {
+    facts: watch::Receiver<Facts>,
+    kept: RefCell<Vec<Rc<Kept>>>, // the latest used last
+    changed: Notify,
+    limits: Limits,
+    budget: Rc<Budget>,
+}
+
+impl Backend {
+    pub fn start(facts: Facts, limits: Limits, budget: Rc<Budget>) -> Self {
+        let (mailbox, jobs) = mpsc::channel(MAILBOX);
+        let (sender, receiver) = watch::channel(facts);
+        let peer = Peer { facts: receiver, kept: RefCell::default(), changed: Notify::new(), limits, budget };
+        spawn_local(Rc::new(peer).run(jobs));
+        Self { mailbox, facts: sender }
+    }
+}
+
+impl Peer {
+    async fn run(self: Rc<Self>, mut jobs: mpsc::Receiver<Job>) {
+        let mut facts = self.facts.clone();
+        let mut endpoint = facts.borrow_and_update().endpoint;
+        loop {
+            select! {
+                biased;
+                told = facts.changed() => {
+                    let now = *facts.borrow_and_update();
+                    if told.is_err() || !now.ready || now.endpoint != endpoint {
+                        self.kept.borrow_mut().clear();
+                        endpoint = now.endpoint;
+                    }
+                    if told.is_err() {
+                        return; // Gone from the list. Jobs that run go on by themselves.
+                    }
+                }
+                job = jobs.recv() => match job {
+                    Some(job) => drop(spawn_local(self.clone().serve(job))),
+                    None => return,
+                },
+                () = self.tend() => {}
+            }
+        }
+    }
+
+    /// Watches over idle connections: drops those that the other side closes and those kept long enough.
+    /// Ends when another one is kept or one has grown old.
+    async fn tend(&self) {
+        let keep = self.limits.idle.mul_f64(KEEP_PART);
+        let now = Instant::now();
+        self.kept.borrow_mut().retain(|k| k.0.borrow().as_ref().is_some_and(|c| now < c.used + keep));
+        let oldest = self.kept.borrow().iter().filter_map(|k| k.0.borrow().as_ref().map(|c| c.used)).min();
+        let watch = poll_fn(|cx| {
+            self.kept.borrow_mut().retain(|k| {
+                let mut conn = k.0.borrow_mut();
+                conn.as_mut().is_some_and(|c| !c.poll_closed(cx))
+            });
+            Poll::<()>::Pending
+        });
+        select! {
+            () = self.changed.notified() => {}
+            () = watch => {}
+            () = async {
+                match oldest {
+                    Some(used) => sleep_until(used + keep).await,
+                    None => pending().await,
+                }
+            } => {}
+        }
+    }
+
+    async fn serve(self: Rc<Self>, job: Job) {
+        let Job { message, until, stop, mut ticket } = job;
+        let (begun, sent) = (Instant::now(), &ticket.sent);
+        let stopped = async {
+            match stop {
+                // Whether it was used or dropped is all one.
+                Some(stop) => drop(stop.await),
+                None => pending().await,
+            }
+        };
+        let end = select! {
+            biased;
+            () = stopped => None,
+            () = self.withdrawn(sent) => None,
+            end = timeout_at(until, self.exchange(&message, until, sent)) => Some(end),
+        };
+        // The connection of a pick that was given up is closed by now, before the core hears of it.
+        ticket.end = match end {
+            None => None,
+            Some(Ok(end)) => Some(end),
+            Some(Err(_)) if ticket.sent.get() => {
+                // A machine that vanished leaves its connections silent.
+                let silent = |k: &Rc<Kept>| k.0.borrow().as_ref().is_none_or(|c| c.used <= begun);
+                self.kept.borrow_mut().retain(|k| !silent(k));
+                Some((Outcome::TimedOut, None, Bytes::new()))
+            }
+            Some(Err(_)) => Some((Outcome::NoConnection, None, Bytes::new())),
+        };
+    }
+
+    /// Ends once the backend takes nothing new, if nothing was sent by then.
+    async fn withdrawn(&self, sent: &Cell<bool>) {
+        let mut facts = self.facts.clone();
+        // An error means that the backend is gone from the list.
+        let _ = facts.wait_for(|facts| !facts.ready).await.map(drop);
+        if sent.get() {
+            pending::<()>().await;
+        }
+    }
+
+    async fn exchange(
+        &self,
+        message: &Message,
+        until: Instant,
+        sent: &Cell<bool>,
+    ) -> (Outcome, Option<LoadReport>, Bytes) {
+        let nothing = |outcome| (outcome, None, Bytes::new());
+        loop {
+            let endpoint = self.facts.borrow().endpoint;
+            let kept = poll_fn(|cx| Poll::Ready(self.take(cx))).await;
+            let fresh = kept.is_none();
+            let conn = match kept {
+                Some(conn) => Some(conn),
+                None => {
+                    let Some(place) = self.budget.place(Part::Backends) else {
+                        log::warn!("no socket left for {endpoint}");
+                        return nothing(Outcome::NeverSent);
+                    };
+                    Conn::open(endpoint, place, until.min(Instant::now() + self.limits.connect)).await
+                }
+            };
+            let Some(mut conn) = conn else { return nothing(Outcome::NoConnection) };
+            let host = HeaderValue::from_str(&endpoint.to_string());
+            let host = host.unwrap_or(HeaderValue::from_static("backend"));
+            let left = until.saturating_duration_since(Instant::now());
+            match conn.exchange(message.encode(&host, left), sent).await {
+                Ok(reply) => {
+                    self.keep(conn, &reply.headers).await;
+                    return judge(reply);
+                }
+                // A kept connection had ended before anything of this was written: another may be tried.
+                Err(Fault::Unsent) if !fresh => {}
+                Err(Fault::Unsent) => return nothing(Outcome::NoConnection),
+                Err(Fault::Broken) => return nothing(Outcome::Reset),
+                Err(Fault::Oversized) => return nothing(Outcome::Error),
+            }
+        }
+    }
+
+    /// The latest used connection that is idle and alive.
+    fn take(&self, cx: &mut Context) -> Option<Conn> {
+        while let Some(kept) = self.kept.borrow_mut().pop() {
+            let conn = kept.0.borrow_mut().take();
+            if let Some(mut conn) = conn
+                && conn.usable(cx)
+            {
+                return Some(conn);
+            }
+        }
+        None
+    }
+
+    async fn keep(&self, mut conn: Conn, headers: &HeaderMap) {
+        let closes =
+            headers.get(CONNECTION).is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
+        let alive = !closes && poll_fn(|cx| Poll::Ready(!conn.poll_closed(cx))).await;
+        if alive && self.facts.has_changed().is_ok() && self.facts.borrow().ready {
+            let kept = Rc::new(Kept(RefCell::new(Some(conn))));
+            let spare: Rc<dyn Spare> = kept.clone();
+            self.budget.offer(Part::Backends, Rc::downgrade(&spare));
+            self.kept.borrow_mut().push(kept);
+            self.changed.notify_one();
+        }
+    }
+}
+
+/// What an answer means, as the protocol has it.
+fn judge(reply: Reply) -> (Outcome, Option<LoadReport>, Bytes) {
+    let header = reply.headers.get("server-load").and_then(|value| value.to_str().ok());
+    let report = header.or(std::str::from_utf8(&reply.body).ok()).and_then(load);
+    let not_started = reply.headers.get("not-started").is_some_and(|value| value == "1");
+    let outcome = match reply.status.as_u16() {
+        200 => Outcome::Ok,
+        503 | 504 if not_started => Outcome::Rejected,
+        _ => Outcome::Error,
+    };
+    (outcome, report, reply.body)
+}
+
+/// A load report; a malformed one counts as none.
+fn load(text: &str) -> Option<LoadReport> {
+    let mut load = LoadReport::default();
+    for pair in text.trim().split(',') {
+        let (name, value) = pair.split_once('=')?;
+        let value = value.trim().parse::<f64>().ok().filter(|v| v.is_finite() && *v >= 0.0)?;
+        match name.trim() {
+            "inflight" => load.in_flight = Some(value),
+            "queue" => load.queued = Some(value),
+            "util" => load.utilisation = Some(value),
+            _ => {}
+        }
+    }
+    Some(load)
+}
--- /dev/null
+++ b/crates/daemon/src/config.rs
@@ -0,0 +1,79 @@
+//! What the platform tells a proxy at its start: addresses, limits, settings and the list as last had.
+use crate::discovery::{self, News};
+use birchhub_settings::Conf;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::time::Instant;
+
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    pub sockets: usize,
+    pub known: Option<News>,
+    pub conf: Conf,
+}
+
+/// The one place where wall time and the machine's steady clock become the module's seconds.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    base: Instant,
+    wall: f64,
+}
+
+impl Clock {
+    pub fn start() -> Self {
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64();
+        Self { base: Instant::now(), wall }
+    }
+
+    pub fn now(&self) -> f64 {
+        self.base.elapsed().as_secs_f64()
+    }
+
+    pub fn seconds(&self, at: Instant) -> f64 {
+        at.duration_since(self.base).as_secs_f64()
+    }
+
+    pub fn instant(&self, seconds: f64) -> Instant {
+        self.base + Duration::from_secs_f64(seconds.clamp(0.0, 1e9))
+    }
+
+    /// A time in Unix milliseconds; 0 stands for long ago.
+    pub fn unix_ms(&self, ms: f64) -> Option<f64> {
+        (ms > 0.0).then(|| ms / 1e3 - self.wall)
+    }
+}
+
+/// A value from the file, or from the variable where the file has none.
+fn text(file: &Value, key: &str, variable: &str) -> Result<String, String> {
+    let told = file.get(key).and_then(Value::as_str).map(str::to_owned);
+    told.or_else(|| std::env::var(variable).ok()).ok_or_else(|| format!("{variable} is not set"))
+}
+
+fn address(file: &Value, key: &str, variable: &str) -> Result<SocketAddr, String> {
+    let text = text(file, key, variable)?;
+    text.parse().map_err(|_| format!("{variable} is not an address and port: {text}"))
+}
+
+pub fn load() -> Result<Config, String> {
+    let path = std::env::var("LB_CONFIG").map_err(|_| "LB_CONFIG is not set".to_owned())?;
+    let bytes = std::fs::read(&path).map_err(|e| format!("LB_CONFIG cannot be read: {path}: {e}"))?;
+    let file: Value =
+        serde_json::from_slice(&bytes).map_err(|e| format!("LB_CONFIG is not JSON: {path}: {e}"))?;
+    let seed = text(&file, "seed", "LB_SEED")?;
+    let settings = file.get("settings").ok_or("settings is missing in LB_CONFIG")?;
+    let limits = file.get("limits").and_then(|l| l.get("sockets")).and_then(Value::as_u64);
+    let known = file.get("known").filter(|known| !known.is_null());
+    Ok(Config {
+        name: text(&file, "name", "LB_NAME")?,
+        listen: address(&file, "listen", "LB_LISTEN")?,
+        discovery: address(&file, "discovery", "LB_DISCOVERY")?,
+        seed: u64::from_str_radix(&seed, 16).map_err(|_| format!("seed is not a hex number: {seed}"))?,
+        sockets: limits.unwrap_or(1024) as usize,
+        known: known.map(discovery::decode).transpose().map_err(|e| format!("known: {e}"))?,
+        conf: birchhub_settings::read_value(settings).map_err(|e| format!("settings: {e}"))?,
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/core.rs
@@ -0,0 +1,302 @@
+//! The actor around the decision module: every call on it is made here, in the order in which things
+//! happened, and what it asks for leaves through `Door` without waiting.
+use crate::answer::Answer;
+use crate::backend::{Backend, Errand, Facts, Job, Limits, Stop, Ticket};
+use crate::config::{Clock, Config};
+use crate::discovery::News;
+use crate::intake::{Message, Received};
+use crate::sockets::Budget;
+use birchhub::policy::{Balancer, Rpc};
+use birchhub::types::{Arrival, Entry, Link, ListKind, LoadReport, Outcome, Readiness};
+use bytes::Bytes;
+use std::collections::HashMap;
+use std::future::pending;
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::select;
+use tokio::sync::{Notify, mpsc, oneshot};
+use tokio::time::{Instant, sleep_until};
+
+pub const MAILBOX: usize = 8192; // messages: one kept free for the end of each RPC, pick and probe
+const MARGIN: Duration = Duration::from_millis(5); // of a client's wait, for this machine's own delays
+const PROBE_WAITS: Duration = Duration::from_millis(100); // for a probe; a slower answer tells nothing of now
+const RECOVER: f64 = 0.01; // s until the module is woken after it failed in a call
+
+pub enum ToCore {
+    Take { id: u64, rpc: Box<Received>, answer: oneshot::Sender<Answer> },
+    HungUp(u64),
+    Ended { rpc: u64, pick: usize, outcome: Outcome, report: Option<LoadReport>, body: Bytes },
+    Probed { backend: u32, outcome: Outcome, report: Option<LoadReport> },
+    News(News),
+    ListFailed,
+}
+
+/// An RPC on its way: what its picks need, and who waits for its answer.
+struct Held {
+    message: Message,
+    deadline: Instant,
+    answer: Option<oneshot::Sender<Answer>>,
+    picks: Vec<Option<oneshot::Sender<()>>>, // of those that can still be stopped
+}
+
+/// The module's door outward.
+struct Door {
+    now: f64,
+    clock: Clock,
+    held: HashMap<u64, Held>,
+    backends: HashMap<u32, Backend>,
+    core: mpsc::Sender<ToCore>,
+    wanted: Rc<Notify>,
+    wake_at: Option<f64>,
+    unsent: Vec<Errand>,
+}
+
+impl Door {
+    fn give(&mut self, rpc: u64, answer: Answer) {
+        if let Some(sender) = self.held.get_mut(&rpc).and_then(|held| held.answer.take()) {
+            // Where the client has gone there is nobody to tell.
+            let _ = sender.send(answer);
+        }
+    }
+
+    /// Hands a job to a backend. Where that can't be done its ticket, dropped, says so.
+    fn run(&mut self, errand: Errand, backend: u32, message: Message, until: Instant, stop: Stop) {
+        let Ok(permit) = self.core.clone().try_reserve_owned() else {
+            log::error!("the core's mailbox is full");
+            return self.unsent.push(errand);
+        };
+        let job = Job { message, until, stop, ticket: Ticket::new(errand, permit) };
+        if let Some(backend) = self.backends.get(&backend) {
+            let _ = backend.mailbox.try_send(job);
+        }
+    }
+}
+
+impl Link for Door {
+    fn now(&self) -> f64 {
+        self.now
+    }
+    fn pick(&mut self, rpc: u64, backend: u32, time_out: f64) {
+        let Some(held) = self.held.get_mut(&rpc) else { return };
+        let (sender, stop) = oneshot::channel();
+        let pick = held.picks.len();
+        held.picks.push(Some(sender));
+        let until = self.clock.instant(self.now + time_out).min(held.deadline);
+        let message = held.message.clone();
+        self.run(Errand::Pick { rpc, pick }, backend, message, until, Some(stop));
+    }
+    fn cancel(&mut self, rpc: u64, pick: usize) {
+        let picks = self.held.get_mut(&rpc).map(|held| &mut held.picks);
+        drop(picks.and_then(|picks| picks.get_mut(pick)).and_then(Option::take));
+    }
+    fn push_back(&mut self, rpc: u64, come_back: f64) {
+        self.give(rpc, Answer::PushedBack { come_back });
+    }
+    fn abort(&mut self, rpc: u64) {
+        self.give(rpc, Answer::Aborted);
+    }
+    fn probe(&mut self, backend: u32) {
+        let until = Instant::now() + PROBE_WAITS;
+        self.run(Errand::Probe { backend }, backend, Message::probe(), until, None);
+    }
+    fn watch(&mut self) {
+        self.wanted.notify_one();
+    }
+    fn wake_in(&mut self, delay: f64) {
+        let at = self.now + delay;
+        self.wake_at = Some(self.wake_at.map_or(at, |earlier| earlier.min(at)));
+    }
+}
+
+pub struct Core {
+    balancer: Balancer,
+    rpcs: HashMap<u64, Rpc>,
+    door: Door,
+    numbers: HashMap<String, u32>, // of backends, by uid, for as long as this proxy runs
+    zones: Vec<String>,
+    sized: bool,
+    limits: Limits,
+    budget: Rc<Budget>,
+}
+
+impl Core {
+    pub fn new(
+        config: &Config,
+        clock: Clock,
+        budget: Rc<Budget>,
+        core: mpsc::Sender<ToCore>,
+        wanted: Rc<Notify>,
+    ) -> Self {
+        let conf = &config.conf;
+        let door = Door {
+            now: clock.now(),
+            clock,
+            held: HashMap::new(),
+            backends: HashMap::new(),
+            core,
+            wanted,
+            wake_at: None,
+            unsent: Vec::new(),
+        };
+        let mut core = Self {
+            balancer: Balancer::new(&conf.settings, config.seed),
+            rpcs: HashMap::new(),
+            door,
+            numbers: HashMap::new(),
+            zones: conf.zones.clone(),
+            sized: conf.sized,
+            limits: Limits {
+                connect: Duration::from_secs_f64(conf.connect_limit),
+                idle: Duration::from_secs_f64(conf.idle_limit),
+            },
+            budget,
+        };
+        let known =
+            config.known.clone().unwrap_or(News { version: 0, kind: ListKind::Stale, listed: vec![] });
+        core.news(&News { kind: ListKind::Stale, ..known });
+        core
+    }
+
+    pub async fn run(mut self, mut mailbox: mpsc::Receiver<ToCore>) {
+        loop {
+            let wake = self.door.wake_at.map(|at| self.door.clock.instant(at));
+            if wake.is_some_and(|at| at <= Instant::now()) {
+                self.door.wake_at = None;
+                self.call(|core| core.balancer.wake(&mut core.door));
+                continue;
+            }
+            let alarm = async {
+                match wake {
+                    Some(at) => sleep_until(at).await,
+                    None => pending().await,
+                }
+            };
+            select! {
+                biased;
+                message = mailbox.recv() => match message {
+                    Some(message) => self.hear(message),
+                    None => return,
+                },
+                () = alarm => {}
+            }
+        }
+    }
+
+    fn hear(&mut self, message: ToCore) {
+        match message {
+            ToCore::Take { id, rpc, answer } => self.take(id, *rpc, answer),
+            ToCore::HungUp(id) => self.on_rpc(id, |rpc, door| {
+                door.held.get_mut(&id).map(|held| held.answer.take());
+                rpc.hung_up(door);
+            }),
+            ToCore::Ended { rpc, pick, outcome, report, body } => {
+                self.ended(rpc, pick, outcome, report, body)
+            }
+            ToCore::Probed { backend, outcome, report } => {
+                // A probe that this proxy did not get out says nothing of the backend.
+                let outcome = if outcome == Outcome::NeverSent { Outcome::TimedOut } else { outcome };
+                self.call(|core| core.balancer.probed(backend, outcome, report, &mut core.door));
+            }
+            ToCore::News(news) => self.news(&news),
+            ToCore::ListFailed => self.call(|core| core.balancer.list_failed(&mut core.door)),
+        }
+        while let Some(errand) = self.door.unsent.pop() {
+            self.hear(errand.end(Outcome::NeverSent, None, Bytes::new()));
+        }
+    }
+
+    /// Calls the module. A panic in there ends neither the proxy nor what others wait for: the front answers
+    /// what the module no longer knows of.
+    fn call(&mut self, act: impl FnOnce(&mut Self)) {
+        self.door.now = self.door.clock.now();
+        if catch_unwind(AssertUnwindSafe(|| act(self))).is_err() {
+            log::error!("the decision module panicked");
+            self.door.wake_in(RECOVER);
+        }
+    }
+
+    fn on_rpc(&mut self, id: u64, act: impl FnOnce(&Rpc, &mut Door)) {
+        self.call(|core| {
+            let Some(rpc) = core.rpcs.get(&id) else { return };
+            act(rpc, &mut core.door);
+            core.let_go(id);
+        });
+    }
+
+    /// Gives back what an RPC held once it is over.
+    fn let_go(&mut self, id: u64) {
+        if self.rpcs.get(&id).is_some_and(Rpc::is_over) {
+            self.rpcs.remove(&id);
+            self.door.held.remove(&id);
+        }
+    }
+
+    fn take(&mut self, id: u64, rpc: Received, answer: oneshot::Sender<Answer>) {
+        let deadline = rpc.at + rpc.waits.saturating_sub(MARGIN);
+        let arrival = Arrival {
+            id,
+            method: rpc.method,
+            tenant: rpc.tenant,
+            deadline: self.door.clock.seconds(deadline),
+            expected_work: rpc.expected_work,
+            client_repeat: rpc.client_repeat,
+        };
+        let held = Held { message: rpc.message, deadline, answer: Some(answer), picks: Vec::new() };
+        self.door.held.insert(id, held);
+        self.call(|core| {
+            let rpc = core.balancer.take(&arrival, &mut core.door);
+            core.rpcs.insert(id, rpc);
+            core.let_go(id);
+        });
+    }
+
+    fn ended(&mut self, id: u64, pick: usize, outcome: Outcome, report: Option<LoadReport>, body: Bytes) {
+        self.on_rpc(id, |rpc, door| {
+            if let Some(held) = door.held.get_mut(&id) {
+                held.picks[pick] = None;
+            }
+            if outcome == Outcome::Ok {
+                door.give(id, Answer::Ok(body));
+            }
+            let over = door.held.get(&id).is_none_or(|held| held.answer.is_none());
+            rpc.ended(pick, outcome, over, report, door);
+        });
+    }
+
+    fn news(&mut self, news: &News) {
+        if news.kind != ListKind::Changes {
+            let listed: Vec<_> =
+                news.listed.iter().filter_map(|l| self.numbers.get(&l.uid)).copied().collect();
+            self.door.backends.retain(|number, _| listed.contains(number));
+        }
+        let mut entries = Vec::new();
+        for listed in &news.listed {
+            let next = self.numbers.len() as u32;
+            let backend = *self.numbers.entry(listed.uid.clone()).or_insert(next);
+            let facts = Facts { endpoint: listed.endpoint, ready: listed.readiness == Readiness::Ready };
+            if listed.readiness == Readiness::Gone {
+                self.door.backends.remove(&backend);
+            } else if let Some(known) = self.door.backends.get(&backend) {
+                known.facts.send_replace(facts);
+            } else {
+                self.door.backends.insert(backend, Backend::start(facts, self.limits, self.budget.clone()));
+            }
+            let size = if self.sized { listed.size } else { 1.0 };
+            let started = self.door.clock.unix_ms(listed.boot_ms);
+            let zone = self.zones.iter().position(|z| *z == listed.zone).unwrap_or(self.zones.len());
+            entries.push(Entry {
+                backend,
+                size,
+                started,
+                cell: listed.cell,
+                zone,
+                readiness: listed.readiness,
+            });
+        }
+        if !news.listed.is_empty() {
+            log::info!("list version {}: {} lines, {:?}", news.version, news.listed.len(), news.kind);
+        }
+        self.call(|core| core.balancer.list(news.kind, &entries, &mut core.door));
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/discovery.rs
@@ -0,0 +1,152 @@
+//! The actor that follows the list: one long call after another while the module wants to be told. It has one
+//! connection and never more than one call out; what it hears goes to the core's mailbox.
+use crate::core::ToCore;
+use crate::sockets::{Budget, Conn, Part};
+use birchhub::types::{ListKind, Readiness};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{HOST, HeaderValue};
+use hyper::{Request, StatusCode};
+use serde_json::Value;
+use std::cell::Cell;
+use std::future::poll_fn;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::task::Poll;
+use std::time::Duration;
+use tokio::sync::{Notify, mpsc};
+use tokio::time::{Instant, timeout_at};
+
+const FIRST_HOLD: u64 = 100; // ms: the first call of a watch shows at once whether discovery answers
+const HOLD: u64 = 10_000; // ms a later call may wait: few calls, and a silent link is noticed in time
+const PATIENCE: Duration = Duration::from_secs(2); // beyond the hold; then the list counts as told anyway
+
+/// One backend of the list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listed {
+    pub uid: String,
+    pub endpoint: SocketAddr,
+    pub zone: String,
+    pub cell: u64,
+    pub readiness: Readiness,
+    pub size: f64,
+    pub boot_ms: f64,
+}
+
+/// What discovery told: the whole list or changes of it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct News {
+    pub version: u64,
+    pub kind: ListKind,
+    pub listed: Vec<Listed>,
+}
+
+/// One line of the list. One that can't be understood is passed over: it must not end the proxy, and takes
+/// nothing new.
+fn line(value: &Value) -> Option<Listed> {
+    let number = |key| value.get(key).and_then(Value::as_f64);
+    let readiness = match value.get("state").and_then(Value::as_str) {
+        Some("Ready") => Readiness::Ready,
+        Some("Gone") => Readiness::Gone,
+        _ => Readiness::Draining,
+    };
+    let endpoint = value.get("endpoint").and_then(Value::as_str).and_then(|text| text.parse().ok());
+    Some(Listed {
+        uid: value.get("uid")?.as_str()?.to_owned(),
+        endpoint: match (endpoint, readiness) {
+            (Some(endpoint), _) => endpoint,
+            (None, Readiness::Ready) => return None,
+            (None, _) => SocketAddr::from(([0, 0, 0, 0], 0)),
+        },
+        zone: value.get("az").and_then(Value::as_str).unwrap_or_default().to_owned(),
+        cell: value.get("pod_group").and_then(Value::as_u64).unwrap_or(u64::MAX),
+        readiness,
+        size: number("capacity_hint").filter(|size| *size > 0.0).unwrap_or(1.0),
+        boot_ms: number("boot_ms").unwrap_or(0.0),
+    })
+}
+
+/// Reads the list in discovery's form.
+pub fn decode(value: &Value) -> Result<News, String> {
+    let version = value.get("rev").and_then(Value::as_u64).ok_or("rev is not a number")?;
+    let full = value.get("all").and_then(Value::as_bool).ok_or("all is not true or false")?;
+    let targets = value.get("targets").and_then(Value::as_array).ok_or("targets is not a list")?;
+    let kind = if full { ListKind::Full } else { ListKind::Changes };
+    let listed: Vec<_> = targets.iter().filter_map(line).collect();
+    if listed.len() < targets.len() {
+        log::warn!("{} of {} list lines can't be read", targets.len() - listed.len(), targets.len());
+    }
+    Ok(News { version, kind, listed })
+}
+
+pub struct Discovery {
+    pub at: SocketAddr,
+    pub budget: Rc<Budget>,
+    pub core: mpsc::Sender<ToCore>,
+    /// The module asks to be told of changes.
+    pub wanted: Rc<Notify>,
+    pub version: Option<u64>,
+    /// Set with the first answer.
+    pub heard: Rc<Cell<bool>>,
+}
+
+impl Discovery {
+    /// Follows the list until the core is gone: a watch runs until a call fails, and the next begins when the
+    /// module asks for it.
+    pub async fn run(mut self) {
+        loop {
+            self.wanted.notified().await;
+            let fault = self.watch().await;
+            log::warn!("list call failed: {fault}");
+            if self.core.send(ToCore::ListFailed).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    async fn watch(&mut self) -> String {
+        let (mut conn, mut hold) = (None, FIRST_HOLD);
+        loop {
+            let path = match self.version {
+                None => "/registry/instances".to_owned(),
+                Some(from) => format!("/registry/instances?from={from}&hold_ms={hold}"),
+            };
+            let until = Instant::now() + Duration::from_millis(hold) + PATIENCE;
+            let news = match timeout_at(until, self.call(&mut conn, &path, until)).await {
+                Err(_) => return "no answer in time".into(),
+                Ok(Err(fault)) => return fault,
+                Ok(Ok(news)) => news,
+            };
+            self.version = Some(news.version);
+            self.heard.set(true);
+            hold = HOLD;
+            if self.core.send(ToCore::News(news)).await.is_err() {
+                return "the core has ended".into();
+            }
+        }
+    }
+
+    async fn call(&self, kept: &mut Option<Conn>, path: &str, until: Instant) -> Result<News, String> {
+        let usable = match kept {
+            None => false,
+            Some(conn) => poll_fn(|cx| Poll::Ready(conn.usable(cx))).await,
+        };
+        if !usable {
+            *kept = None;
+            let place = self.budget.place_anyhow(Part::Backends);
+            *kept = Conn::open(self.at, place, until).await;
+        }
+        let conn = kept.as_mut().ok_or("no connection")?;
+        let mut message = Request::new(Full::<Bytes>::default());
+        *message.uri_mut() = path.parse().map_err(|_| "the call has no path")?;
+        let host = HeaderValue::from_str(&self.at.to_string()).map_err(|_| "the call has no host")?;
+        message.headers_mut().insert(HOST, host);
+        let reply = conn.exchange(message, &Cell::new(false)).await;
+        let reply = reply.map_err(|fault| format!("the connection failed: {fault:?}"))?;
+        if reply.status != StatusCode::OK {
+            return Err(format!("status {}", reply.status));
+        }
+        let value = serde_json::from_slice(&reply.body).map_err(|e| format!("not JSON: {e}"))?;
+        decode(&value)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/intake.rs
@@ -0,0 +1,143 @@
+//! HTTP from a client to a typed RPC, once.
+use crate::answer::Answer;
+use birchhub::types::Effect;
+use birchhub_settings::Conf;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_LENGTH, HeaderName, HeaderValue};
+use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
+use std::collections::HashMap;
+use std::time::Duration;
+use tokio::time::{Instant, timeout};
+
+const BODY_MOST: usize = 64 << 10; // bytes, as the protocol has it
+const BODY_TIME: Duration = Duration::from_secs(10); // for a whole body; longer than any client waits
+
+pub const RPC_ID: HeaderName = HeaderName::from_static("request-id");
+pub const TIME_OUT: HeaderName = HeaderName::from_static("request-timeout-ms");
+pub const REPEAT_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+const TENANT: HeaderName = HeaderName::from_static("tenant");
+const CLIENT_REPEAT: HeaderName = HeaderName::from_static("client-retry");
+const FIGURES: HeaderName = HeaderName::from_static("request-info");
+
+/// An RPC as a client sent it.
+pub struct Received {
+    pub method: usize,
+    pub tenant: Option<usize>,
+    /// When its last byte was seen, and how long the client waits from then on.
+    pub at: Instant,
+    pub waits: Duration,
+    pub client_repeat: bool,
+    pub expected_work: Option<f64>,
+    pub message: Message,
+}
+
+/// What goes on to backends unchanged.
+#[derive(Clone)]
+pub struct Message {
+    verb: Method,
+    uri: Uri,
+    id: Option<HeaderValue>, // none on a probe
+    key: Option<HeaderValue>,
+    body: Bytes,
+}
+
+impl Message {
+    /// Asks a backend for its load report.
+    pub fn probe() -> Self {
+        let uri = Uri::from_static("/stats");
+        Self { verb: Method::GET, uri, id: None, key: None, body: Bytes::new() }
+    }
+
+    /// The message to a backend that is waited for this long.
+    pub fn encode(&self, host: &HeaderValue, waits: Duration) -> Request<Full<Bytes>> {
+        let mut message = Request::new(Full::new(self.body.clone()));
+        *message.method_mut() = self.verb.clone();
+        *message.uri_mut() = self.uri.clone();
+        let headers = message.headers_mut();
+        headers.insert(hyper::header::HOST, host.clone());
+        if let Some(id) = &self.id {
+            headers.insert(RPC_ID, id.clone());
+            headers.insert(TIME_OUT, HeaderValue::from(waits.as_millis().max(1) as u64));
+        }
+        if let Some(key) = &self.key {
+            headers.insert(REPEAT_KEY, key.clone());
+        }
+        if self.verb != Method::GET {
+            headers.insert(CONTENT_LENGTH, HeaderValue::from(self.body.len()));
+        }
+        message
+    }
+}
+
+/// The names that clients use, and what they stand for.
+pub struct Intake {
+    methods: HashMap<String, (usize, Effect)>,
+    tenants: HashMap<String, usize>,
+}
+
+fn bad(why: &'static str) -> Answer {
+    Answer::Refused(StatusCode::BAD_REQUEST, why)
+}
+
+/// The one value of a header; an error if it is there more than once.
+fn one<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Result<Option<&'a HeaderValue>, Answer> {
+    let mut all = headers.get_all(name).iter();
+    let first = all.next();
+    if all.next().is_some() { Err(bad("a header is there twice\n")) } else { Ok(first) }
+}
+
+impl Intake {
+    pub fn new(conf: &Conf) -> Self {
+        let methods = conf.methods.iter().zip(&conf.settings.methods).enumerate();
+        let methods = methods.map(|(n, (name, set))| (name.clone(), (n, set.effect))).collect();
+        let tenants = conf.tenants.iter().enumerate().map(|(n, name)| (name.clone(), n)).collect();
+        Self { methods, tenants }
+    }
+
+    /// The RPC in a client's message, or what it is told instead.
+    pub async fn read(&self, from: Request<Incoming>) -> Result<Received, Answer> {
+        let (head, body) = from.into_parts();
+        let name = head.uri.path().split('/').nth(1).unwrap_or_default();
+        let known = self.methods.get(name).copied();
+        let (method, effect) = known.ok_or(Answer::Refused(StatusCode::NOT_FOUND, "no such method\n"))?;
+        let id = one(&head.headers, &RPC_ID)?.filter(|id| !id.is_empty()).ok_or(bad("no Request-Id\n"))?;
+        let waits = one(&head.headers, &TIME_OUT)?.and_then(|ms| ms.to_str().ok()?.parse::<u32>().ok());
+        let waits = waits.filter(|ms| *ms > 0).ok_or(bad("Request-Timeout-Ms is missing or malformed\n"))?;
+        let key = one(&head.headers, &REPEAT_KEY)?.filter(|key| !key.is_empty());
+        let verb = if effect == Effect::Idempotent { Method::GET } else { Method::POST };
+        if head.method != verb {
+            return Err(bad("the HTTP method does not fit\n"));
+        }
+        if matches!(effect, Effect::Deduplicated { .. }) && key.is_none() {
+            return Err(bad("no Idempotency-Key\n"));
+        }
+        let body = match timeout(BODY_TIME, Limited::new(body, BODY_MOST).collect()).await {
+            Err(_) => return Err(Answer::Refused(StatusCode::REQUEST_TIMEOUT, "the body did not end\n")),
+            Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
+                return Err(Answer::Refused(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB\n"));
+            }
+            Ok(Err(_)) => return Err(bad("the body is malformed\n")),
+            Ok(Ok(body)) => body.to_bytes(),
+        };
+        let text = |name| head.headers.get(name).and_then(|value| value.to_str().ok());
+        let figures = text(FIGURES).unwrap_or_default().split(',').filter_map(|pair| pair.split_once('='));
+        let work = figures.filter(|(name, _)| name.trim() == "cost-guess-ns");
+        Ok(Received {
+            method,
+            tenant: text(TENANT).and_then(|name| self.tenants.get(name).copied()),
+            at: Instant::now(),
+            waits: Duration::from_millis(waits.into()),
+            client_repeat: text(CLIENT_REPEAT) == Some("1"),
+            expected_work: work.filter_map(|(_, ns)| ns.trim().parse::<f64>().ok()).next().map(|ns| ns / 1e9),
+            message: Message {
+                verb,
+                uri: Uri::from(head.uri.path_and_query().cloned().expect("a path with the method in it")),
+                id: Some(id.clone()),
+                key: key.cloned(),
+                body,
+            },
+        })
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,92 @@
+//! birchhubd: birchhub as a proxy on sockets. Starts the actors, and ends them on SIGTERM.
+mod answer;
+mod backend;
+mod config;
+mod core;
+mod discovery;
+mod front;
+mod intake;
+mod logger;
+mod sockets;
+
+use crate::core::Core;
+use config::{Clock, Config};
+use discovery::Discovery;
+use front::{Front, Life};
+use intake::Intake;
+use sockets::{Budget, Part};
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{Notify, mpsc};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, sleep};
+
+const BACKLOG: u32 = 1024; // connections that wait to be accepted: a burst must not be turned away
+const GO_ON: Duration = Duration::from_millis(500); // after SIGTERM connections still come for up to 0.4 s
+const LOOK: Duration = Duration::from_millis(5); // between looks at whether the last client has left
+
+fn main() -> ExitCode {
+    let outcome = config::load().and_then(|config| {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = runtime.map_err(|e| format!("no event loop: {e}"))?;
+        LocalSet::new().block_on(&runtime, run(config))
+    });
+    match outcome {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            eprintln!("birchhubd: {fault}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn listen(config: &Config) -> std::io::Result<TcpListener> {
+    let socket = if config.listen.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    // A restart takes its address over at once.
+    socket.set_reuseaddr(true)?;
+    socket.bind(config.listen)?;
+    socket.listen(BACKLOG)
+}
+
+async fn run(config: Config) -> Result<(), String> {
+    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
+    let listener =
+        listen(&config).map_err(|e| format!("LB_LISTEN cannot be bound: {}: {e}", config.listen))?;
+    logger::start();
+    let (clock, budget, life) = (Clock::start(), Budget::new(config.sockets), Rc::new(Life::default()));
+    let (sender, mailbox) = mpsc::channel(core::MAILBOX);
+    let wanted = Rc::new(Notify::new());
+    let core = Core::new(&config, clock, budget.clone(), sender.clone(), wanted.clone());
+    spawn_local(core.run(mailbox));
+    // A list as last had is enough to decide by; without one the first answer is waited for.
+    life.ready.set(config.known.as_ref().is_some_and(|known| !known.listed.is_empty()));
+    let discovery = Discovery {
+        at: config.discovery,
+        budget: budget.clone(),
+        core: sender.clone(),
+        wanted,
+        version: config.known.as_ref().map(|known| known.version),
+        heard: life.ready.clone(),
+    };
+    spawn_local(discovery.run());
+    let intake = Intake::new(&config.conf);
+    let front = Front { intake, life: life.clone(), budget: budget.clone(), core: sender, next: 0.into() };
+    let accepting = spawn_local(Rc::new(front).run(listener));
+    log::info!("{} listens on {}", config.name, config.listen);
+    term.recv().await;
+
+    log::info!("SIGTERM: goes on for what still comes");
+    life.stopping.set(true);
+    let end = Instant::now() + GO_ON + Duration::from_secs_f64(config.conf.longest_deadline);
+    sleep(GO_ON).await;
+    accepting.abort();
+    budget.close_idle(Part::Clients);
+    while budget.open(Part::Clients) > 0 && Instant::now() < end {
+        sleep(LOOK).await;
+    }
+    log::info!("ends with {} client connections open", budget.open(Part::Clients));
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/src/sockets.rs
@@ -0,0 +1,229 @@
+//! The budget of sockets, and a connection that this proxy opens. A connection belongs to whoever holds the
+//! `Conn`: dropping it closes the socket and gives its place in the budget back.
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{HeaderMap, Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::future::poll_fn;
+use std::net::SocketAddr;
+use std::pin::{Pin, pin};
+use std::rc::{Rc, Weak};
+use std::task::{Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout_at};
+
+const BODY_MOST: usize = 64 << 10; // bytes of an answer's body, as the protocol has it
+const RESERVE: usize = 40; // descriptors for standard streams, listener, epoll, discovery and late clients
+
+/// One of the two parts of the budget.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Part {
+    Clients,
+    Backends,
+}
+
+/// Something idle that can be closed to make room.
+pub trait Spare {
+    /// Closes it, if it is still idle.
+    fn give_up(&self) -> bool;
+}
+
+#[derive(Default)]
+struct Shelf {
+    open: Cell<usize>,
+    most: usize,
+    spare: RefCell<VecDeque<Weak<dyn Spare>>>, // the longest idle first
+}
+
+/// All sockets of clients and backends, counted.
+pub struct Budget {
+    clients: Shelf,
+    backends: Shelf,
+}
+
+/// A place in the budget; given back when dropped.
+pub struct Place {
+    budget: Rc<Budget>,
+    part: Part,
+}
+
+impl Budget {
+    pub fn new(sockets: usize) -> Rc<Self> {
+        let all = sockets.saturating_sub(RESERVE).max(8);
+        let clients = Shelf { most: all / 2, ..Shelf::default() };
+        Rc::new(Self { backends: Shelf { most: all - clients.most, ..Shelf::default() }, clients })
+    }
+
+    fn shelf(&self, part: Part) -> &Shelf {
+        match part {
+            Part::Clients => &self.clients,
+            Part::Backends => &self.backends,
+        }
+    }
+
+    /// A place for one more socket; where none is left the longest idle one is given up for it.
+    pub fn place(self: &Rc<Self>, part: Part) -> Option<Place> {
+        let shelf = self.shelf(part);
+        while shelf.open.get() >= shelf.most {
+            let oldest = shelf.spare.borrow_mut().pop_front()?;
+            if oldest.upgrade().is_some_and(|spare| spare.give_up()) {
+                break; // A client's is closed by its own task a moment later.
+            }
+        }
+        Some(self.place_anyhow(part))
+    }
+
+    /// A place beyond the part, out of the reserve.
+    pub fn place_anyhow(self: &Rc<Self>, part: Part) -> Place {
+        self.shelf(part).open.update(|open| open + 1);
+        Place { budget: self.clone(), part }
+    }
+
+    /// Notes something that may be given up for a new socket.
+    pub fn offer(&self, part: Part, spare: Weak<dyn Spare>) {
+        let mut all = self.shelf(part).spare.borrow_mut();
+        all.retain(|s| s.strong_count() > 0 && !s.ptr_eq(&spare));
+        all.push_back(spare);
+    }
+
+    pub fn open(&self, part: Part) -> usize {
+        self.shelf(part).open.get()
+    }
+
+    /// Sockets beyond the part, out of the reserve.
+    pub fn over(&self, part: Part) -> usize {
+        self.open(part).saturating_sub(self.shelf(part).most)
+    }
+
+    /// Gives up all that is idle.
+    pub fn close_idle(&self, part: Part) {
+        let spare = std::mem::take(&mut *self.shelf(part).spare.borrow_mut());
+        spare.iter().filter_map(Weak::upgrade).for_each(|spare| _ = spare.give_up());
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.budget.shelf(self.part).open.update(|open| open - 1);
+    }
+}
+
+/// A stream that counts what the machine has taken over to send.
+struct Counted {
+    stream: TcpStream,
+    written: Rc<Cell<u64>>,
+}
+
+impl AsyncRead for Counted {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Counted {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<std::io::Result<usize>> {
+        let done = Pin::new(&mut self.stream).poll_write(cx, buf);
+        if let Poll::Ready(Ok(bytes)) = done {
+            self.written.update(|written| written + bytes as u64);
+        }
+        done
+    }
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+/// How an exchange went wrong.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Fault {
+    /// Provably no byte was written.
+    Unsent,
+    /// The connection broke or ended after that: it may have run.
+    Broken,
+    /// The answer's body is larger than the protocol allows.
+    Oversized,
+}
+
+pub struct Reply {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+type Driver = http1::Connection<TokioIo<Counted>, Full<Bytes>>;
+
+/// A connection opened by this proxy. Its owner drives it; there is no task behind it that could keep the
+/// socket open or send something again.
+pub struct Conn {
+    sender: SendRequest<Full<Bytes>>,
+    driver: Option<Pin<Box<Driver>>>,
+    written: Rc<Cell<u64>>,
+    pub used: Instant,
+    _place: Place,
+}
+
+impl Conn {
+    pub async fn open(to: SocketAddr, place: Place, until: Instant) -> Option<Self> {
+        let stream = timeout_at(until, TcpStream::connect(to)).await.ok()?.ok()?;
+        stream.set_nodelay(true).ok()?;
+        let written = Rc::<Cell<u64>>::default();
+        let io = TokioIo::new(Counted { stream, written: written.clone() });
+        let (sender, driver) = http1::handshake(io).await.ok()?;
+        let driver = Some(Box::pin(driver));
+        Some(Self { sender, driver, written, used: Instant::now(), _place: place })
+    }
+
+    /// Moves bytes; true once the connection is of no more use.
+    pub fn poll_closed(&mut self, cx: &mut Context) -> bool {
+        if self.driver.as_mut().is_some_and(|driver| driver.as_mut().poll(cx).is_ready()) {
+            self.driver = None;
+        }
+        self.driver.is_none()
+    }
+
+    /// Whether another exchange may begin now.
+    pub fn usable(&mut self, cx: &mut Context) -> bool {
+        !self.poll_closed(cx) && self.sender.is_ready()
+    }
+
+    /// Sends one message and reads the whole answer. `sent` is set as soon as a byte may be on its way.
+    pub async fn exchange(
+        &mut self,
+        message: Request<Full<Bytes>>,
+        sent: &Cell<bool>,
+    ) -> Result<Reply, Fault> {
+        let before = self.written.get();
+        let Self { sender, driver, written, .. } = self;
+        let mut drive = |cx: &mut Context| {
+            if driver.as_mut().is_some_and(|driver| driver.as_mut().poll(cx).is_ready()) {
+                *driver = None;
+            }
+            sent.set(sent.get() || written.get() != before);
+        };
+        let mut answer = pin!(sender.try_send_request(message));
+        let answer = poll_fn(|cx| {
+            drive(cx);
+            answer.as_mut().poll(cx)
+        });
+        let fault = |sent: &Cell<bool>| if sent.get() { Fault::Broken } else { Fault::Unsent };
+        let (head, body) = answer.await.map_err(|_| fault(sent))?.into_parts();
+        let mut body = pin!(Limited::new(body, BODY_MOST).collect());
+        let body = poll_fn(|cx| {
+            drive(cx);
+            body.as_mut().poll(cx)
+        });
+        let body = body.await.map_err(|e| match e.is::<http_body_util::LengthLimitError>() {
+            true => Fault::Oversized,
+            false => Fault::Broken,
+        })?;
+        self.used = Instant::now();
+        Ok(Reply { status: head.status, headers: head.headers, body: body.to_bytes() })
+    }
+}
--- a/crates/benchlink/src/settings.rs
+++ b/crates/settings/src/lib.rs
@@ -1,4 +1,5 @@
-//! The `conf` object of `INIT`, read into the module's settings and the names that end at the door.
+//! The settings object that a proxy is handed at start, read into the module's settings, the names that end at
+//! the door and the limits on connections.
 use birchhub::types::{Effect, Group, MethodSettings, Reports, Settings, TenantSettings};
 use serde_json::Value;
 
@@ -7,8 +8,14 @@
     pub methods: Vec<String>,
     pub tenants: Vec<String>,
     pub zones: Vec<String>,
-    /// The list's `scale` tells sizes.
+    /// The list tells sizes.
     pub sized: bool,
+    /// Longest wait for a connection, s.
+    pub connect_limit: f64,
+    /// After standing idle for this long, s, a connection is closed by the other side.
+    pub idle_limit: f64,
+    /// Longest deadline of any method, s.
+    pub longest_deadline: f64,
 }
 
 /// Reads a value at `path` below `at`, or says which path is wrong.
@@ -82,8 +89,11 @@
 }
 
 pub fn read(text: &str) -> Result<Conf, String> {
-    let value: Value = serde_json::from_str(text).map_err(|e| format!("is not JSON: {e}"))?;
-    let conf = At { value: &value, path: String::new() };
+    read_value(&serde_json::from_str(text).map_err(|e| format!("is not JSON: {e}"))?)
+}
+
+pub fn read_value(value: &Value) -> Result<Conf, String> {
+    let conf = At { value, path: String::new() };
     let ceilings = conf.get("ceilings")?;
     let contract = conf.get("contract")?;
     let methods: Vec<_> = conf.get("methods")?.items()?.iter().map(method).collect::<Result<_, _>>()?;
@@ -134,5 +144,16 @@
         fall_window: contract.get("tip-after-ns")?.seconds()?,
     };
     let sized = matches!(weight_source, "nominal" | "rough");
-    Ok(Conf { settings, methods: methods.into_iter().map(|(name, _)| name).collect(), tenants, zones, sized })
+    let ends = conf.get("methods")?.items()?;
+    let ends: Vec<f64> = ends.iter().map(|m| m.num_or("hard-limit-ns", 0.0)).collect::<Result<_, _>>()?;
+    Ok(Conf {
+        settings,
+        methods: methods.into_iter().map(|(name, _)| name).collect(),
+        tenants,
+        zones,
+        sized,
+        connect_limit: ceilings.num_or("connect-timeout-ns", 1e9)? / 1e9,
+        idle_limit: ceilings.num_or("conn-idle-ns", 15e9)? / 1e9,
+        longest_deadline: ends.into_iter().fold(0.0, f64::max) / 1e9,
+    })
 }
