Give back what answered RPCs held, withdraw unsent picks of those that are over

Found and mended, all in crates/daemon: - core: an RPC that waited and was answered in a call about another one (wake, probed, list) was never let go of, so its message stayed in memory for good; `Door.answered` now names those of the call at hand. One lost in a panic goes with its client's hang-up. - core, backend: where the settings allow no cancelling, a pick still waiting for its connection could be sent after the RPC's end; the core now withdraws what is unsent, and drops what the module cancels. - discovery: a watch asked for while one ran was remembered and came at once, without the module's pause, when that failed. The first call of a watch no longer waits only 0.1 s: a change would count as told 2 s after that, less than discovery itself may take; a whole list may be larger than 64 KiB. - list lines of no known zone or cell shared one with each other: repeats might have gone where nothing drops them. - intake: ids that are no plain text are refused, a body may take 4 s; kept connections go at 0.6 of the idle time.

--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -21,7 +21,8 @@
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 const MAILBOX: usize = 256; // jobs not yet begun; beyond, they end as never sent
-const KEEP_PART: f64 = 0.8; // of the idle time after which the other side closes: never write to a closed one
+const BODY_MOST: usize = 64 << 10; // bytes of an answer's body, as the protocol has it
+const KEEP_PART: f64 = 0.6; // of the idle time after which the other side closes: never write to a closed one
 
 /// What the list says of a backend's sockets.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -77,7 +78,7 @@
     }
 }
 
-/// Stops a job once its other end is dropped.
+/// The other end stops a job when it is dropped, and withdraws it, if nothing was sent yet, when it is used.
 pub type Stop = Option<oneshot::Receiver<()>>;
 
 /// A pick or probe to be run until a time, or until it is stopped.
@@ -177,10 +178,12 @@
         let Job { message, until, stop, mut ticket } = job;
         let (begun, sent) = (Instant::now(), &ticket.sent);
         let stopped = async {
-            match stop {
-                // Whether it was used or dropped is all one.
-                Some(stop) => drop(stop.await),
+            let dropped = match stop {
+                Some(stop) => stop.await.is_err(),
                 None => pending().await,
+            };
+            if !dropped && sent.get() {
+                pending::<()>().await;
             }
         };
         let end = select! {
@@ -238,7 +241,7 @@
             let host = HeaderValue::from_str(&endpoint.to_string());
             let host = host.unwrap_or(HeaderValue::from_static("backend"));
             let left = until.saturating_duration_since(Instant::now());
-            match conn.exchange(message.encode(&host, left), sent).await {
+            match conn.exchange(message.encode(&host, left), BODY_MOST, sent).await {
                 Ok(reply) => {
                     self.keep(conn, &reply.headers).await;
                     return judge(reply);
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -49,12 +49,14 @@
     core: mpsc::Sender<ToCore>,
     wanted: Rc<Notify>,
     wake_at: Option<f64>,
-    unsent: Vec<Errand>,
+    unsent: Vec<Errand>, // found no place in the core's mailbox for their end
+    answered: Vec<u64>,  // in the call at hand
 }
 
 impl Door {
     fn give(&mut self, rpc: u64, answer: Answer) {
         log::trace!("RPC {rpc}: {answer}");
+        self.answered.push(rpc);
         if let Some(sender) = self.held.get_mut(&rpc).and_then(|held| held.answer.take()) {
             // Where the client has gone there is nobody to tell.
             let _ = sender.send(answer);
@@ -141,6 +143,7 @@
             wanted,
             wake_at: None,
             unsent: Vec::new(),
+            answered: Vec::new(),
         };
         let mut core = Self {
             balancer: Balancer::new(&conf.settings, config.seed),
@@ -198,10 +201,7 @@
         }
         match message {
             ToCore::Take { id, rpc, answer } => self.take(id, *rpc, answer),
-            ToCore::HungUp(id) => self.on_rpc(id, |rpc, door| {
-                door.held.get_mut(&id).map(|held| held.answer.take());
-                rpc.hung_up(door);
-            }),
+            ToCore::HungUp(id) => self.hung_up(id),
             ToCore::Ended { rpc, pick, outcome, report, body } => {
                 self.ended(rpc, pick, outcome, report, body)
             }
@@ -226,6 +226,10 @@
             log::error!("the decision module panicked");
             self.door.wake_in(RECOVER);
         }
+        // Those that waited may be answered in a call that is about another RPC or about none.
+        while let Some(id) = self.door.answered.pop() {
+            self.let_go(id);
+        }
     }
 
     fn on_rpc(&mut self, id: u64, act: impl FnOnce(&Rpc, &mut Door)) {
@@ -236,8 +240,12 @@
         });
     }
 
-    /// Gives back what an RPC held once it is over.
+    /// Withdraws what was not yet sent for an RPC that is over, also where the settings allow no cancelling, and
+    /// gives back what it held once all its picks have ended.
     fn let_go(&mut self, id: u64) {
+        if let Some(held) = self.door.held.get_mut(&id).filter(|held| held.answer.is_none()) {
+            held.picks.iter_mut().filter_map(Option::take).for_each(|stop| _ = stop.send(()));
+        }
         if self.rpcs.get(&id).is_some_and(Rpc::is_over) {
             self.rpcs.remove(&id);
             self.door.held.remove(&id);
@@ -259,7 +267,16 @@
         self.call(|core| {
             let rpc = core.balancer.take(&arrival, &mut core.door);
             core.rpcs.insert(id, rpc);
-            core.let_go(id);
+        });
+    }
+
+    fn hung_up(&mut self, id: u64) {
+        if !self.rpcs.contains_key(&id) {
+            self.door.held.remove(&id); // One that the module lost when it panicked.
+        }
+        self.on_rpc(id, |rpc, door| {
+            door.held.get_mut(&id).map(|held| held.answer.take());
+            rpc.hung_up(door);
         });
     }
 
@@ -296,15 +313,11 @@
             }
             let size = if self.sized { listed.size } else { 1.0 };
             let started = self.door.clock.unix_ms(listed.boot_ms);
-            let zone = self.zones.iter().position(|z| *z == listed.zone).unwrap_or(self.zones.len());
-            entries.push(Entry {
-                backend,
-                size,
-                started,
-                cell: listed.cell,
-                zone,
-                readiness: listed.readiness,
-            });
+            // One of no known zone or cell shares it with nobody: it may not drop another's repeats.
+            let zone = self.zones.iter().position(|z| *z == listed.zone);
+            let zone = zone.unwrap_or(self.zones.len() + backend as usize);
+            let cell = listed.cell.unwrap_or(u64::MAX - u64::from(backend));
+            entries.push(Entry { backend, size, started, cell, zone, readiness: listed.readiness });
         }
         if !news.listed.is_empty() {
             log::info!("list version {}: {} lines, {:?}", news.version, news.listed.len(), news.kind);
--- a/crates/daemon/src/discovery.rs
+++ b/crates/daemon/src/discovery.rs
@@ -9,17 +9,19 @@
 use hyper::{Request, StatusCode};
 use serde_json::Value;
 use std::cell::Cell;
-use std::future::poll_fn;
+use std::future::{poll_fn, ready};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::task::Poll;
 use std::time::Duration;
+use tokio::select;
 use tokio::sync::{Notify, mpsc};
 use tokio::time::{Instant, timeout_at};
 
-const FIRST_HOLD: u64 = 100; // ms: the first call of a watch shows at once whether discovery answers
-const HOLD: u64 = 10_000; // ms a later call may wait: few calls, and a silent link is noticed in time
+const HOLD: Duration = Duration::from_secs(8); // that a call may wait: a link gone silent is noticed in time
 const PATIENCE: Duration = Duration::from_secs(2); // beyond the hold; then the list counts as told anyway
+const FULL_PATIENCE: Duration = Duration::from_secs(6); // for the whole list; then it counts as told anyway
+const BODY_MOST: usize = 4 << 20; // bytes of a list: some 20,000 lines
 
 /// One backend of the list.
 #[derive(Clone, Debug, PartialEq)]
@@ -27,7 +29,7 @@
     pub uid: String,
     pub endpoint: SocketAddr,
     pub zone: String,
-    pub cell: u64,
+    pub cell: Option<u64>,
     pub readiness: Readiness,
     pub size: f64,
     pub boot_ms: f64,
@@ -59,7 +61,7 @@
             (None, _) => SocketAddr::from(([0, 0, 0, 0], 0)),
         },
         zone: value.get("az").and_then(Value::as_str).unwrap_or_default().to_owned(),
-        cell: value.get("pod_group").and_then(Value::as_u64).unwrap_or(u64::MAX),
+        cell: value.get("pod_group").and_then(Value::as_u64),
         readiness,
         size: number("capacity_hint").filter(|size| *size > 0.0).unwrap_or(1.0),
         boot_ms: number("boot_ms").unwrap_or(0.0),
@@ -98,6 +100,12 @@
             self.wanted.notified().await;
             let fault = self.watch().await;
             log::warn!("list call failed: {fault}");
+            // What was asked for while the watch ran is done with: guards against a call with no pause before.
+            select! {
+                biased;
+                () = self.wanted.notified() => {}
+                () = ready(()) => {}
+            }
             if self.core.send(ToCore::ListFailed).await.is_err() {
                 return;
             }
@@ -105,13 +113,16 @@
     }
 
     async fn watch(&mut self) -> String {
-        let (mut conn, mut hold) = (None, FIRST_HOLD);
+        let mut conn = None;
         loop {
-            let path = match self.version {
-                None => "/registry/instances".to_owned(),
-                Some(from) => format!("/registry/instances?from={from}&hold_ms={hold}"),
+            let (path, patience) = match self.version {
+                None => ("/registry/instances".to_owned(), FULL_PATIENCE),
+                Some(from) => {
+                    let path = format!("/registry/instances?from={from}&hold_ms={}", HOLD.as_millis());
+                    (path, HOLD + PATIENCE)
+                }
             };
-            let until = Instant::now() + Duration::from_millis(hold) + PATIENCE;
+            let until = Instant::now() + patience;
             let news = match timeout_at(until, self.call(&mut conn, &path, until)).await {
                 Err(_) => return "no answer in time".into(),
                 Ok(Err(fault)) => return fault,
@@ -119,7 +130,6 @@
             };
             self.version = Some(news.version);
             self.heard.set(true);
-            hold = HOLD;
             if self.core.send(ToCore::News(news)).await.is_err() {
                 return "the core has ended".into();
             }
@@ -141,7 +151,7 @@
         *message.uri_mut() = path.parse().map_err(|_| "the call has no path")?;
         let host = HeaderValue::from_str(&self.at.to_string()).map_err(|_| "the call has no host")?;
         message.headers_mut().insert(HOST, host);
-        let reply = conn.exchange(message, &Cell::new(false)).await;
+        let reply = conn.exchange(message, BODY_MOST, &Cell::new(false)).await;
         let reply = reply.map_err(|fault| format!("the connection failed: {fault:?}"))?;
         if reply.status != StatusCode::OK {
             return Err(format!("status {}", reply.status));
--- a/crates/daemon/src/intake.rs
+++ b/crates/daemon/src/intake.rs
@@ -12,7 +12,8 @@
 use tokio::time::{Instant, timeout};
 
 const BODY_MOST: usize = 64 << 10; // bytes, as the protocol has it
-const BODY_TIME: Duration = Duration::from_secs(10); // for a whole body; longer than any client waits
+const BODY_TIME: Duration = Duration::from_secs(4); // for a whole body; longer than any client waits
+const ID_MOST: usize = 128; // bytes of an RPC's id: no honest one comes near
 
 pub const RPC_ID: HeaderName = HeaderName::from_static("request-id");
 pub const TIME_OUT: HeaderName = HeaderName::from_static("request-timeout-ms");
@@ -102,7 +103,11 @@
         let name = head.uri.path().split('/').nth(1).unwrap_or_default();
         let known = self.methods.get(name).copied();
         let (method, effect) = known.ok_or(Answer::Refused(StatusCode::NOT_FOUND, "no such method\n"))?;
-        let id = one(&head.headers, &RPC_ID)?.filter(|id| !id.is_empty()).ok_or(bad("no Request-Id\n"))?;
+        let id = one(&head.headers, &RPC_ID)?;
+        let fits = |id: &HeaderValue| {
+            (1..=ID_MOST).contains(&id.len()) && id.as_bytes().iter().all(u8::is_ascii_graphic)
+        };
+        let id = id.filter(|id| fits(id)).ok_or(bad("Request-Id is missing or malformed\n"))?;
         let waits = one(&head.headers, &TIME_OUT)?.and_then(|ms| ms.to_str().ok()?.parse::<u32>().ok());
         let waits = waits.filter(|ms| *ms > 0).ok_or(bad("Request-Timeout-Ms is missing or malformed\n"))?;
         let key = one(&head.headers, &REPEAT_KEY)?.filter(|key| !key.is_empty());
--- a/crates/daemon/src/sockets.rs
+++ b/crates/daemon/src/sockets.rs
@@ -16,7 +16,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout_at};
 
-const BODY_MOST: usize = 64 << 10; // bytes of an answer's body, as the protocol has it
+const READ_MOST: usize = 64 << 10; // bytes read ahead on a connection, and so of an answer's head
 const RESERVE: usize = 40; // descriptors for standard streams, listener, epoll, discovery and late clients
 
 /// One of the two parts of the budget.
@@ -175,7 +175,7 @@
         stream.set_nodelay(true).ok()?;
         let written = Rc::<Cell<u64>>::default();
         let io = TokioIo::new(Counted { stream, written: written.clone() });
-        let (sender, driver) = http1::handshake(io).await.ok()?;
+        let (sender, driver) = http1::Builder::new().max_buf_size(READ_MOST).handshake(io).await.ok()?;
         let driver = Some(Box::pin(driver));
         Some(Self { sender, driver, written, used: Instant::now(), _place: place })
     }
@@ -193,10 +193,11 @@
         !self.poll_closed(cx) && self.sender.is_ready()
     }
 
-    /// Sends one message and reads the whole answer. `sent` is set as soon as a byte may be on its way.
+    /// Sends one message and reads the whole answer, whose body may hold `most` bytes. `sent` is set as soon as a byte may be on its way.
     pub async fn exchange(
         &mut self,
         message: Request<Full<Bytes>>,
+        most: usize,
         sent: &Cell<bool>,
     ) -> Result<Reply, Fault> {
         let before = self.written.get();
@@ -214,7 +215,7 @@
         });
         let fault = |sent: &Cell<bool>| if sent.get() { Fault::Broken } else { Fault::Unsent };
         let (head, body) = answer.await.map_err(|_| fault(sent))?.into_parts();
-        let mut body = pin!(Limited::new(body, BODY_MOST).collect());
+        let mut body = pin!(Limited::new(body, most).collect());
         let body = poll_fn(|cx| {
             drive(cx);
             body.as_mut().poll(cx)
