Integration tests start birchhubd and speak to it over loopback sockets

Covered: an RPC of each kind, resets and refused connections and what is sent again, sockets of given-up picks, a drain with a pick that waits for its connection, hang-up, SIGTERM with RPCs held, discovery down, malformed and back, spent descriptors, each line of bad input, bad starts, malformed answers.

--- /dev/null
+++ b/crates/daemon/tests/sockets.rs
@@ -0,0 +1,369 @@
+//! Starts birchhubd and speaks to it over loopback sockets.
+#[path = "../../../tests/common/mod.rs"]
+mod common;
+use common::sockets::{
+    Act, Client, Daemon, Log, PATIENCE, Shared, backend, config, echo, free, line, reply, rpc,
+};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Command, Stdio};
+use std::time::Duration;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_birchhubd");
+
+/// Method name and verb of each kind: idempotent, non-idempotent, deduplicated.
+const KINDS: [(&str, &str); 3] = [("read", "GET"), ("book", "POST"), ("log", "POST")];
+
+#[test]
+fn an_rpc_of_each_kind_goes_through_unchanged() {
+    let log = Log::new(vec![]);
+    let daemon = Daemon::start(PROGRAM, &[("s-1", echo("b1", &log))]);
+    let mut client = daemon.client();
+    for (n, (method, verb)) in KINDS.iter().enumerate() {
+        let body = if *verb == "POST" { "x\0y" } else { "" };
+        let answer = client.call(&rpc(verb, &format!("/{method}/7?a=%20b"), &format!("id{n}"), body));
+        let answer = answer.expect("an answer");
+        assert_eq!((answer.status(), answer.text()), (200, format!("b1:{body}")));
+        log.await_event(&format!("b1 got {verb} /{method}/7?a=%20b HTTP/1.1 id{n}"));
+    }
+}
+
+#[test]
+fn the_headers_a_backend_needs_go_on() {
+    let log = Log::new(vec![]);
+    let noted = log.clone();
+    let at = backend("b1", &log, move |m| {
+        noted.note(format!("{} {}", m.header("idempotency-key"), m.header("request-timeout-ms").len()));
+        Act::Write(reply("200 OK", ""))
+    });
+    let daemon = Daemon::start(PROGRAM, &[("s-1", at)]);
+    assert_eq!(daemon.client().call(&rpc("POST", "/log", "id", "b")).unwrap().status(), 200);
+    log.await_event("k1 4");
+}
+
+/// Rule 2: what may have run is sent again only where its method allows.
+#[test]
+fn a_reset_is_sent_again_only_where_it_may() {
+    let log = Log::new(vec![]);
+    let first = Shared::new(true);
+    let bad = |name| {
+        let first = first.clone();
+        backend(name, &log, move |m| {
+            let cut = m.header("request-id").starts_with("cut") && first.change(std::mem::take);
+            if cut { Act::Cut(vec![]) } else { Act::Write(reply("200 OK", name)) }
+        })
+    };
+    let daemon = Daemon::start(PROGRAM, &[("s-1", bad("b1")), ("s-2", bad("b2"))]);
+    daemon.earn_credit();
+    let mut client = daemon.client();
+    for ((method, verb), (status, sent)) in KINDS.iter().zip([(200, 2), (502, 1), (200, 2)]) {
+        first.change(|f| *f = true);
+        let id = format!("cut-{method}");
+        assert_eq!(
+            client.call(&rpc(verb, &format!("/{method}"), &id, "")).unwrap().status(),
+            status,
+            "{method}"
+        );
+        assert_eq!(log.count(&id), sent, "{method}");
+        daemon.earn_credit();
+    }
+}
+
+/// A pick that found no connection never ran: even what must not run twice goes elsewhere.
+#[test]
+fn what_found_no_connection_goes_elsewhere() {
+    let log = Log::new(vec![]);
+    let good = echo("b1", &log);
+    let daemon = Daemon::start(PROGRAM, &[("s-1", good)]);
+    daemon.earn_credit();
+    daemon.list.tell(&[
+        line("s-1", good, "Ready"),
+        line("s-2", free(), "Ready"),
+        line("s-3", free(), "Ready"),
+    ]);
+    let mut client = daemon.client();
+    for n in 0..20 {
+        assert_eq!(client.call(&rpc("POST", "/book", &format!("n{n}"), "")).unwrap().status(), 200);
+    }
+    assert_eq!(log.count(" /book "), 20);
+}
+
+/// A kept connection that the backend closed is noticed, not written to.
+#[test]
+fn closed_connections_are_not_used() {
+    let log = Log::new(vec![]);
+    let at = backend("b1", &log, |_| Act::Cut(reply("200 OK", "last")));
+    let daemon = Daemon::start(PROGRAM, &[("s-1", at)]);
+    let mut client = daemon.client();
+    for n in 0..20 {
+        assert_eq!(client.call(&rpc("POST", "/book", &format!("n{n}"), "")).unwrap().status(), 200);
+    }
+}
+
+#[test]
+fn malformed_answers_of_a_backend_are_outcomes() {
+    let log = Log::new(vec![]);
+    let at = backend("b1", &log, |m| {
+        let large = "x".repeat((64 << 10) + 1);
+        match m.header("request-id") {
+            "garbage" => Act::Write(b"what?\r\n\r\n".to_vec()),
+            "large" => Act::Write(reply("200 OK", &large)),
+            "half" => Act::Cut(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf".to_vec()),
+            "error" => Act::Write(reply("500 No", "")),
+            "refuses" => Act::Write(reply("503 No", "")),
+            _ => Act::Write(reply("200 OK", &large[1..])),
+        }
+    });
+    let daemon = Daemon::start(PROGRAM, &[("s-1", at)]);
+    let mut client = daemon.client();
+    for id in ["garbage", "large", "half", "error", "refuses"] {
+        // Only the module's word makes a 429 or 503, and it may not push back what may have run.
+        assert_eq!(client.call(&rpc("POST", "/book", id, "")).unwrap().status(), 502, "{id}");
+    }
+    assert_eq!(client.call(&rpc("POST", "/book", "good", "")).unwrap().body.len(), 64 << 10);
+}
+
+#[test]
+fn what_never_started_is_pushed_back() {
+    let log = Log::new(vec![]);
+    let full = b"HTTP/1.1 503 Full\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n";
+    let daemon = Daemon::start(PROGRAM, &[("s-1", backend("b1", &log, |_| Act::Write(full.to_vec())))]);
+    assert_eq!(daemon.client().call(&rpc("POST", "/book", "id", "")).unwrap().status(), 503);
+}
+
+/// A pick that is given up ends its connection, and its RPC is answered before the client's patience ends.
+#[test]
+fn a_timed_out_pick_closes_its_socket() {
+    let log = Log::new(vec![]);
+    let daemon = Daemon::start(PROGRAM, &[("s-1", backend("b1", &log, |_| Act::Hang))]);
+    let mut client = daemon.client();
+    let message = rpc("POST", "/book", "slow", "").replace("3000", "400");
+    assert_eq!(client.call(&message).unwrap().status(), 502);
+    log.await_event("b1 closed slow");
+    assert_eq!(client.call("GET /health/ready HTTP/1.1\r\n\r\n").unwrap().status(), 200, "the client stays");
+}
+
+#[test]
+fn a_hang_up_ends_the_pick() {
+    let log = Log::new(vec![]);
+    let daemon = Daemon::start(PROGRAM, &[("s-1", backend("b1", &log, |_| Act::Hang))]);
+    let mut client = daemon.client();
+    client.send(&rpc("GET", "/read", "gone", ""));
+    log.await_event("b1 got GET /read HTTP/1.1 gone");
+    drop(client);
+    log.await_event("b1 closed gone");
+}
+
+/// An address where connections never come up.
+fn silent() -> (TcpListener, Vec<TcpStream>, SocketAddr) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let listener = runtime.block_on(async {
+        let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+        socket.bind("127.0.0.1:0".parse().unwrap()).expect("a free port");
+        socket.listen(1).expect("a listener").into_std().expect("a listener")
+    });
+    let at = listener.local_addr().expect("an address");
+    let fill = || TcpStream::connect_timeout(&at, Duration::from_millis(300)).ok();
+    let waiting = std::iter::from_fn(fill).collect();
+    (listener, waiting, at)
+}
+
+/// Rule 3: a slow connect must not carry a send past the grace.
+#[test]
+fn a_drain_withdraws_a_pick_that_waits_for_its_connection() {
+    let log = Log::new(vec![]);
+    let (good, silent) = (echo("b1", &log), silent());
+    let daemon = Daemon::start(PROGRAM, &[("s-1", good)]);
+    daemon.earn_credit();
+    daemon.list.tell_heard(&[line("s-1", good, "Terminating"), line("s-2", silent.2, "Ready")]);
+    let mut client = daemon.client();
+    client.send(&rpc("POST", "/book", "waits", ""));
+    std::thread::sleep(Duration::from_millis(1000)); // longer than an RPC is held for an idle backend
+    assert_eq!(log.count("waits"), 0, "the draining backend gets nothing new");
+    daemon.list.tell(&[line("s-1", good, "Ready"), line("s-2", silent.2, "Terminating")]);
+    assert_eq!(client.answer().unwrap().text(), "b1:");
+}
+
+#[test]
+fn sigterm_serves_what_is_held_and_what_still_comes() {
+    let log = Log::new(vec![]);
+    let gate = Shared::new(false);
+    let open = gate.clone();
+    let at = backend("b1", &log, move |m| {
+        if m.header("request-id") == "held" {
+            open.wait(PATIENCE, |open| *open);
+        }
+        Act::Write(reply("200 OK", "done"))
+    });
+    let mut daemon = Daemon::start(PROGRAM, &[("s-1", at)]);
+    let (mut held, mut idle) = (daemon.client(), daemon.client());
+    held.send(&rpc("POST", "/book", "held", ""));
+    log.await_event("b1 got POST /book HTTP/1.1 held");
+    daemon.terminate();
+    daemon.await_ready(503);
+    let late = daemon.client().call(&rpc("GET", "/read", "late", "")).expect("an answer");
+    assert_eq!((late.status(), late.header("connection")), (200, "close"));
+    assert!(idle.is_closed());
+    gate.change(|open| *open = true);
+    let answer = held.answer().expect("an answer");
+    assert_eq!((answer.status(), answer.text().as_str()), (200, "done"));
+    assert!(daemon.await_end().success());
+}
+
+#[test]
+fn discovery_down_and_back() {
+    let log = Log::new(vec![]);
+    let (old, new) = (echo("b1", &log), echo("b2", &log));
+    let daemon = Daemon::start(PROGRAM, &[("s-1", old)]);
+    let mut client = daemon.client();
+    let mut ask = |n: &str| client.call(&rpc("GET", "/read", n, "")).unwrap().text();
+    assert_eq!(ask("up"), "b1:");
+    daemon.list.tell_text(None);
+    assert_eq!(ask("down"), "b1:");
+    daemon.list.tell_text(Some("{\"rev\": nonsense"));
+    assert_eq!(ask("garbage"), "b1:");
+    let odd = serde_json::json!({"uid": "s-9", "state": "Dreaming"});
+    daemon.list.tell(&[line("s-2", new, "Ready"), odd]);
+    let begun = std::time::Instant::now();
+    while ask("back") != "b2:" {
+        assert!(begun.elapsed() < PATIENCE, "the list came back unseen");
+    }
+}
+
+#[test]
+fn spent_descriptors_push_back_and_idle_ones_make_room() {
+    let log = Log::new(vec![]);
+    let daemon = Daemon::start_with(PROGRAM, &[("s-1", echo("b1", &log))], 60);
+    let whole = rpc("POST", "/book", "id", "0123456789");
+    let (first, rest) = whole.split_at(whole.len() - 5);
+    let open = |n: usize| {
+        let mut client = daemon.client();
+        client.send(&first.replace("Request-Id: id", &format!("Request-Id: n{n}")));
+        client
+    };
+    let mut clients: Vec<_> = (0..10).map(open).collect();
+    // The tenth may not have been read yet, then its line counts as idle; a late one is told so in any case.
+    let told = || {
+        daemon
+            .client()
+            .call(&rpc("GET", "/read", "late", ""))
+            .map(|a| (a.status(), a.header("connection") == "close"))
+    };
+    let begun = std::time::Instant::now();
+    while told() != Some((503, true)) {
+        assert!(begun.elapsed() < Duration::from_secs(3), "no word of the spent budget");
+    }
+    clients.iter_mut().for_each(|client| client.send(rest));
+    assert!(clients.iter_mut().all(|client| client.answer().is_some_and(|a| a.status() == 200)));
+    assert_eq!(told(), Some((200, false)), "an idle connection makes room");
+}
+
+#[test]
+fn bad_input_is_told_so_and_reaches_no_backend() {
+    let log = Log::new(vec![]);
+    let daemon = Daemon::start(PROGRAM, &[("s-1", echo("b1", &log))]);
+    let good = rpc("GET", "/read", "id", "");
+    let keyed = rpc("POST", "/log", "id", "");
+    let mut client = daemon.client();
+    // On these the framing is sound and the connection goes on.
+    for (message, status) in [
+        (good.replace("Request-Id: id\r\n", ""), 400),
+        (good.replace("Request-Id: id", "Request-Id: "), 400),
+        (good.replace("Request-Id: id", "Request-Id: a b"), 400),
+        (good.replace("Request-Id: id", "Request-Id: id\r\nRequest-Id: id2"), 400),
+        (good.replace("Request-Timeout-Ms: 3000\r\n", ""), 400),
+        (good.replace("3000", "soon"), 400),
+        (good.replace("3000", "-1"), 400),
+        (keyed.replace("Idempotency-Key: k1\r\n", ""), 400),
+        (good.replace("GET", "POST"), 400),
+        (keyed.replace("POST", "GET"), 400),
+        (good.replace("/read", "/nothing"), 404),
+        (good.replace("/read", "/"), 404),
+    ] {
+        assert_eq!(client.call(&message).expect(&message).status(), status, "{message}");
+    }
+    // On these it is closed after the answer.
+    let large = "x".repeat((64 << 10) + 1);
+    for (message, status) in [
+        (rpc("POST", "/book", "id", &large), 413),
+        (good.replace("acme", &large), 431),
+        (good.replace("Content-Length: 0", "Content-Length: many"), 400),
+        ("what?\r\n\r\n".to_owned(), 400),
+        (rpc("POST", "/book", "id", "half").replace("Length: 4", "Length: 9"), 408),
+    ] {
+        let answer = daemon.client().call(&message).map(|answer| answer.status());
+        assert_eq!(answer, Some(status), "{}", &message[..message.len().min(200)]);
+    }
+    assert_eq!(log.all(), Vec::<String>::new());
+    let odd = good.replace("acme", "nobody").replace("Tenant", "Further: 1\r\nTenant");
+    assert_eq!(
+        client.call(&odd).expect("an answer").status(),
+        200,
+        "unknown tenants and headers are no error"
+    );
+}
+
+#[test]
+fn a_bad_start_names_what_is_wrong() {
+    let folder = std::env::temp_dir().join(format!("birchhubd-bad-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let taken = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let taken = (taken.local_addr().expect("an address"), taken);
+    let good = config(taken.0, free(), 64, &[]);
+    let without = |key: &str| {
+        let mut file = good.clone();
+        file.as_object_mut().expect("an object").remove(key);
+        file.to_string()
+    };
+    let odd = |key: &str| {
+        let mut file = good.clone();
+        file[key] = "odd".into();
+        file.to_string()
+    };
+    for (file, named) in [
+        (None, "LB_CONFIG is not set"),
+        (Some(String::new()), "LB_CONFIG"),
+        (Some(without("listen")), "LB_LISTEN"),
+        (Some(odd("discovery")), "LB_DISCOVERY"),
+        (Some(odd("seed")), "seed"),
+        (Some(odd("known")), "known"),
+        (Some(without("settings")), "settings"),
+        (Some(odd("settings")), "settings"),
+        (Some(good.to_string()), "LB_LISTEN cannot be bound"),
+    ] {
+        let path = folder.join("config.json");
+        let mut start = Command::new(PROGRAM);
+        if let Some(text) = file {
+            std::fs::write(&path, text).expect("a file");
+            start.env("LB_CONFIG", &path);
+        }
+        let end = start.stderr(Stdio::piped()).output().expect("birchhubd");
+        let said = String::from_utf8_lossy(&end.stderr);
+        assert!(
+            !end.status.success() && said.contains(named) && said.lines().count() == 1,
+            "{named}: {said}"
+        );
+    }
+    std::fs::remove_dir_all(&folder).expect("the folder");
+}
+
+/// Many RPCs at once on many connections: each gets its own answer.
+#[test]
+fn answers_are_not_mixed_up() {
+    let log = Log::new(vec![]);
+    let daemon = Daemon::start(PROGRAM, &[("s-1", echo("b1", &log)), ("s-2", echo("b2", &log))]);
+    let at = daemon.at;
+    let run = move |c: usize| {
+        let mut client = Client::open(at).expect("a connection");
+        for n in 0..50 {
+            let body = format!("{c}-{n}");
+            let answer = client.call(&rpc("POST", "/log", &format!("id{body}"), &body)).expect("an answer");
+            assert!(
+                answer.status() != 200 || answer.text().ends_with(&format!(":{body}")),
+                "{}",
+                answer.text()
+            );
+        }
+    };
+    let all: Vec<_> = (0..8).map(|c| std::thread::spawn(move || run(c))).collect();
+    all.into_iter().for_each(|thread| thread.join().expect("a client without complaint"));
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,5 +1,5 @@
 //! A small world around one or more balancers, with a slow, plain model of the four rules that watches every
-//! action. It shares no code with the module.
+//! action. It shares no code with the module. Further down, in `sockets`, stand-ins around a birchhubd.
 #![allow(dead_code)]
 use birchhub::policy::{Balancer, Rpc};
 use birchhub::types::*;
@@ -310,3 +310,343 @@
         self.world.broken.first().map_or(Ok(()), |broken| Err(broken.clone()))
     }
 }
+
+/// What stands around a birchhubd on loopback sockets: backends, a list service and clients.
+pub mod sockets {
+    use serde_json::{Value, json};
+    use std::collections::BTreeMap;
+    use std::io::{BufRead, BufReader, Read, Write};
+    use std::net::{SocketAddr, TcpListener, TcpStream};
+    use std::path::PathBuf;
+    use std::process::{Child, Command, ExitStatus, Stdio};
+    use std::sync::atomic::{AtomicUsize, Ordering};
+    use std::sync::{Arc, Condvar, Mutex};
+    use std::thread::{sleep, spawn};
+    use std::time::{Duration, Instant};
+
+    pub const PATIENCE: Duration = Duration::from_secs(20); // for an event; none should come near
+
+    /// A value that threads change and wait for.
+    pub struct Shared<T>(Arc<(Mutex<T>, Condvar)>);
+
+    impl<T> Clone for Shared<T> {
+        fn clone(&self) -> Self {
+            Self(self.0.clone())
+        }
+    }
+
+    impl<T: Send + 'static> Shared<T> {
+        pub fn new(value: T) -> Self {
+            Self(Arc::new((Mutex::new(value), Condvar::new())))
+        }
+        pub fn change<R>(&self, change: impl FnOnce(&mut T) -> R) -> R {
+            let result = change(&mut self.0.0.lock().expect("a healthy lock"));
+            self.0.1.notify_all();
+            result
+        }
+        /// Waits until it is as it should be; false if it never was.
+        pub fn wait(&self, longest: Duration, so: impl Fn(&T) -> bool) -> bool {
+            let guard = self.0.0.lock().expect("a healthy lock");
+            let (_guard, late) =
+                self.0.1.wait_timeout_while(guard, longest, |value| !so(value)).expect("a healthy lock");
+            !late.timed_out()
+        }
+    }
+
+    /// What was seen, in order, by all stand-ins of a test.
+    pub type Log = Shared<Vec<String>>;
+
+    impl Log {
+        pub fn note(&self, event: String) {
+            self.change(|events| events.push(event));
+        }
+        pub fn await_event(&self, event: &str) {
+            let there = self.wait(PATIENCE, |events| events.iter().any(|e| e == event));
+            assert!(there, "{event} never came: {:?}", self.all());
+        }
+        pub fn all(&self) -> Vec<String> {
+            self.change(|events| events.clone())
+        }
+        pub fn count(&self, part: &str) -> usize {
+            self.all().iter().filter(|event| event.contains(part)).count()
+        }
+    }
+
+    /// An HTTP message as it came in.
+    pub struct Message {
+        pub first: String,
+        pub headers: BTreeMap<String, String>,
+        pub body: Vec<u8>,
+    }
+
+    impl Message {
+        pub fn header(&self, name: &str) -> &str {
+            self.headers.get(name).map_or("", String::as_str)
+        }
+        pub fn status(&self) -> u16 {
+            self.first.split(' ').nth(1).and_then(|code| code.parse().ok()).unwrap_or(0)
+        }
+        pub fn text(&self) -> String {
+            String::from_utf8_lossy(&self.body).into_owned()
+        }
+    }
+
+    pub fn read_message(from: &mut impl BufRead) -> Option<Message> {
+        let line = |from: &mut dyn BufRead| {
+            let mut line = String::new();
+            from.read_line(&mut line).ok().filter(|bytes| *bytes > 0)?;
+            Some(line.trim_end().to_owned())
+        };
+        let first = line(from)?;
+        let mut headers = BTreeMap::new();
+        loop {
+            let next = line(from)?;
+            let Some((name, value)) = next.split_once(':') else { break };
+            headers.insert(name.to_lowercase(), value.trim().to_owned());
+        }
+        let length = headers.get("content-length").and_then(|length| length.parse().ok()).unwrap_or(0);
+        let mut body = vec![0; length];
+        from.read_exact(&mut body).ok()?;
+        Some(Message { first, headers, body })
+    }
+
+    pub fn reply(status: &str, body: &str) -> Vec<u8> {
+        format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
+    }
+
+    /// What a backend does with an RPC.
+    pub enum Act {
+        Write(Vec<u8>),
+        /// Writes so much and breaks the connection.
+        Cut(Vec<u8>),
+        /// Says nothing for as long as the proxy holds on.
+        Hang,
+    }
+
+    fn serve(at: &str, each: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
+        let listener = TcpListener::bind(at).expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let each = Arc::new(each);
+        spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let each = each.clone();
+                spawn(move || each(stream));
+            }
+        });
+        address
+    }
+
+    /// A backend that is idle by its reports. It notes `NAME got FIRST-LINE ID` and, when it hangs,
+    /// `NAME closed ID`.
+    pub fn backend(
+        name: &'static str,
+        log: &Log,
+        act: impl Fn(&Message) -> Act + Send + Sync + 'static,
+    ) -> SocketAddr {
+        let log = log.clone();
+        serve("127.0.0.1:0", move |mut stream| {
+            let mut input = BufReader::new(stream.try_clone().expect("a second handle"));
+            while let Some(message) = read_message(&mut input) {
+                if message.first.starts_with("GET /stats ") {
+                    let _ = stream.write_all(&reply("200 OK", "concurrent=0,depth=0"));
+                    continue;
+                }
+                let id = message.header("request-id").to_owned();
+                log.note(format!("{name} got {} {id}", message.first));
+                match act(&message) {
+                    Act::Write(bytes) => drop(stream.write_all(&bytes)),
+                    Act::Cut(bytes) => return drop(stream.write_all(&bytes)),
+                    Act::Hang => {
+                        let _ = input.read(&mut [0]);
+                        return log.note(format!("{name} closed {id}"));
+                    }
+                }
+            }
+        })
+    }
+
+    pub fn echo(name: &'static str, log: &Log) -> SocketAddr {
+        backend(name, log, move |message| Act::Write(reply("200 OK", &format!("{name}:{}", message.text()))))
+    }
+
+    pub fn line(uid: &str, endpoint: SocketAddr, state: &str) -> Value {
+        json!({"uid": uid, "endpoint": endpoint.to_string(), "az": "a", "model": "m", "pod_group": 3,
+            "state": state, "capacity_hint": 1.0, "boot_ms": 0})
+    }
+
+    /// The list service. What it answers is changed with `tell`; without an answer it breaks connections off.
+    #[derive(Clone)]
+    pub struct List {
+        pub at: SocketAddr,
+        state: Shared<(u64, Option<String>)>,
+        asked: Shared<u64>, // the version that the latest call has
+    }
+
+    impl List {
+        pub fn start() -> Self {
+            let state = Shared::new((0, None::<String>));
+            let (told, asked) = (state.clone(), Shared::new(0));
+            let noted = asked.clone();
+            let at = serve("127.0.0.1:0", move |mut stream| {
+                let mut input = BufReader::new(stream.try_clone().expect("a second handle"));
+                while let Some(call) = read_message(&mut input) {
+                    let from = call.first.split("from=").nth(1).and_then(|rest| rest.split('&').next());
+                    let from: u64 = from.and_then(|from| from.parse().ok()).unwrap_or(0);
+                    noted.change(|asked| *asked = from);
+                    told.wait(PATIENCE, |(version, text)| *version != from || text.is_none());
+                    let Some(text) = told.change(|(_, text)| text.clone()) else { return };
+                    let _ = stream.write_all(&reply("200 OK", &text));
+                }
+            });
+            Self { at, state, asked }
+        }
+        pub fn tell(&self, lines: &[Value]) {
+            self.state.change(|(version, text)| {
+                *version += 1;
+                *text = Some(json!({"rev": version, "all": true, "targets": lines}).to_string());
+            });
+        }
+        /// Tells it, and waits until the proxy has it and asks for what comes next.
+        pub fn tell_heard(&self, lines: &[Value]) {
+            self.tell(lines);
+            let version = self.state.change(|(version, _)| *version);
+            assert!(self.asked.wait(PATIENCE, |asked| *asked == version), "the list was never heard");
+        }
+        pub fn tell_text(&self, told: Option<&str>) {
+            self.state.change(|(version, text)| {
+                *version += 1;
+                *text = told.map(str::to_owned);
+            });
+        }
+    }
+
+    /// A birchhubd, killed when dropped.
+    pub struct Daemon {
+        pub child: Child,
+        pub at: SocketAddr,
+        pub list: List,
+        folder: PathBuf,
+    }
+
+    /// An address nobody listens on, nor will: all others listen elsewhere in the loopback range.
+    pub fn free() -> SocketAddr {
+        static NEXT: AtomicUsize = AtomicUsize::new(1);
+        let (process, number) = (std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+        let ip = format!("127.{}.{}.{number}:0", 1 + (process >> 8) % 127, process % 256);
+        TcpListener::bind(ip).and_then(|l| l.local_addr()).expect("a free port")
+    }
+
+    pub fn config(at: SocketAddr, list: SocketAddr, sockets: usize, known: &[Value]) -> Value {
+        let method = |name: &str, kind: &str| {
+            json!({"name": name, "idempotency": kind, "dedup-scope": "cell", "window-ns": 4e9, "utility": 1.0,
+                "latency-target-ns": 3e9, "hard-limit-ns": 3e9})
+        };
+        json!({"name": "n0", "listen": at.to_string(), "discovery": list.to_string(), "seed": "8c1f30d27a5be964",
+            "limits": {"sockets": sockets}, "known": {"rev": 0, "all": true, "targets": known}, "settings": {
+            "balancers": 1, "membership-mode": "on_request", "failure-domains": ["a"], "my-zone": "a",
+            "methods": [method("read", "read_like"), method("book", "non_idempotent"),
+                method("log", "idempotency_key")],
+            "ceilings": {"most-picks": 3, "cancel": true, "probes": true, "conn-idle-ns": 15e9,
+                "connect-timeout-ns": 10e9},
+            "report": {"how": "probe", "fields": ["concurrent", "depth"]},
+            "contract": {"drain-grace-ns": 3e8, "cold-from": 0.3, "cold-ns": 5e9, "fall-multiple": 3.0,
+                "tip-after-ns": 1e9, "ask-within-ns": 4e9}}})
+    }
+
+    impl Daemon {
+        pub fn start(program: &str, backends: &[(&str, SocketAddr)]) -> Self {
+            Self::start_with(program, backends, 1024)
+        }
+
+        pub fn start_with(program: &str, backends: &[(&str, SocketAddr)], sockets: usize) -> Self {
+            static NEXT: AtomicUsize = AtomicUsize::new(0);
+            let number = NEXT.fetch_add(1, Ordering::Relaxed);
+            let folder = std::env::temp_dir().join(format!("birchhubd-{}-{number}", std::process::id()));
+            std::fs::create_dir_all(&folder).expect("a folder");
+            let (at, list) = (free(), List::start());
+            let known: Vec<_> = backends.iter().map(|(uid, at)| line(uid, *at, "Ready")).collect();
+            list.tell(&known);
+            let path = folder.join("config.json");
+            std::fs::write(&path, config(at, list.at, sockets, &known).to_string()).expect("a file");
+            let child = Command::new(program).env("LB_CONFIG", &path).stderr(Stdio::null()).spawn();
+            let daemon = Self { child: child.expect("birchhubd"), at, list, folder };
+            daemon.await_ready(200);
+            daemon
+        }
+
+        /// Waits until `/health/ready` answers this.
+        pub fn await_ready(&self, status: u16) {
+            let begun = Instant::now();
+            let health = "GET /health/ready HTTP/1.1\r\n\r\n";
+            let is = || Some(Client::open(self.at)?.call(health)?.status());
+            while is() != Some(status) {
+                assert!(begun.elapsed() < PATIENCE, "never {status}");
+                sleep(Duration::from_millis(2));
+            }
+        }
+
+        pub fn client(&self) -> Client {
+            Client::open(self.at).expect("a connection")
+        }
+
+        /// Answers earn the credit that further picks are paid with.
+        pub fn earn_credit(&self) {
+            let mut client = self.client();
+            for n in 0..30 {
+                assert_eq!(client.call(&rpc("GET", "/read", &format!("warm{n}"), "")).unwrap().status(), 200);
+            }
+        }
+
+        pub fn terminate(&self) {
+            let kill = format!("kill -TERM {}", self.child.id());
+            assert!(Command::new("sh").args(["-c", &kill]).status().expect("a shell").success());
+        }
+
+        pub fn await_end(&mut self) -> ExitStatus {
+            self.child.wait().expect("the end of birchhubd")
+        }
+    }
+
+    impl Drop for Daemon {
+        fn drop(&mut self) {
+            let _ = self.child.kill();
+            let _ = self.child.wait();
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+
+    /// A client's connection.
+    pub struct Client(BufReader<TcpStream>);
+
+    impl Client {
+        pub fn open(at: SocketAddr) -> Option<Self> {
+            let stream = TcpStream::connect(at).ok()?;
+            stream.set_read_timeout(Some(PATIENCE)).ok()?;
+            Some(Self(BufReader::new(stream)))
+        }
+        pub fn send(&mut self, bytes: &str) {
+            let _ = self.0.get_mut().write_all(bytes.as_bytes());
+        }
+        pub fn answer(&mut self) -> Option<Message> {
+            read_message(&mut self.0)
+        }
+        pub fn call(&mut self, bytes: &str) -> Option<Message> {
+            self.send(bytes);
+            self.answer()
+        }
+        /// The other side has closed the connection, and nothing more came.
+        pub fn is_closed(&mut self) -> bool {
+            self.0.read(&mut [0]).ok() == Some(0)
+        }
+    }
+
+    /// An RPC that waits for 3 s; `POST`s carry a key.
+    pub fn rpc(verb: &str, path: &str, id: &str, body: &str) -> String {
+        let key = if verb == "POST" { "Idempotency-Key: k1\r\n" } else { "" };
+        let length = body.len();
+        format!(
+            "{verb} {path} HTTP/1.1\r\nHost: api.internal\r\nRequest-Id: {id}\r\nTenant: acme\r\n{key}\
+             Request-Timeout-Ms: 3000\r\nContent-Length: {length}\r\n\r\n{body}"
+        )
+    }
+}
