--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -2,8 +2,9 @@
 #[path = "../../../tests/common/mod.rs"]
 mod common;
 use common::sockets::{
-    Act, Client, Daemon, Log, PATIENCE, Shared, backend, config, echo, free, line, reply, rpc,
+    Act, Client, Daemon, Log, PATIENCE, Shared, backend, blind, config, echo, free, line, reply, rpc,
 };
+use serde_json::Value;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Command, Stdio};
 use std::time::Duration;
@@ -73,13 +74,10 @@
 fn what_found_no_connection_goes_elsewhere() {
     let log = Log::new(vec![]);
     let good = echo("b1", &log);
-    let daemon = Daemon::start(PROGRAM, &[("s-1", good)]);
+    let daemon = Daemon::start_with(PROGRAM, &[("s-1", good)], blind);
     daemon.earn_credit();
-    daemon.list.tell(&[
-        line("s-1", good, "Ready"),
-        line("s-2", free(), "Ready"),
-        line("s-3", free(), "Ready"),
-    ]);
+    let dead = [line("s-2", free(), "Ready"), line("s-3", free(), "Ready")];
+    daemon.list.tell_heard(&[&dead[..], &[line("s-1", good, "Ready")]].concat());
     let mut client = daemon.client();
     for n in 0..20 {
         assert_eq!(client.call(&rpc("POST", "/book", &format!("n{n}"), "")).unwrap().status(), 200);
@@ -87,15 +85,22 @@
     assert_eq!(log.count(" /book "), 20);
 }
 
-/// A kept connection that the backend closed is noticed, not written to.
+/// A kept connection that the backend closed is noticed and given back, not written to.
 #[test]
-fn closed_connections_are_not_used() {
+fn closed_connections_are_given_back() {
     let log = Log::new(vec![]);
     let at = backend("b1", &log, |_| Act::Cut(reply("200 OK", "last")));
-    let daemon = Daemon::start(PROGRAM, &[("s-1", at)]);
+    let daemon = Daemon::start_with(PROGRAM, &[("s-1", at)], blind);
+    daemon.list.tell_heard(&[line("s-1", at, "Ready")]);
     let mut client = daemon.client();
-    for n in 0..20 {
+    assert_eq!(client.call("GET /health/ready HTTP/1.1\r\n\r\n").unwrap().status(), 200);
+    let before = daemon.descriptors();
+    for n in 0..5 {
         assert_eq!(client.call(&rpc("POST", "/book", &format!("n{n}"), "")).unwrap().status(), 200);
+        let begun = std::time::Instant::now();
+        while daemon.descriptors() > before {
+            assert!(begun.elapsed() < Duration::from_secs(5), "the closed connection is still held");
+        }
     }
 }
 
@@ -145,9 +150,11 @@
 #[test]
 fn a_hang_up_ends_the_pick() {
     let log = Log::new(vec![]);
-    let daemon = Daemon::start(PROGRAM, &[("s-1", backend("b1", &log, |_| Act::Hang))]);
+    // The pick would be waited for longer than the test waits.
+    let long = |config: &mut Value| config["settings"]["methods"][0]["latency-target-ns"] = 60e9.into();
+    let daemon = Daemon::start_with(PROGRAM, &[("s-1", backend("b1", &log, |_| Act::Hang))], long);
     let mut client = daemon.client();
-    client.send(&rpc("GET", "/read", "gone", ""));
+    client.send(&rpc("GET", "/read", "gone", "").replace("3000", "60000"));
     log.await_event("b1 got GET /read HTTP/1.1 gone");
     drop(client);
     log.await_event("b1 closed gone");
@@ -172,12 +179,18 @@
 fn a_drain_withdraws_a_pick_that_waits_for_its_connection() {
     let log = Log::new(vec![]);
     let (good, silent) = (echo("b1", &log), silent());
-    let daemon = Daemon::start(PROGRAM, &[("s-1", good)]);
+    // The connection would be waited for longer than the test waits.
+    let long = |config: &mut Value| {
+        config["settings"]["methods"][1]["latency-target-ns"] = 60e9.into();
+        config["settings"]["ceilings"]["connect-timeout-ns"] = 60e9.into();
+        blind(config);
+    };
+    let daemon = Daemon::start_with(PROGRAM, &[("s-1", good)], long);
     daemon.earn_credit();
     daemon.list.tell_heard(&[line("s-1", good, "Terminating"), line("s-2", silent.2, "Ready")]);
     let mut client = daemon.client();
-    client.send(&rpc("POST", "/book", "waits", ""));
-    std::thread::sleep(Duration::from_millis(1000)); // longer than an RPC is held for an idle backend
+    client.send(&rpc("POST", "/book", "waits", "").replace("3000", "60000"));
+    std::thread::sleep(Duration::from_millis(300)); // the pick is on its way; if not, the RPC goes the easy way
     assert_eq!(log.count("waits"), 0, "the draining backend gets nothing new");
     daemon.list.tell(&[line("s-1", good, "Ready"), line("s-2", silent.2, "Terminating")]);
     assert_eq!(client.answer().unwrap().text(), "b1:");
@@ -221,8 +234,8 @@
     assert_eq!(ask("down"), "b1:");
     daemon.list.tell_text(Some("{\"rev\": nonsense"));
     assert_eq!(ask("garbage"), "b1:");
-    let odd = serde_json::json!({"uid": "s-9", "state": "Dreaming"});
-    daemon.list.tell(&[line("s-2", new, "Ready"), odd]);
+    let odd = [serde_json::json!({"uid": "s-9", "state": "Dreaming"}), serde_json::json!({"state": "Ready"})];
+    daemon.list.tell(&[&odd[..], &[line("s-2", new, "Ready")]].concat());
     let begun = std::time::Instant::now();
     while ask("back") != "b2:" {
         assert!(begun.elapsed() < PATIENCE, "the list came back unseen");
@@ -232,7 +245,8 @@
 #[test]
 fn spent_descriptors_push_back_and_idle_ones_make_room() {
     let log = Log::new(vec![]);
-    let daemon = Daemon::start_with(PROGRAM, &[("s-1", echo("b1", &log))], 60);
+    let few = |config: &mut Value| config["limits"]["sockets"] = 60.into();
+    let daemon = Daemon::start_with(PROGRAM, &[("s-1", echo("b1", &log))], few);
     let whole = rpc("POST", "/book", "id", "0123456789");
     let (first, rest) = whole.split_at(whole.len() - 5);
     let open = |n: usize| {
@@ -308,7 +322,7 @@
     std::fs::create_dir_all(&folder).expect("a folder");
     let taken = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let taken = (taken.local_addr().expect("an address"), taken);
-    let good = config(taken.0, free(), 64, &[]);
+    let good = config(taken.0, free(), &[]);
     let without = |key: &str| {
         let mut file = good.clone();
         file.as_object_mut().expect("an object").remove(key);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -479,26 +479,33 @@
     pub struct List {
         pub at: SocketAddr,
         state: Shared<(u64, Option<String>)>,
-        asked: Shared<u64>, // the version that the latest call has
+        asked: Shared<u64>, // the version that the latest call has ...
+        told: Shared<u64>,  // ... and the one that the latest answer, or the lack of one, went with
     }
 
     impl List {
         pub fn start() -> Self {
             let state = Shared::new((0, None::<String>));
-            let (told, asked) = (state.clone(), Shared::new(0));
-            let noted = asked.clone();
+            let (asked, told) = (Shared::new(0), Shared::new(0));
+            let (now, noted, done) = (state.clone(), asked.clone(), told.clone());
             let at = serve("127.0.0.1:0", move |mut stream| {
                 let mut input = BufReader::new(stream.try_clone().expect("a second handle"));
                 while let Some(call) = read_message(&mut input) {
                     let from = call.first.split("from=").nth(1).and_then(|rest| rest.split('&').next());
                     let from: u64 = from.and_then(|from| from.parse().ok()).unwrap_or(0);
                     noted.change(|asked| *asked = from);
-                    told.wait(PATIENCE, |(version, text)| *version != from || text.is_none());
-                    let Some(text) = told.change(|(_, text)| text.clone()) else { return };
-                    let _ = stream.write_all(&reply("200 OK", &text));
+                    now.wait(PATIENCE, |(version, text)| *version != from || text.is_none());
+                    let (version, text) = now.change(|now| now.clone());
+                    if let Some(text) = &text {
+                        let _ = stream.write_all(&reply("200 OK", text));
+                    }
+                    done.change(|done| *done = version);
+                    if text.is_none() {
+                        return;
+                    }
                 }
             });
-            Self { at, state, asked }
+            Self { at, state, asked, told }
         }
         pub fn tell(&self, lines: &[Value]) {
             self.state.change(|(version, text)| {
@@ -512,11 +519,13 @@
             let version = self.state.change(|(version, _)| *version);
             assert!(self.asked.wait(PATIENCE, |asked| *asked == version), "the list was never heard");
         }
-        pub fn tell_text(&self, told: Option<&str>) {
-            self.state.change(|(version, text)| {
-                *version += 1;
-                *text = told.map(str::to_owned);
+        /// Answers with this, or with nothing, and waits until a call has met it.
+        pub fn tell_text(&self, text: Option<&str>) {
+            let version = self.state.change(|state| {
+                *state = (state.0 + 1, text.map(str::to_owned));
+                state.0
             });
+            assert!(self.told.wait(PATIENCE, |told| *told == version), "the list was never asked for");
         }
     }
 
@@ -528,6 +537,11 @@
         folder: PathBuf,
     }
 
+    /// Without probes every backend is drawn blindly.
+    pub fn blind(config: &mut Value) {
+        config["settings"]["ceilings"]["probes"] = false.into();
+    }
+
     /// An address nobody listens on, nor will: all others listen elsewhere in the loopback range.
     pub fn free() -> SocketAddr {
         static NEXT: AtomicUsize = AtomicUsize::new(1);
@@ -536,13 +550,13 @@
         TcpListener::bind(ip).and_then(|l| l.local_addr()).expect("a free port")
     }
 
-    pub fn config(at: SocketAddr, list: SocketAddr, sockets: usize, known: &[Value]) -> Value {
+    pub fn config(at: SocketAddr, list: SocketAddr, known: &[Value]) -> Value {
         let method = |name: &str, kind: &str| {
             json!({"name": name, "idempotency": kind, "dedup-scope": "cell", "window-ns": 4e9, "utility": 1.0,
                 "latency-target-ns": 3e9, "hard-limit-ns": 3e9})
         };
         json!({"name": "n0", "listen": at.to_string(), "discovery": list.to_string(), "seed": "8c1f30d27a5be964",
-            "limits": {"sockets": sockets}, "known": {"rev": 0, "all": true, "targets": known}, "settings": {
+            "limits": {"sockets": 1024}, "known": {"rev": 0, "all": true, "targets": known}, "settings": {
             "balancers": 1, "membership-mode": "on_request", "failure-domains": ["a"], "my-zone": "a",
             "methods": [method("read", "read_like"), method("book", "non_idempotent"),
                 method("log", "idempotency_key")],
@@ -555,10 +569,15 @@
 
     impl Daemon {
         pub fn start(program: &str, backends: &[(&str, SocketAddr)]) -> Self {
-            Self::start_with(program, backends, 1024)
+            Self::start_with(program, backends, |_| {})
         }
 
-        pub fn start_with(program: &str, backends: &[(&str, SocketAddr)], sockets: usize) -> Self {
+        /// With a configuration that differs from the usual one.
+        pub fn start_with(
+            program: &str,
+            backends: &[(&str, SocketAddr)],
+            change: impl FnOnce(&mut Value),
+        ) -> Self {
             static NEXT: AtomicUsize = AtomicUsize::new(0);
             let number = NEXT.fetch_add(1, Ordering::Relaxed);
             let folder = std::env::temp_dir().join(format!("birchhubd-{}-{number}", std::process::id()));
@@ -567,7 +586,9 @@
             let known: Vec<_> = backends.iter().map(|(uid, at)| line(uid, *at, "Ready")).collect();
             list.tell(&known);
             let path = folder.join("config.json");
-            std::fs::write(&path, config(at, list.at, sockets, &known).to_string()).expect("a file");
+            let mut config = config(at, list.at, &known);
+            change(&mut config);
+            std::fs::write(&path, config.to_string()).expect("a file");
             let child = Command::new(program).env("LB_CONFIG", &path).stderr(Stdio::null()).spawn();
             let daemon = Self { child: child.expect("birchhubd"), at, list, folder };
             daemon.await_ready(200);
@@ -597,6 +618,11 @@
             }
         }
 
+        /// Descriptors it holds open.
+        pub fn descriptors(&self) -> usize {
+            std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("its descriptors").count()
+        }
+
         pub fn terminate(&self) {
             let kill = format!("kill -TERM {}", self.child.id());
             assert!(Command::new("sh").args(["-c", &kill]).status().expect("a shell").success());
