--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -231,7 +231,6 @@
                 Some(conn) => Some(conn),
                 None => {
                     let Some(place) = self.budget.place(Part::Backends) else {
-                        log::warn!("no socket left for {endpoint}");
                         return nothing(Outcome::NeverSent);
                     };
                     Conn::open(endpoint, place, until.min(Instant::now() + self.limits.connect)).await
@@ -243,8 +242,8 @@
             let left = until.saturating_duration_since(Instant::now());
             match conn.exchange(message.encode(&host, left), BODY_MOST, sent).await {
                 Ok(reply) => {
-                    self.keep(conn, &reply.headers).await;
-                    return judge(reply);
+                    self.keep(conn, endpoint, &reply.headers).await;
+                    return judge(reply, message.is_probe());
                 }
                 // A kept connection had ended before anything of this was written: another may be tried.
                 Err(Fault::Unsent) if !fresh => {}
@@ -268,11 +267,13 @@
         None
     }
 
-    async fn keep(&self, mut conn: Conn, headers: &HeaderMap) {
+    /// Keeps a connection for the next job, unless it or its backend ends or the backend has moved meanwhile.
+    async fn keep(&self, mut conn: Conn, endpoint: SocketAddr, headers: &HeaderMap) {
         let closes =
             headers.get(CONNECTION).is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
         let alive = !closes && poll_fn(|cx| Poll::Ready(!conn.poll_closed(cx))).await;
-        if alive && self.facts.has_changed().is_ok() && self.facts.borrow().ready {
+        let listed = self.facts.has_changed().is_ok();
+        if alive && listed && *self.facts.borrow() == (Facts { endpoint, ready: true }) {
             let kept = Rc::new(Kept(RefCell::new(Some(conn))));
             let spare: Rc<dyn Spare> = kept.clone();
             self.budget.offer(Part::Backends, Rc::downgrade(&spare));
@@ -283,10 +284,11 @@
 }
 
 /// What an answer means, as the protocol has it.
-fn judge(reply: Reply) -> (Outcome, Option<LoadReport>, Bytes) {
+fn judge(reply: Reply, probe: bool) -> (Outcome, Option<LoadReport>, Bytes) {
     let header = reply.headers.get("server-load").and_then(|value| value.to_str().ok());
-    let report =
-        header.or(std::str::from_utf8(&reply.body).ok()).and_then(|text| load_report(text, '=').ok());
+    // Only a probe's body is a report: an RPC's may look like one.
+    let text = header.or(std::str::from_utf8(&reply.body).ok().filter(|_| probe));
+    let report = text.and_then(|text| load_report(text, '=').ok());
     let not_started = reply.headers.get("not-started").is_some_and(|value| value == "1");
     let outcome = match reply.status.as_u16() {
         200 => Outcome::Ok,
@@ -295,3 +297,17 @@
     };
     (outcome, report, reply.body)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use hyper::StatusCode;
+
+    /// Guards against an RPC's body that reads like a load report.
+    #[test]
+    fn only_a_probes_body_is_a_report() {
+        let reply = || Reply { status: StatusCode::OK, headers: HeaderMap::new(), body: "inflight=9".into() };
+        let report = |probe| judge(reply(), probe).1.and_then(|report| report.in_flight);
+        assert_eq!((report(true), report(false)), (Some(9.0), None));
+    }
+}
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -88,12 +88,6 @@
             };
             let room = self.budget.place(Part::Clients);
             let late = room.is_none();
-            if late {
-                log::warn!(
-                    "{} client connections: the next is told to come back",
-                    self.budget.open(Part::Clients)
-                );
-            }
             let place = room.unwrap_or_else(|| self.budget.place_anyhow(Part::Clients));
             spawn_local(self.clone().serve(stream, place, late));
             while late && self.budget.over(Part::Clients) > LATE_MOST {
--- a/crates/daemon/src/intake.rs
+++ b/crates/daemon/src/intake.rs
@@ -51,6 +51,10 @@
         Self { verb: Method::GET, uri, id: None, key: None, body: Bytes::new() }
     }
 
+    pub fn is_probe(&self) -> bool {
+        self.id.is_none()
+    }
+
     /// The message to a backend that is waited for this long.
     pub fn encode(&self, host: &HeaderValue, waits: Duration) -> Request<Full<Bytes>> {
         let mut message = Request::new(Full::new(self.body.clone()));
--- a/crates/daemon/src/sockets.rs
+++ b/crates/daemon/src/sockets.rs
@@ -20,7 +20,7 @@
 const RESERVE: usize = 40; // descriptors for standard streams, listener, epoll, discovery and late clients
 
 /// One of the two parts of the budget.
-#[derive(Clone, Copy, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Part {
     Clients,
     Backends,
@@ -36,6 +36,7 @@
 struct Shelf {
     open: Cell<usize>,
     most: usize,
+    spent: Cell<bool>, // told in the log; until a place is given back it is not told again
     spare: RefCell<VecDeque<Weak<dyn Spare>>>, // the longest idle first
 }
 
@@ -69,7 +70,13 @@
     pub fn place(self: &Rc<Self>, part: Part) -> Option<Place> {
         let shelf = self.shelf(part);
         while shelf.open.get() >= shelf.most {
-            let oldest = shelf.spare.borrow_mut().pop_front()?;
+            let oldest = shelf.spare.borrow_mut().pop_front();
+            let Some(oldest) = oldest else {
+                if !shelf.spent.replace(true) {
+                    log::warn!("no socket left for {part:?}: {} are open, none idle", shelf.open.get());
+                }
+                return None;
+            };
             if oldest.upgrade().is_some_and(|spare| spare.give_up()) {
                 break; // A client's is closed by its own task a moment later.
             }
@@ -108,7 +115,9 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
-        self.budget.shelf(self.part).open.update(|open| open - 1);
+        let shelf = self.budget.shelf(self.part);
+        shelf.open.update(|open| open - 1);
+        shelf.spent.set(shelf.spent.get() && shelf.open.get() >= shelf.most);
     }
 }
 
--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -196,6 +196,39 @@
     assert_eq!(client.answer().unwrap().text(), "b1:");
 }
 
+/// A backend that moved gets nothing at its old address, also not on a connection that was out meanwhile.
+#[test]
+fn a_moved_backend_is_followed() {
+    let log = Log::new(vec![]);
+    let gate = Shared::new(false);
+    let open = gate.clone();
+    let old = backend("b1", &log, move |_| {
+        open.wait(PATIENCE, |open| *open);
+        Act::Write(reply("200 OK", "old"))
+    });
+    let daemon = Daemon::start(PROGRAM, &[("s-1", old)]);
+    let mut client = daemon.client();
+    client.send(&rpc("POST", "/book", "before", ""));
+    log.await_event("b1 got POST /book HTTP/1.1 before");
+    daemon.list.tell_heard(&[line("s-1", echo("b2", &log), "Ready")]);
+    gate.change(|open| *open = true);
+    assert_eq!(client.answer().unwrap().text(), "old");
+    assert_eq!(client.call(&rpc("POST", "/book", "after", "")).unwrap().text(), "b2:");
+    daemon.list.tell_heard(&[line("s-1", echo("b3", &log), "Ready")]);
+    assert_eq!(client.call(&rpc("POST", "/book", "idle", "")).unwrap().text(), "b3:");
+}
+
+#[test]
+fn a_killed_proxy_starts_again_at_its_address() {
+    let log = Log::new(vec![]);
+    let mut daemon = Daemon::start(PROGRAM, &[("s-1", echo("b1", &log))]);
+    let mut client = daemon.client();
+    assert_eq!(client.call(&rpc("GET", "/read", "first", "")).unwrap().status(), 200);
+    daemon.restart(PROGRAM);
+    assert!(client.is_closed());
+    assert_eq!(daemon.client().call(&rpc("GET", "/read", "again", "")).unwrap().status(), 200);
+}
+
 #[test]
 fn sigterm_serves_what_is_held_and_what_still_comes() {
     let log = Log::new(vec![]);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -315,9 +315,9 @@
 pub mod sockets {
     use serde_json::{Value, json};
     use std::collections::BTreeMap;
-    use std::io::{BufRead, BufReader, Read, Write};
+    use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
     use std::net::{SocketAddr, TcpListener, TcpStream};
-    use std::path::PathBuf;
+    use std::path::{Path, PathBuf};
     use std::process::{Child, Command, ExitStatus, Stdio};
     use std::sync::atomic::{AtomicUsize, Ordering};
     use std::sync::{Arc, Condvar, Mutex};
@@ -567,6 +567,11 @@
                 "tip-after-ns": 1e9, "ask-within-ns": 4e9}}})
     }
 
+    fn spawn_daemon(program: &str, folder: &Path) -> Child {
+        let mut start = Command::new(program);
+        start.env("LB_CONFIG", folder.join("config.json")).stderr(Stdio::null()).spawn().expect("birchhubd")
+    }
+
     impl Daemon {
         pub fn start(program: &str, backends: &[(&str, SocketAddr)]) -> Self {
             Self::start_with(program, backends, |_| {})
@@ -585,16 +590,21 @@
             let (at, list) = (free(), List::start());
             let known: Vec<_> = backends.iter().map(|(uid, at)| line(uid, *at, "Ready")).collect();
             list.tell(&known);
-            let path = folder.join("config.json");
             let mut config = config(at, list.at, &known);
             change(&mut config);
-            std::fs::write(&path, config.to_string()).expect("a file");
-            let child = Command::new(program).env("LB_CONFIG", &path).stderr(Stdio::null()).spawn();
-            let daemon = Self { child: child.expect("birchhubd"), at, list, folder };
+            std::fs::write(folder.join("config.json"), config.to_string()).expect("a file");
+            let daemon = Self { child: spawn_daemon(program, &folder), at, list, folder };
             daemon.await_ready(200);
             daemon
         }
 
+        /// Kills it and starts it again under its name and address.
+        pub fn restart(&mut self, program: &str) {
+            self.child.kill().and_then(|()| self.child.wait()).expect("the end of birchhubd");
+            self.child = spawn_daemon(program, &self.folder);
+            self.await_ready(200);
+        }
+
         /// Waits until `/health/ready` answers this.
         pub fn await_ready(&self, status: u16) {
             let begun = Instant::now();
@@ -662,7 +672,7 @@
         }
         /// The other side has closed the connection, and nothing more came.
         pub fn is_closed(&mut self) -> bool {
-            self.0.read(&mut [0]).ok() == Some(0)
+            self.0.read(&mut [0]).map_or_else(|e| e.kind() == ErrorKind::ConnectionReset, |bytes| bytes == 0)
         }
     }
 
