--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -66,6 +66,9 @@
     let seed = text(&file, "seed", "LB_SEED")?;
     let settings = file.get("settings").ok_or("settings is missing in LB_CONFIG")?;
     let limits = file.get("limits").and_then(|l| l.get("sockets")).and_then(Value::as_u64);
+    let mut conf = birchhub_settings::read_value(settings).map_err(|e| format!("settings: {e}"))?;
+    // On sockets nothing comes unasked, whatever the simulator does: guards against a list never followed.
+    conf.settings.list_on_request = true;
     let known = file.get("known").filter(|known| !known.is_null());
     Ok(Config {
         name: text(&file, "name", "LB_NAME")?,
@@ -74,6 +77,6 @@
         seed: u64::from_str_radix(&seed, 16).map_err(|_| format!("seed is not a hex number: {seed}"))?,
         sockets: limits.unwrap_or(1024) as usize,
         known: known.map(discovery::decode).transpose().map_err(|e| format!("known: {e}"))?,
-        conf: birchhub_settings::read_value(settings).map_err(|e| format!("settings: {e}"))?,
+        conf,
     })
 }
--- a/crates/daemon/src/discovery.rs
+++ b/crates/daemon/src/discovery.rs
@@ -16,11 +16,12 @@
 use std::time::Duration;
 use tokio::select;
 use tokio::sync::{Notify, mpsc};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 const HOLD: Duration = Duration::from_secs(8); // that a call may wait: a link gone silent is noticed in time
 const PATIENCE: Duration = Duration::from_secs(2); // beyond the hold; then the list counts as told anyway
 const FULL_PATIENCE: Duration = Duration::from_secs(6); // for the whole list; then it counts as told anyway
+const GAP: Duration = Duration::from_millis(20); // between calls at the least: one that never waits must not spin
 const BODY_MOST: usize = 4 << 20; // bytes of a list: some 20,000 lines
 
 /// One backend of the list.
@@ -122,7 +123,8 @@
                     (path, HOLD + PATIENCE)
                 }
             };
-            let until = Instant::now() + patience;
+            let begun = Instant::now();
+            let until = begun + patience;
             let news = match timeout_at(until, self.call(&mut conn, &path, until)).await {
                 Err(_) => return "no answer in time".into(),
                 Ok(Err(fault)) => return fault,
@@ -133,6 +135,7 @@
             if self.core.send(ToCore::News(news)).await.is_err() {
                 return "the core has ended".into();
             }
+            sleep_until(begun + GAP).await;
         }
     }
 
--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -275,6 +275,20 @@
     }
 }
 
+/// A list service that never waits must not keep the proxy busy.
+#[test]
+fn list_calls_keep_a_distance() {
+    let log = Log::new(vec![]);
+    let at = echo("b1", &log);
+    let daemon = Daemon::start(PROGRAM, &[("s-1", at)]);
+    let begun = std::time::Instant::now();
+    let same = serde_json::json!({"rev": 0, "all": true, "targets": [line("s-1", at, "Ready")]});
+    daemon.list.tell_text(Some(&same.to_string()));
+    std::thread::sleep(Duration::from_millis(300));
+    let calls = daemon.list.calls.change(|calls| *calls) as u128;
+    assert!(calls <= 4 + begun.elapsed().as_millis() / 20, "{calls} calls");
+}
+
 #[test]
 fn spent_descriptors_push_back_and_idle_ones_make_room() {
     let log = Log::new(vec![]);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -481,19 +481,21 @@
         state: Shared<(u64, Option<String>)>,
         asked: Shared<u64>, // the version that the latest call has ...
         told: Shared<u64>,  // ... and the one that the latest answer, or the lack of one, went with
+        pub calls: Shared<usize>,
     }
 
     impl List {
         pub fn start() -> Self {
             let state = Shared::new((0, None::<String>));
-            let (asked, told) = (Shared::new(0), Shared::new(0));
-            let (now, noted, done) = (state.clone(), asked.clone(), told.clone());
+            let (asked, told, calls) = (Shared::new(0), Shared::new(0), Shared::new(0));
+            let (now, noted, done, counted) = (state.clone(), asked.clone(), told.clone(), calls.clone());
             let at = serve("127.0.0.1:0", move |mut stream| {
                 let mut input = BufReader::new(stream.try_clone().expect("a second handle"));
                 while let Some(call) = read_message(&mut input) {
                     let from = call.first.split("from=").nth(1).and_then(|rest| rest.split('&').next());
                     let from: u64 = from.and_then(|from| from.parse().ok()).unwrap_or(0);
                     noted.change(|asked| *asked = from);
+                    counted.change(|calls| *calls += 1);
                     now.wait(PATIENCE, |(version, text)| *version != from || text.is_none());
                     let (version, text) = now.change(|now| now.clone());
                     if let Some(text) = &text {
@@ -505,7 +507,7 @@
                     }
                 }
             });
-            Self { at, state, asked, told }
+            Self { at, state, asked, told, calls }
         }
         pub fn tell(&self, lines: &[Value]) {
             self.state.change(|(version, text)| {
@@ -557,7 +559,7 @@
         };
         json!({"name": "n0", "listen": at.to_string(), "discovery": list.to_string(), "seed": "8c1f30d27a5be964",
             "limits": {"sockets": 1024}, "known": {"rev": 0, "all": true, "targets": known}, "settings": {
-            "balancers": 1, "membership-mode": "on_request", "failure-domains": ["a"], "my-zone": "a",
+            "balancers": 1, "membership-mode": "pushed", "failure-domains": ["a"], "my-zone": "a",
             "methods": [method("read", "read_like"), method("book", "non_idempotent"),
                 method("log", "idempotency_key")],
             "ceilings": {"most-picks": 3, "cancel": true, "probes": true, "conn-idle-ns": 15e9,
