List calls may wait 20 s, so that a short cut from discovery leaves nothing told but unheard

PROTOCOL: what a call that may wait should have told counts as told 2 s after that wait, whether or not it came. With 8 s a cut of ten seconds would always reach that point, and a drain in it could break rule 3 unheard; with 20 s it seldom does, and a link that breaks rather than goes silent is noticed at once either way.

--- a/crates/daemon/src/discovery.rs
+++ b/crates/daemon/src/discovery.rs
@@ -18,8 +18,10 @@
 use tokio::sync::{Notify, mpsc};
 use tokio::time::{Instant, sleep_until, timeout_at};
 
-const HOLD: Duration = Duration::from_secs(8); // that a call may wait: a link gone silent is noticed in time
-const PATIENCE: Duration = Duration::from_secs(2); // beyond the hold; then the list counts as told anyway
+// That a call may wait. While a link is silent, what it should have told counts as told 2 s after the wait, come or
+// not: a long one outlasts most cuts. Much longer, and a link that stays silent would leave the list old for too long.
+const HOLD: Duration = Duration::from_secs(20);
+const PATIENCE: Duration = Duration::from_secs(2); // beyond the hold, as above
 const FULL_PATIENCE: Duration = Duration::from_secs(6); // for the whole list; then it counts as told anyway
 const GAP: Duration = Duration::from_millis(20); // between calls at the least: one that never waits must not spin
 const BODY_MOST: usize = 4 << 20; // bytes of a list: some 20,000 lines
