--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -40,6 +40,7 @@
     out: &'a mut String,
     proxy: u64,
     now: f64,
+    answered: Vec<u64>,
 }
 
 fn ns(seconds: f64) -> u64 {
@@ -63,9 +64,11 @@
         self.line("ABORT_ATTEMPT", format_args!("\t{rpc}\t{pick}"));
     }
     fn push_back(&mut self, rpc: u64, come_back: f64) {
+        self.answered.push(rpc);
         self.line("PUSH_BACK", format_args!("\t{rpc}\t{}", ns(come_back)));
     }
     fn abort(&mut self, rpc: u64) {
+        self.answered.push(rpc);
         self.line("END_FAILED", format_args!("\t{rpc}"));
     }
     fn probe(&mut self, backend: u32) {
@@ -152,11 +155,18 @@
     fn call(&mut self, proxy: u64, act: impl FnOnce(&mut Instance, &mut Writer)) {
         let Some(instance) = self.instances.get_mut(&proxy) else { return };
         let now = instance.seconds(self.clock);
-        let mut link = Writer { out: &mut self.out, proxy, now };
+        let mut link = Writer { out: &mut self.out, proxy, now, answered: Vec::new() };
         if let Err(panic) = catch_unwind(AssertUnwindSafe(|| act(instance, &mut link))) {
             let text = text_of(&*panic);
             writeln!(self.out, "DIE\t{proxy}\t{text}").expect("writing to a string");
             self.instances.remove(&proxy);
+            return;
+        }
+        // RPCs that waited are answered in calls about others: guards against keeping them for good.
+        for rpc in link.answered {
+            if instance.rpcs.get(&rpc).is_some_and(Rpc::is_over) {
+                instance.rpcs.remove(&rpc);
+            }
         }
     }
 
