--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -65,7 +65,7 @@
     let bytes = std::fs::read(&path).map_err(|e| format!("LB_CONFIG cannot be read: {path}: {e}"))?;
     let file: Value =
         serde_json::from_slice(&bytes).map_err(|e| format!("LB_CONFIG is not JSON: {path}: {e}"))?;
-    let seed = text(&file, "seed", "LB_SEED")?;
+    let seed = file.get("seed").and_then(Value::as_str).ok_or("seed is missing in LB_CONFIG")?;
     let settings = file.get("settings").ok_or("settings is missing in LB_CONFIG")?;
     let limit = |key| file.get("limits").and_then(|limits| limits.get(key)).and_then(Value::as_u64);
     let bearable = limit("memory_mb").map_or(u64::MAX, |mb| (mb << 20) / SOCKET_NEEDS);
@@ -77,7 +77,7 @@
         name: text(&file, "name", "LB_NAME")?,
         listen: address(&file, "listen", "LB_LISTEN")?,
         discovery: address(&file, "discovery", "LB_DISCOVERY")?,
-        seed: u64::from_str_radix(&seed, 16).map_err(|_| format!("seed is not a hex number: {seed}"))?,
+        seed: u64::from_str_radix(seed, 16).map_err(|_| format!("seed is not a hex number: {seed}"))?,
         sockets: limit("sockets").unwrap_or(1024).min(bearable) as usize,
         known: known.map(discovery::decode).transpose().map_err(|e| format!("known: {e}"))?,
         conf,
