Heads without end are given up, fresh connections are not, and tests use ports nobody is dealt

Found by running the tests sixteen at a time: - A client's connection given up for another stayed open if half a head had come, as hyper waits for the rest; up to half the budget could have been overrun that way. It is dropped 50 ms later now, unless an RPC came meanwhile. - A connection was a spare from its accept on: in a burst one with an RPC already written could be closed unread. A fresh one is no spare for a second now; idle ones are told of the end through `Life` instead of the budget's list. - The tests took ports that the system deals out to clients: one that polled for the proxy before it listened could be connected to itself and hold its port ("Address already in use", one run in fifty). Fixed port, own address each.

--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -12,6 +12,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::future::pending;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,11 +21,13 @@
 use tokio::sync::mpsc::{self, OwnedPermit};
 use tokio::sync::{Notify, oneshot};
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout_at};
+use tokio::time::{sleep, timeout, timeout_at};
 
 const HEAD_MOST: usize = 16 << 10; // bytes of a message's head
 const HEAD_TIME: Duration = Duration::from_secs(60); // for a whole head, idle time before it included
 const LATE_MOST: usize = 16; // connections beyond the budget that are still told to come back
+const FRESH: Duration = Duration::from_secs(1); // for a connection's first head before it may be given up
+const CLOSE_TIME: Duration = Duration::from_millis(50); // for a given-up connection to end of itself
 const BREATHE: Duration = Duration::from_millis(10); // before accepting again where no socket is to be had
 
 /// Where this proxy stands in its life.
@@ -34,6 +37,8 @@
     pub ready: Rc<Cell<bool>>,
     /// SIGTERM has come.
     pub stopping: Cell<bool>,
+    /// Used when no more connections come: idle ones are to end.
+    pub closing: Notify,
 }
 
 pub struct Front {
@@ -90,7 +95,7 @@
             let late = room.is_none();
             let place = room.unwrap_or_else(|| self.budget.place_anyhow(Part::Clients));
             spawn_local(self.clone().serve(stream, place, late));
-            while late && self.budget.over(Part::Clients) > LATE_MOST {
+            while self.budget.over(Part::Clients) > LATE_MOST {
                 sleep(BREATHE).await;
             }
         }
@@ -101,7 +106,6 @@
         // Answers are whole: no reason to wait for more.
         let _ = stream.set_nodelay(true);
         let line = Rc::new(Line::default());
-        self.offer(&line);
         let service = service_fn(|from: Request<Incoming>| {
             let (front, line) = (self.clone(), line.clone());
             async move {
@@ -119,11 +123,32 @@
             .max_buf_size(HEAD_MOST)
             .serve_connection(TokioIo::new(stream), service);
         let mut connection = pin!(connection);
+        // One that has brought no RPC is no spare at first: that may be on its way, or come already but not read.
+        let fresh = async {
+            sleep(FRESH).await;
+            if !line.busy.get() {
+                self.offer(&line);
+            }
+            pending().await
+        };
+        let closing = async {
+            self.life.closing.notified().await;
+            line.give_up();
+            pending().await
+        };
         let ended = select! {
             ended = connection.as_mut() => ended,
+            () = fresh => Ok(()),
+            () = closing => Ok(()),
             () = line.close.notified() => {
                 connection.as_mut().graceful_shutdown();
-                connection.await
+                // A head that never ends would keep it open: guards against given-up sockets that stay.
+                loop {
+                    match timeout(CLOSE_TIME, connection.as_mut()).await {
+                        Err(_) if line.busy.get() => {}
+                        ended => break ended.unwrap_or(Ok(())),
+                    }
+                }
             }
         };
         if let Err(fault) = ended {
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -83,7 +83,7 @@
     let end = Instant::now() + GO_ON + Duration::from_secs_f64(config.conf.longest_deadline);
     sleep(GO_ON).await;
     accepting.abort();
-    budget.close_idle(Part::Clients);
+    life.closing.notify_waiters();
     while budget.open(Part::Clients) > 0 && Instant::now() < end {
         sleep(LOOK).await;
     }
--- a/crates/daemon/src/sockets.rs
+++ b/crates/daemon/src/sockets.rs
@@ -105,12 +105,6 @@
     pub fn over(&self, part: Part) -> usize {
         self.open(part).saturating_sub(self.shelf(part).most)
     }
-
-    /// Gives up all that is idle.
-    pub fn close_idle(&self, part: Part) {
-        let spare = std::mem::take(&mut *self.shelf(part).spare.borrow_mut());
-        spare.iter().filter_map(Weak::upgrade).for_each(|spare| _ = spare.give_up());
-    }
 }
 
 impl Drop for Place {
--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -323,6 +323,31 @@
     assert_eq!(told(), Some((200, false)), "an idle connection makes room");
 }
 
+/// Clients that never end their heads hold no socket that others need.
+#[test]
+fn heads_without_end_are_given_up() {
+    let log = Log::new(vec![]);
+    let few = |config: &mut Value| config["limits"]["sockets"] = 60.into();
+    let daemon = Daemon::start_with(PROGRAM, &[("s-1", echo("b1", &log))], few);
+    let open = |_| {
+        let mut client = daemon.client();
+        client.send("GET /read HTTP/1.1\r\nRequest-");
+        client
+    };
+    let mut endless: Vec<_> = (0..10).map(open).collect();
+    let mut served = Vec::new();
+    let begun = std::time::Instant::now();
+    // The longest idle goes first: all of them before the later ones of these.
+    while served.len() < 30 {
+        let mut client = daemon.client();
+        if client.call(&rpc("GET", "/read", "id", "")).is_some_and(|answer| answer.status() == 200) {
+            served.push(client);
+        }
+        assert!(begun.elapsed() < PATIENCE, "heads without end hold on to their sockets");
+    }
+    assert!(endless.iter_mut().all(Client::is_closed));
+}
+
 #[test]
 fn bad_input_is_told_so_and_reaches_no_backend() {
     let log = Log::new(vec![]);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -319,7 +319,7 @@
     use std::net::{SocketAddr, TcpListener, TcpStream};
     use std::path::{Path, PathBuf};
     use std::process::{Child, Command, ExitStatus, Stdio};
-    use std::sync::atomic::{AtomicUsize, Ordering};
+    use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
     use std::sync::{Arc, Condvar, Mutex};
     use std::thread::{sleep, spawn};
     use std::time::{Duration, Instant};
@@ -544,12 +544,12 @@
         config["settings"]["ceilings"]["probes"] = false.into();
     }
 
-    /// An address nobody listens on, nor will: all others listen elsewhere in the loopback range.
+    /// An address nobody listens on, nor will: the others listen elsewhere in the loopback range. Its port is none
+    /// that the system deals out, or a client that comes too early might be connected to itself.
     pub fn free() -> SocketAddr {
-        static NEXT: AtomicUsize = AtomicUsize::new(1);
+        static NEXT: AtomicU8 = AtomicU8::new(1);
         let (process, number) = (std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
-        let ip = format!("127.{}.{}.{number}:0", 1 + (process >> 8) % 127, process % 256);
-        TcpListener::bind(ip).and_then(|l| l.local_addr()).expect("a free port")
+        SocketAddr::from(([127, 1 + (process >> 8) as u8 % 127, process as u8, number], 5000))
     }
 
     pub fn config(at: SocketAddr, list: SocketAddr, known: &[Value]) -> Value {
