One piece of code where the proxy and its tests had written things twice

Found in a read-through of the whole change; behaviour and the tests' assertions and bounds are as before. - sockets: the driver of a connection was polled by two copies of the same lines; `Driver` does it now.

--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -1,27 +1,27 @@
 //! One actor for each backend: its connections, and the picks and probes that go to it. A job owns its
 //! connection while it runs, and its `Ticket` tells the core how it ended, once, when it is dropped.
+use crate::config::until;
 use crate::core::ToCore;
-use crate::intake::Message;
+use crate::intake::{BODY_MOST, Message};
 use crate::sockets::{Budget, Conn, Fault, Part, Reply, Spare};
 use birchhub::types::{LoadReport, Outcome};
 use birchhub_settings::load_report;
 use bytes::Bytes;
 use hyper::HeaderMap;
-use hyper::header::{CONNECTION, HeaderValue};
+use hyper::header::CONNECTION;
 use std::cell::{Cell, RefCell};
 use std::future::{pending, poll_fn};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::Poll;
 use std::time::Duration;
 use tokio::select;
 use tokio::sync::mpsc::{self, OwnedPermit};
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio::time::{Instant, timeout_at};
 
 const MAILBOX: usize = 256; // jobs not yet begun; beyond, they end as never sent
-const BODY_MOST: usize = 64 << 10; // bytes of an answer's body, as the protocol has it
 const KEEP_PART: f64 = 0.6; // of the idle time after which the other side closes: never write to a closed one
 
 /// What the list says of a backend's sockets.
@@ -45,8 +45,11 @@
     Probe { backend: u32 },
 }
 
+/// How a pick or probe ended, the report that came along, and the answer's body.
+type End = (Outcome, Option<LoadReport>, Bytes);
+
 impl Errand {
-    pub fn end(self, outcome: Outcome, report: Option<LoadReport>, body: Bytes) -> ToCore {
+    pub fn end(self, (outcome, report, body): End) -> ToCore {
         match self {
             Self::Pick { rpc, pick } => ToCore::Ended { rpc, pick, outcome, report, body },
             Self::Probe { backend } => ToCore::Probed { backend, outcome, report },
@@ -60,7 +63,7 @@
     permit: Option<OwnedPermit<ToCore>>,
     /// A byte of it may be on its way.
     sent: Cell<bool>,
-    end: Option<(Outcome, Option<LoadReport>, Bytes)>,
+    end: Option<End>,
 }
 
 impl Ticket {
@@ -72,9 +75,9 @@
 impl Drop for Ticket {
     fn drop(&mut self) {
         let unfinished = if self.sent.get() { Outcome::Cancelled } else { Outcome::NeverSent };
-        let (outcome, report, body) = self.end.take().unwrap_or((unfinished, None, Bytes::new()));
+        let end = self.end.take().unwrap_or((unfinished, None, Bytes::new()));
         let Some(permit) = self.permit.take() else { return };
-        permit.send(self.errand.end(outcome, report, body));
+        permit.send(self.errand.end(end));
     }
 }
 
@@ -165,12 +168,7 @@
         select! {
             () = self.changed.notified() => {}
             () = watch => {}
-            () = async {
-                match oldest {
-                    Some(used) => sleep_until(used + keep).await,
-                    None => pending().await,
-                }
-            } => {}
+            () = until(oldest.map(|used| used + keep)) => {}
         }
     }
 
@@ -216,16 +214,11 @@
         }
     }
 
-    async fn exchange(
-        &self,
-        message: &Message,
-        until: Instant,
-        sent: &Cell<bool>,
-    ) -> (Outcome, Option<LoadReport>, Bytes) {
+    async fn exchange(&self, message: &Message, until: Instant, sent: &Cell<bool>) -> End {
         let nothing = |outcome| (outcome, None, Bytes::new());
         loop {
             let endpoint = self.facts.borrow().endpoint;
-            let kept = poll_fn(|cx| Poll::Ready(self.take(cx))).await;
+            let kept = self.take().await;
             let fresh = kept.is_none();
             let conn = match kept {
                 Some(conn) => Some(conn),
@@ -237,10 +230,8 @@
                 }
             };
             let Some(mut conn) = conn else { return nothing(Outcome::NoConnection) };
-            let host = HeaderValue::from_str(&endpoint.to_string());
-            let host = host.unwrap_or(HeaderValue::from_static("backend"));
             let left = until.saturating_duration_since(Instant::now());
-            match conn.exchange(message.encode(&host, left), BODY_MOST, sent).await {
+            match conn.exchange(message.encode(left), BODY_MOST, sent).await {
                 Ok(reply) => {
                     self.keep(conn, endpoint, &reply.headers).await;
                     return judge(reply, message.is_probe());
@@ -255,28 +246,27 @@
     }
 
     /// The latest used connection that is idle and alive.
-    fn take(&self, cx: &mut Context) -> Option<Conn> {
-        while let Some(kept) = self.kept.borrow_mut().pop() {
+    async fn take(&self) -> Option<Conn> {
+        loop {
+            let kept = self.kept.borrow_mut().pop()?;
             let conn = kept.0.borrow_mut().take();
             if let Some(mut conn) = conn
-                && conn.usable(cx)
+                && conn.usable().await
             {
                 return Some(conn);
             }
         }
-        None
     }
 
     /// Keeps a connection for the next job, unless it or its backend ends or the backend has moved meanwhile.
     async fn keep(&self, mut conn: Conn, endpoint: SocketAddr, headers: &HeaderMap) {
         let closes =
             headers.get(CONNECTION).is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
-        let alive = !closes && poll_fn(|cx| Poll::Ready(!conn.poll_closed(cx))).await;
+        let alive = !closes && conn.alive().await;
         let listed = self.facts.has_changed().is_ok();
         if alive && listed && *self.facts.borrow() == (Facts { endpoint, ready: true }) {
             let kept = Rc::new(Kept(RefCell::new(Some(conn))));
-            let spare: Rc<dyn Spare> = kept.clone();
-            self.budget.offer(Part::Backends, Rc::downgrade(&spare));
+            self.budget.offer(Part::Backends, &kept);
             self.kept.borrow_mut().push(kept);
             self.changed.notify_one();
         }
@@ -284,7 +274,7 @@
 }
 
 /// What an answer means, as the protocol has it.
-fn judge(reply: Reply, probe: bool) -> (Outcome, Option<LoadReport>, Bytes) {
+fn judge(reply: Reply, probe: bool) -> End {
     let header = reply.headers.get("server-load").and_then(|value| value.to_str().ok());
     // Only a probe's body is a report: an RPC's may look like one.
     let text = header.or(std::str::from_utf8(&reply.body).ok().filter(|_| probe));
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -2,9 +2,10 @@
 use crate::discovery::{self, News};
 use birchhub_settings::Conf;
 use serde_json::Value;
+use std::future::pending;
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep_until};
 
 const SOCKET_NEEDS: u64 = 168 << 10; // bytes at worst: a body each way, one encoded, and what is read ahead
 
@@ -49,6 +50,14 @@
     }
 }
 
+/// Waits until then; for ever without a time.
+pub async fn until(at: Option<Instant>) {
+    match at {
+        Some(at) => sleep_until(at).await,
+        None => pending().await,
+    }
+}
+
 /// A value from the file, or from the variable where the file has none.
 fn text(file: &Value, key: &str, variable: &str) -> Result<String, String> {
     let told = file.get(key).and_then(Value::as_str).map(str::to_owned);
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -2,21 +2,20 @@
 //! happened, and what it asks for leaves through `Door` without waiting.
 use crate::answer::Answer;
 use crate::backend::{Backend, Errand, Facts, Job, Limits, Stop, Ticket};
-use crate::config::{Clock, Config};
+use crate::config::{Clock, Config, until};
 use crate::discovery::News;
 use crate::intake::{Message, Received};
 use crate::sockets::Budget;
 use birchhub::policy::{Balancer, Rpc};
 use birchhub::types::{Arrival, Entry, Link, ListKind, LoadReport, Outcome, Readiness};
 use bytes::Bytes;
-use std::collections::HashMap;
-use std::future::pending;
+use std::collections::{HashMap, HashSet};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::select;
 use tokio::sync::{Notify, mpsc, oneshot};
-use tokio::time::{Instant, sleep_until};
+use tokio::time::Instant;
 
 pub const MAILBOX: usize = 8192; // messages: one kept free for the end of each RPC, pick and probe
 const MARGIN: Duration = Duration::from_millis(5); // of a client's wait, for this machine's own delays
@@ -172,33 +171,18 @@
                 self.call(|core| core.balancer.wake(&mut core.door));
                 continue;
             }
-            let alarm = async {
-                match wake {
-                    Some(at) => sleep_until(at).await,
-                    None => pending().await,
-                }
-            };
             select! {
                 biased;
                 message = mailbox.recv() => match message {
                     Some(message) => self.hear(message),
                     None => return,
                 },
-                () = alarm => {}
+                () = until(wake) => {}
             }
         }
     }
 
     fn hear(&mut self, message: ToCore) {
-        match &message {
-            ToCore::Take { id, rpc, .. } => log::trace!("RPC {id}: method {}, {:?}", rpc.method, rpc.waits),
-            ToCore::HungUp(id) => log::trace!("RPC {id}: hung up"),
-            ToCore::Ended { rpc, pick, outcome, .. } => log::trace!("RPC {rpc}: pick {pick} {outcome:?}"),
-            ToCore::Probed { backend, outcome, report } => {
-                log::trace!("probe of {backend}: {outcome:?} {report:?}");
-            }
-            ToCore::News(_) | ToCore::ListFailed => {}
-        }
         match message {
             ToCore::Take { id, rpc, answer } => self.take(id, *rpc, answer),
             ToCore::HungUp(id) => self.hung_up(id),
@@ -206,6 +190,7 @@
                 self.ended(rpc, pick, outcome, report, body)
             }
             ToCore::Probed { backend, outcome, report } => {
+                log::trace!("probe of {backend}: {outcome:?} {report:?}");
                 // A probe that this proxy did not get out says nothing of the backend.
                 let outcome = if outcome == Outcome::NeverSent { Outcome::TimedOut } else { outcome };
                 self.call(|core| core.balancer.probed(backend, outcome, report, &mut core.door));
@@ -214,7 +199,7 @@
             ToCore::ListFailed => self.call(|core| core.balancer.list_failed(&mut core.door)),
         }
         while let Some(errand) = self.door.unsent.pop() {
-            self.hear(errand.end(Outcome::NeverSent, None, Bytes::new()));
+            self.hear(errand.end((Outcome::NeverSent, None, Bytes::new())));
         }
     }
 
@@ -240,8 +225,8 @@
         });
     }
 
-    /// Withdraws what was not yet sent for an RPC that is over, also where the settings allow no cancelling, and
-    /// gives back what it held once all its picks have ended.
+    /// Withdraws what was not yet sent for an RPC that is over, also where the settings allow no cancelling,
+    /// and gives back what it held once all its picks have ended.
     fn let_go(&mut self, id: u64) {
         if let Some(held) = self.door.held.get_mut(&id).filter(|held| held.answer.is_none()) {
             held.picks.iter_mut().filter_map(Option::take).for_each(|stop| _ = stop.send(()));
@@ -253,6 +238,7 @@
     }
 
     fn take(&mut self, id: u64, rpc: Received, answer: oneshot::Sender<Answer>) {
+        log::trace!("RPC {id}: method {}, {:?}", rpc.method, rpc.waits);
         let deadline = rpc.at + rpc.waits.saturating_sub(MARGIN);
         let arrival = Arrival {
             id,
@@ -271,6 +257,7 @@
     }
 
     fn hung_up(&mut self, id: u64) {
+        log::trace!("RPC {id}: hung up");
         if !self.rpcs.contains_key(&id) {
             self.door.held.remove(&id); // One that the module lost when it panicked.
         }
@@ -281,6 +268,7 @@
     }
 
     fn ended(&mut self, id: u64, pick: usize, outcome: Outcome, report: Option<LoadReport>, body: Bytes) {
+        log::trace!("RPC {id}: pick {pick} {outcome:?}");
         self.on_rpc(id, |rpc, door| {
             if let Some(held) = door.held.get_mut(&id) {
                 held.picks[pick] = None;
@@ -295,7 +283,7 @@
 
     fn news(&mut self, news: &News) {
         if news.kind != ListKind::Changes {
-            let listed: Vec<_> =
+            let listed: HashSet<_> =
                 news.listed.iter().filter_map(|l| self.numbers.get(&l.uid)).copied().collect();
             self.door.backends.retain(|number, _| listed.contains(number));
         }
--- a/crates/daemon/src/discovery.rs
+++ b/crates/daemon/src/discovery.rs
@@ -5,25 +5,24 @@
 use birchhub::types::{ListKind, Readiness};
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::header::{HOST, HeaderValue};
 use hyper::{Request, StatusCode};
 use serde_json::Value;
 use std::cell::Cell;
-use std::future::{poll_fn, ready};
+use std::future::ready;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::task::Poll;
 use std::time::Duration;
 use tokio::select;
 use tokio::sync::{Notify, mpsc};
 use tokio::time::{Instant, sleep_until, timeout_at};
 
-// That a call may wait. While a link is silent, what it should have told counts as told 2 s after the wait, come or
-// not: a long one outlasts most cuts. Much longer, and a link that stays silent would leave the list old for too long.
+// That a call may wait. While a link is silent, what it should have told counts as told 2 s after the wait,
+// come or not: a long one outlasts most cuts. Much longer, and a link that stays silent would leave the list
+// old for too long.
 const HOLD: Duration = Duration::from_secs(20);
 const PATIENCE: Duration = Duration::from_secs(2); // beyond the hold, as above
 const FULL_PATIENCE: Duration = Duration::from_secs(6); // for the whole list; then it counts as told anyway
-const GAP: Duration = Duration::from_millis(20); // between calls at the least: one that never waits must not spin
+const GAP: Duration = Duration::from_millis(20); // between calls at least: one that never waits must not spin
 const BODY_MOST: usize = 4 << 20; // bytes of a list: some 20,000 lines
 
 /// One backend of the list.
@@ -96,14 +95,14 @@
 }
 
 impl Discovery {
-    /// Follows the list until the core is gone: a watch runs until a call fails, and the next begins when the
-    /// module asks for it.
+    /// Follows the list until the core is gone: a watch runs until a call fails, and the next begins when
+    /// the module asks for it.
     pub async fn run(mut self) {
         loop {
             self.wanted.notified().await;
             let fault = self.watch().await;
             log::warn!("list call failed: {fault}");
-            // What was asked for while the watch ran is done with: guards against a call with no pause before.
+            // What was asked for while the watch ran is done with: guards against calls without a pause.
             select! {
                 biased;
                 () = self.wanted.notified() => {}
@@ -144,7 +143,7 @@
     async fn call(&self, kept: &mut Option<Conn>, path: &str, until: Instant) -> Result<News, String> {
         let usable = match kept {
             None => false,
-            Some(conn) => poll_fn(|cx| Poll::Ready(conn.usable(cx))).await,
+            Some(conn) => conn.usable().await,
         };
         if !usable {
             *kept = None;
@@ -154,8 +153,6 @@
         let conn = kept.as_mut().ok_or("no connection")?;
         let mut message = Request::new(Full::<Bytes>::default());
         *message.uri_mut() = path.parse().map_err(|_| "the call has no path")?;
-        let host = HeaderValue::from_str(&self.at.to_string()).map_err(|_| "the call has no host")?;
-        message.headers_mut().insert(HOST, host);
         let reply = conn.exchange(message, BODY_MOST, &Cell::new(false)).await;
         let reply = reply.map_err(|fault| format!("the connection failed: {fault:?}"))?;
         if reply.status != StatusCode::OK {
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -113,7 +113,7 @@
                 let answer =
                     if late { Answer::PushedBack { come_back: 0.0 } } else { front.answer(from).await };
                 line.busy.set(false);
-                front.offer(&line);
+                front.budget.offer(Part::Clients, &line);
                 Ok::<Response<Full<Bytes>>, Infallible>(answer.encode(late || front.life.stopping.get()))
             }
         });
@@ -123,11 +123,11 @@
             .max_buf_size(HEAD_MOST)
             .serve_connection(TokioIo::new(stream), service);
         let mut connection = pin!(connection);
-        // One that has brought no RPC is no spare at first: that may be on its way, or come already but not read.
+        // One that has brought no RPC is no spare at first: that may be on its way, or have come unread.
         let fresh = async {
             sleep(FRESH).await;
             if !line.busy.get() {
-                self.offer(&line);
+                self.budget.offer(Part::Clients, &line);
             }
             pending().await
         };
@@ -157,11 +157,6 @@
         drop(place);
     }
 
-    fn offer(&self, line: &Rc<Line>) {
-        let spare: Rc<dyn Spare> = line.clone();
-        self.budget.offer(Part::Clients, Rc::downgrade(&spare));
-    }
-
     async fn answer(&self, from: Request<Incoming>) -> Answer {
         if from.method() == Method::GET && from.uri().path() == "/health/ready" {
             return Answer::Health(self.life.ready.get() && !self.life.stopping.get());
--- a/crates/daemon/src/intake.rs
+++ b/crates/daemon/src/intake.rs
@@ -11,13 +11,13 @@
 use std::time::Duration;
 use tokio::time::{Instant, timeout};
 
-const BODY_MOST: usize = 64 << 10; // bytes, as the protocol has it
+pub const BODY_MOST: usize = 64 << 10; // bytes of an RPC or its answer, as the protocol has it
 const BODY_TIME: Duration = Duration::from_secs(4); // for a whole body; longer than any client waits
 const ID_MOST: usize = 128; // bytes of an RPC's id: no honest one comes near
 
-pub const RPC_ID: HeaderName = HeaderName::from_static("request-id");
-pub const TIME_OUT: HeaderName = HeaderName::from_static("request-timeout-ms");
-pub const REPEAT_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+const RPC_ID: HeaderName = HeaderName::from_static("request-id");
+const TIME_OUT: HeaderName = HeaderName::from_static("request-timeout-ms");
+const REPEAT_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 const TENANT: HeaderName = HeaderName::from_static("tenant");
 const CLIENT_REPEAT: HeaderName = HeaderName::from_static("client-retry");
 const FIGURES: HeaderName = HeaderName::from_static("request-info");
@@ -56,12 +56,11 @@
     }
 
     /// The message to a backend that is waited for this long.
-    pub fn encode(&self, host: &HeaderValue, waits: Duration) -> Request<Full<Bytes>> {
+    pub fn encode(&self, waits: Duration) -> Request<Full<Bytes>> {
         let mut message = Request::new(Full::new(self.body.clone()));
         *message.method_mut() = self.verb.clone();
         *message.uri_mut() = self.uri.clone();
         let headers = message.headers_mut();
-        headers.insert(hyper::header::HOST, host.clone());
         if let Some(id) = &self.id {
             headers.insert(RPC_ID, id.clone());
             headers.insert(TIME_OUT, HeaderValue::from(waits.as_millis().max(1) as u64));
--- a/crates/daemon/src/sockets.rs
+++ b/crates/daemon/src/sockets.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::{HOST, HeaderValue};
 use hyper::{HeaderMap, Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
@@ -91,7 +92,8 @@
     }
 
     /// Notes something that may be given up for a new socket.
-    pub fn offer(&self, part: Part, spare: Weak<dyn Spare>) {
+    pub fn offer<S: Spare + 'static>(&self, part: Part, spare: &Rc<S>) {
+        let spare: Weak<dyn Spare> = Rc::<S>::downgrade(spare);
         let mut all = self.shelf(part).spare.borrow_mut();
         all.retain(|s| s.strong_count() > 0 && !s.ptr_eq(&spare));
         all.push_back(spare);
@@ -160,55 +162,72 @@
     pub body: Bytes,
 }
 
-type Driver = http1::Connection<TokioIo<Counted>, Full<Bytes>>;
+type Exchanges = http1::Connection<TokioIo<Counted>, Full<Bytes>>;
+
+/// What moves a connection's bytes; none once that has ended, and the socket with it.
+struct Driver(Option<Pin<Box<Exchanges>>>);
+
+impl Driver {
+    /// Moves bytes; true once the connection is of no more use.
+    fn poll_ended(&mut self, cx: &mut Context) -> bool {
+        if self.0.as_mut().is_some_and(|connection| connection.as_mut().poll(cx).is_ready()) {
+            self.0 = None;
+        }
+        self.0.is_none()
+    }
+}
 
 /// A connection opened by this proxy. Its owner drives it; there is no task behind it that could keep the
 /// socket open or send something again.
 pub struct Conn {
     sender: SendRequest<Full<Bytes>>,
-    driver: Option<Pin<Box<Driver>>>,
+    driver: Driver,
     written: Rc<Cell<u64>>,
+    host: HeaderValue, // where it goes to
     pub used: Instant,
     _place: Place,
 }
 
 impl Conn {
     pub async fn open(to: SocketAddr, place: Place, until: Instant) -> Option<Self> {
+        let host = HeaderValue::from_str(&to.to_string()).ok()?;
         let stream = timeout_at(until, TcpStream::connect(to)).await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
         let written = Rc::<Cell<u64>>::default();
         let io = TokioIo::new(Counted { stream, written: written.clone() });
         let (sender, driver) = http1::Builder::new().max_buf_size(READ_MOST).handshake(io).await.ok()?;
-        let driver = Some(Box::pin(driver));
-        Some(Self { sender, driver, written, used: Instant::now(), _place: place })
+        let driver = Driver(Some(Box::pin(driver)));
+        Some(Self { sender, driver, written, host, used: Instant::now(), _place: place })
     }
 
     /// Moves bytes; true once the connection is of no more use.
     pub fn poll_closed(&mut self, cx: &mut Context) -> bool {
-        if self.driver.as_mut().is_some_and(|driver| driver.as_mut().poll(cx).is_ready()) {
-            self.driver = None;
-        }
-        self.driver.is_none()
+        self.driver.poll_ended(cx)
+    }
+
+    /// Whether it is still open, by what has come so far.
+    pub async fn alive(&mut self) -> bool {
+        poll_fn(|cx| Poll::Ready(!self.poll_closed(cx))).await
     }
 
     /// Whether another exchange may begin now.
-    pub fn usable(&mut self, cx: &mut Context) -> bool {
-        !self.poll_closed(cx) && self.sender.is_ready()
+    pub async fn usable(&mut self) -> bool {
+        self.alive().await && self.sender.is_ready()
     }
 
-    /// Sends one message and reads the whole answer, whose body may hold `most` bytes. `sent` is set as soon as a byte may be on its way.
+    /// Sends one message and reads the whole answer, whose body may hold `most` bytes. `sent` is set as soon
+    /// as a byte may be on its way.
     pub async fn exchange(
         &mut self,
-        message: Request<Full<Bytes>>,
+        mut message: Request<Full<Bytes>>,
         most: usize,
         sent: &Cell<bool>,
     ) -> Result<Reply, Fault> {
+        message.headers_mut().insert(HOST, self.host.clone());
         let before = self.written.get();
         let Self { sender, driver, written, .. } = self;
         let mut drive = |cx: &mut Context| {
-            if driver.as_mut().is_some_and(|driver| driver.as_mut().poll(cx).is_ready()) {
-                *driver = None;
-            }
+            driver.poll_ended(cx);
             sent.set(sent.get() || written.get() != before);
         };
         let mut answer = pin!(sender.try_send_request(message));
--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -2,7 +2,8 @@
 #[path = "../../../tests/common/mod.rs"]
 mod common;
 use common::sockets::{
-    Act, Client, Daemon, Log, PATIENCE, Shared, backend, blind, config, echo, free, line, reply, rpc,
+    Act, Client, Daemon, HEALTH, Log, PATIENCE, Shared, backend, blind, config, echo, eventually, free, line,
+    reply, rpc,
 };
 use serde_json::Value;
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -93,14 +94,12 @@
     let daemon = Daemon::start_with(PROGRAM, &[("s-1", at)], blind);
     daemon.list.tell_heard(&[line("s-1", at, "Ready")]);
     let mut client = daemon.client();
-    assert_eq!(client.call("GET /health/ready HTTP/1.1\r\n\r\n").unwrap().status(), 200);
+    assert_eq!(client.call(HEALTH).unwrap().status(), 200);
     let before = daemon.descriptors();
     for n in 0..5 {
         assert_eq!(client.call(&rpc("POST", "/book", &format!("n{n}"), "")).unwrap().status(), 200);
-        let begun = std::time::Instant::now();
-        while daemon.descriptors() > before {
-            assert!(begun.elapsed() < Duration::from_secs(5), "the closed connection is still held");
-        }
+        let given_back = || daemon.descriptors() <= before;
+        eventually(Duration::from_secs(5), "the closed connection is still held", given_back);
     }
 }
 
@@ -144,7 +143,7 @@
     let message = rpc("POST", "/book", "slow", "").replace("3000", "400");
     assert_eq!(client.call(&message).unwrap().status(), 502);
     log.await_event("b1 closed slow");
-    assert_eq!(client.call("GET /health/ready HTTP/1.1\r\n\r\n").unwrap().status(), 200, "the client stays");
+    assert_eq!(client.call(HEALTH).unwrap().status(), 200, "the client stays");
 }
 
 #[test]
@@ -190,7 +189,7 @@
     daemon.list.tell_heard(&[line("s-1", good, "Terminating"), line("s-2", silent.2, "Ready")]);
     let mut client = daemon.client();
     client.send(&rpc("POST", "/book", "waits", "").replace("3000", "60000"));
-    std::thread::sleep(Duration::from_millis(300)); // the pick is on its way; if not, the RPC goes the easy way
+    std::thread::sleep(Duration::from_millis(300)); // the pick is on its way, or the RPC goes the easy way
     assert_eq!(log.count("waits"), 0, "the draining backend gets nothing new");
     daemon.list.tell(&[line("s-1", good, "Ready"), line("s-2", silent.2, "Terminating")]);
     assert_eq!(client.answer().unwrap().text(), "b1:");
@@ -247,7 +246,7 @@
     let message = rpc("POST", "/book", "half", "body");
     half.send(&message[..message.len() - 2]);
     // A connection answered later than the other two were opened: the half RPC is known by then.
-    assert_eq!(daemon.client().call("GET /health/ready HTTP/1.1\r\n\r\n").unwrap().status(), 200);
+    assert_eq!(daemon.client().call(HEALTH).unwrap().status(), 200);
     daemon.terminate();
     daemon.await_ready(503); // on a new connection
     half.send(&message[message.len() - 2..]);
@@ -274,10 +273,7 @@
     assert_eq!(ask("garbage"), "b1:");
     let odd = [serde_json::json!({"uid": "s-9", "state": "Dreaming"}), serde_json::json!({"state": "Ready"})];
     daemon.list.tell(&[&odd[..], &[line("s-2", new, "Ready")]].concat());
-    let begun = std::time::Instant::now();
-    while ask("back") != "b2:" {
-        assert!(begun.elapsed() < PATIENCE, "the list came back unseen");
-    }
+    eventually(PATIENCE, "the list came back unseen", || ask("back") == "b2:");
 }
 
 /// A list service that never waits must not keep the proxy busy.
@@ -314,10 +310,7 @@
             .call(&rpc("GET", "/read", "late", ""))
             .map(|a| (a.status(), a.header("connection") == "close"))
     };
-    let begun = std::time::Instant::now();
-    while told() != Some((503, true)) {
-        assert!(begun.elapsed() < Duration::from_secs(3), "no word of the spent budget");
-    }
+    eventually(Duration::from_secs(3), "no word of the spent budget", || told() == Some((503, true)));
     clients.iter_mut().for_each(|client| client.send(rest));
     assert!(clients.iter_mut().all(|client| client.answer().is_some_and(|a| a.status() == 200)));
     assert_eq!(told(), Some((200, false)), "an idle connection makes room");
@@ -336,15 +329,14 @@
     };
     let mut endless: Vec<_> = (0..10).map(open).collect();
     let mut served = Vec::new();
-    let begun = std::time::Instant::now();
     // The longest idle goes first: all of them before the later ones of these.
-    while served.len() < 30 {
+    eventually(PATIENCE, "heads without end hold on to their sockets", || {
         let mut client = daemon.client();
         if client.call(&rpc("GET", "/read", "id", "")).is_some_and(|answer| answer.status() == 200) {
             served.push(client);
         }
-        assert!(begun.elapsed() < PATIENCE, "heads without end hold on to their sockets");
-    }
+        served.len() >= 30
+    });
     assert!(endless.iter_mut().all(Client::is_closed));
 }
 
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,5 +1,5 @@
-//! The settings object that a proxy is handed at start, read into the module's settings, the names that end at
-//! the door and the limits on connections.
+//! The settings object that a proxy is handed at start, read into the module's settings, the names that end
+//! at the door and the limits on connections.
 use birchhub::types::{Effect, Group, LoadReport, MethodSettings, Reports, Settings, TenantSettings};
 use serde_json::Value;
 
@@ -96,7 +96,8 @@
     let conf = At { value, path: String::new() };
     let ceilings = conf.get("ceilings")?;
     let contract = conf.get("contract")?;
-    let methods: Vec<_> = conf.get("methods")?.items()?.iter().map(method).collect::<Result<_, _>>()?;
+    let listed = conf.get("methods")?.items()?;
+    let methods: Vec<_> = listed.iter().map(method).collect::<Result<_, _>>()?;
     let mut tenants = Vec::new();
     let mut quotas = Vec::new();
     for account in conf.opt("accounts").map_or(Ok(Vec::new()), |at| at.items())? {
@@ -144,8 +145,7 @@
         fall_window: contract.get("tip-after-ns")?.seconds()?,
     };
     let sized = matches!(weight_source, "nominal" | "rough");
-    let ends = conf.get("methods")?.items()?;
-    let ends: Vec<f64> = ends.iter().map(|m| m.num_or("hard-limit-ns", 0.0)).collect::<Result<_, _>>()?;
+    let ends: Vec<f64> = listed.iter().map(|m| m.num_or("hard-limit-ns", 0.0)).collect::<Result<_, _>>()?;
     Ok(Conf {
         settings,
         methods: methods.into_iter().map(|(name, _)| name).collect(),
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -353,6 +353,16 @@
         }
     }
 
+    /// Tries until it is so; a complaint if it never was.
+    pub fn eventually(longest: Duration, complaint: &str, mut so: impl FnMut() -> bool) {
+        let begun = Instant::now();
+        while !so() {
+            assert!(begun.elapsed() < longest, "{complaint}");
+        }
+    }
+
+    pub const HEALTH: &str = "GET /health/ready HTTP/1.1\r\n\r\n";
+
     /// What was seen, in order, by all stand-ins of a test.
     pub type Log = Shared<Vec<String>>;
 
@@ -544,8 +554,8 @@
         config["settings"]["ceilings"]["probes"] = false.into();
     }
 
-    /// An address nobody listens on, nor will: the others listen elsewhere in the loopback range. Its port is none
-    /// that the system deals out, or a client that comes too early might be connected to itself.
+    /// An address nobody listens on, nor will: the others listen elsewhere in the loopback range. Its port is
+    /// none that the system deals out, or a client that comes too early might be connected to itself.
     pub fn free() -> SocketAddr {
         static NEXT: AtomicU8 = AtomicU8::new(1);
         let (process, number) = (std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
@@ -609,13 +619,11 @@
 
         /// Waits until `/health/ready` answers this.
         pub fn await_ready(&self, status: u16) {
-            let begun = Instant::now();
-            let health = "GET /health/ready HTTP/1.1\r\n\r\n";
-            let is = || Some(Client::open(self.at)?.call(health)?.status());
-            while is() != Some(status) {
-                assert!(begun.elapsed() < PATIENCE, "never {status}");
+            let is = || Some(Client::open(self.at)?.call(HEALTH)?.status());
+            eventually(PATIENCE, &format!("never {status}"), || {
                 sleep(Duration::from_millis(2));
-            }
+                is() == Some(status)
+            });
         }
 
         pub fn client(&self) -> Client {
