SIGHUP follows the list at the new discovery address instead of ending the proxy

Checked: the log ends with no closing line and no panic, so it is the signal's default act and not a fault of the program. Lines at fault: main::run caught SIGTERM only; Discovery::at and ::version were fixed at the start.

main reads LB_CONFIG again on each SIGHUP and sends the address to discovery, whose running call ends at once; the whole list comes first there, as a version of one service means nothing at another. A faulty file: one warning, nothing changes.

The test fails without the handler, and with the version kept.

--- a/crates/daemon/src/discovery.rs
+++ b/crates/daemon/src/discovery.rs
@@ -13,7 +13,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::select;
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 // That a call may wait. While a link is silent, what it should have told counts as told 2 s after the wait,
@@ -84,7 +84,8 @@
 }
 
 pub struct Discovery {
-    pub at: SocketAddr,
+    /// Where the list service is; it may move.
+    pub at: watch::Receiver<SocketAddr>,
     pub budget: Rc<Budget>,
     pub core: mpsc::Sender<ToCore>,
     /// The module asks to be told of changes.
@@ -96,11 +97,28 @@
 
 impl Discovery {
     /// Follows the list until the core is gone: a watch runs until a call fails, and the next begins when
-    /// the module asks for it.
+    /// the module asks for it, or at once when discovery has moved.
     pub async fn run(mut self) {
+        let mut moves = self.at.clone();
+        let mut moved = false;
         loop {
-            self.wanted.notified().await;
-            let fault = self.watch().await;
+            // A version of one service means nothing at another: the whole list comes first there.
+            if !moved {
+                select! {
+                    () = self.wanted.notified() => {}
+                    Ok(()) = moves.changed() => self.version = None,
+                }
+            }
+            let fault = select! {
+                biased;
+                Ok(()) = moves.changed() => None,
+                fault = self.watch() => Some(fault),
+            };
+            moved = fault.is_none();
+            let Some(fault) = fault else {
+                self.version = None;
+                continue;
+            };
             log::warn!("list call failed: {fault}");
             // What was asked for while the watch ran is done with: guards against calls without a pause.
             select! {
@@ -148,7 +166,8 @@
         if !usable {
             *kept = None;
             let place = self.budget.place_anyhow(Part::Backends);
-            *kept = Conn::open(self.at, place, until).await;
+            let at = *self.at.borrow();
+            *kept = Conn::open(at, place, until).await;
         }
         let conn = kept.as_mut().ok_or("no connection")?;
         let mut message = Request::new(Full::<Bytes>::default());
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,4 +1,5 @@
-//! birchhubd: birchhub as a proxy on sockets. Starts the actors, and ends them on SIGTERM.
+//! birchhubd: birchhub as a proxy on sockets. Starts the actors, has them follow a new
+//! configuration on SIGHUP, and ends them on SIGTERM.
 mod answer;
 mod backend;
 mod config;
@@ -15,12 +16,13 @@
 use front::{Front, Life};
 use intake::Intake;
 use sockets::{Budget, Part};
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
-use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{Notify, mpsc};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep};
 
@@ -51,8 +53,22 @@
     socket.listen(BACKLOG)
 }
 
+/// Takes over from the configuration, on each SIGHUP, where discovery is. A fault leaves all as it was.
+async fn reload(mut hup: Signal, discovery: watch::Sender<SocketAddr>) {
+    while hup.recv().await.is_some() {
+        match config::load() {
+            Ok(config) => {
+                log::info!("SIGHUP: discovery is at {}", config.discovery);
+                discovery.send_if_modified(|at| std::mem::replace(at, config.discovery) != config.discovery);
+            }
+            Err(fault) => log::warn!("SIGHUP: the configuration stays as it was: {fault}"),
+        }
+    }
+}
+
 async fn run(config: Config) -> Result<(), String> {
-    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
+    let catch = |kind| signal(kind).map_err(|e| format!("no signals: {e}"));
+    let (mut term, hup) = (catch(SignalKind::terminate())?, catch(SignalKind::hangup())?);
     let listener =
         listen(&config).map_err(|e| format!("LB_LISTEN cannot be bound: {}: {e}", config.listen))?;
     logger::start();
@@ -63,8 +79,10 @@
     spawn_local(core.run(mailbox));
     // A list as last had is enough to decide by; without one the first answer is waited for.
     life.ready.set(config.known.as_ref().is_some_and(|known| !known.listed.is_empty()));
+    let (moves, at) = watch::channel(config.discovery);
+    spawn_local(reload(hup, moves));
     let discovery = Discovery {
-        at: config.discovery,
+        at,
         budget: budget.clone(),
         core: sender.clone(),
         wanted,
--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -2,8 +2,8 @@
 #[path = "../../../tests/common/mod.rs"]
 mod common;
 use common::sockets::{
-    Act, Client, Daemon, HEALTH, Log, PATIENCE, Shared, backend, blind, config, echo, eventually, free, line,
-    reply, rpc,
+    Act, Client, Daemon, HEALTH, List, Log, PATIENCE, Shared, backend, blind, config, echo, eventually, free,
+    line, reply, rpc,
 };
 use serde_json::Value;
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -247,7 +247,7 @@
     half.send(&message[..message.len() - 2]);
     // A connection answered later than the other two were opened: the half RPC is known by then.
     assert_eq!(daemon.client().call(HEALTH).unwrap().status(), 200);
-    daemon.terminate();
+    daemon.signal("TERM");
     daemon.await_ready(503); // on a new connection
     half.send(&message[message.len() - 2..]);
     let answer = half.answer().expect("an answer");
@@ -259,6 +259,47 @@
     assert!(daemon.await_end().success());
 }
 
+/// SIGHUP: the list is followed elsewhere, from its beginning, and nothing that is under way is lost.
+#[test]
+fn sighup_moves_to_another_discovery() {
+    let log = Log::new(vec![]);
+    let gate = Shared::new(false);
+    let open = gate.clone();
+    let old = backend("b1", &log, move |_| {
+        open.wait(PATIENCE, |open| *open);
+        Act::Write(reply("200 OK", "old"))
+    });
+    let mut daemon = Daemon::start(PROGRAM, &[("s-1", old)]);
+    let mut held = daemon.client();
+    held.send(&rpc("POST", "/book", "held", ""));
+    log.await_event("b1 got POST /book HTTP/1.1 held");
+    let mut client = daemon.client();
+    let mut ask = |n: &str| client.call(&rpc("GET", "/read", n, "")).unwrap().text();
+    // Each service has come to the version at which the one before was: only a call for all is answered.
+    let mut now = line("s-1", old, "Ready");
+    for name in ["b2", "b3"] {
+        let version = daemon.list.tell_heard(std::slice::from_ref(&now));
+        let next = List::start();
+        (1..version).for_each(|_| next.tell(&[]));
+        now = line("s-2", echo(name, &log), "Ready");
+        next.tell(std::slice::from_ref(&now));
+        daemon.reload(&config(daemon.at, next.at, &[]).to_string());
+        eventually(PATIENCE, "the new list was never heard", || ask(name) == format!("{name}:"));
+        daemon.list.tell(&[line("s-1", old, "Ready")]); // nobody listens there any more
+        daemon.list = next;
+    }
+    for text in ["", "{\"listen\":", "{}"] {
+        daemon.reload(text);
+        assert_eq!(ask("kept"), "b3:");
+    }
+    gate.change(|open| *open = true);
+    assert_eq!(held.answer().expect("an answer").text(), "old");
+    daemon.signal("TERM");
+    daemon.await_ready(503);
+    daemon.reload("{}");
+    assert!(daemon.await_end().success());
+}
+
 #[test]
 fn discovery_down_and_back() {
     let log = Log::new(vec![]);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -526,10 +526,11 @@
             });
         }
         /// Tells it, and waits until the proxy has it and asks for what comes next.
-        pub fn tell_heard(&self, lines: &[Value]) {
+        pub fn tell_heard(&self, lines: &[Value]) -> u64 {
             self.tell(lines);
             let version = self.state.change(|(version, _)| *version);
             assert!(self.asked.wait(PATIENCE, |asked| *asked == version), "the list was never heard");
+            version
         }
         /// Answers with this, or with nothing, and waits until a call has met it.
         pub fn tell_text(&self, text: Option<&str>) {
@@ -643,11 +644,17 @@
             std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("its descriptors").count()
         }
 
-        pub fn terminate(&self) {
-            let kill = format!("kill -TERM {}", self.child.id());
+        pub fn signal(&self, name: &str) {
+            let kill = format!("kill -{name} {}", self.child.id());
             assert!(Command::new("sh").args(["-c", &kill]).status().expect("a shell").success());
         }
 
+        /// Replaces its configuration and tells it so.
+        pub fn reload(&self, text: &str) {
+            std::fs::write(self.folder.join("config.json"), text).expect("a file");
+            self.signal("HUP");
+        }
+
         pub fn await_end(&mut self) -> ExitStatus {
             self.child.wait().expect("the end of birchhubd")
         }
