--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -18,11 +18,13 @@
 use tokio::select;
 use tokio::sync::mpsc::{self, OwnedPermit};
 use tokio::sync::{Notify, oneshot, watch};
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, yield_now};
 use tokio::time::{Instant, timeout_at};
 
 const MAILBOX: usize = 256; // jobs not yet begun; beyond, they end as never sent
 const KEEP_PART: f64 = 0.6; // of the idle time after which the other side closes: never write to a closed one
+// For a connection after an answer: what comes behind that in this time would answer the next.
+const QUIET: Duration = Duration::from_millis(5);
 
 /// What the list says of a backend's sockets.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -245,10 +247,15 @@
         }
     }
 
-    /// The latest used connection that is idle and alive.
+    /// The latest used connection that is idle, alive and has been quiet since its answer.
     async fn take(&self) -> Option<Conn> {
+        // What has come is to be seen first. Guards against bytes behind an answer that answer the next RPC.
+        yield_now().await;
         loop {
-            let kept = self.kept.borrow_mut().pop()?;
+            let now = Instant::now();
+            let quiet = |k: &Rc<Kept>| k.0.borrow().as_ref().is_none_or(|c| c.used + QUIET <= now);
+            let place = self.kept.borrow().iter().rposition(quiet)?;
+            let kept = self.kept.borrow_mut().remove(place);
             let conn = kept.0.borrow_mut().take();
             if let Some(mut conn) = conn
                 && conn.usable().await
--- a/crates/daemon/src/intake.rs
+++ b/crates/daemon/src/intake.rs
@@ -4,15 +4,15 @@
 use birchhub_settings::Conf;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Body;
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_LENGTH, HeaderName, HeaderValue};
+use hyper::header::{CONTENT_LENGTH, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
 use std::collections::HashMap;
 use std::time::Duration;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, timeout_at};
 
 pub const BODY_MOST: usize = 64 << 10; // bytes of an RPC or its answer, as the protocol has it
-const BODY_TIME: Duration = Duration::from_secs(4); // for a whole body; longer than any client waits
 const ID_MOST: usize = 128; // bytes of an RPC's id: no honest one comes near
 
 const RPC_ID: HeaderName = HeaderName::from_static("request-id");
@@ -51,6 +51,10 @@
         Self { verb: Method::GET, uri, id: None, key: None, body: Bytes::new() }
     }
 
+    pub fn id(&self) -> HeaderValue {
+        self.id.clone().expect("only a probe has no id")
+    }
+
     pub fn is_probe(&self) -> bool {
         self.id.is_none()
     }
@@ -100,9 +104,14 @@
         Self { methods, tenants }
     }
 
-    /// The RPC in a client's message, or what it is told instead.
-    pub async fn read(&self, from: Request<Incoming>) -> Result<Received, Answer> {
+    /// The RPC in a client's message, which is to be whole by then, or what it is told instead.
+    pub async fn read(&self, from: Request<Incoming>, due: Instant) -> Result<Received, Answer> {
         let (head, body) = from.into_parts();
+        // hyper drops a Content-Length beside it, before or behind, and goes by the other. Guards against RPCs
+        // hidden in the body of what others take for one message; no client needs it for 64 KiB.
+        if head.headers.contains_key(TRANSFER_ENCODING) {
+            return Err(Answer::Refused(StatusCode::LENGTH_REQUIRED, "Transfer-Encoding is not taken\n"));
+        }
         let name = head.uri.path().split('/').nth(1).unwrap_or_default();
         let known = self.methods.get(name).copied();
         let (method, effect) = known.ok_or(Answer::Refused(StatusCode::NOT_FOUND, "no such method\n"))?;
@@ -111,7 +120,10 @@
             (1..=ID_MOST).contains(&id.len()) && id.as_bytes().iter().all(u8::is_ascii_graphic)
         };
         let id = id.filter(|id| fits(id)).ok_or(bad("Request-Id is missing or malformed\n"))?;
-        let waits = one(&head.headers, &TIME_OUT)?.and_then(|ms| ms.to_str().ok()?.parse::<u32>().ok());
+        let waits = one(&head.headers, &TIME_OUT)?.and_then(|ms| {
+            let digits = ms.to_str().ok()?;
+            digits.bytes().all(|b| b.is_ascii_digit()).then(|| digits.parse::<u32>().ok())?
+        });
         let waits = waits.filter(|ms| *ms > 0).ok_or(bad("Request-Timeout-Ms is missing or malformed\n"))?;
         let key = one(&head.headers, &REPEAT_KEY)?.filter(|key| !key.is_empty());
         let verb = if effect == Effect::Idempotent { Method::GET } else { Method::POST };
@@ -121,10 +133,17 @@
         if matches!(effect, Effect::Deduplicated { .. }) && key.is_none() {
             return Err(bad("no Idempotency-Key\n"));
         }
-        let body = match timeout(BODY_TIME, Limited::new(body, BODY_MOST).collect()).await {
+        let oversized = Answer::Refused(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB\n");
+        if body.size_hint().lower() > BODY_MOST as u64 {
+            return Err(oversized);
+        }
+        if verb == Method::GET && !body.is_end_stream() {
+            return Err(bad("a GET has no body\n"));
+        }
+        let body = match timeout_at(due, Limited::new(body, BODY_MOST).collect()).await {
             Err(_) => return Err(Answer::Refused(StatusCode::REQUEST_TIMEOUT, "the body did not end\n")),
             Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
-                return Err(Answer::Refused(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB\n"));
+                return Err(oversized);
             }
             Ok(Err(_)) => return Err(bad("the body is malformed\n")),
             Ok(Ok(body)) => body.to_bytes(),
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -91,7 +91,9 @@
     };
     spawn_local(discovery.run());
     let intake = Intake::new(&config.conf);
-    let front = Front { intake, life: life.clone(), budget: budget.clone(), core: sender, next: 0.into() };
+    let open = Default::default();
+    let front =
+        Front { intake, life: life.clone(), budget: budget.clone(), core: sender, next: 0.into(), open };
     let accepting = spawn_local(Rc::new(front).run(listener));
     log::info!("{} listens on {}", config.name, config.listen);
     term.recv().await;
--- a/crates/daemon/src/sockets.rs
+++ b/crates/daemon/src/sockets.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{HOST, HeaderValue};
+use hyper::header::{CONTENT_LENGTH, HOST, HeaderValue, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
@@ -117,23 +117,40 @@
     }
 }
 
-/// A stream that counts what the machine has taken over to send.
-struct Counted {
-    stream: TcpStream,
-    written: Rc<Cell<u64>>,
+/// Who is told what moves on a stream.
+pub trait Witness: Unpin {
+    fn read(&self) {}
+    /// So many bytes were taken over by the machine to send.
+    fn wrote(&self, _bytes: u64) {}
 }
 
-impl AsyncRead for Counted {
+impl Witness for Rc<Cell<u64>> {
+    fn wrote(&self, bytes: u64) {
+        self.update(|written| written + bytes);
+    }
+}
+
+pub struct Watched<W> {
+    pub stream: TcpStream,
+    pub by: W,
+}
+
+impl<W: Witness> AsyncRead for Watched<W> {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let before = buf.filled().len();
+        let done = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if buf.filled().len() > before {
+            self.by.read();
+        }
+        done
     }
 }
 
-impl AsyncWrite for Counted {
+impl<W: Witness> AsyncWrite for Watched<W> {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<std::io::Result<usize>> {
         let done = Pin::new(&mut self.stream).poll_write(cx, buf);
         if let Poll::Ready(Ok(bytes)) = done {
-            self.written.update(|written| written + bytes as u64);
+            self.by.wrote(bytes as u64);
         }
         done
     }
@@ -162,7 +179,7 @@
     pub body: Bytes,
 }
 
-type Exchanges = http1::Connection<TokioIo<Counted>, Full<Bytes>>;
+type Exchanges = http1::Connection<TokioIo<Watched<Rc<Cell<u64>>>>, Full<Bytes>>;
 
 /// What moves a connection's bytes; none once that has ended, and the socket with it.
 struct Driver(Option<Pin<Box<Exchanges>>>);
@@ -194,7 +211,7 @@
         let stream = timeout_at(until, TcpStream::connect(to)).await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
         let written = Rc::<Cell<u64>>::default();
-        let io = TokioIo::new(Counted { stream, written: written.clone() });
+        let io = TokioIo::new(Watched { stream, by: written.clone() });
         let (sender, driver) = http1::Builder::new().max_buf_size(READ_MOST).handshake(io).await.ok()?;
         let driver = Driver(Some(Box::pin(driver)));
         Some(Self { sender, driver, written, host, used: Instant::now(), _place: place })
@@ -237,6 +254,10 @@
         });
         let fault = |sent: &Cell<bool>| if sent.get() { Fault::Broken } else { Fault::Unsent };
         let (head, body) = answer.await.map_err(|_| fault(sent))?.into_parts();
+        // Framed in two ways, of which one is wrong.
+        if head.headers.contains_key(TRANSFER_ENCODING) && head.headers.contains_key(CONTENT_LENGTH) {
+            return Err(Fault::Broken);
+        }
         let mut body = pin!(Limited::new(body, most).collect());
         let body = poll_fn(|cx| {
             drive(cx);
--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -2,8 +2,8 @@
 #[path = "../../../tests/common/mod.rs"]
 mod common;
 use common::sockets::{
-    Act, Client, Daemon, HEALTH, List, Log, PATIENCE, Shared, backend, blind, config, echo, eventually, free,
-    line, reply, rpc,
+    Act, Client, Daemon, HEALTH, List, Log, Message, PATIENCE, Shared, backend, blind, config, echo,
+    eventually, free, line, reply, rpc,
 };
 use serde_json::Value;
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -352,7 +352,7 @@
             .map(|a| (a.status(), a.header("connection") == "close"))
     };
     eventually(Duration::from_secs(3), "no word of the spent budget", || told() == Some((503, true)));
-    clients.iter_mut().for_each(|client| client.send(rest));
+    assert!(clients.iter_mut().all(|client| client.send(rest)));
     assert!(clients.iter_mut().all(|client| client.answer().is_some_and(|a| a.status() == 200)));
     assert_eq!(told(), Some((200, false)), "an idle connection makes room");
 }
@@ -387,8 +387,8 @@
     let daemon = Daemon::start(PROGRAM, &[("s-1", echo("b1", &log))]);
     let good = rpc("GET", "/read", "id", "");
     let keyed = rpc("POST", "/log", "id", "");
-    let mut client = daemon.client();
-    // On these the framing is sound and the connection goes on.
+    let book = rpc("POST", "/book", "id", "half");
+    let framed = |by: &str| book.replace("Content-Length: 4", by);
     for (message, status) in [
         (good.replace("Request-Id: id\r\n", ""), 400),
         (good.replace("Request-Id: id", "Request-Id: "), 400),
@@ -397,33 +397,119 @@
         (good.replace("Request-Timeout-Ms: 3000\r\n", ""), 400),
         (good.replace("3000", "soon"), 400),
         (good.replace("3000", "-1"), 400),
+        (good.replace("3000", "+5"), 400),
         (keyed.replace("Idempotency-Key: k1\r\n", ""), 400),
         (good.replace("GET", "POST"), 400),
         (keyed.replace("POST", "GET"), 400),
+        (rpc("GET", "/read", "id", "body"), 400),
         (good.replace("/read", "/nothing"), 404),
         (good.replace("/read", "/"), 404),
-    ] {
-        assert_eq!(client.call(&message).expect(&message).status(), status, "{message}");
-    }
-    // On these it is closed after the answer.
-    let large = "x".repeat((64 << 10) + 1);
-    for (message, status) in [
-        (rpc("POST", "/book", "id", &large), 413),
-        (good.replace("acme", &large), 431),
+        (rpc("POST", "/book", "id", &"x".repeat((64 << 10) + 1)), 413),
+        (framed("Content-Length: 60000000"), 413),
+        (good.replace("acme", &"x".repeat((64 << 10) + 1)), 431),
         (good.replace("Content-Length: 0", "Content-Length: many"), 400),
+        (framed("Content-Length: -4"), 400),
+        (framed("Content-Length: 4\r\nContent-Length: 5"), 400),
+        (framed("Transfer-Encoding: gzip"), 400),
+        // What may hide another in its body, by either order of the two.
+        (framed("Content-Length: 4\r\nTransfer-Encoding: chunked"), 411),
+        (framed("Transfer-Encoding: chunked\r\nContent-Length: 4"), 411),
         ("what?\r\n\r\n".to_owned(), 400),
-        (rpc("POST", "/book", "id", "half").replace("Length: 4", "Length: 9"), 408),
     ] {
-        let answer = daemon.client().call(&message).map(|answer| answer.status());
+        let mut client = daemon.client();
+        let answer = client.call(&message).map(|answer| answer.status());
         assert_eq!(answer, Some(status), "{}", &message[..message.len().min(200)]);
+        assert!(client.is_closed(), "{}", &message[..message.len().min(200)]);
     }
     assert_eq!(log.all(), Vec::<String>::new());
     let odd = good.replace("acme", "nobody").replace("Tenant", "Further: 1\r\nTenant");
-    assert_eq!(
-        client.call(&odd).expect("an answer").status(),
-        200,
-        "unknown tenants and headers are no error"
-    );
+    let answer = daemon.client().call(&odd).expect("an answer");
+    assert_eq!(answer.status(), 200, "unknown tenants and headers are no error");
+}
+
+/// Whoever does not come to the end of a message is told so or cut off, and soon.
+#[test]
+fn what_never_ends_is_ended() {
+    let log = Log::new(vec![]);
+    let daemon = Daemon::start(PROGRAM, &[("s-1", echo("b1", &log))]);
+    let begun = std::time::Instant::now();
+    let half = rpc("POST", "/book", "id", "half").replace("Length: 4", "Length: 9");
+    let starts = ["", "GET /read HTTP/1.1\r\nRequest-", &half];
+    let mut clients = starts.map(|start| {
+        let mut client = daemon.client();
+        client.send(start);
+        client
+    });
+    // What keeps coming brings no more time.
+    for _ in 0..20 {
+        std::thread::sleep(Duration::from_millis(100));
+        clients[1].send("x");
+    }
+    assert_eq!(clients[2].answer().map(|answer| answer.status()), Some(408));
+    assert!(clients.iter_mut().all(Client::is_closed));
+    assert!(begun.elapsed() < Duration::from_millis(3500), "{:?}", begun.elapsed());
+    assert_eq!(log.all(), Vec::<String>::new());
+}
+
+/// A refusal is not swallowed by a reset while its client still sends.
+#[test]
+fn a_refusal_can_be_read_by_who_still_sends() {
+    let log = Log::new(vec![]);
+    let daemon = Daemon::start(PROGRAM, &[("s-1", echo("b1", &log))]);
+    let mut client = daemon.client();
+    assert!(client.send(&rpc("POST", "/book", "id", &"x".repeat(3 << 20))), "reset while sending");
+    assert_eq!(client.answer().map(|answer| answer.status()), Some(413));
+}
+
+/// The id of an RPC that is open is nobody else's; once that is answered it may come again.
+#[test]
+fn the_id_of_an_open_rpc_is_refused() {
+    let log = Log::new(vec![]);
+    let gate = Shared::new(false);
+    let open = gate.clone();
+    let at = backend("b1", &log, move |_| {
+        open.wait(PATIENCE, |open| *open);
+        Act::Write(reply("200 OK", "done"))
+    });
+    let daemon = Daemon::start(PROGRAM, &[("s-1", at)]);
+    let (mut first, message) = (daemon.client(), rpc("POST", "/book", "same", ""));
+    first.send(&message);
+    log.await_event("b1 got POST /book HTTP/1.1 same");
+    assert_eq!(daemon.client().call(&message).unwrap().status(), 409);
+    gate.change(|open| *open = true);
+    assert_eq!(first.answer().unwrap().status(), 200);
+    assert_eq!(daemon.client().call(&message).unwrap().status(), 200);
+    assert_eq!(log.count("same"), 2);
+}
+
+/// What a backend sends beyond its answer is no answer to the next RPC, also where it comes a moment later.
+#[test]
+fn bytes_behind_an_answer_answer_nothing() {
+    let log = Log::new(vec![]);
+    let copy = |m: &Message| reply("200 OK", &m.text());
+    let at = backend("b1", &log, move |m| Act::Write([copy(m), copy(m)].concat()));
+    let daemon = Daemon::start_with(PROGRAM, &[("s-1", at)], blind);
+    let mut client = daemon.client();
+    for n in 0..20 {
+        let answer = client.call(&rpc("POST", "/book", &format!("n{n}"), &format!("body{n}"))).unwrap();
+        assert_eq!((answer.status(), answer.text()), (200, format!("body{n}")));
+    }
+    let (seen, noted) = (log.clone(), log.clone());
+    let late = backend("b2", &noted, move |m| match m.header("request-id").strip_prefix("first") {
+        Some(n) => Act::Late(copy(m), seen.clone(), format!("second{n}"), copy(m)),
+        None => Act::Write(copy(m)),
+    });
+    daemon.list.tell_heard(&[line("s-2", late, "Ready")]);
+    let mut tries = 0..;
+    // The second may come too late on a slow machine; the connection of the first is in use again by then.
+    eventually(PATIENCE, "the second went where the first was answered", || {
+        let n = tries.next().expect("one more");
+        let [first, second] = ["first", "second"].map(|name| {
+            let text = format!("{name}{n}");
+            client.call(&rpc("POST", "/book", &text, &text)).is_some_and(|a| a.text() == text)
+        });
+        first && second
+    });
 }
 
 #[test]
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -429,6 +429,8 @@
         Write(Vec<u8>),
         /// Writes so much and breaks the connection.
         Cut(Vec<u8>),
+        /// Answers and, once something has been noted or half a second has passed, sends more.
+        Late(Vec<u8>, Log, String, Vec<u8>),
         /// Says nothing for as long as the proxy holds on.
         Hang,
     }
@@ -465,6 +467,12 @@
                 log.note(format!("{name} got {} {id}", message.first));
                 match act(&message) {
                     Act::Write(bytes) => drop(stream.write_all(&bytes)),
+                    Act::Late(bytes, seen, what, more) => {
+                        let _ = stream.write_all(&bytes);
+                        let noted = |events: &Vec<String>| events.iter().any(|e| e.ends_with(&what));
+                        seen.wait(Duration::from_millis(500), noted);
+                        let _ = stream.write_all(&more);
+                    }
                     Act::Cut(bytes) => return drop(stream.write_all(&bytes)),
                     Act::Hang => {
                         let _ = input.read(&mut [0]);
@@ -677,8 +685,9 @@
             stream.set_read_timeout(Some(PATIENCE)).ok()?;
             Some(Self(BufReader::new(stream)))
         }
-        pub fn send(&mut self, bytes: &str) {
-            let _ = self.0.get_mut().write_all(bytes.as_bytes());
+        /// Whether all of it could be sent.
+        pub fn send(&mut self, bytes: &str) -> bool {
+            self.0.get_mut().write_all(bytes.as_bytes()).is_ok()
         }
         pub fn answer(&mut self) -> Option<Message> {
             read_message(&mut self.0)
