Resets count once in a row, and connections lost while idle are kept for less

Each spoilt answer rested its backend for 0.5 s, so a third of them rested at each proxy all the time and the others ran full. Ruled out: single bad backends (resets are even over all 12), the quiet time of 5 ms (94% of the resets at under 100 ms come at the base rate).

Lines at fault: State::failed, which rested a backend at once for anything but a time-out; Peer::tend, which believed the settings' idle time; Core::hear, which turned a probe this proxy could not send into a time-out of its backend.

Tried first: to tell quick failures from those after work by 0.25 of a service time.

Each test fails without its change.

--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -23,6 +23,8 @@
 
 const MAILBOX: usize = 256; // jobs not yet begun; beyond, they end as never sent
 const KEEP_PART: f64 = 0.6; // of the idle time after which the other side closes: never write to a closed one
+const KEEP_LEAST: Duration = Duration::from_millis(50); // most connections are used again sooner
+const KEEP_GROW: f64 = 1.001; // times, with each answer on a kept connection: doubled in 700 answers
 // For a connection after an answer: what comes behind that in this time would answer the next.
 const QUIET: Duration = Duration::from_millis(5);
 
@@ -112,6 +114,7 @@
 struct Peer {
     facts: watch::Receiver<Facts>,
     kept: RefCell<Vec<Rc<Kept>>>, // the latest used last
+    keep: Cell<Duration>,         // how long a connection may stand idle and still be used
     changed: Notify,
     limits: Limits,
     budget: Rc<Budget>,
@@ -121,7 +124,9 @@
     pub fn start(facts: Facts, limits: Limits, budget: Rc<Budget>) -> Self {
         let (mailbox, jobs) = mpsc::channel(MAILBOX);
         let (sender, receiver) = watch::channel(facts);
-        let peer = Peer { facts: receiver, kept: RefCell::default(), changed: Notify::new(), limits, budget };
+        let (kept, keep, changed) =
+            (RefCell::default(), limits.idle.mul_f64(KEEP_PART).into(), Notify::new());
+        let peer = Peer { facts: receiver, kept, keep, changed, limits, budget };
         spawn_local(Rc::new(peer).run(jobs));
         Self { mailbox, facts: sender }
     }
@@ -156,8 +161,7 @@
     /// Watches over idle connections: drops those that the other side closes and those kept long enough.
     /// Ends when another one is kept or one has grown old.
     async fn tend(&self) {
-        let keep = self.limits.idle.mul_f64(KEEP_PART);
-        let now = Instant::now();
+        let (keep, now) = (self.keep.get(), Instant::now());
         self.kept.borrow_mut().retain(|k| k.0.borrow().as_ref().is_some_and(|c| now < c.used + keep));
         let oldest = self.kept.borrow().iter().filter_map(|k| k.0.borrow().as_ref().map(|c| c.used)).min();
         let watch = poll_fn(|cx| {
@@ -233,16 +237,26 @@
             };
             let Some(mut conn) = conn else { return nothing(Outcome::NoConnection) };
             let left = until.saturating_duration_since(Instant::now());
+            let idle = conn.used.elapsed();
             match conn.exchange(message.encode(left), BODY_MOST, sent).await {
                 Ok(reply) => {
+                    let longest = self.limits.idle.mul_f64(KEEP_PART);
+                    self.keep.update(|keep| if fresh { keep } else { keep.mul_f64(KEEP_GROW).min(longest) });
                     self.keep(conn, endpoint, &reply.headers).await;
                     return judge(reply, message.is_probe());
                 }
                 // A kept connection had ended before anything of this was written: another may be tried.
                 Err(Fault::Unsent) if !fresh => {}
                 Err(Fault::Unsent) => return nothing(Outcome::NoConnection),
-                Err(Fault::Broken) => return nothing(Outcome::Reset),
-                Err(Fault::Oversized) => return nothing(Outcome::Error),
+                Err(Fault::Broken) => {
+                    // Guards against a path that forgets connections sooner than the settings say.
+                    if !fresh {
+                        self.keep.update(|keep| (idle / 2).max(KEEP_LEAST).min(keep));
+                        self.changed.notify_one();
+                    }
+                    return nothing(Outcome::Reset);
+                }
+                Err(Fault::Spoilt) => return nothing(Outcome::Reset),
             }
         }
     }
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -191,8 +191,6 @@
             }
             ToCore::Probed { backend, outcome, report } => {
                 log::trace!("probe of {backend}: {outcome:?} {report:?}");
-                // A probe that this proxy did not get out says nothing of the backend.
-                let outcome = if outcome == Outcome::NeverSent { Outcome::TimedOut } else { outcome };
                 self.call(|core| core.balancer.probed(backend, outcome, report, &mut core.door));
             }
             ToCore::News(news) => self.news(&news),
--- a/crates/daemon/src/sockets.rs
+++ b/crates/daemon/src/sockets.rs
@@ -167,10 +167,10 @@
 pub enum Fault {
     /// Provably no byte was written.
     Unsent,
-    /// The connection broke or ended after that: it may have run.
+    /// The connection broke or ended after that, with no answer begun: it may have run.
     Broken,
-    /// The answer's body is larger than the protocol allows.
-    Oversized,
+    /// The answer can't be read, does not end as it should, or is larger than the protocol allows: it has run.
+    Spoilt,
 }
 
 pub struct Reply {
@@ -252,21 +252,22 @@
             drive(cx);
             answer.as_mut().poll(cx)
         });
-        let fault = |sent: &Cell<bool>| if sent.get() { Fault::Broken } else { Fault::Unsent };
-        let (head, body) = answer.await.map_err(|_| fault(sent))?.into_parts();
+        let answer = answer.await.map_err(|e| match e.error().is_parse() {
+            true => Fault::Spoilt,
+            false if sent.get() => Fault::Broken,
+            false => Fault::Unsent,
+        });
+        let (head, body) = answer?.into_parts();
         // Framed in two ways, of which one is wrong.
         if head.headers.contains_key(TRANSFER_ENCODING) && head.headers.contains_key(CONTENT_LENGTH) {
-            return Err(Fault::Broken);
+            return Err(Fault::Spoilt);
         }
         let mut body = pin!(Limited::new(body, most).collect());
         let body = poll_fn(|cx| {
             drive(cx);
             body.as_mut().poll(cx)
         });
-        let body = body.await.map_err(|e| match e.is::<http_body_util::LengthLimitError>() {
-            true => Fault::Oversized,
-            false => Fault::Broken,
-        })?;
+        let body = body.await.map_err(|_| Fault::Spoilt)?;
         self.used = Instant::now();
         Ok(Reply { status: head.status, headers: head.headers, body: body.to_bytes() })
     }
--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -8,7 +8,7 @@
 use serde_json::Value;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Command, Stdio};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_birchhubd");
 
@@ -103,6 +103,27 @@
     }
 }
 
+/// A path that forgets connections sooner than the settings say is learnt of by one loss, not one each time.
+#[test]
+fn connections_that_are_lost_while_idle_are_kept_for_less() {
+    let log = Log::new(vec![]);
+    let last = Shared::new(Instant::now());
+    let at = backend("b1", &log, move |m| {
+        let idle = last.change(|last| std::mem::replace(last, Instant::now()).elapsed());
+        let lost = m.before > 0 && idle > Duration::from_millis(150);
+        if lost { Act::Cut(vec![]) } else { Act::Write(reply("200 OK", "")) }
+    });
+    let daemon = Daemon::start_with(PROGRAM, &[("s-1", at)], blind);
+    let mut client = daemon.client();
+    let mut lost = 0;
+    for n in 0..6 {
+        lost +=
+            usize::from(client.call(&rpc("POST", "/book", &format!("n{n}"), "")).unwrap().status() != 200);
+        std::thread::sleep(Duration::from_millis(250));
+    }
+    assert_eq!(lost, 1);
+}
+
 #[test]
 fn malformed_answers_of_a_backend_are_outcomes() {
     let log = Log::new(vec![]);
@@ -323,7 +344,7 @@
     let log = Log::new(vec![]);
     let at = echo("b1", &log);
     let daemon = Daemon::start(PROGRAM, &[("s-1", at)]);
-    let begun = std::time::Instant::now();
+    let begun = Instant::now();
     let same = serde_json::json!({"rev": 0, "all": true, "targets": [line("s-1", at, "Ready")]});
     daemon.list.tell_text(Some(&same.to_string()));
     std::thread::sleep(Duration::from_millis(300));
@@ -432,7 +453,7 @@
 fn what_never_ends_is_ended() {
     let log = Log::new(vec![]);
     let daemon = Daemon::start(PROGRAM, &[("s-1", echo("b1", &log))]);
-    let begun = std::time::Instant::now();
+    let begun = Instant::now();
     let half = rpc("POST", "/book", "id", "half").replace("Length: 4", "Length: 9");
     let starts = ["", "GET /read HTTP/1.1\r\nRequest-", &half];
     let mut clients = starts.map(|start| {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -23,7 +23,7 @@
 const ENTRY_AGE_MAX: f64 = 1.0; // s; the design's starting figure
 const SKIP_TIMES: f64 = 2.0; // times its own mean in flight that makes a draw skip a backend ...
 const SKIP_PLUS: f64 = 1.0; // RPCs; ... and more than this beyond, or a mean near 0 would shut it out
-const FAILS: u32 = 3; // time-outs in a row that rest a backend; other failures count as so many at once
+const FAILS: u32 = 3; // time-outs and resets in a row that rest a backend; another failure counts for all
 const REST: f64 = 0.5; // s of the first rest, doubled with each further failure: outlasts a pause
 const REST_RPCS: f64 = 12.0; // answers that a rest lasts at the least: with few a second 0.5 s pass unseen
 const REST_MAX: f64 = 8.0; // s; a dead backend costs one pick in this time, a revived one waits no longer
@@ -152,6 +152,7 @@
         backend.probe_out.set(false);
         match outcome {
             Outcome::Ok => state.report(&backend, report, link.now()),
+            Outcome::NeverSent => {} // guards against backends blamed for what this proxy could not send
             _ => state.failed(&backend, outcome, link.now()),
         }
         state.serve(link);
@@ -170,9 +171,8 @@
         }
         if now + TICK >= state.probe_ahead(now) {
             state.probed_ahead = now;
-            if state.idle.is_empty() {
-                state.probe(1, link);
-            }
+            let most = usize::from(state.idle.is_empty());
+            state.probe(most, link);
         }
         state.serve(link);
     }
@@ -439,9 +439,10 @@
 
     /// Guards against a quick failure looking idle, and against drawing a dead backend again and again.
     fn failed(&mut self, backend: &Rc<Backend>, how: Outcome, now: f64) {
-        // Time-outs come with overload. What fails otherwise does so at once and for all who come: it would
-        // look idle to hundreds of proxies, of which none meets it three times.
-        let least = if how == Outcome::TimedOut { 1 } else { FAILS };
+        // Time-outs come with overload, and answers or connections spoilt by chance would rest all in turn.
+        // What fails otherwise does so for all who come: it would look idle to hundreds of proxies, of which
+        // none meets it three times.
+        let least = if matches!(how, Outcome::TimedOut | Outcome::Reset) { 1 } else { FAILS };
         let fails = backend.fails.get().saturating_add(1).max(least);
         backend.fails.set(fails);
         backend.listed_at.set(backend.listed_at.get().map(|_| f64::MIN)); // its entry is too old from now on
@@ -479,19 +480,17 @@
     fn give_up(&mut self, call: &Rc<Call>, link: &mut dyn Link) {
         self.cancel_rest(call, link);
         call.over.set(true);
-        if self.may_push_back(call) {
-            link.push_back(call.id, self.come_back);
-        } else {
-            link.abort(call.id);
+        match self.may_push_back(call) {
+            true => link.push_back(call.id, self.come_back),
+            false => link.abort(call.id),
         }
     }
 
     fn cancel_rest(&self, call: &Call, link: &mut dyn Link) {
         let picks = call.picks.borrow();
         let out = picks.iter().enumerate().filter(|(_, p)| p.ended.is_none());
-        for (n, _) in out.filter(|_| self.may_cancel && !call.streaming.get()) {
-            link.cancel(call.id, n);
-        }
+        let stopped = out.filter(|_| self.may_cancel && !call.streaming.get());
+        stopped.for_each(|(n, _)| link.cancel(call.id, n));
     }
 
     // Mechanism 5: admission and fairness.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -387,6 +387,8 @@
         pub first: String,
         pub headers: BTreeMap<String, String>,
         pub body: Vec<u8>,
+        /// How many came before it on its connection, where that is counted.
+        pub before: usize,
     }
 
     impl Message {
@@ -417,7 +419,7 @@
         let length = headers.get("content-length").and_then(|length| length.parse().ok()).unwrap_or(0);
         let mut body = vec![0; length];
         from.read_exact(&mut body).ok()?;
-        Some(Message { first, headers, body })
+        Some(Message { first, headers, body, before: 0 })
     }
 
     pub fn reply(status: &str, body: &str) -> Vec<u8> {
@@ -458,7 +460,10 @@
         let log = log.clone();
         serve("127.0.0.1:0", move |mut stream| {
             let mut input = BufReader::new(stream.try_clone().expect("a second handle"));
-            while let Some(message) = read_message(&mut input) {
+            let mut before = 0;
+            while let Some(mut message) = read_message(&mut input) {
+                message.before = before;
+                before += 1;
                 if message.first.starts_with("GET /stats ") {
                     let _ = stream.write_all(&reply("200 OK", "concurrent=0,depth=0"));
                     continue;
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -191,3 +191,36 @@
     let to_bad = rpcs.iter().filter(|r| r.sent[0].backend == 2).count();
     assert!((1..4).contains(&to_bad), "{to_bad} of 10 went to the one that fails at once and so looks idle");
 }
+
+/// What comes spoilt after the usual time is one failure in a row, or all backends would rest in turn.
+#[test]
+fn one_answer_spoilt_after_work_rests_nobody() {
+    let mut proxy = blind(2);
+    proxy.drive(20, 0.03, |_| 1.0, |_| Some(Outcome::Ok));
+    let (mut spoilt, mut after) = (false, 0);
+    for _ in 0..12 {
+        let rpc = proxy.take(0, 0.5);
+        proxy.pass(0.03);
+        let to_it = proxy.world.rpcs[&rpc].sent[0].backend == 1;
+        let how = if to_it && !spoilt { Outcome::Reset } else { Outcome::Ok };
+        proxy.end(rpc, 0, how, None);
+        after += usize::from(to_it && spoilt);
+        spoilt |= to_it;
+    }
+    assert!(after > 0, "none of those that followed within 0.4 s went there");
+}
+
+/// A probe that this proxy could not send says nothing of its backend.
+#[test]
+fn unsent_probes_rest_nobody() {
+    let mut proxy = fleet(4, settings(&[Effect::Idempotent]));
+    let mut probed = Vec::new();
+    for _ in 0..40 {
+        proxy.take(0, 0.5);
+        proxy.answer_probes(Outcome::NeverSent, |_| 0.0);
+        proxy.pass(0.02);
+        proxy.end_all(Outcome::Ok, None);
+        probed.push(proxy.world.probed);
+    }
+    assert!(probed[39] > probed[20] + 10, "soon nobody is left to be probed: {probed:?}");
+}
