The module's time stands still while the proxy is stopped for its part of a core

Ruled out: load (the same before and after: 1.0 to 1.3 a backend), the tenants' shares (STARTED), the start itself (2 ms of processor time). Line at fault: Core::call took the machine's clock for the backends' time, and a time-out after a stop for the backend's.

The core expects to run every 10 ms; what is missing beyond 10 more is taken out of the module's clock, and a pick that timed out in it ends as cancelled, a probe as never sent. Deadlines towards clients stay on the machine's clock.

The socket test stops the process under an RPC; without the change the next one is refused.

--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -32,6 +32,11 @@
         Self { base: Instant::now(), wall }
     }
 
+    /// Lets this clock stand still for so long, after the fact.
+    pub fn stand_still(&mut self, time: Duration) {
+        self.base += time;
+    }
+
     pub fn now(&self) -> f64 {
         self.base.elapsed().as_secs_f64()
     }
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -15,11 +15,13 @@
 use std::time::Duration;
 use tokio::select;
 use tokio::sync::{Notify, mpsc, oneshot};
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep_until};
 
 pub const MAILBOX: usize = 8192; // messages: one kept free for the end of each RPC, pick and probe
 const MARGIN: Duration = Duration::from_millis(5); // of a client's wait, for this machine's own delays
 const PROBE_WAITS: Duration = Duration::from_millis(100); // for a probe; a slower answer tells nothing of now
+const BEAT: Duration = Duration::from_millis(10); // the core is busy at least this often ...
+const LAG: Duration = Duration::from_millis(10); // ... or was stopped, if later by more than this
 const FORGET: Duration = Duration::from_secs(2); // after a backend went: one that flaps stays the same
 const RECOVER: f64 = 0.01; // s until the module is woken after it failed in a call
 
@@ -124,6 +126,8 @@
     sized: bool,
     limits: Limits,
     budget: Rc<Budget>,
+    beat: Instant,    // by when the core is busy again
+    stopped: Instant, // until when it was not, the last time
 }
 
 impl Core {
@@ -159,6 +163,8 @@
                 idle: Duration::from_secs_f64(conf.idle_limit),
             },
             budget,
+            beat: Instant::now() + BEAT,
+            stopped: Instant::now(),
         };
         let known =
             config.known.clone().unwrap_or(News { version: 0, kind: ListKind::Stale, listed: vec![] });
@@ -181,6 +187,7 @@
                     None => return,
                 },
                 () = until(wake) => {}
+                () = sleep_until(self.beat) => self.keep_time(),
             }
         }
     }
@@ -194,6 +201,7 @@
             }
             ToCore::Probed { backend, outcome, report } => {
                 log::trace!("probe of {backend}: {outcome:?} {report:?}");
+                let outcome = self.told(outcome, Outcome::NeverSent);
                 self.call(|core| core.balancer.probed(backend, outcome, report, &mut core.door));
             }
             ToCore::News(news) => self.news(&news),
@@ -204,9 +212,29 @@
         }
     }
 
+    /// The module's time stands still while this process does. Guards against backends that are taken for slow,
+    /// and what waits for them refused, because the proxy had used up its part of a core.
+    fn keep_time(&mut self) {
+        let now = Instant::now();
+        if now > self.beat + LAG {
+            log::debug!("stopped for {:?}", now - self.beat);
+            self.door.clock.stand_still(now - self.beat);
+            self.stopped = now;
+        }
+        self.beat = now + BEAT;
+    }
+
+    /// What a pick or probe that was out while this process stood still tells of its backend.
+    fn told(&mut self, outcome: Outcome, unknown: Outcome) -> Outcome {
+        self.keep_time();
+        let late = outcome == Outcome::TimedOut && Instant::now() < self.stopped + LAG;
+        if late { unknown } else { outcome }
+    }
+
     /// Calls the module. A panic in there ends neither the proxy nor what others wait for: the front answers
     /// what the module no longer knows of.
     fn call(&mut self, act: impl FnOnce(&mut Self)) {
+        self.keep_time();
         self.door.now = self.door.clock.now();
         if catch_unwind(AssertUnwindSafe(|| act(self))).is_err() {
             log::error!("the decision module panicked");
@@ -270,6 +298,7 @@
 
     fn ended(&mut self, id: u64, pick: usize, outcome: Outcome, report: Option<LoadReport>, body: Bytes) {
         log::trace!("RPC {id}: pick {pick} {outcome:?}");
+        let outcome = self.told(outcome, Outcome::Cancelled);
         self.on_rpc(id, |rpc, door| {
             if let Some(held) = door.held.get_mut(&id) {
                 held.picks[pick] = None;
--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -321,6 +321,30 @@
     assert!(daemon.await_end().success());
 }
 
+/// Time for which this process stood still is not taken for its backends'.
+#[test]
+fn a_stop_of_the_proxy_is_not_blamed_on_backends() {
+    let log = Log::new(vec![]);
+    let at = backend("b1", &log, |_| {
+        std::thread::sleep(Duration::from_millis(30));
+        Act::Write(reply("200 OK", "done"))
+    });
+    let tight = |config: &mut Value| {
+        config["settings"]["methods"][0]["latency-target-ns"] = 200e6.into();
+        blind(config);
+    };
+    let daemon = Daemon::start_with(PROGRAM, &[("s-1", at)], tight);
+    let mut client = daemon.client();
+    assert_eq!(client.call(&rpc("GET", "/read", "before", "")).unwrap().status(), 200);
+    client.send(&rpc("GET", "/read", "stopped", ""));
+    log.await_event("b1 got GET /read HTTP/1.1 stopped");
+    daemon.signal("STOP");
+    std::thread::sleep(Duration::from_millis(600));
+    daemon.signal("CONT");
+    client.answer().expect("an answer, whatever it is");
+    assert_eq!(client.call(&rpc("GET", "/read", "after", "")).unwrap().status(), 200);
+}
+
 /// What has gone from the list is forgotten: memory does not grow with all that ever were.
 #[test]
 fn replaced_backends_are_forgotten() {
