A stop of the proxy loses no wake-up of the module

Read through from there: took a stop out of the clock inside Core::call, so after a wake-up was found due and before the module was told. By its clock the wake-up was then early: it kept it as the one that was coming, set no other, and what waits or asks for the list stayed as it was until something else happened. Ruled out: the stand-in (the list was told, no call came), discovery (no fault in its log). Lines at fault: keep_time in Core::call.

The clock is now kept once before a wake-up is looked at and once before a message is heard, never between. The test stops the proxy five times under an RPC that waits with no backend: before, it was aborted at its deadline or never answered.

--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -174,6 +174,7 @@
 
     pub async fn run(mut self, mut mailbox: mpsc::Receiver<ToCore>) {
         loop {
+            self.keep_time();
             let wake = self.door.wake_at.map(|at| self.door.clock.instant(at));
             if wake.is_some_and(|at| at <= Instant::now()) {
                 self.door.wake_at = None;
@@ -187,12 +188,13 @@
                     None => return,
                 },
                 () = until(wake) => {}
-                () = sleep_until(self.beat) => self.keep_time(),
+                () = sleep_until(self.beat) => {}
             }
         }
     }
 
     fn hear(&mut self, message: ToCore) {
+        self.keep_time();
         match message {
             ToCore::Take { id, rpc, answer } => self.take(id, *rpc, answer),
             ToCore::HungUp(id) => self.hung_up(id),
@@ -212,7 +214,8 @@
         }
     }
 
-    /// The module's time stands still while this process does. Guards against backends that are taken for slow,
+    /// The module's time stands still while this process does. Told before a wake-up is found due, never after: the
+    /// module would not know it for the one it had set, and set no other. Guards against backends that are taken for slow,
     /// and what waits for them refused, because the proxy had used up its part of a core.
     fn keep_time(&mut self) {
         let now = Instant::now();
@@ -225,8 +228,7 @@
     }
 
     /// What a pick or probe that was out while this process stood still tells of its backend.
-    fn told(&mut self, outcome: Outcome, unknown: Outcome) -> Outcome {
-        self.keep_time();
+    fn told(&self, outcome: Outcome, unknown: Outcome) -> Outcome {
         let late = outcome == Outcome::TimedOut && Instant::now() < self.stopped + LAG;
         if late { unknown } else { outcome }
     }
@@ -234,7 +236,6 @@
     /// Calls the module. A panic in there ends neither the proxy nor what others wait for: the front answers
     /// what the module no longer knows of.
     fn call(&mut self, act: impl FnOnce(&mut Self)) {
-        self.keep_time();
         self.door.now = self.door.clock.now();
         if catch_unwind(AssertUnwindSafe(|| act(self))).is_err() {
             log::error!("the decision module panicked");
--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -345,6 +345,22 @@
     assert_eq!(client.call(&rpc("GET", "/read", "after", "")).unwrap().status(), 200);
 }
 
+/// A stop while a wake-up falls due loses none: what waits is answered, not left until its deadline.
+#[test]
+fn a_stop_of_the_proxy_loses_no_wake_up() {
+    let tight = |config: &mut Value| config["settings"]["methods"][0]["latency-target-ns"] = 200e6.into();
+    let daemon = Daemon::start_with(PROGRAM, &[], tight);
+    let mut client = daemon.client();
+    for n in 0..5 {
+        client.send(&rpc("GET", "/read", &format!("n{n}"), ""));
+        std::thread::sleep(Duration::from_millis(5));
+        daemon.signal("STOP");
+        std::thread::sleep(Duration::from_millis(100));
+        daemon.signal("CONT");
+        assert_eq!(client.answer().expect("an answer").status(), 503);
+    }
+}
+
 /// What has gone from the list is forgotten: memory does not grow with all that ever were.
 #[test]
 fn replaced_backends_are_forgotten() {
