One gated backend for three tests, one figure for how long connections are kept

Three socket tests wrote the same backend that answers once its gate is open: now `gated`. The longest time to keep a connection was worked out in two places: now `Limits::keep`, asked on kept connections only. Backends are numbered where an entry is made. Two comments in the policy told wrong figures (what FORGIVE bears is one failure in six; what `failing` measures), one in the core was over-long.

--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -42,6 +42,13 @@
     pub idle: Duration,
 }
 
+impl Limits {
+    /// How long a connection is kept at the most.
+    fn keep(&self) -> Duration {
+        self.idle.mul_f64(KEEP_PART)
+    }
+}
+
 /// What a ticket is for.
 #[derive(Clone, Copy)]
 pub enum Errand {
@@ -124,8 +131,7 @@
     pub fn start(facts: Facts, limits: Limits, budget: Rc<Budget>) -> Self {
         let (mailbox, jobs) = mpsc::channel(MAILBOX);
         let (sender, receiver) = watch::channel(facts);
-        let (kept, keep, changed) =
-            (RefCell::default(), limits.idle.mul_f64(KEEP_PART).into(), Notify::new());
+        let (kept, keep, changed) = (RefCell::default(), limits.keep().into(), Notify::new());
         let peer = Peer { facts: receiver, kept, keep, changed, limits, budget };
         spawn_local(Rc::new(peer).run(jobs));
         Self { mailbox, facts: sender }
@@ -240,8 +246,9 @@
             let idle = conn.used.elapsed();
             match conn.exchange(message.encode(left), BODY_MOST, sent).await {
                 Ok(reply) => {
-                    let longest = self.limits.idle.mul_f64(KEEP_PART);
-                    self.keep.update(|keep| if fresh { keep } else { keep.mul_f64(KEEP_GROW).min(longest) });
+                    if !fresh {
+                        self.keep.update(|keep| keep.mul_f64(KEEP_GROW).min(self.limits.keep()));
+                    }
                     self.keep(conn, endpoint, &reply.headers).await;
                     return judge(reply, message.is_probe());
                 }
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -214,9 +214,9 @@
         }
     }
 
-    /// The module's time stands still while this process does. Told before a wake-up is found due, never after: the
-    /// module would not know it for the one it had set, and set no other. Guards against backends that are taken for slow,
-    /// and what waits for them refused, because the proxy had used up its part of a core.
+    /// The module's time stands still while this process does. Guards against backends that are taken for slow,
+    /// and what waits for them refused, because the proxy had used up its part of a core. Done before a wake-up
+    /// is found due, never after: the module would take it for an early one, and set no other.
     fn keep_time(&mut self) {
         let now = Instant::now();
         if now > self.beat + LAG {
@@ -320,10 +320,13 @@
         }
         let (mut entries, now) = (Vec::new(), Instant::now());
         for listed in &news.listed {
-            let (backend, heard) = self.numbers.entry(listed.uid.clone()).or_insert((self.next, now));
+            let number = || {
+                self.next += 1;
+                (self.next - 1, now)
+            };
+            let (backend, heard) = self.numbers.entry(listed.uid.clone()).or_insert_with(number);
             *heard = now;
             let backend = *backend;
-            self.next = self.next.max(backend + 1);
             let facts = Facts { endpoint: listed.endpoint, ready: listed.readiness == Readiness::Ready };
             if listed.readiness == Readiness::Gone {
                 self.door.backends.remove(&backend);
--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -216,16 +216,22 @@
     assert_eq!(client.answer().unwrap().text(), "b1:");
 }
 
-/// A backend that moved gets nothing at its old address, also not on a connection that was out meanwhile.
-#[test]
-fn a_moved_backend_is_followed() {
-    let log = Log::new(vec![]);
+/// A backend that answers once its gate is open.
+fn gated(name: &'static str, log: &Log, text: &'static str) -> (SocketAddr, Shared<bool>) {
     let gate = Shared::new(false);
     let open = gate.clone();
-    let old = backend("b1", &log, move |_| {
+    let at = backend(name, log, move |_| {
         open.wait(PATIENCE, |open| *open);
-        Act::Write(reply("200 OK", "old"))
+        Act::Write(reply("200 OK", text))
     });
+    (at, gate)
+}
+
+/// A backend that moved gets nothing at its old address, also not on a connection that was out meanwhile.
+#[test]
+fn a_moved_backend_is_followed() {
+    let log = Log::new(vec![]);
+    let (old, gate) = gated("b1", &log, "old");
     let daemon = Daemon::start(PROGRAM, &[("s-1", old)]);
     let mut client = daemon.client();
     client.send(&rpc("POST", "/book", "before", ""));
@@ -284,12 +290,7 @@
 #[test]
 fn sighup_moves_to_another_discovery() {
     let log = Log::new(vec![]);
-    let gate = Shared::new(false);
-    let open = gate.clone();
-    let old = backend("b1", &log, move |_| {
-        open.wait(PATIENCE, |open| *open);
-        Act::Write(reply("200 OK", "old"))
-    });
+    let (old, gate) = gated("b1", &log, "old");
     let mut daemon = Daemon::start(PROGRAM, &[("s-1", old)]);
     let mut held = daemon.client();
     held.send(&rpc("POST", "/book", "held", ""));
@@ -558,12 +559,7 @@
 #[test]
 fn the_id_of_an_open_rpc_is_refused() {
     let log = Log::new(vec![]);
-    let gate = Shared::new(false);
-    let open = gate.clone();
-    let at = backend("b1", &log, move |_| {
-        open.wait(PATIENCE, |open| *open);
-        Act::Write(reply("200 OK", "done"))
-    });
+    let (at, gate) = gated("b1", &log, "done");
     let daemon = Daemon::start(PROGRAM, &[("s-1", at)]);
     let (mut first, message) = (daemon.client(), rpc("POST", "/book", "same", ""));
     first.send(&message);
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -22,7 +22,7 @@
 const SKIP_TIMES: f64 = 2.0; // times its own mean in flight that makes a draw skip a backend ...
 const SKIP_PLUS: f64 = 1.0; // RPCs; ... and more than this beyond, or a mean near 0 would shut it out
 const FAILS: f64 = 3.0; // time-outs and resets in a row that rest a backend; another failure counts for all
-const FORGIVE: f64 = 0.2; // of a failure that an answer takes back: one in ten is borne ...
+const FORGIVE: f64 = 0.2; // of a failure that an answer takes back: one in six is borne ...
 const FORGIVE_TIMES: f64 = 3.0; // ... or so many times the odds of all: overload is nobody's fault
 const REST: f64 = 0.5; // s of the first rest, doubled with each further failure: outlasts a pause
 const REST_RPCS: f64 = 12.0; // answers that a rest lasts at the least: with few a second 0.5 s pass unseen
@@ -81,7 +81,7 @@
     service: Mean, // s from pick to answer
     shortest: f64, // of all latency targets, s
     answered: Decaying,
-    failing: Mean, // part of the picks and probes that fail, of those that are not answered late or never
+    failing: Mean, // part that failures of picks and probes make of these and the answers
     credit: f64,   // further picks
     probe_tokens: f64,
     probed_ahead: f64,
