Model of an api node without I/O or clock, for stand-ins and simulated time

Cause: the rehearsal kit needs nodes that behave alike on sockets and in simulated time. Change: crates/model: cores on one work clock (warming solved exactly), a bounded queue, cold falls, drains, stalls, neighbours, cancelled work, repeats by group and window, load reports; O(log) a call.

--- /dev/null
+++ b/crates/model/src/node.rs
@@ -0,0 +1,297 @@
+//! The node: cores, a queue before them, and what befalls them.
+use crate::pace::Pace;
+use crate::push::Push;
+use crate::repeats::{Mark, Repeats};
+use std::collections::{BTreeMap, HashMap};
+
+/// Names one pick at this node; given by the caller, never twice.
+pub type Job = u64;
+
+/// What a node is.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Spec {
+    pub cores: usize,
+    /// Of a core, in standard cores.
+    pub speed: f64,
+    /// RPCs that may wait; beyond, they are turned away.
+    pub queue: usize,
+    /// Part of its capacity that it starts with, 0 to 1, and the seconds until it has all of it.
+    pub cold_from: f64,
+    pub cold_for: f64,
+    /// Sent this multiple of what it can do, for so many seconds, while cold, it falls over.
+    pub fall_multiple: f64,
+    pub fall_window: f64,
+    /// Its load report is as old as this at most, s.
+    pub report_every: f64,
+    /// Whether running work stops when its RPC is cancelled; waiting work always does.
+    pub cancel_stops: bool,
+    /// Connections it holds at most.
+    pub connections: usize,
+    /// Work that the first RPC of a connection brings with it, s of a standard core.
+    pub connection_work: f64,
+}
+
+/// How a life begins.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Start {
+    Warm,
+    Cold,
+}
+
+/// An RPC sent to the node.
+#[derive(Clone, Copy, Debug)]
+pub struct Offer {
+    pub job: Job,
+    /// s of a standard core.
+    pub work: f64,
+    /// The key by which a repeat is dropped.
+    pub mark: Option<Mark>,
+    /// It is the first on its connection.
+    pub fresh: bool,
+}
+
+/// Why an RPC was turned away before it ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Why {
+    QueueFull,
+    Draining,
+    /// Fallen over or crashed: nobody is there to answer.
+    Down,
+}
+
+/// What happened by itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Happening {
+    /// The run began: from here on its effect counts.
+    Started(Job),
+    Finished(Job),
+    /// A repeat was dropped: answered as done, with no effect.
+    Repeated(Job),
+    /// Pushed over: all it held is lost, and it stays down.
+    Fell,
+}
+
+/// What the node tells of its load.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Report {
+    pub in_flight: usize,
+    pub queued: usize,
+    /// Part of its cores that are busy, 0 to 1.
+    pub utilisation: f64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    work: f64,
+    mark: Option<Mark>,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Place {
+    Waiting(u64),
+    /// The work clock's bits at its end.
+    Running(u64),
+}
+
+/// One life of one node, from its start to its end. Every call first lets happen what was due.
+#[derive(Debug)]
+pub struct Node {
+    spec: Spec,
+    pace: Pace,
+    waiting: BTreeMap<u64, (Job, Held)>,
+    running: BTreeMap<(u64, Job), Held>,
+    places: HashMap<Job, Place>,
+    next: u64,
+    connections: usize,
+    push: Push,
+    pushed: f64,
+    peak: f64,
+    draining: bool,
+    down: bool,
+    told: (f64, Report),
+}
+
+impl Node {
+    pub fn new(spec: Spec, now: f64, start: Start) -> Self {
+        let cold = start == Start::Cold;
+        Self {
+            pace: Pace::new(spec.speed, spec.cold_from, spec.cold_for, now, cold),
+            push: Push::new(spec.fall_window),
+            spec,
+            waiting: BTreeMap::new(),
+            running: BTreeMap::new(),
+            places: HashMap::new(),
+            next: 0,
+            connections: 0,
+            pushed: 0.0,
+            peak: 0.0,
+            draining: false,
+            down: false,
+            told: (f64::NEG_INFINITY, Report::default()),
+        }
+    }
+
+    /// A new connection; false when it holds as many as it may, or is down.
+    pub fn connect(&mut self) -> bool {
+        let free = !self.down && self.connections < self.spec.connections;
+        self.connections += usize::from(free);
+        free
+    }
+
+    /// A connection that `connect` allowed has ended.
+    pub fn disconnect(&mut self) {
+        self.connections = self.connections.saturating_sub(1);
+    }
+
+    /// Takes an RPC in or tells why not. What reaches a cold node counts as a push also when it is turned away.
+    pub fn offer(
+        &mut self,
+        now: f64,
+        offer: Offer,
+        repeats: &mut Repeats,
+        out: &mut Vec<Happening>,
+    ) -> Result<(), Why> {
+        self.advance(now, repeats, out);
+        if self.down {
+            return Err(Why::Down);
+        }
+        let work = offer.work + if offer.fresh { self.spec.connection_work } else { 0.0 };
+        self.weigh(now, work);
+        if self.pushed >= 1.0 {
+            self.crash();
+            out.push(Happening::Fell);
+            return Err(Why::Down);
+        }
+        let full = self.running.len() >= self.spec.cores && self.waiting.len() >= self.spec.queue;
+        match () {
+            () if self.draining => return Err(Why::Draining),
+            () if full => return Err(Why::QueueFull),
+            () => {}
+        }
+        self.waiting.insert(self.next, (offer.job, Held { work, mark: offer.mark }));
+        self.places.insert(offer.job, Place::Waiting(self.next));
+        self.next += 1;
+        self.fill(now, repeats, out);
+        Ok(())
+    }
+
+    fn weigh(&mut self, now: f64, work: f64) {
+        self.pushed = 0.0;
+        if self.pace.is_cold(now) {
+            let able = self.spec.cores as f64 * self.spec.speed * self.pace.warmth(now);
+            let bearable = self.spec.fall_multiple * able * self.spec.fall_window;
+            self.pushed = self.push.add(now, work) / bearable;
+            self.peak = self.peak.max(self.pushed);
+        }
+    }
+
+    /// Lets waiting RPCs begin on cores that are free.
+    fn fill(&mut self, now: f64, repeats: &mut Repeats, out: &mut Vec<Happening>) {
+        while self.running.len() < self.spec.cores {
+            let Some((_, (job, held))) = self.waiting.pop_first() else { return };
+            if held.mark.is_some_and(|mark| !repeats.first(now, mark)) {
+                self.places.remove(&job);
+                out.push(Happening::Repeated(job));
+                continue;
+            }
+            let end = (self.pace.done() + held.work).to_bits();
+            self.running.insert((end, job), held);
+            self.places.insert(job, Place::Running(end));
+            out.push(Happening::Started(job));
+        }
+    }
+
+    /// When something will happen by itself, if nothing comes in between.
+    pub fn next_event(&self) -> Option<f64> {
+        let ((end, _), _) = self.running.first_key_value()?;
+        self.pace.when(f64::from_bits(*end))
+    }
+
+    /// Lets time pass until `now`: runs end, and others begin in the order in which they came, each at its own time.
+    pub fn advance(&mut self, now: f64, repeats: &mut Repeats, out: &mut Vec<Happening>) {
+        while let Some(at) = self.next_event().filter(|at| *at <= now) {
+            self.pace.settle(at);
+            let Some(((_, job), _)) = self.running.pop_first() else { break };
+            self.places.remove(&job);
+            out.push(Happening::Finished(job));
+            self.fill(at, repeats, out);
+        }
+        self.pace.settle(now);
+    }
+
+    /// The RPC's proxy no longer waits. False where its run goes on, or it is not here any more.
+    pub fn cancel(&mut self, now: f64, job: Job, repeats: &mut Repeats, out: &mut Vec<Happening>) -> bool {
+        self.advance(now, repeats, out);
+        match self.places.get(&job).copied() {
+            Some(Place::Waiting(number)) => drop(self.waiting.remove(&number)),
+            Some(Place::Running(end)) if self.spec.cancel_stops => drop(self.running.remove(&(end, job))),
+            _ => return false,
+        }
+        self.places.remove(&job);
+        self.fill(now, repeats, out);
+        true
+    }
+
+    /// It finishes what it has and turns everything new away.
+    pub fn drain(&mut self) {
+        self.draining = true;
+    }
+
+    /// Ends it: all it held is lost.
+    pub fn crash(&mut self) {
+        self.down = true;
+        self.waiting.clear();
+        self.running.clear();
+        self.places.clear();
+    }
+
+    /// It stands still from now on, or goes on.
+    pub fn stall(&mut self, now: f64, stalled: bool, repeats: &mut Repeats, out: &mut Vec<Happening>) {
+        self.advance(now, repeats, out);
+        self.pace.stall(now, stalled);
+    }
+
+    /// From now on it works `factor` times as fast: a neighbour comes (below 1) or goes (its reciprocal).
+    pub fn scale(&mut self, now: f64, factor: f64, repeats: &mut Repeats, out: &mut Vec<Happening>) {
+        self.advance(now, repeats, out);
+        self.pace.scale_by(now, factor);
+    }
+
+    /// Its load, renewed when the last one is old enough.
+    pub fn report(&mut self, now: f64) -> Report {
+        if now - self.told.0 >= self.spec.report_every {
+            let (queued, running) = (self.waiting.len(), self.running.len());
+            let utilisation = running as f64 / self.spec.cores as f64;
+            self.told = (now, Report { in_flight: queued + running, queued, utilisation });
+        }
+        self.told.1
+    }
+
+    /// RPCs it holds, waiting or running.
+    pub fn in_flight(&self) -> usize {
+        self.places.len()
+    }
+
+    /// How far the last offer pushed it towards its fall; 1 is the fall, 0 whenever it is warm.
+    pub fn pushed(&self) -> f64 {
+        self.pushed
+    }
+
+    /// The most it was ever pushed.
+    pub fn peak(&self) -> f64 {
+        self.peak
+    }
+
+    pub fn is_down(&self) -> bool {
+        self.down
+    }
+
+    pub fn is_draining(&self) -> bool {
+        self.draining
+    }
+
+    /// Whether a new RPC would have to wait for a core.
+    pub fn is_busy(&self) -> bool {
+        self.running.len() >= self.spec.cores
+    }
+}
--- /dev/null
+++ b/crates/model/tests/node.rs
@@ -0,0 +1,281 @@
+//! The node against a plain model that takes small steps, and its hard cases one by one.
+use birchhub_model::{Happening, Mark, Node, Offer, Repeats, Spec, Start, Why, work::Spread, work::Work};
+use quickcheck::{Gen, QuickCheck, TestResult};
+use std::collections::VecDeque;
+
+fn spec() -> Spec {
+    Spec {
+        cores: 2,
+        speed: 1.0,
+        queue: 4,
+        cold_from: 0.25,
+        cold_for: 8.0,
+        fall_multiple: 3.0,
+        fall_window: 1.0,
+        report_every: 0.5,
+        cancel_stops: true,
+        connections: 2,
+        connection_work: 0.01,
+    }
+}
+
+/// A node with what happened to it.
+struct Desk {
+    node: Node,
+    repeats: Repeats,
+    out: Vec<Happening>,
+}
+
+impl Desk {
+    fn new(spec: Spec, start: Start) -> Self {
+        Self { node: Node::new(spec, 0.0, start), repeats: Repeats::default(), out: vec![] }
+    }
+    fn offer(&mut self, now: f64, job: u64, work: f64) -> Result<(), Why> {
+        self.offer_as(now, Offer { job, work, mark: None, fresh: false })
+    }
+    fn offer_as(&mut self, now: f64, offer: Offer) -> Result<(), Why> {
+        self.node.offer(now, offer, &mut self.repeats, &mut self.out)
+    }
+    fn cancel(&mut self, now: f64, job: u64) -> bool {
+        self.node.cancel(now, job, &mut self.repeats, &mut self.out)
+    }
+    fn to(&mut self, now: f64) -> Vec<Happening> {
+        self.node.advance(now, &mut self.repeats, &mut self.out);
+        std::mem::take(&mut self.out)
+    }
+    /// Times at which jobs end from now on.
+    fn ends(&mut self) -> Vec<(u64, f64)> {
+        let mut ends = vec![];
+        while let Some(at) = self.node.next_event() {
+            for happening in self.to(at) {
+                if let Happening::Finished(job) = happening {
+                    ends.push((job, at));
+                }
+            }
+        }
+        ends
+    }
+}
+
+/// The same node by small steps: each core takes its part of the pace; no work clock, no heap.
+fn plain(spec: &Spec, cold: bool, stall: (f64, f64), arrivals: &[(f64, f64)]) -> Vec<(u64, f64)> {
+    const STEP: f64 = 0.0005;
+    let (mut cores, mut queue, mut ends) = (vec![None; spec.cores], VecDeque::new(), vec![]);
+    let mut next = 0;
+    let mut now = 0.0;
+    while ends.len() < arrivals.len() {
+        while next < arrivals.len() && arrivals[next].0 <= now {
+            queue.push_back((next as u64, arrivals[next].1));
+            next += 1;
+        }
+        let age = if cold { (now + STEP / 2.0) / spec.cold_for } else { 1.0 };
+        let warmth = spec.cold_from + (1.0 - spec.cold_from) * age.min(1.0);
+        let standing = now >= stall.0 && now < stall.0 + stall.1;
+        for core in &mut cores {
+            if core.is_none() {
+                *core = queue.pop_front();
+            }
+            if let Some((job, left)) = core {
+                *left -= if standing { 0.0 } else { STEP * spec.speed * warmth };
+                if *left <= 0.0 {
+                    // What the step did beyond the end goes to the next: steps must not add up to a drift.
+                    ends.push((*job, now + STEP));
+                    let beyond = *left;
+                    *core = queue.pop_front().map(|(job, work): (u64, f64)| (job, work + beyond));
+                }
+            }
+        }
+        now += STEP;
+    }
+    ends.sort_by_key(|(job, _)| *job);
+    ends
+}
+
+/// Ends agree with the plain model within a few of its steps, cold or warm, with a stall anywhere.
+fn ends_are_those_of_the_plain_model(picks: Vec<(u8, u8)>, cold: bool, stall: (u8, u8)) -> TestResult {
+    if picks.is_empty() || picks.len() > 30 {
+        return TestResult::discard();
+    }
+    let spec = Spec { queue: 1000, fall_multiple: 1e9, ..spec() };
+    let mut at = 0.0;
+    let arrivals: Vec<_> = picks
+        .iter()
+        .map(|(gap, work)| {
+            at += f64::from(*gap) / 1000.0;
+            (at, 0.002 + f64::from(*work) / 1000.0)
+        })
+        .collect();
+    let stall = (f64::from(stall.0) / 100.0, f64::from(stall.1) / 200.0);
+    let mut desk = Desk::new(spec.clone(), if cold { Start::Cold } else { Start::Warm });
+    let mut steps: Vec<(f64, Option<usize>, bool)> =
+        vec![(stall.0, None, true), (stall.0 + stall.1, None, false)];
+    steps.extend(arrivals.iter().enumerate().map(|(n, (at, _))| (*at, Some(n), false)));
+    steps.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let mut ends = vec![];
+    let mut run_to = |desk: &mut Desk, now: f64| {
+        while let Some(at) = desk.node.next_event().filter(|at| *at <= now) {
+            ends.extend(desk.to(at).iter().filter_map(|h| match h {
+                Happening::Finished(job) => Some((*job, at)),
+                _ => None,
+            }));
+        }
+    };
+    for (now, job, stalled) in steps {
+        run_to(&mut desk, now);
+        match job {
+            Some(n) => desk.offer(now, n as u64, arrivals[n].1).expect("room"),
+            None => desk.node.stall(now, stalled, &mut desk.repeats, &mut desk.out),
+        }
+    }
+    run_to(&mut desk, f64::MAX);
+    ends.sort_by_key(|(job, _)| *job);
+    let same = plain(&spec, cold, stall, &arrivals)
+        .iter()
+        .zip(&ends)
+        .all(|(p, e)| p.0 == e.0 && (p.1 - e.1).abs() < 0.01);
+    TestResult::from_bool(same && ends.len() == arrivals.len())
+}
+
+/// What is offered is held, turned away, finished or dropped: nothing is lost and nothing ends twice.
+fn every_job_has_one_end(moves: Vec<(u8, u8, u8)>) -> bool {
+    let mut desk = Desk::new(spec(), Start::Warm);
+    let (mut now, mut taken, mut dropped) = (0.0, 0, 0);
+    for (job, (gap, work, what)) in moves.iter().enumerate() {
+        now += f64::from(*gap) / 2000.0;
+        taken += usize::from(desk.offer(now, job as u64, f64::from(*work) / 500.0).is_ok());
+        if what % 4 == 0 {
+            dropped += usize::from(desk.cancel(now, job as u64 / 2));
+        }
+    }
+    let before = std::mem::take(&mut desk.out);
+    let before = before.iter().filter(|h| matches!(h, Happening::Finished(_))).count();
+    let after = desk.ends().len();
+    desk.node.in_flight() == 0 && before + after + dropped == taken
+}
+
+/// Generated inputs that are the same in every run.
+fn seeded() -> QuickCheck {
+    QuickCheck::new().tests(300).rng(Gen::from_size_and_seed(40, 7))
+}
+
+#[test]
+fn ends_agree_with_the_plain_model() {
+    seeded().quickcheck(ends_are_those_of_the_plain_model as fn(_, _, _) -> TestResult);
+}
+
+#[test]
+fn nothing_is_lost_and_nothing_ends_twice() {
+    seeded().quickcheck(every_job_has_one_end as fn(_) -> bool);
+}
+
+#[test]
+fn a_cold_node_warms_over_its_time() {
+    let mut cold = Desk::new(spec(), Start::Cold);
+    cold.offer(0.0, 1, 1.0).expect("room");
+    // 0.25 t + 0.75 t² / 16 = 1
+    let at = (-0.25 + (0.0625 + 0.1875f64).sqrt()) * 32.0 / 3.0;
+    assert!((cold.ends()[0].1 - at).abs() < 1e-9);
+    cold.offer(20.0, 2, 1.0).expect("room");
+    assert_eq!(cold.ends(), [(2, 21.0)]);
+}
+
+#[test]
+fn a_full_queue_turns_away_and_a_draining_node_finishes_what_it_has() {
+    let mut desk = Desk::new(spec(), Start::Warm);
+    for job in 0..6 {
+        desk.offer(0.0, job, 1.0).expect("room");
+    }
+    assert_eq!(desk.offer(0.0, 6, 1.0), Err(Why::QueueFull));
+    desk.node.drain();
+    assert_eq!(desk.offer(3.5, 7, 1.0), Err(Why::Draining));
+    assert_eq!(desk.node.in_flight(), 0);
+}
+
+/// Rule 4: what is turned away pushes too, and a warm node can't be pushed over.
+#[test]
+fn a_cold_node_falls_when_pushed_and_a_warm_one_does_not() {
+    // Able to do 2 x 0.25; falls at 3 times that within 1 s.
+    let mut cold = Desk::new(spec(), Start::Cold);
+    let pushed = (0..17).map(|job| cold.offer(0.01, job, 0.1)).filter(|r| *r == Err(Why::Down)).count();
+    assert_eq!((pushed, cold.node.is_down(), cold.node.in_flight()), (2, true, 0));
+    assert_eq!(cold.out.iter().filter(|h| **h == Happening::Fell).count(), 1);
+    let mut paced = Desk::new(spec(), Start::Cold);
+    for job in 0..140 {
+        let _ = paced.offer(job as f64 * 0.1, job, 0.1);
+    }
+    assert!(
+        !paced.node.is_down() && paced.node.peak() > 0.4 && paced.node.peak() < 0.6,
+        "{}",
+        paced.node.peak()
+    );
+    let mut warm = Desk::new(spec(), Start::Warm);
+    (0..1000).for_each(|job| drop(warm.offer(0.01, job, 0.1)));
+    assert!(!warm.node.is_down());
+}
+
+#[test]
+fn cancelled_work_stops_or_goes_on() {
+    for stops in [true, false] {
+        let mut desk = Desk::new(Spec { cancel_stops: stops, cores: 1, ..spec() }, Start::Warm);
+        for job in 0..3 {
+            desk.offer(0.0, job, 1.0).expect("room");
+        }
+        assert_eq!((desk.cancel(0.5, 0), desk.cancel(0.5, 1), desk.cancel(0.5, 9)), (stops, true, false));
+        let expected: &[(u64, f64)] = if stops { &[(2, 1.5)] } else { &[(0, 1.0), (2, 2.0)] };
+        assert_eq!(desk.ends(), expected);
+    }
+}
+
+#[test]
+fn repeats_are_dropped_within_their_group_and_window() {
+    let mut desk = Desk::new(spec(), Start::Warm);
+    let mut run = |now: f64, job, group, key| {
+        let mark = Some(Mark { group, key, window: 4.0 });
+        desk.offer_as(now, Offer { job, work: 0.1, mark, fresh: false }).expect("room");
+        desk.to(now + 0.2).contains(&Happening::Repeated(job))
+    };
+    assert!(!run(0.0, 1, 1, 5) && run(1.0, 2, 1, 5) && !run(2.0, 3, 2, 5) && !run(3.0, 4, 1, 6));
+    assert!(!run(4.5, 5, 1, 5), "the window is over");
+    assert!(run(5.0, 6, 1, 5), "and has begun anew");
+    assert!(!run(50.0, 7, 9, 9));
+    assert!(!run(60.0, 8, 9, 8));
+    assert!(desk.repeats.len() <= 3, "old marks are forgotten: {}", desk.repeats.len());
+}
+
+#[test]
+fn a_neighbour_slows_it_and_reports_are_as_old_as_told() {
+    let mut desk = Desk::new(spec(), Start::Warm);
+    desk.node.report(0.0);
+    desk.offer(0.1, 1, 1.0).expect("room");
+    assert_eq!(desk.node.report(0.2).in_flight, 0);
+    assert_eq!(desk.node.report(0.6).in_flight, 1);
+    desk.node.scale(0.6, 0.25, &mut desk.repeats, &mut desk.out);
+    desk.node.scale(1.6, 4.0, &mut desk.repeats, &mut desk.out);
+    let ends = desk.ends();
+    assert!((ends[0].1 - 1.85).abs() < 1e-9, "{ends:?}");
+}
+
+#[test]
+fn connections_are_limited_and_the_first_rpc_pays_for_its_own() {
+    let mut desk = Desk::new(spec(), Start::Warm);
+    assert!(desk.node.connect() && desk.node.connect() && !desk.node.connect());
+    desk.node.disconnect();
+    assert!(desk.node.connect());
+    desk.offer_as(0.0, Offer { job: 1, work: 0.1, mark: None, fresh: true }).expect("room");
+    assert!((desk.ends()[0].1 - 0.11).abs() < 1e-9);
+}
+
+/// The same RPC costs the same wherever it is drawn, and the spread is what it says.
+#[test]
+fn work_is_drawn_from_seed_and_id_alone() {
+    for (spread, variation) in [(Spread::Constant, 0.0), (Spread::Exponential, 1.0), (Spread::HeavyTail, 2.0)]
+    {
+        let work = Work { mean: 0.05, spread };
+        assert_eq!(work.draw(1, 7), work.draw(1, 7));
+        let drawn: Vec<f64> = (0..200_000).map(|id| work.draw(3, id)).collect();
+        let mean = drawn.iter().sum::<f64>() / drawn.len() as f64;
+        let variance = drawn.iter().map(|w| (w - mean).powi(2)).sum::<f64>() / drawn.len() as f64;
+        assert!((mean / 0.05 - 1.0).abs() < 0.02, "{spread:?}: {mean}");
+        assert!((variance.sqrt() / mean - variation).abs() < 0.15, "{spread:?}: {variance}");
+    }
+}
