--- /dev/null
+++ b/crates/audit/src/audit.rs
@@ -0,0 +1,506 @@
+//! The four rules over a ledger: a pure fold over its entries, in the order of time.
+//!
+//! 1. Each RPC that a running proxy has taken gets one final answer before its deadline, and nothing is sent after.
+//! 2. No effect twice: non-idempotent never again once it may have run, deduplicated only inside group and window;
+//!    pushed back only where that is harmless.
+//! 3. Nothing new to a draining or gone node later than the grace after its proxy was told.
+//! 4. No cold node pushed over by what informed proxies sent, all together.
+use crate::event::{Answer, End, Entry, Event, Left, State, Taken};
+use crate::head::{Head, Kind};
+use crate::service::{Service, Tally};
+use serde::Serialize;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+const INFORMED: f64 = 2.0 / 3.0; // of a push: from as much on, a fall is the doing of proxies that were told of the start
+
+/// Which rule was broken; the number is the rule's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Rule {
+    OneAnswer = 1,
+    NoEffectTwice = 2,
+    Drains = 3,
+    ColdNodes = 4,
+}
+
+/// One breach, told once for its rule and subject.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Breach {
+    pub rule: Rule,
+    pub at: f64,
+    /// The RPC's number, or the node's name for rule 4.
+    pub subject: String,
+    pub what: String,
+    /// Rests on a time limit: can't be upheld where the kit itself was late.
+    pub timed: bool,
+}
+
+/// Counts that a report shows beside the rules.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Counts {
+    pub rpcs: usize,
+    pub tries: usize,
+    pub picks: usize,
+    pub runs: usize,
+    pub ok: usize,
+    pub pushed_back: usize,
+    pub aborted: usize,
+    /// Tries that got no answer because their proxy was killed.
+    pub lost_with_proxy: usize,
+    pub unreachable: usize,
+    pub hung_up: usize,
+    pub turned_away: usize,
+    /// Runs beyond the first of an RPC, where the method allows them.
+    pub repeated_runs: usize,
+    /// Repeats that nodes dropped.
+    pub dropped_repeats: usize,
+    /// Runs beyond the first of an RPC whose method forbids them.
+    pub double_runs: usize,
+    /// Nodes that fell, and those that fell by no fault of informed proxies.
+    pub fallen: usize,
+    pub fallen_uninformed: usize,
+    pub withdrawn: usize,
+}
+
+/// A cold life and how near to its fall it came.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct ColdLife {
+    pub node: String,
+    pub from: f64,
+    /// Part of what makes it fall.
+    pub peak: f64,
+}
+
+/// What an audit found.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Findings {
+    pub breaches: Vec<Breach>,
+    pub counts: Counts,
+    pub service: Service,
+    pub cold: Vec<ColdLife>,
+    /// Latest new work to a draining or gone node after its proxy was told, s.
+    pub latest_after_told: f64,
+    /// The kit's own lateness, s: median, 99th percentile and worst.
+    pub kit_late: [f64; 3],
+}
+
+#[derive(Clone, Debug)]
+struct Pick {
+    job: u64,
+    life: u32,
+    begun: f64,
+    taken: Taken,
+    /// When it was over for its proxy.
+    over: Option<f64>,
+}
+
+#[derive(Debug)]
+struct Try {
+    rpc: u32,
+    proxy: u16,
+    sent: f64,
+    patience: f64,
+    answer: Option<(f64, Answer)>,
+    picks: Vec<Pick>,
+}
+
+impl Try {
+    fn deadline(&self) -> f64 {
+        self.sent + self.patience
+    }
+}
+
+#[derive(Debug, Default)]
+struct Asked {
+    method: usize,
+    effects: usize,
+}
+
+#[derive(Debug)]
+struct Life {
+    node: u32,
+    born: f64,
+    cold: bool,
+    peak: f64,
+    /// Work of the last window: when, how much, from an informed proxy or not.
+    push: VecDeque<(f64, f64, bool)>,
+}
+
+/// The fold. Feed it entries in the order of time, then finish.
+pub struct Audit<'a> {
+    head: &'a Head,
+    rpcs: HashMap<u32, Asked>,
+    tries: BTreeMap<u64, Try>,
+    jobs: HashMap<u64, u64>,
+    lives: HashMap<u32, Life>,
+    /// What each proxy was told last of a node: its life, and since when it takes nothing new.
+    told: HashMap<(u16, u32), (u32, Option<f64>)>,
+    /// When each proxy's process ended.
+    ended: HashMap<u16, Vec<(f64, End)>>,
+    breaches: BTreeMap<(Rule, String), Breach>,
+    counts: Counts,
+    late: Vec<f64>,
+    latest_after_told: f64,
+    tally: Tally<'a>,
+    now: f64,
+}
+
+impl<'a> Audit<'a> {
+    pub fn new(head: &'a Head) -> Self {
+        Self {
+            head,
+            rpcs: HashMap::new(),
+            tries: BTreeMap::new(),
+            jobs: HashMap::new(),
+            lives: HashMap::new(),
+            told: HashMap::new(),
+            ended: HashMap::new(),
+            breaches: BTreeMap::new(),
+            counts: Counts::default(),
+            late: Vec::new(),
+            latest_after_told: 0.0,
+            tally: Tally::new(head),
+            now: 0.0,
+        }
+    }
+
+    /// Judges a whole ledger.
+    pub fn of(head: &'a Head, entries: &[Entry]) -> Findings {
+        let mut audit = Self::new(head);
+        entries.iter().for_each(|entry| audit.feed(entry));
+        audit.finish()
+    }
+
+    fn breach(&mut self, rule: Rule, at: f64, subject: String, what: String, timed: bool) {
+        let breach = Breach { rule, at, subject: subject.clone(), what, timed };
+        // A fault seen in several ways is one breach; one that no clock can excuse outweighs one of time.
+        let slot = self.breaches.entry((rule, subject)).or_insert_with(|| breach.clone());
+        if slot.timed && !timed {
+            *slot = breach;
+        }
+    }
+
+    fn rpc_name(rpc: u32) -> String {
+        format!("rpc {rpc}")
+    }
+
+    fn proxy_name(&self, proxy: u16) -> &str {
+        self.head.proxies.get(proxy as usize).map_or("?", String::as_str)
+    }
+
+    fn node_name(&self, node: u32) -> &str {
+        self.head.nodes.get(node as usize).map_or("?", |n| &n.name)
+    }
+
+    fn kind(&self, rpc: u32) -> Option<Kind> {
+        let asked = self.rpcs.get(&rpc)?;
+        self.head.methods.get(asked.method).map(|m| m.kind)
+    }
+
+    pub fn feed(&mut self, entry: &Entry) {
+        let at = entry.at;
+        self.now = self.now.max(at);
+        match entry.event {
+            Event::Asked { rpc, method, tenant, within } => {
+                self.counts.rpcs += 1;
+                self.rpcs.insert(rpc, Asked { method: method as usize, effects: 0 });
+                self.tally.asked(at, rpc, method as usize, tenant as usize, within);
+            }
+            Event::Sent { attempt, rpc, proxy, patience } => {
+                self.counts.tries += 1;
+                let (patience, picks) = (f64::from(patience), Vec::new());
+                // The first pick may have overtaken the note of the send.
+                let known = self.tries.remove(&attempt).map_or(picks, |t| t.picks);
+                let entry = Try { rpc, proxy, sent: at, patience, answer: None, picks: known };
+                self.tries.insert(attempt, entry);
+            }
+            Event::Answered { attempt, answer } => self.answered(at, attempt, answer),
+            Event::Born { life, node, cold, .. } => {
+                let push = VecDeque::new();
+                self.lives.insert(life, Life { node, born: at, cold, peak: 0.0, push });
+            }
+            Event::Fell { life } => self.fell(at, life),
+            Event::Got { life, job, attempt, proxy, begun, work, pushed, taken } => {
+                self.got(life, job, attempt, begun, taken);
+                self.after_told(life, attempt, proxy, begun);
+                self.pushed(at, life, proxy, f64::from(work), f64::from(pushed));
+            }
+            Event::Started { job } => self.started(at, job),
+            Event::Repeated { .. } => self.counts.dropped_repeats += 1,
+            Event::Left { job, how } => {
+                self.counts.withdrawn += usize::from(how == Left::Withdrawn);
+                if let Some(pick) = self.pick_mut(job) {
+                    pick.over.get_or_insert(at);
+                }
+            }
+            Event::Told { proxy, node, life, state } => {
+                let off = (state != State::Ready).then_some(at);
+                let slot = self.told.entry((proxy, node)).or_insert((life, off));
+                let still = slot.1.filter(|_| slot.0 == life && state != State::Ready);
+                *slot = (life, still.or(off));
+            }
+            Event::ProxyStarted { proxy } => {
+                // It starts from what it is told now and has forgotten the rest.
+                self.told.retain(|(p, _), _| *p != proxy);
+            }
+            Event::ProxyEnded { proxy, how } => {
+                if how == End::Crashed {
+                    let name = format!("proxy {}", self.proxy_name(proxy));
+                    self.breach(Rule::OneAnswer, at, name, "ended by itself, unasked".into(), false);
+                }
+                self.ended.entry(proxy).or_default().push((at, how));
+            }
+            Event::KitLate { by } => self.late.push(f64::from(by)),
+            Event::Drained { .. }
+            | Event::Died { .. }
+            | Event::Finished { .. }
+            | Event::Changed { .. }
+            | Event::ProxyReady { .. }
+            | Event::Trouble { .. } => {}
+        }
+    }
+
+    fn pick_mut(&mut self, job: u64) -> Option<&mut Pick> {
+        let attempt = self.jobs.get(&job)?;
+        self.tries.get_mut(attempt)?.picks.iter_mut().find(|p| p.job == job)
+    }
+
+    fn answered(&mut self, at: f64, attempt: u64, answer: Answer) {
+        let Some(entry) = self.tries.get_mut(&attempt) else { return };
+        let (rpc, before, deadline) = (entry.rpc, entry.answer, entry.deadline());
+        entry.answer.get_or_insert((at, answer));
+        if before.is_some() {
+            let what = format!("answered twice: {:?}, then {answer:?}", before.map(|b| b.1));
+            return self.breach(Rule::OneAnswer, at, Self::rpc_name(rpc), what, false);
+        }
+        match answer {
+            Answer::Ok => self.counts.ok += 1,
+            Answer::PushedBack(_) => self.counts.pushed_back += 1,
+            Answer::Aborted(_) => self.counts.aborted += 1,
+            Answer::Unreachable => self.counts.unreachable += 1,
+            Answer::HungUp => self.counts.hung_up += 1,
+            Answer::Lost | Answer::Silence => {}
+            Answer::Garbled => {
+                let what = "the answer was none, or bytes came behind it".to_owned();
+                self.breach(Rule::OneAnswer, at, Self::rpc_name(rpc), what, false);
+            }
+        }
+        if answer.is_final() && at > deadline + self.head.rules.slack {
+            let what = format!("answered {:.0} ms after its deadline", (at - deadline) * 1e3);
+            self.breach(Rule::OneAnswer, at, Self::rpc_name(rpc), what, true);
+        }
+        if answer == Answer::Ok {
+            self.tally.answered(at, rpc);
+        }
+    }
+
+    fn got(&mut self, life: u32, job: u64, attempt: u64, begun: f64, taken: Taken) {
+        self.counts.picks += 1;
+        self.counts.turned_away += usize::from(taken == Taken::TurnedAway);
+        self.jobs.insert(job, attempt);
+        let (rpc, proxy, sent, patience) = (u32::MAX, u16::MAX, begun, f64::INFINITY);
+        let entry = self.tries.entry(attempt);
+        let entry = entry.or_insert(Try { rpc, proxy, sent, patience, answer: None, picks: Vec::new() });
+        let over = (taken == Taken::TurnedAway).then_some(begun);
+        entry.picks.push(Pick { job, life, begun, taken, over });
+    }
+
+    /// Rule 3, for one pick.
+    fn after_told(&mut self, life: u32, attempt: u64, proxy: u16, begun: f64) {
+        let Some(node) = self.lives.get(&life).map(|l| l.node) else { return };
+        // Off since then, for this life: what was said of an earlier one does not count.
+        let Some((_, Some(off))) = self.told.get(&(proxy, node)).filter(|told| told.0 == life).copied()
+        else {
+            return;
+        };
+        let late = begun - off;
+        self.latest_after_told = self.latest_after_told.max(late);
+        if late > self.head.rules.drain_grace + self.head.rules.slack {
+            let rpc = self.tries.get(&attempt).map_or(u32::MAX, |t| t.rpc);
+            let what = format!(
+                "sent to {} {:.0} ms after {} was told that it takes nothing new",
+                self.node_name(node),
+                late * 1e3,
+                self.proxy_name(proxy)
+            );
+            self.breach(Rule::Drains, begun, Self::rpc_name(rpc), what, true);
+        }
+    }
+
+    fn pushed(&mut self, at: f64, life: u32, proxy: u16, work: f64, pushed: f64) {
+        let window = self.head.rules.fall_window;
+        let Some(entry) = self.lives.get_mut(&life) else { return };
+        if !entry.cold {
+            return;
+        }
+        let informed = self.told.get(&(proxy, entry.node)).is_some_and(|told| told.0 == life);
+        entry.peak = entry.peak.max(pushed);
+        entry.push.push_back((at, work, informed));
+        while entry.push.front().is_some_and(|(then, ..)| *then < at - window) {
+            entry.push.pop_front();
+        }
+    }
+
+    /// Rule 4.
+    fn fell(&mut self, at: f64, life: u32) {
+        self.counts.fallen += 1;
+        let Some(entry) = self.lives.get_mut(&life) else { return };
+        entry.peak = entry.peak.max(1.0);
+        let sum = |of: &dyn Fn(bool) -> bool| -> f64 {
+            entry.push.iter().filter(|(_, _, informed)| of(*informed)).map(|(_, work, _)| work).sum()
+        };
+        let (all, informed) = (sum(&|_| true), sum(&|informed| informed));
+        let (node, age) = (entry.node, at - entry.born);
+        if informed < INFORMED * all {
+            self.counts.fallen_uninformed += 1;
+            return;
+        }
+        let name = self.node_name(node).to_owned();
+        let what = format!(
+            "pushed over {age:.1} s after its start, {:.0}% of it by proxies that knew of the start",
+            informed / all.max(f64::MIN_POSITIVE) * 100.0
+        );
+        self.breach(Rule::ColdNodes, at, name, what, false);
+    }
+
+    /// An effect happened.
+    fn started(&mut self, at: f64, job: u64) {
+        self.counts.runs += 1;
+        let Some(rpc) = self.jobs.get(&job).and_then(|a| self.tries.get(a)).map(|t| t.rpc) else { return };
+        let kind = self.kind(rpc);
+        let Some(asked) = self.rpcs.get_mut(&rpc) else { return };
+        asked.effects += 1;
+        let effects = asked.effects;
+        match kind {
+            _ if effects < 2 => {}
+            Some(Kind::Idempotent) => self.counts.repeated_runs += 1,
+            Some(_) => {
+                self.counts.double_runs += 1;
+                let what = format!("ran {effects} times");
+                self.breach(Rule::NoEffectTwice, at, Self::rpc_name(rpc), what, false);
+            }
+            None => {}
+        }
+    }
+
+    /// Rules 1 and 2 over the picks of one try, once all is known.
+    fn judge(&mut self, attempt: u64, entry: &Try) {
+        let (rules, slack) = (&self.head.rules, self.head.rules.slack);
+        let name = || Self::rpc_name(entry.rpc);
+        let Some(kind) = self.kind(entry.rpc) else {
+            if let Some(pick) = entry.picks.first() {
+                let what = "sent to a node, and no client had asked for it".to_owned();
+                self.breach(Rule::OneAnswer, pick.begun, format!("try {attempt:016x}"), what, false);
+            }
+            return;
+        };
+        let mut found = Vec::new();
+        let ran = |p: &&Pick| p.taken != Taken::TurnedAway;
+        for (n, pick) in entry.picks.iter().enumerate() {
+            let after = entry.answer.filter(|(at, a)| a.is_final() && pick.begun > at + slack);
+            if after.is_some() {
+                found.push((Rule::OneAnswer, pick.begun, "sent on after its final answer".to_owned(), true));
+            } else if pick.begun > entry.deadline() + slack {
+                found.push((Rule::OneAnswer, pick.begun, "sent on after its deadline".to_owned(), true));
+            }
+            if n >= rules.most_picks {
+                let what = format!("{} picks, {} are allowed", n + 1, rules.most_picks);
+                found.push((Rule::NoEffectTwice, pick.begun, what, false));
+            }
+            let before = &entry.picks[..n];
+            let out = before.iter().any(|p| ran(&p) && p.over.is_none_or(|over| over > pick.begun + slack));
+            if out && !rules.second_copies {
+                let what = "a second copy while one was out".to_owned();
+                found.push((Rule::NoEffectTwice, pick.begun, what, true));
+            }
+            for first in before.iter().filter(ran) {
+                let node = |life| self.lives.get(&life).map_or(u32::MAX, |l| l.node);
+                let (one, other) = (node(first.life), node(pick.life));
+                let (what, timed) = match kind {
+                    Kind::Idempotent => continue,
+                    Kind::NonIdempotent => ("sent again after it may have run".to_owned(), false),
+                    Kind::Deduplicated { group, .. } if !self.head.together(group, one, other) => {
+                        ("sent again outside the group that drops repeats".to_owned(), false)
+                    }
+                    Kind::Deduplicated { window, .. } if pick.begun > first.begun + window + slack => {
+                        ("sent again after repeats are forgotten".to_owned(), true)
+                    }
+                    Kind::Deduplicated { .. } => continue,
+                };
+                let what = format!(
+                    "{what}: {} at {:.3}, {} at {:.3}",
+                    self.node_name(one),
+                    first.begun,
+                    self.node_name(other),
+                    pick.begun
+                );
+                found.push((Rule::NoEffectTwice, pick.begun, what, timed));
+            }
+        }
+        if let Some((at, Answer::PushedBack(_))) = entry.answer
+            && !kind.repeats_anywhere()
+            && entry.picks.iter().any(|p| ran(&p) && p.begun <= at)
+        {
+            found.push((Rule::NoEffectTwice, at, "pushed back although it may have run".to_owned(), false));
+        }
+        let until = entry.answer.map_or(self.now.min(entry.deadline()), |(at, _)| at);
+        let unanswered = match entry.answer {
+            Some((_, Answer::Lost | Answer::Silence)) => true,
+            Some(_) => false,
+            // Still open when the ledger ends: owed only if its time is over.
+            None => self.now > entry.deadline() + slack,
+        };
+        if unanswered {
+            // What a killed proxy held is its client's to repeat.
+            let ends = self.ended.get(&entry.proxy);
+            let killed = ends.is_some_and(|ends| {
+                let fits = |(at, how): &(f64, End)| {
+                    matches!(how, End::Killed | End::Forced | End::Over)
+                        && *at >= entry.sent - slack
+                        && *at <= until + slack
+                };
+                ends.iter().any(fits)
+            });
+            if killed {
+                self.counts.lost_with_proxy += 1;
+            } else {
+                let how = match entry.answer {
+                    Some((_, Answer::Lost)) => "its connection ended without an answer",
+                    _ => "no answer by its deadline",
+                };
+                let what = format!("{how}; {} had taken it", self.proxy_name(entry.proxy));
+                found.push((Rule::OneAnswer, until, what, entry.answer.is_none_or(|a| a.1 != Answer::Lost)));
+            }
+        }
+        for (rule, at, what, timed) in found {
+            self.breach(rule, at, name(), what, timed);
+        }
+    }
+
+    pub fn finish(mut self) -> Findings {
+        let tries = std::mem::take(&mut self.tries);
+        for (attempt, entry) in &tries {
+            self.judge(*attempt, entry);
+        }
+        let cold =
+            |l: &Life| ColdLife { node: self.node_name(l.node).to_owned(), from: l.born, peak: l.peak };
+        let mut cold: Vec<_> = self.lives.values().filter(|l| l.cold).map(cold).collect();
+        cold.sort_by(|a, b| a.from.total_cmp(&b.from).then_with(|| a.node.cmp(&b.node)));
+        self.late.sort_by(f64::total_cmp);
+        let late = |part: f64| {
+            let place = (part * self.late.len() as f64).ceil() as usize;
+            self.late.get(place.clamp(1, self.late.len().max(1)) - 1).copied().unwrap_or(0.0)
+        };
+        let kit_late = [late(0.5), late(0.99), late(1.0)];
+        let mut breaches: Vec<_> = self.breaches.into_values().collect();
+        breaches.sort_by(|a, b| a.at.total_cmp(&b.at));
+        Findings {
+            breaches,
+            counts: self.counts,
+            service: self.tally.finish(),
+            cold,
+            latest_after_told: self.latest_after_told,
+            kit_late,
+        }
+    }
+}
--- /dev/null
+++ b/crates/audit/src/event.rs
@@ -0,0 +1,181 @@
+//! What can happen in a rehearsal. Numbers stand for names; the head of the ledger tells the names.
+use serde::{Deserialize, Serialize};
+
+/// What a client was told of one try of an RPC, or what it saw instead.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Answer {
+    Ok,
+    /// Come back after so many seconds, if told.
+    PushedBack(Option<f32>),
+    /// Any other status.
+    Aborted(u16),
+    /// The connection ended without an answer.
+    Lost,
+    /// No connection came up, or it was refused: the proxy never had it.
+    Unreachable,
+    /// The client waited longer than it had said, and nothing came.
+    Silence,
+    /// The client hung up early, of its own will.
+    HungUp,
+    /// Bytes behind the answer, or an answer that was none.
+    Garbled,
+}
+
+impl Answer {
+    /// Whether it is a final answer of the proxy.
+    pub fn is_final(self) -> bool {
+        matches!(self, Self::Ok | Self::PushedBack(_) | Self::Aborted(_))
+    }
+}
+
+/// What the list says of a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum State {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// How a node took a pick.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Taken {
+    Held,
+    /// Told the proxy that it never ran: queue full, draining, too many connections.
+    TurnedAway,
+    /// Told the proxy nothing: the pick is lost, and for all that the proxy knows it may have run.
+    Swallowed,
+    /// Told the proxy of an error, after no run.
+    Error,
+}
+
+/// How a pick left its node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Left {
+    /// Its answer was written.
+    Replied,
+    /// The proxy closed the connection first.
+    Withdrawn,
+    /// The node's end of the connection broke: a reset, a spoilt answer, a crash.
+    Broken,
+}
+
+/// How a proxy's process ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum End {
+    /// Killed by the scenario.
+    Killed,
+    /// Ended by itself after SIGTERM.
+    Stopped,
+    /// Killed after SIGTERM, as it would not end.
+    Forced,
+    /// Ended by itself, unasked.
+    Crashed,
+    /// The rehearsal is over.
+    Over,
+}
+
+/// One thing that happened. `attempt` is a try of a client, with an id of its own; `life` one life of a node, from its
+/// start to its end; `job` a pick at a node. Times are seconds since the rehearsal began.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Event {
+    /// An RPC was due, whether or not it could be sent.
+    Asked {
+        rpc: u32,
+        method: u8,
+        tenant: u8,
+        within: bool,
+    },
+    /// A client's try: its last byte left at this time.
+    Sent {
+        attempt: u64,
+        rpc: u32,
+        proxy: u16,
+        patience: f32,
+    },
+    Answered {
+        attempt: u64,
+        answer: Answer,
+    },
+    /// A life of a node began; `able` is what it can do when warm, in standard cores.
+    Born {
+        life: u32,
+        node: u32,
+        cold: bool,
+        able: f32,
+    },
+    Drained {
+        life: u32,
+    },
+    Died {
+        life: u32,
+    },
+    /// Pushed over.
+    Fell {
+        life: u32,
+    },
+    /// A pick arrived whole; its first byte came at `begun`. `pushed` is how far it pushed a cold node to its fall.
+    Got {
+        life: u32,
+        job: u64,
+        attempt: u64,
+        proxy: u16,
+        begun: f64,
+        work: f32,
+        pushed: f32,
+        taken: Taken,
+    },
+    Started {
+        job: u64,
+    },
+    /// Dropped as a repeat: answered as done, with no effect.
+    Repeated {
+        job: u64,
+    },
+    Finished {
+        job: u64,
+    },
+    Left {
+        job: u64,
+        how: Left,
+    },
+    /// The truth about a node changed and the list service knows.
+    Changed {
+        node: u32,
+        life: u32,
+        state: State,
+    },
+    /// The list service wrote it to a proxy, or the proxy started with it.
+    Told {
+        proxy: u16,
+        node: u32,
+        life: u32,
+        state: State,
+    },
+    /// A proxy's process began, ended, and answered that it is ready.
+    ProxyStarted {
+        proxy: u16,
+    },
+    ProxyReady {
+        proxy: u16,
+    },
+    ProxyEnded {
+        proxy: u16,
+        how: End,
+    },
+    /// A trouble of the scenario began or ended.
+    Trouble {
+        number: u16,
+        begins: bool,
+    },
+    /// The kit itself was late by so much, s: what was due at a time happened later.
+    KitLate {
+        by: f32,
+    },
+}
+
+/// An event and when it happened.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Entry {
+    pub at: f64,
+    pub event: Event,
+}
--- /dev/null
+++ b/crates/audit/src/lib.rs
@@ -0,0 +1,14 @@
+//! What happened in a rehearsal, and whether the four rules held. `event` and `head` say what can happen and among
+//! whom, `ledger` keeps it in a file, `audit` judges it, `service` says how well it went. Nothing here knows
+//! where the events come from: stand-ins on sockets or a fleet in simulated time.
+pub mod audit;
+pub mod event;
+pub mod head;
+pub mod ledger;
+pub mod service;
+pub mod story;
+
+pub use audit::{Audit, Breach, Findings, Rule};
+pub use event::{Answer, Entry, Event, State};
+pub use head::{Group, Head, Kind, Method, Rules};
+pub use service::Service;
--- /dev/null
+++ b/crates/cli/src/ledger.rs
@@ -0,0 +1,69 @@
+//! `birchhub ledger` and `birchhub audit`: what is left of a rehearsal, read back.
+use crate::{Fault, print};
+use birchhub_audit::story::Story;
+use birchhub_rehearsal::{Report, run::open};
+use clap::{Args, Subcommand};
+use std::path::PathBuf;
+
+/// Read the ledger of a rehearsal
+#[derive(Args)]
+pub struct Arguments {
+    #[command(subcommand)]
+    verb: Verb,
+}
+
+#[derive(Subcommand)]
+enum Verb {
+    /// Tell what happened, in order: everything, or the whole life of one RPC
+    Show {
+        /// The file `ledger` in the folder of a run
+        file: PathBuf,
+        /// Only this RPC, by its number
+        #[arg(long)]
+        rpc: Option<u32>,
+        /// Only from this time on, s
+        #[arg(long, default_value_t = f64::NEG_INFINITY)]
+        from: f64,
+        /// Only until this time, s
+        #[arg(long, default_value_t = f64::INFINITY)]
+        until: f64,
+    },
+}
+
+/// Judge a ledger again: the same verdict, text and exit code as its rehearsal
+#[derive(Args)]
+pub struct Audit {
+    /// The file `ledger` in the folder of a run
+    file: PathBuf,
+    /// Print the report as JSON
+    #[arg(long)]
+    json: bool,
+}
+
+pub fn run(arguments: Arguments) -> Result<u8, Fault> {
+    let Verb::Show { file, rpc, from, until } = arguments.verb;
+    let (head, entries) = open(&file).map_err(Fault::Input)?;
+    let story = Story::new(&head, &entries);
+    let mut text = String::new();
+    for entry in entries.iter().filter(|e| e.at >= from && e.at <= until) {
+        if rpc.is_none() || story.rpc(&entry.event) == rpc {
+            text.push_str(&story.line(entry));
+            text.push('\n');
+        }
+    }
+    if let Some(rpc) = rpc.filter(|_| text.is_empty()) {
+        return Err(Fault::Input(format!("{}: there is no RPC {rpc} in it", file.display())));
+    }
+    print(&text);
+    Ok(0)
+}
+
+pub fn audit(arguments: Audit) -> Result<u8, Fault> {
+    let (head, entries) = open(&arguments.file).map_err(Fault::Input)?;
+    let report = Report::of(&head, &entries, false, None);
+    match arguments.json {
+        true => print(&(report.json() + "\n")),
+        false => print(&report.text()),
+    }
+    Ok(report.verdict.exit_code())
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -7,7 +7,6 @@
 mod discovery;
 mod front;
 mod intake;
-mod logger;
 mod sockets;
 
 use crate::core::Core;
@@ -71,7 +70,7 @@
     let (mut term, hup) = (catch(SignalKind::terminate())?, catch(SignalKind::hangup())?);
     let listener =
         listen(&config).map_err(|e| format!("LB_LISTEN cannot be bound: {}: {e}", config.listen))?;
-    logger::start();
+    birchhub_logging::start();
     let (clock, budget, life) = (Clock::start(), Budget::new(config.sockets), Rc::new(Life::default()));
     let (sender, mailbox) = mpsc::channel(core::MAILBOX);
     let wanted = Rc::new(Notify::new());
--- a/crates/daemon/src/logger.rs
+++ b/crates/logging/src/lib.rs
@@ -1,4 +1,4 @@
-//! A small logger: lines go to a thread of their own, and are dropped (and counted) rather than waited for.
+//! A small logger behind the `log` crate, the same for all programs: lines go to a thread of their own, and are dropped (and counted) rather than waited for.
 use log::{LevelFilter, Log, Metadata, Record};
 use std::io::Write;
 use std::sync::atomic::{AtomicUsize, Ordering};
--- a/crates/model/tests/node.rs
+++ b/crates/model/tests/node.rs
@@ -209,7 +209,9 @@
         paced.node.peak()
     );
     let mut warm = Desk::new(spec(), Start::Warm);
-    (0..1000).for_each(|job| drop(warm.offer(0.01, job, 0.1)));
+    for job in 0..1000 {
+        let _ = warm.offer(0.01, job, 0.1);
+    }
     assert!(!warm.node.is_down());
 }
 
--- /dev/null
+++ b/crates/rehearsal/src/clients.rs
@@ -0,0 +1,163 @@
+//! The clients: each RPC goes out when it is due, whether or not answers come, and is tried again as clients do.
+use crate::plan::{Arrival, Plan};
+use crate::proxies::Front;
+use crate::scenario::{MethodKind, Scenario};
+use birchhub_audit::{Answer, Event, Group};
+use birchhub_stand_in::fleet::attempt_of;
+use birchhub_stand_in::{Call, Caller, Notes};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::thread::{Builder, JoinHandle, sleep};
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::task::{JoinSet, LocalSet};
+
+const AHEAD: usize = 4096; // arrivals between the pacer and the clients: more would mean that the kit is far behind
+const NAP: f64 = 0.2; // s that the pacer sleeps at most before it looks whether to stop
+const WORTH_IT: f64 = 0.01; // s: a try with less time than this is not begun
+
+/// How far it has come, for the progress line.
+#[derive(Debug, Default)]
+pub struct Progress {
+    pub asked: AtomicUsize,
+    pub ok: AtomicUsize,
+    pub pushed_back: AtomicUsize,
+    pub failed: AtomicUsize,
+    pub stop: AtomicBool,
+}
+
+/// Starts the clients' thread and the pacer's; both end by themselves.
+pub fn start(
+    scenario: Scenario,
+    plan: Plan,
+    notes: Notes,
+    front: Arc<Front>,
+    progress: Arc<Progress>,
+) -> std::io::Result<Vec<JoinHandle<()>>> {
+    let (due, arrivals) = mpsc::channel(AHEAD);
+    let (times, clock, stop) = (plan.arrivals.clone(), notes.clock, progress.clone());
+    // A thread that sleeps is on time to a tenth of a millisecond; an event loop's timers only to one.
+    let pacer = Builder::new().name("pacer".into()).spawn(move || {
+        for (rpc, arrival) in times.into_iter().enumerate() {
+            loop {
+                let left = arrival.due - clock.now();
+                if stop.stop.load(Ordering::Relaxed) {
+                    return;
+                }
+                if left <= 0.0 {
+                    break;
+                }
+                sleep(Duration::from_secs_f64(left.min(NAP)));
+            }
+            if due.blocking_send((rpc as u32, arrival)).is_err() {
+                return;
+            }
+        }
+    })?;
+    let clients = Builder::new().name("clients".into()).spawn(move || {
+        let Ok(runtime) = tokio::runtime::Builder::new_current_thread().enable_all().build() else { return };
+        let caller = Caller::new(notes.clone());
+        let clients = Rc::new(Clients { scenario, seed: plan.seed, notes, caller, front, progress });
+        LocalSet::new().block_on(&runtime, clients.run(arrivals));
+    })?;
+    Ok(vec![pacer, clients])
+}
+
+struct Clients {
+    scenario: Scenario,
+    seed: u64,
+    notes: Notes,
+    caller: Caller,
+    front: Arc<Front>,
+    progress: Arc<Progress>,
+}
+
+impl Clients {
+    async fn run(self: Rc<Self>, mut due: mpsc::Receiver<(u32, Arrival)>) {
+        let mut open = JoinSet::new();
+        while let Some((rpc, arrival)) = due.recv().await {
+            let by = (self.notes.clock.now() - arrival.due) as f32;
+            self.notes.tell(Event::KitLate { by });
+            let (method, tenant, within) = (arrival.method, arrival.tenant, arrival.within);
+            self.notes.tell_at(arrival.due, Event::Asked { rpc, method, tenant, within });
+            self.progress.asked.fetch_add(1, Ordering::Relaxed);
+            open.spawn_local(self.clone().rpc(rpc, arrival));
+            // Those that are over are let go of as others come.
+            while open.try_join_next().is_some() {}
+        }
+        if self.progress.stop.load(Ordering::Relaxed) {
+            open.abort_all();
+        }
+        while open.join_next().await.is_some() {}
+    }
+
+    async fn rpc(self: Rc<Self>, rpc: u32, arrival: Arrival) {
+        let method = &self.scenario.method[arrival.method as usize];
+        let clients = &self.scenario.clients;
+        let (clock, until) = (self.notes.clock, arrival.due + method.deadline.0);
+        let mut wait = clients.wait.0;
+        for number in 0..=clients.retries {
+            let left = until - clock.now();
+            if left < WORTH_IT {
+                break;
+            }
+            let patience = (method.deadline.0 * clients.try_patience).min(left);
+            let leaves_after = arrival.leaves.filter(|_| number == 0).map(|part| part * patience);
+            let (proxy, at) = self.front.deal(arrival.zone, arrival.deal.rotate_left(u32::from(number) * 8));
+            let call = Call {
+                attempt: attempt_of(rpc, number),
+                rpc,
+                proxy,
+                verb: if method.kind == MethodKind::Idempotent { "GET" } else { "POST" },
+                path: format!("/{}/{rpc}", method.name),
+                tenant: self.scenario.tenant.get(arrival.tenant as usize).map(|t| t.name.clone()),
+                key: (method.kind == MethodKind::Deduplicated)
+                    .then(|| format!("{:016x}{rpc:08x}", self.seed)),
+                retry: number > 0 && clients.marks_retries,
+                // Whole milliseconds, as it is told.
+                patience: (patience * 1e3).floor() / 1e3,
+                leaves_after,
+                body: method.body,
+            };
+            let answer = self.caller.call(&call, at).await;
+            let counter = match answer {
+                Answer::Ok => &self.progress.ok,
+                Answer::PushedBack(_) => &self.progress.pushed_back,
+                _ => &self.progress.failed,
+            };
+            counter.fetch_add(1, Ordering::Relaxed);
+            if !self.tries_again(answer, method.kind, method.group, arrival.due, method.window.map(|w| w.0)) {
+                break;
+            }
+            let asked = match answer {
+                Answer::PushedBack(Some(after)) if clients.obey_retry_after => f64::from(after),
+                _ => 0.0,
+            };
+            clock.sleep_until(clock.now() + wait.max(asked)).await;
+            wait *= if clients.backoff { 2.0 } else { 1.0 };
+        }
+    }
+
+    /// Clients repeat what is harmless: after a push-back or where no proxy had it, anything; else only what may run again
+    /// anywhere, within its window.
+    fn tries_again(
+        &self,
+        answer: Answer,
+        kind: MethodKind,
+        group: Option<Group>,
+        due: f64,
+        window: Option<f64>,
+    ) -> bool {
+        match (answer, kind) {
+            (Answer::Ok | Answer::HungUp, _) => false,
+            (Answer::PushedBack(_) | Answer::Unreachable, _) => true,
+            (_, MethodKind::Idempotent) => true,
+            (_, MethodKind::NonIdempotent) => false,
+            (_, MethodKind::Deduplicated) => {
+                let forgotten = due + window.unwrap_or(0.0);
+                group == Some(Group::All) && self.notes.clock.now() < forgotten
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/lib.rs
@@ -0,0 +1,22 @@
+//! Rehearsals: a scenario tells a small deployment and its troubles, a plan is drawn from it and a seed, and `run` plays
+//! the plan against real `birchhubd` processes among stand-ins, keeps a ledger, and has it judged.
+//!
+//! The way of a rehearsal: `scenario` (the file) → `select` and `plan` (what will happen) → `run` (`stage`: nodes and list;
+//! `proxies`: processes; `clients`: RPCs, open loop) → the ledger and audit of `birchhub-audit` → `report`.
+pub mod clients;
+pub mod page;
+pub mod plan;
+pub mod proxies;
+pub mod report;
+pub mod run;
+pub mod scenario;
+mod select;
+pub mod settings;
+pub mod shipped;
+pub mod span;
+mod stage;
+
+pub use plan::Plan;
+pub use report::{Report, Verdict};
+pub use run::{Options, rehearse};
+pub use scenario::{Fault, Scenario};
--- /dev/null
+++ b/crates/rehearsal/src/plan.rs
@@ -0,0 +1,461 @@
+//! What will happen, drawn from scenario and seed: every arrival, every act of every trouble. The same scenario and
+//! seed give the same plan to the byte; each purpose draws from a stream of its own, so that a further trouble
+//! does not change the traffic.
+use crate::scenario::{Fault, Scenario, Trouble, TroubleKind, line_of_key};
+use crate::select;
+use birchhub_audit::head;
+use birchhub_model::{Work, work::generator};
+use rand::Rng;
+use rand_distr::{Distribution, Exp};
+use serde::Serialize;
+use sha2::{Digest, Sha256};
+use std::collections::HashMap;
+
+// Streams of chance, one for each purpose; troubles take a hash of their name.
+const TIMES: u64 = 1;
+const KINDS: u64 = 2;
+const ZONES: u64 = 3;
+const LEAVES: u64 = 4;
+
+const LEAD: f64 = 1.0; // s from the word of a drain until the node turns new work away
+const STOP_AFTER: f64 = 5.0; // s from the word of a drain until the node ends, whatever it holds
+const SUCCESSOR_AFTER: f64 = 0.5; // s from a node's end until its successor starts
+const PROXY_BACK: f64 = 0.3; // s until a proxy is started again
+const QUOTA_BURST: f64 = 1.0; // s of its quota that a tenant may use at once
+
+/// One RPC that a client will want.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Arrival {
+    pub due: f64,
+    pub method: u8,
+    pub tenant: u8,
+    /// The zone whose proxies it comes to, and the chance by which it is dealt out among them.
+    pub zone: u32,
+    pub deal: u64,
+    /// Within its tenant's quota.
+    pub within: bool,
+    /// The client hangs up after this part of its patience.
+    pub leaves: Option<f64>,
+    /// Work, s of a standard core.
+    pub work: f64,
+}
+
+/// A node that is there from the start, or a successor that a deploy brings.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct PlannedNode {
+    pub name: String,
+    pub zone: u32,
+    pub rack: u32,
+    /// Which of the scenario's machines.
+    pub machine: usize,
+    pub successor: bool,
+}
+
+/// Something that is done to the deployment. Numbers of faults and stalls tell which one ends.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub enum Act {
+    Begin {
+        trouble: u16,
+    },
+    End {
+        trouble: u16,
+    },
+    Stall {
+        node: u32,
+        number: u64,
+        on: bool,
+    },
+    Scale {
+        node: u32,
+        factor: f64,
+    },
+    Slow {
+        method: usize,
+        factor: f64,
+    },
+    Crash {
+        node: u32,
+    },
+    Return {
+        node: u32,
+    },
+    /// The list says that it drains.
+    Announce {
+        node: u32,
+    },
+    /// It turns new work away.
+    Drain {
+        node: u32,
+    },
+    /// It ends when it holds nothing more, at the latest then; its successor starts so long after.
+    Retire {
+        node: u32,
+        by: f64,
+        successor: u32,
+        after: f64,
+    },
+    Faulty {
+        node: u32,
+        number: u64,
+        fault: Trick,
+        on: bool,
+    },
+    ListLate {
+        by: f64,
+    },
+    ListDown {
+        down: bool,
+    },
+    ListStale {
+        proxy: u16,
+        stale: bool,
+    },
+    KillProxy {
+        proxy: u16,
+    },
+    TermProxy {
+        proxy: u16,
+    },
+    StartProxy {
+        proxy: u16,
+    },
+    PauseProxy {
+        proxy: u16,
+        on: bool,
+    },
+}
+
+impl Act {
+    /// Whether the proxies' keeper does it, and not the stage.
+    pub fn is_of_proxies(&self) -> bool {
+        matches!(
+            self,
+            Self::KillProxy { .. }
+                | Self::TermProxy { .. }
+                | Self::StartProxy { .. }
+                | Self::PauseProxy { .. }
+        )
+    }
+}
+
+/// A fault at the socket, as planned.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub enum Trick {
+    Reset(f64),
+    Half(f64),
+    Garbage(f64),
+    Mute(f64),
+    Error(f64),
+    Trickle(f64, f64),
+    Partition(Option<u16>),
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Plan {
+    pub seed: u64,
+    pub length: f64,
+    pub nodes: Vec<PlannedNode>,
+    pub arrivals: Vec<Arrival>,
+    /// In the order of time.
+    pub acts: Vec<(f64, Act)>,
+    #[serde(skip)]
+    pub troubles: Vec<head::Trouble>,
+}
+
+pub fn proxy_name(proxy: u16) -> String {
+    format!("proxy-{proxy}")
+}
+
+/// FNV-1a of a name: a stream of its own for each.
+fn stream(name: &str) -> u64 {
+    let fold = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    name.bytes().fold(0xcbf2_9ce4_8422_2325, fold)
+}
+
+/// One of them by its weight.
+fn weighted(weights: &[f64], at: f64) -> usize {
+    let total: f64 = weights.iter().sum();
+    let mut left = at * total;
+    let fits = |weight: &f64| {
+        left -= weight;
+        left < 0.0
+    };
+    weights.iter().position(fits).unwrap_or(weights.len() - 1)
+}
+
+impl Plan {
+    /// Draws the plan. `file` and `text` are for faults that only show here: selectors that choose nothing.
+    pub fn draw(scenario: &Scenario, seed: u64, file: &str, text: &str) -> Result<Self, Fault> {
+        let mut plan = Self {
+            seed,
+            length: scenario.length.0,
+            nodes: nodes(scenario),
+            arrivals: arrivals(scenario, seed),
+            acts: Vec::new(),
+            troubles: Vec::new(),
+        };
+        let mut chosen = HashMap::new();
+        for (n, trouble) in scenario.trouble.iter().enumerate() {
+            plan.add(scenario, n as u16, trouble, &mut chosen).map_err(|(below, what)| {
+                let key = format!("trouble[{n}].{below}");
+                Fault { file: file.to_owned(), line: line_of_key(text, &key).unwrap_or(0), key, what }
+            })?;
+        }
+        plan.acts.sort_by(|a, b| a.0.total_cmp(&b.0));
+        Ok(plan)
+    }
+
+    /// The first bytes of a hash over all of it.
+    pub fn hash(&self) -> String {
+        let bytes = postcard::to_stdvec(self).unwrap_or_default();
+        Sha256::digest(&bytes).iter().take(8).map(|byte| format!("{byte:02x}")).collect()
+    }
+
+    /// Nodes that are there from the start.
+    pub fn first_nodes(&self) -> usize {
+        self.nodes.iter().filter(|node| !node.successor).count()
+    }
+
+    fn add<'s>(
+        &mut self,
+        scenario: &'s Scenario,
+        number: u16,
+        trouble: &'s Trouble,
+        chosen: &mut HashMap<&'s str, Vec<u32>>,
+    ) -> Result<(), select::Wrong> {
+        let mut chance = generator(self.seed, stream(&trouble.name));
+        let first = &self.nodes[..self.first_nodes()];
+        let nodes = match &trouble.nodes {
+            Some(selector) => select::nodes(selector, scenario, first, chosen, &mut chance)?,
+            None => Vec::new(),
+        };
+        let proxies = match &trouble.proxies {
+            Some(selector) => select::proxies(selector, scenario, &mut chance)?,
+            None => (0..scenario.proxies.count as u16).collect(),
+        };
+        let (at, length) = (trouble.at.0, trouble.length.map_or(0.0, |l| l.0));
+        let mut until = at + length;
+        let mut acts: Vec<(f64, Act)> = Vec::new();
+        // Numbers for what is ended one by one: the trouble's above, a counter below.
+        let mut next = u64::from(number) << 32;
+        let mut serial = || {
+            next += 1;
+            next
+        };
+        let share = trouble.share.unwrap_or(1.0);
+        match trouble.kind {
+            TroubleKind::Stall => {
+                let (pause, every) = match (trouble.pause, trouble.every) {
+                    (Some(pause), Some(every)) => (pause.0, every.0),
+                    _ => (length, length.max(1.0)),
+                };
+                for node in &nodes {
+                    // Pauses of different nodes don't fall together.
+                    let mut from = at + if pause < length { chance.random::<f64>() * every } else { 0.0 };
+                    while from < until {
+                        let number = serial();
+                        acts.push((from, Act::Stall { node: *node, number, on: true }));
+                        acts.push(((from + pause).min(until), Act::Stall { node: *node, number, on: false }));
+                        from += every;
+                    }
+                }
+            }
+            TroubleKind::Neighbour => {
+                let left = 1.0 - trouble.takes.unwrap_or(0.5);
+                for node in &nodes {
+                    acts.push((at, Act::Scale { node: *node, factor: left }));
+                    acts.push((until, Act::Scale { node: *node, factor: 1.0 / left }));
+                }
+            }
+            TroubleKind::SlowMethod => {
+                let method = scenario.method.iter().position(|m| Some(&m.name) == trouble.method.as_ref());
+                let (method, factor) = (method.unwrap_or(0), trouble.factor.unwrap_or(1.0));
+                acts.push((at, Act::Slow { method, factor }));
+                acts.push((until, Act::Slow { method, factor: 1.0 / factor }));
+            }
+            TroubleKind::Crash => {
+                for node in &nodes {
+                    acts.push((at, Act::Crash { node: *node }));
+                    acts.push((until, Act::Return { node: *node }));
+                }
+            }
+            TroubleKind::Deploy => {
+                let every = trouble.every.map_or(1.0, |e| e.0);
+                let lead = trouble.lead.map_or(LEAD, |l| l.0);
+                let stop = trouble.stop_after.map_or(STOP_AFTER, |s| s.0).max(lead);
+                let after = trouble.back_after.map_or(SUCCESSOR_AFTER, |a| a.0);
+                for (n, batch) in nodes.chunks(trouble.batch.unwrap_or(1)).enumerate() {
+                    let from = at + n as f64 * every;
+                    until = from + stop + after;
+                    for node in batch {
+                        let mut planned = self.nodes[*node as usize].clone();
+                        planned.name.push_str(".new");
+                        planned.successor = true;
+                        let successor = self.nodes.len() as u32;
+                        self.nodes.push(planned);
+                        let (node, by) = (*node, from + stop);
+                        acts.push((from, Act::Announce { node }));
+                        acts.push((from + lead, Act::Drain { node }));
+                        acts.push((from + lead, Act::Retire { node, by, successor, after }));
+                    }
+                }
+            }
+            TroubleKind::ListLate => {
+                let by = trouble.by.map_or(1.0, |by| by.0);
+                acts.push((at, Act::ListLate { by }));
+                acts.push((until, Act::ListLate { by: -by }));
+            }
+            TroubleKind::ListDown => {
+                acts.push((at, Act::ListDown { down: true }));
+                acts.push((until, Act::ListDown { down: false }));
+            }
+            TroubleKind::ListStale => {
+                for proxy in &proxies {
+                    acts.push((at, Act::ListStale { proxy: *proxy, stale: true }));
+                    acts.push((until, Act::ListStale { proxy: *proxy, stale: false }));
+                }
+            }
+            TroubleKind::ProxyKill | TroubleKind::ProxyRestart => {
+                let every = trouble.every.map_or(0.0, |e| e.0);
+                let back = trouble.back_after.map_or(PROXY_BACK, |b| b.0);
+                for (n, proxy) in proxies.iter().enumerate() {
+                    let (proxy, from) = (*proxy, at + n as f64 * every);
+                    until = from + back;
+                    acts.push((
+                        from,
+                        match trouble.kind {
+                            TroubleKind::ProxyKill => Act::KillProxy { proxy },
+                            _ => Act::TermProxy { proxy },
+                        },
+                    ));
+                    acts.push((until, Act::StartProxy { proxy }));
+                }
+            }
+            TroubleKind::ProxyPause => {
+                let (pause, every) = (trouble.pause.map_or(0.1, |p| p.0), trouble.every.map_or(1.0, |e| e.0));
+                for proxy in &proxies {
+                    let mut from = at + chance.random::<f64>() * every;
+                    while from < until {
+                        acts.push((from, Act::PauseProxy { proxy: *proxy, on: true }));
+                        acts.push((from + pause, Act::PauseProxy { proxy: *proxy, on: false }));
+                        from += every.max(pause);
+                    }
+                }
+            }
+            TroubleKind::Spoilt => {
+                // Half of them are cut short; of the others, as many are no HTTP at all.
+                let tricks = [Trick::Half(share / 2.0), Trick::Garbage((share / 2.0) / (1.0 - share / 2.0))];
+                tricks.into_iter().for_each(|trick| faulty(&mut acts, &nodes, trick, at, until, &mut serial));
+            }
+            TroubleKind::Reset => faulty(&mut acts, &nodes, Trick::Reset(share), at, until, &mut serial),
+            TroubleKind::Mute => faulty(&mut acts, &nodes, Trick::Mute(share), at, until, &mut serial),
+            TroubleKind::Error => faulty(&mut acts, &nodes, Trick::Error(share), at, until, &mut serial),
+            TroubleKind::Trickle => {
+                let trick = Trick::Trickle(share, trouble.over.map_or(1.0, |over| over.0));
+                faulty(&mut acts, &nodes, trick, at, until, &mut serial);
+            }
+            TroubleKind::Partition => {
+                let from: Vec<_> = match trouble.proxies {
+                    None => vec![None],
+                    Some(_) => proxies.iter().copied().map(Some).collect(),
+                };
+                for proxy in from {
+                    faulty(&mut acts, &nodes, Trick::Partition(proxy), at, until, &mut serial);
+                }
+            }
+        }
+        acts.push((at, Act::Begin { trouble: number }));
+        acts.push((until, Act::End { trouble: number }));
+        self.acts.extend(acts);
+        let touched = if trouble.proxies.is_some() { proxies } else { Vec::new() };
+        self.troubles.push(head::Trouble {
+            name: trouble.name.clone(),
+            kind: format!("{:?}", trouble.kind),
+            from: at,
+            until,
+            nodes: nodes.clone(),
+            proxies: touched,
+        });
+        chosen.insert(&trouble.name, nodes);
+        Ok(())
+    }
+}
+
+fn faulty(
+    acts: &mut Vec<(f64, Act)>,
+    nodes: &[u32],
+    trick: Trick,
+    at: f64,
+    until: f64,
+    serial: &mut impl FnMut() -> u64,
+) {
+    for node in nodes {
+        let (node, number) = (*node, serial());
+        acts.push((at, Act::Faulty { node, number, fault: trick.clone(), on: true }));
+        acts.push((until, Act::Faulty { node, number, fault: trick.clone(), on: false }));
+    }
+}
+
+fn nodes(scenario: &Scenario) -> Vec<PlannedNode> {
+    let (zones, racks) = (scenario.fleet.zones.len(), scenario.fleet.racks);
+    let mut in_zone = vec![0; zones];
+    let machines = scenario.fleet.machine.iter().enumerate();
+    let each = machines.flat_map(|(machine, m)| std::iter::repeat_n(machine, m.count));
+    let node = |(n, machine): (usize, usize)| {
+        let zone = n % zones;
+        let place = in_zone[zone];
+        in_zone[zone] += 1;
+        let rack = place % racks;
+        let name = format!("{}-{rack}-{}", scenario.fleet.zones[zone], place / racks);
+        PlannedNode { name, zone: zone as u32, rack: rack as u32, machine, successor: false }
+    };
+    each.enumerate().map(node).collect()
+}
+
+/// How often the usual traffic comes at a time.
+fn times(scenario: &Scenario, at: f64) -> f64 {
+    let phases = scenario.traffic.phase.iter().filter(|p| at >= p.at.0 && at < p.at.0 + p.length.0);
+    let factor = |p: &crate::scenario::Phase| match p.ramp {
+        true => 1.0 + (p.times - 1.0) * (at - p.at.0) / p.length.0,
+        false => p.times,
+    };
+    phases.map(factor).product()
+}
+
+/// Poisson by thinning: drawn at the highest rate, kept in proportion.
+fn arrivals(scenario: &Scenario, seed: u64) -> Vec<Arrival> {
+    let highest: f64 = scenario.traffic.phase.iter().map(|p| p.times.max(1.0)).product();
+    let (mut when, mut what) = (generator(seed, TIMES), generator(seed, KINDS));
+    let (mut whereto, mut leaving) = (generator(seed, ZONES), generator(seed, LEAVES));
+    let Ok(gap) = Exp::new(scenario.traffic.rate * highest) else { return Vec::new() };
+    let methods: Vec<f64> = scenario.method.iter().map(|m| m.share).collect();
+    let tenants: Vec<f64> = scenario.tenant.iter().map(|t| t.share).collect();
+    let mut credit: Vec<(f64, f64)> = scenario.tenant.iter().map(|t| (0.0, t.quota * QUOTA_BURST)).collect();
+    let (mut due, mut arrivals) = (0.0, Vec::new());
+    loop {
+        due += gap.sample(&mut when);
+        if due >= scenario.length.0 {
+            return arrivals;
+        }
+        if when.random::<f64>() * highest >= times(scenario, due) {
+            continue;
+        }
+        let method = weighted(&methods, what.random());
+        let drawn = what.random();
+        let tenant = if tenants.is_empty() { 0 } else { weighted(&tenants, drawn) };
+        let within = scenario.tenant.get(tenant).is_none_or(|settings| {
+            let (last, credit) = &mut credit[tenant];
+            *credit = (*credit + (due - *last) * settings.quota).min((settings.quota * QUOTA_BURST).max(1.0));
+            *last = due;
+            let within = *credit >= 1.0;
+            *credit -= if within { 1.0 } else { 0.0 };
+            within
+        });
+        let leaves = (leaving.random::<f64>() < scenario.clients.leave).then(|| leaving.random());
+        let m = &scenario.method[method];
+        let work = Work { mean: m.work.0, spread: m.spread }.draw(seed, arrivals.len() as u64);
+        let zone = whereto.random_range(0..scenario.fleet.zones.len()) as u32;
+        let (method, tenant, deal) = (method as u8, tenant as u8, whereto.random());
+        arrivals.push(Arrival { due, method, tenant, zone, deal, within, leaves, work });
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/report.rs
@@ -0,0 +1,201 @@
+//! The verdict on a rehearsal, and its report as text and as JSON.
+use crate::page;
+use birchhub_audit::{Audit, Breach, Entry, Findings, Head};
+use serde::Serialize;
+use std::path::Path;
+
+const SHOWN: usize = 10; // breaches in the text; the JSON has all of them
+
+/// What a rehearsal says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "UPPERCASE")]
+pub enum Verdict {
+    Pass,
+    /// A rule or a bar.
+    Fail,
+    /// This machine was too busy to say, or the run was stopped.
+    Void,
+}
+
+impl Verdict {
+    pub fn exit_code(self) -> u8 {
+        match self {
+            Self::Pass => 0,
+            Self::Fail => 1,
+            Self::Void => 2,
+        }
+    }
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Pass => "PASS",
+            Self::Fail => "FAIL",
+            Self::Void => "VOID",
+        }
+    }
+}
+
+/// Processor time that a rehearsal took, s: the kit's own, and that of its proxies.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Kit {
+    pub seconds: f64,
+    pub proxies: f64,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Report {
+    pub scenario: String,
+    pub seed: u64,
+    pub plan: String,
+    pub verdict: Verdict,
+    /// Why, one line each.
+    pub reasons: Vec<String>,
+    /// It was stopped before its end: all figures are of what was played.
+    pub partial: bool,
+    pub length: f64,
+    pub findings: Findings,
+    pub kit: Option<Kit>,
+}
+
+/// The verdict and its reasons. What no clock can excuse fails in any case; what rests on time is judged only where the
+/// kit itself was on time.
+fn judge(head: &Head, findings: &Findings, partial: bool) -> (Verdict, Vec<String>) {
+    let told = |b: &Breach| format!("rule {}: {}: {} (at {:.3} s)", b.rule as u8, b.subject, b.what, b.at);
+    let (timed, plain): (Vec<_>, Vec<_>) = findings.breaches.iter().partition(|b| b.timed);
+    let mut reasons: Vec<String> = plain.iter().map(|b| told(b)).collect();
+    let late = findings.kit_late[1];
+    if late > head.rules.kit_late {
+        let busy = format!(
+            "this machine was too busy: 1% of the RPCs went out {:.1} ms late or later ({:.1} ms are allowed)",
+            late * 1e3,
+            head.rules.kit_late * 1e3
+        );
+        let verdict = if reasons.is_empty() { Verdict::Void } else { Verdict::Fail };
+        reasons.push(busy);
+        return (verdict, reasons);
+    }
+    reasons.extend(timed.iter().map(|b| told(b)));
+    let service = &findings.service;
+    let bars = [
+        ("service", head.bars.service, Some(service.whole)),
+        ("worst 10 s", head.bars.worst_10s, Some(service.worst_10s)),
+        ("worst method", head.bars.worst_method, service.worst_method()),
+        ("worst tenant", head.bars.worst_tenant, service.worst_tenant()),
+    ];
+    if !partial {
+        for (name, bar, got) in bars {
+            if let (Some(bar), Some(got)) = (bar, got)
+                && got < bar
+            {
+                reasons.push(format!("bar: {name} is {got:.4}, expected {bar} or more"));
+            }
+        }
+    }
+    match (reasons.is_empty(), partial) {
+        (false, _) => (Verdict::Fail, reasons),
+        (true, true) => (Verdict::Void, vec!["stopped before its end".into()]),
+        (true, false) => (Verdict::Pass, reasons),
+    }
+}
+
+impl Report {
+    pub fn of(head: &Head, entries: &[Entry], partial: bool, kit: Option<Kit>) -> Self {
+        let findings = Audit::of(head, entries);
+        let (verdict, reasons) = judge(head, &findings, partial);
+        let (scenario, seed, plan) = (head.scenario.clone(), head.seed, head.plan.clone());
+        let length = head.length;
+        Self { scenario, seed, plan, verdict, reasons, partial, length, findings, kit }
+    }
+
+    /// Writes `report.json` and `report.html`.
+    pub fn write(&self, head: &Head, entries: &[Entry], out: &Path) -> Result<(), String> {
+        let write = |name: &str, text: String| {
+            let path = out.join(name);
+            std::fs::write(&path, text).map_err(|e| format!("{}: {e}", path.display()))
+        };
+        write("report.json", self.json() + "\n")?;
+        write("report.html", page::render(self, head, entries))
+    }
+
+    pub fn json(&self) -> String {
+        // Numbers, texts and lists only: there is nothing in it that JSON can't hold.
+        serde_json::to_string_pretty(self).unwrap_or_default()
+    }
+
+    /// For the terminal.
+    pub fn text(&self) -> String {
+        let mut to = String::new();
+        let (counts, service) = (&self.findings.counts, &self.findings.service);
+        let mut line = |text: String| {
+            to.push_str(&text);
+            to.push('\n');
+        };
+        let partial = if self.partial { ", PARTIAL: stopped before its end" } else { "" };
+        line(format!(
+            "{}  {} (seed {}, plan {}){partial}",
+            self.verdict.word(),
+            self.scenario,
+            self.seed,
+            self.plan
+        ));
+        self.reasons.iter().take(SHOWN).for_each(|reason| line(format!("  {reason}")));
+        if self.reasons.len() > SHOWN {
+            line(format!("  and {} more, in report.json", self.reasons.len() - SHOWN));
+        }
+        line(format!(
+            "  service {:.4}  worst 10 s {:.4} (from {:.0} s)  latency p50 {:.1} ms, p99 {:.1} ms, p99.9 {:.1} ms",
+            service.whole,
+            service.worst_10s,
+            service.worst_from,
+            service.latency[0] * 1e3,
+            service.latency[1] * 1e3,
+            service.latency[2] * 1e3
+        ));
+        for (kind, parts) in [("method", &service.methods), ("tenant", &service.tenants)] {
+            let parts: Vec<_> =
+                parts.iter().filter_map(|(name, part)| Some(format!("{name} {:.4}", (*part)?))).collect();
+            if !parts.is_empty() {
+                line(format!("  by {kind}: {}", parts.join("  ")));
+            }
+        }
+        line(format!(
+            "  {} RPCs in {} tries: {} ok, {} pushed back, {} aborted, {} lost with a killed proxy, {} unreachable, {} hung up",
+            counts.rpcs,
+            counts.tries,
+            counts.ok,
+            counts.pushed_back,
+            counts.aborted,
+            counts.lost_with_proxy,
+            counts.unreachable,
+            counts.hung_up
+        ));
+        line(format!(
+            "  {} picks, {} turned away, {} withdrawn; {} runs, {} repeated where allowed, {} repeats dropped, {} double runs",
+            counts.picks,
+            counts.turned_away,
+            counts.withdrawn,
+            counts.runs,
+            counts.repeated_runs,
+            counts.dropped_repeats,
+            counts.double_runs
+        ));
+        let peak = self.findings.cold.iter().map(|c| c.peak).fold(0.0, f64::max);
+        line(format!(
+            "  latest new work after a drain was told: {:.0} ms; cold nodes {}, pushed to {:.0}% of their fall at most; {} fell",
+            self.findings.latest_after_told * 1e3,
+            self.findings.cold.len(),
+            peak * 100.0,
+            counts.fallen
+        ));
+        let [median, p99, worst] = self.findings.kit_late;
+        let kit = self.kit.map_or(String::new(), |kit| {
+            format!("; processor time {:.1} s, its proxies {:.1} s", kit.seconds, kit.proxies)
+        });
+        line(format!(
+            "  the kit itself: late by {:.2} ms (median), {:.2} ms (p99), {:.1} ms (worst){kit}",
+            median * 1e3,
+            p99 * 1e3,
+            worst * 1e3
+        ));
+        to
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/run.rs
@@ -0,0 +1,193 @@
+//! Plays a plan: the stage on one thread, the clients on another with their pacer, the ledger on a third, and here
+//! the proxies' processes, the progress line and the end.
+use crate::clients::{self, Progress};
+use crate::plan::Plan;
+use crate::proxies::Proxies;
+use crate::report::{Kit, Report};
+use crate::scenario::Scenario;
+use crate::settings;
+use crate::stage::{self, Block};
+use birchhub_audit::{Entry, Head, ledger};
+use birchhub_stand_in::{Clock, Notes};
+use nix::sys::resource::{UsageWho, getrusage};
+use std::fs::File;
+use std::io::{BufReader, BufWriter, IsTerminal, Write};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc::Receiver;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use tokio::select;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::LocalSet;
+use tokio::time::{MissedTickBehavior, interval, sleep};
+
+const LEAD: f64 = 1.0; // s until the first RPC can be due: nodes and proxies start meanwhile
+const LEAD_EACH: f64 = 0.05; // s more for each proxy
+const TAIL: f64 = 0.6; // s beyond the last deadline: late answers are still seen
+
+/// How a rehearsal is to be played.
+#[derive(Clone, Debug)]
+pub struct Options {
+    pub seed: u64,
+    /// Where ledger, report and the proxies' logs go.
+    pub out: PathBuf,
+    /// The proxies' program.
+    pub program: PathBuf,
+    /// A progress line on standard error.
+    pub progress: bool,
+}
+
+/// Plays a scenario to its report. An error is one of the machine or the options, not of the proxies.
+pub fn rehearse(scenario: &Scenario, plan: &Plan, options: &Options) -> Result<Report, String> {
+    let told = |path: &Path, e: std::io::Error| format!("{}: {e}", path.display());
+    if !options.program.is_file() {
+        let program = options.program.display();
+        return Err(format!("there is no proxy program at {program}; build it, or name it with --proxies"));
+    }
+    std::fs::create_dir_all(&options.out).map_err(|e| told(&options.out, e))?;
+    let path = options.out.join("ledger");
+    let file = File::create(&path).map_err(|e| told(&path, e))?;
+    let head = settings::head(scenario, plan);
+    let writer = ledger::Writer::new(BufWriter::new(file), &head).map_err(|e| e.to_string())?;
+    let lead = LEAD + LEAD_EACH * scenario.proxies.count as f64;
+    let clock = Clock::starting_in(Duration::from_secs_f64(lead));
+    let (notes, entries) = Notes::new(clock);
+    let keeper = keep(writer, entries)?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("no event loop: {e}"))?;
+    let played = LocalSet::new().block_on(&runtime, play(scenario, plan, options, notes));
+    // The tasks that are left hold ways into the ledger: it ends when the last of them does.
+    drop(runtime);
+    let kept = keeper.join().map_err(|_| "the ledger's thread failed".to_owned())?;
+    kept.map_err(|e| format!("{}: {e}", path.display()))?;
+    let stopped = played?;
+    report_of(&path, options, stopped)
+}
+
+/// Judges a ledger and writes the report beside it.
+fn report_of(path: &Path, options: &Options, stopped: bool) -> Result<Report, String> {
+    let (head, entries) = open(path)?;
+    let usage = |who| {
+        let times = getrusage(who).map(|u| u.user_time() + u.system_time());
+        times.map_or(0.0, |t| t.tv_sec() as f64 + t.tv_usec() as f64 / 1e6)
+    };
+    let kit = Kit { seconds: usage(UsageWho::RUSAGE_SELF), proxies: usage(UsageWho::RUSAGE_CHILDREN) };
+    let report = Report::of(&head, &entries, stopped, Some(kit));
+    report.write(&head, &entries, &options.out)?;
+    Ok(report)
+}
+
+/// Reads a ledger back.
+pub fn open(path: &Path) -> Result<(Head, Vec<Entry>), String> {
+    let told = |e: &dyn std::fmt::Display| format!("{}: {e}", path.display());
+    let file = File::open(path).map_err(|e| told(&e))?;
+    let read = ledger::read(BufReader::new(file)).map_err(|e| told(&e))?;
+    if read.cut {
+        log::warn!("{}: the last record is cut off: its writer was stopped", path.display());
+    }
+    Ok((read.head, read.entries))
+}
+
+type Kept = Result<(), ledger::Fault>;
+
+/// The ledger's thread: writes what comes, and what it has when nothing comes for a while.
+fn keep(
+    mut writer: ledger::Writer<BufWriter<File>>,
+    entries: Receiver<Entry>,
+) -> Result<JoinHandle<Kept>, String> {
+    let body = move || {
+        let mut fault = None;
+        loop {
+            match entries.recv_timeout(Duration::from_millis(200)) {
+                // After a fault what comes is let go of: nobody may wait for a full disk.
+                Ok(_) if fault.is_some() => {}
+                Ok(entry) => fault = writer.write(&entry).err(),
+                Err(std::sync::mpsc::RecvTimeoutError::Timeout) => fault = fault.or(writer.flush().err()),
+                Err(std::sync::mpsc::RecvTimeoutError::Disconnected) => break,
+            }
+        }
+        fault.map_or_else(|| writer.flush(), Err)
+    };
+    std::thread::Builder::new().name("ledger".into()).spawn(body).map_err(|e| e.to_string())
+}
+
+/// Plays it; tells whether it was stopped before its end.
+async fn play(scenario: &Scenario, plan: &Plan, options: &Options, notes: Notes) -> Result<bool, String> {
+    let catch = |kind| signal(kind).map_err(|e| format!("no signals: {e}"));
+    let (mut interrupt, mut terminate) = (catch(SignalKind::interrupt())?, catch(SignalKind::terminate())?);
+    let (clock, block) = (notes.clock, Block::new());
+    let (door, stage) = stage::start(scenario.clone(), plan.clone(), notes.clone(), block)?;
+    let Options { seed, out, program, .. } = options;
+    let proxies = Proxies::new(scenario, *seed, program, out, notes.clone(), door.clone(), block)?;
+    let progress = Arc::new(Progress::default());
+    let outcome = async {
+        for proxy in 0..scenario.proxies.count as u16 {
+            proxies.start(proxy).await?;
+        }
+        if clock.now() > 0.0 {
+            return Err("the proxies took too long to start: this machine is too busy".to_owned());
+        }
+        let front = proxies.front.clone();
+        let threads = clients::start(scenario.clone(), plan.clone(), notes.clone(), front, progress.clone());
+        let threads = threads.map_err(|e| format!("the clients can't start: {e}"))?;
+        let acts = tokio::task::spawn_local(proxies.clone().play(plan.acts.clone()));
+        let longest = scenario.method.iter().map(|m| m.deadline.0).fold(0.0, f64::max);
+        let end = plan.length + longest + TAIL;
+        let stopped = select! {
+            () = clock.sleep_until(end) => false,
+            () = watch(scenario, plan, &progress, clock, options.progress) => false,
+            _ = interrupt.recv() => true,
+            _ = terminate.recv() => true,
+        };
+        progress.stop.store(true, Ordering::Relaxed);
+        acts.abort();
+        for thread in threads {
+            while !thread.is_finished() {
+                sleep(Duration::from_millis(5)).await;
+            }
+            thread.join().map_err(|_| "a thread of the clients failed".to_owned())?;
+        }
+        Ok(stopped)
+    };
+    let outcome = outcome.await;
+    if options.progress && std::io::stderr().is_terminal() {
+        eprintln!();
+    }
+    proxies.end();
+    door.end().await;
+    stage.join().map_err(|_| "the stage's thread failed".to_owned())?;
+    outcome
+}
+
+/// Tells each second how far it has come; never ends.
+async fn watch(scenario: &Scenario, plan: &Plan, progress: &Progress, clock: Clock, show: bool) {
+    let mut seconds = interval(Duration::from_secs(1));
+    seconds.set_missed_tick_behavior(MissedTickBehavior::Skip);
+    let terminal = std::io::stderr().is_terminal();
+    loop {
+        seconds.tick().await;
+        let now = clock.now();
+        // Where nobody sees the line change, every tenth second will do.
+        if !show || (!terminal && (now.max(0.0) as u64) % 10 != 0) {
+            continue;
+        }
+        let count = |of: &std::sync::atomic::AtomicUsize| of.load(Ordering::Relaxed);
+        let lasting = plan.troubles.iter().filter(|t| t.from <= now && now < t.until);
+        let troubles: Vec<_> = lasting.map(|t| t.name.as_str()).collect();
+        let line = format!(
+            "{}: {:5.1} of {:.0} s  asked {}  ok {}  pushed back {}  failed {}  {}",
+            scenario.name,
+            now.max(0.0),
+            plan.length,
+            count(&progress.asked),
+            count(&progress.ok),
+            count(&progress.pushed_back),
+            count(&progress.failed),
+            troubles.join(", ")
+        );
+        let mut to = std::io::stderr();
+        let _ = if terminal { write!(to, "\r\x1b[K{line}") } else { writeln!(to, "{line}") };
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/stage.rs
@@ -0,0 +1,279 @@
+//! The thread on which all nodes and the list service live. It plays the acts that concern them, at their times.
+use crate::plan::{Act, Plan, Trick};
+use crate::scenario::{Reports, Scenario};
+use birchhub_audit::{Event, State};
+use birchhub_model::{Spec, Start, Work};
+use birchhub_stand_in::list::Line;
+use birchhub_stand_in::{Cost, Fault, Fleet, ListService, NodeHost, Notes, Place};
+use serde_json::Value;
+use std::cell::Cell;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::sync::mpsc as threads;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::{LocalSet, spawn_local};
+
+const LOOK: f64 = 0.01; // s between looks at whether a node that retires is empty
+
+/// Loopback addresses of a rehearsal: a block of its own, so that two at once don't meet.
+#[derive(Clone, Copy, Debug)]
+pub struct Block(u8);
+
+impl Block {
+    pub fn new() -> Self {
+        Self(16 + (std::process::id() % 200) as u8)
+    }
+    /// Where nodes and the list service listen for a proxy; nodes share addresses when there are more than fit.
+    pub fn door(self, proxy: u16, node: u32) -> IpAddr {
+        Ipv4Addr::new(127, self.0, proxy as u8, 1 + (node % 250) as u8).into()
+    }
+    /// Where a proxy listens.
+    pub fn proxy(self, proxy: u16) -> IpAddr {
+        Ipv4Addr::new(127, self.0, 255, 1 + proxy as u8).into()
+    }
+}
+
+/// What the stage is asked for by the other threads.
+pub enum Ask {
+    /// A proxy starts: where its list service is, and the list that it starts with.
+    ProxyStarts { proxy: u16, reply: oneshot::Sender<(SocketAddr, Value)> },
+    /// All is over.
+    End,
+}
+
+/// A way to the stage.
+#[derive(Clone)]
+pub struct StageDoor(mpsc::Sender<Ask>);
+
+impl StageDoor {
+    pub async fn proxy_starts(&self, proxy: u16) -> Option<(SocketAddr, Value)> {
+        let (reply, answer) = oneshot::channel();
+        self.0.send(Ask::ProxyStarts { proxy, reply }).await.ok()?;
+        answer.await.ok()
+    }
+
+    pub async fn end(&self) {
+        let _ = self.0.send(Ask::End).await;
+    }
+}
+
+/// Starts the thread; returns once every node listens.
+pub fn start(
+    scenario: Scenario,
+    plan: Plan,
+    notes: Notes,
+    block: Block,
+) -> Result<(StageDoor, std::thread::JoinHandle<()>), String> {
+    let (ask, asked) = mpsc::channel(64);
+    let (ready, started) = threads::channel();
+    let body = move || {
+        let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+            Ok(runtime) => runtime,
+            Err(fault) => return drop(ready.send(Err(format!("no event loop: {fault}")))),
+        };
+        LocalSet::new().block_on(&runtime, async move {
+            match Stage::set(&scenario, &plan, notes, block) {
+                Ok(stage) => {
+                    let _ = ready.send(Ok(()));
+                    stage.play(plan.acts, asked).await;
+                }
+                Err(fault) => drop(ready.send(Err(format!("stand-ins can't listen: {fault}")))),
+            }
+        });
+    };
+    let thread = std::thread::Builder::new().name("stage".into()).spawn(body).map_err(|e| e.to_string())?;
+    started.recv().map_err(|_| "the stage ended at once".to_owned())??;
+    Ok((StageDoor(ask), thread))
+}
+
+struct Stage {
+    notes: Notes,
+    fleet: Rc<Fleet>,
+    hosts: Vec<Rc<NodeHost>>,
+    list: Rc<ListService>,
+    lines: Vec<Line>,
+    lag: f64,
+    notices: f64,
+    /// How much later than usual the list service tells.
+    late: Cell<f64>,
+}
+
+impl Stage {
+    fn set(scenario: &Scenario, plan: &Plan, notes: Notes, block: Block) -> std::io::Result<Rc<Self>> {
+        let proxies = scenario.proxies.count as u16;
+        let costs = scenario.method.iter().map(|m| Cost {
+            name: m.name.clone(),
+            work: Work { mean: m.work.0, spread: m.spread },
+            kind: m.effect(),
+        });
+        let mut fleet = Fleet::new(notes.clone(), plan.seed, costs.collect());
+        fleet.probe_work = scenario.fleet.probe_work.0;
+        fleet.reports_in_answers = scenario.fleet.reports == Reports::Answers;
+        fleet.probes = scenario.rules.probes;
+        let fleet = Rc::new(fleet);
+        let (mut hosts, mut lines) = (Vec::new(), Vec::new());
+        for (index, planned) in (0..).zip(&plan.nodes) {
+            let machine = &scenario.fleet.machine[planned.machine];
+            let spec = Spec {
+                cores: machine.cores,
+                speed: machine.speed,
+                queue: machine.queue,
+                cold_from: scenario.rules.cold_from,
+                cold_for: scenario.rules.cold_for.0,
+                fall_multiple: scenario.rules.fall_multiple,
+                fall_window: scenario.rules.fall_window.0,
+                report_every: scenario.fleet.report_every.0,
+                cancel_stops: scenario.fleet.cancel_stops,
+                connections: machine.connections,
+                connection_work: machine.connection_work.0,
+            };
+            let (zone, rack) = (planned.zone, planned.rack);
+            let idle_limit = scenario.fleet.idle_limit.0;
+            let place = Place { index, name: planned.name.clone(), zone, rack, spec, idle_limit };
+            let ips: Vec<_> = (0..proxies).map(|proxy| block.door(proxy, index)).collect();
+            let host = NodeHost::new(place, fleet.clone(), &ips)?;
+            lines.push(Line {
+                name: planned.name.clone(),
+                zone: scenario.fleet.zones[zone as usize].clone(),
+                rack: u64::from(zone) << 16 | u64::from(rack),
+                machine: machine.name.clone(),
+                capacity: 1.0,
+                doors: (0..proxies).filter_map(|proxy| host.door(proxy)).collect(),
+                state: State::Ready,
+                life: 0,
+                boot_ms: 0.0,
+            });
+            hosts.push(host);
+        }
+        let doors: Vec<_> = (0..proxies).map(|proxy| block.door(proxy, 250)).collect();
+        let list = ListService::start(notes.clone(), &doors)?;
+        let (lag, notices) = (scenario.list.lag.0, scenario.list.notices.0);
+        let stage = Self { notes, fleet, hosts, list, lines, lag, notices, late: Cell::new(0.0) };
+        for (n, planned) in plan.nodes.iter().enumerate().filter(|(_, planned)| !planned.successor) {
+            let life = stage.hosts[n].start(Start::Warm)?;
+            let _ = planned;
+            stage.list.change(n as u32, Line { life, ..stage.lines[n].clone() });
+        }
+        Ok(Rc::new(stage))
+    }
+
+    /// Plays the acts until the end is asked for.
+    async fn play(self: Rc<Self>, acts: Vec<(f64, Act)>, mut asked: mpsc::Receiver<Ask>) {
+        let player = self.clone();
+        let acts = spawn_local(async move {
+            for (at, act) in acts.into_iter().filter(|(_, act)| !act.is_of_proxies()) {
+                player.notes.clock.sleep_until(at).await;
+                player.act(act);
+            }
+        });
+        while let Some(ask) = asked.recv().await {
+            match ask {
+                Ask::ProxyStarts { proxy, reply } => {
+                    self.list.forget(proxy);
+                    self.notes.tell(Event::ProxyStarted { proxy });
+                    if let Some(door) = self.list.door(proxy) {
+                        let _ = reply.send((door, self.list.known(proxy)));
+                    }
+                }
+                Ask::End => break,
+            }
+        }
+        acts.abort();
+    }
+
+    fn host(&self, node: u32) -> Option<&Rc<NodeHost>> {
+        self.hosts.get(node as usize)
+    }
+
+    /// The list service knows it after so long, unless something newer of the same node came first.
+    fn tell(self: &Rc<Self>, node: u32, life: u32, state: State, after: f64) {
+        let stage = self.clone();
+        let now = self.notes.clock.now();
+        let (at, line) = (now + after + self.late.get().max(0.0), &self.lines[node as usize]);
+        let boot_ms = if state == State::Ready { self.notes.clock.unix_ms(now) } else { 0.0 };
+        let line = Line { state, life, boot_ms, ..line.clone() };
+        spawn_local(async move {
+            stage.notes.clock.sleep_until(at).await;
+            stage.list.change(node, line);
+        });
+    }
+
+    fn begin(self: &Rc<Self>, node: u32) {
+        let Some(host) = self.host(node).filter(|host| host.life().is_none()) else { return };
+        match host.start(Start::Cold) {
+            Ok(life) => self.tell(node, life, State::Ready, self.lag),
+            Err(fault) => log::error!("{} can't start: {fault}", host.place.name),
+        }
+    }
+
+    fn act(self: &Rc<Self>, act: Act) {
+        let host = |node| self.host(node);
+        match act {
+            Act::Begin { trouble } => self.notes.tell(Event::Trouble { number: trouble, begins: true }),
+            Act::End { trouble } => self.notes.tell(Event::Trouble { number: trouble, begins: false }),
+            Act::Stall { node, number, on: true } => {
+                host(node).into_iter().for_each(|h| h.begin_stall(number))
+            }
+            Act::Stall { node, number, on: false } => {
+                host(node).into_iter().for_each(|h| h.end_stall(number))
+            }
+            Act::Scale { node, factor } => host(node).into_iter().for_each(|h| h.scale(factor)),
+            Act::Slow { method, factor } => self.fleet.slow_down(method, factor),
+            Act::Crash { node } => {
+                if let Some((host, life)) = host(node).and_then(|h| Some((h, h.life()?))) {
+                    host.crash();
+                    self.tell(node, life, State::Gone, self.notices);
+                }
+            }
+            Act::Return { node } => self.begin(node),
+            Act::Announce { node } => {
+                if let Some(life) = host(node).and_then(|h| h.life()) {
+                    self.tell(node, life, State::Draining, self.lag);
+                }
+            }
+            Act::Drain { node } => host(node).into_iter().for_each(|h| h.drain()),
+            Act::Retire { node, by, successor, after } => {
+                drop(spawn_local(self.clone().retire(node, by, successor, after)))
+            }
+            Act::Faulty { node, number, fault, on } => {
+                let fault = match fault {
+                    Trick::Reset(share) => Fault::Reset { share },
+                    Trick::Half(share) => Fault::Half { share },
+                    Trick::Garbage(share) => Fault::Garbage { share },
+                    Trick::Mute(share) => Fault::Mute { share },
+                    Trick::Error(share) => Fault::Error { share },
+                    Trick::Trickle(share, over) => Fault::Trickle { share, over },
+                    Trick::Partition(from) => Fault::Partition { from },
+                };
+                match host(node) {
+                    Some(host) if on => host.begin_fault(number, fault),
+                    Some(host) => host.end_fault(number),
+                    None => {}
+                }
+            }
+            Act::ListLate { by } => self.late.set(self.late.get() + by),
+            Act::ListDown { down } => self.list.set_down(down),
+            Act::ListStale { proxy, stale } => self.list.set_stale(proxy, stale),
+            Act::KillProxy { .. }
+            | Act::TermProxy { .. }
+            | Act::StartProxy { .. }
+            | Act::PauseProxy { .. } => {}
+        }
+    }
+
+    /// A node that drains ends when it is empty, at the latest at a time, and its successor starts.
+    async fn retire(self: Rc<Self>, node: u32, by: f64, successor: u32, after: f64) {
+        let clock = self.notes.clock;
+        if let Some(host) = self.host(node) {
+            while !host.is_idle() && clock.now() < by {
+                clock.sleep_until(clock.now() + LOOK).await;
+            }
+            if let Some(life) = host.life() {
+                host.stop();
+                self.tell(node, life, State::Gone, self.lag);
+            }
+        }
+        clock.sleep_until(clock.now() + after).await;
+        self.begin(successor);
+    }
+}
--- /dev/null
+++ b/crates/stand-in/src/fleet.rs
@@ -0,0 +1,108 @@
+//! What the nodes of a fleet share: what RPCs cost, which keys have run, and numbers for picks and lives.
+use crate::notes::Notes;
+use birchhub_audit::{Group, Kind};
+use birchhub_model::{Mark, Repeats, Work, work};
+use rand::Rng;
+use std::cell::{Cell, RefCell};
+
+/// What a method costs at a node, and which nodes drop its repeats.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Cost {
+    pub name: String,
+    pub work: Work,
+    pub kind: Kind,
+}
+
+/// The RPC behind a client's try: its tries have ids that differ in the last byte.
+pub fn rpc_of(attempt: u64) -> u32 {
+    (attempt >> 8) as u32
+}
+
+/// The id of a client's try.
+pub fn attempt_of(rpc: u32, number: u8) -> u64 {
+    u64::from(rpc) << 8 | u64::from(number)
+}
+
+/// Shared by all nodes of one thread.
+pub struct Fleet {
+    pub notes: Notes,
+    pub seed: u64,
+    pub costs: Vec<Cost>,
+    /// Work of a probe, s of a standard core.
+    pub probe_work: f64,
+    /// Whether answers, probes, or neither carry reports.
+    pub reports_in_answers: bool,
+    pub probes: bool,
+    pub repeats: RefCell<Repeats>,
+    /// How much slower each method is now: 1 is as usual.
+    slow: RefCell<Vec<f64>>,
+    next_job: Cell<u64>,
+    next_life: Cell<u32>,
+}
+
+impl Fleet {
+    pub fn new(notes: Notes, seed: u64, costs: Vec<Cost>) -> Self {
+        let slow = RefCell::new(vec![1.0; costs.len()]);
+        Self {
+            notes,
+            seed,
+            costs,
+            probe_work: 0.0,
+            reports_in_answers: true,
+            probes: true,
+            repeats: RefCell::default(),
+            slow,
+            next_job: Cell::new(1),
+            next_life: Cell::new(1),
+        }
+    }
+
+    pub fn job(&self) -> u64 {
+        self.next_job.replace(self.next_job.get() + 1)
+    }
+
+    pub fn life(&self) -> u32 {
+        self.next_life.replace(self.next_life.get() + 1)
+    }
+
+    /// From now on a method's work is multiplied by this once more.
+    pub fn slow_down(&self, method: usize, factor: f64) {
+        if let Some(slot) = self.slow.borrow_mut().get_mut(method) {
+            *slot *= factor;
+        }
+    }
+
+    /// Work of an RPC of this class, and its mark among the nodes of this zone and rack.
+    pub fn cost(
+        &self,
+        class: &str,
+        attempt: u64,
+        key: Option<&str>,
+        zone: u32,
+        rack: u32,
+    ) -> Option<(f64, Option<Mark>)> {
+        let method = self.costs.iter().position(|c| c.name == class)?;
+        let cost = &self.costs[method];
+        let drawn = cost.work.draw(self.seed, u64::from(rpc_of(attempt)));
+        let mark = match (cost.kind, key) {
+            (Kind::Deduplicated { group, window }, Some(key)) => {
+                // FNV-1a: keys are texts of the client's own.
+                let fold = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+                let key = key.bytes().fold(0xcbf2_9ce4_8422_2325, fold);
+                let group = match group {
+                    Group::All => 0,
+                    Group::Zone => 1 << 40 | u64::from(zone),
+                    Group::Rack => 2 << 40 | u64::from(zone) << 16 | u64::from(rack),
+                };
+                Some(Mark { group, key, window })
+            }
+            _ => None,
+        };
+        Some((drawn * self.slow.borrow()[method], mark))
+    }
+
+    /// Chance that depends on the seed, a purpose and an RPC's try alone: whether a share is hit.
+    pub fn hits(&self, purpose: u64, attempt: u64, share: f64) -> bool {
+        share > 0.0 && work::generator(self.seed ^ purpose, attempt).random::<f64>() < share
+    }
+}
--- /dev/null
+++ b/crates/stand-in/src/node.rs
@@ -0,0 +1,561 @@
+//! One api node on sockets: the model behind a door for each proxy, so that it knows who sends what. Each life of the node
+//! has tasks of its own (one that accepts at each door, one a connection, and the one that drives the model), and
+//! all of them end with it.
+use crate::faults::{Fault, Faults};
+use crate::fleet::Fleet;
+use crate::wire::{Kind, Message, Peer, listen, response};
+use birchhub_audit::Event;
+use birchhub_audit::event::{Left, Taken};
+use birchhub_model::{Happening, Job, Node, Offer, Report, Spec, Start, Why};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeSet, HashMap};
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::select;
+use tokio::sync::{Notify, oneshot, watch};
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+const BACKLOG: u32 = 256; // connections that wait to be accepted at a door
+const BUSY: Duration = Duration::from_millis(5); // before accepting again when descriptors are out
+
+/// What a node is and where.
+#[derive(Clone, Debug)]
+pub struct Place {
+    pub index: u32,
+    pub name: String,
+    pub zone: u32,
+    pub rack: u32,
+    pub spec: Spec,
+    /// A connection that stood idle for so long is closed, s.
+    pub idle_limit: f64,
+}
+
+/// How a life ends for those who are connected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Over {
+    Not,
+    /// Connections are closed.
+    Stopped,
+    /// Connections are reset.
+    Crashed,
+}
+
+/// How a pick ended at the node.
+#[derive(Clone, Copy, Debug)]
+struct Done;
+
+struct Life {
+    number: u32,
+    node: Node,
+    waiting: HashMap<Job, oneshot::Sender<Done>>,
+    over: watch::Sender<Over>,
+    /// Stalls that last, by their numbers.
+    stalls: BTreeSet<u64>,
+}
+
+/// The node. Its addresses stay the same over all its lives.
+pub struct NodeHost {
+    pub place: Place,
+    fleet: Rc<Fleet>,
+    pub faults: Faults,
+    doors: Vec<SocketAddr>,
+    life: RefCell<Option<Life>>,
+    /// Part of the machine that neighbours leave.
+    machine: Cell<f64>,
+    /// The model's next event may have moved.
+    moved: Notify,
+    /// Faults or stalls have changed.
+    weather: watch::Sender<u64>,
+}
+
+/// What a connection does next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Next {
+    Read,
+    Close,
+    Reset,
+}
+
+/// A connection's place among those that the node holds, given back when it is dropped.
+struct Slot {
+    host: Rc<NodeHost>,
+    life: u32,
+    held: bool,
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        if self.held {
+            self.host.with(self.life, |life| life.node.disconnect());
+        }
+    }
+}
+
+/// A pick that the node holds; however it ends, that is told once.
+struct Pick<'a> {
+    host: &'a NodeHost,
+    life: u32,
+    job: Job,
+    how: Left,
+}
+
+impl Pick<'_> {
+    /// The proxy no longer waits: the work is dropped where the model says so.
+    fn withdrawn(mut self) {
+        self.how = Left::Withdrawn;
+        self.host.change(self.life, |life, now, fleet, out| {
+            life.waiting.remove(&self.job);
+            life.node.cancel(now, self.job, &mut fleet.repeats.borrow_mut(), out);
+        });
+    }
+}
+
+impl Drop for Pick<'_> {
+    fn drop(&mut self) {
+        self.host.fleet.notes.tell(Event::Left { job: self.job, how: self.how });
+    }
+}
+
+impl NodeHost {
+    /// Reserves an address for each proxy, on the IP that is given for it.
+    pub fn new(place: Place, fleet: Rc<Fleet>, doors: &[IpAddr]) -> io::Result<Rc<Self>> {
+        let reserve = |ip: &IpAddr| std::net::TcpListener::bind((*ip, 0))?.local_addr();
+        let doors = doors.iter().map(reserve).collect::<io::Result<_>>()?;
+        let (life, faults, moved) = (RefCell::new(None), Faults::default(), Notify::new());
+        let machine = Cell::new(1.0);
+        Ok(Rc::new(Self { place, fleet, faults, doors, life, machine, moved, weather: watch::channel(0).0 }))
+    }
+
+    /// Its address for a proxy.
+    pub fn door(&self, proxy: u16) -> Option<SocketAddr> {
+        self.doors.get(proxy as usize).copied()
+    }
+
+    /// Number of the life it is in.
+    pub fn life(&self) -> Option<u32> {
+        self.life.borrow().as_ref().map(|life| life.number)
+    }
+
+    /// Whether it holds nothing, or is not there.
+    pub fn is_idle(&self) -> bool {
+        self.life.borrow().as_ref().is_none_or(|life| life.node.in_flight() == 0)
+    }
+
+    pub fn in_flight(&self) -> usize {
+        self.life.borrow().as_ref().map_or(0, |life| life.node.in_flight())
+    }
+
+    /// Begins a life; the one before must have ended.
+    pub fn start(self: &Rc<Self>, start: Start) -> io::Result<u32> {
+        let listeners = self.doors.iter().map(|at| listen(*at, BACKLOG)).collect::<io::Result<Vec<_>>>()?;
+        let number = self.fleet.life();
+        let now = self.fleet.notes.clock.now();
+        let spec = &self.place.spec;
+        let able = (spec.cores as f64 * spec.speed) as f32;
+        let mut node = Node::new(spec.clone(), now, start);
+        node.scale(now, self.machine.get(), &mut self.fleet.repeats.borrow_mut(), &mut Vec::new());
+        let (over, seen) = watch::channel(Over::Not);
+        self.fleet.notes.tell(Event::Born {
+            life: number,
+            node: self.place.index,
+            cold: start == Start::Cold,
+            able,
+        });
+        *self.life.borrow_mut() =
+            Some(Life { number, node, waiting: HashMap::new(), over, stalls: BTreeSet::new() });
+        for (proxy, listener) in listeners.into_iter().enumerate() {
+            spawn_local(self.clone().accept(number, proxy as u16, listener, seen.clone()));
+        }
+        spawn_local(self.clone().drive(number, seen));
+        Ok(number)
+    }
+
+    /// Its process dies: all it held is lost, connections are reset.
+    pub fn crash(&self) {
+        self.end(Over::Crashed);
+    }
+
+    /// Its process ends; what it still holds is lost.
+    pub fn stop(&self) {
+        self.end(Over::Stopped);
+    }
+
+    fn end(&self, how: Over) {
+        if let Some(mut life) = self.life.borrow_mut().take() {
+            life.node.crash();
+            self.fleet.notes.tell(Event::Died { life: life.number });
+            life.over.send_replace(how);
+        }
+    }
+
+    /// It finishes what it has and turns away what is new.
+    pub fn drain(&self) {
+        if let Some(life) = self.life.borrow_mut().as_mut() {
+            life.node.drain();
+            self.fleet.notes.tell(Event::Drained { life: life.number });
+        }
+    }
+
+    /// Its process stands still from now on. A process that starts later does not.
+    pub fn begin_stall(&self, number: u64) {
+        self.stall(|stalls| stalls.insert(number));
+    }
+
+    pub fn end_stall(&self, number: u64) {
+        self.stall(|stalls| stalls.remove(&number));
+    }
+
+    fn stall(&self, turn: impl FnOnce(&mut BTreeSet<u64>) -> bool) {
+        let Some(number) = self.life() else { return };
+        self.change(number, |life, now, fleet, out| {
+            let before = life.stalls.is_empty();
+            turn(&mut life.stalls);
+            let stands = !life.stalls.is_empty();
+            if stands == before {
+                life.node.stall(now, stands, &mut fleet.repeats.borrow_mut(), out);
+            }
+        });
+        self.weather.send_modify(|n| *n += 1);
+    }
+
+    /// Its machine does `factor` of what it did; processes that start later find it so.
+    pub fn scale(&self, factor: f64) {
+        self.machine.set(self.machine.get() * factor);
+        if let Some(number) = self.life() {
+            self.change(number, |life, now, fleet, out| {
+                life.node.scale(now, factor, &mut fleet.repeats.borrow_mut(), out);
+            });
+        }
+    }
+
+    pub fn begin_fault(&self, number: u64, fault: Fault) {
+        self.faults.begin(number, fault);
+        self.weather.send_modify(|n| *n += 1);
+    }
+
+    pub fn end_fault(&self, number: u64) {
+        self.faults.end(number);
+        self.weather.send_modify(|n| *n += 1);
+    }
+
+    /// Looks into a life, if it is still this one.
+    fn with<R>(&self, number: u32, look: impl FnOnce(&mut Life) -> R) -> Option<R> {
+        self.life.borrow_mut().as_mut().filter(|life| life.number == number).map(look)
+    }
+
+    /// Changes a life at this moment, then tells what happened by itself.
+    fn change<R>(
+        &self,
+        number: u32,
+        change: impl FnOnce(&mut Life, f64, &Fleet, &mut Vec<Happening>) -> R,
+    ) -> Option<R> {
+        let (now, mut out) = (self.fleet.notes.clock.now(), Vec::new());
+        let result = self.with(number, |life| change(life, now, &self.fleet, &mut out));
+        self.tell(number, out);
+        self.moved.notify_one();
+        result
+    }
+
+    fn tell(&self, number: u32, happened: Vec<Happening>) {
+        let notes = &self.fleet.notes;
+        for happening in happened {
+            let over = match happening {
+                Happening::Started(job) => {
+                    notes.tell(Event::Started { job });
+                    continue;
+                }
+                Happening::Finished(job) => {
+                    notes.tell(Event::Finished { job });
+                    job
+                }
+                Happening::Repeated(job) => {
+                    notes.tell(Event::Repeated { job });
+                    job
+                }
+                Happening::Fell => {
+                    notes.tell(Event::Fell { life: number });
+                    self.end(Over::Crashed);
+                    continue;
+                }
+            };
+            // A probe's job has nobody who waits, nor has one that was withdrawn.
+            if let Some(waiter) = self.with(number, |life| life.waiting.remove(&over)).flatten() {
+                let _ = waiter.send(Done);
+            }
+        }
+    }
+
+    /// Lets the model's events happen when they are due.
+    async fn drive(self: Rc<Self>, number: u32, mut over: watch::Receiver<Over>) {
+        let clock = self.fleet.notes.clock;
+        loop {
+            let next = self.with(number, |life| life.node.next_event()).flatten();
+            select! {
+                biased;
+                _ = over.changed() => return,
+                () = clock.sleep_until(next.unwrap_or(f64::MAX)), if next.is_some() => {}
+                () = self.moved.notified() => continue,
+            }
+            let (now, mut out) = (clock.now(), Vec::new());
+            self.with(number, |life| life.node.advance(now, &mut self.fleet.repeats.borrow_mut(), &mut out));
+            self.tell(number, out);
+        }
+    }
+
+    /// Waits until this proxy is cut off, or no longer.
+    async fn until_cut_off(&self, proxy: u16, cut: bool) {
+        let mut weather = self.weather.subscribe();
+        while self.faults.cut_off(proxy) != cut {
+            let _ = weather.changed().await;
+        }
+    }
+
+    async fn until_awake(&self, number: u32) {
+        let mut weather = self.weather.subscribe();
+        while self.with(number, |life| !life.stalls.is_empty()).unwrap_or(false) {
+            let _ = weather.changed().await;
+        }
+    }
+
+    async fn accept(
+        self: Rc<Self>,
+        number: u32,
+        proxy: u16,
+        listener: TcpListener,
+        mut over: watch::Receiver<Over>,
+    ) {
+        loop {
+            let accepted = select! {
+                biased;
+                _ = over.changed() => return,
+                accepted = async {
+                    self.until_cut_off(proxy, false).await;
+                    self.until_awake(number).await;
+                    listener.accept().await
+                } => accepted,
+            };
+            match accepted {
+                // What came up while it was cut off never did.
+                Ok((stream, _)) if self.faults.cut_off(proxy) => Peer::new(stream).reset(),
+                Ok((stream, _)) => {
+                    let held = self.with(number, |life| life.node.connect()).unwrap_or(false);
+                    let slot = Slot { host: self.clone(), life: number, held };
+                    spawn_local(self.clone().connection(Peer::new(stream), proxy, slot, over.clone()));
+                }
+                Err(fault) => {
+                    log::warn!("{}: no connection accepted: {fault}", self.place.name);
+                    sleep(BUSY).await;
+                }
+            }
+        }
+    }
+
+    /// One connection, until it ends or the life does. A proxy that is cut off meets silence until that is over,
+    /// and a reset then.
+    async fn connection(
+        self: Rc<Self>,
+        mut peer: Peer,
+        proxy: u16,
+        slot: Slot,
+        mut over: watch::Receiver<Over>,
+    ) {
+        let ended = async {
+            let how = over.wait_for(|over| *over != Over::Not).await;
+            how.map_or(Over::Crashed, |how| *how)
+        };
+        let reset = select! {
+            biased;
+            how = ended => how == Over::Crashed,
+            () = self.until_cut_off(proxy, true) => {
+                self.until_cut_off(proxy, false).await;
+                true
+            }
+            next = self.serve(&mut peer, proxy, &slot) => next == Next::Reset,
+        };
+        if reset {
+            peer.reset();
+        }
+    }
+
+    async fn serve(&self, peer: &mut Peer, proxy: u16, slot: &Slot) -> Next {
+        let clock = self.fleet.notes.clock;
+        let idle = Duration::from_secs_f64(self.place.idle_limit);
+        loop {
+            let Ok(Ok(message)) = timeout(idle, peer.read(Kind::Request, &clock)).await else {
+                return Next::Close;
+            };
+            self.until_awake(slot.life).await;
+            let next = match message.path.as_str() {
+                "/health/live" | "/stats" => self.probe(peer, &message, slot.life).await,
+                _ => self.rpc(peer, &message, proxy, slot).await,
+            };
+            if next != Next::Read || message.is_last() {
+                return if next == Next::Reset { Next::Reset } else { Next::Close };
+            }
+        }
+    }
+
+    fn report(&self, life: u32) -> Report {
+        let now = self.fleet.notes.clock.now();
+        self.with(life, |life| life.node.report(now)).unwrap_or_default()
+    }
+
+    /// Writes an answer, with the load where answers carry it.
+    async fn answer(
+        &self,
+        peer: &mut Peer,
+        life: u32,
+        status: u16,
+        more: &[(&str, &str)],
+        body: &[u8],
+    ) -> Next {
+        let bytes = self.encode(life, status, more, body);
+        if peer.write(&bytes).await.is_ok() { Next::Read } else { Next::Close }
+    }
+
+    fn encode(&self, life: u32, status: u16, more: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+        let load = load_text(&self.report(life));
+        let mut headers = more.to_vec();
+        if self.fleet.reports_in_answers {
+            headers.push(("Server-Load", &load));
+        }
+        response(status, &headers, body)
+    }
+
+    async fn probe(&self, peer: &mut Peer, message: &Message, life: u32) -> Next {
+        if !self.fleet.probes {
+            return self.answer(peer, life, 404, &[], b"no probes here\n").await;
+        }
+        if self.fleet.probe_work > 0.0 {
+            let offer =
+                Offer { job: self.fleet.job(), work: self.fleet.probe_work, mark: None, fresh: false };
+            // A probe is answered also where its work found no room.
+            self.change(life, |life, now, fleet, out| {
+                let _ = life.node.offer(now, offer, &mut fleet.repeats.borrow_mut(), out);
+            });
+        }
+        let body = if message.path == "/stats" { load_text(&self.report(life)) } else { "ok".to_owned() };
+        self.answer(peer, life, 200, &[], body.as_bytes()).await
+    }
+
+    async fn rpc(&self, peer: &mut Peer, message: &Message, proxy: u16, slot: &Slot) -> Next {
+        let (fleet, life) = (&self.fleet, slot.life);
+        let id = message.header("request-id");
+        let Some(attempt) = id.and_then(|id| u64::from_str_radix(id, 16).ok()) else {
+            let status = if id.is_some() { 400 } else { 404 };
+            return self.answer(peer, life, status, &[], b"no such RPC\n").await;
+        };
+        let key = message.header("idempotency-key");
+        let (zone, rack) = (self.place.zone, self.place.rack);
+        let Some((work, mark)) = fleet.cost(message.class(), attempt, key, zone, rack) else {
+            return self.answer(peer, life, 404, &[], b"no such method\n").await;
+        };
+        let job = fleet.job();
+        let got = |taken, pushed: f64| {
+            let (begun, work, pushed) = (message.begun, work as f32, pushed as f32);
+            fleet.notes.tell(Event::Got { life, job, attempt, proxy, begun, work, pushed, taken });
+        };
+        let fault = self.faults.for_rpc(|number, share| fleet.hits(number, attempt, share));
+        let mut pick = Pick { host: self, life, job, how: Left::Broken };
+        match fault {
+            Some(Fault::Mute { .. }) => {
+                got(Taken::Swallowed, 0.0);
+                peer.ended().await;
+                pick.how = Left::Withdrawn;
+                return Next::Close;
+            }
+            Some(Fault::Error { .. }) => {
+                got(Taken::Error, 0.0);
+                pick.how = Left::Replied;
+                return self.answer(peer, life, 500, &[], b"failed\n").await;
+            }
+            _ => {}
+        }
+        let (done, mut ended) = oneshot::channel();
+        let offer = Offer { job, work, mark, fresh: peer.messages == 1 };
+        let (now, mut out) = (fleet.notes.clock.now(), Vec::new());
+        let taken = self.with(life, |life| {
+            if !slot.held {
+                return (Err(Why::QueueFull), life.node.pushed());
+            }
+            life.waiting.insert(job, done);
+            let taken = life.node.offer(now, offer, &mut fleet.repeats.borrow_mut(), &mut out);
+            if taken.is_err() {
+                life.waiting.remove(&job);
+            }
+            (taken, life.node.pushed())
+        });
+        let (taken, pushed) = taken.unwrap_or((Err(Why::Down), 0.0));
+        got(
+            match taken {
+                Ok(()) => Taken::Held,
+                Err(Why::Down) => Taken::Swallowed,
+                Err(_) => Taken::TurnedAway,
+            },
+            pushed,
+        );
+        self.tell(life, out);
+        self.moved.notify_one();
+        match taken {
+            Ok(()) => {}
+            Err(Why::Down) => return Next::Reset,
+            Err(_) => {
+                pick.how = Left::Replied;
+                let next = self.answer(peer, life, 503, &[("Not-Started", "1")], b"not started\n").await;
+                return if slot.held { next } else { Next::Close };
+            }
+        }
+        select! {
+            biased;
+            // A life that has ended takes the connection with it.
+            done = &mut ended => if done.is_err() { return Next::Reset },
+            () = peer.ended() => {
+                pick.withdrawn();
+                return Next::Close;
+            }
+        }
+        let body = format!("{attempt:016x} {}\n", self.place.name);
+        let bytes = self.encode(life, 200, &[], body.as_bytes());
+        let (next, how) = write_with(peer, &bytes, fault).await;
+        pick.how = how;
+        next
+    }
+}
+
+fn load_text(report: &Report) -> String {
+    format!("inflight={},queue={},util={:.3}", report.in_flight, report.queued, report.utilisation)
+}
+
+/// Writes an answer as the fault will have it.
+async fn write_with(peer: &mut Peer, bytes: &[u8], fault: Option<Fault>) -> (Next, Left) {
+    let whole = |written: io::Result<()>| match written {
+        Ok(()) => (Next::Read, Left::Replied),
+        Err(_) => (Next::Close, Left::Broken),
+    };
+    match fault {
+        Some(Fault::Reset { .. }) => (Next::Reset, Left::Broken),
+        Some(Fault::Half { .. }) => {
+            let _ = peer.write(&bytes[..bytes.len() - bytes.len() / 8]).await;
+            (Next::Close, Left::Broken)
+        }
+        Some(Fault::Garbage { .. }) => {
+            let _ = peer.write(b"\x00\x01 what?\r\n\r\n").await;
+            (Next::Close, Left::Broken)
+        }
+        Some(Fault::Trickle { over, .. }) => {
+            let pause = Duration::from_secs_f64(over / bytes.len() as f64);
+            for byte in bytes {
+                if peer.write(std::slice::from_ref(byte)).await.is_err() {
+                    return (Next::Close, Left::Broken);
+                }
+                sleep(pause).await;
+            }
+            (Next::Read, Left::Replied)
+        }
+        _ => whole(peer.write(bytes).await),
+    }
+}
