--- a/crates/rehearsal/src/page.rs
+++ b/crates/rehearsal/src/page.rs
@@ -135,8 +135,11 @@
     let most = held(head, entries, seconds);
     let highest = most.iter().flatten().copied().max().unwrap_or(1).max(1);
     let (height, mut body) = (rows as f64 * ROW, String::new());
-    for (n, node) in head.nodes.iter().enumerate().take(rows) {
-        let y = n as f64 * ROW;
+    // Zone by zone and rack by rack; a successor below the node that it follows.
+    let mut order: Vec<_> = (0..head.nodes.len()).collect();
+    order.sort_by_key(|n| (head.nodes[*n].zone, head.nodes[*n].rack, &head.nodes[*n].name));
+    for (row, n) in order.into_iter().take(rows).enumerate() {
+        let (y, node) = (row as f64 * ROW, &head.nodes[n]);
         let name = escape(&node.name);
         let _ = write!(body, "<text x='{}' y='{:.1}' text-anchor='end'>{name}</text>", LEFT - 6.0, y + 11.0);
         for (second, held) in most[n].iter().enumerate().filter(|(_, held)| **held > 0) {
@@ -199,7 +202,7 @@
     );
     if !report.reasons.is_empty() {
         let items = report.reasons.iter().take(BREACHES).map(|r| format!("<li>{}</li>\n", escape(r)));
-        let _ = write!(page, "<ul>{}</ul>\n", items.collect::<String>());
+        let _ = writeln!(page, "<ul>{}</ul>", items.collect::<String>());
     }
     let bands: String = head
         .troubles
--- a/crates/rehearsal/src/run.rs
+++ b/crates/rehearsal/src/run.rs
@@ -170,7 +170,7 @@
         seconds.tick().await;
         let now = clock.now();
         // Where nobody sees the line change, every tenth second will do.
-        if !show || (!terminal && (now.max(0.0) as u64) % 10 != 0) {
+        if !show || (!terminal && !(now.max(0.0) as u64).is_multiple_of(10)) {
             continue;
         }
         let count = |of: &std::sync::atomic::AtomicUsize| of.load(Ordering::Relaxed);
--- a/crates/rehearsal/src/shipped.rs
+++ b/crates/rehearsal/src/shipped.rs
@@ -14,7 +14,17 @@
     };
 }
 
-shipped!["calm"];
+shipped![
+    "calm",
+    "overlap",
+    "zone-down",
+    "proxy-killed",
+    "rolling-restart",
+    "list-trouble",
+    "harvest",
+    "silent-rack",
+    "pauses",
+];
 
 pub fn find(name: &str) -> Option<Shipped> {
     ALL.iter().find(|shipped| shipped.name == name).copied()
--- a/crates/rehearsal/src/stage.rs
+++ b/crates/rehearsal/src/stage.rs
@@ -9,6 +9,7 @@
 use std::cell::Cell;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc as threads;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::{LocalSet, spawn_local};
@@ -21,7 +22,9 @@
 
 impl Block {
     pub fn new() -> Self {
-        Self(16 + (std::process::id() % 200) as u8)
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let number = std::process::id().wrapping_mul(7).wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
+        Self(16 + (number % 200) as u8)
     }
     /// Where nodes and the list service listen for a proxy; nodes share addresses when there are more than fit.
     pub fn door(self, proxy: u16, node: u32) -> IpAddr {
--- a/crates/stand-in/src/node.rs
+++ b/crates/stand-in/src/node.rs
@@ -332,15 +332,18 @@
             let accepted = select! {
                 biased;
                 _ = over.changed() => return,
-                accepted = async {
+                () = self.until_cut_off(proxy, true) => {
                     self.until_cut_off(proxy, false).await;
-                    self.until_awake(number).await;
-                    listener.accept().await
-                } => accepted,
+                    // What came up while it was cut off never did.
+                    while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await {
+                        Peer::new(stream).reset();
+                    }
+                    continue;
+                }
+                // A process that stands still is sent to all the same: the system accepts for it.
+                accepted = listener.accept() => accepted,
             };
             match accepted {
-                // What came up while it was cut off never did.
-                Ok((stream, _)) if self.faults.cut_off(proxy) => Peer::new(stream).reset(),
                 Ok((stream, _)) => {
                     let held = self.with(number, |life| life.node.connect()).unwrap_or(false);
                     let slot = Slot { host: self.clone(), life: number, held };
