Stand-ins are tested over sockets; a partition resets exactly what stood open

Cause: faults of the stand-ins had been seen only through whole rehearsals, and the end of a partition could reset a connection that was made after it.

--- a/crates/rehearsal/src/shipped.rs
+++ b/crates/rehearsal/src/shipped.rs
@@ -24,6 +24,7 @@
     "harvest",
     "silent-rack",
     "pauses",
+    "season",
 ];
 
 pub fn find(name: &str) -> Option<Shipped> {
--- a/crates/stand-in/src/node.rs
+++ b/crates/stand-in/src/node.rs
@@ -9,9 +9,11 @@
 use birchhub_model::{Happening, Job, Node, Offer, Report, Spec, Start, Why};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap};
+use std::future::poll_fn;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::select;
@@ -335,7 +337,7 @@
                 () = self.until_cut_off(proxy, true) => {
                     self.until_cut_off(proxy, false).await;
                     // What came up while it was cut off never did.
-                    while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await {
+                    while let Poll::Ready(Ok((stream, _))) = poll_fn(|cx| Poll::Ready(listener.poll_accept(cx))).await {
                         Peer::new(stream).reset();
                     }
                     continue;
--- /dev/null
+++ b/crates/stand-in/tests/stand_ins.rs
@@ -0,0 +1,469 @@
+//! Stand-ins over loopback sockets: each fault at the socket is what a proxy would meet, and the ledger tells it.
+use birchhub_audit::event::{Left, Taken};
+use birchhub_audit::{Answer, Entry, Event, Group, Kind as Effect, State};
+use birchhub_model::{Spec, Start, Work, work::Spread};
+use birchhub_stand_in::fleet::attempt_of;
+use birchhub_stand_in::list::Line;
+use birchhub_stand_in::wire::{self, Kind, Message, Peer, Stop};
+use birchhub_stand_in::{Call, Caller, Clock, Cost, Fault, Fleet, ListService, NodeHost, Notes, Place};
+use serde_json::Value;
+use std::future::Future;
+use std::net::IpAddr;
+use std::rc::Rc;
+use std::sync::mpsc::Receiver;
+use std::time::Duration;
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{sleep, timeout};
+
+const PATIENCE: Duration = Duration::from_secs(20); // for an event; none should come near
+const HOME: IpAddr = IpAddr::V4(std::net::Ipv4Addr::LOCALHOST);
+
+/// Runs a test on one thread, as stand-ins do.
+fn on_stage<F: Future<Output = ()>>(test: impl FnOnce(Notes, Receiver<Entry>) -> F) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        let (notes, entries) = Notes::new(Clock::starting_in(Duration::ZERO));
+        timeout(PATIENCE, test(notes, entries)).await.expect("in time");
+    });
+}
+
+fn node(notes: &Notes, work: f64) -> Rc<NodeHost> {
+    let constant = |name: &str, kind| Cost {
+        name: name.into(),
+        work: Work { mean: work, spread: Spread::Constant },
+        kind,
+    };
+    let log = Effect::Deduplicated { group: Group::All, window: 60.0 };
+    let costs = vec![constant("read", Effect::Idempotent), constant("log", log)];
+    let fleet = Rc::new(Fleet::new(notes.clone(), 1, costs));
+    let spec = Spec {
+        cores: 1,
+        speed: 1.0,
+        queue: 1,
+        cold_from: 0.5,
+        cold_for: 60.0,
+        fall_multiple: 3.0,
+        fall_window: 1.0,
+        report_every: 0.0,
+        cancel_stops: true,
+        connections: 4,
+        connection_work: 0.0,
+    };
+    let place = Place { index: 0, name: "n0".into(), zone: 0, rack: 0, spec, idle_limit: 30.0 };
+    NodeHost::new(place, fleet, &[HOME, HOME]).expect("addresses")
+}
+
+fn request(verb: &str, path: &str, attempt: u64, more: &str) -> Vec<u8> {
+    format!("{verb} {path} HTTP/1.1\r\nHost: n\r\nRequest-Id: {attempt:016x}\r\n{more}\r\n").into_bytes()
+}
+
+/// A proxy's connection to a node.
+struct Door {
+    peer: Peer,
+    clock: Clock,
+}
+
+impl Door {
+    async fn open(node: &NodeHost, notes: &Notes, proxy: u16) -> Self {
+        let peer = Peer::connect(node.door(proxy).expect("a door")).await.expect("a connection");
+        Self { peer, clock: notes.clock }
+    }
+    async fn send(&mut self, attempt: u64) {
+        self.peer.write(&request("GET", "/read/1", attempt, "")).await.expect("a send");
+    }
+    async fn answer(&mut self) -> Result<Message, Stop> {
+        self.peer.read(Kind::Response, &self.clock).await
+    }
+    async fn call(&mut self, attempt: u64) -> Result<Message, Stop> {
+        self.send(attempt).await;
+        self.answer().await
+    }
+}
+
+/// Events that have been told so far and fit.
+fn told(entries: &Receiver<Entry>, fits: impl Fn(&Event) -> bool) -> Vec<Event> {
+    entries.try_iter().map(|entry| entry.event).filter(|event| fits(event)).collect()
+}
+
+/// Waits for one that fits.
+async fn await_event(entries: &Receiver<Entry>, fits: impl Fn(&Event) -> bool) -> Event {
+    loop {
+        if let Some(event) = told(entries, &fits).pop() {
+            return event;
+        }
+        sleep(Duration::from_millis(1)).await;
+    }
+}
+
+fn is_left(event: &Event) -> bool {
+    matches!(event, Event::Left { .. })
+}
+
+#[test]
+fn an_rpc_runs_and_its_answer_carries_the_load() {
+    on_stage(|notes, entries| async move {
+        let node = node(&notes, 0.005);
+        node.start(Start::Warm).expect("a life");
+        let mut door = Door::open(&node, &notes, 1).await;
+        let answer = door.call(attempt_of(7, 0)).await.expect("an answer");
+        assert_eq!((answer.status, answer.body.as_slice()), (200, &b"0000000000000700 n0\n"[..]));
+        assert_eq!(answer.header("server-load"), Some("inflight=0,queue=0,util=0.000"));
+        let events = told(&entries, |_| true);
+        let got = events.iter().find_map(|e| match e {
+            Event::Got { proxy, attempt, taken, .. } => Some((*proxy, *attempt, *taken)),
+            _ => None,
+        });
+        assert_eq!(got, Some((1, 0x700, Taken::Held)));
+        assert!(events.iter().any(|e| matches!(e, Event::Left { how: Left::Replied, .. })), "{events:?}");
+        for (path, status) in [("/stats", 200), ("/health/live", 200), ("/nothing", 404)] {
+            door.peer.write(&request("GET", path, 1, "")).await.expect("a send");
+            assert_eq!(door.answer().await.expect("an answer").status, status, "{path}");
+        }
+        door.peer.write(b"GET /read HTTP/1.1\r\nRequest-Id: none\r\n\r\n").await.expect("a send");
+        assert_eq!(door.answer().await.expect("an answer").status, 400);
+    });
+}
+
+#[test]
+fn a_full_or_draining_node_says_that_it_never_started() {
+    on_stage(|notes, _entries| async move {
+        let node = node(&notes, 60.0);
+        node.start(Start::Warm).expect("a life");
+        let mut doors = Vec::new();
+        for attempt in 0..4 {
+            let mut door = Door::open(&node, &notes, 0).await;
+            door.send(attempt).await;
+            while attempt < 2 && node.in_flight() <= attempt as usize {
+                sleep(Duration::from_millis(1)).await;
+            }
+            doors.push(door);
+        }
+        // One runs, one waits, and the queue is full.
+        for door in &mut doors[2..] {
+            let answer = door.answer().await.expect("an answer");
+            assert_eq!((answer.status, answer.header("not-started")), (503, Some("1")));
+        }
+        // A fifth connection is one too many, and is told so.
+        let mut fifth = Door::open(&node, &notes, 0).await;
+        assert_eq!(fifth.call(9).await.expect("an answer").header("not-started"), Some("1"));
+        assert_eq!(fifth.answer().await.err(), Some(Stop::Closed));
+        drop(doors);
+        while !node.is_idle() {
+            sleep(Duration::from_millis(1)).await;
+        }
+        node.drain();
+        let mut door = Door::open(&node, &notes, 0).await;
+        assert_eq!(door.call(10).await.expect("an answer").header("not-started"), Some("1"));
+    });
+}
+
+#[test]
+fn a_withdrawn_pick_is_noticed_and_its_work_stops() {
+    on_stage(|notes, entries| async move {
+        let node = node(&notes, 60.0);
+        node.start(Start::Warm).expect("a life");
+        let mut door = Door::open(&node, &notes, 0).await;
+        door.send(1).await;
+        await_event(&entries, |e| matches!(e, Event::Started { .. })).await;
+        drop(door);
+        let left = await_event(&entries, is_left).await;
+        assert!(matches!(left, Event::Left { how: Left::Withdrawn, .. }) && node.is_idle());
+    });
+}
+
+/// A process that dies resets its connections and refuses new ones; its next life is at the same address.
+#[test]
+fn a_crash_resets_and_refuses_until_the_next_life() {
+    on_stage(|notes, entries| async move {
+        let node = node(&notes, 60.0);
+        node.start(Start::Warm).expect("a life");
+        let (mut busy, mut idle) = (Door::open(&node, &notes, 0).await, Door::open(&node, &notes, 0).await);
+        busy.send(1).await;
+        await_event(&entries, |e| matches!(e, Event::Started { .. })).await;
+        node.crash();
+        assert_eq!((busy.answer().await.err(), idle.answer().await.is_err()), (Some(Stop::Broken), true));
+        let left = await_event(&entries, is_left).await;
+        assert!(matches!(left, Event::Left { how: Left::Broken, .. }), "{left:?}");
+        while Peer::connect(node.door(0).expect("a door")).await.is_ok() {
+            sleep(Duration::from_millis(1)).await;
+        }
+        node.start(Start::Warm).expect("a life");
+        Door::open(&node, &notes, 0).await.send(2).await;
+        await_event(&entries, |e| matches!(e, Event::Started { .. })).await;
+    });
+}
+
+#[test]
+fn each_fault_is_what_a_proxy_would_meet() {
+    on_stage(|notes, entries| async move {
+        let node = node(&notes, 0.001);
+        node.start(Start::Warm).expect("a life");
+        let mut attempt = 0;
+        for (fault, runs, expected) in [
+            (Fault::Reset { share: 1.0 }, true, Err(Stop::Broken)),
+            (Fault::Half { share: 1.0 }, true, Err(Stop::Broken)),
+            (Fault::Garbage { share: 1.0 }, true, Err(Stop::Garbled)),
+            (Fault::Error { share: 1.0 }, false, Ok(500)),
+            (Fault::Trickle { share: 1.0, over: 0.05 }, true, Ok(200)),
+            (Fault::Reset { share: 0.0 }, true, Ok(200)),
+        ] {
+            attempt += 1;
+            node.begin_fault(attempt, fault);
+            let mut door = Door::open(&node, &notes, 0).await;
+            let got = door.call(attempt_of(attempt as u32, 0)).await.map(|m| m.status);
+            assert_eq!(got, expected, "{fault:?}");
+            node.end_fault(attempt);
+            let mut seen = Vec::new();
+            while !seen.iter().any(is_left) {
+                seen.extend(told(&entries, |_| true));
+                sleep(Duration::from_millis(1)).await;
+            }
+            assert_eq!(seen.iter().any(|e| matches!(e, Event::Started { .. })), runs, "{fault:?}");
+        }
+    });
+}
+
+#[test]
+fn a_mute_node_takes_and_never_answers_yet_answers_probes() {
+    on_stage(|notes, entries| async move {
+        let node = node(&notes, 0.001);
+        node.start(Start::Warm).expect("a life");
+        node.begin_fault(1, Fault::Mute { share: 1.0 });
+        let mut door = Door::open(&node, &notes, 0).await;
+        door.send(1).await;
+        await_event(&entries, |e| matches!(e, Event::Got { taken: Taken::Swallowed, .. })).await;
+        let mut probe = Door::open(&node, &notes, 0).await;
+        probe.peer.write(&request("GET", "/stats", 0, "")).await.expect("a send");
+        assert_eq!(probe.answer().await.expect("an answer").status, 200);
+        drop(door);
+        let left = await_event(&entries, is_left).await;
+        assert!(matches!(left, Event::Left { how: Left::Withdrawn, .. }));
+    });
+}
+
+/// Cut off from one proxy: silence there, service elsewhere, and a reset of all that stood open when it is over.
+#[test]
+fn a_partition_is_silent_and_ends_with_resets() {
+    on_stage(|notes, _entries| async move {
+        let node = node(&notes, 0.001);
+        node.start(Start::Warm).expect("a life");
+        let mut before = Door::open(&node, &notes, 0).await;
+        before.call(1).await.expect("an answer");
+        node.begin_fault(1, Fault::Partition { from: Some(0) });
+        before.send(2).await;
+        let mut during = Door::open(&node, &notes, 0).await;
+        during.send(3).await;
+        let silent = timeout(Duration::from_millis(100), during.answer()).await;
+        assert!(silent.is_err(), "it answered: {silent:?}");
+        assert_eq!(Door::open(&node, &notes, 1).await.call(4).await.expect("an answer").status, 200);
+        node.end_fault(1);
+        assert!(before.answer().await.is_err() && during.answer().await.is_err());
+        assert_eq!(Door::open(&node, &notes, 0).await.call(5).await.expect("an answer").status, 200);
+    });
+}
+
+/// While its process stands still nothing is answered; what came meanwhile is served afterwards, with the time it came.
+#[test]
+fn a_stalled_node_serves_afterwards_what_came_meanwhile() {
+    on_stage(|notes, entries| async move {
+        let node = node(&notes, 0.001);
+        node.start(Start::Warm).expect("a life");
+        node.begin_stall(1);
+        node.begin_stall(2);
+        let mut door = Door::open(&node, &notes, 0).await;
+        let before = notes.clock.now();
+        door.send(1).await;
+        assert!(timeout(Duration::from_millis(100), door.answer()).await.is_err());
+        node.end_stall(1);
+        assert!(timeout(Duration::from_millis(50), door.answer()).await.is_err(), "the other stall lasts");
+        let ended = notes.clock.now();
+        node.end_stall(2);
+        assert_eq!(door.answer().await.expect("an answer").status, 200);
+        let got = await_event(&entries, |e| matches!(e, Event::Got { .. })).await;
+        assert!(matches!(got, Event::Got { begun, .. } if begun >= before && begun < ended), "{got:?}");
+    });
+}
+
+#[test]
+fn a_cold_node_that_is_pushed_over_stays_down() {
+    on_stage(|notes, entries| async move {
+        let node = node(&notes, 0.5);
+        node.start(Start::Cold).expect("a life");
+        // Able to do half of a core's work, it falls at three times that within a second.
+        for attempt in 0..4 {
+            Door::open(&node, &notes, 0).await.send(attempt).await;
+        }
+        await_event(&entries, |e| matches!(e, Event::Fell { .. })).await;
+        while Peer::connect(node.door(0).expect("a door")).await.is_ok() {
+            sleep(Duration::from_millis(1)).await;
+        }
+        assert_eq!(node.life(), None);
+    });
+}
+
+#[test]
+fn a_repeat_is_answered_and_has_no_effect() {
+    on_stage(|notes, entries| async move {
+        let node = node(&notes, 0.001);
+        node.start(Start::Warm).expect("a life");
+        let mut door = Door::open(&node, &notes, 0).await;
+        for attempt in [attempt_of(3, 0), attempt_of(3, 1)] {
+            let bytes = request("POST", "/log/3", attempt, "Idempotency-Key: k\r\nContent-Length: 0\r\n");
+            door.peer.write(&bytes).await.expect("a send");
+            assert_eq!(door.answer().await.expect("an answer").status, 200);
+        }
+        let runs = told(&entries, |e| matches!(e, Event::Started { .. } | Event::Repeated { .. }));
+        assert!(matches!(runs.as_slice(), [Event::Started { .. }, Event::Repeated { .. }]), "{runs:?}");
+    });
+}
+
+fn line(state: State, life: u32) -> Line {
+    let (name, zone, machine) = ("n0".to_owned(), "a".to_owned(), "m".to_owned());
+    let doors = vec!["127.0.0.1:1".parse().unwrap(), "127.0.0.1:2".parse().unwrap()];
+    Line { name, zone, rack: 0, machine, capacity: 1.0, doors, state, life, boot_ms: 5.0 }
+}
+
+async fn ask(list: &ListService, proxy: u16, query: &str, clock: &Clock) -> Result<Value, Stop> {
+    let mut peer = Peer::connect(list.door(proxy).expect("a door")).await.map_err(|_| Stop::Closed)?;
+    let text = format!("GET /registry/instances{query} HTTP/1.1\r\nHost: l\r\n\r\n");
+    peer.write(text.as_bytes()).await.map_err(|_| Stop::Closed)?;
+    let message = peer.read(Kind::Response, clock).await?;
+    Ok(serde_json::from_slice(&message.body).expect("JSON"))
+}
+
+#[test]
+fn the_list_is_told_whole_or_as_changes_and_to_each_proxy_its_own() {
+    on_stage(|notes, entries| async move {
+        let clock = notes.clock;
+        let list = ListService::start(notes, &[HOME, HOME]).expect("a list service");
+        list.change(0, line(State::Ready, 1));
+        let whole = ask(&list, 1, "", &clock).await.expect("a list");
+        assert_eq!((&whole["rev"], &whole["all"]), (&1.into(), &true.into()));
+        assert_eq!(whole["targets"][0]["endpoint"], "127.0.0.1:2");
+        let empty = ask(&list, 1, "?from=1&hold_ms=20", &clock).await.expect("nothing new");
+        assert_eq!((&empty["all"], empty["targets"].as_array().map(Vec::len)), (&false.into(), Some(0)));
+        let watching = list.clone();
+        let watch = spawn_local(async move { ask(&watching, 1, "?from=1&hold_ms=20000", &clock).await });
+        while !watch.is_finished() {
+            // However late the watch begins, the change is newer than what it has.
+            list.change(0, line(State::Draining, 1));
+            sleep(Duration::from_millis(5)).await;
+        }
+        let changes = watch.await.expect("a task").expect("changes");
+        assert_eq!(changes["targets"][0]["state"], "Terminating");
+        list.change(0, line(State::Gone, 1));
+        let whole = ask(&list, 1, "", &clock).await.expect("a list");
+        assert_eq!(whole["targets"].as_array().map(Vec::len), Some(0));
+        let heard = told(&entries, |e| matches!(e, Event::Told { proxy: 1, .. }));
+        let states: Vec<_> = heard
+            .iter()
+            .map(|e| if let Event::Told { state, .. } = e { Some(*state) } else { None })
+            .collect();
+        assert_eq!(states, [Some(State::Ready), Some(State::Draining), Some(State::Gone)]);
+    });
+}
+
+#[test]
+fn a_list_that_is_down_resets_and_a_stale_one_stands_still() {
+    on_stage(|notes, _entries| async move {
+        let clock = notes.clock;
+        let list = ListService::start(notes, &[HOME, HOME]).expect("a list service");
+        list.change(0, line(State::Ready, 1));
+        let watching = list.clone();
+        let watch = spawn_local(async move { ask(&watching, 0, "?from=1&hold_ms=20000", &clock).await });
+        sleep(Duration::from_millis(20)).await;
+        list.set_down(true);
+        assert!(watch.await.expect("a task").is_err() && ask(&list, 0, "", &clock).await.is_err());
+        list.set_down(false);
+        list.set_stale(0, true);
+        list.change(0, line(State::Gone, 1));
+        let count = |list: Value| list["targets"].as_array().map(Vec::len);
+        assert_eq!(count(ask(&list, 0, "", &clock).await.expect("a list")), Some(1), "the old copy");
+        assert_eq!(
+            count(ask(&list, 1, "", &clock).await.expect("a list")),
+            Some(0),
+            "the other proxy's is true"
+        );
+        list.set_stale(0, false);
+        assert_eq!(count(ask(&list, 0, "?from=1&hold_ms=20000", &clock).await.expect("changes")), Some(1));
+    });
+}
+
+fn call(attempt: u64, patience: f64) -> Call {
+    let (path, body) = ("/read/1".into(), 0);
+    let (tenant, key, leaves_after) = (None, None, None);
+    Call {
+        attempt,
+        rpc: 1,
+        proxy: 0,
+        verb: "GET",
+        path,
+        tenant,
+        key,
+        retry: false,
+        patience,
+        leaves_after,
+        body,
+    }
+}
+
+/// What a client sees of a proxy that does each of these with its answer.
+#[test]
+fn a_client_tells_answers_apart() {
+    on_stage(|notes, _entries| async move {
+        let ok = |attempt: u64| wire::response(200, &[], format!("{attempt:016x} n\n").as_bytes());
+        let cases: Vec<(Vec<u8>, Answer)> = vec![
+            (ok(1), Answer::Ok),
+            (ok(2), Answer::Garbled),
+            ([ok(1), ok(1)].concat(), Answer::Garbled),
+            (wire::response(503, &[("Retry-After", "0.5")], b""), Answer::PushedBack(Some(0.5))),
+            (wire::response(429, &[], b""), Answer::PushedBack(None)),
+            (wire::response(502, &[], b""), Answer::Aborted(502)),
+            (b"HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n".to_vec(), Answer::Lost),
+            (vec![], Answer::Lost),
+        ];
+        for (bytes, expected) in cases {
+            let listener = wire::listen((HOME, 0).into(), 8).expect("a listener");
+            let at = listener.local_addr().expect("an address");
+            let clock = notes.clock;
+            spawn_local(async move {
+                let (stream, _) = listener.accept().await.expect("a client");
+                let mut peer = Peer::new(stream);
+                peer.read(Kind::Request, &clock).await.expect("an RPC");
+                peer.write(&bytes).await.expect("an answer");
+            });
+            assert_eq!(Caller::new(notes.clone()).call(&call(1, 5.0), at).await, expected);
+        }
+        let silent = wire::listen((HOME, 0).into(), 8).expect("a listener");
+        let at = silent.local_addr().expect("an address");
+        assert_eq!(Caller::new(notes.clone()).call(&call(1, 0.05), at).await, Answer::Silence);
+        let leaving = Call { leaves_after: Some(0.01), ..call(1, 5.0) };
+        assert_eq!(Caller::new(notes.clone()).call(&leaving, at).await, Answer::HungUp);
+        drop(silent);
+        assert_eq!(Caller::new(notes).call(&call(1, 5.0), at).await, Answer::Unreachable);
+    });
+}
+
+/// A kept connection that was closed while idle is not used; an RPC is not lost by it.
+#[test]
+fn a_kept_connection_that_was_closed_is_passed_over() {
+    on_stage(|notes, entries| async move {
+        let listener = wire::listen((HOME, 0).into(), 8).expect("a listener");
+        let (at, clock) = (listener.local_addr().expect("an address"), notes.clock);
+        spawn_local(async move {
+            loop {
+                let (stream, _) = listener.accept().await.expect("a client");
+                let mut peer = Peer::new(stream);
+                peer.read(Kind::Request, &clock).await.expect("an RPC");
+                peer.write(&wire::response(200, &[], b"0000000000000001 n\n")).await.expect("an answer");
+                // Closed here, between two RPCs.
+            }
+        });
+        let caller = Caller::new(notes);
+        for _ in 0..3 {
+            assert_eq!(caller.call(&call(1, 5.0), at).await, Answer::Ok);
+            sleep(Duration::from_millis(5)).await;
+        }
+        assert_eq!(told(&entries, |e| matches!(e, Event::Sent { .. })).len(), 3);
+    });
+}
