Decisions cost the same at ten thousand backends: indexes in place of walks

Cause: each draw, probe round and waiting RPC walked all backends, each list change counted them again; with every answer the daemon walked all idle sockets it could give up and polled all kept connections of that backend.

--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -1,9 +1,8 @@
 //! One actor for each backend: its connections, and the picks and probes that go to it. A job owns its
 //! connection while it runs, and its `Ticket` tells the core how it ended, once, when it is dropped.
-use crate::config::until;
 use crate::core::ToCore;
 use crate::intake::{BODY_MOST, Message};
-use crate::sockets::{Budget, Conn, Fault, Part, Reply, Spare};
+use crate::sockets::{Budget, Conn, Fault, Offer, Part, Reply, Spare};
 use birchhub::types::{LoadReport, Outcome};
 use birchhub_settings::load_report;
 use bytes::Bytes;
@@ -12,14 +11,14 @@
 use std::cell::{Cell, RefCell};
 use std::future::{pending, poll_fn};
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::Poll;
 use std::time::Duration;
 use tokio::select;
 use tokio::sync::mpsc::{self, OwnedPermit};
-use tokio::sync::{Notify, oneshot, watch};
-use tokio::task::{spawn_local, yield_now};
-use tokio::time::{Instant, timeout_at};
+use tokio::sync::{oneshot, watch};
+use tokio::task::{JoinHandle, spawn_local, yield_now};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 const MAILBOX: usize = 256; // jobs not yet begun; beyond, they end as never sent
 const KEEP_PART: f64 = 0.6; // of the idle time after which the other side closes: never write to a closed one
@@ -109,12 +108,25 @@
     pub facts: watch::Sender<Facts>,
 }
 
-/// An idle connection, which the budget may give up for another.
-struct Kept(RefCell<Option<Conn>>);
+/// An idle connection, which the budget may give up for another, and the task that watches over it.
+struct Kept {
+    conn: RefCell<Option<Conn>>,
+    used: Instant,
+    offer: RefCell<Option<Offer>>,
+    watch: RefCell<Option<JoinHandle<()>>>,
+}
 
 impl Spare for Kept {
     fn give_up(&self) -> bool {
-        self.0.borrow_mut().take().is_some()
+        self.conn.borrow_mut().take().is_some()
+    }
+}
+
+impl Drop for Kept {
+    fn drop(&mut self) {
+        if let Some(watch) = self.watch.take() {
+            watch.abort();
+        }
     }
 }
 
@@ -122,7 +134,6 @@
     facts: watch::Receiver<Facts>,
     kept: RefCell<Vec<Rc<Kept>>>, // the latest used last
     keep: Cell<Duration>,         // how long a connection may stand idle and still be used
-    changed: Notify,
     limits: Limits,
     budget: Rc<Budget>,
 }
@@ -131,8 +142,8 @@
     pub fn start(facts: Facts, limits: Limits, budget: Rc<Budget>) -> Self {
         let (mailbox, jobs) = mpsc::channel(MAILBOX);
         let (sender, receiver) = watch::channel(facts);
-        let (kept, keep, changed) = (RefCell::default(), limits.keep().into(), Notify::new());
-        let peer = Peer { facts: receiver, kept, keep, changed, limits, budget };
+        let (kept, keep) = (RefCell::default(), limits.keep().into());
+        let peer = Peer { facts: receiver, kept, keep, limits, budget };
         spawn_local(Rc::new(peer).run(jobs));
         Self { mailbox, facts: sender }
     }
@@ -159,28 +170,23 @@
                     Some(job) => drop(spawn_local(self.clone().serve(job))),
                     None => return,
                 },
-                () = self.tend() => {}
             }
         }
     }
 
-    /// Watches over idle connections: drops those that the other side closes and those kept long enough.
-    /// Ends when another one is kept or one has grown old.
-    async fn tend(&self) {
-        let (keep, now) = (self.keep.get(), Instant::now());
-        self.kept.borrow_mut().retain(|k| k.0.borrow().as_ref().is_some_and(|c| now < c.used + keep));
-        let oldest = self.kept.borrow().iter().filter_map(|k| k.0.borrow().as_ref().map(|c| c.used)).min();
-        let watch = poll_fn(|cx| {
-            self.kept.borrow_mut().retain(|k| {
-                let mut conn = k.0.borrow_mut();
-                conn.as_mut().is_some_and(|c| !c.poll_closed(cx))
-            });
-            Poll::<()>::Pending
+    /// Watches over one idle connection: drops it when the other side closes it or it was kept long enough. A task
+    /// for each, woken by its own socket: guards against a look at all of them with every answer.
+    async fn watch(self: Rc<Self>, kept: Weak<Kept>, until: Instant) {
+        let closed = poll_fn(|cx| {
+            let closed = |kept: Rc<Kept>| kept.conn.borrow_mut().as_mut().is_none_or(|c| c.poll_closed(cx));
+            if kept.upgrade().is_none_or(closed) { Poll::Ready(()) } else { Poll::Pending }
         });
         select! {
-            () = self.changed.notified() => {}
-            () = watch => {}
-            () = until(oldest.map(|used| used + keep)) => {}
+            () = closed => {}
+            () = sleep_until(until) => {}
+        }
+        if let Some(kept) = kept.upgrade() {
+            self.kept.borrow_mut().retain(|k| !Rc::ptr_eq(k, &kept));
         }
     }
 
@@ -208,8 +214,7 @@
             Some(Ok(end)) => Some(end),
             Some(Err(_)) if ticket.sent.get() => {
                 // A machine that vanished leaves its connections silent.
-                let silent = |k: &Rc<Kept>| k.0.borrow().as_ref().is_none_or(|c| c.used <= begun);
-                self.kept.borrow_mut().retain(|k| !silent(k));
+                self.kept.borrow_mut().retain(|k| k.used > begun);
                 Some((Outcome::TimedOut, None, Bytes::new()))
             }
             Some(Err(_)) => Some((Outcome::NoConnection, None, Bytes::new())),
@@ -226,7 +231,7 @@
         }
     }
 
-    async fn exchange(&self, message: &Message, until: Instant, sent: &Cell<bool>) -> End {
+    async fn exchange(self: &Rc<Self>, message: &Message, until: Instant, sent: &Cell<bool>) -> End {
         let nothing = |outcome| (outcome, None, Bytes::new());
         loop {
             let endpoint = self.facts.borrow().endpoint;
@@ -259,7 +264,6 @@
                     // Guards against a path that forgets connections sooner than the settings say.
                     if !fresh {
                         self.keep.update(|keep| (idle / 2).max(KEEP_LEAST).min(keep));
-                        self.changed.notify_one();
                     }
                     return nothing(Outcome::Reset);
                 }
@@ -273,11 +277,8 @@
         // What has come is to be seen first. Guards against bytes behind an answer that answer the next RPC.
         yield_now().await;
         loop {
-            let now = Instant::now();
-            let quiet = |k: &Rc<Kept>| k.0.borrow().as_ref().is_none_or(|c| c.used + QUIET <= now);
-            let place = self.kept.borrow().iter().rposition(quiet)?;
-            let kept = self.kept.borrow_mut().remove(place);
-            let conn = kept.0.borrow_mut().take();
+            let kept = self.latest()?;
+            let conn = kept.conn.borrow_mut().take();
             if let Some(mut conn) = conn
                 && conn.usable().await
             {
@@ -286,17 +287,30 @@
         }
     }
 
+    /// The latest used one that has been quiet. Those kept for longer than has proved good since go: they are the first.
+    fn latest(&self) -> Option<Rc<Kept>> {
+        let (now, keep) = (Instant::now(), self.keep.get());
+        let mut all = self.kept.borrow_mut();
+        let old = all.partition_point(|k| k.used + keep <= now);
+        all.drain(..old);
+        let place = all.iter().rposition(|k| k.used + QUIET <= now)?;
+        Some(all.remove(place))
+    }
+
     /// Keeps a connection for the next job, unless it or its backend ends or the backend has moved meanwhile.
-    async fn keep(&self, mut conn: Conn, endpoint: SocketAddr, headers: &HeaderMap) {
+    async fn keep(self: &Rc<Self>, mut conn: Conn, endpoint: SocketAddr, headers: &HeaderMap) {
         let closes =
             headers.get(CONNECTION).is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
         let alive = !closes && conn.alive().await;
         let listed = self.facts.has_changed().is_ok();
         if alive && listed && *self.facts.borrow() == (Facts { endpoint, ready: true }) {
-            let kept = Rc::new(Kept(RefCell::new(Some(conn))));
-            self.budget.offer(Part::Backends, &kept);
+            let used = conn.used;
+            let (offer, watch) = Default::default();
+            let kept = Rc::new(Kept { conn: RefCell::new(Some(conn)), used, offer, watch });
+            kept.offer.replace(Some(self.budget.offer(Part::Backends, &kept)));
+            let watching = self.clone().watch(Rc::downgrade(&kept), used + self.keep.get());
+            kept.watch.replace(Some(spawn_local(watching)));
             self.kept.borrow_mut().push(kept);
-            self.changed.notify_one();
         }
     }
 }
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -2,7 +2,7 @@
 use crate::answer::Answer;
 use crate::core::ToCore;
 use crate::intake::{Intake, Received};
-use crate::sockets::{Budget, Part, Place, Spare, Watched, Witness};
+use crate::sockets::{Budget, Offer, Part, Place, Spare, Watched, Witness};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -86,6 +86,8 @@
     refused: Cell<bool>,
     /// By when the message at hand is to be whole or, between two, the next one is to begin.
     due: Cell<Instant>,
+    /// It may be given up for another.
+    offer: RefCell<Option<Offer>>,
     turned: Notify,
     close: Notify,
 }
@@ -93,8 +95,8 @@
 impl Line {
     fn new() -> Rc<Self> {
         let due = Cell::new(Instant::now() + MESSAGE_TIME);
-        let (busy, idle, refused, turned, close) = Default::default();
-        Rc::new(Self { busy, idle, refused, due, turned, close })
+        let (busy, idle, refused, offer, turned, close) = Default::default();
+        Rc::new(Self { busy, idle, refused, due, offer, turned, close })
     }
 
     fn turn(&self, busy: bool, idle: bool) {
@@ -105,6 +107,12 @@
         self.turned.notify_one();
     }
 
+    /// Lets the budget have it, as the one that has been idle for the shortest time.
+    fn offer(self: &Rc<Self>, budget: &Rc<Budget>) {
+        let offer = budget.offer(Part::Clients, self);
+        self.offer.replace(Some(offer));
+    }
+
     /// Ends when a head takes too long, or the next message to begin. Guards against clients that connect and
     /// say nothing, or never come to the end of a head.
     async fn overdue(&self) {
@@ -170,7 +178,7 @@
                     if late { Answer::PushedBack { come_back: 0.0 } } else { front.answer(from, due).await };
                 line.refused.set(late || matches!(answer, Answer::Refused(..)));
                 line.turn(false, true);
-                front.budget.offer(Part::Clients, &line);
+                line.offer(&front.budget);
                 let last = line.refused.get() || front.life.stopping.get();
                 Ok::<Response<Full<Bytes>>, Infallible>(answer.encode(last))
             }
@@ -182,7 +190,7 @@
         let fresh = async {
             sleep(FRESH).await;
             if !line.busy.get() {
-                self.budget.offer(Part::Clients, &line);
+                line.offer(&self.budget);
             }
             pending().await
         };
@@ -233,7 +241,7 @@
             std::io::Result::Ok(())
         };
         // Its place is wanted as any idle one's: guards against refused clients that crowd out others.
-        self.budget.offer(Part::Clients, line);
+        line.offer(&self.budget);
         select! {
             _ = timeout(LINGER_TIME, drain) => {}
             () = line.close.notified() => {}
--- a/crates/daemon/src/sockets.rs
+++ b/crates/daemon/src/sockets.rs
@@ -7,7 +7,7 @@
 use hyper::{HeaderMap, Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
+use std::collections::BTreeMap;
 use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
@@ -38,7 +38,8 @@
     open: Cell<usize>,
     most: usize,
     spent: Cell<bool>, // told in the log; until a place is given back it is not told again
-    spare: RefCell<VecDeque<Weak<dyn Spare>>>, // the longest idle first
+    spare: RefCell<BTreeMap<u64, Weak<dyn Spare>>>, // by the order of their offers: the longest idle first
+    next: Cell<u64>,
 }
 
 /// All sockets of clients and backends, counted.
@@ -71,8 +72,8 @@
     pub fn place(self: &Rc<Self>, part: Part) -> Option<Place> {
         let shelf = self.shelf(part);
         while shelf.open.get() >= shelf.most {
-            let oldest = shelf.spare.borrow_mut().pop_front();
-            let Some(oldest) = oldest else {
+            let oldest = shelf.spare.borrow_mut().pop_first();
+            let Some((_, oldest)) = oldest else {
                 if !shelf.spent.replace(true) {
                     log::warn!("no socket left for {part:?}: {} are open, none idle", shelf.open.get());
                 }
@@ -91,12 +92,13 @@
         Place { budget: self.clone(), part }
     }
 
-    /// Notes something that may be given up for a new socket.
-    pub fn offer<S: Spare + 'static>(&self, part: Part, spare: &Rc<S>) {
-        let spare: Weak<dyn Spare> = Rc::<S>::downgrade(spare);
-        let mut all = self.shelf(part).spare.borrow_mut();
-        all.retain(|s| s.strong_count() > 0 && !s.ptr_eq(&spare));
-        all.push_back(spare);
+    /// Notes something that may be given up for a new socket, for as long as the offer is kept. Costs the same
+    /// however many are offered: guards against a proxy that walks all idle sockets with every answer.
+    pub fn offer<S: Spare + 'static>(self: &Rc<Self>, part: Part, spare: &Rc<S>) -> Offer {
+        let (shelf, spare) = (self.shelf(part), Rc::<S>::downgrade(spare));
+        let number = shelf.next.replace(shelf.next.get() + 1);
+        shelf.spare.borrow_mut().insert(number, spare);
+        Offer { budget: self.clone(), part, number }
     }
 
     pub fn open(&self, part: Part) -> usize {
@@ -109,6 +111,19 @@
     }
 }
 
+/// Something idle stands to be given up; withdrawn when this is dropped.
+pub struct Offer {
+    budget: Rc<Budget>,
+    part: Part,
+    number: u64,
+}
+
+impl Drop for Offer {
+    fn drop(&mut self) {
+        self.budget.shelf(self.part).spare.borrow_mut().remove(&self.number);
+    }
+}
+
 impl Drop for Place {
     fn drop(&mut self) {
         let shelf = self.budget.shelf(self.part);
--- a/crates/rehearsal/src/clients.rs
+++ b/crates/rehearsal/src/clients.rs
@@ -1,8 +1,8 @@
 //! The clients: each RPC goes out when it is due, whether or not answers come, and is tried again as clients do.
 use crate::plan::{Arrival, Plan};
 use crate::proxies::Front;
-use crate::scenario::{MethodKind, Scenario};
-use birchhub_audit::{Answer, Event, Group};
+use crate::scenario::{Clients, Method, MethodKind, Scenario};
+use birchhub_audit::{Answer, Event, Group, Kind as Effect};
 use birchhub_stand_in::fleet::attempt_of;
 use birchhub_stand_in::{Call, Caller, Notes};
 use std::rc::Rc;
@@ -58,13 +58,13 @@
     let clients = Builder::new().name("clients".into()).spawn(move || {
         let Ok(runtime) = tokio::runtime::Builder::new_current_thread().enable_all().build() else { return };
         let caller = Caller::new(notes.clone());
-        let clients = Rc::new(Clients { scenario, seed: plan.seed, notes, caller, front, progress });
+        let clients = Rc::new(Callers { scenario, seed: plan.seed, notes, caller, front, progress });
         LocalSet::new().block_on(&runtime, clients.run(arrivals));
     })?;
     Ok(vec![pacer, clients])
 }
 
-struct Clients {
+struct Callers {
     scenario: Scenario,
     seed: u64,
     notes: Notes,
@@ -73,7 +73,7 @@
     progress: Arc<Progress>,
 }
 
-impl Clients {
+impl Callers {
     async fn run(self: Rc<Self>, mut due: mpsc::Receiver<(u32, Arrival)>) {
         let mut open = JoinSet::new();
         while let Some((rpc, arrival)) = due.recv().await {
@@ -99,10 +99,7 @@
         let mut wait = clients.wait.0;
         for number in 0..=clients.retries {
             let left = until - clock.now();
-            if left < WORTH_IT {
-                break;
-            }
-            let patience = (method.deadline.0 * clients.try_patience).min(left);
+            let Some(patience) = patience(clients, method, left) else { break };
             let leaves_after = arrival.leaves.filter(|_| number == 0).map(|part| part * patience);
             let (proxy, at) = self.front.deal(arrival.zone, arrival.deal.rotate_left(u32::from(number) * 8));
             let call = Call {
@@ -115,8 +112,7 @@
                 key: (method.kind == MethodKind::Deduplicated)
                     .then(|| format!("{:016x}{rpc:08x}", self.seed)),
                 retry: number > 0 && clients.marks_retries,
-                // Whole milliseconds, as it is told.
-                patience: (patience * 1e3).floor() / 1e3,
+                patience,
                 leaves_after,
                 body: method.body,
             };
@@ -127,7 +123,7 @@
                 _ => &self.progress.failed,
             };
             counter.fetch_add(1, Ordering::Relaxed);
-            if !self.tries_again(answer, method.kind, method.group, arrival.due, method.window.map(|w| w.0)) {
+            if !tries_again(answer, method, clock.now() - arrival.due) {
                 break;
             }
             let asked = match answer {
@@ -138,26 +134,23 @@
             wait *= if clients.backoff { 2.0 } else { 1.0 };
         }
     }
+}
 
-    /// Clients repeat what is harmless: after a push-back or where no proxy had it, anything; else only what may run again
-    /// anywhere, within its window.
-    fn tries_again(
-        &self,
-        answer: Answer,
-        kind: MethodKind,
-        group: Option<Group>,
-        due: f64,
-        window: Option<f64>,
-    ) -> bool {
-        match (answer, kind) {
-            (Answer::Ok | Answer::HungUp, _) => false,
-            (Answer::PushedBack(_) | Answer::Unreachable, _) => true,
-            (_, MethodKind::Idempotent) => true,
-            (_, MethodKind::NonIdempotent) => false,
-            (_, MethodKind::Deduplicated) => {
-                let forgotten = due + window.unwrap_or(0.0);
-                group == Some(Group::All) && self.notes.clock.now() < forgotten
-            }
-        }
+/// Clients repeat what is harmless: after a push-back or where no proxy had it, anything; else only what may run again
+/// anywhere, within its window. `since` is the time from when the RPC was due, s.
+pub fn tries_again(answer: Answer, method: &Method, since: f64) -> bool {
+    match (answer, method.effect()) {
+        (Answer::Ok | Answer::HungUp, _) => false,
+        (Answer::PushedBack(_) | Answer::Unreachable, _) => true,
+        (_, Effect::Idempotent) => true,
+        (_, Effect::NonIdempotent) => false,
+        (_, Effect::Deduplicated { group, window }) => group == Group::All && since < window,
     }
 }
+
+/// What a client waits for a try of a method, whole milliseconds as it is told, when so much is left to it; `None` where that
+/// is too little to begin.
+pub fn patience(clients: &Clients, method: &Method, left: f64) -> Option<f64> {
+    let patience = (method.deadline.0 * clients.try_patience).min(left);
+    (left >= WORTH_IT).then_some((patience * 1e3).floor() / 1e3)
+}
--- a/crates/rehearsal/src/proxies.rs
+++ b/crates/rehearsal/src/proxies.rs
@@ -30,6 +30,20 @@
 const ASK: Duration = Duration::from_millis(500); // for one answer on its health
 const STOPPING: f64 = 0.7; // s beyond the longest deadline that a proxy has after SIGTERM
 
+/// Where the layer before the proxies sends a client of a zone, by this chance: to a proxy of the zone that is taken in, else to
+/// one of any zone, else to one that is not.
+pub fn deal(proxies: usize, zones: usize, zone: u32, chance: u64, open: impl Fn(&usize) -> bool) -> usize {
+    let home = |proxy: &usize| proxy % zones == zone as usize;
+    let mut fits: Vec<usize> = (0..proxies).filter(|p| open(p) && home(p)).collect();
+    if fits.is_empty() {
+        fits = (0..proxies).filter(open).collect();
+    }
+    if fits.is_empty() {
+        fits = (0..proxies).collect();
+    }
+    fits[(chance % fits.len() as u64) as usize]
+}
+
 /// The layer before the proxies: who is taken in, and where.
 pub struct Front {
     doors: Vec<SocketAddr>,
@@ -41,16 +55,7 @@
     /// A proxy for this chance: of the zone, or of any where none of it is taken in.
     pub fn deal(&self, zone: u32, chance: u64) -> (u16, SocketAddr) {
         let open = |proxy: &usize| self.taken_in[*proxy].load(Ordering::Relaxed);
-        let home = |proxy: &usize| proxy % self.zones == zone as usize;
-        let all = 0..self.doors.len();
-        let mut fits: Vec<usize> = all.clone().filter(|p| open(p) && home(p)).collect();
-        if fits.is_empty() {
-            fits = all.clone().filter(open).collect();
-        }
-        if fits.is_empty() {
-            fits = all.collect();
-        }
-        let proxy = fits[(chance % fits.len() as u64) as usize];
+        let proxy = deal(self.doors.len(), self.zones, zone, chance, open);
         (proxy as u16, self.doors[proxy])
     }
 
--- a/src/chance.rs
+++ b/src/chance.rs
@@ -14,6 +14,11 @@
         self.0.random_range(low..high)
     }
 
+    /// A number below `most`, which is above 0.
+    pub fn below(&mut self, most: usize) -> usize {
+        self.0.random_range(0..most)
+    }
+
     /// Takes one of the items at random.
     pub fn draw<T>(&mut self, from: &mut Vec<T>) -> Option<T> {
         if from.is_empty() { None } else { Some(from.swap_remove(self.0.random_range(0..from.len()))) }
--- a/src/held.rs
+++ b/src/held.rs
@@ -1,10 +1,11 @@
 //! What the decision module keeps of backends, methods, tenants and RPCs: data, no decisions.
 use crate::measure::{Decaying, Mean};
+use crate::roster::{NOWHERE, SLOTS};
 use crate::types::{Arrival, Entry, MethodSettings, Outcome, Readiness, Settings};
+use crate::waiting::Rank;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
-#[derive(Default)]
 pub(crate) struct Backend {
     pub id: u32,
     pub size: Cell<f64>, // beside other backends'
@@ -21,6 +22,35 @@
     pub probe_out: Cell<bool>,
     pub cold_sent: Decaying,
     pub luck: Cell<f64>, // below 1, drawn anew with each report: a cold pick's chance must exceed it
+    pub places: [Cell<usize>; SLOTS], // in the sets of the roster
+    pub told: Cell<u64>, // the list call that named it last
+}
+
+impl Default for Backend {
+    fn default() -> Self {
+        let (id, size, cell, zone, started, ready, out, mean_out) = Default::default();
+        let (fails, rest_until, credit, listed_at, probe_out, cold_sent, luck, told) = Default::default();
+        let places = [const { Cell::new(NOWHERE) }; SLOTS];
+        Self {
+            id,
+            size,
+            cell,
+            zone,
+            started,
+            ready,
+            out,
+            mean_out,
+            fails,
+            rest_until,
+            credit,
+            listed_at,
+            probe_out,
+            cold_sent,
+            luck,
+            places,
+            told,
+        }
+    }
 }
 
 impl Backend {
@@ -32,11 +62,15 @@
         self.size.set(entry.size);
     }
 
-    /// Whether its idle entry is no older and it still takes RPCs; if not the entry is dropped.
-    pub fn still_listed(&self, since: f64) -> bool {
-        let stays = self.ready.get() && self.listed_at.get().is_some_and(|at| at >= since);
-        self.listed_at.set(self.listed_at.get().filter(|_| stays));
-        stays
+    /// Whether that would leave it in the sets it stands in.
+    pub fn stands_as(&self, entry: &Entry) -> bool {
+        let facts = (entry.readiness == Readiness::Ready, entry.cell, entry.zone);
+        self.places[0].get() != NOWHERE && (self.ready.get(), self.cell.get(), self.zone.get()) == facts
+    }
+
+    /// Whether it stands in the idle list with an entry no older, and still takes RPCs.
+    pub fn is_listed(&self, since: f64) -> bool {
+        self.ready.get() && self.listed_at.get().is_some_and(|at| at >= since)
     }
 }
 
@@ -124,6 +158,7 @@
     pub picks: RefCell<Vec<Pick>>,
     pub over: Cell<bool>,
     pub streaming: Cell<bool>,
+    pub rank: Cell<Option<Rank>>, // while it waits
 }
 
 impl Pick {
@@ -142,8 +177,8 @@
         hold_until: f64,
     ) -> Self {
         let (id, deadline, picks) = (arrival.id, arrival.deadline, RefCell::default());
-        let (over, streaming) = Default::default();
-        Self { id, method, deadline, useful_until, hold_until, share, picks, over, streaming }
+        let (over, streaming, rank) = Default::default();
+        Self { id, method, deadline, useful_until, hold_until, share, picks, over, streaming, rank }
     }
 
     pub fn is_out(&self) -> bool {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,4 +3,6 @@
 mod held;
 mod measure;
 pub mod policy;
+mod roster;
 pub mod types;
+mod waiting;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -12,8 +12,10 @@
 use crate::chance::Chance;
 use crate::held::{Backend, Call, Cold, Method, Pick, Share, Tenant};
 use crate::measure::{Decaying, Mean};
+use crate::roster::{Roster, Set};
 use crate::types::*;
-use std::{cell::RefCell, collections::BTreeMap, rc::Rc};
+use crate::waiting::Waiting;
+use std::{cell::RefCell, collections::VecDeque, rc::Rc};
 
 // Constants: unit, and why this size.
 const THRESHOLD: f64 = 0.75; // of the mean reported load: 0 while backends hold about one RPC each
@@ -53,6 +55,9 @@
 const FADE: f64 = 12.0; // service times in which an expected wait fades while no draw renews it: refusals end
 const LIST_RETRY: f64 = 0.5; // s before a failed list call is repeated, doubled each time: calls are scarce
 const ASK_AGAIN: f64 = 0.5; // of the time after which silence counts as being told, between list calls
+const FEW: usize = 64; // backends that one decision looks at one by one: more would cost with the fleet
+const TRIES: usize = 16; // random ones asked before a stretch of FEW is: finds one where a fifth of them fit
+const LOOKS: usize = 32; // idle entries that one RPC, and waiting RPCs that one event, may pass over
 const TICK: f64 = 1e-6; // s that a clock of whole nanoseconds may be off
 
 #[derive(Default)]
@@ -72,10 +77,11 @@
     balancers: f64,
     zone: usize,
     stay_home: f64, // part of draws, times the zones, times the part of backends that are at home
-    backends: BTreeMap<u32, Rc<Backend>>,
-    ready: usize, // of them, counted with each list change
-    idle: Vec<Rc<Backend>>,
-    waiting: Vec<Rc<Call>>,
+    backends: Roster,
+    idle: VecDeque<Rc<Backend>>,
+    waiting: Waiting,
+    probes_out: usize,
+    lists: u64,    // calls so far
     load: Mean,    // RPCs a backend holds by its reports
     listed: Mean,  // part of their time that picks from the list took
     service: Mean, // s from pick to answer
@@ -149,13 +155,14 @@
 
     pub fn probed(&self, backend: u32, outcome: Outcome, report: Option<LoadReport>, link: &mut dyn Link) {
         let mut state = self.0.borrow_mut();
-        let Some(backend) = state.backends.get(&backend).cloned() else { return };
-        backend.probe_out.set(false);
+        let Some(backend) = state.backends.get(backend).cloned() else { return };
+        state.probes_out -= usize::from(backend.probe_out.replace(false));
         match outcome {
             Outcome::Ok => state.report(&backend, report, link.now()),
             Outcome::NeverSent => {} // guards against backends blamed for what this proxy could not send
             _ => state.failed(&backend, outcome, link.now()),
         }
+        state.file(&backend, link.now());
         state.serve(link);
     }
 
@@ -187,11 +194,15 @@
             state.asks_failed = 0;
             state.ask_at = None;
         }
-        state.backends.values().filter(|_| kind != ListKind::Changes).for_each(|b| b.ready.set(false));
+        state.lists += 1;
+        let number = state.lists;
         for entry in entries {
-            let made = || Rc::new(Backend { id: entry.backend, ..Backend::default() });
-            let backend = state.backends.entry(entry.backend).or_insert_with(made).clone();
-            backend.describe(entry);
+            let backend = state.backends.get_or_make(entry.backend);
+            backend.told.set(number);
+            match backend.stands_as(entry) {
+                true => backend.describe(entry),
+                false => state.relist(&backend, now, |b| b.describe(entry)),
+            }
             if backend.started.replace(entry.started) != entry.started {
                 backend.fails.set(0.0);
                 backend.rest_until.set(0.0);
@@ -200,13 +211,22 @@
                 // A restarted proxy forgot what it sent and how long work takes: the burst counts as spent.
                 let spent = budget.filter(|_| kind == ListKind::Stale).map_or(0.0, |(budget, _)| budget);
                 backend.cold_sent.add(spent, now, state.cold.window);
+                state.file(&backend, now);
             }
         }
+        let ready = state.backends.set(Set::Ready).iter();
+        let left_out = ready.filter(|b| kind != ListKind::Changes && b.told.get() != number);
+        for backend in left_out.cloned().collect::<Vec<_>>() {
+            state.relist(&backend, now, |b| b.ready.set(false));
+        }
         // Guards against memory of all that ever were; a cold budget is remembered for as long as it binds.
         let over = state.cold.window;
-        let kept = |b: &Backend| b.ready.get() || b.out.get() > 0 || b.cold_sent.read(now, over) > TICK;
-        state.backends.retain(|_, b| kept(b));
-        state.ready = state.backends.values().filter(|b| b.ready.get()).count();
+        let bound = |b: &Backend| b.out.get() > 0 || b.cold_sent.read(now, over) > TICK;
+        let gone = state.backends.set(Set::Unready).iter().filter(|b| !bound(b)).cloned().collect::<Vec<_>>();
+        for backend in gone {
+            state.probes_out -= usize::from(backend.probe_out.get());
+            state.backends.forget(&backend);
+        }
         state.serve(link);
     }
 
@@ -217,13 +237,11 @@
         let tenant = arrival.tenant.map(|t| &state.tenants[t]);
         let share = tenant.map_or(Share::Within, |t| state.share(t, arrival.client_repeat, now));
         let useful_until = method.useful_until(arrival, now);
-        let hold = if state.may_probe { HOLD } else { 0.0 };
+        let hold = if state.may_probe && share < Share::Beyond { HOLD } else { 0.0 };
         let hold_until = (now + hold * method.set.latency_target).min(arrival.deadline - SLACK);
         let call = Rc::new(Call::new(arrival, method, share, useful_until, hold_until));
         state.probe_tokens = (state.probe_tokens + state.probes_each).min(state.probes_each * 20.0 + 3.0);
-        let rank = |c: &Call| (c.share, -c.method.set.utility);
-        let place = state.waiting.partition_point(|w| rank(w) <= rank(&call));
-        state.waiting.insert(place, call.clone());
+        state.waiting.insert(call.clone());
         state.serve(link);
         Rpc { state: self.0.clone(), call }
     }
@@ -242,7 +260,7 @@
     pub fn hung_up(&self, link: &mut dyn Link) {
         self.call.over.set(true);
         let mut state = self.state.borrow_mut();
-        state.waiting.retain(|w| !Rc::ptr_eq(w, &self.call));
+        state.waiting.remove(&self.call);
         state.cancel_rest(&self.call, link);
     }
 
@@ -287,6 +305,7 @@
             Outcome::Cancelled | Outcome::NeverSent | Outcome::Rejected => {}
             _ => state.failed(&backend, how, now),
         }
+        state.file(&backend, now);
         if over || how == Outcome::Ok || self.call.streaming.get() {
             self.call.over.set(true);
             state.cancel_rest(&self.call, link);
@@ -298,6 +317,16 @@
 }
 
 impl Call {
+    /// Where the gate lets it go at all: what may have run is tied to the group that drops its repeats.
+    fn open_to(&self) -> Set {
+        let picks = self.picks.borrow();
+        match (self.method.set.effect, picks.iter().find(|p| p.may_have_run())) {
+            (Effect::Deduplicated { group: Group::Zone, .. }, Some(p)) => Set::Zone(p.backend.zone.get()),
+            (Effect::Deduplicated { group: Group::Cell, .. }, Some(p)) => Set::Cell(p.backend.cell.get()),
+            _ => Set::Ready,
+        }
+    }
+
     /// A further pick goes only where there is credit, and not back to where one failed. An answer earns its
     /// backend one, and the proxy a part of one: in a large fleet few backends answer here often.
     fn earned(&self, to: &Rc<Backend>, credit: f64) -> bool {
@@ -365,7 +394,9 @@
         let work = self.cold.allowed(now - to.started.get()?)?;
         // What one core does, split evenly; or what a warm backend answers here, which sums by itself.
         let even = 1.0 / (self.service_time() * self.balancers);
-        let own = self.answered.read(now, MEAN_OVER) / MEAN_OVER / self.ready.max(1) as f64;
+        let own = self.answered.read(now, MEAN_OVER)
+            / MEAN_OVER
+            / self.backends.set(Set::Ready).len().max(1) as f64;
         // A part below one pick is one by chance, such that the sum is kept even if every probe of an even
         // split led to a pick. Guards against hundreds of proxies that each send their one.
         let chance = work / COLD_SAFETY / self.cold.window / self.probes_each.max(1.0);
@@ -392,7 +423,7 @@
         let threshold = (self.load.get(0.0) * THRESHOLD).min(self.most_ahead());
         let idle = held <= threshold && backend.ready.get() && backend.healthy(now);
         if idle && backend.listed_at.replace(Some(now)).is_none() {
-            self.idle.push(backend.clone());
+            self.idle.push_back(backend.clone());
         }
     }
 
@@ -404,19 +435,27 @@
 
     fn pick_idle(&mut self, call: &Rc<Call>, link: &mut dyn Link) -> bool {
         let now = link.now();
-        let age = self.entry_age();
-        self.idle.retain(|b| b.still_listed(now - age));
+        let since = now - self.entry_age();
         // Reports that stand still show idle backends where there are none. Guards against proxies that all
         // follow them: entries must fit by what those before took, more of them where utility is lower.
-        if self.listed.weighed(now, self.fade(), LIST_FEW) * call.method.room > LIST_ROOM {
-            return false;
+        let doubted = self.listed.weighed(now, self.fade(), LIST_FEW) * call.method.room > LIST_ROOM;
+        let mut place = 0;
+        while place < self.idle.len().min(LOOKS) {
+            let backend = self.idle[place].clone();
+            let stands = backend.is_listed(since);
+            let taken = stands && !doubted && self.may_pick(call, &backend, now);
+            if stands && !(taken && call.earned(&backend, self.credit)) {
+                place += if doubted { LOOKS } else { 1 };
+                continue;
+            }
+            self.idle.remove(place);
+            backend.listed_at.set(None);
+            if stands {
+                self.send(call, backend, None, link);
+                return true;
+            }
         }
-        let first = self.idle.iter().position(|b| self.may_pick(call, b, now) && call.earned(b, self.credit));
-        let Some(first) = first else { return false };
-        let backend = self.idle.remove(first);
-        backend.listed_at.set(None);
-        self.send(call, backend, None, link);
-        true
+        false
     }
 
     /// Empty list: a random ready backend, skipping any far above its own mean in flight.
@@ -425,21 +464,75 @@
         if !self.in_time(call, now) {
             return false;
         }
-        let may = |b: &&Rc<Backend>| self.may_pick(call, b, now) && call.earned(b, self.credit);
-        let all: Vec<_> = self.backends.values().filter(may).cloned().collect();
-        let well: Vec<_> = all.iter().filter(|b| b.healthy(now) && !b.crowded()).cloned().collect();
-        // A fleet-wide slowdown must not empty the ready set: with few left, health no longer counts.
-        let mut from = if well.len() * 3 >= all.len() { well } else { all };
-        // Crossing zones costs: a part of the draws stays at home, less where few of the backends are there.
-        let home: Vec<_> = from.iter().filter(|b| b.zone.get() == self.zone).cloned().collect();
-        if self.chance.between(0.0, 1.0) < self.stay_home * home.len() as f64 / from.len() as f64 {
-            from = home;
+        while let Some(rested) = self.backends.next_due(now) {
+            self.file(&rested, now);
         }
-        let Some(backend) = self.chance.draw(&mut from) else { return false };
+        let Some(backend) = self.draw(call, now) else { return false };
         self.send(call, backend, Some(self.load.fading(now, MEAN_OVER)), link);
         true
     }
 
+    fn draw(&mut self, call: &Rc<Call>, now: f64) -> Option<Rc<Backend>> {
+        let may = |s: &Self, b: &Rc<Backend>| s.may_pick(call, b, now) && call.earned(b, s.credit);
+        let open = call.open_to();
+        let ready = self.backends.set(open);
+        if ready.len() <= FEW {
+            let all: Vec<_> = ready.iter().filter(|b| may(self, b)).cloned().collect();
+            let well: Vec<_> = all.iter().filter(|b| b.healthy(now) && !b.crowded()).cloned().collect();
+            // A fleet-wide slowdown must not empty the ready set: with few left, health no longer counts.
+            let mut from = if well.len() * 3 >= all.len() { well } else { all };
+            // Crossing zones costs: a part of draws stays at home, less where few of the backends are there.
+            let home: Vec<_> = from.iter().filter(|b| b.zone.get() == self.zone).cloned().collect();
+            if self.chance.between(0.0, 1.0) < self.stay_home * home.len() as f64 / from.len() as f64 {
+                from = home;
+            }
+            return self.chance.draw(&mut from);
+        }
+        // The same among many, by the sets that are kept of them.
+        let well = self.backends.set(Set::Well).len() * 3 >= ready.len() && open == Set::Ready;
+        let (all, home) = if well { (Set::Well, Set::WellHome) } else { (open, Set::Zone(self.zone)) };
+        let part = self.backends.set(home).len() as f64 / self.backends.set(all).len() as f64;
+        let stays = self.chance.between(0.0, 1.0) < self.stay_home * part;
+        let at_home = if stays { self.any_of(home, may) } else { None };
+        // With none among the well that may be, health no longer counts, as above.
+        at_home.or_else(|| self.any_of(all, may)).or_else(|| self.any_of(open, may))
+    }
+
+    /// A random one that fits: some are asked, then a stretch from a random place. Guards against a cost that
+    /// grows with the fleet; up to FEW all are looked at.
+    fn any_of(&mut self, set: Set, fits: impl Fn(&Self, &Rc<Backend>) -> bool) -> Option<Rc<Backend>> {
+        let most = self.backends.set(set).len();
+        for _ in 0..if most > FEW { TRIES } else { 0 } {
+            let place = self.chance.below(most);
+            let backend = &self.backends.set(set)[place];
+            if fits(self, backend) {
+                return Some(backend.clone());
+            }
+        }
+        let from = self.chance.below(most.max(1));
+        let stretch = self.backends.set(set).iter().cycle().skip(from).take(most.min(FEW));
+        let mut fitting: Vec<_> = stretch.filter(|b| fits(self, b)).cloned().collect();
+        self.chance.draw(&mut fitting)
+    }
+
+    /// Enters a backend into the sets that its facts and its health put it in.
+    fn file(&mut self, backend: &Rc<Backend>, now: f64) {
+        let ready = backend.ready.get();
+        let (zone, cell) = (backend.zone.get(), backend.cell.get());
+        let well = ready && backend.healthy(now) && !backend.crowded();
+        self.backends.put(backend, if ready { Set::Ready } else { Set::Unready }, true);
+        self.backends.put(backend, Set::Zone(zone), ready);
+        self.backends.put(backend, Set::Cell(cell), ready);
+        self.backends.put(backend, Set::Well, well);
+        self.backends.put(backend, Set::WellHome, well && zone == self.zone);
+    }
+
+    fn relist(&mut self, backend: &Rc<Backend>, now: f64, change: impl FnOnce(&Backend)) {
+        self.backends.take_out(backend);
+        change(backend);
+        self.file(backend, now);
+    }
+
     // Mechanism 1: health.
 
     /// Guards against a quick failure looking idle, and against drawing a dead backend again and again.
@@ -454,6 +547,7 @@
             let some = REST_RPCS * MEAN_OVER / self.answered.read(now, MEAN_OVER);
             let rest = (REST * 2_f64.powf((fails - FAILS).min(10.0))).max(some).min(REST_MAX);
             backend.rest_until.set(now + rest * self.chance.between(0.8, 1.2));
+            self.backends.at(backend.rest_until.get(), backend);
         }
     }
 
@@ -468,6 +562,7 @@
         }
         to.cold_sent.add(1.0, now, self.cold.window);
         to.count(1, now);
+        self.file(&to, now);
         // Work whose answer would come too late only keeps others waiting.
         link.pick(call.id, to.id, (call.useful_until - SLACK - now).max(SLACK));
         picks.push(Pick { backend: to, sent: now, ahead, ended: None });
@@ -542,18 +637,23 @@
     /// Serves those who wait, first in rank first, from the list; draws for those whose wait is over.
     fn serve(&mut self, link: &mut dyn Link) {
         let now = link.now();
-        for call in std::mem::take(&mut self.waiting) {
-            if self.pick_idle(&call, link) {
-                continue;
+        let (mut rank, mut passed) = (None, 0);
+        while let Some(call) = self.waiting.after(rank).filter(|_| passed < LOOKS && !self.idle.is_empty()) {
+            rank = call.rank.get();
+            match self.pick_idle(&call, link) {
+                true => self.waiting.remove(&call),
+                false => passed += 1,
             }
-            if now >= self.probe_next {
-                self.probe_next = now + PROBE_GAP * self.service_time();
-                self.probe(PROBE_FEW, link);
-            }
-            let probing = self.probe_tokens >= 1.0 || self.backends.values().any(|b| b.probe_out.get());
-            if now < call.hold_until && call.share < Share::Beyond && (probing || self.backends.is_empty()) {
-                self.waiting.push(call);
-            } else if !self.pick_drawn(&call, link) {
+        }
+        if !self.waiting.is_empty() && now >= self.probe_next {
+            self.probe_next = now + PROBE_GAP * self.service_time();
+            self.probe(PROBE_FEW, link);
+        }
+        let probing = self.probe_tokens >= 1.0 || self.probes_out > 0 || self.backends.is_empty();
+        let until = if probing { now } else { f64::INFINITY };
+        while let Some((_, call)) = self.waiting.first_end().filter(|(end, _)| *end <= until) {
+            self.waiting.remove(&call);
+            if !self.pick_drawn(&call, link) {
                 self.give_up(&call, link);
             }
         }
@@ -565,13 +665,14 @@
     /// Probes a few random backends: each interval, and at once when an RPC finds the list empty.
     fn probe(&mut self, most: usize, link: &mut dyn Link) {
         let now = link.now();
-        let unseen = |b: &&Rc<Backend>| !b.probe_out.get() && b.listed_at.get().is_none();
-        let open = |b: &&Rc<Backend>| b.ready.get() && b.healthy(now) && unseen(b);
-        let mut from: Vec<_> = self.backends.values().filter(open).cloned().collect();
+        let since = now - self.entry_age();
+        let unseen = |b: &Backend| !b.probe_out.get() && b.listed_at.get().is_none_or(|at| at < since);
         for _ in 0..most {
             let paid = self.may_probe && self.probe_tokens >= 1.0;
-            let Some(backend) = self.chance.draw(&mut from).filter(|_| paid) else { return };
+            let any = if paid { self.any_of(Set::Ready, |_, b| b.healthy(now) && unseen(b)) } else { None };
+            let Some(backend) = any else { return };
             backend.probe_out.set(true);
+            self.probes_out += 1;
             self.probe_tokens -= 1.0;
             link.probe(backend.id);
         }
@@ -588,8 +689,8 @@
         let now = link.now();
         let soon = if self.waiting.is_empty() { self.probe_ahead(now) } else { self.probe_next };
         let rounds = self.may_probe.then_some(soon.max(now));
-        let ends = self.waiting.iter().map(|w| w.hold_until);
-        let next = ends.chain(rounds).chain(self.ask_at).fold(f64::INFINITY, f64::min);
+        let end = self.waiting.first_end().map(|(end, _)| end);
+        let next = end.into_iter().chain(rounds).chain(self.ask_at).fold(f64::INFINITY, f64::min);
         if next < self.alarm.unwrap_or(f64::INFINITY) {
             self.alarm = Some(next);
             link.wake_in((next - now).max(0.0));
--- /dev/null
+++ b/src/waiting.rs
@@ -0,0 +1,119 @@
+//! The RPCs that wait, by rank and by the end of their wait. Data, no decisions.
+use crate::held::{Call, Share};
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound::{Excluded, Unbounded};
+use std::rc::Rc;
+
+/// Its place among those that wait: share first, then utility, then the order in which they came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Rank {
+    share: u8,
+    utility: u64, // bits turned over: the highest comes first
+    number: u64,
+}
+
+#[derive(Default)]
+pub(crate) struct Waiting {
+    ranked: BTreeMap<Rank, Rc<Call>>,
+    ends: BTreeSet<(u64, Rank)>, // bits of a time that is not negative
+    next: u64,
+}
+
+fn end(call: &Call) -> u64 {
+    call.hold_until.max(0.0).to_bits()
+}
+
+impl Waiting {
+    pub fn is_empty(&self) -> bool {
+        self.ranked.is_empty()
+    }
+
+    pub fn insert(&mut self, call: Rc<Call>) {
+        self.next += 1;
+        let share = match call.share {
+            Share::Within => 0,
+            Share::Borrowed => 1,
+            Share::Beyond => 2,
+        };
+        let rank = Rank { share, utility: !call.method.set.utility.max(0.0).to_bits(), number: self.next };
+        call.rank.set(Some(rank));
+        self.ends.insert((end(&call), rank));
+        self.ranked.insert(rank, call);
+    }
+
+    /// Takes it out, if it waits.
+    pub fn remove(&mut self, call: &Call) {
+        if let Some(rank) = call.rank.take() {
+            self.ends.remove(&(end(call), rank));
+            self.ranked.remove(&rank);
+        }
+    }
+
+    /// The first in rank, or the next behind one.
+    pub fn after(&self, rank: Option<Rank>) -> Option<Rc<Call>> {
+        let from = rank.map_or(Unbounded, Excluded);
+        self.ranked.range((from, Unbounded)).next().map(|(_, call)| call.clone())
+    }
+
+    /// The one whose wait ends first, and when.
+    pub fn first_end(&self) -> Option<(f64, Rc<Call>)> {
+        let (end, rank) = self.ends.first()?;
+        Some((f64::from_bits(*end), self.ranked.get(rank)?.clone()))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::held::Method;
+    use crate::measure::Mean;
+    use crate::types::{Arrival, Effect, MethodSettings};
+    use quickcheck::{Gen, QuickCheck};
+
+    fn call(id: u64, utility: f64, share: Share, hold_until: f64) -> Rc<Call> {
+        let effect = Effect::Idempotent;
+        let set =
+            MethodSettings { effect, latency_target: 1.0, target_stretch: 0.0, utility, late_utility: 0.0 };
+        let method = Rc::new(Method { set, room: 1.0, each: Mean::default() });
+        let (tenant, expected_work) = (None, None);
+        let arrival = Arrival { id, method: 0, tenant, deadline: 9.0, expected_work, client_repeat: false };
+        Rc::new(Call::new(&arrival, method, share, 9.0, hold_until))
+    }
+
+    /// Rank and ends are those of a plain vector that is sorted each time.
+    fn order_is_that_of_a_plain_vector(moves: Vec<(u8, u8, u8, bool)>) -> bool {
+        const SHARES: [Share; 3] = [Share::Within, Share::Borrowed, Share::Beyond];
+        let (mut waiting, mut plain) = (Waiting::default(), Vec::<Rc<Call>>::new());
+        moves.iter().enumerate().all(|(id, (utility, share, until, removes))| {
+            if *removes && !plain.is_empty() {
+                let call = plain.remove(usize::from(*utility) % plain.len());
+                waiting.remove(&call);
+                waiting.remove(&call);
+            } else {
+                let share = SHARES[usize::from(*share) % 3];
+                let call = call(id as u64, f64::from(utility % 4), share, f64::from(*until) / 10.0);
+                waiting.insert(call.clone());
+                plain.push(call);
+            }
+            let mut ranked = plain.clone();
+            ranked.sort_by(|a, b| {
+                let key = |c: &Call| (c.share, -c.method.set.utility, c.id as f64);
+                key(a).partial_cmp(&key(b)).expect("no NaN")
+            });
+            let mut rank = None;
+            let walked = std::iter::from_fn(|| {
+                let call = waiting.after(rank)?;
+                rank = call.rank.get();
+                Some(call.id)
+            });
+            let first = plain.iter().map(|c| c.hold_until).reduce(f64::min);
+            walked.eq(ranked.iter().map(|c| c.id)) && waiting.first_end().map(|(at, _)| at) == first
+        })
+    }
+
+    #[test]
+    fn order_follows_generated_moves() {
+        let mut check = QuickCheck::new().tests(300).rng(Gen::from_size_and_seed(60, 5));
+        check.quickcheck(order_is_that_of_a_plain_vector as fn(_) -> bool);
+    }
+}
