Rehearsals in simulated time: same scenarios, node model and audit, the module itself

Cause: fleets of hundreds of proxies and thousands of nodes fit no machine, and sockets never repeat to the byte.

--- a/crates/cli/src/rehearse.rs
+++ b/crates/cli/src/rehearse.rs
@@ -1,8 +1,11 @@
 //! `birchhub rehearse`: plays a scenario against real proxies.
 use crate::{Fault, print, scenario};
-use birchhub_rehearsal::{Options, Plan, rehearse};
+use birchhub_audit::{Entry, Head, ledger};
+use birchhub_rehearsal::{Options, Plan, Report, Scenario, rehearse};
+use birchhub_simulation::simulate;
 use clap::Args;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
+use std::time::Instant;
 
 /// Play a scenario against birchhubd on this machine and judge it
 ///
@@ -21,6 +24,9 @@
     /// The proxies' program; else birchhubd beside this one
     #[arg(long, value_name = "PATH")]
     proxies: Option<PathBuf>,
+    /// In simulated time, without sockets or processes: the same output for a seed on any machine
+    #[arg(long, conflicts_with = "proxies")]
+    simulated: bool,
     /// No progress line
     #[arg(long)]
     quiet: bool,
@@ -30,6 +36,9 @@
     let found = scenario::find(&arguments.scenario)?;
     let plan = Plan::draw(&found.scenario, arguments.seed, &found.file, &found.text);
     let plan = plan.map_err(|fault| Fault::Input(fault.to_string()))?;
+    if arguments.simulated {
+        return simulated(&found.scenario, &plan, &arguments.out);
+    }
     let program = match arguments.proxies {
         Some(program) => program,
         None => {
@@ -59,3 +68,26 @@
     print(&format!("  {}\n", options.out.join("report.html").display()));
     Ok(report.verdict.exit_code())
 }
+
+fn simulated(scenario: &Scenario, plan: &Plan, out: &Path) -> Result<u8, Fault> {
+    let begun = Instant::now();
+    let played = simulate(scenario, plan).map_err(Fault::Input)?;
+    let took = begun.elapsed().as_secs_f64();
+    let report = Report::of(&played.head, &played.entries, false, None);
+    keep(&played.head, &played.entries, out).map_err(Fault::Failed)?;
+    report.write(&played.head, &played.entries, out).map_err(Fault::Failed)?;
+    print(&report.text());
+    print(&format!("  simulated; {}\n", out.join("report.html").display()));
+    eprintln!("{} events, {:.1} simulated seconds a second", played.events, plan.length / took.max(1e-9));
+    Ok(report.verdict.exit_code())
+}
+
+fn keep(head: &Head, entries: &[Entry], out: &Path) -> Result<(), String> {
+    std::fs::create_dir_all(out).map_err(|e| format!("{}: {e}", out.display()))?;
+    let path = out.join("ledger");
+    let told = |e: &dyn std::fmt::Display| format!("{}: {e}", path.display());
+    let file = std::fs::File::create(&path).map_err(|e| told(&e))?;
+    let mut writer = ledger::Writer::new(std::io::BufWriter::new(file), head).map_err(|e| told(&e))?;
+    entries.iter().try_for_each(|entry| writer.write(entry)).map_err(|e| told(&e))?;
+    writer.flush().map_err(|e| told(&e))
+}
--- /dev/null
+++ b/crates/simulation/tests/simulated.rs
@@ -0,0 +1,98 @@
+//! Rehearsals in simulated time: the same bytes for a seed, rules kept in all that ships, and at size.
+use birchhub_audit::{Answer, Event};
+use birchhub_rehearsal::{Plan, Report, Scenario, Verdict, shipped};
+use birchhub_simulation::{Outcome, simulate};
+
+fn play(text: &str, seed: u64) -> Outcome {
+    let scenario = Scenario::read("s", text).expect("a scenario");
+    let plan = Plan::draw(&scenario, seed, "s", text).expect("a plan");
+    simulate(&scenario, &plan).expect("a simulation")
+}
+
+fn report(outcome: &Outcome) -> Report {
+    Report::of(&outcome.head, &outcome.entries, false, None)
+}
+
+#[test]
+fn a_seed_gives_the_same_ledger_to_the_byte() {
+    for name in ["overlap", "pauses"] {
+        let text = shipped::find(name).expect("it ships").text;
+        let (first, second, other) = (play(text, 1), play(text, 1), play(text, 2));
+        assert_eq!(first.entries, second.entries, "{name}");
+        assert_ne!(first.entries, other.entries, "{name}");
+    }
+}
+
+/// Every RPC that was asked for and sent has its answers in the ledger, whatever befell it.
+#[test]
+fn all_that_ships_keeps_the_rules_and_every_try_has_its_end() {
+    for shipped in shipped::ALL {
+        let outcome = play(shipped.text, 3);
+        let report = report(&outcome);
+        assert_eq!(report.verdict, Verdict::Pass, "{}", report.text());
+        let count = |fits: fn(&Event) -> bool| outcome.entries.iter().filter(|e| fits(&e.event)).count();
+        let sent = count(|e| matches!(e, Event::Sent { .. }));
+        assert_eq!(sent, count(|e| matches!(e, Event::Answered { .. })), "{}", shipped.name);
+        assert_eq!(
+            count(|e| matches!(e, Event::Answered { answer: Answer::Silence, .. })),
+            0,
+            "{}",
+            shipped.name
+        );
+        let got = count(|e| matches!(e, Event::Got { .. }));
+        assert_eq!(got, count(|e| matches!(e, Event::Left { .. })), "{}", shipped.name);
+    }
+}
+
+/// A rolling deploy and a mass death before two thousand nodes.
+const LARGE: &str = r#"
+name = "large"
+about = "Size."
+length = "6s"
+[fleet]
+zones = ["a", "b"]
+racks = 10
+[[fleet.machine]]
+name = "m"
+count = 2000
+[[method]]
+name = "read"
+kind = "idempotent"
+work = "40ms"
+target = "250ms"
+deadline = "600ms"
+[[method]]
+name = "book"
+kind = "non-idempotent"
+work = "40ms"
+target = "250ms"
+deadline = "600ms"
+[proxies]
+count = 8
+[traffic]
+rate = 10000
+[[trouble]]
+name = "deploy"
+kind = "deploy"
+at = "500ms"
+batch = 100
+every = "500ms"
+lead = "300ms"
+stop-after = "1s"
+nodes = { zone = "a" }
+[[trouble]]
+name = "deaths"
+kind = "crash"
+at = "3s"
+for = "1s"
+nodes = { zone = "b", share = 0.5 }
+"#;
+
+#[test]
+fn rules_hold_before_two_thousand_nodes() {
+    let outcome = play(LARGE, 1);
+    let report = report(&outcome);
+    assert_eq!(report.verdict, Verdict::Pass, "{}", report.text());
+    assert!(report.findings.cold.len() > 1000, "{}", report.text());
+    assert!(report.findings.counts.ok * 10 > report.findings.counts.rpcs * 8, "{}", report.text());
+}
