One place for a planned node's figures and for the number of a group

Cause: the stage on sockets and the simulation each wrote out the node's spec and the number of the group that drops repeats; were one changed, simulated and real nodes would differ without a word. Change: settings::spec and Group::number serve both; a loop that threw its value away walks the first nodes.

--- a/crates/audit/src/head.rs
+++ b/crates/audit/src/head.rs
@@ -10,6 +10,17 @@
     Rack,
 }
 
+impl Group {
+    /// Numbers the group that a node of this zone and rack belongs to: no two groups share a number.
+    pub fn number(self, zone: u32, rack: u32) -> u64 {
+        match self {
+            Self::All => 0,
+            Self::Zone => 1 << 40 | u64::from(zone),
+            Self::Rack => 2 << 40 | u64::from(zone) << 16 | u64::from(rack),
+        }
+    }
+}
+
 /// Whether an RPC may run again.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/rehearsal/src/settings.rs
+++ b/crates/rehearsal/src/settings.rs
@@ -2,6 +2,7 @@
 use crate::plan::proxy_name;
 use crate::scenario::{MethodKind, Reports, Scenario};
 use birchhub_audit::{Group, Head, Method, Rules, head};
+use birchhub_model::Spec;
 use serde_json::{Value, json};
 
 fn ns(seconds: f64) -> u64 {
@@ -63,6 +64,24 @@
     &scenario.fleet.zones[usize::from(proxy) % scenario.fleet.zones.len()]
 }
 
+/// What a planned node is, for sockets and simulated time alike.
+pub fn spec(scenario: &Scenario, planned: &crate::plan::PlannedNode) -> Spec {
+    let (machine, rules) = (&scenario.fleet.machine[planned.machine], &scenario.rules);
+    Spec {
+        cores: machine.cores,
+        speed: machine.speed,
+        queue: machine.queue,
+        cold_from: rules.cold_from,
+        cold_for: rules.cold_for.0,
+        fall_multiple: rules.fall_multiple,
+        fall_window: rules.fall_window.0,
+        report_every: scenario.fleet.report_every.0,
+        cancel_stops: scenario.fleet.cancel_stops,
+        connections: machine.connections,
+        connection_work: machine.connection_work.0,
+    }
+}
+
 /// The head of the ledger.
 pub fn head(scenario: &Scenario, plan: &crate::Plan) -> Head {
     let rules = &scenario.rules;
--- a/crates/rehearsal/src/stage.rs
+++ b/crates/rehearsal/src/stage.rs
@@ -1,8 +1,9 @@
 //! The thread on which all nodes and the list service live. It plays the acts that concern them, at their times.
 use crate::plan::{Act, Plan, Trick};
 use crate::scenario::{Reports, Scenario};
+use crate::settings;
 use birchhub_audit::{Event, State};
-use birchhub_model::{Spec, Start, Work};
+use birchhub_model::{Start, Work};
 use birchhub_stand_in::list::Line;
 use birchhub_stand_in::{Cost, Fault, Fleet, ListService, NodeHost, Notes, Place};
 use serde_json::Value;
@@ -117,19 +118,7 @@
         let (mut hosts, mut lines) = (Vec::new(), Vec::new());
         for (index, planned) in (0..).zip(&plan.nodes) {
             let machine = &scenario.fleet.machine[planned.machine];
-            let spec = Spec {
-                cores: machine.cores,
-                speed: machine.speed,
-                queue: machine.queue,
-                cold_from: scenario.rules.cold_from,
-                cold_for: scenario.rules.cold_for.0,
-                fall_multiple: scenario.rules.fall_multiple,
-                fall_window: scenario.rules.fall_window.0,
-                report_every: scenario.fleet.report_every.0,
-                cancel_stops: scenario.fleet.cancel_stops,
-                connections: machine.connections,
-                connection_work: machine.connection_work.0,
-            };
+            let spec = settings::spec(scenario, planned);
             let (zone, rack) = (planned.zone, planned.rack);
             let idle_limit = scenario.fleet.idle_limit.0;
             let place = Place { index, name: planned.name.clone(), zone, rack, spec, idle_limit };
@@ -152,9 +141,8 @@
         let list = ListService::start(notes.clone(), &doors)?;
         let (lag, notices) = (scenario.list.lag.0, scenario.list.notices.0);
         let stage = Self { notes, fleet, hosts, list, lines, lag, notices, late: Cell::new(0.0) };
-        for (n, planned) in plan.nodes.iter().enumerate().filter(|(_, planned)| !planned.successor) {
+        for n in 0..plan.first_nodes() {
             let life = stage.hosts[n].start(Start::Warm)?;
-            let _ = planned;
             stage.list.change(n as u32, Line { life, ..stage.lines[n].clone() });
         }
         Ok(Rc::new(stage))
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -7,7 +7,7 @@
     Arrival, Entry as Listed, ListKind, LoadReport, Outcome as PickEnd, Readiness, Settings,
 };
 use birchhub_audit::event::{End, Left, Taken};
-use birchhub_audit::{Answer, Entry, Event, Group, Head, Kind, State};
+use birchhub_audit::{Answer, Entry, Event, Head, Kind, State};
 use birchhub_model::work::generator;
 use birchhub_model::{Happening, Mark, Node, Offer, Repeats, Spec, Start, Why};
 use birchhub_rehearsal::plan::{Act, Plan, Trick};
@@ -222,22 +222,8 @@
 }
 
 fn host(scenario: &Scenario, planned: &birchhub_rehearsal::plan::PlannedNode) -> Host {
-    let (machine, rules) = (&scenario.fleet.machine[planned.machine], &scenario.rules);
-    let spec = Spec {
-        cores: machine.cores,
-        speed: machine.speed,
-        queue: machine.queue,
-        cold_from: rules.cold_from,
-        cold_for: rules.cold_for.0,
-        fall_multiple: rules.fall_multiple,
-        fall_window: rules.fall_window.0,
-        report_every: scenario.fleet.report_every.0,
-        cancel_stops: scenario.fleet.cancel_stops,
-        connections: machine.connections,
-        connection_work: machine.connection_work.0,
-    };
     Host {
-        spec,
+        spec: settings::spec(scenario, planned),
         zone: planned.zone,
         rack: planned.rack,
         node: None,
@@ -810,11 +796,7 @@
         let host = &mut self.hosts[place as usize];
         let mark = match method.effect() {
             Kind::Deduplicated { group, window } => {
-                let group = match group {
-                    Group::All => 0,
-                    Group::Zone => 1 << 40 | u64::from(host.zone),
-                    Group::Rack => 2 << 40 | u64::from(host.zone) << 16 | u64::from(host.rack),
-                };
+                let group = group.number(host.zone, host.rack);
                 Some(Mark { group, key: u64::from(rpc), window })
             }
             _ => None,
--- a/crates/stand-in/src/fleet.rs
+++ b/crates/stand-in/src/fleet.rs
@@ -1,6 +1,6 @@
 //! What the nodes of a fleet share: what RPCs cost, which keys have run, and numbers for picks and lives.
 use crate::notes::Notes;
-use birchhub_audit::{Group, Kind};
+use birchhub_audit::Kind;
 use birchhub_model::{Mark, Repeats, Work, work};
 use rand::Rng;
 use std::cell::{Cell, RefCell};
@@ -89,11 +89,7 @@
                 // FNV-1a: keys are texts of the client's own.
                 let fold = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
                 let key = key.bytes().fold(0xcbf2_9ce4_8422_2325, fold);
-                let group = match group {
-                    Group::All => 0,
-                    Group::Zone => 1 << 40 | u64::from(zone),
-                    Group::Rack => 2 << 40 | u64::from(zone) << 16 | u64::from(rack),
-                };
+                let group = group.number(zone, rack);
                 Some(Mark { group, key, window })
             }
             _ => None,
