--- a/src/held.rs
+++ b/src/held.rs
@@ -18,7 +18,7 @@
     pub fails: Cell<f64>, // in a row, less what answers took back
     pub rest_until: Cell<f64>,
     pub credit: Cell<bool>, // it answered since the last further pick it got
-    pub listed_at: Cell<Option<f64>>,
+    pub listed_until: Cell<Option<f64>>, // while it stands in the idle list
     pub probe_out: Cell<bool>,
     pub cold_sent: Decaying,
     pub luck: Cell<f64>, // below 1, drawn anew with each report: a cold pick's chance must exceed it
@@ -29,7 +29,7 @@
 impl Default for Backend {
     fn default() -> Self {
         let (id, size, cell, zone, started, ready, out, mean_out) = Default::default();
-        let (fails, rest_until, credit, listed_at, probe_out, cold_sent, luck, told) = Default::default();
+        let (fails, rest_until, credit, listed_until, probe_out, cold_sent, luck, told) = Default::default();
         let places = [const { Cell::new(NOWHERE) }; SLOTS];
         Self {
             id,
@@ -43,7 +43,7 @@
             fails,
             rest_until,
             credit,
-            listed_at,
+            listed_until,
             probe_out,
             cold_sent,
             luck,
@@ -68,9 +68,22 @@
         self.places[0].get() != NOWHERE && (self.ready.get(), self.cell.get(), self.zone.get()) == facts
     }
 
-    /// Whether it stands in the idle list with an entry no older, and still takes RPCs.
-    pub fn is_listed(&self, since: f64) -> bool {
-        self.ready.get() && self.listed_at.get().is_some_and(|at| at >= since)
+    /// So many more picks are out there.
+    pub fn count(&self, change: isize, now: f64, over: f64) {
+        self.out.set(self.out.get().saturating_add_signed(change));
+        self.mean_out.add(self.out.get() as f64, now, over);
+    }
+
+    /// Its entry in the idle list holds until then at the least; true if it had none.
+    pub fn enter(&self, until: f64) -> bool {
+        let before = self.listed_until.get();
+        self.listed_until.set(Some(before.map_or(until, |earlier| earlier.max(until))));
+        before.is_none()
+    }
+
+    /// Whether it stands in the idle list with an entry that holds, and still takes RPCs.
+    pub fn is_listed(&self, now: f64) -> bool {
+        self.ready.get() && self.listed_until.get().is_some_and(|until| until >= now)
     }
 }
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -20,7 +20,7 @@
 // Constants: unit, and why this size.
 const THRESHOLD: f64 = 0.75; // of the mean reported load: 0 while backends hold about one RPC each
 const ENTRY_AGE: f64 = 0.3; // mean service times an entry lasts: other proxies see the same idle backend
-const ENTRY_AGE_MAX: f64 = 1.0; // s; the design's starting figure
+const ENTRY_AGE_MAX: f64 = 4.0; // s; and of an entry by an answer: that place is this proxy's own
 const SKIP_TIMES: f64 = 2.0; // times its own mean in flight that makes a draw skip a backend ...
 const SKIP_PLUS: f64 = 1.0; // RPCs; ... and more than this beyond, or a mean near 0 would shut it out
 const FAILS: f64 = 3.0; // time-outs and resets in a row that rest a backend; another failure counts for all
@@ -72,6 +72,7 @@
     may_probe: bool,
     come_back: f64,
     probes_each: f64,
+    answers_enlist: bool,   // answers are all that is heard of loads, or nearly
     ask_every: Option<f64>, // s between list calls while unsubscribed; none where changes come anyway
     cold: Cold,
     balancers: f64,
@@ -121,6 +122,7 @@
             tenant
         };
         let worth_probing = (PROBE_WORTH / set.probe_price.max(TICK)).log(1.0 / PROBE_MISS);
+        let may_probe = set.may_probe && set.reports != Reports::None;
         Self(Rc::new(RefCell::new(State {
             chance: Chance::new(seed),
             methods: set.methods.iter().map(method).collect(),
@@ -129,9 +131,10 @@
             most_picks: set.most_picks,
             may_cancel: set.may_cancel,
             one_out: !set.second_copies,
-            may_probe: set.may_probe && set.reports != Reports::None,
+            may_probe,
             come_back: set.come_back_max,
             probes_each: worth_probing.clamp(PROBES_LEAST, PROBES_MOST),
+            answers_enlist: set.reports != Reports::InAnswers && !(may_probe && worth_probing >= 1.0),
             ask_every: Some(set.ask_within * ASK_AGAIN).filter(|_| set.list_on_request),
             cold: Cold::new(set, COLD_SAFETY),
             balancers: set.balancers as f64,
@@ -177,9 +180,9 @@
             let jitter = state.chance.between(0.8, 1.2);
             state.ask_at = state.ask_every.map(|every| now + every * jitter);
         }
+        let most = usize::from(state.idle.is_empty());
         if now + TICK >= state.probe_ahead(now) {
             state.probed_ahead = now;
-            let most = usize::from(state.idle.is_empty());
             state.probe(most, link);
         }
         state.serve(link);
@@ -275,7 +278,7 @@
             }
             _ => return,
         };
-        backend.count(-1, now);
+        backend.count(-1, now, MEAN_OVER);
         let late = if how == Outcome::Ok { 1.0 } else { LATE };
         match ahead {
             Some(ahead) if matches!(how, Outcome::Ok | Outcome::TimedOut) => {
@@ -301,6 +304,10 @@
                 state.service.add(took, now, MEAN_OVER);
                 state.answered.add(1.0, now, MEAN_OVER);
                 state.report(&backend, report, now);
+                // Guards against blind draws of proxies that each see too little to pay for probes.
+                if state.answers_enlist {
+                    state.enlist(&backend, ENTRY_AGE_MAX, now);
+                }
             }
             Outcome::Cancelled | Outcome::NeverSent | Outcome::Rejected => {}
             _ => state.failed(&backend, how, now),
@@ -328,20 +335,15 @@
     }
 
     /// A further pick goes only where there is credit, and not back to where one failed. An answer earns its
-    /// backend one, and the proxy a part of one: in a large fleet few backends answer here often. Free is what
-    /// follows picks that reached nobody. Guards against RPCs lost with a zone, as no credit lasts for that.
+    /// backend one, and the proxy a part of one: few answer here often. Free is what follows picks that reached
+    /// nobody: guards against RPCs lost with a zone.
     fn earned(&self, to: &Rc<Backend>, credit: f64) -> bool {
-        let elsewhere = self.picks.borrow().iter().all(|p| !Rc::ptr_eq(&p.backend, to));
-        elsewhere && (!self.reached_any() || (credit >= 1.0 && to.credit.get()))
+        let free = !self.reached_any() || (credit >= 1.0 && to.credit.get());
+        free && self.picks.borrow().iter().all(|p| !Rc::ptr_eq(&p.backend, to))
     }
 }
 
 impl Backend {
-    fn count(&self, change: isize, now: f64) {
-        self.out.set(self.out.get().saturating_add_signed(change));
-        self.mean_out.add(self.out.get() as f64, now, MEAN_OVER);
-    }
-
     /// After a rest one pick at a time tries it, until one is answered: guards against a rush to the dead.
     fn healthy(&self, now: f64) -> bool {
         self.fails.get() < FAILS || (now >= self.rest_until.get() && self.out.get() == 0)
@@ -421,8 +423,14 @@
         self.load.add(held, now, MEAN_OVER);
         backend.luck.set(self.chance.between(0.0, 1.0));
         let threshold = (self.load.get(0.0) * THRESHOLD).min(self.most_ahead());
-        let idle = held <= threshold && backend.ready.get() && backend.healthy(now);
-        if idle && backend.listed_at.replace(Some(now)).is_none() {
+        if held <= threshold {
+            self.enlist(backend, self.entry_age(), now);
+        }
+    }
+
+    /// Puts a backend into the idle list for so long, once.
+    fn enlist(&mut self, backend: &Rc<Backend>, age: f64, now: f64) {
+        if backend.ready.get() && backend.healthy(now) && backend.enter(now + age) {
             self.idle.push_back(backend.clone());
         }
     }
@@ -435,21 +443,20 @@
 
     fn pick_idle(&mut self, call: &Rc<Call>, link: &mut dyn Link) -> bool {
         let now = link.now();
-        let since = now - self.entry_age();
         // Reports that stand still show idle backends where there are none. Guards against proxies that all
         // follow them: entries must fit by what those before took, more of them where utility is lower.
         let doubted = self.listed.weighed(now, self.fade(), LIST_FEW) * call.method.room > LIST_ROOM;
         let mut place = 0;
         while place < self.idle.len().min(LOOKS) {
             let backend = self.idle[place].clone();
-            let stands = backend.is_listed(since);
+            let stands = backend.is_listed(now);
             let taken = stands && !doubted && self.may_pick(call, &backend, now);
             if stands && !(taken && call.earned(&backend, self.credit)) {
                 place += if doubted { LOOKS } else { 1 };
                 continue;
             }
             self.idle.remove(place);
-            backend.listed_at.set(None);
+            backend.listed_until.set(None);
             if stands {
                 self.send(call, backend, None, link);
                 return true;
@@ -467,9 +474,8 @@
         while let Some(rested) = self.backends.next_due(now) {
             self.file(&rested, now);
         }
-        let Some(backend) = self.draw(call, now) else { return false };
-        self.send(call, backend, Some(self.load.fading(now, MEAN_OVER)), link);
-        true
+        let ahead = Some(self.load.fading(now, MEAN_OVER));
+        self.draw(call, now).map(|backend| self.send(call, backend, ahead, link)).is_some()
     }
 
     fn draw(&mut self, call: &Rc<Call>, now: f64) -> Option<Rc<Backend>> {
@@ -542,7 +548,7 @@
         let fails = (backend.fails.get() + 1.0).max(least);
         self.failing.add(1.0, now, MEAN_OVER);
         backend.fails.set(fails);
-        backend.listed_at.set(backend.listed_at.get().map(|_| f64::MIN)); // its entry is too old from now on
+        backend.listed_until.set(backend.listed_until.get().map(|_| f64::MIN)); // its entry is too old now
         if fails >= FAILS && now >= backend.rest_until.get() {
             let some = REST_RPCS * MEAN_OVER / self.answered.read(now, MEAN_OVER);
             let rest = (REST * 2_f64.powf((fails - FAILS).min(10.0))).max(some).min(REST_MAX);
@@ -560,7 +566,7 @@
             self.credit -= 1.0;
         }
         to.cold_sent.add(1.0, now, self.cold.window);
-        to.count(1, now);
+        to.count(1, now, MEAN_OVER);
         self.file(&to, now);
         // Work whose answer would come too late only keeps others waiting.
         link.pick(call.id, to.id, (call.useful_until - SLACK - now).max(SLACK));
@@ -664,8 +670,7 @@
     /// Probes a few random backends: each interval, and at once when an RPC finds the list empty.
     fn probe(&mut self, most: usize, link: &mut dyn Link) {
         let now = link.now();
-        let since = now - self.entry_age();
-        let unseen = |b: &Backend| !b.probe_out.get() && b.listed_at.get().is_none_or(|at| at < since);
+        let unseen = |b: &Backend| !b.probe_out.get() && !b.is_listed(now);
         for _ in 0..most {
             let paid = self.may_probe && self.probe_tokens >= 1.0;
             let any = if paid { self.any_of(Set::Ready, |_, b| b.healthy(now) && unseen(b)) } else { None };
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -241,7 +241,8 @@
 /// A zone that is lost fails more RPCs at once than a proxy has credit for, and none of them cost a backend anything.
 #[test]
 fn what_reached_nobody_goes_elsewhere_without_credit() {
-    let mut proxy = blind(60);
+    let conf = Settings { most_picks: 5, may_probe: false, ..settings(&[Effect::NonIdempotent]) };
+    let mut proxy = fleet(60, conf);
     let (mut met, mut lost) = (0, 0);
     for _ in 0..60 {
         let rpc = proxy.take(0, 0.5);
@@ -256,3 +257,24 @@
     assert!(lost <= 2, "{lost} of 60 RPCs lost, though half of the backends answer");
     proxy.check().expect("the rules");
 }
+
+/// Where probes are dear, blind draws fill some backends while others stand idle. An answer tells that there is room again.
+#[test]
+fn an_answer_enters_the_idle_list_where_probes_are_dear() {
+    let dear = Settings { reports: Reports::ByProbe, probe_price: 0.08, ..settings(&[Effect::Idempotent]) };
+    let mut proxy = fleet(60, dear);
+    let served_by = |proxy: &mut Proxy, how| {
+        let rpc = proxy.take(0, 0.5);
+        proxy.pass(0.05);
+        let sent = proxy.world.rpcs[&rpc].sent.clone();
+        proxy.end(rpc, sent.len() - 1, how, None);
+        sent.last().expect("a pick").backend
+    };
+    let first = served_by(&mut proxy, Outcome::Ok);
+    for _ in 0..20 {
+        assert_eq!(served_by(&mut proxy, Outcome::Ok), first, "its place there is free again");
+    }
+    served_by(&mut proxy, Outcome::TimedOut);
+    let others = (0..5).filter(|_| served_by(&mut proxy, Outcome::TimedOut) != first).count();
+    assert!(others >= 4, "a failure takes the entry out, yet {others} of 5 went elsewhere");
+}
