The idle list keeps the quickest in front, and a cold budget leaves room for chance

Seen: with entries by answers each proxy went round all it knew: before the peak 6 to 10 proxies meet at each backend, 49% of the picks find it busy (all logs together: picks in flight there when one is sent), and those that find two or more time out in 21 to 60%. At fault: State::enlist, which put each behind all others. Now the list is in the order of mean answer times, time-outs counting 1.5 fold, where answers enter it.

--- a/src/held.rs
+++ b/src/held.rs
@@ -19,6 +19,7 @@
     pub rest_until: Cell<f64>,
     pub credit: Cell<bool>, // it answered since the last further pick it got
     pub listed_until: Cell<Option<f64>>, // while it stands in the idle list
+    pub pace: Mean,         // s to an answer of it; measured where answers enter the idle list
     pub probe_out: Cell<bool>,
     pub cold_sent: Decaying,
     pub luck: Cell<f64>, // below 1, drawn anew with each report: a cold pick's chance must exceed it
@@ -30,6 +31,7 @@
     fn default() -> Self {
         let (id, size, cell, zone, started, ready, out, mean_out) = Default::default();
         let (fails, rest_until, credit, listed_until, probe_out, cold_sent, luck, told) = Default::default();
+        let pace = Mean::default();
         let places = [const { Cell::new(NOWHERE) }; SLOTS];
         Self {
             id,
@@ -44,6 +46,7 @@
             rest_until,
             credit,
             listed_until,
+            pace,
             probe_out,
             cold_sent,
             luck,
@@ -68,6 +71,12 @@
         self.places[0].get() != NOWHERE && (self.ready.get(), self.cell.get(), self.zone.get()) == facts
     }
 
+    /// It has started anew: what failed before is over.
+    pub fn forgive(&self) {
+        self.fails.set(0.0);
+        self.rest_until.set(0.0);
+    }
+
     /// So many more picks are out there.
     pub fn count(&self, change: isize, now: f64, over: f64) {
         self.out.set(self.out.get().saturating_add_signed(change));
@@ -87,6 +96,10 @@
     }
 }
 
+// RPCs: x of them and 2 sigma, of 1.4 each, come to x + 2 root(x SPREAD): their work varies by its mean or less, and
+// so does their number.
+const SPREAD: f64 = 2.0;
+
 /// What all proxies together may send a backend that started lately.
 #[derive(Default)]
 pub(crate) struct Cold {
@@ -109,6 +122,12 @@
     }
 }
 
+/// So much of that work that RPCs of this mean and twice their spread come to no more. Guards against a cold
+/// backend pushed over by RPCs that happen to be long.
+pub(crate) fn surely(work: f64, each: f64) -> f64 {
+    ((work / each + SPREAD).sqrt() - SPREAD.sqrt()).powi(2) * each
+}
+
 pub(crate) struct Method {
     pub set: MethodSettings,
     pub room: f64,  // times the expected wait that must fit before a draw; more for lower utility
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -3,14 +3,12 @@
 //! is a call on the handle. Answers leave through `types::Link`; the interface is defined in `src/types.rs`.
 //!
 //! The design is Join-Idle-Queue (docs/design.md): `report` fills the idle list, `pick_idle` takes its first
-//! entry, `pick_drawn` draws one when it is empty. Six mechanisms stand beside it, each marked in the code:
-//! (1) health: failures in a row rest a backend; (2) credit: answers earned pay for further picks;
-//! (3) time-outs: no pick outlives its use; (4) cold budget: this proxy's part of what a cold backend takes;
-//! (5) admission: a brief wait, by share and utility; (6) list and probes: followed within a budget.
+//! entry, `pick_drawn` draws one when it is empty. Six mechanisms stand beside it, marked by number in the code:
+//! health, credit, time-outs, cold budget, admission, list and probes; docs/design.md tells what each does.
 //! `may_pick` and `may_push_back` alone decide what the four rules allow.
 
 use crate::chance::Chance;
-use crate::held::{Backend, Call, Cold, Method, Pick, Share, Tenant};
+use crate::held::{Backend, Call, Cold, Method, Pick, Share, Tenant, surely};
 use crate::measure::{Decaying, Mean};
 use crate::roster::{Roster, Set};
 use crate::types::*;
@@ -134,7 +132,7 @@
             may_probe,
             come_back: set.come_back_max,
             probes_each: worth_probing.clamp(PROBES_LEAST, PROBES_MOST),
-            answers_enlist: set.reports != Reports::InAnswers && !(may_probe && worth_probing >= 1.0),
+            answers_enlist: set.reports != Reports::InAnswers && !(may_probe && worth_probing >= 0.0),
             ask_every: Some(set.ask_within * ASK_AGAIN).filter(|_| set.list_on_request),
             cold: Cold::new(set, COLD_SAFETY),
             balancers: set.balancers as f64,
@@ -207,8 +205,7 @@
                 false => state.relist(&backend, now, |b| b.describe(entry)),
             }
             if backend.started.replace(entry.started) != entry.started {
-                backend.fails.set(0.0);
-                backend.rest_until.set(0.0);
+                backend.forgive();
                 backend.luck.set(state.chance.between(0.0, 1.0));
                 let budget = state.cold_budget(&backend, now);
                 // A restarted proxy forgot what it sent and how long work takes: the burst counts as spent.
@@ -287,11 +284,13 @@
                 self.call.method.each.add(took * late / stood, now, state.fade());
             }
             None if matches!(how, Outcome::Ok | Outcome::TimedOut | Outcome::Rejected) => {
-                let part = if how == Outcome::Ok { took / room } else { LATE };
-                state.listed.add(part, now, state.fade());
+                state.listed.add(if how == Outcome::Ok { took / room } else { LATE }, now, state.fade());
             }
             _ => {}
         }
+        if state.answers_enlist && matches!(how, Outcome::Ok | Outcome::TimedOut) {
+            backend.pace.add(took * late, now, MEAN_OVER);
+        }
         match how {
             Outcome::Ok => {
                 state.failing.add(0.0, now, MEAN_OVER);
@@ -335,8 +334,7 @@
     }
 
     /// A further pick goes only where there is credit, and not back to where one failed. An answer earns its
-    /// backend one, and the proxy a part of one: few answer here often. Free is what follows picks that reached
-    /// nobody: guards against RPCs lost with a zone.
+    /// backend one, and the proxy a part of one. Free, lest RPCs be lost with a zone, is what reached nobody.
     fn earned(&self, to: &Rc<Backend>, credit: f64) -> bool {
         let free = !self.reached_any() || (credit >= 1.0 && to.credit.get());
         free && self.picks.borrow().iter().all(|p| !Rc::ptr_eq(&p.backend, to))
@@ -402,7 +400,7 @@
         // A part below one pick is one by chance, such that the sum is kept even if every probe of an even
         // split led to a pick. Guards against hundreds of proxies that each send their one.
         let chance = work / COLD_SAFETY / self.cold.window / self.probes_each.max(1.0);
-        Some((work * even.max(own), chance))
+        Some((surely(work, self.service_time()) * even.max(own), chance))
     }
 
     fn cold_room(&self, to: &Backend, now: f64) -> bool {
@@ -417,8 +415,7 @@
 
     /// A report at or under the threshold adds its backend to the idle list, once.
     fn report(&mut self, backend: &Rc<Backend>, report: Option<LoadReport>, now: f64) {
-        let held = report.and_then(|r| r.in_flight.or(r.queued).or(r.utilisation));
-        let Some(held) = held else { return };
+        let Some(held) = report.and_then(|r| r.held()) else { return };
         let held = held.max(backend.out.get() as f64) / backend.size.get();
         self.load.add(held, now, MEAN_OVER);
         backend.luck.set(self.chance.between(0.0, 1.0));
@@ -428,10 +425,12 @@
         }
     }
 
-    /// Puts a backend into the idle list for so long, once.
+    /// Enters a backend for so long, once, behind those that answered no slower. Guards against a hundred
+    /// proxies that each go round all they know: of the few that it needs each keeps the quickest.
     fn enlist(&mut self, backend: &Rc<Backend>, age: f64, now: f64) {
         if backend.ready.get() && backend.healthy(now) && backend.enter(now + age) {
-            self.idle.push_back(backend.clone());
+            let place = self.idle.partition_point(|b| b.pace.get(0.0) <= backend.pace.get(0.0));
+            self.idle.insert(place, backend.clone());
         }
     }
 
--- a/src/types.rs
+++ b/src/types.rs
@@ -114,6 +114,13 @@
     pub utilisation: Option<f64>,
 }
 
+impl LoadReport {
+    /// The nearest it says to how many RPCs the backend holds.
+    pub fn held(self) -> Option<f64> {
+        self.in_flight.or(self.queued).or(self.utilisation)
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Outcome {
     Ok,
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -278,3 +278,28 @@
     let others = (0..5).filter(|_| served_by(&mut proxy, Outcome::TimedOut) != first).count();
     assert!(others >= 4, "a failure takes the entry out, yet {others} of 5 went elsewhere");
 }
+
+/// Proxies that each go round all they know meet each other everywhere; the quickest first, each has few to itself.
+#[test]
+fn of_those_that_answered_the_quickest_comes_first() {
+    let dear = Settings { reports: Reports::ByProbe, probe_price: 0.08, ..settings(&[Effect::Idempotent]) };
+    let mut proxy = fleet(12, dear);
+    let time = |backend: u32| 0.02 + 0.01 * f64::from(backend);
+    // Six together, so that as many backends are known.
+    for _ in 0..6 {
+        proxy.take(0, 0.5);
+    }
+    proxy.pass(0.04);
+    let known: Vec<_> = proxy.out().iter().map(|(.., backend)| *backend).collect();
+    proxy.end_all(Outcome::Ok, None);
+    let mut sent = Vec::new();
+    for _ in 0..40 {
+        let rpc = proxy.take(0, 0.5);
+        let backend = proxy.world.rpcs[&rpc].sent[0].backend;
+        proxy.pass(time(backend));
+        proxy.end(rpc, 0, Outcome::Ok, None);
+        sent.push(backend);
+    }
+    let best = known.iter().min().expect("some");
+    assert!(sent[20..].iter().all(|b| b == best), "{sent:?}, of {known:?} the first is the quickest");
+}
