A known list that can't be read no longer ends the start

Need: the issue asks that a proxy goes on when its copy of the list is missing, old, empty or unreadable; config::load ended the start with exit 2 on an unreadable one, for a copy that discovery's first answer replaces. Now it warns once and is ready with that answer, as without a copy.

--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -16,6 +16,8 @@
     pub seed: u64,
     pub sockets: usize,
     pub known: Option<News>,
+    /// Why the list in the file can't be read; the first answer of discovery is waited for then.
+    pub known_fault: Option<String>,
     pub conf: Conf,
 }
 
@@ -86,14 +88,17 @@
     let mut conf = birchhub_settings::read_value(settings).map_err(|e| format!("settings: {e}"))?;
     // On sockets nothing comes unasked, whatever the simulator does: guards against a list never followed.
     conf.settings.list_on_request = true;
-    let known = file.get("known").filter(|known| !known.is_null());
+    // Guards against a fleet that can't start for a copy of a list that is replaced a moment later anyway.
+    let known = file.get("known").filter(|known| !known.is_null()).map(discovery::decode).transpose();
+    let (known, known_fault) = known.map_or_else(|fault| (None, Some(fault)), |known| (known, None));
     Ok(Config {
         name: text(&file, "name", "LB_NAME")?,
         listen: address(&file, "listen", "LB_LISTEN")?,
         discovery: address(&file, "discovery", "LB_DISCOVERY")?,
         seed: u64::from_str_radix(seed, 16).map_err(|_| format!("seed is not a hex number: {seed}"))?,
         sockets: limit("sockets").unwrap_or(1024).min(bearable) as usize,
-        known: known.map(discovery::decode).transpose().map_err(|e| format!("known: {e}"))?,
+        known,
+        known_fault,
         conf,
     })
 }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -71,6 +71,9 @@
     let listener =
         listen(&config).map_err(|e| format!("LB_LISTEN cannot be bound: {}: {e}", config.listen))?;
     birchhub_logging::start();
+    if let Some(fault) = &config.known_fault {
+        log::warn!("known is passed over: {fault}");
+    }
     let (clock, budget, life) = (Clock::start(), Budget::new(config.sockets), Rc::new(Life::default()));
     let (sender, mailbox) = mpsc::channel(core::MAILBOX);
     let wanted = Rc::new(Notify::new());
