--- a/src/policy.rs
+++ b/src/policy.rs
@@ -178,9 +178,9 @@
             let jitter = state.chance.between(0.8, 1.2);
             state.ask_at = state.ask_every.map(|every| now + every * jitter);
         }
-        let most = usize::from(state.idle.is_empty());
         if now + TICK >= state.probe_ahead(now) {
             state.probed_ahead = now;
+            let most = usize::from(state.idle.is_empty());
             state.probe(most, link);
         }
         state.serve(link);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -20,6 +20,12 @@
     fleet(backends, Settings { may_probe: false, ..settings(&[Effect::NonIdempotent]) })
 }
 
+/// With probes that cost more than even an RPC's first is worth.
+fn dear(backends: u32) -> Proxy {
+    let conf = Settings { reports: Reports::ByProbe, probe_price: 0.08, ..settings(&[Effect::Idempotent]) };
+    fleet(backends, conf)
+}
+
 #[test]
 fn an_empty_list_pushes_back_within_the_hold() {
     let mut proxy = fleet(0, settings(&[Effect::NonIdempotent]));
@@ -261,8 +267,7 @@
 /// Where probes are dear, blind draws fill some backends while others stand idle. An answer tells that there is room again.
 #[test]
 fn an_answer_enters_the_idle_list_where_probes_are_dear() {
-    let dear = Settings { reports: Reports::ByProbe, probe_price: 0.08, ..settings(&[Effect::Idempotent]) };
-    let mut proxy = fleet(60, dear);
+    let mut proxy = dear(60);
     let served_by = |proxy: &mut Proxy, how| {
         let rpc = proxy.take(0, 0.5);
         proxy.pass(0.05);
@@ -282,8 +287,7 @@
 /// Proxies that each go round all they know meet each other everywhere; the quickest first, each has few to itself.
 #[test]
 fn of_those_that_answered_the_quickest_comes_first() {
-    let dear = Settings { reports: Reports::ByProbe, probe_price: 0.08, ..settings(&[Effect::Idempotent]) };
-    let mut proxy = fleet(12, dear);
+    let mut proxy = dear(12);
     let time = |backend: u32| 0.02 + 0.01 * f64::from(backend);
     // Six together, so that as many backends are known.
     for _ in 0..6 {
