--- a/src/policy.rs
+++ b/src/policy.rs
@@ -132,7 +132,7 @@
             may_probe,
             come_back: set.come_back_max,
             probes_each: worth_probing.clamp(PROBES_LEAST, PROBES_MOST),
-            answers_enlist: set.reports != Reports::InAnswers && !(may_probe && worth_probing >= 0.0),
+            answers_enlist: !(may_probe && worth_probing >= 0.0),
             ask_every: Some(set.ask_within * ASK_AGAIN).filter(|_| set.list_on_request),
             cold: Cold::new(set, COLD_SAFETY),
             balancers: set.balancers as f64,
@@ -304,7 +304,7 @@
                 state.answered.add(1.0, now, MEAN_OVER);
                 state.report(&backend, report, now);
                 // Guards against blind draws of proxies that each see too little to pay for probes.
-                if state.answers_enlist {
+                if state.answers_enlist && report.is_none() {
                     state.enlist(&backend, ENTRY_AGE_MAX, now);
                 }
             }
@@ -421,7 +421,9 @@
         backend.luck.set(self.chance.between(0.0, 1.0));
         let threshold = (self.load.get(0.0) * THRESHOLD).min(self.most_ahead());
         if held <= threshold {
-            self.enlist(backend, self.entry_age(), now);
+            // Guards against lists that are always empty, of proxies with a second between RPCs and no probes.
+            let age = if self.answers_enlist { ENTRY_AGE_MAX } else { self.entry_age() };
+            self.enlist(backend, age, now);
         }
     }
 
