--- a/src/policy.rs
+++ b/src/policy.rs
@@ -483,25 +483,13 @@
         let may = |s: &Self, b: &Rc<Backend>| s.may_pick(call, b, now) && call.earned(b, s.credit);
         let open = call.open_to();
         let ready = self.backends.set(open);
-        if ready.len() <= FEW {
-            let all: Vec<_> = ready.iter().filter(|b| may(self, b)).cloned().collect();
-            let well: Vec<_> = all.iter().filter(|b| b.healthy(now) && !b.crowded()).cloned().collect();
-            // A fleet-wide slowdown must not empty the ready set: with few left, health no longer counts.
-            let mut from = if well.len() * 3 >= all.len() { well } else { all };
-            // Crossing zones costs: a part of draws stays at home, less where few of the backends are there.
-            let home: Vec<_> = from.iter().filter(|b| b.zone.get() == self.zone).cloned().collect();
-            if self.chance.between(0.0, 1.0) < self.stay_home * home.len() as f64 / from.len() as f64 {
-                from = home;
-            }
-            return self.chance.draw(&mut from);
-        }
-        // The same among many, by the sets that are kept of them.
+        // A fleet-wide slowdown must not empty the ready set: with few left, health no longer counts.
         let well = self.backends.set(Set::Well).len() * 3 >= ready.len() && open == Set::Ready;
         let (all, home) = if well { (Set::Well, Set::WellHome) } else { (open, Set::Zone(self.zone)) };
         let part = self.backends.set(home).len() as f64 / self.backends.set(all).len() as f64;
         let stays = self.chance.between(0.0, 1.0) < self.stay_home * part;
+        // With none among the well that may be, health no longer counts either.
         let at_home = if stays { self.any_of(home, may) } else { None };
-        // With none among the well that may be, health no longer counts, as above.
         at_home.or_else(|| self.any_of(all, may)).or_else(|| self.any_of(open, may))
     }
 
