--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -94,8 +94,15 @@
         let (id, method) = (self.next, (self.next % 2) as usize);
         self.next += 1;
         let deadline = self.platform.now + 1.0;
-        let arrival =
-            Arrival { id, method, tenant: None, deadline, expected_work: None, client_repeat: false };
+        let arrival = Arrival {
+            id,
+            method,
+            tenant: None,
+            deadline,
+            expected_work: None,
+            client_repeat: false,
+            key: None,
+        };
         let rpc = self.balancer.take(&arrival, &mut self.platform);
         while self.platform.picked.is_none() && !self.platform.probed.is_empty() {
             for backend in std::mem::take(&mut self.platform.probed) {
@@ -144,8 +151,15 @@
     for waiting in [1, 100, 1_000] {
         let mut bench = Bench::new(100, Reports::ByProbe);
         let deadline = bench.platform.now + 60.0;
-        let arrival =
-            |id| Arrival { id, method: 0, tenant: None, deadline, expected_work: None, client_repeat: false };
+        let arrival = |id| Arrival {
+            id,
+            method: 0,
+            tenant: None,
+            deadline,
+            expected_work: None,
+            client_repeat: false,
+            key: None,
+        };
         let mut rpcs: Vec<_> =
             (0..waiting).map(|n| bench.balancer.take(&arrival(1 << 40 | n), &mut bench.platform)).collect();
         let busy = Some(LoadReport { in_flight: Some(9.0), ..LoadReport::default() });
--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -225,7 +225,7 @@
         let id = parts.below("tid", 52)?;
         let profile = parts.next("profile")?;
         let group = parts.opt("user-group")?.filter(|name| *name != "0" && !name.is_empty());
-        parts.next("entity")?;
+        let key = parts.opt("entity")?.map(settings::key);
         let expires = parts.num("expires-ns")?;
         let guess: Option<u64> = parts.opt_num("cost-guess-ns")?;
         let bits = parts.opt_num::<u64>("opts")?.unwrap_or(0);
@@ -236,7 +236,7 @@
         let expected_work = guess.filter(|_| bits & 1 != 0).map(|g| g as f64 / 1e9);
         let client_repeat = bits & 2 != 0;
         let deadline = instance.seconds(expires);
-        let arrival = Arrival { id, method, tenant, deadline, expected_work, client_repeat };
+        let arrival = Arrival { id, method, tenant, deadline, expected_work, client_repeat, key };
         self.call(proxy, |instance, link| {
             let rpc = instance.balancer.take(&arrival, link);
             if !rpc.is_over() {
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -277,6 +277,7 @@
             deadline: self.door.clock.seconds(deadline),
             expected_work: rpc.expected_work,
             client_repeat: rpc.client_repeat,
+            key: None,
         };
         let held = Held { message: rpc.message, deadline, answer: Some(answer), picks: Vec::new() };
         self.door.held.insert(id, held);
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -129,6 +129,7 @@
         most_picks: ceilings.get("most-picks")?.num()? as usize,
         may_cancel: ceiling("cancel")?,
         may_probe: ceiling("probes")?,
+        warm_keys: conf.opt("extra").and_then(|e| e.opt("warm-keys")).map_or(Ok(false), |at| at.flag())?,
         second_copies: ceiling("second-copies")?,
         come_back_max,
         probe_price: price("probe")?,
@@ -158,6 +159,12 @@
     })
 }
 
+/// The number of a key's text, the same at every proxy: FNV-1a.
+pub fn key(text: &str) -> u64 {
+    text.bytes()
+        .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3))
+}
+
 /// A load report of `name<mark>value` pairs, with the field names of the settings or the protocol page's. A
 /// field that is not known is passed over, and so is a value that can't be.
 pub fn load_report(text: &str, mark: char) -> Result<LoadReport, String> {
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -399,6 +399,7 @@
             deadline: until - MARGIN - behind,
             expected_work: None,
             client_repeat: number > 0 && self.scenario.clients.marks_retries,
+            key: None,
         };
         let care = Care { rpc: None, deadline: until - MARGIN, answered: false, picks: Vec::new() };
         self.to(proxy, until - self.now, Call::Deadline(attempt));
--- a/src/chance.rs
+++ b/src/chance.rs
@@ -2,6 +2,15 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 
+/// A number between 0 and 1 that belongs to this pair, at every proxy.
+pub fn of_pair(a: u64, b: u64) -> f64 {
+    let mut bits = a ^ b.wrapping_add(1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    for by in [0xbf58_476d_1ce4_e5b9_u64, 0x94d0_49bb_1331_11eb] {
+        bits = (bits ^ (bits >> 30)).wrapping_mul(by);
+    }
+    ((bits ^ (bits >> 31)) >> 11) as f64 / (1_u64 << 53) as f64
+}
+
 #[derive(Debug)]
 pub struct Chance(Pcg64);
 
--- a/src/held.rs
+++ b/src/held.rs
@@ -1,6 +1,6 @@
 //! What the decision module keeps of backends, methods, tenants and RPCs: data, no decisions.
 use crate::measure::{Decaying, Mean};
-use crate::roster::{NOWHERE, SLOTS};
+use crate::roster::{NOWHERE, SLOTS, Set};
 use crate::types::{Arrival, Entry, MethodSettings, Outcome, Readiness, Settings};
 use crate::waiting::Rank;
 use std::cell::{Cell, RefCell};
@@ -191,6 +191,7 @@
     pub over: Cell<bool>,
     pub streaming: Cell<bool>,
     pub rank: Cell<Option<Rank>>, // while it waits
+    pub near: Vec<Set>,           // cells that know its key, the likeliest first
 }
 
 impl Pick {
@@ -207,10 +208,11 @@
         share: Share,
         useful_until: f64,
         hold_until: f64,
+        near: Vec<Set>,
     ) -> Self {
         let (id, deadline, picks) = (arrival.id, arrival.deadline, RefCell::default());
         let (over, streaming, rank) = Default::default();
-        Self { id, method, deadline, useful_until, hold_until, share, picks, over, streaming, rank }
+        Self { id, method, deadline, useful_until, hold_until, share, picks, over, streaming, rank, near }
     }
 
     /// Some pick may have cost a backend something.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -7,7 +7,7 @@
 //! health, credit, time-outs, cold budget, admission, list and probes; docs/design.md tells what each does.
 //! `may_pick` and `may_push_back` alone decide what the four rules allow.
 
-use crate::chance::Chance;
+use crate::chance::{Chance, of_pair};
 use crate::held::{Backend, Call, Cold, Method, Pick, Share, Tenant, surely};
 use crate::measure::{Decaying, Mean};
 use crate::roster::{Roster, Set};
@@ -56,6 +56,7 @@
 const FEW: usize = 64; // backends that one decision looks at one by one: more would cost with the fleet
 const TRIES: usize = 16; // random ones asked before a stretch of FEW is: finds one where a fifth of them fit
 const LOOKS: usize = 32; // idle entries that one RPC, and waiting RPCs that one event, may pass over
+const HOMES: usize = 2; // cells that an RPC with a key is kept to: the second where the first is busy
 const TICK: f64 = 1e-6; // s that a clock of whole nanoseconds may be off
 
 #[derive(Default)]
@@ -68,6 +69,7 @@
     may_cancel: bool,
     one_out: bool,
     may_probe: bool,
+    warm_keys: bool,
     come_back: f64,
     probes_each: f64,
     answers_enlist: bool,   // answers are all that is heard of loads, or nearly
@@ -130,6 +132,7 @@
             may_cancel: set.may_cancel,
             one_out: !set.second_copies,
             may_probe,
+            warm_keys: set.warm_keys,
             come_back: set.come_back_max,
             probes_each: worth_probing.clamp(PROBES_LEAST, PROBES_MOST),
             answers_enlist: !(may_probe && worth_probing >= 0.0),
@@ -180,8 +183,8 @@
         }
         if now + TICK >= state.probe_ahead(now) {
             state.probed_ahead = now;
-            let most = usize::from(state.idle.is_empty());
-            state.probe(most, link);
+            let most = usize::from(state.idle.is_empty() && !state.warm_keys);
+            state.probe(most, &[], link);
         }
         state.serve(link);
     }
@@ -239,7 +242,8 @@
         let useful_until = method.useful_until(arrival, now);
         let hold = if state.may_probe && share < Share::Beyond { HOLD } else { 0.0 };
         let hold_until = (now + hold * method.set.latency_target).min(arrival.deadline - SLACK);
-        let call = Rc::new(Call::new(arrival, method, share, useful_until, hold_until));
+        let call =
+            Rc::new(Call::new(arrival, method, share, useful_until, hold_until, state.near(arrival.key)));
         state.probe_tokens = (state.probe_tokens + state.probes_each).min(state.probes_each * 20.0 + 3.0);
         state.waiting.insert(call.clone());
         state.serve(link);
@@ -451,7 +455,8 @@
         while place < self.idle.len().min(LOOKS) {
             let backend = self.idle[place].clone();
             let stands = backend.is_listed(now);
-            let taken = stands && !doubted && self.may_pick(call, &backend, now);
+            let fits = call.near.is_empty() || call.near.contains(&Set::Cell(backend.cell.get()));
+            let taken = stands && fits && !doubted && self.may_pick(call, &backend, now);
             if stands && !(taken && call.earned(&backend, self.credit)) {
                 place += if doubted { LOOKS } else { 1 };
                 continue;
@@ -482,6 +487,11 @@
     fn draw(&mut self, call: &Rc<Call>, now: f64) -> Option<Rc<Backend>> {
         let may = |s: &Self, b: &Rc<Backend>| s.may_pick(call, b, now) && call.earned(b, s.credit);
         let open = call.open_to();
+        let calm = |s: &Self, b: &Rc<Backend>| may(s, b) && b.healthy(now) && !b.crowded();
+        let near = call.near.iter().filter(|_| open == Set::Ready);
+        if let Some(backend) = near.into_iter().find_map(|cell| self.any_of(*cell, calm)) {
+            return Some(backend);
+        }
         let ready = self.backends.set(open);
         // A fleet-wide slowdown must not empty the ready set: with few left, health no longer counts.
         let well = self.backends.set(Set::Well).len() * 3 >= ready.len() && open == Set::Ready;
@@ -493,6 +503,16 @@
         at_home.or_else(|| self.any_of(all, may)).or_else(|| self.any_of(open, may))
     }
 
+    /// Cells that know a key: first by a hash of both that is the same at every proxy, in proportion to their
+    /// backends. Guards against keys that go round the fleet, each met by many and remembered by none.
+    fn near(&self, key: Option<u64>) -> Vec<Set> {
+        let Some(key) = key.filter(|_| self.warm_keys) else { return Vec::new() };
+        let score = |(cell, most): (u64, usize)| (of_pair(key, cell).ln() / most as f64, cell);
+        let mut cells: Vec<_> = self.backends.cells().map(score).collect();
+        cells.sort_by(|a, b| b.partial_cmp(a).expect("no NaN"));
+        cells.iter().take(HOMES).map(|(_, cell)| Set::Cell(*cell)).collect()
+    }
+
     /// A random one that fits: some are asked, then a stretch from a random place. Guards against a cost that
     /// grows with the fleet; up to FEW all are looked at.
     fn any_of(&mut self, set: Set, fits: impl Fn(&Self, &Rc<Backend>) -> bool) -> Option<Rc<Backend>> {
@@ -641,7 +661,8 @@
         }
         if !self.waiting.is_empty() && now >= self.probe_next {
             self.probe_next = now + PROBE_GAP * self.service_time();
-            self.probe(PROBE_FEW, link);
+            let near = self.waiting.after(None).map_or(Vec::new(), |call| call.near.clone());
+            self.probe(PROBE_FEW, &near, link);
         }
         let probing = self.probe_tokens >= 1.0 || self.probes_out > 0 || self.backends.is_empty();
         let until = if probing { now } else { f64::INFINITY };
@@ -657,12 +678,13 @@
     // Mechanism 6: list following and probing.
 
     /// Probes a few random backends: each interval, and at once when an RPC finds the list empty.
-    fn probe(&mut self, most: usize, link: &mut dyn Link) {
+    fn probe(&mut self, most: usize, near: &[Set], link: &mut dyn Link) {
         let now = link.now();
         let unseen = |b: &Backend| !b.probe_out.get() && !b.is_listed(now);
-        for _ in 0..most {
+        for n in 0..most {
+            let set = near.get(n * near.len() / most).copied().unwrap_or(Set::Ready);
             let paid = self.may_probe && self.probe_tokens >= 1.0;
-            let any = if paid { self.any_of(Set::Ready, |_, b| b.healthy(now) && unseen(b)) } else { None };
+            let any = if paid { self.any_of(set, |_, b| b.healthy(now) && unseen(b)) } else { None };
             let Some(backend) = any else { return };
             backend.probe_out.set(true);
             self.probes_out += 1;
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -63,6 +63,14 @@
         self.sets.get(&set).map_or(&[], Vec::as_slice)
     }
 
+    /// Cells with ready backends, in no order, and how many there are in each.
+    pub fn cells(&self) -> impl Iterator<Item = (u64, usize)> {
+        self.sets.iter().filter_map(|(set, members)| match set {
+            Set::Cell(cell) => Some((*cell, members.len())),
+            _ => None,
+        })
+    }
+
     /// Puts a backend into a set or takes it out; nothing if it is so already.
     pub fn put(&mut self, backend: &Rc<Backend>, set: Set, within: bool) {
         let place = &backend.places[set.slot()];
--- a/src/types.rs
+++ b/src/types.rs
@@ -9,6 +9,8 @@
     pub most_picks: usize,
     pub may_cancel: bool,
     pub may_probe: bool,
+    /// A cell that met an RPC's key lately has less work with it.
+    pub warm_keys: bool,
     pub second_copies: bool,
     /// Longest come-back time clients obey; 0 where they are told none.
     pub come_back_max: f64,
@@ -78,6 +80,8 @@
     pub deadline: f64,
     pub expected_work: Option<f64>,
     pub client_repeat: bool,
+    /// What the RPC concerns, as a number that is the same at every proxy.
+    pub key: Option<u64>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/src/waiting.rs
+++ b/src/waiting.rs
@@ -76,8 +76,9 @@
             MethodSettings { effect, latency_target: 1.0, target_stretch: 0.0, utility, late_utility: 0.0 };
         let method = Rc::new(Method { set, room: 1.0, each: Mean::default() });
         let (tenant, expected_work) = (None, None);
-        let arrival = Arrival { id, method: 0, tenant, deadline: 9.0, expected_work, client_repeat: false };
-        Rc::new(Call::new(&arrival, method, share, 9.0, hold_until))
+        let arrival =
+            Arrival { id, method: 0, tenant, deadline: 9.0, expected_work, client_repeat: false, key: None };
+        Rc::new(Call::new(&arrival, method, share, 9.0, hold_until, Vec::new()))
     }
 
     /// Rank and ends are those of a plain vector that is sorted each time.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -209,7 +209,7 @@
         let (sent, answers) = (Vec::new(), Vec::new());
         let record = Record { effect, deadline, sent, answers, streaming: false, hung_up: false };
         self.world.rpcs.insert(id, record);
-        let arrival = Arrival { id, method, tenant, deadline, expected_work: None, client_repeat };
+        let arrival = Arrival { id, method, tenant, deadline, expected_work: None, client_repeat, key: None };
         let handle = self.balancer.take(&arrival, &mut self.world);
         self.handles.insert(id, handle);
         id
