--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -49,6 +49,7 @@
         may_probe: true,
         probe_price: 0.002,
         reports,
+        reports_queue: true,
         ask_within: 10.0,
         drain_grace: 0.3,
         cold_from: 0.3,
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -117,6 +117,7 @@
             _ => Reports::None,
         },
     };
+    let fields = conf.opt("report").and_then(|r| r.opt("fields")).map(|f| f.names()).transpose()?;
     let weight_source = conf.opt("weight-source").map_or(Ok("none"), |at| at.text())?;
     let mode = conf.opt("membership-mode").map_or(Ok("pushed"), |at| at.text())?;
     let price = |key: &str| conf.opt("penalties").map_or(Ok(0.0), |p| p.num_or(key, 0.0));
@@ -137,6 +138,9 @@
         zone: zones.iter().position(|z| z == own).unwrap_or(zones.len()),
         zones: zones.len(),
         reports,
+        reports_queue: fields.is_none_or(|f| {
+            f.iter().any(|f| matches!(f.as_str(), "concurrent" | "inflight" | "depth" | "queue"))
+        }),
         list_on_request: mode == "on_request",
         ask_within: contract.num_or("ask-within-ns", 10e9)? / 1e9,
         drain_grace: contract.get("drain-grace-ns")?.seconds()?,
--- a/src/held.rs
+++ b/src/held.rs
@@ -20,7 +20,7 @@
     pub credit: Cell<bool>, // it answered since the last further pick it got
     pub listed_until: Cell<Option<f64>>, // while it stands in the idle list
     pub pace: Mean,         // s to an answer of it; measured where answers enter the idle list
-    pub probe_out: Cell<bool>,
+    pub probe_out: Cell<Option<f64>>, // when it was sent
     pub cold_sent: Decaying,
     pub luck: Cell<f64>, // below 1, drawn anew with each report: a cold pick's chance must exceed it
     pub places: [Cell<usize>; SLOTS], // in the sets of the roster
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -34,7 +34,6 @@
 const HOLD: f64 = 0.15; // of the latency target spent waiting for an idle backend: leaves time for the work
 const CROSS_PRICE: f64 = 0.033; // points; at it a fair part of draws stays at home, less by the square
 const SLICE: f64 = 1.2; // times as far as all tenants have used theirs may one use its quota: room for chance
-const SLICE_MOST: f64 = 2.0; // times its even split that a tenant gets however much this proxy carries
 const LIST_ROOM: f64 = 0.7; // of its time that a pick from the list may be expected to take: backs reports up
 const LIST_FEW: f64 = 4.0; // picks from the list that prove nothing yet, counted beside those measured as 0
 const LATE: f64 = 1.5; // times its time that a timed-out pick is taken to have needed, at the least
@@ -70,6 +69,7 @@
     one_out: bool,
     may_probe: bool,
     warm_keys: bool,
+    probes_queue: bool, // what a probe takes tells what stands there; reports don't
     come_back: f64,
     probes_each: f64,
     answers_enlist: bool,   // answers are all that is heard of loads, or nearly
@@ -133,6 +133,7 @@
             one_out: !set.second_copies,
             may_probe,
             warm_keys: set.warm_keys,
+            probes_queue: may_probe && !set.reports_queue,
             come_back: set.come_back_max,
             probes_each: worth_probing.clamp(PROBES_LEAST, PROBES_MOST),
             answers_enlist: !(may_probe && worth_probing >= 0.0),
@@ -160,11 +161,22 @@
     pub fn probed(&self, backend: u32, outcome: Outcome, report: Option<LoadReport>, link: &mut dyn Link) {
         let mut state = self.0.borrow_mut();
         let Some(backend) = state.backends.get(backend).cloned() else { return };
-        state.probes_out -= usize::from(backend.probe_out.replace(false));
+        let sent = backend.probe_out.take();
+        state.probes_out -= usize::from(sent.is_some());
+        let took = sent.map(|sent| link.now() - sent);
         match outcome {
-            Outcome::Ok => state.report(&backend, report, link.now()),
+            Outcome::Ok => state.report(&backend, report, took, link.now()),
             Outcome::NeverSent => {} // guards against backends blamed for what this proxy could not send
-            _ => state.failed(&backend, outcome, link.now()),
+            _ => {
+                if let Some(took) = took.filter(|_| state.probes_queue) {
+                    // At the least: a probe is turned away where too many wait, at once.
+                    let load = (took / state.service_time()).max(state.load.get(0.0)) * LATE;
+                    state.load.add(load, link.now(), MEAN_OVER);
+                }
+                if outcome != Outcome::Rejected {
+                    state.failed(&backend, outcome, link.now());
+                }
+            }
         }
         state.file(&backend, link.now());
         state.serve(link);
@@ -227,7 +239,7 @@
         let bound = |b: &Backend| b.out.get() > 0 || b.cold_sent.read(now, over) > TICK;
         let gone = state.backends.set(Set::Unready).iter().filter(|b| !bound(b)).cloned().collect::<Vec<_>>();
         for backend in gone {
-            state.probes_out -= usize::from(backend.probe_out.get());
+            state.probes_out -= usize::from(backend.probe_out.get().is_some());
             state.backends.forget(&backend);
         }
         state.serve(link);
@@ -275,14 +287,16 @@
             Some(pick) if pick.ended.is_none() => {
                 pick.ended = Some(how);
                 let room = (self.call.useful_until - pick.sent).max(SLACK);
-                (pick.backend.clone(), now - pick.sent, pick.ahead, room)
+                // What was turned away would have waited for longer than it had.
+                let took = if how == Outcome::Rejected { room } else { now - pick.sent };
+                (pick.backend.clone(), took, pick.ahead, room)
             }
             _ => return,
         };
         backend.count(-1, now, MEAN_OVER);
         let late = if how == Outcome::Ok { 1.0 } else { LATE };
         match ahead {
-            Some(ahead) if matches!(how, Outcome::Ok | Outcome::TimedOut) => {
+            Some(ahead) if matches!(how, Outcome::Ok | Outcome::TimedOut | Outcome::Rejected) => {
                 // The load may have grown meanwhile: guards against a first rush counted as slow backends.
                 let stood = ahead.max(state.load.fading(now, MEAN_OVER)) + 1.0;
                 self.call.method.each.add(took * late / stood, now, state.fade());
@@ -306,7 +320,7 @@
                 state.credit = (state.credit + CREDIT_EARN).min(CREDIT_MAX);
                 state.service.add(took, now, MEAN_OVER);
                 state.answered.add(1.0, now, MEAN_OVER);
-                state.report(&backend, report, now);
+                state.report(&backend, report, None, now);
                 // Guards against blind draws of proxies that each see too little to pay for probes.
                 if state.answers_enlist && report.is_none() {
                     state.enlist(&backend, ENTRY_AGE_MAX, now);
@@ -418,13 +432,18 @@
     // The design: Join-Idle-Queue.
 
     /// A report at or under the threshold adds its backend to the idle list, once.
-    fn report(&mut self, backend: &Rc<Backend>, report: Option<LoadReport>, now: f64) {
-        let Some(held) = report.and_then(|r| r.held()) else { return };
+    fn report(&mut self, backend: &Rc<Backend>, report: Option<LoadReport>, took: Option<f64>, now: f64) {
+        // Guards against utilisations, which say nothing of a queue, read as RPCs that stand there.
+        let held = match self.probes_queue {
+            true => took.map(|took| took / self.service_time()),
+            false => report.and_then(|r| r.held()),
+        };
+        let Some(held) = held else { return };
         let held = held.max(backend.out.get() as f64) / backend.size.get();
         self.load.add(held, now, MEAN_OVER);
         backend.luck.set(self.chance.between(0.0, 1.0));
         let threshold = (self.load.get(0.0) * THRESHOLD).min(self.most_ahead());
-        if held <= threshold {
+        if held <= threshold || self.probes_queue {
             // Guards against lists that are always empty, of proxies with a second between RPCs and no probes.
             let age = if self.answers_enlist { ENTRY_AGE_MAX } else { self.entry_age() };
             self.enlist(backend, age, now);
@@ -612,7 +631,7 @@
     /// tenant may use what others leave, and so may clients' repeats, which are not to crowd out others.
     fn share(&self, tenant: &Tenant, repeat: bool, now: f64) -> Share {
         let all = self.all_tenants.used(now);
-        let share = match tenant.used(now) < (all * SLICE).clamp(1.0, SLICE_MOST) {
+        let share = match tenant.used(now) < (all * SLICE).max(1.0) {
             true if !repeat => Share::Within,
             _ if all < 1.0 => Share::Borrowed,
             _ => return Share::Beyond,
@@ -680,13 +699,13 @@
     /// Probes a few random backends: each interval, and at once when an RPC finds the list empty.
     fn probe(&mut self, most: usize, near: &[Set], link: &mut dyn Link) {
         let now = link.now();
-        let unseen = |b: &Backend| !b.probe_out.get() && !b.is_listed(now);
+        let unseen = |b: &Backend| b.probe_out.get().is_none() && !b.is_listed(now);
         for n in 0..most {
             let set = near.get(n * near.len() / most).copied().unwrap_or(Set::Ready);
             let paid = self.may_probe && self.probe_tokens >= 1.0;
             let any = if paid { self.any_of(set, |_, b| b.healthy(now) && unseen(b)) } else { None };
             let Some(backend) = any else { return };
-            backend.probe_out.set(true);
+            backend.probe_out.set(Some(now));
             self.probes_out += 1;
             self.probe_tokens -= 1.0;
             link.probe(backend.id);
--- a/src/types.rs
+++ b/src/types.rs
@@ -22,6 +22,8 @@
     pub zone: usize,
     pub zones: usize,
     pub reports: Reports,
+    /// They tell how many RPCs stand at a backend, not only how busy it is.
+    pub reports_queue: bool,
     pub list_on_request: bool,
     pub ask_within: f64,
     pub drain_grace: f64,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -19,6 +19,7 @@
         may_probe: true,
         probe_price: 0.002,
         reports: Reports::InAnswers,
+        reports_queue: true,
         list_on_request: true,
         ask_within: 10.0,
         drain_grace: 0.25,
