--- a/src/policy.rs
+++ b/src/policy.rs
@@ -55,7 +55,7 @@
 const FEW: usize = 64; // backends that one decision looks at one by one: more would cost with the fleet
 const TRIES: usize = 16; // random ones asked before a stretch of FEW is: finds one where a fifth of them fit
 const LOOKS: usize = 32; // idle entries that one RPC, and waiting RPCs that one event, may pass over
-const HOMES: usize = 2; // cells that an RPC with a key is kept to: the second where the first is busy
+const HOMES: usize = 3; // cells that an RPC with a key is kept to: each of its first probes goes to another
 const TICK: f64 = 1e-6; // s that a clock of whole nanoseconds may be off
 
 #[derive(Default)]
--- a/src/types.rs
+++ b/src/types.rs
@@ -21,6 +21,9 @@
     /// The zone this proxy is in, as entries number them, and how many there are.
     pub zone: usize,
     pub zones: usize,
+    /// Weight of the part of the goal that counts nines, and how many of them are wanted; 0 without it.
+    pub log_loss_part: f64,
+    pub nines_wanted: f64,
     pub reports: Reports,
     /// They tell how many RPCs stand at a backend, not only how busy it is.
     pub reports_queue: bool,
