Watching: birchhubd counts where settings of a new shape would decide otherwise

`watch` in the configuration holds a settings object of the new shape. A second instance of the module with the same seed hears what the first hears (`watcher.rs`); its Link notes and sends nothing. Off, it costs a branch. Compared per RPC: held, picked, turned away, taken, given up, tried again, answered otherwise; another backend is no kind of difference but ends the watcher's view of that RPC. Settings read now: extra.warm-keys, report.fields, goal.log-loss-part, goal.nines-wanted; the RPC's key from Request-Info `entity`. Tests, on loopback: equal settings count 0 over 300 RPCs with resets, errors and a dead backend among them, with probes and without; other settings are counted, and backends see one message an RPC; bad values end the start with code 2 and their path.

--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -1,5 +1,6 @@
 //! What the platform tells a proxy at its start: addresses, limits, settings and the list as last had.
 use crate::discovery::{self, News};
+use birchhub::types::Settings;
 use birchhub_settings::Conf;
 use serde_json::Value;
 use std::future::pending;
@@ -19,6 +20,8 @@
     /// Why the list in the file can't be read; the first answer of discovery is waited for then.
     pub known_fault: Option<String>,
     pub conf: Conf,
+    /// Settings of another shape, whose decisions are only counted.
+    pub watch: Option<Settings>,
 }
 
 /// The one place where wall time and the machine's steady clock become the module's seconds.
@@ -76,6 +79,21 @@
     text.parse().map_err(|_| format!("{variable} is not an address and port: {text}"))
 }
 
+/// The settings to be watched, which must speak of the same RPCs.
+fn watched(value: &Value, conf: &Conf) -> Result<Settings, String> {
+    let mut watch = birchhub_settings::read_value(value).map_err(|e| format!("watch.{e}"))?;
+    let same = [
+        ("methods", watch.methods == conf.methods),
+        ("accounts", watch.tenants == conf.tenants),
+        ("failure-domains", watch.zones == conf.zones),
+    ];
+    if let Some((path, _)) = same.iter().find(|(_, same)| !same) {
+        return Err(format!("watch.{path} has other names than settings.{path}"));
+    }
+    watch.settings.list_on_request = true;
+    Ok(watch.settings)
+}
+
 pub fn load() -> Result<Config, String> {
     let path = std::env::var("LB_CONFIG").map_err(|_| "LB_CONFIG is not set".to_owned())?;
     let bytes = std::fs::read(&path).map_err(|e| format!("LB_CONFIG cannot be read: {path}: {e}"))?;
@@ -88,6 +106,8 @@
     let mut conf = birchhub_settings::read_value(settings).map_err(|e| format!("settings: {e}"))?;
     // On sockets nothing comes unasked, whatever the simulator does: guards against a list never followed.
     conf.settings.list_on_request = true;
+    let watch =
+        file.get("watch").filter(|watch| !watch.is_null()).map(|watch| watched(watch, &conf)).transpose()?;
     // Guards against a fleet that can't start for a copy of a list that is replaced a moment later anyway.
     let known = file.get("known").filter(|known| !known.is_null()).map(discovery::decode).transpose();
     let (known, known_fault) = known.map_or_else(|fault| (None, Some(fault)), |known| (known, None));
@@ -100,5 +120,6 @@
         known,
         known_fault,
         conf,
+        watch,
     })
 }
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -6,6 +6,7 @@
 use crate::discovery::News;
 use crate::intake::{Message, Received};
 use crate::sockets::Budget;
+use crate::watcher::{Act, Asked, Watch};
 use birchhub::policy::{Balancer, Rpc};
 use birchhub::types::{Arrival, Entry, Link, ListKind, LoadReport, Outcome, Readiness};
 use bytes::Bytes;
@@ -51,8 +52,9 @@
     core: mpsc::Sender<ToCore>,
     wanted: Rc<Notify>,
     wake_at: Option<f64>,
-    unsent: Vec<Errand>, // found no place in the core's mailbox for their end
-    answered: Vec<u64>,  // in the call at hand
+    unsent: Vec<Errand>,  // found no place in the core's mailbox for their end
+    answered: Vec<u64>,   // in the call at hand
+    asked: Option<Asked>, // in the call at hand, while somebody watches
 }
 
 impl Door {
@@ -65,6 +67,10 @@
         }
     }
 
+    fn note(&mut self, rpc: u64, act: Act) {
+        self.asked.iter_mut().for_each(|asked| asked.act(rpc, act));
+    }
+
     /// Hands a job to a backend. Where that can't be done its ticket, dropped, says so.
     fn run(&mut self, errand: Errand, backend: u32, message: Message, until: Instant, stop: Stop) {
         let Ok(permit) = self.core.clone().try_reserve_owned() else {
@@ -91,6 +97,7 @@
         let message = held.message.clone();
         log::trace!("RPC {rpc}: pick {pick} to {backend} for {time_out:.3} s");
         self.run(Errand::Pick { rpc, pick }, backend, message, until, Some(stop));
+        self.note(rpc, Act::Pick(backend));
     }
     fn cancel(&mut self, rpc: u64, pick: usize) {
         let picks = self.held.get_mut(&rpc).map(|held| &mut held.picks);
@@ -98,11 +105,14 @@
     }
     fn push_back(&mut self, rpc: u64, come_back: f64) {
         self.give(rpc, Answer::PushedBack { come_back });
+        self.note(rpc, Act::PushBack);
     }
     fn abort(&mut self, rpc: u64) {
         self.give(rpc, Answer::Aborted);
+        self.note(rpc, Act::Abort);
     }
     fn probe(&mut self, backend: u32) {
+        self.asked.iter_mut().for_each(Asked::probe);
         let until = Instant::now() + PROBE_WAITS;
         log::trace!("probe to {backend}");
         self.run(Errand::Probe { backend }, backend, Message::probe(), until, None);
@@ -120,6 +130,7 @@
     balancer: Balancer,
     rpcs: HashMap<u64, Rpc>,
     door: Door,
+    watch: Option<Watch>,
     numbers: HashMap<String, (u32, Instant)>, // of backends, by uid, and when they were last heard of
     next: u32,
     zones: Vec<String>,
@@ -149,11 +160,13 @@
             wake_at: None,
             unsent: Vec::new(),
             answered: Vec::new(),
+            asked: config.watch.as_ref().map(|_| Asked::default()),
         };
         let mut core = Self {
             balancer: Balancer::new(&conf.settings, config.seed),
             rpcs: HashMap::new(),
             door,
+            watch: config.watch.as_ref().map(|settings| Watch::new(settings, config.seed)),
             numbers: HashMap::new(),
             next: 0,
             zones: conf.zones.clone(),
@@ -175,10 +188,11 @@
     pub async fn run(mut self, mut mailbox: mpsc::Receiver<ToCore>) {
         loop {
             self.keep_time();
-            let wake = self.door.wake_at.map(|at| self.door.clock.instant(at));
+            let own = self.door.wake_at.map(|at| self.door.clock.instant(at));
+            let watcher = self.watch.as_ref().and_then(Watch::wake_at).map(|at| self.door.clock.instant(at));
+            let wake = own.into_iter().chain(watcher).min();
             if wake.is_some_and(|at| at <= Instant::now()) {
-                self.door.wake_at = None;
-                self.call(|core| core.balancer.wake(&mut core.door));
+                self.wake(own.is_some_and(|at| at <= Instant::now()));
                 continue;
             }
             select! {
@@ -193,6 +207,33 @@
         }
     }
 
+    /// Wakes those who asked for it by now. Both are held to one reading of the clock.
+    fn wake(&mut self, first: bool) {
+        let now = self.door.clock.now();
+        if first {
+            self.door.wake_at = None;
+            self.call(|core| core.balancer.wake(&mut core.door));
+        }
+        self.watch(|watch, now_of_first, asked| {
+            let now = if first { now_of_first } else { now };
+            if watch.wake_at().is_some_and(|at| at <= now) {
+                watch.wake(now, asked);
+            } else {
+                watch.pass(asked);
+            }
+        });
+    }
+
+    /// Lets the watcher hear what the first instance heard in the last call, if there is one.
+    fn watch(&mut self, act: impl FnOnce(&mut Watch, f64, Asked)) {
+        let (Some(watch), now) = (&mut self.watch, self.door.now) else { return };
+        let asked = self.door.asked.replace(Asked::default()).unwrap_or_default();
+        if catch_unwind(AssertUnwindSafe(|| act(watch, now, asked))).is_err() {
+            log::error!("the watching module panicked: it watches no more");
+            (self.watch, self.door.asked) = (None, None);
+        }
+    }
+
     fn hear(&mut self, message: ToCore) {
         self.keep_time();
         match message {
@@ -205,9 +246,13 @@
                 log::trace!("probe of {backend}: {outcome:?} {report:?}");
                 let outcome = self.told(outcome, Outcome::NeverSent);
                 self.call(|core| core.balancer.probed(backend, outcome, report, &mut core.door));
+                self.watch(|watch, now, asked| watch.probed(now, asked, backend, outcome, report));
             }
             ToCore::News(news) => self.news(&news),
-            ToCore::ListFailed => self.call(|core| core.balancer.list_failed(&mut core.door)),
+            ToCore::ListFailed => {
+                self.call(|core| core.balancer.list_failed(&mut core.door));
+                self.watch(|watch, now, asked| watch.list_failed(now, asked));
+            }
         }
         while let Some(errand) = self.door.unsent.pop() {
             self.hear(errand.end((Outcome::NeverSent, None, Bytes::new())));
@@ -277,7 +322,7 @@
             deadline: self.door.clock.seconds(deadline),
             expected_work: rpc.expected_work,
             client_repeat: rpc.client_repeat,
-            key: None,
+            key: rpc.key,
         };
         let held = Held { message: rpc.message, deadline, answer: Some(answer), picks: Vec::new() };
         self.door.held.insert(id, held);
@@ -285,6 +330,7 @@
             let rpc = core.balancer.take(&arrival, &mut core.door);
             core.rpcs.insert(id, rpc);
         });
+        self.watch(|watch, now, asked| watch.take(now, asked, &arrival));
     }
 
     fn hung_up(&mut self, id: u64) {
@@ -296,11 +342,13 @@
             door.held.get_mut(&id).map(|held| held.answer.take());
             rpc.hung_up(door);
         });
+        self.watch(|watch, now, asked| watch.hung_up(now, asked, id));
     }
 
     fn ended(&mut self, id: u64, pick: usize, outcome: Outcome, report: Option<LoadReport>, body: Bytes) {
         log::trace!("RPC {id}: pick {pick} {outcome:?}");
         let outcome = self.told(outcome, Outcome::Cancelled);
+        let mut was_over = false;
         self.on_rpc(id, |rpc, door| {
             if let Some(held) = door.held.get_mut(&id) {
                 held.picks[pick] = None;
@@ -309,8 +357,10 @@
                 door.give(id, Answer::Ok(body));
             }
             let over = door.held.get(&id).is_none_or(|held| held.answer.is_none());
+            was_over = over;
             rpc.ended(pick, outcome, over, report, door);
         });
+        self.watch(|watch, now, asked| watch.ended(now, asked, (id, pick), outcome, was_over, report));
     }
 
     fn news(&mut self, news: &News) {
@@ -350,5 +400,6 @@
             log::info!("list version {}: {} lines, {:?}", news.version, news.listed.len(), news.kind);
         }
         self.call(|core| core.balancer.list(news.kind, &entries, &mut core.door));
+        self.watch(|watch, now, asked| watch.list(now, asked, news.kind, &entries));
     }
 }
--- a/crates/daemon/src/intake.rs
+++ b/crates/daemon/src/intake.rs
@@ -31,6 +31,7 @@
     pub waits: Duration,
     pub client_repeat: bool,
     pub expected_work: Option<f64>,
+    pub key: Option<u64>,
     pub message: Message,
 }
 
@@ -150,14 +151,16 @@
         };
         let text = |name| head.headers.get(name).and_then(|value| value.to_str().ok());
         let figures = text(FIGURES).unwrap_or_default().split(',').filter_map(|pair| pair.split_once('='));
-        let work = figures.filter(|(name, _)| name.trim() == "cost-guess-ns");
+        let figure = |name| figures.clone().find(|(n, _)| n.trim() == name).map(|(_, value)| value.trim());
+        let work = figure("cost-guess-ns").and_then(|ns| ns.parse::<f64>().ok());
         Ok(Received {
             method,
             tenant: text(TENANT).and_then(|name| self.tenants.get(name).copied()),
             at: Instant::now(),
             waits: Duration::from_millis(waits.into()),
             client_repeat: text(CLIENT_REPEAT) == Some("1"),
-            expected_work: work.filter_map(|(_, ns)| ns.trim().parse::<f64>().ok()).next().map(|ns| ns / 1e9),
+            expected_work: work.map(|ns| ns / 1e9),
+            key: figure("entity").filter(|key| *key != "-").map(birchhub_settings::key),
             message: Message {
                 verb,
                 uri: Uri::from(head.uri.path_and_query().cloned().expect("a path with the method in it")),
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -8,6 +8,7 @@
 mod front;
 mod intake;
 mod sockets;
+mod watcher;
 
 use crate::core::Core;
 use config::{Clock, Config};
--- /dev/null
+++ b/crates/daemon/src/watcher.rs
@@ -0,0 +1,240 @@
+//! Watching before a move: a second instance of the module, with the settings of the new shape, hears what the
+//! first hears, and what it would have done otherwise is counted. It has no way to a socket or a client.
+use birchhub::policy::{Balancer, Rpc};
+use birchhub::types::{Arrival, Entry, Link, ListKind, LoadReport, Outcome, Settings};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::fmt;
+use std::time::Duration;
+use tokio::time::Instant;
+
+const TELL_EVERY: Duration = Duration::from_secs(60); // between lines with the counts so far
+
+/// What the module asked for on an RPC.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Act {
+    Pick(u32),
+    PushBack,
+    Abort,
+}
+
+/// What an instance asked for in one call, by RPC and in order.
+#[derive(Debug, Default)]
+pub struct Asked {
+    acts: BTreeMap<u64, Vec<Act>>,
+    probes: u64,
+}
+
+impl Asked {
+    pub fn act(&mut self, rpc: u64, act: Act) {
+        self.acts.entry(rpc).or_default().push(act);
+    }
+    pub fn probe(&mut self) {
+        self.probes += 1;
+    }
+}
+
+/// The watcher's door: notes and sends nothing.
+#[derive(Default)]
+struct Notes {
+    now: f64,
+    asked: Asked,
+    wake_at: Option<f64>,
+}
+
+impl Link for Notes {
+    fn now(&self) -> f64 {
+        self.now
+    }
+    fn pick(&mut self, rpc: u64, backend: u32, _time_out: f64) {
+        self.asked.act(rpc, Act::Pick(backend));
+    }
+    fn cancel(&mut self, _rpc: u64, _pick: usize) {}
+    fn push_back(&mut self, rpc: u64, _come_back: f64) {
+        self.asked.act(rpc, Act::PushBack);
+    }
+    fn abort(&mut self, rpc: u64) {
+        self.asked.act(rpc, Act::Abort);
+    }
+    fn probe(&mut self, _backend: u32) {
+        self.asked.probe();
+    }
+    fn watch(&mut self) {}
+    fn wake_in(&mut self, delay: f64) {
+        let at = self.now + delay;
+        self.wake_at = Some(self.wake_at.map_or(at, |earlier| earlier.min(at)));
+    }
+}
+
+/// RPCs over which the two parted, by kind: what was done, and what the watcher would have done.
+#[derive(Debug, Default, PartialEq)]
+struct Counts {
+    compared: u64,
+    held: u64,        // picked, where the watcher would have let it wait
+    picked: u64,      // left waiting, where the watcher would have picked
+    turned_away: u64, // picked or left waiting, where the watcher would have turned it away before any pick
+    taken: u64,       // turned away before any pick, where the watcher would have picked or let it wait
+    given_up: u64,    // picked a further time, where the watcher would have given up
+    tried_again: u64, // given up after a pick, where the watcher would have picked a further time
+    otherwise: u64,   // pushed back where the watcher would have aborted, or the reverse
+    elsewhere: u64,   // to another backend, which may be chance and is no difference
+    probes: u64,      // sent, of all
+    watcher_probes: u64,
+}
+
+impl fmt::Display for Counts {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let c = self;
+        write!(
+            f,
+            "{} RPCs compared: held {}, picked {}, turned away {}, ",
+            c.compared, c.held, c.picked, c.turned_away
+        )?;
+        write!(f, "taken {}, given up {}, tried again {}, ", c.taken, c.given_up, c.tried_again)?;
+        write!(f, "answered otherwise {}; elsewhere {}; ", c.otherwise, c.elsewhere)?;
+        write!(f, "probes {}, would be {}", c.probes, c.watcher_probes)
+    }
+}
+
+/// An RPC that both still handle alike.
+struct Alike {
+    rpc: Rpc,
+    picks: usize,
+}
+
+pub struct Watch {
+    balancer: Balancer,
+    rpcs: HashMap<u64, Alike>,
+    notes: Notes,
+    counts: Counts,
+    tell_at: Instant,
+}
+
+impl Watch {
+    pub fn new(settings: &Settings, seed: u64) -> Self {
+        let balancer = Balancer::new(settings, seed);
+        let (rpcs, notes, counts) = Default::default();
+        Self { balancer, rpcs, notes, counts, tell_at: Instant::now() + TELL_EVERY }
+    }
+
+    /// When it wants to be woken.
+    pub fn wake_at(&self) -> Option<f64> {
+        self.notes.wake_at
+    }
+
+    pub fn wake(&mut self, now: f64, first: Asked) {
+        self.notes.wake_at = None;
+        self.hear(now, first, |watch| watch.balancer.wake(&mut watch.notes));
+    }
+
+    /// The first asked for something that the watcher has no part in.
+    pub fn pass(&mut self, first: Asked) {
+        self.hear(self.notes.now, first, |_| {});
+    }
+
+    pub fn list(&mut self, now: f64, first: Asked, kind: ListKind, entries: &[Entry]) {
+        self.hear(now, first, |watch| watch.balancer.list(kind, entries, &mut watch.notes));
+    }
+
+    pub fn list_failed(&mut self, now: f64, first: Asked) {
+        self.hear(now, first, |watch| watch.balancer.list_failed(&mut watch.notes));
+    }
+
+    pub fn probed(&mut self, now: f64, first: Asked, backend: u32, how: Outcome, report: Option<LoadReport>) {
+        self.hear(now, first, |watch| watch.balancer.probed(backend, how, report, &mut watch.notes));
+    }
+
+    pub fn take(&mut self, now: f64, first: Asked, arrival: &Arrival) {
+        self.counts.compared += 1;
+        self.hear(now, first, |watch| {
+            let rpc = watch.balancer.take(arrival, &mut watch.notes);
+            watch.rpcs.insert(arrival.id, Alike { rpc, picks: 0 });
+        });
+    }
+
+    pub fn hung_up(&mut self, now: f64, first: Asked, id: u64) {
+        self.hear(now, first, |watch| {
+            let Some(alike) = watch.rpcs.get(&id) else { return };
+            alike.rpc.hung_up(&mut watch.notes);
+        });
+    }
+
+    pub fn ended(
+        &mut self,
+        now: f64,
+        first: Asked,
+        (id, pick): (u64, usize),
+        how: Outcome,
+        over: bool,
+        report: Option<LoadReport>,
+    ) {
+        self.hear(now, first, |watch| {
+            let Some(alike) = watch.rpcs.get(&id) else { return };
+            alike.rpc.ended(pick, how, over, report, &mut watch.notes);
+        });
+    }
+
+    /// Lets the watcher hear what the first instance has just heard, and compares what they asked for.
+    fn hear(&mut self, now: f64, first: Asked, act: impl FnOnce(&mut Self)) {
+        self.notes.now = now;
+        act(self);
+        let own = std::mem::take(&mut self.notes.asked);
+        self.counts.probes += first.probes;
+        self.counts.watcher_probes += own.probes;
+        let touched: BTreeSet<u64> = first.acts.keys().chain(own.acts.keys()).copied().collect();
+        for id in touched {
+            let of = |asked: &Asked| asked.acts.get(&id).cloned().unwrap_or_default();
+            let (did, would) = (of(&first), of(&own));
+            // One that is not there they have parted over.
+            let Some(alike) = self.rpcs.get_mut(&id) else { continue };
+            let before = alike.picks;
+            alike.picks += would.iter().filter(|act| matches!(act, Act::Pick(_))).count();
+            if did != would {
+                self.count(&did, &would, before > 0);
+                self.part(id);
+            }
+        }
+        self.rpcs.retain(|_, alike| !alike.rpc.is_over());
+        if Instant::now() >= self.tell_at {
+            self.tell_at = Instant::now() + TELL_EVERY;
+            log::info!("{}", self.counts);
+        }
+    }
+
+    /// Counts the first thing in which they differ.
+    fn count(&mut self, first: &[Act], would: &[Act], further: bool) {
+        let same = first.iter().zip(would).take_while(|(a, b)| a == b).count();
+        let further = further || same > 0;
+        let counts = &mut self.counts;
+        let kind = match (first.get(same), would.get(same)) {
+            (Some(Act::Pick(_)), Some(Act::Pick(_))) => &mut counts.elsewhere,
+            (Some(Act::Pick(_)), Some(_)) if further => &mut counts.given_up,
+            (Some(_), Some(Act::Pick(_))) if further => &mut counts.tried_again,
+            (Some(Act::Pick(_)) | None, Some(Act::PushBack | Act::Abort)) => &mut counts.turned_away,
+            (Some(Act::PushBack | Act::Abort), Some(Act::Pick(_)) | None) => &mut counts.taken,
+            (Some(Act::Pick(_)), None) => &mut counts.held,
+            (None, Some(Act::Pick(_))) => &mut counts.picked,
+            _ => &mut counts.otherwise,
+        };
+        *kind += 1;
+    }
+
+    /// The watcher can't hear how this RPC would have gone on: it ends there as if the client had left. So do
+    /// those that it would have sent to the places that come free: nobody decided on that difference.
+    fn part(&mut self, id: u64) {
+        let mut parted = vec![id];
+        while let Some(id) = parted.pop() {
+            let Some(alike) = self.rpcs.remove(&id) else { continue };
+            alike.rpc.hung_up(&mut self.notes);
+            for pick in 0..=alike.picks {
+                alike.rpc.ended(pick, Outcome::Cancelled, true, None, &mut self.notes);
+            }
+            parted.extend(std::mem::take(&mut self.notes.asked).acts.into_keys());
+        }
+    }
+}
+
+impl Drop for Watch {
+    fn drop(&mut self) {
+        log::info!("ends: {}", self.counts);
+    }
+}
--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -5,7 +5,7 @@
     Act, Client, Daemon, HEALTH, List, Log, Message, PATIENCE, Shared, backend, blind, config, echo,
     eventually, free, line, reply, rpc,
 };
-use serde_json::Value;
+use serde_json::{Value, json};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
@@ -618,6 +618,12 @@
         file[key] = "odd".into();
         file.to_string()
     };
+    let watching = |change: fn(&mut Value)| {
+        let mut file = good.clone();
+        file["watch"] = file["settings"].clone();
+        change(&mut file["watch"]);
+        file.to_string()
+    };
     for (file, named) in [
         (None, "LB_CONFIG is not set"),
         (Some(String::new()), "LB_CONFIG"),
@@ -626,6 +632,13 @@
         (Some(odd("seed")), "seed"),
         (Some(without("settings")), "settings"),
         (Some(odd("settings")), "settings"),
+        (Some(watching(|watch| watch["ceilings"]["probes"] = 1.into())), "watch.ceilings.probes"),
+        (Some(watching(|watch| watch["report"]["fields"] = "depth".into())), "watch.report.fields"),
+        (Some(watching(|watch| watch["extra"] = json!({"warm-keys": 3}))), "watch.extra.warm-keys"),
+        (Some(watching(|watch| watch["goal"] = json!({"nines-wanted": -2}))), "watch.goal.nines-wanted"),
+        (Some(watching(|watch| watch["methods"][1]["name"] = "sell".into())), "watch.methods"),
+        (Some(watching(|watch| watch["failure-domains"] = json!(["b"]))), "watch.failure-domains"),
+        (Some(odd("watch")), "watch"),
         (Some(good.to_string()), "LB_LISTEN cannot be bound"),
     ] {
         let path = folder.join("config.json");
@@ -637,7 +650,7 @@
         let end = start.stderr(Stdio::piped()).output().expect("birchhubd");
         let said = String::from_utf8_lossy(&end.stderr);
         assert!(
-            !end.status.success() && said.contains(named) && said.lines().count() == 1,
+            end.status.code() == Some(2) && said.contains(named) && said.lines().count() == 1,
             "{named}: {said}"
         );
     }
@@ -677,3 +690,67 @@
     let all: Vec<_> = (0..8).map(|c| std::thread::spawn(move || run(c))).collect();
     all.into_iter().for_each(|thread| thread.join().expect("a client without complaint"));
 }
+
+/// Sends so many RPCs of each kind in turn, ends the daemon and returns its watcher's last counts.
+fn counts_over(mut daemon: Daemon, rpcs: usize) -> String {
+    let mut client = daemon.client();
+    for n in 0..rpcs {
+        let (method, verb) = KINDS[n % KINDS.len()];
+        assert!(client.call(&rpc(verb, &format!("/{method}"), &format!("n{n}"), "")).is_some(), "an answer");
+    }
+    drop(client);
+    daemon.signal("TERM");
+    daemon.await_end();
+    let log = daemon.logged();
+    let last = log.lines().rev().find(|line| line.contains("ends: ")).expect("the counts at the end");
+    last.split_once("ends: ").expect("found").1.to_owned()
+}
+
+/// Two backends that answer, one that fails now and then, and one that nobody listens at.
+fn mixed(log: &Log) -> [(&'static str, SocketAddr); 4] {
+    let faulty = backend("b3", log, |m| match m.header("request-id").as_bytes().last() {
+        Some(b'3') => Act::Cut(vec![]),
+        Some(b'6') => Act::Write(reply("500 No", "")),
+        _ => Act::Write(reply("200 OK", "b3")),
+    });
+    [("s-1", echo("b1", log)), ("s-2", echo("b2", log)), ("s-3", faulty), ("s-4", free())]
+}
+
+#[test]
+fn the_same_settings_watched_differ_in_nothing() {
+    for change in [|_: &mut Value| {}, blind] {
+        let log = Log::new(vec![]);
+        let daemon = Daemon::start_with(PROGRAM, &mixed(&log), |config| {
+            change(config);
+            config["watch"] = config["settings"].clone();
+        });
+        let counts = counts_over(daemon, 300);
+        let none = "300 RPCs compared: held 0, picked 0, turned away 0, taken 0, given up 0, tried again 0, \
+                    answered otherwise 0; elsewhere 0; ";
+        let probes = counts.strip_prefix(none).unwrap_or_else(|| panic!("{counts}"));
+        let (sent, would) = probes.split_once(", would be ").expect("probes");
+        assert_eq!(sent.strip_prefix("probes "), Some(would), "{counts}");
+    }
+}
+
+#[test]
+fn another_shape_watched_is_counted_and_reaches_nobody() {
+    let log = Log::new(vec![]);
+    let backends = [("s-1", echo("b1", &log)), ("s-2", echo("b2", &log))];
+    // A watcher that may not probe doesn't wait for what probes tell; one that may would wait for them.
+    let daemon = Daemon::start_with(PROGRAM, &backends, |config| {
+        config["watch"] = config["settings"].clone();
+        config["watch"]["ceilings"]["probes"] = false.into();
+    });
+    let counts = counts_over(daemon, 90);
+    assert!(!counts.contains(" picked 0,") && counts.ends_with(", would be 0"), "{counts}");
+    let before = log.all().len();
+    let daemon = Daemon::start_with(PROGRAM, &backends, |config| {
+        config["watch"] = config["settings"].clone();
+        blind(config);
+    });
+    let counts = counts_over(daemon, 90);
+    assert!(!counts.contains(" held 0,") && counts.contains("; probes 0, would be "), "{counts}");
+    assert!(!counts.ends_with("would be 0"), "{counts}");
+    assert_eq!(log.all().len() - before, 90, "one message an RPC and no probe");
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -121,6 +121,7 @@
     let weight_source = conf.opt("weight-source").map_or(Ok("none"), |at| at.text())?;
     let mode = conf.opt("membership-mode").map_or(Ok("pushed"), |at| at.text())?;
     let price = |key: &str| conf.opt("penalties").map_or(Ok(0.0), |p| p.num_or(key, 0.0));
+    let goal = |key: &str| conf.opt("goal").map_or(Ok(0.0), |p| p.num_or(key, 0.0));
     let zones = conf.opt("failure-domains").map_or(Ok(Vec::new()), |at| at.names())?;
     let own = conf.opt("my-zone").map_or(Ok(""), |at| at.text())?;
     let settings = Settings {
@@ -137,6 +138,8 @@
         cross_price: price("cross-zone")?,
         zone: zones.iter().position(|z| z == own).unwrap_or(zones.len()),
         zones: zones.len(),
+        log_loss_part: goal("log-loss-part")?,
+        nines_wanted: goal("nines-wanted")?,
         reports,
         reports_queue: fields.is_none_or(|f| {
             f.iter().any(|f| matches!(f.as_str(), "concurrent" | "inflight" | "depth" | "queue"))
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -319,7 +319,7 @@
     use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
     use std::net::{SocketAddr, TcpListener, TcpStream};
     use std::path::{Path, PathBuf};
-    use std::process::{Child, Command, ExitStatus, Stdio};
+    use std::process::{Child, Command, ExitStatus};
     use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
     use std::sync::{Arc, Condvar, Mutex};
     use std::thread::{sleep, spawn};
@@ -603,7 +603,8 @@
 
     fn spawn_daemon(program: &str, folder: &Path) -> Child {
         let mut start = Command::new(program);
-        start.env("LB_CONFIG", folder.join("config.json")).stderr(Stdio::null()).spawn().expect("birchhubd")
+        let log = std::fs::File::create(folder.join("log")).expect("a file");
+        start.env("LB_CONFIG", folder.join("config.json")).stderr(log).spawn().expect("birchhubd")
     }
 
     impl Daemon {
@@ -673,6 +674,11 @@
             pages.expect("pages") << 12
         }
 
+        /// What it has logged.
+        pub fn logged(&self) -> String {
+            std::fs::read_to_string(self.folder.join("log")).expect("its log")
+        }
+
         pub fn signal(&self, name: &str) {
             let kill = format!("kill -{name} {}", self.child.id());
             assert!(Command::new("sh").args(["-c", &kill]).status().expect("a shell").success());
