--- a/src/policy.rs
+++ b/src/policy.rs
@@ -39,6 +39,7 @@
 const LATE: f64 = 1.5; // times its time that a timed-out pick is taken to have needed, at the least
 const STARTED: f64 = 0.75; // of a quota counted as used at the start: about what is usual
 const ROOM: f64 = 0.6; // of the expected wait must fit: loads vary, and some draws meet a light one
+const ROOM_LATE: f64 = 2.2; // ... or more than all, where what is late runs on and delays what comes behind it
 const QUOTA_OVER: f64 = 3.0; // s over which use of a quota is counted: lets a short burst through ...
 const QUOTA_RPCS: f64 = 20.0; // ... or so many RPCs, if longer: chance is a seventh, which SLICE covers
 const PROBE_WORTH: f64 = 0.032; // points of service that an RPC's first probe is worth: it saves late draws
@@ -87,6 +88,7 @@
     listed: Mean,  // part of their time that picks from the list took
     service: Mean, // s from pick to answer
     shortest: f64, // of all latency targets, s
+    room: f64,     // least of all methods' rooms
     answered: Decaying,
     failing: Mean, // part that failures of picks and probes make of these and the answers
     credit: f64,   // further picks
@@ -110,7 +112,8 @@
     pub fn new(set: &Settings, seed: u64) -> Self {
         let best = set.methods.iter().map(|m| m.utility).fold(0.0, f64::max);
         let method = |m: &MethodSettings| {
-            let room = ROOM * (best / m.utility).max(1.0).sqrt();
+            let each = if m.late_utility > 0.0 { ROOM_LATE } else { ROOM };
+            let room = each * (best / m.utility).max(1.0).sqrt();
             Rc::new(Method { set: m.clone(), room, each: Mean::default() })
         };
         let tenant = |t: &TenantSettings| {
@@ -142,6 +145,7 @@
             balancers: set.balancers as f64,
             zone: set.zone,
             stay_home: set.zones as f64 * (set.cross_price / CROSS_PRICE).min(1.0).powi(2),
+            room: set.methods.iter().map(|m| method(m).room).fold(f64::INFINITY, f64::min),
             shortest: set.methods.iter().map(|m| m.latency_target).reduce(f64::min).unwrap_or(1.0),
             probe_tokens: PROBE_FEW as f64,
             ..State::default()
@@ -661,7 +665,7 @@
         let fade = self.fade();
         // Methods with long targets would fill the backends until those with short ones are shut out: all are
         // held to the load that the tightest can bear. What is not measured fades, so it is tried again.
-        let room = |m: &Rc<Method>| m.set.latency_target / m.each.fading(now, fade) / ROOM;
+        let room = |m: &Rc<Method>| m.set.latency_target / m.each.fading(now, fade) / self.room;
         let tightest = self.methods.iter().map(room).fold(f64::INFINITY, f64::min);
         let wait = load * call.method.each.fading(now, fade) * call.method.room;
         call.share < Share::Beyond && load <= tightest && wait <= call.useful_until - now
