--- a/src/held.rs
+++ b/src/held.rs
@@ -17,10 +17,9 @@
     pub mean_out: Mean,
     pub fails: Cell<f64>, // in a row, less what answers took back
     pub rest_until: Cell<f64>,
-    pub credit: Cell<bool>, // it answered since the last further pick it got
     pub listed_until: Cell<Option<f64>>, // while it stands in the idle list
-    pub pace: Mean,         // s to an answer of it; measured where answers enter the idle list
-    pub probe_out: Cell<Option<f64>>, // when it was sent
+    pub pace: Mean,                      // s to an answer of it; measured where answers enter the idle list
+    pub probe_out: Cell<Option<f64>>,    // when it was sent
     pub cold_sent: Decaying,
     pub luck: Cell<f64>, // below 1, drawn anew with each report: a cold pick's chance must exceed it
     pub places: [Cell<usize>; SLOTS], // in the sets of the roster
@@ -30,7 +29,7 @@
 impl Default for Backend {
     fn default() -> Self {
         let (id, size, cell, zone, started, ready, out, mean_out) = Default::default();
-        let (fails, rest_until, credit, listed_until, probe_out, cold_sent, luck, told) = Default::default();
+        let (fails, rest_until, listed_until, probe_out, cold_sent, luck, told) = Default::default();
         let pace = Mean::default();
         let places = [const { Cell::new(NOWHERE) }; SLOTS];
         Self {
@@ -44,7 +43,6 @@
             mean_out,
             fails,
             rest_until,
-            credit,
             listed_until,
             pace,
             probe_out,
@@ -128,6 +126,32 @@
     ((work / each + SPREAD).sqrt() - SPREAD.sqrt()).powi(2) * each
 }
 
+/// Settings that bind each decision as they are.
+#[derive(Default)]
+pub(crate) struct Bounds {
+    pub most_picks: usize,
+    pub may_cancel: bool,
+    pub one_out: bool,
+    pub warm_keys: bool,
+    pub come_back: f64,
+    pub balancers: f64,
+    pub zone: usize,
+}
+
+impl Bounds {
+    pub fn of(set: &Settings) -> Self {
+        Self {
+            most_picks: set.most_picks,
+            may_cancel: set.may_cancel,
+            one_out: !set.second_copies,
+            warm_keys: set.warm_keys,
+            come_back: set.come_back_max,
+            balancers: set.balancers as f64,
+            zone: set.zone,
+        }
+    }
+}
+
 pub(crate) struct Method {
     pub set: MethodSettings,
     pub room: f64,  // times the expected wait that must fit before a draw; more for lower utility
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -3,12 +3,12 @@
 //! is a call on the handle. Answers leave through `types::Link`; the interface is defined in `src/types.rs`.
 //!
 //! The design is Join-Idle-Queue (docs/design.md): `report` fills the idle list, `pick_idle` takes its first
-//! entry, `pick_drawn` draws one when it is empty. Six mechanisms stand beside it, marked by number in the code:
+//! entry, `pick_drawn` draws one when it is empty. Six mechanisms stand beside it, by number:
 //! health, credit, time-outs, cold budget, admission, list and probes; docs/design.md tells what each does.
 //! `may_pick` and `may_push_back` alone decide what the four rules allow.
 
 use crate::chance::{Chance, of_pair};
-use crate::held::{Backend, Call, Cold, Method, Pick, Share, Tenant, surely};
+use crate::held::{Backend, Bounds, Call, Cold, Method, Pick, Share, Tenant, surely};
 use crate::measure::{Decaying, Mean};
 use crate::roster::{Roster, Set};
 use crate::types::*;
@@ -39,7 +39,7 @@
 const LATE: f64 = 1.5; // times its time that a timed-out pick is taken to have needed, at the least
 const STARTED: f64 = 0.75; // of a quota counted as used at the start: about what is usual
 const ROOM: f64 = 0.6; // of the expected wait must fit: loads vary, and some draws meet a light one
-const ROOM_LATE: f64 = 2.2; // ... or more than all, where what is late runs on and delays what comes behind it
+const ROOM_LATE: f64 = 2.2; // ... or over twice, where late answers count: what is late runs on
 const QUOTA_OVER: f64 = 3.0; // s over which use of a quota is counted: lets a short burst through ...
 const QUOTA_RPCS: f64 = 20.0; // ... or so many RPCs, if longer: chance is a seventh, which SLICE covers
 const PROBE_WORTH: f64 = 0.032; // points of service that an RPC's first probe is worth: it saves late draws
@@ -62,22 +62,16 @@
 #[derive(Default)]
 struct State {
     chance: Chance,
+    bounds: Bounds,
     methods: Vec<Rc<Method>>,
     tenants: Vec<Tenant>,
     all_tenants: Tenant,
-    most_picks: usize,
-    may_cancel: bool,
-    one_out: bool,
     may_probe: bool,
-    warm_keys: bool,
     probes_queue: bool, // what a probe takes tells what stands there; reports don't
-    come_back: f64,
     probes_each: f64,
     answers_enlist: bool,   // answers are all that is heard of loads, or nearly
     ask_every: Option<f64>, // s between list calls while unsubscribed; none where changes come anyway
     cold: Cold,
-    balancers: f64,
-    zone: usize,
     stay_home: f64, // part of draws, times the zones, times the part of backends that are at home
     backends: Roster,
     idle: VecDeque<Rc<Backend>>,
@@ -128,22 +122,16 @@
         let may_probe = set.may_probe && set.reports != Reports::None;
         Self(Rc::new(RefCell::new(State {
             chance: Chance::new(seed),
+            bounds: Bounds::of(set),
             methods: set.methods.iter().map(method).collect(),
             tenants: set.tenants.iter().map(tenant).collect(),
             all_tenants: tenant(&TenantSettings { quota: set.tenants.iter().map(|t| t.quota).sum() }),
-            most_picks: set.most_picks,
-            may_cancel: set.may_cancel,
-            one_out: !set.second_copies,
             may_probe,
-            warm_keys: set.warm_keys,
             probes_queue: may_probe && !set.reports_queue,
-            come_back: set.come_back_max,
             probes_each: worth_probing.clamp(PROBES_LEAST, PROBES_MOST),
             answers_enlist: !(may_probe && worth_probing >= 0.0),
             ask_every: Some(set.ask_within * ASK_AGAIN).filter(|_| set.list_on_request),
             cold: Cold::new(set, COLD_SAFETY),
-            balancers: set.balancers as f64,
-            zone: set.zone,
             stay_home: set.zones as f64 * (set.cross_price / CROSS_PRICE).min(1.0).powi(2),
             room: set.methods.iter().map(|m| method(m).room).fold(f64::INFINITY, f64::min),
             shortest: set.methods.iter().map(|m| m.latency_target).reduce(f64::min).unwrap_or(1.0),
@@ -199,7 +187,7 @@
         }
         if now + TICK >= state.probe_ahead(now) {
             state.probed_ahead = now;
-            let most = usize::from(state.idle.is_empty() && !state.warm_keys);
+            let most = usize::from(state.idle.is_empty() && !state.bounds.warm_keys);
             state.probe(most, &[], link);
         }
         state.serve(link);
@@ -299,16 +287,13 @@
         };
         backend.count(-1, now, MEAN_OVER);
         let late = if how == Outcome::Ok { 1.0 } else { LATE };
-        match ahead {
-            Some(ahead) if matches!(how, Outcome::Ok | Outcome::TimedOut | Outcome::Rejected) => {
-                // The load may have grown meanwhile: guards against a first rush counted as slow backends.
-                let stood = ahead.max(state.load.fading(now, MEAN_OVER)) + 1.0;
-                self.call.method.each.add(took * late / stood, now, state.fade());
-            }
-            None if matches!(how, Outcome::Ok | Outcome::TimedOut | Outcome::Rejected) => {
-                state.listed.add(if how == Outcome::Ok { took / room } else { LATE }, now, state.fade());
-            }
-            _ => {}
+        let measured = matches!(how, Outcome::Ok | Outcome::TimedOut | Outcome::Rejected);
+        if let (Some(ahead), true) = (ahead, measured) {
+            // The load may have grown meanwhile: guards against a first rush counted as slow backends.
+            let stood = ahead.max(state.load.fading(now, MEAN_OVER)) + 1.0;
+            self.call.method.each.add(took * late / stood, now, state.fade());
+        } else if measured {
+            state.listed.add(if how == Outcome::Ok { took / room } else { LATE }, now, state.fade());
         }
         if state.answers_enlist && matches!(how, Outcome::Ok | Outcome::TimedOut) {
             backend.pace.add(took * late, now, MEAN_OVER);
@@ -320,7 +305,6 @@
                 // Guards against a backend that loses some answers, yet seldom three in a row.
                 let forgiven = FORGIVE.max(FORGIVE_TIMES * part / (1.0 - part));
                 backend.fails.set((backend.fails.get().min(FAILS) - forgiven).max(0.0));
-                backend.credit.set(true);
                 state.credit = (state.credit + CREDIT_EARN).min(CREDIT_MAX);
                 state.service.add(took, now, MEAN_OVER);
                 state.answered.add(1.0, now, MEAN_OVER);
@@ -355,11 +339,10 @@
         }
     }
 
-    /// A further pick goes only where there is credit, and not back to where one failed. An answer earns its
-    /// backend one, and the proxy a part of one. Free, lest RPCs be lost with a zone, is what reached nobody.
+    /// A further pick needs credit, unless none reached anybody (a lost zone), and another backend.
     fn earned(&self, to: &Rc<Backend>, credit: f64) -> bool {
-        let free = !self.reached_any() || (credit >= 1.0 && to.credit.get());
-        free && self.picks.borrow().iter().all(|p| !Rc::ptr_eq(&p.backend, to))
+        let paid = !self.reached_any() || credit >= 1.0;
+        paid && self.picks.borrow().iter().all(|p| !Rc::ptr_eq(&p.backend, to))
     }
 }
 
@@ -381,7 +364,7 @@
     fn may_pick(&self, call: &Call, to: &Backend, now: f64) -> bool {
         let picks = call.picks.borrow();
         // 1: one final answer, in time, and nothing after it.
-        let open = !call.over.get() && now < call.deadline && picks.len() < self.most_picks;
+        let open = !call.over.get() && now < call.deadline && picks.len() < self.bounds.most_picks;
         // 2: no effect twice. A pick still out may have run.
         let mut ran = picks.iter().filter(|p| p.may_have_run());
         let harmless = match call.method.set.effect {
@@ -397,7 +380,8 @@
             }),
         };
         // 3: `ready` falls the moment a drain or removal is told. 4: the cold budget.
-        open && !(self.one_out && call.is_out()) && harmless && to.ready.get() && self.cold_room(to, now)
+        let alone = !(self.bounds.one_out && call.is_out());
+        open && alone && harmless && to.ready.get() && self.cold_room(to, now)
     }
 
     /// The one judge of whether a client may be told that trying again is harmless.
@@ -415,10 +399,9 @@
     fn cold_budget(&self, to: &Backend, now: f64) -> Option<(f64, f64)> {
         let work = self.cold.allowed(now - to.started.get()?)?;
         // What one core does, split evenly; or what a warm backend answers here, which sums by itself.
-        let even = 1.0 / (self.service_time() * self.balancers);
-        let own = self.answered.read(now, MEAN_OVER)
-            / MEAN_OVER
-            / self.backends.set(Set::Ready).len().max(1) as f64;
+        let even = 1.0 / (self.service_time() * self.bounds.balancers);
+        let ready = self.backends.set(Set::Ready).len().max(1) as f64;
+        let own = self.answered.read(now, MEAN_OVER) / MEAN_OVER / ready;
         // A part below one pick is one by chance, such that the sum is kept even if every probe of an even
         // split led to a pick. Guards against hundreds of proxies that each send their one.
         let chance = work / COLD_SAFETY / self.cold.window / self.probes_each.max(1.0);
@@ -427,10 +410,9 @@
 
     fn cold_room(&self, to: &Backend, now: f64) -> bool {
         // Half of it as a burst and half as what decays within the window: no window holds more than all.
-        self.cold_budget(to, now).is_none_or(|(budget, chance)| {
-            to.cold_sent.read(now, self.cold.window) < budget / 2.0
-                && to.luck.get() < chance.max(budget / 2.0)
-        })
+        let sent = to.cold_sent.read(now, self.cold.window);
+        let of_it = |(budget, chance): (f64, f64)| (budget / 2.0, chance.max(budget / 2.0));
+        self.cold_budget(to, now).map(of_it).is_none_or(|(most, luck)| sent < most && to.luck.get() < luck)
     }
 
     // The design: Join-Idle-Queue.
@@ -446,16 +428,14 @@
         let held = held.max(backend.out.get() as f64) / backend.size.get();
         self.load.add(held, now, MEAN_OVER);
         backend.luck.set(self.chance.between(0.0, 1.0));
-        let threshold = (self.load.get(0.0) * THRESHOLD).min(self.most_ahead());
-        if held <= threshold || self.probes_queue {
-            // Guards against lists that are always empty, of proxies with a second between RPCs and no probes.
+        if held <= self.load.get(0.0) * THRESHOLD || self.probes_queue {
+            // Guards against lists that are always empty: without probes a proxy has few reports.
             let age = if self.answers_enlist { ENTRY_AGE_MAX } else { self.entry_age() };
             self.enlist(backend, age, now);
         }
     }
 
-    /// Enters a backend for so long, once, behind those that answered no slower. Guards against a hundred
-    /// proxies that each go round all they know: of the few that it needs each keeps the quickest.
+    /// Once, behind those that answered no slower. Guards against proxies that all go round all they know.
     fn enlist(&mut self, backend: &Rc<Backend>, age: f64, now: f64) {
         if backend.ready.get() && backend.healthy(now) && backend.enter(now + age) {
             let place = self.idle.partition_point(|b| b.pace.get(0.0) <= backend.pace.get(0.0));
@@ -463,16 +443,9 @@
         }
     }
 
-    /// RPCs that may stand ahead of one if even the method with the shortest target is to make it.
-    fn most_ahead(&self) -> f64 {
-        let room = |m: &Rc<Method>| m.set.latency_target / m.each.get(0.0) - 2.0;
-        self.methods.iter().map(room).fold(f64::INFINITY, f64::min).max(0.0)
-    }
-
     fn pick_idle(&mut self, call: &Rc<Call>, link: &mut dyn Link) -> bool {
         let now = link.now();
-        // Reports that stand still show idle backends where there are none. Guards against proxies that all
-        // follow them: entries must fit by what those before took, more of them where utility is lower.
+        // Guards against reports that stand still: entries must fit by what those before them took.
         let doubted = self.listed.weighed(now, self.fade(), LIST_FEW) * call.method.room > LIST_ROOM;
         let mut place = 0;
         while place < self.idle.len().min(LOOKS) {
@@ -518,26 +491,23 @@
         let ready = self.backends.set(open);
         // A fleet-wide slowdown must not empty the ready set: with few left, health no longer counts.
         let well = self.backends.set(Set::Well).len() * 3 >= ready.len() && open == Set::Ready;
-        let (all, home) = if well { (Set::Well, Set::WellHome) } else { (open, Set::Zone(self.zone)) };
+        let (all, home) = if well { (Set::Well, Set::WellHome) } else { (open, Set::Zone(self.bounds.zone)) };
         let part = self.backends.set(home).len() as f64 / self.backends.set(all).len() as f64;
         let stays = self.chance.between(0.0, 1.0) < self.stay_home * part;
-        // With none among the well that may be, health no longer counts either.
         let at_home = if stays { self.any_of(home, may) } else { None };
         at_home.or_else(|| self.any_of(all, may)).or_else(|| self.any_of(open, may))
     }
 
-    /// Cells that know a key: first by a hash of both that is the same at every proxy, in proportion to their
-    /// backends. Guards against keys that go round the fleet, each met by many and remembered by none.
+    /// Cells that know a key, the same at every proxy. Guards against keys that go round the whole fleet.
     fn near(&self, key: Option<u64>) -> Vec<Set> {
-        let Some(key) = key.filter(|_| self.warm_keys) else { return Vec::new() };
+        let Some(key) = key.filter(|_| self.bounds.warm_keys) else { return Vec::new() };
         let score = |(cell, most): (u64, usize)| (of_pair(key, cell).ln() / most as f64, cell);
         let mut cells: Vec<_> = self.backends.cells().map(score).collect();
         cells.sort_by(|a, b| b.partial_cmp(a).expect("no NaN"));
         cells.iter().take(HOMES).map(|(_, cell)| Set::Cell(*cell)).collect()
     }
 
-    /// A random one that fits: some are asked, then a stretch from a random place. Guards against a cost that
-    /// grows with the fleet; up to FEW all are looked at.
+    /// A random one that fits: some, then a stretch. Guards against a cost that grows with the fleet.
     fn any_of(&mut self, set: Set, fits: impl Fn(&Self, &Rc<Backend>) -> bool) -> Option<Rc<Backend>> {
         let most = self.backends.set(set).len();
         for _ in 0..if most > FEW { TRIES } else { 0 } {
@@ -562,7 +532,7 @@
         self.backends.put(backend, Set::Zone(zone), ready);
         self.backends.put(backend, Set::Cell(cell), ready);
         self.backends.put(backend, Set::Well, well);
-        self.backends.put(backend, Set::WellHome, well && zone == self.zone);
+        self.backends.put(backend, Set::WellHome, well && zone == self.bounds.zone);
     }
 
     fn relist(&mut self, backend: &Rc<Backend>, now: f64, change: impl FnOnce(&Backend)) {
@@ -593,10 +563,7 @@
 
     fn send(&mut self, call: &Rc<Call>, to: Rc<Backend>, ahead: Option<f64>, link: &mut dyn Link) {
         let now = link.now();
-        if call.reached_any() {
-            to.credit.set(false);
-            self.credit -= 1.0;
-        }
+        self.credit -= f64::from(u8::from(call.reached_any()));
         to.cold_sent.add(1.0, now, self.cold.window);
         to.count(1, now, MEAN_OVER);
         self.file(&to, now);
@@ -617,7 +584,7 @@
         self.cancel_rest(call, link);
         call.over.set(true);
         match self.may_push_back(call) {
-            true => link.push_back(call.id, self.come_back),
+            true => link.push_back(call.id, self.bounds.come_back),
             false => link.abort(call.id),
         }
     }
@@ -625,7 +592,7 @@
     fn cancel_rest(&self, call: &Call, link: &mut dyn Link) {
         let picks = call.picks.borrow();
         let out = picks.iter().enumerate().filter(|(_, p)| p.ended.is_none());
-        let stopped = out.filter(|_| self.may_cancel && !call.streaming.get());
+        let stopped = out.filter(|_| self.bounds.may_cancel && !call.streaming.get());
         stopped.for_each(|(n, _)| link.cancel(call.id, n));
     }
 
@@ -658,13 +625,11 @@
         FADE * self.service_time()
     }
 
-    /// Whether a backend taken blindly would answer in time by what the reports say; what lies beyond a share
-    /// must leave room for others. Guards against everyone waiting past use behind everyone else.
+    /// Whether a draw would answer in time by what is known. Guards against all waiting past use behind all.
     fn in_time(&self, call: &Call, now: f64) -> bool {
         let load = self.load.fading(now, MEAN_OVER) + 1.0;
         let fade = self.fade();
-        // Methods with long targets would fill the backends until those with short ones are shut out: all are
-        // held to the load that the tightest can bear. What is not measured fades, so it is tried again.
+        // Guards against long targets that fill the backends until short ones are shut out.
         let room = |m: &Rc<Method>| m.set.latency_target / m.each.fading(now, fade) / self.room;
         let tightest = self.methods.iter().map(room).fold(f64::INFINITY, f64::min);
         let wait = load * call.method.each.fading(now, fade) * call.method.room;
@@ -706,9 +671,11 @@
         let unseen = |b: &Backend| b.probe_out.get().is_none() && !b.is_listed(now);
         for n in 0..most {
             let set = near.get(n * near.len() / most).copied().unwrap_or(Set::Ready);
-            let paid = self.may_probe && self.probe_tokens >= 1.0;
-            let any = if paid { self.any_of(set, |_, b| b.healthy(now) && unseen(b)) } else { None };
-            let Some(backend) = any else { return };
+            if !self.may_probe || self.probe_tokens < 1.0 {
+                return;
+            }
+            let any = self.any_of(set, |_, b| b.healthy(now) && unseen(b));
+            let Some(backend) = any else { continue };
             backend.probe_out.set(Some(now));
             self.probes_out += 1;
             self.probe_tokens -= 1.0;
@@ -716,8 +683,7 @@
         }
     }
 
-    /// When to probe ahead of RPCs: the less likely one comes before the entry ages out, the less often.
-    /// Guards against proxies with few RPCs that pay several probes for each.
+    /// When to probe ahead of RPCs: seldom if none may come before the entry ages out, lest many pay for few.
     fn probe_ahead(&self, now: f64) -> f64 {
         let coming = self.answered.read(now, MEAN_OVER) / MEAN_OVER * self.entry_age();
         self.probed_ahead + PROBE_EVERY / (1.0 - (-coming).exp())
