--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -754,3 +754,25 @@
     assert!(!counts.ends_with("would be 0"), "{counts}");
     assert_eq!(log.all().len() - before, 90, "one message an RPC and no probe");
 }
+
+/// Guards against keys that a client names and the proxy reads over: no backend would meet one again.
+#[test]
+fn rpcs_with_a_key_keep_to_few_backends() {
+    let log = Log::new(vec![]);
+    let names = ["b0", "b1", "b2", "b3", "b4", "b5", "b6", "b7", "b8", "b9"];
+    let uids: Vec<_> = names.iter().map(|name| format!("s-{name}")).collect();
+    let backends: Vec<_> =
+        uids.iter().zip(names).map(|(uid, name)| (uid.as_str(), echo(name, &log))).collect();
+    let daemon = Daemon::start_with(PROGRAM, &backends, |config| {
+        config["settings"]["extra"] = json!({"warm-keys": true});
+    });
+    let mut client = daemon.client();
+    for n in 0..60 {
+        let plain = rpc("GET", "/read", &format!("n{n}"), "");
+        let keyed =
+            plain.replacen("\r\n", "\r\nRequest-Info: cost-guess-ns=5000000,entity=0004f4187e9284a5\r\n", 1);
+        assert_eq!(client.call(&keyed).unwrap().status(), 200);
+    }
+    let met = names.iter().filter(|name| log.count(&format!("{name} got GET /read")) > 0).count();
+    assert!((1..=3).contains(&met), "{met} of ten backends met the key");
+}
