Test of keys on sockets gives each stand-in a cell of its own

It failed in a fresh clone: all stand-ins stood in one cell (pod_group 3), which a key's RPCs may use whole. With a cell each, at most 3 of 10 meet the key, and all 10 do where the header's entity is read over.

--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -766,6 +766,12 @@
     let daemon = Daemon::start_with(PROGRAM, &backends, |config| {
         config["settings"]["extra"] = json!({"warm-keys": true});
     });
+    let in_its_cell = |(n, (uid, at)): (usize, &(&str, SocketAddr))| {
+        let mut line = line(uid, *at, "Ready");
+        line["pod_group"] = n.into();
+        line
+    };
+    daemon.list.tell_heard(&backends.iter().enumerate().map(in_its_cell).collect::<Vec<_>>());
     let mut client = daemon.client();
     for n in 0..60 {
         let plain = rpc("GET", "/read", &format!("n{n}"), "");
