Same decisions in plainer form: rooms once, no work for warm backends, one watcher call

Read again as a whole; what was found and mended, decisions as they were: - policy.rs built each method twice to find the least room; `cold_room` decayed a sum for warm backends too, on every candidate; `draw` had its own copy of the test that `file` makes (`Backend::is_well` now); `enlist` was handed an age that follows from the shape; the first waiting RPC's cells were copied at each round of probes. - watcher.rs walked all RPCs in flight after each event to find those that are over, and copied what was asked for: now the one that the event is about, and by reference. `pass` and the second clock in `Core::wake` are gone. `Core::ended` carried `over` out of a closure. - settings and config: names of queue fields, figures of a part, and what sockets force on settings each stood twice. - `Arrival` has a default, so a new field does not touch six literals.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -95,15 +95,7 @@
         let (id, method) = (self.next, (self.next % 2) as usize);
         self.next += 1;
         let deadline = self.platform.now + 1.0;
-        let arrival = Arrival {
-            id,
-            method,
-            tenant: None,
-            deadline,
-            expected_work: None,
-            client_repeat: false,
-            key: None,
-        };
+        let arrival = Arrival { id, method, deadline, ..Arrival::default() };
         let rpc = self.balancer.take(&arrival, &mut self.platform);
         while self.platform.picked.is_none() && !self.platform.probed.is_empty() {
             for backend in std::mem::take(&mut self.platform.probed) {
@@ -152,15 +144,7 @@
     for waiting in [1, 100, 1_000] {
         let mut bench = Bench::new(100, Reports::ByProbe);
         let deadline = bench.platform.now + 60.0;
-        let arrival = |id| Arrival {
-            id,
-            method: 0,
-            tenant: None,
-            deadline,
-            expected_work: None,
-            client_repeat: false,
-            key: None,
-        };
+        let arrival = |id| Arrival { id, deadline, ..Arrival::default() };
         let mut rpcs: Vec<_> =
             (0..waiting).map(|n| bench.balancer.take(&arrival(1 << 40 | n), &mut bench.platform)).collect();
         let busy = Some(LoadReport { in_flight: Some(9.0), ..LoadReport::default() });
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -79,9 +79,17 @@
     text.parse().map_err(|_| format!("{variable} is not an address and port: {text}"))
 }
 
+/// Settings at a path. On sockets nothing comes unasked, whatever the simulator does: guards against a list
+/// never followed.
+fn shape(value: &Value, path: &str) -> Result<Conf, String> {
+    let mut conf = birchhub_settings::read_value(value).map_err(|e| format!("{path}{e}"))?;
+    conf.settings.list_on_request = true;
+    Ok(conf)
+}
+
 /// The settings to be watched, which must speak of the same RPCs.
 fn watched(value: &Value, conf: &Conf) -> Result<Settings, String> {
-    let mut watch = birchhub_settings::read_value(value).map_err(|e| format!("watch.{e}"))?;
+    let watch = shape(value, "watch.")?;
     let same = [
         ("methods", watch.methods == conf.methods),
         ("accounts", watch.tenants == conf.tenants),
@@ -90,7 +98,6 @@
     if let Some((path, _)) = same.iter().find(|(_, same)| !same) {
         return Err(format!("watch.{path} has other names than settings.{path}"));
     }
-    watch.settings.list_on_request = true;
     Ok(watch.settings)
 }
 
@@ -103,9 +110,7 @@
     let settings = file.get("settings").ok_or("settings is missing in LB_CONFIG")?;
     let limit = |key| file.get("limits").and_then(|limits| limits.get(key)).and_then(Value::as_u64);
     let bearable = limit("memory_mb").map_or(u64::MAX, |mb| (mb << 20) / SOCKET_NEEDS);
-    let mut conf = birchhub_settings::read_value(settings).map_err(|e| format!("settings: {e}"))?;
-    // On sockets nothing comes unasked, whatever the simulator does: guards against a list never followed.
-    conf.settings.list_on_request = true;
+    let conf = shape(settings, "settings: ")?;
     let watch =
         file.get("watch").filter(|watch| !watch.is_null()).map(|watch| watched(watch, &conf)).transpose()?;
     // Guards against a fleet that can't start for a copy of a list that is replaced a moment later anyway.
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -209,19 +209,13 @@
 
     /// Wakes those who asked for it by now. Both are held to one reading of the clock.
     fn wake(&mut self, first: bool) {
-        let now = self.door.clock.now();
         if first {
             self.door.wake_at = None;
             self.call(|core| core.balancer.wake(&mut core.door));
+        } else {
+            self.door.now = self.door.clock.now();
         }
-        self.watch(|watch, now_of_first, asked| {
-            let now = if first { now_of_first } else { now };
-            if watch.wake_at().is_some_and(|at| at <= now) {
-                watch.wake(now, asked);
-            } else {
-                watch.pass(asked);
-            }
-        });
+        self.watch(|watch, now, asked| watch.wake(now, asked));
     }
 
     /// Lets the watcher hear what the first instance heard in the last call, if there is one.
@@ -348,7 +342,8 @@
     fn ended(&mut self, id: u64, pick: usize, outcome: Outcome, report: Option<LoadReport>, body: Bytes) {
         log::trace!("RPC {id}: pick {pick} {outcome:?}");
         let outcome = self.told(outcome, Outcome::Cancelled);
-        let mut was_over = false;
+        // An answer that is ok ends it; it goes to the client below.
+        let over = outcome == Outcome::Ok || self.door.held.get(&id).is_none_or(|held| held.answer.is_none());
         self.on_rpc(id, |rpc, door| {
             if let Some(held) = door.held.get_mut(&id) {
                 held.picks[pick] = None;
@@ -356,11 +351,9 @@
             if outcome == Outcome::Ok {
                 door.give(id, Answer::Ok(body));
             }
-            let over = door.held.get(&id).is_none_or(|held| held.answer.is_none());
-            was_over = over;
             rpc.ended(pick, outcome, over, report, door);
         });
-        self.watch(|watch, now, asked| watch.ended(now, asked, (id, pick), outcome, was_over, report));
+        self.watch(|watch, now, asked| watch.ended(now, asked, (id, pick), outcome, over, report));
     }
 
     fn news(&mut self, news: &News) {
--- a/crates/daemon/src/watcher.rs
+++ b/crates/daemon/src/watcher.rs
@@ -31,6 +31,9 @@
     pub fn probe(&mut self) {
         self.probes += 1;
     }
+    fn on(&self, rpc: u64) -> &[Act] {
+        self.acts.get(&rpc).map_or(&[], Vec::as_slice)
+    }
 }
 
 /// The watcher's door: notes and sends nothing.
@@ -66,7 +69,7 @@
 }
 
 /// RPCs over which the two parted, by kind: what was done, and what the watcher would have done.
-#[derive(Debug, Default, PartialEq)]
+#[derive(Debug, Default)]
 struct Counts {
     compared: u64,
     held: u64,        // picked, where the watcher would have let it wait
@@ -121,41 +124,38 @@
         self.notes.wake_at
     }
 
+    /// One of the two was woken; the watcher, if it asked for that by now.
     pub fn wake(&mut self, now: f64, first: Asked) {
-        self.notes.wake_at = None;
-        self.hear(now, first, |watch| watch.balancer.wake(&mut watch.notes));
-    }
-
-    /// The first asked for something that the watcher has no part in.
-    pub fn pass(&mut self, first: Asked) {
-        self.hear(self.notes.now, first, |_| {});
+        let due = self.notes.wake_at.take_if(|at| *at <= now).is_some();
+        self.hear(now, first, None, |watch| {
+            if due {
+                watch.balancer.wake(&mut watch.notes);
+            }
+        });
     }
 
     pub fn list(&mut self, now: f64, first: Asked, kind: ListKind, entries: &[Entry]) {
-        self.hear(now, first, |watch| watch.balancer.list(kind, entries, &mut watch.notes));
+        self.hear(now, first, None, |watch| watch.balancer.list(kind, entries, &mut watch.notes));
     }
 
     pub fn list_failed(&mut self, now: f64, first: Asked) {
-        self.hear(now, first, |watch| watch.balancer.list_failed(&mut watch.notes));
+        self.hear(now, first, None, |watch| watch.balancer.list_failed(&mut watch.notes));
     }
 
     pub fn probed(&mut self, now: f64, first: Asked, backend: u32, how: Outcome, report: Option<LoadReport>) {
-        self.hear(now, first, |watch| watch.balancer.probed(backend, how, report, &mut watch.notes));
+        self.hear(now, first, None, |watch| watch.balancer.probed(backend, how, report, &mut watch.notes));
     }
 
     pub fn take(&mut self, now: f64, first: Asked, arrival: &Arrival) {
         self.counts.compared += 1;
-        self.hear(now, first, |watch| {
+        self.hear(now, first, Some(arrival.id), |watch| {
             let rpc = watch.balancer.take(arrival, &mut watch.notes);
             watch.rpcs.insert(arrival.id, Alike { rpc, picks: 0 });
         });
     }
 
     pub fn hung_up(&mut self, now: f64, first: Asked, id: u64) {
-        self.hear(now, first, |watch| {
-            let Some(alike) = watch.rpcs.get(&id) else { return };
-            alike.rpc.hung_up(&mut watch.notes);
-        });
+        self.on_rpc(now, first, id, |rpc, notes| rpc.hung_up(notes));
     }
 
     pub fn ended(
@@ -167,33 +167,39 @@
         over: bool,
         report: Option<LoadReport>,
     ) {
-        self.hear(now, first, |watch| {
-            let Some(alike) = watch.rpcs.get(&id) else { return };
-            alike.rpc.ended(pick, how, over, report, &mut watch.notes);
+        self.on_rpc(now, first, id, |rpc, notes| rpc.ended(pick, how, over, report, notes));
+    }
+
+    fn on_rpc(&mut self, now: f64, first: Asked, id: u64, act: impl FnOnce(&Rpc, &mut Notes)) {
+        self.hear(now, first, Some(id), |watch| {
+            if let Some(alike) = watch.rpcs.get(&id) {
+                act(&alike.rpc, &mut watch.notes);
+            }
         });
     }
 
-    /// Lets the watcher hear what the first instance has just heard, and compares what they asked for.
-    fn hear(&mut self, now: f64, first: Asked, act: impl FnOnce(&mut Self)) {
+    /// Lets the watcher hear what the first instance has just heard, of one RPC or of none, and compares what
+    /// they asked for.
+    fn hear(&mut self, now: f64, first: Asked, about: Option<u64>, act: impl FnOnce(&mut Self)) {
         self.notes.now = now;
         act(self);
         let own = std::mem::take(&mut self.notes.asked);
         self.counts.probes += first.probes;
         self.counts.watcher_probes += own.probes;
-        let touched: BTreeSet<u64> = first.acts.keys().chain(own.acts.keys()).copied().collect();
+        let touched: BTreeSet<u64> = first.acts.keys().chain(own.acts.keys()).copied().chain(about).collect();
         for id in touched {
-            let of = |asked: &Asked| asked.acts.get(&id).cloned().unwrap_or_default();
-            let (did, would) = (of(&first), of(&own));
+            let (did, would) = (first.on(id), own.on(id));
             // One that is not there they have parted over.
             let Some(alike) = self.rpcs.get_mut(&id) else { continue };
             let before = alike.picks;
             alike.picks += would.iter().filter(|act| matches!(act, Act::Pick(_))).count();
             if did != would {
-                self.count(&did, &would, before > 0);
+                self.count(did, would, before > 0);
                 self.part(id);
+            } else if alike.rpc.is_over() {
+                self.rpcs.remove(&id);
             }
         }
-        self.rpcs.retain(|_, alike| !alike.rpc.is_over());
         if Instant::now() >= self.tell_at {
             self.tell_at = Instant::now() + TELL_EVERY;
             log::info!("{}", self.counts);
@@ -219,7 +225,8 @@
     }
 
     /// The watcher can't hear how this RPC would have gone on: it ends there as if the client had left. So do
-    /// those that it would have sent to the places that come free: nobody decided on that difference.
+    /// those that it would have sent to the places that come free: nobody decided on that difference. Such a
+    /// pick is not counted yet, hence one number more.
     fn part(&mut self, id: u64) {
         let mut parted = vec![id];
         while let Some(id) = parted.pop() {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -3,6 +3,10 @@
 use birchhub::types::{Effect, Group, LoadReport, MethodSettings, Reports, Settings, TenantSettings};
 use serde_json::Value;
 
+// Fields of a load report that tell of a queue, as the settings and as the protocol page name them.
+const IN_FLIGHT: [&str; 2] = ["concurrent", "inflight"];
+const QUEUED: [&str; 2] = ["depth", "queue"];
+
 pub struct Conf {
     pub settings: Settings,
     pub methods: Vec<String>,
@@ -109,7 +113,8 @@
         true => ceilings.num_or("max-retry-after-ns", 0.0)? / 1e9,
         false => 0.0,
     };
-    let reports = match conf.opt("report").and_then(|r| r.opt("how")) {
+    let report = |key: &str| conf.opt("report").and_then(|r| r.opt(key));
+    let reports = match report("how") {
         None => Reports::None,
         Some(how) => match how.text()? {
             "answers" => Reports::InAnswers,
@@ -117,11 +122,11 @@
             _ => Reports::None,
         },
     };
-    let fields = conf.opt("report").and_then(|r| r.opt("fields")).map(|f| f.names()).transpose()?;
+    let fields = report("fields").map(|f| f.names()).transpose()?;
+    let tells_queue = |name: &String| IN_FLIGHT.contains(&name.as_str()) || QUEUED.contains(&name.as_str());
     let weight_source = conf.opt("weight-source").map_or(Ok("none"), |at| at.text())?;
     let mode = conf.opt("membership-mode").map_or(Ok("pushed"), |at| at.text())?;
-    let price = |key: &str| conf.opt("penalties").map_or(Ok(0.0), |p| p.num_or(key, 0.0));
-    let goal = |key: &str| conf.opt("goal").map_or(Ok(0.0), |p| p.num_or(key, 0.0));
+    let figure = |part: &str, key: &str| conf.opt(part).map_or(Ok(0.0), |p| p.num_or(key, 0.0));
     let zones = conf.opt("failure-domains").map_or(Ok(Vec::new()), |at| at.names())?;
     let own = conf.opt("my-zone").map_or(Ok(""), |at| at.text())?;
     let settings = Settings {
@@ -134,16 +139,14 @@
         warm_keys: conf.opt("extra").and_then(|e| e.opt("warm-keys")).map_or(Ok(false), |at| at.flag())?,
         second_copies: ceiling("second-copies")?,
         come_back_max,
-        probe_price: price("probe")?,
-        cross_price: price("cross-zone")?,
+        probe_price: figure("penalties", "probe")?,
+        cross_price: figure("penalties", "cross-zone")?,
         zone: zones.iter().position(|z| z == own).unwrap_or(zones.len()),
         zones: zones.len(),
-        log_loss_part: goal("log-loss-part")?,
-        nines_wanted: goal("nines-wanted")?,
+        log_loss_part: figure("goal", "log-loss-part")?,
+        nines_wanted: figure("goal", "nines-wanted")?,
         reports,
-        reports_queue: fields.is_none_or(|f| {
-            f.iter().any(|f| matches!(f.as_str(), "concurrent" | "inflight" | "depth" | "queue"))
-        }),
+        reports_queue: fields.is_none_or(|fields| fields.iter().any(tells_queue)),
         list_on_request: mode == "on_request",
         ask_within: contract.num_or("ask-within-ns", 10e9)? / 1e9,
         drain_grace: contract.get("drain-grace-ns")?.seconds()?,
@@ -179,8 +182,8 @@
     for pair in text.trim().split(',') {
         let (name, value) = pair.split_once(mark).ok_or_else(|| format!("is not name{mark}value: {pair}"))?;
         let slot = match name.trim() {
-            "concurrent" | "inflight" => &mut load.in_flight,
-            "depth" | "queue" => &mut load.queued,
+            name if IN_FLIGHT.contains(&name) => &mut load.in_flight,
+            name if QUEUED.contains(&name) => &mut load.queued,
             "load_share" | "util" => &mut load.utilisation,
             _ => continue,
         };
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -110,6 +110,7 @@
             let room = each * (best / m.utility).max(1.0).sqrt();
             Rc::new(Method { set: m.clone(), room, each: Mean::default() })
         };
+        let methods: Vec<_> = set.methods.iter().map(method).collect();
         let tenant = |t: &TenantSettings| {
             // Guards against a small tenant that seems over its share because two of its RPCs came together.
             let each = set.balancers as f64 / t.quota;
@@ -123,7 +124,8 @@
         Self(Rc::new(RefCell::new(State {
             chance: Chance::new(seed),
             bounds: Bounds::of(set),
-            methods: set.methods.iter().map(method).collect(),
+            room: methods.iter().map(|m| m.room).fold(f64::INFINITY, f64::min),
+            methods,
             tenants: set.tenants.iter().map(tenant).collect(),
             all_tenants: tenant(&TenantSettings { quota: set.tenants.iter().map(|t| t.quota).sum() }),
             may_probe,
@@ -133,7 +135,6 @@
             ask_every: Some(set.ask_within * ASK_AGAIN).filter(|_| set.list_on_request),
             cold: Cold::new(set, COLD_SAFETY),
             stay_home: set.zones as f64 * (set.cross_price / CROSS_PRICE).min(1.0).powi(2),
-            room: set.methods.iter().map(|m| method(m).room).fold(f64::INFINITY, f64::min),
             shortest: set.methods.iter().map(|m| m.latency_target).reduce(f64::min).unwrap_or(1.0),
             probe_tokens: PROBE_FEW as f64,
             ..State::default()
@@ -311,7 +312,7 @@
                 state.report(&backend, report, None, now);
                 // Guards against blind draws of proxies that each see too little to pay for probes.
                 if state.answers_enlist && report.is_none() {
-                    state.enlist(&backend, ENTRY_AGE_MAX, now);
+                    state.enlist(&backend, now);
                 }
             }
             Outcome::Cancelled | Outcome::NeverSent | Outcome::Rejected => {}
@@ -352,8 +353,9 @@
         self.fails.get() < FAILS || (now >= self.rest_until.get() && self.out.get() == 0)
     }
 
-    fn crowded(&self) -> bool {
-        self.out.get() as f64 > self.mean_out.get(0.0) * SKIP_TIMES + SKIP_PLUS
+    fn is_well(&self, now: f64) -> bool {
+        let crowded = self.out.get() as f64 > self.mean_out.get(0.0) * SKIP_TIMES + SKIP_PLUS;
+        self.healthy(now) && !crowded
     }
 }
 
@@ -410,9 +412,9 @@
 
     fn cold_room(&self, to: &Backend, now: f64) -> bool {
         // Half of it as a burst and half as what decays within the window: no window holds more than all.
+        let Some((budget, chance)) = self.cold_budget(to, now) else { return true };
         let sent = to.cold_sent.read(now, self.cold.window);
-        let of_it = |(budget, chance): (f64, f64)| (budget / 2.0, chance.max(budget / 2.0));
-        self.cold_budget(to, now).map(of_it).is_none_or(|(most, luck)| sent < most && to.luck.get() < luck)
+        sent < budget / 2.0 && to.luck.get() < chance.max(budget / 2.0)
     }
 
     // The design: Join-Idle-Queue.
@@ -429,14 +431,14 @@
         self.load.add(held, now, MEAN_OVER);
         backend.luck.set(self.chance.between(0.0, 1.0));
         if held <= self.load.get(0.0) * THRESHOLD || self.probes_queue {
-            // Guards against lists that are always empty: without probes a proxy has few reports.
-            let age = if self.answers_enlist { ENTRY_AGE_MAX } else { self.entry_age() };
-            self.enlist(backend, age, now);
+            self.enlist(backend, now);
         }
     }
 
     /// Once, behind those that answered no slower. Guards against proxies that all go round all they know.
-    fn enlist(&mut self, backend: &Rc<Backend>, age: f64, now: f64) {
+    fn enlist(&mut self, backend: &Rc<Backend>, now: f64) {
+        // Guards against lists that are always empty: without probes a proxy has few reports.
+        let age = if self.answers_enlist { ENTRY_AGE_MAX } else { self.entry_age() };
         if backend.ready.get() && backend.healthy(now) && backend.enter(now + age) {
             let place = self.idle.partition_point(|b| b.pace.get(0.0) <= backend.pace.get(0.0));
             self.idle.insert(place, backend.clone());
@@ -483,9 +485,9 @@
     fn draw(&mut self, call: &Rc<Call>, now: f64) -> Option<Rc<Backend>> {
         let may = |s: &Self, b: &Rc<Backend>| s.may_pick(call, b, now) && call.earned(b, s.credit);
         let open = call.open_to();
-        let calm = |s: &Self, b: &Rc<Backend>| may(s, b) && b.healthy(now) && !b.crowded();
-        let near = call.near.iter().filter(|_| open == Set::Ready);
-        if let Some(backend) = near.into_iter().find_map(|cell| self.any_of(*cell, calm)) {
+        let near: &[Set] = if open == Set::Ready { &call.near } else { &[] };
+        let both = |s: &Self, b: &Rc<Backend>| may(s, b) && b.is_well(now);
+        if let Some(backend) = near.iter().find_map(|cell| self.any_of(*cell, both)) {
             return Some(backend);
         }
         let ready = self.backends.set(open);
@@ -527,7 +529,7 @@
     fn file(&mut self, backend: &Rc<Backend>, now: f64) {
         let ready = backend.ready.get();
         let (zone, cell) = (backend.zone.get(), backend.cell.get());
-        let well = ready && backend.healthy(now) && !backend.crowded();
+        let well = ready && backend.is_well(now);
         self.backends.put(backend, if ready { Set::Ready } else { Set::Unready }, true);
         self.backends.put(backend, Set::Zone(zone), ready);
         self.backends.put(backend, Set::Cell(cell), ready);
@@ -563,7 +565,7 @@
 
     fn send(&mut self, call: &Rc<Call>, to: Rc<Backend>, ahead: Option<f64>, link: &mut dyn Link) {
         let now = link.now();
-        self.credit -= f64::from(u8::from(call.reached_any()));
+        self.credit -= if call.reached_any() { 1.0 } else { 0.0 };
         to.cold_sent.add(1.0, now, self.cold.window);
         to.count(1, now, MEAN_OVER);
         self.file(&to, now);
@@ -647,10 +649,9 @@
                 false => passed += 1,
             }
         }
-        if !self.waiting.is_empty() && now >= self.probe_next {
+        if let Some(first) = self.waiting.after(None).filter(|_| now >= self.probe_next) {
             self.probe_next = now + PROBE_GAP * self.service_time();
-            let near = self.waiting.after(None).map_or(Vec::new(), |call| call.near.clone());
-            self.probe(PROBE_FEW, &near, link);
+            self.probe(PROBE_FEW, &first.near, link);
         }
         let probing = self.probe_tokens >= 1.0 || self.probes_out > 0 || self.backends.is_empty();
         let until = if probing { now } else { f64::INFINITY };
@@ -665,7 +666,7 @@
 
     // Mechanism 6: list following and probing.
 
-    /// Probes a few random backends: each interval, and at once when an RPC finds the list empty.
+    /// Probes a few random backends, near ones if told: each interval, and when an RPC finds the list empty.
     fn probe(&mut self, most: usize, near: &[Set], link: &mut dyn Link) {
         let now = link.now();
         let unseen = |b: &Backend| b.probe_out.get().is_none() && !b.is_listed(now);
@@ -674,8 +675,7 @@
             if !self.may_probe || self.probe_tokens < 1.0 {
                 return;
             }
-            let any = self.any_of(set, |_, b| b.healthy(now) && unseen(b));
-            let Some(backend) = any else { continue };
+            let Some(backend) = self.any_of(set, |_, b| b.healthy(now) && unseen(b)) else { continue };
             backend.probe_out.set(Some(now));
             self.probes_out += 1;
             self.probe_tokens -= 1.0;
--- a/src/types.rs
+++ b/src/types.rs
@@ -77,7 +77,7 @@
 }
 
 /// An RPC as it comes in. `method` and `tenant` are places in the settings' lists.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Arrival {
     pub id: u64,
     pub method: usize,
--- a/src/waiting.rs
+++ b/src/waiting.rs
@@ -75,9 +75,7 @@
         let set =
             MethodSettings { effect, latency_target: 1.0, target_stretch: 0.0, utility, late_utility: 0.0 };
         let method = Rc::new(Method { set, room: 1.0, each: Mean::default() });
-        let (tenant, expected_work) = (None, None);
-        let arrival =
-            Arrival { id, method: 0, tenant, deadline: 9.0, expected_work, client_repeat: false, key: None };
+        let arrival = Arrival { id, deadline: 9.0, ..Arrival::default() };
         Rc::new(Call::new(&arrival, method, share, 9.0, hold_until, Vec::new()))
     }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -204,22 +204,11 @@
     }
 
     pub fn take_as(&mut self, method: usize, left: f64, tenant: Option<usize>, client_repeat: bool) -> u64 {
-        self.take_any(Arrival {
-            id: 0,
-            method,
-            tenant,
-            deadline: left,
-            expected_work: None,
-            client_repeat,
-            key: None,
-        })
+        self.take_any(Arrival { method, tenant, deadline: left, client_repeat, ..Arrival::default() })
     }
 
     pub fn take_keyed(&mut self, key: u64) -> u64 {
-        let (tenant, expected_work, key) = (None, None, Some(key));
-        let of_method_0 =
-            Arrival { id: 0, method: 0, tenant, deadline: 0.5, expected_work, client_repeat: false, key };
-        self.take_any(of_method_0)
+        self.take_any(Arrival { deadline: 0.5, key: Some(key), ..Arrival::default() })
     }
 
     /// Its id is given here, and its deadline counts from now.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -324,7 +324,7 @@
     assert_ne!(served_by(9.0), light, "with nine RPCs it is no idle backend, whatever it answered");
 }
 
-/// With keys: three cells of four each, what a backend does is told by how long probes take.
+/// With keys: ten cells of four each, what a backend does is told by how long probes take.
 fn keyed(seed: u64) -> Proxy {
     let conf = Settings {
         warm_keys: true,
