Second address: maintenance of backends and standby by calls, in force before the yes

Cause: no second address. A test met a fault of its first form: a ban in the first half second stopped the first list call, as the module took it for news of the list; ListKind::Ordered says nothing of the list service. A new start voids an idle entry.

--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -14,6 +14,8 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// The second address, for staff and the platform.
+    pub management: Option<SocketAddr>,
     pub seed: u64,
     pub sockets: usize,
     pub known: Option<News>,
@@ -79,6 +81,15 @@
     text.parse().map_err(|_| format!("{variable} is not an address and port: {text}"))
 }
 
+/// An address that may be missing.
+fn optional(file: &Value, key: &str, variable: &str) -> Result<Option<SocketAddr>, String> {
+    match file.get(key) {
+        Some(Value::Null) | None if std::env::var_os(variable).is_none() => Ok(None),
+        Some(Value::Null | Value::String(_)) | None => address(file, key, variable).map(Some),
+        Some(other) => Err(format!("{key} is not a text in LB_CONFIG: {other}")),
+    }
+}
+
 /// Settings at a path. On sockets nothing comes unasked, whatever the simulator does: guards against a list
 /// never followed.
 fn shape(value: &Value, path: &str) -> Result<Conf, String> {
@@ -120,6 +131,7 @@
         name: text(&file, "name", "LB_NAME")?,
         listen: address(&file, "listen", "LB_LISTEN")?,
         discovery: address(&file, "discovery", "LB_DISCOVERY")?,
+        management: optional(&file, "management", "LB_MANAGEMENT")?,
         seed: u64::from_str_radix(seed, 16).map_err(|_| format!("seed is not a hex number: {seed}"))?,
         sockets: limit("sockets").unwrap_or(1024).min(bearable) as usize,
         known,
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -3,9 +3,10 @@
 use crate::answer::Answer;
 use crate::backend::{Backend, Errand, Facts, Job, Limits, Stop, Ticket};
 use crate::config::{Clock, Config, until};
-use crate::discovery::News;
+use crate::discovery::{Listed, News};
 use crate::intake::{Message, Received};
 use crate::sockets::Budget;
+use crate::standing::{Standing, Standings};
 use crate::watcher::{Act, Asked, Watch};
 use birchhub::policy::{Balancer, Rpc};
 use birchhub::types::{Arrival, Entry, Link, ListKind, LoadReport, Outcome, Readiness};
@@ -15,7 +16,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::select;
-use tokio::sync::{Notify, mpsc, oneshot};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep_until};
 
 pub const MAILBOX: usize = 8192; // messages: one kept free for the end of each RPC, pick and probe
@@ -137,8 +138,11 @@
     sized: bool,
     limits: Limits,
     budget: Rc<Budget>,
-    beat: Instant,    // by when the core is busy again
-    stopped: Instant, // until when it was not, the last time
+    standings: Rc<Standings>,
+    standing: watch::Receiver<Standing>,
+    listed: HashMap<String, Listed>, // the last line of each backend that is not gone
+    beat: Instant,                   // by when the core is busy again
+    stopped: Instant,                // until when it was not, the last time
 }
 
 impl Core {
@@ -148,6 +152,7 @@
         budget: Rc<Budget>,
         core: mpsc::Sender<ToCore>,
         wanted: Rc<Notify>,
+        standings: Rc<Standings>,
     ) -> Self {
         let conf = &config.conf;
         let door = Door {
@@ -176,6 +181,9 @@
                 idle: Duration::from_secs_f64(conf.idle_limit),
             },
             budget,
+            standing: standings.reader(),
+            standings,
+            listed: HashMap::new(),
             beat: Instant::now() + BEAT,
             stopped: Instant::now(),
         };
@@ -197,6 +205,7 @@
             }
             select! {
                 biased;
+                Ok(()) = self.standing.changed() => self.ordered(),
                 message = mailbox.recv() => match message {
                     Some(message) => self.hear(message),
                     None => return,
@@ -356,14 +365,37 @@
         self.watch(|watch, now, asked| watch.ended(now, asked, (id, pick), outcome, over, report));
     }
 
+    /// Tells the module anew of the backends whose bans have changed, and then that it is done.
+    fn ordered(&mut self) {
+        self.keep_time();
+        let (order, bans) = {
+            let now = self.standing.borrow_and_update();
+            (now.order, now.bans.clone())
+        };
+        let listed: Vec<_> = bans.keys().filter_map(|name| self.listed.get(name)).cloned().collect();
+        if !listed.is_empty() {
+            self.news(&News { version: 0, kind: ListKind::Ordered, listed });
+        }
+        self.standings.carried_out(order);
+    }
+
     fn news(&mut self, news: &News) {
-        if news.kind != ListKind::Changes {
+        if news.kind.is_whole() {
+            let named: HashSet<_> = news.listed.iter().map(|l| l.uid.as_str()).collect();
+            self.listed.retain(|name, _| named.contains(name.as_str()));
             let known = news.listed.iter().filter_map(|l| self.numbers.get(&l.uid));
             let listed: HashSet<_> = known.map(|(number, _)| *number).collect();
             self.door.backends.retain(|number, _| listed.contains(number));
         }
         let (mut entries, now) = (Vec::new(), Instant::now());
         for listed in &news.listed {
+            match listed.readiness {
+                Readiness::Gone => drop(self.listed.remove(&listed.uid)),
+                _ => drop(self.listed.insert(listed.uid.clone(), listed.clone())),
+            }
+            // The one place where a ban counts: all that follows takes the backend for what this says.
+            let (readiness, boot_ms) =
+                self.standing.borrow().tells(&listed.uid, listed.readiness, listed.boot_ms);
             let number = || {
                 self.next += 1;
                 (self.next - 1, now)
@@ -371,8 +403,8 @@
             let (backend, heard) = self.numbers.entry(listed.uid.clone()).or_insert_with(number);
             *heard = now;
             let backend = *backend;
-            let facts = Facts { endpoint: listed.endpoint, ready: listed.readiness == Readiness::Ready };
-            if listed.readiness == Readiness::Gone {
+            let facts = Facts { endpoint: listed.endpoint, ready: readiness == Readiness::Ready };
+            if readiness == Readiness::Gone {
                 self.door.backends.remove(&backend);
             } else if let Some(known) = self.door.backends.get(&backend) {
                 known.facts.send_replace(facts);
@@ -380,16 +412,16 @@
                 self.door.backends.insert(backend, Backend::start(facts, self.limits, self.budget.clone()));
             }
             let size = if self.sized { listed.size } else { 1.0 };
-            let started = self.door.clock.unix_ms(listed.boot_ms);
+            let started = self.door.clock.unix_ms(boot_ms);
             // One of no known zone or cell shares it with nobody: it may not drop another's repeats.
             let zone = self.zones.iter().position(|z| *z == listed.zone);
             let zone = zone.unwrap_or(self.zones.len() + backend as usize);
             let cell = listed.cell.unwrap_or(u64::MAX - u64::from(backend));
-            entries.push(Entry { backend, size, started, cell, zone, readiness: listed.readiness });
+            entries.push(Entry { backend, size, started, cell, zone, readiness });
         }
         let backends = &self.door.backends;
         self.numbers.retain(|_, (number, heard)| backends.contains_key(number) || now < *heard + FORGET);
-        if !news.listed.is_empty() {
+        if !news.listed.is_empty() && news.kind != ListKind::Ordered {
             log::info!("list version {}: {} lines, {:?}", news.version, news.listed.len(), news.kind);
         }
         self.call(|core| core.balancer.list(news.kind, &entries, &mut core.door));
--- a/crates/daemon/src/discovery.rs
+++ b/crates/daemon/src/discovery.rs
@@ -2,6 +2,7 @@
 //! connection and never more than one call out; what it hears goes to the core's mailbox.
 use crate::core::ToCore;
 use crate::sockets::{Budget, Conn, Part};
+use crate::standing::Standings;
 use birchhub::types::{ListKind, Readiness};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -90,8 +91,8 @@
     /// The module asks to be told of changes.
     pub wanted: Rc<Notify>,
     pub version: Option<u64>,
-    /// Set with the first answer.
-    pub heard: Rc<Cell<bool>>,
+    /// Told of the first answer, and of all names.
+    pub standings: Rc<Standings>,
 }
 
 impl Discovery {
@@ -156,7 +157,8 @@
             };
             silent = false;
             self.version = Some(news.version);
-            self.heard.set(true);
+            self.standings.listed(news.listed.iter().map(|listed| listed.uid.as_str()));
+            self.standings.set_ready();
             if self.core.send(ToCore::News(news)).await.is_err() {
                 return "the core has ended".into();
             }
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -1,8 +1,10 @@
 //! Connections of clients: accepting them, and one RPC at a time on each.
 use crate::answer::Answer;
+use crate::config::until;
 use crate::core::ToCore;
 use crate::intake::{Intake, Received};
-use crate::sockets::{Budget, Offer, Part, Place, Spare, Watched, Witness};
+use crate::sockets::{Budget, Offer, Part, Place, Spare, Watched, Witness, linger};
+use crate::standing::Standing;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -17,11 +19,10 @@
 use std::future::pending;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::select;
 use tokio::sync::mpsc::{self, OwnedPermit};
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
@@ -30,25 +31,14 @@
 const IDLE_TIME: Duration = Duration::from_secs(10); // between messages: usual clients come again far sooner
 const LATE_MOST: usize = 16; // connections beyond the budget that are still told to come back
 const FRESH: Duration = Duration::from_secs(1); // for a connection's first head before it may be given up
-const LINGER_TIME: Duration = Duration::from_millis(500); // for a refused client to read that ...
-const LINGER_MOST: usize = 4 << 20; // ... and bytes of what it may go on sending meanwhile
+const LINGER_TIME: Duration = Duration::from_millis(500); // for a refused client to read that
+const SETTLE: Duration = Duration::from_millis(300); // for a new connection to bring its RPC, also where all are to go
 const CLOSE_TIME: Duration = Duration::from_millis(50); // for a given-up connection to end of itself
 const BREATHE: Duration = Duration::from_millis(10); // before accepting again where no socket is to be had
 
-/// Where this proxy stands in its life.
-#[derive(Default)]
-pub struct Life {
-    /// RPCs can be decided.
-    pub ready: Rc<Cell<bool>>,
-    /// SIGTERM has come.
-    pub stopping: Cell<bool>,
-    /// Used when no more connections come: idle ones are to end.
-    pub closing: Notify,
-}
-
 pub struct Front {
     pub intake: Intake,
-    pub life: Rc<Life>,
+    pub standing: watch::Receiver<Standing>,
     pub budget: Rc<Budget>,
     pub core: mpsc::Sender<ToCore>,
     pub next: Cell<u64>,
@@ -76,12 +66,22 @@
     }
 }
 
+/// What a client's connection is at.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Phase {
+    /// It has said nothing yet.
+    Fresh,
+    /// Between messages.
+    Between,
+    /// It has brought a part of a head.
+    Half,
+    /// It has brought a whole head that is not answered yet.
+    Busy,
+}
+
 /// A client's connection, as its clock, the budget and the end of this proxy see it.
 struct Line {
-    /// It has brought a whole head that is not answered yet.
-    busy: Cell<bool>,
-    /// Between messages.
-    idle: Cell<bool>,
+    phase: Cell<Phase>,
     /// It was told that what it sent is no RPC, or that there is no room.
     refused: Cell<bool>,
     /// By when the message at hand is to be whole or, between two, the next one is to begin.
@@ -89,22 +89,27 @@
     /// It may be given up for another.
     offer: RefCell<Option<Offer>>,
     turned: Notify,
+    moved: Notify, // with `turned`, for who else waits
     close: Notify,
 }
 
 impl Line {
     fn new() -> Rc<Self> {
         let due = Cell::new(Instant::now() + MESSAGE_TIME);
-        let (busy, idle, refused, offer, turned, close) = Default::default();
-        Rc::new(Self { busy, idle, refused, due, offer, turned, close })
+        let (refused, offer, turned, moved, close) = Default::default();
+        Rc::new(Self { phase: Phase::Fresh.into(), refused, due, offer, turned, moved, close })
     }
 
-    fn turn(&self, busy: bool, idle: bool) {
-        let time = if idle { IDLE_TIME } else { MESSAGE_TIME };
+    fn turn(&self, phase: Phase) {
+        let time = if phase == Phase::Between { IDLE_TIME } else { MESSAGE_TIME };
         self.due.set(Instant::now() + time);
-        self.busy.set(busy);
-        self.idle.set(idle);
+        self.phase.set(phase);
         self.turned.notify_one();
+        self.moved.notify_one();
+    }
+
+    fn busy(&self) -> bool {
+        self.phase.get() == Phase::Busy
     }
 
     /// Lets the budget have it, as the one that has been idle for the shortest time.
@@ -119,7 +124,7 @@
         loop {
             select! {
                 () = self.turned.notified() => {}
-                () = sleep_until(self.due.get()), if !self.busy.get() => return,
+                () = sleep_until(self.due.get()), if !self.busy() => return,
             }
         }
     }
@@ -127,18 +132,20 @@
 
 impl Witness for Rc<Line> {
     fn read(&self) {
-        if self.idle.get() {
-            self.turn(false, false);
+        match self.phase.get() {
+            Phase::Fresh => self.phase.set(Phase::Half),
+            Phase::Between => self.turn(Phase::Half),
+            Phase::Half | Phase::Busy => {}
         }
     }
 }
 
 impl Spare for Line {
     fn give_up(&self) -> bool {
-        if !self.busy.get() {
+        if !self.busy() {
             self.close.notify_one();
         }
-        !self.busy.get()
+        !self.busy()
     }
 }
 
@@ -173,13 +180,13 @@
             let (front, line) = (self.clone(), line.clone());
             async move {
                 let due = line.due.get();
-                line.turn(true, false);
+                line.turn(Phase::Busy);
                 let answer =
                     if late { Answer::PushedBack { come_back: 0.0 } } else { front.answer(from, due).await };
                 line.refused.set(late || matches!(answer, Answer::Refused(..)));
-                line.turn(false, true);
+                line.turn(Phase::Between);
                 line.offer(&front.budget);
-                let last = line.refused.get() || front.life.stopping.get();
+                let last = line.refused.get() || front.standing.borrow().answers_last();
                 Ok::<Response<Full<Bytes>>, Infallible>(answer.encode(last))
             }
         });
@@ -189,27 +196,23 @@
         // One that has brought no RPC is no spare at first: that may be on its way, or have come unread.
         let fresh = async {
             sleep(FRESH).await;
-            if !line.busy.get() {
+            if !line.busy() {
                 line.offer(&self.budget);
             }
             pending().await
         };
-        let closing = async {
-            self.life.closing.notified().await;
-            line.give_up();
-            pending().await
-        };
+        let sent_away = self.sent_away(&line);
         let ended = select! {
             ended = &mut connection => ended,
             () = fresh => Ok(()),
-            () = closing => Ok(()),
+            () = sent_away => Ok(()),
             () = line.overdue() => Ok(()),
             () = line.close.notified() => {
                 std::pin::Pin::new(&mut connection).graceful_shutdown();
                 // A head that never ends would keep it open: guards against given-up sockets that stay.
                 loop {
                     match timeout(CLOSE_TIME, &mut connection).await {
-                        Err(_) if line.busy.get() => {}
+                        Err(_) if line.busy() => {}
                         ended => break ended.unwrap_or(Ok(())),
                     }
                 }
@@ -225,32 +228,39 @@
         drop(place);
     }
 
-    /// Ends a connection such that a client that still sends can read what it was told: closed with bytes
-    /// unread it would be reset, and a reset overtakes the answer.
-    async fn linger(&self, mut stream: TcpStream, line: &Rc<Line>) {
-        let mut left = LINGER_MOST;
-        let drain = async {
-            let mut bytes = vec![0; HEAD_MOST];
-            stream.shutdown().await?;
-            while left > 0 {
-                match stream.read(&mut bytes).await? {
-                    0 => break,
-                    some => left = left.saturating_sub(some),
-                }
+    /// Ends when clients have been sent away long enough for a connection on which nothing is under way, or whose
+    /// message is still not whole. What has just come may bring an RPC yet.
+    async fn sent_away(&self, line: &Line) {
+        let (mut standing, opened) = (self.standing.clone(), Instant::now());
+        loop {
+            let goes = standing.borrow_and_update().goes();
+            let due =
+                goes.map(
+                    |(idle, half)| {
+                        if line.phase.get() == Phase::Half { half } else { idle.max(opened + SETTLE) }
+                    },
+                );
+            select! {
+                _ = standing.changed() => {}
+                () = line.moved.notified() => {}
+                () = until(due), if !line.busy() => return,
             }
-            std::io::Result::Ok(())
-        };
+        }
+    }
+
+    /// Lets a refused client read what it was told.
+    async fn linger(&self, stream: TcpStream, line: &Rc<Line>) {
         // Its place is wanted as any idle one's: guards against refused clients that crowd out others.
         line.offer(&self.budget);
         select! {
-            _ = timeout(LINGER_TIME, drain) => {}
+            () = linger(stream, LINGER_TIME) => {}
             () = line.close.notified() => {}
         }
     }
 
     async fn answer(&self, from: Request<Incoming>, due: Instant) -> Answer {
         if from.method() == Method::GET && from.uri().path() == "/health/ready" {
-            return Answer::Health(self.life.ready.get() && !self.life.stopping.get());
+            return Answer::Health(self.standing.borrow().takes_clients());
         }
         match self.intake.read(from, due).await {
             Ok(rpc) => self.decide(rpc).await,
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -7,15 +7,19 @@
 mod discovery;
 mod front;
 mod intake;
+mod management;
 mod sockets;
+mod standing;
 mod watcher;
 
 use crate::core::Core;
 use config::{Clock, Config};
 use discovery::Discovery;
-use front::{Front, Life};
+use front::Front;
 use intake::Intake;
+use management::Management;
 use sockets::{Budget, Part};
+use standing::{GO_ON, Standings};
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -27,7 +31,6 @@
 use tokio::time::{Instant, sleep};
 
 const BACKLOG: u32 = 1024; // connections that wait to be accepted: a burst must not be turned away
-const GO_ON: Duration = Duration::from_millis(500); // after SIGTERM connections still come for up to 0.4 s
 const LOOK: Duration = Duration::from_millis(5); // between looks at whether the last client has left
 
 fn main() -> ExitCode {
@@ -45,11 +48,11 @@
     }
 }
 
-fn listen(config: &Config) -> std::io::Result<TcpListener> {
-    let socket = if config.listen.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+fn listen(at: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = if at.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     // A restart takes its address over at once.
     socket.set_reuseaddr(true)?;
-    socket.bind(config.listen)?;
+    socket.bind(at)?;
     socket.listen(BACKLOG)
 }
 
@@ -69,19 +72,26 @@
 async fn run(config: Config) -> Result<(), String> {
     let catch = |kind| signal(kind).map_err(|e| format!("no signals: {e}"));
     let (mut term, hup) = (catch(SignalKind::terminate())?, catch(SignalKind::hangup())?);
-    let listener =
-        listen(&config).map_err(|e| format!("LB_LISTEN cannot be bound: {}: {e}", config.listen))?;
+    let bound = |at, name| listen(at).map_err(|e| format!("{name} cannot be bound: {at}: {e}"));
+    let listener = bound(config.listen, "LB_LISTEN")?;
+    let management = config.management.map(|at| bound(at, "LB_MANAGEMENT")).transpose()?;
     birchhub_logging::start();
     if let Some(fault) = &config.known_fault {
         log::warn!("known is passed over: {fault}");
     }
-    let (clock, budget, life) = (Clock::start(), Budget::new(config.sockets), Rc::new(Life::default()));
+    let (clock, budget, standings) = (Clock::start(), Budget::new(config.sockets), Rc::new(Standings::new()));
+    if let Some(listener) = management {
+        spawn_local(Rc::new(Management { standings: standings.clone() }).run(listener));
+    }
     let (sender, mailbox) = mpsc::channel(core::MAILBOX);
     let wanted = Rc::new(Notify::new());
-    let core = Core::new(&config, clock, budget.clone(), sender.clone(), wanted.clone());
+    let core = Core::new(&config, clock, budget.clone(), sender.clone(), wanted.clone(), standings.clone());
     spawn_local(core.run(mailbox));
     // A list as last had is enough to decide by; without one the first answer is waited for.
-    life.ready.set(config.known.as_ref().is_some_and(|known| !known.listed.is_empty()));
+    if let Some(known) = config.known.as_ref().filter(|known| !known.listed.is_empty()) {
+        standings.listed(known.listed.iter().map(|listed| listed.uid.as_str()));
+        standings.set_ready();
+    }
     let (moves, at) = watch::channel(config.discovery);
     spawn_local(reload(hup, moves));
     let discovery = Discovery {
@@ -90,23 +100,22 @@
         core: sender.clone(),
         wanted,
         version: config.known.as_ref().map(|known| known.version),
-        heard: life.ready.clone(),
+        standings: standings.clone(),
     };
     spawn_local(discovery.run());
     let intake = Intake::new(&config.conf);
     let open = Default::default();
-    let front =
-        Front { intake, life: life.clone(), budget: budget.clone(), core: sender, next: 0.into(), open };
+    let standing = standings.reader();
+    let front = Front { intake, standing, budget: budget.clone(), core: sender, next: 0.into(), open };
     let accepting = spawn_local(Rc::new(front).run(listener));
     log::info!("{} listens on {}", config.name, config.listen);
     term.recv().await;
 
     log::info!("SIGTERM: goes on for what still comes");
-    life.stopping.set(true);
+    standings.end();
     let end = Instant::now() + GO_ON + Duration::from_secs_f64(config.conf.longest_deadline);
     sleep(GO_ON).await;
     accepting.abort();
-    life.closing.notify_waiters();
     while budget.open(Part::Clients) > 0 && Instant::now() < end {
         sleep(LOOK).await;
     }
--- a/crates/daemon/src/sockets.rs
+++ b/crates/daemon/src/sockets.rs
@@ -1,5 +1,6 @@
 //! The budget of sockets, and a connection that this proxy opens. A connection belongs to whoever holds the
 //! `Conn`: dropping it closes the socket and gives its place in the budget back.
+use crate::management::CALLS_MOST;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -13,12 +14,15 @@
 use std::pin::{Pin, pin};
 use std::rc::{Rc, Weak};
 use std::task::{Context, Poll};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 const READ_MOST: usize = 64 << 10; // bytes read ahead on a connection, and so of an answer's head
-const RESERVE: usize = 40; // descriptors for standard streams, listener, epoll, discovery and late clients
+const LINGER_MOST: usize = 4 << 20; // bytes of what a refused peer may go on sending
+// Descriptors for standard streams, listeners, epoll, discovery, late clients and the calls at the second address.
+const RESERVE: usize = 40 + CALLS_MOST;
 
 /// One of the two parts of the budget.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -177,6 +181,24 @@
     }
 }
 
+/// Ends a connection such that a peer that still sends can read what it was told: closed with bytes unread it
+/// would be reset, and a reset overtakes the answer.
+pub async fn linger(mut stream: TcpStream, longest: Duration) {
+    let mut left = LINGER_MOST;
+    let drain = async {
+        let mut bytes = vec![0; 16 << 10];
+        stream.shutdown().await?;
+        while left > 0 {
+            match stream.read(&mut bytes).await? {
+                0 => break,
+                some => left = left.saturating_sub(some),
+            }
+        }
+        std::io::Result::Ok(())
+    };
+    let _ = timeout(longest, drain).await;
+}
+
 /// How an exchange went wrong.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Fault {
--- a/src/held.rs
+++ b/src/held.rs
@@ -69,8 +69,9 @@
         self.places[0].get() != NOWHERE && (self.ready.get(), self.cell.get(), self.zone.get()) == facts
     }
 
-    /// It has started anew: what failed before is over.
+    /// It has started anew: what failed before is over, and so is the load that an entry tells of.
     pub fn forgive(&self) {
+        self.listed_until.set(self.listed_until.get().map(|_| f64::MIN));
         self.fails.set(0.0);
         self.rest_until.set(0.0);
     }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -196,12 +196,12 @@
 
     pub fn list(&self, kind: ListKind, entries: &[Entry], link: &mut dyn Link) {
         let (mut state, now) = (self.0.borrow_mut(), link.now());
-        if kind == ListKind::Stale {
-            let jitter = state.chance.between(0.0, LIST_RETRY); // proxies often start together
-            state.ask_at = state.ask_every.map(|_| now + jitter);
-        } else {
-            state.asks_failed = 0;
-            state.ask_at = None;
+        let every = state.ask_every;
+        match kind {
+            // With jitter: proxies often start together.
+            ListKind::Stale => state.ask_at = every.map(|_| now + state.chance.between(0.0, LIST_RETRY)),
+            ListKind::Changes | ListKind::Full => (state.asks_failed, state.ask_at) = (0, None),
+            ListKind::Ordered => {}
         }
         state.lists += 1;
         let number = state.lists;
@@ -223,7 +223,7 @@
             }
         }
         let ready = state.backends.set(Set::Ready).iter();
-        let left_out = ready.filter(|b| kind != ListKind::Changes && b.told.get() != number);
+        let left_out = ready.filter(|b| kind.is_whole() && b.told.get() != number);
         for backend in left_out.cloned().collect::<Vec<_>>() {
             state.relist(&backend, now, |b| b.ready.set(false));
         }
--- a/src/types.rs
+++ b/src/types.rs
@@ -94,6 +94,15 @@
     Changes,
     Full,
     Stale,
+    /// Changes by the staff, which say nothing of the list service.
+    Ordered,
+}
+
+impl ListKind {
+    /// What it does not name is gone.
+    pub fn is_whole(self) -> bool {
+        matches!(self, Self::Full | Self::Stale)
+    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
