--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -3,11 +3,14 @@
 use birchhub::types::Settings;
 use birchhub_settings::Conf;
 use serde_json::Value;
+use socket2::{Socket, Type};
 use std::future::pending;
 use std::net::SocketAddr;
+use std::os::fd::FromRawFd;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::time::{Instant, sleep_until};
 
+const PASSED: &str = "LB_PASSED_SOCKET";
 const SOCKET_NEEDS: u64 = 168 << 10; // bytes at worst: a body each way, one encoded, and what is read ahead
 
 pub struct Config {
@@ -90,6 +93,31 @@
     }
 }
 
+/// The clients' socket, where the platform holds it and names its descriptor. To be called before anything
+/// else opens one.
+pub fn passed() -> Result<Option<std::net::TcpListener>, String> {
+    let Some(name) = std::env::var_os(PASSED) else { return Ok(None) };
+    let bad = |what: &str| format!("{PASSED} {what}: {}", name.display());
+    let number = name.to_str().and_then(|text| text.parse::<u32>().ok());
+    let number = number.and_then(|number| i32::try_from(number).ok()).ok_or(bad("is not a number"))?;
+    let stands = std::fs::read_link(format!("/proc/self/fd/{number}")).map_err(|_| bad("is not open"))?;
+    if !stands.to_string_lossy().starts_with("socket:") {
+        return Err(bad("is not a socket"));
+    }
+    // SAFETY: it is open, as was just seen, and this process was started with it: nothing else here owns it.
+    let socket = unsafe { Socket::from_raw_fd(number) };
+    let inet = socket.local_addr().is_ok_and(|at| at.as_socket().is_some());
+    if !(inet
+        && socket.r#type().is_ok_and(|kind| kind == Type::STREAM)
+        && socket.is_listener().unwrap_or(false))
+    {
+        return Err(bad("is not a listening TCP socket"));
+    }
+    socket.set_nonblocking(true).map_err(|e| bad(&e.to_string()))?;
+    socket.set_cloexec(true).map_err(|e| bad(&e.to_string()))?;
+    Ok(Some(socket.into()))
+}
+
 /// Settings at a path. On sockets nothing comes unasked, whatever the simulator does: guards against a list
 /// never followed.
 fn shape(value: &Value, path: &str) -> Result<Conf, String> {
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -190,6 +190,7 @@
         let known =
             config.known.clone().unwrap_or(News { version: 0, kind: ListKind::Stale, listed: vec![] });
         core.news(&News { kind: ListKind::Stale, ..known });
+        core.ordered();
         core
     }
 
@@ -368,15 +369,16 @@
     /// Tells the module anew of the backends whose bans have changed, and then that it is done.
     fn ordered(&mut self) {
         self.keep_time();
-        let (order, bans) = {
+        let (turn, bans, others) = {
             let now = self.standing.borrow_and_update();
-            (now.order, now.bans.clone())
+            (now.turn, now.orders.bans.clone(), now.others)
         };
+        self.balancer.shared_by(others + 1);
         let listed: Vec<_> = bans.keys().filter_map(|name| self.listed.get(name)).cloned().collect();
         if !listed.is_empty() {
             self.news(&News { version: 0, kind: ListKind::Ordered, listed });
         }
-        self.standings.carried_out(order);
+        self.standings.carried_out(turn);
     }
 
     fn news(&mut self, news: &News) {
@@ -395,7 +397,7 @@
             }
             // The one place where a ban counts: all that follows takes the backend for what this says.
             let (readiness, boot_ms) =
-                self.standing.borrow().tells(&listed.uid, listed.readiness, listed.boot_ms);
+                self.standing.borrow().orders.tells(&listed.uid, listed.readiness, listed.boot_ms);
             let number = || {
                 self.next += 1;
                 (self.next - 1, now)
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -8,6 +8,7 @@
 mod front;
 mod intake;
 mod management;
+mod shared;
 mod sockets;
 mod standing;
 mod watcher;
@@ -18,8 +19,9 @@
 use front::Front;
 use intake::Intake;
 use management::Management;
+use shared::Shared;
 use sockets::{Budget, Part};
-use standing::{GO_ON, Standings};
+use standing::{GO_ON, LOOK, Standings};
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -31,14 +33,15 @@
 use tokio::time::{Instant, sleep};
 
 const BACKLOG: u32 = 1024; // connections that wait to be accepted: a burst must not be turned away
-const LOOK: Duration = Duration::from_millis(5); // between looks at whether the last client has left
+const LEFT_EVERY: Duration = Duration::from_millis(5); // between looks at whether the last client has left
 
 fn main() -> ExitCode {
-    let outcome = config::load().and_then(|config| {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-        let runtime = runtime.map_err(|e| format!("no event loop: {e}"))?;
-        LocalSet::new().block_on(&runtime, run(config))
-    });
+    let outcome =
+        config::passed().and_then(|passed| Ok((passed, config::load()?))).and_then(|(passed, config)| {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+            let runtime = runtime.map_err(|e| format!("no event loop: {e}"))?;
+            LocalSet::new().block_on(&runtime, run(config, passed))
+        });
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
@@ -69,17 +72,57 @@
     }
 }
 
-async fn run(config: Config) -> Result<(), String> {
+/// Follows the other processes of this proxy, and keeps to its part of the sockets while they live.
+async fn share(budget: Rc<Budget>, standings: Rc<Standings>) {
+    let mut reader = standings.reader();
+    let divide = async {
+        loop {
+            let others = reader.borrow_and_update().others;
+            budget.divide(others + 1);
+            if reader.wait_for(|now| now.others != others).await.is_err() {
+                return;
+            }
+        }
+    };
+    tokio::join!(standings.look(), divide);
+}
+
+/// Accepts clients: at once on an own socket, where health tells what is missing, or else once RPCs can be decided
+/// and an older process has made room.
+async fn accept(front: Front, listener: TcpListener, standings: Rc<Standings>) {
+    let (passed, others) = (standings.now().passed, standings.now().others);
+    if passed {
+        let _ = standings.reader().wait_for(|now| now.ready).await.map(drop);
+    }
+    if others > 0 {
+        sleep(LOOK * 2).await;
+    }
+    standings.set_open();
+    Rc::new(front).run(listener).await;
+}
+
+async fn run(config: Config, passed: Option<std::net::TcpListener>) -> Result<(), String> {
     let catch = |kind| signal(kind).map_err(|e| format!("no signals: {e}"));
     let (mut term, hup) = (catch(SignalKind::terminate())?, catch(SignalKind::hangup())?);
     let bound = |at, name| listen(at).map_err(|e| format!("{name} cannot be bound: {at}: {e}"));
-    let listener = bound(config.listen, "LB_LISTEN")?;
+    let outlives = passed.is_some();
+    let listener = match passed {
+        Some(socket) => TcpListener::from_std(socket).map_err(|e| format!("LB_PASSED_SOCKET: {e}"))?,
+        None => bound(config.listen, "LB_LISTEN")?,
+    };
     let management = config.management.map(|at| bound(at, "LB_MANAGEMENT")).transpose()?;
     birchhub_logging::start();
     if let Some(fault) = &config.known_fault {
         log::warn!("known is passed over: {fault}");
     }
-    let (clock, budget, standings) = (Clock::start(), Budget::new(config.sockets), Rc::new(Standings::new()));
+    // Only where staff or the platform may have another process of this proxy.
+    let shared = (outlives || management.is_some()).then(|| Shared::open(&config.name));
+    let shared = shared.and_then(|shared| {
+        shared.inspect_err(|fault| log::warn!("nothing is shared with other processes: {fault}")).ok()
+    });
+    let (clock, budget) = (Clock::start(), Budget::new(config.sockets));
+    let standings = Rc::new(Standings::new(shared, outlives));
+    spawn_local(share(budget.clone(), standings.clone()));
     if let Some(listener) = management {
         spawn_local(Rc::new(Management { standings: standings.clone() }).run(listener));
     }
@@ -107,17 +150,26 @@
     let open = Default::default();
     let standing = standings.reader();
     let front = Front { intake, standing, budget: budget.clone(), core: sender, next: 0.into(), open };
-    let accepting = spawn_local(Rc::new(front).run(listener));
+    let accepting = spawn_local(accept(front, listener, standings.clone()));
     log::info!("{} listens on {}", config.name, config.listen);
     term.recv().await;
 
-    log::info!("SIGTERM: goes on for what still comes");
     standings.end();
+    log::info!(
+        "SIGTERM: {}",
+        match standings.now().is_replaced() {
+            true => "accepts no more, another process does",
+            false => "goes on for what still comes",
+        }
+    );
     let end = Instant::now() + GO_ON + Duration::from_secs_f64(config.conf.longest_deadline);
-    sleep(GO_ON).await;
+    let replaced = standings.now().is_replaced();
+    if !replaced {
+        sleep(GO_ON).await;
+    }
     accepting.abort();
     while budget.open(Part::Clients) > 0 && Instant::now() < end {
-        sleep(LOOK).await;
+        sleep(LEFT_EVERY).await;
     }
     log::info!("ends with {} client connections open", budget.open(Part::Clients));
     Ok(())
--- a/crates/daemon/src/management.rs
+++ b/crates/daemon/src/management.rs
@@ -77,12 +77,12 @@
     let stands = match now {
         _ if now.ending.is_some() => "ends: SIGTERM has come",
         _ if !now.ready => "takes no clients yet: no list of backends",
-        _ if now.standby.is_some() => "takes clients; on standby, health says no",
+        _ if !now.open => "takes no clients yet: another process makes room",
         _ => "takes clients",
     };
-    let yes = now.ready && now.ending.is_none();
+    let yes = now.ready && now.open && now.ending.is_none();
     let status = if yes { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
-    tell(status, format!("{stands}; {} members banned", now.banned()))
+    tell(status, format!("{stands}; {now}"))
 }
 
 /// What holds now that an order is in force.
@@ -160,10 +160,12 @@
             Ok(Some(Order::Enter(name) | Order::Exit(name))) if !self.standings.knows(&name) => {
                 tell(StatusCode::NOT_FOUND, format!("{name} was never listed"))
             }
-            Ok(Some(order)) => {
-                self.standings.carry_out(&order).await;
-                tell(StatusCode::OK, holds(&order, &self.standings.now()))
-            }
+            Ok(Some(order)) => match self.standings.carry_out(&order).await {
+                Ok(()) => tell(StatusCode::OK, holds(&order, &self.standings.now())),
+                Err(fault) => {
+                    tell(StatusCode::INTERNAL_SERVER_ERROR, format!("in force in this process only: {fault}"))
+                }
+            },
         }
     }
 }
--- /dev/null
+++ b/crates/daemon/src/shared.rs
@@ -0,0 +1,156 @@
+//! What the processes of one proxy share in `$TMPDIR` while one replaces the other: who lives, and what staff
+//! ordered. Data, no decisions.
+use crate::standing::Orders;
+use std::fs::{File, TryLockError};
+use std::io::Write;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, SystemTime};
+use tokio::time::{Instant, sleep};
+
+const SLOTS: usize = 4; // processes that can live at a time: one replaces one, and one may hang on
+pub const SLOTS_HELD: usize = SLOTS + 2; // descriptors: these, the lock and a file that is read or written
+const LOCK_TIME: Duration = Duration::from_millis(300); // for the lock: who holds it writes a few bytes
+const LOCK_EVERY: Duration = Duration::from_millis(5); // between tries for it
+
+/// Tells one content of the file from the next.
+type Stamp = (SystemTime, u64);
+
+pub struct Shared {
+    folder: PathBuf,
+    slots: Vec<File>,
+    own: Option<usize>,
+    lock: File,
+    stamp: Option<Stamp>, // of what was read or written last
+}
+
+fn open(path: &Path) -> Result<File, String> {
+    let file = File::options().create(true).truncate(false).write(true).open(path);
+    file.map_err(|e| format!("{}: {e}", path.display()))
+}
+
+impl Shared {
+    /// The folder of the proxy of this name. Its own slot is taken with the first count of others.
+    pub fn open(name: &str) -> Result<Self, String> {
+        let parent = std::env::var_os("TMPDIR").ok_or("TMPDIR is not set")?;
+        let safe = |c: char| if c.is_ascii_alphanumeric() { c } else { '-' };
+        let folder = Path::new(&parent).join(format!("birchhub-{}", name.replace(|c| safe(c) != c, "-")));
+        std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+        let slots =
+            (0..SLOTS).map(|n| open(&folder.join(format!("birchhub.life.{n}")))).collect::<Result<_, _>>()?;
+        let lock = open(&folder.join("birchhub.lock"))?;
+        Ok(Self { folder, slots, own: None, lock, stamp: None })
+    }
+
+    /// How many other processes of this proxy live. A lock ends with its holder, however that ends.
+    pub fn others(&mut self) -> usize {
+        // Another one that looks at the same moment may hold the slot: the next look takes one then.
+        self.own = self.own.or_else(|| self.slots.iter().position(|slot| slot.try_lock().is_ok()));
+        let lives = |slot: &File| match slot.try_lock_shared() {
+            Ok(()) => slot.unlock().is_err(),
+            Err(TryLockError::WouldBlock) => true,
+            Err(TryLockError::Error(_)) => false,
+        };
+        let others = self.slots.iter().enumerate().filter(|(n, _)| Some(*n) != self.own);
+        others.filter(|(_, slot)| lives(slot)).count()
+    }
+
+    fn path(&self) -> PathBuf {
+        self.folder.join("birchhub.standing")
+    }
+
+    fn stamped(&self) -> Option<Stamp> {
+        use std::os::unix::fs::MetadataExt;
+        let facts = std::fs::metadata(self.path()).ok()?;
+        Some((facts.modified().ok()?, facts.ino()))
+    }
+
+    /// What the file says, if that is new; an error if it can't be read.
+    pub fn read(&mut self) -> Result<Option<Orders>, String> {
+        let stamp = self.stamped();
+        if stamp.is_none() || stamp == self.stamp {
+            return Ok(None);
+        }
+        self.stamp = stamp;
+        let at = |e: &dyn std::fmt::Display| format!("{}: {e}", self.path().display());
+        let bytes = std::fs::read(self.path()).map_err(|e| at(&e))?;
+        serde_json::from_slice(&bytes).map(Some).map_err(|e| at(&e))
+    }
+
+    /// Changes what the file says, or where it says nothing that can be read what `own` says, and gives back
+    /// what holds now. The file is whole at each moment.
+    pub async fn update(&mut self, own: &Orders, change: impl FnOnce(&mut Orders)) -> Result<Orders, String> {
+        let until = Instant::now() + LOCK_TIME;
+        while self.lock.try_lock().is_err() {
+            if Instant::now() >= until {
+                return Err(format!("{}: birchhub.lock is held", self.folder.display()));
+            }
+            sleep(LOCK_EVERY).await;
+        }
+        let told = std::fs::read(self.path()).ok().and_then(|bytes| serde_json::from_slice(&bytes).ok());
+        let mut orders: Orders = told.unwrap_or_else(|| own.clone());
+        let before = orders.clone();
+        change(&mut orders);
+        let written = if orders == before && self.stamped().is_some() { Ok(()) } else { self.write(&orders) };
+        let _ = self.lock.unlock();
+        written.map(|()| orders).map_err(|e| format!("{}: {e}", self.path().display()))
+    }
+
+    fn write(&mut self, orders: &Orders) -> std::io::Result<()> {
+        let fresh = self.folder.join("birchhub.standing.new");
+        let mut file = File::create(&fresh)?;
+        file.write_all(serde_json::to_string(orders)?.as_bytes())?;
+        std::fs::rename(fresh, self.path())?;
+        self.stamp = self.stamped();
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::standing::Ban;
+
+    fn in_folder(test: impl AsyncFnOnce(&dyn Fn() -> Shared, PathBuf)) {
+        static NEXT: std::sync::atomic::AtomicUsize = std::sync::atomic::AtomicUsize::new(0);
+        let number = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let folder = std::env::temp_dir().join(format!("birchhub-shared-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let make = || {
+            let slots = (0..SLOTS).map(|n| open(&folder.join(format!("birchhub.life.{n}"))).expect("a slot"));
+            let lock = open(&folder.join("birchhub.lock")).expect("a lock");
+            Shared { folder: folder.clone(), slots: slots.collect(), own: None, lock, stamp: None }
+        };
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build().expect("a runtime");
+        runtime.block_on(test(&make, folder.join("birchhub.standing")));
+        std::fs::remove_dir_all(&folder).expect("the folder");
+    }
+
+    #[test]
+    fn lives_are_counted_and_end_with_their_holder() {
+        in_folder(async |make, _| {
+            let (mut one, mut two) = (make(), make());
+            assert_eq!((one.others(), two.others(), one.others()), (0, 1, 1));
+            drop(two);
+            assert_eq!(one.others(), 0);
+            assert_eq!(make().others(), 1);
+        });
+    }
+
+    /// Two that change it in turn lose nothing; a damaged file is an error once, and is written over.
+    #[test]
+    fn changes_of_both_are_kept_and_damage_is_survived() {
+        in_folder(async |make, path| {
+            let (mut one, mut two, own) = (make(), make(), Orders::default());
+            let ban = |name: &'static str| move |o: &mut Orders| _ = o.bans.insert(name.into(), Ban::InForce);
+            one.update(&own, ban("a")).await.expect("written");
+            let both = two.update(&own, ban("b")).await.expect("written");
+            assert_eq!(both.bans.len(), 2);
+            assert_eq!((one.read(), one.read(), two.read()), (Ok(Some(both.clone())), Ok(None), Ok(None)));
+            std::fs::write(&path, "{\"bans\"").expect("written");
+            assert!(one.read().is_err() && one.read() == Ok(None));
+            assert_eq!(one.update(&both, ban("c")).await.expect("written").bans.len(), 3);
+            two.lock.lock().expect("locked");
+            assert!(one.update(&both, ban("d")).await.is_err());
+        });
+    }
+}
--- a/crates/daemon/src/sockets.rs
+++ b/crates/daemon/src/sockets.rs
@@ -1,6 +1,7 @@
 //! The budget of sockets, and a connection that this proxy opens. A connection belongs to whoever holds the
 //! `Conn`: dropping it closes the socket and gives its place in the budget back.
 use crate::management::CALLS_MOST;
+use crate::shared::SLOTS_HELD;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -21,8 +22,9 @@
 
 const READ_MOST: usize = 64 << 10; // bytes read ahead on a connection, and so of an answer's head
 const LINGER_MOST: usize = 4 << 20; // bytes of what a refused peer may go on sending
-// Descriptors for standard streams, listeners, epoll, discovery, late clients and the calls at the second address.
-const RESERVE: usize = 40 + CALLS_MOST;
+// Descriptors for standard streams, listeners, epoll, discovery, late clients, the calls at the second address and
+// what is shared with other processes.
+const RESERVE: usize = 40 + CALLS_MOST + SLOTS_HELD;
 
 /// One of the two parts of the budget.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -40,7 +42,7 @@
 #[derive(Default)]
 struct Shelf {
     open: Cell<usize>,
-    most: usize,
+    most: Cell<usize>,
     spent: Cell<bool>, // told in the log; until a place is given back it is not told again
     spare: RefCell<BTreeMap<u64, Weak<dyn Spare>>>, // by the order of their offers: the longest idle first
     next: Cell<u64>,
@@ -48,6 +50,7 @@
 
 /// All sockets of clients and backends, counted.
 pub struct Budget {
+    sockets: usize,
     clients: Shelf,
     backends: Shelf,
 }
@@ -60,9 +63,33 @@
 
 impl Budget {
     pub fn new(sockets: usize) -> Rc<Self> {
-        let all = sockets.saturating_sub(RESERVE).max(8);
-        let clients = Shelf { most: all / 2, ..Shelf::default() };
-        Rc::new(Self { backends: Shelf { most: all - clients.most, ..Shelf::default() }, clients })
+        let budget = Self { sockets, clients: Shelf::default(), backends: Shelf::default() };
+        budget.divide(1);
+        Rc::new(budget)
+    }
+
+    /// So many processes share it evenly; what is idle beyond this one's part is given up.
+    pub fn divide(&self, processes: usize) {
+        let all = (self.sockets / processes).saturating_sub(RESERVE).max(8);
+        self.clients.most.set(all / 2);
+        self.backends.most.set(all - all / 2);
+        for part in [Part::Clients, Part::Backends] {
+            for _ in 0..self.over(part) {
+                self.give_up_oldest(part);
+            }
+        }
+    }
+
+    /// Gives up what has been idle for the longest; false if nothing is.
+    fn give_up_oldest(&self, part: Part) -> bool {
+        loop {
+            let oldest = self.shelf(part).spare.borrow_mut().pop_first();
+            match oldest.map(|(_, spare)| spare.upgrade().is_some_and(|spare| spare.give_up())) {
+                None => return false,
+                Some(true) => return true, // A client's is closed by its own task a moment later.
+                Some(false) => {}
+            }
+        }
     }
 
     fn shelf(&self, part: Part) -> &Shelf {
@@ -75,17 +102,11 @@
     /// A place for one more socket; where none is left the longest idle one is given up for it.
     pub fn place(self: &Rc<Self>, part: Part) -> Option<Place> {
         let shelf = self.shelf(part);
-        while shelf.open.get() >= shelf.most {
-            let oldest = shelf.spare.borrow_mut().pop_first();
-            let Some((_, oldest)) = oldest else {
-                if !shelf.spent.replace(true) {
-                    log::warn!("no socket left for {part:?}: {} are open, none idle", shelf.open.get());
-                }
-                return None;
-            };
-            if oldest.upgrade().is_some_and(|spare| spare.give_up()) {
-                break; // A client's is closed by its own task a moment later.
+        if shelf.open.get() >= shelf.most.get() && !self.give_up_oldest(part) {
+            if !shelf.spent.replace(true) {
+                log::warn!("no socket left for {part:?}: {} are open, none idle", shelf.open.get());
             }
+            return None;
         }
         Some(self.place_anyhow(part))
     }
@@ -111,7 +132,7 @@
 
     /// Sockets beyond the part, out of the reserve.
     pub fn over(&self, part: Part) -> usize {
-        self.open(part).saturating_sub(self.shelf(part).most)
+        self.open(part).saturating_sub(self.shelf(part).most.get())
     }
 }
 
@@ -132,7 +153,7 @@
     fn drop(&mut self) {
         let shelf = self.budget.shelf(self.part);
         shelf.open.update(|open| open - 1);
-        shelf.spent.set(shelf.spent.get() && shelf.open.get() >= shelf.most);
+        shelf.spent.set(shelf.spent.get() && shelf.open.get() >= shelf.most.get());
     }
 }
 
--- a/crates/daemon/src/standing.rs
+++ b/crates/daemon/src/standing.rs
@@ -1,60 +1,72 @@
 //! Where this proxy stands in its life, and what its staff ordered: one small value with one owner, which all
-//! actors read.
+//! actors read. What staff ordered is common to all processes of the proxy.
+use crate::shared::Shared;
 use birchhub::types::Readiness;
+use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::sync::watch;
-use tokio::time::Instant;
+use tokio::sync::{Mutex, watch};
+use tokio::time::{Instant, sleep};
 
 /// After SIGTERM connections still come for up to 0.4 s.
 pub const GO_ON: Duration = Duration::from_millis(500);
+/// Between looks at what another process of this proxy did: a drain's grace is six times as long.
+pub const LOOK: Duration = Duration::from_millis(50);
 // After a standby new connections come for 0.2 s more; by then nearly all in use have had their last answer, and
 // few closes cross with an RPC.
 const IDLE_GOES: Duration = Duration::from_secs(1);
 const HALF_GOES: Duration = Duration::from_millis(1900); // after a standby: nothing of the last 2 s of 4 may stay
 const NAMES_MOST: usize = 20_000; // that were ever listed: some fleets deal out new ones with each start
+const NAMES_EVERY: u32 = 20; // looks between writes of new names: they come with each change of a fleet
 
 /// What staff ordered of a backend.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Ban {
     InForce,
     /// Back since this time, in Unix ms: whatever the list says, it started no earlier.
     Over(f64),
 }
 
-#[derive(Clone, Debug, Default)]
-pub struct Standing {
-    /// RPCs can be decided.
-    pub ready: bool,
-    /// Since when SIGTERM is known.
-    pub ending: Option<Instant>,
-    /// Since when clients are sent away.
-    pub standby: Option<Instant>,
+/// What staff ordered, and the names that orders may be about.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Orders {
+    /// On standby since this time, in Unix ms.
+    pub standby: Option<f64>,
     pub bans: BTreeMap<String, Ban>,
-    /// Counts the changes of bans.
-    pub order: u64,
+    names: BTreeSet<String>,
 }
 
-impl Standing {
-    /// Whether clients are to come.
-    pub fn takes_clients(&self) -> bool {
-        self.ready && self.ending.is_none() && self.standby.is_none()
-    }
+/// What a caller wants.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Order {
+    Enter(String),
+    Exit(String),
+    Standby,
+    Active,
+}
 
-    /// Each answer is the last on its connection.
-    pub fn answers_last(&self) -> bool {
-        self.ending.is_some() || self.standby.is_some()
+impl Orders {
+    /// The same order again changes nothing.
+    fn take(&mut self, order: &Order) {
+        match order {
+            Order::Enter(name) => drop(self.bans.insert(name.clone(), Ban::InForce)),
+            Order::Exit(name) => {
+                if let Some(ban) = self.bans.get_mut(name).filter(|ban| **ban == Ban::InForce) {
+                    *ban = Ban::Over(unix_ms());
+                }
+            }
+            Order::Standby => drop(self.standby.get_or_insert_with(unix_ms)),
+            Order::Active => self.standby = None,
+        }
     }
 
     pub fn banned(&self) -> usize {
         self.bans.values().filter(|ban| **ban == Ban::InForce).count()
     }
 
-    /// By when a connection goes on which nothing is under way, and by when one whose message is not whole.
-    pub fn goes(&self) -> Option<(Instant, Instant)> {
-        let ends = self.ending.map(|at| (at + GO_ON, at + GO_ON));
-        ends.into_iter().chain(self.standby.map(|at| (at + IDLE_GOES, at + HALF_GOES))).min()
+    pub fn knows(&self, name: &str) -> bool {
+        self.names.contains(name)
     }
 
     /// What the module is to be told of a backend that is listed so.
@@ -67,32 +79,88 @@
     }
 }
 
-/// What a caller wants.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Order {
-    Enter(String),
-    Exit(String),
-    Standby,
-    Active,
+fn unix_ms() -> f64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1e3
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Standing {
+    /// RPCs can be decided.
+    pub ready: bool,
+    /// Connections of clients are accepted.
+    pub open: bool,
+    /// Since when SIGTERM is known.
+    pub ending: Option<Instant>,
+    /// The clients' socket is the platform's, and outlives this process.
+    pub passed: bool,
+    /// Other processes of this proxy that live.
+    pub others: usize,
+    pub orders: Orders,
+    /// Counts the changes of orders that were heard here.
+    pub turn: u64,
+}
+
+impl Standing {
+    /// Another process goes on where this one ends.
+    pub fn is_replaced(&self) -> bool {
+        self.ending.is_some() && self.passed && self.others > 0
+    }
+
+    /// Whether clients are to come to this proxy, whichever of its processes they reach.
+    pub fn takes_clients(&self) -> bool {
+        self.ready && (self.ending.is_none() || self.is_replaced()) && self.orders.standby.is_none()
+    }
+
+    /// Each answer is the last on its connection.
+    pub fn answers_last(&self) -> bool {
+        self.ending.is_some() || self.orders.standby.is_some()
+    }
+
+    /// By when a connection goes on which nothing is under way, and by when one whose message is not whole.
+    pub fn goes(&self) -> Option<(Instant, Instant)> {
+        let ends = self.ending.map(|at| (at + GO_ON, at + GO_ON));
+        let standby = self.orders.standby.map(|ms| {
+            let ago = Duration::from_secs_f64(((unix_ms() - ms) / 1e3).clamp(0.0, 1e6));
+            let since = Instant::now().checked_sub(ago).unwrap_or_else(Instant::now);
+            (since + IDLE_GOES, since + HALF_GOES)
+        });
+        ends.into_iter().chain(standby).min()
+    }
+}
+
+impl std::fmt::Display for Standing {
+    fn fmt(&self, to: &mut std::fmt::Formatter) -> std::fmt::Result {
+        let standby = if self.orders.standby.is_some() { ", on standby" } else { "" };
+        write!(to, "{} members banned{standby}, {} other processes", self.orders.banned(), self.others)
+    }
 }
 
 /// The owner of the standing.
 pub struct Standings {
     standing: watch::Sender<Standing>,
-    /// The last order that the core has carried out.
+    /// The last turn that the core has carried out.
     done: watch::Sender<u64>,
-    names: RefCell<HashSet<String>>,
+    shared: Option<Mutex<Shared>>,
+    fresh_names: RefCell<Vec<String>>, // not yet in the file
     full: Cell<bool>,
 }
 
-fn unix_ms() -> f64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1e3
-}
-
 impl Standings {
-    pub fn new() -> Self {
-        let (standing, done) = (watch::Sender::default(), watch::Sender::default());
-        Self { standing, done, names: Default::default(), full: Cell::default() }
+    /// `shared` where this proxy may have other processes; what they ordered holds from the start.
+    pub fn new(mut shared: Option<Shared>, passed: bool) -> Self {
+        let mut now = Standing { passed, ..Standing::default() };
+        if let Some(shared) = &mut shared {
+            now.others = shared.others();
+            now.orders = heard(shared).unwrap_or_default();
+            log::info!("{}", now);
+        }
+        Self {
+            standing: watch::Sender::new(now),
+            done: watch::Sender::default(),
+            shared: shared.map(Mutex::new),
+            fresh_names: RefCell::default(),
+            full: Cell::default(),
+        }
     }
 
     pub fn reader(&self) -> watch::Receiver<Standing> {
@@ -107,18 +175,21 @@
         self.standing.send_if_modified(|now| !std::mem::replace(&mut now.ready, true));
     }
 
+    pub fn set_open(&self) {
+        self.standing.send_modify(|now| now.open = true);
+    }
+
     pub fn end(&self) {
         self.standing.send_modify(|now| now.ending = Some(Instant::now()));
     }
 
     /// These names are listed.
     pub fn listed<'a>(&self, names: impl Iterator<Item = &'a str>) {
-        let mut known = self.names.borrow_mut();
-        for name in names {
-            if known.len() < NAMES_MOST {
-                if !known.contains(name) {
-                    known.insert(name.to_owned());
-                }
+        let known = &self.standing.borrow().orders.names;
+        let mut fresh = self.fresh_names.borrow_mut();
+        for name in names.filter(|name| !known.contains(*name)) {
+            if known.len() + fresh.len() < NAMES_MOST {
+                fresh.push(name.to_owned());
             } else if !self.full.replace(true) {
                 log::warn!("{NAMES_MOST} names were listed: calls about others will not know them");
             }
@@ -126,37 +197,94 @@
     }
 
     pub fn knows(&self, name: &str) -> bool {
-        self.names.borrow().contains(name) || self.standing.borrow().bans.contains_key(name)
+        self.standing.borrow().orders.knows(name) || self.fresh_names.borrow().iter().any(|n| n == name)
     }
 
-    /// The core has carried out all orders up to this one.
-    pub fn carried_out(&self, order: u64) {
-        self.done.send_replace(order);
+    /// The core has carried out what was ordered up to this turn.
+    pub fn carried_out(&self, turn: u64) {
+        self.done.send_replace(turn);
     }
 
-    /// Carries out an order; done once it is in force. The same one again changes nothing.
-    pub async fn carry_out(&self, order: &Order) {
-        let now = unix_ms();
-        let change = |standing: &mut Standing| {
-            let before = (standing.standby.is_some(), standing.bans.clone());
-            match order {
-                Order::Enter(name) => drop(standing.bans.insert(name.clone(), Ban::InForce)),
-                Order::Exit(name) => {
-                    if let Some(ban) = standing.bans.get_mut(name).filter(|ban| **ban == Ban::InForce) {
-                        *ban = Ban::Over(now);
-                    }
-                }
-                Order::Standby => drop(standing.standby.get_or_insert_with(Instant::now)),
-                Order::Active => standing.standby = None,
-            }
-            let changed = before != (standing.standby.is_some(), standing.bans.clone());
-            standing.order += u64::from(changed);
+    /// What holds now is this.
+    fn adopt(&self, orders: Orders) {
+        self.standing.send_if_modified(|now| {
+            let changed = now.orders != orders;
+            now.turn += u64::from(changed);
+            now.orders = orders;
             changed
+        });
+    }
+
+    /// Changes the orders, in the file too if there is one; an error tells why not there.
+    async fn change(&self, change: impl Fn(&mut Orders)) -> Result<(), String> {
+        let fresh = self.fresh_names.take();
+        let change = |orders: &mut Orders| {
+            orders.names.extend(fresh.iter().cloned());
+            change(orders);
+        };
+        let mut own = self.standing.borrow().orders.clone();
+        let written = match &self.shared {
+            Some(shared) => shared.lock().await.update(&own, change).await.map(Some),
+            None => Ok(None),
+        };
+        let (orders, outcome) = match written {
+            Ok(Some(orders)) => (orders, Ok(())),
+            other => {
+                change(&mut own);
+                (own, other.map(drop))
+            }
         };
-        if self.standing.send_if_modified(change) {
-            log::info!("ordered: {order:?}");
+        self.adopt(orders);
+        outcome
+    }
+
+    /// Carries out an order; done once it is in force. An error tells why it is not in another process.
+    pub async fn carry_out(&self, order: &Order) -> Result<(), String> {
+        let outcome = self.change(|orders| orders.take(order)).await;
+        let turn = self.standing.borrow().turn;
+        log::info!("ordered: {order:?}; {}", *self.now());
+        let _ = self.done.subscribe().wait_for(|done| *done >= turn).await;
+        match outcome {
+            Err(fault) => {
+                log::warn!("the order holds in this process only: {fault}");
+                if self.standing.borrow().others > 0 { Err(fault) } else { Ok(()) }
+            }
+            Ok(()) => Ok(()),
         }
-        let order = self.standing.borrow().order;
-        let _ = self.done.subscribe().wait_for(|done| *done >= order).await;
     }
+
+    /// Looks at what other processes do and order, for as long as this one lives.
+    pub async fn look(&self) {
+        let mut looks = 0;
+        while let Some(shared) = &self.shared {
+            sleep(LOOK).await;
+            looks += 1;
+            let (others, orders) = {
+                let mut shared = shared.lock().await;
+                (shared.others(), heard(&mut shared))
+            };
+            if self.standing.borrow().others != others {
+                self.standing.send_modify(|now| now.others = others);
+                log::info!("{}", *self.now());
+            }
+            if let Some(orders) = orders {
+                self.adopt(orders);
+                log::info!("heard of another process: {}", *self.now());
+            }
+            if looks % NAMES_EVERY == 0
+                && !self.fresh_names.borrow().is_empty()
+                && let Err(fault) = self.change(|_| ()).await
+            {
+                log::warn!("listed names are known to this process only: {fault}");
+            }
+        }
+    }
+}
+
+/// What the file says, if that is new.
+fn heard(shared: &mut Shared) -> Option<Orders> {
+    shared.read().unwrap_or_else(|fault| {
+        log::warn!("orders can't be read and are passed over: {fault}");
+        None
+    })
 }
--- a/crates/daemon/tests/operations.rs
+++ b/crates/daemon/tests/operations.rs
@@ -39,7 +39,7 @@
 fn calls_are_told_what_holds_and_bad_ones_change_nothing() {
     let log = Log::new(vec![]);
     let (_daemon, at) = managed(&[("s 1", echo("b1", &log))], |_| {});
-    assert_eq!(call(at, "GET /status"), (200, "takes clients; 0 members banned\n".into()));
+    assert_eq!(call(at, "GET /status"), (200, "takes clients; 0 members banned, 0 other processes\n".into()));
     for query in ["", "?member", "?member=", "?member=%2", "?member=%zz", "?member=s%201&member=s%201"] {
         assert_eq!(call(at, &format!("POST /maintenance/enter{query}")).0, 400, "{query}");
     }
@@ -56,10 +56,10 @@
     let long = format!("POST /maintenance/enter?member={} HTTP/1.1\r\nHost: m\r\n\r\n", "x".repeat(9 << 10));
     let answer = Client::open(at).expect("a connection").call(&long);
     assert!(answer.is_none_or(|answer| answer.status() >= 400));
-    assert_eq!(call(at, "GET /status").1, "takes clients; 0 members banned\n");
+    assert_eq!(call(at, "GET /status").1, "takes clients; 0 members banned, 0 other processes\n");
     for _ in 0..2 {
         assert_eq!(call(at, "POST /maintenance/enter?member=s%201"), (200, "s 1 is banned\n".into()));
-        assert_eq!(call(at, "GET /status").1, "takes clients; 1 members banned\n");
+        assert_eq!(call(at, "GET /status").1, "takes clients; 1 members banned, 0 other processes\n");
     }
     for _ in 0..2 {
         assert_eq!(call(at, "POST /maintenance/exit?member=s%201"), (200, "s 1 is not banned\n".into()));
@@ -90,7 +90,9 @@
     for n in 0..10 {
         let (what, member) = if n % 2 == 0 { ("enter", 1) } else { ("exit", 0) };
         assert_eq!(call(at, &format!("POST /maintenance/{what}?member=s-1")).0, 200);
-        assert!(call(at, "GET /status").1.ends_with(&format!("{member} members banned\n")));
+        assert!(
+            call(at, "GET /status").1.ends_with(&format!("{member} members banned, 0 other processes\n"))
+        );
     }
     assert!(begun.elapsed() < Duration::from_secs(20), "each of 20 calls is owed its answer within 1 s");
     assert!(daemon.descriptors() <= 96, "{} descriptors", daemon.descriptors());
--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -428,7 +428,7 @@
 #[test]
 fn spent_descriptors_push_back_and_idle_ones_make_room() {
     let log = Log::new(vec![]);
-    let few = |config: &mut Value| config["limits"]["sockets"] = 68.into();
+    let few = |config: &mut Value| config["limits"]["sockets"] = 74.into();
     let daemon = Daemon::start_with(PROGRAM, &[("s-1", echo("b1", &log))], few);
     let whole = rpc("POST", "/book", "id", "0123456789");
     let (first, rest) = whole.split_at(whole.len() - 5);
@@ -455,7 +455,7 @@
 #[test]
 fn heads_without_end_are_given_up() {
     let log = Log::new(vec![]);
-    let few = |config: &mut Value| config["limits"]["sockets"] = 68.into();
+    let few = |config: &mut Value| config["limits"]["sockets"] = 74.into();
     let daemon = Daemon::start_with(PROGRAM, &[("s-1", echo("b1", &log))], few);
     let open = |_| {
         let mut client = daemon.client();
--- a/src/held.rs
+++ b/src/held.rs
@@ -136,6 +136,7 @@
     pub warm_keys: bool,
     pub come_back: f64,
     pub balancers: f64,
+    pub processes: f64, // that are this proxy: while one replaces another there are two
     pub zone: usize,
 }
 
@@ -148,6 +149,7 @@
             warm_keys: set.warm_keys,
             come_back: set.come_back_max,
             balancers: set.balancers as f64,
+            processes: 1.0,
             zone: set.zone,
         }
     }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -3,9 +3,8 @@
 //! is a call on the handle. Answers leave through `types::Link`; the interface is defined in `src/types.rs`.
 //!
 //! The design is Join-Idle-Queue (docs/design.md): `report` fills the idle list, `pick_idle` takes its first
-//! entry, `pick_drawn` draws one when it is empty. Six mechanisms stand beside it, by number:
-//! health, credit, time-outs, cold budget, admission, list and probes; docs/design.md tells what each does.
-//! `may_pick` and `may_push_back` alone decide what the four rules allow.
+//! entry, `pick_drawn` draws one when it is empty. Six mechanisms stand beside it, by number: health, credit,
+//! time-outs, cold budget, admission, list and probes. `may_pick` and `may_push_back` alone judge the rules.
 
 use crate::chance::{Chance, of_pair};
 use crate::held::{Backend, Bounds, Call, Cold, Method, Pick, Share, Tenant, surely};
@@ -141,6 +140,11 @@
         })))
     }
 
+    /// So many processes are this proxy, and keep to its part of a cold budget together.
+    pub fn shared_by(&self, processes: usize) {
+        self.0.borrow_mut().bounds.processes = processes as f64;
+    }
+
     /// A list call failed or the subscription dropped; the old list stays.
     pub fn list_failed(&self, link: &mut dyn Link) {
         let mut state = self.0.borrow_mut();
@@ -178,9 +182,7 @@
     pub fn wake(&self, link: &mut dyn Link) {
         let (mut state, now) = (self.0.borrow_mut(), link.now());
         // Guards against a flood of timers: only the latest one set asks for the next.
-        if state.alarm.is_some_and(|at| now + TICK >= at) {
-            state.alarm = None;
-        }
+        state.alarm.take_if(|at| now + TICK >= *at);
         if state.ask_at.is_some_and(|at| now >= at) {
             link.watch();
             let jitter = state.chance.between(0.8, 1.2);
@@ -274,8 +276,7 @@
     }
 
     pub fn ended(&self, n: usize, how: Outcome, over: bool, report: Option<LoadReport>, link: &mut dyn Link) {
-        let now = link.now();
-        let mut state = self.state.borrow_mut();
+        let (mut state, now) = (self.state.borrow_mut(), link.now());
         let (backend, took, ahead, room) = match self.call.picks.borrow_mut().get_mut(n) {
             Some(pick) if pick.ended.is_none() => {
                 pick.ended = Some(how);
@@ -401,7 +402,7 @@
     fn cold_budget(&self, to: &Backend, now: f64) -> Option<(f64, f64)> {
         let work = self.cold.allowed(now - to.started.get()?)?;
         // What one core does, split evenly; or what a warm backend answers here, which sums by itself.
-        let even = 1.0 / (self.service_time() * self.bounds.balancers);
+        let even = 1.0 / (self.service_time() * self.bounds.balancers * self.bounds.processes);
         let ready = self.backends.set(Set::Ready).len().max(1) as f64;
         let own = self.answered.read(now, MEAN_OVER) / MEAN_OVER / ready;
         // A part below one pick is one by chance, such that the sum is kept even if every probe of an even
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -614,7 +614,8 @@
     fn spawn_daemon(program: &str, folder: &Path) -> Child {
         let mut start = Command::new(program);
         let log = std::fs::File::create(folder.join("log")).expect("a file");
-        start.env("LB_CONFIG", folder.join("config.json")).stderr(log).spawn().expect("birchhubd")
+        start.env("LB_CONFIG", folder.join("config.json")).env("TMPDIR", folder);
+        start.stderr(log).spawn().expect("birchhubd")
     }
 
     impl Daemon {
