A cold backend may hold one pick of each proxy where that fits beside its own work

Cause: the cold budget, half of which is a burst and which is cut for chance, gives 8 RPCs a second of 48 allowed before two proxies; cold backends stood at 0.26 RPCs each (probes) and took 10 a second. Lines at fault: policy.rs, cold_room.

--- a/src/held.rs
+++ b/src/held.rs
@@ -119,6 +119,11 @@
         let part = self.from + (1.0 - self.from) * (age / self.lasts).max(0.0);
         (age < self.lasts).then_some(self.multiple * self.window * part)
     }
+
+    /// What is left of that work beside what the backend does in the window.
+    pub fn beyond_its_own(&self, allowed: f64) -> f64 {
+        (allowed - allowed / self.multiple).max(0.0)
+    }
 }
 
 /// So much of that work that RPCs of this mean and twice their spread come to no more. Guards against a cold
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -217,7 +217,7 @@
                 backend.luck.set(state.chance.between(0.0, 1.0));
                 let budget = state.cold_budget(&backend, now);
                 // A restarted proxy forgot what it sent and how long work takes: the burst counts as spent.
-                let spent = budget.filter(|_| kind == ListKind::Stale).map_or(0.0, |(budget, _)| budget);
+                let spent = budget.filter(|_| kind == ListKind::Stale).map_or(0.0, |(budget, ..)| budget);
                 backend.cold_sent.add(spent, now, state.cold.window);
                 state.file(&backend, now);
             }
@@ -228,8 +228,7 @@
             state.relist(&backend, now, |b| b.ready.set(false));
         }
         // Guards against memory of all that ever were; a cold budget is remembered for as long as it binds.
-        let over = state.cold.window;
-        let bound = |b: &Backend| b.out.get() > 0 || b.cold_sent.read(now, over) > TICK;
+        let bound = |b: &Backend| b.out.get() > 0 || b.cold_sent.read(now, state.cold.window) > TICK;
         let gone = state.backends.set(Set::Unready).iter().filter(|b| !bound(b)).cloned().collect::<Vec<_>>();
         for backend in gone {
             state.probes_out -= usize::from(backend.probe_out.get().is_some());
@@ -405,25 +404,27 @@
 
     // Mechanism 4: cold budget.
 
-    /// Picks this proxy may send to a cold backend in a window, the chance of one where that is less; none
-    /// if warm. Guards against successors that each look idle and draw everybody's traffic at once.
-    fn cold_budget(&self, to: &Backend, now: f64) -> Option<(f64, f64)> {
-        let work = self.cold.allowed(now - to.started.get()?)?;
+    /// Picks this proxy may send to a cold backend in a window, the chance of one if that is less, whether all
+    /// proxies may have one there; none if warm. Guards against successors that draw all traffic at once.
+    fn cold_budget(&self, to: &Backend, now: f64) -> Option<(f64, f64, bool)> {
+        let (work, each) = (self.cold.allowed(now - to.started.get()?)?, self.service_time());
+        let proxies = self.bounds.balancers * self.bounds.processes;
         // What one core does, split evenly; or what a warm backend answers here, which sums by itself.
-        let even = 1.0 / (self.service_time() * self.bounds.balancers * self.bounds.processes);
         let ready = self.backends.set(Set::Ready).len().max(1) as f64;
         let own = self.answered.read(now, MEAN_OVER) / MEAN_OVER / ready;
         // A part below one pick is one by chance, such that the sum is kept even if every probe of an even
         // split led to a pick. Guards against hundreds of proxies that each send their one.
         let chance = work / COLD_SAFETY / self.cold.window / self.probes_each.max(1.0);
-        Some((surely(work, self.service_time()) * even.max(own), chance))
+        // Beside what it does meanwhile. Guards against few proxies that leave it idle until it is warm.
+        let alone = surely(self.cold.beyond_its_own(work), each) >= proxies * each;
+        Some((surely(work, each) * own.max(1.0 / (each * proxies)), chance, alone))
     }
 
     fn cold_room(&self, to: &Backend, now: f64) -> bool {
         // Half of it as a burst and half as what decays within the window: no window holds more than all.
-        let Some((budget, chance)) = self.cold_budget(to, now) else { return true };
+        let Some((budget, chance, alone)) = self.cold_budget(to, now) else { return true };
         let sent = to.cold_sent.read(now, self.cold.window);
-        sent < budget / 2.0 && to.luck.get() < chance.max(budget / 2.0)
+        alone && to.out.get() == 0 || sent < budget / 2.0 && to.luck.get() < chance.max(budget / 2.0)
     }
 
     // The design: Join-Idle-Queue.
@@ -635,8 +636,7 @@
 
     /// Whether a draw would answer in time by what is known. Guards against all waiting past use behind all.
     fn in_time(&self, call: &Call, now: f64) -> bool {
-        let load = self.load.fading(now, MEAN_OVER) + 1.0;
-        let fade = self.fade();
+        let (load, fade) = (self.load.fading(now, MEAN_OVER) + 1.0, self.fade());
         // Guards against long targets that fill the backends until short ones are shut out.
         let room = |m: &Rc<Method>| m.set.latency_target / m.each.fading(now, fade) / self.room;
         let tightest = self.methods.iter().map(room).fold(f64::INFINITY, f64::min);
