Test of slow clients' load fails without its cause: its long RPC no longer times out

Against at_work() taken back the test passed: in its world the long RPC timed out at the latency target, so nothing flowed. With the RPC held open it fails without the change (checked) and passes with it.

--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -452,6 +452,7 @@
 fn slow_clients_make_no_backend_look_busy_or_slow() {
     let mut proxy = fleet(2, settings(&[Effect::Idempotent]));
     let long = proxy.take_long();
+    proxy.world.rpcs.get_mut(&long).expect("taken").streaming = true; // no time-out counts yet
     proxy.answer_probes(Outcome::Ok, |_| 0.0);
     proxy.pass(0.05);
     let slow = proxy.world.rpcs[&long].sent[0].backend;
