--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -1,6 +1,6 @@
 //! Wire text to calls on the module, and the module's answers back to wire text.
 use birchhub::policy::{Balancer, Rpc};
-use birchhub::types::{Arrival, Entry, Link, ListKind, LoadReport, Outcome, Readiness};
+use birchhub::types::{Arrival, Entry, Link, ListKind, LoadReport, Outcome, Pace, Readiness};
 use birchhub_settings as settings;
 use std::any::Any;
 use std::collections::{BTreeMap, HashMap};
@@ -298,7 +298,7 @@
             "BEGUN" => {
                 let (proxy, id) = (parts.num("proxy-id")?, parts.below("tid", 52)?);
                 let n = parts.num("n")?;
-                self.on_rpc(proxy, id, |rpc, link| rpc.begun(n, link));
+                self.on_rpc(proxy, id, |rpc, link| rpc.begun(n, Pace::Backend, link));
             }
             "HANGUP" => {
                 let (proxy, id) = (parts.num("proxy-id")?, parts.below("tid", 52)?);
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -10,7 +10,7 @@
 use crate::standing::{Standing, Standings};
 use crate::watcher::{Act, Asked, Watch};
 use birchhub::policy::{Balancer, Rpc};
-use birchhub::types::{Arrival, Entry, Link, ListKind, LoadReport, Outcome, Readiness};
+use birchhub::types::{Arrival, Entry, Link, ListKind, LoadReport, Outcome, Pace, Readiness};
 use bytes::Bytes;
 use std::collections::{HashMap, HashSet};
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -279,7 +279,7 @@
             ToCore::Begun { rpc, pick, flow } => {
                 self.on_rpc(rpc, |handle, door| {
                     door.give(rpc, Answer::Long(flow));
-                    handle.begun(pick, door);
+                    handle.begun(pick, Pace::Client, door);
                 });
                 self.watch(|watch, now, asked| watch.begun(now, asked, (rpc, pick)));
             }
--- a/crates/daemon/src/watcher.rs
+++ b/crates/daemon/src/watcher.rs
@@ -1,7 +1,7 @@
 //! Watching before a move: a second instance of the module, with the settings of the new shape, hears what the
 //! first hears, and what it would have done otherwise is counted. It has no way to a socket or a client.
 use birchhub::policy::{Balancer, Rpc};
-use birchhub::types::{Arrival, Entry, Link, ListKind, LoadReport, Outcome, Settings};
+use birchhub::types::{Arrival, Entry, Link, ListKind, LoadReport, Outcome, Pace, Settings};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt;
 use std::time::Duration;
@@ -175,7 +175,7 @@
     }
 
     pub fn begun(&mut self, now: f64, first: Asked, (id, pick): (u64, usize)) {
-        self.on_rpc(now, first, id, |rpc, notes| rpc.begun(pick, notes));
+        self.on_rpc(now, first, id, |rpc, notes| rpc.begun(pick, Pace::Client, notes));
     }
 
     pub fn unrepeatable(&self, id: u64) {
--- a/src/held.rs
+++ b/src/held.rs
@@ -1,7 +1,7 @@
 //! What the decision module keeps of backends, methods, tenants and RPCs: data, no decisions.
 use crate::measure::{Decaying, Mean};
 use crate::roster::{NOWHERE, SLOTS, Set};
-use crate::types::{Arrival, Entry, MethodSettings, Outcome, Readiness, Settings};
+use crate::types::{Arrival, Entry, MethodSettings, Outcome, Pace, Readiness, Settings};
 use crate::waiting::Rank;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -217,7 +217,7 @@
     pub sent: f64,             // its last byte, as far as is known
     pub room: f64,             // s that it had from then on
     pub ahead: Option<f64>,    // RPCs that backends held by the reports of the time, if it was drawn blindly
-    pub answered: Option<f64>, // when a long answer began
+    pub answered: Option<f64>, // when an answer began that its client sets the pace of
     pub ended: Option<Outcome>,
     flows: bool, // it is on its way from or to a client
 }
@@ -304,9 +304,10 @@
     }
 
     /// The answer to a pick has begun.
-    pub fn begun(&self, n: usize, now: f64) {
+    pub fn begun(&self, n: usize, pace: Pace, now: f64) {
         self.streaming.set(true);
-        if let Some(pick) = self.picks.borrow_mut().get_mut(n).filter(|pick| pick.ended.is_none()) {
+        let mut picks = self.picks.borrow_mut();
+        if let Some(pick) = picks.get_mut(n).filter(|pick| pick.ended.is_none() && pace == Pace::Client) {
             pick.answered = Some(now);
             pick.flow(true);
         }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -261,8 +261,8 @@
     }
 
     /// The answer has started; from here on it is the client's, without time-out or deadline.
-    pub fn begun(&self, n: usize, link: &mut dyn Link) {
-        self.call.begun(n, link.now());
+    pub fn begun(&self, n: usize, pace: Pace, link: &mut dyn Link) {
+        self.call.begun(n, pace, link.now());
     }
 
     /// The last byte of a long RPC has gone out: its backend begins, and its time counts from here.
--- a/src/types.rs
+++ b/src/types.rs
@@ -153,6 +153,15 @@
     NeverSent,
 }
 
+/// Who sets the pace of an answer that is on its way.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Pace {
+    /// The backend works on it until its end.
+    Backend,
+    /// The client: how long that takes says nothing of the backend.
+    Client,
+}
+
 impl Outcome {
     /// The outcome proves that the pick never ran.
     pub fn never_ran(self) -> bool {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -470,7 +470,7 @@
         let rpc = proxy.take(0, 0.5);
         proxy.pass(0.02);
         proxy.world.rpcs.get_mut(&rpc).expect("taken").streaming = true;
-        proxy.handles[&rpc].begun(0, &mut proxy.world);
+        proxy.handles[&rpc].begun(0, Pace::Client, &mut proxy.world);
         proxy.pass(2.0);
         proxy.end(rpc, 0, Outcome::Ok, Some(1.0));
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -57,7 +57,7 @@
                 && record.sent.iter().filter(|s| s.ended.is_none()).count() == 1
             {
                 record.streaming = true;
-                proxy.handles[&rpc].begun(record.sent.len() - 1, &mut proxy.world);
+                proxy.handles[&rpc].begun(record.sent.len() - 1, Pace::Backend, &mut proxy.world);
             }
         }
         _ => proxy.pass(size * size * 0.4),
