--- a/crates/daemon/tests/operations.rs
+++ b/crates/daemon/tests/operations.rs
@@ -103,7 +103,14 @@
 #[test]
 fn a_banned_backend_gets_nothing_until_one_exit() {
     let log = Log::new(vec![]);
-    let (one, two) = (echo("b1", &log), echo("b2", &log));
+    // What a cold backend may be sent counts in work: it has to take some time.
+    let slow = |name| {
+        backend(name, &log, |_| {
+            std::thread::sleep(Duration::from_millis(20));
+            Act::Write(reply("200 OK", ""))
+        })
+    };
+    let (one, two) = (slow("b1"), slow("b2"));
     let (daemon, at) = managed(&[("s-1", one), ("s-2", two)], |_| {});
     let mut client = daemon.client();
     let uses = |client: &mut Client, turn: &str| {
@@ -118,11 +125,7 @@
     assert_eq!(uses(&mut client, "banned"), 0);
     daemon.list.tell_heard(&[line("s-2", two, "Ready")]);
     assert_eq!(call(at, "POST /maintenance/enter?member=s-1").0, 200, "what is gone is known");
-    let slow = backend("b1", &log, |_| {
-        std::thread::sleep(Duration::from_millis(30));
-        Act::Write(reply("200 OK", ""))
-    });
-    let mut anew = line("s-1", slow, "Ready");
+    let mut anew = line("s-1", slow("b1"), "Ready");
     anew["boot_ms"] = 1_700_000_000_000_u64.into();
     daemon.list.tell_heard(&[anew.clone(), line("s-2", two, "Ready")]);
     assert_eq!(uses(&mut client, "anew"), 0);
