Names listed are kept once; answers, flows and SIGTERM told in plainer form

Found by reading the whole change. standing.rs: where no file takes names over (no second address, or no TMPDIR) each list added the same names again, up to 20,000 and a false warning; a set and a unit test now.

--- a/crates/daemon/src/answer.rs
+++ b/crates/daemon/src/answer.rs
@@ -38,31 +38,26 @@
     /// `last`: the connection is closed after it.
     pub fn encode(self, last: bool) -> Response<Answering> {
         let come_back = if let Self::PushedBack { come_back } = self { come_back } else { 0.0 };
+        let text = |text: &'static str| Ok(Bytes::from_static(text.as_bytes()));
         let (status, body) = match self {
-            Self::Long(flow) => return finish(StatusCode::OK, Answering::new(Err(flow)), come_back, last),
-            Self::Ok(body) => (StatusCode::OK, body),
-            Self::PushedBack { .. } => {
-                (StatusCode::SERVICE_UNAVAILABLE, Bytes::from_static(b"pushed back\n"))
-            }
-            Self::Aborted => (StatusCode::BAD_GATEWAY, Bytes::from_static(b"aborted\n")),
-            Self::Refused(status, why) => (status, Bytes::from_static(why.as_bytes())),
-            Self::Health(true) => (StatusCode::OK, Bytes::from_static(b"ready\n")),
-            Self::Health(false) => (StatusCode::SERVICE_UNAVAILABLE, Bytes::from_static(b"not ready\n")),
+            Self::Ok(body) => (StatusCode::OK, Ok(body)),
+            Self::Long(flow) => (StatusCode::OK, Err(flow)),
+            Self::PushedBack { .. } => (StatusCode::SERVICE_UNAVAILABLE, text("pushed back\n")),
+            Self::Aborted => (StatusCode::BAD_GATEWAY, text("aborted\n")),
+            Self::Refused(status, why) => (status, text(why)),
+            Self::Health(true) => (StatusCode::OK, text("ready\n")),
+            Self::Health(false) => (StatusCode::SERVICE_UNAVAILABLE, text("not ready\n")),
         };
-        finish(status, Answering::new(Ok(Full::new(body))), come_back, last)
-    }
-}
-
-fn finish(status: StatusCode, body: Answering, come_back: f64, last: bool) -> Response<Answering> {
-    let mut response = Response::new(body);
-    *response.status_mut() = status;
-    if come_back > 0.0
-        && let Ok(value) = HeaderValue::from_str(&format!("{come_back:.3}"))
-    {
-        response.headers_mut().insert(RETRY_AFTER, value);
-    }
-    if last {
-        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        let mut response = Response::new(Answering::new(body.map(Full::new)));
+        *response.status_mut() = status;
+        if come_back > 0.0
+            && let Ok(value) = HeaderValue::from_str(&format!("{come_back:.3}"))
+        {
+            response.headers_mut().insert(RETRY_AFTER, value);
+        }
+        if last {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
     }
-    response
 }
--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -308,11 +308,9 @@
                     if !fresh {
                         self.keep.update(|keep| keep.mul_f64(KEEP_GROW).min(self.limits.keep()));
                     }
-                    let fault = match reply.goes_on {
-                        true => pass_on(&mut conn, &mut reply, ticket).await,
-                        false => None,
-                    };
-                    if let Some(fault) = fault {
+                    if reply.goes_on
+                        && let Some(fault) = pass_on(&mut conn, &mut reply, ticket).await
+                    {
                         return nothing(fault);
                     }
                     self.keep(conn, endpoint, &reply.headers).await;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -157,15 +157,11 @@
     term.recv().await;
 
     standings.end();
-    log::info!(
-        "SIGTERM: {}",
-        match standings.now().is_replaced() {
-            true => "accepts no more, another process does",
-            false => "goes on for what still comes",
-        }
-    );
-    let end = Instant::now() + GO_ON + Duration::from_secs_f64(config.conf.longest_deadline);
     let replaced = standings.now().is_replaced();
+    let goes_on =
+        if replaced { "accepts no more, another process does" } else { "goes on for what still comes" };
+    log::info!("SIGTERM: {goes_on}");
+    let end = Instant::now() + GO_ON + Duration::from_secs_f64(config.conf.longest_deadline);
     if !replaced {
         sleep(GO_ON).await;
     }
--- a/crates/daemon/src/sockets.rs
+++ b/crates/daemon/src/sockets.rs
@@ -118,8 +118,9 @@
         Place { budget: self.clone(), part }
     }
 
-    /// Notes something that may be given up for a new socket, for as long as the offer is kept, lowest rank first. Costs the same
-    /// however many are offered: guards against a proxy that walks all idle sockets with every answer.
+    /// Notes something that may be given up for a new socket, for as long as the offer is kept; the lowest rank
+    /// goes first. Costs the same however many are offered: guards against a proxy that walks all idle sockets
+    /// with every answer.
     pub fn offer<S: Spare + 'static>(self: &Rc<Self>, part: Part, rank: u8, spare: &Rc<S>) -> Offer {
         let (shelf, spare) = (self.shelf(part), Rc::<S>::downgrade(spare));
         let place = (rank, shelf.next.replace(shelf.next.get() + 1));
@@ -339,21 +340,16 @@
         let length = body.size_hint().exact();
         self.rest = Some(body);
         let (status, headers) = (head.status, head.headers);
+        let may_go_on = may_go_on && status == StatusCode::OK;
         // One that says so is passed on from its first byte: of a long answer that is the one whose time counts.
-        let mut goes_on =
-            may_go_on && status == StatusCode::OK && length.is_some_and(|bytes| bytes > most as u64);
-        if goes_on {
-            return Ok(Reply { status, headers, body: Bytes::new(), goes_on, length });
-        }
-        let mut kept = BytesMut::with_capacity(length.unwrap_or(0).min(most as u64) as usize);
-        while let Some(bytes) = self.next().await? {
+        let mut goes_on = may_go_on && length.is_some_and(|bytes| bytes > most as u64);
+        let room = if goes_on { 0 } else { length.unwrap_or(0).min(most as u64) };
+        let mut kept = BytesMut::with_capacity(room as usize);
+        while !goes_on && let Some(bytes) = self.next().await? {
             kept.extend_from_slice(&bytes);
-            if kept.len() > most {
-                goes_on = may_go_on && status == StatusCode::OK;
-                if !goes_on {
-                    return Err(Fault::Spoilt);
-                }
-                break;
+            goes_on = kept.len() > most;
+            if goes_on && !may_go_on {
+                return Err(Fault::Spoilt);
             }
         }
         Ok(Reply { status, headers, body: kept.freeze(), goes_on, length })
--- a/crates/daemon/src/standing.rs
+++ b/crates/daemon/src/standing.rs
@@ -141,7 +141,7 @@
     /// The last turn that the core has carried out.
     done: watch::Sender<u64>,
     shared: Option<Mutex<Shared>>,
-    fresh_names: RefCell<Vec<String>>, // not yet in the file
+    fresh_names: RefCell<BTreeSet<String>>, // not yet in the file
     full: Cell<bool>,
 }
 
@@ -188,8 +188,12 @@
         let known = &self.standing.borrow().orders.names;
         let mut fresh = self.fresh_names.borrow_mut();
         for name in names.filter(|name| !known.contains(*name)) {
+            // Guards against names counted anew with each list where no file takes them over.
+            if fresh.contains(name) {
+                continue;
+            }
             if known.len() + fresh.len() < NAMES_MOST {
-                fresh.push(name.to_owned());
+                fresh.insert(name.to_owned());
             } else if !self.full.replace(true) {
                 log::warn!("{NAMES_MOST} names were listed: calls about others will not know them");
             }
@@ -197,7 +201,7 @@
     }
 
     pub fn knows(&self, name: &str) -> bool {
-        self.standing.borrow().orders.knows(name) || self.fresh_names.borrow().iter().any(|n| n == name)
+        self.standing.borrow().orders.knows(name) || self.fresh_names.borrow().contains(name)
     }
 
     /// The core has carried out what was ordered up to this turn.
@@ -288,3 +292,17 @@
         None
     })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Lists name the same backends over and over; without a file nothing else takes the names over.
+    #[test]
+    fn names_are_kept_once() {
+        let standings = Standings::new(None, false);
+        (0..3).for_each(|_| standings.listed(["a", "b"].into_iter()));
+        assert_eq!(standings.fresh_names.borrow().len(), 2);
+        assert!(standings.knows("a") && !standings.knows("c"));
+    }
+}
