A connection ends in one place that looks again first; who left is seen; all is answered by the end

Cause, each proved by a test on real sockets that fails on the text before (it was run there): - front.rs, `serve`: `select!` polled in random order, so an RPC read in the very turn in which its line was ended as idle (SIGTERM, standby) went with it, or was closed unread; after SIGCONT epoll ends early, and the clock is heard before sockets. - a client's end was hidden by any byte behind its RPC (hyper reads on only with an empty buffer): the RPC waited on and was sent. - main.rs: the end came 0.5 s after the longest deadline however long that is, SIGKILL as if it were 3 s at the most; 0 s where a deadline is not told; RPCs whose clients wait for longer were dropped there, and half messages cut after 0.5 s; connections in the machine's queue were reset as the listener closed. - a Request-Id was free again once its client had left, though a pick that may not be cancelled was still out: two out, twice run. - the module's clock stands still with the process, and a connection may come up late: a repeat went out after its window. - backend.rs: the address was read before the wait for a connection: a backend that moved meanwhile got the RPC where it was. - an answer in chunks without end was passed on without end. Change: one loop (`Front::last`) moves a connection on and alone decides its end, sockets first, after one more look; `Ahead` reads up to 16 KiB ahead while an RPC is under way; `Standing::last_call` by when all is answered, waits are cut to it; a name stays open until its picks have ended; a repeat carries the time by which its first byte is to go; bodies over 32 MB are cut. Ruled out by tests that pass before and after: a place lost in the turn of an RPC; every connection busy at SIGTERM; answers that stop half way; many signals at once (failed once of three on the text before, cause not traced).

--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -1,6 +1,6 @@
 //! One actor for each backend: its connections, and the picks and probes that go to it. A job owns its
 //! connection while it runs, and its `Ticket` tells the core how it ended, once, when it is dropped.
-use crate::body::{Flow, KEPT, flow};
+use crate::body::{Flow, KEPT, MOST, flow};
 use crate::core::ToCore;
 use crate::intake::Message;
 use crate::sockets::{Budget, Conn, Fault, Offer, Part, Reply, Spare};
@@ -116,10 +116,17 @@
 /// The other end stops a job when it is dropped, and withdraws it, if nothing was sent yet, when it is used.
 pub type Stop = Option<oneshot::Receiver<()>>;
 
+/// Until when a job is run, and by when its first byte has to be sent, if that is limited.
+#[derive(Clone, Copy)]
+pub struct Times {
+    pub until: Instant,
+    pub send_by: Option<Instant>,
+}
+
 /// A pick or probe to be run until a time, or until it is stopped.
 pub struct Job {
     pub message: Message,
-    pub until: Instant,
+    pub times: Times,
     pub stop: Stop,
     pub ticket: Ticket,
 }
@@ -213,7 +220,7 @@
     }
 
     async fn serve(self: Rc<Self>, job: Job) {
-        let Job { message, until, stop, mut ticket } = job;
+        let Job { message, times: Times { until, send_by }, stop, mut ticket } = job;
         let (begun, sent) = (Instant::now(), &ticket.sent);
         let written = Progress::default();
         let stopped = async {
@@ -243,6 +250,7 @@
             biased;
             () = stopped => Ended::Withdrawn,
             () = self.withdrawn(sent) => Ended::Withdrawn,
+            () = too_late(send_by, sent) => Ended::Withdrawn,
             end = self.exchange(&message, until, &ticket, &written) => Ended::Itself(end),
             () = late => Ended::Late,
             () = stalled(&message, &written) => Ended::Stalled,
@@ -300,6 +308,10 @@
                 }
             };
             let Some(mut conn) = conn else { return nothing(Outcome::NoConnection) };
+            // It moved while this connection came up, or was about to be taken: another may live there by now.
+            if self.facts.borrow().endpoint != endpoint {
+                continue;
+            }
             written.replace(Some(conn.progress()));
             let left = until.saturating_duration_since(Instant::now());
             let idle = conn.used.elapsed();
@@ -385,6 +397,14 @@
     Stalled,
 }
 
+/// Ends when it is too late to send anything, if nothing was sent by then.
+async fn too_late(send_by: Option<Instant>, sent: &Cell<bool>) {
+    crate::config::until(send_by).await;
+    if sent.get() {
+        pending::<()>().await;
+    }
+}
+
 /// Ends when a long request makes no way for too long before its last byte has come.
 async fn stalled(message: &Message, written: &Progress) {
     let Some(upload) = message.upload() else { return pending().await };
@@ -405,16 +425,20 @@
 async fn pass_on(conn: &mut Conn, reply: &mut Reply, ticket: &Ticket) -> Option<Outcome> {
     let (source, flow) = flow(std::mem::take(&mut reply.body), reply.length);
     ticket.tell_begun(flow).await;
+    let mut left = MOST;
     loop {
         let bytes = select! {
             biased;
             () = source.closed() => return Some(Outcome::Cancelled),
             next = timeout(FLOW_STALL, conn.next()) => match next {
+                // Guards against answers that never end: no body may be longer.
+                Ok(Ok(Some(bytes))) if bytes.len() as u64 > left => return Some(Outcome::Reset),
                 Ok(Ok(Some(bytes))) => bytes,
                 Ok(Ok(None)) => break,
                 Ok(Err(_)) | Err(_) => return Some(Outcome::Reset),
             },
         };
+        left -= bytes.len() as u64;
         if !source.pass(bytes).await {
             return Some(Outcome::Cancelled);
         }
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -1,16 +1,19 @@
 //! The actor around the decision module: every call on it is made here, in the order in which things
 //! happened, and what it asks for leaves through `Door` without waiting.
 use crate::answer::Answer;
-use crate::backend::{Backend, Errand, Facts, Job, Limits, Stop, Ticket};
+use crate::backend::{Backend, Errand, Facts, Job, Limits, Stop, Ticket, Times};
 use crate::body::Flow;
 use crate::config::{Clock, Config, until};
 use crate::discovery::{Listed, News};
+use crate::front::Opened;
 use crate::intake::{Message, Received};
 use crate::sockets::Budget;
 use crate::standing::{Standing, Standings};
 use crate::watcher::{Act, Asked, Watch};
 use birchhub::policy::{Balancer, Rpc};
-use birchhub::types::{Arrival, Entry, Link, ListKind, LoadReport, Outcome, Pace, Readiness};
+use birchhub::types::{
+    Arrival, Effect, Entry, Link, ListKind, LoadReport, MethodSettings, Outcome, Pace, Readiness,
+};
 use bytes::Bytes;
 use std::collections::{HashMap, HashSet};
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -32,6 +35,7 @@
     Take {
         id: u64,
         rpc: Box<Received>,
+        opened: Opened,
         answer: oneshot::Sender<Answer>,
     },
     HungUp(u64),
@@ -68,6 +72,19 @@
     deadline: Instant,
     answer: Option<oneshot::Sender<Answer>>,
     picks: Vec<Option<oneshot::Sender<()>>>, // of those that can still be stopped
+    /// How long after the first pick that may have run another may be sent, where that is limited.
+    window: Option<Duration>,
+    may_have_run: Vec<Option<Instant>>, // when each pick was made; none for one that never ran
+    /// Guards against a second RPC of this name, sent while a pick of this one is still out.
+    _opened: Opened,
+}
+
+impl Held {
+    /// By when another pick has to be sent. The module judged by its own clock, before a connection was opened and
+    /// perhaps before this process stood still: guards against repeats that come too late to be dropped.
+    fn send_by(&self) -> Option<Instant> {
+        Some(*self.may_have_run.iter().flatten().min()? + self.window?)
+    }
 }
 
 /// The module's door outward.
@@ -99,12 +116,12 @@
     }
 
     /// Hands a job to a backend. Where that can't be done its ticket, dropped, says so.
-    fn run(&mut self, errand: Errand, backend: u32, message: Message, until: Instant, stop: Stop) {
+    fn run(&mut self, errand: Errand, backend: u32, message: Message, times: Times, stop: Stop) {
         let Ok(permit) = self.core.clone().try_reserve_owned() else {
             log::error!("the core's mailbox is full");
             return self.unsent.push(errand);
         };
-        let job = Job { message, until, stop, ticket: Ticket::new(errand, self.core.clone(), permit) };
+        let job = Job { message, times, stop, ticket: Ticket::new(errand, self.core.clone(), permit) };
         if let Some(backend) = self.backends.get(&backend) {
             let _ = backend.mailbox.try_send(job);
         }
@@ -120,10 +137,13 @@
         let (sender, stop) = oneshot::channel();
         let pick = held.picks.len();
         held.picks.push(Some(sender));
+        let send_by = held.send_by();
+        held.may_have_run.push(Some(Instant::now()));
         let until = self.clock.instant(self.now + time_out).min(held.deadline);
         let message = held.message.clone();
         log::trace!("RPC {rpc}: pick {pick} to {backend} for {time_out:.3} s");
-        self.run(Errand::Pick { rpc, pick }, backend, message, until, Some(stop));
+        let times = Times { until, send_by };
+        self.run(Errand::Pick { rpc, pick }, backend, message, times, Some(stop));
         self.note(rpc, Act::Pick(backend));
     }
     fn cancel(&mut self, rpc: u64, pick: usize) {
@@ -140,9 +160,9 @@
     }
     fn probe(&mut self, backend: u32) {
         self.asked.iter_mut().for_each(Asked::probe);
-        let until = Instant::now() + PROBE_WAITS;
+        let times = Times { until: Instant::now() + PROBE_WAITS, send_by: None };
         log::trace!("probe to {backend}");
-        self.run(Errand::Probe { backend }, backend, Message::probe(), until, None);
+        self.run(Errand::Probe { backend }, backend, Message::probe(), times, None);
     }
     fn watch(&mut self) {
         self.wanted.notify_one();
@@ -153,6 +173,13 @@
     }
 }
 
+fn window(method: &MethodSettings) -> Option<Duration> {
+    match method.effect {
+        Effect::Deduplicated { window, .. } => Some(Duration::from_secs_f64(window)),
+        Effect::Idempotent | Effect::NonIdempotent => None,
+    }
+}
+
 pub struct Core {
     balancer: Balancer,
     rpcs: HashMap<u64, Rpc>,
@@ -161,6 +188,7 @@
     numbers: HashMap<String, (u32, Instant)>, // of backends, by uid, and when they were last heard of
     next: u32,
     zones: Vec<String>,
+    windows: Vec<Option<Duration>>, // by method, in which its repeats are dropped
     sized: bool,
     limits: Limits,
     budget: Rc<Budget>,
@@ -201,6 +229,7 @@
             numbers: HashMap::new(),
             next: 0,
             zones: conf.zones.clone(),
+            windows: conf.settings.methods.iter().map(window).collect(),
             sized: conf.sized,
             limits: Limits {
                 connect: Duration::from_secs_f64(conf.connect_limit),
@@ -267,7 +296,7 @@
     fn hear(&mut self, message: ToCore) {
         self.keep_time();
         match message {
-            ToCore::Take { id, rpc, answer } => self.take(id, *rpc, answer),
+            ToCore::Take { id, rpc, opened, answer } => self.take(id, *rpc, opened, answer),
             ToCore::HungUp(id) => self.hung_up(id),
             ToCore::Ended { rpc, pick, outcome, report, body } => {
                 self.ended(rpc, pick, outcome, report, body)
@@ -353,7 +382,7 @@
         }
     }
 
-    fn take(&mut self, id: u64, rpc: Received, answer: oneshot::Sender<Answer>) {
+    fn take(&mut self, id: u64, rpc: Received, opened: Opened, answer: oneshot::Sender<Answer>) {
         log::trace!("RPC {id}: method {}, {:?}", rpc.method, rpc.waits);
         let deadline = rpc.at + rpc.waits.saturating_sub(MARGIN);
         let arrival = Arrival {
@@ -366,8 +395,9 @@
             long: rpc.message.upload().is_some(),
             key: rpc.key,
         };
-        let held = Held { message: rpc.message, deadline, answer: Some(answer), picks: Vec::new() };
-        self.door.held.insert(id, held);
+        let (picks, may_have_run, window) = (Vec::new(), Vec::new(), self.windows[rpc.method]);
+        let (message, answer, _opened) = (rpc.message, Some(answer), opened);
+        self.door.held.insert(id, Held { message, deadline, answer, picks, window, may_have_run, _opened });
         self.call(|core| {
             let rpc = core.balancer.take(&arrival, &mut core.door);
             core.rpcs.insert(id, rpc);
@@ -397,6 +427,9 @@
         self.on_rpc(id, |rpc, door| {
             if let Some(held) = door.held.get_mut(&id) {
                 held.picks[pick] = None;
+                if outcome.never_ran() {
+                    held.may_have_run[pick] = None;
+                }
             }
             if spent {
                 rpc.unrepeatable();
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -5,7 +5,7 @@
 use crate::core::ToCore;
 use crate::head::HeadScan;
 use crate::intake::{Intake, Received};
-use crate::sockets::{Budget, Offer, Part, Place, Spare, Watched, Witness, linger};
+use crate::sockets::{Ahead, Budget, Inbound, Offer, Part, Place, Spare, Watched, Witness, linger};
 use crate::standing::Standing;
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
@@ -16,8 +16,10 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 use std::convert::Infallible;
-use std::future::pending;
+use std::future::{Future, pending, poll_fn};
+use std::pin::pin;
 use std::rc::{Rc, Weak};
+use std::task::Poll;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::select;
@@ -44,21 +46,38 @@
     pub open: Open,
 }
 
-/// The `Request-Id`s of the RPCs in the core's care.
+/// The `Request-Id`s of the RPCs of which a pick may still be out.
 #[derive(Clone, Default)]
 pub struct Open(Rc<RefCell<HashSet<HeaderValue>>>);
 
+/// A `Request-Id` that is open until this is dropped.
+pub struct Opened {
+    name: HeaderValue,
+    open: Open,
+}
+
+impl Open {
+    /// Nothing if it is open already.
+    fn enter(&self, name: HeaderValue) -> Option<Opened> {
+        let fresh = self.0.borrow_mut().insert(name.clone());
+        fresh.then(|| Opened { name, open: self.clone() })
+    }
+}
+
+impl Drop for Opened {
+    fn drop(&mut self) {
+        self.open.0.borrow_mut().remove(&self.name);
+    }
+}
+
 /// An RPC in the core's care. Dropped before its answer, as when the client hangs up, it tells the core.
 struct Care {
     id: u64,
-    name: HeaderValue,
-    open: Open,
     permit: Option<OwnedPermit<ToCore>>,
 }
 
 impl Drop for Care {
     fn drop(&mut self) {
-        self.open.0.borrow_mut().remove(&self.name);
         if let Some(permit) = self.permit.take() {
             permit.send(ToCore::HungUp(self.id));
         }
@@ -97,18 +116,20 @@
     /// It may be given up for another.
     offer: RefCell<Option<Offer>>,
     itself: Weak<Line>,
+    /// The budget has given its place away; void once an RPC is under way.
+    given_up: Cell<bool>,
+    opened: Instant,
     turned: Notify,
-    moved: Notify, // with `turned`, for who else waits
-    close: Notify,
 }
 
 impl Line {
     fn new(budget: &Rc<Budget>) -> Rc<Self> {
-        let (phase, due, budget) = (Phase::Fresh.into(), (Instant::now() + HEAD_TIME).into(), budget.clone());
-        let (refused, scan, given, offer, turned, moved, close) = Default::default();
+        let opened = Instant::now();
+        let (phase, due, budget) = (Phase::Fresh.into(), (opened + HEAD_TIME).into(), budget.clone());
+        let (refused, scan, given, offer, turned, given_up) = Default::default();
         Rc::new_cyclic(|itself| {
             let itself = itself.clone();
-            Self { phase, refused, due, scan, given, budget, offer, itself, turned, moved, close }
+            Self { phase, refused, due, scan, given, budget, offer, itself, given_up, opened, turned }
         })
     }
 
@@ -122,11 +143,11 @@
         self.phase.set(phase);
         if self.busy() {
             self.offer.take();
+            self.given_up.set(false);
         } else {
             self.offer();
         }
         self.turned.notify_one();
-        self.moved.notify_one();
     }
 
     fn busy(&self) -> bool {
@@ -141,19 +162,22 @@
         }
     }
 
-    /// Ends when a head takes too long, the next message to begin, or the client to take its answer. Guards
-    /// against clients that connect and say nothing, or never come to an end.
-    async fn overdue(&self) {
-        loop {
-            select! {
-                () = self.turned.notified() => {}
-                () = sleep_until(self.due.get()), if !matches!(self.phase.get(), Phase::Body | Phase::Busy) => {
-                    if Instant::now() >= self.due.get() {
-                        return;
-                    }
-                }
-            }
-        }
+    /// By when it is to end as it stands now; never by itself with an RPC under way. A head may take too long, or the
+    /// next message to begin, or the client to take its answer: guards against clients that say nothing, or never come
+    /// to an end. Another may have its place, and clients may have been sent away: `goes` tells by when a connection
+    /// ends on which nothing is under way, and by when one whose message is not whole.
+    fn ends(&self, goes: Option<(Instant, Instant)>) -> Option<Instant> {
+        let own = Some(self.due.get());
+        let given_up = self.given_up.get().then_some(self.opened);
+        let (own, goes) = match self.phase.get() {
+            // What has just come may bring an RPC yet.
+            Phase::Fresh | Phase::Between => (own, goes.map(|(idle, _)| idle.max(self.opened + SETTLE))),
+            Phase::Half => (own, goes.map(|(_, half)| half)),
+            Phase::Body => (None, goes.map(|(_, half)| half)),
+            Phase::Busy => return None,
+            Phase::Answering => return own,
+        };
+        [own, goes, given_up].into_iter().flatten().min()
     }
 }
 
@@ -189,17 +213,42 @@
 impl Spare for Line {
     fn give_up(&self) -> bool {
         if !self.busy() {
-            self.close.notify_one();
+            self.given_up.set(true);
+            self.turned.notify_one();
         }
         !self.busy()
     }
 }
 
 impl Front {
-    /// Accepts until dropped.
+    /// Accepts until this proxy's end is near.
     pub async fn run(self: Rc<Self>, listener: TcpListener) {
+        let mut standing = self.standing.clone();
+        let mut looked = false;
         loop {
-            let stream = match listener.accept().await {
+            let (accepts_until, passed) = {
+                let now = standing.borrow_and_update();
+                (now.accepts_until(), now.passed)
+            };
+            // What waits to be accepted on a socket that outlives this process another one takes.
+            if passed && accepts_until.is_some_and(|end| end <= Instant::now()) {
+                return;
+            }
+            let accepted = select! {
+                biased; // Guards against connections that the machine has accepted, reset as this socket is closed.
+                accepted = listener.accept() => accepted,
+                _ = standing.changed() => continue,
+                () = until(accepts_until) => {
+                    if looked {
+                        return;
+                    }
+                    // The clock is heard before the machine is asked what has come.
+                    looked = true;
+                    yield_now().await;
+                    continue;
+                }
+            };
+            let stream = match accepted {
                 Ok((stream, _)) => stream,
                 Err(fault) => {
                     log::warn!("no connection accepted: {fault}");
@@ -243,16 +292,12 @@
                 Ok::<Response<Answering>, Infallible>(response)
             }
         });
+        let stream = Inbound::new(stream);
+        let ahead = stream.ahead();
         let mut connection = http1::Builder::new()
             .max_buf_size(HEAD_MOST)
             .serve_connection(TokioIo::new(Watched { stream, by: line.clone() }), service);
-        let ended = select! {
-            ended = &mut connection => ended,
-            () = self.sent_away(&line) => Ok(()),
-            () = line.overdue() => Ok(()),
-            () = line.close.notified() => Ok(()),
-        };
-        if let Err(fault) = ended {
+        if let Err(fault) = self.last(&mut connection, &line, &ahead).await {
             log::debug!("a client's connection ended: {fault}");
             line.refused.set(true);
         }
@@ -262,30 +307,55 @@
         drop(place);
     }
 
-    /// Ends when clients have been sent away long enough for a connection on which nothing is under way, or whose
-    /// message is still not whole. What has just come may bring an RPC yet.
-    async fn sent_away(&self, line: &Line) {
-        let (mut standing, opened) = (self.standing.clone(), Instant::now());
+    /// Moves a connection on until it ends or is to end: the one place that decides that. What has come is always
+    /// read before, and what it is at is looked at after. Guards against an RPC that is read in the very turn in which
+    /// its connection is ended as idle, and dropped with it.
+    async fn last<C: Future<Output = hyper::Result<()>> + Unpin>(
+        &self,
+        connection: &mut C,
+        line: &Line,
+        ahead: &Ahead,
+    ) -> hyper::Result<()> {
+        let mut standing = self.standing.clone();
+        let mut left = pin!(ahead.left());
         loop {
-            let goes = standing.borrow_and_update().goes();
-            let idle_now = matches!(line.phase.get(), Phase::Fresh | Phase::Between);
-            let due = goes.map(|(idle, half)| if idle_now { idle.max(opened + SETTLE) } else { half });
+            // Guards against RPCs that wait, and are sent, for a client that has gone behind further bytes.
+            let left = poll_fn(|cx| if line.busy() { left.as_mut().poll(cx) } else { Poll::Pending });
+            let due = line.ends(standing.borrow_and_update().goes());
             select! {
+                biased;
+                ended = &mut *connection => return ended,
+                () = left => return Ok(()),
+                () = line.turned.notified() => {}
                 _ = standing.changed() => {}
-                () = line.moved.notified() => {}
-                () = until(due), if !line.busy() => return,
+                () = until(due) => {
+                    // The machine may hold what came in this moment.
+                    yield_now().await;
+                    let now = poll_fn(|cx| Poll::Ready(Pin::new(&mut *connection).poll(cx)));
+                    if let Poll::Ready(ended) = now.await {
+                        return ended;
+                    }
+                    if line.ends(standing.borrow().goes()).is_some_and(|end| end <= Instant::now()) {
+                        return Ok(());
+                    }
+                }
             }
         }
     }
 
     /// Lets a refused client read what it was told.
-    async fn linger(&self, stream: TcpStream, line: &Rc<Line>) {
+    async fn linger(&self, stream: Inbound, line: &Rc<Line>) {
         // Its place is wanted as any idle one's: guards against refused clients that crowd out others.
         line.phase.set(Phase::Between);
         line.offer();
+        let given_up = async {
+            while !line.given_up.get() {
+                line.turned.notified().await;
+            }
+        };
         select! {
             () = linger(stream, LINGER_TIME) => {}
-            () = line.close.notified() => {}
+            () = given_up => {}
         }
     }
 
@@ -308,17 +378,22 @@
     }
 
     /// The core's answer to an RPC, and an abort should there be none by its deadline.
-    async fn decide(&self, rpc: Received) -> Answer {
+    async fn decide(&self, mut rpc: Received) -> Answer {
+        // Guards against RPCs that the end of this process finds unanswered.
+        let last_call = self.standing.borrow().last_call();
+        rpc.waits = last_call.map_or(rpc.waits, |end| rpc.waits.min(end.saturating_duration_since(rpc.at)));
+        if rpc.waits.is_zero() {
+            return Answer::PushedBack { come_back: 0.0 };
+        }
         // A place in the mailbox is kept for the hang-up. With none left nothing was sent: it may come again.
         let Ok(permit) = self.core.clone().try_reserve_owned() else {
             return Answer::PushedBack { come_back: 0.0 };
         };
-        let (name, open) = (rpc.message.id(), self.open.clone());
-        if !open.0.borrow_mut().insert(name.clone()) {
+        let Some(opened) = self.open.enter(rpc.message.id()) else {
             return Answer::Refused(StatusCode::CONFLICT, "an RPC with this Request-Id is open\n");
-        }
+        };
         let id = self.next.replace(self.next.get() + 1);
-        let mut care = Care { id, name, open, permit: Some(permit) };
+        let mut care = Care { id, permit: Some(permit) };
         let (sender, receiver) = oneshot::channel();
         let (at, waits, upload) = (rpc.at, rpc.waits, rpc.message.upload().cloned());
         // A client waits from its last byte on.
@@ -335,8 +410,15 @@
                 None => pending().await,
             }
         };
+        // Those taken before, whose clients would wait for longer.
+        let ends = async {
+            let mut standing = self.standing.clone();
+            let last_call =
+                standing.wait_for(|now| now.last_call().is_some()).await.map(|now| now.last_call());
+            until(last_call.ok().flatten()).await;
+        };
         let taken = async {
-            self.core.send(ToCore::Take { id, rpc: Box::new(rpc), answer: sender }).await.ok()?;
+            self.core.send(ToCore::Take { id, rpc: Box::new(rpc), opened, answer: sender }).await.ok()?;
             receiver.await.ok()
         };
         select! {
@@ -350,6 +432,7 @@
                 log::error!("an RPC had no answer by its deadline");
                 Answer::Aborted
             }
+            () = ends => Answer::Aborted,
             else => Answer::Aborted,
         }
     }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -16,23 +16,24 @@
 mod watcher;
 
 use crate::core::Core;
-use config::{Clock, Config};
+use config::{Clock, Config, until};
 use discovery::Discovery;
 use front::Front;
 use intake::Intake;
 use management::Management;
 use shared::Shared;
 use sockets::{Budget, Part};
-use standing::{GO_ON, LOOK, Standings};
+use standing::{LOOK, Standings};
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
+use tokio::select;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 
 const BACKLOG: u32 = 1024; // connections that wait to be accepted: a burst must not be turned away
 const LEFT_EVERY: Duration = Duration::from_millis(5); // between looks at whether the last client has left
@@ -94,7 +95,7 @@
 async fn accept(front: Front, listener: TcpListener, standings: Rc<Standings>) {
     let (passed, others) = (standings.now().passed, standings.now().others);
     if passed {
-        let _ = standings.reader().wait_for(|now| now.ready).await.map(drop);
+        let _ = standings.reader().wait_for(|now| now.ready || now.ending.is_some()).await.map(drop);
     }
     if others > 0 {
         sleep(LOOK * 2).await;
@@ -156,18 +157,21 @@
     log::info!("{} listens on {}", config.name, config.listen);
     term.recv().await;
 
-    standings.end();
+    standings.end(config.conf.longest_deadline.map_or(Duration::MAX, Duration::from_secs_f64));
     let replaced = standings.now().is_replaced();
     let goes_on =
         if replaced { "accepts no more, another process does" } else { "goes on for what still comes" };
     log::info!("SIGTERM: {goes_on}");
-    let end = Instant::now() + GO_ON + Duration::from_secs_f64(config.conf.longest_deadline);
-    if !replaced {
-        sleep(GO_ON).await;
-    }
-    accepting.abort();
-    while budget.open(Part::Clients) > 0 && Instant::now() < end {
-        sleep(LEFT_EVERY).await;
+    let over = standings.now().over();
+    let gone = async {
+        let _ = accepting.await;
+        while budget.open(Part::Clients) > 0 {
+            sleep(LEFT_EVERY).await;
+        }
+    };
+    select! {
+        () = gone => {}
+        () = until(over) => {}
     }
     log::info!("ends with {} client connections open", budget.open(Part::Clients));
     Ok(())
--- a/crates/daemon/src/sockets.rs
+++ b/crates/daemon/src/sockets.rs
@@ -11,18 +11,21 @@
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::future::poll_fn;
+use std::future::{Future, poll_fn};
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::rc::{Rc, Weak};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, Interest, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 const READ_MOST: usize = 64 << 10; // bytes read ahead on a connection, and so of an answer's head
 const LINGER_MOST: usize = 4 << 20; // bytes of what a refused peer may go on sending
+const AHEAD_MOST: usize = 16 << 10; // bytes read ahead of a client that has an RPC under way: no honest one sends any
+const LEFT_EVERY: Duration = Duration::from_millis(50); // between looks for an end behind more than that
 // Descriptors for standard streams, listeners, epoll, discovery, late clients, the calls at the second address and
 // what is shared with other processes.
 const RESERVE: usize = 40 + CALLS_MOST + SLOTS_HELD;
@@ -174,12 +177,12 @@
     }
 }
 
-pub struct Watched<W> {
-    pub stream: TcpStream,
+pub struct Watched<W, S = TcpStream> {
+    pub stream: S,
     pub by: W,
 }
 
-impl<W: Witness> AsyncRead for Watched<W> {
+impl<W: Witness, S: AsyncRead + Unpin> AsyncRead for Watched<W, S> {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<std::io::Result<()>> {
         let before = buf.filled().len();
         let done = Pin::new(&mut self.stream).poll_read(cx, buf);
@@ -190,7 +193,7 @@
     }
 }
 
-impl<W: Witness> AsyncWrite for Watched<W> {
+impl<W: Witness, S: AsyncWrite + Unpin> AsyncWrite for Watched<W, S> {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<std::io::Result<usize>> {
         let done = Pin::new(&mut self.stream).poll_write(cx, buf);
         if let Poll::Ready(Ok(bytes)) = done {
@@ -210,9 +213,87 @@
     }
 }
 
+/// A client's stream, with what was read of it ahead of its time. Its end is seen behind bytes that nobody has asked
+/// for yet, which hides it from who reads them one message at a time.
+pub struct Inbound {
+    reads: Ahead,
+    writes: OwnedWriteHalf,
+}
+
+/// The reading half, with what was read ahead.
+#[derive(Clone)]
+pub struct Ahead(Rc<RefCell<(OwnedReadHalf, BytesMut)>>);
+
+impl Inbound {
+    pub fn new(stream: TcpStream) -> Self {
+        let (reads, writes) = stream.into_split();
+        Self { reads: Ahead(Rc::new(RefCell::new((reads, BytesMut::new())))), writes }
+    }
+
+    pub fn ahead(&self) -> Ahead {
+        self.reads.clone()
+    }
+}
+
+impl Ahead {
+    /// Ends when the peer has ended or reset the connection, whatever stands unread before that.
+    pub async fn left(&self) {
+        while !poll_fn(|cx| self.poll_left(cx)).await {
+            // No more room: what the machine knows of an end behind bytes that still stand in the socket.
+            let closed = poll_fn(|cx| {
+                let half = &self.0.borrow().0;
+                let ready = pin!(half.ready(Interest::READABLE)).poll(cx);
+                Poll::Ready(matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed()))
+            });
+            if closed.await {
+                return;
+            }
+            sleep(LEFT_EVERY).await;
+        }
+    }
+
+    /// Reads ahead as far as that may go; true at the stream's end, false where there is no more room.
+    fn poll_left(&self, cx: &mut Context) -> Poll<bool> {
+        let (half, bytes) = &mut *self.0.borrow_mut();
+        let mut piece = [0; 1 << 10];
+        while bytes.len() < AHEAD_MOST {
+            let mut piece = ReadBuf::new(&mut piece);
+            match ready!(Pin::new(&mut *half).poll_read(cx, &mut piece)) {
+                Ok(()) if !piece.filled().is_empty() => bytes.extend_from_slice(piece.filled()),
+                _ => return Poll::Ready(true),
+            }
+        }
+        Poll::Ready(false)
+    }
+}
+
+impl AsyncRead for Inbound {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<std::io::Result<()>> {
+        let (half, bytes) = &mut *self.reads.0.borrow_mut();
+        if bytes.is_empty() {
+            return Pin::new(half).poll_read(cx, buf);
+        }
+        let some = bytes.len().min(buf.remaining());
+        buf.put_slice(&bytes.split_to(some));
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for Inbound {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<std::io::Result<usize>> {
+        Pin::new(&mut self.writes).poll_write(cx, buf)
+    }
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.writes).poll_flush(cx)
+    }
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.writes).poll_shutdown(cx)
+    }
+}
+
 /// Ends a connection such that a peer that still sends can read what it was told: closed with bytes unread it
 /// would be reset, and a reset overtakes the answer.
-pub async fn linger(mut stream: TcpStream, longest: Duration) {
+pub async fn linger(mut stream: impl AsyncRead + AsyncWrite + Unpin, longest: Duration) {
     let mut left = LINGER_MOST;
     let drain = async {
         let mut bytes = vec![0; 16 << 10];
--- a/crates/daemon/src/standing.rs
+++ b/crates/daemon/src/standing.rs
@@ -10,7 +10,10 @@
 use tokio::time::{Instant, sleep};
 
 /// After SIGTERM connections still come for up to 0.4 s.
-pub const GO_ON: Duration = Duration::from_millis(500);
+const GO_ON: Duration = Duration::from_millis(500);
+// SIGKILL comes 0.7 s after the longest deadline, but as if that were no longer than this.
+const LONGEST: Duration = Duration::from_secs(3);
+const LAST_WORDS: Duration = Duration::from_millis(100); // for the last answers to leave, still before SIGKILL
 /// Between looks at what another process of this proxy did: a drain's grace is six times as long.
 pub const LOOK: Duration = Duration::from_millis(50);
 // After a standby new connections come for 0.2 s more; by then nearly all in use have had their last answer, and
@@ -89,8 +92,7 @@
     pub ready: bool,
     /// Connections of clients are accepted.
     pub open: bool,
-    /// Since when SIGTERM is known.
-    pub ending: Option<Instant>,
+    pub ending: Option<Ending>,
     /// The clients' socket is the platform's, and outlives this process.
     pub passed: bool,
     /// Other processes of this proxy that live.
@@ -100,6 +102,13 @@
     pub turn: u64,
 }
 
+/// What SIGTERM has set: since when it is known, and how long the longest RPC may take from then on.
+#[derive(Clone, Copy, Debug)]
+pub struct Ending {
+    since: Instant,
+    longest: Duration,
+}
+
 impl Standing {
     /// Another process goes on where this one ends.
     pub fn is_replaced(&self) -> bool {
@@ -116,9 +125,26 @@
         self.ending.is_some() || self.orders.standby.is_some()
     }
 
+    /// Until when connections are accepted; always, if never told.
+    pub fn accepts_until(&self) -> Option<Instant> {
+        let replaced = self.is_replaced();
+        self.ending.map(|end| if replaced { end.since } else { end.since + GO_ON })
+    }
+
+    /// By when all that was taken is to be answered, once this process ends.
+    pub fn last_call(&self) -> Option<Instant> {
+        self.ending.map(|end| end.since + GO_ON + end.longest)
+    }
+
+    /// By when this process ends, whoever is still there.
+    pub fn over(&self) -> Option<Instant> {
+        self.last_call().map(|end| end + LAST_WORDS)
+    }
+
     /// By when a connection goes on which nothing is under way, and by when one whose message is not whole.
     pub fn goes(&self) -> Option<(Instant, Instant)> {
-        let ends = self.ending.map(|at| (at + GO_ON, at + GO_ON));
+        // A message that is not whole yet may become an RPC for as long as that can be answered.
+        let ends = self.ending.zip(self.last_call()).map(|(end, last)| (end.since + GO_ON, last));
         let standby = self.orders.standby.map(|ms| {
             let ago = Duration::from_secs_f64(((unix_ms() - ms) / 1e3).clamp(0.0, 1e6));
             let since = Instant::now().checked_sub(ago).unwrap_or_else(Instant::now);
@@ -179,8 +205,10 @@
         self.standing.send_modify(|now| now.open = true);
     }
 
-    pub fn end(&self) {
-        self.standing.send_modify(|now| now.ending = Some(Instant::now()));
+    /// SIGTERM has come; `longest` is the time of the longest RPC that the settings know.
+    pub fn end(&self, longest: Duration) {
+        let ending = Ending { since: Instant::now(), longest: longest.min(LONGEST) };
+        self.standing.send_modify(|now| now.ending = Some(ending));
     }
 
     /// These names are listed.
--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -2,11 +2,11 @@
 #[path = "../../../tests/common/mod.rs"]
 mod common;
 use common::sockets::{
-    Act, Client, Daemon, HEALTH, List, Log, Message, PATIENCE, Shared, backend, blind, config, echo,
+    Act, Client, Daemon, HEALTH, List, Log, Message, PATIENCE, Shared, Slow, backend, blind, config, echo,
     eventually, free, line, reply, rpc,
 };
 use serde_json::{Value, json};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener};
 use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
@@ -176,25 +176,11 @@
     log.await_event("b1 closed gone");
 }
 
-/// An address where connections never come up.
-fn silent() -> (TcpListener, Vec<TcpStream>, SocketAddr) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    let listener = runtime.block_on(async {
-        let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
-        socket.bind("127.0.0.1:0".parse().unwrap()).expect("a free port");
-        socket.listen(1).expect("a listener").into_std().expect("a listener")
-    });
-    let at = listener.local_addr().expect("an address");
-    let fill = || TcpStream::connect_timeout(&at, Duration::from_millis(300)).ok();
-    let waiting = std::iter::from_fn(fill).collect();
-    (listener, waiting, at)
-}
-
 /// Rule 3: a slow connect must not carry a send past the grace.
 #[test]
 fn a_drain_withdraws_a_pick_that_waits_for_its_connection() {
     let log = Log::new(vec![]);
-    let (good, silent) = (echo("b1", &log), silent());
+    let (good, slow) = (echo("b1", &log), Slow::start());
     // The connection would be waited for longer than the test waits.
     let long = |config: &mut Value| {
         config["settings"]["methods"][1]["latency-target-ns"] = 60e9.into();
@@ -203,12 +189,12 @@
     };
     let daemon = Daemon::start_with(PROGRAM, &[("s-1", good)], long);
     daemon.earn_credit();
-    daemon.list.tell_heard(&[line("s-1", good, "Terminating"), line("s-2", silent.2, "Ready")]);
+    daemon.list.tell_heard(&[line("s-1", good, "Terminating"), line("s-2", slow.at, "Ready")]);
     let mut client = daemon.client();
     client.send(&rpc("POST", "/book", "waits", "").replace("3000", "60000"));
     std::thread::sleep(Duration::from_millis(300)); // the pick is on its way, or the RPC goes the easy way
     assert_eq!(log.count("waits"), 0, "the draining backend gets nothing new");
-    daemon.list.tell(&[line("s-1", good, "Ready"), line("s-2", silent.2, "Terminating")]);
+    daemon.list.tell(&[line("s-1", good, "Ready"), line("s-2", slow.at, "Terminating")]);
     assert_eq!(client.answer().unwrap().text(), "b1:");
 }
 
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -18,8 +18,8 @@
     pub connect_limit: f64,
     /// After standing idle for this long, s, a connection is closed by the other side.
     pub idle_limit: f64,
-    /// Longest deadline of any method, s.
-    pub longest_deadline: f64,
+    /// Longest deadline of any method, s; none if one of them is not told.
+    pub longest_deadline: Option<f64>,
 }
 
 /// Reads a value at `path` below `at`, or says which path is wrong.
@@ -166,7 +166,8 @@
         return Err(format!("{} is 0: what is lost could not be set against it", nines.path));
     }
     let sized = matches!(weight_source, "nominal" | "rough");
-    let ends: Vec<f64> = listed.iter().map(|m| m.num_or("hard-limit-ns", 0.0)).collect::<Result<_, _>>()?;
+    let ends = listed.iter().map(|m| m.opt("hard-limit-ns").map(|at| at.seconds()).transpose());
+    let ends = ends.collect::<Result<Option<Vec<f64>>, _>>()?;
     Ok(Conf {
         settings,
         methods: methods.into_iter().map(|(name, _)| name).collect(),
@@ -175,7 +176,7 @@
         sized,
         connect_limit: ceilings.num_or("connect-timeout-ns", 1e9)? / 1e9,
         idle_limit: ceilings.num_or("conn-idle-ns", 15e9)? / 1e9,
-        longest_deadline: ends.into_iter().fold(0.0, f64::max) / 1e9,
+        longest_deadline: ends.map(|ends| ends.into_iter().fold(0.0, f64::max)),
     })
 }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -549,6 +549,49 @@
         })
     }
 
+    /// An address where connections come up only once they are let in.
+    pub struct Slow {
+        pub at: SocketAddr,
+        listener: socket2::Socket,
+        waiting: Vec<socket2::Socket>,
+    }
+
+    impl Slow {
+        pub fn start() -> Self {
+            use socket2::{Domain, Socket, Type};
+            let listener = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+            listener.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a free port");
+            listener.listen(0).expect("a listener");
+            let at = listener.local_addr().ok().and_then(|at| at.as_socket()).expect("an address");
+            // What the machine accepts by itself is used up; a connection more waits.
+            let waiting = std::iter::from_fn(|| {
+                let filler = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+                filler.connect_timeout(&at.into(), Duration::from_millis(300)).ok().map(|()| filler)
+            });
+            let waiting = waiting.collect();
+            Self { at, listener, waiting }
+        }
+        /// Lets all in that come while it waits, longer than the machine needs to ask for a connection again, and tells how
+        /// many of them, beside the fillers, sent anything.
+        pub fn heard_when_let_in(self) -> usize {
+            let until = Instant::now() + Duration::from_millis(1500);
+            self.listener.set_nonblocking(true).expect("does not wait");
+            drop(self.waiting);
+            let mut heard = 0;
+            while Instant::now() < until {
+                let Ok((peer, _)) = self.listener.accept() else {
+                    sleep(Duration::from_millis(5));
+                    continue;
+                };
+                peer.set_nonblocking(false)
+                    .and_then(|()| peer.set_read_timeout(Some(Duration::from_millis(300))))
+                    .expect("a peer");
+                heard += usize::from(std::io::Read::read(&mut &peer, &mut [0]).is_ok_and(|bytes| bytes > 0));
+            }
+            heard
+        }
+    }
+
     pub fn echo(name: &'static str, log: &Log) -> SocketAddr {
         backend(name, log, move |message| Act::Write(reply("200 OK", &format!("{name}:{}", message.text()))))
     }
@@ -563,8 +606,8 @@
     pub struct List {
         pub at: SocketAddr,
         state: Shared<(u64, Option<String>)>,
-        asked: Shared<u64>, // the version that the latest call has ...
-        told: Shared<u64>,  // ... and the one that the latest answer, or the lack of one, went with
+        asked: Shared<u64>,    // the version that the latest call has ...
+        pub told: Shared<u64>, // ... and the one that the latest answer, or the lack of one, went with
         pub calls: Shared<usize>,
     }
 
@@ -651,7 +694,7 @@
         };
         json!({"name": "n0", "listen": at.to_string(), "discovery": list.to_string(), "seed": "8c1f30d27a5be964",
             "limits": {"sockets": 1024}, "known": {"rev": 0, "all": true, "targets": known}, "settings": {
-            "balancers": 1, "membership-mode": "pushed", "failure-domains": ["a"], "my-zone": "a",
+            "balancers": 1, "membership-mode": "on_request", "failure-domains": ["a"], "my-zone": "a",
             "methods": [method("read", "read_like"), method("book", "non_idempotent"),
                 method("log", "idempotency_key")],
             "ceilings": {"most-picks": 3, "cancel": true, "probes": true, "conn-idle-ns": 15e9,
@@ -777,6 +820,10 @@
         pub fn send(&mut self, bytes: &str) -> bool {
             self.0.get_mut().write_all(bytes.as_bytes()).is_ok()
         }
+        /// Its end is a reset.
+        pub fn resets_when_dropped(&self) {
+            socket2::SockRef::from(self.0.get_ref()).set_linger(Some(Duration::ZERO)).expect("no linger");
+        }
         /// The socket, for who writes or reads beside.
         pub fn stream(&self) -> TcpStream {
             self.0.get_ref().try_clone().expect("a second handle")
