Lists that are pushed are followed as such; older, broken and unreadable news undo nothing

Where lists are pushed all that the agent has counts as told, from the first moment of a process, and at once when discovery is back: the first call came up to 0.5 s after the start, and calls after an outage up to half of ask-within apart. - an answer cut between head and end counts as told, and the next call came 0.5 to 1 s later. - the call after silence waited for up to 5 s again, so a second silence went unseen. - a list older than the one had was taken over, and what drained was ready again. - a line whose address can't be read left its backend in use where it was. - names that differ in signs only (a.b, a-b) shared a folder, and with it what staff had ordered. - the list's own connection counted against the backends' part, though a descriptor is set aside for it. Change: `Discovery` follows a pushed list unasked, 20 ms after each failure, with calls of 2 s, and 0.1 s where it doubts; a process takes clients once the agent has answered, or after 0.5 s; one more call at once after silence or a spoilt answer, which does not wait; a connection for it has 1 s; older versions have the whole list asked for; such lines drain; names are escaped. Not changed: a call that is refused or met by a 503 waits for the module's word, as 300 callers must not come back at once.

--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -304,7 +304,7 @@
                     let Some(place) = self.budget.place(Part::Backends) else {
                         return nothing(Outcome::NeverSent);
                     };
-                    Conn::open(endpoint, place, until.min(Instant::now() + self.limits.connect)).await
+                    Conn::open(endpoint, Some(place), until.min(Instant::now() + self.limits.connect)).await
                 }
             };
             let Some(mut conn) = conn else { return nothing(Outcome::NoConnection) };
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -118,12 +118,9 @@
     Ok(Some(socket.into()))
 }
 
-/// Settings at a path. On sockets nothing comes unasked, whatever the simulator does: guards against a list
-/// never followed.
+/// Settings at a path.
 fn shape(value: &Value, path: &str) -> Result<Conf, String> {
-    let mut conf = birchhub_settings::read_value(value).map_err(|e| format!("{path}{e}"))?;
-    conf.settings.list_on_request = true;
-    Ok(conf)
+    birchhub_settings::read_value(value).map_err(|e| format!("{path}{e}"))
 }
 
 /// The settings to be watched, which must speak of the same RPCs.
--- a/crates/daemon/src/discovery.rs
+++ b/crates/daemon/src/discovery.rs
@@ -2,7 +2,7 @@
 //! connection and never more than one call out; what it hears goes to the core's mailbox.
 use crate::body::Outgoing;
 use crate::core::ToCore;
-use crate::sockets::{Budget, Conn, Part};
+use crate::sockets::{Conn, Fault as Broken};
 use crate::standing::Standings;
 use birchhub::types::{ListKind, Readiness};
 use http_body_util::Full;
@@ -15,13 +15,37 @@
 use std::time::Duration;
 use tokio::select;
 use tokio::sync::{Notify, mpsc, watch};
-use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
-// That a call may wait. What a call into silence should have told counts as told 2 s after the wait, come or not:
-// it is given up before that, and the next one goes out at once. Much shorter, and calls would load the service.
-const HOLD: Duration = Duration::from_secs(4);
-const PATIENCE: Duration = Duration::from_secs(1); // beyond the hold, as above
-const FULL_PATIENCE: Duration = Duration::from_secs(3); // for the whole list
+/// How long calls may wait, and what is waited for them beyond that.
+struct Times {
+    /// That a call may wait. What a call into silence should have told counts as told 2 s after the wait, and 6 s
+    /// after the silence began, come or not: it is given up before that, and the next one goes out at once.
+    hold: Duration,
+    patience: Duration,
+    /// For a call that does not wait: the first one after silence or a broken answer, which shows what there is.
+    at_once: Duration,
+    /// For the whole list.
+    whole: Duration,
+}
+
+// Much shorter, and calls would load the service.
+const SERVICE: Times = Times {
+    hold: Duration::from_secs(4),
+    patience: Duration::from_secs(1),
+    at_once: Duration::from_secs(3),
+    whole: Duration::from_secs(3),
+};
+// Where lists are pushed: what the agent has counts as told at once, and it answers from its own memory.
+const AGENT: Times = Times {
+    hold: Duration::from_secs(2),
+    patience: Duration::from_millis(500),
+    at_once: Duration::from_millis(100),
+    whole: Duration::from_millis(300),
+};
+const AGENT_EVERY: Duration = Duration::from_millis(20); // between calls that fail there: less than a drain's grace
+const CONNECT_MOST: Duration = Duration::from_secs(1); // for a connection: one that was swallowed must not cost a call
+const TELL_EVERY: Duration = Duration::from_secs(10); // between log lines of one outage, where calls go on
 const GAP: Duration = Duration::from_millis(20); // between calls at least: one that never waits must not spin
 const BODY_MOST: usize = 4 << 20; // bytes of a list: some 20,000 lines
 
@@ -55,13 +79,15 @@
         _ => Readiness::Draining,
     };
     let endpoint = value.get("endpoint").and_then(Value::as_str).and_then(|text| text.parse().ok());
+    // Guards against one that goes on getting RPCs where it was, as the line with its new place made no sense.
+    let (endpoint, readiness) = match (endpoint, readiness) {
+        (Some(endpoint), readiness) => (endpoint, readiness),
+        (None, Readiness::Ready) => (SocketAddr::from(([0, 0, 0, 0], 0)), Readiness::Draining),
+        (None, readiness) => (SocketAddr::from(([0, 0, 0, 0], 0)), readiness),
+    };
     Some(Listed {
         uid: value.get("uid")?.as_str()?.to_owned(),
-        endpoint: match (endpoint, readiness) {
-            (Some(endpoint), _) => endpoint,
-            (None, Readiness::Ready) => return None,
-            (None, _) => SocketAddr::from(([0, 0, 0, 0], 0)),
-        },
+        endpoint,
         zone: value.get("az").and_then(Value::as_str).unwrap_or_default().to_owned(),
         cell: value.get("pod_group").and_then(Value::as_u64),
         readiness,
@@ -86,24 +112,44 @@
 pub struct Discovery {
     /// Where the list service is; it may move.
     pub at: watch::Receiver<SocketAddr>,
-    pub budget: Rc<Budget>,
     pub core: mpsc::Sender<ToCore>,
     /// The module asks to be told of changes.
     pub wanted: Rc<Notify>,
     pub version: Option<u64>,
+    /// The list is followed unasked, whatever fails.
+    pub pushed: bool,
     /// Told of the first answer, and of all names.
     pub standings: Rc<Standings>,
 }
 
+/// How a call ended without news.
+enum Fault {
+    /// No answer in time, or no connection.
+    Silence,
+    /// An answer that breaks off or makes no sense.
+    Spoilt(String),
+    /// Refused, broken off before an answer, or answered with what is older than what is known.
+    Down(String),
+}
+
+impl std::fmt::Display for Fault {
+    fn fmt(&self, to: &mut std::fmt::Formatter) -> std::fmt::Result {
+        match self {
+            Self::Silence => to.write_str("no answer in time"),
+            Self::Spoilt(why) | Self::Down(why) => to.write_str(why),
+        }
+    }
+}
+
 impl Discovery {
     /// Follows the list until the core is gone: a watch runs until a call fails, and the next begins when
-    /// the module asks for it, or at once when discovery has moved.
+    /// the module asks for it, or at once when discovery has moved. Where lists are pushed it always goes on.
     pub async fn run(mut self) {
         let mut moves = self.at.clone();
-        let mut moved = false;
+        let (mut at_once, mut told) = (self.pushed, None);
         loop {
             // A version of one service means nothing at another: the whole list comes first there.
-            if !moved {
+            if !at_once {
                 select! {
                     () = self.wanted.notified() => {}
                     Ok(()) = moves.changed() => self.version = None,
@@ -114,12 +160,16 @@
                 Ok(()) = moves.changed() => None,
                 fault = self.watch() => Some(fault),
             };
-            moved = fault.is_none();
+            at_once = self.pushed || fault.is_none();
             let Some(fault) = fault else {
                 self.version = None;
                 continue;
             };
-            log::warn!("list call failed: {fault}");
+            // Guards against a log full of one outage.
+            if told.is_none_or(|at: Instant| at.elapsed() > TELL_EVERY) {
+                log::warn!("list call failed: {fault}");
+                told = Some(Instant::now()).filter(|_| self.pushed);
+            }
             // What was asked for while the watch ran is done with: guards against calls without a pause.
             select! {
                 biased;
@@ -129,63 +179,88 @@
             if self.core.send(ToCore::ListFailed).await.is_err() {
                 return;
             }
+            if self.pushed {
+                sleep(AGENT_EVERY).await;
+            }
         }
     }
 
-    async fn watch(&mut self) -> String {
-        let (mut conn, mut silent) = (None, false);
+    async fn watch(&mut self) -> Fault {
+        let times = if self.pushed { AGENT } else { SERVICE };
+        let (mut conn, mut doubted) = (None, self.pushed);
+        let mut tried = false;
         loop {
             let (path, patience) = match self.version {
-                None => ("/registry/instances".to_owned(), FULL_PATIENCE),
+                None => ("/registry/instances".to_owned(), times.whole),
                 Some(from) => {
-                    let path = format!("/registry/instances?from={from}&hold_ms={}", HOLD.as_millis());
-                    (path, HOLD + PATIENCE)
+                    let hold = if doubted { Duration::ZERO } else { times.hold };
+                    let path = format!("/registry/instances?from={from}&hold_ms={}", hold.as_millis());
+                    (path, if doubted { times.at_once } else { hold + times.patience })
                 }
             };
             let begun = Instant::now();
             let until = begun + patience;
-            let news = match timeout_at(until, self.call(&mut conn, &path, until)).await {
-                // Guards against a link that swallowed one call: another connection may do.
-                Err(_) if !std::mem::replace(&mut silent, true) => {
-                    log::warn!("list call met silence: it goes out again");
-                    conn = None;
+            let called = timeout_at(until, self.call(&mut conn, &path, until)).await;
+            let news = match called.unwrap_or(Err(Fault::Silence)).and_then(|news| self.in_order(news)) {
+                Ok(news) => news,
+                // Guards against a link that swallowed one call, and against news that counts as told though its
+                // answer broke: another connection may do.
+                Err(fault @ (Fault::Silence | Fault::Spoilt(_))) if !tried => {
+                    log::warn!("list call goes out again: {fault}");
+                    (conn, doubted, tried) = (None, true, true);
                     continue;
                 }
-                Err(_) => return "no answer in time".into(),
-                Ok(Err(fault)) => return fault,
-                Ok(Ok(news)) => news,
+                Err(fault) => return fault,
             };
-            silent = false;
+            (doubted, tried) = (false, false);
             self.version = Some(news.version);
             self.standings.listed(news.listed.iter().map(|listed| listed.uid.as_str()));
             self.standings.set_ready();
             if self.core.send(ToCore::News(news)).await.is_err() {
-                return "the core has ended".into();
+                return Fault::Down("the core has ended".into());
             }
             sleep_until(begun + GAP).await;
         }
     }
 
-    async fn call(&self, kept: &mut Option<Conn>, path: &str, until: Instant) -> Result<News, String> {
+    /// Guards against an older list that undoes a newer one: what is true then is in the whole list, whatever its number.
+    fn in_order(&mut self, news: News) -> Result<News, Fault> {
+        match self.version {
+            Some(had) if news.version < had => {
+                self.version = None;
+                Err(Fault::Down(format!("version {} came after {had}", news.version)))
+            }
+            _ => Ok(news),
+        }
+    }
+
+    async fn call(&self, kept: &mut Option<Conn>, path: &str, until: Instant) -> Result<News, Fault> {
         let usable = match kept {
             None => false,
             Some(conn) => conn.usable().await,
         };
         if !usable {
             *kept = None;
-            let place = self.budget.place_anyhow(Part::Backends);
             let at = *self.at.borrow();
-            *kept = Conn::open(at, place, until).await;
+            let until = until.min(Instant::now() + CONNECT_MOST);
+            *kept = Conn::open(at, None, until).await;
+            if kept.is_none() && Instant::now() >= until {
+                return Err(Fault::Silence);
+            }
         }
-        let conn = kept.as_mut().ok_or("no connection")?;
+        let conn = kept.as_mut().ok_or(Fault::Down("no connection".into()))?;
         let mut message = Request::new(Outgoing::Whole(Full::default()));
-        *message.uri_mut() = path.parse().map_err(|_| "the call has no path")?;
+        *message.uri_mut() = path.parse().map_err(|_| Fault::Down("the call has no path".into()))?;
         let reply = conn.exchange(message, BODY_MOST, false, &Cell::new(false)).await;
-        let reply = reply.map_err(|fault| format!("the connection failed: {fault:?}"))?;
+        let reply = reply.map_err(|fault| match fault {
+            Broken::Spoilt => Fault::Spoilt("the answer broke off".into()),
+            fault => Fault::Down(format!("the connection failed: {fault:?}")),
+        })?;
         if reply.status != StatusCode::OK {
-            return Err(format!("status {}", reply.status));
+            return Err(Fault::Down(format!("status {}", reply.status)));
         }
-        let value = serde_json::from_slice(&reply.body).map_err(|e| format!("not JSON: {e}"))?;
-        decode(&value)
+        let value =
+            serde_json::from_slice(&reply.body).map_err(|e| Fault::Spoilt(format!("not JSON: {e}")))?;
+        decode(&value).map_err(Fault::Spoilt)
     }
 }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -33,9 +33,11 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 const BACKLOG: u32 = 1024; // connections that wait to be accepted: a burst must not be turned away
+// Where lists are pushed, for the agent's first word; one that says nothing learns nothing either.
+const AGENT_TIME: Duration = Duration::from_millis(500);
 const LEFT_EVERY: Duration = Duration::from_millis(5); // between looks at whether the last client has left
 
 fn main() -> ExitCode {
@@ -92,8 +94,11 @@
 
 /// Accepts clients: at once on an own socket, where health tells what is missing, or else once RPCs can be decided
 /// and an older process has made room.
-async fn accept(front: Front, listener: TcpListener, standings: Rc<Standings>) {
+async fn accept(front: Front, listener: TcpListener, standings: Rc<Standings>, pushed: bool) {
     let (passed, others) = (standings.now().passed, standings.now().others);
+    if pushed {
+        let _ = timeout(AGENT_TIME, standings.reader().wait_for(|now| now.ready)).await;
+    }
     if passed {
         let _ = standings.reader().wait_for(|now| now.ready || now.ending.is_some()).await.map(drop);
     }
@@ -133,19 +138,27 @@
     let wanted = Rc::new(Notify::new());
     let core = Core::new(&config, clock, budget.clone(), sender.clone(), wanted.clone(), standings.clone());
     spawn_local(core.run(mailbox));
-    // A list as last had is enough to decide by; without one the first answer is waited for.
+    // A list as last had is enough to decide by; without one the first answer is waited for. Where lists are pushed,
+    // what the agent has counts as told from the start on.
+    let pushed = !config.conf.settings.list_on_request;
     if let Some(known) = config.known.as_ref().filter(|known| !known.listed.is_empty()) {
         standings.listed(known.listed.iter().map(|listed| listed.uid.as_str()));
-        standings.set_ready();
+        let standings = standings.clone();
+        spawn_local(async move {
+            if pushed {
+                sleep(AGENT_TIME).await;
+            }
+            standings.set_ready();
+        });
     }
     let (moves, at) = watch::channel(config.discovery);
     spawn_local(reload(hup, moves));
     let discovery = Discovery {
         at,
-        budget: budget.clone(),
         core: sender.clone(),
         wanted,
         version: config.known.as_ref().map(|known| known.version),
+        pushed,
         standings: standings.clone(),
     };
     spawn_local(discovery.run());
@@ -153,7 +166,7 @@
     let open = Default::default();
     let standing = standings.reader();
     let front = Front { intake, standing, budget: budget.clone(), core: sender, next: 0.into(), open };
-    let accepting = spawn_local(accept(front, listener, standings.clone()));
+    let accepting = spawn_local(accept(front, listener, standings.clone(), pushed));
     log::info!("{} listens on {}", config.name, config.listen);
     term.recv().await;
 
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -28,12 +28,24 @@
     file.map_err(|e| format!("{}: {e}", path.display()))
 }
 
+/// A name of its own for each proxy's folder. Guards against orders for one that hold at another, whose name differs
+/// only in signs that a file may not have. Usual names stand as they are: a process of an older version knows them too.
+fn folder(name: &str) -> String {
+    let mut folder = "birchhub-".to_owned();
+    for byte in name.bytes() {
+        match byte {
+            b'-' | b'a'..=b'z' | b'A'..=b'Z' | b'0'..=b'9' => folder.push(byte.into()),
+            other => folder.push_str(&format!("%{other:02x}")),
+        }
+    }
+    folder
+}
+
 impl Shared {
     /// The folder of the proxy of this name. Its own slot is taken with the first count of others.
     pub fn open(name: &str) -> Result<Self, String> {
         let parent = std::env::var_os("TMPDIR").ok_or("TMPDIR is not set")?;
-        let safe = |c: char| if c.is_ascii_alphanumeric() { c } else { '-' };
-        let folder = Path::new(&parent).join(format!("birchhub-{}", name.replace(|c| safe(c) != c, "-")));
+        let folder = Path::new(&parent).join(folder(name));
         std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
         let slots =
             (0..SLOTS).map(|n| open(&folder.join(format!("birchhub.life.{n}")))).collect::<Result<_, _>>()?;
@@ -125,6 +137,15 @@
         std::fs::remove_dir_all(&folder).expect("the folder");
     }
 
+    #[test]
+    fn no_two_proxies_share_a_folder() {
+        let names = ["n0", "n-0", "n.0", "n%2e0", "n/0", "n 0", "é", ".."];
+        let all: std::collections::HashSet<_> = names.iter().map(|name| folder(name)).collect();
+        assert_eq!(all.len(), names.len());
+        assert!(all.iter().all(|folder| !folder.contains(['/', '\0'])));
+        assert_eq!(folder("n-0"), "birchhub-n-0");
+    }
+
     #[test]
     fn lives_are_counted_and_end_with_their_holder() {
         in_folder(async |make, _| {
--- a/crates/daemon/src/sockets.rs
+++ b/crates/daemon/src/sockets.rs
@@ -355,11 +355,12 @@
     written: Rc<Cell<u64>>,
     host: HeaderValue, // where it goes to
     pub used: Instant,
-    _place: Place,
+    _place: Option<Place>,
 }
 
 impl Conn {
-    pub async fn open(to: SocketAddr, place: Place, until: Instant) -> Option<Self> {
+    /// `place` is none where the reserve holds one for it.
+    pub async fn open(to: SocketAddr, place: Option<Place>, until: Instant) -> Option<Self> {
         let host = HeaderValue::from_str(&to.to_string()).ok()?;
         let stream = timeout_at(until, TcpStream::connect(to)).await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
--- /dev/null
+++ b/crates/daemon/tests/watches.rs
@@ -0,0 +1,275 @@
+//! The list as it is followed: silence, broken answers, older news, moves, and an agent to which lists are pushed. Stand-ins
+//! that answer by a script force what crosses; what went out to them is seen by their notes.
+#[path = "../../../tests/common/mod.rs"]
+mod common;
+use common::sockets::{
+    Act, Daemon, Log, Message, PATIENCE, Shared, backend, blind, config, echo, eventually, line, reply, rpc,
+};
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_birchhubd");
+
+fn told(version: u64, all: bool, lines: &[Value]) -> Act {
+    Act::Write(reply("200 OK", &json!({"rev": version, "all": all, "targets": lines}).to_string()))
+}
+
+/// A list service whose answer to each call is a script's, by the call's number. Notes `list got FIRST-LINE `.
+fn scripted(log: &Log, answer: impl Fn(usize, &Message) -> Act + Send + Sync + 'static) -> SocketAddr {
+    let calls = AtomicUsize::new(0);
+    backend("list", log, move |call| answer(calls.fetch_add(1, Ordering::SeqCst), call))
+}
+
+fn is_whole(call: &Message) -> bool {
+    !call.first.contains("from=")
+}
+
+/// Follows this list service from now on.
+fn move_to(daemon: &Daemon, at: SocketAddr, change: impl FnOnce(&mut Value)) {
+    let mut config = config(daemon.at, at, &[]);
+    change(&mut config);
+    daemon.reload(&config.to_string());
+}
+
+/// An older list does not undo a newer one: the whole list is asked for, and that counts.
+#[test]
+fn an_older_list_undoes_nothing() {
+    let log = Log::new(vec![]);
+    let (old, new) = (echo("b1", &log), echo("b2", &log));
+    let daemon = Daemon::start_with(PROGRAM, &[("s-1", old)], blind);
+    let (gone, here) = (line("s-1", old, "Ready"), line("s-2", new, "Ready"));
+    let at = scripted(&log, move |_, call| match call.first.as_str() {
+        first if first.contains("from=9&") => told(3, true, std::slice::from_ref(&gone)),
+        _ if is_whole(call) => told(9, true, std::slice::from_ref(&here)),
+        _ => Act::Hang,
+    });
+    move_to(&daemon, at, |_| {});
+    let asked = |events: &Vec<String>| {
+        events.iter().filter(|e| e.contains("list got") && !e.contains("from=")).count()
+    };
+    assert!(
+        log.wait(PATIENCE, |events| asked(events) == 2),
+        "the whole list was not asked for again: {:?}",
+        log.all()
+    );
+    assert_eq!(log.count("from=3&"), 0, "the older list was taken over");
+    for n in 0..10 {
+        assert_eq!(daemon.client().call(&rpc("POST", "/book", &format!("n{n}"), "")).unwrap().text(), "b2:");
+    }
+}
+
+/// What is told in an answer that breaks off counts as told: the next call goes out at once and does not wait.
+fn broken_off(broken: impl Fn(Vec<u8>) -> Act + Send + Sync + 'static) {
+    let log = Log::new(vec![]);
+    let (old, new) = (echo("b1", &log), echo("b2", &log));
+    let daemon = Daemon::start_with(PROGRAM, &[("s-1", old)], blind);
+    let lines = move |state: &str| [line("s-1", old, state), line("s-2", new, "Ready")];
+    let at = scripted(&log, move |number, call| match number {
+        0 => told(1, true, &lines("Ready")),
+        1 => match told(2, false, &lines("Terminating")) {
+            Act::Write(bytes) => broken(bytes),
+            other => other,
+        },
+        _ if call.first.contains("from=1&hold_ms=0 ") => told(2, false, &lines("Terminating")),
+        _ => Act::Hang,
+    });
+    move_to(&daemon, at, |_| {});
+    log.await_event("list got GET /registry/instances?from=2&hold_ms=4000 HTTP/1.1 ");
+    for n in 0..10 {
+        assert_eq!(daemon.client().call(&rpc("POST", "/book", &format!("n{n}"), "")).unwrap().text(), "b2:");
+    }
+}
+
+#[test]
+fn an_answer_cut_between_head_and_end_is_asked_for_again_at_once() {
+    broken_off(|bytes| Act::Cut(bytes[..bytes.len() - 20].to_vec()));
+}
+
+#[test]
+fn an_answer_that_is_no_list_is_asked_for_again_at_once() {
+    broken_off(|_| Act::Write(reply("200 OK", "{\"rev\": 2, \"all\": false, \"targets\": [{")));
+}
+
+/// The call after silence shows at once what there is, on another connection, and the next one waits again.
+#[test]
+fn the_call_after_silence_does_not_wait() {
+    let log = Log::new(vec![]);
+    let at = echo("b1", &log);
+    let daemon = Daemon::start_with(PROGRAM, &[("s-1", at)], blind);
+    let here = line("s-1", at, "Ready");
+    let list = scripted(&log, move |number, _| match number {
+        0 | 2 => told(1, true, std::slice::from_ref(&here)),
+        _ => Act::Hang,
+    });
+    move_to(&daemon, list, |_| {});
+    log.await_event("list got GET /registry/instances?from=1&hold_ms=4000 HTTP/1.1 ");
+    log.await_event("list closed ");
+    log.await_event("list got GET /registry/instances?from=1&hold_ms=0 HTTP/1.1 ");
+    let waits = |events: &Vec<String>| events.iter().filter(|e| e.contains("hold_ms=4000")).count() == 2;
+    assert!(log.wait(PATIENCE, waits), "{:?}", log.all());
+}
+
+/// Changes that come in one turn with an RPC: whatever was picked by then is withdrawn if nothing of it was sent.
+#[test]
+fn a_drain_that_comes_with_rpcs_holds_for_them() {
+    let log = Log::new(vec![]);
+    let (old, new) = (echo("b1", &log), echo("b2", &log));
+    let daemon = Daemon::start_with(PROGRAM, &[("s-1", old)], blind);
+    daemon.earn_credit();
+    let version = daemon.list.tell_heard(&[line("s-1", old, "Ready")]);
+    let mut clients: Vec<_> = (0..50).map(|_| daemon.client()).collect();
+    daemon.signal("STOP");
+    daemon.list.tell(&[line("s-1", old, "Terminating"), line("s-2", new, "Ready")]);
+    assert!(daemon.list.told.wait(PATIENCE, |told| *told == version + 1), "no watch was open");
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.send(&rpc("POST", "/book", &format!("n{n}"), ""));
+    }
+    daemon.signal("CONT");
+    assert!(clients.iter_mut().all(|client| client.answer().is_some_and(|answer| answer.status() == 200)));
+    // They may be read before the list is, but not past the drain's grace.
+    let mut later = daemon.client();
+    eventually(PATIENCE, "the list was never heard", || {
+        later.call(&rpc("POST", "/book", "later", "")).unwrap().text() == "b2:"
+    });
+    let sent = log.count("b1 got");
+    for n in 0..20 {
+        assert_eq!(later.call(&rpc("POST", "/book", &format!("m{n}"), "")).unwrap().text(), "b2:");
+    }
+    assert_eq!(log.count("b1 got"), sent);
+}
+
+/// A line whose address can't be read is a backend that takes nothing new, and not one that goes on where it was.
+#[test]
+fn a_line_that_makes_no_sense_takes_its_backend_out() {
+    let log = Log::new(vec![]);
+    let (old, new) = (echo("b1", &log), echo("b2", &log));
+    let daemon = Daemon::start_with(PROGRAM, &[("s-1", old)], blind);
+    let mut bad = line("s-1", old, "Ready");
+    bad["endpoint"] = "nowhere".into();
+    let first = [line("s-1", old, "Ready")];
+    let then = [bad, line("s-2", new, "Ready")];
+    let at = scripted(&log, move |number, _| match number {
+        0 => told(1, true, &first),
+        1 => told(2, false, &then),
+        _ => Act::Hang,
+    });
+    move_to(&daemon, at, |_| {});
+    log.await_event("list got GET /registry/instances?from=2&hold_ms=4000 HTTP/1.1 ");
+    for n in 0..10 {
+        assert_eq!(daemon.client().call(&rpc("POST", "/book", &format!("n{n}"), "")).unwrap().text(), "b2:");
+    }
+}
+
+/// The list service moves while an answer of the old one is half there: nothing of that is taken over.
+#[test]
+fn a_move_drops_what_is_half_read() {
+    let log = Log::new(vec![]);
+    let (old, new) = (echo("b1", &log), echo("b2", &log));
+    let daemon = Daemon::start_with(PROGRAM, &[("s-1", old)], blind);
+    let stale = line("s-1", old, "Ready");
+    let first =
+        scripted(&log, move |number, _| match (number, told(7, true, std::slice::from_ref(&stale))) {
+            (0, whole) => whole,
+            // The rest comes once the new service was asked.
+            (_, Act::Write(bytes)) => {
+                let (half, rest) = bytes.split_at(bytes.len() - 9);
+                Act::Late(half.to_vec(), Log::new(vec![]), "never".to_owned(), rest.to_vec())
+            }
+            (_, other) => other,
+        });
+    move_to(&daemon, first, |_| {});
+    log.await_event("list got GET /registry/instances?from=7&hold_ms=4000 HTTP/1.1 ");
+    let here = line("s-2", new, "Ready");
+    let second = scripted(&log, move |number, _| match number {
+        0 => told(1, true, std::slice::from_ref(&here)),
+        _ => Act::Hang,
+    });
+    move_to(&daemon, second, |_| {});
+    log.await_event("list got GET /registry/instances?from=1&hold_ms=4000 HTTP/1.1 ");
+    for n in 0..10 {
+        assert_eq!(daemon.client().call(&rpc("POST", "/book", &format!("n{n}"), "")).unwrap().text(), "b2:");
+    }
+}
+
+/// Lists are pushed.
+fn pushed(config: &mut Value) {
+    config["settings"]["membership-mode"] = "pushed".into();
+    blind(config);
+}
+
+/// What the agent has counts as told from the first moment of a process, whatever list that was started with.
+#[test]
+fn a_new_process_begins_with_what_the_agent_has() {
+    let log = Log::new(vec![]);
+    let (old, new) = (echo("b1", &log), echo("b2", &log));
+    let mut daemon = Daemon::start_with(PROGRAM, &[("s-1", old)], pushed);
+    daemon.list.tell_heard(&[line("s-1", old, "Terminating"), line("s-2", new, "Ready")]);
+    // It is started again with the list that it was started with first.
+    daemon.restart(PROGRAM);
+    for n in 0..10 {
+        assert_eq!(daemon.client().call(&rpc("POST", "/book", &format!("n{n}"), "")).unwrap().text(), "b2:");
+    }
+    assert_eq!(log.count("b1 got"), 0);
+}
+
+/// An agent that says nothing learns nothing: the process starts all the same, with the list that it was handed.
+#[test]
+fn a_new_process_does_not_wait_for_a_silent_agent() {
+    let log = Log::new(vec![]);
+    let at = echo("b1", &log);
+    let silent = scripted(&log, |_, _| Act::Hang);
+    let daemon = Daemon::start_with(PROGRAM, &[("s-1", at)], |config| {
+        pushed(config);
+        config["discovery"] = silent.to_string().into();
+    });
+    assert_eq!(daemon.client().call(&rpc("POST", "/book", "id", "")).unwrap().text(), "b1:");
+}
+
+/// While the agent is down calls go on, closer together than any drain's grace: what it gets counts at once.
+#[test]
+fn an_agent_that_is_back_is_heard_at_once() {
+    let log = Log::new(vec![]);
+    let (old, new) = (echo("b1", &log), echo("b2", &log));
+    let daemon = Daemon::start_with(PROGRAM, &[("s-1", old)], pushed);
+    daemon.list.tell_text(None);
+    let calls = |daemon: &Daemon| daemon.list.calls.change(|calls| *calls);
+    let before = calls(&daemon);
+    // By the pauses of a list that is asked for, so many calls would take over a minute.
+    assert!(
+        daemon.list.calls.wait(PATIENCE, |calls| *calls >= before + 50),
+        "{} calls",
+        calls(&daemon) - before
+    );
+    daemon.list.tell_heard(&[line("s-1", old, "Terminating"), line("s-2", new, "Ready")]);
+    assert_eq!(daemon.client().call(&rpc("POST", "/book", "id", "")).unwrap().text(), "b2:");
+    let warnings = daemon.logged().matches("list call failed").count();
+    assert!(warnings <= 3, "{warnings} lines of one outage");
+}
+
+/// A watch of a pushed list that falls silent is opened anew.
+#[test]
+fn a_silent_watch_of_a_pushed_list_is_opened_anew() {
+    let log = Log::new(vec![]);
+    let (old, new) = (echo("b1", &log), echo("b2", &log));
+    let drained = [line("s-1", old, "Terminating"), line("s-2", new, "Ready")];
+    let here = line("s-1", old, "Ready");
+    let hung = Shared::new(0);
+    let counted = hung.clone();
+    let list = scripted(&log, move |_, call| match call.first.as_str() {
+        first if first.contains("from=0&hold_ms=0 ") && counted.change(|n| *n) > 0 => told(2, true, &drained),
+        first if first.contains("from=0&hold_ms=0 ") => told(0, false, std::slice::from_ref(&here)),
+        first if first.contains("from=0&") => {
+            counted.change(|n| *n += 1);
+            Act::Hang
+        }
+        _ => Act::Hang,
+    });
+    let daemon = Daemon::start_with(PROGRAM, &[("s-1", old)], |config| {
+        pushed(config);
+        config["discovery"] = list.to_string().into();
+    });
+    log.await_event("list got GET /registry/instances?from=2&hold_ms=2000 HTTP/1.1 ");
+    assert_eq!(hung.change(|n| *n), 1);
+    assert_eq!(daemon.client().call(&rpc("POST", "/book", "id", "")).unwrap().text(), "b2:");
+}
