A process leaves clients only to one that accepts them and is not told to end itself

Cause: SIGTERM made a process of a passed socket stop accepting at once if any other process lived (`is_replaced`): one that had only begun to start, that died meanwhile, or that was ended too. Clients then came to nobody; two tests on sockets show it on the text before (new process without a list, and both ended together: the next client waits for ever). Change: a process tells by the length of its slot's file whether it accepts; only such a one is an heir. It is asked anew with each look (50 ms), so an heir that dies within the half second is no heir any more. Ruled out: what an earlier holder of a slot told, as a slot is emptied when it is taken (unit test). An older version that takes over tells nothing: both accept for half a second.

--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -450,7 +450,7 @@
         self.keep_time();
         let (turn, bans, others) = {
             let now = self.standing.borrow_and_update();
-            (now.turn, now.orders.bans.clone(), now.others)
+            (now.turn, now.orders.bans.clone(), now.others.living)
         };
         self.balancer.shared_by(others + 1);
         let listed: Vec<_> = bans.keys().filter_map(|name| self.listed.get(name)).cloned().collect();
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -82,9 +82,9 @@
     let mut reader = standings.reader();
     let divide = async {
         loop {
-            let others = reader.borrow_and_update().others;
+            let others = reader.borrow_and_update().others.living;
             budget.divide(others + 1);
-            if reader.wait_for(|now| now.others != others).await.is_err() {
+            if reader.wait_for(|now| now.others.living != others).await.is_err() {
                 return;
             }
         }
@@ -95,7 +95,7 @@
 /// Accepts clients: at once on an own socket, where health tells what is missing, or else once RPCs can be decided
 /// and an older process has made room.
 async fn accept(front: Front, listener: TcpListener, standings: Rc<Standings>, pushed: bool) {
-    let (passed, others) = (standings.now().passed, standings.now().others);
+    let (passed, others) = (standings.now().passed, standings.now().others.living);
     if pushed {
         let _ = timeout(AGENT_TIME, standings.reader().wait_for(|now| now.ready)).await;
     }
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -21,6 +21,15 @@
     own: Option<usize>,
     lock: File,
     stamp: Option<Stamp>, // of what was read or written last
+    told: Option<bool>,   // whether this one accepts clients
+}
+
+/// Other processes of this proxy.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Others {
+    pub living: usize,
+    /// Of these, such as accept clients and are not told to end.
+    pub accepting: usize,
 }
 
 fn open(path: &Path) -> Result<File, String> {
@@ -50,20 +59,32 @@
         let slots =
             (0..SLOTS).map(|n| open(&folder.join(format!("birchhub.life.{n}")))).collect::<Result<_, _>>()?;
         let lock = open(&folder.join("birchhub.lock"))?;
-        Ok(Self { folder, slots, own: None, lock, stamp: None })
+        Ok(Self { folder, slots, own: None, lock, stamp: None, told: None })
     }
 
-    /// How many other processes of this proxy live. A lock ends with its holder, however that ends.
-    pub fn others(&mut self) -> usize {
+    /// Tells the others whether this one accepts clients, once it has a slot. What an earlier holder told is void.
+    pub fn tell(&mut self, accepts: bool) {
+        if let Some(slot) = self.own.map(|n| &self.slots[n]).filter(|_| self.told != Some(accepts)) {
+            // Where it can't be written it tells nothing: this process is one that does not accept.
+            self.told = slot.set_len(u64::from(accepts)).is_ok().then_some(accepts);
+        }
+    }
+
+    /// How many other processes of this proxy live, and how many of these accept clients. A lock ends with its holder,
+    /// however that ends.
+    pub fn others(&mut self) -> Others {
         // Another one that looks at the same moment may hold the slot: the next look takes one then.
         self.own = self.own.or_else(|| self.slots.iter().position(|slot| slot.try_lock().is_ok()));
+        self.tell(self.told.unwrap_or(false));
         let lives = |slot: &File| match slot.try_lock_shared() {
             Ok(()) => slot.unlock().is_err(),
             Err(TryLockError::WouldBlock) => true,
             Err(TryLockError::Error(_)) => false,
         };
         let others = self.slots.iter().enumerate().filter(|(n, _)| Some(*n) != self.own);
-        others.filter(|(_, slot)| lives(slot)).count()
+        let living: Vec<_> = others.map(|(_, slot)| slot).filter(|slot| lives(slot)).collect();
+        let accepts = |slot: &&&File| slot.metadata().is_ok_and(|facts| facts.len() > 0);
+        Others { living: living.len(), accepting: living.iter().filter(accepts).count() }
     }
 
     fn path(&self) -> PathBuf {
@@ -130,7 +151,14 @@
         let make = || {
             let slots = (0..SLOTS).map(|n| open(&folder.join(format!("birchhub.life.{n}"))).expect("a slot"));
             let lock = open(&folder.join("birchhub.lock")).expect("a lock");
-            Shared { folder: folder.clone(), slots: slots.collect(), own: None, lock, stamp: None }
+            Shared {
+                folder: folder.clone(),
+                slots: slots.collect(),
+                own: None,
+                lock,
+                stamp: None,
+                told: None,
+            }
         };
         let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build().expect("a runtime");
         runtime.block_on(test(&make, folder.join("birchhub.standing")));
@@ -150,10 +178,30 @@
     fn lives_are_counted_and_end_with_their_holder() {
         in_folder(async |make, _| {
             let (mut one, mut two) = (make(), make());
-            assert_eq!((one.others(), two.others(), one.others()), (0, 1, 1));
+            assert_eq!((one.others().living, two.others().living, one.others().living), (0, 1, 1));
+            drop(two);
+            assert_eq!(one.others().living, 0);
+            assert_eq!(make().others().living, 1);
+        });
+    }
+
+    /// One that has just started is no heir yet, whoever had its slot before, and one that is to end is none any more.
+    #[test]
+    fn who_accepts_is_told() {
+        in_folder(async |make, _| {
+            let (mut one, mut two) = (make(), make());
+            one.others();
+            two.others();
+            let heirs = |of: &mut Shared| of.others().accepting;
+            assert_eq!((heirs(&mut one), heirs(&mut two)), (0, 0));
+            two.tell(true);
+            assert_eq!((heirs(&mut one), heirs(&mut two)), (1, 0));
             drop(two);
-            assert_eq!(one.others(), 0);
-            assert_eq!(make().others(), 1);
+            let mut three = make();
+            assert_eq!((heirs(&mut three), heirs(&mut one)), (0, 0));
+            three.tell(true);
+            three.tell(false);
+            assert_eq!(one.others(), Others { living: 1, accepting: 0 });
         });
     }
 
--- a/crates/daemon/src/standing.rs
+++ b/crates/daemon/src/standing.rs
@@ -1,6 +1,6 @@
 //! Where this proxy stands in its life, and what its staff ordered: one small value with one owner, which all
 //! actors read. What staff ordered is common to all processes of the proxy.
-use crate::shared::Shared;
+use crate::shared::{Others, Shared};
 use birchhub::types::Readiness;
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
@@ -95,8 +95,8 @@
     pub ending: Option<Ending>,
     /// The clients' socket is the platform's, and outlives this process.
     pub passed: bool,
-    /// Other processes of this proxy that live.
-    pub others: usize,
+    /// Other processes of this proxy.
+    pub others: Others,
     pub orders: Orders,
     /// Counts the changes of orders that were heard here.
     pub turn: u64,
@@ -110,9 +110,15 @@
 }
 
 impl Standing {
-    /// Another process goes on where this one ends.
+    /// Another process goes on where this one ends. Guards against one that still starts, dies or ends too: clients would
+    /// come to nobody.
     pub fn is_replaced(&self) -> bool {
-        self.ending.is_some() && self.passed && self.others > 0
+        self.ending.is_some() && self.passed && self.others.accepting > 0
+    }
+
+    /// This process accepts clients and is not told to end.
+    fn accepts(&self) -> bool {
+        self.open && self.ending.is_none()
     }
 
     /// Whether clients are to come to this proxy, whichever of its processes they reach.
@@ -157,7 +163,7 @@
 impl std::fmt::Display for Standing {
     fn fmt(&self, to: &mut std::fmt::Formatter) -> std::fmt::Result {
         let standby = if self.orders.standby.is_some() { ", on standby" } else { "" };
-        write!(to, "{} members banned{standby}, {} other processes", self.orders.banned(), self.others)
+        write!(to, "{} members banned{standby}, {} other processes", self.orders.banned(), self.others.living)
     }
 }
 
@@ -203,12 +209,21 @@
 
     pub fn set_open(&self) {
         self.standing.send_modify(|now| now.open = true);
+        self.tell();
+    }
+
+    /// Tells other processes whether this one accepts; the next look does where the file is in use.
+    fn tell(&self) {
+        if let Some(Ok(mut shared)) = self.shared.as_ref().map(Mutex::try_lock) {
+            shared.tell(self.standing.borrow().accepts());
+        }
     }
 
     /// SIGTERM has come; `longest` is the time of the longest RPC that the settings know.
     pub fn end(&self, longest: Duration) {
         let ending = Ending { since: Instant::now(), longest: longest.min(LONGEST) };
         self.standing.send_modify(|now| now.ending = Some(ending));
+        self.tell();
     }
 
     /// These names are listed.
@@ -279,7 +294,7 @@
         match outcome {
             Err(fault) => {
                 log::warn!("the order holds in this process only: {fault}");
-                if self.standing.borrow().others > 0 { Err(fault) } else { Ok(()) }
+                if self.standing.borrow().others.living > 0 { Err(fault) } else { Ok(()) }
             }
             Ok(()) => Ok(()),
         }
@@ -293,11 +308,15 @@
             looks += 1;
             let (others, orders) = {
                 let mut shared = shared.lock().await;
+                shared.tell(self.standing.borrow().accepts());
                 (shared.others(), heard(&mut shared))
             };
             if self.standing.borrow().others != others {
+                let living = self.standing.borrow().others.living;
                 self.standing.send_modify(|now| now.others = others);
-                log::info!("{}", *self.now());
+                if living != others.living {
+                    log::info!("{}", *self.now());
+                }
             }
             if let Some(orders) = orders {
                 self.adopt(orders);
--- a/crates/daemon/tests/replacing.rs
+++ b/crates/daemon/tests/replacing.rs
@@ -4,6 +4,7 @@
 use common::sockets::{
     Client, HEALTH, List, Log, PATIENCE, blind, config, echo, eventually, free, line, rpc,
 };
+use serde_json::Value;
 use std::net::{SocketAddr, TcpListener};
 use std::os::fd::OwnedFd;
 use std::path::PathBuf;
@@ -52,14 +53,23 @@
         self.socket.local_addr().expect("an address")
     }
 
-    /// Starts one more process, which finds the socket at descriptor 7.
+    /// Starts one more process, which finds the socket at descriptor 7, and waits until it takes clients.
     fn start(&self) -> Process {
+        let process = self.spawn(|_| {});
+        eventually(PATIENCE, "never yes", || {
+            process.call("GET /status").is_some_and(|(status, _)| status == 200)
+        });
+        process
+    }
+
+    fn spawn(&self, change: impl FnOnce(&mut Value)) -> Process {
         let management = free();
         let known: Vec<_> = self.backends.iter().map(|(uid, at)| line(uid, *at, "Ready")).collect();
         let mut config = config(self.at(), self.list.at, &known);
         blind(&mut config);
         config["management"] = management.to_string().into();
         config["limits"]["sockets"] = self.sockets.into();
+        change(&mut config);
         let file = self.folder.join(format!("{management}.json"));
         std::fs::write(&file, config.to_string()).expect("a file");
         let log = std::fs::File::create(self.folder.join(format!("{management}.log"))).expect("a file");
@@ -67,11 +77,7 @@
         start.args(["-c", &format!("exec 7<&0 </dev/null; exec {PROGRAM}")]);
         start.env("LB_CONFIG", file).env("TMPDIR", &self.folder).env("LB_PASSED_SOCKET", "7");
         start.stdin(OwnedFd::from(self.socket.try_clone().expect("a second handle"))).stderr(log);
-        let process = Process { child: start.spawn().expect("birchhubd"), management };
-        eventually(PATIENCE, "never yes", || {
-            process.call("GET /status").is_some_and(|(status, _)| status == 200)
-        });
-        process
+        Process { child: start.spawn().expect("birchhubd"), management }
     }
 
     fn client(&self) -> Client {
@@ -137,6 +143,42 @@
     assert_eq!(platform.ask("alone"), 200, "the socket outlives the old process");
 }
 
+/// SIGTERM to the old process while the new one still starts, whether that comes up, dies or is ended too: for half a second
+/// clients come to somebody.
+#[test]
+fn one_that_still_starts_takes_nothing_over() {
+    let log = Log::new(vec![]);
+    let platform = Platform::new("starts", &[("s-1", echo("b1", &log))]);
+    let mut old = platform.start();
+    let mut new = platform.spawn(|config| {
+        // No list, and nobody who tells one.
+        (config["known"], config["discovery"]) = (Value::Null, free().to_string().into());
+    });
+    let lives = |what: &str| eventually(PATIENCE, what, || old.says("GET /status").contains(what));
+    lives("1 other");
+    new.term();
+    old.term();
+    assert!((0..5).all(|n| platform.ask(&format!("n{n}")) == 200));
+    assert!(old.child.wait().expect("its end").success());
+    assert!(new.child.wait().expect("its end").success());
+}
+
+/// Both are ended together: neither leaves clients to the other.
+#[test]
+fn two_that_end_together_go_on_both() {
+    let log = Log::new(vec![]);
+    let platform = Platform::new("together", &[("s-1", echo("b1", &log))]);
+    let (mut old, mut new) = (platform.start(), platform.start());
+    old.term();
+    new.term();
+    let ends = |process: &Process| process.call("GET /status").is_none_or(|told| told.0 == 503);
+    eventually(PATIENCE, "SIGTERM was never heard", || ends(&old) && ends(&new));
+    std::thread::sleep(Duration::from_millis(150)); // both have looked at each other since
+    assert!((0..5).all(|n| platform.ask(&format!("n{n}")) == 200));
+    assert!(old.child.wait().expect("its end").success());
+    assert!(new.child.wait().expect("its end").success());
+}
+
 /// Bans and standby hold in both processes, whichever was called, and end in both.
 #[test]
 fn orders_pass_to_the_other_process() {
