What a deployment does not tell is filled in with nobody's figure, and times beyond any clock are cut

Cause: ask-within, idle and connect limits fell back on figures of one deployment (10 s, 15 s) where another tells none; a connect limit of 0 left a millisecond for each connection; times of u64::MAX ns are on the edge of what a clock can add. Change: each stands as a stated default in crates/settings, on the side that breaks no rule (lists asked for every 2 s, idle connections kept for 1 s); 0 is no limit for connects and list calls; times end at 1e9 s. Measured: a unit test of the defaults that can't pass on the text before; on sockets 34 odd settings (missing, null, zero, huge, of other customers' forms) serve RPCs of all kinds without a panic, and 8 that can't be read end the start with one line that names them: both ruled out, as they pass on the text before too.

--- /dev/null
+++ b/crates/daemon/tests/settings.rs
@@ -0,0 +1,103 @@
+//! Settings of other customers: what is missing, null, zero or beyond all measure ends no proxy that could serve, and what
+//! can't be read ends the start with a line that names it. Nothing is filled in with another deployment's figure.
+#[path = "../../../tests/common/mod.rs"]
+mod common;
+use common::sockets::{Daemon, Log, blind, config, echo, free, line, rpc};
+use serde_json::{Value, json};
+use std::process::Command;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_birchhubd");
+
+/// Each with what it is made to be.
+fn odd() -> Vec<(&'static str, &'static str, Value)> {
+    let gone = || Value::Null;
+    let huge = || json!(u64::MAX);
+    vec![
+        ("/ceilings", "connect-timeout-ns", gone()),
+        ("/ceilings", "connect-timeout-ns", json!(0)),
+        ("/ceilings", "connect-timeout-ns", huge()),
+        ("/ceilings", "conn-idle-ns", gone()),
+        ("/ceilings", "conn-idle-ns", json!(0)),
+        ("/ceilings", "conn-idle-ns", huge()),
+        ("/ceilings", "most-picks", huge()),
+        ("/ceilings", "retry-after", json!(true)),
+        ("/contract", "ask-within-ns", gone()),
+        ("/contract", "ask-within-ns", json!(0)),
+        ("/contract", "ask-within-ns", huge()),
+        ("/contract", "drain-grace-ns", json!(0)),
+        ("/contract", "cold-ns", json!(0)),
+        ("/contract", "tip-after-ns", huge()),
+        ("/contract", "fall-multiple", json!(1e30)),
+        ("/contract", "key-quiet-ns", huge()),
+        ("/methods/1", "hard-limit-ns", gone()),
+        ("/methods/1", "hard-limit-ns", json!(0)),
+        ("/methods/1", "hard-limit-ns", huge()),
+        ("/methods/1", "latency-target-ns", huge()),
+        ("/methods/1", "utility", json!(0)),
+        ("/methods/1", "utility", json!(1e300)),
+        ("/methods/2", "window-ns", json!(0)),
+        ("/methods/2", "window-ns", huge()),
+        ("", "failure-domains", gone()),
+        ("", "my-zone", json!("elsewhere")),
+        ("", "report", gone()),
+        ("", "report", json!({"how": "answers", "fields": ["err_ps", "of_their_own"]})),
+        ("", "report", json!({"how": "by_pigeon"})),
+        ("", "membership-mode", gone()),
+        ("", "accounts", json!([{"name": "acme", "quota-per-s": 0}])),
+        ("", "accounts", json!([{"name": "acme", "quota-per-s": 1e300}])),
+        ("", "balancers", json!(0)),
+        ("", "further", json!({"unknown": [1, 2, 3]})),
+    ]
+}
+
+#[test]
+fn odd_settings_end_no_proxy() {
+    let log = Log::new(vec![]);
+    let at = echo("b1", &log);
+    for (place, key, value) in odd() {
+        let daemon = Daemon::start_with(PROGRAM, &[("s-1", at)], |config| {
+            blind(config);
+            config["settings"].pointer_mut(place).expect("a place")[key] = value.clone();
+        });
+        let mut client = daemon.client();
+        for (n, (verb, method)) in
+            [("GET", "read"), ("POST", "book"), ("POST", "log")].into_iter().enumerate()
+        {
+            let answer = client.call(&rpc(verb, &format!("/{method}"), &format!("n{n}"), ""));
+            // One of no utility may be turned away; none is left without a word.
+            let status = answer.map(|answer| answer.status());
+            assert!(matches!(status, Some(200 | 503)), "{place}/{key} = {value}: {method} {status:?}");
+            assert!(
+                status == Some(200) || key == "utility" || key == "accounts",
+                "{place}/{key} = {value}: {method}"
+            );
+        }
+        assert!(!daemon.logged().contains("panicked"), "{place}/{key} = {value}: {}", daemon.logged());
+    }
+}
+
+#[test]
+fn settings_that_cannot_be_read_name_themselves() {
+    let folder = std::env::temp_dir().join(format!("birchhubd-settings-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let file = folder.join("config.json");
+    for (place, key, value, named) in [
+        ("/ceilings", "connect-timeout-ns", json!("250ms"), "ceilings.connect-timeout-ns"),
+        ("/ceilings", "conn-idle-ns", json!(-1), "ceilings.conn-idle-ns"),
+        ("/contract", "ask-within-ns", json!([]), "contract.ask-within-ns"),
+        ("/contract", "drain-grace-ns", Value::Null, "contract.drain-grace-ns"),
+        ("/methods/1", "hard-limit-ns", json!("3s"), "methods[1].hard-limit-ns"),
+        ("/methods/1", "idempotency", json!("perhaps"), "methods[1].idempotency"),
+        ("/methods/2", "window-ns", Value::Null, "methods[2].window-ns"),
+        ("/methods/2", "dedup-scope", json!("planet"), "methods[2].dedup-scope"),
+    ] {
+        let mut config = config(free(), free(), &[line("s-1", free(), "Ready")]);
+        config["settings"].pointer_mut(place).expect("a place")[key] = value;
+        std::fs::write(&file, config.to_string()).expect("a file");
+        let output = Command::new(PROGRAM).env("LB_CONFIG", &file).output().expect("birchhubd");
+        let fault = String::from_utf8_lossy(&output.stderr);
+        assert_eq!((output.status.code(), fault.lines().count()), (Some(2), 1), "{named}: {fault}");
+        assert!(fault.contains(named), "{named}: {fault}");
+    }
+    std::fs::remove_dir_all(&folder).expect("the folder");
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -7,6 +7,12 @@
 const IN_FLIGHT: [&str; 2] = ["concurrent", "inflight"];
 const QUEUED: [&str; 2] = ["depth", "queue"];
 
+const FOREVER: f64 = 1e9; // s: longer times are as good as this one, and can't be added to a clock
+// What holds where a deployment tells nothing, s: each errs to the side that breaks no rule, and is nobody's figure.
+const ASK_WITHIN: f64 = 2.0; // list calls come often
+const CONNECT: f64 = 1.0; // a pick's own time is shorter as a rule
+const IDLE: f64 = 1.0; // a connection that stood idle is opened anew rather than lost
+
 pub struct Conf {
     pub settings: Settings,
     pub methods: Vec<String>,
@@ -44,7 +50,11 @@
         number.ok_or_else(|| format!("{} is not a number of 0 or more: {}", self.path, self.value))
     }
     fn seconds(&self) -> Result<f64, String> {
-        Ok(self.num()? / 1e9)
+        Ok((self.num()? / 1e9).min(FOREVER))
+    }
+    /// 0 stands for a time that is not limited.
+    fn limit(&self) -> Result<f64, String> {
+        Ok(Some(self.seconds()?).filter(|limit| *limit > 0.0).unwrap_or(FOREVER))
     }
     fn flag(&self) -> Result<bool, String> {
         self.value.as_bool().ok_or_else(|| format!("{} is not true or false: {}", self.path, self.value))
@@ -113,7 +123,7 @@
         quotas.push(TenantSettings { quota: account.get("quota-per-s")?.num()? });
     }
     let come_back_max = match ceilings.flag_or("retry-after")? {
-        true => ceilings.num_or("max-retry-after-ns", 0.0)? / 1e9,
+        true => ceilings.opt("max-retry-after-ns").map_or(Ok(0.0), |at| at.seconds())?,
         false => 0.0,
     };
     let report = |key: &str| conf.opt("report").and_then(|r| r.opt(key));
@@ -151,10 +161,10 @@
         reports,
         reports_queue: fields.is_none_or(|fields| fields.iter().any(tells_queue)),
         list_on_request: mode == "on_request",
-        ask_within: contract.num_or("ask-within-ns", 10e9)? / 1e9,
+        ask_within: contract.opt("ask-within-ns").map_or(Ok(ASK_WITHIN), |at| at.limit())?,
         drain_grace: contract.get("drain-grace-ns")?.seconds()?,
         only_draining_binds: contract.flag_or("removal-not-binding")?,
-        key_quiet: contract.num_or("key-quiet-ns", 0.0)? / 1e9,
+        key_quiet: contract.opt("key-quiet-ns").map_or(Ok(0.0), |at| at.seconds())?,
         cold_from: contract.get("cold-from")?.num()?,
         cold_for: contract.get("cold-ns")?.seconds()?,
         fall_multiple: contract.get("fall-multiple")?.num()?,
@@ -174,8 +184,8 @@
         tenants,
         zones,
         sized,
-        connect_limit: ceilings.num_or("connect-timeout-ns", 1e9)? / 1e9,
-        idle_limit: ceilings.num_or("conn-idle-ns", 15e9)? / 1e9,
+        connect_limit: ceilings.opt("connect-timeout-ns").map_or(Ok(CONNECT), |at| at.limit())?,
+        idle_limit: ceilings.opt("conn-idle-ns").map_or(Ok(IDLE), |at| at.seconds())?,
         longest_deadline: ends.map(|ends| ends.into_iter().fold(0.0, f64::max)),
     })
 }
@@ -221,12 +231,38 @@
     }
     /// A deployment's settings with the further ones changed.
     fn further(change: impl FnOnce(&mut Value)) -> Result<Settings, String> {
+        conf(change).map(|conf| conf.settings)
+    }
+
+    fn conf(change: impl FnOnce(&mut Value)) -> Result<Conf, String> {
         let mut value = json!({"balancers": 2, "ceilings": {"most-picks": 3},
             "methods": [{"name": "move", "idempotency": "non_idempotent", "latency-target-ns": 4e8}],
             "contract": {"drain-grace-ns": 5e8, "cold-from": 0.2, "cold-ns": 5e9, "fall-multiple": 3.0,
                 "tip-after-ns": 1e9}});
         change(&mut value);
-        read_value(&value).map(|conf| conf.settings)
+        read_value(&value)
+    }
+
+    /// Guards against a figure of one deployment that stands in for what another does not tell, and against times that no
+    /// clock can hold.
+    #[test]
+    fn what_is_not_told_is_nobodys_figure() {
+        let untold = conf(|_| ()).expect("settings");
+        assert_eq!((untold.settings.ask_within, untold.connect_limit, untold.idle_limit), (2.0, 1.0, 1.0));
+        assert_eq!(untold.longest_deadline, None);
+        let odd = conf(|conf| {
+            conf["ceilings"]["connect-timeout-ns"] = 0.into();
+            conf["ceilings"]["conn-idle-ns"] = 1e300.into();
+            conf["methods"][0]["hard-limit-ns"] = u64::MAX.into();
+        });
+        let odd = odd.expect("settings");
+        assert_eq!((odd.connect_limit, odd.idle_limit, odd.longest_deadline), (1e9, 1e9, Some(1e9)));
+        let two = conf(|conf| {
+            let mut second = conf["methods"][0].clone();
+            second["hard-limit-ns"] = 2_000_000_000.into();
+            conf["methods"].as_array_mut().expect("methods").push(second);
+        });
+        assert_eq!(two.expect("settings").longest_deadline, None, "one of them is not told");
     }
 
     #[test]
