Answers that come in one turn with a drain, a deadline, a hang-up or a close are ruled out by forced tests

Cause: the issue asks where two events can cross at a pick. Change: tests alone: a stopped proxy finds both at once; stand-ins close or send more on command.

--- a/crates/daemon/tests/crossings.rs
+++ b/crates/daemon/tests/crossings.rs
@@ -2,7 +2,7 @@
 #[path = "../../../tests/common/mod.rs"]
 mod common;
 use common::sockets::{
-    Act, Daemon, Log, PATIENCE, Shared, Slow, backend, blind, echo, eventually, line, reply, rpc,
+    Act, Client, Daemon, Log, PATIENCE, Shared, Slow, backend, blind, echo, eventually, line, reply, rpc,
 };
 use serde_json::Value;
 use std::io::Read;
@@ -88,6 +88,99 @@
     assert_eq!(log.count("b2 got"), 0, "sent when its repeats are dropped no more");
 }
 
+/// A kept connection on which something has come by the time it is used again, seen in one turn with the RPC for it.
+fn kept_until(more: &'static [u8]) {
+    let log = Log::new(vec![]);
+    let seen = log.clone();
+    let at = backend("b1", &log, move |m| match m.header("request-id") {
+        "first" => Act::Late(reply("200 OK", "first"), seen.clone(), "go on".into(), more.to_vec()),
+        id => Act::Write(reply("200 OK", id)),
+    });
+    let daemon = Daemon::start_with(PROGRAM, &[("s-1", at)], blind);
+    let mut client = daemon.client();
+    assert_eq!(client.call(&rpc("POST", "/book", "first", "")).unwrap().text(), "first");
+    sleep(Duration::from_millis(50)); // it is quiet for longer than connections are doubted
+    daemon.signal("STOP");
+    log.note("go on".into());
+    log.await_event("b1 done with first");
+    client.send(&rpc("POST", "/book", "second", ""));
+    daemon.signal("CONT");
+    let answer = client.answer().expect("an answer");
+    assert_eq!((answer.status(), answer.text().as_str()), (200, "second"));
+    assert_eq!(log.count(" second"), 1);
+}
+
+#[test]
+fn a_connection_closed_at_the_instant_of_its_use_is_not_used() {
+    kept_until(b"");
+}
+
+#[test]
+fn a_second_answer_at_the_instant_of_use_answers_nothing() {
+    kept_until(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nagain");
+}
+
+#[test]
+fn half_an_answer_at_the_instant_of_use_answers_nothing() {
+    kept_until(b"HTTP/1.1 200");
+}
+
+/// An answer, and what else may end its pick, seen in one turn: one word to the client, and nothing is sent twice.
+fn an_answer_and(what: impl Fn(&Daemon, &mut Client), waits: &str, allowed: &[Option<u16>]) {
+    let log = Log::new(vec![]);
+    let seen = log.clone();
+    let at = backend("b1", &log, move |m| match m.header("request-id") {
+        "crossed" => {
+            seen.wait(PATIENCE, |events| events.iter().any(|e| e == "go on"));
+            Act::Late(reply("200 OK", "done"), Log::new(vec![]), "never".into(), b"\r\n".to_vec())
+        }
+        _ => Act::Write(reply("200 OK", "")),
+    });
+    let daemon = Daemon::start_with(PROGRAM, &[("s-1", at), ("s-2", echo("b2", &log))], blind);
+    daemon.earn_credit();
+    daemon.list.tell_heard(&[line("s-1", at, "Ready")]);
+    let mut client = daemon.client();
+    client.send(&rpc("POST", "/book", "crossed", "").replace("3000", waits));
+    log.await_event("b1 got POST /book HTTP/1.1 crossed");
+    daemon.signal("STOP");
+    log.note("go on".into());
+    log.await_event("b1 done with crossed");
+    what(&daemon, &mut client);
+    daemon.signal("CONT");
+    let told = client.answer().map(|answer| answer.status());
+    assert!(allowed.contains(&told), "{told:?}");
+    let next = daemon.client().call(&rpc("POST", "/book", "next", "")).map(|answer| answer.status());
+    assert!(matches!(next, Some(200 | 503)), "{next:?}");
+    assert_eq!(log.count(" got POST /book HTTP/1.1 crossed"), 1);
+    assert!(!daemon.logged().contains("panicked"), "{}", daemon.logged());
+}
+
+#[test]
+fn an_answer_and_a_drain() {
+    let drain = |daemon: &Daemon, _: &mut Client| daemon.list.tell(&[]);
+    an_answer_and(drain, "3000", &[Some(200)]);
+}
+
+#[test]
+fn an_answer_and_the_deadline() {
+    let late = |_: &Daemon, _: &mut Client| sleep(Duration::from_millis(400));
+    an_answer_and(late, "300", &[Some(200), Some(502)]);
+}
+
+#[test]
+fn an_answer_and_a_hang_up() {
+    let leaves = |_: &Daemon, client: &mut Client| {
+        client.stream().shutdown(std::net::Shutdown::Write).expect("half closed");
+    };
+    an_answer_and(leaves, "3000", &[Some(200), None]);
+}
+
+#[test]
+fn an_answer_and_sigterm() {
+    let ends = |daemon: &Daemon, _: &mut Client| daemon.signal("TERM");
+    an_answer_and(ends, "3000", &[Some(200)]);
+}
+
 /// An answer that never ends is cut off, and nobody takes it for whole.
 #[test]
 fn an_answer_without_end_is_cut_off() {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -492,7 +492,8 @@
         Write(Vec<u8>),
         /// Writes so much and breaks the connection.
         Cut(Vec<u8>),
-        /// Answers and, once something has been noted or half a second has passed, sends more.
+        /// Answers and, once something has been noted or half a second has passed, sends more, or where that is nothing
+        /// breaks the connection.
         Late(Vec<u8>, Log, String, Vec<u8>),
         /// Says nothing for as long as the proxy holds on.
         Hang,
@@ -538,6 +539,10 @@
                         let noted = |events: &Vec<String>| events.iter().any(|e| e.ends_with(&what));
                         seen.wait(Duration::from_millis(500), noted);
                         let _ = stream.write_all(&more);
+                        log.note(format!("{name} done with {id}"));
+                        if more.is_empty() {
+                            return;
+                        }
                     }
                     Act::Cut(bytes) => return drop(stream.write_all(&bytes)),
                     Act::Hang => {
