--- a/crates/daemon/src/discovery.rs
+++ b/crates/daemon/src/discovery.rs
@@ -44,6 +44,7 @@
     whole: Duration::from_millis(300),
 };
 const AGENT_EVERY: Duration = Duration::from_millis(20); // between calls that fail there: less than a drain's grace
+const LONGER: u32 = 4; // calls in a row that meet silence there wait twice as long each; then it begins anew
 const CONNECT_MOST: Duration = Duration::from_secs(1); // for a connection: one that was swallowed must not cost a call
 const TELL_EVERY: Duration = Duration::from_secs(10); // between log lines of one outage, where calls go on
 const GAP: Duration = Duration::from_millis(20); // between calls at least: one that never waits must not spin
@@ -120,6 +121,8 @@
     pub pushed: bool,
     /// Told of the first answer, and of all names.
     pub standings: Rc<Standings>,
+    /// Calls in a row that met silence.
+    pub silences: u32,
 }
 
 /// How a call ended without news.
@@ -190,18 +193,22 @@
         let (mut conn, mut doubted) = (None, self.pushed);
         let mut tried = false;
         loop {
+            // Guards against an agent that is slower than usual and would never be heard out.
+            let longer = if self.pushed { 1 << (self.silences % LONGER) } else { 1 };
             let (path, patience) = match self.version {
-                None => ("/registry/instances".to_owned(), times.whole),
+                None => ("/registry/instances".to_owned(), times.whole * longer),
                 Some(from) => {
                     let hold = if doubted { Duration::ZERO } else { times.hold };
                     let path = format!("/registry/instances?from={from}&hold_ms={}", hold.as_millis());
-                    (path, if doubted { times.at_once } else { hold + times.patience })
+                    (path, if doubted { times.at_once * longer } else { hold + times.patience })
                 }
             };
             let begun = Instant::now();
             let until = begun + patience;
             let called = timeout_at(until, self.call(&mut conn, &path, until)).await;
-            let news = match called.unwrap_or(Err(Fault::Silence)).and_then(|news| self.in_order(news)) {
+            let called = called.unwrap_or(Err(Fault::Silence)).and_then(|news| self.in_order(news));
+            self.silences = if matches!(called, Err(Fault::Silence)) { self.silences + 1 } else { 0 };
+            let news = match called {
                 Ok(news) => news,
                 // Guards against a link that swallowed one call, and against news that counts as told though its
                 // answer broke: another connection may do.
--- a/crates/daemon/tests/watches.rs
+++ b/crates/daemon/tests/watches.rs
@@ -3,11 +3,14 @@
 #[path = "../../../tests/common/mod.rs"]
 mod common;
 use common::sockets::{
-    Act, Daemon, Log, Message, PATIENCE, Shared, backend, blind, config, echo, eventually, line, reply, rpc,
+    Act, Daemon, Log, Message, PATIENCE, Shared, Slow, backend, blind, config, echo, eventually, line, reply,
+    rpc,
 };
 use serde_json::{Value, json};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread::sleep;
+use std::time::Duration;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_birchhubd");
 
@@ -110,6 +113,21 @@
     assert!(log.wait(PATIENCE, waits), "{:?}", log.all());
 }
 
+/// A connection to it that is swallowed is given up long before the call that it is for.
+#[test]
+fn a_swallowed_connection_costs_no_call() {
+    let log = Log::new(vec![]);
+    let daemon = Daemon::start_with(PROGRAM, &[("s-1", echo("b1", &log))], blind);
+    let slow = Slow::start();
+    move_to(&daemon, slow.at, |_| {});
+    // Two connections of 1 s; by the call's own time it would be 6 s.
+    eventually(Duration::from_secs(4), "the call was held to its end", || {
+        sleep(Duration::from_millis(20));
+        daemon.logged().contains("list call failed: no answer in time")
+    });
+    assert_eq!(daemon.client().call(&rpc("POST", "/book", "id", "")).unwrap().text(), "b1:");
+}
+
 /// Changes that come in one turn with an RPC: whatever was picked by then is withdrawn if nothing of it was sent.
 #[test]
 fn a_drain_that_comes_with_rpcs_holds_for_them() {
@@ -247,6 +265,25 @@
     assert!(warnings <= 3, "{warnings} lines of one outage");
 }
 
+/// An agent that is slower than usual is heard out all the same.
+#[test]
+fn a_slow_agent_is_heard_out() {
+    let log = Log::new(vec![]);
+    let (old, new) = (echo("b1", &log), echo("b2", &log));
+    let lines = [line("s-1", old, "Terminating"), line("s-2", new, "Ready")];
+    let list = scripted(&log, move |_, call| {
+        // Longer than the first calls wait, and than the first of a whole list.
+        sleep(Duration::from_millis(if call.first.contains("hold_ms=2000") { 3000 } else { 450 }));
+        told(2, true, &lines)
+    });
+    let daemon = Daemon::start_with(PROGRAM, &[("s-1", old)], |config| {
+        pushed(config);
+        config["discovery"] = list.to_string().into();
+    });
+    log.await_event("list got GET /registry/instances?from=2&hold_ms=2000 HTTP/1.1 ");
+    assert_eq!(daemon.client().call(&rpc("POST", "/book", "id", "")).unwrap().text(), "b2:");
+}
+
 /// A watch of a pushed list that falls silent is opened anew.
 #[test]
 fn a_silent_watch_of_a_pushed_list_is_opened_anew() {
