--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -297,7 +297,7 @@
         let mut connection = http1::Builder::new()
             .max_buf_size(HEAD_MOST)
             .serve_connection(TokioIo::new(Watched { stream, by: line.clone() }), service);
-        if let Err(fault) = self.last(&mut connection, &line, &ahead).await {
+        if let Err(fault) = self.drive(&mut connection, &line, &ahead).await {
             log::debug!("a client's connection ended: {fault}");
             line.refused.set(true);
         }
@@ -310,7 +310,7 @@
     /// Moves a connection on until it ends or is to end: the one place that decides that. What has come is always
     /// read before, and what it is at is looked at after. Guards against an RPC that is read in the very turn in which
     /// its connection is ended as idle, and dropped with it.
-    async fn last<C: Future<Output = hyper::Result<()>> + Unpin>(
+    async fn drive<C: Future<Output = hyper::Result<()>> + Unpin>(
         &self,
         connection: &mut C,
         line: &Line,
