The last lines of a log are written before the process ends

Cause: log lines go to a thread of their own, and main returned without a word to it: the closing line (`ends with N client connections open`) and the counts of watching were lost now and then. Seen as flaky tests under load (28 on 8 cores, three runs of the workspace): signals_that_cross_end_it_once twice, and the two tests of watching once each; the former failed once of nine on the text before the mends too, which is that failure's cause. Proof: the log is there whole but for its last line. Change: `flush` waits until all that was logged is written, 0.2 s at most, as a reader of standard error may have gone; called at the end of birchhubd. Ruled out: an exit by another way than main's end (exit code 0 each time). Measured: a unit test of flush (written, and waited for no longer); the three tests pass six times in a row under the same load.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -47,6 +47,8 @@
             let runtime = runtime.map_err(|e| format!("no event loop: {e}"))?;
             LocalSet::new().block_on(&runtime, run(config, passed))
         });
+    // Guards against a closing line, and the counts of watching, that go with the process.
+    log::logger().flush();
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
--- a/crates/logging/src/lib.rs
+++ b/crates/logging/src/lib.rs
@@ -2,13 +2,25 @@
 use log::{LevelFilter, Log, Metadata, Record};
 use std::io::Write;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::thread::sleep;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 const LINES: usize = 1024; // lines that wait to be written; beyond, they are dropped
+const FLUSH_TIME: Duration = Duration::from_millis(200); // for all that waits to be written: a reader may have gone
+const FLUSH_EVERY: Duration = Duration::from_millis(1); // between tries to have that asked for
+
+/// What goes to the writing thread.
+enum Entry {
+    Line(String),
+    /// Dropped once all before it is written, which its other end hears.
+    Mark {
+        _done: SyncSender<()>,
+    },
+}
 
 struct Logger {
-    lines: SyncSender<String>,
+    lines: SyncSender<Entry>,
     dropped: &'static AtomicUsize,
 }
 
@@ -24,17 +36,31 @@
         let at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let part = record.target().rsplit("::").next().unwrap_or_default();
         let line = format!("{:.3} {:5} {part}: {}\n", at.as_secs_f64(), record.level(), record.args());
-        if self.lines.try_send(line).is_err() {
+        if self.lines.try_send(Entry::Line(line)).is_err() {
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
     }
 
-    fn flush(&self) {}
+    /// Waits until what was logged is written, but not for long. Guards against last lines that go with the process.
+    fn flush(&self) {
+        let until = Instant::now() + FLUSH_TIME;
+        let (_done, written) = sync_channel(0);
+        let mut entry = Entry::Mark { _done };
+        while let Err(TrySendError::Full(back)) = self.lines.try_send(entry) {
+            if Instant::now() >= until {
+                return;
+            }
+            entry = back;
+            sleep(FLUSH_EVERY);
+        }
+        let _ = written.recv_timeout(until.saturating_duration_since(Instant::now()));
+    }
 }
 
-fn write(lines: Receiver<String>, dropped: &AtomicUsize) {
+fn write(lines: Receiver<Entry>, dropped: &AtomicUsize) {
     let mut out = std::io::stderr();
-    for line in lines {
+    for entry in lines {
+        let Entry::Line(line) = entry else { continue };
         // Nobody is left to tell when standard error fails.
         let _ = out.write_all(line.as_bytes());
         match dropped.swap(0, Ordering::Relaxed) {
@@ -56,3 +82,26 @@
         log::set_max_level(level.unwrap_or(LevelFilter::Info));
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a last line that a process takes with it, and against an end that waits for a reader that has gone.
+    #[test]
+    fn what_was_logged_is_written_by_the_flush_or_waited_for_no_longer() {
+        let (lines, entries) = sync_channel(2);
+        let logger = Logger { lines, dropped: Box::leak(Box::default()) };
+        let begun = Instant::now();
+        logger.flush();
+        assert!(begun.elapsed() >= FLUSH_TIME, "nobody writes");
+        logger.flush();
+        logger.flush();
+        assert!(begun.elapsed() >= FLUSH_TIME * 3, "nobody writes, and no more fits");
+        let writer = std::thread::spawn(move || write(entries, &AtomicUsize::new(0)));
+        logger.flush();
+        assert!(!writer.is_finished());
+        drop(logger);
+        writer.join().expect("the writer ends");
+    }
+}
