The rehearsal's list has addresses of its own: a node's reserved port is no longer dealt to it

Cause: `door(proxy, 250)` is the address of node 0 (1 + node % 250), and the list service, which takes any port there, was now and then dealt the one that node 0 had reserved and not yet listened on: "stand-ins can't listen: Address already in use". Proof: the error, made to name its address, says 127.103.0.1:41233, node 0's door. Ruled out: load (it came at 4 too), two rehearsals at once. Change: the list listens at .251; an address that can't be listened on is named.

--- a/crates/rehearsal/src/stage.rs
+++ b/crates/rehearsal/src/stage.rs
@@ -27,10 +27,15 @@
         let number = std::process::id().wrapping_mul(7).wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
         Self(16 + (number % 200) as u8)
     }
-    /// Where nodes and the list service listen for a proxy; nodes share addresses when there are more than fit.
+    /// Where nodes listen for a proxy; they share addresses when there are more than fit.
     pub fn door(self, proxy: u16, node: u32) -> IpAddr {
         Ipv4Addr::new(127, self.0, proxy as u8, 1 + (node % 250) as u8).into()
     }
+    /// Where the list service listens for a proxy. Guards against a port that it is dealt while a node that has not begun to
+    /// listen holds it reserved.
+    pub fn list(self, proxy: u16) -> IpAddr {
+        Ipv4Addr::new(127, self.0, proxy as u8, 251).into()
+    }
     /// Where a proxy listens.
     pub fn proxy(self, proxy: u16) -> IpAddr {
         Ipv4Addr::new(127, self.0, 255, 1 + proxy as u8).into()
@@ -137,7 +142,7 @@
             });
             hosts.push(host);
         }
-        let doors: Vec<_> = (0..proxies).map(|proxy| block.door(proxy, 250)).collect();
+        let doors: Vec<_> = (0..proxies).map(|proxy| block.list(proxy)).collect();
         let list = ListService::start(notes.clone(), &doors)?;
         let (lag, notices) = (scenario.list.lag.0, scenario.list.notices.0);
         let stage = Self { notes, fleet, hosts, list, lines, lag, notices, late: Cell::new(0.0) };
@@ -268,3 +273,16 @@
         self.begin(successor);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn nobody_shares_an_address_with_the_list() {
+        let block = Block::new();
+        for proxy in 0..4 {
+            assert!((0..1000).all(|node| block.door(proxy, node) != block.list(proxy)));
+        }
+    }
+}
--- a/crates/stand-in/src/wire.rs
+++ b/crates/stand-in/src/wire.rs
@@ -205,8 +205,8 @@
 pub fn listen(at: SocketAddr, backlog: u32) -> io::Result<TcpListener> {
     let socket = if at.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     socket.set_reuseaddr(true)?;
-    socket.bind(at)?;
-    socket.listen(backlog)
+    let listening = socket.bind(at).and_then(|()| socket.listen(backlog));
+    listening.map_err(|fault| io::Error::new(fault.kind(), format!("{at}: {fault}")))
 }
 
 /// A response, encoded.
