Tests of crossings share the gated backend and one check of where RPCs go

Cause: read once more, the new tests wrote again what sockets.rs had (gated), and watches.rs had one loop five times. Change: gated stands in tests/common, goes_to_the_new_one in watches.rs; no assertion, bound or time is changed.

--- a/crates/daemon/tests/ending.rs
+++ b/crates/daemon/tests/ending.rs
@@ -3,7 +3,7 @@
 #[path = "../../../tests/common/mod.rs"]
 mod common;
 use common::sockets::{
-    Act, Client, Daemon, HEALTH, Log, PATIENCE, Shared, backend, blind, echo, eventually, reply, rpc,
+    Act, Client, Daemon, HEALTH, Log, PATIENCE, backend, blind, echo, eventually, gated, reply, rpc,
 };
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -183,12 +183,7 @@
 #[test]
 fn a_deadline_that_is_not_told_ends_nothing_at_once() {
     let log = Log::new(vec![]);
-    let gate = Shared::new(false);
-    let open = gate.clone();
-    let at = backend("b1", &log, move |_| {
-        open.wait(PATIENCE, |open| *open);
-        Act::Write(reply("200 OK", ""))
-    });
+    let (at, gate) = gated("b1", &log, "");
     let mut daemon = Daemon::start_with(PROGRAM, &[("s-1", at)], |config| {
         blind(config);
         for method in config["settings"]["methods"].as_array_mut().expect("methods") {
--- a/crates/daemon/tests/leaving.rs
+++ b/crates/daemon/tests/leaving.rs
@@ -2,8 +2,8 @@
 #[path = "../../../tests/common/mod.rs"]
 mod common;
 use common::sockets::{
-    Act, Client, Daemon, HEALTH, Log, PATIENCE, Shared, Slow, backend, blind, echo, eventually, line, reply,
-    rpc,
+    Act, Client, Daemon, HEALTH, Log, PATIENCE, Shared, Slow, backend, blind, echo, eventually, gated, line,
+    reply, rpc,
 };
 use serde_json::Value;
 use std::net::Shutdown;
@@ -184,12 +184,7 @@
 #[test]
 fn a_name_stays_open_until_its_picks_have_ended() {
     let log = Log::new(vec![]);
-    let gate = Shared::new(false);
-    let open = gate.clone();
-    let at = backend("b1", &log, move |_| {
-        open.wait(PATIENCE, |open| *open);
-        Act::Write(reply("200 OK", ""))
-    });
+    let (at, gate) = gated("b1", &log, "");
     let fixed = |config: &mut Value| {
         config["settings"]["ceilings"]["cancel"] = false.into();
         blind(config);
--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -3,7 +3,7 @@
 mod common;
 use common::sockets::{
     Act, Client, Daemon, HEALTH, List, Log, Message, PATIENCE, Shared, Slow, backend, blind, config, echo,
-    eventually, free, line, reply, rpc,
+    eventually, free, gated, line, reply, rpc,
 };
 use serde_json::{Value, json};
 use std::net::{SocketAddr, TcpListener};
@@ -198,17 +198,6 @@
     assert_eq!(client.answer().unwrap().text(), "b1:");
 }
 
-/// A backend that answers once its gate is open.
-fn gated(name: &'static str, log: &Log, text: &'static str) -> (SocketAddr, Shared<bool>) {
-    let gate = Shared::new(false);
-    let open = gate.clone();
-    let at = backend(name, log, move |_| {
-        open.wait(PATIENCE, |open| *open);
-        Act::Write(reply("200 OK", text))
-    });
-    (at, gate)
-}
-
 /// A backend that moved gets nothing at its old address, also not on a connection that was out meanwhile.
 #[test]
 fn a_moved_backend_is_followed() {
--- a/crates/daemon/tests/watches.rs
+++ b/crates/daemon/tests/watches.rs
@@ -35,6 +35,13 @@
     daemon.reload(&config.to_string());
 }
 
+/// Whatever comes now goes to the backend that answers as `b2`.
+fn goes_to_the_new_one(daemon: &Daemon) {
+    for n in 0..10 {
+        assert_eq!(daemon.client().call(&rpc("POST", "/book", &format!("n{n}"), "")).unwrap().text(), "b2:");
+    }
+}
+
 /// An older list does not undo a newer one: the whole list is asked for, and that counts.
 #[test]
 fn an_older_list_undoes_nothing() {
@@ -57,9 +64,7 @@
         log.all()
     );
     assert_eq!(log.count("from=3&"), 0, "the older list was taken over");
-    for n in 0..10 {
-        assert_eq!(daemon.client().call(&rpc("POST", "/book", &format!("n{n}"), "")).unwrap().text(), "b2:");
-    }
+    goes_to_the_new_one(&daemon);
 }
 
 /// What is told in an answer that breaks off counts as told: the next call goes out at once and does not wait.
@@ -79,9 +84,7 @@
     });
     move_to(&daemon, at, |_| {});
     log.await_event("list got GET /registry/instances?from=2&hold_ms=4000 HTTP/1.1 ");
-    for n in 0..10 {
-        assert_eq!(daemon.client().call(&rpc("POST", "/book", &format!("n{n}"), "")).unwrap().text(), "b2:");
-    }
+    goes_to_the_new_one(&daemon);
 }
 
 #[test]
@@ -174,9 +177,7 @@
     });
     move_to(&daemon, at, |_| {});
     log.await_event("list got GET /registry/instances?from=2&hold_ms=4000 HTTP/1.1 ");
-    for n in 0..10 {
-        assert_eq!(daemon.client().call(&rpc("POST", "/book", &format!("n{n}"), "")).unwrap().text(), "b2:");
-    }
+    goes_to_the_new_one(&daemon);
 }
 
 /// The list service moves while an answer of the old one is half there: nothing of that is taken over.
@@ -205,9 +206,7 @@
     });
     move_to(&daemon, second, |_| {});
     log.await_event("list got GET /registry/instances?from=1&hold_ms=4000 HTTP/1.1 ");
-    for n in 0..10 {
-        assert_eq!(daemon.client().call(&rpc("POST", "/book", &format!("n{n}"), "")).unwrap().text(), "b2:");
-    }
+    goes_to_the_new_one(&daemon);
 }
 
 /// Lists are pushed.
@@ -225,9 +224,7 @@
     daemon.list.tell_heard(&[line("s-1", old, "Terminating"), line("s-2", new, "Ready")]);
     // It is started again with the list that it was started with first.
     daemon.restart(PROGRAM);
-    for n in 0..10 {
-        assert_eq!(daemon.client().call(&rpc("POST", "/book", &format!("n{n}"), "")).unwrap().text(), "b2:");
-    }
+    goes_to_the_new_one(&daemon);
     assert_eq!(log.count("b1 got"), 0);
 }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -597,6 +597,17 @@
         }
     }
 
+    /// A backend that answers once its gate is open.
+    pub fn gated(name: &'static str, log: &Log, text: &'static str) -> (SocketAddr, Shared<bool>) {
+        let gate = Shared::new(false);
+        let open = gate.clone();
+        let at = backend(name, log, move |_| {
+            open.wait(PATIENCE, |open| *open);
+            Act::Write(reply("200 OK", text))
+        });
+        (at, gate)
+    }
+
     pub fn echo(name: &'static str, log: &Log) -> SocketAddr {
         backend(name, log, move |message| Act::Write(reply("200 OK", &format!("{name}:{}", message.text()))))
     }
