Where no probe tells of loads, RPCs are admitted in the order of utility

Change: where answers are all that is heard of loads and methods differ in utility, pick_drawn asks admits in place of in_time and doors: a part of RPCs, in the order of utility for 85 of 100, moved by additive increase and multiplicative decrease by picks answered in good time, and one RPC every 2 s whatever the part.

--- a/src/chance.rs
+++ b/src/chance.rs
@@ -1,6 +1,7 @@
 //! Chance, from the seed that an instance is handed.
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
+use std::cell::RefCell;
 
 /// A number between 0 and 1 that belongs to this pair, at every proxy.
 pub fn of_pair(a: u64, b: u64) -> f64 {
@@ -12,25 +13,29 @@
 }
 
 #[derive(Debug)]
-pub struct Chance(Pcg64);
+pub struct Chance(RefCell<Pcg64>);
 
 impl Chance {
     pub fn new(seed: u64) -> Self {
-        Self(Pcg64::seed_from_u64(seed))
+        Self(RefCell::new(Pcg64::seed_from_u64(seed)))
     }
 
-    pub fn between(&mut self, low: f64, high: f64) -> f64 {
-        self.0.random_range(low..high)
+    pub fn between(&self, low: f64, high: f64) -> f64 {
+        self.0.borrow_mut().random_range(low..high)
     }
 
     /// A number below `most`, which is above 0.
-    pub fn below(&mut self, most: usize) -> usize {
-        self.0.random_range(0..most)
+    pub fn below(&self, most: usize) -> usize {
+        self.0.borrow_mut().random_range(0..most)
     }
 
     /// Takes one of the items at random.
-    pub fn draw<T>(&mut self, from: &mut Vec<T>) -> Option<T> {
-        if from.is_empty() { None } else { Some(from.swap_remove(self.0.random_range(0..from.len()))) }
+    pub fn draw<T>(&self, from: &mut Vec<T>) -> Option<T> {
+        if from.is_empty() {
+            None
+        } else {
+            Some(from.swap_remove(self.0.borrow_mut().random_range(0..from.len())))
+        }
     }
 }
 
--- a/src/held.rs
+++ b/src/held.rs
@@ -5,6 +5,7 @@
 use crate::types::{Arrival, Entry, MethodSettings, Outcome, Pace, Readiness, Settings};
 use crate::waiting::Rank;
 use std::cell::{Cell, RefCell};
+use std::cmp::Ordering;
 use std::rc::Rc;
 
 pub(crate) struct Backend {
@@ -218,14 +219,66 @@
     }
 }
 
+const SEEN_OVER: f64 = 3.0; // s over which arrivals are counted for the order by utility: some tens
+
+/// A part of something, at first the whole, that comes back to the whole by itself, at a rate that its reader tells.
+pub(crate) struct Part {
+    was: f64,
+    then: f64,
+}
+
+impl Default for Part {
+    fn default() -> Self {
+        Self::new(1.0, 0.0)
+    }
+}
+
+impl Part {
+    pub fn new(was: f64, then: f64) -> Self {
+        Self { was, then }
+    }
+
+    /// What it is by now, if it comes back by this much a second.
+    pub fn at(&self, now: f64, back: f64) -> f64 {
+        (self.was + (now - self.then).max(0.0) * back).min(1.0)
+    }
+}
+
 pub(crate) struct Method {
     pub set: MethodSettings,
     pub room: f64,  // times the expected wait that must fit before a draw; more for lower utility
     pub each: Mean, // s to an answer from a drawn backend, for each RPC that stood there, itself too
     pub door: Rc<Mean>, // of what it lets in at the most, by how the last picks went
+    seen: Decaying, // RPCs that came
 }
 
 impl Method {
+    pub fn new(set: MethodSettings, room: f64) -> Self {
+        let (each, door, seen) = Default::default();
+        Self { set, room, each, door, seen }
+    }
+
+    /// One of its RPCs has come.
+    pub fn came(&self, now: f64) {
+        self.seen.add(1.0, now, SEEN_OVER);
+    }
+
+    /// Part of the RPCs that came lately before one of its own in the order of utility, which stands at this place
+    /// among its equals: 0 before them all, 1 behind.
+    pub fn place(&self, methods: &[Rc<Self>], among: f64, now: f64) -> f64 {
+        let (mut before, mut all) = (0.0, 0.0);
+        for method in methods {
+            let seen = method.seen.read(now, SEEN_OVER);
+            let stands = match method.set.utility.total_cmp(&self.set.utility) {
+                Ordering::Greater => 1.0,
+                Ordering::Equal => among,
+                Ordering::Less => 0.0,
+            };
+            (before, all) = (before + seen * stands, all + seen);
+        }
+        if all > 0.0 { before / all } else { among }
+    }
+
     /// Latency target, or deadline where late answers count.
     pub fn useful_until(&self, arrival: &Arrival, now: f64) -> f64 {
         let stretch = self.set.target_stretch * arrival.expected_work.unwrap_or(0.0);
@@ -276,6 +329,15 @@
     flows: bool, // it is on its way from or to a client
 }
 
+/// What a pick that has ended tells.
+pub(crate) struct Ended {
+    pub backend: Rc<Backend>,
+    pub took: f64, // s, at the least
+    pub ahead: Option<f64>,
+    pub room: f64,
+    pub told: Option<bool>,
+}
+
 pub(crate) struct Call {
     pub id: u64,
     pub method: Rc<Method>,
@@ -336,10 +398,11 @@
         arrival: &Arrival,
         method: Rc<Method>,
         share: Share,
-        useful_until: f64,
         near: Vec<Set>,
         doors: Vec<Rc<Mean>>,
+        now: f64,
     ) -> Self {
+        let useful_until = method.useful_until(arrival, now);
         let (id, deadline, long, picks) = (arrival.id, arrival.deadline, arrival.long, RefCell::default());
         let (over, streaming, spent, rank, hold_until, turn) = Default::default();
         Self {
@@ -362,6 +425,22 @@
         }
     }
 
+    /// The least of what its tenant's and its method's last picks let in, 1 at the most.
+    pub fn least_door(&self, now: f64, over: f64, few: f64, usual: f64) -> f64 {
+        self.doors.iter().map(|door| door.weighed(now, over, few, usual)).fold(1.0, f64::min)
+    }
+
+    /// A pick has ended; told once.
+    pub fn end(&self, n: usize, how: Outcome, now: f64) -> Option<Ended> {
+        let mut picks = self.picks.borrow_mut();
+        let pick = picks.get_mut(n).filter(|pick| pick.ended.is_none())?;
+        pick.end(how);
+        // What was turned away would have waited for longer than it had.
+        let took = if how == Outcome::Rejected { pick.room } else { pick.took(now) };
+        let (backend, ahead, room, told) = (pick.backend.clone(), pick.ahead, pick.room, pick.told);
+        Some(Ended { backend, took, ahead, room, told })
+    }
+
     /// How well it went counts for its tenant and its method.
     pub fn went(&self, part: f64, now: f64, over: f64) {
         self.doors.iter().for_each(|door| door.add(part, now, over));
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -7,7 +7,7 @@
 //! time-outs, cold budget, admission, list and probes. `may_pick` and `may_push_back` alone judge the rules.
 
 use crate::chance::{Chance, of_pair};
-use crate::held::{Backend, Bounds, Call, Cold, Method, Pick, Share, Tenant, Told, surely};
+use crate::held::{Backend, Bounds, Call, Cold, Ended, Method, Part, Pick, Share, Tenant, Told, surely};
 use crate::measure::{Decaying, Mean};
 use crate::roster::{Roster, Set};
 use crate::turns::Turns;
@@ -41,6 +41,11 @@
 const DOOR_OVER: f64 = 1.0; // s over which that is measured: backends fill in less
 const DOOR_FEW: f64 = 1.0; // picks that went well counted beside: one late one shuts no door, some try again
 const PROMPT: f64 = 0.4; // of its time that a pick may take to go well: later, all backends are filling up
+const IN_ORDER: f64 = 0.85; // of RPCs are admitted in that order; the others take any place: none starves
+const ADMIT_UP: f64 = 0.015; // of all RPCs, by which an answer in good time raises the part admitted ...
+const ADMIT_CUT: f64 = 0.15; // ... of the part, by which any other end cuts it: one in eleven is borne
+const ADMIT_BACK: f64 = 0.04; // of all RPCs a second that come back by themselves: trouble ends unseen
+const TRY_EVERY: f64 = 2.0; // s without any pick after which one is admitted: else nothing would be learnt
 const LIST_FEW: f64 = 4.0; // picks from the list that prove nothing yet, counted beside those measured as 0
 const LATE: f64 = 1.5; // times its time that a timed-out pick is taken to have needed, at the least
 const LOST: f64 = 4.0; // times the expected wait that one pick adds at the most: what is lost is no load
@@ -60,8 +65,6 @@
 const FADE: f64 = 12.0; // service times in which an expected wait fades while no draw renews it: refusals end
 const LIST_RETRY: f64 = 0.5; // s before a failed list call is repeated, doubled each time: calls are scarce
 const ASK_AGAIN: f64 = 0.5; // of the time after which silence counts as being told, between list calls
-const FEW: usize = 64; // backends that one decision looks at one by one: more would cost with the fleet
-const TRIES: usize = 16; // random ones asked before a stretch of FEW is: finds one where a fifth of them fit
 const LOOKS: usize = 32; // idle entries that one RPC, and waiting RPCs that one event, may pass over
 const HOMES: usize = 3; // cells that an RPC with a key is kept to: each of its first probes goes to another
 const TICK: f64 = 1e-6; // s that a clock of whole nanoseconds may be off
@@ -77,6 +80,7 @@
     probes_queue: bool, // what a probe takes tells what stands there; reports don't
     probes_each: f64,
     answers_enlist: bool, // answers are all that is heard of loads, or nearly
+    by_utility: bool,     // and some RPCs are worth more than others: these are admitted first
     told: Told,
     ask_every: Option<f64>, // s between list calls while unsubscribed; none where changes come anyway
     cold: Cold,
@@ -93,8 +97,10 @@
     shortest: f64, // of all latency targets, s
     room: f64,     // least of all methods' rooms
     answered: Decaying,
-    failing: Mean, // part that failures of picks and probes make of these and the answers
-    credit: f64,   // further picks
+    failing: Mean,  // part that failures of picks and probes make of these and the answers
+    credit: f64,    // further picks
+    admitted: Part, // of RPCs, that may draw where no probe tells of loads
+    picked_at: f64,
     probe_tokens: f64,
     probed_ahead: f64,
     probe_next: f64,
@@ -117,7 +123,7 @@
         let method = |m: &MethodSettings| {
             let each = if m.late_utility > 0.0 { ROOM_LATE } else { ROOM };
             let room = each * (best / m.utility).max(1.0).sqrt();
-            Rc::new(Method { set: m.clone(), room, each: Mean::default(), door: Rc::default() })
+            Rc::new(Method::new(m.clone(), room))
         };
         let methods: Vec<_> = set.methods.iter().map(method).collect();
         let tenant = |t: &TenantSettings| {
@@ -143,6 +149,7 @@
             probes_queue: may_probe && !set.reports_queue,
             probes_each: worth_probing.clamp(PROBES_LEAST, PROBES_MOST),
             answers_enlist: !(may_probe && worth_probing >= 0.0),
+            by_utility: !(may_probe && worth_probing >= 0.0) && set.methods.iter().any(|m| m.utility < best),
             ask_every: Some(set.ask_within * ASK_AGAIN).filter(|_| set.list_on_request),
             cold: Cold::new(set, COLD_SAFETY),
             stay_home: set.zones as f64 * (set.cross_price / CROSS_PRICE).min(1.0).powi(2),
@@ -254,18 +261,20 @@
         let (mut state, now) = (self.0.borrow_mut(), link.now());
         let method = state.methods[arrival.method].clone();
         let tenant = arrival.tenant.map(|t| &state.tenants[t]);
+        method.came(now);
         let share = tenant.map_or(Share::Within, |t| state.share(t, arrival.client_repeat, now));
-        let useful_until = method.useful_until(arrival, now);
-        let key = arrival.key.filter(|_| method.set.in_order);
+        // Cells that know its key, at every proxy the same. Guards against keys that go round the fleet.
+        let known = arrival.key.filter(|_| state.bounds.warm_keys);
+        let near = known.map_or(Vec::new(), |key| state.backends.cells_of(key, HOMES));
         let doors = tenant.iter().map(|t| &t.door).chain([&method.door]).cloned().collect();
-        let call = Rc::new(Call::new(arrival, method, share, useful_until, state.near(arrival.key), doors));
+        let call = Rc::new(Call::new(arrival, method, share, near, doors, now));
         let each = if state.hears_answers(now) { PROBES_LEAST } else { state.probes_each };
         state.probe_tokens = (state.probe_tokens + each).min(each * 20.0 + 3.0);
+        let key = arrival.key.filter(|_| call.method.set.in_order);
         key.into_iter().for_each(|key| state.turns.enter(&call, key));
-        if state.lets_in(&call, now) {
-            state.hold(&call, now)
-        } else {
-            state.give_up(&call, link)
+        match state.lets_in(&call, now) {
+            true => state.hold(&call, now),
+            false => state.give_up(&call, link),
         }
         state.serve(link);
         Rpc { state: self.0.clone(), call }
@@ -303,15 +312,7 @@
 
     pub fn ended(&self, n: usize, how: Outcome, over: bool, report: Option<LoadReport>, link: &mut dyn Link) {
         let (mut state, now) = (self.state.borrow_mut(), link.now());
-        let (backend, took, ahead, room, told) = match self.call.picks.borrow_mut().get_mut(n) {
-            Some(pick) if pick.ended.is_none() => {
-                pick.end(how);
-                // What was turned away would have waited for longer than it had.
-                let took = if how == Outcome::Rejected { pick.room } else { pick.took(now) };
-                (pick.backend.clone(), took, pick.ahead, pick.room, pick.told)
-            }
-            _ => return,
-        };
+        let Some(Ended { backend, took, ahead, room, told }) = self.call.end(n, how, now) else { return };
         backend.count(-1, now, MEAN_OVER);
         let late = if how == Outcome::Ok { 1.0 } else { LATE };
         let full = how == Outcome::Rejected && n + 1 >= state.bounds.most_picks;
@@ -328,6 +329,7 @@
         } else if measured {
             state.listed.add(if how == Outcome::Ok { took / room } else { LATE }, now, state.fade());
         }
+        state.admit(&self.call, how, took, now);
         if matches!(how, Outcome::Ok | Outcome::TimedOut) {
             backend.pace.add(took * late, now, MEAN_OVER);
             // Late answers that count, and picks where reports tell of loads, go well to their end.
@@ -541,7 +543,8 @@
     /// Empty list: a random ready backend, skipping any far above its own mean in flight.
     fn pick_drawn(&mut self, call: &Rc<Call>, link: &mut dyn Link) -> bool {
         let now = link.now();
-        if !self.in_time(call, now) {
+        let open = if self.by_utility { self.admits(call, now) } else { self.in_time(call, now) };
+        if !open || call.share == Share::Beyond {
             return false;
         }
         while let Some(rested) = self.backends.next_due(now) {
@@ -551,12 +554,12 @@
         self.draw(call, now).map(|backend| self.send(call, backend, ahead, link)).is_some()
     }
 
-    fn draw(&mut self, call: &Rc<Call>, now: f64) -> Option<Rc<Backend>> {
-        let may = |s: &Self, b: &Rc<Backend>| s.may_pick(call, b, now) && call.earned(b, s.credit);
+    fn draw(&self, call: &Rc<Call>, now: f64) -> Option<Rc<Backend>> {
+        let may = |b: &Rc<Backend>| self.may_pick(call, b, now) && call.earned(b, self.credit);
         let open = call.open_to();
         let near: &[Set] = if open == Set::Ready { &call.near } else { &[] };
-        let both = |s: &Self, b: &Rc<Backend>| may(s, b) && b.is_well(now);
-        if let Some(backend) = near.iter().find_map(|cell| self.any_of(*cell, both)) {
+        let both = |b: &Rc<Backend>| may(b) && b.is_well(now);
+        if let Some(backend) = near.iter().find_map(|cell| self.backends.any_of(*cell, &self.chance, both)) {
             return Some(backend);
         }
         let ready = self.backends.set(open);
@@ -565,33 +568,8 @@
         let (all, home) = if well { (Set::Well, Set::WellHome) } else { (open, Set::Zone(self.bounds.zone)) };
         let part = self.backends.set(home).len() as f64 / self.backends.set(all).len() as f64;
         let stays = self.chance.between(0.0, 1.0) < self.stay_home * part;
-        let at_home = if stays { self.any_of(home, may) } else { None };
-        at_home.or_else(|| self.any_of(all, may)).or_else(|| self.any_of(open, may))
-    }
-
-    /// Cells that know a key, the same at every proxy. Guards against keys that go round the whole fleet.
-    fn near(&self, key: Option<u64>) -> Vec<Set> {
-        let Some(key) = key.filter(|_| self.bounds.warm_keys) else { return Vec::new() };
-        let score = |(cell, most): (u64, usize)| (of_pair(key, cell).ln() / most as f64, cell);
-        let mut cells: Vec<_> = self.backends.cells().map(score).collect();
-        cells.sort_by(|a, b| b.partial_cmp(a).expect("no NaN"));
-        cells.iter().take(HOMES).map(|(_, cell)| Set::Cell(*cell)).collect()
-    }
-
-    /// A random one that fits: some, then a stretch. Guards against a cost that grows with the fleet.
-    fn any_of(&mut self, set: Set, fits: impl Fn(&Self, &Rc<Backend>) -> bool) -> Option<Rc<Backend>> {
-        let most = self.backends.set(set).len();
-        for _ in 0..if most > FEW { TRIES } else { 0 } {
-            let place = self.chance.below(most);
-            let backend = &self.backends.set(set)[place];
-            if fits(self, backend) {
-                return Some(backend.clone());
-            }
-        }
-        let from = self.chance.below(most.max(1));
-        let stretch = self.backends.set(set).iter().cycle().skip(from).take(most.min(FEW));
-        let mut fitting: Vec<_> = stretch.filter(|b| fits(self, b)).cloned().collect();
-        self.chance.draw(&mut fitting)
+        let any = |set| self.backends.any_of(set, &self.chance, may);
+        Some(home).filter(|_| stays).and_then(any).or_else(|| any(all)).or_else(|| any(open))
     }
 
     /// Enters a backend into the sets that its facts and its health put it in.
@@ -634,6 +612,7 @@
 
     fn send(&mut self, call: &Rc<Call>, to: Rc<Backend>, ahead: Option<f64>, link: &mut dyn Link) {
         let now = link.now();
+        self.picked_at = now;
         self.credit -= if call.reached_any() { 1.0 } else { 0.0 };
         to.cold_sent.add(1.0, now, self.cold.window);
         to.count(1, now, MEAN_OVER);
@@ -700,9 +679,8 @@
     /// By how its method's and its tenant's last picks went, refusals among them. Guards against backends
     /// filled by all until nothing is in time, and one method or tenant that drags and takes others' places.
     fn lets_in(&mut self, call: &Call, now: f64) -> bool {
-        let least =
-            call.doors.iter().map(|door| door.weighed(now, DOOR_OVER, DOOR_FEW, DOOR)).fold(1.0, f64::min);
-        let open = least >= 1.0 || self.chance.between(0.0, 1.0) < least;
+        let least = call.least_door(now, DOOR_OVER, DOOR_FEW, DOOR);
+        let open = self.by_utility || least >= 1.0 || self.chance.between(0.0, 1.0) < least;
         (!open).then(|| call.went(0.0, now, DOOR_OVER));
         open
     }
@@ -720,6 +698,26 @@
         FADE * self.service_time()
     }
 
+    /// Additive increase, multiplicative decrease, by whether a pick was answered in good time.
+    fn admit(&mut self, call: &Call, how: Outcome, took: f64, now: f64) {
+        let (part, prompt) = (self.admitted.at(now, ADMIT_BACK), call.method.set.latency_target * PROMPT);
+        let next = match how {
+            Outcome::Ok if took <= prompt => part + ADMIT_UP,
+            Outcome::Ok | Outcome::TimedOut | Outcome::Rejected => part * (1.0 - ADMIT_CUT),
+            _ => return,
+        };
+        self.admitted = Part::new(next, now);
+    }
+
+    /// Whether an RPC is of the part admitted, by utility. Guards against backends that all fill until little
+    /// is in time, and against a shortage that falls on the dearest as on the cheapest.
+    fn admits(&self, call: &Call, now: f64) -> bool {
+        let (part, place) = (self.admitted.at(now, ADMIT_BACK), of_pair(call.id, 0));
+        let in_order = part < 1.0 && of_pair(call.id, 1) < IN_ORDER;
+        let place = if in_order { call.method.place(&self.methods, place, now) } else { place };
+        place < part || now > self.picked_at + TRY_EVERY
+    }
+
     /// Whether a draw would answer in time by what is known. Guards against all waiting past use behind all.
     fn in_time(&self, call: &Call, now: f64) -> bool {
         let (load, fade) = (self.load.fading(now, MEAN_OVER) + 1.0, self.fade());
@@ -727,7 +725,7 @@
         let room = |m: &Rc<Method>| m.set.latency_target / m.each.fading(now, fade) / self.room;
         let tightest = self.methods.iter().map(room).fold(f64::INFINITY, f64::min);
         let wait = load * call.method.each.fading(now, fade) * call.method.room;
-        call.share < Share::Beyond && load <= tightest && wait <= call.useful_until - now
+        load <= tightest && wait <= call.useful_until - now
     }
 
     /// Lets an RPC wait: for an idle backend, or before that for its turn while it could still be in time.
@@ -782,7 +780,8 @@
             if !self.may_probe || self.probe_tokens < 1.0 {
                 return;
             }
-            let Some(backend) = self.any_of(set, |_, b| b.healthy(now) && unseen(b)) else { continue };
+            let fits = |b: &Rc<Backend>| b.healthy(now) && unseen(b);
+            let Some(backend) = self.backends.any_of(set, &self.chance, fits) else { continue };
             backend.probe_out.set(Some(now));
             self.probes_out += 1;
             self.probe_tokens -= 1.0;
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -1,5 +1,6 @@
 //! Indexes over backends, so that no decision walks a fleet: who is there, and in which sets each stands.
 //! Data, no decisions: who belongs where is told by the caller, and changes with events, not with each RPC.
+use crate::chance::{Chance, of_pair};
 use crate::held::Backend;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap};
@@ -20,6 +21,9 @@
     Unready,
 }
 
+const FEW: usize = 64; // backends that one decision looks at one by one: more would cost with the fleet
+const TRIES: usize = 16; // random ones asked before a stretch of FEW is: finds one where a fifth of them fit
+
 /// How many sets a backend can stand in at once: its places are kept by these slots.
 pub(crate) const SLOTS: usize = 5;
 pub(crate) const NOWHERE: usize = usize::MAX;
@@ -63,12 +67,35 @@
         self.sets.get(&set).map_or(&[], Vec::as_slice)
     }
 
-    /// Cells with ready backends, in no order, and how many there are in each.
-    pub fn cells(&self) -> impl Iterator<Item = (u64, usize)> {
-        self.sets.iter().filter_map(|(set, members)| match set {
-            Set::Cell(cell) => Some((*cell, members.len())),
+    /// So many of the cells with ready backends, by weighted rendezvous hash of the key: the same at every proxy.
+    pub fn cells_of(&self, key: u64, most: usize) -> Vec<Set> {
+        let score = |(set, members): (&Set, &Vec<_>)| match set {
+            Set::Cell(cell) => Some((of_pair(key, *cell).ln() / members.len() as f64, *cell)),
             _ => None,
-        })
+        };
+        let mut cells: Vec<_> = self.sets.iter().filter_map(score).collect();
+        cells.sort_by(|a, b| b.partial_cmp(a).expect("no NaN"));
+        cells.iter().take(most).map(|(_, cell)| Set::Cell(*cell)).collect()
+    }
+
+    /// A random one of a set that fits: some are asked, then a stretch. Guards against a cost that grows with the fleet.
+    pub fn any_of(
+        &self,
+        set: Set,
+        chance: &Chance,
+        fits: impl Fn(&Rc<Backend>) -> bool,
+    ) -> Option<Rc<Backend>> {
+        let members = self.set(set);
+        for _ in 0..if members.len() > FEW { TRIES } else { 0 } {
+            let backend = &members[chance.below(members.len())];
+            if fits(backend) {
+                return Some(backend.clone());
+            }
+        }
+        let from = chance.below(members.len().max(1));
+        let stretch = members.iter().cycle().skip(from).take(members.len().min(FEW));
+        let mut fitting: Vec<_> = stretch.filter(|b| fits(b)).cloned().collect();
+        chance.draw(&mut fitting)
     }
 
     /// Puts a backend into a set or takes it out; nothing if it is so already.
--- a/src/turns.rs
+++ b/src/turns.rs
@@ -87,15 +87,14 @@
 mod tests {
     use super::*;
     use crate::held::{Method, Share};
-    use crate::measure::Mean;
     use crate::types::{Arrival, Effect, MethodSettings};
 
     fn call() -> Rc<Call> {
         let (latency_target, target_stretch, utility, late_utility, in_order) = (1.0, 0.0, 1.0, 0.0, true);
         let effect = Effect::Idempotent;
         let set = MethodSettings { effect, latency_target, target_stretch, utility, late_utility, in_order };
-        let method = Rc::new(Method { set, room: 1.0, each: Mean::default(), door: Rc::default() });
-        Rc::new(Call::new(&Arrival::default(), method, Share::Within, 9.0, Vec::new(), Vec::new()))
+        let method = Rc::new(Method::new(set, 1.0));
+        Rc::new(Call::new(&Arrival::default(), method, Share::Within, Vec::new(), Vec::new(), 0.0))
     }
 
     /// Guards against memory of every key that ever was, also of those that rested after all of theirs had left.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -661,3 +661,54 @@
         proxy.end_all(Outcome::Ok, None);
     }
 }
+
+/// Three methods alike but for their utility, where answers are all that is heard of loads.
+fn of_three_utilities() -> Proxy {
+    let mut conf = settings(&[Effect::Idempotent, Effect::Idempotent, Effect::Idempotent]);
+    (conf.may_probe, conf.most_picks) = (false, 1);
+    for (method, utility) in conf.methods.iter_mut().zip([2.0, 5.0, 8.0]) {
+        method.utility = utility;
+    }
+    fleet(60, conf)
+}
+
+/// Takes an RPC of each method in each of so many rounds of 0.05 s; those rounds that the rule names are answered, in the
+/// others all backends are full. Returns how many of each method were sent in the later half.
+fn rounds(proxy: &mut Proxy, rounds: usize, answered: impl Fn(usize) -> bool) -> [usize; 3] {
+    let mut sent = [0; 3];
+    for round in 0..rounds {
+        for method in [round, round + 1, round + 2].map(|n| n % 3) {
+            let rpc = proxy.take(method, 0.5);
+            sent[method] += usize::from(round >= rounds / 2 && !proxy.world.rpcs[&rpc].sent.is_empty());
+        }
+        proxy.pass(0.02);
+        let how = if answered(round) { Outcome::Ok } else { Outcome::Rejected };
+        for (rpc, n, _) in proxy.out() {
+            proxy.end(rpc, n, how, None);
+        }
+        proxy.pass(0.03);
+    }
+    sent
+}
+
+/// Found on gateway-norte: a shortage fell on the dearest method as on the cheapest.
+#[test]
+fn a_shortage_falls_on_the_least_worth_first() {
+    let mut proxy = of_three_utilities();
+    assert_eq!(rounds(&mut proxy, 40, |_| true), [20, 20, 20], "no shortage");
+    let [cheap, middle, dear] = rounds(&mut proxy, 800, |round| round % 7 > 0);
+    assert!(dear > 380 && middle < dear && cheap < middle, "sent of 400 each: {cheap}, {middle}, {dear}");
+    assert!(cheap > 20, "sent of 400 each: {cheap}, {middle}, {dear}: none starves");
+    proxy.check().expect("the rules");
+}
+
+/// Found on calm+mass: proxies with few RPCs turned away all that they got, and learnt nothing by it.
+#[test]
+fn what_is_shut_out_is_tried_and_let_in_again() {
+    let mut proxy = of_three_utilities();
+    let shut = rounds(&mut proxy, 800, |_| false).iter().sum::<usize>();
+    assert!((10..240).contains(&shut), "{shut} sent of 1200 while all are full");
+    rounds(&mut proxy, 200, |_| true);
+    assert_eq!(rounds(&mut proxy, 100, |_| true), [50, 50, 50], "it has ended");
+    proxy.check().expect("the rules");
+}
