The list service of rehearsals may take few calls at a time

A service of few calls was no part of any rehearsal: crowds of proxies could not be played. [list] takes calls, call-takes and line-takes (in simulated time and on sockets: more calls are refused, a watch that waits is none), and known = false, with which proxies start with no list and are ready once told. Without these keys nothing changes.

--- a/crates/rehearsal/src/proxies.rs
+++ b/crates/rehearsal/src/proxies.rs
@@ -149,7 +149,8 @@
         let config = json!({
             "name": name, "listen": at.to_string(), "discovery": discovery.to_string(), "seed": format!("{seed:016x}"),
             "limits": {"cores": 1.0, "memory_mb": self.scenario.proxies.memory_mb, "sockets": self.scenario.proxies.sockets},
-            "known": known, "settings": settings::settings(&self.scenario, proxy)
+            "known": Some(known).filter(|_| self.scenario.list.known),
+            "settings": settings::settings(&self.scenario, proxy)
         });
         let file = self.path(proxy, "json");
         std::fs::write(&file, config.to_string()).map_err(|e| format!("{}: {e}", file.display()))?;
--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -156,7 +156,7 @@
     pub connection_work: Span,
 }
 
-/// How soon the list service knows.
+/// How soon the list service knows, and how many calls it bears.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
 pub struct List {
@@ -164,11 +164,27 @@
     pub lag: Span,
     /// Of a death.
     pub notices: Span,
+    /// Calls that it works on at a time; it refuses more. Without it there is no limit. A watch that waits for
+    /// something new is none of them.
+    pub calls: Option<usize>,
+    /// That it works on a call, and longer by so much for each line that it tells.
+    pub call_takes: Span,
+    pub line_takes: Span,
+    /// Proxies start with the list of that moment; else they know nothing, and are ready once they were told.
+    pub known: bool,
 }
 
 impl Default for List {
     fn default() -> Self {
-        Self { lag: Span(0.1), notices: Span(2.0) }
+        let (call_takes, line_takes) = (Span(0.001), Span(0.0));
+        Self { lag: Span(0.1), notices: Span(2.0), calls: None, call_takes, line_takes, known: true }
+    }
+}
+
+impl List {
+    /// How long it works on a call that tells so many lines, s.
+    pub fn takes(&self, lines: usize) -> f64 {
+        self.call_takes.0 + self.line_takes.0 * lines as f64
     }
 }
 
@@ -480,6 +496,9 @@
             positive(&format!("fleet.machine[{n}].cores"), machine.cores as f64)?;
             positive(&format!("fleet.machine[{n}].speed"), machine.speed)?;
         }
+        if self.list.calls == Some(0) {
+            return wrong("list.calls", "must be 1 or more".into());
+        }
         unique("method", self.method.iter().map(|m| &m.name).collect())?;
         unique("tenant", self.tenant.iter().map(|t| &t.name).collect())?;
         unique("trouble", self.trouble.iter().map(|t| &t.name).collect())?;
--- a/crates/rehearsal/src/stage.rs
+++ b/crates/rehearsal/src/stage.rs
@@ -2,9 +2,10 @@
 use crate::plan::{Act, Plan, Trick};
 use crate::scenario::{Reports, Scenario};
 use crate::settings;
+use crate::span::Span;
 use birchhub_audit::{Event, State};
 use birchhub_model::{Start, Work};
-use birchhub_stand_in::list::Line;
+use birchhub_stand_in::list::{Capacity, Line};
 use birchhub_stand_in::{Cost, Fault, Fleet, ListService, NodeHost, Notes, Place};
 use serde_json::Value;
 use std::cell::Cell;
@@ -12,6 +13,7 @@
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc as threads;
+use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::{LocalSet, spawn_local};
 
@@ -144,6 +146,10 @@
         }
         let doors: Vec<_> = (0..proxies).map(|proxy| block.list(proxy)).collect();
         let list = ListService::start(notes.clone(), &doors)?;
+        if let Some(calls) = scenario.list.calls {
+            let time = |span: Span| Duration::from_secs_f64(span.0);
+            list.limit(Capacity::new(calls, time(scenario.list.call_takes), time(scenario.list.line_takes)));
+        }
         let (lag, notices) = (scenario.list.lag.0, scenario.list.notices.0);
         let stage = Self { notes, fleet, hosts, list, lines, lag, notices, late: Cell::new(0.0) };
         for n in 0..plan.first_nodes() {
--- a/crates/simulation/src/list.rs
+++ b/crates/simulation/src/list.rs
@@ -26,11 +26,44 @@
     lines: BTreeMap<u32, (u64, Line)>,
     readers: Vec<Reader>,
     down: usize,
+    /// Calls that it works on now, and at most; none without a limit.
+    busy: usize,
+    most: Option<usize>,
 }
 
 impl List {
-    pub fn new(proxies: usize) -> Self {
-        Self { readers: vec![Reader::default(); proxies], ..Self::default() }
+    /// With a limit, `most` calls are worked on at a time.
+    pub fn new(proxies: usize, most: Option<usize>) -> Self {
+        Self { readers: vec![Reader::default(); proxies], most, ..Self::default() }
+    }
+
+    pub fn is_limited(&self) -> bool {
+        self.most.is_some()
+    }
+
+    /// A proxy's call comes: how many lines there are to be told. `None` where it is refused; else `done` must follow.
+    pub fn begin(&mut self, proxy: u16) -> Option<usize> {
+        self.readers[proxy as usize].watches = false;
+        if self.down > 0 || self.most.is_some_and(|most| self.busy >= most) {
+            return None;
+        }
+        self.busy += 1;
+        Some(self.newer(proxy).count())
+    }
+
+    fn newer(&self, proxy: u16) -> impl Iterator<Item = (&u32, &(u64, Line))> {
+        let from = self.readers[proxy as usize].version;
+        self.lines.iter().filter(move |(_, (version, _))| *version > from)
+    }
+
+    /// Whether a proxy that watches is to be told something now.
+    pub fn has_news(&self, proxy: u16) -> bool {
+        self.tells(proxy) && self.newer(proxy).next().is_some()
+    }
+
+    /// The work on a call has ended.
+    pub fn done(&mut self) {
+        self.busy -= 1;
     }
 
     /// A node is now so; the proxies that are to be told at once.
@@ -54,20 +87,24 @@
 
     /// What has changed since a proxy was told last; from now on it has been told.
     pub fn news(&mut self, proxy: u16) -> Vec<(u32, Line)> {
-        let from = self.readers[proxy as usize].version;
+        let news = self.newer(proxy).map(|(node, (_, line))| (*node, *line)).collect();
         self.readers[proxy as usize].version = self.version;
-        let newer = self.lines.iter().filter(|(_, (version, _))| *version > from);
-        newer.map(|(node, (_, line))| (*node, *line)).collect()
+        news
     }
 
     /// A proxy starts: the list that it has then; it watches nothing yet.
     pub fn known(&mut self, proxy: u16) -> Vec<(u32, Line)> {
-        self.readers[proxy as usize].watches = false;
-        self.readers[proxy as usize].version = 0;
+        self.forget(proxy);
         let all = self.news(proxy);
         all.into_iter().filter(|(_, line)| line.state != State::Gone).collect()
     }
 
+    /// A proxy starts and knows nothing.
+    pub fn forget(&mut self, proxy: u16) {
+        self.readers[proxy as usize].watches = false;
+        self.readers[proxy as usize].version = 0;
+    }
+
     /// It fails from now on, or no longer; the proxies whose watches end.
     pub fn set_down(&mut self, down: bool) -> Vec<u16> {
         self.down = if down { self.down + 1 } else { self.down.saturating_sub(1) };
--- a/crates/simulation/src/proxy.rs
+++ b/crates/simulation/src/proxy.rs
@@ -72,13 +72,25 @@
     pub paused: Option<f64>,
     /// SIGTERM has come.
     pub stopping: bool,
+    /// It has had a list.
+    pub ready: bool,
     pub wake: Option<f64>,
 }
 
 impl Proxy {
     pub fn new(balancer: Balancer, process: u32) -> Self {
         let (door, cares) = (Door::default(), BTreeMap::new());
-        Self { balancer, door, cares, process, behind: 0.0, paused: None, stopping: false, wake: None }
+        Self {
+            balancer,
+            door,
+            cares,
+            process,
+            behind: 0.0,
+            paused: None,
+            stopping: false,
+            ready: false,
+            wake: None,
+        }
     }
 
     /// Calls the module at this time of the simulation; what it asked for is left in the door.
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -24,6 +24,7 @@
 const STOPPING: f64 = 0.7; // s beyond the longest deadline that a proxy has after SIGTERM
 const STARTS: f64 = 0.02; // s from a proxy's start until it is ready
 const LOOK: f64 = 0.01; // s between looks at what is to end
+const GAP: f64 = 0.02; // s between the list calls of a proxy
 const FAILS: f64 = 0.05; // s until a list call to a service that is down has failed
 const TICK: f64 = 1e-6; // s, the least time until a wake-up: no timer is finer
 const STOOD: f64 = 0.02; // s of a pause from which on a proxy notices that it stood still
@@ -89,6 +90,11 @@
         proxy: u16,
         process: u32,
     },
+    /// The list service, which takes only so many calls at a time, has worked on one.
+    ListDone {
+        proxy: u16,
+        process: u32,
+    },
     Retire {
         node: u32,
         by: f64,
@@ -206,7 +212,7 @@
         processes: 0,
         taken_in: vec![false; count],
         parked: vec![Vec::new(); count],
-        list: List::new(count),
+        list: List::new(count, scenario.list.calls),
         late: 0.0,
         jobs: HashMap::new(),
         tries: HashMap::new(),
@@ -254,7 +260,6 @@
         }
         for proxy in 0..self.proxies.len() as u16 {
             self.start_proxy(proxy);
-            self.taken_in[proxy as usize] = true;
         }
         for (n, (at, _)) in self.plan.acts.iter().enumerate() {
             self.queue.put(*at, What::Act(n));
@@ -301,6 +306,7 @@
             What::HangUp { attempt } => self.hang_up(attempt),
             What::Publish { node, line } => self.publish(node, line),
             What::ListAsked { proxy, process } => self.list_asked(proxy, process),
+            What::ListDone { proxy, process } => self.list_done(proxy, process),
             What::Retire { node, by, successor, after } => self.retire(node, by, successor, after),
             What::Begin { node } => self.begin(node),
             What::Notice { proxy, process } => {
@@ -313,7 +319,6 @@
             What::StartProxy { proxy, since } => {
                 if self.proxies[proxy as usize].is_none() {
                     self.start_proxy(proxy);
-                    self.taken_in[proxy as usize] = true;
                 } else if self.now > since + self.longest + STOPPING {
                     self.kill_proxy(proxy, End::Forced);
                     self.after(STARTS, What::StartProxy { proxy, since });
@@ -517,6 +522,7 @@
             Call::News(lines) => {
                 let entries = self.listed(proxy, &lines);
                 self.call(proxy, |balancer, _, door| balancer.list(ListKind::Changes, &entries, door));
+                self.ready(proxy);
             }
             Call::ListFailed => self.call(proxy, |balancer, _, door| balancer.list_failed(door)),
         }
@@ -594,13 +600,26 @@
         let balancer = Balancer::new(&self.set[proxy as usize], seed);
         self.proxies[proxy as usize] = Some(Proxy::new(balancer, self.processes));
         self.tell(Event::ProxyStarted { proxy });
-        let known = self.list.known(proxy);
+        let known = if self.scenario.list.known { self.list.known(proxy) } else { Vec::new() };
+        if !self.scenario.list.known {
+            self.list.forget(proxy);
+        }
         for (node, line) in &known {
             self.tell(Event::Told { proxy, node: *node, life: line.life, state: line.state });
         }
         let entries = self.listed(proxy, &known);
         self.call(proxy, |balancer, _, door| balancer.list(ListKind::Stale, &entries, door));
-        self.tell(Event::ProxyReady { proxy });
+        if self.scenario.list.known {
+            self.ready(proxy);
+        }
+    }
+
+    /// It has a list, and is taken in by the layer before it.
+    fn ready(&mut self, proxy: u16) {
+        if let Some(running) = self.proxies[proxy as usize].as_mut().filter(|running| !running.ready) {
+            (running.ready, self.taken_in[proxy as usize]) = (true, true);
+            self.tell(Event::ProxyReady { proxy });
+        }
     }
 
     fn kill_proxy(&mut self, proxy: u16, how: End) {
@@ -656,13 +675,35 @@
         if self.proxies[proxy as usize].as_ref().is_none_or(|p| p.process != process) {
             return;
         }
-        if !self.list.watch(proxy) {
+        if self.list.is_limited() {
+            match self.list.begin(proxy) {
+                Some(lines) => self.after(self.scenario.list.takes(lines), What::ListDone { proxy, process }),
+                None => self.to(proxy, WAY, Call::ListFailed),
+            }
+        } else if !self.list.watch(proxy) {
             self.to(proxy, FAILS, Call::ListFailed);
         } else if self.list.tells(proxy) {
             self.tell_news(proxy);
         }
     }
 
+    /// What there is is told, and the next call begins; where there is nothing new the call waits, and costs nothing.
+    fn list_done(&mut self, proxy: u16, process: u32) {
+        self.list.done();
+        if self.proxies[proxy as usize].as_ref().is_none_or(|p| p.process != process) {
+            return;
+        }
+        if !self.list.watch(proxy) {
+            self.to(proxy, WAY, Call::ListFailed);
+        } else if self.list.tells(proxy) {
+            let again = self.list.has_news(proxy);
+            self.tell_news(proxy);
+            if again {
+                self.after(GAP, What::ListAsked { proxy, process });
+            }
+        }
+    }
+
     /// The list service knows it after so long.
     fn known(&mut self, node: u32, line: Line, after: f64) {
         self.after(after + self.late.max(0.0), What::Publish { node, line });
--- a/crates/stand-in/src/list.rs
+++ b/crates/stand-in/src/list.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::select;
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -66,6 +66,22 @@
     stale: HashMap<u16, (usize, Copy)>,
 }
 
+/// How many calls the service works on at a time, and how long on each. It refuses more with 503; a watch that waits
+/// for something new is none of them, and is answered in its turn.
+#[derive(Clone, Debug)]
+pub struct Capacity {
+    slots: Rc<Semaphore>,
+    call: Duration,
+    line: Duration,
+}
+
+impl Capacity {
+    /// `calls` at a time, of `call` each and `line` more for each line that is told.
+    pub fn new(calls: usize, call: Duration, line: Duration) -> Self {
+        Self { slots: Rc::new(Semaphore::new(calls)), call, line }
+    }
+}
+
 pub struct ListService {
     notes: Notes,
     doors: Vec<SocketAddr>,
@@ -75,6 +91,8 @@
     told: RefCell<HashMap<(u16, u32), (u32, State)>>,
     changed: watch::Sender<u64>,
     calls: Cell<u64>,
+    refused: Cell<u64>,
+    capacity: RefCell<Option<Capacity>>,
 }
 
 impl ListService {
@@ -91,6 +109,8 @@
             told: RefCell::default(),
             changed: watch::channel(0).0,
             calls: Cell::new(0),
+            refused: Cell::new(0),
+            capacity: RefCell::default(),
         });
         for (proxy, listener) in listeners.into_iter().enumerate() {
             spawn_local(service.clone().accept(proxy as u16, listener));
@@ -107,6 +127,16 @@
         self.calls.get()
     }
 
+    /// Calls refused so far for want of room.
+    pub fn refused(&self) -> u64 {
+        self.refused.get()
+    }
+
+    /// It takes only so many calls at a time from now on.
+    pub fn limit(&self, capacity: Capacity) {
+        self.capacity.replace(Some(capacity));
+    }
+
     fn wake(&self) {
         self.changed.send_modify(|n| *n += 1);
     }
@@ -228,7 +258,21 @@
                 let _ = peer.write(&response(404, &[], b"no such list\n")).await;
                 return;
             };
+            let capacity = self.capacity.borrow().clone();
+            let mut slot = match capacity.as_ref().map(|capacity| capacity.slots.try_acquire()) {
+                Some(Err(_)) => {
+                    self.refused.set(self.refused.get() + 1);
+                    if peer.write(&response(503, &[], b"too many calls\n")).await.is_err() {
+                        return;
+                    }
+                    continue;
+                }
+                slot => slot.and_then(Result::ok),
+            };
             if let Some(from) = from {
+                if self.copy(proxy, |copy| copy.version == from) {
+                    slot = None;
+                }
                 select! {
                     () = self.until_newer(proxy, from, hold) => {}
                     () = self.until_down() => return peer.reset(),
@@ -237,7 +281,18 @@
             }
             // A version it never gave is one of another service, or of the future: then all is told.
             let from = from.filter(|from| self.copy(proxy, |copy| *from <= copy.version));
+            if let Some(capacity) = &capacity {
+                if slot.is_none() {
+                    slot = capacity.slots.acquire().await.ok();
+                }
+                let lines = self.body(proxy, from).1.len() as u32;
+                select! {
+                    () = sleep(capacity.call + capacity.line * lines) => {}
+                    () = self.until_down() => return peer.reset(),
+                }
+            }
             let (body, told) = self.body(proxy, from);
+            drop(slot);
             let bytes = response(200, &[("Content-Type", "application/json")], body.to_string().as_bytes());
             if peer.write(&bytes).await.is_err() {
                 return;
