A change is heard within 6 s of when discovery could be reached

Silence is met by two further calls at once, on new connections and with hold_ms=0: after a watch (3.5 s and 0.5 s) 0.75 s and 1.25 s, for a whole list 3 s, 1.5 s and 1.5 s; a connection is given up after 0.75 s. After a pause that followed silence the first call does not wait either.

--- a/crates/daemon/src/discovery.rs
+++ b/crates/daemon/src/discovery.rs
@@ -17,35 +17,44 @@
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
-/// How long calls may wait, and what is waited for them beyond that.
+/// How long calls may wait, and what is waited for them beyond that. What a service has to tell counts as told
+/// 6 s after it could be reached, and 6 s after a watch fell silent: two calls into silence in a row, and one pause
+/// of the module (1 s at the most) between them, leave time for a third that is answered.
 struct Times {
-    /// That a call may wait. What a call into silence should have told counts as told 2 s after the wait, and 6 s
-    /// after the silence began, come or not: it is given up before that, and the next one goes out at once.
+    /// That a call may wait.
     hold: Duration,
     patience: Duration,
-    /// For a call that does not wait: the first one after silence or a broken answer, which shows what there is.
-    at_once: Duration,
-    /// For the whole list.
-    whole: Duration,
+    /// By how many calls in a row met silence: for one that does not wait and shows what there is, after silence or
+    /// a broken answer. Some are heard out longer, for a service that is slower than usual.
+    at_once: &'static [Duration],
+    /// For the whole list, likewise.
+    whole: &'static [Duration],
+    /// Calls that go out at once after one that met silence: silence took as long as a pause.
+    again: usize,
 }
 
-// Much shorter, and calls would load the service.
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+// Shorter holds, and calls would load the service.
 const SERVICE: Times = Times {
-    hold: Duration::from_secs(4),
-    patience: Duration::from_secs(1),
-    at_once: Duration::from_secs(3),
-    whole: Duration::from_secs(3),
+    hold: ms(3500),
+    patience: ms(500),
+    at_once: &[ms(1500), ms(750), ms(1250)],
+    whole: &[ms(3000), ms(1500), ms(1500)],
+    again: 2,
 };
 // Where lists are pushed: what the agent has counts as told at once, and it answers from its own memory.
 const AGENT: Times = Times {
-    hold: Duration::from_secs(2),
-    patience: Duration::from_millis(500),
-    at_once: Duration::from_millis(100),
-    whole: Duration::from_millis(300),
+    hold: ms(2000),
+    patience: ms(500),
+    at_once: &[ms(100), ms(200), ms(400), ms(800)],
+    whole: &[ms(300), ms(600), ms(1200), ms(2400)],
+    again: 1,
 };
 const AGENT_EVERY: Duration = Duration::from_millis(20); // between calls that fail there: less than a drain's grace
-const LONGER: u32 = 4; // calls in a row that meet silence there wait twice as long each; then it begins anew
-const CONNECT_MOST: Duration = Duration::from_secs(1); // for a connection: one that was swallowed must not cost a call
+const CONNECT_MOST: Duration = ms(750); // for a connection: one that was swallowed must not cost a call
 const TELL_EVERY: Duration = Duration::from_secs(10); // between log lines of one outage, where calls go on
 const GAP: Duration = Duration::from_millis(20); // between calls at least: one that never waits must not spin
 const BODY_MOST: usize = 4 << 20; // bytes of a list: some 20,000 lines
@@ -122,7 +131,7 @@
     /// Told of the first answer, and of all names.
     pub standings: Rc<Standings>,
     /// Calls in a row that met silence.
-    pub silences: u32,
+    pub silences: usize,
 }
 
 /// How a call ended without news.
@@ -135,6 +144,17 @@
     Down(String),
 }
 
+impl Fault {
+    /// How many calls in a row go out at once after such ones.
+    fn again(&self, times: &Times) -> usize {
+        match self {
+            Self::Silence => times.again,
+            Self::Spoilt(_) => 1,
+            Self::Down(_) => 0,
+        }
+    }
+}
+
 impl std::fmt::Display for Fault {
     fn fmt(&self, to: &mut std::fmt::Formatter) -> std::fmt::Result {
         match self {
@@ -155,7 +175,7 @@
             if !at_once {
                 select! {
                     () = self.wanted.notified() => {}
-                    Ok(()) = moves.changed() => self.version = None,
+                    Ok(()) = moves.changed() => (self.version, self.silences) = (None, 0),
                 }
             }
             let fault = select! {
@@ -165,7 +185,7 @@
             };
             at_once = self.pushed || fault.is_none();
             let Some(fault) = fault else {
-                self.version = None;
+                (self.version, self.silences) = (None, 0);
                 continue;
             };
             // Guards against a log full of one outage.
@@ -190,17 +210,17 @@
 
     async fn watch(&mut self) -> Fault {
         let times = if self.pushed { AGENT } else { SERVICE };
-        let (mut conn, mut doubted) = (None, self.pushed);
-        let mut tried = false;
+        // After silence, one that waits would be given up too late if it met silence too.
+        let (mut conn, mut doubted) = (None, self.pushed || self.silences > 0);
+        let mut tried = 0;
         loop {
-            // Guards against an agent that is slower than usual and would never be heard out.
-            let longer = if self.pushed { 1 << (self.silences % LONGER) } else { 1 };
+            let nth = |times: &[Duration]| times[self.silences % times.len()];
             let (path, patience) = match self.version {
-                None => ("/registry/instances".to_owned(), times.whole * longer),
+                None => ("/registry/instances".to_owned(), nth(times.whole)),
                 Some(from) => {
                     let hold = if doubted { Duration::ZERO } else { times.hold };
                     let path = format!("/registry/instances?from={from}&hold_ms={}", hold.as_millis());
-                    (path, if doubted { times.at_once * longer } else { hold + times.patience })
+                    (path, if doubted { nth(times.at_once) } else { hold + times.patience })
                 }
             };
             let begun = Instant::now();
@@ -212,14 +232,15 @@
                 Ok(news) => news,
                 // Guards against a link that swallowed one call, and against news that counts as told though its
                 // answer broke: another connection may do.
-                Err(fault @ (Fault::Silence | Fault::Spoilt(_))) if !tried => {
+                Err(fault) if tried < fault.again(&times) => {
                     log::warn!("list call goes out again: {fault}");
-                    (conn, doubted, tried) = (None, true, true);
+                    (conn, doubted) = (None, true);
+                    tried += 1;
                     continue;
                 }
                 Err(fault) => return fault,
             };
-            (doubted, tried) = (false, false);
+            (doubted, tried) = (false, 0);
             self.version = Some(news.version);
             self.standings.listed(news.listed.iter().map(|listed| listed.uid.as_str()));
             self.standings.set_ready();
