--- a/crates/stand-in/tests/stand_ins.rs
+++ b/crates/stand-in/tests/stand_ins.rs
@@ -3,7 +3,7 @@
 use birchhub_audit::{Answer, Entry, Event, Group, Kind as Effect, State};
 use birchhub_model::{Spec, Start, Work, work::Spread};
 use birchhub_stand_in::fleet::attempt_of;
-use birchhub_stand_in::list::Line;
+use birchhub_stand_in::list::{Capacity, Line};
 use birchhub_stand_in::wire::{self, Kind, Message, Peer, Stop};
 use birchhub_stand_in::{Call, Caller, Clock, Cost, Fault, Fleet, ListService, NodeHost, Notes, Place};
 use serde_json::Value;
@@ -363,6 +363,40 @@
     });
 }
 
+/// It works on one call at a time and refuses the others; one that waits for something new takes no room.
+#[test]
+fn a_list_that_takes_few_calls_refuses_more() {
+    on_stage(|notes, _entries| async move {
+        let clock = notes.clock;
+        let list = ListService::start(notes, &[HOME, HOME]).expect("a list service");
+        list.change(0, line(State::Ready, 1));
+        list.limit(Capacity::new(1, Duration::from_millis(300), Duration::ZERO));
+        let watching = list.clone();
+        let watch = spawn_local(async move {
+            loop {
+                let mut peer = Peer::connect(watching.door(0).expect("a door")).await.expect("a connection");
+                let call = b"GET /registry/instances?from=1&hold_ms=20000 HTTP/1.1\r\nHost: l\r\n\r\n";
+                peer.write(call).await.expect("a call");
+                let answer = peer.read(Kind::Response, &clock).await.expect("an answer");
+                if answer.status == 200 {
+                    return serde_json::from_slice::<Value>(&answer.body).expect("JSON");
+                }
+                sleep(Duration::from_millis(5)).await;
+            }
+        });
+        let call = async || {
+            let mut peer = Peer::connect(list.door(1).expect("a door")).await.expect("a connection");
+            peer.write(b"GET /registry/instances HTTP/1.1\r\nHost: l\r\n\r\n").await.expect("a call");
+            peer.read(Kind::Response, &clock).await.expect("an answer").status
+        };
+        // Until two have met; each alone is answered.
+        while !matches!(tokio::join!(call(), call()), (200, 503) | (503, 200)) {}
+        assert!(list.refused() > 0 && !watch.is_finished());
+        list.change(0, line(State::Draining, 1));
+        assert_eq!(watch.await.expect("a task")["targets"][0]["state"], "Terminating");
+    });
+}
+
 #[test]
 fn a_list_that_is_down_resets_and_a_stale_one_stands_still() {
     on_stage(|notes, _entries| async move {
