Nothing begins for a client that has gone, however late the proxy runs

Cause: a job wrote as soon as its connection was up (Peer::exchange). It learned of a hang-up only through its stop, which passes the client's task, the core's mailbox and the core; what the event loop finds in one turn (after SIGSTOP and SIGCONT, or with little processor time) is written before.

Change: just before a pick's first byte each job asks the client's own socket (Presence::is_over): one read that as a rule finds nothing. Presence holds the socket weakly, so its one owner stays the client's task, and a connection that was dropped counts as gone before the core has heard of it. What the look reads is kept in order and its reader woken. The job then waits to be withdrawn by the hang-up.

--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -3,7 +3,7 @@
 use crate::body::{Flow, KEPT, MOST, flow};
 use crate::core::ToCore;
 use crate::intake::Message;
-use crate::sockets::{Budget, Conn, Fault, Offer, Part, Reply, Spare};
+use crate::sockets::{Budget, Conn, Fault, Offer, Part, Presence, Reply, Spare};
 use birchhub::types::{LoadReport, Outcome};
 use birchhub_settings::load_report;
 use bytes::Bytes;
@@ -126,6 +126,8 @@
 /// A pick or probe to be run until a time, or until it is stopped.
 pub struct Job {
     pub message: Message,
+    /// Of whom it is run for; none for a probe.
+    pub client: Option<Presence>,
     pub times: Times,
     pub stop: Stop,
     pub ticket: Ticket,
@@ -220,7 +222,7 @@
     }
 
     async fn serve(self: Rc<Self>, job: Job) {
-        let Job { message, times: Times { until, send_by }, stop, mut ticket } = job;
+        let Job { message, client, times: Times { until, send_by }, stop, mut ticket } = job;
         let (begun, sent) = (Instant::now(), &ticket.sent);
         let written = Progress::default();
         let stopped = async {
@@ -251,7 +253,7 @@
             () = stopped => Ended::Withdrawn,
             () = self.withdrawn(sent) => Ended::Withdrawn,
             () = too_late(send_by, sent) => Ended::Withdrawn,
-            end = self.exchange(&message, until, &ticket, &written) => Ended::Itself(end),
+            end = self.exchange(&message, &client, until, &ticket, &written) => Ended::Itself(end),
             () = late => Ended::Late,
             () = stalled(&message, &written) => Ended::Stalled,
         };
@@ -286,6 +288,7 @@
     async fn exchange(
         self: &Rc<Self>,
         message: &Message,
+        client: &Option<Presence>,
         until: Instant,
         ticket: &Ticket,
         written: &Progress,
@@ -308,6 +311,13 @@
                 }
             };
             let Some(mut conn) = conn else { return nothing(Outcome::NoConnection) };
+            // Guards against what begins for a client that has gone, whatever it waited for and however late this
+            // process runs. That it hung up is on its way to the core, and withdraws this.
+            if let Some(client) = client
+                && client.is_over().await
+            {
+                return pending().await;
+            }
             // It moved while this connection came up, or was about to be taken: another may live there by now.
             if self.facts.borrow().endpoint != endpoint {
                 continue;
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -7,7 +7,7 @@
 use crate::discovery::{Listed, News};
 use crate::front::Opened;
 use crate::intake::{Message, Received};
-use crate::sockets::Budget;
+use crate::sockets::{Budget, Presence};
 use crate::standing::{Standing, Standings};
 use crate::watcher::{Act, Asked, Watch};
 use birchhub::policy::{Balancer, Rpc};
@@ -36,6 +36,7 @@
         id: u64,
         rpc: Box<Received>,
         opened: Opened,
+        client: Presence,
         answer: oneshot::Sender<Answer>,
     },
     HungUp(u64),
@@ -69,6 +70,7 @@
 /// An RPC on its way: what its picks need, and who waits for its answer.
 struct Held {
     message: Message,
+    client: Presence,
     deadline: Instant,
     answer: Option<oneshot::Sender<Answer>>,
     picks: Vec<Option<oneshot::Sender<()>>>, // of those that can still be stopped
@@ -116,12 +118,21 @@
     }
 
     /// Hands a job to a backend. Where that can't be done its ticket, dropped, says so.
-    fn run(&mut self, errand: Errand, backend: u32, message: Message, times: Times, stop: Stop) {
+    fn run(
+        &mut self,
+        errand: Errand,
+        backend: u32,
+        message: Message,
+        client: Option<Presence>,
+        times: Times,
+        stop: Stop,
+    ) {
         let Ok(permit) = self.core.clone().try_reserve_owned() else {
             log::error!("the core's mailbox is full");
             return self.unsent.push(errand);
         };
-        let job = Job { message, times, stop, ticket: Ticket::new(errand, self.core.clone(), permit) };
+        let job =
+            Job { message, client, times, stop, ticket: Ticket::new(errand, self.core.clone(), permit) };
         if let Some(backend) = self.backends.get(&backend) {
             let _ = backend.mailbox.try_send(job);
         }
@@ -140,10 +151,10 @@
         let send_by = held.send_by();
         held.may_have_run.push(Some(Instant::now()));
         let until = self.clock.instant(self.now + time_out).min(held.deadline);
-        let message = held.message.clone();
+        let (message, client) = (held.message.clone(), Some(held.client.clone()));
         log::trace!("RPC {rpc}: pick {pick} to {backend} for {time_out:.3} s");
         let times = Times { until, send_by };
-        self.run(Errand::Pick { rpc, pick }, backend, message, times, Some(stop));
+        self.run(Errand::Pick { rpc, pick }, backend, message, client, times, Some(stop));
         self.note(rpc, Act::Pick(backend));
     }
     fn cancel(&mut self, rpc: u64, pick: usize) {
@@ -162,7 +173,7 @@
         self.asked.iter_mut().for_each(Asked::probe);
         let times = Times { until: Instant::now() + PROBE_WAITS, send_by: None };
         log::trace!("probe to {backend}");
-        self.run(Errand::Probe { backend }, backend, Message::probe(), times, None);
+        self.run(Errand::Probe { backend }, backend, Message::probe(), None, times, None);
     }
     fn watch(&mut self) {
         self.wanted.notify_one();
@@ -296,7 +307,7 @@
     fn hear(&mut self, message: ToCore) {
         self.keep_time();
         match message {
-            ToCore::Take { id, rpc, opened, answer } => self.take(id, *rpc, opened, answer),
+            ToCore::Take { id, rpc, opened, client, answer } => self.take(id, *rpc, opened, client, answer),
             ToCore::HungUp(id) => self.hung_up(id),
             ToCore::Ended { rpc, pick, outcome, report, body } => {
                 self.ended(rpc, pick, outcome, report, body)
@@ -382,7 +393,14 @@
         }
     }
 
-    fn take(&mut self, id: u64, rpc: Received, opened: Opened, answer: oneshot::Sender<Answer>) {
+    fn take(
+        &mut self,
+        id: u64,
+        rpc: Received,
+        opened: Opened,
+        client: Presence,
+        answer: oneshot::Sender<Answer>,
+    ) {
         log::trace!("RPC {id}: method {}, {:?}", rpc.method, rpc.waits);
         let deadline = rpc.at + rpc.waits.saturating_sub(MARGIN);
         let arrival = Arrival {
@@ -397,7 +415,9 @@
         };
         let (picks, may_have_run, window) = (Vec::new(), Vec::new(), self.windows[rpc.method]);
         let (message, answer, _opened) = (rpc.message, Some(answer), opened);
-        self.door.held.insert(id, Held { message, deadline, answer, picks, window, may_have_run, _opened });
+        self.door
+            .held
+            .insert(id, Held { message, client, deadline, answer, picks, window, may_have_run, _opened });
         self.call(|core| {
             let rpc = core.balancer.take(&arrival, &mut core.door);
             core.rpcs.insert(id, rpc);
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -5,7 +5,7 @@
 use crate::core::ToCore;
 use crate::head::HeadScan;
 use crate::intake::{Intake, Received};
-use crate::sockets::{Ahead, Budget, Inbound, Offer, Part, Place, Spare, Watched, Witness, linger};
+use crate::sockets::{Ahead, Budget, Inbound, Offer, Part, Place, Presence, Spare, Watched, Witness, linger};
 use crate::standing::Standing;
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
@@ -274,14 +274,16 @@
         let _ = stream.set_nodelay(true);
         let line = Line::new(&self.budget);
         line.offer();
+        let stream = Inbound::new(stream);
+        let ahead = stream.ahead();
         let service = service_fn(|from: Request<Incoming>| {
-            let (front, line) = (self.clone(), line.clone());
+            let (front, line, client) = (self.clone(), line.clone(), ahead.presence());
             async move {
                 line.turn(Phase::Body);
                 let answer = if late {
                     Answer::PushedBack { come_back: 0.0 }
                 } else {
-                    front.answer(from, &line).await
+                    front.answer(from, &line, client).await
                 };
                 let refused = late || matches!(answer, Answer::Refused(..));
                 let last = refused || line.refused.get() || front.standing.borrow().answers_last();
@@ -292,8 +294,6 @@
                 Ok::<Response<Answering>, Infallible>(response)
             }
         });
-        let stream = Inbound::new(stream);
-        let ahead = stream.ahead();
         let mut connection = http1::Builder::new()
             .max_buf_size(HEAD_MOST)
             .serve_connection(TokioIo::new(Watched { stream, by: line.clone() }), service);
@@ -359,7 +359,7 @@
         }
     }
 
-    async fn answer(&self, from: Request<Incoming>, line: &Line) -> Answer {
+    async fn answer(&self, from: Request<Incoming>, line: &Line, client: Presence) -> Answer {
         if from.method() == Method::GET && from.uri().path() == "/health/ready" {
             return Answer::Health(self.standing.borrow().takes_clients());
         }
@@ -368,7 +368,7 @@
             Ok(rpc) => {
                 line.turn(Phase::Busy);
                 let upload = rpc.message.upload().cloned();
-                let answer = self.decide(rpc).await;
+                let answer = self.decide(rpc, client).await;
                 // What it still sends of a long request nobody reads.
                 line.refused.set(upload.is_some_and(|upload| !upload.is_whole()));
                 answer
@@ -378,7 +378,7 @@
     }
 
     /// The core's answer to an RPC, and an abort should there be none by its deadline.
-    async fn decide(&self, mut rpc: Received) -> Answer {
+    async fn decide(&self, mut rpc: Received, client: Presence) -> Answer {
         // Guards against RPCs that the end of this process finds unanswered.
         let last_call = self.standing.borrow().last_call();
         rpc.waits = last_call.map_or(rpc.waits, |end| rpc.waits.min(end.saturating_duration_since(rpc.at)));
@@ -418,7 +418,8 @@
             until(last_call.ok().flatten()).await;
         };
         let taken = async {
-            self.core.send(ToCore::Take { id, rpc: Box::new(rpc), opened, answer: sender }).await.ok()?;
+            let rpc = Box::new(rpc);
+            self.core.send(ToCore::Take { id, rpc, opened, client, answer: sender }).await.ok()?;
             receiver.await.ok()
         };
         select! {
--- a/crates/daemon/src/sockets.rs
+++ b/crates/daemon/src/sockets.rs
@@ -9,17 +9,20 @@
 use hyper::header::{CONTENT_LENGTH, HOST, HeaderValue, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Request, StatusCode};
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::future::{Future, poll_fn};
+use std::io::{ErrorKind, Read};
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::rc::{Rc, Weak};
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::task::yield_now;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 const READ_MOST: usize = 64 << 10; // bytes read ahead on a connection, and so of an answer's head
@@ -220,14 +223,41 @@
     writes: OwnedWriteHalf,
 }
 
+struct Reads {
+    half: OwnedReadHalf,
+    ahead: BytesMut,
+    reader: Option<Waker>, // of who waits for bytes
+}
+
 /// The reading half, with what was read ahead.
 #[derive(Clone)]
-pub struct Ahead(Rc<RefCell<(OwnedReadHalf, BytesMut)>>);
+pub struct Ahead(Rc<RefCell<Reads>>);
+
+/// Tells whether a client is still there. It keeps nothing open.
+#[derive(Clone)]
+pub struct Presence(Weak<RefCell<Reads>>);
+
+impl Presence {
+    /// Whether the client's connection has ended, by what the machine knows at this moment. Guards against an end that
+    /// came while this process stood still, of which its event loop has not heard yet.
+    pub async fn is_over(&self) -> bool {
+        let Some(reads) = self.0.upgrade() else { return true };
+        let look = reads.borrow_mut().look();
+        if let Poll::Ready(over) = look {
+            return over;
+        }
+        drop(reads);
+        // The event loop is asked what stands behind bytes for which there is no room.
+        yield_now().await;
+        self.0.upgrade().is_none_or(|reads| reads.borrow().closed(&mut Context::from_waker(Waker::noop())))
+    }
+}
 
 impl Inbound {
     pub fn new(stream: TcpStream) -> Self {
-        let (reads, writes) = stream.into_split();
-        Self { reads: Ahead(Rc::new(RefCell::new((reads, BytesMut::new())))), writes }
+        let (half, writes) = stream.into_split();
+        let (ahead, reader) = Default::default();
+        Self { reads: Ahead(Rc::new(RefCell::new(Reads { half, ahead, reader }))), writes }
     }
 
     pub fn ahead(&self) -> Ahead {
@@ -235,46 +265,73 @@
     }
 }
 
-impl Ahead {
-    /// Ends when the peer has ended or reset the connection, whatever stands unread before that.
-    pub async fn left(&self) {
-        while !poll_fn(|cx| self.poll_left(cx)).await {
-            // No more room: what the machine knows of an end behind bytes that still stand in the socket.
-            let closed = poll_fn(|cx| {
-                let half = &self.0.borrow().0;
-                let ready = pin!(half.ready(Interest::READABLE)).poll(cx);
-                Poll::Ready(matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed()))
-            });
-            if closed.await {
-                return;
-            }
-            sleep(LEFT_EVERY).await;
-        }
+impl Reads {
+    fn closed(&self, cx: &mut Context) -> bool {
+        let ready = pin!(self.half.ready(Interest::READABLE)).poll(cx);
+        matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed())
     }
 
     /// Reads ahead as far as that may go; true at the stream's end, false where there is no more room.
-    fn poll_left(&self, cx: &mut Context) -> Poll<bool> {
-        let (half, bytes) = &mut *self.0.borrow_mut();
+    fn poll_left(&mut self, cx: &mut Context) -> Poll<bool> {
         let mut piece = [0; 1 << 10];
-        while bytes.len() < AHEAD_MOST {
+        while self.ahead.len() < AHEAD_MOST {
             let mut piece = ReadBuf::new(&mut piece);
-            match ready!(Pin::new(&mut *half).poll_read(cx, &mut piece)) {
-                Ok(()) if !piece.filled().is_empty() => bytes.extend_from_slice(piece.filled()),
+            match ready!(Pin::new(&mut self.half).poll_read(cx, &mut piece)) {
+                Ok(()) if !piece.filled().is_empty() => self.ahead.extend_from_slice(piece.filled()),
                 _ => return Poll::Ready(true),
             }
         }
         Poll::Ready(false)
     }
+
+    /// The same by the socket itself, false while there is nothing to read, and pending where there is no more room.
+    /// As a rule it costs one call of the system that reads nothing.
+    fn look(&mut self) -> Poll<bool> {
+        let mut piece = [0; 1 << 10];
+        while self.ahead.len() < AHEAD_MOST {
+            let read = (&*SockRef::from(self.half.as_ref())).read(&mut piece);
+            match read {
+                Ok(0) => return Poll::Ready(true),
+                Ok(some) => {
+                    self.ahead.extend_from_slice(&piece[..some]);
+                    // The event loop may tell of them no more.
+                    self.reader.take().into_iter().for_each(Waker::wake);
+                }
+                Err(fault) if fault.kind() == ErrorKind::Interrupted => {}
+                Err(fault) => return Poll::Ready(fault.kind() != ErrorKind::WouldBlock),
+            }
+        }
+        Poll::Pending
+    }
+}
+
+impl Ahead {
+    pub fn presence(&self) -> Presence {
+        Presence(Rc::downgrade(&self.0))
+    }
+
+    /// Ends when the peer has ended or reset the connection, whatever stands unread before that.
+    pub async fn left(&self) {
+        while !poll_fn(|cx| self.0.borrow_mut().poll_left(cx)).await {
+            // No more room: what the machine knows of an end behind bytes that still stand in the socket.
+            if poll_fn(|cx| Poll::Ready(self.0.borrow().closed(cx))).await {
+                return;
+            }
+            sleep(LEFT_EVERY).await;
+        }
+    }
 }
 
 impl AsyncRead for Inbound {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<std::io::Result<()>> {
-        let (half, bytes) = &mut *self.reads.0.borrow_mut();
-        if bytes.is_empty() {
-            return Pin::new(half).poll_read(cx, buf);
+        let Reads { half, ahead, reader } = &mut *self.reads.0.borrow_mut();
+        if ahead.is_empty() {
+            let read = Pin::new(half).poll_read(cx, buf);
+            *reader = read.is_pending().then(|| cx.waker().clone());
+            return read;
         }
-        let some = bytes.len().min(buf.remaining());
-        buf.put_slice(&bytes.split_to(some));
+        let some = ahead.len().min(buf.remaining());
+        buf.put_slice(&ahead.split_to(some));
         Poll::Ready(Ok(()))
     }
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -403,6 +403,7 @@
         let begun = Instant::now();
         while !so() {
             assert!(begun.elapsed() < longest, "{complaint}");
+            sleep(Duration::from_millis(2)); // beside what it waits for
         }
     }
 
@@ -576,6 +577,23 @@
             let waiting = waiting.collect();
             Self { at, listener, waiting }
         }
+        /// Connections that have been asked for and are not up, beside the fillers.
+        pub fn asked(&self) -> usize {
+            let SocketAddr::V4(at) = self.at else { panic!("no such address: {}", self.at) };
+            let to = format!("{:08X}:{:04X}", u32::from_ne_bytes(at.ip().octets()), at.port());
+            let all = std::fs::read_to_string("/proc/net/tcp").expect("connections");
+            let is = |line: &&str| line.split_whitespace().skip(2).take(2).eq([to.as_str(), "02"]);
+            all.lines().filter(is).count()
+        }
+        /// Lets in what waits, and gives back so many connections beside the fillers once they have come up.
+        pub fn let_in(self, connections: usize) -> Vec<socket2::Socket> {
+            self.listener.listen(1024).expect("a longer queue");
+            let fillers = self.waiting.len();
+            let all = (0..fillers + connections).map(|_| self.listener.accept().expect("a connection").0);
+            let peers = all.skip(fillers).collect();
+            drop(self.waiting);
+            peers
+        }
         /// Lets all in that come while it waits, longer than the machine needs to ask for a connection again, and tells how
         /// many of them, beside the fillers, sent anything.
         pub fn heard_when_let_in(self) -> usize {
