Idle clients keep neither the list service nor newcomers out

Cause 1: the budget (Budget::new) went by limits.sockets alone. Where the machine allows fewer descriptors, resting clients took all; accept and connect failed with EMFILE until idle clients timed out, 10 s later, and each failed accept was a line in the log. Cause 2: whoever has said nothing gave way first (Line::offer), also one that came a moment ago. With all places taken by resting clients or half heads, those that had just come pushed out one another before their first byte was read.

Change: the budget is the smaller of what is told and what /proc/self/limits allows. A failed accept gives up the longest idle client and is told once until one succeeds. One that came within 0.3 s gives way after half a head; later, as before, first.

--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -34,7 +34,8 @@
 const READ_TIME: Duration = Duration::from_secs(30); // for a client that takes no byte of its answer
 const LATE_MOST: usize = 16; // connections beyond the budget that are still told to come back
 const LINGER_TIME: Duration = Duration::from_millis(500); // for a refused client to read that
-const SETTLE: Duration = Duration::from_millis(300); // for a new connection to bring its RPC, also where all are to go
+// For a new connection to bring its RPC, also where all are to go or another may have its place.
+const SETTLE: Duration = Duration::from_millis(300);
 const BREATHE: Duration = Duration::from_millis(10); // before accepting again where no socket is to be had
 
 pub struct Front {
@@ -84,8 +85,8 @@
     }
 }
 
-/// What a client's connection is at. In this order they give way to others, the longest silent first; one with
-/// an RPC never does.
+/// What a client's connection is at. In this order they give way to others, the longest silent first, but one that has
+/// just come after half a head; one with an RPC never does.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 enum Phase {
     /// It has said nothing yet.
@@ -154,14 +155,25 @@
         self.phase.get() >= Phase::Busy
     }
 
-    /// Lets the budget have it, as the one of its phase that was silent for the shortest time.
+    /// Lets the budget have it, as the one of its rank that was silent for the shortest time.
     fn offer(&self) {
+        // Guards against new ones that push out each other, and find no place among those that rest.
+        let rank = match self.phase.get() {
+            Phase::Fresh if self.settles().is_some() => Phase::Half as u8 + 1,
+            phase @ (Phase::Fresh | Phase::Between | Phase::Half) => phase as u8,
+            phase => phase as u8 + 1,
+        };
         if let Some(line) = self.itself.upgrade() {
-            let offer = self.budget.offer(Part::Clients, self.phase.get() as u8, &line);
+            let offer = self.budget.offer(Part::Clients, rank, &line);
             self.offer.replace(Some(offer));
         }
     }
 
+    /// Until when it has just come, as long as it has said nothing.
+    fn settles(&self) -> Option<Instant> {
+        Some(self.opened + SETTLE).filter(|end| self.phase.get() == Phase::Fresh && Instant::now() < *end)
+    }
+
     /// By when it is to end as it stands now; never by itself with an RPC under way. A head may take too long, or the
     /// next message to begin, or the client to take its answer: guards against clients that say nothing, or never come
     /// to an end. Another may have its place, and clients may have been sent away: `goes` tells by when a connection
@@ -224,7 +236,7 @@
     /// Accepts until this proxy's end is near.
     pub async fn run(self: Rc<Self>, listener: TcpListener) {
         let mut standing = self.standing.clone();
-        let mut looked = false;
+        let (mut looked, mut refused) = (false, false);
         loop {
             let (accepts_until, passed) = {
                 let now = standing.borrow_and_update();
@@ -251,11 +263,16 @@
             let stream = match accepted {
                 Ok((stream, _)) => stream,
                 Err(fault) => {
-                    log::warn!("no connection accepted: {fault}");
+                    if !std::mem::replace(&mut refused, true) {
+                        log::warn!("no connection accepted: {fault}");
+                    }
+                    // Where the machine has fewer sockets than were told, what is idle gives way as well.
+                    self.budget.give_up_oldest(Part::Clients);
                     sleep(BREATHE).await;
                     continue;
                 }
             };
+            refused = false;
             let room = self.budget.place(Part::Clients);
             let late = room.is_none();
             let place = room.unwrap_or_else(|| self.budget.place_anyhow(Part::Clients));
@@ -322,12 +339,14 @@
             // Guards against RPCs that wait, and are sent, for a client that has gone behind further bytes.
             let left = poll_fn(|cx| if line.busy() { left.as_mut().poll(cx) } else { Poll::Pending });
             let due = line.ends(standing.borrow_and_update().goes());
+            let settles = line.settles();
             select! {
                 biased;
                 ended = &mut *connection => return ended,
                 () = left => return Ok(()),
                 () = line.turned.notified() => {}
                 _ = standing.changed() => {}
+                () = until(settles) => line.offer(),
                 () = until(due) => {
                     // The machine may hold what came in this moment.
                     yield_now().await;
--- a/crates/daemon/src/sockets.rs
+++ b/crates/daemon/src/sockets.rs
@@ -68,8 +68,21 @@
     part: Part,
 }
 
+/// Descriptors that the machine allows this process, if it tells.
+fn allowed() -> Option<usize> {
+    let limits = std::fs::read_to_string("/proc/self/limits").ok()?;
+    let line = limits.lines().find_map(|line| line.strip_prefix("Max open files"))?;
+    line.split_whitespace().next()?.parse().ok()
+}
+
 impl Budget {
-    pub fn new(sockets: usize) -> Rc<Self> {
+    /// What is told, or fewer where the machine allows no more. Guards against clients that take the last descriptor,
+    /// which the list service's connection needs.
+    pub fn new(told: usize) -> Rc<Self> {
+        let sockets = told.min(allowed().unwrap_or(told));
+        if sockets < told {
+            log::warn!("limits.sockets is {told}, but the machine allows {sockets} descriptors");
+        }
         let budget = Self { sockets, clients: Shelf::default(), backends: Shelf::default() };
         budget.divide(1);
         Rc::new(budget)
@@ -88,7 +101,7 @@
     }
 
     /// Gives up what has been idle for the longest; false if nothing is.
-    fn give_up_oldest(&self, part: Part) -> bool {
+    pub fn give_up_oldest(&self, part: Part) -> bool {
         loop {
             let oldest = self.shelf(part).spare.borrow_mut().pop_first();
             match oldest.map(|(_, spare)| spare.upgrade().is_some_and(|spare| spare.give_up())) {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -774,10 +774,15 @@
         /// Kills it and starts it again under its name and address.
         pub fn restart(&mut self, program: &str) {
             self.child.kill().and_then(|()| self.child.wait()).expect("the end of birchhubd");
-            self.child = spawn_daemon(program, &self.folder);
+            self.start_again(program);
             self.await_ready(200);
         }
 
+        /// Starts it again once it has ended, and doesn't wait until it is ready.
+        pub fn start_again(&mut self, program: &str) {
+            self.child = spawn_daemon(program, &self.folder);
+        }
+
         /// Waits until `/health/ready` answers this.
         pub fn await_ready(&self, status: u16) {
             let is = || Some(Client::open(self.at)?.call(HEALTH)?.status());
