An idle connection is closed after a look at its socket, not only at the event loop

Cause, by reading: a turn can lie between the event loop's word and the close (Front::drive), as long as the tasks before it take: hundreds of idle connections that end at once close on old word. An RPC that came meanwhile is reset; its client may send it again, so no rule is broken.

Change: what the socket holds is read ahead right before the last poll of the connection.

Measured: not forced, as the gap lies inside one turn. New test for the order that was open, a place lost in the turn of an RPC: rpcs_that_cross_with_the_loss_of_their_places, ten resting clients whose RPCs are found with ten new clients, either first.

--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -348,8 +348,9 @@
                 _ = standing.changed() => {}
                 () = until(settles) => line.offer(),
                 () = until(due) => {
-                    // The machine may hold what came in this moment.
+                    // The machine may hold what came in this moment, also after the event loop was asked.
                     yield_now().await;
+                    ahead.look();
                     let now = poll_fn(|cx| Poll::Ready(Pin::new(&mut *connection).poll(cx)));
                     if let Poll::Ready(ended) = now.await {
                         return ended;
--- a/crates/daemon/src/sockets.rs
+++ b/crates/daemon/src/sockets.rs
@@ -323,6 +323,11 @@
         Presence(Rc::downgrade(&self.0))
     }
 
+    /// Reads ahead what the machine holds at this moment.
+    pub fn look(&self) {
+        let _ = self.0.borrow_mut().look();
+    }
+
     /// Ends when the peer has ended or reset the connection, whatever stands unread before that.
     pub async fn left(&self) {
         while !poll_fn(|cx| self.0.borrow_mut().poll_left(cx)).await {
--- a/crates/daemon/tests/crowd.rs
+++ b/crates/daemon/tests/crowd.rs
@@ -242,6 +242,32 @@
     assert_eq!(answers, busy.len());
 }
 
+/// RPCs on all resting connections, found in one turn with as many new clients that want their places. None is lost,
+/// whichever came first.
+#[test]
+fn rpcs_that_cross_with_the_loss_of_their_places() {
+    for rpcs_first in [true, false] {
+        let log = Log::new(vec![]);
+        let daemon = limited(74, 1024, &log); // ten for clients
+        let mut rest: Vec<_> = (0..10).map(|n| ask(&daemon, &format!("rests{n}"))).collect();
+        let send = |name: &str, n: usize, client: &mut Client| {
+            client.send(&rpc("POST", "/book", &format!("{name}{n}"), "").replace("3000", "20000"))
+        };
+        let newcomers = || (0..10).map(|_| daemon.client()).collect::<Vec<_>>();
+        daemon.signal("STOP");
+        let early = if rpcs_first { vec![] } else { newcomers() };
+        rest.iter_mut().enumerate().for_each(|(n, client)| assert!(send("again", n, client)));
+        let mut new = if rpcs_first { newcomers() } else { early };
+        new.iter_mut().enumerate().for_each(|(n, client)| assert!(send("new", n, client)));
+        daemon.signal("CONT");
+        let told = |clients: &mut [Client]| {
+            clients.iter_mut().map(|client| client.answer().map(|a| a.status())).collect::<Vec<_>>()
+        };
+        let all = [told(&mut rest), told(&mut new)];
+        assert!(all.iter().flatten().all(|status| matches!(status, Some(200 | 503))), "{all:?}");
+    }
+}
+
 /// Those that have just come push out no one another while others have rested for longer.
 #[test]
 fn who_rests_gives_way_to_who_has_just_come() {
