--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -5,7 +5,7 @@
 use crate::core::ToCore;
 use crate::head::HeadScan;
 use crate::intake::{Intake, Received};
-use crate::sockets::{Ahead, Budget, Inbound, Offer, Part, Place, Spare, Watched, Witness, linger};
+use crate::sockets::{Ahead, Budget, Inbound, Offer, Part, Place, Presence, Spare, Watched, Witness, linger};
 use crate::standing::Standing;
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
@@ -34,7 +34,8 @@
 const READ_TIME: Duration = Duration::from_secs(30); // for a client that takes no byte of its answer
 const LATE_MOST: usize = 16; // connections beyond the budget that are still told to come back
 const LINGER_TIME: Duration = Duration::from_millis(500); // for a refused client to read that
-const SETTLE: Duration = Duration::from_millis(300); // for a new connection to bring its RPC, also where all are to go
+// For a new connection to bring its RPC, also where all are to go or another may have its place.
+const SETTLE: Duration = Duration::from_millis(300);
 const BREATHE: Duration = Duration::from_millis(10); // before accepting again where no socket is to be had
 
 pub struct Front {
@@ -84,8 +85,8 @@
     }
 }
 
-/// What a client's connection is at. In this order they give way to others, the longest silent first; one with
-/// an RPC never does.
+/// What a client's connection is at. In this order they give way to others, the longest silent first, but one that has
+/// just come after half a head; one with an RPC never does.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 enum Phase {
     /// It has said nothing yet.
@@ -154,14 +155,25 @@
         self.phase.get() >= Phase::Busy
     }
 
-    /// Lets the budget have it, as the one of its phase that was silent for the shortest time.
+    /// Lets the budget have it, as the one of its rank that was silent for the shortest time.
     fn offer(&self) {
+        // Guards against new ones that push out each other, and find no place among those that rest.
+        let rank = match self.phase.get() {
+            Phase::Fresh if self.settles().is_some() => Phase::Half as u8 + 1,
+            phase @ (Phase::Fresh | Phase::Between | Phase::Half) => phase as u8,
+            phase => phase as u8 + 1,
+        };
         if let Some(line) = self.itself.upgrade() {
-            let offer = self.budget.offer(Part::Clients, self.phase.get() as u8, &line);
+            let offer = self.budget.offer(Part::Clients, rank, &line);
             self.offer.replace(Some(offer));
         }
     }
 
+    /// Until when it has just come, as long as it has said nothing.
+    fn settles(&self) -> Option<Instant> {
+        Some(self.opened + SETTLE).filter(|end| self.phase.get() == Phase::Fresh && Instant::now() < *end)
+    }
+
     /// By when it is to end as it stands now; never by itself with an RPC under way. A head may take too long, or the
     /// next message to begin, or the client to take its answer: guards against clients that say nothing, or never come
     /// to an end. Another may have its place, and clients may have been sent away: `goes` tells by when a connection
@@ -224,7 +236,7 @@
     /// Accepts until this proxy's end is near.
     pub async fn run(self: Rc<Self>, listener: TcpListener) {
         let mut standing = self.standing.clone();
-        let mut looked = false;
+        let (mut looked, mut refused) = (false, false);
         loop {
             let (accepts_until, passed) = {
                 let now = standing.borrow_and_update();
@@ -251,11 +263,16 @@
             let stream = match accepted {
                 Ok((stream, _)) => stream,
                 Err(fault) => {
-                    log::warn!("no connection accepted: {fault}");
+                    if !std::mem::replace(&mut refused, true) {
+                        log::warn!("no connection accepted: {fault}");
+                    }
+                    // Where the machine has fewer sockets than were told, what is idle gives way as well.
+                    self.budget.give_up_oldest(Part::Clients);
                     sleep(BREATHE).await;
                     continue;
                 }
             };
+            refused = false;
             let room = self.budget.place(Part::Clients);
             let late = room.is_none();
             let place = room.unwrap_or_else(|| self.budget.place_anyhow(Part::Clients));
@@ -274,14 +291,16 @@
         let _ = stream.set_nodelay(true);
         let line = Line::new(&self.budget);
         line.offer();
+        let stream = Inbound::new(stream);
+        let ahead = stream.ahead();
         let service = service_fn(|from: Request<Incoming>| {
-            let (front, line) = (self.clone(), line.clone());
+            let (front, line, client) = (self.clone(), line.clone(), ahead.presence());
             async move {
                 line.turn(Phase::Body);
                 let answer = if late {
                     Answer::PushedBack { come_back: 0.0 }
                 } else {
-                    front.answer(from, &line).await
+                    front.answer(from, &line, client).await
                 };
                 let refused = late || matches!(answer, Answer::Refused(..));
                 let last = refused || line.refused.get() || front.standing.borrow().answers_last();
@@ -292,8 +311,6 @@
                 Ok::<Response<Answering>, Infallible>(response)
             }
         });
-        let stream = Inbound::new(stream);
-        let ahead = stream.ahead();
         let mut connection = http1::Builder::new()
             .max_buf_size(HEAD_MOST)
             .serve_connection(TokioIo::new(Watched { stream, by: line.clone() }), service);
@@ -322,15 +339,18 @@
             // Guards against RPCs that wait, and are sent, for a client that has gone behind further bytes.
             let left = poll_fn(|cx| if line.busy() { left.as_mut().poll(cx) } else { Poll::Pending });
             let due = line.ends(standing.borrow_and_update().goes());
+            let settles = line.settles();
             select! {
                 biased;
                 ended = &mut *connection => return ended,
                 () = left => return Ok(()),
                 () = line.turned.notified() => {}
                 _ = standing.changed() => {}
+                () = until(settles) => line.offer(),
                 () = until(due) => {
-                    // The machine may hold what came in this moment.
+                    // The machine may hold what came in this moment, also after the event loop was asked.
                     yield_now().await;
+                    ahead.look();
                     let now = poll_fn(|cx| Poll::Ready(Pin::new(&mut *connection).poll(cx)));
                     if let Poll::Ready(ended) = now.await {
                         return ended;
@@ -359,7 +379,7 @@
         }
     }
 
-    async fn answer(&self, from: Request<Incoming>, line: &Line) -> Answer {
+    async fn answer(&self, from: Request<Incoming>, line: &Line, client: Presence) -> Answer {
         if from.method() == Method::GET && from.uri().path() == "/health/ready" {
             return Answer::Health(self.standing.borrow().takes_clients());
         }
@@ -368,7 +388,7 @@
             Ok(rpc) => {
                 line.turn(Phase::Busy);
                 let upload = rpc.message.upload().cloned();
-                let answer = self.decide(rpc).await;
+                let answer = self.decide(rpc, client).await;
                 // What it still sends of a long request nobody reads.
                 line.refused.set(upload.is_some_and(|upload| !upload.is_whole()));
                 answer
@@ -378,7 +398,7 @@
     }
 
     /// The core's answer to an RPC, and an abort should there be none by its deadline.
-    async fn decide(&self, mut rpc: Received) -> Answer {
+    async fn decide(&self, mut rpc: Received, client: Presence) -> Answer {
         // Guards against RPCs that the end of this process finds unanswered.
         let last_call = self.standing.borrow().last_call();
         rpc.waits = last_call.map_or(rpc.waits, |end| rpc.waits.min(end.saturating_duration_since(rpc.at)));
@@ -418,7 +438,8 @@
             until(last_call.ok().flatten()).await;
         };
         let taken = async {
-            self.core.send(ToCore::Take { id, rpc: Box::new(rpc), opened, answer: sender }).await.ok()?;
+            let rpc = Box::new(rpc);
+            self.core.send(ToCore::Take { id, rpc, opened, client, answer: sender }).await.ok()?;
             receiver.await.ok()
         };
         select! {
