The cold budget is counted pick by pick, its parts sum to the whole

Cause: each proxy took the larger of an even split and of what a warm backend answers there, so that the parts could sum to twice the whole; a part below one pick was one by a chance that draws went round (a draw went on until it met a lucky cold backend), so that a fleet that came back cold as a whole sent what it liked. What a backend answers was that of the whole fleet over those left now: after a mass death too much by the ratio. A process without a list from before counted nothing as spent. A backend that lets picks down was still given one pick of each proxy after another. And all of it left three quarters of the budget unused: half as a burst, half as it decayed.

Change: a part is four fifths by traffic (each answer over the backends ready then and its size) and one fifth an even split of one core; picks of a window are counted one by one; the last one is by chance, normalised by what was answered of all that was drawn and probed, with one lot for all cold backends in a draw. What started before a process heard its first list counts as sent. SPREAD is 1, as only the work varies now and no longer the number. No more picks are out at a cold backend than its part's cores work at.

--- a/src/held.rs
+++ b/src/held.rs
@@ -1,10 +1,12 @@
 //! What the decision module keeps of backends, methods, tenants and RPCs: data, no decisions.
+use crate::chance::of_pair;
 use crate::measure::{Decaying, Mean};
 use crate::roster::{NOWHERE, SLOTS, Set};
 use crate::turns::Turn;
 use crate::types::{Arrival, Entry, MethodSettings, Outcome, Pace, Readiness, Settings};
 use crate::waiting::Rank;
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::rc::Rc;
 
 pub(crate) struct Backend {
@@ -24,10 +26,11 @@
     pub pace: Mean,            // s to an answer of it
     pub light: Cell<Option<(bool, f64)>>, // whether its last report was light, and when that came
     pub probe_out: Cell<Option<f64>>, // when it was sent
-    pub cold_sent: Decaying,
-    pub luck: Cell<f64>, // below 1, drawn anew with each report: a cold pick's chance must exceed it
+    pub cold_sent: Sent,
+    pub unfinished: Cell<f64>, // when it last let down a pick that it may have work with
+    pub luck: Cell<f64>,       // below 1, drawn anew with each report: a cold pick's chance must exceed it
     pub places: [Cell<usize>; SLOTS], // in the sets of the roster
-    pub told: Cell<u64>, // the list call that named it last
+    pub told: Cell<u64>,       // the list call that named it last
 }
 
 impl Default for Backend {
@@ -35,7 +38,7 @@
         let (id, size, cell, zone, started, ready, out, flows, mean_out) = Default::default();
         let (fails, rest_until, full_until, listed_until, probe_out, cold_sent, luck, told) =
             Default::default();
-        let (pace, light) = Default::default();
+        let (pace, light, unfinished) = (Mean::default(), Cell::default(), Cell::new(f64::MIN));
         let places = [const { Cell::new(NOWHERE) }; SLOTS];
         Self {
             id,
@@ -55,6 +58,7 @@
             light,
             probe_out,
             cold_sent,
+            unfinished,
             luck,
             places,
             told,
@@ -77,14 +81,31 @@
         self.places[0].get() != NOWHERE && (self.ready.get(), self.cell.get(), self.zone.get()) == facts
     }
 
-    /// It has started anew: what failed before is over, and so is the load that an entry tells of.
-    pub fn forgive(&self) {
+    /// It has started anew: what failed before is over, and so is the load that an entry tells of. If that was before
+    /// this process, another may have sent it all that a window can hold.
+    pub fn starts(&self, now: f64, before: bool) {
+        if before {
+            self.cold_sent.1.set(Some(now));
+            self.unfinished.set(now);
+        }
+        self.luck.set(1.0);
         self.listed_until.set(self.listed_until.get().map(|_| f64::MIN));
         self.fails.set(0.0);
         self.rest_until.set(0.0);
         self.full_until.set(0.0);
     }
 
+    /// A pick has ended, and it may still have work with it.
+    pub fn ends(&self, how: Outcome, now: f64) {
+        let done = how == Outcome::Ok || how.reached_nobody();
+        self.unfinished.set(if done { self.unfinished.get() } else { now });
+    }
+
+    /// Whether it has let down no pick in this time.
+    pub fn finishes(&self, now: f64, lately: f64) -> bool {
+        now >= self.unfinished.get() + lately
+    }
+
     /// Picks out there that are work for it.
     pub fn at_work(&self) -> usize {
         self.out.get().saturating_sub(self.flows.get())
@@ -151,23 +172,75 @@
     }
 }
 
-// RPCs: x of them and 2 sigma, of 1.4 each, come to x + 2 root(x SPREAD): their work varies by its mean or less, and
-// so does their number.
-const SPREAD: f64 = 2.0;
+// RPCs: x of them and 2 sigma come to x + 2 root(x SPREAD): their work varies by its mean or less. Their number is
+// counted, and what is left to chance of it stays below what `surely` leaves of the whole.
+const SPREAD: f64 = 1.0;
+
+const LEAST: f64 = 0.05; // of what a warm one does: guards against a backend that starts at nothing
+const FEW_OFFERED: f64 = 4.0; // that prove nothing yet, counted beside: guards against a rush of a new process
 
-/// What all proxies together may send a backend that started lately.
+/// What all proxies together may send a backend that started lately, and what this one's part goes by.
 #[derive(Default)]
 pub(crate) struct Cold {
     pub window: f64,
-    from: f64, // of its capacity
+    answered: Decaying,      // by a backend that is warm, of size 1
+    offered: Decaying,       // draws, and reports of probes as parts of an RPC's
+    born: Cell<Option<f64>>, // when the first list came
+    from: f64,               // of its capacity
     lasts: f64,
     multiple: f64,
+    safety: f64,
 }
 
 impl Cold {
     pub fn new(set: &Settings, safety: f64) -> Self {
         let multiple = safety * set.fall_multiple;
-        Self { window: set.fall_window, from: set.cold_from, lasts: set.cold_for, multiple }
+        let (window, from, lasts) = (set.fall_window, set.cold_from, set.cold_for);
+        Self { window, from, lasts, multiple, safety, ..Self::default() }
+    }
+
+    /// A list has come.
+    pub fn begins(&self, now: f64) {
+        self.born.set(self.born.get().or(Some(now)));
+    }
+
+    /// Whether a process before this one may have known it.
+    pub fn before(&self, started: Option<f64>) -> bool {
+        started.is_some_and(|at| self.born.get().is_some_and(|born| at < born))
+    }
+
+    /// An RPC is to be drawn a backend for. Returns its lot, below 1, for all cold ones.
+    pub fn draw(&self, id: u64, now: f64, over: f64) -> f64 {
+        self.offer(1.0, now, over);
+        of_pair(id, now.to_bits())
+    }
+
+    /// So many RPCs, or parts of one, may have led to any backend.
+    pub fn offer(&self, rpcs: f64, now: f64, over: f64) {
+        self.offered.add(rpcs, now, over);
+    }
+
+    /// RPCs a second that may have led to any backend.
+    pub fn offered(&self, now: f64, over: f64) -> f64 {
+        (self.offered.read(now, over) + FEW_OFFERED) / over
+    }
+
+    /// One of so many ready backends has answered. Guards against a small one's answers, and those of many that have gone
+    /// since, taken for what each does; a cold one's count for as many as it could have been sent.
+    pub fn answer(&self, by: &Backend, ready: usize, now: f64, over: f64) {
+        let allowed = by.started.get().and_then(|at| self.allowed(now - at));
+        let part = allowed.map_or(1.0, |work| (work / self.safety / self.window).clamp(LEAST, 1.0));
+        self.answered.add(1.0 / (ready.max(1) as f64 * by.size.get() * part), now, over);
+    }
+
+    /// RPCs that a warm backend of size 1 answers here in a second.
+    pub fn answered(&self, now: f64, over: f64) -> f64 {
+        self.answered.read(now, over) / over
+    }
+
+    /// Of so many cores, RPCs at once that their work in a window keeps them busy with.
+    pub fn at_once(&self, cores: f64) -> f64 {
+        self.multiple * cores
     }
 
     /// Seconds of a warm backend's work in one window at this age; none once it is warm.
@@ -176,9 +249,30 @@
         (age < self.lasts).then_some(self.multiple * self.window * part)
     }
 
-    /// What is left of that work beside what the backend does in the window.
-    pub fn beyond_its_own(&self, allowed: f64) -> f64 {
-        (allowed - allowed / self.multiple).max(0.0)
+    /// Whether one RPC of every proxy surely fits beside this work and what the backend does in the window.
+    pub fn one_each(&self, allowed: f64, each: f64, proxies: f64) -> bool {
+        let left = allowed / self.safety - allowed / self.multiple - surely(allowed, each);
+        surely(left.max(0.0), each) >= proxies * each
+    }
+}
+
+/// When picks were sent, as far back as a window reaches.
+#[derive(Default)]
+pub(crate) struct Sent(RefCell<VecDeque<f64>>, Cell<Option<f64>>);
+
+impl Sent {
+    pub fn add(&self, now: f64, window: f64) {
+        self.within(now, window);
+        self.0.borrow_mut().push_back(now);
+    }
+
+    /// How many were sent in the window that ends now.
+    pub fn within(&self, now: f64, window: f64) -> f64 {
+        let mut sent = self.0.borrow_mut();
+        while sent.front().is_some_and(|at| *at <= now - window) {
+            sent.pop_front();
+        }
+        if self.1.get().is_some_and(|at| now < at + window) { f64::INFINITY } else { sent.len() as f64 }
     }
 }
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -31,6 +31,7 @@
 const CREDIT_MAX: f64 = 3.0; // further picks kept by the proxy: a sudden death of backends uses no more
 const SLACK: f64 = 0.003; // s kept free before a latency target or deadline: the way back and a late tick
 const COLD_SAFETY: f64 = 0.7; // part of the cold budget used: the work of one RPC is known only roughly
+const COLD_OWN: f64 = 0.8; // of it goes by traffic, the rest is split evenly: few answers, few picks
 const HOLD: f64 = 0.15; // of the latency target spent waiting for an idle backend: leaves time for the work
 const CROSS_PRICE: f64 = 0.033; // points; at it a fair part of draws stays at home, less by the square
 const SLICE: f64 = 1.2; // times as far as all tenants have used theirs may one use its quota: room for chance
@@ -93,8 +94,9 @@
     shortest: f64, // of all latency targets, s
     room: f64,     // least of all methods' rooms
     answered: Decaying,
-    failing: Mean, // part that failures of picks and probes make of these and the answers
-    credit: f64,   // further picks
+    lot: Option<f64>, // of the RPC that a backend is drawn for: as a backend's luck
+    failing: Mean,    // part that failures of picks and probes make of these and the answers
+    credit: f64,      // further picks
     probe_tokens: f64,
     probed_ahead: f64,
     probe_next: f64,
@@ -215,6 +217,7 @@
             ListKind::Changes | ListKind::Full => (state.asks_failed, state.ask_at) = (0, None),
             ListKind::Ordered => {}
         }
+        state.cold.begins(now);
         state.lists += 1;
         let number = state.lists;
         for entry in entries {
@@ -225,12 +228,7 @@
                 false => state.relist(&backend, now, |b| b.describe(entry)),
             }
             if backend.started.replace(entry.started) != entry.started {
-                backend.forgive();
-                backend.luck.set(state.chance.between(0.0, 1.0));
-                let budget = state.cold_budget(&backend, now);
-                // A restarted proxy forgot what it sent and how long work takes: the burst counts as spent.
-                let spent = budget.filter(|_| kind == ListKind::Stale).map_or(0.0, |(budget, ..)| budget);
-                backend.cold_sent.add(spent, now, state.cold.window);
+                backend.starts(now, state.cold.before(entry.started));
                 state.file(&backend, now);
             }
         }
@@ -240,7 +238,7 @@
             state.relist(&backend, now, |b| b.ready.set(false));
         }
         // Guards against memory of all that ever were; a cold budget is remembered for as long as it binds.
-        let bound = |b: &Backend| b.out.get() > 0 || b.cold_sent.read(now, state.cold.window) > TICK;
+        let bound = |b: &Backend| b.out.get() > 0 || b.cold_sent.within(now, state.cold.window) > 0.0;
         let gone = state.backends.set(Set::Unready).iter().filter(|b| !bound(b)).cloned().collect::<Vec<_>>();
         for backend in gone {
             state.probes_out -= usize::from(backend.probe_out.get().is_some());
@@ -339,6 +337,7 @@
             let until = now + state.bounds.key_quiet;
             state.turns.rest(&self.call, until);
         }
+        backend.ends(how, now);
         match how {
             Outcome::Ok => {
                 state.failing.add(0.0, now, MEAN_OVER);
@@ -349,6 +348,7 @@
                 state.credit = (state.credit + CREDIT_EARN).min(CREDIT_MAX);
                 state.service.add(took, now, MEAN_OVER);
                 state.answered.add(1.0, now, MEAN_OVER);
+                state.cold.answer(&backend, state.backends.set(Set::Ready).len(), now, MEAN_OVER);
                 state.report(&backend, report, None, now);
                 // Guards against blind draws of proxies that each see too little to pay for probes.
                 if report.is_none() && state.hears_answers(now) {
@@ -446,29 +446,23 @@
 
     // Mechanism 4: cold budget.
 
-    /// Picks this proxy may send to a cold backend in a window, the chance of one if that is less, and if all
-    /// proxies may have one there; none if warm. Guards against successors that draw all traffic at once.
-    fn cold_budget(&self, to: &Backend, now: f64) -> Option<(f64, f64, bool)> {
-        let (work, each) = (self.cold.allowed(now - to.started.get()?)?, self.service_time());
-        let proxies = self.bounds.balancers * self.bounds.processes;
-        // What one core does, split evenly; or what a warm backend answers here, which sums by itself.
-        let ready = self.backends.set(Set::Ready).len().max(1) as f64;
-        let own = self.answered.read(now, MEAN_OVER) / MEAN_OVER / ready;
-        // A part below one pick is one by chance, such that the sum is kept even if every probe of an even
-        // split led to a pick. Guards against hundreds of proxies that each send their one.
-        let chance = work / COLD_SAFETY / self.cold.window / self.probes_each.max(1.0);
-        // Beside what it does meanwhile. Guards against few proxies that leave it idle until it is warm.
-        let alone = surely(self.cold.beyond_its_own(work), each) >= proxies * each;
-        Some((surely(work, each) * own.max(1.0 / (each * proxies)), chance, alone))
-    }
-
+    /// Whether this proxy's part of what all may send a cold backend has room; the parts sum to that or less.
+    /// Guards against successors that draw all traffic at once.
     fn cold_room(&self, to: &Backend, now: f64) -> bool {
-        // Half of it as a burst and half as what decays within the window: no window holds more than all.
-        let Some((budget, chance, alone)) = self.cold_budget(to, now) else { return true };
-        let sent = to.cold_sent.read(now, self.cold.window);
-        // What it turns away is work too and ends at once. Guards against a full one that is always tried.
-        let one = alone && to.out.get() == 0 && now >= to.full_until.get();
-        one || sent < budget / 2.0 && to.luck.get() < chance.max(budget / 2.0)
+        let Some(work) = to.started.get().and_then(|at| self.cold.allowed(now - at)) else { return true };
+        let (each, proxies) = (self.service_time(), self.bounds.balancers * self.bounds.processes);
+        let (own, window) = (self.cold.answered(now, MEAN_OVER), self.cold.window);
+        let part = COLD_OWN * own * to.size.get() + (1.0 - COLD_OWN) / (each * proxies); // RPCs a second
+        let (sure, most) = (surely(work, each) * part, (work * part).max(1.0));
+        // The last by chance: of draws and probes, which may lead to any, no more than is answered. Guards
+        // against hundreds of proxies that each send their one.
+        let goes = own * self.backends.set(Set::Ready).len() as f64 / self.cold.offered(now, MEAN_OVER);
+        let luck = self.lot.unwrap_or(to.luck.get() * self.probes_each.max(1.0));
+        let lucky = luck < (work / COLD_SAFETY / window * goes).max(sure);
+        let (sent, out) = (to.cold_sent.within(now, window) + 1.0, to.out.get() as f64 + 1.0);
+        // Guards against few proxies that leave it idle until warm, and one always tried in vain.
+        let one = self.cold.one_each(work, each, proxies) && out <= 1.0 && to.finishes(now, window);
+        one || out <= self.cold.at_once(part * each).max(1.0) && (sent <= sure || sent <= most && lucky)
     }
 
     // The design: Join-Idle-Queue.
@@ -482,7 +476,8 @@
         let light = held <= self.load.get(0.0) * THRESHOLD * backend.size.get();
         let held = held.max(backend.at_work() as f64) / backend.size.get();
         self.load.add(held, now, MEAN_OVER);
-        backend.luck.set(self.chance.between(0.0, 1.0));
+        backend.luck.set(if probed { self.chance.between(0.0, 1.0) } else { 1.0 }); // an answer had its pick
+        self.cold.offer(f64::from(probed) / self.probes_each.max(1.0), now, MEAN_OVER);
         if !self.probes_queue {
             self.told.reported(light, now);
             backend.light.set(Some((light, now)));
@@ -548,7 +543,11 @@
             self.file(&rested, now);
         }
         let ahead = Some(self.load.fading(now, MEAN_OVER));
-        self.draw(call, now).map(|backend| self.send(call, backend, ahead, link)).is_some()
+        // One lot for all cold ones. Guards against draws that go on until a lucky one is found.
+        self.lot = Some(self.cold.draw(call.id, now, MEAN_OVER));
+        let drawn = self.draw(call, now);
+        self.lot = None;
+        drawn.map(|backend| self.send(call, backend, ahead, link)).is_some()
     }
 
     fn draw(&mut self, call: &Rc<Call>, now: f64) -> Option<Rc<Backend>> {
@@ -635,7 +634,7 @@
     fn send(&mut self, call: &Rc<Call>, to: Rc<Backend>, ahead: Option<f64>, link: &mut dyn Link) {
         let now = link.now();
         self.credit -= if call.reached_any() { 1.0 } else { 0.0 };
-        to.cold_sent.add(1.0, now, self.cold.window);
+        to.cold_sent.add(now, self.cold.window);
         to.count(1, now, MEAN_OVER);
         self.file(&to, now);
         // Work whose answer would come too late only keeps others waiting.
