--- a/crates/daemon/src/discovery.rs
+++ b/crates/daemon/src/discovery.rs
@@ -134,15 +134,15 @@
     /// Told of the first answer, and of all names.
     pub standings: Rc<Standings>,
     /// Calls in a row that met silence.
-    pub silences: usize,
+    pub time_outs: usize,
 }
 
 /// How a call ended without news.
 enum Fault {
     /// No answer in time, or no connection.
-    Silence,
+    TimedOut,
     /// An answer that breaks off or makes no sense.
-    Spoilt(String),
+    Malformed(String),
     /// Refused, broken off before an answer, or answered with what is older than what is known.
     Down(String),
 }
@@ -151,8 +151,8 @@
     /// How many calls in a row go out at once after such ones.
     fn again(&self, times: &Times) -> usize {
         match self {
-            Self::Silence => times.again,
-            Self::Spoilt(_) => 1,
+            Self::TimedOut => times.again,
+            Self::Malformed(_) => 1,
             Self::Down(_) => 0,
         }
     }
@@ -161,8 +161,8 @@
 impl std::fmt::Display for Fault {
     fn fmt(&self, to: &mut std::fmt::Formatter) -> std::fmt::Result {
         match self {
-            Self::Silence => to.write_str("no answer in time"),
-            Self::Spoilt(why) | Self::Down(why) => to.write_str(why),
+            Self::TimedOut => to.write_str("no answer in time"),
+            Self::Malformed(why) | Self::Down(why) => to.write_str(why),
         }
     }
 }
@@ -178,7 +178,7 @@
             if !at_once {
                 select! {
                     () = self.wanted.notified() => {}
-                    Ok(()) = moves.changed() => (self.version, self.silences) = (None, 0),
+                    Ok(()) = moves.changed() => (self.version, self.time_outs) = (None, 0),
                 }
             }
             let fault = select! {
@@ -188,7 +188,7 @@
             };
             at_once = self.pushed || fault.is_none();
             let Some(fault) = fault else {
-                (self.version, self.silences) = (None, 0);
+                (self.version, self.time_outs) = (None, 0);
                 continue;
             };
             // Guards against a log full of one outage.
@@ -214,10 +214,10 @@
     async fn watch(&mut self) -> Fault {
         let times = if self.pushed { AGENT } else { SERVICE };
         // After silence, one that waits would be given up too late if it met silence too.
-        let (mut conn, mut doubted) = (None, self.pushed || self.silences > 0);
+        let (mut conn, mut doubted) = (None, self.pushed || self.time_outs > 0);
         let mut tried = 0;
         loop {
-            let nth = |times: &[Duration]| times[self.silences % times.len()];
+            let nth = |times: &[Duration]| times[self.time_outs % times.len()];
             let (path, patience) = match self.version {
                 None => {
                     let first = !self.pushed && !self.standings.now().ready;
@@ -232,8 +232,8 @@
             let begun = Instant::now();
             let until = begun + patience;
             let called = timeout_at(until, self.call(&mut conn, &path, until)).await;
-            let called = called.unwrap_or(Err(Fault::Silence)).and_then(|news| self.in_order(news));
-            self.silences = if matches!(called, Err(Fault::Silence)) { self.silences + 1 } else { 0 };
+            let called = called.unwrap_or(Err(Fault::TimedOut)).and_then(|news| self.in_order(news));
+            self.time_outs = if matches!(called, Err(Fault::TimedOut)) { self.time_outs + 1 } else { 0 };
             let news = match called {
                 Ok(news) => news,
                 // Guards against a link that swallowed one call, and against news that counts as told though its
@@ -279,7 +279,7 @@
             let until = until.min(Instant::now() + CONNECT_MOST);
             *kept = Conn::open(at, None, until).await;
             if kept.is_none() && Instant::now() >= until {
-                return Err(Fault::Silence);
+                return Err(Fault::TimedOut);
             }
         }
         let conn = kept.as_mut().ok_or(Fault::Down("no connection".into()))?;
@@ -287,14 +287,14 @@
         *message.uri_mut() = path.parse().map_err(|_| Fault::Down("the call has no path".into()))?;
         let reply = conn.exchange(message, BODY_MOST, false, &Cell::new(false)).await;
         let reply = reply.map_err(|fault| match fault {
-            Broken::Spoilt => Fault::Spoilt("the answer broke off".into()),
+            Broken::Spoilt => Fault::Malformed("the answer broke off".into()),
             fault => Fault::Down(format!("the connection failed: {fault:?}")),
         })?;
         if reply.status != StatusCode::OK {
             return Err(Fault::Down(format!("status {}", reply.status)));
         }
         let value =
-            serde_json::from_slice(&reply.body).map_err(|e| Fault::Spoilt(format!("not JSON: {e}")))?;
-        decode(&value).map_err(Fault::Spoilt)
+            serde_json::from_slice(&reply.body).map_err(|e| Fault::Malformed(format!("not JSON: {e}")))?;
+        decode(&value).map_err(Fault::Malformed)
     }
 }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -162,7 +162,7 @@
         version: config.known.as_ref().map(|known| known.version),
         pushed,
         standings: standings.clone(),
-        silences: 0,
+        time_outs: 0,
     };
     spawn_local(discovery.run());
     let intake = Intake::new(&config.conf);
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -58,7 +58,7 @@
 const PROBE_GAP: f64 = 0.1; // service times between rounds for RPCs that wait: some backend may be done
 const MEAN_OVER: f64 = 4.0; // s, time constant of means: tens of answers, shorter than most troubles
 const FADE: f64 = 12.0; // service times in which an expected wait fades while no draw renews it: refusals end
-const LIST_RETRY: f64 = 0.5; // s, most backoff after a failed list call, then twice that: told within 6 s
+const LIST_BACKOFF: f64 = 0.5; // s, most backoff after a failed list call, then twice that: told within 6 s
 const ASK_AGAIN: f64 = 0.5; // of the time after which silence counts as being told, between list calls
 const FEW: usize = 64; // backends that one decision looks at one by one: more would cost with the fleet
 const TRIES: usize = 16; // random ones asked before a stretch of FEW is: finds one where a fifth of them fit
@@ -160,8 +160,8 @@
     /// A list call failed or the subscription dropped; the old list stays.
     pub fn list_failed(&self, link: &mut dyn Link) {
         let mut state = self.0.borrow_mut();
-        // Truncated exponential backoff, full jitter: a crowd of callers finds each free moment of the service.
-        let pause = LIST_RETRY * 2_f64.powi(state.asks_failed.min(1));
+        // Truncated exponential backoff, full jitter: a crowd finds each free moment of the service.
+        let pause = LIST_BACKOFF * 2_f64.powi(state.asks_failed.min(1));
         state.asks_failed += 1;
         state.ask_at = state.ask_every.map(|most| link.now() + state.chance.between(0.0, pause.min(most)));
         state.arm(link);
@@ -211,7 +211,7 @@
         let every = state.ask_every;
         match kind {
             // With jitter: proxies often start together.
-            ListKind::Stale => state.ask_at = every.map(|_| now + state.chance.between(0.0, LIST_RETRY)),
+            ListKind::Stale => state.ask_at = every.map(|_| now + state.chance.between(0.0, LIST_BACKOFF)),
             ListKind::Changes | ListKind::Full => (state.asks_failed, state.ask_at) = (0, None),
             ListKind::Ordered => {}
         }
