--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -2,6 +2,9 @@
 //! at the door and the limits on connections.
 use birchhub::types::{Effect, Group, LoadReport, MethodSettings, Reports, Settings, TenantSettings};
 use serde_json::Value;
+use std::io::Write;
+
+pub mod change;
 
 // Fields of a load report that tell of a queue, as the settings and as the protocol page name them.
 const IN_FLIGHT: [&str; 2] = ["concurrent", "inflight"];
@@ -13,6 +16,7 @@
 const CONNECT: f64 = 1.0; // a pick's own time is shorter as a rule
 const IDLE: f64 = 1.0; // a connection that stood idle is opened anew rather than lost
 
+#[derive(Clone, Debug, PartialEq)]
 pub struct Conf {
     pub settings: Settings,
     pub methods: Vec<String>,
@@ -26,6 +30,8 @@
     pub idle_limit: f64,
     /// Longest deadline of any method, s; none if one of them is not told.
     pub longest_deadline: Option<f64>,
+    /// Of the settings object as it was read, without `my-zone`: the same at all proxies that have the same.
+    pub digest: u64,
 }
 
 /// Reads a value at `path` below `at`, or says which path is wrong.
@@ -187,13 +193,43 @@
         connect_limit: ceilings.opt("connect-timeout-ns").map_or(Ok(CONNECT), |at| at.limit())?,
         idle_limit: ceilings.opt("conn-idle-ns").map_or(Ok(IDLE), |at| at.seconds())?,
         longest_deadline: ends.map(|ends| ends.into_iter().fold(0.0, f64::max)),
+        digest: digest(value),
     })
 }
 
-/// The number of a key's text, the same at every proxy: FNV-1a.
+/// FNV-1a, the same in every process.
+struct Fnv(u64);
+
+impl Default for Fnv {
+    fn default() -> Self {
+        Self(0xcbf2_9ce4_8422_2325)
+    }
+}
+
+impl Write for Fnv {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        let step = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3);
+        self.0 = bytes.iter().fold(self.0, step);
+        Ok(bytes.len())
+    }
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// The number of a key's text, the same at every proxy.
 pub fn key(text: &str) -> u64 {
-    text.bytes()
-        .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3))
+    let mut hash = Fnv::default();
+    _ = hash.write(text.as_bytes());
+    hash.0
+}
+
+/// The number of a settings object, whatever the order of its keys; a proxy's own zone is left out.
+fn digest(value: &Value) -> u64 {
+    let mut hash = Fnv::default();
+    let fields = value.as_object().into_iter().flatten().filter(|(key, _)| *key != "my-zone");
+    fields.for_each(|field| serde_json::to_writer(&mut hash, &field).expect("a value that was read"));
+    hash.0
 }
 
 /// A load report of `name<mark>value` pairs, with the field names of the settings or the protocol page's. A
@@ -213,105 +249,3 @@
     }
     Ok(load)
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use serde_json::json;
-
-    /// Guards against reports that say nothing because their names are those of the other page.
-    #[test]
-    fn reports_are_read_by_either_name() {
-        for text in ["concurrent=7,depth=2,new=x", " inflight=7,queue=2\n"] {
-            let load = load_report(text, '=').expect("a report");
-            assert_eq!((load.in_flight, load.queued, load.utilisation), (Some(7.0), Some(2.0), None));
-        }
-        assert!(load_report("inflight", '=').is_err() && load_report("inflight=many", '=').is_err());
-        assert_eq!(load_report("util=-1", '=').expect("a report").utilisation, None);
-    }
-    /// A deployment's settings with the further ones changed.
-    fn further(change: impl FnOnce(&mut Value)) -> Result<Settings, String> {
-        conf(change).map(|conf| conf.settings)
-    }
-
-    fn conf(change: impl FnOnce(&mut Value)) -> Result<Conf, String> {
-        let mut value = json!({"balancers": 2, "ceilings": {"most-picks": 3},
-            "methods": [{"name": "move", "idempotency": "non_idempotent", "latency-target-ns": 4e8}],
-            "contract": {"drain-grace-ns": 5e8, "cold-from": 0.2, "cold-ns": 5e9, "fall-multiple": 3.0,
-                "tip-after-ns": 1e9}});
-        change(&mut value);
-        read_value(&value)
-    }
-
-    /// Guards against a figure of one deployment that stands in for what another does not tell, and against times that no
-    /// clock can hold.
-    #[test]
-    fn what_is_not_told_is_nobodys_figure() {
-        let untold = conf(|_| ()).expect("settings");
-        assert_eq!((untold.settings.ask_within, untold.connect_limit, untold.idle_limit), (2.0, 1.0, 1.0));
-        assert_eq!(untold.longest_deadline, None);
-        let odd = conf(|conf| {
-            conf["ceilings"]["connect-timeout-ns"] = 0.into();
-            conf["ceilings"]["conn-idle-ns"] = 1e300.into();
-            conf["methods"][0]["hard-limit-ns"] = u64::MAX.into();
-        });
-        let odd = odd.expect("settings");
-        assert_eq!((odd.connect_limit, odd.idle_limit, odd.longest_deadline), (1e9, 1e9, Some(1e9)));
-        let two = conf(|conf| {
-            let mut second = conf["methods"][0].clone();
-            second["hard-limit-ns"] = 2_000_000_000.into();
-            conf["methods"].as_array_mut().expect("methods").push(second);
-        });
-        assert_eq!(two.expect("settings").longest_deadline, None, "one of them is not told");
-    }
-
-    #[test]
-    fn further_settings_are_read_and_change_nothing_where_they_are_absent() {
-        let plain = further(|_| ()).expect("settings");
-        assert_eq!(
-            (plain.key_quiet, plain.only_draining_binds, plain.methods[0].in_order),
-            (0.0, false, false)
-        );
-        assert_eq!((plain.log_loss_part, plain.nines_wanted), (0.0, 0.0));
-        let told = further(|conf| {
-            conf["methods"][0]["keep-order"] = true.into();
-            conf["contract"]["key-quiet-ns"] = 50_000_000.into();
-            conf["contract"]["removal-not-binding"] = true.into();
-            conf["goal"] = json!({"log-loss-part": 0.4, "nines-wanted": 2.0});
-        });
-        let told = told.expect("settings");
-        assert_eq!((told.key_quiet, told.only_draining_binds, told.methods[0].in_order), (0.05, true, true));
-        assert_eq!((told.log_loss_part, told.nines_wanted), (0.4, 2.0));
-    }
-
-    #[test]
-    fn wrong_further_settings_name_place_and_value() {
-        let wrong = [
-            ("contract", "key-quiet-ns", json!(-1), "contract.key-quiet-ns is not a number of 0 or more: -1"),
-            (
-                "contract",
-                "key-quiet-ns",
-                json!("5"),
-                "contract.key-quiet-ns is not a number of 0 or more: \"5\"",
-            ),
-            (
-                "contract",
-                "removal-not-binding",
-                json!(1),
-                "contract.removal-not-binding is not true or false: 1",
-            ),
-            (
-                "goal",
-                "nines-wanted",
-                json!(0),
-                "goal.nines-wanted is 0: what is lost could not be set against it",
-            ),
-            ("goal", "log-loss-part", json!([]), "goal.log-loss-part is not a number of 0 or more: []"),
-        ];
-        for (part, key, value, fault) in wrong {
-            assert_eq!(further(|conf| conf[part][key] = value).err().as_deref(), Some(fault));
-        }
-        let fault = further(|conf| conf["methods"][0]["keep-order"] = "yes".into()).err();
-        assert_eq!(fault.as_deref(), Some("methods[0].keep-order is not true or false: \"yes\""));
-    }
-}
--- a/src/types.rs
+++ b/src/types.rs
@@ -1,7 +1,7 @@
 //! What the decision module is handed and what it hands out. Times are seconds with fractions.
 
-/// Settings as the platform states them at start; `policy` derives its own figures and drops these.
-#[derive(Clone, Debug, Default)]
+/// Settings as the platform states them; `policy` derives its own figures and drops these.
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings {
     pub balancers: usize,
     pub methods: Vec<MethodSettings>,
@@ -48,7 +48,7 @@
     ByProbe,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct MethodSettings {
     pub effect: Effect,
     pub latency_target: f64,
@@ -76,12 +76,19 @@
     Cell,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct TenantSettings {
     /// RPCs a second within the tenant's share, summed over all proxies.
     pub quota: f64,
 }
 
+/// Of each method and tenant of new settings, in their order: its place in the settings before, if it stood there.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Kept {
+    pub methods: Vec<Option<usize>>,
+    pub tenants: Vec<Option<usize>>,
+}
+
 /// An RPC as it comes in. `method` and `tenant` are places in the settings' lists.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Arrival {
