The module adopts other settings while it runs

Cause: what follows from settings was derived in `Balancer::new` alone. Change: `State::adopt` derives it, for a start and for a change alike, and `Balancer::adopt` puts a change in force. Methods and tenants go on by name with what was measured of them, a tenant's RPCs a second against its new share; RPCs that were taken keep their method.

--- a/src/held.rs
+++ b/src/held.rs
@@ -188,6 +188,8 @@
     ((work / each + SPREAD).sqrt() - SPREAD.sqrt()).powi(2) * each
 }
 
+const ASK_AGAIN: f64 = 0.5; // of the time after which silence counts as being told, between list calls
+
 /// Settings that bind each decision as they are.
 #[derive(Default)]
 pub(crate) struct Bounds {
@@ -200,10 +202,12 @@
     pub balancers: f64,
     pub processes: f64, // that are this proxy: while one replaces another there are two
     pub zone: usize,
+    pub shortest: f64,          // of all latency targets, s
+    pub ask_every: Option<f64>, // s between list calls while unsubscribed; none where changes come anyway
 }
 
 impl Bounds {
-    pub fn of(set: &Settings) -> Self {
+    pub fn of(set: &Settings, processes: f64) -> Self {
         Self {
             most_picks: set.most_picks,
             may_cancel: set.may_cancel,
@@ -212,20 +216,28 @@
             come_back: set.come_back_max,
             key_quiet: set.key_quiet,
             balancers: set.balancers as f64,
-            processes: 1.0,
+            processes,
             zone: set.zone,
+            shortest: set.methods.iter().map(|m| m.latency_target).reduce(f64::min).unwrap_or(1.0),
+            ask_every: Some(set.ask_within * ASK_AGAIN).filter(|_| set.list_on_request),
         }
     }
 }
 
 pub(crate) struct Method {
     pub set: MethodSettings,
-    pub room: f64,  // times the expected wait that must fit before a draw; more for lower utility
-    pub each: Mean, // s to an answer from a drawn backend, for each RPC that stood there, itself too
+    pub room: f64, // times the expected wait that must fit before a draw; more for lower utility
+    pub each: Rc<Mean>, // s to an answer from a drawn backend, for each RPC that stood there, itself too
     pub door: Rc<Mean>, // of what it lets in at the most, by how the last picks went
 }
 
 impl Method {
+    /// What was measured of it under the settings before goes on, also by its RPCs that are still out.
+    pub fn new(set: &MethodSettings, room: f64, before: Option<&Rc<Self>>) -> Self {
+        let (each, door) = before.map(|b| (b.each.clone(), b.door.clone())).unwrap_or_default();
+        Self { set: set.clone(), room, each, door }
+    }
+
     /// Latency target, or deadline where late answers count.
     pub fn useful_until(&self, arrival: &Arrival, now: f64) -> f64 {
         let stretch = self.set.target_stretch * arrival.expected_work.unwrap_or(0.0);
@@ -243,8 +255,23 @@
 }
 
 impl Tenant {
-    pub fn new(slice: f64, over: f64) -> Self {
-        Self { slice, over, sent: Decaying::default(), door: Rc::default() }
+    /// For each of so many tenants the one that it was before, or one that has no slice yet.
+    pub fn kept(before: Vec<Self>, places: &[Option<usize>], tenants: usize) -> impl Iterator<Item = Self> {
+        let mut before: Vec<_> = before.into_iter().map(Some).collect();
+        let mut was = move |place: usize| before.get_mut(place).and_then(Option::take);
+        let places: Vec<_> = (0..tenants).map(|n| places.get(n).copied().flatten()).collect();
+        places.into_iter().map(move |place| place.and_then(&mut was).unwrap_or_default())
+    }
+
+    /// It with this slice: the RPCs a second that it sent stay what they were. One that had none yet starts with a
+    /// part of it counted as used.
+    pub fn sliced(self, slice: f64, over: f64, used: f64, now: f64) -> Self {
+        let had = self.over > 0.0;
+        let longer = Some(over / self.over).filter(|times| times.is_finite() && *times > 0.0).unwrap_or(1.0);
+        let sent = if had { self.sent.read(now, self.over) * longer } else { slice * used };
+        let tenant = Self { slice, over, sent: Decaying::default(), door: self.door };
+        tenant.count(sent, now);
+        tenant
     }
 
     pub fn count(&self, rpcs: f64, now: f64) {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -13,7 +13,7 @@
 use crate::turns::Turns;
 use crate::types::*;
 use crate::waiting::Waiting;
-use std::{cell::RefCell, collections::VecDeque, rc::Rc};
+use std::{cell::RefCell, collections::VecDeque, mem::take, rc::Rc};
 
 // Constants: unit, and why this size.
 const THRESHOLD: f64 = 0.75; // of the mean reported load: 0 while backends hold about one RPC each
@@ -59,7 +59,6 @@
 const MEAN_OVER: f64 = 4.0; // s, time constant of means: tens of answers, shorter than most troubles
 const FADE: f64 = 12.0; // service times in which an expected wait fades while no draw renews it: refusals end
 const LIST_RETRY: f64 = 0.5; // s before a failed list call is repeated, doubled each time: calls are scarce
-const ASK_AGAIN: f64 = 0.5; // of the time after which silence counts as being told, between list calls
 const FEW: usize = 64; // backends that one decision looks at one by one: more would cost with the fleet
 const TRIES: usize = 16; // random ones asked before a stretch of FEW is: finds one where a fifth of them fit
 const LOOKS: usize = 32; // idle entries that one RPC, and waiting RPCs that one event, may pass over
@@ -78,7 +77,6 @@
     probes_each: f64,
     answers_enlist: bool, // answers are all that is heard of loads, or nearly
     told: Told,
-    ask_every: Option<f64>, // s between list calls while unsubscribed; none where changes come anyway
     cold: Cold,
     stay_home: f64, // part of draws, times the zones, times the part of backends that are at home
     backends: Roster,
@@ -90,7 +88,6 @@
     load: Mean,    // RPCs a backend holds by its reports
     listed: Mean,  // part of their time that picks from the list took
     service: Mean, // s from pick to answer
-    shortest: f64, // of all latency targets, s
     room: f64,     // least of all methods' rooms
     answered: Decaying,
     failing: Mean, // part that failures of picks and probes make of these and the answers
@@ -113,43 +110,16 @@
 
 impl Balancer {
     pub fn new(set: &Settings, seed: u64) -> Self {
-        let best = set.methods.iter().map(|m| m.utility).fold(0.0, f64::max);
-        let method = |m: &MethodSettings| {
-            let each = if m.late_utility > 0.0 { ROOM_LATE } else { ROOM };
-            let room = each * (best / m.utility).max(1.0).sqrt();
-            Rc::new(Method { set: m.clone(), room, each: Mean::default(), door: Rc::default() })
-        };
-        let methods: Vec<_> = set.methods.iter().map(method).collect();
-        let tenant = |t: &TenantSettings| {
-            // Guards against a small tenant that seems over its share as two of its RPCs came together.
-            let each = set.balancers as f64 / t.quota;
-            let tenant = Tenant::new(QUOTA_RPCS.max(QUOTA_OVER / each), QUOTA_OVER.max(QUOTA_RPCS * each));
-            // A proxy that starts has no unused quota behind it: guards against a rush in its first second.
-            tenant.count(tenant.slice * STARTED, 0.0);
-            tenant
-        };
-        let worth_probing = (PROBE_WORTH / set.probe_price.max(TICK)).log(1.0 / PROBE_MISS);
-        // Where answers bring all that a probe would tell, it tells nothing; else its report or its time.
-        let in_answers = set.reports == Reports::InAnswers && !set.reports_queue;
-        let may_probe = set.may_probe && (in_answers || set.reports == Reports::ByProbe);
-        Self(Rc::new(RefCell::new(State {
-            chance: Chance::new(seed),
-            bounds: Bounds::of(set),
-            room: methods.iter().map(|m| m.room).fold(f64::INFINITY, f64::min),
-            methods,
-            tenants: set.tenants.iter().map(tenant).collect(),
-            all_tenants: tenant(&TenantSettings { quota: set.tenants.iter().map(|t| t.quota).sum() }),
-            may_probe,
-            probes_queue: may_probe && !set.reports_queue,
-            probes_each: worth_probing.clamp(PROBES_LEAST, PROBES_MOST),
-            answers_enlist: !(may_probe && worth_probing >= 0.0),
-            ask_every: Some(set.ask_within * ASK_AGAIN).filter(|_| set.list_on_request),
-            cold: Cold::new(set, COLD_SAFETY),
-            stay_home: set.zones as f64 * (set.cross_price / CROSS_PRICE).min(1.0).powi(2),
-            shortest: set.methods.iter().map(|m| m.latency_target).reduce(f64::min).unwrap_or(1.0),
-            probe_tokens: PROBE_FEW as f64,
-            ..State::default()
-        })))
+        let mut new = State { chance: Chance::new(seed), probe_tokens: PROBE_FEW as f64, ..State::default() };
+        new.adopt(set, &Kept::default(), 0.0);
+        Self(Rc::new(RefCell::new(new)))
+    }
+
+    /// Puts other settings in force. RPCs that were taken keep the terms of their method.
+    pub fn adopt(&self, set: &Settings, kept: &Kept, link: &mut dyn Link) {
+        let mut state = self.0.borrow_mut();
+        state.adopt(set, kept, link.now());
+        state.serve(link);
     }
 
     /// So many processes are this proxy, and keep to its part of a cold budget together.
@@ -163,7 +133,7 @@
         state.asks_failed += 1;
         let pause = LIST_RETRY * 2_f64.powi(state.asks_failed.min(10));
         state.ask_at =
-            state.ask_every.map(|most| link.now() + pause.min(most) * state.chance.between(0.5, 1.0));
+            state.bounds.ask_every.map(|most| link.now() + pause.min(most) * state.chance.between(0.5, 1.0));
         state.arm(link);
     }
 
@@ -196,7 +166,7 @@
         state.alarm.take_if(|at| now + TICK >= *at);
         if state.ask_at.is_some_and(|at| now >= at) {
             link.watch();
-            state.ask_at = state.ask_every.map(|every| now + every * state.chance.between(0.8, 1.2));
+            state.ask_at = state.bounds.ask_every.map(|every| now + every * state.chance.between(0.8, 1.2));
         }
         if now + TICK >= state.probe_ahead(now) {
             state.probed_ahead = now;
@@ -208,7 +178,7 @@
 
     pub fn list(&self, kind: ListKind, entries: &[Entry], link: &mut dyn Link) {
         let (mut state, now) = (self.0.borrow_mut(), link.now());
-        let every = state.ask_every;
+        let every = state.bounds.ask_every;
         match kind {
             // With jitter: proxies often start together.
             ListKind::Stale => state.ask_at = every.map(|_| now + state.chance.between(0.0, LIST_RETRY)),
@@ -407,6 +377,38 @@
 }
 
 impl State {
+    /// Derives what follows from settings; what is measured, believed and under way goes on.
+    fn adopt(&mut self, set: &Settings, kept: &Kept, now: f64) {
+        let best = set.methods.iter().map(|m| m.utility).fold(0.0, f64::max);
+        let method = |(n, m): (usize, &MethodSettings)| {
+            let each = if m.late_utility > 0.0 { ROOM_LATE } else { ROOM };
+            let room = each * (best / m.utility).max(1.0).sqrt();
+            Rc::new(Method::new(m, room, kept.methods.get(n).and_then(|was| self.methods.get((*was)?))))
+        };
+        self.methods = set.methods.iter().enumerate().map(method).collect();
+        let tenant = |quota: f64, was: Tenant| {
+            // Guards against a small tenant that seems over its share as two of its RPCs came together.
+            let each = set.balancers as f64 / quota;
+            let (slice, over) = (QUOTA_RPCS.max(QUOTA_OVER / each), QUOTA_OVER.max(QUOTA_RPCS * each));
+            // One that starts has no unused quota behind it: guards against a rush in its first second.
+            was.sliced(slice, over, STARTED, now)
+        };
+        let before = Tenant::kept(take(&mut self.tenants), &kept.tenants, set.tenants.len());
+        self.tenants = set.tenants.iter().zip(before).map(|(t, was)| tenant(t.quota, was)).collect();
+        self.all_tenants = tenant(set.tenants.iter().map(|t| t.quota).sum(), take(&mut self.all_tenants));
+        let worth_probing = (PROBE_WORTH / set.probe_price.max(TICK)).log(1.0 / PROBE_MISS);
+        // Where answers bring all that a probe would tell, it tells nothing; else its report or its time.
+        let in_answers = set.reports == Reports::InAnswers && !set.reports_queue;
+        self.may_probe = set.may_probe && (in_answers || set.reports == Reports::ByProbe);
+        self.probes_queue = self.may_probe && !set.reports_queue;
+        self.probes_each = worth_probing.clamp(PROBES_LEAST, PROBES_MOST);
+        self.answers_enlist = !(self.may_probe && worth_probing >= 0.0);
+        self.bounds = Bounds::of(set, self.bounds.processes.max(1.0));
+        self.room = self.methods.iter().map(|m| m.room).fold(f64::INFINITY, f64::min);
+        self.cold = Cold::new(set, COLD_SAFETY);
+        self.stay_home = set.zones as f64 * (set.cross_price / CROSS_PRICE).min(1.0).powi(2);
+    }
+
     // The four rules.
 
     /// The gate for every pick: rules 1 to 4, and nothing about whether the pick is wise.
@@ -708,7 +710,7 @@
     }
 
     fn service_time(&self) -> f64 {
-        self.service.get(self.shortest / 2.0).max(TICK)
+        self.service.get(self.bounds.shortest / 2.0).max(TICK)
     }
 
     fn entry_age(&self) -> f64 {
--- a/src/turns.rs
+++ b/src/turns.rs
@@ -87,14 +87,13 @@
 mod tests {
     use super::*;
     use crate::held::{Method, Share};
-    use crate::measure::Mean;
     use crate::types::{Arrival, Effect, MethodSettings};
 
     fn call() -> Rc<Call> {
         let (latency_target, target_stretch, utility, late_utility, in_order) = (1.0, 0.0, 1.0, 0.0, true);
         let effect = Effect::Idempotent;
         let set = MethodSettings { effect, latency_target, target_stretch, utility, late_utility, in_order };
-        let method = Rc::new(Method { set, room: 1.0, each: Mean::default(), door: Rc::default() });
+        let method = Rc::new(Method::new(&set, 1.0, None));
         Rc::new(Call::new(&Arrival::default(), method, Share::Within, 9.0, Vec::new(), Vec::new()))
     }
 
--- a/src/waiting.rs
+++ b/src/waiting.rs
@@ -71,7 +71,6 @@
 mod tests {
     use super::*;
     use crate::held::Method;
-    use crate::measure::Mean;
     use crate::types::{Arrival, Effect, MethodSettings};
     use quickcheck::{Gen, QuickCheck};
 
@@ -79,7 +78,7 @@
         let effect = Effect::Idempotent;
         let (latency_target, target_stretch, late_utility, in_order) = (1.0, 0.0, 0.0, false);
         let set = MethodSettings { effect, latency_target, target_stretch, utility, late_utility, in_order };
-        let method = Rc::new(Method { set, room: 1.0, each: Mean::default(), door: Rc::default() });
+        let method = Rc::new(Method::new(&set, 1.0, None));
         let arrival = Arrival { id, deadline: 9.0, ..Arrival::default() };
         let call = Call::new(&arrival, method, share, 9.0, Vec::new(), Vec::new());
         call.hold_until.set(hold_until);
