birchhubd: settings in force on SIGHUP, without a restart

Cause: SIGHUP took over discovery's address alone; every other key waited for the next start, which costs beliefs, idle list and connections. Change: `reload` reads and compares the file on a thread beside the loop; the core puts what differs in force in one turn, in the order of its mailbox, and replaces the names by which `intake` reads. A message that came in under other settings is read again by those in force. A watcher follows. Keys that bind at the next start only are named in the log. GET /settings at the second address tells version, digest and what waits.

--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -7,6 +7,7 @@
 use std::future::pending;
 use std::net::SocketAddr;
 use std::os::fd::FromRawFd;
+use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::time::{Instant, sleep_until};
 
@@ -24,11 +25,25 @@
     pub known: Option<News>,
     /// Why the list in the file can't be read; the first answer of discovery is waited for then.
     pub known_fault: Option<String>,
-    pub conf: Conf,
+    pub conf: Arc<Conf>,
     /// Settings of another shape, whose decisions are only counted.
     pub watch: Option<Settings>,
 }
 
+impl Config {
+    /// Keys beside the settings that differ in another one and are heard at a start only.
+    pub fn differs(&self, other: &Self) -> Vec<&'static str> {
+        let keys = [
+            ("name", self.name != other.name),
+            ("listen", self.listen != other.listen),
+            ("management", self.management != other.management),
+            ("seed", self.seed != other.seed),
+            ("limits", self.sockets != other.sockets),
+        ];
+        keys.into_iter().filter(|(_, differs)| *differs).map(|(key, _)| key).collect()
+    }
+}
+
 /// The one place where wall time and the machine's steady clock become the module's seconds.
 #[derive(Clone, Copy)]
 pub struct Clock {
@@ -161,7 +176,7 @@
         sockets: limit("sockets").unwrap_or(1024).min(bearable) as usize,
         known,
         known_fault,
-        conf,
+        conf: Arc::new(conf),
         watch,
     })
 }
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -7,6 +7,8 @@
 use crate::discovery::{Listed, News};
 use crate::front::Opened;
 use crate::intake::{Message, Received};
+use crate::names::InForce;
+use crate::reload::Update;
 use crate::sockets::Budget;
 use crate::standing::{Standing, Standings};
 use crate::watcher::{Act, Asked, Watch};
@@ -64,6 +66,8 @@
     },
     News(News),
     ListFailed,
+    /// Other settings: for all that stands behind this in the mailbox.
+    Settings(Box<Update>),
 }
 
 /// An RPC on its way: what its picks need, and who waits for its answer.
@@ -188,6 +192,7 @@
     numbers: HashMap<String, (u32, Instant)>, // of backends, by uid, and when they were last heard of
     next: u32,
     zones: Vec<String>,
+    names: InForce,
     windows: Vec<Option<Duration>>, // by method, in which its repeats are dropped
     sized: bool,
     limits: Limits,
@@ -207,6 +212,7 @@
         core: mpsc::Sender<ToCore>,
         wanted: Rc<Notify>,
         standings: Rc<Standings>,
+        names: InForce,
     ) -> Self {
         let conf = &config.conf;
         let door = Door {
@@ -229,6 +235,7 @@
             numbers: HashMap::new(),
             next: 0,
             zones: conf.zones.clone(),
+            names,
             windows: conf.settings.methods.iter().map(window).collect(),
             sized: conf.sized,
             limits: Limits {
@@ -319,6 +326,7 @@
                 self.watch(|watch, now, asked| watch.probed(now, asked, backend, outcome, report));
             }
             ToCore::News(news) => self.news(&news),
+            ToCore::Settings(update) => self.adopt(*update),
             ToCore::ListFailed => {
                 self.call(|core| core.balancer.list_failed(&mut core.door));
                 self.watch(|watch, now, asked| watch.list_failed(now, asked));
@@ -382,7 +390,24 @@
         }
     }
 
-    fn take(&mut self, id: u64, rpc: Received, opened: Opened, answer: oneshot::Sender<Answer>) {
+    /// Puts other settings in force, all in this turn.
+    fn adopt(&mut self, update: Update) {
+        let Update { settings, kept, names, watch, done } = update;
+        self.windows = settings.methods.iter().map(window).collect();
+        let before = self.names.replace(names.into());
+        self.call(|core| core.balancer.adopt(&settings, &kept, &mut core.door));
+        match watch {
+            Some(settings) => self.watch(|watch, now, asked| watch.adopt(now, asked, &settings, &kept)),
+            None => (self.watch, self.door.asked) = (None, None),
+        }
+        let _ = done.send(before);
+    }
+
+    fn take(&mut self, id: u64, mut rpc: Received, opened: Opened, answer: oneshot::Sender<Answer>) {
+        if let Err(told) = rpc.by(&self.names.borrow()) {
+            let _ = answer.send(told);
+            return;
+        }
         log::trace!("RPC {id}: method {}, {:?}", rpc.method, rpc.waits);
         let deadline = rpc.at + rpc.waits.saturating_sub(MARGIN);
         let arrival = Arrival {
--- a/crates/daemon/src/intake.rs
+++ b/crates/daemon/src/intake.rs
@@ -2,15 +2,13 @@
 use crate::answer::Answer;
 use crate::body::{KEPT, MOST, Outgoing, Upload};
 use crate::head::Framings;
-use birchhub::types::Effect;
-use birchhub_settings::Conf;
+use crate::names::{InForce, Names, bad, check};
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
-use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
@@ -28,8 +26,11 @@
 
 /// An RPC as a client sent it.
 pub struct Received {
+    /// Of the settings by which it was read.
+    pub version: u64,
     pub method: usize,
     pub tenant: Option<usize>,
+    tenant_name: Option<HeaderValue>,
     /// When its last byte was seen, and how long the client waits from then on.
     pub at: Instant,
     pub waits: Duration,
@@ -39,6 +40,19 @@
     pub message: Message,
 }
 
+impl Received {
+    /// Reads it again where other settings came into force on its way; what they don't take is told so.
+    pub fn by(&mut self, names: &Names) -> Result<(), Answer> {
+        if self.version != names.version {
+            let (method, effect) = names.method(self.message.uri.path())?;
+            check(effect, &self.message.verb, self.message.key.is_some())?;
+            let tenant = self.tenant_name.as_ref().and_then(|name| name.to_str().ok());
+            (self.version, self.method, self.tenant) = (names.version, method, names.tenant(tenant));
+        }
+        Ok(())
+    }
+}
+
 /// What goes on to backends unchanged.
 #[derive(Clone)]
 pub struct Message {
@@ -110,14 +124,9 @@
     }
 }
 
-/// The names that clients use, and what they stand for.
+/// Reads by the names in force.
 pub struct Intake {
-    methods: HashMap<String, (usize, Effect)>,
-    tenants: HashMap<String, usize>,
-}
-
-fn bad(why: &'static str) -> Answer {
-    Answer::Refused(StatusCode::BAD_REQUEST, why)
+    names: InForce,
 }
 
 /// The one value of a header; an error if it is there more than once.
@@ -146,11 +155,8 @@
 }
 
 impl Intake {
-    pub fn new(conf: &Conf) -> Self {
-        let methods = conf.methods.iter().zip(&conf.settings.methods).enumerate();
-        let methods = methods.map(|(n, (name, set))| (name.clone(), (n, set.effect))).collect();
-        let tenants = conf.tenants.iter().enumerate().map(|(n, name)| (name.clone(), n)).collect();
-        Self { methods, tenants }
+    pub fn new(names: InForce) -> Self {
+        Self { names }
     }
 
     /// The RPC in a client's message, or what it is told instead.
@@ -164,9 +170,10 @@
         {
             return Err(bad("its length is told twice, or in a way that is not taken\n"));
         }
-        let name = head.uri.path().split('/').nth(1).unwrap_or_default();
-        let known = self.methods.get(name).copied();
-        let (method, effect) = known.ok_or(Answer::Refused(StatusCode::NOT_FOUND, "no such method\n"))?;
+        let (version, (method, effect)) = {
+            let names = self.names.borrow();
+            (names.version, names.method(head.uri.path())?)
+        };
         let id = one(&head.headers, &RPC_ID)?;
         let fits = |id: &HeaderValue| {
             (1..=ID_MOST).contains(&id.len()) && id.as_bytes().iter().all(u8::is_ascii_graphic)
@@ -178,18 +185,12 @@
         });
         let waits = waits.filter(|ms| *ms > 0).ok_or(bad("Request-Timeout-Ms is missing or malformed\n"))?;
         let key = one(&head.headers, &REPEAT_KEY)?.filter(|key| !key.is_empty());
-        let verb = if effect == Effect::Idempotent { Method::GET } else { Method::POST };
-        if head.method != verb {
-            return Err(bad("the HTTP method does not fit\n"));
-        }
-        if matches!(effect, Effect::Deduplicated { .. }) && key.is_none() {
-            return Err(bad("no Idempotency-Key\n"));
-        }
+        check(effect, &head.method, key.is_some())?;
         if body.size_hint().lower() > MOST {
             return Err(Answer::Refused(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 32 MB\n"));
         }
         let body = payload(body).await?;
-        if verb == Method::GET && !matches!(&body, Payload::Whole(bytes) if bytes.is_empty()) {
+        if head.method == Method::GET && !matches!(&body, Payload::Whole(bytes) if bytes.is_empty()) {
             return Err(bad("a GET has no body\n"));
         }
         let text = |name| head.headers.get(name).and_then(|value| value.to_str().ok());
@@ -197,15 +198,17 @@
         let figure = |name| figures.clone().find(|(n, _)| n.trim() == name).map(|(_, value)| value.trim());
         let work = figure("cost-guess-ns").and_then(|ns| ns.parse::<f64>().ok());
         Ok(Received {
+            version,
             method,
-            tenant: text(TENANT).and_then(|name| self.tenants.get(name).copied()),
+            tenant: self.names.borrow().tenant(text(TENANT)),
+            tenant_name: head.headers.get(TENANT).cloned(),
             at: Instant::now(),
             waits: Duration::from_millis(waits.into()),
             client_repeat: text(CLIENT_REPEAT) == Some("1"),
             expected_work: work.map(|ns| ns / 1e9),
             key: figure("entity").filter(|key| *key != "-").map(birchhub_settings::key),
             message: Message {
-                verb,
+                verb: head.method,
                 uri: Uri::from(head.uri.path_and_query().cloned().expect("a path with the method in it")),
                 id: Some(id.clone()),
                 key: key.cloned(),
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -10,6 +10,8 @@
 mod head;
 mod intake;
 mod management;
+mod names;
+mod reload;
 mod shared;
 mod sockets;
 mod standing;
@@ -21,16 +23,20 @@
 use front::Front;
 use intake::Intake;
 use management::Management;
+use names::Names;
+use reload::{Reload, Stand};
 use shared::Shared;
 use sockets::{Budget, Part};
 use standing::{LOOK, Standings};
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::select;
-use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{sleep, timeout};
@@ -66,19 +72,6 @@
     socket.listen(BACKLOG)
 }
 
-/// Takes over from the configuration, on each SIGHUP, where discovery is. A fault leaves all as it was.
-async fn reload(mut hup: Signal, discovery: watch::Sender<SocketAddr>) {
-    while hup.recv().await.is_some() {
-        match config::load() {
-            Ok(config) => {
-                log::info!("SIGHUP: discovery is at {}", config.discovery);
-                discovery.send_if_modified(|at| std::mem::replace(at, config.discovery) != config.discovery);
-            }
-            Err(fault) => log::warn!("SIGHUP: the configuration stays as it was: {fault}"),
-        }
-    }
-}
-
 /// Follows the other processes of this proxy, and keeps to its part of the sockets while they live.
 async fn share(budget: Rc<Budget>, standings: Rc<Standings>) {
     let mut reader = standings.reader();
@@ -130,15 +123,27 @@
     let shared = shared.and_then(|shared| {
         shared.inspect_err(|fault| log::warn!("nothing is shared with other processes: {fault}")).ok()
     });
+    let config = Arc::new(config);
+    let names = Rc::new(RefCell::new(Arc::new(Names::new(0, &config.conf))));
+    let (stand, settings) = watch::channel(Stand::new(&config.conf));
     let (clock, budget) = (Clock::start(), Budget::new(config.sockets));
     let standings = Rc::new(Standings::new(shared, outlives));
     spawn_local(share(budget.clone(), standings.clone()));
     if let Some(listener) = management {
-        spawn_local(Rc::new(Management { standings: standings.clone() }).run(listener));
+        let (standings, settings) = (standings.clone(), settings.clone());
+        spawn_local(Rc::new(Management { standings, settings }).run(listener));
     }
     let (sender, mailbox) = mpsc::channel(core::MAILBOX);
     let wanted = Rc::new(Notify::new());
-    let core = Core::new(&config, clock, budget.clone(), sender.clone(), wanted.clone(), standings.clone());
+    let core = Core::new(
+        &config,
+        clock,
+        budget.clone(),
+        sender.clone(),
+        wanted.clone(),
+        standings.clone(),
+        names.clone(),
+    );
     spawn_local(core.run(mailbox));
     // A list as last had is enough to decide by; without one the first answer is waited for. Where lists are pushed,
     // what the agent has counts as told from the start on.
@@ -154,7 +159,7 @@
         });
     }
     let (moves, at) = watch::channel(config.discovery);
-    spawn_local(reload(hup, moves));
+    spawn_local(Reload::new(config.clone(), moves, sender.clone(), stand).run(hup));
     let discovery = Discovery {
         at,
         core: sender.clone(),
@@ -165,7 +170,7 @@
         silences: 0,
     };
     spawn_local(discovery.run());
-    let intake = Intake::new(&config.conf);
+    let intake = Intake::new(names);
     let open = Default::default();
     let standing = standings.reader();
     let front = Front { intake, standing, budget: budget.clone(), core: sender, next: 0.into(), open };
@@ -173,7 +178,8 @@
     log::info!("{} listens on {}", config.name, config.listen);
     term.recv().await;
 
-    standings.end(config.conf.longest_deadline.map_or(Duration::MAX, Duration::from_secs_f64));
+    let longest = settings.borrow().longest_deadline;
+    standings.end(longest.map_or(Duration::MAX, Duration::from_secs_f64));
     let replaced = standings.now().is_replaced();
     let goes_on =
         if replaced { "accepts no more, another process does" } else { "goes on for what still comes" };
--- a/crates/daemon/src/management.rs
+++ b/crates/daemon/src/management.rs
@@ -1,4 +1,5 @@
 //! The second address: calls of the staff and the platform, one to a connection.
+use crate::reload::Stand;
 use crate::sockets::linger;
 use crate::standing::{Order, Standing, Standings};
 use bytes::Bytes;
@@ -15,6 +16,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{sleep, timeout};
 
@@ -63,7 +65,7 @@
 /// What a path and query ask for: its verb, and the order if it is one.
 fn call(path: &str, query: &str) -> Option<(Method, Result<Option<Order>, &'static str>)> {
     let order = match path {
-        "/status" => return Some((Method::GET, Ok(None))),
+        "/status" | "/settings" => return Some((Method::GET, Ok(None))),
         "/standby" => Ok(Order::Standby),
         "/active" => Ok(Order::Active),
         "/maintenance/enter" => member(query).map(Order::Enter),
@@ -97,6 +99,7 @@
 
 pub struct Management {
     pub standings: Rc<Standings>,
+    pub settings: watch::Receiver<Stand>,
 }
 
 impl Management {
@@ -156,6 +159,9 @@
         }
         match order {
             Err(fault) => tell(StatusCode::BAD_REQUEST, fault.to_owned()),
+            Ok(None) if head.uri.path() == "/settings" => {
+                tell(StatusCode::OK, self.settings.borrow().to_string())
+            }
             Ok(None) => status(&self.standings.now()),
             Ok(Some(Order::Enter(name) | Order::Exit(name))) if !self.standings.knows(&name) => {
                 tell(StatusCode::NOT_FOUND, format!("{name} was never listed"))
--- /dev/null
+++ b/crates/daemon/src/names.rs
@@ -0,0 +1,59 @@
+//! The names that clients use, and what they stand for under the settings in force.
+use crate::answer::Answer;
+use birchhub::types::Effect;
+use birchhub_settings::Conf;
+use hyper::{Method, StatusCode};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+
+/// The ones in force. The core alone replaces them, in the turn in which the module adopts the settings.
+pub type InForce = Rc<RefCell<Arc<Names>>>;
+
+/// The names of one version of the settings.
+pub struct Names {
+    /// Counts the changes since this process started.
+    pub version: u64,
+    methods: HashMap<String, (usize, Effect)>,
+    tenants: HashMap<String, usize>,
+}
+
+pub fn bad(why: &'static str) -> Answer {
+    Answer::Refused(StatusCode::BAD_REQUEST, why)
+}
+
+/// The verb of a method with this effect.
+pub fn verb(effect: Effect) -> Method {
+    if effect == Effect::Idempotent { Method::GET } else { Method::POST }
+}
+
+/// Whether a message of this verb, with or without a key, can be an RPC of a method with this effect.
+pub fn check(effect: Effect, told: &Method, keyed: bool) -> Result<(), Answer> {
+    if *told != verb(effect) {
+        return Err(bad("the HTTP method does not fit\n"));
+    }
+    if matches!(effect, Effect::Deduplicated { .. }) && !keyed {
+        return Err(bad("no Idempotency-Key\n"));
+    }
+    Ok(())
+}
+
+impl Names {
+    pub fn new(version: u64, conf: &Conf) -> Self {
+        let methods = conf.methods.iter().zip(&conf.settings.methods).enumerate();
+        let methods = methods.map(|(n, (name, set))| (name.clone(), (n, set.effect))).collect();
+        let tenants = conf.tenants.iter().enumerate().map(|(n, name)| (name.clone(), n)).collect();
+        Self { version, methods, tenants }
+    }
+
+    /// The place and effect of the method that a path names.
+    pub fn method(&self, path: &str) -> Result<(usize, Effect), Answer> {
+        let name = path.split('/').nth(1).unwrap_or_default();
+        self.methods.get(name).copied().ok_or(Answer::Refused(StatusCode::NOT_FOUND, "no such method\n"))
+    }
+
+    pub fn tenant(&self, name: Option<&str>) -> Option<usize> {
+        self.tenants.get(name?).copied()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/reload.rs
@@ -0,0 +1,169 @@
+//! Settings in force without a restart: on each SIGHUP the file is read again, compared with what is in force, and what
+//! differs is put in force. All that costs time is done on a thread beside the event loop.
+use crate::config::{self, Config};
+use crate::core::ToCore;
+use crate::names::Names;
+use birchhub::types::{Kept, Settings};
+use birchhub_settings::Conf;
+use birchhub_settings::change::{Change, in_force};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::signal::unix::Signal;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::spawn_blocking;
+use tokio::time::Instant;
+
+/// Settings for the core to put in force.
+pub struct Update {
+    pub settings: Settings,
+    pub kept: Kept,
+    pub names: Names,
+    /// Those of the watcher; without any it ends.
+    pub watch: Option<Settings>,
+    /// Told once they are in force, and given the names before.
+    pub done: oneshot::Sender<Arc<Names>>,
+}
+
+/// What is in force, for staff and tools.
+#[derive(Clone, Debug)]
+pub struct Stand {
+    /// Counts the changes since this process started.
+    pub version: u64,
+    pub digest: u64,
+    methods: usize,
+    tenants: usize,
+    /// Keys that wait for the next start.
+    later: Vec<&'static str>,
+    /// Longest deadline of any method that was in force in this process, s; none if one of them is not told.
+    pub longest_deadline: Option<f64>,
+}
+
+impl Stand {
+    pub fn new(conf: &Conf) -> Self {
+        let (methods, tenants) = (conf.methods.len(), conf.tenants.len());
+        let (digest, longest_deadline) = (conf.digest, conf.longest_deadline);
+        Self { version: 0, digest, methods, tenants, later: Vec::new(), longest_deadline }
+    }
+}
+
+impl std::fmt::Display for Stand {
+    fn fmt(&self, to: &mut std::fmt::Formatter) -> std::fmt::Result {
+        let Self { version, digest, methods, tenants, later, .. } = self;
+        write!(to, "version {version}, digest {digest:016x}, {methods} methods, {tenants} tenants")?;
+        if !later.is_empty() {
+            write!(to, "; at the next start: {}", later.join(", "))?;
+        }
+        Ok(())
+    }
+}
+
+/// What a file that was read anew comes to.
+struct Prepared {
+    discovery: SocketAddr,
+    stand: Stand,
+    conf: Arc<Conf>,
+    watch: Option<Settings>,
+    change: Change,
+    /// None where all stays as it is.
+    names: Option<Names>,
+}
+
+pub struct Reload {
+    /// As this process was started.
+    start: Arc<Config>,
+    conf: Arc<Conf>,
+    watch: Option<Settings>,
+    discovery: watch::Sender<SocketAddr>,
+    core: mpsc::Sender<ToCore>,
+    stand: watch::Sender<Stand>,
+}
+
+/// Reads the file and compares it; a fault names the place.
+fn prepare(
+    start: &Config,
+    before: &Conf,
+    watch: Option<&Settings>,
+    stand: &Stand,
+) -> Result<Prepared, String> {
+    let now = config::load()?;
+    let change = Change::between(before, &now.conf);
+    let mut later = start.differs(&now);
+    later.extend(&change.later);
+    let conf = Arc::unwrap_or_clone(now.conf).in_force(before);
+    // What nobody watched from the start would compare nothing.
+    let watched = match (watch, now.watch) {
+        (Some(before), Some(now)) => Some(in_force(before, now)),
+        (None, Some(_)) => {
+            later.push("watch");
+            None
+        }
+        _ => None,
+    };
+    let changes = !change.is_none() || watch != watched.as_ref();
+    let version = stand.version + u64::from(changes);
+    let longest = stand.longest_deadline.zip(conf.longest_deadline).map(|(a, b)| a.max(b));
+    Ok(Prepared {
+        discovery: now.discovery,
+        stand: Stand { version, later, longest_deadline: longest, ..Stand::new(&conf) },
+        names: changes.then(|| Names::new(version, &conf)),
+        conf: Arc::new(conf),
+        watch: watched,
+        change,
+    })
+}
+
+impl Reload {
+    pub fn new(
+        start: Arc<Config>,
+        discovery: watch::Sender<SocketAddr>,
+        core: mpsc::Sender<ToCore>,
+        stand: watch::Sender<Stand>,
+    ) -> Self {
+        let (conf, watch) = (start.conf.clone(), start.watch.clone());
+        Self { start, conf, watch, discovery, core, stand }
+    }
+
+    /// Takes over from the configuration, on each SIGHUP, where discovery is and what is in force. A fault leaves all
+    /// as it was.
+    pub async fn run(mut self, mut hup: Signal) {
+        while hup.recv().await.is_some() {
+            let begun = Instant::now();
+            let (start, before, watch) = (self.start.clone(), self.conf.clone(), self.watch.clone());
+            let stand = self.stand.borrow().clone();
+            let prepared = spawn_blocking(move || prepare(&start, &before, watch.as_ref(), &stand)).await;
+            match prepared.unwrap_or_else(|e| Err(format!("it could not be compared: {e}"))) {
+                Ok(prepared) => self.put_in_force(prepared, begun).await,
+                Err(fault) => {
+                    log::warn!(target: "birchhubd", "SIGHUP: the configuration stays as it was: {fault}")
+                }
+            }
+        }
+    }
+
+    async fn put_in_force(&mut self, new: Prepared, begun: Instant) {
+        let Prepared { discovery, stand, conf, watch, change, names } = new;
+        log::info!(target: "birchhubd", "SIGHUP: discovery is at {discovery}");
+        self.discovery.send_if_modified(|at| std::mem::replace(at, discovery) != discovery);
+        let mut before = None;
+        if let Some(names) = names {
+            let (done, told) = oneshot::channel();
+            let (settings, kept) = (conf.settings.clone(), change.kept.clone());
+            let update = Update { settings, kept, names, watch: watch.clone(), done };
+            if self.core.send(ToCore::Settings(Box::new(update))).await.is_err() {
+                return;
+            }
+            before = told.await.ok();
+            let took = begun.elapsed();
+            log::info!(target: "birchhubd", "settings in force after {took:.1?}: {stand}; {change}");
+        }
+        if !stand.later.is_empty() {
+            let keys = stand.later.join(", ");
+            log::warn!(target: "birchhubd", "SIGHUP: these keys take effect at the next start: {keys}");
+        }
+        let before = (before, std::mem::replace(&mut self.conf, conf), change);
+        self.watch = watch;
+        self.stand.send_replace(stand);
+        // Tens of thousands of names: guards against a loop that stands still while they are given back.
+        drop(spawn_blocking(move || drop(before)));
+    }
+}
--- a/crates/daemon/src/watcher.rs
+++ b/crates/daemon/src/watcher.rs
@@ -1,7 +1,7 @@
 //! Watching before a move: a second instance of the module, with the settings of the new shape, hears what the
 //! first hears, and what it would have done otherwise is counted. It has no way to a socket or a client.
 use birchhub::policy::{Balancer, Rpc};
-use birchhub::types::{Arrival, Entry, Link, ListKind, LoadReport, Outcome, Pace, Settings};
+use birchhub::types::{Arrival, Entry, Kept, Link, ListKind, LoadReport, Outcome, Pace, Settings};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt;
 use std::time::Duration;
@@ -119,6 +119,11 @@
         Self { balancer, rpcs, notes, counts, tell_at: Instant::now() + TELL_EVERY }
     }
 
+    /// Other settings are in force, for both.
+    pub fn adopt(&mut self, now: f64, first: Asked, settings: &Settings, kept: &Kept) {
+        self.hear(now, first, None, |watch| watch.balancer.adopt(settings, kept, &mut watch.notes));
+    }
+
     /// When it wants to be woken.
     pub fn wake_at(&self) -> Option<f64> {
         self.notes.wake_at
