Settings: accounts are read one by one, beside the loop on one thread

Cause: a file with 54,000 tenants was parsed into one tree: 119 and 129 ms of a core a change, 112 MB resident after 100 changes and up to 174 after 200, 49 at the start; 128 MB are there for all. Change: the file's parts are parsed apart, accounts one by one, with the same words for what is wrong; on SIGHUP the list in the file is not parsed at all. One thread does what stands beside the loop, as each of several would keep memory of its own. The log tells the time that the loop spent.

--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -3,7 +3,9 @@
 use birchhub::types::Settings;
 use birchhub_settings::Conf;
 use serde_json::Value;
+use serde_json::value::RawValue;
 use socket2::{Socket, Type};
+use std::collections::BTreeMap;
 use std::future::pending;
 use std::net::SocketAddr;
 use std::os::fd::FromRawFd;
@@ -134,13 +136,13 @@
 }
 
 /// Settings at a path.
-fn shape(value: &Value, path: &str) -> Result<Conf, String> {
-    birchhub_settings::read_value(value).map_err(|e| format!("{path}{e}"))
+fn shape(text: &RawValue, path: &str) -> Result<Conf, String> {
+    birchhub_settings::read(text.get()).map_err(|e| format!("{path}{e}"))
 }
 
 /// The settings to be watched, which must speak of the same RPCs.
-fn watched(value: &Value, conf: &Conf) -> Result<Settings, String> {
-    let watch = shape(value, "watch.")?;
+fn watched(text: &RawValue, conf: &Conf) -> Result<Settings, String> {
+    let watch = shape(text, "watch.")?;
     let same = [
         ("methods", watch.methods == conf.methods),
         ("accounts", watch.tenants == conf.tenants),
@@ -152,20 +154,25 @@
     Ok(watch.settings)
 }
 
-pub fn load() -> Result<Config, String> {
+/// Reads the file; the list in it where `known` is wanted.
+pub fn load(known: bool) -> Result<Config, String> {
     let path = std::env::var("LB_CONFIG").map_err(|_| "LB_CONFIG is not set".to_owned())?;
     let bytes = std::fs::read(&path).map_err(|e| format!("LB_CONFIG cannot be read: {path}: {e}"))?;
-    let file: Value =
-        serde_json::from_slice(&bytes).map_err(|e| format!("LB_CONFIG is not JSON: {path}: {e}"))?;
+    let fault = |e| format!("LB_CONFIG is not JSON: {path}: {e}");
+    let mut file: BTreeMap<String, &RawValue> = serde_json::from_slice(&bytes).map_err(fault)?;
+    let [settings, watch, list] = ["settings", "watch", "known"].map(|key| file.remove(key));
+    let file = file.into_iter().map(|(key, raw)| Ok((key, serde_json::from_str(raw.get())?)));
+    let file = Value::Object(file.collect::<Result<_, _>>().map_err(fault)?);
     let seed = file.get("seed").and_then(Value::as_str).ok_or("seed is missing in LB_CONFIG")?;
-    let settings = file.get("settings").ok_or("settings is missing in LB_CONFIG")?;
+    let settings = settings.ok_or("settings is missing in LB_CONFIG")?;
     let limit = |key| file.get("limits").and_then(|limits| limits.get(key)).and_then(Value::as_u64);
     let bearable = limit("memory_mb").map_or(u64::MAX, |mb| (mb << 20) / SOCKET_NEEDS);
     let conf = shape(settings, "settings: ")?;
-    let watch =
-        file.get("watch").filter(|watch| !watch.is_null()).map(|watch| watched(watch, &conf)).transpose()?;
+    let watch = watch.filter(|watch| watch.get() != "null").map(|watch| watched(watch, &conf)).transpose()?;
     // Guards against a fleet that can't start for a copy of a list that is replaced a moment later anyway.
-    let known = file.get("known").filter(|known| !known.is_null()).map(discovery::decode).transpose();
+    let list = list.filter(|list| known && list.get() != "null");
+    let list = list.map(|list| serde_json::from_str(list.get()).map_err(|e| e.to_string()));
+    let known = list.map(|list| discovery::decode(&list?)).transpose();
     let (known, known_fault) = known.map_or_else(|fault| (None, Some(fault)), |known| (known, None));
     Ok(Config {
         name: text(&file, "name", "LB_NAME")?,
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -392,6 +392,7 @@
 
     /// Puts other settings in force, all in this turn.
     fn adopt(&mut self, update: Update) {
+        let begun = Instant::now();
         let Update { settings, kept, names, watch, done } = update;
         self.windows = settings.methods.iter().map(window).collect();
         let before = self.names.replace(names.into());
@@ -400,7 +401,7 @@
             Some(settings) => self.watch(|watch, now, asked| watch.adopt(now, asked, &settings, &kept)),
             None => (self.watch, self.door.asked) = (None, None),
         }
-        let _ = done.send(before);
+        let _ = done.send((before, begun.elapsed()));
     }
 
     fn take(&mut self, id: u64, mut rpc: Received, opened: Opened, answer: oneshot::Sender<Answer>) {
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -48,8 +48,10 @@
 
 fn main() -> ExitCode {
     let outcome =
-        config::passed().and_then(|passed| Ok((passed, config::load()?))).and_then(|(passed, config)| {
-            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        config::passed().and_then(|passed| Ok((passed, config::load(true)?))).and_then(|(passed, config)| {
+            let mut builder = tokio::runtime::Builder::new_current_thread();
+            // For what stands beside the loop. Guards against memory that each of several threads keeps for itself.
+            let runtime = builder.enable_all().max_blocking_threads(1).build();
             let runtime = runtime.map_err(|e| format!("no event loop: {e}"))?;
             LocalSet::new().block_on(&runtime, run(config, passed))
         });
--- a/crates/daemon/src/reload.rs
+++ b/crates/daemon/src/reload.rs
@@ -8,6 +8,7 @@
 use birchhub_settings::change::{Change, in_force};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::signal::unix::Signal;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::spawn_blocking;
@@ -20,10 +21,13 @@
     pub names: Names,
     /// Those of the watcher; without any it ends.
     pub watch: Option<Settings>,
-    /// Told once they are in force, and given the names before.
-    pub done: oneshot::Sender<Arc<Names>>,
+    /// Told once they are in force.
+    pub done: oneshot::Sender<Replaced>,
 }
 
+/// The names before, and the time that the loop spent on the change.
+type Replaced = (Arc<Names>, Duration);
+
 /// What is in force, for staff and tools.
 #[derive(Clone, Debug)]
 pub struct Stand {
@@ -63,9 +67,10 @@
     stand: Stand,
     conf: Arc<Conf>,
     watch: Option<Settings>,
-    change: Change,
+    /// In words.
+    change: String,
     /// None where all stays as it is.
-    names: Option<Names>,
+    update: Option<(Update, oneshot::Receiver<Replaced>)>,
 }
 
 pub struct Reload {
@@ -85,7 +90,7 @@
     watch: Option<&Settings>,
     stand: &Stand,
 ) -> Result<Prepared, String> {
-    let now = config::load()?;
+    let now = config::load(false)?;
     let change = Change::between(before, &now.conf);
     let mut later = start.differs(&now);
     later.extend(&change.later);
@@ -102,13 +107,19 @@
     let changes = !change.is_none() || watch != watched.as_ref();
     let version = stand.version + u64::from(changes);
     let longest = stand.longest_deadline.zip(conf.longest_deadline).map(|(a, b)| a.max(b));
+    let (words, kept) = (change.to_string(), change.kept);
+    let update = changes.then(|| {
+        let (done, told) = oneshot::channel();
+        let (settings, names) = (conf.settings.clone(), Names::new(version, &conf));
+        (Update { settings, kept, names, watch: watched.clone(), done }, told)
+    });
     Ok(Prepared {
         discovery: now.discovery,
         stand: Stand { version, later, longest_deadline: longest, ..Stand::new(&conf) },
-        names: changes.then(|| Names::new(version, &conf)),
         conf: Arc::new(conf),
         watch: watched,
-        change,
+        change: words,
+        update,
     })
 }
 
@@ -141,29 +152,30 @@
     }
 
     async fn put_in_force(&mut self, new: Prepared, begun: Instant) {
-        let Prepared { discovery, stand, conf, watch, change, names } = new;
+        let Prepared { discovery, stand, conf, watch, change, update } = new;
         log::info!(target: "birchhubd", "SIGHUP: discovery is at {discovery}");
         self.discovery.send_if_modified(|at| std::mem::replace(at, discovery) != discovery);
-        let mut before = None;
-        if let Some(names) = names {
-            let (done, told) = oneshot::channel();
-            let (settings, kept) = (conf.settings.clone(), change.kept.clone());
-            let update = Update { settings, kept, names, watch: watch.clone(), done };
+        let mut names = None;
+        if let Some((update, told)) = update {
             if self.core.send(ToCore::Settings(Box::new(update))).await.is_err() {
                 return;
             }
-            before = told.await.ok();
-            let took = begun.elapsed();
-            log::info!(target: "birchhubd", "settings in force after {took:.1?}: {stand}; {change}");
+            let (before, turn) = told.await.ok().unzip();
+            names = before;
+            let (turn, took) = (turn.unwrap_or_default(), begun.elapsed());
+            log::info!(
+                target: "birchhubd",
+                "settings in force after {took:.1?}, of them {turn:.2?} of the loop: {stand}; {change}"
+            );
         }
         if !stand.later.is_empty() {
             let keys = stand.later.join(", ");
             log::warn!(target: "birchhubd", "SIGHUP: these keys take effect at the next start: {keys}");
         }
-        let before = (before, std::mem::replace(&mut self.conf, conf), change);
-        self.watch = watch;
+        let before =
+            (names, std::mem::replace(&mut self.conf, conf), std::mem::replace(&mut self.watch, watch));
         self.stand.send_replace(stand);
         // Tens of thousands of names: guards against a loop that stands still while they are given back.
-        drop(spawn_blocking(move || drop(before)));
+        let _ = spawn_blocking(move || drop(before)).await;
     }
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,7 +1,11 @@
 //! The settings object that a proxy is handed at start, read into the module's settings, the names that end
 //! at the door and the limits on connections.
 use birchhub::types::{Effect, Group, LoadReport, MethodSettings, Reports, Settings, TenantSettings};
+use serde::Deserialize;
 use serde_json::Value;
+use serde_json::value::RawValue;
+use std::borrow::Cow;
+use std::collections::BTreeMap;
 use std::io::Write;
 
 pub mod change;
@@ -112,22 +116,64 @@
     Ok((at.get("name")?.text()?.to_owned(), method))
 }
 
+type Account = (String, TenantSettings);
+
+fn account(at: &At) -> Result<Account, String> {
+    Ok((at.get("name")?.text()?.to_owned(), TenantSettings { quota: at.get("quota-per-s")?.num()? }))
+}
+
+/// An account as nearly all of them are.
+#[derive(Deserialize)]
+struct Plain<'a> {
+    #[serde(borrow)]
+    name: Cow<'a, str>,
+    #[serde(rename = "quota-per-s")]
+    quota: f64,
+}
+
+/// An account that is not parsed yet. Guards against tens of thousands that stand in memory as trees all at once.
+fn raw_account((n, raw): (usize, &&RawValue)) -> Result<Account, String> {
+    if let Ok(Plain { name, quota }) = serde_json::from_str(raw.get())
+        && quota >= 0.0
+    {
+        return Ok((name.into_owned(), TenantSettings { quota }));
+    }
+    let path = format!("accounts[{n}]");
+    let value = serde_json::from_str(raw.get()).map_err(|e| format!("{path} is not JSON: {e}"))?;
+    account(&At { value: &value, path })
+}
+
 pub fn read(text: &str) -> Result<Conf, String> {
-    read_value(&serde_json::from_str(text).map_err(|e| format!("is not JSON: {e}"))?)
+    let fault = |e| format!("is not JSON: {e}");
+    let Ok(mut fields) = serde_json::from_str::<BTreeMap<String, &RawValue>>(text) else {
+        return read_value(&serde_json::from_str(text).map_err(fault)?);
+    };
+    let accounts =
+        fields.get("accounts").and_then(|raw| serde_json::from_str::<Vec<&RawValue>>(raw.get()).ok());
+    if accounts.is_some() {
+        fields.remove("accounts");
+    }
+    let parsed = fields.into_iter().map(|(key, raw)| Ok((key, serde_json::from_str(raw.get())?)));
+    let value = Value::Object(parsed.collect::<Result<_, _>>().map_err(fault)?);
+    match accounts {
+        None => read_value(&value),
+        Some(accounts) => build(&value, || accounts.iter().enumerate().map(raw_account).collect()),
+    }
 }
 
 pub fn read_value(value: &Value) -> Result<Conf, String> {
+    let conf = At { value, path: String::new() };
+    let accounts = || conf.opt("accounts").map_or(Ok(Vec::new()), |at| at.items());
+    build(value, || accounts()?.iter().map(account).collect())
+}
+
+fn build(value: &Value, accounts: impl FnOnce() -> Result<Vec<Account>, String>) -> Result<Conf, String> {
     let conf = At { value, path: String::new() };
     let ceilings = conf.get("ceilings")?;
     let contract = conf.get("contract")?;
     let listed = conf.get("methods")?.items()?;
     let methods: Vec<_> = listed.iter().map(method).collect::<Result<_, _>>()?;
-    let mut tenants = Vec::new();
-    let mut quotas = Vec::new();
-    for account in conf.opt("accounts").map_or(Ok(Vec::new()), |at| at.items())? {
-        tenants.push(account.get("name")?.text()?.to_owned());
-        quotas.push(TenantSettings { quota: account.get("quota-per-s")?.num()? });
-    }
+    let (tenants, quotas): (Vec<_>, Vec<_>) = accounts()?.into_iter().unzip();
     let come_back_max = match ceilings.flag_or("retry-after")? {
         true => ceilings.opt("max-retry-after-ns").map_or(Ok(0.0), |at| at.seconds())?,
         false => 0.0,
@@ -181,6 +227,7 @@
     {
         return Err(format!("{} is 0: what is lost could not be set against it", nines.path));
     }
+    let digest = digest(value, &tenants, &settings);
     let sized = matches!(weight_source, "nominal" | "rough");
     let ends = listed.iter().map(|m| m.opt("hard-limit-ns").map(|at| at.seconds()).transpose());
     let ends = ends.collect::<Result<Option<Vec<f64>>, _>>()?;
@@ -193,7 +240,7 @@
         connect_limit: ceilings.opt("connect-timeout-ns").map_or(Ok(CONNECT), |at| at.limit())?,
         idle_limit: ceilings.opt("conn-idle-ns").map_or(Ok(IDLE), |at| at.seconds())?,
         longest_deadline: ends.map(|ends| ends.into_iter().fold(0.0, f64::max)),
-        digest: digest(value),
+        digest,
     })
 }
 
@@ -224,11 +271,17 @@
     hash.0
 }
 
-/// The number of a settings object, whatever the order of its keys; a proxy's own zone is left out.
-fn digest(value: &Value) -> u64 {
+/// The number of a settings object, whatever the order of its keys; a proxy's own zone is left out. Of an account
+/// name and quota count.
+fn digest(value: &Value, tenants: &[String], settings: &Settings) -> u64 {
     let mut hash = Fnv::default();
-    let fields = value.as_object().into_iter().flatten().filter(|(key, _)| *key != "my-zone");
+    let apart = ["accounts", "my-zone"];
+    let fields = value.as_object().into_iter().flatten().filter(|(key, _)| !apart.contains(&key.as_str()));
     fields.for_each(|field| serde_json::to_writer(&mut hash, &field).expect("a value that was read"));
+    for (name, tenant) in tenants.iter().zip(&settings.tenants) {
+        _ = hash.write(name.as_bytes());
+        _ = hash.write(&tenant.quota.to_le_bytes());
+    }
     hash.0
 }
 
--- a/crates/settings/tests/read.rs
+++ b/crates/settings/tests/read.rs
@@ -1,6 +1,6 @@
 //! What settings and load reports are read as, and how what can't be read is named.
 use birchhub::types::Settings;
-use birchhub_settings::{Conf, load_report, read_value};
+use birchhub_settings::{Conf, load_report, read, read_value};
 use serde_json::{Value, json};
 
 /// Guards against reports that say nothing because their names are those of the other page.
@@ -85,3 +85,31 @@
     let fault = further(|conf| conf["methods"][0]["keep-order"] = "yes".into()).err();
     assert_eq!(fault.as_deref(), Some("methods[0].keep-order is not true or false: \"yes\""));
 }
+
+/// Accounts are read one by one from the text: as from the parsed object, also where one is odd or wrong.
+#[test]
+fn accounts_are_read_alike_from_text_and_object() {
+    let mut settings = json!({"balancers": 2, "ceilings": {"most-picks": 3}, "my-zone": "a", "methods": [],
+        "contract": {"drain-grace-ns": 5e8, "cold-from": 0.2, "cold-ns": 5e9, "fall-multiple": 3.0,
+            "tip-after-ns": 1e9}});
+    for accounts in [
+        Value::Null,
+        json!([]),
+        json!({}),
+        json!("many"),
+        json!([{"name": "a\"\\\u{e9}", "quota-per-s": 3}, {"quota-per-s": 1e300, "name": "b", "more": [{}]}]),
+        json!([{"name": "a", "quota-per-s": 3}, {"name": "b", "quota-per-s": -1}]),
+        json!([{"name": "a", "quota-per-s": "3"}]),
+        json!([{"name": "a", "quota-per-s": null}]),
+        json!([{"name": 7, "quota-per-s": 1}]),
+        json!([{"quota-per-s": 1}, 5]),
+    ] {
+        settings["accounts"] = accounts;
+        let text = settings.to_string();
+        assert_eq!(read(&text), read_value(&settings), "{text}");
+        assert_eq!(read(&format!(" {text}\n")), read_value(&settings), "{text}");
+    }
+    assert!(read("[]").is_err_and(|fault| fault == "ceilings is missing"));
+    assert!(read("null").is_err_and(|fault| fault == "ceilings is missing"));
+    assert!(read("{\"a\":").is_err_and(|fault| fault.starts_with("is not JSON: ")));
+}
