--- a/src/turns.rs
+++ b/src/turns.rs
@@ -93,7 +93,7 @@
         let (latency_target, target_stretch, utility, late_utility, in_order) = (1.0, 0.0, 1.0, 0.0, true);
         let effect = Effect::Idempotent;
         let set = MethodSettings { effect, latency_target, target_stretch, utility, late_utility, in_order };
-        let method = Rc::new(Method::new(set, 1.0));
+        let method = Rc::new(Method::new(&set, 1.0, None));
         Rc::new(Call::new(&Arrival::default(), method, Share::Within, Vec::new(), Vec::new(), 0.0))
     }
 
--- a/src/waiting.rs
+++ b/src/waiting.rs
@@ -78,7 +78,7 @@
         let effect = Effect::Idempotent;
         let (latency_target, target_stretch, late_utility, in_order) = (1.0, 0.0, 0.0, false);
         let set = MethodSettings { effect, latency_target, target_stretch, utility, late_utility, in_order };
-        let method = Rc::new(Method::new(set, 1.0));
+        let method = Rc::new(Method::new(&set, 1.0, None));
         let arrival = Arrival { id, deadline: 9.0, ..Arrival::default() };
         let call = Call::new(&arrival, method, share, Vec::new(), Vec::new(), 0.0);
         call.hold_until.set(hold_until);
