birchhub scale: slopes of a real proxy and of hollow ones, fitted, and a page's tables

There was nothing that measured memory, processor time or connections of a birchhubd by backends, tenants, methods, rates and changes, nor a list service and proxies by the hundred.

crates/scale: hollow backends (32 listeners for as many as the list names), a list service at the size in lines, hollow proxies (real protocol, one watch each, the real module), clients that tell what was added to an RPC; a plan by seed, a line by least squares through each series (linreg), JSON; a reckoning at the planned size and the tables made of it between a page's markers. birchhub scale run [--quick], page [--check].

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,15 +1,17 @@
 //! `birchhub`, the project's command line. Each verb has a file of its own.
 mod ledger;
 mod rehearse;
+mod scale;
 mod scenario;
 
 use clap::{CommandFactory, Parser, Subcommand};
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 const BAD_INPUT: u8 = 64; // as sysexits has it: told apart from every verdict
 const FAILED: u8 = 70; // it could not be done, and the input is not to blame
 
-/// Rehearse failures, and look at what happened.
+/// Rehearse failures, look at what happened, and measure what a fleet of the planned size costs.
 ///
 /// Verdicts are exit codes: 0 PASS, 1 FAIL (a rule or a bar), 2 VOID (this machine was too busy to say, or the run was stopped).
 /// 64 is bad input, 70 anything else that went wrong. BIRCHHUB_LOG sets the level of the log on standard error.
@@ -24,6 +26,7 @@
 enum Verb {
     Rehearse(rehearse::Arguments),
     Scenario(scenario::Arguments),
+    Scale(scale::Arguments),
     Ledger(ledger::Arguments),
     Audit(ledger::Audit),
     /// Print completions for a shell
@@ -51,6 +54,7 @@
     let outcome = match arguments.verb {
         Verb::Rehearse(arguments) => rehearse::run(arguments),
         Verb::Scenario(arguments) => scenario::run(arguments),
+        Verb::Scale(arguments) => scale::run(arguments),
         Verb::Ledger(arguments) => ledger::run(arguments),
         Verb::Audit(arguments) => ledger::audit(arguments),
         Verb::Completions { shell } => {
@@ -76,3 +80,21 @@
     use std::io::Write;
     let _ = std::io::stdout().write_all(text.as_bytes());
 }
+
+/// The proxies' program: the one that was named, else `birchhubd` beside this one.
+fn daemon(named: Option<PathBuf>) -> Result<PathBuf, Fault> {
+    let program = match named {
+        Some(program) => program,
+        None => {
+            let own = std::env::current_exe().map_err(|e| Fault::Failed(format!("where am I? {e}")))?;
+            own.with_file_name("birchhubd")
+        }
+    };
+    match program.is_file() {
+        true => Ok(program),
+        false => Err(Fault::Input(format!(
+            "there is no proxy program at {}; build it, or name it with --proxies",
+            program.display()
+        ))),
+    }
+}
--- a/crates/cli/src/rehearse.rs
+++ b/crates/cli/src/rehearse.rs
@@ -39,19 +39,7 @@
     if arguments.simulated {
         return simulated(&found.scenario, &plan, &arguments.out);
     }
-    let program = match arguments.proxies {
-        Some(program) => program,
-        None => {
-            let own = std::env::current_exe().map_err(|e| Fault::Failed(format!("where am I? {e}")))?;
-            own.with_file_name("birchhubd")
-        }
-    };
-    if !program.is_file() {
-        let program = program.display();
-        return Err(Fault::Input(format!(
-            "there is no proxy program at {program}; build it, or name it with --proxies"
-        )));
-    }
+    let program = crate::daemon(arguments.proxies)?;
     let Arguments { seed, out, quiet, .. } = arguments;
     let options = Options { seed, out, program, progress: !quiet };
     if !quiet {
--- /dev/null
+++ b/crates/cli/tests/scale.rs
@@ -0,0 +1,96 @@
+//! `birchhub scale`: the quick form from end to end, by counts, and wrong input named.
+use serde_json::Value;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+
+/// A folder of a test's own.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("birchhub-scale-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&path).expect("a folder");
+        Self(path)
+    }
+    fn path(&self, name: &str) -> String {
+        self.0.join(name).display().to_string()
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn scale(arguments: &[&str]) -> (i32, String, String) {
+    let output = Command::new(env!("CARGO_BIN_EXE_birchhub")).arg("scale").args(arguments).output();
+    let output = output.expect("birchhub");
+    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+    (output.status.code().unwrap_or(-1), text(&output.stdout), text(&output.stderr))
+}
+
+fn blank() -> String {
+    let mark = |name| format!("<!-- scale: {name} -->\n<!-- end of {name} -->\n");
+    ["targets", "roles", "hours", "candidates", "slopes"].map(mark).concat()
+}
+
+#[test]
+fn a_quick_run_takes_points_of_all_series_and_makes_a_page() {
+    let daemon = Path::new(env!("CARGO_BIN_EXE_birchhub")).with_file_name("birchhubd");
+    assert!(daemon.is_file(), "birchhubd is not built: run `cargo test --workspace`");
+    let folder = Folder::new("quick");
+    let (result, page) = (folder.path("scale.json"), folder.path("page.md"));
+    let run =
+        ["run", "--quick", "--seed", "5", "--out", &result, "--folder", &folder.path("left"), "--quiet"];
+    let (code, out, err) = scale(&run);
+    assert_eq!(code, 0, "{out}{err}");
+    assert_eq!(err, "", "--quiet says nothing");
+    let read: Value =
+        serde_json::from_str(&std::fs::read_to_string(&result).expect("a result")).expect("JSON");
+    assert_eq!(read["command"], "birchhub scale run --seed 5 --quick");
+    for series in read["series"].as_array().expect("series") {
+        let points = series["points"].as_array().expect("points");
+        assert!(points.len() >= 2 || !series["missing"].as_array().expect("a list").is_empty(), "{series}");
+    }
+    let points = |name: &str| {
+        let all = read["series"].as_array().expect("series");
+        all.iter().find(|s| s["name"] == name).expect("the series")["points"].clone()
+    };
+    // By counts: a change is a call of each proxy, and a line of the list is some hundred bytes.
+    for point in points("list.calls").as_array().expect("points") {
+        assert!(point[1].as_f64() >= point[0].as_f64(), "{point}");
+    }
+    let whole = points("list.whole.bytes");
+    assert!(whole[1][1].as_f64() > whole[0][1].as_f64().map(|kb| kb * 10.0), "{whole}");
+
+    std::fs::write(&page, blank()).expect("a page");
+    assert_eq!(scale(&["page", &result, "--page", &page, "--check"]).0, 1, "it is stale");
+    assert_eq!(std::fs::read_to_string(&page).expect("a page"), blank(), "a check writes nothing");
+    let (code, out, err) = scale(&["page", &result, "--page", &page]);
+    assert_eq!(code, 0, "{out}{err}");
+    assert_eq!(scale(&["page", &result, "--page", &page, "--check"]).0, 0);
+    assert!(std::fs::read_to_string(&page).expect("a page").contains("`memory.backends`"));
+}
+
+#[test]
+fn wrong_input_is_named_and_nothing_is_lost() {
+    let folder = Folder::new("wrong");
+    let (result, page) = (folder.path("scale.json"), folder.path("page.md"));
+    let expect = |arguments: &[&str], words: &[&str]| {
+        let (code, out, err) = scale(arguments);
+        assert_eq!(code, 64, "{out}{err}");
+        words.iter().for_each(|word| assert!(err.contains(word), "{word}: {err}"));
+    };
+    expect(&["run", "--quick", "--proxies", "/nowhere"], &["there is no proxy program at /nowhere"]);
+    expect(&["run", "--quick", "--seed", "x"], &["--seed", "x"]);
+    expect(
+        &["run", "--proxies", env!("CARGO_BIN_EXE_birchhub"), "--out", "/nowhere/x.json"],
+        &["/nowhere/x.json"],
+    );
+    expect(&["page", &result, "--page", &page], &[&result]);
+    std::fs::write(&result, "{\"form\": 1").expect("a file");
+    expect(&["page", &result, "--page", &page], &[&result, "line 1"]);
+    std::fs::write(&result, "{\"form\": 99, \"series\": []}").expect("a file");
+    expect(&["page", &result, "--page", &page], &[&result, "form is 99, and only 1 is read"]);
+}
--- /dev/null
+++ b/crates/scale/src/page.rs
@@ -0,0 +1,138 @@
+//! The tables of `docs/CAPACITY.md`, made of a result and put between their markers.
+use crate::reckon::{self, Candidate, Line};
+use crate::report::Report;
+use std::fmt::Write;
+
+type Make = fn(&Report) -> Result<String, String>;
+
+/// The tables of the page, by the names in their markers.
+const TABLES: [(&str, Make); 5] = [
+    ("targets", targets),
+    ("roles", roles),
+    ("hours", hours),
+    ("candidates", candidates),
+    ("slopes", slopes),
+];
+
+/// Three figures that count, without an exponent.
+pub fn figure(value: f64) -> String {
+    if value == 0.0 || !value.is_finite() {
+        return if value == 0.0 { "0".into() } else { "-".into() };
+    }
+    let before = value.abs().log10().floor() as i32;
+    let places = (2 - before).clamp(0, 6) as usize;
+    let unit = 10_f64.powi(before - 2);
+    let text = format!("{:.places$}", (value / unit).round() * unit);
+    if text.contains('.') { text.trim_end_matches('0').trim_end_matches('.').to_owned() } else { text }
+}
+
+fn targets(report: &Report) -> Result<String, String> {
+    table(
+        &["what, at the planned size", "target", "reckoning", "factor", "of"],
+        reckon::targets(report)?.into_iter().map(|line| {
+            let factor = line.factor().map_or("-".into(), figure);
+            let target = line.target.map_or("-".into(), figure);
+            [
+                format!("{}, {}", line.what, line.unit),
+                target,
+                figure(line.reckoning) + if line.guess { " (guess)" } else { "" },
+                factor,
+                line.of,
+            ]
+        }),
+    )
+}
+
+fn roles(report: &Report) -> Result<String, String> {
+    let mut lines = reckon::targets(report)?;
+    lines.sort_by_key(|line| line.role);
+    let rows = lines.into_iter().map(|line| {
+        let guess = if line.guess { " (guess)" } else { "" };
+        let reckoning = format!("{} {}{guess}", figure(line.reckoning), line.unit);
+        [line.role.to_owned(), line.what, reckoning, line.of, line.mechanism.to_owned()]
+    });
+    table(&["role", "what", "reckoning", "of", "carried by"], rows)
+}
+
+/// In the order of the factor by which what each is for misses its target.
+fn candidates(report: &Report) -> Result<String, String> {
+    let lines = reckon::targets(report)?;
+    let factor = |candidate: &Candidate| {
+        let mut own = lines.iter().filter(|line| candidate.keys.contains(&line.key));
+        own.by_ref().filter_map(Line::factor).fold(0.0, f64::max)
+    };
+    let mut order: Vec<_> = reckon::CANDIDATES.iter().map(|c| (factor(c), c)).collect();
+    order.sort_by(|a, b| b.0.total_cmp(&a.0));
+    let rows = order.into_iter().zip(1..).map(|((factor, candidate), place)| {
+        let misses = if factor > 1.0 { "missed" } else { "met" };
+        [
+            place.to_string(),
+            candidate.name.to_owned(),
+            format!("{} ({misses})", figure(factor)),
+            candidate.keys.join(", "),
+            candidate.expected.to_owned(),
+        ]
+    });
+    table(&["", "mechanism", "largest factor", "for the lines", "expected (a guess)"], rows)
+}
+
+fn hours(report: &Report) -> Result<String, String> {
+    table(
+        &["when", "what", "reckoning", "of"],
+        reckon::hours(report)?.into_iter().map(|line| {
+            let guess = if line.guess { " (guess)" } else { "" };
+            let reckoning = format!("{} {}{guess}", figure(line.reckoning), line.unit);
+            [line.when.to_owned(), line.what, reckoning, line.of]
+        }),
+    )
+}
+
+fn slopes(report: &Report) -> Result<String, String> {
+    let rows = report.series.iter().map(|series| {
+        let points = series.points.iter().map(|(x, y)| format!("{}: {}", figure(*x), figure(*y)));
+        let points = points.chain(series.missing.iter().cloned()).collect::<Vec<_>>().join("; ");
+        let (base, slope, residual) = series.fit.map_or(("-".into(), "-".into(), "-".into()), |fit| {
+            (figure(fit.base), figure(fit.slope * 1e3), figure(fit.residual))
+        });
+        let wall = if series.wall { format!("wall, load {}", figure(series.load)) } else { "counted".into() };
+        [
+            format!("`{}`", series.name),
+            format!("{} by {}; {}", series.y, series.x, series.held),
+            points,
+            base,
+            slope,
+            residual,
+            wall,
+        ]
+    });
+    let head = ["series", "what", "points", "base", "slope, by 1,000", "residual", "clock"];
+    let failed = format!("{} of {} RPCs failed", report.failed, report.rpcs);
+    let run =
+        format!("`{}`: {} cores, {} s, {failed}.\n\n", report.command, report.cores, figure(report.took));
+    Ok(run + &table(&head, rows)?)
+}
+
+fn table<const N: usize>(
+    head: &[&str; N],
+    rows: impl Iterator<Item = [String; N]>,
+) -> Result<String, String> {
+    let mut text = format!("| {} |\n|{}\n", head.join(" | "), " --- |".repeat(N));
+    for row in rows {
+        writeln!(text, "| {} |", row.join(" | ")).map_err(|e| e.to_string())?;
+    }
+    Ok(text)
+}
+
+/// The page with the tables made anew. An error names the marker that is missing or the figure that can't be made.
+pub fn renew(page: &str, report: &Report) -> Result<String, String> {
+    let mut text = page.to_owned();
+    for (name, make) in TABLES {
+        let (begin, end) = (format!("<!-- scale: {name} -->\n"), format!("<!-- end of {name} -->"));
+        let from = text.find(&begin).ok_or_else(|| format!("there is no line {}", begin.trim_end()))?;
+        let from = from + begin.len();
+        let length =
+            text[from..].find(&end).ok_or_else(|| format!("there is no line {end} below its begin"))?;
+        text.replace_range(from..from + length, &format!("\n{}\n", make(report)?));
+    }
+    Ok(text)
+}
--- /dev/null
+++ b/crates/scale/src/reckon.rs
@@ -0,0 +1,483 @@
+//! What the planned size costs, worked out from the lines through measured points. What was not measured is called a guess.
+use crate::plan::size::*;
+use crate::report::Report;
+
+const DAY: f64 = 86_400.0; // s
+const LINES_EACH: f64 = 3.0; // list lines that a restart of a backend makes: draining, gone or back, ready
+const FAILURES: f64 = 15.0; // machines a day; each is one line or a few more
+const DEPLOY: f64 = 0.1; // part of the backends that the busiest minute replaces
+const HOLD: f64 = 4.0; // s that a call of a proxy waits: discovery.rs, SERVICE.hold
+const EMPTY: f64 = 0.3; // KB of a call and its answer that tell nothing
+const ASKS: f64 = 1.0; // s between calls of a proxy that fail: half of 2 s, ASK_AGAIN in policy.rs
+const CALLS_MOST: f64 = 50.0; // list calls a second of a proxy at the most: discovery.rs, GAP
+const BATCHES: f64 = 10.0; // a restart of all goes by tenths, so that nine of ten serve
+const ENDING: f64 = 1.5; // s that a proxy goes on after SIGTERM: half a second and the longest deadline, 1 s
+const ZONES: f64 = 10.0;
+const CORE: f64 = 100.0; // % of a core
+
+/// One line of the reckoning.
+#[derive(Clone, Debug)]
+pub struct Line {
+    pub key: &'static str,
+    pub role: &'static str,
+    pub what: String,
+    pub unit: &'static str,
+    pub target: Option<f64>,
+    pub reckoning: f64,
+    /// Part of it was not measured.
+    pub guess: bool,
+    /// The series it is made of.
+    pub of: String,
+    /// What carries it, or what would.
+    pub mechanism: &'static str,
+}
+
+impl Line {
+    /// How often the target is used up; above 1 it is missed.
+    pub fn factor(&self) -> Option<f64> {
+        self.target.map(|target| self.reckoning / target)
+    }
+}
+
+/// One line of a bad hour.
+pub struct Hour {
+    pub when: &'static str,
+    pub what: String,
+    pub unit: &'static str,
+    pub reckoning: f64,
+    pub guess: bool,
+    pub of: String,
+}
+
+/// What would be built, and the lines of the reckoning that it is for.
+pub struct Candidate {
+    pub name: &'static str,
+    pub keys: &'static [&'static str],
+    pub expected: &'static str,
+}
+
+pub const CANDIDATES: &[Candidate] = &[
+    Candidate {
+        name: "settings in force without a restart",
+        keys: &["settings", "settings-processor"],
+        expected: "a changed setting costs what a reading of the file costs, at all proxies at once; nothing is drained, no \
+            connection closed, no list taken anew",
+    },
+    Candidate {
+        name: "subsets: which backends of a service a proxy uses at all",
+        keys: &["latency", "latency-probes", "connect-probes"],
+        expected: "a pair that is used meets more often, so its connection is still open; with 1 in 20 backends a \
+            proxy meets each every 2 s",
+    },
+    Candidate {
+        name: "the list told as what this proxy needs",
+        keys: &["memory", "traffic"],
+        expected: "with subsets: lines, bytes and memory by the part that is used",
+    },
+    Candidate {
+        name: "fewer and shorter resident structures for a backend",
+        keys: &["memory"],
+        expected: "the line of memory.backends less steep, by what is kept twice in it",
+    },
+    Candidate {
+        name: "a core that sleeps while nothing goes on",
+        keys: &["control"],
+        expected: "the base of idle.backends near nothing",
+    },
+    Candidate {
+        name: "spread of a crowd at the list service",
+        keys: &["crowd"],
+        expected: "the calls of all proxies spread over seconds, when all start or hear of it at once",
+    },
+];
+
+/// List lines a second on an ordinary day.
+fn changes() -> f64 {
+    (RESTARTS * LINES_EACH + FAILURES) / DAY
+}
+
+pub fn targets(report: &Report) -> Result<Vec<Line>, String> {
+    let at = |name, x| report.at(name, x);
+    let rate = RPCS / PROXIES;
+    let memory = at("memory.busy.backends", BACKENDS)?
+        + report.slope("memory.tenants")? * TENANTS
+        + report.slope("memory.methods")? * METHODS;
+    let change = at("change.backends", BACKENDS)?; // ms
+    let control = at("idle.backends", BACKENDS)? + change * changes() / 10.0;
+    let start = at("start.backends", BACKENDS)?
+        + report.slope("start.tenants")? * TENANTS
+        + report.slope("start.methods")? * METHODS;
+    let bytes = report.slope("list.bytes")?; // KB a change and proxy
+    let crowd = report.plan.hollow_backends;
+    Ok(vec![
+        Line {
+            key: "settings",
+            role: "proxy",
+            what: "a changed setting in force at all proxies, restarted by tenths".into(),
+            unit: "s",
+            target: Some(IN_FORCE),
+            reckoning: BATCHES * (ENDING + at("settings.restart", 1.0)?),
+            guess: true,
+            of: "settings.restart at 1; ten batches and 1.5 s of ending are assumed".into(),
+            mechanism: "missing: settings in force without a restart",
+        },
+        Line {
+            key: "settings-processor",
+            role: "proxy",
+            what: "processor time of a proxy for a restart with each change of a day".into(),
+            unit: "% of a core",
+            target: Some(PROCESSOR),
+            reckoning: CORE * start * CHANGES / DAY,
+            guess: false,
+            of: "start.backends, start.tenants, start.methods".into(),
+            mechanism: "missing: settings in force without a restart",
+        },
+        Line {
+            key: "latency",
+            role: "proxy",
+            what: "added to an RPC for 99 in 100, at the planned rate".into(),
+            unit: "ms",
+            target: Some(ADDED),
+            reckoning: at("latency.backends", BACKENDS)?,
+            guess: false,
+            of: "latency.backends, by a wall clock".into(),
+            mechanism: "here: kept connections (daemon, backend.rs), and answers that bring the same few backends again",
+        },
+        Line {
+            key: "latency-probes",
+            role: "proxy",
+            what: "added to an RPC for 99 in 100, at the planned rate, where proxies probe".into(),
+            unit: "ms",
+            target: Some(ADDED),
+            reckoning: at("latency.probes.backends", BACKENDS)?,
+            guess: false,
+            of: "latency.probes.backends, by a wall clock".into(),
+            mechanism: "missing: subsets; nearly each pick and probe opens a connection",
+        },
+        Line {
+            key: "memory",
+            role: "proxy",
+            what: "memory of a proxy, with all backends, tenants and methods".into(),
+            unit: "MB",
+            target: Some(MEMORY),
+            reckoning: memory,
+            guess: false,
+            of: "memory.busy.backends, memory.tenants, memory.methods".into(),
+            mechanism: "here: an actor for each backend (daemon, core.rs)",
+        },
+        Line {
+            key: "control",
+            role: "proxy",
+            what: "processor time of a proxy for control, ordinary day".into(),
+            unit: "% of a core",
+            target: Some(PROCESSOR),
+            reckoning: control,
+            guess: false,
+            of: "idle.backends, change.backends; 3 lines a restart are assumed".into(),
+            mechanism: "here: the core's beat (daemon, core.rs) and the list's changes (src/policy.rs, list)",
+        },
+        Line {
+            key: "traffic",
+            role: "proxy",
+            what: "bytes of a proxy for control, ordinary day".into(),
+            unit: "KB a second",
+            target: Some(TRAFFIC),
+            reckoning: bytes * changes() + EMPTY / HOLD,
+            guess: true,
+            of: "list.bytes; 0.3 KB for a call that tells nothing every 4 s are assumed".into(),
+            mechanism: "here: long calls that tell changes only (daemon, discovery.rs)",
+        },
+        Line {
+            key: "in-force",
+            role: "discovery and control machines",
+            what: "a list change in force at the last of all proxies".into(),
+            unit: "s",
+            target: Some(IN_FORCE),
+            reckoning: at("list.in_force", PROXIES)?,
+            guess: false,
+            of: "list.in_force, all on one machine".into(),
+            mechanism: "here: long calls (daemon, discovery.rs)",
+        },
+        Line {
+            key: "service",
+            role: "discovery and control machines",
+            what: "processor time of the list service, ordinary day".into(),
+            unit: "% of a core",
+            target: Some(MACHINES * CORE),
+            reckoning: (at("list.processor", PROXIES)? * changes() / 10.0).max(0.0),
+            guess: true,
+            of: "list.processor; the stand-in, not the operators' own; a core of each machine is assumed"
+                .into(),
+            mechanism: "not ours: the operators' list service; the stand-in encodes an answer once for all",
+        },
+        Line {
+            key: "crowd",
+            role: "discovery and control machines",
+            what: format!("all proxies take the whole list of {crowd} at once, until the last has it"),
+            unit: "s",
+            target: Some(IN_FORCE),
+            reckoning: at("list.crowd", PROXIES)?,
+            guess: false,
+            of: "list.crowd, all on one machine, proxies included".into(),
+            mechanism: "here: half a second of jitter at the start (src/policy.rs, list)",
+        },
+        Line {
+            key: "connect",
+            role: "backend",
+            what: "connections opened at a backend by all proxies".into(),
+            unit: "a second",
+            target: None,
+            reckoning: report.slope("connect.proxies")? * PROXIES,
+            guess: false,
+            of: "connect.proxies".into(),
+            mechanism: "here: kept connections (daemon, backend.rs); subsets would open fewer",
+        },
+        Line {
+            key: "connect-probes",
+            role: "backend",
+            what: "connections opened at a backend by all proxies, where they probe".into(),
+            unit: "a second",
+            target: None,
+            reckoning: report.slope("connect.probes.proxies")? * PROXIES,
+            guess: false,
+            of: "connect.probes.proxies".into(),
+            mechanism: "missing: subsets",
+        },
+        Line {
+            key: "connect-rpc-probes",
+            role: "proxy",
+            what: "connections opened for an RPC at the planned rate, where proxies probe".into(),
+            unit: "an RPC",
+            target: None,
+            reckoning: at("connect.probes.backends", BACKENDS)?,
+            guess: false,
+            of: "connect.probes.backends".into(),
+            mechanism: "missing: subsets",
+        },
+        Line {
+            key: "rpc-probes",
+            role: "proxy",
+            what: "processor time of a proxy for its RPCs at the peak, where proxies probe".into(),
+            unit: "% of a core",
+            target: None,
+            reckoning: at("rpc.probes.backends", BACKENDS)? * rate / 1e4,
+            guess: false,
+            of: "rpc.probes.backends at 235 RPCs a second".into(),
+            mechanism: "missing: subsets",
+        },
+        Line {
+            key: "connect-rpc",
+            role: "proxy",
+            what: "connections opened for an RPC at the planned rate".into(),
+            unit: "an RPC",
+            target: None,
+            reckoning: at("connect.backends", BACKENDS)?,
+            guess: false,
+            of: "connect.backends".into(),
+            mechanism: "here: kept connections (daemon, backend.rs); subsets would open fewer",
+        },
+        Line {
+            key: "rpc",
+            role: "proxy",
+            what: "processor time of a proxy for its RPCs at the peak".into(),
+            unit: "% of a core",
+            target: None,
+            reckoning: at("rpc.backends", BACKENDS)? * rate / 1e4,
+            guess: false,
+            of: "rpc.backends at 235 RPCs a second".into(),
+            mechanism: "here: one thread a proxy (daemon, main.rs)",
+        },
+        Line {
+            key: "client",
+            role: "client side",
+            what: "RPCs to a proxy at the peak; a connection for each that is under way".into(),
+            unit: "a second",
+            target: None,
+            reckoning: rate,
+            guess: true,
+            of: "200,000 over 850, evenly dealt".into(),
+            mechanism: "not ours: the layer before the proxies deals clients out",
+        },
+        Line {
+            key: "backend",
+            role: "backend",
+            what: "RPCs to a backend at the peak".into(),
+            unit: "a second",
+            target: None,
+            reckoning: RPCS / BACKENDS,
+            guess: true,
+            of: "200,000 over 8,700, evenly dealt".into(),
+            mechanism: "here: Join-Idle-Queue (src/policy.rs)",
+        },
+        Line {
+            key: "staff",
+            role: "staff's machine",
+            what: "calls for an order at all proxies, one to each".into(),
+            unit: "calls",
+            target: None,
+            reckoning: PROXIES,
+            guess: true,
+            of: "one call a proxy (daemon, management.rs); not measured".into(),
+            mechanism: "here for one proxy (daemon, management.rs); missing: an order to all by one call",
+        },
+    ])
+}
+
+pub fn hours(report: &Report) -> Result<Vec<Hour>, String> {
+    let at = |name, x| report.at(name, x);
+    let hour = |when, what: &str, unit, reckoning, guess, of: &str| Hour {
+        when,
+        what: what.to_owned(),
+        unit,
+        reckoning,
+        guess,
+        of: of.to_owned(),
+    };
+    let change = at("change.backends", BACKENDS)?; // ms
+    let told = report.slope("list.bytes")?; // KB a change and proxy
+    let line = report.slope("list.whole.bytes")?; // KB a line
+    let whole = at("list.whole.bytes", BACKENDS)? / 1e3; // MB
+    let deploy = BACKENDS * DEPLOY * LINES_EACH / 60.0; // lines a second
+    let zone = BACKENDS / ZONES;
+    let missed = changes() * 3_600.0;
+    Ok(vec![
+        hour(
+            "an ordinary day",
+            "list lines that change",
+            "a second",
+            changes(),
+            true,
+            "3 lines a restart are assumed",
+        ),
+        hour(
+            "an ordinary day",
+            "list service sends",
+            "KB a second",
+            told * PROXIES * changes(),
+            false,
+            "list.bytes",
+        ),
+        hour(
+            "the busiest minute",
+            "list lines that change as a tenth of the backends is replaced in it",
+            "a second",
+            deploy,
+            true,
+            "a tenth in a minute is assumed",
+        ),
+        hour(
+            "the busiest minute",
+            "a proxy's processor time for them",
+            "% of a core",
+            change * deploy.min(CALLS_MOST) / 10.0,
+            false,
+            "change.backends, at that rate",
+        ),
+        hour(
+            "the busiest minute",
+            "bytes to a proxy",
+            "KB a second",
+            told * deploy,
+            false,
+            "list.bytes, at that rate",
+        ),
+        hour(
+            "all proxies restarted",
+            "list service sends",
+            "MB",
+            whole * PROXIES,
+            false,
+            "list.whole.bytes at 8,700, 850 times",
+        ),
+        hour(
+            "all proxies restarted",
+            "processor time of each proxy to take the list",
+            "ms",
+            at("list.whole.processor", BACKENDS)?,
+            false,
+            "list.whole.processor",
+        ),
+        hour(
+            "all proxies restarted",
+            "processor time of each to ready",
+            "s",
+            at("start.backends", BACKENDS)?,
+            false,
+            "start.backends",
+        ),
+        hour(
+            "a zone lost and back",
+            "list service sends, each way",
+            "MB",
+            line * zone * PROXIES / 1e3,
+            false,
+            "list.whole.bytes by line, 870 lines, 850 times",
+        ),
+        hour(
+            "a zone lost and back",
+            "connections refused before the list tells it, each pair once",
+            "a proxy",
+            zone,
+            true,
+            "each proxy meets each backend of the zone once; not measured",
+        ),
+        hour(
+            "regions apart for an hour",
+            "lines that change meanwhile and are told at the end",
+            "lines",
+            missed,
+            true,
+            "an ordinary hour is assumed; not measured",
+        ),
+        hour(
+            "regions apart for an hour",
+            "list service sends at the end, where it knows the versions",
+            "MB",
+            line * missed * PROXIES / 1e3,
+            true,
+            "list.whole.bytes by line",
+        ),
+        hour(
+            "control down for ten minutes",
+            "calls that fail meanwhile",
+            "a second",
+            PROXIES / ASKS,
+            true,
+            "one a second of each proxy by its code",
+        ),
+        hour(
+            "control down for ten minutes",
+            "until the last is told again",
+            "s",
+            ASKS + at("list.in_force", PROXIES)?,
+            true,
+            "one call a second; list.in_force",
+        ),
+        hour(
+            "a route changed everywhere",
+            "by a restart of all at once, each on a machine of its own",
+            "s",
+            at("settings.restart", 1.0)?,
+            false,
+            "settings.restart at 1; its RPCs of that time are lost",
+        ),
+        match report.at("settings.reload", 1.0) {
+            Ok(time) => hour(
+                "a route changed everywhere",
+                "by SIGHUP to all at once",
+                "s",
+                time,
+                false,
+                "settings.reload at 1",
+            ),
+            Err(_) => hour(
+                "a route changed everywhere",
+                "by SIGHUP to all at once: never came into force in this run",
+                "s",
+                f64::INFINITY,
+                false,
+                "settings.reload",
+            ),
+        },
+    ])
+}
--- /dev/null
+++ b/crates/scale/tests/pages.rs
@@ -0,0 +1,104 @@
+//! The page's tables: made of a result, stale when it is another's.
+use birchhub_scale::plan::size;
+use birchhub_scale::{Plan, Report, page, reckon};
+
+const MARKS: [&str; 5] = ["targets", "roles", "hours", "candidates", "slopes"];
+
+/// A result in which each series is `base + slope * x`.
+fn made(line: impl Fn(&str) -> (f64, f64)) -> Report {
+    let mut report = Report::new(&Plan::long(1));
+    let names: Vec<_> = report.series.iter().map(|s| s.name.clone()).collect();
+    for name in names {
+        let (base, slope) = line(&name);
+        for x in [0.0, 1.0, 1_000.0] {
+            report.add(&name, x, base + slope * x).expect("a series");
+        }
+    }
+    report.finish();
+    report
+}
+
+fn blank() -> String {
+    let marks = MARKS.map(|name| format!("<!-- scale: {name} -->\nold\n<!-- end of {name} -->\n"));
+    format!("# A page\n\n{}\nand its end\n", marks.join("own words\n"))
+}
+
+#[test]
+fn tables_are_made_between_their_marks_and_nothing_else_changes() {
+    let report = made(|_| (1.0, 0.001));
+    let once = page::renew(&blank(), &report).expect("a page");
+    assert!(once.starts_with("# A page\n") && once.ends_with("\nand its end\n") && !once.contains("old\n"));
+    assert_eq!(once.matches("own words").count(), MARKS.len() - 1);
+    assert_eq!(page::renew(&once, &report).as_ref(), Ok(&once), "made twice it is the same");
+    let other = page::renew(&once, &made(|_| (1.0, 0.002))).expect("a page");
+    assert_ne!(once, other, "another result makes another page");
+}
+
+#[test]
+fn what_is_missing_is_named() {
+    let report = made(|_| (1.0, 0.001));
+    let fault = page::renew(&blank().replace("<!-- scale: hours -->", ""), &report).expect_err("no mark");
+    assert_eq!(fault, "there is no line <!-- scale: hours -->");
+    let fault = page::renew(&blank().replace("<!-- end of hours -->", ""), &report).expect_err("no mark");
+    assert_eq!(fault, "there is no line <!-- end of hours --> below its begin");
+    let mut report = report;
+    report.series.retain(|s| s.name != "idle.backends");
+    let fault = page::renew(&blank(), &report).expect_err("a series less");
+    assert_eq!(fault, "there is no series idle.backends");
+    report = made(|_| (1.0, 0.001));
+    report.series.iter_mut().filter(|s| s.name == "list.bytes").for_each(|s| s.points.truncate(1));
+    report.finish();
+    assert_eq!(page::renew(&blank(), &report), Err("list.bytes has too few points".into()));
+}
+
+#[test]
+fn memory_is_the_sum_of_its_lines_at_the_planned_size() {
+    let report = made(|name| match name {
+        "memory.busy.backends" => (4.0, 0.007),
+        "memory.tenants" => (4.0, 0.0005),
+        "memory.methods" => (4.0, 0.001),
+        _ => (0.0, 0.0),
+    });
+    let lines = reckon::targets(&report).expect("a reckoning");
+    let memory = lines.iter().find(|l| l.key == "memory").expect("a line");
+    let wanted = 4.0 + 0.007 * size::BACKENDS + 0.0005 * size::TENANTS + 0.001 * size::METHODS;
+    assert!((memory.reckoning - wanted).abs() < 1e-6, "{memory:?}");
+    assert!((memory.factor().expect("a target") - wanted / 128.0).abs() < 1e-9);
+}
+
+#[test]
+fn candidates_stand_in_the_order_of_what_they_miss() {
+    let heavy = made(|name| if name == "memory.busy.backends" { (0.0, 10.0) } else { (0.001, 0.0) });
+    let slow = made(|name| if name.starts_with("latency") { (1e6, 0.0) } else { (0.001, 0.0) });
+    for (report, first) in [(heavy, "the list told as what this proxy needs"), (slow, "subsets")] {
+        let text = page::renew(&blank(), &report).expect("a page");
+        let row = text.lines().find(|line| line.starts_with("| 1 |")).expect("a first row");
+        assert!(row.starts_with(&format!("| 1 | {first}")) && row.contains("(missed)"), "{row}");
+    }
+}
+
+/// Each key that a candidate is for is a line of the reckoning with a target, or it could never be ordered.
+#[test]
+fn candidates_are_for_lines_that_are_reckoned() {
+    let lines = reckon::targets(&made(|_| (1.0, 0.0))).expect("a reckoning");
+    for candidate in reckon::CANDIDATES {
+        for key in candidate.keys {
+            assert!(lines.iter().any(|line| line.key == *key), "{}: {key}", candidate.name);
+        }
+        assert!(
+            lines.iter().any(|line| candidate.keys.contains(&line.key) && line.target.is_some()),
+            "{} has no target",
+            candidate.name
+        );
+    }
+}
+
+#[test]
+fn a_seed_draws_the_same_plan_and_another_one_another() {
+    assert_eq!(Plan::long(7), Plan::long(7));
+    let orders: std::collections::HashSet<_> = (0..20).map(|seed| Plan::long(seed).backends).collect();
+    assert!(orders.len() > 1);
+    let mut sizes = Plan::long(3).backends;
+    sizes.sort_unstable();
+    assert_eq!(sizes.last().copied().map(f64::from), Some(size::BACKENDS));
+}
