A backend's mailbox holds its jobs boxed

Each listed backend has a mailbox, and the channel sets room for 32 jobs aside when it is made: most of what a listed backend costs. A pointer is set aside now, the job is allocated when there is one.

--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -133,7 +133,8 @@
 
 /// The core's end of a backend.
 pub struct Backend {
-    pub mailbox: mpsc::Sender<Job>,
+    /// Boxed: a mailbox sets room for 32 aside at once, and most backends of a large fleet have nothing in it.
+    pub mailbox: mpsc::Sender<Box<Job>>,
     pub facts: watch::Sender<Facts>,
 }
 
@@ -179,7 +180,7 @@
 }
 
 impl Peer {
-    async fn run(self: Rc<Self>, mut jobs: mpsc::Receiver<Job>) {
+    async fn run(self: Rc<Self>, mut jobs: mpsc::Receiver<Box<Job>>) {
         let mut facts = self.facts.clone();
         let mut endpoint = facts.borrow_and_update().endpoint;
         loop {
@@ -219,8 +220,8 @@
         }
     }
 
-    async fn serve(self: Rc<Self>, job: Job) {
-        let Job { message, times: Times { until, send_by }, stop, mut ticket } = job;
+    async fn serve(self: Rc<Self>, job: Box<Job>) {
+        let Job { message, times: Times { until, send_by }, stop, mut ticket } = *job;
         let (begun, sent) = (Instant::now(), &ticket.sent);
         let written = Progress::default();
         let stopped = async {
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -123,7 +123,7 @@
         };
         let job = Job { message, times, stop, ticket: Ticket::new(errand, self.core.clone(), permit) };
         if let Some(backend) = self.backends.get(&backend) {
-            let _ = backend.mailbox.try_send(job);
+            let _ = backend.mailbox.try_send(Box::new(job));
         }
     }
 }
--- /dev/null
+++ b/crates/daemon/tests/footprint.rs
@@ -0,0 +1,20 @@
+//! What a listed backend costs a proxy while nothing comes.
+#[path = "../../../tests/common/mod.rs"]
+mod common;
+use common::sockets::{Daemon, Log, blind, echo, line};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_birchhubd");
+
+/// Guards against mailboxes that set room aside for jobs that most backends of a large fleet never have.
+#[test]
+fn a_listed_backend_costs_a_few_kilobytes() {
+    const MORE: usize = 4_000;
+    let log = Log::new(vec![]);
+    let at = echo("b1", &log);
+    let daemon = Daemon::start_with(PROGRAM, &[("s-0", at)], blind);
+    let before = daemon.memory();
+    let lines: Vec<_> = (0..=MORE).map(|n| line(&format!("s-{n}"), at, "Ready")).collect();
+    daemon.list.tell_heard(&lines);
+    let each = (daemon.memory() - before) / MORE;
+    assert!(each < 5 << 10, "{each} bytes for a backend");
+}
