birchhub scale: a run that is stopped ends its proxies

SIGTERM or SIGINT ended the run without dropping what it owned, and its birchhubd went on: seen when a long run was stopped. Both signals are caught now, and the run ends with 70 and no result.

Test: a_run_that_is_stopped_leaves_no_proxy_behind, which fails without the mend (the run ends by the signal) and passes with it.

--- a/crates/cli/tests/scale.rs
+++ b/crates/cli/tests/scale.rs
@@ -2,6 +2,7 @@
 use serde_json::Value;
 use std::path::{Path, PathBuf};
 use std::process::Command;
+use std::time::{Duration, Instant};
 
 /// A folder of a test's own.
 struct Folder(PathBuf);
@@ -73,6 +74,31 @@
     assert!(std::fs::read_to_string(&page).expect("a page").contains("`memory.backends`"));
 }
 
+/// Guards against proxies that nobody owns: each is a process, and one that is killed drops nothing.
+#[test]
+fn a_run_that_is_stopped_leaves_no_proxy_behind() {
+    let folder = Folder::new("stopped");
+    let (result, left) = (folder.path("scale.json"), folder.path("left"));
+    let mut command = Command::new(env!("CARGO_BIN_EXE_birchhub"));
+    command.args(["scale", "run", "--quick", "--out", &result, "--folder", &left, "--quiet"]);
+    let mut run = command.spawn().expect("birchhub");
+    let living = || {
+        let all = std::fs::read_dir("/proc").expect("processes").flatten();
+        let environment = |entry: std::fs::DirEntry| std::fs::read(entry.path().join("environ")).ok();
+        all.filter_map(environment).filter(|text| String::from_utf8_lossy(text).contains(&left)).count()
+    };
+    let until = Instant::now() + Duration::from_secs(30);
+    while living() == 0 {
+        assert!(Instant::now() < until, "no proxy was ever started");
+        std::thread::sleep(Duration::from_millis(2));
+    }
+    let stop = Command::new("kill").args(["-TERM", &run.id().to_string()]).status();
+    assert!(stop.expect("kill").success());
+    assert_eq!(run.wait().expect("its end").code(), Some(70));
+    assert_eq!(living(), 0, "a proxy goes on");
+    assert!(!Path::new(&result).exists(), "half a result");
+}
+
 #[test]
 fn wrong_input_is_named_and_nothing_is_lost() {
     let folder = Folder::new("wrong");
--- a/crates/scale/src/run.rs
+++ b/crates/scale/src/run.rs
@@ -9,6 +9,8 @@
 use crate::usage;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
+use tokio::select;
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::LocalSet;
 use tokio::time::{Instant, interval, sleep};
 
@@ -34,7 +36,19 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("no event loop: {e}"))?;
     let run = Run { plan, options, report: Report::new(plan), proxies: 0 };
-    LocalSet::new().block_on(&runtime, run.play())
+    LocalSet::new().block_on(&runtime, async {
+        // Guards against proxies that outlive a run that is stopped: they end as it is dropped.
+        let (mut interrupt, mut term) = (catch(SignalKind::interrupt())?, catch(SignalKind::terminate())?);
+        select! {
+            report = run.play() => report,
+            _ = interrupt.recv() => Err("stopped by SIGINT: no result is written".into()),
+            _ = term.recv() => Err("stopped by SIGTERM: no result is written".into()),
+        }
+    })
+}
+
+fn catch(kind: SignalKind) -> Result<Signal, String> {
+    signal(kind).map_err(|e| format!("no signals: {e}"))
 }
 
 struct Run<'a> {
