birchhub scale: what a wall clock says on a crowded machine, and the busiest minute

A series of a wall clock keeps the load it was read at; where that is above the cores a target is met at most by it, and what misses is called void and orders no candidate. Starts are reckoned by processor time. The busiest minute has lines of its own beside the targets.

--- a/crates/scale/src/page.rs
+++ b/crates/scale/src/page.rs
@@ -32,13 +32,7 @@
         reckon::targets(report)?.into_iter().map(|line| {
             let factor = line.factor().map_or("-".into(), figure);
             let target = line.target.map_or("-".into(), figure);
-            [
-                format!("{}, {}", line.what, line.unit),
-                target,
-                figure(line.reckoning) + if line.guess { " (guess)" } else { "" },
-                factor,
-                line.of,
-            ]
+            [format!("{}, {}", line.what, line.unit), target, line.told(), factor, line.of]
         }),
     )
 }
@@ -47,8 +41,7 @@
     let mut lines = reckon::targets(report)?;
     lines.sort_by_key(|line| line.role);
     let rows = lines.into_iter().map(|line| {
-        let guess = if line.guess { " (guess)" } else { "" };
-        let reckoning = format!("{} {}{guess}", figure(line.reckoning), line.unit);
+        let reckoning = format!("{}; {}", line.told(), line.unit);
         [line.role.to_owned(), line.what, reckoning, line.of, line.mechanism.to_owned()]
     });
     table(&["role", "what", "reckoning", "of", "carried by"], rows)
@@ -58,17 +51,19 @@
 fn candidates(report: &Report) -> Result<String, String> {
     let lines = reckon::targets(report)?;
     let factor = |candidate: &Candidate| {
-        let mut own = lines.iter().filter(|line| candidate.keys.contains(&line.key));
-        own.by_ref().filter_map(Line::factor).fold(0.0, f64::max)
+        let own = lines.iter().filter(|line| candidate.keys.contains(&line.key));
+        own.filter_map(Line::factor).max_by(f64::total_cmp)
     };
     let mut order: Vec<_> = reckon::CANDIDATES.iter().map(|c| (factor(c), c)).collect();
-    order.sort_by(|a, b| b.0.total_cmp(&a.0));
+    order.sort_by(|a, b| b.0.unwrap_or(0.0).total_cmp(&a.0.unwrap_or(0.0)));
     let rows = order.into_iter().zip(1..).map(|((factor, candidate), place)| {
-        let misses = if factor > 1.0 { "missed" } else { "met" };
+        let factor = factor.map_or("not known".into(), |factor| {
+            format!("{} ({})", figure(factor), if factor > 1.0 { "missed" } else { "met" })
+        });
         [
             place.to_string(),
             candidate.name.to_owned(),
-            format!("{} ({misses})", figure(factor)),
+            factor,
             candidate.keys.join(", "),
             candidate.expected.to_owned(),
         ]
--- a/crates/scale/src/reckon.rs
+++ b/crates/scale/src/reckon.rs
@@ -1,4 +1,5 @@
 //! What the planned size costs, worked out from the lines through measured points. What was not measured is called a guess.
+use crate::page::figure;
 use crate::plan::size::*;
 use crate::report::Report;
 
@@ -26,6 +27,8 @@
     pub reckoning: f64,
     /// Part of it was not measured.
     pub guess: bool,
+    /// The machine had more to do than cores while a wall clock was read for it.
+    pub crowded: bool,
     /// The series it is made of.
     pub of: String,
     /// What carries it, or what would.
@@ -33,9 +36,26 @@
 }
 
 impl Line {
-    /// How often the target is used up; above 1 it is missed.
+    /// How often the target is used up; above 1 it is missed. None without a target or where it is void.
     pub fn factor(&self) -> Option<f64> {
-        self.target.map(|target| self.reckoning / target)
+        self.target.filter(|_| !self.is_void()).map(|target| self.reckoning / target)
+    }
+
+    /// It says nothing: a crowded machine can only add to a wall clock, so what meets its target all the same does so on a
+    /// quiet one, and what misses it may be the crowd's. Less than nothing is a difference of two such readings.
+    pub fn is_void(&self) -> bool {
+        self.crowded && !self.target.is_some_and(|target| (0.0..=target).contains(&self.reckoning))
+    }
+
+    /// The figure with what is to be known of it.
+    pub fn told(&self) -> String {
+        let text = figure(self.reckoning);
+        match () {
+            () if self.is_void() => format!("void, the machine was crowded ({text})"),
+            () if self.crowded => format!("at most {text}, on a crowded machine"),
+            () if self.guess => format!("{text} (guess)"),
+            () => text,
+        }
     }
 }
 
@@ -71,8 +91,8 @@
     },
     Candidate {
         name: "the list told as what this proxy needs",
-        keys: &["memory", "traffic"],
-        expected: "with subsets: lines, bytes and memory by the part that is used",
+        keys: &["memory", "traffic", "busy-traffic", "busy-control"],
+        expected: "with subsets of 1 in 20: lines, bytes, processor time of changes and memory of backends a twentieth",
     },
     Candidate {
         name: "fewer and shorter resident structures for a backend",
@@ -81,7 +101,7 @@
     },
     Candidate {
         name: "a core that sleeps while nothing goes on",
-        keys: &["control"],
+        keys: &["control", "busy-control"],
         expected: "the base of idle.backends near nothing",
     },
     Candidate {
@@ -96,17 +116,28 @@
     (RESTARTS * LINES_EACH + FAILURES) / DAY
 }
 
+/// Processor time of a proxy of the planned size until it is ready, s.
+fn start(report: &Report) -> Result<f64, String> {
+    Ok(report.at("start.backends", BACKENDS)?
+        + report.slope("start.tenants")? * TENANTS
+        + report.slope("start.methods")? * METHODS)
+}
+
+/// List lines a second in the busiest minute.
+fn deploy() -> f64 {
+    BACKENDS * DEPLOY * LINES_EACH / 60.0
+}
+
 pub fn targets(report: &Report) -> Result<Vec<Line>, String> {
     let at = |name, x| report.at(name, x);
+    let crowded = |name: &str| Ok::<_, String>(report.get(name)?.load > report.cores as f64);
     let rate = RPCS / PROXIES;
     let memory = at("memory.busy.backends", BACKENDS)?
         + report.slope("memory.tenants")? * TENANTS
         + report.slope("memory.methods")? * METHODS;
     let change = at("change.backends", BACKENDS)?; // ms
     let control = at("idle.backends", BACKENDS)? + change * changes() / 10.0;
-    let start = at("start.backends", BACKENDS)?
-        + report.slope("start.tenants")? * TENANTS
-        + report.slope("start.methods")? * METHODS;
+    let start = start(report)?;
     let bytes = report.slope("list.bytes")?; // KB a change and proxy
     let crowd = report.plan.hollow_backends;
     Ok(vec![
@@ -116,9 +147,10 @@
             what: "a changed setting in force at all proxies, restarted by tenths".into(),
             unit: "s",
             target: Some(IN_FORCE),
-            reckoning: BATCHES * (ENDING + at("settings.restart", 1.0)?),
+            reckoning: BATCHES * (ENDING + start),
             guess: true,
-            of: "settings.restart at 1; ten batches and 1.5 s of ending are assumed".into(),
+            crowded: false,
+            of: "start.backends, start.tenants, start.methods, each with a core; ten batches and 1.5 s of ending are assumed".into(),
             mechanism: "missing: settings in force without a restart",
         },
         Line {
@@ -129,6 +161,7 @@
             target: Some(PROCESSOR),
             reckoning: CORE * start * CHANGES / DAY,
             guess: false,
+            crowded: false,
             of: "start.backends, start.tenants, start.methods".into(),
             mechanism: "missing: settings in force without a restart",
         },
@@ -140,7 +173,8 @@
             target: Some(ADDED),
             reckoning: at("latency.backends", BACKENDS)?,
             guess: false,
-            of: "latency.backends, by a wall clock".into(),
+            crowded: crowded("latency.backends")?,
+            of: "latency.backends".into(),
             mechanism: "here: kept connections (daemon, backend.rs), and answers that bring the same few backends again",
         },
         Line {
@@ -151,8 +185,9 @@
             target: Some(ADDED),
             reckoning: at("latency.probes.backends", BACKENDS)?,
             guess: false,
-            of: "latency.probes.backends, by a wall clock".into(),
-            mechanism: "missing: subsets; nearly each pick and probe opens a connection",
+            crowded: crowded("latency.probes.backends")?,
+            of: "latency.probes.backends".into(),
+            mechanism: "missing: subsets, so that a pair meets before its connection is closed",
         },
         Line {
             key: "memory",
@@ -162,6 +197,7 @@
             target: Some(MEMORY),
             reckoning: memory,
             guess: false,
+            crowded: false,
             of: "memory.busy.backends, memory.tenants, memory.methods".into(),
             mechanism: "here: an actor for each backend (daemon, core.rs)",
         },
@@ -173,6 +209,7 @@
             target: Some(PROCESSOR),
             reckoning: control,
             guess: false,
+            crowded: false,
             of: "idle.backends, change.backends; 3 lines a restart are assumed".into(),
             mechanism: "here: the core's beat (daemon, core.rs) and the list's changes (src/policy.rs, list)",
         },
@@ -184,9 +221,34 @@
             target: Some(TRAFFIC),
             reckoning: bytes * changes() + EMPTY / HOLD,
             guess: true,
+            crowded: false,
             of: "list.bytes; 0.3 KB for a call that tells nothing every 4 s are assumed".into(),
             mechanism: "here: long calls that tell changes only (daemon, discovery.rs)",
         },
+        Line {
+            key: "busy-control",
+            role: "proxy",
+            what: "processor time of a proxy for control, busiest minute".into(),
+            unit: "% of a core",
+            target: Some(PROCESSOR),
+            reckoning: at("idle.backends", BACKENDS)? + change * deploy().min(CALLS_MOST) / 10.0,
+            guess: true,
+            crowded: false,
+            of: "idle.backends, change.backends; a tenth of the backends replaced in a minute is assumed".into(),
+            mechanism: "here: the list's changes (src/policy.rs, list); subsets told as such would be fewer",
+        },
+        Line {
+            key: "busy-traffic",
+            role: "proxy",
+            what: "bytes of a proxy for control, busiest minute".into(),
+            unit: "KB a second",
+            target: Some(TRAFFIC),
+            reckoning: bytes * deploy(),
+            guess: true,
+            crowded: false,
+            of: "list.bytes; a tenth of the backends replaced in a minute is assumed".into(),
+            mechanism: "missing: the list told as what this proxy needs",
+        },
         Line {
             key: "in-force",
             role: "discovery and control machines",
@@ -195,6 +257,7 @@
             target: Some(IN_FORCE),
             reckoning: at("list.in_force", PROXIES)?,
             guess: false,
+            crowded: crowded("list.in_force")?,
             of: "list.in_force, all on one machine".into(),
             mechanism: "here: long calls (daemon, discovery.rs)",
         },
@@ -206,6 +269,7 @@
             target: Some(MACHINES * CORE),
             reckoning: (at("list.processor", PROXIES)? * changes() / 10.0).max(0.0),
             guess: true,
+            crowded: false,
             of: "list.processor; the stand-in, not the operators' own; a core of each machine is assumed"
                 .into(),
             mechanism: "not ours: the operators' list service; the stand-in encodes an answer once for all",
@@ -218,6 +282,7 @@
             target: Some(IN_FORCE),
             reckoning: at("list.crowd", PROXIES)?,
             guess: false,
+            crowded: crowded("list.crowd")?,
             of: "list.crowd, all on one machine, proxies included".into(),
             mechanism: "here: half a second of jitter at the start (src/policy.rs, list)",
         },
@@ -229,6 +294,7 @@
             target: None,
             reckoning: report.slope("connect.proxies")? * PROXIES,
             guess: false,
+            crowded: false,
             of: "connect.proxies".into(),
             mechanism: "here: kept connections (daemon, backend.rs); subsets would open fewer",
         },
@@ -240,6 +306,7 @@
             target: None,
             reckoning: report.slope("connect.probes.proxies")? * PROXIES,
             guess: false,
+            crowded: false,
             of: "connect.probes.proxies".into(),
             mechanism: "missing: subsets",
         },
@@ -251,6 +318,7 @@
             target: None,
             reckoning: at("connect.probes.backends", BACKENDS)?,
             guess: false,
+            crowded: false,
             of: "connect.probes.backends".into(),
             mechanism: "missing: subsets",
         },
@@ -262,6 +330,7 @@
             target: None,
             reckoning: at("rpc.probes.backends", BACKENDS)? * rate / 1e4,
             guess: false,
+            crowded: false,
             of: "rpc.probes.backends at 235 RPCs a second".into(),
             mechanism: "missing: subsets",
         },
@@ -273,6 +342,7 @@
             target: None,
             reckoning: at("connect.backends", BACKENDS)?,
             guess: false,
+            crowded: false,
             of: "connect.backends".into(),
             mechanism: "here: kept connections (daemon, backend.rs); subsets would open fewer",
         },
@@ -284,6 +354,7 @@
             target: None,
             reckoning: at("rpc.backends", BACKENDS)? * rate / 1e4,
             guess: false,
+            crowded: false,
             of: "rpc.backends at 235 RPCs a second".into(),
             mechanism: "here: one thread a proxy (daemon, main.rs)",
         },
@@ -295,6 +366,7 @@
             target: None,
             reckoning: rate,
             guess: true,
+            crowded: false,
             of: "200,000 over 850, evenly dealt".into(),
             mechanism: "not ours: the layer before the proxies deals clients out",
         },
@@ -306,6 +378,7 @@
             target: None,
             reckoning: RPCS / BACKENDS,
             guess: true,
+            crowded: false,
             of: "200,000 over 8,700, evenly dealt".into(),
             mechanism: "here: Join-Idle-Queue (src/policy.rs)",
         },
@@ -317,6 +390,7 @@
             target: None,
             reckoning: PROXIES,
             guess: true,
+            crowded: false,
             of: "one call a proxy (daemon, management.rs); not measured".into(),
             mechanism: "here for one proxy (daemon, management.rs); missing: an order to all by one call",
         },
@@ -334,10 +408,11 @@
         of: of.to_owned(),
     };
     let change = at("change.backends", BACKENDS)?; // ms
+    let start = start(report)?;
     let told = report.slope("list.bytes")?; // KB a change and proxy
     let line = report.slope("list.whole.bytes")?; // KB a line
     let whole = at("list.whole.bytes", BACKENDS)? / 1e3; // MB
-    let deploy = BACKENDS * DEPLOY * LINES_EACH / 60.0; // lines a second
+    let deploy = deploy();
     let zone = BACKENDS / ZONES;
     let missed = changes() * 3_600.0;
     Ok(vec![
@@ -455,11 +530,11 @@
         ),
         hour(
             "a route changed everywhere",
-            "by a restart of all at once, each on a machine of its own",
+            "by a restart of all at once, each with a core of its own",
             "s",
-            at("settings.restart", 1.0)?,
+            start,
             false,
-            "settings.restart at 1; its RPCs of that time are lost",
+            "start.backends, start.tenants, start.methods; its RPCs of that time are lost",
         ),
         match report.at("settings.reload", 1.0) {
             Ok(time) => hour(
--- a/crates/scale/tests/pages.rs
+++ b/crates/scale/tests/pages.rs
@@ -15,6 +15,8 @@
         }
     }
     report.finish();
+    // However busy the machine of the test is.
+    report.series.iter_mut().for_each(|s| s.load = 0.0);
     report
 }
 
@@ -77,6 +79,29 @@
     }
 }
 
+/// A crowded machine can add to a wall clock and never take off: it proves a target met, and nothing else.
+#[test]
+fn a_wall_clock_on_a_crowded_machine_proves_no_target_missed() {
+    let crowded = |latency: f64| {
+        let mut report = made(|name| if name == "latency.backends" { (latency, 0.0) } else { (0.001, 0.0) });
+        report.cores = 8;
+        report.series.iter_mut().for_each(|s| s.load = 30.0);
+        reckon::targets(&report)
+            .expect("a reckoning")
+            .into_iter()
+            .find(|l| l.key == "latency")
+            .expect("a line")
+    };
+    for void in [-3.0, 90.0] {
+        let line = crowded(void);
+        assert!(line.is_void() && line.factor().is_none(), "{line:?}");
+        assert!(line.told().starts_with("void"), "{}", line.told());
+    }
+    let met = crowded(0.6);
+    assert!((met.factor().expect("a factor") - 0.5).abs() < 1e-9);
+    assert_eq!(met.told(), "at most 0.6, on a crowded machine");
+}
+
 /// Each key that a candidate is for is a line of the reckoning with a target, or it could never be ordered.
 #[test]
 fn candidates_are_for_lines_that_are_reckoned() {
