--- a/crates/scale/tests/pages.rs
+++ b/crates/scale/tests/pages.rs
@@ -83,7 +83,7 @@
 #[test]
 fn a_wall_clock_on_a_crowded_machine_proves_no_target_missed() {
     let crowded = |latency: f64| {
-        let mut report = made(|name| if name == "latency.backends" { (latency, 0.0) } else { (0.001, 0.0) });
+        let mut report = made(|name| if name == "latency.rate" { (latency, 0.0) } else { (0.001, 0.0) });
         report.cores = 8;
         report.series.iter_mut().for_each(|s| s.load = 30.0);
         reckon::targets(&report)
