--- a/src/policy.rs
+++ b/src/policy.rs
@@ -80,7 +80,7 @@
     probes_queue: bool, // what a probe takes tells what stands there; reports don't
     probes_each: f64,
     answers_enlist: bool, // answers are all that is heard of loads, or nearly
-    by_utility: bool,     // and some RPCs are worth more than others: these are admitted first
+    by_utility: bool,     // no probe tells of loads, and some RPCs are worth more: these are admitted first
     told: Told,
     cold: Cold,
     stay_home: f64, // part of draws, times the zones, times the part of backends that are at home
@@ -405,7 +405,7 @@
         self.probes_queue = self.may_probe && !set.reports_queue;
         self.probes_each = worth_probing.clamp(PROBES_LEAST, PROBES_MOST);
         self.answers_enlist = !(self.may_probe && worth_probing >= 0.0);
-        self.by_utility = self.answers_enlist && set.methods.iter().any(|m| m.utility < best);
+        self.by_utility = !self.may_probe && set.methods.iter().any(|m| m.utility < best);
         self.bounds = Bounds::of(set, self.bounds.processes.max(1.0));
         self.room = self.methods.iter().map(|m| m.room).fold(f64::INFINITY, f64::min);
         self.cold.adopt(set, COLD_SAFETY);
