--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -742,7 +742,14 @@
         let mut start = Command::new(program);
         let log = std::fs::File::create(folder.join("log")).expect("a file");
         start.env("LB_CONFIG", folder.join("config.json")).env("TMPDIR", folder);
-        start.stderr(log).spawn().expect("birchhubd")
+        start.stderr(log);
+        // A program that a test has just written is busy while another test's child, between fork and exec, has it open.
+        loop {
+            match start.spawn() {
+                Err(e) if e.kind() == ErrorKind::ExecutableFileBusy => sleep(Duration::from_millis(2)),
+                child => return child.expect("birchhubd"),
+            }
+        }
     }
 
     impl Daemon {
