--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -44,7 +44,10 @@
     };
     Settings {
         balancers: 1,
-        methods: vec![method(Effect::Idempotent, 1.0), method(Effect::NonIdempotent, 4.0)],
+        methods: vec![
+            method(Effect::Idempotent, 1.0),
+            method(Effect::NonIdempotent, 4.0),
+        ],
         most_picks: 3,
         may_cancel: true,
         may_probe: true,
@@ -63,7 +66,14 @@
 
 fn entry(backend: u32) -> Entry {
     let (cell, zone) = (u64::from(backend / 8), 0);
-    Entry { backend, size: 1.0, started: None, cell, zone, readiness: Readiness::Ready }
+    Entry {
+        backend,
+        size: 1.0,
+        started: None,
+        cell,
+        zone,
+        readiness: Readiness::Ready,
+    }
 }
 
 /// A proxy alone before so many backends, each of which holds what it was sent.
@@ -82,26 +92,41 @@
         let listed: Vec<_> = (0..backends).map(entry).collect();
         balancer.list(ListKind::Full, &listed, &mut platform);
         let held = vec![0; backends as usize];
-        let mut bench = Self { balancer, platform, out: VecDeque::new(), held, next: 0 };
+        let mut bench = Self {
+            balancer,
+            platform,
+            out: VecDeque::new(),
+            held,
+            next: 0,
+        };
         (0..backends * 2).for_each(|_| bench.rpc());
         bench
     }
 
     fn report(&self, backend: u32) -> Option<LoadReport> {
         let in_flight = Some(f64::from(self.held[backend as usize]));
-        Some(LoadReport { in_flight, ..LoadReport::default() })
+        Some(LoadReport {
+            in_flight,
+            ..LoadReport::default()
+        })
     }
 
     fn take(&mut self) {
         let (id, method) = (self.next, (self.next % 2) as usize);
         self.next += 1;
         let deadline = self.platform.now + 1.0;
-        let arrival = Arrival { id, method, deadline, ..Arrival::default() };
+        let arrival = Arrival {
+            id,
+            method,
+            deadline,
+            ..Arrival::default()
+        };
         let rpc = self.balancer.take(&arrival, &mut self.platform);
         while self.platform.picked.is_none() && !self.platform.probed.is_empty() {
             for backend in std::mem::take(&mut self.platform.probed) {
                 let report = self.report(backend);
-                self.balancer.probed(backend, Outcome::Ok, report, &mut self.platform);
+                self.balancer
+                    .probed(backend, Outcome::Ok, report, &mut self.platform);
             }
         }
         self.platform.probed.clear();
@@ -127,13 +152,16 @@
 }
 
 fn rpcs(c: &mut Criterion) {
-    for (name, reports) in
-        [("rpc, reports in answers", Reports::InAnswers), ("rpc, reports by probe", Reports::ByProbe)]
-    {
+    for (name, reports) in [
+        ("rpc, reports in answers", Reports::InAnswers),
+        ("rpc, reports by probe", Reports::ByProbe),
+    ] {
         let mut group = c.benchmark_group(name);
         for size in SIZES {
             let mut bench = Bench::new(size, reports);
-            group.bench_function(BenchmarkId::from_parameter(size), |b| b.iter(|| bench.rpc()));
+            group.bench_function(BenchmarkId::from_parameter(size), |b| {
+                b.iter(|| bench.rpc())
+            });
         }
         group.finish();
     }
@@ -145,12 +173,28 @@
     for waiting in [1, 100, 1_000] {
         let mut bench = Bench::new(100, Reports::ByProbe);
         let deadline = bench.platform.now + 60.0;
-        let arrival = |id| Arrival { id, deadline, ..Arrival::default() };
-        let mut rpcs: Vec<_> =
-            (0..waiting).map(|n| bench.balancer.take(&arrival(1 << 40 | n), &mut bench.platform)).collect();
-        let busy = Some(LoadReport { in_flight: Some(9.0), ..LoadReport::default() });
+        let arrival = |id| Arrival {
+            id,
+            deadline,
+            ..Arrival::default()
+        };
+        let mut rpcs: Vec<_> = (0..waiting)
+            .map(|n| {
+                bench
+                    .balancer
+                    .take(&arrival(1 << 40 | n), &mut bench.platform)
+            })
+            .collect();
+        let busy = Some(LoadReport {
+            in_flight: Some(9.0),
+            ..LoadReport::default()
+        });
         group.bench_function(BenchmarkId::from_parameter(waiting), |b| {
-            b.iter(|| bench.balancer.probed(5, Outcome::Ok, busy, &mut bench.platform));
+            b.iter(|| {
+                bench
+                    .balancer
+                    .probed(5, Outcome::Ok, busy, &mut bench.platform)
+            });
         });
         rpcs.clear();
     }
@@ -165,10 +209,17 @@
         group.bench_function(BenchmarkId::from_parameter(size), |b| {
             b.iter(|| {
                 ready = !ready;
-                let readiness = if ready { Readiness::Ready } else { Readiness::Draining };
+                let readiness = if ready {
+                    Readiness::Ready
+                } else {
+                    Readiness::Draining
+                };
                 bench.balancer.list(
                     ListKind::Changes,
-                    &[Entry { readiness, ..entry(3) }],
+                    &[Entry {
+                        readiness,
+                        ..entry(3)
+                    }],
                     &mut bench.platform,
                 );
             });
@@ -179,7 +230,12 @@
     for size in SIZES {
         let listed: Vec<_> = (0..size).map(entry).collect();
         group.throughput(Throughput::Elements(u64::from(size)));
-        let fresh = || (Balancer::new(&settings(Reports::InAnswers), 1), Platform::default());
+        let fresh = || {
+            (
+                Balancer::new(&settings(Reports::InAnswers), 1),
+                Platform::default(),
+            )
+        };
         group.bench_function(BenchmarkId::from_parameter(size), |b| {
             b.iter_batched(
                 fresh,
--- a/crates/audit/src/audit.rs
+++ b/crates/audit/src/audit.rs
@@ -176,9 +176,18 @@
     }
 
     fn breach(&mut self, rule: Rule, at: f64, subject: String, what: String, timed: bool) {
-        let breach = Breach { rule, at, subject: subject.clone(), what, timed };
+        let breach = Breach {
+            rule,
+            at,
+            subject: subject.clone(),
+            what,
+            timed,
+        };
         // A fault seen in several ways is one breach; one that no clock can excuse outweighs one of time.
-        let slot = self.breaches.entry((rule, subject)).or_insert_with(|| breach.clone());
+        let slot = self
+            .breaches
+            .entry((rule, subject))
+            .or_insert_with(|| breach.clone());
         if slot.timed && !timed {
             *slot = breach;
         }
@@ -189,7 +198,10 @@
     }
 
     fn proxy_name(&self, proxy: u16) -> &str {
-        self.head.proxies.get(proxy as usize).map_or("?", String::as_str)
+        self.head
+            .proxies
+            .get(proxy as usize)
+            .map_or("?", String::as_str)
     }
 
     fn node_name(&self, node: u32) -> &str {
@@ -205,26 +217,70 @@
         let at = entry.at;
         self.now = self.now.max(at);
         match entry.event {
-            Event::Asked { rpc, method, tenant, within } => {
+            Event::Asked {
+                rpc,
+                method,
+                tenant,
+                within,
+            } => {
                 self.counts.rpcs += 1;
-                self.rpcs.insert(rpc, Asked { method: method as usize, effects: 0 });
-                self.tally.asked(at, rpc, method as usize, tenant as usize, within);
+                self.rpcs.insert(
+                    rpc,
+                    Asked {
+                        method: method as usize,
+                        effects: 0,
+                    },
+                );
+                self.tally
+                    .asked(at, rpc, method as usize, tenant as usize, within);
             }
-            Event::Sent { attempt, rpc, proxy, patience } => {
+            Event::Sent {
+                attempt,
+                rpc,
+                proxy,
+                patience,
+            } => {
                 self.counts.tries += 1;
                 let (patience, picks) = (f64::from(patience), Vec::new());
                 // The first pick may have overtaken the note of the send.
                 let known = self.tries.remove(&attempt).map_or(picks, |t| t.picks);
-                let entry = Try { rpc, proxy, sent: at, patience, answer: None, picks: known };
+                let entry = Try {
+                    rpc,
+                    proxy,
+                    sent: at,
+                    patience,
+                    answer: None,
+                    picks: known,
+                };
                 self.tries.insert(attempt, entry);
             }
             Event::Answered { attempt, answer } => self.answered(at, attempt, answer),
-            Event::Born { life, node, cold, .. } => {
+            Event::Born {
+                life, node, cold, ..
+            } => {
                 let push = VecDeque::new();
-                self.lives.insert(life, Life { node, born: at, cold, peak: 0.0, push });
+                self.lives.insert(
+                    life,
+                    Life {
+                        node,
+                        born: at,
+                        cold,
+                        peak: 0.0,
+                        push,
+                    },
+                );
             }
             Event::Fell { life } => self.fell(at, life),
-            Event::Got { life, job, attempt, proxy, begun, work, pushed, taken } => {
+            Event::Got {
+                life,
+                job,
+                attempt,
+                proxy,
+                begun,
+                work,
+                pushed,
+                taken,
+            } => {
                 self.got(life, job, attempt, begun, taken);
                 self.after_told(life, attempt, proxy, begun);
                 self.pushed(at, life, proxy, f64::from(work), f64::from(pushed));
@@ -237,7 +293,12 @@
                     pick.over.get_or_insert(at);
                 }
             }
-            Event::Told { proxy, node, life, state } => {
+            Event::Told {
+                proxy,
+                node,
+                life,
+                state,
+            } => {
                 let off = (state != State::Ready).then_some(at);
                 let slot = self.told.entry((proxy, node)).or_insert((life, off));
                 let still = slot.1.filter(|_| slot.0 == life && state != State::Ready);
@@ -250,7 +311,13 @@
             Event::ProxyEnded { proxy, how } => {
                 if how == End::Crashed {
                     let name = format!("proxy {}", self.proxy_name(proxy));
-                    self.breach(Rule::OneAnswer, at, name, "ended by itself, unasked".into(), false);
+                    self.breach(
+                        Rule::OneAnswer,
+                        at,
+                        name,
+                        "ended by itself, unasked".into(),
+                        false,
+                    );
                 }
                 self.ended.entry(proxy).or_default().push((at, how));
             }
@@ -267,11 +334,17 @@
 
     fn pick_mut(&mut self, job: u64) -> Option<&mut Pick> {
         let attempt = self.jobs.get(&job)?;
-        self.tries.get_mut(attempt)?.picks.iter_mut().find(|p| p.job == job)
+        self.tries
+            .get_mut(attempt)?
+            .picks
+            .iter_mut()
+            .find(|p| p.job == job)
     }
 
     fn answered(&mut self, at: f64, attempt: u64, answer: Answer) {
-        let Some(entry) = self.tries.get_mut(&attempt) else { return };
+        let Some(entry) = self.tries.get_mut(&attempt) else {
+            return;
+        };
         let (rpc, before, deadline) = (entry.rpc, entry.answer, entry.deadline());
         entry.answer.get_or_insert((at, answer));
         if before.is_some() {
@@ -291,7 +364,10 @@
             }
         }
         if answer.is_final() && at > deadline + self.head.rules.slack {
-            let what = format!("answered {:.0} ms after its deadline", (at - deadline) * 1e3);
+            let what = format!(
+                "answered {:.0} ms after its deadline",
+                (at - deadline) * 1e3
+            );
             self.breach(Rule::OneAnswer, at, Self::rpc_name(rpc), what, true);
         }
         if answer == Answer::Ok {
@@ -305,16 +381,35 @@
         self.jobs.insert(job, attempt);
         let (rpc, proxy, sent, patience) = (u32::MAX, u16::MAX, begun, f64::INFINITY);
         let entry = self.tries.entry(attempt);
-        let entry = entry.or_insert(Try { rpc, proxy, sent, patience, answer: None, picks: Vec::new() });
+        let entry = entry.or_insert(Try {
+            rpc,
+            proxy,
+            sent,
+            patience,
+            answer: None,
+            picks: Vec::new(),
+        });
         let over = (taken == Taken::TurnedAway).then_some(begun);
-        entry.picks.push(Pick { job, life, begun, taken, over });
+        entry.picks.push(Pick {
+            job,
+            life,
+            begun,
+            taken,
+            over,
+        });
     }
 
     /// Rule 3, for one pick.
     fn after_told(&mut self, life: u32, attempt: u64, proxy: u16, begun: f64) {
-        let Some(node) = self.lives.get(&life).map(|l| l.node) else { return };
+        let Some(node) = self.lives.get(&life).map(|l| l.node) else {
+            return;
+        };
         // Off since then, for this life: what was said of an earlier one does not count.
-        let Some((_, Some(off))) = self.told.get(&(proxy, node)).filter(|told| told.0 == life).copied()
+        let Some((_, Some(off))) = self
+            .told
+            .get(&(proxy, node))
+            .filter(|told| told.0 == life)
+            .copied()
         else {
             return;
         };
@@ -334,14 +429,23 @@
 
     fn pushed(&mut self, at: f64, life: u32, proxy: u16, work: f64, pushed: f64) {
         let window = self.head.rules.fall_window;
-        let Some(entry) = self.lives.get_mut(&life) else { return };
+        let Some(entry) = self.lives.get_mut(&life) else {
+            return;
+        };
         if !entry.cold {
             return;
         }
-        let informed = self.told.get(&(proxy, entry.node)).is_some_and(|told| told.0 == life);
+        let informed = self
+            .told
+            .get(&(proxy, entry.node))
+            .is_some_and(|told| told.0 == life);
         entry.peak = entry.peak.max(pushed);
         entry.push.push_back((at, work, informed));
-        while entry.push.front().is_some_and(|(then, ..)| *then < at - window) {
+        while entry
+            .push
+            .front()
+            .is_some_and(|(then, ..)| *then < at - window)
+        {
             entry.push.pop_front();
         }
     }
@@ -349,10 +453,17 @@
     /// Rule 4.
     fn fell(&mut self, at: f64, life: u32) {
         self.counts.fallen += 1;
-        let Some(entry) = self.lives.get_mut(&life) else { return };
+        let Some(entry) = self.lives.get_mut(&life) else {
+            return;
+        };
         entry.peak = entry.peak.max(1.0);
         let sum = |of: &dyn Fn(bool) -> bool| -> f64 {
-            entry.push.iter().filter(|(_, _, informed)| of(*informed)).map(|(_, work, _)| work).sum()
+            entry
+                .push
+                .iter()
+                .filter(|(_, _, informed)| of(*informed))
+                .map(|(_, work, _)| work)
+                .sum()
         };
         let (all, informed) = (sum(&|_| true), sum(&|informed| informed));
         let (node, age) = (entry.node, at - entry.born);
@@ -371,9 +482,18 @@
     /// An effect happened.
     fn started(&mut self, at: f64, job: u64) {
         self.counts.runs += 1;
-        let Some(rpc) = self.jobs.get(&job).and_then(|a| self.tries.get(a)).map(|t| t.rpc) else { return };
+        let Some(rpc) = self
+            .jobs
+            .get(&job)
+            .and_then(|a| self.tries.get(a))
+            .map(|t| t.rpc)
+        else {
+            return;
+        };
         let kind = self.kind(rpc);
-        let Some(asked) = self.rpcs.get_mut(&rpc) else { return };
+        let Some(asked) = self.rpcs.get_mut(&rpc) else {
+            return;
+        };
         asked.effects += 1;
         let effects = asked.effects;
         match kind {
@@ -395,25 +515,45 @@
         let Some(kind) = self.kind(entry.rpc) else {
             if let Some(pick) = entry.picks.first() {
                 let what = "sent to a node, and no client had asked for it".to_owned();
-                self.breach(Rule::OneAnswer, pick.begun, format!("try {attempt:016x}"), what, false);
+                self.breach(
+                    Rule::OneAnswer,
+                    pick.begun,
+                    format!("try {attempt:016x}"),
+                    what,
+                    false,
+                );
             }
             return;
         };
         let mut found = Vec::new();
         let ran = |p: &&Pick| p.taken != Taken::TurnedAway;
         for (n, pick) in entry.picks.iter().enumerate() {
-            let after = entry.answer.filter(|(at, a)| a.is_final() && pick.begun > at + slack);
+            let after = entry
+                .answer
+                .filter(|(at, a)| a.is_final() && pick.begun > at + slack);
             if after.is_some() {
-                found.push((Rule::OneAnswer, pick.begun, "sent on after its final answer".to_owned(), true));
+                found.push((
+                    Rule::OneAnswer,
+                    pick.begun,
+                    "sent on after its final answer".to_owned(),
+                    true,
+                ));
             } else if pick.begun > entry.deadline() + slack {
-                found.push((Rule::OneAnswer, pick.begun, "sent on after its deadline".to_owned(), true));
+                found.push((
+                    Rule::OneAnswer,
+                    pick.begun,
+                    "sent on after its deadline".to_owned(),
+                    true,
+                ));
             }
             if n >= rules.most_picks {
                 let what = format!("{} picks, {} are allowed", n + 1, rules.most_picks);
                 found.push((Rule::NoEffectTwice, pick.begun, what, false));
             }
             let before = &entry.picks[..n];
-            let out = before.iter().any(|p| ran(&p) && p.over.is_none_or(|over| over > pick.begun + slack));
+            let out = before
+                .iter()
+                .any(|p| ran(&p) && p.over.is_none_or(|over| over > pick.begun + slack));
             if out && !rules.second_copies {
                 let what = "a second copy while one was out".to_owned();
                 found.push((Rule::NoEffectTwice, pick.begun, what, true));
@@ -424,10 +564,13 @@
                 let (what, timed) = match kind {
                     Kind::Idempotent => continue,
                     Kind::NonIdempotent => ("sent again after it may have run".to_owned(), false),
-                    Kind::Deduplicated { group, .. } if !self.head.together(group, one, other) => {
-                        ("sent again outside the group that drops repeats".to_owned(), false)
-                    }
-                    Kind::Deduplicated { window, .. } if pick.begun > first.begun + window + slack => {
+                    Kind::Deduplicated { group, .. } if !self.head.together(group, one, other) => (
+                        "sent again outside the group that drops repeats".to_owned(),
+                        false,
+                    ),
+                    Kind::Deduplicated { window, .. }
+                        if pick.begun > first.begun + window + slack =>
+                    {
                         ("sent again after repeats are forgotten".to_owned(), true)
                     }
                     Kind::Deduplicated { .. } => continue,
@@ -446,9 +589,16 @@
             && !kind.repeats_anywhere()
             && entry.picks.iter().any(|p| ran(&p) && p.begun <= at)
         {
-            found.push((Rule::NoEffectTwice, at, "pushed back although it may have run".to_owned(), false));
+            found.push((
+                Rule::NoEffectTwice,
+                at,
+                "pushed back although it may have run".to_owned(),
+                false,
+            ));
         }
-        let until = entry.answer.map_or(self.now.min(entry.deadline()), |(at, _)| at);
+        let until = entry
+            .answer
+            .map_or(self.now.min(entry.deadline()), |(at, _)| at);
         let unanswered = match entry.answer {
             Some((_, Answer::Lost | Answer::Silence)) => true,
             Some(_) => false,
@@ -474,7 +624,12 @@
                     _ => "no answer by its deadline",
                 };
                 let what = format!("{how}; {} had taken it", self.proxy_name(entry.proxy));
-                found.push((Rule::OneAnswer, until, what, entry.answer.is_none_or(|a| a.1 != Answer::Lost)));
+                found.push((
+                    Rule::OneAnswer,
+                    until,
+                    what,
+                    entry.answer.is_none_or(|a| a.1 != Answer::Lost),
+                ));
             }
         }
         for (rule, at, what, timed) in found {
@@ -487,8 +642,11 @@
         for (attempt, entry) in &tries {
             self.judge(*attempt, entry);
         }
-        let cold =
-            |l: &Life| ColdLife { node: self.node_name(l.node).to_owned(), from: l.born, peak: l.peak };
+        let cold = |l: &Life| ColdLife {
+            node: self.node_name(l.node).to_owned(),
+            from: l.born,
+            peak: l.peak,
+        };
         let mut cold: Vec<_> = self.lives.values().filter(|l| l.cold).map(cold).collect();
         cold.sort_by(|a, b| a.from.total_cmp(&b.from).then_with(|| a.node.cmp(&b.node)));
         let (kit_late, stage_late) = (parts(&mut self.late), parts(&mut self.stage_late));
--- a/crates/audit/src/head.rs
+++ b/crates/audit/src/head.rs
@@ -37,7 +37,14 @@
 impl Kind {
     /// Whether pushing back what may have run is harmless.
     pub fn repeats_anywhere(self) -> bool {
-        matches!(self, Self::Idempotent | Self::Deduplicated { group: Group::All, .. })
+        matches!(
+            self,
+            Self::Idempotent
+                | Self::Deduplicated {
+                    group: Group::All,
+                    ..
+                }
+        )
     }
 }
 
--- a/crates/audit/src/ledger.rs
+++ b/crates/audit/src/ledger.rs
@@ -15,7 +15,11 @@
     #[error("the head, line 2: {0}")]
     Head(#[from] serde_json::Error),
     #[error("record {number} at byte {byte}: {why}")]
-    Record { number: usize, byte: usize, why: &'static str },
+    Record {
+        number: usize,
+        byte: usize,
+        why: &'static str,
+    },
     #[error(transparent)]
     Io(#[from] std::io::Error),
 }
@@ -56,7 +60,10 @@
 /// Reads it whole. Damage in the middle is an error that names the record; a record cut off at the end is not.
 pub fn read(mut from: impl BufRead) -> Result<Ledger, Fault> {
     let mut line = String::new();
-    from.by_ref().take(MAGIC.len() as u64 + 1).read_line(&mut line).map_err(|_| Fault::Magic)?;
+    from.by_ref()
+        .take(MAGIC.len() as u64 + 1)
+        .read_line(&mut line)
+        .map_err(|_| Fault::Magic)?;
     if line.trim_end() != MAGIC {
         return Err(Fault::Magic);
     }
@@ -67,7 +74,11 @@
     from.read_to_end(&mut bytes)?;
     let (mut entries, mut place, mut cut) = (Vec::new(), 0, false);
     while place < bytes.len() {
-        let fault = |why| Fault::Record { number: entries.len(), byte: place, why };
+        let fault = |why| Fault::Record {
+            number: entries.len(),
+            byte: place,
+            why,
+        };
         let Some(length) = bytes.get(place..place + 2) else {
             cut = true;
             break;
--- a/crates/audit/src/service.rs
+++ b/crates/audit/src/service.rs
@@ -23,7 +23,10 @@
 
 impl Service {
     fn worst(parts: &[(String, Option<f64>)]) -> Option<f64> {
-        parts.iter().filter_map(|(_, part)| *part).min_by(f64::total_cmp)
+        parts
+            .iter()
+            .filter_map(|(_, part)| *part)
+            .min_by(f64::total_cmp)
     }
     pub fn worst_method(&self) -> Option<f64> {
         Self::worst(&self.methods)
@@ -84,8 +87,12 @@
             self.seconds.resize(second + 1, Sum::default());
         }
         let tenant = self.tenants.get_mut(rpc.tenant).filter(|_| rpc.within);
-        let sums =
-            [Some(&mut self.whole), self.methods.get_mut(rpc.method), tenant, self.seconds.get_mut(second)];
+        let sums = [
+            Some(&mut self.whole),
+            self.methods.get_mut(rpc.method),
+            tenant,
+            self.seconds.get_mut(second),
+        ];
         for sum in sums.into_iter().flatten() {
             sum.asked += asked;
             sum.got += got;
@@ -94,16 +101,30 @@
 
     pub fn asked(&mut self, due: f64, rpc: u32, method: usize, tenant: usize, within: bool) {
         let full = self.head.methods.get(method).map_or(0.0, |m| m.utility);
-        let utility = if within { full } else { full * self.head.rules.over_quota_utility };
-        let open = Open { due, method, tenant, utility, within };
+        let utility = if within {
+            full
+        } else {
+            full * self.head.rules.over_quota_utility
+        };
+        let open = Open {
+            due,
+            method,
+            tenant,
+            utility,
+            within,
+        };
         self.add(&open, utility, 0.0);
         self.open.insert(rpc, open);
     }
 
     /// An ok; only the first one of an RPC counts.
     pub fn answered(&mut self, at: f64, rpc: u32) {
-        let Some(open) = self.open.remove(&rpc) else { return };
-        let Some(method) = self.head.methods.get(open.method) else { return };
+        let Some(open) = self.open.remove(&rpc) else {
+            return;
+        };
+        let Some(method) = self.head.methods.get(open.method) else {
+            return;
+        };
         let took = at - open.due;
         self.latencies.push(took);
         let part = match took {
@@ -116,14 +137,26 @@
 
     pub fn finish(mut self) -> Service {
         let sums = |names: Vec<&String>, sums: &[Sum]| {
-            names.into_iter().cloned().zip(sums.iter().map(|s| s.part())).collect()
+            names
+                .into_iter()
+                .cloned()
+                .zip(sums.iter().map(|s| s.part()))
+                .collect()
         };
-        let windows = self.seconds.windows(WINDOW.min(self.seconds.len()).max(1)).enumerate();
+        let windows = self
+            .seconds
+            .windows(WINDOW.min(self.seconds.len()).max(1))
+            .enumerate();
         let parts = windows.filter_map(|(from, window)| {
-            let add = |a: Sum, b: &Sum| Sum { asked: a.asked + b.asked, got: a.got + b.got };
+            let add = |a: Sum, b: &Sum| Sum {
+                asked: a.asked + b.asked,
+                got: a.got + b.got,
+            };
             Some((from as f64, window.iter().fold(Sum::default(), add).part()?))
         });
-        let worst = parts.min_by(|a, b| a.1.total_cmp(&b.1)).unwrap_or((0.0, 0.0));
+        let worst = parts
+            .min_by(|a, b| a.1.total_cmp(&b.1))
+            .unwrap_or((0.0, 0.0));
         self.latencies.sort_by(f64::total_cmp);
         let latency = |part: f64| {
             let place = (part * self.latencies.len() as f64).ceil() as usize;
@@ -133,7 +166,10 @@
             whole: self.whole.part().unwrap_or(0.0),
             worst_10s: worst.1,
             worst_from: worst.0,
-            methods: sums(self.head.methods.iter().map(|m| &m.name).collect(), &self.methods),
+            methods: sums(
+                self.head.methods.iter().map(|m| &m.name).collect(),
+                &self.methods,
+            ),
             tenants: sums(self.head.tenants.iter().collect(), &self.tenants),
             latency: [latency(0.5), latency(0.99), latency(0.999)],
             seconds: self.seconds.iter().map(|s| (s.asked, s.got)).collect(),
--- a/crates/audit/src/story.rs
+++ b/crates/audit/src/story.rs
@@ -14,7 +14,12 @@
 
 impl<'a> Story<'a> {
     pub fn new(head: &'a Head, entries: &[Entry]) -> Self {
-        let mut story = Self { head, rpcs: HashMap::new(), jobs: HashMap::new(), nodes: HashMap::new() };
+        let mut story = Self {
+            head,
+            rpcs: HashMap::new(),
+            jobs: HashMap::new(),
+            nodes: HashMap::new(),
+        };
         for entry in entries {
             match entry.event {
                 Event::Sent { attempt, rpc, .. } => drop(story.rpcs.insert(attempt, rpc)),
@@ -31,7 +36,9 @@
         let of_job = |job: &u64| self.rpcs.get(self.jobs.get(job)?).copied();
         match event {
             Event::Asked { rpc, .. } | Event::Sent { rpc, .. } => Some(*rpc),
-            Event::Answered { attempt, .. } | Event::Got { attempt, .. } => self.rpcs.get(attempt).copied(),
+            Event::Answered { attempt, .. } | Event::Got { attempt, .. } => {
+                self.rpcs.get(attempt).copied()
+            }
             Event::Started { job }
             | Event::Repeated { job }
             | Event::Finished { job }
@@ -45,33 +52,74 @@
     }
 
     fn life(&self, life: u32) -> String {
-        format!("{} (life {life})", self.nodes.get(&life).map_or("?", |node| self.node(*node)))
+        format!(
+            "{} (life {life})",
+            self.nodes.get(&life).map_or("?", |node| self.node(*node))
+        )
     }
 
     fn proxy(&self, proxy: u16) -> &str {
-        self.head.proxies.get(proxy as usize).map_or("?", String::as_str)
+        self.head
+            .proxies
+            .get(proxy as usize)
+            .map_or("?", String::as_str)
     }
 
     /// One line for an entry.
     pub fn line(&self, entry: &Entry) -> String {
         let method = |m: u8| self.head.methods.get(m as usize).map_or("?", |m| &m.name);
-        let tenant = |t: u8| self.head.tenants.get(t as usize).map_or("-", String::as_str);
+        let tenant = |t: u8| {
+            self.head
+                .tenants
+                .get(t as usize)
+                .map_or("-", String::as_str)
+        };
         let what = match &entry.event {
-            Event::Asked { rpc, method: m, tenant: t, within } => {
+            Event::Asked {
+                rpc,
+                method: m,
+                tenant: t,
+                within,
+            } => {
                 let quota = if *within { "" } else { ", beyond its quota" };
                 format!("rpc {rpc} due: {} of {}{quota}", method(*m), tenant(*t))
             }
-            Event::Sent { attempt, rpc, proxy, patience } => {
-                format!("rpc {rpc} try {attempt:016x} sent to {}, waits {patience:.3} s", self.proxy(*proxy))
+            Event::Sent {
+                attempt,
+                rpc,
+                proxy,
+                patience,
+            } => {
+                format!(
+                    "rpc {rpc} try {attempt:016x} sent to {}, waits {patience:.3} s",
+                    self.proxy(*proxy)
+                )
+            }
+            Event::Answered { attempt, answer } => {
+                format!("try {attempt:016x} answered: {answer:?}")
             }
-            Event::Answered { attempt, answer } => format!("try {attempt:016x} answered: {answer:?}"),
-            Event::Born { life, cold, able, .. } => {
-                format!("{} starts {}, able {able:.2}", self.life(*life), if *cold { "cold" } else { "warm" })
+            Event::Born {
+                life, cold, able, ..
+            } => {
+                format!(
+                    "{} starts {}, able {able:.2}",
+                    self.life(*life),
+                    if *cold { "cold" } else { "warm" }
+                )
             }
             Event::Drained { life } => format!("{} drains", self.life(*life)),
             Event::Died { life } => format!("{} ends", self.life(*life)),
             Event::Fell { life } => format!("{} is pushed over", self.life(*life)),
-            Event::Got { life, job, attempt, proxy, begun, work, pushed, taken } => format!(
+            Event::Got {
+                life,
+                job,
+                attempt,
+                proxy,
+                begun,
+                work,
+                pushed,
+                taken,
+            } => format!(
                 "try {attempt:016x} pick {job} at {} from {}, first byte at {begun:.4}, work {:.1} ms, pushed {:.0}%: \
                  {taken:?}",
                 self.life(*life),
@@ -86,14 +134,27 @@
             Event::Changed { node, life, state } => {
                 format!("{} (life {life}) is {state:?}", self.node(*node))
             }
-            Event::Told { proxy, node, life, state } => {
-                format!("{} told: {} (life {life}) is {state:?}", self.proxy(*proxy), self.node(*node))
+            Event::Told {
+                proxy,
+                node,
+                life,
+                state,
+            } => {
+                format!(
+                    "{} told: {} (life {life}) is {state:?}",
+                    self.proxy(*proxy),
+                    self.node(*node)
+                )
             }
             Event::ProxyStarted { proxy } => format!("{} started", self.proxy(*proxy)),
             Event::ProxyReady { proxy } => format!("{} ready", self.proxy(*proxy)),
             Event::ProxyEnded { proxy, how } => format!("{} ended: {how:?}", self.proxy(*proxy)),
             Event::Trouble { number, begins } => {
-                let name = self.head.troubles.get(*number as usize).map_or("?", |t| &t.name);
+                let name = self
+                    .head
+                    .troubles
+                    .get(*number as usize)
+                    .map_or("?", |t| &t.name);
                 format!("trouble {name} {}", if *begins { "begins" } else { "ends" })
             }
             Event::StageLate { by } => format!("a stand-in is {:.2} ms late", by * 1e3),
--- a/crates/audit/tests/audit.rs
+++ b/crates/audit/tests/audit.rs
@@ -20,7 +20,11 @@
         utility: 2.0,
         late_utility: 0.25,
     };
-    let node = |name: &str, rack| Node { name: name.into(), zone: 0, rack };
+    let node = |name: &str, rack| Node {
+        name: name.into(),
+        zone: 0,
+        rack,
+    };
     Head {
         scenario: "by hand".into(),
         seed: 1,
@@ -39,7 +43,13 @@
         methods: vec![
             method("read", Kind::Idempotent),
             method("book", Kind::NonIdempotent),
-            method("log", Kind::Deduplicated { group: Group::Rack, window: 1.0 }),
+            method(
+                "log",
+                Kind::Deduplicated {
+                    group: Group::Rack,
+                    window: 1.0,
+                },
+            ),
         ],
         tenants: vec!["acme".into()],
         proxies: vec!["p0".into(), "p1".into()],
@@ -56,7 +66,15 @@
     fn new() -> Self {
         let mut hand = Self::default();
         for life in 0..3 {
-            hand.at(0.0, Event::Born { life, node: life, cold: false, able: 2.0 });
+            hand.at(
+                0.0,
+                Event::Born {
+                    life,
+                    node: life,
+                    cold: false,
+                    able: 2.0,
+                },
+            );
         }
         hand
     }
@@ -66,18 +84,47 @@
     }
     /// An RPC and its one try, with the same number.
     fn asked(&mut self, at: f64, rpc: u32, method: u8) -> &mut Self {
-        self.at(at, Event::Asked { rpc, method, tenant: 0, within: true });
+        self.at(
+            at,
+            Event::Asked {
+                rpc,
+                method,
+                tenant: 0,
+                within: true,
+            },
+        );
         self.sent(at, u64::from(rpc), rpc)
     }
     fn sent(&mut self, at: f64, attempt: u64, rpc: u32) -> &mut Self {
-        self.at(at, Event::Sent { attempt, rpc, proxy: 0, patience: 0.5 })
+        self.at(
+            at,
+            Event::Sent {
+                attempt,
+                rpc,
+                proxy: 0,
+                patience: 0.5,
+            },
+        )
     }
     fn got(&mut self, at: f64, attempt: u64, job: u64, life: u32, taken: Taken) -> &mut Self {
         let (proxy, begun, work, pushed) = (0, at, 0.1, 0.0);
-        self.at(at, Event::Got { life, job, attempt, proxy, begun, work, pushed, taken })
+        self.at(
+            at,
+            Event::Got {
+                life,
+                job,
+                attempt,
+                proxy,
+                begun,
+                work,
+                pushed,
+                taken,
+            },
+        )
     }
     fn runs(&mut self, at: f64, job: u64) -> &mut Self {
-        self.at(at, Event::Started { job }).at(at + 0.05, Event::Finished { job })
+        self.at(at, Event::Started { job })
+            .at(at + 0.05, Event::Finished { job })
     }
     fn left(&mut self, at: f64, job: u64, how: Left) -> &mut Self {
         self.at(at, Event::Left { job, how })
@@ -88,11 +135,20 @@
     /// A whole life without fault.
     fn good(&mut self, at: f64, rpc: u32, method: u8) -> &mut Self {
         let (attempt, job) = (u64::from(rpc), u64::from(rpc) + 1000);
-        self.asked(at, rpc, method).got(at + 0.001, attempt, job, 0, Taken::Held).runs(at + 0.001, job);
-        self.left(at + 0.06, job, Left::Replied).answered(at + 0.061, attempt, Answer::Ok)
+        self.asked(at, rpc, method)
+            .got(at + 0.001, attempt, job, 0, Taken::Held)
+            .runs(at + 0.001, job);
+        self.left(at + 0.06, job, Left::Replied)
+            .answered(at + 0.061, attempt, Answer::Ok)
     }
     fn audit(&mut self) -> Findings {
-        self.at(40.0, Event::ProxyEnded { proxy: 0, how: End::Over });
+        self.at(
+            40.0,
+            Event::ProxyEnded {
+                proxy: 0,
+                how: End::Over,
+            },
+        );
         self.0.sort_by(|a, b| a.at.total_cmp(&b.at));
         Audit::of(&head(), &self.0)
     }
@@ -100,7 +156,11 @@
     fn only(&mut self, rule: Rule, subject: &str, what: &str) {
         let found = self.audit().breaches;
         assert_eq!(found.len(), 1, "{found:?}");
-        assert_eq!((found[0].rule, found[0].subject.as_str()), (rule, subject), "{found:?}");
+        assert_eq!(
+            (found[0].rule, found[0].subject.as_str()),
+            (rule, subject),
+            "{found:?}"
+        );
         assert!(found[0].what.contains(what), "{found:?}");
     }
     fn clean(&mut self) -> Findings {
@@ -117,73 +177,117 @@
         hand.good(f64::from(rpc), rpc, (rpc % 3) as u8);
     }
     let findings = hand.clean();
-    assert_eq!((findings.counts.rpcs, findings.counts.ok, findings.counts.runs), (30, 30, 30));
-    assert_eq!((findings.service.whole, findings.service.worst_10s), (1.0, 1.0));
+    assert_eq!(
+        (
+            findings.counts.rpcs,
+            findings.counts.ok,
+            findings.counts.runs
+        ),
+        (30, 30, 30)
+    );
+    assert_eq!(
+        (findings.service.whole, findings.service.worst_10s),
+        (1.0, 1.0)
+    );
 }
 
 #[test]
 fn a_late_answer_is_found() {
-    Hand::new().asked(1.0, 7, READ).answered(1.54, 7, Answer::Aborted(502)).clean();
+    Hand::new()
+        .asked(1.0, 7, READ)
+        .answered(1.54, 7, Answer::Aborted(502))
+        .clean();
     let mut late = Hand::new();
-    late.asked(1.0, 7, READ).answered(1.56, 7, Answer::Aborted(502));
+    late.asked(1.0, 7, READ)
+        .answered(1.56, 7, Answer::Aborted(502));
     late.only(Rule::OneAnswer, "rpc 7", "60 ms after its deadline");
 }
 
 #[test]
 fn a_missing_answer_is_found_and_a_killed_proxy_excused() {
-    Hand::new().asked(1.0, 7, READ).answered(1.6, 7, Answer::Silence).only(
-        Rule::OneAnswer,
-        "rpc 7",
-        "no answer",
-    );
-    Hand::new().asked(1.0, 7, READ).only(Rule::OneAnswer, "rpc 7", "no answer");
-    Hand::new().asked(1.0, 7, BOOK).answered(1.2, 7, Answer::Lost).only(
-        Rule::OneAnswer,
-        "rpc 7",
-        "ended without",
-    );
+    Hand::new()
+        .asked(1.0, 7, READ)
+        .answered(1.6, 7, Answer::Silence)
+        .only(Rule::OneAnswer, "rpc 7", "no answer");
+    Hand::new()
+        .asked(1.0, 7, READ)
+        .only(Rule::OneAnswer, "rpc 7", "no answer");
+    Hand::new()
+        .asked(1.0, 7, BOOK)
+        .answered(1.2, 7, Answer::Lost)
+        .only(Rule::OneAnswer, "rpc 7", "ended without");
     for (how, excused) in [(End::Killed, true), (End::Stopped, false)] {
         let mut hand = Hand::new();
-        hand.asked(1.0, 7, BOOK).answered(1.2, 7, Answer::Lost).at(1.2, Event::ProxyEnded { proxy: 0, how });
+        hand.asked(1.0, 7, BOOK)
+            .answered(1.2, 7, Answer::Lost)
+            .at(1.2, Event::ProxyEnded { proxy: 0, how });
         match excused {
             true => assert_eq!(hand.clean().counts.lost_with_proxy, 1),
             false => hand.only(Rule::OneAnswer, "rpc 7", "p0 had taken it"),
         }
     }
-    Hand::new().asked(1.0, 7, READ).answered(1.2, 7, Answer::HungUp).clean();
-    Hand::new().asked(1.0, 7, READ).answered(1.2, 7, Answer::Unreachable).clean();
+    Hand::new()
+        .asked(1.0, 7, READ)
+        .answered(1.2, 7, Answer::HungUp)
+        .clean();
+    Hand::new()
+        .asked(1.0, 7, READ)
+        .answered(1.2, 7, Answer::Unreachable)
+        .clean();
 }
 
 #[test]
 fn a_crash_a_second_answer_and_garbage_are_found() {
     let mut crash = Hand::new();
-    crash.at(3.0, Event::ProxyEnded { proxy: 1, how: End::Crashed }).only(
-        Rule::OneAnswer,
-        "proxy p1",
-        "unasked",
-    );
+    crash
+        .at(
+            3.0,
+            Event::ProxyEnded {
+                proxy: 1,
+                how: End::Crashed,
+            },
+        )
+        .only(Rule::OneAnswer, "proxy p1", "unasked");
     let mut twice = Hand::new();
-    twice.good(1.0, 7, READ).answered(1.07, 7, Answer::Aborted(502)).only(Rule::OneAnswer, "rpc 7", "twice");
+    twice
+        .good(1.0, 7, READ)
+        .answered(1.07, 7, Answer::Aborted(502))
+        .only(Rule::OneAnswer, "rpc 7", "twice");
     let mut garbled = Hand::new();
-    garbled.asked(1.0, 7, READ).answered(1.1, 7, Answer::Garbled).only(Rule::OneAnswer, "rpc 7", "behind");
+    garbled
+        .asked(1.0, 7, READ)
+        .answered(1.1, 7, Answer::Garbled)
+        .only(Rule::OneAnswer, "rpc 7", "behind");
 }
 
 #[test]
 fn what_is_sent_after_the_end_is_found() {
     let mut after = Hand::new();
-    after.good(1.0, 7, READ).got(1.2, 7, 9, 0, Taken::Held).only(Rule::OneAnswer, "rpc 7", "after its final");
+    after
+        .good(1.0, 7, READ)
+        .got(1.2, 7, 9, 0, Taken::Held)
+        .only(Rule::OneAnswer, "rpc 7", "after its final");
     let mut late = Hand::new();
-    late.asked(1.0, 7, READ).answered(1.3, 7, Answer::HungUp).got(1.6, 7, 9, 0, Taken::Held);
+    late.asked(1.0, 7, READ)
+        .answered(1.3, 7, Answer::HungUp)
+        .got(1.6, 7, 9, 0, Taken::Held);
     late.only(Rule::OneAnswer, "rpc 7", "after its deadline");
     let mut made_up = Hand::new();
-    made_up.got(1.0, 0xabc, 9, 0, Taken::Held).only(Rule::OneAnswer, "try 0000000000000abc", "no client");
+    made_up.got(1.0, 0xabc, 9, 0, Taken::Held).only(
+        Rule::OneAnswer,
+        "try 0000000000000abc",
+        "no client",
+    );
 }
 
 /// Two picks of one RPC, the first taken so, the second at this time and node; then ok.
 fn twice(method: u8, first: Taken, second: f64, life: u32) -> Hand {
     let mut hand = Hand::new();
-    hand.asked(1.0, 7, method).got(1.001, 7, 100, 0, first).left(1.01, 100, Left::Broken);
-    hand.got(second, 7, 101, life, Taken::Held).left(second + 0.01, 101, Left::Replied);
+    hand.asked(1.0, 7, method)
+        .got(1.001, 7, 100, 0, first)
+        .left(1.01, 100, Left::Broken);
+    hand.got(second, 7, 101, life, Taken::Held)
+        .left(second + 0.01, 101, Left::Replied);
     hand.answered(second + 0.02, 7, Answer::Ok);
     hand
 }
@@ -208,10 +312,28 @@
 fn a_repeat_after_its_window_is_found() {
     let of = |second: f64| {
         let mut hand = Hand::new();
-        hand.at(1.0, Event::Asked { rpc: 7, method: LOG, tenant: 0, within: true });
-        hand.at(1.0, Event::Sent { attempt: 7, rpc: 7, proxy: 0, patience: 5.0 });
-        hand.got(1.001, 7, 100, 0, Taken::Held).left(1.01, 100, Left::Broken);
-        hand.got(second, 7, 101, 1, Taken::Held).left(second + 0.01, 101, Left::Replied);
+        hand.at(
+            1.0,
+            Event::Asked {
+                rpc: 7,
+                method: LOG,
+                tenant: 0,
+                within: true,
+            },
+        );
+        hand.at(
+            1.0,
+            Event::Sent {
+                attempt: 7,
+                rpc: 7,
+                proxy: 0,
+                patience: 5.0,
+            },
+        );
+        hand.got(1.001, 7, 100, 0, Taken::Held)
+            .left(1.01, 100, Left::Broken);
+        hand.got(second, 7, 101, 1, Taken::Held)
+            .left(second + 0.01, 101, Left::Replied);
         hand.answered(second + 0.02, 7, Answer::Ok);
         hand
     };
@@ -222,9 +344,15 @@
 #[test]
 fn a_second_run_is_found_across_tries() {
     let mut hand = Hand::new();
-    hand.asked(1.0, 7, BOOK).got(1.001, 7, 100, 0, Taken::Held).runs(1.01, 100);
-    hand.left(1.1, 100, Left::Broken).answered(1.1, 7, Answer::Unreachable);
-    hand.sent(1.2, 70, 7).got(1.201, 70, 101, 2, Taken::Held).runs(1.21, 101).left(1.3, 101, Left::Replied);
+    hand.asked(1.0, 7, BOOK)
+        .got(1.001, 7, 100, 0, Taken::Held)
+        .runs(1.01, 100);
+    hand.left(1.1, 100, Left::Broken)
+        .answered(1.1, 7, Answer::Unreachable);
+    hand.sent(1.2, 70, 7)
+        .got(1.201, 70, 101, 2, Taken::Held)
+        .runs(1.21, 101)
+        .left(1.3, 101, Left::Replied);
     hand.answered(1.31, 70, Answer::Ok);
     hand.only(Rule::NoEffectTwice, "rpc 7", "ran 2 times");
 }
@@ -232,8 +360,14 @@
 #[test]
 fn two_picks_at_once_and_too_many_are_found() {
     let mut copies = Hand::new();
-    copies.asked(1.0, 7, READ).got(1.001, 7, 100, 0, Taken::Held).got(1.1, 7, 101, 1, Taken::Held);
-    copies.left(1.2, 100, Left::Withdrawn).left(1.2, 101, Left::Replied).answered(1.2, 7, Answer::Ok);
+    copies
+        .asked(1.0, 7, READ)
+        .got(1.001, 7, 100, 0, Taken::Held)
+        .got(1.1, 7, 101, 1, Taken::Held);
+    copies
+        .left(1.2, 100, Left::Withdrawn)
+        .left(1.2, 101, Left::Replied)
+        .answered(1.2, 7, Answer::Ok);
     copies.only(Rule::NoEffectTwice, "rpc 7", "second copy");
     let mut many = Hand::new();
     many.asked(1.0, 7, BOOK);
@@ -256,7 +390,9 @@
         (LOG, Taken::Swallowed, true),
     ] {
         let mut hand = Hand::new();
-        hand.asked(1.0, 7, method).got(1.01, 7, 100, 0, taken).left(1.2, 100, Left::Withdrawn);
+        hand.asked(1.0, 7, method)
+            .got(1.01, 7, 100, 0, taken)
+            .left(1.2, 100, Left::Withdrawn);
         hand.answered(1.2, 7, Answer::PushedBack(Some(0.1)));
         match harmful {
             true => hand.only(Rule::NoEffectTwice, "rpc 7", "pushed back although"),
@@ -267,20 +403,38 @@
 
 #[test]
 fn work_to_a_drained_node_is_found_from_when_its_proxy_was_told() {
-    let told = |state, life, at| Event::Told { proxy: at, node: 0, life, state };
+    let told = |state, life, at| Event::Told {
+        proxy: at,
+        node: 0,
+        life,
+        state,
+    };
     for state in [State::Draining, State::Gone] {
         let mut hand = Hand::new();
         // Told again without news: the grace runs from the first time.
-        hand.at(1.0, told(state, 0, 0)).at(2.0, told(state, 0, 0)).good(1.3, 7, READ);
+        hand.at(1.0, told(state, 0, 0))
+            .at(2.0, told(state, 0, 0))
+            .good(1.3, 7, READ);
         let findings = hand.clean();
         assert!((findings.latest_after_told - 0.301).abs() < 1e-9);
         hand.0.pop();
-        hand.good(2.1, 8, READ).only(Rule::Drains, "rpc 8", "sent to n0 1101 ms after p0");
+        hand.good(2.1, 8, READ)
+            .only(Rule::Drains, "rpc 8", "sent to n0 1101 ms after p0");
     }
     // Another proxy was told; or this one, of an earlier life; or it has started again since.
-    Hand::new().at(1.0, told(State::Gone, 0, 1)).good(3.0, 7, READ).clean();
-    Hand::new().at(1.0, told(State::Gone, 5, 0)).good(3.0, 7, READ).clean();
-    Hand::new().at(1.0, told(State::Gone, 0, 0)).at(1.1, told(State::Ready, 0, 0)).good(3.0, 7, READ).clean();
+    Hand::new()
+        .at(1.0, told(State::Gone, 0, 1))
+        .good(3.0, 7, READ)
+        .clean();
+    Hand::new()
+        .at(1.0, told(State::Gone, 5, 0))
+        .good(3.0, 7, READ)
+        .clean();
+    Hand::new()
+        .at(1.0, told(State::Gone, 0, 0))
+        .at(1.1, told(State::Ready, 0, 0))
+        .good(3.0, 7, READ)
+        .clean();
     let mut restarted = Hand::new();
     restarted
         .at(1.0, told(State::Gone, 0, 0))
@@ -293,16 +447,60 @@
 fn a_cold_node_pushed_over_is_found_if_its_proxies_knew() {
     for (informed, guilty) in [(3, true), (2, true), (1, false)] {
         let mut hand = Hand::new();
-        hand.at(1.0, Event::Born { life: 9, node: 2, cold: true, able: 2.0 });
-        hand.at(1.0, Event::Told { proxy: 0, node: 2, life: 9, state: State::Ready });
+        hand.at(
+            1.0,
+            Event::Born {
+                life: 9,
+                node: 2,
+                cold: true,
+                able: 2.0,
+            },
+        );
+        hand.at(
+            1.0,
+            Event::Told {
+                proxy: 0,
+                node: 2,
+                life: 9,
+                state: State::Ready,
+            },
+        );
         for n in 0..3 {
             let proxy = u16::from(n >= informed);
             let at = 1.2 + f64::from(n) * 0.1;
-            hand.at(at, Event::Asked { rpc: n, method: READ, tenant: 0, within: true });
-            hand.at(at, Event::Sent { attempt: u64::from(n), rpc: n, proxy, patience: 0.5 });
+            hand.at(
+                at,
+                Event::Asked {
+                    rpc: n,
+                    method: READ,
+                    tenant: 0,
+                    within: true,
+                },
+            );
+            hand.at(
+                at,
+                Event::Sent {
+                    attempt: u64::from(n),
+                    rpc: n,
+                    proxy,
+                    patience: 0.5,
+                },
+            );
             let (life, job, attempt, begun, work) = (9, u64::from(n), u64::from(n), at, 1.0);
             let (pushed, taken) = (0.34 * (n + 1) as f32, Taken::Held);
-            hand.at(at, Event::Got { life, job, attempt, proxy, begun, work, pushed, taken });
+            hand.at(
+                at,
+                Event::Got {
+                    life,
+                    job,
+                    attempt,
+                    proxy,
+                    begun,
+                    work,
+                    pushed,
+                    taken,
+                },
+            );
             hand.answered(1.5, attempt, Answer::Aborted(502));
         }
         hand.at(1.5, Event::Fell { life: 9 });
@@ -321,15 +519,28 @@
     for rpc in 0..30 {
         hand.good(f64::from(rpc), rpc, READ);
     }
-    hand.asked(12.0, 100, BOOK).answered(12.05, 100, Answer::PushedBack(None));
+    hand.asked(12.0, 100, BOOK)
+        .answered(12.05, 100, Answer::PushedBack(None));
     hand.sent(12.1, 101, 100).answered(12.19, 101, Answer::Ok); // in time from its first try
-    hand.asked(13.0, 200, BOOK).answered(13.05, 200, Answer::PushedBack(None));
+    hand.asked(13.0, 200, BOOK)
+        .answered(13.05, 200, Answer::PushedBack(None));
     hand.sent(13.2, 201, 200).answered(13.3, 201, Answer::Ok); // late: a quarter
-    hand.at(14.0, Event::Asked { rpc: 300, method: BOOK, tenant: 0, within: false }); // a tenth of 2, not had
+    hand.at(
+        14.0,
+        Event::Asked {
+            rpc: 300,
+            method: BOOK,
+            tenant: 0,
+            within: false,
+        },
+    ); // a tenth of 2, not had
     let service = hand.clean().service;
     assert!((service.whole - (60.0 + 2.0 + 0.5) / (60.0 + 2.0 + 2.0 + 0.2)).abs() < 1e-9);
     // The worst ten seconds begin at 13: the late one and the one never had, ten reads beside them.
-    assert!((service.worst_10s - (20.0 + 0.5) / (20.0 + 2.2)).abs() < 1e-9, "{service:?}");
+    assert!(
+        (service.worst_10s - (20.0 + 0.5) / (20.0 + 2.2)).abs() < 1e-9,
+        "{service:?}"
+    );
     assert_eq!(service.worst_from, 13.0);
     assert!((service.worst_method().unwrap() - 2.5 / 4.2).abs() < 1e-9);
     assert!(
@@ -345,18 +556,35 @@
     hand.good(2.0, 7, BOOK).good(1.0, 8, LOG);
     let mut bytes = Vec::new();
     let mut writer = ledger::Writer::new(&mut bytes, &head()).expect("a head");
-    hand.0.iter().for_each(|entry| writer.write(entry).expect("a record"));
+    hand.0
+        .iter()
+        .for_each(|entry| writer.write(entry).expect("a record"));
     let read = ledger::read(bytes.as_slice()).expect("a ledger");
     hand.0.sort_by(|a, b| a.at.total_cmp(&b.at));
-    assert_eq!((&read.head, &read.entries, read.cut), (&head(), &hand.0, false));
+    assert_eq!(
+        (&read.head, &read.entries, read.cut),
+        (&head(), &hand.0, false)
+    );
     let cut = ledger::read(&bytes[..bytes.len() - 3]).expect("a ledger");
     assert_eq!((cut.entries.len(), cut.cut), (hand.0.len() - 1, true));
-    let first = bytes.iter().enumerate().filter(|(_, b)| **b == b'\n').nth(1).expect("a head").0 + 1;
+    let first = bytes
+        .iter()
+        .enumerate()
+        .filter(|(_, b)| **b == b'\n')
+        .nth(1)
+        .expect("a head")
+        .0
+        + 1;
     let mut damaged = bytes.clone();
     damaged[first + 1] = 0xff;
-    let fault = ledger::read(damaged.as_slice()).expect_err("damage").to_string();
+    let fault = ledger::read(damaged.as_slice())
+        .expect_err("damage")
+        .to_string();
     assert!(fault.starts_with("record 0 at byte 0: longer"), "{fault}");
-    assert!(matches!(ledger::read(&b"{}"[..]), Err(ledger::Fault::Magic)));
+    assert!(matches!(
+        ledger::read(&b"{}"[..]),
+        Err(ledger::Fault::Magic)
+    ));
 }
 
 #[test]
@@ -366,8 +594,12 @@
     hand.0.sort_by(|a, b| a.at.total_cmp(&b.at));
     let head = head();
     let story = Story::new(&head, &hand.0);
-    let lines: Vec<_> =
-        hand.0.iter().filter(|e| story.rpc(&e.event) == Some(7)).map(|e| story.line(e)).collect();
+    let lines: Vec<_> = hand
+        .0
+        .iter()
+        .filter(|e| story.rpc(&e.event) == Some(7))
+        .map(|e| story.line(e))
+        .collect();
     assert_eq!(lines.len(), 7, "{lines:#?}");
     assert!(
         lines[0].ends_with("rpc 7 due: book of acme") && lines[6].ends_with("answered: Ok"),
--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -58,7 +58,10 @@
         self.now
     }
     fn pick(&mut self, rpc: u64, backend: u32, time_out: f64) {
-        self.line("PLACE", format_args!("\t{rpc}\t{backend}\t{}", ns(time_out).max(1)));
+        self.line(
+            "PLACE",
+            format_args!("\t{rpc}\t{backend}\t{}", ns(time_out).max(1)),
+        );
     }
     fn cancel(&mut self, rpc: u64, pick: usize) {
         self.line("ABORT_ATTEMPT", format_args!("\t{rpc}\t{pick}"));
@@ -90,7 +93,9 @@
 impl<'a> Parts<'a> {
     fn next(&mut self, field: &str) -> Result<&'a str, String> {
         let rest = self.rest.ok_or_else(|| format!("{field} is missing"))?;
-        let (part, rest) = rest.split_once('\t').map_or((rest, None), |(a, b)| (a, Some(b)));
+        let (part, rest) = rest
+            .split_once('\t')
+            .map_or((rest, None), |(a, b)| (a, Some(b)));
         self.rest = rest;
         Ok(part)
     }
@@ -99,14 +104,21 @@
     }
     fn num<T: std::str::FromStr>(&mut self, field: &str) -> Result<T, String> {
         let part = self.next(field)?;
-        part.parse().map_err(|_| format!("{field} is not a number in range: {part}"))
+        part.parse()
+            .map_err(|_| format!("{field} is not a number in range: {part}"))
     }
     fn opt_num<T: std::str::FromStr>(&mut self, field: &str) -> Result<Option<T>, String> {
-        let Some(part) = self.opt(field)? else { return Ok(None) };
-        part.parse().map(Some).map_err(|_| format!("{field} is not a number in range: {part}"))
+        let Some(part) = self.opt(field)? else {
+            return Ok(None);
+        };
+        part.parse()
+            .map(Some)
+            .map_err(|_| format!("{field} is not a number in range: {part}"))
     }
     fn tail(&mut self, field: &str) -> Result<&'a str, String> {
-        self.rest.take().ok_or_else(|| format!("{field} is missing"))
+        self.rest
+            .take()
+            .ok_or_else(|| format!("{field} is missing"))
     }
     fn below(&mut self, field: &str, bits: u32) -> Result<u64, String> {
         let number: u64 = self.num(field)?;
@@ -132,13 +144,19 @@
 }
 
 fn report(text: Option<&str>) -> Result<Option<LoadReport>, String> {
-    let Some(text) = text.filter(|t| !t.is_empty()) else { return Ok(None) };
-    settings::load_report(text, ':').map(Some).map_err(|e| format!("metrics {e}"))
+    let Some(text) = text.filter(|t| !t.is_empty()) else {
+        return Ok(None);
+    };
+    settings::load_report(text, ':')
+        .map(Some)
+        .map_err(|e| format!("metrics {e}"))
 }
 
 fn text_of(panic: &(dyn Any + Send)) -> String {
     let text = panic.downcast_ref::<String>().map(String::as_str);
-    let text = text.or_else(|| panic.downcast_ref::<&str>().copied()).unwrap_or("panic");
+    let text = text
+        .or_else(|| panic.downcast_ref::<&str>().copied())
+        .unwrap_or("panic");
     text.replace(['\n', '\t'], " ")
 }
 
@@ -153,9 +171,16 @@
 impl Process {
     /// Calls the module for one instance; a panic in there becomes `DIE`.
     fn call(&mut self, proxy: u64, act: impl FnOnce(&mut Instance, &mut Writer)) {
-        let Some(instance) = self.instances.get_mut(&proxy) else { return };
+        let Some(instance) = self.instances.get_mut(&proxy) else {
+            return;
+        };
         let now = instance.seconds(self.clock);
-        let mut link = Writer { out: &mut self.out, proxy, now, answered: Vec::new() };
+        let mut link = Writer {
+            out: &mut self.out,
+            proxy,
+            now,
+            answered: Vec::new(),
+        };
         if let Err(panic) = catch_unwind(AssertUnwindSafe(|| act(instance, &mut link))) {
             let text = text_of(&*panic);
             writeln!(self.out, "DIE\t{proxy}\t{text}").expect("writing to a string");
@@ -202,21 +227,37 @@
             other => return Err(format!("kind is not known: {other}")),
         };
         let bank = bank.ok_or("bank is missing")?;
-        let Some(entries) = self.banks.get(&bank) else { return Err(format!("bank has no list: {bank}")) };
-        let Some(instance) = self.instances.get(&proxy) else { return Ok(()) };
+        let Some(entries) = self.banks.get(&bank) else {
+            return Err(format!("bank has no list: {bank}"));
+        };
+        let Some(instance) = self.instances.get(&proxy) else {
+            return Ok(());
+        };
         let unknown = instance.zones.len();
-        let place = |name: &String| instance.zones.iter().position(|z| z == name).unwrap_or(unknown);
+        let place = |name: &String| {
+            instance
+                .zones
+                .iter()
+                .position(|z| z == name)
+                .unwrap_or(unknown)
+        };
         let read = |row: &Row| {
             let started = row.started.map(|clock| instance.seconds(clock));
             Entry {
                 zone: place(&row.zone),
-                size: if instance.sized && row.entry.size > 0.0 { row.entry.size } else { 1.0 },
+                size: if instance.sized && row.entry.size > 0.0 {
+                    row.entry.size
+                } else {
+                    1.0
+                },
                 started,
                 ..row.entry
             }
         };
         let entries: Vec<Entry> = entries.iter().map(read).collect();
-        self.call(proxy, |instance, link| instance.balancer.list(kind, &entries, link));
+        self.call(proxy, |instance, link| {
+            instance.balancer.list(kind, &entries, link)
+        });
         Ok(())
     }
 
@@ -224,20 +265,32 @@
         let proxy: u64 = parts.num("proxy-id")?;
         let id = parts.below("tid", 52)?;
         let profile = parts.next("profile")?;
-        let group = parts.opt("user-group")?.filter(|name| *name != "0" && !name.is_empty());
+        let group = parts
+            .opt("user-group")?
+            .filter(|name| *name != "0" && !name.is_empty());
         let key = parts.opt("entity")?.map(settings::key);
         let expires = parts.num("expires-ns")?;
         let guess: Option<u64> = parts.opt_num("cost-guess-ns")?;
         let bits = parts.opt_num::<u64>("opts")?.unwrap_or(0);
-        let Some(instance) = self.instances.get(&proxy) else { return Ok(()) };
+        let Some(instance) = self.instances.get(&proxy) else {
+            return Ok(());
+        };
         let method = instance.methods.iter().position(|m| m == profile);
         let method = method.ok_or_else(|| format!("profile is not known: {profile}"))?;
         let tenant = group.and_then(|name| instance.tenants.iter().position(|t| t == name));
         let expected_work = guess.filter(|_| bits & 1 != 0).map(|g| g as f64 / 1e9);
         let client_repeat = bits & 2 != 0;
         let deadline = instance.seconds(expires);
-        let arrival =
-            Arrival { id, method, tenant, deadline, expected_work, client_repeat, long: false, key };
+        let arrival = Arrival {
+            id,
+            method,
+            tenant,
+            deadline,
+            expected_work,
+            client_repeat,
+            long: false,
+            key,
+        };
         self.call(proxy, |instance, link| {
             let rpc = instance.balancer.take(&arrival, link);
             if !rpc.is_over() {
@@ -250,7 +303,9 @@
     /// A later event of an RPC; one no longer held is passed over.
     fn on_rpc(&mut self, proxy: u64, id: u64, act: impl FnOnce(&Rpc, &mut Writer)) {
         self.call(proxy, |instance, link| {
-            let Some(rpc) = instance.rpcs.get(&id) else { return };
+            let Some(rpc) = instance.rpcs.get(&id) else {
+                return;
+            };
             act(rpc, link);
             if rpc.is_over() {
                 instance.rpcs.remove(&id);
@@ -271,7 +326,9 @@
             other => return Err(format!("over is not 0 or 1: {other}")),
         };
         let report = report(parts.opt("metrics")?)?;
-        self.on_rpc(proxy, id, |rpc, link| rpc.ended(n, outcome, over, report, link));
+        self.on_rpc(proxy, id, |rpc, link| {
+            rpc.ended(n, outcome, over, report, link)
+        });
         Ok(())
     }
 
@@ -281,7 +338,9 @@
         let backend = parts.num("backend")?;
         parts.num::<u64>("elapsed-ns")?;
         let report = report(parts.opt("metrics")?)?;
-        self.call(proxy, |instance, link| instance.balancer.probed(backend, outcome, report, link));
+        self.call(proxy, |instance, link| {
+            instance.balancer.probed(backend, outcome, report, link)
+        });
         Ok(())
     }
 
@@ -338,8 +397,19 @@
             "OUT" => Readiness::Gone,
             other => return Err(format!("readiness is not known: {other}")),
         };
-        let entry = Entry { backend, size: scale, started: None, cell, zone: 0, readiness };
-        Ok(Row { zone, started, entry })
+        let entry = Entry {
+            backend,
+            size: scale,
+            started: None,
+            cell,
+            zone: 0,
+            readiness,
+        };
+        Ok(Row {
+            zone,
+            started,
+            entry,
+        })
     }
 }
 
@@ -353,7 +423,11 @@
         line.clear();
         number += 1;
         let fault = |text: String| format!("line {number}: {text}");
-        if input.read_until(b'\n', &mut line).map_err(|e| fault(e.to_string()))? == 0 {
+        if input
+            .read_until(b'\n', &mut line)
+            .map_err(|e| fault(e.to_string()))?
+            == 0
+        {
             return match batch {
                 None => Ok(()),
                 Some(_) => Err(fault("input ends before FLUSH".into())),
@@ -384,7 +458,9 @@
             ("FLUSH", Some(serial)) => {
                 batch = None;
                 writeln!(process.out, "YIELD\t{serial}").expect("writing to a string");
-                output.write_all(process.out.as_bytes()).map_err(|e| fault(e.to_string()))?;
+                output
+                    .write_all(process.out.as_bytes())
+                    .map_err(|e| fault(e.to_string()))?;
                 output.flush().map_err(|e| fault(e.to_string()))?;
                 process.out.clear();
             }
--- a/crates/cli/src/ledger.rs
+++ b/crates/cli/src/ledger.rs
@@ -41,7 +41,12 @@
 }
 
 pub fn run(arguments: Arguments) -> Result<u8, Fault> {
-    let Verb::Show { file, rpc, from, until } = arguments.verb;
+    let Verb::Show {
+        file,
+        rpc,
+        from,
+        until,
+    } = arguments.verb;
     let (head, entries) = open(&file).map_err(Fault::Input)?;
     let story = Story::new(&head, &entries);
     let mut text = String::new();
@@ -52,7 +57,10 @@
         }
     }
     if let Some(rpc) = rpc.filter(|_| text.is_empty()) {
-        return Err(Fault::Input(format!("{}: there is no RPC {rpc} in it", file.display())));
+        return Err(Fault::Input(format!(
+            "{}: there is no RPC {rpc} in it",
+            file.display()
+        )));
     }
     print(&text);
     Ok(0)
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -58,7 +58,12 @@
         Verb::Ledger(arguments) => ledger::run(arguments),
         Verb::Audit(arguments) => ledger::audit(arguments),
         Verb::Completions { shell } => {
-            clap_complete::generate(shell, &mut Arguments::command(), "birchhub", &mut std::io::stdout());
+            clap_complete::generate(
+                shell,
+                &mut Arguments::command(),
+                "birchhub",
+                &mut std::io::stdout(),
+            );
             Ok(0)
         }
     };
@@ -86,7 +91,8 @@
     let program = match named {
         Some(program) => program,
         None => {
-            let own = std::env::current_exe().map_err(|e| Fault::Failed(format!("where am I? {e}")))?;
+            let own =
+                std::env::current_exe().map_err(|e| Fault::Failed(format!("where am I? {e}")))?;
             own.with_file_name("birchhubd")
         }
     };
--- a/crates/cli/src/rehearse.rs
+++ b/crates/cli/src/rehearse.rs
@@ -40,8 +40,15 @@
         return simulated(&found.scenario, &plan, &arguments.out);
     }
     let program = crate::daemon(arguments.proxies)?;
-    let Arguments { seed, out, quiet, .. } = arguments;
-    let options = Options { seed, out, program, progress: !quiet };
+    let Arguments {
+        seed, out, quiet, ..
+    } = arguments;
+    let options = Options {
+        seed,
+        out,
+        program,
+        progress: !quiet,
+    };
     if !quiet {
         eprintln!(
             "{}: plan {}, {} RPCs, {} nodes",
@@ -53,7 +60,10 @@
     }
     let report = rehearse(&found.scenario, &plan, &options).map_err(Fault::Failed)?;
     print(&report.text());
-    print(&format!("  {}\n", options.out.join("report.html").display()));
+    print(&format!(
+        "  {}\n",
+        options.out.join("report.html").display()
+    ));
     Ok(report.verdict.exit_code())
 }
 
@@ -63,10 +73,19 @@
     let took = begun.elapsed().as_secs_f64();
     let report = Report::of(&played.head, &played.entries, false, None);
     keep(&played.head, &played.entries, out).map_err(Fault::Failed)?;
-    report.write(&played.head, &played.entries, out).map_err(Fault::Failed)?;
+    report
+        .write(&played.head, &played.entries, out)
+        .map_err(Fault::Failed)?;
     print(&report.text());
-    print(&format!("  simulated; {}\n", out.join("report.html").display()));
-    eprintln!("{} events, {:.1} simulated seconds a second", played.events, plan.length / took.max(1e-9));
+    print(&format!(
+        "  simulated; {}\n",
+        out.join("report.html").display()
+    ));
+    eprintln!(
+        "{} events, {:.1} simulated seconds a second",
+        played.events,
+        plan.length / took.max(1e-9)
+    );
     Ok(report.verdict.exit_code())
 }
 
@@ -75,7 +94,11 @@
     let path = out.join("ledger");
     let told = |e: &dyn std::fmt::Display| format!("{}: {e}", path.display());
     let file = std::fs::File::create(&path).map_err(|e| told(&e))?;
-    let mut writer = ledger::Writer::new(std::io::BufWriter::new(file), head).map_err(|e| told(&e))?;
-    entries.iter().try_for_each(|entry| writer.write(entry)).map_err(|e| told(&e))?;
+    let mut writer =
+        ledger::Writer::new(std::io::BufWriter::new(file), head).map_err(|e| told(&e))?;
+    entries
+        .iter()
+        .try_for_each(|entry| writer.write(entry))
+        .map_err(|e| told(&e))?;
     writer.flush().map_err(|e| told(&e))
 }
--- a/crates/cli/src/scale.rs
+++ b/crates/cli/src/scale.rs
@@ -66,27 +66,66 @@
 }
 
 fn slopes(arguments: Run) -> Result<u8, Fault> {
-    let Run { seed, quick, proxies, out, folder, quiet } = arguments;
+    let Run {
+        seed,
+        quick,
+        proxies,
+        out,
+        folder,
+        quiet,
+    } = arguments;
     let program = crate::daemon(proxies)?;
     // Found out before minutes are spent.
-    if out.is_dir() || !out.parent().is_none_or(|parent| parent.as_os_str().is_empty() || parent.is_dir()) {
-        return Err(Fault::Input(format!("{}: no file can be written there", out.display())));
+    if out.is_dir()
+        || !out
+            .parent()
+            .is_none_or(|parent| parent.as_os_str().is_empty() || parent.is_dir())
+    {
+        return Err(Fault::Input(format!(
+            "{}: no file can be written there",
+            out.display()
+        )));
     }
-    let plan = if quick { Plan::quick(seed) } else { Plan::long(seed) };
-    let report = measure(&plan, &Options { program, folder, progress: !quiet }).map_err(Fault::Failed)?;
+    let plan = if quick {
+        Plan::quick(seed)
+    } else {
+        Plan::long(seed)
+    };
+    let report = measure(
+        &plan,
+        &Options {
+            program,
+            folder,
+            progress: !quiet,
+        },
+    )
+    .map_err(Fault::Failed)?;
     report.write(&out).map_err(Fault::Failed)?;
-    print(&format!("{}: {} series in {:.0} s\n", out.display(), report.series.len(), report.took));
+    print(&format!(
+        "{}: {} series in {:.0} s\n",
+        out.display(),
+        report.series.len(),
+        report.took
+    ));
     Ok(0)
 }
 
 fn tables(arguments: &Page) -> Result<u8, Fault> {
-    let Page { result, page: path, check } = arguments;
+    let Page {
+        result,
+        page: path,
+        check,
+    } = arguments;
     let report = Report::read(result).map_err(Fault::Input)?;
     let told = |e: &dyn std::fmt::Display| format!("{}: {e}", path.display());
     let text = std::fs::read_to_string(path).map_err(|e| Fault::Input(told(&e)))?;
     let renewed = page::renew(&text, &report).map_err(|e| Fault::Input(told(&e)))?;
     if text == renewed {
-        print(&format!("{} is that of {}\n", path.display(), result.display()));
+        print(&format!(
+            "{} is that of {}\n",
+            path.display(),
+            result.display()
+        ));
         return Ok(0);
     }
     if *check {
--- a/crates/cli/src/scenario.rs
+++ b/crates/cli/src/scenario.rs
@@ -41,11 +41,18 @@
         None => {
             let text = std::fs::read_to_string(name);
             let hint = "; `birchhub scenario list` names those that ship";
-            (name.to_owned(), text.map_err(|e| Fault::Input(format!("{name}: {e}{hint}")))?)
+            (
+                name.to_owned(),
+                text.map_err(|e| Fault::Input(format!("{name}: {e}{hint}")))?,
+            )
         }
     };
     let scenario = Scenario::read(&file, &text).map_err(|fault| Fault::Input(fault.to_string()))?;
-    Ok(Found { scenario, file, text })
+    Ok(Found {
+        scenario,
+        file,
+        text,
+    })
 }
 
 fn plan(found: &Found, seed: u64) -> Result<Plan, Fault> {
@@ -59,7 +66,10 @@
             for shipped in shipped::ALL {
                 let found = find(shipped.name)?;
                 let length = found.scenario.length.0;
-                print(&format!("{:<18} {length:>4.0} s  {}\n", shipped.name, found.scenario.about));
+                print(&format!(
+                    "{:<18} {length:>4.0} s  {}\n",
+                    shipped.name, found.scenario.about
+                ));
             }
         }
         Verb::Show { name } => match shipped::find(&name) {
@@ -80,8 +90,12 @@
         }
         Verb::Plan { scenario, seed } => {
             let plan = plan(&find(&scenario)?, seed)?;
-            let mut text =
-                format!("plan {}: {} RPCs in {:.0} s\n", plan.hash(), plan.arrivals.len(), plan.length);
+            let mut text = format!(
+                "plan {}: {} RPCs in {:.0} s\n",
+                plan.hash(),
+                plan.arrivals.len(),
+                plan.length
+            );
             for (at, act) in &plan.acts {
                 let _ = writeln!(text, "{at:9.3}  {act:?}");
             }
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -60,18 +60,28 @@
 }
 
 fn birchhub(arguments: &[&str]) -> Output {
-    Command::new(env!("CARGO_BIN_EXE_birchhub")).args(arguments).output().expect("birchhub")
+    Command::new(env!("CARGO_BIN_EXE_birchhub"))
+        .args(arguments)
+        .output()
+        .expect("birchhub")
 }
 
 fn told(output: &Output) -> (i32, String, String) {
     let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
-    (output.status.code().unwrap_or(-1), text(&output.stdout), text(&output.stderr))
+    (
+        output.status.code().unwrap_or(-1),
+        text(&output.stdout),
+        text(&output.stderr),
+    )
 }
 
 /// The daemon beside the command line: `cargo test --workspace` builds both.
 fn has_daemon() {
     let daemon = Path::new(env!("CARGO_BIN_EXE_birchhub")).with_file_name("birchhubd");
-    assert!(daemon.is_file(), "birchhubd is not built: run `cargo test --workspace`");
+    assert!(
+        daemon.is_file(),
+        "birchhubd is not built: run `cargo test --workspace`"
+    );
 }
 
 #[test]
@@ -79,10 +89,18 @@
     has_daemon();
     let folder = Folder::new("run");
     let (scenario, out) = (folder.scenario("2s"), folder.path("out"));
-    let (code, text, _) = told(&birchhub(&["rehearse", &scenario, "--quiet", "--out", &out, "--seed", "4"]));
+    let (code, text, _) = told(&birchhub(&[
+        "rehearse", &scenario, "--quiet", "--out", &out, "--seed", "4",
+    ]));
     assert_eq!(code, 0, "{text}");
     assert!(text.starts_with("PASS  short (seed 4, plan "), "{text}");
-    for name in ["ledger", "report.json", "report.html", "proxy-0.log", "proxy-1.log"] {
+    for name in [
+        "ledger",
+        "report.json",
+        "report.html",
+        "proxy-0.log",
+        "proxy-1.log",
+    ] {
         assert!(Path::new(&out).join(name).is_file(), "{name} is missing");
     }
     let page = std::fs::read_to_string(Path::new(&out).join("report.html")).expect("a page");
@@ -95,11 +113,16 @@
     assert_eq!((code, again.lines().next()), (0, text.lines().next()));
     let (code, life, _) = told(&birchhub(&["ledger", "show", &ledger, "--rpc", "7"]));
     assert!(
-        code == 0 && life.contains("rpc 7 due: status") && life.trim_end().ends_with("answered: Ok"),
+        code == 0
+            && life.contains("rpc 7 due: status")
+            && life.trim_end().ends_with("answered: Ok"),
         "{life}"
     );
     let (code, _, fault) = told(&birchhub(&["ledger", "show", &ledger, "--rpc", "123456"]));
-    assert!(code == 64 && fault.contains("there is no RPC 123456"), "{fault}");
+    assert!(
+        code == 64 && fault.contains("there is no RPC 123456"),
+        "{fault}"
+    );
 }
 
 #[test]
@@ -110,20 +133,32 @@
     let good = Folder::new("good");
     let fine = good.scenario("2s");
     for (arguments, expected) in [
-        (vec!["rehearse", &scenario], "short.toml:4: length: \"2 parsecs\" is not a time with its unit"),
+        (
+            vec!["rehearse", &scenario],
+            "short.toml:4: length: \"2 parsecs\" is not a time with its unit",
+        ),
         (vec!["scenario", "check", &scenario], "short.toml:4: length"),
         (vec!["scenario", "check", "no-such"], "no-such: "),
-        (vec!["scenario", "show", "no-such"], "no scenario called no-such ships"),
+        (
+            vec!["scenario", "show", "no-such"],
+            "no scenario called no-such ships",
+        ),
         (
             vec!["rehearse", &fine, "--out", &out, "--proxies", "/no/such"],
             "there is no proxy program at /no/such",
         ),
         (vec!["audit", &fine], "not a ledger of this version"),
-        (vec!["rehearse", &fine, "--seed", "x"], "invalid value 'x' for '--seed"),
+        (
+            vec!["rehearse", &fine, "--seed", "x"],
+            "invalid value 'x' for '--seed",
+        ),
         (vec!["dance"], "unrecognized subcommand 'dance'"),
     ] {
         let (code, _, fault) = told(&birchhub(&arguments));
-        assert!(code == 64 && fault.contains(expected), "{arguments:?}: {code}: {fault}");
+        assert!(
+            code == 64 && fault.contains(expected),
+            "{arguments:?}: {code}: {fault}"
+        );
     }
 }
 
@@ -131,10 +166,20 @@
 fn a_proxy_that_exits_at_once_is_told() {
     let folder = Folder::new("exits");
     let (scenario, out) = (folder.scenario("2s"), folder.path("out"));
-    let (code, _, fault) =
-        told(&birchhub(&["rehearse", &scenario, "--quiet", "--out", &out, "--proxies", "/bin/true"]));
+    let (code, _, fault) = told(&birchhub(&[
+        "rehearse",
+        &scenario,
+        "--quiet",
+        "--out",
+        &out,
+        "--proxies",
+        "/bin/true",
+    ]));
     assert_eq!(code, 70, "{fault}");
-    assert!(fault.contains("proxy-0 ended as it started (/bin/true)"), "{fault}");
+    assert!(
+        fault.contains("proxy-0 ended as it started (/bin/true)"),
+        "{fault}"
+    );
 }
 
 #[test]
@@ -146,17 +191,25 @@
     assert!(code == 0 && text.contains("[fleet]"), "{text}");
     assert_eq!(told(&birchhub(&["scenario", "check", name])).0, 0);
     let plan = |seed| told(&birchhub(&["scenario", "plan", "overlap", "--seed", seed]));
-    assert!(plan("1").1.contains("Announce") && plan("1") == plan("1") && plan("1").1 != plan("2").1);
+    assert!(
+        plan("1").1.contains("Announce") && plan("1") == plan("1") && plan("1").1 != plan("2").1
+    );
     let (code, script, _) = told(&birchhub(&["completions", "bash"]));
     assert!(code == 0 && script.contains("rehearse"), "{script}");
 }
 
 /// Processes that were started with a configuration in this folder.
 fn left_behind(folder: &str) -> usize {
-    let environ =
-        |entry: std::io::Result<std::fs::DirEntry>| std::fs::read(entry.ok()?.path().join("environ")).ok();
-    let of_folder = |bytes: &Vec<u8>| String::from_utf8_lossy(bytes).contains(&format!("LB_CONFIG={folder}"));
-    std::fs::read_dir("/proc").expect("processes").filter_map(environ).filter(of_folder).count()
+    let environ = |entry: std::io::Result<std::fs::DirEntry>| {
+        std::fs::read(entry.ok()?.path().join("environ")).ok()
+    };
+    let of_folder =
+        |bytes: &Vec<u8>| String::from_utf8_lossy(bytes).contains(&format!("LB_CONFIG={folder}"));
+    std::fs::read_dir("/proc")
+        .expect("processes")
+        .filter_map(environ)
+        .filter(of_folder)
+        .count()
 }
 
 #[test]
@@ -165,22 +218,37 @@
     let folder = Folder::new("ctrl-c");
     let (scenario, out) = (folder.scenario("60s"), folder.path("out"));
     let mut start = Command::new(env!("CARGO_BIN_EXE_birchhub"));
-    start.args(["rehearse", &scenario, "--quiet", "--out", &out]).stdout(Stdio::piped());
+    start
+        .args(["rehearse", &scenario, "--quiet", "--out", &out])
+        .stdout(Stdio::piped());
     let child = start.spawn().expect("birchhub");
     // The ledger is written to every 200 ms: clients are at work once it has grown beyond the start.
-    let grown = || std::fs::metadata(Path::new(&out).join("ledger")).map_or(0, |m| m.len()) > 20_000;
+    let grown =
+        || std::fs::metadata(Path::new(&out).join("ledger")).map_or(0, |m| m.len()) > 20_000;
     let begun = Instant::now();
     while !grown() {
-        assert!(begun.elapsed() < Duration::from_secs(30), "nothing was written to the ledger");
+        assert!(
+            begun.elapsed() < Duration::from_secs(30),
+            "nothing was written to the ledger"
+        );
         std::thread::sleep(Duration::from_millis(20));
     }
     assert_eq!(left_behind(&out), 2, "two proxies run");
     let interrupt = format!("kill -INT {}", child.id());
-    assert!(Command::new("sh").args(["-c", &interrupt]).status().expect("a shell").success());
+    assert!(
+        Command::new("sh")
+            .args(["-c", &interrupt])
+            .status()
+            .expect("a shell")
+            .success()
+    );
     let (code, text, _) = told(&child.wait_with_output().expect("its end"));
     assert_eq!(code, 2, "{text}");
     assert!(text.contains("PARTIAL: stopped before its end"), "{text}");
     let report = std::fs::read_to_string(Path::new(&out).join("report.json")).expect("a report");
-    assert!(report.contains("\"partial\": true") && report.contains("\"verdict\": \"VOID\""), "{report}");
+    assert!(
+        report.contains("\"partial\": true") && report.contains("\"verdict\": \"VOID\""),
+        "{report}"
+    );
     assert_eq!(left_behind(&out), 0);
 }
--- a/crates/cli/tests/scale.rs
+++ b/crates/cli/tests/scale.rs
@@ -9,7 +9,8 @@
 
 impl Folder {
     fn new(name: &str) -> Self {
-        let path = std::env::temp_dir().join(format!("birchhub-scale-{}-{name}", std::process::id()));
+        let path =
+            std::env::temp_dir().join(format!("birchhub-scale-{}-{name}", std::process::id()));
         std::fs::create_dir_all(&path).expect("a folder");
         Self(path)
     }
@@ -25,25 +26,46 @@
 }
 
 fn scale(arguments: &[&str]) -> (i32, String, String) {
-    let output = Command::new(env!("CARGO_BIN_EXE_birchhub")).arg("scale").args(arguments).output();
+    let output = Command::new(env!("CARGO_BIN_EXE_birchhub"))
+        .arg("scale")
+        .args(arguments)
+        .output();
     let output = output.expect("birchhub");
     let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
-    (output.status.code().unwrap_or(-1), text(&output.stdout), text(&output.stderr))
+    (
+        output.status.code().unwrap_or(-1),
+        text(&output.stdout),
+        text(&output.stderr),
+    )
 }
 
 fn blank() -> String {
     let mark = |name| format!("<!-- scale: {name} -->\n<!-- end of {name} -->\n");
-    ["targets", "roles", "hours", "candidates", "slopes"].map(mark).concat()
+    ["targets", "roles", "hours", "candidates", "slopes"]
+        .map(mark)
+        .concat()
 }
 
 #[test]
 fn a_quick_run_takes_points_of_all_series_and_makes_a_page() {
     let daemon = Path::new(env!("CARGO_BIN_EXE_birchhub")).with_file_name("birchhubd");
-    assert!(daemon.is_file(), "birchhubd is not built: run `cargo test --workspace`");
+    assert!(
+        daemon.is_file(),
+        "birchhubd is not built: run `cargo test --workspace`"
+    );
     let folder = Folder::new("quick");
     let (result, page) = (folder.path("scale.json"), folder.path("page.md"));
-    let run =
-        ["run", "--quick", "--seed", "5", "--out", &result, "--folder", &folder.path("left"), "--quiet"];
+    let run = [
+        "run",
+        "--quick",
+        "--seed",
+        "5",
+        "--out",
+        &result,
+        "--folder",
+        &folder.path("left"),
+        "--quiet",
+    ];
     let (code, out, err) = scale(&run);
     assert_eq!(code, 0, "{out}{err}");
     assert_eq!(err, "", "--quiet says nothing");
@@ -52,7 +74,10 @@
     assert_eq!(read["command"], "birchhub scale run --seed 5 --quick");
     for series in read["series"].as_array().expect("series") {
         let points = series["points"].as_array().expect("points");
-        assert!(points.len() >= 2 || !series["missing"].as_array().expect("a list").is_empty(), "{series}");
+        assert!(
+            points.len() >= 2 || !series["missing"].as_array().expect("a list").is_empty(),
+            "{series}"
+        );
     }
     let points = |name: &str| {
         let all = read["series"].as_array().expect("series");
@@ -63,15 +88,30 @@
         assert!(point[1].as_f64() >= point[0].as_f64(), "{point}");
     }
     let whole = points("list.whole.bytes");
-    assert!(whole[1][1].as_f64() > whole[0][1].as_f64().map(|kb| kb * 10.0), "{whole}");
+    assert!(
+        whole[1][1].as_f64() > whole[0][1].as_f64().map(|kb| kb * 10.0),
+        "{whole}"
+    );
 
     std::fs::write(&page, blank()).expect("a page");
-    assert_eq!(scale(&["page", &result, "--page", &page, "--check"]).0, 1, "it is stale");
-    assert_eq!(std::fs::read_to_string(&page).expect("a page"), blank(), "a check writes nothing");
+    assert_eq!(
+        scale(&["page", &result, "--page", &page, "--check"]).0,
+        1,
+        "it is stale"
+    );
+    assert_eq!(
+        std::fs::read_to_string(&page).expect("a page"),
+        blank(),
+        "a check writes nothing"
+    );
     let (code, out, err) = scale(&["page", &result, "--page", &page]);
     assert_eq!(code, 0, "{out}{err}");
     assert_eq!(scale(&["page", &result, "--page", &page, "--check"]).0, 0);
-    assert!(std::fs::read_to_string(&page).expect("a page").contains("`memory.backends`"));
+    assert!(
+        std::fs::read_to_string(&page)
+            .expect("a page")
+            .contains("`memory.backends`")
+    );
 }
 
 /// Guards against proxies that nobody owns: each is a process, and one that is killed drops nothing.
@@ -80,19 +120,26 @@
     let folder = Folder::new("stopped");
     let (result, left) = (folder.path("scale.json"), folder.path("left"));
     let mut command = Command::new(env!("CARGO_BIN_EXE_birchhub"));
-    command.args(["scale", "run", "--quick", "--out", &result, "--folder", &left, "--quiet"]);
+    command.args([
+        "scale", "run", "--quick", "--out", &result, "--folder", &left, "--quiet",
+    ]);
     let mut run = command.spawn().expect("birchhub");
     let living = || {
         let all = std::fs::read_dir("/proc").expect("processes").flatten();
-        let environment = |entry: std::fs::DirEntry| std::fs::read(entry.path().join("environ")).ok();
-        all.filter_map(environment).filter(|text| String::from_utf8_lossy(text).contains(&left)).count()
+        let environment =
+            |entry: std::fs::DirEntry| std::fs::read(entry.path().join("environ")).ok();
+        all.filter_map(environment)
+            .filter(|text| String::from_utf8_lossy(text).contains(&left))
+            .count()
     };
     let until = Instant::now() + Duration::from_secs(30);
     while living() == 0 {
         assert!(Instant::now() < until, "no proxy was ever started");
         std::thread::sleep(Duration::from_millis(2));
     }
-    let stop = Command::new("kill").args(["-TERM", &run.id().to_string()]).status();
+    let stop = Command::new("kill")
+        .args(["-TERM", &run.id().to_string()])
+        .status();
     assert!(stop.expect("kill").success());
     assert_eq!(run.wait().expect("its end").code(), Some(70));
     assert_eq!(living(), 0, "a proxy goes on");
@@ -106,17 +153,31 @@
     let expect = |arguments: &[&str], words: &[&str]| {
         let (code, out, err) = scale(arguments);
         assert_eq!(code, 64, "{out}{err}");
-        words.iter().for_each(|word| assert!(err.contains(word), "{word}: {err}"));
+        words
+            .iter()
+            .for_each(|word| assert!(err.contains(word), "{word}: {err}"));
     };
-    expect(&["run", "--quick", "--proxies", "/nowhere"], &["there is no proxy program at /nowhere"]);
+    expect(
+        &["run", "--quick", "--proxies", "/nowhere"],
+        &["there is no proxy program at /nowhere"],
+    );
     expect(&["run", "--quick", "--seed", "x"], &["--seed", "x"]);
     expect(
-        &["run", "--proxies", env!("CARGO_BIN_EXE_birchhub"), "--out", "/nowhere/x.json"],
+        &[
+            "run",
+            "--proxies",
+            env!("CARGO_BIN_EXE_birchhub"),
+            "--out",
+            "/nowhere/x.json",
+        ],
         &["/nowhere/x.json"],
     );
     expect(&["page", &result, "--page", &page], &[&result]);
     std::fs::write(&result, "{\"form\": 1").expect("a file");
     expect(&["page", &result, "--page", &page], &[&result, "line 1"]);
     std::fs::write(&result, "{\"form\": 99, \"series\": []}").expect("a file");
-    expect(&["page", &result, "--page", &page], &[&result, "form is 99, and only 1 is read"]);
+    expect(
+        &["page", &result, "--page", &page],
+        &[&result, "form is 99, and only 1 is read"],
+    );
 }
--- a/crates/daemon/src/answer.rs
+++ b/crates/daemon/src/answer.rs
@@ -37,7 +37,11 @@
 impl Answer {
     /// `last`: the connection is closed after it.
     pub fn encode(self, last: bool) -> Response<Answering> {
-        let come_back = if let Self::PushedBack { come_back } = self { come_back } else { 0.0 };
+        let come_back = if let Self::PushedBack { come_back } = self {
+            come_back
+        } else {
+            0.0
+        };
         let text = |text: &'static str| Ok(Bytes::from_static(text.as_bytes()));
         let (status, body) = match self {
             Self::Ok(body) => (StatusCode::OK, Ok(body)),
@@ -56,7 +60,9 @@
             response.headers_mut().insert(RETRY_AFTER, value);
         }
         if last {
-            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            response
+                .headers_mut()
+                .insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response
     }
--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -64,8 +64,18 @@
 impl Errand {
     pub fn end(self, (outcome, report, body): End) -> ToCore {
         match self {
-            Self::Pick { rpc, pick } => ToCore::Ended { rpc, pick, outcome, report, body },
-            Self::Probe { backend } => ToCore::Probed { backend, outcome, report },
+            Self::Pick { rpc, pick } => ToCore::Ended {
+                rpc,
+                pick,
+                outcome,
+                report,
+                body,
+            },
+            Self::Probe { backend } => ToCore::Probed {
+                backend,
+                outcome,
+                report,
+            },
         }
     }
 }
@@ -85,7 +95,14 @@
 impl Ticket {
     pub fn new(errand: Errand, core: mpsc::Sender<ToCore>, permit: OwnedPermit<ToCore>) -> Self {
         let (sent, begun) = Default::default();
-        Self { errand, core, permit: Some(permit), sent, begun, end: None }
+        Self {
+            errand,
+            core,
+            permit: Some(permit),
+            sent,
+            begun,
+            end: None,
+        }
     }
 
     /// The request's last byte was taken.
@@ -106,9 +123,15 @@
 
 impl Drop for Ticket {
     fn drop(&mut self) {
-        let unfinished = if self.sent.get() { Outcome::Cancelled } else { Outcome::NeverSent };
+        let unfinished = if self.sent.get() {
+            Outcome::Cancelled
+        } else {
+            Outcome::NeverSent
+        };
         let end = self.end.take().unwrap_or((unfinished, None, Bytes::new()));
-        let Some(permit) = self.permit.take() else { return };
+        let Some(permit) = self.permit.take() else {
+            return;
+        };
         permit.send(self.errand.end(end));
     }
 }
@@ -175,9 +198,18 @@
         let (mailbox, jobs) = mpsc::channel(MAILBOX);
         let (sender, receiver) = watch::channel(facts);
         let (kept, keep) = (RefCell::default(), limits.keep().into());
-        let peer = Peer { facts: receiver, kept, keep, limits, budget };
+        let peer = Peer {
+            facts: receiver,
+            kept,
+            keep,
+            limits,
+            budget,
+        };
         spawn_local(Rc::new(peer).run(jobs));
-        Self { mailbox, facts: sender }
+        Self {
+            mailbox,
+            facts: sender,
+        }
     }
 }
 
@@ -210,8 +242,17 @@
     /// for each, woken by its own socket: guards against a look at all of them with every answer.
     async fn watch(self: Rc<Self>, kept: Weak<Kept>, until: Instant) {
         let closed = poll_fn(|cx| {
-            let closed = |kept: Rc<Kept>| kept.conn.borrow_mut().as_mut().is_none_or(|c| c.poll_closed(cx));
-            if kept.upgrade().is_none_or(closed) { Poll::Ready(()) } else { Poll::Pending }
+            let closed = |kept: Rc<Kept>| {
+                kept.conn
+                    .borrow_mut()
+                    .as_mut()
+                    .is_none_or(|c| c.poll_closed(cx))
+            };
+            if kept.upgrade().is_none_or(closed) {
+                Poll::Ready(())
+            } else {
+                Poll::Pending
+            }
         });
         select! {
             () = closed => {}
@@ -223,7 +264,13 @@
     }
 
     async fn serve(self: Rc<Self>, job: Box<Job>) {
-        let Job { message, client, times: Times { until, send_by }, stop, mut ticket } = *job;
+        let Job {
+            message,
+            client,
+            times: Times { until, send_by },
+            stop,
+            mut ticket,
+        } = *job;
         let (begun, sent) = (Instant::now(), &ticket.sent);
         let written = Progress::default();
         let stopped = async {
@@ -297,7 +344,13 @@
         let nothing = |outcome| (outcome, None, Bytes::new());
         let sent = &ticket.sent;
         // What broke before the last byte of the request was written has not run.
-        let broken = || nothing(if message.may_be_whole() { Outcome::Reset } else { Outcome::NoConnection });
+        let broken = || {
+            nothing(if message.may_be_whole() {
+                Outcome::Reset
+            } else {
+                Outcome::NoConnection
+            })
+        };
         loop {
             let endpoint = self.facts.borrow().endpoint;
             let kept = self.take().await;
@@ -308,10 +361,17 @@
                     let Some(place) = self.budget.place(Part::Backends) else {
                         return nothing(Outcome::NeverSent);
                     };
-                    Conn::open(endpoint, Some(place), until.min(Instant::now() + self.limits.connect)).await
+                    Conn::open(
+                        endpoint,
+                        Some(place),
+                        until.min(Instant::now() + self.limits.connect),
+                    )
+                    .await
                 }
             };
-            let Some(mut conn) = conn else { return nothing(Outcome::NoConnection) };
+            let Some(mut conn) = conn else {
+                return nothing(Outcome::NoConnection);
+            };
             // Guards against what begins for a client that has gone, whatever it waited for and however late this
             // process runs. That it hung up is on its way to the core, and withdraws this.
             if let Some(client) = client
@@ -326,10 +386,14 @@
             written.replace(Some(conn.progress()));
             let left = until.saturating_duration_since(Instant::now());
             let idle = conn.used.elapsed();
-            match conn.exchange(message.encode(left), KEPT, !message.is_probe(), sent).await {
+            match conn
+                .exchange(message.encode(left), KEPT, !message.is_probe(), sent)
+                .await
+            {
                 Ok(mut reply) => {
                     if !fresh {
-                        self.keep.update(|keep| keep.mul_f64(KEEP_GROW).min(self.limits.keep()));
+                        self.keep
+                            .update(|keep| keep.mul_f64(KEEP_GROW).min(self.limits.keep()));
                     }
                     if reply.goes_on
                         && let Some(fault) = pass_on(&mut conn, &mut reply, ticket).await
@@ -345,7 +409,8 @@
                 Err(Fault::Broken) => {
                     // Guards against a path that forgets connections sooner than the settings say.
                     if !fresh {
-                        self.keep.update(|keep| (idle / 2).max(KEEP_LEAST).min(keep));
+                        self.keep
+                            .update(|keep| (idle / 2).max(KEEP_LEAST).min(keep));
                     }
                     return broken();
                 }
@@ -381,16 +446,32 @@
 
     /// Keeps a connection for the next job, unless it or its backend ends or the backend has moved meanwhile.
     async fn keep(self: &Rc<Self>, mut conn: Conn, endpoint: SocketAddr, headers: &HeaderMap) {
-        let closes =
-            headers.get(CONNECTION).is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
+        let closes = headers
+            .get(CONNECTION)
+            .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
         let alive = !closes && conn.alive().await;
         let listed = self.facts.has_changed().is_ok();
-        if alive && listed && *self.facts.borrow() == (Facts { endpoint, ready: true }) {
+        if alive
+            && listed
+            && *self.facts.borrow()
+                == (Facts {
+                    endpoint,
+                    ready: true,
+                })
+        {
             let used = conn.used;
             let (offer, watch) = Default::default();
-            let kept = Rc::new(Kept { conn: RefCell::new(Some(conn)), used, offer, watch });
-            kept.offer.replace(Some(self.budget.offer(Part::Backends, 0, &kept)));
-            let watching = self.clone().watch(Rc::downgrade(&kept), used + self.keep.get());
+            let kept = Rc::new(Kept {
+                conn: RefCell::new(Some(conn)),
+                used,
+                offer,
+                watch,
+            });
+            kept.offer
+                .replace(Some(self.budget.offer(Part::Backends, 0, &kept)));
+            let watching = self
+                .clone()
+                .watch(Rc::downgrade(&kept), used + self.keep.get());
             kept.watch.replace(Some(spawn_local(watching)));
             self.kept.borrow_mut().push(kept);
         }
@@ -418,7 +499,9 @@
 
 /// Ends when a long request makes no way for too long before its last byte has come.
 async fn stalled(message: &Message, written: &Progress) {
-    let Some(upload) = message.upload() else { return pending().await };
+    let Some(upload) = message.upload() else {
+        return pending().await;
+    };
     let so_far = || written.borrow().as_ref().map(|bytes| bytes.get());
     loop {
         let before = so_far();
@@ -460,11 +543,17 @@
 
 /// What an answer means, as the protocol has it.
 fn judge(reply: Reply, probe: bool) -> End {
-    let header = reply.headers.get("server-load").and_then(|value| value.to_str().ok());
+    let header = reply
+        .headers
+        .get("server-load")
+        .and_then(|value| value.to_str().ok());
     // Only a probe's body is a report: an RPC's may look like one.
     let text = header.or(std::str::from_utf8(&reply.body).ok().filter(|_| probe));
     let report = text.and_then(|text| load_report(text, '=').ok());
-    let not_started = reply.headers.get("not-started").is_some_and(|value| value == "1");
+    let not_started = reply
+        .headers
+        .get("not-started")
+        .is_some_and(|value| value == "1");
     let outcome = match reply.status.as_u16() {
         200 => Outcome::Ok,
         503 | 504 if not_started => Outcome::Rejected,
@@ -482,7 +571,13 @@
     #[test]
     fn only_a_probes_body_is_a_report() {
         let (status, headers, goes_on, length) = (StatusCode::OK, HeaderMap::new(), false, None);
-        let reply = || Reply { status, headers: headers.clone(), body: "inflight=9".into(), goes_on, length };
+        let reply = || Reply {
+            status,
+            headers: headers.clone(),
+            body: "inflight=9".into(),
+            goes_on,
+            length,
+        };
         let report = |probe| judge(reply(), probe).1.and_then(|report| report.in_flight);
         assert_eq!((report(true), report(false)), (Some(9.0), None));
     }
--- a/crates/daemon/src/body.rs
+++ b/crates/daemon/src/body.rs
@@ -52,11 +52,23 @@
 
 impl Upload {
     pub fn new(first: Bytes, rest: Incoming) -> Rc<Self> {
-        let length = rest.size_hint().exact().map(|left| left + first.len() as u64);
+        let length = rest
+            .size_hint()
+            .exact()
+            .map(|left| left + first.len() as u64);
         let bytes = Cell::new(first.len() as u64);
         let (spent, taken, hungry) = Default::default();
         let (first, rest, come) = (first.into(), rest.into(), watch::Sender::new(Come::Flows));
-        Rc::new(Self { first, rest, length, bytes, come, spent, taken, hungry })
+        Rc::new(Self {
+            first,
+            rest,
+            length,
+            bytes,
+            come,
+            spent,
+            taken,
+            hungry,
+        })
     }
 
     /// Something of it has gone out that is not kept: it can't be sent again.
@@ -77,7 +89,10 @@
     /// Waits for its last byte, and tells when that came; for ever if it never does.
     pub async fn whole(&self) -> Instant {
         let mut come = self.come.subscribe();
-        let come = come.wait_for(|come| matches!(come, Come::Whole(_))).await.map(|come| *come);
+        let come = come
+            .wait_for(|come| matches!(come, Come::Whole(_)))
+            .await
+            .map(|come| *come);
         match come {
             Ok(Come::Whole(at)) => at,
             _ => pending().await,
@@ -86,7 +101,13 @@
 
     /// Waits until more has come than any request may hold; for ever if that never happens.
     pub async fn too_long(&self) {
-        if self.come.subscribe().wait_for(|come| *come == Come::TooLong).await.is_err() {
+        if self
+            .come
+            .subscribe()
+            .wait_for(|come| *come == Come::TooLong)
+            .await
+            .is_err()
+        {
             pending().await
         }
     }
@@ -95,7 +116,11 @@
         let mut rest = self.rest.borrow_mut();
         let end = |come| {
             self.come.send_replace(come);
-            Poll::Ready(if matches!(come, Come::Whole(_)) { None } else { Some(Err(Cut)) })
+            Poll::Ready(if matches!(come, Come::Whole(_)) {
+                None
+            } else {
+                Some(Err(Cut))
+            })
         };
         loop {
             let next = Pin::new(&mut *rest).poll_frame(cx);
@@ -125,12 +150,20 @@
 /// A request's body on its way to a backend.
 pub enum Outgoing {
     Whole(Full<Bytes>),
-    Long { first: Option<Bytes>, upload: Rc<Upload>, reads: bool },
+    Long {
+        first: Option<Bytes>,
+        upload: Rc<Upload>,
+        reads: bool,
+    },
 }
 
 impl Outgoing {
     pub fn long(upload: &Rc<Upload>) -> Self {
-        Self::Long { first: Some(upload.first.borrow().clone()), upload: upload.clone(), reads: false }
+        Self::Long {
+            first: Some(upload.first.borrow().clone()),
+            upload: upload.clone(),
+            reads: false,
+        }
     }
 }
 
@@ -138,10 +171,21 @@
     type Data = Bytes;
     type Error = Cut;
 
-    fn poll_frame(self: Pin<&mut Self>, cx: &mut Context) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
         let (first, upload, reads) = match self.get_mut() {
-            Self::Whole(body) => return Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
-            Self::Long { first, upload, reads } => (first, upload, reads),
+            Self::Whole(body) => {
+                return Pin::new(body)
+                    .poll_frame(cx)
+                    .map_err(|never| match never {});
+            }
+            Self::Long {
+                first,
+                upload,
+                reads,
+            } => (first, upload, reads),
         };
         if let Some(first) = first.take() {
             return Poll::Ready(Some(Ok(Frame::data(first))));
@@ -151,7 +195,9 @@
             return Poll::Ready(Some(Err(Cut)));
         }
         *reads = true;
-        upload.poll_rest(cx).map(|next| next.map(|bytes| bytes.map(Frame::data)))
+        upload
+            .poll_rest(cx)
+            .map(|next| next.map(|bytes| bytes.map(Frame::data)))
     }
 
     fn is_end_stream(&self) -> bool {
@@ -164,14 +210,21 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Whole(body) => body.size_hint(),
-            Self::Long { upload, .. } => upload.length.map(SizeHint::with_exact).unwrap_or_default(),
+            Self::Long { upload, .. } => {
+                upload.length.map(SizeHint::with_exact).unwrap_or_default()
+            }
         }
     }
 }
 
 impl Drop for Outgoing {
     fn drop(&mut self) {
-        if let Self::Long { upload, reads: true, .. } = self {
+        if let Self::Long {
+            upload,
+            reads: true,
+            ..
+        } = self
+        {
             upload.taken.set(false);
         }
     }
@@ -212,8 +265,16 @@
     let (bytes, rest) = mpsc::channel(1);
     let ended = Rc::<Cell<bool>>::default();
     (
-        Source { bytes, ended: ended.clone() },
-        Flow { first: Some(first).filter(|first| !first.is_empty()), rest, length, ended },
+        Source {
+            bytes,
+            ended: ended.clone(),
+        },
+        Flow {
+            first: Some(first).filter(|first| !first.is_empty()),
+            rest,
+            length,
+            ended,
+        },
     )
 }
 
@@ -238,12 +299,17 @@
     type Data = Bytes;
     type Error = Cut;
 
-    fn poll_frame(self: Pin<&mut Self>, cx: &mut Context) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
         let this = self.get_mut();
         let flow = match &mut this.body {
             Ok(body) => {
                 this.given.set(true);
-                return Pin::new(body).poll_frame(cx).map_err(|never| match never {});
+                return Pin::new(body)
+                    .poll_frame(cx)
+                    .map_err(|never| match never {});
             }
             Err(flow) => flow,
         };
@@ -253,9 +319,15 @@
         };
         let Some(bytes) = next else {
             this.given.set(flow.ended.get());
-            return Poll::Ready(if flow.ended.get() { None } else { Some(Err(Cut)) });
+            return Poll::Ready(if flow.ended.get() {
+                None
+            } else {
+                Some(Err(Cut))
+            });
         };
-        flow.length = flow.length.map(|left| left.saturating_sub(bytes.len() as u64));
+        flow.length = flow
+            .length
+            .map(|left| left.saturating_sub(bytes.len() as u64));
         this.given.set(flow.length == Some(0));
         Poll::Ready(Some(Ok(Frame::data(bytes))))
     }
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -42,7 +42,10 @@
             ("seed", self.seed != other.seed),
             ("limits", self.sockets != other.sockets),
         ];
-        keys.into_iter().filter(|(_, differs)| *differs).map(|(key, _)| key).collect()
+        keys.into_iter()
+            .filter(|(_, differs)| *differs)
+            .map(|(key, _)| key)
+            .collect()
     }
 }
 
@@ -55,8 +58,14 @@
 
 impl Clock {
     pub fn start() -> Self {
-        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64();
-        Self { base: Instant::now(), wall }
+        let wall = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default()
+            .as_secs_f64();
+        Self {
+            base: Instant::now(),
+            wall,
+        }
     }
 
     /// Lets this clock stand still for so long, after the fact.
@@ -93,12 +102,14 @@
 /// A value from the file, or from the variable where the file has none.
 fn text(file: &Value, key: &str, variable: &str) -> Result<String, String> {
     let told = file.get(key).and_then(Value::as_str).map(str::to_owned);
-    told.or_else(|| std::env::var(variable).ok()).ok_or_else(|| format!("{variable} is not set"))
+    told.or_else(|| std::env::var(variable).ok())
+        .ok_or_else(|| format!("{variable} is not set"))
 }
 
 fn address(file: &Value, key: &str, variable: &str) -> Result<SocketAddr, String> {
     let text = text(file, key, variable)?;
-    text.parse().map_err(|_| format!("{variable} is not an address and port: {text}"))
+    text.parse()
+        .map_err(|_| format!("{variable} is not an address and port: {text}"))
 }
 
 /// An address that may be missing.
@@ -113,11 +124,16 @@
 /// The clients' socket, where the platform holds it and names its descriptor. To be called before anything
 /// else opens one.
 pub fn passed() -> Result<Option<std::net::TcpListener>, String> {
-    let Some(name) = std::env::var_os(PASSED) else { return Ok(None) };
+    let Some(name) = std::env::var_os(PASSED) else {
+        return Ok(None);
+    };
     let bad = |what: &str| format!("{PASSED} {what}: {}", name.display());
     let number = name.to_str().and_then(|text| text.parse::<u32>().ok());
-    let number = number.and_then(|number| i32::try_from(number).ok()).ok_or(bad("is not a number"))?;
-    let stands = std::fs::read_link(format!("/proc/self/fd/{number}")).map_err(|_| bad("is not open"))?;
+    let number = number
+        .and_then(|number| i32::try_from(number).ok())
+        .ok_or(bad("is not a number"))?;
+    let stands =
+        std::fs::read_link(format!("/proc/self/fd/{number}")).map_err(|_| bad("is not open"))?;
     if !stands.to_string_lossy().starts_with("socket:") {
         return Err(bad("is not a socket"));
     }
@@ -130,7 +146,9 @@
     {
         return Err(bad("is not a listening TCP socket"));
     }
-    socket.set_nonblocking(true).map_err(|e| bad(&e.to_string()))?;
+    socket
+        .set_nonblocking(true)
+        .map_err(|e| bad(&e.to_string()))?;
     socket.set_cloexec(true).map_err(|e| bad(&e.to_string()))?;
     Ok(Some(socket.into()))
 }
@@ -157,29 +175,44 @@
 /// Reads the file; the list in it where `known` is wanted.
 pub fn load(known: bool) -> Result<Config, String> {
     let path = std::env::var("LB_CONFIG").map_err(|_| "LB_CONFIG is not set".to_owned())?;
-    let bytes = std::fs::read(&path).map_err(|e| format!("LB_CONFIG cannot be read: {path}: {e}"))?;
+    let bytes =
+        std::fs::read(&path).map_err(|e| format!("LB_CONFIG cannot be read: {path}: {e}"))?;
     let fault = |e| format!("LB_CONFIG is not JSON: {path}: {e}");
     let mut file: BTreeMap<String, &RawValue> = serde_json::from_slice(&bytes).map_err(fault)?;
     let [settings, watch, list] = ["settings", "watch", "known"].map(|key| file.remove(key));
-    let file = file.into_iter().map(|(key, raw)| Ok((key, serde_json::from_str(raw.get())?)));
+    let file = file
+        .into_iter()
+        .map(|(key, raw)| Ok((key, serde_json::from_str(raw.get())?)));
     let file = Value::Object(file.collect::<Result<_, _>>().map_err(fault)?);
-    let seed = file.get("seed").and_then(Value::as_str).ok_or("seed is missing in LB_CONFIG")?;
+    let seed = file
+        .get("seed")
+        .and_then(Value::as_str)
+        .ok_or("seed is missing in LB_CONFIG")?;
     let settings = settings.ok_or("settings is missing in LB_CONFIG")?;
-    let limit = |key| file.get("limits").and_then(|limits| limits.get(key)).and_then(Value::as_u64);
+    let limit = |key| {
+        file.get("limits")
+            .and_then(|limits| limits.get(key))
+            .and_then(Value::as_u64)
+    };
     let bearable = limit("memory_mb").map_or(u64::MAX, |mb| (mb << 20) / SOCKET_NEEDS);
     let conf = shape(settings, "settings: ")?;
-    let watch = watch.filter(|watch| watch.get() != "null").map(|watch| watched(watch, &conf)).transpose()?;
+    let watch = watch
+        .filter(|watch| watch.get() != "null")
+        .map(|watch| watched(watch, &conf))
+        .transpose()?;
     // Guards against a fleet that can't start for a copy of a list that is replaced a moment later anyway.
     let list = list.filter(|list| known && list.get() != "null");
     let list = list.map(|list| serde_json::from_str(list.get()).map_err(|e| e.to_string()));
     let known = list.map(|list| discovery::decode(&list?)).transpose();
-    let (known, known_fault) = known.map_or_else(|fault| (None, Some(fault)), |known| (known, None));
+    let (known, known_fault) =
+        known.map_or_else(|fault| (None, Some(fault)), |known| (known, None));
     Ok(Config {
         name: text(&file, "name", "LB_NAME")?,
         listen: address(&file, "listen", "LB_LISTEN")?,
         discovery: address(&file, "discovery", "LB_DISCOVERY")?,
         management: optional(&file, "management", "LB_MANAGEMENT")?,
-        seed: u64::from_str_radix(seed, 16).map_err(|_| format!("seed is not a hex number: {seed}"))?,
+        seed: u64::from_str_radix(seed, 16)
+            .map_err(|_| format!("seed is not a hex number: {seed}"))?,
         sockets: limit("sockets").unwrap_or(1024).min(bearable) as usize,
         known,
         known_fault,
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -135,8 +135,13 @@
             log::error!("the core's mailbox is full");
             return self.unsent.push(errand);
         };
-        let job =
-            Job { message, client, times, stop, ticket: Ticket::new(errand, self.core.clone(), permit) };
+        let job = Job {
+            message,
+            client,
+            times,
+            stop,
+            ticket: Ticket::new(errand, self.core.clone(), permit),
+        };
         if let Some(backend) = self.backends.get(&backend) {
             let _ = backend.mailbox.try_send(Box::new(job));
         }
@@ -148,7 +153,9 @@
         self.now
     }
     fn pick(&mut self, rpc: u64, backend: u32, time_out: f64) {
-        let Some(held) = self.held.get_mut(&rpc) else { return };
+        let Some(held) = self.held.get_mut(&rpc) else {
+            return;
+        };
         let (sender, stop) = oneshot::channel();
         let pick = held.picks.len();
         held.picks.push(Some(sender));
@@ -158,12 +165,23 @@
         let (message, client) = (held.message.clone(), Some(held.client.clone()));
         log::trace!("RPC {rpc}: pick {pick} to {backend} for {time_out:.3} s");
         let times = Times { until, send_by };
-        self.run(Errand::Pick { rpc, pick }, backend, message, client, times, Some(stop));
+        self.run(
+            Errand::Pick { rpc, pick },
+            backend,
+            message,
+            client,
+            times,
+            Some(stop),
+        );
         self.note(rpc, Act::Pick(backend));
     }
     fn cancel(&mut self, rpc: u64, pick: usize) {
         let picks = self.held.get_mut(&rpc).map(|held| &mut held.picks);
-        drop(picks.and_then(|picks| picks.get_mut(pick)).and_then(Option::take));
+        drop(
+            picks
+                .and_then(|picks| picks.get_mut(pick))
+                .and_then(Option::take),
+        );
     }
     fn push_back(&mut self, rpc: u64, come_back: f64) {
         self.give(rpc, Answer::PushedBack { come_back });
@@ -175,9 +193,19 @@
     }
     fn probe(&mut self, backend: u32) {
         self.asked.iter_mut().for_each(Asked::probe);
-        let times = Times { until: Instant::now() + PROBE_WAITS, send_by: None };
+        let times = Times {
+            until: Instant::now() + PROBE_WAITS,
+            send_by: None,
+        };
         log::trace!("probe to {backend}");
-        self.run(Errand::Probe { backend }, backend, Message::probe(), None, times, None);
+        self.run(
+            Errand::Probe { backend },
+            backend,
+            Message::probe(),
+            None,
+            times,
+            None,
+        );
     }
     fn watch(&mut self) {
         self.wanted.notify_one();
@@ -243,7 +271,10 @@
             balancer: Balancer::new(&conf.settings, config.seed),
             rpcs: HashMap::new(),
             door,
-            watch: config.watch.as_ref().map(|settings| Watch::new(settings, config.seed)),
+            watch: config
+                .watch
+                .as_ref()
+                .map(|settings| Watch::new(settings, config.seed)),
             numbers: HashMap::new(),
             leaving: HashSet::new(),
             next: 0,
@@ -262,9 +293,15 @@
             beat: Instant::now() + BEAT,
             stopped: Instant::now(),
         };
-        let known =
-            config.known.clone().unwrap_or(News { version: 0, kind: ListKind::Stale, listed: vec![] });
-        core.news(&News { kind: ListKind::Stale, ..known });
+        let known = config.known.clone().unwrap_or(News {
+            version: 0,
+            kind: ListKind::Stale,
+            listed: vec![],
+        });
+        core.news(&News {
+            kind: ListKind::Stale,
+            ..known
+        });
         core.ordered();
         core
     }
@@ -273,7 +310,11 @@
         loop {
             self.keep_time();
             let own = self.door.wake_at.map(|at| self.door.clock.instant(at));
-            let watcher = self.watch.as_ref().and_then(Watch::wake_at).map(|at| self.door.clock.instant(at));
+            let watcher = self
+                .watch
+                .as_ref()
+                .and_then(Watch::wake_at)
+                .map(|at| self.door.clock.instant(at));
             let wake = own.into_iter().chain(watcher).min();
             if wake.is_some_and(|at| at <= Instant::now()) {
                 self.wake(own.is_some_and(|at| at <= Instant::now()));
@@ -305,8 +346,14 @@
 
     /// Lets the watcher hear what the first instance heard in the last call, if there is one.
     fn watch(&mut self, act: impl FnOnce(&mut Watch, f64, Asked)) {
-        let (Some(watch), now) = (&mut self.watch, self.door.now) else { return };
-        let asked = self.door.asked.replace(Asked::default()).unwrap_or_default();
+        let (Some(watch), now) = (&mut self.watch, self.door.now) else {
+            return;
+        };
+        let asked = self
+            .door
+            .asked
+            .replace(Asked::default())
+            .unwrap_or_default();
         if catch_unwind(AssertUnwindSafe(|| act(watch, now, asked))).is_err() {
             log::error!("the watching module panicked: it watches no more");
             (self.watch, self.door.asked) = (None, None);
@@ -316,11 +363,21 @@
     fn hear(&mut self, message: ToCore) {
         self.keep_time();
         match message {
-            ToCore::Take { id, rpc, opened, client, answer } => self.take(id, *rpc, opened, client, answer),
+            ToCore::Take {
+                id,
+                rpc,
+                opened,
+                client,
+                answer,
+            } => self.take(id, *rpc, opened, client, answer),
             ToCore::HungUp(id) => self.hung_up(id),
-            ToCore::Ended { rpc, pick, outcome, report, body } => {
-                self.ended(rpc, pick, outcome, report, body)
-            }
+            ToCore::Ended {
+                rpc,
+                pick,
+                outcome,
+                report,
+                body,
+            } => self.ended(rpc, pick, outcome, report, body),
             ToCore::Whole { rpc, pick } => {
                 self.on_rpc(rpc, |rpc, door| rpc.whole(pick, door));
                 self.watch(|watch, now, asked| watch.whole(now, asked, (rpc, pick)));
@@ -332,10 +389,17 @@
                 });
                 self.watch(|watch, now, asked| watch.begun(now, asked, (rpc, pick)));
             }
-            ToCore::Probed { backend, outcome, report } => {
+            ToCore::Probed {
+                backend,
+                outcome,
+                report,
+            } => {
                 log::trace!("probe of {backend}: {outcome:?} {report:?}");
                 let outcome = self.told(outcome, Outcome::NeverSent);
-                self.call(|core| core.balancer.probed(backend, outcome, report, &mut core.door));
+                self.call(|core| {
+                    core.balancer
+                        .probed(backend, outcome, report, &mut core.door)
+                });
                 self.watch(|watch, now, asked| watch.probed(now, asked, backend, outcome, report));
             }
             ToCore::News(news) => self.news(&news),
@@ -385,7 +449,9 @@
 
     fn on_rpc(&mut self, id: u64, act: impl FnOnce(&Rpc, &mut Door)) {
         self.call(|core| {
-            let Some(rpc) = core.rpcs.get(&id) else { return };
+            let Some(rpc) = core.rpcs.get(&id) else {
+                return;
+            };
             act(rpc, &mut core.door);
             core.let_go(id);
         });
@@ -394,8 +460,16 @@
     /// Withdraws what was not yet sent for an RPC that is over, also where the settings allow no cancelling,
     /// and gives back what it held once all its picks have ended.
     fn let_go(&mut self, id: u64) {
-        if let Some(held) = self.door.held.get_mut(&id).filter(|held| held.answer.is_none()) {
-            held.picks.iter_mut().filter_map(Option::take).for_each(|stop| _ = stop.send(()));
+        if let Some(held) = self
+            .door
+            .held
+            .get_mut(&id)
+            .filter(|held| held.answer.is_none())
+        {
+            held.picks
+                .iter_mut()
+                .filter_map(Option::take)
+                .for_each(|stop| _ = stop.send(()));
         }
         if self.rpcs.get(&id).is_some_and(Rpc::is_over) {
             self.rpcs.remove(&id);
@@ -406,12 +480,20 @@
     /// Puts other settings in force, all in this turn.
     fn adopt(&mut self, update: Update) {
         let begun = Instant::now();
-        let Update { settings, kept, names, watch, done } = update;
+        let Update {
+            settings,
+            kept,
+            names,
+            watch,
+            done,
+        } = update;
         self.windows = settings.methods.iter().map(window).collect();
         let before = self.names.replace(names.into());
         self.call(|core| core.balancer.adopt(&settings, &kept, &mut core.door));
         match watch {
-            Some(settings) => self.watch(|watch, now, asked| watch.adopt(now, asked, &settings, &kept)),
+            Some(settings) => {
+                self.watch(|watch, now, asked| watch.adopt(now, asked, &settings, &kept))
+            }
             None => (self.watch, self.door.asked) = (None, None),
         }
         let _ = done.send((before, begun.elapsed()));
@@ -443,9 +525,19 @@
         };
         let (picks, may_have_run, window) = (Vec::new(), Vec::new(), self.windows[rpc.method]);
         let (message, answer, _opened) = (rpc.message, Some(answer), opened);
-        self.door
-            .held
-            .insert(id, Held { message, client, deadline, answer, picks, window, may_have_run, _opened });
+        self.door.held.insert(
+            id,
+            Held {
+                message,
+                client,
+                deadline,
+                answer,
+                picks,
+                window,
+                may_have_run,
+                _opened,
+            },
+        );
         self.call(|core| {
             let rpc = core.balancer.take(&arrival, &mut core.door);
             core.rpcs.insert(id, rpc);
@@ -465,13 +557,22 @@
         self.watch(|watch, now, asked| watch.hung_up(now, asked, id));
     }
 
-    fn ended(&mut self, id: u64, pick: usize, outcome: Outcome, report: Option<LoadReport>, body: Bytes) {
+    fn ended(
+        &mut self,
+        id: u64,
+        pick: usize,
+        outcome: Outcome,
+        report: Option<LoadReport>,
+        body: Bytes,
+    ) {
         log::trace!("RPC {id}: pick {pick} {outcome:?}");
         let outcome = self.told(outcome, Outcome::Cancelled);
         // An answer that is ok ends it; it goes to the client below.
         let held = self.door.held.get(&id);
         let over = outcome == Outcome::Ok || held.is_none_or(|held| held.answer.is_none());
-        let spent = held.and_then(|held| held.message.upload()).is_some_and(|upload| upload.is_spent());
+        let spent = held
+            .and_then(|held| held.message.upload())
+            .is_some_and(|upload| upload.is_spent());
         self.on_rpc(id, |rpc, door| {
             if let Some(held) = door.held.get_mut(&id) {
                 held.picks[pick] = None;
@@ -501,9 +602,17 @@
             (now.turn, now.orders.bans.clone(), now.others.living)
         };
         self.balancer.shared_by(others + 1);
-        let listed: Vec<_> = bans.keys().filter_map(|name| self.listed.get(name)).cloned().collect();
+        let listed: Vec<_> = bans
+            .keys()
+            .filter_map(|name| self.listed.get(name))
+            .cloned()
+            .collect();
         if !listed.is_empty() {
-            self.news(&News { version: 0, kind: ListKind::Ordered, listed });
+            self.news(&News {
+                version: 0,
+                kind: ListKind::Ordered,
+                listed,
+            });
         }
         self.standings.carried_out(turn);
     }
@@ -513,7 +622,9 @@
     fn forget(&mut self, now: Instant) {
         let (numbers, backends) = (&mut self.numbers, &self.door.backends);
         self.leaving.retain(|uid| {
-            let Some((number, heard)) = numbers.get(uid) else { return false };
+            let Some((number, heard)) = numbers.get(uid) else {
+                return false;
+            };
             let (back, fresh) = (backends.contains_key(number), now < *heard + FORGET);
             if !back && !fresh {
                 numbers.remove(uid);
@@ -528,7 +639,9 @@
             self.listed.retain(|name, _| named.contains(name.as_str()));
             let known = news.listed.iter().filter_map(|l| self.numbers.get(&l.uid));
             let listed: HashSet<_> = known.map(|(number, _)| *number).collect();
-            self.door.backends.retain(|number, _| listed.contains(number));
+            self.door
+                .backends
+                .retain(|number, _| listed.contains(number));
         }
         let (mut entries, now) = (Vec::new(), Instant::now());
         for listed in &news.listed {
@@ -538,22 +651,34 @@
             }
             // The one place where a ban counts: all that follows takes the backend for what this says.
             let (readiness, boot_ms) =
-                self.standing.borrow().orders.tells(&listed.uid, listed.readiness, listed.boot_ms);
+                self.standing
+                    .borrow()
+                    .orders
+                    .tells(&listed.uid, listed.readiness, listed.boot_ms);
             let number = || {
                 self.next += 1;
                 (self.next - 1, now)
             };
-            let (backend, heard) = self.numbers.entry(listed.uid.clone()).or_insert_with(number);
+            let (backend, heard) = self
+                .numbers
+                .entry(listed.uid.clone())
+                .or_insert_with(number);
             *heard = now;
             let backend = *backend;
-            let facts = Facts { endpoint: listed.endpoint, ready: readiness == Readiness::Ready };
+            let facts = Facts {
+                endpoint: listed.endpoint,
+                ready: readiness == Readiness::Ready,
+            };
             if readiness == Readiness::Gone {
                 self.door.backends.remove(&backend);
                 self.leaving.insert(listed.uid.clone());
             } else if let Some(known) = self.door.backends.get(&backend) {
                 known.facts.send_replace(facts);
             } else {
-                self.door.backends.insert(backend, Backend::start(facts, self.limits, self.budget.clone()));
+                self.door.backends.insert(
+                    backend,
+                    Backend::start(facts, self.limits, self.budget.clone()),
+                );
             }
             let size = if self.sized { listed.size } else { 1.0 };
             let started = self.door.clock.unix_ms(boot_ms);
@@ -561,16 +686,30 @@
             let zone = self.zones.iter().position(|z| *z == listed.zone);
             let zone = zone.unwrap_or(self.zones.len() + backend as usize);
             let cell = listed.cell.unwrap_or(u64::MAX - u64::from(backend));
-            entries.push(Entry { backend, size, started, cell, zone, readiness });
+            entries.push(Entry {
+                backend,
+                size,
+                started,
+                cell,
+                zone,
+                readiness,
+            });
         }
         if news.kind.is_whole() {
-            let left_out =
-                self.numbers.iter().filter(|(_, (number, _))| !self.door.backends.contains_key(number));
+            let left_out = self
+                .numbers
+                .iter()
+                .filter(|(_, (number, _))| !self.door.backends.contains_key(number));
             self.leaving = left_out.map(|(uid, _)| uid.clone()).collect();
         }
         self.forget(now);
         if !news.listed.is_empty() && news.kind != ListKind::Ordered {
-            log::info!("list version {}: {} lines, {:?}", news.version, news.listed.len(), news.kind);
+            log::info!(
+                "list version {}: {} lines, {:?}",
+                news.version,
+                news.listed.len(),
+                news.kind
+            );
         }
         self.call(|core| core.balancer.list(news.kind, &entries, &mut core.door));
         self.watch(|watch, now, asked| watch.list(now, asked, news.kind, &entries));
--- a/crates/daemon/src/discovery.rs
+++ b/crates/daemon/src/discovery.rs
@@ -91,7 +91,10 @@
         Some("Gone") => Readiness::Gone,
         _ => Readiness::Draining,
     };
-    let endpoint = value.get("endpoint").and_then(Value::as_str).and_then(|text| text.parse().ok());
+    let endpoint = value
+        .get("endpoint")
+        .and_then(Value::as_str)
+        .and_then(|text| text.parse().ok());
     // Guards against one that goes on getting RPCs where it was, as the line with its new place made no sense.
     let (endpoint, readiness) = match (endpoint, readiness) {
         (Some(endpoint), readiness) => (endpoint, readiness),
@@ -101,25 +104,52 @@
     Some(Listed {
         uid: value.get("uid")?.as_str()?.to_owned(),
         endpoint,
-        zone: value.get("az").and_then(Value::as_str).unwrap_or_default().to_owned(),
+        zone: value
+            .get("az")
+            .and_then(Value::as_str)
+            .unwrap_or_default()
+            .to_owned(),
         cell: value.get("pod_group").and_then(Value::as_u64),
         readiness,
-        size: number("capacity_hint").filter(|size| *size > 0.0).unwrap_or(1.0),
+        size: number("capacity_hint")
+            .filter(|size| *size > 0.0)
+            .unwrap_or(1.0),
         boot_ms: number("boot_ms").unwrap_or(0.0),
     })
 }
 
 /// Reads the list in discovery's form.
 pub fn decode(value: &Value) -> Result<News, String> {
-    let version = value.get("rev").and_then(Value::as_u64).ok_or("rev is not a number")?;
-    let full = value.get("all").and_then(Value::as_bool).ok_or("all is not true or false")?;
-    let targets = value.get("targets").and_then(Value::as_array).ok_or("targets is not a list")?;
-    let kind = if full { ListKind::Full } else { ListKind::Changes };
+    let version = value
+        .get("rev")
+        .and_then(Value::as_u64)
+        .ok_or("rev is not a number")?;
+    let full = value
+        .get("all")
+        .and_then(Value::as_bool)
+        .ok_or("all is not true or false")?;
+    let targets = value
+        .get("targets")
+        .and_then(Value::as_array)
+        .ok_or("targets is not a list")?;
+    let kind = if full {
+        ListKind::Full
+    } else {
+        ListKind::Changes
+    };
     let listed: Vec<_> = targets.iter().filter_map(line).collect();
     if listed.len() < targets.len() {
-        log::warn!("{} of {} list lines can't be read", targets.len() - listed.len(), targets.len());
+        log::warn!(
+            "{} of {} list lines can't be read",
+            targets.len() - listed.len(),
+            targets.len()
+        );
     }
-    Ok(News { version, kind, listed })
+    Ok(News {
+        version,
+        kind,
+        listed,
+    })
 }
 
 pub struct Discovery {
@@ -221,19 +251,38 @@
             let (path, patience) = match self.version {
                 None => {
                     let first = !self.pushed && !self.standings.now().ready;
-                    ("/registry/instances".to_owned(), nth(if first { FIRST } else { times.whole }))
+                    (
+                        "/registry/instances".to_owned(),
+                        nth(if first { FIRST } else { times.whole }),
+                    )
                 }
                 Some(from) => {
                     let hold = if doubted { Duration::ZERO } else { times.hold };
-                    let path = format!("/registry/instances?from={from}&hold_ms={}", hold.as_millis());
-                    (path, if doubted { nth(times.at_once) } else { hold + times.patience })
+                    let path = format!(
+                        "/registry/instances?from={from}&hold_ms={}",
+                        hold.as_millis()
+                    );
+                    (
+                        path,
+                        if doubted {
+                            nth(times.at_once)
+                        } else {
+                            hold + times.patience
+                        },
+                    )
                 }
             };
             let begun = Instant::now();
             let until = begun + patience;
             let called = timeout_at(until, self.call(&mut conn, &path, until)).await;
-            let called = called.unwrap_or(Err(Fault::TimedOut)).and_then(|news| self.in_order(news));
-            self.time_outs = if matches!(called, Err(Fault::TimedOut)) { self.time_outs + 1 } else { 0 };
+            let called = called
+                .unwrap_or(Err(Fault::TimedOut))
+                .and_then(|news| self.in_order(news));
+            self.time_outs = if matches!(called, Err(Fault::TimedOut)) {
+                self.time_outs + 1
+            } else {
+                0
+            };
             let news = match called {
                 Ok(news) => news,
                 // Guards against a link that swallowed one call, and against news that counts as told though its
@@ -248,7 +297,8 @@
             };
             (doubted, tried) = (false, 0);
             self.version = Some(news.version);
-            self.standings.listed(news.listed.iter().map(|listed| listed.uid.as_str()));
+            self.standings
+                .listed(news.listed.iter().map(|listed| listed.uid.as_str()));
             self.standings.set_ready();
             if self.core.send(ToCore::News(news)).await.is_err() {
                 return Fault::Down("the core has ended".into());
@@ -262,13 +312,21 @@
         match self.version {
             Some(had) if news.version < had => {
                 self.version = None;
-                Err(Fault::Down(format!("version {} came after {had}", news.version)))
+                Err(Fault::Down(format!(
+                    "version {} came after {had}",
+                    news.version
+                )))
             }
             _ => Ok(news),
         }
     }
 
-    async fn call(&self, kept: &mut Option<Conn>, path: &str, until: Instant) -> Result<News, Fault> {
+    async fn call(
+        &self,
+        kept: &mut Option<Conn>,
+        path: &str,
+        until: Instant,
+    ) -> Result<News, Fault> {
         let usable = match kept {
             None => false,
             Some(conn) => conn.usable().await,
@@ -284,8 +342,12 @@
         }
         let conn = kept.as_mut().ok_or(Fault::Down("no connection".into()))?;
         let mut message = Request::new(Outgoing::Whole(Full::default()));
-        *message.uri_mut() = path.parse().map_err(|_| Fault::Down("the call has no path".into()))?;
-        let reply = conn.exchange(message, BODY_MOST, false, &Cell::new(false)).await;
+        *message.uri_mut() = path
+            .parse()
+            .map_err(|_| Fault::Down("the call has no path".into()))?;
+        let reply = conn
+            .exchange(message, BODY_MOST, false, &Cell::new(false))
+            .await;
         let reply = reply.map_err(|fault| match fault {
             Broken::Spoilt => Fault::Malformed("the answer broke off".into()),
             fault => Fault::Down(format!("the connection failed: {fault:?}")),
@@ -293,8 +355,8 @@
         if reply.status != StatusCode::OK {
             return Err(Fault::Down(format!("status {}", reply.status)));
         }
-        let value =
-            serde_json::from_slice(&reply.body).map_err(|e| Fault::Malformed(format!("not JSON: {e}")))?;
+        let value = serde_json::from_slice(&reply.body)
+            .map_err(|e| Fault::Malformed(format!("not JSON: {e}")))?;
         decode(&value).map_err(Fault::Malformed)
     }
 }
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -5,7 +5,9 @@
 use crate::core::ToCore;
 use crate::head::HeadScan;
 use crate::intake::{Intake, Received};
-use crate::sockets::{Ahead, Budget, Inbound, Offer, Part, Place, Presence, Spare, Watched, Witness, linger};
+use crate::sockets::{
+    Ahead, Budget, Inbound, Offer, Part, Place, Presence, Spare, Watched, Witness, linger,
+};
 use crate::standing::Standing;
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
@@ -61,7 +63,10 @@
     /// Nothing if it is open already.
     fn enter(&self, name: HeaderValue) -> Option<Opened> {
         let fresh = self.0.borrow_mut().insert(name.clone());
-        fresh.then(|| Opened { name, open: self.clone() })
+        fresh.then(|| Opened {
+            name,
+            open: self.clone(),
+        })
     }
 }
 
@@ -126,11 +131,27 @@
 impl Line {
     fn new(budget: &Rc<Budget>) -> Rc<Self> {
         let opened = Instant::now();
-        let (phase, due, budget) = (Phase::Fresh.into(), (opened + HEAD_TIME).into(), budget.clone());
+        let (phase, due, budget) = (
+            Phase::Fresh.into(),
+            (opened + HEAD_TIME).into(),
+            budget.clone(),
+        );
         let (refused, scan, given, offer, turned, given_up) = Default::default();
         Rc::new_cyclic(|itself| {
             let itself = itself.clone();
-            Self { phase, refused, due, scan, given, budget, offer, itself, given_up, opened, turned }
+            Self {
+                phase,
+                refused,
+                due,
+                scan,
+                given,
+                budget,
+                offer,
+                itself,
+                given_up,
+                opened,
+                turned,
+            }
         })
     }
 
@@ -171,7 +192,8 @@
 
     /// Until when it has just come, as long as it has said nothing.
     fn settles(&self) -> Option<Instant> {
-        Some(self.opened + SETTLE).filter(|end| self.phase.get() == Phase::Fresh && Instant::now() < *end)
+        Some(self.opened + SETTLE)
+            .filter(|end| self.phase.get() == Phase::Fresh && Instant::now() < *end)
     }
 
     /// By when it is to end as it stands now; never by itself with an RPC under way. A head may take too long, or the
@@ -183,7 +205,9 @@
         let given_up = self.given_up.get().then_some(self.opened);
         let (own, goes) = match self.phase.get() {
             // What has just come may bring an RPC yet.
-            Phase::Fresh | Phase::Between => (own, goes.map(|(idle, _)| idle.max(self.opened + SETTLE))),
+            Phase::Fresh | Phase::Between => {
+                (own, goes.map(|(idle, _)| idle.max(self.opened + SETTLE)))
+            }
             Phase::Half => (own, goes.map(|(_, half)| half)),
             Phase::Body => (None, goes.map(|(_, half)| half)),
             Phase::Busy => return None,
@@ -313,13 +337,20 @@
         });
         let mut connection = http1::Builder::new()
             .max_buf_size(HEAD_MOST)
-            .serve_connection(TokioIo::new(Watched { stream, by: line.clone() }), service);
+            .serve_connection(
+                TokioIo::new(Watched {
+                    stream,
+                    by: line.clone(),
+                }),
+                service,
+            );
         if let Err(fault) = self.drive(&mut connection, &line, &ahead).await {
             log::debug!("a client's connection ended: {fault}");
             line.refused.set(true);
         }
         if line.refused.get() {
-            self.linger(connection.into_parts().io.into_inner().stream, &line).await;
+            self.linger(connection.into_parts().io.into_inner().stream, &line)
+                .await;
         }
         drop(place);
     }
@@ -337,7 +368,13 @@
         let mut left = pin!(ahead.left());
         loop {
             // Guards against RPCs that wait, and are sent, for a client that has gone behind further bytes.
-            let left = poll_fn(|cx| if line.busy() { left.as_mut().poll(cx) } else { Poll::Pending });
+            let left = poll_fn(|cx| {
+                if line.busy() {
+                    left.as_mut().poll(cx)
+                } else {
+                    Poll::Pending
+                }
+            });
             let due = line.ends(standing.borrow_and_update().goes());
             let settles = line.settles();
             select! {
@@ -390,7 +427,8 @@
                 let upload = rpc.message.upload().cloned();
                 let answer = self.decide(rpc, client).await;
                 // What it still sends of a long request nobody reads.
-                line.refused.set(upload.is_some_and(|upload| !upload.is_whole()));
+                line.refused
+                    .set(upload.is_some_and(|upload| !upload.is_whole()));
                 answer
             }
             Err(told) => told,
@@ -401,7 +439,9 @@
     async fn decide(&self, mut rpc: Received, client: Presence) -> Answer {
         // Guards against RPCs that the end of this process finds unanswered.
         let last_call = self.standing.borrow().last_call();
-        rpc.waits = last_call.map_or(rpc.waits, |end| rpc.waits.min(end.saturating_duration_since(rpc.at)));
+        rpc.waits = last_call.map_or(rpc.waits, |end| {
+            rpc.waits.min(end.saturating_duration_since(rpc.at))
+        });
         if rpc.waits.is_zero() {
             return Answer::PushedBack { come_back: 0.0 };
         }
@@ -410,10 +450,16 @@
             return Answer::PushedBack { come_back: 0.0 };
         };
         let Some(opened) = self.open.enter(rpc.message.id()) else {
-            return Answer::Refused(StatusCode::CONFLICT, "an RPC with this Request-Id is open\n");
+            return Answer::Refused(
+                StatusCode::CONFLICT,
+                "an RPC with this Request-Id is open\n",
+            );
         };
         let id = self.next.replace(self.next.get() + 1);
-        let mut care = Care { id, permit: Some(permit) };
+        let mut care = Care {
+            id,
+            permit: Some(permit),
+        };
         let (sender, receiver) = oneshot::channel();
         let (at, waits, upload) = (rpc.at, rpc.waits, rpc.message.upload().cloned());
         // A client waits from its last byte on.
@@ -433,13 +479,24 @@
         // Those taken before, whose clients would wait for longer.
         let ends = async {
             let mut standing = self.standing.clone();
-            let last_call =
-                standing.wait_for(|now| now.last_call().is_some()).await.map(|now| now.last_call());
+            let last_call = standing
+                .wait_for(|now| now.last_call().is_some())
+                .await
+                .map(|now| now.last_call());
             until(last_call.ok().flatten()).await;
         };
         let taken = async {
             let rpc = Box::new(rpc);
-            self.core.send(ToCore::Take { id, rpc, opened, client, answer: sender }).await.ok()?;
+            self.core
+                .send(ToCore::Take {
+                    id,
+                    rpc,
+                    opened,
+                    client,
+                    answer: sender,
+                })
+                .await
+                .ok()?;
             receiver.await.ok()
         };
         select! {
--- a/crates/daemon/src/head.rs
+++ b/crates/daemon/src/head.rs
@@ -41,8 +41,12 @@
                 }
                 b':' if self.line > 0 && !self.named => {
                     match &self.name[..self.length.min(LONGEST)] {
-                        b"content-length" => self.found.lengths = self.found.lengths.saturating_add(1),
-                        b"transfer-encoding" => self.found.codings = self.found.codings.saturating_add(1),
+                        b"content-length" => {
+                            self.found.lengths = self.found.lengths.saturating_add(1)
+                        }
+                        b"transfer-encoding" => {
+                            self.found.codings = self.found.codings.saturating_add(1)
+                        }
                         _ => {}
                     }
                     (self.named, self.length) = (true, self.length + 1);
@@ -73,7 +77,14 @@
         for size in 1..head.len() {
             let mut scan = HeadScan::default();
             head.chunks(size).for_each(|piece| scan.feed(piece));
-            assert_eq!(scan.found(), Framings { lengths: 2, codings: 1 }, "pieces of {size}");
+            assert_eq!(
+                scan.found(),
+                Framings {
+                    lengths: 2,
+                    codings: 1
+                },
+                "pieces of {size}"
+            );
         }
     }
 }
--- a/crates/daemon/src/intake.rs
+++ b/crates/daemon/src/intake.rs
@@ -46,8 +46,12 @@
         if self.version != names.version {
             let (method, effect) = names.method(self.message.uri.path())?;
             check(effect, &self.message.verb, self.message.key.is_some())?;
-            let tenant = self.tenant_name.as_ref().and_then(|name| name.to_str().ok());
-            (self.version, self.method, self.tenant) = (names.version, method, names.tenant(tenant));
+            let tenant = self
+                .tenant_name
+                .as_ref()
+                .and_then(|name| name.to_str().ok());
+            (self.version, self.method, self.tenant) =
+                (names.version, method, names.tenant(tenant));
         }
         Ok(())
     }
@@ -74,7 +78,13 @@
     /// Asks a backend for its load report.
     pub fn probe() -> Self {
         let uri = Uri::from_static("/stats");
-        Self { verb: Method::GET, uri, id: None, key: None, body: Payload::Whole(Bytes::new()) }
+        Self {
+            verb: Method::GET,
+            uri,
+            id: None,
+            key: None,
+            body: Payload::Whole(Bytes::new()),
+        }
     }
 
     pub fn id(&self) -> HeaderValue {
@@ -133,7 +143,11 @@
 fn one<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Result<Option<&'a HeaderValue>, Answer> {
     let mut all = headers.get_all(name).iter();
     let first = all.next();
-    if all.next().is_some() { Err(bad("a header is there twice\n")) } else { Ok(first) }
+    if all.next().is_some() {
+        Err(bad("a header is there twice\n"))
+    } else {
+        Ok(first)
+    }
 }
 
 /// As much of a body as is kept, and the rest of a longer one to come.
@@ -142,7 +156,12 @@
     let until = Instant::now() + KEPT_TIME;
     while !body.is_end_stream() {
         match timeout_at(until.min(Instant::now() + PIECE_TIME), body.frame()).await {
-            Err(_) => return Err(Answer::Refused(StatusCode::REQUEST_TIMEOUT, "the body did not end\n")),
+            Err(_) => {
+                return Err(Answer::Refused(
+                    StatusCode::REQUEST_TIMEOUT,
+                    "the body did not end\n",
+                ));
+            }
             Ok(None) => break,
             Ok(Some(Err(_))) => return Err(bad("the body is malformed\n")),
             Ok(Some(Ok(frame))) => kept.extend_from_slice(&frame.into_data().unwrap_or_default()),
@@ -160,7 +179,11 @@
     }
 
     /// The RPC in a client's message, or what it is told instead.
-    pub async fn read(&self, from: Request<Incoming>, framings: Framings) -> Result<Received, Answer> {
+    pub async fn read(
+        &self,
+        from: Request<Incoming>,
+        framings: Framings,
+    ) -> Result<Received, Answer> {
         let (head, body) = from.into_parts();
         // hyper drops a Content-Length beside a Transfer-Encoding and goes by the other. Guards against RPCs
         // hidden in the body of what others take for one message.
@@ -168,7 +191,9 @@
         if !framings.is_clear()
             || coding.is_some_and(|coding| !coding.as_bytes().eq_ignore_ascii_case(b"chunked"))
         {
-            return Err(bad("its length is told twice, or in a way that is not taken\n"));
+            return Err(bad(
+                "its length is told twice, or in a way that is not taken\n",
+            ));
         }
         let (version, (method, effect)) = {
             let names = self.names.borrow();
@@ -178,24 +203,43 @@
         let fits = |id: &HeaderValue| {
             (1..=ID_MOST).contains(&id.len()) && id.as_bytes().iter().all(u8::is_ascii_graphic)
         };
-        let id = id.filter(|id| fits(id)).ok_or(bad("Request-Id is missing or malformed\n"))?;
+        let id = id
+            .filter(|id| fits(id))
+            .ok_or(bad("Request-Id is missing or malformed\n"))?;
         let waits = one(&head.headers, &TIME_OUT)?.and_then(|ms| {
             let digits = ms.to_str().ok()?;
-            digits.bytes().all(|b| b.is_ascii_digit()).then(|| digits.parse::<u32>().ok())?
+            digits
+                .bytes()
+                .all(|b| b.is_ascii_digit())
+                .then(|| digits.parse::<u32>().ok())?
         });
-        let waits = waits.filter(|ms| *ms > 0).ok_or(bad("Request-Timeout-Ms is missing or malformed\n"))?;
+        let waits = waits
+            .filter(|ms| *ms > 0)
+            .ok_or(bad("Request-Timeout-Ms is missing or malformed\n"))?;
         let key = one(&head.headers, &REPEAT_KEY)?.filter(|key| !key.is_empty());
         check(effect, &head.method, key.is_some())?;
         if body.size_hint().lower() > MOST {
-            return Err(Answer::Refused(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 32 MB\n"));
+            return Err(Answer::Refused(
+                StatusCode::PAYLOAD_TOO_LARGE,
+                "the body is over 32 MB\n",
+            ));
         }
         let body = payload(body).await?;
-        if head.method == Method::GET && !matches!(&body, Payload::Whole(bytes) if bytes.is_empty()) {
+        if head.method == Method::GET && !matches!(&body, Payload::Whole(bytes) if bytes.is_empty())
+        {
             return Err(bad("a GET has no body\n"));
         }
         let text = |name| head.headers.get(name).and_then(|value| value.to_str().ok());
-        let figures = text(FIGURES).unwrap_or_default().split(',').filter_map(|pair| pair.split_once('='));
-        let figure = |name| figures.clone().find(|(n, _)| n.trim() == name).map(|(_, value)| value.trim());
+        let figures = text(FIGURES)
+            .unwrap_or_default()
+            .split(',')
+            .filter_map(|pair| pair.split_once('='));
+        let figure = |name| {
+            figures
+                .clone()
+                .find(|(n, _)| n.trim() == name)
+                .map(|(_, value)| value.trim())
+        };
         let work = figure("cost-guess-ns").and_then(|ns| ns.parse::<f64>().ok());
         Ok(Received {
             version,
@@ -206,10 +250,17 @@
             waits: Duration::from_millis(waits.into()),
             client_repeat: text(CLIENT_REPEAT) == Some("1"),
             expected_work: work.map(|ns| ns / 1e9),
-            key: figure("entity").filter(|key| *key != "-").map(birchhub_settings::key),
+            key: figure("entity")
+                .filter(|key| *key != "-")
+                .map(birchhub_settings::key),
             message: Message {
                 verb: head.method,
-                uri: Uri::from(head.uri.path_and_query().cloned().expect("a path with the method in it")),
+                uri: Uri::from(
+                    head.uri
+                        .path_and_query()
+                        .cloned()
+                        .expect("a path with the method in it"),
+                ),
                 id: Some(id.clone()),
                 key: key.cloned(),
                 body,
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -47,8 +47,9 @@
 const LEFT_EVERY: Duration = Duration::from_millis(5); // between looks at whether the last client has left
 
 fn main() -> ExitCode {
-    let outcome =
-        config::passed().and_then(|passed| Ok((passed, config::load(true)?))).and_then(|(passed, config)| {
+    let outcome = config::passed()
+        .and_then(|passed| Ok((passed, config::load(true)?)))
+        .and_then(|(passed, config)| {
             let mut builder = tokio::runtime::Builder::new_current_thread();
             // For what stands beside the loop. Guards against memory that each of several threads keeps for itself.
             let runtime = builder.enable_all().max_blocking_threads(1).build();
@@ -67,7 +68,11 @@
 }
 
 fn listen(at: SocketAddr) -> std::io::Result<TcpListener> {
-    let socket = if at.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    let socket = if at.is_ipv4() {
+        TcpSocket::new_v4()
+    } else {
+        TcpSocket::new_v6()
+    }?;
     // A restart takes its address over at once.
     socket.set_reuseaddr(true)?;
     socket.bind(at)?;
@@ -81,7 +86,11 @@
         loop {
             let others = reader.borrow_and_update().others.living;
             budget.divide(others + 1);
-            if reader.wait_for(|now| now.others.living != others).await.is_err() {
+            if reader
+                .wait_for(|now| now.others.living != others)
+                .await
+                .is_err()
+            {
                 return;
             }
         }
@@ -97,7 +106,11 @@
         let _ = timeout(AGENT_TIME, standings.reader().wait_for(|now| now.ready)).await;
     }
     if passed {
-        let _ = standings.reader().wait_for(|now| now.ready || now.ending.is_some()).await.map(drop);
+        let _ = standings
+            .reader()
+            .wait_for(|now| now.ready || now.ending.is_some())
+            .await
+            .map(drop);
     }
     if others > 0 {
         sleep(LOOK * 2).await;
@@ -108,14 +121,22 @@
 
 async fn run(config: Config, passed: Option<std::net::TcpListener>) -> Result<(), String> {
     let catch = |kind| signal(kind).map_err(|e| format!("no signals: {e}"));
-    let (mut term, hup) = (catch(SignalKind::terminate())?, catch(SignalKind::hangup())?);
+    let (mut term, hup) = (
+        catch(SignalKind::terminate())?,
+        catch(SignalKind::hangup())?,
+    );
     let bound = |at, name| listen(at).map_err(|e| format!("{name} cannot be bound: {at}: {e}"));
     let outlives = passed.is_some();
     let listener = match passed {
-        Some(socket) => TcpListener::from_std(socket).map_err(|e| format!("LB_PASSED_SOCKET: {e}"))?,
+        Some(socket) => {
+            TcpListener::from_std(socket).map_err(|e| format!("LB_PASSED_SOCKET: {e}"))?
+        }
         None => bound(config.listen, "LB_LISTEN")?,
     };
-    let management = config.management.map(|at| bound(at, "LB_MANAGEMENT")).transpose()?;
+    let management = config
+        .management
+        .map(|at| bound(at, "LB_MANAGEMENT"))
+        .transpose()?;
     birchhub_logging::start();
     if let Some(fault) = &config.known_fault {
         log::warn!("known is passed over: {fault}");
@@ -123,7 +144,9 @@
     // Only where staff or the platform may have another process of this proxy.
     let shared = (outlives || management.is_some()).then(|| Shared::open(&config.name));
     let shared = shared.and_then(|shared| {
-        shared.inspect_err(|fault| log::warn!("nothing is shared with other processes: {fault}")).ok()
+        shared
+            .inspect_err(|fault| log::warn!("nothing is shared with other processes: {fault}"))
+            .ok()
     });
     let config = Arc::new(config);
     let names = Rc::new(RefCell::new(Arc::new(Names::new(0, &config.conf))));
@@ -133,7 +156,13 @@
     spawn_local(share(budget.clone(), standings.clone()));
     if let Some(listener) = management {
         let (standings, settings) = (standings.clone(), settings.clone());
-        spawn_local(Rc::new(Management { standings, settings }).run(listener));
+        spawn_local(
+            Rc::new(Management {
+                standings,
+                settings,
+            })
+            .run(listener),
+        );
     }
     let (sender, mailbox) = mpsc::channel(core::MAILBOX);
     let wanted = Rc::new(Notify::new());
@@ -150,7 +179,11 @@
     // A list as last had is enough to decide by; without one the first answer is waited for. Where lists are pushed,
     // what the agent has counts as told from the start on.
     let pushed = !config.conf.settings.list_on_request;
-    if let Some(known) = config.known.as_ref().filter(|known| !known.listed.is_empty()) {
+    if let Some(known) = config
+        .known
+        .as_ref()
+        .filter(|known| !known.listed.is_empty())
+    {
         standings.listed(known.listed.iter().map(|listed| listed.uid.as_str()));
         let standings = standings.clone();
         spawn_local(async move {
@@ -175,7 +208,14 @@
     let intake = Intake::new(names);
     let open = Default::default();
     let standing = standings.reader();
-    let front = Front { intake, standing, budget: budget.clone(), core: sender, next: 0.into(), open };
+    let front = Front {
+        intake,
+        standing,
+        budget: budget.clone(),
+        core: sender,
+        next: 0.into(),
+        open,
+    };
     let accepting = spawn_local(accept(front, listener, standings.clone(), pushed));
     log::info!("{} listens on {}", config.name, config.listen);
     term.recv().await;
@@ -183,8 +223,11 @@
     let longest = settings.borrow().longest_deadline;
     standings.end(longest.map_or(Duration::MAX, Duration::from_secs_f64));
     let replaced = standings.now().is_replaced();
-    let goes_on =
-        if replaced { "accepts no more, another process does" } else { "goes on for what still comes" };
+    let goes_on = if replaced {
+        "accepts no more, another process does"
+    } else {
+        "goes on for what still comes"
+    };
     log::info!("SIGTERM: {goes_on}");
     let over = standings.now().over();
     let gone = async {
@@ -197,6 +240,9 @@
         () = gone => {}
         () = until(over) => {}
     }
-    log::info!("ends with {} client connections open", budget.open(Part::Clients));
+    log::info!(
+        "ends with {} client connections open",
+        budget.open(Part::Clients)
+    );
     Ok(())
 }
--- a/crates/daemon/src/management.rs
+++ b/crates/daemon/src/management.rs
@@ -52,14 +52,22 @@
 
 /// The one member that a query names.
 fn member(query: &str) -> Result<String, &'static str> {
-    let pairs = query.split('&').map(|pair| pair.split_once('=').unwrap_or((pair, "")));
-    let mut members = pairs.filter(|(name, _)| *name == "member").map(|(_, value)| value);
+    let pairs = query
+        .split('&')
+        .map(|pair| pair.split_once('=').unwrap_or((pair, "")));
+    let mut members = pairs
+        .filter(|(name, _)| *name == "member")
+        .map(|(_, value)| value);
     let member = members.next().ok_or("member is missing")?;
     if members.next().is_some() {
         return Err("member is there twice");
     }
     let member = unescape(member).ok_or("member is badly escaped")?;
-    if member.is_empty() { Err("member is empty") } else { Ok(member) }
+    if member.is_empty() {
+        Err("member is empty")
+    } else {
+        Ok(member)
+    }
 }
 
 /// What a path and query ask for: its verb, and the order if it is one.
@@ -83,7 +91,11 @@
         _ => "takes clients",
     };
     let yes = now.ready && now.open && now.ending.is_none();
-    let status = if yes { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+    let status = if yes {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    };
     tell(status, format!("{stands}; {now}"))
 }
 
@@ -93,7 +105,10 @@
         Order::Enter(name) => format!("{name} is banned"),
         Order::Exit(name) => format!("{name} is not banned"),
         Order::Standby => "on standby, health says no".to_owned(),
-        Order::Active => format!("active, health says {}", if now.takes_clients() { "yes" } else { "no" }),
+        Order::Active => format!(
+            "active, health says {}",
+            if now.takes_clients() { "yes" } else { "no" }
+        ),
     }
 }
 
@@ -132,7 +147,12 @@
         let mut builder = http1::Builder::new();
         builder.keep_alive(false).max_buf_size(HEAD_MOST);
         let mut connection = builder.serve_connection(TokioIo::new(stream), service);
-        match timeout(CALL_TIME, poll_fn(|cx| connection.poll_without_shutdown(cx))).await {
+        match timeout(
+            CALL_TIME,
+            poll_fn(|cx| connection.poll_without_shutdown(cx)),
+        )
+        .await
+        {
             Err(_) => log::debug!("a call was not finished in time"),
             Ok(ended) => {
                 if let Err(fault) = ended {
@@ -147,14 +167,22 @@
         let (head, body) = from.into_parts();
         // Guards against an answer lost because the connection closes on a body that is still coming.
         if Limited::new(body, BODY_MOST).collect().await.is_err() {
-            return tell(StatusCode::BAD_REQUEST, "the body is malformed or over 64 KiB".to_owned());
+            return tell(
+                StatusCode::BAD_REQUEST,
+                "the body is malformed or over 64 KiB".to_owned(),
+            );
         }
-        let Some((verb, order)) = call(head.uri.path(), head.uri.query().unwrap_or_default()) else {
+        let Some((verb, order)) = call(head.uri.path(), head.uri.query().unwrap_or_default())
+        else {
             return tell(StatusCode::NOT_FOUND, "no such call".to_owned());
         };
         if head.method != verb {
-            let mut told = tell(StatusCode::METHOD_NOT_ALLOWED, format!("this call takes {verb}"));
-            told.headers_mut().insert(ALLOW, HeaderValue::from_str(verb.as_str()).expect("a verb"));
+            let mut told = tell(
+                StatusCode::METHOD_NOT_ALLOWED,
+                format!("this call takes {verb}"),
+            );
+            told.headers_mut()
+                .insert(ALLOW, HeaderValue::from_str(verb.as_str()).expect("a verb"));
             return told;
         }
         match order {
@@ -168,9 +196,10 @@
             }
             Ok(Some(order)) => match self.standings.carry_out(&order).await {
                 Ok(()) => tell(StatusCode::OK, holds(&order, &self.standings.now())),
-                Err(fault) => {
-                    tell(StatusCode::INTERNAL_SERVER_ERROR, format!("in force in this process only: {fault}"))
-                }
+                Err(fault) => tell(
+                    StatusCode::INTERNAL_SERVER_ERROR,
+                    format!("in force in this process only: {fault}"),
+                ),
             },
         }
     }
--- a/crates/daemon/src/names.rs
+++ b/crates/daemon/src/names.rs
@@ -25,7 +25,11 @@
 
 /// The verb of a method with this effect.
 pub fn verb(effect: Effect) -> Method {
-    if effect == Effect::Idempotent { Method::GET } else { Method::POST }
+    if effect == Effect::Idempotent {
+        Method::GET
+    } else {
+        Method::POST
+    }
 }
 
 /// Whether a message of this verb, with or without a key, can be an RPC of a method with this effect.
@@ -42,15 +46,29 @@
 impl Names {
     pub fn new(version: u64, conf: &Conf) -> Self {
         let methods = conf.methods.iter().zip(&conf.settings.methods).enumerate();
-        let methods = methods.map(|(n, (name, set))| (name.clone(), (n, set.effect))).collect();
-        let tenants = conf.tenants.iter().enumerate().map(|(n, name)| (name.clone(), n)).collect();
-        Self { version, methods, tenants }
+        let methods = methods
+            .map(|(n, (name, set))| (name.clone(), (n, set.effect)))
+            .collect();
+        let tenants = conf
+            .tenants
+            .iter()
+            .enumerate()
+            .map(|(n, name)| (name.clone(), n))
+            .collect();
+        Self {
+            version,
+            methods,
+            tenants,
+        }
     }
 
     /// The place and effect of the method that a path names.
     pub fn method(&self, path: &str) -> Result<(usize, Effect), Answer> {
         let name = path.split('/').nth(1).unwrap_or_default();
-        self.methods.get(name).copied().ok_or(Answer::Refused(StatusCode::NOT_FOUND, "no such method\n"))
+        self.methods
+            .get(name)
+            .copied()
+            .ok_or(Answer::Refused(StatusCode::NOT_FOUND, "no such method\n"))
     }
 
     pub fn tenant(&self, name: Option<&str>) -> Option<usize> {
--- a/crates/daemon/src/reload.rs
+++ b/crates/daemon/src/reload.rs
@@ -46,14 +46,31 @@
     pub fn new(conf: &Conf) -> Self {
         let (methods, tenants) = (conf.methods.len(), conf.tenants.len());
         let (digest, longest_deadline) = (conf.digest, conf.longest_deadline);
-        Self { version: 0, digest, methods, tenants, later: Vec::new(), longest_deadline }
+        Self {
+            version: 0,
+            digest,
+            methods,
+            tenants,
+            later: Vec::new(),
+            longest_deadline,
+        }
     }
 }
 
 impl std::fmt::Display for Stand {
     fn fmt(&self, to: &mut std::fmt::Formatter) -> std::fmt::Result {
-        let Self { version, digest, methods, tenants, later, .. } = self;
-        write!(to, "version {version}, digest {digest:016x}, {methods} methods, {tenants} tenants")?;
+        let Self {
+            version,
+            digest,
+            methods,
+            tenants,
+            later,
+            ..
+        } = self;
+        write!(
+            to,
+            "version {version}, digest {digest:016x}, {methods} methods, {tenants} tenants"
+        )?;
         if !later.is_empty() {
             write!(to, "; at the next start: {}", later.join(", "))?;
         }
@@ -106,16 +123,33 @@
     };
     let changes = !change.is_none() || watch != watched.as_ref();
     let version = stand.version + u64::from(changes);
-    let longest = stand.longest_deadline.zip(conf.longest_deadline).map(|(a, b)| a.max(b));
+    let longest = stand
+        .longest_deadline
+        .zip(conf.longest_deadline)
+        .map(|(a, b)| a.max(b));
     let (words, kept) = (change.to_string(), change.kept);
     let update = changes.then(|| {
         let (done, told) = oneshot::channel();
         let (settings, names) = (conf.settings.clone(), Names::new(version, &conf));
-        (Update { settings, kept, names, watch: watched.clone(), done }, told)
+        (
+            Update {
+                settings,
+                kept,
+                names,
+                watch: watched.clone(),
+                done,
+            },
+            told,
+        )
     });
     Ok(Prepared {
         discovery: now.discovery,
-        stand: Stand { version, later, longest_deadline: longest, ..Stand::new(&conf) },
+        stand: Stand {
+            version,
+            later,
+            longest_deadline: longest,
+            ..Stand::new(&conf)
+        },
         conf: Arc::new(conf),
         watch: watched,
         change: words,
@@ -131,7 +165,14 @@
         stand: watch::Sender<Stand>,
     ) -> Self {
         let (conf, watch) = (start.conf.clone(), start.watch.clone());
-        Self { start, conf, watch, discovery, core, stand }
+        Self {
+            start,
+            conf,
+            watch,
+            discovery,
+            core,
+            stand,
+        }
     }
 
     /// Takes over from the configuration, on each SIGHUP, where discovery is and what is in force. A fault leaves all
@@ -139,9 +180,11 @@
     pub async fn run(mut self, mut hup: Signal) {
         while hup.recv().await.is_some() {
             let begun = Instant::now();
-            let (start, before, watch) = (self.start.clone(), self.conf.clone(), self.watch.clone());
+            let (start, before, watch) =
+                (self.start.clone(), self.conf.clone(), self.watch.clone());
             let stand = self.stand.borrow().clone();
-            let prepared = spawn_blocking(move || prepare(&start, &before, watch.as_ref(), &stand)).await;
+            let prepared =
+                spawn_blocking(move || prepare(&start, &before, watch.as_ref(), &stand)).await;
             match prepared.unwrap_or_else(|e| Err(format!("it could not be compared: {e}"))) {
                 Ok(prepared) => self.put_in_force(prepared, begun).await,
                 Err(fault) => {
@@ -152,12 +195,25 @@
     }
 
     async fn put_in_force(&mut self, new: Prepared, begun: Instant) {
-        let Prepared { discovery, stand, conf, watch, change, update } = new;
+        let Prepared {
+            discovery,
+            stand,
+            conf,
+            watch,
+            change,
+            update,
+        } = new;
         log::info!(target: "birchhubd", "SIGHUP: discovery is at {discovery}");
-        self.discovery.send_if_modified(|at| std::mem::replace(at, discovery) != discovery);
+        self.discovery
+            .send_if_modified(|at| std::mem::replace(at, discovery) != discovery);
         let mut names = None;
         if let Some((update, told)) = update {
-            if self.core.send(ToCore::Settings(Box::new(update))).await.is_err() {
+            if self
+                .core
+                .send(ToCore::Settings(Box::new(update)))
+                .await
+                .is_err()
+            {
                 return;
             }
             let (before, turn) = told.await.ok().unzip();
@@ -172,8 +228,11 @@
             let keys = stand.later.join(", ");
             log::warn!(target: "birchhubd", "SIGHUP: these keys take effect at the next start: {keys}");
         }
-        let before =
-            (names, std::mem::replace(&mut self.conf, conf), std::mem::replace(&mut self.watch, watch));
+        let before = (
+            names,
+            std::mem::replace(&mut self.conf, conf),
+            std::mem::replace(&mut self.watch, watch),
+        );
         self.stand.send_replace(stand);
         // Tens of thousands of names: guards against a loop that stands still while they are given back.
         let _ = spawn_blocking(move || drop(before)).await;
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -33,7 +33,11 @@
 }
 
 fn open(path: &Path) -> Result<File, String> {
-    let file = File::options().create(true).truncate(false).write(true).open(path);
+    let file = File::options()
+        .create(true)
+        .truncate(false)
+        .write(true)
+        .open(path);
     file.map_err(|e| format!("{}: {e}", path.display()))
 }
 
@@ -56,15 +60,27 @@
         let parent = std::env::var_os("TMPDIR").ok_or("TMPDIR is not set")?;
         let folder = Path::new(&parent).join(folder(name));
         std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
-        let slots =
-            (0..SLOTS).map(|n| open(&folder.join(format!("birchhub.life.{n}")))).collect::<Result<_, _>>()?;
+        let slots = (0..SLOTS)
+            .map(|n| open(&folder.join(format!("birchhub.life.{n}"))))
+            .collect::<Result<_, _>>()?;
         let lock = open(&folder.join("birchhub.lock"))?;
-        Ok(Self { folder, slots, own: None, lock, stamp: None, told: None })
+        Ok(Self {
+            folder,
+            slots,
+            own: None,
+            lock,
+            stamp: None,
+            told: None,
+        })
     }
 
     /// Tells the others whether this one accepts clients, once it has a slot. What an earlier holder told is void.
     pub fn tell(&mut self, accepts: bool) {
-        if let Some(slot) = self.own.map(|n| &self.slots[n]).filter(|_| self.told != Some(accepts)) {
+        if let Some(slot) = self
+            .own
+            .map(|n| &self.slots[n])
+            .filter(|_| self.told != Some(accepts))
+        {
             // Where it can't be written it tells nothing: this process is one that does not accept.
             self.told = slot.set_len(u64::from(accepts)).is_ok().then_some(accepts);
         }
@@ -74,17 +90,29 @@
     /// however that ends.
     pub fn others(&mut self) -> Others {
         // Another one that looks at the same moment may hold the slot: the next look takes one then.
-        self.own = self.own.or_else(|| self.slots.iter().position(|slot| slot.try_lock().is_ok()));
+        self.own = self
+            .own
+            .or_else(|| self.slots.iter().position(|slot| slot.try_lock().is_ok()));
         self.tell(self.told.unwrap_or(false));
         let lives = |slot: &File| match slot.try_lock_shared() {
             Ok(()) => slot.unlock().is_err(),
             Err(TryLockError::WouldBlock) => true,
             Err(TryLockError::Error(_)) => false,
         };
-        let others = self.slots.iter().enumerate().filter(|(n, _)| Some(*n) != self.own);
-        let living: Vec<_> = others.map(|(_, slot)| slot).filter(|slot| lives(slot)).collect();
+        let others = self
+            .slots
+            .iter()
+            .enumerate()
+            .filter(|(n, _)| Some(*n) != self.own);
+        let living: Vec<_> = others
+            .map(|(_, slot)| slot)
+            .filter(|slot| lives(slot))
+            .collect();
         let accepts = |slot: &&&File| slot.metadata().is_ok_and(|facts| facts.len() > 0);
-        Others { living: living.len(), accepting: living.iter().filter(accepts).count() }
+        Others {
+            living: living.len(),
+            accepting: living.iter().filter(accepts).count(),
+        }
     }
 
     fn path(&self) -> PathBuf {
@@ -111,7 +139,11 @@
 
     /// Changes what the file says, or where it says nothing that can be read what `own` says, and gives back
     /// what holds now. The file is whole at each moment.
-    pub async fn update(&mut self, own: &Orders, change: impl FnOnce(&mut Orders)) -> Result<Orders, String> {
+    pub async fn update(
+        &mut self,
+        own: &Orders,
+        change: impl FnOnce(&mut Orders),
+    ) -> Result<Orders, String> {
         let until = Instant::now() + LOCK_TIME;
         while self.lock.try_lock().is_err() {
             if Instant::now() >= until {
@@ -119,13 +151,21 @@
             }
             sleep(LOCK_EVERY).await;
         }
-        let told = std::fs::read(self.path()).ok().and_then(|bytes| serde_json::from_slice(&bytes).ok());
+        let told = std::fs::read(self.path())
+            .ok()
+            .and_then(|bytes| serde_json::from_slice(&bytes).ok());
         let mut orders: Orders = told.unwrap_or_else(|| own.clone());
         let before = orders.clone();
         change(&mut orders);
-        let written = if orders == before && self.stamped().is_some() { Ok(()) } else { self.write(&orders) };
+        let written = if orders == before && self.stamped().is_some() {
+            Ok(())
+        } else {
+            self.write(&orders)
+        };
         let _ = self.lock.unlock();
-        written.map(|()| orders).map_err(|e| format!("{}: {e}", self.path().display()))
+        written
+            .map(|()| orders)
+            .map_err(|e| format!("{}: {e}", self.path().display()))
     }
 
     fn write(&mut self, orders: &Orders) -> std::io::Result<()> {
@@ -146,10 +186,12 @@
     fn in_folder(test: impl AsyncFnOnce(&dyn Fn() -> Shared, PathBuf)) {
         static NEXT: std::sync::atomic::AtomicUsize = std::sync::atomic::AtomicUsize::new(0);
         let number = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-        let folder = std::env::temp_dir().join(format!("birchhub-shared-{}-{number}", std::process::id()));
+        let folder =
+            std::env::temp_dir().join(format!("birchhub-shared-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder");
         let make = || {
-            let slots = (0..SLOTS).map(|n| open(&folder.join(format!("birchhub.life.{n}"))).expect("a slot"));
+            let slots = (0..SLOTS)
+                .map(|n| open(&folder.join(format!("birchhub.life.{n}"))).expect("a slot"));
             let lock = open(&folder.join("birchhub.lock")).expect("a lock");
             Shared {
                 folder: folder.clone(),
@@ -160,7 +202,10 @@
                 told: None,
             }
         };
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build().expect("a runtime");
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .build()
+            .expect("a runtime");
         runtime.block_on(test(&make, folder.join("birchhub.standing")));
         std::fs::remove_dir_all(&folder).expect("the folder");
     }
@@ -178,7 +223,14 @@
     fn lives_are_counted_and_end_with_their_holder() {
         in_folder(async |make, _| {
             let (mut one, mut two) = (make(), make());
-            assert_eq!((one.others().living, two.others().living, one.others().living), (0, 1, 1));
+            assert_eq!(
+                (
+                    one.others().living,
+                    two.others().living,
+                    one.others().living
+                ),
+                (0, 1, 1)
+            );
             drop(two);
             assert_eq!(one.others().living, 0);
             assert_eq!(make().others().living, 1);
@@ -201,7 +253,13 @@
             assert_eq!((heirs(&mut three), heirs(&mut one)), (0, 0));
             three.tell(true);
             three.tell(false);
-            assert_eq!(one.others(), Others { living: 1, accepting: 0 });
+            assert_eq!(
+                one.others(),
+                Others {
+                    living: 1,
+                    accepting: 0
+                }
+            );
         });
     }
 
@@ -210,14 +268,26 @@
     fn changes_of_both_are_kept_and_damage_is_survived() {
         in_folder(async |make, path| {
             let (mut one, mut two, own) = (make(), make(), Orders::default());
-            let ban = |name: &'static str| move |o: &mut Orders| _ = o.bans.insert(name.into(), Ban::InForce);
+            let ban = |name: &'static str| {
+                move |o: &mut Orders| _ = o.bans.insert(name.into(), Ban::InForce)
+            };
             one.update(&own, ban("a")).await.expect("written");
             let both = two.update(&own, ban("b")).await.expect("written");
             assert_eq!(both.bans.len(), 2);
-            assert_eq!((one.read(), one.read(), two.read()), (Ok(Some(both.clone())), Ok(None), Ok(None)));
+            assert_eq!(
+                (one.read(), one.read(), two.read()),
+                (Ok(Some(both.clone())), Ok(None), Ok(None))
+            );
             std::fs::write(&path, "{\"bans\"").expect("written");
             assert!(one.read().is_err() && one.read() == Ok(None));
-            assert_eq!(one.update(&both, ban("c")).await.expect("written").bans.len(), 3);
+            assert_eq!(
+                one.update(&both, ban("c"))
+                    .await
+                    .expect("written")
+                    .bans
+                    .len(),
+                3
+            );
             two.lock.lock().expect("locked");
             assert!(one.update(&both, ban("d")).await.is_err());
         });
--- a/crates/daemon/src/sockets.rs
+++ b/crates/daemon/src/sockets.rs
@@ -71,7 +71,9 @@
 /// Descriptors that the machine allows this process, if it tells.
 fn allowed() -> Option<usize> {
     let limits = std::fs::read_to_string("/proc/self/limits").ok()?;
-    let line = limits.lines().find_map(|line| line.strip_prefix("Max open files"))?;
+    let line = limits
+        .lines()
+        .find_map(|line| line.strip_prefix("Max open files"))?;
     line.split_whitespace().next()?.parse().ok()
 }
 
@@ -83,7 +85,11 @@
         if sockets < told {
             log::warn!("limits.sockets is {told}, but the machine allows {sockets} descriptors");
         }
-        let budget = Self { sockets, clients: Shelf::default(), backends: Shelf::default() };
+        let budget = Self {
+            sockets,
+            clients: Shelf::default(),
+            backends: Shelf::default(),
+        };
         budget.divide(1);
         Rc::new(budget)
     }
@@ -124,7 +130,10 @@
         let shelf = self.shelf(part);
         if shelf.open.get() >= shelf.most.get() && !self.give_up_oldest(part) {
             if !shelf.spent.replace(true) {
-                log::warn!("no socket left for {part:?}: {} are open, none idle", shelf.open.get());
+                log::warn!(
+                    "no socket left for {part:?}: {} are open, none idle",
+                    shelf.open.get()
+                );
             }
             return None;
         }
@@ -134,17 +143,29 @@
     /// A place beyond the part, out of the reserve.
     pub fn place_anyhow(self: &Rc<Self>, part: Part) -> Place {
         self.shelf(part).open.update(|open| open + 1);
-        Place { budget: self.clone(), part }
+        Place {
+            budget: self.clone(),
+            part,
+        }
     }
 
     /// Notes something that may be given up for a new socket, for as long as the offer is kept; the lowest rank
     /// goes first. Costs the same however many are offered: guards against a proxy that walks all idle sockets
     /// with every answer.
-    pub fn offer<S: Spare + 'static>(self: &Rc<Self>, part: Part, rank: u8, spare: &Rc<S>) -> Offer {
+    pub fn offer<S: Spare + 'static>(
+        self: &Rc<Self>,
+        part: Part,
+        rank: u8,
+        spare: &Rc<S>,
+    ) -> Offer {
         let (shelf, spare) = (self.shelf(part), Rc::<S>::downgrade(spare));
         let place = (rank, shelf.next.replace(shelf.next.get() + 1));
         shelf.spare.borrow_mut().insert(place, spare);
-        Offer { budget: self.clone(), part, place }
+        Offer {
+            budget: self.clone(),
+            part,
+            place,
+        }
     }
 
     pub fn open(&self, part: Part) -> usize {
@@ -166,7 +187,11 @@
 
 impl Drop for Offer {
     fn drop(&mut self) {
-        self.budget.shelf(self.part).spare.borrow_mut().remove(&self.place);
+        self.budget
+            .shelf(self.part)
+            .spare
+            .borrow_mut()
+            .remove(&self.place);
     }
 }
 
@@ -174,7 +199,9 @@
     fn drop(&mut self) {
         let shelf = self.budget.shelf(self.part);
         shelf.open.update(|open| open - 1);
-        shelf.spent.set(shelf.spent.get() && shelf.open.get() >= shelf.most.get());
+        shelf
+            .spent
+            .set(shelf.spent.get() && shelf.open.get() >= shelf.most.get());
     }
 }
 
@@ -199,7 +226,11 @@
 }
 
 impl<W: Witness, S: AsyncRead + Unpin> AsyncRead for Watched<W, S> {
-    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<std::io::Result<()>> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context,
+        buf: &mut ReadBuf,
+    ) -> Poll<std::io::Result<()>> {
         let before = buf.filled().len();
         let done = Pin::new(&mut self.stream).poll_read(cx, buf);
         if buf.filled().len() > before {
@@ -210,7 +241,11 @@
 }
 
 impl<W: Witness, S: AsyncWrite + Unpin> AsyncWrite for Watched<W, S> {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<std::io::Result<usize>> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context,
+        buf: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
         let done = Pin::new(&mut self.stream).poll_write(cx, buf);
         if let Poll::Ready(Ok(bytes)) = done {
             self.by.wrote(bytes as u64);
@@ -254,7 +289,9 @@
     /// Whether the client's connection has ended, by what the machine knows at this moment. Guards against an end that
     /// came while this process stood still, of which its event loop has not heard yet.
     pub async fn is_over(&self) -> bool {
-        let Some(reads) = self.0.upgrade() else { return true };
+        let Some(reads) = self.0.upgrade() else {
+            return true;
+        };
         let look = reads.borrow_mut().look();
         if let Poll::Ready(over) = look {
             return over;
@@ -262,7 +299,11 @@
         drop(reads);
         // The event loop is asked what stands behind bytes for which there is no room.
         yield_now().await;
-        self.0.upgrade().is_none_or(|reads| reads.borrow().closed(&mut Context::from_waker(Waker::noop())))
+        self.0.upgrade().is_none_or(|reads| {
+            reads
+                .borrow()
+                .closed(&mut Context::from_waker(Waker::noop()))
+        })
     }
 }
 
@@ -270,7 +311,14 @@
     pub fn new(stream: TcpStream) -> Self {
         let (half, writes) = stream.into_split();
         let (ahead, reader) = Default::default();
-        Self { reads: Ahead(Rc::new(RefCell::new(Reads { half, ahead, reader }))), writes }
+        Self {
+            reads: Ahead(Rc::new(RefCell::new(Reads {
+                half,
+                ahead,
+                reader,
+            }))),
+            writes,
+        }
     }
 
     pub fn ahead(&self) -> Ahead {
@@ -290,7 +338,9 @@
         while self.ahead.len() < AHEAD_MOST {
             let mut piece = ReadBuf::new(&mut piece);
             match ready!(Pin::new(&mut self.half).poll_read(cx, &mut piece)) {
-                Ok(()) if !piece.filled().is_empty() => self.ahead.extend_from_slice(piece.filled()),
+                Ok(()) if !piece.filled().is_empty() => {
+                    self.ahead.extend_from_slice(piece.filled())
+                }
                 _ => return Poll::Ready(true),
             }
         }
@@ -341,8 +391,16 @@
 }
 
 impl AsyncRead for Inbound {
-    fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<std::io::Result<()>> {
-        let Reads { half, ahead, reader } = &mut *self.reads.0.borrow_mut();
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context,
+        buf: &mut ReadBuf,
+    ) -> Poll<std::io::Result<()>> {
+        let Reads {
+            half,
+            ahead,
+            reader,
+        } = &mut *self.reads.0.borrow_mut();
         if ahead.is_empty() {
             let read = Pin::new(half).poll_read(cx, buf);
             *reader = read.is_pending().then(|| cx.waker().clone());
@@ -355,7 +413,11 @@
 }
 
 impl AsyncWrite for Inbound {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<std::io::Result<usize>> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context,
+        buf: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
         Pin::new(&mut self.writes).poll_write(cx, buf)
     }
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<std::io::Result<()>> {
@@ -414,7 +476,11 @@
 impl Driver {
     /// Moves bytes; true once the connection is of no more use.
     fn poll_ended(&mut self, cx: &mut Context) -> bool {
-        if self.0.as_mut().is_some_and(|connection| connection.as_mut().poll(cx).is_ready()) {
+        if self
+            .0
+            .as_mut()
+            .is_some_and(|connection| connection.as_mut().poll(cx).is_ready())
+        {
             self.0 = None;
         }
         self.0.is_none()
@@ -440,10 +506,25 @@
         let stream = timeout_at(until, TcpStream::connect(to)).await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
         let written = Rc::<Cell<u64>>::default();
-        let io = TokioIo::new(Watched { stream, by: written.clone() });
-        let (sender, driver) = http1::Builder::new().max_buf_size(READ_MOST).handshake(io).await.ok()?;
+        let io = TokioIo::new(Watched {
+            stream,
+            by: written.clone(),
+        });
+        let (sender, driver) = http1::Builder::new()
+            .max_buf_size(READ_MOST)
+            .handshake(io)
+            .await
+            .ok()?;
         let driver = Driver(Some(Box::pin(driver)));
-        Some(Self { sender, driver, rest: None, written, host, used: Instant::now(), _place: place })
+        Some(Self {
+            sender,
+            driver,
+            rest: None,
+            written,
+            host,
+            used: Instant::now(),
+            _place: place,
+        })
     }
 
     /// Moves bytes; true once the connection is of no more use.
@@ -477,7 +558,12 @@
     ) -> Result<Reply, Fault> {
         message.headers_mut().insert(HOST, self.host.clone());
         let before = self.written.get();
-        let Self { sender, driver, written, .. } = self;
+        let Self {
+            sender,
+            driver,
+            written,
+            ..
+        } = self;
         let mut answer = pin!(sender.try_send_request(message));
         let answer = poll_fn(|cx| {
             driver.poll_ended(cx);
@@ -491,7 +577,8 @@
         });
         let (head, body) = answer?.into_parts();
         // Framed in two ways, of which one is wrong.
-        if head.headers.contains_key(TRANSFER_ENCODING) && head.headers.contains_key(CONTENT_LENGTH) {
+        if head.headers.contains_key(TRANSFER_ENCODING) && head.headers.contains_key(CONTENT_LENGTH)
+        {
             return Err(Fault::Spoilt);
         }
         let length = body.size_hint().exact();
@@ -500,7 +587,11 @@
         let may_go_on = may_go_on && status == StatusCode::OK;
         // One that says so is passed on from its first byte: of a long answer that is the one whose time counts.
         let mut goes_on = may_go_on && length.is_some_and(|bytes| bytes > most as u64);
-        let room = if goes_on { 0 } else { length.unwrap_or(0).min(most as u64) };
+        let room = if goes_on {
+            0
+        } else {
+            length.unwrap_or(0).min(most as u64)
+        };
         let mut kept = BytesMut::with_capacity(room as usize);
         while !goes_on && let Some(bytes) = self.next().await? {
             kept.extend_from_slice(&bytes);
@@ -509,7 +600,13 @@
                 return Err(Fault::Spoilt);
             }
         }
-        Ok(Reply { status, headers, body: kept.freeze(), goes_on, length })
+        Ok(Reply {
+            status,
+            headers,
+            body: kept.freeze(),
+            goes_on,
+            length,
+        })
     }
 
     /// What comes next of an answer; nothing at its end.
--- a/crates/daemon/src/standing.rs
+++ b/crates/daemon/src/standing.rs
@@ -65,7 +65,10 @@
     }
 
     pub fn banned(&self) -> usize {
-        self.bans.values().filter(|ban| **ban == Ban::InForce).count()
+        self.bans
+            .values()
+            .filter(|ban| **ban == Ban::InForce)
+            .count()
     }
 
     pub fn knows(&self, name: &str) -> bool {
@@ -83,7 +86,11 @@
 }
 
 fn unix_ms() -> f64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1e3
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+        .as_secs_f64()
+        * 1e3
 }
 
 #[derive(Clone, Debug, Default)]
@@ -134,7 +141,13 @@
     /// Until when connections are accepted; always, if never told.
     pub fn accepts_until(&self) -> Option<Instant> {
         let replaced = self.is_replaced();
-        self.ending.map(|end| if replaced { end.since } else { end.since + GO_ON })
+        self.ending.map(|end| {
+            if replaced {
+                end.since
+            } else {
+                end.since + GO_ON
+            }
+        })
     }
 
     /// By when all that was taken is to be answered, once this process ends.
@@ -150,7 +163,10 @@
     /// By when a connection goes on which nothing is under way, and by when one whose message is not whole.
     pub fn goes(&self) -> Option<(Instant, Instant)> {
         // A message that is not whole yet may become an RPC for as long as that can be answered.
-        let ends = self.ending.zip(self.last_call()).map(|(end, last)| (end.since + GO_ON, last));
+        let ends = self
+            .ending
+            .zip(self.last_call())
+            .map(|(end, last)| (end.since + GO_ON, last));
         let standby = self.orders.standby.map(|ms| {
             let ago = Duration::from_secs_f64(((unix_ms() - ms) / 1e3).clamp(0.0, 1e6));
             let since = Instant::now().checked_sub(ago).unwrap_or_else(Instant::now);
@@ -162,8 +178,17 @@
 
 impl std::fmt::Display for Standing {
     fn fmt(&self, to: &mut std::fmt::Formatter) -> std::fmt::Result {
-        let standby = if self.orders.standby.is_some() { ", on standby" } else { "" };
-        write!(to, "{} members banned{standby}, {} other processes", self.orders.banned(), self.others.living)
+        let standby = if self.orders.standby.is_some() {
+            ", on standby"
+        } else {
+            ""
+        };
+        write!(
+            to,
+            "{} members banned{standby}, {} other processes",
+            self.orders.banned(),
+            self.others.living
+        )
     }
 }
 
@@ -180,7 +205,10 @@
 impl Standings {
     /// `shared` where this proxy may have other processes; what they ordered holds from the start.
     pub fn new(mut shared: Option<Shared>, passed: bool) -> Self {
-        let mut now = Standing { passed, ..Standing::default() };
+        let mut now = Standing {
+            passed,
+            ..Standing::default()
+        };
         if let Some(shared) = &mut shared {
             now.others = shared.others();
             now.orders = heard(shared).unwrap_or_default();
@@ -204,7 +232,8 @@
     }
 
     pub fn set_ready(&self) {
-        self.standing.send_if_modified(|now| !std::mem::replace(&mut now.ready, true));
+        self.standing
+            .send_if_modified(|now| !std::mem::replace(&mut now.ready, true));
     }
 
     pub fn set_open(&self) {
@@ -221,7 +250,10 @@
 
     /// SIGTERM has come; `longest` is the time of the longest RPC that the settings know.
     pub fn end(&self, longest: Duration) {
-        let ending = Ending { since: Instant::now(), longest: longest.min(LONGEST) };
+        let ending = Ending {
+            since: Instant::now(),
+            longest: longest.min(LONGEST),
+        };
         self.standing.send_modify(|now| now.ending = Some(ending));
         self.tell();
     }
@@ -294,7 +326,11 @@
         match outcome {
             Err(fault) => {
                 log::warn!("the order holds in this process only: {fault}");
-                if self.standing.borrow().others.living > 0 { Err(fault) } else { Ok(()) }
+                if self.standing.borrow().others.living > 0 {
+                    Err(fault)
+                } else {
+                    Ok(())
+                }
             }
             Ok(()) => Ok(()),
         }
