--- a/crates/daemon/src/watcher.rs
+++ b/crates/daemon/src/watcher.rs
@@ -75,12 +75,12 @@
     held: u64,        // picked, where the watcher would have let it wait
     picked: u64,      // left waiting, where the watcher would have picked
     turned_away: u64, // picked or left waiting, where the watcher would have turned it away before any pick
-    taken: u64,       // turned away before any pick, where the watcher would have picked or let it wait
-    given_up: u64,    // picked a further time, where the watcher would have given up
+    taken: u64, // turned away before any pick, where the watcher would have picked or let it wait
+    given_up: u64, // picked a further time, where the watcher would have given up
     tried_again: u64, // given up after a pick, where the watcher would have picked a further time
-    otherwise: u64,   // pushed back where the watcher would have aborted, or the reverse
-    elsewhere: u64,   // to another backend, which may be chance and is no difference
-    probes: u64,      // sent, of all
+    otherwise: u64, // pushed back where the watcher would have aborted, or the reverse
+    elsewhere: u64, // to another backend, which may be chance and is no difference
+    probes: u64, // sent, of all
     watcher_probes: u64,
 }
 
@@ -92,8 +92,16 @@
             "{} RPCs compared: held {}, picked {}, turned away {}, ",
             c.compared, c.held, c.picked, c.turned_away
         )?;
-        write!(f, "taken {}, given up {}, tried again {}, ", c.taken, c.given_up, c.tried_again)?;
-        write!(f, "answered otherwise {}; elsewhere {}; ", c.otherwise, c.elsewhere)?;
+        write!(
+            f,
+            "taken {}, given up {}, tried again {}, ",
+            c.taken, c.given_up, c.tried_again
+        )?;
+        write!(
+            f,
+            "answered otherwise {}; elsewhere {}; ",
+            c.otherwise, c.elsewhere
+        )?;
         write!(f, "probes {}, would be {}", c.probes, c.watcher_probes)
     }
 }
@@ -116,12 +124,20 @@
     pub fn new(settings: &Settings, seed: u64) -> Self {
         let balancer = Balancer::new(settings, seed);
         let (rpcs, notes, counts) = Default::default();
-        Self { balancer, rpcs, notes, counts, tell_at: Instant::now() + TELL_EVERY }
+        Self {
+            balancer,
+            rpcs,
+            notes,
+            counts,
+            tell_at: Instant::now() + TELL_EVERY,
+        }
     }
 
     /// Other settings are in force, for both.
     pub fn adopt(&mut self, now: f64, first: Asked, settings: &Settings, kept: &Kept) {
-        self.hear(now, first, None, |watch| watch.balancer.adopt(settings, kept, &mut watch.notes));
+        self.hear(now, first, None, |watch| {
+            watch.balancer.adopt(settings, kept, &mut watch.notes)
+        });
     }
 
     /// When it wants to be woken.
@@ -140,15 +156,30 @@
     }
 
     pub fn list(&mut self, now: f64, first: Asked, kind: ListKind, entries: &[Entry]) {
-        self.hear(now, first, None, |watch| watch.balancer.list(kind, entries, &mut watch.notes));
+        self.hear(now, first, None, |watch| {
+            watch.balancer.list(kind, entries, &mut watch.notes)
+        });
     }
 
     pub fn list_failed(&mut self, now: f64, first: Asked) {
-        self.hear(now, first, None, |watch| watch.balancer.list_failed(&mut watch.notes));
+        self.hear(now, first, None, |watch| {
+            watch.balancer.list_failed(&mut watch.notes)
+        });
     }
 
-    pub fn probed(&mut self, now: f64, first: Asked, backend: u32, how: Outcome, report: Option<LoadReport>) {
-        self.hear(now, first, None, |watch| watch.balancer.probed(backend, how, report, &mut watch.notes));
+    pub fn probed(
+        &mut self,
+        now: f64,
+        first: Asked,
+        backend: u32,
+        how: Outcome,
+        report: Option<LoadReport>,
+    ) {
+        self.hear(now, first, None, |watch| {
+            watch
+                .balancer
+                .probed(backend, how, report, &mut watch.notes)
+        });
     }
 
     pub fn take(&mut self, now: f64, first: Asked, arrival: &Arrival) {
@@ -172,7 +203,9 @@
         over: bool,
         report: Option<LoadReport>,
     ) {
-        self.on_rpc(now, first, id, |rpc, notes| rpc.ended(pick, how, over, report, notes));
+        self.on_rpc(now, first, id, |rpc, notes| {
+            rpc.ended(pick, how, over, report, notes)
+        });
     }
 
     pub fn whole(&mut self, now: f64, first: Asked, (id, pick): (u64, usize)) {
@@ -180,11 +213,16 @@
     }
 
     pub fn begun(&mut self, now: f64, first: Asked, (id, pick): (u64, usize)) {
-        self.on_rpc(now, first, id, |rpc, notes| rpc.begun(pick, Pace::Client, notes));
+        self.on_rpc(now, first, id, |rpc, notes| {
+            rpc.begun(pick, Pace::Client, notes)
+        });
     }
 
     pub fn unrepeatable(&self, id: u64) {
-        self.rpcs.get(&id).into_iter().for_each(|alike| alike.rpc.unrepeatable());
+        self.rpcs
+            .get(&id)
+            .into_iter()
+            .for_each(|alike| alike.rpc.unrepeatable());
     }
 
     fn on_rpc(&mut self, now: f64, first: Asked, id: u64, act: impl FnOnce(&Rpc, &mut Notes)) {
@@ -203,13 +241,24 @@
         let own = std::mem::take(&mut self.notes.asked);
         self.counts.probes += first.probes;
         self.counts.watcher_probes += own.probes;
-        let touched: BTreeSet<u64> = first.acts.keys().chain(own.acts.keys()).copied().chain(about).collect();
+        let touched: BTreeSet<u64> = first
+            .acts
+            .keys()
+            .chain(own.acts.keys())
+            .copied()
+            .chain(about)
+            .collect();
         for id in touched {
             let (did, would) = (first.on(id), own.on(id));
             // One that is not there they have parted over.
-            let Some(alike) = self.rpcs.get_mut(&id) else { continue };
+            let Some(alike) = self.rpcs.get_mut(&id) else {
+                continue;
+            };
             let before = alike.picks;
-            alike.picks += would.iter().filter(|act| matches!(act, Act::Pick(_))).count();
+            alike.picks += would
+                .iter()
+                .filter(|act| matches!(act, Act::Pick(_)))
+                .count();
             if did != would {
                 self.count(did, would, before > 0);
                 self.part(id);
@@ -232,7 +281,9 @@
             (Some(Act::Pick(_)), Some(Act::Pick(_))) => &mut counts.elsewhere,
             (Some(Act::Pick(_)), Some(_)) if further => &mut counts.given_up,
             (Some(_), Some(Act::Pick(_))) if further => &mut counts.tried_again,
-            (Some(Act::Pick(_)) | None, Some(Act::PushBack | Act::Abort)) => &mut counts.turned_away,
+            (Some(Act::Pick(_)) | None, Some(Act::PushBack | Act::Abort)) => {
+                &mut counts.turned_away
+            }
             (Some(Act::PushBack | Act::Abort), Some(Act::Pick(_)) | None) => &mut counts.taken,
             (Some(Act::Pick(_)), None) => &mut counts.held,
             (None, Some(Act::Pick(_))) => &mut counts.picked,
@@ -247,10 +298,14 @@
     fn part(&mut self, id: u64) {
         let mut parted = vec![id];
         while let Some(id) = parted.pop() {
-            let Some(alike) = self.rpcs.remove(&id) else { continue };
+            let Some(alike) = self.rpcs.remove(&id) else {
+                continue;
+            };
             alike.rpc.hung_up(&mut self.notes);
             for pick in 0..=alike.picks {
-                alike.rpc.ended(pick, Outcome::Cancelled, true, None, &mut self.notes);
+                alike
+                    .rpc
+                    .ended(pick, Outcome::Cancelled, true, None, &mut self.notes);
             }
             parted.extend(std::mem::take(&mut self.notes.asked).acts.into_keys());
         }
--- a/crates/daemon/tests/crossings.rs
+++ b/crates/daemon/tests/crossings.rs
@@ -2,7 +2,8 @@
 #[path = "../../../tests/common/mod.rs"]
 mod common;
 use common::sockets::{
-    Act, Client, Daemon, Log, PATIENCE, Shared, Slow, backend, blind, echo, eventually, line, reply, rpc,
+    Act, Client, Daemon, Log, PATIENCE, Shared, Slow, backend, blind, echo, eventually, line,
+    reply, rpc,
 };
 use serde_json::Value;
 use std::io::Read;
@@ -14,7 +15,10 @@
 
 /// Connections are waited for longer than a test waits.
 fn patient(config: &mut Value) {
-    for method in config["settings"]["methods"].as_array_mut().expect("methods") {
+    for method in config["settings"]["methods"]
+        .as_array_mut()
+        .expect("methods")
+    {
         method["latency-target-ns"] = 60e9.into();
     }
     config["settings"]["ceilings"]["connect-timeout-ns"] = 60e9.into();
@@ -30,8 +34,12 @@
     let before = daemon.descriptors();
     let mut client = daemon.client();
     client.send(&rpc("POST", "/book", "id", "").replace("3000", "60000"));
-    eventually(PATIENCE, "no connection was asked for", || daemon.descriptors() >= before + 2);
-    daemon.list.tell_heard(&[line("s-1", echo("b2", &log), "Ready")]);
+    eventually(PATIENCE, "no connection was asked for", || {
+        daemon.descriptors() >= before + 2
+    });
+    daemon
+        .list
+        .tell_heard(&[line("s-1", echo("b2", &log), "Ready")]);
     assert_eq!(slow.heard_when_let_in(), 0, "sent to where it was");
     assert_eq!(client.answer().expect("an answer").text(), "b2:");
 }
@@ -64,10 +72,16 @@
     let mut client = daemon.client();
     client.send(&rpc("POST", "/log", "id", "").replace("3000", "60000"));
     log.await_event("b1 got POST /log HTTP/1.1 id");
-    daemon.list.tell_heard(&[line("s-1", at, "Ready"), line("s-2", slow.at, "Ready")]);
+    daemon
+        .list
+        .tell_heard(&[line("s-1", at, "Ready"), line("s-2", slow.at, "Ready")]);
     gate.change(|open| *open = true);
     sleep(Duration::from_millis(400)); // longer than repeats are dropped
-    assert_eq!(slow.heard_when_let_in(), 0, "sent when its repeats are dropped no more");
+    assert_eq!(
+        slow.heard_when_let_in(),
+        0,
+        "sent when its repeats are dropped no more"
+    );
     assert_eq!(client.answer().expect("an answer").status(), 502);
 }
 
@@ -79,13 +93,20 @@
     let mut client = daemon.client();
     client.send(&rpc("POST", "/log", "id", "").replace("3000", "60000"));
     log.await_event("b1 got POST /log HTTP/1.1 id");
-    daemon.list.tell_heard(&[line("s-1", at, "Ready"), line("s-2", echo("b2", &log), "Ready")]);
+    daemon.list.tell_heard(&[
+        line("s-1", at, "Ready"),
+        line("s-2", echo("b2", &log), "Ready"),
+    ]);
     daemon.signal("STOP");
     sleep(Duration::from_millis(400)); // longer than repeats are dropped
     gate.change(|open| *open = true);
     daemon.signal("CONT");
     assert_eq!(client.answer().expect("an answer").status(), 502);
-    assert_eq!(log.count("b2 got"), 0, "sent when its repeats are dropped no more");
+    assert_eq!(
+        log.count("b2 got"),
+        0,
+        "sent when its repeats are dropped no more"
+    );
 }
 
 /// A kept connection on which something has come by the time it is used again, seen in one turn with the RPC for it.
@@ -93,12 +114,23 @@
     let log = Log::new(vec![]);
     let seen = log.clone();
     let at = backend("b1", &log, move |m| match m.header("request-id") {
-        "first" => Act::Late(reply("200 OK", "first"), seen.clone(), "go on".into(), more.to_vec()),
+        "first" => Act::Late(
+            reply("200 OK", "first"),
+            seen.clone(),
+            "go on".into(),
+            more.to_vec(),
+        ),
         id => Act::Write(reply("200 OK", id)),
     });
     let daemon = Daemon::start_with(PROGRAM, &[("s-1", at)], blind);
     let mut client = daemon.client();
-    assert_eq!(client.call(&rpc("POST", "/book", "first", "")).unwrap().text(), "first");
+    assert_eq!(
+        client
+            .call(&rpc("POST", "/book", "first", ""))
+            .unwrap()
+            .text(),
+        "first"
+    );
     sleep(Duration::from_millis(50)); // it is quiet for longer than connections are doubted
     daemon.signal("STOP");
     log.note("go on".into());
@@ -132,7 +164,12 @@
     let at = backend("b1", &log, move |m| match m.header("request-id") {
         "crossed" => {
             seen.wait(PATIENCE, |events| events.iter().any(|e| e == "go on"));
-            Act::Late(reply("200 OK", "done"), Log::new(vec![]), "never".into(), b"\r\n".to_vec())
+            Act::Late(
+                reply("200 OK", "done"),
+                Log::new(vec![]),
+                "never".into(),
+                b"\r\n".to_vec(),
+            )
         }
         _ => Act::Write(reply("200 OK", "")),
     });
@@ -149,7 +186,10 @@
     daemon.signal("CONT");
     let told = client.answer().map(|answer| answer.status());
     assert!(allowed.contains(&told), "{told:?}");
-    let next = daemon.client().call(&rpc("POST", "/book", "next", "")).map(|answer| answer.status());
+    let next = daemon
+        .client()
+        .call(&rpc("POST", "/book", "next", ""))
+        .map(|answer| answer.status());
     assert!(matches!(next, Some(200 | 503)), "{next:?}");
     assert_eq!(log.count(" got POST /book HTTP/1.1 crossed"), 1);
     assert!(!daemon.logged().contains("panicked"), "{}", daemon.logged());
@@ -170,7 +210,10 @@
 #[test]
 fn an_answer_and_a_hang_up() {
     let leaves = |_: &Daemon, client: &mut Client| {
-        client.stream().shutdown(std::net::Shutdown::Write).expect("half closed");
+        client
+            .stream()
+            .shutdown(std::net::Shutdown::Write)
+            .expect("half closed");
     };
     an_answer_and(leaves, "3000", &[Some(200), None]);
 }
@@ -194,10 +237,20 @@
     let mut client = daemon.client();
     client.send(&rpc("GET", "/read", "id", ""));
     let mut all = Vec::new();
-    client.stream().set_read_timeout(Some(PATIENCE)).expect("a time-out");
+    client
+        .stream()
+        .set_read_timeout(Some(PATIENCE))
+        .expect("a time-out");
     let ended = client.stream().read_to_end(&mut all);
-    assert!(ended.is_ok() && !all.ends_with(b"\r\n0\r\n\r\n"), "taken for whole: {ended:?}");
-    assert!(((16 << 20)..(33 << 20)).contains(&all.len()), "{} bytes", all.len());
+    assert!(
+        ended.is_ok() && !all.ends_with(b"\r\n0\r\n\r\n"),
+        "taken for whole: {ended:?}"
+    );
+    assert!(
+        ((16 << 20)..(33 << 20)).contains(&all.len()),
+        "{} bytes",
+        all.len()
+    );
     assert!(daemon.memory() < 64 << 20);
 }
 
@@ -215,7 +268,12 @@
     ];
     let at = backend("b1", &log, move |m| {
         let number: usize = m.header("request-id")[1..].parse().expect("a number");
-        Act::Late(parts[number].into(), Log::new(vec![]), "never".into(), vec![])
+        Act::Late(
+            parts[number].into(),
+            Log::new(vec![]),
+            "never".into(),
+            vec![],
+        )
     });
     let daemon = Daemon::start_with(PROGRAM, &[("s-1", at)], blind);
     let mut clients: Vec<_> = parts.iter().map(|_| daemon.client()).collect();
@@ -223,6 +281,11 @@
         client.send(&rpc("POST", "/book", &format!("n{n}"), "").replace("3000", "300"));
     }
     for (n, client) in clients.iter_mut().enumerate() {
-        assert_eq!(client.answer().map(|answer| answer.status()), Some(502), "{}", parts[n]);
+        assert_eq!(
+            client.answer().map(|answer| answer.status()),
+            Some(502),
+            "{}",
+            parts[n]
+        );
     }
 }
--- a/crates/daemon/tests/crowd.rs
+++ b/crates/daemon/tests/crowd.rs
@@ -26,14 +26,22 @@
 fn is_open(client: &Client) -> bool {
     let stream = client.stream();
     stream.set_nonblocking(true).expect("a socket");
-    let open = stream.peek(&mut [0]).is_err_and(|e| e.kind() == ErrorKind::WouldBlock);
+    let open = stream
+        .peek(&mut [0])
+        .is_err_and(|e| e.kind() == ErrorKind::WouldBlock);
     stream.set_nonblocking(false).expect("a socket");
     open
 }
 
 fn ask(daemon: &Daemon, id: &str) -> Client {
     let mut client = daemon.client();
-    assert_eq!(client.call(&rpc("POST", "/book", id, "")).map(|answer| answer.status()), Some(200), "{id}");
+    assert_eq!(
+        client
+            .call(&rpc("POST", "/book", id, ""))
+            .map(|answer| answer.status()),
+        Some(200),
+        "{id}"
+    );
     client
 }
 
@@ -43,7 +51,8 @@
 fn a_crowd_holds_up_no_rpc_and_breaks_no_limit() {
     let log = Log::new(vec![]);
     let mut daemon = limited(192, 24, &log);
-    let half_body = rpc("POST", "/book", "half", "body").replace("Content-Length: 4", "Content-Length: 9");
+    let half_body =
+        rpc("POST", "/book", "half", "body").replace("Content-Length: 4", "Content-Length: 9");
     let mut crowd = VecDeque::new();
     let (mut descriptors, mut memory, mut slowest) = (0, 0, Duration::ZERO);
     for n in 0..2000 {
@@ -66,7 +75,10 @@
         }
     }
     assert!(slowest < Duration::from_secs(1), "an RPC took {slowest:?}");
-    assert!(descriptors <= 192 && memory <= 24 << 20, "{descriptors} descriptors, {memory} bytes");
+    assert!(
+        descriptors <= 192 && memory <= 24 << 20,
+        "{descriptors} descriptors, {memory} bytes"
+    );
     daemon.signal("TERM");
     let begun = Instant::now();
     assert!(daemon.await_end().success());
@@ -77,7 +89,8 @@
 fn capped(descriptors: u64) -> PathBuf {
     static NEXT: AtomicUsize = AtomicUsize::new(0);
     let number = NEXT.fetch_add(1, Ordering::Relaxed);
-    let path = std::env::temp_dir().join(format!("birchhubd-capped-{}-{number}", std::process::id()));
+    let path =
+        std::env::temp_dir().join(format!("birchhubd-capped-{}-{number}", std::process::id()));
     let text = format!("#!/bin/sh\nulimit -n {descriptors}\nexec {PROGRAM} \"$@\"\n");
     std::fs::write(&path, text).expect("a file");
     std::fs::set_permissions(&path, Permissions::from_mode(0o755)).expect("a program");
@@ -114,10 +127,14 @@
     let log = Log::new(vec![]);
     let program = capped(allowed);
     let at = echo("b1", &log);
-    let daemon = Daemon::start_with(program.to_str().expect("a path"), &[("s-1", at)], |config| {
-        blind(config);
-        config["limits"]["sockets"] = sockets.into();
-    });
+    let daemon = Daemon::start_with(
+        program.to_str().expect("a path"),
+        &[("s-1", at)],
+        |config| {
+            blind(config);
+            config["limits"]["sockets"] = sockets.into();
+        },
+    );
     ask(&daemon, "begins");
     let clients = allowed as usize * 6 / 5;
     let mut all = crowd(&daemon, idle, clients, "before");
@@ -126,13 +143,27 @@
     all.extend(crowd(&daemon, idle, clients, "while"));
     ask(&daemon, "meanwhile");
     let back = Instant::now();
-    daemon.list.tell_heard(&[line("s-2", echo("b2", &log), "Ready")]);
+    daemon
+        .list
+        .tell_heard(&[line("s-2", echo("b2", &log), "Ready")]);
     let told = back.elapsed();
     let mut client = daemon.client();
-    assert_eq!(client.call(&rpc("POST", "/book", "after", "")).map(|a| a.text()).as_deref(), Some("b2:"));
+    assert_eq!(
+        client
+            .call(&rpc("POST", "/book", "after", ""))
+            .map(|a| a.text())
+            .as_deref(),
+        Some("b2:")
+    );
     assert!(told < TERM, "{idle:?}: the list was heard after {told:?}");
-    let (open, refused) = (daemon.descriptors(), daemon.logged().matches("no connection accepted").count());
-    assert!(open <= allowed.min(sockets) as usize, "{idle:?}: {open} descriptors");
+    let (open, refused) = (
+        daemon.descriptors(),
+        daemon.logged().matches("no connection accepted").count(),
+    );
+    assert!(
+        open <= allowed.min(sockets) as usize,
+        "{idle:?}: {open} descriptors"
+    );
     assert!(refused <= 1, "{idle:?}: {refused} lines of one cause");
     drop(all);
     std::fs::remove_file(program).expect("the program");
@@ -171,7 +202,11 @@
         config["known"] = Value::Null;
     });
     daemon.list.tell_text(None);
-    daemon.child.kill().and_then(|()| daemon.child.wait()).expect("the end of birchhubd");
+    daemon
+        .child
+        .kill()
+        .and_then(|()| daemon.child.wait())
+        .expect("the end of birchhubd");
     daemon.start_again(PROGRAM);
     daemon.await_ready(503);
     let crowds = [Idle::Silent, Idle::Halves].map(|idle| crowd(&daemon, idle, 300, "first"));
@@ -188,11 +223,14 @@
 fn a_flood_keeps_nobody_from_the_list() {
     let log = Log::new(vec![]);
     let program = capped(256);
-    let daemon =
-        Daemon::start_with(program.to_str().expect("a path"), &[("s-1", echo("b1", &log))], |config| {
+    let daemon = Daemon::start_with(
+        program.to_str().expect("a path"),
+        &[("s-1", echo("b1", &log))],
+        |config| {
             blind(config);
             config["limits"]["sockets"] = 256.into();
-        });
+        },
+    );
     let (ends, at) = (Shared::new(false), daemon.at);
     let ended = ends.clone();
     let flood = spawn(move || {
@@ -212,12 +250,17 @@
     daemon.list.tell_text(None);
     (0..20).for_each(|n| drop(ask(&daemon, &format!("while{n}"))));
     let back = Instant::now();
-    daemon.list.tell_heard(&[line("s-2", echo("b2", &log), "Ready")]);
+    daemon
+        .list
+        .tell_heard(&[line("s-2", echo("b2", &log), "Ready")]);
     let told = back.elapsed();
     (0..20).for_each(|n| drop(ask(&daemon, &format!("after{n}"))));
     ends.change(|ends| *ends = true);
     let opened = flood.join().expect("a flood");
-    assert!(told < TERM && opened > 256, "{opened} connections, the list was heard after {told:?}");
+    assert!(
+        told < TERM && opened > 256,
+        "{opened} connections, the list was heard after {told:?}"
+    );
     assert!(log.count("b2 got POST /book HTTP/1.1 after") > 0);
     std::fs::remove_file(program).expect("the program");
 }
@@ -238,7 +281,11 @@
         busy.push(client);
     }
     daemon.signal("CONT");
-    let answers = busy.iter_mut().filter_map(Client::answer).filter(|answer| answer.status() == 200).count();
+    let answers = busy
+        .iter_mut()
+        .filter_map(Client::answer)
+        .filter(|answer| answer.status() == 200)
+        .count();
     assert_eq!(answers, busy.len());
 }
 
@@ -249,22 +296,36 @@
     for rpcs_first in [true, false] {
         let log = Log::new(vec![]);
         let daemon = limited(74, 1024, &log); // ten for clients
-        let mut rest: Vec<_> = (0..10).map(|n| ask(&daemon, &format!("rests{n}"))).collect();
+        let mut rest: Vec<_> = (0..10)
+            .map(|n| ask(&daemon, &format!("rests{n}")))
+            .collect();
         let send = |name: &str, n: usize, client: &mut Client| {
             client.send(&rpc("POST", "/book", &format!("{name}{n}"), "").replace("3000", "20000"))
         };
         let newcomers = || (0..10).map(|_| daemon.client()).collect::<Vec<_>>();
         daemon.signal("STOP");
         let early = if rpcs_first { vec![] } else { newcomers() };
-        rest.iter_mut().enumerate().for_each(|(n, client)| assert!(send("again", n, client)));
+        rest.iter_mut()
+            .enumerate()
+            .for_each(|(n, client)| assert!(send("again", n, client)));
         let mut new = if rpcs_first { newcomers() } else { early };
-        new.iter_mut().enumerate().for_each(|(n, client)| assert!(send("new", n, client)));
+        new.iter_mut()
+            .enumerate()
+            .for_each(|(n, client)| assert!(send("new", n, client)));
         daemon.signal("CONT");
         let told = |clients: &mut [Client]| {
-            clients.iter_mut().map(|client| client.answer().map(|a| a.status())).collect::<Vec<_>>()
+            clients
+                .iter_mut()
+                .map(|client| client.answer().map(|a| a.status()))
+                .collect::<Vec<_>>()
         };
         let all = [told(&mut rest), told(&mut new)];
-        assert!(all.iter().flatten().all(|status| matches!(status, Some(200 | 503))), "{all:?}");
+        assert!(
+            all.iter()
+                .flatten()
+                .all(|status| matches!(status, Some(200 | 503))),
+            "{all:?}"
+        );
     }
 }
 
@@ -280,7 +341,11 @@
         ask(&daemon, "after-those");
         for (n, client) in new.iter_mut().enumerate() {
             let answer = client.call(&rpc("POST", "/book", &format!("new{n}"), ""));
-            assert_eq!(answer.map(|answer| answer.status()), Some(200), "{idle:?}: the one that came as {n}");
+            assert_eq!(
+                answer.map(|answer| answer.status()),
+                Some(200),
+                "{idle:?}: the one that came as {n}"
+            );
         }
     }
 }
@@ -290,16 +355,23 @@
 fn connections_give_way_in_their_order() {
     let log = Log::new(vec![]);
     let daemon = limited(74, 1024, &log); // ten for clients
-    let between: Vec<_> = (0..3).map(|n| ask(&daemon, &format!("between{n}"))).collect();
+    let between: Vec<_> = (0..3)
+        .map(|n| ask(&daemon, &format!("between{n}")))
+        .collect();
     let fresh: Vec<_> = (0..4).map(|_| daemon.client()).collect();
     sleep(Duration::from_millis(500)); // longer than one that has just come is waited for
     let mut half: Vec<_> = (0..3).map(|_| daemon.client()).collect();
-    half.iter_mut().for_each(|client| assert!(client.send("POST /book HTTP/1.1\r\nRequest-")));
+    half.iter_mut()
+        .for_each(|client| assert!(client.send("POST /book HTTP/1.1\r\nRequest-")));
     let open = |clients: &[Client]| clients.iter().filter(|client| is_open(client)).count();
     let mut served: Vec<_> = (0..4).map(|n| ask(&daemon, &format!("first{n}"))).collect();
-    eventually(PATIENCE, "those that said nothing stay", || open(&fresh) == 0);
+    eventually(PATIENCE, "those that said nothing stay", || {
+        open(&fresh) == 0
+    });
     assert_eq!((open(&between), open(&half)), (3, 3));
     served.extend((0..3).map(|n| ask(&daemon, &format!("second{n}"))));
-    eventually(PATIENCE, "those between messages stay", || open(&between) == 0);
+    eventually(PATIENCE, "those between messages stay", || {
+        open(&between) == 0
+    });
     assert_eq!((open(&half), open(&served)), (3, 7));
 }
--- a/crates/daemon/tests/deploy.rs
+++ b/crates/daemon/tests/deploy.rs
@@ -22,7 +22,10 @@
 /// A library that the platform loads into the process finds nothing to take hold of in a static one.
 fn names_the_loader(program: &[u8]) -> bool {
     let number = |at: usize, bytes: usize| {
-        program[at..at + bytes].iter().rev().fold(0, |sum, byte| sum << 8 | u64::from(*byte)) as usize
+        program[at..at + bytes]
+            .iter()
+            .rev()
+            .fold(0, |sum, byte| sum << 8 | u64::from(*byte)) as usize
     };
     let (table, each, count) = (number(32, 8), number(54, 2), number(56, 2));
     const INTERPRETER: usize = 3;
@@ -38,18 +41,26 @@
     assert_eq!(words, ["exec", "target/release/birchhubd"]);
     let build: Vec<_> = deploy["build"].split(' ').collect();
     assert_eq!(build[..3], ["cargo", "build", "--release"]);
-    assert!(build.contains(&"--locked"), "what is built must be what was tested");
+    assert!(
+        build.contains(&"--locked"),
+        "what is built must be what was tested"
+    );
 }
 
 /// Guards against programs started on the side, and static linking: the platform allows one process of any number of
 /// threads, and comes in by the dynamic loader.
 #[test]
 fn the_proxy_is_one_process_that_the_loader_loads() {
-    assert!(names_the_loader(&std::fs::read(PROGRAM).expect("the program")));
+    assert!(names_the_loader(
+        &std::fs::read(PROGRAM).expect("the program")
+    ));
     let log = Log::new(Vec::new());
     let daemon = Daemon::start(PROGRAM, &[("s-a", echo("a", &log))]);
     for n in 0..20 {
-        let answer = daemon.client().call(&rpc("GET", "/read", &format!("r{n}"), "")).expect("an answer");
+        let answer = daemon
+            .client()
+            .call(&rpc("GET", "/read", &format!("r{n}"), ""))
+            .expect("an answer");
         assert_eq!(answer.status(), 200);
     }
     let own = PathBuf::from(format!("/proc/{}", daemon.child.id()));
@@ -62,7 +73,13 @@
         assert_eq!(children, "", "it has started another program");
     }
     for file in std::fs::read_dir(own.join("fd")).expect("its descriptors") {
-        let Ok(stands) = std::fs::read_link(file.expect("a descriptor").path()) else { continue };
-        assert!(!stands.to_string_lossy().contains("io_uring"), "{} is open", stands.display());
+        let Ok(stands) = std::fs::read_link(file.expect("a descriptor").path()) else {
+            continue;
+        };
+        assert!(
+            !stands.to_string_lossy().contains("io_uring"),
+            "{} is open",
+            stands.display()
+        );
     }
 }
--- a/crates/daemon/tests/ending.rs
+++ b/crates/daemon/tests/ending.rs
@@ -25,7 +25,10 @@
 
 /// What was answered on each, in order.
 fn answers(clients: &mut [Client]) -> Vec<Option<u16>> {
-    clients.iter_mut().map(|client| client.answer().map(|answer| answer.status())).collect()
+    clients
+        .iter_mut()
+        .map(|client| client.answer().map(|answer| answer.status()))
+        .collect()
 }
 
 /// SIGTERM: the time of idle connections passes while whole RPCs stand on them unread.
@@ -79,7 +82,13 @@
     };
     let daemon = Daemon::start_with(PROGRAM, &[("s-1", echo("b1", &log))], few);
     let mut clients: Vec<_> = idle(&daemon).drain(CLIENTS - 10..).collect();
-    assert_eq!(clients.iter_mut().filter_map(|client| client.call(HEALTH)).count(), 10);
+    assert_eq!(
+        clients
+            .iter_mut()
+            .filter_map(|client| client.call(HEALTH))
+            .count(),
+        10
+    );
     daemon.signal("STOP");
     for (n, client) in clients.iter_mut().enumerate() {
         client.send(&rpc("POST", "/book", &format!("n{n}"), ""));
@@ -92,9 +101,15 @@
     // One that was closed with its RPC unread may send it once more; one that was read has to be answered.
     let read = |n: usize| log.count(&format!(" n{n}")) > 0;
     let told = answers(&mut clients);
-    let lost: Vec<_> = (0..told.len()).filter(|n| read(*n) && told[*n] != Some(200)).collect();
+    let lost: Vec<_> = (0..told.len())
+        .filter(|n| read(*n) && told[*n] != Some(200))
+        .collect();
     assert_eq!(lost, Vec::<usize>::new(), "{told:?}");
-    assert!(answers(&mut fresh).iter().all(|answer| matches!(answer, Some(200 | 503))));
+    assert!(
+        answers(&mut fresh)
+            .iter()
+            .all(|answer| matches!(answer, Some(200 | 503)))
+    );
 }
 
 /// Connections that the machine has accepted, and this process has not, as its time to accept ends.
@@ -123,7 +138,13 @@
     let mut clients = idle(&daemon);
     let message = |n: usize| rpc("POST", "/book", &format!("n{n}"), "body");
     // Half of a head, or half of a body.
-    let part = |n: usize| if n.is_multiple_of(2) { 30 } else { message(n).len() - 2 };
+    let part = |n: usize| {
+        if n.is_multiple_of(2) {
+            30
+        } else {
+            message(n).len() - 2
+        }
+    };
     for (n, client) in clients.iter_mut().enumerate() {
         client.send(&message(n)[..part(n)]);
     }
@@ -147,7 +168,10 @@
     let log = Log::new(vec![]);
     let mut daemon = Daemon::start_with(PROGRAM, &[("s-1", hangs(&log))], |config| {
         blind(config);
-        for method in config["settings"]["methods"].as_array_mut().expect("methods") {
+        for method in config["settings"]["methods"]
+            .as_array_mut()
+            .expect("methods")
+        {
             method["hard-limit-ns"] = hard_limit.clone();
             method["latency-target-ns"] = 60e9.into();
         }
@@ -162,7 +186,10 @@
     daemon.signal("TERM");
     daemon.await_ready(503);
     after.send(&long("after"));
-    let told = (before.answer().map(|a| a.status()), after.answer().map(|a| a.status()));
+    let told = (
+        before.answer().map(|a| a.status()),
+        after.answer().map(|a| a.status()),
+    );
     assert_eq!(told, (Some(502), Some(502)), "both may have run");
     assert!(term.elapsed() < kill, "answered after {:?}", term.elapsed());
     assert!(half.is_closed());
@@ -186,7 +213,10 @@
     let (at, gate) = gated("b1", &log, "");
     let mut daemon = Daemon::start_with(PROGRAM, &[("s-1", at)], |config| {
         blind(config);
-        for method in config["settings"]["methods"].as_array_mut().expect("methods") {
+        for method in config["settings"]["methods"]
+            .as_array_mut()
+            .expect("methods")
+        {
             method["hard-limit-ns"] = Value::Null;
         }
     });
@@ -219,29 +249,42 @@
     assert_eq!(answers(&mut clients), vec![Some(200); CLIENTS]);
     daemon.signal("TERM");
     assert!(daemon.await_end().success());
-    let ended = daemon.logged().matches("ends with 0 client connections").count();
+    let ended = daemon
+        .logged()
+        .matches("ends with 0 client connections")
+        .count();
     assert_eq!(ended, 1);
-    eventually(PATIENCE, "somebody still listens", || Client::open(daemon.at).is_none());
+    eventually(PATIENCE, "somebody still listens", || {
+        Client::open(daemon.at).is_none()
+    });
 }
 
 /// While a quarter of what is out hangs and every connection holds an RPC, each is answered.
 #[test]
 fn every_connection_holds_an_rpc_at_the_end() {
     let log = Log::new(vec![]);
-    let at = backend("b1", &log, |m| match m.header("request-id").ends_with('0') {
-        true => Act::Hang,
-        false => Act::Write(reply("200 OK", "")),
+    let at = backend("b1", &log, |m| {
+        match m.header("request-id").ends_with('0') {
+            true => Act::Hang,
+            false => Act::Write(reply("200 OK", "")),
+        }
     });
     let mut daemon = Daemon::start_with(PROGRAM, &[("s-1", at)], blind);
     let mut clients = idle(&daemon);
     daemon.signal("STOP");
     for (n, client) in clients.iter_mut().enumerate() {
-        client.send(&rpc("POST", "/book", &format!("n{}", n % 4 + 10 * n), "").replace("3000", "400"));
+        client.send(
+            &rpc("POST", "/book", &format!("n{}", n % 4 + 10 * n), "").replace("3000", "400"),
+        );
     }
     daemon.signal("TERM");
     daemon.signal("CONT");
     let told = answers(&mut clients);
     let hung = told.iter().filter(|answer| **answer == Some(502)).count();
-    assert_eq!((told.iter().flatten().count(), hung), (CLIENTS, CLIENTS / 4), "{told:?}");
+    assert_eq!(
+        (told.iter().flatten().count(), hung),
+        (CLIENTS, CLIENTS / 4),
+        "{told:?}"
+    );
     assert!(daemon.await_end().success());
 }
--- a/crates/daemon/tests/footprint.rs
+++ b/crates/daemon/tests/footprint.rs
@@ -13,7 +13,9 @@
     let at = echo("b1", &log);
     let daemon = Daemon::start_with(PROGRAM, &[("s-0", at)], blind);
     let before = daemon.memory();
-    let lines: Vec<_> = (0..=MORE).map(|n| line(&format!("s-{n}"), at, "Ready")).collect();
+    let lines: Vec<_> = (0..=MORE)
+        .map(|n| line(&format!("s-{n}"), at, "Ready"))
+        .collect();
     daemon.list.tell_heard(&lines);
     let each = (daemon.memory() - before) / MORE;
     assert!(each < 5 << 10, "{each} bytes for a backend");
--- a/crates/daemon/tests/in_force.rs
+++ b/crates/daemon/tests/in_force.rs
@@ -2,8 +2,8 @@
 #[path = "../../../tests/common/mod.rs"]
 mod common;
 use common::sockets::{
-    Act, Client, Daemon, Log, PATIENCE, Shared, backend, blind, echo, eventually, free, gated, line, reply,
-    rpc,
+    Act, Client, Daemon, Log, PATIENCE, Shared, backend, blind, echo, eventually, free, gated,
+    line, reply, rpc,
 };
 use serde_json::{Value, json};
 use std::net::SocketAddr;
@@ -28,13 +28,20 @@
             change(config);
             told = config.clone();
         });
-        Self { daemon, management, config: told }
+        Self {
+            daemon,
+            management,
+            config: told,
+        }
     }
 
     /// What `GET /settings` says.
     fn stands(&self) -> String {
         let mut client = Client::open(self.management).expect("a connection");
-        client.call("GET /settings HTTP/1.1\r\nHost: m\r\n\r\n").expect("an answer").text()
+        client
+            .call("GET /settings HTTP/1.1\r\nHost: m\r\n\r\n")
+            .expect("an answer")
+            .text()
     }
 
     fn is_at(&self, version: usize) -> bool {
@@ -45,12 +52,16 @@
     fn change(&mut self, version: usize, change: impl FnOnce(&mut Value)) {
         change(&mut self.config["settings"]);
         self.daemon.reload(&self.config.to_string());
-        eventually(PATIENCE, &format!("never in force: {version}"), || self.is_at(version));
+        eventually(PATIENCE, &format!("never in force: {version}"), || {
+            self.is_at(version)
+        });
     }
 
     /// Waits until its log, which is written behind, says this.
     fn logs(&self, words: &str) {
-        eventually(PATIENCE, &format!("never logged: {words}"), || self.daemon.logged().contains(words));
+        eventually(PATIENCE, &format!("never logged: {words}"), || {
+            self.daemon.logged().contains(words)
+        });
     }
 
     /// Sends what is in the file again, and waits until it was read.
@@ -72,7 +83,10 @@
 }
 
 fn ask(client: &mut Client, verb: &str, method: &str, id: &str) -> u16 {
-    client.call(&rpc(verb, &format!("/{method}"), id, "")).expect("an answer").status()
+    client
+        .call(&rpc(verb, &format!("/{method}"), id, ""))
+        .expect("an answer")
+        .status()
 }
 
 /// Methods come, go, move and change; those out under the old settings end as they began, on the connections they have.
@@ -81,7 +95,9 @@
     let log = Log::new(vec![]);
     let (at, gate) = gated("b1", &log, "done");
     let mut proxy = Proxy::start(&[("s-1", at)], |_| {});
-    let mut held: Vec<_> = ["read", "book", "log"].map(|name| (name, proxy.daemon.client())).into();
+    let mut held: Vec<_> = ["read", "book", "log"]
+        .map(|name| (name, proxy.daemon.client()))
+        .into();
     for (name, client) in &mut held {
         let verb = if *name == "read" { "GET" } else { "POST" };
         client.send(&rpc(verb, &format!("/{name}"), &format!("held-{name}"), ""));
@@ -100,19 +116,33 @@
     gate.change(|open| *open = true);
     for (name, client) in &mut held {
         let answer = client.answer().expect("an answer");
-        assert_eq!((answer.status(), answer.text().as_str()), (200, "done"), "{name}");
+        assert_eq!(
+            (answer.status(), answer.text().as_str()),
+            (200, "done"),
+            "{name}"
+        );
     }
     let mut client = proxy.daemon.client();
     for name in ["read", "book", "extra"] {
-        assert_eq!(ask(&mut client, "POST", name, &format!("new-{name}")), 200, "{name}");
+        assert_eq!(
+            ask(&mut client, "POST", name, &format!("new-{name}")),
+            200,
+            "{name}"
+        );
     }
     for (name, client) in &mut held {
         let told = if *name == "log" { 404 } else { 200 };
-        assert_eq!(ask(client, "POST", name, &format!("again-{name}")), told, "{name}");
+        assert_eq!(
+            ask(client, "POST", name, &format!("again-{name}")),
+            told,
+            "{name}"
+        );
     }
     let counts = "methods 1 added, 1 changed, 1 removed, 3 in all; tenants 0 added";
     proxy.logs(counts);
-    proxy.change(2, |settings| methods(settings).push(method("log", "idempotency_key")));
+    proxy.change(2, |settings| {
+        methods(settings).push(method("log", "idempotency_key"))
+    });
     assert_eq!(ask(&mut client, "POST", "log", "back"), 200);
 }
 
@@ -145,9 +175,15 @@
     let mut held = proxy.daemon.client();
     held.send(&rpc("GET", "/read", "cut-held", ""));
     eventually(PATIENCE, "never sent", || log.count("cut-held") == 1);
-    proxy.change(1, |settings| methods(settings)[0] = method("read", "non_idempotent"));
+    proxy.change(1, |settings| {
+        methods(settings)[0] = method("read", "non_idempotent")
+    });
     gate.change(|open| *open = true);
-    assert_eq!(held.answer().expect("an answer").status(), 200, "it was idempotent when it was taken");
+    assert_eq!(
+        held.answer().expect("an answer").status(),
+        200,
+        "it was idempotent when it was taken"
+    );
     assert_eq!(log.count("cut-held"), 2);
     let mut client = proxy.daemon.client();
     assert_eq!(ask(&mut client, "POST", "read", "cut-next"), 502);
@@ -161,9 +197,13 @@
     let mut proxy = Proxy::start(&[("s-1", echo("b1", &log))], |config| {
         methods(&mut config["settings"]).push(method("plain", "non_idempotent"));
     });
-    let keyless = |path: &str, id: &str| rpc("POST", path, id, "body").replace("Idempotency-Key: k1\r\n", "");
-    let messages =
-        [keyless("/book", "moved"), keyless("/plain", "keyless"), rpc("POST", "/log", "gone", "body")];
+    let keyless =
+        |path: &str, id: &str| rpc("POST", path, id, "body").replace("Idempotency-Key: k1\r\n", "");
+    let messages = [
+        keyless("/book", "moved"),
+        keyless("/plain", "keyless"),
+        rpc("POST", "/log", "gone", "body"),
+    ];
     let mut clients: Vec<_> = messages
         .iter()
         .map(|message| {
@@ -174,7 +214,15 @@
         .collect();
     // Each head has been read once a whole message that came behind it was answered, and some time has passed.
     for n in 0..20 {
-        assert_eq!(ask(&mut proxy.daemon.client(), "POST", "book", &format!("first{n}")), 200);
+        assert_eq!(
+            ask(
+                &mut proxy.daemon.client(),
+                "POST",
+                "book",
+                &format!("first{n}")
+            ),
+            200
+        );
         std::thread::sleep(Duration::from_millis(5));
     }
     proxy.change(1, |settings| {
@@ -212,18 +260,30 @@
         for (n, client) in crowd.iter_mut().enumerate() {
             assert!(client.send(&rpc("GET", "/read", &format!("{turn}{n}"), "")));
         }
-        crowd.iter_mut().filter_map(|c| Some(c.answer()?.status())).filter(|status| *status == 200).count()
+        crowd
+            .iter_mut()
+            .filter_map(|c| Some(c.answer()?.status()))
+            .filter(|status| *status == 200)
+            .count()
     };
     let few = served("few");
-    assert!(few < 80, "a quota of 7 a second lets all of 80 at once through");
-    proxy.change(1, |settings| settings["accounts"][0]["quota-per-s"] = 1e6.into());
+    assert!(
+        few < 80,
+        "a quota of 7 a second lets all of 80 at once through"
+    );
+    proxy.change(1, |settings| {
+        settings["accounts"][0]["quota-per-s"] = 1e6.into()
+    });
     assert_eq!(served("all"), 80);
     proxy.change(2, |settings| {
         settings["accounts"] =
             json!([{"name": "other", "quota-per-s": 7}, {"name": "acme", "quota-per-s": 7}]);
     });
     let few = served("again");
-    assert!(few < 80, "as before, in another place, yet {few} of 80 were served");
+    assert!(
+        few < 80,
+        "as before, in another place, yet {few} of 80 were served"
+    );
 }
 
 /// Set when dropped: guards against clients that go on after a check has failed.
@@ -239,10 +299,16 @@
 #[test]
 fn hundreds_of_changes_lose_no_rpc() {
     let log = Log::new(vec![]);
-    let backends = [("s-1", echo("b1", &log)), ("s-2", echo("b2", &log)), ("s-3", echo("b3", &log))];
+    let backends = [
+        ("s-1", echo("b1", &log)),
+        ("s-2", echo("b2", &log)),
+        ("s-3", echo("b3", &log)),
+    ];
     // Time enough for a machine that stands still for some seconds.
     let mut proxy = Proxy::start(&backends, |config| {
-        methods(&mut config["settings"]).iter_mut().for_each(|m| m["latency-target-ns"] = 15e9.into());
+        methods(&mut config["settings"])
+            .iter_mut()
+            .for_each(|m| m["latency-target-ns"] = 15e9.into());
     });
     let (over, answered) = (Shared::new(false), AtomicUsize::new(0));
     let at = proxy.daemon.at;
@@ -267,28 +333,38 @@
         }
         for n in 1..=300 {
             let settings = &mut proxy.config["settings"];
-            methods(settings).retain(|m| ["read", "book", "log"].contains(&m["name"].as_str().unwrap()));
+            methods(settings)
+                .retain(|m| ["read", "book", "log"].contains(&m["name"].as_str().unwrap()));
             methods(settings).rotate_left(n % 3);
             methods(settings).insert(n % 4, method(&format!("m{n}"), "non_idempotent"));
-            settings["accounts"] =
-                json!([{"name": "x", "quota-per-s": n}, {"name": "acme", "quota-per-s": 1e6 + n as f64}]);
+            settings["accounts"] = json!([{"name": "x", "quota-per-s": n}, {"name": "acme", "quota-per-s": 1e6 + n as f64}]);
             settings["ceilings"]["most-picks"] = (2 + n % 3).into();
             let before = answered.load(Ordering::SeqCst);
             proxy.daemon.reload(&proxy.config.to_string());
             // RPCs and changes by turns, so that each change meets some.
-            eventually(PATIENCE, "no RPC goes on", || answered.load(Ordering::SeqCst) > before);
+            eventually(PATIENCE, "no RPC goes on", || {
+                answered.load(Ordering::SeqCst) > before
+            });
         }
         let conf = birchhub_settings::read_value(&proxy.config["settings"]).expect("settings");
         let digest = format!("digest {:016x}", conf.digest);
         // Not by RPCs: those refused would fill the proxy's sockets, and idle clients give way to them.
         eventually(PATIENCE, "the last change is never in force", || {
             std::thread::sleep(Duration::from_millis(10));
-            proxy.daemon.logged().lines().any(|line| line.contains("in force") && line.contains(&digest))
+            proxy
+                .daemon
+                .logged()
+                .lines()
+                .any(|line| line.contains("in force") && line.contains(&digest))
         });
     });
     assert_eq!(ask(&mut proxy.daemon.client(), "POST", "m300", "last"), 200);
     assert_eq!(ask(&mut proxy.daemon.client(), "POST", "m299", "past"), 404);
-    assert!(!proxy.daemon.logged().contains("panicked"), "{}", proxy.daemon.logged());
+    assert!(
+        !proxy.daemon.logged().contains("panicked"),
+        "{}",
+        proxy.daemon.logged()
+    );
 }
 
 /// What can't be read changes nothing at all, and what says the same changes nothing either.
@@ -311,8 +387,18 @@
             json!("perhaps"),
             "methods[1].idempotency is not known: perhaps",
         ),
-        ("/settings/accounts/0", "quota-per-s", json!("many"), "accounts[0].quota-per-s is not a number"),
-        ("/settings/contract", "drain-grace-ns", Value::Null, "contract.drain-grace-ns is missing"),
+        (
+            "/settings/accounts/0",
+            "quota-per-s",
+            json!("many"),
+            "accounts[0].quota-per-s is not a number",
+        ),
+        (
+            "/settings/contract",
+            "drain-grace-ns",
+            Value::Null,
+            "contract.drain-grace-ns is missing",
+        ),
         ("/settings", "methods", json!({}), "methods is not a list"),
         ("", "settings", Value::Null, "is missing"),
         ("", "seed", Value::Null, "seed is missing"),
@@ -325,21 +411,39 @@
         proxy.daemon.reload(&bad.to_string());
         eventually(PATIENCE, &format!("never told: {named}"), || {
             let logged = proxy.daemon.logged();
-            let told = logged.lines().find(|line| line.contains("stays as it was") && line.contains(named));
+            let told = logged
+                .lines()
+                .find(|line| line.contains("stays as it was") && line.contains(named));
             told.is_some()
         });
         assert_eq!(proxy.stands(), first, "{named}");
-        assert_eq!(ask(&mut proxy.daemon.client(), "GET", "extra", named.split(' ').next().unwrap()), 404);
+        assert_eq!(
+            ask(
+                &mut proxy.daemon.client(),
+                "GET",
+                "extra",
+                named.split(' ').next().unwrap()
+            ),
+            404
+        );
     }
     assert!(!proxy.daemon.logged().contains("SIGHUP: discovery is at"));
     proxy.daemon.reload(&good.to_string());
     proxy.logs("SIGHUP: discovery is at");
     proxy.hup();
     assert_eq!(proxy.stands(), first);
-    assert!(!proxy.daemon.logged().contains("in force"), "{}", proxy.daemon.logged());
-    proxy.change(1, |settings| settings["accounts"][0]["quota-per-s"] = 200.into());
+    assert!(
+        !proxy.daemon.logged().contains("in force"),
+        "{}",
+        proxy.daemon.logged()
+    );
+    proxy.change(1, |settings| {
+        settings["accounts"][0]["quota-per-s"] = 200.into()
+    });
     assert_ne!(proxy.stands()[10..], first[10..], "another digest");
-    proxy.change(2, |settings| settings["accounts"][0]["quota-per-s"] = 100.into());
+    proxy.change(2, |settings| {
+        settings["accounts"][0]["quota-per-s"] = 100.into()
+    });
     assert_eq!(proxy.stands()[10..], first[10..], "the first digest again");
 }
 
@@ -365,20 +469,32 @@
     for turn in 1..=2 {
         proxy.daemon.reload(&proxy.config.to_string());
         let told = format!("these keys take effect at the next start: {keys}");
-        eventually(PATIENCE, "never told", || proxy.daemon.logged().matches(&told).count() == turn);
+        eventually(PATIENCE, "never told", || {
+            proxy.daemon.logged().matches(&told).count() == turn
+        });
         eventually(PATIENCE, "never shown", || {
-            proxy.stands().ends_with(&format!("at the next start: {keys}\n"))
+            proxy
+                .stands()
+                .ends_with(&format!("at the next start: {keys}\n"))
         });
         assert!(proxy.is_at(0), "{}", proxy.stands());
     }
-    assert_eq!(ask(&mut proxy.daemon.client(), "POST", "book", "as-ever"), 200);
+    assert_eq!(
+        ask(&mut proxy.daemon.client(), "POST", "book", "as-ever"),
+        200
+    );
     // Beside what can change.
     proxy.config["watch"] = Value::Null;
-    proxy.change(1, |settings| methods(settings).push(method("extra", "non_idempotent")));
+    proxy.change(1, |settings| {
+        methods(settings).push(method("extra", "non_idempotent"))
+    });
     assert_eq!(ask(&mut proxy.daemon.client(), "POST", "extra", "new"), 200);
     // The list is followed in the way and the zones that it was.
     proxy.daemon.list.tell_heard(&[line("s-1", at, "Ready")]);
-    assert_eq!(ask(&mut proxy.daemon.client(), "POST", "extra", "listed"), 200);
+    assert_eq!(
+        ask(&mut proxy.daemon.client(), "POST", "extra", "listed"),
+        200
+    );
 }
 
 /// The watcher follows what the first instance follows, and ends where it is no longer told.
@@ -392,23 +508,38 @@
     for version in 1..=3 {
         let name = format!("m{version}");
         methods(&mut proxy.config["watch"]).insert(0, method(&name, "non_idempotent"));
-        proxy.change(version, |settings| methods(settings).insert(0, method(&name, "non_idempotent")));
+        proxy.change(version, |settings| {
+            methods(settings).insert(0, method(&name, "non_idempotent"))
+        });
         for n in 0..5 {
             assert_eq!(ask(&mut client, "POST", &name, &format!("{name}-{n}")), 200);
-            assert_eq!(ask(&mut client, "POST", "log", &format!("log-{version}-{n}")), 200);
+            assert_eq!(
+                ask(&mut client, "POST", "log", &format!("log-{version}-{n}")),
+                200
+            );
         }
     }
     proxy.config["watch"] = Value::Null;
     proxy.change(4, |settings| drop(methods(settings).remove(0)));
     proxy.logs("30 RPCs compared");
     assert_eq!(ask(&mut client, "POST", "log", "alone"), 200);
-    assert!(!proxy.daemon.logged().contains("panicked"), "{}", proxy.daemon.logged());
+    assert!(
+        !proxy.daemon.logged().contains("panicked"),
+        "{}",
+        proxy.daemon.logged()
+    );
 }
 
 /// What a process has used of the machine's cores, s.
 fn used(daemon: &Daemon) -> f64 {
-    let text = std::fs::read_to_string(format!("/proc/{}/stat", daemon.child.id())).expect("its figures");
-    let fields: Vec<_> = text.rsplit(") ").next().expect("fields").split(' ').collect();
+    let text =
+        std::fs::read_to_string(format!("/proc/{}/stat", daemon.child.id())).expect("its figures");
+    let fields: Vec<_> = text
+        .rsplit(") ")
+        .next()
+        .expect("fields")
+        .split(' ')
+        .collect();
     let ticks = |n: usize| fields[n].parse::<f64>().expect("ticks");
     (ticks(11) + ticks(12)) / 100.0
 }
@@ -421,12 +552,16 @@
     let log = Log::new(vec![]);
     let mut proxy = Proxy::start(&[("s-1", echo("b1", &log))], |config| {
         let settings = &mut config["settings"];
-        methods(settings).extend((0..2_200).map(|n| method(&format!("route-{n}"), "non_idempotent")));
+        methods(settings)
+            .extend((0..2_200).map(|n| method(&format!("route-{n}"), "non_idempotent")));
         let account = |n| json!({"name": format!("tenant-{n}"), "quota-per-s": 10 + n % 90});
         settings["accounts"] = (0..54_000).map(account).collect();
     });
     let bytes = proxy.config.to_string().len();
-    println!("{bytes} bytes of configuration; {} KiB resident at the start", proxy.daemon.memory() >> 10);
+    println!(
+        "{bytes} bytes of configuration; {} KiB resident at the start",
+        proxy.daemon.memory() >> 10
+    );
     let (over, at) = (Shared::new(false), proxy.daemon.at);
     let mut waits = Vec::new();
     let mut took = std::thread::scope(|threads| {
@@ -435,7 +570,10 @@
             let mut took = Vec::new();
             while !over.change(|over| *over) {
                 let asked = Instant::now();
-                assert_eq!(ask(&mut client, "POST", "book", &format!("l{}", took.len())), 200);
+                assert_eq!(
+                    ask(&mut client, "POST", "book", &format!("l{}", took.len())),
+                    200
+                );
                 took.push(asked.elapsed());
                 std::thread::sleep(Duration::from_millis(1));
             }
@@ -468,7 +606,10 @@
             }
         }
         let spent = used(&proxy.daemon) - from - quiet * changing.elapsed().as_secs_f64();
-        println!("{:.1} ms of a core for each change", spent / CHANGES as f64 * 1e3);
+        println!(
+            "{:.1} ms of a core for each change",
+            spent / CHANGES as f64 * 1e3
+        );
         over.change(|over| *over = true);
         load.join().expect("a client")
     });
@@ -477,8 +618,20 @@
     let (half, last) = (waits[CHANGES / 2], waits[CHANGES - 1]);
     println!("in force {half:.1?} after SIGHUP, at the most {last:.1?}");
     let at = |part: f64| took[((took.len() - 1) as f64 * part) as usize];
-    println!("{} RPCs meanwhile: {:.2?}, {:.2?} of 99, {:.2?}", took.len(), at(0.5), at(0.99), at(1.0));
+    println!(
+        "{} RPCs meanwhile: {:.2?}, {:.2?} of 99, {:.2?}",
+        took.len(),
+        at(0.5),
+        at(0.99),
+        at(1.0)
+    );
     let logged = proxy.daemon.logged();
-    println!("{}", logged.lines().rfind(|line| line.contains("in force after")).expect("a line"));
+    println!(
+        "{}",
+        logged
+            .lines()
+            .rfind(|line| line.contains("in force after"))
+            .expect("a line")
+    );
     assert!(last < Duration::from_secs(8));
 }
--- a/crates/daemon/tests/leaving.rs
+++ b/crates/daemon/tests/leaving.rs
@@ -2,8 +2,8 @@
 #[path = "../../../tests/common/mod.rs"]
 mod common;
 use common::sockets::{
-    Act, Client, Daemon, HEALTH, Log, PATIENCE, Shared, Slow, backend, blind, echo, eventually, gated, line,
-    read_message, reply, rpc,
+    Act, Client, Daemon, HEALTH, Log, PATIENCE, Shared, Slow, backend, blind, echo, eventually,
+    gated, line, read_message, reply, rpc,
 };
 use serde_json::Value;
 use std::collections::HashSet;
@@ -38,7 +38,12 @@
         "first" => {
             open.wait(PATIENCE, |open| *open);
             // Noted as done with once the answer is on its way, at once.
-            Act::Late(reply("200 OK", ""), Log::new(vec![String::new()]), String::new(), b"\r\n".to_vec())
+            Act::Late(
+                reply("200 OK", ""),
+                Log::new(vec![String::new()]),
+                String::new(),
+                b"\r\n".to_vec(),
+            )
         }
         _ => Act::Write(reply("200 OK", "")),
     });
@@ -82,7 +87,11 @@
 /// An address as the machine's list of connections has it.
 fn entry(at: std::io::Result<SocketAddr>) -> String {
     match at.expect("an address") {
-        SocketAddr::V4(at) => format!("{:08X}:{:04X}", u32::from_ne_bytes(at.ip().octets()), at.port()),
+        SocketAddr::V4(at) => format!(
+            "{:08X}:{:04X}",
+            u32::from_ne_bytes(at.ip().octets()),
+            at.port()
+        ),
         SocketAddr::V6(at) => panic!("no such address: {at}"),
     }
 }
@@ -118,7 +127,9 @@
     }
     let _kept = leave(gone, leaves);
     daemon.signal("CONT");
-    eventually(PATIENCE, "clients that left are still held", || daemon.descriptors() <= before);
+    eventually(PATIENCE, "clients that left are still held", || {
+        daemon.descriptors() <= before
+    });
     last.send(&of_key("last"));
     gate.change(|open| *open = true);
     assert_eq!(first.answer().expect("an answer").status(), 200);
@@ -173,13 +184,17 @@
     let (daemon, gate) = behind_a_gate(&log);
     let mut client = daemon.client();
     let body = "x".repeat(500);
-    let all: String =
-        (0..100).map(|n| rpc("POST", "/log", &format!("n{n}"), &format!("{n}{body}"))).collect();
+    let all: String = (0..100)
+        .map(|n| rpc("POST", "/log", &format!("n{n}"), &format!("{n}{body}")))
+        .collect();
     client.send(&of_key("first"));
     log.await_event("b1 got POST /book HTTP/1.1 first");
     client.send(&all);
     gate.change(|open| *open = true);
-    let answers = (0..101).filter_map(|_| client.answer()).filter(|answer| answer.status() == 200).count();
+    let answers = (0..101)
+        .filter_map(|_| client.answer())
+        .filter(|answer| answer.status() == 200)
+        .count();
     assert_eq!((answers, log.count(" /log ")), (101, 100));
 }
 
@@ -197,14 +212,32 @@
     let before = daemon.descriptors();
     let mut client = daemon.client();
     client.send(&message.replace("3000", "60000"));
-    eventually(PATIENCE, "no connection was asked for", || slow.asked() == 1);
-    drop(client);
-    eventually(PATIENCE, "the client, or what was to be sent for it, is still held", || {
-        daemon.descriptors() <= before
+    eventually(PATIENCE, "no connection was asked for", || {
+        slow.asked() == 1
     });
-    daemon.list.tell_heard(&[line("s-1", slow.at, "Terminating"), line("s-2", echo("b2", &log), "Ready")]);
-    assert_eq!(slow.heard_when_let_in(), 0, "sent on for a client that had left");
-    assert_eq!(daemon.client().call(&rpc("POST", "/book", "next", "")).unwrap().status(), 200);
+    drop(client);
+    eventually(
+        PATIENCE,
+        "the client, or what was to be sent for it, is still held",
+        || daemon.descriptors() <= before,
+    );
+    daemon.list.tell_heard(&[
+        line("s-1", slow.at, "Terminating"),
+        line("s-2", echo("b2", &log), "Ready"),
+    ]);
+    assert_eq!(
+        slow.heard_when_let_in(),
+        0,
+        "sent on for a client that had left"
+    );
+    assert_eq!(
+        daemon
+            .client()
+            .call(&rpc("POST", "/book", "next", ""))
+            .unwrap()
+            .status(),
+        200
+    );
 }
 
 /// The proxy stands still while the connections come up and the clients go, in this order. It finds both at once,
@@ -221,7 +254,9 @@
     for (n, client) in gone.iter_mut().enumerate() {
         client.send(&message(n).replace("3000", "60000"));
     }
-    eventually(PATIENCE, "not all asked for a connection", || slow.asked() == clients);
+    eventually(PATIENCE, "not all asked for a connection", || {
+        slow.asked() == clients
+    });
     daemon.signal("STOP");
     let peers = slow.let_in(clients);
     let kept = leave(gone, leaves);
@@ -229,12 +264,26 @@
     daemon.signal("CONT");
     let heard = |mut peer: &socket2::Socket| {
         peer.set_read_timeout(Some(PATIENCE)).expect("a time-out");
-        peer.read(&mut [0]).map_or_else(|e| e.kind() == ErrorKind::WouldBlock, |bytes| bytes > 0)
+        peer.read(&mut [0])
+            .map_or_else(|e| e.kind() == ErrorKind::WouldBlock, |bytes| bytes > 0)
     };
-    assert_eq!(peers.iter().filter(|peer| heard(peer)).count(), 0, "sent on for clients that had left");
+    assert_eq!(
+        peers.iter().filter(|peer| heard(peer)).count(),
+        0,
+        "sent on for clients that had left"
+    );
     drop(kept);
-    daemon.list.tell_heard(&[line("s-2", echo("b2", &log), "Ready")]);
-    assert_eq!(daemon.client().call(&rpc("POST", "/book", "next", "")).unwrap().status(), 200);
+    daemon
+        .list
+        .tell_heard(&[line("s-2", echo("b2", &log), "Ready")]);
+    assert_eq!(
+        daemon
+            .client()
+            .call(&rpc("POST", "/book", "next", ""))
+            .unwrap()
+            .status(),
+        200
+    );
 }
 
 fn gone(n: usize) -> String {
@@ -279,7 +328,8 @@
 #[test]
 fn one_whose_long_body_is_cut_while_the_proxy_stands_still_is_not_sent() {
     let body = "x".repeat(100_000);
-    let half = |_: usize| rpc("POST", "/book", "gone", &body).replace("Length: 100000", "Length: 200000");
+    let half =
+        |_: usize| rpc("POST", "/book", "gone", &body).replace("Length: 100000", "Length: 200000");
     while_it_stands_still(half, &Leaves::Ends, 1);
 }
 
@@ -297,7 +347,9 @@
     let (half, rest) = message.split_at(100_000);
     let mut client = daemon.client();
     client.send(half);
-    eventually(PATIENCE, "no connection was asked for", || slow.asked() == 1);
+    eventually(PATIENCE, "no connection was asked for", || {
+        slow.asked() == 1
+    });
     daemon.signal("STOP");
     let peer = slow.let_in(1).pop().expect("a connection");
     let mut sender = client.stream();
@@ -308,7 +360,9 @@
     peer.set_read_timeout(Some(PATIENCE)).expect("a time-out");
     let got = read_message(&mut BufReader::new(&peer)).expect("the RPC");
     assert!(got.text() == body && sent.join().expect("a sender"));
-    (&peer).write_all(&reply("200 OK", "done")).expect("an answer");
+    (&peer)
+        .write_all(&reply("200 OK", "done"))
+        .expect("an answer");
     assert_eq!(client.answer().expect("an answer").text(), "done");
 }
 
@@ -368,7 +422,12 @@
             return Act::Write(reply("200 OK", ""));
         }
         open.wait(PATIENCE, |open| *open);
-        Act::Late(reply("503 Busy\r\nNot-Started: 1", ""), seen.clone(), "".into(), b"\r\n".to_vec())
+        Act::Late(
+            reply("503 Busy\r\nNot-Started: 1", ""),
+            seen.clone(),
+            "".into(),
+            b"\r\n".to_vec(),
+        )
     });
     let daemon = Daemon::start_with(PROGRAM, &[("s-1", at), ("s-2", echo("b2", &log))], blind);
     daemon.earn_credit();
@@ -378,16 +437,26 @@
         client.send(&rpc("POST", "/book", &format!("gone{n}"), ""));
         log.await_event(&format!("b1 got POST /book HTTP/1.1 gone{n}"));
     }
-    daemon.list.tell_heard(&[line("s-1", at, "Ready"), line("s-2", echo("b2", &log), "Ready")]);
+    daemon.list.tell_heard(&[
+        line("s-1", at, "Ready"),
+        line("s-2", echo("b2", &log), "Ready"),
+    ]);
     daemon.signal("STOP");
     gate.change(|open| *open = true);
     (0..clients).for_each(|n| log.await_event(&format!("b1 done with gone{n}")));
     let kept = leave(gone, leaves);
     sleep(LATE);
     daemon.signal("CONT");
-    let next = daemon.client().call(&rpc("POST", "/book", "next", "")).map(|answer| answer.status());
+    let next = daemon
+        .client()
+        .call(&rpc("POST", "/book", "next", ""))
+        .map(|answer| answer.status());
     assert!(matches!(next, Some(200 | 503)), "{next:?}");
-    assert_eq!(log.count(" gone"), 2 * clients, "sent on for clients that had left"); // got, and done with
+    assert_eq!(
+        log.count(" gone"),
+        2 * clients,
+        "sent on for clients that had left"
+    ); // got, and done with
     drop(kept);
 }
 
@@ -419,8 +488,15 @@
     let kept = leave(gone, leaves);
     sleep(LATE);
     daemon.signal("CONT");
-    eventually(PATIENCE, "clients that left are still held", || daemon.descriptors() <= before);
-    assert_eq!(last.call(&rpc("POST", "/book", "next", "")).unwrap().status(), 200);
+    eventually(PATIENCE, "clients that left are still held", || {
+        daemon.descriptors() <= before
+    });
+    assert_eq!(
+        last.call(&rpc("POST", "/book", "next", ""))
+            .unwrap()
+            .status(),
+        200
+    );
     assert_eq!(log.count(" gone"), 0, "sent on for clients that had left");
     drop(kept);
 }
@@ -475,10 +551,18 @@
     client.send(&rpc("POST", "/book", "same", "").replace("3000", "20000"));
     log.await_event("b1 got POST /book HTTP/1.1 same");
     drop(client);
-    eventually(PATIENCE, "the client is still held", || daemon.descriptors() <= before + 1);
-    let again = |other: &mut Client| other.call(&rpc("POST", "/book", "same", "")).map(|a| a.status());
+    eventually(PATIENCE, "the client is still held", || {
+        daemon.descriptors() <= before + 1
+    });
+    let again = |other: &mut Client| {
+        other
+            .call(&rpc("POST", "/book", "same", ""))
+            .map(|a| a.status())
+    };
     assert_eq!(again(&mut other), Some(409));
     assert_eq!(log.count("same"), 1);
     gate.change(|open| *open = true);
-    eventually(PATIENCE, "the name stays open", || again(&mut daemon.client()) == Some(200));
+    eventually(PATIENCE, "the name stays open", || {
+        again(&mut daemon.client()) == Some(200)
+    });
 }
--- a/crates/daemon/tests/long.rs
+++ b/crates/daemon/tests/long.rs
@@ -16,19 +16,33 @@
 }
 
 fn text(bytes: usize) -> String {
-    (0..bytes).map(|n| char::from(b'a' + (n % 23 + n / 1000 % 3) as u8)).collect()
+    (0..bytes)
+        .map(|n| char::from(b'a' + (n % 23 + n / 1000 % 3) as u8))
+        .collect()
 }
 
 /// The same RPC with its body in chunks, with an extension and a trailer.
 fn chunked(message: &str) -> String {
     let (head, body) = message.split_once("\r\n\r\n").expect("a head");
-    let head: Vec<_> = head.lines().filter(|line| !line.starts_with("Content-Length")).collect();
+    let head: Vec<_> = head
+        .lines()
+        .filter(|line| !line.starts_with("Content-Length"))
+        .collect();
     let chunks: String = body
         .as_bytes()
         .chunks(100_000) // hyper bears 16 KiB of extensions in a body
-        .map(|chunk| format!("{:x};a=\"b\"\r\n{}\r\n", chunk.len(), String::from_utf8_lossy(chunk)))
+        .map(|chunk| {
+            format!(
+                "{:x};a=\"b\"\r\n{}\r\n",
+                chunk.len(),
+                String::from_utf8_lossy(chunk)
+            )
+        })
         .collect();
-    format!("{}\r\nTransfer-Encoding: chunked\r\n\r\n{chunks}0\r\nTrailer: x\r\n\r\n", head.join("\r\n"))
+    format!(
+        "{}\r\nTransfer-Encoding: chunked\r\n\r\n{chunks}0\r\nTrailer: x\r\n\r\n",
+        head.join("\r\n")
+    )
 }
 
 #[test]
@@ -42,7 +56,10 @@
         for message in [chunked(&plain).replace("plain", "chunked"), plain] {
             let answer = client.call(&message).expect("an answer");
             assert_eq!(answer.status(), 200);
-            assert!(answer.text().strip_prefix("b1:") == Some(&body), "{bytes} bytes came back otherwise");
+            assert!(
+                answer.text().strip_prefix("b1:") == Some(&body),
+                "{bytes} bytes came back otherwise"
+            );
         }
     }
 }
@@ -50,7 +67,10 @@
 #[test]
 fn over_the_longest_is_refused() {
     let log = Log::new(vec![]);
-    let daemon = start(&[("s-1", backend("b1", &log, |_| Act::Write(reply("200 OK", ""))))]);
+    let daemon = start(&[(
+        "s-1",
+        backend("b1", &log, |_| Act::Write(reply("200 OK", ""))),
+    )]);
     let body = text((32 << 20) + 1);
     let message = chunked(&rpc("POST", "/log", "chunked", &body));
     let mut client = daemon.client();
@@ -78,7 +98,11 @@
     let body = text(4 << 20);
     let rpcs: Vec<_> = (0..16)
         .map(|n| {
-            let (at, message, bytes) = (daemon.at, rpc("POST", "/log", &format!("n{n}"), &body), body.len());
+            let (at, message, bytes) = (
+                daemon.at,
+                rpc("POST", "/log", &format!("n{n}"), &body),
+                body.len(),
+            );
             spawn(move || {
                 let mut client = Client::open(at).expect("a connection");
                 let mut writer = client.stream();
@@ -100,7 +124,10 @@
         most = most.max(daemon.memory());
         sleep(Duration::from_millis(2));
     }
-    assert!(rpcs.into_iter().all(|rpc| rpc.join().expect("a client")), "one was cut off");
+    assert!(
+        rpcs.into_iter().all(|rpc| rpc.join().expect("a client")),
+        "one was cut off"
+    );
     assert!(most <= limit, "{} MiB of memory", most >> 20);
 }
 
@@ -120,12 +147,17 @@
     let answer = client.answer().expect("an answer");
     assert!(answer.status() == 200 && answer.body.len() == 250_003);
     // A head that takes two seconds, a byte at a time, and more of them behind one another.
-    let two = [rpc("POST", "/book", "one", "x"), rpc("POST", "/book", "two", "yz")].concat();
+    let two = [
+        rpc("POST", "/book", "one", "x"),
+        rpc("POST", "/book", "two", "yz"),
+    ]
+    .concat();
     for piece in two.as_bytes().chunks(two.len() / 50) {
         client.send(std::str::from_utf8(piece).expect("text"));
         sleep(Duration::from_millis(40));
     }
-    let answers = [client.answer(), client.answer()].map(|answer| answer.expect("an answer").text());
+    let answers =
+        [client.answer(), client.answer()].map(|answer| answer.expect("an answer").text());
     assert_eq!(answers, ["b1:x", "b1:yz"]);
 }
 
@@ -139,7 +171,9 @@
         } else {
             text(200_000)
         };
-        backend("b1", &log, move |_| Act::Cut([head.as_bytes(), chunk.as_bytes()].concat()))
+        backend("b1", &log, move |_| {
+            Act::Cut([head.as_bytes(), chunk.as_bytes()].concat())
+        })
     };
     for head in ["Content-Length: 300000", "Transfer-Encoding: chunked"] {
         let daemon = start(&[("s-1", cut(head))]);
@@ -168,9 +202,15 @@
     let mut client = daemon.client();
     client.send(&rpc("POST", "/book", "leaves", ""));
     let mut first = [0; 100_000];
-    client.stream().read_exact(&mut first).expect("the first of it");
+    client
+        .stream()
+        .read_exact(&mut first)
+        .expect("the first of it");
     drop(client);
-    assert!(left.wait(PATIENCE, |left| *left), "the backend's connection was never closed");
+    assert!(
+        left.wait(PATIENCE, |left| *left),
+        "the backend's connection was never closed"
+    );
     assert_eq!(log.all().len(), 0);
 }
 
@@ -180,7 +220,10 @@
 fn a_long_request_that_breaks_has_not_run() {
     let log = Log::new(vec![]);
     let breaks = |take: usize| {
-        let (listener, log) = (TcpListener::bind("127.0.0.1:0").expect("a port"), log.clone());
+        let (listener, log) = (
+            TcpListener::bind("127.0.0.1:0").expect("a port"),
+            log.clone(),
+        );
         let at = listener.local_addr().expect("an address");
         spawn(move || {
             for mut stream in listener.incoming().flatten() {
@@ -196,7 +239,11 @@
         let mut writer = client.stream();
         let message = rpc("POST", "/book", "breaks", &text(4 << 20));
         spawn(move || writer.write_all(message.as_bytes()).is_ok());
-        assert_eq!(client.answer().map(|answer| answer.status()), Some(503), "after {take} bytes");
+        assert_eq!(
+            client.answer().map(|answer| answer.status()),
+            Some(503),
+            "after {take} bytes"
+        );
         assert_eq!(log.count(&format!("met {take}")), met);
     }
 }
@@ -215,10 +262,15 @@
     });
     let daemon = start(&[("s-1", at)]);
     let mut client = daemon.client();
-    for (id, body) in
-        [("interim", "interim"), ("ends", "ends with the connection"), ("old", "old"), ("chunks", "chunks")]
-    {
-        let answer = client.call(&rpc("POST", "/book", id, "")).expect("an answer");
+    for (id, body) in [
+        ("interim", "interim"),
+        ("ends", "ends with the connection"),
+        ("old", "old"),
+        ("chunks", "chunks"),
+    ] {
+        let answer = client
+            .call(&rpc("POST", "/book", id, ""))
+            .expect("an answer");
         assert_eq!((answer.status(), answer.text().as_str()), (200, body));
     }
     // Expect: the body is asked for, then sent.
@@ -230,14 +282,23 @@
     assert_eq!(client.call(body).expect("an answer").text(), "body");
     // HTTP/1.0, kept alive where it asks for that.
     let old = rpc("POST", "/book", "old-1", "1.0").replace("HTTP/1.1", "HTTP/1.0");
-    let kept = old.replace("old-1", "old-2").replace("Tenant", "Connection: keep-alive\r\nTenant");
+    let kept = old
+        .replace("old-1", "old-2")
+        .replace("Tenant", "Connection: keep-alive\r\nTenant");
     assert_eq!(client.call(&kept).expect("an answer").text(), "1.0");
     assert_eq!(client.call(&old).expect("an answer").text(), "1.0");
     assert!(client.is_closed());
     // A GET whose body is empty in chunks, and one addressed in full.
     let mut client = daemon.client();
-    let get = rpc("GET", "/read", "get", "").replace("Content-Length: 0", "Transfer-Encoding: chunked");
-    assert_eq!(client.call(&format!("{get}0\r\n\r\n")).expect("an answer").status(), 200);
+    let get =
+        rpc("GET", "/read", "get", "").replace("Content-Length: 0", "Transfer-Encoding: chunked");
+    assert_eq!(
+        client
+            .call(&format!("{get}0\r\n\r\n"))
+            .expect("an answer")
+            .status(),
+        200
+    );
     let full = rpc("GET", "/read", "full", "").replace("GET /read", "GET http://api.internal/read");
     assert_eq!(client.call(&full).expect("an answer").status(), 200);
     log.await_event("b1 got GET /read HTTP/1.1 full");
@@ -252,16 +313,30 @@
     let daemon = Daemon::start_with(PROGRAM, &[("s-1", at)], few);
     let mut slow: Vec<_> = (0..5).map(|_| daemon.client()).collect();
     for (n, client) in slow.iter_mut().enumerate() {
-        (0..3).for_each(|m| assert!(client.send(&rpc("POST", "/book", &format!("slow{n}-{m}"), ""))));
+        (0..3)
+            .for_each(|m| assert!(client.send(&rpc("POST", "/book", &format!("slow{n}-{m}"), ""))));
     }
-    eventually(PATIENCE, "the answers never came", || log.count("slow") >= 5);
+    eventually(PATIENCE, "the answers never came", || {
+        log.count("slow") >= 5
+    });
     let begun = Instant::now();
-    let crowd: Vec<_> = (0..100).filter_map(|_| TcpStream::connect(daemon.at).ok()).collect();
+    let crowd: Vec<_> = (0..100)
+        .filter_map(|_| TcpStream::connect(daemon.at).ok())
+        .collect();
     let mut client = daemon.client();
-    assert_eq!(client.call(&rpc("POST", "/book", "prompt", "")).expect("an answer").status(), 200);
+    assert_eq!(
+        client
+            .call(&rpc("POST", "/book", "prompt", ""))
+            .expect("an answer")
+            .status(),
+        200
+    );
     assert!(begun.elapsed() < Duration::from_secs(2));
     for client in &mut slow {
-        assert_eq!(client.answer().map(|answer| answer.body.len()), Some(60_000));
+        assert_eq!(
+            client.answer().map(|answer| answer.body.len()),
+            Some(60_000)
+        );
     }
     drop(crowd);
 }
--- a/crates/daemon/tests/rehearsals.rs
+++ b/crates/daemon/tests/rehearsals.rs
@@ -57,13 +57,23 @@
     let text = format!("name = \"{name}\"\n{DEPLOYMENT}\n{troubles}");
     let scenario = Scenario::read(name, &text).expect("a scenario");
     let plan = Plan::draw(&scenario, 11, name, &text).expect("a plan");
-    let out = std::env::temp_dir().join(format!("birchhubd-rehearsal-{}-{name}", std::process::id()));
+    let out =
+        std::env::temp_dir().join(format!("birchhubd-rehearsal-{}-{name}", std::process::id()));
     let program = env!("CARGO_BIN_EXE_birchhubd").into();
-    let options = Options { seed: 11, out: out.clone(), program, progress: false };
+    let options = Options {
+        seed: 11,
+        out: out.clone(),
+        program,
+        progress: false,
+    };
     let report = rehearse(&scenario, &plan, &options).expect("a report");
     assert_eq!(report.verdict, Verdict::Pass, "{}", report.text());
     let counts = &report.findings.counts;
-    assert!(counts.ok > counts.rpcs / 2, "hardly anything was served: {}", report.text());
+    assert!(
+        counts.ok > counts.rpcs / 2,
+        "hardly anything was served: {}",
+        report.text()
+    );
     let _ = std::fs::remove_dir_all(out);
     report
 }
@@ -100,7 +110,10 @@
 nodes = { zone = "a", without = "stall" }
 "#,
     );
-    assert_eq!((report.findings.cold.len(), report.findings.counts.fallen), (4, 0));
+    assert_eq!(
+        (report.findings.cold.len(), report.findings.counts.fallen),
+        (4, 0)
+    );
 }
 
 /// A zone dies and comes back cold at once, and a proxy is killed with RPCs out: none pushed over, no second run.
@@ -133,6 +146,17 @@
 "#,
     );
     let counts = &report.findings.counts;
-    assert_eq!((report.findings.cold.len(), counts.fallen, counts.double_runs), (4, 0, 0));
-    assert!(counts.unreachable > 0, "nobody met the proxy that was gone: {}", report.text());
+    assert_eq!(
+        (
+            report.findings.cold.len(),
+            counts.fallen,
+            counts.double_runs
+        ),
+        (4, 0, 0)
+    );
+    assert!(
+        counts.unreachable > 0,
+        "nobody met the proxy that was gone: {}",
+        report.text()
+    );
 }
--- a/crates/daemon/tests/replacing.rs
+++ b/crates/daemon/tests/replacing.rs
@@ -44,9 +44,20 @@
         let folder = std::env::temp_dir().join(format!("birchhubd-{test}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder");
         let list = List::start();
-        list.tell(&backends.iter().map(|(uid, at)| line(uid, *at, "Ready")).collect::<Vec<_>>());
+        list.tell(
+            &backends
+                .iter()
+                .map(|(uid, at)| line(uid, *at, "Ready"))
+                .collect::<Vec<_>>(),
+        );
         let socket = TcpListener::bind("127.0.0.1:0").expect("a socket");
-        Self { socket, list, backends: backends.to_vec(), folder, sockets: 1024 }
+        Self {
+            socket,
+            list,
+            backends: backends.to_vec(),
+            folder,
+            sockets: 1024,
+        }
     }
 
     fn at(&self) -> SocketAddr {
@@ -57,14 +68,20 @@
     fn start(&self) -> Process {
         let process = self.spawn(|_| {});
         eventually(PATIENCE, "never yes", || {
-            process.call("GET /status").is_some_and(|(status, _)| status == 200)
+            process
+                .call("GET /status")
+                .is_some_and(|(status, _)| status == 200)
         });
         process
     }
 
     fn spawn(&self, change: impl FnOnce(&mut Value)) -> Process {
         let management = free();
-        let known: Vec<_> = self.backends.iter().map(|(uid, at)| line(uid, *at, "Ready")).collect();
+        let known: Vec<_> = self
+            .backends
+            .iter()
+            .map(|(uid, at)| line(uid, *at, "Ready"))
+            .collect();
         let mut config = config(self.at(), self.list.at, &known);
         blind(&mut config);
         config["management"] = management.to_string().into();
@@ -72,12 +89,23 @@
         change(&mut config);
         let file = self.folder.join(format!("{management}.json"));
         std::fs::write(&file, config.to_string()).expect("a file");
-        let log = std::fs::File::create(self.folder.join(format!("{management}.log"))).expect("a file");
+        let log =
+            std::fs::File::create(self.folder.join(format!("{management}.log"))).expect("a file");
         let mut start = Command::new("sh");
         start.args(["-c", &format!("exec 7<&0 </dev/null; exec {PROGRAM}")]);
-        start.env("LB_CONFIG", file).env("TMPDIR", &self.folder).env("LB_PASSED_SOCKET", "7");
-        start.stdin(OwnedFd::from(self.socket.try_clone().expect("a second handle"))).stderr(log);
-        Process { child: start.spawn().expect("birchhubd"), management }
+        start
+            .env("LB_CONFIG", file)
+            .env("TMPDIR", &self.folder)
+            .env("LB_PASSED_SOCKET", "7");
+        start
+            .stdin(OwnedFd::from(
+                self.socket.try_clone().expect("a second handle"),
+            ))
+            .stderr(log);
+        Process {
+            child: start.spawn().expect("birchhubd"),
+            management,
+        }
     }
 
     fn client(&self) -> Client {
@@ -86,13 +114,16 @@
 
     /// The status of one RPC on a new connection.
     fn ask(&self, id: &str) -> u16 {
-        self.client().call(&rpc("POST", "/book", id, "")).map_or(0, |answer| answer.status())
+        self.client()
+            .call(&rpc("POST", "/book", id, ""))
+            .map_or(0, |answer| answer.status())
     }
 }
 
 impl Process {
     fn call(&self, call: &str) -> Option<(u16, String)> {
-        let answer = Client::open(self.management)?.call(&format!("{call} HTTP/1.1\r\nHost: m\r\n\r\n"))?;
+        let answer =
+            Client::open(self.management)?.call(&format!("{call} HTTP/1.1\r\nHost: m\r\n\r\n"))?;
         Some((answer.status(), answer.text()))
     }
 
@@ -102,11 +133,19 @@
 
     fn term(&self) {
         let kill = format!("kill -TERM {}", self.child.id());
-        assert!(Command::new("sh").args(["-c", &kill]).status().expect("a shell").success());
+        assert!(
+            Command::new("sh")
+                .args(["-c", &kill])
+                .status()
+                .expect("a shell")
+                .success()
+        );
     }
 
     fn descriptors(&self) -> usize {
-        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("its descriptors").count()
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id()))
+            .expect("its descriptors")
+            .count()
     }
 }
 
@@ -117,8 +156,11 @@
     let platform = Platform::new("nothing", &[("s-1", echo("b1", &log))]);
     let mut old = platform.start();
     let mut open: Vec<_> = (0..20).map(|_| platform.client()).collect();
-    let call =
-        |client: &mut Client, id: String| client.call(&rpc("POST", "/book", &id, "")).expect("an answer");
+    let call = |client: &mut Client, id: String| {
+        client
+            .call(&rpc("POST", "/book", &id, ""))
+            .expect("an answer")
+    };
     for (n, client) in open.iter_mut().enumerate() {
         assert_eq!(call(client, format!("before{n}")).status(), 200);
     }
@@ -128,7 +170,10 @@
     eventually(PATIENCE, "SIGTERM was never heard", || {
         old.call("GET /status").is_none_or(|told| told.0 == 503)
     });
-    assert_eq!(platform.client().call(HEALTH).expect("an answer").status(), 200);
+    assert_eq!(
+        platform.client().call(HEALTH).expect("an answer").status(),
+        200
+    );
     let mut last = 0;
     for (n, client) in open.iter_mut().enumerate() {
         // Those that the old process holds end with their answer; those of the new one stay.
@@ -140,7 +185,11 @@
     assert!((0..50).all(|n| platform.ask(&format!("new{n}")) == 200));
     assert!(old.child.wait().expect("its end").success());
     assert!(new.child.try_wait().expect("its state").is_none());
-    assert_eq!(platform.ask("alone"), 200, "the socket outlives the old process");
+    assert_eq!(
+        platform.ask("alone"),
+        200,
+        "the socket outlives the old process"
+    );
 }
 
 /// SIGTERM to the old process while the new one still starts, whether that comes up, dies or is ended too: for half a second
@@ -172,7 +221,9 @@
     old.term();
     new.term();
     let ends = |process: &Process| process.call("GET /status").is_none_or(|told| told.0 == 503);
-    eventually(PATIENCE, "SIGTERM was never heard", || ends(&old) && ends(&new));
+    eventually(PATIENCE, "SIGTERM was never heard", || {
+        ends(&old) && ends(&new)
+    });
     std::thread::sleep(Duration::from_millis(150)); // both have looked at each other since
     assert!((0..5).all(|n| platform.ask(&format!("n{n}")) == 200));
     assert!(old.child.wait().expect("its end").success());
@@ -183,15 +234,26 @@
 #[test]
 fn orders_pass_to_the_other_process() {
     let log = Log::new(vec![]);
-    let platform = Platform::new("orders", &[("s-1", echo("b1", &log)), ("s-2", echo("b2", &log))]);
+    let platform = Platform::new(
+        "orders",
+        &[("s-1", echo("b1", &log)), ("s-2", echo("b2", &log))],
+    );
     let old = platform.start();
-    assert_eq!(old.says("POST /maintenance/enter?member=s-1"), "s-1 is banned\n");
+    assert_eq!(
+        old.says("POST /maintenance/enter?member=s-1"),
+        "s-1 is banned\n"
+    );
     let new = platform.start();
-    assert!(new.says("GET /status").contains("1 members banned"), "it holds from the start");
+    assert!(
+        new.says("GET /status").contains("1 members banned"),
+        "it holds from the start"
+    );
     assert!((0..40).all(|n| platform.ask(&format!("banned{n}")) == 200));
     assert_eq!(log.count("b1 got"), 0);
     let hears = |process: &Process, what: &str| {
-        eventually(Duration::from_secs(1), what, || process.says("GET /status").contains(what));
+        eventually(Duration::from_secs(1), what, || {
+            process.says("GET /status").contains(what)
+        });
     };
     new.says("POST /maintenance/enter?member=s-2");
     hears(&old, "2 members");
@@ -200,7 +262,10 @@
     hears(&new, "1 members");
     new.says("POST /standby");
     hears(&old, "on standby");
-    assert_eq!(platform.client().call(HEALTH).expect("an answer").status(), 503);
+    assert_eq!(
+        platform.client().call(HEALTH).expect("an answer").status(),
+        503
+    );
     old.term();
     hears(&new, "0 other");
     assert_eq!(new.says("POST /active"), "active, health says yes\n");
@@ -227,7 +292,9 @@
     let old = platform.start();
     let crowd = |_| Some(platform.client());
     let mut clients: Vec<_> = (0..300).filter_map(crowd).collect();
-    eventually(PATIENCE, "the crowd never came in", || old.descriptors() > 70);
+    eventually(PATIENCE, "the crowd never came in", || {
+        old.descriptors() > 70
+    });
     let new = platform.start();
     clients.extend((0..300).filter_map(crowd));
     for n in 0..20 {
@@ -263,10 +330,17 @@
     ];
     for (name, stdin) in cases {
         let mut start = Command::new(PROGRAM);
-        start.env("LB_CONFIG", &file).env("LB_PASSED_SOCKET", name).stdin(stdin);
+        start
+            .env("LB_CONFIG", &file)
+            .env("LB_PASSED_SOCKET", name)
+            .stdin(stdin);
         let output = start.output().expect("birchhubd");
         let fault = String::from_utf8_lossy(&output.stderr);
-        assert_eq!((output.status.code(), fault.lines().count()), (Some(2), 1), "{name}: {fault}");
+        assert_eq!(
+            (output.status.code(), fault.lines().count()),
+            (Some(2), 1),
+            "{name}: {fault}"
+        );
         assert!(fault.contains("LB_PASSED_SOCKET"), "{fault}");
     }
 }
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -40,11 +40,19 @@
         ("", "failure-domains", gone()),
         ("", "my-zone", json!("elsewhere")),
         ("", "report", gone()),
-        ("", "report", json!({"how": "answers", "fields": ["err_ps", "of_their_own"]})),
+        (
+            "",
+            "report",
+            json!({"how": "answers", "fields": ["err_ps", "of_their_own"]}),
+        ),
         ("", "report", json!({"how": "by_pigeon"})),
         ("", "membership-mode", gone()),
         ("", "accounts", json!([{"name": "acme", "quota-per-s": 0}])),
-        ("", "accounts", json!([{"name": "acme", "quota-per-s": 1e300}])),
+        (
+            "",
+            "accounts",
+            json!([{"name": "acme", "quota-per-s": 1e300}]),
+        ),
         ("", "balancers", json!(0)),
         ("", "further", json!({"unknown": [1, 2, 3]})),
     ]
@@ -60,19 +68,27 @@
             config["settings"].pointer_mut(place).expect("a place")[key] = value.clone();
         });
         let mut client = daemon.client();
-        for (n, (verb, method)) in
-            [("GET", "read"), ("POST", "book"), ("POST", "log")].into_iter().enumerate()
+        for (n, (verb, method)) in [("GET", "read"), ("POST", "book"), ("POST", "log")]
+            .into_iter()
+            .enumerate()
         {
             let answer = client.call(&rpc(verb, &format!("/{method}"), &format!("n{n}"), ""));
             // One of no utility may be turned away; none is left without a word.
             let status = answer.map(|answer| answer.status());
-            assert!(matches!(status, Some(200 | 503)), "{place}/{key} = {value}: {method} {status:?}");
+            assert!(
+                matches!(status, Some(200 | 503)),
+                "{place}/{key} = {value}: {method} {status:?}"
+            );
             assert!(
                 status == Some(200) || key == "utility" || key == "accounts",
                 "{place}/{key} = {value}: {method}"
             );
         }
-        assert!(!daemon.logged().contains("panicked"), "{place}/{key} = {value}: {}", daemon.logged());
+        assert!(
+            !daemon.logged().contains("panicked"),
+            "{place}/{key} = {value}: {}",
+            daemon.logged()
+        );
     }
 }
 
@@ -82,21 +98,68 @@
     std::fs::create_dir_all(&folder).expect("a folder");
     let file = folder.join("config.json");
     for (place, key, value, named) in [
-        ("/ceilings", "connect-timeout-ns", json!("250ms"), "ceilings.connect-timeout-ns"),
-        ("/ceilings", "conn-idle-ns", json!(-1), "ceilings.conn-idle-ns"),
-        ("/contract", "ask-within-ns", json!([]), "contract.ask-within-ns"),
-        ("/contract", "drain-grace-ns", Value::Null, "contract.drain-grace-ns"),
-        ("/methods/1", "hard-limit-ns", json!("3s"), "methods[1].hard-limit-ns"),
-        ("/methods/1", "idempotency", json!("perhaps"), "methods[1].idempotency"),
-        ("/methods/2", "window-ns", Value::Null, "methods[2].window-ns"),
-        ("/methods/2", "dedup-scope", json!("planet"), "methods[2].dedup-scope"),
+        (
+            "/ceilings",
+            "connect-timeout-ns",
+            json!("250ms"),
+            "ceilings.connect-timeout-ns",
+        ),
+        (
+            "/ceilings",
+            "conn-idle-ns",
+            json!(-1),
+            "ceilings.conn-idle-ns",
+        ),
+        (
+            "/contract",
+            "ask-within-ns",
+            json!([]),
+            "contract.ask-within-ns",
+        ),
+        (
+            "/contract",
+            "drain-grace-ns",
+            Value::Null,
+            "contract.drain-grace-ns",
+        ),
+        (
+            "/methods/1",
+            "hard-limit-ns",
+            json!("3s"),
+            "methods[1].hard-limit-ns",
+        ),
+        (
+            "/methods/1",
+            "idempotency",
+            json!("perhaps"),
+            "methods[1].idempotency",
+        ),
+        (
+            "/methods/2",
+            "window-ns",
+            Value::Null,
+            "methods[2].window-ns",
+        ),
+        (
+            "/methods/2",
+            "dedup-scope",
+            json!("planet"),
+            "methods[2].dedup-scope",
+        ),
     ] {
         let mut config = config(free(), free(), &[line("s-1", free(), "Ready")]);
         config["settings"].pointer_mut(place).expect("a place")[key] = value;
         std::fs::write(&file, config.to_string()).expect("a file");
-        let output = Command::new(PROGRAM).env("LB_CONFIG", &file).output().expect("birchhubd");
+        let output = Command::new(PROGRAM)
+            .env("LB_CONFIG", &file)
+            .output()
+            .expect("birchhubd");
         let fault = String::from_utf8_lossy(&output.stderr);
-        assert_eq!((output.status.code(), fault.lines().count()), (Some(2), 1), "{named}: {fault}");
+        assert_eq!(
+            (output.status.code(), fault.lines().count()),
+            (Some(2), 1),
+            "{named}: {fault}"
+        );
         assert!(fault.contains(named), "{named}: {fault}");
     }
     std::fs::remove_dir_all(&folder).expect("the folder");
--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -2,8 +2,8 @@
 #[path = "../../../tests/common/mod.rs"]
 mod common;
 use common::sockets::{
-    Act, Client, Daemon, HEALTH, List, Log, Message, PATIENCE, Shared, Slow, backend, blind, config, echo,
-    eventually, free, gated, line, reply, rpc,
+    Act, Client, Daemon, HEALTH, List, Log, Message, PATIENCE, Shared, Slow, backend, blind,
+    config, echo, eventually, free, gated, line, reply, rpc,
 };
 use serde_json::{Value, json};
 use std::net::{SocketAddr, TcpListener};
@@ -22,9 +22,17 @@
     let mut client = daemon.client();
     for (n, (method, verb)) in KINDS.iter().enumerate() {
         let body = if *verb == "POST" { "x\0y" } else { "" };
-        let answer = client.call(&rpc(verb, &format!("/{method}/7?a=%20b"), &format!("id{n}"), body));
+        let answer = client.call(&rpc(
+            verb,
+            &format!("/{method}/7?a=%20b"),
+            &format!("id{n}"),
+            body,
+        ));
         let answer = answer.expect("an answer");
-        assert_eq!((answer.status(), answer.text()), (200, format!("b1:{body}")));
+        assert_eq!(
+            (answer.status(), answer.text()),
+            (200, format!("b1:{body}"))
+        );
         log.await_event(&format!("b1 got {verb} /{method}/7?a=%20b HTTP/1.1 id{n}"));
     }
 }
@@ -34,11 +42,22 @@
     let log = Log::new(vec![]);
     let noted = log.clone();
     let at = backend("b1", &log, move |m| {
-        noted.note(format!("{} {}", m.header("idempotency-key"), m.header("request-timeout-ms").len()));
+        noted.note(format!(
+            "{} {}",
+            m.header("idempotency-key"),
+            m.header("request-timeout-ms").len()
+        ));
         Act::Write(reply("200 OK", ""))
     });
     let daemon = Daemon::start(PROGRAM, &[("s-1", at)]);
-    assert_eq!(daemon.client().call(&rpc("POST", "/log", "id", "b")).unwrap().status(), 200);
+    assert_eq!(
+        daemon
+            .client()
+            .call(&rpc("POST", "/log", "id", "b"))
+            .unwrap()
+            .status(),
+        200
+    );
     log.await_event("k1 4");
 }
 
@@ -51,7 +70,11 @@
         let first = first.clone();
         backend(name, &log, move |m| {
             let cut = m.header("request-id").starts_with("cut") && first.change(std::mem::take);
-            if cut { Act::Cut(vec![]) } else { Act::Write(reply("200 OK", name)) }
+            if cut {
+                Act::Cut(vec![])
+            } else {
+                Act::Write(reply("200 OK", name))
+            }
         })
     };
     let daemon = Daemon::start(PROGRAM, &[("s-1", bad("b1")), ("s-2", bad("b2"))]);
@@ -61,7 +84,10 @@
         first.change(|f| *f = true);
         let id = format!("cut-{method}");
         assert_eq!(
-            client.call(&rpc(verb, &format!("/{method}"), &id, "")).unwrap().status(),
+            client
+                .call(&rpc(verb, &format!("/{method}"), &id, ""))
+                .unwrap()
+                .status(),
             status,
             "{method}"
         );
@@ -78,10 +104,18 @@
     let daemon = Daemon::start_with(PROGRAM, &[("s-1", good)], blind);
     daemon.earn_credit();
     let dead = [line("s-2", free(), "Ready"), line("s-3", free(), "Ready")];
-    daemon.list.tell_heard(&[&dead[..], &[line("s-1", good, "Ready")]].concat());
+    daemon
+        .list
+        .tell_heard(&[&dead[..], &[line("s-1", good, "Ready")]].concat());
     let mut client = daemon.client();
     for n in 0..20 {
-        assert_eq!(client.call(&rpc("POST", "/book", &format!("n{n}"), "")).unwrap().status(), 200);
+        assert_eq!(
+            client
+                .call(&rpc("POST", "/book", &format!("n{n}"), ""))
+                .unwrap()
+                .status(),
+            200
+        );
     }
     assert_eq!(log.count(" /book "), 20);
 }
@@ -97,9 +131,19 @@
     assert_eq!(client.call(HEALTH).unwrap().status(), 200);
     let before = daemon.descriptors();
     for n in 0..5 {
-        assert_eq!(client.call(&rpc("POST", "/book", &format!("n{n}"), "")).unwrap().status(), 200);
+        assert_eq!(
+            client
+                .call(&rpc("POST", "/book", &format!("n{n}"), ""))
+                .unwrap()
+                .status(),
+            200
+        );
         let given_back = || daemon.descriptors() <= before;
-        eventually(Duration::from_secs(5), "the closed connection is still held", given_back);
+        eventually(
+            Duration::from_secs(5),
+            "the closed connection is still held",
+            given_back,
+        );
     }
 }
 
@@ -111,14 +155,23 @@
     let at = backend("b1", &log, move |m| {
         let idle = last.change(|last| std::mem::replace(last, Instant::now()).elapsed());
         let lost = m.before > 0 && idle > Duration::from_millis(150);
-        if lost { Act::Cut(vec![]) } else { Act::Write(reply("200 OK", "")) }
+        if lost {
+            Act::Cut(vec![])
+        } else {
+            Act::Write(reply("200 OK", ""))
+        }
     });
     let daemon = Daemon::start_with(PROGRAM, &[("s-1", at)], blind);
     let mut client = daemon.client();
     let mut lost = 0;
     for n in 0..6 {
-        lost +=
-            usize::from(client.call(&rpc("POST", "/book", &format!("n{n}"), "")).unwrap().status() != 200);
+        lost += usize::from(
+            client
+                .call(&rpc("POST", "/book", &format!("n{n}"), ""))
+                .unwrap()
+                .status()
+                != 200,
+        );
         std::thread::sleep(Duration::from_millis(250));
     }
     assert_eq!(lost, 1);
@@ -138,17 +191,38 @@
     let mut client = daemon.client();
     for id in ["garbage", "half", "error", "refuses"] {
         // Only the module's word makes a 429 or 503, and it may not push back what may have run.
-        assert_eq!(client.call(&rpc("POST", "/book", id, "")).unwrap().status(), 502, "{id}");
+        assert_eq!(
+            client.call(&rpc("POST", "/book", id, "")).unwrap().status(),
+            502,
+            "{id}"
+        );
     }
-    assert_eq!(client.call(&rpc("POST", "/book", "good", "")).unwrap().body.len(), 64 << 10);
+    assert_eq!(
+        client
+            .call(&rpc("POST", "/book", "good", ""))
+            .unwrap()
+            .body
+            .len(),
+        64 << 10
+    );
 }
 
 #[test]
 fn what_never_started_is_pushed_back() {
     let log = Log::new(vec![]);
     let full = b"HTTP/1.1 503 Full\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n";
-    let daemon = Daemon::start(PROGRAM, &[("s-1", backend("b1", &log, |_| Act::Write(full.to_vec())))]);
-    assert_eq!(daemon.client().call(&rpc("POST", "/book", "id", "")).unwrap().status(), 503);
+    let daemon = Daemon::start(
+        PROGRAM,
+        &[("s-1", backend("b1", &log, |_| Act::Write(full.to_vec())))],
+    );
+    assert_eq!(
+        daemon
+            .client()
+            .call(&rpc("POST", "/book", "id", ""))
+            .unwrap()
+            .status(),
+        503
+    );
 }
 
 /// A pick that is given up ends its connection, and its RPC is answered before the client's patience ends.
@@ -160,15 +234,24 @@
     let message = rpc("POST", "/book", "slow", "").replace("3000", "400");
     assert_eq!(client.call(&message).unwrap().status(), 502);
     log.await_event("b1 closed slow");
-    assert_eq!(client.call(HEALTH).unwrap().status(), 200, "the client stays");
+    assert_eq!(
+        client.call(HEALTH).unwrap().status(),
+        200,
+        "the client stays"
+    );
 }
 
 #[test]
 fn a_hang_up_ends_the_pick() {
     let log = Log::new(vec![]);
     // The pick would be waited for longer than the test waits.
-    let long = |config: &mut Value| config["settings"]["methods"][0]["latency-target-ns"] = 60e9.into();
-    let daemon = Daemon::start_with(PROGRAM, &[("s-1", backend("b1", &log, |_| Act::Hang))], long);
+    let long =
+        |config: &mut Value| config["settings"]["methods"][0]["latency-target-ns"] = 60e9.into();
+    let daemon = Daemon::start_with(
+        PROGRAM,
+        &[("s-1", backend("b1", &log, |_| Act::Hang))],
+        long,
+    );
     let mut client = daemon.client();
     client.send(&rpc("GET", "/read", "gone", "").replace("3000", "60000"));
     log.await_event("b1 got GET /read HTTP/1.1 gone");
@@ -189,12 +272,22 @@
     };
     let daemon = Daemon::start_with(PROGRAM, &[("s-1", good)], long);
     daemon.earn_credit();
-    daemon.list.tell_heard(&[line("s-1", good, "Terminating"), line("s-2", slow.at, "Ready")]);
+    daemon.list.tell_heard(&[
+        line("s-1", good, "Terminating"),
+        line("s-2", slow.at, "Ready"),
+    ]);
     let mut client = daemon.client();
     client.send(&rpc("POST", "/book", "waits", "").replace("3000", "60000"));
     std::thread::sleep(Duration::from_millis(300)); // the pick is on its way, or the RPC goes the easy way
-    assert_eq!(log.count("waits"), 0, "the draining backend gets nothing new");
-    daemon.list.tell(&[line("s-1", good, "Ready"), line("s-2", slow.at, "Terminating")]);
+    assert_eq!(
+        log.count("waits"),
+        0,
+        "the draining backend gets nothing new"
+    );
+    daemon.list.tell(&[
+        line("s-1", good, "Ready"),
+        line("s-2", slow.at, "Terminating"),
+    ]);
     assert_eq!(client.answer().unwrap().text(), "b1:");
 }
 
@@ -207,12 +300,28 @@
     let mut client = daemon.client();
     client.send(&rpc("POST", "/book", "before", ""));
     log.await_event("b1 got POST /book HTTP/1.1 before");
-    daemon.list.tell_heard(&[line("s-1", echo("b2", &log), "Ready")]);
+    daemon
+        .list
+        .tell_heard(&[line("s-1", echo("b2", &log), "Ready")]);
     gate.change(|open| *open = true);
     assert_eq!(client.answer().unwrap().text(), "old");
-    assert_eq!(client.call(&rpc("POST", "/book", "after", "")).unwrap().text(), "b2:");
-    daemon.list.tell_heard(&[line("s-1", echo("b3", &log), "Ready")]);
-    assert_eq!(client.call(&rpc("POST", "/book", "idle", "")).unwrap().text(), "b3:");
+    assert_eq!(
+        client
+            .call(&rpc("POST", "/book", "after", ""))
+            .unwrap()
+            .text(),
+        "b2:"
+    );
+    daemon
+        .list
+        .tell_heard(&[line("s-1", echo("b3", &log), "Ready")]);
+    assert_eq!(
+        client
+            .call(&rpc("POST", "/book", "idle", ""))
+            .unwrap()
+            .text(),
+        "b3:"
+    );
 }
 
 #[test]
@@ -220,10 +329,23 @@
     let log = Log::new(vec![]);
     let mut daemon = Daemon::start(PROGRAM, &[("s-1", echo("b1", &log))]);
     let mut client = daemon.client();
-    assert_eq!(client.call(&rpc("GET", "/read", "first", "")).unwrap().status(), 200);
+    assert_eq!(
+        client
+            .call(&rpc("GET", "/read", "first", ""))
+            .unwrap()
+            .status(),
+        200
+    );
     daemon.restart(PROGRAM);
     assert!(client.is_closed());
-    assert_eq!(daemon.client().call(&rpc("GET", "/read", "again", "")).unwrap().status(), 200);
+    assert_eq!(
+        daemon
+            .client()
+            .call(&rpc("GET", "/read", "again", ""))
+            .unwrap()
+            .status(),
+        200
+    );
 }
 
 #[test]
@@ -249,7 +371,10 @@
     daemon.await_ready(503); // on a new connection
     half.send(&message[message.len() - 2..]);
     let answer = half.answer().expect("an answer");
-    assert_eq!((answer.status(), answer.header("connection")), (200, "close"));
+    assert_eq!(
+        (answer.status(), answer.header("connection")),
+        (200, "close")
+    );
     assert!(idle.is_closed());
     gate.change(|open| *open = true);
     let answer = held.answer().expect("an answer");
@@ -277,7 +402,9 @@
         now = line("s-2", echo(name, &log), "Ready");
         next.tell(std::slice::from_ref(&now));
         daemon.reload(&config(daemon.at, next.at, &[]).to_string());
-        eventually(PATIENCE, "the new list was never heard", || ask(name) == format!("{name}:"));
+        eventually(PATIENCE, "the new list was never heard", || {
+            ask(name) == format!("{name}:")
+        });
         daemon.list.tell(&[line("s-1", old, "Ready")]); // nobody listens there any more
         daemon.list = next;
     }
@@ -307,20 +434,33 @@
     };
     let daemon = Daemon::start_with(PROGRAM, &[("s-1", at)], tight);
     let mut client = daemon.client();
-    assert_eq!(client.call(&rpc("GET", "/read", "before", "")).unwrap().status(), 200);
+    assert_eq!(
+        client
+            .call(&rpc("GET", "/read", "before", ""))
+            .unwrap()
+            .status(),
+        200
+    );
     client.send(&rpc("GET", "/read", "stopped", ""));
     log.await_event("b1 got GET /read HTTP/1.1 stopped");
     daemon.signal("STOP");
     std::thread::sleep(Duration::from_millis(600));
     daemon.signal("CONT");
     client.answer().expect("an answer, whatever it is");
-    assert_eq!(client.call(&rpc("GET", "/read", "after", "")).unwrap().status(), 200);
+    assert_eq!(
+        client
+            .call(&rpc("GET", "/read", "after", ""))
+            .unwrap()
+            .status(),
+        200
+    );
 }
 
 /// A stop while a wake-up falls due loses none: what waits is answered, not left until its deadline.
 #[test]
 fn a_stop_of_the_proxy_loses_no_wake_up() {
-    let tight = |config: &mut Value| config["settings"]["methods"][0]["latency-target-ns"] = 200e6.into();
+    let tight =
+        |config: &mut Value| config["settings"]["methods"][0]["latency-target-ns"] = 200e6.into();
     let daemon = Daemon::start_with(PROGRAM, &[], tight);
     let mut client = daemon.client();
     for n in 0..5 {
@@ -347,8 +487,19 @@
         daemon.memory()
     };
     let (before, after) = (replace(0..8), replace(8..58));
-    assert!(after < before + (25 << 20), "{} MB more for 100,000 that have gone", (after - before) >> 20);
-    assert_eq!(daemon.client().call(&rpc("GET", "/read", "id", "")).unwrap().status(), 200);
+    assert!(
+        after < before + (25 << 20),
+        "{} MB more for 100,000 that have gone",
+        (after - before) >> 20
+    );
+    assert_eq!(
+        daemon
+            .client()
+            .call(&rpc("GET", "/read", "id", ""))
+            .unwrap()
+            .status(),
+        200
+    );
 }
 
 /// A call that meets silence is given up soon, and the next one goes out at once.
@@ -362,7 +513,11 @@
     daemon.list = next;
     let mut client = daemon.client();
     let mut ask = || client.call(&rpc("GET", "/read", "id", "")).unwrap().text() == "b2:";
-    eventually(Duration::from_secs(5), "one lost call, and the list is not heard", &mut ask);
+    eventually(
+        Duration::from_secs(5),
+        "one lost call, and the list is not heard",
+        &mut ask,
+    );
 }
 
 #[test]
@@ -377,9 +532,16 @@
     assert_eq!(ask("down"), "b1:");
     daemon.list.tell_text(Some("{\"rev\": nonsense"));
     assert_eq!(ask("garbage"), "b1:");
-    let odd = [serde_json::json!({"uid": "s-9", "state": "Dreaming"}), serde_json::json!({"state": "Ready"})];
-    daemon.list.tell(&[&odd[..], &[line("s-2", new, "Ready")]].concat());
-    eventually(PATIENCE, "the list came back unseen", || ask("back") == "b2:");
+    let odd = [
+        serde_json::json!({"uid": "s-9", "state": "Dreaming"}),
+        serde_json::json!({"state": "Ready"}),
+    ];
+    daemon
+        .list
+        .tell(&[&odd[..], &[line("s-2", new, "Ready")]].concat());
+    eventually(PATIENCE, "the list came back unseen", || {
+        ask("back") == "b2:"
+    });
 }
 
 /// A list service that never waits must not keep the proxy busy.
@@ -393,7 +555,10 @@
     daemon.list.tell_text(Some(&same.to_string()));
     std::thread::sleep(Duration::from_millis(300));
     let calls = daemon.list.calls.change(|calls| *calls) as u128;
-    assert!(calls <= 4 + begun.elapsed().as_millis() / 20, "{calls} calls");
+    assert!(
+        calls <= 4 + begun.elapsed().as_millis() / 20,
+        "{calls} calls"
+    );
 }
 
 #[test]
@@ -418,9 +583,17 @@
             .call(&rpc("GET", "/read", "late", ""))
             .map(|a| (a.status(), a.header("connection") == "close"))
     };
-    eventually(Duration::from_secs(3), "no word of the spent budget", || told() == Some((503, true)));
+    eventually(
+        Duration::from_secs(3),
+        "no word of the spent budget",
+        || told() == Some((503, true)),
+    );
     gate.change(|open| *open = true);
-    assert!(clients.iter_mut().all(|client| client.answer().is_some_and(|a| a.status() == 200)));
+    assert!(
+        clients
+            .iter_mut()
+            .all(|client| client.answer().is_some_and(|a| a.status() == 200))
+    );
     assert_eq!(told(), Some((200, false)), "an idle connection makes room");
 }
 
@@ -438,13 +611,20 @@
     let mut endless: Vec<_> = (0..10).map(open).collect();
     let mut served = Vec::new();
     // The longest idle goes first: all of them before the later ones of these.
-    eventually(PATIENCE, "heads without end hold on to their sockets", || {
-        let mut client = daemon.client();
-        if client.call(&rpc("GET", "/read", "id", "")).is_some_and(|answer| answer.status() == 200) {
-            served.push(client);
-        }
-        served.len() >= 30
-    });
+    eventually(
+        PATIENCE,
+        "heads without end hold on to their sockets",
+        || {
+            let mut client = daemon.client();
+            if client
+                .call(&rpc("GET", "/read", "id", ""))
+                .is_some_and(|answer| answer.status() == 200)
+            {
+                served.push(client);
+            }
+            served.len() >= 30
+        },
+    );
     assert!(endless.iter_mut().all(Client::is_closed));
 }
 
@@ -460,7 +640,10 @@
         (good.replace("Request-Id: id\r\n", ""), 400),
         (good.replace("Request-Id: id", "Request-Id: "), 400),
         (good.replace("Request-Id: id", "Request-Id: a b"), 400),
-        (good.replace("Request-Id: id", "Request-Id: id\r\nRequest-Id: id2"), 400),
+        (
+            good.replace("Request-Id: id", "Request-Id: id\r\nRequest-Id: id2"),
+            400,
+        ),
         (good.replace("Request-Timeout-Ms: 3000\r\n", ""), 400),
         (good.replace("3000", "soon"), 400),
         (good.replace("3000", "-1"), 400),
@@ -473,28 +656,51 @@
         (good.replace("/read", "/"), 404),
         (framed("Content-Length: 60000000"), 413),
         (good.replace("acme", &"x".repeat((64 << 10) + 1)), 431),
-        (good.replace("Content-Length: 0", "Content-Length: many"), 400),
+        (
+            good.replace("Content-Length: 0", "Content-Length: many"),
+            400,
+        ),
         (framed("Content-Length: -4"), 400),
         (framed("Content-Length: 4\r\nContent-Length: 5"), 400),
         (framed("Transfer-Encoding: gzip"), 400),
         // What may hide another in its body, by either order of the two.
-        (framed("Content-Length: 4\r\nTransfer-Encoding: chunked"), 400),
-        (framed("Transfer-Encoding: chunked\r\nContent-Length: 4"), 400),
+        (
+            framed("Content-Length: 4\r\nTransfer-Encoding: chunked"),
+            400,
+        ),
+        (
+            framed("Transfer-Encoding: chunked\r\nContent-Length: 4"),
+            400,
+        ),
         (framed("Content-Length: 4\r\ncontent-length: 4"), 400),
-        (framed("Transfer-Encoding: chunked\r\ntransfer-encoding: chunked"), 400),
+        (
+            framed("Transfer-Encoding: chunked\r\ntransfer-encoding: chunked"),
+            400,
+        ),
         (framed("Transfer-Encoding: gzip, chunked"), 400),
         (framed("Transfer-Encoding: chunked"), 400), // "half" is no size of a chunk
         ("what?\r\n\r\n".to_owned(), 400),
     ] {
         let mut client = daemon.client();
         let answer = client.call(&message).map(|answer| answer.status());
-        assert_eq!(answer, Some(status), "{}", &message[..message.len().min(200)]);
+        assert_eq!(
+            answer,
+            Some(status),
+            "{}",
+            &message[..message.len().min(200)]
+        );
         assert!(client.is_closed(), "{}", &message[..message.len().min(200)]);
     }
     assert_eq!(log.all(), Vec::<String>::new());
-    let odd = good.replace("acme", "nobody").replace("Tenant", "Further: 1\r\nTenant");
+    let odd = good
+        .replace("acme", "nobody")
+        .replace("Tenant", "Further: 1\r\nTenant");
     let answer = daemon.client().call(&odd).expect("an answer");
-    assert_eq!(answer.status(), 200, "unknown tenants and headers are no error");
+    assert_eq!(
+        answer.status(),
+        200,
+        "unknown tenants and headers are no error"
+    );
 }
 
 /// Whoever does not come to the end of a message is told so or cut off, and soon.
@@ -517,7 +723,11 @@
     }
     assert_eq!(clients[2].answer().map(|answer| answer.status()), Some(408));
     assert!(clients.iter_mut().all(Client::is_closed));
-    assert!(begun.elapsed() < Duration::from_secs(7), "{:?}", begun.elapsed());
+    assert!(
+        begun.elapsed() < Duration::from_secs(7),
+        "{:?}",
+        begun.elapsed()
+    );
     assert_eq!(log.all(), Vec::<String>::new());
 }
 
@@ -527,8 +737,8 @@
     let log = Log::new(vec![]);
     let daemon = Daemon::start(PROGRAM, &[("s-1", echo("b1", &log))]);
     let mut client = daemon.client();
-    let large =
-        rpc("POST", "/book", "id", &"x".repeat(3 << 20)).replace("Length: 3145728", "Length: 40000000");
+    let large = rpc("POST", "/book", "id", &"x".repeat(3 << 20))
+        .replace("Length: 3145728", "Length: 40000000");
     assert!(client.send(&large), "reset while sending");
     assert_eq!(client.answer().map(|answer| answer.status()), Some(413));
 }
@@ -558,25 +768,35 @@
     let daemon = Daemon::start_with(PROGRAM, &[("s-1", at)], blind);
     let mut client = daemon.client();
     for n in 0..20 {
-        let answer = client.call(&rpc("POST", "/book", &format!("n{n}"), &format!("body{n}"))).unwrap();
+        let answer = client
+            .call(&rpc("POST", "/book", &format!("n{n}"), &format!("body{n}")))
+            .unwrap();
         assert_eq!((answer.status(), answer.text()), (200, format!("body{n}")));
     }
     let (seen, noted) = (log.clone(), log.clone());
-    let late = backend("b2", &noted, move |m| match m.header("request-id").strip_prefix("first") {
-        Some(n) => Act::Late(copy(m), seen.clone(), format!("second{n}"), copy(m)),
-        None => Act::Write(copy(m)),
+    let late = backend("b2", &noted, move |m| {
+        match m.header("request-id").strip_prefix("first") {
+            Some(n) => Act::Late(copy(m), seen.clone(), format!("second{n}"), copy(m)),
+            None => Act::Write(copy(m)),
+        }
     });
     daemon.list.tell_heard(&[line("s-2", late, "Ready")]);
     let mut tries = 0..;
     // The second may come too late on a slow machine; the connection of the first is in use again by then.
-    eventually(PATIENCE, "the second went where the first was answered", || {
-        let n = tries.next().expect("one more");
-        let [first, second] = ["first", "second"].map(|name| {
-            let text = format!("{name}{n}");
-            client.call(&rpc("POST", "/book", &text, &text)).is_some_and(|a| a.text() == text)
-        });
-        first && second
-    });
+    eventually(
+        PATIENCE,
+        "the second went where the first was answered",
+        || {
+            let n = tries.next().expect("one more");
+            let [first, second] = ["first", "second"].map(|name| {
+                let text = format!("{name}{n}");
+                client
+                    .call(&rpc("POST", "/book", &text, &text))
+                    .is_some_and(|a| a.text() == text)
+            });
+            first && second
+        },
+    );
 }
 
 #[test]
@@ -610,12 +830,34 @@
         (Some(odd("seed")), "seed"),
         (Some(without("settings")), "settings"),
         (Some(odd("settings")), "settings"),
-        (Some(watching(|watch| watch["ceilings"]["probes"] = 1.into())), "watch.ceilings.probes"),
-        (Some(watching(|watch| watch["report"]["fields"] = "depth".into())), "watch.report.fields"),
-        (Some(watching(|watch| watch["extra"] = json!({"warm-keys": 3}))), "watch.extra.warm-keys"),
-        (Some(watching(|watch| watch["goal"] = json!({"nines-wanted": -2}))), "watch.goal.nines-wanted"),
-        (Some(watching(|watch| watch["methods"][1]["name"] = "sell".into())), "watch.methods"),
-        (Some(watching(|watch| watch["failure-domains"] = json!(["b"]))), "watch.failure-domains"),
+        (
+            Some(watching(|watch| watch["ceilings"]["probes"] = 1.into())),
+            "watch.ceilings.probes",
+        ),
+        (
+            Some(watching(|watch| watch["report"]["fields"] = "depth".into())),
+            "watch.report.fields",
+        ),
+        (
+            Some(watching(|watch| watch["extra"] = json!({"warm-keys": 3}))),
+            "watch.extra.warm-keys",
+        ),
+        (
+            Some(watching(|watch| {
+                watch["goal"] = json!({"nines-wanted": -2})
+            })),
+            "watch.goal.nines-wanted",
+        ),
+        (
+            Some(watching(|watch| {
+                watch["methods"][1]["name"] = "sell".into()
+            })),
+            "watch.methods",
+        ),
+        (
+            Some(watching(|watch| watch["failure-domains"] = json!(["b"]))),
+            "watch.failure-domains",
+        ),
         (Some(odd("watch")), "watch"),
         (Some(good.to_string()), "LB_LISTEN cannot be bound"),
     ] {
@@ -639,10 +881,18 @@
 #[test]
 fn an_unreadable_known_is_waited_out() {
     let log = Log::new(vec![]);
-    for known in [serde_json::json!("odd"), serde_json::json!({"rev": "x"}), serde_json::json!(null)] {
+    for known in [
+        serde_json::json!("odd"),
+        serde_json::json!({"rev": "x"}),
+        serde_json::json!(null),
+    ] {
         let backend = [("s-1", echo("b1", &log))];
-        let daemon = Daemon::start_with(PROGRAM, &backend, |config| config["known"] = known.clone());
-        let answer = daemon.client().call(&rpc("GET", "/read", "id1", "")).expect("an answer");
+        let daemon =
+            Daemon::start_with(PROGRAM, &backend, |config| config["known"] = known.clone());
+        let answer = daemon
+            .client()
+            .call(&rpc("GET", "/read", "id1", ""))
+            .expect("an answer");
         assert_eq!(answer.status(), 200, "started with known {known}");
     }
 }
@@ -651,13 +901,18 @@
 #[test]
 fn answers_are_not_mixed_up() {
     let log = Log::new(vec![]);
-    let daemon = Daemon::start(PROGRAM, &[("s-1", echo("b1", &log)), ("s-2", echo("b2", &log))]);
+    let daemon = Daemon::start(
+        PROGRAM,
+        &[("s-1", echo("b1", &log)), ("s-2", echo("b2", &log))],
+    );
     let at = daemon.at;
     let run = move |c: usize| {
         let mut client = Client::open(at).expect("a connection");
         for n in 0..50 {
             let body = format!("{c}-{n}");
-            let answer = client.call(&rpc("POST", "/log", &format!("id{body}"), &body)).expect("an answer");
+            let answer = client
+                .call(&rpc("POST", "/log", &format!("id{body}"), &body))
+                .expect("an answer");
             assert!(
                 answer.status() != 200 || answer.text().ends_with(&format!(":{body}")),
                 "{}",
@@ -666,7 +921,8 @@
         }
     };
     let all: Vec<_> = (0..8).map(|c| std::thread::spawn(move || run(c))).collect();
-    all.into_iter().for_each(|thread| thread.join().expect("a client without complaint"));
+    all.into_iter()
+        .for_each(|thread| thread.join().expect("a client without complaint"));
 }
 
 /// Sends so many RPCs of each kind in turn, ends the daemon and returns its watcher's last counts.
@@ -674,24 +930,40 @@
     let mut client = daemon.client();
     for n in 0..rpcs {
         let (method, verb) = KINDS[n % KINDS.len()];
-        assert!(client.call(&rpc(verb, &format!("/{method}"), &format!("n{n}"), "")).is_some(), "an answer");
+        assert!(
+            client
+                .call(&rpc(verb, &format!("/{method}"), &format!("n{n}"), ""))
+                .is_some(),
+            "an answer"
+        );
     }
     drop(client);
     daemon.signal("TERM");
     daemon.await_end();
     let log = daemon.logged();
-    let last = log.lines().rev().find(|line| line.contains("ends: ")).expect("the counts at the end");
+    let last = log
+        .lines()
+        .rev()
+        .find(|line| line.contains("ends: "))
+        .expect("the counts at the end");
     last.split_once("ends: ").expect("found").1.to_owned()
 }
 
 /// Two backends that answer, one that fails now and then, and one that nobody listens at.
 fn mixed(log: &Log) -> [(&'static str, SocketAddr); 4] {
-    let faulty = backend("b3", log, |m| match m.header("request-id").as_bytes().last() {
-        Some(b'3') => Act::Cut(vec![]),
-        Some(b'6') => Act::Write(reply("500 No", "")),
-        _ => Act::Write(reply("200 OK", "b3")),
+    let faulty = backend("b3", log, |m| {
+        match m.header("request-id").as_bytes().last() {
+            Some(b'3') => Act::Cut(vec![]),
+            Some(b'6') => Act::Write(reply("500 No", "")),
+            _ => Act::Write(reply("200 OK", "b3")),
+        }
     });
-    [("s-1", echo("b1", log)), ("s-2", echo("b2", log)), ("s-3", faulty), ("s-4", free())]
+    [
+        ("s-1", echo("b1", log)),
+        ("s-2", echo("b2", log)),
+        ("s-3", faulty),
+        ("s-4", free()),
+    ]
 }
 
 #[test]
@@ -705,7 +977,9 @@
         let counts = counts_over(daemon, 300);
         let none = "300 RPCs compared: held 0, picked 0, turned away 0, taken 0, given up 0, tried again 0, \
                     answered otherwise 0; elsewhere 0; ";
-        let probes = counts.strip_prefix(none).unwrap_or_else(|| panic!("{counts}"));
+        let probes = counts
+            .strip_prefix(none)
+            .unwrap_or_else(|| panic!("{counts}"));
         let (sent, would) = probes.split_once(", would be ").expect("probes");
         assert_eq!(sent.strip_prefix("probes "), Some(would), "{counts}");
     }
@@ -721,16 +995,26 @@
         config["watch"]["ceilings"]["probes"] = false.into();
     });
     let counts = counts_over(daemon, 90);
-    assert!(!counts.contains(" picked 0,") && counts.ends_with(", would be 0"), "{counts}");
+    assert!(
+        !counts.contains(" picked 0,") && counts.ends_with(", would be 0"),
+        "{counts}"
+    );
     let before = log.all().len();
     let daemon = Daemon::start_with(PROGRAM, &backends, |config| {
         config["watch"] = config["settings"].clone();
         blind(config);
     });
     let counts = counts_over(daemon, 90);
-    assert!(!counts.contains(" held 0,") && counts.contains("; probes 0, would be "), "{counts}");
+    assert!(
+        !counts.contains(" held 0,") && counts.contains("; probes 0, would be "),
+        "{counts}"
+    );
     assert!(!counts.ends_with("would be 0"), "{counts}");
-    assert_eq!(log.all().len() - before, 90, "one message an RPC and no probe");
+    assert_eq!(
+        log.all().len() - before,
+        90,
+        "one message an RPC and no probe"
+    );
 }
 
 /// Guards against keys that a client names and the proxy reads over: no backend would meet one again.
@@ -739,8 +1023,11 @@
     let log = Log::new(vec![]);
     let names = ["b0", "b1", "b2", "b3", "b4", "b5", "b6", "b7", "b8", "b9"];
     let uids: Vec<_> = names.iter().map(|name| format!("s-{name}")).collect();
-    let backends: Vec<_> =
-        uids.iter().zip(names).map(|(uid, name)| (uid.as_str(), echo(name, &log))).collect();
+    let backends: Vec<_> = uids
+        .iter()
+        .zip(names)
+        .map(|(uid, name)| (uid.as_str(), echo(name, &log)))
+        .collect();
     let daemon = Daemon::start_with(PROGRAM, &backends, |config| {
         config["settings"]["extra"] = json!({"warm-keys": true});
     });
@@ -749,14 +1036,26 @@
         line["pod_group"] = n.into();
         line
     };
-    daemon.list.tell_heard(&backends.iter().enumerate().map(in_its_cell).collect::<Vec<_>>());
+    daemon.list.tell_heard(
+        &backends
+            .iter()
+            .enumerate()
+            .map(in_its_cell)
+            .collect::<Vec<_>>(),
+    );
     let mut client = daemon.client();
     for n in 0..60 {
         let plain = rpc("GET", "/read", &format!("n{n}"), "");
-        let keyed =
-            plain.replacen("\r\n", "\r\nRequest-Info: cost-guess-ns=5000000,entity=0004f4187e9284a5\r\n", 1);
+        let keyed = plain.replacen(
+            "\r\n",
+            "\r\nRequest-Info: cost-guess-ns=5000000,entity=0004f4187e9284a5\r\n",
+            1,
+        );
         assert_eq!(client.call(&keyed).unwrap().status(), 200);
     }
-    let met = names.iter().filter(|name| log.count(&format!("{name} got GET /read")) > 0).count();
+    let met = names
+        .iter()
+        .filter(|name| log.count(&format!("{name} got GET /read")) > 0)
+        .count();
     assert!((1..=3).contains(&met), "{met} of ten backends met the key");
 }
--- a/crates/daemon/tests/starting.rs
+++ b/crates/daemon/tests/starting.rs
@@ -17,7 +17,9 @@
 
 fn lines() -> Vec<Value> {
     let at = |n: u32| SocketAddr::from(([127, 250, (n >> 8) as u8, n as u8], 5000));
-    (0..LINES).map(|n| line(&format!("s-{n}"), at(n), "Ready")).collect()
+    (0..LINES)
+        .map(|n| line(&format!("s-{n}"), at(n), "Ready"))
+        .collect()
 }
 
 /// Works on one call at a time and refuses the rest; a call that waits is none.
@@ -27,7 +29,10 @@
     backend("list", log, move |call: &Message| {
         if call.first.contains("from=2&hold_ms=3") {
             sleep(Duration::from_millis(3400));
-            return Act::Write(reply("200 OK", r#"{"rev": 2, "all": false, "targets": []}"#));
+            return Act::Write(reply(
+                "200 OK",
+                r#"{"rev": 2, "all": false, "targets": []}"#,
+            ));
         }
         if busy.fetch_add(1, Ordering::SeqCst) > 0 {
             busy.fetch_sub(1, Ordering::SeqCst);
@@ -65,10 +70,17 @@
     };
     let starts: Vec<_> = (0..PROCESSES).map(one).collect();
     // None ends before the last is ready.
-    let started: Vec<_> = starts.into_iter().map(|start| start.join().expect("a start")).collect();
+    let started: Vec<_> = starts
+        .into_iter()
+        .map(|start| start.join().expect("a start"))
+        .collect();
     let mut times: Vec<_> = started.iter().map(|(time, _)| *time).collect();
     times.sort();
-    println!("known {}: {times:?}, {} calls", known.is_some(), log.count("list got"));
+    println!(
+        "known {}: {times:?}, {} calls",
+        known.is_some(),
+        log.count("list got")
+    );
     times
 }
 
@@ -101,5 +113,10 @@
         config["discovery"] = service.to_string().into();
         config["known"] = Value::Null;
     });
-    assert_eq!(log.count("list got GET /registry/instances HTTP"), 1, "{}", daemon.logged());
+    assert_eq!(
+        log.count("list got GET /registry/instances HTTP"),
+        1,
+        "{}",
+        daemon.logged()
+    );
 }
--- a/crates/daemon/tests/watches.rs
+++ b/crates/daemon/tests/watches.rs
@@ -5,8 +5,8 @@
 use birchhub_audit::Event;
 use birchhub_rehearsal::{Options, Plan, Scenario, rehearse};
 use common::sockets::{
-    Act, Daemon, Log, Message, PATIENCE, Shared, Slow, backend, blind, config, echo, eventually, line, reply,
-    rpc,
+    Act, Daemon, Log, Message, PATIENCE, Shared, Slow, backend, blind, config, echo, eventually,
+    line, reply, rpc,
 };
 use serde_json::{Value, json};
 use std::net::SocketAddr;
@@ -17,13 +17,21 @@
 const PROGRAM: &str = env!("CARGO_BIN_EXE_birchhubd");
 
 fn told(version: u64, all: bool, lines: &[Value]) -> Act {
-    Act::Write(reply("200 OK", &json!({"rev": version, "all": all, "targets": lines}).to_string()))
+    Act::Write(reply(
+        "200 OK",
+        &json!({"rev": version, "all": all, "targets": lines}).to_string(),
+    ))
 }
 
 /// A list service whose answer to each call is a script's, by the call's number. Notes `list got FIRST-LINE `.
-fn scripted(log: &Log, answer: impl Fn(usize, &Message) -> Act + Send + Sync + 'static) -> SocketAddr {
+fn scripted(
+    log: &Log,
+    answer: impl Fn(usize, &Message) -> Act + Send + Sync + 'static,
+) -> SocketAddr {
     let calls = AtomicUsize::new(0);
-    backend("list", log, move |call| answer(calls.fetch_add(1, Ordering::SeqCst), call))
+    backend("list", log, move |call| {
+        answer(calls.fetch_add(1, Ordering::SeqCst), call)
+    })
 }
 
 fn is_whole(call: &Message) -> bool {
@@ -40,7 +48,14 @@
 /// Whatever comes now goes to the backend that answers as `b2`.
 fn goes_to_the_new_one(daemon: &Daemon) {
     for n in 0..10 {
-        assert_eq!(daemon.client().call(&rpc("POST", "/book", &format!("n{n}"), "")).unwrap().text(), "b2:");
+        assert_eq!(
+            daemon
+                .client()
+                .call(&rpc("POST", "/book", &format!("n{n}"), ""))
+                .unwrap()
+                .text(),
+            "b2:"
+        );
     }
 }
 
@@ -58,7 +73,10 @@
     });
     move_to(&daemon, at, |_| {});
     let asked = |events: &Vec<String>| {
-        events.iter().filter(|e| e.contains("list got") && !e.contains("from=")).count()
+        events
+            .iter()
+            .filter(|e| e.contains("list got") && !e.contains("from="))
+            .count()
     };
     assert!(
         log.wait(PATIENCE, |events| asked(events) == 2),
@@ -96,7 +114,12 @@
 
 #[test]
 fn an_answer_that_is_no_list_is_asked_for_again_at_once() {
-    broken_off(|_| Act::Write(reply("200 OK", "{\"rev\": 2, \"all\": false, \"targets\": [{")));
+    broken_off(|_| {
+        Act::Write(reply(
+            "200 OK",
+            "{\"rev\": 2, \"all\": false, \"targets\": [{",
+        ))
+    });
 }
 
 /// The call after silence shows at once what there is, on another connection, and the next one waits again.
@@ -114,7 +137,8 @@
     log.await_event("list got GET /registry/instances?from=1&hold_ms=3500 HTTP/1.1 ");
     log.await_event("list closed ");
     log.await_event("list got GET /registry/instances?from=1&hold_ms=0 HTTP/1.1 ");
-    let waits = |events: &Vec<String>| events.iter().filter(|e| e.contains("hold_ms=3500")).count() == 2;
+    let waits =
+        |events: &Vec<String>| events.iter().filter(|e| e.contains("hold_ms=3500")).count() == 2;
     assert!(log.wait(PATIENCE, waits), "{:?}", log.all());
 }
 
@@ -126,11 +150,24 @@
     let slow = Slow::start();
     move_to(&daemon, slow.at, |_| {});
     // Three connections of 0.75 s; by the call's own time it would be 6 s.
-    eventually(Duration::from_secs(4), "the call was held to its end", || {
-        sleep(Duration::from_millis(20));
-        daemon.logged().contains("list call failed: no answer in time")
-    });
-    assert_eq!(daemon.client().call(&rpc("POST", "/book", "id", "")).unwrap().text(), "b1:");
+    eventually(
+        Duration::from_secs(4),
+        "the call was held to its end",
+        || {
+            sleep(Duration::from_millis(20));
+            daemon
+                .logged()
+                .contains("list call failed: no answer in time")
+        },
+    );
+    assert_eq!(
+        daemon
+            .client()
+            .call(&rpc("POST", "/book", "id", ""))
+            .unwrap()
+            .text(),
+        "b1:"
+    );
 }
 
 /// What discovery has to tell counts as told after this, whatever the calls before met.
@@ -162,9 +199,17 @@
     });
     move_to(&daemon, at, asks_seldom);
     let long = PATIENCE * 2; // without the mend it takes this long or longer
-    log.wait(long, |events| events.iter().any(|e| e.contains("list got") && e.contains("from=2&")));
+    log.wait(long, |events| {
+        events
+            .iter()
+            .any(|e| e.contains("list got") && e.contains("from=2&"))
+    });
     goes_to_the_new_one(&daemon);
-    let calls = log.all().into_iter().filter(|e| e.starts_with("list got")).collect();
+    let calls = log
+        .all()
+        .into_iter()
+        .filter(|e| e.starts_with("list got"))
+        .collect();
     let times = times.change(|times| times.clone());
     (times[times.len() - 2] - times[first], calls)
 }
@@ -186,8 +231,16 @@
 /// After silence in a row, also beyond a pause, calls show at once what there is: a watch would be given up late.
 #[test]
 fn no_call_waits_before_silence_is_over() {
-    let (_, calls) = told_after(false, vec![|| Act::Hang, || Act::Hang, || Act::Hang, || Act::Hang]);
-    assert!(calls[2..6].iter().all(|call| call.contains("from=1&hold_ms=0 ")), "{calls:?}");
+    let (_, calls) = told_after(
+        false,
+        vec![|| Act::Hang, || Act::Hang, || Act::Hang, || Act::Hang],
+    );
+    assert!(
+        calls[2..6]
+            .iter()
+            .all(|call| call.contains("from=1&hold_ms=0 ")),
+        "{calls:?}"
+    );
 }
 
 /// A crowded service refuses call after call, and says nothing to one: pauses do not grow with what the deployment
@@ -203,9 +256,17 @@
 /// Broken answers, older ones and refusals, each followed by another: the pauses between leave time to be told.
 #[test]
 fn faults_that_answer_leave_time_to_be_told() {
-    let broken = || Act::Write(reply("200 OK", "{\"rev\": 2, \"all\": false, \"targets\": [{"));
+    let broken = || {
+        Act::Write(reply(
+            "200 OK",
+            "{\"rev\": 2, \"all\": false, \"targets\": [{",
+        ))
+    };
     let refused = || Act::Write(reply("503 Service Unavailable", ""));
-    let (took, calls) = told_after(false, vec![broken, broken, refused, || told(0, true, &[]), refused]);
+    let (took, calls) = told_after(
+        false,
+        vec![broken, broken, refused, || told(0, true, &[]), refused],
+    );
     assert!(took < TOLD, "{took:?}: {calls:?}");
 }
 
@@ -219,21 +280,40 @@
     let version = daemon.list.tell_heard(&[line("s-1", old, "Ready")]);
     let mut clients: Vec<_> = (0..50).map(|_| daemon.client()).collect();
     daemon.signal("STOP");
-    daemon.list.tell(&[line("s-1", old, "Terminating"), line("s-2", new, "Ready")]);
-    assert!(daemon.list.told.wait(PATIENCE, |told| *told == version + 1), "no watch was open");
+    daemon
+        .list
+        .tell(&[line("s-1", old, "Terminating"), line("s-2", new, "Ready")]);
+    assert!(
+        daemon.list.told.wait(PATIENCE, |told| *told == version + 1),
+        "no watch was open"
+    );
     for (n, client) in clients.iter_mut().enumerate() {
         client.send(&rpc("POST", "/book", &format!("n{n}"), ""));
     }
     daemon.signal("CONT");
-    assert!(clients.iter_mut().all(|client| client.answer().is_some_and(|answer| answer.status() == 200)));
+    assert!(
+        clients
+            .iter_mut()
+            .all(|client| client.answer().is_some_and(|answer| answer.status() == 200))
+    );
     // They may be read before the list is, but not past the drain's grace.
     let mut later = daemon.client();
     eventually(PATIENCE, "the list was never heard", || {
-        later.call(&rpc("POST", "/book", "later", "")).unwrap().text() == "b2:"
+        later
+            .call(&rpc("POST", "/book", "later", ""))
+            .unwrap()
+            .text()
+            == "b2:"
     });
     let sent = log.count("b1 got");
     for n in 0..20 {
-        assert_eq!(later.call(&rpc("POST", "/book", &format!("m{n}"), "")).unwrap().text(), "b2:");
+        assert_eq!(
+            later
+                .call(&rpc("POST", "/book", &format!("m{n}"), ""))
+                .unwrap()
+                .text(),
+            "b2:"
+        );
     }
     assert_eq!(log.count("b1 got"), sent);
 }
@@ -265,16 +345,22 @@
     let (old, new) = (echo("b1", &log), echo("b2", &log));
     let daemon = Daemon::start_with(PROGRAM, &[("s-1", old)], blind);
     let stale = line("s-1", old, "Ready");
-    let first =
-        scripted(&log, move |number, _| match (number, told(7, true, std::slice::from_ref(&stale))) {
+    let first = scripted(&log, move |number, _| {
+        match (number, told(7, true, std::slice::from_ref(&stale))) {
             (0, whole) => whole,
             // The rest comes once the new service was asked.
             (_, Act::Write(bytes)) => {
                 let (half, rest) = bytes.split_at(bytes.len() - 9);
-                Act::Late(half.to_vec(), Log::new(vec![]), "never".to_owned(), rest.to_vec())
+                Act::Late(
+                    half.to_vec(),
+                    Log::new(vec![]),
+                    "never".to_owned(),
+                    rest.to_vec(),
+                )
             }
             (_, other) => other,
-        });
+        }
+    });
     move_to(&daemon, first, |_| {});
     log.await_event("list got GET /registry/instances?from=7&hold_ms=3500 HTTP/1.1 ");
     let here = line("s-2", new, "Ready");
@@ -299,7 +385,9 @@
     let log = Log::new(vec![]);
     let (old, new) = (echo("b1", &log), echo("b2", &log));
     let mut daemon = Daemon::start_with(PROGRAM, &[("s-1", old)], pushed);
-    daemon.list.tell_heard(&[line("s-1", old, "Terminating"), line("s-2", new, "Ready")]);
+    daemon
+        .list
+        .tell_heard(&[line("s-1", old, "Terminating"), line("s-2", new, "Ready")]);
     // It is started again with the list that it was started with first.
     daemon.restart(PROGRAM);
     goes_to_the_new_one(&daemon);
@@ -316,7 +404,14 @@
         pushed(config);
         config["discovery"] = silent.to_string().into();
     });
-    assert_eq!(daemon.client().call(&rpc("POST", "/book", "id", "")).unwrap().text(), "b1:");
+    assert_eq!(
+        daemon
+            .client()
+            .call(&rpc("POST", "/book", "id", ""))
+            .unwrap()
+            .text(),
+        "b1:"
+    );
 }
 
 /// While the agent is down calls go on, closer together than any drain's grace: what it gets counts at once.
@@ -330,12 +425,24 @@
     let before = calls(&daemon);
     // By the pauses of a list that is asked for, so many calls would take over a minute.
     assert!(
-        daemon.list.calls.wait(PATIENCE, |calls| *calls >= before + 50),
+        daemon
+            .list
+            .calls
+            .wait(PATIENCE, |calls| *calls >= before + 50),
         "{} calls",
         calls(&daemon) - before
     );
-    daemon.list.tell_heard(&[line("s-1", old, "Terminating"), line("s-2", new, "Ready")]);
-    assert_eq!(daemon.client().call(&rpc("POST", "/book", "id", "")).unwrap().text(), "b2:");
+    daemon
+        .list
+        .tell_heard(&[line("s-1", old, "Terminating"), line("s-2", new, "Ready")]);
+    assert_eq!(
+        daemon
+            .client()
+            .call(&rpc("POST", "/book", "id", ""))
+            .unwrap()
+            .text(),
+        "b2:"
+    );
     let warnings = daemon.logged().matches("list call failed").count();
     assert!(warnings <= 3, "{warnings} lines of one outage");
 }
@@ -348,7 +455,13 @@
     let lines = [line("s-1", old, "Terminating"), line("s-2", new, "Ready")];
     let list = scripted(&log, move |_, call| {
         // Longer than the first calls wait, and than the first of a whole list.
-        sleep(Duration::from_millis(if call.first.contains("hold_ms=2000") { 3000 } else { 450 }));
+        sleep(Duration::from_millis(
+            if call.first.contains("hold_ms=2000") {
+                3000
+            } else {
+                450
+            },
+        ));
         told(2, true, &lines)
     });
     let daemon = Daemon::start_with(PROGRAM, &[("s-1", old)], |config| {
@@ -356,7 +469,14 @@
         config["discovery"] = list.to_string().into();
     });
     log.await_event("list got GET /registry/instances?from=2&hold_ms=2000 HTTP/1.1 ");
-    assert_eq!(daemon.client().call(&rpc("POST", "/book", "id", "")).unwrap().text(), "b2:");
+    assert_eq!(
+        daemon
+            .client()
+            .call(&rpc("POST", "/book", "id", ""))
+            .unwrap()
+            .text(),
+        "b2:"
+    );
 }
 
 /// A watch of a pushed list that falls silent is opened anew.
@@ -369,7 +489,9 @@
     let hung = Shared::new(0);
     let counted = hung.clone();
     let list = scripted(&log, move |_, call| match call.first.as_str() {
-        first if first.contains("from=0&hold_ms=0 ") && counted.change(|n| *n) > 0 => told(2, true, &drained),
+        first if first.contains("from=0&hold_ms=0 ") && counted.change(|n| *n) > 0 => {
+            told(2, true, &drained)
+        }
         first if first.contains("from=0&hold_ms=0 ") => told(0, false, std::slice::from_ref(&here)),
         first if first.contains("from=0&") => {
             counted.change(|n| *n += 1);
@@ -383,7 +505,14 @@
     });
     log.await_event("list got GET /registry/instances?from=2&hold_ms=2000 HTTP/1.1 ");
     assert_eq!(hung.change(|n| *n), 1);
-    assert_eq!(daemon.client().call(&rpc("POST", "/book", "id", "")).unwrap().text(), "b2:");
+    assert_eq!(
+        daemon
+            .client()
+            .call(&rpc("POST", "/book", "id", ""))
+            .unwrap()
+            .text(),
+        "b2:"
+    );
 }
 
 /// An outage of the list service into a release, and then twelve callers of a service that works on one call at a time,
@@ -432,7 +561,12 @@
     let scenario = Scenario::read("crowd", CROWD).expect("a scenario");
     let plan = Plan::draw(&scenario, 5, "crowd", CROWD).expect("a plan");
     let out = std::env::temp_dir().join(format!("birchhubd-crowd-{}", std::process::id()));
-    let options = Options { seed: 5, out: out.clone(), program: PROGRAM.into(), progress: false };
+    let options = Options {
+        seed: 5,
+        out: out.clone(),
+        program: PROGRAM.into(),
+        progress: false,
+    };
     rehearse(&scenario, &plan, &options).expect("a report");
     let (_, entries) = birchhub_rehearsal::run::open(&out.join("ledger")).expect("a ledger");
     let _ = std::fs::remove_dir_all(out);
--- a/crates/logging/src/lib.rs
+++ b/crates/logging/src/lib.rs
@@ -33,9 +33,16 @@
         if !self.enabled(record.metadata()) {
             return;
         }
-        let at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let at = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
         let part = record.target().rsplit("::").next().unwrap_or_default();
-        let line = format!("{:.3} {:5} {part}: {}\n", at.as_secs_f64(), record.level(), record.args());
+        let line = format!(
+            "{:.3} {:5} {part}: {}\n",
+            at.as_secs_f64(),
+            record.level(),
+            record.args()
+        );
         if self.lines.try_send(Entry::Line(line)).is_err() {
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
@@ -72,12 +79,20 @@
 
 /// Starts logging at the level that `BIRCHHUB_LOG` names, `info` if it names none.
 pub fn start() {
-    let level = std::env::var("BIRCHHUB_LOG").ok().and_then(|level| level.parse().ok());
+    let level = std::env::var("BIRCHHUB_LOG")
+        .ok()
+        .and_then(|level| level.parse().ok());
     let (sender, lines) = sync_channel(LINES);
     let dropped: &'static AtomicUsize = Box::leak(Box::default());
-    let writer = std::thread::Builder::new().name("log".into()).stack_size(64 << 10);
+    let writer = std::thread::Builder::new()
+        .name("log".into())
+        .stack_size(64 << 10);
     if writer.spawn(move || write(lines, dropped)).is_ok()
-        && log::set_boxed_logger(Box::new(Logger { lines: sender, dropped })).is_ok()
+        && log::set_boxed_logger(Box::new(Logger {
+            lines: sender,
+            dropped,
+        }))
+        .is_ok()
     {
         log::set_max_level(level.unwrap_or(LevelFilter::Info));
     }
@@ -91,13 +106,19 @@
     #[test]
     fn what_was_logged_is_written_by_the_flush_or_waited_for_no_longer() {
         let (lines, entries) = sync_channel(2);
-        let logger = Logger { lines, dropped: Box::leak(Box::default()) };
+        let logger = Logger {
+            lines,
+            dropped: Box::leak(Box::default()),
+        };
         let begun = Instant::now();
         logger.flush();
         assert!(begun.elapsed() >= FLUSH_TIME, "nobody writes");
         logger.flush();
         logger.flush();
-        assert!(begun.elapsed() >= FLUSH_TIME * 3, "nobody writes, and no more fits");
+        assert!(
+            begun.elapsed() >= FLUSH_TIME * 3,
+            "nobody writes, and no more fits"
+        );
         let writer = std::thread::spawn(move || write(entries, &AtomicUsize::new(0)));
         logger.flush();
         assert!(!writer.is_finished());
--- a/crates/model/src/node.rs
+++ b/crates/model/src/node.rs
@@ -155,7 +155,12 @@
         if self.down {
             return Err(Why::Down);
         }
-        let work = offer.work + if offer.fresh { self.spec.connection_work } else { 0.0 };
+        let work = offer.work
+            + if offer.fresh {
+                self.spec.connection_work
+            } else {
+                0.0
+            };
         self.weigh(now, work);
         if self.pushed >= 1.0 {
             self.crash();
@@ -168,7 +173,16 @@
             () if full => return Err(Why::QueueFull),
             () => {}
         }
-        self.waiting.insert(self.next, (offer.job, Held { work, mark: offer.mark }));
+        self.waiting.insert(
+            self.next,
+            (
+                offer.job,
+                Held {
+                    work,
+                    mark: offer.mark,
+                },
+            ),
+        );
         self.places.insert(offer.job, Place::Waiting(self.next));
         self.next += 1;
         self.fill(now, repeats, out);
@@ -188,7 +202,9 @@
     /// Lets waiting RPCs begin on cores that are free.
     fn fill(&mut self, now: f64, repeats: &mut Repeats, out: &mut Vec<Happening>) {
         while self.running.len() < self.spec.cores {
-            let Some((_, (job, held))) = self.waiting.pop_first() else { return };
+            let Some((_, (job, held))) = self.waiting.pop_first() else {
+                return;
+            };
             if held.mark.is_some_and(|mark| !repeats.first(now, mark)) {
                 self.places.remove(&job);
                 out.push(Happening::Repeated(job));
@@ -211,7 +227,9 @@
     pub fn advance(&mut self, now: f64, repeats: &mut Repeats, out: &mut Vec<Happening>) {
         while let Some(at) = self.next_event().filter(|at| *at <= now) {
             self.pace.settle(at);
-            let Some(((_, job), _)) = self.running.pop_first() else { break };
+            let Some(((_, job), _)) = self.running.pop_first() else {
+                break;
+            };
             self.places.remove(&job);
             out.push(Happening::Finished(job));
             self.fill(at, repeats, out);
@@ -220,11 +238,19 @@
     }
 
     /// The RPC's proxy no longer waits. False where its run goes on, or it is not here any more.
-    pub fn cancel(&mut self, now: f64, job: Job, repeats: &mut Repeats, out: &mut Vec<Happening>) -> bool {
+    pub fn cancel(
+        &mut self,
+        now: f64,
+        job: Job,
+        repeats: &mut Repeats,
+        out: &mut Vec<Happening>,
+    ) -> bool {
         self.advance(now, repeats, out);
         match self.places.get(&job).copied() {
             Some(Place::Waiting(number)) => drop(self.waiting.remove(&number)),
-            Some(Place::Running(end)) if self.spec.cancel_stops => drop(self.running.remove(&(end, job))),
+            Some(Place::Running(end)) if self.spec.cancel_stops => {
+                drop(self.running.remove(&(end, job)))
+            }
             _ => return false,
         }
         self.places.remove(&job);
@@ -246,13 +272,25 @@
     }
 
     /// It stands still from now on, or goes on.
-    pub fn stall(&mut self, now: f64, stalled: bool, repeats: &mut Repeats, out: &mut Vec<Happening>) {
+    pub fn stall(
+        &mut self,
+        now: f64,
+        stalled: bool,
+        repeats: &mut Repeats,
+        out: &mut Vec<Happening>,
+    ) {
         self.advance(now, repeats, out);
         self.pace.stall(now, stalled);
     }
 
     /// From now on it works `factor` times as fast: a neighbour comes (below 1) or goes (its reciprocal).
-    pub fn scale(&mut self, now: f64, factor: f64, repeats: &mut Repeats, out: &mut Vec<Happening>) {
+    pub fn scale(
+        &mut self,
+        now: f64,
+        factor: f64,
+        repeats: &mut Repeats,
+        out: &mut Vec<Happening>,
+    ) {
         self.advance(now, repeats, out);
         self.pace.scale_by(now, factor);
     }
@@ -262,7 +300,14 @@
         if now - self.told.0 >= self.spec.report_every {
             let (queued, running) = (self.waiting.len(), self.running.len());
             let utilisation = running as f64 / self.spec.cores as f64;
-            self.told = (now, Report { in_flight: queued + running, queued, utilisation });
+            self.told = (
+                now,
+                Report {
+                    in_flight: queued + running,
+                    queued,
+                    utilisation,
+                },
+            );
         }
         self.told.1
     }
--- a/crates/model/src/pace.rs
+++ b/crates/model/src/pace.rs
@@ -23,11 +23,24 @@
     /// `cold`: it starts now; else it has been warm for ever.
     pub fn new(speed: f64, cold_from: f64, cold_for: f64, now: f64, cold: bool) -> Self {
         let started = if cold { now } else { f64::NEG_INFINITY };
-        Self { speed, cold_from, cold_for, started, at: now, done: 0.0, left: 1.0, stalls: 0 }
+        Self {
+            speed,
+            cold_from,
+            cold_for,
+            started,
+            at: now,
+            done: 0.0,
+            left: 1.0,
+            stalls: 0,
+        }
     }
 
     fn slope(&self) -> f64 {
-        if self.cold_for > 0.0 { (1.0 - self.cold_from) / self.cold_for } else { 0.0 }
+        if self.cold_for > 0.0 {
+            (1.0 - self.cold_from) / self.cold_for
+        } else {
+            0.0
+        }
     }
 
     fn warm_at(&self) -> f64 {
@@ -49,7 +62,11 @@
     }
 
     fn scale(&self) -> f64 {
-        if self.stalls > 0 { 0.0 } else { self.speed * self.left }
+        if self.stalls > 0 {
+            0.0
+        } else {
+            self.speed * self.left
+        }
     }
 
     /// Integral of the warmth.
@@ -83,7 +100,11 @@
             return None;
         }
         let need = (done - self.done) / scale;
-        let ramp = if self.is_cold(self.at) { self.area(self.at, self.warm_at()) } else { 0.0 };
+        let ramp = if self.is_cold(self.at) {
+            self.area(self.at, self.warm_at())
+        } else {
+            0.0
+        };
         if need >= ramp {
             return Some(self.at.max(self.warm_at()) + (need - ramp));
         }
@@ -95,7 +116,11 @@
     /// Stalls lie over one another: it goes on when the last has ended.
     pub fn stall(&mut self, now: f64, stalled: bool) {
         self.settle(now);
-        self.stalls = if stalled { self.stalls + 1 } else { self.stalls.saturating_sub(1) };
+        self.stalls = if stalled {
+            self.stalls + 1
+        } else {
+            self.stalls.saturating_sub(1)
+        };
     }
 
     /// Takes away or gives back a factor of the machine; what is taken twice is given back twice.
--- a/crates/model/src/push.rs
+++ b/crates/model/src/push.rs
@@ -14,7 +14,12 @@
 impl Push {
     /// `window` in s, above 0.
     pub fn new(window: f64) -> Self {
-        Self { slot: window / SLOTS as f64, sums: [0.0; SLOTS], newest: i64::MIN / 2, total: 0.0 }
+        Self {
+            slot: window / SLOTS as f64,
+            sums: [0.0; SLOTS],
+            newest: i64::MIN / 2,
+            total: 0.0,
+        }
     }
 
     /// Adds and returns the sum over the window that ends now.
--- a/crates/model/src/work.rs
+++ b/crates/model/src/work.rs
@@ -43,7 +43,8 @@
             Spread::HeavyTail => {
                 // cv² = exp(σ²) − 1 = 4; the mean is 1 with µ = −σ²/2.
                 let variance = 5f64.ln();
-                LogNormal::new(-variance / 2.0, variance.sqrt()).map_or(1.0, |d| d.sample(&mut chance))
+                LogNormal::new(-variance / 2.0, variance.sqrt())
+                    .map_or(1.0, |d| d.sample(&mut chance))
             }
         };
         self.mean * factor
--- a/crates/model/tests/node.rs
+++ b/crates/model/tests/node.rs
@@ -1,5 +1,7 @@
 //! The node against a plain model that takes small steps, and its hard cases one by one.
-use birchhub_model::{Happening, Mark, Node, Offer, Repeats, Spec, Start, Why, work::Spread, work::Work};
+use birchhub_model::{
+    Happening, Mark, Node, Offer, Repeats, Spec, Start, Why, work::Spread, work::Work,
+};
 use quickcheck::{Gen, QuickCheck, TestResult};
 use std::collections::VecDeque;
 
@@ -28,13 +30,26 @@
 
 impl Desk {
     fn new(spec: Spec, start: Start) -> Self {
-        Self { node: Node::new(spec, 0.0, start), repeats: Repeats::default(), out: vec![] }
+        Self {
+            node: Node::new(spec, 0.0, start),
+            repeats: Repeats::default(),
+            out: vec![],
+        }
     }
     fn offer(&mut self, now: f64, job: u64, work: f64) -> Result<(), Why> {
-        self.offer_as(now, Offer { job, work, mark: None, fresh: false })
+        self.offer_as(
+            now,
+            Offer {
+                job,
+                work,
+                mark: None,
+                fresh: false,
+            },
+        )
     }
     fn offer_as(&mut self, now: f64, offer: Offer) -> Result<(), Why> {
-        self.node.offer(now, offer, &mut self.repeats, &mut self.out)
+        self.node
+            .offer(now, offer, &mut self.repeats, &mut self.out)
     }
     fn cancel(&mut self, now: f64, job: u64) -> bool {
         self.node.cancel(now, job, &mut self.repeats, &mut self.out)
@@ -68,7 +83,11 @@
             queue.push_back((next as u64, arrivals[next].1));
             next += 1;
         }
-        let age = if cold { (now + STEP / 2.0) / spec.cold_for } else { 1.0 };
+        let age = if cold {
+            (now + STEP / 2.0) / spec.cold_for
+        } else {
+            1.0
+        };
         let warmth = spec.cold_from + (1.0 - spec.cold_from) * age.min(1.0);
         let standing = now >= stall.0 && now < stall.0 + stall.1;
         for core in &mut cores {
@@ -76,12 +95,18 @@
                 *core = queue.pop_front();
             }
             if let Some((job, left)) = core {
-                *left -= if standing { 0.0 } else { STEP * spec.speed * warmth };
+                *left -= if standing {
+                    0.0
+                } else {
+                    STEP * spec.speed * warmth
+                };
                 if *left <= 0.0 {
                     // What the step did beyond the end goes to the next: steps must not add up to a drift.
                     ends.push((*job, now + STEP));
                     let beyond = *left;
-                    *core = queue.pop_front().map(|(job, work): (u64, f64)| (job, work + beyond));
+                    *core = queue
+                        .pop_front()
+                        .map(|(job, work): (u64, f64)| (job, work + beyond));
                 }
             }
         }
@@ -92,11 +117,19 @@
 }
 
 /// Ends agree with the plain model within a few of its steps, cold or warm, with a stall anywhere.
-fn ends_are_those_of_the_plain_model(picks: Vec<(u8, u8)>, cold: bool, stall: (u8, u8)) -> TestResult {
+fn ends_are_those_of_the_plain_model(
+    picks: Vec<(u8, u8)>,
+    cold: bool,
+    stall: (u8, u8),
+) -> TestResult {
     if picks.is_empty() || picks.len() > 30 {
         return TestResult::discard();
     }
-    let spec = Spec { queue: 1000, fall_multiple: 1e9, ..spec() };
+    let spec = Spec {
+        queue: 1000,
+        fall_multiple: 1e9,
+        ..spec()
+    };
     let mut at = 0.0;
     let arrivals: Vec<_> = picks
         .iter()
@@ -109,7 +142,12 @@
     let mut desk = Desk::new(spec.clone(), if cold { Start::Cold } else { Start::Warm });
     let mut steps: Vec<(f64, Option<usize>, bool)> =
         vec![(stall.0, None, true), (stall.0 + stall.1, None, false)];
-    steps.extend(arrivals.iter().enumerate().map(|(n, (at, _))| (*at, Some(n), false)));
+    steps.extend(
+        arrivals
+            .iter()
+            .enumerate()
+            .map(|(n, (at, _))| (*at, Some(n), false)),
+    );
     steps.sort_by(|a, b| a.0.total_cmp(&b.0));
     let mut ends = vec![];
     let mut run_to = |desk: &mut Desk, now: f64| {
@@ -124,7 +162,9 @@
         run_to(&mut desk, now);
         match job {
             Some(n) => desk.offer(now, n as u64, arrivals[n].1).expect("room"),
-            None => desk.node.stall(now, stalled, &mut desk.repeats, &mut desk.out),
+            None => desk
+                .node
+                .stall(now, stalled, &mut desk.repeats, &mut desk.out),
         }
     }
     run_to(&mut desk, f64::MAX);
@@ -142,20 +182,28 @@
     let (mut now, mut taken, mut dropped) = (0.0, 0, 0);
     for (job, (gap, work, what)) in moves.iter().enumerate() {
         now += f64::from(*gap) / 2000.0;
-        taken += usize::from(desk.offer(now, job as u64, f64::from(*work) / 500.0).is_ok());
+        taken += usize::from(
+            desk.offer(now, job as u64, f64::from(*work) / 500.0)
+                .is_ok(),
+        );
         if what % 4 == 0 {
             dropped += usize::from(desk.cancel(now, job as u64 / 2));
         }
     }
     let before = std::mem::take(&mut desk.out);
-    let before = before.iter().filter(|h| matches!(h, Happening::Finished(_))).count();
+    let before = before
+        .iter()
+        .filter(|h| matches!(h, Happening::Finished(_)))
+        .count();
     let after = desk.ends().len();
     desk.node.in_flight() == 0 && before + after + dropped == taken
 }
 
 /// Generated inputs that are the same in every run.
 fn seeded() -> QuickCheck {
-    QuickCheck::new().tests(300).rng(Gen::from_size_and_seed(40, 7))
+    QuickCheck::new()
+        .tests(300)
+        .rng(Gen::from_size_and_seed(40, 7))
 }
 
 #[test]
@@ -196,9 +244,18 @@
 fn a_cold_node_falls_when_pushed_and_a_warm_one_does_not() {
     // Able to do 2 x 0.25; falls at 3 times that within 1 s.
     let mut cold = Desk::new(spec(), Start::Cold);
-    let pushed = (0..17).map(|job| cold.offer(0.01, job, 0.1)).filter(|r| *r == Err(Why::Down)).count();
-    assert_eq!((pushed, cold.node.is_down(), cold.node.in_flight()), (2, true, 0));
-    assert_eq!(cold.out.iter().filter(|h| **h == Happening::Fell).count(), 1);
+    let pushed = (0..17)
+        .map(|job| cold.offer(0.01, job, 0.1))
+        .filter(|r| *r == Err(Why::Down))
+        .count();
+    assert_eq!(
+        (pushed, cold.node.is_down(), cold.node.in_flight()),
+        (2, true, 0)
+    );
+    assert_eq!(
+        cold.out.iter().filter(|h| **h == Happening::Fell).count(),
+        1
+    );
     let mut paced = Desk::new(spec(), Start::Cold);
     for job in 0..140 {
         let _ = paced.offer(job as f64 * 0.1, job, 0.1);
@@ -218,12 +275,30 @@
 #[test]
 fn cancelled_work_stops_or_goes_on() {
     for stops in [true, false] {
-        let mut desk = Desk::new(Spec { cancel_stops: stops, cores: 1, ..spec() }, Start::Warm);
+        let mut desk = Desk::new(
+            Spec {
+                cancel_stops: stops,
+                cores: 1,
+                ..spec()
+            },
+            Start::Warm,
+        );
         for job in 0..3 {
             desk.offer(0.0, job, 1.0).expect("room");
         }
-        assert_eq!((desk.cancel(0.5, 0), desk.cancel(0.5, 1), desk.cancel(0.5, 9)), (stops, true, false));
-        let expected: &[(u64, f64)] = if stops { &[(2, 1.5)] } else { &[(0, 1.0), (2, 2.0)] };
+        assert_eq!(
+            (
+                desk.cancel(0.5, 0),
+                desk.cancel(0.5, 1),
+                desk.cancel(0.5, 9)
+            ),
+            (stops, true, false)
+        );
+        let expected: &[(u64, f64)] = if stops {
+            &[(2, 1.5)]
+        } else {
+            &[(0, 1.0), (2, 2.0)]
+        };
         assert_eq!(desk.ends(), expected);
     }
 }
@@ -232,8 +307,21 @@
 fn repeats_are_dropped_within_their_group_and_window() {
     let mut desk = Desk::new(spec(), Start::Warm);
     let mut run = |now: f64, job, group, key| {
-        let mark = Some(Mark { group, key, window: 4.0 });
-        desk.offer_as(now, Offer { job, work: 0.1, mark, fresh: false }).expect("room");
+        let mark = Some(Mark {
+            group,
+            key,
+            window: 4.0,
+        });
+        desk.offer_as(
+            now,
+            Offer {
+                job,
+                work: 0.1,
+                mark,
+                fresh: false,
+            },
+        )
+        .expect("room");
         desk.to(now + 0.2).contains(&Happening::Repeated(job))
     };
     assert!(!run(0.0, 1, 1, 5) && run(1.0, 2, 1, 5) && !run(2.0, 3, 2, 5) && !run(3.0, 4, 1, 6));
@@ -241,7 +329,11 @@
     assert!(run(5.0, 6, 1, 5), "and has begun anew");
     assert!(!run(50.0, 7, 9, 9));
     assert!(!run(60.0, 8, 9, 8));
-    assert!(desk.repeats.len() <= 3, "old marks are forgotten: {}", desk.repeats.len());
+    assert!(
+        desk.repeats.len() <= 3,
+        "old marks are forgotten: {}",
+        desk.repeats.len()
+    );
 }
 
 #[test]
@@ -263,21 +355,36 @@
     assert!(desk.node.connect() && desk.node.connect() && !desk.node.connect());
     desk.node.disconnect();
     assert!(desk.node.connect());
-    desk.offer_as(0.0, Offer { job: 1, work: 0.1, mark: None, fresh: true }).expect("room");
+    desk.offer_as(
+        0.0,
+        Offer {
+            job: 1,
+            work: 0.1,
+            mark: None,
+            fresh: true,
+        },
+    )
+    .expect("room");
     assert!((desk.ends()[0].1 - 0.11).abs() < 1e-9);
 }
 
 /// The same RPC costs the same wherever it is drawn, and the spread is what it says.
 #[test]
 fn work_is_drawn_from_seed_and_id_alone() {
-    for (spread, variation) in [(Spread::Constant, 0.0), (Spread::Exponential, 1.0), (Spread::HeavyTail, 2.0)]
-    {
+    for (spread, variation) in [
+        (Spread::Constant, 0.0),
+        (Spread::Exponential, 1.0),
+        (Spread::HeavyTail, 2.0),
+    ] {
         let work = Work { mean: 0.05, spread };
         assert_eq!(work.draw(1, 7), work.draw(1, 7));
         let drawn: Vec<f64> = (0..200_000).map(|id| work.draw(3, id)).collect();
         let mean = drawn.iter().sum::<f64>() / drawn.len() as f64;
         let variance = drawn.iter().map(|w| (w - mean).powi(2)).sum::<f64>() / drawn.len() as f64;
         assert!((mean / 0.05 - 1.0).abs() < 0.02, "{spread:?}: {mean}");
-        assert!((variance.sqrt() / mean - variation).abs() < 0.15, "{spread:?}: {variance}");
+        assert!(
+            (variance.sqrt() / mean - variation).abs() < 0.15,
+            "{spread:?}: {variance}"
+        );
     }
 }
--- a/crates/rehearsal/src/bin/birchhub-wrong-proxy.rs
+++ b/crates/rehearsal/src/bin/birchhub-wrong-proxy.rs
@@ -46,13 +46,19 @@
             nodes.clear();
         }
         for line in list["targets"].as_array().into_iter().flatten() {
-            let Some(uid) = line["uid"].as_str() else { continue };
+            let Some(uid) = line["uid"].as_str() else {
+                continue;
+            };
             let at = line["endpoint"].as_str().and_then(|at| at.parse().ok());
             match (line["state"].as_str(), at) {
                 (Some("Gone"), _) | (_, None) => drop(nodes.remove(uid)),
                 (state, Some(at)) => {
                     let boot_ms = line["boot_ms"].as_f64().unwrap_or(0.0);
-                    let node = Node { at, ready: state == Some("Ready"), boot_ms };
+                    let node = Node {
+                        at,
+                        ready: state == Some("Ready"),
+                        boot_ms,
+                    };
                     nodes.insert(uid.to_owned(), node);
                 }
             }
@@ -91,14 +97,23 @@
             return newest.map(|node| node.at);
         }
         self.turn.set(self.turn.get() + 1);
-        ready.get(self.turn.get() % ready.len().max(1)).map(|node| node.at)
+        ready
+            .get(self.turn.get() % ready.len().max(1))
+            .map(|node| node.at)
     }
 
     async fn rpc(&self, message: &Message) -> Vec<u8> {
         let header = |name| message.header(name).unwrap_or_default();
-        let left = header("request-timeout-ms").parse::<f64>().unwrap_or(1000.0) / 1e3 - MARGIN;
+        let left = header("request-timeout-ms")
+            .parse::<f64>()
+            .unwrap_or(1000.0)
+            / 1e3
+            - MARGIN;
         let until = self.clock.now() + left;
-        let mut text = format!("{} {} HTTP/1.1\r\nHost: node\r\n", message.verb, message.path);
+        let mut text = format!(
+            "{} {} HTTP/1.1\r\nHost: node\r\n",
+            message.verb, message.path
+        );
         for name in ["request-id", "idempotency-key"] {
             if let Some(value) = message.header(name) {
                 text.push_str(&format!("{name}: {value}\r\n"));
@@ -109,14 +124,18 @@
         for _ in 0..PICKS {
             let Some(at) = self.choose() else { break };
             let left = Duration::from_secs_f64((until - self.clock.now()).max(0.0));
-            let Ok(Ok(mut peer)) = timeout(left, Peer::connect(at)).await else { continue };
+            let Ok(Ok(mut peer)) = timeout(left, Peer::connect(at)).await else {
+                continue;
+            };
             let left = Duration::from_secs_f64((until - self.clock.now()).max(0.0));
             let pick = async {
                 peer.write(&bytes).await.ok()?;
                 peer.read(Kind::Response, &self.clock).await.ok()
             };
             match timeout(left, pick).await {
-                Ok(Some(answer)) if answer.status == 200 => return response(200, &[], &answer.body),
+                Ok(Some(answer)) if answer.status == 200 => {
+                    return response(200, &[], &answer.body);
+                }
                 Ok(Some(answer)) if answer.header("not-started").is_some() => {}
                 // It may have run.
                 _ if self.wrong == Wrong::Resends && self.clock.now() < until => {}
@@ -143,12 +162,19 @@
 }
 
 fn config() -> Result<Value, Box<dyn std::error::Error>> {
-    Ok(serde_json::from_slice(&std::fs::read(std::env::var("LB_CONFIG")?)?)?)
+    Ok(serde_json::from_slice(&std::fs::read(std::env::var(
+        "LB_CONFIG",
+    )?)?)?)
 }
 
 fn main() -> Result<(), Box<dyn std::error::Error>> {
     let config = config()?;
-    let address = |key: &str| config[key].as_str().unwrap_or_default().parse::<SocketAddr>();
+    let address = |key: &str| {
+        config[key]
+            .as_str()
+            .unwrap_or_default()
+            .parse::<SocketAddr>()
+    };
     let (at, discovery) = (address("listen")?, address("discovery")?);
     let called = std::env::args().next().unwrap_or_default();
     let wrong = match called.rsplit('/').next() {
@@ -157,11 +183,19 @@
         Some("floods-cold") => Wrong::FloodsCold,
         _ => Wrong::Nothing,
     };
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
     LocalSet::new().block_on(&runtime, async {
         let (version, nodes) = (Cell::new(0), RefCell::default());
         let clock = Clock::starting_in(Duration::ZERO);
-        let proxy = Rc::new(Proxy { wrong, clock, version, nodes, turn: Cell::new(0) });
+        let proxy = Rc::new(Proxy {
+            wrong,
+            clock,
+            version,
+            nodes,
+            turn: Cell::new(0),
+        });
         proxy.learn(&config["known"]);
         spawn_local(proxy.clone().follow(discovery));
         let listener = listen(at, 256)?;
--- a/crates/rehearsal/src/clients.rs
+++ b/crates/rehearsal/src/clients.rs
@@ -56,9 +56,21 @@
         }
     })?;
     let clients = Builder::new().name("clients".into()).spawn(move || {
-        let Ok(runtime) = tokio::runtime::Builder::new_current_thread().enable_all().build() else { return };
+        let Ok(runtime) = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+        else {
+            return;
+        };
         let caller = Caller::new(notes.clone());
-        let clients = Rc::new(Callers { scenario, seed: plan.seed, notes, caller, front, progress });
+        let clients = Rc::new(Callers {
+            scenario,
+            seed: plan.seed,
+            notes,
+            caller,
+            front,
+            progress,
+        });
         LocalSet::new().block_on(&runtime, clients.run(arrivals));
     })?;
     Ok(vec![pacer, clients])
@@ -80,7 +92,15 @@
             let by = (self.notes.clock.now() - arrival.due) as f32;
             self.notes.tell(Event::KitLate { by });
             let (method, tenant, within) = (arrival.method, arrival.tenant, arrival.within);
-            self.notes.tell_at(arrival.due, Event::Asked { rpc, method, tenant, within });
+            self.notes.tell_at(
+                arrival.due,
+                Event::Asked {
+                    rpc,
+                    method,
+                    tenant,
+                    within,
+                },
+            );
             self.progress.asked.fetch_add(1, Ordering::Relaxed);
             open.spawn_local(self.clone().rpc(rpc, arrival));
             // Those that are over are let go of as others come.
@@ -99,16 +119,32 @@
         let mut wait = clients.wait.0;
         for number in 0..=clients.retries {
             let left = until - clock.now();
-            let Some(patience) = patience(clients, method, left) else { break };
-            let leaves_after = arrival.leaves.filter(|_| number == 0).map(|part| part * patience);
-            let (proxy, at) = self.front.deal(arrival.zone, arrival.deal.rotate_left(u32::from(number) * 8));
+            let Some(patience) = patience(clients, method, left) else {
+                break;
+            };
+            let leaves_after = arrival
+                .leaves
+                .filter(|_| number == 0)
+                .map(|part| part * patience);
+            let (proxy, at) = self.front.deal(
+                arrival.zone,
+                arrival.deal.rotate_left(u32::from(number) * 8),
+            );
             let call = Call {
                 attempt: attempt_of(rpc, number),
                 rpc,
                 proxy,
-                verb: if method.kind == MethodKind::Idempotent { "GET" } else { "POST" },
+                verb: if method.kind == MethodKind::Idempotent {
+                    "GET"
+                } else {
+                    "POST"
+                },
                 path: format!("/{}/{rpc}", method.name),
-                tenant: self.scenario.tenant.get(arrival.tenant as usize).map(|t| t.name.clone()),
+                tenant: self
+                    .scenario
+                    .tenant
+                    .get(arrival.tenant as usize)
+                    .map(|t| t.name.clone()),
                 key: (method.kind == MethodKind::Deduplicated)
                     .then(|| format!("{:016x}{rpc:08x}", self.seed)),
                 retry: number > 0 && clients.marks_retries,
--- a/crates/rehearsal/src/page.rs
+++ b/crates/rehearsal/src/page.rs
@@ -11,7 +11,9 @@
 const HEIGHT: f64 = 180.0; // px of the service plot
 const ROW: f64 = 14.0; // px of a node's row
 const ROWS_MOST: usize = 80; // nodes drawn; beyond, the rows would say nothing
-const BANDS: [&str; 6] = ["#d9822b", "#8f398f", "#2965cc", "#a82a2a", "#238c2c", "#5c255c"];
+const BANDS: [&str; 6] = [
+    "#d9822b", "#8f398f", "#2965cc", "#a82a2a", "#238c2c", "#5c255c",
+];
 const BREACHES: usize = 200; // rows; the JSON has all of them
 
 const STYLE: &str = "body{font:14px/1.45 system-ui,sans-serif;margin:24px auto;max-width:1000px;color:#182026}\
@@ -21,7 +23,10 @@
 .VOID{background:#7a6a00}svg text{font:11px system-ui,sans-serif;fill:#394b59}.k{color:#5c7080}";
 
 fn escape(text: &str) -> String {
-    text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;").replace('"', "&quot;")
+    text.replace('&', "&amp;")
+        .replace('<', "&lt;")
+        .replace('>', "&gt;")
+        .replace('"', "&quot;")
 }
 
 /// Time across a plot.
@@ -37,11 +42,17 @@
     /// Ticks under a plot of this height.
     fn ticks(&self, to: &mut String, height: f64) {
         let steps = [1.0, 2.0, 5.0, 10.0, 20.0, 30.0, 60.0, 120.0, 300.0, 600.0];
-        let step = steps.into_iter().find(|step| self.length / step <= 12.0).unwrap_or(3600.0);
+        let step = steps
+            .into_iter()
+            .find(|step| self.length / step <= 12.0)
+            .unwrap_or(3600.0);
         for n in 0..=(self.length / step) as usize {
             let (x, at) = (self.x(n as f64 * step), n as f64 * step);
-            let _ =
-                write!(to, "<text x='{x:.1}' y='{:.1}' text-anchor='middle'>{at:.0} s</text>", height + 14.0);
+            let _ = write!(
+                to,
+                "<text x='{x:.1}' y='{:.1}' text-anchor='middle'>{at:.0} s</text>",
+                height + 14.0
+            );
         }
     }
 
@@ -80,19 +91,37 @@
         );
     }
     let seconds = &report.findings.service.seconds;
-    let most = seconds.iter().map(|(asked, _)| *asked).fold(f64::MIN_POSITIVE, f64::max);
-    let point =
-        |second: usize, part: f64| format!("{:.1},{:.1}", axis.x(second as f64 + 0.5), HEIGHT * (1.0 - part));
+    let most = seconds
+        .iter()
+        .map(|(asked, _)| *asked)
+        .fold(f64::MIN_POSITIVE, f64::max);
+    let point = |second: usize, part: f64| {
+        format!(
+            "{:.1},{:.1}",
+            axis.x(second as f64 + 0.5),
+            HEIGHT * (1.0 - part)
+        )
+    };
     let line = |colour: &str, width: f64, points: Vec<String>| {
         format!(
             "<polyline points='{}' fill='none' stroke='{colour}' stroke-width='{width}'/>",
             points.join(" ")
         )
     };
-    let asked = seconds.iter().enumerate().map(|(n, (asked, _))| point(n, asked / most));
+    let asked = seconds
+        .iter()
+        .enumerate()
+        .map(|(n, (asked, _))| point(n, asked / most));
     body += &line("#8a9ba8", 1.0, asked.collect());
-    let had = seconds.iter().enumerate().filter(|(_, (asked, _))| *asked > 0.0);
-    body += &line("#106ba3", 2.0, had.map(|(n, (asked, got))| point(n, got / asked)).collect());
+    let had = seconds
+        .iter()
+        .enumerate()
+        .filter(|(_, (asked, _))| *asked > 0.0);
+    body += &line(
+        "#106ba3",
+        2.0,
+        had.map(|(n, (asked, got))| point(n, got / asked)).collect(),
+    );
     axis.ticks(&mut body, HEIGHT);
     svg(HEIGHT, &body)
 }
@@ -107,7 +136,9 @@
         // What is held goes on being held in the seconds between.
         while second + 1 < seconds && entry.at >= (second + 1) as f64 {
             second += 1;
-            most.iter_mut().zip(&now).for_each(|(row, held)| row[second] = *held);
+            most.iter_mut()
+                .zip(&now)
+                .for_each(|(row, held)| row[second] = *held);
         }
         match entry.event {
             Event::Born { life, node, .. } => drop(nodes.insert(life, node as usize)),
@@ -137,11 +168,22 @@
     let (height, mut body) = (rows as f64 * ROW, String::new());
     // Zone by zone and rack by rack; a successor below the node that it follows.
     let mut order: Vec<_> = (0..head.nodes.len()).collect();
-    order.sort_by_key(|n| (head.nodes[*n].zone, head.nodes[*n].rack, &head.nodes[*n].name));
+    order.sort_by_key(|n| {
+        (
+            head.nodes[*n].zone,
+            head.nodes[*n].rack,
+            &head.nodes[*n].name,
+        )
+    });
     for (row, n) in order.into_iter().take(rows).enumerate() {
         let (y, node) = (row as f64 * ROW, &head.nodes[n]);
         let name = escape(&node.name);
-        let _ = write!(body, "<text x='{}' y='{:.1}' text-anchor='end'>{name}</text>", LEFT - 6.0, y + 11.0);
+        let _ = write!(
+            body,
+            "<text x='{}' y='{:.1}' text-anchor='end'>{name}</text>",
+            LEFT - 6.0,
+            y + 11.0
+        );
         for (second, held) in most[n].iter().enumerate().filter(|(_, held)| **held > 0) {
             let (x, end) = (axis.x(second as f64), axis.x(second as f64 + 1.0));
             let shade = (f64::from(*held) / f64::from(highest)).sqrt();
@@ -153,12 +195,19 @@
                 ROW - 2.0
             );
         }
-        for (t, trouble) in head.troubles.iter().enumerate().filter(|(_, t)| t.nodes.contains(&(n as u32))) {
+        for (t, trouble) in head
+            .troubles
+            .iter()
+            .enumerate()
+            .filter(|(_, t)| t.nodes.contains(&(n as u32)))
+        {
             let (x, end) = (axis.x(trouble.from), axis.x(trouble.until));
             let (width, colour) = ((end - x).max(1.5), BANDS[t % BANDS.len()]);
             let y = y + ROW - 2.5;
-            let _ =
-                write!(body, "<rect x='{x:.1}' y='{y:.1}' width='{width:.1}' height='2' fill='{colour}'/>");
+            let _ = write!(
+                body,
+                "<rect x='{x:.1}' y='{y:.1}' width='{width:.1}' height='2' fill='{colour}'/>"
+            );
         }
     }
     axis.ticks(&mut body, height);
@@ -175,19 +224,31 @@
 }
 
 fn table(rows: impl Iterator<Item = Vec<String>>, names: &[&str]) -> String {
-    let head: String = names.iter().map(|name| format!("<th>{name}</th>")).collect();
+    let head: String = names
+        .iter()
+        .map(|name| format!("<th>{name}</th>"))
+        .collect();
     let cell = |(n, text): (usize, &String)| match n {
         0 => format!("<td>{}</td>", escape(text)),
         _ => format!("<td class='n'>{}</td>", escape(text)),
     };
-    let row =
-        |row: Vec<String>| format!("<tr>{}</tr>\n", row.iter().enumerate().map(cell).collect::<String>());
-    format!("<table><tr>{head}</tr>\n{}</table>\n", rows.map(row).collect::<String>())
+    let row = |row: Vec<String>| {
+        format!(
+            "<tr>{}</tr>\n",
+            row.iter().enumerate().map(cell).collect::<String>()
+        )
+    };
+    format!(
+        "<table><tr>{head}</tr>\n{}</table>\n",
+        rows.map(row).collect::<String>()
+    )
 }
 
 /// The whole page.
 pub fn render(report: &Report, head: &Head, entries: &[Entry]) -> String {
-    let axis = Axis { length: report.length.max(1.0) };
+    let axis = Axis {
+        length: report.length.max(1.0),
+    };
     let (findings, service_parts) = (&report.findings, &report.findings.service);
     let mut page = format!(
         "<!doctype html><html lang='en'><head><meta charset='utf-8'><title>{0}: {1}</title><style>{STYLE}</style>\
@@ -198,10 +259,18 @@
         report.seed,
         escape(&report.plan),
         report.length,
-        if report.partial { ", <b>partial: stopped before its end</b>" } else { "" }
+        if report.partial {
+            ", <b>partial: stopped before its end</b>"
+        } else {
+            ""
+        }
     );
     if !report.reasons.is_empty() {
-        let items = report.reasons.iter().take(BREACHES).map(|r| format!("<li>{}</li>\n", escape(r)));
+        let items = report
+            .reasons
+            .iter()
+            .take(BREACHES)
+            .map(|r| format!("<li>{}</li>\n", escape(r)));
         let _ = writeln!(page, "<ul>{}</ul>", items.collect::<String>());
     }
     let bands: String = head
@@ -231,25 +300,46 @@
     );
     let parts = [
         ("whole run".to_owned(), Some(service_parts.whole)),
-        (format!("worst 10 s, from {:.0} s", service_parts.worst_from), Some(service_parts.worst_10s)),
+        (
+            format!("worst 10 s, from {:.0} s", service_parts.worst_from),
+            Some(service_parts.worst_10s),
+        ),
     ];
-    let methods = service_parts.methods.iter().map(|(name, part)| (format!("method {name}"), *part));
-    let tenants =
-        service_parts.tenants.iter().map(|(name, part)| (format!("tenant {name}, within its quota"), *part));
+    let methods = service_parts
+        .methods
+        .iter()
+        .map(|(name, part)| (format!("method {name}"), *part));
+    let tenants = service_parts
+        .tenants
+        .iter()
+        .map(|(name, part)| (format!("tenant {name}, within its quota"), *part));
     let rows = parts.into_iter().chain(methods).chain(tenants);
-    let rows = rows.map(|(name, part)| vec![name, part.map_or("-".into(), |part| format!("{part:.4}"))]);
+    let rows =
+        rows.map(|(name, part)| vec![name, part.map_or("-".into(), |part| format!("{part:.4}"))]);
     page += &table(rows, &["service", ""]);
     let counts = serde_json::to_value(&findings.counts).unwrap_or_default();
     let rows = counts.as_object().into_iter().flatten();
     let rows = rows.map(|(name, count)| vec![name.replace('_', " "), count.to_string()]);
-    let _ = write!(page, "<h2>RPCs held by node</h2>\n{}", nodes(head, entries, &axis));
+    let _ = write!(
+        page,
+        "<h2>RPCs held by node</h2>\n{}",
+        nodes(head, entries, &axis)
+    );
     let _ = write!(page, "<h2>Counts</h2>\n{}", table(rows, &["", ""]));
     if !findings.cold.is_empty() {
         let rows = findings.cold.iter();
-        let rows =
-            rows.map(|c| vec![c.node.clone(), format!("{:.1} s", c.from), format!("{:.0}%", c.peak * 100.0)]);
-        let _ =
-            write!(page, "<h2>Cold nodes</h2>\n{}", table(rows, &["node", "start", "pushed, of its fall"]));
+        let rows = rows.map(|c| {
+            vec![
+                c.node.clone(),
+                format!("{:.1} s", c.from),
+                format!("{:.0}%", c.peak * 100.0),
+            ]
+        });
+        let _ = write!(
+            page,
+            "<h2>Cold nodes</h2>\n{}",
+            table(rows, &["node", "start", "pushed, of its fall"])
+        );
     }
     let [median, p99, worst] = findings.kit_late.map(|s| format!("{:.2} ms", s * 1e3));
     let _ = write!(
--- a/crates/rehearsal/src/plan.rs
+++ b/crates/rehearsal/src/plan.rs
@@ -196,10 +196,16 @@
         };
         let mut chosen = HashMap::new();
         for (n, trouble) in scenario.trouble.iter().enumerate() {
-            plan.add(scenario, n as u16, trouble, &mut chosen).map_err(|(below, what)| {
-                let key = format!("trouble[{n}].{below}");
-                Fault { file: file.to_owned(), line: line_of_key(text, &key).unwrap_or(0), key, what }
-            })?;
+            plan.add(scenario, n as u16, trouble, &mut chosen)
+                .map_err(|(below, what)| {
+                    let key = format!("trouble[{n}].{below}");
+                    Fault {
+                        file: file.to_owned(),
+                        line: line_of_key(text, &key).unwrap_or(0),
+                        key,
+                        what,
+                    }
+                })?;
         }
         plan.acts.sort_by(|a, b| a.0.total_cmp(&b.0));
         Ok(plan)
@@ -208,7 +214,11 @@
     /// The first bytes of a hash over all of it.
     pub fn hash(&self) -> String {
         let bytes = postcard::to_stdvec(self).unwrap_or_default();
-        Sha256::digest(&bytes).iter().take(8).map(|byte| format!("{byte:02x}")).collect()
+        Sha256::digest(&bytes)
+            .iter()
+            .take(8)
+            .map(|byte| format!("{byte:02x}"))
+            .collect()
     }
 
     /// Nodes that are there from the start.
@@ -251,11 +261,30 @@
                 };
                 for node in &nodes {
                     // Pauses of different nodes don't fall together.
-                    let mut from = at + if pause < length { chance.random::<f64>() * every } else { 0.0 };
+                    let mut from = at
+                        + if pause < length {
+                            chance.random::<f64>() * every
+                        } else {
+                            0.0
+                        };
                     while from < until {
                         let number = serial();
-                        acts.push((from, Act::Stall { node: *node, number, on: true }));
-                        acts.push(((from + pause).min(until), Act::Stall { node: *node, number, on: false }));
+                        acts.push((
+                            from,
+                            Act::Stall {
+                                node: *node,
+                                number,
+                                on: true,
+                            },
+                        ));
+                        acts.push((
+                            (from + pause).min(until),
+                            Act::Stall {
+                                node: *node,
+                                number,
+                                on: false,
+                            },
+                        ));
                         from += every;
                     }
                 }
@@ -263,15 +292,36 @@
             TroubleKind::Neighbour => {
                 let left = 1.0 - trouble.takes.unwrap_or(0.5);
                 for node in &nodes {
-                    acts.push((at, Act::Scale { node: *node, factor: left }));
-                    acts.push((until, Act::Scale { node: *node, factor: 1.0 / left }));
+                    acts.push((
+                        at,
+                        Act::Scale {
+                            node: *node,
+                            factor: left,
+                        },
+                    ));
+                    acts.push((
+                        until,
+                        Act::Scale {
+                            node: *node,
+                            factor: 1.0 / left,
+                        },
+                    ));
                 }
             }
             TroubleKind::SlowMethod => {
-                let method = scenario.method.iter().position(|m| Some(&m.name) == trouble.method.as_ref());
+                let method = scenario
+                    .method
+                    .iter()
+                    .position(|m| Some(&m.name) == trouble.method.as_ref());
                 let (method, factor) = (method.unwrap_or(0), trouble.factor.unwrap_or(1.0));
                 acts.push((at, Act::Slow { method, factor }));
-                acts.push((until, Act::Slow { method, factor: 1.0 / factor }));
+                acts.push((
+                    until,
+                    Act::Slow {
+                        method,
+                        factor: 1.0 / factor,
+                    },
+                ));
             }
             TroubleKind::Crash => {
                 for node in &nodes {
@@ -296,7 +346,15 @@
                         let (node, by) = (*node, from + stop);
                         acts.push((from, Act::Announce { node }));
                         acts.push((from + lead, Act::Drain { node }));
-                        acts.push((from + lead, Act::Retire { node, by, successor, after }));
+                        acts.push((
+                            from + lead,
+                            Act::Retire {
+                                node,
+                                by,
+                                successor,
+                                after,
+                            },
+                        ));
                     }
                 }
             }
@@ -311,8 +369,20 @@
             }
             TroubleKind::ListStale => {
                 for proxy in &proxies {
-                    acts.push((at, Act::ListStale { proxy: *proxy, stale: true }));
-                    acts.push((until, Act::ListStale { proxy: *proxy, stale: false }));
+                    acts.push((
+                        at,
+                        Act::ListStale {
+                            proxy: *proxy,
+                            stale: true,
+                        },
+                    ));
+                    acts.push((
+                        until,
+                        Act::ListStale {
+                            proxy: *proxy,
+                            stale: false,
+                        },
+                    ));
                 }
             }
             TroubleKind::ProxyKill | TroubleKind::ProxyRestart => {
@@ -332,24 +402,65 @@
                 }
             }
             TroubleKind::ProxyPause => {
-                let (pause, every) = (trouble.pause.map_or(0.1, |p| p.0), trouble.every.map_or(1.0, |e| e.0));
+                let (pause, every) = (
+                    trouble.pause.map_or(0.1, |p| p.0),
+                    trouble.every.map_or(1.0, |e| e.0),
+                );
                 for proxy in &proxies {
                     let mut from = at + chance.random::<f64>() * every;
                     while from < until {
-                        acts.push((from, Act::PauseProxy { proxy: *proxy, on: true }));
-                        acts.push((from + pause, Act::PauseProxy { proxy: *proxy, on: false }));
+                        acts.push((
+                            from,
+                            Act::PauseProxy {
+                                proxy: *proxy,
+                                on: true,
+                            },
+                        ));
+                        acts.push((
+                            from + pause,
+                            Act::PauseProxy {
+                                proxy: *proxy,
+                                on: false,
+                            },
+                        ));
                         from += every.max(pause);
                     }
                 }
             }
             TroubleKind::Spoilt => {
                 // Half of them are cut short; of the others, as many are no HTTP at all.
-                let tricks = [Trick::Half(share / 2.0), Trick::Garbage((share / 2.0) / (1.0 - share / 2.0))];
-                tricks.into_iter().for_each(|trick| faulty(&mut acts, &nodes, trick, at, until, &mut serial));
+                let tricks = [
+                    Trick::Half(share / 2.0),
+                    Trick::Garbage((share / 2.0) / (1.0 - share / 2.0)),
+                ];
+                tricks
+                    .into_iter()
+                    .for_each(|trick| faulty(&mut acts, &nodes, trick, at, until, &mut serial));
             }
-            TroubleKind::Reset => faulty(&mut acts, &nodes, Trick::Reset(share), at, until, &mut serial),
-            TroubleKind::Mute => faulty(&mut acts, &nodes, Trick::Mute(share), at, until, &mut serial),
-            TroubleKind::Error => faulty(&mut acts, &nodes, Trick::Error(share), at, until, &mut serial),
+            TroubleKind::Reset => faulty(
+                &mut acts,
+                &nodes,
+                Trick::Reset(share),
+                at,
+                until,
+                &mut serial,
+            ),
+            TroubleKind::Mute => faulty(
+                &mut acts,
+                &nodes,
+                Trick::Mute(share),
+                at,
+                until,
+                &mut serial,
+            ),
+            TroubleKind::Error => faulty(
+                &mut acts,
+                &nodes,
+                Trick::Error(share),
+                at,
+                until,
+                &mut serial,
+            ),
             TroubleKind::Trickle => {
                 let trick = Trick::Trickle(share, trouble.over.map_or(1.0, |over| over.0));
                 faulty(&mut acts, &nodes, trick, at, until, &mut serial);
@@ -360,14 +471,25 @@
                     Some(_) => proxies.iter().copied().map(Some).collect(),
                 };
                 for proxy in from {
-                    faulty(&mut acts, &nodes, Trick::Partition(proxy), at, until, &mut serial);
+                    faulty(
+                        &mut acts,
+                        &nodes,
+                        Trick::Partition(proxy),
+                        at,
+                        until,
+                        &mut serial,
+                    );
                 }
             }
         }
         acts.push((at, Act::Begin { trouble: number }));
         acts.push((until, Act::End { trouble: number }));
         self.acts.extend(acts);
-        let touched = if trouble.proxies.is_some() { proxies } else { Vec::new() };
+        let touched = if trouble.proxies.is_some() {
+            proxies
+        } else {
+            Vec::new()
+        };
         self.troubles.push(head::Trouble {
             name: trouble.name.clone(),
             kind: format!("{:?}", trouble.kind),
@@ -391,8 +513,24 @@
 ) {
     for node in nodes {
         let (node, number) = (*node, serial());
-        acts.push((at, Act::Faulty { node, number, fault: trick.clone(), on: true }));
-        acts.push((until, Act::Faulty { node, number, fault: trick.clone(), on: false }));
+        acts.push((
+            at,
+            Act::Faulty {
+                node,
+                number,
+                fault: trick.clone(),
+                on: true,
+            },
+        ));
+        acts.push((
+            until,
+            Act::Faulty {
+                node,
+                number,
+                fault: trick.clone(),
+                on: false,
+            },
+        ));
     }
 }
 
@@ -407,14 +545,24 @@
         in_zone[zone] += 1;
         let rack = place % racks;
         let name = format!("{}-{rack}-{}", scenario.fleet.zones[zone], place / racks);
-        PlannedNode { name, zone: zone as u32, rack: rack as u32, machine, successor: false }
+        PlannedNode {
+            name,
+            zone: zone as u32,
+            rack: rack as u32,
+            machine,
+            successor: false,
+        }
     };
     each.enumerate().map(node).collect()
 }
 
 /// How often the usual traffic comes at a time.
 fn times(scenario: &Scenario, at: f64) -> f64 {
-    let phases = scenario.traffic.phase.iter().filter(|p| at >= p.at.0 && at < p.at.0 + p.length.0);
+    let phases = scenario
+        .traffic
+        .phase
+        .iter()
+        .filter(|p| at >= p.at.0 && at < p.at.0 + p.length.0);
     let factor = |p: &crate::scenario::Phase| match p.ramp {
         true => 1.0 + (p.times - 1.0) * (at - p.at.0) / p.length.0,
         false => p.times,
@@ -424,13 +572,24 @@
 
 /// Poisson by thinning: drawn at the highest rate, kept in proportion.
 fn arrivals(scenario: &Scenario, seed: u64) -> Vec<Arrival> {
-    let highest: f64 = scenario.traffic.phase.iter().map(|p| p.times.max(1.0)).product();
+    let highest: f64 = scenario
+        .traffic
+        .phase
+        .iter()
+        .map(|p| p.times.max(1.0))
+        .product();
     let (mut when, mut what) = (generator(seed, TIMES), generator(seed, KINDS));
     let (mut whereto, mut leaving) = (generator(seed, ZONES), generator(seed, LEAVES));
-    let Ok(gap) = Exp::new(scenario.traffic.rate * highest) else { return Vec::new() };
+    let Ok(gap) = Exp::new(scenario.traffic.rate * highest) else {
+        return Vec::new();
+    };
     let methods: Vec<f64> = scenario.method.iter().map(|m| m.share).collect();
     let tenants: Vec<f64> = scenario.tenant.iter().map(|t| t.share).collect();
-    let mut credit: Vec<(f64, f64)> = scenario.tenant.iter().map(|t| (0.0, t.quota * QUOTA_BURST)).collect();
+    let mut credit: Vec<(f64, f64)> = scenario
+        .tenant
+        .iter()
+        .map(|t| (0.0, t.quota * QUOTA_BURST))
+        .collect();
     let (mut due, mut arrivals) = (0.0, Vec::new());
     loop {
         due += gap.sample(&mut when);
@@ -442,10 +601,15 @@
         }
         let method = weighted(&methods, what.random());
         let drawn = what.random();
-        let tenant = if tenants.is_empty() { 0 } else { weighted(&tenants, drawn) };
+        let tenant = if tenants.is_empty() {
+            0
+        } else {
+            weighted(&tenants, drawn)
+        };
         let within = scenario.tenant.get(tenant).is_none_or(|settings| {
             let (last, credit) = &mut credit[tenant];
-            *credit = (*credit + (due - *last) * settings.quota).min((settings.quota * QUOTA_BURST).max(1.0));
+            *credit = (*credit + (due - *last) * settings.quota)
+                .min((settings.quota * QUOTA_BURST).max(1.0));
             *last = due;
             let within = *credit >= 1.0;
             *credit -= if within { 1.0 } else { 0.0 };
@@ -453,9 +617,22 @@
         });
         let leaves = (leaving.random::<f64>() < scenario.clients.leave).then(|| leaving.random());
         let m = &scenario.method[method];
-        let work = Work { mean: m.work.0, spread: m.spread }.draw(seed, arrivals.len() as u64);
+        let work = Work {
+            mean: m.work.0,
+            spread: m.spread,
+        }
+        .draw(seed, arrivals.len() as u64);
         let zone = whereto.random_range(0..scenario.fleet.zones.len()) as u32;
         let (method, tenant, deal) = (method as u8, tenant as u8, whereto.random());
-        arrivals.push(Arrival { due, method, tenant, zone, deal, within, leaves, work });
+        arrivals.push(Arrival {
+            due,
+            method,
+            tenant,
+            zone,
+            deal,
+            within,
+            leaves,
+            work,
+        });
     }
 }
