--- a/crates/rehearsal/src/proxies.rs
+++ b/crates/rehearsal/src/proxies.rs
@@ -32,7 +32,13 @@
 
 /// Where the layer before the proxies sends a client of a zone, by this chance: to a proxy of the zone that is taken in, else to
 /// one of any zone, else to one that is not.
-pub fn deal(proxies: usize, zones: usize, zone: u32, chance: u64, open: impl Fn(&usize) -> bool) -> usize {
+pub fn deal(
+    proxies: usize,
+    zones: usize,
+    zone: u32,
+    chance: u64,
+    open: impl Fn(&usize) -> bool,
+) -> usize {
     let home = |proxy: &usize| proxy % zones == zone as usize;
     let mut fits: Vec<usize> = (0..proxies).filter(|p| open(p) && home(p)).collect();
     if fits.is_empty() {
@@ -121,7 +127,11 @@
         };
         let doors = (0..count).map(door).collect::<Result<_, _>>()?;
         let taken_in = (0..count).map(|_| AtomicBool::new(false)).collect();
-        let front = Arc::new(Front { doors, taken_in, zones: scenario.fleet.zones.len() });
+        let front = Arc::new(Front {
+            doors,
+            taken_in,
+            zones: scenario.fleet.zones.len(),
+        });
         Ok(Rc::new(Self {
             scenario: scenario.clone(),
             seed,
@@ -141,7 +151,11 @@
     /// Starts a proxy and waits until it is ready.
     pub async fn start(self: &Rc<Self>, proxy: u16) -> Result<(), String> {
         let name = proxy_name(proxy);
-        let (discovery, known) = self.stage.proxy_starts(proxy).await.ok_or("the stage has ended")?;
+        let (discovery, known) = self
+            .stage
+            .proxy_starts(proxy)
+            .await
+            .ok_or("the stage has ended")?;
         let at = self.front.doors[proxy as usize];
         // New with each start, as the platform does it, yet drawn from the rehearsal's own seed.
         let start = (self.notes.clock.now().max(0.0) * 1e3) as u64;
@@ -153,20 +167,35 @@
             "settings": settings::settings(&self.scenario, proxy)
         });
         let file = self.path(proxy, "json");
-        std::fs::write(&file, config.to_string()).map_err(|e| format!("{}: {e}", file.display()))?;
-        let log = File::options().create(true).append(true).open(self.path(proxy, "log"));
+        std::fs::write(&file, config.to_string())
+            .map_err(|e| format!("{}: {e}", file.display()))?;
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(self.path(proxy, "log"));
         let log = log.map_err(|e| format!("{}: {e}", self.path(proxy, "log").display()))?;
         let mut command = Command::new(&self.program);
-        command.env("LB_CONFIG", &file).stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
-        let child =
-            command.spawn().map_err(|e| format!("{} can't be started: {e}", self.program.display()))?;
-        *self.processes[proxy as usize].borrow_mut() = Some(Process { child, stopping: false });
+        command
+            .env("LB_CONFIG", &file)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log);
+        let child = command
+            .spawn()
+            .map_err(|e| format!("{} can't be started: {e}", self.program.display()))?;
+        *self.processes[proxy as usize].borrow_mut() = Some(Process {
+            child,
+            stopping: false,
+        });
         let until = Instant::now() + READY;
         while !self.is_ready(at).await {
             if self.reap(proxy).is_some() || self.processes[proxy as usize].borrow().is_none() {
                 let log = std::fs::read_to_string(self.path(proxy, "log")).unwrap_or_default();
                 let last = log.lines().last().unwrap_or("it said nothing");
-                return Err(format!("{name} ended as it started ({}): {last}", self.program.display()));
+                return Err(format!(
+                    "{name} ended as it started ({}): {last}",
+                    self.program.display()
+                ));
             }
             if Instant::now() > until {
                 return Err(format!("{name} was not ready within {} s", READY.as_secs()));
@@ -184,7 +213,12 @@
             peer.write(b"GET /health/ready HTTP/1.1\r\nHost: proxy\r\nConnection: close\r\n\r\n")
                 .await
                 .ok()?;
-            Some(peer.read(Kind::Response, &self.notes.clock).await.ok()?.status)
+            Some(
+                peer.read(Kind::Response, &self.notes.clock)
+                    .await
+                    .ok()?
+                    .status,
+            )
         };
         timeout(ASK, ask).await == Ok(Some(200))
     }
@@ -196,7 +230,11 @@
         if !matches!(process.child.try_wait(), Ok(Some(_))) {
             return None;
         }
-        let how = if process.stopping { End::Stopped } else { End::Crashed };
+        let how = if process.stopping {
+            End::Stopped
+        } else {
+            End::Crashed
+        };
         *slot = None;
         Some(how)
     }
@@ -207,7 +245,11 @@
         spawn_local(async move {
             sleep(Duration::from_secs_f64(after)).await;
             // Unless another has started meanwhile.
-            if proxies.processes[proxy as usize].borrow().as_ref().is_none_or(|process| process.stopping) {
+            if proxies.processes[proxy as usize]
+                .borrow()
+                .as_ref()
+                .is_none_or(|process| process.stopping)
+            {
                 proxies.front.set(proxy, false);
             }
         });
@@ -275,7 +317,12 @@
 
     /// Starts a proxy again; one that is still on its way out has its time for that first.
     async fn start_again(self: Rc<Self>, proxy: u16) {
-        let longest = self.scenario.method.iter().map(|m| m.deadline.0).fold(0.0, f64::max);
+        let longest = self
+            .scenario
+            .method
+            .iter()
+            .map(|m| m.deadline.0)
+            .fold(0.0, f64::max);
         let until = Instant::now() + Duration::from_secs_f64(longest + STOPPING);
         while self.processes[proxy as usize].borrow().is_some() {
             if Instant::now() > until {
@@ -293,7 +340,10 @@
     pub fn end(&self) {
         for (proxy, slot) in self.processes.iter().enumerate() {
             if let Some(mut process) = slot.borrow_mut().take() {
-                self.notes.tell(Event::ProxyEnded { proxy: proxy as u16, how: End::Over });
+                self.notes.tell(Event::ProxyEnded {
+                    proxy: proxy as u16,
+                    how: End::Over,
+                });
                 process.end();
             }
         }
--- a/crates/rehearsal/src/report.rs
+++ b/crates/rehearsal/src/report.rs
@@ -59,7 +59,12 @@
 /// The verdict and its reasons. What no clock can excuse fails in any case; what rests on time is judged only where the
 /// kit itself was on time.
 fn judge(head: &Head, findings: &Findings, partial: bool) -> (Verdict, Vec<String>) {
-    let told = |b: &Breach| format!("rule {}: {}: {} (at {:.3} s)", b.rule as u8, b.subject, b.what, b.at);
+    let told = |b: &Breach| {
+        format!(
+            "rule {}: {}: {} (at {:.3} s)",
+            b.rule as u8, b.subject, b.what, b.at
+        )
+    };
     let (timed, plain): (Vec<_>, Vec<_>) = findings.breaches.iter().partition(|b| b.timed);
     let mut reasons: Vec<String> = plain.iter().map(|b| told(b)).collect();
     let (late, what) = match (findings.kit_late[1], findings.stage_late[1]) {
@@ -72,7 +77,11 @@
             late * 1e3,
             head.rules.kit_late * 1e3
         );
-        let verdict = if reasons.is_empty() { Verdict::Void } else { Verdict::Fail };
+        let verdict = if reasons.is_empty() {
+            Verdict::Void
+        } else {
+            Verdict::Fail
+        };
         reasons.push(busy);
         return (verdict, reasons);
     }
@@ -81,8 +90,16 @@
     let bars = [
         ("service", head.bars.service, Some(service.whole)),
         ("worst 10 s", head.bars.worst_10s, Some(service.worst_10s)),
-        ("worst method", head.bars.worst_method, service.worst_method()),
-        ("worst tenant", head.bars.worst_tenant, service.worst_tenant()),
+        (
+            "worst method",
+            head.bars.worst_method,
+            service.worst_method(),
+        ),
+        (
+            "worst tenant",
+            head.bars.worst_tenant,
+            service.worst_tenant(),
+        ),
     ];
     if !partial {
         for (name, bar, got) in bars {
@@ -106,7 +123,17 @@
         let (verdict, reasons) = judge(head, &findings, partial);
         let (scenario, seed, plan) = (head.scenario.clone(), head.seed, head.plan.clone());
         let length = head.length;
-        Self { scenario, seed, plan, verdict, reasons, partial, length, findings, kit }
+        Self {
+            scenario,
+            seed,
+            plan,
+            verdict,
+            reasons,
+            partial,
+            length,
+            findings,
+            kit,
+        }
     }
 
     /// Writes `report.json` and `report.html`.
@@ -132,7 +159,11 @@
             to.push_str(&text);
             to.push('\n');
         };
-        let partial = if self.partial { ", PARTIAL: stopped before its end" } else { "" };
+        let partial = if self.partial {
+            ", PARTIAL: stopped before its end"
+        } else {
+            ""
+        };
         line(format!(
             "{}  {} (seed {}, plan {}){partial}",
             self.verdict.word(),
@@ -140,9 +171,15 @@
             self.seed,
             self.plan
         ));
-        self.reasons.iter().take(SHOWN).for_each(|reason| line(format!("  {reason}")));
+        self.reasons
+            .iter()
+            .take(SHOWN)
+            .for_each(|reason| line(format!("  {reason}")));
         if self.reasons.len() > SHOWN {
-            line(format!("  and {} more, in report.json", self.reasons.len() - SHOWN));
+            line(format!(
+                "  and {} more, in report.json",
+                self.reasons.len() - SHOWN
+            ));
         }
         line(format!(
             "  service {:.4}  worst 10 s {:.4} (from {:.0} s)  latency p50 {:.1} ms, p99 {:.1} ms, p99.9 {:.1} ms",
@@ -154,8 +191,10 @@
             service.latency[2] * 1e3
         ));
         for (kind, parts) in [("method", &service.methods), ("tenant", &service.tenants)] {
-            let parts: Vec<_> =
-                parts.iter().filter_map(|(name, part)| Some(format!("{name} {:.4}", (*part)?))).collect();
+            let parts: Vec<_> = parts
+                .iter()
+                .filter_map(|(name, part)| Some(format!("{name} {:.4}", (*part)?)))
+                .collect();
             if !parts.is_empty() {
                 line(format!("  by {kind}: {}", parts.join("  ")));
             }
@@ -181,7 +220,12 @@
             counts.dropped_repeats,
             counts.double_runs
         ));
-        let peak = self.findings.cold.iter().map(|c| c.peak).fold(0.0, f64::max);
+        let peak = self
+            .findings
+            .cold
+            .iter()
+            .map(|c| c.peak)
+            .fold(0.0, f64::max);
         line(format!(
             "  latest new work after a drain was told: {:.0} ms; cold nodes {}, pushed to {:.0}% of their fall at most; {} fell",
             self.findings.latest_after_told * 1e3,
@@ -191,7 +235,10 @@
         ));
         let [median, p99, worst] = self.findings.kit_late;
         let kit = self.kit.map_or(String::new(), |kit| {
-            format!("; processor time {:.1} s, its proxies {:.1} s", kit.seconds, kit.proxies)
+            format!(
+                "; processor time {:.1} s, its proxies {:.1} s",
+                kit.seconds, kit.proxies
+            )
         });
         line(format!(
             "  the kit itself: late by {:.2} ms (median), {:.2} ms (p99), {:.1} ms (worst); stand-ins {:.2} ms (p99){kit}",
--- a/crates/rehearsal/src/run.rs
+++ b/crates/rehearsal/src/run.rs
@@ -44,7 +44,9 @@
     let told = |path: &Path, e: std::io::Error| format!("{}: {e}", path.display());
     if !options.program.is_file() {
         let program = options.program.display();
-        return Err(format!("there is no proxy program at {program}; build it, or name it with --proxies"));
+        return Err(format!(
+            "there is no proxy program at {program}; build it, or name it with --proxies"
+        ));
     }
     std::fs::create_dir_all(&options.out).map_err(|e| told(&options.out, e))?;
     let path = options.out.join("ledger");
@@ -55,12 +57,16 @@
     let clock = Clock::starting_in(Duration::from_secs_f64(lead));
     let (notes, entries) = Notes::new(clock);
     let keeper = keep(writer, entries)?;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
     let runtime = runtime.map_err(|e| format!("no event loop: {e}"))?;
     let played = LocalSet::new().block_on(&runtime, play(scenario, plan, options, notes));
     // The tasks that are left hold ways into the ledger: it ends when the last of them does.
     drop(runtime);
-    let kept = keeper.join().map_err(|_| "the ledger's thread failed".to_owned())?;
+    let kept = keeper
+        .join()
+        .map_err(|_| "the ledger's thread failed".to_owned())?;
     kept.map_err(|e| format!("{}: {e}", path.display()))?;
     let stopped = played?;
     report_of(&path, options, stopped)
@@ -73,7 +79,10 @@
         let times = getrusage(who).map(|u| u.user_time() + u.system_time());
         times.map_or(0.0, |t| t.tv_sec() as f64 + t.tv_usec() as f64 / 1e6)
     };
-    let kit = Kit { seconds: usage(UsageWho::RUSAGE_SELF), proxies: usage(UsageWho::RUSAGE_CHILDREN) };
+    let kit = Kit {
+        seconds: usage(UsageWho::RUSAGE_SELF),
+        proxies: usage(UsageWho::RUSAGE_CHILDREN),
+    };
     let report = Report::of(&head, &entries, stopped, Some(kit));
     report.write(&head, &entries, &options.out)?;
     Ok(report)
@@ -85,7 +94,10 @@
     let file = File::open(path).map_err(|e| told(&e))?;
     let read = ledger::read(BufReader::new(file)).map_err(|e| told(&e))?;
     if read.cut {
-        log::warn!("{}: the last record is cut off: its writer was stopped", path.display());
+        log::warn!(
+            "{}: the last record is cut off: its writer was stopped",
+            path.display()
+        );
     }
     Ok((read.head, read.entries))
 }
@@ -104,23 +116,46 @@
                 // After a fault what comes is let go of: nobody may wait for a full disk.
                 Ok(_) if fault.is_some() => {}
                 Ok(entry) => fault = writer.write(&entry).err(),
-                Err(std::sync::mpsc::RecvTimeoutError::Timeout) => fault = fault.or(writer.flush().err()),
+                Err(std::sync::mpsc::RecvTimeoutError::Timeout) => {
+                    fault = fault.or(writer.flush().err())
+                }
                 Err(std::sync::mpsc::RecvTimeoutError::Disconnected) => break,
             }
         }
         fault.map_or_else(|| writer.flush(), Err)
     };
-    std::thread::Builder::new().name("ledger".into()).spawn(body).map_err(|e| e.to_string())
+    std::thread::Builder::new()
+        .name("ledger".into())
+        .spawn(body)
+        .map_err(|e| e.to_string())
 }
 
 /// Plays it; tells whether it was stopped before its end.
-async fn play(scenario: &Scenario, plan: &Plan, options: &Options, notes: Notes) -> Result<bool, String> {
+async fn play(
+    scenario: &Scenario,
+    plan: &Plan,
+    options: &Options,
+    notes: Notes,
+) -> Result<bool, String> {
     let catch = |kind| signal(kind).map_err(|e| format!("no signals: {e}"));
-    let (mut interrupt, mut terminate) = (catch(SignalKind::interrupt())?, catch(SignalKind::terminate())?);
+    let (mut interrupt, mut terminate) = (
+        catch(SignalKind::interrupt())?,
+        catch(SignalKind::terminate())?,
+    );
     let (clock, block) = (notes.clock, Block::new());
     let (door, stage) = stage::start(scenario.clone(), plan.clone(), notes.clone(), block)?;
-    let Options { seed, out, program, .. } = options;
-    let proxies = Proxies::new(scenario, *seed, program, out, notes.clone(), door.clone(), block)?;
+    let Options {
+        seed, out, program, ..
+    } = options;
+    let proxies = Proxies::new(
+        scenario,
+        *seed,
+        program,
+        out,
+        notes.clone(),
+        door.clone(),
+        block,
+    )?;
     let progress = Arc::new(Progress::default());
     let outcome = async {
         for proxy in 0..scenario.proxies.count as u16 {
@@ -130,10 +165,20 @@
             return Err("the proxies took too long to start: this machine is too busy".to_owned());
         }
         let front = proxies.front.clone();
-        let threads = clients::start(scenario.clone(), plan.clone(), notes.clone(), front, progress.clone());
+        let threads = clients::start(
+            scenario.clone(),
+            plan.clone(),
+            notes.clone(),
+            front,
+            progress.clone(),
+        );
         let threads = threads.map_err(|e| format!("the clients can't start: {e}"))?;
         let acts = tokio::task::spawn_local(proxies.clone().play(plan.acts.clone()));
-        let longest = scenario.method.iter().map(|m| m.deadline.0).fold(0.0, f64::max);
+        let longest = scenario
+            .method
+            .iter()
+            .map(|m| m.deadline.0)
+            .fold(0.0, f64::max);
         let end = plan.length + longest + TAIL;
         let stopped = select! {
             () = clock.sleep_until(end) => false,
@@ -147,7 +192,9 @@
             while !thread.is_finished() {
                 sleep(Duration::from_millis(5)).await;
             }
-            thread.join().map_err(|_| "a thread of the clients failed".to_owned())?;
+            thread
+                .join()
+                .map_err(|_| "a thread of the clients failed".to_owned())?;
         }
         Ok(stopped)
     };
@@ -157,7 +204,9 @@
     }
     proxies.end();
     door.end().await;
-    stage.join().map_err(|_| "the stage's thread failed".to_owned())?;
+    stage
+        .join()
+        .map_err(|_| "the stage's thread failed".to_owned())?;
     outcome
 }
 
@@ -174,7 +223,10 @@
             continue;
         }
         let count = |of: &std::sync::atomic::AtomicUsize| of.load(Ordering::Relaxed);
-        let lasting = plan.troubles.iter().filter(|t| t.from <= now && now < t.until);
+        let lasting = plan
+            .troubles
+            .iter()
+            .filter(|t| t.from <= now && now < t.until);
         let troubles: Vec<_> = lasting.map(|t| t.name.as_str()).collect();
         let line = format!(
             "{}: {:5.1} of {:.0} s  asked {}  ok {}  pushed back {}  failed {}  {}",
@@ -188,6 +240,10 @@
             troubles.join(", ")
         );
         let mut to = std::io::stderr();
-        let _ = if terminal { write!(to, "\r\x1b[K{line}") } else { writeln!(to, "{line}") };
+        let _ = if terminal {
+            write!(to, "\r\x1b[K{line}")
+        } else {
+            writeln!(to, "{line}")
+        };
     }
 }
--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -177,7 +177,14 @@
 impl Default for List {
     fn default() -> Self {
         let (call_takes, line_takes) = (Span(0.001), Span(0.0));
-        Self { lag: Span(0.1), notices: Span(2.0), calls: None, call_takes, line_takes, known: true }
+        Self {
+            lag: Span(0.1),
+            notices: Span(2.0),
+            calls: None,
+            call_takes,
+            line_takes,
+            known: true,
+        }
     }
 }
 
@@ -225,9 +232,10 @@
 impl Method {
     pub fn effect(&self) -> Kind {
         match (self.kind, self.group, self.window) {
-            (MethodKind::Deduplicated, Some(group), Some(window)) => {
-                Kind::Deduplicated { group, window: window.0 }
-            }
+            (MethodKind::Deduplicated, Some(group), Some(window)) => Kind::Deduplicated {
+                group,
+                window: window.0,
+            },
             (MethodKind::NonIdempotent, ..) => Kind::NonIdempotent,
             _ => Kind::Idempotent,
         }
@@ -438,15 +446,22 @@
     /// Reads and checks a scenario; `file` names it in faults.
     pub fn read(file: &str, text: &str) -> Result<Self, Fault> {
         let line_of = |place: usize| text[..place.min(text.len())].matches('\n').count() + 1;
-        let fault = |line, key: String, what: String| Fault { file: file.to_owned(), line, key, what };
+        let fault = |line, key: String, what: String| Fault {
+            file: file.to_owned(),
+            line,
+            key,
+            what,
+        };
         let of_toml = |key: String, e: &toml::de::Error| {
             let line = e.span().map_or(0, |span| line_of(span.start));
             fault(line, key, e.message().to_owned())
         };
         let parsed = toml::Deserializer::parse(text).map_err(|e| of_toml(String::new(), &e))?;
-        let scenario: Self =
-            serde_path_to_error::deserialize(parsed).map_err(|e| of_toml(e.path().to_string(), e.inner()))?;
-        scenario.check().map_err(|(key, what)| fault(line_of_key(text, &key).unwrap_or(0), key, what))?;
+        let scenario: Self = serde_path_to_error::deserialize(parsed)
+            .map_err(|e| of_toml(e.path().to_string(), e.inner()))?;
+        scenario
+            .check()
+            .map_err(|(key, what)| fault(line_of_key(text, &key).unwrap_or(0), key, what))?;
         Ok(scenario)
     }
 
@@ -464,7 +479,10 @@
         let unique = |kind: &str, names: Vec<&String>| {
             let mut seen = HashSet::new();
             match names.iter().position(|name| !seen.insert(*name)) {
-                Some(n) => Err((format!("{kind}[{n}].name"), format!("\"{}\" is there twice", names[n]))),
+                Some(n) => Err((
+                    format!("{kind}[{n}].name"),
+                    format!("\"{}\" is there twice", names[n]),
+                )),
                 None => Ok(()),
             }
         };
@@ -487,10 +505,16 @@
             return wrong("fleet.machine", "names no machine".into());
         }
         if self.proxies.count > 200 {
-            return wrong("proxies.count", "at most 200 fit on one machine's loopback addresses".into());
+            return wrong(
+                "proxies.count",
+                "at most 200 fit on one machine's loopback addresses".into(),
+            );
         }
         if self.method.is_empty() || self.method.len() > 200 || self.tenant.len() > 200 {
-            return wrong("method", "from 1 to 200 methods, and at most 200 tenants".into());
+            return wrong(
+                "method",
+                "from 1 to 200 methods, and at most 200 tenants".into(),
+            );
         }
         for (n, machine) in self.fleet.machine.iter().enumerate() {
             positive(&format!("fleet.machine[{n}].cores"), machine.cores as f64)?;
@@ -527,7 +551,10 @@
         }
         for (n, phase) in self.traffic.phase.iter().enumerate() {
             if !(phase.times >= 0.0 && phase.times.is_finite()) {
-                return wrong(&format!("traffic.phase[{n}].times"), "must be 0 or more".into());
+                return wrong(
+                    &format!("traffic.phase[{n}].times"),
+                    "must be 0 or more".into(),
+                );
             }
         }
         for (n, trouble) in self.trouble.iter().enumerate() {
@@ -539,7 +566,9 @@
             ("worst-method", self.expect.worst_method),
             ("worst-tenant", self.expect.worst_tenant),
         ];
-        bars.iter().try_for_each(|(name, bar)| bar.map_or(Ok(()), |bar| part(&format!("expect.{name}"), bar)))
+        bars.iter().try_for_each(|(name, bar)| {
+            bar.map_or(Ok(()), |bar| part(&format!("expect.{name}"), bar))
+        })
     }
 
     fn check_trouble(&self, n: usize, trouble: &Trouble) -> Result<(), (String, String)> {
@@ -551,7 +580,9 @@
             (
                 "nodes",
                 trouble.nodes.is_some(),
-                &[Stall, Neighbour, Crash, Deploy, Reset, Spoilt, Mute, Error, Trickle, Partition],
+                &[
+                    Stall, Neighbour, Crash, Deploy, Reset, Spoilt, Mute, Error, Trickle, Partition,
+                ],
                 &[],
             ),
             (
@@ -564,21 +595,36 @@
                 "for",
                 trouble.length.is_some(),
                 &[
-                    Stall, Neighbour, SlowMethod, Crash, ListLate, ListDown, ListStale, ProxyPause, Reset,
-                    Spoilt, Mute, Error, Trickle, Partition,
+                    Stall, Neighbour, SlowMethod, Crash, ListLate, ListDown, ListStale, ProxyPause,
+                    Reset, Spoilt, Mute, Error, Trickle, Partition,
                 ],
                 &[],
             ),
             ("method", trouble.method.is_some(), &[SlowMethod], &[]),
             ("pause", trouble.pause.is_some(), &[ProxyPause], &[Stall]),
-            ("every", trouble.every.is_some(), &[Deploy, ProxyPause], &[Stall, ProxyKill, ProxyRestart]),
+            (
+                "every",
+                trouble.every.is_some(),
+                &[Deploy, ProxyPause],
+                &[Stall, ProxyKill, ProxyRestart],
+            ),
             ("takes", trouble.takes.is_some(), &[Neighbour], &[]),
             ("factor", trouble.factor.is_some(), &[SlowMethod], &[]),
             ("batch", trouble.batch.is_some(), &[Deploy], &[]),
             ("by", trouble.by.is_some(), &[ListLate], &[]),
-            ("share", trouble.share.is_some(), &[Reset, Spoilt, Mute, Error, Trickle], &[]),
+            (
+                "share",
+                trouble.share.is_some(),
+                &[Reset, Spoilt, Mute, Error, Trickle],
+                &[],
+            ),
             ("over", trouble.over.is_some(), &[Trickle], &[]),
-            ("back-after", trouble.back_after.is_some(), &[], &[ProxyKill, ProxyRestart, Deploy]),
+            (
+                "back-after",
+                trouble.back_after.is_some(),
+                &[],
+                &[ProxyKill, ProxyRestart, Deploy],
+            ),
         ];
         for (name, there, needed, allowed) in keys {
             let needs = needed.contains(&kind);
@@ -601,9 +647,14 @@
             }
         }
         if trouble.takes == Some(1.0) {
-            return Err((key("takes"), "a neighbour leaves something; use a stall".into()));
+            return Err((
+                key("takes"),
+                "a neighbour leaves something; use a stall".into(),
+            ));
         }
-        if trouble.factor.is_some_and(|factor| !(factor > 0.0 && factor.is_finite()))
+        if trouble
+            .factor
+            .is_some_and(|factor| !(factor > 0.0 && factor.is_finite()))
             || trouble.batch == Some(0)
         {
             return Err((key("kind"), "factor and batch must be above 0".into()));
@@ -611,7 +662,11 @@
         if trouble.every.is_some_and(|every| every.0 <= 0.0) {
             return Err((key("every"), "must be above 0".into()));
         }
-        if trouble.method.as_ref().is_some_and(|name| self.method.iter().all(|m| m.name != *name)) {
+        if trouble
+            .method
+            .as_ref()
+            .is_some_and(|name| self.method.iter().all(|m| m.name != *name))
+        {
             return Err((key("method"), "names no method of this scenario".into()));
         }
         Ok(())
@@ -629,7 +684,8 @@
             Some((name, rest)) => (name, rest.trim_end_matches(']').parse::<usize>().ok()),
             None => (part, None),
         };
-        let Some((at, mut value)) = table.iter().find(|(key, _)| key.get_ref().as_ref() == name) else {
+        let Some((at, mut value)) = table.iter().find(|(key, _)| key.get_ref().as_ref() == name)
+        else {
             break;
         };
         place = Some(at.span().start);
--- a/crates/rehearsal/src/settings.rs
+++ b/crates/rehearsal/src/settings.rs
@@ -34,8 +34,9 @@
         .collect();
     let total: f64 = scenario.tenant.iter().map(|t| t.share).sum();
     let tenants = scenario.tenant.iter();
-    let accounts: Vec<_> =
-        tenants.map(|t| json!({"name": t.name, "quota-per-s": t.quota, "share": t.share / total})).collect();
+    let accounts: Vec<_> = tenants
+        .map(|t| json!({"name": t.name, "quota-per-s": t.quota, "share": t.share / total}))
+        .collect();
     let how = match scenario.fleet.reports {
         Reports::Answers => "answers",
         Reports::Probes => "probe",
@@ -93,7 +94,11 @@
         utility: m.utility,
         late_utility: m.late_utility,
     };
-    let node = |n: &crate::plan::PlannedNode| head::Node { name: n.name.clone(), zone: n.zone, rack: n.rack };
+    let node = |n: &crate::plan::PlannedNode| head::Node {
+        name: n.name.clone(),
+        zone: n.zone,
+        rack: n.rack,
+    };
     Head {
         scenario: scenario.name.clone(),
         seed: plan.seed,
--- a/crates/rehearsal/src/span.rs
+++ b/crates/rehearsal/src/span.rs
@@ -5,18 +5,30 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd)]
 pub struct Span(pub f64);
 
-const UNITS: [(&str, f64); 5] = [("ms", 1e-3), ("us", 1e-6), ("min", 60.0), ("m", 60.0), ("s", 1.0)];
+const UNITS: [(&str, f64); 5] = [
+    ("ms", 1e-3),
+    ("us", 1e-6),
+    ("min", 60.0),
+    ("m", 60.0),
+    ("s", 1.0),
+];
 
 impl std::str::FromStr for Span {
     type Err = String;
     fn from_str(text: &str) -> Result<Self, String> {
-        let wrong = || format!("\"{text}\" is not a time with its unit, such as \"250ms\", \"4s\" or \"2m\"");
+        let wrong = || {
+            format!("\"{text}\" is not a time with its unit, such as \"250ms\", \"4s\" or \"2m\"")
+        };
         let (number, unit) = UNITS
             .iter()
             .find_map(|(name, unit)| text.trim().strip_suffix(name).map(|number| (number, unit)))
             .ok_or_else(wrong)?;
         let number: f64 = number.trim().parse().map_err(|_| wrong())?;
-        if number.is_finite() && number >= 0.0 { Ok(Self(number * unit)) } else { Err(wrong()) }
+        if number.is_finite() && number >= 0.0 {
+            Ok(Self(number * unit))
+        } else {
+            Err(wrong())
+        }
     }
 }
 
--- a/crates/rehearsal/src/stage.rs
+++ b/crates/rehearsal/src/stage.rs
@@ -26,7 +26,9 @@
 impl Block {
     pub fn new() -> Self {
         static NEXT: AtomicU32 = AtomicU32::new(0);
-        let number = std::process::id().wrapping_mul(7).wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
+        let number = std::process::id()
+            .wrapping_mul(7)
+            .wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
         Self(16 + (number % 200) as u8)
     }
     /// Where nodes listen for a proxy; they share addresses when there are more than fit.
@@ -47,7 +49,10 @@
 /// What the stage is asked for by the other threads.
 pub enum Ask {
     /// A proxy starts: where its list service is, and the list that it starts with.
-    ProxyStarts { proxy: u16, reply: oneshot::Sender<(SocketAddr, Value)> },
+    ProxyStarts {
+        proxy: u16,
+        reply: oneshot::Sender<(SocketAddr, Value)>,
+    },
     /// All is over.
     End,
 }
@@ -78,7 +83,10 @@
     let (ask, asked) = mpsc::channel(64);
     let (ready, started) = threads::channel();
     let body = move || {
-        let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        let runtime = match tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+        {
             Ok(runtime) => runtime,
             Err(fault) => return drop(ready.send(Err(format!("no event loop: {fault}")))),
         };
@@ -92,8 +100,13 @@
             }
         });
     };
-    let thread = std::thread::Builder::new().name("stage".into()).spawn(body).map_err(|e| e.to_string())?;
-    started.recv().map_err(|_| "the stage ended at once".to_owned())??;
+    let thread = std::thread::Builder::new()
+        .name("stage".into())
+        .spawn(body)
+        .map_err(|e| e.to_string())?;
+    started
+        .recv()
+        .map_err(|_| "the stage ended at once".to_owned())??;
     Ok((StageDoor(ask), thread))
 }
 
@@ -110,11 +123,19 @@
 }
 
 impl Stage {
-    fn set(scenario: &Scenario, plan: &Plan, notes: Notes, block: Block) -> std::io::Result<Rc<Self>> {
+    fn set(
+        scenario: &Scenario,
+        plan: &Plan,
+        notes: Notes,
+        block: Block,
+    ) -> std::io::Result<Rc<Self>> {
         let proxies = scenario.proxies.count as u16;
         let costs = scenario.method.iter().map(|m| Cost {
             name: m.name.clone(),
-            work: Work { mean: m.work.0, spread: m.spread },
+            work: Work {
+                mean: m.work.0,
+                spread: m.spread,
+            },
             kind: m.effect(),
         });
         let mut fleet = Fleet::new(notes.clone(), plan.seed, costs.collect());
@@ -128,7 +149,14 @@
             let spec = settings::spec(scenario, planned);
             let (zone, rack) = (planned.zone, planned.rack);
             let idle_limit = scenario.fleet.idle_limit.0;
-            let place = Place { index, name: planned.name.clone(), zone, rack, spec, idle_limit };
+            let place = Place {
+                index,
+                name: planned.name.clone(),
+                zone,
+                rack,
+                spec,
+                idle_limit,
+            };
             let ips: Vec<_> = (0..proxies).map(|proxy| block.door(proxy, index)).collect();
             let host = NodeHost::new(place, fleet.clone(), &ips)?;
             lines.push(Line {
@@ -148,13 +176,32 @@
         let list = ListService::start(notes.clone(), &doors)?;
         if let Some(calls) = scenario.list.calls {
             let time = |span: Span| Duration::from_secs_f64(span.0);
-            list.limit(Capacity::new(calls, time(scenario.list.call_takes), time(scenario.list.line_takes)));
+            list.limit(Capacity::new(
+                calls,
+                time(scenario.list.call_takes),
+                time(scenario.list.line_takes),
+            ));
         }
         let (lag, notices) = (scenario.list.lag.0, scenario.list.notices.0);
-        let stage = Self { notes, fleet, hosts, list, lines, lag, notices, late: Cell::new(0.0) };
+        let stage = Self {
+            notes,
+            fleet,
+            hosts,
+            list,
+            lines,
+            lag,
+            notices,
+            late: Cell::new(0.0),
+        };
         for n in 0..plan.first_nodes() {
             let life = stage.hosts[n].start(Start::Warm)?;
-            stage.list.change(n as u32, Line { life, ..stage.lines[n].clone() });
+            stage.list.change(
+                n as u32,
+                Line {
+                    life,
+                    ..stage.lines[n].clone()
+                },
+            );
         }
         Ok(Rc::new(stage))
     }
@@ -191,9 +238,21 @@
     fn tell(self: &Rc<Self>, node: u32, life: u32, state: State, after: f64) {
         let stage = self.clone();
         let now = self.notes.clock.now();
-        let (at, line) = (now + after + self.late.get().max(0.0), &self.lines[node as usize]);
-        let boot_ms = if state == State::Ready { self.notes.clock.unix_ms(now) } else { 0.0 };
-        let line = Line { state, life, boot_ms, ..line.clone() };
+        let (at, line) = (
+            now + after + self.late.get().max(0.0),
+            &self.lines[node as usize],
+        );
+        let boot_ms = if state == State::Ready {
+            self.notes.clock.unix_ms(now)
+        } else {
+            0.0
+        };
+        let line = Line {
+            state,
+            life,
+            boot_ms,
+            ..line.clone()
+        };
         spawn_local(async move {
             stage.notes.clock.sleep_until(at).await;
             stage.list.change(node, line);
@@ -201,7 +260,9 @@
     }
 
     fn begin(self: &Rc<Self>, node: u32) {
-        let Some(host) = self.host(node).filter(|host| host.life().is_none()) else { return };
+        let Some(host) = self.host(node).filter(|host| host.life().is_none()) else {
+            return;
+        };
         match host.start(Start::Cold) {
             Ok(life) => self.tell(node, life, State::Ready, self.lag),
             Err(fault) => log::error!("{} can't start: {fault}", host.place.name),
@@ -211,14 +272,24 @@
     fn act(self: &Rc<Self>, act: Act) {
         let host = |node| self.host(node);
         match act {
-            Act::Begin { trouble } => self.notes.tell(Event::Trouble { number: trouble, begins: true }),
-            Act::End { trouble } => self.notes.tell(Event::Trouble { number: trouble, begins: false }),
-            Act::Stall { node, number, on: true } => {
-                host(node).into_iter().for_each(|h| h.begin_stall(number))
-            }
-            Act::Stall { node, number, on: false } => {
-                host(node).into_iter().for_each(|h| h.end_stall(number))
-            }
+            Act::Begin { trouble } => self.notes.tell(Event::Trouble {
+                number: trouble,
+                begins: true,
+            }),
+            Act::End { trouble } => self.notes.tell(Event::Trouble {
+                number: trouble,
+                begins: false,
+            }),
+            Act::Stall {
+                node,
+                number,
+                on: true,
+            } => host(node).into_iter().for_each(|h| h.begin_stall(number)),
+            Act::Stall {
+                node,
+                number,
+                on: false,
+            } => host(node).into_iter().for_each(|h| h.end_stall(number)),
             Act::Scale { node, factor } => host(node).into_iter().for_each(|h| h.scale(factor)),
             Act::Slow { method, factor } => self.fleet.slow_down(method, factor),
             Act::Crash { node } => {
@@ -234,10 +305,18 @@
                 }
             }
             Act::Drain { node } => host(node).into_iter().for_each(|h| h.drain()),
-            Act::Retire { node, by, successor, after } => {
-                drop(spawn_local(self.clone().retire(node, by, successor, after)))
-            }
-            Act::Faulty { node, number, fault, on } => {
+            Act::Retire {
+                node,
+                by,
+                successor,
+                after,
+            } => drop(spawn_local(self.clone().retire(node, by, successor, after))),
+            Act::Faulty {
+                node,
+                number,
+                fault,
+                on,
+            } => {
                 let fault = match fault {
                     Trick::Reset(share) => Fault::Reset { share },
                     Trick::Half(share) => Fault::Half { share },
--- a/crates/rehearsal/tests/plans.rs
+++ b/crates/rehearsal/tests/plans.rs
@@ -51,7 +51,8 @@
 #[test]
 fn every_shipped_scenario_reads_and_draws() {
     for shipped in shipped::ALL {
-        let plan = draw(shipped.text, 1).unwrap_or_else(|fault| panic!("{}: {fault}", shipped.name));
+        let plan =
+            draw(shipped.text, 1).unwrap_or_else(|fault| panic!("{}: {fault}", shipped.name));
         assert!(!plan.arrivals.is_empty(), "{}", shipped.name);
     }
 }
@@ -67,12 +68,13 @@
 
 #[test]
 fn a_trouble_more_leaves_traffic_and_other_troubles_as_they_were() {
-    let stall =
-        "[[trouble]]\nname = \"s\"\nkind = \"stall\"\nat = \"1s\"\nfor = \"2s\"\nnodes = { share = 0.5 }\n";
-    let before =
-        "[[trouble]]\nname = \"t\"\nkind = \"crash\"\nat = \"1s\"\nfor = \"2s\"\nnodes = { count = 3 }\n";
-    let (none, one, two) =
-        (draw(BASE, 5), draw(&with(stall), 5), draw(&with(&format!("{before}{stall}")), 5));
+    let stall = "[[trouble]]\nname = \"s\"\nkind = \"stall\"\nat = \"1s\"\nfor = \"2s\"\nnodes = { share = 0.5 }\n";
+    let before = "[[trouble]]\nname = \"t\"\nkind = \"crash\"\nat = \"1s\"\nfor = \"2s\"\nnodes = { count = 3 }\n";
+    let (none, one, two) = (
+        draw(BASE, 5),
+        draw(&with(stall), 5),
+        draw(&with(&format!("{before}{stall}")), 5),
+    );
     let (none, one, two) = (none.unwrap(), one.unwrap(), two.unwrap());
     assert_eq!(none.arrivals, one.arrivals);
     assert_eq!(none.arrivals, two.arrivals);
@@ -97,7 +99,12 @@
         .concat(),
     );
     let plan = draw(&text, 1).expect("a plan");
-    let names = |n: usize| plan.troubles[n].nodes.iter().map(|n| plan.nodes[*n as usize].name.as_str());
+    let names = |n: usize| {
+        plan.troubles[n]
+            .nodes
+            .iter()
+            .map(|n| plan.nodes[*n as usize].name.as_str())
+    };
     assert_eq!(names(0).collect::<Vec<_>>(), ["a-1-0", "a-1-1"]);
     assert!(names(1).count() == 1 && names(1).all(|name| name.starts_with("a-1")));
     assert_eq!(names(2).collect::<Vec<_>>(), ["a-0-0", "a-0-1"]);
@@ -110,12 +117,18 @@
         "[[trouble]]\nname = \"d\"\nkind = \"deploy\"\nat = \"1s\"\nbatch = 3\nevery = \"2s\"\nnodes = { zone = \"a\" }\n",
     );
     let plan = draw(&text, 1).expect("a plan");
-    let announced: Vec<_> =
-        plan.acts.iter().filter(|(_, act)| matches!(act, Act::Announce { .. })).map(|(at, _)| *at).collect();
+    let announced: Vec<_> = plan
+        .acts
+        .iter()
+        .filter(|(_, act)| matches!(act, Act::Announce { .. }))
+        .map(|(at, _)| *at)
+        .collect();
     assert_eq!(announced, [1.0, 1.0, 1.0, 3.0]);
     assert_eq!((plan.nodes.len(), plan.first_nodes()), (12, 8));
     assert!(
-        plan.nodes[8..].iter().all(|node| node.successor && node.name.ends_with(".new") && node.zone == 0)
+        plan.nodes[8..]
+            .iter()
+            .all(|node| node.successor && node.name.ends_with(".new") && node.zone == 0)
     );
 }
 
@@ -125,12 +138,21 @@
         "[[traffic.phase]]\nat = \"4s\"\nfor = \"2s\"\ntimes = 3\n[[traffic.phase]]\nat = \"8s\"\nfor = \"2s\"\ntimes = 0\n",
     );
     let plan = draw(&text, 9).expect("a plan");
-    let count = |from: f64, to: f64| plan.arrivals.iter().filter(|a| a.due >= from && a.due < to).count();
+    let count = |from: f64, to: f64| {
+        plan.arrivals
+            .iter()
+            .filter(|a| a.due >= from && a.due < to)
+            .count()
+    };
     assert!((300..500).contains(&count(0.0, 4.0)), "{}", count(0.0, 4.0));
     assert!((500..700).contains(&count(4.0, 6.0)), "{}", count(4.0, 6.0));
     assert_eq!(count(8.0, 10.0), 0);
     // Tenant one asks for some 75 a second and has a right to 40, and a burst of as many.
-    let within = plan.arrivals.iter().filter(|a| a.tenant == 0 && a.due < 4.0 && a.within).count();
+    let within = plan
+        .arrivals
+        .iter()
+        .filter(|a| a.tenant == 0 && a.due < 4.0 && a.within)
+        .count();
     assert!((150..=200).contains(&within), "{within}");
     assert!(plan.arrivals.iter().all(|a| a.tenant == 0 || a.within));
 }
@@ -140,18 +162,42 @@
 fn mistakes_are_told_with_file_line_and_key() {
     let trouble = "\n[[trouble]]\nname = \"t\"\nkind = \"stall\"\nat = \"1s\"\nfor = \"1s\"\n";
     let cases = [
-        (BASE.replace("rate = 100", "rat = 100"), "s.toml:34: traffic.rat: unknown field `rat`"),
-        (BASE.replace("\"10ms\"", "10"), "s.toml:17: method[0].work: invalid type: integer"),
-        (BASE.replace("\"10ms\"", "\"10\""), "s.toml:17: method[0].work: \"10\" is not a time with its unit"),
+        (
+            BASE.replace("rate = 100", "rat = 100"),
+            "s.toml:34: traffic.rat: unknown field `rat`",
+        ),
+        (
+            BASE.replace("\"10ms\"", "10"),
+            "s.toml:17: method[0].work: invalid type: integer",
+        ),
+        (
+            BASE.replace("\"10ms\"", "\"10\""),
+            "s.toml:17: method[0].work: \"10\" is not a time with its unit",
+        ),
         (
             BASE.replace("\"500ms\"", "\"100ms\""),
             "s.toml:19: method[0].deadline: is before the latency target",
         ),
-        (BASE.replace("\"idempotent\"", "\"deduplicated\""), "s.toml:16: method[0].kind: group and window"),
-        (BASE.replace("rate = 100", "rate = 0"), "s.toml:34: traffic.rate: must be above 0"),
-        (BASE.replace("\"two\"", "\"one\""), "s.toml:27: tenant[1].name: \"one\" is there twice"),
-        (BASE.replace("[proxies]", "[proxies"), "s.toml:30: unclosed table"),
-        (with(trouble), "s.toml:38: trouble[0].kind: this kind needs the key `nodes`"),
+        (
+            BASE.replace("\"idempotent\"", "\"deduplicated\""),
+            "s.toml:16: method[0].kind: group and window",
+        ),
+        (
+            BASE.replace("rate = 100", "rate = 0"),
+            "s.toml:34: traffic.rate: must be above 0",
+        ),
+        (
+            BASE.replace("\"two\"", "\"one\""),
+            "s.toml:27: tenant[1].name: \"one\" is there twice",
+        ),
+        (
+            BASE.replace("[proxies]", "[proxies"),
+            "s.toml:30: unclosed table",
+        ),
+        (
+            with(trouble),
+            "s.toml:38: trouble[0].kind: this kind needs the key `nodes`",
+        ),
         (
             with(&format!("{trouble}nodes = {{ zone = \"c\" }}\n")),
             "s.toml:41: trouble[0].nodes.zone: there is no zone \"c\"",
@@ -168,10 +214,16 @@
             with(&format!("{trouble}nodes = {{}}\nshare = 0.5\n")),
             "s.toml:42: trouble[0].share: does not belong",
         ),
-        (with("[expect]\nservice = 1.5\n"), "s.toml:36: expect.service: must be from 0 to 1"),
+        (
+            with("[expect]\nservice = 1.5\n"),
+            "s.toml:36: expect.service: must be from 0 to 1",
+        ),
     ];
     for (text, expected) in cases {
         let told = draw(&text, 1).expect_err(expected);
-        assert!(told.starts_with(expected), "told:     {told}\nexpected: {expected}");
+        assert!(
+            told.starts_with(expected),
+            "told:     {told}\nexpected: {expected}"
+        );
     }
 }
--- a/crates/rehearsal/tests/verdicts.rs
+++ b/crates/rehearsal/tests/verdicts.rs
@@ -13,22 +13,51 @@
 fn asked(due: f64, rpc: u32, method: u8, answered: Option<f64>) -> Vec<Entry> {
     let attempt = u64::from(rpc) << 8;
     let mut entries = vec![
-        Entry { at: due, event: Event::Asked { rpc, method, tenant: 0, within: true } },
-        Entry { at: due, event: Event::Sent { attempt, rpc, proxy: 0, patience: 0.6 } },
+        Entry {
+            at: due,
+            event: Event::Asked {
+                rpc,
+                method,
+                tenant: 0,
+                within: true,
+            },
+        },
+        Entry {
+            at: due,
+            event: Event::Sent {
+                attempt,
+                rpc,
+                proxy: 0,
+                patience: 0.6,
+            },
+        },
     ];
-    entries.extend(answered.map(|at| Entry { at, event: Event::Answered { attempt, answer: Answer::Ok } }));
+    entries.extend(answered.map(|at| Entry {
+        at,
+        event: Event::Answered {
+            attempt,
+            answer: Answer::Ok,
+        },
+    }));
     entries
 }
 
 /// A hundred RPCs in time, then these; the kit was late by so much with every one.
 fn verdict(late: f32, more: Vec<Entry>, partial: bool) -> (Verdict, Vec<String>) {
-    let mut entries: Vec<_> =
-        (0..100).flat_map(|n| asked(f64::from(n) * 0.1, n, 0, Some(f64::from(n) * 0.1 + 0.05))).collect();
-    entries.extend((0..100).map(|n| Entry { at: f64::from(n) * 0.1, event: Event::KitLate { by: late } }));
+    let mut entries: Vec<_> = (0..100)
+        .flat_map(|n| asked(f64::from(n) * 0.1, n, 0, Some(f64::from(n) * 0.1 + 0.05)))
+        .collect();
+    entries.extend((0..100).map(|n| Entry {
+        at: f64::from(n) * 0.1,
+        event: Event::KitLate { by: late },
+    }));
     entries.extend(more);
     entries.sort_by(|a, b| a.at.total_cmp(&b.at));
     let report = Report::of(&head(), &entries, partial, None);
-    assert_eq!(report.text().lines().next().map(|line| &line[..4]), Some(report.verdict.word()));
+    assert_eq!(
+        report.text().lines().next().map(|line| &line[..4]),
+        Some(report.verdict.word())
+    );
     (report.verdict, report.reasons)
 }
 
@@ -36,9 +65,25 @@
 fn second_pick(rpc: u32) -> Vec<Entry> {
     let got = |at: f64, job| {
         let (life, attempt, proxy, begun, work, pushed) = (1, u64::from(rpc) << 8, 0, at, 0.0, 0.0);
-        Entry { at, event: Event::Got { life, job, attempt, proxy, begun, work, pushed, taken: Taken::Held } }
+        Entry {
+            at,
+            event: Event::Got {
+                life,
+                job,
+                attempt,
+                proxy,
+                begun,
+                work,
+                pushed,
+                taken: Taken::Held,
+            },
+        }
     };
-    [asked(20.0, rpc, 1, Some(20.2)), vec![got(20.01, 1), got(20.1, 2)]].concat()
+    [
+        asked(20.0, rpc, 1, Some(20.2)),
+        vec![got(20.01, 1), got(20.1, 2)],
+    ]
+    .concat()
 }
 
 #[test]
@@ -48,11 +93,16 @@
 
 #[test]
 fn a_bar_that_is_missed_fails_and_names_both_figures() {
-    let missed = (500..520).flat_map(|rpc| asked(15.0, rpc, 0, Some(15.5))).collect();
+    let missed = (500..520)
+        .flat_map(|rpc| asked(15.0, rpc, 0, Some(15.5)))
+        .collect();
     let (verdict, reasons) = verdict(0.001, missed, false);
     assert_eq!(
         (verdict, reasons.as_slice()),
-        (Verdict::Fail, &["bar: service is 0.8333, expected 0.95 or more".to_owned()][..])
+        (
+            Verdict::Fail,
+            &["bar: service is 0.8333, expected 0.95 or more".to_owned()][..]
+        )
     );
 }
 
@@ -62,19 +112,49 @@
     let (on_time, _) = verdict(0.001, late_answer.clone(), false);
     let (late, reasons) = verdict(0.02, late_answer, false);
     assert_eq!((on_time, late), (Verdict::Fail, Verdict::Void));
-    assert!(reasons[0].contains("too busy") && reasons.len() == 1, "{reasons:?}");
+    assert!(
+        reasons[0].contains("too busy") && reasons.len() == 1,
+        "{reasons:?}"
+    );
     let (late, reasons) = verdict(0.02, second_pick(200), false);
-    assert!(late == Verdict::Fail && reasons[0].starts_with("rule 2: rpc 200"), "{reasons:?}");
+    assert!(
+        late == Verdict::Fail && reasons[0].starts_with("rule 2: rpc 200"),
+        "{reasons:?}"
+    );
 }
 
 /// A stage that is out of breath looks like slow nodes: that is no fault of the proxies.
 #[test]
 fn stand_ins_that_were_late_make_it_void() {
-    let missed = || (500..520).flat_map(|rpc| asked(15.0, rpc, 0, Some(15.5))).collect::<Vec<_>>();
-    let stage = |by| (0..50).map(move |n| Entry { at: f64::from(n) * 0.1, event: Event::StageLate { by } });
-    assert_eq!(verdict(0.001, missed().into_iter().chain(stage(0.001)).collect(), false).0, Verdict::Fail);
-    let (late, reasons) = verdict(0.001, missed().into_iter().chain(stage(0.05)).collect(), false);
-    assert!(late == Verdict::Void && reasons[0].contains("stand-in nodes ended 50.0 ms late"), "{reasons:?}");
+    let missed = || {
+        (500..520)
+            .flat_map(|rpc| asked(15.0, rpc, 0, Some(15.5)))
+            .collect::<Vec<_>>()
+    };
+    let stage = |by| {
+        (0..50).map(move |n| Entry {
+            at: f64::from(n) * 0.1,
+            event: Event::StageLate { by },
+        })
+    };
+    assert_eq!(
+        verdict(
+            0.001,
+            missed().into_iter().chain(stage(0.001)).collect(),
+            false
+        )
+        .0,
+        Verdict::Fail
+    );
+    let (late, reasons) = verdict(
+        0.001,
+        missed().into_iter().chain(stage(0.05)).collect(),
+        false,
+    );
+    assert!(
+        late == Verdict::Void && reasons[0].contains("stand-in nodes ended 50.0 ms late"),
+        "{reasons:?}"
+    );
 }
 
 #[test]
--- a/crates/rehearsal/tests/wrong.rs
+++ b/crates/rehearsal/tests/wrong.rs
@@ -67,14 +67,21 @@
 
 /// Plays it with the proxy that is called so.
 fn play(called: &str) -> Report {
-    let folder = std::env::temp_dir().join(format!("birchhub-wrong-{}-{called}", std::process::id()));
+    let folder =
+        std::env::temp_dir().join(format!("birchhub-wrong-{}-{called}", std::process::id()));
     std::fs::create_dir_all(&folder).expect("a folder");
     let program = folder.join(called);
-    std::os::unix::fs::symlink(env!("CARGO_BIN_EXE_birchhub-wrong-proxy"), &program).expect("a link");
+    std::os::unix::fs::symlink(env!("CARGO_BIN_EXE_birchhub-wrong-proxy"), &program)
+        .expect("a link");
     let scenario = Scenario::read("wrong.toml", SCENARIO).expect("a scenario");
     let plan = Plan::draw(&scenario, 3, "wrong.toml", SCENARIO).expect("a plan");
     let out: PathBuf = folder.join("out");
-    let options = Options { seed: 3, out, program, progress: false };
+    let options = Options {
+        seed: 3,
+        out,
+        program,
+        progress: false,
+    };
     let report = rehearse(&scenario, &plan, &options).expect("a report");
     let _ = std::fs::remove_dir_all(&folder);
     report
@@ -84,7 +91,11 @@
 fn fails(called: &str, rule: Rule, what: &str) {
     let report = play(called);
     assert_eq!(report.verdict, Verdict::Fail, "{}", report.text());
-    assert!(report.findings.breaches.iter().all(|b| b.rule == rule), "{}", report.text());
+    assert!(
+        report.findings.breaches.iter().all(|b| b.rule == rule),
+        "{}",
+        report.text()
+    );
     assert!(report.reasons[0].contains(what), "{}", report.text());
 }
 
@@ -92,7 +103,11 @@
 fn a_proxy_that_keeps_the_rules_passes() {
     let report = play("honest");
     assert_eq!(report.verdict, Verdict::Pass, "{}", report.text());
-    assert!(report.findings.counts.aborted > 0, "no reset was met: {}", report.text());
+    assert!(
+        report.findings.counts.aborted > 0,
+        "no reset was met: {}",
+        report.text()
+    );
 }
 
 #[test]
--- a/crates/scale/src/backends.rs
+++ b/crates/scale/src/backends.rs
@@ -62,7 +62,10 @@
                 let more = (1..LISTENERS).map(|_| listen((Ipv4Addr::LOCALHOST, 0).into(), BACKLOG));
                 let listeners: Result<Vec<_>, _> = std::iter::once(Ok(first)).chain(more).collect();
                 let opened = listeners.and_then(|listeners| {
-                    let at = listeners.iter().map(TcpListener::local_addr).collect::<Result<Vec<_>, _>>()?;
+                    let at = listeners
+                        .iter()
+                        .map(TcpListener::local_addr)
+                        .collect::<Result<Vec<_>, _>>()?;
                     Ok((at, listeners))
                 });
                 let listeners = match opened {
@@ -79,8 +82,15 @@
             }
         };
         let (_, thread) = crate::list::on_thread("backends", serve)?;
-        let endpoints = told.recv().map_err(|_| "the backends ended at once".to_owned())??;
-        Ok(Self { counts, endpoints, end: Some(end), thread: Some(thread) })
+        let endpoints = told
+            .recv()
+            .map_err(|_| "the backends ended at once".to_owned())??;
+        Ok(Self {
+            counts,
+            endpoints,
+            end: Some(end),
+            thread: Some(thread),
+        })
     }
 
     pub fn endpoints(&self) -> &[SocketAddr] {
@@ -123,7 +133,11 @@
 
 /// What an answer's body says that the work took, us.
 pub fn served(body: &[u8]) -> Option<u64> {
-    std::str::from_utf8(body).ok()?.strip_prefix("served ")?.parse().ok()
+    std::str::from_utf8(body)
+        .ok()?
+        .strip_prefix("served ")?
+        .parse()
+        .ok()
 }
 
 async fn connection(counts: Arc<Counts>, mut peer: Peer, clock: Clock, idle: Duration) {
--- a/crates/scale/src/fit.rs
+++ b/crates/scale/src/fit.rs
@@ -16,7 +16,11 @@
         let (slope, base) = linreg::linear_regression_of::<f64, f64, f64>(points).ok()?;
         let left = |(x, y): &(f64, f64)| (y - base - slope * x).powi(2);
         let residual = (points.iter().map(left).sum::<f64>() / points.len() as f64).sqrt();
-        Some(Self { base, slope, residual })
+        Some(Self {
+            base,
+            slope,
+            residual,
+        })
     }
 
     pub fn at(&self, x: f64) -> f64 {
--- a/crates/scale/src/hollow.rs
+++ b/crates/scale/src/hollow.rs
@@ -87,7 +87,9 @@
         self.balancer.list(ListKind::Stale, &[], &mut self.door);
         loop {
             while !self.door.watches {
-                let Some(at) = self.door.wake_at.take() else { return };
+                let Some(at) = self.door.wake_at.take() else {
+                    return;
+                };
                 sleep(Duration::from_secs_f64((at - self.door.now()).max(0.0))).await;
                 self.balancer.wake(&mut self.door);
             }
@@ -107,13 +109,21 @@
                 Some(from) => format!("/registry/instances?from={from}&hold_ms={HOLD}"),
             };
             let request = format!("GET {path} HTTP/1.1\r\nHost: list\r\n\r\n");
-            peer.write(request.as_bytes()).await.map_err(|e| e.to_string())?;
+            peer.write(request.as_bytes())
+                .await
+                .map_err(|e| e.to_string())?;
             let answer = timeout(PATIENCE, peer.read(Kind::Response, &self.clock)).await;
-            let answer = answer.map_err(|_| "no answer in time")?.map_err(|stop| format!("{stop:?}"))?;
+            let answer = answer
+                .map_err(|_| "no answer in time")?
+                .map_err(|stop| format!("{stop:?}"))?;
             let list: List = serde_json::from_slice(&answer.body).map_err(|e| e.to_string())?;
             self.take(&list);
             // A proxy that has gone nowhere to tell it ends with the run.
-            let told = InForce { proxy: self.number, version: list.rev, at: Instant::now() };
+            let told = InForce {
+                proxy: self.number,
+                version: list.rev,
+                at: Instant::now(),
+            };
             self.news.send(told).map_err(|_| "the run is over")?;
         }
     }
@@ -122,13 +132,31 @@
         self.version = Some(list.rev);
         let entry = |line: &Line| {
             let next = self.numbers.len() as u32;
-            let backend = *self.numbers.entry(line.uid.clone().into_owned()).or_insert(next);
-            let readiness = if line.state == "Ready" { Readiness::Ready } else { Readiness::Draining };
+            let backend = *self
+                .numbers
+                .entry(line.uid.clone().into_owned())
+                .or_insert(next);
+            let readiness = if line.state == "Ready" {
+                Readiness::Ready
+            } else {
+                Readiness::Draining
+            };
             let zone = line.az.trim_start_matches('z').parse().unwrap_or_default();
-            Entry { backend, size: 1.0, started: None, cell: line.pod_group, zone, readiness }
+            Entry {
+                backend,
+                size: 1.0,
+                started: None,
+                cell: line.pod_group,
+                zone,
+                readiness,
+            }
         };
         let entries: Vec<_> = list.targets.iter().map(entry).collect();
-        let kind = if list.all { ListKind::Full } else { ListKind::Changes };
+        let kind = if list.all {
+            ListKind::Full
+        } else {
+            ListKind::Changes
+        };
         self.balancer.list(kind, &entries, &mut self.door);
     }
 }
@@ -150,7 +178,10 @@
         let conf = birchhub_settings::read_value(&settings(Shape::default()))?;
         let spent = processor.clone();
         let body = move || {
-            let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+            let runtime = match tokio::runtime::Builder::new_current_thread()
+                .enable_all()
+                .build()
+            {
                 Ok(runtime) => runtime,
                 Err(fault) => return log::error!("no event loop: {fault}"),
             };
@@ -160,8 +191,15 @@
                     let hollow = Hollow {
                         number,
                         list,
-                        door: Door { begun: Instant::now(), wake_at: None, watches: false },
-                        balancer: Balancer::new(&conf.settings, seed.wrapping_add(u64::from(number))),
+                        door: Door {
+                            begun: Instant::now(),
+                            wake_at: None,
+                            watches: false,
+                        },
+                        balancer: Balancer::new(
+                            &conf.settings,
+                            seed.wrapping_add(u64::from(number)),
+                        ),
                         numbers: HashMap::new(),
                         version: None,
                         news: tell.clone(),
@@ -182,9 +220,17 @@
                 }
             });
         };
-        let thread = std::thread::Builder::new().name("hollow".into()).spawn(body);
+        let thread = std::thread::Builder::new()
+            .name("hollow".into())
+            .spawn(body);
         let thread = thread.map_err(|e| format!("no thread: {e}"))?;
-        Ok(Self { count, news, processor, end: Some(end), thread: Some(thread) })
+        Ok(Self {
+            count,
+            news,
+            processor,
+            end: Some(end),
+            thread: Some(thread),
+        })
     }
 
     /// Processor time of all of them, s.
@@ -209,7 +255,10 @@
         match had {
             Ok(Some(())) => Ok(last),
             Ok(None) => Err("the hollow proxies ended".into()),
-            Err(_) => Err(format!("{left} of {} hollow proxies were not told in time", self.count)),
+            Err(_) => Err(format!(
+                "{left} of {} hollow proxies were not told in time",
+                self.count
+            )),
         }
     }
 }
--- a/crates/scale/src/list.rs
+++ b/crates/scale/src/list.rs
@@ -31,7 +31,11 @@
 impl Lines {
     fn line(&self, number: u32) -> String {
         let endpoint = self.endpoints[number as usize % self.endpoints.len()];
-        let state = if self.draining[number as usize] { "Terminating" } else { "Ready" };
+        let state = if self.draining[number as usize] {
+            "Terminating"
+        } else {
+            "Ready"
+        };
         format!(
             r#"{{"uid":"s-{number:08x}","endpoint":"{endpoint}","az":"z{}","model":"m","pod_group":{},"state":"{state}","capacity_hint":1.0,"boot_ms":0.0}}"#,
             number % self.zones,
@@ -52,10 +56,21 @@
         };
         numbers.sort_unstable();
         numbers.dedup();
-        let lines: Vec<_> = numbers.into_iter().map(|number| self.line(number)).collect();
-        let body =
-            format!(r#"{{"rev":{},"all":{},"targets":[{}]}}"#, self.version, from.is_none(), lines.join(","));
-        let bytes = response(200, &[("Content-Type", "application/json")], body.as_bytes());
+        let lines: Vec<_> = numbers
+            .into_iter()
+            .map(|number| self.line(number))
+            .collect();
+        let body = format!(
+            r#"{{"rev":{},"all":{},"targets":[{}]}}"#,
+            self.version,
+            from.is_none(),
+            lines.join(",")
+        );
+        let bytes = response(
+            200,
+            &[("Content-Type", "application/json")],
+            body.as_bytes(),
+        );
         let bytes = Arc::new(bytes);
         self.encoded = Some((from, self.version, bytes.clone()));
         bytes
@@ -140,7 +155,12 @@
             }
         };
         let (at, thread) = on_thread("list", serve)?;
-        Ok(Self { shared, at, end: Some(end), thread: Some(thread) })
+        Ok(Self {
+            shared,
+            at,
+            end: Some(end),
+            thread: Some(thread),
+        })
     }
 
     pub fn at(&self) -> SocketAddr {
@@ -187,7 +207,10 @@
 ) -> Result<(SocketAddr, std::thread::JoinHandle<()>), String> {
     let (tell, told) = std::sync::mpsc::channel();
     let body = move || {
-        let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        let runtime = match tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+        {
             Ok(runtime) => runtime,
             Err(fault) => return drop(tell.send(Err(format!("no event loop: {fault}")))),
         };
@@ -202,8 +225,13 @@
             }
         });
     };
-    let thread = std::thread::Builder::new().name(name.into()).spawn(body).map_err(|e| e.to_string())?;
-    let at = told.recv().map_err(|_| format!("the thread {name} ended at once"))??;
+    let thread = std::thread::Builder::new()
+        .name(name.into())
+        .spawn(body)
+        .map_err(|e| e.to_string())?;
+    let at = told
+        .recv()
+        .map_err(|_| format!("the thread {name} ended at once"))??;
     Ok((at, thread))
 }
 
@@ -249,7 +277,9 @@
         let spent = &shared.spent;
         spent.calls.fetch_add(1, Relaxed);
         spent.bytes.fetch_add(bytes.len() as u64, Relaxed);
-        spent.processor.store((usage::thread() * 1e9) as u64, Relaxed);
+        spent
+            .processor
+            .store((usage::thread() * 1e9) as u64, Relaxed);
     }
 }
 
@@ -258,7 +288,9 @@
     let (path, query) = message.path.split_once('?').unwrap_or((&message.path, ""));
     let number = |name: &str| {
         let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-        pairs.find(|(key, _)| *key == name).and_then(|(_, value)| value.parse::<u64>().ok())
+        pairs
+            .find(|(key, _)| *key == name)
+            .and_then(|(_, value)| value.parse::<u64>().ok())
     };
     let hold = number("hold_ms").unwrap_or(0).min(HOLD_MOST);
     (path == "/registry/instances").then(|| (number("from"), Duration::from_millis(hold)))
--- a/crates/scale/src/load.rs
+++ b/crates/scale/src/load.rs
@@ -66,7 +66,8 @@
                 match answer.status {
                     200 => {
                         let work = served(&answer.body).unwrap_or_default();
-                        went.added.saturating_record((took.as_micros() as u64).saturating_sub(work));
+                        went.added
+                            .saturating_record((took.as_micros() as u64).saturating_sub(work));
                     }
                     _ => went.failed += 1,
                 }
@@ -78,13 +79,18 @@
 
 /// Sends so many RPCs a second for so long, and waits for the last answer. To be called on a `LocalSet`.
 pub async fn run(at: SocketAddr, rate: f64, length: f64, seed: u64) -> Result<Went, String> {
-    let added = Histogram::new_with_bounds(1, LONGEST, 3).map_err(|e| format!("no histogram: {e}"))?;
+    let added =
+        Histogram::new_with_bounds(1, LONGEST, 3).map_err(|e| format!("no histogram: {e}"))?;
     let gap = Exp::new(rate).map_err(|e| format!("{rate} RPCs a second: {e}"))?;
     let clients = Rc::new(Clients {
         at,
         clock: Clock::starting_in(Duration::ZERO),
         idle: RefCell::default(),
-        went: RefCell::new(Went { added, sent: 0, failed: 0 }),
+        went: RefCell::new(Went {
+            added,
+            sent: 0,
+            failed: 0,
+        }),
     });
     let (mut chance, begun, mut next) = (Pcg64::seed_from_u64(seed), Instant::now(), 0.0);
     let mut out = JoinSet::new();
@@ -109,9 +115,17 @@
 }
 
 /// Several at once, each before a proxy of its own.
-pub async fn run_all(at: &[SocketAddr], rate: f64, length: f64, seed: u64) -> Result<Vec<Went>, String> {
-    let tasks: Vec<_> =
-        at.iter().zip(0..).map(|(at, n)| spawn_local(run(*at, rate, length, seed.wrapping_add(n)))).collect();
+pub async fn run_all(
+    at: &[SocketAddr],
+    rate: f64,
+    length: f64,
+    seed: u64,
+) -> Result<Vec<Went>, String> {
+    let tasks: Vec<_> = at
+        .iter()
+        .zip(0..)
+        .map(|(at, n)| spawn_local(run(*at, rate, length, seed.wrapping_add(n))))
+        .collect();
     let mut all = Vec::new();
     for task in tasks {
         all.push(task.await.map_err(|e| format!("clients ended: {e}"))??);
--- a/crates/scale/src/page.rs
+++ b/crates/scale/src/page.rs
@@ -23,16 +23,32 @@
     let places = (2 - before).clamp(0, 6) as usize;
     let unit = 10_f64.powi(before - 2);
     let text = format!("{:.places$}", (value / unit).round() * unit);
-    if text.contains('.') { text.trim_end_matches('0').trim_end_matches('.').to_owned() } else { text }
+    if text.contains('.') {
+        text.trim_end_matches('0').trim_end_matches('.').to_owned()
+    } else {
+        text
+    }
 }
 
 fn targets(report: &Report) -> Result<String, String> {
     table(
-        &["what, at the planned size", "target", "reckoning", "factor", "of"],
+        &[
+            "what, at the planned size",
+            "target",
+            "reckoning",
+            "factor",
+            "of",
+        ],
         reckon::targets(report)?.into_iter().map(|line| {
             let factor = line.factor().map_or("-".into(), figure);
             let target = line.target.map_or("-".into(), figure);
-            [format!("{}, {}", line.what, line.unit), target, line.told(), factor, line.of]
+            [
+                format!("{}, {}", line.what, line.unit),
+                target,
+                line.told(),
+                factor,
+                line.of,
+            ]
         }),
     )
 }
@@ -42,7 +58,13 @@
     lines.sort_by_key(|line| line.role);
     let rows = lines.into_iter().map(|line| {
         let reckoning = format!("{}; {}", line.told(), line.unit);
-        [line.role.to_owned(), line.what, reckoning, line.of, line.mechanism.to_owned()]
+        [
+            line.role.to_owned(),
+            line.what,
+            reckoning,
+            line.of,
+            line.mechanism.to_owned(),
+        ]
     });
     table(&["role", "what", "reckoning", "of", "carried by"], rows)
 }
@@ -51,24 +73,42 @@
 fn candidates(report: &Report) -> Result<String, String> {
     let lines = reckon::targets(report)?;
     let factor = |candidate: &Candidate| {
-        let own = lines.iter().filter(|line| candidate.keys.contains(&line.key));
+        let own = lines
+            .iter()
+            .filter(|line| candidate.keys.contains(&line.key));
         own.filter_map(Line::factor).max_by(f64::total_cmp)
     };
     let mut order: Vec<_> = reckon::CANDIDATES.iter().map(|c| (factor(c), c)).collect();
     order.sort_by(|a, b| b.0.unwrap_or(0.0).total_cmp(&a.0.unwrap_or(0.0)));
-    let rows = order.into_iter().zip(1..).map(|((factor, candidate), place)| {
-        let factor = factor.map_or("not known".into(), |factor| {
-            format!("{} ({})", figure(factor), if factor > 1.0 { "missed" } else { "met" })
+    let rows = order
+        .into_iter()
+        .zip(1..)
+        .map(|((factor, candidate), place)| {
+            let factor = factor.map_or("not known".into(), |factor| {
+                format!(
+                    "{} ({})",
+                    figure(factor),
+                    if factor > 1.0 { "missed" } else { "met" }
+                )
+            });
+            [
+                place.to_string(),
+                candidate.name.to_owned(),
+                factor,
+                candidate.keys.join(", "),
+                candidate.expected.to_owned(),
+            ]
         });
-        [
-            place.to_string(),
-            candidate.name.to_owned(),
-            factor,
-            candidate.keys.join(", "),
-            candidate.expected.to_owned(),
-        ]
-    });
-    table(&["", "mechanism", "largest factor", "for the lines", "expected (a guess)"], rows)
+    table(
+        &[
+            "",
+            "mechanism",
+            "largest factor",
+            "for the lines",
+            "expected (a guess)",
+        ],
+        rows,
+    )
 }
 
 fn hours(report: &Report) -> Result<String, String> {
@@ -84,12 +124,29 @@
 
 fn slopes(report: &Report) -> Result<String, String> {
     let rows = report.series.iter().map(|series| {
-        let points = series.points.iter().map(|(x, y)| format!("{}: {}", figure(*x), figure(*y)));
-        let points = points.chain(series.missing.iter().cloned()).collect::<Vec<_>>().join("; ");
-        let (base, slope, residual) = series.fit.map_or(("-".into(), "-".into(), "-".into()), |fit| {
-            (figure(fit.base), figure(fit.slope * 1e3), figure(fit.residual))
-        });
-        let wall = if series.wall { format!("wall, load {}", figure(series.load)) } else { "counted".into() };
+        let points = series
+            .points
+            .iter()
+            .map(|(x, y)| format!("{}: {}", figure(*x), figure(*y)));
+        let points = points
+            .chain(series.missing.iter().cloned())
+            .collect::<Vec<_>>()
+            .join("; ");
+        let (base, slope, residual) =
+            series
+                .fit
+                .map_or(("-".into(), "-".into(), "-".into()), |fit| {
+                    (
+                        figure(fit.base),
+                        figure(fit.slope * 1e3),
+                        figure(fit.residual),
+                    )
+                });
+        let wall = if series.wall {
+            format!("wall, load {}", figure(series.load))
+        } else {
+            "counted".into()
+        };
         [
             format!("`{}`", series.name),
             format!("{} by {}; {}", series.y, series.x, series.held),
@@ -100,10 +157,22 @@
             wall,
         ]
     });
-    let head = ["series", "what", "points", "base", "slope, by 1,000", "residual", "clock"];
+    let head = [
+        "series",
+        "what",
+        "points",
+        "base",
+        "slope, by 1,000",
+        "residual",
+        "clock",
+    ];
     let failed = format!("{} of {} RPCs failed", report.failed, report.rpcs);
-    let run =
-        format!("`{}`: {} cores, {} s, {failed}.\n\n", report.command, report.cores, figure(report.took));
+    let run = format!(
+        "`{}`: {} cores, {} s, {failed}.\n\n",
+        report.command,
+        report.cores,
+        figure(report.took)
+    );
     Ok(run + &table(&head, rows)?)
 }
 
@@ -122,11 +191,17 @@
 pub fn renew(page: &str, report: &Report) -> Result<String, String> {
     let mut text = page.to_owned();
     for (name, make) in TABLES {
-        let (begin, end) = (format!("<!-- scale: {name} -->\n"), format!("<!-- end of {name} -->"));
-        let from = text.find(&begin).ok_or_else(|| format!("there is no line {}", begin.trim_end()))?;
+        let (begin, end) = (
+            format!("<!-- scale: {name} -->\n"),
+            format!("<!-- end of {name} -->"),
+        );
+        let from = text
+            .find(&begin)
+            .ok_or_else(|| format!("there is no line {}", begin.trim_end()))?;
         let from = from + begin.len();
-        let length =
-            text[from..].find(&end).ok_or_else(|| format!("there is no line {end} below its begin"))?;
+        let length = text[from..]
+            .find(&end)
+            .ok_or_else(|| format!("there is no line {end} below its begin"))?;
         text.replace_range(from..from + length, &format!("\n{}\n", make(report)?));
     }
     Ok(text)
--- a/crates/scale/src/proxy.rs
+++ b/crates/scale/src/proxy.rs
@@ -32,7 +32,12 @@
 
 impl Default for Shape {
     fn default() -> Self {
-        Self { methods: 1, tenants: 0, proxies: 850, probes: false }
+        Self {
+            methods: 1,
+            tenants: 0,
+            proxies: 850,
+            probes: false,
+        }
     }
 }
 
@@ -64,7 +69,9 @@
 /// A free address on loopback.
 fn free() -> Result<SocketAddr, String> {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0));
-    listener.and_then(|l| l.local_addr()).map_err(|e| format!("no address on loopback: {e}"))
+    listener
+        .and_then(|l| l.local_addr())
+        .map_err(|e| format!("no address on loopback: {e}"))
 }
 
 /// A running proxy. It ends with its owner.
@@ -99,28 +106,51 @@
     }
 
     fn spawn(program: &Path, config: PathBuf, file: Value, at: SocketAddr) -> Result<Self, String> {
-        std::fs::write(&config, file.to_string()).map_err(|e| format!("{}: {e}", config.display()))?;
+        std::fs::write(&config, file.to_string())
+            .map_err(|e| format!("{}: {e}", config.display()))?;
         let path = config.with_extension("log");
         let log = File::options().create(true).append(true).open(&path);
         let log = log.map_err(|e| format!("{}: {e}", path.display()))?;
         let mut command = Command::new(program);
-        command.env("LB_CONFIG", &config).env("BIRCHHUB_LOG", "warn");
-        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
-        let child = command.spawn().map_err(|e| format!("{} can't be started: {e}", program.display()))?;
+        command
+            .env("LB_CONFIG", &config)
+            .env("BIRCHHUB_LOG", "warn");
+        command
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log);
+        let child = command
+            .spawn()
+            .map_err(|e| format!("{} can't be started: {e}", program.display()))?;
         let pid = child.id();
-        Ok(Self { at, pid, started: (0.0, 0.0), child, config, file })
+        Ok(Self {
+            at,
+            pid,
+            started: (0.0, 0.0),
+            child,
+            config,
+            file,
+        })
     }
 
     async fn until_ready(&mut self) -> Result<(), String> {
         let begun = Instant::now();
         while self.ask("/health/ready").await != Some(200) {
             if let Ok(Some(status)) = self.child.try_wait() {
-                let log = std::fs::read_to_string(self.config.with_extension("log")).unwrap_or_default();
+                let log =
+                    std::fs::read_to_string(self.config.with_extension("log")).unwrap_or_default();
                 let last = log.lines().last().unwrap_or("it said nothing").to_owned();
-                return Err(format!("{} ended as it started ({status}): {last}", self.config.display()));
+                return Err(format!(
+                    "{} ended as it started ({status}): {last}",
+                    self.config.display()
+                ));
             }
             if begun.elapsed() > READY {
-                return Err(format!("{} was not ready within {} s", self.config.display(), READY.as_secs()));
+                return Err(format!(
+                    "{} was not ready within {} s",
+                    self.config.display(),
+                    READY.as_secs()
+                ));
             }
             sleep(LOOK).await;
         }
@@ -132,9 +162,17 @@
     pub async fn ask(&self, path: &str) -> Option<u16> {
         let ask = async {
             let mut peer = Peer::connect(self.at).await.ok()?;
-            let head = "Host: proxy\r\nConnection: close\r\nRequest-Id: ask\r\nRequest-Timeout-Ms: 1000";
-            peer.write(format!("GET {path} HTTP/1.1\r\n{head}\r\n\r\n").as_bytes()).await.ok()?;
-            Some(peer.read(Kind::Response, &Clock::starting_in(Duration::ZERO)).await.ok()?.status)
+            let head =
+                "Host: proxy\r\nConnection: close\r\nRequest-Id: ask\r\nRequest-Timeout-Ms: 1000";
+            peer.write(format!("GET {path} HTTP/1.1\r\n{head}\r\n\r\n").as_bytes())
+                .await
+                .ok()?;
+            Some(
+                peer.read(Kind::Response, &Clock::starting_in(Duration::ZERO))
+                    .await
+                    .ok()?
+                    .status,
+            )
         };
         timeout(ASK, ask).await.ok()?
     }
--- a/crates/scale/src/reckon.rs
+++ b/crates/scale/src/reckon.rs
@@ -38,13 +38,18 @@
 impl Line {
     /// How often the target is used up; above 1 it is missed. None without a target or where it is void.
     pub fn factor(&self) -> Option<f64> {
-        self.target.filter(|_| !self.is_void()).map(|target| self.reckoning / target)
+        self.target
+            .filter(|_| !self.is_void())
+            .map(|target| self.reckoning / target)
     }
 
     /// It says nothing: a crowded machine can only add to a wall clock, so what meets its target all the same does so on a
     /// quiet one, and what misses it may be the crowd's. Less than nothing is a difference of two such readings.
     pub fn is_void(&self) -> bool {
-        self.crowded && !self.target.is_some_and(|target| (0.0..=target).contains(&self.reckoning))
+        self.crowded
+            && !self
+                .target
+                .is_some_and(|target| (0.0..=target).contains(&self.reckoning))
     }
 
     /// The figure with what is to be known of it.
--- a/crates/scale/src/report.rs
+++ b/crates/scale/src/report.rs
@@ -38,7 +38,10 @@
     }
 
     fn series_mut(&mut self, name: &str) -> Result<&mut Series, String> {
-        self.series.iter_mut().find(|s| s.name == name).ok_or_else(|| format!("there is no series {name}"))
+        self.series
+            .iter_mut()
+            .find(|s| s.name == name)
+            .ok_or_else(|| format!("there is no series {name}"))
     }
 
     pub fn add(&mut self, name: &str, x: f64, y: f64) -> Result<(), String> {
@@ -59,17 +62,27 @@
     }
 
     pub fn get(&self, name: &str) -> Result<&Series, String> {
-        self.series.iter().find(|s| s.name == name).ok_or_else(|| format!("there is no series {name}"))
+        self.series
+            .iter()
+            .find(|s| s.name == name)
+            .ok_or_else(|| format!("there is no series {name}"))
     }
 
     /// What the line of a series gives at x. An error where it has none.
     pub fn at(&self, name: &str, x: f64) -> Result<f64, String> {
-        let fit = self.get(name)?.fit.ok_or_else(|| format!("{name} has too few points"))?;
+        let fit = self
+            .get(name)?
+            .fit
+            .ok_or_else(|| format!("{name} has too few points"))?;
         Ok(fit.at(x))
     }
 
     pub fn slope(&self, name: &str) -> Result<f64, String> {
-        Ok(self.get(name)?.fit.ok_or_else(|| format!("{name} has too few points"))?.slope)
+        Ok(self
+            .get(name)?
+            .fit
+            .ok_or_else(|| format!("{name} has too few points"))?
+            .slope)
     }
 
     pub fn read(path: &Path) -> Result<Self, String> {
@@ -87,6 +100,8 @@
         let told = |e: &dyn std::fmt::Display| format!("{}: {e}", path.display());
         let text = serde_json::to_string_pretty(self).map_err(|e| told(&e))? + "\n";
         let part = path.with_extension("part");
-        std::fs::write(&part, text).and_then(|()| std::fs::rename(&part, path)).map_err(|e| told(&e))
+        std::fs::write(&part, text)
+            .and_then(|()| std::fs::rename(&part, path))
+            .map_err(|e| told(&e))
     }
 }
--- a/crates/scale/src/run.rs
+++ b/crates/scale/src/run.rs
@@ -32,13 +32,24 @@
 
 /// Measures all series of a plan.
 pub fn measure(plan: &Plan, options: &Options) -> Result<Report, String> {
-    std::fs::create_dir_all(&options.folder).map_err(|e| format!("{}: {e}", options.folder.display()))?;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    std::fs::create_dir_all(&options.folder)
+        .map_err(|e| format!("{}: {e}", options.folder.display()))?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
     let runtime = runtime.map_err(|e| format!("no event loop: {e}"))?;
-    let run = Run { plan, options, report: Report::new(plan), proxies: 0 };
+    let run = Run {
+        plan,
+        options,
+        report: Report::new(plan),
+        proxies: 0,
+    };
     LocalSet::new().block_on(&runtime, async {
         // Guards against proxies that outlive a run that is stopped: they end as it is dropped.
-        let (mut interrupt, mut term) = (catch(SignalKind::interrupt())?, catch(SignalKind::terminate())?);
+        let (mut interrupt, mut term) = (
+            catch(SignalKind::interrupt())?,
+            catch(SignalKind::terminate())?,
+        );
         select! {
             report = run.play() => report,
             _ = interrupt.recv() => Err("stopped by SIGINT: no result is written".into()),
@@ -79,11 +90,18 @@
 
 impl Meter {
     fn start(pid: u32) -> Result<Self, String> {
-        Ok(Self { pid, processor: usage::processor(pid)?, begun: Instant::now() })
+        Ok(Self {
+            pid,
+            processor: usage::processor(pid)?,
+            begun: Instant::now(),
+        })
     }
     fn stop(&self) -> Result<Used, String> {
         let processor = usage::processor(self.pid)? - self.processor;
-        Ok(Used { processor, time: self.begun.elapsed().as_secs_f64() })
+        Ok(Used {
+            processor,
+            time: self.begun.elapsed().as_secs_f64(),
+        })
     }
 }
 
@@ -122,7 +140,15 @@
         self.proxies += 1;
         let name = format!("p{}", self.proxies);
         let seed = self.plan.seed.wrapping_add(self.proxies);
-        Proxy::start(&self.options.program, self.folder(), &name, list.at(), shape, seed).await
+        Proxy::start(
+            &self.options.program,
+            self.folder(),
+            &name,
+            list.at(),
+            shape,
+            seed,
+        )
+        .await
     }
 
     async fn idle(&self, proxy: &Proxy) -> Result<Used, String> {
@@ -147,10 +173,20 @@
 
     /// ms that the 99th of a hundred RPCs takes longer through the proxy than without it: the least of a few windows, as what
     /// else runs on the machine can only add.
-    async fn added(&mut self, proxy: &Proxy, backends: &Backends, rate: u32) -> Result<f64, String> {
+    async fn added(
+        &mut self,
+        proxy: &Proxy,
+        backends: &Backends,
+        rate: u32,
+    ) -> Result<f64, String> {
         let (mut least, mut direct) = (f64::INFINITY, f64::INFINITY);
         for _ in 0..if self.plan.quick { 1 } else { 3 } {
-            let without = load::run(backends.endpoints()[0], rate.into(), self.plan.window, self.plan.seed);
+            let without = load::run(
+                backends.endpoints()[0],
+                rate.into(),
+                self.plan.window,
+                self.plan.seed,
+            );
             direct = direct.min(without.await?.percentile(99.0));
             let (went, _) = self.rpcs(proxy, rate).await?;
             least = least.min(went.percentile(99.0));
@@ -159,7 +195,12 @@
     }
 
     /// Changes of the list at a rate for a window, and what the proxy used meanwhile.
-    async fn list_changes(&self, list: &ListService, pid: u32, rate: u32) -> Result<(u32, Used), String> {
+    async fn list_changes(
+        &self,
+        list: &ListService,
+        pid: u32,
+        rate: u32,
+    ) -> Result<(u32, Used), String> {
         let meter = Meter::start(pid)?;
         let mut ticks = interval(Duration::from_secs(1) / rate);
         let mut changes = 0;
@@ -181,25 +222,44 @@
             let proxy = self.proxy(&list, Shape::default()).await?;
             sleep(SETTLES).await;
             let x = f64::from(listed);
-            self.report.add("memory.backends", x, usage::memory(proxy.pid)?)?;
+            self.report
+                .add("memory.backends", x, usage::memory(proxy.pid)?)?;
             self.report.add("start.wall.backends", x, proxy.started.0)?;
             self.report.add("start.backends", x, proxy.started.1)?;
             let idle = self.idle(&proxy).await?;
             self.report.add("idle.backends", x, idle.percent())?;
             let (changes, used) = self.list_changes(&list, proxy.pid, CHANGES).await?;
             let above = used.processor - idle.percent() / 100.0 * used.time;
-            self.report.add("change.backends", x, 1e3 * above / f64::from(changes))?;
+            self.report
+                .add("change.backends", x, 1e3 * above / f64::from(changes))?;
             let names = ["rpc.backends", "connect.backends", "latency.backends"];
             self.rpc_points(&proxy, &backends, x, &idle, names).await?;
-            self.report.add("memory.busy.backends", x, usage::memory(proxy.pid)?)?;
+            self.report
+                .add("memory.busy.backends", x, usage::memory(proxy.pid)?)?;
             drop(proxy);
-            let proxy = self.proxy(&list, Shape { probes: true, ..Shape::default() }).await?;
+            let proxy = self
+                .proxy(
+                    &list,
+                    Shape {
+                        probes: true,
+                        ..Shape::default()
+                    },
+                )
+                .await?;
             sleep(SETTLES).await;
-            let names = ["rpc.probes.backends", "connect.probes.backends", "latency.probes.backends"];
+            let names = [
+                "rpc.probes.backends",
+                "connect.probes.backends",
+                "latency.probes.backends",
+            ];
             let before = backends.met();
             self.rpc_points(&proxy, &backends, x, &idle, names).await?;
             let met = backends.met().since(before);
-            self.report.add("probes.backends", x, met.probes as f64 / met.requests.max(1) as f64)?;
+            self.report.add(
+                "probes.backends",
+                x,
+                met.probes as f64 / met.requests.max(1) as f64,
+            )?;
         }
         Ok(())
     }
@@ -220,8 +280,13 @@
         let (went, used) = self.rpcs(proxy, rate).await?;
         let met = backends.met().since(before);
         let above = used.processor - idle.percent() / 100.0 * used.time;
-        self.report.add(processor, x, 1e6 * above / went.sent.max(1) as f64)?;
-        self.report.add(connections, x, met.connections as f64 / met.requests.max(1) as f64)?;
+        self.report
+            .add(processor, x, 1e6 * above / went.sent.max(1) as f64)?;
+        self.report.add(
+            connections,
+            x,
+            met.connections as f64 / met.requests.max(1) as f64,
+        )?;
         let added = self.added(proxy, backends, rate).await?;
         self.report.add(latency, x, added)
     }
@@ -231,10 +296,20 @@
         let list = ListService::start(10, backends.endpoints(), ZONES)?;
         for &tenants in &self.plan.tenants {
             self.tell(&format!("{tenants} tenants"));
-            let proxy = self.proxy(&list, Shape { tenants, ..Shape::default() }).await?;
+            let proxy = self
+                .proxy(
+                    &list,
+                    Shape {
+                        tenants,
+                        ..Shape::default()
+                    },
+                )
+                .await?;
             sleep(SETTLES).await;
-            self.report.add("memory.tenants", tenants.into(), usage::memory(proxy.pid)?)?;
-            self.report.add("start.tenants", tenants.into(), proxy.started.1)?;
+            self.report
+                .add("memory.tenants", tenants.into(), usage::memory(proxy.pid)?)?;
+            self.report
+                .add("start.tenants", tenants.into(), proxy.started.1)?;
         }
         Ok(())
     }
@@ -244,10 +319,20 @@
         let list = ListService::start(10, backends.endpoints(), ZONES)?;
         for &methods in &self.plan.methods {
             self.tell(&format!("{methods} methods"));
-            let proxy = self.proxy(&list, Shape { methods, ..Shape::default() }).await?;
+            let proxy = self
+                .proxy(
+                    &list,
+                    Shape {
+                        methods,
+                        ..Shape::default()
+                    },
+                )
+                .await?;
             sleep(SETTLES).await;
-            self.report.add("memory.methods", methods.into(), usage::memory(proxy.pid)?)?;
-            self.report.add("start.methods", methods.into(), proxy.started.1)?;
+            self.report
+                .add("memory.methods", methods.into(), usage::memory(proxy.pid)?)?;
+            self.report
+                .add("start.methods", methods.into(), proxy.started.1)?;
         }
         Ok(())
     }
@@ -265,7 +350,11 @@
             let met = backends.met().since(before);
             let x = f64::from(rate);
             self.report.add("rpc.rate", x, used.percent())?;
-            self.report.add("connect.rate", x, met.connections as f64 / met.requests.max(1) as f64)?;
+            self.report.add(
+                "connect.rate",
+                x,
+                met.connections as f64 / met.requests.max(1) as f64,
+            )?;
             let added = self.added(&proxy, &backends, rate).await?;
             self.report.add("latency.rate", x, added)?;
         }
@@ -280,7 +369,11 @@
         for &rate in &self.plan.changes {
             self.tell(&format!("{rate} changes a second"));
             let (changes, used) = self.list_changes(&list, proxy.pid, rate).await?;
-            self.report.add("change.rate", f64::from(changes) / used.time, used.percent())?;
+            self.report.add(
+                "change.rate",
+                f64::from(changes) / used.time,
+                used.percent(),
+            )?;
         }
         Ok(())
     }
@@ -289,13 +382,31 @@
     async fn pairs(&mut self) -> Result<(), String> {
         let listed = self.plan.hollow_backends;
         let rate = size::RPCS / size::PROXIES / size::BACKENDS * f64::from(listed);
-        for (&count, probes) in self.plan.proxies.iter().flat_map(|n| [(n, false), (n, true)]) {
-            self.tell(&format!("{count} proxies{}", if probes { " that probe" } else { "" }));
+        for (&count, probes) in self
+            .plan
+            .proxies
+            .iter()
+            .flat_map(|n| [(n, false), (n, true)])
+        {
+            self.tell(&format!(
+                "{count} proxies{}",
+                if probes { " that probe" } else { "" }
+            ));
             let backends = Backends::start(IDLE)?;
             let list = ListService::start(listed, backends.endpoints(), ZONES)?;
             let mut proxies = Vec::new();
             for _ in 0..count {
-                proxies.push(self.proxy(&list, Shape { proxies: count, probes, ..Shape::default() }).await?);
+                proxies.push(
+                    self.proxy(
+                        &list,
+                        Shape {
+                            proxies: count,
+                            probes,
+                            ..Shape::default()
+                        },
+                    )
+                    .await?,
+                );
             }
             let doors: Vec<_> = proxies.iter().map(|p| p.at).collect();
             let (before, begun) = (backends.met(), Instant::now());
@@ -304,7 +415,11 @@
             }
             let met = backends.met().since(before);
             let each = met.connections as f64 / f64::from(listed) / begun.elapsed().as_secs_f64();
-            let name = if probes { "connect.probes.proxies" } else { "connect.proxies" };
+            let name = if probes {
+                "connect.probes.proxies"
+            } else {
+                "connect.proxies"
+            };
             self.report.add(name, count.into(), each)?;
         }
         Ok(())
@@ -330,8 +445,10 @@
             }
             let (bill, each) = (list.bill().since(before), f64::from(changes));
             self.report.add("list.calls", x, bill.calls as f64 / each)?;
-            self.report.add("list.bytes", x, bill.bytes as f64 / 1e3 / each)?;
-            self.report.add("list.processor", x, 1e3 * bill.processor / each)?;
+            self.report
+                .add("list.bytes", x, bill.bytes as f64 / 1e3 / each)?;
+            self.report
+                .add("list.processor", x, 1e3 * bill.processor / each)?;
             self.report.add("list.in_force", x, longest)?;
             if count == most {
                 for &rate in &self.plan.changes {
@@ -346,7 +463,11 @@
                     proxies.all_have(version, TOLD).await?;
                     let time = begun.elapsed().as_secs_f64();
                     let spent = list.bill().since(before).processor;
-                    self.report.add("list.changes", f64::from(changes) / time, 100.0 * spent / time)?;
+                    self.report.add(
+                        "list.changes",
+                        f64::from(changes) / time,
+                        100.0 * spent / time,
+                    )?;
                 }
             }
         }
@@ -363,8 +484,10 @@
             // The thread tells what it has spent every few milliseconds.
             sleep(Duration::from_millis(20)).await;
             let x = f64::from(listed);
-            self.report.add("list.whole.bytes", x, list.bill().bytes as f64 / 1e3)?;
-            self.report.add("list.whole.processor", x, 1e3 * proxies.processor())?;
+            self.report
+                .add("list.whole.bytes", x, list.bill().bytes as f64 / 1e3)?;
+            self.report
+                .add("list.whole.processor", x, 1e3 * proxies.processor())?;
         }
         Ok(())
     }
@@ -375,7 +498,11 @@
         let list = ListService::start(10, backends.endpoints(), ZONES)?;
         let most = |sizes: &[u32]| sizes.iter().copied().max().unwrap_or(1);
         let (methods, tenants) = (most(&self.plan.methods), most(&self.plan.tenants));
-        let shape = Shape { methods, tenants, ..Shape::default() };
+        let shape = Shape {
+            methods,
+            tenants,
+            ..Shape::default()
+        };
         let mut reloads = true;
         for &count in &self.plan.proxies {
             self.tell(&format!("changed settings at {count} proxies"));
@@ -385,22 +512,30 @@
             }
             if reloads {
                 let begun = Instant::now();
-                proxies.iter_mut().try_for_each(|p| p.add_method(ADDED).and_then(|()| p.hang_up()))?;
+                proxies
+                    .iter_mut()
+                    .try_for_each(|p| p.add_method(ADDED).and_then(|()| p.hang_up()))?;
                 match in_force(&proxies, ADDED, self.plan.in_force).await {
-                    Some(last) => {
-                        self.report.add("settings.reload", count.into(), (last - begun).as_secs_f64())?
-                    }
+                    Some(last) => self.report.add(
+                        "settings.reload",
+                        count.into(),
+                        (last - begun).as_secs_f64(),
+                    )?,
                     None => {
                         reloads = false;
-                        let why = format!("at {count} not in force within {} s", self.plan.in_force);
+                        let why =
+                            format!("at {count} not in force within {} s", self.plan.in_force);
                         self.report.miss("settings.reload", why)?;
                     }
                 }
             }
             let begun = Instant::now();
-            proxies.iter_mut().try_for_each(|p| p.add_method("added-by-restart"))?;
+            proxies
+                .iter_mut()
+                .try_for_each(|p| p.add_method("added-by-restart"))?;
             let program = &self.options.program;
-            let mut waiting: tokio::task::JoinSet<Result<Proxy, String>> = tokio::task::JoinSet::new();
+            let mut waiting: tokio::task::JoinSet<Result<Proxy, String>> =
+                tokio::task::JoinSet::new();
             for mut proxy in proxies {
                 let program = program.clone();
                 waiting.spawn_local(async move { proxy.restart(&program).await.map(|()| proxy) });
@@ -412,7 +547,11 @@
             let last = in_force(&proxies, "added-by-restart", self.plan.in_force)
                 .await
                 .ok_or("a restart changed nothing")?;
-            self.report.add("settings.restart", count.into(), (last - begun).as_secs_f64())?;
+            self.report.add(
+                "settings.restart",
+                count.into(),
+                (last - begun).as_secs_f64(),
+            )?;
         }
         Ok(())
     }
--- a/crates/scale/src/usage.rs
+++ b/crates/scale/src/usage.rs
@@ -22,7 +22,9 @@
 /// Resident memory, MB.
 pub fn memory(pid: u32) -> Result<f64, String> {
     let told = |e: procfs::ProcError| format!("no status of process {pid}: {e}");
-    let status = procfs::process::Process::new(pid as i32).and_then(|p| p.status()).map_err(told)?;
+    let status = procfs::process::Process::new(pid as i32)
+        .and_then(|p| p.status())
+        .map_err(told)?;
     Ok(status.vmrss.unwrap_or_default() as f64 / 1024.0)
 }
 
--- a/crates/scale/tests/fits.rs
+++ b/crates/scale/tests/fits.rs
@@ -5,11 +5,18 @@
 #[test]
 fn a_line_is_found_and_what_it_leaves_over_is_told() {
     let exact = Fit::of(&[(10.0, 25.0), (20.0, 45.0), (40.0, 85.0)]).expect("a line");
-    assert!((exact.slope - 2.0).abs() < 1e-9 && (exact.base - 5.0).abs() < 1e-9 && exact.residual < 1e-9);
+    assert!(
+        (exact.slope - 2.0).abs() < 1e-9
+            && (exact.base - 5.0).abs() < 1e-9
+            && exact.residual < 1e-9
+    );
     assert!((exact.at(8_700.0) - 17_405.0).abs() < 1e-6);
     // A level line with points one above and one below it.
     let rough = Fit::of(&[(0.0, 1.0), (1.0, -1.0), (2.0, -1.0), (3.0, 1.0)]).expect("a line");
-    assert!(rough.slope.abs() < 1e-9 && (rough.residual - 1.0).abs() < 1e-9, "{rough:?}");
+    assert!(
+        rough.slope.abs() < 1e-9 && (rough.residual - 1.0).abs() < 1e-9,
+        "{rough:?}"
+    );
 }
 
 #[test]
--- a/crates/scale/tests/lists.rs
+++ b/crates/scale/tests/lists.rs
@@ -9,7 +9,10 @@
 const PATIENCE: Duration = Duration::from_secs(60);
 
 fn play<T>(act: impl AsyncFnOnce() -> T) -> T {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("an event loop");
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("an event loop");
     LocalSet::new().block_on(&runtime, act())
 }
 
@@ -22,17 +25,26 @@
         proxies.all_have(0, PATIENCE).await.expect("the whole list");
         let joined = list.bill();
         let connections = joined.connections;
-        assert!(connections >= u64::from(PROXIES), "one connection each: {joined:?}");
+        assert!(
+            connections >= u64::from(PROXIES),
+            "one connection each: {joined:?}"
+        );
         let line = joined.bytes / joined.calls / 500;
         for change in 0..5 {
             let version = list.change(change * 3);
             assert_eq!(version, u64::from(change) + 1);
-            proxies.all_have(version, PATIENCE).await.expect("the change");
+            proxies
+                .all_have(version, PATIENCE)
+                .await
+                .expect("the change");
         }
         let told = list.bill().since(joined);
         assert!(told.calls >= 5 * u64::from(PROXIES), "{told:?}");
         // A call that tells one line is a little more than the line: the whole list has 500 of them.
-        assert!(told.bytes < told.calls * (line + 400), "{told:?}, {line} bytes a line");
+        assert!(
+            told.bytes < told.calls * (line + 400),
+            "{told:?}, {line} bytes a line"
+        );
         assert_eq!(told.connections, 0, "the watch stays on its connection");
     });
 }
@@ -45,7 +57,10 @@
         let list = ListService::start(50, backends.endpoints(), 10).expect("a list service");
         let mut proxies = HollowProxies::start(PROXIES, list.at(), 2).expect("hollow proxies");
         let last = (0..100).fold(0, |_, change| list.change(change));
-        proxies.all_have(last, PATIENCE).await.expect("the last change");
+        proxies
+            .all_have(last, PATIENCE)
+            .await
+            .expect("the last change");
     });
 }
 
@@ -55,7 +70,10 @@
         let backends = Backends::start(PATIENCE).expect("backends");
         let list = ListService::start(5, backends.endpoints(), 1).expect("a list service");
         let mut proxies = HollowProxies::start(2, list.at(), 3).expect("hollow proxies");
-        let fault = proxies.all_have(7, Duration::from_millis(50)).await.expect_err("there is no version 7");
+        let fault = proxies
+            .all_have(7, Duration::from_millis(50))
+            .await
+            .expect_err("there is no version 7");
         assert_eq!(fault, "2 of 2 hollow proxies were not told in time");
     });
 }
--- a/crates/scale/tests/pages.rs
+++ b/crates/scale/tests/pages.rs
@@ -29,9 +29,17 @@
 fn tables_are_made_between_their_marks_and_nothing_else_changes() {
     let report = made(|_| (1.0, 0.001));
     let once = page::renew(&blank(), &report).expect("a page");
-    assert!(once.starts_with("# A page\n") && once.ends_with("\nand its end\n") && !once.contains("old\n"));
+    assert!(
+        once.starts_with("# A page\n")
+            && once.ends_with("\nand its end\n")
+            && !once.contains("old\n")
+    );
     assert_eq!(once.matches("own words").count(), MARKS.len() - 1);
-    assert_eq!(page::renew(&once, &report).as_ref(), Ok(&once), "made twice it is the same");
+    assert_eq!(
+        page::renew(&once, &report).as_ref(),
+        Ok(&once),
+        "made twice it is the same"
+    );
     let other = page::renew(&once, &made(|_| (1.0, 0.002))).expect("a page");
     assert_ne!(once, other, "another result makes another page");
 }
@@ -39,18 +47,30 @@
 #[test]
 fn what_is_missing_is_named() {
     let report = made(|_| (1.0, 0.001));
-    let fault = page::renew(&blank().replace("<!-- scale: hours -->", ""), &report).expect_err("no mark");
+    let fault =
+        page::renew(&blank().replace("<!-- scale: hours -->", ""), &report).expect_err("no mark");
     assert_eq!(fault, "there is no line <!-- scale: hours -->");
-    let fault = page::renew(&blank().replace("<!-- end of hours -->", ""), &report).expect_err("no mark");
-    assert_eq!(fault, "there is no line <!-- end of hours --> below its begin");
+    let fault =
+        page::renew(&blank().replace("<!-- end of hours -->", ""), &report).expect_err("no mark");
+    assert_eq!(
+        fault,
+        "there is no line <!-- end of hours --> below its begin"
+    );
     let mut report = report;
     report.series.retain(|s| s.name != "idle.backends");
     let fault = page::renew(&blank(), &report).expect_err("a series less");
     assert_eq!(fault, "there is no series idle.backends");
     report = made(|_| (1.0, 0.001));
-    report.series.iter_mut().filter(|s| s.name == "list.bytes").for_each(|s| s.points.truncate(1));
+    report
+        .series
+        .iter_mut()
+        .filter(|s| s.name == "list.bytes")
+        .for_each(|s| s.points.truncate(1));
     report.finish();
-    assert_eq!(page::renew(&blank(), &report), Err("list.bytes has too few points".into()));
+    assert_eq!(
+        page::renew(&blank(), &report),
+        Err("list.bytes has too few points".into())
+    );
 }
 
 #[test]
@@ -70,12 +90,33 @@
 
 #[test]
 fn candidates_stand_in_the_order_of_what_they_miss() {
-    let heavy = made(|name| if name == "memory.busy.backends" { (0.0, 10.0) } else { (0.001, 0.0) });
-    let slow = made(|name| if name.starts_with("latency") { (1e6, 0.0) } else { (0.001, 0.0) });
-    for (report, first) in [(heavy, "the list told as what this proxy needs"), (slow, "subsets")] {
+    let heavy = made(|name| {
+        if name == "memory.busy.backends" {
+            (0.0, 10.0)
+        } else {
+            (0.001, 0.0)
+        }
+    });
+    let slow = made(|name| {
+        if name.starts_with("latency") {
+            (1e6, 0.0)
+        } else {
+            (0.001, 0.0)
+        }
+    });
+    for (report, first) in [
+        (heavy, "the list told as what this proxy needs"),
+        (slow, "subsets"),
+    ] {
         let text = page::renew(&blank(), &report).expect("a page");
-        let row = text.lines().find(|line| line.starts_with("| 1 |")).expect("a first row");
-        assert!(row.starts_with(&format!("| 1 | {first}")) && row.contains("(missed)"), "{row}");
+        let row = text
+            .lines()
+            .find(|line| line.starts_with("| 1 |"))
+            .expect("a first row");
+        assert!(
+            row.starts_with(&format!("| 1 | {first}")) && row.contains("(missed)"),
+            "{row}"
+        );
     }
 }
 
@@ -83,7 +124,13 @@
 #[test]
 fn a_wall_clock_on_a_crowded_machine_proves_no_target_missed() {
     let crowded = |latency: f64| {
-        let mut report = made(|name| if name == "latency.rate" { (latency, 0.0) } else { (0.001, 0.0) });
+        let mut report = made(|name| {
+            if name == "latency.rate" {
+                (latency, 0.0)
+            } else {
+                (0.001, 0.0)
+            }
+        });
         report.cores = 8;
         report.series.iter_mut().for_each(|s| s.load = 30.0);
         reckon::targets(&report)
@@ -108,10 +155,16 @@
     let lines = reckon::targets(&made(|_| (1.0, 0.0))).expect("a reckoning");
     for candidate in reckon::CANDIDATES {
         for key in candidate.keys {
-            assert!(lines.iter().any(|line| line.key == *key), "{}: {key}", candidate.name);
+            assert!(
+                lines.iter().any(|line| line.key == *key),
+                "{}: {key}",
+                candidate.name
+            );
         }
         assert!(
-            lines.iter().any(|line| candidate.keys.contains(&line.key) && line.target.is_some()),
+            lines
+                .iter()
+                .any(|line| candidate.keys.contains(&line.key) && line.target.is_some()),
             "{} has no target",
             candidate.name
         );
@@ -121,7 +174,8 @@
 #[test]
 fn a_seed_draws_the_same_plan_and_another_one_another() {
     assert_eq!(Plan::long(7), Plan::long(7));
-    let orders: std::collections::HashSet<_> = (0..20).map(|seed| Plan::long(seed).backends).collect();
+    let orders: std::collections::HashSet<_> =
+        (0..20).map(|seed| Plan::long(seed).backends).collect();
     assert!(orders.len() > 1);
     let mut sizes = Plan::long(3).backends;
     sizes.sort_unstable();
--- a/crates/settings/src/change.rs
+++ b/crates/settings/src/change.rs
@@ -22,8 +22,16 @@
 
 impl fmt::Display for Count {
     fn fmt(&self, to: &mut fmt::Formatter) -> fmt::Result {
-        let Self { added, changed, removed, all } = self;
-        write!(to, "{added} added, {changed} changed, {removed} removed, {all} in all")
+        let Self {
+            added,
+            changed,
+            removed,
+            all,
+        } = self;
+        write!(
+            to,
+            "{added} added, {changed} changed, {removed} removed, {all} in all"
+        )
     }
 }
 
@@ -48,24 +56,47 @@
     (names, now): (&[String], &[T]),
 ) -> (Vec<Option<usize>>, Count) {
     // As a rule nothing moves: names are looked up only from where the lists part.
-    let same = names.iter().zip(names_before).take_while(|(a, b)| a == b).count();
-    let known = |names: &[String]| names.iter().skip(same).collect::<std::collections::HashSet<_>>().len();
-    let places: HashMap<_, _> =
-        names_before.iter().enumerate().skip(same).map(|(n, name)| (name, n)).collect();
+    let same = names
+        .iter()
+        .zip(names_before)
+        .take_while(|(a, b)| a == b)
+        .count();
+    let known = |names: &[String]| {
+        names
+            .iter()
+            .skip(same)
+            .collect::<std::collections::HashSet<_>>()
+            .len()
+    };
+    let places: HashMap<_, _> = names_before
+        .iter()
+        .enumerate()
+        .skip(same)
+        .map(|(n, name)| (name, n))
+        .collect();
     // Each place goes on once: guards against one tenant's use counted for two of its name.
     let mut left = places.clone();
     let place = |(n, name)| if n < same { Some(n) } else { left.remove(name) };
     let kept: Vec<Option<usize>> = names.iter().enumerate().map(place).collect();
     let goes_on = kept.iter().skip(same).flatten().count();
     let pairs = kept.iter().zip(now);
-    let changed = pairs.filter(|(was, now)| was.is_some_and(|was| before[was] != **now)).count();
-    let count =
-        Count { added: known(names) - goes_on, changed, removed: places.len() - goes_on, all: names.len() };
+    let changed = pairs
+        .filter(|(was, now)| was.is_some_and(|was| before[was] != **now))
+        .count();
+    let count = Count {
+        added: known(names) - goes_on,
+        changed,
+        removed: places.len() - goes_on,
+        all: names.len(),
+    };
     (kept, count)
 }
 
 fn differing<const N: usize>(keys: [(&'static str, bool); N]) -> Vec<&'static str> {
-    keys.into_iter().filter(|(_, differs)| *differs).map(|(key, _)| key).collect()
+    keys.into_iter()
+        .filter(|(_, differs)| *differs)
+        .map(|(key, _)| key)
+        .collect()
 }
 
 /// Keys whose values bind decisions from the change on.
@@ -105,8 +136,14 @@
         ("ceilings.cancel", *may_cancel != now.may_cancel),
         ("ceilings.probes", *may_probe != now.may_probe),
         ("extra.warm-keys", *warm_keys != now.warm_keys),
-        ("ceilings.second-copies", *second_copies != now.second_copies),
-        ("ceilings.max-retry-after-ns", *come_back_max != now.come_back_max),
+        (
+            "ceilings.second-copies",
+            *second_copies != now.second_copies,
+        ),
+        (
+            "ceilings.max-retry-after-ns",
+            *come_back_max != now.come_back_max,
+        ),
         ("penalties.probe", *probe_price != now.probe_price),
         ("penalties.cross-zone", *cross_price != now.cross_price),
         ("goal.log-loss-part", *log_loss_part != now.log_loss_part),
@@ -115,11 +152,17 @@
         ("report.fields", *reports_queue != now.reports_queue),
         ("contract.ask-within-ns", *ask_within != now.ask_within),
         ("contract.drain-grace-ns", *drain_grace != now.drain_grace),
-        ("contract.removal-not-binding", *only_draining_binds != now.only_draining_binds),
+        (
+            "contract.removal-not-binding",
+            *only_draining_binds != now.only_draining_binds,
+        ),
         ("contract.key-quiet-ns", *key_quiet != now.key_quiet),
         ("contract.cold-from", *cold_from != now.cold_from),
         ("contract.cold-ns", *cold_for != now.cold_for),
-        ("contract.fall-multiple", *fall_multiple != now.fall_multiple),
+        (
+            "contract.fall-multiple",
+            *fall_multiple != now.fall_multiple,
+        ),
         ("contract.tip-after-ns", *fall_window != now.fall_window),
     ])
 }
@@ -127,20 +170,39 @@
 impl Change {
     /// From the settings in force to those told now.
     pub fn between(before: &Conf, now: &Conf) -> Self {
-        let (methods_kept, methods) =
-            by_name((&before.methods, &before.settings.methods), (&now.methods, &now.settings.methods));
-        let (tenants_kept, tenants) =
-            by_name((&before.tenants, &before.settings.tenants), (&now.tenants, &now.settings.tenants));
+        let (methods_kept, methods) = by_name(
+            (&before.methods, &before.settings.methods),
+            (&now.methods, &now.settings.methods),
+        );
+        let (tenants_kept, tenants) = by_name(
+            (&before.tenants, &before.settings.tenants),
+            (&now.tenants, &now.settings.tenants),
+        );
         let later = differing([
-            ("settings.membership-mode", before.settings.list_on_request != now.settings.list_on_request),
+            (
+                "settings.membership-mode",
+                before.settings.list_on_request != now.settings.list_on_request,
+            ),
             ("settings.failure-domains", before.zones != now.zones),
-            ("settings.my-zone", before.zones == now.zones && before.settings.zone != now.settings.zone),
+            (
+                "settings.my-zone",
+                before.zones == now.zones && before.settings.zone != now.settings.zone,
+            ),
             ("settings.weight-source", before.sized != now.sized),
-            ("settings.ceilings.connect-timeout-ns", before.connect_limit != now.connect_limit),
-            ("settings.ceilings.conn-idle-ns", before.idle_limit != now.idle_limit),
+            (
+                "settings.ceilings.connect-timeout-ns",
+                before.connect_limit != now.connect_limit,
+            ),
+            (
+                "settings.ceilings.conn-idle-ns",
+                before.idle_limit != now.idle_limit,
+            ),
         ]);
         Self {
-            kept: Kept { methods: methods_kept, tenants: tenants_kept },
+            kept: Kept {
+                methods: methods_kept,
+                tenants: tenants_kept,
+            },
             methods,
             tenants,
             reordered: before.methods != now.methods || before.tenants != now.tenants,
@@ -167,7 +229,12 @@
 
 /// The new settings, with what can't change without a start as it was.
 pub fn in_force(before: &Settings, now: Settings) -> Settings {
-    Settings { zone: before.zone, zones: before.zones, list_on_request: before.list_on_request, ..now }
+    Settings {
+        zone: before.zone,
+        zones: before.zones,
+        list_on_request: before.list_on_request,
+        ..now
+    }
 }
 
 impl Conf {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,6 +1,8 @@
 //! The settings object that a proxy is handed at start, read into the module's settings, the names that end
 //! at the door and the limits on connections.
-use birchhub::types::{Effect, Group, LoadReport, MethodSettings, Reports, Settings, TenantSettings};
+use birchhub::types::{
+    Effect, Group, LoadReport, MethodSettings, Reports, Settings, TenantSettings,
+};
 use serde::Deserialize;
 use serde_json::Value;
 use serde_json::value::RawValue;
@@ -47,13 +49,21 @@
 impl<'a> At<'a> {
     fn opt(&self, key: &str) -> Option<At<'a>> {
         let value = self.value.get(key).filter(|v| !v.is_null())?;
-        Some(At { value, path: self.below(key) })
+        Some(At {
+            value,
+            path: self.below(key),
+        })
     }
     fn below(&self, key: &str) -> String {
-        if self.path.is_empty() { key.to_owned() } else { format!("{}.{key}", self.path) }
+        if self.path.is_empty() {
+            key.to_owned()
+        } else {
+            format!("{}.{key}", self.path)
+        }
     }
     fn get(&self, key: &str) -> Result<At<'a>, String> {
-        self.opt(key).ok_or_else(|| format!("{} is missing", self.below(key)))
+        self.opt(key)
+            .ok_or_else(|| format!("{} is missing", self.below(key)))
     }
     fn num(&self) -> Result<f64, String> {
         let number = self.value.as_f64().filter(|n| n.is_finite() && *n >= 0.0);
@@ -64,21 +74,36 @@
     }
     /// 0 stands for a time that is not limited.
     fn limit(&self) -> Result<f64, String> {
-        Ok(Some(self.seconds()?).filter(|limit| *limit > 0.0).unwrap_or(FOREVER))
+        Ok(Some(self.seconds()?)
+            .filter(|limit| *limit > 0.0)
+            .unwrap_or(FOREVER))
     }
     fn flag(&self) -> Result<bool, String> {
-        self.value.as_bool().ok_or_else(|| format!("{} is not true or false: {}", self.path, self.value))
+        self.value
+            .as_bool()
+            .ok_or_else(|| format!("{} is not true or false: {}", self.path, self.value))
     }
     fn text(&self) -> Result<&'a str, String> {
-        self.value.as_str().ok_or_else(|| format!("{} is not a text", self.path))
+        self.value
+            .as_str()
+            .ok_or_else(|| format!("{} is not a text", self.path))
     }
     fn items(&self) -> Result<Vec<At<'a>>, String> {
-        let list = self.value.as_array().ok_or_else(|| format!("{} is not a list", self.path))?;
-        let item = |(i, value)| At { value, path: format!("{}[{i}]", self.path) };
+        let list = self
+            .value
+            .as_array()
+            .ok_or_else(|| format!("{} is not a list", self.path))?;
+        let item = |(i, value)| At {
+            value,
+            path: format!("{}[{i}]", self.path),
+        };
         Ok(list.iter().enumerate().map(item).collect())
     }
     fn names(&self) -> Result<Vec<String>, String> {
-        self.items()?.iter().map(|item| item.text().map(str::to_owned)).collect()
+        self.items()?
+            .iter()
+            .map(|item| item.text().map(str::to_owned))
+            .collect()
     }
     fn flag_or(&self, key: &str) -> Result<bool, String> {
         self.opt(key).map_or(Ok(false), |at| at.flag())
@@ -101,7 +126,10 @@
                 "cell" => Group::Cell,
                 other => return Err(format!("{} is not known: {other}", scope.path)),
             };
-            Effect::Deduplicated { group, window: at.get("window-ns")?.seconds()? }
+            Effect::Deduplicated {
+                group,
+                window: at.get("window-ns")?.seconds()?,
+            }
         }
         other => return Err(format!("{} is not known: {other}", kind.path)),
     };
@@ -119,7 +147,12 @@
 type Account = (String, TenantSettings);
 
 fn account(at: &At) -> Result<Account, String> {
-    Ok((at.get("name")?.text()?.to_owned(), TenantSettings { quota: at.get("quota-per-s")?.num()? }))
+    Ok((
+        at.get("name")?.text()?.to_owned(),
+        TenantSettings {
+            quota: at.get("quota-per-s")?.num()?,
+        },
+    ))
 }
 
 /// An account as nearly all of them are.
@@ -140,7 +173,10 @@
     }
     let path = format!("accounts[{n}]");
     let value = serde_json::from_str(raw.get()).map_err(|e| format!("{path} is not JSON: {e}"))?;
-    account(&At { value: &value, path })
+    account(&At {
+        value: &value,
+        path,
+    })
 }
 
 pub fn read(text: &str) -> Result<Conf, String> {
@@ -148,34 +184,50 @@
     let Ok(mut fields) = serde_json::from_str::<BTreeMap<String, &RawValue>>(text) else {
         return read_value(&serde_json::from_str(text).map_err(fault)?);
     };
-    let accounts =
-        fields.get("accounts").and_then(|raw| serde_json::from_str::<Vec<&RawValue>>(raw.get()).ok());
+    let accounts = fields
+        .get("accounts")
+        .and_then(|raw| serde_json::from_str::<Vec<&RawValue>>(raw.get()).ok());
     if accounts.is_some() {
         fields.remove("accounts");
     }
-    let parsed = fields.into_iter().map(|(key, raw)| Ok((key, serde_json::from_str(raw.get())?)));
+    let parsed = fields
+        .into_iter()
+        .map(|(key, raw)| Ok((key, serde_json::from_str(raw.get())?)));
     let value = Value::Object(parsed.collect::<Result<_, _>>().map_err(fault)?);
     match accounts {
         None => read_value(&value),
-        Some(accounts) => build(&value, || accounts.iter().enumerate().map(raw_account).collect()),
+        Some(accounts) => build(&value, || {
+            accounts.iter().enumerate().map(raw_account).collect()
+        }),
     }
 }
 
 pub fn read_value(value: &Value) -> Result<Conf, String> {
-    let conf = At { value, path: String::new() };
+    let conf = At {
+        value,
+        path: String::new(),
+    };
     let accounts = || conf.opt("accounts").map_or(Ok(Vec::new()), |at| at.items());
     build(value, || accounts()?.iter().map(account).collect())
 }
 
-fn build(value: &Value, accounts: impl FnOnce() -> Result<Vec<Account>, String>) -> Result<Conf, String> {
-    let conf = At { value, path: String::new() };
+fn build(
+    value: &Value,
+    accounts: impl FnOnce() -> Result<Vec<Account>, String>,
+) -> Result<Conf, String> {
+    let conf = At {
+        value,
+        path: String::new(),
+    };
     let ceilings = conf.get("ceilings")?;
     let contract = conf.get("contract")?;
     let listed = conf.get("methods")?.items()?;
     let methods: Vec<_> = listed.iter().map(method).collect::<Result<_, _>>()?;
     let (tenants, quotas): (Vec<_>, Vec<_>) = accounts()?.into_iter().unzip();
     let come_back_max = match ceilings.flag_or("retry-after")? {
-        true => ceilings.opt("max-retry-after-ns").map_or(Ok(0.0), |at| at.seconds())?,
+        true => ceilings
+            .opt("max-retry-after-ns")
+            .map_or(Ok(0.0), |at| at.seconds())?,
         false => 0.0,
     };
     let report = |key: &str| conf.opt("report").and_then(|r| r.opt(key));
@@ -188,11 +240,18 @@
         },
     };
     let fields = report("fields").map(|f| f.names()).transpose()?;
-    let tells_queue = |name: &String| IN_FLIGHT.contains(&name.as_str()) || QUEUED.contains(&name.as_str());
-    let weight_source = conf.opt("weight-source").map_or(Ok("none"), |at| at.text())?;
-    let mode = conf.opt("membership-mode").map_or(Ok("pushed"), |at| at.text())?;
+    let tells_queue =
+        |name: &String| IN_FLIGHT.contains(&name.as_str()) || QUEUED.contains(&name.as_str());
+    let weight_source = conf
+        .opt("weight-source")
+        .map_or(Ok("none"), |at| at.text())?;
+    let mode = conf
+        .opt("membership-mode")
+        .map_or(Ok("pushed"), |at| at.text())?;
     let figure = |part: &str, key: &str| conf.opt(part).map_or(Ok(0.0), |p| p.num_or(key, 0.0));
-    let zones = conf.opt("failure-domains").map_or(Ok(Vec::new()), |at| at.names())?;
+    let zones = conf
+        .opt("failure-domains")
+        .map_or(Ok(Vec::new()), |at| at.names())?;
     let own = conf.opt("my-zone").map_or(Ok(""), |at| at.text())?;
     let settings = Settings {
         balancers: conf.get("balancers")?.num()?.max(1.0) as usize,
@@ -201,7 +260,9 @@
         most_picks: ceilings.get("most-picks")?.num()? as usize,
         may_cancel: ceilings.flag_or("cancel")?,
         may_probe: ceilings.flag_or("probes")?,
-        warm_keys: conf.opt("extra").map_or(Ok(false), |extra| extra.flag_or("warm-keys"))?,
+        warm_keys: conf
+            .opt("extra")
+            .map_or(Ok(false), |extra| extra.flag_or("warm-keys"))?,
         second_copies: ceilings.flag_or("second-copies")?,
         come_back_max,
         probe_price: figure("penalties", "probe")?,
@@ -213,23 +274,34 @@
         reports,
         reports_queue: fields.is_none_or(|fields| fields.iter().any(tells_queue)),
         list_on_request: mode == "on_request",
-        ask_within: contract.opt("ask-within-ns").map_or(Ok(ASK_WITHIN), |at| at.limit())?,
+        ask_within: contract
+            .opt("ask-within-ns")
+            .map_or(Ok(ASK_WITHIN), |at| at.limit())?,
         drain_grace: contract.get("drain-grace-ns")?.seconds()?,
         only_draining_binds: contract.flag_or("removal-not-binding")?,
-        key_quiet: contract.opt("key-quiet-ns").map_or(Ok(0.0), |at| at.seconds())?,
+        key_quiet: contract
+            .opt("key-quiet-ns")
+            .map_or(Ok(0.0), |at| at.seconds())?,
         cold_from: contract.get("cold-from")?.num()?,
         cold_for: contract.get("cold-ns")?.seconds()?,
         fall_multiple: contract.get("fall-multiple")?.num()?,
         fall_window: contract.get("tip-after-ns")?.seconds()?,
     };
-    if let Some(nines) =
-        conf.opt("goal").and_then(|goal| goal.opt("nines-wanted")).filter(|n| n.num() == Ok(0.0))
+    if let Some(nines) = conf
+        .opt("goal")
+        .and_then(|goal| goal.opt("nines-wanted"))
+        .filter(|n| n.num() == Ok(0.0))
     {
-        return Err(format!("{} is 0: what is lost could not be set against it", nines.path));
+        return Err(format!(
+            "{} is 0: what is lost could not be set against it",
+            nines.path
+        ));
     }
     let digest = digest(value, &tenants, &settings);
     let sized = matches!(weight_source, "nominal" | "rough");
-    let ends = listed.iter().map(|m| m.opt("hard-limit-ns").map(|at| at.seconds()).transpose());
+    let ends = listed
+        .iter()
+        .map(|m| m.opt("hard-limit-ns").map(|at| at.seconds()).transpose());
     let ends = ends.collect::<Result<Option<Vec<f64>>, _>>()?;
     Ok(Conf {
         settings,
@@ -237,8 +309,12 @@
         tenants,
         zones,
         sized,
-        connect_limit: ceilings.opt("connect-timeout-ns").map_or(Ok(CONNECT), |at| at.limit())?,
-        idle_limit: ceilings.opt("conn-idle-ns").map_or(Ok(IDLE), |at| at.seconds())?,
+        connect_limit: ceilings
+            .opt("connect-timeout-ns")
+            .map_or(Ok(CONNECT), |at| at.limit())?,
+        idle_limit: ceilings
+            .opt("conn-idle-ns")
+            .map_or(Ok(IDLE), |at| at.seconds())?,
         longest_deadline: ends.map(|ends| ends.into_iter().fold(0.0, f64::max)),
         digest,
     })
@@ -276,8 +352,13 @@
 fn digest(value: &Value, tenants: &[String], settings: &Settings) -> u64 {
     let mut hash = Fnv::default();
     let apart = ["accounts", "my-zone"];
-    let fields = value.as_object().into_iter().flatten().filter(|(key, _)| !apart.contains(&key.as_str()));
-    fields.for_each(|field| serde_json::to_writer(&mut hash, &field).expect("a value that was read"));
+    let fields = value
+        .as_object()
+        .into_iter()
+        .flatten()
+        .filter(|(key, _)| !apart.contains(&key.as_str()));
+    fields
+        .for_each(|field| serde_json::to_writer(&mut hash, &field).expect("a value that was read"));
     for (name, tenant) in tenants.iter().zip(&settings.tenants) {
         _ = hash.write(name.as_bytes());
         _ = hash.write(&tenant.quota.to_le_bytes());
@@ -290,14 +371,19 @@
 pub fn load_report(text: &str, mark: char) -> Result<LoadReport, String> {
     let mut load = LoadReport::default();
     for pair in text.trim().split(',') {
-        let (name, value) = pair.split_once(mark).ok_or_else(|| format!("is not name{mark}value: {pair}"))?;
+        let (name, value) = pair
+            .split_once(mark)
+            .ok_or_else(|| format!("is not name{mark}value: {pair}"))?;
         let slot = match name.trim() {
             name if IN_FLIGHT.contains(&name) => &mut load.in_flight,
             name if QUEUED.contains(&name) => &mut load.queued,
             "load_share" | "util" => &mut load.utilisation,
             _ => continue,
         };
-        let value: f64 = value.trim().parse().map_err(|_| format!("is not a number: {pair}"))?;
+        let value: f64 = value
+            .trim()
+            .parse()
+            .map_err(|_| format!("is not a number: {pair}"))?;
         *slot = Some(value).filter(|v| v.is_finite() && *v >= 0.0);
     }
     Ok(load)
--- a/crates/settings/tests/change.rs
+++ b/crates/settings/tests/change.rs
@@ -11,8 +11,7 @@
         json!({"name": format!("m{}", name % 12), "idempotency": "read_like", "utility": figure % 3,
             "latency-target-ns": 1e8})
     };
-    let tenant =
-        |(name, figure): &(u8, u8)| json!({"name": format!("t{}", name % 12), "quota-per-s": figure % 3});
+    let tenant = |(name, figure): &(u8, u8)| json!({"name": format!("t{}", name % 12), "quota-per-s": figure % 3});
     json!({"balancers": 2, "ceilings": {"most-picks": 3}, "failure-domains": ["a", "b"], "my-zone": "a",
         "methods": methods.iter().map(method).collect::<Vec<_>>(),
         "accounts": tenants.iter().map(tenant).collect::<Vec<_>>(),
@@ -35,15 +34,27 @@
 
 fn is_as_a_plain_search(before: Lists, now: Lists) -> bool {
     let (before, now) = ((once(before.0), once(before.1)), (once(now.0), once(now.1)));
-    let (old, new) = (conf(&object(&before.0, &before.1)), conf(&object(&now.0, &now.1)));
+    let (old, new) = (
+        conf(&object(&before.0, &before.1)),
+        conf(&object(&now.0, &now.1)),
+    );
     let change = Change::between(&old, &new);
     let place = |names: &[String], name: &String| names.iter().position(|n| n == name);
     let kept = Kept {
-        methods: new.methods.iter().map(|name| place(&old.methods, name)).collect(),
-        tenants: new.tenants.iter().map(|name| place(&old.tenants, name)).collect(),
+        methods: new
+            .methods
+            .iter()
+            .map(|name| place(&old.methods, name))
+            .collect(),
+        tenants: new
+            .tenants
+            .iter()
+            .map(|name| place(&old.tenants, name))
+            .collect(),
     };
     let counts = |before: &[(u8, u8)], now: &[(u8, u8)]| {
-        let find = |list: &[(u8, u8)], name: u8| list.iter().find(|(n, _)| n % 12 == name % 12).copied();
+        let find =
+            |list: &[(u8, u8)], name: u8| list.iter().find(|(n, _)| n % 12 == name % 12).copied();
         let (mut added, mut changed) = (0, 0);
         for (name, figure) in now {
             match find(before, *name) {
@@ -51,12 +62,17 @@
                 Some((_, was)) => changed += usize::from(was % 3 != figure % 3),
             }
         }
-        let removed = before.iter().filter(|(name, _)| find(now, *name).is_none()).count();
+        let removed = before
+            .iter()
+            .filter(|(name, _)| find(now, *name).is_none())
+            .count();
         (added, changed, removed, now.len())
     };
-    let told =
-        |count: birchhub_settings::change::Count| (count.added, count.changed, count.removed, count.all);
-    let stays = old.settings == new.settings && old.methods == new.methods && old.tenants == new.tenants;
+    let told = |count: birchhub_settings::change::Count| {
+        (count.added, count.changed, count.removed, count.all)
+    };
+    let stays =
+        old.settings == new.settings && old.methods == new.methods && old.tenants == new.tenants;
     change.kept == kept
         && told(change.methods) == counts(&before.0, &now.0)
         && told(change.tenants) == counts(&before.1, &now.1)
@@ -67,22 +83,34 @@
 
 #[test]
 fn names_are_matched_as_by_a_plain_search() {
-    let mut check = QuickCheck::new().tests(2000).rng(Gen::from_size_and_seed(14, 11));
+    let mut check = QuickCheck::new()
+        .tests(2000)
+        .rng(Gen::from_size_and_seed(14, 11));
     check.quickcheck(is_as_a_plain_search as fn(_, _) -> bool);
 }
 
 /// Lists in which names come twice: no place goes on twice, each one that goes on bears the name, and no count lies.
 fn twins_share_nothing(before: Lists, now: Lists) -> bool {
-    let (old, new) = (conf(&object(&before.0, &before.1)), conf(&object(&now.0, &now.1)));
+    let (old, new) = (
+        conf(&object(&before.0, &before.1)),
+        conf(&object(&now.0, &now.1)),
+    );
     let change = Change::between(&old, &new);
     let fair = |old: &[String], new: &[String], kept: &[Option<usize>]| {
         let mut places: Vec<_> = kept.iter().flatten().collect();
         let all = places.len();
         places.sort();
         places.dedup();
-        let named = new.iter().zip(kept).all(|(name, was)| was.is_none_or(|was| old[was] == *name));
+        let named = new
+            .iter()
+            .zip(kept)
+            .all(|(name, was)| was.is_none_or(|was| old[was] == *name));
         // Every name that is on both sides goes on in some place.
-        let goes_on = |name: &String| new.iter().zip(kept).any(|(n, was)| n == name && was.is_some());
+        let goes_on = |name: &String| {
+            new.iter()
+                .zip(kept)
+                .any(|(n, was)| n == name && was.is_some())
+        };
         let both = new.iter().filter(|name| old.contains(name)).all(goes_on);
         places.len() == all && kept.len() == new.len() && named && both
     };
@@ -92,7 +120,9 @@
 
 #[test]
 fn names_that_come_twice_go_on_once() {
-    let mut check = QuickCheck::new().tests(2000).rng(Gen::from_size_and_seed(20, 12));
+    let mut check = QuickCheck::new()
+        .tests(2000)
+        .rng(Gen::from_size_and_seed(20, 12));
     check.quickcheck(twins_share_nothing as fn(_, _) -> bool);
 }
 
@@ -131,8 +161,16 @@
     ] {
         let new = with(place, key, value);
         let change = Change::between(&old, &new);
-        let named = if place.is_empty() { key.to_owned() } else { format!("{place}.{key}") };
-        assert_eq!((change.rules, change.later), (vec![named.as_str()], vec![]), "{named}");
+        let named = if place.is_empty() {
+            key.to_owned()
+        } else {
+            format!("{place}.{key}")
+        };
+        assert_eq!(
+            (change.rules, change.later),
+            (vec![named.as_str()], vec![]),
+            "{named}"
+        );
         assert_eq!(new.clone().in_force(&old).settings, new.settings, "{named}");
     }
     for (place, key, value) in [
@@ -145,12 +183,22 @@
     ] {
         let new = with(place, key, value);
         let change = Change::between(&old, &new);
-        let named =
-            if place.is_empty() { format!("settings.{key}") } else { format!("settings.{place}.{key}") };
+        let named = if place.is_empty() {
+            format!("settings.{key}")
+        } else {
+            format!("settings.{place}.{key}")
+        };
         assert!(change.is_none(), "{named}");
         assert_eq!(change.later, [named.as_str()]);
         let stays = new.clone().in_force(&old);
-        assert_eq!(Conf { digest: old.digest, ..stays }, old, "{named}");
+        assert_eq!(
+            Conf {
+                digest: old.digest,
+                ..stays
+            },
+            old,
+            "{named}"
+        );
     }
 }
 
@@ -162,9 +210,16 @@
     let text = plain.to_string();
     let mut turned = String::from("{");
     let fields: Vec<_> = plain.as_object().expect("an object").iter().rev().collect();
-    turned += &fields.iter().map(|(key, value)| format!(" {key:?} : {value}")).collect::<Vec<_>>().join(",");
+    turned += &fields
+        .iter()
+        .map(|(key, value)| format!(" {key:?} : {value}"))
+        .collect::<Vec<_>>()
+        .join(",");
     let turned: Value = serde_json::from_str(&(turned + "}")).expect("JSON");
-    assert_eq!(digest(&turned), digest(&serde_json::from_str(&text).expect("JSON")));
+    assert_eq!(
+        digest(&turned),
+        digest(&serde_json::from_str(&text).expect("JSON"))
+    );
     let mut elsewhere = plain.clone();
     elsewhere["my-zone"] = "b".into();
     assert_eq!(digest(&elsewhere), digest(&plain));
--- a/crates/settings/tests/read.rs
+++ b/crates/settings/tests/read.rs
@@ -8,10 +8,16 @@
 fn reports_are_read_by_either_name() {
     for text in ["concurrent=7,depth=2,new=x", " inflight=7,queue=2\n"] {
         let load = load_report(text, '=').expect("a report");
-        assert_eq!((load.in_flight, load.queued, load.utilisation), (Some(7.0), Some(2.0), None));
+        assert_eq!(
+            (load.in_flight, load.queued, load.utilisation),
+            (Some(7.0), Some(2.0), None)
+        );
     }
     assert!(load_report("inflight", '=').is_err() && load_report("inflight=many", '=').is_err());
-    assert_eq!(load_report("util=-1", '=').expect("a report").utilisation, None);
+    assert_eq!(
+        load_report("util=-1", '=').expect("a report").utilisation,
+        None
+    );
 }
 /// A deployment's settings with the further ones changed.
 fn further(change: impl FnOnce(&mut Value)) -> Result<Settings, String> {
@@ -32,7 +38,14 @@
 #[test]
 fn what_is_not_told_is_nobodys_figure() {
     let untold = conf(|_| ()).expect("settings");
-    assert_eq!((untold.settings.ask_within, untold.connect_limit, untold.idle_limit), (2.0, 1.0, 1.0));
+    assert_eq!(
+        (
+            untold.settings.ask_within,
+            untold.connect_limit,
+            untold.idle_limit
+        ),
+        (2.0, 1.0, 1.0)
+    );
     assert_eq!(untold.longest_deadline, None);
     let odd = conf(|conf| {
         conf["ceilings"]["connect-timeout-ns"] = 0.into();
@@ -40,19 +53,36 @@
         conf["methods"][0]["hard-limit-ns"] = u64::MAX.into();
     });
     let odd = odd.expect("settings");
-    assert_eq!((odd.connect_limit, odd.idle_limit, odd.longest_deadline), (1e9, 1e9, Some(1e9)));
+    assert_eq!(
+        (odd.connect_limit, odd.idle_limit, odd.longest_deadline),
+        (1e9, 1e9, Some(1e9))
+    );
     let two = conf(|conf| {
         let mut second = conf["methods"][0].clone();
         second["hard-limit-ns"] = 2_000_000_000.into();
-        conf["methods"].as_array_mut().expect("methods").push(second);
+        conf["methods"]
+            .as_array_mut()
+            .expect("methods")
+            .push(second);
     });
-    assert_eq!(two.expect("settings").longest_deadline, None, "one of them is not told");
+    assert_eq!(
+        two.expect("settings").longest_deadline,
+        None,
+        "one of them is not told"
+    );
 }
 
 #[test]
 fn further_settings_are_read_and_change_nothing_where_they_are_absent() {
     let plain = further(|_| ()).expect("settings");
-    assert_eq!((plain.key_quiet, plain.only_draining_binds, plain.methods[0].in_order), (0.0, false, false));
+    assert_eq!(
+        (
+            plain.key_quiet,
+            plain.only_draining_binds,
+            plain.methods[0].in_order
+        ),
+        (0.0, false, false)
+    );
     assert_eq!((plain.log_loss_part, plain.nines_wanted), (0.0, 0.0));
     let told = further(|conf| {
         conf["methods"][0]["keep-order"] = true.into();
@@ -61,29 +91,62 @@
         conf["goal"] = json!({"log-loss-part": 0.4, "nines-wanted": 2.0});
     });
     let told = told.expect("settings");
-    assert_eq!((told.key_quiet, told.only_draining_binds, told.methods[0].in_order), (0.05, true, true));
+    assert_eq!(
+        (
+            told.key_quiet,
+            told.only_draining_binds,
+            told.methods[0].in_order
+        ),
+        (0.05, true, true)
+    );
     assert_eq!((told.log_loss_part, told.nines_wanted), (0.4, 2.0));
 }
 
 #[test]
 fn wrong_further_settings_name_place_and_value() {
     let wrong = [
-        ("contract", "key-quiet-ns", json!(-1), "contract.key-quiet-ns is not a number of 0 or more: -1"),
-        ("contract", "key-quiet-ns", json!("5"), "contract.key-quiet-ns is not a number of 0 or more: \"5\""),
-        ("contract", "removal-not-binding", json!(1), "contract.removal-not-binding is not true or false: 1"),
+        (
+            "contract",
+            "key-quiet-ns",
+            json!(-1),
+            "contract.key-quiet-ns is not a number of 0 or more: -1",
+        ),
+        (
+            "contract",
+            "key-quiet-ns",
+            json!("5"),
+            "contract.key-quiet-ns is not a number of 0 or more: \"5\"",
+        ),
+        (
+            "contract",
+            "removal-not-binding",
+            json!(1),
+            "contract.removal-not-binding is not true or false: 1",
+        ),
         (
             "goal",
             "nines-wanted",
             json!(0),
             "goal.nines-wanted is 0: what is lost could not be set against it",
         ),
-        ("goal", "log-loss-part", json!([]), "goal.log-loss-part is not a number of 0 or more: []"),
+        (
+            "goal",
+            "log-loss-part",
+            json!([]),
+            "goal.log-loss-part is not a number of 0 or more: []",
+        ),
     ];
     for (part, key, value, fault) in wrong {
-        assert_eq!(further(|conf| conf[part][key] = value).err().as_deref(), Some(fault));
+        assert_eq!(
+            further(|conf| conf[part][key] = value).err().as_deref(),
+            Some(fault)
+        );
     }
     let fault = further(|conf| conf["methods"][0]["keep-order"] = "yes".into()).err();
-    assert_eq!(fault.as_deref(), Some("methods[0].keep-order is not true or false: \"yes\""));
+    assert_eq!(
+        fault.as_deref(),
+        Some("methods[0].keep-order is not true or false: \"yes\"")
+    );
 }
 
 /// Accounts are read one by one from the text: as from the parsed object, also where one is odd or wrong.
--- a/crates/simulation/src/list.rs
+++ b/crates/simulation/src/list.rs
@@ -34,7 +34,11 @@
 impl List {
     /// With a limit, `most` calls are worked on at a time.
     pub fn new(proxies: usize, most: Option<usize>) -> Self {
-        Self { readers: vec![Reader::default(); proxies], most, ..Self::default() }
+        Self {
+            readers: vec![Reader::default(); proxies],
+            most,
+            ..Self::default()
+        }
     }
 
     pub fn is_limited(&self) -> bool {
@@ -53,7 +57,9 @@
 
     fn newer(&self, proxy: u16) -> impl Iterator<Item = (&u32, &(u64, Line))> {
         let from = self.readers[proxy as usize].version;
-        self.lines.iter().filter(move |(_, (version, _))| *version > from)
+        self.lines
+            .iter()
+            .filter(move |(_, (version, _))| *version > from)
     }
 
     /// Whether a proxy that watches is to be told something now.
@@ -70,7 +76,9 @@
     pub fn change(&mut self, node: u32, line: Line) -> Vec<u16> {
         self.version += 1;
         self.lines.insert(node, (self.version, line));
-        (0..self.readers.len() as u16).filter(|proxy| self.tells(*proxy)).collect()
+        (0..self.readers.len() as u16)
+            .filter(|proxy| self.tells(*proxy))
+            .collect()
     }
 
     /// Whether a proxy that watches would be told of a change now.
@@ -87,7 +95,10 @@
 
     /// What has changed since a proxy was told last; from now on it has been told.
     pub fn news(&mut self, proxy: u16) -> Vec<(u32, Line)> {
-        let news = self.newer(proxy).map(|(node, (_, line))| (*node, *line)).collect();
+        let news = self
+            .newer(proxy)
+            .map(|(node, (_, line))| (*node, *line))
+            .collect();
         self.readers[proxy as usize].version = self.version;
         news
     }
@@ -96,7 +107,9 @@
     pub fn known(&mut self, proxy: u16) -> Vec<(u32, Line)> {
         self.forget(proxy);
         let all = self.news(proxy);
-        all.into_iter().filter(|(_, line)| line.state != State::Gone).collect()
+        all.into_iter()
+            .filter(|(_, line)| line.state != State::Gone)
+            .collect()
     }
 
     /// A proxy starts and knows nothing.
@@ -107,7 +120,11 @@
 
     /// It fails from now on, or no longer; the proxies whose watches end.
     pub fn set_down(&mut self, down: bool) -> Vec<u16> {
-        self.down = if down { self.down + 1 } else { self.down.saturating_sub(1) };
+        self.down = if down {
+            self.down + 1
+        } else {
+            self.down.saturating_sub(1)
+        };
         let mut ended = Vec::new();
         for (proxy, reader) in (0..).zip(&mut self.readers) {
             if self.down > 0 && std::mem::take(&mut reader.watches) {
@@ -120,7 +137,11 @@
     /// A proxy's list stands still, or moves on; true if it is to be told what it missed.
     pub fn set_stale(&mut self, proxy: u16, stale: bool) -> bool {
         let reader = &mut self.readers[proxy as usize];
-        reader.stale = if stale { reader.stale + 1 } else { reader.stale.saturating_sub(1) };
+        reader.stale = if stale {
+            reader.stale + 1
+        } else {
+            reader.stale.saturating_sub(1)
+        };
         self.tells(proxy)
     }
 }
--- a/crates/simulation/src/proxy.rs
+++ b/crates/simulation/src/proxy.rs
@@ -6,13 +6,29 @@
 /// What the module asked for.
 #[derive(Clone, Copy, Debug)]
 pub enum Wish {
-    Pick { attempt: u64, backend: u32, time_out: f64 },
-    Cancel { attempt: u64, pick: usize },
-    PushBack { attempt: u64, come_back: f64 },
-    Abort { attempt: u64 },
-    Probe { backend: u32 },
+    Pick {
+        attempt: u64,
+        backend: u32,
+        time_out: f64,
+    },
+    Cancel {
+        attempt: u64,
+        pick: usize,
+    },
+    PushBack {
+        attempt: u64,
+        come_back: f64,
+    },
+    Abort {
+        attempt: u64,
+    },
+    Probe {
+        backend: u32,
+    },
     Watch,
-    Wake { delay: f64 },
+    Wake {
+        delay: f64,
+    },
 }
 
 /// The module's door outward: notes what it asks for, in order.
@@ -27,7 +43,11 @@
         self.now
     }
     fn pick(&mut self, attempt: u64, backend: u32, time_out: f64) {
-        self.wishes.push(Wish::Pick { attempt, backend, time_out });
+        self.wishes.push(Wish::Pick {
+            attempt,
+            backend,
+            time_out,
+        });
     }
     fn cancel(&mut self, attempt: u64, pick: usize) {
         self.wishes.push(Wish::Cancel { attempt, pick });
--- a/crates/simulation/src/queue.rs
+++ b/crates/simulation/src/queue.rs
@@ -22,7 +22,10 @@
 impl<T> Ord for Entry<T> {
     /// The heap gives the greatest: the earliest here.
     fn cmp(&self, other: &Self) -> Ordering {
-        other.at.total_cmp(&self.at).then(other.number.cmp(&self.number))
+        other
+            .at
+            .total_cmp(&self.at)
+            .then(other.number.cmp(&self.number))
     }
 }
 
@@ -33,14 +36,21 @@
 
 impl<T> Default for Queue<T> {
     fn default() -> Self {
-        Self { entries: BinaryHeap::new(), next: 0 }
+        Self {
+            entries: BinaryHeap::new(),
+            next: 0,
+        }
     }
 }
 
 impl<T> Queue<T> {
     pub fn put(&mut self, at: f64, what: T) {
         self.next += 1;
-        self.entries.push(Entry { at, number: self.next, what });
+        self.entries.push(Entry {
+            at,
+            number: self.next,
+            what,
+        });
     }
 
     pub fn take(&mut self) -> Option<(f64, T)> {
@@ -58,7 +68,9 @@
         for (at, what) in [(2.0, 'c'), (1.0, 'a'), (2.0, 'd'), (1.0, 'b'), (0.5, '0')] {
             queue.put(at, what);
         }
-        let taken: String = std::iter::from_fn(|| queue.take()).map(|(_, what)| what).collect();
+        let taken: String = std::iter::from_fn(|| queue.take())
+            .map(|(_, what)| what)
+            .collect();
         assert_eq!(taken, "0abcd");
     }
 }
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -124,9 +124,19 @@
     Wake,
     Deadline(u64),
     HungUp(u64),
-    Back { job: u64, how: PickEnd, report: Option<LoadReport> },
-    TimeOut { job: u64 },
-    Probed { node: u32, how: PickEnd, report: Option<LoadReport> },
+    Back {
+        job: u64,
+        how: PickEnd,
+        report: Option<LoadReport>,
+    },
+    TimeOut {
+        job: u64,
+    },
+    Probed {
+        node: u32,
+        how: PickEnd,
+        report: Option<LoadReport>,
+    },
     News(Vec<(u32, Line)>),
     ListFailed,
 }
@@ -198,7 +208,11 @@
         conf.settings.list_on_request = true;
         Ok::<_, String>(conf.settings)
     };
-    let longest = scenario.method.iter().map(|m| m.deadline.0).fold(0.0, f64::max);
+    let longest = scenario
+        .method
+        .iter()
+        .map(|m| m.deadline.0)
+        .fold(0.0, f64::max);
     let mut world = World {
         scenario,
         plan,
@@ -224,7 +238,11 @@
     world.set_up();
     let events = world.run(plan.length + longest + TAIL);
     world.entries.sort_by(|a, b| a.at.total_cmp(&b.at));
-    Ok(Outcome { head: settings::head(scenario, plan), entries: world.entries, events })
+    Ok(Outcome {
+        head: settings::head(scenario, plan),
+        entries: world.entries,
+        events,
+    })
 }
 
 fn host(scenario: &Scenario, planned: &birchhub_rehearsal::plan::PlannedNode) -> Host {
@@ -246,7 +264,10 @@
 
 impl World<'_> {
     fn tell(&mut self, event: Event) {
-        self.entries.push(Entry { at: self.now, event });
+        self.entries.push(Entry {
+            at: self.now,
+            event,
+        });
     }
 
     fn after(&mut self, delay: f64, what: What) {
@@ -256,7 +277,14 @@
     fn set_up(&mut self) {
         for node in 0..self.plan.first_nodes() as u32 {
             let life = self.start(node, Start::Warm);
-            self.publish(node, Line { life, state: State::Ready, started: None });
+            self.publish(
+                node,
+                Line {
+                    life,
+                    state: State::Ready,
+                    started: None,
+                },
+            );
         }
         for proxy in 0..self.proxies.len() as u16 {
             self.start_proxy(proxy);
@@ -279,7 +307,10 @@
         self.now = end;
         for proxy in 0..self.proxies.len() as u16 {
             if self.proxies[proxy as usize].take().is_some() {
-                self.tell(Event::ProxyEnded { proxy, how: End::Over });
+                self.tell(Event::ProxyEnded {
+                    proxy,
+                    how: End::Over,
+                });
             }
         }
         events
@@ -291,23 +322,41 @@
             What::Due(rpc) => {
                 let arrival = &self.plan.arrivals[rpc as usize];
                 let (method, tenant, within) = (arrival.method, arrival.tenant, arrival.within);
-                self.tell(Event::Asked { rpc, method, tenant, within });
+                self.tell(Event::Asked {
+                    rpc,
+                    method,
+                    tenant,
+                    within,
+                });
                 self.send(rpc, 0);
             }
             What::Try { rpc, number } => self.send(rpc, number),
             What::AtProxy { attempt, proxy } => self.at_proxy(attempt, proxy),
-            What::ToProxy { proxy, process, what } => self.reach(proxy, process, what),
+            What::ToProxy {
+                proxy,
+                process,
+                what,
+            } => self.reach(proxy, process, what),
             What::AtNode { job, begun } => self.at_node(job, begun),
             What::NodeDue { node, version } => self.node_due(node, version),
             What::Closed { job } => self.closed(job),
-            What::ProbeAt { proxy, process, node } => self.probe_at(proxy, process, node),
+            What::ProbeAt {
+                proxy,
+                process,
+                node,
+            } => self.probe_at(proxy, process, node),
             What::Answer { attempt, answer } => self.answer(attempt, answer),
             What::GiveUp { attempt } => self.answer(attempt, Answer::Silence),
             What::HangUp { attempt } => self.hang_up(attempt),
             What::Publish { node, line } => self.publish(node, line),
             What::ListAsked { proxy, process } => self.list_asked(proxy, process),
             What::ListDone { proxy, process } => self.list_done(proxy, process),
-            What::Retire { node, by, successor, after } => self.retire(node, by, successor, after),
+            What::Retire {
+                node,
+                by,
+                successor,
+                after,
+            } => self.retire(node, by, successor, after),
             What::Begin { node } => self.begin(node),
             What::Notice { proxy, process } => {
                 let same = self.proxies[proxy as usize].as_ref();
@@ -335,13 +384,35 @@
         let (scenario, arrival) = (self.scenario, &self.plan.arrivals[rpc as usize]);
         let method = &scenario.method[arrival.method as usize];
         let left = arrival.due + method.deadline.0 - self.now;
-        let Some(patience) = clients::patience(&scenario.clients, method, left) else { return };
+        let Some(patience) = clients::patience(&scenario.clients, method, left) else {
+            return;
+        };
         let chance = arrival.deal.rotate_left(u32::from(number) * 8);
         let open = |proxy: &usize| self.taken_in[*proxy];
-        let proxy = deal(self.proxies.len(), scenario.fleet.zones.len(), arrival.zone, chance, open) as u16;
+        let proxy = deal(
+            self.proxies.len(),
+            scenario.fleet.zones.len(),
+            arrival.zone,
+            chance,
+            open,
+        ) as u16;
         let attempt = u64::from(rpc) << 8 | u64::from(number);
-        self.tries.insert(attempt, Try { rpc, number, proxy, answered: false, patience });
-        self.tell(Event::Sent { attempt, rpc, proxy, patience: patience as f32 });
+        self.tries.insert(
+            attempt,
+            Try {
+                rpc,
+                number,
+                proxy,
+                answered: false,
+                patience,
+            },
+        );
+        self.tell(Event::Sent {
+            attempt,
+            rpc,
+            proxy,
+            patience: patience as f32,
+        });
         self.after(WAY, What::AtProxy { attempt, proxy });
         self.after(patience + LINGER, What::GiveUp { attempt });
         if let Some(part) = arrival.leaves.filter(|_| number == 0) {
@@ -350,7 +421,9 @@
     }
 
     fn answer(&mut self, attempt: u64, answer: Answer) {
-        let Some(entry) = self.tries.remove(&attempt) else { return };
+        let Some(entry) = self.tries.remove(&attempt) else {
+            return;
+        };
         if entry.answered {
             return;
         }
@@ -365,12 +438,25 @@
             Answer::PushedBack(Some(after)) if set.obey_retry_after => f64::from(after),
             _ => 0.0,
         };
-        let wait = set.wait.0 * if set.backoff { f64::from(1 << number.min(16)) } else { 1.0 };
-        self.after(wait.max(asked), What::Try { rpc, number: number + 1 });
+        let wait = set.wait.0
+            * if set.backoff {
+                f64::from(1 << number.min(16))
+            } else {
+                1.0
+            };
+        self.after(
+            wait.max(asked),
+            What::Try {
+                rpc,
+                number: number + 1,
+            },
+        );
     }
 
     fn hang_up(&mut self, attempt: u64) {
-        let Some(entry) = self.tries.get(&attempt) else { return };
+        let Some(entry) = self.tries.get(&attempt) else {
+            return;
+        };
         let proxy = entry.proxy;
         self.answer(attempt, Answer::HungUp);
         self.to(proxy, WAY, Call::HungUp(attempt));
@@ -381,19 +467,37 @@
     /// Something is on its way to the process that runs now.
     fn to(&mut self, proxy: u16, delay: f64, what: Call) {
         if let Some(process) = self.proxies[proxy as usize].as_ref().map(|p| p.process) {
-            self.after(delay, What::ToProxy { proxy, process, what });
+            self.after(
+                delay,
+                What::ToProxy {
+                    proxy,
+                    process,
+                    what,
+                },
+            );
         }
     }
 
     fn at_proxy(&mut self, attempt: u64, proxy: u16) {
         let place = proxy as usize;
-        if self.proxies[place].as_ref().is_some_and(|p| p.paused.is_some()) {
+        if self.proxies[place]
+            .as_ref()
+            .is_some_and(|p| p.paused.is_some())
+        {
             return self.parked[place].push(What::AtProxy { attempt, proxy });
         }
-        let Some(entry) = self.tries.get(&attempt) else { return };
+        let Some(entry) = self.tries.get(&attempt) else {
+            return;
+        };
         let (rpc, number, patience) = (entry.rpc, entry.number, entry.patience);
         let Some(running) = self.proxies[place].as_ref() else {
-            return self.after(WAY, What::Answer { attempt, answer: Answer::Unreachable });
+            return self.after(
+                WAY,
+                What::Answer {
+                    attempt,
+                    answer: Answer::Unreachable,
+                },
+            );
         };
         let (arrival, behind) = (&self.plan.arrivals[rpc as usize], running.behind);
         let until = self.now + patience - WAY;
@@ -407,7 +511,12 @@
             client_repeat: number > 0 && self.scenario.clients.marks_retries,
             key: None,
         };
-        let care = Care { rpc: None, deadline: until - MARGIN, answered: false, picks: Vec::new() };
+        let care = Care {
+            rpc: None,
+            deadline: until - MARGIN,
+            answered: false,
+            picks: Vec::new(),
+        };
         self.to(proxy, until - self.now, Call::Deadline(attempt));
         self.call(proxy, |balancer, cares, door| {
             cares.insert(attempt, care);
@@ -425,7 +534,9 @@
         act: impl FnOnce(&Balancer, &mut BTreeMap<u64, Care>, &mut crate::proxy::Door),
     ) {
         let now = self.now;
-        let Some(running) = self.proxies[proxy as usize].as_mut() else { return };
+        let Some(running) = self.proxies[proxy as usize].as_mut() else {
+            return;
+        };
         let process = running.process;
         let wishes = running.call(now, act);
         for wish in wishes {
@@ -435,25 +546,60 @@
 
     fn wish(&mut self, proxy: u16, process: u32, wish: Wish) {
         let now = self.now;
-        let Some(running) = self.proxies[proxy as usize].as_mut() else { return };
+        let Some(running) = self.proxies[proxy as usize].as_mut() else {
+            return;
+        };
         match wish {
-            Wish::Pick { attempt, backend, time_out } => {
-                let Some(care) = running.cares.get_mut(&attempt) else { return };
-                let (job, pick, until) =
-                    (self.next_job, care.picks.len(), (now + time_out).min(care.deadline));
+            Wish::Pick {
+                attempt,
+                backend,
+                time_out,
+            } => {
+                let Some(care) = running.cares.get_mut(&attempt) else {
+                    return;
+                };
+                let (job, pick, until) = (
+                    self.next_job,
+                    care.picks.len(),
+                    (now + time_out).min(care.deadline),
+                );
                 self.next_job += 1;
                 care.picks.push(Some(job));
-                let entry = Job { proxy, process, attempt, pick, node: backend, life: None, trick: None };
+                let entry = Job {
+                    proxy,
+                    process,
+                    attempt,
+                    pick,
+                    node: backend,
+                    life: None,
+                    trick: None,
+                };
                 self.jobs.insert(job, entry);
-                self.after(WAY, What::AtNode { job, begun: now + WAY });
+                self.after(
+                    WAY,
+                    What::AtNode {
+                        job,
+                        begun: now + WAY,
+                    },
+                );
                 self.to(proxy, (until - now).max(0.0), Call::TimeOut { job });
             }
             Wish::Cancel { attempt, pick } => {
-                let out =
-                    running.cares.get(&attempt).and_then(|care| care.picks.get(pick).copied().flatten());
+                let out = running
+                    .cares
+                    .get(&attempt)
+                    .and_then(|care| care.picks.get(pick).copied().flatten());
                 if let Some(out) = out {
                     self.after(WAY, What::Closed { job: out });
-                    self.to(proxy, 0.0, Call::Back { job: out, how: PickEnd::Cancelled, report: None });
+                    self.to(
+                        proxy,
+                        0.0,
+                        Call::Back {
+                            job: out,
+                            how: PickEnd::Cancelled,
+                            report: None,
+                        },
+                    );
                 }
             }
             Wish::PushBack { attempt, come_back } => {
@@ -461,21 +607,37 @@
                 self.final_answer(proxy, attempt, Answer::PushedBack(after));
             }
             Wish::Abort { attempt } => self.final_answer(proxy, attempt, Answer::Aborted(502)),
-            Wish::Probe { backend } => self.after(WAY, What::ProbeAt { proxy, process, node: backend }),
+            Wish::Probe { backend } => self.after(
+                WAY,
+                What::ProbeAt {
+                    proxy,
+                    process,
+                    node: backend,
+                },
+            ),
             Wish::Watch => self.after(WAY, What::ListAsked { proxy, process }),
             Wish::Wake { delay } => {
                 // A time that its clock can't tell from now would wake it for ever.
                 let at = now + delay.max(TICK);
                 if running.wake.is_none_or(|earlier| at < earlier) {
                     running.wake = Some(at);
-                    self.queue.put(at, What::ToProxy { proxy, process, what: Call::Wake });
+                    self.queue.put(
+                        at,
+                        What::ToProxy {
+                            proxy,
+                            process,
+                            what: Call::Wake,
+                        },
+                    );
                 }
             }
         }
     }
 
     fn final_answer(&mut self, proxy: u16, attempt: u64, answer: Answer) {
-        let Some(running) = self.proxies[proxy as usize].as_mut() else { return };
+        let Some(running) = self.proxies[proxy as usize].as_mut() else {
+            return;
+        };
         if let Some(care) = running.cares.get_mut(&attempt)
             && !std::mem::replace(&mut care.answered, true)
         {
@@ -485,9 +647,18 @@
 
     fn reach(&mut self, proxy: u16, process: u32, what: Call) {
         let place = proxy as usize;
-        let Some(running) = self.proxies[place].as_mut().filter(|p| p.process == process) else { return };
+        let Some(running) = self.proxies[place]
+            .as_mut()
+            .filter(|p| p.process == process)
+        else {
+            return;
+        };
         if running.paused.is_some() {
-            return self.parked[place].push(What::ToProxy { proxy, process, what });
+            return self.parked[place].push(What::ToProxy {
+                proxy,
+                process,
+                what,
+            });
         }
         match what {
             Call::Wake => {
@@ -498,7 +669,11 @@
                 }
             }
             Call::Deadline(attempt) => {
-                if running.cares.get(&attempt).is_some_and(|care| !care.answered) {
+                if running
+                    .cares
+                    .get(&attempt)
+                    .is_some_and(|care| !care.answered)
+                {
                     self.final_answer(proxy, attempt, Answer::Aborted(502));
                     self.on_rpc(proxy, attempt, |rpc, door| rpc.hung_up(door));
                 }
@@ -517,11 +692,15 @@
                 }
             }
             Call::Probed { node, how, report } => {
-                self.call(proxy, |balancer, _, door| balancer.probed(node, how, report, door));
+                self.call(proxy, |balancer, _, door| {
+                    balancer.probed(node, how, report, door)
+                });
             }
             Call::News(lines) => {
                 let entries = self.listed(proxy, &lines);
-                self.call(proxy, |balancer, _, door| balancer.list(ListKind::Changes, &entries, door));
+                self.call(proxy, |balancer, _, door| {
+                    balancer.list(ListKind::Changes, &entries, door)
+                });
                 self.ready(proxy);
             }
             Call::ListFailed => self.call(proxy, |balancer, _, door| balancer.list_failed(door)),
@@ -544,7 +723,9 @@
 
     /// An RPC that is over is held no longer; a proxy that was to end may do so with its last one.
     fn let_go(&mut self, proxy: u16, attempt: u64) {
-        let Some(running) = self.proxies[proxy as usize].as_mut() else { return };
+        let Some(running) = self.proxies[proxy as usize].as_mut() else {
+            return;
+        };
         let over = |care: &Care| care.answered && care.rpc.as_ref().is_none_or(|rpc| rpc.is_over());
         if running.cares.get(&attempt).is_some_and(over) {
             running.cares.remove(&attempt);
@@ -552,8 +733,12 @@
     }
 
     fn is_out(&self, job: u64) -> bool {
-        let Some(entry) = self.jobs.get(&job) else { return false };
-        let running = self.proxies[entry.proxy as usize].as_ref().filter(|p| p.process == entry.process);
+        let Some(entry) = self.jobs.get(&job) else {
+            return false;
+        };
+        let running = self.proxies[entry.proxy as usize]
+            .as_ref()
+            .filter(|p| p.process == entry.process);
         let care = running.and_then(|p| p.cares.get(&entry.attempt));
         care.is_some_and(|care| care.picks.get(entry.pick).is_some_and(Option::is_some))
     }
@@ -562,7 +747,9 @@
         if !self.is_out(job) {
             return;
         }
-        let Some(entry) = self.jobs.get(&job) else { return };
+        let Some(entry) = self.jobs.get(&job) else {
+            return;
+        };
         let (proxy, attempt, pick) = (entry.proxy, entry.attempt, entry.pick);
         if entry.life.is_none() {
             self.jobs.remove(&job);
@@ -570,15 +757,23 @@
         if how == PickEnd::Ok {
             self.final_answer(proxy, attempt, Answer::Ok);
         }
-        let Some(running) = self.proxies[proxy as usize].as_mut() else { return };
-        let Some(care) = running.cares.get_mut(&attempt) else { return };
+        let Some(running) = self.proxies[proxy as usize].as_mut() else {
+            return;
+        };
+        let Some(care) = running.cares.get_mut(&attempt) else {
+            return;
+        };
         care.picks[pick] = None;
         let over = care.answered;
-        self.on_rpc(proxy, attempt, |rpc, door| rpc.ended(pick, how, over, report, door));
+        self.on_rpc(proxy, attempt, |rpc, door| {
+            rpc.ended(pick, how, over, report, door)
+        });
     }
 
     fn listed(&self, proxy: u16, lines: &[(u32, Line)]) -> Vec<Listed> {
-        let behind = self.proxies[proxy as usize].as_ref().map_or(0.0, |p| p.behind);
+        let behind = self.proxies[proxy as usize]
+            .as_ref()
+            .map_or(0.0, |p| p.behind);
         let entry = |(node, line): &(u32, Line)| {
             let host = &self.hosts[*node as usize];
             let readiness = match line.state {
@@ -588,7 +783,14 @@
             };
             let cell = u64::from(host.zone) << 16 | u64::from(host.rack);
             let started = line.started.map(|at| at - behind);
-            Listed { backend: *node, size: 1.0, started, cell, zone: host.zone as usize, readiness }
+            Listed {
+                backend: *node,
+                size: 1.0,
+                started,
+                cell,
+                zone: host.zone as usize,
+                readiness,
+            }
         };
         lines.iter().map(entry).collect()
     }
@@ -600,15 +802,26 @@
         let balancer = Balancer::new(&self.set[proxy as usize], seed);
         self.proxies[proxy as usize] = Some(Proxy::new(balancer, self.processes));
         self.tell(Event::ProxyStarted { proxy });
-        let known = if self.scenario.list.known { self.list.known(proxy) } else { Vec::new() };
+        let known = if self.scenario.list.known {
+            self.list.known(proxy)
+        } else {
+            Vec::new()
+        };
         if !self.scenario.list.known {
             self.list.forget(proxy);
         }
         for (node, line) in &known {
-            self.tell(Event::Told { proxy, node: *node, life: line.life, state: line.state });
+            self.tell(Event::Told {
+                proxy,
+                node: *node,
+                life: line.life,
+                state: line.state,
+            });
         }
         let entries = self.listed(proxy, &known);
-        self.call(proxy, |balancer, _, door| balancer.list(ListKind::Stale, &entries, door));
+        self.call(proxy, |balancer, _, door| {
+            balancer.list(ListKind::Stale, &entries, door)
+        });
         if self.scenario.list.known {
             self.ready(proxy);
         }
@@ -616,18 +829,29 @@
 
     /// It has a list, and is taken in by the layer before it.
     fn ready(&mut self, proxy: u16) {
-        if let Some(running) = self.proxies[proxy as usize].as_mut().filter(|running| !running.ready) {
+        if let Some(running) = self.proxies[proxy as usize]
+            .as_mut()
+            .filter(|running| !running.ready)
+        {
             (running.ready, self.taken_in[proxy as usize]) = (true, true);
             self.tell(Event::ProxyReady { proxy });
         }
     }
 
     fn kill_proxy(&mut self, proxy: u16, how: End) {
-        let Some(running) = self.proxies[proxy as usize].take() else { return };
+        let Some(running) = self.proxies[proxy as usize].take() else {
+            return;
+        };
         self.tell(Event::ProxyEnded { proxy, how });
         for (attempt, care) in &running.cares {
             if !care.answered {
-                self.after(WAY, What::Answer { attempt: *attempt, answer: Answer::Lost });
+                self.after(
+                    WAY,
+                    What::Answer {
+                        attempt: *attempt,
+                        answer: Answer::Lost,
+                    },
+                );
             }
             for job in care.picks.iter().flatten() {
                 self.after(WAY, What::Closed { job: *job });
@@ -636,15 +860,30 @@
         // What had come and was not read is lost with it.
         for what in std::mem::take(&mut self.parked[proxy as usize]) {
             if let What::AtProxy { attempt, .. } = what {
-                self.after(WAY, What::Answer { attempt, answer: Answer::Lost });
+                self.after(
+                    WAY,
+                    What::Answer {
+                        attempt,
+                        answer: Answer::Lost,
+                    },
+                );
             }
         }
         let notices = self.scenario.proxies.front_notices.0;
-        self.after(notices, What::Notice { proxy, process: running.process });
+        self.after(
+            notices,
+            What::Notice {
+                proxy,
+                process: running.process,
+            },
+        );
     }
 
     fn may_end(&mut self, proxy: u16, process: u32) {
-        let Some(running) = self.proxies[proxy as usize].as_ref().filter(|p| p.process == process) else {
+        let Some(running) = self.proxies[proxy as usize]
+            .as_ref()
+            .filter(|p| p.process == process)
+        else {
             return;
         };
         if running.cares.is_empty() {
@@ -657,7 +896,11 @@
     // The list.
 
     fn publish(&mut self, node: u32, line: Line) {
-        self.tell(Event::Changed { node, life: line.life, state: line.state });
+        self.tell(Event::Changed {
+            node,
+            life: line.life,
+            state: line.state,
+        });
         for proxy in self.list.change(node, line) {
             self.tell_news(proxy);
         }
@@ -666,18 +909,29 @@
     fn tell_news(&mut self, proxy: u16) {
         let news = self.list.news(proxy);
         for (node, line) in &news {
-            self.tell(Event::Told { proxy, node: *node, life: line.life, state: line.state });
+            self.tell(Event::Told {
+                proxy,
+                node: *node,
+                life: line.life,
+                state: line.state,
+            });
         }
         self.to(proxy, WAY, Call::News(news));
     }
 
     fn list_asked(&mut self, proxy: u16, process: u32) {
-        if self.proxies[proxy as usize].as_ref().is_none_or(|p| p.process != process) {
+        if self.proxies[proxy as usize]
+            .as_ref()
+            .is_none_or(|p| p.process != process)
+        {
             return;
         }
         if self.list.is_limited() {
             match self.list.begin(proxy) {
-                Some(lines) => self.after(self.scenario.list.takes(lines), What::ListDone { proxy, process }),
+                Some(lines) => self.after(
+                    self.scenario.list.takes(lines),
+                    What::ListDone { proxy, process },
+                ),
                 None => self.to(proxy, WAY, Call::ListFailed),
             }
         } else if !self.list.watch(proxy) {
@@ -690,7 +944,10 @@
     /// What there is is told, and the next call begins; where there is nothing new the call waits, and costs nothing.
     fn list_done(&mut self, proxy: u16, process: u32) {
         self.list.done();
-        if self.proxies[proxy as usize].as_ref().is_none_or(|p| p.process != process) {
+        if self.proxies[proxy as usize]
+            .as_ref()
+            .is_none_or(|p| p.process != process)
+        {
             return;
         }
         if !self.list.watch(proxy) {
@@ -721,7 +978,12 @@
         host.node = Some((life, node));
         host.born = (how == Start::Cold).then_some(now);
         host.stalls.clear();
-        self.tell(Event::Born { life, node: place, cold: how == Start::Cold, able });
+        self.tell(Event::Born {
+            life,
+            node: place,
+            cold: how == Start::Cold,
+            able,
+        });
         life
     }
 
@@ -729,7 +991,15 @@
         if self.hosts[node as usize].node.is_none() {
             let life = self.start(node, Start::Cold);
             let started = Some(self.now);
-            self.known(node, Line { life, state: State::Ready, started }, self.scenario.list.lag.0);
+            self.known(
+                node,
+                Line {
+                    life,
+                    state: State::Ready,
+                    started,
+                },
+                self.scenario.list.lag.0,
+            );
         }
     }
 
@@ -743,7 +1013,10 @@
         host.version += 1;
         self.tell(Event::Died { life });
         for job in held {
-            self.tell(Event::Left { job, how: Left::Broken });
+            self.tell(Event::Left {
+                job,
+                how: Left::Broken,
+            });
             self.back(job, PickEnd::Reset, 0.0);
         }
         for what in parked {
@@ -756,15 +1029,28 @@
 
     /// The end of a pick on its way to its proxy, unless nothing passes.
     fn back(&mut self, job: u64, how: PickEnd, more: f64) {
-        let Some(entry) = self.jobs.get_mut(&job) else { return };
+        let Some(entry) = self.jobs.get_mut(&job) else {
+            return;
+        };
         entry.life = None;
         let (proxy, process, node) = (entry.proxy, entry.process, entry.node);
         if self.cut_off(node, proxy) {
             return;
         }
         let seen = self.scenario.fleet.reports == Reports::Answers && how != PickEnd::Reset;
-        let report = if seen && how != PickEnd::NoConnection { self.report(node) } else { None };
-        self.after(WAY + more, What::ToProxy { proxy, process, what: Call::Back { job, how, report } });
+        let report = if seen && how != PickEnd::NoConnection {
+            self.report(node)
+        } else {
+            None
+        };
+        self.after(
+            WAY + more,
+            What::ToProxy {
+                proxy,
+                process,
+                what: Call::Back { job, how, report },
+            },
+        );
     }
 
     fn report(&mut self, node: u32) -> Option<LoadReport> {
@@ -796,11 +1082,17 @@
             };
             share > 0.0 && generator(self.plan.seed ^ number, attempt).random::<f64>() < share
         };
-        self.hosts[node as usize].faults.iter().find(hit).map(|(_, trick)| trick.clone())
+        self.hosts[node as usize]
+            .faults
+            .iter()
+            .find(hit)
+            .map(|(_, trick)| trick.clone())
     }
 
     fn at_node(&mut self, job: u64, begun: f64) {
-        let Some(entry) = self.jobs.get(&job) else { return };
+        let Some(entry) = self.jobs.get(&job) else {
+            return;
+        };
         let (proxy, attempt, place) = (entry.proxy, entry.attempt, entry.node);
         if self.cut_off(place, proxy) || !self.is_out(job) {
             return;
@@ -818,7 +1110,16 @@
         let work = arrival.work * self.slow[arrival.method as usize];
         let got = |taken, pushed: f64| {
             let (work, pushed) = (work as f32, pushed as f32);
-            Event::Got { life, job, attempt, proxy, begun, work, pushed, taken }
+            Event::Got {
+                life,
+                job,
+                attempt,
+                proxy,
+                begun,
+                work,
+                pushed,
+                taken,
+            }
         };
         let trick = self.trick(place, attempt);
         match &trick {
@@ -831,7 +1132,10 @@
             }
             Some(Trick::Error(_)) => {
                 self.tell(got(Taken::Error, 0.0));
-                self.tell(Event::Left { job, how: Left::Replied });
+                self.tell(Event::Left {
+                    job,
+                    how: Left::Replied,
+                });
                 return self.back(job, PickEnd::Error, 0.0);
             }
             _ => {}
@@ -840,13 +1144,24 @@
         let mark = match method.effect() {
             Kind::Deduplicated { group, window } => {
                 let group = group.number(host.zone, host.rack);
-                Some(Mark { group, key: u64::from(rpc), window })
+                Some(Mark {
+                    group,
+                    key: u64::from(rpc),
+                    window,
+                })
             }
             _ => None,
         };
-        let offer = Offer { job, work, mark, fresh: false };
+        let offer = Offer {
+            job,
+            work,
+            mark,
+            fresh: false,
+        };
         let (now, mut out) = (self.now, Vec::new());
-        let Some((_, node)) = host.node.as_mut() else { return };
+        let Some((_, node)) = host.node.as_mut() else {
+            return;
+        };
         let taken = node.offer(now, offer, &mut self.repeats, &mut out);
         let pushed = node.pushed();
         if taken.is_ok() {
@@ -865,14 +1180,24 @@
             let down = kind == Taken::Swallowed;
             let how = if down { Left::Broken } else { Left::Replied };
             self.tell(Event::Left { job, how });
-            self.back(job, if down { PickEnd::Reset } else { PickEnd::Rejected }, 0.0);
+            self.back(
+                job,
+                if down {
+                    PickEnd::Reset
+                } else {
+                    PickEnd::Rejected
+                },
+                0.0,
+            );
         }
         self.happened(place, out);
     }
 
     fn node_due(&mut self, place: u32, version: u64) {
         let host = &mut self.hosts[place as usize];
-        let Some((_, node)) = host.node.as_mut().filter(|_| host.version == version) else { return };
+        let Some((_, node)) = host.node.as_mut().filter(|_| host.version == version) else {
+            return;
+        };
         let mut out = Vec::new();
         node.advance(self.now, &mut self.repeats, &mut out);
         self.happened(place, out);
@@ -904,7 +1229,13 @@
         host.version += 1;
         let version = host.version;
         if let Some(at) = host.node.as_ref().and_then(|(_, node)| node.next_event()) {
-            self.queue.put(at.max(self.now), What::NodeDue { node: place, version });
+            self.queue.put(
+                at.max(self.now),
+                What::NodeDue {
+                    node: place,
+                    version,
+                },
+            );
         }
     }
 
@@ -915,7 +1246,9 @@
         }
         let trick = self.jobs.get(&job).and_then(|entry| entry.trick.clone());
         let (how, left, more) = match trick {
-            Some(Trick::Reset(_) | Trick::Half(_) | Trick::Garbage(_)) => (PickEnd::Reset, Left::Broken, 0.0),
+            Some(Trick::Reset(_) | Trick::Half(_) | Trick::Garbage(_)) => {
+                (PickEnd::Reset, Left::Broken, 0.0)
+            }
             Some(Trick::Trickle(_, over)) => (PickEnd::Ok, Left::Replied, over),
             _ => (PickEnd::Ok, Left::Replied, 0.0),
         };
@@ -924,7 +1257,9 @@
     }
 
     fn closed(&mut self, job: u64) {
-        let Some(entry) = self.jobs.remove(&job) else { return };
+        let Some(entry) = self.jobs.remove(&job) else {
+            return;
+        };
         let host = &mut self.hosts[entry.node as usize];
         if entry.life.is_none() || !host.held.remove(&job) {
             return;
@@ -933,27 +1268,60 @@
         if let Some((_, node)) = host.node.as_mut() {
             node.cancel(self.now, job, &mut self.repeats, &mut out);
         }
-        self.tell(Event::Left { job, how: Left::Withdrawn });
+        self.tell(Event::Left {
+            job,
+            how: Left::Withdrawn,
+        });
         self.happened(entry.node, out);
     }
 
     fn probe_at(&mut self, proxy: u16, process: u32, node: u32) {
         if self.cut_off(node, proxy) {
             // Told as a time-out by the proxy's own clock.
-            let what = Call::Probed { node, how: PickEnd::TimedOut, report: None };
-            return self.after(0.1, What::ToProxy { proxy, process, what });
+            let what = Call::Probed {
+                node,
+                how: PickEnd::TimedOut,
+                report: None,
+            };
+            return self.after(
+                0.1,
+                What::ToProxy {
+                    proxy,
+                    process,
+                    what,
+                },
+            );
         }
         let host = &mut self.hosts[node as usize];
         if host.node.is_some() && !host.stalls.is_empty() {
-            return host.parked.push(What::ProbeAt { proxy, process, node });
+            return host.parked.push(What::ProbeAt {
+                proxy,
+                process,
+                node,
+            });
         }
         let report = self.report(node);
-        let how = if report.is_some() { PickEnd::Ok } else { PickEnd::NoConnection };
-        self.after(WAY, What::ToProxy { proxy, process, what: Call::Probed { node, how, report } });
+        let how = if report.is_some() {
+            PickEnd::Ok
+        } else {
+            PickEnd::NoConnection
+        };
+        self.after(
+            WAY,
+            What::ToProxy {
+                proxy,
+                process,
+                what: Call::Probed { node, how, report },
+            },
+        );
     }
 
     /// Changes the node of a host, if it has one.
-    fn change(&mut self, place: u32, act: impl FnOnce(&mut Node, f64, &mut Repeats, &mut Vec<Happening>)) {
+    fn change(
+        &mut self,
+        place: u32,
+        act: impl FnOnce(&mut Node, f64, &mut Repeats, &mut Vec<Happening>),
+    ) {
         let mut out = Vec::new();
         if let Some((_, node)) = self.hosts[place as usize].node.as_mut() {
             act(node, self.now, &mut self.repeats, &mut out);
@@ -963,12 +1331,31 @@
 
     fn retire(&mut self, place: u32, by: f64, successor: u32, after: f64) {
         let host = &mut self.hosts[place as usize];
-        let busy = host.node.as_ref().is_some_and(|(_, node)| node.in_flight() > 0);
+        let busy = host
+            .node
+            .as_ref()
+            .is_some_and(|(_, node)| node.in_flight() > 0);
         if busy && self.now < by {
-            return self.after(LOOK, What::Retire { node: place, by, successor, after });
+            return self.after(
+                LOOK,
+                What::Retire {
+                    node: place,
+                    by,
+                    successor,
+                    after,
+                },
+            );
         }
         if let Some(life) = self.end(place) {
-            self.known(place, Line { life, state: State::Gone, started: None }, self.scenario.list.lag.0);
+            self.known(
+                place,
+                Line {
+                    life,
+                    state: State::Gone,
+                    started: None,
+                },
+                self.scenario.list.lag.0,
+            );
         }
         self.after(after, What::Begin { node: successor });
     }
@@ -977,17 +1364,29 @@
 
     fn act(&mut self, act: Act) {
         match act {
-            Act::Begin { trouble } => self.tell(Event::Trouble { number: trouble, begins: true }),
-            Act::End { trouble } => self.tell(Event::Trouble { number: trouble, begins: false }),
+            Act::Begin { trouble } => self.tell(Event::Trouble {
+                number: trouble,
+                begins: true,
+            }),
+            Act::End { trouble } => self.tell(Event::Trouble {
+                number: trouble,
+                begins: false,
+            }),
             Act::Stall { node, number, on } => self.stall(node, number, on),
             Act::Scale { node, factor } => {
                 self.hosts[node as usize].machine *= factor;
-                self.change(node, |n, now, repeats, out| n.scale(now, factor, repeats, out));
+                self.change(node, |n, now, repeats, out| {
+                    n.scale(now, factor, repeats, out)
+                });
             }
             Act::Slow { method, factor } => self.slow[method] *= factor,
             Act::Crash { node } => {
                 if let Some(life) = self.end(node) {
-                    let line = Line { life, state: State::Gone, started: None };
+                    let line = Line {
+                        life,
+                        state: State::Gone,
+                        started: None,
+                    };
                     self.known(node, line, self.scenario.list.notices.0);
                 }
             }
@@ -995,7 +1394,11 @@
             Act::Announce { node } => {
                 let host = &mut self.hosts[node as usize];
                 if let Some((life, _)) = host.node.as_ref() {
-                    let line = Line { life: *life, state: State::Draining, started: host.born };
+                    let line = Line {
+                        life: *life,
+                        state: State::Draining,
+                        started: host.born,
+                    };
                     self.known(node, line, self.scenario.list.lag.0);
                 }
             }
@@ -1006,16 +1409,33 @@
                     self.tell(Event::Drained { life });
                 }
             }
-            Act::Retire { node, by, successor, after } => {
+            Act::Retire {
+                node,
+                by,
+                successor,
+                after,
+            } => {
                 if !std::mem::replace(&mut self.hosts[node as usize].retiring, true) {
                     self.retire(node, by, successor, after);
                 }
             }
-            Act::Faulty { node, number, fault, on: true } => {
+            Act::Faulty {
+                node,
+                number,
+                fault,
+                on: true,
+            } => {
                 self.hosts[node as usize].faults.push((number, fault));
             }
-            Act::Faulty { node, number, on: false, .. } => {
-                self.hosts[node as usize].faults.retain(|(n, _)| *n != number);
+            Act::Faulty {
+                node,
+                number,
+                on: false,
+                ..
+            } => {
+                self.hosts[node as usize]
+                    .faults
+                    .retain(|(n, _)| *n != number);
             }
             Act::ListLate { by } => self.late += by,
             Act::ListDown { down } => {
@@ -1037,7 +1457,13 @@
                     self.after(GO_ON, What::MayEnd { proxy, process });
                 }
             }
-            Act::StartProxy { proxy } => self.after(STARTS, What::StartProxy { proxy, since: self.now }),
+            Act::StartProxy { proxy } => self.after(
+                STARTS,
+                What::StartProxy {
+                    proxy,
+                    since: self.now,
+                },
+            ),
             Act::PauseProxy { proxy, on } => self.pause(proxy, on),
         }
     }
@@ -1055,7 +1481,9 @@
         }
         let stands = !host.stalls.is_empty();
         if stands == before {
-            self.change(place, |n, now, repeats, out| n.stall(now, stands, repeats, out));
+            self.change(place, |n, now, repeats, out| {
+                n.stall(now, stands, repeats, out)
+            });
         }
         if !stands {
             let parked = std::mem::take(&mut self.hosts[place as usize].parked);
@@ -1065,12 +1493,16 @@
 
     fn pause(&mut self, proxy: u16, on: bool) {
         let now = self.now;
-        let Some(running) = self.proxies[proxy as usize].as_mut() else { return };
+        let Some(running) = self.proxies[proxy as usize].as_mut() else {
+            return;
+        };
         if on {
             running.paused.get_or_insert(now);
             return;
         }
-        let Some(since) = running.paused.take() else { return };
+        let Some(since) = running.paused.take() else {
+            return;
+        };
         let stood = now - since > STOOD;
         if stood {
             running.behind += now - since;
@@ -1078,13 +1510,23 @@
             let process = running.process;
             running.wake = running.wake.map(|at| at + (now - since));
             if let Some(at) = running.wake {
-                self.queue.put(at, What::ToProxy { proxy, process, what: Call::Wake });
+                self.queue.put(
+                    at,
+                    What::ToProxy {
+                        proxy,
+                        process,
+                        what: Call::Wake,
+                    },
+                );
             }
         }
         for what in std::mem::take(&mut self.parked[proxy as usize]) {
             // What ran out while it stood still says nothing of the node.
             match what {
-                What::ToProxy { what: Call::TimeOut { job }, .. } if stood => {
+                What::ToProxy {
+                    what: Call::TimeOut { job },
+                    ..
+                } if stood => {
                     if self.is_out(job) {
                         self.after(WAY, What::Closed { job });
                         self.pick_ended(job, PickEnd::Cancelled, None);
--- a/crates/simulation/tests/discovery.rs
+++ b/crates/simulation/tests/discovery.rs
@@ -59,7 +59,11 @@
     let mut longest: f64 = 0.0;
     let mut seen = 0;
     for (node, at) in changes {
-        let reached = if (DOWN.0..DOWN.1).contains(&at) { DOWN.1 } else { at };
+        let reached = if (DOWN.0..DOWN.1).contains(&at) {
+            DOWN.1
+        } else {
+            at
+        };
         seen += usize::from(at < DOWN.1);
         for told in &told {
             // Whatever was told of it later held this, or what is newer.
@@ -96,19 +100,34 @@
 #[test]
 fn a_crowd_of_300_is_told_in_time_after_an_outage() {
     for (ask_within, calls) in [(4.0, 1), (20.0, 1), (20.0, 2)] {
-        let longest = after_an_outage(300, ask_within, calls, "call-takes = \"1ms\"\nline-takes = \"200us\"");
+        let longest = after_an_outage(
+            300,
+            ask_within,
+            calls,
+            "call-takes = \"1ms\"\nline-takes = \"200us\"",
+        );
         println!("300 proxies, ask-within {ask_within} s, {calls} calls at a time: {longest:.2} s");
-        assert!(longest < TOLD, "{longest} s at {calls} calls at a time, ask-within {ask_within} s");
+        assert!(
+            longest < TOLD,
+            "{longest} s at {calls} calls at a time, ask-within {ask_within} s"
+        );
     }
 }
 
 #[test]
 fn a_crowd_of_850_is_told_in_time_after_an_outage() {
     for (ask_within, calls) in [(4.0, 1), (20.0, 1), (20.0, 2)] {
-        let longest =
-            after_an_outage(850, ask_within, calls, "call-takes = \"0.5ms\"\nline-takes = \"100us\"");
+        let longest = after_an_outage(
+            850,
+            ask_within,
+            calls,
+            "call-takes = \"0.5ms\"\nline-takes = \"100us\"",
+        );
         println!("850 proxies, ask-within {ask_within} s, {calls} calls at a time: {longest:.2} s");
-        assert!(longest < TOLD, "{longest} s at {calls} calls at a time, ask-within {ask_within} s");
+        assert!(
+            longest < TOLD,
+            "{longest} s at {calls} calls at a time, ask-within {ask_within} s"
+        );
     }
 }
 
@@ -121,9 +140,11 @@
 fn crowds_are_told_in_time_by_services_of_any_capacity_that_bears_them() {
     for (proxies, calls) in [(300, 1), (300, 2), (850, 1), (850, 2)] {
         for us in [1000, 2000, 3000, 4000, 6000, 8000] {
-            let longest = after_an_outage(proxies, 20.0, calls, &format!("call-takes = \"{us}us\""));
+            let longest =
+                after_an_outage(proxies, 20.0, calls, &format!("call-takes = \"{us}us\""));
             let work = proxies as f64 * us as f64 / 1e6 / calls as f64;
-            let what = format!("{proxies} proxies, {calls} at a time, {us} us each, {work:.2} s of work");
+            let what =
+                format!("{proxies} proxies, {calls} at a time, {us} us each, {work:.2} s of work");
             println!("{what}: {longest:.2} s");
             assert!(longest < TOLD || work > WORK, "{what}: {longest} s");
         }
@@ -132,12 +153,19 @@
 
 /// All processes start at once and none has a list: s until nine in ten are ready.
 fn mass_start(proxies: usize, calls: usize, whole: f64) -> f64 {
-    let list =
-        format!("known = false\ncalls = {calls}\ncall-takes = \"1ms\"\nline-takes = \"{}ms\"", whole / 10.0);
+    let list = format!(
+        "known = false\ncalls = {calls}\ncall-takes = \"1ms\"\nline-takes = \"{}ms\"",
+        whole / 10.0
+    );
     let entries = play(1, proxies, 20.0, &list, "");
-    let mut ready: Vec<_> = entries.iter().filter(|e| matches!(e.event, Event::ProxyReady { .. })).collect();
+    let mut ready: Vec<_> = entries
+        .iter()
+        .filter(|e| matches!(e.event, Event::ProxyReady { .. }))
+        .collect();
     ready.sort_by(|a, b| a.at.total_cmp(&b.at));
-    ready.get(proxies * 9 / 10 - 1).map_or(f64::INFINITY, |entry| entry.at)
+    ready
+        .get(proxies * 9 / 10 - 1)
+        .map_or(f64::INFINITY, |entry| entry.at)
 }
 
 /// A whole list of 8,700 lines at 1 us a line, all of them at once.
@@ -145,7 +173,12 @@
 fn nine_in_ten_of_a_mass_start_are_ready_in_time() {
     for (proxies, calls) in [(300, 1), (300, 2), (850, 1), (850, 2)] {
         let ready = mass_start(proxies, calls, 8.7);
-        println!("{proxies} proxies, {calls} calls at a time: nine in ten ready after {ready:.2} s");
-        assert!(ready < READY, "{proxies} proxies, {calls} calls at a time: {ready} s");
+        println!(
+            "{proxies} proxies, {calls} calls at a time: nine in ten ready after {ready:.2} s"
+        );
+        assert!(
+            ready < READY,
+            "{proxies} proxies, {calls} calls at a time: {ready} s"
+        );
     }
 }
