--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -1,6 +1,6 @@
 //! What a decision costs, by the size of the fleet: `cargo bench`. Half load, answers that carry reports.
-use birchhub::policy::{Balancer, Rpc};
-use birchhub::types::*;
+use birchhub::interface::*;
+use birchhub::policy::{Balancer, RpcHandle};
 use criterion::{BatchSize, BenchmarkId, Criterion, Throughput, criterion_group, criterion_main};
 use std::collections::VecDeque;
 use std::hint::black_box;
@@ -10,66 +10,66 @@
 
 /// A platform that only notes what is asked of it.
 #[derive(Default)]
-struct Platform {
+struct RecordingPlatform {
     now: f64,
     picked: Option<u32>,
     probed: Vec<u32>,
 }
 
-impl Link for Platform {
+impl Platform for RecordingPlatform {
     fn now(&self) -> f64 {
         self.now
     }
-    fn pick(&mut self, _rpc: u64, backend: u32, _time_out: f64) {
+    fn start_attempt(&mut self, _rpc: u64, backend: u32, _time_out: f64) {
         self.picked = Some(backend);
     }
-    fn cancel(&mut self, _rpc: u64, _pick: usize) {}
-    fn push_back(&mut self, _rpc: u64, _come_back: f64) {}
-    fn abort(&mut self, _rpc: u64) {}
-    fn probe(&mut self, backend: u32) {
+    fn cancel_attempt(&mut self, _rpc: u64, _pick: usize) {}
+    fn reject(&mut self, _rpc: u64, _come_back: f64) {}
+    fn fail(&mut self, _rpc: u64) {}
+    fn health_check(&mut self, backend: u32) {
         self.probed.push(backend);
     }
-    fn watch(&mut self) {}
-    fn wake_in(&mut self, _delay: f64) {}
+    fn watch_endpoints(&mut self) {}
+    fn schedule_timer(&mut self, _delay: f64) {}
 }
 
-fn settings(reports: Reports) -> Settings {
+fn settings(reports: LoadReportSource) -> Settings {
     let method = |effect, utility| MethodSettings {
-        effect,
-        latency_target: 0.25,
-        target_stretch: 0.0,
-        utility,
-        late_utility: 0.0,
-        in_order: false,
+        idempotency: effect,
+        latency_objective: 0.25,
+        objective_stretch: 0.0,
+        priority_weight: utility,
+        late_weight_fraction: 0.0,
+        ordered_by_key: false,
     };
     Settings {
-        balancers: 1,
+        proxy_count: 1,
         methods: vec![
-            method(Effect::Idempotent, 1.0),
-            method(Effect::NonIdempotent, 4.0),
+            method(Idempotency::Idempotent, 1.0),
+            method(Idempotency::NonIdempotent, 4.0),
         ],
-        most_picks: 3,
-        may_cancel: true,
-        may_probe: true,
-        probe_price: 0.002,
-        reports,
-        reports_queue: true,
-        ask_within: 10.0,
+        max_attempts: 3,
+        can_cancel: true,
+        can_health_check: true,
+        health_check_cost: 0.002,
+        load_report_source: reports,
+        reports_include_queue: true,
+        poll_within: 10.0,
         drain_grace: 0.3,
-        cold_from: 0.3,
-        cold_for: 8.0,
-        fall_multiple: 3.0,
-        fall_window: 1.0,
+        slow_start_initial_fraction: 0.3,
+        slow_start_duration: 8.0,
+        overload_multiple: 3.0,
+        overload_window: 1.0,
         ..Settings::default()
     }
 }
 
-fn entry(backend: u32) -> Entry {
+fn entry(backend: u32) -> Endpoint {
     let (cell, zone) = (u64::from(backend / 8), 0);
-    Entry {
+    Endpoint {
         backend,
-        size: 1.0,
-        started: None,
+        relative_size: 1.0,
+        started_at: None,
         cell,
         zone,
         readiness: Readiness::Ready,
@@ -79,18 +79,18 @@
 /// A proxy alone before so many backends, each of which holds what it was sent.
 struct Bench {
     balancer: Balancer,
-    platform: Platform,
-    out: VecDeque<(Rpc, u32)>,
+    platform: RecordingPlatform,
+    out: VecDeque<(RpcHandle, u32)>,
     held: Vec<u32>,
     next: u64,
 }
 
 impl Bench {
-    fn new(backends: u32, reports: Reports) -> Self {
-        let mut platform = Platform::default();
+    fn new(backends: u32, reports: LoadReportSource) -> Self {
+        let mut platform = RecordingPlatform::default();
         let balancer = Balancer::new(&settings(reports), 1);
         let listed: Vec<_> = (0..backends).map(entry).collect();
-        balancer.list(ListKind::Full, &listed, &mut platform);
+        balancer.update_endpoints(EndpointUpdateKind::Snapshot, &listed, &mut platform);
         let held = vec![0; backends as usize];
         let mut bench = Self {
             balancer,
@@ -115,18 +115,22 @@
         let (id, method) = (self.next, (self.next % 2) as usize);
         self.next += 1;
         let deadline = self.platform.now + 1.0;
-        let arrival = Arrival {
+        let arrival = IncomingRpc {
             id,
             method,
             deadline,
-            ..Arrival::default()
+            ..IncomingRpc::default()
         };
-        let rpc = self.balancer.take(&arrival, &mut self.platform);
+        let rpc = self.balancer.accept(&arrival, &mut self.platform);
         while self.platform.picked.is_none() && !self.platform.probed.is_empty() {
             for backend in std::mem::take(&mut self.platform.probed) {
                 let report = self.report(backend);
-                self.balancer
-                    .probed(backend, Outcome::Ok, report, &mut self.platform);
+                self.balancer.on_health_check(
+                    backend,
+                    AttemptOutcome::Succeeded,
+                    report,
+                    &mut self.platform,
+                );
             }
         }
         self.platform.probed.clear();
@@ -145,16 +149,22 @@
         {
             self.held[backend as usize] -= 1;
             let report = self.report(backend);
-            rpc.ended(0, Outcome::Ok, true, report, &mut self.platform);
-            black_box(rpc.is_over());
+            rpc.on_attempt_ended(
+                0,
+                AttemptOutcome::Succeeded,
+                true,
+                report,
+                &mut self.platform,
+            );
+            black_box(rpc.is_finished());
         }
     }
 }
 
 fn rpcs(c: &mut Criterion) {
     for (name, reports) in [
-        ("rpc, reports in answers", Reports::InAnswers),
-        ("rpc, reports by probe", Reports::ByProbe),
+        ("rpc, reports in answers", LoadReportSource::Responses),
+        ("rpc, reports by probe", LoadReportSource::HealthChecks),
     ] {
         let mut group = c.benchmark_group(name);
         for size in SIZES {
@@ -171,18 +181,18 @@
 fn waiting(c: &mut Criterion) {
     let mut group = c.benchmark_group("probe answered while RPCs wait");
     for waiting in [1, 100, 1_000] {
-        let mut bench = Bench::new(100, Reports::ByProbe);
+        let mut bench = Bench::new(100, LoadReportSource::HealthChecks);
         let deadline = bench.platform.now + 60.0;
-        let arrival = |id| Arrival {
+        let arrival = |id| IncomingRpc {
             id,
             deadline,
-            ..Arrival::default()
+            ..IncomingRpc::default()
         };
         let mut rpcs: Vec<_> = (0..waiting)
             .map(|n| {
                 bench
                     .balancer
-                    .take(&arrival(1 << 40 | n), &mut bench.platform)
+                    .accept(&arrival(1 << 40 | n), &mut bench.platform)
             })
             .collect();
         let busy = Some(LoadReport {
@@ -191,9 +201,12 @@
         });
         group.bench_function(BenchmarkId::from_parameter(waiting), |b| {
             b.iter(|| {
-                bench
-                    .balancer
-                    .probed(5, Outcome::Ok, busy, &mut bench.platform)
+                bench.balancer.on_health_check(
+                    5,
+                    AttemptOutcome::Succeeded,
+                    busy,
+                    &mut bench.platform,
+                )
             });
         });
         rpcs.clear();
@@ -204,7 +217,7 @@
 fn lists(c: &mut Criterion) {
     let mut group = c.benchmark_group("one list change");
     for size in SIZES {
-        let mut bench = Bench::new(size, Reports::InAnswers);
+        let mut bench = Bench::new(size, LoadReportSource::Responses);
         let mut ready = true;
         group.bench_function(BenchmarkId::from_parameter(size), |b| {
             b.iter(|| {
@@ -214,9 +227,9 @@
                 } else {
                     Readiness::Draining
                 };
-                bench.balancer.list(
-                    ListKind::Changes,
-                    &[Entry {
+                bench.balancer.update_endpoints(
+                    EndpointUpdateKind::Incremental,
+                    &[Endpoint {
                         readiness,
                         ..entry(3)
                     }],
@@ -232,15 +245,15 @@
         group.throughput(Throughput::Elements(u64::from(size)));
         let fresh = || {
             (
-                Balancer::new(&settings(Reports::InAnswers), 1),
-                Platform::default(),
+                Balancer::new(&settings(LoadReportSource::Responses), 1),
+                RecordingPlatform::default(),
             )
         };
         group.bench_function(BenchmarkId::from_parameter(size), |b| {
             b.iter_batched(
                 fresh,
                 |(balancer, mut platform)| {
-                    balancer.list(ListKind::Full, &listed, &mut platform);
+                    balancer.update_endpoints(EndpointUpdateKind::Snapshot, &listed, &mut platform);
                     balancer
                 },
                 BatchSize::PerIteration,
--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -1,6 +1,9 @@
 //! Wire text to calls on the module, and the module's answers back to wire text.
-use birchhub::policy::{Balancer, Rpc};
-use birchhub::types::{Arrival, Entry, Link, ListKind, LoadReport, Outcome, Pace, Readiness};
+use birchhub::interface::{
+    AttemptOutcome, Endpoint, EndpointUpdateKind, IncomingRpc, LoadReport, PacedBy, Platform,
+    Readiness,
+};
+use birchhub::policy::{Balancer, RpcHandle};
 use birchhub_settings as settings;
 use std::any::Any;
 use std::collections::{BTreeMap, HashMap};
@@ -15,7 +18,7 @@
     zones: Vec<String>,
     sized: bool,
     balancer: Balancer,
-    rpcs: HashMap<u64, Rpc>,
+    rpcs: HashMap<u64, RpcHandle>,
     /// Clock at `INIT`; the module's times count from here, so that fractions keep their precision.
     base: u64,
 }
@@ -30,7 +33,7 @@
 struct Row {
     zone: String,
     started: Option<u64>,
-    entry: Entry,
+    entry: Endpoint,
 }
 
 type Bank = Vec<Row>;
@@ -53,34 +56,34 @@
     }
 }
 
-impl Link for Writer<'_> {
+impl Platform for Writer<'_> {
     fn now(&self) -> f64 {
         self.now
     }
-    fn pick(&mut self, rpc: u64, backend: u32, time_out: f64) {
+    fn start_attempt(&mut self, rpc: u64, backend: u32, time_out: f64) {
         self.line(
             "PLACE",
             format_args!("\t{rpc}\t{backend}\t{}", ns(time_out).max(1)),
         );
     }
-    fn cancel(&mut self, rpc: u64, pick: usize) {
+    fn cancel_attempt(&mut self, rpc: u64, pick: usize) {
         self.line("ABORT_ATTEMPT", format_args!("\t{rpc}\t{pick}"));
     }
-    fn push_back(&mut self, rpc: u64, come_back: f64) {
+    fn reject(&mut self, rpc: u64, come_back: f64) {
         self.answered.push(rpc);
         self.line("PUSH_BACK", format_args!("\t{rpc}\t{}", ns(come_back)));
     }
-    fn abort(&mut self, rpc: u64) {
+    fn fail(&mut self, rpc: u64) {
         self.answered.push(rpc);
         self.line("END_FAILED", format_args!("\t{rpc}"));
     }
-    fn probe(&mut self, backend: u32) {
+    fn health_check(&mut self, backend: u32) {
         self.line("PROBE", format_args!("\t{backend}"));
     }
-    fn watch(&mut self) {
+    fn watch_endpoints(&mut self) {
         self.line("WATCH", format_args!("\t1"));
     }
-    fn wake_in(&mut self, delay: f64) {
+    fn schedule_timer(&mut self, delay: f64) {
         self.line("SET_ALARM", format_args!("\t{}\t0", ns(delay.min(4000.0))));
     }
 }
@@ -129,16 +132,16 @@
     }
 }
 
-fn outcome(code: u32) -> Result<Outcome, String> {
+fn outcome(code: u32) -> Result<AttemptOutcome, String> {
     Ok(match code {
-        0 => Outcome::Ok,
-        255 => Outcome::Error,
-        254 => Outcome::Rejected,
-        253 => Outcome::TimedOut,
-        252 => Outcome::NoConnection,
-        251 => Outcome::Reset,
-        250 => Outcome::Cancelled,
-        249 => Outcome::NeverSent,
+        0 => AttemptOutcome::Succeeded,
+        255 => AttemptOutcome::Failed,
+        254 => AttemptOutcome::Rejected,
+        253 => AttemptOutcome::TimedOut,
+        252 => AttemptOutcome::ConnectFailed,
+        251 => AttemptOutcome::Reset,
+        250 => AttemptOutcome::Cancelled,
+        249 => AttemptOutcome::NotSent,
         other => return Err(format!("state-code is not known: {other}")),
     })
 }
@@ -189,7 +192,7 @@
         }
         // RPCs that waited are answered in calls about others: guards against keeping them for good.
         for rpc in link.answered {
-            if instance.rpcs.get(&rpc).is_some_and(Rpc::is_over) {
+            if instance.rpcs.get(&rpc).is_some_and(RpcHandle::is_finished) {
                 instance.rpcs.remove(&rpc);
             }
         }
@@ -217,9 +220,9 @@
         let _generation: Option<u64> = parts.opt_num("generation")?;
         let bank: Option<u64> = parts.opt_num("bank")?;
         let kind = match parts.next("kind")? {
-            "patch" => ListKind::Changes,
-            "whole" => ListKind::Full,
-            "stale_copy" => ListKind::Stale,
+            "patch" => EndpointUpdateKind::Incremental,
+            "whole" => EndpointUpdateKind::Snapshot,
+            "stale_copy" => EndpointUpdateKind::StaleSnapshot,
             "broken" => {
                 self.call(proxy, |instance, link| instance.balancer.list_failed(link));
                 return Ok(());
@@ -243,20 +246,20 @@
         };
         let read = |row: &Row| {
             let started = row.started.map(|clock| instance.seconds(clock));
-            Entry {
+            Endpoint {
                 zone: place(&row.zone),
-                size: if instance.sized && row.entry.size > 0.0 {
-                    row.entry.size
+                relative_size: if instance.sized && row.entry.relative_size > 0.0 {
+                    row.entry.relative_size
                 } else {
                     1.0
                 },
-                started,
+                started_at: started,
                 ..row.entry
             }
         };
-        let entries: Vec<Entry> = entries.iter().map(read).collect();
+        let entries: Vec<Endpoint> = entries.iter().map(read).collect();
         self.call(proxy, |instance, link| {
-            instance.balancer.list(kind, &entries, link)
+            instance.balancer.update_endpoints(kind, &entries, link)
         });
         Ok(())
     }
@@ -281,19 +284,19 @@
         let expected_work = guess.filter(|_| bits & 1 != 0).map(|g| g as f64 / 1e9);
         let client_repeat = bits & 2 != 0;
         let deadline = instance.seconds(expires);
-        let arrival = Arrival {
+        let arrival = IncomingRpc {
             id,
             method,
             tenant,
             deadline,
             expected_work,
-            client_repeat,
-            long: false,
+            client_retry: client_repeat,
+            streams_request: false,
             key,
         };
         self.call(proxy, |instance, link| {
-            let rpc = instance.balancer.take(&arrival, link);
-            if !rpc.is_over() {
+            let rpc = instance.balancer.accept(&arrival, link);
+            if !rpc.is_finished() {
                 instance.rpcs.insert(id, rpc);
             }
         });
@@ -301,13 +304,13 @@
     }
 
     /// A later event of an RPC; one no longer held is passed over.
-    fn on_rpc(&mut self, proxy: u64, id: u64, act: impl FnOnce(&Rpc, &mut Writer)) {
+    fn on_rpc(&mut self, proxy: u64, id: u64, act: impl FnOnce(&RpcHandle, &mut Writer)) {
         self.call(proxy, |instance, link| {
             let Some(rpc) = instance.rpcs.get(&id) else {
                 return;
             };
             act(rpc, link);
-            if rpc.is_over() {
+            if rpc.is_finished() {
                 instance.rpcs.remove(&id);
             }
         });
@@ -327,7 +330,7 @@
         };
         let report = report(parts.opt("metrics")?)?;
         self.on_rpc(proxy, id, |rpc, link| {
-            rpc.ended(n, outcome, over, report, link)
+            rpc.on_attempt_ended(n, outcome, over, report, link)
         });
         Ok(())
     }
@@ -339,7 +342,9 @@
         parts.num::<u64>("elapsed-ns")?;
         let report = report(parts.opt("metrics")?)?;
         self.call(proxy, |instance, link| {
-            instance.balancer.probed(backend, outcome, report, link)
+            instance
+                .balancer
+                .on_health_check(backend, outcome, report, link)
         });
         Ok(())
     }
@@ -357,16 +362,18 @@
             "BEGUN" => {
                 let (proxy, id) = (parts.num("proxy-id")?, parts.below("tid", 52)?);
                 let n = parts.num("n")?;
-                self.on_rpc(proxy, id, |rpc, link| rpc.begun(n, Pace::Backend, link));
+                self.on_rpc(proxy, id, |rpc, link| {
+                    rpc.on_response_started(n, PacedBy::Backend, link)
+                });
             }
             "HANGUP" => {
                 let (proxy, id) = (parts.num("proxy-id")?, parts.below("tid", 52)?);
-                self.on_rpc(proxy, id, |rpc, link| rpc.hung_up(link));
+                self.on_rpc(proxy, id, |rpc, link| rpc.on_client_disconnected(link));
             }
             "TIMEOUT_FIRED" => {
                 let proxy = parts.num("proxy-id")?;
                 parts.below("token", 63)?;
-                self.call(proxy, |instance, link| instance.balancer.wake(link));
+                self.call(proxy, |instance, link| instance.balancer.on_timer(link));
             }
             "HEALTH_RESULT" => self.health(parts)?,
             "HEARD" => {
@@ -394,13 +401,13 @@
         let readiness = match parts.next("readiness")? {
             "IN" => Readiness::Ready,
             "LAME" => Readiness::Draining,
-            "OUT" => Readiness::Gone,
+            "OUT" => Readiness::Removed,
             other => return Err(format!("readiness is not known: {other}")),
         };
-        let entry = Entry {
+        let entry = Endpoint {
             backend,
-            size: scale,
-            started: None,
+            relative_size: scale,
+            started_at: None,
             cell,
             zone: 0,
             readiness,
--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -4,7 +4,7 @@
 use crate::core::ToCore;
 use crate::intake::Message;
 use crate::sockets::{Budget, Conn, Fault, Offer, Part, Presence, Reply, Spare};
-use birchhub::types::{LoadReport, Outcome};
+use birchhub::interface::{AttemptOutcome, LoadReport};
 use birchhub_settings::load_report;
 use bytes::Bytes;
 use hyper::HeaderMap;
@@ -59,7 +59,7 @@
 }
 
 /// How a pick or probe ended, the report that came along, and the answer's body.
-type End = (Outcome, Option<LoadReport>, Bytes);
+type End = (AttemptOutcome, Option<LoadReport>, Bytes);
 
 impl Errand {
     pub fn end(self, (outcome, report, body): End) -> ToCore {
@@ -124,9 +124,9 @@
 impl Drop for Ticket {
     fn drop(&mut self) {
         let unfinished = if self.sent.get() {
-            Outcome::Cancelled
+            AttemptOutcome::Cancelled
         } else {
-            Outcome::NeverSent
+            AttemptOutcome::NotSent
         };
         let end = self.end.take().unwrap_or((unfinished, None, Bytes::new()));
         let Some(permit) = self.permit.take() else {
@@ -308,18 +308,18 @@
         // The connection of a pick that was given up is closed by now, before the core hears of it.
         let nothing = |outcome| Some((outcome, None, Bytes::new()));
         ticket.end = match ended {
-            Ended::Withdrawn if !message.may_be_whole() => nothing(Outcome::NeverSent),
+            Ended::Withdrawn if !message.may_be_whole() => nothing(AttemptOutcome::NotSent),
             Ended::Withdrawn => None,
             Ended::Itself(end) => Some(end),
             Ended::Stalled if message.upload().is_some_and(|upload| upload.is_hungry()) => {
-                nothing(Outcome::NeverSent)
+                nothing(AttemptOutcome::NotSent)
             }
             Ended::Late if sent.get() => {
                 // A machine that vanished leaves its connections silent.
                 self.kept.borrow_mut().retain(|k| k.used > begun);
-                nothing(Outcome::TimedOut)
+                nothing(AttemptOutcome::TimedOut)
             }
-            Ended::Late | Ended::Stalled => nothing(Outcome::NoConnection),
+            Ended::Late | Ended::Stalled => nothing(AttemptOutcome::ConnectFailed),
         };
     }
 
@@ -346,9 +346,9 @@
         // What broke before the last byte of the request was written has not run.
         let broken = || {
             nothing(if message.may_be_whole() {
-                Outcome::Reset
+                AttemptOutcome::Reset
             } else {
-                Outcome::NoConnection
+                AttemptOutcome::ConnectFailed
             })
         };
         loop {
@@ -359,7 +359,7 @@
                 Some(conn) => Some(conn),
                 None => {
                     let Some(place) = self.budget.place(Part::Backends) else {
-                        return nothing(Outcome::NeverSent);
+                        return nothing(AttemptOutcome::NotSent);
                     };
                     Conn::open(
                         endpoint,
@@ -370,7 +370,7 @@
                 }
             };
             let Some(mut conn) = conn else {
-                return nothing(Outcome::NoConnection);
+                return nothing(AttemptOutcome::ConnectFailed);
             };
             // Guards against what begins for a client that has gone, whatever it waited for and however late this
             // process runs. That it hung up is on its way to the core, and withdraws this.
@@ -405,7 +405,7 @@
                 }
                 // A kept connection had ended before anything of this was written: another may be tried.
                 Err(Fault::Unsent) if !fresh => {}
-                Err(Fault::Unsent) => return nothing(Outcome::NoConnection),
+                Err(Fault::Unsent) => return nothing(AttemptOutcome::ConnectFailed),
                 Err(Fault::Broken) => {
                     // Guards against a path that forgets connections sooner than the settings say.
                     if !fresh {
@@ -516,25 +516,25 @@
 }
 
 /// Passes a long answer on as it comes, as fast as its client takes it; what went wrong, if it did not end well.
-async fn pass_on(conn: &mut Conn, reply: &mut Reply, ticket: &Ticket) -> Option<Outcome> {
+async fn pass_on(conn: &mut Conn, reply: &mut Reply, ticket: &Ticket) -> Option<AttemptOutcome> {
     let (source, flow) = flow(std::mem::take(&mut reply.body), reply.length);
     ticket.tell_begun(flow).await;
     let mut left = MOST;
     loop {
         let bytes = select! {
             biased;
-            () = source.closed() => return Some(Outcome::Cancelled),
+            () = source.closed() => return Some(AttemptOutcome::Cancelled),
             next = timeout(FLOW_STALL, conn.next()) => match next {
                 // Guards against answers that never end: no body may be longer.
-                Ok(Ok(Some(bytes))) if bytes.len() as u64 > left => return Some(Outcome::Reset),
+                Ok(Ok(Some(bytes))) if bytes.len() as u64 > left => return Some(AttemptOutcome::Reset),
                 Ok(Ok(Some(bytes))) => bytes,
                 Ok(Ok(None)) => break,
-                Ok(Err(_)) | Err(_) => return Some(Outcome::Reset),
+                Ok(Err(_)) | Err(_) => return Some(AttemptOutcome::Reset),
             },
         };
         left -= bytes.len() as u64;
         if !source.pass(bytes).await {
-            return Some(Outcome::Cancelled);
+            return Some(AttemptOutcome::Cancelled);
         }
     }
     source.end();
@@ -555,9 +555,9 @@
         .get("not-started")
         .is_some_and(|value| value == "1");
     let outcome = match reply.status.as_u16() {
-        200 => Outcome::Ok,
-        503 | 504 if not_started => Outcome::Rejected,
-        _ => Outcome::Error,
+        200 => AttemptOutcome::Succeeded,
+        503 | 504 if not_started => AttemptOutcome::Rejected,
+        _ => AttemptOutcome::Failed,
     };
     (outcome, report, reply.body)
 }
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -1,6 +1,6 @@
 //! What the platform tells a proxy at its start: addresses, limits, settings and the list as last had.
 use crate::discovery::{self, News};
-use birchhub::types::Settings;
+use birchhub::interface::Settings;
 use birchhub_settings::Conf;
 use serde_json::Value;
 use serde_json::value::RawValue;
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -12,10 +12,11 @@
 use crate::sockets::{Budget, Presence};
 use crate::standing::{Standing, Standings};
 use crate::watcher::{Act, Asked, Watch};
-use birchhub::policy::{Balancer, Rpc};
-use birchhub::types::{
-    Arrival, Effect, Entry, Link, ListKind, LoadReport, MethodSettings, Outcome, Pace, Readiness,
+use birchhub::interface::{
+    AttemptOutcome, Endpoint, EndpointUpdateKind, Idempotency, IncomingRpc, LoadReport,
+    MethodSettings, PacedBy, Platform, Readiness,
 };
+use birchhub::policy::{Balancer, RpcHandle};
 use bytes::Bytes;
 use std::collections::{HashMap, HashSet};
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -45,7 +46,7 @@
     Ended {
         rpc: u64,
         pick: usize,
-        outcome: Outcome,
+        outcome: AttemptOutcome,
         report: Option<LoadReport>,
         body: Bytes,
     },
@@ -62,7 +63,7 @@
     },
     Probed {
         backend: u32,
-        outcome: Outcome,
+        outcome: AttemptOutcome,
         report: Option<LoadReport>,
     },
     News(News),
@@ -148,11 +149,11 @@
     }
 }
 
-impl Link for Door {
+impl Platform for Door {
     fn now(&self) -> f64 {
         self.now
     }
-    fn pick(&mut self, rpc: u64, backend: u32, time_out: f64) {
+    fn start_attempt(&mut self, rpc: u64, backend: u32, time_out: f64) {
         let Some(held) = self.held.get_mut(&rpc) else {
             return;
         };
@@ -175,7 +176,7 @@
         );
         self.note(rpc, Act::Pick(backend));
     }
-    fn cancel(&mut self, rpc: u64, pick: usize) {
+    fn cancel_attempt(&mut self, rpc: u64, pick: usize) {
         let picks = self.held.get_mut(&rpc).map(|held| &mut held.picks);
         drop(
             picks
@@ -183,15 +184,15 @@
                 .and_then(Option::take),
         );
     }
-    fn push_back(&mut self, rpc: u64, come_back: f64) {
+    fn reject(&mut self, rpc: u64, come_back: f64) {
         self.give(rpc, Answer::PushedBack { come_back });
         self.note(rpc, Act::PushBack);
     }
-    fn abort(&mut self, rpc: u64) {
+    fn fail(&mut self, rpc: u64) {
         self.give(rpc, Answer::Aborted);
         self.note(rpc, Act::Abort);
     }
-    fn probe(&mut self, backend: u32) {
+    fn health_check(&mut self, backend: u32) {
         self.asked.iter_mut().for_each(Asked::probe);
         let times = Times {
             until: Instant::now() + PROBE_WAITS,
@@ -207,25 +208,25 @@
             None,
         );
     }
-    fn watch(&mut self) {
+    fn watch_endpoints(&mut self) {
         self.wanted.notify_one();
     }
-    fn wake_in(&mut self, delay: f64) {
+    fn schedule_timer(&mut self, delay: f64) {
         let at = self.now + delay;
         self.wake_at = Some(self.wake_at.map_or(at, |earlier| earlier.min(at)));
     }
 }
 
 fn window(method: &MethodSettings) -> Option<Duration> {
-    match method.effect {
-        Effect::Deduplicated { window, .. } => Some(Duration::from_secs_f64(window)),
-        Effect::Idempotent | Effect::NonIdempotent => None,
+    match method.idempotency {
+        Idempotency::Deduplicated { window, .. } => Some(Duration::from_secs_f64(window)),
+        Idempotency::Idempotent | Idempotency::NonIdempotent => None,
     }
 }
 
 pub struct Core {
     balancer: Balancer,
-    rpcs: HashMap<u64, Rpc>,
+    rpcs: HashMap<u64, RpcHandle>,
     door: Door,
     watch: Option<Watch>,
     numbers: HashMap<String, (u32, Instant)>, // of backends, by uid, and when they were last heard of
@@ -295,11 +296,11 @@
         };
         let known = config.known.clone().unwrap_or(News {
             version: 0,
-            kind: ListKind::Stale,
+            kind: EndpointUpdateKind::StaleSnapshot,
             listed: vec![],
         });
         core.news(&News {
-            kind: ListKind::Stale,
+            kind: EndpointUpdateKind::StaleSnapshot,
             ..known
         });
         core.ordered();
@@ -337,7 +338,7 @@
     fn wake(&mut self, first: bool) {
         if first {
             self.door.wake_at = None;
-            self.call(|core| core.balancer.wake(&mut core.door));
+            self.call(|core| core.balancer.on_timer(&mut core.door));
         } else {
             self.door.now = self.door.clock.now();
         }
@@ -379,13 +380,13 @@
                 body,
             } => self.ended(rpc, pick, outcome, report, body),
             ToCore::Whole { rpc, pick } => {
-                self.on_rpc(rpc, |rpc, door| rpc.whole(pick, door));
+                self.on_rpc(rpc, |rpc, door| rpc.on_request_sent(pick, door));
                 self.watch(|watch, now, asked| watch.whole(now, asked, (rpc, pick)));
             }
             ToCore::Begun { rpc, pick, flow } => {
                 self.on_rpc(rpc, |handle, door| {
                     door.give(rpc, Answer::Long(flow));
-                    handle.begun(pick, Pace::Client, door);
+                    handle.on_response_started(pick, PacedBy::Client, door);
                 });
                 self.watch(|watch, now, asked| watch.begun(now, asked, (rpc, pick)));
             }
@@ -395,10 +396,10 @@
                 report,
             } => {
                 log::trace!("probe of {backend}: {outcome:?} {report:?}");
-                let outcome = self.told(outcome, Outcome::NeverSent);
+                let outcome = self.told(outcome, AttemptOutcome::NotSent);
                 self.call(|core| {
                     core.balancer
-                        .probed(backend, outcome, report, &mut core.door)
+                        .on_health_check(backend, outcome, report, &mut core.door)
                 });
                 self.watch(|watch, now, asked| watch.probed(now, asked, backend, outcome, report));
             }
@@ -410,7 +411,7 @@
             }
         }
         while let Some(errand) = self.door.unsent.pop() {
-            self.hear(errand.end((Outcome::NeverSent, None, Bytes::new())));
+            self.hear(errand.end((AttemptOutcome::NotSent, None, Bytes::new())));
         }
     }
 
@@ -428,8 +429,8 @@
     }
 
     /// What a pick or probe that was out while this process stood still tells of its backend.
-    fn told(&self, outcome: Outcome, unknown: Outcome) -> Outcome {
-        let late = outcome == Outcome::TimedOut && Instant::now() < self.stopped + LAG;
+    fn told(&self, outcome: AttemptOutcome, unknown: AttemptOutcome) -> AttemptOutcome {
+        let late = outcome == AttemptOutcome::TimedOut && Instant::now() < self.stopped + LAG;
         if late { unknown } else { outcome }
     }
 
@@ -439,7 +440,7 @@
         self.door.now = self.door.clock.now();
         if catch_unwind(AssertUnwindSafe(|| act(self))).is_err() {
             log::error!("the decision module panicked");
-            self.door.wake_in(RECOVER);
+            self.door.schedule_timer(RECOVER);
         }
         // Those that waited may be answered in a call that is about another RPC or about none.
         while let Some(id) = self.door.answered.pop() {
@@ -447,7 +448,7 @@
         }
     }
 
-    fn on_rpc(&mut self, id: u64, act: impl FnOnce(&Rpc, &mut Door)) {
+    fn on_rpc(&mut self, id: u64, act: impl FnOnce(&RpcHandle, &mut Door)) {
         self.call(|core| {
             let Some(rpc) = core.rpcs.get(&id) else {
                 return;
@@ -471,7 +472,7 @@
                 .filter_map(Option::take)
                 .for_each(|stop| _ = stop.send(()));
         }
-        if self.rpcs.get(&id).is_some_and(Rpc::is_over) {
+        if self.rpcs.get(&id).is_some_and(RpcHandle::is_finished) {
             self.rpcs.remove(&id);
             self.door.held.remove(&id);
         }
@@ -489,7 +490,10 @@
         } = update;
         self.windows = settings.methods.iter().map(window).collect();
         let before = self.names.replace(names.into());
-        self.call(|core| core.balancer.adopt(&settings, &kept, &mut core.door));
+        self.call(|core| {
+            core.balancer
+                .apply_settings(&settings, &kept, &mut core.door)
+        });
         match watch {
             Some(settings) => {
                 self.watch(|watch, now, asked| watch.adopt(now, asked, &settings, &kept))
@@ -513,14 +517,14 @@
         }
         log::trace!("RPC {id}: method {}, {:?}", rpc.method, rpc.waits);
         let deadline = rpc.at + rpc.waits.saturating_sub(MARGIN);
-        let arrival = Arrival {
+        let arrival = IncomingRpc {
             id,
             method: rpc.method,
             tenant: rpc.tenant,
             deadline: self.door.clock.seconds(deadline),
             expected_work: rpc.expected_work,
-            client_repeat: rpc.client_repeat,
-            long: rpc.message.upload().is_some(),
+            client_retry: rpc.client_repeat,
+            streams_request: rpc.message.upload().is_some(),
             key: rpc.key,
         };
         let (picks, may_have_run, window) = (Vec::new(), Vec::new(), self.windows[rpc.method]);
@@ -539,7 +543,7 @@
             },
         );
         self.call(|core| {
-            let rpc = core.balancer.take(&arrival, &mut core.door);
+            let rpc = core.balancer.accept(&arrival, &mut core.door);
             core.rpcs.insert(id, rpc);
         });
         self.watch(|watch, now, asked| watch.take(now, asked, &arrival));
@@ -552,7 +556,7 @@
         }
         self.on_rpc(id, |rpc, door| {
             door.held.get_mut(&id).map(|held| held.answer.take());
-            rpc.hung_up(door);
+            rpc.on_client_disconnected(door);
         });
         self.watch(|watch, now, asked| watch.hung_up(now, asked, id));
     }
@@ -561,15 +565,16 @@
         &mut self,
         id: u64,
         pick: usize,
-        outcome: Outcome,
+        outcome: AttemptOutcome,
         report: Option<LoadReport>,
         body: Bytes,
     ) {
         log::trace!("RPC {id}: pick {pick} {outcome:?}");
-        let outcome = self.told(outcome, Outcome::Cancelled);
+        let outcome = self.told(outcome, AttemptOutcome::Cancelled);
         // An answer that is ok ends it; it goes to the client below.
         let held = self.door.held.get(&id);
-        let over = outcome == Outcome::Ok || held.is_none_or(|held| held.answer.is_none());
+        let over =
+            outcome == AttemptOutcome::Succeeded || held.is_none_or(|held| held.answer.is_none());
         let spent = held
             .and_then(|held| held.message.upload())
             .is_some_and(|upload| upload.is_spent());
@@ -581,12 +586,12 @@
                 }
             }
             if spent {
-                rpc.unrepeatable();
+                rpc.forbid_retry();
             }
-            if outcome == Outcome::Ok {
+            if outcome == AttemptOutcome::Succeeded {
                 door.give(id, Answer::Ok(body));
             }
-            rpc.ended(pick, outcome, over, report, door);
+            rpc.on_attempt_ended(pick, outcome, over, report, door);
         });
         if let Some(watch) = self.watch.as_ref().filter(|_| spent) {
             watch.unrepeatable(id);
@@ -601,7 +606,7 @@
             let now = self.standing.borrow_and_update();
             (now.turn, now.orders.bans.clone(), now.others.living)
         };
-        self.balancer.shared_by(others + 1);
+        self.balancer.set_process_count(others + 1);
         let listed: Vec<_> = bans
             .keys()
             .filter_map(|name| self.listed.get(name))
@@ -610,7 +615,7 @@
         if !listed.is_empty() {
             self.news(&News {
                 version: 0,
-                kind: ListKind::Ordered,
+                kind: EndpointUpdateKind::Administrative,
                 listed,
             });
         }
@@ -634,7 +639,7 @@
     }
 
     fn news(&mut self, news: &News) {
-        if news.kind.is_whole() {
+        if news.kind.is_snapshot() {
             let named: HashSet<_> = news.listed.iter().map(|l| l.uid.as_str()).collect();
             self.listed.retain(|name, _| named.contains(name.as_str()));
             let known = news.listed.iter().filter_map(|l| self.numbers.get(&l.uid));
@@ -646,7 +651,7 @@
         let (mut entries, now) = (Vec::new(), Instant::now());
         for listed in &news.listed {
             match listed.readiness {
-                Readiness::Gone => drop(self.listed.remove(&listed.uid)),
+                Readiness::Removed => drop(self.listed.remove(&listed.uid)),
                 _ => drop(self.listed.insert(listed.uid.clone(), listed.clone())),
             }
             // The one place where a ban counts: all that follows takes the backend for what this says.
@@ -669,7 +674,7 @@
                 endpoint: listed.endpoint,
                 ready: readiness == Readiness::Ready,
             };
-            if readiness == Readiness::Gone {
+            if readiness == Readiness::Removed {
                 self.door.backends.remove(&backend);
                 self.leaving.insert(listed.uid.clone());
             } else if let Some(known) = self.door.backends.get(&backend) {
@@ -686,16 +691,16 @@
             let zone = self.zones.iter().position(|z| *z == listed.zone);
             let zone = zone.unwrap_or(self.zones.len() + backend as usize);
             let cell = listed.cell.unwrap_or(u64::MAX - u64::from(backend));
-            entries.push(Entry {
+            entries.push(Endpoint {
                 backend,
-                size,
-                started,
+                relative_size: size,
+                started_at: started,
                 cell,
                 zone,
                 readiness,
             });
         }
-        if news.kind.is_whole() {
+        if news.kind.is_snapshot() {
             let left_out = self
                 .numbers
                 .iter()
@@ -703,7 +708,7 @@
             self.leaving = left_out.map(|(uid, _)| uid.clone()).collect();
         }
         self.forget(now);
-        if !news.listed.is_empty() && news.kind != ListKind::Ordered {
+        if !news.listed.is_empty() && news.kind != EndpointUpdateKind::Administrative {
             log::info!(
                 "list version {}: {} lines, {:?}",
                 news.version,
@@ -711,7 +716,10 @@
                 news.kind
             );
         }
-        self.call(|core| core.balancer.list(news.kind, &entries, &mut core.door));
+        self.call(|core| {
+            core.balancer
+                .update_endpoints(news.kind, &entries, &mut core.door)
+        });
         self.watch(|watch, now, asked| watch.list(now, asked, news.kind, &entries));
     }
 }
--- a/crates/daemon/src/discovery.rs
+++ b/crates/daemon/src/discovery.rs
@@ -4,7 +4,7 @@
 use crate::core::ToCore;
 use crate::sockets::{Conn, Fault as Broken};
 use crate::standing::Standings;
-use birchhub::types::{ListKind, Readiness};
+use birchhub::interface::{EndpointUpdateKind, Readiness};
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
 use serde_json::Value;
@@ -78,7 +78,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct News {
     pub version: u64,
-    pub kind: ListKind,
+    pub kind: EndpointUpdateKind,
     pub listed: Vec<Listed>,
 }
 
@@ -88,7 +88,7 @@
     let number = |key| value.get(key).and_then(Value::as_f64);
     let readiness = match value.get("state").and_then(Value::as_str) {
         Some("Ready") => Readiness::Ready,
-        Some("Gone") => Readiness::Gone,
+        Some("Gone") => Readiness::Removed,
         _ => Readiness::Draining,
     };
     let endpoint = value
@@ -133,9 +133,9 @@
         .and_then(Value::as_array)
         .ok_or("targets is not a list")?;
     let kind = if full {
-        ListKind::Full
+        EndpointUpdateKind::Snapshot
     } else {
-        ListKind::Changes
+        EndpointUpdateKind::Incremental
     };
     let listed: Vec<_> = targets.iter().filter_map(line).collect();
     if listed.len() < targets.len() {
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -178,7 +178,7 @@
     spawn_local(core.run(mailbox));
     // A list as last had is enough to decide by; without one the first answer is waited for. Where lists are pushed,
     // what the agent has counts as told from the start on.
-    let pushed = !config.conf.settings.list_on_request;
+    let pushed = !config.conf.settings.polls_endpoint_list;
     if let Some(known) = config
         .known
         .as_ref()
--- a/crates/daemon/src/names.rs
+++ b/crates/daemon/src/names.rs
@@ -1,6 +1,6 @@
 //! The names that clients use, and what they stand for under the settings in force.
 use crate::answer::Answer;
-use birchhub::types::Effect;
+use birchhub::interface::Idempotency;
 use birchhub_settings::Conf;
 use hyper::{Method, StatusCode};
 use std::cell::RefCell;
@@ -15,7 +15,7 @@
 pub struct Names {
     /// Counts the changes since this process started.
     pub version: u64,
-    methods: HashMap<String, (usize, Effect)>,
+    methods: HashMap<String, (usize, Idempotency)>,
     tenants: HashMap<String, usize>,
 }
 
@@ -24,8 +24,8 @@
 }
 
 /// The verb of a method with this effect.
-pub fn verb(effect: Effect) -> Method {
-    if effect == Effect::Idempotent {
+pub fn verb(effect: Idempotency) -> Method {
+    if effect == Idempotency::Idempotent {
         Method::GET
     } else {
         Method::POST
@@ -33,11 +33,11 @@
 }
 
 /// Whether a message of this verb, with or without a key, can be an RPC of a method with this effect.
-pub fn check(effect: Effect, told: &Method, keyed: bool) -> Result<(), Answer> {
+pub fn check(effect: Idempotency, told: &Method, keyed: bool) -> Result<(), Answer> {
     if *told != verb(effect) {
         return Err(bad("the HTTP method does not fit\n"));
     }
-    if matches!(effect, Effect::Deduplicated { .. }) && !keyed {
+    if matches!(effect, Idempotency::Deduplicated { .. }) && !keyed {
         return Err(bad("no Idempotency-Key\n"));
     }
     Ok(())
@@ -47,7 +47,7 @@
     pub fn new(version: u64, conf: &Conf) -> Self {
         let methods = conf.methods.iter().zip(&conf.settings.methods).enumerate();
         let methods = methods
-            .map(|(n, (name, set))| (name.clone(), (n, set.effect)))
+            .map(|(n, (name, set))| (name.clone(), (n, set.idempotency)))
             .collect();
         let tenants = conf
             .tenants
@@ -63,7 +63,7 @@
     }
 
     /// The place and effect of the method that a path names.
-    pub fn method(&self, path: &str) -> Result<(usize, Effect), Answer> {
+    pub fn method(&self, path: &str) -> Result<(usize, Idempotency), Answer> {
         let name = path.split('/').nth(1).unwrap_or_default();
         self.methods
             .get(name)
--- a/crates/daemon/src/reload.rs
+++ b/crates/daemon/src/reload.rs
@@ -3,7 +3,7 @@
 use crate::config::{self, Config};
 use crate::core::ToCore;
 use crate::names::Names;
-use birchhub::types::{Kept, Settings};
+use birchhub::interface::{CarriedOver, Settings};
 use birchhub_settings::Conf;
 use birchhub_settings::change::{Change, in_force};
 use std::net::SocketAddr;
@@ -17,7 +17,7 @@
 /// Settings for the core to put in force.
 pub struct Update {
     pub settings: Settings,
-    pub kept: Kept,
+    pub kept: CarriedOver,
     pub names: Names,
     /// Those of the watcher; without any it ends.
     pub watch: Option<Settings>,
--- a/crates/daemon/src/watcher.rs
+++ b/crates/daemon/src/watcher.rs
@@ -1,7 +1,10 @@
 //! Watching before a move: a second instance of the module, with the settings of the new shape, hears what the
 //! first hears, and what it would have done otherwise is counted. It has no way to a socket or a client.
-use birchhub::policy::{Balancer, Rpc};
-use birchhub::types::{Arrival, Entry, Kept, Link, ListKind, LoadReport, Outcome, Pace, Settings};
+use birchhub::interface::{
+    AttemptOutcome, CarriedOver, Endpoint, EndpointUpdateKind, IncomingRpc, LoadReport, PacedBy,
+    Platform, Settings,
+};
+use birchhub::policy::{Balancer, RpcHandle};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt;
 use std::time::Duration;
@@ -44,25 +47,25 @@
     wake_at: Option<f64>,
 }
 
-impl Link for Notes {
+impl Platform for Notes {
     fn now(&self) -> f64 {
         self.now
     }
-    fn pick(&mut self, rpc: u64, backend: u32, _time_out: f64) {
+    fn start_attempt(&mut self, rpc: u64, backend: u32, _time_out: f64) {
         self.asked.act(rpc, Act::Pick(backend));
     }
-    fn cancel(&mut self, _rpc: u64, _pick: usize) {}
-    fn push_back(&mut self, rpc: u64, _come_back: f64) {
+    fn cancel_attempt(&mut self, _rpc: u64, _pick: usize) {}
+    fn reject(&mut self, rpc: u64, _come_back: f64) {
         self.asked.act(rpc, Act::PushBack);
     }
-    fn abort(&mut self, rpc: u64) {
+    fn fail(&mut self, rpc: u64) {
         self.asked.act(rpc, Act::Abort);
     }
-    fn probe(&mut self, _backend: u32) {
+    fn health_check(&mut self, _backend: u32) {
         self.asked.probe();
     }
-    fn watch(&mut self) {}
-    fn wake_in(&mut self, delay: f64) {
+    fn watch_endpoints(&mut self) {}
+    fn schedule_timer(&mut self, delay: f64) {
         let at = self.now + delay;
         self.wake_at = Some(self.wake_at.map_or(at, |earlier| earlier.min(at)));
     }
@@ -108,7 +111,7 @@
 
 /// An RPC that both still handle alike.
 struct Alike {
-    rpc: Rpc,
+    rpc: RpcHandle,
     picks: usize,
 }
 
@@ -134,9 +137,11 @@
     }
 
     /// Other settings are in force, for both.
-    pub fn adopt(&mut self, now: f64, first: Asked, settings: &Settings, kept: &Kept) {
+    pub fn adopt(&mut self, now: f64, first: Asked, settings: &Settings, kept: &CarriedOver) {
         self.hear(now, first, None, |watch| {
-            watch.balancer.adopt(settings, kept, &mut watch.notes)
+            watch
+                .balancer
+                .apply_settings(settings, kept, &mut watch.notes)
         });
     }
 
@@ -150,14 +155,16 @@
         let due = self.notes.wake_at.take_if(|at| *at <= now).is_some();
         self.hear(now, first, None, |watch| {
             if due {
-                watch.balancer.wake(&mut watch.notes);
+                watch.balancer.on_timer(&mut watch.notes);
             }
         });
     }
 
-    pub fn list(&mut self, now: f64, first: Asked, kind: ListKind, entries: &[Entry]) {
+    pub fn list(&mut self, now: f64, first: Asked, kind: EndpointUpdateKind, entries: &[Endpoint]) {
         self.hear(now, first, None, |watch| {
-            watch.balancer.list(kind, entries, &mut watch.notes)
+            watch
+                .balancer
+                .update_endpoints(kind, entries, &mut watch.notes)
         });
     }
 
@@ -172,26 +179,28 @@
         now: f64,
         first: Asked,
         backend: u32,
-        how: Outcome,
+        how: AttemptOutcome,
         report: Option<LoadReport>,
     ) {
         self.hear(now, first, None, |watch| {
             watch
                 .balancer
-                .probed(backend, how, report, &mut watch.notes)
+                .on_health_check(backend, how, report, &mut watch.notes)
         });
     }
 
-    pub fn take(&mut self, now: f64, first: Asked, arrival: &Arrival) {
+    pub fn take(&mut self, now: f64, first: Asked, arrival: &IncomingRpc) {
         self.counts.compared += 1;
         self.hear(now, first, Some(arrival.id), |watch| {
-            let rpc = watch.balancer.take(arrival, &mut watch.notes);
+            let rpc = watch.balancer.accept(arrival, &mut watch.notes);
             watch.rpcs.insert(arrival.id, Alike { rpc, picks: 0 });
         });
     }
 
     pub fn hung_up(&mut self, now: f64, first: Asked, id: u64) {
-        self.on_rpc(now, first, id, |rpc, notes| rpc.hung_up(notes));
+        self.on_rpc(now, first, id, |rpc, notes| {
+            rpc.on_client_disconnected(notes)
+        });
     }
 
     pub fn ended(
@@ -199,22 +208,24 @@
         now: f64,
         first: Asked,
         (id, pick): (u64, usize),
-        how: Outcome,
+        how: AttemptOutcome,
         over: bool,
         report: Option<LoadReport>,
     ) {
         self.on_rpc(now, first, id, |rpc, notes| {
-            rpc.ended(pick, how, over, report, notes)
+            rpc.on_attempt_ended(pick, how, over, report, notes)
         });
     }
 
     pub fn whole(&mut self, now: f64, first: Asked, (id, pick): (u64, usize)) {
-        self.on_rpc(now, first, id, |rpc, notes| rpc.whole(pick, notes));
+        self.on_rpc(now, first, id, |rpc, notes| {
+            rpc.on_request_sent(pick, notes)
+        });
     }
 
     pub fn begun(&mut self, now: f64, first: Asked, (id, pick): (u64, usize)) {
         self.on_rpc(now, first, id, |rpc, notes| {
-            rpc.begun(pick, Pace::Client, notes)
+            rpc.on_response_started(pick, PacedBy::Client, notes)
         });
     }
 
@@ -222,10 +233,16 @@
         self.rpcs
             .get(&id)
             .into_iter()
-            .for_each(|alike| alike.rpc.unrepeatable());
+            .for_each(|alike| alike.rpc.forbid_retry());
     }
 
-    fn on_rpc(&mut self, now: f64, first: Asked, id: u64, act: impl FnOnce(&Rpc, &mut Notes)) {
+    fn on_rpc(
+        &mut self,
+        now: f64,
+        first: Asked,
+        id: u64,
+        act: impl FnOnce(&RpcHandle, &mut Notes),
+    ) {
         self.hear(now, first, Some(id), |watch| {
             if let Some(alike) = watch.rpcs.get(&id) {
                 act(&alike.rpc, &mut watch.notes);
@@ -262,7 +279,7 @@
             if did != would {
                 self.count(did, would, before > 0);
                 self.part(id);
-            } else if alike.rpc.is_over() {
+            } else if alike.rpc.is_finished() {
                 self.rpcs.remove(&id);
             }
         }
@@ -301,11 +318,15 @@
             let Some(alike) = self.rpcs.remove(&id) else {
                 continue;
             };
-            alike.rpc.hung_up(&mut self.notes);
+            alike.rpc.on_client_disconnected(&mut self.notes);
             for pick in 0..=alike.picks {
-                alike
-                    .rpc
-                    .ended(pick, Outcome::Cancelled, true, None, &mut self.notes);
+                alike.rpc.on_attempt_ended(
+                    pick,
+                    AttemptOutcome::Cancelled,
+                    true,
+                    None,
+                    &mut self.notes,
+                );
             }
             parted.extend(std::mem::take(&mut self.notes.asked).acts.into_keys());
         }
--- a/crates/scale/src/hollow.rs
+++ b/crates/scale/src/hollow.rs
@@ -2,8 +2,8 @@
 //! module when to ask and what stands in the list; all share a thread.
 use crate::proxy::{Shape, settings};
 use crate::usage;
+use birchhub::interface::{Endpoint, EndpointUpdateKind, Platform, Readiness};
 use birchhub::policy::Balancer;
-use birchhub::types::{Entry, Link, ListKind, Readiness};
 use birchhub_stand_in::Clock;
 use birchhub_stand_in::wire::{Kind, Peer};
 use serde::Deserialize;
@@ -46,19 +46,19 @@
     watches: bool,
 }
 
-impl Link for Door {
+impl Platform for Door {
     fn now(&self) -> f64 {
         self.begun.elapsed().as_secs_f64()
     }
-    fn pick(&mut self, _rpc: u64, _backend: u32, _time_out: f64) {}
-    fn cancel(&mut self, _rpc: u64, _pick: usize) {}
-    fn push_back(&mut self, _rpc: u64, _come_back: f64) {}
-    fn abort(&mut self, _rpc: u64) {}
-    fn probe(&mut self, _backend: u32) {}
-    fn watch(&mut self) {
+    fn start_attempt(&mut self, _rpc: u64, _backend: u32, _time_out: f64) {}
+    fn cancel_attempt(&mut self, _rpc: u64, _pick: usize) {}
+    fn reject(&mut self, _rpc: u64, _come_back: f64) {}
+    fn fail(&mut self, _rpc: u64) {}
+    fn health_check(&mut self, _backend: u32) {}
+    fn watch_endpoints(&mut self) {
         self.watches = true;
     }
-    fn wake_in(&mut self, delay: f64) {
+    fn schedule_timer(&mut self, delay: f64) {
         self.wake_at = Some(self.now() + delay);
     }
 }
@@ -84,14 +84,15 @@
 
 impl Hollow {
     async fn run(mut self) {
-        self.balancer.list(ListKind::Stale, &[], &mut self.door);
+        self.balancer
+            .update_endpoints(EndpointUpdateKind::StaleSnapshot, &[], &mut self.door);
         loop {
             while !self.door.watches {
                 let Some(at) = self.door.wake_at.take() else {
                     return;
                 };
                 sleep(Duration::from_secs_f64((at - self.door.now()).max(0.0))).await;
-                self.balancer.wake(&mut self.door);
+                self.balancer.on_timer(&mut self.door);
             }
             self.door.watches = false;
             if let Err(fault) = self.watch().await {
@@ -142,10 +143,10 @@
                 Readiness::Draining
             };
             let zone = line.az.trim_start_matches('z').parse().unwrap_or_default();
-            Entry {
+            Endpoint {
                 backend,
-                size: 1.0,
-                started: None,
+                relative_size: 1.0,
+                started_at: None,
                 cell: line.pod_group,
                 zone,
                 readiness,
@@ -153,11 +154,12 @@
         };
         let entries: Vec<_> = list.targets.iter().map(entry).collect();
         let kind = if list.all {
-            ListKind::Full
+            EndpointUpdateKind::Snapshot
         } else {
-            ListKind::Changes
+            EndpointUpdateKind::Incremental
         };
-        self.balancer.list(kind, &entries, &mut self.door);
+        self.balancer
+            .update_endpoints(kind, &entries, &mut self.door);
     }
 }
 
--- a/crates/settings/src/change.rs
+++ b/crates/settings/src/change.rs
@@ -1,6 +1,6 @@
 //! What turns from one settings object to the next: pure comparison, by name. Nothing here is put in force.
 use crate::Conf;
-use birchhub::types::{Kept, Settings};
+use birchhub::interface::{CarriedOver, Settings};
 use std::collections::HashMap;
 use std::fmt;
 
@@ -39,7 +39,7 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Change {
     /// Where each method and tenant stood before, by name.
-    pub kept: Kept,
+    pub kept: CarriedOver,
     pub methods: Count,
     pub tenants: Count,
     /// Their order is another.
@@ -103,67 +103,67 @@
 fn rules(before: &Settings, now: &Settings) -> Vec<&'static str> {
     // By each field, so that none that is added can be forgotten here.
     let Settings {
-        balancers,
+        proxy_count: balancers,
         methods: _,
         tenants: _,
-        most_picks,
-        may_cancel,
-        may_probe,
-        warm_keys,
-        second_copies,
-        come_back_max,
-        probe_price,
-        cross_price,
-        zone: _,
-        zones: _,
-        log_loss_part,
-        nines_wanted,
-        reports,
-        reports_queue,
-        list_on_request: _,
-        ask_within,
+        max_attempts: most_picks,
+        can_cancel: may_cancel,
+        can_health_check: may_probe,
+        key_affinity: warm_keys,
+        can_hedge: second_copies,
+        max_retry_after: come_back_max,
+        health_check_cost: probe_price,
+        cross_zone_cost: cross_price,
+        own_zone: _,
+        zone_count: _,
+        log_loss_weight: log_loss_part,
+        target_nines: nines_wanted,
+        load_report_source: reports,
+        reports_include_queue: reports_queue,
+        polls_endpoint_list: _,
+        poll_within: ask_within,
         drain_grace,
-        only_draining_binds,
-        key_quiet,
-        cold_from,
-        cold_for,
-        fall_multiple,
-        fall_window,
+        only_draining_is_binding: only_draining_binds,
+        key_cooldown: key_quiet,
+        slow_start_initial_fraction: cold_from,
+        slow_start_duration: cold_for,
+        overload_multiple: fall_multiple,
+        overload_window: fall_window,
     } = before;
     differing([
-        ("balancers", *balancers != now.balancers),
-        ("ceilings.most-picks", *most_picks != now.most_picks),
-        ("ceilings.cancel", *may_cancel != now.may_cancel),
-        ("ceilings.probes", *may_probe != now.may_probe),
-        ("extra.warm-keys", *warm_keys != now.warm_keys),
-        (
-            "ceilings.second-copies",
-            *second_copies != now.second_copies,
-        ),
+        ("balancers", *balancers != now.proxy_count),
+        ("ceilings.most-picks", *most_picks != now.max_attempts),
+        ("ceilings.cancel", *may_cancel != now.can_cancel),
+        ("ceilings.probes", *may_probe != now.can_health_check),
+        ("extra.warm-keys", *warm_keys != now.key_affinity),
+        ("ceilings.second-copies", *second_copies != now.can_hedge),
         (
             "ceilings.max-retry-after-ns",
-            *come_back_max != now.come_back_max,
+            *come_back_max != now.max_retry_after,
         ),
-        ("penalties.probe", *probe_price != now.probe_price),
-        ("penalties.cross-zone", *cross_price != now.cross_price),
-        ("goal.log-loss-part", *log_loss_part != now.log_loss_part),
-        ("goal.nines-wanted", *nines_wanted != now.nines_wanted),
-        ("report.how", *reports != now.reports),
-        ("report.fields", *reports_queue != now.reports_queue),
-        ("contract.ask-within-ns", *ask_within != now.ask_within),
+        ("penalties.probe", *probe_price != now.health_check_cost),
+        ("penalties.cross-zone", *cross_price != now.cross_zone_cost),
+        ("goal.log-loss-part", *log_loss_part != now.log_loss_weight),
+        ("goal.nines-wanted", *nines_wanted != now.target_nines),
+        ("report.how", *reports != now.load_report_source),
+        ("report.fields", *reports_queue != now.reports_include_queue),
+        ("contract.ask-within-ns", *ask_within != now.poll_within),
         ("contract.drain-grace-ns", *drain_grace != now.drain_grace),
         (
             "contract.removal-not-binding",
-            *only_draining_binds != now.only_draining_binds,
+            *only_draining_binds != now.only_draining_is_binding,
+        ),
+        ("contract.key-quiet-ns", *key_quiet != now.key_cooldown),
+        (
+            "contract.cold-from",
+            *cold_from != now.slow_start_initial_fraction,
         ),
-        ("contract.key-quiet-ns", *key_quiet != now.key_quiet),
-        ("contract.cold-from", *cold_from != now.cold_from),
-        ("contract.cold-ns", *cold_for != now.cold_for),
+        ("contract.cold-ns", *cold_for != now.slow_start_duration),
         (
             "contract.fall-multiple",
-            *fall_multiple != now.fall_multiple,
+            *fall_multiple != now.overload_multiple,
         ),
-        ("contract.tip-after-ns", *fall_window != now.fall_window),
+        ("contract.tip-after-ns", *fall_window != now.overload_window),
     ])
 }
 
@@ -181,12 +181,12 @@
         let later = differing([
             (
                 "settings.membership-mode",
-                before.settings.list_on_request != now.settings.list_on_request,
+                before.settings.polls_endpoint_list != now.settings.polls_endpoint_list,
             ),
             ("settings.failure-domains", before.zones != now.zones),
             (
                 "settings.my-zone",
-                before.zones == now.zones && before.settings.zone != now.settings.zone,
+                before.zones == now.zones && before.settings.own_zone != now.settings.own_zone,
             ),
             ("settings.weight-source", before.sized != now.sized),
             (
@@ -199,7 +199,7 @@
             ),
         ]);
         Self {
-            kept: Kept {
+            kept: CarriedOver {
                 methods: methods_kept,
                 tenants: tenants_kept,
             },
@@ -230,9 +230,9 @@
 /// The new settings, with what can't change without a start as it was.
 pub fn in_force(before: &Settings, now: Settings) -> Settings {
     Settings {
-        zone: before.zone,
-        zones: before.zones,
-        list_on_request: before.list_on_request,
+        own_zone: before.own_zone,
+        zone_count: before.zone_count,
+        polls_endpoint_list: before.polls_endpoint_list,
         ..now
     }
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,7 +1,8 @@
 //! The settings object that a proxy is handed at start, read into the module's settings, the names that end
 //! at the door and the limits on connections.
-use birchhub::types::{
-    Effect, Group, LoadReport, MethodSettings, Reports, Settings, TenantSettings,
+use birchhub::interface::{
+    DeduplicationScope, Idempotency, LoadReport, LoadReportSource, MethodSettings, Settings,
+    TenantSettings,
 };
 use serde::Deserialize;
 use serde_json::Value;
@@ -116,30 +117,30 @@
 fn method(at: &At) -> Result<(String, MethodSettings), String> {
     let kind = at.get("idempotency")?;
     let effect = match kind.text()? {
-        "read_like" => Effect::Idempotent,
-        "non_idempotent" => Effect::NonIdempotent,
+        "read_like" => Idempotency::Idempotent,
+        "non_idempotent" => Idempotency::NonIdempotent,
         "idempotency_key" => {
-            let scope = at.get("dedup-scope")?;
-            let group = match scope.text()? {
-                "all" => Group::All,
-                "zone" => Group::Zone,
-                "cell" => Group::Cell,
-                other => return Err(format!("{} is not known: {other}", scope.path)),
+            let setting = at.get("dedup-scope")?;
+            let scope = match setting.text()? {
+                "all" => DeduplicationScope::All,
+                "zone" => DeduplicationScope::Zone,
+                "cell" => DeduplicationScope::Cell,
+                other => return Err(format!("{} is not known: {other}", setting.path)),
             };
-            Effect::Deduplicated {
-                group,
+            Idempotency::Deduplicated {
+                scope,
                 window: at.get("window-ns")?.seconds()?,
             }
         }
         other => return Err(format!("{} is not known: {other}", kind.path)),
     };
     let method = MethodSettings {
-        effect,
-        latency_target: at.get("latency-target-ns")?.seconds()?,
-        target_stretch: at.num_or("aim-stretch", 0.0)?,
-        utility: at.num_or("utility", 1.0)?,
-        late_utility: at.num_or("tardy-utility", 0.0)?,
-        in_order: at.flag_or("keep-order")?,
+        idempotency: effect,
+        latency_objective: at.get("latency-target-ns")?.seconds()?,
+        objective_stretch: at.num_or("aim-stretch", 0.0)?,
+        priority_weight: at.num_or("utility", 1.0)?,
+        late_weight_fraction: at.num_or("tardy-utility", 0.0)?,
+        ordered_by_key: at.flag_or("keep-order")?,
     };
     Ok((at.get("name")?.text()?.to_owned(), method))
 }
@@ -232,11 +233,11 @@
     };
     let report = |key: &str| conf.opt("report").and_then(|r| r.opt(key));
     let reports = match report("how") {
-        None => Reports::None,
+        None => LoadReportSource::None,
         Some(how) => match how.text()? {
-            "answers" => Reports::InAnswers,
-            "probe" => Reports::ByProbe,
-            _ => Reports::None,
+            "answers" => LoadReportSource::Responses,
+            "probe" => LoadReportSource::HealthChecks,
+            _ => LoadReportSource::None,
         },
     };
     let fields = report("fields").map(|f| f.names()).transpose()?;
@@ -254,38 +255,38 @@
         .map_or(Ok(Vec::new()), |at| at.names())?;
     let own = conf.opt("my-zone").map_or(Ok(""), |at| at.text())?;
     let settings = Settings {
-        balancers: conf.get("balancers")?.num()?.max(1.0) as usize,
+        proxy_count: conf.get("balancers")?.num()?.max(1.0) as usize,
         methods: methods.iter().map(|(_, m)| m.clone()).collect(),
         tenants: quotas,
-        most_picks: ceilings.get("most-picks")?.num()? as usize,
-        may_cancel: ceilings.flag_or("cancel")?,
-        may_probe: ceilings.flag_or("probes")?,
-        warm_keys: conf
+        max_attempts: ceilings.get("most-picks")?.num()? as usize,
+        can_cancel: ceilings.flag_or("cancel")?,
+        can_health_check: ceilings.flag_or("probes")?,
+        key_affinity: conf
             .opt("extra")
             .map_or(Ok(false), |extra| extra.flag_or("warm-keys"))?,
-        second_copies: ceilings.flag_or("second-copies")?,
-        come_back_max,
-        probe_price: figure("penalties", "probe")?,
-        cross_price: figure("penalties", "cross-zone")?,
-        zone: zones.iter().position(|z| z == own).unwrap_or(zones.len()),
-        zones: zones.len(),
-        log_loss_part: figure("goal", "log-loss-part")?,
-        nines_wanted: figure("goal", "nines-wanted")?,
-        reports,
-        reports_queue: fields.is_none_or(|fields| fields.iter().any(tells_queue)),
-        list_on_request: mode == "on_request",
-        ask_within: contract
+        can_hedge: ceilings.flag_or("second-copies")?,
+        max_retry_after: come_back_max,
+        health_check_cost: figure("penalties", "probe")?,
+        cross_zone_cost: figure("penalties", "cross-zone")?,
+        own_zone: zones.iter().position(|z| z == own).unwrap_or(zones.len()),
+        zone_count: zones.len(),
+        log_loss_weight: figure("goal", "log-loss-part")?,
+        target_nines: figure("goal", "nines-wanted")?,
+        load_report_source: reports,
+        reports_include_queue: fields.is_none_or(|fields| fields.iter().any(tells_queue)),
+        polls_endpoint_list: mode == "on_request",
+        poll_within: contract
             .opt("ask-within-ns")
             .map_or(Ok(ASK_WITHIN), |at| at.limit())?,
         drain_grace: contract.get("drain-grace-ns")?.seconds()?,
-        only_draining_binds: contract.flag_or("removal-not-binding")?,
-        key_quiet: contract
+        only_draining_is_binding: contract.flag_or("removal-not-binding")?,
+        key_cooldown: contract
             .opt("key-quiet-ns")
             .map_or(Ok(0.0), |at| at.seconds())?,
-        cold_from: contract.get("cold-from")?.num()?,
-        cold_for: contract.get("cold-ns")?.seconds()?,
-        fall_multiple: contract.get("fall-multiple")?.num()?,
-        fall_window: contract.get("tip-after-ns")?.seconds()?,
+        slow_start_initial_fraction: contract.get("cold-from")?.num()?,
+        slow_start_duration: contract.get("cold-ns")?.seconds()?,
+        overload_multiple: contract.get("fall-multiple")?.num()?,
+        overload_window: contract.get("tip-after-ns")?.seconds()?,
     };
     if let Some(nines) = conf
         .opt("goal")
--- a/crates/settings/tests/change.rs
+++ b/crates/settings/tests/change.rs
@@ -1,5 +1,5 @@
 //! The comparison of settings, against a plain model of it over generated pairs.
-use birchhub::types::Kept;
+use birchhub::interface::CarriedOver;
 use birchhub_settings::change::Change;
 use birchhub_settings::{Conf, read_value};
 use quickcheck::{Gen, QuickCheck};
@@ -40,7 +40,7 @@
     );
     let change = Change::between(&old, &new);
     let place = |names: &[String], name: &String| names.iter().position(|n| n == name);
-    let kept = Kept {
+    let kept = CarriedOver {
         methods: new
             .methods
             .iter()
--- a/crates/settings/tests/read.rs
+++ b/crates/settings/tests/read.rs
@@ -1,5 +1,5 @@
 //! What settings and load reports are read as, and how what can't be read is named.
-use birchhub::types::Settings;
+use birchhub::interface::Settings;
 use birchhub_settings::{Conf, load_report, read, read_value};
 use serde_json::{Value, json};
 
@@ -40,7 +40,7 @@
     let untold = conf(|_| ()).expect("settings");
     assert_eq!(
         (
-            untold.settings.ask_within,
+            untold.settings.poll_within,
             untold.connect_limit,
             untold.idle_limit
         ),
@@ -77,13 +77,13 @@
     let plain = further(|_| ()).expect("settings");
     assert_eq!(
         (
-            plain.key_quiet,
-            plain.only_draining_binds,
-            plain.methods[0].in_order
+            plain.key_cooldown,
+            plain.only_draining_is_binding,
+            plain.methods[0].ordered_by_key
         ),
         (0.0, false, false)
     );
-    assert_eq!((plain.log_loss_part, plain.nines_wanted), (0.0, 0.0));
+    assert_eq!((plain.log_loss_weight, plain.target_nines), (0.0, 0.0));
     let told = further(|conf| {
         conf["methods"][0]["keep-order"] = true.into();
         conf["contract"]["key-quiet-ns"] = 50_000_000.into();
@@ -93,13 +93,13 @@
     let told = told.expect("settings");
     assert_eq!(
         (
-            told.key_quiet,
-            told.only_draining_binds,
-            told.methods[0].in_order
+            told.key_cooldown,
+            told.only_draining_is_binding,
+            told.methods[0].ordered_by_key
         ),
         (0.05, true, true)
     );
-    assert_eq!((told.log_loss_part, told.nines_wanted), (0.4, 2.0));
+    assert_eq!((told.log_loss_weight, told.target_nines), (0.4, 2.0));
 }
 
 #[test]
--- a/crates/simulation/src/proxy.rs
+++ b/crates/simulation/src/proxy.rs
@@ -1,6 +1,6 @@
 //! One proxy in simulated time: the decision module, its handles, and what it asked for in a call.
-use birchhub::policy::{Balancer, Rpc};
-use birchhub::types::Link;
+use birchhub::interface::Platform;
+use birchhub::policy::{Balancer, RpcHandle};
 use std::collections::BTreeMap;
 
 /// What the module asked for.
@@ -38,40 +38,40 @@
     pub wishes: Vec<Wish>,
 }
 
-impl Link for Door {
+impl Platform for Door {
     fn now(&self) -> f64 {
         self.now
     }
-    fn pick(&mut self, attempt: u64, backend: u32, time_out: f64) {
+    fn start_attempt(&mut self, attempt: u64, backend: u32, time_out: f64) {
         self.wishes.push(Wish::Pick {
             attempt,
             backend,
             time_out,
         });
     }
-    fn cancel(&mut self, attempt: u64, pick: usize) {
+    fn cancel_attempt(&mut self, attempt: u64, pick: usize) {
         self.wishes.push(Wish::Cancel { attempt, pick });
     }
-    fn push_back(&mut self, attempt: u64, come_back: f64) {
+    fn reject(&mut self, attempt: u64, come_back: f64) {
         self.wishes.push(Wish::PushBack { attempt, come_back });
     }
-    fn abort(&mut self, attempt: u64) {
+    fn fail(&mut self, attempt: u64) {
         self.wishes.push(Wish::Abort { attempt });
     }
-    fn probe(&mut self, backend: u32) {
+    fn health_check(&mut self, backend: u32) {
         self.wishes.push(Wish::Probe { backend });
     }
-    fn watch(&mut self) {
+    fn watch_endpoints(&mut self) {
         self.wishes.push(Wish::Watch);
     }
-    fn wake_in(&mut self, delay: f64) {
+    fn schedule_timer(&mut self, delay: f64) {
         self.wishes.push(Wish::Wake { delay });
     }
 }
 
 /// An RPC in a proxy's care.
 pub struct Care {
-    pub rpc: Option<Rpc>,
+    pub rpc: Option<RpcHandle>,
     /// By its own clock and by that of the simulation, s.
     pub deadline: f64,
     pub answered: bool,
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -2,10 +2,11 @@
 use crate::list::{Line, List};
 use crate::proxy::{Care, Proxy, Wish};
 use crate::queue::Queue;
-use birchhub::policy::Balancer;
-use birchhub::types::{
-    Arrival, Entry as Listed, ListKind, LoadReport, Outcome as PickEnd, Readiness, Settings,
+use birchhub::interface::{
+    AttemptOutcome as PickEnd, Endpoint as Listed, EndpointUpdateKind, IncomingRpc, LoadReport,
+    Readiness, Settings,
 };
+use birchhub::policy::Balancer;
 use birchhub_audit::event::{End, Left, Taken};
 use birchhub_audit::{Answer, Entry, Event, Head, Kind, State};
 use birchhub_model::work::generator;
@@ -205,7 +206,7 @@
     let count = scenario.proxies.count;
     let read = |proxy: u16| {
         let mut conf = birchhub_settings::read_value(&settings::settings(scenario, proxy))?;
-        conf.settings.list_on_request = true;
+        conf.settings.polls_endpoint_list = true;
         Ok::<_, String>(conf.settings)
     };
     let longest = scenario
@@ -501,14 +502,14 @@
         };
         let (arrival, behind) = (&self.plan.arrivals[rpc as usize], running.behind);
         let until = self.now + patience - WAY;
-        let asked = Arrival {
+        let asked = IncomingRpc {
             id: attempt,
             method: arrival.method as usize,
             tenant: (!self.scenario.tenant.is_empty()).then_some(arrival.tenant as usize),
             deadline: until - MARGIN - behind,
             expected_work: None,
-            long: false,
-            client_repeat: number > 0 && self.scenario.clients.marks_retries,
+            streams_request: false,
+            client_retry: number > 0 && self.scenario.clients.marks_retries,
             key: None,
         };
         let care = Care {
@@ -520,7 +521,7 @@
         self.to(proxy, until - self.now, Call::Deadline(attempt));
         self.call(proxy, |balancer, cares, door| {
             cares.insert(attempt, care);
-            let rpc = balancer.take(&asked, door);
+            let rpc = balancer.accept(&asked, door);
             if let Some(care) = cares.get_mut(&attempt) {
                 care.rpc = Some(rpc);
             }
@@ -665,7 +666,7 @@
                 // Only the latest one set counts.
                 if running.wake.is_some_and(|at| at <= self.now) {
                     running.wake = None;
-                    self.call(proxy, |balancer, _, door| balancer.wake(door));
+                    self.call(proxy, |balancer, _, door| balancer.on_timer(door));
                 }
             }
             Call::Deadline(attempt) => {
@@ -675,14 +676,14 @@
                     .is_some_and(|care| !care.answered)
                 {
                     self.final_answer(proxy, attempt, Answer::Aborted(502));
-                    self.on_rpc(proxy, attempt, |rpc, door| rpc.hung_up(door));
+                    self.on_rpc(proxy, attempt, |rpc, door| rpc.on_client_disconnected(door));
                 }
             }
             Call::HungUp(attempt) => {
                 if let Some(care) = running.cares.get_mut(&attempt) {
                     care.answered = true;
                 }
-                self.on_rpc(proxy, attempt, |rpc, door| rpc.hung_up(door));
+                self.on_rpc(proxy, attempt, |rpc, door| rpc.on_client_disconnected(door));
             }
             Call::Back { job, how, report } => self.pick_ended(job, how, report),
             Call::TimeOut { job } => {
@@ -693,13 +694,13 @@
             }
             Call::Probed { node, how, report } => {
                 self.call(proxy, |balancer, _, door| {
-                    balancer.probed(node, how, report, door)
+                    balancer.on_health_check(node, how, report, door)
                 });
             }
             Call::News(lines) => {
                 let entries = self.listed(proxy, &lines);
                 self.call(proxy, |balancer, _, door| {
-                    balancer.list(ListKind::Changes, &entries, door)
+                    balancer.update_endpoints(EndpointUpdateKind::Incremental, &entries, door)
                 });
                 self.ready(proxy);
             }
@@ -711,7 +712,7 @@
         &mut self,
         proxy: u16,
         attempt: u64,
-        act: impl FnOnce(&birchhub::policy::Rpc, &mut crate::proxy::Door),
+        act: impl FnOnce(&birchhub::policy::RpcHandle, &mut crate::proxy::Door),
     ) {
         self.call(proxy, |_, cares, door| {
             if let Some(rpc) = cares.get(&attempt).and_then(|care| care.rpc.as_ref()) {
@@ -726,7 +727,8 @@
         let Some(running) = self.proxies[proxy as usize].as_mut() else {
             return;
         };
-        let over = |care: &Care| care.answered && care.rpc.as_ref().is_none_or(|rpc| rpc.is_over());
+        let over =
+            |care: &Care| care.answered && care.rpc.as_ref().is_none_or(|rpc| rpc.is_finished());
         if running.cares.get(&attempt).is_some_and(over) {
             running.cares.remove(&attempt);
         }
@@ -754,7 +756,7 @@
         if entry.life.is_none() {
             self.jobs.remove(&job);
         }
-        if how == PickEnd::Ok {
+        if how == PickEnd::Succeeded {
             self.final_answer(proxy, attempt, Answer::Ok);
         }
         let Some(running) = self.proxies[proxy as usize].as_mut() else {
@@ -766,7 +768,7 @@
         care.picks[pick] = None;
         let over = care.answered;
         self.on_rpc(proxy, attempt, |rpc, door| {
-            rpc.ended(pick, how, over, report, door)
+            rpc.on_attempt_ended(pick, how, over, report, door)
         });
     }
 
@@ -779,14 +781,14 @@
             let readiness = match line.state {
                 State::Ready => Readiness::Ready,
                 State::Draining => Readiness::Draining,
-                State::Gone => Readiness::Gone,
+                State::Gone => Readiness::Removed,
             };
             let cell = u64::from(host.zone) << 16 | u64::from(host.rack);
             let started = line.started.map(|at| at - behind);
             Listed {
                 backend: *node,
-                size: 1.0,
-                started,
+                relative_size: 1.0,
+                started_at: started,
                 cell,
                 zone: host.zone as usize,
                 readiness,
@@ -820,7 +822,7 @@
         }
         let entries = self.listed(proxy, &known);
         self.call(proxy, |balancer, _, door| {
-            balancer.list(ListKind::Stale, &entries, door)
+            balancer.update_endpoints(EndpointUpdateKind::StaleSnapshot, &entries, door)
         });
         if self.scenario.list.known {
             self.ready(proxy);
@@ -1038,7 +1040,7 @@
             return;
         }
         let seen = self.scenario.fleet.reports == Reports::Answers && how != PickEnd::Reset;
-        let report = if seen && how != PickEnd::NoConnection {
+        let report = if seen && how != PickEnd::ConnectFailed {
             self.report(node)
         } else {
             None
@@ -1102,7 +1104,7 @@
             return host.parked.push(What::AtNode { job, begun });
         }
         let Some(life) = host.node.as_ref().map(|(life, _)| *life) else {
-            return self.back(job, PickEnd::NoConnection, 0.0);
+            return self.back(job, PickEnd::ConnectFailed, 0.0);
         };
         let rpc = (attempt >> 8) as u32;
         let arrival = &self.plan.arrivals[rpc as usize];
@@ -1136,7 +1138,7 @@
                     job,
                     how: Left::Replied,
                 });
-                return self.back(job, PickEnd::Error, 0.0);
+                return self.back(job, PickEnd::Failed, 0.0);
             }
             _ => {}
         }
@@ -1249,8 +1251,8 @@
             Some(Trick::Reset(_) | Trick::Half(_) | Trick::Garbage(_)) => {
                 (PickEnd::Reset, Left::Broken, 0.0)
             }
-            Some(Trick::Trickle(_, over)) => (PickEnd::Ok, Left::Replied, over),
-            _ => (PickEnd::Ok, Left::Replied, 0.0),
+            Some(Trick::Trickle(_, over)) => (PickEnd::Succeeded, Left::Replied, over),
+            _ => (PickEnd::Succeeded, Left::Replied, 0.0),
         };
         self.tell(Event::Left { job, how: left });
         self.back(job, how, more);
@@ -1302,9 +1304,9 @@
         }
         let report = self.report(node);
         let how = if report.is_some() {
-            PickEnd::Ok
+            PickEnd::Succeeded
         } else {
-            PickEnd::NoConnection
+            PickEnd::ConnectFailed
         };
         self.after(
             WAY,
--- a/src/held.rs
+++ b/src/held.rs
@@ -1,9 +1,9 @@
 //! What the decision module keeps of backends, methods, tenants and RPCs: data, no decisions.
 use crate::chance::of_pair;
+use crate::interface::{AttemptOutcome, Endpoint, IncomingRpc, MethodSettings, PacedBy, Readiness, Settings};
 use crate::measure::{Decaying, Mean};
 use crate::roster::{NOWHERE, SLOTS, Set};
 use crate::turns::Turn;
-use crate::types::{Arrival, Entry, MethodSettings, Outcome, Pace, Readiness, Settings};
 use crate::waiting::Rank;
 use std::cell::{Cell, RefCell};
 use std::cmp::Ordering;
@@ -69,15 +69,15 @@
 
 impl Backend {
     /// Takes over what the list says, but for the start.
-    pub fn describe(&self, entry: &Entry) {
+    pub fn describe(&self, entry: &Endpoint) {
         self.ready.set(entry.readiness == Readiness::Ready);
         self.cell.set(entry.cell);
         self.zone.set(entry.zone);
-        self.size.set(entry.size);
+        self.size.set(entry.relative_size);
     }
 
     /// Whether that would leave it in the sets it stands in.
-    pub fn stands_as(&self, entry: &Entry) -> bool {
+    pub fn stands_as(&self, entry: &Endpoint) -> bool {
         let facts = (entry.readiness == Readiness::Ready, entry.cell, entry.zone);
         self.places[0].get() != NOWHERE && (self.ready.get(), self.cell.get(), self.zone.get()) == facts
     }
@@ -97,8 +97,8 @@
     }
 
     /// A pick has ended, and it may still have work with it.
-    pub fn ends(&self, how: Outcome, now: f64) {
-        let done = how == Outcome::Ok || how.reached_nobody();
+    pub fn ends(&self, how: AttemptOutcome, now: f64) {
+        let done = how == AttemptOutcome::Succeeded || how.never_reached_backend();
         self.unfinished.set(if done { self.unfinished.get() } else { now });
     }
 
@@ -196,8 +196,9 @@
 impl Cold {
     /// Takes over what settings say; what was measured stays.
     pub fn adopt(&mut self, set: &Settings, safety: f64) {
-        (self.window, self.from, self.lasts) = (set.fall_window, set.cold_from, set.cold_for);
-        (self.multiple, self.safety) = (safety * set.fall_multiple, safety);
+        (self.window, self.from, self.lasts) =
+            (set.overload_window, set.slow_start_initial_fraction, set.slow_start_duration);
+        (self.multiple, self.safety) = (safety * set.overload_multiple, safety);
     }
 
     /// A list has come.
@@ -304,17 +305,17 @@
 impl Bounds {
     pub fn of(set: &Settings, processes: f64) -> Self {
         Self {
-            most_picks: set.most_picks,
-            may_cancel: set.may_cancel,
-            one_out: !set.second_copies,
-            warm_keys: set.warm_keys,
-            come_back: set.come_back_max,
-            key_quiet: set.key_quiet,
-            balancers: set.balancers as f64,
+            most_picks: set.max_attempts,
+            may_cancel: set.can_cancel,
+            one_out: !set.can_hedge,
+            warm_keys: set.key_affinity,
+            come_back: set.max_retry_after,
+            key_quiet: set.key_cooldown,
+            balancers: set.proxy_count as f64,
             processes,
-            zone: set.zone,
-            shortest: set.methods.iter().map(|m| m.latency_target).reduce(f64::min).unwrap_or(1.0),
-            ask_every: Some(set.ask_within * ASK_AGAIN).filter(|_| set.list_on_request),
+            zone: set.own_zone,
+            shortest: set.methods.iter().map(|m| m.latency_objective).reduce(f64::min).unwrap_or(1.0),
+            ask_every: Some(set.poll_within * ASK_AGAIN).filter(|_| set.polls_endpoint_list),
         }
     }
 }
@@ -371,7 +372,7 @@
         let (mut before, mut all) = (0.0, 0.0);
         for method in methods {
             let seen = method.seen.read(now, SEEN_OVER);
-            let stands = match method.set.utility.total_cmp(&self.set.utility) {
+            let stands = match method.set.priority_weight.total_cmp(&self.set.priority_weight) {
                 Ordering::Greater => 1.0,
                 Ordering::Equal => among,
                 Ordering::Less => 0.0,
@@ -382,10 +383,10 @@
     }
 
     /// Latency target, or deadline where late answers count.
-    pub fn useful_until(&self, arrival: &Arrival, now: f64) -> f64 {
-        let stretch = self.set.target_stretch * arrival.expected_work.unwrap_or(0.0);
-        let target = now + self.set.latency_target + stretch;
-        if self.set.late_utility > 0.0 { arrival.deadline } else { target.min(arrival.deadline) }
+    pub fn useful_until(&self, arrival: &IncomingRpc, now: f64) -> f64 {
+        let stretch = self.set.objective_stretch * arrival.expected_work.unwrap_or(0.0);
+        let target = now + self.set.latency_objective + stretch;
+        if self.set.late_weight_fraction > 0.0 { arrival.deadline } else { target.min(arrival.deadline) }
     }
 }
 
@@ -442,7 +443,7 @@
     pub told: Option<bool>,    // what the last report of the time said: light or not
     pub ahead: Option<f64>,    // RPCs that backends held by the reports of the time, if it was drawn blindly
     pub answered: Option<f64>, // when an answer began that its client sets the pace of
-    pub ended: Option<Outcome>,
+    pub ended: Option<AttemptOutcome>,
     flows: bool, // it is on its way from or to a client
 }
 
@@ -494,7 +495,7 @@
         self.backend.flows.update(|all| all + usize::from(flows) - usize::from(before));
     }
 
-    pub fn end(&mut self, how: Outcome) {
+    pub fn end(&mut self, how: AttemptOutcome) {
         self.ended = Some(how);
         self.flow(false);
     }
@@ -506,13 +507,13 @@
 
     /// A pick still out may have run.
     pub fn may_have_run(&self) -> bool {
-        !self.ended.is_some_and(Outcome::never_ran)
+        !self.ended.is_some_and(AttemptOutcome::never_ran)
     }
 }
 
 impl Call {
     pub fn new(
-        arrival: &Arrival,
+        arrival: &IncomingRpc,
         method: Rc<Method>,
         share: Share,
         near: Vec<Set>,
@@ -520,7 +521,8 @@
         now: f64,
     ) -> Self {
         let useful_until = method.useful_until(arrival, now);
-        let (id, deadline, long, picks) = (arrival.id, arrival.deadline, arrival.long, RefCell::default());
+        let (id, deadline, long, picks) =
+            (arrival.id, arrival.deadline, arrival.streams_request, RefCell::default());
         let (over, streaming, spent, rank, hold_until, turn) = Default::default();
         Self {
             long,
@@ -548,12 +550,12 @@
     }
 
     /// A pick has ended; told once.
-    pub fn end(&self, n: usize, how: Outcome, now: f64) -> Option<Ended> {
+    pub fn end(&self, n: usize, how: AttemptOutcome, now: f64) -> Option<Ended> {
         let mut picks = self.picks.borrow_mut();
         let pick = picks.get_mut(n).filter(|pick| pick.ended.is_none())?;
         pick.end(how);
         // What was turned away would have waited for longer than it had.
-        let took = if how == Outcome::Rejected { pick.room } else { pick.took(now) };
+        let took = if how == AttemptOutcome::Rejected { pick.room } else { pick.took(now) };
         let (backend, ahead, room, told) = (pick.backend.clone(), pick.ahead, pick.room, pick.told);
         Some(Ended { backend, took, ahead, room, told })
     }
@@ -572,10 +574,10 @@
     }
 
     /// The answer to a pick has begun.
-    pub fn begun(&self, n: usize, pace: Pace, now: f64) {
+    pub fn begun(&self, n: usize, pace: PacedBy, now: f64) {
         self.streaming.set(true);
         let mut picks = self.picks.borrow_mut();
-        if let Some(pick) = picks.get_mut(n).filter(|pick| pick.ended.is_none() && pace == Pace::Client) {
+        if let Some(pick) = picks.get_mut(n).filter(|pick| pick.ended.is_none() && pace == PacedBy::Client) {
             pick.answered = Some(now);
             pick.flow(true);
         }
@@ -583,7 +585,7 @@
 
     /// Some pick may have cost a backend something.
     pub fn reached_any(&self) -> bool {
-        self.picks.borrow().iter().any(|p| !p.ended.is_some_and(Outcome::never_ran))
+        self.picks.borrow().iter().any(|p| !p.ended.is_some_and(AttemptOutcome::never_ran))
     }
 
     /// Picks that are out.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,9 +1,9 @@
-//! birchhub's decision core: no I/O and no clock. `policy` decides, `types` is what it is called with.
+//! The decisions of birchhub, without I/O and without a clock: `policy` decides, `interface` is what it is called with.
 mod chance;
 mod held;
+pub mod interface;
 mod measure;
 pub mod policy;
 mod roster;
 mod turns;
-pub mod types;
 mod waiting;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,6 +1,6 @@
 //! All decisions of birchhub. The platform makes one `Balancer` per proxy with `Balancer::new`, hands it list
-//! changes, probe results and wake-ups, and gets an `Rpc` handle from `take`; what happens to that RPC later
-//! is a call on the handle. Answers leave through `types::Link`; the interface is defined in `src/types.rs`.
+//! changes, probe results and wake-ups, and gets an `RpcHandle` from `accept`; what happens to that RPC later
+//! is a call on the handle. Answers leave through `Platform`; the interface is defined in `interface.rs`.
 //!
 //! The design is Join-Idle-Queue (docs/design.md): `report` fills the idle list, `pick_idle` takes its first
 //! entry, `pick_drawn` draws one when it is empty. Six mechanisms stand beside it, by number: health, credit,
@@ -8,10 +8,10 @@
 
 use crate::chance::{Chance, of_pair};
 use crate::held::{Backend, Bounds, Call, Cold, Ended, Method, Part, Pick, Share, Tenant, Told, surely};
+use crate::interface::*;
 use crate::measure::{Decaying, Mean};
 use crate::roster::{Roster, Set};
 use crate::turns::Turns;
-use crate::types::*;
 use crate::waiting::Waiting;
 use std::{cell::RefCell, collections::VecDeque, mem::take, rc::Rc};
 
@@ -111,7 +111,7 @@
 pub struct Balancer(Rc<RefCell<State>>);
 
 /// An RPC this proxy has taken.
-pub struct Rpc {
+pub struct RpcHandle {
     state: Rc<RefCell<State>>,
     call: Rc<Call>,
 }
@@ -119,24 +119,24 @@
 impl Balancer {
     pub fn new(set: &Settings, seed: u64) -> Self {
         let mut new = State { chance: Chance::new(seed), probe_tokens: PROBE_FEW as f64, ..State::default() };
-        new.adopt(set, &Kept::default(), 0.0);
+        new.adopt(set, &CarriedOver::default(), 0.0);
         Self(Rc::new(RefCell::new(new)))
     }
 
     /// Puts other settings in force. RPCs that were taken keep the terms of their method.
-    pub fn adopt(&self, set: &Settings, kept: &Kept, link: &mut dyn Link) {
+    pub fn apply_settings(&self, set: &Settings, kept: &CarriedOver, link: &mut dyn Platform) {
         let mut state = self.0.borrow_mut();
         state.adopt(set, kept, link.now());
         state.serve(link);
     }
 
     /// So many processes are this proxy, and keep to its part of a cold budget together.
-    pub fn shared_by(&self, processes: usize) {
+    pub fn set_process_count(&self, processes: usize) {
         self.0.borrow_mut().bounds.processes = processes as f64;
     }
 
     /// A list call failed or the subscription dropped; the old list stays.
-    pub fn list_failed(&self, link: &mut dyn Link) {
+    pub fn list_failed(&self, link: &mut dyn Platform) {
         let mut state = self.0.borrow_mut();
         // Truncated exponential backoff, full jitter: a crowd finds each free moment of the service.
         let pause = LIST_BACKOFF * 2_f64.powi(state.asks_failed.min(1));
@@ -146,21 +146,27 @@
         state.arm(link);
     }
 
-    pub fn probed(&self, backend: u32, outcome: Outcome, report: Option<LoadReport>, link: &mut dyn Link) {
+    pub fn on_health_check(
+        &self,
+        backend: u32,
+        outcome: AttemptOutcome,
+        report: Option<LoadReport>,
+        link: &mut dyn Platform,
+    ) {
         let mut state = self.0.borrow_mut();
         let Some(backend) = state.backends.get(backend).cloned() else { return };
         let took = backend.probe_out.take().map(|sent| link.now() - sent);
         state.probes_out -= usize::from(took.is_some());
         match outcome {
-            Outcome::Ok => state.report(&backend, report, took, link.now()),
-            Outcome::NeverSent => {} // guards against backends blamed for what this proxy could not send
+            AttemptOutcome::Succeeded => state.report(&backend, report, took, link.now()),
+            AttemptOutcome::NotSent => {} // guards against backends blamed for what this proxy could not send
             _ => {
                 if let Some(took) = took.filter(|_| state.probes_queue) {
                     // At the least: a probe is turned away where too many wait, at once.
                     let load = (took / state.service_time()).max(state.load.get(0.0)) * LATE;
                     state.load.add(load, link.now(), MEAN_OVER);
                 }
-                if outcome != Outcome::Rejected {
+                if outcome != AttemptOutcome::Rejected {
                     state.failed(&backend, outcome, link.now());
                 }
             }
@@ -169,12 +175,12 @@
         state.serve(link);
     }
 
-    pub fn wake(&self, link: &mut dyn Link) {
+    pub fn on_timer(&self, link: &mut dyn Platform) {
         let (mut state, now) = (self.0.borrow_mut(), link.now());
         // Guards against a flood of timers: only the latest one set asks for the next.
         state.alarm.take_if(|at| now + TICK >= *at);
         if state.ask_at.is_some_and(|at| now >= at) {
-            link.watch();
+            link.watch_endpoints();
             state.ask_at = state.bounds.ask_every.map(|every| now + every * state.chance.between(0.8, 1.2));
         }
         if now + TICK >= state.probe_ahead(now) {
@@ -185,14 +191,18 @@
         state.serve(link);
     }
 
-    pub fn list(&self, kind: ListKind, entries: &[Entry], link: &mut dyn Link) {
+    pub fn update_endpoints(&self, kind: EndpointUpdateKind, entries: &[Endpoint], link: &mut dyn Platform) {
         let (mut state, now) = (self.0.borrow_mut(), link.now());
         let every = state.bounds.ask_every;
         match kind {
             // With jitter: proxies often start together.
-            ListKind::Stale => state.ask_at = every.map(|_| now + state.chance.between(0.0, LIST_BACKOFF)),
-            ListKind::Changes | ListKind::Full => (state.asks_failed, state.ask_at) = (0, None),
-            ListKind::Ordered => {}
+            EndpointUpdateKind::StaleSnapshot => {
+                state.ask_at = every.map(|_| now + state.chance.between(0.0, LIST_BACKOFF))
+            }
+            EndpointUpdateKind::Incremental | EndpointUpdateKind::Snapshot => {
+                (state.asks_failed, state.ask_at) = (0, None)
+            }
+            EndpointUpdateKind::Administrative => {}
         }
         state.cold.begins(now);
         state.lists += 1;
@@ -204,13 +214,13 @@
                 true => backend.describe(entry),
                 false => state.relist(&backend, now, |b| b.describe(entry)),
             }
-            if backend.started.replace(entry.started) != entry.started {
-                backend.starts(now, state.cold.before(entry.started));
+            if backend.started.replace(entry.started_at) != entry.started_at {
+                backend.starts(now, state.cold.before(entry.started_at));
                 state.file(&backend, now);
             }
         }
         let ready = state.backends.set(Set::Ready).iter();
-        let left_out = ready.filter(|b| kind.is_whole() && b.told.get() != number);
+        let left_out = ready.filter(|b| kind.is_snapshot() && b.told.get() != number);
         for backend in left_out.cloned().collect::<Vec<_>>() {
             state.relist(&backend, now, |b| b.ready.set(false));
         }
@@ -225,12 +235,12 @@
     }
 
     /// Mechanism 5 starts here: an RPC waits in the order of share and utility.
-    pub fn take(&self, arrival: &Arrival, link: &mut dyn Link) -> Rpc {
+    pub fn accept(&self, arrival: &IncomingRpc, link: &mut dyn Platform) -> RpcHandle {
         let (mut state, now) = (self.0.borrow_mut(), link.now());
         let method = state.methods[arrival.method].clone();
         let tenant = arrival.tenant.map(|t| &state.tenants[t]);
         method.came(now);
-        let share = tenant.map_or(Share::Within, |t| state.share(t, arrival.client_repeat, now));
+        let share = tenant.map_or(Share::Within, |t| state.share(t, arrival.client_retry, now));
         // Cells that know its key, at every proxy the same. Guards against keys that go round the fleet.
         let known = arrival.key.filter(|_| state.bounds.warm_keys);
         let near = known.map_or(Vec::new(), |key| state.backends.cells_of(key, HOMES));
@@ -238,38 +248,38 @@
         let call = Rc::new(Call::new(arrival, method, share, near, doors, now));
         let each = if state.hears_answers(now) { PROBES_LEAST } else { state.probes_each };
         state.probe_tokens = (state.probe_tokens + each).min(each * 20.0 + 3.0);
-        let key = arrival.key.filter(|_| call.method.set.in_order);
+        let key = arrival.key.filter(|_| call.method.set.ordered_by_key);
         key.into_iter().for_each(|key| state.turns.enter(&call, key));
         match state.lets_in(&call, now) {
             true => state.hold(&call, now),
             false => state.give_up(&call, link),
         }
         state.serve(link);
-        Rpc { state: self.0.clone(), call }
+        RpcHandle { state: self.0.clone(), call }
     }
 }
 
-impl Rpc {
-    pub fn is_over(&self) -> bool {
+impl RpcHandle {
+    pub fn is_finished(&self) -> bool {
         self.call.over.get() && !self.call.is_out()
     }
 
     /// The answer has started; from here on it is the client's, without time-out or deadline.
-    pub fn begun(&self, n: usize, pace: Pace, link: &mut dyn Link) {
+    pub fn on_response_started(&self, n: usize, pace: PacedBy, link: &mut dyn Platform) {
         self.call.begun(n, pace, link.now());
     }
 
     /// The last byte of a long RPC has gone out: its backend begins, and its time counts from here.
-    pub fn whole(&self, n: usize, link: &mut dyn Link) {
+    pub fn on_request_sent(&self, n: usize, link: &mut dyn Platform) {
         self.call.whole(n, link.now());
     }
 
     /// It was too long to be kept and a part has gone out: no further pick could have all of it.
-    pub fn unrepeatable(&self) {
+    pub fn forbid_retry(&self) {
         self.call.spent.set(true);
     }
 
-    pub fn hung_up(&self, link: &mut dyn Link) {
+    pub fn on_client_disconnected(&self, link: &mut dyn Platform) {
         self.call.over.set(true);
         let mut state = self.state.borrow_mut();
         state.waiting.remove(&self.call);
@@ -278,15 +288,22 @@
         state.serve(link);
     }
 
-    pub fn ended(&self, n: usize, how: Outcome, over: bool, report: Option<LoadReport>, link: &mut dyn Link) {
+    pub fn on_attempt_ended(
+        &self,
+        n: usize,
+        how: AttemptOutcome,
+        over: bool,
+        report: Option<LoadReport>,
+        link: &mut dyn Platform,
+    ) {
         let (mut state, now) = (self.state.borrow_mut(), link.now());
         let Some(Ended { backend, took, ahead, room, told }) = self.call.end(n, how, now) else { return };
         backend.count(-1, now, MEAN_OVER);
-        let late = if how == Outcome::Ok { 1.0 } else { LATE };
-        let full = how == Outcome::Rejected && n + 1 >= state.bounds.most_picks;
-        let measured = matches!(how, Outcome::Ok | Outcome::TimedOut) || full;
-        if let (Some(light), true) = (told, measured || how == Outcome::Rejected) {
-            let targets = took * late / self.call.method.set.latency_target;
+        let late = if how == AttemptOutcome::Succeeded { 1.0 } else { LATE };
+        let full = how == AttemptOutcome::Rejected && n + 1 >= state.bounds.most_picks;
+        let measured = matches!(how, AttemptOutcome::Succeeded | AttemptOutcome::TimedOut) || full;
+        if let (Some(light), true) = (told, measured || how == AttemptOutcome::Rejected) {
+            let targets = took * late / self.call.method.set.latency_objective;
             state.told.ended(light, targets, now);
         }
         if let (Some(ahead), true) = (ahead, measured) {
@@ -295,23 +312,27 @@
             let most = self.call.method.each.get(f64::INFINITY) * LOST;
             self.call.method.each.add((took * late / stood).min(most), now, state.fade());
         } else if measured {
-            state.listed.add(if how == Outcome::Ok { took / room } else { LATE }, now, state.fade());
+            state.listed.add(
+                if how == AttemptOutcome::Succeeded { took / room } else { LATE },
+                now,
+                state.fade(),
+            );
         }
         state.admit(&self.call, how, took, now);
-        if matches!(how, Outcome::Ok | Outcome::TimedOut) {
+        if matches!(how, AttemptOutcome::Succeeded | AttemptOutcome::TimedOut) {
             backend.pace.add(took * late, now, MEAN_OVER);
             // Late answers that count, and picks where reports tell of loads, go well to their end.
-            let whole = self.call.method.set.late_utility > 0.0 || !state.hears_answers(now);
+            let whole = self.call.method.set.late_weight_fraction > 0.0 || !state.hears_answers(now);
             let well = if whole || took <= room * PROMPT { DOOR } else { 1.0 };
-            self.call.went(if how == Outcome::Ok { well } else { 0.0 }, now, DOOR_OVER);
+            self.call.went(if how == AttemptOutcome::Succeeded { well } else { 0.0 }, now, DOOR_OVER);
         }
-        if matches!(how, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled) {
+        if matches!(how, AttemptOutcome::TimedOut | AttemptOutcome::Reset | AttemptOutcome::Cancelled) {
             let until = now + state.bounds.key_quiet;
             state.turns.rest(&self.call, until);
         }
         backend.ends(how, now);
         match how {
-            Outcome::Ok => {
+            AttemptOutcome::Succeeded => {
                 state.failing.add(0.0, now, MEAN_OVER);
                 let part = state.failing.get(0.0);
                 // Guards against a backend that loses some answers, yet seldom three in a row.
@@ -327,17 +348,17 @@
                     state.enlist(&backend, now);
                 }
             }
-            Outcome::Rejected => {
+            AttemptOutcome::Rejected => {
                 // The next place there comes free after a service time or less.
                 let until = now + state.service_time() * state.chance.between(0.0, 1.0);
                 backend.full_until.set(until);
                 state.backends.at(until, &backend);
             }
-            Outcome::Cancelled | Outcome::NeverSent => {}
+            AttemptOutcome::Cancelled | AttemptOutcome::NotSent => {}
             _ => state.failed(&backend, how, now),
         }
         state.file(&backend, now);
-        if over || how == Outcome::Ok || self.call.streaming.get() {
+        if over || how == AttemptOutcome::Succeeded || self.call.streaming.get() {
             self.call.over.set(true);
             state.cancel_rest(&self.call, link);
         } else if !self.call.over.get() {
@@ -352,9 +373,13 @@
     /// Where the gate lets it go at all: what may have run is tied to the group that drops its repeats.
     fn open_to(&self) -> Set {
         let picks = self.picks.borrow();
-        match (self.method.set.effect, picks.iter().find(|p| p.may_have_run())) {
-            (Effect::Deduplicated { group: Group::Zone, .. }, Some(p)) => Set::Zone(p.backend.zone.get()),
-            (Effect::Deduplicated { group: Group::Cell, .. }, Some(p)) => Set::Cell(p.backend.cell.get()),
+        match (self.method.set.idempotency, picks.iter().find(|p| p.may_have_run())) {
+            (Idempotency::Deduplicated { scope: DeduplicationScope::Zone, .. }, Some(p)) => {
+                Set::Zone(p.backend.zone.get())
+            }
+            (Idempotency::Deduplicated { scope: DeduplicationScope::Cell, .. }, Some(p)) => {
+                Set::Cell(p.backend.cell.get())
+            }
             _ => Set::Ready,
         }
     }
@@ -380,17 +405,17 @@
 
 impl State {
     /// Derives what follows from settings; what is measured, believed and under way goes on.
-    fn adopt(&mut self, set: &Settings, kept: &Kept, now: f64) {
-        let best = set.methods.iter().map(|m| m.utility).fold(0.0, f64::max);
+    fn adopt(&mut self, set: &Settings, kept: &CarriedOver, now: f64) {
+        let best = set.methods.iter().map(|m| m.priority_weight).fold(0.0, f64::max);
         let method = |(n, m): (usize, &MethodSettings)| {
-            let each = if m.late_utility > 0.0 { ROOM_LATE } else { ROOM };
-            let room = each * (best / m.utility).max(1.0).sqrt();
+            let each = if m.late_weight_fraction > 0.0 { ROOM_LATE } else { ROOM };
+            let room = each * (best / m.priority_weight).max(1.0).sqrt();
             Rc::new(Method::new(m, room, kept.methods.get(n).and_then(|was| self.methods.get((*was)?))))
         };
         self.methods = set.methods.iter().enumerate().map(method).collect();
         let tenant = |quota: f64, was: Tenant| {
             // Guards against a small tenant that seems over its share as two of its RPCs came together.
-            let each = set.balancers as f64 / quota;
+            let each = set.proxy_count as f64 / quota;
             let (slice, over) = (QUOTA_RPCS.max(QUOTA_OVER / each), QUOTA_OVER.max(QUOTA_RPCS * each));
             // One that starts has no unused quota behind it: guards against a rush in its first second.
             was.sliced(slice, over, STARTED, now)
@@ -398,18 +423,19 @@
         let before = Tenant::kept(take(&mut self.tenants), &kept.tenants, set.tenants.len());
         self.tenants = set.tenants.iter().zip(before).map(|(t, was)| tenant(t.quota, was)).collect();
         self.all_tenants = tenant(set.tenants.iter().map(|t| t.quota).sum(), take(&mut self.all_tenants));
-        let worth_probing = (PROBE_WORTH / set.probe_price.max(TICK)).log(1.0 / PROBE_MISS);
+        let worth_probing = (PROBE_WORTH / set.health_check_cost.max(TICK)).log(1.0 / PROBE_MISS);
         // Where answers bring all that a probe would tell, it tells nothing; else its report or its time.
-        let in_answers = set.reports == Reports::InAnswers && !set.reports_queue;
-        self.may_probe = set.may_probe && (in_answers || set.reports == Reports::ByProbe);
-        self.probes_queue = self.may_probe && !set.reports_queue;
+        let in_answers = set.load_report_source == LoadReportSource::Responses && !set.reports_include_queue;
+        self.may_probe =
+            set.can_health_check && (in_answers || set.load_report_source == LoadReportSource::HealthChecks);
+        self.probes_queue = self.may_probe && !set.reports_include_queue;
         self.probes_each = worth_probing.clamp(PROBES_LEAST, PROBES_MOST);
         self.answers_enlist = !(self.may_probe && worth_probing >= 0.0);
-        self.by_utility = !self.may_probe && set.methods.iter().any(|m| m.utility < best);
+        self.by_utility = !self.may_probe && set.methods.iter().any(|m| m.priority_weight < best);
         self.bounds = Bounds::of(set, self.bounds.processes.max(1.0));
         self.room = self.methods.iter().map(|m| m.room).fold(f64::INFINITY, f64::min);
         self.cold.adopt(set, COLD_SAFETY);
-        self.stay_home = set.zones as f64 * (set.cross_price / CROSS_PRICE).min(1.0).powi(2);
+        self.stay_home = set.zone_count as f64 * (set.cross_zone_cost / CROSS_PRICE).min(1.0).powi(2);
     }
 
     // The four rules.
@@ -422,14 +448,14 @@
         let open = !ends && picks.len() < self.bounds.most_picks;
         // 2: no effect twice. A pick still out may have run.
         let mut ran = picks.iter().filter(|p| p.may_have_run());
-        let harmless = match call.method.set.effect {
-            Effect::Idempotent => true,
-            Effect::NonIdempotent => ran.next().is_none(),
-            Effect::Deduplicated { group, window } => ran.all(|p| {
+        let harmless = match call.method.set.idempotency {
+            Idempotency::Idempotent => true,
+            Idempotency::NonIdempotent => ran.next().is_none(),
+            Idempotency::Deduplicated { scope: group, window } => ran.all(|p| {
                 let same = match group {
-                    Group::All => true,
-                    Group::Zone => p.backend.zone == to.zone,
-                    Group::Cell => p.backend.cell == to.cell,
+                    DeduplicationScope::All => true,
+                    DeduplicationScope::Zone => p.backend.zone == to.zone,
+                    DeduplicationScope::Cell => p.backend.cell == to.cell,
                 };
                 same && now + SLACK < p.sent + window
             }),
@@ -443,8 +469,10 @@
 
     /// The one judge of whether a client may be told that trying again is harmless.
     fn may_push_back(&self, call: &Call) -> bool {
-        match call.method.set.effect {
-            Effect::Idempotent | Effect::Deduplicated { group: Group::All, .. } => true,
+        match call.method.set.idempotency {
+            Idempotency::Idempotent | Idempotency::Deduplicated { scope: DeduplicationScope::All, .. } => {
+                true
+            }
             _ => !call.picks.borrow().iter().any(Pick::may_have_run),
         }
     }
@@ -476,7 +504,7 @@
     fn report(&mut self, backend: &Rc<Backend>, report: Option<LoadReport>, took: Option<f64>, now: f64) {
         // Guards against utilisations, which say nothing of a queue, read as RPCs that stand there.
         let (probed, queued) = (took.is_some(), took.map(|took| took / self.service_time()));
-        let held = if self.probes_queue { queued } else { report.and_then(|r| r.held()) };
+        let held = if self.probes_queue { queued } else { report.and_then(|r| r.load()) };
         let Some(held) = held else { return };
         let light = held <= self.load.get(0.0) * THRESHOLD * backend.size.get();
         let held = held.max(backend.at_work() as f64) / backend.size.get();
@@ -514,7 +542,7 @@
         }
     }
 
-    fn pick_idle(&mut self, call: &Rc<Call>, link: &mut dyn Link) -> bool {
+    fn pick_idle(&mut self, call: &Rc<Call>, link: &mut dyn Platform) -> bool {
         let now = link.now();
         // Guards against reports that stand still: entries must fit by what those before them took.
         let doubted = self.listed.weighed(now, self.fade(), LIST_FEW, 0.0) * call.method.room > LIST_ROOM;
@@ -539,7 +567,7 @@
     }
 
     /// Empty list: a random ready backend, skipping any far above its own mean in flight.
-    fn pick_drawn(&mut self, call: &Rc<Call>, link: &mut dyn Link) -> bool {
+    fn pick_drawn(&mut self, call: &Rc<Call>, link: &mut dyn Platform) -> bool {
         let now = link.now();
         let open = if self.by_utility { self.admits(call, now) } else { self.in_time(call, now) };
         if !open || call.share == Share::Beyond {
@@ -595,9 +623,9 @@
     // Mechanism 1: health.
 
     /// Guards against a quick failure looking idle, and against drawing a dead backend again and again.
-    fn failed(&mut self, backend: &Rc<Backend>, how: Outcome, now: f64) {
+    fn failed(&mut self, backend: &Rc<Backend>, how: AttemptOutcome, now: f64) {
         // Time-outs and resets may come by chance, and would rest all in turn; all else meets whoever comes.
-        let least = if matches!(how, Outcome::TimedOut | Outcome::Reset) { 1.0 } else { FAILS };
+        let least = if matches!(how, AttemptOutcome::TimedOut | AttemptOutcome::Reset) { 1.0 } else { FAILS };
         let fails = (backend.fails.get() + 1.0).max(least);
         self.failing.add(1.0, now, MEAN_OVER);
         backend.fails.set(fails);
@@ -612,7 +640,7 @@
 
     // Mechanisms 2 and 3: credit, time-outs and further picks.
 
-    fn send(&mut self, call: &Rc<Call>, to: Rc<Backend>, ahead: Option<f64>, link: &mut dyn Link) {
+    fn send(&mut self, call: &Rc<Call>, to: Rc<Backend>, ahead: Option<f64>, link: &mut dyn Platform) {
         let now = link.now();
         self.picked_at = now;
         self.credit -= if call.reached_any() { 1.0 } else { 0.0 };
@@ -621,25 +649,25 @@
         self.file(&to, now);
         // Work whose answer would come too late only keeps others waiting.
         let room = (call.useful_until - now).max(SLACK);
-        link.pick(call.id, to.id, (room - SLACK).max(SLACK));
+        link.start_attempt(call.id, to.id, (room - SLACK).max(SLACK));
         let told = to.light.get().filter(|(_, at)| now < at + ENTRY_AGE_MAX).map(|(light, _)| light);
         call.picks.borrow_mut().push(Pick::new(to, now, room, ahead, told, call.long));
     }
 
     /// After a failed pick: another one where rules, time and credit allow it, else the final answer.
-    fn again(&mut self, call: &Rc<Call>, link: &mut dyn Link) {
+    fn again(&mut self, call: &Rc<Call>, link: &mut dyn Platform) {
         let time = call.useful_until - link.now() > self.service_time();
         if !(call.is_out() || time && (self.pick_idle(call, link) || self.pick_drawn(call, link))) {
             self.give_up(call, link);
         }
     }
 
-    fn give_up(&mut self, call: &Rc<Call>, link: &mut dyn Link) {
+    fn give_up(&mut self, call: &Rc<Call>, link: &mut dyn Platform) {
         self.cancel_rest(call, link);
         call.over.set(true);
         match self.may_push_back(call) {
-            true => link.push_back(call.id, self.come_back(call)),
-            false => link.abort(call.id),
+            true => link.reject(call.id, self.come_back(call)),
+            false => link.fail(call.id),
         }
         self.settle(call);
     }
@@ -657,9 +685,9 @@
         }
     }
 
-    fn cancel_rest(&self, call: &Call, link: &mut dyn Link) {
+    fn cancel_rest(&self, call: &Call, link: &mut dyn Platform) {
         let may = self.bounds.may_cancel && !call.streaming.get();
-        call.out().into_iter().filter(|_| may).for_each(|n| link.cancel(call.id, n));
+        call.out().into_iter().filter(|_| may).for_each(|n| link.cancel_attempt(call.id, n));
     }
 
     // Mechanism 5: admission and fairness.
@@ -701,11 +729,13 @@
     }
 
     /// Additive increase, multiplicative decrease, by whether a pick was answered in good time.
-    fn admit(&mut self, call: &Call, how: Outcome, took: f64, now: f64) {
-        let (part, prompt) = (self.admitted.at(now, ADMIT_BACK), call.method.set.latency_target * PROMPT);
+    fn admit(&mut self, call: &Call, how: AttemptOutcome, took: f64, now: f64) {
+        let (part, prompt) = (self.admitted.at(now, ADMIT_BACK), call.method.set.latency_objective * PROMPT);
         let next = match how {
-            Outcome::Ok if took <= prompt => part + ADMIT_UP,
-            Outcome::Ok | Outcome::TimedOut | Outcome::Rejected => part * (1.0 - ADMIT_CUT),
+            AttemptOutcome::Succeeded if took <= prompt => part + ADMIT_UP,
+            AttemptOutcome::Succeeded | AttemptOutcome::TimedOut | AttemptOutcome::Rejected => {
+                part * (1.0 - ADMIT_CUT)
+            }
             _ => return,
         };
         self.admitted = Part::new(next, now);
@@ -724,7 +754,7 @@
     fn in_time(&self, call: &Call, now: f64) -> bool {
         let (load, fade) = (self.load.fading(now, MEAN_OVER) + 1.0, self.fade());
         // Guards against long targets that fill the backends until short ones are shut out.
-        let room = |m: &Rc<Method>| m.set.latency_target / m.each.fading(now, fade) / self.room;
+        let room = |m: &Rc<Method>| m.set.latency_objective / m.each.fading(now, fade) / self.room;
         let tightest = self.methods.iter().map(room).fold(f64::INFINITY, f64::min);
         let wait = load * call.method.each.fading(now, fade) * call.method.room;
         load <= tightest && wait <= call.useful_until - now
@@ -734,7 +764,7 @@
     fn hold(&mut self, call: &Rc<Call>, now: f64) {
         let hold = if self.may_probe && call.share < Share::Beyond { HOLD } else { 0.0 };
         let until = match call.has_turn.get() {
-            true => now + hold * call.method.set.latency_target,
+            true => now + hold * call.method.set.latency_objective,
             // Guards against a line that keeps all until none can be served.
             false if now + self.turns.length(call) as f64 * self.service_time() > call.useful_until => now,
             false => call.useful_until - self.service_time(),
@@ -745,7 +775,7 @@
     }
 
     /// Serves those who wait, first in rank first, from the list; draws for those whose wait is over.
-    fn serve(&mut self, link: &mut dyn Link) {
+    fn serve(&mut self, link: &mut dyn Platform) {
         let now = link.now();
         while let Some(call) = self.turns.next_up(now) {
             self.hold(&call, now);
@@ -774,7 +804,7 @@
     // Mechanism 6: list following and probing.
 
     /// Probes a few random backends, near ones if told: each interval, and when an RPC finds the list empty.
-    fn probe(&mut self, most: usize, near: &[Set], link: &mut dyn Link) {
+    fn probe(&mut self, most: usize, near: &[Set], link: &mut dyn Platform) {
         let now = link.now();
         let unseen = |b: &Backend| b.probe_out.get().is_none() && !b.is_listed(now);
         for n in 0..most {
@@ -787,7 +817,7 @@
             backend.probe_out.set(Some(now));
             self.probes_out += 1;
             self.probe_tokens -= 1.0;
-            link.probe(backend.id);
+            link.health_check(backend.id);
         }
     }
 
@@ -797,7 +827,7 @@
         self.probed_ahead + PROBE_EVERY / (1.0 - (-coming).exp())
     }
 
-    fn arm(&mut self, link: &mut dyn Link) {
+    fn arm(&mut self, link: &mut dyn Platform) {
         let now = link.now();
         let soon = if self.waiting.is_empty() { self.probe_ahead(now) } else { self.probe_next };
         let rounds = self.may_probe.then_some(soon.max(now));
@@ -806,7 +836,7 @@
         let next = due.fold(f64::INFINITY, f64::min);
         if next < self.alarm.unwrap_or(f64::INFINITY) {
             self.alarm = Some(next);
-            link.wake_in((next - now).max(0.0));
+            link.schedule_timer((next - now).max(0.0));
         }
     }
 }
--- a/src/turns.rs
+++ b/src/turns.rs
@@ -87,14 +87,21 @@
 mod tests {
     use super::*;
     use crate::held::{Method, Share};
-    use crate::types::{Arrival, Effect, MethodSettings};
+    use crate::interface::{Idempotency, IncomingRpc, MethodSettings};
 
     fn call() -> Rc<Call> {
         let (latency_target, target_stretch, utility, late_utility, in_order) = (1.0, 0.0, 1.0, 0.0, true);
-        let effect = Effect::Idempotent;
-        let set = MethodSettings { effect, latency_target, target_stretch, utility, late_utility, in_order };
+        let effect = Idempotency::Idempotent;
+        let set = MethodSettings {
+            idempotency: effect,
+            latency_objective: latency_target,
+            objective_stretch: target_stretch,
+            priority_weight: utility,
+            late_weight_fraction: late_utility,
+            ordered_by_key: in_order,
+        };
         let method = Rc::new(Method::new(&set, 1.0, None));
-        Rc::new(Call::new(&Arrival::default(), method, Share::Within, Vec::new(), Vec::new(), 0.0))
+        Rc::new(Call::new(&IncomingRpc::default(), method, Share::Within, Vec::new(), Vec::new(), 0.0))
     }
 
     /// Guards against memory of every key that ever was, also of those that rested after all of theirs had left.
--- a/src/waiting.rs
+++ b/src/waiting.rs
@@ -38,7 +38,7 @@
             Share::Borrowed => 1,
             Share::Beyond => 2,
         };
-        let (not_yet, utility) = (!call.has_turn.get(), !call.method.set.utility.max(0.0).to_bits());
+        let (not_yet, utility) = (!call.has_turn.get(), !call.method.set.priority_weight.max(0.0).to_bits());
         let rank = Rank { not_yet, share, utility, number: self.next };
         call.rank.set(Some(rank));
         self.ends.insert((end(&call), rank));
@@ -71,15 +71,22 @@
 mod tests {
     use super::*;
     use crate::held::Method;
-    use crate::types::{Arrival, Effect, MethodSettings};
+    use crate::interface::{Idempotency, IncomingRpc, MethodSettings};
     use quickcheck::{Gen, QuickCheck};
 
     fn call(id: u64, utility: f64, share: Share, hold_until: f64) -> Rc<Call> {
-        let effect = Effect::Idempotent;
+        let effect = Idempotency::Idempotent;
         let (latency_target, target_stretch, late_utility, in_order) = (1.0, 0.0, 0.0, false);
-        let set = MethodSettings { effect, latency_target, target_stretch, utility, late_utility, in_order };
+        let set = MethodSettings {
+            idempotency: effect,
+            latency_objective: latency_target,
+            objective_stretch: target_stretch,
+            priority_weight: utility,
+            late_weight_fraction: late_utility,
+            ordered_by_key: in_order,
+        };
         let method = Rc::new(Method::new(&set, 1.0, None));
-        let arrival = Arrival { id, deadline: 9.0, ..Arrival::default() };
+        let arrival = IncomingRpc { id, deadline: 9.0, ..IncomingRpc::default() };
         let call = Call::new(&arrival, method, share, Vec::new(), Vec::new(), 0.0);
         call.hold_until.set(hold_until);
         Rc::new(call)
@@ -102,7 +109,7 @@
             }
             let mut ranked = plain.clone();
             ranked.sort_by(|a, b| {
-                let key = |c: &Call| (c.share, -c.method.set.utility, c.id as f64);
+                let key = |c: &Call| (c.share, -c.method.set.priority_weight, c.id as f64);
                 key(a).partial_cmp(&key(b)).expect("no NaN")
             });
             let mut rank = None;
--- a/tests/adopt.rs
+++ b/tests/adopt.rs
@@ -1,14 +1,14 @@
 //! Settings that change while the module runs: what is new binds what comes then, and what goes on loses nothing.
 mod common;
-use birchhub::types::*;
+use birchhub::interface::*;
 use common::{Proxy, entry, settings};
 use quickcheck::{Gen, QuickCheck};
 
 const IDEMPOTENT: usize = 0;
 
 fn conf() -> Settings {
-    let mut conf = settings(&[Effect::Idempotent, Effect::NonIdempotent]);
-    conf.methods[1].utility = 2.0;
+    let mut conf = settings(&[Idempotency::Idempotent, Idempotency::NonIdempotent]);
+    conf.methods[1].priority_weight = 2.0;
     conf.tenants = vec![
         TenantSettings { quota: 30.0 },
         TenantSettings { quota: 5.0 },
@@ -20,26 +20,26 @@
     Proxy::new(conf, 7, &(0..6).map(entry).collect::<Vec<_>>())
 }
 
-fn as_they_were(conf: &Settings) -> Kept {
+fn as_they_were(conf: &Settings) -> CarriedOver {
     let all = |n| (0..n).map(Some).collect();
-    Kept {
+    CarriedOver {
         methods: all(conf.methods.len()),
         tenants: all(conf.tenants.len()),
     }
 }
 
-fn adopt(proxy: &mut Proxy, conf: Settings, kept: &Kept) {
+fn adopt(proxy: &mut Proxy, conf: Settings, kept: &CarriedOver) {
     proxy.world.settings = conf;
     let conf = proxy.world.settings.clone();
-    proxy.balancer.adopt(&conf, kept, &mut proxy.world);
+    proxy.balancer.apply_settings(&conf, kept, &mut proxy.world);
 }
 
 /// With the methods and tenants of `conf` the other way round.
-fn turned(mut conf: Settings) -> (Settings, Kept) {
+fn turned(mut conf: Settings) -> (Settings, CarriedOver) {
     conf.methods.reverse();
     conf.tenants.reverse();
     let back = |n: usize| (0..n).rev().map(Some).collect();
-    let kept = Kept {
+    let kept = CarriedOver {
         methods: back(conf.methods.len()),
         tenants: back(conf.tenants.len()),
     };
@@ -70,14 +70,18 @@
                 is_turned = !is_turned;
             }
             4 => {
-                let how = [Outcome::Ok, Outcome::Ok, Outcome::Reset, Outcome::Rejected]
-                    [usize::from(which) % 4];
+                let how = [
+                    AttemptOutcome::Succeeded,
+                    AttemptOutcome::Succeeded,
+                    AttemptOutcome::Reset,
+                    AttemptOutcome::Rejected,
+                ][usize::from(which) % 4];
                 one.end_all(how, Some(f64::from(which % 3)));
                 other.end_all(how, Some(f64::from(which % 3)));
             }
             _ => {
                 for proxy in [&mut one, &mut other] {
-                    proxy.answer_probes(Outcome::Ok, |b| f64::from(b % 3));
+                    proxy.answer_probes(AttemptOutcome::Succeeded, |b| f64::from(b % 3));
                     proxy.pass(f64::from(gap) / 500.0);
                 }
             }
@@ -102,18 +106,18 @@
 #[test]
 fn an_rpc_keeps_the_effect_it_was_taken_under() {
     let mut proxy = fleet(Settings {
-        may_probe: false,
+        can_health_check: false,
         tenants: vec![],
         ..conf()
     });
-    proxy.drive(60, 0.02, |_| 1.0, |_| Some(Outcome::Ok));
+    proxy.drive(60, 0.02, |_| 1.0, |_| Some(AttemptOutcome::Succeeded));
     let taken = proxy.take(IDEMPOTENT, 0.5);
     let mut other = proxy.world.settings.clone();
-    other.methods[IDEMPOTENT].effect = Effect::NonIdempotent;
+    other.methods[IDEMPOTENT].idempotency = Idempotency::NonIdempotent;
     let kept = as_they_were(&other);
     adopt(&mut proxy, other, &kept);
     let next = proxy.take(IDEMPOTENT, 0.5);
-    proxy.end_all(Outcome::Reset, None);
+    proxy.end_all(AttemptOutcome::Reset, None);
     let sent = |rpc: u64| proxy.world.rpcs[&rpc].sent.len();
     assert_eq!((sent(taken), sent(next)), (2, 1));
     assert_eq!(proxy.world.rpcs[&next].answers, ["aborted"]);
@@ -123,16 +127,16 @@
 /// What a cold backend was sent counts on, also where the new settings would allow more from here on.
 #[test]
 fn what_a_cold_backend_was_sent_is_not_forgotten() {
-    let sent_then = |kept: Option<Kept>| {
-        let mut conf = settings(&[Effect::NonIdempotent]);
-        (conf.may_probe, conf.balancers) = (false, 1);
-        let cold = Entry {
-            started: Some(0.0),
+    let sent_then = |kept: Option<CarriedOver>| {
+        let mut conf = settings(&[Idempotency::NonIdempotent]);
+        (conf.can_health_check, conf.proxy_count) = (false, 1);
+        let cold = Endpoint {
+            started_at: Some(0.0),
             ..entry(0)
         };
         let mut proxy = Proxy::new(conf.clone(), 7, &[]);
         proxy.world.now = 0.1;
-        proxy.list(ListKind::Full, &[cold]);
+        proxy.list(EndpointUpdateKind::Snapshot, &[cold]);
         let burst = |proxy: &mut Proxy| (0..200).map(|_| proxy.take(0, 0.5)).count();
         burst(&mut proxy);
         let before = proxy.out().len();
@@ -143,7 +147,7 @@
         }
         (before, proxy.out().len() - before)
     };
-    let (spent, more) = sent_then(Some(Kept {
+    let (spent, more) = sent_then(Some(CarriedOver {
         methods: vec![Some(0)],
         tenants: vec![],
     }));
@@ -169,7 +173,7 @@
         proxy.take_as(0, 0.5, Some(tenant), false);
         proxy.pass(0.001);
     }
-    proxy.end_all(Outcome::Ok, None);
+    proxy.end_all(AttemptOutcome::Succeeded, None);
     proxy.pass(0.9);
     sent(proxy) - before
 }
@@ -182,12 +186,12 @@
             .iter()
             .map(|quota| TenantSettings { quota: *quota })
             .collect(),
-        may_probe: false,
-        ..settings(&[Effect::Idempotent])
+        can_health_check: false,
+        ..settings(&[Idempotency::Idempotent])
     };
     // The other sends nothing, and its part may be used too.
     let mut proxy = fleet(quotas(&[10.0, 10.0]));
-    let same = Kept {
+    let same = CarriedOver {
         methods: vec![Some(0)],
         tenants: vec![Some(0), Some(1)],
     };
@@ -208,7 +212,7 @@
     adopt(
         &mut proxy,
         quotas(&[10.0, 10.0]),
-        &Kept {
+        &CarriedOver {
             tenants: vec![Some(1), Some(0)],
             ..same
         },
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -1,7 +1,7 @@
 //! Rule 4 over a whole fleet: what all proxies together send a backend that has just started, counted there.
 mod common;
-use birchhub::policy::{Balancer, Rpc};
-use birchhub::types::*;
+use birchhub::interface::*;
+use birchhub::policy::{Balancer, RpcHandle};
 use common::{Proxy, entry, settings};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
@@ -24,7 +24,7 @@
     skewed: bool, // one proxy in twenty gets ten times as much as the others
     back: f64,    // part of the backends that die and come back
     gone: f64,    // s that they were away
-    reports: Reports,
+    reports: LoadReportSource,
     probes: bool,
     restarted: f64, // part of the proxies that start anew while backends are cold
     known: bool,    // these have a list from before
@@ -44,7 +44,7 @@
             skewed: false,
             back: 0.5,
             gone: 2.0,
-            reports: Reports::InAnswers,
+            reports: LoadReportSource::Responses,
             probes: false,
             restarted: 0.0,
             known: true,
@@ -73,10 +73,10 @@
     Wake(usize, u32),
     AtBackend(u64),
     Done(u64),
-    Back(u64, Outcome, Option<f64>),
+    Back(u64, AttemptOutcome, Option<f64>),
     TimedOut(u64),
     ProbeAt(usize, u32, u32),
-    Probed(usize, u32, u32, Outcome, f64),
+    Probed(usize, u32, u32, AttemptOutcome, f64),
     Dies,
     Returns,
     Told(usize, u32, Readiness),
@@ -112,27 +112,27 @@
     over: Vec<u64>,
 }
 
-impl Link for Door {
+impl Platform for Door {
     fn now(&self) -> f64 {
         self.now
     }
-    fn pick(&mut self, rpc: u64, backend: u32, time_out: f64) {
+    fn start_attempt(&mut self, rpc: u64, backend: u32, time_out: f64) {
         self.rpc_picks.push((rpc, backend, time_out));
     }
-    fn cancel(&mut self, rpc: u64, pick: usize) {
+    fn cancel_attempt(&mut self, rpc: u64, pick: usize) {
         self.cancelled.push((rpc, pick));
     }
-    fn push_back(&mut self, rpc: u64, _: f64) {
+    fn reject(&mut self, rpc: u64, _: f64) {
         self.over.push(rpc);
     }
-    fn abort(&mut self, rpc: u64) {
+    fn fail(&mut self, rpc: u64) {
         self.over.push(rpc);
     }
-    fn probe(&mut self, backend: u32) {
+    fn health_check(&mut self, backend: u32) {
         self.probes.push(backend);
     }
-    fn watch(&mut self) {}
-    fn wake_in(&mut self, delay: f64) {
+    fn watch_endpoints(&mut self) {}
+    fn schedule_timer(&mut self, delay: f64) {
         self.wake = Some(delay);
     }
 }
@@ -140,7 +140,7 @@
 struct Process {
     balancer: Balancer,
     number: u32,
-    handles: HashMap<u64, (Rpc, usize, f64)>,
+    handles: HashMap<u64, (RpcHandle, usize, f64)>,
 }
 
 struct World {
@@ -164,15 +164,15 @@
 impl World {
     fn new(fleet: Fleet, seed: u64) -> Self {
         let conf = Settings {
-            balancers: fleet.proxies,
-            reports: fleet.reports,
-            may_probe: fleet.probes,
-            list_on_request: false,
-            cold_from: fleet.cold_from,
-            cold_for: COLD_FOR,
-            fall_multiple: fleet.multiple,
-            fall_window: fleet.window,
-            ..settings(&[Effect::Idempotent])
+            proxy_count: fleet.proxies,
+            load_report_source: fleet.reports,
+            can_health_check: fleet.probes,
+            polls_endpoint_list: false,
+            slow_start_initial_fraction: fleet.cold_from,
+            slow_start_duration: COLD_FOR,
+            overload_multiple: fleet.multiple,
+            overload_window: fleet.window,
+            ..settings(&[Idempotency::Idempotent])
         };
         let mut random = Pcg64::seed_from_u64(seed);
         let weight = |n: usize| {
@@ -228,9 +228,9 @@
         -(1.0 - self.random.random::<f64>()).ln() * mean
     }
 
-    fn entries(&self) -> Vec<Entry> {
-        let line = |b: u32| Entry {
-            started: self.hosts[b as usize].started,
+    fn entries(&self) -> Vec<Endpoint> {
+        let line = |b: u32| Endpoint {
+            started_at: self.hosts[b as usize].started,
             ..entry(b)
         };
         (0..self.fleet.backends)
@@ -357,7 +357,7 @@
         }
     }
 
-    fn back(&mut self, number: u64, how: Outcome, held: Option<f64>) {
+    fn back(&mut self, number: u64, how: AttemptOutcome, held: Option<f64>) {
         let Some(job) = self.jobs.get_mut(&number).filter(|job| !job.ended) else {
             return;
         };
@@ -371,20 +371,20 @@
             return;
         };
         let counted = self.counted.contains(&rpc);
-        self.ok += usize::from(how == Outcome::Ok && now <= due && counted);
+        self.ok += usize::from(how == AttemptOutcome::Succeeded && now <= due && counted);
         self.processes[proxy]
             .handles
             .insert(rpc, (handle, picks, due));
-        let report = held.filter(|_| self.fleet.reports == Reports::InAnswers);
+        let report = held.filter(|_| self.fleet.reports == LoadReportSource::Responses);
         let report = report.map(|held| LoadReport {
             in_flight: Some(held),
             ..LoadReport::default()
         });
         self.call(proxy, |process, door| {
             let (handle, ..) = &process.handles[&rpc];
-            handle.ended(pick, how, how == Outcome::Ok, report, door);
+            handle.on_attempt_ended(pick, how, how == AttemptOutcome::Succeeded, report, door);
         });
-        if how == Outcome::Ok {
+        if how == AttemptOutcome::Succeeded {
             self.processes[proxy].handles.remove(&rpc);
         }
     }
@@ -400,32 +400,33 @@
                     self.came += 1;
                     self.counted.insert(rpc);
                 }
-                let asked = Arrival {
+                let asked = IncomingRpc {
                     id: rpc,
                     deadline: now + 0.5,
-                    ..Arrival::default()
+                    ..IncomingRpc::default()
                 };
                 self.call(proxy, |process, door| {
-                    let handle = process.balancer.take(&asked, door);
+                    let handle = process.balancer.accept(&asked, door);
                     process.handles.insert(rpc, (handle, 0, now + 0.2));
                 });
             }
             What::Wake(proxy, number) => {
                 if self.processes[proxy].number == number {
-                    self.call(proxy, |process, door| process.balancer.wake(door));
+                    self.call(proxy, |process, door| process.balancer.on_timer(door));
                 }
             }
             What::AtBackend(number) => {
                 let backend = self.jobs[&number].backend;
                 if !self.hosts[backend as usize].up {
-                    return self.after(WAY, What::Back(number, Outcome::NoConnection, None));
+                    return self
+                        .after(WAY, What::Back(number, AttemptOutcome::ConnectFailed, None));
                 }
                 let work = self.exponential(1.0) * self.fleet.work;
                 self.weigh(backend, work);
                 let host = &mut self.hosts[backend as usize];
                 self.jobs.get_mut(&number).expect("sent").started = host.started;
                 if host.waiting.len() >= QUEUE {
-                    return self.after(WAY, What::Back(number, Outcome::Rejected, None));
+                    return self.after(WAY, What::Back(number, AttemptOutcome::Rejected, None));
                 }
                 host.waiting.push_back(number);
                 self.begin(backend);
@@ -438,17 +439,20 @@
                 }
                 host.running -= 1;
                 let held = (host.running + host.waiting.len()) as f64;
-                self.after(WAY, What::Back(number, Outcome::Ok, Some(held)));
+                self.after(
+                    WAY,
+                    What::Back(number, AttemptOutcome::Succeeded, Some(held)),
+                );
                 self.begin(backend);
             }
             What::Back(number, how, held) => self.back(number, how, held),
-            What::TimedOut(number) => self.back(number, Outcome::TimedOut, None),
+            What::TimedOut(number) => self.back(number, AttemptOutcome::TimedOut, None),
             What::ProbeAt(proxy, process, backend) => {
                 let host = &self.hosts[backend as usize];
                 let how = if host.up {
-                    Outcome::Ok
+                    AttemptOutcome::Succeeded
                 } else {
-                    Outcome::NoConnection
+                    AttemptOutcome::ConnectFailed
                 };
                 let held = (host.running + host.waiting.len()) as f64;
                 self.after(WAY, What::Probed(proxy, process, backend, how, held));
@@ -459,9 +463,9 @@
                         in_flight: Some(held),
                         ..LoadReport::default()
                     };
-                    let report = Some(report).filter(|_| how == Outcome::Ok);
+                    let report = Some(report).filter(|_| how == AttemptOutcome::Succeeded);
                     self.call(proxy, |process, door| {
-                        process.balancer.probed(backend, how, report, door)
+                        process.balancer.on_health_check(backend, how, report, door)
                     });
                 }
             }
@@ -473,12 +477,12 @@
                     host.started = Some(self.now);
                     host.running = 0;
                     for number in std::mem::take(&mut host.waiting) {
-                        self.after(WAY, What::Back(number, Outcome::Reset, None));
+                        self.after(WAY, What::Back(number, AttemptOutcome::Reset, None));
                     }
                     for proxy in 0..self.fleet.proxies {
                         let delay = self.random.random_range(0.0..TOLD);
                         let readiness = if dies {
-                            Readiness::Gone
+                            Readiness::Removed
                         } else {
                             Readiness::Ready
                         };
@@ -488,13 +492,17 @@
             }
             What::Told(proxy, backend, readiness) => {
                 let started = self.hosts[backend as usize].started;
-                let line = Entry {
+                let line = Endpoint {
                     readiness,
-                    started,
+                    started_at: started,
                     ..entry(backend)
                 };
                 self.call(proxy, |process, door| {
-                    process.balancer.list(ListKind::Changes, &[line], door)
+                    process.balancer.update_endpoints(
+                        EndpointUpdateKind::Incremental,
+                        &[line],
+                        door,
+                    )
                 });
             }
             What::Restarts(proxy) => {
@@ -506,7 +514,11 @@
                 if self.fleet.known {
                     let lines = self.entries();
                     self.call(proxy, |process, door| {
-                        process.balancer.list(ListKind::Stale, &lines, door)
+                        process.balancer.update_endpoints(
+                            EndpointUpdateKind::StaleSnapshot,
+                            &lines,
+                            door,
+                        )
                     });
                 }
                 self.after(0.02, What::Listed(proxy, number));
@@ -515,7 +527,11 @@
                 if self.processes[proxy].number == number {
                     let lines = self.entries();
                     self.call(proxy, |process, door| {
-                        process.balancer.list(ListKind::Full, &lines, door)
+                        process.balancer.update_endpoints(
+                            EndpointUpdateKind::Snapshot,
+                            &lines,
+                            door,
+                        )
                     });
                 }
             }
@@ -587,9 +603,9 @@
             (0.7, false, true, 0.5, 3.0, 0.2, 1.0, false),
         ] {
             let reports = if probes {
-                Reports::ByProbe
+                LoadReportSource::HealthChecks
             } else {
-                Reports::InAnswers
+                LoadReportSource::Responses
             };
             let base = Fleet {
                 proxies,
@@ -661,9 +677,9 @@
         (850, true),
     ] {
         let reports = if probes {
-            Reports::ByProbe
+            LoadReportSource::HealthChecks
         } else {
-            Reports::InAnswers
+            LoadReportSource::Responses
         };
         for seed in 0..2 {
             let found = World::new(
@@ -717,11 +733,14 @@
 /// A process that starts with no list from before knows no more of what was sent than one that has it.
 #[test]
 fn a_new_process_counts_what_one_before_it_may_have_sent() {
-    for kind in [ListKind::Stale, ListKind::Full] {
+    for kind in [
+        EndpointUpdateKind::StaleSnapshot,
+        EndpointUpdateKind::Snapshot,
+    ] {
         let conf = Settings {
-            may_probe: false,
-            balancers: 2,
-            ..settings(&[Effect::Idempotent])
+            can_health_check: false,
+            proxy_count: 2,
+            ..settings(&[Idempotency::Idempotent])
         };
         let mut proxy = Proxy::new(conf, 7, &[]);
         proxy.pass(1.0);
@@ -729,8 +748,8 @@
         proxy.balancer = Balancer::new(&proxy.world.settings, 8);
         proxy.list(
             kind,
-            &[Entry {
-                started: Some(started),
+            &[Endpoint {
+                started_at: Some(started),
                 ..entry(0)
             }],
         );
@@ -751,8 +770,8 @@
 #[test]
 fn what_a_fleet_answered_is_not_what_its_rest_can_do() {
     let conf = Settings {
-        may_probe: false,
-        ..settings(&[Effect::Idempotent])
+        can_health_check: false,
+        ..settings(&[Idempotency::Idempotent])
     };
     let listed: Vec<_> = (0..30).map(entry).collect();
     let mut proxy = Proxy::new(conf, 7, &listed);
@@ -766,7 +785,7 @@
             let mut done = BTreeSet::new();
             for (rpc, n, backend) in proxy.out() {
                 if done.insert(backend) {
-                    proxy.end(rpc, n, Outcome::Ok, Some(0.0));
+                    proxy.end(rpc, n, AttemptOutcome::Succeeded, Some(0.0));
                 }
             }
         }
@@ -774,11 +793,11 @@
     drive(&mut proxy, 120);
     let now = proxy.world.now;
     proxy.list(
-        ListKind::Full,
+        EndpointUpdateKind::Snapshot,
         &[
             entry(0),
-            Entry {
-                started: Some(now),
+            Endpoint {
+                started_at: Some(now),
                 ..entry(30)
             },
         ],
@@ -1035,9 +1054,9 @@
     ] {
         for probes in [false, true] {
             let reports = if probes {
-                Reports::ByProbe
+                LoadReportSource::HealthChecks
             } else {
-                Reports::InAnswers
+                LoadReportSource::Responses
             };
             let mut worst = Found {
                 excess: f64::MIN,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,50 +1,50 @@
 //! A small world around one or more balancers, with a slow, plain model of the four rules that watches every
 //! action. It shares no code with the module. Further down, in `sockets`, stand-ins around a birchhubd.
 #![allow(dead_code)]
-use birchhub::policy::{Balancer, Rpc};
-use birchhub::types::*;
+use birchhub::interface::*;
+use birchhub::policy::{Balancer, RpcHandle};
 use std::collections::BTreeMap;
 
-pub fn method(effect: Effect) -> MethodSettings {
+pub fn method(effect: Idempotency) -> MethodSettings {
     let (latency_target, target_stretch, utility, late_utility, in_order) =
         (0.2, 0.0, 1.0, 0.0, false);
     MethodSettings {
-        effect,
-        latency_target,
-        target_stretch,
-        utility,
-        late_utility,
-        in_order,
+        idempotency: effect,
+        latency_objective: latency_target,
+        objective_stretch: target_stretch,
+        priority_weight: utility,
+        late_weight_fraction: late_utility,
+        ordered_by_key: in_order,
     }
 }
 
-pub fn settings(effects: &[Effect]) -> Settings {
+pub fn settings(effects: &[Idempotency]) -> Settings {
     Settings {
-        balancers: 1,
+        proxy_count: 1,
         methods: effects.iter().map(|e| method(*e)).collect(),
-        most_picks: 3,
-        may_cancel: true,
-        may_probe: true,
-        probe_price: 0.002,
-        reports: Reports::ByProbe,
-        reports_queue: true,
-        list_on_request: true,
-        ask_within: 10.0,
+        max_attempts: 3,
+        can_cancel: true,
+        can_health_check: true,
+        health_check_cost: 0.002,
+        load_report_source: LoadReportSource::HealthChecks,
+        reports_include_queue: true,
+        polls_endpoint_list: true,
+        poll_within: 10.0,
         drain_grace: 0.25,
-        cold_from: 0.3,
-        cold_for: 8.0,
-        fall_multiple: 3.0,
-        fall_window: 1.0,
+        slow_start_initial_fraction: 0.3,
+        slow_start_duration: 8.0,
+        overload_multiple: 3.0,
+        overload_window: 1.0,
         ..Settings::default()
     }
 }
 
-pub fn entry(backend: u32) -> Entry {
+pub fn entry(backend: u32) -> Endpoint {
     let (cell, zone) = (u64::from(backend % 2), backend as usize % 3);
-    Entry {
+    Endpoint {
         backend,
-        size: 1.0,
-        started: None,
+        relative_size: 1.0,
+        started_at: None,
         cell,
         zone,
         readiness: Readiness::Ready,
@@ -56,14 +56,14 @@
     pub backend: u32,
     pub at: f64,
     pub until: f64,
-    pub ended: Option<Outcome>,
+    pub ended: Option<AttemptOutcome>,
     pub ended_at: f64,
 }
 
 /// What the model knows of one RPC.
 #[derive(Clone, Debug)]
 pub struct Record {
-    pub effect: Effect,
+    pub effect: Idempotency,
     /// The key whose order it keeps, and its number among all that were taken.
     pub order: Option<(u64, u64)>,
     pub deadline: f64,
@@ -78,7 +78,7 @@
     pub now: f64,
     pub settings: Settings,
     pub rpcs: BTreeMap<u64, Record>,
-    pub entries: BTreeMap<u32, Entry>,
+    pub entries: BTreeMap<u32, Endpoint>,
     pub told_off: BTreeMap<u32, f64>,
     pub alarms: Vec<f64>,
     pub probes: Vec<u32>,
@@ -92,7 +92,9 @@
     fn ran(sent: &Sent) -> bool {
         !matches!(
             sent.ended,
-            Some(Outcome::Rejected | Outcome::NoConnection | Outcome::NeverSent)
+            Some(
+                AttemptOutcome::Rejected | AttemptOutcome::ConnectFailed | AttemptOutcome::NotSent
+            )
         )
     }
 
@@ -101,9 +103,9 @@
         clean
             || matches!(
                 rpc.effect,
-                Effect::Idempotent
-                    | Effect::Deduplicated {
-                        group: Group::All,
+                Idempotency::Idempotent
+                    | Idempotency::Deduplicated {
+                        scope: DeduplicationScope::All,
                         ..
                     }
             )
@@ -122,9 +124,11 @@
             for sent in &earlier.sent {
                 match sent.ended {
                     None => return Err("sent while a pick of an earlier one is out"),
-                    Some(Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled)
-                        if self.now < sent.ended_at + self.settings.key_quiet =>
-                    {
+                    Some(
+                        AttemptOutcome::TimedOut
+                        | AttemptOutcome::Reset
+                        | AttemptOutcome::Cancelled,
+                    ) if self.now < sent.ended_at + self.settings.key_cooldown => {
                         return Err("sent while its key rests");
                     }
                     _ => {}
@@ -137,16 +141,16 @@
     fn may_send(&self, rpc: &Record, to: u32) -> Result<(), &'static str> {
         let out = rpc.sent.iter().filter(|s| s.ended.is_none()).count();
         let off = self.told_off.get(&to);
-        let group = |b: u32, group: Group| match group {
-            Group::All => 0,
-            Group::Zone => self.entries[&b].zone as u64,
-            Group::Cell => self.entries[&b].cell,
+        let group = |b: u32, group: DeduplicationScope| match group {
+            DeduplicationScope::All => 0,
+            DeduplicationScope::Zone => self.entries[&b].zone as u64,
+            DeduplicationScope::Cell => self.entries[&b].cell,
         };
         for earlier in rpc.sent.iter().filter(|s| Self::ran(s)) {
             match rpc.effect {
-                Effect::Idempotent => {}
-                Effect::NonIdempotent => return Err("a non-idempotent RPC may run twice"),
-                Effect::Deduplicated { group: g, window } => {
+                Idempotency::Idempotent => {}
+                Idempotency::NonIdempotent => return Err("a non-idempotent RPC may run twice"),
+                Idempotency::Deduplicated { scope: g, window } => {
                     if group(earlier.backend, g) != group(to, g) {
                         return Err("outside the group that drops repeats");
                     }
@@ -160,8 +164,8 @@
         match () {
             () if !rpc.answers.is_empty() || rpc.hung_up => Err("sent after the final answer"),
             () if self.now >= rpc.deadline => Err("sent after the deadline"),
-            () if rpc.sent.len() >= self.settings.most_picks => Err("more picks than allowed"),
-            () if out > 0 && !self.settings.second_copies => Err("two picks out"),
+            () if rpc.sent.len() >= self.settings.max_attempts => Err("more picks than allowed"),
+            () if out > 0 && !self.settings.can_hedge => Err("two picks out"),
             () if off.is_some_and(|at| self.now > at + self.settings.drain_grace) => {
                 Err("sent to a drained backend")
             }
@@ -187,11 +191,11 @@
     }
 }
 
-impl Link for World {
+impl Platform for World {
     fn now(&self) -> f64 {
         self.now
     }
-    fn pick(&mut self, rpc: u64, backend: u32, time_out: f64) {
+    fn start_attempt(&mut self, rpc: u64, backend: u32, time_out: f64) {
         if let Err(rule) = self.may_send(&self.rpcs[&rpc], backend) {
             self.broken.push(format!(
                 "{rule}: {rpc} to {backend} at {}: {:?}",
@@ -209,27 +213,27 @@
             ended_at: 0.0,
         });
     }
-    fn cancel(&mut self, rpc: u64, pick: usize) {
-        if self.rpcs[&rpc].sent[pick].ended.is_some() || !self.settings.may_cancel {
+    fn cancel_attempt(&mut self, rpc: u64, pick: usize) {
+        if self.rpcs[&rpc].sent[pick].ended.is_some() || !self.settings.can_cancel {
             self.broken
                 .push(format!("cancelled {rpc} {pick}, which is not out"));
         }
     }
-    fn push_back(&mut self, rpc: u64, come_back: f64) {
+    fn reject(&mut self, rpc: u64, come_back: f64) {
         self.come_backs.push(come_back);
         self.answer(rpc, "pushed back");
     }
-    fn abort(&mut self, rpc: u64) {
+    fn fail(&mut self, rpc: u64) {
         self.answer(rpc, "aborted");
     }
-    fn probe(&mut self, backend: u32) {
+    fn health_check(&mut self, backend: u32) {
         self.probes.push(backend);
         self.probed += 1;
     }
-    fn watch(&mut self) {
+    fn watch_endpoints(&mut self) {
         self.watches.push(self.now);
     }
-    fn wake_in(&mut self, delay: f64) {
+    fn schedule_timer(&mut self, delay: f64) {
         self.alarms.push(self.now + delay.max(0.001));
     }
 }
@@ -238,12 +242,12 @@
 pub struct Proxy {
     pub world: World,
     pub balancer: Balancer,
-    pub handles: BTreeMap<u64, Rpc>,
+    pub handles: BTreeMap<u64, RpcHandle>,
     next: u64,
 }
 
 impl Proxy {
-    pub fn new(settings: Settings, seed: u64, entries: &[Entry]) -> Self {
+    pub fn new(settings: Settings, seed: u64, entries: &[Endpoint]) -> Self {
         let balancer = Balancer::new(&settings, seed);
         let world = World {
             settings,
@@ -255,13 +259,13 @@
             handles: BTreeMap::new(),
             next: 0,
         };
-        proxy.list(ListKind::Stale, entries);
+        proxy.list(EndpointUpdateKind::StaleSnapshot, entries);
         proxy
     }
 
-    pub fn list(&mut self, kind: ListKind, entries: &[Entry]) {
+    pub fn list(&mut self, kind: EndpointUpdateKind, entries: &[Endpoint]) {
         let now = self.world.now;
-        if kind != ListKind::Changes {
+        if kind != EndpointUpdateKind::Incremental {
             for id in self
                 .world
                 .entries
@@ -278,7 +282,8 @@
                 _ => drop(self.world.told_off.entry(e.backend).or_insert(now)),
             }
         }
-        self.balancer.list(kind, entries, &mut self.world);
+        self.balancer
+            .update_endpoints(kind, entries, &mut self.world);
     }
 
     pub fn take(&mut self, method: usize, left: f64) -> u64 {
@@ -292,35 +297,35 @@
         tenant: Option<usize>,
         client_repeat: bool,
     ) -> u64 {
-        self.take_any(Arrival {
+        self.take_any(IncomingRpc {
             method,
             tenant,
             deadline: left,
-            client_repeat,
-            ..Arrival::default()
+            client_retry: client_repeat,
+            ..IncomingRpc::default()
         })
     }
 
     pub fn take_keyed(&mut self, key: u64) -> u64 {
-        self.take_any(Arrival {
+        self.take_any(IncomingRpc {
             deadline: 0.5,
             key: Some(key),
-            ..Arrival::default()
+            ..IncomingRpc::default()
         })
     }
 
     /// One whose body is still on its way.
     pub fn take_long(&mut self) -> u64 {
-        self.take_any(Arrival {
+        self.take_any(IncomingRpc {
             deadline: 0.5,
-            long: true,
-            ..Arrival::default()
+            streams_request: true,
+            ..IncomingRpc::default()
         })
     }
 
     /// Its id is given here, and its deadline counts from now.
-    pub fn take_any(&mut self, asked: Arrival) -> u64 {
-        let Arrival {
+    pub fn take_any(&mut self, asked: IncomingRpc) -> u64 {
+        let IncomingRpc {
             method,
             deadline: left,
             ..
@@ -328,7 +333,9 @@
         let id = self.next;
         self.next += 1;
         let MethodSettings {
-            effect, in_order, ..
+            idempotency: effect,
+            ordered_by_key: in_order,
+            ..
         } = self.world.settings.methods[method];
         let (deadline, order) = (
             self.world.now + left,
@@ -345,12 +352,12 @@
             hung_up: false,
         };
         self.world.rpcs.insert(id, record);
-        let arrival = Arrival {
+        let arrival = IncomingRpc {
             id,
             deadline,
             ..asked
         };
-        let handle = self.balancer.take(&arrival, &mut self.world);
+        let handle = self.balancer.accept(&arrival, &mut self.world);
         self.handles.insert(id, handle);
         id
     }
@@ -364,7 +371,7 @@
         self.world.rpcs.iter().flat_map(picks).collect()
     }
 
-    pub fn end(&mut self, rpc: u64, n: usize, how: Outcome, in_flight: Option<f64>) {
+    pub fn end(&mut self, rpc: u64, n: usize, how: AttemptOutcome, in_flight: Option<f64>) {
         let record = self
             .world
             .rpcs
@@ -372,7 +379,7 @@
             .expect("an RPC that was taken");
         (record.sent[n].ended, record.sent[n].ended_at) = (Some(how), self.world.now);
         let closed = !record.answers.is_empty() || record.hung_up;
-        let over = closed || how == Outcome::Ok || record.streaming;
+        let over = closed || how == AttemptOutcome::Succeeded || record.streaming;
         if over && !closed {
             record.answers.push("ok");
         }
@@ -380,7 +387,7 @@
             in_flight: Some(f),
             ..LoadReport::default()
         });
-        self.handles[&rpc].ended(n, how, over, report, &mut self.world);
+        self.handles[&rpc].on_attempt_ended(n, how, over, report, &mut self.world);
     }
 
     /// Takes an RPC every `gap` seconds and returns them all; probes report what a backend holds, picks end
@@ -390,13 +397,13 @@
         rounds: usize,
         gap: f64,
         held: impl Fn(u32) -> f64,
-        how: impl Fn(u32) -> Option<Outcome>,
+        how: impl Fn(u32) -> Option<AttemptOutcome>,
     ) -> Vec<Record> {
         let round = |_| {
             let rpc = self.take(0, 0.5);
             for _ in 0..5 {
                 self.pass(gap.min(0.02) / 5.0);
-                self.answer_probes(Outcome::Ok, &held);
+                self.answer_probes(AttemptOutcome::Succeeded, &held);
             }
             self.pass(gap - gap.min(0.02));
             for (rpc, n, backend) in self.out() {
@@ -412,20 +419,21 @@
             .collect()
     }
 
-    pub fn end_all(&mut self, how: Outcome, in_flight: Option<f64>) {
+    pub fn end_all(&mut self, how: AttemptOutcome, in_flight: Option<f64>) {
         self.out()
             .into_iter()
             .for_each(|(rpc, n, _)| self.end(rpc, n, how, in_flight));
     }
 
-    pub fn answer_probes(&mut self, how: Outcome, in_flight: impl Fn(u32) -> f64) {
+    pub fn answer_probes(&mut self, how: AttemptOutcome, in_flight: impl Fn(u32) -> f64) {
         for backend in std::mem::take(&mut self.world.probes) {
             let report = LoadReport {
                 in_flight: Some(in_flight(backend)),
                 ..LoadReport::default()
             };
-            let report = Some(report).filter(|_| how == Outcome::Ok);
-            self.balancer.probed(backend, how, report, &mut self.world);
+            let report = Some(report).filter(|_| how == AttemptOutcome::Succeeded);
+            self.balancer
+                .on_health_check(backend, how, report, &mut self.world);
         }
     }
 
@@ -458,7 +466,7 @@
                     .find(|o| !streaming(o) && until(o) <= due)
                     .copied();
                 let (id, n, _) = late.expect("a pick that is due");
-                self.end(id, n, Outcome::TimedOut, None);
+                self.end(id, n, AttemptOutcome::TimedOut, None);
             } else {
                 let place = self
                     .world
@@ -467,7 +475,7 @@
                     .position(|a| *a == alarm)
                     .expect("an alarm that is due");
                 self.world.alarms.swap_remove(place);
-                self.balancer.wake(&mut self.world);
+                self.balancer.on_timer(&mut self.world);
             }
         }
         self.world.now = end;
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -1,6 +1,6 @@
 //! One small test for each failure found.
 mod common;
-use birchhub::types::*;
+use birchhub::interface::*;
 use common::{Proxy, entry, settings};
 
 fn fleet(backends: u32, conf: Settings) -> Proxy {
@@ -10,8 +10,8 @@
 
 /// Method 0 is worth half of the best: what is late is refused from the lower utilities on.
 fn lesser(backends: u32) -> Proxy {
-    let mut conf = settings(&[Effect::NonIdempotent, Effect::NonIdempotent]);
-    conf.methods[1].utility = 2.0;
+    let mut conf = settings(&[Idempotency::NonIdempotent, Idempotency::NonIdempotent]);
+    conf.methods[1].priority_weight = 2.0;
     fleet(backends, conf)
 }
 
@@ -20,8 +20,8 @@
     fleet(
         backends,
         Settings {
-            may_probe: false,
-            ..settings(&[Effect::NonIdempotent])
+            can_health_check: false,
+            ..settings(&[Idempotency::NonIdempotent])
         },
     )
 }
@@ -29,16 +29,16 @@
 /// With probes that cost more than even an RPC's first is worth.
 fn dear(backends: u32) -> Proxy {
     let conf = Settings {
-        reports: Reports::ByProbe,
-        probe_price: 0.08,
-        ..settings(&[Effect::Idempotent])
+        load_report_source: LoadReportSource::HealthChecks,
+        health_check_cost: 0.08,
+        ..settings(&[Idempotency::Idempotent])
     };
     fleet(backends, conf)
 }
 
 #[test]
 fn an_empty_list_pushes_back_within_the_hold() {
-    let mut proxy = fleet(0, settings(&[Effect::NonIdempotent]));
+    let mut proxy = fleet(0, settings(&[Idempotency::NonIdempotent]));
     let rpc = proxy.take(0, 0.5);
     proxy.pass(0.1);
     assert_eq!(proxy.world.rpcs[&rpc].answers, ["pushed back"]);
@@ -46,20 +46,20 @@
 
 #[test]
 fn an_idle_report_is_used_once() {
-    let mut proxy = fleet(5, settings(&[Effect::Idempotent]));
-    proxy.answer_probes(Outcome::Ok, |b| f64::from(b != 3) * 9.0);
+    let mut proxy = fleet(5, settings(&[Idempotency::Idempotent]));
+    proxy.answer_probes(AttemptOutcome::Succeeded, |b| f64::from(b != 3) * 9.0);
     proxy.pass(0.06);
-    proxy.answer_probes(Outcome::Ok, |b| f64::from(b != 3) * 9.0);
+    proxy.answer_probes(AttemptOutcome::Succeeded, |b| f64::from(b != 3) * 9.0);
     let known = LoadReport {
         in_flight: Some(0.0),
         ..LoadReport::default()
     };
     proxy
         .balancer
-        .probed(3, Outcome::Ok, Some(known), &mut proxy.world);
+        .on_health_check(3, AttemptOutcome::Succeeded, Some(known), &mut proxy.world);
     proxy
         .balancer
-        .probed(3, Outcome::Ok, Some(known), &mut proxy.world);
+        .on_health_check(3, AttemptOutcome::Succeeded, Some(known), &mut proxy.world);
     let (first, second) = (proxy.take(0, 0.5), proxy.take(0, 0.5));
     assert_eq!(proxy.world.rpcs[&first].sent[0].backend, 3);
     assert!(
@@ -70,7 +70,13 @@
 
 #[test]
 fn a_quick_failure_does_not_look_idle() {
-    let bad = |b: u32| if b == 2 { Outcome::Error } else { Outcome::Ok };
+    let bad = |b: u32| {
+        if b == 2 {
+            AttemptOutcome::Failed
+        } else {
+            AttemptOutcome::Succeeded
+        }
+    };
     let rpcs = blind(4).drive(200, 0.01, |b| f64::from(b != 2), |b| Some(bad(b)));
     let to_bad = rpcs.iter().filter(|r| r.sent[0].backend == 2).count();
     assert!(
@@ -81,13 +87,13 @@
 
 #[test]
 fn a_fleet_wide_failure_does_not_empty_the_ready_set() {
-    let rpcs = blind(4).drive(61, 0.01, |_| 1.0, |_| Some(Outcome::Error));
+    let rpcs = blind(4).drive(61, 0.01, |_| 1.0, |_| Some(AttemptOutcome::Failed));
     assert_eq!(rpcs[60].sent.len(), 1, "still tried when all rest");
 }
 
 #[test]
 fn wake_ups_do_not_multiply() {
-    let mut proxy = fleet(3, settings(&[Effect::Idempotent]));
+    let mut proxy = fleet(3, settings(&[Idempotency::Idempotent]));
     for _ in 0..300 {
         proxy.take(0, 0.3);
         proxy.pass(0.01);
@@ -106,7 +112,7 @@
     for _ in 0..400 {
         let rpc = proxy.take(0, 0.5);
         proxy.pass(0.002);
-        proxy.answer_probes(Outcome::Ok, |_| 8.0);
+        proxy.answer_probes(AttemptOutcome::Succeeded, |_| 8.0);
         proxy.pass(0.04);
         refused += usize::from(proxy.world.rpcs[&rpc].answers == ["pushed back"]);
     }
@@ -125,8 +131,8 @@
     ];
     let conf = Settings {
         tenants,
-        may_probe: false,
-        ..settings(&[Effect::NonIdempotent])
+        can_health_check: false,
+        ..settings(&[Idempotency::NonIdempotent])
     };
     let mut proxy = fleet(4, conf);
     let mut served = [0, 0];
@@ -135,7 +141,7 @@
         let first = round % 8 == 0;
         let rpc = proxy.take_as(0, 0.5, Some(usize::from(!first)), !first);
         served[usize::from(!first)] += proxy.world.rpcs[&rpc].sent.len();
-        proxy.end_all(Outcome::Ok, Some(2.0));
+        proxy.end_all(AttemptOutcome::Succeeded, Some(2.0));
         proxy.pass(0.00625);
     }
     assert!(
@@ -150,9 +156,9 @@
 fn failed_list_calls_are_spaced_and_kept_up() {
     for ask_within in [4.0, 10.0, 20.0] {
         let conf = Settings {
-            may_probe: false,
-            ask_within,
-            ..settings(&[Effect::Idempotent])
+            can_health_check: false,
+            poll_within: ask_within,
+            ..settings(&[Idempotency::Idempotent])
         };
         let mut proxy = fleet(3, conf);
         let mut asked = 0;
@@ -183,8 +189,8 @@
     let tenants = vec![TenantSettings { quota: 0.5 }, TenantSettings { quota: 4.0 }];
     let conf = Settings {
         tenants,
-        may_probe: false,
-        ..settings(&[Effect::NonIdempotent])
+        can_health_check: false,
+        ..settings(&[Idempotency::NonIdempotent])
     };
     let mut proxy = fleet(4, conf);
     let (mut sent, mut taken) = (0, 0);
@@ -197,7 +203,7 @@
             let rpc = proxy.take_as(0, 0.5, Some(tenant), false);
             taken += usize::from(tenant == 0);
             sent += proxy.world.rpcs[&rpc].sent.len() * usize::from(tenant == 0);
-            proxy.end_all(Outcome::Ok, Some(2.0));
+            proxy.end_all(AttemptOutcome::Succeeded, Some(2.0));
         }
         proxy.pass(1.0 / 12.0);
     }
@@ -212,11 +218,11 @@
     let mut proxy = fleet(
         9,
         Settings {
-            probe_price: 0.0069,
-            ..settings(&[Effect::Idempotent])
+            health_check_cost: 0.0069,
+            ..settings(&[Idempotency::Idempotent])
         },
     );
-    proxy.drive(60, 1.0, |_| 4.0, |_| Some(Outcome::Ok));
+    proxy.drive(60, 1.0, |_| 4.0, |_| Some(AttemptOutcome::Succeeded));
     let probes = proxy.world.probed;
     assert!(
         probes <= 60 * 3 + 3,
@@ -229,8 +235,8 @@
     let mut proxy = fleet(
         60,
         Settings {
-            may_probe: false,
-            ..settings(&[Effect::Idempotent])
+            can_health_check: false,
+            ..settings(&[Idempotency::Idempotent])
         },
     );
     let (mut refused, mut again) = (0, 0);
@@ -240,13 +246,13 @@
         // Every twentieth pick is answered with an error, then all are: a storm is not answered by another.
         if round % 20 == 19 || round >= 300 {
             refused += usize::from(round < 300);
-            proxy.end(rpc, 0, Outcome::Error, None);
+            proxy.end(rpc, 0, AttemptOutcome::Failed, None);
             again += usize::from(proxy.world.rpcs[&rpc].sent.len() > 1);
         }
         if round < 300 {
-            proxy.end_all(Outcome::Ok, Some(2.0));
+            proxy.end_all(AttemptOutcome::Succeeded, Some(2.0));
         }
-        proxy.end_all(Outcome::Error, None);
+        proxy.end_all(AttemptOutcome::Failed, None);
     }
     assert!(
         (refused - 3..refused + 5).contains(&again),
@@ -268,12 +274,12 @@
 fn draws_stay_at_home_where_crossing_zones_is_dear() {
     for (cross_price, part) in [(0.04, 270..301), (0.0, 60..150)] {
         let conf = Settings {
-            cross_price,
-            zones: 3,
-            may_probe: false,
-            ..settings(&[Effect::NonIdempotent])
+            cross_zone_cost: cross_price,
+            zone_count: 3,
+            can_health_check: false,
+            ..settings(&[Idempotency::NonIdempotent])
         };
-        let rpcs = fleet(12, conf).drive(300, 0.02, |_| 2.0, |_| Some(Outcome::Ok));
+        let rpcs = fleet(12, conf).drive(300, 0.02, |_| 2.0, |_| Some(AttemptOutcome::Succeeded));
         let at_home = rpcs
             .iter()
             .filter(|r| entry(r.sent[0].backend).zone == 0)
@@ -288,8 +294,14 @@
 #[test]
 fn one_error_keeps_a_backend_off_the_list_for_a_while() {
     // Too few RPCs to meet the bad one three times before a short rest is over.
-    let bad = |b: u32| if b == 2 { Outcome::Error } else { Outcome::Ok };
-    let mut proxy = fleet(8, settings(&[Effect::NonIdempotent]));
+    let bad = |b: u32| {
+        if b == 2 {
+            AttemptOutcome::Failed
+        } else {
+            AttemptOutcome::Succeeded
+        }
+    };
+    let mut proxy = fleet(8, settings(&[Idempotency::NonIdempotent]));
     let rpcs = proxy.drive(10, 0.54, |b| f64::from(b != 2) * 4.0, |b| Some(bad(b)));
     let to_bad = rpcs
         .iter()
@@ -305,16 +317,16 @@
 #[test]
 fn one_answer_spoilt_after_work_rests_nobody() {
     let mut proxy = blind(2);
-    proxy.drive(20, 0.03, |_| 1.0, |_| Some(Outcome::Ok));
+    proxy.drive(20, 0.03, |_| 1.0, |_| Some(AttemptOutcome::Succeeded));
     let (mut spoilt, mut after) = (false, 0);
     for _ in 0..36 {
         let rpc = proxy.take(0, 0.5);
         proxy.pass(0.01);
         let to_it = proxy.world.rpcs[&rpc].sent[0].backend == 1;
         let how = if to_it && !spoilt {
-            Outcome::Reset
+            AttemptOutcome::Reset
         } else {
-            Outcome::Ok
+            AttemptOutcome::Succeeded
         };
         proxy.end(rpc, 0, how, Some(1.0));
         after += usize::from(to_it && spoilt);
@@ -329,13 +341,13 @@
 /// A probe that this proxy could not send says nothing of its backend.
 #[test]
 fn unsent_probes_rest_nobody() {
-    let mut proxy = fleet(4, settings(&[Effect::Idempotent]));
+    let mut proxy = fleet(4, settings(&[Idempotency::Idempotent]));
     let mut probed = Vec::new();
     for round in 0..40 {
         proxy.take(0, 0.5);
-        proxy.answer_probes(Outcome::NeverSent, |_| 0.0);
+        proxy.answer_probes(AttemptOutcome::NotSent, |_| 0.0);
         proxy.pass(0.02);
-        proxy.end_all(Outcome::Ok, Some(f64::from(round % 2)));
+        proxy.end_all(AttemptOutcome::Succeeded, Some(f64::from(round % 2)));
         probed.push(proxy.world.probed);
     }
     assert!(
@@ -351,9 +363,9 @@
     let lossy = |b: u32| {
         asked.update(|asked| asked + u32::from(b == 2));
         if b == 2 && asked.get().is_multiple_of(3) {
-            Outcome::Reset
+            AttemptOutcome::Reset
         } else {
-            Outcome::Ok
+            AttemptOutcome::Succeeded
         }
     };
     let rpcs = blind(6).drive(900, 0.01, |_| 1.0, |b| Some(lossy(b)));
@@ -371,16 +383,16 @@
 /// of them ran.
 #[test]
 fn what_cannot_have_run_goes_elsewhere_without_credit() {
-    for how in [Outcome::NoConnection, Outcome::Rejected] {
+    for how in [AttemptOutcome::ConnectFailed, AttemptOutcome::Rejected] {
         half_of_the_fleet_never_runs_anything(how);
     }
 }
 
-fn half_of_the_fleet_never_runs_anything(how: Outcome) {
+fn half_of_the_fleet_never_runs_anything(how: AttemptOutcome) {
     let conf = Settings {
-        most_picks: 5,
-        may_probe: false,
-        ..settings(&[Effect::NonIdempotent])
+        max_attempts: 5,
+        can_health_check: false,
+        ..settings(&[Idempotency::NonIdempotent])
     };
     let mut proxy = fleet(60, conf);
     let (mut met, mut lost) = (0, 0);
@@ -391,7 +403,11 @@
             proxy.end(
                 rpc,
                 n,
-                if backend < 30 { how } else { Outcome::Ok },
+                if backend < 30 {
+                    how
+                } else {
+                    AttemptOutcome::Succeeded
+                },
                 Some(1.0),
             );
         }
@@ -411,20 +427,23 @@
 fn no_probe_is_sent_where_answers_tell_of_the_queue() {
     let sent = |reports, reports_queue| {
         let conf = Settings {
-            reports,
-            reports_queue,
-            ..settings(&[Effect::Idempotent])
+            load_report_source: reports,
+            reports_include_queue: reports_queue,
+            ..settings(&[Idempotency::Idempotent])
         };
         let mut proxy = fleet(10, conf);
-        proxy.drive(20, 0.05, |_| 1.0, |_| Some(Outcome::Ok));
+        proxy.drive(20, 0.05, |_| 1.0, |_| Some(AttemptOutcome::Succeeded));
         proxy.world.probed
     };
-    assert_eq!(sent(Reports::InAnswers, true), 0);
+    assert_eq!(sent(LoadReportSource::Responses, true), 0);
     assert!(
-        sent(Reports::InAnswers, false) > 10,
+        sent(LoadReportSource::Responses, false) > 10,
         "a queue is told by the time that a probe takes"
     );
-    assert!(sent(Reports::ByProbe, true) > 10, "nothing else tells");
+    assert!(
+        sent(LoadReportSource::HealthChecks, true) > 10,
+        "nothing else tells"
+    );
 }
 
 /// Where probes are dear, blind draws fill some backends while others stand idle. An answer tells that there is room again.
@@ -438,17 +457,17 @@
         proxy.end(rpc, sent.len() - 1, how, None);
         sent.last().expect("a pick").backend
     };
-    let first = served_by(&mut proxy, Outcome::Ok);
+    let first = served_by(&mut proxy, AttemptOutcome::Succeeded);
     for _ in 0..20 {
         assert_eq!(
-            served_by(&mut proxy, Outcome::Ok),
+            served_by(&mut proxy, AttemptOutcome::Succeeded),
             first,
             "its place there is free again"
         );
     }
-    served_by(&mut proxy, Outcome::TimedOut);
+    served_by(&mut proxy, AttemptOutcome::TimedOut);
     let others = (0..5)
-        .filter(|_| served_by(&mut proxy, Outcome::TimedOut) != first)
+        .filter(|_| served_by(&mut proxy, AttemptOutcome::TimedOut) != first)
         .count();
     assert!(
         others >= 4,
@@ -467,13 +486,13 @@
     }
     proxy.pass(0.04);
     let known: Vec<_> = proxy.out().iter().map(|(.., backend)| *backend).collect();
-    proxy.end_all(Outcome::Ok, None);
+    proxy.end_all(AttemptOutcome::Succeeded, None);
     let mut sent = Vec::new();
     for _ in 0..40 {
         let rpc = proxy.take(0, 0.5);
         let backend = proxy.world.rpcs[&rpc].sent[0].backend;
         proxy.pass(time(backend));
-        proxy.end(rpc, 0, Outcome::Ok, None);
+        proxy.end(rpc, 0, AttemptOutcome::Succeeded, None);
         sent.push(backend);
     }
     let best = known.iter().min().expect("some");
@@ -490,7 +509,7 @@
     let mut served_by = |held: f64| {
         let rpc = proxy.take(0, 0.5);
         proxy.pass(0.05);
-        proxy.end(rpc, 0, Outcome::Ok, Some(held));
+        proxy.end(rpc, 0, AttemptOutcome::Succeeded, Some(held));
         proxy.pass(1.0);
         proxy.world.rpcs[&rpc].sent[0].backend
     };
@@ -531,7 +550,7 @@
             proxy.end(
                 rpc,
                 n,
-                Outcome::Ok,
+                AttemptOutcome::Succeeded,
                 Some(if liar(backend) { 0.0 } else { 3.0 }),
             );
             later.extend((round >= 50 && round % 2 == 1).then_some(backend));
@@ -552,10 +571,10 @@
 #[test]
 fn probes_are_not_paid_for_where_all_reports_are_light() {
     let probes = |held: fn(u32) -> f64| {
-        let mut proxy = fleet(12, settings(&[Effect::Idempotent]));
-        proxy.drive(100, 0.05, held, |_| Some(Outcome::Ok));
+        let mut proxy = fleet(12, settings(&[Idempotency::Idempotent]));
+        proxy.drive(100, 0.05, held, |_| Some(AttemptOutcome::Succeeded));
         let before = proxy.world.probed;
-        proxy.drive(100, 0.05, held, |_| Some(Outcome::Ok));
+        proxy.drive(100, 0.05, held, |_| Some(AttemptOutcome::Succeeded));
         proxy.world.probed - before
     };
     let (light, mixed) = (probes(|_| 0.0), probes(|backend| f64::from(backend % 3)));
@@ -569,8 +588,8 @@
 /// pushed back at once, the others are served, and it is let in again soon after it has ended.
 #[test]
 fn a_method_that_drags_everywhere_is_kept_out_and_let_in_again() {
-    let mut conf = settings(&[Effect::Idempotent, Effect::NonIdempotent]);
-    (conf.may_probe, conf.come_back_max) = (false, 1.0);
+    let mut conf = settings(&[Idempotency::Idempotent, Idempotency::NonIdempotent]);
+    (conf.can_health_check, conf.max_retry_after) = (false, 1.0);
     let mut proxy = fleet(20, conf);
     let mut play = |rounds: usize, drags: bool| {
         let (mut served, mut sent) = (0, 0);
@@ -583,7 +602,7 @@
             proxy.pass(0.02);
             for (rpc, n, _) in proxy.out() {
                 if !drags || rpc % 2 == 0 {
-                    proxy.end(rpc, n, Outcome::Ok, Some(1.0));
+                    proxy.end(rpc, n, AttemptOutcome::Succeeded, Some(1.0));
                 }
             }
             served += usize::from(proxy.world.rpcs[&other].answers == ["ok"]);
@@ -606,8 +625,8 @@
 /// quick, and refusing them helps nobody.
 #[test]
 fn lost_answers_do_not_count_as_load() {
-    let mut conf = settings(&[Effect::NonIdempotent]);
-    (conf.may_probe, conf.methods[0].late_utility) = (false, 0.3);
+    let mut conf = settings(&[Idempotency::NonIdempotent]);
+    (conf.can_health_check, conf.methods[0].late_weight_fraction) = (false, 0.3);
     let mut proxy = fleet(30, conf);
     let mut refused = 0;
     for round in 0..1000 {
@@ -616,7 +635,7 @@
         proxy.pass(0.02);
         let quick = |(rpc, ..): &(u64, usize, u32)| rpc % 5 != 4 || round < 100;
         for (rpc, n, _) in proxy.out().into_iter().filter(quick) {
-            proxy.end(rpc, n, Outcome::Ok, Some(4.0));
+            proxy.end(rpc, n, AttemptOutcome::Succeeded, Some(4.0));
         }
     }
     assert!(refused < 20, "{refused} of 1000 refused");
@@ -625,8 +644,8 @@
 /// Four tenants alike: what drags for one of them keeps only that one out.
 #[test]
 fn a_tenant_that_drags_everywhere_leaves_the_others_in() {
-    let mut conf = settings(&[Effect::NonIdempotent]);
-    (conf.may_probe, conf.tenants) = (false, vec![TenantSettings { quota: 60.0 }; 4]);
+    let mut conf = settings(&[Idempotency::NonIdempotent]);
+    (conf.can_health_check, conf.tenants) = (false, vec![TenantSettings { quota: 60.0 }; 4]);
     let mut proxy = fleet(20, conf);
     let mut sent = [0; 4];
     for round in 0..1200 {
@@ -636,7 +655,7 @@
         proxy.pass(0.01);
         let quick = |(rpc, ..): &(u64, usize, u32)| rpc % 4 != 3 || round < 200;
         for (rpc, n, _) in proxy.out().into_iter().filter(quick) {
-            proxy.end(rpc, n, Outcome::Ok, Some(1.0));
+            proxy.end(rpc, n, AttemptOutcome::Succeeded, Some(1.0));
         }
     }
     assert!(
@@ -651,19 +670,19 @@
 fn a_backend_that_turned_a_pick_away_counts_as_full_for_a_while() {
     let tries = |started: Option<f64>| {
         let conf = Settings {
-            may_probe: false,
-            most_picks: 5,
-            ..settings(&[Effect::Idempotent])
+            can_health_check: false,
+            max_attempts: 5,
+            ..settings(&[Idempotency::Idempotent])
         };
         let mut proxy = fleet(4, conf);
-        proxy.drive(100, 0.05, |_| 1.0, |_| Some(Outcome::Ok));
+        proxy.drive(100, 0.05, |_| 1.0, |_| Some(AttemptOutcome::Succeeded));
         let now = proxy.world.now;
         // As many are out as that any place is used.
         (0..12).for_each(|_| _ = proxy.take(0, 9.0));
         proxy.list(
-            ListKind::Changes,
-            &[Entry {
-                started: started.map(|age| now - age),
+            EndpointUpdateKind::Incremental,
+            &[Endpoint {
+                started_at: started.map(|age| now - age),
                 ..entry(0)
             }],
         );
@@ -672,11 +691,11 @@
             while let Some((rpc, n, _)) =
                 proxy.out().into_iter().find(|(.., backend)| *backend == 0)
             {
-                proxy.end(rpc, n, Outcome::Rejected, None);
+                proxy.end(rpc, n, AttemptOutcome::Rejected, None);
             }
             proxy.pass(0.002);
             for (rpc, n, _) in proxy.out().into_iter().take(1) {
-                proxy.end(rpc, n, Outcome::Ok, Some(1.0));
+                proxy.end(rpc, n, AttemptOutcome::Succeeded, Some(1.0));
             }
         }
         let sent = proxy.world.rpcs.values().flat_map(|r| &r.sent);
@@ -693,13 +712,13 @@
 /// With keys: ten cells of four each, what a backend does is told by how long probes take.
 fn keyed(seed: u64) -> Proxy {
     let conf = Settings {
-        warm_keys: true,
-        reports_queue: false,
-        probe_price: 0.01,
-        ..settings(&[Effect::Idempotent, Effect::Idempotent])
+        key_affinity: true,
+        reports_include_queue: false,
+        health_check_cost: 0.01,
+        ..settings(&[Idempotency::Idempotent, Idempotency::Idempotent])
     };
     let listed: Vec<_> = (0..40)
-        .map(|b| Entry {
+        .map(|b| Endpoint {
             cell: u64::from(b / 4),
             ..entry(b)
         })
@@ -716,7 +735,7 @@
         for seed in 0..6 {
             let mut proxy = keyed(seed);
             let rpc = proxy.take_keyed(key);
-            proxy.answer_probes(Outcome::Ok, |_| 0.0);
+            proxy.answer_probes(AttemptOutcome::Succeeded, |_| 0.0);
             cells.extend(
                 proxy.world.rpcs[&rpc]
                     .sent
@@ -739,9 +758,9 @@
     let mut proxy = keyed(1);
     for _ in 0..40 {
         proxy.take_keyed(1);
-        proxy.answer_probes(Outcome::Rejected, |_| 0.0);
+        proxy.answer_probes(AttemptOutcome::Rejected, |_| 0.0);
         proxy.pass(0.1);
-        proxy.end_all(Outcome::Ok, None);
+        proxy.end_all(AttemptOutcome::Succeeded, None);
     }
     let before = proxy.world.probed;
     proxy.take_keyed(1);
@@ -766,7 +785,7 @@
         });
         proxy
             .balancer
-            .probed(first, Outcome::Ok, busy, &mut proxy.world);
+            .on_health_check(first, AttemptOutcome::Succeeded, busy, &mut proxy.world);
         at_once += usize::from(
             proxy.world.rpcs[&rpc]
                 .sent
@@ -774,8 +793,8 @@
                 .is_some_and(|s| s.backend == first),
         );
         proxy.pass(0.04);
-        proxy.answer_probes(Outcome::Ok, |_| 1.0);
-        proxy.end_all(Outcome::Ok, None);
+        proxy.answer_probes(AttemptOutcome::Succeeded, |_| 1.0);
+        proxy.end_all(AttemptOutcome::Succeeded, None);
         proxy.pass(0.1);
     }
     assert!(
@@ -793,16 +812,16 @@
     ];
     let conf = Settings {
         tenants,
-        balancers: 100,
-        may_probe: false,
-        ..settings(&[Effect::Idempotent])
+        proxy_count: 100,
+        can_health_check: false,
+        ..settings(&[Idempotency::Idempotent])
     };
     let mut proxy = fleet(40, conf);
     let mut refused = 0;
     for n in 0..600 {
         let rpc = proxy.take_as(0, 0.5, Some(n % 2), false);
         proxy.pass(0.02);
-        proxy.end_all(Outcome::Ok, Some(2.0));
+        proxy.end_all(AttemptOutcome::Succeeded, Some(2.0));
         refused += usize::from(proxy.world.rpcs[&rpc].answers != ["ok"]);
     }
     assert_eq!(refused, 0, "at 25 times its even split, both tenants alike");
@@ -812,10 +831,10 @@
 #[test]
 fn where_late_answers_count_draws_need_more_room() {
     let refused = |late_utility: f64| {
-        let mut conf = settings(&[Effect::Idempotent]);
-        (conf.may_probe, conf.methods[0].late_utility) = (false, late_utility);
+        let mut conf = settings(&[Idempotency::Idempotent]);
+        (conf.can_health_check, conf.methods[0].late_weight_fraction) = (false, late_utility);
         let mut proxy = fleet(10, conf);
-        let rpcs = proxy.drive(300, 0.11, |_| 2.0, |_| Some(Outcome::Ok));
+        let rpcs = proxy.drive(300, 0.11, |_| 2.0, |_| Some(AttemptOutcome::Succeeded));
         rpcs.iter().filter(|rpc| rpc.sent.is_empty()).count()
     };
     assert_eq!(refused(0.0), 0, "0.11 s fit into 0.2 s");
@@ -828,8 +847,8 @@
 fn a_cold_backend_works_before_few_proxies() {
     let served = |balancers: usize| {
         let conf = Settings {
-            balancers,
-            ..settings(&[Effect::Idempotent])
+            proxy_count: balancers,
+            ..settings(&[Idempotency::Idempotent])
         };
         let mut proxy = Proxy::new(conf, 7, &[entry(0)]);
         let mut served = 0;
@@ -837,19 +856,19 @@
             if n == 60 {
                 let now = proxy.world.now;
                 proxy.list(
-                    ListKind::Full,
-                    &[Entry {
-                        started: Some(now),
+                    EndpointUpdateKind::Snapshot,
+                    &[Endpoint {
+                        started_at: Some(now),
                         ..entry(0)
                     }],
                 );
             }
             let rpc = proxy.take(0, 0.5);
-            proxy.answer_probes(Outcome::Ok, |_| 0.0);
+            proxy.answer_probes(AttemptOutcome::Succeeded, |_| 0.0);
             assert!(proxy.out().len() <= 1, "more than one at a time");
             proxy.pass(0.02);
-            proxy.answer_probes(Outcome::Ok, |_| 0.0);
-            proxy.end_all(Outcome::Ok, Some(0.0));
+            proxy.answer_probes(AttemptOutcome::Succeeded, |_| 0.0);
+            proxy.end_all(AttemptOutcome::Succeeded, Some(0.0));
             served += usize::from(n >= 60 && proxy.world.rpcs[&rpc].answers == ["ok"]);
             proxy.pass(0.005);
         }
@@ -866,41 +885,40 @@
 /// A slow client's RPC is no work for its backend, and its time none of the backend's.
 #[test]
 fn slow_clients_make_no_backend_look_busy_or_slow() {
-    let mut proxy = fleet(2, settings(&[Effect::Idempotent]));
+    let mut proxy = fleet(2, settings(&[Idempotency::Idempotent]));
     let long = proxy.take_long();
     proxy.world.rpcs.get_mut(&long).expect("taken").streaming = true; // no time-out counts yet
-    proxy.answer_probes(Outcome::Ok, |_| 0.0);
+    proxy.answer_probes(AttemptOutcome::Succeeded, |_| 0.0);
     proxy.pass(0.05);
     let slow = proxy.world.rpcs[&long].sent[0].backend;
     for _ in 0..20 {
         let rpc = proxy.take(0, 0.5);
-        proxy.answer_probes(
-            Outcome::Ok,
-            |backend| if backend == slow { 0.0 } else { 1.0 },
-        );
+        proxy.answer_probes(AttemptOutcome::Succeeded, |backend| {
+            if backend == slow { 0.0 } else { 1.0 }
+        });
         proxy.pass(0.05);
         assert_eq!(
             proxy.world.rpcs[&rpc].sent[0].backend, slow,
             "it is the idle one"
         );
         for (id, n, _) in proxy.out().into_iter().filter(|(id, ..)| *id != long) {
-            proxy.end(id, n, Outcome::Ok, Some(0.0));
+            proxy.end(id, n, AttemptOutcome::Succeeded, Some(0.0));
         }
     }
     let mut proxy = fleet(
         2,
         Settings {
-            may_probe: false,
-            ..settings(&[Effect::Idempotent])
+            can_health_check: false,
+            ..settings(&[Idempotency::Idempotent])
         },
     );
     for _ in 0..20 {
         let rpc = proxy.take(0, 0.5);
         proxy.pass(0.02);
         proxy.world.rpcs.get_mut(&rpc).expect("taken").streaming = true;
-        proxy.handles[&rpc].begun(0, Pace::Client, &mut proxy.world);
+        proxy.handles[&rpc].on_response_started(0, PacedBy::Client, &mut proxy.world);
         proxy.pass(2.0);
-        proxy.end(rpc, 0, Outcome::Ok, Some(1.0));
+        proxy.end(rpc, 0, AttemptOutcome::Succeeded, Some(1.0));
     }
     let rpc = proxy.take(0, 0.5);
     assert_eq!(
@@ -913,29 +931,33 @@
 /// Of a request too long to be kept no second backend could have all.
 #[test]
 fn what_cannot_be_sent_again_is_pushed_back() {
-    let mut proxy = fleet(3, settings(&[Effect::NonIdempotent]));
+    let mut proxy = fleet(3, settings(&[Idempotency::NonIdempotent]));
     for spent in [false, true] {
         let rpc = proxy.take_long();
-        proxy.answer_probes(Outcome::Ok, |_| 0.0);
+        proxy.answer_probes(AttemptOutcome::Succeeded, |_| 0.0);
         if spent {
-            proxy.handles[&rpc].unrepeatable();
+            proxy.handles[&rpc].forbid_retry();
         }
-        proxy.end(rpc, 0, Outcome::NoConnection, None);
+        proxy.end(rpc, 0, AttemptOutcome::ConnectFailed, None);
         let record = &proxy.world.rpcs[&rpc];
         assert_eq!(
             (record.sent.len(), record.answers.len()),
             if spent { (1, 1) } else { (2, 0) }
         );
-        proxy.end_all(Outcome::Ok, None);
+        proxy.end_all(AttemptOutcome::Succeeded, None);
     }
 }
 
 /// Three methods alike but for their utility, where answers are all that is heard of loads.
 fn of_three_utilities() -> Proxy {
-    let mut conf = settings(&[Effect::Idempotent, Effect::Idempotent, Effect::Idempotent]);
-    (conf.may_probe, conf.most_picks) = (false, 1);
+    let mut conf = settings(&[
+        Idempotency::Idempotent,
+        Idempotency::Idempotent,
+        Idempotency::Idempotent,
+    ]);
+    (conf.can_health_check, conf.max_attempts) = (false, 1);
     for (method, utility) in conf.methods.iter_mut().zip([2.0, 5.0, 8.0]) {
-        method.utility = utility;
+        method.priority_weight = utility;
     }
     fleet(60, conf)
 }
@@ -952,9 +974,9 @@
         }
         proxy.pass(0.02);
         let how = if answered(round) {
-            Outcome::Ok
+            AttemptOutcome::Succeeded
         } else {
-            Outcome::Rejected
+            AttemptOutcome::Rejected
         };
         for (rpc, n, _) in proxy.out() {
             proxy.end(rpc, n, how, None);
--- a/tests/order.rs
+++ b/tests/order.rs
@@ -1,6 +1,6 @@
 //! RPCs of methods that keep their order: one of a key at a time, as this proxy took them.
 mod common;
-use birchhub::types::*;
+use birchhub::interface::*;
 use common::{Proxy, entry, settings};
 
 const KEPT: usize = 0; // deduplicated, keeps its order
@@ -8,16 +8,24 @@
 const FREE: usize = 2; // has keys, and no order
 
 fn conf() -> Settings {
-    let deduplicated = Effect::Deduplicated {
-        group: Group::Cell,
+    let deduplicated = Idempotency::Deduplicated {
+        scope: DeduplicationScope::Cell,
         window: 0.3,
     };
-    let mut conf = settings(&[deduplicated, Effect::NonIdempotent, Effect::Idempotent]);
-    (conf.key_quiet, conf.come_back_max, conf.may_probe) = (0.05, 0.4, false);
+    let mut conf = settings(&[
+        deduplicated,
+        Idempotency::NonIdempotent,
+        Idempotency::Idempotent,
+    ]);
+    (
+        conf.key_cooldown,
+        conf.max_retry_after,
+        conf.can_health_check,
+    ) = (0.05, 0.4, false);
     conf.methods
         .iter_mut()
-        .for_each(|m| (m.latency_target, m.in_order) = (0.4, true));
-    conf.methods[FREE].in_order = false;
+        .for_each(|m| (m.latency_objective, m.ordered_by_key) = (0.4, true));
+    conf.methods[FREE].ordered_by_key = false;
     conf
 }
 
@@ -27,17 +35,17 @@
     for n in 0..60 {
         take(&mut proxy, KEPT, Some(1000 + n));
         proxy.pass(0.02);
-        proxy.end_all(Outcome::Ok, None);
+        proxy.end_all(AttemptOutcome::Succeeded, None);
     }
     proxy
 }
 
 fn take(proxy: &mut Proxy, method: usize, key: Option<u64>) -> u64 {
-    proxy.take_any(Arrival {
+    proxy.take_any(IncomingRpc {
         method,
         key,
         deadline: 0.8,
-        ..Arrival::default()
+        ..IncomingRpc::default()
     })
 }
 
@@ -51,7 +59,7 @@
         .collect()
 }
 
-fn end(proxy: &mut Proxy, rpc: u64, how: Outcome) {
+fn end(proxy: &mut Proxy, rpc: u64, how: AttemptOutcome) {
     let (_, n, _) = *proxy
         .out()
         .iter()
@@ -76,7 +84,7 @@
     );
     for rpc in &rpcs {
         assert_eq!(out(&proxy, &rpcs), [*rpc]);
-        end(&mut proxy, *rpc, Outcome::Ok);
+        end(&mut proxy, *rpc, AttemptOutcome::Succeeded);
     }
     assert_eq!(proxy.check(), Ok(()));
 }
@@ -90,9 +98,9 @@
         take(&mut proxy, KEPT, Some(1)),
     );
     proxy.world.rpcs.get_mut(&first).expect("taken").hung_up = true;
-    proxy.handles[&first].hung_up(&mut proxy.world);
+    proxy.handles[&first].on_client_disconnected(&mut proxy.world);
     let again = take(&mut proxy, KEPT, Some(1));
-    end(&mut proxy, first, Outcome::Cancelled);
+    end(&mut proxy, first, AttemptOutcome::Cancelled);
     proxy.pass(0.06);
     assert_eq!(out(&proxy, &[second, again]), [second]);
 }
@@ -100,14 +108,18 @@
 /// What was given up may go on: until its pick has ended, and for a while after that, nothing else of its key runs.
 #[test]
 fn a_key_rests_after_what_may_go_on() {
-    for how in [Outcome::TimedOut, Outcome::Reset, Outcome::Cancelled] {
+    for how in [
+        AttemptOutcome::TimedOut,
+        AttemptOutcome::Reset,
+        AttemptOutcome::Cancelled,
+    ] {
         let mut proxy = fleet(conf());
         let (first, second) = (
             take(&mut proxy, KEPT_TOO, Some(1)),
             take(&mut proxy, KEPT, Some(1)),
         );
         proxy.world.rpcs.get_mut(&first).expect("taken").hung_up = true;
-        proxy.handles[&first].hung_up(&mut proxy.world);
+        proxy.handles[&first].on_client_disconnected(&mut proxy.world);
         assert_eq!(
             out(&proxy, &[second]),
             [0; 0],
@@ -134,7 +146,7 @@
 /// Guards against a key that rests after an outcome that leaves nothing running.
 #[test]
 fn a_key_does_not_rest_after_what_has_ended() {
-    for how in [Outcome::Ok, Outcome::Error] {
+    for how in [AttemptOutcome::Succeeded, AttemptOutcome::Failed] {
         let mut proxy = fleet(conf());
         let (first, second) = (
             take(&mut proxy, KEPT_TOO, Some(1)),
@@ -152,7 +164,7 @@
         take(&mut proxy, KEPT, Some(1)),
         take(&mut proxy, KEPT, Some(1)),
     ];
-    end(&mut proxy, rpcs[0], Outcome::Reset);
+    end(&mut proxy, rpcs[0], AttemptOutcome::Reset);
     assert_eq!(
         out(&proxy, &rpcs),
         [rpcs[0]],
@@ -186,7 +198,7 @@
     );
     for _ in 0..40 {
         proxy.pass(0.02);
-        proxy.end_all(Outcome::Ok, None);
+        proxy.end_all(AttemptOutcome::Succeeded, None);
     }
     assert!(answered(&proxy, "ok") > 15);
     assert_eq!(
