--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,35 +1,35 @@
 //! The plain model of the rules beside the module, on generated inputs.
 mod common;
-use birchhub::types::*;
+use birchhub::interface::*;
 use common::{Proxy, entry, settings};
 use quickcheck::{Arbitrary, Gen};
 
-const EFFECTS: [Effect; 5] = [
-    Effect::Idempotent,
-    Effect::NonIdempotent,
-    Effect::Deduplicated {
-        group: Group::All,
+const EFFECTS: [Idempotency; 5] = [
+    Idempotency::Idempotent,
+    Idempotency::NonIdempotent,
+    Idempotency::Deduplicated {
+        scope: DeduplicationScope::All,
         window: 0.3,
     },
-    Effect::Deduplicated {
-        group: Group::Zone,
+    Idempotency::Deduplicated {
+        scope: DeduplicationScope::Zone,
         window: 0.15,
     },
-    Effect::Deduplicated {
-        group: Group::Cell,
+    Idempotency::Deduplicated {
+        scope: DeduplicationScope::Cell,
         window: 0.08,
     },
 ];
-const OUTCOMES: [Outcome; 9] = [
-    Outcome::Ok,
-    Outcome::Ok,
-    Outcome::Error,
-    Outcome::Rejected,
-    Outcome::TimedOut,
-    Outcome::NoConnection,
-    Outcome::Reset,
-    Outcome::Cancelled,
-    Outcome::NeverSent,
+const OUTCOMES: [AttemptOutcome; 9] = [
+    AttemptOutcome::Succeeded,
+    AttemptOutcome::Succeeded,
+    AttemptOutcome::Failed,
+    AttemptOutcome::Rejected,
+    AttemptOutcome::TimedOut,
+    AttemptOutcome::ConnectFailed,
+    AttemptOutcome::Reset,
+    AttemptOutcome::Cancelled,
+    AttemptOutcome::NotSent,
 ];
 
 fn step(proxy: &mut Proxy, (what, which, size): (u8, u8, u16)) {
@@ -40,11 +40,11 @@
             let (method, deadline) = (which % EFFECTS.len(), 0.001 + size * 0.6);
             // A few keys, so that most have others of theirs before them, and some RPCs without.
             let key = Some(which as u64 / 5 % 4).filter(|key| *key > 0);
-            proxy.take_any(Arrival {
+            proxy.take_any(IncomingRpc {
                 method,
                 deadline,
                 key,
-                ..Arrival::default()
+                ..IncomingRpc::default()
             });
         }
         5..=8 => {
@@ -57,22 +57,22 @@
         9 => proxy.answer_probes(OUTCOMES[which % 9], |b| f64::from(b % 3) * size.round()),
         10 => {
             let readiness =
-                [Readiness::Ready, Readiness::Draining, Readiness::Gone][(size * 2.99) as usize];
+                [Readiness::Ready, Readiness::Draining, Readiness::Removed][(size * 2.99) as usize];
             let started = Some(proxy.world.now).filter(|_| which.is_multiple_of(2));
-            let changed = Entry {
+            let changed = Endpoint {
                 readiness,
-                started,
+                started_at: started,
                 ..entry(which as u32 % 8)
             };
-            proxy.list(ListKind::Changes, &[changed]);
+            proxy.list(EndpointUpdateKind::Incremental, &[changed]);
         }
         11 => {
             let listed: Vec<_> = (0..8).filter(|b| which >> b & 1 == 1).map(entry).collect();
             proxy.list(
                 if size < 0.8 {
-                    ListKind::Full
+                    EndpointUpdateKind::Snapshot
                 } else {
-                    ListKind::Stale
+                    EndpointUpdateKind::StaleSnapshot
                 },
                 &listed,
             );
@@ -85,12 +85,16 @@
             };
             if record.answers.is_empty() && size < 0.7 {
                 record.hung_up = true;
-                proxy.handles[&rpc].hung_up(&mut proxy.world);
+                proxy.handles[&rpc].on_client_disconnected(&mut proxy.world);
             } else if record.answers.is_empty()
                 && record.sent.iter().filter(|s| s.ended.is_none()).count() == 1
             {
                 record.streaming = true;
-                proxy.handles[&rpc].begun(record.sent.len() - 1, Pace::Backend, &mut proxy.world);
+                proxy.handles[&rpc].on_response_started(
+                    record.sent.len() - 1,
+                    PacedBy::Backend,
+                    &mut proxy.world,
+                );
             }
         }
         _ => proxy.pass(size * size * 0.4),
@@ -103,24 +107,24 @@
         let mut random = Gen::from_size_and_seed(120, seed);
         let steps = Vec::<(u8, u8, u16)>::arbitrary(&mut random);
         let mut conf = Settings {
-            second_copies: seed % 3 == 0,
-            may_cancel: seed % 2 == 0,
-            may_probe: seed % 5 != 0,
-            come_back_max: (seed % 4) as f64,
-            key_quiet: 0.05,
+            can_hedge: seed % 3 == 0,
+            can_cancel: seed % 2 == 0,
+            can_health_check: seed % 5 != 0,
+            max_retry_after: (seed % 4) as f64,
+            key_cooldown: 0.05,
             ..settings(&EFFECTS)
         };
         // Methods of each effect keep their order, in one key space with one another.
         (0..EFFECTS.len())
-            .for_each(|n| conf.methods[n].in_order = (seed as usize + n).is_multiple_of(3));
+            .for_each(|n| conf.methods[n].ordered_by_key = (seed as usize + n).is_multiple_of(3));
         let listed: Vec<_> = (0..(seed % 7) as u32).map(entry).collect();
         let mut proxy = Proxy::new(conf, seed, &listed);
         // Answers first, so that backends have the credit without which no further pick is made.
         for _ in 0..listed.len() * 25 {
             proxy.take(0, 0.5);
             proxy.pass(0.001);
-            proxy.answer_probes(Outcome::Ok, |_| 0.0);
-            proxy.end_all(Outcome::Ok, Some(0.0));
+            proxy.answer_probes(AttemptOutcome::Succeeded, |_| 0.0);
+            proxy.end_all(AttemptOutcome::Succeeded, Some(0.0));
         }
         for step_taken in &steps {
             step(&mut proxy, *step_taken);
@@ -140,7 +144,7 @@
     const WORK: f64 = 0.05;
     let every = (proxies / 4).max(1);
     let conf = Settings {
-        balancers: proxies as usize,
+        proxy_count: proxies as usize,
         ..settings(&EFFECTS[..1])
     };
     let listed: Vec<_> = (0..3).map(entry).collect();
@@ -149,37 +153,40 @@
     for round in 0..600 {
         for (n, proxy) in fleet.iter_mut().enumerate() {
             if round == 100 {
-                let fresh = Entry {
-                    started: Some(proxy.world.now),
+                let fresh = Endpoint {
+                    started_at: Some(proxy.world.now),
                     ..entry(7)
                 };
-                proxy.list(ListKind::Changes, &[fresh]);
+                proxy.list(EndpointUpdateKind::Incremental, &[fresh]);
             }
             if restart && round == 106 {
-                let started = proxy.world.entries[&7].started;
+                let started = proxy.world.entries[&7].started_at;
                 proxy.balancer = birchhub::policy::Balancer::new(&conf, seed * 100 + 50 + n as u64);
                 proxy.world.alarms.clear();
                 for rpc in proxy.world.rpcs.values_mut() {
                     rpc.sent
                         .iter_mut()
-                        .for_each(|s| s.ended = Some(Outcome::Reset));
+                        .for_each(|s| s.ended = Some(AttemptOutcome::Reset));
                     rpc.hung_up = true;
                 }
                 proxy.list(
-                    ListKind::Stale,
+                    EndpointUpdateKind::StaleSnapshot,
                     &[
                         entry(0),
                         entry(1),
                         entry(2),
-                        Entry {
-                            started,
+                        Endpoint {
+                            started_at: started,
                             ..entry(7)
                         },
                     ],
                 );
             }
             // The cold backend always looks idle, the warm ones never: the worst case for the list.
-            proxy.answer_probes(Outcome::Ok, |b| if b == 7 { 0.0 } else { 3.0 });
+            proxy.answer_probes(
+                AttemptOutcome::Succeeded,
+                |b| if b == 7 { 0.0 } else { 3.0 },
+            );
             // Hundreds of proxies see few RPCs each, at times of their own.
             for _ in 0..if (round + n as u64).is_multiple_of(every) {
                 2
@@ -188,7 +195,10 @@
             } {
                 proxy.take(0, 0.5);
                 proxy.pass(0.002);
-                proxy.answer_probes(Outcome::Ok, |b| if b == 7 { 0.0 } else { 3.0 });
+                proxy.answer_probes(
+                    AttemptOutcome::Succeeded,
+                    |b| if b == 7 { 0.0 } else { 3.0 },
+                );
             }
             let due: Vec<_> = proxy.out();
             for (rpc, n, backend) in due {
@@ -196,7 +206,7 @@
                     proxy.end(
                         rpc,
                         n,
-                        Outcome::Ok,
+                        AttemptOutcome::Succeeded,
                         Some(if backend == 7 { 0.0 } else { 3.0 }),
                     );
                 }
