--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -1,4 +1,6 @@
 //! What a decision costs, by the size of the fleet: `cargo bench`. Half load, answers that carry reports.
+#![expect(missing_docs, reason = "criterion_group writes a public function without one")]
+
 use birchhub::interface::*;
 use birchhub::policy::{Balancer, RpcHandle};
 use criterion::{BatchSize, BenchmarkId, Criterion, Throughput, criterion_group, criterion_main};
@@ -214,6 +216,7 @@
     group.finish();
 }
 
+#[expect(clippy::too_many_lines)]
 fn lists(c: &mut Criterion) {
     let mut group = c.benchmark_group("one list change");
     for size in SIZES {
--- a/crates/audit/src/audit.rs
+++ b/crates/audit/src/audit.rs
@@ -213,6 +213,7 @@
         self.head.methods.get(asked.method).map(|m| m.kind)
     }
 
+    #[expect(clippy::too_many_lines)]
     pub fn feed(&mut self, entry: &Entry) {
         let at = entry.at;
         self.now = self.now.max(at);
@@ -509,6 +510,7 @@
     }
 
     /// Rules 1 and 2 over the picks of one try, once all is known.
+    #[expect(clippy::too_many_lines)]
     fn judge(&mut self, attempt: u64, entry: &Try) {
         let (rules, slack) = (&self.head.rules, self.head.rules.slack);
         let name = || Self::rpc_name(entry.rpc);
--- a/crates/audit/src/story.rs
+++ b/crates/audit/src/story.rs
@@ -66,6 +66,7 @@
     }
 
     /// One line for an entry.
+    #[expect(clippy::too_many_lines)]
     pub fn line(&self, entry: &Entry) -> String {
         let method = |m: u8| self.head.methods.get(m as usize).map_or("?", |m| &m.name);
         let tenant = |t: u8| {
--- a/crates/audit/tests/audit.rs
+++ b/crates/audit/tests/audit.rs
@@ -444,6 +444,7 @@
 }
 
 #[test]
+#[expect(clippy::too_many_lines)]
 fn a_cold_node_pushed_over_is_found_if_its_proxies_knew() {
     for (informed, guilty) in [(3, true), (2, true), (1, false)] {
         let mut hand = Hand::new();
--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -215,6 +215,7 @@
         Ok(())
     }
 
+    #[expect(clippy::too_many_lines)]
     fn topology(&mut self, parts: &mut Parts) -> Result<(), String> {
         let proxy = parts.num("proxy-id")?;
         let _generation: Option<u64> = parts.opt_num("generation")?;
@@ -420,7 +421,8 @@
     }
 }
 
-pub fn run(mut input: impl BufRead, mut output: impl Write) -> Result<(), String> {
+#[expect(clippy::too_many_lines)]
+pub(crate) fn run(mut input: impl BufRead, mut output: impl Write) -> Result<(), String> {
     std::panic::set_hook(Box::new(|panic| eprintln!("birchhub-benchlink: {panic}")));
     let mut process = Process::default();
     let (mut line, mut number) = (Vec::new(), 0_u64);
--- a/crates/cli/src/ledger.rs
+++ b/crates/cli/src/ledger.rs
@@ -7,7 +7,7 @@
 
 /// Read the ledger of a rehearsal
 #[derive(Args)]
-pub struct Arguments {
+pub(crate) struct Arguments {
     #[command(subcommand)]
     verb: Verb,
 }
@@ -32,7 +32,7 @@
 
 /// Judge a ledger again: the same verdict, text and exit code as its rehearsal
 #[derive(Args)]
-pub struct Audit {
+pub(crate) struct Audit {
     /// The file `ledger` in the folder of a run
     file: PathBuf,
     /// Print the report as JSON
@@ -40,7 +40,7 @@
     json: bool,
 }
 
-pub fn run(arguments: Arguments) -> Result<u8, Fault> {
+pub(crate) fn run(arguments: Arguments) -> Result<u8, Fault> {
     let Verb::Show {
         file,
         rpc,
@@ -66,7 +66,7 @@
     Ok(0)
 }
 
-pub fn audit(arguments: Audit) -> Result<u8, Fault> {
+pub(crate) fn audit(arguments: Audit) -> Result<u8, Fault> {
     let (head, entries) = open(&arguments.file).map_err(Fault::Input)?;
     let report = Report::of(&head, &entries, false, None);
     match arguments.json {
--- a/crates/cli/src/rehearse.rs
+++ b/crates/cli/src/rehearse.rs
@@ -12,7 +12,7 @@
 /// Starts stand-in nodes, a list service, clients and several birchhubd on loopback addresses, plays the scenario's troubles,
 /// and ends with a verdict. The ledger, report.json, report.html and the proxies' logs are left in the folder --out.
 #[derive(Args)]
-pub struct Arguments {
+pub(crate) struct Arguments {
     /// A scenario file, or the name of one that ships (see `birchhub scenario list`)
     scenario: String,
     /// Chance starts from this number; the same seed draws the same plan
@@ -32,7 +32,7 @@
     quiet: bool,
 }
 
-pub fn run(arguments: Arguments) -> Result<u8, Fault> {
+pub(crate) fn run(arguments: Arguments) -> Result<u8, Fault> {
     let found = scenario::find(&arguments.scenario)?;
     let plan = Plan::draw(&found.scenario, arguments.seed, &found.file, &found.text);
     let plan = plan.map_err(|fault| Fault::Input(fault.to_string()))?;
--- a/crates/cli/src/scale.rs
+++ b/crates/cli/src/scale.rs
@@ -6,7 +6,7 @@
 
 /// Measure what a fleet of the planned size costs, on this machine's loopback
 #[derive(Args)]
-pub struct Arguments {
+pub(crate) struct Arguments {
     #[command(subcommand)]
     verb: Verb,
 }
@@ -58,7 +58,7 @@
     check: bool,
 }
 
-pub fn run(arguments: Arguments) -> Result<u8, Fault> {
+pub(crate) fn run(arguments: Arguments) -> Result<u8, Fault> {
     match arguments.verb {
         Verb::Run(run) => slopes(run),
         Verb::Page(page) => tables(&page),
--- a/crates/cli/src/scenario.rs
+++ b/crates/cli/src/scenario.rs
@@ -6,7 +6,7 @@
 
 /// Look at scenarios without playing them
 #[derive(Args)]
-pub struct Arguments {
+pub(crate) struct Arguments {
     #[command(subcommand)]
     verb: Verb,
 }
@@ -28,14 +28,14 @@
 }
 
 /// A scenario with the file that faults name.
-pub struct Found {
+pub(crate) struct Found {
     pub scenario: Scenario,
     pub file: String,
     pub text: String,
 }
 
 /// A file, or one that ships.
-pub fn find(name: &str) -> Result<Found, Fault> {
+pub(crate) fn find(name: &str) -> Result<Found, Fault> {
     let (file, text) = match shipped::find(name) {
         Some(shipped) => (format!("{name} (shipped)"), shipped.text.to_owned()),
         None => {
@@ -60,7 +60,7 @@
         .map_err(|fault| Fault::Input(fault.to_string()))
 }
 
-pub fn run(arguments: Arguments) -> Result<u8, Fault> {
+pub(crate) fn run(arguments: Arguments) -> Result<u8, Fault> {
     match arguments.verb {
         Verb::List => {
             for shipped in shipped::ALL {
--- a/crates/cli/tests/scale.rs
+++ b/crates/cli/tests/scale.rs
@@ -47,6 +47,7 @@
 }
 
 #[test]
+#[expect(clippy::too_many_lines)]
 fn a_quick_run_takes_points_of_all_series_and_makes_a_page() {
     let daemon = Path::new(env!("CARGO_BIN_EXE_birchhub")).with_file_name("birchhubd");
     assert!(
--- a/crates/daemon/src/answer.rs
+++ b/crates/daemon/src/answer.rs
@@ -6,7 +6,7 @@
 use hyper::{Response, StatusCode};
 
 /// The end of an RPC as the client is to see it.
-pub enum Answer {
+pub(crate) enum Answer {
     /// A backend's body, unchanged.
     Ok(Bytes),
     /// The same, as it comes.
@@ -36,7 +36,7 @@
 
 impl Answer {
     /// `last`: the connection is closed after it.
-    pub fn encode(self, last: bool) -> Response<Answering> {
+    pub(crate) fn encode(self, last: bool) -> Response<Answering> {
         let come_back = if let Self::PushedBack { come_back } = self {
             come_back
         } else {
--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -32,14 +32,14 @@
 
 /// What the list says of a backend's sockets.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Facts {
+pub(crate) struct Facts {
     pub endpoint: SocketAddr,
     pub ready: bool,
 }
 
 /// Limits on connections, from the settings.
 #[derive(Clone, Copy)]
-pub struct Limits {
+pub(crate) struct Limits {
     pub connect: Duration,
     pub idle: Duration,
 }
@@ -53,7 +53,7 @@
 
 /// What a ticket is for.
 #[derive(Clone, Copy)]
-pub enum Errand {
+pub(crate) enum Errand {
     Pick { rpc: u64, pick: usize },
     Probe { backend: u32 },
 }
@@ -62,7 +62,7 @@
 type End = (AttemptOutcome, Option<LoadReport>, Bytes);
 
 impl Errand {
-    pub fn end(self, (outcome, report, body): End) -> ToCore {
+    pub(crate) fn end(self, (outcome, report, body): End) -> ToCore {
         match self {
             Self::Pick { rpc, pick } => ToCore::Ended {
                 rpc,
@@ -81,7 +81,7 @@
 }
 
 /// The duty to tell the core how a pick or probe ended; done when dropped.
-pub struct Ticket {
+pub(crate) struct Ticket {
     errand: Errand,
     core: mpsc::Sender<ToCore>,
     permit: Option<OwnedPermit<ToCore>>,
@@ -93,7 +93,11 @@
 }
 
 impl Ticket {
-    pub fn new(errand: Errand, core: mpsc::Sender<ToCore>, permit: OwnedPermit<ToCore>) -> Self {
+    pub(crate) fn new(
+        errand: Errand,
+        core: mpsc::Sender<ToCore>,
+        permit: OwnedPermit<ToCore>,
+    ) -> Self {
         let (sent, begun) = Default::default();
         Self {
             errand,
@@ -137,17 +141,17 @@
 }
 
 /// The other end stops a job when it is dropped, and withdraws it, if nothing was sent yet, when it is used.
-pub type Stop = Option<oneshot::Receiver<()>>;
+pub(crate) type Stop = Option<oneshot::Receiver<()>>;
 
 /// Until when a job is run, and by when its first byte has to be sent, if that is limited.
 #[derive(Clone, Copy)]
-pub struct Times {
+pub(crate) struct Times {
     pub until: Instant,
     pub send_by: Option<Instant>,
 }
 
 /// A pick or probe to be run until a time, or until it is stopped.
-pub struct Job {
+pub(crate) struct Job {
     pub message: Message,
     /// Of whom it is run for; none for a probe.
     pub client: Option<Presence>,
@@ -157,7 +161,7 @@
 }
 
 /// The core's end of a backend.
-pub struct Backend {
+pub(crate) struct Backend {
     /// Boxed: a mailbox sets room for 32 aside at once, and most backends of a large fleet have nothing in it.
     pub mailbox: mpsc::Sender<Box<Job>>,
     pub facts: watch::Sender<Facts>,
@@ -194,7 +198,7 @@
 }
 
 impl Backend {
-    pub fn start(facts: Facts, limits: Limits, budget: Rc<Budget>) -> Self {
+    pub(crate) fn start(facts: Facts, limits: Limits, budget: Rc<Budget>) -> Self {
         let (mailbox, jobs) = mpsc::channel(MAILBOX);
         let (sender, receiver) = watch::channel(facts);
         let (kept, keep) = (RefCell::default(), limits.keep().into());
@@ -263,6 +267,7 @@
         }
     }
 
+    #[expect(clippy::too_many_lines)]
     async fn serve(self: Rc<Self>, job: Box<Job>) {
         let Job {
             message,
@@ -333,6 +338,7 @@
         }
     }
 
+    #[expect(clippy::too_many_lines)]
     async fn exchange(
         self: &Rc<Self>,
         message: &Message,
--- a/crates/daemon/src/body.rs
+++ b/crates/daemon/src/body.rs
@@ -13,13 +13,13 @@
 use tokio::time::Instant;
 
 /// Bytes of a body that are kept; a longer one flows.
-pub const KEPT: usize = 64 << 10;
+pub(crate) const KEPT: usize = 64 << 10;
 /// Bytes of a body at most.
-pub const MOST: u64 = 32 << 20;
+pub(crate) const MOST: u64 = 32 << 20;
 
 /// A body that does not come to its end.
 #[derive(Debug)]
-pub struct Cut;
+pub(crate) struct Cut;
 
 impl fmt::Display for Cut {
     fn fmt(&self, to: &mut fmt::Formatter) -> fmt::Result {
@@ -39,7 +39,7 @@
 }
 
 /// A request that is too long to be kept. One pick at a time reads what comes behind its first part.
-pub struct Upload {
+pub(crate) struct Upload {
     first: RefCell<Bytes>, // until more has gone out
     rest: RefCell<Incoming>,
     length: Option<u64>, // of all of it, if it was told
@@ -51,7 +51,7 @@
 }
 
 impl Upload {
-    pub fn new(first: Bytes, rest: Incoming) -> Rc<Self> {
+    pub(crate) fn new(first: Bytes, rest: Incoming) -> Rc<Self> {
         let length = rest
             .size_hint()
             .exact()
@@ -72,22 +72,22 @@
     }
 
     /// Something of it has gone out that is not kept: it can't be sent again.
-    pub fn is_spent(&self) -> bool {
+    pub(crate) fn is_spent(&self) -> bool {
         self.spent.get()
     }
 
     /// Its last byte has come, and was taken to be sent.
-    pub fn is_whole(&self) -> bool {
+    pub(crate) fn is_whole(&self) -> bool {
         matches!(*self.come.borrow(), Come::Whole(_))
     }
 
     /// The client is waited for, not the backend.
-    pub fn is_hungry(&self) -> bool {
+    pub(crate) fn is_hungry(&self) -> bool {
         self.hungry.get()
     }
 
     /// Waits for its last byte, and tells when that came; for ever if it never does.
-    pub async fn whole(&self) -> Instant {
+    pub(crate) async fn whole(&self) -> Instant {
         let mut come = self.come.subscribe();
         let come = come
             .wait_for(|come| matches!(come, Come::Whole(_)))
@@ -100,7 +100,7 @@
     }
 
     /// Waits until more has come than any request may hold; for ever if that never happens.
-    pub async fn too_long(&self) {
+    pub(crate) async fn too_long(&self) {
         if self
             .come
             .subscribe()
@@ -148,7 +148,7 @@
 }
 
 /// A request's body on its way to a backend.
-pub enum Outgoing {
+pub(crate) enum Outgoing {
     Whole(Full<Bytes>),
     Long {
         first: Option<Bytes>,
@@ -158,7 +158,7 @@
 }
 
 impl Outgoing {
-    pub fn long(upload: &Rc<Upload>) -> Self {
+    pub(crate) fn long(upload: &Rc<Upload>) -> Self {
         Self::Long {
             first: Some(upload.first.borrow().clone()),
             upload: upload.clone(),
@@ -231,29 +231,29 @@
 }
 
 /// The backend's end of a long answer; dropped before `end` it cuts the answer off.
-pub struct Source {
+pub(crate) struct Source {
     bytes: mpsc::Sender<Bytes>,
     ended: Rc<Cell<bool>>,
 }
 
 impl Source {
     /// Waits until the client takes it; false if that has gone.
-    pub async fn pass(&self, bytes: Bytes) -> bool {
+    pub(crate) async fn pass(&self, bytes: Bytes) -> bool {
         self.bytes.send(bytes).await.is_ok()
     }
 
     /// Waits until the client has gone.
-    pub async fn closed(&self) {
+    pub(crate) async fn closed(&self) {
         self.bytes.closed().await;
     }
 
-    pub fn end(self) {
+    pub(crate) fn end(self) {
         self.ended.set(true);
     }
 }
 
 /// The client's end of a long answer.
-pub struct Flow {
+pub(crate) struct Flow {
     first: Option<Bytes>,
     rest: mpsc::Receiver<Bytes>,
     length: Option<u64>,
@@ -261,7 +261,7 @@
 }
 
 /// Passes on an answer that begins like this, of this length if that is known.
-pub fn flow(first: Bytes, length: Option<u64>) -> (Source, Flow) {
+pub(crate) fn flow(first: Bytes, length: Option<u64>) -> (Source, Flow) {
     let (bytes, rest) = mpsc::channel(1);
     let ended = Rc::<Cell<bool>>::default();
     (
@@ -279,18 +279,18 @@
 }
 
 /// An answer's body on its way to a client; `given` is set with its last byte.
-pub struct Answering {
+pub(crate) struct Answering {
     body: Result<Full<Bytes>, Flow>,
     given: Rc<Cell<bool>>,
 }
 
 impl Answering {
-    pub fn new(body: Result<Full<Bytes>, Flow>) -> Self {
+    pub(crate) fn new(body: Result<Full<Bytes>, Flow>) -> Self {
         let given = Rc::new(Cell::new(body.as_ref().is_ok_and(Body::is_end_stream)));
         Self { body, given }
     }
 
-    pub fn given(&self) -> Rc<Cell<bool>> {
+    pub(crate) fn given(&self) -> Rc<Cell<bool>> {
         self.given.clone()
     }
 }
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -16,7 +16,7 @@
 const PASSED: &str = "LB_PASSED_SOCKET";
 const SOCKET_NEEDS: u64 = 168 << 10; // bytes at worst: a body each way, one encoded, and what is read ahead
 
-pub struct Config {
+pub(crate) struct Config {
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
@@ -34,7 +34,7 @@
 
 impl Config {
     /// Keys beside the settings that differ in another one and are heard at a start only.
-    pub fn differs(&self, other: &Self) -> Vec<&'static str> {
+    pub(crate) fn differs(&self, other: &Self) -> Vec<&'static str> {
         let keys = [
             ("name", self.name != other.name),
             ("listen", self.listen != other.listen),
@@ -51,13 +51,13 @@
 
 /// The one place where wall time and the machine's steady clock become the module's seconds.
 #[derive(Clone, Copy)]
-pub struct Clock {
+pub(crate) struct Clock {
     base: Instant,
     wall: f64,
 }
 
 impl Clock {
-    pub fn start() -> Self {
+    pub(crate) fn start() -> Self {
         let wall = SystemTime::now()
             .duration_since(UNIX_EPOCH)
             .unwrap_or_default()
@@ -69,30 +69,30 @@
     }
 
     /// Lets this clock stand still for so long, after the fact.
-    pub fn stand_still(&mut self, time: Duration) {
+    pub(crate) fn stand_still(&mut self, time: Duration) {
         self.base += time;
     }
 
-    pub fn now(&self) -> f64 {
+    pub(crate) fn now(&self) -> f64 {
         self.base.elapsed().as_secs_f64()
     }
 
-    pub fn seconds(&self, at: Instant) -> f64 {
+    pub(crate) fn seconds(&self, at: Instant) -> f64 {
         at.duration_since(self.base).as_secs_f64()
     }
 
-    pub fn instant(&self, seconds: f64) -> Instant {
+    pub(crate) fn instant(&self, seconds: f64) -> Instant {
         self.base + Duration::from_secs_f64(seconds.clamp(0.0, 1e9))
     }
 
     /// A time in Unix milliseconds; 0 stands for long ago.
-    pub fn unix_ms(&self, ms: f64) -> Option<f64> {
+    pub(crate) fn unix_ms(&self, ms: f64) -> Option<f64> {
         (ms > 0.0).then(|| ms / 1e3 - self.wall)
     }
 }
 
 /// Waits until then; for ever without a time.
-pub async fn until(at: Option<Instant>) {
+pub(crate) async fn until(at: Option<Instant>) {
     match at {
         Some(at) => sleep_until(at).await,
         None => pending().await,
@@ -123,7 +123,7 @@
 
 /// The clients' socket, where the platform holds it and names its descriptor. To be called before anything
 /// else opens one.
-pub fn passed() -> Result<Option<std::net::TcpListener>, String> {
+pub(crate) fn passed() -> Result<Option<std::net::TcpListener>, String> {
     let Some(name) = std::env::var_os(PASSED) else {
         return Ok(None);
     };
@@ -173,7 +173,7 @@
 }
 
 /// Reads the file; the list in it where `known` is wanted.
-pub fn load(known: bool) -> Result<Config, String> {
+pub(crate) fn load(known: bool) -> Result<Config, String> {
     let path = std::env::var("LB_CONFIG").map_err(|_| "LB_CONFIG is not set".to_owned())?;
     let bytes =
         std::fs::read(&path).map_err(|e| format!("LB_CONFIG cannot be read: {path}: {e}"))?;
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -26,7 +26,7 @@
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep_until};
 
-pub const MAILBOX: usize = 8192; // messages: one kept free for the end of each RPC, pick and probe
+pub(crate) const MAILBOX: usize = 8192; // messages: one kept free for the end of each RPC, pick and probe
 const MARGIN: Duration = Duration::from_millis(5); // of a client's wait, for this machine's own delays
 const PROBE_WAITS: Duration = Duration::from_millis(100); // for a probe; a slower answer tells nothing of now
 const BEAT: Duration = Duration::from_millis(10); // the core is busy at least this often ...
@@ -34,7 +34,7 @@
 const FORGET: Duration = Duration::from_secs(2); // after a backend went: one that flaps stays the same
 const RECOVER: f64 = 0.01; // s until the module is woken after it failed in a call
 
-pub enum ToCore {
+pub(crate) enum ToCore {
     Take {
         id: u64,
         rpc: Box<Received>,
@@ -224,7 +224,7 @@
     }
 }
 
-pub struct Core {
+pub(crate) struct Core {
     balancer: Balancer,
     rpcs: HashMap<u64, RpcHandle>,
     door: Door,
@@ -246,7 +246,8 @@
 }
 
 impl Core {
-    pub fn new(
+    #[expect(clippy::too_many_lines)]
+    pub(crate) fn new(
         config: &Config,
         clock: Clock,
         budget: Rc<Budget>,
@@ -307,7 +308,7 @@
         core
     }
 
-    pub async fn run(mut self, mut mailbox: mpsc::Receiver<ToCore>) {
+    pub(crate) async fn run(mut self, mut mailbox: mpsc::Receiver<ToCore>) {
         loop {
             self.keep_time();
             let own = self.door.wake_at.map(|at| self.door.clock.instant(at));
@@ -361,6 +362,7 @@
         }
     }
 
+    #[expect(clippy::too_many_lines)]
     fn hear(&mut self, message: ToCore) {
         self.keep_time();
         match message {
@@ -638,6 +640,7 @@
         });
     }
 
+    #[expect(clippy::too_many_lines)]
     fn news(&mut self, news: &News) {
         if news.kind.is_snapshot() {
             let named: HashSet<_> = news.listed.iter().map(|l| l.uid.as_str()).collect();
--- a/crates/daemon/src/discovery.rs
+++ b/crates/daemon/src/discovery.rs
@@ -64,7 +64,7 @@
 
 /// One backend of the list.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Listed {
+pub(crate) struct Listed {
     pub uid: String,
     pub endpoint: SocketAddr,
     pub zone: String,
@@ -76,7 +76,7 @@
 
 /// What discovery told: the whole list or changes of it.
 #[derive(Clone, Debug, PartialEq)]
-pub struct News {
+pub(crate) struct News {
     pub version: u64,
     pub kind: EndpointUpdateKind,
     pub listed: Vec<Listed>,
@@ -119,7 +119,7 @@
 }
 
 /// Reads the list in discovery's form.
-pub fn decode(value: &Value) -> Result<News, String> {
+pub(crate) fn decode(value: &Value) -> Result<News, String> {
     let version = value
         .get("rev")
         .and_then(Value::as_u64)
@@ -152,7 +152,7 @@
     })
 }
 
-pub struct Discovery {
+pub(crate) struct Discovery {
     /// Where the list service is; it may move.
     pub at: watch::Receiver<SocketAddr>,
     pub core: mpsc::Sender<ToCore>,
@@ -200,7 +200,7 @@
 impl Discovery {
     /// Follows the list until the core is gone: a watch runs until a call fails, and the next begins when
     /// the module asks for it, or at once when discovery has moved. Where lists are pushed it always goes on.
-    pub async fn run(mut self) {
+    pub(crate) async fn run(mut self) {
         let mut moves = self.at.clone();
         let (mut at_once, mut told) = (self.pushed, None);
         loop {
@@ -241,6 +241,7 @@
         }
     }
 
+    #[expect(clippy::too_many_lines)]
     async fn watch(&mut self) -> Fault {
         let times = if self.pushed { AGENT } else { SERVICE };
         // After silence, one that waits would be given up too late if it met silence too.
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -40,7 +40,7 @@
 const SETTLE: Duration = Duration::from_millis(300);
 const BREATHE: Duration = Duration::from_millis(10); // before accepting again where no socket is to be had
 
-pub struct Front {
+pub(crate) struct Front {
     pub intake: Intake,
     pub standing: watch::Receiver<Standing>,
     pub budget: Rc<Budget>,
@@ -51,10 +51,10 @@
 
 /// The `Request-Id`s of the RPCs of which a pick may still be out.
 #[derive(Clone, Default)]
-pub struct Open(Rc<RefCell<HashSet<HeaderValue>>>);
+pub(crate) struct Open(Rc<RefCell<HashSet<HeaderValue>>>);
 
 /// A `Request-Id` that is open until this is dropped.
-pub struct Opened {
+pub(crate) struct Opened {
     name: HeaderValue,
     open: Open,
 }
@@ -258,7 +258,8 @@
 
 impl Front {
     /// Accepts until this proxy's end is near.
-    pub async fn run(self: Rc<Self>, listener: TcpListener) {
+    #[expect(clippy::too_many_lines)]
+    pub(crate) async fn run(self: Rc<Self>, listener: TcpListener) {
         let mut standing = self.standing.clone();
         let (mut looked, mut refused) = (false, false);
         loop {
@@ -436,6 +437,7 @@
     }
 
     /// The core's answer to an RPC, and an abort should there be none by its deadline.
+    #[expect(clippy::too_many_lines)]
     async fn decide(&self, mut rpc: Received, client: Presence) -> Answer {
         // Guards against RPCs that the end of this process finds unanswered.
         let last_call = self.standing.borrow().last_call();
--- a/crates/daemon/src/head.rs
+++ b/crates/daemon/src/head.rs
@@ -4,20 +4,20 @@
 const LONGEST: usize = "transfer-encoding".len();
 
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Framings {
+pub(crate) struct Framings {
     pub lengths: u8,
     pub codings: u8,
 }
 
 impl Framings {
     /// One way to read where the body ends.
-    pub fn is_clear(self) -> bool {
+    pub(crate) fn is_clear(self) -> bool {
         self.lengths + self.codings <= 1
     }
 }
 
 #[derive(Default)]
-pub struct HeadScan {
+pub(crate) struct HeadScan {
     line: usize,
     name: [u8; LONGEST], // of the field at hand, in small letters
     length: usize,       // of the line at hand up to its colon
@@ -28,7 +28,7 @@
 
 impl HeadScan {
     /// Takes what comes next; bytes behind the head's end are passed over.
-    pub fn feed(&mut self, bytes: &[u8]) {
+    pub(crate) fn feed(&mut self, bytes: &[u8]) {
         for byte in bytes {
             match byte {
                 _ if self.ended => return,
@@ -61,7 +61,7 @@
         }
     }
 
-    pub fn found(&self) -> Framings {
+    pub(crate) fn found(&self) -> Framings {
         self.found
     }
 }
--- a/crates/daemon/src/intake.rs
+++ b/crates/daemon/src/intake.rs
@@ -25,7 +25,7 @@
 const FIGURES: HeaderName = HeaderName::from_static("request-info");
 
 /// An RPC as a client sent it.
-pub struct Received {
+pub(crate) struct Received {
     /// Of the settings by which it was read.
     pub version: u64,
     pub method: usize,
@@ -42,7 +42,7 @@
 
 impl Received {
     /// Reads it again where other settings came into force on its way; what they don't take is told so.
-    pub fn by(&mut self, names: &Names) -> Result<(), Answer> {
+    pub(crate) fn by(&mut self, names: &Names) -> Result<(), Answer> {
         if self.version != names.version {
             let (method, effect) = names.method(self.message.uri.path())?;
             check(effect, &self.message.verb, self.message.key.is_some())?;
@@ -59,7 +59,7 @@
 
 /// What goes on to backends unchanged.
 #[derive(Clone)]
-pub struct Message {
+pub(crate) struct Message {
     verb: Method,
     uri: Uri,
     id: Option<HeaderValue>, // none on a probe
@@ -76,7 +76,7 @@
 
 impl Message {
     /// Asks a backend for its load report.
-    pub fn probe() -> Self {
+    pub(crate) fn probe() -> Self {
         let uri = Uri::from_static("/stats");
         Self {
             verb: Method::GET,
@@ -87,16 +87,16 @@
         }
     }
 
-    pub fn id(&self) -> HeaderValue {
+    pub(crate) fn id(&self) -> HeaderValue {
         self.id.clone().expect("only a probe has no id")
     }
 
-    pub fn is_probe(&self) -> bool {
+    pub(crate) fn is_probe(&self) -> bool {
         self.id.is_none()
     }
 
     /// What is too long to be kept.
-    pub fn upload(&self) -> Option<&Rc<Upload>> {
+    pub(crate) fn upload(&self) -> Option<&Rc<Upload>> {
         match &self.body {
             Payload::Whole(_) => None,
             Payload::Long(upload) => Some(upload),
@@ -104,12 +104,12 @@
     }
 
     /// A backend may have had its last byte, once one of it is on its way.
-    pub fn may_be_whole(&self) -> bool {
+    pub(crate) fn may_be_whole(&self) -> bool {
         self.upload().is_none_or(|upload| upload.is_whole())
     }
 
     /// The message to a backend that is waited for this long.
-    pub fn encode(&self, waits: Duration) -> Request<Outgoing> {
+    pub(crate) fn encode(&self, waits: Duration) -> Request<Outgoing> {
         let mut message = Request::new(match &self.body {
             Payload::Whole(bytes) => Outgoing::Whole(Full::new(bytes.clone())),
             Payload::Long(upload) => Outgoing::long(upload),
@@ -135,7 +135,7 @@
 }
 
 /// Reads by the names in force.
-pub struct Intake {
+pub(crate) struct Intake {
     names: InForce,
 }
 
@@ -174,12 +174,13 @@
 }
 
 impl Intake {
-    pub fn new(names: InForce) -> Self {
+    pub(crate) fn new(names: InForce) -> Self {
         Self { names }
     }
 
     /// The RPC in a client's message, or what it is told instead.
-    pub async fn read(
+    #[expect(clippy::too_many_lines)]
+    pub(crate) async fn read(
         &self,
         from: Request<Incoming>,
         framings: Framings,
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -119,6 +119,7 @@
     Rc::new(front).run(listener).await;
 }
 
+#[expect(clippy::too_many_lines)]
 async fn run(config: Config, passed: Option<std::net::TcpListener>) -> Result<(), String> {
     let catch = |kind| signal(kind).map_err(|e| format!("no signals: {e}"));
     let (mut term, hup) = (
--- a/crates/daemon/src/management.rs
+++ b/crates/daemon/src/management.rs
@@ -21,7 +21,7 @@
 use tokio::time::{sleep, timeout};
 
 /// Calls at a time; each has a descriptor set aside. With more the oldest goes: who calls waits for 1 s only.
-pub const CALLS_MOST: usize = 8;
+pub(crate) const CALLS_MOST: usize = 8;
 const CALL_TIME: Duration = Duration::from_secs(2); // for a whole call and its answer
 const HEAD_MOST: usize = 8 << 10; // bytes of a call's head
 const BODY_MOST: usize = 64 << 10; // bytes of a body that nobody needs, which some send
@@ -112,14 +112,14 @@
     }
 }
 
-pub struct Management {
+pub(crate) struct Management {
     pub standings: Rc<Standings>,
     pub settings: watch::Receiver<Stand>,
 }
 
 impl Management {
     /// Accepts until dropped.
-    pub async fn run(self: Rc<Self>, listener: TcpListener) {
+    pub(crate) async fn run(self: Rc<Self>, listener: TcpListener) {
         let mut calls: VecDeque<AbortHandle> = VecDeque::new();
         loop {
             match listener.accept().await {
--- a/crates/daemon/src/names.rs
+++ b/crates/daemon/src/names.rs
@@ -9,22 +9,22 @@
 use std::sync::Arc;
 
 /// The ones in force. The core alone replaces them, in the turn in which the module adopts the settings.
-pub type InForce = Rc<RefCell<Arc<Names>>>;
+pub(crate) type InForce = Rc<RefCell<Arc<Names>>>;
 
 /// The names of one version of the settings.
-pub struct Names {
+pub(crate) struct Names {
     /// Counts the changes since this process started.
     pub version: u64,
     methods: HashMap<String, (usize, Idempotency)>,
     tenants: HashMap<String, usize>,
 }
 
-pub fn bad(why: &'static str) -> Answer {
+pub(crate) fn bad(why: &'static str) -> Answer {
     Answer::Refused(StatusCode::BAD_REQUEST, why)
 }
 
 /// The verb of a method with this effect.
-pub fn verb(effect: Idempotency) -> Method {
+pub(crate) fn verb(effect: Idempotency) -> Method {
     if effect == Idempotency::Idempotent {
         Method::GET
     } else {
@@ -33,7 +33,7 @@
 }
 
 /// Whether a message of this verb, with or without a key, can be an RPC of a method with this effect.
-pub fn check(effect: Idempotency, told: &Method, keyed: bool) -> Result<(), Answer> {
+pub(crate) fn check(effect: Idempotency, told: &Method, keyed: bool) -> Result<(), Answer> {
     if *told != verb(effect) {
         return Err(bad("the HTTP method does not fit\n"));
     }
@@ -44,7 +44,7 @@
 }
 
 impl Names {
-    pub fn new(version: u64, conf: &Conf) -> Self {
+    pub(crate) fn new(version: u64, conf: &Conf) -> Self {
         let methods = conf.methods.iter().zip(&conf.settings.methods).enumerate();
         let methods = methods
             .map(|(n, (name, set))| (name.clone(), (n, set.idempotency)))
@@ -63,7 +63,7 @@
     }
 
     /// The place and effect of the method that a path names.
-    pub fn method(&self, path: &str) -> Result<(usize, Idempotency), Answer> {
+    pub(crate) fn method(&self, path: &str) -> Result<(usize, Idempotency), Answer> {
         let name = path.split('/').nth(1).unwrap_or_default();
         self.methods
             .get(name)
@@ -71,7 +71,7 @@
             .ok_or(Answer::Refused(StatusCode::NOT_FOUND, "no such method\n"))
     }
 
-    pub fn tenant(&self, name: Option<&str>) -> Option<usize> {
+    pub(crate) fn tenant(&self, name: Option<&str>) -> Option<usize> {
         self.tenants.get(name?).copied()
     }
 }
--- a/crates/daemon/src/reload.rs
+++ b/crates/daemon/src/reload.rs
@@ -15,7 +15,7 @@
 use tokio::time::Instant;
 
 /// Settings for the core to put in force.
-pub struct Update {
+pub(crate) struct Update {
     pub settings: Settings,
     pub kept: CarriedOver,
     pub names: Names,
@@ -30,7 +30,7 @@
 
 /// What is in force, for staff and tools.
 #[derive(Clone, Debug)]
-pub struct Stand {
+pub(crate) struct Stand {
     /// Counts the changes since this process started.
     pub version: u64,
     pub digest: u64,
@@ -43,7 +43,7 @@
 }
 
 impl Stand {
-    pub fn new(conf: &Conf) -> Self {
+    pub(crate) fn new(conf: &Conf) -> Self {
         let (methods, tenants) = (conf.methods.len(), conf.tenants.len());
         let (digest, longest_deadline) = (conf.digest, conf.longest_deadline);
         Self {
@@ -90,7 +90,7 @@
     update: Option<(Update, oneshot::Receiver<Replaced>)>,
 }
 
-pub struct Reload {
+pub(crate) struct Reload {
     /// As this process was started.
     start: Arc<Config>,
     conf: Arc<Conf>,
@@ -101,6 +101,7 @@
 }
 
 /// Reads the file and compares it; a fault names the place.
+#[expect(clippy::too_many_lines)]
 fn prepare(
     start: &Config,
     before: &Conf,
@@ -158,7 +159,7 @@
 }
 
 impl Reload {
-    pub fn new(
+    pub(crate) fn new(
         start: Arc<Config>,
         discovery: watch::Sender<SocketAddr>,
         core: mpsc::Sender<ToCore>,
@@ -177,7 +178,7 @@
 
     /// Takes over from the configuration, on each SIGHUP, where discovery is and what is in force. A fault leaves all
     /// as it was.
-    pub async fn run(mut self, mut hup: Signal) {
+    pub(crate) async fn run(mut self, mut hup: Signal) {
         while hup.recv().await.is_some() {
             let begun = Instant::now();
             let (start, before, watch) =
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -8,14 +8,14 @@
 use tokio::time::{Instant, sleep};
 
 const SLOTS: usize = 4; // processes that can live at a time: one replaces one, and one may hang on
-pub const SLOTS_HELD: usize = SLOTS + 2; // descriptors: these, the lock and a file that is read or written
+pub(crate) const SLOTS_HELD: usize = SLOTS + 2; // descriptors: these, the lock and a file that is read or written
 const LOCK_TIME: Duration = Duration::from_millis(300); // for the lock: who holds it writes a few bytes
 const LOCK_EVERY: Duration = Duration::from_millis(5); // between tries for it
 
 /// Tells one content of the file from the next.
 type Stamp = (SystemTime, u64);
 
-pub struct Shared {
+pub(crate) struct Shared {
     folder: PathBuf,
     slots: Vec<File>,
     own: Option<usize>,
@@ -26,7 +26,7 @@
 
 /// Other processes of this proxy.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Others {
+pub(crate) struct Others {
     pub living: usize,
     /// Of these, such as accept clients and are not told to end.
     pub accepting: usize,
@@ -56,7 +56,7 @@
 
 impl Shared {
     /// The folder of the proxy of this name. Its own slot is taken with the first count of others.
-    pub fn open(name: &str) -> Result<Self, String> {
+    pub(crate) fn open(name: &str) -> Result<Self, String> {
         let parent = std::env::var_os("TMPDIR").ok_or("TMPDIR is not set")?;
         let folder = Path::new(&parent).join(folder(name));
         std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
@@ -75,7 +75,7 @@
     }
 
     /// Tells the others whether this one accepts clients, once it has a slot. What an earlier holder told is void.
-    pub fn tell(&mut self, accepts: bool) {
+    pub(crate) fn tell(&mut self, accepts: bool) {
         if let Some(slot) = self
             .own
             .map(|n| &self.slots[n])
@@ -88,7 +88,7 @@
 
     /// How many other processes of this proxy live, and how many of these accept clients. A lock ends with its holder,
     /// however that ends.
-    pub fn others(&mut self) -> Others {
+    pub(crate) fn others(&mut self) -> Others {
         // Another one that looks at the same moment may hold the slot: the next look takes one then.
         self.own = self
             .own
@@ -126,7 +126,7 @@
     }
 
     /// What the file says, if that is new; an error if it can't be read.
-    pub fn read(&mut self) -> Result<Option<Orders>, String> {
+    pub(crate) fn read(&mut self) -> Result<Option<Orders>, String> {
         let stamp = self.stamped();
         if stamp.is_none() || stamp == self.stamp {
             return Ok(None);
@@ -139,7 +139,7 @@
 
     /// Changes what the file says, or where it says nothing that can be read what `own` says, and gives back
     /// what holds now. The file is whole at each moment.
-    pub async fn update(
+    pub(crate) async fn update(
         &mut self,
         own: &Orders,
         change: impl FnOnce(&mut Orders),
--- a/crates/daemon/src/sockets.rs
+++ b/crates/daemon/src/sockets.rs
@@ -35,13 +35,13 @@
 
 /// One of the two parts of the budget.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Part {
+pub(crate) enum Part {
     Clients,
     Backends,
 }
 
 /// Something idle that can be closed to make room.
-pub trait Spare {
+pub(crate) trait Spare {
     /// Closes it, if it is still idle.
     fn give_up(&self) -> bool;
 }
@@ -56,14 +56,14 @@
 }
 
 /// All sockets of clients and backends, counted.
-pub struct Budget {
+pub(crate) struct Budget {
     sockets: usize,
     clients: Shelf,
     backends: Shelf,
 }
 
 /// A place in the budget; given back when dropped.
-pub struct Place {
+pub(crate) struct Place {
     budget: Rc<Budget>,
     part: Part,
 }
@@ -80,7 +80,7 @@
 impl Budget {
     /// What is told, or fewer where the machine allows no more. Guards against clients that take the last descriptor,
     /// which the list service's connection needs.
-    pub fn new(told: usize) -> Rc<Self> {
+    pub(crate) fn new(told: usize) -> Rc<Self> {
         let sockets = told.min(allowed().unwrap_or(told));
         if sockets < told {
             log::warn!("limits.sockets is {told}, but the machine allows {sockets} descriptors");
@@ -95,7 +95,7 @@
     }
 
     /// So many processes share it evenly; what is idle beyond this one's part is given up.
-    pub fn divide(&self, processes: usize) {
+    pub(crate) fn divide(&self, processes: usize) {
         let all = (self.sockets / processes).saturating_sub(RESERVE).max(8);
         self.clients.most.set(all / 2);
         self.backends.most.set(all - all / 2);
@@ -107,7 +107,7 @@
     }
 
     /// Gives up what has been idle for the longest; false if nothing is.
-    pub fn give_up_oldest(&self, part: Part) -> bool {
+    pub(crate) fn give_up_oldest(&self, part: Part) -> bool {
         loop {
             let oldest = self.shelf(part).spare.borrow_mut().pop_first();
             match oldest.map(|(_, spare)| spare.upgrade().is_some_and(|spare| spare.give_up())) {
@@ -126,7 +126,7 @@
     }
 
     /// A place for one more socket; where none is left the longest idle one is given up for it.
-    pub fn place(self: &Rc<Self>, part: Part) -> Option<Place> {
+    pub(crate) fn place(self: &Rc<Self>, part: Part) -> Option<Place> {
         let shelf = self.shelf(part);
         if shelf.open.get() >= shelf.most.get() && !self.give_up_oldest(part) {
             if !shelf.spent.replace(true) {
@@ -141,7 +141,7 @@
     }
 
     /// A place beyond the part, out of the reserve.
-    pub fn place_anyhow(self: &Rc<Self>, part: Part) -> Place {
+    pub(crate) fn place_anyhow(self: &Rc<Self>, part: Part) -> Place {
         self.shelf(part).open.update(|open| open + 1);
         Place {
             budget: self.clone(),
@@ -152,7 +152,7 @@
     /// Notes something that may be given up for a new socket, for as long as the offer is kept; the lowest rank
     /// goes first. Costs the same however many are offered: guards against a proxy that walks all idle sockets
     /// with every answer.
-    pub fn offer<S: Spare + 'static>(
+    pub(crate) fn offer<S: Spare + 'static>(
         self: &Rc<Self>,
         part: Part,
         rank: u8,
@@ -168,18 +168,18 @@
         }
     }
 
-    pub fn open(&self, part: Part) -> usize {
+    pub(crate) fn open(&self, part: Part) -> usize {
         self.shelf(part).open.get()
     }
 
     /// Sockets beyond the part, out of the reserve.
-    pub fn over(&self, part: Part) -> usize {
+    pub(crate) fn over(&self, part: Part) -> usize {
         self.open(part).saturating_sub(self.shelf(part).most.get())
     }
 }
 
 /// Something idle stands to be given up; withdrawn when this is dropped.
-pub struct Offer {
+pub(crate) struct Offer {
     budget: Rc<Budget>,
     part: Part,
     place: (u8, u64),
@@ -206,7 +206,7 @@
 }
 
 /// Who is told what moves on a stream.
-pub trait Witness: Unpin {
+pub(crate) trait Witness: Unpin {
     fn read(&self, _bytes: &[u8]) {}
     /// So many bytes were taken over by the machine to send.
     fn wrote(&self, _bytes: u64) {}
@@ -220,7 +220,7 @@
     }
 }
 
-pub struct Watched<W, S = TcpStream> {
+pub(crate) struct Watched<W, S = TcpStream> {
     pub stream: S,
     pub by: W,
 }
@@ -266,7 +266,7 @@
 
 /// A client's stream, with what was read of it ahead of its time. Its end is seen behind bytes that nobody has asked
 /// for yet, which hides it from who reads them one message at a time.
-pub struct Inbound {
+pub(crate) struct Inbound {
     reads: Ahead,
     writes: OwnedWriteHalf,
 }
@@ -279,16 +279,16 @@
 
 /// The reading half, with what was read ahead.
 #[derive(Clone)]
-pub struct Ahead(Rc<RefCell<Reads>>);
+pub(crate) struct Ahead(Rc<RefCell<Reads>>);
 
 /// Tells whether a client is still there. It keeps nothing open.
 #[derive(Clone)]
-pub struct Presence(Weak<RefCell<Reads>>);
+pub(crate) struct Presence(Weak<RefCell<Reads>>);
 
 impl Presence {
     /// Whether the client's connection has ended, by what the machine knows at this moment. Guards against an end that
     /// came while this process stood still, of which its event loop has not heard yet.
-    pub async fn is_over(&self) -> bool {
+    pub(crate) async fn is_over(&self) -> bool {
         let Some(reads) = self.0.upgrade() else {
             return true;
         };
@@ -308,7 +308,7 @@
 }
 
 impl Inbound {
-    pub fn new(stream: TcpStream) -> Self {
+    pub(crate) fn new(stream: TcpStream) -> Self {
         let (half, writes) = stream.into_split();
         let (ahead, reader) = Default::default();
         Self {
@@ -321,7 +321,7 @@
         }
     }
 
-    pub fn ahead(&self) -> Ahead {
+    pub(crate) fn ahead(&self) -> Ahead {
         self.reads.clone()
     }
 }
@@ -369,17 +369,17 @@
 }
 
 impl Ahead {
-    pub fn presence(&self) -> Presence {
+    pub(crate) fn presence(&self) -> Presence {
         Presence(Rc::downgrade(&self.0))
     }
 
     /// Reads ahead what the machine holds at this moment.
-    pub fn look(&self) {
+    pub(crate) fn look(&self) {
         let _ = self.0.borrow_mut().look();
     }
 
     /// Ends when the peer has ended or reset the connection, whatever stands unread before that.
-    pub async fn left(&self) {
+    pub(crate) async fn left(&self) {
         while !poll_fn(|cx| self.0.borrow_mut().poll_left(cx)).await {
             // No more room: what the machine knows of an end behind bytes that still stand in the socket.
             if poll_fn(|cx| Poll::Ready(self.0.borrow().closed(cx))).await {
@@ -430,7 +430,7 @@
 
 /// Ends a connection such that a peer that still sends can read what it was told: closed with bytes unread it
 /// would be reset, and a reset overtakes the answer.
-pub async fn linger(mut stream: impl AsyncRead + AsyncWrite + Unpin, longest: Duration) {
+pub(crate) async fn linger(mut stream: impl AsyncRead + AsyncWrite + Unpin, longest: Duration) {
     let mut left = LINGER_MOST;
     let drain = async {
         let mut bytes = vec![0; 16 << 10];
@@ -448,7 +448,7 @@
 
 /// How an exchange went wrong.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Fault {
+pub(crate) enum Fault {
     /// Provably no byte was written.
     Unsent,
     /// The connection broke or ended after that, with no answer begun: it may have run.
@@ -457,7 +457,7 @@
     Spoilt,
 }
 
-pub struct Reply {
+pub(crate) struct Reply {
     pub status: StatusCode,
     pub headers: HeaderMap,
     /// All of it, or the first part of a longer one.
@@ -489,7 +489,7 @@
 
 /// A connection opened by this proxy. Its owner drives it; there is no task behind it that could keep the
 /// socket open or send something again.
-pub struct Conn {
+pub(crate) struct Conn {
     sender: SendRequest<Outgoing>,
     driver: Driver,
     rest: Option<Incoming>, // of an answer that is longer than was wanted at once
@@ -501,7 +501,7 @@
 
 impl Conn {
     /// `place` is none where the reserve holds one for it.
-    pub async fn open(to: SocketAddr, place: Option<Place>, until: Instant) -> Option<Self> {
+    pub(crate) async fn open(to: SocketAddr, place: Option<Place>, until: Instant) -> Option<Self> {
         let host = HeaderValue::from_str(&to.to_string()).ok()?;
         let stream = timeout_at(until, TcpStream::connect(to)).await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
@@ -528,28 +528,29 @@
     }
 
     /// Moves bytes; true once the connection is of no more use.
-    pub fn poll_closed(&mut self, cx: &mut Context) -> bool {
+    pub(crate) fn poll_closed(&mut self, cx: &mut Context) -> bool {
         self.driver.poll_ended(cx)
     }
 
     /// Whether it is still open, by what has come so far.
-    pub async fn alive(&mut self) -> bool {
+    pub(crate) async fn alive(&mut self) -> bool {
         poll_fn(|cx| Poll::Ready(!self.poll_closed(cx))).await
     }
 
     /// Whether another exchange may begin now.
-    pub async fn usable(&mut self) -> bool {
+    pub(crate) async fn usable(&mut self) -> bool {
         self.alive().await && self.sender.is_ready()
     }
 
     /// Bytes written so far.
-    pub fn progress(&self) -> Rc<Cell<u64>> {
+    pub(crate) fn progress(&self) -> Rc<Cell<u64>> {
         self.written.clone()
     }
 
     /// Sends one message and reads the answer: all of it, which may hold `most` bytes, or where the answer is ok
     /// and may go on, so much of it at least. `sent` is set as soon as a byte may be on its way.
-    pub async fn exchange(
+    #[expect(clippy::too_many_lines)]
+    pub(crate) async fn exchange(
         &mut self,
         mut message: Request<Outgoing>,
         most: usize,
@@ -610,7 +611,7 @@
     }
 
     /// What comes next of an answer; nothing at its end.
-    pub async fn next(&mut self) -> Result<Option<Bytes>, Fault> {
+    pub(crate) async fn next(&mut self) -> Result<Option<Bytes>, Fault> {
         let Self { rest, driver, .. } = self;
         loop {
             let Some(body) = rest else { return Ok(None) };
--- a/crates/daemon/src/standing.rs
+++ b/crates/daemon/src/standing.rs
@@ -15,7 +15,7 @@
 const LONGEST: Duration = Duration::from_secs(3);
 const LAST_WORDS: Duration = Duration::from_millis(100); // for the last answers to leave, still before SIGKILL
 /// Between looks at what another process of this proxy did: a drain's grace is six times as long.
-pub const LOOK: Duration = Duration::from_millis(50);
+pub(crate) const LOOK: Duration = Duration::from_millis(50);
 // After a standby new connections come for 0.2 s more; by then nearly all in use have had their last answer, and
 // few closes cross with an RPC.
 const IDLE_GOES: Duration = Duration::from_secs(1);
@@ -25,7 +25,7 @@
 
 /// What staff ordered of a backend.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Ban {
+pub(crate) enum Ban {
     InForce,
     /// Back since this time, in Unix ms: whatever the list says, it started no earlier.
     Over(f64),
@@ -33,7 +33,7 @@
 
 /// What staff ordered, and the names that orders may be about.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Orders {
+pub(crate) struct Orders {
     /// On standby since this time, in Unix ms.
     pub standby: Option<f64>,
     pub bans: BTreeMap<String, Ban>,
@@ -42,7 +42,7 @@
 
 /// What a caller wants.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Order {
+pub(crate) enum Order {
     Enter(String),
     Exit(String),
     Standby,
@@ -64,19 +64,19 @@
         }
     }
 
-    pub fn banned(&self) -> usize {
+    pub(crate) fn banned(&self) -> usize {
         self.bans
             .values()
             .filter(|ban| **ban == Ban::InForce)
             .count()
     }
 
-    pub fn knows(&self, name: &str) -> bool {
+    pub(crate) fn knows(&self, name: &str) -> bool {
         self.names.contains(name)
     }
 
     /// What the module is to be told of a backend that is listed so.
-    pub fn tells(&self, name: &str, listed: Readiness, boot_ms: f64) -> (Readiness, f64) {
+    pub(crate) fn tells(&self, name: &str, listed: Readiness, boot_ms: f64) -> (Readiness, f64) {
         match self.bans.get(name) {
             Some(Ban::InForce) if listed == Readiness::Ready => (Readiness::Draining, boot_ms),
             Some(Ban::Over(at)) => (listed, boot_ms.max(*at)),
@@ -94,7 +94,7 @@
 }
 
 #[derive(Clone, Debug, Default)]
-pub struct Standing {
+pub(crate) struct Standing {
     /// RPCs can be decided.
     pub ready: bool,
     /// Connections of clients are accepted.
@@ -111,7 +111,7 @@
 
 /// What SIGTERM has set: since when it is known, and how long the longest RPC may take from then on.
 #[derive(Clone, Copy, Debug)]
-pub struct Ending {
+pub(crate) struct Ending {
     since: Instant,
     longest: Duration,
 }
@@ -119,7 +119,7 @@
 impl Standing {
     /// Another process goes on where this one ends. Guards against one that still starts, dies or ends too: clients would
     /// come to nobody.
-    pub fn is_replaced(&self) -> bool {
+    pub(crate) fn is_replaced(&self) -> bool {
         self.ending.is_some() && self.passed && self.others.accepting > 0
     }
 
@@ -129,17 +129,17 @@
     }
 
     /// Whether clients are to come to this proxy, whichever of its processes they reach.
-    pub fn takes_clients(&self) -> bool {
+    pub(crate) fn takes_clients(&self) -> bool {
         self.ready && (self.ending.is_none() || self.is_replaced()) && self.orders.standby.is_none()
     }
 
     /// Each answer is the last on its connection.
-    pub fn answers_last(&self) -> bool {
+    pub(crate) fn answers_last(&self) -> bool {
         self.ending.is_some() || self.orders.standby.is_some()
     }
 
     /// Until when connections are accepted; always, if never told.
-    pub fn accepts_until(&self) -> Option<Instant> {
+    pub(crate) fn accepts_until(&self) -> Option<Instant> {
         let replaced = self.is_replaced();
         self.ending.map(|end| {
             if replaced {
@@ -151,17 +151,17 @@
     }
 
     /// By when all that was taken is to be answered, once this process ends.
-    pub fn last_call(&self) -> Option<Instant> {
+    pub(crate) fn last_call(&self) -> Option<Instant> {
         self.ending.map(|end| end.since + GO_ON + end.longest)
     }
 
     /// By when this process ends, whoever is still there.
-    pub fn over(&self) -> Option<Instant> {
+    pub(crate) fn over(&self) -> Option<Instant> {
         self.last_call().map(|end| end + LAST_WORDS)
     }
 
     /// By when a connection goes on which nothing is under way, and by when one whose message is not whole.
-    pub fn goes(&self) -> Option<(Instant, Instant)> {
+    pub(crate) fn goes(&self) -> Option<(Instant, Instant)> {
         // A message that is not whole yet may become an RPC for as long as that can be answered.
         let ends = self
             .ending
@@ -193,7 +193,7 @@
 }
 
 /// The owner of the standing.
-pub struct Standings {
+pub(crate) struct Standings {
     standing: watch::Sender<Standing>,
     /// The last turn that the core has carried out.
     done: watch::Sender<u64>,
@@ -204,7 +204,7 @@
 
 impl Standings {
     /// `shared` where this proxy may have other processes; what they ordered holds from the start.
-    pub fn new(mut shared: Option<Shared>, passed: bool) -> Self {
+    pub(crate) fn new(mut shared: Option<Shared>, passed: bool) -> Self {
         let mut now = Standing {
             passed,
             ..Standing::default()
@@ -223,20 +223,20 @@
         }
     }
 
-    pub fn reader(&self) -> watch::Receiver<Standing> {
+    pub(crate) fn reader(&self) -> watch::Receiver<Standing> {
         self.standing.subscribe()
     }
 
-    pub fn now(&self) -> watch::Ref<'_, Standing> {
+    pub(crate) fn now(&self) -> watch::Ref<'_, Standing> {
         self.standing.borrow()
     }
 
-    pub fn set_ready(&self) {
+    pub(crate) fn set_ready(&self) {
         self.standing
             .send_if_modified(|now| !std::mem::replace(&mut now.ready, true));
     }
 
-    pub fn set_open(&self) {
+    pub(crate) fn set_open(&self) {
         self.standing.send_modify(|now| now.open = true);
         self.tell();
     }
@@ -249,7 +249,7 @@
     }
 
     /// SIGTERM has come; `longest` is the time of the longest RPC that the settings know.
-    pub fn end(&self, longest: Duration) {
+    pub(crate) fn end(&self, longest: Duration) {
         let ending = Ending {
             since: Instant::now(),
             longest: longest.min(LONGEST),
@@ -259,7 +259,7 @@
     }
 
     /// These names are listed.
-    pub fn listed<'a>(&self, names: impl Iterator<Item = &'a str>) {
+    pub(crate) fn listed<'a>(&self, names: impl Iterator<Item = &'a str>) {
         let known = &self.standing.borrow().orders.names;
         let mut fresh = self.fresh_names.borrow_mut();
         for name in names.filter(|name| !known.contains(*name)) {
@@ -275,12 +275,12 @@
         }
     }
 
-    pub fn knows(&self, name: &str) -> bool {
+    pub(crate) fn knows(&self, name: &str) -> bool {
         self.standing.borrow().orders.knows(name) || self.fresh_names.borrow().contains(name)
     }
 
     /// The core has carried out what was ordered up to this turn.
-    pub fn carried_out(&self, turn: u64) {
+    pub(crate) fn carried_out(&self, turn: u64) {
         self.done.send_replace(turn);
     }
 
@@ -318,7 +318,7 @@
     }
 
     /// Carries out an order; done once it is in force. An error tells why it is not in another process.
-    pub async fn carry_out(&self, order: &Order) -> Result<(), String> {
+    pub(crate) async fn carry_out(&self, order: &Order) -> Result<(), String> {
         let outcome = self.change(|orders| orders.take(order)).await;
         let turn = self.standing.borrow().turn;
         log::info!("ordered: {order:?}; {}", *self.now());
@@ -337,7 +337,7 @@
     }
 
     /// Looks at what other processes do and order, for as long as this one lives.
-    pub async fn look(&self) {
+    pub(crate) async fn look(&self) {
         let mut looks = 0;
         while let Some(shared) = &self.shared {
             sleep(LOOK).await;
--- a/crates/daemon/src/watcher.rs
+++ b/crates/daemon/src/watcher.rs
@@ -14,7 +14,7 @@
 
 /// What the module asked for on an RPC.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Act {
+pub(crate) enum Act {
     Pick(u32),
     PushBack,
     Abort,
@@ -22,16 +22,16 @@
 
 /// What an instance asked for in one call, by RPC and in order.
 #[derive(Debug, Default)]
-pub struct Asked {
+pub(crate) struct Asked {
     acts: BTreeMap<u64, Vec<Act>>,
     probes: u64,
 }
 
 impl Asked {
-    pub fn act(&mut self, rpc: u64, act: Act) {
+    pub(crate) fn act(&mut self, rpc: u64, act: Act) {
         self.acts.entry(rpc).or_default().push(act);
     }
-    pub fn probe(&mut self) {
+    pub(crate) fn probe(&mut self) {
         self.probes += 1;
     }
     fn on(&self, rpc: u64) -> &[Act] {
@@ -115,7 +115,7 @@
     picks: usize,
 }
 
-pub struct Watch {
+pub(crate) struct Watch {
     balancer: Balancer,
     rpcs: HashMap<u64, Alike>,
     notes: Notes,
@@ -124,7 +124,7 @@
 }
 
 impl Watch {
-    pub fn new(settings: &Settings, seed: u64) -> Self {
+    pub(crate) fn new(settings: &Settings, seed: u64) -> Self {
         let balancer = Balancer::new(settings, seed);
         let (rpcs, notes, counts) = Default::default();
         Self {
@@ -137,7 +137,13 @@
     }
 
     /// Other settings are in force, for both.
-    pub fn adopt(&mut self, now: f64, first: Asked, settings: &Settings, kept: &CarriedOver) {
+    pub(crate) fn adopt(
+        &mut self,
+        now: f64,
+        first: Asked,
+        settings: &Settings,
+        kept: &CarriedOver,
+    ) {
         self.hear(now, first, None, |watch| {
             watch
                 .balancer
@@ -146,12 +152,12 @@
     }
 
     /// When it wants to be woken.
-    pub fn wake_at(&self) -> Option<f64> {
+    pub(crate) fn wake_at(&self) -> Option<f64> {
         self.notes.wake_at
     }
 
     /// One of the two was woken; the watcher, if it asked for that by now.
-    pub fn wake(&mut self, now: f64, first: Asked) {
+    pub(crate) fn wake(&mut self, now: f64, first: Asked) {
         let due = self.notes.wake_at.take_if(|at| *at <= now).is_some();
         self.hear(now, first, None, |watch| {
             if due {
@@ -160,7 +166,13 @@
         });
     }
 
-    pub fn list(&mut self, now: f64, first: Asked, kind: EndpointUpdateKind, entries: &[Endpoint]) {
+    pub(crate) fn list(
+        &mut self,
+        now: f64,
+        first: Asked,
+        kind: EndpointUpdateKind,
+        entries: &[Endpoint],
+    ) {
         self.hear(now, first, None, |watch| {
             watch
                 .balancer
@@ -168,13 +180,13 @@
         });
     }
 
-    pub fn list_failed(&mut self, now: f64, first: Asked) {
+    pub(crate) fn list_failed(&mut self, now: f64, first: Asked) {
         self.hear(now, first, None, |watch| {
             watch.balancer.list_failed(&mut watch.notes)
         });
     }
 
-    pub fn probed(
+    pub(crate) fn probed(
         &mut self,
         now: f64,
         first: Asked,
@@ -189,7 +201,7 @@
         });
     }
 
-    pub fn take(&mut self, now: f64, first: Asked, arrival: &IncomingRpc) {
+    pub(crate) fn take(&mut self, now: f64, first: Asked, arrival: &IncomingRpc) {
         self.counts.compared += 1;
         self.hear(now, first, Some(arrival.id), |watch| {
             let rpc = watch.balancer.accept(arrival, &mut watch.notes);
@@ -197,13 +209,13 @@
         });
     }
 
-    pub fn hung_up(&mut self, now: f64, first: Asked, id: u64) {
+    pub(crate) fn hung_up(&mut self, now: f64, first: Asked, id: u64) {
         self.on_rpc(now, first, id, |rpc, notes| {
             rpc.on_client_disconnected(notes)
         });
     }
 
-    pub fn ended(
+    pub(crate) fn ended(
         &mut self,
         now: f64,
         first: Asked,
@@ -217,19 +229,19 @@
         });
     }
 
-    pub fn whole(&mut self, now: f64, first: Asked, (id, pick): (u64, usize)) {
+    pub(crate) fn whole(&mut self, now: f64, first: Asked, (id, pick): (u64, usize)) {
         self.on_rpc(now, first, id, |rpc, notes| {
             rpc.on_request_sent(pick, notes)
         });
     }
 
-    pub fn begun(&mut self, now: f64, first: Asked, (id, pick): (u64, usize)) {
+    pub(crate) fn begun(&mut self, now: f64, first: Asked, (id, pick): (u64, usize)) {
         self.on_rpc(now, first, id, |rpc, notes| {
             rpc.on_response_started(pick, PacedBy::Client, notes)
         });
     }
 
-    pub fn unrepeatable(&self, id: u64) {
+    pub(crate) fn unrepeatable(&self, id: u64) {
         self.rpcs
             .get(&id)
             .into_iter()
--- a/crates/daemon/tests/in_force.rs
+++ b/crates/daemon/tests/in_force.rs
@@ -91,6 +91,7 @@
 
 /// Methods come, go, move and change; those out under the old settings end as they began, on the connections they have.
 #[test]
+#[expect(clippy::too_many_lines)]
 fn methods_change_while_their_rpcs_are_out() {
     let log = Log::new(vec![]);
     let (at, gate) = gated("b1", &log, "done");
@@ -192,6 +193,7 @@
 
 /// A message that is not whole when settings change is read by the new ones: nothing is taken for what it no longer is.
 #[test]
+#[expect(clippy::too_many_lines)]
 fn a_message_on_its_way_is_read_by_the_new_settings() {
     let log = Log::new(vec![]);
     let mut proxy = Proxy::start(&[("s-1", echo("b1", &log))], |config| {
@@ -297,6 +299,7 @@
 
 /// Hundreds of changes in a row under load: every RPC is answered as ever, on the connection its client opened first.
 #[test]
+#[expect(clippy::too_many_lines)]
 fn hundreds_of_changes_lose_no_rpc() {
     let log = Log::new(vec![]);
     let backends = [
@@ -369,6 +372,7 @@
 
 /// What can't be read changes nothing at all, and what says the same changes nothing either.
 #[test]
+#[expect(clippy::too_many_lines)]
 fn all_or_nothing() {
     let log = Log::new(vec![]);
     let mut proxy = Proxy::start(&[("s-1", echo("b1", &log))], |config| {
@@ -547,6 +551,7 @@
 /// By hand: what a change costs at the planned size. Prints its figures.
 #[test]
 #[ignore = "measures, with --nocapture, and takes a minute"]
+#[expect(clippy::too_many_lines)]
 fn a_change_at_the_planned_size() {
     const CHANGES: usize = 200;
     let log = Log::new(vec![]);
--- a/crates/daemon/tests/long.rs
+++ b/crates/daemon/tests/long.rs
@@ -249,6 +249,7 @@
 }
 
 #[test]
+#[expect(clippy::too_many_lines)]
 fn all_forms_of_answers_and_requests_go_through() {
     let log = Log::new(vec![]);
     let at = backend("b1", &log, |m| {
--- a/crates/daemon/tests/operations.rs
+++ b/crates/daemon/tests/operations.rs
@@ -43,6 +43,7 @@
 }
 
 #[test]
+#[expect(clippy::too_many_lines)]
 fn calls_are_told_what_holds_and_bad_ones_change_nothing() {
     let log = Log::new(vec![]);
     let (_daemon, at) = managed(&[("s 1", echo("b1", &log))], |_| {});
@@ -129,6 +130,7 @@
 
 /// Callers that finish no call, clients that hold every socket there is and a full load hold up no other call.
 #[test]
+#[expect(clippy::too_many_lines)]
 fn calls_are_answered_under_a_full_budget() {
     let log = Log::new(vec![]);
     let (daemon, at) = managed(&[("s-1", echo("b1", &log))], |config| {
@@ -194,6 +196,7 @@
 
 /// Maintenance: a banned backend gets nothing whatever the list says, until one exit; then it is used again.
 #[test]
+#[expect(clippy::too_many_lines)]
 fn a_banned_backend_gets_nothing_until_one_exit() {
     let log = Log::new(vec![]);
     // What a cold backend may be sent counts in work: it has to take some time.
--- a/crates/daemon/tests/replacing.rs
+++ b/crates/daemon/tests/replacing.rs
@@ -232,6 +232,7 @@
 
 /// Bans and standby hold in both processes, whichever was called, and end in both.
 #[test]
+#[expect(clippy::too_many_lines)]
 fn orders_pass_to_the_other_process() {
     let log = Log::new(vec![]);
     let platform = Platform::new(
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -9,6 +9,7 @@
 const PROGRAM: &str = env!("CARGO_BIN_EXE_birchhubd");
 
 /// Each with what it is made to be.
+#[expect(clippy::too_many_lines)]
 fn odd() -> Vec<(&'static str, &'static str, Value)> {
     let gone = || Value::Null;
     let huge = || json!(u64::MAX);
@@ -93,6 +94,7 @@
 }
 
 #[test]
+#[expect(clippy::too_many_lines)]
 fn settings_that_cannot_be_read_name_themselves() {
     let folder = std::env::temp_dir().join(format!("birchhubd-settings-{}", std::process::id()));
     std::fs::create_dir_all(&folder).expect("a folder");
--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -629,6 +629,7 @@
 }
 
 #[test]
+#[expect(clippy::too_many_lines)]
 fn bad_input_is_told_so_and_reaches_no_backend() {
     let log = Log::new(vec![]);
     let daemon = Daemon::start(PROGRAM, &[("s-1", echo("b1", &log))]);
@@ -800,6 +801,7 @@
 }
 
 #[test]
+#[expect(clippy::too_many_lines)]
 fn a_bad_start_names_what_is_wrong() {
     let folder = std::env::temp_dir().join(format!("birchhubd-bad-{}", std::process::id()));
     std::fs::create_dir_all(&folder).expect("a folder");
--- a/crates/model/src/node.rs
+++ b/crates/model/src/node.rs
@@ -247,9 +247,11 @@
     ) -> bool {
         self.advance(now, repeats, out);
         match self.places.get(&job).copied() {
-            Some(Place::Waiting(number)) => drop(self.waiting.remove(&number)),
+            Some(Place::Waiting(number)) => {
+                self.waiting.remove(&number);
+            }
             Some(Place::Running(end)) if self.spec.cancel_stops => {
-                drop(self.running.remove(&(end, job)))
+                self.running.remove(&(end, job));
             }
             _ => return false,
         }
--- a/crates/model/tests/node.rs
+++ b/crates/model/tests/node.rs
@@ -117,6 +117,7 @@
 }
 
 /// Ends agree with the plain model within a few of its steps, cold or warm, with a stall anywhere.
+#[expect(clippy::too_many_lines)]
 fn ends_are_those_of_the_plain_model(
     picks: Vec<(u8, u8)>,
     cold: bool,
--- a/crates/rehearsal/src/clients.rs
+++ b/crates/rehearsal/src/clients.rs
@@ -112,6 +112,7 @@
         while open.join_next().await.is_some() {}
     }
 
+    #[expect(clippy::too_many_lines)]
     async fn rpc(self: Rc<Self>, rpc: u32, arrival: Arrival) {
         let method = &self.scenario.method[arrival.method as usize];
         let clients = &self.scenario.clients;
--- a/crates/rehearsal/src/page.rs
+++ b/crates/rehearsal/src/page.rs
@@ -75,6 +75,7 @@
     format!("<svg viewBox='0 -6 {WIDTH} {tall}' width='100%' role='img'>{body}</svg>\n")
 }
 
+#[expect(clippy::too_many_lines)]
 fn service(report: &Report, head: &Head, axis: &Axis) -> String {
     let mut body = String::new();
     axis.bands(&mut body, head, HEIGHT);
@@ -160,6 +161,7 @@
     most
 }
 
+#[expect(clippy::too_many_lines)]
 fn nodes(head: &Head, entries: &[Entry], axis: &Axis) -> String {
     let rows = head.nodes.len().min(ROWS_MOST);
     let seconds = axis.length.ceil().max(1.0) as usize;
@@ -245,6 +247,7 @@
 }
 
 /// The whole page.
+#[expect(clippy::too_many_lines)]
 pub fn render(report: &Report, head: &Head, entries: &[Entry]) -> String {
     let axis = Axis {
         length: report.length.max(1.0),
--- a/crates/rehearsal/src/plan.rs
+++ b/crates/rehearsal/src/plan.rs
@@ -226,6 +226,7 @@
         self.nodes.iter().filter(|node| !node.successor).count()
     }
 
+    #[expect(clippy::too_many_lines)]
     fn add<'s>(
         &mut self,
         scenario: &'s Scenario,
@@ -571,6 +572,7 @@
 }
 
 /// Poisson by thinning: drawn at the highest rate, kept in proportion.
+#[expect(clippy::too_many_lines)]
 fn arrivals(scenario: &Scenario, seed: u64) -> Vec<Arrival> {
     let highest: f64 = scenario
         .traffic
--- a/crates/rehearsal/src/proxies.rs
+++ b/crates/rehearsal/src/proxies.rs
@@ -149,6 +149,7 @@
     }
 
     /// Starts a proxy and waits until it is ready.
+    #[expect(clippy::too_many_lines)]
     pub async fn start(self: &Rc<Self>, proxy: u16) -> Result<(), String> {
         let name = proxy_name(proxy);
         let (discovery, known) = self
--- a/crates/rehearsal/src/report.rs
+++ b/crates/rehearsal/src/report.rs
@@ -58,6 +58,7 @@
 
 /// The verdict and its reasons. What no clock can excuse fails in any case; what rests on time is judged only where the
 /// kit itself was on time.
+#[expect(clippy::too_many_lines)]
 fn judge(head: &Head, findings: &Findings, partial: bool) -> (Verdict, Vec<String>) {
     let told = |b: &Breach| {
         format!(
@@ -152,6 +153,7 @@
     }
 
     /// For the terminal.
+    #[expect(clippy::too_many_lines)]
     pub fn text(&self) -> String {
         let mut to = String::new();
         let (counts, service) = (&self.findings.counts, &self.findings.service);
--- a/crates/rehearsal/src/run.rs
+++ b/crates/rehearsal/src/run.rs
@@ -131,6 +131,7 @@
 }
 
 /// Plays it; tells whether it was stopped before its end.
+#[expect(clippy::too_many_lines)]
 async fn play(
     scenario: &Scenario,
     plan: &Plan,
--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -466,6 +466,7 @@
     }
 
     /// What no type can say. The key of the first fault, and what it is.
+    #[expect(clippy::too_many_lines)]
     fn check(&self) -> Result<(), (String, String)> {
         let wrong = |key: &str, what: String| Err((key.to_owned(), what));
         let positive = |key: &str, value: f64| match value {
@@ -571,6 +572,7 @@
         })
     }
 
+    #[expect(clippy::too_many_lines)]
     fn check_trouble(&self, n: usize, trouble: &Trouble) -> Result<(), (String, String)> {
         use TroubleKind::*;
         let key = |name: &str| format!("trouble[{n}].{name}");
--- a/crates/rehearsal/src/select.rs
+++ b/crates/rehearsal/src/select.rs
@@ -6,7 +6,7 @@
 use std::collections::HashMap;
 
 /// A fault of the selector: its key below the trouble, and what it is.
-pub type Wrong = (&'static str, String);
+pub(crate) type Wrong = (&'static str, String);
 
 fn zone(
     scenario: &Scenario,
@@ -52,7 +52,8 @@
 }
 
 /// The nodes; `before` holds those of the troubles above it.
-pub fn nodes(
+#[expect(clippy::too_many_lines)]
+pub(crate) fn nodes(
     selector: &Selector,
     scenario: &Scenario,
     all: &[PlannedNode],
@@ -122,7 +123,7 @@
     Ok(chosen)
 }
 
-pub fn proxies(
+pub(crate) fn proxies(
     selector: &ProxySelector,
     scenario: &Scenario,
     chance: &mut impl Rng,
--- a/crates/rehearsal/src/settings.rs
+++ b/crates/rehearsal/src/settings.rs
@@ -10,6 +10,7 @@
 }
 
 /// The settings for a proxy.
+#[expect(clippy::too_many_lines)]
 pub fn settings(scenario: &Scenario, proxy: u16) -> Value {
     let rules = &scenario.rules;
     let methods: Vec<_> = scenario
--- a/crates/rehearsal/src/stage.rs
+++ b/crates/rehearsal/src/stage.rs
@@ -47,7 +47,7 @@
 }
 
 /// What the stage is asked for by the other threads.
-pub enum Ask {
+pub(crate) enum Ask {
     /// A proxy starts: where its list service is, and the list that it starts with.
     ProxyStarts {
         proxy: u16,
@@ -74,7 +74,7 @@
 }
 
 /// Starts the thread; returns once every node listens.
-pub fn start(
+pub(crate) fn start(
     scenario: Scenario,
     plan: Plan,
     notes: Notes,
@@ -123,6 +123,7 @@
 }
 
 impl Stage {
+    #[expect(clippy::too_many_lines)]
     fn set(
         scenario: &Scenario,
         plan: &Plan,
@@ -269,6 +270,7 @@
         }
     }
 
+    #[expect(clippy::too_many_lines)]
     fn act(self: &Rc<Self>, act: Act) {
         let host = |node| self.host(node);
         match act {
--- a/crates/rehearsal/tests/plans.rs
+++ b/crates/rehearsal/tests/plans.rs
@@ -159,6 +159,7 @@
 
 /// What each mistake is told as: file, line, key, and what is wrong.
 #[test]
+#[expect(clippy::too_many_lines)]
 fn mistakes_are_told_with_file_line_and_key() {
     let trouble = "\n[[trouble]]\nname = \"t\"\nkind = \"stall\"\nat = \"1s\"\nfor = \"1s\"\n";
     let cases = [
--- a/crates/scale/src/hollow.rs
+++ b/crates/scale/src/hollow.rs
@@ -173,6 +173,7 @@
 }
 
 impl HollowProxies {
+    #[expect(clippy::too_many_lines)]
     pub fn start(count: u32, list: SocketAddr, seed: u64) -> Result<Self, String> {
         let (tell, news) = mpsc::unbounded_channel();
         let (end, ended) = oneshot::channel::<()>();
--- a/crates/scale/src/page.rs
+++ b/crates/scale/src/page.rs
@@ -122,6 +122,7 @@
     )
 }
 
+#[expect(clippy::too_many_lines)]
 fn slopes(report: &Report) -> Result<String, String> {
     let rows = report.series.iter().map(|series| {
         let points = series
--- a/crates/scale/src/reckon.rs
+++ b/crates/scale/src/reckon.rs
@@ -133,6 +133,7 @@
     BACKENDS * DEPLOY * LINES_EACH / 60.0
 }
 
+#[expect(clippy::too_many_lines)]
 pub fn targets(report: &Report) -> Result<Vec<Line>, String> {
     let at = |name, x| report.at(name, x);
     let crowded = |name: &str| Ok::<_, String>(report.get(name)?.load > report.cores as f64);
@@ -390,6 +391,7 @@
     ])
 }
 
+#[expect(clippy::too_many_lines)]
 pub fn hours(report: &Report) -> Result<Vec<Hour>, String> {
     let at = |name, x| report.at(name, x);
     let hour = |when, what: &str, unit, reckoning, guess, of: &str| Hour {
--- a/crates/scale/src/run.rs
+++ b/crates/scale/src/run.rs
@@ -214,6 +214,7 @@
         Ok((changes, meter.stop()?))
     }
 
+    #[expect(clippy::too_many_lines)]
     async fn backends(&mut self) -> Result<(), String> {
         for &listed in &self.plan.backends {
             self.tell(&format!("{listed} backends"));
@@ -425,6 +426,7 @@
         Ok(())
     }
 
+    #[expect(clippy::too_many_lines)]
     async fn hollow(&mut self) -> Result<(), String> {
         let backends = Backends::start(IDLE)?;
         let most = self.plan.hollow.iter().copied().max().unwrap_or(1);
@@ -493,6 +495,7 @@
     }
 
     /// How long a changed configuration takes to be in force at the last of some proxies, one way and the other.
+    #[expect(clippy::too_many_lines)]
     async fn settings(&mut self) -> Result<(), String> {
         let backends = Backends::start(IDLE)?;
         let list = ListService::start(10, backends.endpoints(), ZONES)?;
--- a/crates/settings/src/change.rs
+++ b/crates/settings/src/change.rs
@@ -100,6 +100,7 @@
 }
 
 /// Keys whose values bind decisions from the change on.
+#[expect(clippy::too_many_lines)]
 fn rules(before: &Settings, now: &Settings) -> Vec<&'static str> {
     // By each field, so that none that is added can be forgotten here.
     let Settings {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,5 +1,7 @@
 //! The settings object that a proxy is handed at start, read into the module's settings, the names that end
 //! at the door and the limits on connections.
+#![expect(missing_docs, reason = "docs/ROADMAP.md lists the crates that are not documented yet")]
+
 use birchhub::interface::{
     DeduplicationScope, Idempotency, LoadReport, LoadReportSource, MethodSettings, Settings,
     TenantSettings,
@@ -212,6 +214,7 @@
     build(value, || accounts()?.iter().map(account).collect())
 }
 
+#[expect(clippy::too_many_lines)]
 fn build(
     value: &Value,
     accounts: impl FnOnce() -> Result<Vec<Account>, String>,
--- a/crates/settings/tests/change.rs
+++ b/crates/settings/tests/change.rs
@@ -32,6 +32,7 @@
 
 type Lists = (Vec<(u8, u8)>, Vec<(u8, u8)>);
 
+#[expect(clippy::too_many_lines)]
 fn is_as_a_plain_search(before: Lists, now: Lists) -> bool {
     let (before, now) = ((once(before.0), once(before.1)), (once(now.0), once(now.1)));
     let (old, new) = (
@@ -128,6 +129,7 @@
 
 /// Each key that differs is named: in force now, or at the next start, where it then stays as it was.
 #[test]
+#[expect(clippy::too_many_lines)]
 fn each_key_is_told_by_when_it_binds() {
     let plain = object(&[(0, 1)], &[(0, 1)]);
     let old = conf(&plain);
--- a/crates/simulation/src/list.rs
+++ b/crates/simulation/src/list.rs
@@ -4,7 +4,7 @@
 
 /// What the list says of a node.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Line {
+pub(crate) struct Line {
     pub life: u32,
     pub state: State,
     /// When it last started, s; `None` for long ago.
@@ -21,7 +21,7 @@
 
 /// The service, and its readers by proxy.
 #[derive(Debug, Default)]
-pub struct List {
+pub(crate) struct List {
     version: u64,
     lines: BTreeMap<u32, (u64, Line)>,
     readers: Vec<Reader>,
@@ -33,7 +33,7 @@
 
 impl List {
     /// With a limit, `most` calls are worked on at a time.
-    pub fn new(proxies: usize, most: Option<usize>) -> Self {
+    pub(crate) fn new(proxies: usize, most: Option<usize>) -> Self {
         Self {
             readers: vec![Reader::default(); proxies],
             most,
@@ -41,12 +41,12 @@
         }
     }
 
-    pub fn is_limited(&self) -> bool {
+    pub(crate) fn is_limited(&self) -> bool {
         self.most.is_some()
     }
 
     /// A proxy's call comes: how many lines there are to be told. `None` where it is refused; else `done` must follow.
-    pub fn begin(&mut self, proxy: u16) -> Option<usize> {
+    pub(crate) fn begin(&mut self, proxy: u16) -> Option<usize> {
         self.readers[proxy as usize].watches = false;
         if self.down > 0 || self.most.is_some_and(|most| self.busy >= most) {
             return None;
@@ -63,17 +63,17 @@
     }
 
     /// Whether a proxy that watches is to be told something now.
-    pub fn has_news(&self, proxy: u16) -> bool {
+    pub(crate) fn has_news(&self, proxy: u16) -> bool {
         self.tells(proxy) && self.newer(proxy).next().is_some()
     }
 
     /// The work on a call has ended.
-    pub fn done(&mut self) {
+    pub(crate) fn done(&mut self) {
         self.busy -= 1;
     }
 
     /// A node is now so; the proxies that are to be told at once.
-    pub fn change(&mut self, node: u32, line: Line) -> Vec<u16> {
+    pub(crate) fn change(&mut self, node: u32, line: Line) -> Vec<u16> {
         self.version += 1;
         self.lines.insert(node, (self.version, line));
         (0..self.readers.len() as u16)
@@ -82,19 +82,19 @@
     }
 
     /// Whether a proxy that watches would be told of a change now.
-    pub fn tells(&self, proxy: u16) -> bool {
+    pub(crate) fn tells(&self, proxy: u16) -> bool {
         let reader = &self.readers[proxy as usize];
         self.down == 0 && reader.watches && reader.stale == 0
     }
 
     /// A proxy begins to watch; false where the call fails.
-    pub fn watch(&mut self, proxy: u16) -> bool {
+    pub(crate) fn watch(&mut self, proxy: u16) -> bool {
         self.readers[proxy as usize].watches = self.down == 0;
         self.down == 0
     }
 
     /// What has changed since a proxy was told last; from now on it has been told.
-    pub fn news(&mut self, proxy: u16) -> Vec<(u32, Line)> {
+    pub(crate) fn news(&mut self, proxy: u16) -> Vec<(u32, Line)> {
         let news = self
             .newer(proxy)
             .map(|(node, (_, line))| (*node, *line))
@@ -104,7 +104,7 @@
     }
 
     /// A proxy starts: the list that it has then; it watches nothing yet.
-    pub fn known(&mut self, proxy: u16) -> Vec<(u32, Line)> {
+    pub(crate) fn known(&mut self, proxy: u16) -> Vec<(u32, Line)> {
         self.forget(proxy);
         let all = self.news(proxy);
         all.into_iter()
@@ -113,13 +113,13 @@
     }
 
     /// A proxy starts and knows nothing.
-    pub fn forget(&mut self, proxy: u16) {
+    pub(crate) fn forget(&mut self, proxy: u16) {
         self.readers[proxy as usize].watches = false;
         self.readers[proxy as usize].version = 0;
     }
 
     /// It fails from now on, or no longer; the proxies whose watches end.
-    pub fn set_down(&mut self, down: bool) -> Vec<u16> {
+    pub(crate) fn set_down(&mut self, down: bool) -> Vec<u16> {
         self.down = if down {
             self.down + 1
         } else {
@@ -135,7 +135,7 @@
     }
 
     /// A proxy's list stands still, or moves on; true if it is to be told what it missed.
-    pub fn set_stale(&mut self, proxy: u16, stale: bool) -> bool {
+    pub(crate) fn set_stale(&mut self, proxy: u16, stale: bool) -> bool {
         let reader = &mut self.readers[proxy as usize];
         reader.stale = if stale {
             reader.stale + 1
--- a/crates/simulation/src/proxy.rs
+++ b/crates/simulation/src/proxy.rs
@@ -5,7 +5,7 @@
 
 /// What the module asked for.
 #[derive(Clone, Copy, Debug)]
-pub enum Wish {
+pub(crate) enum Wish {
     Pick {
         attempt: u64,
         backend: u32,
@@ -33,7 +33,7 @@
 
 /// The module's door outward: notes what it asks for, in order.
 #[derive(Default)]
-pub struct Door {
+pub(crate) struct Door {
     now: f64,
     pub wishes: Vec<Wish>,
 }
@@ -70,7 +70,7 @@
 }
 
 /// An RPC in a proxy's care.
-pub struct Care {
+pub(crate) struct Care {
     pub rpc: Option<RpcHandle>,
     /// By its own clock and by that of the simulation, s.
     pub deadline: f64,
@@ -80,7 +80,7 @@
 }
 
 /// A process, from its start to its end.
-pub struct Proxy {
+pub(crate) struct Proxy {
     pub balancer: Balancer,
     pub door: Door,
     pub cares: BTreeMap<u64, Care>,
@@ -98,7 +98,7 @@
 }
 
 impl Proxy {
-    pub fn new(balancer: Balancer, process: u32) -> Self {
+    pub(crate) fn new(balancer: Balancer, process: u32) -> Self {
         let (door, cares) = (Door::default(), BTreeMap::new());
         Self {
             balancer,
@@ -114,7 +114,7 @@
     }
 
     /// Calls the module at this time of the simulation; what it asked for is left in the door.
-    pub fn call(
+    pub(crate) fn call(
         &mut self,
         now: f64,
         act: impl FnOnce(&Balancer, &mut BTreeMap<u64, Care>, &mut Door),
--- a/crates/simulation/src/queue.rs
+++ b/crates/simulation/src/queue.rs
@@ -29,7 +29,7 @@
     }
 }
 
-pub struct Queue<T> {
+pub(crate) struct Queue<T> {
     entries: BinaryHeap<Entry<T>>,
     next: u64,
 }
@@ -44,7 +44,7 @@
 }
 
 impl<T> Queue<T> {
-    pub fn put(&mut self, at: f64, what: T) {
+    pub(crate) fn put(&mut self, at: f64, what: T) {
         self.next += 1;
         self.entries.push(Entry {
             at,
@@ -53,7 +53,7 @@
         });
     }
 
-    pub fn take(&mut self) -> Option<(f64, T)> {
+    pub(crate) fn take(&mut self) -> Option<(f64, T)> {
         self.entries.pop().map(|entry| (entry.at, entry.what))
     }
 }
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -317,6 +317,7 @@
         events
     }
 
+    #[expect(clippy::too_many_lines)]
     fn happen(&mut self, what: What) {
         match what {
             What::Act(n) => self.act(self.plan.acts[n].1.clone()),
@@ -479,6 +480,7 @@
         }
     }
 
+    #[expect(clippy::too_many_lines)]
     fn at_proxy(&mut self, attempt: u64, proxy: u16) {
         let place = proxy as usize;
         if self.proxies[place]
@@ -545,6 +547,7 @@
         }
     }
 
+    #[expect(clippy::too_many_lines)]
     fn wish(&mut self, proxy: u16, process: u32, wish: Wish) {
         let now = self.now;
         let Some(running) = self.proxies[proxy as usize].as_mut() else {
@@ -646,6 +649,7 @@
         }
     }
 
+    #[expect(clippy::too_many_lines)]
     fn reach(&mut self, proxy: u16, process: u32, what: Call) {
         let place = proxy as usize;
         let Some(running) = self.proxies[place]
@@ -1091,6 +1095,7 @@
             .map(|(_, trick)| trick.clone())
     }
 
+    #[expect(clippy::too_many_lines)]
     fn at_node(&mut self, job: u64, begun: f64) {
         let Some(entry) = self.jobs.get(&job) else {
             return;
@@ -1364,6 +1369,7 @@
 
     // Troubles.
 
+    #[expect(clippy::too_many_lines)]
     fn act(&mut self, act: Act) {
         match act {
             Act::Begin { trouble } => self.tell(Event::Trouble {
--- a/crates/stand-in/src/list.rs
+++ b/crates/stand-in/src/list.rs
@@ -283,6 +283,7 @@
         }
     }
 
+    #[expect(clippy::too_many_lines)]
     async fn connection(self: Rc<Self>, proxy: u16, mut peer: Peer) {
         let clock = self.notes.clock;
         loop {
--- a/crates/stand-in/src/node.rs
+++ b/crates/stand-in/src/node.rs
@@ -533,6 +533,7 @@
         self.answer(peer, life, 200, &[], body.as_bytes()).await
     }
 
+    #[expect(clippy::too_many_lines)]
     async fn rpc(&self, peer: &mut Peer, message: &Message, proxy: u16, slot: &Slot) -> Next {
         let (fleet, life) = (&self.fleet, slot.life);
         let id = message.header("request-id");
--- a/crates/stand-in/tests/stand_ins.rs
+++ b/crates/stand-in/tests/stand_ins.rs
@@ -133,6 +133,7 @@
 }
 
 #[test]
+#[expect(clippy::too_many_lines)]
 fn an_rpc_runs_and_its_answer_carries_the_load() {
     on_stage(|notes, entries| async move {
         let node = node(&notes, 0.005);
@@ -676,6 +677,7 @@
 
 /// What a client sees of a proxy that does each of these with its answer.
 #[test]
+#[expect(clippy::too_many_lines)]
 fn a_client_tells_answers_apart() {
     on_stage(|notes, _entries| async move {
         let ok = |attempt: u64| wire::response(200, &[], format!("{attempt:016x} n\n").as_bytes());
--- a/src/held.rs
+++ b/src/held.rs
@@ -69,7 +69,7 @@
 
 impl Backend {
     /// Takes over what the list says, but for the start.
-    pub fn describe(&self, entry: &Endpoint) {
+    pub(crate) fn describe(&self, entry: &Endpoint) {
         self.ready.set(entry.readiness == Readiness::Ready);
         self.cell.set(entry.cell);
         self.zone.set(entry.zone);
@@ -77,14 +77,14 @@
     }
 
     /// Whether that would leave it in the sets it stands in.
-    pub fn stands_as(&self, entry: &Endpoint) -> bool {
+    pub(crate) fn stands_as(&self, entry: &Endpoint) -> bool {
         let facts = (entry.readiness == Readiness::Ready, entry.cell, entry.zone);
         self.places[0].get() != NOWHERE && (self.ready.get(), self.cell.get(), self.zone.get()) == facts
     }
 
     /// It has started anew: what failed before is over, and so is the load that an entry tells of. If that was before
     /// this process, another may have sent it all that a window can hold.
-    pub fn starts(&self, now: f64, before: bool) {
+    pub(crate) fn starts(&self, now: f64, before: bool) {
         if before {
             self.cold_sent.1.set(Some(now));
             self.unfinished.set(now);
@@ -97,36 +97,36 @@
     }
 
     /// A pick has ended, and it may still have work with it.
-    pub fn ends(&self, how: AttemptOutcome, now: f64) {
+    pub(crate) fn ends(&self, how: AttemptOutcome, now: f64) {
         let done = how == AttemptOutcome::Succeeded || how.never_reached_backend();
         self.unfinished.set(if done { self.unfinished.get() } else { now });
     }
 
     /// Whether it has let down no pick in this time.
-    pub fn finishes(&self, now: f64, lately: f64) -> bool {
+    pub(crate) fn finishes(&self, now: f64, lately: f64) -> bool {
         now >= self.unfinished.get() + lately
     }
 
     /// Picks out there that are work for it.
-    pub fn at_work(&self) -> usize {
+    pub(crate) fn at_work(&self) -> usize {
         self.out.get().saturating_sub(self.flows.get())
     }
 
     /// So many more picks are out there.
-    pub fn count(&self, change: isize, now: f64, over: f64) {
+    pub(crate) fn count(&self, change: isize, now: f64, over: f64) {
         self.out.set(self.out.get().saturating_add_signed(change));
         self.mean_out.add(self.out.get() as f64, now, over);
     }
 
     /// Its entry in the idle list holds until then at the least; true if it had none.
-    pub fn enter(&self, until: f64) -> bool {
+    pub(crate) fn enter(&self, until: f64) -> bool {
         let before = self.listed_until.get();
         self.listed_until.set(Some(before.map_or(until, |earlier| earlier.max(until))));
         before.is_none()
     }
 
     /// Whether it stands in the idle list with an entry that holds, and still takes RPCs.
-    pub fn is_listed(&self, now: f64) -> bool {
+    pub(crate) fn is_listed(&self, now: f64) -> bool {
         self.ready.get() && self.listed_until.get().is_some_and(|until| until >= now)
     }
 }
@@ -151,21 +151,21 @@
 }
 
 impl Told {
-    pub fn reported(&self, light: bool, now: f64) {
+    pub(crate) fn reported(&self, light: bool, now: f64) {
         self.light.add(f64::from(light), now, TOLD_OVER);
     }
 
-    pub fn ended(&self, light: bool, targets: f64, now: f64) {
+    pub(crate) fn ended(&self, light: bool, targets: f64, now: f64) {
         self.took[usize::from(light)].add(targets, now, TOLD_OVER);
     }
 
     /// Part of the reports that are light.
-    pub fn light_part(&self) -> f64 {
+    pub(crate) fn light_part(&self) -> f64 {
         self.light.get(0.5)
     }
 
     /// Time of picks where the report is light, as a part of that of others.
-    pub fn light_takes(&self, now: f64) -> f64 {
+    pub(crate) fn light_takes(&self, now: f64) -> f64 {
         let [heavy, light] = &self.took;
         let (quick, slow) = (light.get(heavy.get(2.0) / 2.0), heavy.get(light.get(1.0) * 2.0));
         let mean = |took: &Mean, usual| took.weighed(now, TOLD_OVER, TOLD_FEW, usual);
@@ -195,64 +195,64 @@
 
 impl Cold {
     /// Takes over what settings say; what was measured stays.
-    pub fn adopt(&mut self, set: &Settings, safety: f64) {
+    pub(crate) fn adopt(&mut self, set: &Settings, safety: f64) {
         (self.window, self.from, self.lasts) =
             (set.overload_window, set.slow_start_initial_fraction, set.slow_start_duration);
         (self.multiple, self.safety) = (safety * set.overload_multiple, safety);
     }
 
     /// A list has come.
-    pub fn begins(&self, now: f64) {
+    pub(crate) fn begins(&self, now: f64) {
         self.born.set(self.born.get().or(Some(now)));
     }
 
     /// Whether a process before this one may have known it.
-    pub fn before(&self, started: Option<f64>) -> bool {
+    pub(crate) fn before(&self, started: Option<f64>) -> bool {
         started.is_some_and(|at| self.born.get().is_some_and(|born| at < born))
     }
 
     /// An RPC is to be drawn a backend for. Returns its lot, below 1, for all cold ones.
-    pub fn draw(&self, id: u64, now: f64, over: f64) -> f64 {
+    pub(crate) fn draw(&self, id: u64, now: f64, over: f64) -> f64 {
         self.offer(1.0, now, over);
         of_pair(id, now.to_bits())
     }
 
     /// So many RPCs, or parts of one, may have led to any backend.
-    pub fn offer(&self, rpcs: f64, now: f64, over: f64) {
+    pub(crate) fn offer(&self, rpcs: f64, now: f64, over: f64) {
         self.offered.add(rpcs, now, over);
     }
 
     /// RPCs a second that may have led to any backend.
-    pub fn offered(&self, now: f64, over: f64) -> f64 {
+    pub(crate) fn offered(&self, now: f64, over: f64) -> f64 {
         (self.offered.read(now, over) + FEW_OFFERED) / over
     }
 
     /// One of so many ready backends has answered. Guards against a small one's answers, and those of many that have gone
     /// since, taken for what each does; a cold one's count for as many as it could have been sent.
-    pub fn answer(&self, by: &Backend, ready: usize, now: f64, over: f64) {
+    pub(crate) fn answer(&self, by: &Backend, ready: usize, now: f64, over: f64) {
         let allowed = by.started.get().and_then(|at| self.allowed(now - at));
         let part = allowed.map_or(1.0, |work| (work / self.safety / self.window).clamp(LEAST, 1.0));
         self.answered.add(1.0 / (ready.max(1) as f64 * by.size.get() * part), now, over);
     }
 
     /// RPCs that a warm backend of size 1 answers here in a second.
-    pub fn answered(&self, now: f64, over: f64) -> f64 {
+    pub(crate) fn answered(&self, now: f64, over: f64) -> f64 {
         self.answered.read(now, over) / over
     }
 
     /// Of so many cores, RPCs at once that their work in a window keeps them busy with.
-    pub fn at_once(&self, cores: f64) -> f64 {
+    pub(crate) fn at_once(&self, cores: f64) -> f64 {
         self.multiple * cores
     }
 
     /// Seconds of a warm backend's work in one window at this age; none once it is warm.
-    pub fn allowed(&self, age: f64) -> Option<f64> {
+    pub(crate) fn allowed(&self, age: f64) -> Option<f64> {
         let part = self.from + (1.0 - self.from) * (age / self.lasts).max(0.0);
         (age < self.lasts).then_some(self.multiple * self.window * part)
     }
 
     /// Whether one RPC of every proxy surely fits beside this work and what the backend does in the window.
-    pub fn one_each(&self, allowed: f64, each: f64, proxies: f64) -> bool {
+    pub(crate) fn one_each(&self, allowed: f64, each: f64, proxies: f64) -> bool {
         let left = allowed / self.safety - allowed / self.multiple - surely(allowed, each);
         surely(left.max(0.0), each) >= proxies * each
     }
@@ -263,13 +263,13 @@
 pub(crate) struct Sent(RefCell<VecDeque<f64>>, Cell<Option<f64>>);
 
 impl Sent {
-    pub fn add(&self, now: f64, window: f64) {
+    pub(crate) fn add(&self, now: f64, window: f64) {
         self.within(now, window);
         self.0.borrow_mut().push_back(now);
     }
 
     /// How many were sent in the window that ends now.
-    pub fn within(&self, now: f64, window: f64) -> f64 {
+    pub(crate) fn within(&self, now: f64, window: f64) -> f64 {
         let mut sent = self.0.borrow_mut();
         while sent.front().is_some_and(|at| *at <= now - window) {
             sent.pop_front();
@@ -303,7 +303,7 @@
 }
 
 impl Bounds {
-    pub fn of(set: &Settings, processes: f64) -> Self {
+    pub(crate) fn of(set: &Settings, processes: f64) -> Self {
         Self {
             most_picks: set.max_attempts,
             may_cancel: set.can_cancel,
@@ -335,12 +335,12 @@
 }
 
 impl Part {
-    pub fn new(was: f64, then: f64) -> Self {
+    pub(crate) fn new(was: f64, then: f64) -> Self {
         Self { was, then }
     }
 
     /// What it is by now, if it comes back by this much a second.
-    pub fn at(&self, now: f64, back: f64) -> f64 {
+    pub(crate) fn at(&self, now: f64, back: f64) -> f64 {
         (self.was + (now - self.then).max(0.0) * back).min(1.0)
     }
 }
@@ -355,20 +355,20 @@
 
 impl Method {
     /// What was measured of it under the settings before goes on, also by its RPCs that are still out.
-    pub fn new(set: &MethodSettings, room: f64, before: Option<&Rc<Self>>) -> Self {
+    pub(crate) fn new(set: &MethodSettings, room: f64, before: Option<&Rc<Self>>) -> Self {
         let (each, door, seen) =
             before.map(|b| (b.each.clone(), b.door.clone(), b.seen.clone())).unwrap_or_default();
         Self { set: set.clone(), room, each, door, seen }
     }
 
     /// One of its RPCs has come.
-    pub fn came(&self, now: f64) {
+    pub(crate) fn came(&self, now: f64) {
         self.seen.add(1.0, now, SEEN_OVER);
     }
 
     /// Part of the RPCs that came lately before one of its own in the order of utility, which stands at this place
     /// among its equals: 0 before them all, 1 behind.
-    pub fn place(&self, methods: &[Rc<Self>], among: f64, now: f64) -> f64 {
+    pub(crate) fn place(&self, methods: &[Rc<Self>], among: f64, now: f64) -> f64 {
         let (mut before, mut all) = (0.0, 0.0);
         for method in methods {
             let seen = method.seen.read(now, SEEN_OVER);
@@ -383,7 +383,7 @@
     }
 
     /// Latency target, or deadline where late answers count.
-    pub fn useful_until(&self, arrival: &IncomingRpc, now: f64) -> f64 {
+    pub(crate) fn useful_until(&self, arrival: &IncomingRpc, now: f64) -> f64 {
         let stretch = self.set.objective_stretch * arrival.expected_work.unwrap_or(0.0);
         let target = now + self.set.latency_objective + stretch;
         if self.set.late_weight_fraction > 0.0 { arrival.deadline } else { target.min(arrival.deadline) }
@@ -400,7 +400,11 @@
 
 impl Tenant {
     /// For each of so many tenants the one that it was before, or one that has no slice yet.
-    pub fn kept(before: Vec<Self>, places: &[Option<usize>], tenants: usize) -> impl Iterator<Item = Self> {
+    pub(crate) fn kept(
+        before: Vec<Self>,
+        places: &[Option<usize>],
+        tenants: usize,
+    ) -> impl Iterator<Item = Self> {
         let mut before: Vec<_> = before.into_iter().map(Some).collect();
         let mut was = move |place: usize| before.get_mut(place).and_then(Option::take);
         let places: Vec<_> = (0..tenants).map(|n| places.get(n).copied().flatten()).collect();
@@ -409,7 +413,7 @@
 
     /// It with this slice: the RPCs a second that it sent stay what they were. One that had none yet starts with a
     /// part of it counted as used.
-    pub fn sliced(self, slice: f64, over: f64, used: f64, now: f64) -> Self {
+    pub(crate) fn sliced(self, slice: f64, over: f64, used: f64, now: f64) -> Self {
         let had = self.over > 0.0;
         let longer = Some(over / self.over).filter(|times| times.is_finite() && *times > 0.0).unwrap_or(1.0);
         let sent = if had { self.sent.read(now, self.over) * longer } else { slice * used };
@@ -418,12 +422,12 @@
         tenant
     }
 
-    pub fn count(&self, rpcs: f64, now: f64) {
+    pub(crate) fn count(&self, rpcs: f64, now: f64) {
         self.sent.add(rpcs, now, self.over);
     }
 
     /// How much of its slice it has used lately; 1 is all of it.
-    pub fn used(&self, now: f64) -> f64 {
+    pub(crate) fn used(&self, now: f64) -> f64 {
         self.sent.read(now, self.over) / self.slice
     }
 }
@@ -476,7 +480,7 @@
 }
 
 impl Pick {
-    pub fn new(
+    pub(crate) fn new(
         backend: Rc<Backend>,
         sent: f64,
         room: f64,
@@ -495,24 +499,24 @@
         self.backend.flows.update(|all| all + usize::from(flows) - usize::from(before));
     }
 
-    pub fn end(&mut self, how: AttemptOutcome) {
+    pub(crate) fn end(&mut self, how: AttemptOutcome) {
         self.ended = Some(how);
         self.flow(false);
     }
 
     /// To the answer, or to where a long one began: how fast a client takes it says nothing of the backend.
-    pub fn took(&self, now: f64) -> f64 {
+    pub(crate) fn took(&self, now: f64) -> f64 {
         self.answered.unwrap_or(now) - self.sent
     }
 
     /// A pick still out may have run.
-    pub fn may_have_run(&self) -> bool {
+    pub(crate) fn may_have_run(&self) -> bool {
         !self.ended.is_some_and(AttemptOutcome::never_ran)
     }
 }
 
 impl Call {
-    pub fn new(
+    pub(crate) fn new(
         arrival: &IncomingRpc,
         method: Rc<Method>,
         share: Share,
@@ -545,12 +549,12 @@
     }
 
     /// The least of what its tenant's and its method's last picks let in, 1 at the most.
-    pub fn least_door(&self, now: f64, over: f64, few: f64, usual: f64) -> f64 {
+    pub(crate) fn least_door(&self, now: f64, over: f64, few: f64, usual: f64) -> f64 {
         self.doors.iter().map(|door| door.weighed(now, over, few, usual)).fold(1.0, f64::min)
     }
 
     /// A pick has ended; told once.
-    pub fn end(&self, n: usize, how: AttemptOutcome, now: f64) -> Option<Ended> {
+    pub(crate) fn end(&self, n: usize, how: AttemptOutcome, now: f64) -> Option<Ended> {
         let mut picks = self.picks.borrow_mut();
         let pick = picks.get_mut(n).filter(|pick| pick.ended.is_none())?;
         pick.end(how);
@@ -561,12 +565,12 @@
     }
 
     /// How well it went counts for its tenant and its method.
-    pub fn went(&self, part: f64, now: f64, over: f64) {
+    pub(crate) fn went(&self, part: f64, now: f64, over: f64) {
         self.doors.iter().for_each(|door| door.add(part, now, over));
     }
 
     /// The last byte of a pick has gone out.
-    pub fn whole(&self, n: usize, now: f64) {
+    pub(crate) fn whole(&self, n: usize, now: f64) {
         if let Some(pick) = self.picks.borrow_mut().get_mut(n).filter(|pick| pick.ended.is_none()) {
             pick.sent = now;
             pick.flow(false);
@@ -574,7 +578,7 @@
     }
 
     /// The answer to a pick has begun.
-    pub fn begun(&self, n: usize, pace: PacedBy, now: f64) {
+    pub(crate) fn begun(&self, n: usize, pace: PacedBy, now: f64) {
         self.streaming.set(true);
         let mut picks = self.picks.borrow_mut();
         if let Some(pick) = picks.get_mut(n).filter(|pick| pick.ended.is_none() && pace == PacedBy::Client) {
@@ -584,17 +588,17 @@
     }
 
     /// Some pick may have cost a backend something.
-    pub fn reached_any(&self) -> bool {
+    pub(crate) fn reached_any(&self) -> bool {
         self.picks.borrow().iter().any(|p| !p.ended.is_some_and(AttemptOutcome::never_ran))
     }
 
     /// Picks that are out.
-    pub fn out(&self) -> Vec<usize> {
+    pub(crate) fn out(&self) -> Vec<usize> {
         let picks = self.picks.borrow();
         (0..picks.len()).filter(|n| picks[*n].ended.is_none()).collect()
     }
 
-    pub fn is_out(&self) -> bool {
+    pub(crate) fn is_out(&self) -> bool {
         self.picks.borrow().iter().any(|p| p.ended.is_none())
     }
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -108,6 +108,7 @@
     alarm: Option<f64>,
 }
 
+/// The decisions of one proxy.
 pub struct Balancer(Rc<RefCell<State>>);
 
 /// An RPC this proxy has taken.
@@ -117,6 +118,7 @@
 }
 
 impl Balancer {
+    /// A balancer that knows no backend yet.
     pub fn new(set: &Settings, seed: u64) -> Self {
         let mut new = State { chance: Chance::new(seed), probe_tokens: PROBE_FEW as f64, ..State::default() };
         new.adopt(set, &CarriedOver::default(), 0.0);
@@ -146,6 +148,7 @@
         state.arm(link);
     }
 
+    /// A health check has ended.
     pub fn on_health_check(
         &self,
         backend: u32,
@@ -175,6 +178,7 @@
         state.serve(link);
     }
 
+    /// The time asked for by `Platform::schedule_timer` has come.
     pub fn on_timer(&self, link: &mut dyn Platform) {
         let (mut state, now) = (self.0.borrow_mut(), link.now());
         // Guards against a flood of timers: only the latest one set asks for the next.
@@ -191,6 +195,7 @@
         state.serve(link);
     }
 
+    /// The endpoint list has changed.
     pub fn update_endpoints(&self, kind: EndpointUpdateKind, entries: &[Endpoint], link: &mut dyn Platform) {
         let (mut state, now) = (self.0.borrow_mut(), link.now());
         let every = state.bounds.ask_every;
@@ -260,6 +265,7 @@
 }
 
 impl RpcHandle {
+    /// It has its final answer and no attempt under way.
     pub fn is_finished(&self) -> bool {
         self.call.over.get() && !self.call.is_out()
     }
@@ -279,6 +285,7 @@
         self.call.spent.set(true);
     }
 
+    /// The client has closed its connection or cancelled.
     pub fn on_client_disconnected(&self, link: &mut dyn Platform) {
         self.call.over.set(true);
         let mut state = self.state.borrow_mut();
@@ -288,6 +295,8 @@
         state.serve(link);
     }
 
+    #[expect(clippy::too_many_lines)]
+    /// An attempt has ended; `over` if the client has been answered with it.
     pub fn on_attempt_ended(
         &self,
         n: usize,
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -50,25 +50,25 @@
 }
 
 impl Roster {
-    pub fn get(&self, id: u32) -> Option<&Rc<Backend>> {
+    pub(crate) fn get(&self, id: u32) -> Option<&Rc<Backend>> {
         self.by_id.get(&id)
     }
 
     /// The backend of this number, made if it is not known.
-    pub fn get_or_make(&mut self, id: u32) -> Rc<Backend> {
+    pub(crate) fn get_or_make(&mut self, id: u32) -> Rc<Backend> {
         self.by_id.entry(id).or_insert_with(|| Rc::new(Backend { id, ..Backend::default() })).clone()
     }
 
-    pub fn is_empty(&self) -> bool {
+    pub(crate) fn is_empty(&self) -> bool {
         self.by_id.is_empty()
     }
 
-    pub fn set(&self, set: Set) -> &[Rc<Backend>] {
+    pub(crate) fn set(&self, set: Set) -> &[Rc<Backend>] {
         self.sets.get(&set).map_or(&[], Vec::as_slice)
     }
 
     /// So many of the cells with ready backends, by weighted rendezvous hash of the key: the same at every proxy.
-    pub fn cells_of(&self, key: u64, most: usize) -> Vec<Set> {
+    pub(crate) fn cells_of(&self, key: u64, most: usize) -> Vec<Set> {
         let score = |(set, members): (&Set, &Vec<_>)| match set {
             Set::Cell(cell) => Some((of_pair(key, *cell).ln() / members.len() as f64, *cell)),
             _ => None,
@@ -79,7 +79,7 @@
     }
 
     /// A random one of a set that fits: some are asked, then a stretch. Guards against a cost that grows with the fleet.
-    pub fn any_of(
+    pub(crate) fn any_of(
         &self,
         set: Set,
         chance: &Chance,
@@ -99,7 +99,7 @@
     }
 
     /// Puts a backend into a set or takes it out; nothing if it is so already.
-    pub fn put(&mut self, backend: &Rc<Backend>, set: Set, within: bool) {
+    pub(crate) fn put(&mut self, backend: &Rc<Backend>, set: Set, within: bool) {
         let place = &backend.places[set.slot()];
         match (place.get(), within) {
             (NOWHERE, true) => {
@@ -123,7 +123,7 @@
     }
 
     /// Takes a backend out of every set, by the zone and cell it has had.
-    pub fn take_out(&mut self, backend: &Rc<Backend>) {
+    pub(crate) fn take_out(&mut self, backend: &Rc<Backend>) {
         let ready = backend.ready.get();
         let (zone, cell) = (Set::Zone(backend.zone.get()), Set::Cell(backend.cell.get()));
         let first = if ready { Set::Ready } else { Set::Unready };
@@ -133,18 +133,18 @@
     }
 
     /// Forgets it altogether.
-    pub fn forget(&mut self, backend: &Rc<Backend>) {
+    pub(crate) fn forget(&mut self, backend: &Rc<Backend>) {
         self.take_out(backend);
         self.by_id.remove(&backend.id);
     }
 
     /// Something about it ends at this time.
-    pub fn at(&mut self, time: f64, backend: &Backend) {
+    pub(crate) fn at(&mut self, time: f64, backend: &Backend) {
         self.due.push(Reverse((time.max(0.0).to_bits(), backend.id)));
     }
 
     /// One for whom something has ended by now; each is told once for each time.
-    pub fn next_due(&mut self, now: f64) -> Option<Rc<Backend>> {
+    pub(crate) fn next_due(&mut self, now: f64) -> Option<Rc<Backend>> {
         while let Some(Reverse((time, id))) = self.due.peek().copied() {
             if f64::from_bits(time) > now {
                 return None;
--- a/src/turns.rs
+++ b/src/turns.rs
@@ -26,7 +26,7 @@
 
 impl Turns {
     /// Takes an RPC into the line of its key, as the last. It has its turn if it is the only one there.
-    pub fn enter(&mut self, call: &Rc<Call>, key: u64) {
+    pub(crate) fn enter(&mut self, call: &Rc<Call>, key: u64) {
         self.next += 1;
         call.turn.set(Some(Turn { key, number: self.next }));
         // A line without any is there until its key has rested and its end was seen: the turn is told then.
@@ -35,20 +35,20 @@
     }
 
     /// How many stand in an RPC's line, itself too.
-    pub fn length(&self, call: &Call) -> usize {
+    pub(crate) fn length(&self, call: &Call) -> usize {
         let line = call.turn.get().and_then(|turn| self.lines.get(&turn.key));
         line.map_or(0, |line| line.calls.len())
     }
 
     /// What one of its picks did may go on: those behind it wait until then at the least.
-    pub fn rest(&mut self, call: &Call, until: f64) {
+    pub(crate) fn rest(&mut self, call: &Call, until: f64) {
         if let Some(line) = call.turn.get().and_then(|turn| self.lines.get_mut(&turn.key)) {
             line.rests_until = line.rests_until.max(until);
         }
     }
 
     /// It is over and has nothing out: the one behind it has its turn when the key has rested.
-    pub fn leave(&mut self, call: &Call) {
+    pub(crate) fn leave(&mut self, call: &Call) {
         let Some(turn) = call.turn.take() else { return };
         let Some(line) = self.lines.get_mut(&turn.key) else { return };
         let first = line.calls.first_key_value().is_some_and(|(number, _)| *number == turn.number);
@@ -59,7 +59,7 @@
     }
 
     /// The next one that has its turn now, told once. Lines that hold nothing any more are forgotten.
-    pub fn next_up(&mut self, now: f64) -> Option<Rc<Call>> {
+    pub(crate) fn next_up(&mut self, now: f64) -> Option<Rc<Call>> {
         while let Some((time, key)) =
             self.due.first().copied().filter(|(time, _)| f64::from_bits(*time) <= now)
         {
@@ -78,7 +78,7 @@
     }
 
     /// When the next line may go on.
-    pub fn due(&self) -> Option<f64> {
+    pub(crate) fn due(&self) -> Option<f64> {
         self.due.first().map(|(time, _)| f64::from_bits(*time))
     }
 }
--- a/src/waiting.rs
+++ b/src/waiting.rs
@@ -27,11 +27,11 @@
 
 impl Waiting {
     /// None of them could be sent now.
-    pub fn is_empty(&self) -> bool {
+    pub(crate) fn is_empty(&self) -> bool {
         self.after(None).is_none()
     }
 
-    pub fn insert(&mut self, call: Rc<Call>) {
+    pub(crate) fn insert(&mut self, call: Rc<Call>) {
         self.next += 1;
         let share = match call.share {
             Share::Within => 0,
@@ -46,7 +46,7 @@
     }
 
     /// Takes it out, if it waits.
-    pub fn remove(&mut self, call: &Call) {
+    pub(crate) fn remove(&mut self, call: &Call) {
         if let Some(rank) = call.rank.take() {
             self.ends.remove(&(end(call), rank));
             self.ranked.remove(&rank);
@@ -54,14 +54,14 @@
     }
 
     /// The first in rank, or the next behind one, of those that may be sent.
-    pub fn after(&self, rank: Option<Rank>) -> Option<Rc<Call>> {
+    pub(crate) fn after(&self, rank: Option<Rank>) -> Option<Rc<Call>> {
         let from = rank.map_or(Unbounded, Excluded);
         let next = self.ranked.range((from, Unbounded)).next().filter(|(rank, _)| !rank.not_yet);
         next.map(|(_, call)| call.clone())
     }
 
     /// The one whose wait ends first, and when.
-    pub fn first_end(&self) -> Option<(f64, Rc<Call>)> {
+    pub(crate) fn first_end(&self) -> Option<(f64, Rc<Call>)> {
         let (end, rank) = self.ends.first()?;
         Some((f64::from_bits(*end), self.ranked.get(rank)?.clone()))
     }
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -162,6 +162,7 @@
 }
 
 impl World {
+    #[expect(clippy::too_many_lines)]
     fn new(fleet: Fleet, seed: u64) -> Self {
         let conf = Settings {
             proxy_count: fleet.proxies,
@@ -389,6 +390,7 @@
         }
     }
 
+    #[expect(clippy::too_many_lines)]
     fn happen(&mut self, what: What) {
         match what {
             What::Arrives(proxy) => {
@@ -569,6 +571,7 @@
 /// The sweep that docs/acceptance.md tells of: `cargo test --release --test cold -- --ignored --nocapture`.
 #[test]
 #[ignore = "minutes: the figures of docs/acceptance.md"]
+#[expect(clippy::too_many_lines)]
 fn sweep() {
     let seeds: u64 = std::env::var("SEEDS")
         .ok()
@@ -820,6 +823,7 @@
 
 #[test]
 #[ignore = "a minute: the figures of docs/acceptance.md"]
+#[expect(clippy::too_many_lines)]
 fn extremes() {
     let base = Fleet {
         skewed: true,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -5,7 +5,7 @@
 use birchhub::policy::{Balancer, RpcHandle};
 use std::collections::BTreeMap;
 
-pub fn method(effect: Idempotency) -> MethodSettings {
+pub(crate) fn method(effect: Idempotency) -> MethodSettings {
     let (latency_target, target_stretch, utility, late_utility, in_order) =
         (0.2, 0.0, 1.0, 0.0, false);
     MethodSettings {
@@ -18,7 +18,7 @@
     }
 }
 
-pub fn settings(effects: &[Idempotency]) -> Settings {
+pub(crate) fn settings(effects: &[Idempotency]) -> Settings {
     Settings {
         proxy_count: 1,
         methods: effects.iter().map(|e| method(*e)).collect(),
@@ -39,7 +39,7 @@
     }
 }
 
-pub fn entry(backend: u32) -> Endpoint {
+pub(crate) fn entry(backend: u32) -> Endpoint {
     let (cell, zone) = (u64::from(backend % 2), backend as usize % 3);
     Endpoint {
         backend,
@@ -52,7 +52,7 @@
 }
 
 #[derive(Clone, Debug)]
-pub struct Sent {
+pub(crate) struct Sent {
     pub backend: u32,
     pub at: f64,
     pub until: f64,
@@ -62,7 +62,7 @@
 
 /// What the model knows of one RPC.
 #[derive(Clone, Debug)]
-pub struct Record {
+pub(crate) struct Record {
     pub effect: Idempotency,
     /// The key whose order it keeps, and its number among all that were taken.
     pub order: Option<(u64, u64)>,
@@ -74,7 +74,7 @@
 }
 
 #[derive(Default)]
-pub struct World {
+pub(crate) struct World {
     pub now: f64,
     pub settings: Settings,
     pub rpcs: BTreeMap<u64, Record>,
@@ -98,7 +98,7 @@
         )
     }
 
-    pub fn may_push_back(rpc: &Record) -> bool {
+    pub(crate) fn may_push_back(rpc: &Record) -> bool {
         let clean = !rpc.sent.iter().any(Self::ran);
         clean
             || matches!(
@@ -239,7 +239,7 @@
 }
 
 /// One balancer in its world.
-pub struct Proxy {
+pub(crate) struct Proxy {
     pub world: World,
     pub balancer: Balancer,
     pub handles: BTreeMap<u64, RpcHandle>,
@@ -247,7 +247,7 @@
 }
 
 impl Proxy {
-    pub fn new(settings: Settings, seed: u64, entries: &[Endpoint]) -> Self {
+    pub(crate) fn new(settings: Settings, seed: u64, entries: &[Endpoint]) -> Self {
         let balancer = Balancer::new(&settings, seed);
         let world = World {
             settings,
@@ -263,7 +263,7 @@
         proxy
     }
 
-    pub fn list(&mut self, kind: EndpointUpdateKind, entries: &[Endpoint]) {
+    pub(crate) fn list(&mut self, kind: EndpointUpdateKind, entries: &[Endpoint]) {
         let now = self.world.now;
         if kind != EndpointUpdateKind::Incremental {
             for id in self
@@ -286,11 +286,11 @@
             .update_endpoints(kind, entries, &mut self.world);
     }
 
-    pub fn take(&mut self, method: usize, left: f64) -> u64 {
+    pub(crate) fn take(&mut self, method: usize, left: f64) -> u64 {
         self.take_as(method, left, None, false)
     }
 
-    pub fn take_as(
+    pub(crate) fn take_as(
         &mut self,
         method: usize,
         left: f64,
@@ -306,7 +306,7 @@
         })
     }
 
-    pub fn take_keyed(&mut self, key: u64) -> u64 {
+    pub(crate) fn take_keyed(&mut self, key: u64) -> u64 {
         self.take_any(IncomingRpc {
             deadline: 0.5,
             key: Some(key),
@@ -315,7 +315,7 @@
     }
 
     /// One whose body is still on its way.
-    pub fn take_long(&mut self) -> u64 {
+    pub(crate) fn take_long(&mut self) -> u64 {
         self.take_any(IncomingRpc {
             deadline: 0.5,
             streams_request: true,
@@ -324,7 +324,7 @@
     }
 
     /// Its id is given here, and its deadline counts from now.
-    pub fn take_any(&mut self, asked: IncomingRpc) -> u64 {
+    pub(crate) fn take_any(&mut self, asked: IncomingRpc) -> u64 {
         let IncomingRpc {
             method,
             deadline: left,
@@ -363,7 +363,7 @@
     }
 
     /// Picks that are out, as (RPC, pick, backend).
-    pub fn out(&self) -> Vec<(u64, usize, u32)> {
+    pub(crate) fn out(&self) -> Vec<(u64, usize, u32)> {
         let picks = |(id, r): (&u64, &Record)| {
             let out = r.sent.iter().enumerate().filter(|(_, s)| s.ended.is_none());
             out.map(|(n, s)| (*id, n, s.backend)).collect::<Vec<_>>()
@@ -371,7 +371,7 @@
         self.world.rpcs.iter().flat_map(picks).collect()
     }
 
-    pub fn end(&mut self, rpc: u64, n: usize, how: AttemptOutcome, in_flight: Option<f64>) {
+    pub(crate) fn end(&mut self, rpc: u64, n: usize, how: AttemptOutcome, in_flight: Option<f64>) {
         let record = self
             .world
             .rpcs
@@ -392,7 +392,7 @@
 
     /// Takes an RPC every `gap` seconds and returns them all; probes report what a backend holds, picks end
     /// after `gap` as told for their backend, or run into their time-outs.
-    pub fn drive(
+    pub(crate) fn drive(
         &mut self,
         rounds: usize,
         gap: f64,
@@ -419,13 +419,13 @@
             .collect()
     }
 
-    pub fn end_all(&mut self, how: AttemptOutcome, in_flight: Option<f64>) {
+    pub(crate) fn end_all(&mut self, how: AttemptOutcome, in_flight: Option<f64>) {
         self.out()
             .into_iter()
             .for_each(|(rpc, n, _)| self.end(rpc, n, how, in_flight));
     }
 
-    pub fn answer_probes(&mut self, how: AttemptOutcome, in_flight: impl Fn(u32) -> f64) {
+    pub(crate) fn answer_probes(&mut self, how: AttemptOutcome, in_flight: impl Fn(u32) -> f64) {
         for backend in std::mem::take(&mut self.world.probes) {
             let report = LoadReport {
                 in_flight: Some(in_flight(backend)),
@@ -438,7 +438,7 @@
     }
 
     /// Lets time pass: alarms go off and picks time out when they are due.
-    pub fn pass(&mut self, seconds: f64) {
+    pub(crate) fn pass(&mut self, seconds: f64) {
         let end = self.world.now + seconds;
         loop {
             let out = self.out();
@@ -481,7 +481,7 @@
         self.world.now = end;
     }
 
-    pub fn check(&self) -> Result<(), String> {
+    pub(crate) fn check(&self) -> Result<(), String> {
         for (id, rpc) in &self.world.rpcs {
             let owed =
                 !rpc.hung_up && rpc.answers.is_empty() && self.world.now > rpc.deadline + 0.005;
@@ -497,7 +497,7 @@
 }
 
 /// What stands around a birchhubd on loopback sockets: backends, a list service and clients.
-pub mod sockets {
+pub(crate) mod sockets {
     use serde_json::{Value, json};
     use std::collections::BTreeMap;
     use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
@@ -509,10 +509,10 @@
     use std::thread::{sleep, spawn};
     use std::time::{Duration, Instant};
 
-    pub const PATIENCE: Duration = Duration::from_secs(20); // for an event; none should come near
+    pub(crate) const PATIENCE: Duration = Duration::from_secs(20); // for an event; none should come near
 
     /// A value that threads change and wait for.
-    pub struct Shared<T>(Arc<(Mutex<T>, Condvar)>);
+    pub(crate) struct Shared<T>(Arc<(Mutex<T>, Condvar)>);
 
     impl<T> Clone for Shared<T> {
         fn clone(&self) -> Self {
@@ -521,16 +521,16 @@
     }
 
     impl<T: Send + 'static> Shared<T> {
-        pub fn new(value: T) -> Self {
+        pub(crate) fn new(value: T) -> Self {
             Self(Arc::new((Mutex::new(value), Condvar::new())))
         }
-        pub fn change<R>(&self, change: impl FnOnce(&mut T) -> R) -> R {
+        pub(crate) fn change<R>(&self, change: impl FnOnce(&mut T) -> R) -> R {
             let result = change(&mut self.0.0.lock().expect("a healthy lock"));
             self.0.1.notify_all();
             result
         }
         /// Waits until it is as it should be; false if it never was.
-        pub fn wait(&self, longest: Duration, so: impl Fn(&T) -> bool) -> bool {
+        pub(crate) fn wait(&self, longest: Duration, so: impl Fn(&T) -> bool) -> bool {
             let guard = self.0.0.lock().expect("a healthy lock");
             let (_guard, late) = self
                 .0
@@ -542,7 +542,7 @@
     }
 
     /// Tries until it is so; a complaint if it never was.
-    pub fn eventually(longest: Duration, complaint: &str, mut so: impl FnMut() -> bool) {
+    pub(crate) fn eventually(longest: Duration, complaint: &str, mut so: impl FnMut() -> bool) {
         let begun = Instant::now();
         while !so() {
             assert!(begun.elapsed() < longest, "{complaint}");
@@ -550,23 +550,23 @@
         }
     }
 
-    pub const HEALTH: &str = "GET /health/ready HTTP/1.1\r\n\r\n";
+    pub(crate) const HEALTH: &str = "GET /health/ready HTTP/1.1\r\n\r\n";
 
     /// What was seen, in order, by all stand-ins of a test.
-    pub type Log = Shared<Vec<String>>;
+    pub(crate) type Log = Shared<Vec<String>>;
 
     impl Log {
-        pub fn note(&self, event: String) {
+        pub(crate) fn note(&self, event: String) {
             self.change(|events| events.push(event));
         }
-        pub fn await_event(&self, event: &str) {
+        pub(crate) fn await_event(&self, event: &str) {
             let there = self.wait(PATIENCE, |events| events.iter().any(|e| e == event));
             assert!(there, "{event} never came: {:?}", self.all());
         }
-        pub fn all(&self) -> Vec<String> {
+        pub(crate) fn all(&self) -> Vec<String> {
             self.change(|events| events.clone())
         }
-        pub fn count(&self, part: &str) -> usize {
+        pub(crate) fn count(&self, part: &str) -> usize {
             self.all()
                 .iter()
                 .filter(|event| event.contains(part))
@@ -575,7 +575,7 @@
     }
 
     /// An HTTP message as it came in.
-    pub struct Message {
+    pub(crate) struct Message {
         pub first: String,
         pub headers: BTreeMap<String, String>,
         pub body: Vec<u8>,
@@ -584,22 +584,23 @@
     }
 
     impl Message {
-        pub fn header(&self, name: &str) -> &str {
+        pub(crate) fn header(&self, name: &str) -> &str {
             self.headers.get(name).map_or("", String::as_str)
         }
-        pub fn status(&self) -> u16 {
+        pub(crate) fn status(&self) -> u16 {
             self.first
                 .split(' ')
                 .nth(1)
                 .and_then(|code| code.parse().ok())
                 .unwrap_or(0)
         }
-        pub fn text(&self) -> String {
+        pub(crate) fn text(&self) -> String {
             String::from_utf8_lossy(&self.body).into_owned()
         }
     }
 
-    pub fn read_message(from: &mut impl BufRead) -> Option<Message> {
+    #[expect(clippy::too_many_lines)]
+    pub(crate) fn read_message(from: &mut impl BufRead) -> Option<Message> {
         let line = |from: &mut dyn BufRead| {
             let mut line = String::new();
             from.read_line(&mut line).ok().filter(|bytes| *bytes > 0)?;
@@ -650,7 +651,7 @@
         })
     }
 
-    pub fn reply(status: &str, body: &str) -> Vec<u8> {
+    pub(crate) fn reply(status: &str, body: &str) -> Vec<u8> {
         format!(
             "HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}",
             body.len()
@@ -659,7 +660,7 @@
     }
 
     /// What a backend does with an RPC.
-    pub enum Act {
+    pub(crate) enum Act {
         Write(Vec<u8>),
         /// Writes so much and breaks the connection.
         Cut(Vec<u8>),
@@ -685,7 +686,7 @@
 
     /// A backend that is idle by its reports. It notes `NAME got FIRST-LINE ID` and, when it hangs,
     /// `NAME closed ID`.
-    pub fn backend(
+    pub(crate) fn backend(
         name: &'static str,
         log: &Log,
         act: impl Fn(&Message) -> Act + Send + Sync + 'static,
@@ -727,14 +728,14 @@
     }
 
     /// An address where connections come up only once they are let in.
-    pub struct Slow {
+    pub(crate) struct Slow {
         pub at: SocketAddr,
         listener: socket2::Socket,
         waiting: Vec<socket2::Socket>,
     }
 
     impl Slow {
-        pub fn start() -> Self {
+        pub(crate) fn start() -> Self {
             use socket2::{Domain, Socket, Type};
             let listener = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
             listener
@@ -762,7 +763,7 @@
             }
         }
         /// Connections that have been asked for and are not up, beside the fillers.
-        pub fn asked(&self) -> usize {
+        pub(crate) fn asked(&self) -> usize {
             let SocketAddr::V4(at) = self.at else {
                 panic!("no such address: {}", self.at)
             };
@@ -781,7 +782,7 @@
             all.lines().filter(is).count()
         }
         /// Lets in what waits, and gives back so many connections beside the fillers once they have come up.
-        pub fn let_in(self, connections: usize) -> Vec<socket2::Socket> {
+        pub(crate) fn let_in(self, connections: usize) -> Vec<socket2::Socket> {
             self.listener.listen(1024).expect("a longer queue");
             let fillers = self.waiting.len();
             let all =
@@ -792,7 +793,7 @@
         }
         /// Lets all in that come while it waits, longer than the machine needs to ask for a connection again, and tells how
         /// many of them, beside the fillers, sent anything.
-        pub fn heard_when_let_in(self) -> usize {
+        pub(crate) fn heard_when_let_in(self) -> usize {
             let until = Instant::now() + Duration::from_millis(1500);
             self.listener.set_nonblocking(true).expect("does not wait");
             drop(self.waiting);
@@ -814,7 +815,11 @@
     }
 
     /// A backend that answers once its gate is open.
-    pub fn gated(name: &'static str, log: &Log, text: &'static str) -> (SocketAddr, Shared<bool>) {
+    pub(crate) fn gated(
+        name: &'static str,
+        log: &Log,
+        text: &'static str,
+    ) -> (SocketAddr, Shared<bool>) {
         let gate = Shared::new(false);
         let open = gate.clone();
         let at = backend(name, log, move |_| {
@@ -824,20 +829,20 @@
         (at, gate)
     }
 
-    pub fn echo(name: &'static str, log: &Log) -> SocketAddr {
+    pub(crate) fn echo(name: &'static str, log: &Log) -> SocketAddr {
         backend(name, log, move |message| {
             Act::Write(reply("200 OK", &format!("{name}:{}", message.text())))
         })
     }
 
-    pub fn line(uid: &str, endpoint: SocketAddr, state: &str) -> Value {
+    pub(crate) fn line(uid: &str, endpoint: SocketAddr, state: &str) -> Value {
         json!({"uid": uid, "endpoint": endpoint.to_string(), "az": "a", "model": "m", "pod_group": 3,
             "state": state, "capacity_hint": 1.0, "boot_ms": 0})
     }
 
     /// The list service. What it answers is changed with `tell`; without an answer it breaks connections off.
     #[derive(Clone)]
-    pub struct List {
+    pub(crate) struct List {
         pub at: SocketAddr,
         state: Shared<(u64, Option<String>)>,
         asked: Shared<u64>,    // the version that the latest call has ...
@@ -846,11 +851,11 @@
     }
 
     impl List {
-        pub fn start() -> Self {
+        pub(crate) fn start() -> Self {
             Self::deaf_to(usize::MAX)
         }
         /// Never answers one call, counted from 0.
-        pub fn deaf_to(deaf: usize) -> Self {
+        pub(crate) fn deaf_to(deaf: usize) -> Self {
             let state = Shared::new((0, None::<String>));
             let (asked, told, calls) = (Shared::new(0), Shared::new(0), Shared::new(0));
             let (now, noted, done, counted) =
@@ -890,14 +895,14 @@
                 calls,
             }
         }
-        pub fn tell(&self, lines: &[Value]) {
+        pub(crate) fn tell(&self, lines: &[Value]) {
             self.state.change(|(version, text)| {
                 *version += 1;
                 *text = Some(json!({"rev": version, "all": true, "targets": lines}).to_string());
             });
         }
         /// Tells it, and waits until the proxy has it and asks for what comes next.
-        pub fn tell_heard(&self, lines: &[Value]) -> u64 {
+        pub(crate) fn tell_heard(&self, lines: &[Value]) -> u64 {
             self.tell(lines);
             let version = self.state.change(|(version, _)| *version);
             assert!(
@@ -907,7 +912,7 @@
             version
         }
         /// Answers with this, or with nothing, and waits until a call has met it.
-        pub fn tell_text(&self, text: Option<&str>) {
+        pub(crate) fn tell_text(&self, text: Option<&str>) {
             let version = self.state.change(|state| {
                 *state = (state.0 + 1, text.map(str::to_owned));
                 state.0
@@ -920,7 +925,7 @@
     }
 
     /// A birchhubd, killed when dropped.
-    pub struct Daemon {
+    pub(crate) struct Daemon {
         pub child: Child,
         pub at: SocketAddr,
         pub list: List,
@@ -928,13 +933,13 @@
     }
 
     /// Without probes every backend is drawn blindly.
-    pub fn blind(config: &mut Value) {
+    pub(crate) fn blind(config: &mut Value) {
         config["settings"]["ceilings"]["probes"] = false.into();
     }
 
     /// An address nobody listens on, nor will: the others listen elsewhere in the loopback range. Its port is
     /// none that the system deals out, or a client that comes too early might be connected to itself.
-    pub fn free() -> SocketAddr {
+    pub(crate) fn free() -> SocketAddr {
         static NEXT: AtomicU8 = AtomicU8::new(1);
         let (process, number) = (std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
         SocketAddr::from((
@@ -943,7 +948,7 @@
         ))
     }
 
-    pub fn config(at: SocketAddr, list: SocketAddr, known: &[Value]) -> Value {
+    pub(crate) fn config(at: SocketAddr, list: SocketAddr, known: &[Value]) -> Value {
         let method = |name: &str, kind: &str| {
             json!({"name": name, "idempotency": kind, "dedup-scope": "cell", "window-ns": 4e9, "utility": 1.0,
                 "latency-target-ns": 3e9, "hard-limit-ns": 3e9})
@@ -979,12 +984,12 @@
     }
 
     impl Daemon {
-        pub fn start(program: &str, backends: &[(&str, SocketAddr)]) -> Self {
+        pub(crate) fn start(program: &str, backends: &[(&str, SocketAddr)]) -> Self {
             Self::start_with(program, backends, |_| {})
         }
 
         /// With a configuration that differs from the usual one.
-        pub fn start_with(
+        pub(crate) fn start_with(
             program: &str,
             backends: &[(&str, SocketAddr)],
             change: impl FnOnce(&mut Value),
@@ -1014,7 +1019,7 @@
         }
 
         /// Kills it and starts it again under its name and address.
-        pub fn restart(&mut self, program: &str) {
+        pub(crate) fn restart(&mut self, program: &str) {
             self.child
                 .kill()
                 .and_then(|()| self.child.wait())
@@ -1024,12 +1029,12 @@
         }
 
         /// Starts it again once it has ended, and doesn't wait until it is ready.
-        pub fn start_again(&mut self, program: &str) {
+        pub(crate) fn start_again(&mut self, program: &str) {
             self.child = spawn_daemon(program, &self.folder);
         }
 
         /// Waits until `/health/ready` answers this.
-        pub fn await_ready(&self, status: u16) {
+        pub(crate) fn await_ready(&self, status: u16) {
             let is = || Some(Client::open(self.at)?.call(HEALTH)?.status());
             eventually(PATIENCE, &format!("never {status}"), || {
                 sleep(Duration::from_millis(2));
@@ -1037,12 +1042,12 @@
             });
         }
 
-        pub fn client(&self) -> Client {
+        pub(crate) fn client(&self) -> Client {
             Client::open(self.at).expect("a connection")
         }
 
         /// Answers earn the credit that further picks are paid with.
-        pub fn earn_credit(&self) {
+        pub(crate) fn earn_credit(&self) {
             let mut client = self.client();
             for n in 0..30 {
                 assert_eq!(
@@ -1056,14 +1061,14 @@
         }
 
         /// Descriptors it holds open.
-        pub fn descriptors(&self) -> usize {
+        pub(crate) fn descriptors(&self) -> usize {
             std::fs::read_dir(format!("/proc/{}/fd", self.child.id()))
                 .expect("its descriptors")
                 .count()
         }
 
         /// Bytes it has in memory.
-        pub fn memory(&self) -> usize {
+        pub(crate) fn memory(&self) -> usize {
             let file = std::fs::read_to_string(format!("/proc/{}/statm", self.child.id()))
                 .expect("its memory");
             let pages = file
@@ -1074,11 +1079,11 @@
         }
 
         /// What it has logged.
-        pub fn logged(&self) -> String {
+        pub(crate) fn logged(&self) -> String {
             std::fs::read_to_string(self.folder.join("log")).expect("its log")
         }
 
-        pub fn signal(&self, name: &str) {
+        pub(crate) fn signal(&self, name: &str) {
             let kill = format!("kill -{name} {}", self.child.id());
             assert!(
                 Command::new("sh")
@@ -1090,12 +1095,12 @@
         }
 
         /// Replaces its configuration and tells it so.
-        pub fn reload(&self, text: &str) {
+        pub(crate) fn reload(&self, text: &str) {
             std::fs::write(self.folder.join("config.json"), text).expect("a file");
             self.signal("HUP");
         }
 
-        pub fn await_end(&mut self) -> ExitStatus {
+        pub(crate) fn await_end(&mut self) -> ExitStatus {
             self.child.wait().expect("the end of birchhubd")
         }
     }
@@ -1109,37 +1114,37 @@
     }
 
     /// A client's connection.
-    pub struct Client(BufReader<TcpStream>);
+    pub(crate) struct Client(BufReader<TcpStream>);
 
     impl Client {
-        pub fn open(at: SocketAddr) -> Option<Self> {
+        pub(crate) fn open(at: SocketAddr) -> Option<Self> {
             let stream = TcpStream::connect(at).ok()?;
             stream.set_read_timeout(Some(PATIENCE)).ok()?;
             Some(Self(BufReader::new(stream)))
         }
         /// Whether all of it could be sent.
-        pub fn send(&mut self, bytes: &str) -> bool {
+        pub(crate) fn send(&mut self, bytes: &str) -> bool {
             self.0.get_mut().write_all(bytes.as_bytes()).is_ok()
         }
         /// Its end is a reset.
-        pub fn resets_when_dropped(&self) {
+        pub(crate) fn resets_when_dropped(&self) {
             socket2::SockRef::from(self.0.get_ref())
                 .set_linger(Some(Duration::ZERO))
                 .expect("no linger");
         }
         /// The socket, for who writes or reads beside.
-        pub fn stream(&self) -> TcpStream {
+        pub(crate) fn stream(&self) -> TcpStream {
             self.0.get_ref().try_clone().expect("a second handle")
         }
-        pub fn answer(&mut self) -> Option<Message> {
+        pub(crate) fn answer(&mut self) -> Option<Message> {
             read_message(&mut self.0)
         }
-        pub fn call(&mut self, bytes: &str) -> Option<Message> {
+        pub(crate) fn call(&mut self, bytes: &str) -> Option<Message> {
             self.send(bytes);
             self.answer()
         }
         /// The other side has closed the connection, and nothing more came.
-        pub fn is_closed(&mut self) -> bool {
+        pub(crate) fn is_closed(&mut self) -> bool {
             self.0.read(&mut [0]).map_or_else(
                 |e| e.kind() == ErrorKind::ConnectionReset,
                 |bytes| bytes == 0,
@@ -1148,7 +1153,7 @@
     }
 
     /// An RPC that waits for 3 s; `POST`s carry a key.
-    pub fn rpc(verb: &str, path: &str, id: &str, body: &str) -> String {
+    pub(crate) fn rpc(verb: &str, path: &str, id: &str, body: &str) -> String {
         let key = if verb == "POST" {
             "Idempotency-Key: k1\r\n"
         } else {
--- a/tests/regression.rs
+++ b/tests/regression.rs
@@ -80,6 +80,7 @@
 /// On the short days rules, crashes and the gate count, on each seed and site: a day that was played has its line, and nothing
 /// is said behind its figure. No figure is kept, and none of another site's is asked for.
 #[test]
+#[expect(clippy::too_many_lines)]
 fn the_short_days_are_judged_by_rules_on_each_seed() {
     let days = "playing roll+brink+mass-1 ...\nplaying calm+brink+mass-2 ...\n";
     let roll = "roll+brink+mass-1  G 0.5 floor 0.4 top 0.9  memory 1 of 56 MB  score 0.00";
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -32,6 +32,7 @@
     AttemptOutcome::NotSent,
 ];
 
+#[expect(clippy::too_many_lines)]
 fn step(proxy: &mut Proxy, (what, which, size): (u8, u8, u16)) {
     let which = usize::from(which);
     let size = f64::from(size) / f64::from(u16::MAX);
@@ -140,6 +141,7 @@
 }
 
 /// All proxies of a fleet before one freshly started backend among warm ones that answer steadily.
+#[expect(clippy::too_many_lines)]
 fn cold_peak(proxies: u64, seed: u64, restart: bool) -> f64 {
     const WORK: f64 = 0.05;
     let every = (proxies / 4).max(1);
