--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -1,5 +1,8 @@
 //! What a decision costs, by the size of the fleet: `cargo bench`. Half load, answers that carry reports.
-#![expect(missing_docs, reason = "criterion_group writes a public function without one")]
+#![expect(
+    missing_docs,
+    reason = "criterion_group writes a public function without one"
+)]
 
 use birchhub::interface::*;
 use birchhub::policy::{Balancer, RpcHandle};
--- a/crates/audit/src/lib.rs
+++ b/crates/audit/src/lib.rs
@@ -1,7 +1,10 @@
 //! What happened in a rehearsal, and whether the four rules held. `event` and `head` say what can happen and among
 //! whom, `ledger` keeps it in a file, `audit` judges it, `service` says how well it went. Nothing here knows
 //! where the events come from: stand-ins on sockets or a fleet in simulated time.
-#![expect(missing_docs, reason = "docs/ROADMAP.md lists the crates that are not documented yet")]
+#![expect(
+    missing_docs,
+    reason = "docs/ROADMAP.md lists the crates that are not documented yet"
+)]
 
 pub mod audit;
 pub mod event;
--- a/crates/daemon/src/names.rs
+++ b/crates/daemon/src/config/active.rs
@@ -1,5 +1,5 @@
 //! The names that clients use, and what they stand for under the settings in force.
-use crate::answer::Answer;
+use crate::downstream::response::Answer;
 use birchhub::interface::Idempotency;
 use birchhub_settings::Conf;
 use hyper::{Method, StatusCode};
--- a/crates/daemon/src/reload.rs
+++ b/crates/daemon/src/config/reload.rs
@@ -1,8 +1,8 @@
 //! Settings in force without a restart: on each SIGHUP the file is read again, compared with what is in force, and what
 //! differs is put in force. All that costs time is done on a thread beside the event loop.
-use crate::config::{self, Config};
-use crate::core::ToCore;
-use crate::names::Names;
+use crate::config::active::Names;
+use crate::config::file::{self, Config};
+use crate::decision::actor::ToCore;
 use birchhub::interface::{CarriedOver, Settings};
 use birchhub_settings::Conf;
 use birchhub_settings::change::{Change, in_force};
@@ -108,7 +108,7 @@
     watch: Option<&Settings>,
     stand: &Stand,
 ) -> Result<Prepared, String> {
-    let now = config::load(false)?;
+    let now = file::load(false)?;
     let change = Change::between(before, &now.conf);
     let mut later = start.differs(&now);
     later.extend(&change.later);
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/decision/actor.rs
@@ -1,17 +1,17 @@
 //! The actor around the decision module: every call on it is made here, in the order in which things
 //! happened, and what it asks for leaves through `Door` without waiting.
-use crate::answer::Answer;
-use crate::backend::{Backend, Errand, Facts, Job, Limits, Stop, Ticket, Times};
-use crate::body::Flow;
-use crate::config::{Clock, Config, until};
-use crate::discovery::{Listed, News};
-use crate::front::Opened;
-use crate::intake::{Message, Received};
-use crate::names::InForce;
-use crate::reload::Update;
-use crate::sockets::{Budget, Presence};
-use crate::standing::{Standing, Standings};
-use crate::watcher::{Act, Asked, Watch};
+use crate::config::active::InForce;
+use crate::config::file::{Clock, Config, until};
+use crate::config::reload::Update;
+use crate::config::shadow::{Act, Asked, Watch};
+use crate::discovery::client::{Listed, News};
+use crate::downstream::listener::Opened;
+use crate::downstream::request::{Message, Received};
+use crate::downstream::response::Answer;
+use crate::lifecycle::state::{Standing, Standings};
+use crate::net::body::Flow;
+use crate::net::sockets::{Budget, Presence};
+use crate::upstream::endpoint::{Backend, Errand, Facts, Job, Limits, Stop, Ticket, Times};
 use birchhub::interface::{
     AttemptOutcome, Endpoint, EndpointUpdateKind, Idempotency, IncomingRpc, LoadReport,
     MethodSettings, PacedBy, Platform, Readiness,
--- a/crates/daemon/src/discovery.rs
+++ b/crates/daemon/src/discovery/client.rs
@@ -1,9 +1,9 @@
 //! The actor that follows the list: one long call after another while the module wants to be told. It has one
 //! connection and never more than one call out; what it hears goes to the core's mailbox.
-use crate::body::Outgoing;
-use crate::core::ToCore;
-use crate::sockets::{Conn, Fault as Broken};
-use crate::standing::Standings;
+use crate::decision::actor::ToCore;
+use crate::lifecycle::state::Standings;
+use crate::net::body::Outgoing;
+use crate::net::sockets::{Conn, Fault as Broken};
 use birchhub::interface::{EndpointUpdateKind, Readiness};
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
--- /dev/null
+++ b/crates/daemon/src/discovery/mod.rs
@@ -0,0 +1,3 @@
+//! The endpoint list: following it and decoding its lines.
+
+pub(crate) mod client;
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/downstream/listener.rs
@@ -1,14 +1,14 @@
 //! Connections of clients: accepting them, and one RPC at a time on each.
-use crate::answer::Answer;
-use crate::body::Answering;
-use crate::config::until;
-use crate::core::ToCore;
-use crate::head::HeadScan;
-use crate::intake::{Intake, Received};
-use crate::sockets::{
+use crate::config::file::until;
+use crate::decision::actor::ToCore;
+use crate::downstream::head::HeadScan;
+use crate::downstream::request::{Intake, Received};
+use crate::downstream::response::Answer;
+use crate::lifecycle::state::Standing;
+use crate::net::body::Answering;
+use crate::net::sockets::{
     Ahead, Budget, Inbound, Offer, Part, Place, Presence, Spare, Watched, Witness, linger,
 };
-use crate::standing::Standing;
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
--- a/crates/daemon/src/intake.rs
+++ b/crates/daemon/src/downstream/request.rs
@@ -1,8 +1,8 @@
 //! HTTP from a client to a typed RPC, once.
-use crate::answer::Answer;
-use crate::body::{KEPT, MOST, Outgoing, Upload};
-use crate::head::Framings;
-use crate::names::{InForce, Names, bad, check};
+use crate::config::active::{InForce, Names, bad, check};
+use crate::downstream::head::Framings;
+use crate::downstream::response::Answer;
+use crate::net::body::{KEPT, MOST, Outgoing, Upload};
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Body;
--- a/crates/daemon/src/answer.rs
+++ b/crates/daemon/src/downstream/response.rs
@@ -1,5 +1,5 @@
 //! Answers to clients, each encoded once.
-use crate::body::{Answering, Flow};
+use crate::net::body::{Answering, Flow};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
--- a/crates/daemon/src/management.rs
+++ b/crates/daemon/src/lifecycle/admin.rs
@@ -1,7 +1,7 @@
 //! The second address: calls of the staff and the platform, one to a connection.
-use crate::reload::Stand;
-use crate::sockets::linger;
-use crate::standing::{Order, Standing, Standings};
+use crate::config::reload::Stand;
+use crate::lifecycle::state::{Order, Standing, Standings};
+use crate::net::sockets::linger;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/lifecycle/siblings.rs
@@ -1,6 +1,6 @@
 //! What the processes of one proxy share in `$TMPDIR` while one replaces the other: who lives, and what staff
 //! ordered. Data, no decisions.
-use crate::standing::Orders;
+use crate::lifecycle::state::Orders;
 use std::fs::{File, TryLockError};
 use std::io::Write;
 use std::path::{Path, PathBuf};
@@ -181,7 +181,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::standing::Ban;
+    use crate::lifecycle::state::Ban;
 
     fn in_folder(test: impl AsyncFnOnce(&dyn Fn() -> Shared, PathBuf)) {
         static NEXT: std::sync::atomic::AtomicUsize = std::sync::atomic::AtomicUsize::new(0);
--- a/crates/daemon/src/standing.rs
+++ b/crates/daemon/src/lifecycle/state.rs
@@ -1,6 +1,6 @@
 //! Where this proxy stands in its life, and what its staff ordered: one small value with one owner, which all
 //! actors read. What staff ordered is common to all processes of the proxy.
-use crate::shared::{Others, Shared};
+use crate::lifecycle::siblings::{Others, Shared};
 use birchhub::interface::Readiness;
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,33 +1,24 @@
 //! birchhubd: birchhub as a proxy on sockets. Starts the actors, has them follow a new
 //! configuration on SIGHUP, and ends them on SIGTERM.
-mod answer;
-mod backend;
-mod body;
 mod config;
-mod core;
+mod decision;
 mod discovery;
-mod front;
-mod head;
-mod intake;
-mod management;
-mod names;
-mod reload;
-mod shared;
-mod sockets;
-mod standing;
-mod watcher;
+mod downstream;
+mod lifecycle;
+mod net;
+mod upstream;
 
-use crate::core::Core;
-use config::{Clock, Config, until};
-use discovery::Discovery;
-use front::Front;
-use intake::Intake;
-use management::Management;
-use names::Names;
-use reload::{Reload, Stand};
-use shared::Shared;
-use sockets::{Budget, Part};
-use standing::{LOOK, Standings};
+use crate::config::active::Names;
+use crate::config::file::{self, Clock, Config, until};
+use crate::config::reload::{Reload, Stand};
+use crate::decision::actor::{self, Core};
+use crate::discovery::client::Discovery;
+use crate::downstream::listener::Front;
+use crate::downstream::request::Intake;
+use crate::lifecycle::admin::Management;
+use crate::lifecycle::siblings::Shared;
+use crate::lifecycle::state::{LOOK, Standings};
+use crate::net::sockets::{Budget, Part};
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -47,8 +38,8 @@
 const LEFT_EVERY: Duration = Duration::from_millis(5); // between looks at whether the last client has left
 
 fn main() -> ExitCode {
-    let outcome = config::passed()
-        .and_then(|passed| Ok((passed, config::load(true)?)))
+    let outcome = file::passed()
+        .and_then(|passed| Ok((passed, file::load(true)?)))
         .and_then(|(passed, config)| {
             let mut builder = tokio::runtime::Builder::new_current_thread();
             // For what stands beside the loop. Guards against memory that each of several threads keeps for itself.
@@ -165,7 +156,7 @@
             .run(listener),
         );
     }
-    let (sender, mailbox) = mpsc::channel(core::MAILBOX);
+    let (sender, mailbox) = mpsc::channel(actor::MAILBOX);
     let wanted = Rc::new(Notify::new());
     let core = Core::new(
         &config,
--- a/crates/daemon/src/sockets.rs
+++ b/crates/daemon/src/net/sockets.rs
@@ -1,8 +1,8 @@
 //! The budget of sockets, and a connection that this proxy opens. A connection belongs to whoever holds the
 //! `Conn`: dropping it closes the socket and gives its place in the budget back.
-use crate::body::Outgoing;
-use crate::management::CALLS_MOST;
-use crate::shared::SLOTS_HELD;
+use crate::lifecycle::admin::CALLS_MOST;
+use crate::lifecycle::siblings::SLOTS_HELD;
+use crate::net::body::Outgoing;
 use bytes::{Bytes, BytesMut};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/upstream/endpoint.rs
@@ -1,9 +1,9 @@
 //! One actor for each backend: its connections, and the picks and probes that go to it. A job owns its
 //! connection while it runs, and its `Ticket` tells the core how it ended, once, when it is dropped.
-use crate::body::{Flow, KEPT, MOST, flow};
-use crate::core::ToCore;
-use crate::intake::Message;
-use crate::sockets::{Budget, Conn, Fault, Offer, Part, Presence, Reply, Spare};
+use crate::decision::actor::ToCore;
+use crate::downstream::request::Message;
+use crate::net::body::{Flow, KEPT, MOST, flow};
+use crate::net::sockets::{Budget, Conn, Fault, Offer, Part, Presence, Reply, Spare};
 use birchhub::interface::{AttemptOutcome, LoadReport};
 use birchhub_settings::load_report;
 use bytes::Bytes;
@@ -497,7 +497,7 @@
 
 /// Ends when it is too late to send anything, if nothing was sent by then.
 async fn too_late(send_by: Option<Instant>, sent: &Cell<bool>) {
-    crate::config::until(send_by).await;
+    crate::config::file::until(send_by).await;
     if sent.get() {
         pending::<()>().await;
     }
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -3,7 +3,10 @@
 //!
 //! The way of a rehearsal: `scenario` (the file) → `select` and `plan` (what will happen) → `run` (`stage`: nodes and list;
 //! `proxies`: processes; `clients`: RPCs, open loop) → the ledger and audit of `birchhub-audit` → `report`.
-#![expect(missing_docs, reason = "docs/ROADMAP.md lists the crates that are not documented yet")]
+#![expect(
+    missing_docs,
+    reason = "docs/ROADMAP.md lists the crates that are not documented yet"
+)]
 
 pub mod clients;
 pub mod page;
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -1,6 +1,9 @@
 //! What a fleet of the planned size costs: slopes of a real `birchhubd` and of hollow proxies, measured on loopback before
 //! hollow backends and a list service with as many lines as wanted, fitted, and the reckoning of `docs/CAPACITY.md` made of them.
-#![expect(missing_docs, reason = "docs/ROADMAP.md lists the crates that are not documented yet")]
+#![expect(
+    missing_docs,
+    reason = "docs/ROADMAP.md lists the crates that are not documented yet"
+)]
 
 pub mod backends;
 pub mod fit;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,6 +1,9 @@
 //! The settings object that a proxy is handed at start, read into the module's settings, the names that end
 //! at the door and the limits on connections.
-#![expect(missing_docs, reason = "docs/ROADMAP.md lists the crates that are not documented yet")]
+#![expect(
+    missing_docs,
+    reason = "docs/ROADMAP.md lists the crates that are not documented yet"
+)]
 
 use birchhub::interface::{
     DeduplicationScope, Idempotency, LoadReport, LoadReportSource, MethodSettings, Settings,
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -4,7 +4,10 @@
 //!
 //! What is modelled beside the nodes: the way between machines (a fixed delay), the list service with its lag, outages and old
 //! copies, the layer before the proxies, clients and their retries, each proxy's own clock, and pauses of a proxy.
-#![expect(missing_docs, reason = "docs/ROADMAP.md lists the crates that are not documented yet")]
+#![expect(
+    missing_docs,
+    reason = "docs/ROADMAP.md lists the crates that are not documented yet"
+)]
 
 mod list;
 mod proxy;
--- a/crates/stand-in/src/lib.rs
+++ b/crates/stand-in/src/lib.rs
@@ -2,7 +2,10 @@
 //! over HTTP/1.1), the list service, and clients' connections, with faults at the socket on demand. Everything
 //! runs on one thread's runtime, many nodes to a thread; work is waited for, not burnt. What happens is told
 //! to a `Notes`, which keeps it for the ledger.
-#![expect(missing_docs, reason = "docs/ROADMAP.md lists the crates that are not documented yet")]
+#![expect(
+    missing_docs,
+    reason = "docs/ROADMAP.md lists the crates that are not documented yet"
+)]
 
 pub mod caller;
 pub mod clock;
