--- a/crates/daemon/src/config/active.rs
+++ b/crates/daemon/src/config/active.rs
@@ -1,7 +1,7 @@
 //! The names that clients use, and what they stand for under the settings in force.
-use crate::downstream::response::Answer;
+use crate::downstream::response::ProxyResponse;
 use birchhub::interface::Idempotency;
-use birchhub_settings::Conf;
+use birchhub_settings::ParsedSettings;
 use hyper::{Method, StatusCode};
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -9,18 +9,18 @@
 use std::sync::Arc;
 
 /// The ones in force. The core alone replaces them, in the turn in which the module adopts the settings.
-pub(crate) type InForce = Rc<RefCell<Arc<Names>>>;
+pub(crate) type ActiveNames = Rc<RefCell<Arc<NameTable>>>;
 
 /// The names of one version of the settings.
-pub(crate) struct Names {
+pub(crate) struct NameTable {
     /// Counts the changes since this process started.
     pub version: u64,
     methods: HashMap<String, (usize, Idempotency)>,
     tenants: HashMap<String, usize>,
 }
 
-pub(crate) fn bad(why: &'static str) -> Answer {
-    Answer::Refused(StatusCode::BAD_REQUEST, why)
+pub(crate) fn bad(why: &'static str) -> ProxyResponse {
+    ProxyResponse::Refused(StatusCode::BAD_REQUEST, why)
 }
 
 /// The verb of a method with this effect.
@@ -33,7 +33,7 @@
 }
 
 /// Whether a message of this verb, with or without a key, can be an RPC of a method with this effect.
-pub(crate) fn check(effect: Idempotency, told: &Method, keyed: bool) -> Result<(), Answer> {
+pub(crate) fn check(effect: Idempotency, told: &Method, keyed: bool) -> Result<(), ProxyResponse> {
     if *told != verb(effect) {
         return Err(bad("the HTTP method does not fit\n"));
     }
@@ -43,8 +43,8 @@
     Ok(())
 }
 
-impl Names {
-    pub(crate) fn new(version: u64, conf: &Conf) -> Self {
+impl NameTable {
+    pub(crate) fn new(version: u64, conf: &ParsedSettings) -> Self {
         let methods = conf.methods.iter().zip(&conf.settings.methods).enumerate();
         let methods = methods
             .map(|(n, (name, set))| (name.clone(), (n, set.idempotency)))
@@ -63,12 +63,15 @@
     }
 
     /// The place and effect of the method that a path names.
-    pub(crate) fn method(&self, path: &str) -> Result<(usize, Idempotency), Answer> {
+    pub(crate) fn method(&self, path: &str) -> Result<(usize, Idempotency), ProxyResponse> {
         let name = path.split('/').nth(1).unwrap_or_default();
         self.methods
             .get(name)
             .copied()
-            .ok_or(Answer::Refused(StatusCode::NOT_FOUND, "no such method\n"))
+            .ok_or(ProxyResponse::Refused(
+                StatusCode::NOT_FOUND,
+                "no such method\n",
+            ))
     }
 
     pub(crate) fn tenant(&self, name: Option<&str>) -> Option<usize> {
--- a/crates/daemon/src/config/file.rs
+++ b/crates/daemon/src/config/file.rs
@@ -1,17 +1,14 @@
 //! What the platform tells a proxy at its start: addresses, limits, settings and the list as last had.
-use crate::discovery::client::{self, News};
+use crate::discovery::client::{self, EndpointUpdate};
 use birchhub::interface::Settings;
-use birchhub_settings::Conf;
+use birchhub_settings::ParsedSettings;
 use serde_json::Value;
 use serde_json::value::RawValue;
 use socket2::{Socket, Type};
 use std::collections::BTreeMap;
-use std::future::pending;
 use std::net::SocketAddr;
 use std::os::fd::FromRawFd;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::time::{Instant, sleep_until};
 
 const PASSED: &str = "LB_PASSED_SOCKET";
 const SOCKET_NEEDS: u64 = 168 << 10; // bytes at worst: a body each way, one encoded, and what is read ahead
@@ -24,10 +21,10 @@
     pub management: Option<SocketAddr>,
     pub seed: u64,
     pub sockets: usize,
-    pub known: Option<News>,
+    pub known: Option<EndpointUpdate>,
     /// Why the list in the file can't be read; the first answer of discovery is waited for then.
     pub known_fault: Option<String>,
-    pub conf: Arc<Conf>,
+    pub conf: Arc<ParsedSettings>,
     /// Settings of another shape, whose decisions are only counted.
     pub watch: Option<Settings>,
 }
@@ -49,56 +46,6 @@
     }
 }
 
-/// The one place where wall time and the machine's steady clock become the module's seconds.
-#[derive(Clone, Copy)]
-pub(crate) struct Clock {
-    base: Instant,
-    wall: f64,
-}
-
-impl Clock {
-    pub(crate) fn start() -> Self {
-        let wall = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default()
-            .as_secs_f64();
-        Self {
-            base: Instant::now(),
-            wall,
-        }
-    }
-
-    /// Lets this clock stand still for so long, after the fact.
-    pub(crate) fn stand_still(&mut self, time: Duration) {
-        self.base += time;
-    }
-
-    pub(crate) fn now(&self) -> f64 {
-        self.base.elapsed().as_secs_f64()
-    }
-
-    pub(crate) fn seconds(&self, at: Instant) -> f64 {
-        at.duration_since(self.base).as_secs_f64()
-    }
-
-    pub(crate) fn instant(&self, seconds: f64) -> Instant {
-        self.base + Duration::from_secs_f64(seconds.clamp(0.0, 1e9))
-    }
-
-    /// A time in Unix milliseconds; 0 stands for long ago.
-    pub(crate) fn unix_ms(&self, ms: f64) -> Option<f64> {
-        (ms > 0.0).then(|| ms / 1e3 - self.wall)
-    }
-}
-
-/// Waits until then; for ever without a time.
-pub(crate) async fn until(at: Option<Instant>) {
-    match at {
-        Some(at) => sleep_until(at).await,
-        None => pending().await,
-    }
-}
-
 /// A value from the file, or from the variable where the file has none.
 fn text(file: &Value, key: &str, variable: &str) -> Result<String, String> {
     let told = file.get(key).and_then(Value::as_str).map(str::to_owned);
@@ -154,12 +101,12 @@
 }
 
 /// Settings at a path.
-fn shape(text: &RawValue, path: &str) -> Result<Conf, String> {
+fn shape(text: &RawValue, path: &str) -> Result<ParsedSettings, String> {
     birchhub_settings::read(text.get()).map_err(|e| format!("{path}{e}"))
 }
 
 /// The settings to be watched, which must speak of the same RPCs.
-fn watched(text: &RawValue, conf: &Conf) -> Result<Settings, String> {
+fn watched(text: &RawValue, conf: &ParsedSettings) -> Result<Settings, String> {
     let watch = shape(text, "watch.")?;
     let same = [
         ("methods", watch.methods == conf.methods),
--- a/crates/daemon/src/config/reload.rs
+++ b/crates/daemon/src/config/reload.rs
@@ -1,10 +1,10 @@
 //! Settings in force without a restart: on each SIGHUP the file is read again, compared with what is in force, and what
 //! differs is put in force. All that costs time is done on a thread beside the event loop.
-use crate::config::active::Names;
+use crate::config::active::NameTable;
 use crate::config::file::{self, Config};
-use crate::decision::actor::ToCore;
+use crate::messages::Event;
 use birchhub::interface::{CarriedOver, Settings};
-use birchhub_settings::Conf;
+use birchhub_settings::ParsedSettings;
 use birchhub_settings::change::{Change, in_force};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -15,10 +15,10 @@
 use tokio::time::Instant;
 
 /// Settings for the core to put in force.
-pub(crate) struct Update {
+pub(crate) struct ConfigUpdate {
     pub settings: Settings,
     pub kept: CarriedOver,
-    pub names: Names,
+    pub names: NameTable,
     /// Those of the watcher; without any it ends.
     pub watch: Option<Settings>,
     /// Told once they are in force.
@@ -26,11 +26,11 @@
 }
 
 /// The names before, and the time that the loop spent on the change.
-type Replaced = (Arc<Names>, Duration);
+type Replaced = (Arc<NameTable>, Duration);
 
 /// What is in force, for staff and tools.
 #[derive(Clone, Debug)]
-pub(crate) struct Stand {
+pub(crate) struct ActiveConfig {
     /// Counts the changes since this process started.
     pub version: u64,
     pub digest: u64,
@@ -42,8 +42,8 @@
     pub longest_deadline: Option<f64>,
 }
 
-impl Stand {
-    pub(crate) fn new(conf: &Conf) -> Self {
+impl ActiveConfig {
+    pub(crate) fn new(conf: &ParsedSettings) -> Self {
         let (methods, tenants) = (conf.methods.len(), conf.tenants.len());
         let (digest, longest_deadline) = (conf.digest, conf.longest_deadline);
         Self {
@@ -57,7 +57,7 @@
     }
 }
 
-impl std::fmt::Display for Stand {
+impl std::fmt::Display for ActiveConfig {
     fn fmt(&self, to: &mut std::fmt::Formatter) -> std::fmt::Result {
         let Self {
             version,
@@ -79,35 +79,35 @@
 }
 
 /// What a file that was read anew comes to.
-struct Prepared {
+struct PreparedReload {
     discovery: SocketAddr,
-    stand: Stand,
-    conf: Arc<Conf>,
+    stand: ActiveConfig,
+    conf: Arc<ParsedSettings>,
     watch: Option<Settings>,
     /// In words.
     change: String,
     /// None where all stays as it is.
-    update: Option<(Update, oneshot::Receiver<Replaced>)>,
+    update: Option<(ConfigUpdate, oneshot::Receiver<Replaced>)>,
 }
 
 pub(crate) struct Reload {
     /// As this process was started.
     start: Arc<Config>,
-    conf: Arc<Conf>,
+    conf: Arc<ParsedSettings>,
     watch: Option<Settings>,
     discovery: watch::Sender<SocketAddr>,
-    core: mpsc::Sender<ToCore>,
-    stand: watch::Sender<Stand>,
+    core: mpsc::Sender<Event>,
+    stand: watch::Sender<ActiveConfig>,
 }
 
 /// Reads the file and compares it; a fault names the place.
 #[expect(clippy::too_many_lines)]
 fn prepare(
     start: &Config,
-    before: &Conf,
+    before: &ParsedSettings,
     watch: Option<&Settings>,
-    stand: &Stand,
-) -> Result<Prepared, String> {
+    stand: &ActiveConfig,
+) -> Result<PreparedReload, String> {
     let now = file::load(false)?;
     let change = Change::between(before, &now.conf);
     let mut later = start.differs(&now);
@@ -131,9 +131,9 @@
     let (words, kept) = (change.to_string(), change.kept);
     let update = changes.then(|| {
         let (done, told) = oneshot::channel();
-        let (settings, names) = (conf.settings.clone(), Names::new(version, &conf));
+        let (settings, names) = (conf.settings.clone(), NameTable::new(version, &conf));
         (
-            Update {
+            ConfigUpdate {
                 settings,
                 kept,
                 names,
@@ -143,13 +143,13 @@
             told,
         )
     });
-    Ok(Prepared {
+    Ok(PreparedReload {
         discovery: now.discovery,
-        stand: Stand {
+        stand: ActiveConfig {
             version,
             later,
             longest_deadline: longest,
-            ..Stand::new(&conf)
+            ..ActiveConfig::new(&conf)
         },
         conf: Arc::new(conf),
         watch: watched,
@@ -162,8 +162,8 @@
     pub(crate) fn new(
         start: Arc<Config>,
         discovery: watch::Sender<SocketAddr>,
-        core: mpsc::Sender<ToCore>,
-        stand: watch::Sender<Stand>,
+        core: mpsc::Sender<Event>,
+        stand: watch::Sender<ActiveConfig>,
     ) -> Self {
         let (conf, watch) = (start.conf.clone(), start.watch.clone());
         Self {
@@ -195,8 +195,8 @@
         }
     }
 
-    async fn put_in_force(&mut self, new: Prepared, begun: Instant) {
-        let Prepared {
+    async fn put_in_force(&mut self, new: PreparedReload, begun: Instant) {
+        let PreparedReload {
             discovery,
             stand,
             conf,
@@ -211,7 +211,7 @@
         if let Some((update, told)) = update {
             if self
                 .core
-                .send(ToCore::Settings(Box::new(update)))
+                .send(Event::SettingsChanged(Box::new(update)))
                 .await
                 .is_err()
             {
--- a/crates/daemon/src/config/shadow.rs
+++ b/crates/daemon/src/config/shadow.rs
@@ -14,52 +14,52 @@
 
 /// What the module asked for on an RPC.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) enum Act {
-    Pick(u32),
+pub(crate) enum Action {
+    Attempt(u32),
     PushBack,
     Abort,
 }
 
 /// What an instance asked for in one call, by RPC and in order.
 #[derive(Debug, Default)]
-pub(crate) struct Asked {
-    acts: BTreeMap<u64, Vec<Act>>,
+pub(crate) struct RecordedActions {
+    acts: BTreeMap<u64, Vec<Action>>,
     probes: u64,
 }
 
-impl Asked {
-    pub(crate) fn act(&mut self, rpc: u64, act: Act) {
+impl RecordedActions {
+    pub(crate) fn act(&mut self, rpc: u64, act: Action) {
         self.acts.entry(rpc).or_default().push(act);
     }
     pub(crate) fn probe(&mut self) {
         self.probes += 1;
     }
-    fn on(&self, rpc: u64) -> &[Act] {
+    fn on(&self, rpc: u64) -> &[Action] {
         self.acts.get(&rpc).map_or(&[], Vec::as_slice)
     }
 }
 
 /// The watcher's door: notes and sends nothing.
 #[derive(Default)]
-struct Notes {
+struct ShadowPlatform {
     now: f64,
-    asked: Asked,
+    asked: RecordedActions,
     wake_at: Option<f64>,
 }
 
-impl Platform for Notes {
+impl Platform for ShadowPlatform {
     fn now(&self) -> f64 {
         self.now
     }
     fn start_attempt(&mut self, rpc: u64, backend: u32, _time_out: f64) {
-        self.asked.act(rpc, Act::Pick(backend));
+        self.asked.act(rpc, Action::Attempt(backend));
     }
     fn cancel_attempt(&mut self, _rpc: u64, _pick: usize) {}
     fn reject(&mut self, rpc: u64, _come_back: f64) {
-        self.asked.act(rpc, Act::PushBack);
+        self.asked.act(rpc, Action::PushBack);
     }
     fn fail(&mut self, rpc: u64) {
-        self.asked.act(rpc, Act::Abort);
+        self.asked.act(rpc, Action::Abort);
     }
     fn health_check(&mut self, _backend: u32) {
         self.asked.probe();
@@ -112,18 +112,18 @@
 /// An RPC that both still handle alike.
 struct Alike {
     rpc: RpcHandle,
-    picks: usize,
+    attempts: usize,
 }
 
-pub(crate) struct Watch {
+pub(crate) struct ShadowEvaluator {
     balancer: Balancer,
     rpcs: HashMap<u64, Alike>,
-    notes: Notes,
+    notes: ShadowPlatform,
     counts: Counts,
     tell_at: Instant,
 }
 
-impl Watch {
+impl ShadowEvaluator {
     pub(crate) fn new(settings: &Settings, seed: u64) -> Self {
         let balancer = Balancer::new(settings, seed);
         let (rpcs, notes, counts) = Default::default();
@@ -140,7 +140,7 @@
     pub(crate) fn adopt(
         &mut self,
         now: f64,
-        first: Asked,
+        first: RecordedActions,
         settings: &Settings,
         kept: &CarriedOver,
     ) {
@@ -157,7 +157,7 @@
     }
 
     /// One of the two was woken; the watcher, if it asked for that by now.
-    pub(crate) fn wake(&mut self, now: f64, first: Asked) {
+    pub(crate) fn wake(&mut self, now: f64, first: RecordedActions) {
         let due = self.notes.wake_at.take_if(|at| *at <= now).is_some();
         self.hear(now, first, None, |watch| {
             if due {
@@ -169,7 +169,7 @@
     pub(crate) fn list(
         &mut self,
         now: f64,
-        first: Asked,
+        first: RecordedActions,
         kind: EndpointUpdateKind,
         entries: &[Endpoint],
     ) {
@@ -180,7 +180,7 @@
         });
     }
 
-    pub(crate) fn list_failed(&mut self, now: f64, first: Asked) {
+    pub(crate) fn list_failed(&mut self, now: f64, first: RecordedActions) {
         self.hear(now, first, None, |watch| {
             watch.balancer.list_failed(&mut watch.notes)
         });
@@ -189,7 +189,7 @@
     pub(crate) fn probed(
         &mut self,
         now: f64,
-        first: Asked,
+        first: RecordedActions,
         backend: u32,
         how: AttemptOutcome,
         report: Option<LoadReport>,
@@ -201,15 +201,15 @@
         });
     }
 
-    pub(crate) fn take(&mut self, now: f64, first: Asked, arrival: &IncomingRpc) {
+    pub(crate) fn take(&mut self, now: f64, first: RecordedActions, arrival: &IncomingRpc) {
         self.counts.compared += 1;
         self.hear(now, first, Some(arrival.id), |watch| {
             let rpc = watch.balancer.accept(arrival, &mut watch.notes);
-            watch.rpcs.insert(arrival.id, Alike { rpc, picks: 0 });
+            watch.rpcs.insert(arrival.id, Alike { rpc, attempts: 0 });
         });
     }
 
-    pub(crate) fn hung_up(&mut self, now: f64, first: Asked, id: u64) {
+    pub(crate) fn hung_up(&mut self, now: f64, first: RecordedActions, id: u64) {
         self.on_rpc(now, first, id, |rpc, notes| {
             rpc.on_client_disconnected(notes)
         });
@@ -218,26 +218,26 @@
     pub(crate) fn ended(
         &mut self,
         now: f64,
-        first: Asked,
-        (id, pick): (u64, usize),
+        first: RecordedActions,
+        (id, attempt): (u64, usize),
         how: AttemptOutcome,
         over: bool,
         report: Option<LoadReport>,
     ) {
         self.on_rpc(now, first, id, |rpc, notes| {
-            rpc.on_attempt_ended(pick, how, over, report, notes)
+            rpc.on_attempt_ended(attempt, how, over, report, notes)
         });
     }
 
-    pub(crate) fn whole(&mut self, now: f64, first: Asked, (id, pick): (u64, usize)) {
+    pub(crate) fn whole(&mut self, now: f64, first: RecordedActions, (id, attempt): (u64, usize)) {
         self.on_rpc(now, first, id, |rpc, notes| {
-            rpc.on_request_sent(pick, notes)
+            rpc.on_request_sent(attempt, notes)
         });
     }
 
-    pub(crate) fn begun(&mut self, now: f64, first: Asked, (id, pick): (u64, usize)) {
+    pub(crate) fn begun(&mut self, now: f64, first: RecordedActions, (id, attempt): (u64, usize)) {
         self.on_rpc(now, first, id, |rpc, notes| {
-            rpc.on_response_started(pick, PacedBy::Client, notes)
+            rpc.on_response_started(attempt, PacedBy::Client, notes)
         });
     }
 
@@ -251,9 +251,9 @@
     fn on_rpc(
         &mut self,
         now: f64,
-        first: Asked,
+        first: RecordedActions,
         id: u64,
-        act: impl FnOnce(&RpcHandle, &mut Notes),
+        act: impl FnOnce(&RpcHandle, &mut ShadowPlatform),
     ) {
         self.hear(now, first, Some(id), |watch| {
             if let Some(alike) = watch.rpcs.get(&id) {
@@ -264,7 +264,13 @@
 
     /// Lets the watcher hear what the first instance has just heard, of one RPC or of none, and compares what
     /// they asked for.
-    fn hear(&mut self, now: f64, first: Asked, about: Option<u64>, act: impl FnOnce(&mut Self)) {
+    fn hear(
+        &mut self,
+        now: f64,
+        first: RecordedActions,
+        about: Option<u64>,
+        act: impl FnOnce(&mut Self),
+    ) {
         self.notes.now = now;
         act(self);
         let own = std::mem::take(&mut self.notes.asked);
@@ -283,10 +289,10 @@
             let Some(alike) = self.rpcs.get_mut(&id) else {
                 continue;
             };
-            let before = alike.picks;
-            alike.picks += would
+            let before = alike.attempts;
+            alike.attempts += would
                 .iter()
-                .filter(|act| matches!(act, Act::Pick(_)))
+                .filter(|act| matches!(act, Action::Attempt(_)))
                 .count();
             if did != would {
                 self.count(did, would, before > 0);
@@ -302,20 +308,22 @@
     }
 
     /// Counts the first thing in which they differ.
-    fn count(&mut self, first: &[Act], would: &[Act], further: bool) {
+    fn count(&mut self, first: &[Action], would: &[Action], further: bool) {
         let same = first.iter().zip(would).take_while(|(a, b)| a == b).count();
         let further = further || same > 0;
         let counts = &mut self.counts;
         let kind = match (first.get(same), would.get(same)) {
-            (Some(Act::Pick(_)), Some(Act::Pick(_))) => &mut counts.elsewhere,
-            (Some(Act::Pick(_)), Some(_)) if further => &mut counts.given_up,
-            (Some(_), Some(Act::Pick(_))) if further => &mut counts.tried_again,
-            (Some(Act::Pick(_)) | None, Some(Act::PushBack | Act::Abort)) => {
+            (Some(Action::Attempt(_)), Some(Action::Attempt(_))) => &mut counts.elsewhere,
+            (Some(Action::Attempt(_)), Some(_)) if further => &mut counts.given_up,
+            (Some(_), Some(Action::Attempt(_))) if further => &mut counts.tried_again,
+            (Some(Action::Attempt(_)) | None, Some(Action::PushBack | Action::Abort)) => {
                 &mut counts.turned_away
             }
-            (Some(Act::PushBack | Act::Abort), Some(Act::Pick(_)) | None) => &mut counts.taken,
-            (Some(Act::Pick(_)), None) => &mut counts.held,
-            (None, Some(Act::Pick(_))) => &mut counts.picked,
+            (Some(Action::PushBack | Action::Abort), Some(Action::Attempt(_)) | None) => {
+                &mut counts.taken
+            }
+            (Some(Action::Attempt(_)), None) => &mut counts.held,
+            (None, Some(Action::Attempt(_))) => &mut counts.picked,
             _ => &mut counts.otherwise,
         };
         *kind += 1;
@@ -331,9 +339,9 @@
                 continue;
             };
             alike.rpc.on_client_disconnected(&mut self.notes);
-            for pick in 0..=alike.picks {
+            for attempt in 0..=alike.attempts {
                 alike.rpc.on_attempt_ended(
-                    pick,
+                    attempt,
                     AttemptOutcome::Cancelled,
                     true,
                     None,
@@ -345,7 +353,7 @@
     }
 }
 
-impl Drop for Watch {
+impl Drop for ShadowEvaluator {
     fn drop(&mut self) {
         log::info!("ends: {}", self.counts);
     }
--- a/crates/daemon/src/decision/actor.rs
+++ b/crates/daemon/src/decision/actor.rs
@@ -1,17 +1,21 @@
 //! The actor around the decision module: every call on it is made here, in the order in which things
 //! happened, and what it asks for leaves through `Door` without waiting.
-use crate::config::active::InForce;
-use crate::config::file::{Clock, Config, until};
-use crate::config::reload::Update;
-use crate::config::shadow::{Act, Asked, Watch};
-use crate::discovery::client::{Listed, News};
-use crate::downstream::listener::Opened;
-use crate::downstream::request::{Message, Received};
-use crate::downstream::response::Answer;
-use crate::lifecycle::state::{Standing, Standings};
-use crate::net::body::Flow;
-use crate::net::sockets::{Budget, Presence};
-use crate::upstream::endpoint::{Backend, Errand, Facts, Job, Limits, Stop, Ticket, Times};
+use crate::clock::{Clock, until};
+use crate::config::active::ActiveNames;
+use crate::config::file::Config;
+use crate::config::reload::ConfigUpdate;
+use crate::config::shadow::{Action, RecordedActions, ShadowEvaluator};
+use crate::discovery::client::{EndpointUpdate, ListedEndpoint};
+use crate::downstream::listener::RequestIdGuard;
+use crate::downstream::request::{ParsedRequest, ReceivedRpc};
+use crate::downstream::response::ProxyResponse;
+use crate::lifecycle::state::{ProxyState, StateStore};
+use crate::messages::Event;
+use crate::net::sockets::{ClientLiveness, SocketBudget};
+use crate::upstream::endpoint::{
+    CancelSignal, CompletionGuard, ConnectionLimits, EndpointHandle, EndpointInfo, Exchange,
+    ExchangeKind, Times,
+};
 use birchhub::interface::{
     AttemptOutcome, Endpoint, EndpointUpdateKind, Idempotency, IncomingRpc, LoadReport,
     MethodSettings, PacedBy, Platform, Readiness,
@@ -34,59 +38,21 @@
 const FORGET: Duration = Duration::from_secs(2); // after a backend went: one that flaps stays the same
 const RECOVER: f64 = 0.01; // s until the module is woken after it failed in a call
 
-pub(crate) enum ToCore {
-    Take {
-        id: u64,
-        rpc: Box<Received>,
-        opened: Opened,
-        client: Presence,
-        answer: oneshot::Sender<Answer>,
-    },
-    HungUp(u64),
-    Ended {
-        rpc: u64,
-        pick: usize,
-        outcome: AttemptOutcome,
-        report: Option<LoadReport>,
-        body: Bytes,
-    },
-    /// The last byte of a long request was taken.
-    Whole {
-        rpc: u64,
-        pick: usize,
-    },
-    /// A long answer begins.
-    Begun {
-        rpc: u64,
-        pick: usize,
-        flow: Flow,
-    },
-    Probed {
-        backend: u32,
-        outcome: AttemptOutcome,
-        report: Option<LoadReport>,
-    },
-    News(News),
-    ListFailed,
-    /// Other settings: for all that stands behind this in the mailbox.
-    Settings(Box<Update>),
-}
-
 /// An RPC on its way: what its picks need, and who waits for its answer.
-struct Held {
-    message: Message,
-    client: Presence,
+struct InFlightRpc {
+    message: ParsedRequest,
+    client: ClientLiveness,
     deadline: Instant,
-    answer: Option<oneshot::Sender<Answer>>,
-    picks: Vec<Option<oneshot::Sender<()>>>, // of those that can still be stopped
+    answer: Option<oneshot::Sender<ProxyResponse>>,
+    attempts: Vec<Option<oneshot::Sender<()>>>, // of those that can still be stopped
     /// How long after the first pick that may have run another may be sent, where that is limited.
     window: Option<Duration>,
     may_have_run: Vec<Option<Instant>>, // when each pick was made; none for one that never ran
     /// Guards against a second RPC of this name, sent while a pick of this one is still out.
-    _opened: Opened,
+    _opened: RequestIdGuard,
 }
 
-impl Held {
+impl InFlightRpc {
     /// By when another pick has to be sent. The module judged by its own clock, before a connection was opened and
     /// perhaps before this process stood still: guards against repeats that come too late to be dropped.
     fn send_by(&self) -> Option<Instant> {
@@ -95,21 +61,21 @@
 }
 
 /// The module's door outward.
-struct Door {
+struct DaemonPlatform {
     now: f64,
     clock: Clock,
-    held: HashMap<u64, Held>,
-    backends: HashMap<u32, Backend>,
-    core: mpsc::Sender<ToCore>,
+    held: HashMap<u64, InFlightRpc>,
+    backends: HashMap<u32, EndpointHandle>,
+    core: mpsc::Sender<Event>,
     wanted: Rc<Notify>,
     wake_at: Option<f64>,
-    unsent: Vec<Errand>,  // found no place in the core's mailbox for their end
-    answered: Vec<u64>,   // in the call at hand
-    asked: Option<Asked>, // in the call at hand, while somebody watches
+    unsent: Vec<ExchangeKind>, // found no place in the core's mailbox for their end
+    answered: Vec<u64>,        // in the call at hand
+    asked: Option<RecordedActions>, // in the call at hand, while somebody watches
 }
 
-impl Door {
-    fn give(&mut self, rpc: u64, answer: Answer) {
+impl DaemonPlatform {
+    fn give(&mut self, rpc: u64, answer: ProxyResponse) {
         log::trace!("RPC {rpc}: {answer}");
         self.answered.push(rpc);
         if let Some(sender) = self.held.get_mut(&rpc).and_then(|held| held.answer.take()) {
@@ -118,30 +84,30 @@
         }
     }
 
-    fn note(&mut self, rpc: u64, act: Act) {
+    fn note(&mut self, rpc: u64, act: Action) {
         self.asked.iter_mut().for_each(|asked| asked.act(rpc, act));
     }
 
     /// Hands a job to a backend. Where that can't be done its ticket, dropped, says so.
     fn run(
         &mut self,
-        errand: Errand,
+        errand: ExchangeKind,
         backend: u32,
-        message: Message,
-        client: Option<Presence>,
+        message: ParsedRequest,
+        client: Option<ClientLiveness>,
         times: Times,
-        stop: Stop,
+        stop: CancelSignal,
     ) {
         let Ok(permit) = self.core.clone().try_reserve_owned() else {
             log::error!("the core's mailbox is full");
             return self.unsent.push(errand);
         };
-        let job = Job {
+        let job = Exchange {
             message,
             client,
             times,
             stop,
-            ticket: Ticket::new(errand, self.core.clone(), permit),
+            ticket: CompletionGuard::new(errand, self.core.clone(), permit),
         };
         if let Some(backend) = self.backends.get(&backend) {
             let _ = backend.mailbox.try_send(Box::new(job));
@@ -149,7 +115,7 @@
     }
 }
 
-impl Platform for Door {
+impl Platform for DaemonPlatform {
     fn now(&self) -> f64 {
         self.now
     }
@@ -158,51 +124,51 @@
             return;
         };
         let (sender, stop) = oneshot::channel();
-        let pick = held.picks.len();
-        held.picks.push(Some(sender));
+        let attempt = held.attempts.len();
+        held.attempts.push(Some(sender));
         let send_by = held.send_by();
         held.may_have_run.push(Some(Instant::now()));
         let until = self.clock.instant(self.now + time_out).min(held.deadline);
         let (message, client) = (held.message.clone(), Some(held.client.clone()));
-        log::trace!("RPC {rpc}: pick {pick} to {backend} for {time_out:.3} s");
+        log::trace!("RPC {rpc}: attempt {attempt} to {backend} for {time_out:.3} s");
         let times = Times { until, send_by };
         self.run(
-            Errand::Pick { rpc, pick },
+            ExchangeKind::Attempt { rpc, attempt },
             backend,
             message,
             client,
             times,
             Some(stop),
         );
-        self.note(rpc, Act::Pick(backend));
+        self.note(rpc, Action::Attempt(backend));
     }
-    fn cancel_attempt(&mut self, rpc: u64, pick: usize) {
-        let picks = self.held.get_mut(&rpc).map(|held| &mut held.picks);
+    fn cancel_attempt(&mut self, rpc: u64, attempt: usize) {
+        let attempts = self.held.get_mut(&rpc).map(|held| &mut held.attempts);
         drop(
-            picks
-                .and_then(|picks| picks.get_mut(pick))
+            attempts
+                .and_then(|attempts| attempts.get_mut(attempt))
                 .and_then(Option::take),
         );
     }
     fn reject(&mut self, rpc: u64, come_back: f64) {
-        self.give(rpc, Answer::PushedBack { come_back });
-        self.note(rpc, Act::PushBack);
+        self.give(rpc, ProxyResponse::PushedBack { come_back });
+        self.note(rpc, Action::PushBack);
     }
     fn fail(&mut self, rpc: u64) {
-        self.give(rpc, Answer::Aborted);
-        self.note(rpc, Act::Abort);
+        self.give(rpc, ProxyResponse::Aborted);
+        self.note(rpc, Action::Abort);
     }
     fn health_check(&mut self, backend: u32) {
-        self.asked.iter_mut().for_each(Asked::probe);
+        self.asked.iter_mut().for_each(RecordedActions::probe);
         let times = Times {
             until: Instant::now() + PROBE_WAITS,
             send_by: None,
         };
         log::trace!("probe to {backend}");
         self.run(
-            Errand::Probe { backend },
+            ExchangeKind::HealthCheck { backend },
             backend,
-            Message::probe(),
+            ParsedRequest::probe(),
             None,
             times,
             None,
@@ -224,40 +190,40 @@
     }
 }
 
-pub(crate) struct Core {
+pub(crate) struct DecisionActor {
     balancer: Balancer,
     rpcs: HashMap<u64, RpcHandle>,
-    door: Door,
-    watch: Option<Watch>,
+    door: DaemonPlatform,
+    watch: Option<ShadowEvaluator>,
     numbers: HashMap<String, (u32, Instant)>, // of backends, by uid, and when they were last heard of
     leaving: HashSet<String>, // those of `numbers` that are not in the list, to be forgotten in time
     next: u32,
     zones: Vec<String>,
-    names: InForce,
+    names: ActiveNames,
     windows: Vec<Option<Duration>>, // by method, in which its repeats are dropped
     sized: bool,
-    limits: Limits,
-    budget: Rc<Budget>,
-    standings: Rc<Standings>,
-    standing: watch::Receiver<Standing>,
-    listed: HashMap<String, Listed>, // the last line of each backend that is not gone
-    beat: Instant,                   // by when the core is busy again
-    stopped: Instant,                // until when it was not, the last time
+    limits: ConnectionLimits,
+    budget: Rc<SocketBudget>,
+    standings: Rc<StateStore>,
+    standing: watch::Receiver<ProxyState>,
+    listed: HashMap<String, ListedEndpoint>, // the last line of each backend that is not gone
+    beat: Instant,                           // by when the core is busy again
+    stopped: Instant,                        // until when it was not, the last time
 }
 
-impl Core {
+impl DecisionActor {
     #[expect(clippy::too_many_lines)]
     pub(crate) fn new(
         config: &Config,
         clock: Clock,
-        budget: Rc<Budget>,
-        core: mpsc::Sender<ToCore>,
+        budget: Rc<SocketBudget>,
+        core: mpsc::Sender<Event>,
         wanted: Rc<Notify>,
-        standings: Rc<Standings>,
-        names: InForce,
+        standings: Rc<StateStore>,
+        names: ActiveNames,
     ) -> Self {
         let conf = &config.conf;
-        let door = Door {
+        let door = DaemonPlatform {
             now: clock.now(),
             clock,
             held: HashMap::new(),
@@ -267,7 +233,7 @@
             wake_at: None,
             unsent: Vec::new(),
             answered: Vec::new(),
-            asked: config.watch.as_ref().map(|_| Asked::default()),
+            asked: config.watch.as_ref().map(|_| RecordedActions::default()),
         };
         let mut core = Self {
             balancer: Balancer::new(&conf.settings, config.seed),
@@ -276,7 +242,7 @@
             watch: config
                 .watch
                 .as_ref()
-                .map(|settings| Watch::new(settings, config.seed)),
+                .map(|settings| ShadowEvaluator::new(settings, config.seed)),
             numbers: HashMap::new(),
             leaving: HashSet::new(),
             next: 0,
@@ -284,7 +250,7 @@
             names,
             windows: conf.settings.methods.iter().map(window).collect(),
             sized: conf.sized,
-            limits: Limits {
+            limits: ConnectionLimits {
                 connect: Duration::from_secs_f64(conf.connect_limit),
                 idle: Duration::from_secs_f64(conf.idle_limit),
             },
@@ -295,12 +261,12 @@
             beat: Instant::now() + BEAT,
             stopped: Instant::now(),
         };
-        let known = config.known.clone().unwrap_or(News {
+        let known = config.known.clone().unwrap_or(EndpointUpdate {
             version: 0,
             kind: EndpointUpdateKind::StaleSnapshot,
             listed: vec![],
         });
-        core.news(&News {
+        core.news(&EndpointUpdate {
             kind: EndpointUpdateKind::StaleSnapshot,
             ..known
         });
@@ -308,14 +274,14 @@
         core
     }
 
-    pub(crate) async fn run(mut self, mut mailbox: mpsc::Receiver<ToCore>) {
+    pub(crate) async fn run(mut self, mut mailbox: mpsc::Receiver<Event>) {
         loop {
             self.keep_time();
             let own = self.door.wake_at.map(|at| self.door.clock.instant(at));
             let watcher = self
                 .watch
                 .as_ref()
-                .and_then(Watch::wake_at)
+                .and_then(ShadowEvaluator::wake_at)
                 .map(|at| self.door.clock.instant(at));
             let wake = own.into_iter().chain(watcher).min();
             if wake.is_some_and(|at| at <= Instant::now()) {
@@ -347,14 +313,14 @@
     }
 
     /// Lets the watcher hear what the first instance heard in the last call, if there is one.
-    fn watch(&mut self, act: impl FnOnce(&mut Watch, f64, Asked)) {
+    fn watch(&mut self, act: impl FnOnce(&mut ShadowEvaluator, f64, RecordedActions)) {
         let (Some(watch), now) = (&mut self.watch, self.door.now) else {
             return;
         };
         let asked = self
             .door
             .asked
-            .replace(Asked::default())
+            .replace(RecordedActions::default())
             .unwrap_or_default();
         if catch_unwind(AssertUnwindSafe(|| act(watch, now, asked))).is_err() {
             log::error!("the watching module panicked: it watches no more");
@@ -363,36 +329,36 @@
     }
 
     #[expect(clippy::too_many_lines)]
-    fn hear(&mut self, message: ToCore) {
+    fn hear(&mut self, message: Event) {
         self.keep_time();
         match message {
-            ToCore::Take {
+            Event::RpcReceived {
                 id,
                 rpc,
                 opened,
                 client,
                 answer,
             } => self.take(id, *rpc, opened, client, answer),
-            ToCore::HungUp(id) => self.hung_up(id),
-            ToCore::Ended {
+            Event::ClientDisconnected(id) => self.hung_up(id),
+            Event::AttemptEnded {
                 rpc,
-                pick,
+                attempt,
                 outcome,
                 report,
                 body,
-            } => self.ended(rpc, pick, outcome, report, body),
-            ToCore::Whole { rpc, pick } => {
-                self.on_rpc(rpc, |rpc, door| rpc.on_request_sent(pick, door));
-                self.watch(|watch, now, asked| watch.whole(now, asked, (rpc, pick)));
+            } => self.ended(rpc, attempt, outcome, report, body),
+            Event::RequestSent { rpc, attempt } => {
+                self.on_rpc(rpc, |rpc, door| rpc.on_request_sent(attempt, door));
+                self.watch(|watch, now, asked| watch.whole(now, asked, (rpc, attempt)));
             }
-            ToCore::Begun { rpc, pick, flow } => {
+            Event::ResponseStarted { rpc, attempt, flow } => {
                 self.on_rpc(rpc, |handle, door| {
-                    door.give(rpc, Answer::Long(flow));
-                    handle.on_response_started(pick, PacedBy::Client, door);
+                    door.give(rpc, ProxyResponse::Long(flow));
+                    handle.on_response_started(attempt, PacedBy::Client, door);
                 });
-                self.watch(|watch, now, asked| watch.begun(now, asked, (rpc, pick)));
+                self.watch(|watch, now, asked| watch.begun(now, asked, (rpc, attempt)));
             }
-            ToCore::Probed {
+            Event::HealthChecked {
                 backend,
                 outcome,
                 report,
@@ -405,9 +371,9 @@
                 });
                 self.watch(|watch, now, asked| watch.probed(now, asked, backend, outcome, report));
             }
-            ToCore::News(news) => self.news(&news),
-            ToCore::Settings(update) => self.adopt(*update),
-            ToCore::ListFailed => {
+            Event::EndpointsChanged(news) => self.news(&news),
+            Event::SettingsChanged(update) => self.adopt(*update),
+            Event::DiscoveryFailed => {
                 self.call(|core| core.balancer.list_failed(&mut core.door));
                 self.watch(|watch, now, asked| watch.list_failed(now, asked));
             }
@@ -450,7 +416,7 @@
         }
     }
 
-    fn on_rpc(&mut self, id: u64, act: impl FnOnce(&RpcHandle, &mut Door)) {
+    fn on_rpc(&mut self, id: u64, act: impl FnOnce(&RpcHandle, &mut DaemonPlatform)) {
         self.call(|core| {
             let Some(rpc) = core.rpcs.get(&id) else {
                 return;
@@ -469,7 +435,7 @@
             .get_mut(&id)
             .filter(|held| held.answer.is_none())
         {
-            held.picks
+            held.attempts
                 .iter_mut()
                 .filter_map(Option::take)
                 .for_each(|stop| _ = stop.send(()));
@@ -481,9 +447,9 @@
     }
 
     /// Puts other settings in force, all in this turn.
-    fn adopt(&mut self, update: Update) {
+    fn adopt(&mut self, update: ConfigUpdate) {
         let begun = Instant::now();
-        let Update {
+        let ConfigUpdate {
             settings,
             kept,
             names,
@@ -508,10 +474,10 @@
     fn take(
         &mut self,
         id: u64,
-        mut rpc: Received,
-        opened: Opened,
-        client: Presence,
-        answer: oneshot::Sender<Answer>,
+        mut rpc: ReceivedRpc,
+        opened: RequestIdGuard,
+        client: ClientLiveness,
+        answer: oneshot::Sender<ProxyResponse>,
     ) {
         if let Err(told) = rpc.by(&self.names.borrow()) {
             let _ = answer.send(told);
@@ -529,16 +495,16 @@
             streams_request: rpc.message.upload().is_some(),
             key: rpc.key,
         };
-        let (picks, may_have_run, window) = (Vec::new(), Vec::new(), self.windows[rpc.method]);
+        let (attempts, may_have_run, window) = (Vec::new(), Vec::new(), self.windows[rpc.method]);
         let (message, answer, _opened) = (rpc.message, Some(answer), opened);
         self.door.held.insert(
             id,
-            Held {
+            InFlightRpc {
                 message,
                 client,
                 deadline,
                 answer,
-                picks,
+                attempts,
                 window,
                 may_have_run,
                 _opened,
@@ -566,12 +532,12 @@
     fn ended(
         &mut self,
         id: u64,
-        pick: usize,
+        attempt: usize,
         outcome: AttemptOutcome,
         report: Option<LoadReport>,
         body: Bytes,
     ) {
-        log::trace!("RPC {id}: pick {pick} {outcome:?}");
+        log::trace!("RPC {id}: attempt {attempt} {outcome:?}");
         let outcome = self.told(outcome, AttemptOutcome::Cancelled);
         // An answer that is ok ends it; it goes to the client below.
         let held = self.door.held.get(&id);
@@ -582,23 +548,25 @@
             .is_some_and(|upload| upload.is_spent());
         self.on_rpc(id, |rpc, door| {
             if let Some(held) = door.held.get_mut(&id) {
-                held.picks[pick] = None;
+                held.attempts[attempt] = None;
                 if outcome.never_ran() {
-                    held.may_have_run[pick] = None;
+                    held.may_have_run[attempt] = None;
                 }
             }
             if spent {
                 rpc.forbid_retry();
             }
             if outcome == AttemptOutcome::Succeeded {
-                door.give(id, Answer::Ok(body));
+                door.give(id, ProxyResponse::Ok(body));
             }
-            rpc.on_attempt_ended(pick, outcome, over, report, door);
+            rpc.on_attempt_ended(attempt, outcome, over, report, door);
         });
         if let Some(watch) = self.watch.as_ref().filter(|_| spent) {
             watch.unrepeatable(id);
         }
-        self.watch(|watch, now, asked| watch.ended(now, asked, (id, pick), outcome, over, report));
+        self.watch(|watch, now, asked| {
+            watch.ended(now, asked, (id, attempt), outcome, over, report)
+        });
     }
 
     /// Tells the module anew of the backends whose bans have changed, and then that it is done.
@@ -615,7 +583,7 @@
             .cloned()
             .collect();
         if !listed.is_empty() {
-            self.news(&News {
+            self.news(&EndpointUpdate {
                 version: 0,
                 kind: EndpointUpdateKind::Administrative,
                 listed,
@@ -641,7 +609,7 @@
     }
 
     #[expect(clippy::too_many_lines)]
-    fn news(&mut self, news: &News) {
+    fn news(&mut self, news: &EndpointUpdate) {
         if news.kind.is_snapshot() {
             let named: HashSet<_> = news.listed.iter().map(|l| l.uid.as_str()).collect();
             self.listed.retain(|name, _| named.contains(name.as_str()));
@@ -673,7 +641,7 @@
                 .or_insert_with(number);
             *heard = now;
             let backend = *backend;
-            let facts = Facts {
+            let facts = EndpointInfo {
                 endpoint: listed.endpoint,
                 ready: readiness == Readiness::Ready,
             };
@@ -685,7 +653,7 @@
             } else {
                 self.door.backends.insert(
                     backend,
-                    Backend::start(facts, self.limits, self.budget.clone()),
+                    EndpointHandle::start(facts, self.limits, self.budget.clone()),
                 );
             }
             let size = if self.sized { listed.size } else { 1.0 };
--- a/crates/daemon/src/discovery/client.rs
+++ b/crates/daemon/src/discovery/client.rs
@@ -1,9 +1,9 @@
 //! The actor that follows the list: one long call after another while the module wants to be told. It has one
 //! connection and never more than one call out; what it hears goes to the core's mailbox.
-use crate::decision::actor::ToCore;
-use crate::lifecycle::state::Standings;
-use crate::net::body::Outgoing;
-use crate::net::sockets::{Conn, Fault as Broken};
+use crate::lifecycle::state::StateStore;
+use crate::messages::Event;
+use crate::net::body::RequestBody;
+use crate::net::sockets::{Connection, ConnectionError as Broken};
 use birchhub::interface::{EndpointUpdateKind, Readiness};
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
@@ -64,7 +64,7 @@
 
 /// One backend of the list.
 #[derive(Clone, Debug, PartialEq)]
-pub(crate) struct Listed {
+pub(crate) struct ListedEndpoint {
     pub uid: String,
     pub endpoint: SocketAddr,
     pub zone: String,
@@ -76,15 +76,15 @@
 
 /// What discovery told: the whole list or changes of it.
 #[derive(Clone, Debug, PartialEq)]
-pub(crate) struct News {
+pub(crate) struct EndpointUpdate {
     pub version: u64,
     pub kind: EndpointUpdateKind,
-    pub listed: Vec<Listed>,
+    pub listed: Vec<ListedEndpoint>,
 }
 
 /// One line of the list. One that can't be understood is passed over: it must not end the proxy, and takes
 /// nothing new.
-fn line(value: &Value) -> Option<Listed> {
+fn line(value: &Value) -> Option<ListedEndpoint> {
     let number = |key| value.get(key).and_then(Value::as_f64);
     let readiness = match value.get("state").and_then(Value::as_str) {
         Some("Ready") => Readiness::Ready,
@@ -101,7 +101,7 @@
         (None, Readiness::Ready) => (SocketAddr::from(([0, 0, 0, 0], 0)), Readiness::Draining),
         (None, readiness) => (SocketAddr::from(([0, 0, 0, 0], 0)), readiness),
     };
-    Some(Listed {
+    Some(ListedEndpoint {
         uid: value.get("uid")?.as_str()?.to_owned(),
         endpoint,
         zone: value
@@ -119,7 +119,7 @@
 }
 
 /// Reads the list in discovery's form.
-pub(crate) fn decode(value: &Value) -> Result<News, String> {
+pub(crate) fn decode(value: &Value) -> Result<EndpointUpdate, String> {
     let version = value
         .get("rev")
         .and_then(Value::as_u64)
@@ -145,7 +145,7 @@
             targets.len()
         );
     }
-    Ok(News {
+    Ok(EndpointUpdate {
         version,
         kind,
         listed,
@@ -155,20 +155,20 @@
 pub(crate) struct Discovery {
     /// Where the list service is; it may move.
     pub at: watch::Receiver<SocketAddr>,
-    pub core: mpsc::Sender<ToCore>,
+    pub core: mpsc::Sender<Event>,
     /// The module asks to be told of changes.
     pub wanted: Rc<Notify>,
     pub version: Option<u64>,
     /// The list is followed unasked, whatever fails.
     pub pushed: bool,
     /// Told of the first answer, and of all names.
-    pub standings: Rc<Standings>,
+    pub standings: Rc<StateStore>,
     /// Calls in a row that met silence.
     pub time_outs: usize,
 }
 
 /// How a call ended without news.
-enum Fault {
+enum DiscoveryError {
     /// No answer in time, or no connection.
     TimedOut,
     /// An answer that breaks off or makes no sense.
@@ -177,7 +177,7 @@
     Down(String),
 }
 
-impl Fault {
+impl DiscoveryError {
     /// How many calls in a row go out at once after such ones.
     fn again(&self, times: &Times) -> usize {
         match self {
@@ -188,7 +188,7 @@
     }
 }
 
-impl std::fmt::Display for Fault {
+impl std::fmt::Display for DiscoveryError {
     fn fmt(&self, to: &mut std::fmt::Formatter) -> std::fmt::Result {
         match self {
             Self::TimedOut => to.write_str("no answer in time"),
@@ -232,7 +232,7 @@
                 () = self.wanted.notified() => {}
                 () = ready(()) => {}
             }
-            if self.core.send(ToCore::ListFailed).await.is_err() {
+            if self.core.send(Event::DiscoveryFailed).await.is_err() {
                 return;
             }
             if self.pushed {
@@ -242,7 +242,7 @@
     }
 
     #[expect(clippy::too_many_lines)]
-    async fn watch(&mut self) -> Fault {
+    async fn watch(&mut self) -> DiscoveryError {
         let times = if self.pushed { AGENT } else { SERVICE };
         // After silence, one that waits would be given up too late if it met silence too.
         let (mut conn, mut doubted) = (None, self.pushed || self.time_outs > 0);
@@ -277,9 +277,9 @@
             let until = begun + patience;
             let called = timeout_at(until, self.call(&mut conn, &path, until)).await;
             let called = called
-                .unwrap_or(Err(Fault::TimedOut))
+                .unwrap_or(Err(DiscoveryError::TimedOut))
                 .and_then(|news| self.in_order(news));
-            self.time_outs = if matches!(called, Err(Fault::TimedOut)) {
+            self.time_outs = if matches!(called, Err(DiscoveryError::TimedOut)) {
                 self.time_outs + 1
             } else {
                 0
@@ -301,19 +301,19 @@
             self.standings
                 .listed(news.listed.iter().map(|listed| listed.uid.as_str()));
             self.standings.set_ready();
-            if self.core.send(ToCore::News(news)).await.is_err() {
-                return Fault::Down("the core has ended".into());
+            if self.core.send(Event::EndpointsChanged(news)).await.is_err() {
+                return DiscoveryError::Down("the core has ended".into());
             }
             sleep_until(begun + GAP).await;
         }
     }
 
     /// Guards against an older list that undoes a newer one: what is true then is in the whole list, whatever its number.
-    fn in_order(&mut self, news: News) -> Result<News, Fault> {
+    fn in_order(&mut self, news: EndpointUpdate) -> Result<EndpointUpdate, DiscoveryError> {
         match self.version {
             Some(had) if news.version < had => {
                 self.version = None;
-                Err(Fault::Down(format!(
+                Err(DiscoveryError::Down(format!(
                     "version {} came after {had}",
                     news.version
                 )))
@@ -324,10 +324,10 @@
 
     async fn call(
         &self,
-        kept: &mut Option<Conn>,
+        kept: &mut Option<Connection>,
         path: &str,
         until: Instant,
-    ) -> Result<News, Fault> {
+    ) -> Result<EndpointUpdate, DiscoveryError> {
         let usable = match kept {
             None => false,
             Some(conn) => conn.usable().await,
@@ -336,28 +336,30 @@
             *kept = None;
             let at = *self.at.borrow();
             let until = until.min(Instant::now() + CONNECT_MOST);
-            *kept = Conn::open(at, None, until).await;
+            *kept = Connection::open(at, None, until).await;
             if kept.is_none() && Instant::now() >= until {
-                return Err(Fault::TimedOut);
+                return Err(DiscoveryError::TimedOut);
             }
         }
-        let conn = kept.as_mut().ok_or(Fault::Down("no connection".into()))?;
-        let mut message = Request::new(Outgoing::Whole(Full::default()));
+        let conn = kept
+            .as_mut()
+            .ok_or(DiscoveryError::Down("no connection".into()))?;
+        let mut message = Request::new(RequestBody::Whole(Full::default()));
         *message.uri_mut() = path
             .parse()
-            .map_err(|_| Fault::Down("the call has no path".into()))?;
+            .map_err(|_| DiscoveryError::Down("the call has no path".into()))?;
         let reply = conn
             .exchange(message, BODY_MOST, false, &Cell::new(false))
             .await;
         let reply = reply.map_err(|fault| match fault {
-            Broken::Spoilt => Fault::Malformed("the answer broke off".into()),
-            fault => Fault::Down(format!("the connection failed: {fault:?}")),
+            Broken::Spoilt => DiscoveryError::Malformed("the answer broke off".into()),
+            fault => DiscoveryError::Down(format!("the connection failed: {fault:?}")),
         })?;
         if reply.status != StatusCode::OK {
-            return Err(Fault::Down(format!("status {}", reply.status)));
+            return Err(DiscoveryError::Down(format!("status {}", reply.status)));
         }
         let value = serde_json::from_slice(&reply.body)
-            .map_err(|e| Fault::Malformed(format!("not JSON: {e}")))?;
-        decode(&value).map_err(Fault::Malformed)
+            .map_err(|e| DiscoveryError::Malformed(format!("not JSON: {e}")))?;
+        decode(&value).map_err(DiscoveryError::Malformed)
     }
 }
--- a/crates/daemon/src/downstream/listener.rs
+++ b/crates/daemon/src/downstream/listener.rs
@@ -1,13 +1,14 @@
 //! Connections of clients: accepting them, and one RPC at a time on each.
-use crate::config::file::until;
-use crate::decision::actor::ToCore;
+use crate::clock::until;
 use crate::downstream::head::HeadScan;
-use crate::downstream::request::{Intake, Received};
-use crate::downstream::response::Answer;
-use crate::lifecycle::state::Standing;
-use crate::net::body::Answering;
+use crate::downstream::request::{ReceivedRpc, RequestParser};
+use crate::downstream::response::ProxyResponse;
+use crate::lifecycle::state::ProxyState;
+use crate::messages::Event;
+use crate::net::body::ResponseBody;
 use crate::net::sockets::{
-    Ahead, Budget, Inbound, Offer, Part, Place, Presence, Spare, Watched, Witness, linger,
+    ClientLiveness, Evictable, EvictionCandidate, InboundStream, IoObserver, ObservedStream,
+    ReadAhead, SocketBudget, SocketClass, SocketPermit, linger,
 };
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
@@ -40,52 +41,52 @@
 const SETTLE: Duration = Duration::from_millis(300);
 const BREATHE: Duration = Duration::from_millis(10); // before accepting again where no socket is to be had
 
-pub(crate) struct Front {
-    pub intake: Intake,
-    pub standing: watch::Receiver<Standing>,
-    pub budget: Rc<Budget>,
-    pub core: mpsc::Sender<ToCore>,
+pub(crate) struct Listener {
+    pub intake: RequestParser,
+    pub standing: watch::Receiver<ProxyState>,
+    pub budget: Rc<SocketBudget>,
+    pub core: mpsc::Sender<Event>,
     pub next: Cell<u64>,
-    pub open: Open,
+    pub open: ActiveRequestIds,
 }
 
 /// The `Request-Id`s of the RPCs of which a pick may still be out.
 #[derive(Clone, Default)]
-pub(crate) struct Open(Rc<RefCell<HashSet<HeaderValue>>>);
+pub(crate) struct ActiveRequestIds(Rc<RefCell<HashSet<HeaderValue>>>);
 
 /// A `Request-Id` that is open until this is dropped.
-pub(crate) struct Opened {
+pub(crate) struct RequestIdGuard {
     name: HeaderValue,
-    open: Open,
+    open: ActiveRequestIds,
 }
 
-impl Open {
+impl ActiveRequestIds {
     /// Nothing if it is open already.
-    fn enter(&self, name: HeaderValue) -> Option<Opened> {
+    fn enter(&self, name: HeaderValue) -> Option<RequestIdGuard> {
         let fresh = self.0.borrow_mut().insert(name.clone());
-        fresh.then(|| Opened {
+        fresh.then(|| RequestIdGuard {
             name,
             open: self.clone(),
         })
     }
 }
 
-impl Drop for Opened {
+impl Drop for RequestIdGuard {
     fn drop(&mut self) {
         self.open.0.borrow_mut().remove(&self.name);
     }
 }
 
 /// An RPC in the core's care. Dropped before its answer, as when the client hangs up, it tells the core.
-struct Care {
+struct RpcGuard {
     id: u64,
-    permit: Option<OwnedPermit<ToCore>>,
+    permit: Option<OwnedPermit<Event>>,
 }
 
-impl Drop for Care {
+impl Drop for RpcGuard {
     fn drop(&mut self) {
         if let Some(permit) = self.permit.take() {
-            permit.send(ToCore::HungUp(self.id));
+            permit.send(Event::ClientDisconnected(self.id));
         }
     }
 }
@@ -105,11 +106,11 @@
     /// An RPC is decided on.
     Busy,
     /// An answer is on its way.
-    Answering,
+    ResponseBody,
 }
 
 /// A client's connection, as its clock, the budget and the end of this proxy see it.
-struct Line {
+struct ClientConnection {
     phase: Cell<Phase>,
     /// It was told that what it sent is no RPC, or that there is no room, or that this was its last answer.
     refused: Cell<bool>,
@@ -118,18 +119,18 @@
     scan: RefCell<HeadScan>,
     /// Set once the answer on its way has been handed over up to its last byte.
     given: RefCell<Rc<Cell<bool>>>,
-    budget: Rc<Budget>,
+    budget: Rc<SocketBudget>,
     /// It may be given up for another.
-    offer: RefCell<Option<Offer>>,
-    itself: Weak<Line>,
+    offer: RefCell<Option<EvictionCandidate>>,
+    itself: Weak<ClientConnection>,
     /// The budget has given its place away; void once an RPC is under way.
     given_up: Cell<bool>,
     opened: Instant,
     turned: Notify,
 }
 
-impl Line {
-    fn new(budget: &Rc<Budget>) -> Rc<Self> {
+impl ClientConnection {
+    fn new(budget: &Rc<SocketBudget>) -> Rc<Self> {
         let opened = Instant::now();
         let (phase, due, budget) = (
             Phase::Fresh.into(),
@@ -158,7 +159,7 @@
     fn turn(&self, phase: Phase) {
         let time = match phase {
             Phase::Between => IDLE_TIME,
-            Phase::Answering => READ_TIME,
+            Phase::ResponseBody => READ_TIME,
             _ => HEAD_TIME,
         };
         self.due.set(Instant::now() + time);
@@ -185,7 +186,7 @@
             phase => phase as u8 + 1,
         };
         if let Some(line) = self.itself.upgrade() {
-            let offer = self.budget.offer(Part::Clients, rank, &line);
+            let offer = self.budget.offer(SocketClass::Clients, rank, &line);
             self.offer.replace(Some(offer));
         }
     }
@@ -211,13 +212,13 @@
             Phase::Half => (own, goes.map(|(_, half)| half)),
             Phase::Body => (None, goes.map(|(_, half)| half)),
             Phase::Busy => return None,
-            Phase::Answering => return own,
+            Phase::ResponseBody => return own,
         };
         [own, goes, given_up].into_iter().flatten().min()
     }
 }
 
-impl Witness for Rc<Line> {
+impl IoObserver for Rc<ClientConnection> {
     fn read(&self, bytes: &[u8]) {
         if matches!(self.phase.get(), Phase::Fresh | Phase::Between) {
             self.scan.replace(HeadScan::default());
@@ -234,19 +235,19 @@
     }
 
     fn wrote(&self, _bytes: u64) {
-        if self.phase.get() == Phase::Answering {
+        if self.phase.get() == Phase::ResponseBody {
             self.due.set(Instant::now() + READ_TIME);
         }
     }
 
     fn flushed(&self) {
-        if self.phase.get() == Phase::Answering && self.given.borrow().get() {
+        if self.phase.get() == Phase::ResponseBody && self.given.borrow().get() {
             self.turn(Phase::Between);
         }
     }
 }
 
-impl Spare for Line {
+impl Evictable for ClientConnection {
     fn give_up(&self) -> bool {
         if !self.busy() {
             self.given_up.set(true);
@@ -256,7 +257,7 @@
     }
 }
 
-impl Front {
+impl Listener {
     /// Accepts until this proxy's end is near.
     #[expect(clippy::too_many_lines)]
     pub(crate) async fn run(self: Rc<Self>, listener: TcpListener) {
@@ -292,54 +293,54 @@
                         log::warn!("no connection accepted: {fault}");
                     }
                     // Where the machine has fewer sockets than were told, what is idle gives way as well.
-                    self.budget.give_up_oldest(Part::Clients);
+                    self.budget.give_up_oldest(SocketClass::Clients);
                     sleep(BREATHE).await;
                     continue;
                 }
             };
             refused = false;
-            let room = self.budget.place(Part::Clients);
+            let room = self.budget.place(SocketClass::Clients);
             let late = room.is_none();
-            let place = room.unwrap_or_else(|| self.budget.place_anyhow(Part::Clients));
+            let place = room.unwrap_or_else(|| self.budget.place_anyhow(SocketClass::Clients));
             spawn_local(self.clone().serve(stream, place, late));
             // What it has brought is read before the next one may push it out.
             yield_now().await;
-            while self.budget.over(Part::Clients) > LATE_MOST {
+            while self.budget.over(SocketClass::Clients) > LATE_MOST {
                 sleep(BREATHE).await;
             }
         }
     }
 
     /// One connection, until either side closes it.
-    async fn serve(self: Rc<Self>, stream: TcpStream, place: Place, late: bool) {
+    async fn serve(self: Rc<Self>, stream: TcpStream, place: SocketPermit, late: bool) {
         // Answers are whole, or go on as they come: no reason to wait for more.
         let _ = stream.set_nodelay(true);
-        let line = Line::new(&self.budget);
+        let line = ClientConnection::new(&self.budget);
         line.offer();
-        let stream = Inbound::new(stream);
+        let stream = InboundStream::new(stream);
         let ahead = stream.ahead();
         let service = service_fn(|from: Request<Incoming>| {
             let (front, line, client) = (self.clone(), line.clone(), ahead.presence());
             async move {
                 line.turn(Phase::Body);
                 let answer = if late {
-                    Answer::PushedBack { come_back: 0.0 }
+                    ProxyResponse::PushedBack { come_back: 0.0 }
                 } else {
                     front.answer(from, &line, client).await
                 };
-                let refused = late || matches!(answer, Answer::Refused(..));
+                let refused = late || matches!(answer, ProxyResponse::Refused(..));
                 let last = refused || line.refused.get() || front.standing.borrow().answers_last();
                 line.refused.set(last);
                 let response = answer.encode(last);
                 line.given.replace(response.body().given());
-                line.turn(Phase::Answering);
-                Ok::<Response<Answering>, Infallible>(response)
+                line.turn(Phase::ResponseBody);
+                Ok::<Response<ResponseBody>, Infallible>(response)
             }
         });
         let mut connection = http1::Builder::new()
             .max_buf_size(HEAD_MOST)
             .serve_connection(
-                TokioIo::new(Watched {
+                TokioIo::new(ObservedStream {
                     stream,
                     by: line.clone(),
                 }),
@@ -362,8 +363,8 @@
     async fn drive<C: Future<Output = hyper::Result<()>> + Unpin>(
         &self,
         connection: &mut C,
-        line: &Line,
-        ahead: &Ahead,
+        line: &ClientConnection,
+        ahead: &ReadAhead,
     ) -> hyper::Result<()> {
         let mut standing = self.standing.clone();
         let mut left = pin!(ahead.left());
@@ -402,7 +403,7 @@
     }
 
     /// Lets a refused client read what it was told.
-    async fn linger(&self, stream: Inbound, line: &Rc<Line>) {
+    async fn linger(&self, stream: InboundStream, line: &Rc<ClientConnection>) {
         // Its place is wanted as any idle one's: guards against refused clients that crowd out others.
         line.phase.set(Phase::Between);
         line.offer();
@@ -417,9 +418,14 @@
         }
     }
 
-    async fn answer(&self, from: Request<Incoming>, line: &Line, client: Presence) -> Answer {
+    async fn answer(
+        &self,
+        from: Request<Incoming>,
+        line: &ClientConnection,
+        client: ClientLiveness,
+    ) -> ProxyResponse {
         if from.method() == Method::GET && from.uri().path() == "/health/ready" {
-            return Answer::Health(self.standing.borrow().takes_clients());
+            return ProxyResponse::Health(self.standing.borrow().takes_clients());
         }
         let framings = line.scan.take().found();
         match self.intake.read(from, framings).await {
@@ -438,27 +444,27 @@
 
     /// The core's answer to an RPC, and an abort should there be none by its deadline.
     #[expect(clippy::too_many_lines)]
-    async fn decide(&self, mut rpc: Received, client: Presence) -> Answer {
+    async fn decide(&self, mut rpc: ReceivedRpc, client: ClientLiveness) -> ProxyResponse {
         // Guards against RPCs that the end of this process finds unanswered.
         let last_call = self.standing.borrow().last_call();
         rpc.waits = last_call.map_or(rpc.waits, |end| {
             rpc.waits.min(end.saturating_duration_since(rpc.at))
         });
         if rpc.waits.is_zero() {
-            return Answer::PushedBack { come_back: 0.0 };
+            return ProxyResponse::PushedBack { come_back: 0.0 };
         }
         // A place in the mailbox is kept for the hang-up. With none left nothing was sent: it may come again.
         let Ok(permit) = self.core.clone().try_reserve_owned() else {
-            return Answer::PushedBack { come_back: 0.0 };
+            return ProxyResponse::PushedBack { come_back: 0.0 };
         };
         let Some(opened) = self.open.enter(rpc.message.id()) else {
-            return Answer::Refused(
+            return ProxyResponse::Refused(
                 StatusCode::CONFLICT,
                 "an RPC with this Request-Id is open\n",
             );
         };
         let id = self.next.replace(self.next.get() + 1);
-        let mut care = Care {
+        let mut care = RpcGuard {
             id,
             permit: Some(permit),
         };
@@ -490,7 +496,7 @@
         let taken = async {
             let rpc = Box::new(rpc);
             self.core
-                .send(ToCore::Take {
+                .send(Event::RpcReceived {
                     id,
                     rpc,
                     opened,
@@ -503,17 +509,17 @@
         };
         select! {
             biased;
-            () = too_long => Answer::Refused(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 32 MB\n"),
+            () = too_long => ProxyResponse::Refused(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 32 MB\n"),
             Some(answer) = taken => {
                 care.permit = None;
                 answer
             }
             () = deadline => {
                 log::error!("an RPC had no answer by its deadline");
-                Answer::Aborted
+                ProxyResponse::Aborted
             }
-            () = ends => Answer::Aborted,
-            else => Answer::Aborted,
+            () = ends => ProxyResponse::Aborted,
+            else => ProxyResponse::Aborted,
         }
     }
 }
--- a/crates/daemon/src/downstream/request.rs
+++ b/crates/daemon/src/downstream/request.rs
@@ -1,8 +1,8 @@
 //! HTTP from a client to a typed RPC, once.
-use crate::config::active::{InForce, Names, bad, check};
+use crate::config::active::{ActiveNames, NameTable, bad, check};
 use crate::downstream::head::Framings;
-use crate::downstream::response::Answer;
-use crate::net::body::{KEPT, MOST, Outgoing, Upload};
+use crate::downstream::response::ProxyResponse;
+use crate::net::body::{KEPT, MOST, RequestBody, RequestUpload};
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Body;
@@ -25,7 +25,7 @@
 const FIGURES: HeaderName = HeaderName::from_static("request-info");
 
 /// An RPC as a client sent it.
-pub(crate) struct Received {
+pub(crate) struct ReceivedRpc {
     /// Of the settings by which it was read.
     pub version: u64,
     pub method: usize,
@@ -37,12 +37,12 @@
     pub client_repeat: bool,
     pub expected_work: Option<f64>,
     pub key: Option<u64>,
-    pub message: Message,
+    pub message: ParsedRequest,
 }
 
-impl Received {
+impl ReceivedRpc {
     /// Reads it again where other settings came into force on its way; what they don't take is told so.
-    pub(crate) fn by(&mut self, names: &Names) -> Result<(), Answer> {
+    pub(crate) fn by(&mut self, names: &NameTable) -> Result<(), ProxyResponse> {
         if self.version != names.version {
             let (method, effect) = names.method(self.message.uri.path())?;
             check(effect, &self.message.verb, self.message.key.is_some())?;
@@ -59,7 +59,7 @@
 
 /// What goes on to backends unchanged.
 #[derive(Clone)]
-pub(crate) struct Message {
+pub(crate) struct ParsedRequest {
     verb: Method,
     uri: Uri,
     id: Option<HeaderValue>, // none on a probe
@@ -71,10 +71,10 @@
 #[derive(Clone)]
 enum Payload {
     Whole(Bytes),
-    Long(Rc<Upload>),
+    Long(Rc<RequestUpload>),
 }
 
-impl Message {
+impl ParsedRequest {
     /// Asks a backend for its load report.
     pub(crate) fn probe() -> Self {
         let uri = Uri::from_static("/stats");
@@ -96,7 +96,7 @@
     }
 
     /// What is too long to be kept.
-    pub(crate) fn upload(&self) -> Option<&Rc<Upload>> {
+    pub(crate) fn upload(&self) -> Option<&Rc<RequestUpload>> {
         match &self.body {
             Payload::Whole(_) => None,
             Payload::Long(upload) => Some(upload),
@@ -109,10 +109,10 @@
     }
 
     /// The message to a backend that is waited for this long.
-    pub(crate) fn encode(&self, waits: Duration) -> Request<Outgoing> {
+    pub(crate) fn encode(&self, waits: Duration) -> Request<RequestBody> {
         let mut message = Request::new(match &self.body {
-            Payload::Whole(bytes) => Outgoing::Whole(Full::new(bytes.clone())),
-            Payload::Long(upload) => Outgoing::long(upload),
+            Payload::Whole(bytes) => RequestBody::Whole(Full::new(bytes.clone())),
+            Payload::Long(upload) => RequestBody::long(upload),
         });
         *message.method_mut() = self.verb.clone();
         *message.uri_mut() = self.uri.clone();
@@ -135,12 +135,15 @@
 }
 
 /// Reads by the names in force.
-pub(crate) struct Intake {
-    names: InForce,
+pub(crate) struct RequestParser {
+    names: ActiveNames,
 }
 
 /// The one value of a header; an error if it is there more than once.
-fn one<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Result<Option<&'a HeaderValue>, Answer> {
+fn one<'a>(
+    headers: &'a HeaderMap,
+    name: &HeaderName,
+) -> Result<Option<&'a HeaderValue>, ProxyResponse> {
     let mut all = headers.get_all(name).iter();
     let first = all.next();
     if all.next().is_some() {
@@ -151,13 +154,13 @@
 }
 
 /// As much of a body as is kept, and the rest of a longer one to come.
-async fn payload(mut body: Incoming) -> Result<Payload, Answer> {
+async fn payload(mut body: Incoming) -> Result<Payload, ProxyResponse> {
     let mut kept = BytesMut::with_capacity(body.size_hint().lower().min(KEPT as u64) as usize);
     let until = Instant::now() + KEPT_TIME;
     while !body.is_end_stream() {
         match timeout_at(until.min(Instant::now() + PIECE_TIME), body.frame()).await {
             Err(_) => {
-                return Err(Answer::Refused(
+                return Err(ProxyResponse::Refused(
                     StatusCode::REQUEST_TIMEOUT,
                     "the body did not end\n",
                 ));
@@ -167,14 +170,14 @@
             Ok(Some(Ok(frame))) => kept.extend_from_slice(&frame.into_data().unwrap_or_default()),
         }
         if kept.len() > KEPT && !body.is_end_stream() {
-            return Ok(Payload::Long(Upload::new(kept.freeze(), body)));
+            return Ok(Payload::Long(RequestUpload::new(kept.freeze(), body)));
         }
     }
     Ok(Payload::Whole(kept.freeze()))
 }
 
-impl Intake {
-    pub(crate) fn new(names: InForce) -> Self {
+impl RequestParser {
+    pub(crate) fn new(names: ActiveNames) -> Self {
         Self { names }
     }
 
@@ -184,7 +187,7 @@
         &self,
         from: Request<Incoming>,
         framings: Framings,
-    ) -> Result<Received, Answer> {
+    ) -> Result<ReceivedRpc, ProxyResponse> {
         let (head, body) = from.into_parts();
         // hyper drops a Content-Length beside a Transfer-Encoding and goes by the other. Guards against RPCs
         // hidden in the body of what others take for one message.
@@ -220,7 +223,7 @@
         let key = one(&head.headers, &REPEAT_KEY)?.filter(|key| !key.is_empty());
         check(effect, &head.method, key.is_some())?;
         if body.size_hint().lower() > MOST {
-            return Err(Answer::Refused(
+            return Err(ProxyResponse::Refused(
                 StatusCode::PAYLOAD_TOO_LARGE,
                 "the body is over 32 MB\n",
             ));
@@ -242,7 +245,7 @@
                 .map(|(_, value)| value.trim())
         };
         let work = figure("cost-guess-ns").and_then(|ns| ns.parse::<f64>().ok());
-        Ok(Received {
+        Ok(ReceivedRpc {
             version,
             method,
             tenant: self.names.borrow().tenant(text(TENANT)),
@@ -254,7 +257,7 @@
             key: figure("entity")
                 .filter(|key| *key != "-")
                 .map(birchhub_settings::key),
-            message: Message {
+            message: ParsedRequest {
                 verb: head.method,
                 uri: Uri::from(
                     head.uri
--- a/crates/daemon/src/downstream/response.rs
+++ b/crates/daemon/src/downstream/response.rs
@@ -1,16 +1,16 @@
 //! Answers to clients, each encoded once.
-use crate::net::body::{Answering, Flow};
+use crate::net::body::{ResponseBody, StreamedBody};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 
 /// The end of an RPC as the client is to see it.
-pub(crate) enum Answer {
+pub(crate) enum ProxyResponse {
     /// A backend's body, unchanged.
     Ok(Bytes),
     /// The same, as it comes.
-    Long(Flow),
+    Long(StreamedBody),
     /// Trying again is harmless; after so many seconds, if not 0.
     PushedBack { come_back: f64 },
     /// Failed, with no promise about what ran.
@@ -21,7 +21,7 @@
     Health(bool),
 }
 
-impl std::fmt::Display for Answer {
+impl std::fmt::Display for ProxyResponse {
     fn fmt(&self, to: &mut std::fmt::Formatter) -> std::fmt::Result {
         match self {
             Self::Ok(body) => write!(to, "ok, {} bytes", body.len()),
@@ -34,9 +34,9 @@
     }
 }
 
-impl Answer {
+impl ProxyResponse {
     /// `last`: the connection is closed after it.
-    pub(crate) fn encode(self, last: bool) -> Response<Answering> {
+    pub(crate) fn encode(self, last: bool) -> Response<ResponseBody> {
         let come_back = if let Self::PushedBack { come_back } = self {
             come_back
         } else {
@@ -52,7 +52,7 @@
             Self::Health(true) => (StatusCode::OK, text("ready\n")),
             Self::Health(false) => (StatusCode::SERVICE_UNAVAILABLE, text("not ready\n")),
         };
-        let mut response = Response::new(Answering::new(body.map(Full::new)));
+        let mut response = Response::new(ResponseBody::new(body.map(Full::new)));
         *response.status_mut() = status;
         if come_back > 0.0
             && let Ok(value) = HeaderValue::from_str(&format!("{come_back:.3}"))
--- a/crates/daemon/src/lifecycle/admin.rs
+++ b/crates/daemon/src/lifecycle/admin.rs
@@ -1,6 +1,6 @@
 //! The second address: calls of the staff and the platform, one to a connection.
-use crate::config::reload::Stand;
-use crate::lifecycle::state::{Order, Standing, Standings};
+use crate::config::reload::ActiveConfig;
+use crate::lifecycle::state::{AdminCommand, ProxyState, StateStore};
 use crate::net::sockets::linger;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -29,9 +29,9 @@
 const LINGER_TIME: Duration = Duration::from_millis(200); // for a caller to read its answer while it still sends
 
 /// What a caller is told.
-type Told = Response<Full<Bytes>>;
+type AdminResponse = Response<Full<Bytes>>;
 
-fn tell(status: StatusCode, line: String) -> Told {
+fn tell(status: StatusCode, line: String) -> AdminResponse {
     let mut told = Response::new(Full::from(line + "\n"));
     *told.status_mut() = status;
     told
@@ -71,19 +71,19 @@
 }
 
 /// What a path and query ask for: its verb, and the order if it is one.
-fn call(path: &str, query: &str) -> Option<(Method, Result<Option<Order>, &'static str>)> {
+fn call(path: &str, query: &str) -> Option<(Method, Result<Option<AdminCommand>, &'static str>)> {
     let order = match path {
         "/status" | "/settings" => return Some((Method::GET, Ok(None))),
-        "/standby" => Ok(Order::Standby),
-        "/active" => Ok(Order::Active),
-        "/maintenance/enter" => member(query).map(Order::Enter),
-        "/maintenance/exit" => member(query).map(Order::Exit),
+        "/standby" => Ok(AdminCommand::Standby),
+        "/active" => Ok(AdminCommand::Active),
+        "/maintenance/enter" => member(query).map(AdminCommand::Enter),
+        "/maintenance/exit" => member(query).map(AdminCommand::Exit),
         _ => return None,
     };
     Some((Method::POST, order.map(Some)))
 }
 
-fn status(now: &Standing) -> Told {
+fn status(now: &ProxyState) -> AdminResponse {
     let stands = match now {
         _ if now.ending.is_some() => "ends: SIGTERM has come",
         _ if !now.ready => "takes no clients yet: no list of backends",
@@ -100,24 +100,24 @@
 }
 
 /// What holds now that an order is in force.
-fn holds(order: &Order, now: &Standing) -> String {
+fn holds(order: &AdminCommand, now: &ProxyState) -> String {
     match order {
-        Order::Enter(name) => format!("{name} is banned"),
-        Order::Exit(name) => format!("{name} is not banned"),
-        Order::Standby => "on standby, health says no".to_owned(),
-        Order::Active => format!(
+        AdminCommand::Enter(name) => format!("{name} is banned"),
+        AdminCommand::Exit(name) => format!("{name} is not banned"),
+        AdminCommand::Standby => "on standby, health says no".to_owned(),
+        AdminCommand::Active => format!(
             "active, health says {}",
             if now.takes_clients() { "yes" } else { "no" }
         ),
     }
 }
 
-pub(crate) struct Management {
-    pub standings: Rc<Standings>,
-    pub settings: watch::Receiver<Stand>,
+pub(crate) struct AdminServer {
+    pub standings: Rc<StateStore>,
+    pub settings: watch::Receiver<ActiveConfig>,
 }
 
-impl Management {
+impl AdminServer {
     /// Accepts until dropped.
     pub(crate) async fn run(self: Rc<Self>, listener: TcpListener) {
         let mut calls: VecDeque<AbortHandle> = VecDeque::new();
@@ -142,7 +142,7 @@
     async fn serve(self: Rc<Self>, stream: TcpStream) {
         let service = service_fn(|from: Request<Incoming>| {
             let this = self.clone();
-            Box::pin(async move { Ok::<Told, Infallible>(this.answer(from).await) })
+            Box::pin(async move { Ok::<AdminResponse, Infallible>(this.answer(from).await) })
         });
         let mut builder = http1::Builder::new();
         builder.keep_alive(false).max_buf_size(HEAD_MOST);
@@ -163,7 +163,7 @@
         }
     }
 
-    async fn answer(&self, from: Request<Incoming>) -> Told {
+    async fn answer(&self, from: Request<Incoming>) -> AdminResponse {
         let (head, body) = from.into_parts();
         // Guards against an answer lost because the connection closes on a body that is still coming.
         if Limited::new(body, BODY_MOST).collect().await.is_err() {
@@ -191,7 +191,9 @@
                 tell(StatusCode::OK, self.settings.borrow().to_string())
             }
             Ok(None) => status(&self.standings.now()),
-            Ok(Some(Order::Enter(name) | Order::Exit(name))) if !self.standings.knows(&name) => {
+            Ok(Some(AdminCommand::Enter(name) | AdminCommand::Exit(name)))
+                if !self.standings.knows(&name) =>
+            {
                 tell(StatusCode::NOT_FOUND, format!("{name} was never listed"))
             }
             Ok(Some(order)) => match self.standings.carry_out(&order).await {
--- a/crates/daemon/src/lifecycle/siblings.rs
+++ b/crates/daemon/src/lifecycle/siblings.rs
@@ -1,6 +1,6 @@
 //! What the processes of one proxy share in `$TMPDIR` while one replaces the other: who lives, and what staff
 //! ordered. Data, no decisions.
-use crate::lifecycle::state::Orders;
+use crate::lifecycle::state::AdminState;
 use std::fs::{File, TryLockError};
 use std::io::Write;
 use std::path::{Path, PathBuf};
@@ -15,7 +15,7 @@
 /// Tells one content of the file from the next.
 type Stamp = (SystemTime, u64);
 
-pub(crate) struct Shared {
+pub(crate) struct ProcessGroup {
     folder: PathBuf,
     slots: Vec<File>,
     own: Option<usize>,
@@ -26,7 +26,7 @@
 
 /// Other processes of this proxy.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub(crate) struct Others {
+pub(crate) struct Siblings {
     pub living: usize,
     /// Of these, such as accept clients and are not told to end.
     pub accepting: usize,
@@ -54,7 +54,7 @@
     folder
 }
 
-impl Shared {
+impl ProcessGroup {
     /// The folder of the proxy of this name. Its own slot is taken with the first count of others.
     pub(crate) fn open(name: &str) -> Result<Self, String> {
         let parent = std::env::var_os("TMPDIR").ok_or("TMPDIR is not set")?;
@@ -88,7 +88,7 @@
 
     /// How many other processes of this proxy live, and how many of these accept clients. A lock ends with its holder,
     /// however that ends.
-    pub(crate) fn others(&mut self) -> Others {
+    pub(crate) fn others(&mut self) -> Siblings {
         // Another one that looks at the same moment may hold the slot: the next look takes one then.
         self.own = self
             .own
@@ -109,7 +109,7 @@
             .filter(|slot| lives(slot))
             .collect();
         let accepts = |slot: &&&File| slot.metadata().is_ok_and(|facts| facts.len() > 0);
-        Others {
+        Siblings {
             living: living.len(),
             accepting: living.iter().filter(accepts).count(),
         }
@@ -126,7 +126,7 @@
     }
 
     /// What the file says, if that is new; an error if it can't be read.
-    pub(crate) fn read(&mut self) -> Result<Option<Orders>, String> {
+    pub(crate) fn read(&mut self) -> Result<Option<AdminState>, String> {
         let stamp = self.stamped();
         if stamp.is_none() || stamp == self.stamp {
             return Ok(None);
@@ -141,9 +141,9 @@
     /// what holds now. The file is whole at each moment.
     pub(crate) async fn update(
         &mut self,
-        own: &Orders,
-        change: impl FnOnce(&mut Orders),
-    ) -> Result<Orders, String> {
+        own: &AdminState,
+        change: impl FnOnce(&mut AdminState),
+    ) -> Result<AdminState, String> {
         let until = Instant::now() + LOCK_TIME;
         while self.lock.try_lock().is_err() {
             if Instant::now() >= until {
@@ -154,7 +154,7 @@
         let told = std::fs::read(self.path())
             .ok()
             .and_then(|bytes| serde_json::from_slice(&bytes).ok());
-        let mut orders: Orders = told.unwrap_or_else(|| own.clone());
+        let mut orders: AdminState = told.unwrap_or_else(|| own.clone());
         let before = orders.clone();
         change(&mut orders);
         let written = if orders == before && self.stamped().is_some() {
@@ -168,7 +168,7 @@
             .map_err(|e| format!("{}: {e}", self.path().display()))
     }
 
-    fn write(&mut self, orders: &Orders) -> std::io::Result<()> {
+    fn write(&mut self, orders: &AdminState) -> std::io::Result<()> {
         let fresh = self.folder.join("birchhub.standing.new");
         let mut file = File::create(&fresh)?;
         file.write_all(serde_json::to_string(orders)?.as_bytes())?;
@@ -181,9 +181,9 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::lifecycle::state::Ban;
+    use crate::lifecycle::state::Maintenance;
 
-    fn in_folder(test: impl AsyncFnOnce(&dyn Fn() -> Shared, PathBuf)) {
+    fn in_folder(test: impl AsyncFnOnce(&dyn Fn() -> ProcessGroup, PathBuf)) {
         static NEXT: std::sync::atomic::AtomicUsize = std::sync::atomic::AtomicUsize::new(0);
         let number = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
         let folder =
@@ -193,7 +193,7 @@
             let slots = (0..SLOTS)
                 .map(|n| open(&folder.join(format!("birchhub.life.{n}"))).expect("a slot"));
             let lock = open(&folder.join("birchhub.lock")).expect("a lock");
-            Shared {
+            ProcessGroup {
                 folder: folder.clone(),
                 slots: slots.collect(),
                 own: None,
@@ -244,7 +244,7 @@
             let (mut one, mut two) = (make(), make());
             one.others();
             two.others();
-            let heirs = |of: &mut Shared| of.others().accepting;
+            let heirs = |of: &mut ProcessGroup| of.others().accepting;
             assert_eq!((heirs(&mut one), heirs(&mut two)), (0, 0));
             two.tell(true);
             assert_eq!((heirs(&mut one), heirs(&mut two)), (1, 0));
@@ -255,7 +255,7 @@
             three.tell(false);
             assert_eq!(
                 one.others(),
-                Others {
+                Siblings {
                     living: 1,
                     accepting: 0
                 }
@@ -267,9 +267,9 @@
     #[test]
     fn changes_of_both_are_kept_and_damage_is_survived() {
         in_folder(async |make, path| {
-            let (mut one, mut two, own) = (make(), make(), Orders::default());
+            let (mut one, mut two, own) = (make(), make(), AdminState::default());
             let ban = |name: &'static str| {
-                move |o: &mut Orders| _ = o.bans.insert(name.into(), Ban::InForce)
+                move |o: &mut AdminState| _ = o.bans.insert(name.into(), Maintenance::InForce)
             };
             one.update(&own, ban("a")).await.expect("written");
             let both = two.update(&own, ban("b")).await.expect("written");
--- a/crates/daemon/src/lifecycle/state.rs
+++ b/crates/daemon/src/lifecycle/state.rs
@@ -1,6 +1,6 @@
 //! Where this proxy stands in its life, and what its staff ordered: one small value with one owner, which all
 //! actors read. What staff ordered is common to all processes of the proxy.
-use crate::lifecycle::siblings::{Others, Shared};
+use crate::lifecycle::siblings::{ProcessGroup, Siblings};
 use birchhub::interface::Readiness;
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
@@ -25,7 +25,7 @@
 
 /// What staff ordered of a backend.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) enum Ban {
+pub(crate) enum Maintenance {
     InForce,
     /// Back since this time, in Unix ms: whatever the list says, it started no earlier.
     Over(f64),
@@ -33,41 +33,45 @@
 
 /// What staff ordered, and the names that orders may be about.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub(crate) struct Orders {
+pub(crate) struct AdminState {
     /// On standby since this time, in Unix ms.
     pub standby: Option<f64>,
-    pub bans: BTreeMap<String, Ban>,
+    pub bans: BTreeMap<String, Maintenance>,
     names: BTreeSet<String>,
 }
 
 /// What a caller wants.
 #[derive(Clone, Debug, PartialEq)]
-pub(crate) enum Order {
+pub(crate) enum AdminCommand {
     Enter(String),
     Exit(String),
     Standby,
     Active,
 }
 
-impl Orders {
+impl AdminState {
     /// The same order again changes nothing.
-    fn take(&mut self, order: &Order) {
+    fn take(&mut self, order: &AdminCommand) {
         match order {
-            Order::Enter(name) => drop(self.bans.insert(name.clone(), Ban::InForce)),
-            Order::Exit(name) => {
-                if let Some(ban) = self.bans.get_mut(name).filter(|ban| **ban == Ban::InForce) {
-                    *ban = Ban::Over(unix_ms());
+            AdminCommand::Enter(name) => drop(self.bans.insert(name.clone(), Maintenance::InForce)),
+            AdminCommand::Exit(name) => {
+                if let Some(ban) = self
+                    .bans
+                    .get_mut(name)
+                    .filter(|ban| **ban == Maintenance::InForce)
+                {
+                    *ban = Maintenance::Over(unix_ms());
                 }
             }
-            Order::Standby => drop(self.standby.get_or_insert_with(unix_ms)),
-            Order::Active => self.standby = None,
+            AdminCommand::Standby => drop(self.standby.get_or_insert_with(unix_ms)),
+            AdminCommand::Active => self.standby = None,
         }
     }
 
     pub(crate) fn banned(&self) -> usize {
         self.bans
             .values()
-            .filter(|ban| **ban == Ban::InForce)
+            .filter(|ban| **ban == Maintenance::InForce)
             .count()
     }
 
@@ -78,8 +82,10 @@
     /// What the module is to be told of a backend that is listed so.
     pub(crate) fn tells(&self, name: &str, listed: Readiness, boot_ms: f64) -> (Readiness, f64) {
         match self.bans.get(name) {
-            Some(Ban::InForce) if listed == Readiness::Ready => (Readiness::Draining, boot_ms),
-            Some(Ban::Over(at)) => (listed, boot_ms.max(*at)),
+            Some(Maintenance::InForce) if listed == Readiness::Ready => {
+                (Readiness::Draining, boot_ms)
+            }
+            Some(Maintenance::Over(at)) => (listed, boot_ms.max(*at)),
             _ => (listed, boot_ms),
         }
     }
@@ -94,29 +100,29 @@
 }
 
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Standing {
+pub(crate) struct ProxyState {
     /// RPCs can be decided.
     pub ready: bool,
     /// Connections of clients are accepted.
     pub open: bool,
-    pub ending: Option<Ending>,
+    pub ending: Option<GracefulShutdown>,
     /// The clients' socket is the platform's, and outlives this process.
     pub passed: bool,
     /// Other processes of this proxy.
-    pub others: Others,
-    pub orders: Orders,
+    pub others: Siblings,
+    pub orders: AdminState,
     /// Counts the changes of orders that were heard here.
     pub turn: u64,
 }
 
 /// What SIGTERM has set: since when it is known, and how long the longest RPC may take from then on.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Ending {
+pub(crate) struct GracefulShutdown {
     since: Instant,
     longest: Duration,
 }
 
-impl Standing {
+impl ProxyState {
     /// Another process goes on where this one ends. Guards against one that still starts, dies or ends too: clients would
     /// come to nobody.
     pub(crate) fn is_replaced(&self) -> bool {
@@ -176,7 +182,7 @@
     }
 }
 
-impl std::fmt::Display for Standing {
+impl std::fmt::Display for ProxyState {
     fn fmt(&self, to: &mut std::fmt::Formatter) -> std::fmt::Result {
         let standby = if self.orders.standby.is_some() {
             ", on standby"
@@ -193,21 +199,21 @@
 }
 
 /// The owner of the standing.
-pub(crate) struct Standings {
-    standing: watch::Sender<Standing>,
+pub(crate) struct StateStore {
+    standing: watch::Sender<ProxyState>,
     /// The last turn that the core has carried out.
     done: watch::Sender<u64>,
-    shared: Option<Mutex<Shared>>,
+    shared: Option<Mutex<ProcessGroup>>,
     fresh_names: RefCell<BTreeSet<String>>, // not yet in the file
     full: Cell<bool>,
 }
 
-impl Standings {
+impl StateStore {
     /// `shared` where this proxy may have other processes; what they ordered holds from the start.
-    pub(crate) fn new(mut shared: Option<Shared>, passed: bool) -> Self {
-        let mut now = Standing {
+    pub(crate) fn new(mut shared: Option<ProcessGroup>, passed: bool) -> Self {
+        let mut now = ProxyState {
             passed,
-            ..Standing::default()
+            ..ProxyState::default()
         };
         if let Some(shared) = &mut shared {
             now.others = shared.others();
@@ -223,11 +229,11 @@
         }
     }
 
-    pub(crate) fn reader(&self) -> watch::Receiver<Standing> {
+    pub(crate) fn reader(&self) -> watch::Receiver<ProxyState> {
         self.standing.subscribe()
     }
 
-    pub(crate) fn now(&self) -> watch::Ref<'_, Standing> {
+    pub(crate) fn now(&self) -> watch::Ref<'_, ProxyState> {
         self.standing.borrow()
     }
 
@@ -250,7 +256,7 @@
 
     /// SIGTERM has come; `longest` is the time of the longest RPC that the settings know.
     pub(crate) fn end(&self, longest: Duration) {
-        let ending = Ending {
+        let ending = GracefulShutdown {
             since: Instant::now(),
             longest: longest.min(LONGEST),
         };
@@ -285,7 +291,7 @@
     }
 
     /// What holds now is this.
-    fn adopt(&self, orders: Orders) {
+    fn adopt(&self, orders: AdminState) {
         self.standing.send_if_modified(|now| {
             let changed = now.orders != orders;
             now.turn += u64::from(changed);
@@ -295,9 +301,9 @@
     }
 
     /// Changes the orders, in the file too if there is one; an error tells why not there.
-    async fn change(&self, change: impl Fn(&mut Orders)) -> Result<(), String> {
+    async fn change(&self, change: impl Fn(&mut AdminState)) -> Result<(), String> {
         let fresh = self.fresh_names.take();
-        let change = |orders: &mut Orders| {
+        let change = |orders: &mut AdminState| {
             orders.names.extend(fresh.iter().cloned());
             change(orders);
         };
@@ -318,7 +324,7 @@
     }
 
     /// Carries out an order; done once it is in force. An error tells why it is not in another process.
-    pub(crate) async fn carry_out(&self, order: &Order) -> Result<(), String> {
+    pub(crate) async fn carry_out(&self, order: &AdminCommand) -> Result<(), String> {
         let outcome = self.change(|orders| orders.take(order)).await;
         let turn = self.standing.borrow().turn;
         log::info!("ordered: {order:?}; {}", *self.now());
@@ -369,7 +375,7 @@
 }
 
 /// What the file says, if that is new.
-fn heard(shared: &mut Shared) -> Option<Orders> {
+fn heard(shared: &mut ProcessGroup) -> Option<AdminState> {
     shared.read().unwrap_or_else(|fault| {
         log::warn!("orders can't be read and are passed over: {fault}");
         None
@@ -383,7 +389,7 @@
     /// Lists name the same backends over and over; without a file nothing else takes the names over.
     #[test]
     fn names_are_kept_once() {
-        let standings = Standings::new(None, false);
+        let standings = StateStore::new(None, false);
         (0..3).for_each(|_| standings.listed(["a", "b"].into_iter()));
         assert_eq!(standings.fresh_names.borrow().len(), 2);
         assert!(standings.knows("a") && !standings.knows("c"));
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,24 +1,27 @@
 //! birchhubd: birchhub as a proxy on sockets. Starts the actors, has them follow a new
 //! configuration on SIGHUP, and ends them on SIGTERM.
+mod clock;
 mod config;
 mod decision;
 mod discovery;
 mod downstream;
 mod lifecycle;
+mod messages;
 mod net;
 mod upstream;
 
-use crate::config::active::Names;
-use crate::config::file::{self, Clock, Config, until};
-use crate::config::reload::{Reload, Stand};
-use crate::decision::actor::{self, Core};
+use crate::clock::{Clock, until};
+use crate::config::active::NameTable;
+use crate::config::file::{self, Config};
+use crate::config::reload::{ActiveConfig, Reload};
+use crate::decision::actor::{self, DecisionActor};
 use crate::discovery::client::Discovery;
-use crate::downstream::listener::Front;
-use crate::downstream::request::Intake;
-use crate::lifecycle::admin::Management;
-use crate::lifecycle::siblings::Shared;
-use crate::lifecycle::state::{LOOK, Standings};
-use crate::net::sockets::{Budget, Part};
+use crate::downstream::listener::Listener;
+use crate::downstream::request::RequestParser;
+use crate::lifecycle::admin::AdminServer;
+use crate::lifecycle::siblings::ProcessGroup;
+use crate::lifecycle::state::{LOOK, StateStore};
+use crate::net::sockets::{SocketBudget, SocketClass};
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -71,7 +74,7 @@
 }
 
 /// Follows the other processes of this proxy, and keeps to its part of the sockets while they live.
-async fn share(budget: Rc<Budget>, standings: Rc<Standings>) {
+async fn share(budget: Rc<SocketBudget>, standings: Rc<StateStore>) {
     let mut reader = standings.reader();
     let divide = async {
         loop {
@@ -91,7 +94,7 @@
 
 /// Accepts clients: at once on an own socket, where health tells what is missing, or else once RPCs can be decided
 /// and an older process has made room.
-async fn accept(front: Front, listener: TcpListener, standings: Rc<Standings>, pushed: bool) {
+async fn accept(front: Listener, listener: TcpListener, standings: Rc<StateStore>, pushed: bool) {
     let (passed, others) = (standings.now().passed, standings.now().others.living);
     if pushed {
         let _ = timeout(AGENT_TIME, standings.reader().wait_for(|now| now.ready)).await;
@@ -134,22 +137,22 @@
         log::warn!("known is passed over: {fault}");
     }
     // Only where staff or the platform may have another process of this proxy.
-    let shared = (outlives || management.is_some()).then(|| Shared::open(&config.name));
+    let shared = (outlives || management.is_some()).then(|| ProcessGroup::open(&config.name));
     let shared = shared.and_then(|shared| {
         shared
             .inspect_err(|fault| log::warn!("nothing is shared with other processes: {fault}"))
             .ok()
     });
     let config = Arc::new(config);
-    let names = Rc::new(RefCell::new(Arc::new(Names::new(0, &config.conf))));
-    let (stand, settings) = watch::channel(Stand::new(&config.conf));
-    let (clock, budget) = (Clock::start(), Budget::new(config.sockets));
-    let standings = Rc::new(Standings::new(shared, outlives));
+    let names = Rc::new(RefCell::new(Arc::new(NameTable::new(0, &config.conf))));
+    let (stand, settings) = watch::channel(ActiveConfig::new(&config.conf));
+    let (clock, budget) = (Clock::start(), SocketBudget::new(config.sockets));
+    let standings = Rc::new(StateStore::new(shared, outlives));
     spawn_local(share(budget.clone(), standings.clone()));
     if let Some(listener) = management {
         let (standings, settings) = (standings.clone(), settings.clone());
         spawn_local(
-            Rc::new(Management {
+            Rc::new(AdminServer {
                 standings,
                 settings,
             })
@@ -158,7 +161,7 @@
     }
     let (sender, mailbox) = mpsc::channel(actor::MAILBOX);
     let wanted = Rc::new(Notify::new());
-    let core = Core::new(
+    let core = DecisionActor::new(
         &config,
         clock,
         budget.clone(),
@@ -197,10 +200,10 @@
         time_outs: 0,
     };
     spawn_local(discovery.run());
-    let intake = Intake::new(names);
+    let intake = RequestParser::new(names);
     let open = Default::default();
     let standing = standings.reader();
-    let front = Front {
+    let front = Listener {
         intake,
         standing,
         budget: budget.clone(),
@@ -224,7 +227,7 @@
     let over = standings.now().over();
     let gone = async {
         let _ = accepting.await;
-        while budget.open(Part::Clients) > 0 {
+        while budget.open(SocketClass::Clients) > 0 {
             sleep(LEFT_EVERY).await;
         }
     };
@@ -234,7 +237,7 @@
     }
     log::info!(
         "ends with {} client connections open",
-        budget.open(Part::Clients)
+        budget.open(SocketClass::Clients)
     );
     Ok(())
 }
--- a/crates/daemon/src/net/body.rs
+++ b/crates/daemon/src/net/body.rs
@@ -19,19 +19,19 @@
 
 /// A body that does not come to its end.
 #[derive(Debug)]
-pub(crate) struct Cut;
+pub(crate) struct BodyTruncated;
 
-impl fmt::Display for Cut {
+impl fmt::Display for BodyTruncated {
     fn fmt(&self, to: &mut fmt::Formatter) -> fmt::Result {
         to.write_str("the body was cut off")
     }
 }
 
-impl std::error::Error for Cut {}
+impl std::error::Error for BodyTruncated {}
 
 /// How far a long request has come.
 #[derive(Clone, Copy, Debug, PartialEq)]
-enum Come {
+enum ReceivedPart {
     Flows,
     Whole(Instant),
     TooLong,
@@ -39,18 +39,18 @@
 }
 
 /// A request that is too long to be kept. One pick at a time reads what comes behind its first part.
-pub(crate) struct Upload {
+pub(crate) struct RequestUpload {
     first: RefCell<Bytes>, // until more has gone out
     rest: RefCell<Incoming>,
     length: Option<u64>, // of all of it, if it was told
     bytes: Cell<u64>,    // so far
-    come: watch::Sender<Come>,
+    come: watch::Sender<ReceivedPart>,
     spent: Cell<bool>,
     taken: Cell<bool>,
     hungry: Cell<bool>,
 }
 
-impl Upload {
+impl RequestUpload {
     pub(crate) fn new(first: Bytes, rest: Incoming) -> Rc<Self> {
         let length = rest
             .size_hint()
@@ -58,7 +58,11 @@
             .map(|left| left + first.len() as u64);
         let bytes = Cell::new(first.len() as u64);
         let (spent, taken, hungry) = Default::default();
-        let (first, rest, come) = (first.into(), rest.into(), watch::Sender::new(Come::Flows));
+        let (first, rest, come) = (
+            first.into(),
+            rest.into(),
+            watch::Sender::new(ReceivedPart::Flows),
+        );
         Rc::new(Self {
             first,
             rest,
@@ -78,7 +82,7 @@
 
     /// Its last byte has come, and was taken to be sent.
     pub(crate) fn is_whole(&self) -> bool {
-        matches!(*self.come.borrow(), Come::Whole(_))
+        matches!(*self.come.borrow(), ReceivedPart::Whole(_))
     }
 
     /// The client is waited for, not the backend.
@@ -90,11 +94,11 @@
     pub(crate) async fn whole(&self) -> Instant {
         let mut come = self.come.subscribe();
         let come = come
-            .wait_for(|come| matches!(come, Come::Whole(_)))
+            .wait_for(|come| matches!(come, ReceivedPart::Whole(_)))
             .await
             .map(|come| *come);
         match come {
-            Ok(Come::Whole(at)) => at,
+            Ok(ReceivedPart::Whole(at)) => at,
             _ => pending().await,
         }
     }
@@ -104,7 +108,7 @@
         if self
             .come
             .subscribe()
-            .wait_for(|come| *come == Come::TooLong)
+            .wait_for(|come| *come == ReceivedPart::TooLong)
             .await
             .is_err()
         {
@@ -112,22 +116,22 @@
         }
     }
 
-    fn poll_rest(&self, cx: &mut Context) -> Poll<Option<Result<Bytes, Cut>>> {
+    fn poll_rest(&self, cx: &mut Context) -> Poll<Option<Result<Bytes, BodyTruncated>>> {
         let mut rest = self.rest.borrow_mut();
         let end = |come| {
             self.come.send_replace(come);
-            Poll::Ready(if matches!(come, Come::Whole(_)) {
+            Poll::Ready(if matches!(come, ReceivedPart::Whole(_)) {
                 None
             } else {
-                Some(Err(Cut))
+                Some(Err(BodyTruncated))
             })
         };
         loop {
             let next = Pin::new(&mut *rest).poll_frame(cx);
             self.hungry.set(next.is_pending());
             let bytes = match ready!(next) {
-                None => return end(Come::Whole(Instant::now())),
-                Some(Err(_)) => return end(Come::Broken),
+                None => return end(ReceivedPart::Whole(Instant::now())),
+                Some(Err(_)) => return end(ReceivedPart::Broken),
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(bytes) => bytes,
                     Err(_) => continue, // trailers
@@ -135,12 +139,12 @@
             };
             self.bytes.update(|sum| sum + bytes.len() as u64);
             if self.bytes.get() > MOST {
-                return end(Come::TooLong);
+                return end(ReceivedPart::TooLong);
             }
             self.spent.set(true);
             self.first.take();
             if rest.is_end_stream() {
-                self.come.send_replace(Come::Whole(Instant::now()));
+                self.come.send_replace(ReceivedPart::Whole(Instant::now()));
             }
             return Poll::Ready(Some(Ok(bytes)));
         }
@@ -148,17 +152,17 @@
 }
 
 /// A request's body on its way to a backend.
-pub(crate) enum Outgoing {
+pub(crate) enum RequestBody {
     Whole(Full<Bytes>),
     Long {
         first: Option<Bytes>,
-        upload: Rc<Upload>,
+        upload: Rc<RequestUpload>,
         reads: bool,
     },
 }
 
-impl Outgoing {
-    pub(crate) fn long(upload: &Rc<Upload>) -> Self {
+impl RequestBody {
+    pub(crate) fn long(upload: &Rc<RequestUpload>) -> Self {
         Self::Long {
             first: Some(upload.first.borrow().clone()),
             upload: upload.clone(),
@@ -167,14 +171,14 @@
     }
 }
 
-impl Body for Outgoing {
+impl Body for RequestBody {
     type Data = Bytes;
-    type Error = Cut;
+    type Error = BodyTruncated;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         cx: &mut Context,
-    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyTruncated>>> {
         let (first, upload, reads) = match self.get_mut() {
             Self::Whole(body) => {
                 return Pin::new(body)
@@ -192,7 +196,7 @@
         }
         // Guards against two picks that each send a part of it.
         if !*reads && upload.taken.replace(true) {
-            return Poll::Ready(Some(Err(Cut)));
+            return Poll::Ready(Some(Err(BodyTruncated)));
         }
         *reads = true;
         upload
@@ -217,7 +221,7 @@
     }
 }
 
-impl Drop for Outgoing {
+impl Drop for RequestBody {
     fn drop(&mut self) {
         if let Self::Long {
             upload,
@@ -231,12 +235,12 @@
 }
 
 /// The backend's end of a long answer; dropped before `end` it cuts the answer off.
-pub(crate) struct Source {
+pub(crate) struct BodySender {
     bytes: mpsc::Sender<Bytes>,
     ended: Rc<Cell<bool>>,
 }
 
-impl Source {
+impl BodySender {
     /// Waits until the client takes it; false if that has gone.
     pub(crate) async fn pass(&self, bytes: Bytes) -> bool {
         self.bytes.send(bytes).await.is_ok()
@@ -253,7 +257,7 @@
 }
 
 /// The client's end of a long answer.
-pub(crate) struct Flow {
+pub(crate) struct StreamedBody {
     first: Option<Bytes>,
     rest: mpsc::Receiver<Bytes>,
     length: Option<u64>,
@@ -261,15 +265,15 @@
 }
 
 /// Passes on an answer that begins like this, of this length if that is known.
-pub(crate) fn flow(first: Bytes, length: Option<u64>) -> (Source, Flow) {
+pub(crate) fn flow(first: Bytes, length: Option<u64>) -> (BodySender, StreamedBody) {
     let (bytes, rest) = mpsc::channel(1);
     let ended = Rc::<Cell<bool>>::default();
     (
-        Source {
+        BodySender {
             bytes,
             ended: ended.clone(),
         },
-        Flow {
+        StreamedBody {
             first: Some(first).filter(|first| !first.is_empty()),
             rest,
             length,
@@ -279,13 +283,13 @@
 }
 
 /// An answer's body on its way to a client; `given` is set with its last byte.
-pub(crate) struct Answering {
-    body: Result<Full<Bytes>, Flow>,
+pub(crate) struct ResponseBody {
+    body: Result<Full<Bytes>, StreamedBody>,
     given: Rc<Cell<bool>>,
 }
 
-impl Answering {
-    pub(crate) fn new(body: Result<Full<Bytes>, Flow>) -> Self {
+impl ResponseBody {
+    pub(crate) fn new(body: Result<Full<Bytes>, StreamedBody>) -> Self {
         let given = Rc::new(Cell::new(body.as_ref().is_ok_and(Body::is_end_stream)));
         Self { body, given }
     }
@@ -295,14 +299,14 @@
     }
 }
 
-impl Body for Answering {
+impl Body for ResponseBody {
     type Data = Bytes;
-    type Error = Cut;
+    type Error = BodyTruncated;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         cx: &mut Context,
-    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyTruncated>>> {
         let this = self.get_mut();
         let flow = match &mut this.body {
             Ok(body) => {
@@ -322,7 +326,7 @@
             return Poll::Ready(if flow.ended.get() {
                 None
             } else {
-                Some(Err(Cut))
+                Some(Err(BodyTruncated))
             });
         };
         flow.length = flow
--- a/crates/daemon/src/net/sockets.rs
+++ b/crates/daemon/src/net/sockets.rs
@@ -2,7 +2,7 @@
 //! `Conn`: dropping it closes the socket and gives its place in the budget back.
 use crate::lifecycle::admin::CALLS_MOST;
 use crate::lifecycle::siblings::SLOTS_HELD;
-use crate::net::body::Outgoing;
+use crate::net::body::RequestBody;
 use bytes::{Bytes, BytesMut};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -35,37 +35,37 @@
 
 /// One of the two parts of the budget.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) enum Part {
+pub(crate) enum SocketClass {
     Clients,
     Backends,
 }
 
 /// Something idle that can be closed to make room.
-pub(crate) trait Spare {
+pub(crate) trait Evictable {
     /// Closes it, if it is still idle.
     fn give_up(&self) -> bool;
 }
 
 #[derive(Default)]
-struct Shelf {
+struct ClassBudget {
     open: Cell<usize>,
     most: Cell<usize>,
     spent: Cell<bool>, // told in the log; until a place is given back it is not told again
-    spare: RefCell<BTreeMap<(u8, u64), Weak<dyn Spare>>>, // by rank, then by offer: the longest idle first
+    spare: RefCell<BTreeMap<(u8, u64), Weak<dyn Evictable>>>, // by rank, then by offer: the longest idle first
     next: Cell<u64>,
 }
 
 /// All sockets of clients and backends, counted.
-pub(crate) struct Budget {
+pub(crate) struct SocketBudget {
     sockets: usize,
-    clients: Shelf,
-    backends: Shelf,
+    clients: ClassBudget,
+    backends: ClassBudget,
 }
 
 /// A place in the budget; given back when dropped.
-pub(crate) struct Place {
-    budget: Rc<Budget>,
-    part: Part,
+pub(crate) struct SocketPermit {
+    budget: Rc<SocketBudget>,
+    part: SocketClass,
 }
 
 /// Descriptors that the machine allows this process, if it tells.
@@ -77,7 +77,7 @@
     line.split_whitespace().next()?.parse().ok()
 }
 
-impl Budget {
+impl SocketBudget {
     /// What is told, or fewer where the machine allows no more. Guards against clients that take the last descriptor,
     /// which the list service's connection needs.
     pub(crate) fn new(told: usize) -> Rc<Self> {
@@ -87,8 +87,8 @@
         }
         let budget = Self {
             sockets,
-            clients: Shelf::default(),
-            backends: Shelf::default(),
+            clients: ClassBudget::default(),
+            backends: ClassBudget::default(),
         };
         budget.divide(1);
         Rc::new(budget)
@@ -99,7 +99,7 @@
         let all = (self.sockets / processes).saturating_sub(RESERVE).max(8);
         self.clients.most.set(all / 2);
         self.backends.most.set(all - all / 2);
-        for part in [Part::Clients, Part::Backends] {
+        for part in [SocketClass::Clients, SocketClass::Backends] {
             for _ in 0..self.over(part) {
                 self.give_up_oldest(part);
             }
@@ -107,7 +107,7 @@
     }
 
     /// Gives up what has been idle for the longest; false if nothing is.
-    pub(crate) fn give_up_oldest(&self, part: Part) -> bool {
+    pub(crate) fn give_up_oldest(&self, part: SocketClass) -> bool {
         loop {
             let oldest = self.shelf(part).spare.borrow_mut().pop_first();
             match oldest.map(|(_, spare)| spare.upgrade().is_some_and(|spare| spare.give_up())) {
@@ -118,15 +118,15 @@
         }
     }
 
-    fn shelf(&self, part: Part) -> &Shelf {
+    fn shelf(&self, part: SocketClass) -> &ClassBudget {
         match part {
-            Part::Clients => &self.clients,
-            Part::Backends => &self.backends,
+            SocketClass::Clients => &self.clients,
+            SocketClass::Backends => &self.backends,
         }
     }
 
     /// A place for one more socket; where none is left the longest idle one is given up for it.
-    pub(crate) fn place(self: &Rc<Self>, part: Part) -> Option<Place> {
+    pub(crate) fn place(self: &Rc<Self>, part: SocketClass) -> Option<SocketPermit> {
         let shelf = self.shelf(part);
         if shelf.open.get() >= shelf.most.get() && !self.give_up_oldest(part) {
             if !shelf.spent.replace(true) {
@@ -141,9 +141,9 @@
     }
 
     /// A place beyond the part, out of the reserve.
-    pub(crate) fn place_anyhow(self: &Rc<Self>, part: Part) -> Place {
+    pub(crate) fn place_anyhow(self: &Rc<Self>, part: SocketClass) -> SocketPermit {
         self.shelf(part).open.update(|open| open + 1);
-        Place {
+        SocketPermit {
             budget: self.clone(),
             part,
         }
@@ -152,40 +152,40 @@
     /// Notes something that may be given up for a new socket, for as long as the offer is kept; the lowest rank
     /// goes first. Costs the same however many are offered: guards against a proxy that walks all idle sockets
     /// with every answer.
-    pub(crate) fn offer<S: Spare + 'static>(
+    pub(crate) fn offer<S: Evictable + 'static>(
         self: &Rc<Self>,
-        part: Part,
+        part: SocketClass,
         rank: u8,
         spare: &Rc<S>,
-    ) -> Offer {
+    ) -> EvictionCandidate {
         let (shelf, spare) = (self.shelf(part), Rc::<S>::downgrade(spare));
         let place = (rank, shelf.next.replace(shelf.next.get() + 1));
         shelf.spare.borrow_mut().insert(place, spare);
-        Offer {
+        EvictionCandidate {
             budget: self.clone(),
             part,
             place,
         }
     }
 
-    pub(crate) fn open(&self, part: Part) -> usize {
+    pub(crate) fn open(&self, part: SocketClass) -> usize {
         self.shelf(part).open.get()
     }
 
     /// Sockets beyond the part, out of the reserve.
-    pub(crate) fn over(&self, part: Part) -> usize {
+    pub(crate) fn over(&self, part: SocketClass) -> usize {
         self.open(part).saturating_sub(self.shelf(part).most.get())
     }
 }
 
 /// Something idle stands to be given up; withdrawn when this is dropped.
-pub(crate) struct Offer {
-    budget: Rc<Budget>,
-    part: Part,
+pub(crate) struct EvictionCandidate {
+    budget: Rc<SocketBudget>,
+    part: SocketClass,
     place: (u8, u64),
 }
 
-impl Drop for Offer {
+impl Drop for EvictionCandidate {
     fn drop(&mut self) {
         self.budget
             .shelf(self.part)
@@ -195,7 +195,7 @@
     }
 }
 
-impl Drop for Place {
+impl Drop for SocketPermit {
     fn drop(&mut self) {
         let shelf = self.budget.shelf(self.part);
         shelf.open.update(|open| open - 1);
@@ -206,7 +206,7 @@
 }
 
 /// Who is told what moves on a stream.
-pub(crate) trait Witness: Unpin {
+pub(crate) trait IoObserver: Unpin {
     fn read(&self, _bytes: &[u8]) {}
     /// So many bytes were taken over by the machine to send.
     fn wrote(&self, _bytes: u64) {}
@@ -214,18 +214,18 @@
     fn flushed(&self) {}
 }
 
-impl Witness for Rc<Cell<u64>> {
+impl IoObserver for Rc<Cell<u64>> {
     fn wrote(&self, bytes: u64) {
         self.update(|written| written + bytes);
     }
 }
 
-pub(crate) struct Watched<W, S = TcpStream> {
+pub(crate) struct ObservedStream<W, S = TcpStream> {
     pub stream: S,
     pub by: W,
 }
 
-impl<W: Witness, S: AsyncRead + Unpin> AsyncRead for Watched<W, S> {
+impl<W: IoObserver, S: AsyncRead + Unpin> AsyncRead for ObservedStream<W, S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context,
@@ -240,7 +240,7 @@
     }
 }
 
-impl<W: Witness, S: AsyncWrite + Unpin> AsyncWrite for Watched<W, S> {
+impl<W: IoObserver, S: AsyncWrite + Unpin> AsyncWrite for ObservedStream<W, S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context,
@@ -266,8 +266,8 @@
 
 /// A client's stream, with what was read of it ahead of its time. Its end is seen behind bytes that nobody has asked
 /// for yet, which hides it from who reads them one message at a time.
-pub(crate) struct Inbound {
-    reads: Ahead,
+pub(crate) struct InboundStream {
+    reads: ReadAhead,
     writes: OwnedWriteHalf,
 }
 
@@ -279,13 +279,13 @@
 
 /// The reading half, with what was read ahead.
 #[derive(Clone)]
-pub(crate) struct Ahead(Rc<RefCell<Reads>>);
+pub(crate) struct ReadAhead(Rc<RefCell<Reads>>);
 
 /// Tells whether a client is still there. It keeps nothing open.
 #[derive(Clone)]
-pub(crate) struct Presence(Weak<RefCell<Reads>>);
+pub(crate) struct ClientLiveness(Weak<RefCell<Reads>>);
 
-impl Presence {
+impl ClientLiveness {
     /// Whether the client's connection has ended, by what the machine knows at this moment. Guards against an end that
     /// came while this process stood still, of which its event loop has not heard yet.
     pub(crate) async fn is_over(&self) -> bool {
@@ -307,12 +307,12 @@
     }
 }
 
-impl Inbound {
+impl InboundStream {
     pub(crate) fn new(stream: TcpStream) -> Self {
         let (half, writes) = stream.into_split();
         let (ahead, reader) = Default::default();
         Self {
-            reads: Ahead(Rc::new(RefCell::new(Reads {
+            reads: ReadAhead(Rc::new(RefCell::new(Reads {
                 half,
                 ahead,
                 reader,
@@ -321,7 +321,7 @@
         }
     }
 
-    pub(crate) fn ahead(&self) -> Ahead {
+    pub(crate) fn ahead(&self) -> ReadAhead {
         self.reads.clone()
     }
 }
@@ -368,9 +368,9 @@
     }
 }
 
-impl Ahead {
-    pub(crate) fn presence(&self) -> Presence {
-        Presence(Rc::downgrade(&self.0))
+impl ReadAhead {
+    pub(crate) fn presence(&self) -> ClientLiveness {
+        ClientLiveness(Rc::downgrade(&self.0))
     }
 
     /// Reads ahead what the machine holds at this moment.
@@ -390,7 +390,7 @@
     }
 }
 
-impl AsyncRead for Inbound {
+impl AsyncRead for InboundStream {
     fn poll_read(
         self: Pin<&mut Self>,
         cx: &mut Context,
@@ -412,7 +412,7 @@
     }
 }
 
-impl AsyncWrite for Inbound {
+impl AsyncWrite for InboundStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context,
@@ -448,7 +448,7 @@
 
 /// How an exchange went wrong.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) enum Fault {
+pub(crate) enum ConnectionError {
     /// Provably no byte was written.
     Unsent,
     /// The connection broke or ended after that, with no answer begun: it may have run.
@@ -468,7 +468,7 @@
     pub length: Option<u64>,
 }
 
-type Exchanges = http1::Connection<TokioIo<Watched<Rc<Cell<u64>>>>, Outgoing>;
+type Exchanges = http1::Connection<TokioIo<ObservedStream<Rc<Cell<u64>>>>, RequestBody>;
 
 /// What moves a connection's bytes; none once that has ended, and the socket with it.
 struct Driver(Option<Pin<Box<Exchanges>>>);
@@ -489,24 +489,28 @@
 
 /// A connection opened by this proxy. Its owner drives it; there is no task behind it that could keep the
 /// socket open or send something again.
-pub(crate) struct Conn {
-    sender: SendRequest<Outgoing>,
+pub(crate) struct Connection {
+    sender: SendRequest<RequestBody>,
     driver: Driver,
     rest: Option<Incoming>, // of an answer that is longer than was wanted at once
     written: Rc<Cell<u64>>,
     host: HeaderValue, // where it goes to
     pub used: Instant,
-    _place: Option<Place>,
+    _place: Option<SocketPermit>,
 }
 
-impl Conn {
+impl Connection {
     /// `place` is none where the reserve holds one for it.
-    pub(crate) async fn open(to: SocketAddr, place: Option<Place>, until: Instant) -> Option<Self> {
+    pub(crate) async fn open(
+        to: SocketAddr,
+        place: Option<SocketPermit>,
+        until: Instant,
+    ) -> Option<Self> {
         let host = HeaderValue::from_str(&to.to_string()).ok()?;
         let stream = timeout_at(until, TcpStream::connect(to)).await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
         let written = Rc::<Cell<u64>>::default();
-        let io = TokioIo::new(Watched {
+        let io = TokioIo::new(ObservedStream {
             stream,
             by: written.clone(),
         });
@@ -552,11 +556,11 @@
     #[expect(clippy::too_many_lines)]
     pub(crate) async fn exchange(
         &mut self,
-        mut message: Request<Outgoing>,
+        mut message: Request<RequestBody>,
         most: usize,
         may_go_on: bool,
         sent: &Cell<bool>,
-    ) -> Result<Reply, Fault> {
+    ) -> Result<Reply, ConnectionError> {
         message.headers_mut().insert(HOST, self.host.clone());
         let before = self.written.get();
         let Self {
@@ -572,15 +576,15 @@
             answer.as_mut().poll(cx)
         });
         let answer = answer.await.map_err(|e| match e.error().is_parse() {
-            true => Fault::Spoilt,
-            false if sent.get() => Fault::Broken,
-            false => Fault::Unsent,
+            true => ConnectionError::Spoilt,
+            false if sent.get() => ConnectionError::Broken,
+            false => ConnectionError::Unsent,
         });
         let (head, body) = answer?.into_parts();
         // Framed in two ways, of which one is wrong.
         if head.headers.contains_key(TRANSFER_ENCODING) && head.headers.contains_key(CONTENT_LENGTH)
         {
-            return Err(Fault::Spoilt);
+            return Err(ConnectionError::Spoilt);
         }
         let length = body.size_hint().exact();
         self.rest = Some(body);
@@ -598,7 +602,7 @@
             kept.extend_from_slice(&bytes);
             goes_on = kept.len() > most;
             if goes_on && !may_go_on {
-                return Err(Fault::Spoilt);
+                return Err(ConnectionError::Spoilt);
             }
         }
         Ok(Reply {
@@ -611,7 +615,7 @@
     }
 
     /// What comes next of an answer; nothing at its end.
-    pub(crate) async fn next(&mut self) -> Result<Option<Bytes>, Fault> {
+    pub(crate) async fn next(&mut self) -> Result<Option<Bytes>, ConnectionError> {
         let Self { rest, driver, .. } = self;
         loop {
             let Some(body) = rest else { return Ok(None) };
@@ -624,7 +628,7 @@
                     Ok(bytes) => return Ok(Some(bytes)),
                     Err(_) => continue, // trailers
                 },
-                Some(Err(_)) => return Err(Fault::Spoilt),
+                Some(Err(_)) => return Err(ConnectionError::Spoilt),
                 None => {
                     *rest = None;
                     self.used = Instant::now();
--- a/crates/daemon/src/upstream/endpoint.rs
+++ b/crates/daemon/src/upstream/endpoint.rs
@@ -1,9 +1,12 @@
 //! One actor for each backend: its connections, and the picks and probes that go to it. A job owns its
 //! connection while it runs, and its `Ticket` tells the core how it ended, once, when it is dropped.
-use crate::decision::actor::ToCore;
-use crate::downstream::request::Message;
-use crate::net::body::{Flow, KEPT, MOST, flow};
-use crate::net::sockets::{Budget, Conn, Fault, Offer, Part, Presence, Reply, Spare};
+use crate::downstream::request::ParsedRequest;
+use crate::messages::Event;
+use crate::net::body::{KEPT, MOST, StreamedBody, flow};
+use crate::net::sockets::{
+    ClientLiveness, Connection, ConnectionError, Evictable, EvictionCandidate, Reply, SocketBudget,
+    SocketClass,
+};
 use birchhub::interface::{AttemptOutcome, LoadReport};
 use birchhub_settings::load_report;
 use bytes::Bytes;
@@ -32,19 +35,19 @@
 
 /// What the list says of a backend's sockets.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) struct Facts {
+pub(crate) struct EndpointInfo {
     pub endpoint: SocketAddr,
     pub ready: bool,
 }
 
 /// Limits on connections, from the settings.
 #[derive(Clone, Copy)]
-pub(crate) struct Limits {
+pub(crate) struct ConnectionLimits {
     pub connect: Duration,
     pub idle: Duration,
 }
 
-impl Limits {
+impl ConnectionLimits {
     /// How long a connection is kept at the most.
     fn keep(&self) -> Duration {
         self.idle.mul_f64(KEEP_PART)
@@ -53,25 +56,25 @@
 
 /// What a ticket is for.
 #[derive(Clone, Copy)]
-pub(crate) enum Errand {
-    Pick { rpc: u64, pick: usize },
-    Probe { backend: u32 },
+pub(crate) enum ExchangeKind {
+    Attempt { rpc: u64, attempt: usize },
+    HealthCheck { backend: u32 },
 }
 
 /// How a pick or probe ended, the report that came along, and the answer's body.
 type End = (AttemptOutcome, Option<LoadReport>, Bytes);
 
-impl Errand {
-    pub(crate) fn end(self, (outcome, report, body): End) -> ToCore {
+impl ExchangeKind {
+    pub(crate) fn end(self, (outcome, report, body): End) -> Event {
         match self {
-            Self::Pick { rpc, pick } => ToCore::Ended {
+            Self::Attempt { rpc, attempt } => Event::AttemptEnded {
                 rpc,
-                pick,
+                attempt,
                 outcome,
                 report,
                 body,
             },
-            Self::Probe { backend } => ToCore::Probed {
+            Self::HealthCheck { backend } => Event::HealthChecked {
                 backend,
                 outcome,
                 report,
@@ -81,10 +84,10 @@
 }
 
 /// The duty to tell the core how a pick or probe ended; done when dropped.
-pub(crate) struct Ticket {
-    errand: Errand,
-    core: mpsc::Sender<ToCore>,
-    permit: Option<OwnedPermit<ToCore>>,
+pub(crate) struct CompletionGuard {
+    errand: ExchangeKind,
+    core: mpsc::Sender<Event>,
+    permit: Option<OwnedPermit<Event>>,
     /// A byte of it may be on its way.
     sent: Cell<bool>,
     /// Its answer is on its way to the client.
@@ -92,11 +95,11 @@
     end: Option<End>,
 }
 
-impl Ticket {
+impl CompletionGuard {
     pub(crate) fn new(
-        errand: Errand,
-        core: mpsc::Sender<ToCore>,
-        permit: OwnedPermit<ToCore>,
+        errand: ExchangeKind,
+        core: mpsc::Sender<Event>,
+        permit: OwnedPermit<Event>,
     ) -> Self {
         let (sent, begun) = Default::default();
         Self {
@@ -111,21 +114,24 @@
 
     /// The request's last byte was taken.
     async fn tell_whole(&self) {
-        if let Errand::Pick { rpc, pick } = self.errand {
-            let _ = self.core.send(ToCore::Whole { rpc, pick }).await;
+        if let ExchangeKind::Attempt { rpc, attempt } = self.errand {
+            let _ = self.core.send(Event::RequestSent { rpc, attempt }).await;
         }
     }
 
     /// The answer begins.
-    async fn tell_begun(&self, flow: Flow) {
-        if let Errand::Pick { rpc, pick } = self.errand {
-            let _ = self.core.send(ToCore::Begun { rpc, pick, flow }).await;
+    async fn tell_begun(&self, flow: StreamedBody) {
+        if let ExchangeKind::Attempt { rpc, attempt } = self.errand {
+            let _ = self
+                .core
+                .send(Event::ResponseStarted { rpc, attempt, flow })
+                .await;
         }
         self.begun.set(true);
     }
 }
 
-impl Drop for Ticket {
+impl Drop for CompletionGuard {
     fn drop(&mut self) {
         let unfinished = if self.sent.get() {
             AttemptOutcome::Cancelled
@@ -141,7 +147,7 @@
 }
 
 /// The other end stops a job when it is dropped, and withdraws it, if nothing was sent yet, when it is used.
-pub(crate) type Stop = Option<oneshot::Receiver<()>>;
+pub(crate) type CancelSignal = Option<oneshot::Receiver<()>>;
 
 /// Until when a job is run, and by when its first byte has to be sent, if that is limited.
 #[derive(Clone, Copy)]
@@ -151,37 +157,37 @@
 }
 
 /// A pick or probe to be run until a time, or until it is stopped.
-pub(crate) struct Job {
-    pub message: Message,
+pub(crate) struct Exchange {
+    pub message: ParsedRequest,
     /// Of whom it is run for; none for a probe.
-    pub client: Option<Presence>,
+    pub client: Option<ClientLiveness>,
     pub times: Times,
-    pub stop: Stop,
-    pub ticket: Ticket,
+    pub stop: CancelSignal,
+    pub ticket: CompletionGuard,
 }
 
 /// The core's end of a backend.
-pub(crate) struct Backend {
+pub(crate) struct EndpointHandle {
     /// Boxed: a mailbox sets room for 32 aside at once, and most backends of a large fleet have nothing in it.
-    pub mailbox: mpsc::Sender<Box<Job>>,
-    pub facts: watch::Sender<Facts>,
+    pub mailbox: mpsc::Sender<Box<Exchange>>,
+    pub facts: watch::Sender<EndpointInfo>,
 }
 
 /// An idle connection, which the budget may give up for another, and the task that watches over it.
-struct Kept {
-    conn: RefCell<Option<Conn>>,
+struct IdleConnection {
+    conn: RefCell<Option<Connection>>,
     used: Instant,
-    offer: RefCell<Option<Offer>>,
+    offer: RefCell<Option<EvictionCandidate>>,
     watch: RefCell<Option<JoinHandle<()>>>,
 }
 
-impl Spare for Kept {
+impl Evictable for IdleConnection {
     fn give_up(&self) -> bool {
         self.conn.borrow_mut().take().is_some()
     }
 }
 
-impl Drop for Kept {
+impl Drop for IdleConnection {
     fn drop(&mut self) {
         if let Some(watch) = self.watch.take() {
             watch.abort();
@@ -189,20 +195,24 @@
     }
 }
 
-struct Peer {
-    facts: watch::Receiver<Facts>,
-    kept: RefCell<Vec<Rc<Kept>>>, // the latest used last
-    keep: Cell<Duration>,         // how long a connection may stand idle and still be used
-    limits: Limits,
-    budget: Rc<Budget>,
+struct EndpointActor {
+    facts: watch::Receiver<EndpointInfo>,
+    kept: RefCell<Vec<Rc<IdleConnection>>>, // the latest used last
+    keep: Cell<Duration>, // how long a connection may stand idle and still be used
+    limits: ConnectionLimits,
+    budget: Rc<SocketBudget>,
 }
 
-impl Backend {
-    pub(crate) fn start(facts: Facts, limits: Limits, budget: Rc<Budget>) -> Self {
+impl EndpointHandle {
+    pub(crate) fn start(
+        facts: EndpointInfo,
+        limits: ConnectionLimits,
+        budget: Rc<SocketBudget>,
+    ) -> Self {
         let (mailbox, jobs) = mpsc::channel(MAILBOX);
         let (sender, receiver) = watch::channel(facts);
         let (kept, keep) = (RefCell::default(), limits.keep().into());
-        let peer = Peer {
+        let peer = EndpointActor {
             facts: receiver,
             kept,
             keep,
@@ -217,8 +227,8 @@
     }
 }
 
-impl Peer {
-    async fn run(self: Rc<Self>, mut jobs: mpsc::Receiver<Box<Job>>) {
+impl EndpointActor {
+    async fn run(self: Rc<Self>, mut jobs: mpsc::Receiver<Box<Exchange>>) {
         let mut facts = self.facts.clone();
         let mut endpoint = facts.borrow_and_update().endpoint;
         loop {
@@ -244,9 +254,9 @@
 
     /// Watches over one idle connection: drops it when the other side closes it or it was kept long enough. A task
     /// for each, woken by its own socket: guards against a look at all of them with every answer.
-    async fn watch(self: Rc<Self>, kept: Weak<Kept>, until: Instant) {
+    async fn watch(self: Rc<Self>, kept: Weak<IdleConnection>, until: Instant) {
         let closed = poll_fn(|cx| {
-            let closed = |kept: Rc<Kept>| {
+            let closed = |kept: Rc<IdleConnection>| {
                 kept.conn
                     .borrow_mut()
                     .as_mut()
@@ -268,8 +278,8 @@
     }
 
     #[expect(clippy::too_many_lines)]
-    async fn serve(self: Rc<Self>, job: Box<Job>) {
-        let Job {
+    async fn serve(self: Rc<Self>, job: Box<Exchange>) {
+        let Exchange {
             message,
             client,
             times: Times { until, send_by },
@@ -341,10 +351,10 @@
     #[expect(clippy::too_many_lines)]
     async fn exchange(
         self: &Rc<Self>,
-        message: &Message,
-        client: &Option<Presence>,
+        message: &ParsedRequest,
+        client: &Option<ClientLiveness>,
         until: Instant,
-        ticket: &Ticket,
+        ticket: &CompletionGuard,
         written: &Progress,
     ) -> End {
         let nothing = |outcome| (outcome, None, Bytes::new());
@@ -364,10 +374,10 @@
             let conn = match kept {
                 Some(conn) => Some(conn),
                 None => {
-                    let Some(place) = self.budget.place(Part::Backends) else {
+                    let Some(place) = self.budget.place(SocketClass::Backends) else {
                         return nothing(AttemptOutcome::NotSent);
                     };
-                    Conn::open(
+                    Connection::open(
                         endpoint,
                         Some(place),
                         until.min(Instant::now() + self.limits.connect),
@@ -410,9 +420,9 @@
                     return judge(reply, message.is_probe());
                 }
                 // A kept connection had ended before anything of this was written: another may be tried.
-                Err(Fault::Unsent) if !fresh => {}
-                Err(Fault::Unsent) => return nothing(AttemptOutcome::ConnectFailed),
-                Err(Fault::Broken) => {
+                Err(ConnectionError::Unsent) if !fresh => {}
+                Err(ConnectionError::Unsent) => return nothing(AttemptOutcome::ConnectFailed),
+                Err(ConnectionError::Broken) => {
                     // Guards against a path that forgets connections sooner than the settings say.
                     if !fresh {
                         self.keep
@@ -420,13 +430,13 @@
                     }
                     return broken();
                 }
-                Err(Fault::Spoilt) => return broken(),
+                Err(ConnectionError::Spoilt) => return broken(),
             }
         }
     }
 
     /// The latest used connection that is idle, alive and has been quiet since its answer.
-    async fn take(&self) -> Option<Conn> {
+    async fn take(&self) -> Option<Connection> {
         // What has come is to be seen first. Guards against bytes behind an answer that answer the next RPC.
         yield_now().await;
         loop {
@@ -441,7 +451,7 @@
     }
 
     /// The latest used one that has been quiet. Those kept for longer than has proved good since go: they are the first.
-    fn latest(&self) -> Option<Rc<Kept>> {
+    fn latest(&self) -> Option<Rc<IdleConnection>> {
         let (now, keep) = (Instant::now(), self.keep.get());
         let mut all = self.kept.borrow_mut();
         let old = all.partition_point(|k| k.used + keep <= now);
@@ -451,7 +461,12 @@
     }
 
     /// Keeps a connection for the next job, unless it or its backend ends or the backend has moved meanwhile.
-    async fn keep(self: &Rc<Self>, mut conn: Conn, endpoint: SocketAddr, headers: &HeaderMap) {
+    async fn keep(
+        self: &Rc<Self>,
+        mut conn: Connection,
+        endpoint: SocketAddr,
+        headers: &HeaderMap,
+    ) {
         let closes = headers
             .get(CONNECTION)
             .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
@@ -460,21 +475,21 @@
         if alive
             && listed
             && *self.facts.borrow()
-                == (Facts {
+                == (EndpointInfo {
                     endpoint,
                     ready: true,
                 })
         {
             let used = conn.used;
             let (offer, watch) = Default::default();
-            let kept = Rc::new(Kept {
+            let kept = Rc::new(IdleConnection {
                 conn: RefCell::new(Some(conn)),
                 used,
                 offer,
                 watch,
             });
             kept.offer
-                .replace(Some(self.budget.offer(Part::Backends, 0, &kept)));
+                .replace(Some(self.budget.offer(SocketClass::Backends, 0, &kept)));
             let watching = self
                 .clone()
                 .watch(Rc::downgrade(&kept), used + self.keep.get());
@@ -497,14 +512,14 @@
 
 /// Ends when it is too late to send anything, if nothing was sent by then.
 async fn too_late(send_by: Option<Instant>, sent: &Cell<bool>) {
-    crate::config::file::until(send_by).await;
+    crate::clock::until(send_by).await;
     if sent.get() {
         pending::<()>().await;
     }
 }
 
 /// Ends when a long request makes no way for too long before its last byte has come.
-async fn stalled(message: &Message, written: &Progress) {
+async fn stalled(message: &ParsedRequest, written: &Progress) {
     let Some(upload) = message.upload() else {
         return pending().await;
     };
@@ -522,7 +537,11 @@
 }
 
 /// Passes a long answer on as it comes, as fast as its client takes it; what went wrong, if it did not end well.
-async fn pass_on(conn: &mut Conn, reply: &mut Reply, ticket: &Ticket) -> Option<AttemptOutcome> {
+async fn pass_on(
+    conn: &mut Connection,
+    reply: &mut Reply,
+    ticket: &CompletionGuard,
+) -> Option<AttemptOutcome> {
     let (source, flow) = flow(std::mem::take(&mut reply.body), reply.length);
     ticket.tell_begun(flow).await;
     let mut left = MOST;
--- a/crates/settings/src/change.rs
+++ b/crates/settings/src/change.rs
@@ -1,5 +1,5 @@
 //! What turns from one settings object to the next: pure comparison, by name. Nothing here is put in force.
-use crate::Conf;
+use crate::ParsedSettings;
 use birchhub::interface::{CarriedOver, Settings};
 use std::collections::HashMap;
 use std::fmt;
@@ -170,7 +170,7 @@
 
 impl Change {
     /// From the settings in force to those told now.
-    pub fn between(before: &Conf, now: &Conf) -> Self {
+    pub fn between(before: &ParsedSettings, now: &ParsedSettings) -> Self {
         let (methods_kept, methods) = by_name(
             (&before.methods, &before.settings.methods),
             (&now.methods, &now.settings.methods),
@@ -238,7 +238,7 @@
     }
 }
 
-impl Conf {
+impl ParsedSettings {
     /// As `in_force` tells of `Settings`.
     pub fn in_force(self, before: &Self) -> Self {
         Self {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -29,7 +29,7 @@
 const IDLE: f64 = 1.0; // a connection that stood idle is opened anew rather than lost
 
 #[derive(Clone, Debug, PartialEq)]
-pub struct Conf {
+pub struct ParsedSettings {
     pub settings: Settings,
     pub methods: Vec<String>,
     pub tenants: Vec<String>,
@@ -185,7 +185,7 @@
     })
 }
 
-pub fn read(text: &str) -> Result<Conf, String> {
+pub fn read(text: &str) -> Result<ParsedSettings, String> {
     let fault = |e| format!("is not JSON: {e}");
     let Ok(mut fields) = serde_json::from_str::<BTreeMap<String, &RawValue>>(text) else {
         return read_value(&serde_json::from_str(text).map_err(fault)?);
@@ -208,7 +208,7 @@
     }
 }
 
-pub fn read_value(value: &Value) -> Result<Conf, String> {
+pub fn read_value(value: &Value) -> Result<ParsedSettings, String> {
     let conf = At {
         value,
         path: String::new(),
@@ -221,7 +221,7 @@
 fn build(
     value: &Value,
     accounts: impl FnOnce() -> Result<Vec<Account>, String>,
-) -> Result<Conf, String> {
+) -> Result<ParsedSettings, String> {
     let conf = At {
         value,
         path: String::new(),
@@ -310,7 +310,7 @@
         .iter()
         .map(|m| m.opt("hard-limit-ns").map(|at| at.seconds()).transpose());
     let ends = ends.collect::<Result<Option<Vec<f64>>, _>>()?;
-    Ok(Conf {
+    Ok(ParsedSettings {
         settings,
         methods: methods.into_iter().map(|(name, _)| name).collect(),
         tenants,
--- a/crates/settings/tests/change.rs
+++ b/crates/settings/tests/change.rs
@@ -1,7 +1,7 @@
 //! The comparison of settings, against a plain model of it over generated pairs.
 use birchhub::interface::CarriedOver;
 use birchhub_settings::change::Change;
-use birchhub_settings::{Conf, read_value};
+use birchhub_settings::{ParsedSettings, read_value};
 use quickcheck::{Gen, QuickCheck};
 use serde_json::{Value, json};
 
@@ -19,7 +19,7 @@
             "tip-after-ns": 1e9}})
 }
 
-fn conf(value: &Value) -> Conf {
+fn conf(value: &Value) -> ParsedSettings {
     read_value(value).expect("settings")
 }
 
@@ -194,7 +194,7 @@
         assert_eq!(change.later, [named.as_str()]);
         let stays = new.clone().in_force(&old);
         assert_eq!(
-            Conf {
+            ParsedSettings {
                 digest: old.digest,
                 ..stays
             },
--- a/crates/settings/tests/read.rs
+++ b/crates/settings/tests/read.rs
@@ -1,6 +1,6 @@
 //! What settings and load reports are read as, and how what can't be read is named.
 use birchhub::interface::Settings;
-use birchhub_settings::{Conf, load_report, read, read_value};
+use birchhub_settings::{ParsedSettings, load_report, read, read_value};
 use serde_json::{Value, json};
 
 /// Guards against reports that say nothing because their names are those of the other page.
@@ -24,7 +24,7 @@
     conf(change).map(|conf| conf.settings)
 }
 
-fn conf(change: impl FnOnce(&mut Value)) -> Result<Conf, String> {
+fn conf(change: impl FnOnce(&mut Value)) -> Result<ParsedSettings, String> {
     let mut value = json!({"balancers": 2, "ceilings": {"most-picks": 3},
         "methods": [{"name": "move", "idempotency": "non_idempotent", "latency-target-ns": 4e8}],
         "contract": {"drain-grace-ns": 5e8, "cold-from": 0.2, "cold-ns": 5e9, "fall-multiple": 3.0,
