--- a/crates/daemon/src/config/file.rs
+++ b/crates/daemon/src/config/file.rs
@@ -1,5 +1,5 @@
 //! What the platform tells a proxy at its start: addresses, limits, settings and the list as last had.
-use crate::discovery::client::{self, EndpointUpdate};
+use crate::discovery::update::EndpointUpdate;
 use birchhub::interface::Settings;
 use birchhub_settings::ParsedSettings;
 use serde_json::Value;
@@ -149,8 +149,9 @@
         .transpose()?;
     // Guards against a fleet that can't start for a copy of a list that is replaced a moment later anyway.
     let list = list.filter(|list| known && list.get() != "null");
-    let list = list.map(|list| serde_json::from_str(list.get()).map_err(|e| e.to_string()));
-    let known = list.map(|list| client::decode(&list?)).transpose();
+    let known = list
+        .map(|list| EndpointUpdate::parse(list.get()).map_err(|e| e.to_string()))
+        .transpose();
     let (known, known_fault) =
         known.map_or_else(|fault| (None, Some(fault)), |known| (known, None));
     Ok(Config {
--- a/crates/daemon/src/decision/actor.rs
+++ b/crates/daemon/src/decision/actor.rs
@@ -5,7 +5,7 @@
 use crate::config::file::Config;
 use crate::config::reload::ConfigUpdate;
 use crate::config::shadow::{Action, RecordedActions, ShadowEvaluator};
-use crate::discovery::client::{EndpointUpdate, ListedEndpoint};
+use crate::discovery::update::{EndpointUpdate, ListedEndpoint};
 use crate::downstream::listener::RequestIdGuard;
 use crate::downstream::request::{ParsedRequest, ReceivedRpc};
 use crate::downstream::response::ProxyResponse;
--- a/crates/daemon/src/discovery/client.rs
+++ b/crates/daemon/src/discovery/client.rs
@@ -1,13 +1,18 @@
-//! The actor that follows the list: one long call after another while the module wants to be told. It has one
-//! connection and never more than one call out; what it hears goes to the core's mailbox.
+//! The actor that follows the endpoint list: one call after another while the decisions want its changes. It has one
+//! connection and never more than one call under way; what it receives goes to the decision actor's mailbox.
+
+use crate::discovery::error::DiscoveryError;
+use crate::discovery::timing::{
+    AGENT, AGENT_RETRY_INTERVAL, CONNECT_TIMEOUT, CallTiming, FIRST_SNAPSHOT, LOG_INTERVAL,
+    MAX_BODY, MIN_CALL_INTERVAL, SERVICE,
+};
+use crate::discovery::update::EndpointUpdate;
 use crate::lifecycle::state::StateStore;
 use crate::messages::Event;
 use crate::net::body::RequestBody;
-use crate::net::sockets::{Connection, ConnectionError as Broken};
-use birchhub::interface::{EndpointUpdateKind, Readiness};
+use crate::net::sockets::{Connection, ConnectionError};
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
-use serde_json::Value;
 use std::cell::Cell;
 use std::future::ready;
 use std::net::SocketAddr;
@@ -17,349 +22,256 @@
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
-/// How long calls may wait, and what is waited for them beyond that. What a service has to tell counts as told
-/// 6 s after it could be reached, and 6 s after a watch fell silent: two calls into silence in a row, and one pause
-/// of the module (1 s at the most) between them, leave time for a third that is answered.
-struct Times {
-    /// That a call may wait.
-    hold: Duration,
-    patience: Duration,
-    /// By how many calls in a row met silence: for one that does not wait and shows what there is, after silence or
-    /// a broken answer. Some are heard out longer, for a service that is slower than usual.
-    at_once: &'static [Duration],
-    /// For the whole list, likewise.
-    whole: &'static [Duration],
-    /// Calls that go out at once after one that met silence: silence took as long as a pause.
-    again: usize,
-}
-
-const fn ms(ms: u64) -> Duration {
-    Duration::from_millis(ms)
-}
-
-// Shorter holds, and calls would load the service.
-const SERVICE: Times = Times {
-    hold: ms(3500),
-    patience: ms(500),
-    at_once: &[ms(3000), ms(750), ms(1250)],
-    whole: &[ms(3000), ms(1500), ms(1500)],
-    again: 2,
-};
-// For the whole list while there is none at all: nothing counts as told to a process that is not ready. Guards against
-// a mass start whose calls are given up while they wait their turn, and worked on all the same.
-const FIRST: &[Duration] = &[ms(8000), ms(4000), ms(4000)];
-// Where lists are pushed: what the agent has counts as told at once, and it answers from its own memory.
-const AGENT: Times = Times {
-    hold: ms(2000),
-    patience: ms(500),
-    at_once: &[ms(100), ms(200), ms(400), ms(800)],
-    whole: &[ms(300), ms(600), ms(1200), ms(2400)],
-    again: 1,
-};
-const AGENT_EVERY: Duration = Duration::from_millis(20); // between calls that fail there: less than a drain's grace
-const CONNECT_MOST: Duration = ms(750); // for a connection: one that was swallowed must not cost a call
-const TELL_EVERY: Duration = Duration::from_secs(10); // between log lines of one outage, where calls go on
-const GAP: Duration = Duration::from_millis(20); // between calls at least: one that never waits must not spin
-const BODY_MOST: usize = 4 << 20; // bytes of a list: some 20,000 lines
-
-/// One backend of the list.
-#[derive(Clone, Debug, PartialEq)]
-pub(crate) struct ListedEndpoint {
-    pub uid: String,
-    pub endpoint: SocketAddr,
-    pub zone: String,
-    pub cell: Option<u64>,
-    pub readiness: Readiness,
-    pub size: f64,
-    pub boot_ms: f64,
-}
-
-/// What discovery told: the whole list or changes of it.
-#[derive(Clone, Debug, PartialEq)]
-pub(crate) struct EndpointUpdate {
-    pub version: u64,
-    pub kind: EndpointUpdateKind,
-    pub listed: Vec<ListedEndpoint>,
-}
-
-/// One line of the list. One that can't be understood is passed over: it must not end the proxy, and takes
-/// nothing new.
-fn line(value: &Value) -> Option<ListedEndpoint> {
-    let number = |key| value.get(key).and_then(Value::as_f64);
-    let readiness = match value.get("state").and_then(Value::as_str) {
-        Some("Ready") => Readiness::Ready,
-        Some("Gone") => Readiness::Removed,
-        _ => Readiness::Draining,
-    };
-    let endpoint = value
-        .get("endpoint")
-        .and_then(Value::as_str)
-        .and_then(|text| text.parse().ok());
-    // Guards against one that goes on getting RPCs where it was, as the line with its new place made no sense.
-    let (endpoint, readiness) = match (endpoint, readiness) {
-        (Some(endpoint), readiness) => (endpoint, readiness),
-        (None, Readiness::Ready) => (SocketAddr::from(([0, 0, 0, 0], 0)), Readiness::Draining),
-        (None, readiness) => (SocketAddr::from(([0, 0, 0, 0], 0)), readiness),
-    };
-    Some(ListedEndpoint {
-        uid: value.get("uid")?.as_str()?.to_owned(),
-        endpoint,
-        zone: value
-            .get("az")
-            .and_then(Value::as_str)
-            .unwrap_or_default()
-            .to_owned(),
-        cell: value.get("pod_group").and_then(Value::as_u64),
-        readiness,
-        size: number("capacity_hint")
-            .filter(|size| *size > 0.0)
-            .unwrap_or(1.0),
-        boot_ms: number("boot_ms").unwrap_or(0.0),
-    })
-}
-
-/// Reads the list in discovery's form.
-pub(crate) fn decode(value: &Value) -> Result<EndpointUpdate, String> {
-    let version = value
-        .get("rev")
-        .and_then(Value::as_u64)
-        .ok_or("rev is not a number")?;
-    let full = value
-        .get("all")
-        .and_then(Value::as_bool)
-        .ok_or("all is not true or false")?;
-    let targets = value
-        .get("targets")
-        .and_then(Value::as_array)
-        .ok_or("targets is not a list")?;
-    let kind = if full {
-        EndpointUpdateKind::Snapshot
-    } else {
-        EndpointUpdateKind::Incremental
-    };
-    let listed: Vec<_> = targets.iter().filter_map(line).collect();
-    if listed.len() < targets.len() {
-        log::warn!(
-            "{} of {} list lines can't be read",
-            targets.len() - listed.len(),
-            targets.len()
-        );
-    }
-    Ok(EndpointUpdate {
-        version,
-        kind,
-        listed,
-    })
-}
+const INSTANCES_PATH: &str = "/registry/instances";
 
-pub(crate) struct Discovery {
-    /// Where the list service is; it may move.
-    pub at: watch::Receiver<SocketAddr>,
-    pub core: mpsc::Sender<Event>,
-    /// The module asks to be told of changes.
-    pub wanted: Rc<Notify>,
-    pub version: Option<u64>,
-    /// The list is followed unasked, whatever fails.
-    pub pushed: bool,
-    /// Told of the first answer, and of all names.
-    pub standings: Rc<StateStore>,
-    /// Calls in a row that met silence.
-    pub time_outs: usize,
+/// Follows the endpoint list.
+pub(crate) struct DiscoveryClient {
+    /// Address of the service; it may move.
+    address: watch::Receiver<SocketAddr>,
+    decisions: mpsc::Sender<Event>,
+    /// The decisions ask for the changes of the list.
+    watch_requested: Rc<Notify>,
+    /// Version of the list that is known at the present address.
+    version: Option<u64>,
+    /// Lists are pushed: the list is followed unasked, whatever fails.
+    pushed: bool,
+    /// Told of the first response, and of all names.
+    state_store: Rc<StateStore>,
+    consecutive_timeouts: usize,
 }
 
-/// How a call ended without news.
-enum DiscoveryError {
-    /// No answer in time, or no connection.
-    TimedOut,
-    /// An answer that breaks off or makes no sense.
-    Malformed(String),
-    /// Refused, broken off before an answer, or answered with what is older than what is known.
-    Down(String),
-}
-
-impl DiscoveryError {
-    /// How many calls in a row go out at once after such ones.
-    fn again(&self, times: &Times) -> usize {
-        match self {
-            Self::TimedOut => times.again,
-            Self::Malformed(_) => 1,
-            Self::Down(_) => 0,
-        }
-    }
+/// A call to be made.
+struct Call {
+    path: String,
+    timeout: Duration,
 }
 
-impl std::fmt::Display for DiscoveryError {
-    fn fmt(&self, to: &mut std::fmt::Formatter) -> std::fmt::Result {
-        match self {
-            Self::TimedOut => to.write_str("no answer in time"),
-            Self::Malformed(why) | Self::Down(why) => to.write_str(why),
+impl DiscoveryClient {
+    /// A client that knows the list up to `version`.
+    pub(crate) fn new(
+        address: watch::Receiver<SocketAddr>,
+        decisions: mpsc::Sender<Event>,
+        watch_requested: Rc<Notify>,
+        version: Option<u64>,
+        pushed: bool,
+        state_store: Rc<StateStore>,
+    ) -> Self {
+        Self {
+            address,
+            decisions,
+            watch_requested,
+            version,
+            pushed,
+            state_store,
+            consecutive_timeouts: 0,
         }
     }
-}
 
-impl Discovery {
-    /// Follows the list until the core is gone: a watch runs until a call fails, and the next begins when
-    /// the module asks for it, or at once when discovery has moved. Where lists are pushed it always goes on.
+    /// Follows the list until the decision actor has ended: a watch runs until a call fails, and the next begins when
+    /// the decisions ask for it, or at once when discovery has moved. Where lists are pushed it always goes on.
     pub(crate) async fn run(mut self) {
-        let mut moves = self.at.clone();
-        let (mut at_once, mut told) = (self.pushed, None);
+        let mut address_changes = self.address.clone();
+        let mut watch_at_once = self.pushed;
+        let mut last_logged = None;
         loop {
-            // A version of one service means nothing at another: the whole list comes first there.
-            if !at_once {
+            if !watch_at_once {
                 select! {
-                    () = self.wanted.notified() => {}
-                    Ok(()) = moves.changed() => (self.version, self.time_outs) = (None, 0),
+                    () = self.watch_requested.notified() => {}
+                    Ok(()) = address_changes.changed() => self.forget_version(),
                 }
             }
-            let fault = select! {
+            let failure = select! {
                 biased;
-                Ok(()) = moves.changed() => None,
-                fault = self.watch() => Some(fault),
+                Ok(()) = address_changes.changed() => None,
+                error = self.watch() => Some(error),
             };
-            at_once = self.pushed || fault.is_none();
-            let Some(fault) = fault else {
-                (self.version, self.time_outs) = (None, 0);
+            watch_at_once = self.pushed || failure.is_none();
+            let Some(error) = failure else {
+                self.forget_version();
                 continue;
             };
-            // Guards against a log full of one outage.
-            if told.is_none_or(|at: Instant| at.elapsed() > TELL_EVERY) {
-                log::warn!("list call failed: {fault}");
-                told = Some(Instant::now()).filter(|_| self.pushed);
-            }
-            // What was asked for while the watch ran is done with: guards against calls without a pause.
-            select! {
-                biased;
-                () = self.wanted.notified() => {}
-                () = ready(()) => {}
-            }
-            if self.core.send(Event::DiscoveryFailed).await.is_err() {
+            self.log_failure(&error, &mut last_logged);
+            self.drop_pending_request().await;
+            if self.decisions.send(Event::DiscoveryFailed).await.is_err() {
                 return;
             }
             if self.pushed {
-                sleep(AGENT_EVERY).await;
+                sleep(AGENT_RETRY_INTERVAL).await;
             }
         }
     }
 
-    #[expect(clippy::too_many_lines)]
+    /// A version of one service means nothing at another: the whole list comes first there.
+    fn forget_version(&mut self) {
+        self.version = None;
+        self.consecutive_timeouts = 0;
+    }
+
+    /// Prevents a log full of one outage.
+    fn log_failure(&self, error: &DiscoveryError, last_logged: &mut Option<Instant>) {
+        if last_logged.is_none_or(|at| at.elapsed() > LOG_INTERVAL) {
+            log::warn!("list call failed: {error}");
+            *last_logged = Some(Instant::now()).filter(|_| self.pushed);
+        }
+    }
+
+    /// What was asked for while the watch ran is done with. Prevents calls without a backoff.
+    async fn drop_pending_request(&self) {
+        select! {
+            biased;
+            () = self.watch_requested.notified() => {}
+            () = ready(()) => {}
+        }
+    }
+
+    /// Calls until one fails for good.
     async fn watch(&mut self) -> DiscoveryError {
-        let times = if self.pushed { AGENT } else { SERVICE };
-        // After silence, one that waits would be given up too late if it met silence too.
-        let (mut conn, mut doubted) = (None, self.pushed || self.time_outs > 0);
-        let mut tried = 0;
+        let timing = if self.pushed { AGENT } else { SERVICE };
+        let mut connection = None;
+        // After a timeout, a call that waits at the service would be given up too late if it timed out too.
+        let mut catching_up = self.pushed || self.consecutive_timeouts > 0;
+        let mut retries = 0;
         loop {
-            let nth = |times: &[Duration]| times[self.time_outs % times.len()];
-            let (path, patience) = match self.version {
-                None => {
-                    let first = !self.pushed && !self.standings.now().ready;
-                    (
-                        "/registry/instances".to_owned(),
-                        nth(if first { FIRST } else { times.whole }),
-                    )
+            let call = self.next_call(&timing, catching_up);
+            let started = Instant::now();
+            match self.call(&mut connection, &call, started).await {
+                Ok(update) => {
+                    (catching_up, retries) = (false, 0);
+                    if self.deliver(update).await.is_err() {
+                        return DiscoveryError::ActorEnded;
+                    }
+                    sleep_until(started + MIN_CALL_INTERVAL).await;
                 }
-                Some(from) => {
-                    let hold = if doubted { Duration::ZERO } else { times.hold };
-                    let path = format!(
-                        "/registry/instances?from={from}&hold_ms={}",
-                        hold.as_millis()
-                    );
-                    (
-                        path,
-                        if doubted {
-                            nth(times.at_once)
-                        } else {
-                            hold + times.patience
-                        },
-                    )
+                // Another connection may do. Prevents a link that lost one call, or an update that counts as told
+                // though its response broke off, from costing a backoff.
+                Err(error) if retries < error.immediate_retries(&timing) => {
+                    log::warn!("list call goes out again: {error}");
+                    connection = None;
+                    catching_up = true;
+                    retries += 1;
                 }
-            };
-            let begun = Instant::now();
-            let until = begun + patience;
-            let called = timeout_at(until, self.call(&mut conn, &path, until)).await;
-            let called = called
-                .unwrap_or(Err(DiscoveryError::TimedOut))
-                .and_then(|news| self.in_order(news));
-            self.time_outs = if matches!(called, Err(DiscoveryError::TimedOut)) {
-                self.time_outs + 1
+                Err(error) => return error,
+            }
+        }
+    }
+
+    /// The call that comes next: for the whole list, for what has changed by now, or a watch.
+    fn next_call(&self, timing: &CallTiming, catching_up: bool) -> Call {
+        let nth = |timeouts: &[Duration]| timeouts[self.consecutive_timeouts % timeouts.len()];
+        let Some(version) = self.version else {
+            let first = !self.pushed && !self.state_store.now().ready;
+            let timeouts = if first {
+                FIRST_SNAPSHOT
             } else {
-                0
+                timing.snapshot
             };
-            let news = match called {
-                Ok(news) => news,
-                // Guards against a link that swallowed one call, and against news that counts as told though its
-                // answer broke: another connection may do.
-                Err(fault) if tried < fault.again(&times) => {
-                    log::warn!("list call goes out again: {fault}");
-                    (conn, doubted) = (None, true);
-                    tried += 1;
-                    continue;
-                }
-                Err(fault) => return fault,
+            return Call {
+                path: INSTANCES_PATH.to_owned(),
+                timeout: nth(timeouts),
             };
-            (doubted, tried) = (false, 0);
-            self.version = Some(news.version);
-            self.standings
-                .listed(news.listed.iter().map(|listed| listed.uid.as_str()));
-            self.standings.set_ready();
-            if self.core.send(Event::EndpointsChanged(news)).await.is_err() {
-                return DiscoveryError::Down("the core has ended".into());
-            }
-            sleep_until(begun + GAP).await;
+        };
+        let (hold, timeout) = if catching_up {
+            (Duration::ZERO, nth(timing.catch_up))
+        } else {
+            (timing.hold, timing.hold + timing.response_margin)
+        };
+        let hold_ms = hold.as_millis();
+        Call {
+            path: format!("{INSTANCES_PATH}?from={version}&hold_ms={hold_ms}"),
+            timeout,
         }
     }
 
-    /// Guards against an older list that undoes a newer one: what is true then is in the whole list, whatever its number.
-    fn in_order(&mut self, news: EndpointUpdate) -> Result<EndpointUpdate, DiscoveryError> {
+    /// Makes a call, within its timeout, and counts timeouts in a row.
+    async fn call(
+        &mut self,
+        connection: &mut Option<Connection>,
+        call: &Call,
+        started: Instant,
+    ) -> Result<EndpointUpdate, DiscoveryError> {
+        let deadline = started + call.timeout;
+        let result = timeout_at(deadline, self.exchange(connection, &call.path, deadline))
+            .await
+            .unwrap_or(Err(DiscoveryError::TimedOut))
+            .and_then(|update| self.check_order(update));
+        self.consecutive_timeouts = if matches!(result, Err(DiscoveryError::TimedOut)) {
+            self.consecutive_timeouts + 1
+        } else {
+            0
+        };
+        result
+    }
+
+    /// Prevents an older list from undoing a newer one: what is true then is in the whole list, whatever its version.
+    fn check_order(&mut self, update: EndpointUpdate) -> Result<EndpointUpdate, DiscoveryError> {
         match self.version {
-            Some(had) if news.version < had => {
+            Some(known) if update.version < known => {
                 self.version = None;
-                Err(DiscoveryError::Down(format!(
-                    "version {} came after {had}",
-                    news.version
-                )))
+                Err(DiscoveryError::OutOfOrder {
+                    received: update.version,
+                    known,
+                })
             }
-            _ => Ok(news),
+            _ => Ok(update),
         }
     }
 
-    async fn call(
+    /// Hands an update to the decision actor.
+    async fn deliver(
+        &mut self,
+        update: EndpointUpdate,
+    ) -> Result<(), mpsc::error::SendError<Event>> {
+        self.version = Some(update.version);
+        let names = update.listed.iter().map(|endpoint| endpoint.uid.as_str());
+        self.state_store.listed(names);
+        self.state_store.set_ready();
+        self.decisions.send(Event::EndpointsChanged(update)).await
+    }
+
+    /// One request and its response, over the connection of the last call if that can still be used.
+    async fn exchange(
         &self,
-        kept: &mut Option<Connection>,
+        connection: &mut Option<Connection>,
         path: &str,
-        until: Instant,
+        deadline: Instant,
     ) -> Result<EndpointUpdate, DiscoveryError> {
-        let usable = match kept {
+        let connection = self.connect(connection, deadline).await?;
+        let mut request = Request::new(RequestBody::Whole(Full::default()));
+        *request.uri_mut() = path.parse().expect("a path of letters and digits");
+        let response = connection
+            .exchange(request, MAX_BODY, false, &Cell::new(false))
+            .await
+            .map_err(|error| match error {
+                ConnectionError::Spoilt => DiscoveryError::Truncated,
+                error => DiscoveryError::ConnectionFailed(error),
+            })?;
+        if response.status != StatusCode::OK {
+            return Err(DiscoveryError::Status(response.status));
+        }
+        Ok(EndpointUpdate::decode(&serde_json::from_slice(
+            &response.body,
+        )?)?)
+    }
+
+    /// The connection at hand if it can be used, else a new one.
+    async fn connect<'a>(
+        &self,
+        connection: &'a mut Option<Connection>,
+        deadline: Instant,
+    ) -> Result<&'a mut Connection, DiscoveryError> {
+        let usable = match connection {
             None => false,
-            Some(conn) => conn.usable().await,
+            Some(connection) => connection.usable().await,
         };
         if !usable {
-            *kept = None;
-            let at = *self.at.borrow();
-            let until = until.min(Instant::now() + CONNECT_MOST);
-            *kept = Connection::open(at, None, until).await;
-            if kept.is_none() && Instant::now() >= until {
+            *connection = None;
+            let address = *self.address.borrow();
+            let connect_by = deadline.min(Instant::now() + CONNECT_TIMEOUT);
+            *connection = Connection::open(address, None, connect_by).await;
+            if connection.is_none() && Instant::now() >= connect_by {
                 return Err(DiscoveryError::TimedOut);
             }
         }
-        let conn = kept
-            .as_mut()
-            .ok_or(DiscoveryError::Down("no connection".into()))?;
-        let mut message = Request::new(RequestBody::Whole(Full::default()));
-        *message.uri_mut() = path
-            .parse()
-            .map_err(|_| DiscoveryError::Down("the call has no path".into()))?;
-        let reply = conn
-            .exchange(message, BODY_MOST, false, &Cell::new(false))
-            .await;
-        let reply = reply.map_err(|fault| match fault {
-            Broken::Spoilt => DiscoveryError::Malformed("the answer broke off".into()),
-            fault => DiscoveryError::Down(format!("the connection failed: {fault:?}")),
-        })?;
-        if reply.status != StatusCode::OK {
-            return Err(DiscoveryError::Down(format!("status {}", reply.status)));
-        }
-        let value = serde_json::from_slice(&reply.body)
-            .map_err(|e| DiscoveryError::Malformed(format!("not JSON: {e}")))?;
-        decode(&value).map_err(DiscoveryError::Malformed)
+        connection.as_mut().ok_or(DiscoveryError::NoConnection)
     }
 }
--- a/crates/daemon/src/discovery/mod.rs
+++ b/crates/daemon/src/discovery/mod.rs
@@ -1,3 +1,6 @@
-//! The endpoint list: following it and decoding its lines.
+//! Discovery: following the endpoint list and decoding it.
 
 pub(crate) mod client;
+mod error;
+mod timing;
+pub(crate) mod update;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -15,7 +15,7 @@
 use crate::config::file::{self, Config};
 use crate::config::reload::{ActiveConfig, Reload};
 use crate::decision::actor::{self, DecisionActor};
-use crate::discovery::client::Discovery;
+use crate::discovery::client::DiscoveryClient;
 use crate::downstream::listener::Listener;
 use crate::downstream::request::RequestParser;
 use crate::lifecycle::admin::AdminServer;
@@ -190,15 +190,14 @@
     }
     let (moves, at) = watch::channel(config.discovery);
     spawn_local(Reload::new(config.clone(), moves, sender.clone(), stand).run(hup));
-    let discovery = Discovery {
+    let discovery = DiscoveryClient::new(
         at,
-        core: sender.clone(),
+        sender.clone(),
         wanted,
-        version: config.known.as_ref().map(|known| known.version),
+        config.known.as_ref().map(|known| known.version),
         pushed,
-        standings: standings.clone(),
-        time_outs: 0,
-    };
+        standings.clone(),
+    );
     spawn_local(discovery.run());
     let intake = RequestParser::new(names);
     let open = Default::default();
--- a/crates/daemon/src/messages.rs
+++ b/crates/daemon/src/messages.rs
@@ -1,7 +1,7 @@
 //! What the other actors tell the decision actor.
 
 use crate::config::reload::ConfigUpdate;
-use crate::discovery::client::EndpointUpdate;
+use crate::discovery::update::EndpointUpdate;
 use crate::downstream::listener::RequestIdGuard;
 use crate::downstream::request::ReceivedRpc;
 use crate::downstream::response::ProxyResponse;
