--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -24,7 +24,7 @@
     }
 
     /// Lets this clock stand still for so long, after the fact.
-    pub(crate) fn stand_still(&mut self, time: Duration) {
+    pub(crate) fn skip(&mut self, time: Duration) {
         self.base += time;
     }
 
@@ -32,16 +32,16 @@
         self.base.elapsed().as_secs_f64()
     }
 
-    pub(crate) fn seconds(&self, at: Instant) -> f64 {
+    pub(crate) fn to_seconds(&self, at: Instant) -> f64 {
         at.duration_since(self.base).as_secs_f64()
     }
 
-    pub(crate) fn instant(&self, seconds: f64) -> Instant {
+    pub(crate) fn to_instant(&self, seconds: f64) -> Instant {
         self.base + Duration::from_secs_f64(seconds.clamp(0.0, 1e9))
     }
 
     /// A time in Unix milliseconds; 0 stands for long ago.
-    pub(crate) fn unix_ms(&self, ms: f64) -> Option<f64> {
+    pub(crate) fn from_unix_ms(&self, ms: f64) -> Option<f64> {
         (ms > 0.0).then(|| ms / 1e3 - self.wall)
     }
 }
--- a/crates/daemon/src/decision/actor.rs
+++ b/crates/daemon/src/decision/actor.rs
@@ -13,8 +13,8 @@
 use crate::messages::Event;
 use crate::net::sockets::{ClientLiveness, SocketBudget};
 use crate::upstream::endpoint::{
-    CancelSignal, CompletionGuard, ConnectionLimits, EndpointHandle, EndpointInfo, Exchange,
-    ExchangeKind, Times,
+    CancelSignal, CompletionGuard, ConnectionLimits, Deadlines, EndpointHandle, EndpointInfo,
+    Exchange, ExchangeKind,
 };
 use birchhub::interface::{
     AttemptOutcome, Endpoint, EndpointUpdateKind, Idempotency, IncomingRpc, LoadReport,
@@ -31,12 +31,12 @@
 use tokio::time::{Instant, sleep_until};
 
 pub(crate) const MAILBOX: usize = 8192; // messages: one kept free for the end of each RPC, pick and probe
-const MARGIN: Duration = Duration::from_millis(5); // of a client's wait, for this machine's own delays
-const PROBE_WAITS: Duration = Duration::from_millis(100); // for a probe; a slower answer tells nothing of now
-const BEAT: Duration = Duration::from_millis(10); // the core is busy at least this often ...
-const LAG: Duration = Duration::from_millis(10); // ... or was stopped, if later by more than this
-const FORGET: Duration = Duration::from_secs(2); // after a backend went: one that flaps stays the same
-const RECOVER: f64 = 0.01; // s until the module is woken after it failed in a call
+const CLIENT_MARGIN: Duration = Duration::from_millis(5); // of a client's wait, for this machine's own delays
+const HEALTH_CHECK_TIMEOUT: Duration = Duration::from_millis(100); // for a probe; a slower answer tells nothing of now
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(10); // the core is busy at least this often ...
+const MAX_SCHEDULING_LAG: Duration = Duration::from_millis(10); // ... or was stopped, if later by more than this
+const FORGET_AFTER: Duration = Duration::from_secs(2); // after a backend went: one that flaps stays the same
+const PANIC_RECOVERY: f64 = 0.01; // s until the module is woken after it failed in a call
 
 /// An RPC on its way: what its picks need, and who waits for its answer.
 struct InFlightRpc {
@@ -46,17 +46,17 @@
     answer: Option<oneshot::Sender<ProxyResponse>>,
     attempts: Vec<Option<oneshot::Sender<()>>>, // of those that can still be stopped
     /// How long after the first pick that may have run another may be sent, where that is limited.
-    window: Option<Duration>,
-    may_have_run: Vec<Option<Instant>>, // when each pick was made; none for one that never ran
+    deduplication_window: Option<Duration>,
+    may_have_run_since: Vec<Option<Instant>>, // when each pick was made; none for one that never ran
     /// Guards against a second RPC of this name, sent while a pick of this one is still out.
-    _opened: RequestIdGuard,
+    _request_id: RequestIdGuard,
 }
 
 impl InFlightRpc {
     /// By when another pick has to be sent. The module judged by its own clock, before a connection was opened and
     /// perhaps before this process stood still: guards against repeats that come too late to be dropped.
     fn send_by(&self) -> Option<Instant> {
-        Some(*self.may_have_run.iter().flatten().min()? + self.window?)
+        Some(*self.may_have_run_since.iter().flatten().min()? + self.deduplication_window?)
     }
 }
 
@@ -64,53 +64,59 @@
 struct DaemonPlatform {
     now: f64,
     clock: Clock,
-    held: HashMap<u64, InFlightRpc>,
+    in_flight: HashMap<u64, InFlightRpc>,
     backends: HashMap<u32, EndpointHandle>,
-    core: mpsc::Sender<Event>,
-    wanted: Rc<Notify>,
-    wake_at: Option<f64>,
+    events: mpsc::Sender<Event>,
+    watch_wanted: Rc<Notify>,
+    timer_at: Option<f64>,
     unsent: Vec<ExchangeKind>, // found no place in the core's mailbox for their end
     answered: Vec<u64>,        // in the call at hand
-    asked: Option<RecordedActions>, // in the call at hand, while somebody watches
+    recorded: Option<RecordedActions>, // in the call at hand, while somebody watches
 }
 
 impl DaemonPlatform {
-    fn give(&mut self, rpc: u64, answer: ProxyResponse) {
+    fn respond(&mut self, rpc: u64, answer: ProxyResponse) {
         log::trace!("RPC {rpc}: {answer}");
         self.answered.push(rpc);
-        if let Some(sender) = self.held.get_mut(&rpc).and_then(|held| held.answer.take()) {
+        if let Some(sender) = self
+            .in_flight
+            .get_mut(&rpc)
+            .and_then(|in_flight| in_flight.answer.take())
+        {
             // Where the client has gone there is nobody to tell.
             let _ = sender.send(answer);
         }
     }
 
-    fn note(&mut self, rpc: u64, act: Action) {
-        self.asked.iter_mut().for_each(|asked| asked.act(rpc, act));
+    fn record(&mut self, rpc: u64, action: Action) {
+        self.recorded
+            .iter_mut()
+            .for_each(|recorded| recorded.record(rpc, action));
     }
 
     /// Hands a job to a backend. Where that can't be done its ticket, dropped, says so.
     fn run(
         &mut self,
-        errand: ExchangeKind,
+        kind: ExchangeKind,
         backend: u32,
         message: ParsedRequest,
         client: Option<ClientLiveness>,
-        times: Times,
-        stop: CancelSignal,
+        deadlines: Deadlines,
+        cancel: CancelSignal,
     ) {
-        let Ok(permit) = self.core.clone().try_reserve_owned() else {
+        let Ok(permit) = self.events.clone().try_reserve_owned() else {
             log::error!("the core's mailbox is full");
-            return self.unsent.push(errand);
+            return self.unsent.push(kind);
         };
-        let job = Exchange {
+        let exchange = Exchange {
             message,
             client,
-            times,
-            stop,
-            ticket: CompletionGuard::new(errand, self.core.clone(), permit),
+            deadlines,
+            cancel,
+            completion: CompletionGuard::new(kind, self.events.clone(), permit),
         };
         if let Some(backend) = self.backends.get(&backend) {
-            let _ = backend.mailbox.try_send(Box::new(job));
+            let _ = backend.mailbox.try_send(Box::new(exchange));
         }
     }
 }
@@ -120,48 +126,61 @@
         self.now
     }
     fn start_attempt(&mut self, rpc: u64, backend: u32, time_out: f64) {
-        let Some(held) = self.held.get_mut(&rpc) else {
+        let Some(in_flight) = self.in_flight.get_mut(&rpc) else {
             return;
         };
-        let (sender, stop) = oneshot::channel();
-        let attempt = held.attempts.len();
-        held.attempts.push(Some(sender));
-        let send_by = held.send_by();
-        held.may_have_run.push(Some(Instant::now()));
-        let until = self.clock.instant(self.now + time_out).min(held.deadline);
-        let (message, client) = (held.message.clone(), Some(held.client.clone()));
+        let (sender, cancel) = oneshot::channel();
+        let attempt = in_flight.attempts.len();
+        in_flight.attempts.push(Some(sender));
+        let send_by = in_flight.send_by();
+        in_flight.may_have_run_since.push(Some(Instant::now()));
+        let until = self
+            .clock
+            .to_instant(self.now + time_out)
+            .min(in_flight.deadline);
+        let (message, client) = (in_flight.message.clone(), Some(in_flight.client.clone()));
         log::trace!("RPC {rpc}: attempt {attempt} to {backend} for {time_out:.3} s");
-        let times = Times { until, send_by };
+        let deadlines = Deadlines { until, send_by };
         self.run(
             ExchangeKind::Attempt { rpc, attempt },
             backend,
             message,
             client,
-            times,
-            Some(stop),
+            deadlines,
+            Some(cancel),
         );
-        self.note(rpc, Action::Attempt(backend));
+        self.record(rpc, Action::Attempt(backend));
     }
     fn cancel_attempt(&mut self, rpc: u64, attempt: usize) {
-        let attempts = self.held.get_mut(&rpc).map(|held| &mut held.attempts);
+        let attempts = self
+            .in_flight
+            .get_mut(&rpc)
+            .map(|in_flight| &mut in_flight.attempts);
         drop(
             attempts
                 .and_then(|attempts| attempts.get_mut(attempt))
                 .and_then(Option::take),
         );
     }
-    fn reject(&mut self, rpc: u64, come_back: f64) {
-        self.give(rpc, ProxyResponse::PushedBack { come_back });
-        self.note(rpc, Action::PushBack);
+    fn reject(&mut self, rpc: u64, retry_after: f64) {
+        self.respond(
+            rpc,
+            ProxyResponse::PushedBack {
+                come_back: retry_after,
+            },
+        );
+        self.record(rpc, Action::Reject);
     }
     fn fail(&mut self, rpc: u64) {
-        self.give(rpc, ProxyResponse::Aborted);
-        self.note(rpc, Action::Abort);
+        self.respond(rpc, ProxyResponse::Aborted);
+        self.record(rpc, Action::Fail);
     }
     fn health_check(&mut self, backend: u32) {
-        self.asked.iter_mut().for_each(RecordedActions::probe);
-        let times = Times {
-            until: Instant::now() + PROBE_WAITS,
+        self.recorded
+            .iter_mut()
+            .for_each(RecordedActions::record_health_check);
+        let deadlines = Deadlines {
+            until: Instant::now() + HEALTH_CHECK_TIMEOUT,
             send_by: None,
         };
         log::trace!("probe to {backend}");
@@ -170,20 +189,20 @@
             backend,
             ParsedRequest::probe(),
             None,
-            times,
+            deadlines,
             None,
         );
     }
     fn watch_endpoints(&mut self) {
-        self.wanted.notify_one();
+        self.watch_wanted.notify_one();
     }
     fn schedule_timer(&mut self, delay: f64) {
         let at = self.now + delay;
-        self.wake_at = Some(self.wake_at.map_or(at, |earlier| earlier.min(at)));
+        self.timer_at = Some(self.timer_at.map_or(at, |earlier| earlier.min(at)));
     }
 }
 
-fn window(method: &MethodSettings) -> Option<Duration> {
+fn deduplication_window(method: &MethodSettings) -> Option<Duration> {
     match method.idempotency {
         Idempotency::Deduplicated { window, .. } => Some(Duration::from_secs_f64(window)),
         Idempotency::Idempotent | Idempotency::NonIdempotent => None,
@@ -193,22 +212,22 @@
 pub(crate) struct DecisionActor {
     balancer: Balancer,
     rpcs: HashMap<u64, RpcHandle>,
-    door: DaemonPlatform,
-    watch: Option<ShadowEvaluator>,
+    platform: DaemonPlatform,
+    shadow: Option<ShadowEvaluator>,
     numbers: HashMap<String, (u32, Instant)>, // of backends, by uid, and when they were last heard of
-    leaving: HashSet<String>, // those of `numbers` that are not in the list, to be forgotten in time
-    next: u32,
+    removed: HashSet<String>, // those of `numbers` that are not in the list, to be forgotten in time
+    next_number: u32,
     zones: Vec<String>,
     names: ActiveNames,
-    windows: Vec<Option<Duration>>, // by method, in which its repeats are dropped
-    sized: bool,
+    deduplication_windows: Vec<Option<Duration>>, // by method, in which its repeats are dropped
+    uses_relative_size: bool,
     limits: ConnectionLimits,
     budget: Rc<SocketBudget>,
-    standings: Rc<StateStore>,
-    standing: watch::Receiver<ProxyState>,
+    state_store: Rc<StateStore>,
+    state: watch::Receiver<ProxyState>,
     listed: HashMap<String, ListedEndpoint>, // the last line of each backend that is not gone
-    beat: Instant,                           // by when the core is busy again
-    stopped: Instant,                        // until when it was not, the last time
+    heartbeat_due: Instant,                  // by when the core is busy again
+    resumed: Instant,                        // until when it was not, the last time
 }
 
 impl DecisionActor {
@@ -218,85 +237,93 @@
         clock: Clock,
         budget: Rc<SocketBudget>,
         core: mpsc::Sender<Event>,
-        wanted: Rc<Notify>,
-        standings: Rc<StateStore>,
+        watch_wanted: Rc<Notify>,
+        state_store: Rc<StateStore>,
         names: ActiveNames,
     ) -> Self {
         let conf = &config.conf;
-        let door = DaemonPlatform {
+        let platform = DaemonPlatform {
             now: clock.now(),
             clock,
-            held: HashMap::new(),
+            in_flight: HashMap::new(),
             backends: HashMap::new(),
-            core,
-            wanted,
-            wake_at: None,
+            events: core,
+            watch_wanted,
+            timer_at: None,
             unsent: Vec::new(),
             answered: Vec::new(),
-            asked: config.watch.as_ref().map(|_| RecordedActions::default()),
+            recorded: config.watch.as_ref().map(|_| RecordedActions::default()),
         };
-        let mut core = Self {
+        let mut actor = Self {
             balancer: Balancer::new(&conf.settings, config.seed),
             rpcs: HashMap::new(),
-            door,
-            watch: config
+            platform,
+            shadow: config
                 .watch
                 .as_ref()
                 .map(|settings| ShadowEvaluator::new(settings, config.seed)),
             numbers: HashMap::new(),
-            leaving: HashSet::new(),
-            next: 0,
+            removed: HashSet::new(),
+            next_number: 0,
             zones: conf.zones.clone(),
             names,
-            windows: conf.settings.methods.iter().map(window).collect(),
-            sized: conf.sized,
+            deduplication_windows: conf
+                .settings
+                .methods
+                .iter()
+                .map(deduplication_window)
+                .collect(),
+            uses_relative_size: conf.sized,
             limits: ConnectionLimits {
                 connect: Duration::from_secs_f64(conf.connect_limit),
                 idle: Duration::from_secs_f64(conf.idle_limit),
             },
             budget,
-            standing: standings.reader(),
-            standings,
+            state: state_store.reader(),
+            state_store,
             listed: HashMap::new(),
-            beat: Instant::now() + BEAT,
-            stopped: Instant::now(),
+            heartbeat_due: Instant::now() + HEARTBEAT_INTERVAL,
+            resumed: Instant::now(),
         };
         let known = config.known.clone().unwrap_or(EndpointUpdate {
             version: 0,
             kind: EndpointUpdateKind::StaleSnapshot,
             listed: vec![],
         });
-        core.news(&EndpointUpdate {
+        actor.update_endpoints(&EndpointUpdate {
             kind: EndpointUpdateKind::StaleSnapshot,
             ..known
         });
-        core.ordered();
-        core
+        actor.apply_admin_state();
+        actor
     }
 
     pub(crate) async fn run(mut self, mut mailbox: mpsc::Receiver<Event>) {
         loop {
-            self.keep_time();
-            let own = self.door.wake_at.map(|at| self.door.clock.instant(at));
-            let watcher = self
-                .watch
+            self.check_heartbeat();
+            let own = self
+                .platform
+                .timer_at
+                .map(|at| self.platform.clock.to_instant(at));
+            let shadow = self
+                .shadow
                 .as_ref()
-                .and_then(ShadowEvaluator::wake_at)
-                .map(|at| self.door.clock.instant(at));
-            let wake = own.into_iter().chain(watcher).min();
+                .and_then(ShadowEvaluator::timer_at)
+                .map(|at| self.platform.clock.to_instant(at));
+            let wake = own.into_iter().chain(shadow).min();
             if wake.is_some_and(|at| at <= Instant::now()) {
                 self.wake(own.is_some_and(|at| at <= Instant::now()));
                 continue;
             }
             select! {
                 biased;
-                Ok(()) = self.standing.changed() => self.ordered(),
+                Ok(()) = self.state.changed() => self.apply_admin_state(),
                 message = mailbox.recv() => match message {
-                    Some(message) => self.hear(message),
+                    Some(message) => self.dispatch(message),
                     None => return,
                 },
                 () = until(wake) => {}
-                () = sleep_until(self.beat) => {}
+                () = sleep_until(self.heartbeat_due) => {}
             }
         }
     }
@@ -304,33 +331,36 @@
     /// Wakes those who asked for it by now. Both are held to one reading of the clock.
     fn wake(&mut self, first: bool) {
         if first {
-            self.door.wake_at = None;
-            self.call(|core| core.balancer.on_timer(&mut core.door));
+            self.platform.timer_at = None;
+            self.call_balancer(|actor| actor.balancer.on_timer(&mut actor.platform));
         } else {
-            self.door.now = self.door.clock.now();
+            self.platform.now = self.platform.clock.now();
         }
-        self.watch(|watch, now, asked| watch.wake(now, asked));
+        self.replay_to_shadow(|shadow, now, recorded| shadow.on_timer(now, recorded));
     }
 
     /// Lets the watcher hear what the first instance heard in the last call, if there is one.
-    fn watch(&mut self, act: impl FnOnce(&mut ShadowEvaluator, f64, RecordedActions)) {
-        let (Some(watch), now) = (&mut self.watch, self.door.now) else {
+    fn replay_to_shadow(
+        &mut self,
+        action: impl FnOnce(&mut ShadowEvaluator, f64, RecordedActions),
+    ) {
+        let (Some(shadow), now) = (&mut self.shadow, self.platform.now) else {
             return;
         };
-        let asked = self
-            .door
-            .asked
+        let recorded = self
+            .platform
+            .recorded
             .replace(RecordedActions::default())
             .unwrap_or_default();
-        if catch_unwind(AssertUnwindSafe(|| act(watch, now, asked))).is_err() {
+        if catch_unwind(AssertUnwindSafe(|| action(shadow, now, recorded))).is_err() {
             log::error!("the watching module panicked: it watches no more");
-            (self.watch, self.door.asked) = (None, None);
+            (self.shadow, self.platform.recorded) = (None, None);
         }
     }
 
     #[expect(clippy::too_many_lines)]
-    fn hear(&mut self, message: Event) {
-        self.keep_time();
+    fn dispatch(&mut self, message: Event) {
+        self.check_heartbeat();
         match message {
             Event::RpcReceived {
                 id,
@@ -338,25 +368,29 @@
                 opened,
                 client,
                 answer,
-            } => self.take(id, *rpc, opened, client, answer),
-            Event::ClientDisconnected(id) => self.hung_up(id),
+            } => self.accept_rpc(id, *rpc, opened, client, answer),
+            Event::ClientDisconnected(id) => self.on_client_disconnected(id),
             Event::AttemptEnded {
                 rpc,
                 attempt,
                 outcome,
                 report,
                 body,
-            } => self.ended(rpc, attempt, outcome, report, body),
+            } => self.on_attempt_ended(rpc, attempt, outcome, report, body),
             Event::RequestSent { rpc, attempt } => {
-                self.on_rpc(rpc, |rpc, door| rpc.on_request_sent(attempt, door));
-                self.watch(|watch, now, asked| watch.whole(now, asked, (rpc, attempt)));
+                self.on_rpc(rpc, |rpc, platform| rpc.on_request_sent(attempt, platform));
+                self.replay_to_shadow(|shadow, now, recorded| {
+                    shadow.on_request_sent(now, recorded, (rpc, attempt))
+                });
             }
             Event::ResponseStarted { rpc, attempt, flow } => {
-                self.on_rpc(rpc, |handle, door| {
-                    door.give(rpc, ProxyResponse::Long(flow));
-                    handle.on_response_started(attempt, PacedBy::Client, door);
+                self.on_rpc(rpc, |handle, platform| {
+                    platform.respond(rpc, ProxyResponse::Long(flow));
+                    handle.on_response_started(attempt, PacedBy::Client, platform);
+                });
+                self.replay_to_shadow(|shadow, now, recorded| {
+                    shadow.on_response_started(now, recorded, (rpc, attempt))
                 });
-                self.watch(|watch, now, asked| watch.begun(now, asked, (rpc, attempt)));
             }
             Event::HealthChecked {
                 backend,
@@ -364,91 +398,98 @@
                 report,
             } => {
                 log::trace!("probe of {backend}: {outcome:?} {report:?}");
-                let outcome = self.told(outcome, AttemptOutcome::NotSent);
-                self.call(|core| {
-                    core.balancer
-                        .on_health_check(backend, outcome, report, &mut core.door)
+                let outcome = self.reliable_outcome(outcome, AttemptOutcome::NotSent);
+                self.call_balancer(|actor| {
+                    actor
+                        .balancer
+                        .on_health_check(backend, outcome, report, &mut actor.platform)
+                });
+                self.replay_to_shadow(|shadow, now, recorded| {
+                    shadow.on_health_check(now, recorded, backend, outcome, report)
                 });
-                self.watch(|watch, now, asked| watch.probed(now, asked, backend, outcome, report));
             }
-            Event::EndpointsChanged(news) => self.news(&news),
-            Event::SettingsChanged(update) => self.adopt(*update),
+            Event::EndpointsChanged(update) => self.update_endpoints(&update),
+            Event::SettingsChanged(update) => self.apply_update(*update),
             Event::DiscoveryFailed => {
-                self.call(|core| core.balancer.list_failed(&mut core.door));
-                self.watch(|watch, now, asked| watch.list_failed(now, asked));
+                self.call_balancer(|actor| actor.balancer.list_failed(&mut actor.platform));
+                self.replay_to_shadow(|shadow, now, recorded| {
+                    shadow.on_discovery_failed(now, recorded)
+                });
             }
         }
-        while let Some(errand) = self.door.unsent.pop() {
-            self.hear(errand.end((AttemptOutcome::NotSent, None, Bytes::new())));
+        while let Some(kind) = self.platform.unsent.pop() {
+            self.dispatch(kind.end((AttemptOutcome::NotSent, None, Bytes::new())));
         }
     }
 
     /// The module's time stands still while this process does. Guards against backends that are taken for slow,
     /// and what waits for them refused, because the proxy had used up its part of a core. Done before a wake-up
     /// is found due, never after: the module would take it for an early one, and set no other.
-    fn keep_time(&mut self) {
+    fn check_heartbeat(&mut self) {
         let now = Instant::now();
-        if now > self.beat + LAG {
-            log::debug!("stopped for {:?}", now - self.beat);
-            self.door.clock.stand_still(now - self.beat);
-            self.stopped = now;
+        if now > self.heartbeat_due + MAX_SCHEDULING_LAG {
+            log::debug!("stopped for {:?}", now - self.heartbeat_due);
+            self.platform.clock.skip(now - self.heartbeat_due);
+            self.resumed = now;
         }
-        self.beat = now + BEAT;
+        self.heartbeat_due = now + HEARTBEAT_INTERVAL;
     }
 
     /// What a pick or probe that was out while this process stood still tells of its backend.
-    fn told(&self, outcome: AttemptOutcome, unknown: AttemptOutcome) -> AttemptOutcome {
-        let late = outcome == AttemptOutcome::TimedOut && Instant::now() < self.stopped + LAG;
+    fn reliable_outcome(&self, outcome: AttemptOutcome, unknown: AttemptOutcome) -> AttemptOutcome {
+        let late = outcome == AttemptOutcome::TimedOut
+            && Instant::now() < self.resumed + MAX_SCHEDULING_LAG;
         if late { unknown } else { outcome }
     }
 
     /// Calls the module. A panic in there ends neither the proxy nor what others wait for: the front answers
     /// what the module no longer knows of.
-    fn call(&mut self, act: impl FnOnce(&mut Self)) {
-        self.door.now = self.door.clock.now();
-        if catch_unwind(AssertUnwindSafe(|| act(self))).is_err() {
+    fn call_balancer(&mut self, action: impl FnOnce(&mut Self)) {
+        self.platform.now = self.platform.clock.now();
+        if catch_unwind(AssertUnwindSafe(|| action(self))).is_err() {
             log::error!("the decision module panicked");
-            self.door.schedule_timer(RECOVER);
+            self.platform.schedule_timer(PANIC_RECOVERY);
         }
         // Those that waited may be answered in a call that is about another RPC or about none.
-        while let Some(id) = self.door.answered.pop() {
-            self.let_go(id);
+        while let Some(id) = self.platform.answered.pop() {
+            self.release(id);
         }
     }
 
-    fn on_rpc(&mut self, id: u64, act: impl FnOnce(&RpcHandle, &mut DaemonPlatform)) {
-        self.call(|core| {
-            let Some(rpc) = core.rpcs.get(&id) else {
+    fn on_rpc(&mut self, id: u64, action: impl FnOnce(&RpcHandle, &mut DaemonPlatform)) {
+        self.call_balancer(|actor| {
+            let Some(rpc) = actor.rpcs.get(&id) else {
                 return;
             };
-            act(rpc, &mut core.door);
-            core.let_go(id);
+            action(rpc, &mut actor.platform);
+            actor.release(id);
         });
     }
 
     /// Withdraws what was not yet sent for an RPC that is over, also where the settings allow no cancelling,
     /// and gives back what it held once all its picks have ended.
-    fn let_go(&mut self, id: u64) {
-        if let Some(held) = self
-            .door
-            .held
+    fn release(&mut self, id: u64) {
+        if let Some(in_flight) = self
+            .platform
+            .in_flight
             .get_mut(&id)
-            .filter(|held| held.answer.is_none())
+            .filter(|in_flight| in_flight.answer.is_none())
         {
-            held.attempts
+            in_flight
+                .attempts
                 .iter_mut()
                 .filter_map(Option::take)
-                .for_each(|stop| _ = stop.send(()));
+                .for_each(|cancel| _ = cancel.send(()));
         }
         if self.rpcs.get(&id).is_some_and(RpcHandle::is_finished) {
             self.rpcs.remove(&id);
-            self.door.held.remove(&id);
+            self.platform.in_flight.remove(&id);
         }
     }
 
     /// Puts other settings in force, all in this turn.
-    fn adopt(&mut self, update: ConfigUpdate) {
-        let begun = Instant::now();
+    fn apply_update(&mut self, update: ConfigUpdate) {
+        let started = Instant::now();
         let ConfigUpdate {
             settings,
             kept,
@@ -456,22 +497,23 @@
             watch,
             done,
         } = update;
-        self.windows = settings.methods.iter().map(window).collect();
+        self.deduplication_windows = settings.methods.iter().map(deduplication_window).collect();
         let before = self.names.replace(names.into());
-        self.call(|core| {
-            core.balancer
-                .apply_settings(&settings, &kept, &mut core.door)
+        self.call_balancer(|actor| {
+            actor
+                .balancer
+                .apply_settings(&settings, &kept, &mut actor.platform)
         });
         match watch {
-            Some(settings) => {
-                self.watch(|watch, now, asked| watch.adopt(now, asked, &settings, &kept))
-            }
-            None => (self.watch, self.door.asked) = (None, None),
+            Some(settings) => self.replay_to_shadow(|shadow, now, recorded| {
+                shadow.apply_settings(now, recorded, &settings, &kept)
+            }),
+            None => (self.shadow, self.platform.recorded) = (None, None),
         }
-        let _ = done.send((before, begun.elapsed()));
+        let _ = done.send((before, started.elapsed()));
     }
 
-    fn take(
+    fn accept_rpc(
         &mut self,
         id: u64,
         mut rpc: ReceivedRpc,
@@ -484,20 +526,24 @@
             return;
         }
         log::trace!("RPC {id}: method {}, {:?}", rpc.method, rpc.waits);
-        let deadline = rpc.at + rpc.waits.saturating_sub(MARGIN);
+        let deadline = rpc.at + rpc.waits.saturating_sub(CLIENT_MARGIN);
         let arrival = IncomingRpc {
             id,
             method: rpc.method,
             tenant: rpc.tenant,
-            deadline: self.door.clock.seconds(deadline),
+            deadline: self.platform.clock.to_seconds(deadline),
             expected_work: rpc.expected_work,
             client_retry: rpc.client_repeat,
             streams_request: rpc.message.upload().is_some(),
             key: rpc.key,
         };
-        let (attempts, may_have_run, window) = (Vec::new(), Vec::new(), self.windows[rpc.method]);
-        let (message, answer, _opened) = (rpc.message, Some(answer), opened);
-        self.door.held.insert(
+        let (attempts, may_have_run_since, deduplication_window) = (
+            Vec::new(),
+            Vec::new(),
+            self.deduplication_windows[rpc.method],
+        );
+        let (message, answer, _request_id) = (rpc.message, Some(answer), opened);
+        self.platform.in_flight.insert(
             id,
             InFlightRpc {
                 message,
@@ -505,31 +551,36 @@
                 deadline,
                 answer,
                 attempts,
-                window,
-                may_have_run,
-                _opened,
+                deduplication_window,
+                may_have_run_since,
+                _request_id,
             },
         );
-        self.call(|core| {
-            let rpc = core.balancer.accept(&arrival, &mut core.door);
-            core.rpcs.insert(id, rpc);
+        self.call_balancer(|actor| {
+            let rpc = actor.balancer.accept(&arrival, &mut actor.platform);
+            actor.rpcs.insert(id, rpc);
         });
-        self.watch(|watch, now, asked| watch.take(now, asked, &arrival));
+        self.replay_to_shadow(|shadow, now, recorded| shadow.accept(now, recorded, &arrival));
     }
 
-    fn hung_up(&mut self, id: u64) {
+    fn on_client_disconnected(&mut self, id: u64) {
         log::trace!("RPC {id}: hung up");
         if !self.rpcs.contains_key(&id) {
-            self.door.held.remove(&id); // One that the module lost when it panicked.
+            self.platform.in_flight.remove(&id); // One that the module lost when it panicked.
         }
-        self.on_rpc(id, |rpc, door| {
-            door.held.get_mut(&id).map(|held| held.answer.take());
-            rpc.on_client_disconnected(door);
+        self.on_rpc(id, |rpc, platform| {
+            platform
+                .in_flight
+                .get_mut(&id)
+                .map(|in_flight| in_flight.answer.take());
+            rpc.on_client_disconnected(platform);
+        });
+        self.replay_to_shadow(|shadow, now, recorded| {
+            shadow.on_client_disconnected(now, recorded, id)
         });
-        self.watch(|watch, now, asked| watch.hung_up(now, asked, id));
     }
 
-    fn ended(
+    fn on_attempt_ended(
         &mut self,
         id: u64,
         attempt: usize,
@@ -538,42 +589,42 @@
         body: Bytes,
     ) {
         log::trace!("RPC {id}: attempt {attempt} {outcome:?}");
-        let outcome = self.told(outcome, AttemptOutcome::Cancelled);
+        let outcome = self.reliable_outcome(outcome, AttemptOutcome::Cancelled);
         // An answer that is ok ends it; it goes to the client below.
-        let held = self.door.held.get(&id);
-        let over =
-            outcome == AttemptOutcome::Succeeded || held.is_none_or(|held| held.answer.is_none());
-        let spent = held
-            .and_then(|held| held.message.upload())
+        let in_flight = self.platform.in_flight.get(&id);
+        let over = outcome == AttemptOutcome::Succeeded
+            || in_flight.is_none_or(|in_flight| in_flight.answer.is_none());
+        let spent = in_flight
+            .and_then(|in_flight| in_flight.message.upload())
             .is_some_and(|upload| upload.is_spent());
-        self.on_rpc(id, |rpc, door| {
-            if let Some(held) = door.held.get_mut(&id) {
-                held.attempts[attempt] = None;
+        self.on_rpc(id, |rpc, platform| {
+            if let Some(in_flight) = platform.in_flight.get_mut(&id) {
+                in_flight.attempts[attempt] = None;
                 if outcome.never_ran() {
-                    held.may_have_run[attempt] = None;
+                    in_flight.may_have_run_since[attempt] = None;
                 }
             }
             if spent {
                 rpc.forbid_retry();
             }
             if outcome == AttemptOutcome::Succeeded {
-                door.give(id, ProxyResponse::Ok(body));
+                platform.respond(id, ProxyResponse::Ok(body));
             }
-            rpc.on_attempt_ended(attempt, outcome, over, report, door);
+            rpc.on_attempt_ended(attempt, outcome, over, report, platform);
         });
-        if let Some(watch) = self.watch.as_ref().filter(|_| spent) {
-            watch.unrepeatable(id);
+        if let Some(shadow) = self.shadow.as_ref().filter(|_| spent) {
+            shadow.forbid_retry(id);
         }
-        self.watch(|watch, now, asked| {
-            watch.ended(now, asked, (id, attempt), outcome, over, report)
+        self.replay_to_shadow(|shadow, now, recorded| {
+            shadow.on_attempt_ended(now, recorded, (id, attempt), outcome, over, report)
         });
     }
 
     /// Tells the module anew of the backends whose bans have changed, and then that it is done.
-    fn ordered(&mut self) {
-        self.keep_time();
+    fn apply_admin_state(&mut self) {
+        self.check_heartbeat();
         let (turn, bans, others) = {
-            let now = self.standing.borrow_and_update();
+            let now = self.state.borrow_and_update();
             (now.turn, now.orders.bans.clone(), now.others.living)
         };
         self.balancer.set_process_count(others + 1);
@@ -583,24 +634,24 @@
             .cloned()
             .collect();
         if !listed.is_empty() {
-            self.news(&EndpointUpdate {
+            self.update_endpoints(&EndpointUpdate {
                 version: 0,
                 kind: EndpointUpdateKind::Administrative,
                 listed,
             });
         }
-        self.standings.carried_out(turn);
+        self.state_store.carried_out(turn);
     }
 
     /// Gives up the numbers of backends that went some time ago. Looks at these only: guards against a walk over the fleet
     /// with every change.
-    fn forget(&mut self, now: Instant) {
-        let (numbers, backends) = (&mut self.numbers, &self.door.backends);
-        self.leaving.retain(|uid| {
+    fn forget_removed(&mut self, now: Instant) {
+        let (numbers, backends) = (&mut self.numbers, &self.platform.backends);
+        self.removed.retain(|uid| {
             let Some((number, heard)) = numbers.get(uid) else {
                 return false;
             };
-            let (back, fresh) = (backends.contains_key(number), now < *heard + FORGET);
+            let (back, fresh) = (backends.contains_key(number), now < *heard + FORGET_AFTER);
             if !back && !fresh {
                 numbers.remove(uid);
             }
@@ -609,31 +660,34 @@
     }
 
     #[expect(clippy::too_many_lines)]
-    fn news(&mut self, news: &EndpointUpdate) {
-        if news.kind.is_snapshot() {
-            let named: HashSet<_> = news.listed.iter().map(|l| l.uid.as_str()).collect();
+    fn update_endpoints(&mut self, update: &EndpointUpdate) {
+        if update.kind.is_snapshot() {
+            let named: HashSet<_> = update.listed.iter().map(|l| l.uid.as_str()).collect();
             self.listed.retain(|name, _| named.contains(name.as_str()));
-            let known = news.listed.iter().filter_map(|l| self.numbers.get(&l.uid));
+            let known = update
+                .listed
+                .iter()
+                .filter_map(|l| self.numbers.get(&l.uid));
             let listed: HashSet<_> = known.map(|(number, _)| *number).collect();
-            self.door
+            self.platform
                 .backends
                 .retain(|number, _| listed.contains(number));
         }
         let (mut entries, now) = (Vec::new(), Instant::now());
-        for listed in &news.listed {
+        for listed in &update.listed {
             match listed.readiness {
                 Readiness::Removed => drop(self.listed.remove(&listed.uid)),
                 _ => drop(self.listed.insert(listed.uid.clone(), listed.clone())),
             }
             // The one place where a ban counts: all that follows takes the backend for what this says.
             let (readiness, boot_ms) =
-                self.standing
+                self.state
                     .borrow()
                     .orders
                     .tells(&listed.uid, listed.readiness, listed.boot_ms);
             let number = || {
-                self.next += 1;
-                (self.next - 1, now)
+                self.next_number += 1;
+                (self.next_number - 1, now)
             };
             let (backend, heard) = self
                 .numbers
@@ -641,23 +695,27 @@
                 .or_insert_with(number);
             *heard = now;
             let backend = *backend;
-            let facts = EndpointInfo {
+            let info = EndpointInfo {
                 endpoint: listed.endpoint,
                 ready: readiness == Readiness::Ready,
             };
             if readiness == Readiness::Removed {
-                self.door.backends.remove(&backend);
-                self.leaving.insert(listed.uid.clone());
-            } else if let Some(known) = self.door.backends.get(&backend) {
-                known.facts.send_replace(facts);
+                self.platform.backends.remove(&backend);
+                self.removed.insert(listed.uid.clone());
+            } else if let Some(known) = self.platform.backends.get(&backend) {
+                known.info.send_replace(info);
             } else {
-                self.door.backends.insert(
+                self.platform.backends.insert(
                     backend,
-                    EndpointHandle::start(facts, self.limits, self.budget.clone()),
+                    EndpointHandle::start(info, self.limits, self.budget.clone()),
                 );
             }
-            let size = if self.sized { listed.size } else { 1.0 };
-            let started = self.door.clock.unix_ms(boot_ms);
+            let size = if self.uses_relative_size {
+                listed.size
+            } else {
+                1.0
+            };
+            let started = self.platform.clock.from_unix_ms(boot_ms);
             // One of no known zone or cell shares it with nobody: it may not drop another's repeats.
             let zone = self.zones.iter().position(|z| *z == listed.zone);
             let zone = zone.unwrap_or(self.zones.len() + backend as usize);
@@ -671,26 +729,29 @@
                 readiness,
             });
         }
-        if news.kind.is_snapshot() {
+        if update.kind.is_snapshot() {
             let left_out = self
                 .numbers
                 .iter()
-                .filter(|(_, (number, _))| !self.door.backends.contains_key(number));
-            self.leaving = left_out.map(|(uid, _)| uid.clone()).collect();
+                .filter(|(_, (number, _))| !self.platform.backends.contains_key(number));
+            self.removed = left_out.map(|(uid, _)| uid.clone()).collect();
         }
-        self.forget(now);
-        if !news.listed.is_empty() && news.kind != EndpointUpdateKind::Administrative {
+        self.forget_removed(now);
+        if !update.listed.is_empty() && update.kind != EndpointUpdateKind::Administrative {
             log::info!(
                 "list version {}: {} lines, {:?}",
-                news.version,
-                news.listed.len(),
-                news.kind
+                update.version,
+                update.listed.len(),
+                update.kind
             );
         }
-        self.call(|core| {
-            core.balancer
-                .update_endpoints(news.kind, &entries, &mut core.door)
+        self.call_balancer(|actor| {
+            actor
+                .balancer
+                .update_endpoints(update.kind, &entries, &mut actor.platform)
+        });
+        self.replay_to_shadow(|shadow, now, recorded| {
+            shadow.update_endpoints(now, recorded, update.kind, &entries)
         });
-        self.watch(|watch, now, asked| watch.list(now, asked, news.kind, &entries));
     }
 }
--- a/crates/daemon/src/upstream/endpoint.rs
+++ b/crates/daemon/src/upstream/endpoint.rs
@@ -25,13 +25,13 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 const MAILBOX: usize = 256; // jobs not yet begun; beyond, they end as never sent
-const KEEP_PART: f64 = 0.6; // of the idle time after which the other side closes: never write to a closed one
-const KEEP_LEAST: Duration = Duration::from_millis(50); // most connections are used again sooner
-const KEEP_GROW: f64 = 1.001; // times, with each answer on a kept connection: doubled in 700 answers
-const STALL: Duration = Duration::from_secs(5); // for a long request that makes no way: peers pause for seconds
-const FLOW_STALL: Duration = Duration::from_secs(30); // for a backend that gives nothing of an answer it has begun
+const IDLE_TIMEOUT_FRACTION: f64 = 0.6; // of the idle time after which the other side closes: never write to a closed one
+const MIN_REUSE: Duration = Duration::from_millis(50); // most connections are used again sooner
+const REUSE_GROWTH: f64 = 1.001; // times, with each answer on a kept connection: doubled in 700 answers
+const UPLOAD_STALL: Duration = Duration::from_secs(5); // for a long request that makes no way: peers pause for seconds
+const RESPONSE_STALL: Duration = Duration::from_secs(30); // for a backend that gives nothing of an answer it has begun
 // For a connection after an answer: what comes behind that in this time would answer the next.
-const QUIET: Duration = Duration::from_millis(5);
+const QUIET_PERIOD: Duration = Duration::from_millis(5);
 
 /// What the list says of a backend's sockets.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -49,8 +49,8 @@
 
 impl ConnectionLimits {
     /// How long a connection is kept at the most.
-    fn keep(&self) -> Duration {
-        self.idle.mul_f64(KEEP_PART)
+    fn max_reuse(&self) -> Duration {
+        self.idle.mul_f64(IDLE_TIMEOUT_FRACTION)
     }
 }
 
@@ -62,10 +62,10 @@
 }
 
 /// How a pick or probe ended, the report that came along, and the answer's body.
-type End = (AttemptOutcome, Option<LoadReport>, Bytes);
+type ExchangeResult = (AttemptOutcome, Option<LoadReport>, Bytes);
 
 impl ExchangeKind {
-    pub(crate) fn end(self, (outcome, report, body): End) -> Event {
+    pub(crate) fn end(self, (outcome, report, body): ExchangeResult) -> Event {
         match self {
             Self::Attempt { rpc, attempt } => Event::AttemptEnded {
                 rpc,
@@ -85,49 +85,49 @@
 
 /// The duty to tell the core how a pick or probe ended; done when dropped.
 pub(crate) struct CompletionGuard {
-    errand: ExchangeKind,
-    core: mpsc::Sender<Event>,
+    kind: ExchangeKind,
+    events: mpsc::Sender<Event>,
     permit: Option<OwnedPermit<Event>>,
     /// A byte of it may be on its way.
     sent: Cell<bool>,
     /// Its answer is on its way to the client.
-    begun: Cell<bool>,
-    end: Option<End>,
+    started: Cell<bool>,
+    end: Option<ExchangeResult>,
 }
 
 impl CompletionGuard {
     pub(crate) fn new(
-        errand: ExchangeKind,
-        core: mpsc::Sender<Event>,
+        kind: ExchangeKind,
+        events: mpsc::Sender<Event>,
         permit: OwnedPermit<Event>,
     ) -> Self {
-        let (sent, begun) = Default::default();
+        let (sent, started) = Default::default();
         Self {
-            errand,
-            core,
+            kind,
+            events,
             permit: Some(permit),
             sent,
-            begun,
+            started,
             end: None,
         }
     }
 
     /// The request's last byte was taken.
-    async fn tell_whole(&self) {
-        if let ExchangeKind::Attempt { rpc, attempt } = self.errand {
-            let _ = self.core.send(Event::RequestSent { rpc, attempt }).await;
+    async fn report_request_sent(&self) {
+        if let ExchangeKind::Attempt { rpc, attempt } = self.kind {
+            let _ = self.events.send(Event::RequestSent { rpc, attempt }).await;
         }
     }
 
     /// The answer begins.
-    async fn tell_begun(&self, flow: StreamedBody) {
-        if let ExchangeKind::Attempt { rpc, attempt } = self.errand {
+    async fn report_response_started(&self, flow: StreamedBody) {
+        if let ExchangeKind::Attempt { rpc, attempt } = self.kind {
             let _ = self
-                .core
+                .events
                 .send(Event::ResponseStarted { rpc, attempt, flow })
                 .await;
         }
-        self.begun.set(true);
+        self.started.set(true);
     }
 }
 
@@ -142,7 +142,7 @@
         let Some(permit) = self.permit.take() else {
             return;
         };
-        permit.send(self.errand.end(end));
+        permit.send(self.kind.end(end));
     }
 }
 
@@ -151,7 +151,7 @@
 
 /// Until when a job is run, and by when its first byte has to be sent, if that is limited.
 #[derive(Clone, Copy)]
-pub(crate) struct Times {
+pub(crate) struct Deadlines {
     pub until: Instant,
     pub send_by: Option<Instant>,
 }
@@ -161,29 +161,29 @@
     pub message: ParsedRequest,
     /// Of whom it is run for; none for a probe.
     pub client: Option<ClientLiveness>,
-    pub times: Times,
-    pub stop: CancelSignal,
-    pub ticket: CompletionGuard,
+    pub deadlines: Deadlines,
+    pub cancel: CancelSignal,
+    pub completion: CompletionGuard,
 }
 
 /// The core's end of a backend.
 pub(crate) struct EndpointHandle {
     /// Boxed: a mailbox sets room for 32 aside at once, and most backends of a large fleet have nothing in it.
     pub mailbox: mpsc::Sender<Box<Exchange>>,
-    pub facts: watch::Sender<EndpointInfo>,
+    pub info: watch::Sender<EndpointInfo>,
 }
 
 /// An idle connection, which the budget may give up for another, and the task that watches over it.
 struct IdleConnection {
-    conn: RefCell<Option<Connection>>,
+    connection: RefCell<Option<Connection>>,
     used: Instant,
-    offer: RefCell<Option<EvictionCandidate>>,
+    candidate: RefCell<Option<EvictionCandidate>>,
     watch: RefCell<Option<JoinHandle<()>>>,
 }
 
 impl Evictable for IdleConnection {
     fn give_up(&self) -> bool {
-        self.conn.borrow_mut().take().is_some()
+        self.connection.borrow_mut().take().is_some()
     }
 }
 
@@ -196,56 +196,56 @@
 }
 
 struct EndpointActor {
-    facts: watch::Receiver<EndpointInfo>,
-    kept: RefCell<Vec<Rc<IdleConnection>>>, // the latest used last
-    keep: Cell<Duration>, // how long a connection may stand idle and still be used
+    info: watch::Receiver<EndpointInfo>,
+    idle: RefCell<Vec<Rc<IdleConnection>>>, // the latest used last
+    reuse_within: Cell<Duration>, // how long a connection may stand idle and still be used
     limits: ConnectionLimits,
     budget: Rc<SocketBudget>,
 }
 
 impl EndpointHandle {
     pub(crate) fn start(
-        facts: EndpointInfo,
+        info: EndpointInfo,
         limits: ConnectionLimits,
         budget: Rc<SocketBudget>,
     ) -> Self {
-        let (mailbox, jobs) = mpsc::channel(MAILBOX);
-        let (sender, receiver) = watch::channel(facts);
-        let (kept, keep) = (RefCell::default(), limits.keep().into());
+        let (mailbox, exchanges) = mpsc::channel(MAILBOX);
+        let (sender, receiver) = watch::channel(info);
+        let (idle, reuse_within) = (RefCell::default(), limits.max_reuse().into());
         let peer = EndpointActor {
-            facts: receiver,
-            kept,
-            keep,
+            info: receiver,
+            idle,
+            reuse_within,
             limits,
             budget,
         };
-        spawn_local(Rc::new(peer).run(jobs));
+        spawn_local(Rc::new(peer).run(exchanges));
         Self {
             mailbox,
-            facts: sender,
+            info: sender,
         }
     }
 }
 
 impl EndpointActor {
-    async fn run(self: Rc<Self>, mut jobs: mpsc::Receiver<Box<Exchange>>) {
-        let mut facts = self.facts.clone();
-        let mut endpoint = facts.borrow_and_update().endpoint;
+    async fn run(self: Rc<Self>, mut exchanges: mpsc::Receiver<Box<Exchange>>) {
+        let mut info = self.info.clone();
+        let mut endpoint = info.borrow_and_update().endpoint;
         loop {
             select! {
                 biased;
-                told = facts.changed() => {
-                    let now = *facts.borrow_and_update();
+                told = info.changed() => {
+                    let now = *info.borrow_and_update();
                     if told.is_err() || !now.ready || now.endpoint != endpoint {
-                        self.kept.borrow_mut().clear();
+                        self.idle.borrow_mut().clear();
                         endpoint = now.endpoint;
                     }
                     if told.is_err() {
                         return; // Gone from the list. Jobs that run go on by themselves.
                     }
                 }
-                job = jobs.recv() => match job {
-                    Some(job) => drop(spawn_local(self.clone().serve(job))),
+                exchange_request = exchanges.recv() => match exchange_request {
+                    Some(exchange_request) => drop(spawn_local(self.clone().run_exchange(exchange_request))),
                     None => return,
                 },
             }
@@ -254,15 +254,15 @@
 
     /// Watches over one idle connection: drops it when the other side closes it or it was kept long enough. A task
     /// for each, woken by its own socket: guards against a look at all of them with every answer.
-    async fn watch(self: Rc<Self>, kept: Weak<IdleConnection>, until: Instant) {
+    async fn watch(self: Rc<Self>, idle: Weak<IdleConnection>, until: Instant) {
         let closed = poll_fn(|cx| {
-            let closed = |kept: Rc<IdleConnection>| {
-                kept.conn
+            let closed = |idle: Rc<IdleConnection>| {
+                idle.connection
                     .borrow_mut()
                     .as_mut()
                     .is_none_or(|c| c.poll_closed(cx))
             };
-            if kept.upgrade().is_none_or(closed) {
+            if idle.upgrade().is_none_or(closed) {
                 Poll::Ready(())
             } else {
                 Poll::Pending
@@ -272,25 +272,25 @@
             () = closed => {}
             () = sleep_until(until) => {}
         }
-        if let Some(kept) = kept.upgrade() {
-            self.kept.borrow_mut().retain(|k| !Rc::ptr_eq(k, &kept));
+        if let Some(idle) = idle.upgrade() {
+            self.idle.borrow_mut().retain(|k| !Rc::ptr_eq(k, &idle));
         }
     }
 
     #[expect(clippy::too_many_lines)]
-    async fn serve(self: Rc<Self>, job: Box<Exchange>) {
+    async fn run_exchange(self: Rc<Self>, exchange_request: Box<Exchange>) {
         let Exchange {
             message,
             client,
-            times: Times { until, send_by },
-            stop,
-            mut ticket,
-        } = *job;
-        let (begun, sent) = (Instant::now(), &ticket.sent);
-        let written = Progress::default();
+            deadlines: Deadlines { until, send_by },
+            cancel,
+            mut completion,
+        } = *exchange_request;
+        let (started, sent) = (Instant::now(), &completion.sent);
+        let written = WriteProgress::default();
         let stopped = async {
-            let dropped = match stop {
-                Some(stop) => stop.await.is_err(),
+            let dropped = match cancel {
+                Some(cancel) => cancel.await.is_err(),
                 None => pending().await,
             };
             if !dropped && sent.get() {
@@ -303,46 +303,46 @@
                 None => sleep_until(until).await,
                 Some(upload) => {
                     let whole = upload.whole().await;
-                    ticket.tell_whole().await;
-                    sleep_until(whole + (until - begun)).await;
+                    completion.report_request_sent().await;
+                    sleep_until(whole + (until - started)).await;
                 }
             }
-            if ticket.begun.get() {
+            if completion.started.get() {
                 pending::<()>().await;
             }
         };
         let ended = select! {
             biased;
-            () = stopped => Ended::Withdrawn,
-            () = self.withdrawn(sent) => Ended::Withdrawn,
-            () = too_late(send_by, sent) => Ended::Withdrawn,
-            end = self.exchange(&message, &client, until, &ticket, &written) => Ended::Itself(end),
-            () = late => Ended::Late,
-            () = stalled(&message, &written) => Ended::Stalled,
+            () = stopped => Ending::Withdrawn,
+            () = self.endpoint_unavailable(sent) => Ending::Withdrawn,
+            () = send_window_closed(send_by, sent) => Ending::Withdrawn,
+            end = self.exchange(&message, &client, until, &completion, &written) => Ending::Completed(end),
+            () = late => Ending::TimedOut,
+            () = stalled(&message, &written) => Ending::Stalled,
         };
         // The connection of a pick that was given up is closed by now, before the core hears of it.
         let nothing = |outcome| Some((outcome, None, Bytes::new()));
-        ticket.end = match ended {
-            Ended::Withdrawn if !message.may_be_whole() => nothing(AttemptOutcome::NotSent),
-            Ended::Withdrawn => None,
-            Ended::Itself(end) => Some(end),
-            Ended::Stalled if message.upload().is_some_and(|upload| upload.is_hungry()) => {
+        completion.end = match ended {
+            Ending::Withdrawn if !message.may_be_whole() => nothing(AttemptOutcome::NotSent),
+            Ending::Withdrawn => None,
+            Ending::Completed(end) => Some(end),
+            Ending::Stalled if message.upload().is_some_and(|upload| upload.is_hungry()) => {
                 nothing(AttemptOutcome::NotSent)
             }
-            Ended::Late if sent.get() => {
+            Ending::TimedOut if sent.get() => {
                 // A machine that vanished leaves its connections silent.
-                self.kept.borrow_mut().retain(|k| k.used > begun);
+                self.idle.borrow_mut().retain(|k| k.used > started);
                 nothing(AttemptOutcome::TimedOut)
             }
-            Ended::Late | Ended::Stalled => nothing(AttemptOutcome::ConnectFailed),
+            Ending::TimedOut | Ending::Stalled => nothing(AttemptOutcome::ConnectFailed),
         };
     }
 
     /// Ends once the backend takes nothing new, if nothing was sent by then.
-    async fn withdrawn(&self, sent: &Cell<bool>) {
-        let mut facts = self.facts.clone();
+    async fn endpoint_unavailable(&self, sent: &Cell<bool>) {
+        let mut info = self.info.clone();
         // An error means that the backend is gone from the list.
-        let _ = facts.wait_for(|facts| !facts.ready).await.map(drop);
+        let _ = info.wait_for(|info| !info.ready).await.map(drop);
         if sent.get() {
             pending::<()>().await;
         }
@@ -354,11 +354,11 @@
         message: &ParsedRequest,
         client: &Option<ClientLiveness>,
         until: Instant,
-        ticket: &CompletionGuard,
-        written: &Progress,
-    ) -> End {
+        completion: &CompletionGuard,
+        written: &WriteProgress,
+    ) -> ExchangeResult {
         let nothing = |outcome| (outcome, None, Bytes::new());
-        let sent = &ticket.sent;
+        let sent = &completion.sent;
         // What broke before the last byte of the request was written has not run.
         let broken = || {
             nothing(if message.may_be_whole() {
@@ -368,11 +368,11 @@
             })
         };
         loop {
-            let endpoint = self.facts.borrow().endpoint;
-            let kept = self.take().await;
-            let fresh = kept.is_none();
-            let conn = match kept {
-                Some(conn) => Some(conn),
+            let endpoint = self.info.borrow().endpoint;
+            let idle = self.take().await;
+            let fresh = idle.is_none();
+            let connection = match idle {
+                Some(connection) => Some(connection),
                 None => {
                     let Some(place) = self.budget.place(SocketClass::Backends) else {
                         return nothing(AttemptOutcome::NotSent);
@@ -385,7 +385,7 @@
                     .await
                 }
             };
-            let Some(mut conn) = conn else {
+            let Some(mut connection) = connection else {
                 return nothing(AttemptOutcome::ConnectFailed);
             };
             // Guards against what begins for a client that has gone, whatever it waited for and however late this
@@ -396,28 +396,32 @@
                 return pending().await;
             }
             // It moved while this connection came up, or was about to be taken: another may live there by now.
-            if self.facts.borrow().endpoint != endpoint {
+            if self.info.borrow().endpoint != endpoint {
                 continue;
             }
-            written.replace(Some(conn.progress()));
+            written.replace(Some(connection.progress()));
             let left = until.saturating_duration_since(Instant::now());
-            let idle = conn.used.elapsed();
-            match conn
+            let idle = connection.used.elapsed();
+            match connection
                 .exchange(message.encode(left), KEPT, !message.is_probe(), sent)
                 .await
             {
                 Ok(mut reply) => {
                     if !fresh {
-                        self.keep
-                            .update(|keep| keep.mul_f64(KEEP_GROW).min(self.limits.keep()));
+                        self.reuse_within.update(|reuse_within| {
+                            reuse_within
+                                .mul_f64(REUSE_GROWTH)
+                                .min(self.limits.max_reuse())
+                        });
                     }
                     if reply.goes_on
-                        && let Some(fault) = pass_on(&mut conn, &mut reply, ticket).await
+                        && let Some(fault) =
+                            stream_response(&mut connection, &mut reply, completion).await
                     {
                         return nothing(fault);
                     }
-                    self.keep(conn, endpoint, &reply.headers).await;
-                    return judge(reply, message.is_probe());
+                    self.store(connection, endpoint, &reply.headers).await;
+                    return classify(reply, message.is_probe());
                 }
                 // A kept connection had ended before anything of this was written: another may be tried.
                 Err(ConnectionError::Unsent) if !fresh => {}
@@ -425,8 +429,8 @@
                 Err(ConnectionError::Broken) => {
                     // Guards against a path that forgets connections sooner than the settings say.
                     if !fresh {
-                        self.keep
-                            .update(|keep| (idle / 2).max(KEEP_LEAST).min(keep));
+                        self.reuse_within
+                            .update(|reuse_within| (idle / 2).max(MIN_REUSE).min(reuse_within));
                     }
                     return broken();
                 }
@@ -440,78 +444,78 @@
         // What has come is to be seen first. Guards against bytes behind an answer that answer the next RPC.
         yield_now().await;
         loop {
-            let kept = self.latest()?;
-            let conn = kept.conn.borrow_mut().take();
-            if let Some(mut conn) = conn
-                && conn.usable().await
+            let idle = self.latest()?;
+            let connection = idle.connection.borrow_mut().take();
+            if let Some(mut connection) = connection
+                && connection.usable().await
             {
-                return Some(conn);
+                return Some(connection);
             }
         }
     }
 
     /// The latest used one that has been quiet. Those kept for longer than has proved good since go: they are the first.
     fn latest(&self) -> Option<Rc<IdleConnection>> {
-        let (now, keep) = (Instant::now(), self.keep.get());
-        let mut all = self.kept.borrow_mut();
-        let old = all.partition_point(|k| k.used + keep <= now);
+        let (now, reuse_within) = (Instant::now(), self.reuse_within.get());
+        let mut all = self.idle.borrow_mut();
+        let old = all.partition_point(|k| k.used + reuse_within <= now);
         all.drain(..old);
-        let place = all.iter().rposition(|k| k.used + QUIET <= now)?;
+        let place = all.iter().rposition(|k| k.used + QUIET_PERIOD <= now)?;
         Some(all.remove(place))
     }
 
     /// Keeps a connection for the next job, unless it or its backend ends or the backend has moved meanwhile.
-    async fn keep(
+    async fn store(
         self: &Rc<Self>,
-        mut conn: Connection,
+        mut connection: Connection,
         endpoint: SocketAddr,
         headers: &HeaderMap,
     ) {
         let closes = headers
             .get(CONNECTION)
             .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
-        let alive = !closes && conn.alive().await;
-        let listed = self.facts.has_changed().is_ok();
+        let alive = !closes && connection.alive().await;
+        let listed = self.info.has_changed().is_ok();
         if alive
             && listed
-            && *self.facts.borrow()
+            && *self.info.borrow()
                 == (EndpointInfo {
                     endpoint,
                     ready: true,
                 })
         {
-            let used = conn.used;
-            let (offer, watch) = Default::default();
-            let kept = Rc::new(IdleConnection {
-                conn: RefCell::new(Some(conn)),
+            let used = connection.used;
+            let (candidate, watch) = Default::default();
+            let idle = Rc::new(IdleConnection {
+                connection: RefCell::new(Some(connection)),
                 used,
-                offer,
+                candidate,
                 watch,
             });
-            kept.offer
-                .replace(Some(self.budget.offer(SocketClass::Backends, 0, &kept)));
+            idle.candidate
+                .replace(Some(self.budget.offer(SocketClass::Backends, 0, &idle)));
             let watching = self
                 .clone()
-                .watch(Rc::downgrade(&kept), used + self.keep.get());
-            kept.watch.replace(Some(spawn_local(watching)));
-            self.kept.borrow_mut().push(kept);
+                .watch(Rc::downgrade(&idle), used + self.reuse_within.get());
+            idle.watch.replace(Some(spawn_local(watching)));
+            self.idle.borrow_mut().push(idle);
         }
     }
 }
 
 /// Bytes written on the connection that a pick goes out on, once it has one.
-type Progress = RefCell<Option<Rc<Cell<u64>>>>;
+type WriteProgress = RefCell<Option<Rc<Cell<u64>>>>;
 
 /// How a job came to its end.
-enum Ended {
+enum Ending {
     Withdrawn,
-    Itself(End),
-    Late,
+    Completed(ExchangeResult),
+    TimedOut,
     Stalled,
 }
 
 /// Ends when it is too late to send anything, if nothing was sent by then.
-async fn too_late(send_by: Option<Instant>, sent: &Cell<bool>) {
+async fn send_window_closed(send_by: Option<Instant>, sent: &Cell<bool>) {
     crate::clock::until(send_by).await;
     if sent.get() {
         pending::<()>().await;
@@ -519,14 +523,14 @@
 }
 
 /// Ends when a long request makes no way for too long before its last byte has come.
-async fn stalled(message: &ParsedRequest, written: &Progress) {
+async fn stalled(message: &ParsedRequest, written: &WriteProgress) {
     let Some(upload) = message.upload() else {
         return pending().await;
     };
     let so_far = || written.borrow().as_ref().map(|bytes| bytes.get());
     loop {
         let before = so_far();
-        sleep(STALL).await;
+        sleep(UPLOAD_STALL).await;
         if upload.is_whole() {
             return pending().await;
         }
@@ -537,19 +541,19 @@
 }
 
 /// Passes a long answer on as it comes, as fast as its client takes it; what went wrong, if it did not end well.
-async fn pass_on(
-    conn: &mut Connection,
+async fn stream_response(
+    connection: &mut Connection,
     reply: &mut Reply,
-    ticket: &CompletionGuard,
+    completion: &CompletionGuard,
 ) -> Option<AttemptOutcome> {
     let (source, flow) = flow(std::mem::take(&mut reply.body), reply.length);
-    ticket.tell_begun(flow).await;
+    completion.report_response_started(flow).await;
     let mut left = MOST;
     loop {
         let bytes = select! {
             biased;
             () = source.closed() => return Some(AttemptOutcome::Cancelled),
-            next = timeout(FLOW_STALL, conn.next()) => match next {
+            next = timeout(RESPONSE_STALL, connection.next()) => match next {
                 // Guards against answers that never end: no body may be longer.
                 Ok(Ok(Some(bytes))) if bytes.len() as u64 > left => return Some(AttemptOutcome::Reset),
                 Ok(Ok(Some(bytes))) => bytes,
@@ -567,7 +571,7 @@
 }
 
 /// What an answer means, as the protocol has it.
-fn judge(reply: Reply, probe: bool) -> End {
+fn classify(reply: Reply, probe: bool) -> ExchangeResult {
     let header = reply
         .headers
         .get("server-load")
@@ -603,7 +607,11 @@
             goes_on,
             length,
         };
-        let report = |probe| judge(reply(), probe).1.and_then(|report| report.in_flight);
+        let report = |probe| {
+            classify(reply(), probe)
+                .1
+                .and_then(|report| report.in_flight)
+        };
         assert_eq!((report(true), report(false)), (Some(9.0), None));
     }
 }
