--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -32,16 +32,16 @@
         self.base.elapsed().as_secs_f64()
     }
 
-    pub(crate) fn to_seconds(&self, at: Instant) -> f64 {
+    pub(crate) fn seconds_at(&self, at: Instant) -> f64 {
         at.duration_since(self.base).as_secs_f64()
     }
 
-    pub(crate) fn to_instant(&self, seconds: f64) -> Instant {
+    pub(crate) fn instant_at(&self, seconds: f64) -> Instant {
         self.base + Duration::from_secs_f64(seconds.clamp(0.0, 1e9))
     }
 
     /// A time in Unix milliseconds; 0 stands for long ago.
-    pub(crate) fn from_unix_ms(&self, ms: f64) -> Option<f64> {
+    pub(crate) fn seconds_at_unix_ms(&self, ms: f64) -> Option<f64> {
         (ms > 0.0).then(|| ms / 1e3 - self.wall)
     }
 }
--- a/crates/daemon/src/decision/actor.rs
+++ b/crates/daemon/src/decision/actor.rs
@@ -136,7 +136,7 @@
         in_flight.may_have_run_since.push(Some(Instant::now()));
         let until = self
             .clock
-            .to_instant(self.now + time_out)
+            .instant_at(self.now + time_out)
             .min(in_flight.deadline);
         let (message, client) = (in_flight.message.clone(), Some(in_flight.client.clone()));
         log::trace!("RPC {rpc}: attempt {attempt} to {backend} for {time_out:.3} s");
@@ -304,12 +304,12 @@
             let own = self
                 .platform
                 .timer_at
-                .map(|at| self.platform.clock.to_instant(at));
+                .map(|at| self.platform.clock.instant_at(at));
             let shadow = self
                 .shadow
                 .as_ref()
                 .and_then(ShadowEvaluator::timer_at)
-                .map(|at| self.platform.clock.to_instant(at));
+                .map(|at| self.platform.clock.instant_at(at));
             let wake = own.into_iter().chain(shadow).min();
             if wake.is_some_and(|at| at <= Instant::now()) {
                 self.wake(own.is_some_and(|at| at <= Instant::now()));
@@ -531,7 +531,7 @@
             id,
             method: rpc.method,
             tenant: rpc.tenant,
-            deadline: self.platform.clock.to_seconds(deadline),
+            deadline: self.platform.clock.seconds_at(deadline),
             expected_work: rpc.expected_work,
             client_retry: rpc.client_repeat,
             streams_request: rpc.message.upload().is_some(),
@@ -715,7 +715,7 @@
             } else {
                 1.0
             };
-            let started = self.platform.clock.from_unix_ms(boot_ms);
+            let started = self.platform.clock.seconds_at_unix_ms(boot_ms);
             // One of no known zone or cell shares it with nobody: it may not drop another's repeats.
             let zone = self.zones.iter().position(|z| *z == listed.zone);
             let zone = zone.unwrap_or(self.zones.len() + backend as usize);
