Rename what other modules use of downstream/ and net/ in the terms of the field

Cause: methods, variants and fields that cross folders still had names of the earlier house style. Change: renames at definitions and call sites only; Listener gets a constructor, as its private parts are no matter to main.rs. Log lines: the trace line of an RPC's response says 'rejected', 'failed' and 'ok, streamed' (was 'pushed back', 'aborted' and 'ok, as it comes').

--- a/crates/daemon/src/config/active.rs
+++ b/crates/daemon/src/config/active.rs
@@ -20,7 +20,10 @@
 }
 
 pub(crate) fn bad(why: &'static str) -> ProxyResponse {
-    ProxyResponse::Refused(StatusCode::BAD_REQUEST, why)
+    ProxyResponse::ClientError {
+        status: StatusCode::BAD_REQUEST,
+        message: why,
+    }
 }
 
 /// The verb of a method with this effect.
@@ -68,10 +71,10 @@
         self.methods
             .get(name)
             .copied()
-            .ok_or(ProxyResponse::Refused(
-                StatusCode::NOT_FOUND,
-                "no such method\n",
-            ))
+            .ok_or(ProxyResponse::ClientError {
+                status: StatusCode::NOT_FOUND,
+                message: "no such method\n",
+            })
     }
 
     pub(crate) fn tenant(&self, name: Option<&str>) -> Option<usize> {
--- a/crates/daemon/src/decision/actor.rs
+++ b/crates/daemon/src/decision/actor.rs
@@ -163,16 +163,11 @@
         );
     }
     fn reject(&mut self, rpc: u64, retry_after: f64) {
-        self.respond(
-            rpc,
-            ProxyResponse::PushedBack {
-                come_back: retry_after,
-            },
-        );
+        self.respond(rpc, ProxyResponse::Rejected { retry_after });
         self.record(rpc, Action::Reject);
     }
     fn fail(&mut self, rpc: u64) {
-        self.respond(rpc, ProxyResponse::Aborted);
+        self.respond(rpc, ProxyResponse::Failed);
         self.record(rpc, Action::Fail);
     }
     fn health_check(&mut self, backend: u32) {
@@ -187,7 +182,7 @@
         self.run(
             ExchangeKind::HealthCheck { backend },
             backend,
-            ParsedRequest::probe(),
+            ParsedRequest::health_check(),
             None,
             deadlines,
             None,
@@ -385,7 +380,7 @@
             }
             Event::ResponseStarted { rpc, attempt, flow } => {
                 self.on_rpc(rpc, |handle, platform| {
-                    platform.respond(rpc, ProxyResponse::Long(flow));
+                    platform.respond(rpc, ProxyResponse::Streamed(flow));
                     handle.on_response_started(attempt, PacedBy::Client, platform);
                 });
                 self.replay_to_shadow(|shadow, now, recorded| {
@@ -521,20 +516,20 @@
         client: ClientLiveness,
         answer: oneshot::Sender<ProxyResponse>,
     ) {
-        if let Err(told) = rpc.by(&self.names.borrow()) {
+        if let Err(told) = rpc.apply_names(&self.names.borrow()) {
             let _ = answer.send(told);
             return;
         }
-        log::trace!("RPC {id}: method {}, {:?}", rpc.method, rpc.waits);
-        let deadline = rpc.at + rpc.waits.saturating_sub(CLIENT_MARGIN);
+        log::trace!("RPC {id}: method {}, {:?}", rpc.method, rpc.timeout);
+        let deadline = rpc.received_at + rpc.timeout.saturating_sub(CLIENT_MARGIN);
         let arrival = IncomingRpc {
             id,
             method: rpc.method,
             tenant: rpc.tenant,
             deadline: self.platform.clock.to_seconds(deadline),
             expected_work: rpc.expected_work,
-            client_retry: rpc.client_repeat,
-            streams_request: rpc.message.upload().is_some(),
+            client_retry: rpc.is_client_retry,
+            streams_request: rpc.request.upload().is_some(),
             key: rpc.key,
         };
         let (attempts, may_have_run_since, deduplication_window) = (
@@ -542,7 +537,7 @@
             Vec::new(),
             self.deduplication_windows[rpc.method],
         );
-        let (message, answer, _request_id) = (rpc.message, Some(answer), opened);
+        let (message, answer, _request_id) = (rpc.request, Some(answer), opened);
         self.platform.in_flight.insert(
             id,
             InFlightRpc {
@@ -596,7 +591,7 @@
             || in_flight.is_none_or(|in_flight| in_flight.answer.is_none());
         let spent = in_flight
             .and_then(|in_flight| in_flight.message.upload())
-            .is_some_and(|upload| upload.is_spent());
+            .is_some_and(|upload| upload.is_consumed());
         self.on_rpc(id, |rpc, platform| {
             if let Some(in_flight) = platform.in_flight.get_mut(&id) {
                 in_flight.attempts[attempt] = None;
--- a/crates/daemon/src/discovery/client.rs
+++ b/crates/daemon/src/discovery/client.rs
@@ -330,7 +330,7 @@
     ) -> Result<EndpointUpdate, DiscoveryError> {
         let usable = match kept {
             None => false,
-            Some(conn) => conn.usable().await,
+            Some(conn) => conn.is_usable().await,
         };
         if !usable {
             *kept = None;
@@ -344,7 +344,7 @@
         let conn = kept
             .as_mut()
             .ok_or(DiscoveryError::Down("no connection".into()))?;
-        let mut message = Request::new(RequestBody::Whole(Full::default()));
+        let mut message = Request::new(RequestBody::Buffered(Full::default()));
         *message.uri_mut() = path
             .parse()
             .map_err(|_| DiscoveryError::Down("the call has no path".into()))?;
@@ -352,7 +352,7 @@
             .exchange(message, BODY_MOST, false, &Cell::new(false))
             .await;
         let reply = reply.map_err(|fault| match fault {
-            Broken::Spoilt => DiscoveryError::Malformed("the answer broke off".into()),
+            Broken::MalformedResponse => DiscoveryError::Malformed("the answer broke off".into()),
             fault => DiscoveryError::Down(format!("the connection failed: {fault:?}")),
         })?;
         if reply.status != StatusCode::OK {
--- a/crates/daemon/src/downstream/listener.rs
+++ b/crates/daemon/src/downstream/listener.rs
@@ -42,12 +42,12 @@
 const BREATHE: Duration = Duration::from_millis(10); // before accepting again where no socket is to be had
 
 pub(crate) struct Listener {
-    pub intake: RequestParser,
-    pub standing: watch::Receiver<ProxyState>,
-    pub budget: Rc<SocketBudget>,
-    pub core: mpsc::Sender<Event>,
-    pub next: Cell<u64>,
-    pub open: ActiveRequestIds,
+    intake: RequestParser,
+    standing: watch::Receiver<ProxyState>,
+    budget: Rc<SocketBudget>,
+    core: mpsc::Sender<Event>,
+    next: Cell<u64>,
+    open: ActiveRequestIds,
 }
 
 /// The `Request-Id`s of the RPCs of which a pick may still be out.
@@ -186,7 +186,9 @@
             phase => phase as u8 + 1,
         };
         if let Some(line) = self.itself.upgrade() {
-            let offer = self.budget.offer(SocketClass::Clients, rank, &line);
+            let offer = self
+                .budget
+                .register_evictable(SocketClass::Clients, rank, &line);
             self.offer.replace(Some(offer));
         }
     }
@@ -248,7 +250,7 @@
 }
 
 impl Evictable for ClientConnection {
-    fn give_up(&self) -> bool {
+    fn evict(&self) -> bool {
         if !self.busy() {
             self.given_up.set(true);
             self.turned.notify_one();
@@ -258,6 +260,23 @@
 }
 
 impl Listener {
+    /// Accepts clients within the budget and hands their RPCs over as events.
+    pub(crate) fn new(
+        intake: RequestParser,
+        standing: watch::Receiver<ProxyState>,
+        budget: Rc<SocketBudget>,
+        core: mpsc::Sender<Event>,
+    ) -> Self {
+        Self {
+            intake,
+            standing,
+            budget,
+            core,
+            next: Cell::new(0),
+            open: ActiveRequestIds::default(),
+        }
+    }
+
     /// Accepts until this proxy's end is near.
     #[expect(clippy::too_many_lines)]
     pub(crate) async fn run(self: Rc<Self>, listener: TcpListener) {
@@ -293,19 +312,20 @@
                         log::warn!("no connection accepted: {fault}");
                     }
                     // Where the machine has fewer sockets than were told, what is idle gives way as well.
-                    self.budget.give_up_oldest(SocketClass::Clients);
+                    self.budget.evict_oldest(SocketClass::Clients);
                     sleep(BREATHE).await;
                     continue;
                 }
             };
             refused = false;
-            let room = self.budget.place(SocketClass::Clients);
+            let room = self.budget.acquire(SocketClass::Clients);
             let late = room.is_none();
-            let place = room.unwrap_or_else(|| self.budget.place_anyhow(SocketClass::Clients));
+            let place =
+                room.unwrap_or_else(|| self.budget.acquire_beyond_limit(SocketClass::Clients));
             spawn_local(self.clone().serve(stream, place, late));
             // What it has brought is read before the next one may push it out.
             yield_now().await;
-            while self.budget.over(SocketClass::Clients) > LATE_MOST {
+            while self.budget.excess(SocketClass::Clients) > LATE_MOST {
                 sleep(BREATHE).await;
             }
         }
@@ -320,15 +340,15 @@
         let stream = InboundStream::new(stream);
         let ahead = stream.ahead();
         let service = service_fn(|from: Request<Incoming>| {
-            let (front, line, client) = (self.clone(), line.clone(), ahead.presence());
+            let (front, line, client) = (self.clone(), line.clone(), ahead.liveness());
             async move {
                 line.turn(Phase::Body);
                 let answer = if late {
-                    ProxyResponse::PushedBack { come_back: 0.0 }
+                    ProxyResponse::Rejected { retry_after: 0.0 }
                 } else {
                     front.answer(from, &line, client).await
                 };
-                let refused = late || matches!(answer, ProxyResponse::Refused(..));
+                let refused = late || matches!(answer, ProxyResponse::ClientError { .. });
                 let last = refused || line.refused.get() || front.standing.borrow().answers_last();
                 line.refused.set(last);
                 let response = answer.encode(last);
@@ -431,11 +451,11 @@
         match self.intake.read(from, framings).await {
             Ok(rpc) => {
                 line.turn(Phase::Busy);
-                let upload = rpc.message.upload().cloned();
+                let upload = rpc.request.upload().cloned();
                 let answer = self.decide(rpc, client).await;
                 // What it still sends of a long request nobody reads.
                 line.refused
-                    .set(upload.is_some_and(|upload| !upload.is_whole()));
+                    .set(upload.is_some_and(|upload| !upload.is_complete()));
                 answer
             }
             Err(told) => told,
@@ -447,21 +467,22 @@
     async fn decide(&self, mut rpc: ReceivedRpc, client: ClientLiveness) -> ProxyResponse {
         // Guards against RPCs that the end of this process finds unanswered.
         let last_call = self.standing.borrow().last_call();
-        rpc.waits = last_call.map_or(rpc.waits, |end| {
-            rpc.waits.min(end.saturating_duration_since(rpc.at))
+        rpc.timeout = last_call.map_or(rpc.timeout, |end| {
+            rpc.timeout
+                .min(end.saturating_duration_since(rpc.received_at))
         });
-        if rpc.waits.is_zero() {
-            return ProxyResponse::PushedBack { come_back: 0.0 };
+        if rpc.timeout.is_zero() {
+            return ProxyResponse::Rejected { retry_after: 0.0 };
         }
         // A place in the mailbox is kept for the hang-up. With none left nothing was sent: it may come again.
         let Ok(permit) = self.core.clone().try_reserve_owned() else {
-            return ProxyResponse::PushedBack { come_back: 0.0 };
+            return ProxyResponse::Rejected { retry_after: 0.0 };
         };
-        let Some(opened) = self.open.enter(rpc.message.id()) else {
-            return ProxyResponse::Refused(
-                StatusCode::CONFLICT,
-                "an RPC with this Request-Id is open\n",
-            );
+        let Some(opened) = self.open.enter(rpc.request.id()) else {
+            return ProxyResponse::ClientError {
+                status: StatusCode::CONFLICT,
+                message: "an RPC with this Request-Id is open\n",
+            };
         };
         let id = self.next.replace(self.next.get() + 1);
         let mut care = RpcGuard {
@@ -469,18 +490,18 @@
             permit: Some(permit),
         };
         let (sender, receiver) = oneshot::channel();
-        let (at, waits, upload) = (rpc.at, rpc.waits, rpc.message.upload().cloned());
+        let (at, waits, upload) = (rpc.received_at, rpc.timeout, rpc.request.upload().cloned());
         // A client waits from its last byte on.
         let deadline = async {
             let at = match &upload {
-                Some(upload) => upload.whole().await,
+                Some(upload) => upload.completed().await,
                 None => at,
             };
             sleep_until(at + waits).await;
         };
         let too_long = async {
             match &upload {
-                Some(upload) => upload.too_long().await,
+                Some(upload) => upload.exceeded_limit().await,
                 None => pending().await,
             }
         };
@@ -509,17 +530,17 @@
         };
         select! {
             biased;
-            () = too_long => ProxyResponse::Refused(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 32 MB\n"),
+            () = too_long => ProxyResponse::ClientError { status: StatusCode::PAYLOAD_TOO_LARGE, message: "the body is over 32 MB\n" },
             Some(answer) = taken => {
                 care.permit = None;
                 answer
             }
             () = deadline => {
                 log::error!("an RPC had no answer by its deadline");
-                ProxyResponse::Aborted
+                ProxyResponse::Failed
             }
-            () = ends => ProxyResponse::Aborted,
-            else => ProxyResponse::Aborted,
+            () = ends => ProxyResponse::Failed,
+            else => ProxyResponse::Failed,
         }
     }
 }
--- a/crates/daemon/src/downstream/request.rs
+++ b/crates/daemon/src/downstream/request.rs
@@ -2,7 +2,7 @@
 use crate::config::active::{ActiveNames, NameTable, bad, check};
 use crate::downstream::head::Framings;
 use crate::downstream::response::ProxyResponse;
-use crate::net::body::{KEPT, MOST, RequestBody, RequestUpload};
+use crate::net::body::{BODY_LIMIT, BUFFERED_BODY_LIMIT, RequestBody, RequestUpload};
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Body;
@@ -32,20 +32,20 @@
     pub tenant: Option<usize>,
     tenant_name: Option<HeaderValue>,
     /// When its last byte was seen, and how long the client waits from then on.
-    pub at: Instant,
-    pub waits: Duration,
-    pub client_repeat: bool,
+    pub received_at: Instant,
+    pub timeout: Duration,
+    pub is_client_retry: bool,
     pub expected_work: Option<f64>,
     pub key: Option<u64>,
-    pub message: ParsedRequest,
+    pub request: ParsedRequest,
 }
 
 impl ReceivedRpc {
     /// Reads it again where other settings came into force on its way; what they don't take is told so.
-    pub(crate) fn by(&mut self, names: &NameTable) -> Result<(), ProxyResponse> {
+    pub(crate) fn apply_names(&mut self, names: &NameTable) -> Result<(), ProxyResponse> {
         if self.version != names.version {
-            let (method, effect) = names.method(self.message.uri.path())?;
-            check(effect, &self.message.verb, self.message.key.is_some())?;
+            let (method, effect) = names.method(self.request.uri.path())?;
+            check(effect, &self.request.verb, self.request.key.is_some())?;
             let tenant = self
                 .tenant_name
                 .as_ref()
@@ -76,7 +76,7 @@
 
 impl ParsedRequest {
     /// Asks a backend for its load report.
-    pub(crate) fn probe() -> Self {
+    pub(crate) fn health_check() -> Self {
         let uri = Uri::from_static("/stats");
         Self {
             verb: Method::GET,
@@ -91,7 +91,7 @@
         self.id.clone().expect("only a probe has no id")
     }
 
-    pub(crate) fn is_probe(&self) -> bool {
+    pub(crate) fn is_health_check(&self) -> bool {
         self.id.is_none()
     }
 
@@ -104,15 +104,15 @@
     }
 
     /// A backend may have had its last byte, once one of it is on its way.
-    pub(crate) fn may_be_whole(&self) -> bool {
-        self.upload().is_none_or(|upload| upload.is_whole())
+    pub(crate) fn may_be_complete(&self) -> bool {
+        self.upload().is_none_or(|upload| upload.is_complete())
     }
 
     /// The message to a backend that is waited for this long.
     pub(crate) fn encode(&self, waits: Duration) -> Request<RequestBody> {
         let mut message = Request::new(match &self.body {
-            Payload::Whole(bytes) => RequestBody::Whole(Full::new(bytes.clone())),
-            Payload::Long(upload) => RequestBody::long(upload),
+            Payload::Whole(bytes) => RequestBody::Buffered(Full::new(bytes.clone())),
+            Payload::Long(upload) => RequestBody::streamed(upload),
         });
         *message.method_mut() = self.verb.clone();
         *message.uri_mut() = self.uri.clone();
@@ -155,21 +155,22 @@
 
 /// As much of a body as is kept, and the rest of a longer one to come.
 async fn payload(mut body: Incoming) -> Result<Payload, ProxyResponse> {
-    let mut kept = BytesMut::with_capacity(body.size_hint().lower().min(KEPT as u64) as usize);
+    let mut kept =
+        BytesMut::with_capacity(body.size_hint().lower().min(BUFFERED_BODY_LIMIT as u64) as usize);
     let until = Instant::now() + KEPT_TIME;
     while !body.is_end_stream() {
         match timeout_at(until.min(Instant::now() + PIECE_TIME), body.frame()).await {
             Err(_) => {
-                return Err(ProxyResponse::Refused(
-                    StatusCode::REQUEST_TIMEOUT,
-                    "the body did not end\n",
-                ));
+                return Err(ProxyResponse::ClientError {
+                    status: StatusCode::REQUEST_TIMEOUT,
+                    message: "the body did not end\n",
+                });
             }
             Ok(None) => break,
             Ok(Some(Err(_))) => return Err(bad("the body is malformed\n")),
             Ok(Some(Ok(frame))) => kept.extend_from_slice(&frame.into_data().unwrap_or_default()),
         }
-        if kept.len() > KEPT && !body.is_end_stream() {
+        if kept.len() > BUFFERED_BODY_LIMIT && !body.is_end_stream() {
             return Ok(Payload::Long(RequestUpload::new(kept.freeze(), body)));
         }
     }
@@ -222,11 +223,11 @@
             .ok_or(bad("Request-Timeout-Ms is missing or malformed\n"))?;
         let key = one(&head.headers, &REPEAT_KEY)?.filter(|key| !key.is_empty());
         check(effect, &head.method, key.is_some())?;
-        if body.size_hint().lower() > MOST {
-            return Err(ProxyResponse::Refused(
-                StatusCode::PAYLOAD_TOO_LARGE,
-                "the body is over 32 MB\n",
-            ));
+        if body.size_hint().lower() > BODY_LIMIT {
+            return Err(ProxyResponse::ClientError {
+                status: StatusCode::PAYLOAD_TOO_LARGE,
+                message: "the body is over 32 MB\n",
+            });
         }
         let body = payload(body).await?;
         if head.method == Method::GET && !matches!(&body, Payload::Whole(bytes) if bytes.is_empty())
@@ -250,14 +251,14 @@
             method,
             tenant: self.names.borrow().tenant(text(TENANT)),
             tenant_name: head.headers.get(TENANT).cloned(),
-            at: Instant::now(),
-            waits: Duration::from_millis(waits.into()),
-            client_repeat: text(CLIENT_REPEAT) == Some("1"),
+            received_at: Instant::now(),
+            timeout: Duration::from_millis(waits.into()),
+            is_client_retry: text(CLIENT_REPEAT) == Some("1"),
             expected_work: work.map(|ns| ns / 1e9),
             key: figure("entity")
                 .filter(|key| *key != "-")
                 .map(birchhub_settings::key),
-            message: ParsedRequest {
+            request: ParsedRequest {
                 verb: head.method,
                 uri: Uri::from(
                     head.uri
--- a/crates/daemon/src/downstream/response.rs
+++ b/crates/daemon/src/downstream/response.rs
@@ -10,13 +10,16 @@
     /// A backend's body, unchanged.
     Ok(Bytes),
     /// The same, as it comes.
-    Long(StreamedBody),
+    Streamed(StreamedBody),
     /// Trying again is harmless; after so many seconds, if not 0.
-    PushedBack { come_back: f64 },
+    Rejected { retry_after: f64 },
     /// Failed, with no promise about what ran.
-    Aborted,
+    Failed,
     /// Not an RPC: what came from the client cannot be one.
-    Refused(StatusCode, &'static str),
+    ClientError {
+        status: StatusCode,
+        message: &'static str,
+    },
     /// The word on this proxy's health.
     Health(bool),
 }
@@ -25,10 +28,10 @@
     fn fmt(&self, to: &mut std::fmt::Formatter) -> std::fmt::Result {
         match self {
             Self::Ok(body) => write!(to, "ok, {} bytes", body.len()),
-            Self::Long(_) => to.write_str("ok, as it comes"),
-            Self::PushedBack { .. } => to.write_str("pushed back"),
-            Self::Aborted => to.write_str("aborted"),
-            Self::Refused(status, _) => write!(to, "{status}"),
+            Self::Streamed(_) => to.write_str("ok, streamed"),
+            Self::Rejected { .. } => to.write_str("rejected"),
+            Self::Failed => to.write_str("failed"),
+            Self::ClientError { status, .. } => write!(to, "{status}"),
             Self::Health(ready) => write!(to, "ready: {ready}"),
         }
     }
@@ -37,25 +40,25 @@
 impl ProxyResponse {
     /// `last`: the connection is closed after it.
     pub(crate) fn encode(self, last: bool) -> Response<ResponseBody> {
-        let come_back = if let Self::PushedBack { come_back } = self {
-            come_back
+        let retry_after = if let Self::Rejected { retry_after } = self {
+            retry_after
         } else {
             0.0
         };
         let text = |text: &'static str| Ok(Bytes::from_static(text.as_bytes()));
         let (status, body) = match self {
             Self::Ok(body) => (StatusCode::OK, Ok(body)),
-            Self::Long(flow) => (StatusCode::OK, Err(flow)),
-            Self::PushedBack { .. } => (StatusCode::SERVICE_UNAVAILABLE, text("pushed back\n")),
-            Self::Aborted => (StatusCode::BAD_GATEWAY, text("aborted\n")),
-            Self::Refused(status, why) => (status, text(why)),
+            Self::Streamed(flow) => (StatusCode::OK, Err(flow)),
+            Self::Rejected { .. } => (StatusCode::SERVICE_UNAVAILABLE, text("pushed back\n")),
+            Self::Failed => (StatusCode::BAD_GATEWAY, text("aborted\n")),
+            Self::ClientError { status, message } => (status, text(message)),
             Self::Health(true) => (StatusCode::OK, text("ready\n")),
             Self::Health(false) => (StatusCode::SERVICE_UNAVAILABLE, text("not ready\n")),
         };
         let mut response = Response::new(ResponseBody::new(body.map(Full::new)));
         *response.status_mut() = status;
-        if come_back > 0.0
-            && let Ok(value) = HeaderValue::from_str(&format!("{come_back:.3}"))
+        if retry_after > 0.0
+            && let Ok(value) = HeaderValue::from_str(&format!("{retry_after:.3}"))
         {
             response.headers_mut().insert(RETRY_AFTER, value);
         }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -200,17 +200,12 @@
         time_outs: 0,
     };
     spawn_local(discovery.run());
-    let intake = RequestParser::new(names);
-    let open = Default::default();
-    let standing = standings.reader();
-    let front = Listener {
-        intake,
-        standing,
-        budget: budget.clone(),
-        core: sender,
-        next: 0.into(),
-        open,
-    };
+    let front = Listener::new(
+        RequestParser::new(names),
+        standings.reader(),
+        budget.clone(),
+        sender,
+    );
     let accepting = spawn_local(accept(front, listener, standings.clone(), pushed));
     log::info!("{} listens on {}", config.name, config.listen);
     term.recv().await;
@@ -227,7 +222,7 @@
     let over = standings.now().over();
     let gone = async {
         let _ = accepting.await;
-        while budget.open(SocketClass::Clients) > 0 {
+        while budget.open_sockets(SocketClass::Clients) > 0 {
             sleep(LEFT_EVERY).await;
         }
     };
@@ -237,7 +232,7 @@
     }
     log::info!(
         "ends with {} client connections open",
-        budget.open(SocketClass::Clients)
+        budget.open_sockets(SocketClass::Clients)
     );
     Ok(())
 }
--- a/crates/daemon/src/net/body.rs
+++ b/crates/daemon/src/net/body.rs
@@ -13,9 +13,9 @@
 use tokio::time::Instant;
 
 /// Bytes of a body that are kept; a longer one flows.
-pub(crate) const KEPT: usize = 64 << 10;
+pub(crate) const BUFFERED_BODY_LIMIT: usize = 64 << 10;
 /// Bytes of a body at most.
-pub(crate) const MOST: u64 = 32 << 20;
+pub(crate) const BODY_LIMIT: u64 = 32 << 20;
 
 /// A body that does not come to its end.
 #[derive(Debug)]
@@ -76,22 +76,22 @@
     }
 
     /// Something of it has gone out that is not kept: it can't be sent again.
-    pub(crate) fn is_spent(&self) -> bool {
+    pub(crate) fn is_consumed(&self) -> bool {
         self.spent.get()
     }
 
     /// Its last byte has come, and was taken to be sent.
-    pub(crate) fn is_whole(&self) -> bool {
+    pub(crate) fn is_complete(&self) -> bool {
         matches!(*self.come.borrow(), ReceivedPart::Whole(_))
     }
 
     /// The client is waited for, not the backend.
-    pub(crate) fn is_hungry(&self) -> bool {
+    pub(crate) fn is_waiting_for_client(&self) -> bool {
         self.hungry.get()
     }
 
     /// Waits for its last byte, and tells when that came; for ever if it never does.
-    pub(crate) async fn whole(&self) -> Instant {
+    pub(crate) async fn completed(&self) -> Instant {
         let mut come = self.come.subscribe();
         let come = come
             .wait_for(|come| matches!(come, ReceivedPart::Whole(_)))
@@ -104,7 +104,7 @@
     }
 
     /// Waits until more has come than any request may hold; for ever if that never happens.
-    pub(crate) async fn too_long(&self) {
+    pub(crate) async fn exceeded_limit(&self) {
         if self
             .come
             .subscribe()
@@ -138,7 +138,7 @@
                 },
             };
             self.bytes.update(|sum| sum + bytes.len() as u64);
-            if self.bytes.get() > MOST {
+            if self.bytes.get() > BODY_LIMIT {
                 return end(ReceivedPart::TooLong);
             }
             self.spent.set(true);
@@ -153,8 +153,8 @@
 
 /// A request's body on its way to a backend.
 pub(crate) enum RequestBody {
-    Whole(Full<Bytes>),
-    Long {
+    Buffered(Full<Bytes>),
+    Streamed {
         first: Option<Bytes>,
         upload: Rc<RequestUpload>,
         reads: bool,
@@ -162,8 +162,8 @@
 }
 
 impl RequestBody {
-    pub(crate) fn long(upload: &Rc<RequestUpload>) -> Self {
-        Self::Long {
+    pub(crate) fn streamed(upload: &Rc<RequestUpload>) -> Self {
+        Self::Streamed {
             first: Some(upload.first.borrow().clone()),
             upload: upload.clone(),
             reads: false,
@@ -180,12 +180,12 @@
         cx: &mut Context,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyTruncated>>> {
         let (first, upload, reads) = match self.get_mut() {
-            Self::Whole(body) => {
+            Self::Buffered(body) => {
                 return Pin::new(body)
                     .poll_frame(cx)
                     .map_err(|never| match never {});
             }
-            Self::Long {
+            Self::Streamed {
                 first,
                 upload,
                 reads,
@@ -206,15 +206,15 @@
 
     fn is_end_stream(&self) -> bool {
         match self {
-            Self::Whole(body) => body.is_end_stream(),
-            Self::Long { first, upload, .. } => first.is_none() && upload.is_whole(),
+            Self::Buffered(body) => body.is_end_stream(),
+            Self::Streamed { first, upload, .. } => first.is_none() && upload.is_complete(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Whole(body) => body.size_hint(),
-            Self::Long { upload, .. } => {
+            Self::Buffered(body) => body.size_hint(),
+            Self::Streamed { upload, .. } => {
                 upload.length.map(SizeHint::with_exact).unwrap_or_default()
             }
         }
@@ -223,7 +223,7 @@
 
 impl Drop for RequestBody {
     fn drop(&mut self) {
-        if let Self::Long {
+        if let Self::Streamed {
             upload,
             reads: true,
             ..
@@ -242,7 +242,7 @@
 
 impl BodySender {
     /// Waits until the client takes it; false if that has gone.
-    pub(crate) async fn pass(&self, bytes: Bytes) -> bool {
+    pub(crate) async fn send(&self, bytes: Bytes) -> bool {
         self.bytes.send(bytes).await.is_ok()
     }
 
@@ -251,7 +251,7 @@
         self.bytes.closed().await;
     }
 
-    pub(crate) fn end(self) {
+    pub(crate) fn finish(self) {
         self.ended.set(true);
     }
 }
@@ -265,7 +265,7 @@
 }
 
 /// Passes on an answer that begins like this, of this length if that is known.
-pub(crate) fn flow(first: Bytes, length: Option<u64>) -> (BodySender, StreamedBody) {
+pub(crate) fn streamed_body(first: Bytes, length: Option<u64>) -> (BodySender, StreamedBody) {
     let (bytes, rest) = mpsc::channel(1);
     let ended = Rc::<Cell<bool>>::default();
     (
--- a/crates/daemon/src/net/sockets.rs
+++ b/crates/daemon/src/net/sockets.rs
@@ -43,7 +43,7 @@
 /// Something idle that can be closed to make room.
 pub(crate) trait Evictable {
     /// Closes it, if it is still idle.
-    fn give_up(&self) -> bool;
+    fn evict(&self) -> bool;
 }
 
 #[derive(Default)]
@@ -100,17 +100,17 @@
         self.clients.most.set(all / 2);
         self.backends.most.set(all - all / 2);
         for part in [SocketClass::Clients, SocketClass::Backends] {
-            for _ in 0..self.over(part) {
-                self.give_up_oldest(part);
+            for _ in 0..self.excess(part) {
+                self.evict_oldest(part);
             }
         }
     }
 
     /// Gives up what has been idle for the longest; false if nothing is.
-    pub(crate) fn give_up_oldest(&self, part: SocketClass) -> bool {
+    pub(crate) fn evict_oldest(&self, part: SocketClass) -> bool {
         loop {
             let oldest = self.shelf(part).spare.borrow_mut().pop_first();
-            match oldest.map(|(_, spare)| spare.upgrade().is_some_and(|spare| spare.give_up())) {
+            match oldest.map(|(_, spare)| spare.upgrade().is_some_and(|spare| spare.evict())) {
                 None => return false,
                 Some(true) => return true, // A client's is closed by its own task a moment later.
                 Some(false) => {}
@@ -126,9 +126,9 @@
     }
 
     /// A place for one more socket; where none is left the longest idle one is given up for it.
-    pub(crate) fn place(self: &Rc<Self>, part: SocketClass) -> Option<SocketPermit> {
+    pub(crate) fn acquire(self: &Rc<Self>, part: SocketClass) -> Option<SocketPermit> {
         let shelf = self.shelf(part);
-        if shelf.open.get() >= shelf.most.get() && !self.give_up_oldest(part) {
+        if shelf.open.get() >= shelf.most.get() && !self.evict_oldest(part) {
             if !shelf.spent.replace(true) {
                 log::warn!(
                     "no socket left for {part:?}: {} are open, none idle",
@@ -137,11 +137,11 @@
             }
             return None;
         }
-        Some(self.place_anyhow(part))
+        Some(self.acquire_beyond_limit(part))
     }
 
     /// A place beyond the part, out of the reserve.
-    pub(crate) fn place_anyhow(self: &Rc<Self>, part: SocketClass) -> SocketPermit {
+    pub(crate) fn acquire_beyond_limit(self: &Rc<Self>, part: SocketClass) -> SocketPermit {
         self.shelf(part).open.update(|open| open + 1);
         SocketPermit {
             budget: self.clone(),
@@ -152,7 +152,7 @@
     /// Notes something that may be given up for a new socket, for as long as the offer is kept; the lowest rank
     /// goes first. Costs the same however many are offered: guards against a proxy that walks all idle sockets
     /// with every answer.
-    pub(crate) fn offer<S: Evictable + 'static>(
+    pub(crate) fn register_evictable<S: Evictable + 'static>(
         self: &Rc<Self>,
         part: SocketClass,
         rank: u8,
@@ -168,13 +168,14 @@
         }
     }
 
-    pub(crate) fn open(&self, part: SocketClass) -> usize {
+    pub(crate) fn open_sockets(&self, part: SocketClass) -> usize {
         self.shelf(part).open.get()
     }
 
     /// Sockets beyond the part, out of the reserve.
-    pub(crate) fn over(&self, part: SocketClass) -> usize {
-        self.open(part).saturating_sub(self.shelf(part).most.get())
+    pub(crate) fn excess(&self, part: SocketClass) -> usize {
+        self.open_sockets(part)
+            .saturating_sub(self.shelf(part).most.get())
     }
 }
 
@@ -288,7 +289,7 @@
 impl ClientLiveness {
     /// Whether the client's connection has ended, by what the machine knows at this moment. Guards against an end that
     /// came while this process stood still, of which its event loop has not heard yet.
-    pub(crate) async fn is_over(&self) -> bool {
+    pub(crate) async fn is_disconnected(&self) -> bool {
         let Some(reads) = self.0.upgrade() else {
             return true;
         };
@@ -369,7 +370,7 @@
 }
 
 impl ReadAhead {
-    pub(crate) fn presence(&self) -> ClientLiveness {
+    pub(crate) fn liveness(&self) -> ClientLiveness {
         ClientLiveness(Rc::downgrade(&self.0))
     }
 
@@ -450,11 +451,11 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum ConnectionError {
     /// Provably no byte was written.
-    Unsent,
+    NotSent,
     /// The connection broke or ended after that, with no answer begun: it may have run.
-    Broken,
+    Closed,
     /// The answer can't be read, does not end as it should, or is larger than the protocol allows: it has run.
-    Spoilt,
+    MalformedResponse,
 }
 
 pub(crate) struct Reply {
@@ -463,7 +464,7 @@
     /// All of it, or the first part of a longer one.
     pub body: Bytes,
     /// The rest is still to come, by `Conn::next`.
-    pub goes_on: bool,
+    pub is_partial: bool,
     /// The length of all of it, if it was told.
     pub length: Option<u64>,
 }
@@ -495,7 +496,7 @@
     rest: Option<Incoming>, // of an answer that is longer than was wanted at once
     written: Rc<Cell<u64>>,
     host: HeaderValue, // where it goes to
-    pub used: Instant,
+    pub last_used: Instant,
     _place: Option<SocketPermit>,
 }
 
@@ -526,7 +527,7 @@
             rest: None,
             written,
             host,
-            used: Instant::now(),
+            last_used: Instant::now(),
             _place: place,
         })
     }
@@ -537,17 +538,17 @@
     }
 
     /// Whether it is still open, by what has come so far.
-    pub(crate) async fn alive(&mut self) -> bool {
+    pub(crate) async fn is_open(&mut self) -> bool {
         poll_fn(|cx| Poll::Ready(!self.poll_closed(cx))).await
     }
 
     /// Whether another exchange may begin now.
-    pub(crate) async fn usable(&mut self) -> bool {
-        self.alive().await && self.sender.is_ready()
+    pub(crate) async fn is_usable(&mut self) -> bool {
+        self.is_open().await && self.sender.is_ready()
     }
 
     /// Bytes written so far.
-    pub(crate) fn progress(&self) -> Rc<Cell<u64>> {
+    pub(crate) fn bytes_written(&self) -> Rc<Cell<u64>> {
         self.written.clone()
     }
 
@@ -576,46 +577,46 @@
             answer.as_mut().poll(cx)
         });
         let answer = answer.await.map_err(|e| match e.error().is_parse() {
-            true => ConnectionError::Spoilt,
-            false if sent.get() => ConnectionError::Broken,
-            false => ConnectionError::Unsent,
+            true => ConnectionError::MalformedResponse,
+            false if sent.get() => ConnectionError::Closed,
+            false => ConnectionError::NotSent,
         });
         let (head, body) = answer?.into_parts();
         // Framed in two ways, of which one is wrong.
         if head.headers.contains_key(TRANSFER_ENCODING) && head.headers.contains_key(CONTENT_LENGTH)
         {
-            return Err(ConnectionError::Spoilt);
+            return Err(ConnectionError::MalformedResponse);
         }
         let length = body.size_hint().exact();
         self.rest = Some(body);
         let (status, headers) = (head.status, head.headers);
         let may_go_on = may_go_on && status == StatusCode::OK;
         // One that says so is passed on from its first byte: of a long answer that is the one whose time counts.
-        let mut goes_on = may_go_on && length.is_some_and(|bytes| bytes > most as u64);
-        let room = if goes_on {
+        let mut is_partial = may_go_on && length.is_some_and(|bytes| bytes > most as u64);
+        let room = if is_partial {
             0
         } else {
             length.unwrap_or(0).min(most as u64)
         };
         let mut kept = BytesMut::with_capacity(room as usize);
-        while !goes_on && let Some(bytes) = self.next().await? {
+        while !is_partial && let Some(bytes) = self.next_chunk().await? {
             kept.extend_from_slice(&bytes);
-            goes_on = kept.len() > most;
-            if goes_on && !may_go_on {
-                return Err(ConnectionError::Spoilt);
+            is_partial = kept.len() > most;
+            if is_partial && !may_go_on {
+                return Err(ConnectionError::MalformedResponse);
             }
         }
         Ok(Reply {
             status,
             headers,
             body: kept.freeze(),
-            goes_on,
+            is_partial,
             length,
         })
     }
 
     /// What comes next of an answer; nothing at its end.
-    pub(crate) async fn next(&mut self) -> Result<Option<Bytes>, ConnectionError> {
+    pub(crate) async fn next_chunk(&mut self) -> Result<Option<Bytes>, ConnectionError> {
         let Self { rest, driver, .. } = self;
         loop {
             let Some(body) = rest else { return Ok(None) };
@@ -628,10 +629,10 @@
                     Ok(bytes) => return Ok(Some(bytes)),
                     Err(_) => continue, // trailers
                 },
-                Some(Err(_)) => return Err(ConnectionError::Spoilt),
+                Some(Err(_)) => return Err(ConnectionError::MalformedResponse),
                 None => {
                     *rest = None;
-                    self.used = Instant::now();
+                    self.last_used = Instant::now();
                 }
             }
         }
--- a/crates/daemon/src/upstream/endpoint.rs
+++ b/crates/daemon/src/upstream/endpoint.rs
@@ -2,7 +2,7 @@
 //! connection while it runs, and its `Ticket` tells the core how it ended, once, when it is dropped.
 use crate::downstream::request::ParsedRequest;
 use crate::messages::Event;
-use crate::net::body::{KEPT, MOST, StreamedBody, flow};
+use crate::net::body::{BODY_LIMIT, BUFFERED_BODY_LIMIT, StreamedBody, streamed_body};
 use crate::net::sockets::{
     ClientLiveness, Connection, ConnectionError, Evictable, EvictionCandidate, Reply, SocketBudget,
     SocketClass,
@@ -182,7 +182,7 @@
 }
 
 impl Evictable for IdleConnection {
-    fn give_up(&self) -> bool {
+    fn evict(&self) -> bool {
         self.connection.borrow_mut().take().is_some()
     }
 }
@@ -302,7 +302,7 @@
             match message.upload() {
                 None => sleep_until(until).await,
                 Some(upload) => {
-                    let whole = upload.whole().await;
+                    let whole = upload.completed().await;
                     completion.report_request_sent().await;
                     sleep_until(whole + (until - started)).await;
                 }
@@ -323,10 +323,14 @@
         // The connection of a pick that was given up is closed by now, before the core hears of it.
         let nothing = |outcome| Some((outcome, None, Bytes::new()));
         completion.end = match ended {
-            Ending::Withdrawn if !message.may_be_whole() => nothing(AttemptOutcome::NotSent),
+            Ending::Withdrawn if !message.may_be_complete() => nothing(AttemptOutcome::NotSent),
             Ending::Withdrawn => None,
             Ending::Completed(end) => Some(end),
-            Ending::Stalled if message.upload().is_some_and(|upload| upload.is_hungry()) => {
+            Ending::Stalled
+                if message
+                    .upload()
+                    .is_some_and(|upload| upload.is_waiting_for_client()) =>
+            {
                 nothing(AttemptOutcome::NotSent)
             }
             Ending::TimedOut if sent.get() => {
@@ -361,7 +365,7 @@
         let sent = &completion.sent;
         // What broke before the last byte of the request was written has not run.
         let broken = || {
-            nothing(if message.may_be_whole() {
+            nothing(if message.may_be_complete() {
                 AttemptOutcome::Reset
             } else {
                 AttemptOutcome::ConnectFailed
@@ -374,7 +378,7 @@
             let connection = match idle {
                 Some(connection) => Some(connection),
                 None => {
-                    let Some(place) = self.budget.place(SocketClass::Backends) else {
+                    let Some(place) = self.budget.acquire(SocketClass::Backends) else {
                         return nothing(AttemptOutcome::NotSent);
                     };
                     Connection::open(
@@ -391,7 +395,7 @@
             // Guards against what begins for a client that has gone, whatever it waited for and however late this
             // process runs. That it hung up is on its way to the core, and withdraws this.
             if let Some(client) = client
-                && client.is_over().await
+                && client.is_disconnected().await
             {
                 return pending().await;
             }
@@ -399,11 +403,16 @@
             if self.info.borrow().endpoint != endpoint {
                 continue;
             }
-            written.replace(Some(connection.progress()));
+            written.replace(Some(connection.bytes_written()));
             let left = until.saturating_duration_since(Instant::now());
-            let idle = connection.used.elapsed();
+            let idle = connection.last_used.elapsed();
             match connection
-                .exchange(message.encode(left), KEPT, !message.is_probe(), sent)
+                .exchange(
+                    message.encode(left),
+                    BUFFERED_BODY_LIMIT,
+                    !message.is_health_check(),
+                    sent,
+                )
                 .await
             {
                 Ok(mut reply) => {
@@ -414,19 +423,19 @@
                                 .min(self.limits.max_reuse())
                         });
                     }
-                    if reply.goes_on
+                    if reply.is_partial
                         && let Some(fault) =
                             stream_response(&mut connection, &mut reply, completion).await
                     {
                         return nothing(fault);
                     }
                     self.store(connection, endpoint, &reply.headers).await;
-                    return classify(reply, message.is_probe());
+                    return classify(reply, message.is_health_check());
                 }
                 // A kept connection had ended before anything of this was written: another may be tried.
-                Err(ConnectionError::Unsent) if !fresh => {}
-                Err(ConnectionError::Unsent) => return nothing(AttemptOutcome::ConnectFailed),
-                Err(ConnectionError::Broken) => {
+                Err(ConnectionError::NotSent) if !fresh => {}
+                Err(ConnectionError::NotSent) => return nothing(AttemptOutcome::ConnectFailed),
+                Err(ConnectionError::Closed) => {
                     // Guards against a path that forgets connections sooner than the settings say.
                     if !fresh {
                         self.reuse_within
@@ -434,7 +443,7 @@
                     }
                     return broken();
                 }
-                Err(ConnectionError::Spoilt) => return broken(),
+                Err(ConnectionError::MalformedResponse) => return broken(),
             }
         }
     }
@@ -447,7 +456,7 @@
             let idle = self.latest()?;
             let connection = idle.connection.borrow_mut().take();
             if let Some(mut connection) = connection
-                && connection.usable().await
+                && connection.is_usable().await
             {
                 return Some(connection);
             }
@@ -474,7 +483,7 @@
         let closes = headers
             .get(CONNECTION)
             .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
-        let alive = !closes && connection.alive().await;
+        let alive = !closes && connection.is_open().await;
         let listed = self.info.has_changed().is_ok();
         if alive
             && listed
@@ -484,7 +493,7 @@
                     ready: true,
                 })
         {
-            let used = connection.used;
+            let used = connection.last_used;
             let (candidate, watch) = Default::default();
             let idle = Rc::new(IdleConnection {
                 connection: RefCell::new(Some(connection)),
@@ -492,8 +501,11 @@
                 candidate,
                 watch,
             });
-            idle.candidate
-                .replace(Some(self.budget.offer(SocketClass::Backends, 0, &idle)));
+            idle.candidate.replace(Some(self.budget.register_evictable(
+                SocketClass::Backends,
+                0,
+                &idle,
+            )));
             let watching = self
                 .clone()
                 .watch(Rc::downgrade(&idle), used + self.reuse_within.get());
@@ -531,7 +543,7 @@
     loop {
         let before = so_far();
         sleep(UPLOAD_STALL).await;
-        if upload.is_whole() {
+        if upload.is_complete() {
             return pending().await;
         }
         if so_far() == before {
@@ -546,14 +558,14 @@
     reply: &mut Reply,
     completion: &CompletionGuard,
 ) -> Option<AttemptOutcome> {
-    let (source, flow) = flow(std::mem::take(&mut reply.body), reply.length);
+    let (source, flow) = streamed_body(std::mem::take(&mut reply.body), reply.length);
     completion.report_response_started(flow).await;
-    let mut left = MOST;
+    let mut left = BODY_LIMIT;
     loop {
         let bytes = select! {
             biased;
             () = source.closed() => return Some(AttemptOutcome::Cancelled),
-            next = timeout(RESPONSE_STALL, connection.next()) => match next {
+            next = timeout(RESPONSE_STALL, connection.next_chunk()) => match next {
                 // Guards against answers that never end: no body may be longer.
                 Ok(Ok(Some(bytes))) if bytes.len() as u64 > left => return Some(AttemptOutcome::Reset),
                 Ok(Ok(Some(bytes))) => bytes,
@@ -562,11 +574,11 @@
             },
         };
         left -= bytes.len() as u64;
-        if !source.pass(bytes).await {
+        if !source.send(bytes).await {
             return Some(AttemptOutcome::Cancelled);
         }
     }
-    source.end();
+    source.finish();
     None
 }
 
@@ -599,12 +611,12 @@
     /// Guards against an RPC's body that reads like a load report.
     #[test]
     fn only_a_probes_body_is_a_report() {
-        let (status, headers, goes_on, length) = (StatusCode::OK, HeaderMap::new(), false, None);
+        let (status, headers, is_partial, length) = (StatusCode::OK, HeaderMap::new(), false, None);
         let reply = || Reply {
             status,
             headers: headers.clone(),
             body: "inflight=9".into(),
-            goes_on,
+            is_partial,
             length,
         };
         let report = |probe| {
