--- a/crates/daemon/src/discovery/client.rs
+++ b/crates/daemon/src/discovery/client.rs
@@ -236,13 +236,13 @@
         deadline: Instant,
     ) -> Result<EndpointUpdate, DiscoveryError> {
         let connection = self.connect(connection, deadline).await?;
-        let mut request = Request::new(RequestBody::Whole(Full::default()));
+        let mut request = Request::new(RequestBody::Buffered(Full::default()));
         *request.uri_mut() = path.parse().expect("a path of letters and digits");
         let response = connection
             .exchange(request, MAX_BODY, false, &Cell::new(false))
             .await
             .map_err(|error| match error {
-                ConnectionError::Spoilt => DiscoveryError::Truncated,
+                ConnectionError::MalformedResponse => DiscoveryError::Truncated,
                 error => DiscoveryError::ConnectionFailed(error),
             })?;
         if response.status != StatusCode::OK {
@@ -261,7 +261,7 @@
     ) -> Result<&'a mut Connection, DiscoveryError> {
         let usable = match connection {
             None => false,
-            Some(connection) => connection.usable().await,
+            Some(connection) => connection.is_usable().await,
         };
         if !usable {
             *connection = None;
