--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -1,14 +1,26 @@
-//! Reads the bench's wire on standard input, calls the decision module, writes its answers.
-mod wire;
+//! Runs the decisions on the operators' simulator: reads its wire on standard input and writes the answers to standard
+//! output. Malformed input ends the program with exit code 2 and one line that names the input line and the field.
+
+mod endpoints;
+mod error;
+mod fields;
+mod instance;
+mod platform;
+mod process;
+mod session;
 
 use std::process::ExitCode;
 
+/// Exit code for input that can't be read.
+const MALFORMED_INPUT: u8 = 2;
+
 fn main() -> ExitCode {
-    match wire::run(std::io::stdin().lock(), std::io::stdout().lock()) {
+    std::panic::set_hook(Box::new(|panic| eprintln!("birchhub-benchlink: {panic}")));
+    match session::run(std::io::stdin().lock(), std::io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(fault) => {
-            eprintln!("birchhub-benchlink: {fault}");
-            ExitCode::from(2)
+        Err(error) => {
+            eprintln!("birchhub-benchlink: {error}");
+            ExitCode::from(MALFORMED_INPUT)
         }
     }
 }
