Split upstream/ by concern: endpoint, exchange, idle connections, attempt, response

Change: a module for each, with doc comments; a running exchange is a struct whose methods are the things that end it; results and attempt ids are typed (ExchangeResult, AttemptId) where tuples stood; constants say their unit and reason.

--- a/crates/daemon/src/decision/actor.rs
+++ b/crates/daemon/src/decision/actor.rs
@@ -10,18 +10,17 @@
 use crate::downstream::request::{ParsedRequest, ReceivedRpc};
 use crate::downstream::response::ProxyResponse;
 use crate::lifecycle::state::{ProxyState, StateStore};
-use crate::messages::Event;
+use crate::messages::{AttemptId, Event};
 use crate::net::sockets::{ClientLiveness, SocketBudget};
-use crate::upstream::endpoint::{
-    CancelSignal, CompletionGuard, ConnectionLimits, Deadlines, EndpointHandle, EndpointInfo,
-    Exchange, ExchangeKind,
+use crate::upstream::endpoint::{ConnectionLimits, EndpointHandle, EndpointInfo};
+use crate::upstream::exchange::{
+    CompletionGuard, Deadlines, Exchange, ExchangeKind, ExchangeRequest, ExchangeResult,
 };
 use birchhub::interface::{
-    AttemptOutcome, Endpoint, EndpointUpdateKind, Idempotency, IncomingRpc, LoadReport,
-    MethodSettings, PacedBy, Platform, Readiness,
+    AttemptOutcome, Endpoint, EndpointUpdateKind, Idempotency, IncomingRpc, MethodSettings,
+    PacedBy, Platform, Readiness,
 };
 use birchhub::policy::{Balancer, RpcHandle};
-use bytes::Bytes;
 use std::collections::{HashMap, HashSet};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
@@ -95,24 +94,13 @@
     }
 
     /// Hands a job to a backend. Where that can't be done its ticket, dropped, says so.
-    fn run(
-        &mut self,
-        kind: ExchangeKind,
-        backend: u32,
-        message: ParsedRequest,
-        client: Option<ClientLiveness>,
-        deadlines: Deadlines,
-        cancel: CancelSignal,
-    ) {
+    fn run(&mut self, kind: ExchangeKind, backend: u32, request: ExchangeRequest) {
         let Ok(permit) = self.events.clone().try_reserve_owned() else {
             log::error!("the core's mailbox is full");
             return self.unsent.push(kind);
         };
         let exchange = Exchange {
-            message,
-            client,
-            deadlines,
-            cancel,
+            request,
             completion: CompletionGuard::new(kind, self.events.clone(), permit),
         };
         if let Some(backend) = self.backends.get(&backend) {
@@ -140,15 +128,17 @@
             .min(in_flight.deadline);
         let (message, client) = (in_flight.message.clone(), Some(in_flight.client.clone()));
         log::trace!("RPC {rpc}: attempt {attempt} to {backend} for {time_out:.3} s");
-        let deadlines = Deadlines { until, send_by };
-        self.run(
-            ExchangeKind::Attempt { rpc, attempt },
-            backend,
-            message,
+        let request = ExchangeRequest {
+            request: message,
             client,
-            deadlines,
-            Some(cancel),
-        );
+            deadlines: Deadlines { until, send_by },
+            cancel: Some(cancel),
+        };
+        let attempt = AttemptId {
+            rpc,
+            index: attempt,
+        };
+        self.run(ExchangeKind::Attempt(attempt), backend, request);
         self.record(rpc, Action::Attempt(backend));
     }
     fn cancel_attempt(&mut self, rpc: u64, attempt: usize) {
@@ -179,14 +169,13 @@
             send_by: None,
         };
         log::trace!("probe to {backend}");
-        self.run(
-            ExchangeKind::HealthCheck { backend },
-            backend,
-            ParsedRequest::health_check(),
-            None,
+        let request = ExchangeRequest {
+            request: ParsedRequest::health_check(),
+            client: None,
             deadlines,
-            None,
-        );
+            cancel: None,
+        };
+        self.run(ExchangeKind::HealthCheck { backend }, backend, request);
     }
     fn watch_endpoints(&mut self) {
         self.watch_wanted.notify_one();
@@ -365,26 +354,22 @@
                 answer,
             } => self.accept_rpc(id, *rpc, opened, client, answer),
             Event::ClientDisconnected(id) => self.on_client_disconnected(id),
-            Event::AttemptEnded {
-                rpc,
-                attempt,
-                outcome,
-                report,
-                body,
-            } => self.on_attempt_ended(rpc, attempt, outcome, report, body),
-            Event::RequestSent { rpc, attempt } => {
-                self.on_rpc(rpc, |rpc, platform| rpc.on_request_sent(attempt, platform));
+            Event::AttemptEnded { attempt, result } => self.on_attempt_ended(attempt, result),
+            Event::RequestSent { attempt } => {
+                self.on_rpc(attempt.rpc, |rpc, platform| {
+                    rpc.on_request_sent(attempt.index, platform);
+                });
                 self.replay_to_shadow(|shadow, now, recorded| {
-                    shadow.on_request_sent(now, recorded, (rpc, attempt))
+                    shadow.on_request_sent(now, recorded, (attempt.rpc, attempt.index))
                 });
             }
-            Event::ResponseStarted { rpc, attempt, flow } => {
-                self.on_rpc(rpc, |handle, platform| {
-                    platform.respond(rpc, ProxyResponse::Streamed(flow));
-                    handle.on_response_started(attempt, PacedBy::Client, platform);
+            Event::ResponseStarted { attempt, body } => {
+                self.on_rpc(attempt.rpc, |rpc, platform| {
+                    platform.respond(attempt.rpc, ProxyResponse::Streamed(body));
+                    rpc.on_response_started(attempt.index, PacedBy::Client, platform);
                 });
                 self.replay_to_shadow(|shadow, now, recorded| {
-                    shadow.on_response_started(now, recorded, (rpc, attempt))
+                    shadow.on_response_started(now, recorded, (attempt.rpc, attempt.index))
                 });
             }
             Event::HealthChecked {
@@ -413,7 +398,7 @@
             }
         }
         while let Some(kind) = self.platform.unsent.pop() {
-            self.dispatch(kind.end((AttemptOutcome::NotSent, None, Bytes::new())));
+            self.dispatch(kind.completion_event(AttemptOutcome::NotSent.into()));
         }
     }
 
@@ -575,14 +560,16 @@
         });
     }
 
-    fn on_attempt_ended(
-        &mut self,
-        id: u64,
-        attempt: usize,
-        outcome: AttemptOutcome,
-        report: Option<LoadReport>,
-        body: Bytes,
-    ) {
+    fn on_attempt_ended(&mut self, attempt: AttemptId, result: ExchangeResult) {
+        let AttemptId {
+            rpc: id,
+            index: attempt,
+        } = attempt;
+        let ExchangeResult {
+            outcome,
+            report,
+            body,
+        } = result;
         log::trace!("RPC {id}: attempt {attempt} {outcome:?}");
         let outcome = self.reliable_outcome(outcome, AttemptOutcome::Cancelled);
         // An answer that is ok ends it; it goes to the client below.
@@ -691,7 +678,7 @@
             *heard = now;
             let backend = *backend;
             let info = EndpointInfo {
-                endpoint: listed.endpoint,
+                address: listed.endpoint,
                 ready: readiness == Readiness::Ready,
             };
             if readiness == Readiness::Removed {
--- a/crates/daemon/src/upstream/mod.rs
+++ b/crates/daemon/src/upstream/mod.rs
@@ -1,3 +1,7 @@
-//! Backends: an actor for each, its connections and the attempts on them.
+//! Backends: one actor for each, its idle connections, and the exchanges (attempts and health checks) with it.
 
+mod attempt;
 pub(crate) mod endpoint;
+pub(crate) mod exchange;
+mod idle_connections;
+mod response;
