--- a/crates/daemon/tests/in_force.rs
+++ b/crates/daemon/tests/in_force.rs
@@ -501,6 +501,37 @@
     );
 }
 
+/// Scripts of the operators read these lines: the whole text of `GET /settings`, and what a change logs behind its times.
+#[test]
+fn the_lines_of_a_change_are_told_to_the_byte() {
+    let log = Log::new(vec![]);
+    let mut proxy = Proxy::start(&[("s-1", echo("b1", &log))], |_| {});
+    let digest = |proxy: &Proxy| {
+        let parsed = birchhub_settings::read_value(&proxy.config["settings"]).expect("settings");
+        format!("{:016x}", parsed.digest)
+    };
+    let expected = format!(
+        "version 0, digest {}, 3 methods, 0 tenants\n",
+        digest(&proxy)
+    );
+    assert_eq!(proxy.stands(), expected);
+    proxy.config["name"] = "n9".into();
+    proxy.change(1, |settings| {
+        settings["my-zone"] = "elsewhere".into();
+        settings["ceilings"]["most-picks"] = 4.into();
+        settings["accounts"] = json!([{"name": "acme", "quota-per-s": 1e6}]);
+        methods(settings).push(method("extra", "read_like"));
+    });
+    let line = format!("version 1, digest {}, 4 methods, 1 tenants", digest(&proxy));
+    let waiting = "; at the next start: name, settings.my-zone";
+    assert_eq!(proxy.stands(), format!("{line}{waiting}\n"));
+    proxy.logs(&format!(
+        " of the loop: {line}{waiting}; methods 1 added, 0 changed, 0 removed, 4 in all; \
+         tenants 1 added, 0 changed, 0 removed, 1 in all; other keys: ceilings.most-picks\n"
+    ));
+    proxy.logs("SIGHUP: these keys take effect at the next start: name, settings.my-zone\n");
+}
+
 /// The watcher follows what the first instance follows, and ends where it is no longer told.
 #[test]
 fn a_watcher_follows() {
