Rename the settings' fields and functions, and their uses

connect_limit and idle_limit are timeouts, sized says that the endpoint list carries sizes, read/read_value parse, key hashes; kept is what is carried over, rules are keys that change decisions, later are keys that need a restart. The configuration's conf, watch, known, passed become parsed_settings, shadow_settings, cached_endpoints, inherited_listener.

Only names change; strings, JSON keys and log lines do not.

--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -150,7 +150,7 @@
     let Some(text) = text.filter(|t| !t.is_empty()) else {
         return Ok(None);
     };
-    settings::load_report(text, ':')
+    settings::parse_load_report(text, ':')
         .map(Some)
         .map_err(|e| format!("metrics {e}"))
 }
@@ -201,12 +201,12 @@
     fn init(&mut self, parts: &mut Parts) -> Result<(), String> {
         let proxy = parts.num("proxy-id")?;
         let seed = parts.num("entropy")?;
-        let conf = settings::read(parts.tail("conf")?).map_err(|e| format!("conf: {e}"))?;
+        let conf = settings::parse(parts.tail("conf")?).map_err(|e| format!("conf: {e}"))?;
         let instance = Instance {
             methods: conf.methods,
             tenants: conf.tenants,
             zones: conf.zones,
-            sized: conf.sized,
+            sized: conf.lists_endpoint_sizes,
             balancer: Balancer::new(&conf.settings, seed),
             rpcs: HashMap::new(),
             base: self.clock,
@@ -272,7 +272,7 @@
         let group = parts
             .opt("user-group")?
             .filter(|name| *name != "0" && !name.is_empty());
-        let key = parts.opt("entity")?.map(settings::key);
+        let key = parts.opt("entity")?.map(settings::hash_key);
         let expires = parts.num("expires-ns")?;
         let guess: Option<u64> = parts.opt_num("cost-guess-ns")?;
         let bits = parts.opt_num::<u64>("opts")?.unwrap_or(0);
--- a/crates/daemon/src/config/file.rs
+++ b/crates/daemon/src/config/file.rs
@@ -20,24 +20,24 @@
     /// The second address, for staff and the platform.
     pub management: Option<SocketAddr>,
     pub seed: u64,
-    pub sockets: usize,
-    pub known: Option<EndpointUpdate>,
+    pub max_sockets: usize,
+    pub cached_endpoints: Option<EndpointUpdate>,
     /// Why the list in the file can't be read; the first answer of discovery is waited for then.
-    pub known_fault: Option<String>,
-    pub conf: Arc<ParsedSettings>,
+    pub cached_endpoints_error: Option<String>,
+    pub parsed_settings: Arc<ParsedSettings>,
     /// Settings of another shape, whose decisions are only counted.
-    pub watch: Option<Settings>,
+    pub shadow_settings: Option<Settings>,
 }
 
 impl Config {
     /// Keys beside the settings that differ in another one and are heard at a start only.
-    pub(crate) fn differs(&self, other: &Self) -> Vec<&'static str> {
+    pub(crate) fn restart_keys(&self, other: &Self) -> Vec<&'static str> {
         let keys = [
             ("name", self.name != other.name),
             ("listen", self.listen != other.listen),
             ("management", self.management != other.management),
             ("seed", self.seed != other.seed),
-            ("limits", self.sockets != other.sockets),
+            ("limits", self.max_sockets != other.max_sockets),
         ];
         keys.into_iter()
             .filter(|(_, differs)| *differs)
@@ -60,7 +60,7 @@
 }
 
 /// An address that may be missing.
-fn optional(file: &Value, key: &str, variable: &str) -> Result<Option<SocketAddr>, String> {
+fn optional_address(file: &Value, key: &str, variable: &str) -> Result<Option<SocketAddr>, String> {
     match file.get(key) {
         Some(Value::Null) | None if std::env::var_os(variable).is_none() => Ok(None),
         Some(Value::Null | Value::String(_)) | None => address(file, key, variable).map(Some),
@@ -70,7 +70,7 @@
 
 /// The clients' socket, where the platform holds it and names its descriptor. To be called before anything
 /// else opens one.
-pub(crate) fn passed() -> Result<Option<std::net::TcpListener>, String> {
+pub(crate) fn inherited_listener() -> Result<Option<std::net::TcpListener>, String> {
     let Some(name) = std::env::var_os(PASSED) else {
         return Ok(None);
     };
@@ -101,13 +101,13 @@
 }
 
 /// Settings at a path.
-fn shape(text: &RawValue, path: &str) -> Result<ParsedSettings, String> {
-    birchhub_settings::read(text.get()).map_err(|e| format!("{path}{e}"))
+fn parse_settings(text: &RawValue, path: &str) -> Result<ParsedSettings, String> {
+    birchhub_settings::parse(text.get()).map_err(|e| format!("{path}{e}"))
 }
 
 /// The settings to be watched, which must speak of the same RPCs.
-fn watched(text: &RawValue, conf: &ParsedSettings) -> Result<Settings, String> {
-    let watch = shape(text, "watch.")?;
+fn parse_shadow_settings(text: &RawValue, conf: &ParsedSettings) -> Result<Settings, String> {
+    let watch = parse_settings(text, "watch.")?;
     let same = [
         ("methods", watch.methods == conf.methods),
         ("accounts", watch.tenants == conf.tenants),
@@ -142,10 +142,10 @@
             .and_then(Value::as_u64)
     };
     let bearable = limit("memory_mb").map_or(u64::MAX, |mb| (mb << 20) / SOCKET_NEEDS);
-    let conf = shape(settings, "settings: ")?;
+    let conf = parse_settings(settings, "settings: ")?;
     let watch = watch
         .filter(|watch| watch.get() != "null")
-        .map(|watch| watched(watch, &conf))
+        .map(|watch| parse_shadow_settings(watch, &conf))
         .transpose()?;
     // Guards against a fleet that can't start for a copy of a list that is replaced a moment later anyway.
     let list = list.filter(|list| known && list.get() != "null");
@@ -157,13 +157,13 @@
         name: text(&file, "name", "LB_NAME")?,
         listen: address(&file, "listen", "LB_LISTEN")?,
         discovery: address(&file, "discovery", "LB_DISCOVERY")?,
-        management: optional(&file, "management", "LB_MANAGEMENT")?,
+        management: optional_address(&file, "management", "LB_MANAGEMENT")?,
         seed: u64::from_str_radix(seed, 16)
             .map_err(|_| format!("seed is not a hex number: {seed}"))?,
-        sockets: limit("sockets").unwrap_or(1024).min(bearable) as usize,
-        known,
-        known_fault,
-        conf: Arc::new(conf),
-        watch,
+        max_sockets: limit("sockets").unwrap_or(1024).min(bearable) as usize,
+        cached_endpoints: known,
+        cached_endpoints_error: known_fault,
+        parsed_settings: Arc::new(conf),
+        shadow_settings: watch,
     })
 }
--- a/crates/daemon/src/config/reload.rs
+++ b/crates/daemon/src/config/reload.rs
@@ -5,7 +5,7 @@
 use crate::messages::Event;
 use birchhub::interface::{CarriedOver, Settings};
 use birchhub_settings::ParsedSettings;
-use birchhub_settings::change::{Change, in_force};
+use birchhub_settings::change::{Change, with_restart_keys_from};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,12 +17,12 @@
 /// Settings for the core to put in force.
 pub(crate) struct ConfigUpdate {
     pub settings: Settings,
-    pub kept: CarriedOver,
+    pub carried_over: CarriedOver,
     pub names: NameTable,
     /// Those of the watcher; without any it ends.
-    pub watch: Option<Settings>,
+    pub shadow_settings: Option<Settings>,
     /// Told once they are in force.
-    pub done: oneshot::Sender<Replaced>,
+    pub applied: oneshot::Sender<Replaced>,
 }
 
 /// The names before, and the time that the loop spent on the change.
@@ -109,13 +109,13 @@
     stand: &ActiveConfig,
 ) -> Result<PreparedReload, String> {
     let now = file::load(false)?;
-    let change = Change::between(before, &now.conf);
-    let mut later = start.differs(&now);
-    later.extend(&change.later);
-    let conf = Arc::unwrap_or_clone(now.conf).in_force(before);
+    let change = Change::between(before, &now.parsed_settings);
+    let mut later = start.restart_keys(&now);
+    later.extend(&change.restart_keys);
+    let conf = Arc::unwrap_or_clone(now.parsed_settings).with_restart_keys_from(before);
     // What nobody watched from the start would compare nothing.
-    let watched = match (watch, now.watch) {
-        (Some(before), Some(now)) => Some(in_force(before, now)),
+    let watched = match (watch, now.shadow_settings) {
+        (Some(before), Some(now)) => Some(with_restart_keys_from(before, now)),
         (None, Some(_)) => {
             later.push("watch");
             None
@@ -128,17 +128,17 @@
         .longest_deadline
         .zip(conf.longest_deadline)
         .map(|(a, b)| a.max(b));
-    let (words, kept) = (change.to_string(), change.kept);
+    let (words, kept) = (change.to_string(), change.carried_over);
     let update = changes.then(|| {
         let (done, told) = oneshot::channel();
         let (settings, names) = (conf.settings.clone(), NameTable::new(version, &conf));
         (
             ConfigUpdate {
                 settings,
-                kept,
+                carried_over: kept,
                 names,
-                watch: watched.clone(),
-                done,
+                shadow_settings: watched.clone(),
+                applied: done,
             },
             told,
         )
@@ -165,7 +165,7 @@
         core: mpsc::Sender<Event>,
         stand: watch::Sender<ActiveConfig>,
     ) -> Self {
-        let (conf, watch) = (start.conf.clone(), start.watch.clone());
+        let (conf, watch) = (start.parsed_settings.clone(), start.shadow_settings.clone());
         Self {
             start,
             conf,
@@ -187,7 +187,7 @@
             let prepared =
                 spawn_blocking(move || prepare(&start, &before, watch.as_ref(), &stand)).await;
             match prepared.unwrap_or_else(|e| Err(format!("it could not be compared: {e}"))) {
-                Ok(prepared) => self.put_in_force(prepared, begun).await,
+                Ok(prepared) => self.apply(prepared, begun).await,
                 Err(fault) => {
                     log::warn!(target: "birchhubd", "SIGHUP: the configuration stays as it was: {fault}")
                 }
@@ -195,7 +195,7 @@
         }
     }
 
-    async fn put_in_force(&mut self, new: PreparedReload, begun: Instant) {
+    async fn apply(&mut self, new: PreparedReload, begun: Instant) {
         let PreparedReload {
             discovery,
             stand,
--- a/crates/daemon/src/decision/actor.rs
+++ b/crates/daemon/src/decision/actor.rs
@@ -222,7 +222,7 @@
         standings: Rc<StateStore>,
         names: ActiveNames,
     ) -> Self {
-        let conf = &config.conf;
+        let conf = &config.parsed_settings;
         let door = DaemonPlatform {
             now: clock.now(),
             clock,
@@ -233,14 +233,17 @@
             wake_at: None,
             unsent: Vec::new(),
             answered: Vec::new(),
-            asked: config.watch.as_ref().map(|_| RecordedActions::default()),
+            asked: config
+                .shadow_settings
+                .as_ref()
+                .map(|_| RecordedActions::default()),
         };
         let mut core = Self {
             balancer: Balancer::new(&conf.settings, config.seed),
             rpcs: HashMap::new(),
             door,
             watch: config
-                .watch
+                .shadow_settings
                 .as_ref()
                 .map(|settings| ShadowEvaluator::new(settings, config.seed)),
             numbers: HashMap::new(),
@@ -249,10 +252,10 @@
             zones: conf.zones.clone(),
             names,
             windows: conf.settings.methods.iter().map(window).collect(),
-            sized: conf.sized,
+            sized: conf.lists_endpoint_sizes,
             limits: ConnectionLimits {
-                connect: Duration::from_secs_f64(conf.connect_limit),
-                idle: Duration::from_secs_f64(conf.idle_limit),
+                connect: Duration::from_secs_f64(conf.connect_timeout),
+                idle: Duration::from_secs_f64(conf.idle_timeout),
             },
             budget,
             standing: standings.reader(),
@@ -261,7 +264,7 @@
             beat: Instant::now() + BEAT,
             stopped: Instant::now(),
         };
-        let known = config.known.clone().unwrap_or(EndpointUpdate {
+        let known = config.cached_endpoints.clone().unwrap_or(EndpointUpdate {
             version: 0,
             kind: EndpointUpdateKind::StaleSnapshot,
             listed: vec![],
@@ -451,10 +454,10 @@
         let begun = Instant::now();
         let ConfigUpdate {
             settings,
-            kept,
+            carried_over: kept,
             names,
-            watch,
-            done,
+            shadow_settings: watch,
+            applied,
         } = update;
         self.windows = settings.methods.iter().map(window).collect();
         let before = self.names.replace(names.into());
@@ -468,7 +471,7 @@
             }
             None => (self.watch, self.door.asked) = (None, None),
         }
-        let _ = done.send((before, begun.elapsed()));
+        let _ = applied.send((before, begun.elapsed()));
     }
 
     fn take(
--- a/crates/daemon/src/downstream/request.rs
+++ b/crates/daemon/src/downstream/request.rs
@@ -256,7 +256,7 @@
             expected_work: work.map(|ns| ns / 1e9),
             key: figure("entity")
                 .filter(|key| *key != "-")
-                .map(birchhub_settings::key),
+                .map(birchhub_settings::hash_key),
             message: ParsedRequest {
                 verb: head.method,
                 uri: Uri::from(
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -41,7 +41,7 @@
 const LEFT_EVERY: Duration = Duration::from_millis(5); // between looks at whether the last client has left
 
 fn main() -> ExitCode {
-    let outcome = file::passed()
+    let outcome = file::inherited_listener()
         .and_then(|passed| Ok((passed, file::load(true)?)))
         .and_then(|(passed, config)| {
             let mut builder = tokio::runtime::Builder::new_current_thread();
@@ -133,7 +133,7 @@
         .map(|at| bound(at, "LB_MANAGEMENT"))
         .transpose()?;
     birchhub_logging::start();
-    if let Some(fault) = &config.known_fault {
+    if let Some(fault) = &config.cached_endpoints_error {
         log::warn!("known is passed over: {fault}");
     }
     // Only where staff or the platform may have another process of this proxy.
@@ -144,9 +144,12 @@
             .ok()
     });
     let config = Arc::new(config);
-    let names = Rc::new(RefCell::new(Arc::new(NameTable::new(0, &config.conf))));
-    let (stand, settings) = watch::channel(ActiveConfig::new(&config.conf));
-    let (clock, budget) = (Clock::start(), SocketBudget::new(config.sockets));
+    let names = Rc::new(RefCell::new(Arc::new(NameTable::new(
+        0,
+        &config.parsed_settings,
+    ))));
+    let (stand, settings) = watch::channel(ActiveConfig::new(&config.parsed_settings));
+    let (clock, budget) = (Clock::start(), SocketBudget::new(config.max_sockets));
     let standings = Rc::new(StateStore::new(shared, outlives));
     spawn_local(share(budget.clone(), standings.clone()));
     if let Some(listener) = management {
@@ -173,9 +176,9 @@
     spawn_local(core.run(mailbox));
     // A list as last had is enough to decide by; without one the first answer is waited for. Where lists are pushed,
     // what the agent has counts as told from the start on.
-    let pushed = !config.conf.settings.polls_endpoint_list;
+    let pushed = !config.parsed_settings.settings.polls_endpoint_list;
     if let Some(known) = config
-        .known
+        .cached_endpoints
         .as_ref()
         .filter(|known| !known.listed.is_empty())
     {
@@ -194,7 +197,7 @@
         at,
         core: sender.clone(),
         wanted,
-        version: config.known.as_ref().map(|known| known.version),
+        version: config.cached_endpoints.as_ref().map(|known| known.version),
         pushed,
         standings: standings.clone(),
         time_outs: 0,
--- a/crates/daemon/src/upstream/endpoint.rs
+++ b/crates/daemon/src/upstream/endpoint.rs
@@ -8,7 +8,7 @@
     SocketClass,
 };
 use birchhub::interface::{AttemptOutcome, LoadReport};
-use birchhub_settings::load_report;
+use birchhub_settings::parse_load_report;
 use bytes::Bytes;
 use hyper::HeaderMap;
 use hyper::header::CONNECTION;
@@ -574,7 +574,7 @@
         .and_then(|value| value.to_str().ok());
     // Only a probe's body is a report: an RPC's may look like one.
     let text = header.or(std::str::from_utf8(&reply.body).ok().filter(|_| probe));
-    let report = text.and_then(|text| load_report(text, '=').ok());
+    let report = text.and_then(|text| parse_load_report(text, '=').ok());
     let not_started = reply
         .headers
         .get("not-started")
--- a/crates/daemon/tests/in_force.rs
+++ b/crates/daemon/tests/in_force.rs
@@ -349,7 +349,7 @@
                 answered.load(Ordering::SeqCst) > before
             });
         }
-        let conf = birchhub_settings::read_value(&proxy.config["settings"]).expect("settings");
+        let conf = birchhub_settings::parse_value(&proxy.config["settings"]).expect("settings");
         let digest = format!("digest {:016x}", conf.digest);
         // Not by RPCs: those refused would fill the proxy's sockets, and idle clients give way to them.
         eventually(PATIENCE, "the last change is never in force", || {
@@ -507,7 +507,7 @@
     let log = Log::new(vec![]);
     let mut proxy = Proxy::start(&[("s-1", echo("b1", &log))], |_| {});
     let digest = |proxy: &Proxy| {
-        let parsed = birchhub_settings::read_value(&proxy.config["settings"]).expect("settings");
+        let parsed = birchhub_settings::parse_value(&proxy.config["settings"]).expect("settings");
         format!("{:016x}", parsed.digest)
     };
     let expected = format!(
--- a/crates/settings/src/change.rs
+++ b/crates/settings/src/change.rs
@@ -6,31 +6,31 @@
 
 /// How a list of named things differs from the one before.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Count {
+pub struct ListDifference {
     pub added: usize,
     pub changed: usize,
     pub removed: usize,
     /// That there are now.
-    pub all: usize,
+    pub total: usize,
 }
 
-impl Count {
+impl ListDifference {
     fn is_none(&self) -> bool {
         (self.added, self.changed, self.removed) == (0, 0, 0)
     }
 }
 
-impl fmt::Display for Count {
+impl fmt::Display for ListDifference {
     fn fmt(&self, to: &mut fmt::Formatter) -> fmt::Result {
         let Self {
             added,
             changed,
             removed,
-            all,
+            total,
         } = self;
         write!(
             to,
-            "{added} added, {changed} changed, {removed} removed, {all} in all"
+            "{added} added, {changed} changed, {removed} removed, {total} in all"
         )
     }
 }
@@ -39,22 +39,22 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Change {
     /// Where each method and tenant stood before, by name.
-    pub kept: CarriedOver,
-    pub methods: Count,
-    pub tenants: Count,
+    pub carried_over: CarriedOver,
+    pub methods: ListDifference,
+    pub tenants: ListDifference,
     /// Their order is another.
     pub reordered: bool,
     /// Other keys that change what is decided.
-    pub rules: Vec<&'static str>,
+    pub decision_keys: Vec<&'static str>,
     /// Keys that differ and take effect at the next start only.
-    pub later: Vec<&'static str>,
+    pub restart_keys: Vec<&'static str>,
 }
 
 /// The place before of each name now, the last one where a name is there twice, and how they differ.
 fn by_name<T: PartialEq>(
     (names_before, before): (&[String], &[T]),
     (names, now): (&[String], &[T]),
-) -> (Vec<Option<usize>>, Count) {
+) -> (Vec<Option<usize>>, ListDifference) {
     // As a rule nothing moves: names are looked up only from where the lists part.
     let same = names
         .iter()
@@ -83,11 +83,11 @@
     let changed = pairs
         .filter(|(was, now)| was.is_some_and(|was| before[was] != **now))
         .count();
-    let count = Count {
+    let count = ListDifference {
         added: known(names) - goes_on,
         changed,
         removed: places.len() - goes_on,
-        all: names.len(),
+        total: names.len(),
     };
     (kept, count)
 }
@@ -101,7 +101,7 @@
 
 /// Keys whose values bind decisions from the change on.
 #[expect(clippy::too_many_lines)]
-fn rules(before: &Settings, now: &Settings) -> Vec<&'static str> {
+fn decision_keys(before: &Settings, now: &Settings) -> Vec<&'static str> {
     // By each field, so that none that is added can be forgotten here.
     let Settings {
         proxy_count: balancers,
@@ -179,7 +179,7 @@
             (&before.tenants, &before.settings.tenants),
             (&now.tenants, &now.settings.tenants),
         );
-        let later = differing([
+        let restart_keys = differing([
             (
                 "settings.membership-mode",
                 before.settings.polls_endpoint_list != now.settings.polls_endpoint_list,
@@ -189,47 +189,53 @@
                 "settings.my-zone",
                 before.zones == now.zones && before.settings.own_zone != now.settings.own_zone,
             ),
-            ("settings.weight-source", before.sized != now.sized),
+            (
+                "settings.weight-source",
+                before.lists_endpoint_sizes != now.lists_endpoint_sizes,
+            ),
             (
                 "settings.ceilings.connect-timeout-ns",
-                before.connect_limit != now.connect_limit,
+                before.connect_timeout != now.connect_timeout,
             ),
             (
                 "settings.ceilings.conn-idle-ns",
-                before.idle_limit != now.idle_limit,
+                before.idle_timeout != now.idle_timeout,
             ),
         ]);
         Self {
-            kept: CarriedOver {
+            carried_over: CarriedOver {
                 methods: methods_kept,
                 tenants: tenants_kept,
             },
             methods,
             tenants,
             reordered: before.methods != now.methods || before.tenants != now.tenants,
-            rules: rules(&before.settings, &now.settings),
-            later,
+            decision_keys: decision_keys(&before.settings, &now.settings),
+            restart_keys,
         }
     }
 
     /// What is in force would stay as it is.
     pub fn is_none(&self) -> bool {
-        self.methods.is_none() && self.tenants.is_none() && !self.reordered && self.rules.is_empty()
+        self.methods.is_none()
+            && self.tenants.is_none()
+            && !self.reordered
+            && self.decision_keys.is_empty()
     }
 }
 
 impl fmt::Display for Change {
     fn fmt(&self, to: &mut fmt::Formatter) -> fmt::Result {
         write!(to, "methods {}; tenants {}", self.methods, self.tenants)?;
-        if !self.rules.is_empty() {
-            write!(to, "; other keys: {}", self.rules.join(", "))?;
+        if !self.decision_keys.is_empty() {
+            write!(to, "; other keys: {}", self.decision_keys.join(", "))?;
         }
         Ok(())
     }
 }
 
 /// The new settings, with what can't change without a start as it was.
-pub fn in_force(before: &Settings, now: Settings) -> Settings {
+pub fn with_restart_keys_from(before: &Settings, now: Settings) -> Settings {
     Settings {
         own_zone: before.own_zone,
         zone_count: before.zone_count,
@@ -239,14 +245,14 @@
 }
 
 impl ParsedSettings {
-    /// As `in_force` tells of `Settings`.
-    pub fn in_force(self, before: &Self) -> Self {
+    /// As `with_restart_keys_from` tells of `Settings`.
+    pub fn with_restart_keys_from(self, before: &Self) -> Self {
         Self {
-            settings: in_force(&before.settings, self.settings),
+            settings: with_restart_keys_from(&before.settings, self.settings),
             zones: before.zones.clone(),
-            sized: before.sized,
-            connect_limit: before.connect_limit,
-            idle_limit: before.idle_limit,
+            lists_endpoint_sizes: before.lists_endpoint_sizes,
+            connect_timeout: before.connect_timeout,
+            idle_timeout: before.idle_timeout,
             ..self
         }
     }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -35,11 +35,11 @@
     pub tenants: Vec<String>,
     pub zones: Vec<String>,
     /// The list tells sizes.
-    pub sized: bool,
+    pub lists_endpoint_sizes: bool,
     /// Longest wait for a connection, s.
-    pub connect_limit: f64,
+    pub connect_timeout: f64,
     /// After standing idle for this long, s, a connection is closed by the other side.
-    pub idle_limit: f64,
+    pub idle_timeout: f64,
     /// Longest deadline of any method, s; none if one of them is not told.
     pub longest_deadline: Option<f64>,
     /// Of the settings object as it was read, without `my-zone`: the same at all proxies that have the same.
@@ -185,10 +185,10 @@
     })
 }
 
-pub fn read(text: &str) -> Result<ParsedSettings, String> {
+pub fn parse(text: &str) -> Result<ParsedSettings, String> {
     let fault = |e| format!("is not JSON: {e}");
     let Ok(mut fields) = serde_json::from_str::<BTreeMap<String, &RawValue>>(text) else {
-        return read_value(&serde_json::from_str(text).map_err(fault)?);
+        return parse_value(&serde_json::from_str(text).map_err(fault)?);
     };
     let accounts = fields
         .get("accounts")
@@ -201,14 +201,14 @@
         .map(|(key, raw)| Ok((key, serde_json::from_str(raw.get())?)));
     let value = Value::Object(parsed.collect::<Result<_, _>>().map_err(fault)?);
     match accounts {
-        None => read_value(&value),
+        None => parse_value(&value),
         Some(accounts) => build(&value, || {
             accounts.iter().enumerate().map(raw_account).collect()
         }),
     }
 }
 
-pub fn read_value(value: &Value) -> Result<ParsedSettings, String> {
+pub fn parse_value(value: &Value) -> Result<ParsedSettings, String> {
     let conf = At {
         value,
         path: String::new(),
@@ -305,7 +305,7 @@
         ));
     }
     let digest = digest(value, &tenants, &settings);
-    let sized = matches!(weight_source, "nominal" | "rough");
+    let lists_endpoint_sizes = matches!(weight_source, "nominal" | "rough");
     let ends = listed
         .iter()
         .map(|m| m.opt("hard-limit-ns").map(|at| at.seconds()).transpose());
@@ -315,11 +315,11 @@
         methods: methods.into_iter().map(|(name, _)| name).collect(),
         tenants,
         zones,
-        sized,
-        connect_limit: ceilings
+        lists_endpoint_sizes,
+        connect_timeout: ceilings
             .opt("connect-timeout-ns")
             .map_or(Ok(CONNECT), |at| at.limit())?,
-        idle_limit: ceilings
+        idle_timeout: ceilings
             .opt("conn-idle-ns")
             .map_or(Ok(IDLE), |at| at.seconds())?,
         longest_deadline: ends.map(|ends| ends.into_iter().fold(0.0, f64::max)),
@@ -348,7 +348,7 @@
 }
 
 /// The number of a key's text, the same at every proxy.
-pub fn key(text: &str) -> u64 {
+pub fn hash_key(text: &str) -> u64 {
     let mut hash = Fnv::default();
     _ = hash.write(text.as_bytes());
     hash.0
@@ -375,7 +375,7 @@
 
 /// A load report of `name<mark>value` pairs, with the field names of the settings or the protocol page's. A
 /// field that is not known is passed over, and so is a value that can't be.
-pub fn load_report(text: &str, mark: char) -> Result<LoadReport, String> {
+pub fn parse_load_report(text: &str, mark: char) -> Result<LoadReport, String> {
     let mut load = LoadReport::default();
     for pair in text.trim().split(',') {
         let (name, value) = pair
--- a/crates/settings/tests/change.rs
+++ b/crates/settings/tests/change.rs
@@ -1,7 +1,7 @@
 //! The comparison of settings, against a plain model of it over generated pairs.
 use birchhub::interface::CarriedOver;
 use birchhub_settings::change::Change;
-use birchhub_settings::{ParsedSettings, read_value};
+use birchhub_settings::{ParsedSettings, parse_value};
 use quickcheck::{Gen, QuickCheck};
 use serde_json::{Value, json};
 
@@ -20,7 +20,7 @@
 }
 
 fn conf(value: &Value) -> ParsedSettings {
-    read_value(value).expect("settings")
+    parse_value(value).expect("settings")
 }
 
 /// Those of these names that are there once, so that a plain search tells all there is to tell.
@@ -69,17 +69,17 @@
             .count();
         (added, changed, removed, now.len())
     };
-    let told = |count: birchhub_settings::change::Count| {
-        (count.added, count.changed, count.removed, count.all)
+    let told = |count: birchhub_settings::change::ListDifference| {
+        (count.added, count.changed, count.removed, count.total)
     };
     let stays =
         old.settings == new.settings && old.methods == new.methods && old.tenants == new.tenants;
-    change.kept == kept
+    change.carried_over == kept
         && told(change.methods) == counts(&before.0, &now.0)
         && told(change.tenants) == counts(&before.1, &now.1)
         && change.is_none() == stays
-        && change.rules.is_empty()
-        && change.later.is_empty()
+        && change.decision_keys.is_empty()
+        && change.restart_keys.is_empty()
 }
 
 #[test]
@@ -115,8 +115,8 @@
         let both = new.iter().filter(|name| old.contains(name)).all(goes_on);
         places.len() == all && kept.len() == new.len() && named && both
     };
-    fair(&old.methods, &new.methods, &change.kept.methods)
-        && fair(&old.tenants, &new.tenants, &change.kept.tenants)
+    fair(&old.methods, &new.methods, &change.carried_over.methods)
+        && fair(&old.tenants, &new.tenants, &change.carried_over.tenants)
 }
 
 #[test]
@@ -169,11 +169,15 @@
             format!("{place}.{key}")
         };
         assert_eq!(
-            (change.rules, change.later),
+            (change.decision_keys, change.restart_keys),
             (vec![named.as_str()], vec![]),
             "{named}"
         );
-        assert_eq!(new.clone().in_force(&old).settings, new.settings, "{named}");
+        assert_eq!(
+            new.clone().with_restart_keys_from(&old).settings,
+            new.settings,
+            "{named}"
+        );
     }
     for (place, key, value) in [
         ("", "membership-mode", json!("on_request")),
@@ -191,8 +195,8 @@
             format!("settings.{place}.{key}")
         };
         assert!(change.is_none(), "{named}");
-        assert_eq!(change.later, [named.as_str()]);
-        let stays = new.clone().in_force(&old);
+        assert_eq!(change.restart_keys, [named.as_str()]);
+        let stays = new.clone().with_restart_keys_from(&old);
         assert_eq!(
             ParsedSettings {
                 digest: old.digest,
--- a/crates/settings/tests/compatibility.rs
+++ b/crates/settings/tests/compatibility.rs
@@ -4,7 +4,7 @@
     DeduplicationScope, Idempotency, LoadReportSource, MethodSettings, Settings, TenantSettings,
 };
 use birchhub_settings::change::Change;
-use birchhub_settings::{ParsedSettings, key, load_report, read, read_value};
+use birchhub_settings::{ParsedSettings, hash_key, parse, parse_load_report, parse_value};
 use serde_json::{Value, json};
 
 const EVERY_KEY: &str = include_str!("fixtures/every_key.json");
@@ -86,14 +86,14 @@
         methods: strings(["read", "book", "log", "pay \u{e9}", "sync"]),
         tenants: strings(["acme", "b\"\\\u{e9}"]),
         zones: strings(["north", "south", "west"]),
-        sized: true,
-        connect_limit: 0.25,
-        idle_limit: 30.0,
+        lists_endpoint_sizes: true,
+        connect_timeout: 0.25,
+        idle_timeout: 30.0,
         longest_deadline: Some(9.0),
         digest: 0,
     };
-    let parsed = read(EVERY_KEY).expect("settings");
-    assert_eq!(read_value(&every_key()), Ok(parsed.clone()));
+    let parsed = parse(EVERY_KEY).expect("settings");
+    assert_eq!(parse_value(&every_key()), Ok(parsed.clone()));
     assert_eq!(
         ParsedSettings {
             digest: 0,
@@ -107,7 +107,7 @@
 #[test]
 fn the_digest_is_the_same_in_every_version() {
     let digest = |value: &Value| {
-        let parsed = read(&value.to_string()).expect("settings");
+        let parsed = parse(&value.to_string()).expect("settings");
         format!("{:016x}", parsed.digest)
     };
     let mut value = every_key();
@@ -135,7 +135,7 @@
 /// Proxies of different versions have to agree on the number of a key.
 #[test]
 fn the_hash_of_a_key_is_the_same_in_every_version() {
-    let hashes = ["", "a", "entity-17", "\u{e9}\u{4e16}"].map(key);
+    let hashes = ["", "a", "entity-17", "\u{e9}\u{4e16}"].map(hash_key);
     let expected = [
         14_695_981_039_346_656_037,
         12_638_187_200_555_641_996,
@@ -158,8 +158,8 @@
 }
 
 fn fault_of(settings: &Value) -> String {
-    let fault = read(&settings.to_string()).expect_err("a fault");
-    assert_eq!(read_value(settings).expect_err("a fault"), fault);
+    let fault = parse(&settings.to_string()).expect_err("a fault");
+    assert_eq!(parse_value(settings).expect_err("a fault"), fault);
     fault.to_string()
 }
 
@@ -351,7 +351,7 @@
 #[test]
 fn text_that_is_not_json_is_named() {
     let faults = ["", "{\"a\":", "{\"a\": tru}"].map(|text| {
-        let fault = read(text).expect_err("a fault");
+        let fault = parse(text).expect_err("a fault");
         fault.to_string()
     });
     let expected = [
@@ -365,7 +365,7 @@
 #[test]
 fn faults_of_load_reports_are_named() {
     let faults = ["", "inflight", "inflight=1, depth", "inflight=many"].map(|text| {
-        let fault = load_report(text, '=').expect_err("a fault");
+        let fault = parse_load_report(text, '=').expect_err("a fault");
         fault.to_string()
     });
     let expected = [
@@ -375,13 +375,13 @@
         "is not a number: inflight=many",
     ];
     assert_eq!(faults, expected);
-    let fault = load_report("inflight=1", ':').expect_err("a fault");
+    let fault = parse_load_report("inflight=1", ':').expect_err("a fault");
     assert_eq!(fault.to_string(), "is not name:value: inflight=1");
 }
 
 #[test]
 fn the_text_of_a_change_is_as_ever() {
-    let parsed = |value: &Value| read_value(value).expect("settings");
+    let parsed = |value: &Value| parse_value(value).expect("settings");
     let before = parsed(&every_key());
     let text = |value: &Value| Change::between(&before, &parsed(value)).to_string();
     assert_eq!(
--- a/crates/settings/tests/read.rs
+++ b/crates/settings/tests/read.rs
@@ -1,21 +1,26 @@
 //! What settings and load reports are read as, and how what can't be read is named.
 use birchhub::interface::Settings;
-use birchhub_settings::{ParsedSettings, load_report, read, read_value};
+use birchhub_settings::{ParsedSettings, parse, parse_load_report, parse_value};
 use serde_json::{Value, json};
 
 /// Guards against reports that say nothing because their names are those of the other page.
 #[test]
 fn reports_are_read_by_either_name() {
     for text in ["concurrent=7,depth=2,new=x", " inflight=7,queue=2\n"] {
-        let load = load_report(text, '=').expect("a report");
+        let load = parse_load_report(text, '=').expect("a report");
         assert_eq!(
             (load.in_flight, load.queued, load.utilisation),
             (Some(7.0), Some(2.0), None)
         );
     }
-    assert!(load_report("inflight", '=').is_err() && load_report("inflight=many", '=').is_err());
+    assert!(
+        parse_load_report("inflight", '=').is_err()
+            && parse_load_report("inflight=many", '=').is_err()
+    );
     assert_eq!(
-        load_report("util=-1", '=').expect("a report").utilisation,
+        parse_load_report("util=-1", '=')
+            .expect("a report")
+            .utilisation,
         None
     );
 }
@@ -30,7 +35,7 @@
         "contract": {"drain-grace-ns": 5e8, "cold-from": 0.2, "cold-ns": 5e9, "fall-multiple": 3.0,
             "tip-after-ns": 1e9}});
     change(&mut value);
-    read_value(&value)
+    parse_value(&value)
 }
 
 /// Guards against a figure of one deployment that stands in for what another does not tell, and against times that no
@@ -41,8 +46,8 @@
     assert_eq!(
         (
             untold.settings.poll_within,
-            untold.connect_limit,
-            untold.idle_limit
+            untold.connect_timeout,
+            untold.idle_timeout
         ),
         (2.0, 1.0, 1.0)
     );
@@ -54,7 +59,7 @@
     });
     let odd = odd.expect("settings");
     assert_eq!(
-        (odd.connect_limit, odd.idle_limit, odd.longest_deadline),
+        (odd.connect_timeout, odd.idle_timeout, odd.longest_deadline),
         (1e9, 1e9, Some(1e9))
     );
     let two = conf(|conf| {
@@ -169,10 +174,14 @@
     ] {
         settings["accounts"] = accounts;
         let text = settings.to_string();
-        assert_eq!(read(&text), read_value(&settings), "{text}");
-        assert_eq!(read(&format!(" {text}\n")), read_value(&settings), "{text}");
+        assert_eq!(parse(&text), parse_value(&settings), "{text}");
+        assert_eq!(
+            parse(&format!(" {text}\n")),
+            parse_value(&settings),
+            "{text}"
+        );
     }
-    assert!(read("[]").is_err_and(|fault| fault == "ceilings is missing"));
-    assert!(read("null").is_err_and(|fault| fault == "ceilings is missing"));
-    assert!(read("{\"a\":").is_err_and(|fault| fault.starts_with("is not JSON: ")));
+    assert!(parse("[]").is_err_and(|fault| fault == "ceilings is missing"));
+    assert!(parse("null").is_err_and(|fault| fault == "ceilings is missing"));
+    assert!(parse("{\"a\":").is_err_and(|fault| fault.starts_with("is not JSON: ")));
 }
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -205,7 +205,7 @@
 pub fn simulate(scenario: &Scenario, plan: &Plan) -> Result<Outcome, String> {
     let count = scenario.proxies.count;
     let read = |proxy: u16| {
-        let mut conf = birchhub_settings::read_value(&settings::settings(scenario, proxy))?;
+        let mut conf = birchhub_settings::parse_value(&settings::settings(scenario, proxy))?;
         conf.settings.polls_endpoint_list = true;
         Ok::<_, String>(conf.settings)
     };
