--- a/crates/daemon/src/decision/actor.rs
+++ b/crates/daemon/src/decision/actor.rs
@@ -225,7 +225,7 @@
         state_store: Rc<StateStore>,
         names: ActiveNames,
     ) -> Self {
-        let conf = &config.conf;
+        let conf = &config.parsed_settings;
         let platform = DaemonPlatform {
             now: clock.now(),
             clock,
@@ -236,14 +236,17 @@
             timer_at: None,
             unsent: Vec::new(),
             answered: Vec::new(),
-            recorded: config.watch.as_ref().map(|_| RecordedActions::default()),
+            recorded: config
+                .shadow_settings
+                .as_ref()
+                .map(|_| RecordedActions::default()),
         };
         let mut actor = Self {
             balancer: Balancer::new(&conf.settings, config.seed),
             rpcs: HashMap::new(),
             platform,
             shadow: config
-                .watch
+                .shadow_settings
                 .as_ref()
                 .map(|settings| ShadowEvaluator::new(settings, config.seed)),
             numbers: HashMap::new(),
@@ -257,10 +260,10 @@
                 .iter()
                 .map(deduplication_window)
                 .collect(),
-            uses_relative_size: conf.sized,
+            uses_relative_size: conf.lists_endpoint_sizes,
             limits: ConnectionLimits {
-                connect: Duration::from_secs_f64(conf.connect_limit),
-                idle: Duration::from_secs_f64(conf.idle_limit),
+                connect: Duration::from_secs_f64(conf.connect_timeout),
+                idle: Duration::from_secs_f64(conf.idle_timeout),
             },
             budget,
             state: state_store.reader(),
@@ -269,7 +272,7 @@
             heartbeat_due: Instant::now() + HEARTBEAT_INTERVAL,
             resumed: Instant::now(),
         };
-        let known = config.known.clone().unwrap_or(EndpointUpdate {
+        let known = config.cached_endpoints.clone().unwrap_or(EndpointUpdate {
             version: 0,
             kind: EndpointUpdateKind::StaleSnapshot,
             listed: vec![],
@@ -472,10 +475,10 @@
         let started = Instant::now();
         let ConfigUpdate {
             settings,
-            kept,
+            carried_over: kept,
             names,
-            watch,
-            done,
+            shadow_settings: watch,
+            applied,
         } = update;
         self.deduplication_windows = settings.methods.iter().map(deduplication_window).collect();
         let before = self.names.replace(names.into());
@@ -490,7 +493,7 @@
             }),
             None => (self.shadow, self.platform.recorded) = (None, None),
         }
-        let _ = done.send((before, started.elapsed()));
+        let _ = applied.send((before, started.elapsed()));
     }
 
     fn accept_rpc(
--- a/crates/daemon/src/upstream/response.rs
+++ b/crates/daemon/src/upstream/response.rs
@@ -3,7 +3,7 @@
 use crate::net::sockets::{Connection, Reply};
 use crate::upstream::exchange::{CompletionGuard, ExchangeResult};
 use birchhub::interface::{AttemptOutcome, LoadReport};
-use birchhub_settings::load_report;
+use birchhub_settings::parse_load_report;
 use hyper::HeaderMap;
 use std::time::Duration;
 use tokio::select;
@@ -77,7 +77,7 @@
         .get(LOAD_REPORT_HEADER)
         .and_then(|value| value.to_str().ok());
     let body = health_check_body.and_then(|body| std::str::from_utf8(body).ok());
-    load_report(header.or(body)?, '=').ok()
+    parse_load_report(header.or(body)?, '=').ok()
 }
 
 #[cfg(test)]
