--- a/crates/benchlink/src/fields.rs
+++ b/crates/benchlink/src/fields.rs
@@ -110,7 +110,7 @@
         let Some(text) = text.filter(|text| !text.is_empty()) else {
             return Ok(None);
         };
-        settings::load_report(text, ':')
+        settings::parse_load_report(text, ':')
             .map(Some)
             .map_err(|error| LineError::LoadReport(error.to_string()))
     }
--- a/crates/benchlink/src/instance.rs
+++ b/crates/benchlink/src/instance.rs
@@ -30,13 +30,13 @@
     /// An instance with these settings, as text, that starts at this clock.
     pub(crate) fn new(settings: &str, seed: u64, clock: u64) -> Result<Self, LineError> {
         let parsed =
-            settings::read(settings).map_err(|error| LineError::Settings(error.to_string()))?;
+            settings::parse(settings).map_err(|error| LineError::Settings(error.to_string()))?;
         let ParsedSettings {
             settings,
             methods,
             tenants,
             zones,
-            sized,
+            lists_endpoint_sizes,
             ..
         } = parsed;
         Ok(Self {
@@ -46,7 +46,7 @@
                 methods,
                 tenants,
                 zones,
-                has_sizes: sized,
+                has_sizes: lists_endpoint_sizes,
             },
             start_clock: clock,
         })
--- a/crates/benchlink/src/process.rs
+++ b/crates/benchlink/src/process.rs
@@ -101,7 +101,7 @@
         let id = fields.number_of_bits("tid", RPC_BITS)?;
         let method = fields.text("profile")?;
         let tenant = fields.optional_text("user-group")?;
-        let key = fields.optional_text("entity")?.map(settings::key);
+        let key = fields.optional_text("entity")?.map(settings::hash_key);
         let deadline: u64 = fields.number("expires-ns")?;
         let cost: Option<u64> = fields.optional_number("cost-guess-ns")?;
         let options = fields.optional_number::<u64>("opts")?.unwrap_or(0);
