Split net/ into the socket budget, streams, linger, connection and bodies

Change: a module for each job; the socket permit, the eviction candidate and their order are types; reading ahead returns a named outcome in place of a Poll<bool>; ConnectionError and BodyTruncated derive their texts (thiserror); the source of a response's body is an enum. net/sockets.rs re-exports the former paths for other folders. No behaviour change. The log line 'limits.sockets is N, ...' and 'no socket left for ...' come from socket_budget: (was sockets:).

--- a/crates/daemon/src/downstream/listener.rs
+++ b/crates/daemon/src/downstream/listener.rs
@@ -5,10 +5,13 @@
 use crate::downstream::response::ProxyResponse;
 use crate::lifecycle::state::ProxyState;
 use crate::messages::Event;
+use crate::net::body::DeliveryStatus;
 use crate::net::body::ResponseBody;
-use crate::net::sockets::{
-    ClientLiveness, Evictable, EvictionCandidate, InboundStream, IoObserver, ObservedStream,
-    ReadAhead, SocketBudget, SocketClass, SocketPermit, linger,
+use crate::net::inbound_stream::{ClientLiveness, InboundStream, ReadAhead};
+use crate::net::linger::linger;
+use crate::net::observed_stream::{IoObserver, ObservedStream};
+use crate::net::socket_budget::{
+    Evictable, EvictionCandidate, SocketBudget, SocketClass, SocketPermit,
 };
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
@@ -118,7 +121,7 @@
     due: Cell<Instant>,
     scan: RefCell<HeadScan>,
     /// Set once the answer on its way has been handed over up to its last byte.
-    given: RefCell<Rc<Cell<bool>>>,
+    given: RefCell<DeliveryStatus>,
     budget: Rc<SocketBudget>,
     /// It may be given up for another.
     offer: RefCell<Option<EvictionCandidate>>,
@@ -221,7 +224,7 @@
 }
 
 impl IoObserver for Rc<ClientConnection> {
-    fn read(&self, bytes: &[u8]) {
+    fn on_read(&self, bytes: &[u8]) {
         if matches!(self.phase.get(), Phase::Fresh | Phase::Between) {
             self.scan.replace(HeadScan::default());
             self.turn(Phase::Half);
@@ -236,14 +239,14 @@
         }
     }
 
-    fn wrote(&self, _bytes: u64) {
+    fn on_write(&self, _bytes: u64) {
         if self.phase.get() == Phase::ResponseBody {
             self.due.set(Instant::now() + READ_TIME);
         }
     }
 
-    fn flushed(&self) {
-        if self.phase.get() == Phase::ResponseBody && self.given.borrow().get() {
+    fn on_flush(&self) {
+        if self.phase.get() == Phase::ResponseBody && self.given.borrow().is_complete() {
             self.turn(Phase::Between);
         }
     }
@@ -338,7 +341,7 @@
         let line = ClientConnection::new(&self.budget);
         line.offer();
         let stream = InboundStream::new(stream);
-        let ahead = stream.ahead();
+        let ahead = stream.read_ahead();
         let service = service_fn(|from: Request<Incoming>| {
             let (front, line, client) = (self.clone(), line.clone(), ahead.liveness());
             async move {
@@ -352,7 +355,7 @@
                 let last = refused || line.refused.get() || front.standing.borrow().answers_last();
                 line.refused.set(last);
                 let response = answer.encode(last);
-                line.given.replace(response.body().given());
+                line.given.replace(response.body().delivery());
                 line.turn(Phase::ResponseBody);
                 Ok::<Response<ResponseBody>, Infallible>(response)
             }
@@ -360,10 +363,7 @@
         let mut connection = http1::Builder::new()
             .max_buf_size(HEAD_MOST)
             .serve_connection(
-                TokioIo::new(ObservedStream {
-                    stream,
-                    by: line.clone(),
-                }),
+                TokioIo::new(ObservedStream::new(stream, line.clone())),
                 service,
             );
         if let Err(fault) = self.drive(&mut connection, &line, &ahead).await {
@@ -371,7 +371,7 @@
             line.refused.set(true);
         }
         if line.refused.get() {
-            self.linger(connection.into_parts().io.into_inner().stream, &line)
+            self.linger(connection.into_parts().io.into_inner().into_stream(), &line)
                 .await;
         }
         drop(place);
@@ -387,7 +387,7 @@
         ahead: &ReadAhead,
     ) -> hyper::Result<()> {
         let mut standing = self.standing.clone();
-        let mut left = pin!(ahead.left());
+        let mut left = pin!(ahead.disconnected());
         loop {
             // Guards against RPCs that wait, and are sent, for a client that has gone behind further bytes.
             let left = poll_fn(|cx| {
@@ -409,7 +409,7 @@
                 () = until(due) => {
                     // The machine may hold what came in this moment, also after the event loop was asked.
                     yield_now().await;
-                    ahead.look();
+                    ahead.read_available();
                     let now = poll_fn(|cx| Poll::Ready(Pin::new(&mut *connection).poll(cx)));
                     if let Poll::Ready(ended) = now.await {
                         return ended;
--- a/crates/daemon/src/downstream/response.rs
+++ b/crates/daemon/src/downstream/response.rs
@@ -1,7 +1,6 @@
 //! Answers to clients, each encoded once.
 use crate::net::body::{ResponseBody, StreamedBody};
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 
@@ -45,17 +44,17 @@
         } else {
             0.0
         };
-        let text = |text: &'static str| Ok(Bytes::from_static(text.as_bytes()));
+        let text = |text: &'static str| ResponseBody::buffered(Bytes::from_static(text.as_bytes()));
         let (status, body) = match self {
-            Self::Ok(body) => (StatusCode::OK, Ok(body)),
-            Self::Streamed(flow) => (StatusCode::OK, Err(flow)),
+            Self::Ok(body) => (StatusCode::OK, ResponseBody::buffered(body)),
+            Self::Streamed(body) => (StatusCode::OK, ResponseBody::streamed(body)),
             Self::Rejected { .. } => (StatusCode::SERVICE_UNAVAILABLE, text("pushed back\n")),
             Self::Failed => (StatusCode::BAD_GATEWAY, text("aborted\n")),
             Self::ClientError { status, message } => (status, text(message)),
             Self::Health(true) => (StatusCode::OK, text("ready\n")),
             Self::Health(false) => (StatusCode::SERVICE_UNAVAILABLE, text("not ready\n")),
         };
-        let mut response = Response::new(ResponseBody::new(body.map(Full::new)));
+        let mut response = Response::new(body);
         *response.status_mut() = status;
         if retry_after > 0.0
             && let Ok(value) = HeaderValue::from_str(&format!("{retry_after:.3}"))
--- /dev/null
+++ b/crates/daemon/src/net/connection.rs
@@ -0,0 +1,260 @@
+//! An HTTP/1.1 connection that this proxy opens, to a backend or to discovery.
+//!
+//! It belongs to whoever holds the [`Connection`]: dropping it closes the socket and gives its permit back. Its
+//! owner drives it; no task stands behind it that could keep the socket open or send something again.
+use crate::net::body::RequestBody;
+use crate::net::observed_stream::ObservedStream;
+use crate::net::socket_budget::SocketPermit;
+use bytes::{Bytes, BytesMut};
+use hyper::body::{Body, Incoming};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::{CONTENT_LENGTH, HOST, HeaderValue, TRANSFER_ENCODING};
+use hyper::{HeaderMap, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use std::cell::Cell;
+use std::future::{Future, poll_fn};
+use std::net::SocketAddr;
+use std::pin::{Pin, pin};
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout_at};
+
+/// Bytes buffered of what comes on a connection, and so of a response's head, at most.
+const READ_BUFFER_LIMIT: usize = 64 << 10;
+
+/// How an exchange failed.
+#[derive(Clone, Copy, Debug, Error, PartialEq)]
+pub(crate) enum ConnectionError {
+    /// Provably no byte was written.
+    #[error("no byte of the request was sent")]
+    NotSent,
+    /// The connection broke or ended after that, with no response begun: the request may have run.
+    #[error("the connection ended before a response")]
+    Closed,
+    /// The response can't be read, does not end as it should, or is larger than the protocol allows: the request
+    /// has run.
+    #[error("the response is malformed")]
+    MalformedResponse,
+}
+
+/// A response, complete or begun.
+pub(crate) struct Reply {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its header fields.
+    pub headers: HeaderMap,
+    /// All of its body, or the first part of a longer one.
+    pub body: Bytes,
+    /// The rest of the body is still to come, by [`Connection::next_chunk`].
+    pub is_partial: bool,
+    /// The length of all of the body, if it was declared.
+    pub length: Option<u64>,
+}
+
+/// What of a body was buffered.
+struct BufferedBody {
+    bytes: Bytes,
+    is_partial: bool,
+}
+
+type Http1Connection = http1::Connection<TokioIo<ObservedStream<Rc<Cell<u64>>>>, RequestBody>;
+
+/// Moves the bytes of a connection; empty once that has ended, and the socket with it.
+struct Driver(Option<Pin<Box<Http1Connection>>>);
+
+impl Driver {
+    /// Moves bytes; true once the connection is of no more use.
+    fn poll_ended(&mut self, cx: &mut Context) -> bool {
+        if let Some(connection) = &mut self.0
+            && connection.as_mut().poll(cx).is_ready()
+        {
+            self.0 = None;
+        }
+        self.0.is_none()
+    }
+}
+
+/// A connection opened by this proxy, for one exchange at a time.
+pub(crate) struct Connection {
+    sender: SendRequest<RequestBody>,
+    driver: Driver,
+    /// Of a response that is longer than was buffered.
+    remaining: Option<Incoming>,
+    written: Rc<Cell<u64>>,
+    host: HeaderValue,
+    /// When the last response ended, or the connection was opened.
+    pub last_used: Instant,
+    /// None where the reserve holds a descriptor for it.
+    _permit: Option<SocketPermit>,
+}
+
+impl Connection {
+    /// Connects by `until`; `permit` is none where the reserve holds a descriptor for it.
+    pub(crate) async fn open(
+        to: SocketAddr,
+        permit: Option<SocketPermit>,
+        until: Instant,
+    ) -> Option<Self> {
+        let host = HeaderValue::from_str(&to.to_string()).ok()?;
+        let stream = timeout_at(until, TcpStream::connect(to)).await.ok()?.ok()?;
+        stream.set_nodelay(true).ok()?;
+        let written = Rc::<Cell<u64>>::default();
+        let io = TokioIo::new(ObservedStream::new(stream, written.clone()));
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_LIMIT)
+            .handshake(io)
+            .await
+            .ok()?;
+        Some(Self {
+            sender,
+            driver: Driver(Some(Box::pin(connection))),
+            remaining: None,
+            written,
+            host,
+            last_used: Instant::now(),
+            _permit: permit,
+        })
+    }
+
+    /// Moves bytes; true once the connection is of no more use.
+    pub(crate) fn poll_closed(&mut self, cx: &mut Context) -> bool {
+        self.driver.poll_ended(cx)
+    }
+
+    /// Whether it is still open, by what has come so far.
+    pub(crate) async fn is_open(&mut self) -> bool {
+        poll_fn(|cx| Poll::Ready(!self.poll_closed(cx))).await
+    }
+
+    /// Whether another exchange may begin now.
+    pub(crate) async fn is_usable(&mut self) -> bool {
+        self.is_open().await && self.sender.is_ready()
+    }
+
+    /// The counter of the bytes written so far.
+    pub(crate) fn bytes_written(&self) -> Rc<Cell<u64>> {
+        self.written.clone()
+    }
+
+    /// Sends one request and reads its response: all of it, which may hold `body_limit` bytes, or where the response
+    /// is ok and `may_stream` is set, at least that much of a longer one. `sent` is set as soon as a byte may be on
+    /// its way.
+    pub(crate) async fn exchange(
+        &mut self,
+        request: Request<RequestBody>,
+        body_limit: usize,
+        may_stream: bool,
+        sent: &Cell<bool>,
+    ) -> Result<Reply, ConnectionError> {
+        let (head, body) = self.send(request, sent).await?.into_parts();
+        if is_framed_twice(&head.headers) {
+            return Err(ConnectionError::MalformedResponse);
+        }
+        let length = body.size_hint().exact();
+        self.remaining = Some(body);
+        let may_stream = may_stream && head.status == StatusCode::OK;
+        let buffered = self.buffer_body(length, body_limit, may_stream).await?;
+        Ok(Reply {
+            status: head.status,
+            headers: head.headers,
+            body: buffered.bytes,
+            is_partial: buffered.is_partial,
+            length,
+        })
+    }
+
+    /// Sends one request and waits for the head of its response.
+    async fn send(
+        &mut self,
+        mut request: Request<RequestBody>,
+        sent: &Cell<bool>,
+    ) -> Result<Response<Incoming>, ConnectionError> {
+        request.headers_mut().insert(HOST, self.host.clone());
+        let written_before = self.written.get();
+        let Self {
+            sender,
+            driver,
+            written,
+            ..
+        } = self;
+        let mut response = pin!(sender.try_send_request(request));
+        let response = poll_fn(|cx| {
+            driver.poll_ended(cx);
+            sent.set(sent.get() || written.get() != written_before);
+            response.as_mut().poll(cx)
+        });
+        response.await.map_err(|failure| {
+            if failure.error().is_parse() {
+                ConnectionError::MalformedResponse
+            } else if sent.get() {
+                ConnectionError::Closed
+            } else {
+                ConnectionError::NotSent
+            }
+        })
+    }
+
+    /// Buffers a response's body up to its end, or up to the limit where the rest may be streamed.
+    async fn buffer_body(
+        &mut self,
+        length: Option<u64>,
+        limit: usize,
+        may_stream: bool,
+    ) -> Result<BufferedBody, ConnectionError> {
+        // A body that is declared longer is streamed from its first byte: its time counts up to that.
+        if may_stream && length.is_some_and(|length| length > limit as u64) {
+            return Ok(BufferedBody {
+                bytes: Bytes::new(),
+                is_partial: true,
+            });
+        }
+        let capacity = length.unwrap_or(0).min(limit as u64) as usize;
+        let mut bytes = BytesMut::with_capacity(capacity);
+        let mut is_partial = false;
+        while !is_partial && let Some(chunk) = self.next_chunk().await? {
+            bytes.extend_from_slice(&chunk);
+            is_partial = bytes.len() > limit;
+            if is_partial && !may_stream {
+                return Err(ConnectionError::MalformedResponse);
+            }
+        }
+        Ok(BufferedBody {
+            bytes: bytes.freeze(),
+            is_partial,
+        })
+    }
+
+    /// The next bytes of a response's body; none at its end.
+    pub(crate) async fn next_chunk(&mut self) -> Result<Option<Bytes>, ConnectionError> {
+        let Self {
+            remaining, driver, ..
+        } = self;
+        loop {
+            let Some(body) = remaining else {
+                return Ok(None);
+            };
+            let frame = poll_fn(|cx| {
+                driver.poll_ended(cx);
+                Pin::new(&mut *body).poll_frame(cx)
+            });
+            match frame.await {
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(bytes) => return Ok(Some(bytes)),
+                    Err(_trailers) => continue,
+                },
+                Some(Err(_)) => return Err(ConnectionError::MalformedResponse),
+                None => {
+                    *remaining = None;
+                    self.last_used = Instant::now();
+                }
+            }
+        }
+    }
+}
+
+/// Whether a response's head declares its framing in two ways, of which one is wrong.
+fn is_framed_twice(headers: &HeaderMap) -> bool {
+    headers.contains_key(TRANSFER_ENCODING) && headers.contains_key(CONTENT_LENGTH)
+}
--- /dev/null
+++ b/crates/daemon/src/net/inbound_stream.rs
@@ -0,0 +1,214 @@
+//! A client's stream that can be read ahead of its use, so that the client's disconnect is seen while an RPC is
+//! in flight.
+//!
+//! An HTTP/1.1 server reads one message at a time. The end of the stream may stand behind bytes of a further
+//! message, where such a reader does not see it. [`ReadAhead`] buffers those bytes and finds the end.
+use bytes::BytesMut;
+use socket2::SockRef;
+use std::cell::RefCell;
+use std::future::{Future, poll_fn};
+use std::io::{ErrorKind, Read};
+use std::pin::{Pin, pin};
+use std::rc::{Rc, Weak};
+use std::task::{Context, Poll, Waker, ready};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::task::yield_now;
+use tokio::time::sleep;
+
+/// Bytes read ahead of a client at most: usual clients send none while their RPC is in flight.
+const READ_AHEAD_LIMIT: usize = 16 << 10;
+/// Bytes read ahead at a time, on the stack.
+const READ_AHEAD_CHUNK: usize = 1 << 10;
+/// Between checks for a disconnect behind more bytes than are read ahead.
+const DISCONNECT_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// A client's stream, with what was read ahead of it.
+pub(crate) struct InboundStream {
+    reads: ReadAhead,
+    writes: OwnedWriteHalf,
+}
+
+/// The reading half with its read-ahead buffer; shared by an [`InboundStream`] and its [`ReadAhead`].
+struct ReadState {
+    half: OwnedReadHalf,
+    buffered: BytesMut,
+    /// Of the task that waits for bytes of the stream.
+    reader: Option<Waker>,
+}
+
+/// Why reading ahead stopped.
+enum ReadAheadOutcome {
+    /// The client has closed or reset the connection.
+    Ended,
+    /// There is nothing more to read now.
+    Drained,
+    /// The buffer is full; more may stand in the socket.
+    BufferFull,
+}
+
+/// Reads ahead on an [`InboundStream`] and sees its end.
+#[derive(Clone)]
+pub(crate) struct ReadAhead(Rc<RefCell<ReadState>>);
+
+/// Tells whether a client is still connected. It does not keep the connection open.
+#[derive(Clone)]
+pub(crate) struct ClientLiveness(Weak<RefCell<ReadState>>);
+
+impl ClientLiveness {
+    /// Whether the client's connection has ended, by what the system knows at this moment: a disconnect that came
+    /// while this process was stopped has not reached the event loop yet.
+    pub(crate) async fn is_disconnected(&self) -> bool {
+        let Some(reads) = self.0.upgrade() else {
+            return true;
+        };
+        let outcome = reads.borrow_mut().read_available();
+        match outcome {
+            ReadAheadOutcome::Ended => return true,
+            ReadAheadOutcome::Drained => return false,
+            ReadAheadOutcome::BufferFull => drop(reads),
+        }
+        // Lets the event loop learn what stands behind the bytes for which there is no room.
+        yield_now().await;
+        self.0.upgrade().is_none_or(|reads| {
+            let mut cx = Context::from_waker(Waker::noop());
+            reads.borrow().is_read_closed(&mut cx)
+        })
+    }
+}
+
+impl InboundStream {
+    /// Takes over a connection that a client opened.
+    pub(crate) fn new(stream: TcpStream) -> Self {
+        let (half, writes) = stream.into_split();
+        let state = ReadState {
+            half,
+            buffered: BytesMut::new(),
+            reader: None,
+        };
+        Self {
+            reads: ReadAhead(Rc::new(RefCell::new(state))),
+            writes,
+        }
+    }
+
+    /// The handle by which the stream is read ahead.
+    pub(crate) fn read_ahead(&self) -> ReadAhead {
+        self.reads.clone()
+    }
+}
+
+impl ReadState {
+    /// Whether the event loop knows of the stream's end.
+    fn is_read_closed(&self, cx: &mut Context) -> bool {
+        let ready = pin!(self.half.ready(Interest::READABLE)).poll(cx);
+        matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed())
+    }
+
+    /// Reads ahead until the stream ends or the buffer is full.
+    fn poll_read_ahead(&mut self, cx: &mut Context) -> Poll<ReadAheadOutcome> {
+        let mut chunk = [0; READ_AHEAD_CHUNK];
+        while self.buffered.len() < READ_AHEAD_LIMIT {
+            let mut chunk = ReadBuf::new(&mut chunk);
+            let result = ready!(Pin::new(&mut self.half).poll_read(cx, &mut chunk));
+            if result.is_err() || chunk.filled().is_empty() {
+                return Poll::Ready(ReadAheadOutcome::Ended);
+            }
+            self.buffered.extend_from_slice(chunk.filled());
+        }
+        Poll::Ready(ReadAheadOutcome::BufferFull)
+    }
+
+    /// Reads ahead what the system holds now, past the event loop. As a rule this costs one system call that reads
+    /// nothing.
+    fn read_available(&mut self) -> ReadAheadOutcome {
+        let mut chunk = [0; READ_AHEAD_CHUNK];
+        while self.buffered.len() < READ_AHEAD_LIMIT {
+            let result = (&*SockRef::from(self.half.as_ref())).read(&mut chunk);
+            match result {
+                Ok(0) => return ReadAheadOutcome::Ended,
+                Ok(length) => {
+                    self.buffered.extend_from_slice(&chunk[..length]);
+                    // The event loop may not tell of these bytes any more.
+                    self.reader.take().into_iter().for_each(Waker::wake);
+                }
+                Err(error) => match error.kind() {
+                    ErrorKind::Interrupted => {}
+                    ErrorKind::WouldBlock => return ReadAheadOutcome::Drained,
+                    _ => return ReadAheadOutcome::Ended,
+                },
+            }
+        }
+        ReadAheadOutcome::BufferFull
+    }
+}
+
+impl ReadAhead {
+    /// A handle that tells whether the client is still connected.
+    pub(crate) fn liveness(&self) -> ClientLiveness {
+        ClientLiveness(Rc::downgrade(&self.0))
+    }
+
+    /// Reads ahead what the system holds at this moment.
+    pub(crate) fn read_available(&self) {
+        let _ = self.0.borrow_mut().read_available();
+    }
+
+    /// Returns when the client has closed or reset the connection, whatever stands unread before that.
+    pub(crate) async fn disconnected(&self) {
+        loop {
+            let outcome = poll_fn(|cx| self.0.borrow_mut().poll_read_ahead(cx)).await;
+            if matches!(outcome, ReadAheadOutcome::Ended) || self.is_read_closed().await {
+                return;
+            }
+            sleep(DISCONNECT_CHECK_INTERVAL).await;
+        }
+    }
+
+    /// Whether the event loop knows of an end behind bytes that still stand in the socket.
+    async fn is_read_closed(&self) -> bool {
+        poll_fn(|cx| Poll::Ready(self.0.borrow().is_read_closed(cx))).await
+    }
+}
+
+impl AsyncRead for InboundStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context,
+        buf: &mut ReadBuf,
+    ) -> Poll<std::io::Result<()>> {
+        let ReadState {
+            half,
+            buffered,
+            reader,
+        } = &mut *self.reads.0.borrow_mut();
+        if buffered.is_empty() {
+            let result = Pin::new(half).poll_read(cx, buf);
+            *reader = result.is_pending().then(|| cx.waker().clone());
+            return result;
+        }
+        let length = buffered.len().min(buf.remaining());
+        buf.put_slice(&buffered.split_to(length));
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for InboundStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context,
+        buf: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        Pin::new(&mut self.writes).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.writes).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.writes).poll_shutdown(cx)
+    }
+}
--- a/crates/daemon/src/net/mod.rs
+++ b/crates/daemon/src/net/mod.rs
@@ -1,4 +1,9 @@
-//! Sockets and bodies for both sides: the budget, observed streams, flow control.
+//! Sockets and bodies for both sides of the proxy: the socket budget, streams, connections and flow control.
 
 pub(crate) mod body;
+pub(crate) mod connection;
+pub(crate) mod inbound_stream;
+pub(crate) mod linger;
+pub(crate) mod observed_stream;
+pub(crate) mod socket_budget;
 pub(crate) mod sockets;
--- /dev/null
+++ b/crates/daemon/src/net/observed_stream.rs
@@ -0,0 +1,84 @@
+//! A stream that reports to an observer what is read and written on it.
+use std::cell::Cell;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// Hears of the bytes that move on an [`ObservedStream`].
+pub(crate) trait IoObserver: Unpin {
+    /// These bytes were read.
+    fn on_read(&self, _bytes: &[u8]) {}
+    /// So many bytes were taken over by the system to be sent.
+    fn on_write(&self, _bytes: u64) {}
+    /// All that was written by now was taken over by the system.
+    fn on_flush(&self) {}
+}
+
+/// Counts the bytes written.
+impl IoObserver for Rc<Cell<u64>> {
+    fn on_write(&self, bytes: u64) {
+        self.update(|written| written + bytes);
+    }
+}
+
+/// A stream and its observer.
+pub(crate) struct ObservedStream<O, S = TcpStream> {
+    stream: S,
+    observer: O,
+}
+
+impl<O, S> ObservedStream<O, S> {
+    /// Reports to `observer` what moves on `stream`.
+    pub(crate) fn new(stream: S, observer: O) -> Self {
+        Self { stream, observer }
+    }
+
+    /// The stream without its observer.
+    pub(crate) fn into_stream(self) -> S {
+        self.stream
+    }
+}
+
+impl<O: IoObserver, S: AsyncRead + Unpin> AsyncRead for ObservedStream<O, S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context,
+        buf: &mut ReadBuf,
+    ) -> Poll<std::io::Result<()>> {
+        let filled_before = buf.filled().len();
+        let result = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let read = &buf.filled()[filled_before..];
+        if !read.is_empty() {
+            self.observer.on_read(read);
+        }
+        result
+    }
+}
+
+impl<O: IoObserver, S: AsyncWrite + Unpin> AsyncWrite for ObservedStream<O, S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context,
+        buf: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write(cx, buf);
+        if let Poll::Ready(Ok(written)) = result {
+            self.observer.on_write(written as u64);
+        }
+        result
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<std::io::Result<()>> {
+        let result = Pin::new(&mut self.stream).poll_flush(cx);
+        if result.is_ready() {
+            self.observer.on_flush();
+        }
+        result
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
