--- /dev/null
+++ b/crates/audit/tests/stored_form.rs
@@ -0,0 +1,291 @@
+//! The stored form of a ledger. `fixtures/ledger-1` and `fixtures/records.jsonl` were written by the code of
+//! 2026-12-02; ledgers of that time are read, and new ones are written, exactly as they were.
+use birchhub_audit::event::{End, Left, Taken};
+use birchhub_audit::head::{Bars, Node, Trouble};
+use birchhub_audit::{Answer, Entry, Event, Group, Head, Kind, Method, Rules, State, ledger};
+
+const LEDGER: &[u8] = include_bytes!("fixtures/ledger-1");
+const RECORDS: &str = include_str!("fixtures/records.jsonl");
+const MAGIC: &str = "birchhub-ledger 1";
+const EVENT_KINDS: u8 = 20;
+const ANSWER_KINDS: u8 = 8;
+const ANSWERED: u8 = 2; // number of the kind of record that holds an answer
+
+fn method(name: &str, kind: Kind) -> Method {
+    Method {
+        name: name.into(),
+        kind,
+        target: 0.2,
+        deadline: 0.5,
+        utility: 2.0,
+        late_utility: 0.25,
+    }
+}
+
+fn rules() -> Rules {
+    Rules {
+        drain_grace: 0.3,
+        slack: 0.05,
+        fall_window: 1.5,
+        most_picks: 3,
+        second_copies: true,
+        over_quota_utility: 0.125,
+        kit_late: 0.01,
+    }
+}
+
+fn deduplicated(group: Group) -> Kind {
+    Kind::Deduplicated { group, window: 4.0 }
+}
+
+fn head() -> Head {
+    Head {
+        scenario: "every-record".into(),
+        seed: 7,
+        plan: "0123abcd".into(),
+        length: 30.0,
+        rules: rules(),
+        bars: Bars {
+            service: Some(0.99),
+            worst_10s: Some(0.98),
+            worst_method: Some(0.97),
+            worst_tenant: None,
+        },
+        methods: vec![
+            method("read", Kind::Idempotent),
+            method("book", Kind::NonIdempotent),
+            method("log", deduplicated(Group::All)),
+            method("note", deduplicated(Group::Zone)),
+            method("mark", deduplicated(Group::Rack)),
+        ],
+        tenants: vec!["acme".into()],
+        proxies: vec!["p0".into(), "p1".into()],
+        nodes: vec![Node {
+            name: "n0".into(),
+            zone: 1,
+            rack: 2,
+        }],
+        troubles: vec![Trouble {
+            name: "outage".into(),
+            kind: "crash".into(),
+            from: 1.0,
+            until: 2.0,
+            nodes: vec![0],
+            proxies: vec![1],
+        }],
+    }
+}
+
+fn answers() -> [Answer; 9] {
+    [
+        Answer::Ok,
+        Answer::PushedBack(None),
+        Answer::PushedBack(Some(0.5)),
+        Answer::Aborted(503),
+        Answer::Lost,
+        Answer::Unreachable,
+        Answer::Silence,
+        Answer::HungUp,
+        Answer::Garbled,
+    ]
+}
+
+fn backend_events() -> Vec<Event> {
+    let got = |taken| Event::Got {
+        life: 3,
+        job: 4,
+        attempt: 5,
+        proxy: 1,
+        begun: 0.75,
+        work: 0.125,
+        pushed: 0.0625,
+        taken,
+    };
+    let left = |how| Event::Left { job: 4, how };
+    vec![
+        Event::Born {
+            life: 3,
+            node: 2,
+            cold: true,
+            able: 1.5,
+        },
+        Event::Drained { life: 3 },
+        Event::Died { life: 3 },
+        Event::Fell { life: 3 },
+        got(Taken::Held),
+        got(Taken::TurnedAway),
+        got(Taken::Swallowed),
+        got(Taken::Error),
+        Event::Started { job: 4 },
+        Event::Repeated { job: 4 },
+        Event::Finished { job: 4 },
+        left(Left::Replied),
+        left(Left::Withdrawn),
+        left(Left::Broken),
+    ]
+}
+
+fn endpoint_list_events() -> Vec<Event> {
+    let states = [State::Ready, State::Draining, State::Gone];
+    let changed = states.map(|state| Event::Changed {
+        node: 2,
+        life: 3,
+        state,
+    });
+    let told = states.map(|state| Event::Told {
+        proxy: 1,
+        node: 2,
+        life: 3,
+        state,
+    });
+    changed.into_iter().chain(told).collect()
+}
+
+fn proxy_events() -> Vec<Event> {
+    let ends = [
+        End::Killed,
+        End::Stopped,
+        End::Forced,
+        End::Crashed,
+        End::Over,
+    ];
+    let mut events = vec![
+        Event::ProxyStarted { proxy: 1 },
+        Event::ProxyReady { proxy: 1 },
+    ];
+    events.extend(ends.map(|how| Event::ProxyEnded { proxy: 1, how }));
+    events
+}
+
+/// Each kind of record with each of its variants, a quarter of a second apart.
+fn entries() -> Vec<Entry> {
+    let mut events = vec![
+        Event::Asked {
+            rpc: 9,
+            method: 2,
+            tenant: 1,
+            within: true,
+        },
+        Event::Sent {
+            attempt: 5,
+            rpc: 9,
+            proxy: 1,
+            patience: 0.5,
+        },
+    ];
+    events.extend(answers().map(|answer| Event::Answered { attempt: 5, answer }));
+    events.extend(backend_events());
+    events.extend(endpoint_list_events());
+    events.extend(proxy_events());
+    events.extend([
+        Event::Trouble {
+            number: 0,
+            begins: true,
+        },
+        Event::KitLate { by: 0.25 },
+        Event::StageLate { by: 0.5 },
+    ]);
+    let timed = |(number, event)| Entry {
+        at: number as f64 * 0.25,
+        event,
+    };
+    events.into_iter().enumerate().map(timed).collect()
+}
+
+/// A ledger with the fixture's head and one record of these bytes after its time.
+fn with_record(event: &[u8]) -> Result<ledger::Ledger, ledger::Fault> {
+    let mut file = format!("{MAGIC}\n{}\n", serde_json::to_string(&head()).unwrap()).into_bytes();
+    let record = [&1.0_f64.to_le_bytes(), event].concat();
+    file.extend((record.len() as u16).to_le_bytes());
+    file.extend(record);
+    ledger::read(file.as_slice())
+}
+
+#[test]
+fn a_stored_ledger_is_read_as_it_was_meant() {
+    let stored = ledger::read(LEDGER).expect("a ledger");
+    assert!(!stored.cut, "the fixture is complete");
+    assert_eq!(stored.head, head());
+    assert_eq!(stored.entries, entries());
+}
+
+#[test]
+fn a_ledger_is_written_byte_for_byte_as_before() {
+    let mut written = Vec::new();
+    let mut writer = ledger::Writer::new(&mut written, &head()).expect("a head");
+    for entry in entries() {
+        writer.write(&entry).expect("a record");
+    }
+    writer.flush().expect("a flush");
+    assert!(written.starts_with(format!("{MAGIC}\n").as_bytes()));
+    assert_eq!(written, LEDGER);
+}
+
+/// The file holds no names of fields; what prints a record by serde does.
+#[test]
+fn records_keep_their_names_and_the_order_of_their_fields() {
+    let names: Vec<_> = entries()
+        .iter()
+        .map(|entry| serde_json::to_string(entry).expect("JSON"))
+        .collect();
+    assert_eq!(names, RECORDS.lines().collect::<Vec<_>>());
+}
+
+#[test]
+fn the_head_keeps_its_names_and_the_order_of_its_fields() {
+    let line = LEDGER.split(|byte| *byte == b'\n').nth(1).expect("a head");
+    let line = std::str::from_utf8(line).expect("text");
+    assert_eq!(serde_json::to_string(&head()).expect("JSON"), line);
+    for name in [
+        "non-idempotent",
+        "\"group\":\"all\"",
+        "\"group\":\"zone\"",
+        "\"group\":\"rack\"",
+        "\"worst-10s\"",
+    ] {
+        assert!(line.contains(name), "{name} is missing: {line}");
+    }
+}
+
+/// A new kind of record or answer has to join the fixture: it is added at the end, and `EVENT_KINDS` or
+/// `ANSWER_KINDS` grows.
+#[test]
+fn the_fixture_has_every_kind_of_record_and_answer() {
+    let record = |event: &Event| postcard_bytes(event);
+    let kinds: std::collections::BTreeSet<u8> = entries()
+        .iter()
+        .map(|entry| record(&entry.event)[0])
+        .collect();
+    assert_eq!(kinds, (0..EVENT_KINDS).collect());
+    let answer_kinds: std::collections::BTreeSet<u8> = answers()
+        .iter()
+        .map(|answer| {
+            record(&Event::Answered {
+                attempt: 5,
+                answer: *answer,
+            })[2]
+        })
+        .collect();
+    assert_eq!(answer_kinds, (0..ANSWER_KINDS).collect());
+    let zeros = [0; 32];
+    assert!(with_record(&[&[EVENT_KINDS], &zeros[..]].concat()).is_err());
+    assert!(with_record(&[&[ANSWERED, 5, ANSWER_KINDS], &zeros[..]].concat()).is_err());
+    assert!(with_record(&[ANSWERED, 5, ANSWER_KINDS - 1]).is_ok());
+}
+
+/// The bytes of an event as the ledger has them behind its length and time.
+fn postcard_bytes(event: &Event) -> Vec<u8> {
+    let mut file = Vec::new();
+    let mut writer = ledger::Writer::new(&mut file, &head()).expect("a head");
+    let start = {
+        let mut empty = Vec::new();
+        ledger::Writer::new(&mut empty, &head()).expect("a head");
+        empty.len()
+    };
+    let entry = Entry {
+        at: 1.0,
+        event: event.clone(),
+    };
+    writer.write(&entry).expect("a record");
+    file.split_off(start + size_of::<u16>() + size_of::<f64>())
+}
