--- /dev/null
+++ b/crates/rehearsal/src/stage/tests.rs
@@ -0,0 +1,10 @@
+//! The addresses of a rehearsal.
+use super::*;
+
+#[test]
+fn nobody_shares_an_address_with_the_list() {
+    let block = Block::new();
+    for proxy in 0..4 {
+        assert!((0..1000).all(|node| block.door(proxy, node) != block.list(proxy)));
+    }
+}
