--- /dev/null
+++ b/tests/common/sockets/client.rs
@@ -0,0 +1,59 @@
+//! A client's connection and the requests it sends.
+use super::http::{Message, read_message};
+use super::shared::PATIENCE;
+use std::io::{BufReader, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+/// A client's connection.
+pub(crate) struct Client(BufReader<TcpStream>);
+
+impl Client {
+    pub(crate) fn open(at: SocketAddr) -> Option<Self> {
+        let stream = TcpStream::connect(at).ok()?;
+        stream.set_read_timeout(Some(PATIENCE)).ok()?;
+        Some(Self(BufReader::new(stream)))
+    }
+    /// Whether all of it could be sent.
+    pub(crate) fn send(&mut self, bytes: &str) -> bool {
+        self.0.get_mut().write_all(bytes.as_bytes()).is_ok()
+    }
+    /// Its end is a reset.
+    pub(crate) fn resets_when_dropped(&self) {
+        socket2::SockRef::from(self.0.get_ref())
+            .set_linger(Some(Duration::ZERO))
+            .expect("no linger");
+    }
+    /// The socket, for who writes or reads beside.
+    pub(crate) fn stream(&self) -> TcpStream {
+        self.0.get_ref().try_clone().expect("a second handle")
+    }
+    pub(crate) fn answer(&mut self) -> Option<Message> {
+        read_message(&mut self.0)
+    }
+    pub(crate) fn call(&mut self, bytes: &str) -> Option<Message> {
+        self.send(bytes);
+        self.answer()
+    }
+    /// The other side has closed the connection, and nothing more came.
+    pub(crate) fn is_closed(&mut self) -> bool {
+        self.0.read(&mut [0]).map_or_else(
+            |e| e.kind() == ErrorKind::ConnectionReset,
+            |bytes| bytes == 0,
+        )
+    }
+}
+
+/// An RPC that waits for 3 s; `POST`s carry a key.
+pub(crate) fn rpc(verb: &str, path: &str, id: &str, body: &str) -> String {
+    let key = if verb == "POST" {
+        "Idempotency-Key: k1\r\n"
+    } else {
+        ""
+    };
+    let length = body.len();
+    format!(
+        "{verb} {path} HTTP/1.1\r\nHost: api.internal\r\nRequest-Id: {id}\r\nTenant: acme\r\n{key}\
+         Request-Timeout-Ms: 3000\r\nContent-Length: {length}\r\n\r\n{body}"
+    )
+}
--- /dev/null
+++ b/tests/common/sockets/daemon.rs
@@ -0,0 +1,200 @@
+//! A birchhubd process with its configuration and its discovery service.
+use super::client::{Client, rpc};
+use super::discovery::{List, line};
+use super::http::HEALTH;
+use super::shared::{PATIENCE, eventually};
+use serde_json::{Value, json};
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus};
+use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
+use std::thread::sleep;
+use std::time::Duration;
+
+/// A birchhubd, killed when dropped.
+pub(crate) struct Daemon {
+    pub child: Child,
+    pub at: SocketAddr,
+    pub list: List,
+    folder: PathBuf,
+}
+
+/// Without probes every backend is drawn blindly.
+pub(crate) fn blind(config: &mut Value) {
+    config["settings"]["ceilings"]["probes"] = false.into();
+}
+
+/// An address nobody listens on, nor will: the others listen elsewhere in the loopback range. Its port is
+/// none that the system deals out, or a client that comes too early might be connected to itself.
+pub(crate) fn free() -> SocketAddr {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let (process, number) = (std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+    SocketAddr::from((
+        [127, 1 + (process >> 8) as u8 % 127, process as u8, number],
+        5000,
+    ))
+}
+
+pub(crate) fn config(at: SocketAddr, list: SocketAddr, known: &[Value]) -> Value {
+    let method = |name: &str, kind: &str| {
+        json!({"name": name, "idempotency": kind, "dedup-scope": "cell", "window-ns": 4e9, "utility": 1.0,
+            "latency-target-ns": 3e9, "hard-limit-ns": 3e9})
+    };
+    json!({"name": "n0", "listen": at.to_string(), "discovery": list.to_string(), "seed": "8c1f30d27a5be964",
+        "limits": {"sockets": 1024}, "known": {"rev": 0, "all": true, "targets": known}, "settings": {
+        "balancers": 1, "membership-mode": "on_request", "failure-domains": ["a"], "my-zone": "a",
+        "methods": [method("read", "read_like"), method("book", "non_idempotent"),
+            method("log", "idempotency_key")],
+        "ceilings": {"most-picks": 3, "cancel": true, "probes": true, "conn-idle-ns": 15e9,
+            "connect-timeout-ns": 10e9},
+        "report": {"how": "probe", "fields": ["concurrent", "depth"]},
+        "contract": {"drain-grace-ns": 3e8, "cold-from": 0.3, "cold-ns": 5e9, "fall-multiple": 3.0,
+            "tip-after-ns": 1e9, "ask-within-ns": 4e9}}})
+}
+
+fn spawn_daemon(program: &str, folder: &Path) -> Child {
+    let mut start = Command::new(program);
+    let log = std::fs::File::create(folder.join("log")).expect("a file");
+    start
+        .env("LB_CONFIG", folder.join("config.json"))
+        .env("TMPDIR", folder);
+    start.stderr(log);
+    // A program that a test has just written is busy while another test's child, between fork and exec, has it open.
+    loop {
+        match start.spawn() {
+            Err(e) if e.kind() == ErrorKind::ExecutableFileBusy => sleep(Duration::from_millis(2)),
+            child => return child.expect("birchhubd"),
+        }
+    }
+}
+
+impl Daemon {
+    pub(crate) fn start(program: &str, backends: &[(&str, SocketAddr)]) -> Self {
+        Self::start_with(program, backends, |_| {})
+    }
+
+    /// With a configuration that differs from the usual one.
+    pub(crate) fn start_with(
+        program: &str,
+        backends: &[(&str, SocketAddr)],
+        change: impl FnOnce(&mut Value),
+    ) -> Self {
+        static NEXT: AtomicUsize = AtomicUsize::new(0);
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let folder =
+            std::env::temp_dir().join(format!("birchhubd-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let (at, list) = (free(), List::start());
+        let known: Vec<_> = backends
+            .iter()
+            .map(|(uid, at)| line(uid, *at, "Ready"))
+            .collect();
+        list.tell(&known);
+        let mut config = config(at, list.at, &known);
+        change(&mut config);
+        std::fs::write(folder.join("config.json"), config.to_string()).expect("a file");
+        let daemon = Self {
+            child: spawn_daemon(program, &folder),
+            at,
+            list,
+            folder,
+        };
+        daemon.await_ready(200);
+        daemon
+    }
+
+    /// Kills it and starts it again under its name and address.
+    pub(crate) fn restart(&mut self, program: &str) {
+        self.child
+            .kill()
+            .and_then(|()| self.child.wait())
+            .expect("the end of birchhubd");
+        self.start_again(program);
+        self.await_ready(200);
+    }
+
+    /// Starts it again once it has ended, and doesn't wait until it is ready.
+    pub(crate) fn start_again(&mut self, program: &str) {
+        self.child = spawn_daemon(program, &self.folder);
+    }
+
+    /// Waits until `/health/ready` answers this.
+    pub(crate) fn await_ready(&self, status: u16) {
+        let is = || Some(Client::open(self.at)?.call(HEALTH)?.status());
+        eventually(PATIENCE, &format!("never {status}"), || {
+            sleep(Duration::from_millis(2));
+            is() == Some(status)
+        });
+    }
+
+    pub(crate) fn client(&self) -> Client {
+        Client::open(self.at).expect("a connection")
+    }
+
+    /// Answers earn the credit that further picks are paid with.
+    pub(crate) fn earn_credit(&self) {
+        let mut client = self.client();
+        for n in 0..30 {
+            assert_eq!(
+                client
+                    .call(&rpc("GET", "/read", &format!("warm{n}"), ""))
+                    .unwrap()
+                    .status(),
+                200
+            );
+        }
+    }
+
+    /// Descriptors it holds open.
+    pub(crate) fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id()))
+            .expect("its descriptors")
+            .count()
+    }
+
+    /// Bytes it has in memory.
+    pub(crate) fn memory(&self) -> usize {
+        let file = std::fs::read_to_string(format!("/proc/{}/statm", self.child.id()))
+            .expect("its memory");
+        let pages = file
+            .split(' ')
+            .nth(1)
+            .and_then(|pages| pages.parse::<usize>().ok());
+        pages.expect("pages") << 12
+    }
+
+    /// What it has logged.
+    pub(crate) fn logged(&self) -> String {
+        std::fs::read_to_string(self.folder.join("log")).expect("its log")
+    }
+
+    pub(crate) fn signal(&self, name: &str) {
+        let kill = format!("kill -{name} {}", self.child.id());
+        assert!(
+            Command::new("sh")
+                .args(["-c", &kill])
+                .status()
+                .expect("a shell")
+                .success()
+        );
+    }
+
+    /// Replaces its configuration and tells it so.
+    pub(crate) fn reload(&self, text: &str) {
+        std::fs::write(self.folder.join("config.json"), text).expect("a file");
+        self.signal("HUP");
+    }
+
+    pub(crate) fn await_end(&mut self) -> ExitStatus {
+        self.child.wait().expect("the end of birchhubd")
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
--- /dev/null
+++ b/tests/common/sockets/mod.rs
@@ -0,0 +1,16 @@
+//! What surrounds a birchhubd process on loopback sockets: backends, the discovery service, clients and the process.
+mod backend;
+mod client;
+mod daemon;
+mod discovery;
+mod http;
+mod shared;
+mod slow_accept;
+
+pub(crate) use backend::*;
+pub(crate) use client::*;
+pub(crate) use daemon::*;
+pub(crate) use discovery::*;
+pub(crate) use http::*;
+pub(crate) use shared::*;
+pub(crate) use slow_accept::*;
