--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -15,7 +15,7 @@
 use crate::config::file::{self, Config};
 use crate::config::reload::{ActiveConfig, Reload};
 use crate::decision::actor::{self, DecisionActor};
-use crate::discovery::client::Discovery;
+use crate::discovery::client::DiscoveryClient;
 use crate::downstream::listener::Listener;
 use crate::downstream::request::RequestParser;
 use crate::lifecycle::admin::AdminServer;
@@ -193,27 +193,21 @@
     }
     let (moves, at) = watch::channel(config.discovery);
     spawn_local(Reload::new(config.clone(), moves, sender.clone(), stand).run(hup));
-    let discovery = Discovery {
+    let discovery = DiscoveryClient::new(
         at,
-        core: sender.clone(),
+        sender.clone(),
         wanted,
-        version: config.cached_endpoints.as_ref().map(|known| known.version),
+        config.cached_endpoints.as_ref().map(|known| known.version),
         pushed,
-        standings: standings.clone(),
-        time_outs: 0,
-    };
+        standings.clone(),
+    );
     spawn_local(discovery.run());
-    let intake = RequestParser::new(names);
-    let open = Default::default();
-    let standing = standings.reader();
-    let front = Listener {
-        intake,
-        standing,
-        budget: budget.clone(),
-        core: sender,
-        next: 0.into(),
-        open,
-    };
+    let front = Listener::new(
+        RequestParser::new(names),
+        standings.reader(),
+        budget.clone(),
+        sender,
+    );
     let accepting = spawn_local(accept(front, listener, standings.clone(), pushed));
     log::info!("{} listens on {}", config.name, config.listen);
     term.recv().await;
@@ -230,7 +224,7 @@
     let over = standings.now().over();
     let gone = async {
         let _ = accepting.await;
-        while budget.open(SocketClass::Clients) > 0 {
+        while budget.open_sockets(SocketClass::Clients) > 0 {
             sleep(LEFT_EVERY).await;
         }
     };
@@ -240,7 +234,7 @@
     }
     log::info!(
         "ends with {} client connections open",
-        budget.open(SocketClass::Clients)
+        budget.open_sockets(SocketClass::Clients)
     );
     Ok(())
 }
