Tests of crates/settings: names that say the behaviour, functions that fit a screen

The tests had grown to functions of 90 lines that checked several things each, with names of the house.

--- a/crates/settings/tests/change.rs
+++ b/crates/settings/tests/change.rs
@@ -1,16 +1,16 @@
-//! The comparison of settings, against a plain model of it over generated pairs.
+//! The comparison of settings, against a plain model of it on generated pairs.
 use birchhub::interface::CarriedOver;
 use birchhub_settings::{Change, ListDifference, ParsedSettings, parse_value};
 use quickcheck::{Gen, QuickCheck};
 use serde_json::{Value, json};
 
-/// Settings whose methods and tenants are these, each a name and a figure that sets it apart.
-fn object(methods: &[(u8, u8)], tenants: &[(u8, u8)]) -> Value {
-    let method = |(name, figure): &(u8, u8)| {
-        json!({"name": format!("m{}", name % 12), "idempotency": "read_like", "utility": figure % 3,
+/// Settings with these methods and tenants: each is the number of a name, and a value.
+fn settings(methods: &[(u8, u8)], tenants: &[(u8, u8)]) -> Value {
+    let method = |(name, value): &(u8, u8)| {
+        json!({"name": format!("m{}", name % 12), "idempotency": "read_like", "utility": value % 3,
             "latency-target-ns": 1e8})
     };
-    let tenant = |(name, figure): &(u8, u8)| json!({"name": format!("t{}", name % 12), "quota-per-s": figure % 3});
+    let tenant = |(name, value): &(u8, u8)| json!({"name": format!("t{}", name % 12), "quota-per-s": value % 3});
     json!({"balancers": 2, "ceilings": {"most-picks": 3}, "failure-domains": ["a", "b"], "my-zone": "a",
         "methods": methods.iter().map(method).collect::<Vec<_>>(),
         "accounts": tenants.iter().map(tenant).collect::<Vec<_>>(),
@@ -18,126 +18,135 @@
             "tip-after-ns": 1e9}})
 }
 
-fn conf(value: &Value) -> ParsedSettings {
+fn parsed(value: &Value) -> ParsedSettings {
     parse_value(value).expect("settings")
 }
 
-/// Those of these names that are there once, so that a plain search tells all there is to tell.
-fn once(mut list: Vec<(u8, u8)>) -> Vec<(u8, u8)> {
+/// The first of each name, so that a linear search finds all there is to find.
+fn without_duplicates(mut list: List) -> List {
     let mut seen = [false; 12];
     list.retain(|(name, _)| !std::mem::replace(&mut seen[usize::from(*name % 12)], true));
     list
 }
 
-type Lists = (Vec<(u8, u8)>, Vec<(u8, u8)>);
+type List = Vec<(u8, u8)>;
 
-fn is_as_a_plain_search(before: Lists, now: Lists) -> bool {
-    let (before, now) = ((once(before.0), once(before.1)), (once(now.0), once(now.1)));
-    let (old, new) = (
-        conf(&object(&before.0, &before.1)),
-        conf(&object(&now.0, &now.1)),
-    );
-    let change = Change::between(&old, &new);
-    let place = |names: &[String], name: &String| names.iter().position(|n| n == name);
-    let kept = CarriedOver {
-        methods: new
-            .methods
-            .iter()
-            .map(|name| place(&old.methods, name))
-            .collect(),
-        tenants: new
-            .tenants
-            .iter()
-            .map(|name| place(&old.tenants, name))
-            .collect(),
+/// Methods and tenants.
+type Lists = (List, List);
+
+/// The index before of each name, by linear search.
+fn expected_indexes(before: &[String], now: &[String]) -> Vec<Option<usize>> {
+    let index = |name: &String| before.iter().position(|other| other == name);
+    now.iter().map(index).collect()
+}
+
+/// How two lists without duplicates differ, by linear search.
+fn expected_difference(before: &List, now: &List) -> ListDifference {
+    let find = |list: &List, name: u8| {
+        let entry = list.iter().find(|(other, _)| other % 12 == name % 12);
+        entry.map(|(_, value)| value % 3)
     };
-    let counts = |before: &[(u8, u8)], now: &[(u8, u8)]| {
-        let find =
-            |list: &[(u8, u8)], name: u8| list.iter().find(|(n, _)| n % 12 == name % 12).copied();
-        let (mut added, mut changed) = (0, 0);
-        for (name, figure) in now {
-            match find(before, *name) {
-                None => added += 1,
-                Some((_, was)) => changed += usize::from(was % 3 != figure % 3),
-            }
+    let mut difference = ListDifference {
+        total: now.len(),
+        ..ListDifference::default()
+    };
+    for (name, value) in now {
+        match find(before, *name) {
+            None => difference.added += 1,
+            Some(previous) => difference.changed += usize::from(previous != value % 3),
         }
-        let removed = before
-            .iter()
-            .filter(|(name, _)| find(now, *name).is_none())
-            .count();
-        (added, changed, removed, now.len())
+    }
+    let is_removed = |(name, _): &&(u8, u8)| find(now, *name).is_none();
+    difference.removed = before.iter().filter(is_removed).count();
+    difference
+}
+
+fn matches_a_linear_search(before: Lists, now: Lists) -> bool {
+    let unique = |(methods, tenants)| (without_duplicates(methods), without_duplicates(tenants));
+    let (before, now) = (unique(before), unique(now));
+    let active = parsed(&settings(&before.0, &before.1));
+    let new = parsed(&settings(&now.0, &now.1));
+    let change = Change::between(&active, &new);
+    let carried_over = CarriedOver {
+        methods: expected_indexes(&active.methods, &new.methods),
+        tenants: expected_indexes(&active.tenants, &new.tenants),
     };
-    let told = |count: ListDifference| (count.added, count.changed, count.removed, count.total);
-    let stays =
-        old.settings == new.settings && old.methods == new.methods && old.tenants == new.tenants;
-    change.carried_over == kept
-        && told(change.methods) == counts(&before.0, &now.0)
-        && told(change.tenants) == counts(&before.1, &now.1)
-        && change.is_none() == stays
+    let is_same = active.settings == new.settings
+        && active.methods == new.methods
+        && active.tenants == new.tenants;
+    change.carried_over == carried_over
+        && change.methods == expected_difference(&before.0, &now.0)
+        && change.tenants == expected_difference(&before.1, &now.1)
+        && change.is_none() == is_same
         && change.decision_keys.is_empty()
         && change.restart_keys.is_empty()
 }
 
 #[test]
-fn names_are_matched_as_by_a_plain_search() {
+fn names_are_matched_as_by_a_linear_search() {
     let mut check = QuickCheck::new()
         .tests(2000)
         .rng(Gen::from_size_and_seed(14, 11));
-    check.quickcheck(is_as_a_plain_search as fn(_, _) -> bool);
-}
-
-/// Lists in which names come twice: no place goes on twice, each one that goes on bears the name, and no count lies.
-fn twins_share_nothing(before: Lists, now: Lists) -> bool {
-    let (old, new) = (
-        conf(&object(&before.0, &before.1)),
-        conf(&object(&now.0, &now.1)),
-    );
-    let change = Change::between(&old, &new);
-    let fair = |old: &[String], new: &[String], kept: &[Option<usize>]| {
-        let mut places: Vec<_> = kept.iter().flatten().collect();
-        let all = places.len();
-        places.sort();
-        places.dedup();
-        let named = new
+    check.quickcheck(matches_a_linear_search as fn(_, _) -> bool);
+}
+
+/// Each index before is carried over at most once, to its own name, and each name in both lists has one.
+fn is_carried_over_once(before: &[String], now: &[String], indexes: &[Option<usize>]) -> bool {
+    let mut carried: Vec<_> = indexes.iter().flatten().collect();
+    let count = carried.len();
+    carried.sort();
+    carried.dedup();
+    let pairs = || now.iter().zip(indexes);
+    let to_its_name =
+        |(name, index): (&String, &Option<usize>)| index.is_none_or(|index| before[index] == *name);
+    let is_carried = |name: &String| pairs().any(|(other, index)| other == name && index.is_some());
+    carried.len() == count
+        && indexes.len() == now.len()
+        && pairs().all(to_its_name)
+        && now
             .iter()
-            .zip(kept)
-            .all(|(name, was)| was.is_none_or(|was| old[was] == *name));
-        // Every name that is on both sides goes on in some place.
-        let goes_on = |name: &String| {
-            new.iter()
-                .zip(kept)
-                .any(|(n, was)| n == name && was.is_some())
-        };
-        let both = new.iter().filter(|name| old.contains(name)).all(goes_on);
-        places.len() == all && kept.len() == new.len() && named && both
-    };
-    fair(&old.methods, &new.methods, &change.carried_over.methods)
-        && fair(&old.tenants, &new.tenants, &change.carried_over.tenants)
+            .filter(|name| before.contains(name))
+            .all(is_carried)
+}
+
+fn duplicates_are_carried_over_once(before: Lists, now: Lists) -> bool {
+    let active = parsed(&settings(&before.0, &before.1));
+    let new = parsed(&settings(&now.0, &now.1));
+    let CarriedOver { methods, tenants } = Change::between(&active, &new).carried_over;
+    is_carried_over_once(&active.methods, &new.methods, &methods)
+        && is_carried_over_once(&active.tenants, &new.tenants, &tenants)
 }
 
 #[test]
-fn names_that_come_twice_go_on_once() {
+fn state_of_names_that_are_listed_twice_is_carried_over_once() {
     let mut check = QuickCheck::new()
         .tests(2000)
         .rng(Gen::from_size_and_seed(20, 12));
-    check.quickcheck(twins_share_nothing as fn(_, _) -> bool);
+    check.quickcheck(duplicates_are_carried_over_once as fn(_, _) -> bool);
+}
+
+/// Minimal settings, and the same with one key of a section, or of the object itself, changed.
+fn changed(section: &str, key: &str, value: Value) -> (ParsedSettings, ParsedSettings) {
+    let mut other = settings(&[(0, 1)], &[(0, 1)]);
+    let active = parsed(&other);
+    match section {
+        "" => other[key] = value,
+        section => other[section][key] = value,
+    }
+    (active, parsed(&other))
+}
+
+fn path(section: &str, key: &str) -> String {
+    if section.is_empty() {
+        key.to_owned()
+    } else {
+        format!("{section}.{key}")
+    }
 }
 
-/// Each key that differs is named: in force now, or at the next start, where it then stays as it was.
 #[test]
-#[expect(clippy::too_many_lines)]
-fn each_key_is_told_by_when_it_binds() {
-    let plain = object(&[(0, 1)], &[(0, 1)]);
-    let old = conf(&plain);
-    let with = |place: &str, key: &str, value: Value| {
-        let mut other = plain.clone();
-        match place {
-            "" => other[key] = value,
-            place => other[place][key] = value,
-        }
-        conf(&other)
-    };
-    for (place, key, value) in [
+fn keys_that_change_decisions_are_listed_and_applied() {
+    for (section, key, value) in [
         ("", "balancers", json!(5)),
         ("ceilings", "most-picks", json!(4)),
         ("ceilings", "cancel", json!(true)),
@@ -157,25 +166,19 @@
         ("contract", "fall-multiple", json!(2.0)),
         ("contract", "tip-after-ns", json!(3e9)),
     ] {
-        let new = with(place, key, value);
-        let change = Change::between(&old, &new);
-        let named = if place.is_empty() {
-            key.to_owned()
-        } else {
-            format!("{place}.{key}")
-        };
-        assert_eq!(
-            (change.decision_keys, change.restart_keys),
-            (vec![named.as_str()], vec![]),
-            "{named}"
-        );
-        assert_eq!(
-            new.clone().with_restart_keys_from(&old).settings,
-            new.settings,
-            "{named}"
-        );
+        let (active, new) = changed(section, key, value);
+        let change = Change::between(&active, &new);
+        let key = path(section, key);
+        assert_eq!(change.decision_keys, [key.as_str()]);
+        assert!(change.restart_keys.is_empty(), "{key}");
+        let applied = new.clone().with_restart_keys_from(&active);
+        assert_eq!(applied.settings, new.settings, "{key}");
     }
-    for (place, key, value) in [
+}
+
+#[test]
+fn keys_that_need_a_restart_are_listed_and_keep_their_active_value() {
+    for (section, key, value) in [
         ("", "membership-mode", json!("on_request")),
         ("", "failure-domains", json!(["b", "a"])),
         ("", "my-zone", json!("b")),
@@ -183,48 +186,45 @@
         ("ceilings", "connect-timeout-ns", json!(3e9)),
         ("ceilings", "conn-idle-ns", json!(3e9)),
     ] {
-        let new = with(place, key, value);
-        let change = Change::between(&old, &new);
-        let named = if place.is_empty() {
-            format!("settings.{key}")
-        } else {
-            format!("settings.{place}.{key}")
-        };
-        assert!(change.is_none(), "{named}");
-        assert_eq!(change.restart_keys, [named.as_str()]);
-        let stays = new.clone().with_restart_keys_from(&old);
-        assert_eq!(
-            ParsedSettings {
-                digest: old.digest,
-                ..stays
-            },
-            old,
-            "{named}"
-        );
+        let (active, new) = changed(section, key, value);
+        let change = Change::between(&active, &new);
+        let key = format!("settings.{}", path(section, key));
+        assert!(change.is_none(), "{key}");
+        assert_eq!(change.restart_keys, [key.as_str()]);
+        let mut applied = new.with_restart_keys_from(&active);
+        applied.digest = active.digest;
+        assert_eq!(applied, active, "{key}");
     }
 }
 
-/// The digest is of what is told, however it is written; the zone is each proxy's own.
+fn digest(value: &Value) -> u64 {
+    parsed(value).digest
+}
+
 #[test]
-fn the_digest_is_that_of_the_object() {
-    let plain = object(&[(0, 1)], &[(0, 1)]);
-    let digest = |value: &Value| conf(value).digest;
-    let text = plain.to_string();
-    let mut turned = String::from("{");
-    let fields: Vec<_> = plain.as_object().expect("an object").iter().rev().collect();
-    turned += &fields
-        .iter()
+fn the_digest_does_not_depend_on_the_order_of_keys() {
+    let plain = settings(&[(0, 1)], &[(0, 1)]);
+    let fields = plain.as_object().expect("an object").iter().rev();
+    let fields: Vec<_> = fields
         .map(|(key, value)| format!(" {key:?} : {value}"))
-        .collect::<Vec<_>>()
-        .join(",");
-    let turned: Value = serde_json::from_str(&(turned + "}")).expect("JSON");
-    assert_eq!(
-        digest(&turned),
-        digest(&serde_json::from_str(&text).expect("JSON"))
-    );
+        .collect();
+    let reversed = format!("{{{}}}", fields.join(","));
+    let reversed: Value = serde_json::from_str(&reversed).expect("JSON");
+    let text: Value = serde_json::from_str(&plain.to_string()).expect("JSON");
+    assert_eq!(digest(&reversed), digest(&text));
+}
+
+#[test]
+fn the_digest_does_not_depend_on_the_own_zone() {
+    let plain = settings(&[(0, 1)], &[(0, 1)]);
     let mut elsewhere = plain.clone();
     elsewhere["my-zone"] = "b".into();
     assert_eq!(digest(&elsewhere), digest(&plain));
-    assert_ne!(digest(&object(&[(0, 2)], &[(0, 1)])), digest(&plain));
-    assert_ne!(digest(&object(&[(0, 1)], &[(1, 1)])), digest(&plain));
+}
+
+#[test]
+fn other_methods_or_accounts_have_another_digest() {
+    let plain = settings(&[(0, 1)], &[(0, 1)]);
+    assert_ne!(digest(&settings(&[(0, 2)], &[(0, 1)])), digest(&plain));
+    assert_ne!(digest(&settings(&[(0, 1)], &[(1, 1)])), digest(&plain));
 }
--- a/crates/settings/tests/compatibility.rs
+++ b/crates/settings/tests/compatibility.rs
@@ -1,5 +1,5 @@
-//! Results that other processes and pages rely on, pinned to the byte: what a whole settings object is read as, its digest,
-//! the hash of a key, the texts of errors and the text of a change.
+//! Results that other processes and the operators' pages rely on, pinned to the byte: the parsed settings object with every
+//! key, its digest, the hash of a key, the texts of errors and the text of a change.
 use birchhub::interface::{
     DeduplicationScope, Idempotency, LoadReportSource, MethodSettings, Settings, TenantSettings,
 };
@@ -79,7 +79,7 @@
 }
 
 #[test]
-fn a_whole_settings_object_is_read_as_ever() {
+fn a_settings_object_with_every_key_is_parsed_as_in_earlier_versions() {
     let expected = ParsedSettings {
         settings: expected_settings(),
         methods: strings(["read", "book", "log", "pay \u{e9}", "sync"]),
@@ -145,17 +145,17 @@
 }
 
 #[test]
-fn numbers_that_no_float_holds_are_named() {
+fn numbers_that_are_too_large_for_a_float_are_named() {
     let too_large = EVERY_KEY.replace("\"balancers\": 7", "\"balancers\": 7e999");
-    let fault = parse(&too_large).expect_err("a fault");
+    let error = parse(&too_large).expect_err("an error");
     assert_eq!(
-        fault.to_string(),
+        error.to_string(),
         "is not JSON: number out of range at line 1 column 5"
     );
     let too_large = EVERY_KEY.replace("\"quota-per-s\": 0.5", "\"quota-per-s\": 5e999");
-    let fault = parse(&too_large).expect_err("a fault");
+    let error = parse(&too_large).expect_err("an error");
     assert_eq!(
-        fault.to_string(),
+        error.to_string(),
         "accounts[1] is not JSON: number out of range at line 1 column 44"
     );
 }
@@ -172,10 +172,10 @@
     settings
 }
 
-fn fault_of(settings: &Value) -> String {
-    let fault = parse(&settings.to_string()).expect_err("a fault");
-    assert_eq!(parse_value(settings).expect_err("a fault"), fault);
-    fault.to_string()
+fn error_of(settings: &Value) -> String {
+    let error = parse(&settings.to_string()).expect_err("an error");
+    assert_eq!(parse_value(settings).expect_err("an error"), error);
+    error.to_string()
 }
 
 #[test]
@@ -204,13 +204,13 @@
         ("/accounts/1/quota-per-s", "accounts[1].quota-per-s"),
         ("/accounts/0", "accounts[0].name"),
     ] {
-        let fault = fault_of(&with(pointer, Value::Null));
-        assert_eq!(fault, format!("{missing} is missing"), "{pointer}");
+        let error = error_of(&with(pointer, Value::Null));
+        assert_eq!(error, format!("{missing} is missing"), "{pointer}");
     }
 }
 
-fn assert_fault(pointer: &str, value: Value, expected: &str) {
-    assert_eq!(fault_of(&with(pointer, value)), expected, "{pointer}");
+fn assert_error(pointer: &str, value: Value, expected: &str) {
+    assert_eq!(error_of(&with(pointer, value)), expected, "{pointer}");
 }
 
 /// The path of the value at a JSON pointer, as errors name it.
@@ -231,7 +231,7 @@
     let assert_no_number = |pointer: &str, value: Value, shown: &str| {
         let path = path_of(pointer);
         let expected = format!("{path} is not a number of 0 or more: {shown}");
-        assert_fault(pointer, value, &expected);
+        assert_error(pointer, value, &expected);
     };
     assert_no_number("/balancers", json!("2"), "\"2\"");
     assert_no_number("/ceilings/most-picks", json!(-1), "-1");
@@ -251,7 +251,7 @@
 fn wrong_flags_are_named_with_their_value() {
     let assert_no_flag = |pointer: &str, value: Value, shown: &str| {
         let path = path_of(pointer);
-        assert_fault(
+        assert_error(
             pointer,
             value,
             &format!("{path} is not true or false: {shown}"),
@@ -264,7 +264,7 @@
 }
 
 #[test]
-fn wrong_texts_and_lists_are_named() {
+fn wrong_strings_and_lists_are_named() {
     for pointer in [
         "/methods",
         "/accounts",
@@ -272,8 +272,8 @@
         "/report/fields",
     ] {
         let expected = format!("{} is not a list", path_of(pointer));
-        assert_fault(pointer, json!({}), &expected);
-        assert_fault(pointer, json!("a"), &expected);
+        assert_error(pointer, json!({}), &expected);
+        assert_error(pointer, json!("a"), &expected);
     }
     for pointer in [
         "/failure-domains/1",
@@ -285,7 +285,7 @@
         "/methods/0/name",
         "/accounts/0/name",
     ] {
-        assert_fault(
+        assert_error(
             pointer,
             json!(5),
             &format!("{} is not a text", path_of(pointer)),
@@ -296,34 +296,34 @@
 #[test]
 fn unknown_choices_are_named() {
     let kind = "/methods/0/idempotency";
-    let fault = "methods[0].idempotency is not known: perhaps";
-    assert_fault(kind, json!("perhaps"), fault);
+    let error = "methods[0].idempotency is not known: perhaps";
+    assert_error(kind, json!("perhaps"), error);
     let scope = "/methods/2/dedup-scope";
-    let fault = "methods[2].dedup-scope is not known: planet";
-    assert_fault(scope, json!("planet"), fault);
-    let fault = "goal.nines-wanted is 0: what is lost could not be set against it";
-    assert_fault("/goal/nines-wanted", json!(0), fault);
+    let error = "methods[2].dedup-scope is not known: planet";
+    assert_error(scope, json!("planet"), error);
+    let error = "goal.nines-wanted is 0: what is lost could not be set against it";
+    assert_error("/goal/nines-wanted", json!(0), error);
 }
 
-/// Faults in this order: each is named while all that stand behind it are there as well.
-fn assert_named_in_order(faults: &[(&str, Value, &str)]) {
-    for from in 0..faults.len() {
+/// Errors in the order in which they are reported: each is, while all behind it are there as well.
+fn assert_named_in_order(errors: &[(&str, Value, &str)]) {
+    for from in 0..errors.len() {
         let mut settings = every_key();
-        for (pointer, value, _) in faults[from..].iter().rev() {
+        for (pointer, value, _) in errors[from..].iter().rev() {
             let (place, key) = pointer.rsplit_once('/').expect("a pointer");
             if let Some(Value::Object(place)) = settings.pointer_mut(place) {
                 place.insert(key.to_owned(), value.clone());
             }
         }
-        let (pointer, _, fault) = &faults[from];
-        let expected = format!("{} {fault}", path_of(pointer));
-        assert_eq!(fault_of(&settings), expected);
+        let (pointer, _, error) = &errors[from];
+        let expected = format!("{} {error}", path_of(pointer));
+        assert_eq!(error_of(&settings), expected);
     }
 }
 
 #[test]
 fn the_first_of_several_missing_settings_is_named() {
-    let faults = [
+    let errors = [
         "/ceilings",
         "/contract",
         "/methods",
@@ -334,7 +334,7 @@
         "/contract/cold-from",
         "/contract/tip-after-ns",
     ];
-    assert_named_in_order(&faults.map(|pointer| (pointer, Value::Null, "is missing")));
+    assert_named_in_order(&errors.map(|pointer| (pointer, Value::Null, "is missing")));
 }
 
 #[test]
@@ -364,24 +364,24 @@
 }
 
 #[test]
-fn text_that_is_not_json_is_named() {
-    let faults = ["", "{\"a\":", "{\"a\": tru}"].map(|text| {
-        let fault = parse(text).expect_err("a fault");
-        fault.to_string()
+fn errors_of_json_name_line_and_column() {
+    let errors = ["", "{\"a\":", "{\"a\": tru}"].map(|text| {
+        let error = parse(text).expect_err("an error");
+        error.to_string()
     });
     let expected = [
         "is not JSON: EOF while parsing a value at line 1 column 0",
         "is not JSON: EOF while parsing a value at line 1 column 5",
         "is not JSON: expected ident at line 1 column 10",
     ];
-    assert_eq!(faults, expected);
+    assert_eq!(errors, expected);
 }
 
 #[test]
-fn faults_of_load_reports_are_named() {
-    let faults = ["", "inflight", "inflight=1, depth", "inflight=many"].map(|text| {
-        let fault = parse_load_report(text, '=').expect_err("a fault");
-        fault.to_string()
+fn errors_of_load_reports_name_the_pair() {
+    let errors = ["", "inflight", "inflight=1, depth", "inflight=many"].map(|text| {
+        let error = parse_load_report(text, '=').expect_err("an error");
+        error.to_string()
     });
     let expected = [
         "is not name=value: ",
@@ -389,13 +389,13 @@
         "is not name=value:  depth",
         "is not a number: inflight=many",
     ];
-    assert_eq!(faults, expected);
-    let fault = parse_load_report("inflight=1", ':').expect_err("a fault");
-    assert_eq!(fault.to_string(), "is not name:value: inflight=1");
+    assert_eq!(errors, expected);
+    let error = parse_load_report("inflight=1", ':').expect_err("an error");
+    assert_eq!(error.to_string(), "is not name:value: inflight=1");
 }
 
 #[test]
-fn the_text_of_a_change_is_as_ever() {
+fn the_text_of_a_change_is_the_same_in_every_version() {
     let parsed = |value: &Value| parse_value(value).expect("settings");
     let before = parsed(&every_key());
     let text = |value: &Value| Change::between(&before, &parsed(value)).to_string();
--- /dev/null
+++ b/crates/settings/tests/parse.rs
@@ -0,0 +1,183 @@
+//! Parsing of settings and load reports, and the errors of what cannot be parsed.
+use birchhub::interface::Settings;
+use birchhub_settings::{ParsedSettings, parse, parse_load_report, parse_value};
+use serde_json::{Value, json};
+
+/// The settings and the protocol page name the fields differently; a report with the names of either must not be ignored.
+#[test]
+fn load_reports_are_parsed_with_either_field_names() {
+    for text in ["concurrent=7,depth=2,new=x", " inflight=7,queue=2\n"] {
+        let load = parse_load_report(text, '=').expect("a report");
+        assert_eq!(
+            (load.in_flight, load.queued, load.utilisation),
+            (Some(7.0), Some(2.0), None)
+        );
+    }
+}
+
+#[test]
+fn malformed_load_reports_are_refused() {
+    assert!(parse_load_report("inflight", '=').is_err());
+    assert!(parse_load_report("inflight=many", '=').is_err());
+}
+
+#[test]
+fn impossible_values_of_load_reports_are_ignored() {
+    let load = parse_load_report("util=-1", '=').expect("a report");
+    assert_eq!(load.utilisation, None);
+}
+
+/// Minimal settings after a change: the part that decisions are made by.
+fn decision_settings(change: impl FnOnce(&mut Value)) -> Result<Settings, String> {
+    parse_changed(change).map(|parsed| parsed.settings)
+}
+
+/// Minimal settings after a change.
+fn parse_changed(change: impl FnOnce(&mut Value)) -> Result<ParsedSettings, String> {
+    let mut value = json!({"balancers": 2, "ceilings": {"most-picks": 3},
+        "methods": [{"name": "move", "idempotency": "non_idempotent", "latency-target-ns": 4e8}],
+        "contract": {"drain-grace-ns": 5e8, "cold-from": 0.2, "cold-ns": 5e9, "fall-multiple": 3.0,
+            "tip-after-ns": 1e9}});
+    change(&mut value);
+    parse_value(&value).map_err(|error| error.to_string())
+}
+
+/// The defaults must not be figures of one deployment.
+#[test]
+fn missing_times_have_defaults_of_their_own() {
+    let parsed = parse_changed(|_| ()).expect("settings");
+    let poll_within = parsed.settings.poll_within;
+    let times = (poll_within, parsed.connect_timeout, parsed.idle_timeout);
+    assert_eq!(times, (2.0, 1.0, 1.0));
+    assert_eq!(parsed.longest_deadline, None);
+}
+
+/// Longer times could not be added to a clock.
+#[test]
+fn unlimited_and_huge_times_are_bounded() {
+    let parsed = parse_changed(|settings| {
+        settings["ceilings"]["connect-timeout-ns"] = 0.into();
+        settings["ceilings"]["conn-idle-ns"] = 1e300.into();
+        settings["methods"][0]["hard-limit-ns"] = u64::MAX.into();
+    });
+    let parsed = parsed.expect("settings");
+    let timeouts = (parsed.connect_timeout, parsed.idle_timeout);
+    assert_eq!(timeouts, (1e9, 1e9));
+    assert_eq!(parsed.longest_deadline, Some(1e9));
+}
+
+#[test]
+fn there_is_no_longest_deadline_if_a_method_has_none() {
+    let parsed = parse_changed(|settings| {
+        let mut second = settings["methods"][0].clone();
+        second["hard-limit-ns"] = 2_000_000_000.into();
+        let methods = settings["methods"].as_array_mut().expect("methods");
+        methods.push(second);
+    });
+    assert_eq!(parsed.expect("settings").longest_deadline, None);
+}
+
+#[test]
+fn optional_settings_are_parsed_and_change_nothing_where_they_are_missing() {
+    let plain = decision_settings(|_| ()).expect("settings");
+    assert_eq!(
+        (
+            plain.key_cooldown,
+            plain.only_draining_is_binding,
+            plain.methods[0].ordered_by_key
+        ),
+        (0.0, false, false)
+    );
+    assert_eq!((plain.log_loss_weight, plain.target_nines), (0.0, 0.0));
+    let given = decision_settings(|settings| {
+        settings["methods"][0]["keep-order"] = true.into();
+        settings["contract"]["key-quiet-ns"] = 50_000_000.into();
+        settings["contract"]["removal-not-binding"] = true.into();
+        settings["goal"] = json!({"log-loss-part": 0.4, "nines-wanted": 2.0});
+    });
+    let given = given.expect("settings");
+    assert_eq!(
+        (
+            given.key_cooldown,
+            given.only_draining_is_binding,
+            given.methods[0].ordered_by_key
+        ),
+        (0.05, true, true)
+    );
+    assert_eq!((given.log_loss_weight, given.target_nines), (0.4, 2.0));
+}
+
+#[test]
+fn errors_of_optional_settings_name_path_and_value() {
+    let assert_error = |section: &str, key: &str, value: Value, expected: &str| {
+        let error = decision_settings(|settings| settings[section][key] = value).err();
+        let expected = format!("{section}.{key} {expected}");
+        assert_eq!(error, Some(expected));
+    };
+    let no_number = "is not a number of 0 or more:";
+    assert_error(
+        "contract",
+        "key-quiet-ns",
+        json!(-1),
+        &format!("{no_number} -1"),
+    );
+    assert_error(
+        "contract",
+        "key-quiet-ns",
+        json!("5"),
+        &format!("{no_number} \"5\""),
+    );
+    assert_error(
+        "goal",
+        "log-loss-part",
+        json!([]),
+        &format!("{no_number} []"),
+    );
+    let no_flag = "is not true or false: 1";
+    assert_error("contract", "removal-not-binding", json!(1), no_flag);
+    let zero = "is 0: what is lost could not be set against it";
+    assert_error("goal", "nines-wanted", json!(0), zero);
+}
+
+#[test]
+fn errors_of_optional_method_settings_name_the_method() {
+    let error = decision_settings(|settings| settings["methods"][0]["keep-order"] = "yes".into());
+    let expected = "methods[0].keep-order is not true or false: \"yes\"";
+    assert_eq!(error.err().as_deref(), Some(expected));
+}
+
+/// From a text the accounts are parsed one by one.
+#[test]
+fn accounts_are_parsed_alike_from_text_and_value() {
+    let mut settings = json!({"balancers": 2, "ceilings": {"most-picks": 3}, "my-zone": "a", "methods": [],
+        "contract": {"drain-grace-ns": 5e8, "cold-from": 0.2, "cold-ns": 5e9, "fall-multiple": 3.0,
+            "tip-after-ns": 1e9}});
+    for accounts in [
+        Value::Null,
+        json!([]),
+        json!({}),
+        json!("many"),
+        json!([{"name": "a\"\\\u{e9}", "quota-per-s": 3}, {"quota-per-s": 1e300, "name": "b", "more": [{}]}]),
+        json!([{"name": "a", "quota-per-s": 3}, {"name": "b", "quota-per-s": -1}]),
+        json!([{"name": "a", "quota-per-s": "3"}]),
+        json!([{"name": "a", "quota-per-s": null}]),
+        json!([{"name": 7, "quota-per-s": 1}]),
+        json!([{"quota-per-s": 1}, 5]),
+    ] {
+        settings["accounts"] = accounts;
+        let text = settings.to_string();
+        assert_eq!(parse(&text), parse_value(&settings), "{text}");
+        assert_eq!(
+            parse(&format!(" {text}\n")),
+            parse_value(&settings),
+            "{text}"
+        );
+    }
+}
+
+#[test]
+fn texts_that_are_no_settings_object_are_refused() {
+    assert!(parse("[]").is_err_and(|error| error.to_string() == "ceilings is missing"));
+    assert!(parse("null").is_err_and(|error| error.to_string() == "ceilings is missing"));
+    assert!(parse("{\"a\":").is_err_and(|error| error.to_string().starts_with("is not JSON: ")));
+}
