Typed configuration errors, and the reload in short steps

Errors of the configuration file were strings across modules, the reload was one function of 60 lines over five loose values, and file.rs also took over the passed socket.

ConfigError and ReloadError are enums with the texts as they were; the passed socket has a module of its own (inherited_listener). The file is a ConfigFile that parses into a Config, with CachedEndpoints in place of a bool. What a reload compares with is an ActiveState, which is replaced whole. main turns the error into the line on standard error.

--- a/crates/daemon/src/config/active.rs
+++ b/crates/daemon/src/config/active.rs
@@ -1,4 +1,5 @@
-//! The names that clients use, and what they stand for under the settings in force.
+//! The names of the active methods and tenants, by which requests are parsed.
+
 use crate::downstream::response::ProxyResponse;
 use birchhub::interface::Idempotency;
 use birchhub_settings::ParsedSettings;
@@ -8,64 +9,67 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-/// The ones in force. The core alone replaces them, in the turn in which the module adopts the settings.
+/// The active names. Only the decision actor replaces them, in the same turn of the event loop in which the settings are
+/// applied.
 pub(crate) type ActiveNames = Rc<RefCell<Arc<NameTable>>>;
 
 /// The names of one version of the settings.
 pub(crate) struct NameTable {
-    /// Counts the changes since this process started.
+    /// Number of changes since this process started.
     pub version: u64,
+    /// Index in the settings, and idempotency.
     methods: HashMap<String, (usize, Idempotency)>,
     tenants: HashMap<String, usize>,
 }
 
-pub(crate) fn bad(why: &'static str) -> ProxyResponse {
+/// The response to a malformed request.
+pub(crate) fn bad(message: &'static str) -> ProxyResponse {
     ProxyResponse::ClientError {
         status: StatusCode::BAD_REQUEST,
-        message: why,
+        message,
     }
 }
 
-/// The verb of a method with this effect.
-pub(crate) fn verb(effect: Idempotency) -> Method {
-    if effect == Idempotency::Idempotent {
+/// The HTTP method with which RPCs of this idempotency are sent.
+fn http_method(idempotency: Idempotency) -> Method {
+    if idempotency == Idempotency::Idempotent {
         Method::GET
     } else {
         Method::POST
     }
 }
 
-/// Whether a message of this verb, with or without a key, can be an RPC of a method with this effect.
-pub(crate) fn check(effect: Idempotency, told: &Method, keyed: bool) -> Result<(), ProxyResponse> {
-    if *told != verb(effect) {
+/// Checks that a request with this HTTP method, with or without an idempotency key, can be an RPC of this idempotency.
+pub(crate) fn check(
+    idempotency: Idempotency,
+    method: &Method,
+    has_key: bool,
+) -> Result<(), ProxyResponse> {
+    if *method != http_method(idempotency) {
         return Err(bad("the HTTP method does not fit\n"));
     }
-    if matches!(effect, Idempotency::Deduplicated { .. }) && !keyed {
+    if matches!(idempotency, Idempotency::Deduplicated { .. }) && !has_key {
         return Err(bad("no Idempotency-Key\n"));
     }
     Ok(())
 }
 
 impl NameTable {
-    pub(crate) fn new(version: u64, conf: &ParsedSettings) -> Self {
-        let methods = conf.methods.iter().zip(&conf.settings.methods).enumerate();
+    pub(crate) fn new(version: u64, settings: &ParsedSettings) -> Self {
+        let methods = settings.methods.iter().zip(&settings.settings.methods);
         let methods = methods
-            .map(|(n, (name, set))| (name.clone(), (n, set.idempotency)))
-            .collect();
-        let tenants = conf
-            .tenants
-            .iter()
             .enumerate()
-            .map(|(n, name)| (name.clone(), n))
-            .collect();
+            .map(|(index, (name, method))| (name.clone(), (index, method.idempotency)));
+        let tenants = settings.tenants.iter().enumerate();
+        let tenants = tenants.map(|(index, name)| (name.clone(), index));
         Self {
             version,
-            methods,
-            tenants,
+            methods: methods.collect(),
+            tenants: tenants.collect(),
         }
     }
 
-    /// The place and effect of the method that a path names.
+    /// Index and idempotency of the method that the first segment of a path names.
     pub(crate) fn method(&self, path: &str) -> Result<(usize, Idempotency), ProxyResponse> {
         let name = path.split('/').nth(1).unwrap_or_default();
         self.methods
@@ -77,6 +81,7 @@
             })
     }
 
+    /// Index of the tenant of this name; none if it is not known.
     pub(crate) fn tenant(&self, name: Option<&str>) -> Option<usize> {
         self.tenants.get(name?).copied()
     }
--- a/crates/daemon/src/config/file.rs
+++ b/crates/daemon/src/config/file.rs
@@ -1,36 +1,44 @@
-//! What the platform tells a proxy at its start: addresses, limits, settings and the list as last had.
-use crate::discovery::update::EndpointUpdate;
+//! The configuration file that the platform writes for a proxy, and the variables that stand in for some of its keys.
+
+use crate::config::error::ConfigError;
+use crate::discovery::update::{DecodeError, EndpointUpdate};
 use birchhub::interface::Settings;
 use birchhub_settings::ParsedSettings;
 use serde_json::Value;
 use serde_json::value::RawValue;
-use socket2::{Socket, Type};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::os::fd::FromRawFd;
 use std::sync::Arc;
 
-const PASSED: &str = "LB_PASSED_SOCKET";
-const SOCKET_NEEDS: u64 = 168 << 10; // bytes at worst: a body each way, one encoded, and what is read ahead
+/// Names the file.
+const FILE_VARIABLE: &str = "LB_CONFIG";
+const DEFAULT_MAX_SOCKETS: u64 = 1024;
+/// Memory that a socket takes at worst, in bytes: a body each way, an encoded one, and what is read ahead.
+const SOCKET_MEMORY: u64 = 168 << 10;
 
+/// The configuration of a proxy.
 pub(crate) struct Config {
     pub name: String,
+    /// Where clients connect.
     pub listen: SocketAddr,
+    /// The service that has the endpoint list.
     pub discovery: SocketAddr,
-    /// The second address, for staff and the platform.
+    /// Where staff and the platform call the proxy.
     pub management: Option<SocketAddr>,
+    /// Of the random choices.
     pub seed: u64,
     pub max_sockets: usize,
+    /// The endpoint list as this proxy last had it.
     pub cached_endpoints: Option<EndpointUpdate>,
-    /// Why the list in the file can't be read; the first answer of discovery is waited for then.
-    pub cached_endpoints_error: Option<String>,
+    /// Why the cached list cannot be read; the proxy waits for the first one of discovery then.
+    pub cached_endpoints_error: Option<DecodeError>,
     pub parsed_settings: Arc<ParsedSettings>,
-    /// Settings of another shape, whose decisions are only counted.
+    /// Settings whose decisions are compared with the actual ones, and counted only.
     pub shadow_settings: Option<Settings>,
 }
 
 impl Config {
-    /// Keys beside the settings that differ in another one and are heard at a start only.
+    /// The keys beside the settings that differ in the other configuration and take effect at a start only.
     pub(crate) fn restart_keys(&self, other: &Self) -> Vec<&'static str> {
         let keys = [
             ("name", self.name != other.name),
@@ -46,125 +54,148 @@
     }
 }
 
-/// A value from the file, or from the variable where the file has none.
-fn text(file: &Value, key: &str, variable: &str) -> Result<String, String> {
-    let told = file.get(key).and_then(Value::as_str).map(str::to_owned);
-    told.or_else(|| std::env::var(variable).ok())
-        .ok_or_else(|| format!("{variable} is not set"))
+/// Whether the cached endpoint list in the file is decoded, which may take long.
+#[derive(Clone, Copy, PartialEq)]
+pub(crate) enum CachedEndpoints {
+    Decoded,
+    Ignored,
 }
 
-fn address(file: &Value, key: &str, variable: &str) -> Result<SocketAddr, String> {
-    let text = text(file, key, variable)?;
-    text.parse()
-        .map_err(|_| format!("{variable} is not an address and port: {text}"))
+/// Reads the configuration file.
+pub(crate) fn load(cached_endpoints: CachedEndpoints) -> Result<Config, ConfigError> {
+    let variable = FILE_VARIABLE;
+    let path = std::env::var(variable).map_err(|_| ConfigError::NotSet { variable })?;
+    let bytes = match std::fs::read(&path) {
+        Ok(bytes) => bytes,
+        Err(error) => return Err(ConfigError::Unreadable { path, error }),
+    };
+    match ConfigFile::parse(&bytes) {
+        Ok(file) => file.config(cached_endpoints),
+        Err(error) => Err(ConfigError::InvalidJson { path, error }),
+    }
 }
 
-/// An address that may be missing.
-fn optional_address(file: &Value, key: &str, variable: &str) -> Result<Option<SocketAddr>, String> {
-    match file.get(key) {
-        Some(Value::Null) | None if std::env::var_os(variable).is_none() => Ok(None),
-        Some(Value::Null | Value::String(_)) | None => address(file, key, variable).map(Some),
-        Some(other) => Err(format!("{key} is not a text in LB_CONFIG: {other}")),
-    }
+/// The file, with the keys that are large not parsed yet.
+struct ConfigFile<'a> {
+    values: Value,
+    settings: Option<&'a RawValue>,
+    shadow_settings: Option<&'a RawValue>,
+    cached_endpoints: Option<&'a RawValue>,
 }
 
-/// The clients' socket, where the platform holds it and names its descriptor. To be called before anything
-/// else opens one.
-pub(crate) fn inherited_listener() -> Result<Option<std::net::TcpListener>, String> {
-    let Some(name) = std::env::var_os(PASSED) else {
-        return Ok(None);
-    };
-    let bad = |what: &str| format!("{PASSED} {what}: {}", name.display());
-    let number = name.to_str().and_then(|text| text.parse::<u32>().ok());
-    let number = number
-        .and_then(|number| i32::try_from(number).ok())
-        .ok_or(bad("is not a number"))?;
-    let stands =
-        std::fs::read_link(format!("/proc/self/fd/{number}")).map_err(|_| bad("is not open"))?;
-    if !stands.to_string_lossy().starts_with("socket:") {
-        return Err(bad("is not a socket"));
+impl<'a> ConfigFile<'a> {
+    fn parse(bytes: &'a [u8]) -> Result<Self, serde_json::Error> {
+        let mut fields: BTreeMap<String, &RawValue> = serde_json::from_slice(bytes)?;
+        let settings = fields.remove("settings");
+        let [shadow_settings, cached_endpoints] =
+            ["watch", "known"].map(|key| fields.remove(key).filter(|value| value.get() != "null"));
+        let values = fields
+            .into_iter()
+            .map(|(key, raw)| Ok((key, serde_json::from_str(raw.get())?)));
+        Ok(Self {
+            values: Value::Object(values.collect::<Result<_, serde_json::Error>>()?),
+            settings,
+            shadow_settings,
+            cached_endpoints,
+        })
     }
-    // SAFETY: it is open, as was just seen, and this process was started with it: nothing else here owns it.
-    let socket = unsafe { Socket::from_raw_fd(number) };
-    let inet = socket.local_addr().is_ok_and(|at| at.as_socket().is_some());
-    if !(inet
-        && socket.r#type().is_ok_and(|kind| kind == Type::STREAM)
-        && socket.is_listener().unwrap_or(false))
-    {
-        return Err(bad("is not a listening TCP socket"));
+
+    fn config(&self, cached_endpoints: CachedEndpoints) -> Result<Config, ConfigError> {
+        let seed = self.values.get("seed").and_then(Value::as_str);
+        let seed = seed.ok_or(ConfigError::Missing { key: "seed" })?;
+        let settings = self
+            .settings
+            .ok_or(ConfigError::Missing { key: "settings" })?;
+        let parsed_settings =
+            birchhub_settings::parse(settings.get()).map_err(ConfigError::Settings)?;
+        let shadow_settings = self
+            .shadow_settings
+            .map(|shadow| parse_shadow_settings(shadow, &parsed_settings))
+            .transpose()?;
+        // The list is replaced by discovery's a moment later: a fault in it must not keep a whole fleet from starting.
+        let endpoints = self
+            .cached_endpoints
+            .filter(|_| cached_endpoints == CachedEndpoints::Decoded)
+            .map(|list| EndpointUpdate::parse(list.get()))
+            .transpose();
+        let (cached_endpoints, cached_endpoints_error) = match endpoints {
+            Ok(endpoints) => (endpoints, None),
+            Err(error) => (None, Some(error)),
+        };
+        Ok(Config {
+            name: self.text("name", "LB_NAME")?,
+            listen: self.address("listen", "LB_LISTEN")?,
+            discovery: self.address("discovery", "LB_DISCOVERY")?,
+            management: self.optional_address("management", "LB_MANAGEMENT")?,
+            seed: parse_seed(seed)?,
+            max_sockets: self.max_sockets(),
+            cached_endpoints,
+            cached_endpoints_error,
+            parsed_settings: Arc::new(parsed_settings),
+            shadow_settings,
+        })
     }
-    socket
-        .set_nonblocking(true)
-        .map_err(|e| bad(&e.to_string()))?;
-    socket.set_cloexec(true).map_err(|e| bad(&e.to_string()))?;
-    Ok(Some(socket.into()))
-}
 
-/// Settings at a path.
-fn parse_settings(text: &RawValue, path: &str) -> Result<ParsedSettings, String> {
-    birchhub_settings::parse(text.get()).map_err(|e| format!("{path}{e}"))
-}
+    /// A value of the file, or of the variable where the file has none.
+    fn text(&self, key: &str, variable: &'static str) -> Result<String, ConfigError> {
+        let value = self.values.get(key).and_then(Value::as_str);
+        value
+            .map(str::to_owned)
+            .or_else(|| std::env::var(variable).ok())
+            .ok_or(ConfigError::NotSet { variable })
+    }
 
-/// The settings to be watched, which must speak of the same RPCs.
-fn parse_shadow_settings(text: &RawValue, conf: &ParsedSettings) -> Result<Settings, String> {
-    let watch = parse_settings(text, "watch.")?;
-    let same = [
-        ("methods", watch.methods == conf.methods),
-        ("accounts", watch.tenants == conf.tenants),
-        ("failure-domains", watch.zones == conf.zones),
-    ];
-    if let Some((path, _)) = same.iter().find(|(_, same)| !same) {
-        return Err(format!("watch.{path} has other names than settings.{path}"));
+    fn address(&self, key: &str, variable: &'static str) -> Result<SocketAddr, ConfigError> {
+        let text = self.text(key, variable)?;
+        text.parse()
+            .map_err(|_| ConfigError::NotAnAddress { variable, text })
+    }
+
+    /// An address that may be missing in the file and the environment.
+    fn optional_address(
+        &self,
+        key: &'static str,
+        variable: &'static str,
+    ) -> Result<Option<SocketAddr>, ConfigError> {
+        match self.values.get(key) {
+            Some(Value::Null) | None if std::env::var_os(variable).is_none() => Ok(None),
+            Some(Value::Null | Value::String(_)) | None => self.address(key, variable).map(Some),
+            Some(value) => Err(ConfigError::NotAString {
+                key,
+                value: value.clone(),
+            }),
+        }
+    }
+
+    /// The sockets that the limits allow, and for which the memory suffices.
+    fn max_sockets(&self) -> usize {
+        let limits = self.values.get("limits");
+        let limit = |key| limits.and_then(|limits| limits.get(key)?.as_u64());
+        let for_memory = limit("memory_mb").map_or(u64::MAX, |mb| (mb << 20) / SOCKET_MEMORY);
+        let sockets = limit("sockets").unwrap_or(DEFAULT_MAX_SOCKETS);
+        sockets.min(for_memory) as usize
     }
-    Ok(watch.settings)
 }
 
-/// Reads the file; the list in it where `known` is wanted.
-pub(crate) fn load(known: bool) -> Result<Config, String> {
-    let path = std::env::var("LB_CONFIG").map_err(|_| "LB_CONFIG is not set".to_owned())?;
-    let bytes =
-        std::fs::read(&path).map_err(|e| format!("LB_CONFIG cannot be read: {path}: {e}"))?;
-    let fault = |e| format!("LB_CONFIG is not JSON: {path}: {e}");
-    let mut file: BTreeMap<String, &RawValue> = serde_json::from_slice(&bytes).map_err(fault)?;
-    let [settings, watch, list] = ["settings", "watch", "known"].map(|key| file.remove(key));
-    let file = file
-        .into_iter()
-        .map(|(key, raw)| Ok((key, serde_json::from_str(raw.get())?)));
-    let file = Value::Object(file.collect::<Result<_, _>>().map_err(fault)?);
-    let seed = file
-        .get("seed")
-        .and_then(Value::as_str)
-        .ok_or("seed is missing in LB_CONFIG")?;
-    let settings = settings.ok_or("settings is missing in LB_CONFIG")?;
-    let limit = |key| {
-        file.get("limits")
-            .and_then(|limits| limits.get(key))
-            .and_then(Value::as_u64)
-    };
-    let bearable = limit("memory_mb").map_or(u64::MAX, |mb| (mb << 20) / SOCKET_NEEDS);
-    let conf = parse_settings(settings, "settings: ")?;
-    let watch = watch
-        .filter(|watch| watch.get() != "null")
-        .map(|watch| parse_shadow_settings(watch, &conf))
-        .transpose()?;
-    // Guards against a fleet that can't start for a copy of a list that is replaced a moment later anyway.
-    let list = list.filter(|list| known && list.get() != "null");
-    let known = list
-        .map(|list| EndpointUpdate::parse(list.get()).map_err(|e| e.to_string()))
-        .transpose();
-    let (known, known_fault) =
-        known.map_or_else(|fault| (None, Some(fault)), |known| (known, None));
-    Ok(Config {
-        name: text(&file, "name", "LB_NAME")?,
-        listen: address(&file, "listen", "LB_LISTEN")?,
-        discovery: address(&file, "discovery", "LB_DISCOVERY")?,
-        management: optional_address(&file, "management", "LB_MANAGEMENT")?,
-        seed: u64::from_str_radix(seed, 16)
-            .map_err(|_| format!("seed is not a hex number: {seed}"))?,
-        max_sockets: limit("sockets").unwrap_or(1024).min(bearable) as usize,
-        cached_endpoints: known,
-        cached_endpoints_error: known_fault,
-        parsed_settings: Arc::new(conf),
-        shadow_settings: watch,
+fn parse_seed(text: &str) -> Result<u64, ConfigError> {
+    u64::from_str_radix(text, 16).map_err(|_| ConfigError::InvalidSeed {
+        text: text.to_owned(),
     })
 }
+
+/// The shadow settings, which must be about the same methods, tenants and zones as the settings.
+fn parse_shadow_settings(
+    text: &RawValue,
+    settings: &ParsedSettings,
+) -> Result<Settings, ConfigError> {
+    let shadow = birchhub_settings::parse(text.get()).map_err(ConfigError::ShadowSettings)?;
+    let same_names = [
+        ("methods", shadow.methods == settings.methods),
+        ("accounts", shadow.tenants == settings.tenants),
+        ("failure-domains", shadow.zones == settings.zones),
+    ];
+    match same_names.into_iter().find(|(_, same)| !same) {
+        Some((key, _)) => Err(ConfigError::ShadowNames { key }),
+        None => Ok(shadow.settings),
+    }
+}
--- a/crates/daemon/src/config/mod.rs
+++ b/crates/daemon/src/config/mod.rs
@@ -1,6 +1,8 @@
-//! The configuration: its file, reload, what is active, and shadow evaluation of other settings.
+//! The configuration: its file and variables, what of it is active, its reload, and shadow evaluation of other settings.
 
 pub(crate) mod active;
+pub(crate) mod error;
 pub(crate) mod file;
+pub(crate) mod inherited_listener;
 pub(crate) mod reload;
 pub(crate) mod shadow;
--- a/crates/daemon/src/config/reload.rs
+++ b/crates/daemon/src/config/reload.rs
@@ -1,10 +1,13 @@
-//! Settings in force without a restart: on each SIGHUP the file is read again, compared with what is in force, and what
-//! differs is put in force. All that costs time is done on a thread beside the event loop.
+//! Reload of the configuration. On each SIGHUP the file is read again and compared with what is active, and what differs
+//! is applied without a restart. All that takes long happens on a thread beside the event loop.
+
 use crate::config::active::NameTable;
-use crate::config::file::{self, Config};
+use crate::config::error::{ConfigError, ReloadError};
+use crate::config::file::{self, CachedEndpoints, Config};
 use crate::messages::Event;
 use birchhub::interface::{CarriedOver, Settings};
 use birchhub_settings::{Change, ParsedSettings, with_restart_keys_from};
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,228 +16,251 @@
 use tokio::task::spawn_blocking;
 use tokio::time::Instant;
 
-/// Settings for the core to put in force.
+/// Settings that the decision actor applies, all at once.
 pub(crate) struct ConfigUpdate {
     pub settings: Settings,
+    /// State that methods and tenants keep.
     pub carried_over: CarriedOver,
     pub names: NameTable,
-    /// Those of the watcher; without any it ends.
+    /// Settings of the shadow evaluation; without any it ends.
     pub shadow_settings: Option<Settings>,
-    /// Told once they are in force.
-    pub applied: oneshot::Sender<Replaced>,
+    /// Notified once the settings are active.
+    pub applied: oneshot::Sender<AppliedUpdate>,
 }
 
-/// The names before, and the time that the loop spent on the change.
-type Replaced = (Arc<NameTable>, Duration);
+/// The names before an update, and the time that the event loop spent on it.
+type AppliedUpdate = (Arc<NameTable>, Duration);
 
-/// What is in force, for staff and tools.
+/// What is active, in short: for `GET /settings` and the log.
 #[derive(Clone, Debug)]
 pub(crate) struct ActiveConfig {
-    /// Counts the changes since this process started.
+    /// Number of changes since this process started.
     pub version: u64,
     pub digest: u64,
     methods: usize,
     tenants: usize,
-    /// Keys that wait for the next start.
-    later: Vec<&'static str>,
-    /// Longest deadline of any method that was in force in this process, s; none if one of them is not told.
+    /// Keys that differ in the file and take effect at the next start.
+    restart_keys: Vec<&'static str>,
+    /// Longest deadline of any method that was active in this process, s; none if one of them had no deadline.
     pub longest_deadline: Option<f64>,
 }
 
 impl ActiveConfig {
-    pub(crate) fn new(conf: &ParsedSettings) -> Self {
-        let (methods, tenants) = (conf.methods.len(), conf.tenants.len());
-        let (digest, longest_deadline) = (conf.digest, conf.longest_deadline);
+    pub(crate) fn new(settings: &ParsedSettings) -> Self {
         Self {
             version: 0,
-            digest,
-            methods,
-            tenants,
-            later: Vec::new(),
-            longest_deadline,
+            digest: settings.digest,
+            methods: settings.methods.len(),
+            tenants: settings.tenants.len(),
+            restart_keys: Vec::new(),
+            longest_deadline: settings.longest_deadline,
+        }
+    }
+
+    /// After a reload with these settings, which were applied if `changed`.
+    fn reloaded(
+        &self,
+        settings: &ParsedSettings,
+        changed: bool,
+        restart_keys: Vec<&'static str>,
+    ) -> Self {
+        let deadlines = self.longest_deadline.zip(settings.longest_deadline);
+        Self {
+            version: self.version + u64::from(changed),
+            restart_keys,
+            longest_deadline: deadlines.map(|(before, now)| before.max(now)),
+            ..Self::new(settings)
         }
     }
 }
 
-impl std::fmt::Display for ActiveConfig {
-    fn fmt(&self, to: &mut std::fmt::Formatter) -> std::fmt::Result {
+impl fmt::Display for ActiveConfig {
+    fn fmt(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
         let Self {
             version,
             digest,
             methods,
             tenants,
-            later,
             ..
         } = self;
         write!(
-            to,
+            formatter,
             "version {version}, digest {digest:016x}, {methods} methods, {tenants} tenants"
         )?;
-        if !later.is_empty() {
-            write!(to, "; at the next start: {}", later.join(", "))?;
+        if !self.restart_keys.is_empty() {
+            let keys = self.restart_keys.join(", ");
+            write!(formatter, "; at the next start: {keys}")?;
         }
         Ok(())
     }
 }
 
-/// What a file that was read anew comes to.
+/// What is active, and what the next reload is compared with.
+#[derive(Clone)]
+struct ActiveState {
+    config: ActiveConfig,
+    settings: Arc<ParsedSettings>,
+    shadow_settings: Option<Settings>,
+}
+
+/// A configuration that was read and compared, ready to be applied.
 struct PreparedReload {
     discovery: SocketAddr,
-    stand: ActiveConfig,
-    conf: Arc<ParsedSettings>,
-    watch: Option<Settings>,
-    /// In words.
+    /// What is active afterwards.
+    state: ActiveState,
+    /// Text of the [`Change`].
     change: String,
-    /// None where all stays as it is.
-    update: Option<(ConfigUpdate, oneshot::Receiver<Replaced>)>,
+    /// None if the active settings stay as they are.
+    update: Option<PendingUpdate>,
 }
 
-pub(crate) struct Reload {
-    /// As this process was started.
-    start: Arc<Config>,
-    conf: Arc<ParsedSettings>,
-    watch: Option<Settings>,
-    discovery: watch::Sender<SocketAddr>,
-    core: mpsc::Sender<Event>,
-    stand: watch::Sender<ActiveConfig>,
+/// An update, and the other end of its notification.
+struct PendingUpdate {
+    update: ConfigUpdate,
+    applied: oneshot::Receiver<AppliedUpdate>,
+}
+
+impl PendingUpdate {
+    /// The update to this state.
+    fn to(state: &ActiveState, carried_over: CarriedOver) -> Self {
+        let (sender, applied) = oneshot::channel();
+        let update = ConfigUpdate {
+            settings: state.settings.settings.clone(),
+            carried_over,
+            names: NameTable::new(state.config.version, &state.settings),
+            shadow_settings: state.shadow_settings.clone(),
+            applied: sender,
+        };
+        Self { update, applied }
+    }
 }
 
-/// Reads the file and compares it; a fault names the place.
-#[expect(clippy::too_many_lines)]
-fn prepare(
-    start: &Config,
-    before: &ParsedSettings,
-    watch: Option<&Settings>,
-    stand: &ActiveConfig,
-) -> Result<PreparedReload, String> {
-    let now = file::load(false)?;
-    let change = Change::between(before, &now.parsed_settings);
-    let mut later = start.restart_keys(&now);
-    later.extend(&change.restart_keys);
-    let conf = Arc::unwrap_or_clone(now.parsed_settings).with_restart_keys_from(before);
-    // What nobody watched from the start would compare nothing.
-    let watched = match (watch, now.shadow_settings) {
-        (Some(before), Some(now)) => Some(with_restart_keys_from(before, now)),
+/// Reads the file and compares it with what is active and with the start of the process.
+fn prepare(start: &Config, active: &ActiveState) -> Result<PreparedReload, ConfigError> {
+    let new = file::load(CachedEndpoints::Ignored)?;
+    let change = Change::between(&active.settings, &new.parsed_settings);
+    let mut restart_keys = start.restart_keys(&new);
+    restart_keys.extend(&change.restart_keys);
+    let settings =
+        Arc::unwrap_or_clone(new.parsed_settings).with_restart_keys_from(&active.settings);
+    let shadow_settings = match (&active.shadow_settings, new.shadow_settings) {
+        (Some(active), Some(new)) => Some(with_restart_keys_from(active, new)),
+        // A shadow evaluation that does not know the state from the start would compare nothing.
         (None, Some(_)) => {
-            later.push("watch");
+            restart_keys.push("watch");
             None
         }
-        _ => None,
+        (_, None) => None,
+    };
+    let changed = !change.is_none() || active.shadow_settings != shadow_settings;
+    let state = ActiveState {
+        config: active.config.reloaded(&settings, changed, restart_keys),
+        settings: Arc::new(settings),
+        shadow_settings,
     };
-    let changes = !change.is_none() || watch != watched.as_ref();
-    let version = stand.version + u64::from(changes);
-    let longest = stand
-        .longest_deadline
-        .zip(conf.longest_deadline)
-        .map(|(a, b)| a.max(b));
-    let (words, kept) = (change.to_string(), change.carried_over);
-    let update = changes.then(|| {
-        let (done, told) = oneshot::channel();
-        let (settings, names) = (conf.settings.clone(), NameTable::new(version, &conf));
-        (
-            ConfigUpdate {
-                settings,
-                carried_over: kept,
-                names,
-                shadow_settings: watched.clone(),
-                applied: done,
-            },
-            told,
-        )
-    });
     Ok(PreparedReload {
-        discovery: now.discovery,
-        stand: ActiveConfig {
-            version,
-            later,
-            longest_deadline: longest,
-            ..ActiveConfig::new(&conf)
-        },
-        conf: Arc::new(conf),
-        watch: watched,
-        change: words,
-        update,
+        discovery: new.discovery,
+        change: change.to_string(),
+        update: changed.then(|| PendingUpdate::to(&state, change.carried_over)),
+        state,
     })
 }
 
+/// The actor that reloads the configuration.
+pub(crate) struct Reload {
+    /// As this process was started.
+    start: Arc<Config>,
+    active: ActiveState,
+    discovery: watch::Sender<SocketAddr>,
+    decision_actor: mpsc::Sender<Event>,
+    /// What is active, for all that want to know.
+    published: watch::Sender<ActiveConfig>,
+}
+
 impl Reload {
     pub(crate) fn new(
         start: Arc<Config>,
         discovery: watch::Sender<SocketAddr>,
-        core: mpsc::Sender<Event>,
-        stand: watch::Sender<ActiveConfig>,
+        decision_actor: mpsc::Sender<Event>,
+        published: watch::Sender<ActiveConfig>,
     ) -> Self {
-        let (conf, watch) = (start.parsed_settings.clone(), start.shadow_settings.clone());
+        let active = ActiveState {
+            config: published.borrow().clone(),
+            settings: start.parsed_settings.clone(),
+            shadow_settings: start.shadow_settings.clone(),
+        };
         Self {
             start,
-            conf,
-            watch,
+            active,
             discovery,
-            core,
-            stand,
+            decision_actor,
+            published,
         }
     }
 
-    /// Takes over from the configuration, on each SIGHUP, where discovery is and what is in force. A fault leaves all
-    /// as it was.
-    pub(crate) async fn run(mut self, mut hup: Signal) {
-        while hup.recv().await.is_some() {
-            let begun = Instant::now();
-            let (start, before, watch) =
-                (self.start.clone(), self.conf.clone(), self.watch.clone());
-            let stand = self.stand.borrow().clone();
-            let prepared =
-                spawn_blocking(move || prepare(&start, &before, watch.as_ref(), &stand)).await;
-            match prepared.unwrap_or_else(|e| Err(format!("it could not be compared: {e}"))) {
-                Ok(prepared) => self.apply(prepared, begun).await,
-                Err(fault) => {
-                    log::warn!(target: "birchhubd", "SIGHUP: the configuration stays as it was: {fault}")
+    /// Reloads on each SIGHUP. A configuration that cannot be used changes nothing.
+    pub(crate) async fn run(mut self, mut sighup: Signal) {
+        while sighup.recv().await.is_some() {
+            let started = Instant::now();
+            match self.prepare().await {
+                Ok(prepared) => self.apply(prepared, started).await,
+                Err(error) => {
+                    log::warn!(target: "birchhubd", "SIGHUP: the configuration stays as it was: {error}")
                 }
             }
         }
     }
 
-    async fn apply(&mut self, new: PreparedReload, begun: Instant) {
+    /// Prepares a reload on the thread beside the event loop.
+    async fn prepare(&self) -> Result<PreparedReload, ReloadError> {
+        let (start, active) = (self.start.clone(), self.active.clone());
+        Ok(spawn_blocking(move || prepare(&start, &active)).await??)
+    }
+
+    async fn apply(&mut self, prepared: PreparedReload, started: Instant) {
         let PreparedReload {
             discovery,
-            stand,
-            conf,
-            watch,
+            state,
             change,
             update,
-        } = new;
+        } = prepared;
         log::info!(target: "birchhubd", "SIGHUP: discovery is at {discovery}");
         self.discovery
-            .send_if_modified(|at| std::mem::replace(at, discovery) != discovery);
-        let mut names = None;
-        if let Some((update, told)) = update {
-            if self
-                .core
-                .send(Event::SettingsChanged(Box::new(update)))
-                .await
-                .is_err()
-            {
+            .send_if_modified(|address| std::mem::replace(address, discovery) != discovery);
+        let mut previous_names = None;
+        if let Some(PendingUpdate { update, applied }) = update {
+            let event = Event::SettingsChanged(Box::new(update));
+            if self.decision_actor.send(event).await.is_err() {
                 return;
             }
-            let (before, turn) = told.await.ok().unzip();
-            names = before;
-            let (turn, took) = (turn.unwrap_or_default(), begun.elapsed());
-            log::info!(
-                target: "birchhubd",
-                "settings in force after {took:.1?}, of them {turn:.2?} of the loop: {stand}; {change}"
+            let (names, loop_time) = applied.await.ok().unzip();
+            previous_names = names;
+            log_applied(
+                &state.config,
+                &change,
+                started,
+                loop_time.unwrap_or_default(),
             );
         }
-        if !stand.later.is_empty() {
-            let keys = stand.later.join(", ");
-            log::warn!(target: "birchhubd", "SIGHUP: these keys take effect at the next start: {keys}");
-        }
-        let before = (
-            names,
-            std::mem::replace(&mut self.conf, conf),
-            std::mem::replace(&mut self.watch, watch),
-        );
-        self.stand.send_replace(stand);
-        // Tens of thousands of names: guards against a loop that stands still while they are given back.
-        let _ = spawn_blocking(move || drop(before)).await;
+        log_restart_keys(&state.config);
+        self.published.send_replace(state.config.clone());
+        let previous = (previous_names, std::mem::replace(&mut self.active, state));
+        // Tens of thousands of names may be dropped here, during which the event loop would stand still.
+        let _ = spawn_blocking(move || drop(previous)).await;
+    }
+}
+
+fn log_applied(config: &ActiveConfig, change: &str, started: Instant, loop_time: Duration) {
+    let elapsed = started.elapsed();
+    log::info!(
+        target: "birchhubd",
+        "settings in force after {elapsed:.1?}, of them {loop_time:.2?} of the loop: {config}; {change}"
+    );
+}
+
+fn log_restart_keys(config: &ActiveConfig) {
+    if !config.restart_keys.is_empty() {
+        let keys = config.restart_keys.join(", ");
+        log::warn!(target: "birchhubd", "SIGHUP: these keys take effect at the next start: {keys}");
     }
 }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -12,7 +12,8 @@
 
 use crate::clock::{Clock, until};
 use crate::config::active::NameTable;
-use crate::config::file::{self, Config};
+use crate::config::file::{self, CachedEndpoints, Config};
+use crate::config::inherited_listener;
 use crate::config::reload::{ActiveConfig, Reload};
 use crate::decision::actor::{self, DecisionActor};
 use crate::discovery::client::DiscoveryClient;
@@ -41,8 +42,9 @@
 const LEFT_EVERY: Duration = Duration::from_millis(5); // between looks at whether the last client has left
 
 fn main() -> ExitCode {
-    let outcome = file::inherited_listener()
-        .and_then(|passed| Ok((passed, file::load(true)?)))
+    let outcome = inherited_listener::take()
+        .and_then(|passed| Ok((passed, file::load(CachedEndpoints::Decoded)?)))
+        .map_err(|error| error.to_string())
         .and_then(|(passed, config)| {
             let mut builder = tokio::runtime::Builder::new_current_thread();
             // For what stands beside the loop. Guards against memory that each of several threads keeps for itself.
