--- /dev/null
+++ b/crates/daemon/tests/in_force/planned_size.rs
@@ -0,0 +1,129 @@
+//! What a reload costs at the planned size. Measured by hand: the figures are printed.
+use crate::common::sockets::{Client, Daemon, Log, PATIENCE, Shared, echo, eventually};
+use crate::load::SetOnDrop;
+use crate::proxy::{Proxy, call, method, methods};
+use serde_json::json;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+const METHODS: usize = 2_200;
+const TENANTS: usize = 54_000;
+const RELOADS: usize = 200;
+const LONGEST: Duration = Duration::from_secs(8);
+
+/// Processor time that a process has used, s.
+fn processor_time(daemon: &Daemon) -> f64 {
+    const TICKS: f64 = 100.0; // a second
+    let path = format!("/proc/{}/stat", daemon.child.id());
+    let text = std::fs::read_to_string(path).expect("its figures");
+    let fields = text.rsplit(") ").next().expect("fields");
+    let fields: Vec<_> = fields.split(' ').collect();
+    let ticks = |n: usize| fields[n].parse::<f64>().expect("ticks");
+    (ticks(11) + ticks(12)) / TICKS
+}
+
+/// Processor time that a process uses by itself, s a second.
+fn idle_load(daemon: &Daemon) -> f64 {
+    let (before, started) = (processor_time(daemon), Instant::now());
+    std::thread::sleep(Duration::from_secs(5));
+    (processor_time(daemon) - before) / started.elapsed().as_secs_f64()
+}
+
+/// Calls a method until the flag is set: how long each call took.
+fn call_until(at: SocketAddr, over: &Shared<bool>) -> Vec<Duration> {
+    let mut client = Client::open(at).expect("a connection");
+    let mut times = Vec::new();
+    while !over.change(|over| *over) {
+        let started = Instant::now();
+        let status = call(&mut client, "POST", "book", &format!("l{}", times.len()));
+        assert_eq!(status, 200);
+        times.push(started.elapsed());
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    times
+}
+
+/// Changes a quota and replaces a method: how long until that is active.
+fn reload(proxy: &mut Proxy, n: usize) -> Duration {
+    let settings = &mut proxy.config["settings"];
+    settings["accounts"][n * 7]["quota-per-s"] = (1_000 + n).into();
+    methods(settings).retain(|m| m["name"] != format!("new-{}", n - 1));
+    methods(settings).push(method(&format!("new-{n}"), "non_idempotent"));
+    let text = proxy.config.to_string();
+    let started = Instant::now();
+    proxy.daemon.reload(&text);
+    eventually(PATIENCE, "never active", || {
+        std::thread::sleep(Duration::from_millis(1));
+        proxy.is_at(n)
+    });
+    let time = started.elapsed();
+    let new = format!("new-{n}");
+    assert_eq!(proxy.call("POST", &new, &new), 200);
+    if [1, 2, 5, 10, 50, 100, 150, 200].contains(&n) {
+        println!("after {n}: {} KiB resident", proxy.daemon.memory() >> 10);
+    }
+    time
+}
+
+/// Prints the processor time of a reload, and returns how long each took.
+fn reload_often(proxy: &mut Proxy) -> Vec<Duration> {
+    let idle = idle_load(&proxy.daemon);
+    println!("{:.1} ms of a core a second without changes", idle * 1e3);
+    let (before, started) = (processor_time(&proxy.daemon), Instant::now());
+    let times = (1..=RELOADS).map(|n| reload(proxy, n)).collect();
+    let used = processor_time(&proxy.daemon) - before;
+    let for_reloads = used - idle * started.elapsed().as_secs_f64();
+    println!(
+        "{:.1} ms of a core for each change",
+        for_reloads / RELOADS as f64 * 1e3
+    );
+    times
+}
+
+fn start(log: &Log) -> Proxy {
+    let proxy = Proxy::start(&[("s-1", echo("b1", log))], |config| {
+        let settings = &mut config["settings"];
+        methods(settings)
+            .extend((0..METHODS).map(|n| method(&format!("route-{n}"), "non_idempotent")));
+        let account = |n| json!({"name": format!("tenant-{n}"), "quota-per-s": 10 + n % 90});
+        settings["accounts"] = (0..TENANTS).map(account).collect();
+    });
+    println!(
+        "{} bytes of configuration; {} KiB resident at the start",
+        proxy.config.to_string().len(),
+        proxy.daemon.memory() >> 10
+    );
+    proxy
+}
+
+#[test]
+#[ignore = "measures, with --nocapture, and takes a minute"]
+fn a_reload_at_the_planned_size() {
+    let log = Log::new(vec![]);
+    let mut proxy = start(&log);
+    let (over, at) = (Shared::new(false), proxy.daemon.at);
+    let (mut reloads, mut calls) = std::thread::scope(|threads| {
+        let calls = threads.spawn(|| call_until(at, &over));
+        let guard = SetOnDrop(over.clone());
+        let reloads = reload_often(&mut proxy);
+        drop(guard);
+        (reloads, calls.join().expect("a client"))
+    });
+    reloads.sort();
+    calls.sort();
+    let (median, longest) = (reloads[RELOADS / 2], reloads[RELOADS - 1]);
+    println!("in force {median:.1?} after SIGHUP, at the most {longest:.1?}");
+    let quantile = |part: f64| calls[((calls.len() - 1) as f64 * part) as usize];
+    println!(
+        "{} RPCs meanwhile: {:.2?}, {:.2?} of 99, {:.2?}",
+        calls.len(),
+        quantile(0.5),
+        quantile(0.99),
+        quantile(1.0)
+    );
+    let logged = proxy.daemon.logged();
+    let mut lines = logged.lines();
+    let last = lines.rfind(|line| line.contains("in force after"));
+    println!("{}", last.expect("a line"));
+    assert!(longest < LONGEST);
+}
--- /dev/null
+++ b/crates/daemon/tests/in_force/refused.rs
@@ -0,0 +1,97 @@
+//! Reloads that change nothing: of a configuration that cannot be used, and of the active one.
+use crate::common::sockets::{Log, PATIENCE, echo, eventually, free};
+use crate::proxy::{Proxy, method, methods};
+use serde_json::{Value, json};
+
+fn start(log: &Log) -> Proxy {
+    Proxy::start(&[("s-1", echo("b1", log))], |config| {
+        config["settings"]["accounts"] = json!([{"name": "acme", "quota-per-s": 100}]);
+    })
+}
+
+/// Each with its place in the configuration, and part of the error.
+fn unusable_values() -> [(&'static str, &'static str, Value, &'static str); 6] {
+    [
+        (
+            "/settings/methods/1",
+            "idempotency",
+            json!("perhaps"),
+            "methods[1].idempotency is not known: perhaps",
+        ),
+        (
+            "/settings/accounts/0",
+            "quota-per-s",
+            json!("many"),
+            "accounts[0].quota-per-s is not a number",
+        ),
+        (
+            "/settings/contract",
+            "drain-grace-ns",
+            Value::Null,
+            "contract.drain-grace-ns is missing",
+        ),
+        ("/settings", "methods", json!({}), "methods is not a list"),
+        ("", "settings", Value::Null, "is missing"),
+        ("", "seed", Value::Null, "seed is missing"),
+    ]
+}
+
+/// Nothing of such a configuration is applied, also of what is new and valid in it.
+#[test]
+fn a_configuration_that_cannot_be_used_changes_nothing() {
+    let log = Log::new(vec![]);
+    let proxy = start(&log);
+    let first = proxy.active();
+    assert!(first.starts_with("version 0, digest "), "{first}");
+    assert!(first.ends_with(", 3 methods, 1 tenants\n"), "{first}");
+    for (place, key, value, error) in unusable_values() {
+        let mut config = proxy.config.clone();
+        methods(&mut config["settings"]).push(method("extra", "read_like"));
+        config["discovery"] = free().to_string().into();
+        config.pointer_mut(place).expect("a place")[key] = value;
+        proxy.daemon.reload(&config.to_string());
+        eventually(PATIENCE, &format!("never logged: {error}"), || {
+            let logged = proxy.daemon.logged();
+            let mut lines = logged.lines();
+            lines.any(|line| line.contains("stays as it was") && line.contains(error))
+        });
+        assert_eq!(proxy.active(), first, "{error}");
+        let id = error.split(' ').next().expect("a word");
+        assert_eq!(proxy.call("GET", "extra", id), 404);
+    }
+    assert!(!proxy.daemon.logged().contains("SIGHUP: discovery is at"));
+    // Nothing is left of them for the next reload either.
+    proxy.reload();
+    proxy.await_log("SIGHUP: discovery is at");
+    assert_eq!(proxy.active(), first);
+    assert!(!proxy.daemon.logged().contains("in force"));
+}
+
+#[test]
+fn the_active_configuration_changes_nothing() {
+    let log = Log::new(vec![]);
+    let proxy = start(&log);
+    let first = proxy.active();
+    proxy.reload();
+    proxy.await_log("SIGHUP: discovery is at");
+    proxy.reload_unchanged();
+    assert_eq!(proxy.active(), first);
+    let logged = proxy.daemon.logged();
+    assert!(!logged.contains("in force"), "{logged}");
+}
+
+#[test]
+fn the_digest_is_that_of_the_active_settings() {
+    let log = Log::new(vec![]);
+    let mut proxy = start(&log);
+    let without_version = |text: String| text["version N".len()..].to_owned();
+    let first = without_version(proxy.active());
+    proxy.change(1, |settings| {
+        settings["accounts"][0]["quota-per-s"] = 200.into()
+    });
+    assert_ne!(without_version(proxy.active()), first);
+    proxy.change(2, |settings| {
+        settings["accounts"][0]["quota-per-s"] = 100.into()
+    });
+    assert_eq!(without_version(proxy.active()), first);
+}
--- /dev/null
+++ b/crates/daemon/tests/in_force/restart.rs
@@ -0,0 +1,80 @@
+//! Keys that take effect at the next start only, and the lines that say so.
+use crate::common::sockets::{Log, PATIENCE, echo, eventually, free, line};
+use crate::proxy::{Proxy, method, methods};
+use serde_json::{Value, json};
+
+const RESTART_KEYS: &str = "name, listen, seed, limits, settings.membership-mode, settings.failure-domains, \
+    settings.weight-source, settings.ceilings.connect-timeout-ns, settings.ceilings.conn-idle-ns, watch";
+
+/// Changes each of the [`RESTART_KEYS`].
+fn change_restart_keys(config: &mut Value) {
+    config["name"] = "n9".into();
+    config["listen"] = free().to_string().into();
+    config["seed"] = "1".into();
+    config["limits"]["sockets"] = 77.into();
+    let settings = &mut config["settings"];
+    settings["membership-mode"] = "pushed".into();
+    settings["failure-domains"] = json!(["z", "a"]);
+    settings["weight-source"] = "nominal".into();
+    settings["ceilings"]["connect-timeout-ns"] = 1e9.into();
+    settings["ceilings"]["conn-idle-ns"] = 1e9.into();
+    config["watch"] = config["settings"].clone();
+}
+
+/// Each reload names them, and none is applied before the restart.
+#[test]
+fn keys_that_need_a_restart_are_named_and_not_applied() {
+    let log = Log::new(vec![]);
+    let at = echo("b1", &log);
+    let mut proxy = Proxy::start(&[("s-1", at)], |_| {});
+    change_restart_keys(&mut proxy.config);
+    for reloads in 1..=2 {
+        proxy.reload();
+        let warning = format!("these keys take effect at the next start: {RESTART_KEYS}");
+        eventually(PATIENCE, "never logged", || {
+            proxy.daemon.logged().matches(&warning).count() == reloads
+        });
+        let waiting = format!("at the next start: {RESTART_KEYS}\n");
+        eventually(PATIENCE, "never shown", || {
+            proxy.active().ends_with(&waiting)
+        });
+        assert!(proxy.is_at(0), "{}", proxy.active());
+    }
+    assert_eq!(proxy.call("POST", "book", "as-before"), 200);
+    // Keys that can change are applied beside them.
+    proxy.config["watch"] = Value::Null;
+    proxy.change(1, |settings| {
+        methods(settings).push(method("extra", "non_idempotent"))
+    });
+    assert_eq!(proxy.call("POST", "extra", "new"), 200);
+    // The endpoint list is followed in the mode and with the zones of the start.
+    proxy.daemon.list.tell_heard(&[line("s-1", at, "Ready")]);
+    assert_eq!(proxy.call("POST", "extra", "listed"), 200);
+}
+
+/// Scripts of the operators read these lines.
+#[test]
+fn the_texts_of_a_reload_are_the_same_in_every_version() {
+    let log = Log::new(vec![]);
+    let mut proxy = Proxy::start(&[("s-1", echo("b1", &log))], |_| {});
+    let digest = proxy.expected_digest();
+    let expected = format!("version 0, digest {digest}, 3 methods, 0 tenants\n");
+    assert_eq!(proxy.active(), expected);
+    proxy.config["name"] = "n9".into();
+    proxy.change(1, |settings| {
+        settings["my-zone"] = "elsewhere".into();
+        settings["ceilings"]["most-picks"] = 4.into();
+        settings["accounts"] = json!([{"name": "acme", "quota-per-s": 1e6}]);
+        methods(settings).push(method("extra", "read_like"));
+    });
+    let digest = proxy.expected_digest();
+    let active = format!(
+        "version 1, digest {digest}, 4 methods, 1 tenants; at the next start: name, settings.my-zone"
+    );
+    assert_eq!(proxy.active(), format!("{active}\n"));
+    proxy.await_log(&format!(
+        " of the loop: {active}; methods 1 added, 0 changed, 0 removed, 4 in all; \
+         tenants 1 added, 0 changed, 0 removed, 1 in all; other keys: ceilings.most-picks\n"
+    ));
+    proxy.await_log("SIGHUP: these keys take effect at the next start: name, settings.my-zone\n");
+}
--- /dev/null
+++ b/crates/daemon/tests/in_force/rpcs.rs
@@ -0,0 +1,217 @@
+//! RPCs that are under way or come in while settings change.
+use crate::common::sockets::{
+    Act, Client, Log, PATIENCE, Shared, backend, echo, eventually, gated, reply, rpc,
+};
+use crate::proxy::{Proxy, call, method, methods};
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Sends an RPC of each of the three methods, and waits until the backend has them.
+fn start_rpcs(proxy: &Proxy, log: &Log) -> Vec<(&'static str, Client)> {
+    let start = |name: &'static str| {
+        let mut client = proxy.daemon.client();
+        let verb = if name == "read" { "GET" } else { "POST" };
+        client.send(&rpc(verb, &format!("/{name}"), &format!("held-{name}"), ""));
+        log.await_event(&format!("b1 got {verb} /{name} HTTP/1.1 held-{name}"));
+        (name, client)
+    };
+    ["read", "book", "log"].map(start).into()
+}
+
+/// Methods are added, removed, moved and changed; RPCs under way end by the old settings, on the connections they have.
+#[test]
+fn methods_change_while_their_rpcs_are_under_way() {
+    let log = Log::new(vec![]);
+    let (at, gate) = gated("b1", &log, "done");
+    let mut proxy = Proxy::start(&[("s-1", at)], |_| {});
+    let mut under_way = start_rpcs(&proxy, &log);
+    proxy.change(1, |settings| {
+        let all = methods(settings);
+        all.retain(|m| m["name"] != "log");
+        all[0] = method("read", "non_idempotent");
+        all.insert(0, method("extra", "idempotency_key"));
+        all.swap(1, 2);
+    });
+    // On connections of their own, which a refused request ends.
+    assert_eq!(proxy.call("POST", "log", "gone"), 404);
+    assert_eq!(proxy.call("GET", "read", "wrong"), 400);
+    gate.change(|open| *open = true);
+    for (name, client) in &mut under_way {
+        let response = client.answer().expect("a response");
+        let (status, body) = (response.status(), response.text());
+        assert_eq!((status, body.as_str()), (200, "done"), "{name}");
+    }
+    let mut client = proxy.daemon.client();
+    for name in ["read", "book", "extra"] {
+        let status = call(&mut client, "POST", name, &format!("new-{name}"));
+        assert_eq!(status, 200, "{name}");
+    }
+    for (name, client) in &mut under_way {
+        let expected = if *name == "log" { 404 } else { 200 };
+        let status = call(client, "POST", name, &format!("again-{name}"));
+        assert_eq!(status, expected, "{name}");
+    }
+    proxy.await_log("methods 1 added, 1 changed, 1 removed, 3 in all; tenants 0 added");
+    proxy.change(2, |settings| {
+        methods(settings).push(method("log", "idempotency_key"))
+    });
+    assert_eq!(call(&mut client, "POST", "log", "back"), 200);
+}
+
+/// Two backends that break off the first attempt of each RPC whose id starts with `cut`, once the gate is open.
+fn cutting_backends(log: &Log, gate: &Shared<bool>) -> [(&'static str, SocketAddr); 2] {
+    let seen = Shared::new(Vec::<String>::new());
+    [("s-1", "b1"), ("s-2", "b2")].map(|(uid, name)| {
+        let (gate, seen) = (gate.clone(), seen.clone());
+        let at = backend(name, log, move |message| {
+            let id = message.header("request-id").to_owned();
+            let is_first = id.starts_with("cut")
+                && seen.change(|seen| {
+                    let is_first = !seen.contains(&id);
+                    seen.push(id.clone());
+                    is_first
+                });
+            if !is_first {
+                return Act::Write(reply("200 OK", name));
+            }
+            gate.wait(PATIENCE, |open| *open);
+            Act::Cut(vec![])
+        });
+        (uid, at)
+    })
+}
+
+/// Whether an RPC may be retried is decided by its method as it was when the RPC was accepted.
+#[test]
+fn a_changed_idempotency_binds_from_the_next_rpc_on() {
+    let log = Log::new(vec![]);
+    let gate = Shared::new(false);
+    let mut proxy = Proxy::start(&cutting_backends(&log, &gate), |_| {});
+    proxy.daemon.earn_credit();
+    let mut client = proxy.daemon.client();
+    client.send(&rpc("GET", "/read", "cut-held", ""));
+    eventually(PATIENCE, "never sent", || log.count("cut-held") == 1);
+    proxy.change(1, |settings| {
+        methods(settings)[0] = method("read", "non_idempotent")
+    });
+    gate.change(|open| *open = true);
+    let status = client.answer().expect("a response").status();
+    assert_eq!(status, 200, "it was idempotent when it was accepted");
+    assert_eq!(log.count("cut-held"), 2);
+    assert_eq!(proxy.call("POST", "read", "cut-next"), 502);
+    assert_eq!(log.count("cut-next"), 1);
+}
+
+/// Sends all but the last two bytes of each message, and waits until the proxy has read their heads.
+fn send_incomplete(proxy: &Proxy, messages: &[String]) -> Vec<Client> {
+    let send = |message: &String| {
+        let mut client = proxy.daemon.client();
+        client.send(&message[..message.len() - 2]);
+        client
+    };
+    let clients = messages.iter().map(send).collect();
+    // The heads have been read once whole messages that came behind them were answered, and some time has passed.
+    for n in 0..20 {
+        assert_eq!(proxy.call("POST", "book", &format!("first{n}")), 200);
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    clients
+}
+
+/// A request that is incomplete when settings change is checked by the new ones: none is accepted as what it no longer is.
+#[test]
+fn an_incomplete_request_is_checked_by_the_new_settings() {
+    let log = Log::new(vec![]);
+    let mut proxy = Proxy::start(&[("s-1", echo("b1", &log))], |config| {
+        methods(&mut config["settings"]).push(method("plain", "non_idempotent"));
+    });
+    let keyless =
+        |path: &str, id: &str| rpc("POST", path, id, "body").replace("Idempotency-Key: k1\r\n", "");
+    let messages = [
+        keyless("/book", "moved"),
+        keyless("/plain", "keyless"),
+        rpc("POST", "/log", "gone", "body"),
+    ];
+    let mut clients = send_incomplete(&proxy, &messages);
+    proxy.change(1, |settings| {
+        let all = methods(settings);
+        all.retain(|m| m["name"] != "log");
+        all.reverse();
+        all[0] = method("plain", "idempotency_key");
+    });
+    let complete = |(client, message): (&mut Client, &String)| {
+        client.send(&message[message.len() - 2..]);
+        client.answer().expect("a response").status()
+    };
+    let statuses: Vec<_> = clients.iter_mut().zip(&messages).map(complete).collect();
+    assert_eq!(statuses, [200, 400, 404]);
+    assert_eq!(log.count("keyless") + log.count("gone"), 0);
+    assert_eq!(log.count("b1 got POST /book HTTP/1.1 moved"), 1);
+}
+
+#[test]
+fn a_quota_binds_from_its_change_on() {
+    let log = Log::new(vec![]);
+    let at = backend("b1", &log, |_| {
+        std::thread::sleep(Duration::from_millis(20));
+        Act::Write(reply("200 OK", ""))
+    });
+    let mut proxy = Proxy::start(&[("s-1", at)], |config| {
+        config["settings"]["accounts"] =
+            json!([{"name": "acme", "quota-per-s": 7}, {"name": "other", "quota-per-s": 7}]);
+    });
+    let mut clients: Vec<_> = (0..80).map(|_| proxy.daemon.client()).collect();
+    let mut served = |round: &str| {
+        for (n, client) in clients.iter_mut().enumerate() {
+            assert!(client.send(&rpc("GET", "/read", &format!("{round}{n}"), "")));
+        }
+        let responses = clients.iter_mut().filter_map(Client::answer);
+        responses
+            .filter(|response| response.status() == 200)
+            .count()
+    };
+    let few = served("few");
+    assert!(few < 80, "{few} of 80 at once under a quota of 7 a second");
+    proxy.change(1, |settings| {
+        settings["accounts"][0]["quota-per-s"] = 1e6.into()
+    });
+    assert_eq!(served("all"), 80);
+    proxy.change(2, |settings| {
+        settings["accounts"] =
+            json!([{"name": "other", "quota-per-s": 7}, {"name": "acme", "quota-per-s": 7}]);
+    });
+    let few = served("again");
+    assert!(
+        few < 80,
+        "{few} of 80 under the first quota, at another index"
+    );
+}
+
+/// The shadow evaluation follows the settings and RPCs of the actual one, and ends where it is no longer configured.
+#[test]
+fn a_shadow_evaluation_follows_reloads() {
+    let log = Log::new(vec![]);
+    let mut proxy = Proxy::start(&[("s-1", echo("b1", &log))], |config| {
+        config["watch"] = config["settings"].clone();
+    });
+    let mut client = proxy.daemon.client();
+    for version in 1..=3 {
+        let name = format!("m{version}");
+        methods(&mut proxy.config["watch"]).insert(0, method(&name, "non_idempotent"));
+        proxy.change(version, |settings| {
+            methods(settings).insert(0, method(&name, "non_idempotent"))
+        });
+        for n in 0..5 {
+            let status = call(&mut client, "POST", &name, &format!("{name}-{n}"));
+            assert_eq!(status, 200);
+            let status = call(&mut client, "POST", "log", &format!("log-{version}-{n}"));
+            assert_eq!(status, 200);
+        }
+    }
+    proxy.config["watch"] = Value::Null;
+    proxy.change(4, |settings| drop(methods(settings).remove(0)));
+    proxy.await_log("30 RPCs compared");
+    assert_eq!(call(&mut client, "POST", "log", "alone"), 200);
+    proxy.assert_not_panicked();
+}
