--- a/crates/daemon/tests/deploy.rs
+++ b/crates/daemon/tests/deploy.rs
@@ -1,5 +1,5 @@
-//! What the platform's page asks of `build` and `run` in the deploy file, seen on the text of both and on the
-//! process that `run` ends in.
+//! The platform's requirements on `build` and `run` in the deploy file: checked on the text of both, and on the process
+//! that `run` starts.
 #[path = "../../../tests/common/mod.rs"]
 mod common;
 use common::sockets::{Daemon, Log, echo, rpc};
@@ -8,8 +8,8 @@
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_birchhubd");
 
-/// The deploy file's keys that are texts.
-fn deploy() -> BTreeMap<String, String> {
+/// The keys of the deploy file whose values are strings.
+fn deploy_file() -> BTreeMap<String, String> {
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/balancer.toml");
     let text = std::fs::read_to_string(path).expect("the deploy file");
     let pair = |line: &str| {
@@ -19,24 +19,23 @@
     text.lines().filter_map(pair).collect()
 }
 
-/// A library that the platform loads into the process finds nothing to take hold of in a static one.
-fn names_the_loader(program: &[u8]) -> bool {
+/// Whether an ELF program names a dynamic loader. A library that the platform loads into the process has no effect on one
+/// that is linked statically.
+fn names_dynamic_loader(program: &[u8]) -> bool {
+    const INTERPRETER: usize = 3; // PT_INTERP
     let number = |at: usize, bytes: usize| {
-        program[at..at + bytes]
-            .iter()
-            .rev()
-            .fold(0, |sum, byte| sum << 8 | u64::from(*byte)) as usize
+        let bytes = program[at..at + bytes].iter().rev();
+        bytes.fold(0, |sum, byte| sum << 8 | u64::from(*byte)) as usize
     };
-    let (table, each, count) = (number(32, 8), number(54, 2), number(56, 2));
-    const INTERPRETER: usize = 3;
-    (0..count).any(|n| number(table + n * each, 4) == INTERPRETER)
+    // Offset, entry size and length of the program header table, by the ELF header.
+    let (table, entry_size, entries) = (number(32, 8), number(54, 2), number(56, 2));
+    (0..entries).any(|entry| number(table + entry * entry_size, 4) == INTERPRETER)
 }
 
-/// Guards against a shell that stays between the platform and the proxy, and against a run line that names what the
-/// build line does not make.
+/// No shell may remain between the platform and the proxy, and `run` must name the program that `build` makes.
 #[test]
-fn run_is_one_exec_of_what_build_makes() {
-    let deploy = deploy();
+fn run_is_one_exec_of_the_built_program() {
+    let deploy = deploy_file();
     let words: Vec<_> = deploy["run"].split(' ').collect();
     assert_eq!(words, ["exec", "target/release/birchhubd"]);
     let build: Vec<_> = deploy["build"].split(' ').collect();
@@ -47,11 +46,30 @@
     );
 }
 
-/// Guards against programs started on the side, and static linking: the platform allows one process of any number of
-/// threads, and comes in by the dynamic loader.
+/// The platform allows one process with any number of threads.
+fn assert_no_children(process: &Path) {
+    for thread in std::fs::read_dir(process.join("task")).expect("its threads") {
+        let children = thread.expect("a thread").path().join("children");
+        // Not every kernel has the file; the calls of a whole run are counted on the operators' bench.
+        let children = std::fs::read_to_string(children).unwrap_or_default();
+        assert_eq!(children, "", "it has started another program");
+    }
+}
+
+fn assert_no_io_uring(process: &Path) {
+    for file in std::fs::read_dir(process.join("fd")).expect("its descriptors") {
+        let Ok(target) = std::fs::read_link(file.expect("a descriptor").path()) else {
+            continue;
+        };
+        let target = target.to_string_lossy();
+        assert!(!target.contains("io_uring"), "{target} is open");
+    }
+}
+
+/// The platform's own library is loaded by the dynamic loader.
 #[test]
-fn the_proxy_is_one_process_that_the_loader_loads() {
-    assert!(names_the_loader(
+fn the_proxy_is_one_dynamically_linked_process() {
+    assert!(names_dynamic_loader(
         &std::fs::read(PROGRAM).expect("the program")
     ));
     let log = Log::new(Vec::new());
@@ -63,23 +81,10 @@
             .expect("an answer");
         assert_eq!(answer.status(), 200);
     }
-    let own = PathBuf::from(format!("/proc/{}", daemon.child.id()));
-    let runs = std::fs::read_link(own.join("exe")).expect("what it runs");
-    assert_eq!(runs, std::fs::canonicalize(PROGRAM).expect("the program"));
-    for thread in std::fs::read_dir(own.join("task")).expect("its threads") {
-        let children = thread.expect("a thread").path().join("children");
-        // Not every kernel tells; the calls of a whole run are counted on the operators' bench.
-        let children = std::fs::read_to_string(children).unwrap_or_default();
-        assert_eq!(children, "", "it has started another program");
-    }
-    for file in std::fs::read_dir(own.join("fd")).expect("its descriptors") {
-        let Ok(stands) = std::fs::read_link(file.expect("a descriptor").path()) else {
-            continue;
-        };
-        assert!(
-            !stands.to_string_lossy().contains("io_uring"),
-            "{} is open",
-            stands.display()
-        );
-    }
+    let process = PathBuf::from(format!("/proc/{}", daemon.child.id()));
+    let program = std::fs::read_link(process.join("exe")).expect("its program");
+    let expected = std::fs::canonicalize(PROGRAM).expect("the program");
+    assert_eq!(program, expected);
+    assert_no_children(&process);
+    assert_no_io_uring(&process);
 }
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -1,5 +1,5 @@
-//! Settings of other customers: what is missing, null, zero or beyond all measure ends no proxy that could serve, and what
-//! can't be read ends the start with a line that names it. Nothing is filled in with another deployment's figure.
+//! Settings at the start of birchhubd. Values that are missing, null, zero or huge do not end a proxy that could serve;
+//! what cannot be parsed ends the start with one line that names it, and exit code 2.
 #[path = "../../../tests/common/mod.rs"]
 mod common;
 use common::sockets::{Daemon, Log, blind, config, echo, free, line, rpc};
@@ -8,21 +8,33 @@
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_birchhubd");
 
-/// Each with what it is made to be.
-#[expect(clippy::too_many_lines)]
-fn odd() -> Vec<(&'static str, &'static str, Value)> {
-    let gone = || Value::Null;
-    let huge = || json!(u64::MAX);
+/// An unusual value and its place in the settings.
+type Unusual = (&'static str, &'static str, Value);
+
+fn missing() -> Value {
+    Value::Null
+}
+
+fn huge() -> Value {
+    json!(u64::MAX)
+}
+
+fn unusual_ceilings() -> Vec<Unusual> {
     vec![
-        ("/ceilings", "connect-timeout-ns", gone()),
+        ("/ceilings", "connect-timeout-ns", missing()),
         ("/ceilings", "connect-timeout-ns", json!(0)),
         ("/ceilings", "connect-timeout-ns", huge()),
-        ("/ceilings", "conn-idle-ns", gone()),
+        ("/ceilings", "conn-idle-ns", missing()),
         ("/ceilings", "conn-idle-ns", json!(0)),
         ("/ceilings", "conn-idle-ns", huge()),
         ("/ceilings", "most-picks", huge()),
         ("/ceilings", "retry-after", json!(true)),
-        ("/contract", "ask-within-ns", gone()),
+    ]
+}
+
+fn unusual_contracts() -> Vec<Unusual> {
+    vec![
+        ("/contract", "ask-within-ns", missing()),
         ("/contract", "ask-within-ns", json!(0)),
         ("/contract", "ask-within-ns", huge()),
         ("/contract", "drain-grace-ns", json!(0)),
@@ -30,7 +42,12 @@
         ("/contract", "tip-after-ns", huge()),
         ("/contract", "fall-multiple", json!(1e30)),
         ("/contract", "key-quiet-ns", huge()),
-        ("/methods/1", "hard-limit-ns", gone()),
+    ]
+}
+
+fn unusual_methods() -> Vec<Unusual> {
+    vec![
+        ("/methods/1", "hard-limit-ns", missing()),
         ("/methods/1", "hard-limit-ns", json!(0)),
         ("/methods/1", "hard-limit-ns", huge()),
         ("/methods/1", "latency-target-ns", huge()),
@@ -38,133 +55,93 @@
         ("/methods/1", "utility", json!(1e300)),
         ("/methods/2", "window-ns", json!(0)),
         ("/methods/2", "window-ns", huge()),
-        ("", "failure-domains", gone()),
+    ]
+}
+
+fn unusual_rest() -> Vec<Unusual> {
+    let unknown_fields = json!({"how": "answers", "fields": ["err_ps", "of_their_own"]});
+    let account = |quota: f64| json!([{"name": "acme", "quota-per-s": quota}]);
+    vec![
+        ("", "failure-domains", missing()),
         ("", "my-zone", json!("elsewhere")),
-        ("", "report", gone()),
-        (
-            "",
-            "report",
-            json!({"how": "answers", "fields": ["err_ps", "of_their_own"]}),
-        ),
+        ("", "report", missing()),
+        ("", "report", unknown_fields),
         ("", "report", json!({"how": "by_pigeon"})),
-        ("", "membership-mode", gone()),
-        ("", "accounts", json!([{"name": "acme", "quota-per-s": 0}])),
-        (
-            "",
-            "accounts",
-            json!([{"name": "acme", "quota-per-s": 1e300}]),
-        ),
+        ("", "membership-mode", missing()),
+        ("", "accounts", account(0.0)),
+        ("", "accounts", account(1e300)),
         ("", "balancers", json!(0)),
         ("", "further", json!({"unknown": [1, 2, 3]})),
     ]
 }
 
-#[test]
-fn odd_settings_end_no_proxy() {
-    let log = Log::new(vec![]);
-    let at = echo("b1", &log);
-    for (place, key, value) in odd() {
-        let daemon = Daemon::start_with(PROGRAM, &[("s-1", at)], |config| {
-            blind(config);
-            config["settings"].pointer_mut(place).expect("a place")[key] = value.clone();
-        });
-        let mut client = daemon.client();
-        for (n, (verb, method)) in [("GET", "read"), ("POST", "book"), ("POST", "log")]
-            .into_iter()
-            .enumerate()
-        {
-            let answer = client.call(&rpc(verb, &format!("/{method}"), &format!("n{n}"), ""));
-            // One of no utility may be turned away; none is left without a word.
-            let status = answer.map(|answer| answer.status());
-            assert!(
-                matches!(status, Some(200 | 503)),
-                "{place}/{key} = {value}: {method} {status:?}"
-            );
-            assert!(
-                status == Some(200) || key == "utility" || key == "accounts",
-                "{place}/{key} = {value}: {method}"
-            );
-        }
+/// Starts a proxy with this value and calls each method.
+fn assert_serves((place, key, value): Unusual, backend: std::net::SocketAddr) {
+    let daemon = Daemon::start_with(PROGRAM, &[("s-1", backend)], |config| {
+        blind(config);
+        config["settings"].pointer_mut(place).expect("a place")[key] = value.clone();
+    });
+    // RPCs without weight, or over their quota, may be rejected.
+    let may_reject = key == "utility" || key == "accounts";
+    let mut client = daemon.client();
+    let calls = [("GET", "read"), ("POST", "book"), ("POST", "log")];
+    for (n, (verb, method)) in calls.into_iter().enumerate() {
+        let response = client.call(&rpc(verb, &format!("/{method}"), &format!("n{n}"), ""));
+        let status = response.map(|response| response.status());
         assert!(
-            !daemon.logged().contains("panicked"),
-            "{place}/{key} = {value}: {}",
-            daemon.logged()
+            status == Some(200) || may_reject && status == Some(503),
+            "{place}/{key} = {value}: {method} {status:?}"
         );
     }
+    let logged = daemon.logged();
+    assert!(
+        !logged.contains("panicked"),
+        "{place}/{key} = {value}: {logged}"
+    );
 }
 
 #[test]
-#[expect(clippy::too_many_lines)]
-fn settings_that_cannot_be_read_name_themselves() {
-    let folder = std::env::temp_dir().join(format!("birchhubd-settings-{}", std::process::id()));
-    std::fs::create_dir_all(&folder).expect("a folder");
-    let file = folder.join("config.json");
-    for (place, key, value, named) in [
-        (
-            "/ceilings",
-            "connect-timeout-ns",
-            json!("250ms"),
-            "ceilings.connect-timeout-ns",
-        ),
-        (
-            "/ceilings",
-            "conn-idle-ns",
-            json!(-1),
-            "ceilings.conn-idle-ns",
-        ),
-        (
-            "/contract",
-            "ask-within-ns",
-            json!([]),
-            "contract.ask-within-ns",
-        ),
-        (
-            "/contract",
-            "drain-grace-ns",
-            Value::Null,
-            "contract.drain-grace-ns",
-        ),
-        (
-            "/methods/1",
-            "hard-limit-ns",
-            json!("3s"),
-            "methods[1].hard-limit-ns",
-        ),
-        (
-            "/methods/1",
-            "idempotency",
-            json!("perhaps"),
-            "methods[1].idempotency",
-        ),
-        (
-            "/methods/2",
-            "window-ns",
-            Value::Null,
-            "methods[2].window-ns",
-        ),
-        (
-            "/methods/2",
-            "dedup-scope",
-            json!("planet"),
-            "methods[2].dedup-scope",
-        ),
-    ] {
+fn a_proxy_with_unusual_settings_serves() {
+    let log = Log::new(vec![]);
+    let backend = echo("b1", &log);
+    let groups = [
+        unusual_ceilings(),
+        unusual_contracts(),
+        unusual_methods(),
+        unusual_rest(),
+    ];
+    for unusual in groups.into_iter().flatten() {
+        assert_serves(unusual, backend);
+    }
+}
+
+#[test]
+fn settings_that_cannot_be_parsed_are_named() {
+    let folder = Folder::new("settings");
+    let assert_named = |place: &str, key: &str, value: Value, path: &str| {
         let mut config = config(free(), free(), &[line("s-1", free(), "Ready")]);
         config["settings"].pointer_mut(place).expect("a place")[key] = value;
-        std::fs::write(&file, config.to_string()).expect("a file");
-        let output = Command::new(PROGRAM)
-            .env("LB_CONFIG", &file)
-            .output()
-            .expect("birchhubd");
-        let fault = String::from_utf8_lossy(&output.stderr);
-        assert_eq!(
-            (output.status.code(), fault.lines().count()),
-            (Some(2), 1),
-            "{named}: {fault}"
-        );
-        assert!(fault.contains(named), "{named}: {fault}");
-    }
-    std::fs::remove_dir_all(&folder).expect("the folder");
+        let file = folder.file(&config.to_string());
+        let (code, error) = refused_start(&[("LB_CONFIG", &file)]);
+        assert_eq!((code, error.lines().count()), (Some(2), 1), "{error}");
+        assert!(error.contains(path), "{path}: {error}");
+    };
+    let path = "ceilings.connect-timeout-ns";
+    assert_named("/ceilings", "connect-timeout-ns", json!("250ms"), path);
+    let path = "ceilings.conn-idle-ns";
+    assert_named("/ceilings", "conn-idle-ns", json!(-1), path);
+    let path = "contract.ask-within-ns";
+    assert_named("/contract", "ask-within-ns", json!([]), path);
+    let path = "contract.drain-grace-ns";
+    assert_named("/contract", "drain-grace-ns", missing(), path);
+    let path = "methods[1].hard-limit-ns";
+    assert_named("/methods/1", "hard-limit-ns", json!("3s"), path);
+    let path = "methods[1].idempotency";
+    assert_named("/methods/1", "idempotency", json!("perhaps"), path);
+    let path = "methods[2].window-ns";
+    assert_named("/methods/2", "window-ns", missing(), path);
+    let path = "methods[2].dedup-scope";
+    assert_named("/methods/2", "dedup-scope", json!("planet"), path);
 }
 
 /// What birchhubd writes and exits with when it is started with these variables alone.
@@ -178,8 +155,8 @@
     (output.status.code(), line)
 }
 
-fn assert_refused(variables: &[(&str, &str)], fault: &str) {
-    let expected = (Some(2), format!("birchhubd: {fault}\n"));
+fn assert_refused(variables: &[(&str, &str)], error: &str) {
+    let expected = (Some(2), format!("birchhubd: {error}\n"));
     assert_eq!(refused_start(variables), expected);
 }
 
@@ -216,7 +193,7 @@
         &[("LB_CONFIG", &absent)],
         &format!("LB_CONFIG cannot be read: {absent}: No such file or directory (os error 2)"),
     );
-    for (text, fault) in [
+    for (text, error) in [
         ("", "EOF while parsing a value at line 1 column 0"),
         (
             "[]",
@@ -224,12 +201,12 @@
         ),
     ] {
         let file = folder.file(text);
-        let fault = format!("LB_CONFIG is not JSON: {file}: {fault}");
-        assert_refused(&[("LB_CONFIG", &file)], &fault);
+        let error = format!("LB_CONFIG is not JSON: {file}: {error}");
+        assert_refused(&[("LB_CONFIG", &file)], &error);
     }
 }
 
-/// Each is a change of a good configuration, and the whole text of the fault.
+/// Each is a change of a valid configuration, and the whole text of the error.
 fn wrong_configurations() -> Vec<(&'static str, &'static str, Value, &'static str)> {
     let mut other = config(free(), free(), &[])["settings"].clone();
     other["accounts"] = json!([{"name": "x", "quota-per-s": 1}]);
@@ -278,11 +255,11 @@
 fn wrong_configurations_are_named_to_the_byte() {
     let folder = Folder::new("wrong");
     let good = config(free(), free(), &[]);
-    for (place, key, value, fault) in wrong_configurations() {
+    for (place, key, value, error) in wrong_configurations() {
         let mut config = good.clone();
         config.pointer_mut(place).expect("a place")[key] = value;
         let file = folder.file(&config.to_string());
-        assert_refused(&[("LB_CONFIG", &file)], fault);
+        assert_refused(&[("LB_CONFIG", &file)], error);
     }
     let mut config = good;
     config
@@ -295,13 +272,13 @@
 
 #[test]
 fn a_passed_descriptor_that_is_no_listener_is_named_to_the_byte() {
-    for (passed, fault) in [
+    for (passed, error) in [
         ("-1", "is not a number: -1"),
         ("4294967295", "is not a number: 4294967295"),
         ("99", "is not open: 99"),
         ("1", "is not a socket: 1"),
     ] {
         let variables = [("LB_PASSED_SOCKET", passed)];
-        assert_refused(&variables, &format!("LB_PASSED_SOCKET {fault}"));
+        assert_refused(&variables, &format!("LB_PASSED_SOCKET {error}"));
     }
 }
