SIGTERM: look at the sibling processes in that moment

a_replacement_turns_nothing_back failed by chance with 503 from /health/ready. A process polls what its siblings do every 50 ms. SIGTERM within that time after the successor began to accept found the old process without that knowledge: it took itself for the last and reported not ready.

The same stale view fails two_that_end_together_go_on_both: where both have seen the other accept, both take the other for their successor and neither accepts, and clients wait for 20 s.

At SIGTERM the process now first tells its siblings that it accepts no more and then looks at them. The order counts: of two that hear it at the same moment neither takes the other for its successor. If another task uses the group in that moment the next poll tells, as before.

The unit test of lifecycle/state moves to a file of its own, unchanged.

--- a/crates/daemon/src/lifecycle/siblings.rs
+++ b/crates/daemon/src/lifecycle/siblings.rs
@@ -58,7 +58,11 @@
     /// The folder of the proxy of this name. Its own slot is taken with the first count of others.
     pub(crate) fn open(name: &str) -> Result<Self, String> {
         let parent = std::env::var_os("TMPDIR").ok_or("TMPDIR is not set")?;
-        let folder = Path::new(&parent).join(folder(name));
+        Self::open_in(Path::new(&parent).join(folder(name)))
+    }
+
+    /// The same in this folder.
+    pub(crate) fn open_in(folder: PathBuf) -> Result<Self, String> {
         std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
         let slots = (0..SLOTS)
             .map(|n| open(&folder.join(format!("birchhub.life.{n}"))))
--- a/crates/daemon/src/lifecycle/state.rs
+++ b/crates/daemon/src/lifecycle/state.rs
@@ -260,8 +260,17 @@
             since: Instant::now(),
             longest: longest.min(LONGEST),
         };
-        self.standing.send_modify(|now| now.ending = Some(ending));
-        self.tell();
+        // Told before it looks: guards against two that hear SIGTERM at the same moment and leave clients to each other.
+        let others = self.shared.as_ref().and_then(|shared| {
+            let mut shared = shared.try_lock().ok()?;
+            shared.tell(false);
+            Some(shared.others())
+        });
+        self.standing.send_modify(|now| {
+            now.ending = Some(ending);
+            // The last look may be older than what the others do now; while the file is in use the next one tells.
+            now.others = others.unwrap_or(now.others);
+        });
     }
 
     /// These names are listed.
@@ -383,15 +392,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Lists name the same backends over and over; without a file nothing else takes the names over.
-    #[test]
-    fn names_are_kept_once() {
-        let standings = StateStore::new(None, false);
-        (0..3).for_each(|_| standings.listed(["a", "b"].into_iter()));
-        assert_eq!(standings.fresh_names.borrow().len(), 2);
-        assert!(standings.knows("a") && !standings.knows("c"));
-    }
-}
+mod tests;
--- a/crates/daemon/tests/replacing.rs
+++ b/crates/daemon/tests/replacing.rs
@@ -132,7 +132,11 @@
     }
 
     fn term(&self) {
-        let kill = format!("kill -TERM {}", self.child.id());
+        self.signal("TERM");
+    }
+
+    fn signal(&self, name: &str) {
+        let kill = format!("kill -{name} {}", self.child.id());
         assert!(
             Command::new("sh")
                 .args(["-c", &kill])
@@ -192,6 +196,32 @@
     );
 }
 
+/// SIGTERM reaches the old process right after the new one began to accept, sooner than it looks at the others by
+/// itself. The new one is stopped meanwhile: who is answered before it goes on was answered by the old one.
+#[test]
+fn health_stays_ready_when_sigterm_follows_the_takeover_at_once() {
+    let log = Log::new(vec![]);
+    for round in 0..3 {
+        let platform = Platform::new(&format!("at-once{round}"), &[("s-1", echo("b1", &log))]);
+        let (mut old, new) = (platform.start(), platform.start());
+        new.signal("STOP");
+        old.term();
+        eventually(PATIENCE, "SIGTERM was never heard", || {
+            old.call("GET /status").is_none_or(|told| told.0 == 503)
+        });
+        let mut clients: Vec<_> = (0..16).map(|_| platform.client()).collect();
+        assert!(clients.iter_mut().all(|client| client.send(HEALTH)));
+        std::thread::sleep(Duration::from_millis(100)); // the old one has looked at the new one since
+        new.signal("CONT");
+        let answers: Vec<_> = clients
+            .iter_mut()
+            .map(|client| client.answer().map(|answer| answer.status()))
+            .collect();
+        assert_eq!(answers, vec![Some(200); 16]);
+        assert!(old.child.wait().expect("its end").success());
+    }
+}
+
 /// SIGTERM to the old process while the new one still starts, whether that comes up, dies or is ended too: for half a second
 /// clients come to somebody.
 #[test]
@@ -230,6 +260,24 @@
     assert!(new.child.wait().expect("its end").success());
 }
 
+/// The same once each knows that the other accepts: SIGTERM comes to both before either has looked at the other again.
+#[test]
+fn two_that_end_together_and_know_each_other_go_on() {
+    let log = Log::new(vec![]);
+    let platform = Platform::new("acquainted", &[("s-1", echo("b1", &log))]);
+    let (mut old, mut new) = (platform.start(), platform.start());
+    std::thread::sleep(Duration::from_millis(150)); // both have looked at each other since
+    old.signal("STOP");
+    new.signal("STOP");
+    old.term();
+    new.term();
+    old.signal("CONT");
+    new.signal("CONT");
+    assert!((0..5).all(|n| platform.ask(&format!("n{n}")) == 200));
+    assert!(old.child.wait().expect("its end").success());
+    assert!(new.child.wait().expect("its end").success());
+}
+
 /// Bans and standby hold in both processes, whichever was called, and end in both.
 #[test]
 #[expect(clippy::too_many_lines)]
