Pin the stored form of the admin state by fixtures that this text wrote

birchhub.standing with standby, maintenance in force and ended, and names to be escaped, and the one that a first write leaves. A test reads both and writes them again to the byte: the names in the code are to change.

--- a/crates/daemon/src/lifecycle/state/tests.rs
+++ b/crates/daemon/src/lifecycle/state/tests.rs
@@ -31,3 +31,39 @@
     assert!(!new.now().is_replaced() && !new.now().takes_clients());
     std::fs::remove_dir_all(&folder).expect("the folder");
 }
+
+/// What an older process left in the folder is read, and an older process reads what this one leaves: the stored form
+/// stays to the byte.
+#[test]
+fn the_stored_form_of_the_admin_state_is_unchanged() {
+    let full = AdminState {
+        standby: Some(1_796_191_200_123.25),
+        bans: BTreeMap::from([
+            ("s-1".to_owned(), Maintenance::InForce),
+            ("s-2".to_owned(), Maintenance::Over(1_796_191_201_000.5)),
+        ]),
+        names: ["s-1", "s-2", "s-\"é\" 3"].map(str::to_owned).into(),
+    };
+    let stored = include_bytes!("../../../tests/fixtures/birchhub.standing");
+    let initial = include_bytes!("../../../tests/fixtures/birchhub.standing.initial");
+    check_stored_form("full", &full, stored);
+    check_stored_form("initial", &AdminState::default(), initial);
+}
+
+fn check_stored_form(test: &str, state: &AdminState, stored: &[u8]) {
+    let name = format!("birchhub-stored-{test}-{}", std::process::id());
+    let folder = std::env::temp_dir().join(name);
+    let mut group = ProcessGroup::open_in(folder.clone()).expect("a folder");
+    let file = folder.join("birchhub.standing");
+    std::fs::write(&file, stored).expect("written");
+    assert_eq!(group.read(), Ok(Some(state.clone())));
+    std::fs::remove_file(&file).expect("the file");
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .build()
+        .expect("a runtime");
+    let written = runtime.block_on(group.update(state, |_| ()));
+    assert_eq!(written, Ok(state.clone()));
+    assert_eq!(std::fs::read(&file).expect("the file"), stored);
+    std::fs::remove_dir_all(&folder).expect("the folder");
+}
