--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -15,7 +15,7 @@
 use crate::config::file::{self, Config};
 use crate::config::reload::{ActiveConfig, Reload};
 use crate::decision::actor::{self, DecisionActor};
-use crate::discovery::client::Discovery;
+use crate::discovery::client::DiscoveryClient;
 use crate::downstream::listener::Listener;
 use crate::downstream::request::RequestParser;
 use crate::lifecycle::admin::AdminServer;
@@ -41,7 +41,7 @@
 const LEFT_EVERY: Duration = Duration::from_millis(5); // between looks at whether the last client has left
 
 fn main() -> ExitCode {
-    let outcome = file::passed()
+    let outcome = file::inherited_listener()
         .and_then(|passed| Ok((passed, file::load(true)?)))
         .and_then(|(passed, config)| {
             let mut builder = tokio::runtime::Builder::new_current_thread();
@@ -133,7 +133,7 @@
         .map(|at| bound(at, "LB_MANAGEMENT"))
         .transpose()?;
     birchhub_logging::start();
-    if let Some(fault) = &config.known_fault {
+    if let Some(fault) = &config.cached_endpoints_error {
         log::warn!("known is passed over: {fault}");
     }
     // Only where staff or the platform may have another process of this proxy.
@@ -144,9 +144,12 @@
             .ok()
     });
     let config = Arc::new(config);
-    let names = Rc::new(RefCell::new(Arc::new(NameTable::new(0, &config.conf))));
-    let (stand, settings) = watch::channel(ActiveConfig::new(&config.conf));
-    let (clock, budget) = (Clock::start(), SocketBudget::new(config.sockets));
+    let names = Rc::new(RefCell::new(Arc::new(NameTable::new(
+        0,
+        &config.parsed_settings,
+    ))));
+    let (stand, settings) = watch::channel(ActiveConfig::new(&config.parsed_settings));
+    let (clock, budget) = (Clock::start(), SocketBudget::new(config.max_sockets));
     let standings = Rc::new(StateStore::new(shared, outlives));
     spawn_local(share(budget.clone(), standings.clone()));
     if let Some(listener) = management {
@@ -173,9 +176,9 @@
     spawn_local(core.run(mailbox));
     // A list as last had is enough to decide by; without one the first answer is waited for. Where lists are pushed,
     // what the agent has counts as told from the start on.
-    let pushed = !config.conf.settings.polls_endpoint_list;
+    let pushed = !config.parsed_settings.settings.polls_endpoint_list;
     if let Some(known) = config
-        .known
+        .cached_endpoints
         .as_ref()
         .filter(|known| !known.listed.is_empty())
     {
@@ -190,27 +193,21 @@
     }
     let (moves, at) = watch::channel(config.discovery);
     spawn_local(Reload::new(config.clone(), moves, sender.clone(), stand).run(hup));
-    let discovery = Discovery {
+    let discovery = DiscoveryClient::new(
         at,
-        core: sender.clone(),
+        sender.clone(),
         wanted,
-        version: config.known.as_ref().map(|known| known.version),
+        config.cached_endpoints.as_ref().map(|known| known.version),
         pushed,
-        standings: standings.clone(),
-        time_outs: 0,
-    };
+        standings.clone(),
+    );
     spawn_local(discovery.run());
-    let intake = RequestParser::new(names);
-    let open = Default::default();
-    let standing = standings.reader();
-    let front = Listener {
-        intake,
-        standing,
-        budget: budget.clone(),
-        core: sender,
-        next: 0.into(),
-        open,
-    };
+    let front = Listener::new(
+        RequestParser::new(names),
+        standings.reader(),
+        budget.clone(),
+        sender,
+    );
     let accepting = spawn_local(accept(front, listener, standings.clone(), pushed));
     log::info!("{} listens on {}", config.name, config.listen);
     term.recv().await;
@@ -227,7 +224,7 @@
     let over = standings.now().over();
     let gone = async {
         let _ = accepting.await;
-        while budget.open(SocketClass::Clients) > 0 {
+        while budget.open_sockets(SocketClass::Clients) > 0 {
             sleep(LEFT_EVERY).await;
         }
     };
@@ -237,7 +234,7 @@
     }
     log::info!(
         "ends with {} client connections open",
-        budget.open(SocketClass::Clients)
+        budget.open_sockets(SocketClass::Clients)
     );
     Ok(())
 }
