Split downstream/ into listener, connection task, RPC service and request parser

Change: Listener accepts within the budget; ConnectionTask owns the socket, its permit and the decision when a connection ends; ClientConnection is the state that observer, budget and task share; RpcService hands RPCs to the decision actor under an RpcGuard and a RequestIdGuard; RequestParser parses in small steps and fails with a RequestError. Drain deadlines are a type. The unit test of the head scanner moves to head/tests.rs with its assertion unchanged. No behaviour change. Log lines keep their words; 'a client's connection ended: WHY' comes from connection_task: and 'an RPC had no answer by its deadline' from rpc_service: (were listener:).

--- /dev/null
+++ b/crates/daemon/src/downstream/connection_task.rs
@@ -0,0 +1,172 @@
+//! The task of one client's connection: it owns the socket and its permit, and decides when the connection ends.
+use crate::clock::until;
+use crate::downstream::connection::{ClientConnection, DrainDeadlines, Phase};
+use crate::downstream::response::ProxyResponse;
+use crate::downstream::rpc_service::RpcService;
+use crate::lifecycle::state::ProxyState;
+use crate::net::body::ResponseBody;
+use crate::net::inbound_stream::{ClientLiveness, InboundStream, ReadAhead};
+use crate::net::linger::linger;
+use crate::net::observed_stream::ObservedStream;
+use crate::net::socket_budget::{SocketBudget, SocketPermit};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use std::convert::Infallible;
+use std::future::{Future, poll_fn};
+use std::pin::{Pin, pin};
+use std::rc::Rc;
+use std::task::Poll;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::select;
+use tokio::sync::watch;
+use tokio::task::yield_now;
+use tokio::time::Instant;
+
+/// Bytes of a message's head, and of a body's frame, at most.
+const HEAD_LIMIT: usize = 16 << 10;
+/// For a client to read the last response on its connection.
+const LINGER_TIME: Duration = Duration::from_millis(500);
+
+/// A client's connection from its accept to its close.
+pub(crate) struct ConnectionTask {
+    /// Responds to what the client sends.
+    pub service: Rc<RpcService>,
+    /// Whether clients are sent away.
+    pub state: watch::Receiver<ProxyState>,
+    /// Of which the permit is.
+    pub budget: Rc<SocketBudget>,
+    /// Given back once the connection is closed.
+    pub permit: SocketPermit,
+    /// The connection is beyond the budget: all it gets is a rejection.
+    pub is_beyond_budget: bool,
+}
+
+impl ConnectionTask {
+    /// Serves the connection until either side closes it.
+    pub(crate) async fn run(self, stream: TcpStream) {
+        // Responses are written complete, or chunk by chunk as they come: nothing is gained by waiting for more.
+        let _ = stream.set_nodelay(true);
+        let client = ClientConnection::new(&self.budget);
+        let stream = InboundStream::new(stream);
+        let read_ahead = stream.read_ahead();
+        let service = service_fn(|request| {
+            let (task, client, liveness) = (&self, client.clone(), read_ahead.liveness());
+            async move { Ok::<_, Infallible>(task.respond(request, &client, liveness).await) }
+        });
+        let mut connection = http1::Builder::new()
+            .max_buf_size(HEAD_LIMIT)
+            .serve_connection(
+                TokioIo::new(ObservedStream::new(stream, client.clone())),
+                service,
+            );
+        if let Err(error) = self.drive(&mut connection, &client, &read_ahead).await {
+            log::debug!("a client's connection ended: {error}");
+            client.set_closing(true);
+        }
+        if client.is_closing() {
+            let stream = connection.into_parts().io.into_inner().into_stream();
+            linger_until_evicted(stream, &client).await;
+        } else {
+            drop(connection);
+        }
+        drop(self.permit);
+    }
+
+    /// The response to one message, and whether the connection is closed after it.
+    async fn respond(
+        &self,
+        request: Request<Incoming>,
+        client: &ClientConnection,
+        liveness: ClientLiveness,
+    ) -> Response<ResponseBody> {
+        client.enter(Phase::ReadingBody);
+        let response = if self.is_beyond_budget {
+            ProxyResponse::rejected()
+        } else {
+            self.service.respond(request, client, liveness).await
+        };
+        let closes = self.is_beyond_budget
+            || matches!(response, ProxyResponse::ClientError { .. })
+            || client.is_closing()
+            || self.state.borrow().answers_last();
+        client.set_closing(closes);
+        let response = response.encode(closes);
+        client.begin_response(response.body().delivery());
+        response
+    }
+
+    /// Moves the connection's bytes until it ends or is to end; the only place that decides the latter. What has
+    /// come is always read first, and the connection's phase looked at after that. Otherwise an RPC could be read in
+    /// the very turn in which its connection is closed as idle, and be dropped with it.
+    async fn drive<C: Future<Output = hyper::Result<()>> + Unpin>(
+        &self,
+        connection: &mut C,
+        client: &ClientConnection,
+        read_ahead: &ReadAhead,
+    ) -> hyper::Result<()> {
+        let mut state = self.state.clone();
+        let mut disconnected = pin!(read_ahead.disconnected());
+        loop {
+            // An RPC must not wait, or be sent, for a client that has disconnected behind further bytes.
+            let disconnected = poll_fn(|cx| {
+                if client.is_busy() {
+                    disconnected.as_mut().poll(cx)
+                } else {
+                    Poll::Pending
+                }
+            });
+            let ends_at = client.ends_at(drain_deadlines(&state.borrow_and_update()));
+            let settles_at = client.settles_at();
+            select! {
+                biased;
+                result = &mut *connection => return result,
+                () = disconnected => return Ok(()),
+                () = client.changed() => {}
+                _ = state.changed() => {}
+                () = until(settles_at) => client.register_evictable(),
+                () = until(ends_at) => {
+                    if let Poll::Ready(result) = read_once_more(connection, read_ahead).await {
+                        return result;
+                    }
+                    let ends_at = client.ends_at(drain_deadlines(&state.borrow()));
+                    if ends_at.is_some_and(|end| end <= Instant::now()) {
+                        return Ok(());
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// By when connections end in this state of the proxy.
+fn drain_deadlines(state: &ProxyState) -> Option<DrainDeadlines> {
+    state
+        .goes()
+        .map(|(idle, incomplete_message)| DrainDeadlines {
+            idle,
+            incomplete_message,
+        })
+}
+
+/// Reads what the system may hold since the event loop was asked; ready if the connection has ended.
+async fn read_once_more<C: Future + Unpin>(
+    connection: &mut C,
+    read_ahead: &ReadAhead,
+) -> Poll<C::Output> {
+    yield_now().await;
+    read_ahead.read_available();
+    poll_fn(|cx| Poll::Ready(Pin::new(&mut *connection).poll(cx))).await
+}
+
+/// Lets a client read the last response, unless another connection is to have its place.
+async fn linger_until_evicted(stream: InboundStream, client: &ClientConnection) {
+    client.begin_linger();
+    select! {
+        () = linger(stream, LINGER_TIME) => {}
+        () = client.evicted() => {}
+    }
+}
--- a/crates/daemon/src/downstream/head.rs
+++ b/crates/daemon/src/downstream/head.rs
@@ -1,90 +1,88 @@
-//! How often a message's head says how its body is framed, counted in the bytes as they come: hyper hands on one
-//! framing and drops the other unseen.
+//! Counts how often a message's head declares the framing of its body, in the bytes as they come: hyper keeps one
+//! declaration and drops the other unseen.
 
-const LONGEST: usize = "transfer-encoding".len();
+/// Length of the longest field name that is looked for.
+const LONGEST_NAME: usize = "transfer-encoding".len();
 
+/// How often a head declares the framing of its body.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(crate) struct Framings {
+    /// `Content-Length` fields.
     pub lengths: u8,
+    /// `Transfer-Encoding` fields.
     pub codings: u8,
 }
 
 impl Framings {
-    /// One way to read where the body ends.
+    /// There is only one way to read where the body ends.
     pub(crate) fn is_clear(self) -> bool {
         self.lengths + self.codings <= 1
     }
 }
 
+/// Scans a message's head, in pieces of any size.
 #[derive(Default)]
 pub(crate) struct HeadScan {
-    line: usize,
-    name: [u8; LONGEST], // of the field at hand, in small letters
-    length: usize,       // of the line at hand up to its colon
-    named: bool,
-    ended: bool,
+    /// Lines that are complete and not empty; the first is the request line.
+    lines: usize,
+    /// The start of the line at hand, in lower case.
+    name: [u8; LONGEST_NAME],
+    /// Bytes of the line at hand, counted up to its colon.
+    line_length: usize,
+    /// The line at hand has had its colon.
+    is_named: bool,
+    is_complete: bool,
     found: Framings,
 }
 
 impl HeadScan {
-    /// Takes what comes next; bytes behind the head's end are passed over.
+    /// Takes the next bytes of the message; those behind the head's end are passed over.
     pub(crate) fn feed(&mut self, bytes: &[u8]) {
         for byte in bytes {
+            if self.is_complete {
+                return;
+            }
             match byte {
-                _ if self.ended => return,
                 b'\r' => {}
-                b'\n' => {
-                    // Empty lines before a message are no end of it.
-                    self.ended = self.line > 0 && self.length == 0;
-                    self.line += usize::from(self.length > 0);
-                    (self.length, self.named) = (0, false);
-                }
-                b':' if self.line > 0 && !self.named => {
-                    match &self.name[..self.length.min(LONGEST)] {
-                        b"content-length" => {
-                            self.found.lengths = self.found.lengths.saturating_add(1)
-                        }
-                        b"transfer-encoding" => {
-                            self.found.codings = self.found.codings.saturating_add(1)
-                        }
-                        _ => {}
-                    }
-                    (self.named, self.length) = (true, self.length + 1);
-                }
-                _ => {
-                    if let Some(place) = self.name.get_mut(self.length) {
-                        *place = byte.to_ascii_lowercase();
-                    }
-                    self.length += 1;
-                }
+                b'\n' => self.end_line(),
+                b':' if self.lines > 0 && !self.is_named => self.end_name(),
+                _ => self.push(*byte),
             }
         }
     }
 
+    /// The declarations found so far.
     pub(crate) fn found(&self) -> Framings {
         self.found
     }
-}
 
-#[cfg(test)]
-mod tests {
-    use super::*;
+    fn end_line(&mut self) {
+        let is_empty = self.line_length == 0;
+        // Empty lines before a message do not end its head.
+        self.is_complete = self.lines > 0 && is_empty;
+        self.lines += usize::from(!is_empty);
+        self.line_length = 0;
+        self.is_named = false;
+    }
 
-    #[test]
-    fn framings_are_counted_in_any_pieces() {
-        let head = b"\r\nPOST /content-length: HTTP/1.1\r\nCONTENT-Length: 4\r\nx: content-length: 5\r\n\
-                     Transfer-encoding:chunked\r\ncontent-length:4\r\nContent-Length-X: 1\r\n\r\ncontent-length: 9\r\n";
-        for size in 1..head.len() {
-            let mut scan = HeadScan::default();
-            head.chunks(size).for_each(|piece| scan.feed(piece));
-            assert_eq!(
-                scan.found(),
-                Framings {
-                    lengths: 2,
-                    codings: 1
-                },
-                "pieces of {size}"
-            );
+    fn end_name(&mut self) {
+        let name = &self.name[..self.line_length.min(LONGEST_NAME)];
+        match name {
+            b"content-length" => self.found.lengths = self.found.lengths.saturating_add(1),
+            b"transfer-encoding" => self.found.codings = self.found.codings.saturating_add(1),
+            _ => {}
         }
+        self.is_named = true;
+        self.line_length += 1;
+    }
+
+    fn push(&mut self, byte: u8) {
+        if let Some(slot) = self.name.get_mut(self.line_length) {
+            *slot = byte.to_ascii_lowercase();
+        }
+        self.line_length += 1;
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/daemon/src/downstream/mod.rs
+++ b/crates/daemon/src/downstream/mod.rs
@@ -1,6 +1,13 @@
 //! Clients: the listener, their connections, requests and responses.
 
+pub(crate) mod connection;
+pub(crate) mod connection_task;
 pub(crate) mod head;
 pub(crate) mod listener;
 pub(crate) mod request;
+pub(crate) mod request_error;
+pub(crate) mod request_ids;
+pub(crate) mod request_parser;
 pub(crate) mod response;
+pub(crate) mod rpc_guard;
+pub(crate) mod rpc_service;
--- /dev/null
+++ b/crates/daemon/src/downstream/request_error.rs
@@ -0,0 +1,61 @@
+//! Why a client's message is no RPC, and the response to it.
+use crate::downstream::response::ProxyResponse;
+use hyper::StatusCode;
+
+/// Why a client's message is no RPC.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum RequestError {
+    /// The framing of its body is declared twice, or in an unsupported way.
+    AmbiguousFraming,
+    /// A header field that has one value is there more than once.
+    DuplicateHeader,
+    /// `Request-Id` is missing or malformed.
+    InvalidRequestId,
+    /// `Request-Timeout-Ms` is missing or malformed.
+    InvalidTimeout,
+    /// Its body can't be read.
+    MalformedBody,
+    /// A GET has a body.
+    UnexpectedBody,
+    /// Its body is longer than the protocol allows.
+    BodyTooLarge,
+    /// Its body came too slowly.
+    BodyTimeout,
+    /// An RPC with the same `Request-Id` is in flight.
+    DuplicateRequestId,
+}
+
+impl RequestError {
+    fn status(self) -> StatusCode {
+        match self {
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
+            Self::DuplicateRequestId => StatusCode::CONFLICT,
+            _ => StatusCode::BAD_REQUEST,
+        }
+    }
+
+    /// The response's body.
+    fn message(self) -> &'static str {
+        match self {
+            Self::AmbiguousFraming => "its length is told twice, or in a way that is not taken\n",
+            Self::DuplicateHeader => "a header is there twice\n",
+            Self::InvalidRequestId => "Request-Id is missing or malformed\n",
+            Self::InvalidTimeout => "Request-Timeout-Ms is missing or malformed\n",
+            Self::MalformedBody => "the body is malformed\n",
+            Self::UnexpectedBody => "a GET has no body\n",
+            Self::BodyTooLarge => "the body is over 32 MB\n",
+            Self::BodyTimeout => "the body did not end\n",
+            Self::DuplicateRequestId => "an RPC with this Request-Id is open\n",
+        }
+    }
+}
+
+impl From<RequestError> for ProxyResponse {
+    fn from(error: RequestError) -> Self {
+        Self::ClientError {
+            status: error.status(),
+            message: error.message(),
+        }
+    }
+}
--- a/crates/daemon/src/downstream/response.rs
+++ b/crates/daemon/src/downstream/response.rs
@@ -1,30 +1,36 @@
-//! Answers to clients, each encoded once.
+//! Responses to clients, each encoded once.
 use crate::net::body::{ResponseBody, StreamedBody};
 use bytes::Bytes;
 use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
+use std::fmt;
 
 /// The end of an RPC as the client is to see it.
 pub(crate) enum ProxyResponse {
     /// A backend's body, unchanged.
     Ok(Bytes),
-    /// The same, as it comes.
+    /// The same, streamed.
     Streamed(StreamedBody),
-    /// Trying again is harmless; after so many seconds, if not 0.
-    Rejected { retry_after: f64 },
+    /// Nothing ran: a retry is safe.
+    Rejected {
+        /// When to retry, in seconds from now; not told if 0.
+        retry_after: f64,
+    },
     /// Failed, with no promise about what ran.
     Failed,
-    /// Not an RPC: what came from the client cannot be one.
+    /// What came from the client cannot be an RPC.
     ClientError {
+        /// A status of the 400s.
         status: StatusCode,
+        /// The body, a line of text.
         message: &'static str,
     },
-    /// The word on this proxy's health.
+    /// Whether this proxy is ready for clients.
     Health(bool),
 }
 
-impl std::fmt::Display for ProxyResponse {
-    fn fmt(&self, to: &mut std::fmt::Formatter) -> std::fmt::Result {
+impl fmt::Display for ProxyResponse {
+    fn fmt(&self, to: &mut fmt::Formatter) -> fmt::Result {
         match self {
             Self::Ok(body) => write!(to, "ok, {} bytes", body.len()),
             Self::Streamed(_) => to.write_str("ok, streamed"),
@@ -37,35 +43,51 @@
 }
 
 impl ProxyResponse {
-    /// `last`: the connection is closed after it.
-    pub(crate) fn encode(self, last: bool) -> Response<ResponseBody> {
-        let retry_after = if let Self::Rejected { retry_after } = self {
-            retry_after
-        } else {
-            0.0
-        };
-        let text = |text: &'static str| ResponseBody::buffered(Bytes::from_static(text.as_bytes()));
-        let (status, body) = match self {
-            Self::Ok(body) => (StatusCode::OK, ResponseBody::buffered(body)),
-            Self::Streamed(body) => (StatusCode::OK, ResponseBody::streamed(body)),
-            Self::Rejected { .. } => (StatusCode::SERVICE_UNAVAILABLE, text("pushed back\n")),
-            Self::Failed => (StatusCode::BAD_GATEWAY, text("aborted\n")),
-            Self::ClientError { status, message } => (status, text(message)),
-            Self::Health(true) => (StatusCode::OK, text("ready\n")),
-            Self::Health(false) => (StatusCode::SERVICE_UNAVAILABLE, text("not ready\n")),
-        };
+    /// A rejection that does not tell when to retry.
+    pub(crate) fn rejected() -> Self {
+        Self::Rejected { retry_after: 0.0 }
+    }
+
+    /// The HTTP message; with `closes` it announces that the connection is closed after it.
+    pub(crate) fn encode(self, closes: bool) -> Response<ResponseBody> {
+        let retry_after = self.retry_after();
+        let (status, body) = self.into_status_and_body();
         let mut response = Response::new(body);
         *response.status_mut() = status;
-        if retry_after > 0.0
-            && let Ok(value) = HeaderValue::from_str(&format!("{retry_after:.3}"))
-        {
+        if let Some(value) = retry_after {
             response.headers_mut().insert(RETRY_AFTER, value);
         }
-        if last {
+        if closes {
             response
                 .headers_mut()
                 .insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response
     }
+
+    /// The value of `Retry-After`, in seconds.
+    fn retry_after(&self) -> Option<HeaderValue> {
+        match self {
+            Self::Rejected { retry_after } if *retry_after > 0.0 => {
+                HeaderValue::from_str(&format!("{retry_after:.3}")).ok()
+            }
+            _ => None,
+        }
+    }
+
+    fn into_status_and_body(self) -> (StatusCode, ResponseBody) {
+        match self {
+            Self::Ok(body) => (StatusCode::OK, ResponseBody::buffered(body)),
+            Self::Streamed(body) => (StatusCode::OK, ResponseBody::streamed(body)),
+            Self::Rejected { .. } => (StatusCode::SERVICE_UNAVAILABLE, text("pushed back\n")),
+            Self::Failed => (StatusCode::BAD_GATEWAY, text("aborted\n")),
+            Self::ClientError { status, message } => (status, text(message)),
+            Self::Health(true) => (StatusCode::OK, text("ready\n")),
+            Self::Health(false) => (StatusCode::SERVICE_UNAVAILABLE, text("not ready\n")),
+        }
+    }
+}
+
+fn text(text: &'static str) -> ResponseBody {
+    ResponseBody::buffered(Bytes::from_static(text.as_bytes()))
 }
--- /dev/null
+++ b/crates/daemon/src/downstream/rpc_service.rs
@@ -0,0 +1,163 @@
+//! Responds to clients' messages: parses each, hands an RPC to the decision actor and waits for its response.
+use crate::clock::until;
+use crate::downstream::connection::{ClientConnection, Phase};
+use crate::downstream::request::ReceivedRpc;
+use crate::downstream::request_error::RequestError;
+use crate::downstream::request_ids::{ActiveRequestIds, RequestIdGuard};
+use crate::downstream::request_parser::RequestParser;
+use crate::downstream::response::ProxyResponse;
+use crate::downstream::rpc_guard::RpcGuard;
+use crate::lifecycle::state::ProxyState;
+use crate::messages::Event;
+use crate::net::body::RequestUpload;
+use crate::net::inbound_stream::ClientLiveness;
+use hyper::body::Incoming;
+use hyper::{Method, Request};
+use std::cell::Cell;
+use std::future::pending;
+use std::time::Duration;
+use tokio::select;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{Instant, sleep_until};
+
+/// The path at which a platform asks whether this proxy is ready for clients.
+const READINESS_PATH: &str = "/health/ready";
+
+/// What all connections of clients share.
+pub(crate) struct RpcService {
+    parser: RequestParser,
+    state: watch::Receiver<ProxyState>,
+    events: mpsc::Sender<Event>,
+    next_rpc: Cell<u64>,
+    active_request_ids: ActiveRequestIds,
+}
+
+impl RpcService {
+    /// Sends RPCs to the decision actor as `events`.
+    pub(crate) fn new(
+        parser: RequestParser,
+        state: watch::Receiver<ProxyState>,
+        events: mpsc::Sender<Event>,
+    ) -> Self {
+        Self {
+            parser,
+            state,
+            events,
+            next_rpc: Cell::new(0),
+            active_request_ids: ActiveRequestIds::default(),
+        }
+    }
+
+    /// The response to one message of a client.
+    pub(crate) async fn respond(
+        &self,
+        message: Request<Incoming>,
+        connection: &ClientConnection,
+        client: ClientLiveness,
+    ) -> ProxyResponse {
+        if message.method() == Method::GET && message.uri().path() == READINESS_PATH {
+            return ProxyResponse::Health(self.state.borrow().takes_clients());
+        }
+        let framings = connection.take_framings();
+        let rpc = match self.parser.parse(message, framings).await {
+            Ok(rpc) => rpc,
+            Err(response) => return response,
+        };
+        connection.enter(Phase::RpcInFlight);
+        let upload = rpc.request.upload().cloned();
+        let response = self.decide(rpc, client).await;
+        // Nobody reads what the client still sends of a streamed request.
+        connection.set_closing(upload.is_some_and(|upload| !upload.is_complete()));
+        response
+    }
+
+    /// The decision actor's response to an RPC, or a failure if there is none by the RPC's deadline.
+    async fn decide(&self, mut rpc: ReceivedRpc, client: ClientLiveness) -> ProxyResponse {
+        rpc.timeout = self.timeout_before_shutdown(&rpc);
+        if rpc.timeout.is_zero() {
+            return ProxyResponse::rejected();
+        }
+        // Room in the mailbox is reserved for the client's disconnect. Without it nothing is sent: a retry is safe.
+        let Ok(permit) = self.events.clone().try_reserve_owned() else {
+            return ProxyResponse::rejected();
+        };
+        let Some(request_id) = self.active_request_ids.try_insert(rpc.request.id()) else {
+            return RequestError::DuplicateRequestId.into();
+        };
+        let id = self.next_rpc.replace(self.next_rpc.get() + 1);
+        let guard = RpcGuard::new(id, permit);
+        let upload = rpc.request.upload().cloned();
+        let deadline = deadline(upload.as_deref(), rpc.received_at, rpc.timeout);
+        select! {
+            biased;
+            () = exceeded_limit(upload.as_deref()) => RequestError::BodyTooLarge.into(),
+            Some(response) = self.submit(id, rpc, request_id, client) => {
+                guard.disarm();
+                response
+            }
+            () = deadline => {
+                log::error!("an RPC had no answer by its deadline");
+                ProxyResponse::Failed
+            }
+            () = self.shutdown() => ProxyResponse::Failed,
+            else => ProxyResponse::Failed,
+        }
+    }
+
+    /// The RPC's timeout, or less where this process ends before: its end must find no RPC without a response.
+    fn timeout_before_shutdown(&self, rpc: &ReceivedRpc) -> Duration {
+        match self.state.borrow().last_call() {
+            Some(end) => rpc
+                .timeout
+                .min(end.saturating_duration_since(rpc.received_at)),
+            None => rpc.timeout,
+        }
+    }
+
+    /// Hands the RPC to the decision actor and waits for its response; none if the actor drops it.
+    async fn submit(
+        &self,
+        id: u64,
+        rpc: ReceivedRpc,
+        request_id: RequestIdGuard,
+        client: ClientLiveness,
+    ) -> Option<ProxyResponse> {
+        let (sender, receiver) = oneshot::channel();
+        let event = Event::RpcReceived {
+            id,
+            rpc: Box::new(rpc),
+            opened: request_id,
+            client,
+            answer: sender,
+        };
+        self.events.send(event).await.ok()?;
+        receiver.await.ok()
+    }
+
+    /// Waits until this process ends, for RPCs accepted before that was known, whose clients would wait for longer.
+    async fn shutdown(&self) {
+        let mut state = self.state.clone();
+        let end = state
+            .wait_for(|state| state.last_call().is_some())
+            .await
+            .map(|state| state.last_call());
+        until(end.ok().flatten()).await;
+    }
+}
+
+/// Waits until the client waits no longer: it does so from the last byte of its request on.
+async fn deadline(upload: Option<&RequestUpload>, received_at: Instant, timeout: Duration) {
+    let received_at = match upload {
+        Some(upload) => upload.completed().await,
+        None => received_at,
+    };
+    sleep_until(received_at + timeout).await;
+}
+
+/// Waits until a streamed request is longer than allowed.
+async fn exceeded_limit(upload: Option<&RequestUpload>) {
+    match upload {
+        Some(upload) => upload.exceeded_limit().await,
+        None => pending().await,
+    }
+}
