lifecycle: names of the field for the state, its owner and the admin state

Renames only: standing to state, ban to maintenance, orders to admin state, turn to its generation, others to siblings, and what a shutdown sets to deadlines; the uses in other folders follow. Stored names stay by serde.

--- a/crates/daemon/src/decision/actor.rs
+++ b/crates/daemon/src/decision/actor.rs
@@ -266,7 +266,7 @@
                 idle: Duration::from_secs_f64(conf.idle_timeout),
             },
             budget,
-            state: state_store.reader(),
+            state: state_store.subscribe(),
             state_store,
             listed: HashMap::new(),
             heartbeat_due: Instant::now() + HEARTBEAT_INTERVAL,
@@ -610,7 +610,11 @@
         self.check_heartbeat();
         let (turn, bans, others) = {
             let now = self.state.borrow_and_update();
-            (now.turn, now.orders.bans.clone(), now.others.living)
+            (
+                now.admin_generation,
+                now.admin_state.maintenance.clone(),
+                now.siblings.alive,
+            )
         };
         self.balancer.set_process_count(others + 1);
         let listed: Vec<_> = bans
@@ -625,7 +629,7 @@
                 listed,
             });
         }
-        self.state_store.carried_out(turn);
+        self.state_store.confirm_applied(turn);
     }
 
     /// Gives up the numbers of backends that went some time ago. Looks at these only: guards against a walk over the fleet
@@ -665,11 +669,11 @@
                 _ => drop(self.listed.insert(listed.uid.clone(), listed.clone())),
             }
             // The one place where a ban counts: all that follows takes the backend for what this says.
-            let (readiness, boot_ms) =
-                self.state
-                    .borrow()
-                    .orders
-                    .tells(&listed.uid, listed.readiness, listed.boot_ms);
+            let (readiness, boot_ms) = self.state.borrow().admin_state.effective_readiness(
+                &listed.uid,
+                listed.readiness,
+                listed.boot_ms,
+            );
             let number = || {
                 self.next_number += 1;
                 (self.next_number - 1, now)
--- a/crates/daemon/src/discovery/client.rs
+++ b/crates/daemon/src/discovery/client.rs
@@ -159,7 +159,7 @@
     fn next_call(&self, timing: &CallTiming, catching_up: bool) -> Call {
         let nth = |timeouts: &[Duration]| timeouts[self.consecutive_timeouts % timeouts.len()];
         let Some(version) = self.version else {
-            let first = !self.pushed && !self.state_store.now().ready;
+            let first = !self.pushed && !self.state_store.current().ready;
             let timeouts = if first {
                 FIRST_SNAPSHOT
             } else {
@@ -223,7 +223,7 @@
     ) -> Result<(), mpsc::error::SendError<Event>> {
         self.version = Some(update.version);
         let names = update.listed.iter().map(|endpoint| endpoint.uid.as_str());
-        self.state_store.listed(names);
+        self.state_store.record_listed_names(names);
         self.state_store.set_ready();
         self.decisions.send(Event::EndpointsChanged(update)).await
     }
--- a/crates/daemon/src/downstream/connection_task.rs
+++ b/crates/daemon/src/downstream/connection_task.rs
@@ -92,7 +92,7 @@
         let closes = self.is_beyond_budget
             || matches!(response, ProxyResponse::ClientError { .. })
             || client.is_closing()
-            || self.state.borrow().answers_last();
+            || self.state.borrow().closes_after_response();
         client.set_closing(closes);
         let response = response.encode(closes);
         client.begin_response(response.body().delivery());
@@ -145,7 +145,7 @@
 /// By when connections end in this state of the proxy.
 fn drain_deadlines(state: &ProxyState) -> Option<DrainDeadlines> {
     state
-        .goes()
+        .connection_deadlines()
         .map(|(idle, incomplete_message)| DrainDeadlines {
             idle,
             incomplete_message,
--- a/crates/daemon/src/downstream/listener.rs
+++ b/crates/daemon/src/downstream/listener.rs
@@ -58,7 +58,7 @@
         loop {
             let (accepts_until, is_inherited) = {
                 let state = state.borrow_and_update();
-                (state.accepts_until(), state.passed)
+                (state.accept_deadline(), state.inherited_listener)
             };
             let is_over = accepts_until.is_some_and(|end| end <= Instant::now());
             // What waits on a socket that outlives this process is accepted by another.
--- a/crates/daemon/src/downstream/rpc_service.rs
+++ b/crates/daemon/src/downstream/rpc_service.rs
@@ -56,7 +56,7 @@
         client: ClientLiveness,
     ) -> ProxyResponse {
         if message.method() == Method::GET && message.uri().path() == READINESS_PATH {
-            return ProxyResponse::Health(self.state.borrow().takes_clients());
+            return ProxyResponse::Health(self.state.borrow().is_healthy());
         }
         let framings = connection.take_framings();
         let rpc = match self.parser.parse(message, framings).await {
@@ -106,7 +106,7 @@
 
     /// The RPC's timeout, or less where this process ends before: its end must find no RPC without a response.
     fn timeout_before_shutdown(&self, rpc: &ReceivedRpc) -> Duration {
-        match self.state.borrow().last_call() {
+        match self.state.borrow().response_deadline() {
             Some(end) => rpc
                 .timeout
                 .min(end.saturating_duration_since(rpc.received_at)),
@@ -138,9 +138,9 @@
     async fn shutdown(&self) {
         let mut state = self.state.clone();
         let end = state
-            .wait_for(|state| state.last_call().is_some())
+            .wait_for(|state| state.response_deadline().is_some())
             .await
-            .map(|state| state.last_call());
+            .map(|state| state.response_deadline());
         until(end.ok().flatten()).await;
     }
 }
--- a/crates/daemon/src/lifecycle/admin.rs
+++ b/crates/daemon/src/lifecycle/admin_api.rs
@@ -21,7 +21,7 @@
 use tokio::time::{sleep, timeout};
 
 /// Calls at a time; each has a descriptor set aside. With more the oldest goes: who calls waits for 1 s only.
-pub(crate) const CALLS_MOST: usize = 8;
+pub(crate) const MAX_CONNECTIONS: usize = 8;
 const CALL_TIME: Duration = Duration::from_secs(2); // for a whole call and its answer
 const HEAD_MOST: usize = 8 << 10; // bytes of a call's head
 const BODY_MOST: usize = 64 << 10; // bytes of a body that nobody needs, which some send
@@ -75,9 +75,9 @@
     let order = match path {
         "/status" | "/settings" => return Some((Method::GET, Ok(None))),
         "/standby" => Ok(AdminCommand::Standby),
-        "/active" => Ok(AdminCommand::Active),
-        "/maintenance/enter" => member(query).map(AdminCommand::Enter),
-        "/maintenance/exit" => member(query).map(AdminCommand::Exit),
+        "/active" => Ok(AdminCommand::Activate),
+        "/maintenance/enter" => member(query).map(AdminCommand::EnterMaintenance),
+        "/maintenance/exit" => member(query).map(AdminCommand::ExitMaintenance),
         _ => return None,
     };
     Some((Method::POST, order.map(Some)))
@@ -85,12 +85,12 @@
 
 fn status(now: &ProxyState) -> AdminResponse {
     let stands = match now {
-        _ if now.ending.is_some() => "ends: SIGTERM has come",
+        _ if now.shutdown.is_some() => "ends: SIGTERM has come",
         _ if !now.ready => "takes no clients yet: no list of backends",
-        _ if !now.open => "takes no clients yet: another process makes room",
+        _ if !now.accepting => "takes no clients yet: another process makes room",
         _ => "takes clients",
     };
-    let yes = now.ready && now.open && now.ending.is_none();
+    let yes = now.ready && now.accepting && now.shutdown.is_none();
     let status = if yes {
         StatusCode::OK
     } else {
@@ -102,12 +102,12 @@
 /// What holds now that an order is in force.
 fn holds(order: &AdminCommand, now: &ProxyState) -> String {
     match order {
-        AdminCommand::Enter(name) => format!("{name} is banned"),
-        AdminCommand::Exit(name) => format!("{name} is not banned"),
+        AdminCommand::EnterMaintenance(name) => format!("{name} is banned"),
+        AdminCommand::ExitMaintenance(name) => format!("{name} is not banned"),
         AdminCommand::Standby => "on standby, health says no".to_owned(),
-        AdminCommand::Active => format!(
+        AdminCommand::Activate => format!(
             "active, health says {}",
-            if now.takes_clients() { "yes" } else { "no" }
+            if now.is_healthy() { "yes" } else { "no" }
         ),
     }
 }
@@ -126,7 +126,7 @@
                 Ok((stream, _)) => {
                     calls.retain(|call| !call.is_finished());
                     // Guards against callers that connect and never finish a call.
-                    if calls.len() >= CALLS_MOST {
+                    if calls.len() >= MAX_CONNECTIONS {
                         calls.drain(..1).for_each(|oldest| oldest.abort());
                     }
                     calls.push_back(spawn_local(self.clone().serve(stream)).abort_handle());
@@ -190,14 +190,14 @@
             Ok(None) if head.uri.path() == "/settings" => {
                 tell(StatusCode::OK, self.settings.borrow().to_string())
             }
-            Ok(None) => status(&self.standings.now()),
-            Ok(Some(AdminCommand::Enter(name) | AdminCommand::Exit(name)))
-                if !self.standings.knows(&name) =>
-            {
+            Ok(None) => status(&self.standings.current()),
+            Ok(Some(
+                AdminCommand::EnterMaintenance(name) | AdminCommand::ExitMaintenance(name),
+            )) if !self.standings.knows(&name) => {
                 tell(StatusCode::NOT_FOUND, format!("{name} was never listed"))
             }
-            Ok(Some(order)) => match self.standings.carry_out(&order).await {
-                Ok(()) => tell(StatusCode::OK, holds(&order, &self.standings.now())),
+            Ok(Some(order)) => match self.standings.execute(&order).await {
+                Ok(()) => tell(StatusCode::OK, holds(&order, &self.standings.current())),
                 Err(fault) => tell(
                     StatusCode::INTERNAL_SERVER_ERROR,
                     format!("in force in this process only: {fault}"),
--- a/crates/daemon/src/lifecycle/mod.rs
+++ b/crates/daemon/src/lifecycle/mod.rs
@@ -1,5 +1,5 @@
 //! From start to graceful shutdown: state, sibling processes, admin calls.
 
-pub(crate) mod admin;
+pub(crate) mod admin_api;
 pub(crate) mod siblings;
 pub(crate) mod state;
--- a/crates/daemon/src/lifecycle/siblings.rs
+++ b/crates/daemon/src/lifecycle/siblings.rs
@@ -8,7 +8,7 @@
 use tokio::time::{Instant, sleep};
 
 const SLOTS: usize = 4; // processes that can live at a time: one replaces one, and one may hang on
-pub(crate) const SLOTS_HELD: usize = SLOTS + 2; // descriptors: these, the lock and a file that is read or written
+pub(crate) const MAX_DESCRIPTORS: usize = SLOTS + 2; // descriptors: these, the lock and a file that is read or written
 const LOCK_TIME: Duration = Duration::from_millis(300); // for the lock: who holds it writes a few bytes
 const LOCK_EVERY: Duration = Duration::from_millis(5); // between tries for it
 
@@ -27,7 +27,7 @@
 /// Other processes of this proxy.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(crate) struct Siblings {
-    pub living: usize,
+    pub alive: usize,
     /// Of these, such as accept clients and are not told to end.
     pub accepting: usize,
 }
@@ -114,7 +114,7 @@
             .collect();
         let accepts = |slot: &&&File| slot.metadata().is_ok_and(|facts| facts.len() > 0);
         Siblings {
-            living: living.len(),
+            alive: living.len(),
             accepting: living.iter().filter(accepts).count(),
         }
     }
@@ -228,16 +228,12 @@
         in_folder(async |make, _| {
             let (mut one, mut two) = (make(), make());
             assert_eq!(
-                (
-                    one.others().living,
-                    two.others().living,
-                    one.others().living
-                ),
+                (one.others().alive, two.others().alive, one.others().alive),
                 (0, 1, 1)
             );
             drop(two);
-            assert_eq!(one.others().living, 0);
-            assert_eq!(make().others().living, 1);
+            assert_eq!(one.others().alive, 0);
+            assert_eq!(make().others().alive, 1);
         });
     }
 
@@ -260,7 +256,7 @@
             assert_eq!(
                 one.others(),
                 Siblings {
-                    living: 1,
+                    alive: 1,
                     accepting: 0
                 }
             );
@@ -273,11 +269,11 @@
         in_folder(async |make, path| {
             let (mut one, mut two, own) = (make(), make(), AdminState::default());
             let ban = |name: &'static str| {
-                move |o: &mut AdminState| _ = o.bans.insert(name.into(), Maintenance::InForce)
+                move |o: &mut AdminState| _ = o.maintenance.insert(name.into(), Maintenance::Active)
             };
             one.update(&own, ban("a")).await.expect("written");
             let both = two.update(&own, ban("b")).await.expect("written");
-            assert_eq!(both.bans.len(), 2);
+            assert_eq!(both.maintenance.len(), 2);
             assert_eq!(
                 (one.read(), one.read(), two.read()),
                 (Ok(Some(both.clone())), Ok(None), Ok(None))
@@ -288,7 +284,7 @@
                 one.update(&both, ban("c"))
                     .await
                     .expect("written")
-                    .bans
+                    .maintenance
                     .len(),
                 3
             );
--- a/crates/daemon/src/lifecycle/state.rs
+++ b/crates/daemon/src/lifecycle/state.rs
@@ -15,7 +15,7 @@
 const LONGEST: Duration = Duration::from_secs(3);
 const LAST_WORDS: Duration = Duration::from_millis(100); // for the last answers to leave, still before SIGKILL
 /// Between looks at what another process of this proxy did: a drain's grace is six times as long.
-pub(crate) const LOOK: Duration = Duration::from_millis(50);
+pub(crate) const SIBLING_POLL_INTERVAL: Duration = Duration::from_millis(50);
 // After a standby new connections come for 0.2 s more; by then nearly all in use have had their last answer, and
 // few closes cross with an RPC.
 const IDLE_GOES: Duration = Duration::from_secs(1);
@@ -26,66 +26,78 @@
 /// What staff ordered of a backend.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) enum Maintenance {
-    InForce,
+    #[serde(rename = "InForce")]
+    Active,
     /// Back since this time, in Unix ms: whatever the list says, it started no earlier.
-    Over(f64),
+    #[serde(rename = "Over")]
+    EndedAt(f64),
 }
 
 /// What staff ordered, and the names that orders may be about.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub(crate) struct AdminState {
     /// On standby since this time, in Unix ms.
-    pub standby: Option<f64>,
-    pub bans: BTreeMap<String, Maintenance>,
-    names: BTreeSet<String>,
+    #[serde(rename = "standby")]
+    pub standby_since: Option<f64>,
+    #[serde(rename = "bans")]
+    pub maintenance: BTreeMap<String, Maintenance>,
+    #[serde(rename = "names")]
+    known_names: BTreeSet<String>,
 }
 
 /// What a caller wants.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum AdminCommand {
-    Enter(String),
-    Exit(String),
+    EnterMaintenance(String),
+    ExitMaintenance(String),
     Standby,
-    Active,
+    Activate,
 }
 
 impl AdminState {
     /// The same order again changes nothing.
     fn take(&mut self, order: &AdminCommand) {
         match order {
-            AdminCommand::Enter(name) => drop(self.bans.insert(name.clone(), Maintenance::InForce)),
-            AdminCommand::Exit(name) => {
+            AdminCommand::EnterMaintenance(name) => {
+                self.maintenance.insert(name.clone(), Maintenance::Active);
+            }
+            AdminCommand::ExitMaintenance(name) => {
                 if let Some(ban) = self
-                    .bans
+                    .maintenance
                     .get_mut(name)
-                    .filter(|ban| **ban == Maintenance::InForce)
+                    .filter(|ban| **ban == Maintenance::Active)
                 {
-                    *ban = Maintenance::Over(unix_ms());
+                    *ban = Maintenance::EndedAt(unix_ms());
                 }
             }
-            AdminCommand::Standby => drop(self.standby.get_or_insert_with(unix_ms)),
-            AdminCommand::Active => self.standby = None,
+            AdminCommand::Standby => drop(self.standby_since.get_or_insert_with(unix_ms)),
+            AdminCommand::Activate => self.standby_since = None,
         }
     }
 
-    pub(crate) fn banned(&self) -> usize {
-        self.bans
+    pub(crate) fn count_in_maintenance(&self) -> usize {
+        self.maintenance
             .values()
-            .filter(|ban| **ban == Maintenance::InForce)
+            .filter(|ban| **ban == Maintenance::Active)
             .count()
     }
 
     pub(crate) fn knows(&self, name: &str) -> bool {
-        self.names.contains(name)
+        self.known_names.contains(name)
     }
 
     /// What the module is to be told of a backend that is listed so.
-    pub(crate) fn tells(&self, name: &str, listed: Readiness, boot_ms: f64) -> (Readiness, f64) {
-        match self.bans.get(name) {
-            Some(Maintenance::InForce) if listed == Readiness::Ready => {
+    pub(crate) fn effective_readiness(
+        &self,
+        name: &str,
+        listed: Readiness,
+        boot_ms: f64,
+    ) -> (Readiness, f64) {
+        match self.maintenance.get(name) {
+            Some(Maintenance::Active) if listed == Readiness::Ready => {
                 (Readiness::Draining, boot_ms)
             }
-            Some(Maintenance::Over(at)) => (listed, boot_ms.max(*at)),
+            Some(Maintenance::EndedAt(at)) => (listed, boot_ms.max(*at)),
             _ => (listed, boot_ms),
         }
     }
@@ -104,15 +116,15 @@
     /// RPCs can be decided.
     pub ready: bool,
     /// Connections of clients are accepted.
-    pub open: bool,
-    pub ending: Option<GracefulShutdown>,
+    pub accepting: bool,
+    pub shutdown: Option<GracefulShutdown>,
     /// The clients' socket is the platform's, and outlives this process.
-    pub passed: bool,
+    pub inherited_listener: bool,
     /// Other processes of this proxy.
-    pub others: Siblings,
-    pub orders: AdminState,
+    pub siblings: Siblings,
+    pub admin_state: AdminState,
     /// Counts the changes of orders that were heard here.
-    pub turn: u64,
+    pub admin_generation: u64,
 }
 
 /// What SIGTERM has set: since when it is known, and how long the longest RPC may take from then on.
@@ -125,29 +137,31 @@
 impl ProxyState {
     /// Another process goes on where this one ends. Guards against one that still starts, dies or ends too: clients would
     /// come to nobody.
-    pub(crate) fn is_replaced(&self) -> bool {
-        self.ending.is_some() && self.passed && self.others.accepting > 0
+    pub(crate) fn has_successor(&self) -> bool {
+        self.shutdown.is_some() && self.inherited_listener && self.siblings.accepting > 0
     }
 
     /// This process accepts clients and is not told to end.
-    fn accepts(&self) -> bool {
-        self.open && self.ending.is_none()
+    fn accepts_clients(&self) -> bool {
+        self.accepting && self.shutdown.is_none()
     }
 
     /// Whether clients are to come to this proxy, whichever of its processes they reach.
-    pub(crate) fn takes_clients(&self) -> bool {
-        self.ready && (self.ending.is_none() || self.is_replaced()) && self.orders.standby.is_none()
+    pub(crate) fn is_healthy(&self) -> bool {
+        self.ready
+            && (self.shutdown.is_none() || self.has_successor())
+            && self.admin_state.standby_since.is_none()
     }
 
     /// Each answer is the last on its connection.
-    pub(crate) fn answers_last(&self) -> bool {
-        self.ending.is_some() || self.orders.standby.is_some()
+    pub(crate) fn closes_after_response(&self) -> bool {
+        self.shutdown.is_some() || self.admin_state.standby_since.is_some()
     }
 
     /// Until when connections are accepted; always, if never told.
-    pub(crate) fn accepts_until(&self) -> Option<Instant> {
-        let replaced = self.is_replaced();
-        self.ending.map(|end| {
+    pub(crate) fn accept_deadline(&self) -> Option<Instant> {
+        let replaced = self.has_successor();
+        self.shutdown.map(|end| {
             if replaced {
                 end.since
             } else {
@@ -157,23 +171,23 @@
     }
 
     /// By when all that was taken is to be answered, once this process ends.
-    pub(crate) fn last_call(&self) -> Option<Instant> {
-        self.ending.map(|end| end.since + GO_ON + end.longest)
+    pub(crate) fn response_deadline(&self) -> Option<Instant> {
+        self.shutdown.map(|end| end.since + GO_ON + end.longest)
     }
 
     /// By when this process ends, whoever is still there.
-    pub(crate) fn over(&self) -> Option<Instant> {
-        self.last_call().map(|end| end + LAST_WORDS)
+    pub(crate) fn exit_deadline(&self) -> Option<Instant> {
+        self.response_deadline().map(|end| end + LAST_WORDS)
     }
 
     /// By when a connection goes on which nothing is under way, and by when one whose message is not whole.
-    pub(crate) fn goes(&self) -> Option<(Instant, Instant)> {
+    pub(crate) fn connection_deadlines(&self) -> Option<(Instant, Instant)> {
         // A message that is not whole yet may become an RPC for as long as that can be answered.
         let ends = self
-            .ending
-            .zip(self.last_call())
+            .shutdown
+            .zip(self.response_deadline())
             .map(|(end, last)| (end.since + GO_ON, last));
-        let standby = self.orders.standby.map(|ms| {
+        let standby = self.admin_state.standby_since.map(|ms| {
             let ago = Duration::from_secs_f64(((unix_ms() - ms) / 1e3).clamp(0.0, 1e6));
             let since = Instant::now().checked_sub(ago).unwrap_or_else(Instant::now);
             (since + IDLE_GOES, since + HALF_GOES)
@@ -184,7 +198,7 @@
 
 impl std::fmt::Display for ProxyState {
     fn fmt(&self, to: &mut std::fmt::Formatter) -> std::fmt::Result {
-        let standby = if self.orders.standby.is_some() {
+        let standby = if self.admin_state.standby_since.is_some() {
             ", on standby"
         } else {
             ""
@@ -192,8 +206,8 @@
         write!(
             to,
             "{} members banned{standby}, {} other processes",
-            self.orders.banned(),
-            self.others.living
+            self.admin_state.count_in_maintenance(),
+            self.siblings.alive
         )
     }
 }
@@ -212,12 +226,12 @@
     /// `shared` where this proxy may have other processes; what they ordered holds from the start.
     pub(crate) fn new(mut shared: Option<ProcessGroup>, passed: bool) -> Self {
         let mut now = ProxyState {
-            passed,
+            inherited_listener: passed,
             ..ProxyState::default()
         };
         if let Some(shared) = &mut shared {
-            now.others = shared.others();
-            now.orders = heard(shared).unwrap_or_default();
+            now.siblings = shared.others();
+            now.admin_state = heard(shared).unwrap_or_default();
             log::info!("{}", now);
         }
         Self {
@@ -229,11 +243,11 @@
         }
     }
 
-    pub(crate) fn reader(&self) -> watch::Receiver<ProxyState> {
+    pub(crate) fn subscribe(&self) -> watch::Receiver<ProxyState> {
         self.standing.subscribe()
     }
 
-    pub(crate) fn now(&self) -> watch::Ref<'_, ProxyState> {
+    pub(crate) fn current(&self) -> watch::Ref<'_, ProxyState> {
         self.standing.borrow()
     }
 
@@ -242,20 +256,20 @@
             .send_if_modified(|now| !std::mem::replace(&mut now.ready, true));
     }
 
-    pub(crate) fn set_open(&self) {
-        self.standing.send_modify(|now| now.open = true);
+    pub(crate) fn set_accepting(&self) {
+        self.standing.send_modify(|now| now.accepting = true);
         self.tell();
     }
 
     /// Tells other processes whether this one accepts; the next look does where the file is in use.
     fn tell(&self) {
         if let Some(Ok(mut shared)) = self.shared.as_ref().map(Mutex::try_lock) {
-            shared.tell(self.standing.borrow().accepts());
+            shared.tell(self.standing.borrow().accepts_clients());
         }
     }
 
     /// SIGTERM has come; `longest` is the time of the longest RPC that the settings know.
-    pub(crate) fn end(&self, longest: Duration) {
+    pub(crate) fn begin_shutdown(&self, longest: Duration) {
         let ending = GracefulShutdown {
             since: Instant::now(),
             longest: longest.min(LONGEST),
@@ -267,15 +281,15 @@
             Some(shared.others())
         });
         self.standing.send_modify(|now| {
-            now.ending = Some(ending);
+            now.shutdown = Some(ending);
             // The last look may be older than what the others do now; while the file is in use the next one tells.
-            now.others = others.unwrap_or(now.others);
+            now.siblings = others.unwrap_or(now.siblings);
         });
     }
 
     /// These names are listed.
-    pub(crate) fn listed<'a>(&self, names: impl Iterator<Item = &'a str>) {
-        let known = &self.standing.borrow().orders.names;
+    pub(crate) fn record_listed_names<'a>(&self, names: impl Iterator<Item = &'a str>) {
+        let known = &self.standing.borrow().admin_state.known_names;
         let mut fresh = self.fresh_names.borrow_mut();
         for name in names.filter(|name| !known.contains(*name)) {
             // Guards against names counted anew with each list where no file takes them over.
@@ -291,20 +305,20 @@
     }
 
     pub(crate) fn knows(&self, name: &str) -> bool {
-        self.standing.borrow().orders.knows(name) || self.fresh_names.borrow().contains(name)
+        self.standing.borrow().admin_state.knows(name) || self.fresh_names.borrow().contains(name)
     }
 
     /// The core has carried out what was ordered up to this turn.
-    pub(crate) fn carried_out(&self, turn: u64) {
+    pub(crate) fn confirm_applied(&self, turn: u64) {
         self.done.send_replace(turn);
     }
 
     /// What holds now is this.
     fn adopt(&self, orders: AdminState) {
         self.standing.send_if_modified(|now| {
-            let changed = now.orders != orders;
-            now.turn += u64::from(changed);
-            now.orders = orders;
+            let changed = now.admin_state != orders;
+            now.admin_generation += u64::from(changed);
+            now.admin_state = orders;
             changed
         });
     }
@@ -313,10 +327,10 @@
     async fn change(&self, change: impl Fn(&mut AdminState)) -> Result<(), String> {
         let fresh = self.fresh_names.take();
         let change = |orders: &mut AdminState| {
-            orders.names.extend(fresh.iter().cloned());
+            orders.known_names.extend(fresh.iter().cloned());
             change(orders);
         };
-        let mut own = self.standing.borrow().orders.clone();
+        let mut own = self.standing.borrow().admin_state.clone();
         let written = match &self.shared {
             Some(shared) => shared.lock().await.update(&own, change).await.map(Some),
             None => Ok(None),
@@ -333,15 +347,15 @@
     }
 
     /// Carries out an order; done once it is in force. An error tells why it is not in another process.
-    pub(crate) async fn carry_out(&self, order: &AdminCommand) -> Result<(), String> {
+    pub(crate) async fn execute(&self, order: &AdminCommand) -> Result<(), String> {
         let outcome = self.change(|orders| orders.take(order)).await;
-        let turn = self.standing.borrow().turn;
-        log::info!("ordered: {order:?}; {}", *self.now());
+        let turn = self.standing.borrow().admin_generation;
+        log::info!("ordered: {order:?}; {}", *self.current());
         let _ = self.done.subscribe().wait_for(|done| *done >= turn).await;
         match outcome {
             Err(fault) => {
                 log::warn!("the order holds in this process only: {fault}");
-                if self.standing.borrow().others.living > 0 {
+                if self.standing.borrow().siblings.alive > 0 {
                     Err(fault)
                 } else {
                     Ok(())
@@ -352,26 +366,26 @@
     }
 
     /// Looks at what other processes do and order, for as long as this one lives.
-    pub(crate) async fn look(&self) {
+    pub(crate) async fn follow_siblings(&self) {
         let mut looks = 0;
         while let Some(shared) = &self.shared {
-            sleep(LOOK).await;
+            sleep(SIBLING_POLL_INTERVAL).await;
             looks += 1;
             let (others, orders) = {
                 let mut shared = shared.lock().await;
-                shared.tell(self.standing.borrow().accepts());
+                shared.tell(self.standing.borrow().accepts_clients());
                 (shared.others(), heard(&mut shared))
             };
-            if self.standing.borrow().others != others {
-                let living = self.standing.borrow().others.living;
-                self.standing.send_modify(|now| now.others = others);
-                if living != others.living {
-                    log::info!("{}", *self.now());
+            if self.standing.borrow().siblings != others {
+                let living = self.standing.borrow().siblings.alive;
+                self.standing.send_modify(|now| now.siblings = others);
+                if living != others.alive {
+                    log::info!("{}", *self.current());
                 }
             }
             if let Some(orders) = orders {
                 self.adopt(orders);
-                log::info!("heard of another process: {}", *self.now());
+                log::info!("heard of another process: {}", *self.current());
             }
             if looks % NAMES_EVERY == 0
                 && !self.fresh_names.borrow().is_empty()
--- a/crates/daemon/src/lifecycle/state/tests.rs
+++ b/crates/daemon/src/lifecycle/state/tests.rs
@@ -5,7 +5,7 @@
 #[test]
 fn names_are_kept_once() {
     let standings = StateStore::new(None, false);
-    (0..3).for_each(|_| standings.listed(["a", "b"].into_iter()));
+    (0..3).for_each(|_| standings.record_listed_names(["a", "b"].into_iter()));
     assert_eq!(standings.fresh_names.borrow().len(), 2);
     assert!(standings.knows("a") && !standings.knows("c"));
 }
@@ -22,13 +22,13 @@
         store
     };
     let (old, new) = (process(), process());
-    old.set_open();
-    new.set_open();
-    assert_eq!(old.now().others.accepting, 0, "it has looked already");
-    old.end(Duration::ZERO);
-    assert!(old.now().is_replaced() && old.now().takes_clients());
-    new.end(Duration::ZERO);
-    assert!(!new.now().is_replaced() && !new.now().takes_clients());
+    old.set_accepting();
+    new.set_accepting();
+    assert_eq!(old.current().siblings.accepting, 0, "it has looked already");
+    old.begin_shutdown(Duration::ZERO);
+    assert!(old.current().has_successor() && old.current().is_healthy());
+    new.begin_shutdown(Duration::ZERO);
+    assert!(!new.current().has_successor() && !new.current().is_healthy());
     std::fs::remove_dir_all(&folder).expect("the folder");
 }
 
@@ -37,12 +37,12 @@
 #[test]
 fn the_stored_form_of_the_admin_state_is_unchanged() {
     let full = AdminState {
-        standby: Some(1_796_191_200_123.25),
-        bans: BTreeMap::from([
-            ("s-1".to_owned(), Maintenance::InForce),
-            ("s-2".to_owned(), Maintenance::Over(1_796_191_201_000.5)),
+        standby_since: Some(1_796_191_200_123.25),
+        maintenance: BTreeMap::from([
+            ("s-1".to_owned(), Maintenance::Active),
+            ("s-2".to_owned(), Maintenance::EndedAt(1_796_191_201_000.5)),
         ]),
-        names: ["s-1", "s-2", "s-\"é\" 3"].map(str::to_owned).into(),
+        known_names: ["s-1", "s-2", "s-\"é\" 3"].map(str::to_owned).into(),
     };
     let stored = include_bytes!("../../../tests/fixtures/birchhub.standing");
     let initial = include_bytes!("../../../tests/fixtures/birchhub.standing.initial");
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -18,9 +18,9 @@
 use crate::discovery::client::DiscoveryClient;
 use crate::downstream::listener::Listener;
 use crate::downstream::request::RequestParser;
-use crate::lifecycle::admin::AdminServer;
+use crate::lifecycle::admin_api::AdminServer;
 use crate::lifecycle::siblings::ProcessGroup;
-use crate::lifecycle::state::{LOOK, StateStore};
+use crate::lifecycle::state::{SIBLING_POLL_INTERVAL, StateStore};
 use crate::net::sockets::{SocketBudget, SocketClass};
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -75,13 +75,13 @@
 
 /// Follows the other processes of this proxy, and keeps to its part of the sockets while they live.
 async fn share(budget: Rc<SocketBudget>, standings: Rc<StateStore>) {
-    let mut reader = standings.reader();
+    let mut reader = standings.subscribe();
     let divide = async {
         loop {
-            let others = reader.borrow_and_update().others.living;
+            let others = reader.borrow_and_update().siblings.alive;
             budget.divide(others + 1);
             if reader
-                .wait_for(|now| now.others.living != others)
+                .wait_for(|now| now.siblings.alive != others)
                 .await
                 .is_err()
             {
@@ -89,27 +89,30 @@
             }
         }
     };
-    tokio::join!(standings.look(), divide);
+    tokio::join!(standings.follow_siblings(), divide);
 }
 
 /// Accepts clients: at once on an own socket, where health tells what is missing, or else once RPCs can be decided
 /// and an older process has made room.
 async fn accept(front: Listener, listener: TcpListener, standings: Rc<StateStore>, pushed: bool) {
-    let (passed, others) = (standings.now().passed, standings.now().others.living);
+    let (passed, others) = (
+        standings.current().inherited_listener,
+        standings.current().siblings.alive,
+    );
     if pushed {
-        let _ = timeout(AGENT_TIME, standings.reader().wait_for(|now| now.ready)).await;
+        let _ = timeout(AGENT_TIME, standings.subscribe().wait_for(|now| now.ready)).await;
     }
     if passed {
         let _ = standings
-            .reader()
-            .wait_for(|now| now.ready || now.ending.is_some())
+            .subscribe()
+            .wait_for(|now| now.ready || now.shutdown.is_some())
             .await
             .map(drop);
     }
     if others > 0 {
-        sleep(LOOK * 2).await;
+        sleep(SIBLING_POLL_INTERVAL * 2).await;
     }
-    standings.set_open();
+    standings.set_accepting();
     Rc::new(front).run(listener).await;
 }
 
@@ -182,7 +185,7 @@
         .as_ref()
         .filter(|known| !known.listed.is_empty())
     {
-        standings.listed(known.listed.iter().map(|listed| listed.uid.as_str()));
+        standings.record_listed_names(known.listed.iter().map(|listed| listed.uid.as_str()));
         let standings = standings.clone();
         spawn_local(async move {
             if pushed {
@@ -204,7 +207,7 @@
     spawn_local(discovery.run());
     let front = Listener::new(
         RequestParser::new(names),
-        standings.reader(),
+        standings.subscribe(),
         budget.clone(),
         sender,
     );
@@ -213,15 +216,15 @@
     term.recv().await;
 
     let longest = settings.borrow().longest_deadline;
-    standings.end(longest.map_or(Duration::MAX, Duration::from_secs_f64));
-    let replaced = standings.now().is_replaced();
+    standings.begin_shutdown(longest.map_or(Duration::MAX, Duration::from_secs_f64));
+    let replaced = standings.current().has_successor();
     let goes_on = if replaced {
         "accepts no more, another process does"
     } else {
         "goes on for what still comes"
     };
     log::info!("SIGTERM: {goes_on}");
-    let over = standings.now().over();
+    let over = standings.current().exit_deadline();
     let gone = async {
         let _ = accepting.await;
         while budget.open_sockets(SocketClass::Clients) > 0 {
