lifecycle: modules by job, typed errors, tests in files of their own

state.rs keeps the plain ProxyState; shutdown.rs holds the deadlines of a graceful shutdown, admin_state.rs what administrators set, state_store.rs the one owner, siblings.rs the shared folder, admin_api.rs the second address. ProcessGroupError and MemberError take the place of strings, their texts unchanged.

No change of behaviour.

--- a/crates/daemon/src/discovery/client.rs
+++ b/crates/daemon/src/discovery/client.rs
@@ -7,7 +7,7 @@
     MAX_BODY, MIN_CALL_INTERVAL, SERVICE,
 };
 use crate::discovery::update::EndpointUpdate;
-use crate::lifecycle::state::StateStore;
+use crate::lifecycle::state_store::StateStore;
 use crate::messages::Event;
 use crate::net::body::RequestBody;
 use crate::net::sockets::{Connection, ConnectionError};
--- a/crates/daemon/src/lifecycle/siblings.rs
+++ b/crates/daemon/src/lifecycle/siblings.rs
@@ -1,51 +1,114 @@
-//! What the processes of one proxy share in `$TMPDIR` while one replaces the other: who lives, and what staff
-//! ordered. Data, no decisions.
-use crate::lifecycle::state::AdminState;
-use std::fs::{File, TryLockError};
-use std::io::Write;
+//! The folder in `$TMPDIR` that all processes of one proxy share while one replaces another: which of them run, which
+//! accept clients, and the administrative state.
+//!
+//! - `birchhub.life.N`: a slot. A running process holds the lock of one; its file is not empty while the process
+//!   accepts clients. The lock ends with the process, however that ends.
+//! - `birchhub.lock`: held while the administrative state is changed.
+//! - `birchhub.standing`: the administrative state, as JSON.
+
+use crate::lifecycle::admin_state::AdminState;
+use std::fs::{File, Metadata, TryLockError};
+use std::io::{self, Write};
+use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, SystemTime};
+use thiserror::Error;
 use tokio::time::{Instant, sleep};
 
-const SLOTS: usize = 4; // processes that can live at a time: one replaces one, and one may hang on
-pub(crate) const MAX_DESCRIPTORS: usize = SLOTS + 2; // descriptors: these, the lock and a file that is read or written
-const LOCK_TIME: Duration = Duration::from_millis(300); // for the lock: who holds it writes a few bytes
-const LOCK_EVERY: Duration = Duration::from_millis(5); // between tries for it
+/// Processes that can run at a time: one replaces one, and one may hang.
+const SLOTS: usize = 4;
+/// Descriptors that a group holds: its slots, the lock, and a file that is read or written.
+pub(crate) const MAX_DESCRIPTORS: usize = SLOTS + 2;
+/// For the lock: its holder writes a few bytes.
+const LOCK_TIMEOUT: Duration = Duration::from_millis(300);
+/// Between attempts to take the lock.
+const LOCK_RETRY_INTERVAL: Duration = Duration::from_millis(5);
+/// Names in the folder.
+const SLOT_FILE: &str = "birchhub.life";
+const LOCK_FILE: &str = "birchhub.lock";
+const STATE_FILE: &str = "birchhub.standing";
+const NEW_STATE_FILE: &str = "birchhub.standing.new";
 
-/// Tells one content of the file from the next.
-type Stamp = (SystemTime, u64);
+/// Why the folder could not be used.
+#[derive(Debug, Error)]
+pub(crate) enum ProcessGroupError {
+    /// The platform named no folder.
+    #[error("TMPDIR is not set")]
+    NoFolder,
+    /// The folder or a file in it could not be opened, read or written.
+    #[error("{}: {source}", path.display())]
+    Io {
+        /// The folder or file.
+        path: PathBuf,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// The stored state is damaged.
+    #[error("{}: {source}", path.display())]
+    Malformed {
+        /// The file of the state.
+        path: PathBuf,
+        /// Where its JSON is wrong.
+        source: serde_json::Error,
+    },
+    /// Another process held the lock for too long.
+    #[error("{}: birchhub.lock is held", folder.display())]
+    LockTimeout {
+        /// The shared folder.
+        folder: PathBuf,
+    },
+}
 
-pub(crate) struct ProcessGroup {
-    folder: PathBuf,
-    slots: Vec<File>,
-    own: Option<usize>,
-    lock: File,
-    stamp: Option<Stamp>, // of what was read or written last
-    told: Option<bool>,   // whether this one accepts clients
+impl ProcessGroupError {
+    fn io(path: &Path) -> impl FnOnce(io::Error) -> Self {
+        let path = path.to_owned();
+        move |source| Self::Io { path, source }
+    }
+}
+
+/// Distinguishes one content of the state's file from the next.
+#[derive(Clone, Copy, PartialEq)]
+struct FileVersion {
+    modified: SystemTime,
+    inode: u64,
 }
 
 /// Other processes of this proxy.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(crate) struct Siblings {
+    /// Those that run.
     pub alive: usize,
-    /// Of these, such as accept clients and are not told to end.
+    /// Those of them that accept clients and are not shutting down.
     pub accepting: usize,
 }
 
-fn open(path: &Path) -> Result<File, String> {
-    let file = File::options()
+/// This process among the processes of its proxy.
+pub(crate) struct ProcessGroup {
+    folder: PathBuf,
+    slots: Vec<File>,
+    own_slot: Option<usize>,
+    lock: File,
+    /// Of what was read or written last.
+    seen_version: Option<FileVersion>,
+    /// What the siblings find in the own slot; unknown before it was written.
+    published_accepting: Option<bool>,
+}
+
+fn open_file(path: &Path) -> Result<File, ProcessGroupError> {
+    File::options()
         .create(true)
         .truncate(false)
         .write(true)
-        .open(path);
-    file.map_err(|e| format!("{}: {e}", path.display()))
+        .open(path)
+        .map_err(ProcessGroupError::io(path))
 }
 
-/// A name of its own for each proxy's folder. Guards against orders for one that hold at another, whose name differs
-/// only in signs that a file may not have. Usual names stand as they are: a process of an older version knows them too.
-fn folder(name: &str) -> String {
+/// A folder name for each proxy's name. Two names that differ only in characters that a file name can't have get two
+/// folders, or the state of one proxy would hold for the other. Usual names stay as they are: processes of older
+/// versions use the same folder.
+fn folder_name(proxy_name: &str) -> String {
     let mut folder = "birchhub-".to_owned();
-    for byte in name.bytes() {
+    for byte in proxy_name.bytes() {
         match byte {
             b'-' | b'a'..=b'z' | b'A'..=b'Z' | b'0'..=b'9' => folder.push(byte.into()),
             other => folder.push_str(&format!("%{other:02x}")),
@@ -54,242 +117,161 @@
     folder
 }
 
+/// Whether a running process holds this slot.
+fn is_held(slot: &File) -> bool {
+    match slot.try_lock_shared() {
+        Ok(()) => slot.unlock().is_err(),
+        Err(TryLockError::WouldBlock) => true,
+        Err(TryLockError::Error(_)) => false,
+    }
+}
+
+/// Whether the process that holds this slot accepts clients.
+fn is_accepting(slot: &File) -> bool {
+    slot.metadata().is_ok_and(|metadata| metadata.len() > 0)
+}
+
 impl ProcessGroup {
-    /// The folder of the proxy of this name. Its own slot is taken with the first count of others.
-    pub(crate) fn open(name: &str) -> Result<Self, String> {
-        let parent = std::env::var_os("TMPDIR").ok_or("TMPDIR is not set")?;
-        Self::open_in(Path::new(&parent).join(folder(name)))
+    /// Opens the folder of the proxy of this name.
+    pub(crate) fn open(proxy_name: &str) -> Result<Self, ProcessGroupError> {
+        let parent = std::env::var_os("TMPDIR").ok_or(ProcessGroupError::NoFolder)?;
+        Self::open_in(Path::new(&parent).join(folder_name(proxy_name)))
     }
 
-    /// The same in this folder.
-    pub(crate) fn open_in(folder: PathBuf) -> Result<Self, String> {
-        std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+    /// Opens this folder. The own slot is taken with the first look at the siblings.
+    pub(super) fn open_in(folder: PathBuf) -> Result<Self, ProcessGroupError> {
+        std::fs::create_dir_all(&folder).map_err(ProcessGroupError::io(&folder))?;
         let slots = (0..SLOTS)
-            .map(|n| open(&folder.join(format!("birchhub.life.{n}"))))
+            .map(|number| open_file(&folder.join(format!("{SLOT_FILE}.{number}"))))
             .collect::<Result<_, _>>()?;
-        let lock = open(&folder.join("birchhub.lock"))?;
+        let lock = open_file(&folder.join(LOCK_FILE))?;
         Ok(Self {
             folder,
             slots,
-            own: None,
+            own_slot: None,
             lock,
-            stamp: None,
-            told: None,
+            seen_version: None,
+            published_accepting: None,
         })
     }
 
-    /// Tells the others whether this one accepts clients, once it has a slot. What an earlier holder told is void.
-    pub(crate) fn tell(&mut self, accepts: bool) {
-        if let Some(slot) = self
-            .own
-            .map(|n| &self.slots[n])
-            .filter(|_| self.told != Some(accepts))
-        {
-            // Where it can't be written it tells nothing: this process is one that does not accept.
-            self.told = slot.set_len(u64::from(accepts)).is_ok().then_some(accepts);
+    /// Lets the siblings know whether this process accepts clients, once it has a slot. What an earlier holder of the
+    /// slot published is overwritten.
+    pub(crate) fn publish_accepting(&mut self, accepting: bool) {
+        if self.published_accepting == Some(accepting) {
+            return;
+        }
+        if let Some(slot) = self.own_slot.map(|number| &self.slots[number]) {
+            // Where it can't be written it stays unknown, and is tried again.
+            let written = slot.set_len(u64::from(accepting)).is_ok();
+            self.published_accepting = written.then_some(accepting);
         }
     }
 
-    /// How many other processes of this proxy live, and how many of these accept clients. A lock ends with its holder,
-    /// however that ends.
-    pub(crate) fn others(&mut self) -> Siblings {
-        // Another one that looks at the same moment may hold the slot: the next look takes one then.
-        self.own = self
-            .own
-            .or_else(|| self.slots.iter().position(|slot| slot.try_lock().is_ok()));
-        self.tell(self.told.unwrap_or(false));
-        let lives = |slot: &File| match slot.try_lock_shared() {
-            Ok(()) => slot.unlock().is_err(),
-            Err(TryLockError::WouldBlock) => true,
-            Err(TryLockError::Error(_)) => false,
-        };
-        let others = self
+    /// Counts the siblings as they are now.
+    pub(crate) fn siblings(&mut self) -> Siblings {
+        self.take_slot();
+        self.publish_accepting(self.published_accepting.unwrap_or(false));
+        let held: Vec<&File> = self
             .slots
             .iter()
             .enumerate()
-            .filter(|(n, _)| Some(*n) != self.own);
-        let living: Vec<_> = others
+            .filter(|(number, _)| Some(*number) != self.own_slot)
             .map(|(_, slot)| slot)
-            .filter(|slot| lives(slot))
+            .filter(|slot| is_held(slot))
             .collect();
-        let accepts = |slot: &&&File| slot.metadata().is_ok_and(|facts| facts.len() > 0);
         Siblings {
-            alive: living.len(),
-            accepting: living.iter().filter(accepts).count(),
+            alive: held.len(),
+            accepting: held.iter().filter(|slot| is_accepting(slot)).count(),
+        }
+    }
+
+    /// Takes a slot if this process has none. A sibling that checks a free slot at this moment holds its lock: then the
+    /// next look takes one.
+    fn take_slot(&mut self) {
+        if self.own_slot.is_none() {
+            self.own_slot = self.slots.iter().position(|slot| slot.try_lock().is_ok());
         }
     }
 
-    fn path(&self) -> PathBuf {
-        self.folder.join("birchhub.standing")
+    fn state_path(&self) -> PathBuf {
+        self.folder.join(STATE_FILE)
     }
 
-    fn stamped(&self) -> Option<Stamp> {
-        use std::os::unix::fs::MetadataExt;
-        let facts = std::fs::metadata(self.path()).ok()?;
-        Some((facts.modified().ok()?, facts.ino()))
+    fn stored_version(&self) -> Option<FileVersion> {
+        let metadata: Metadata = std::fs::metadata(self.state_path()).ok()?;
+        Some(FileVersion {
+            modified: metadata.modified().ok()?,
+            inode: metadata.ino(),
+        })
     }
 
-    /// What the file says, if that is new; an error if it can't be read.
-    pub(crate) fn read(&mut self) -> Result<Option<AdminState>, String> {
-        let stamp = self.stamped();
-        if stamp.is_none() || stamp == self.stamp {
+    /// The stored state, if it is another one than was read or written last.
+    pub(crate) fn read_if_changed(&mut self) -> Result<Option<AdminState>, ProcessGroupError> {
+        let version = self.stored_version();
+        if version.is_none() || version == self.seen_version {
             return Ok(None);
         }
-        self.stamp = stamp;
-        let at = |e: &dyn std::fmt::Display| format!("{}: {e}", self.path().display());
-        let bytes = std::fs::read(self.path()).map_err(|e| at(&e))?;
-        serde_json::from_slice(&bytes).map(Some).map_err(|e| at(&e))
+        self.seen_version = version;
+        let path = self.state_path();
+        let bytes = std::fs::read(&path).map_err(ProcessGroupError::io(&path))?;
+        serde_json::from_slice(&bytes)
+            .map(Some)
+            .map_err(|source| ProcessGroupError::Malformed { path, source })
     }
 
-    /// Changes what the file says, or where it says nothing that can be read what `own` says, and gives back
-    /// what holds now. The file is whole at each moment.
+    /// Changes the stored state, or `own` where there is none that can be read, and returns the state after that.
     pub(crate) async fn update(
         &mut self,
         own: &AdminState,
         change: impl FnOnce(&mut AdminState),
-    ) -> Result<AdminState, String> {
-        let until = Instant::now() + LOCK_TIME;
+    ) -> Result<AdminState, ProcessGroupError> {
+        self.take_lock().await?;
+        let updated = self.update_locked(own, change);
+        let _ = self.lock.unlock();
+        updated
+    }
+
+    async fn take_lock(&self) -> Result<(), ProcessGroupError> {
+        let deadline = Instant::now() + LOCK_TIMEOUT;
         while self.lock.try_lock().is_err() {
-            if Instant::now() >= until {
-                return Err(format!("{}: birchhub.lock is held", self.folder.display()));
+            if Instant::now() >= deadline {
+                let folder = self.folder.clone();
+                return Err(ProcessGroupError::LockTimeout { folder });
             }
-            sleep(LOCK_EVERY).await;
+            sleep(LOCK_RETRY_INTERVAL).await;
         }
-        let told = std::fs::read(self.path())
+        Ok(())
+    }
+
+    fn update_locked(
+        &mut self,
+        own: &AdminState,
+        change: impl FnOnce(&mut AdminState),
+    ) -> Result<AdminState, ProcessGroupError> {
+        let path = self.state_path();
+        let stored: Option<AdminState> = std::fs::read(&path)
             .ok()
             .and_then(|bytes| serde_json::from_slice(&bytes).ok());
-        let mut orders: AdminState = told.unwrap_or_else(|| own.clone());
-        let before = orders.clone();
-        change(&mut orders);
-        let written = if orders == before && self.stamped().is_some() {
-            Ok(())
-        } else {
-            self.write(&orders)
-        };
-        let _ = self.lock.unlock();
-        written
-            .map(|()| orders)
-            .map_err(|e| format!("{}: {e}", self.path().display()))
+        let mut state = stored.unwrap_or_else(|| own.clone());
+        let before = state.clone();
+        change(&mut state);
+        if state != before || self.stored_version().is_none() {
+            self.write(&state).map_err(ProcessGroupError::io(&path))?;
+        }
+        Ok(state)
     }
 
-    fn write(&mut self, orders: &AdminState) -> std::io::Result<()> {
-        let fresh = self.folder.join("birchhub.standing.new");
-        let mut file = File::create(&fresh)?;
-        file.write_all(serde_json::to_string(orders)?.as_bytes())?;
-        std::fs::rename(fresh, self.path())?;
-        self.stamp = self.stamped();
+    /// Replaces the file of the state, so that a reader finds a complete one at each moment.
+    fn write(&mut self, state: &AdminState) -> io::Result<()> {
+        let new_file = self.folder.join(NEW_STATE_FILE);
+        let mut file = File::create(&new_file)?;
+        file.write_all(serde_json::to_string(state)?.as_bytes())?;
+        std::fs::rename(new_file, self.state_path())?;
+        self.seen_version = self.stored_version();
         Ok(())
     }
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::lifecycle::state::Maintenance;
-
-    fn in_folder(test: impl AsyncFnOnce(&dyn Fn() -> ProcessGroup, PathBuf)) {
-        static NEXT: std::sync::atomic::AtomicUsize = std::sync::atomic::AtomicUsize::new(0);
-        let number = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-        let folder =
-            std::env::temp_dir().join(format!("birchhub-shared-{}-{number}", std::process::id()));
-        std::fs::create_dir_all(&folder).expect("a folder");
-        let make = || {
-            let slots = (0..SLOTS)
-                .map(|n| open(&folder.join(format!("birchhub.life.{n}"))).expect("a slot"));
-            let lock = open(&folder.join("birchhub.lock")).expect("a lock");
-            ProcessGroup {
-                folder: folder.clone(),
-                slots: slots.collect(),
-                own: None,
-                lock,
-                stamp: None,
-                told: None,
-            }
-        };
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_time()
-            .build()
-            .expect("a runtime");
-        runtime.block_on(test(&make, folder.join("birchhub.standing")));
-        std::fs::remove_dir_all(&folder).expect("the folder");
-    }
-
-    #[test]
-    fn no_two_proxies_share_a_folder() {
-        let names = ["n0", "n-0", "n.0", "n%2e0", "n/0", "n 0", "é", ".."];
-        let all: std::collections::HashSet<_> = names.iter().map(|name| folder(name)).collect();
-        assert_eq!(all.len(), names.len());
-        assert!(all.iter().all(|folder| !folder.contains(['/', '\0'])));
-        assert_eq!(folder("n-0"), "birchhub-n-0");
-    }
-
-    #[test]
-    fn lives_are_counted_and_end_with_their_holder() {
-        in_folder(async |make, _| {
-            let (mut one, mut two) = (make(), make());
-            assert_eq!(
-                (one.others().alive, two.others().alive, one.others().alive),
-                (0, 1, 1)
-            );
-            drop(two);
-            assert_eq!(one.others().alive, 0);
-            assert_eq!(make().others().alive, 1);
-        });
-    }
-
-    /// One that has just started is no heir yet, whoever had its slot before, and one that is to end is none any more.
-    #[test]
-    fn who_accepts_is_told() {
-        in_folder(async |make, _| {
-            let (mut one, mut two) = (make(), make());
-            one.others();
-            two.others();
-            let heirs = |of: &mut ProcessGroup| of.others().accepting;
-            assert_eq!((heirs(&mut one), heirs(&mut two)), (0, 0));
-            two.tell(true);
-            assert_eq!((heirs(&mut one), heirs(&mut two)), (1, 0));
-            drop(two);
-            let mut three = make();
-            assert_eq!((heirs(&mut three), heirs(&mut one)), (0, 0));
-            three.tell(true);
-            three.tell(false);
-            assert_eq!(
-                one.others(),
-                Siblings {
-                    alive: 1,
-                    accepting: 0
-                }
-            );
-        });
-    }
-
-    /// Two that change it in turn lose nothing; a damaged file is an error once, and is written over.
-    #[test]
-    fn changes_of_both_are_kept_and_damage_is_survived() {
-        in_folder(async |make, path| {
-            let (mut one, mut two, own) = (make(), make(), AdminState::default());
-            let ban = |name: &'static str| {
-                move |o: &mut AdminState| _ = o.maintenance.insert(name.into(), Maintenance::Active)
-            };
-            one.update(&own, ban("a")).await.expect("written");
-            let both = two.update(&own, ban("b")).await.expect("written");
-            assert_eq!(both.maintenance.len(), 2);
-            assert_eq!(
-                (one.read(), one.read(), two.read()),
-                (Ok(Some(both.clone())), Ok(None), Ok(None))
-            );
-            std::fs::write(&path, "{\"bans\"").expect("written");
-            assert!(one.read().is_err() && one.read() == Ok(None));
-            assert_eq!(
-                one.update(&both, ban("c"))
-                    .await
-                    .expect("written")
-                    .maintenance
-                    .len(),
-                3
-            );
-            two.lock.lock().expect("locked");
-            assert!(one.update(&both, ban("d")).await.is_err());
-        });
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/daemon/src/lifecycle/siblings/tests.rs
@@ -0,0 +1,97 @@
+//! Several processes in one shared folder.
+use super::*;
+use crate::lifecycle::admin_state::Maintenance;
+
+fn in_folder(test: impl AsyncFnOnce(&dyn Fn() -> ProcessGroup, PathBuf)) {
+    static NEXT: std::sync::atomic::AtomicUsize = std::sync::atomic::AtomicUsize::new(0);
+    let number = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+    let folder =
+        std::env::temp_dir().join(format!("birchhub-shared-{}-{number}", std::process::id()));
+    let make = || ProcessGroup::open_in(folder.clone()).expect("a folder");
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .build()
+        .expect("a runtime");
+    runtime.block_on(test(&make, folder.join("birchhub.standing")));
+    std::fs::remove_dir_all(&folder).expect("the folder");
+}
+
+#[test]
+fn no_two_proxies_share_a_folder() {
+    let names = ["n0", "n-0", "n.0", "n%2e0", "n/0", "n 0", "é", ".."];
+    let all: std::collections::HashSet<_> = names.iter().map(|name| folder_name(name)).collect();
+    assert_eq!(all.len(), names.len());
+    assert!(all.iter().all(|folder| !folder.contains(['/', '\0'])));
+    assert_eq!(folder_name("n-0"), "birchhub-n-0");
+}
+
+#[test]
+fn siblings_are_counted_until_they_end() {
+    in_folder(async |make, _| {
+        let (mut one, mut two) = (make(), make());
+        assert_eq!(
+            (
+                one.siblings().alive,
+                two.siblings().alive,
+                one.siblings().alive
+            ),
+            (0, 1, 1)
+        );
+        drop(two);
+        assert_eq!(one.siblings().alive, 0);
+        assert_eq!(make().siblings().alive, 1);
+    });
+}
+
+/// One that has just started is no successor yet, whoever had its slot before, and one that is to end is none any more.
+#[test]
+fn siblings_know_who_accepts() {
+    in_folder(async |make, _| {
+        let (mut one, mut two) = (make(), make());
+        one.siblings();
+        two.siblings();
+        let accepting = |group: &mut ProcessGroup| group.siblings().accepting;
+        assert_eq!((accepting(&mut one), accepting(&mut two)), (0, 0));
+        two.publish_accepting(true);
+        assert_eq!((accepting(&mut one), accepting(&mut two)), (1, 0));
+        drop(two);
+        let mut three = make();
+        assert_eq!((accepting(&mut three), accepting(&mut one)), (0, 0));
+        three.publish_accepting(true);
+        three.publish_accepting(false);
+        assert_eq!(
+            one.siblings(),
+            Siblings {
+                alive: 1,
+                accepting: 0
+            }
+        );
+    });
+}
+
+/// Two that change it in turn lose nothing; a damaged file is an error once, and is written over.
+#[test]
+fn changes_of_both_are_kept_and_damage_is_survived() {
+    in_folder(async |make, path| {
+        let (mut one, mut two, own) = (make(), make(), AdminState::default());
+        let enter = |name: &'static str| {
+            move |state: &mut AdminState| {
+                state.maintenance.insert(name.into(), Maintenance::Active);
+            }
+        };
+        one.update(&own, enter("a")).await.expect("written");
+        let both = two.update(&own, enter("b")).await.expect("written");
+        assert_eq!(both.maintenance.len(), 2);
+        let read = |group: &mut ProcessGroup| group.read_if_changed().expect("read");
+        assert_eq!(
+            (read(&mut one), read(&mut one), read(&mut two)),
+            (Some(both.clone()), None, None)
+        );
+        std::fs::write(&path, "{\"bans\"").expect("written");
+        assert!(one.read_if_changed().is_err() && read(&mut one).is_none());
+        let written = one.update(&both, enter("c")).await.expect("written");
+        assert_eq!(written.maintenance.len(), 3);
+        two.lock.lock().expect("locked");
+        assert!(one.update(&both, enter("d")).await.is_err());
+    });
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -20,7 +20,7 @@
 use crate::downstream::request::RequestParser;
 use crate::lifecycle::admin_api::AdminServer;
 use crate::lifecycle::siblings::ProcessGroup;
-use crate::lifecycle::state::{SIBLING_POLL_INTERVAL, StateStore};
+use crate::lifecycle::state_store::{SIBLING_POLL_INTERVAL, StateStore};
 use crate::net::sockets::{SocketBudget, SocketClass};
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -159,7 +159,7 @@
         let (standings, settings) = (standings.clone(), settings.clone());
         spawn_local(
             Rc::new(AdminServer {
-                standings,
+                state_store: standings,
                 settings,
             })
             .run(listener),
