--- a/crates/daemon/src/discovery/client.rs
+++ b/crates/daemon/src/discovery/client.rs
@@ -7,7 +7,7 @@
     MAX_BODY, MIN_CALL_INTERVAL, SERVICE,
 };
 use crate::discovery::update::EndpointUpdate;
-use crate::lifecycle::state::StateStore;
+use crate::lifecycle::state_store::StateStore;
 use crate::messages::Event;
 use crate::net::body::RequestBody;
 use crate::net::sockets::{Connection, ConnectionError};
@@ -159,7 +159,7 @@
     fn next_call(&self, timing: &CallTiming, catching_up: bool) -> Call {
         let nth = |timeouts: &[Duration]| timeouts[self.consecutive_timeouts % timeouts.len()];
         let Some(version) = self.version else {
-            let first = !self.pushed && !self.state_store.now().ready;
+            let first = !self.pushed && !self.state_store.current().ready;
             let timeouts = if first {
                 FIRST_SNAPSHOT
             } else {
@@ -223,7 +223,7 @@
     ) -> Result<(), mpsc::error::SendError<Event>> {
         self.version = Some(update.version);
         let names = update.listed.iter().map(|endpoint| endpoint.uid.as_str());
-        self.state_store.listed(names);
+        self.state_store.record_listed_names(names);
         self.state_store.set_ready();
         self.decisions.send(Event::EndpointsChanged(update)).await
     }
