--- a/crates/daemon/src/upstream/attempt.rs
+++ b/crates/daemon/src/upstream/attempt.rs
@@ -33,7 +33,7 @@
             },
         mut completion,
     } = *exchange;
-    let attempt = Attempt {
+    let running = RunningExchange {
         endpoint: &endpoint,
         request: &request,
         client: client.as_ref(),
@@ -44,15 +44,15 @@
     };
     let end = select! {
         biased;
-        () = attempt.cancelled(cancel) => End::Withdrawn,
-        () = attempt.endpoint_unavailable() => End::Withdrawn,
-        () = attempt.send_window_closed() => End::Withdrawn,
-        result = attempt.exchange() => End::Completed(result),
-        () = attempt.timed_out() => End::TimedOut,
-        () = attempt.upload_stalled() => End::Stalled,
+        () = running.cancelled(cancel) => End::Withdrawn,
+        () = running.endpoint_unavailable() => End::Withdrawn,
+        () = running.send_window_closed() => End::Withdrawn,
+        result = running.exchange() => End::Completed(result),
+        () = running.timed_out() => End::TimedOut,
+        () = running.upload_stalled() => End::Stalled,
     };
     // The connection of an exchange that was cut short is closed by now, before the decision actor hears of it.
-    let result = attempt.result(end);
+    let result = running.result(end);
     completion.set_result(result);
 }
 
@@ -90,7 +90,7 @@
 }
 
 /// A running exchange.
-struct Attempt<'a> {
+struct RunningExchange<'a> {
     endpoint: &'a EndpointState,
     request: &'a ParsedRequest,
     /// None for a health check.
@@ -103,7 +103,7 @@
 
 /// What ends an exchange early: each of these futures is ready when it has to end, and pending for ever if it may
 /// go on to its own end.
-impl Attempt<'_> {
+impl RunningExchange<'_> {
     /// Goes on waiting for ever if a byte of the request may be on its way.
     async fn unless_sent(&self) {
         if self.completion.is_sent() {
@@ -188,7 +188,7 @@
 }
 
 /// The exchange itself.
-impl Attempt<'_> {
+impl RunningExchange<'_> {
     /// Sends the request, on another connection where a reused one turns out to be closed, and reads the response.
     async fn exchange(&self) -> ExchangeResult {
         loop {
