Split decision/ and config/shadow by concern

The shadow evaluation held recorder, platform, counts and comparison in one file. Change: a module for each, with doc comments; the parallel lists of an RPC's attempts are one list of InFlightAttempt; a call that is replayed to the shadow is a RecordedCall, an attempt an AttemptId.

--- a/crates/daemon/src/config/shadow/mod.rs
+++ b/crates/daemon/src/config/shadow/mod.rs
@@ -1,124 +1,36 @@
-//! Watching before a move: a second instance of the module, with the settings of the new shape, hears what the
-//! first hears, and what it would have done otherwise is counted. It has no way to a socket or a client.
+//! Shadow evaluation of other settings before they are put in force: a second instance of the decision package
+//! with these settings gets the same events as the first, and the RPCs that it would have handled otherwise are
+//! counted. It has no way to a socket or a client.
+
+mod actions;
+mod counts;
+mod platform;
+
+pub(crate) use actions::{Action, RecordedActions, RecordedCall};
+
+use crate::messages::AttemptId;
 use birchhub::interface::{
     AttemptOutcome, CarriedOver, Endpoint, EndpointUpdateKind, IncomingRpc, LoadReport, PacedBy,
-    Platform, Settings,
+    Settings,
 };
 use birchhub::policy::{Balancer, RpcHandle};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::fmt;
+use counts::ShadowCounts;
+use platform::ShadowPlatform;
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 use tokio::time::Instant;
 
-const LOG_INTERVAL: Duration = Duration::from_secs(60); // between lines with the counts so far
-
-/// What the module asked for on an RPC.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) enum Action {
-    Attempt(u32),
-    Reject,
-    Fail,
-}
-
-/// What an instance asked for in one call, by RPC and in order.
-#[derive(Debug, Default)]
-pub(crate) struct RecordedActions {
-    by_rpc: BTreeMap<u64, Vec<Action>>,
-    health_checks: u64,
-}
+/// Between log lines with the counts so far.
+const LOG_INTERVAL: Duration = Duration::from_secs(60);
 
-impl RecordedActions {
-    pub(crate) fn record(&mut self, rpc: u64, action: Action) {
-        self.by_rpc.entry(rpc).or_default().push(action);
-    }
-    pub(crate) fn record_health_check(&mut self) {
-        self.health_checks += 1;
-    }
-    fn of_rpc(&self, rpc: u64) -> &[Action] {
-        self.by_rpc.get(&rpc).map_or(&[], Vec::as_slice)
-    }
-}
-
-/// The watcher's door: notes and sends nothing.
-#[derive(Default)]
-struct ShadowPlatform {
-    now: f64,
-    recorded: RecordedActions,
-    timer_at: Option<f64>,
-}
-
-impl Platform for ShadowPlatform {
-    fn now(&self) -> f64 {
-        self.now
-    }
-    fn start_attempt(&mut self, rpc: u64, backend: u32, _time_out: f64) {
-        self.recorded.record(rpc, Action::Attempt(backend));
-    }
-    fn cancel_attempt(&mut self, _rpc: u64, _attempt: usize) {}
-    fn reject(&mut self, rpc: u64, _retry_after: f64) {
-        self.recorded.record(rpc, Action::Reject);
-    }
-    fn fail(&mut self, rpc: u64) {
-        self.recorded.record(rpc, Action::Fail);
-    }
-    fn health_check(&mut self, _backend: u32) {
-        self.recorded.record_health_check();
-    }
-    fn watch_endpoints(&mut self) {}
-    fn schedule_timer(&mut self, delay: f64) {
-        let at = self.now + delay;
-        self.timer_at = Some(self.timer_at.map_or(at, |earlier| earlier.min(at)));
-    }
-}
-
-/// RPCs over which the two parted, by kind: what was done, and what the watcher would have done.
-#[derive(Debug, Default)]
-struct ShadowCounts {
-    compared: u64,
-    would_queue: u64,   // picked, where the watcher would have let it wait
-    would_attempt: u64, // left waiting, where the watcher would have picked
-    would_reject: u64, // picked or left waiting, where the watcher would have turned it away before any pick
-    would_accept: u64, // turned away before any pick, where the watcher would have picked or let it wait
-    would_give_up: u64, // picked a further time, where the watcher would have given up
-    would_retry: u64,  // given up after a pick, where the watcher would have picked a further time
-    would_respond_differently: u64, // pushed back where the watcher would have aborted, or the reverse
-    other_backend: u64,             // to another backend, which may be chance and is no difference
-    health_checks: u64,             // sent, of all
-    shadow_health_checks: u64,
-}
-
-impl fmt::Display for ShadowCounts {
-    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        let c = self;
-        write!(
-            f,
-            "{} RPCs compared: held {}, picked {}, turned away {}, ",
-            c.compared, c.would_queue, c.would_attempt, c.would_reject
-        )?;
-        write!(
-            f,
-            "taken {}, given up {}, tried again {}, ",
-            c.would_accept, c.would_give_up, c.would_retry
-        )?;
-        write!(
-            f,
-            "answered otherwise {}; elsewhere {}; ",
-            c.would_respond_differently, c.other_backend
-        )?;
-        write!(
-            f,
-            "probes {}, would be {}",
-            c.health_checks, c.shadow_health_checks
-        )
-    }
-}
-
-/// An RPC that both still handle alike.
+/// An RPC that both instances have handled alike so far.
 struct ComparedRpc {
     rpc: RpcHandle,
+    /// Attempts that both have started.
     attempts: usize,
 }
 
+/// The second instance and what it is compared by.
 pub(crate) struct ShadowEvaluator {
     balancer: Balancer,
     rpcs: HashMap<u64, ComparedRpc>,
@@ -128,251 +40,213 @@
 }
 
 impl ShadowEvaluator {
+    /// A shadow with these settings.
     pub(crate) fn new(settings: &Settings, seed: u64) -> Self {
-        let balancer = Balancer::new(settings, seed);
-        let (rpcs, platform, counts) = Default::default();
         Self {
-            balancer,
-            rpcs,
-            platform,
-            counts,
+            balancer: Balancer::new(settings, seed),
+            rpcs: HashMap::new(),
+            platform: ShadowPlatform::default(),
+            counts: ShadowCounts::default(),
             next_log_at: Instant::now() + LOG_INTERVAL,
         }
     }
 
+    /// When it wants its timer event, s.
+    pub(crate) fn timer_at(&self) -> Option<f64> {
+        self.platform.timer_at
+    }
+
+    /// One of the two had a timer that was due; the shadow gets the event if its own was.
+    pub(crate) fn on_timer(&mut self, call: RecordedCall) {
+        let now = call.now;
+        let is_due = self.platform.timer_at.take_if(|at| *at <= now).is_some();
+        self.replay(call, None, |shadow| {
+            if is_due {
+                shadow.balancer.on_timer(&mut shadow.platform);
+            }
+        });
+    }
+
     /// Other settings are in force, for both.
     pub(crate) fn apply_settings(
         &mut self,
-        now: f64,
-        performed: RecordedActions,
+        call: RecordedCall,
         settings: &Settings,
-        kept: &CarriedOver,
+        carried_over: &CarriedOver,
     ) {
-        self.replay(now, performed, None, |shadow| {
+        self.replay(call, None, |shadow| {
+            let platform = &mut shadow.platform;
             shadow
                 .balancer
-                .apply_settings(settings, kept, &mut shadow.platform)
-        });
-    }
-
-    /// When it wants to be woken.
-    pub(crate) fn timer_at(&self) -> Option<f64> {
-        self.platform.timer_at
-    }
-
-    /// One of the two was woken; the watcher, if it asked for that by now.
-    pub(crate) fn on_timer(&mut self, now: f64, performed: RecordedActions) {
-        let due = self.platform.timer_at.take_if(|at| *at <= now).is_some();
-        self.replay(now, performed, None, |shadow| {
-            if due {
-                shadow.balancer.on_timer(&mut shadow.platform);
-            }
+                .apply_settings(settings, carried_over, platform);
         });
     }
 
+    /// The endpoint list has changed.
     pub(crate) fn update_endpoints(
         &mut self,
-        now: f64,
-        performed: RecordedActions,
+        call: RecordedCall,
         kind: EndpointUpdateKind,
-        entries: &[Endpoint],
+        endpoints: &[Endpoint],
     ) {
-        self.replay(now, performed, None, |shadow| {
-            shadow
-                .balancer
-                .update_endpoints(kind, entries, &mut shadow.platform)
+        self.replay(call, None, |shadow| {
+            let platform = &mut shadow.platform;
+            shadow.balancer.update_endpoints(kind, endpoints, platform);
         });
     }
 
-    pub(crate) fn on_discovery_failed(&mut self, now: f64, performed: RecordedActions) {
-        self.replay(now, performed, None, |shadow| {
-            shadow.balancer.list_failed(&mut shadow.platform)
+    /// A call to the list service failed.
+    pub(crate) fn on_discovery_failed(&mut self, call: RecordedCall) {
+        self.replay(call, None, |shadow| {
+            shadow.balancer.list_failed(&mut shadow.platform);
         });
     }
 
+    /// A health check ended.
     pub(crate) fn on_health_check(
         &mut self,
-        now: f64,
-        performed: RecordedActions,
+        call: RecordedCall,
         backend: u32,
-        how: AttemptOutcome,
+        outcome: AttemptOutcome,
         report: Option<LoadReport>,
     ) {
-        self.replay(now, performed, None, |shadow| {
+        self.replay(call, None, |shadow| {
+            let platform = &mut shadow.platform;
             shadow
                 .balancer
-                .on_health_check(backend, how, report, &mut shadow.platform)
+                .on_health_check(backend, outcome, report, platform);
         });
     }
 
-    pub(crate) fn accept(&mut self, now: f64, performed: RecordedActions, arrival: &IncomingRpc) {
+    /// An RPC came.
+    pub(crate) fn accept(&mut self, call: RecordedCall, incoming: &IncomingRpc) {
         self.counts.compared += 1;
-        self.replay(now, performed, Some(arrival.id), |shadow| {
-            let rpc = shadow.balancer.accept(arrival, &mut shadow.platform);
-            shadow
-                .rpcs
-                .insert(arrival.id, ComparedRpc { rpc, attempts: 0 });
+        self.replay(call, Some(incoming.id), |shadow| {
+            let rpc = shadow.balancer.accept(incoming, &mut shadow.platform);
+            let compared = ComparedRpc { rpc, attempts: 0 };
+            shadow.rpcs.insert(incoming.id, compared);
         });
     }
 
-    pub(crate) fn on_client_disconnected(&mut self, now: f64, performed: RecordedActions, id: u64) {
-        self.on_rpc(now, performed, id, |rpc, platform| {
-            rpc.on_client_disconnected(platform)
+    /// The client of an RPC disconnected.
+    pub(crate) fn on_client_disconnected(&mut self, call: RecordedCall, id: u64) {
+        self.replay_rpc(call, id, |rpc, platform| {
+            rpc.on_client_disconnected(platform);
         });
     }
 
+    /// An attempt ended; `is_over` if the RPC is over with it.
     pub(crate) fn on_attempt_ended(
         &mut self,
-        now: f64,
-        performed: RecordedActions,
-        (id, attempt): (u64, usize),
-        how: AttemptOutcome,
-        over: bool,
+        call: RecordedCall,
+        attempt: AttemptId,
+        outcome: AttemptOutcome,
+        is_over: bool,
         report: Option<LoadReport>,
     ) {
-        self.on_rpc(now, performed, id, |rpc, platform| {
-            rpc.on_attempt_ended(attempt, how, over, report, platform)
+        self.replay_rpc(call, attempt.rpc, |rpc, platform| {
+            rpc.on_attempt_ended(attempt.index, outcome, is_over, report, platform);
         });
     }
 
-    pub(crate) fn on_request_sent(
-        &mut self,
-        now: f64,
-        performed: RecordedActions,
-        (id, attempt): (u64, usize),
-    ) {
-        self.on_rpc(now, performed, id, |rpc, platform| {
-            rpc.on_request_sent(attempt, platform)
+    /// The last byte of an attempt's request was taken to be sent.
+    pub(crate) fn on_request_sent(&mut self, call: RecordedCall, attempt: AttemptId) {
+        self.replay_rpc(call, attempt.rpc, |rpc, platform| {
+            rpc.on_request_sent(attempt.index, platform);
         });
     }
 
-    pub(crate) fn on_response_started(
-        &mut self,
-        now: f64,
-        performed: RecordedActions,
-        (id, attempt): (u64, usize),
-    ) {
-        self.on_rpc(now, performed, id, |rpc, platform| {
-            rpc.on_response_started(attempt, PacedBy::Client, platform)
+    /// A streamed response starts.
+    pub(crate) fn on_response_started(&mut self, call: RecordedCall, attempt: AttemptId) {
+        self.replay_rpc(call, attempt.rpc, |rpc, platform| {
+            rpc.on_response_started(attempt.index, PacedBy::Client, platform);
         });
     }
 
+    /// An RPC can't be retried.
     pub(crate) fn forbid_retry(&self, id: u64) {
-        self.rpcs
-            .get(&id)
-            .into_iter()
-            .for_each(|compared_rpc| compared_rpc.rpc.forbid_retry());
+        if let Some(compared) = self.rpcs.get(&id) {
+            compared.rpc.forbid_retry();
+        }
     }
 
-    fn on_rpc(
+    /// Replays a call about an RPC that both still handle alike; of others only the actions are compared.
+    fn replay_rpc(
         &mut self,
-        now: f64,
-        performed: RecordedActions,
+        call: RecordedCall,
         id: u64,
-        action: impl FnOnce(&RpcHandle, &mut ShadowPlatform),
+        replay: impl FnOnce(&RpcHandle, &mut ShadowPlatform),
     ) {
-        self.replay(now, performed, Some(id), |shadow| {
-            if let Some(compared_rpc) = shadow.rpcs.get(&id) {
-                action(&compared_rpc.rpc, &mut shadow.platform);
+        self.replay(call, Some(id), |shadow| {
+            if let Some(compared) = shadow.rpcs.get(&id) {
+                replay(&compared.rpc, &mut shadow.platform);
             }
         });
     }
 
-    /// Lets the watcher hear what the first instance has just heard, of one RPC or of none, and compares what
-    /// they asked for.
-    fn replay(
-        &mut self,
-        now: f64,
-        performed: RecordedActions,
-        about: Option<u64>,
-        action: impl FnOnce(&mut Self),
-    ) {
-        self.platform.now = now;
-        action(self);
-        let own = std::mem::take(&mut self.platform.recorded);
-        self.counts.health_checks += performed.health_checks;
-        self.counts.shadow_health_checks += own.health_checks;
-        let touched: BTreeSet<u64> = performed
-            .by_rpc
-            .keys()
-            .chain(own.by_rpc.keys())
-            .copied()
+    /// Replays a call, about one RPC or about none, and compares what the two instances asked for.
+    fn replay(&mut self, call: RecordedCall, about: Option<u64>, replay: impl FnOnce(&mut Self)) {
+        self.platform.now = call.now;
+        replay(self);
+        let would = std::mem::take(&mut self.platform.recorded);
+        self.counts.health_checks += call.actions.health_checks();
+        self.counts.shadow_health_checks += would.health_checks();
+        let touched: BTreeSet<u64> = call
+            .actions
+            .rpcs()
+            .chain(would.rpcs())
             .chain(about)
             .collect();
         for id in touched {
-            let (did, would) = (performed.of_rpc(id), own.of_rpc(id));
-            // One that is not there they have parted over.
-            let Some(compared_rpc) = self.rpcs.get_mut(&id) else {
-                continue;
-            };
-            let before = compared_rpc.attempts;
-            compared_rpc.attempts += would
-                .iter()
-                .filter(|action| matches!(action, Action::Attempt(_)))
-                .count();
-            if did != would {
-                self.count_difference(did, would, before > 0);
-                self.drop_diverged(id);
-            } else if compared_rpc.rpc.is_finished() {
-                self.rpcs.remove(&id);
-            }
-        }
-        if Instant::now() >= self.next_log_at {
-            self.next_log_at = Instant::now() + LOG_INTERVAL;
-            log::info!("{}", self.counts);
+            self.compare(id, call.actions.of_rpc(id), would.of_rpc(id));
         }
+        self.log_counts_if_due();
     }
 
-    /// Counts the first thing in which they differ.
-    fn count_difference(&mut self, performed: &[Action], would: &[Action], further: bool) {
-        let same = performed
+    /// Compares what was done on an RPC in a call with what the shadow would have done.
+    fn compare(&mut self, id: u64, performed: &[Action], would: &[Action]) {
+        // The two have differed on an RPC that is not there.
+        let Some(compared) = self.rpcs.get_mut(&id) else {
+            return;
+        };
+        let had_attempt = compared.attempts > 0;
+        compared.attempts += would
             .iter()
-            .zip(would)
-            .take_while(|(a, b)| a == b)
+            .filter(|action| matches!(action, Action::Attempt(_)))
             .count();
-        let further = further || same > 0;
-        let counts = &mut self.counts;
-        let kind = match (performed.get(same), would.get(same)) {
-            (Some(Action::Attempt(_)), Some(Action::Attempt(_))) => &mut counts.other_backend,
-            (Some(Action::Attempt(_)), Some(_)) if further => &mut counts.would_give_up,
-            (Some(_), Some(Action::Attempt(_))) if further => &mut counts.would_retry,
-            (Some(Action::Attempt(_)) | None, Some(Action::Reject | Action::Fail)) => {
-                &mut counts.would_reject
-            }
-            (Some(Action::Reject | Action::Fail), Some(Action::Attempt(_)) | None) => {
-                &mut counts.would_accept
-            }
-            (Some(Action::Attempt(_)), None) => &mut counts.would_queue,
-            (None, Some(Action::Attempt(_))) => &mut counts.would_attempt,
-            _ => &mut counts.would_respond_differently,
-        };
-        *kind += 1;
+        if performed != would {
+            self.counts.count_difference(performed, would, had_attempt);
+            self.drop_diverged(id);
+        } else if compared.rpc.is_finished() {
+            self.rpcs.remove(&id);
+        }
     }
 
-    /// The watcher can't hear how this RPC would have gone on: it ends there as if the client had left. So do
-    /// those that it would have sent to the places that come free: nobody decided on that difference. Such a
-    /// pick is not counted yet, hence one number more.
+    /// Ends an RPC on which the two differ, as if its client had disconnected: the shadow can't see how it would
+    /// have gone on. So end those that the shadow would have attempted on the capacity that this frees: nobody
+    /// decided on that difference. Such an attempt is not counted yet, hence one index more.
     fn drop_diverged(&mut self, id: u64) {
-        let mut parted = vec![id];
-        while let Some(id) = parted.pop() {
-            let Some(compared_rpc) = self.rpcs.remove(&id) else {
+        let mut diverged = vec![id];
+        while let Some(id) = diverged.pop() {
+            let Some(compared) = self.rpcs.remove(&id) else {
                 continue;
             };
-            compared_rpc.rpc.on_client_disconnected(&mut self.platform);
-            for attempt in 0..=compared_rpc.attempts {
-                compared_rpc.rpc.on_attempt_ended(
-                    attempt,
-                    AttemptOutcome::Cancelled,
-                    true,
-                    None,
-                    &mut self.platform,
-                );
+            let platform = &mut self.platform;
+            compared.rpc.on_client_disconnected(platform);
+            for index in 0..=compared.attempts {
+                let outcome = AttemptOutcome::Cancelled;
+                compared
+                    .rpc
+                    .on_attempt_ended(index, outcome, true, None, platform);
             }
-            parted.extend(
-                std::mem::take(&mut self.platform.recorded)
-                    .by_rpc
-                    .into_keys(),
-            );
+            diverged.extend(std::mem::take(&mut platform.recorded).rpcs());
+        }
+    }
+
+    fn log_counts_if_due(&mut self) {
+        if Instant::now() >= self.next_log_at {
+            self.next_log_at = Instant::now() + LOG_INTERVAL;
+            log::info!("{}", self.counts);
         }
     }
 }
--- /dev/null
+++ b/crates/daemon/src/decision/updates.rs
@@ -0,0 +1,98 @@
+//! Changes of what the decisions go by: the endpoint list, the administrative state and the settings.
+use crate::config::reload::ConfigUpdate;
+use crate::decision::actor::DecisionActor;
+use crate::discovery::update::EndpointUpdate;
+use birchhub::interface::{EndpointUpdateKind, Idempotency, MethodSettings, Settings};
+use std::time::Duration;
+use tokio::time::Instant;
+
+impl DecisionActor {
+    /// Starts with the endpoint list of the configuration, which may be old.
+    pub(super) fn load_cached_endpoints(&mut self, cached: Option<&EndpointUpdate>) {
+        self.update_endpoints(&EndpointUpdate {
+            version: cached.map_or(0, |cached| cached.version),
+            kind: EndpointUpdateKind::StaleSnapshot,
+            listed: cached.map_or(Vec::new(), |cached| cached.listed.clone()),
+        });
+    }
+
+    /// Applies an update of the endpoint list.
+    pub(super) fn update_endpoints(&mut self, update: &EndpointUpdate) {
+        let (version, kind) = (update.version, update.kind);
+        let endpoints = {
+            let admin = &self.state.borrow().orders;
+            let clock = &self.platform.clock;
+            self.platform.endpoints.apply(update, admin, clock)
+        };
+        let lines = update.listed.len();
+        if lines > 0 && kind != EndpointUpdateKind::Administrative {
+            log::info!("list version {version}: {lines} lines, {kind:?}");
+        }
+        self.call_balancer(|actor| {
+            let platform = &mut actor.platform;
+            actor.balancer.update_endpoints(kind, &endpoints, platform);
+        });
+        self.replay_to_shadow(|shadow, call| shadow.update_endpoints(call, kind, &endpoints));
+    }
+
+    /// A call to the list service failed.
+    pub(super) fn on_discovery_failed(&mut self) {
+        self.call_balancer(|actor| actor.balancer.list_failed(&mut actor.platform));
+        self.replay_to_shadow(|shadow, call| shadow.on_discovery_failed(call));
+    }
+
+    /// Tells the decisions anew of the backends whose maintenance has changed, and then that this is carried out.
+    pub(super) fn apply_admin_state(&mut self) {
+        self.check_heartbeat();
+        let (turn, other_processes, listed) = {
+            let state = self.state.borrow_and_update();
+            let listed = self.platform.endpoints.listed(state.orders.bans.keys());
+            (state.turn, state.others.living, listed)
+        };
+        self.balancer.set_process_count(other_processes + 1);
+        if !listed.is_empty() {
+            self.update_endpoints(&EndpointUpdate {
+                version: 0,
+                kind: EndpointUpdateKind::Administrative,
+                listed,
+            });
+        }
+        self.state_store.carried_out(turn);
+    }
+
+    /// Puts other settings in force, all between two events.
+    pub(super) fn apply_config_update(&mut self, update: ConfigUpdate) {
+        let started = Instant::now();
+        let ConfigUpdate {
+            settings,
+            carried_over,
+            names,
+            shadow_settings,
+            applied,
+        } = update;
+        self.deduplication_windows = deduplication_windows(&settings);
+        let former_names = self.names.replace(names.into());
+        self.call_balancer(|actor| {
+            let platform = &mut actor.platform;
+            actor
+                .balancer
+                .apply_settings(&settings, &carried_over, platform);
+        });
+        match shadow_settings {
+            Some(settings) => self.replay_to_shadow(|shadow, call| {
+                shadow.apply_settings(call, &settings, &carried_over);
+            }),
+            None => self.end_shadow(),
+        }
+        let _ = applied.send((former_names, started.elapsed()));
+    }
+}
+
+/// By method, the time in which its retries are dropped as duplicates, where that is limited.
+pub(super) fn deduplication_windows(settings: &Settings) -> Vec<Option<Duration>> {
+    let window = |method: &MethodSettings| match method.idempotency {
+        Idempotency::Deduplicated { window, .. } => Some(Duration::from_secs_f64(window)),
+        Idempotency::Idempotent | Idempotency::NonIdempotent => None,
+    };
+    settings.methods.iter().map(window).collect()
+}
