--- /dev/null
+++ b/tests/common/fixtures.rs
@@ -0,0 +1,46 @@
+//! Settings and endpoints that the tests of the decisions start from.
+use birchhub::interface::*;
+
+pub(crate) fn method_settings(idempotency: Idempotency) -> MethodSettings {
+    MethodSettings {
+        idempotency,
+        latency_objective: 0.2,
+        objective_stretch: 0.0,
+        priority_weight: 1.0,
+        late_weight_fraction: 0.0,
+        ordered_by_key: false,
+    }
+}
+
+pub(crate) fn settings(idempotency: &[Idempotency]) -> Settings {
+    Settings {
+        proxy_count: 1,
+        methods: idempotency.iter().copied().map(method_settings).collect(),
+        max_attempts: 3,
+        can_cancel: true,
+        can_health_check: true,
+        health_check_cost: 0.002,
+        load_report_source: LoadReportSource::HealthChecks,
+        reports_include_queue: true,
+        polls_endpoint_list: true,
+        poll_within: 10.0,
+        drain_grace: 0.25,
+        slow_start_initial_fraction: 0.3,
+        slow_start_duration: 8.0,
+        overload_multiple: 3.0,
+        overload_window: 1.0,
+        ..Settings::default()
+    }
+}
+
+pub(crate) fn endpoint(backend: u32) -> Endpoint {
+    let (cell, zone) = (u64::from(backend % 2), backend as usize % 3);
+    Endpoint {
+        backend,
+        relative_size: 1.0,
+        started_at: None,
+        cell,
+        zone,
+        readiness: Readiness::Ready,
+    }
+}
