Shadow counts: the log line says the field's terms

Cause: the line that counts what other settings would do otherwise named its counts held, picked, turned away, taken, tried again, elsewhere and probes. Change: queued, attempted, rejected, accepted, retried, answered differently, other backend, health checks; the same counts in the same order.

--- a/crates/daemon/src/config/shadow/counts.rs
+++ b/crates/daemon/src/config/shadow/counts.rs
@@ -74,12 +74,15 @@
             health_checks,
             shadow_health_checks,
         } = self;
-        write!(f, "{compared} RPCs compared: held {would_queue}, ")?;
-        write!(f, "picked {would_attempt}, turned away {would_reject}, ")?;
-        write!(f, "taken {would_accept}, given up {would_give_up}, ")?;
-        write!(f, "tried again {would_retry}, ")?;
-        write!(f, "answered otherwise {would_respond_differently}; ")?;
-        write!(f, "elsewhere {other_backend}; probes {health_checks}, ")?;
+        write!(f, "{compared} RPCs compared: queued {would_queue}, ")?;
+        write!(f, "attempted {would_attempt}, rejected {would_reject}, ")?;
+        write!(f, "accepted {would_accept}, given up {would_give_up}, ")?;
+        write!(f, "retried {would_retry}, ")?;
+        write!(f, "answered differently {would_respond_differently}; ")?;
+        write!(
+            f,
+            "other backend {other_backend}; health checks {health_checks}, "
+        )?;
         write!(f, "would be {shadow_health_checks}")
     }
 }
