Decisions: one module for each mechanism, composed by a balancer

Cause: policy.rs was one State of 40 fields and 50 methods that touched all of them, held.rs six types in one file, and held, roster, turns and waiting imported each other in a circle. Names such as draw, lot, rest, turn and door said nothing to a newcomer. Change: src/policy holds the decisions by mechanism, each with its constants and its rule; dispatch says which RPC goes where. src/balancer takes the events; endpoint, endpoint_index, rpc_state, method, tenant, pending_queue, keyed_queue, ewma, estimates, report_quality, slow_start_budget and check_tokens hold state and measure.

--- /dev/null
+++ b/src/policy/slow_start.rs
@@ -0,0 +1,43 @@
+//! Slow start: this proxy's part of what all proxies may send a backend that started lately. The parts sum to
+//! the budget or less: a new backend must not be sent all traffic at once.
+use crate::slow_start_budget::{SlowStartBudget, sure_work};
+use crate::{endpoint::Backend, fleet::Fleet, interface::Settings};
+
+const SAFETY: f64 = 0.7; // part of the budget that is used: the work of one RPC is known only roughly
+const TRAFFIC_PART: f64 = 0.8; // of it split by traffic, the rest evenly: few completions earn few attempts
+
+/// The budget, and the rule by which this proxy keeps to its part.
+#[derive(Default)]
+pub(crate) struct SlowStart {
+    pub budget: SlowStartBudget,
+}
+
+impl SlowStart {
+    /// Takes over the budget.
+    pub(crate) fn apply_settings(&mut self, settings: &Settings, health_checks_per_rpc: f64) {
+        self.budget.apply_settings(settings, SAFETY, health_checks_per_rpc);
+    }
+
+    /// Whether this proxy's part has room for one more attempt. `sample` is that of a random pick, the same
+    /// for all backends: otherwise picks would go on until a lucky one is found.
+    pub(crate) fn has_room(&self, to: &Backend, sample: Option<f64>, fleet: &Fleet, now: f64) -> bool {
+        let (budget, work_per_rpc) = (&self.budget, fleet.estimates.service_time());
+        let Some(work) = to.started_at.get().and_then(|at| budget.work(now - at)) else { return true };
+        let (proxies, rate) = (budget.proxies(), budget.completion_rate(now));
+        let by_traffic = TRAFFIC_PART * rate * to.relative_size.get();
+        let part = by_traffic + (1.0 - TRAFFIC_PART) / (work_per_rpc * proxies); // RPCs per second
+        let (sure, most) = (sure_work(work, work_per_rpc) * part, (work * part).max(1.0));
+        // The last attempt goes by chance: of picks that may lead to any backend, no more than complete.
+        // Otherwise hundreds of proxies would each send their one.
+        let completed_part = rate * fleet.index.ready_count() as f64 / budget.offered_rate(now);
+        let chance = (work / SAFETY / budget.window * completed_part).max(sure);
+        let sample = sample.unwrap_or(to.slow_start_sample.get() * budget.health_checks_per_rpc);
+        let sent = to.recent_attempts.count(now, budget.window) + 1.0;
+        let in_flight = to.in_flight.get() as f64 + 1.0;
+        // Few proxies would leave it idle until it is warm; one that fails is not always tried again.
+        let only_one = in_flight <= 1.0 && to.finished_all(now, budget.window);
+        only_one && budget.fits_one_from_each_proxy(work, work_per_rpc, proxies)
+            || in_flight <= budget.concurrency(part * work_per_rpc).max(1.0)
+                && (sent <= sure || sent <= most && sample < chance)
+    }
+}
--- /dev/null
+++ b/src/rng.rs
@@ -0,0 +1,49 @@
+//! Random numbers, reproducible from the seed that a balancer is given.
+use rand::{Rng as _, SeedableRng};
+use rand_pcg::Pcg64;
+use std::cell::RefCell;
+
+/// A number in [0, 1) that is a hash of this pair: the same at every proxy.
+pub(crate) fn pair_sample(a: u64, b: u64) -> f64 {
+    let mut bits = a ^ b.wrapping_add(1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    for factor in [0xbf58_476d_1ce4_e5b9_u64, 0x94d0_49bb_1331_11eb] {
+        bits = (bits ^ (bits >> 30)).wrapping_mul(factor);
+    }
+    ((bits ^ (bits >> 31)) >> 11) as f64 / (1_u64 << 53) as f64
+}
+
+/// The random number generator of one balancer.
+#[derive(Debug)]
+pub(crate) struct Rng(RefCell<Pcg64>);
+
+impl Rng {
+    /// A generator with this seed.
+    pub(crate) fn new(seed: u64) -> Self {
+        Self(RefCell::new(Pcg64::seed_from_u64(seed)))
+    }
+
+    /// A number in [`low`, `high`).
+    pub(crate) fn uniform(&self, low: f64, high: f64) -> f64 {
+        self.0.borrow_mut().random_range(low..high)
+    }
+
+    /// An index below `length`, which is above 0.
+    pub(crate) fn index(&self, length: usize) -> usize {
+        self.0.borrow_mut().random_range(0..length)
+    }
+
+    /// Takes one of the items; nothing, and no number used, if there are none.
+    pub(crate) fn take_one<T>(&self, items: &mut Vec<T>) -> Option<T> {
+        if items.is_empty() {
+            None
+        } else {
+            Some(items.swap_remove(self.0.borrow_mut().random_range(0..items.len())))
+        }
+    }
+}
+
+impl Default for Rng {
+    fn default() -> Self {
+        Self::new(0)
+    }
+}
