Throttle: told only of attempts that were answered or timed out

Cause: it was told of every attempt and asked each time whether responses fill the idle queue, to do nothing with it for most outcomes.

--- a/src/balancer/rpc_handle.rs
+++ b/src/balancer/rpc_handle.rs
@@ -91,8 +91,8 @@
         self.admission.record_attempt(rpc, attempt, now);
         if attempt.is_timed() {
             attempt.backend.response_time.add(attempt.estimated_duration(), now, AVERAGING_TIME);
+            throttle::record_attempt(rpc, attempt, self.load_reports.responses_fill_queue(now), now);
         }
-        throttle::record_attempt(rpc, attempt, self.load_reports.responses_fill_queue(now), now);
         if attempt.may_still_run() {
             self.keyed.cool_down(rpc, now + self.rules.limits.key_cooldown);
         }
