policy: constants and comments say what they are

Cause: constants such as LIGHT, TELLS, CUT and EARNED named half of what they are. Change: names only, and comments.

--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -4,13 +4,13 @@
 use crate::{estimates::Estimates, method::Method, rng::pair_sample};
 use std::rc::Rc;
 
-const BUDGET: f64 = 0.6; // of the expected wait must fit: loads vary, and some picks meet a light one
-const BUDGET_LATE: f64 = 2.2; // ... or over twice, where late responses count: late RPCs run on
-const RANKED: f64 = 0.85; // of RPCs are ranked by priority; the others take any rank: none starves
-const PROMPT: f64 = 0.4; // of its latency objective within which an attempt is answered in good time
-const INCREASE: f64 = 0.015; // of all RPCs, by which a response in good time raises the rate ...
-const CUT: f64 = 0.15; // ... of the rate, by which any other end cuts it: one in eleven is borne
-const RECOVERY: f64 = 0.04; // of all RPCs a second that come back by themselves: a fault ends unseen
+const LATENCY_BUDGET: f64 = 0.6; // of the expected wait must fit: loads vary, and some picks meet a light one
+const LATE_LATENCY_BUDGET: f64 = 2.2; // ... or over twice, where late responses count: late RPCs run on
+const RANKED_PART: f64 = 0.85; // of RPCs are ranked by priority; the others take any rank: none starves
+const PROMPT_PART: f64 = 0.4; // of its latency objective within which an attempt is answered in good time
+const RATE_INCREASE: f64 = 0.015; // of all RPCs, by which a response in good time raises the rate ...
+const RATE_DECREASE: f64 = 0.15; // ... of the rate, by which any other end cuts it: one in eleven is borne
+const RATE_RECOVERY: f64 = 0.04; // of all RPCs a second that come back by themselves: a fault ends unseen
 const MAX_PAUSE: f64 = 2.0; // s without any attempt after which one is admitted: else nothing would be learnt
 
 /// The methods and the admission rate.
@@ -28,7 +28,7 @@
     pub(crate) fn apply_settings(&mut self, settings: &Settings, carried: &CarriedOver, can_check: bool) {
         let highest = settings.methods.iter().map(|m| m.priority_weight).fold(0.0, f64::max);
         let method = |(n, method): (usize, &MethodSettings)| {
-            let budget = if method.late_weight_fraction > 0.0 { BUDGET_LATE } else { BUDGET };
+            let budget = if method.late_weight_fraction > 0.0 { LATE_LATENCY_BUDGET } else { LATENCY_BUDGET };
             let before = carried.methods.get(n).and_then(|index| self.methods.get((*index)?));
             Rc::new(Method::new(method, budget * (highest / method.priority_weight).max(1.0).sqrt(), before))
         };
@@ -44,10 +44,10 @@
 
     /// Additive increase, multiplicative decrease, by whether an attempt was answered in good time.
     pub(crate) fn record_attempt(&mut self, rpc: &RpcState, attempt: &CompletedAttempt, now: f64) {
-        let prompt = attempt.duration <= rpc.method.settings.latency_objective * PROMPT;
+        let prompt = attempt.duration <= rpc.method.settings.latency_objective * PROMPT_PART;
         let rate = match attempt.outcome {
-            AttemptOutcome::Succeeded if prompt => self.rate(now) + INCREASE,
-            _ if attempt.is_timed() || attempt.was_rejected() => self.rate(now) * (1.0 - CUT),
+            AttemptOutcome::Succeeded if prompt => self.rate(now) + RATE_INCREASE,
+            _ if attempt.is_timed() || attempt.was_rejected() => self.rate(now) * (1.0 - RATE_DECREASE),
             _ => return,
         };
         self.rate = Some((rate, now));
@@ -55,14 +55,14 @@
 
     /// Part of RPCs admitted by now.
     fn rate(&self, now: f64) -> f64 {
-        self.rate.map_or(1.0, |(rate, since)| (rate + (now - since).max(0.0) * RECOVERY).min(1.0))
+        self.rate.map_or(1.0, |(rate, since)| (rate + (now - since).max(0.0) * RATE_RECOVERY).min(1.0))
     }
 
     /// Whether an RPC ranks within the rate. Otherwise all backends would fill until little is in time, and a
     /// shortage would fall on the highest priority as on the lowest.
     fn is_in_rank(&self, rpc: &RpcState, now: f64) -> bool {
         let (rate, sample) = (self.rate(now), pair_sample(rpc.id, 0));
-        let ranked = rate < 1.0 && pair_sample(rpc.id, 1) < RANKED;
+        let ranked = rate < 1.0 && pair_sample(rpc.id, 1) < RANKED_PART;
         let rank = if ranked { rpc.method.rank(&self.methods, sample, now) } else { sample };
         rank < rate || now > self.last_attempt_at + MAX_PAUSE
     }
--- a/src/policy/discovery.rs
+++ b/src/policy/discovery.rs
@@ -3,7 +3,7 @@
 
 const POLL_PART: f64 = 0.5; // of the time within which a list has to be asked for again, between polls
 const JITTER: (f64, f64) = (0.8, 1.2); // of the time between polls
-const BACKOFF: f64 = 0.5; // s, most after the first failed poll, and then twice that: told within 6 s
+const FIRST_BACKOFF: f64 = 0.5; // s, most after the first failed poll, and then twice that: told within 6 s
 
 /// When the list is polled.
 #[derive(Default)]
@@ -22,7 +22,7 @@
     /// A poll failed, or the subscription ended. Truncated exponential backoff with full jitter: each of many
     /// proxies finds a free moment of the service.
     pub(crate) fn record_failure(&mut self, rng: &Rng, now: f64) {
-        let backoff = BACKOFF * 2_f64.powi(self.failures.min(1));
+        let backoff = FIRST_BACKOFF * 2_f64.powi(self.failures.min(1));
         self.failures += 1;
         self.poll_at = self.poll_interval.map(|most| now + rng.uniform(0.0, backoff.min(most)));
     }
@@ -31,7 +31,7 @@
     pub(crate) fn record_update(&mut self, kind: EndpointUpdateKind, rng: &Rng, now: f64) {
         match kind {
             EndpointUpdateKind::StaleSnapshot => {
-                self.poll_at = self.poll_interval.map(|_| now + rng.uniform(0.0, BACKOFF));
+                self.poll_at = self.poll_interval.map(|_| now + rng.uniform(0.0, FIRST_BACKOFF));
             }
             EndpointUpdateKind::Incremental | EndpointUpdateKind::Snapshot => {
                 (self.failures, self.poll_at) = (0, None);
--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -8,7 +8,8 @@
 use crate::{keyed_queue::KeyedQueue, pending_queue::PendingQueue};
 use std::rc::Rc;
 
-/// The mechanisms, each with its own state, and the RPCs that wait. `crate::balancer` tells it of events.
+/// The mechanisms, each with its own state, and pending RPCs. `crate::balancer` hands it events and keeps its
+/// books: attempts that start, the timer, the subsets of backends.
 #[derive(Default)]
 pub(crate) struct Dispatcher {
     pub rules: Rules,
--- a/src/policy/health_checks.rs
+++ b/src/policy/health_checks.rs
@@ -5,15 +5,15 @@
 use crate::{check_tokens::CheckTokens, endpoint::Backend, endpoint_index::Subset, fleet::Fleet};
 use std::rc::Rc;
 
-const FIRST_WORTH: f64 = 0.032; // points of service that an RPC's first check is worth: it saves late picks
-const MISS: f64 = 0.6; // chance that a check finds no idle backend: the next is worth so much less
+const FIRST_CHECK_WORTH: f64 = 0.032; // points that an RPC's first check is worth: it saves late picks
+const MISS_CHANCE: f64 = 0.6; // chance that a check finds no idle backend: the next is worth so much less
 const MIN_COST: f64 = 1e-6; // points: checks may be free
 const MAX_PER_RPC: f64 = 6.0; // checks an RPC where they are nearly free, for the backends' sake
 const MIN_PER_RPC: f64 = 0.05; // checks an RPC where they are dear: without reports nothing is queued
 pub(crate) const PER_ROUND: usize = 3; // checks at once: finds an idle backend more often than not
 const SAVED_RPCS: f64 = 20.0; // RPCs whose checks may be saved up beside one round
-const AHEAD_EVERY: f64 = 0.05; // s between single checks ahead of RPCs if one surely comes: a service time
-const ROUND_TIMES: f64 = 0.1; // service times between rounds for pending RPCs: some backend may be done
+const AHEAD_INTERVAL: f64 = 0.05; // s between checks ahead of RPCs if one surely comes: a service time
+const ROUND_SERVICE_TIMES: f64 = 0.1; // between rounds for pending RPCs: some backend may be done
 
 /// How many checks are worth their cost, and when they are sent.
 #[derive(Default)]
@@ -32,7 +32,7 @@
         let source = settings.load_report_source;
         let by_time = source == LoadReportSource::Responses && !settings.reports_include_queue;
         self.enabled = settings.can_health_check && (by_time || source == LoadReportSource::HealthChecks);
-        let worth = (FIRST_WORTH / settings.health_check_cost.max(MIN_COST)).log(1.0 / MISS);
+        let worth = (FIRST_CHECK_WORTH / settings.health_check_cost.max(MIN_COST)).log(1.0 / MISS_CHANCE);
         (self.affordable, self.per_rpc) = (worth >= 0.0, worth.clamp(MIN_PER_RPC, MAX_PER_RPC));
     }
 
@@ -70,13 +70,13 @@
     /// A round for pending RPCs is due; the next one is later.
     pub(crate) fn take_due_round(&mut self, service_time: f64, now: f64) -> bool {
         let due = now >= self.next_round_at;
-        self.next_round_at = if due { now + ROUND_TIMES * service_time } else { self.next_round_at };
+        self.next_round_at = if due { now + ROUND_SERVICE_TIMES * service_time } else { self.next_round_at };
         due
     }
 
     /// When to check ahead of RPCs: seldom if none may come while the entry is valid, lest many pay for few.
     pub(crate) fn next_ahead_at(&self, estimates: &Estimates, now: f64) -> f64 {
         let arrivals = estimates.completion_rate(now) * entry_lifetime(estimates);
-        self.last_ahead_at + AHEAD_EVERY / (1.0 - (-arrivals).exp())
+        self.last_ahead_at + AHEAD_INTERVAL / (1.0 - (-arrivals).exp())
     }
 }
--- a/src/policy/idle_queue.rs
+++ b/src/policy/idle_queue.rs
@@ -4,8 +4,8 @@
 use crate::{endpoint::Backend, estimates::Estimates, ewma::Ewma, fleet::Fleet};
 use std::{collections::VecDeque, rc::Rc};
 
-const ENTRY_TIMES: f64 = 0.3; // mean service times an entry lasts: other proxies see the same idle backend
-const ENTRY_MAX: f64 = 4.0; // s; and of an entry by a response: that place is this proxy's own
+const ENTRY_SERVICE_TIMES: f64 = 0.3; // that an entry lasts: other proxies see the same idle backend
+const MAX_ENTRY_LIFETIME: f64 = 4.0; // s; and of one by a response: that place is this proxy's own
 const MAX_TIME_PART: f64 = 0.7; // of its time that an attempt by the queue may be expected to take
 const PRIOR_ATTEMPTS: f64 = 4.0; // by the queue that prove nothing yet, counted beside those measured as 0
 pub(crate) const SCAN_LIMIT: usize = 32; // entries that one RPC, and RPCs that one event, may pass over
@@ -19,7 +19,7 @@
 
 /// Time that an entry by a report lasts, s.
 pub(crate) fn entry_lifetime(estimates: &Estimates) -> f64 {
-    (estimates.service_time() * ENTRY_TIMES).min(ENTRY_MAX)
+    (estimates.service_time() * ENTRY_SERVICE_TIMES).min(MAX_ENTRY_LIFETIME)
 }
 
 impl IdleQueue {
@@ -31,7 +31,7 @@
     /// Adds a backend, or extends its entry. Where responses fill the queue, the quickest backend is first,
     /// or all proxies would go round all they know; and entries last, or the queue would always be empty.
     pub(crate) fn enqueue(&mut self, backend: &Rc<Backend>, by_responses: bool, fleet: &Fleet, now: f64) {
-        let lifetime = if by_responses { ENTRY_MAX } else { entry_lifetime(&fleet.estimates) };
+        let lifetime = if by_responses { MAX_ENTRY_LIFETIME } else { entry_lifetime(&fleet.estimates) };
         if backend.ready.get() && is_healthy(backend, now) && backend.extend_queue_entry(now + lifetime) {
             let response_time = |b: &Backend| b.response_time.value_or(0.0);
             let ahead = |b: &Rc<Backend>| !by_responses || response_time(b) <= response_time(backend);
--- a/src/policy/load_reports.rs
+++ b/src/policy/load_reports.rs
@@ -2,9 +2,9 @@
 use crate::interface::{LoadReport, Settings};
 use crate::{endpoint::Backend, fleet::Fleet, report_quality::ReportQuality};
 
-const LIGHT: f64 = 0.75; // of the mean reported load: 0 while backends hold about one RPC each
-const SAVES: f64 = 0.1; // part of its time that a light report must save an attempt, or it is not worth it
-const TELLS: f64 = 0.75; // of others' time that attempts after a light report may take, or it tells nothing
+const LIGHT_LOAD: f64 = 0.75; // at most, of the mean reported load: 0 while backends hold one RPC each
+const MIN_TIME_SAVED: f64 = 0.1; // part of its time that a light report must save an attempt
+const MAX_TELLING_RATIO: f64 = 0.75; // of others' time that attempts after a light report may take
 
 /// What is known of reports.
 #[derive(Default)]
@@ -29,7 +29,7 @@
 
     /// Takes in a load. Returns whether the backend is idle by it.
     pub(crate) fn record(&self, backend: &Backend, load: f64, check: bool, fleet: &Fleet, now: f64) -> bool {
-        let light = load <= fleet.estimates.reported_load() * LIGHT * backend.relative_size.get();
+        let light = load <= fleet.estimates.reported_load() * LIGHT_LOAD * backend.relative_size.get();
         let load = load.max(backend.executing() as f64) / backend.relative_size.get();
         fleet.estimates.record_load(load, now);
         if self.checks_measure_queue {
@@ -37,8 +37,8 @@
         }
         self.quality.record_report(backend, light, now);
         // Reports with responses keep out what is loaded only if light ones are quicker: they may be untrue.
-        let tells = self.quality.light_duration_ratio(now) <= TELLS;
-        let believed = load <= fleet.estimates.reported_load() * LIGHT && (check || tells);
+        let tells = self.quality.light_duration_ratio(now) <= MAX_TELLING_RATIO;
+        let believed = load <= fleet.estimates.reported_load() * LIGHT_LOAD && (check || tells);
         believed || !check && !tells && self.responses_fill_queue(now)
     }
 
@@ -46,7 +46,7 @@
     /// Proxies that each see too little to pay for health checks would otherwise only pick at random.
     pub(crate) fn responses_fill_queue(&self, now: f64) -> bool {
         let (light, ratio) = (self.quality.light_part(), self.quality.light_duration_ratio(now));
-        let saves = ratio <= (light * ratio + 1.0 - light) * (1.0 - SAVES);
+        let saves = ratio <= (light * ratio + 1.0 - light) * (1.0 - MIN_TIME_SAVED);
         self.only_responses || !self.checks_measure_queue && !saves
     }
 }
--- a/src/policy/retry_budget.rs
+++ b/src/policy/retry_budget.rs
@@ -2,7 +2,7 @@
 use crate::{endpoint::Backend, rpc_state::RpcState};
 use std::rc::Rc;
 
-const EARNED: f64 = 0.1; // retries by a success: at most a tenth more load
+const EARNED_PER_SUCCESS: f64 = 0.1; // retries by a success: at most a tenth more load
 const MAX_SAVED: f64 = 3.0; // retries saved up: a sudden death of many backends uses no more
 
 /// Retries that may be sent.
@@ -14,7 +14,7 @@
 impl RetryBudget {
     /// An attempt succeeded.
     pub(crate) fn record_success(&mut self) {
-        self.retries = (self.retries + EARNED).min(MAX_SAVED);
+        self.retries = (self.retries + EARNED_PER_SUCCESS).min(MAX_SAVED);
     }
 
     /// Pays for an attempt that is about to start; free while none of the RPC's reached a backend.
