Tests of the decisions by behaviour: failures.rs becomes six files, the slow-start simulation its own

failures.rs (970 lines, one test for each failure found) becomes admission, ejection, endpoint_choice, health_checks, polling and retries; the proxies that several start from go to common/fleets.

Test names and comments say the behaviour in the terms of the field. Figures and assertions are as they were.

--- /dev/null
+++ b/tests/admission.rs
@@ -0,0 +1,297 @@
+//! Which RPCs are admitted: latency objectives, quotas of tenants, throttles and load shedding by priority weight.
+mod common;
+use birchhub::interface::*;
+use common::{FinalAnswer, InFlight, Proxy, proxy_of, settings, with_two_priority_weights};
+
+#[test]
+fn an_empty_endpoint_list_rejects_within_the_latency_objective() {
+    let mut proxy = proxy_of(0, settings(&[Idempotency::NonIdempotent]));
+    let rpc = proxy.accept(0, 0.5);
+    proxy.advance(0.1);
+    assert_eq!(proxy.platform.rpcs[&rpc].answers, [FinalAnswer::Rejected]);
+}
+
+#[test]
+fn an_rpc_that_cannot_meet_its_latency_objective_is_rejected_at_once() {
+    let mut proxy = with_two_priority_weights(4);
+    let mut rejected = 0;
+    for _ in 0..400 {
+        let rpc = proxy.accept(0, 0.5);
+        proxy.advance(0.002);
+        proxy.complete_health_checks(AttemptOutcome::Succeeded, |_| 8.0);
+        proxy.advance(0.04);
+        rejected += usize::from(proxy.platform.rpcs[&rpc].answers == [FinalAnswer::Rejected]);
+    }
+    // Some go to a random pick all the time, or nothing would be learnt of how long that takes.
+    assert!(
+        rejected > 100,
+        "all attempts time out behind eight others, yet only {rejected} of 400 were rejected"
+    );
+}
+
+#[test]
+fn stale_idle_reports_do_not_keep_all_rpcs_admitted() {
+    let rpcs = with_two_priority_weights(60).drive(110, 0.04, |_| 0.0, |_| None);
+    let rejected = rpcs
+        .iter()
+        .filter(|r| r.answers == [FinalAnswer::Rejected])
+        .count();
+    assert!(
+        rejected > 20,
+        "every attempt times out, yet only {rejected} of 110 were rejected"
+    );
+}
+
+#[test]
+fn client_retries_do_not_crowd_out_first_requests() {
+    let tenants = vec![
+        TenantSettings { quota: 20.0 },
+        TenantSettings { quota: 20.0 },
+    ];
+    let conf = Settings {
+        tenants,
+        can_health_check: false,
+        ..settings(&[Idempotency::NonIdempotent])
+    };
+    let mut proxy = proxy_of(4, conf);
+    let mut served = [0, 0];
+    for round in 0..1200 {
+        // Tenant 0 keeps to its quota; tenant 1 retries again and again what was rejected.
+        let first = round % 8 == 0;
+        let rpc = proxy.accept_as(0, 0.5, Some(usize::from(!first)), !first);
+        served[usize::from(!first)] += proxy.platform.rpcs[&rpc].attempts.len();
+        proxy.end_all_attempts(AttemptOutcome::Succeeded, Some(2.0));
+        proxy.advance(0.00625);
+    }
+    assert!(
+        served[0] > 140,
+        "{served:?} served; of 150 first requests nearly all should be"
+    );
+}
+
+#[test]
+fn a_burst_does_not_put_a_small_tenant_over_its_quota() {
+    let tenants = vec![TenantSettings { quota: 0.5 }, TenantSettings { quota: 4.0 }];
+    let conf = Settings {
+        tenants,
+        can_health_check: false,
+        ..settings(&[Idempotency::NonIdempotent])
+    };
+    let mut proxy = proxy_of(4, conf);
+    let (mut sent, mut accepted) = (0, 0);
+    for round in 0..1440 {
+        // Tenant 0 sends five together at three quarters of its quota; tenant 1 three times its own.
+        for tenant in [1, 0, 0, 0, 0, 0]
+            .into_iter()
+            .take(if round % 160 == 50 { 6 } else { 1 })
+        {
+            let rpc = proxy.accept_as(0, 0.5, Some(tenant), false);
+            accepted += usize::from(tenant == 0);
+            sent += proxy.platform.rpcs[&rpc].attempts.len() * usize::from(tenant == 0);
+            proxy.end_all_attempts(AttemptOutcome::Succeeded, Some(2.0));
+        }
+        proxy.advance(1.0 / 12.0);
+    }
+    assert!(
+        sent >= accepted - 1,
+        "{sent} of {accepted} RPCs of a tenant within its quota were sent"
+    );
+}
+
+/// Each client has a proxy of its own and some proxies carry far more than others: all within their tenant's quota.
+#[test]
+fn a_busy_proxy_is_not_limited_to_an_even_share_of_the_quota() {
+    let tenants = vec![
+        TenantSettings { quota: 100.0 },
+        TenantSettings { quota: 100.0 },
+    ];
+    let conf = Settings {
+        tenants,
+        proxy_count: 100,
+        can_health_check: false,
+        ..settings(&[Idempotency::Idempotent])
+    };
+    let mut proxy = proxy_of(40, conf);
+    let mut rejected = 0;
+    for n in 0..600 {
+        let rpc = proxy.accept_as(0, 0.5, Some(n % 2), false);
+        proxy.advance(0.02);
+        proxy.end_all_attempts(AttemptOutcome::Succeeded, Some(2.0));
+        rejected += usize::from(proxy.platform.rpcs[&rpc].answers != [FinalAnswer::Succeeded]);
+    }
+    assert_eq!(
+        rejected, 0,
+        "at 25 times its even share, both tenants alike"
+    );
+}
+
+/// A method that is slow at every backend takes the capacity of all others, and what is sent of it is lost: most of it is
+/// rejected at once, the others are served, and it is admitted again soon after the fault has ended.
+#[test]
+fn a_method_that_is_slow_everywhere_is_throttled_and_admitted_again() {
+    let mut conf = settings(&[Idempotency::Idempotent, Idempotency::NonIdempotent]);
+    (conf.can_health_check, conf.max_retry_after) = (false, 1.0);
+    let mut proxy = proxy_of(20, conf);
+    let mut play = |rounds: usize, is_slow: bool| {
+        let (mut served, mut sent) = (0, 0);
+        for _ in 0..rounds {
+            let (other, slow) = (proxy.accept(0, 0.5), proxy.accept(1, 0.5));
+            // What is not sent is rejected now, and not queued until the client would not retry.
+            let record = &proxy.platform.rpcs[&slow];
+            assert!(!record.attempts.is_empty() || record.answers == [FinalAnswer::Rejected]);
+            sent += usize::from(!record.attempts.is_empty());
+            proxy.advance(0.02);
+            for (rpc, n, _) in proxy.attempts_in_flight() {
+                if !is_slow || rpc % 2 == 0 {
+                    proxy.end_attempt(rpc, n, AttemptOutcome::Succeeded, Some(1.0));
+                }
+            }
+            served += usize::from(proxy.platform.rpcs[&other].answers == [FinalAnswer::Succeeded]);
+        }
+        (served, sent)
+    };
+    assert_eq!(play(100, false), (100, 100));
+    play(50, true);
+    let (served, sent) = play(200, true);
+    assert!(
+        served == 200 && (1..50).contains(&sent),
+        "{served} of the other method served, {sent} sent of 200 of the slow one"
+    );
+    play(300, false);
+    assert_eq!(play(100, false), (100, 100), "the fault has ended");
+    proxy.check_rules().expect("the rules");
+}
+
+/// Four tenants alike: what is slow for one of them throttles only that one.
+#[test]
+fn a_tenant_that_is_slow_everywhere_leaves_the_others_admitted() {
+    let mut conf = settings(&[Idempotency::NonIdempotent]);
+    (conf.can_health_check, conf.tenants) = (false, vec![TenantSettings { quota: 60.0 }; 4]);
+    let mut proxy = proxy_of(20, conf);
+    let mut sent = [0; 4];
+    for round in 0..1200 {
+        let tenant = round % 4;
+        let rpc = proxy.accept_as(0, 0.5, Some(tenant), false);
+        sent[tenant] += usize::from(round >= 400 && !proxy.platform.rpcs[&rpc].attempts.is_empty());
+        proxy.advance(0.01);
+        let quick = |(rpc, ..): &InFlight| rpc % 4 != 3 || round < 200;
+        for (rpc, n, _) in proxy.attempts_in_flight().into_iter().filter(quick) {
+            proxy.end_attempt(rpc, n, AttemptOutcome::Succeeded, Some(1.0));
+        }
+    }
+    assert!(
+        sent[3] < 60 && sent[..3].iter().all(|sent| *sent > 170),
+        "sent of 200 each: {sent:?}"
+    );
+}
+
+/// One response in five is lost at every backend, each after its whole time-out. That is no load: the four others are
+/// quick, and rejecting them helps nobody.
+#[test]
+fn lost_responses_do_not_count_as_load() {
+    let mut conf = settings(&[Idempotency::NonIdempotent]);
+    (conf.can_health_check, conf.methods[0].late_weight_fraction) = (false, 0.3);
+    let mut proxy = proxy_of(30, conf);
+    let mut rejected = 0;
+    for round in 0..1000 {
+        let rpc = proxy.accept(0, 2.0);
+        rejected += usize::from(proxy.platform.rpcs[&rpc].attempts.is_empty());
+        proxy.advance(0.02);
+        let quick = |(rpc, ..): &InFlight| rpc % 5 != 4 || round < 100;
+        for (rpc, n, _) in proxy.attempts_in_flight().into_iter().filter(quick) {
+            proxy.end_attempt(rpc, n, AttemptOutcome::Succeeded, Some(4.0));
+        }
+    }
+    assert!(rejected < 20, "{rejected} of 1000 rejected");
+}
+
+/// An RPC that is late there runs on until its deadline and delays those queued behind it.
+#[test]
+fn random_picks_need_more_latency_budget_where_late_answers_count() {
+    let rejected = |late_utility: f64| {
+        let mut conf = settings(&[Idempotency::Idempotent]);
+        (conf.can_health_check, conf.methods[0].late_weight_fraction) = (false, late_utility);
+        let mut proxy = proxy_of(10, conf);
+        let rpcs = proxy.drive(300, 0.11, |_| 2.0, |_| Some(AttemptOutcome::Succeeded));
+        rpcs.iter().filter(|rpc| rpc.attempts.is_empty()).count()
+    };
+    assert_eq!(rejected(0.0), 0, "0.11 s fit into 0.2 s");
+    assert!(rejected(0.2) > 50, "but not twice");
+}
+
+/// Three methods alike but for their priority weight, where responses are the only load reports.
+fn with_three_priority_weights() -> Proxy {
+    let mut conf = settings(&[
+        Idempotency::Idempotent,
+        Idempotency::Idempotent,
+        Idempotency::Idempotent,
+    ]);
+    (conf.can_health_check, conf.max_attempts) = (false, 1);
+    for (method, utility) in conf.methods.iter_mut().zip([2.0, 5.0, 8.0]) {
+        method.priority_weight = utility;
+    }
+    proxy_of(60, conf)
+}
+
+/// Accepts an RPC of each method in each of so many rounds of 0.05 s; in the rounds that `is_answered` names they succeed,
+/// in the others all backends are full. Returns how many of each method were sent in the later half.
+fn rounds(proxy: &mut Proxy, rounds: usize, is_answered: impl Fn(usize) -> bool) -> [usize; 3] {
+    let mut sent = [0; 3];
+    for round in 0..rounds {
+        for method in [round, round + 1, round + 2].map(|n| n % 3) {
+            let rpc = proxy.accept(method, 0.5);
+            sent[method] +=
+                usize::from(round >= rounds / 2 && !proxy.platform.rpcs[&rpc].attempts.is_empty());
+        }
+        proxy.advance(0.02);
+        let outcome = if is_answered(round) {
+            AttemptOutcome::Succeeded
+        } else {
+            AttemptOutcome::Rejected
+        };
+        for (rpc, n, _) in proxy.attempts_in_flight() {
+            proxy.end_attempt(rpc, n, outcome, None);
+        }
+        proxy.advance(0.03);
+    }
+    sent
+}
+
+/// Prevents a shortage that falls on the method of the highest priority weight as on that of the lowest.
+#[test]
+fn a_shortage_falls_on_the_lowest_priority_weight_first() {
+    let mut proxy = with_three_priority_weights();
+    assert_eq!(
+        rounds(&mut proxy, 40, |_| true),
+        [20, 20, 20],
+        "no shortage"
+    );
+    let [low, middle, high] = rounds(&mut proxy, 800, |round| round % 7 > 0);
+    assert!(
+        high > 380 && middle < high && low < middle,
+        "sent of 400 each: {low}, {middle}, {high}"
+    );
+    assert!(
+        low > 20,
+        "sent of 400 each: {low}, {middle}, {high}: none is starved"
+    );
+    proxy.check_rules().expect("the rules");
+}
+
+/// Prevents proxies with few RPCs from rejecting all of them and learning nothing.
+#[test]
+fn a_method_that_is_shed_is_sampled_and_admitted_again() {
+    let mut proxy = with_three_priority_weights();
+    let sampled = rounds(&mut proxy, 800, |_| false).iter().sum::<usize>();
+    assert!(
+        (10..240).contains(&sampled),
+        "{sampled} sent of 1200 while all are full"
+    );
+    rounds(&mut proxy, 200, |_| true);
+    assert_eq!(
+        rounds(&mut proxy, 100, |_| true),
+        [50, 50, 50],
+        "the fault has ended"
+    );
+    proxy.check_rules().expect("the rules");
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,6 @@
 //! Helpers of the tests of the decisions and of the running daemon.
 //!
-//! `fixtures`, `rule_model` and `proxy` run the decisions in simulated time, watched by a plain model of the rules;
+//! `fixtures`, `fleets`, `rule_model` and `proxy` run the decisions in simulated time, watched by a plain model of the rules;
 //! `sockets` has what surrounds a birchhubd process on loopback sockets.
 #![allow(
     dead_code,
@@ -9,10 +9,12 @@
 )]
 
 mod fixtures;
+mod fleets;
 mod proxy;
 mod rule_model;
 pub(crate) mod sockets;
 
 pub(crate) use fixtures::*;
+pub(crate) use fleets::*;
 pub(crate) use proxy::*;
 pub(crate) use rule_model::*;
--- /dev/null
+++ b/tests/ejection.rs
@@ -0,0 +1,84 @@
+//! Outlier detection: which failures eject a backend, and which do not.
+mod common;
+use birchhub::interface::*;
+use common::{proxy_of, settings, without_health_checks};
+
+#[test]
+fn a_fleet_wide_failure_does_not_leave_rpcs_without_a_backend() {
+    let rpcs = without_health_checks(4).drive(61, 0.01, |_| 1.0, |_| Some(AttemptOutcome::Failed));
+    assert_eq!(
+        rpcs[60].attempts.len(),
+        1,
+        "still sent when all are ejected"
+    );
+}
+
+#[test]
+fn one_error_keeps_a_backend_out_of_the_idle_queue_for_a_while() {
+    // Too few RPCs to meet the bad one three times before a short ejection is over.
+    let bad = |b: u32| {
+        if b == 2 {
+            AttemptOutcome::Failed
+        } else {
+            AttemptOutcome::Succeeded
+        }
+    };
+    let mut proxy = proxy_of(8, settings(&[Idempotency::NonIdempotent]));
+    let rpcs = proxy.drive(10, 0.54, |b| f64::from(b != 2) * 4.0, |b| Some(bad(b)));
+    let to_bad = rpcs
+        .iter()
+        .filter(|r| r.attempts.first().is_some_and(|sent| sent.backend == 2))
+        .count();
+    assert!(
+        (1..4).contains(&to_bad),
+        "{to_bad} of 10 went to the one that fails at once and so looks idle"
+    );
+}
+
+/// A response that breaks off after the usual time is one failure in a row, or all backends would be ejected in turn.
+#[test]
+fn one_reset_after_the_usual_time_ejects_no_backend() {
+    let mut proxy = without_health_checks(2);
+    proxy.drive(20, 0.03, |_| 1.0, |_| Some(AttemptOutcome::Succeeded));
+    let (mut spoilt, mut after) = (false, 0);
+    for _ in 0..36 {
+        let rpc = proxy.accept(0, 0.5);
+        proxy.advance(0.01);
+        let to_it = proxy.platform.rpcs[&rpc].attempts[0].backend == 1;
+        let outcome = if to_it && !spoilt {
+            AttemptOutcome::Reset
+        } else {
+            AttemptOutcome::Succeeded
+        };
+        proxy.end_attempt(rpc, 0, outcome, Some(1.0));
+        after += usize::from(to_it && spoilt);
+        spoilt |= to_it;
+    }
+    assert!(
+        after > 0,
+        "none of those that followed within 0.4 s went there"
+    );
+}
+
+/// A backend that loses one response in three seldom loses three in a row.
+#[test]
+fn a_backend_that_loses_some_responses_is_ejected() {
+    let asked = std::cell::Cell::new(0);
+    let lossy = |b: u32| {
+        asked.update(|asked| asked + u32::from(b == 2));
+        if b == 2 && asked.get().is_multiple_of(3) {
+            AttemptOutcome::Reset
+        } else {
+            AttemptOutcome::Succeeded
+        }
+    };
+    let rpcs = without_health_checks(6).drive(900, 0.01, |_| 1.0, |b| Some(lossy(b)));
+    let to_it = rpcs[300..]
+        .iter()
+        .filter(|r| r.attempts[0].backend == 2)
+        .count();
+    assert!(
+        (1..60).contains(&to_it),
+        "{to_it} of 600 went to the one of six that loses every third response"
+    );
+}
--- /dev/null
+++ b/tests/polling.rs
@@ -0,0 +1,52 @@
+//! The pace of timers and of calls to the discovery service.
+mod common;
+use birchhub::interface::*;
+use common::{proxy_of, settings};
+
+#[test]
+fn timers_do_not_multiply() {
+    let mut proxy = proxy_of(3, settings(&[Idempotency::Idempotent]));
+    for _ in 0..300 {
+        proxy.accept(0, 0.3);
+        proxy.advance(0.01);
+    }
+    assert!(
+        proxy.platform.timers.len() < 10,
+        "{} timers pending",
+        proxy.platform.timers.len()
+    );
+}
+
+/// Whatever the settings allow for polling, the next call comes soon enough that a change is known within 6 s; and the
+/// calls of one proxy stay far enough apart that many proxies do not overload the service.
+#[test]
+fn failed_polls_are_retried_at_a_bounded_pace() {
+    for ask_within in [4.0, 10.0, 20.0] {
+        let conf = Settings {
+            can_health_check: false,
+            poll_within: ask_within,
+            ..settings(&[Idempotency::Idempotent])
+        };
+        let mut proxy = proxy_of(3, conf);
+        let mut asked = 0;
+        for _ in 0..6000 {
+            proxy.advance(0.01);
+            if proxy.platform.watch_times.len() > asked {
+                asked = proxy.platform.watch_times.len();
+                proxy.balancer.list_failed(&mut proxy.platform);
+            }
+        }
+        let gaps: Vec<_> = proxy
+            .platform
+            .watch_times
+            .windows(2)
+            .map(|w| w[1] - w[0])
+            .collect();
+        // 60 s, half a second apart in the mean.
+        assert!((90..160).contains(&gaps.len()), "{gaps:?}");
+        assert!(
+            gaps.iter().all(|gap| *gap < 1.03) && gaps[0] < 0.53,
+            "{gaps:?}"
+        );
+    }
+}
