--- a/crates/audit/tests/audit.rs
+++ b/crates/audit/tests/audit.rs
@@ -1,5 +1,5 @@
-//! A ledger for each kind of breach, written by hand: each is found exactly once, with the RPC or node named, and
-//! the same ledger without it yields nothing.
+//! A ledger for each kind of breach, written by hand: each breach is found exactly once, with its RPC or node named, and
+//! the same ledger without it has no findings.
 use birchhub_audit::event::{Left, Taken};
 use birchhub_audit::head::{Bars, Node};
 use birchhub_audit::{
@@ -58,15 +58,15 @@
     }
 }
 
-/// A ledger in the making.
+/// A ledger under construction.
 #[derive(Default)]
-struct Hand(Vec<Entry>);
+struct LedgerBuilder(Vec<Entry>);
 
-impl Hand {
+impl LedgerBuilder {
     fn new() -> Self {
-        let mut hand = Self::default();
+        let mut builder = Self::default();
         for life in 0..3 {
-            hand.at(
+            builder.at(
                 0.0,
                 Event::Born {
                     life,
@@ -76,13 +76,13 @@
                 },
             );
         }
-        hand
+        builder
     }
     fn at(&mut self, at: f64, event: Event) -> &mut Self {
         self.0.push(Entry { at, event });
         self
     }
-    /// An RPC and its one try, with the same number.
+    /// An RPC and its one request, with the same number.
     fn asked(&mut self, at: f64, rpc: u32, method: u8) -> &mut Self {
         self.at(
             at,
@@ -132,7 +132,7 @@
     fn answered(&mut self, at: f64, attempt: u64, answer: Answer) -> &mut Self {
         self.at(at, Event::Answered { attempt, answer })
     }
-    /// A whole life without fault.
+    /// An RPC that succeeds.
     fn good(&mut self, at: f64, rpc: u32, method: u8) -> &mut Self {
         let (attempt, job) = (u64::from(rpc), u64::from(rpc) + 1000);
         self.asked(at, rpc, method)
@@ -171,12 +171,12 @@
 }
 
 #[test]
-fn a_clean_ledger_yields_nothing() {
-    let mut hand = Hand::new();
+fn a_ledger_without_a_breach_has_no_findings() {
+    let mut builder = LedgerBuilder::new();
     for rpc in 0..30 {
-        hand.good(f64::from(rpc), rpc, (rpc % 3) as u8);
+        builder.good(f64::from(rpc), rpc, (rpc % 3) as u8);
     }
-    let findings = hand.clean();
+    let findings = builder.clean();
     assert_eq!(
         (
             findings.counts.rpcs,
@@ -193,52 +193,53 @@
 
 #[test]
 fn a_late_answer_is_found() {
-    Hand::new()
+    LedgerBuilder::new()
         .asked(1.0, 7, READ)
         .answered(1.54, 7, Answer::Aborted(502))
         .clean();
-    let mut late = Hand::new();
+    let mut late = LedgerBuilder::new();
     late.asked(1.0, 7, READ)
         .answered(1.56, 7, Answer::Aborted(502));
     late.only(Rule::OneAnswer, "rpc 7", "60 ms after its deadline");
 }
 
 #[test]
-fn a_missing_answer_is_found_and_a_killed_proxy_excused() {
-    Hand::new()
+fn a_missing_answer_is_found_unless_its_proxy_was_killed() {
+    LedgerBuilder::new()
         .asked(1.0, 7, READ)
         .answered(1.6, 7, Answer::Silence)
         .only(Rule::OneAnswer, "rpc 7", "no answer");
-    Hand::new()
+    LedgerBuilder::new()
         .asked(1.0, 7, READ)
         .only(Rule::OneAnswer, "rpc 7", "no answer");
-    Hand::new()
+    LedgerBuilder::new()
         .asked(1.0, 7, BOOK)
         .answered(1.2, 7, Answer::Lost)
         .only(Rule::OneAnswer, "rpc 7", "ended without");
     for (how, excused) in [(End::Killed, true), (End::Stopped, false)] {
-        let mut hand = Hand::new();
-        hand.asked(1.0, 7, BOOK)
+        let mut builder = LedgerBuilder::new();
+        builder
+            .asked(1.0, 7, BOOK)
             .answered(1.2, 7, Answer::Lost)
             .at(1.2, Event::ProxyEnded { proxy: 0, how });
         match excused {
-            true => assert_eq!(hand.clean().counts.lost_with_proxy, 1),
-            false => hand.only(Rule::OneAnswer, "rpc 7", "p0 had taken it"),
+            true => assert_eq!(builder.clean().counts.lost_with_proxy, 1),
+            false => builder.only(Rule::OneAnswer, "rpc 7", "p0 had taken it"),
         }
     }
-    Hand::new()
+    LedgerBuilder::new()
         .asked(1.0, 7, READ)
         .answered(1.2, 7, Answer::HungUp)
         .clean();
-    Hand::new()
+    LedgerBuilder::new()
         .asked(1.0, 7, READ)
         .answered(1.2, 7, Answer::Unreachable)
         .clean();
 }
 
 #[test]
-fn a_crash_a_second_answer_and_garbage_are_found() {
-    let mut crash = Hand::new();
+fn a_crash_a_second_answer_and_a_garbled_answer_are_found() {
+    let mut crash = LedgerBuilder::new();
     crash
         .at(
             3.0,
@@ -248,12 +249,12 @@
             },
         )
         .only(Rule::OneAnswer, "proxy p1", "unasked");
-    let mut twice = Hand::new();
+    let mut twice = LedgerBuilder::new();
     twice
         .good(1.0, 7, READ)
         .answered(1.07, 7, Answer::Aborted(502))
         .only(Rule::OneAnswer, "rpc 7", "twice");
-    let mut garbled = Hand::new();
+    let mut garbled = LedgerBuilder::new();
     garbled
         .asked(1.0, 7, READ)
         .answered(1.1, 7, Answer::Garbled)
@@ -261,18 +262,18 @@
 }
 
 #[test]
-fn what_is_sent_after_the_end_is_found() {
-    let mut after = Hand::new();
+fn an_attempt_after_the_end_of_its_rpc_is_found() {
+    let mut after = LedgerBuilder::new();
     after
         .good(1.0, 7, READ)
         .got(1.2, 7, 9, 0, Taken::Held)
         .only(Rule::OneAnswer, "rpc 7", "after its final");
-    let mut late = Hand::new();
+    let mut late = LedgerBuilder::new();
     late.asked(1.0, 7, READ)
         .answered(1.3, 7, Answer::HungUp)
         .got(1.6, 7, 9, 0, Taken::Held);
     late.only(Rule::OneAnswer, "rpc 7", "after its deadline");
-    let mut made_up = Hand::new();
+    let mut made_up = LedgerBuilder::new();
     made_up.got(1.0, 0xabc, 9, 0, Taken::Held).only(
         Rule::OneAnswer,
         "try 0000000000000abc",
@@ -280,20 +281,22 @@
     );
 }
 
-/// Two picks of one RPC, the first taken so, the second at this time and node; then ok.
-fn twice(method: u8, first: Taken, second: f64, life: u32) -> Hand {
-    let mut hand = Hand::new();
-    hand.asked(1.0, 7, method)
+/// Two attempts of one RPC, the first accepted in this way, the second at this time and node; then success.
+fn twice(method: u8, first: Taken, second: f64, life: u32) -> LedgerBuilder {
+    let mut builder = LedgerBuilder::new();
+    builder
+        .asked(1.0, 7, method)
         .got(1.001, 7, 100, 0, first)
         .left(1.01, 100, Left::Broken);
-    hand.got(second, 7, 101, life, Taken::Held)
+    builder
+        .got(second, 7, 101, life, Taken::Held)
         .left(second + 0.01, 101, Left::Replied);
-    hand.answered(second + 0.02, 7, Answer::Ok);
-    hand
+    builder.answered(second + 0.02, 7, Answer::Ok);
+    builder
 }
 
 #[test]
-fn a_second_send_is_found_where_it_may_not_be() {
+fn a_retry_that_may_run_twice_is_found() {
     twice(READ, Taken::Held, 1.1, 2).clean();
     twice(BOOK, Taken::TurnedAway, 1.1, 2).clean();
     for first in [Taken::Held, Taken::Swallowed, Taken::Error] {
@@ -309,10 +312,10 @@
 }
 
 #[test]
-fn a_repeat_after_its_window_is_found() {
+fn a_retry_after_the_deduplication_window_is_found() {
     let of = |second: f64| {
-        let mut hand = Hand::new();
-        hand.at(
+        let mut builder = LedgerBuilder::new();
+        builder.at(
             1.0,
             Event::Asked {
                 rpc: 7,
@@ -321,7 +324,7 @@
                 within: true,
             },
         );
-        hand.at(
+        builder.at(
             1.0,
             Event::Sent {
                 attempt: 7,
@@ -330,36 +333,41 @@
                 patience: 5.0,
             },
         );
-        hand.got(1.001, 7, 100, 0, Taken::Held)
+        builder
+            .got(1.001, 7, 100, 0, Taken::Held)
             .left(1.01, 100, Left::Broken);
-        hand.got(second, 7, 101, 1, Taken::Held)
+        builder
+            .got(second, 7, 101, 1, Taken::Held)
             .left(second + 0.01, 101, Left::Replied);
-        hand.answered(second + 0.02, 7, Answer::Ok);
-        hand
+        builder.answered(second + 0.02, 7, Answer::Ok);
+        builder
     };
     of(2.0).clean();
     of(2.1).only(Rule::NoEffectTwice, "rpc 7", "repeats are forgotten");
 }
 
 #[test]
-fn a_second_run_is_found_across_tries() {
-    let mut hand = Hand::new();
-    hand.asked(1.0, 7, BOOK)
+fn a_second_run_across_client_retries_is_found() {
+    let mut builder = LedgerBuilder::new();
+    builder
+        .asked(1.0, 7, BOOK)
         .got(1.001, 7, 100, 0, Taken::Held)
         .runs(1.01, 100);
-    hand.left(1.1, 100, Left::Broken)
+    builder
+        .left(1.1, 100, Left::Broken)
         .answered(1.1, 7, Answer::Unreachable);
-    hand.sent(1.2, 70, 7)
+    builder
+        .sent(1.2, 70, 7)
         .got(1.201, 70, 101, 2, Taken::Held)
         .runs(1.21, 101)
         .left(1.3, 101, Left::Replied);
-    hand.answered(1.31, 70, Answer::Ok);
-    hand.only(Rule::NoEffectTwice, "rpc 7", "ran 2 times");
+    builder.answered(1.31, 70, Answer::Ok);
+    builder.only(Rule::NoEffectTwice, "rpc 7", "ran 2 times");
 }
 
 #[test]
-fn two_picks_at_once_and_too_many_are_found() {
-    let mut copies = Hand::new();
+fn hedged_and_too_many_attempts_are_found() {
+    let mut copies = LedgerBuilder::new();
     copies
         .asked(1.0, 7, READ)
         .got(1.001, 7, 100, 0, Taken::Held)
@@ -369,7 +377,7 @@
         .left(1.2, 101, Left::Replied)
         .answered(1.2, 7, Answer::Ok);
     copies.only(Rule::NoEffectTwice, "rpc 7", "second copy");
-    let mut many = Hand::new();
+    let mut many = LedgerBuilder::new();
     many.asked(1.0, 7, BOOK);
     for n in 0..4 {
         many.got(1.01 + 0.01 * n as f64, 7, 100 + n, 0, Taken::TurnedAway);
@@ -382,27 +390,28 @@
 }
 
 #[test]
-fn a_harmful_push_back_is_found() {
+fn a_rejection_of_what_may_have_run_is_found() {
     for (method, taken, harmful) in [
         (READ, Taken::Held, false),
         (BOOK, Taken::TurnedAway, false),
         (BOOK, Taken::Held, true),
         (LOG, Taken::Swallowed, true),
     ] {
-        let mut hand = Hand::new();
-        hand.asked(1.0, 7, method)
+        let mut builder = LedgerBuilder::new();
+        builder
+            .asked(1.0, 7, method)
             .got(1.01, 7, 100, 0, taken)
             .left(1.2, 100, Left::Withdrawn);
-        hand.answered(1.2, 7, Answer::PushedBack(Some(0.1)));
+        builder.answered(1.2, 7, Answer::PushedBack(Some(0.1)));
         match harmful {
-            true => hand.only(Rule::NoEffectTwice, "rpc 7", "pushed back although"),
-            false => drop(hand.clean()),
+            true => builder.only(Rule::NoEffectTwice, "rpc 7", "pushed back although"),
+            false => drop(builder.clean()),
         }
     }
 }
 
 #[test]
-fn work_to_a_drained_node_is_found_from_when_its_proxy_was_told() {
+fn an_attempt_at_a_draining_node_is_found_once_its_proxy_was_notified() {
     let told = |state, life, at| Event::Told {
         proxy: at,
         node: 0,
@@ -410,32 +419,34 @@
         state,
     };
     for state in [State::Draining, State::Gone] {
-        let mut hand = Hand::new();
-        // Told again without news: the grace runs from the first time.
-        hand.at(1.0, told(state, 0, 0))
+        let mut builder = LedgerBuilder::new();
+        // A notification without a change: the grace runs from the first one.
+        builder
+            .at(1.0, told(state, 0, 0))
             .at(2.0, told(state, 0, 0))
             .good(1.3, 7, READ);
-        let findings = hand.clean();
+        let findings = builder.clean();
         assert!((findings.latest_after_told - 0.301).abs() < 1e-9);
-        hand.0.pop();
-        hand.good(2.1, 8, READ)
+        builder.0.pop();
+        builder
+            .good(2.1, 8, READ)
             .only(Rule::Drains, "rpc 8", "sent to n0 1101 ms after p0");
     }
-    // Another proxy was told; or this one, of an earlier life; or it has started again since.
-    Hand::new()
+    // Another proxy was notified; or this one, of an earlier incarnation; or it has restarted since.
+    LedgerBuilder::new()
         .at(1.0, told(State::Gone, 0, 1))
         .good(3.0, 7, READ)
         .clean();
-    Hand::new()
+    LedgerBuilder::new()
         .at(1.0, told(State::Gone, 5, 0))
         .good(3.0, 7, READ)
         .clean();
-    Hand::new()
+    LedgerBuilder::new()
         .at(1.0, told(State::Gone, 0, 0))
         .at(1.1, told(State::Ready, 0, 0))
         .good(3.0, 7, READ)
         .clean();
-    let mut restarted = Hand::new();
+    let mut restarted = LedgerBuilder::new();
     restarted
         .at(1.0, told(State::Gone, 0, 0))
         .at(1.1, Event::ProxyStarted { proxy: 0 })
@@ -443,90 +454,86 @@
         .clean();
 }
 
+/// A node in slow start that fails under three RPCs, of which so many came from a proxy that was notified of it.
+fn overloaded_in_slow_start(from_notified_proxy: u32) -> LedgerBuilder {
+    const LIFE: u32 = 9;
+    let mut ledger = LedgerBuilder::new();
+    let born = Event::Born {
+        life: LIFE,
+        node: 2,
+        cold: true,
+        able: 2.0,
+    };
+    let notified = Event::Told {
+        proxy: 0,
+        node: 2,
+        life: LIFE,
+        state: State::Ready,
+    };
+    ledger.at(1.0, born).at(1.0, notified);
+    for rpc in 0..3 {
+        let (at, attempt) = (1.2 + f64::from(rpc) * 0.1, u64::from(rpc));
+        let proxy = u16::from(rpc >= from_notified_proxy);
+        let asked = Event::Asked {
+            rpc,
+            method: READ,
+            tenant: 0,
+            within: true,
+        };
+        let sent = Event::Sent {
+            attempt,
+            rpc,
+            proxy,
+            patience: 0.5,
+        };
+        let got = Event::Got {
+            life: LIFE,
+            job: attempt,
+            attempt,
+            proxy,
+            begun: at,
+            work: 1.0,
+            pushed: 0.34 * (rpc + 1) as f32,
+            taken: Taken::Held,
+        };
+        ledger.at(at, asked).at(at, sent).at(at, got);
+        ledger.answered(1.5, attempt, Answer::Aborted(502));
+    }
+    ledger.at(1.5, Event::Fell { life: LIFE });
+    ledger
+}
+
 #[test]
-#[expect(clippy::too_many_lines)]
-fn a_cold_node_pushed_over_is_found_if_its_proxies_knew() {
-    for (informed, guilty) in [(3, true), (2, true), (1, false)] {
-        let mut hand = Hand::new();
-        hand.at(
-            1.0,
-            Event::Born {
-                life: 9,
-                node: 2,
-                cold: true,
-                able: 2.0,
-            },
-        );
-        hand.at(
-            1.0,
-            Event::Told {
-                proxy: 0,
-                node: 2,
-                life: 9,
-                state: State::Ready,
-            },
-        );
-        for n in 0..3 {
-            let proxy = u16::from(n >= informed);
-            let at = 1.2 + f64::from(n) * 0.1;
-            hand.at(
-                at,
-                Event::Asked {
-                    rpc: n,
-                    method: READ,
-                    tenant: 0,
-                    within: true,
-                },
-            );
-            hand.at(
-                at,
-                Event::Sent {
-                    attempt: u64::from(n),
-                    rpc: n,
-                    proxy,
-                    patience: 0.5,
-                },
-            );
-            let (life, job, attempt, begun, work) = (9, u64::from(n), u64::from(n), at, 1.0);
-            let (pushed, taken) = (0.34 * (n + 1) as f32, Taken::Held);
-            hand.at(
-                at,
-                Event::Got {
-                    life,
-                    job,
-                    attempt,
-                    proxy,
-                    begun,
-                    work,
-                    pushed,
-                    taken,
-                },
-            );
-            hand.answered(1.5, attempt, Answer::Aborted(502));
+fn the_overload_of_a_node_in_slow_start_is_found_if_its_proxies_were_notified() {
+    for (from_notified_proxy, is_breach) in [(3, true), (2, true), (1, false)] {
+        let mut ledger = overloaded_in_slow_start(from_notified_proxy);
+        if is_breach {
+            ledger.only(Rule::ColdNodes, "n2", "pushed over 0.5 s after its start");
+        } else {
+            assert_eq!(ledger.clean().counts.fallen_uninformed, 1);
         }
-        hand.at(1.5, Event::Fell { life: 9 });
-        match guilty {
-            true => hand.only(Rule::ColdNodes, "n2", "pushed over 0.5 s after its start"),
-            false => assert_eq!(hand.clean().counts.fallen_uninformed, 1),
-        }
-        assert!((hand.audit().cold[0].peak - 1.02).abs() < 1e-6);
+        assert!((ledger.audit().cold[0].peak - 1.02).abs() < 1e-6);
     }
 }
 
-/// Retries count to the first try, late answers for their part, quotas for theirs, and the worst parts are found.
+/// Retries count for the first request, late answers and RPCs over quota in part, and the worst parts are found.
 #[test]
-fn service_is_counted_from_when_an_rpc_was_due() {
-    let mut hand = Hand::new();
+fn service_counts_from_the_time_at_which_an_rpc_was_due() {
+    let mut builder = LedgerBuilder::new();
     for rpc in 0..30 {
-        hand.good(f64::from(rpc), rpc, READ);
+        builder.good(f64::from(rpc), rpc, READ);
     }
-    hand.asked(12.0, 100, BOOK)
+    builder
+        .asked(12.0, 100, BOOK)
         .answered(12.05, 100, Answer::PushedBack(None));
-    hand.sent(12.1, 101, 100).answered(12.19, 101, Answer::Ok); // in time from its first try
-    hand.asked(13.0, 200, BOOK)
+    builder
+        .sent(12.1, 101, 100)
+        .answered(12.19, 101, Answer::Ok); // in time from its first request
+    builder
+        .asked(13.0, 200, BOOK)
         .answered(13.05, 200, Answer::PushedBack(None));
-    hand.sent(13.2, 201, 200).answered(13.3, 201, Answer::Ok); // late: a quarter
-    hand.at(
+    builder.sent(13.2, 201, 200).answered(13.3, 201, Answer::Ok); // late: a quarter
+    builder.at(
         14.0,
         Event::Asked {
             rpc: 300,
@@ -534,10 +541,10 @@
             tenant: 0,
             within: false,
         },
-    ); // a tenth of 2, not had
-    let service = hand.clean().service;
+    ); // a tenth of 2, not gained
+    let service = builder.clean().service;
     assert!((service.whole - (60.0 + 2.0 + 0.5) / (60.0 + 2.0 + 2.0 + 0.2)).abs() < 1e-9);
-    // The worst ten seconds begin at 13: the late one and the one never had, ten reads beside them.
+    // The worst ten seconds begin at 13: the late RPC and the unanswered one, and ten reads.
     assert!(
         (service.worst_10s - (20.0 + 0.5) / (20.0 + 2.2)).abs() < 1e-9,
         "{service:?}"
@@ -546,28 +553,29 @@
     assert!((service.worst_method().unwrap() - 2.5 / 4.2).abs() < 1e-9);
     assert!(
         (service.worst_tenant().unwrap() - 62.5 / 64.0).abs() < 1e-9,
-        "beyond a quota is not the tenant's own"
+        "an RPC over quota does not count for the tenant"
     );
     assert!((service.latency[0] - 0.061).abs() < 1e-9 && (service.latency[2] - 0.3).abs() < 1e-9);
 }
 
 #[test]
-fn a_ledger_is_read_back_also_when_cut_off_and_damage_is_named() {
-    let mut hand = Hand::new();
-    hand.good(2.0, 7, BOOK).good(1.0, 8, LOG);
+fn a_truncated_ledger_is_read_and_damage_is_located() {
+    let mut builder = LedgerBuilder::new();
+    builder.good(2.0, 7, BOOK).good(1.0, 8, LOG);
     let mut bytes = Vec::new();
     let mut writer = ledger::Writer::new(&mut bytes, &head()).expect("a head");
-    hand.0
+    builder
+        .0
         .iter()
         .for_each(|entry| writer.write(entry).expect("a record"));
     let read = ledger::read(bytes.as_slice()).expect("a ledger");
-    hand.0.sort_by(|a, b| a.at.total_cmp(&b.at));
+    builder.0.sort_by(|a, b| a.at.total_cmp(&b.at));
     assert_eq!(
         (&read.head, &read.entries, read.cut),
-        (&head(), &hand.0, false)
+        (&head(), &builder.0, false)
     );
     let cut = ledger::read(&bytes[..bytes.len() - 3]).expect("a ledger");
-    assert_eq!((cut.entries.len(), cut.cut), (hand.0.len() - 1, true));
+    assert_eq!((cut.entries.len(), cut.cut), (builder.0.len() - 1, true));
     let first = bytes
         .iter()
         .enumerate()
@@ -589,13 +597,13 @@
 }
 
 #[test]
-fn the_life_of_one_rpc_is_told_in_order() {
-    let mut hand = Hand::new();
-    hand.good(2.0, 7, BOOK).good(1.0, 8, LOG);
-    hand.0.sort_by(|a, b| a.at.total_cmp(&b.at));
+fn the_story_of_one_rpc_is_in_order() {
+    let mut builder = LedgerBuilder::new();
+    builder.good(2.0, 7, BOOK).good(1.0, 8, LOG);
+    builder.0.sort_by(|a, b| a.at.total_cmp(&b.at));
     let head = head();
-    let story = Story::new(&head, &hand.0);
-    let lines: Vec<_> = hand
+    let story = Story::new(&head, &builder.0);
+    let lines: Vec<_> = builder
         .0
         .iter()
         .filter(|e| story.rpc(&e.event) == Some(7))
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -34,7 +34,7 @@
 rate = 50
 "#;
 
-/// A folder of a test's own.
+/// A folder of one test.
 struct Folder(PathBuf);
 
 impl Folder {
@@ -66,7 +66,7 @@
         .expect("birchhub")
 }
 
-fn told(output: &Output) -> (i32, String, String) {
+fn result_of(output: &Output) -> (i32, String, String) {
     let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
     (
         output.status.code().unwrap_or(-1),
@@ -85,11 +85,11 @@
 }
 
 #[test]
-fn a_run_ends_with_its_verdict_and_can_be_read_back() {
+fn a_rehearsal_ends_with_its_verdict_and_its_ledger_can_be_read() {
     has_daemon();
     let folder = Folder::new("run");
     let (scenario, out) = (folder.scenario("2s"), folder.path("out"));
-    let (code, text, _) = told(&birchhub(&[
+    let (code, text, _) = result_of(&birchhub(&[
         "rehearse", &scenario, "--quiet", "--out", &out, "--seed", "4",
     ]));
     assert_eq!(code, 0, "{text}");
@@ -109,16 +109,16 @@
         "not self-contained"
     );
     let ledger = format!("{out}/ledger");
-    let (code, again, _) = told(&birchhub(&["audit", &ledger]));
+    let (code, again, _) = result_of(&birchhub(&["audit", &ledger]));
     assert_eq!((code, again.lines().next()), (0, text.lines().next()));
-    let (code, life, _) = told(&birchhub(&["ledger", "show", &ledger, "--rpc", "7"]));
+    let (code, life, _) = result_of(&birchhub(&["ledger", "show", &ledger, "--rpc", "7"]));
     assert!(
         code == 0
             && life.contains("rpc 7 due: status")
             && life.trim_end().ends_with("answered: Ok"),
         "{life}"
     );
-    let (code, _, fault) = told(&birchhub(&["ledger", "show", &ledger, "--rpc", "123456"]));
+    let (code, _, fault) = result_of(&birchhub(&["ledger", "show", &ledger, "--rpc", "123456"]));
     assert!(
         code == 64 && fault.contains("there is no RPC 123456"),
         "{fault}"
@@ -126,7 +126,7 @@
 }
 
 #[test]
-fn bad_input_is_told_and_exits_with_64() {
+fn bad_input_is_named_and_exits_with_64() {
     let folder = Folder::new("bad");
     let scenario = folder.scenario("2 parsecs");
     let out = folder.path("out");
@@ -154,7 +154,7 @@
         ),
         (vec!["dance"], "unrecognized subcommand 'dance'"),
     ] {
-        let (code, _, fault) = told(&birchhub(&arguments));
+        let (code, _, fault) = result_of(&birchhub(&arguments));
         assert!(
             code == 64 && fault.contains(expected),
             "{arguments:?}: {code}: {fault}"
@@ -163,10 +163,10 @@
 }
 
 #[test]
-fn a_proxy_that_exits_at_once_is_told() {
+fn a_proxy_that_exits_at_once_is_reported() {
     let folder = Folder::new("exits");
     let (scenario, out) = (folder.scenario("2s"), folder.path("out"));
-    let (code, _, fault) = told(&birchhub(&[
+    let (code, _, fault) = result_of(&birchhub(&[
         "rehearse",
         &scenario,
         "--quiet",
@@ -183,23 +183,23 @@
 }
 
 #[test]
-fn what_ships_can_be_listed_shown_checked_and_planned() {
-    let (code, list, _) = told(&birchhub(&["scenario", "list"]));
+fn shipped_scenarios_can_be_listed_shown_checked_and_planned() {
+    let (code, list, _) = result_of(&birchhub(&["scenario", "list"]));
     assert!(code == 0 && list.lines().count() >= 6, "{list}");
     let name = list.split_whitespace().next().expect("a name");
-    let (code, text, _) = told(&birchhub(&["scenario", "show", name]));
+    let (code, text, _) = result_of(&birchhub(&["scenario", "show", name]));
     assert!(code == 0 && text.contains("[fleet]"), "{text}");
-    assert_eq!(told(&birchhub(&["scenario", "check", name])).0, 0);
-    let plan = |seed| told(&birchhub(&["scenario", "plan", "overlap", "--seed", seed]));
+    assert_eq!(result_of(&birchhub(&["scenario", "check", name])).0, 0);
+    let plan = |seed| result_of(&birchhub(&["scenario", "plan", "overlap", "--seed", seed]));
     assert!(
         plan("1").1.contains("Announce") && plan("1") == plan("1") && plan("1").1 != plan("2").1
     );
-    let (code, script, _) = told(&birchhub(&["completions", "bash"]));
+    let (code, script, _) = result_of(&birchhub(&["completions", "bash"]));
     assert!(code == 0 && script.contains("rehearse"), "{script}");
 }
 
 /// Processes that were started with a configuration in this folder.
-fn left_behind(folder: &str) -> usize {
+fn running_with(folder: &str) -> usize {
     let environ = |entry: std::io::Result<std::fs::DirEntry>| {
         std::fs::read(entry.ok()?.path().join("environ")).ok()
     };
@@ -222,7 +222,7 @@
         .args(["rehearse", &scenario, "--quiet", "--out", &out])
         .stdout(Stdio::piped());
     let child = start.spawn().expect("birchhub");
-    // The ledger is written to every 200 ms: clients are at work once it has grown beyond the start.
+    // The ledger is written every 200 ms: clients are active once it has grown beyond the start.
     let grown =
         || std::fs::metadata(Path::new(&out).join("ledger")).map_or(0, |m| m.len()) > 20_000;
     let begun = Instant::now();
@@ -233,7 +233,7 @@
         );
         std::thread::sleep(Duration::from_millis(20));
     }
-    assert_eq!(left_behind(&out), 2, "two proxies run");
+    assert_eq!(running_with(&out), 2, "two proxies run");
     let interrupt = format!("kill -INT {}", child.id());
     assert!(
         Command::new("sh")
@@ -242,7 +242,7 @@
             .expect("a shell")
             .success()
     );
-    let (code, text, _) = told(&child.wait_with_output().expect("its end"));
+    let (code, text, _) = result_of(&child.wait_with_output().expect("its end"));
     assert_eq!(code, 2, "{text}");
     assert!(text.contains("PARTIAL: stopped before its end"), "{text}");
     let report = std::fs::read_to_string(Path::new(&out).join("report.json")).expect("a report");
@@ -250,5 +250,5 @@
         report.contains("\"partial\": true") && report.contains("\"verdict\": \"VOID\""),
         "{report}"
     );
-    assert_eq!(left_behind(&out), 0);
+    assert_eq!(running_with(&out), 0);
 }
--- a/crates/cli/tests/scale.rs
+++ b/crates/cli/tests/scale.rs
@@ -1,10 +1,10 @@
-//! `birchhub scale`: the quick form from end to end, by counts, and wrong input named.
+//! `birchhub scale`: the quick form from end to end, by counts, and bad input.
 use serde_json::Value;
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::time::{Duration, Instant};
 
-/// A folder of a test's own.
+/// A folder of one test.
 struct Folder(PathBuf);
 
 impl Folder {
@@ -46,78 +46,70 @@
         .concat()
 }
 
-#[test]
-#[expect(clippy::too_many_lines)]
-fn a_quick_run_takes_points_of_all_series_and_makes_a_page() {
+fn check_daemon_is_built() {
     let daemon = Path::new(env!("CARGO_BIN_EXE_birchhub")).with_file_name("birchhubd");
     assert!(
         daemon.is_file(),
         "birchhubd is not built: run `cargo test --workspace`"
     );
-    let folder = Folder::new("quick");
-    let (result, page) = (folder.path("scale.json"), folder.path("page.md"));
-    let run = [
-        "run",
-        "--quick",
-        "--seed",
-        "5",
-        "--out",
-        &result,
-        "--folder",
-        &folder.path("left"),
-        "--quiet",
-    ];
-    let (code, out, err) = scale(&run);
-    assert_eq!(code, 0, "{out}{err}");
-    assert_eq!(err, "", "--quiet says nothing");
-    let read: Value =
-        serde_json::from_str(&std::fs::read_to_string(&result).expect("a result")).expect("JSON");
-    assert_eq!(read["command"], "birchhub scale run --seed 5 --quick");
-    for series in read["series"].as_array().expect("series") {
+}
+
+/// Each series has its points or says what is missing, and the counts are plausible.
+fn check_series(result: &Value) {
+    let all = result["series"].as_array().expect("series");
+    for series in all {
         let points = series["points"].as_array().expect("points");
-        assert!(
-            points.len() >= 2 || !series["missing"].as_array().expect("a list").is_empty(),
-            "{series}"
-        );
+        let missing = series["missing"].as_array().expect("a list");
+        assert!(points.len() >= 2 || !missing.is_empty(), "{series}");
     }
     let points = |name: &str| {
-        let all = read["series"].as_array().expect("series");
-        all.iter().find(|s| s["name"] == name).expect("the series")["points"].clone()
+        let series = all.iter().find(|series| series["name"] == name);
+        series.expect("the series")["points"].clone()
     };
-    // By counts: a change is a call of each proxy, and a line of the list is some hundred bytes.
+    // By counts: a change is a call of each proxy, and an endpoint of the list is some hundred bytes.
     for point in points("list.calls").as_array().expect("points") {
         assert!(point[1].as_f64() >= point[0].as_f64(), "{point}");
     }
-    let whole = points("list.whole.bytes");
-    assert!(
-        whole[1][1].as_f64() > whole[0][1].as_f64().map(|kb| kb * 10.0),
-        "{whole}"
-    );
+    let bytes = points("list.whole.bytes");
+    let smallest = bytes[0][1].as_f64().map(|kb| kb * 10.0);
+    assert!(bytes[1][1].as_f64() > smallest, "{bytes}");
+}
 
-    std::fs::write(&page, blank()).expect("a page");
-    assert_eq!(
-        scale(&["page", &result, "--page", &page, "--check"]).0,
-        1,
-        "it is stale"
-    );
-    assert_eq!(
-        std::fs::read_to_string(&page).expect("a page"),
-        blank(),
-        "a check writes nothing"
-    );
-    let (code, out, err) = scale(&["page", &result, "--page", &page]);
+/// A check finds a stale page and leaves it as it is; then the page is renewed.
+fn check_page(result: &str, page: &str) {
+    let read = || std::fs::read_to_string(page).expect("a page");
+    std::fs::write(page, blank()).expect("a page");
+    let check = ["page", result, "--page", page, "--check"];
+    assert_eq!(scale(&check).0, 1, "it is stale");
+    assert_eq!(read(), blank(), "a check writes nothing");
+    let (code, out, err) = scale(&["page", result, "--page", page]);
     assert_eq!(code, 0, "{out}{err}");
-    assert_eq!(scale(&["page", &result, "--page", &page, "--check"]).0, 0);
-    assert!(
-        std::fs::read_to_string(&page)
-            .expect("a page")
-            .contains("`memory.backends`")
-    );
+    assert_eq!(scale(&check).0, 0);
+    assert!(read().contains("`memory.backends`"));
+}
+
+#[test]
+fn a_quick_run_measures_all_series_and_renews_a_page() {
+    check_daemon_is_built();
+    let folder = Folder::new("quick");
+    let (result, page) = (folder.path("scale.json"), folder.path("page.md"));
+    let left = folder.path("left");
+    let run = [
+        "run", "--quick", "--seed", "5", "--out", &result, "--folder", &left, "--quiet",
+    ];
+    let (code, out, err) = scale(&run);
+    assert_eq!(code, 0, "{out}{err}");
+    assert_eq!(err, "", "--quiet says nothing");
+    let text = std::fs::read_to_string(&result).expect("a result");
+    let read: Value = serde_json::from_str(&text).expect("JSON");
+    assert_eq!(read["command"], "birchhub scale run --seed 5 --quick");
+    check_series(&read);
+    check_page(&result, &page);
 }
 
-/// Guards against proxies that nobody owns: each is a process, and one that is killed drops nothing.
+/// Prevents proxies that outlive their run: each is a process, and a killed run drops none of them.
 #[test]
-fn a_run_that_is_stopped_leaves_no_proxy_behind() {
+fn a_terminated_run_leaves_no_proxy_running() {
     let folder = Folder::new("stopped");
     let (result, left) = (folder.path("scale.json"), folder.path("left"));
     let mut command = Command::new(env!("CARGO_BIN_EXE_birchhub"));
@@ -143,12 +135,12 @@
         .status();
     assert!(stop.expect("kill").success());
     assert_eq!(run.wait().expect("its end").code(), Some(70));
-    assert_eq!(living(), 0, "a proxy goes on");
-    assert!(!Path::new(&result).exists(), "half a result");
+    assert_eq!(living(), 0, "a proxy runs on");
+    assert!(!Path::new(&result).exists(), "an incomplete result");
 }
 
 #[test]
-fn wrong_input_is_named_and_nothing_is_lost() {
+fn bad_input_of_scale_is_named() {
     let folder = Folder::new("wrong");
     let (result, page) = (folder.path("scale.json"), folder.path("page.md"));
     let expect = |arguments: &[&str], words: &[&str]| {
--- a/crates/logging/src/tests.rs
+++ b/crates/logging/src/tests.rs
@@ -1,9 +1,9 @@
 //! The flush at the end of a process.
 use super::*;
 
-/// Guards against a last line that a process takes with it, and against an end that waits for a reader that has gone.
+/// Prevents the loss of the last lines at the end of a process, and an end that waits for a reader that has gone.
 #[test]
-fn what_was_logged_is_written_by_the_flush_or_waited_for_no_longer() {
+fn a_flush_writes_all_lines_or_gives_up_in_time() {
     let (lines, entries) = sync_channel(2);
     let logger = Logger {
         lines,
@@ -16,7 +16,7 @@
     logger.flush();
     assert!(
         begun.elapsed() >= FLUSH_TIME * 3,
-        "nobody writes, and no more fits"
+        "nobody writes, and the queue is full"
     );
     let writer = std::thread::spawn(move || write(entries, &AtomicUsize::new(0)));
     logger.flush();
--- a/crates/model/tests/node.rs
+++ b/crates/model/tests/node.rs
@@ -1,4 +1,4 @@
-//! The node against a plain model that takes small steps, and its hard cases one by one.
+//! The node against a plain model in small steps, and its edge cases.
 use birchhub_model::{
     Happening, Mark, Node, Offer, Repeats, Spec, Start, Why, work::Spread, work::Work,
 };
@@ -21,19 +21,19 @@
     }
 }
 
-/// A node with what happened to it.
-struct Desk {
+/// A node and the events of it.
+struct ModelledNode {
     node: Node,
     repeats: Repeats,
-    out: Vec<Happening>,
+    events: Vec<Happening>,
 }
 
-impl Desk {
+impl ModelledNode {
     fn new(spec: Spec, start: Start) -> Self {
         Self {
             node: Node::new(spec, 0.0, start),
             repeats: Repeats::default(),
-            out: vec![],
+            events: vec![],
         }
     }
     fn offer(&mut self, now: f64, job: u64, work: f64) -> Result<(), Why> {
@@ -49,20 +49,25 @@
     }
     fn offer_as(&mut self, now: f64, offer: Offer) -> Result<(), Why> {
         self.node
-            .offer(now, offer, &mut self.repeats, &mut self.out)
+            .offer(now, offer, &mut self.repeats, &mut self.events)
     }
     fn cancel(&mut self, now: f64, job: u64) -> bool {
-        self.node.cancel(now, job, &mut self.repeats, &mut self.out)
+        self.node
+            .cancel(now, job, &mut self.repeats, &mut self.events)
     }
-    fn to(&mut self, now: f64) -> Vec<Happening> {
-        self.node.advance(now, &mut self.repeats, &mut self.out);
-        std::mem::take(&mut self.out)
+    fn advance(&mut self, now: f64) -> Vec<Happening> {
+        self.node.advance(now, &mut self.repeats, &mut self.events);
+        std::mem::take(&mut self.events)
     }
-    /// Times at which jobs end from now on.
-    fn ends(&mut self) -> Vec<(u64, f64)> {
+    fn stall(&mut self, now: f64, stalled: bool) {
+        self.node
+            .stall(now, stalled, &mut self.repeats, &mut self.events);
+    }
+    /// When jobs end up to this time.
+    fn ends_until(&mut self, now: f64) -> Vec<(u64, f64)> {
         let mut ends = vec![];
-        while let Some(at) = self.node.next_event() {
-            for happening in self.to(at) {
+        while let Some(at) = self.node.next_event().filter(|at| *at <= now) {
+            for happening in self.advance(at) {
                 if let Happening::Finished(job) = happening {
                     ends.push((job, at));
                 }
@@ -70,9 +75,13 @@
         }
         ends
     }
+    /// When jobs end from now on.
+    fn ends(&mut self) -> Vec<(u64, f64)> {
+        self.ends_until(f64::MAX)
+    }
 }
 
-/// The same node by small steps: each core takes its part of the pace; no work clock, no heap.
+/// The same node in small steps: each core has its part of the speed; no work clock, no heap.
 fn plain(spec: &Spec, cold: bool, stall: (f64, f64), arrivals: &[(f64, f64)]) -> Vec<(u64, f64)> {
     const STEP: f64 = 0.0005;
     let (mut cores, mut queue, mut ends) = (vec![None; spec.cores], VecDeque::new(), vec![]);
@@ -101,7 +110,7 @@
                     STEP * spec.speed * warmth
                 };
                 if *left <= 0.0 {
-                    // What the step did beyond the end goes to the next: steps must not add up to a drift.
+                    // What the step did beyond the end goes to the next job: steps must not add up to a drift.
                     ends.push((*job, now + STEP));
                     let beyond = *left;
                     *core = queue
@@ -116,14 +125,48 @@
     ends
 }
 
-/// Ends agree with the plain model within a few of its steps, cold or warm, with a stall anywhere.
-#[expect(clippy::too_many_lines)]
-fn ends_are_those_of_the_plain_model(
-    picks: Vec<(u8, u8)>,
+/// What happens at a time on the way through the generated input.
+#[derive(Clone, Copy)]
+enum Step {
+    Offer(usize),
+    Stall(bool),
+}
+
+/// When each job ends in the node that is tested, by the number of the job.
+fn completion_times(
+    spec: &Spec,
+    start: Start,
+    stall: (f64, f64),
+    arrivals: &[(f64, f64)],
+) -> Vec<(u64, f64)> {
+    let mut modelled = ModelledNode::new(spec.clone(), start);
+    let mut steps = vec![
+        (stall.0, Step::Stall(true)),
+        (stall.0 + stall.1, Step::Stall(false)),
+    ];
+    let offers = arrivals.iter().enumerate();
+    steps.extend(offers.map(|(n, (at, _))| (*at, Step::Offer(n))));
+    steps.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let mut ends = vec![];
+    for (now, step) in steps {
+        ends.extend(modelled.ends_until(now));
+        match step {
+            Step::Offer(n) => modelled.offer(now, n as u64, arrivals[n].1).expect("room"),
+            Step::Stall(stalled) => modelled.stall(now, stalled),
+        }
+    }
+    ends.extend(modelled.ends());
+    ends.sort_by_key(|(job, _)| *job);
+    ends
+}
+
+/// Completion times agree with the plain model within a few of its steps, warm or in slow start, with a stall anywhere.
+fn completion_times_are_those_of_the_plain_model(
+    jobs: Vec<(u8, u8)>,
     cold: bool,
     stall: (u8, u8),
 ) -> TestResult {
-    if picks.is_empty() || picks.len() > 30 {
+    if jobs.is_empty() || jobs.len() > 30 {
         return TestResult::discard();
     }
     let spec = Spec {
@@ -132,72 +175,41 @@
         ..spec()
     };
     let mut at = 0.0;
-    let arrivals: Vec<_> = picks
-        .iter()
-        .map(|(gap, work)| {
-            at += f64::from(*gap) / 1000.0;
-            (at, 0.002 + f64::from(*work) / 1000.0)
-        })
-        .collect();
-    let stall = (f64::from(stall.0) / 100.0, f64::from(stall.1) / 200.0);
-    let mut desk = Desk::new(spec.clone(), if cold { Start::Cold } else { Start::Warm });
-    let mut steps: Vec<(f64, Option<usize>, bool)> =
-        vec![(stall.0, None, true), (stall.0 + stall.1, None, false)];
-    steps.extend(
-        arrivals
-            .iter()
-            .enumerate()
-            .map(|(n, (at, _))| (*at, Some(n), false)),
-    );
-    steps.sort_by(|a, b| a.0.total_cmp(&b.0));
-    let mut ends = vec![];
-    let mut run_to = |desk: &mut Desk, now: f64| {
-        while let Some(at) = desk.node.next_event().filter(|at| *at <= now) {
-            ends.extend(desk.to(at).iter().filter_map(|h| match h {
-                Happening::Finished(job) => Some((*job, at)),
-                _ => None,
-            }));
-        }
+    let arrival = |(gap, work): &(u8, u8)| {
+        at += f64::from(*gap) / 1000.0;
+        (at, 0.002 + f64::from(*work) / 1000.0)
     };
-    for (now, job, stalled) in steps {
-        run_to(&mut desk, now);
-        match job {
-            Some(n) => desk.offer(now, n as u64, arrivals[n].1).expect("room"),
-            None => desk
-                .node
-                .stall(now, stalled, &mut desk.repeats, &mut desk.out),
-        }
-    }
-    run_to(&mut desk, f64::MAX);
-    ends.sort_by_key(|(job, _)| *job);
-    let same = plain(&spec, cold, stall, &arrivals)
-        .iter()
-        .zip(&ends)
-        .all(|(p, e)| p.0 == e.0 && (p.1 - e.1).abs() < 0.01);
-    TestResult::from_bool(same && ends.len() == arrivals.len())
+    let arrivals: Vec<_> = jobs.iter().map(arrival).collect();
+    let stall = (f64::from(stall.0) / 100.0, f64::from(stall.1) / 200.0);
+    let start = if cold { Start::Cold } else { Start::Warm };
+    let ends = completion_times(&spec, start, stall, &arrivals);
+    let expected = plain(&spec, cold, stall, &arrivals);
+    let is_same = |(p, e): (&(u64, f64), &(u64, f64))| p.0 == e.0 && (p.1 - e.1).abs() < 0.01;
+    TestResult::from_bool(expected.iter().zip(&ends).all(is_same) && ends.len() == arrivals.len())
 }
 
-/// What is offered is held, turned away, finished or dropped: nothing is lost and nothing ends twice.
-fn every_job_has_one_end(moves: Vec<(u8, u8, u8)>) -> bool {
-    let mut desk = Desk::new(spec(), Start::Warm);
+/// Every job is rejected, finished or cancelled: none is lost and none ends twice.
+fn each_job_ends_once(moves: Vec<(u8, u8, u8)>) -> bool {
+    let mut modelled = ModelledNode::new(spec(), Start::Warm);
     let (mut now, mut taken, mut dropped) = (0.0, 0, 0);
     for (job, (gap, work, what)) in moves.iter().enumerate() {
         now += f64::from(*gap) / 2000.0;
         taken += usize::from(
-            desk.offer(now, job as u64, f64::from(*work) / 500.0)
+            modelled
+                .offer(now, job as u64, f64::from(*work) / 500.0)
                 .is_ok(),
         );
         if what % 4 == 0 {
-            dropped += usize::from(desk.cancel(now, job as u64 / 2));
+            dropped += usize::from(modelled.cancel(now, job as u64 / 2));
         }
     }
-    let before = std::mem::take(&mut desk.out);
+    let before = std::mem::take(&mut modelled.events);
     let before = before
         .iter()
         .filter(|h| matches!(h, Happening::Finished(_)))
         .count();
-    let after = desk.ends().len();
-    desk.node.in_flight() == 0 && before + after + dropped == taken
+    let after = modelled.ends().len();
+    modelled.node.in_flight() == 0 && before + after + dropped == taken
 }
 
 /// Generated inputs that are the same in every run.
@@ -208,18 +220,18 @@
 }
 
 #[test]
-fn ends_agree_with_the_plain_model() {
-    seeded().quickcheck(ends_are_those_of_the_plain_model as fn(_, _, _) -> TestResult);
+fn completion_times_agree_with_the_plain_model() {
+    seeded().quickcheck(completion_times_are_those_of_the_plain_model as fn(_, _, _) -> TestResult);
 }
 
 #[test]
-fn nothing_is_lost_and_nothing_ends_twice() {
-    seeded().quickcheck(every_job_has_one_end as fn(_) -> bool);
+fn every_job_ends_exactly_once() {
+    seeded().quickcheck(each_job_ends_once as fn(_) -> bool);
 }
 
 #[test]
-fn a_cold_node_warms_over_its_time() {
-    let mut cold = Desk::new(spec(), Start::Cold);
+fn a_node_in_slow_start_warms_up_over_its_time() {
+    let mut cold = ModelledNode::new(spec(), Start::Cold);
     cold.offer(0.0, 1, 1.0).expect("room");
     // 0.25 t + 0.75 t² / 16 = 1
     let at = (-0.25 + (0.0625 + 0.1875f64).sqrt()) * 32.0 / 3.0;
@@ -229,22 +241,22 @@
 }
 
 #[test]
-fn a_full_queue_turns_away_and_a_draining_node_finishes_what_it_has() {
-    let mut desk = Desk::new(spec(), Start::Warm);
+fn a_full_queue_rejects_and_a_draining_node_finishes_its_jobs() {
+    let mut modelled = ModelledNode::new(spec(), Start::Warm);
     for job in 0..6 {
-        desk.offer(0.0, job, 1.0).expect("room");
+        modelled.offer(0.0, job, 1.0).expect("room");
     }
-    assert_eq!(desk.offer(0.0, 6, 1.0), Err(Why::QueueFull));
-    desk.node.drain();
-    assert_eq!(desk.offer(3.5, 7, 1.0), Err(Why::Draining));
-    assert_eq!(desk.node.in_flight(), 0);
+    assert_eq!(modelled.offer(0.0, 6, 1.0), Err(Why::QueueFull));
+    modelled.node.drain();
+    assert_eq!(modelled.offer(3.5, 7, 1.0), Err(Why::Draining));
+    assert_eq!(modelled.node.in_flight(), 0);
 }
 
-/// Rule 4: what is turned away pushes too, and a warm node can't be pushed over.
+/// Rule 4: rejected jobs count as load too, and a warm node can't be overloaded.
 #[test]
-fn a_cold_node_falls_when_pushed_and_a_warm_one_does_not() {
-    // Able to do 2 x 0.25; falls at 3 times that within 1 s.
-    let mut cold = Desk::new(spec(), Start::Cold);
+fn a_node_in_slow_start_fails_under_overload_and_a_warm_one_does_not() {
+    // Its capacity is 2 x 0.25; it fails at 3 times that within 1 s.
+    let mut cold = ModelledNode::new(spec(), Start::Cold);
     let pushed = (0..17)
         .map(|job| cold.offer(0.01, job, 0.1))
         .filter(|r| *r == Err(Why::Down))
@@ -254,10 +266,13 @@
         (2, true, 0)
     );
     assert_eq!(
-        cold.out.iter().filter(|h| **h == Happening::Fell).count(),
+        cold.events
+            .iter()
+            .filter(|h| **h == Happening::Fell)
+            .count(),
         1
     );
-    let mut paced = Desk::new(spec(), Start::Cold);
+    let mut paced = ModelledNode::new(spec(), Start::Cold);
     for job in 0..140 {
         let _ = paced.offer(job as f64 * 0.1, job, 0.1);
     }
@@ -266,7 +281,7 @@
         "{}",
         paced.node.peak()
     );
-    let mut warm = Desk::new(spec(), Start::Warm);
+    let mut warm = ModelledNode::new(spec(), Start::Warm);
     for job in 0..1000 {
         let _ = warm.offer(0.01, job, 0.1);
     }
@@ -274,9 +289,9 @@
 }
 
 #[test]
-fn cancelled_work_stops_or_goes_on() {
+fn cancelled_jobs_stop_or_run_on() {
     for stops in [true, false] {
-        let mut desk = Desk::new(
+        let mut modelled = ModelledNode::new(
             Spec {
                 cancel_stops: stops,
                 cores: 1,
@@ -285,13 +300,13 @@
             Start::Warm,
         );
         for job in 0..3 {
-            desk.offer(0.0, job, 1.0).expect("room");
+            modelled.offer(0.0, job, 1.0).expect("room");
         }
         assert_eq!(
             (
-                desk.cancel(0.5, 0),
-                desk.cancel(0.5, 1),
-                desk.cancel(0.5, 9)
+                modelled.cancel(0.5, 0),
+                modelled.cancel(0.5, 1),
+                modelled.cancel(0.5, 9)
             ),
             (stops, true, false)
         );
@@ -300,78 +315,86 @@
         } else {
             &[(0, 1.0), (2, 2.0)]
         };
-        assert_eq!(desk.ends(), expected);
+        assert_eq!(modelled.ends(), expected);
     }
 }
 
 #[test]
-fn repeats_are_dropped_within_their_group_and_window() {
-    let mut desk = Desk::new(spec(), Start::Warm);
+fn repeats_are_deduplicated_within_their_group_and_window() {
+    let mut modelled = ModelledNode::new(spec(), Start::Warm);
     let mut run = |now: f64, job, group, key| {
         let mark = Some(Mark {
             group,
             key,
             window: 4.0,
         });
-        desk.offer_as(
-            now,
-            Offer {
-                job,
-                work: 0.1,
-                mark,
-                fresh: false,
-            },
-        )
-        .expect("room");
-        desk.to(now + 0.2).contains(&Happening::Repeated(job))
+        modelled
+            .offer_as(
+                now,
+                Offer {
+                    job,
+                    work: 0.1,
+                    mark,
+                    fresh: false,
+                },
+            )
+            .expect("room");
+        modelled
+            .advance(now + 0.2)
+            .contains(&Happening::Repeated(job))
     };
     assert!(!run(0.0, 1, 1, 5) && run(1.0, 2, 1, 5) && !run(2.0, 3, 2, 5) && !run(3.0, 4, 1, 6));
     assert!(!run(4.5, 5, 1, 5), "the window is over");
-    assert!(run(5.0, 6, 1, 5), "and has begun anew");
+    assert!(run(5.0, 6, 1, 5), "and has begun again");
     assert!(!run(50.0, 7, 9, 9));
     assert!(!run(60.0, 8, 9, 8));
     assert!(
-        desk.repeats.len() <= 3,
-        "old marks are forgotten: {}",
-        desk.repeats.len()
+        modelled.repeats.len() <= 3,
+        "old marks are removed: {}",
+        modelled.repeats.len()
     );
 }
 
 #[test]
-fn a_neighbour_slows_it_and_reports_are_as_old_as_told() {
-    let mut desk = Desk::new(spec(), Start::Warm);
-    desk.node.report(0.0);
-    desk.offer(0.1, 1, 1.0).expect("room");
-    assert_eq!(desk.node.report(0.2).in_flight, 0);
-    assert_eq!(desk.node.report(0.6).in_flight, 1);
-    desk.node.scale(0.6, 0.25, &mut desk.repeats, &mut desk.out);
-    desk.node.scale(1.6, 4.0, &mut desk.repeats, &mut desk.out);
-    let ends = desk.ends();
+fn a_neighbour_slows_a_node_and_load_reports_have_their_age() {
+    let mut modelled = ModelledNode::new(spec(), Start::Warm);
+    modelled.node.report(0.0);
+    modelled.offer(0.1, 1, 1.0).expect("room");
+    assert_eq!(modelled.node.report(0.2).in_flight, 0);
+    assert_eq!(modelled.node.report(0.6).in_flight, 1);
+    modelled
+        .node
+        .scale(0.6, 0.25, &mut modelled.repeats, &mut modelled.events);
+    modelled
+        .node
+        .scale(1.6, 4.0, &mut modelled.repeats, &mut modelled.events);
+    let ends = modelled.ends();
     assert!((ends[0].1 - 1.85).abs() < 1e-9, "{ends:?}");
 }
 
 #[test]
-fn connections_are_limited_and_the_first_rpc_pays_for_its_own() {
-    let mut desk = Desk::new(spec(), Start::Warm);
-    assert!(desk.node.connect() && desk.node.connect() && !desk.node.connect());
-    desk.node.disconnect();
-    assert!(desk.node.connect());
-    desk.offer_as(
-        0.0,
-        Offer {
-            job: 1,
-            work: 0.1,
-            mark: None,
-            fresh: true,
-        },
-    )
-    .expect("room");
-    assert!((desk.ends()[0].1 - 0.11).abs() < 1e-9);
+fn connections_are_limited_and_the_first_rpc_pays_for_a_new_one() {
+    let mut modelled = ModelledNode::new(spec(), Start::Warm);
+    assert!(modelled.node.connect() && modelled.node.connect() && !modelled.node.connect());
+    modelled.node.disconnect();
+    assert!(modelled.node.connect());
+    modelled
+        .offer_as(
+            0.0,
+            Offer {
+                job: 1,
+                work: 0.1,
+                mark: None,
+                fresh: true,
+            },
+        )
+        .expect("room");
+    assert!((modelled.ends()[0].1 - 0.11).abs() < 1e-9);
 }
 
-/// The same RPC costs the same wherever it is drawn, and the spread is what it says.
+/// The same RPC has the same work at every node, and the distribution is the one named.
 #[test]
-fn work_is_drawn_from_seed_and_id_alone() {
+fn work_depends_on_seed_and_id_alone() {
     for (spread, variation) in [
         (Spread::Constant, 0.0),
         (Spread::Exponential, 1.0),
@@ -379,9 +402,9 @@
     ] {
         let work = Work { mean: 0.05, spread };
         assert_eq!(work.draw(1, 7), work.draw(1, 7));
-        let drawn: Vec<f64> = (0..200_000).map(|id| work.draw(3, id)).collect();
-        let mean = drawn.iter().sum::<f64>() / drawn.len() as f64;
-        let variance = drawn.iter().map(|w| (w - mean).powi(2)).sum::<f64>() / drawn.len() as f64;
+        let works: Vec<f64> = (0..200_000).map(|id| work.draw(3, id)).collect();
+        let mean = works.iter().sum::<f64>() / works.len() as f64;
+        let variance = works.iter().map(|w| (w - mean).powi(2)).sum::<f64>() / works.len() as f64;
         assert!((mean / 0.05 - 1.0).abs() < 0.02, "{spread:?}: {mean}");
         assert!(
             (variance.sqrt() / mean - variation).abs() < 0.15,
--- a/crates/rehearsal/src/stage/tests.rs
+++ b/crates/rehearsal/src/stage/tests.rs
@@ -2,7 +2,7 @@
 use super::*;
 
 #[test]
-fn nobody_shares_an_address_with_the_list() {
+fn no_node_shares_an_address_with_the_list_service() {
     let block = Block::new();
     for proxy in 0..4 {
         assert!((0..1000).all(|node| block.door(proxy, node) != block.list(proxy)));
--- a/crates/rehearsal/tests/plans.rs
+++ b/crates/rehearsal/tests/plans.rs
@@ -1,5 +1,5 @@
-//! Scenarios are refused with file, line and key; plans are the same for the same seed, and a trouble more leaves the traffic
-//! as it was.
+//! Plans: the same for the same seed, with traffic that no further fault changes; and mistakes in scenarios are reported
+//! with file, line and key.
 use birchhub_rehearsal::plan::Act;
 use birchhub_rehearsal::{Plan, Scenario, shipped};
 
@@ -39,7 +39,7 @@
 rate = 100
 "#;
 
-fn draw(text: &str, seed: u64) -> Result<Plan, String> {
+fn plan_of(text: &str, seed: u64) -> Result<Plan, String> {
     let scenario = Scenario::read("s.toml", text).map_err(|fault| fault.to_string())?;
     Plan::draw(&scenario, seed, "s.toml", text).map_err(|fault| fault.to_string())
 }
@@ -49,31 +49,31 @@
 }
 
 #[test]
-fn every_shipped_scenario_reads_and_draws() {
+fn every_shipped_scenario_is_read_and_planned() {
     for shipped in shipped::ALL {
         let plan =
-            draw(shipped.text, 1).unwrap_or_else(|fault| panic!("{}: {fault}", shipped.name));
+            plan_of(shipped.text, 1).unwrap_or_else(|fault| panic!("{}: {fault}", shipped.name));
         assert!(!plan.arrivals.is_empty(), "{}", shipped.name);
     }
 }
 
 #[test]
-fn a_seed_draws_one_plan_and_another_seed_another() {
+fn a_seed_gives_one_plan_and_another_seed_another() {
     for shipped in shipped::ALL {
-        let hash = |seed| draw(shipped.text, seed).expect("a plan").hash();
+        let hash = |seed| plan_of(shipped.text, seed).expect("a plan").hash();
         assert_eq!(hash(1), hash(1), "{}", shipped.name);
         assert_ne!(hash(1), hash(2), "{}", shipped.name);
     }
 }
 
 #[test]
-fn a_trouble_more_leaves_traffic_and_other_troubles_as_they_were() {
+fn a_further_fault_changes_neither_traffic_nor_other_faults() {
     let stall = "[[trouble]]\nname = \"s\"\nkind = \"stall\"\nat = \"1s\"\nfor = \"2s\"\nnodes = { share = 0.5 }\n";
     let before = "[[trouble]]\nname = \"t\"\nkind = \"crash\"\nat = \"1s\"\nfor = \"2s\"\nnodes = { count = 3 }\n";
     let (none, one, two) = (
-        draw(BASE, 5),
-        draw(&with(stall), 5),
-        draw(&with(&format!("{before}{stall}")), 5),
+        plan_of(BASE, 5),
+        plan_of(&with(stall), 5),
+        plan_of(&with(&format!("{before}{stall}")), 5),
     );
     let (none, one, two) = (none.unwrap(), one.unwrap(), two.unwrap());
     assert_eq!(none.arrivals, one.arrivals);
@@ -83,7 +83,7 @@
 }
 
 #[test]
-fn selectors_lay_troubles_over_the_same_nodes_or_beside_them() {
+fn selectors_choose_the_nodes_of_another_fault_or_the_others() {
     let trouble = |name: &str, nodes: &str| {
         format!(
             "[[trouble]]\nname = \"{name}\"\nkind = \"crash\"\nat = \"1s\"\nfor = \"2s\"\nnodes = {nodes}\n"
@@ -98,7 +98,7 @@
         ]
         .concat(),
     );
-    let plan = draw(&text, 1).expect("a plan");
+    let plan = plan_of(&text, 1).expect("a plan");
     let names = |n: usize| {
         plan.troubles[n]
             .nodes
@@ -112,11 +112,11 @@
 }
 
 #[test]
-fn a_deploy_replaces_batch_by_batch() {
+fn a_deploy_replaces_nodes_in_batches() {
     let text = with(
         "[[trouble]]\nname = \"d\"\nkind = \"deploy\"\nat = \"1s\"\nbatch = 3\nevery = \"2s\"\nnodes = { zone = \"a\" }\n",
     );
-    let plan = draw(&text, 1).expect("a plan");
+    let plan = plan_of(&text, 1).expect("a plan");
     let announced: Vec<_> = plan
         .acts
         .iter()
@@ -137,7 +137,7 @@
     let text = with(
         "[[traffic.phase]]\nat = \"4s\"\nfor = \"2s\"\ntimes = 3\n[[traffic.phase]]\nat = \"8s\"\nfor = \"2s\"\ntimes = 0\n",
     );
-    let plan = draw(&text, 9).expect("a plan");
+    let plan = plan_of(&text, 9).expect("a plan");
     let count = |from: f64, to: f64| {
         plan.arrivals
             .iter()
@@ -147,7 +147,7 @@
     assert!((300..500).contains(&count(0.0, 4.0)), "{}", count(0.0, 4.0));
     assert!((500..700).contains(&count(4.0, 6.0)), "{}", count(4.0, 6.0));
     assert_eq!(count(8.0, 10.0), 0);
-    // Tenant one asks for some 75 a second and has a right to 40, and a burst of as many.
+    // Tenant one sends some 75 a second and has a quota of 40, and a burst of as many.
     let within = plan
         .arrivals
         .iter()
@@ -157,12 +157,9 @@
     assert!(plan.arrivals.iter().all(|a| a.tenant == 0 || a.within));
 }
 
-/// What each mistake is told as: file, line, key, and what is wrong.
-#[test]
-#[expect(clippy::too_many_lines)]
-fn mistakes_are_told_with_file_line_and_key() {
-    let trouble = "\n[[trouble]]\nname = \"t\"\nkind = \"stall\"\nat = \"1s\"\nfor = \"1s\"\n";
-    let cases = [
+/// Mistakes outside the faults of a scenario, and how each is reported: file, line, key, and what is wrong.
+fn mistakes_in_the_deployment() -> Vec<(String, &'static str)> {
+    vec![
         (
             BASE.replace("rate = 100", "rat = 100"),
             "s.toml:34: traffic.rat: unknown field `rat`",
@@ -195,6 +192,13 @@
             BASE.replace("[proxies]", "[proxies"),
             "s.toml:30: unclosed table",
         ),
+    ]
+}
+
+/// Mistakes in the faults and expectations of a scenario, and how each is reported.
+fn mistakes_in_the_faults() -> Vec<(String, &'static str)> {
+    let trouble = "\n[[trouble]]\nname = \"t\"\nkind = \"stall\"\nat = \"1s\"\nfor = \"1s\"\n";
+    vec![
         (
             with(trouble),
             "s.toml:38: trouble[0].kind: this kind needs the key `nodes`",
@@ -219,12 +223,16 @@
             with("[expect]\nservice = 1.5\n"),
             "s.toml:36: expect.service: must be from 0 to 1",
         ),
-    ];
-    for (text, expected) in cases {
-        let told = draw(&text, 1).expect_err(expected);
+    ]
+}
+
+#[test]
+fn mistakes_are_reported_with_file_line_and_key() {
+    for (text, expected) in [mistakes_in_the_deployment(), mistakes_in_the_faults()].concat() {
+        let reported = plan_of(&text, 1).expect_err(expected);
         assert!(
-            told.starts_with(expected),
-            "told:     {told}\nexpected: {expected}"
+            reported.starts_with(expected),
+            "reported: {reported}\nexpected: {expected}"
         );
     }
 }
--- a/crates/rehearsal/tests/verdicts.rs
+++ b/crates/rehearsal/tests/verdicts.rs
@@ -1,4 +1,4 @@
-//! What makes a verdict: rules, bars, and whether the kit itself was on time.
+//! The verdict: rules, bars, and whether the kit itself was on time.
 use birchhub_audit::event::Taken;
 use birchhub_audit::{Answer, Entry, Event, Head};
 use birchhub_rehearsal::{Plan, Report, Scenario, Verdict, settings, shipped};
@@ -42,7 +42,7 @@
     entries
 }
 
-/// A hundred RPCs in time, then these; the kit was late by so much with every one.
+/// A hundred RPCs in time, then these; the kit was late by so much with every RPC.
 fn verdict(late: f32, more: Vec<Entry>, partial: bool) -> (Verdict, Vec<String>) {
     let mut entries: Vec<_> = (0..100)
         .flat_map(|n| asked(f64::from(n) * 0.1, n, 0, Some(f64::from(n) * 0.1 + 0.05)))
@@ -61,8 +61,8 @@
     (report.verdict, report.reasons)
 }
 
-/// A second pick of what must not run twice.
-fn second_pick(rpc: u32) -> Vec<Entry> {
+/// A second attempt of an RPC that must not run twice.
+fn second_attempt(rpc: u32) -> Vec<Entry> {
     let got = |at: f64, job| {
         let (life, attempt, proxy, begun, work, pushed) = (1, u64::from(rpc) << 8, 0, at, 0.0, 0.0);
         Entry {
@@ -87,12 +87,12 @@
 }
 
 #[test]
-fn a_clean_run_passes() {
+fn a_rehearsal_without_a_breach_passes() {
     assert_eq!(verdict(0.001, vec![], false), (Verdict::Pass, vec![]));
 }
 
 #[test]
-fn a_bar_that_is_missed_fails_and_names_both_figures() {
+fn a_missed_bar_fails_and_names_both_figures() {
     let missed = (500..520)
         .flat_map(|rpc| asked(15.0, rpc, 0, Some(15.5)))
         .collect();
@@ -107,7 +107,7 @@
 }
 
 #[test]
-fn a_kit_that_was_late_can_not_judge_time_and_can_judge_the_rest() {
+fn a_late_kit_voids_time_limits_only() {
     let late_answer = asked(20.0, 200, 0, Some(20.7));
     let (on_time, _) = verdict(0.001, late_answer.clone(), false);
     let (late, reasons) = verdict(0.02, late_answer, false);
@@ -116,16 +116,16 @@
         reasons[0].contains("too busy") && reasons.len() == 1,
         "{reasons:?}"
     );
-    let (late, reasons) = verdict(0.02, second_pick(200), false);
+    let (late, reasons) = verdict(0.02, second_attempt(200), false);
     assert!(
         late == Verdict::Fail && reasons[0].starts_with("rule 2: rpc 200"),
         "{reasons:?}"
     );
 }
 
-/// A stage that is out of breath looks like slow nodes: that is no fault of the proxies.
+/// Late stand-ins look like slow nodes: that is no fault of the proxies.
 #[test]
-fn stand_ins_that_were_late_make_it_void() {
+fn late_stand_ins_make_the_verdict_void() {
     let missed = || {
         (500..520)
             .flat_map(|rpc| asked(15.0, rpc, 0, Some(15.5)))
@@ -158,7 +158,7 @@
 }
 
 #[test]
-fn a_run_that_was_stopped_is_void_unless_a_rule_broke() {
+fn a_stopped_rehearsal_is_void_unless_a_rule_is_broken() {
     assert_eq!(verdict(0.001, vec![], true).0, Verdict::Void);
-    assert_eq!(verdict(0.001, second_pick(200), true).0, Verdict::Fail);
+    assert_eq!(verdict(0.001, second_attempt(200), true).0, Verdict::Fail);
 }
--- a/crates/rehearsal/tests/wrong.rs
+++ b/crates/rehearsal/tests/wrong.rs
@@ -1,5 +1,5 @@
-//! Proxies that break rules on purpose fail the rehearsal with the right rule, and one that keeps them passes the same one.
-//! Judged by rules alone: time limits have a slack that no noise of this machine uses up.
+//! Proxies that break a rule on purpose fail a rehearsal by that rule, and one that keeps the rules passes the same one.
+//! Judged by rules alone: time limits have a slack that no noise of the machine uses up.
 use birchhub_audit::Rule;
 use birchhub_rehearsal::{Options, Plan, Report, Scenario, Verdict, rehearse};
 use std::path::PathBuf;
@@ -65,12 +65,14 @@
 nodes = { named = ["z-0-1"] }
 "#;
 
-/// Plays it with the proxy that is called so.
-fn play(called: &str) -> Report {
-    let folder =
-        std::env::temp_dir().join(format!("birchhub-wrong-{}-{called}", std::process::id()));
+/// Runs the rehearsal with the misbehaviour of this name.
+fn run_with(misbehaviour: &str) -> Report {
+    let folder = std::env::temp_dir().join(format!(
+        "birchhub-wrong-{}-{misbehaviour}",
+        std::process::id()
+    ));
     std::fs::create_dir_all(&folder).expect("a folder");
-    let program = folder.join(called);
+    let program = folder.join(misbehaviour);
     std::os::unix::fs::symlink(env!("CARGO_BIN_EXE_birchhub-wrong-proxy"), &program)
         .expect("a link");
     let scenario = Scenario::read("wrong.toml", SCENARIO).expect("a scenario");
@@ -88,8 +90,8 @@
 }
 
 /// It fails, and only by this rule.
-fn fails(called: &str, rule: Rule, what: &str) {
-    let report = play(called);
+fn check_failure(misbehaviour: &str, rule: Rule, what: &str) {
+    let report = run_with(misbehaviour);
     assert_eq!(report.verdict, Verdict::Fail, "{}", report.text());
     assert!(
         report.findings.breaches.iter().all(|b| b.rule == rule),
@@ -101,26 +103,26 @@
 
 #[test]
 fn a_proxy_that_keeps_the_rules_passes() {
-    let report = play("honest");
+    let report = run_with("honest");
     assert_eq!(report.verdict, Verdict::Pass, "{}", report.text());
     assert!(
         report.findings.counts.aborted > 0,
-        "no reset was met: {}",
+        "no attempt was reset: {}",
         report.text()
     );
 }
 
 #[test]
-fn a_proxy_that_resends_fails_by_rule_2() {
-    fails("resends", Rule::NoEffectTwice, "ran 2 times");
+fn a_proxy_that_retries_what_may_have_run_fails_by_rule_2() {
+    check_failure("resends", Rule::NoEffectTwice, "ran 2 times");
 }
 
 #[test]
 fn a_proxy_that_ignores_drains_fails_by_rule_3() {
-    fails("ignores-drains", Rule::Drains, "sent to z-0-0");
+    check_failure("ignores-drains", Rule::Drains, "sent to z-0-0");
 }
 
 #[test]
-fn a_proxy_that_floods_cold_nodes_fails_by_rule_4() {
-    fails("floods-cold", Rule::ColdNodes, "z-0-1: pushed over");
+fn a_proxy_that_overloads_nodes_in_slow_start_fails_by_rule_4() {
+    check_failure("floods-cold", Rule::ColdNodes, "z-0-1: pushed over");
 }
--- a/crates/scale/tests/committed.rs
+++ b/crates/scale/tests/committed.rs
@@ -1,8 +1,8 @@
-//! The committed page is true to the committed result.
+//! The committed page is made of the committed result.
 use birchhub_scale::{Report, page};
 use std::path::Path;
 
-/// `birchhub scale page docs/capacity.json` makes it anew.
+/// `birchhub scale page docs/capacity.json` renews it.
 #[test]
 fn the_committed_page_is_not_stale() {
     let docs = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs");
--- a/crates/scale/tests/fits.rs
+++ b/crates/scale/tests/fits.rs
@@ -1,9 +1,9 @@
-//! Lines through points, and the figures as a page writes them.
+//! Fitted lines, and the figures as a page writes them.
 use birchhub_scale::fit::Fit;
 use birchhub_scale::page::figure;
 
 #[test]
-fn a_line_is_found_and_what_it_leaves_over_is_told() {
+fn a_line_is_fitted_with_its_residual() {
     let exact = Fit::of(&[(10.0, 25.0), (20.0, 45.0), (40.0, 85.0)]).expect("a line");
     assert!(
         (exact.slope - 2.0).abs() < 1e-9
@@ -20,14 +20,14 @@
 }
 
 #[test]
-fn no_line_goes_through_one_size() {
+fn one_size_gives_no_line() {
     for points in [vec![], vec![(1.0, 2.0)], vec![(1.0, 2.0), (1.0, 3.0)]] {
         assert_eq!(Fit::of(&points), None, "{points:?}");
     }
 }
 
 #[test]
-fn figures_have_three_places_that_count() {
+fn figures_have_three_significant_digits() {
     let told = [
         (0.0, "0"),
         (128.0, "128"),
--- a/crates/scale/tests/lists.rs
+++ b/crates/scale/tests/lists.rs
@@ -1,4 +1,4 @@
-//! Hollow proxies at the list service: who is told what, by counts.
+//! Hollow proxies at the list service: which updates each gets, by counts.
 use birchhub_scale::backends::Backends;
 use birchhub_scale::hollow::HollowProxies;
 use birchhub_scale::list::ListService;
@@ -17,12 +17,12 @@
 }
 
 #[test]
-fn each_change_is_told_once_to_each_proxy_and_nothing_else_is() {
+fn each_proxy_gets_each_change_once_and_nothing_else() {
     play(async || {
         let backends = Backends::start(PATIENCE).expect("backends");
         let list = ListService::start(500, backends.endpoints(), 10).expect("a list service");
         let mut proxies = HollowProxies::start(PROXIES, list.at(), 1).expect("hollow proxies");
-        proxies.all_have(0, PATIENCE).await.expect("the whole list");
+        proxies.all_have(0, PATIENCE).await.expect("the full list");
         let joined = list.bill();
         let connections = joined.connections;
         assert!(
@@ -40,7 +40,7 @@
         }
         let told = list.bill().since(joined);
         assert!(told.calls >= 5 * u64::from(PROXIES), "{told:?}");
-        // A call that tells one line is a little more than the line: the whole list has 500 of them.
+        // An answer with one endpoint is little longer than its line: the full list has 500 of them.
         assert!(
             told.bytes < told.calls * (line + 400),
             "{told:?}, {line} bytes a line"
@@ -49,9 +49,9 @@
     });
 }
 
-/// Guards against a change that falls between two calls and is never told.
+/// Prevents the loss of a change that falls between two calls.
 #[test]
-fn changes_in_a_row_are_all_in_force_at_the_end() {
+fn changes_in_a_row_are_all_applied_at_the_end() {
     play(async || {
         let backends = Backends::start(PATIENCE).expect("backends");
         let list = ListService::start(50, backends.endpoints(), 10).expect("a list service");
@@ -65,7 +65,7 @@
 }
 
 #[test]
-fn who_is_not_told_in_time_is_counted() {
+fn proxies_that_are_not_updated_in_time_are_counted() {
     play(async || {
         let backends = Backends::start(PATIENCE).expect("backends");
         let list = ListService::start(5, backends.endpoints(), 1).expect("a list service");
--- a/crates/scale/tests/pages.rs
+++ b/crates/scale/tests/pages.rs
@@ -1,4 +1,4 @@
-//! The page's tables: made of a result, stale when it is another's.
+//! The tables of the page: made of a result, and stale if they are those of another one.
 use birchhub_scale::plan::size;
 use birchhub_scale::{Plan, Report, page, reckon};
 
@@ -26,7 +26,7 @@
 }
 
 #[test]
-fn tables_are_made_between_their_marks_and_nothing_else_changes() {
+fn tables_are_renewed_between_their_marks_only() {
     let report = made(|_| (1.0, 0.001));
     let once = page::renew(&blank(), &report).expect("a page");
     assert!(
@@ -45,7 +45,7 @@
 }
 
 #[test]
-fn what_is_missing_is_named() {
+fn a_missing_mark_or_series_is_named() {
     let report = made(|_| (1.0, 0.001));
     let fault =
         page::renew(&blank().replace("<!-- scale: hours -->", ""), &report).expect_err("no mark");
@@ -89,7 +89,7 @@
 }
 
 #[test]
-fn candidates_stand_in_the_order_of_what_they_miss() {
+fn candidates_are_ordered_by_the_targets_they_miss() {
     let heavy = made(|name| {
         if name == "memory.busy.backends" {
             (0.0, 10.0)
@@ -120,10 +120,10 @@
     }
 }
 
-/// A crowded machine can add to a wall clock and never take off: it proves a target met, and nothing else.
+/// A busy machine makes times on a wall clock longer and never shorter: they can prove a target met, and nothing else.
 #[test]
-fn a_wall_clock_on_a_crowded_machine_proves_no_target_missed() {
-    let crowded = |latency: f64| {
+fn a_wall_clock_on_a_busy_machine_proves_no_missed_target() {
+    let on_busy_machine = |latency: f64| {
         let mut report = made(|name| {
             if name == "latency.rate" {
                 (latency, 0.0)
@@ -140,18 +140,18 @@
             .expect("a line")
     };
     for void in [-3.0, 90.0] {
-        let line = crowded(void);
+        let line = on_busy_machine(void);
         assert!(line.is_void() && line.factor().is_none(), "{line:?}");
         assert!(line.told().starts_with("void"), "{}", line.told());
     }
-    let met = crowded(0.6);
+    let met = on_busy_machine(0.6);
     assert!((met.factor().expect("a factor") - 0.5).abs() < 1e-9);
     assert_eq!(met.told(), "at most 0.6, on a crowded machine");
 }
 
-/// Each key that a candidate is for is a line of the reckoning with a target, or it could never be ordered.
+/// Each key of a candidate is a line of the reckoning, one with a target, or the candidate has no place in the order.
 #[test]
-fn candidates_are_for_lines_that_are_reckoned() {
+fn candidates_are_for_lines_of_the_reckoning() {
     let lines = reckon::targets(&made(|_| (1.0, 0.0))).expect("a reckoning");
     for candidate in reckon::CANDIDATES {
         for key in candidate.keys {
@@ -172,7 +172,7 @@
 }
 
 #[test]
-fn a_seed_draws_the_same_plan_and_another_one_another() {
+fn a_seed_gives_the_same_plan_and_another_one_another() {
     assert_eq!(Plan::long(7), Plan::long(7));
     let orders: std::collections::HashSet<_> =
         (0..20).map(|seed| Plan::long(seed).backends).collect();
--- a/crates/simulation/src/queue/tests.rs
+++ b/crates/simulation/src/queue/tests.rs
@@ -2,7 +2,7 @@
 use super::Queue;
 
 #[test]
-fn what_is_due_at_one_time_comes_in_the_order_in_which_it_was_put() {
+fn events_of_one_time_are_taken_in_the_order_of_insertion() {
     let mut queue = Queue::default();
     for (at, what) in [(2.0, 'c'), (1.0, 'a'), (2.0, 'd'), (1.0, 'b'), (0.5, '0')] {
         queue.put(at, what);
--- a/crates/simulation/tests/discovery.rs
+++ b/crates/simulation/tests/discovery.rs
@@ -1,12 +1,12 @@
-//! Crowds of proxies at a list service that takes few calls at a time and refuses the rest, in simulated time: each
-//! proxy is told in its time, and not only most of them.
+//! Many proxies at a list service that serves few calls at a time and refuses the others, in simulated time: each proxy
+//! is updated in time, and not only most of them.
 use birchhub_audit::{Entry, Event};
 use birchhub_rehearsal::{Plan, Scenario};
 use birchhub_simulation::simulate;
 
-const TOLD: f64 = 6.0; // s after discovery had it and could be reached
+const UPDATE_LIMIT: f64 = 6.0; // s after discovery had the change and could be reached
 const READY: f64 = 10.0; // s within which nine in ten processes are ready
-const DOWN: (f64, f64) = (2.0, 10.0); // s: an outage, into a release
+const OUTAGE: (f64, f64) = (2.0, 10.0); // s, with a release in it
 
 fn play(seed: u64, proxies: usize, ask_within: f64, list: &str, troubles: &str) -> Vec<Entry> {
     let text = format!(
@@ -38,13 +38,13 @@
 "#
     );
     let mut scenario = Scenario::read("crowd", &text).expect("a scenario");
-    // More than a machine has loopback addresses for; here there are none.
+    // More than a machine has loopback addresses for; the simulation needs none.
     scenario.proxies.count = proxies;
     let plan = Plan::draw(&scenario, seed, "crowd", &text).expect("a plan");
     simulate(&scenario, &plan).expect("a simulation").entries
 }
 
-/// s from when a change was there and could be had until each proxy was told of it: the longest of all.
+/// How long it took, s, from a change that could be read until each proxy had it: the longest of all.
 fn latest(entries: &[Entry], proxies: usize) -> f64 {
     let mut told = vec![Vec::new(); proxies];
     for entry in entries {
@@ -59,14 +59,14 @@
     let mut longest: f64 = 0.0;
     let mut seen = 0;
     for (node, at) in changes {
-        let reached = if (DOWN.0..DOWN.1).contains(&at) {
-            DOWN.1
+        let reached = if (OUTAGE.0..OUTAGE.1).contains(&at) {
+            OUTAGE.1
         } else {
             at
         };
-        seen += usize::from(at < DOWN.1);
+        seen += usize::from(at < OUTAGE.1);
         for told in &told {
-            // Whatever was told of it later held this, or what is newer.
+            // Every later update about it has this state or a newer one.
             let first = told.iter().find(|(n, told)| *n == node && *told >= at);
             longest = longest.max(first.map_or(f64::INFINITY, |(_, told)| told - reached));
         }
@@ -75,7 +75,7 @@
     longest
 }
 
-/// The service is down for 8 s, half of the backends drain meanwhile, and then the crowd is back.
+/// The service is down for 8 s, half of the backends drain meanwhile, and then all proxies call it.
 fn after_an_outage(proxies: usize, ask_within: f64, calls: usize, takes: &str) -> f64 {
     let list = format!("calls = {calls}\n{takes}");
     let troubles = r#"
@@ -98,7 +98,7 @@
 }
 
 #[test]
-fn a_crowd_of_300_is_told_in_time_after_an_outage() {
+fn each_of_300_proxies_is_updated_in_time_after_an_outage() {
     for (ask_within, calls) in [(4.0, 1), (20.0, 1), (20.0, 2)] {
         let longest = after_an_outage(
             300,
@@ -108,14 +108,14 @@
         );
         println!("300 proxies, ask-within {ask_within} s, {calls} calls at a time: {longest:.2} s");
         assert!(
-            longest < TOLD,
+            longest < UPDATE_LIMIT,
             "{longest} s at {calls} calls at a time, ask-within {ask_within} s"
         );
     }
 }
 
 #[test]
-fn a_crowd_of_850_is_told_in_time_after_an_outage() {
+fn each_of_850_proxies_is_updated_in_time_after_an_outage() {
     for (ask_within, calls) in [(4.0, 1), (20.0, 1), (20.0, 2)] {
         let longest = after_an_outage(
             850,
@@ -125,19 +125,19 @@
         );
         println!("850 proxies, ask-within {ask_within} s, {calls} calls at a time: {longest:.2} s");
         assert!(
-            longest < TOLD,
+            longest < UPDATE_LIMIT,
             "{longest} s at {calls} calls at a time, ask-within {ask_within} s"
         );
     }
 }
 
-/// What counts is the work of all their calls, one after another (each is told once, and then calls again to wait): the
-/// term holds while one call of each takes no more than this in all.
+/// What counts is the work of all their calls, one after another (each is updated once, and then calls again to watch):
+/// the limit holds while one call of each takes no more than this in all.
 const WORK: f64 = 1.3; // s
 
-/// Beyond that the figures are only printed: docs/acceptance.md has them.
+/// Above that the figures are only printed: docs/acceptance.md has them.
 #[test]
-fn crowds_are_told_in_time_by_services_of_any_capacity_that_bears_them() {
+fn proxies_are_updated_in_time_by_services_of_sufficient_capacity() {
     for (proxies, calls) in [(300, 1), (300, 2), (850, 1), (850, 2)] {
         for us in [1000, 2000, 3000, 4000, 6000, 8000] {
             let longest =
@@ -146,7 +146,7 @@
             let what =
                 format!("{proxies} proxies, {calls} at a time, {us} us each, {work:.2} s of work");
             println!("{what}: {longest:.2} s");
-            assert!(longest < TOLD || work > WORK, "{what}: {longest} s");
+            assert!(longest < UPDATE_LIMIT || work > WORK, "{what}: {longest} s");
         }
     }
 }
@@ -168,9 +168,9 @@
         .map_or(f64::INFINITY, |entry| entry.at)
 }
 
-/// A whole list of 8,700 lines at 1 us a line, all of them at once.
+/// A full list of 8,700 endpoints at 1 us each, for all proxies at once.
 #[test]
-fn nine_in_ten_of_a_mass_start_are_ready_in_time() {
+fn nine_in_ten_processes_of_a_mass_start_are_ready_in_time() {
     for (proxies, calls) in [(300, 1), (300, 2), (850, 1), (850, 2)] {
         let ready = mass_start(proxies, calls, 8.7);
         println!(
--- a/crates/simulation/tests/simulated.rs
+++ b/crates/simulation/tests/simulated.rs
@@ -1,4 +1,4 @@
-//! Rehearsals in simulated time: the same bytes for a seed, rules kept in all that ships, and at size.
+//! Rehearsals in simulated time: the same ledger for a seed, and the rules in all shipped scenarios and at size.
 use birchhub_audit::{Answer, Event};
 use birchhub_rehearsal::{Plan, Report, Scenario, Verdict, shipped};
 use birchhub_simulation::{Outcome, simulate};
@@ -14,7 +14,7 @@
 }
 
 #[test]
-fn a_seed_gives_the_same_ledger_to_the_byte() {
+fn a_seed_gives_the_same_ledger() {
     for name in ["overlap", "pauses"] {
         let text = shipped::find(name).expect("it ships").text;
         let (first, second, other) = (play(text, 1), play(text, 1), play(text, 2));
@@ -23,9 +23,9 @@
     }
 }
 
-/// Every RPC that was asked for and sent has its answers in the ledger, whatever befell it.
+/// Every RPC that was sent has its answers in the ledger, whatever faults it met.
 #[test]
-fn all_that_ships_keeps_the_rules_and_every_try_has_its_end() {
+fn every_shipped_scenario_keeps_the_rules_and_every_attempt_ends() {
     for shipped in shipped::ALL {
         let outcome = play(shipped.text, 3);
         let report = report(&outcome);
@@ -61,7 +61,7 @@
     }
 }
 
-/// A rolling deploy and a mass death before two thousand nodes.
+/// A rolling deploy and the death of many of two thousand nodes.
 const LARGE: &str = r#"
 name = "large"
 about = "Size."
--- a/crates/stand-in/tests/stand_ins.rs
+++ b/crates/stand-in/tests/stand_ins.rs
@@ -1,4 +1,4 @@
-//! Stand-ins over loopback sockets: each fault at the socket is what a proxy would meet, and the ledger tells it.
+//! Stand-ins over loopback sockets: each fault shows on the connection as a proxy would see it, and in the ledger.
 use birchhub_audit::event::{Left, Taken};
 use birchhub_audit::{Answer, Entry, Event, Group, Kind as Effect, State};
 use birchhub_model::{Spec, Start, Work, work::Spread};
@@ -10,7 +10,7 @@
 };
 use serde_json::Value;
 use std::future::Future;
-use std::net::IpAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::sync::mpsc::Receiver;
 use std::time::Duration;
@@ -20,8 +20,8 @@
 const PATIENCE: Duration = Duration::from_secs(20); // for an event; none should come near
 const HOME: IpAddr = IpAddr::V4(std::net::Ipv4Addr::LOCALHOST);
 
-/// Runs a test on one thread, as stand-ins do.
-fn on_stage<F: Future<Output = ()>>(test: impl FnOnce(Notes, Receiver<Entry>) -> F) {
+/// Runs a test on one thread, as stand-ins run.
+fn on_one_thread<F: Future<Output = ()>>(test: impl FnOnce(Notes, Receiver<Entry>) -> F) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -79,12 +79,12 @@
 }
 
 /// A proxy's connection to a node.
-struct Door {
+struct Connection {
     peer: Peer,
     clock: Clock,
 }
 
-impl Door {
+impl Connection {
     async fn open(node: &NodeHost, notes: &Notes, proxy: u16) -> Self {
         let peer = Peer::connect(node.door(proxy).expect("a door"))
             .await
@@ -109,8 +109,8 @@
     }
 }
 
-/// Events that have been told so far and fit.
-fn told(entries: &Receiver<Entry>, fits: impl Fn(&Event) -> bool) -> Vec<Event> {
+/// The events so far that fit.
+fn events_so_far(entries: &Receiver<Entry>, fits: impl Fn(&Event) -> bool) -> Vec<Event> {
     entries
         .try_iter()
         .map(|entry| entry.event)
@@ -121,7 +121,7 @@
 /// Waits for one that fits.
 async fn await_event(entries: &Receiver<Entry>, fits: impl Fn(&Event) -> bool) -> Event {
     loop {
-        if let Some(event) = told(entries, &fits).pop() {
+        if let Some(event) = events_so_far(entries, &fits).pop() {
             return event;
         }
         sleep(Duration::from_millis(1)).await;
@@ -133,13 +133,12 @@
 }
 
 #[test]
-#[expect(clippy::too_many_lines)]
-fn an_rpc_runs_and_its_answer_carries_the_load() {
-    on_stage(|notes, entries| async move {
+fn an_rpc_runs_and_its_response_reports_the_load() {
+    on_one_thread(|notes, entries| async move {
         let node = node(&notes, 0.005);
         node.start(Start::Warm).expect("a life");
-        let mut door = Door::open(&node, &notes, 1).await;
-        let answer = door.call(attempt_of(7, 0)).await.expect("an answer");
+        let mut connection = Connection::open(&node, &notes, 1).await;
+        let answer = connection.call(attempt_of(7, 0)).await.expect("an answer");
         assert_eq!(
             (answer.status, answer.body.as_slice()),
             (200, &b"0000000000000700 n0\n"[..])
@@ -148,7 +147,7 @@
             answer.header("server-load"),
             Some("inflight=0,queue=0,util=0.000")
         );
-        let events = told(&entries, |_| true);
+        let events = events_so_far(&entries, |_| true);
         let got = events.iter().find_map(|e| match e {
             Event::Got {
                 proxy,
@@ -169,49 +168,60 @@
             )),
             "{events:?}"
         );
+    });
+}
+
+#[test]
+fn calls_other_than_rpcs_have_their_status() {
+    on_one_thread(|notes, _entries| async move {
+        let node = node(&notes, 0.005);
+        node.start(Start::Warm).expect("a life");
+        let mut connection = Connection::open(&node, &notes, 1).await;
         for (path, status) in [("/stats", 200), ("/health/live", 200), ("/nothing", 404)] {
-            door.peer
+            connection
+                .peer
                 .write(&request("GET", path, 1, ""))
                 .await
                 .expect("a send");
             assert_eq!(
-                door.answer().await.expect("an answer").status,
+                connection.answer().await.expect("an answer").status,
                 status,
                 "{path}"
             );
         }
-        door.peer
+        connection
+            .peer
             .write(b"GET /read HTTP/1.1\r\nRequest-Id: none\r\n\r\n")
             .await
             .expect("a send");
-        assert_eq!(door.answer().await.expect("an answer").status, 400);
+        assert_eq!(connection.answer().await.expect("an answer").status, 400);
     });
 }
 
 #[test]
-fn a_full_or_draining_node_says_that_it_never_started() {
-    on_stage(|notes, _entries| async move {
+fn a_full_or_draining_node_responds_not_started() {
+    on_one_thread(|notes, _entries| async move {
         let node = node(&notes, 60.0);
         node.start(Start::Warm).expect("a life");
-        let mut doors = Vec::new();
+        let mut connections = Vec::new();
         for attempt in 0..4 {
-            let mut door = Door::open(&node, &notes, 0).await;
-            door.send(attempt).await;
+            let mut connection = Connection::open(&node, &notes, 0).await;
+            connection.send(attempt).await;
             while attempt < 2 && node.in_flight() <= attempt as usize {
                 sleep(Duration::from_millis(1)).await;
             }
-            doors.push(door);
+            connections.push(connection);
         }
-        // One runs, one waits, and the queue is full.
-        for door in &mut doors[2..] {
-            let answer = door.answer().await.expect("an answer");
+        // One runs, one is queued, and the queue is full.
+        for connection in &mut connections[2..] {
+            let answer = connection.answer().await.expect("an answer");
             assert_eq!(
                 (answer.status, answer.header("not-started")),
                 (503, Some("1"))
             );
         }
-        // A fifth connection is one too many, and is told so.
-        let mut fifth = Door::open(&node, &notes, 0).await;
+        // A fifth connection is one too many, and is refused.
+        let mut fifth = Connection::open(&node, &notes, 0).await;
         assert_eq!(
             fifth
                 .call(9)
@@ -221,14 +231,15 @@
             Some("1")
         );
         assert_eq!(fifth.answer().await.err(), Some(Stop::Closed));
-        drop(doors);
+        drop(connections);
         while !node.is_idle() {
             sleep(Duration::from_millis(1)).await;
         }
         node.drain();
-        let mut door = Door::open(&node, &notes, 0).await;
+        let mut connection = Connection::open(&node, &notes, 0).await;
         assert_eq!(
-            door.call(10)
+            connection
+                .call(10)
                 .await
                 .expect("an answer")
                 .header("not-started"),
@@ -238,14 +249,14 @@
 }
 
 #[test]
-fn a_withdrawn_pick_is_noticed_and_its_work_stops() {
-    on_stage(|notes, entries| async move {
+fn a_cancelled_attempt_is_noticed_and_its_work_stops() {
+    on_one_thread(|notes, entries| async move {
         let node = node(&notes, 60.0);
         node.start(Start::Warm).expect("a life");
-        let mut door = Door::open(&node, &notes, 0).await;
-        door.send(1).await;
+        let mut connection = Connection::open(&node, &notes, 0).await;
+        connection.send(1).await;
         await_event(&entries, |e| matches!(e, Event::Started { .. })).await;
-        drop(door);
+        drop(connection);
         let left = await_event(&entries, is_left).await;
         assert!(
             matches!(
@@ -259,15 +270,15 @@
     });
 }
 
-/// A process that dies resets its connections and refuses new ones; its next life is at the same address.
+/// A crashed process resets its connections and refuses new ones; it restarts at the same address.
 #[test]
-fn a_crash_resets_and_refuses_until_the_next_life() {
-    on_stage(|notes, entries| async move {
+fn a_crashed_node_resets_and_refuses_until_its_restart() {
+    on_one_thread(|notes, entries| async move {
         let node = node(&notes, 60.0);
         node.start(Start::Warm).expect("a life");
         let (mut busy, mut idle) = (
-            Door::open(&node, &notes, 0).await,
-            Door::open(&node, &notes, 0).await,
+            Connection::open(&node, &notes, 0).await,
+            Connection::open(&node, &notes, 0).await,
         );
         busy.send(1).await;
         await_event(&entries, |e| matches!(e, Event::Started { .. })).await;
@@ -291,14 +302,14 @@
             sleep(Duration::from_millis(1)).await;
         }
         node.start(Start::Warm).expect("a life");
-        Door::open(&node, &notes, 0).await.send(2).await;
+        Connection::open(&node, &notes, 0).await.send(2).await;
         await_event(&entries, |e| matches!(e, Event::Started { .. })).await;
     });
 }
 
 #[test]
-fn each_fault_is_what_a_proxy_would_meet() {
-    on_stage(|notes, entries| async move {
+fn each_fault_has_its_effect_on_the_connection() {
+    on_one_thread(|notes, entries| async move {
         let node = node(&notes, 0.001);
         node.start(Start::Warm).expect("a life");
         let mut attempt = 0;
@@ -319,8 +330,8 @@
         ] {
             attempt += 1;
             node.begin_fault(attempt, fault);
-            let mut door = Door::open(&node, &notes, 0).await;
-            let got = door
+            let mut connection = Connection::open(&node, &notes, 0).await;
+            let got = connection
                 .call(attempt_of(attempt as u32, 0))
                 .await
                 .map(|m| m.status);
@@ -328,7 +339,7 @@
             node.end_fault(attempt);
             let mut seen = Vec::new();
             while !seen.iter().any(is_left) {
-                seen.extend(told(&entries, |_| true));
+                seen.extend(events_so_far(&entries, |_| true));
                 sleep(Duration::from_millis(1)).await;
             }
             assert_eq!(
@@ -341,13 +352,13 @@
 }
 
 #[test]
-fn a_mute_node_takes_and_never_answers_yet_answers_probes() {
-    on_stage(|notes, entries| async move {
+fn a_mute_node_answers_health_checks_only() {
+    on_one_thread(|notes, entries| async move {
         let node = node(&notes, 0.001);
         node.start(Start::Warm).expect("a life");
         node.begin_fault(1, Fault::Mute { share: 1.0 });
-        let mut door = Door::open(&node, &notes, 0).await;
-        door.send(1).await;
+        let mut connection = Connection::open(&node, &notes, 0).await;
+        connection.send(1).await;
         await_event(&entries, |e| {
             matches!(
                 e,
@@ -358,14 +369,14 @@
             )
         })
         .await;
-        let mut probe = Door::open(&node, &notes, 0).await;
+        let mut probe = Connection::open(&node, &notes, 0).await;
         probe
             .peer
             .write(&request("GET", "/stats", 0, ""))
             .await
             .expect("a send");
         assert_eq!(probe.answer().await.expect("an answer").status, 200);
-        drop(door);
+        drop(connection);
         let left = await_event(&entries, is_left).await;
         assert!(matches!(
             left,
@@ -377,22 +388,22 @@
     });
 }
 
-/// Cut off from one proxy: silence there, service elsewhere, and a reset of all that stood open when it is over.
+/// Partitioned from one proxy: no answer there, service elsewhere, and a reset of all open connections at the end.
 #[test]
-fn a_partition_is_silent_and_ends_with_resets() {
-    on_stage(|notes, _entries| async move {
+fn a_partition_drops_packets_and_ends_with_resets() {
+    on_one_thread(|notes, _entries| async move {
         let node = node(&notes, 0.001);
         node.start(Start::Warm).expect("a life");
-        let mut before = Door::open(&node, &notes, 0).await;
+        let mut before = Connection::open(&node, &notes, 0).await;
         before.call(1).await.expect("an answer");
         node.begin_fault(1, Fault::Partition { from: Some(0) });
         before.send(2).await;
-        let mut during = Door::open(&node, &notes, 0).await;
+        let mut during = Connection::open(&node, &notes, 0).await;
         during.send(3).await;
         let silent = timeout(Duration::from_millis(100), during.answer()).await;
         assert!(silent.is_err(), "it answered: {silent:?}");
         assert_eq!(
-            Door::open(&node, &notes, 1)
+            Connection::open(&node, &notes, 1)
                 .await
                 .call(4)
                 .await
@@ -403,7 +414,7 @@
         node.end_fault(1);
         assert!(before.answer().await.is_err() && during.answer().await.is_err());
         assert_eq!(
-            Door::open(&node, &notes, 0)
+            Connection::open(&node, &notes, 0)
                 .await
                 .call(5)
                 .await
@@ -414,32 +425,32 @@
     });
 }
 
-/// While its process stands still nothing is answered; what came meanwhile is served afterwards, with the time it came.
+/// A stopped process answers nothing; requests of that time are served afterwards, with their time of arrival.
 #[test]
-fn a_stalled_node_serves_afterwards_what_came_meanwhile() {
-    on_stage(|notes, entries| async move {
+fn a_stalled_node_serves_requests_after_the_stall() {
+    on_one_thread(|notes, entries| async move {
         let node = node(&notes, 0.001);
         node.start(Start::Warm).expect("a life");
         node.begin_stall(1);
         node.begin_stall(2);
-        let mut door = Door::open(&node, &notes, 0).await;
+        let mut connection = Connection::open(&node, &notes, 0).await;
         let before = notes.clock.now();
-        door.send(1).await;
+        connection.send(1).await;
         assert!(
-            timeout(Duration::from_millis(100), door.answer())
+            timeout(Duration::from_millis(100), connection.answer())
                 .await
                 .is_err()
         );
         node.end_stall(1);
         assert!(
-            timeout(Duration::from_millis(50), door.answer())
+            timeout(Duration::from_millis(50), connection.answer())
                 .await
                 .is_err(),
             "the other stall lasts"
         );
         let ended = notes.clock.now();
         node.end_stall(2);
-        assert_eq!(door.answer().await.expect("an answer").status, 200);
+        assert_eq!(connection.answer().await.expect("an answer").status, 200);
         let got = await_event(&entries, |e| matches!(e, Event::Got { .. })).await;
         assert!(
             matches!(got, Event::Got { begun, .. } if begun >= before && begun < ended),
@@ -449,13 +460,13 @@
 }
 
 #[test]
-fn a_cold_node_that_is_pushed_over_stays_down() {
-    on_stage(|notes, entries| async move {
+fn a_node_overloaded_in_slow_start_stays_down() {
+    on_one_thread(|notes, entries| async move {
         let node = node(&notes, 0.5);
         node.start(Start::Cold).expect("a life");
-        // Able to do half of a core's work, it falls at three times that within a second.
+        // Its capacity is half of a core, and it fails at three times that within a second.
         for attempt in 0..4 {
-            Door::open(&node, &notes, 0).await.send(attempt).await;
+            Connection::open(&node, &notes, 0).await.send(attempt).await;
         }
         await_event(&entries, |e| matches!(e, Event::Fell { .. })).await;
         while Peer::connect(node.door(0).expect("a door")).await.is_ok() {
@@ -466,11 +477,11 @@
 }
 
 #[test]
-fn a_repeat_is_answered_and_has_no_effect() {
-    on_stage(|notes, entries| async move {
+fn a_deduplicated_repeat_is_answered_without_a_run() {
+    on_one_thread(|notes, entries| async move {
         let node = node(&notes, 0.001);
         node.start(Start::Warm).expect("a life");
-        let mut door = Door::open(&node, &notes, 0).await;
+        let mut connection = Connection::open(&node, &notes, 0).await;
         for attempt in [attempt_of(3, 0), attempt_of(3, 1)] {
             let bytes = request(
                 "POST",
@@ -478,10 +489,10 @@
                 attempt,
                 "Idempotency-Key: k\r\nContent-Length: 0\r\n",
             );
-            door.peer.write(&bytes).await.expect("a send");
-            assert_eq!(door.answer().await.expect("an answer").status, 200);
+            connection.peer.write(&bytes).await.expect("a send");
+            assert_eq!(connection.answer().await.expect("an answer").status, 200);
         }
-        let runs = told(&entries, |e| {
+        let runs = events_so_far(&entries, |e| {
             matches!(e, Event::Started { .. } | Event::Repeated { .. })
         });
         assert!(
@@ -526,8 +537,8 @@
 }
 
 #[test]
-fn the_list_is_told_whole_or_as_changes_and_to_each_proxy_its_own() {
-    on_stage(|notes, entries| async move {
+fn the_list_is_sent_in_full_or_as_changes_with_addresses_for_each_proxy() {
+    on_one_thread(|notes, entries| async move {
         let clock = notes.clock;
         let list = ListService::start(notes, &[HOME, HOME]).expect("a list service");
         list.change(0, line(State::Ready, 1));
@@ -554,7 +565,7 @@
         list.change(0, line(State::Gone, 1));
         let whole = ask(&list, 1, "", &clock).await.expect("a list");
         assert_eq!(whole["targets"].as_array().map(Vec::len), Some(0));
-        let heard = told(&entries, |e| matches!(e, Event::Told { proxy: 1, .. }));
+        let heard = events_so_far(&entries, |e| matches!(e, Event::Told { proxy: 1, .. }));
         let states: Vec<_> = heard
             .iter()
             .map(|e| {
@@ -572,10 +583,10 @@
     });
 }
 
-/// It works on one call at a time and refuses the others; one that waits for something new takes no room.
+/// It serves one call at a time and refuses the others; a watch that waits uses no capacity.
 #[test]
-fn a_list_that_takes_few_calls_refuses_more() {
-    on_stage(|notes, _entries| async move {
+fn a_list_service_of_small_capacity_refuses_further_calls() {
+    on_one_thread(|notes, _entries| async move {
         let clock = notes.clock;
         let list = ListService::start(notes, &[HOME, HOME]).expect("a list service");
         list.change(0, line(State::Ready, 1));
@@ -620,8 +631,8 @@
 }
 
 #[test]
-fn a_list_that_is_down_resets_and_a_stale_one_stands_still() {
-    on_stage(|notes, _entries| async move {
+fn a_list_service_that_is_down_resets_and_a_stale_one_does_not_change() {
+    on_one_thread(|notes, _entries| async move {
         let clock = notes.clock;
         let list = ListService::start(notes, &[HOME, HOME]).expect("a list service");
         list.change(0, line(State::Ready, 1));
@@ -675,69 +686,70 @@
     }
 }
 
-/// What a client sees of a proxy that does each of these with its answer.
+/// A server that reads one RPC and answers with these bytes.
+fn answer_once(clock: Clock, bytes: Vec<u8>) -> SocketAddr {
+    let listener = wire::listen((HOME, 0).into(), 8).expect("a listener");
+    let at = listener.local_addr().expect("an address");
+    spawn_local(async move {
+        let (stream, _) = listener.accept().await.expect("a client");
+        let mut peer = Peer::new(stream);
+        peer.read(Kind::Request, &clock).await.expect("an RPC");
+        peer.write(&bytes).await.expect("an answer");
+    });
+    at
+}
+
+/// What a client records of each response of a proxy.
 #[test]
-#[expect(clippy::too_many_lines)]
-fn a_client_tells_answers_apart() {
-    on_stage(|notes, _entries| async move {
+fn a_client_distinguishes_the_answers() {
+    on_one_thread(|notes, _entries| async move {
         let ok = |attempt: u64| wire::response(200, &[], format!("{attempt:016x} n\n").as_bytes());
+        let retry_after = [("Retry-After", "0.5")];
+        let truncated = b"HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n".to_vec();
         let cases: Vec<(Vec<u8>, Answer)> = vec![
             (ok(1), Answer::Ok),
             (ok(2), Answer::Garbled),
             ([ok(1), ok(1)].concat(), Answer::Garbled),
             (
-                wire::response(503, &[("Retry-After", "0.5")], b""),
+                wire::response(503, &retry_after, b""),
                 Answer::PushedBack(Some(0.5)),
             ),
             (wire::response(429, &[], b""), Answer::PushedBack(None)),
             (wire::response(502, &[], b""), Answer::Aborted(502)),
-            (
-                b"HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n".to_vec(),
-                Answer::Lost,
-            ),
+            (truncated, Answer::Lost),
             (vec![], Answer::Lost),
         ];
         for (bytes, expected) in cases {
-            let listener = wire::listen((HOME, 0).into(), 8).expect("a listener");
-            let at = listener.local_addr().expect("an address");
-            let clock = notes.clock;
-            spawn_local(async move {
-                let (stream, _) = listener.accept().await.expect("a client");
-                let mut peer = Peer::new(stream);
-                peer.read(Kind::Request, &clock).await.expect("an RPC");
-                peer.write(&bytes).await.expect("an answer");
-            });
-            assert_eq!(
-                Caller::new(notes.clone()).call(&call(1, 5.0), at).await,
-                expected
-            );
+            let at = answer_once(notes.clock, bytes);
+            let answer = Caller::new(notes.clone()).call(&call(1, 5.0), at).await;
+            assert_eq!(answer, expected);
         }
+    });
+}
+
+#[test]
+fn a_client_without_an_answer_distinguishes_the_reasons() {
+    on_one_thread(|notes, _entries| async move {
         let silent = wire::listen((HOME, 0).into(), 8).expect("a listener");
         let at = silent.local_addr().expect("an address");
-        assert_eq!(
-            Caller::new(notes.clone()).call(&call(1, 0.05), at).await,
-            Answer::Silence
-        );
+        let caller = || Caller::new(notes.clone());
+        let answer = caller().call(&call(1, 0.05), at).await;
+        assert_eq!(answer, Answer::Silence);
         let leaving = Call {
             leaves_after: Some(0.01),
             ..call(1, 5.0)
         };
-        assert_eq!(
-            Caller::new(notes.clone()).call(&leaving, at).await,
-            Answer::HungUp
-        );
+        assert_eq!(caller().call(&leaving, at).await, Answer::HungUp);
         drop(silent);
-        assert_eq!(
-            Caller::new(notes).call(&call(1, 5.0), at).await,
-            Answer::Unreachable
-        );
+        let answer = caller().call(&call(1, 5.0), at).await;
+        assert_eq!(answer, Answer::Unreachable);
     });
 }
 
-/// A kept connection that was closed while idle is not used; an RPC is not lost by it.
+/// A pooled connection that was closed while idle is not used, and no RPC is lost by it.
 #[test]
-fn a_kept_connection_that_was_closed_is_passed_over() {
-    on_stage(|notes, entries| async move {
+fn a_pooled_connection_that_was_closed_is_not_used() {
+    on_one_thread(|notes, entries| async move {
         let listener = wire::listen((HOME, 0).into(), 8).expect("a listener");
         let (at, clock) = (listener.local_addr().expect("an address"), notes.clock);
         spawn_local(async move {
@@ -756,6 +768,9 @@
             assert_eq!(caller.call(&call(1, 5.0), at).await, Answer::Ok);
             sleep(Duration::from_millis(5)).await;
         }
-        assert_eq!(told(&entries, |e| matches!(e, Event::Sent { .. })).len(), 3);
+        assert_eq!(
+            events_so_far(&entries, |e| matches!(e, Event::Sent { .. })).len(),
+            3
+        );
     });
 }
