--- a/crates/daemon/src/decision/actor.rs
+++ b/crates/daemon/src/decision/actor.rs
@@ -5,23 +5,22 @@
 use crate::config::file::Config;
 use crate::config::reload::ConfigUpdate;
 use crate::config::shadow::{Action, RecordedActions, ShadowEvaluator};
-use crate::discovery::client::{EndpointUpdate, ListedEndpoint};
+use crate::discovery::update::{EndpointUpdate, ListedEndpoint};
 use crate::downstream::listener::RequestIdGuard;
 use crate::downstream::request::{ParsedRequest, ReceivedRpc};
 use crate::downstream::response::ProxyResponse;
 use crate::lifecycle::state::{ProxyState, StateStore};
-use crate::messages::Event;
+use crate::messages::{AttemptId, Event};
 use crate::net::sockets::{ClientLiveness, SocketBudget};
-use crate::upstream::endpoint::{
-    CancelSignal, CompletionGuard, ConnectionLimits, Deadlines, EndpointHandle, EndpointInfo,
-    Exchange, ExchangeKind,
+use crate::upstream::endpoint::{ConnectionLimits, EndpointHandle, EndpointInfo};
+use crate::upstream::exchange::{
+    CompletionGuard, Deadlines, Exchange, ExchangeKind, ExchangeRequest, ExchangeResult,
 };
 use birchhub::interface::{
-    AttemptOutcome, Endpoint, EndpointUpdateKind, Idempotency, IncomingRpc, LoadReport,
-    MethodSettings, PacedBy, Platform, Readiness,
+    AttemptOutcome, Endpoint, EndpointUpdateKind, Idempotency, IncomingRpc, MethodSettings,
+    PacedBy, Platform, Readiness,
 };
 use birchhub::policy::{Balancer, RpcHandle};
-use bytes::Bytes;
 use std::collections::{HashMap, HashSet};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
@@ -95,24 +94,13 @@
     }
 
     /// Hands a job to a backend. Where that can't be done its ticket, dropped, says so.
-    fn run(
-        &mut self,
-        kind: ExchangeKind,
-        backend: u32,
-        message: ParsedRequest,
-        client: Option<ClientLiveness>,
-        deadlines: Deadlines,
-        cancel: CancelSignal,
-    ) {
+    fn run(&mut self, kind: ExchangeKind, backend: u32, request: ExchangeRequest) {
         let Ok(permit) = self.events.clone().try_reserve_owned() else {
             log::error!("the core's mailbox is full");
             return self.unsent.push(kind);
         };
         let exchange = Exchange {
-            message,
-            client,
-            deadlines,
-            cancel,
+            request,
             completion: CompletionGuard::new(kind, self.events.clone(), permit),
         };
         if let Some(backend) = self.backends.get(&backend) {
@@ -140,15 +128,17 @@
             .min(in_flight.deadline);
         let (message, client) = (in_flight.message.clone(), Some(in_flight.client.clone()));
         log::trace!("RPC {rpc}: attempt {attempt} to {backend} for {time_out:.3} s");
-        let deadlines = Deadlines { until, send_by };
-        self.run(
-            ExchangeKind::Attempt { rpc, attempt },
-            backend,
-            message,
+        let request = ExchangeRequest {
+            request: message,
             client,
-            deadlines,
-            Some(cancel),
-        );
+            deadlines: Deadlines { until, send_by },
+            cancel: Some(cancel),
+        };
+        let attempt = AttemptId {
+            rpc,
+            index: attempt,
+        };
+        self.run(ExchangeKind::Attempt(attempt), backend, request);
         self.record(rpc, Action::Attempt(backend));
     }
     fn cancel_attempt(&mut self, rpc: u64, attempt: usize) {
@@ -179,14 +169,13 @@
             send_by: None,
         };
         log::trace!("probe to {backend}");
-        self.run(
-            ExchangeKind::HealthCheck { backend },
-            backend,
-            ParsedRequest::health_check(),
-            None,
+        let request = ExchangeRequest {
+            request: ParsedRequest::health_check(),
+            client: None,
             deadlines,
-            None,
-        );
+            cancel: None,
+        };
+        self.run(ExchangeKind::HealthCheck { backend }, backend, request);
     }
     fn watch_endpoints(&mut self) {
         self.watch_wanted.notify_one();
@@ -236,7 +225,7 @@
         state_store: Rc<StateStore>,
         names: ActiveNames,
     ) -> Self {
-        let conf = &config.conf;
+        let conf = &config.parsed_settings;
         let platform = DaemonPlatform {
             now: clock.now(),
             clock,
@@ -247,14 +236,17 @@
             timer_at: None,
             unsent: Vec::new(),
             answered: Vec::new(),
-            recorded: config.watch.as_ref().map(|_| RecordedActions::default()),
+            recorded: config
+                .shadow_settings
+                .as_ref()
+                .map(|_| RecordedActions::default()),
         };
         let mut actor = Self {
             balancer: Balancer::new(&conf.settings, config.seed),
             rpcs: HashMap::new(),
             platform,
             shadow: config
-                .watch
+                .shadow_settings
                 .as_ref()
                 .map(|settings| ShadowEvaluator::new(settings, config.seed)),
             numbers: HashMap::new(),
@@ -268,10 +260,10 @@
                 .iter()
                 .map(deduplication_window)
                 .collect(),
-            uses_relative_size: conf.sized,
+            uses_relative_size: conf.lists_endpoint_sizes,
             limits: ConnectionLimits {
-                connect: Duration::from_secs_f64(conf.connect_limit),
-                idle: Duration::from_secs_f64(conf.idle_limit),
+                connect: Duration::from_secs_f64(conf.connect_timeout),
+                idle: Duration::from_secs_f64(conf.idle_timeout),
             },
             budget,
             state: state_store.reader(),
@@ -280,7 +272,7 @@
             heartbeat_due: Instant::now() + HEARTBEAT_INTERVAL,
             resumed: Instant::now(),
         };
-        let known = config.known.clone().unwrap_or(EndpointUpdate {
+        let known = config.cached_endpoints.clone().unwrap_or(EndpointUpdate {
             version: 0,
             kind: EndpointUpdateKind::StaleSnapshot,
             listed: vec![],
@@ -365,26 +357,22 @@
                 answer,
             } => self.accept_rpc(id, *rpc, opened, client, answer),
             Event::ClientDisconnected(id) => self.on_client_disconnected(id),
-            Event::AttemptEnded {
-                rpc,
-                attempt,
-                outcome,
-                report,
-                body,
-            } => self.on_attempt_ended(rpc, attempt, outcome, report, body),
-            Event::RequestSent { rpc, attempt } => {
-                self.on_rpc(rpc, |rpc, platform| rpc.on_request_sent(attempt, platform));
+            Event::AttemptEnded { attempt, result } => self.on_attempt_ended(attempt, result),
+            Event::RequestSent { attempt } => {
+                self.on_rpc(attempt.rpc, |rpc, platform| {
+                    rpc.on_request_sent(attempt.index, platform);
+                });
                 self.replay_to_shadow(|shadow, now, recorded| {
-                    shadow.on_request_sent(now, recorded, (rpc, attempt))
+                    shadow.on_request_sent(now, recorded, (attempt.rpc, attempt.index))
                 });
             }
-            Event::ResponseStarted { rpc, attempt, flow } => {
-                self.on_rpc(rpc, |handle, platform| {
-                    platform.respond(rpc, ProxyResponse::Streamed(flow));
-                    handle.on_response_started(attempt, PacedBy::Client, platform);
+            Event::ResponseStarted { attempt, body } => {
+                self.on_rpc(attempt.rpc, |rpc, platform| {
+                    platform.respond(attempt.rpc, ProxyResponse::Streamed(body));
+                    rpc.on_response_started(attempt.index, PacedBy::Client, platform);
                 });
                 self.replay_to_shadow(|shadow, now, recorded| {
-                    shadow.on_response_started(now, recorded, (rpc, attempt))
+                    shadow.on_response_started(now, recorded, (attempt.rpc, attempt.index))
                 });
             }
             Event::HealthChecked {
@@ -413,7 +401,7 @@
             }
         }
         while let Some(kind) = self.platform.unsent.pop() {
-            self.dispatch(kind.end((AttemptOutcome::NotSent, None, Bytes::new())));
+            self.dispatch(kind.completion_event(AttemptOutcome::NotSent.into()));
         }
     }
 
@@ -487,10 +475,10 @@
         let started = Instant::now();
         let ConfigUpdate {
             settings,
-            kept,
+            carried_over: kept,
             names,
-            watch,
-            done,
+            shadow_settings: watch,
+            applied,
         } = update;
         self.deduplication_windows = settings.methods.iter().map(deduplication_window).collect();
         let before = self.names.replace(names.into());
@@ -505,7 +493,7 @@
             }),
             None => (self.shadow, self.platform.recorded) = (None, None),
         }
-        let _ = done.send((before, started.elapsed()));
+        let _ = applied.send((before, started.elapsed()));
     }
 
     fn accept_rpc(
@@ -575,14 +563,16 @@
         });
     }
 
-    fn on_attempt_ended(
-        &mut self,
-        id: u64,
-        attempt: usize,
-        outcome: AttemptOutcome,
-        report: Option<LoadReport>,
-        body: Bytes,
-    ) {
+    fn on_attempt_ended(&mut self, attempt: AttemptId, result: ExchangeResult) {
+        let AttemptId {
+            rpc: id,
+            index: attempt,
+        } = attempt;
+        let ExchangeResult {
+            outcome,
+            report,
+            body,
+        } = result;
         log::trace!("RPC {id}: attempt {attempt} {outcome:?}");
         let outcome = self.reliable_outcome(outcome, AttemptOutcome::Cancelled);
         // An answer that is ok ends it; it goes to the client below.
@@ -691,7 +681,7 @@
             *heard = now;
             let backend = *backend;
             let info = EndpointInfo {
-                endpoint: listed.endpoint,
+                address: listed.endpoint,
                 ready: readiness == Readiness::Ready,
             };
             if readiness == Readiness::Removed {
--- a/crates/daemon/src/downstream/request_parser.rs
+++ b/crates/daemon/src/downstream/request_parser.rs
@@ -169,7 +169,7 @@
     fn entity_key(&self) -> Option<u64> {
         self.value(ENTITY)
             .filter(|entity| *entity != NO_ENTITY)
-            .map(birchhub_settings::key)
+            .map(birchhub_settings::hash_key)
     }
 }
 
