Plain wording of comments in downstream/ and net/

Cause: comments still had words of the earlier house style (come, whole, place, tells). Change: comments only.

--- a/crates/daemon/src/downstream/connection.rs
+++ b/crates/daemon/src/downstream/connection.rs
@@ -15,8 +15,7 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// For a client that takes no byte of its response.
 const RESPONSE_STALL_TIMEOUT: Duration = Duration::from_secs(30);
-/// For a new connection to bring its RPC, also while clients are sent away or another connection could be accepted
-/// in its place.
+/// For a new connection to send its RPC, also while the proxy drains or another connection could have its place.
 const SETTLE_PERIOD: Duration = Duration::from_millis(300);
 
 /// What a client's connection is doing. Idle connections are evicted in this order, the one that was silent for the
@@ -27,9 +26,9 @@
     New,
     /// Between messages.
     Idle,
-    /// A part of a head has come.
+    /// A part of a head was received.
     ReadingHead,
-    /// The head is complete, and not yet as much of the body as is buffered.
+    /// The head is complete; the buffered part of the body is not.
     ReadingBody,
     /// The decision actor has the RPC.
     RpcInFlight,
@@ -37,20 +36,20 @@
     WritingResponse,
 }
 
-/// By when connections without an RPC end while clients are sent away.
+/// By when connections without an RPC in flight end while the proxy drains.
 #[derive(Clone, Copy)]
 pub(crate) struct DrainDeadlines {
-    /// Of a connection on which nothing is in progress.
+    /// Of a connection between messages.
     pub idle: Instant,
-    /// Of a connection that has brought a part of a message.
+    /// Of a connection that has sent a part of a message.
     pub incomplete_message: Instant,
 }
 
 /// The state of a client's connection, shared by its task, the observer of its stream and the socket budget.
 pub(crate) struct ClientConnection {
     phase: Cell<Phase>,
-    /// The response at hand is the last, or the stream is not in order any more: the connection is closed, after the
-    /// client had time to read the response.
+    /// The response at hand is the last, or the stream is malformed: the connection is closed, after the client had
+    /// time to read the response.
     is_closing: Cell<bool>,
     /// By when the head at hand is to be complete, the next one to begin, or a byte of a response to be taken.
     deadline: Cell<Instant>,
@@ -58,10 +57,10 @@
     /// Of the response at hand.
     delivery: RefCell<DeliveryStatus>,
     budget: Rc<SocketBudget>,
-    /// Kept while the connection may be evicted.
+    /// Held while the connection may be evicted.
     eviction: RefCell<Option<EvictionCandidate>>,
     weak_self: Weak<ClientConnection>,
-    /// The budget has given its place to another; void once an RPC is in flight.
+    /// The budget wants its permit for another connection; reset once an RPC is in flight.
     is_evicted: Cell<bool>,
     opened_at: Instant,
     /// Wakes the connection's task, for it to look at the deadlines again.
@@ -151,8 +150,8 @@
         }
     }
 
-    /// The lowest rank is evicted first. A new connection has a high one at first: new connections would push out
-    /// each other, and find no place among those that idle.
+    /// The lowest rank is evicted first. A new connection has a high one at first: new connections would evict
+    /// each other, while older ones stay idle.
     fn eviction_rank(&self) -> u8 {
         match self.phase.get() {
             Phase::New if self.settles_at().is_some() => Phase::ReadingHead as u8 + 1,
@@ -167,15 +166,15 @@
             .filter(|end| self.phase.get() == Phase::New && Instant::now() < *end)
     }
 
-    /// By when the connection ends if nothing else happens; never by itself with an RPC in flight. A client may send
-    /// nothing, or never come to an end of its head or of reading its response; the connection may have been evicted;
-    /// and clients may be sent away, by the drain deadlines.
+    /// By when the connection ends if nothing else happens; never by itself with an RPC in flight. The
+    /// earliest of three counts: the deadline of the phase, for a client that is silent or too slow; an eviction; and
+    /// the drain deadlines.
     pub(crate) fn ends_at(&self, drain: Option<DrainDeadlines>) -> Option<Instant> {
         let own = Some(self.deadline.get());
         let evicted = self.is_evicted.get().then_some(self.opened_at);
         let incomplete = drain.map(|drain| drain.incomplete_message);
         let (own, drain) = match self.phase.get() {
-            // A new connection may bring an RPC yet.
+            // A new connection may still send an RPC.
             Phase::New | Phase::Idle => {
                 let settled_at = self.opened_at + SETTLE_PERIOD;
                 (own, drain.map(|drain| drain.idle.max(settled_at)))
--- a/crates/daemon/src/downstream/connection_task.rs
+++ b/crates/daemon/src/downstream/connection_task.rs
@@ -35,7 +35,7 @@
 pub(crate) struct ConnectionTask {
     /// Responds to what the client sends.
     pub service: Rc<RpcService>,
-    /// Whether clients are sent away.
+    /// Whether this proxy drains.
     pub state: watch::Receiver<ProxyState>,
     /// Of which the permit is.
     pub budget: Rc<SocketBudget>,
@@ -48,7 +48,7 @@
 impl ConnectionTask {
     /// Serves the connection until either side closes it.
     pub(crate) async fn run(self, stream: TcpStream) {
-        // Responses are written complete, or chunk by chunk as they come: nothing is gained by waiting for more.
+        // Responses are written complete, or a chunk as soon as it is there: waiting for more gains nothing.
         let _ = stream.set_nodelay(true);
         let client = ClientConnection::new(&self.budget);
         let stream = InboundStream::new(stream);
@@ -99,9 +99,9 @@
         response
     }
 
-    /// Moves the connection's bytes until it ends or is to end; the only place that decides the latter. What has
-    /// come is always read first, and the connection's phase looked at after that. Otherwise an RPC could be read in
-    /// the very turn in which its connection is closed as idle, and be dropped with it.
+    /// Moves the connection's bytes until it ends or is to end; the only place that decides the latter. Bytes that
+    /// were received are always read before the phase is looked at. Otherwise an RPC could be read in the very turn
+    /// in which its connection is closed as idle, and be dropped with it.
     async fn drive<C: Future<Output = hyper::Result<()>> + Unpin>(
         &self,
         connection: &mut C,
@@ -152,7 +152,7 @@
         })
 }
 
-/// Reads what the system may hold since the event loop was asked; ready if the connection has ended.
+/// Reads what the system received since the event loop polled it; ready if the connection has ended.
 async fn read_once_more<C: Future + Unpin>(
     connection: &mut C,
     read_ahead: &ReadAhead,
@@ -162,7 +162,7 @@
     poll_fn(|cx| Poll::Ready(Pin::new(&mut *connection).poll(cx))).await
 }
 
-/// Lets a client read the last response, unless another connection is to have its place.
+/// Lets a client read the last response, unless the connection is evicted for another.
 async fn linger_until_evicted(stream: InboundStream, client: &ClientConnection) {
     client.begin_linger();
     select! {
--- a/crates/daemon/src/downstream/head.rs
+++ b/crates/daemon/src/downstream/head.rs
@@ -1,5 +1,5 @@
-//! Counts how often a message's head declares the framing of its body, in the bytes as they come: hyper keeps one
-//! declaration and drops the other unseen.
+//! Counts how often a message's head declares the framing of its body, in the bytes as they are received:
+//! hyper goes by one declaration and drops the other unseen.
 
 /// Length of the longest field name that is looked for.
 const LONGEST_NAME: usize = "transfer-encoding".len();
--- a/crates/daemon/src/downstream/listener.rs
+++ b/crates/daemon/src/downstream/listener.rs
@@ -80,7 +80,7 @@
                 AcceptEvent::StateChanged => {}
                 AcceptEvent::DeadlineReached if is_deadline_reached => return,
                 AcceptEvent::DeadlineReached => {
-                    // The deadline is seen before the event loop asks the system what has come: one more look.
+                    // The timer fires before the event loop polls the socket: one more accept is tried.
                     is_deadline_reached = true;
                     yield_now().await;
                 }
--- a/crates/daemon/src/downstream/request.rs
+++ b/crates/daemon/src/downstream/request.rs
@@ -1,4 +1,4 @@
-//! A client's RPC, and its request as it goes on to backends.
+//! A client's RPC, and its request as it is forwarded to backends.
 use crate::config::active::{NameTable, check};
 pub(crate) use crate::downstream::request_parser::RequestParser;
 use crate::downstream::response::ProxyResponse;
@@ -18,7 +18,7 @@
 /// By which a backend recognises a request that it has had already.
 pub(super) const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
-/// The path at which a backend tells its load.
+/// The path at which a backend reports its load.
 const HEALTH_CHECK_PATH: &str = "/stats";
 
 /// An RPC as a client sent it.
@@ -40,12 +40,13 @@
     pub expected_work: Option<f64>,
     /// The entity it is about, as a hash.
     pub key: Option<u64>,
-    /// What goes on to backends.
+    /// What is forwarded to backends.
     pub request: ParsedRequest,
 }
 
 impl ReceivedRpc {
-    /// Reads it again where other settings came into force since it was parsed; an error if it is no RPC by those.
+    /// Resolves its names again if other settings were put in force since it was parsed; an error if it is no RPC
+    /// by those.
     pub(crate) fn apply_names(&mut self, names: &NameTable) -> Result<(), ProxyResponse> {
         if self.version == names.version {
             return Ok(());
@@ -62,7 +63,7 @@
     }
 }
 
-/// What goes on to backends unchanged.
+/// The part of a request that is forwarded to backends unchanged.
 #[derive(Clone)]
 pub(crate) struct ParsedRequest {
     pub(super) method: Method,
--- a/crates/daemon/src/downstream/request_error.rs
+++ b/crates/daemon/src/downstream/request_error.rs
@@ -19,7 +19,7 @@
     UnexpectedBody,
     /// Its body is longer than the protocol allows.
     BodyTooLarge,
-    /// Its body came too slowly.
+    /// Its body was not received in time.
     BodyTimeout,
     /// An RPC with the same `Request-Id` is in flight.
     DuplicateRequestId,
--- a/crates/daemon/src/downstream/request_ids.rs
+++ b/crates/daemon/src/downstream/request_ids.rs
@@ -8,7 +8,7 @@
 #[derive(Clone, Default)]
 pub(crate) struct ActiveRequestIds(Rc<RefCell<HashSet<HeaderValue>>>);
 
-/// Keeps a `Request-Id` active until it is dropped.
+/// A `Request-Id` that is active until this is dropped.
 pub(crate) struct RequestIdGuard {
     id: HeaderValue,
     active: ActiveRequestIds,
--- a/crates/daemon/src/downstream/request_parser.rs
+++ b/crates/daemon/src/downstream/request_parser.rs
@@ -89,7 +89,7 @@
 
 /// Rejects a head that declares its body's framing twice, or in a way that is not supported. hyper drops a
 /// `Content-Length` beside a `Transfer-Encoding` and goes by the other: an RPC could be smuggled in the body of what
-/// others take for one message.
+/// another proxy takes for one message.
 fn check_framing(headers: &HeaderMap, framings: Framings) -> Result<(), RequestError> {
     let coding = single_value(headers, &TRANSFER_ENCODING)?;
     let is_supported =
--- a/crates/daemon/src/downstream/response.rs
+++ b/crates/daemon/src/downstream/response.rs
@@ -13,12 +13,12 @@
     Streamed(StreamedBody),
     /// Nothing ran: a retry is safe.
     Rejected {
-        /// When to retry, in seconds from now; not told if 0.
+        /// When to retry, in seconds from now; no `Retry-After` is sent if 0.
         retry_after: f64,
     },
     /// Failed, with no promise about what ran.
     Failed,
-    /// What came from the client cannot be an RPC.
+    /// What the client sent cannot be an RPC.
     ClientError {
         /// A status of the 400s.
         status: StatusCode,
@@ -43,7 +43,7 @@
 }
 
 impl ProxyResponse {
-    /// A rejection that does not tell when to retry.
+    /// A rejection without `Retry-After`.
     pub(crate) fn rejected() -> Self {
         Self::Rejected { retry_after: 0.0 }
     }
--- a/crates/daemon/src/downstream/rpc_guard.rs
+++ b/crates/daemon/src/downstream/rpc_guard.rs
@@ -1,4 +1,4 @@
-//! Tells the decision actor when an RPC is dropped before its response.
+//! Reports to the decision actor when an RPC is dropped before its response.
 use crate::messages::Event;
 use tokio::sync::mpsc::OwnedPermit;
 
@@ -18,7 +18,7 @@
         }
     }
 
-    /// The RPC has its response: nothing is to be told, and the reserved room is given back.
+    /// The RPC has its response: nothing is sent, and the reserved room is given back.
     pub(crate) fn disarm(mut self) {
         self.permit = None;
     }
--- a/crates/daemon/src/net/body/mod.rs
+++ b/crates/daemon/src/net/body/mod.rs
@@ -15,7 +15,7 @@
 /// Bytes of a body at most, by the protocol.
 pub(crate) const BODY_LIMIT: u64 = 32 << 20;
 
-/// A body that does not come to its end.
+/// A body that ended before its last byte.
 #[derive(Debug, Error)]
 #[error("the body was cut off")]
 pub(crate) struct BodyTruncated;
--- a/crates/daemon/src/net/body/response_body.rs
+++ b/crates/daemon/src/net/body/response_body.rs
@@ -32,7 +32,7 @@
 }
 
 impl ResponseBody {
-    /// A body that is there as a whole.
+    /// A complete body.
     pub(crate) fn buffered(bytes: Bytes) -> Self {
         let body = Full::new(bytes);
         let is_empty = body.is_end_stream();
--- a/crates/daemon/src/net/body/upload.rs
+++ b/crates/daemon/src/net/body/upload.rs
@@ -11,10 +11,10 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-/// How much of a streamed request has come.
+/// How much of a streamed request was received.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum ReceivedPart {
-    /// More is to come.
+    /// Not yet all of it.
     Incomplete,
     /// All of it, with the last byte at this time.
     Complete(Instant),
@@ -24,7 +24,8 @@
     Truncated,
 }
 
-/// A request's body that is too long to be buffered. One attempt at a time reads what comes behind its first part.
+/// A request's body that is too long to be buffered. Its first part is buffered;
+/// the rest is read by one attempt at a time.
 pub(crate) struct RequestUpload {
     /// Buffered for a further attempt, until more has been sent.
     first_part: RefCell<Bytes>,
@@ -39,7 +40,7 @@
 }
 
 impl RequestUpload {
-    /// A body of which `first_part` has come.
+    /// A body of which `first_part` was received.
     pub(crate) fn new(first_part: Bytes, remaining: Incoming) -> Rc<Self> {
         let received_bytes = first_part.len() as u64;
         let remaining_length = remaining.size_hint().exact();
@@ -60,17 +61,17 @@
         self.is_consumed.get()
     }
 
-    /// Its last byte has come, and was taken to be sent.
+    /// Its last byte was received, and handed over to be sent to a backend.
     pub(crate) fn is_complete(&self) -> bool {
         matches!(*self.received.borrow(), ReceivedPart::Complete(_))
     }
 
-    /// More is wanted of the client: the backend is not what holds it up.
+    /// The attempt waits for more from the client; the backend is not what holds it up.
     pub(crate) fn is_waiting_for_client(&self) -> bool {
         self.is_waiting_for_client.get()
     }
 
-    /// Waits for its last byte and returns when that came; for ever if it never does.
+    /// Waits for its last byte and returns the time at which it was received; for ever if it never is.
     pub(crate) async fn completed(&self) -> Instant {
         let mut received = self.received.subscribe();
         let completed = received
@@ -83,7 +84,7 @@
         }
     }
 
-    /// Waits until more has come than any request may hold; for ever if that never happens.
+    /// Waits until more was received than any request may hold; for ever if that never happens.
     pub(crate) async fn exceeded_limit(&self) {
         let mut received = self.received.subscribe();
         let exceeded = received
@@ -126,13 +127,13 @@
         }
     }
 
-    /// Notes that the last byte has come now.
+    /// Records that the last byte was received now.
     fn complete(&self) {
         let complete = ReceivedPart::Complete(Instant::now());
         self.received.send_replace(complete);
     }
 
-    /// Notes why the body does not come to its end.
+    /// Records why the body will not be complete.
     fn fail(&self, received: ReceivedPart) -> Poll<Option<Result<Bytes, BodyTruncated>>> {
         self.received.send_replace(received);
         Poll::Ready(Some(Err(BodyTruncated)))
--- a/crates/daemon/src/net/connection.rs
+++ b/crates/daemon/src/net/connection.rs
@@ -21,7 +21,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout_at};
 
-/// Bytes buffered of what comes on a connection, and so of a response's head, at most.
+/// Bytes that hyper buffers of a connection, and so of a response's head, at most.
 const READ_BUFFER_LIMIT: usize = 64 << 10;
 
 /// How an exchange failed.
@@ -30,16 +30,15 @@
     /// Provably no byte was written.
     #[error("no byte of the request was sent")]
     NotSent,
-    /// The connection broke or ended after that, with no response begun: the request may have run.
+    /// The connection was reset or closed after that, before a response: the request may have run.
     #[error("the connection ended before a response")]
     Closed,
-    /// The response can't be read, does not end as it should, or is larger than the protocol allows: the request
-    /// has run.
+    /// The response is malformed, truncated or larger than the protocol allows: the request has run.
     #[error("the response is malformed")]
     MalformedResponse,
 }
 
-/// A response, complete or begun.
+/// A response, with its complete body or the start of it.
 pub(crate) struct Reply {
     /// Its status.
     pub status: StatusCode,
@@ -47,7 +46,7 @@
     pub headers: HeaderMap,
     /// All of its body, or the first part of a longer one.
     pub body: Bytes,
-    /// The rest of the body is still to come, by [`Connection::next_chunk`].
+    /// The rest of the body is still to be read, by [`Connection::next_chunk`].
     pub is_partial: bool,
     /// The length of all of the body, if it was declared.
     pub length: Option<u64>,
@@ -61,7 +60,7 @@
 
 type Http1Connection = http1::Connection<TokioIo<ObservedStream<Rc<Cell<u64>>>>, RequestBody>;
 
-/// Moves the bytes of a connection; empty once that has ended, and the socket with it.
+/// Moves the bytes of a connection; empty once that is closed, and the socket with it.
 struct Driver(Option<Pin<Box<Http1Connection>>>);
 
 impl Driver {
@@ -123,7 +122,7 @@
         self.driver.poll_ended(cx)
     }
 
-    /// Whether it is still open, by what has come so far.
+    /// Whether it is still open, by what the event loop knows now.
     pub(crate) async fn is_open(&mut self) -> bool {
         poll_fn(|cx| Poll::Ready(!self.poll_closed(cx))).await
     }
--- a/crates/daemon/src/net/inbound_stream.rs
+++ b/crates/daemon/src/net/inbound_stream.rs
@@ -53,13 +53,13 @@
 #[derive(Clone)]
 pub(crate) struct ReadAhead(Rc<RefCell<ReadState>>);
 
-/// Tells whether a client is still connected. It does not keep the connection open.
+/// Whether a client is still connected. It does not keep the connection open.
 #[derive(Clone)]
 pub(crate) struct ClientLiveness(Weak<RefCell<ReadState>>);
 
 impl ClientLiveness {
-    /// Whether the client's connection has ended, by what the system knows at this moment: a disconnect that came
-    /// while this process was stopped has not reached the event loop yet.
+    /// Whether the client's connection has ended, by what the system knows at this moment: a disconnect while
+    /// this process was stopped has not reached the event loop yet.
     pub(crate) async fn is_disconnected(&self) -> bool {
         let Some(reads) = self.0.upgrade() else {
             return true;
@@ -131,7 +131,7 @@
                 Ok(0) => return ReadAheadOutcome::Ended,
                 Ok(length) => {
                     self.buffered.extend_from_slice(&chunk[..length]);
-                    // The event loop may not tell of these bytes any more.
+                    // The event loop may not report these bytes any more.
                     self.reader.take().into_iter().for_each(Waker::wake);
                 }
                 Err(error) => match error.kind() {
--- a/crates/daemon/src/net/socket_budget.rs
+++ b/crates/daemon/src/net/socket_budget.rs
@@ -42,7 +42,7 @@
 struct ClassBudget {
     open: Cell<usize>,
     limit: Cell<usize>,
-    /// The log has told that no socket is left; not told again until a permit is given back.
+    /// The log line about the exhausted class was written; not again until a permit is given back.
     exhaustion_logged: Cell<bool>,
     evictable: RefCell<BTreeMap<EvictionOrder, Weak<dyn Evictable>>>,
     next_registration: Cell<u64>,
@@ -68,7 +68,7 @@
     order: EvictionOrder,
 }
 
-/// Descriptors that the operating system allows this process, if it tells.
+/// Descriptors that the operating system allows this process, if that can be read.
 fn descriptor_limit() -> Option<usize> {
     let limits = std::fs::read_to_string("/proc/self/limits").ok()?;
     let line = limits
@@ -152,8 +152,8 @@
         }
     }
 
-    /// Registers a connection that may be evicted for a new socket, for as long as the candidate is kept; the
-    /// lowest rank goes first. The cost grows with the logarithm of the number registered: a walk over all idle
+    /// Registers a connection that may be evicted for a new socket, for as long as the candidate lives; the
+    /// lowest rank is evicted first. The cost grows with the logarithm of the number registered: a walk over all idle
     /// sockets with every response would be too dear.
     pub(crate) fn register_evictable<E: Evictable + 'static>(
         self: &Rc<Self>,
