--- a/crates/daemon/src/net/socket_budget.rs
+++ b/crates/daemon/src/net/socket_budget.rs
@@ -209,3 +209,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
