Close a client's socket before its permit is given back

Cause: the last handle of the socket, the read-ahead, was dropped a moment after the permit. Change: it is dropped first; both happen in one turn of the event loop.

--- a/crates/daemon/src/downstream/connection_task.rs
+++ b/crates/daemon/src/downstream/connection_task.rs
@@ -73,6 +73,8 @@
         } else {
             drop(connection);
         }
+        // The last handle of the socket: it is closed before its permit is given back.
+        drop(read_ahead);
         drop(self.permit);
     }
 
