--- a/crates/daemon/src/discovery/client.rs
+++ b/crates/daemon/src/discovery/client.rs
@@ -1,6 +1,7 @@
 //! The actor that follows the endpoint list: one call after another while the decisions want its changes. It has one
 //! connection and never more than one call under way; what it receives goes to the decision actor's mailbox.
 
+use crate::discovery::LOG_TARGET;
 use crate::discovery::error::DiscoveryError;
 use crate::discovery::timing::{
     AGENT, AGENT_RETRY_INTERVAL, CONNECT_TIMEOUT, CallTiming, FIRST_SNAPSHOT, LOG_INTERVAL,
@@ -110,7 +111,7 @@
     /// Prevents a log full of one outage.
     fn log_failure(&self, error: &DiscoveryError, last_logged: &mut Option<Instant>) {
         if last_logged.is_none_or(|at| at.elapsed() > LOG_INTERVAL) {
-            log::warn!("list call failed: {error}");
+            log::warn!(target: LOG_TARGET, "list call failed: {error}");
             *last_logged = Some(Instant::now()).filter(|_| self.pushed);
         }
     }
@@ -145,7 +146,7 @@
                 // Another connection may do. Prevents a link that lost one call, or an update that counts as told
                 // though its response broke off, from costing a backoff.
                 Err(error) if retries < error.immediate_retries(&timing) => {
-                    log::warn!("list call goes out again: {error}");
+                    log::warn!(target: LOG_TARGET, "list call goes out again: {error}");
                     connection = None;
                     catching_up = true;
                     retries += 1;
--- a/crates/daemon/src/discovery/mod.rs
+++ b/crates/daemon/src/discovery/mod.rs
@@ -4,3 +4,6 @@
 mod error;
 mod timing;
 pub(crate) mod update;
+
+/// The part that log lines of all these modules name.
+const LOG_TARGET: &str = "birchhubd::discovery";
--- a/crates/daemon/src/discovery/update.rs
+++ b/crates/daemon/src/discovery/update.rs
@@ -1,5 +1,6 @@
 //! Updates of the endpoint list, and how they are decoded.
 
+use crate::discovery::LOG_TARGET;
 use birchhub::interface::{EndpointUpdateKind, Readiness};
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -108,6 +109,7 @@
         let listed: Vec<_> = lines.iter().filter_map(ListedEndpoint::decode).collect();
         if listed.len() < lines.len() {
             log::warn!(
+                target: LOG_TARGET,
                 "{} of {} list lines can't be read",
                 lines.len() - listed.len(),
                 lines.len()
