--- /dev/null
+++ b/crates/daemon/src/lifecycle/admin_state/tests.rs
@@ -0,0 +1,39 @@
+//! The stored form of the administrative state, by files that an earlier version wrote.
+use super::*;
+use crate::lifecycle::siblings::ProcessGroup;
+
+/// What an older process left in the folder is read, and an older process reads what this one leaves: the stored form
+/// stays to the byte.
+#[test]
+fn the_stored_form_of_the_admin_state_is_unchanged() {
+    let full = AdminState {
+        standby_since: Some(1_796_191_200_123.25),
+        maintenance: BTreeMap::from([
+            ("s-1".to_owned(), Maintenance::Active),
+            ("s-2".to_owned(), Maintenance::EndedAt(1_796_191_201_000.5)),
+        ]),
+        known_names: ["s-1", "s-2", "s-\"é\" 3"].map(str::to_owned).into(),
+    };
+    let stored = include_bytes!("../../../tests/fixtures/birchhub.standing");
+    let initial = include_bytes!("../../../tests/fixtures/birchhub.standing.initial");
+    check_stored_form("full", &full, stored);
+    check_stored_form("initial", &AdminState::default(), initial);
+}
+
+fn check_stored_form(test: &str, state: &AdminState, stored: &[u8]) {
+    let name = format!("birchhub-stored-{test}-{}", std::process::id());
+    let folder = std::env::temp_dir().join(name);
+    let mut group = ProcessGroup::open_in(folder.clone()).expect("a folder");
+    let file = folder.join("birchhub.standing");
+    std::fs::write(&file, stored).expect("written");
+    assert_eq!(group.read_if_changed().expect("read"), Some(state.clone()));
+    std::fs::remove_file(&file).expect("the file");
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .build()
+        .expect("a runtime");
+    let written = runtime.block_on(group.update(state, |_| ()));
+    assert_eq!(written.expect("written"), *state);
+    assert_eq!(std::fs::read(&file).expect("the file"), stored);
+    std::fs::remove_dir_all(&folder).expect("the folder");
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -12,15 +12,16 @@
 
 use crate::clock::{Clock, until};
 use crate::config::active::NameTable;
-use crate::config::file::{self, Config};
+use crate::config::file::{self, CachedEndpoints, Config};
+use crate::config::inherited_listener;
 use crate::config::reload::{ActiveConfig, Reload};
 use crate::decision::actor::{self, DecisionActor};
 use crate::discovery::client::DiscoveryClient;
 use crate::downstream::listener::Listener;
 use crate::downstream::request::RequestParser;
-use crate::lifecycle::admin::AdminServer;
+use crate::lifecycle::admin_api::AdminServer;
 use crate::lifecycle::siblings::ProcessGroup;
-use crate::lifecycle::state::{LOOK, StateStore};
+use crate::lifecycle::state_store::{SIBLING_POLL_INTERVAL, StateStore};
 use crate::net::sockets::{SocketBudget, SocketClass};
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -41,8 +42,9 @@
 const LEFT_EVERY: Duration = Duration::from_millis(5); // between looks at whether the last client has left
 
 fn main() -> ExitCode {
-    let outcome = file::inherited_listener()
-        .and_then(|passed| Ok((passed, file::load(true)?)))
+    let outcome = inherited_listener::take()
+        .and_then(|passed| Ok((passed, file::load(CachedEndpoints::Decoded)?)))
+        .map_err(|error| error.to_string())
         .and_then(|(passed, config)| {
             let mut builder = tokio::runtime::Builder::new_current_thread();
             // For what stands beside the loop. Guards against memory that each of several threads keeps for itself.
@@ -75,13 +77,13 @@
 
 /// Follows the other processes of this proxy, and keeps to its part of the sockets while they live.
 async fn share(budget: Rc<SocketBudget>, standings: Rc<StateStore>) {
-    let mut reader = standings.reader();
+    let mut reader = standings.subscribe();
     let divide = async {
         loop {
-            let others = reader.borrow_and_update().others.living;
+            let others = reader.borrow_and_update().siblings.alive;
             budget.divide(others + 1);
             if reader
-                .wait_for(|now| now.others.living != others)
+                .wait_for(|now| now.siblings.alive != others)
                 .await
                 .is_err()
             {
@@ -89,27 +91,30 @@
             }
         }
     };
-    tokio::join!(standings.look(), divide);
+    tokio::join!(standings.follow_siblings(), divide);
 }
 
 /// Accepts clients: at once on an own socket, where health tells what is missing, or else once RPCs can be decided
 /// and an older process has made room.
 async fn accept(front: Listener, listener: TcpListener, standings: Rc<StateStore>, pushed: bool) {
-    let (passed, others) = (standings.now().passed, standings.now().others.living);
+    let (passed, others) = (
+        standings.current().inherited_listener,
+        standings.current().siblings.alive,
+    );
     if pushed {
-        let _ = timeout(AGENT_TIME, standings.reader().wait_for(|now| now.ready)).await;
+        let _ = timeout(AGENT_TIME, standings.subscribe().wait_for(|now| now.ready)).await;
     }
     if passed {
         let _ = standings
-            .reader()
-            .wait_for(|now| now.ready || now.ending.is_some())
+            .subscribe()
+            .wait_for(|now| now.ready || now.shutdown.is_some())
             .await
             .map(drop);
     }
     if others > 0 {
-        sleep(LOOK * 2).await;
+        sleep(SIBLING_POLL_INTERVAL * 2).await;
     }
-    standings.set_open();
+    standings.set_accepting();
     Rc::new(front).run(listener).await;
 }
 
@@ -156,7 +161,7 @@
         let (standings, settings) = (standings.clone(), settings.clone());
         spawn_local(
             Rc::new(AdminServer {
-                standings,
+                state_store: standings,
                 settings,
             })
             .run(listener),
@@ -182,7 +187,7 @@
         .as_ref()
         .filter(|known| !known.listed.is_empty())
     {
-        standings.listed(known.listed.iter().map(|listed| listed.uid.as_str()));
+        standings.record_listed_names(known.listed.iter().map(|listed| listed.uid.as_str()));
         let standings = standings.clone();
         spawn_local(async move {
             if pushed {
@@ -204,7 +209,7 @@
     spawn_local(discovery.run());
     let front = Listener::new(
         RequestParser::new(names),
-        standings.reader(),
+        standings.subscribe(),
         budget.clone(),
         sender,
     );
@@ -213,15 +218,15 @@
     term.recv().await;
 
     let longest = settings.borrow().longest_deadline;
-    standings.end(longest.map_or(Duration::MAX, Duration::from_secs_f64));
-    let replaced = standings.now().is_replaced();
+    standings.begin_shutdown(longest.map_or(Duration::MAX, Duration::from_secs_f64));
+    let replaced = standings.current().has_successor();
     let goes_on = if replaced {
         "accepts no more, another process does"
     } else {
         "goes on for what still comes"
     };
     log::info!("SIGTERM: {goes_on}");
-    let over = standings.now().over();
+    let over = standings.current().exit_deadline();
     let gone = async {
         let _ = accepting.await;
         while budget.open_sockets(SocketClass::Clients) > 0 {
