No module imports one that imports it: updates, results and shared state in files of their own

Cause: after the split a few imports still ran in circles, and former paths were kept by re-exports. Change: ConfigUpdate, ExchangeResult, EndpointState and the descriptors set aside for admin calls stand where both sides may import them; re-exports of former paths are gone; Balancer and RpcHandle are birchhub::balancer's.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -4,8 +4,8 @@
     reason = "criterion_group writes a public function without one"
 )]
 
+use birchhub::balancer::{Balancer, RpcHandle};
 use birchhub::interface::*;
-use birchhub::policy::{Balancer, RpcHandle};
 use criterion::{BatchSize, BenchmarkId, Criterion, Throughput, criterion_group, criterion_main};
 use std::collections::VecDeque;
 use std::hint::black_box;
--- a/crates/benchlink/src/instance.rs
+++ b/crates/benchlink/src/instance.rs
@@ -2,8 +2,8 @@
 
 use crate::endpoints::ListEntry;
 use crate::error::LineError;
+use birchhub::balancer::{Balancer, RpcHandle};
 use birchhub::interface::Endpoint;
-use birchhub::policy::{Balancer, RpcHandle};
 use birchhub_settings::{self as settings, ParsedSettings};
 use std::collections::HashMap;
 
--- a/crates/daemon/src/config/mod.rs
+++ b/crates/daemon/src/config/mod.rs
@@ -6,3 +6,4 @@
 pub(crate) mod inherited_listener;
 pub(crate) mod reload;
 pub(crate) mod shadow;
+pub(crate) mod update;
--- a/crates/daemon/src/config/reload.rs
+++ b/crates/daemon/src/config/reload.rs
@@ -4,6 +4,7 @@
 use crate::config::active::NameTable;
 use crate::config::error::{ConfigError, ReloadError};
 use crate::config::file::{self, CachedEndpoints, Config};
+use crate::config::update::{AppliedUpdate, ConfigUpdate};
 use crate::messages::Event;
 use birchhub::interface::{CarriedOver, Settings};
 use birchhub_settings::{Change, ParsedSettings, with_restart_keys_from};
@@ -16,21 +17,6 @@
 use tokio::task::spawn_blocking;
 use tokio::time::Instant;
 
-/// Settings that the decision actor applies, all at once.
-pub(crate) struct ConfigUpdate {
-    pub settings: Settings,
-    /// State that methods and tenants keep.
-    pub carried_over: CarriedOver,
-    pub names: NameTable,
-    /// Settings of the shadow evaluation; without any it ends.
-    pub shadow_settings: Option<Settings>,
-    /// Notified once the settings are active.
-    pub applied: oneshot::Sender<AppliedUpdate>,
-}
-
-/// The names before an update, and the time that the event loop spent on it.
-type AppliedUpdate = (Arc<NameTable>, Duration);
-
 /// What is active, in short: for `GET /settings` and the log.
 #[derive(Clone, Debug)]
 pub(crate) struct ActiveConfig {
--- a/crates/daemon/src/config/shadow/mod.rs
+++ b/crates/daemon/src/config/shadow/mod.rs
@@ -9,11 +9,11 @@
 pub(crate) use actions::{Action, RecordedActions, RecordedCall};
 
 use crate::messages::AttemptId;
+use birchhub::balancer::{Balancer, RpcHandle};
 use birchhub::interface::{
     AttemptOutcome, CarriedOver, Endpoint, EndpointUpdateKind, IncomingRpc, LoadReport, PacedBy,
     Settings,
 };
-use birchhub::policy::{Balancer, RpcHandle};
 use counts::ShadowCounts;
 use platform::ShadowPlatform;
 use std::collections::{BTreeSet, HashMap};
--- a/crates/daemon/src/decision/endpoints.rs
+++ b/crates/daemon/src/decision/endpoints.rs
@@ -2,8 +2,9 @@
 use crate::clock::Clock;
 use crate::discovery::update::{EndpointUpdate, ListedEndpoint};
 use crate::lifecycle::admin_state::AdminState;
-use crate::net::sockets::SocketBudget;
-use crate::upstream::endpoint::{ConnectionLimits, EndpointHandle, EndpointInfo};
+use crate::net::socket_budget::SocketBudget;
+use crate::upstream::endpoint::{ConnectionLimits, EndpointHandle};
+use crate::upstream::endpoint_state::EndpointInfo;
 use crate::upstream::exchange::Exchange;
 use birchhub::interface::{Endpoint, Readiness};
 use birchhub_settings::ParsedSettings;
--- a/crates/daemon/src/decision/in_flight.rs
+++ b/crates/daemon/src/decision/in_flight.rs
@@ -1,10 +1,10 @@
 //! An RPC in flight: what its attempts need, who waits for its response, and which attempts are out.
-use crate::downstream::listener::RequestIdGuard;
 use crate::downstream::request::ParsedRequest;
+use crate::downstream::request_ids::RequestIdGuard;
 use crate::downstream::response::ProxyResponse;
-use crate::net::sockets::ClientLiveness;
+use crate::net::inbound_stream::ClientLiveness;
 use crate::upstream::exchange::{Deadlines, ExchangeRequest};
-use birchhub::interface::AttemptOutcome;
+use birchhub::interface::{AttemptOutcome, Idempotency, MethodSettings, Settings};
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -146,3 +146,12 @@
         self.responder = None;
     }
 }
+
+/// By method, the time in which its retries are dropped as duplicates, where that is limited.
+pub(super) fn deduplication_windows(settings: &Settings) -> Vec<Option<Duration>> {
+    let window = |method: &MethodSettings| match method.idempotency {
+        Idempotency::Deduplicated { window, .. } => Some(Duration::from_secs_f64(window)),
+        Idempotency::Idempotent | Idempotency::NonIdempotent => None,
+    };
+    settings.methods.iter().map(window).collect()
+}
--- a/crates/daemon/src/decision/updates.rs
+++ b/crates/daemon/src/decision/updates.rs
@@ -1,9 +1,9 @@
 //! Changes of what the decisions go by: the endpoint list, the administrative state and the settings.
-use crate::config::reload::ConfigUpdate;
+use crate::config::update::ConfigUpdate;
 use crate::decision::actor::DecisionActor;
+use crate::decision::in_flight::deduplication_windows;
 use crate::discovery::update::EndpointUpdate;
-use birchhub::interface::{EndpointUpdateKind, Idempotency, MethodSettings, Settings};
-use std::time::Duration;
+use birchhub::interface::EndpointUpdateKind;
 use tokio::time::Instant;
 
 impl DecisionActor {
@@ -90,12 +90,3 @@
         let _ = applied.send((former_names, started.elapsed()));
     }
 }
-
-/// By method, the time in which its retries are dropped as duplicates, where that is limited.
-pub(super) fn deduplication_windows(settings: &Settings) -> Vec<Option<Duration>> {
-    let window = |method: &MethodSettings| match method.idempotency {
-        Idempotency::Deduplicated { window, .. } => Some(Duration::from_secs_f64(window)),
-        Idempotency::Idempotent | Idempotency::NonIdempotent => None,
-    };
-    settings.methods.iter().map(window).collect()
-}
--- a/crates/daemon/src/discovery/client.rs
+++ b/crates/daemon/src/discovery/client.rs
@@ -11,7 +11,7 @@
 use crate::lifecycle::state_store::StateStore;
 use crate::messages::Event;
 use crate::net::body::RequestBody;
-use crate::net::sockets::{Connection, ConnectionError};
+use crate::net::connection::{Connection, ConnectionError};
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
 use std::cell::Cell;
--- a/crates/daemon/src/discovery/error.rs
+++ b/crates/daemon/src/discovery/error.rs
@@ -2,7 +2,7 @@
 
 use crate::discovery::timing::CallTiming;
 use crate::discovery::update::DecodeError;
-use crate::net::sockets::ConnectionError;
+use crate::net::connection::ConnectionError;
 use hyper::StatusCode;
 use thiserror::Error;
 
--- a/crates/daemon/src/downstream/listener.rs
+++ b/crates/daemon/src/downstream/listener.rs
@@ -1,7 +1,6 @@
 //! Accepts clients' connections within the socket budget, and starts a task for each.
 use crate::clock::until;
 use crate::downstream::connection_task::ConnectionTask;
-pub(crate) use crate::downstream::request_ids::RequestIdGuard;
 use crate::downstream::request_parser::RequestParser;
 use crate::downstream::rpc_service::RpcService;
 use crate::lifecycle::state::ProxyState;
--- a/crates/daemon/src/downstream/request.rs
+++ b/crates/daemon/src/downstream/request.rs
@@ -1,6 +1,5 @@
 //! A client's RPC, and its request as it is forwarded to backends.
 use crate::config::active::{NameTable, check};
-pub(crate) use crate::downstream::request_parser::RequestParser;
 use crate::downstream::response::ProxyResponse;
 use crate::net::body::{RequestBody, RequestUpload};
 use bytes::Bytes;
--- a/crates/daemon/src/lifecycle/admin_api.rs
+++ b/crates/daemon/src/lifecycle/admin_api.rs
@@ -6,7 +6,8 @@
 use crate::lifecycle::admin_state::AdminCommand;
 use crate::lifecycle::state::ProxyState;
 use crate::lifecycle::state_store::StateStore;
-use crate::net::sockets::linger;
+use crate::net::linger::linger;
+use crate::net::socket_budget::ADMIN_CONNECTIONS;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -26,8 +27,6 @@
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{sleep, timeout};
 
-/// Connections at a time; each has a descriptor set aside. With more the oldest is closed: callers wait for 1 s only.
-pub(crate) const MAX_CONNECTIONS: usize = 8;
 /// For a whole call, from its connection to its response.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Bytes of a call's head.
@@ -182,8 +181,8 @@
             match listener.accept().await {
                 Ok((stream, _)) => {
                     connections.retain(|connection| !connection.is_finished());
-                    // Callers that connect and never complete a call must not keep others out.
-                    if connections.len() >= MAX_CONNECTIONS
+                    // Callers that connect and never complete a call must not keep others out, who wait for 1 s only.
+                    if connections.len() >= ADMIN_CONNECTIONS
                         && let Some(oldest) = connections.pop_front()
                     {
                         oldest.abort();
--- a/crates/daemon/src/messages.rs
+++ b/crates/daemon/src/messages.rs
@@ -1,13 +1,13 @@
 //! The events that the other actors send to the decision actor.
 
-use crate::config::reload::ConfigUpdate;
+use crate::config::update::ConfigUpdate;
 use crate::discovery::update::EndpointUpdate;
-use crate::downstream::listener::RequestIdGuard;
 use crate::downstream::request::ReceivedRpc;
+use crate::downstream::request_ids::RequestIdGuard;
 use crate::downstream::response::ProxyResponse;
 use crate::net::body::StreamedBody;
-use crate::net::sockets::ClientLiveness;
-use crate::upstream::exchange::ExchangeResult;
+use crate::net::inbound_stream::ClientLiveness;
+use crate::upstream::result::ExchangeResult;
 use birchhub::interface::{AttemptOutcome, LoadReport};
 use tokio::sync::oneshot;
 
--- a/crates/daemon/src/net/mod.rs
+++ b/crates/daemon/src/net/mod.rs
@@ -6,4 +6,3 @@
 pub(crate) mod linger;
 pub(crate) mod observed_stream;
 pub(crate) mod socket_budget;
-pub(crate) mod sockets;
--- a/crates/daemon/src/net/socket_budget.rs
+++ b/crates/daemon/src/net/socket_budget.rs
@@ -3,12 +3,13 @@
 //!
 //! Whoever opens a socket first acquires a [`SocketPermit`] and keeps it for as long as the socket is open.
 //! The count goes down in one place only, when the permit is dropped.
-use crate::lifecycle::admin_api::MAX_CONNECTIONS as ADMIN_CONNECTIONS;
 use crate::lifecycle::siblings::MAX_DESCRIPTORS as PROCESS_GROUP_DESCRIPTORS;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::{Rc, Weak};
 
+/// Admin connections at a time; each has a descriptor set aside.
+pub(crate) const ADMIN_CONNECTIONS: usize = 8;
 /// Descriptors set aside for standard streams, listeners, epoll, discovery, connections beyond the budget that
 /// are rejected, admin calls and what is shared with other processes.
 const RESERVED_DESCRIPTORS: usize = 40 + ADMIN_CONNECTIONS + PROCESS_GROUP_DESCRIPTORS;
--- a/crates/daemon/src/upstream/attempt.rs
+++ b/crates/daemon/src/upstream/attempt.rs
@@ -3,12 +3,15 @@
 use crate::clock;
 use crate::downstream::request::ParsedRequest;
 use crate::net::body::BUFFERED_BODY_LIMIT;
-use crate::net::sockets::{ClientLiveness, Connection, ConnectionError, Reply, SocketClass};
-use crate::upstream::endpoint::EndpointState;
+use crate::net::connection::{Connection, ConnectionError, Reply};
+use crate::net::inbound_stream::ClientLiveness;
+use crate::net::socket_budget::SocketClass;
+use crate::upstream::endpoint_state::EndpointState;
 use crate::upstream::exchange::{
-    CancelSignal, CompletionGuard, Deadlines, Exchange, ExchangeRequest, ExchangeResult,
+    CancelSignal, CompletionGuard, Deadlines, Exchange, ExchangeRequest,
 };
 use crate::upstream::response::{classify, stream_response};
+use crate::upstream::result::ExchangeResult;
 use birchhub::interface::AttemptOutcome;
 use std::cell::{Cell, RefCell};
 use std::future::pending;
--- a/crates/daemon/src/upstream/endpoint.rs
+++ b/crates/daemon/src/upstream/endpoint.rs
@@ -1,12 +1,10 @@
 //! One actor for each backend. It starts a task for each exchange and drops the backend's idle connections when
 //! the backend leaves the list, stops being ready or moves. A running exchange owns its connection.
-use crate::net::sockets::{Connection, SocketBudget};
+use crate::net::socket_budget::SocketBudget;
 use crate::upstream::attempt;
+use crate::upstream::endpoint_state::{EndpointInfo, EndpointState};
 use crate::upstream::exchange::Exchange;
 use crate::upstream::idle_connections::IdleConnections;
-use hyper::HeaderMap;
-use hyper::header::CONNECTION;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::select;
@@ -20,15 +18,6 @@
 /// no request may be written to a connection that the backend is closing.
 const IDLE_TIMEOUT_FRACTION: f64 = 0.6;
 
-/// What the endpoint list says of a backend's sockets.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) struct EndpointInfo {
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// Whether it takes new exchanges.
-    pub ready: bool,
-}
-
 /// Limits on connections to backends, from the settings.
 #[derive(Clone, Copy)]
 pub(crate) struct ConnectionLimits {
@@ -76,56 +65,6 @@
     }
 }
 
-/// What an endpoint actor shares with the tasks of its exchanges.
-pub(super) struct EndpointState {
-    /// What the list says of it now.
-    pub info: watch::Receiver<EndpointInfo>,
-    /// Its idle connections.
-    pub idle: Rc<IdleConnections>,
-    /// For opening a connection.
-    pub connect_timeout: Duration,
-    /// Gives the permit for each connection.
-    pub budget: Rc<SocketBudget>,
-}
-
-impl EndpointState {
-    /// Where the backend listens now.
-    pub(super) fn address(&self) -> SocketAddr {
-        self.info.borrow().address
-    }
-
-    /// Waits until the backend takes no new exchanges, or has gone from the list.
-    pub(super) async fn unavailable(&self) {
-        let mut info = self.info.clone();
-        // An error means that the backend has gone from the list.
-        let _ = info.wait_for(|info| !info.ready).await.map(drop);
-    }
-
-    /// Keeps a connection to `address` for the next exchange, unless the connection or its backend ends, or the
-    /// backend has moved meanwhile.
-    pub(super) async fn keep(
-        &self,
-        mut connection: Connection,
-        address: SocketAddr,
-        headers: &HeaderMap,
-    ) {
-        let closes = headers
-            .get(CONNECTION)
-            .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
-        if closes || !connection.is_open().await {
-            return;
-        }
-        let unchanged = EndpointInfo {
-            address,
-            ready: true,
-        };
-        let is_listed = self.info.has_changed().is_ok();
-        if is_listed && *self.info.borrow() == unchanged {
-            self.idle.insert(connection);
-        }
-    }
-}
-
 /// The actor of one backend.
 struct EndpointActor {
     state: Rc<EndpointState>,
--- a/crates/daemon/src/upstream/exchange.rs
+++ b/crates/daemon/src/upstream/exchange.rs
@@ -3,9 +3,9 @@
 use crate::downstream::request::ParsedRequest;
 use crate::messages::{AttemptId, Event};
 use crate::net::body::StreamedBody;
-use crate::net::sockets::ClientLiveness;
-use birchhub::interface::{AttemptOutcome, LoadReport};
-use bytes::Bytes;
+use crate::net::inbound_stream::ClientLiveness;
+use crate::upstream::result::ExchangeResult;
+use birchhub::interface::AttemptOutcome;
 use std::cell::Cell;
 use tokio::sync::mpsc::{self, OwnedPermit};
 use tokio::sync::oneshot;
@@ -37,27 +37,6 @@
     }
 }
 
-/// How an exchange ended.
-pub(crate) struct ExchangeResult {
-    /// What became of it.
-    pub outcome: AttemptOutcome,
-    /// The load report that came with the response.
-    pub report: Option<LoadReport>,
-    /// The response's body; empty without a response, and where the body was streamed.
-    pub body: Bytes,
-}
-
-impl From<AttemptOutcome> for ExchangeResult {
-    /// An exchange that brought no response.
-    fn from(outcome: AttemptOutcome) -> Self {
-        Self {
-            outcome,
-            report: None,
-            body: Bytes::new(),
-        }
-    }
-}
-
 /// Reports the end of an exchange to the decision actor, exactly once, when it is dropped. It holds a place in
 /// the actor's mailbox from the start, so the report always fits.
 pub(crate) struct CompletionGuard {
--- a/crates/daemon/src/upstream/idle_connections.rs
+++ b/crates/daemon/src/upstream/idle_connections.rs
@@ -1,7 +1,8 @@
 //! The idle connections of one backend. An idle connection belongs to this pool and may be closed by four: the
 //! next exchange takes it out, its watch drops it when the backend closes it or it has been idle for too long,
 //! the socket budget evicts it for another socket, and the endpoint actor clears the pool.
-use crate::net::sockets::{Connection, Evictable, EvictionCandidate, SocketBudget, SocketClass};
+use crate::net::connection::Connection;
+use crate::net::socket_budget::{Evictable, EvictionCandidate, SocketBudget, SocketClass};
 use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
 use std::rc::{Rc, Weak};
--- a/crates/daemon/src/upstream/mod.rs
+++ b/crates/daemon/src/upstream/mod.rs
@@ -2,6 +2,8 @@
 
 mod attempt;
 pub(crate) mod endpoint;
+pub(crate) mod endpoint_state;
 pub(crate) mod exchange;
 mod idle_connections;
 mod response;
+pub(crate) mod result;
--- a/crates/daemon/src/upstream/response.rs
+++ b/crates/daemon/src/upstream/response.rs
@@ -1,7 +1,8 @@
 //! A backend's response: streaming a long one to its client, and what a response says of its exchange.
 use crate::net::body::{BODY_LIMIT, streamed_body};
-use crate::net::sockets::{Connection, Reply};
-use crate::upstream::exchange::{CompletionGuard, ExchangeResult};
+use crate::net::connection::{Connection, Reply};
+use crate::upstream::exchange::CompletionGuard;
+use crate::upstream::result::ExchangeResult;
 use birchhub::interface::{AttemptOutcome, LoadReport};
 use birchhub_settings::parse_load_report;
 use hyper::HeaderMap;
--- a/crates/scale/src/hollow.rs
+++ b/crates/scale/src/hollow.rs
@@ -2,8 +2,8 @@
 //! module when to ask and what stands in the list; all share a thread.
 use crate::proxy::{Shape, settings};
 use crate::usage;
+use birchhub::balancer::Balancer;
 use birchhub::interface::{Endpoint, EndpointUpdateKind, Platform, Readiness};
-use birchhub::policy::Balancer;
 use birchhub_stand_in::Clock;
 use birchhub_stand_in::wire::{Kind, Peer};
 use serde::Deserialize;
--- a/crates/simulation/src/proxy.rs
+++ b/crates/simulation/src/proxy.rs
@@ -1,6 +1,6 @@
 //! One proxy in simulated time: the decision module, its handles, and what it asked for in a call.
+use birchhub::balancer::{Balancer, RpcHandle};
 use birchhub::interface::Platform;
-use birchhub::policy::{Balancer, RpcHandle};
 use std::collections::BTreeMap;
 
 /// What the module asked for.
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -2,11 +2,11 @@
 use crate::list::{Line, List};
 use crate::proxy::{Care, Proxy, Wish};
 use crate::queue::Queue;
+use birchhub::balancer::Balancer;
 use birchhub::interface::{
     AttemptOutcome as PickEnd, Endpoint as Listed, EndpointUpdateKind, IncomingRpc, LoadReport,
     Readiness, Settings,
 };
-use birchhub::policy::Balancer;
 use birchhub_audit::event::{End, Left, Taken};
 use birchhub_audit::{Answer, Entry, Event, Head, Kind, State};
 use birchhub_model::work::generator;
@@ -717,7 +717,7 @@
         &mut self,
         proxy: u16,
         attempt: u64,
-        act: impl FnOnce(&birchhub::policy::RpcHandle, &mut crate::proxy::Door),
+        act: impl FnOnce(&birchhub::balancer::RpcHandle, &mut crate::proxy::Door),
     ) {
         self.call(proxy, |_, cares, door| {
             if let Some(rpc) = cares.get(&attempt).and_then(|care| care.rpc.as_ref()) {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -148,7 +148,7 @@
     pub client_retry: bool,
     /// Its body is still arriving: each attempt is being sent until [`RpcHandle::on_request_sent`].
     ///
-    /// [`RpcHandle::on_request_sent`]: crate::policy::RpcHandle::on_request_sent
+    /// [`RpcHandle::on_request_sent`]: crate::balancer::RpcHandle::on_request_sent
     pub streams_request: bool,
     /// A hash of what the RPC concerns, the same at every proxy.
     pub key: Option<u64>,
@@ -281,6 +281,6 @@
     fn watch_endpoints(&mut self);
     /// Has [`Balancer::on_timer`] called after this many seconds.
     ///
-    /// [`Balancer::on_timer`]: crate::policy::Balancer::on_timer
+    /// [`Balancer::on_timer`]: crate::balancer::Balancer::on_timer
     fn schedule_timer(&mut self, delay: f64);
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,7 @@
 //! The decisions of birchhub, without I/O and without a clock. `policy` decides, `interface` is what it is
 //! called with and `balancer` hands it the events; the other modules hold state, indexes and estimators, and
 //! decide nothing.
-mod balancer;
+pub mod balancer;
 mod check_tokens;
 mod endpoint;
 mod endpoint_index;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -15,5 +15,3 @@
 pub(crate) mod rules;
 pub(crate) mod slow_start;
 pub(crate) mod throttle;
-
-pub use crate::balancer::{Balancer, RpcHandle};
--- a/tests/common/proxy.rs
+++ b/tests/common/proxy.rs
@@ -1,7 +1,7 @@
 //! A load balancer on the checked platform, driven through simulated time.
 use super::rule_model::{CheckedPlatform, FinalAnswer, RpcRecord};
+use birchhub::balancer::{Balancer, RpcHandle};
 use birchhub::interface::*;
-use birchhub::policy::{Balancer, RpcHandle};
 use std::collections::BTreeMap;
 
 const HEALTH_CHECK_TIME: f64 = 0.02; // s from an RPC until `drive` has answered the health checks for it
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -178,7 +178,7 @@
 /// A new process takes the place of the proxy, with a cached list; the attempts of the old one are reset.
 fn restart(proxy: &mut Proxy, seed: u64) {
     let started_at = proxy.platform.endpoints[&RESTARTED_BACKEND].started_at;
-    proxy.balancer = birchhub::policy::Balancer::new(&proxy.platform.settings, seed);
+    proxy.balancer = birchhub::balancer::Balancer::new(&proxy.platform.settings, seed);
     proxy.platform.timers.clear();
     for rpc in proxy.platform.rpcs.values_mut() {
         for attempt in &mut rpc.attempts {
--- a/tests/slow_start.rs
+++ b/tests/slow_start.rs
@@ -2,8 +2,8 @@
 mod common;
 #[path = "slow_start/simulation.rs"]
 mod simulation;
+use birchhub::balancer::Balancer;
 use birchhub::interface::*;
-use birchhub::policy::Balancer;
 use common::{FinalAnswer, Proxy, endpoint, settings};
 use simulation::{Fleet, Measured};
 use std::collections::BTreeSet;
--- a/tests/slow_start/simulation.rs
+++ b/tests/slow_start/simulation.rs
@@ -1,8 +1,8 @@
 //! A fleet of proxies and backends in simulated time, of which some backends die and come back in slow start; what all
 //! proxies together send these is counted at the backend.
 use crate::common::{endpoint, load_report, settings};
+use birchhub::balancer::{Balancer, RpcHandle};
 use birchhub::interface::*;
-use birchhub::policy::{Balancer, RpcHandle};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use std::cmp::Reverse;
