--- a/crates/daemon/src/decision/actor.rs
+++ b/crates/daemon/src/decision/actor.rs
@@ -127,9 +127,9 @@
             Event::RpcReceived {
                 id,
                 rpc,
-                opened: request_id,
+                request_id,
                 client: liveness,
-                answer: responder,
+                response: responder,
             } => {
                 let client = RpcClient {
                     liveness,
--- a/crates/daemon/src/downstream/rpc_service.rs
+++ b/crates/daemon/src/downstream/rpc_service.rs
@@ -126,9 +126,9 @@
         let event = Event::RpcReceived {
             id,
             rpc: Box::new(rpc),
-            opened: request_id,
+            request_id,
             client,
-            answer: sender,
+            response: sender,
         };
         self.events.send(event).await.ok()?;
         receiver.await.ok()
--- a/crates/daemon/src/messages.rs
+++ b/crates/daemon/src/messages.rs
@@ -29,11 +29,11 @@
         /// The RPC as it was parsed.
         rpc: Box<ReceivedRpc>,
         /// Keeps its `Request-Id` reserved until no attempt of it is out.
-        opened: RequestIdGuard,
+        request_id: RequestIdGuard,
         /// Whether the client is still connected.
         client: ClientLiveness,
         /// Takes the response.
-        answer: oneshot::Sender<ProxyResponse>,
+        response: oneshot::Sender<ProxyResponse>,
     },
     /// The client of this RPC disconnected before it had its response.
     ClientDisconnected(u64),
