--- a/crates/daemon/src/lifecycle/mod.rs
+++ b/crates/daemon/src/lifecycle/mod.rs
@@ -6,7 +6,11 @@
 
 pub(crate) mod admin_api;
 pub(crate) mod admin_state;
+pub(crate) mod listeners;
 pub(crate) mod shutdown;
 pub(crate) mod siblings;
+pub(crate) mod signals;
+pub(crate) mod start_error;
+pub(crate) mod startup;
 pub(crate) mod state;
 pub(crate) mod state_store;
--- a/crates/daemon/src/lifecycle/shutdown.rs
+++ b/crates/daemon/src/lifecycle/shutdown.rs
@@ -1,10 +1,15 @@
-//! Graceful shutdown: the deadlines that SIGTERM sets.
+//! Graceful shutdown: the deadlines that SIGTERM sets, and the wait for the last client.
 //!
 //! Counted from SIGTERM: for [`ACCEPT_GRACE`] connections are still accepted, then the longest RPC may take its time,
 //! and [`FLUSH_GRACE`] later the process exits, whoever is still connected.
 
+use crate::clock::until;
+use crate::lifecycle::state_store::StateStore;
+use crate::net::sockets::{SocketBudget, SocketClass};
+use std::future::Future;
 use std::time::Duration;
-use tokio::time::Instant;
+use tokio::select;
+use tokio::time::{Instant, sleep};
 
 /// For which connections are accepted after SIGTERM without a successor: they still come for up to 0.4 s.
 const ACCEPT_GRACE: Duration = Duration::from_millis(500);
@@ -12,6 +17,8 @@
 const MAX_RPC_TIME: Duration = Duration::from_secs(3);
 /// For the last responses to leave before the process exits, still ahead of SIGKILL.
 const FLUSH_GRACE: Duration = Duration::from_millis(100);
+/// Between checks of whether the last client has disconnected.
+const CLIENT_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 
 /// A shutdown under way: when SIGTERM came, and how long an RPC may take from then on.
 #[derive(Clone, Copy, Debug)]
@@ -53,3 +60,34 @@
         self.response_deadline() + FLUSH_GRACE
     }
 }
+
+/// Starts the shutdown after SIGTERM and waits until the listener has ended and the last client has disconnected, or
+/// until the exit deadline.
+pub(crate) async fn drain(
+    state_store: &StateStore,
+    longest_rpc: Option<Duration>,
+    accepting: impl Future,
+    budget: &SocketBudget,
+) {
+    state_store.begin_shutdown(longest_rpc.unwrap_or(Duration::MAX));
+    if state_store.current().has_successor() {
+        log::info!("SIGTERM: stops accepting, a sibling process accepts");
+    } else {
+        log::info!("SIGTERM: keeps accepting the connections that still come");
+    }
+    let exit_deadline = state_store.current().exit_deadline();
+    let last_client_left = async {
+        accepting.await;
+        while budget.open_sockets(SocketClass::Clients) > 0 {
+            sleep(CLIENT_CHECK_INTERVAL).await;
+        }
+    };
+    select! {
+        () = last_client_left => {}
+        () = until(exit_deadline) => {}
+    }
+    log::info!(
+        "ends with {} client connections open",
+        budget.open_sockets(SocketClass::Clients)
+    );
+}
