--- a/crates/daemon/tests/leaving.rs
+++ b/crates/daemon/tests/leaving.rs
@@ -1,4 +1,4 @@
-//! Clients that leave while their RPC waits: it is not sent on. Each kind of wait, and each way to leave.
+//! Clients that disconnect while their RPC waits: it is not forwarded. Each kind of wait, each way to disconnect.
 #[path = "../../../tests/common/mod.rs"]
 mod common;
 use common::sockets::{
@@ -48,31 +48,31 @@
         _ => Act::Write(reply("200 OK", "")),
     });
     let daemon = Daemon::start_with(PROGRAM, &[("s-1", at)], in_order);
-    daemon.earn_credit(); // and shows that work is short: a line is no reason to turn what comes away
+    daemon.earn_credit(); // and shows that work is short: a queue is no reason to reject what comes
     (daemon, gate)
 }
 
-/// What stands behind the RPC, and how its client goes.
-enum Leaves {
-    Ends,
-    HalfEnds,
-    Resets,
+/// How a client disconnects.
+enum Disconnect {
+    Close,
+    HalfClose,
+    Reset,
 }
 
-/// All go like this; those that can still read are given back.
-fn leave(clients: Vec<Client>, leaves: &Leaves) -> Vec<Client> {
+/// All disconnect; those that can still read are given back.
+fn disconnect(clients: Vec<Client>, how: &Disconnect) -> Vec<Client> {
     let mut kept = Vec::new();
     let mut ends = HashSet::new();
     for client in clients {
         let stream = client.stream();
-        match leaves {
+        match how {
             // Whoever is started by another test may hold a copy of the socket for a moment: a close alone might be late.
-            Leaves::Ends => stream.shutdown(Shutdown::Both).expect("ended"),
-            Leaves::HalfEnds => {
+            Disconnect::Close => stream.shutdown(Shutdown::Both).expect("ended"),
+            Disconnect::HalfClose => {
                 stream.shutdown(Shutdown::Write).expect("half closed");
                 kept.push(client);
             }
-            Leaves::Resets => {
+            Disconnect::Reset => {
                 ends.insert((entry(stream.local_addr()), entry(stream.peer_addr())));
                 client.resets_when_dropped();
             }
@@ -107,88 +107,140 @@
     all.lines().filter_map(open).collect::<Vec<_>>().into_iter()
 }
 
-/// In the line of a key: the RPC that would come next has gone by when its turn comes.
-fn in_a_line(behind: &str, leaves: &Leaves, clients: usize) {
-    let log = Log::new(vec![]);
-    let (daemon, gate) = behind_a_gate(&log);
+/// Each of so many new clients sends its message.
+fn send_from_new_clients(
+    daemon: &Daemon,
+    clients: usize,
+    message: impl Fn(usize) -> String,
+) -> Vec<Client> {
+    let mut opened: Vec<_> = (0..clients).map(|_| daemon.client()).collect();
+    for (n, client) in opened.iter_mut().enumerate() {
+        client.send(&message(n));
+    }
+    opened
+}
+
+/// A client whose connection is accepted, and with it all that were opened before.
+fn accepted_client(daemon: &Daemon) -> Client {
+    let mut client = daemon.client();
+    assert_eq!(client.call(HEALTH).unwrap().status(), 200);
+    client
+}
+
+/// The backend holds the first RPC of the key from now on.
+fn send_first_of_key(daemon: &Daemon, log: &Log) -> Client {
     let mut first = daemon.client();
     first.send(&of_key("first"));
     log.await_event("b1 got POST /book HTTP/1.1 first");
-    let mut last = daemon.client();
-    assert_eq!(last.call(HEALTH).unwrap().status(), 200);
+    first
+}
+
+/// A proxy that waits for its connections for longer than the test does.
+fn proxy_before_a_slow_backend(slow: &Slow, change: impl Fn(&mut Value)) -> Daemon {
+    Daemon::start_with(PROGRAM, &[("s-1", slow.at)], |config| {
+        config["settings"]["methods"][1]["latency-target-ns"] = 60e9.into();
+        config["settings"]["ceilings"]["connect-timeout-ns"] = 60e9.into();
+        blind(config);
+        change(config);
+    })
+}
+
+/// The clients disconnect while the proxy is stopped, longer before it continues than an attempt may begin.
+fn disconnect_and_continue(daemon: &Daemon, clients: Vec<Client>, how: &Disconnect) -> Vec<Client> {
+    let kept = disconnect(clients, how);
+    sleep(LATE);
+    daemon.signal("CONT");
+    kept
+}
+
+fn await_descriptors(daemon: &Daemon, most: usize, complaint: &str) {
+    eventually(PATIENCE, complaint, || daemon.descriptors() <= most);
+}
+
+/// An RPC of a client that stays is answered with 200.
+fn assert_serves(client: &mut Client) {
+    let answer = client.call(&rpc("POST", "/book", "next", ""));
+    assert_eq!(answer.unwrap().status(), 200);
+}
+
+/// In the queue of a key: the client of the RPC that would come next has disconnected by then.
+fn in_the_key_queue(behind: &str, how: &Disconnect, clients: usize) {
+    let log = Log::new(vec![]);
+    let (daemon, gate) = behind_a_gate(&log);
+    let mut first = send_first_of_key(&daemon, &log);
+    let mut last = accepted_client(&daemon);
     let before = daemon.descriptors();
-    let gone: Vec<_> = (0..clients).map(|_| daemon.client()).collect();
-    assert_eq!(daemon.client().call(HEALTH).unwrap().status(), 200); // accepted after those
+    let mut gone: Vec<_> = (0..clients).map(|_| daemon.client()).collect();
+    drop(accepted_client(&daemon));
     // A stopped proxy finds the RPC, what stands behind it and its client's end all at once.
     daemon.signal("STOP");
-    let mut gone = gone;
     for (n, client) in gone.iter_mut().enumerate() {
         client.send(&(of_key(&format!("gone{n}")) + behind));
     }
-    let _kept = leave(gone, leaves);
+    let _kept = disconnect(gone, how);
     daemon.signal("CONT");
-    eventually(PATIENCE, "clients that left are still held", || {
-        daemon.descriptors() <= before
-    });
+    await_descriptors(&daemon, before, "clients that left are still held");
     last.send(&of_key("last"));
     gate.change(|open| *open = true);
     assert_eq!(first.answer().expect("an answer").status(), 200);
     assert_eq!(last.answer().expect("an answer").status(), 200);
-    assert_eq!(log.count(" gone"), 0, "sent on for a client that had left");
+    assert_eq!(
+        log.count(" gone"),
+        0,
+        "forwarded for a client that had left"
+    );
 }
 
 #[test]
-fn one_that_ends_in_a_line_is_not_sent() {
-    in_a_line("", &Leaves::Ends, 1);
+fn client_that_closes_in_the_key_queue_is_not_served() {
+    in_the_key_queue("", &Disconnect::Close, 1);
 }
 
 /// One byte behind the RPC is enough to hide the end from who reads one message at a time.
 #[test]
-fn one_that_ends_behind_further_bytes_is_not_sent() {
-    in_a_line("\r\n", &Leaves::Ends, 1);
+fn client_that_closes_behind_further_bytes_is_not_served() {
+    in_the_key_queue("\r\n", &Disconnect::Close, 1);
 }
 
 #[test]
-fn one_that_half_ends_behind_further_bytes_is_not_sent() {
-    in_a_line("\r\n", &Leaves::HalfEnds, 1);
+fn client_that_half_closes_behind_further_bytes_is_not_served() {
+    in_the_key_queue("\r\n", &Disconnect::HalfClose, 1);
 }
 
 #[test]
-fn one_that_resets_behind_further_bytes_is_not_sent() {
-    in_a_line("\r\n", &Leaves::Resets, 1);
+fn client_that_resets_behind_further_bytes_is_not_served() {
+    in_the_key_queue("\r\n", &Disconnect::Reset, 1);
 }
 
 /// Nor is any of what it sent behind the first.
 #[test]
-fn one_that_sent_many_at_once_and_ends_is_not_sent() {
+fn client_that_pipelines_rpcs_and_closes_is_not_served() {
     let more: String = (0..20).map(|n| of_key(&format!("gone-more{n}"))).collect();
-    in_a_line(&more, &Leaves::Ends, 1);
+    in_the_key_queue(&more, &Disconnect::Close, 1);
 }
 
 /// More than is read ahead.
 #[test]
-fn one_that_sent_much_at_once_and_ends_is_not_sent() {
+fn client_that_pipelines_more_than_is_read_ahead_and_closes_is_not_served() {
     let more: String = (0..400).map(|n| of_key(&format!("gone-more{n}"))).collect();
-    in_a_line(&more, &Leaves::Ends, 1);
+    in_the_key_queue(&more, &Disconnect::Close, 1);
 }
 
 #[test]
-fn hundreds_that_leave_at_once_are_not_sent() {
-    in_a_line("\r\n", &Leaves::Ends, 300);
+fn hundreds_of_clients_that_close_at_once_are_not_served() {
+    in_the_key_queue("\r\n", &Disconnect::Close, 300);
 }
 
 /// What a client sends behind an RPC is served in turn, whole, if it stays.
 #[test]
-fn what_stands_behind_is_served_in_turn() {
+fn pipelined_rpcs_are_served_in_order() {
     let log = Log::new(vec![]);
     let (daemon, gate) = behind_a_gate(&log);
-    let mut client = daemon.client();
     let body = "x".repeat(500);
     let all: String = (0..100)
         .map(|n| rpc("POST", "/log", &format!("n{n}"), &format!("{n}{body}")))
         .collect();
-    client.send(&of_key("first"));
-    log.await_event("b1 got POST /book HTTP/1.1 first");
+    let mut client = send_first_of_key(&daemon, &log);
     client.send(&all);
     gate.change(|open| *open = true);
     let answers = (0..101)
@@ -199,16 +251,10 @@
 }
 
 /// While its connection comes up, also where the settings allow no cancelling, and with a body that is still coming.
-fn for_a_connection(more: impl Fn(&mut Value), message: &str) {
+fn while_connecting(change: impl Fn(&mut Value), message: &str) {
     let log = Log::new(vec![]);
     let slow = Slow::start();
-    // The connection would be waited for longer than the test waits.
-    let daemon = Daemon::start_with(PROGRAM, &[("s-1", slow.at)], |config| {
-        config["settings"]["methods"][1]["latency-target-ns"] = 60e9.into();
-        config["settings"]["ceilings"]["connect-timeout-ns"] = 60e9.into();
-        blind(config);
-        more(config);
-    });
+    let daemon = proxy_before_a_slow_backend(&slow, change);
     let before = daemon.descriptors();
     let mut client = daemon.client();
     client.send(&message.replace("3000", "60000"));
@@ -216,11 +262,8 @@
         slow.asked() == 1
     });
     drop(client);
-    eventually(
-        PATIENCE,
-        "the client, or what was to be sent for it, is still held",
-        || daemon.descriptors() <= before,
-    );
+    let complaint = "the client, or what was to be sent for it, is still held";
+    await_descriptors(&daemon, before, complaint);
     daemon.list.tell_heard(&[
         line("s-1", slow.at, "Terminating"),
         line("s-2", echo("b2", &log), "Ready"),
@@ -228,40 +271,24 @@
     assert_eq!(
         slow.heard_when_let_in(),
         0,
-        "sent on for a client that had left"
-    );
-    assert_eq!(
-        daemon
-            .client()
-            .call(&rpc("POST", "/book", "next", ""))
-            .unwrap()
-            .status(),
-        200
+        "forwarded for a client that had left"
     );
+    assert_serves(&mut daemon.client());
 }
 
-/// The proxy stands still while the connections come up and the clients go, in this order. It finds both at once,
+/// The proxy is stopped while connections are established and the clients disconnect, in this order. It finds both at once,
 /// longer after that than an attempt may begin.
-fn while_it_stands_still(message: impl Fn(usize) -> String, leaves: &Leaves, clients: usize) {
+fn while_the_proxy_is_stopped(message: impl Fn(usize) -> String, how: &Disconnect, clients: usize) {
     let log = Log::new(vec![]);
     let slow = Slow::start();
-    let daemon = Daemon::start_with(PROGRAM, &[("s-1", slow.at)], |config| {
-        config["settings"]["methods"][1]["latency-target-ns"] = 60e9.into();
-        config["settings"]["ceilings"]["connect-timeout-ns"] = 60e9.into();
-        blind(config);
-    });
-    let mut gone: Vec<_> = (0..clients).map(|_| daemon.client()).collect();
-    for (n, client) in gone.iter_mut().enumerate() {
-        client.send(&message(n).replace("3000", "60000"));
-    }
+    let daemon = proxy_before_a_slow_backend(&slow, |_| {});
+    let gone = send_from_new_clients(&daemon, clients, |n| message(n).replace("3000", "60000"));
     eventually(PATIENCE, "not all asked for a connection", || {
         slow.asked() == clients
     });
     daemon.signal("STOP");
     let peers = slow.let_in(clients);
-    let kept = leave(gone, leaves);
-    sleep(LATE);
-    daemon.signal("CONT");
+    let kept = disconnect_and_continue(&daemon, gone, how);
     let heard = |mut peer: &socket2::Socket| {
         peer.set_read_timeout(Some(PATIENCE)).expect("a time-out");
         peer.read(&mut [0])
@@ -270,20 +297,13 @@
     assert_eq!(
         peers.iter().filter(|peer| heard(peer)).count(),
         0,
-        "sent on for clients that had left"
+        "forwarded for clients that had left"
     );
     drop(kept);
     daemon
         .list
         .tell_heard(&[line("s-2", echo("b2", &log), "Ready")]);
-    assert_eq!(
-        daemon
-            .client()
-            .call(&rpc("POST", "/book", "next", ""))
-            .unwrap()
-            .status(),
-        200
-    );
+    assert_serves(&mut daemon.client());
 }
 
 fn gone(n: usize) -> String {
@@ -291,57 +311,53 @@
 }
 
 #[test]
-fn one_that_ends_while_the_proxy_stands_still_is_not_sent() {
-    while_it_stands_still(gone, &Leaves::Ends, 1);
+fn client_that_closes_while_the_proxy_is_stopped_is_not_served() {
+    while_the_proxy_is_stopped(gone, &Disconnect::Close, 1);
 }
 
 #[test]
-fn one_that_half_ends_while_the_proxy_stands_still_is_not_sent() {
-    while_it_stands_still(gone, &Leaves::HalfEnds, 1);
+fn client_that_half_closes_while_the_proxy_is_stopped_is_not_served() {
+    while_the_proxy_is_stopped(gone, &Disconnect::HalfClose, 1);
 }
 
 #[test]
-fn one_that_resets_while_the_proxy_stands_still_is_not_sent() {
-    while_it_stands_still(gone, &Leaves::Resets, 1);
+fn client_that_resets_while_the_proxy_is_stopped_is_not_served() {
+    while_the_proxy_is_stopped(gone, &Disconnect::Reset, 1);
 }
 
 #[test]
-fn hundreds_that_end_while_the_proxy_stands_still_are_not_sent() {
-    while_it_stands_still(gone, &Leaves::Ends, 200);
+fn hundreds_of_clients_that_close_while_the_proxy_is_stopped_are_not_served() {
+    while_the_proxy_is_stopped(gone, &Disconnect::Close, 200);
 }
 
 #[test]
-fn hundreds_that_reset_while_the_proxy_stands_still_are_not_sent() {
-    while_it_stands_still(gone, &Leaves::Resets, 200);
+fn hundreds_of_clients_that_reset_while_the_proxy_is_stopped_are_not_served() {
+    while_the_proxy_is_stopped(gone, &Disconnect::Reset, 200);
 }
 
 /// The end stands behind further RPCs, fewer and more than are read ahead.
 #[test]
-fn one_that_ends_behind_more_while_the_proxy_stands_still_is_not_sent() {
+fn client_that_pipelines_and_closes_while_the_proxy_is_stopped_is_not_served() {
     for more in [1, 20, 400] {
         let all = |_: usize| (0..=more).map(gone).collect();
-        while_it_stands_still(all, &Leaves::Ends, 1);
+        while_the_proxy_is_stopped(all, &Disconnect::Close, 1);
     }
 }
 
 /// Its body is on its way.
 #[test]
-fn one_whose_long_body_is_cut_while_the_proxy_stands_still_is_not_sent() {
+fn client_whose_body_is_cut_while_the_proxy_is_stopped_is_not_served() {
     let body = "x".repeat(100_000);
     let half =
         |_: usize| rpc("POST", "/book", "gone", &body).replace("Length: 100000", "Length: 200000");
-    while_it_stands_still(half, &Leaves::Ends, 1);
+    while_the_proxy_is_stopped(half, &Disconnect::Close, 1);
 }
 
 /// One that stays through all that is served, and what it sent meanwhile goes on whole and in order.
 #[test]
-fn one_that_stays_while_the_proxy_stands_still_is_served() {
+fn client_that_stays_while_the_proxy_is_stopped_is_served() {
     let slow = Slow::start();
-    let daemon = Daemon::start_with(PROGRAM, &[("s-1", slow.at)], |config| {
-        config["settings"]["methods"][1]["latency-target-ns"] = 60e9.into();
-        config["settings"]["ceilings"]["connect-timeout-ns"] = 60e9.into();
-        blind(config);
-    });
+    let daemon = proxy_before_a_slow_backend(&slow, |_| {});
     let body: String = (0..25_000).map(|n| format!("{n:8}")).collect();
     let message = rpc("POST", "/book", "stays", &body).replacen("3000", "60000", 1);
     let (half, rest) = message.split_at(100_000);
@@ -366,54 +382,46 @@
     assert_eq!(client.answer().expect("an answer").text(), "done");
 }
 
-/// In the line of a key, whose turn comes while the proxy stands still, and then the clients go.
-fn whose_turn_comes(leaves: &Leaves, clients: usize) {
+/// In the queue of a key, whose turn comes while the proxy is stopped, and then the clients disconnect.
+fn as_its_turn_comes(how: &Disconnect, clients: usize) {
     let log = Log::new(vec![]);
     let (daemon, gate) = behind_a_gate(&log);
-    let mut first = daemon.client();
-    first.send(&of_key("first"));
-    log.await_event("b1 got POST /book HTTP/1.1 first");
-    let mut gone: Vec<_> = (0..clients).map(|_| daemon.client()).collect();
-    for (n, client) in gone.iter_mut().enumerate() {
-        client.send(&of_key(&format!("gone{n}")));
-    }
-    let mut last = daemon.client();
-    assert_eq!(last.call(HEALTH).unwrap().status(), 200); // accepted after those
+    let mut first = send_first_of_key(&daemon, &log);
+    let gone = send_from_new_clients(&daemon, clients, |n| of_key(&format!("gone{n}")));
+    let mut last = accepted_client(&daemon);
     daemon.signal("STOP");
     gate.change(|open| *open = true);
     log.await_event("b1 done with first");
-    let kept = leave(gone, leaves);
-    sleep(LATE);
-    daemon.signal("CONT");
+    let kept = disconnect_and_continue(&daemon, gone, how);
     assert_eq!(first.answer().expect("an answer").status(), 200);
     assert_eq!(last.call(&of_key("last")).expect("an answer").status(), 200);
-    assert_eq!(log.count(" gone"), 0, "sent on for clients that had left");
+    assert_eq!(log.count(" gone"), 0, "forwarded for clients that had left");
     drop(kept);
 }
 
 #[test]
-fn one_that_ends_as_its_turn_comes_is_not_sent() {
-    whose_turn_comes(&Leaves::Ends, 1);
+fn client_that_closes_as_its_turn_comes_is_not_served() {
+    as_its_turn_comes(&Disconnect::Close, 1);
 }
 
 #[test]
-fn one_that_half_ends_as_its_turn_comes_is_not_sent() {
-    whose_turn_comes(&Leaves::HalfEnds, 1);
+fn client_that_half_closes_as_its_turn_comes_is_not_served() {
+    as_its_turn_comes(&Disconnect::HalfClose, 1);
 }
 
 #[test]
-fn one_that_resets_as_its_turn_comes_is_not_sent() {
-    whose_turn_comes(&Leaves::Resets, 1);
+fn client_that_resets_as_its_turn_comes_is_not_served() {
+    as_its_turn_comes(&Disconnect::Reset, 1);
 }
 
 #[test]
-fn hundreds_that_leave_as_their_turn_comes_are_not_sent() {
-    whose_turn_comes(&Leaves::Ends, 300);
-    whose_turn_comes(&Leaves::Resets, 300);
+fn hundreds_of_clients_that_disconnect_as_their_turn_comes_are_not_served() {
+    as_its_turn_comes(&Disconnect::Close, 300);
+    as_its_turn_comes(&Disconnect::Reset, 300);
 }
 
-/// Between two picks: the first is turned away while the proxy stands still, and then the clients go.
-fn between_picks(leaves: &Leaves, clients: usize) {
+/// Between two attempts: the first is rejected while the proxy is stopped, and then the clients disconnect.
+fn between_attempts(how: &Disconnect, clients: usize) {
     let log = Log::new(vec![]);
     let (gate, seen) = (Shared::new(false), log.clone());
     let open = gate.clone();
@@ -444,9 +452,7 @@
     daemon.signal("STOP");
     gate.change(|open| *open = true);
     (0..clients).for_each(|n| log.await_event(&format!("b1 done with gone{n}")));
-    let kept = leave(gone, leaves);
-    sleep(LATE);
-    daemon.signal("CONT");
+    let kept = disconnect_and_continue(&daemon, gone, how);
     let next = daemon
         .client()
         .call(&rpc("POST", "/book", "next", ""))
@@ -455,80 +461,68 @@
     assert_eq!(
         log.count(" gone"),
         2 * clients,
-        "sent on for clients that had left"
+        "forwarded for clients that had left"
     ); // got, and done with
     drop(kept);
 }
 
 #[test]
-fn one_that_leaves_between_two_picks_is_not_sent_again() {
-    between_picks(&Leaves::Ends, 1);
-    between_picks(&Leaves::HalfEnds, 1);
-    between_picks(&Leaves::Resets, 1);
+fn client_that_disconnects_between_two_attempts_is_not_retried() {
+    between_attempts(&Disconnect::Close, 1);
+    between_attempts(&Disconnect::HalfClose, 1);
+    between_attempts(&Disconnect::Reset, 1);
 }
 
 /// What is there at once when the proxy goes on: the last piece of an RPC, and its client's end.
-fn all_at_once(leaves: &Leaves, clients: usize) {
+fn all_at_once(how: &Disconnect, clients: usize) {
     let log = Log::new(vec![]);
     let daemon = Daemon::start_with(PROGRAM, &[("s-1", echo("b1", &log))], blind);
     daemon.earn_credit();
-    let mut last = daemon.client();
-    assert_eq!(last.call(HEALTH).unwrap().status(), 200);
+    let mut last = accepted_client(&daemon);
     let before = daemon.descriptors();
-    let mut gone: Vec<_> = (0..clients).map(|_| daemon.client()).collect();
     let message = |n| rpc("POST", "/book", &format!("gone{n}"), "a body");
-    for (n, client) in gone.iter_mut().enumerate() {
-        client.send(&message(n)[..message(n).len() - 3]);
-    }
-    assert_eq!(daemon.client().call(HEALTH).unwrap().status(), 200); // accepted after those
+    let all_but_the_end = |n| message(n)[..message(n).len() - 3].to_owned();
+    let mut gone = send_from_new_clients(&daemon, clients, all_but_the_end);
+    drop(accepted_client(&daemon));
     daemon.signal("STOP");
     for (n, client) in gone.iter_mut().enumerate() {
         client.send(&message(n)[message(n).len() - 3..]);
     }
-    let kept = leave(gone, leaves);
-    sleep(LATE);
-    daemon.signal("CONT");
-    eventually(PATIENCE, "clients that left are still held", || {
-        daemon.descriptors() <= before
-    });
-    assert_eq!(
-        last.call(&rpc("POST", "/book", "next", ""))
-            .unwrap()
-            .status(),
-        200
-    );
-    assert_eq!(log.count(" gone"), 0, "sent on for clients that had left");
+    let kept = disconnect_and_continue(&daemon, gone, how);
+    await_descriptors(&daemon, before, "clients that left are still held");
+    assert_serves(&mut last);
+    assert_eq!(log.count(" gone"), 0, "forwarded for clients that had left");
     drop(kept);
 }
 
 #[test]
-fn one_whose_body_and_end_come_at_once_is_not_sent() {
-    all_at_once(&Leaves::Ends, 1);
-    all_at_once(&Leaves::HalfEnds, 1);
-    all_at_once(&Leaves::Resets, 1);
+fn client_whose_body_and_end_come_at_once_is_not_served() {
+    all_at_once(&Disconnect::Close, 1);
+    all_at_once(&Disconnect::HalfClose, 1);
+    all_at_once(&Disconnect::Reset, 1);
 }
 
 #[test]
-fn hundreds_whose_bodies_and_ends_come_at_once_are_not_sent() {
-    all_at_once(&Leaves::Ends, 300);
-    all_at_once(&Leaves::Resets, 300);
+fn hundreds_of_clients_whose_bodies_and_ends_come_at_once_are_not_served() {
+    all_at_once(&Disconnect::Close, 300);
+    all_at_once(&Disconnect::Reset, 300);
 }
 
 #[test]
-fn one_that_leaves_while_a_connection_comes_up_is_not_sent() {
-    for_a_connection(|_| {}, &rpc("POST", "/book", "gone", ""));
+fn client_that_closes_while_a_connection_is_established_is_not_served() {
+    while_connecting(|_| {}, &rpc("POST", "/book", "gone", ""));
 }
 
 #[test]
-fn one_that_may_not_be_cancelled_is_not_sent_either() {
+fn client_that_closes_is_not_served_where_cancelling_is_off() {
     let fixed = |config: &mut Value| config["settings"]["ceilings"]["cancel"] = false.into();
-    for_a_connection(fixed, &(rpc("POST", "/book", "gone", "") + "\r\n"));
+    while_connecting(fixed, &(rpc("POST", "/book", "gone", "") + "\r\n"));
 }
 
 #[test]
-fn one_whose_long_body_waits_is_not_sent() {
+fn client_that_closes_with_a_long_body_under_way_is_not_served() {
     let body = "x".repeat(100_000);
-    for_a_connection(
+    while_connecting(
         |_| {},
         &rpc("POST", "/book", "gone", &body).replace("Length: 100000", "Length: 200000"),
     );
@@ -536,7 +530,7 @@
 
 /// The same RPC again, while a pick of the first is still out: never two out, and none once it may have run.
 #[test]
-fn a_name_stays_open_until_its_picks_have_ended() {
+fn request_id_stays_in_use_until_its_attempts_have_ended() {
     let log = Log::new(vec![]);
     let (at, gate) = gated("b1", &log, "");
     let fixed = |config: &mut Value| {
@@ -544,16 +538,13 @@
         blind(config);
     };
     let daemon = Daemon::start_with(PROGRAM, &[("s-1", at)], fixed);
-    let mut other = daemon.client();
-    assert_eq!(other.call(HEALTH).unwrap().status(), 200);
+    let mut other = accepted_client(&daemon);
     let before = daemon.descriptors();
     let mut client = daemon.client();
     client.send(&rpc("POST", "/book", "same", "").replace("3000", "20000"));
     log.await_event("b1 got POST /book HTTP/1.1 same");
     drop(client);
-    eventually(PATIENCE, "the client is still held", || {
-        daemon.descriptors() <= before + 1
-    });
+    await_descriptors(&daemon, before + 1, "the client is still held");
     let again = |other: &mut Client| {
         other
             .call(&rpc("POST", "/book", "same", ""))
