--- /dev/null
+++ b/crates/daemon/tests/leaving/retries.rs
@@ -0,0 +1,92 @@
+//! RPCs between two attempts, and those whose attempts outlast their client.
+use crate::common::sockets::{
+    Act, Client, Daemon, Log, PATIENCE, Shared, backend, blind, echo, eventually, gated, line,
+    reply, rpc,
+};
+use crate::harness::{
+    Disconnect, PROGRAM, accepted_client, await_descriptors, disconnect_and_continue,
+};
+use serde_json::Value;
+
+/// Between two attempts: the first is rejected while the proxy is stopped, and then the clients disconnect.
+fn between_attempts(how: &Disconnect, clients: usize) {
+    let log = Log::new(vec![]);
+    let (gate, seen) = (Shared::new(false), log.clone());
+    let open = gate.clone();
+    let at = backend("b1", &log, move |m| {
+        if !m.header("request-id").starts_with("gone") {
+            return Act::Write(reply("200 OK", ""));
+        }
+        open.wait(PATIENCE, |open| *open);
+        Act::Late(
+            reply("503 Busy\r\nNot-Started: 1", ""),
+            seen.clone(),
+            "".into(),
+            b"\r\n".to_vec(),
+        )
+    });
+    let daemon = Daemon::start_with(PROGRAM, &[("s-1", at), ("s-2", echo("b2", &log))], blind);
+    daemon.earn_credit();
+    daemon.list.tell_heard(&[line("s-1", at, "Ready")]);
+    let mut gone: Vec<_> = (0..clients).map(|_| daemon.client()).collect();
+    for (n, client) in gone.iter_mut().enumerate() {
+        client.send(&rpc("POST", "/book", &format!("gone{n}"), ""));
+        log.await_event(&format!("b1 got POST /book HTTP/1.1 gone{n}"));
+    }
+    daemon.list.tell_heard(&[
+        line("s-1", at, "Ready"),
+        line("s-2", echo("b2", &log), "Ready"),
+    ]);
+    daemon.signal("STOP");
+    gate.change(|open| *open = true);
+    (0..clients).for_each(|n| log.await_event(&format!("b1 done with gone{n}")));
+    let kept = disconnect_and_continue(&daemon, gone, how);
+    let next = daemon
+        .client()
+        .call(&rpc("POST", "/book", "next", ""))
+        .map(|answer| answer.status());
+    assert!(matches!(next, Some(200 | 503)), "{next:?}");
+    assert_eq!(
+        log.count(" gone"),
+        2 * clients,
+        "forwarded for clients that had left"
+    ); // got, and done with
+    drop(kept);
+}
+
+#[test]
+fn client_that_disconnects_between_two_attempts_is_not_retried() {
+    between_attempts(&Disconnect::Close, 1);
+    between_attempts(&Disconnect::HalfClose, 1);
+    between_attempts(&Disconnect::Reset, 1);
+}
+
+/// The same RPC again, while a pick of the first is still out: never two out, and none once it may have run.
+#[test]
+fn request_id_stays_in_use_until_its_attempts_have_ended() {
+    let log = Log::new(vec![]);
+    let (at, gate) = gated("b1", &log, "");
+    let fixed = |config: &mut Value| {
+        config["settings"]["ceilings"]["cancel"] = false.into();
+        blind(config);
+    };
+    let daemon = Daemon::start_with(PROGRAM, &[("s-1", at)], fixed);
+    let mut other = accepted_client(&daemon);
+    let before = daemon.descriptors();
+    let mut client = daemon.client();
+    client.send(&rpc("POST", "/book", "same", "").replace("3000", "20000"));
+    log.await_event("b1 got POST /book HTTP/1.1 same");
+    drop(client);
+    await_descriptors(&daemon, before + 1, "the client is still held");
+    let again = |other: &mut Client| {
+        other
+            .call(&rpc("POST", "/book", "same", ""))
+            .map(|a| a.status())
+    };
+    assert_eq!(again(&mut other), Some(409));
+    assert_eq!(log.count("same"), 1);
+    gate.change(|open| *open = true);
+    eventually(PATIENCE, "the name stays open", || {
+        again(&mut daemon.client()) == Some(200)
+    });
+}
