--- a/crates/daemon/src/lifecycle/start_error.rs
+++ b/crates/daemon/src/lifecycle/start_error.rs
@@ -1,5 +1,6 @@
 //! Why a process could not start.
 
+use crate::config::error::ConfigError;
 use std::io;
 use std::net::SocketAddr;
 use thiserror::Error;
@@ -8,8 +9,8 @@
 #[derive(Debug, Error)]
 pub(crate) enum StartError {
     /// The configuration can't be read, or the inherited socket is none for clients.
-    #[error("{0}")]
-    Config(String),
+    #[error(transparent)]
+    Config(#[from] ConfigError),
     /// The event loop could not be set up.
     #[error("no event loop: {0}")]
     EventLoop(io::Error),
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -12,7 +12,8 @@
 
 use crate::clock::Clock;
 use crate::config::active::{ActiveNames, NameTable};
-use crate::config::file::{self, Config};
+use crate::config::file::{self, CachedEndpoints, Config};
+use crate::config::inherited_listener;
 use crate::config::reload::{ActiveConfig, Reload};
 use crate::decision::actor::{self, DecisionActor};
 use crate::discovery::client::DiscoveryClient;
@@ -58,8 +59,8 @@
 /// Reads the configuration and runs the proxy until it is told to end.
 fn start() -> Result<(), StartError> {
     // First of all: what is opened before might take the descriptor's number.
-    let inherited = file::inherited_listener().map_err(StartError::Config)?;
-    let config = file::load(true).map_err(StartError::Config)?;
+    let inherited = inherited_listener::take()?;
+    let config = file::load(CachedEndpoints::Decoded)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .max_blocking_threads(BLOCKING_THREADS)
