--- a/crates/daemon/src/lifecycle/siblings.rs
+++ b/crates/daemon/src/lifecycle/siblings.rs
@@ -7,7 +7,7 @@
 //! - `birchhub.standing`: the administrative state, as JSON.
 
 use crate::lifecycle::admin_state::AdminState;
-use std::fs::{File, Metadata, TryLockError};
+use std::fs::{File, TryLockError};
 use std::io::{self, Write};
 use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
@@ -23,10 +23,13 @@
 const LOCK_TIMEOUT: Duration = Duration::from_millis(300);
 /// Between attempts to take the lock.
 const LOCK_RETRY_INTERVAL: Duration = Duration::from_millis(5);
-/// Names in the folder.
+/// The slots' files, each with its number behind a dot.
 const SLOT_FILE: &str = "birchhub.life";
+/// The lock of the administrative state.
 const LOCK_FILE: &str = "birchhub.lock";
+/// The administrative state.
 const STATE_FILE: &str = "birchhub.standing";
+/// The next administrative state until it is complete.
 const NEW_STATE_FILE: &str = "birchhub.standing.new";
 
 /// Why the folder could not be used.
@@ -199,7 +202,7 @@
     }
 
     fn stored_version(&self) -> Option<FileVersion> {
-        let metadata: Metadata = std::fs::metadata(self.state_path()).ok()?;
+        let metadata = std::fs::metadata(self.state_path()).ok()?;
         Some(FileVersion {
             modified: metadata.modified().ok()?,
             inode: metadata.ino(),
--- a/crates/daemon/tests/ending.rs
+++ b/crates/daemon/tests/ending.rs
@@ -1,5 +1,5 @@
-//! The end of a process, of a connection and of a list crossing with RPCs. A stopped process finds at once what came
-//! while it stood still: the bytes, the connections and the times that have passed.
+//! Graceful shutdown, standby and eviction crossing with RPCs. A stopped process finds at once what came while it was
+//! stopped: bytes, connections and deadlines that have passed.
 #[path = "../../../tests/common/mod.rs"]
 mod common;
 use common::sockets::{
@@ -17,7 +17,7 @@
 const READER: &str = "BIRCHHUB_TEST_READER"; // where the reader of the test of interrupted reads connects to
 
 /// Opens connections, each of which has had an answer.
-fn idle(daemon: &Daemon) -> Vec<Client> {
+fn idle_clients(daemon: &Daemon) -> Vec<Client> {
     let open = |_| {
         let mut client = daemon.client();
         assert_eq!(client.call(HEALTH).unwrap().status(), 200);
@@ -27,7 +27,7 @@
 }
 
 /// What was answered on each, in order.
-fn answers(clients: &mut [Client]) -> Vec<Option<u16>> {
+fn statuses(clients: &mut [Client]) -> Vec<Option<u16>> {
     clients
         .iter_mut()
         .map(|client| client.answer().map(|answer| answer.status()))
@@ -74,12 +74,12 @@
     assert!(reader.wait().expect("its end").success());
 }
 
-/// SIGTERM: the time of idle connections passes while whole RPCs stand on them unread.
+/// SIGTERM: the deadline of idle connections passes while complete RPCs wait on them unread.
 #[test]
 fn an_rpc_that_crosses_with_the_end_of_its_idle_connection_is_answered() {
     let log = Log::new(vec![]);
     let mut daemon = Daemon::start_with(PROGRAM, &[("s-1", echo("b1", &log))], blind);
-    let mut clients = idle(&daemon);
+    let mut clients = idle_clients(&daemon);
     daemon.signal("TERM");
     daemon.await_ready(503);
     daemon.signal("STOP");
@@ -88,12 +88,12 @@
     }
     sleep(Duration::from_millis(700)); // past the half second for which idle ones are kept
     daemon.signal("CONT");
-    assert_eq!(answers(&mut clients), vec![Some(200); CLIENTS]);
+    assert_eq!(statuses(&mut clients), vec![Some(200); CLIENTS]);
     assert!(clients.iter_mut().all(is_closed));
     assert!(daemon.await_end().success());
 }
 
-/// The same after `/standby`, whose second passes.
+/// The same after `/standby`, whose grace of a second passes.
 #[test]
 fn an_rpc_that_crosses_with_a_standby_is_answered() {
     let log = Log::new(vec![]);
@@ -102,7 +102,7 @@
         config["management"] = second.to_string().into();
         blind(config);
     });
-    let mut clients = idle(&daemon);
+    let mut clients = idle_clients(&daemon);
     let mut staff = Client::open(second).expect("a connection");
     let call = "POST /standby HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n";
     assert_eq!(staff.call(call).unwrap().status(), 200);
@@ -112,19 +112,19 @@
     }
     sleep(Duration::from_millis(1200));
     daemon.signal("CONT");
-    assert_eq!(answers(&mut clients), vec![Some(200); CLIENTS]);
+    assert_eq!(statuses(&mut clients), vec![Some(200); CLIENTS]);
 }
 
-/// Room is wanted for new connections in the turn in which the idle ones that would give way bring RPCs.
+/// New connections need sockets in the turn of the event loop in which the idle ones to be evicted bring RPCs.
 #[test]
-fn an_rpc_that_crosses_with_the_loss_of_its_place_is_answered() {
+fn an_rpc_that_crosses_with_the_eviction_of_its_connection_is_answered() {
     let log = Log::new(vec![]);
     let few = |config: &mut Value| {
         config["limits"]["sockets"] = 74.into(); // room for ten clients
         blind(config);
     };
     let daemon = Daemon::start_with(PROGRAM, &[("s-1", echo("b1", &log))], few);
-    let mut clients: Vec<_> = idle(&daemon).drain(CLIENTS - 10..).collect();
+    let mut clients: Vec<_> = idle_clients(&daemon).drain(CLIENTS - 10..).collect();
     assert_eq!(
         clients
             .iter_mut()
@@ -143,13 +143,13 @@
     daemon.signal("CONT");
     // One that was closed with its RPC unread may send it once more; one that was read has to be answered.
     let read = |n: usize| log.count(&format!(" n{n}")) > 0;
-    let told = answers(&mut clients);
+    let told = statuses(&mut clients);
     let lost: Vec<_> = (0..told.len())
         .filter(|n| read(*n) && told[*n] != Some(200))
         .collect();
     assert_eq!(lost, Vec::<usize>::new(), "{told:?}");
     assert!(
-        answers(&mut fresh)
+        statuses(&mut fresh)
             .iter()
             .all(|answer| matches!(answer, Some(200 | 503)))
     );
@@ -169,7 +169,7 @@
     }
     sleep(Duration::from_millis(700));
     daemon.signal("CONT");
-    assert_eq!(answers(&mut clients), vec![Some(200); CLIENTS]);
+    assert_eq!(statuses(&mut clients), vec![Some(200); CLIENTS]);
     assert!(daemon.await_end().success());
 }
 
@@ -178,7 +178,7 @@
 fn a_message_that_is_half_there_at_the_end_is_served() {
     let log = Log::new(vec![]);
     let mut daemon = Daemon::start_with(PROGRAM, &[("s-1", echo("b1", &log))], blind);
-    let mut clients = idle(&daemon);
+    let mut clients = idle_clients(&daemon);
     let message = |n: usize| rpc("POST", "/book", &format!("n{n}"), "body");
     // Half of a head, or half of a body.
     let part = |n: usize| {
@@ -197,28 +197,32 @@
     for (n, client) in clients.iter_mut().enumerate() {
         client.send(&message(n)[part(n)..]);
     }
-    assert_eq!(answers(&mut clients), vec![Some(200); CLIENTS]);
+    assert_eq!(statuses(&mut clients), vec![Some(200); CLIENTS]);
     assert!(daemon.await_end().success());
 }
 
 /// A backend that answers nothing.
-fn hangs(log: &Log) -> SocketAddr {
+fn backend_that_never_answers(log: &Log) -> SocketAddr {
     backend("b1", log, |_| Act::Hang)
 }
 
 /// SIGKILL comes 0.7 s after the longest deadline, as if that were 3 s at the most: what is out by then is answered.
 fn all_answered_before_the_kill(hard_limit: Value, kill: Duration) {
     let log = Log::new(vec![]);
-    let mut daemon = Daemon::start_with(PROGRAM, &[("s-1", hangs(&log))], |config| {
-        blind(config);
-        for method in config["settings"]["methods"]
-            .as_array_mut()
-            .expect("methods")
-        {
-            method["hard-limit-ns"] = hard_limit.clone();
-            method["latency-target-ns"] = 60e9.into();
-        }
-    });
+    let mut daemon = Daemon::start_with(
+        PROGRAM,
+        &[("s-1", backend_that_never_answers(&log))],
+        |config| {
+            blind(config);
+            for method in config["settings"]["methods"]
+                .as_array_mut()
+                .expect("methods")
+            {
+                method["hard-limit-ns"] = hard_limit.clone();
+                method["latency-target-ns"] = 60e9.into();
+            }
+        },
+    );
     let long = |id: &str| rpc("POST", "/book", id, "").replace("3000", "60000");
     let (mut before, mut after, mut half) = (daemon.client(), daemon.client(), daemon.client());
     before.send(&long("before"));
@@ -280,7 +284,7 @@
 fn signals_that_cross_end_it_once() {
     let log = Log::new(vec![]);
     let mut daemon = Daemon::start_with(PROGRAM, &[("s-1", echo("b1", &log))], blind);
-    let mut clients = idle(&daemon);
+    let mut clients = idle_clients(&daemon);
     daemon.signal("STOP");
     for name in ["HUP", "TERM", "HUP", "TERM", "HUP"] {
         daemon.signal(name);
@@ -289,7 +293,7 @@
         client.send(&rpc("POST", "/book", &format!("n{n}"), ""));
     }
     daemon.signal("CONT");
-    assert_eq!(answers(&mut clients), vec![Some(200); CLIENTS]);
+    assert_eq!(statuses(&mut clients), vec![Some(200); CLIENTS]);
     daemon.signal("TERM");
     assert!(daemon.await_end().success());
     let ended = daemon
@@ -313,7 +317,7 @@
         }
     });
     let mut daemon = Daemon::start_with(PROGRAM, &[("s-1", at)], blind);
-    let mut clients = idle(&daemon);
+    let mut clients = idle_clients(&daemon);
     daemon.signal("STOP");
     for (n, client) in clients.iter_mut().enumerate() {
         client.send(
@@ -322,7 +326,7 @@
     }
     daemon.signal("TERM");
     daemon.signal("CONT");
-    let told = answers(&mut clients);
+    let told = statuses(&mut clients);
     let hung = told.iter().filter(|answer| **answer == Some(502)).count();
     assert_eq!(
         (told.iter().flatten().count(), hung),
