--- a/crates/daemon/src/lifecycle/shutdown.rs
+++ b/crates/daemon/src/lifecycle/shutdown.rs
@@ -5,7 +5,7 @@
 
 use crate::clock::until;
 use crate::lifecycle::state_store::StateStore;
-use crate::net::sockets::{SocketBudget, SocketClass};
+use crate::net::socket_budget::{SocketBudget, SocketClass};
 use std::future::Future;
 use std::time::Duration;
 use tokio::select;
--- a/crates/daemon/src/lifecycle/startup.rs
+++ b/crates/daemon/src/lifecycle/startup.rs
@@ -4,7 +4,7 @@
 use crate::downstream::listener::Listener;
 use crate::lifecycle::siblings::ProcessGroup;
 use crate::lifecycle::state_store::{SIBLING_POLL_INTERVAL, StateStore};
-use crate::net::sockets::SocketBudget;
+use crate::net::socket_budget::SocketBudget;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
