active: bad_request is private and says what it makes; pin the text of a passed socket

Only the checks of this module still use it since the request parser has typed errors. The text of a passed socket that does not listen was not held to the byte.

--- a/crates/daemon/src/config/active.rs
+++ b/crates/daemon/src/config/active.rs
@@ -23,7 +23,7 @@
 }
 
 /// The response to a malformed request.
-pub(crate) fn bad(message: &'static str) -> ProxyResponse {
+fn bad_request(message: &'static str) -> ProxyResponse {
     ProxyResponse::ClientError {
         status: StatusCode::BAD_REQUEST,
         message,
@@ -46,10 +46,10 @@
     has_key: bool,
 ) -> Result<(), ProxyResponse> {
     if *method != http_method(idempotency) {
-        return Err(bad("the HTTP method does not fit\n"));
+        return Err(bad_request("the HTTP method does not fit\n"));
     }
     if matches!(idempotency, Idempotency::Deduplicated { .. }) && !has_key {
-        return Err(bad("no Idempotency-Key\n"));
+        return Err(bad_request("no Idempotency-Key\n"));
     }
     Ok(())
 }
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -282,3 +282,16 @@
         assert_refused(&variables, &format!("LB_PASSED_SOCKET {error}"));
     }
 }
+
+#[test]
+fn a_passed_socket_that_does_not_listen_is_named_to_the_byte() {
+    let socket = std::net::UdpSocket::bind("127.0.0.1:0").expect("a socket");
+    let output = Command::new(PROGRAM)
+        .env("LB_PASSED_SOCKET", "0")
+        .stdin(std::os::fd::OwnedFd::from(socket))
+        .output()
+        .expect("birchhubd");
+    let line = String::from_utf8(output.stderr).expect("a text");
+    let expected = "birchhubd: LB_PASSED_SOCKET is not a listening TCP socket: 0\n";
+    assert_eq!((output.status.code(), line.as_str()), (Some(2), expected));
+}
