--- a/crates/daemon/src/config/file.rs
+++ b/crates/daemon/src/config/file.rs
@@ -1,4 +1,4 @@
-//! The configuration file that the platform writes for a proxy, and the variables that stand in for some of its keys.
+//! The configuration file that the platform writes for a proxy, and the variables that replace some of its keys.
 
 use crate::config::error::ConfigError;
 use crate::discovery::update::{DecodeError, EndpointUpdate};
@@ -112,7 +112,7 @@
             .shadow_settings
             .map(|shadow| parse_shadow_settings(shadow, &parsed_settings))
             .transpose()?;
-        // The list is replaced by discovery's a moment later: a fault in it must not keep a whole fleet from starting.
+        // Discovery replaces the list a moment later: an error in it must not prevent a whole fleet from starting.
         let endpoints = self
             .cached_endpoints
             .filter(|_| cached_endpoints == CachedEndpoints::Decoded)
--- a/crates/daemon/src/config/reload.rs
+++ b/crates/daemon/src/config/reload.rs
@@ -245,7 +245,7 @@
         log_restart_keys(&state.config);
         self.published.send_replace(state.config.clone());
         let previous = (previous_names, std::mem::replace(&mut self.active, state));
-        // Tens of thousands of names may be dropped here, during which the event loop would stand still.
+        // Dropping tens of thousands of names here would block the event loop.
         let _ = spawn_blocking(move || drop(previous)).await;
     }
 }
--- a/crates/settings/src/accounts.rs
+++ b/crates/settings/src/accounts.rs
@@ -54,7 +54,7 @@
     })
 }
 
-/// An account without a fault, read without a tree of it.
+/// A valid account, deserialized directly.
 #[derive(Deserialize)]
 struct ValidAccount<'a> {
     #[serde(borrow)]
--- a/crates/settings/src/parse.rs
+++ b/crates/settings/src/parse.rs
@@ -93,7 +93,7 @@
     })
 }
 
-/// The names, and what they stand for.
+/// The names and the settings, each in a list of its own.
 fn unzip<T>(named: Vec<Named<T>>) -> (Vec<String>, Vec<T>) {
     named
         .into_iter()
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -5,7 +5,7 @@
 
 const NANOSECONDS: f64 = 1e9; // in a second
 
-/// Longest time that is kept, s. Longer ones mean the same, and could not be added to a clock.
+/// Upper bound of times, s. Longer ones have the same effect, and could not be added to a clock.
 const MAX_SECONDS: f64 = 1e9;
 
 /// A JSON value and its path in the document. A key whose value is null counts as missing.
@@ -20,7 +20,7 @@
         Self::at(value, JsonPath::default())
     }
 
-    /// Reads a value that stands at this path of a document.
+    /// Reads a value that is at this path of a document.
     pub(crate) fn at(value: &'a Value, path: JsonPath) -> Self {
         Self { value, path }
     }
--- a/crates/settings/src/sections.rs
+++ b/crates/settings/src/sections.rs
@@ -149,7 +149,7 @@
     }
 }
 
-/// Longest Retry-After that clients honour, s; 0 where they are told none.
+/// Longest Retry-After that clients honour, s; 0 where they get none.
 fn max_retry_after(ceilings: &JsonReader) -> Result<f64, SettingsError> {
     if ceilings.boolean_or_false("retry-after")? {
         ceilings.seconds_or("max-retry-after-ns", 0.0)
