--- a/crates/daemon/src/downstream/listener.rs
+++ b/crates/daemon/src/downstream/listener.rs
@@ -1,7 +1,6 @@
 //! Accepts clients' connections within the socket budget, and starts a task for each.
 use crate::clock::until;
 use crate::downstream::connection_task::ConnectionTask;
-pub(crate) use crate::downstream::request_ids::RequestIdGuard;
 use crate::downstream::request_parser::RequestParser;
 use crate::downstream::rpc_service::RpcService;
 use crate::lifecycle::state::ProxyState;
@@ -80,7 +79,7 @@
                 AcceptEvent::StateChanged => {}
                 AcceptEvent::DeadlineReached if is_deadline_reached => return,
                 AcceptEvent::DeadlineReached => {
-                    // The deadline is seen before the event loop asks the system what has come: one more look.
+                    // The timer fires before the event loop polls the socket: one more accept is tried.
                     is_deadline_reached = true;
                     yield_now().await;
                 }
