Split the simulated world into one module per concern

Change: src/world/ has a module for each: clients, proxies (life cycle), rpcs (what reaches a process), commands (what the decisions ask for), attempts, backends, discovery, faults, event, and mod with the loop; list.rs moves there, and proxy.rs as process and platform. Functions are moved as they were, constants to where they are used. No behaviour change.

--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -9,8 +9,6 @@
     reason = "docs/ROADMAP.md lists the crates that are not documented yet"
 )]
 
-mod list;
-mod proxy;
 mod queue;
 mod world;
 
