Standard names in the simulation

Cause: the simulated world had names of its own (What, Call, Wish, Door, Care, Host, Try, Pick, Line, news, tell, happen, reach, let_go), which a reader had to learn first. Change: names only: SimulationEvent, ProcessEvent, Command, SimulationPlatform, InFlightRpc, Machine, ClientAttempt, ProxyAttempt, ListEntry, EndpointListService; functions say what they do (record, schedule, dispatch, send_to_process, deliver_to_process); constants name what they limit. Fields of the ledger's events and the plan's acts keep theirs.

--- a/crates/simulation/src/queue.rs
+++ b/crates/simulation/src/queue.rs
@@ -8,7 +8,7 @@
 struct Entry<T> {
     at: f64,
     number: u64,
-    what: T,
+    event: T,
 }
 
 impl<T> PartialEq for Entry<T> {
@@ -47,16 +47,16 @@
 }
 
 impl<T> Queue<T> {
-    pub(crate) fn put(&mut self, at: f64, what: T) {
+    pub(crate) fn put(&mut self, at: f64, event: T) {
         self.next += 1;
         self.entries.push(Entry {
             at,
             number: self.next,
-            what,
+            event,
         });
     }
 
     pub(crate) fn take(&mut self) -> Option<(f64, T)> {
-        self.entries.pop().map(|entry| (entry.at, entry.what))
+        self.entries.pop().map(|entry| (entry.at, entry.event))
     }
 }
--- a/crates/simulation/src/world/clients.rs
+++ b/crates/simulation/src/world/clients.rs
@@ -1,13 +1,13 @@
 //! Clients: their attempts, retries and disconnections.
-use super::event::{Call, What};
-use super::{WAY, World};
+use super::event::{ProcessEvent, SimulationEvent};
+use super::{NETWORK_DELAY, World};
 use birchhub_audit::{Answer, Event};
 use birchhub_rehearsal::clients;
 use birchhub_rehearsal::proxies::deal;
 
-const LINGER: f64 = 0.25; // s that a client listens on after its patience
+const CLIENT_GRACE: f64 = 0.25; // s that a client listens on after its patience
 
-pub(super) struct Try {
+pub(super) struct ClientAttempt {
     pub(super) rpc: u32,
     pub(super) number: u8,
     pub(super) proxy: u16,
@@ -16,7 +16,8 @@
 }
 
 impl World<'_> {
-    pub(super) fn send(&mut self, rpc: u32, number: u8) {
+    #[expect(clippy::too_many_lines)]
+    pub(super) fn send_client_attempt(&mut self, rpc: u32, number: u8) {
         let (scenario, arrival) = (self.scenario, &self.plan.arrivals[rpc as usize]);
         let method = &scenario.method[arrival.method as usize];
         let left = arrival.due + method.deadline.0 - self.now;
@@ -24,7 +25,7 @@
             return;
         };
         let chance = arrival.deal.rotate_left(u32::from(number) * 8);
-        let open = |proxy: &usize| self.taken_in[*proxy];
+        let open = |proxy: &usize| self.accepts_traffic[*proxy];
         let proxy = deal(
             self.proxies.len(),
             scenario.fleet.zones.len(),
@@ -33,9 +34,9 @@
             open,
         ) as u16;
         let attempt = u64::from(rpc) << 8 | u64::from(number);
-        self.tries.insert(
+        self.client_attempts.insert(
             attempt,
-            Try {
+            ClientAttempt {
                 rpc,
                 number,
                 proxy,
@@ -43,58 +44,72 @@
                 patience,
             },
         );
-        self.tell(Event::Sent {
+        self.record(Event::Sent {
             attempt,
             rpc,
             proxy,
             patience: patience as f32,
         });
-        self.after(WAY, What::AtProxy { attempt, proxy });
-        self.after(patience + LINGER, What::GiveUp { attempt });
+        self.schedule(
+            NETWORK_DELAY,
+            SimulationEvent::AttemptAtProxy { attempt, proxy },
+        );
+        self.schedule(
+            patience + CLIENT_GRACE,
+            SimulationEvent::ClientGivesUp { attempt },
+        );
         if let Some(part) = arrival.leaves.filter(|_| number == 0) {
-            self.after(part * patience, What::HangUp { attempt });
+            self.schedule(
+                part * patience,
+                SimulationEvent::ClientDisconnects { attempt },
+            );
         }
     }
 
-    pub(super) fn answer(&mut self, attempt: u64, answer: Answer) {
-        let Some(entry) = self.tries.remove(&attempt) else {
+    pub(super) fn answer_client(&mut self, attempt: u64, answer: Answer) {
+        let Some(entry) = self.client_attempts.remove(&attempt) else {
             return;
         };
         if entry.answered {
             return;
         }
-        self.tell(Event::Answered { attempt, answer });
+        self.record(Event::Answered { attempt, answer });
         let (rpc, number) = (entry.rpc, entry.number);
         let (scenario, arrival) = (self.scenario, &self.plan.arrivals[rpc as usize]);
-        let (set, method) = (&scenario.clients, &scenario.method[arrival.method as usize]);
-        if number >= set.retries || !clients::tries_again(answer, method, self.now - arrival.due) {
+        let (policy, method) = (&scenario.clients, &scenario.method[arrival.method as usize]);
+        if number >= policy.retries || !clients::tries_again(answer, method, self.now - arrival.due)
+        {
             return;
         }
         let asked = match answer {
-            Answer::PushedBack(Some(after)) if set.obey_retry_after => f64::from(after),
+            Answer::PushedBack(Some(after)) if policy.obey_retry_after => f64::from(after),
             _ => 0.0,
         };
-        let wait = set.wait.0
-            * if set.backoff {
+        let wait = policy.wait.0
+            * if policy.backoff {
                 f64::from(1 << number.min(16))
             } else {
                 1.0
             };
-        self.after(
+        self.schedule(
             wait.max(asked),
-            What::Try {
+            SimulationEvent::SendClientAttempt {
                 rpc,
                 number: number + 1,
             },
         );
     }
 
-    pub(super) fn hang_up(&mut self, attempt: u64) {
-        let Some(entry) = self.tries.get(&attempt) else {
+    pub(super) fn disconnect_client(&mut self, attempt: u64) {
+        let Some(entry) = self.client_attempts.get(&attempt) else {
             return;
         };
         let proxy = entry.proxy;
-        self.answer(attempt, Answer::HungUp);
-        self.to(proxy, WAY, Call::HungUp(attempt));
+        self.answer_client(attempt, Answer::HungUp);
+        self.send_to_process(
+            proxy,
+            NETWORK_DELAY,
+            ProcessEvent::ClientDisconnected(attempt),
+        );
     }
 }
--- a/crates/simulation/src/world/commands.rs
+++ b/crates/simulation/src/world/commands.rs
@@ -1,118 +1,133 @@
 //! The commands that a proxy's decisions give, carried out.
-use super::attempts::Job;
-use super::event::{Call, What};
-use super::platform::{Door, Wish};
-use super::process::Care;
-use super::{WAY, World};
-use birchhub::interface::AttemptOutcome as PickEnd;
+use super::attempts::ProxyAttempt;
+use super::event::{ProcessEvent, SimulationEvent};
+use super::platform::{Command, SimulationPlatform};
+use super::process::InFlightRpc;
+use super::{NETWORK_DELAY, World};
+use birchhub::interface::AttemptOutcome;
 use birchhub::policy::Balancer;
 use birchhub_audit::Answer;
 use std::collections::BTreeMap;
 
-const TICK: f64 = 1e-6; // s, the least time until a wake-up: no timer is finer
+const TIMER_RESOLUTION: f64 = 1e-6; // s, the least time until a wake-up: no timer is finer
 
 impl World<'_> {
     /// Calls the module of a proxy and does what it asks for.
-    pub(super) fn call(
+    pub(super) fn run_decision(
         &mut self,
         proxy: u16,
-        act: impl FnOnce(&Balancer, &mut BTreeMap<u64, Care>, &mut Door),
+        decide: impl FnOnce(&Balancer, &mut BTreeMap<u64, InFlightRpc>, &mut SimulationPlatform),
     ) {
         let now = self.now;
         let Some(running) = self.proxies[proxy as usize].as_mut() else {
             return;
         };
         let process = running.process;
-        let wishes = running.call(now, act);
-        for wish in wishes {
-            self.wish(proxy, process, wish);
+        let commands = running.run_decision(now, decide);
+        for command in commands {
+            self.execute(proxy, process, command);
         }
     }
 
     #[expect(clippy::too_many_lines)]
-    pub(super) fn wish(&mut self, proxy: u16, process: u32, wish: Wish) {
+    pub(super) fn execute(&mut self, proxy: u16, process: u32, command: Command) {
         let now = self.now;
         let Some(running) = self.proxies[proxy as usize].as_mut() else {
             return;
         };
-        match wish {
-            Wish::Pick {
+        match command {
+            Command::StartAttempt {
                 attempt,
                 backend,
-                time_out,
+                timeout,
             } => {
-                let Some(care) = running.cares.get_mut(&attempt) else {
+                let Some(in_flight_rpc) = running.in_flight.get_mut(&attempt) else {
                     return;
                 };
-                let (job, pick, until) = (
+                let (job, attempt_index, until) = (
                     self.next_job,
-                    care.picks.len(),
-                    (now + time_out).min(care.deadline),
+                    in_flight_rpc.attempts.len(),
+                    (now + timeout).min(in_flight_rpc.deadline),
                 );
                 self.next_job += 1;
-                care.picks.push(Some(job));
-                let entry = Job {
+                in_flight_rpc.attempts.push(Some(job));
+                let entry = ProxyAttempt {
                     proxy,
                     process,
                     attempt,
-                    pick,
+                    attempt_index,
                     node: backend,
                     life: None,
-                    trick: None,
+                    fault: None,
                 };
-                self.jobs.insert(job, entry);
-                self.after(
-                    WAY,
-                    What::AtNode {
+                self.proxy_attempts.insert(job, entry);
+                self.schedule(
+                    NETWORK_DELAY,
+                    SimulationEvent::AttemptAtBackend {
                         job,
-                        begun: now + WAY,
+                        begun: now + NETWORK_DELAY,
                     },
                 );
-                self.to(proxy, (until - now).max(0.0), Call::TimeOut { job });
+                self.send_to_process(
+                    proxy,
+                    (until - now).max(0.0),
+                    ProcessEvent::AttemptTimeout { job },
+                );
             }
-            Wish::Cancel { attempt, pick } => {
-                let out = running
-                    .cares
-                    .get(&attempt)
-                    .and_then(|care| care.picks.get(pick).copied().flatten());
+            Command::CancelAttempt {
+                attempt,
+                attempt_index,
+            } => {
+                let out = running.in_flight.get(&attempt).and_then(|in_flight_rpc| {
+                    in_flight_rpc.attempts.get(attempt_index).copied().flatten()
+                });
                 if let Some(out) = out {
-                    self.after(WAY, What::Closed { job: out });
-                    self.to(
+                    self.schedule(
+                        NETWORK_DELAY,
+                        SimulationEvent::ConnectionClosed { job: out },
+                    );
+                    self.send_to_process(
                         proxy,
                         0.0,
-                        Call::Back {
+                        ProcessEvent::AttemptEnded {
                             job: out,
-                            how: PickEnd::Cancelled,
+                            how: AttemptOutcome::Cancelled,
                             report: None,
                         },
                     );
                 }
             }
-            Wish::PushBack { attempt, come_back } => {
-                let after = (come_back > 0.0).then_some(come_back as f32);
+            Command::Reject {
+                attempt,
+                retry_after,
+            } => {
+                let after = (retry_after > 0.0).then_some(retry_after as f32);
                 self.final_answer(proxy, attempt, Answer::PushedBack(after));
             }
-            Wish::Abort { attempt } => self.final_answer(proxy, attempt, Answer::Aborted(502)),
-            Wish::Probe { backend } => self.after(
-                WAY,
-                What::ProbeAt {
+            Command::Fail { attempt } => self.final_answer(proxy, attempt, Answer::Aborted(502)),
+            Command::HealthCheck { backend } => self.schedule(
+                NETWORK_DELAY,
+                SimulationEvent::HealthCheckAtBackend {
                     proxy,
                     process,
                     node: backend,
                 },
             ),
-            Wish::Watch => self.after(WAY, What::ListAsked { proxy, process }),
-            Wish::Wake { delay } => {
+            Command::WatchEndpoints => self.schedule(
+                NETWORK_DELAY,
+                SimulationEvent::ListCallArrives { proxy, process },
+            ),
+            Command::ScheduleTimer { delay } => {
                 // A time that its clock can't tell from now would wake it for ever.
-                let at = now + delay.max(TICK);
-                if running.wake.is_none_or(|earlier| at < earlier) {
-                    running.wake = Some(at);
+                let at = now + delay.max(TIMER_RESOLUTION);
+                if running.timer_at.is_none_or(|earlier| at < earlier) {
+                    running.timer_at = Some(at);
                     self.queue.put(
                         at,
-                        What::ToProxy {
+                        SimulationEvent::ToProcess {
                             proxy,
                             process,
-                            what: Call::Wake,
+                            event: ProcessEvent::Timer,
                         },
                     );
                 }
@@ -124,10 +139,13 @@
         let Some(running) = self.proxies[proxy as usize].as_mut() else {
             return;
         };
-        if let Some(care) = running.cares.get_mut(&attempt)
-            && !std::mem::replace(&mut care.answered, true)
+        if let Some(in_flight_rpc) = running.in_flight.get_mut(&attempt)
+            && !std::mem::replace(&mut in_flight_rpc.answered, true)
         {
-            self.after(WAY, What::Answer { attempt, answer });
+            self.schedule(
+                NETWORK_DELAY,
+                SimulationEvent::AnswerAtClient { attempt, answer },
+            );
         }
     }
 }
--- a/crates/simulation/src/world/discovery.rs
+++ b/crates/simulation/src/world/discovery.rs
@@ -1,39 +1,39 @@
 //! The endpoint list service: what it publishes, and the calls of its readers.
-use super::event::{Call, What};
-use super::list::Line;
-use super::{WAY, World};
-use birchhub::interface::{Endpoint as Listed, Readiness};
+use super::endpoint_list::ListEntry;
+use super::event::{ProcessEvent, SimulationEvent};
+use super::{NETWORK_DELAY, World};
+use birchhub::interface::{Endpoint, Readiness};
 use birchhub_audit::{Event, State};
 
-const GAP: f64 = 0.02; // s between the list calls of a proxy
-const FAILS: f64 = 0.05; // s until a list call to a service that is down has failed
+const LIST_CALL_GAP: f64 = 0.02; // s between the list calls of a proxy
+const LIST_FAILURE_DELAY: f64 = 0.05; // s until a list call to a service that is down has failed
 
 impl World<'_> {
-    pub(super) fn publish(&mut self, node: u32, line: Line) {
-        self.tell(Event::Changed {
+    pub(super) fn publish_endpoint(&mut self, node: u32, list_entry: ListEntry) {
+        self.record(Event::Changed {
             node,
-            life: line.life,
-            state: line.state,
+            life: list_entry.life,
+            state: list_entry.state,
         });
-        for proxy in self.list.change(node, line) {
-            self.tell_news(proxy);
+        for proxy in self.list.publish(node, list_entry) {
+            self.send_endpoint_update(proxy);
         }
     }
 
-    pub(super) fn tell_news(&mut self, proxy: u16) {
-        let news = self.list.news(proxy);
-        for (node, line) in &news {
-            self.tell(Event::Told {
+    pub(super) fn send_endpoint_update(&mut self, proxy: u16) {
+        let update = self.list.take_update(proxy);
+        for (node, list_entry) in &update {
+            self.record(Event::Told {
                 proxy,
                 node: *node,
-                life: line.life,
-                state: line.state,
+                life: list_entry.life,
+                state: list_entry.state,
             });
         }
-        self.to(proxy, WAY, Call::News(news));
+        self.send_to_process(proxy, NETWORK_DELAY, ProcessEvent::EndpointUpdate(update));
     }
 
-    pub(super) fn list_asked(&mut self, proxy: u16, process: u32) {
+    pub(super) fn start_list_call(&mut self, proxy: u16, process: u32) {
         if self.proxies[proxy as usize]
             .as_ref()
             .is_none_or(|p| p.process != process)
@@ -41,23 +41,23 @@
             return;
         }
         if self.list.is_limited() {
-            match self.list.begin(proxy) {
-                Some(lines) => self.after(
-                    self.scenario.list.takes(lines),
-                    What::ListDone { proxy, process },
+            match self.list.accept_call(proxy) {
+                Some(list_entries) => self.schedule(
+                    self.scenario.list.takes(list_entries),
+                    SimulationEvent::ListCallServed { proxy, process },
                 ),
-                None => self.to(proxy, WAY, Call::ListFailed),
+                None => self.send_to_process(proxy, NETWORK_DELAY, ProcessEvent::ListFailed),
             }
         } else if !self.list.watch(proxy) {
-            self.to(proxy, FAILS, Call::ListFailed);
-        } else if self.list.tells(proxy) {
-            self.tell_news(proxy);
+            self.send_to_process(proxy, LIST_FAILURE_DELAY, ProcessEvent::ListFailed);
+        } else if self.list.can_update(proxy) {
+            self.send_endpoint_update(proxy);
         }
     }
 
     /// What there is is told, and the next call begins; where there is nothing new the call waits, and costs nothing.
-    pub(super) fn list_done(&mut self, proxy: u16, process: u32) {
-        self.list.done();
+    pub(super) fn serve_list_call(&mut self, proxy: u16, process: u32) {
+        self.list.finish_call();
         if self.proxies[proxy as usize]
             .as_ref()
             .is_none_or(|p| p.process != process)
@@ -65,43 +65,49 @@
             return;
         }
         if !self.list.watch(proxy) {
-            self.to(proxy, WAY, Call::ListFailed);
-        } else if self.list.tells(proxy) {
-            let again = self.list.has_news(proxy);
-            self.tell_news(proxy);
+            self.send_to_process(proxy, NETWORK_DELAY, ProcessEvent::ListFailed);
+        } else if self.list.can_update(proxy) {
+            let again = self.list.has_update(proxy);
+            self.send_endpoint_update(proxy);
             if again {
-                self.after(GAP, What::ListAsked { proxy, process });
+                self.schedule(
+                    LIST_CALL_GAP,
+                    SimulationEvent::ListCallArrives { proxy, process },
+                );
             }
         }
     }
 
     /// The list service knows it after so long.
-    pub(super) fn known(&mut self, node: u32, line: Line, after: f64) {
-        self.after(after + self.late.max(0.0), What::Publish { node, line });
+    pub(super) fn schedule_publication(&mut self, node: u32, list_entry: ListEntry, after: f64) {
+        self.schedule(
+            after + self.list_delay.max(0.0),
+            SimulationEvent::PublishEndpoint { node, list_entry },
+        );
     }
 
-    pub(super) fn listed(&self, proxy: u16, lines: &[(u32, Line)]) -> Vec<Listed> {
-        let behind = self.proxies[proxy as usize]
+    pub(super) fn endpoints(&self, proxy: u16, list_entries: &[(u32, ListEntry)]) -> Vec<Endpoint> {
+        let clock_lag = self.proxies[proxy as usize]
             .as_ref()
-            .map_or(0.0, |p| p.behind);
-        let entry = |(node, line): &(u32, Line)| {
-            let host = &self.hosts[*node as usize];
-            let readiness = match line.state {
+            .map_or(0.0, |p| p.clock_lag);
+        let entry = |(node, list_entry): &(u32, ListEntry)| {
+            let machine = &self.machines[*node as usize];
+            let readiness = match list_entry.state {
                 State::Ready => Readiness::Ready,
                 State::Draining => Readiness::Draining,
                 State::Gone => Readiness::Removed,
             };
-            let cell = u64::from(host.zone) << 16 | u64::from(host.rack);
-            let started = line.started.map(|at| at - behind);
-            Listed {
+            let cell = u64::from(machine.zone) << 16 | u64::from(machine.rack);
+            let started = list_entry.started.map(|at| at - clock_lag);
+            Endpoint {
                 backend: *node,
                 relative_size: 1.0,
                 started_at: started,
                 cell,
-                zone: host.zone as usize,
+                zone: machine.zone as usize,
                 readiness,
             }
         };
-        lines.iter().map(entry).collect()
+        list_entries.iter().map(entry).collect()
     }
 }
--- a/crates/simulation/src/world/event.rs
+++ b/crates/simulation/src/world/event.rs
@@ -1,79 +1,79 @@
 //! Simulated events: what the queue holds, and what reaches a proxy's process.
-use super::list::Line;
-use birchhub::interface::{AttemptOutcome as PickEnd, LoadReport};
+use super::endpoint_list::ListEntry;
+use birchhub::interface::{AttemptOutcome, LoadReport};
 use birchhub_audit::Answer;
 
 #[derive(Clone, Debug)]
-pub(super) enum What {
-    Act(usize),
-    Due(u32),
-    Try {
+pub(super) enum SimulationEvent {
+    PlannedAct(usize),
+    RpcDue(u32),
+    SendClientAttempt {
         rpc: u32,
         number: u8,
     },
-    AtProxy {
+    AttemptAtProxy {
         attempt: u64,
         proxy: u16,
     },
-    ToProxy {
+    ToProcess {
         proxy: u16,
         process: u32,
-        what: Call,
+        event: ProcessEvent,
     },
-    AtNode {
+    AttemptAtBackend {
         job: u64,
         begun: f64,
     },
-    NodeDue {
+    BackendDue {
         node: u32,
         version: u64,
     },
     /// The proxy has closed the connection of this pick.
-    Closed {
+    ConnectionClosed {
         job: u64,
     },
-    ProbeAt {
+    HealthCheckAtBackend {
         proxy: u16,
         process: u32,
         node: u32,
     },
-    Answer {
+    AnswerAtClient {
         attempt: u64,
         answer: Answer,
     },
-    GiveUp {
+    ClientGivesUp {
         attempt: u64,
     },
-    HangUp {
+    ClientDisconnects {
         attempt: u64,
     },
-    Publish {
+    PublishEndpoint {
         node: u32,
-        line: Line,
+        list_entry: ListEntry,
     },
-    ListAsked {
+    ListCallArrives {
         proxy: u16,
         process: u32,
     },
     /// The list service, which takes only so many calls at a time, has worked on one.
-    ListDone {
+    ListCallServed {
         proxy: u16,
         process: u32,
     },
-    Retire {
+    RetireBackend {
         node: u32,
         by: f64,
         successor: u32,
         after: f64,
     },
-    Begin {
+    StartBackend {
         node: u32,
     },
-    Notice {
+    FrontNoticesStop {
         proxy: u16,
         process: u32,
     },
-    MayEnd {
+    StopProxyWhenIdle {
         proxy: u16,
         process: u32,
     },
@@ -85,23 +85,23 @@
 
 /// What reaches a proxy's process.
 #[derive(Clone, Debug)]
-pub(super) enum Call {
-    Wake,
+pub(super) enum ProcessEvent {
+    Timer,
     Deadline(u64),
-    HungUp(u64),
-    Back {
+    ClientDisconnected(u64),
+    AttemptEnded {
         job: u64,
-        how: PickEnd,
+        how: AttemptOutcome,
         report: Option<LoadReport>,
     },
-    TimeOut {
+    AttemptTimeout {
         job: u64,
     },
-    Probed {
+    HealthChecked {
         node: u32,
-        how: PickEnd,
+        how: AttemptOutcome,
         report: Option<LoadReport>,
     },
-    News(Vec<(u32, Line)>),
+    EndpointUpdate(Vec<(u32, ListEntry)>),
     ListFailed,
 }
--- a/crates/simulation/src/world/mod.rs
+++ b/crates/simulation/src/world/mod.rs
@@ -4,17 +4,17 @@
 mod clients;
 mod commands;
 mod discovery;
+mod endpoint_list;
 mod event;
 mod faults;
-mod list;
 mod platform;
 mod process;
 mod proxies;
 mod rpcs;
 
 use crate::queue::Queue;
-use attempts::Job;
-use backends::{Host, host};
+use attempts::ProxyAttempt;
+use backends::{Machine, machine};
 use birchhub::interface::Settings;
 use birchhub_audit::event::End;
 use birchhub_audit::{Answer, Entry, Event, Head, State};
@@ -22,16 +22,16 @@
 use birchhub_rehearsal::plan::Plan;
 use birchhub_rehearsal::scenario::Scenario;
 use birchhub_rehearsal::settings;
-use clients::Try;
-use event::What;
-use list::{Line, List};
-use process::Proxy;
-use proxies::{STARTS, STOPPING};
+use clients::ClientAttempt;
+use endpoint_list::{EndpointListService, ListEntry};
+use event::SimulationEvent;
+use process::ProxyProcess;
+use proxies::{PROXY_START_DELAY, SHUTDOWN_MARGIN};
 use std::collections::HashMap;
 
-const WAY: f64 = 0.0002; // s from one machine to the next: what loopback and two event loops take
-const LOOK: f64 = 0.01; // s between looks at what is to end
-const TAIL: f64 = 1.0; // s after the last deadline
+const NETWORK_DELAY: f64 = 0.0002; // s from one machine to the next: what loopback and two event loops take
+const POLL_INTERVAL: f64 = 0.01; // s between looks at what is to end
+const RUN_TAIL: f64 = 1.0; // s after the last deadline
 
 /// What came of a simulation.
 pub struct Outcome {
@@ -45,23 +45,23 @@
     scenario: &'a Scenario,
     plan: &'a Plan,
     now: f64,
-    queue: Queue<What>,
+    queue: Queue<SimulationEvent>,
     entries: Vec<Entry>,
-    hosts: Vec<Host>,
+    machines: Vec<Machine>,
     repeats: Repeats,
-    slow: Vec<f64>,
-    proxies: Vec<Option<Proxy>>,
+    method_slowdown: Vec<f64>,
+    proxies: Vec<Option<ProxyProcess>>,
     processes: u32,
-    taken_in: Vec<bool>,
-    parked: Vec<Vec<What>>,
-    list: List,
-    late: f64,
-    jobs: HashMap<u64, Job>,
-    tries: HashMap<u64, Try>,
+    accepts_traffic: Vec<bool>,
+    deferred_events: Vec<Vec<SimulationEvent>>,
+    list: EndpointListService,
+    list_delay: f64,
+    proxy_attempts: HashMap<u64, ProxyAttempt>,
+    client_attempts: HashMap<u64, ClientAttempt>,
     next_job: u64,
     next_life: u32,
-    set: Vec<Settings>,
-    longest: f64,
+    settings: Vec<Settings>,
+    longest_deadline: f64,
 }
 
 /// Plays a plan in simulated time. An error is one of the scenario's settings.
@@ -73,7 +73,7 @@
         conf.settings.polls_endpoint_list = true;
         Ok::<_, String>(conf.settings)
     };
-    let longest = scenario
+    let longest_deadline = scenario
         .method
         .iter()
         .map(|m| m.deadline.0)
@@ -84,24 +84,24 @@
         now: 0.0,
         queue: Queue::default(),
         entries: Vec::new(),
-        hosts: plan.nodes.iter().map(|n| host(scenario, n)).collect(),
+        machines: plan.nodes.iter().map(|n| machine(scenario, n)).collect(),
         repeats: Repeats::default(),
-        slow: vec![1.0; scenario.method.len()],
+        method_slowdown: vec![1.0; scenario.method.len()],
         proxies: (0..count).map(|_| None).collect(),
         processes: 0,
-        taken_in: vec![false; count],
-        parked: vec![Vec::new(); count],
-        list: List::new(count, scenario.list.calls),
-        late: 0.0,
-        jobs: HashMap::new(),
-        tries: HashMap::new(),
+        accepts_traffic: vec![false; count],
+        deferred_events: vec![Vec::new(); count],
+        list: EndpointListService::new(count, scenario.list.calls),
+        list_delay: 0.0,
+        proxy_attempts: HashMap::new(),
+        client_attempts: HashMap::new(),
         next_job: 1,
         next_life: 1,
-        set: (0..count as u16).map(read).collect::<Result<_, _>>()?,
-        longest,
+        settings: (0..count as u16).map(read).collect::<Result<_, _>>()?,
+        longest_deadline,
     };
     world.set_up();
-    let events = world.run(plan.length + longest + TAIL);
+    let events = world.run(plan.length + longest_deadline + RUN_TAIL);
     world.entries.sort_by(|a, b| a.at.total_cmp(&b.at));
     Ok(Outcome {
         head: settings::head(scenario, plan),
@@ -111,23 +111,23 @@
 }
 
 impl World<'_> {
-    fn tell(&mut self, event: Event) {
+    fn record(&mut self, event: Event) {
         self.entries.push(Entry {
             at: self.now,
             event,
         });
     }
 
-    fn after(&mut self, delay: f64, what: What) {
-        self.queue.put(self.now + delay, what);
+    fn schedule(&mut self, delay: f64, event: SimulationEvent) {
+        self.queue.put(self.now + delay, event);
     }
 
     fn set_up(&mut self) {
         for node in 0..self.plan.first_nodes() as u32 {
-            let life = self.start(node, Start::Warm);
-            self.publish(
+            let life = self.start_backend(node, Start::Warm);
+            self.publish_endpoint(
                 node,
-                Line {
+                ListEntry {
                     life,
                     state: State::Ready,
                     started: None,
@@ -138,24 +138,25 @@
             self.start_proxy(proxy);
         }
         for (n, (at, _)) in self.plan.acts.iter().enumerate() {
-            self.queue.put(*at, What::Act(n));
+            self.queue.put(*at, SimulationEvent::PlannedAct(n));
         }
         for (rpc, arrival) in self.plan.arrivals.iter().enumerate() {
-            self.queue.put(arrival.due, What::Due(rpc as u32));
+            self.queue
+                .put(arrival.due, SimulationEvent::RpcDue(rpc as u32));
         }
     }
 
     fn run(&mut self, end: f64) -> u64 {
         let mut events = 0;
-        while let Some((at, what)) = self.queue.take().filter(|(at, _)| *at <= end) {
+        while let Some((at, event)) = self.queue.take().filter(|(at, _)| *at <= end) {
             self.now = at;
             events += 1;
-            self.happen(what);
+            self.dispatch(event);
         }
         self.now = end;
         for proxy in 0..self.proxies.len() as u16 {
             if self.proxies[proxy as usize].take().is_some() {
-                self.tell(Event::ProxyEnded {
+                self.record(Event::ProxyEnded {
                     proxy,
                     how: End::Over,
                 });
@@ -165,63 +166,82 @@
     }
 
     #[expect(clippy::too_many_lines)]
-    fn happen(&mut self, what: What) {
-        match what {
-            What::Act(n) => self.act(self.plan.acts[n].1.clone()),
-            What::Due(rpc) => {
+    fn dispatch(&mut self, event: SimulationEvent) {
+        match event {
+            SimulationEvent::PlannedAct(n) => self.apply_planned_act(self.plan.acts[n].1.clone()),
+            SimulationEvent::RpcDue(rpc) => {
                 let arrival = &self.plan.arrivals[rpc as usize];
                 let (method, tenant, within) = (arrival.method, arrival.tenant, arrival.within);
-                self.tell(Event::Asked {
+                self.record(Event::Asked {
                     rpc,
                     method,
                     tenant,
                     within,
                 });
-                self.send(rpc, 0);
+                self.send_client_attempt(rpc, 0);
             }
-            What::Try { rpc, number } => self.send(rpc, number),
-            What::AtProxy { attempt, proxy } => self.at_proxy(attempt, proxy),
-            What::ToProxy {
+            SimulationEvent::SendClientAttempt { rpc, number } => {
+                self.send_client_attempt(rpc, number)
+            }
+            SimulationEvent::AttemptAtProxy { attempt, proxy } => {
+                self.accept_client_attempt(attempt, proxy)
+            }
+            SimulationEvent::ToProcess {
                 proxy,
                 process,
-                what,
-            } => self.reach(proxy, process, what),
-            What::AtNode { job, begun } => self.at_node(job, begun),
-            What::NodeDue { node, version } => self.node_due(node, version),
-            What::Closed { job } => self.closed(job),
-            What::ProbeAt {
+                event,
+            } => self.deliver_to_process(proxy, process, event),
+            SimulationEvent::AttemptAtBackend { job, begun } => self.offer_to_backend(job, begun),
+            SimulationEvent::BackendDue { node, version } => self.advance_backend(node, version),
+            SimulationEvent::ConnectionClosed { job } => self.close_connection(job),
+            SimulationEvent::HealthCheckAtBackend {
                 proxy,
                 process,
                 node,
-            } => self.probe_at(proxy, process, node),
-            What::Answer { attempt, answer } => self.answer(attempt, answer),
-            What::GiveUp { attempt } => self.answer(attempt, Answer::Silence),
-            What::HangUp { attempt } => self.hang_up(attempt),
-            What::Publish { node, line } => self.publish(node, line),
-            What::ListAsked { proxy, process } => self.list_asked(proxy, process),
-            What::ListDone { proxy, process } => self.list_done(proxy, process),
-            What::Retire {
+            } => self.answer_health_check(proxy, process, node),
+            SimulationEvent::AnswerAtClient { attempt, answer } => {
+                self.answer_client(attempt, answer)
+            }
+            SimulationEvent::ClientGivesUp { attempt } => {
+                self.answer_client(attempt, Answer::Silence)
+            }
+            SimulationEvent::ClientDisconnects { attempt } => self.disconnect_client(attempt),
+            SimulationEvent::PublishEndpoint { node, list_entry } => {
+                self.publish_endpoint(node, list_entry)
+            }
+            SimulationEvent::ListCallArrives { proxy, process } => {
+                self.start_list_call(proxy, process)
+            }
+            SimulationEvent::ListCallServed { proxy, process } => {
+                self.serve_list_call(proxy, process)
+            }
+            SimulationEvent::RetireBackend {
                 node,
                 by,
                 successor,
                 after,
-            } => self.retire(node, by, successor, after),
-            What::Begin { node } => self.begin(node),
-            What::Notice { proxy, process } => {
+            } => self.retire_backend(node, by, successor, after),
+            SimulationEvent::StartBackend { node } => self.start_backend_cold(node),
+            SimulationEvent::FrontNoticesStop { proxy, process } => {
                 let same = self.proxies[proxy as usize].as_ref();
                 if same.is_none_or(|p| p.process == process && p.stopping) {
-                    self.taken_in[proxy as usize] = false;
+                    self.accepts_traffic[proxy as usize] = false;
                 }
             }
-            What::MayEnd { proxy, process } => self.may_end(proxy, process),
-            What::StartProxy { proxy, since } => {
+            SimulationEvent::StopProxyWhenIdle { proxy, process } => {
+                self.stop_proxy_when_idle(proxy, process)
+            }
+            SimulationEvent::StartProxy { proxy, since } => {
                 if self.proxies[proxy as usize].is_none() {
                     self.start_proxy(proxy);
-                } else if self.now > since + self.longest + STOPPING {
+                } else if self.now > since + self.longest_deadline + SHUTDOWN_MARGIN {
                     self.kill_proxy(proxy, End::Forced);
-                    self.after(STARTS, What::StartProxy { proxy, since });
+                    self.schedule(
+                        PROXY_START_DELAY,
+                        SimulationEvent::StartProxy { proxy, since },
+                    );
                 } else {
-                    self.after(LOOK, What::StartProxy { proxy, since });
+                    self.schedule(POLL_INTERVAL, SimulationEvent::StartProxy { proxy, since });
                 }
             }
         }
--- a/crates/simulation/src/world/platform.rs
+++ b/crates/simulation/src/world/platform.rs
@@ -3,66 +3,72 @@
 
 /// What the module asked for.
 #[derive(Clone, Copy, Debug)]
-pub(crate) enum Wish {
-    Pick {
+pub(crate) enum Command {
+    StartAttempt {
         attempt: u64,
         backend: u32,
-        time_out: f64,
+        timeout: f64,
     },
-    Cancel {
+    CancelAttempt {
         attempt: u64,
-        pick: usize,
+        attempt_index: usize,
     },
-    PushBack {
+    Reject {
         attempt: u64,
-        come_back: f64,
+        retry_after: f64,
     },
-    Abort {
+    Fail {
         attempt: u64,
     },
-    Probe {
+    HealthCheck {
         backend: u32,
     },
-    Watch,
-    Wake {
+    WatchEndpoints,
+    ScheduleTimer {
         delay: f64,
     },
 }
 
 /// The module's door outward: notes what it asks for, in order.
 #[derive(Default)]
-pub(crate) struct Door {
+pub(crate) struct SimulationPlatform {
     pub(super) now: f64,
-    pub wishes: Vec<Wish>,
+    pub commands: Vec<Command>,
 }
 
-impl Platform for Door {
+impl Platform for SimulationPlatform {
     fn now(&self) -> f64 {
         self.now
     }
-    fn start_attempt(&mut self, attempt: u64, backend: u32, time_out: f64) {
-        self.wishes.push(Wish::Pick {
+    fn start_attempt(&mut self, attempt: u64, backend: u32, timeout: f64) {
+        self.commands.push(Command::StartAttempt {
             attempt,
             backend,
-            time_out,
+            timeout,
         });
     }
-    fn cancel_attempt(&mut self, attempt: u64, pick: usize) {
-        self.wishes.push(Wish::Cancel { attempt, pick });
+    fn cancel_attempt(&mut self, attempt: u64, attempt_index: usize) {
+        self.commands.push(Command::CancelAttempt {
+            attempt,
+            attempt_index,
+        });
     }
-    fn reject(&mut self, attempt: u64, come_back: f64) {
-        self.wishes.push(Wish::PushBack { attempt, come_back });
+    fn reject(&mut self, attempt: u64, retry_after: f64) {
+        self.commands.push(Command::Reject {
+            attempt,
+            retry_after,
+        });
     }
     fn fail(&mut self, attempt: u64) {
-        self.wishes.push(Wish::Abort { attempt });
+        self.commands.push(Command::Fail { attempt });
     }
     fn health_check(&mut self, backend: u32) {
-        self.wishes.push(Wish::Probe { backend });
+        self.commands.push(Command::HealthCheck { backend });
     }
     fn watch_endpoints(&mut self) {
-        self.wishes.push(Wish::Watch);
+        self.commands.push(Command::WatchEndpoints);
     }
     fn schedule_timer(&mut self, delay: f64) {
-        self.wishes.push(Wish::Wake { delay });
+        self.commands.push(Command::ScheduleTimer { delay });
     }
 }
