--- a/crates/simulation/src/queue.rs
+++ b/crates/simulation/src/queue.rs
@@ -1,13 +1,14 @@
-//! The queue of what will happen: by time, and at one time in the order in which it was put in.
+//! The queue of events: by time, and at one time in the order of insertion.
 #[cfg(test)]
 mod tests;
 
 use std::cmp::Ordering;
 use std::collections::BinaryHeap;
 
+/// An event, its time, s, and its number in the order of insertion.
 struct Entry<T> {
     at: f64,
-    number: u64,
+    sequence: u64,
     event: T,
 }
 
@@ -28,10 +29,11 @@
         other
             .at
             .total_cmp(&self.at)
-            .then(other.number.cmp(&self.number))
+            .then(other.sequence.cmp(&self.sequence))
     }
 }
 
+/// Events by time.
 pub(crate) struct Queue<T> {
     entries: BinaryHeap<Entry<T>>,
     next: u64,
@@ -47,15 +49,17 @@
 }
 
 impl<T> Queue<T> {
+    /// Adds an event at a time, s.
     pub(crate) fn put(&mut self, at: f64, event: T) {
         self.next += 1;
         self.entries.push(Entry {
             at,
-            number: self.next,
+            sequence: self.next,
             event,
         });
     }
 
+    /// Takes the earliest event with its time; of several the one that was put in first.
     pub(crate) fn take(&mut self) -> Option<(f64, T)> {
         self.entries.pop().map(|entry| (entry.at, entry.event))
     }
--- a/crates/simulation/src/world/attempts.rs
+++ b/crates/simulation/src/world/attempts.rs
@@ -1,5 +1,7 @@
-//! A proxy's attempts at backends.
+//! A proxy's attempts at backends, from their arrival at the machine to their outcome at the proxy.
+use super::clients::rpc_of_attempt;
 use super::event::{ProcessEvent, SimulationEvent};
+use super::process::ProcessId;
 use super::{NETWORK_DELAY, World};
 use birchhub::interface::{AttemptOutcome, LoadReport};
 use birchhub_audit::event::{Left, Taken};
@@ -8,38 +10,69 @@
 use birchhub_rehearsal::plan::Trick;
 use birchhub_rehearsal::scenario::Reports;
 
+/// An attempt of a proxy at a backend.
 pub(super) struct ProxyAttempt {
-    pub(super) proxy: u16,
-    pub(super) process: u32,
+    /// The process that made it.
+    pub(super) process: ProcessId,
+    /// The client's attempt that it serves.
     pub(super) attempt: u64,
+    /// Its place among the attempts for that one.
     pub(super) attempt_index: usize,
+    /// The machine that it was sent to.
     pub(super) node: u32,
-    /// Set when it has come to the node and is held there.
+    /// The life of the backend that holds it.
     pub(super) life: Option<u32>,
+    /// The fault that its answer will meet.
     pub(super) fault: Option<Trick>,
 }
 
+/// An attempt that a running backend has received.
+struct ReceivedAttempt {
+    job: u64,
+    attempt: u64,
+    proxy: u16,
+    node: u32,
+    life: u32,
+    /// When its connection was opened, s.
+    begun: f64,
+    /// s of a standard core.
+    work: f64,
+}
+
+impl ReceivedAttempt {
+    /// The ledger's record of what the backend did with it; `pushed` is the load that the backend reports.
+    fn record(&self, taken: Taken, pushed: f64) -> Event {
+        Event::Got {
+            life: self.life,
+            job: self.job,
+            attempt: self.attempt,
+            proxy: self.proxy,
+            begun: self.begun,
+            work: self.work as f32,
+            pushed: pushed as f32,
+            taken,
+        }
+    }
+}
+
 impl World<'_> {
-    pub(super) fn is_attempt_open(&self, job: u64) -> bool {
+    /// Whether the process that made an attempt still runs and waits for its outcome.
+    fn is_attempt_open(&self, job: u64) -> bool {
         let Some(entry) = self.proxy_attempts.get(&job) else {
             return false;
         };
-        let running = self.proxies[entry.proxy as usize]
+        let running = self.proxies[entry.process.proxy as usize]
             .as_ref()
-            .filter(|p| p.process == entry.process);
-        let in_flight_rpc = running.and_then(|p| p.in_flight.get(&entry.attempt));
-        in_flight_rpc.is_some_and(|in_flight_rpc| {
-            in_flight_rpc
-                .attempts
-                .get(entry.attempt_index)
-                .is_some_and(Option::is_some)
-        })
+            .filter(|running| running.id == entry.process);
+        let held = running.and_then(|running| running.in_flight.get(&entry.attempt));
+        held.is_some_and(|held| held.open_job(entry.attempt_index).is_some())
     }
 
+    /// Gives the outcome of an open attempt to the decision module, and a good one to the client.
     pub(super) fn end_attempt(
         &mut self,
         job: u64,
-        how: AttemptOutcome,
+        outcome: AttemptOutcome,
         report: Option<LoadReport>,
     ) {
         if !self.is_attempt_open(job) {
@@ -48,179 +81,194 @@
         let Some(entry) = self.proxy_attempts.get(&job) else {
             return;
         };
-        let (proxy, attempt, attempt_index) = (entry.proxy, entry.attempt, entry.attempt_index);
+        let (proxy, attempt) = (entry.process.proxy, entry.attempt);
+        let attempt_index = entry.attempt_index;
         if entry.life.is_none() {
             self.proxy_attempts.remove(&job);
         }
-        if how == AttemptOutcome::Succeeded {
-            self.final_answer(proxy, attempt, Answer::Ok);
+        if outcome == AttemptOutcome::Succeeded {
+            self.send_answer(proxy, attempt, Answer::Ok);
         }
-        let Some(running) = self.proxies[proxy as usize].as_mut() else {
+        let running = self.proxies[proxy as usize].as_mut();
+        let Some(held) = running.and_then(|running| running.in_flight.get_mut(&attempt)) else {
             return;
         };
-        let Some(in_flight_rpc) = running.in_flight.get_mut(&attempt) else {
-            return;
-        };
-        in_flight_rpc.attempts[attempt_index] = None;
-        let over = in_flight_rpc.answered;
-        self.call_rpc(proxy, attempt, |rpc, platform| {
-            rpc.on_attempt_ended(attempt_index, how, over, report, platform)
+        held.attempts[attempt_index] = None;
+        let answered = held.answered;
+        self.run_rpc_decision(proxy, attempt, |rpc, platform| {
+            rpc.on_attempt_ended(attempt_index, outcome, answered, report, platform)
         });
     }
 
-    /// The end of a pick on its way to its proxy, unless nothing passes.
-    pub(super) fn send_outcome(&mut self, job: u64, how: AttemptOutcome, more: f64) {
+    /// Ends an open attempt from the proxy's side, and closes its connection.
+    pub(super) fn abort_attempt(&mut self, job: u64, outcome: AttemptOutcome) {
+        if self.is_attempt_open(job) {
+            self.schedule(NETWORK_DELAY, SimulationEvent::ConnectionClosed { job });
+            self.end_attempt(job, outcome, None);
+        }
+    }
+
+    /// Sends the outcome of an attempt to its proxy after `delay` s, unless a partition is between them.
+    pub(super) fn send_outcome(&mut self, job: u64, outcome: AttemptOutcome, delay: f64) {
         let Some(entry) = self.proxy_attempts.get_mut(&job) else {
             return;
         };
         entry.life = None;
-        let (proxy, process, node) = (entry.proxy, entry.process, entry.node);
-        if self.is_partitioned(node, proxy) {
+        let (process, node) = (entry.process, entry.node);
+        if self.is_partitioned(node, process.proxy) {
             return;
         }
-        let seen = self.scenario.fleet.reports == Reports::Answers && how != AttemptOutcome::Reset;
-        let report = if seen && how != AttemptOutcome::ConnectFailed {
+        let reports_load = self.scenario.fleet.reports == Reports::Answers;
+        let has_answer = !matches!(
+            outcome,
+            AttemptOutcome::Reset | AttemptOutcome::ConnectFailed
+        );
+        let report = if reports_load && has_answer {
             self.load_report(node)
         } else {
             None
         };
+        let event = ProcessEvent::AttemptEnded {
+            job,
+            outcome,
+            report,
+        };
         self.schedule(
-            NETWORK_DELAY + more,
-            SimulationEvent::ToProcess {
-                proxy,
-                process,
-                event: ProcessEvent::AttemptEnded { job, how, report },
-            },
+            NETWORK_DELAY + delay,
+            SimulationEvent::ToProcess { process, event },
         );
     }
 
-    #[expect(clippy::too_many_lines)]
+    /// An attempt arrives at its machine: the backend there takes it in, unless a fault keeps it from doing so.
     pub(super) fn offer_to_backend(&mut self, job: u64, begun: f64) {
         let Some(entry) = self.proxy_attempts.get(&job) else {
             return;
         };
-        let (proxy, attempt, machine_index) = (entry.proxy, entry.attempt, entry.node);
-        if self.is_partitioned(machine_index, proxy) || !self.is_attempt_open(job) {
+        let (proxy, attempt, node) = (entry.process.proxy, entry.attempt, entry.node);
+        if self.is_partitioned(node, proxy) || !self.is_attempt_open(job) {
             return;
         }
-        let machine = &mut self.machines[machine_index as usize];
-        if machine.node.is_some() && !machine.stalls.is_empty() {
-            return machine
-                .deferred_events
-                .push(SimulationEvent::AttemptAtBackend { job, begun });
+        let machine = &mut self.machines[node as usize];
+        if machine.is_stalled() {
+            let arrival = SimulationEvent::AttemptAtBackend { job, begun };
+            return machine.deferred_events.push(arrival);
         }
-        let Some(life) = machine.node.as_ref().map(|(life, _)| *life) else {
+        let Some(life) = machine.life() else {
             return self.send_outcome(job, AttemptOutcome::ConnectFailed, 0.0);
         };
-        let rpc = (attempt >> 8) as u32;
-        let arrival = &self.plan.arrivals[rpc as usize];
-        let method = &self.scenario.method[arrival.method as usize];
-        let work = arrival.work * self.method_slowdown[arrival.method as usize];
-        let got = |taken, pushed: f64| {
-            let (work, pushed) = (work as f32, pushed as f32);
-            Event::Got {
-                life,
-                job,
-                attempt,
-                proxy,
-                begun,
-                work,
-                pushed,
-                taken,
-            }
+        let arrival = &self.plan.arrivals[rpc_of_attempt(attempt) as usize];
+        let received = ReceivedAttempt {
+            job,
+            attempt,
+            proxy,
+            node,
+            life,
+            begun,
+            work: arrival.work * self.method_slowdown[arrival.method as usize],
         };
-        let fault = self.injected_fault(machine_index, attempt);
-        match &fault {
-            Some(Trick::Mute(_)) => {
-                self.machines[machine_index as usize].held_jobs.insert(job);
-                if let Some(entry) = self.proxy_attempts.get_mut(&job) {
-                    entry.life = Some(life);
-                }
-                return self.record(got(Taken::Swallowed, 0.0));
-            }
-            Some(Trick::Error(_)) => {
-                self.record(got(Taken::Error, 0.0));
-                self.record(Event::Left {
-                    job,
-                    how: Left::Replied,
-                });
-                return self.send_outcome(job, AttemptOutcome::Failed, 0.0);
-            }
-            _ => {}
+        match self.injected_fault(node, attempt) {
+            Some(Trick::Mute(_)) => self.swallow(&received),
+            Some(Trick::Error(_)) => self.reply_error(&received),
+            fault => self.start_work(&received, fault),
         }
-        let machine = &mut self.machines[machine_index as usize];
-        let mark = match method.effect() {
-            Kind::Deduplicated { group, window } => {
-                let group = group.number(machine.zone, machine.rack);
-                Some(Mark {
-                    group,
-                    key: u64::from(rpc),
-                    window,
-                })
-            }
-            _ => None,
-        };
-        let offer = Offer {
+    }
+
+    /// The backend holds the attempt and never answers.
+    fn swallow(&mut self, received: &ReceivedAttempt) {
+        self.hold(received, None);
+        self.record(received.record(Taken::Swallowed, 0.0));
+    }
+
+    /// The backend answers with an error at once.
+    fn reply_error(&mut self, received: &ReceivedAttempt) {
+        let job = received.job;
+        self.record(received.record(Taken::Error, 0.0));
+        self.record(Event::Left {
             job,
-            work,
-            mark,
+            how: Left::Replied,
+        });
+        self.send_outcome(job, AttemptOutcome::Failed, 0.0);
+    }
+
+    /// The backend takes the attempt in, or turns it away.
+    fn start_work(&mut self, received: &ReceivedAttempt, fault: Option<Trick>) {
+        let offer = Offer {
+            job: received.job,
+            work: received.work,
+            mark: self.deduplication_mark(received),
             fresh: false,
         };
-        let (now, mut out) = (self.now, Vec::new());
-        let Some((_, node)) = machine.node.as_mut() else {
+        let (now, mut happenings) = (self.now, Vec::new());
+        let machine = &mut self.machines[received.node as usize];
+        let Some(backend) = machine.backend.as_mut() else {
             return;
         };
-        let taken = node.offer(now, offer, &mut self.repeats, &mut out);
+        let node = &mut backend.node;
+        let taken = node.offer(now, offer, &mut self.repeats, &mut happenings);
         let pushed = node.pushed();
-        if taken.is_ok() {
-            machine.held_jobs.insert(job);
-            if let Some(entry) = self.proxy_attempts.get_mut(&job) {
-                (entry.life, entry.fault) = (Some(life), fault);
+        match taken {
+            Ok(()) => {
+                self.hold(received, fault);
+                self.record(received.record(Taken::Held, pushed));
+            }
+            Err(Why::Down) => {
+                self.record(received.record(Taken::Swallowed, pushed));
+                self.refuse(received.job, Left::Broken, AttemptOutcome::Reset);
+            }
+            Err(_) => {
+                self.record(received.record(Taken::TurnedAway, pushed));
+                self.refuse(received.job, Left::Replied, AttemptOutcome::Rejected);
             }
         }
-        let kind = match taken {
-            Ok(()) => Taken::Held,
-            Err(Why::Down) => Taken::Swallowed,
-            Err(_) => Taken::TurnedAway,
-        };
-        self.record(got(kind, pushed));
-        if taken.is_err() {
-            let down = kind == Taken::Swallowed;
-            let how = if down { Left::Broken } else { Left::Replied };
-            self.record(Event::Left { job, how });
-            self.send_outcome(
-                job,
-                if down {
-                    AttemptOutcome::Reset
-                } else {
-                    AttemptOutcome::Rejected
-                },
-                0.0,
-            );
+        self.apply_happenings(received.node, happenings);
+    }
+
+    /// The key by which a group of backends drops a repeat of this RPC, where its method has one.
+    fn deduplication_mark(&self, received: &ReceivedAttempt) -> Option<Mark> {
+        let rpc = rpc_of_attempt(received.attempt);
+        let method = self.plan.arrivals[rpc as usize].method;
+        let machine = &self.machines[received.node as usize];
+        match self.scenario.method[method as usize].effect() {
+            Kind::Deduplicated { group, window } => Some(Mark {
+                group: group.number(machine.zone, machine.rack),
+                key: u64::from(rpc),
+                window,
+            }),
+            _ => None,
         }
-        self.apply_happenings(machine_index, out);
     }
 
-    /// A run is over and its answer leaves, as the fault that it met will have it.
-    pub(super) fn send_reply(&mut self, machine_index: u32, job: u64) {
-        if !self.machines[machine_index as usize].held_jobs.remove(&job) {
+    fn hold(&mut self, received: &ReceivedAttempt, fault: Option<Trick>) {
+        let machine = &mut self.machines[received.node as usize];
+        machine.held_jobs.insert(received.job);
+        if let Some(entry) = self.proxy_attempts.get_mut(&received.job) {
+            (entry.life, entry.fault) = (Some(received.life), fault);
+        }
+    }
+
+    fn refuse(&mut self, job: u64, how: Left, outcome: AttemptOutcome) {
+        self.record(Event::Left { job, how });
+        self.send_outcome(job, outcome, 0.0);
+    }
+
+    /// The work on an attempt is done: its answer leaves, altered by the fault that it met.
+    pub(super) fn send_reply(&mut self, node: u32, job: u64) {
+        if !self.machines[node as usize].held_jobs.remove(&job) {
             return;
         }
-        let fault = self
-            .proxy_attempts
-            .get(&job)
-            .and_then(|entry| entry.fault.clone());
-        let (how, left, more) = match fault {
+        let entry = self.proxy_attempts.get(&job);
+        let (outcome, how, delay) = match entry.and_then(|entry| entry.fault.as_ref()) {
             Some(Trick::Reset(_) | Trick::Half(_) | Trick::Garbage(_)) => {
                 (AttemptOutcome::Reset, Left::Broken, 0.0)
             }
-            Some(Trick::Trickle(_, over)) => (AttemptOutcome::Succeeded, Left::Replied, over),
+            Some(Trick::Trickle(_, over)) => (AttemptOutcome::Succeeded, Left::Replied, *over),
             _ => (AttemptOutcome::Succeeded, Left::Replied, 0.0),
         };
-        self.record(Event::Left { job, how: left });
-        self.send_outcome(job, how, more);
+        self.record(Event::Left { job, how });
+        self.send_outcome(job, outcome, delay);
     }
 
+    /// The backend withdraws an attempt whose connection the proxy has closed.
     pub(super) fn close_connection(&mut self, job: u64) {
         let Some(entry) = self.proxy_attempts.remove(&job) else {
             return;
@@ -229,14 +277,15 @@
         if entry.life.is_none() || !machine.held_jobs.remove(&job) {
             return;
         }
-        let mut out = Vec::new();
-        if let Some((_, node)) = machine.node.as_mut() {
-            node.cancel(self.now, job, &mut self.repeats, &mut out);
+        let mut happenings = Vec::new();
+        if let Some(backend) = machine.backend.as_mut() {
+            let node = &mut backend.node;
+            node.cancel(self.now, job, &mut self.repeats, &mut happenings);
         }
         self.record(Event::Left {
             job,
             how: Left::Withdrawn,
         });
-        self.apply_happenings(entry.node, out);
+        self.apply_happenings(entry.node, happenings);
     }
 }
--- a/crates/simulation/src/world/backends.rs
+++ b/crates/simulation/src/world/backends.rs
@@ -1,95 +1,69 @@
-//! Machines and the backend processes on them.
+//! The life cycle of backends, their load reports and health checks.
 use super::endpoint_list::ListEntry;
 use super::event::{ProcessEvent, SimulationEvent};
+use super::machine::Backend;
+use super::process::ProcessId;
 use super::{NETWORK_DELAY, POLL_INTERVAL, World};
 use birchhub::interface::{AttemptOutcome, LoadReport};
 use birchhub_audit::event::Left;
 use birchhub_audit::{Event, State};
-use birchhub_model::{Happening, Node, Repeats, Spec, Start};
-use birchhub_rehearsal::plan::{PlannedNode, Trick};
-use birchhub_rehearsal::scenario::Scenario;
-use birchhub_rehearsal::settings;
-use std::collections::BTreeSet;
+use birchhub_model::{Happening, Node, Repeats, Start};
 
-/// One node's machine, and the life on it.
-pub(super) struct Machine {
-    pub(super) spec: Spec,
-    pub(super) zone: u32,
-    pub(super) rack: u32,
-    pub(super) node: Option<(u32, Node)>,
-    pub(super) cold_started_at: Option<f64>,
-    pub(super) capacity_factor: f64,
-    pub(super) stalls: BTreeSet<u64>,
-    /// What came while it stood still.
-    pub(super) deferred_events: Vec<SimulationEvent>,
-    pub(super) faults: Vec<(u64, Trick)>,
-    pub(super) held_jobs: BTreeSet<u64>,
-    pub(super) version: u64,
-    pub(super) retiring: bool,
-}
+/// s until a health check without an answer has timed out, by the proxy's own clock.
+const HEALTH_CHECK_TIMEOUT: f64 = 0.1;
 
-pub(super) fn machine(scenario: &Scenario, planned: &PlannedNode) -> Machine {
-    Machine {
-        spec: settings::spec(scenario, planned),
-        zone: planned.zone,
-        rack: planned.rack,
-        node: None,
-        cold_started_at: None,
-        capacity_factor: 1.0,
-        stalls: BTreeSet::new(),
-        deferred_events: Vec::new(),
-        faults: Vec::new(),
-        held_jobs: BTreeSet::new(),
-        version: 0,
-        retiring: false,
-    }
+/// The planned replacement of a backend.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Retirement {
+    /// The machine whose backend ends once it is idle.
+    pub(super) node: u32,
+    /// When it ends at the latest, s.
+    pub(super) by: f64,
+    /// The machine on which its successor starts.
+    pub(super) successor: u32,
+    /// s from its end to the successor's start.
+    pub(super) after: f64,
 }
 
 impl World<'_> {
-    pub(super) fn start_backend(&mut self, machine_index: u32, how: Start) -> u32 {
+    /// Starts a backend on a machine; returns its life.
+    pub(super) fn start_backend(&mut self, node: u32, how: Start) -> u32 {
         let (now, life) = (self.now, self.next_life);
         self.next_life += 1;
-        let machine = &mut self.machines[machine_index as usize];
-        let mut node = Node::new(machine.spec.clone(), now, how);
-        node.scale(
-            now,
-            machine.capacity_factor,
-            &mut self.repeats,
-            &mut Vec::new(),
-        );
+        let machine = &mut self.machines[node as usize];
+        let factor = machine.capacity_factor;
+        let mut model = Node::new(machine.spec.clone(), now, how);
+        model.scale(now, factor, &mut self.repeats, &mut Vec::new());
         let able = (machine.spec.cores as f64 * machine.spec.speed) as f32;
-        machine.node = Some((life, node));
+        machine.backend = Some(Backend { life, node: model });
         machine.cold_started_at = (how == Start::Cold).then_some(now);
         machine.stalls.clear();
         self.record(Event::Born {
             life,
-            node: machine_index,
+            node,
             cold: how == Start::Cold,
             able,
         });
         life
     }
 
+    /// Starts a backend cold on a machine without one, and lists it.
     pub(super) fn start_backend_cold(&mut self, node: u32) {
-        if self.machines[node as usize].node.is_none() {
-            let life = self.start_backend(node, Start::Cold);
-            let started = Some(self.now);
-            self.schedule_publication(
-                node,
-                ListEntry {
-                    life,
-                    state: State::Ready,
-                    started,
-                },
-                self.scenario.list.lag.0,
-            );
+        if self.machines[node as usize].backend.is_some() {
+            return;
         }
+        let list_entry = ListEntry {
+            life: self.start_backend(node, Start::Cold),
+            state: State::Ready,
+            started: Some(self.now),
+        };
+        self.schedule_publication(node, list_entry, self.scenario.list.lag.0);
     }
 
-    /// Ends a life: what it held is lost to its proxies.
-    pub(super) fn stop_backend(&mut self, machine_index: u32) -> Option<u32> {
-        let machine = &mut self.machines[machine_index as usize];
-        let (life, _) = machine.node.take()?;
+    /// Ends the backend of a machine, and breaks the connections of the attempts there; returns its life.
+    fn stop_backend(&mut self, node: u32) -> Option<u32> {
+        let machine = &mut self.machines[node as usize];
+        let Backend { life, .. } = machine.backend.take()?;
         let held_jobs = std::mem::take(&mut machine.held_jobs);
         let deferred_events = std::mem::take(&mut machine.deferred_events);
         machine.stalls.clear();
@@ -110,10 +84,32 @@
         Some(life)
     }
 
+    /// Ends the backend of a machine; the endpoint list service knows of it after `delay` s.
+    pub(super) fn remove_backend(&mut self, node: u32, delay: f64) {
+        if let Some(life) = self.stop_backend(node) {
+            self.schedule_publication(node, ListEntry::gone(life), delay);
+        }
+    }
+
+    /// Ends a backend that is idle or has no more time, and schedules its successor.
+    pub(super) fn retire_backend(&mut self, retirement: Retirement) {
+        let machine = &self.machines[retirement.node as usize];
+        let backend = machine.backend.as_ref();
+        let is_busy = backend.is_some_and(|backend| backend.node.in_flight() > 0);
+        if is_busy && self.now < retirement.by {
+            let retry = SimulationEvent::RetireBackend(retirement);
+            return self.schedule(POLL_INTERVAL, retry);
+        }
+        self.remove_backend(retirement.node, self.scenario.list.lag.0);
+        let node = retirement.successor;
+        self.schedule(retirement.after, SimulationEvent::StartBackend { node });
+    }
+
+    /// The load that a backend reports now.
     pub(super) fn load_report(&mut self, node: u32) -> Option<LoadReport> {
         let now = self.now;
-        let (_, node) = self.machines[node as usize].node.as_mut()?;
-        let load = node.report(now);
+        let backend = self.machines[node as usize].backend.as_mut()?;
+        let load = backend.node.report(now);
         Some(LoadReport {
             in_flight: Some(load.in_flight as f64),
             queued: Some(load.queued as f64),
@@ -121,146 +117,97 @@
         })
     }
 
-    pub(super) fn advance_backend(&mut self, machine_index: u32, version: u64) {
-        let machine = &mut self.machines[machine_index as usize];
-        let Some((_, node)) = machine.node.as_mut().filter(|_| machine.version == version) else {
-            return;
-        };
-        let mut out = Vec::new();
-        node.advance(self.now, &mut self.repeats, &mut out);
-        self.apply_happenings(machine_index, out);
+    /// Applies a backend's own event that was scheduled, unless another one has taken its place.
+    pub(super) fn advance_backend(&mut self, node: u32, version: u64) {
+        if self.machines[node as usize].version == version {
+            self.change_backend(node, |node, now, repeats, happenings| {
+                node.advance(now, repeats, happenings)
+            });
+        }
+    }
+
+    /// Changes the model of a machine's backend, if it has one, and applies what came of it.
+    pub(super) fn change_backend(
+        &mut self,
+        node: u32,
+        change: impl FnOnce(&mut Node, f64, &mut Repeats, &mut Vec<Happening>),
+    ) {
+        let mut happenings = Vec::new();
+        if let Some(backend) = self.machines[node as usize].backend.as_mut() {
+            change(
+                &mut backend.node,
+                self.now,
+                &mut self.repeats,
+                &mut happenings,
+            );
+            self.apply_happenings(node, happenings);
+        }
     }
 
-    /// What happened by itself at a node, and when something will again.
-    pub(super) fn apply_happenings(&mut self, machine_index: u32, out: Vec<Happening>) {
-        for happening in out {
+    /// Records what happened at a backend, sends its replies, and schedules its next event.
+    pub(super) fn apply_happenings(&mut self, node: u32, happenings: Vec<Happening>) {
+        for happening in happenings {
             match happening {
                 Happening::Started(job) => self.record(Event::Started { job }),
                 Happening::Finished(job) => {
                     self.record(Event::Finished { job });
-                    self.send_reply(machine_index, job);
+                    self.send_reply(node, job);
                 }
                 Happening::Repeated(job) => {
                     self.record(Event::Repeated { job });
-                    self.send_reply(machine_index, job);
+                    self.send_reply(node, job);
                 }
                 Happening::Fell => {
-                    if let Some((life, _)) = self.machines[machine_index as usize].node.as_ref() {
-                        let life = *life;
+                    if let Some(life) = self.machines[node as usize].life() {
                         self.record(Event::Fell { life });
-                        self.stop_backend(machine_index);
+                        self.stop_backend(node);
                     }
                 }
             }
         }
-        let machine = &mut self.machines[machine_index as usize];
+        self.schedule_backend(node);
+    }
+
+    fn schedule_backend(&mut self, node: u32) {
+        let machine = &mut self.machines[node as usize];
         machine.version += 1;
         let version = machine.version;
-        if let Some(at) = machine
-            .node
-            .as_ref()
-            .and_then(|(_, node)| node.next_event())
-        {
+        let backend = machine.backend.as_ref();
+        if let Some(at) = backend.and_then(|backend| backend.node.next_event()) {
             self.queue.put(
                 at.max(self.now),
-                SimulationEvent::BackendDue {
-                    node: machine_index,
-                    version,
-                },
+                SimulationEvent::BackendDue { node, version },
             );
         }
     }
 
-    pub(super) fn answer_health_check(&mut self, proxy: u16, process: u32, node: u32) {
-        if self.is_partitioned(node, proxy) {
-            // Told as a time-out by the proxy's own clock.
+    /// A health check arrives at a machine, which answers it if its backend runs.
+    pub(super) fn answer_health_check(&mut self, process: ProcessId, node: u32) {
+        if self.is_partitioned(node, process.proxy) {
             let event = ProcessEvent::HealthChecked {
                 node,
-                how: AttemptOutcome::TimedOut,
+                outcome: AttemptOutcome::TimedOut,
                 report: None,
             };
-            return self.schedule(
-                0.1,
-                SimulationEvent::ToProcess {
-                    proxy,
-                    process,
-                    event,
-                },
-            );
+            let timeout = SimulationEvent::ToProcess { process, event };
+            return self.schedule(HEALTH_CHECK_TIMEOUT, timeout);
         }
         let machine = &mut self.machines[node as usize];
-        if machine.node.is_some() && !machine.stalls.is_empty() {
-            return machine
-                .deferred_events
-                .push(SimulationEvent::HealthCheckAtBackend {
-                    proxy,
-                    process,
-                    node,
-                });
+        if machine.is_stalled() {
+            let arrival = SimulationEvent::HealthCheckAtBackend { process, node };
+            return machine.deferred_events.push(arrival);
         }
         let report = self.load_report(node);
-        let how = if report.is_some() {
+        let outcome = if report.is_some() {
             AttemptOutcome::Succeeded
         } else {
             AttemptOutcome::ConnectFailed
         };
-        self.schedule(
-            NETWORK_DELAY,
-            SimulationEvent::ToProcess {
-                proxy,
-                process,
-                event: ProcessEvent::HealthChecked { node, how, report },
-            },
-        );
-    }
-
-    /// Changes the node of a host, if it has one.
-    pub(super) fn change_backend(
-        &mut self,
-        machine_index: u32,
-        change: impl FnOnce(&mut Node, f64, &mut Repeats, &mut Vec<Happening>),
-    ) {
-        let mut out = Vec::new();
-        if let Some((_, node)) = self.machines[machine_index as usize].node.as_mut() {
-            change(node, self.now, &mut self.repeats, &mut out);
-            self.apply_happenings(machine_index, out);
-        }
-    }
-
-    pub(super) fn retire_backend(
-        &mut self,
-        machine_index: u32,
-        by: f64,
-        successor: u32,
-        after: f64,
-    ) {
-        let machine = &mut self.machines[machine_index as usize];
-        let busy = machine
-            .node
-            .as_ref()
-            .is_some_and(|(_, node)| node.in_flight() > 0);
-        if busy && self.now < by {
-            return self.schedule(
-                POLL_INTERVAL,
-                SimulationEvent::RetireBackend {
-                    node: machine_index,
-                    by,
-                    successor,
-                    after,
-                },
-            );
-        }
-        if let Some(life) = self.stop_backend(machine_index) {
-            self.schedule_publication(
-                machine_index,
-                ListEntry {
-                    life,
-                    state: State::Gone,
-                    started: None,
-                },
-                self.scenario.list.lag.0,
-            );
-        }
-        self.schedule(after, SimulationEvent::StartBackend { node: successor });
+        let event = ProcessEvent::HealthChecked {
+            node,
+            outcome,
+            report,
+        };
+        self.schedule(NETWORK_DELAY, SimulationEvent::ToProcess { process, event });
     }
 }
--- a/crates/simulation/src/world/clients.rs
+++ b/crates/simulation/src/world/clients.rs
@@ -5,18 +5,53 @@
 use birchhub_rehearsal::clients;
 use birchhub_rehearsal::proxies::deal;
 
-const CLIENT_GRACE: f64 = 0.25; // s that a client listens on after its patience
+/// s that a client listens on after its patience: an answer that leaves in time may arrive late.
+const CLIENT_GRACE: f64 = 0.25;
 
+/// The lowest bits of the number of a client's attempt count the attempts of its RPC, those above are the RPC's number.
+const ATTEMPT_BITS: u32 = 8;
+
+/// The largest exponent of a client's back-off.
+const MAX_BACKOFF_EXPONENT: u8 = 16;
+
+/// A client's attempt that has no answer yet.
 pub(super) struct ClientAttempt {
-    pub(super) rpc: u32,
-    pub(super) number: u8,
+    /// The proxy that it was sent to.
     pub(super) proxy: u16,
-    pub(super) answered: bool,
+    /// How long the client waits, s.
     pub(super) patience: f64,
 }
 
+/// The ledger's number of an attempt; the first attempt of an RPC has the number 0.
+fn client_attempt_id(rpc: u32, number: u8) -> u64 {
+    u64::from(rpc) << ATTEMPT_BITS | u64::from(number)
+}
+
+/// The RPC that a client's attempt is for.
+pub(super) fn rpc_of_attempt(attempt: u64) -> u32 {
+    (attempt >> ATTEMPT_BITS) as u32
+}
+
+/// The number of a client's attempt among those for its RPC.
+pub(super) fn client_attempt_number(attempt: u64) -> u8 {
+    attempt as u8
+}
+
 impl World<'_> {
-    #[expect(clippy::too_many_lines)]
+    /// An RPC of the plan begins, with its first attempt.
+    pub(super) fn start_rpc(&mut self, rpc: u32) {
+        let arrival = &self.plan.arrivals[rpc as usize];
+        let (method, tenant, within) = (arrival.method, arrival.tenant, arrival.within);
+        self.record(Event::Asked {
+            rpc,
+            method,
+            tenant,
+            within,
+        });
+        self.send_client_attempt(rpc, 0);
+    }
+
+    /// A client sends an attempt to a proxy that accepts traffic, if its RPC has time left.
     pub(super) fn send_client_attempt(&mut self, rpc: u32, number: u8) {
         let (scenario, arrival) = (self.scenario, &self.plan.arrivals[rpc as usize]);
         let method = &scenario.method[arrival.method as usize];
@@ -24,92 +59,78 @@
         let Some(patience) = clients::patience(&scenario.clients, method, left) else {
             return;
         };
-        let chance = arrival.deal.rotate_left(u32::from(number) * 8);
-        let open = |proxy: &usize| self.accepts_traffic[*proxy];
-        let proxy = deal(
-            self.proxies.len(),
-            scenario.fleet.zones.len(),
-            arrival.zone,
-            chance,
-            open,
-        ) as u16;
-        let attempt = u64::from(rpc) << 8 | u64::from(number);
-        self.client_attempts.insert(
-            attempt,
-            ClientAttempt {
-                rpc,
-                number,
-                proxy,
-                answered: false,
-                patience,
-            },
-        );
+        let proxy = self.choose_proxy(rpc, number);
+        let attempt = client_attempt_id(rpc, number);
+        self.client_attempts
+            .insert(attempt, ClientAttempt { proxy, patience });
         self.record(Event::Sent {
             attempt,
             rpc,
             proxy,
             patience: patience as f32,
         });
-        self.schedule(
-            NETWORK_DELAY,
-            SimulationEvent::AttemptAtProxy { attempt, proxy },
-        );
-        self.schedule(
-            patience + CLIENT_GRACE,
-            SimulationEvent::ClientGivesUp { attempt },
-        );
+        let at_proxy = SimulationEvent::AttemptAtProxy { attempt, proxy };
+        self.schedule(NETWORK_DELAY, at_proxy);
+        let give_up = SimulationEvent::ClientGivesUp { attempt };
+        self.schedule(patience + CLIENT_GRACE, give_up);
         if let Some(part) = arrival.leaves.filter(|_| number == 0) {
-            self.schedule(
-                part * patience,
-                SimulationEvent::ClientDisconnects { attempt },
-            );
+            let disconnect = SimulationEvent::ClientDisconnects { attempt };
+            self.schedule(part * patience, disconnect);
         }
     }
 
+    /// The proxy that the layer before the proxies chooses; each attempt of an RPC uses other bits of its chance.
+    fn choose_proxy(&self, rpc: u32, number: u8) -> u16 {
+        let arrival = &self.plan.arrivals[rpc as usize];
+        let chance = arrival.deal.rotate_left(u32::from(number) * ATTEMPT_BITS);
+        let accepts = |proxy: &usize| self.accepts_traffic[*proxy];
+        let zones = self.scenario.fleet.zones.len();
+        deal(self.proxies.len(), zones, arrival.zone, chance, accepts) as u16
+    }
+
+    /// A client has the answer to an attempt, and retries where its policy says so. Later answers are dropped.
     pub(super) fn answer_client(&mut self, attempt: u64, answer: Answer) {
-        let Some(entry) = self.client_attempts.remove(&attempt) else {
-            return;
-        };
-        if entry.answered {
+        if self.client_attempts.remove(&attempt).is_none() {
             return;
         }
         self.record(Event::Answered { attempt, answer });
-        let (rpc, number) = (entry.rpc, entry.number);
-        let (scenario, arrival) = (self.scenario, &self.plan.arrivals[rpc as usize]);
-        let (policy, method) = (&scenario.clients, &scenario.method[arrival.method as usize]);
-        if number >= policy.retries || !clients::tries_again(answer, method, self.now - arrival.due)
-        {
-            return;
+        let (rpc, number) = (rpc_of_attempt(attempt), client_attempt_number(attempt));
+        let arrival = &self.plan.arrivals[rpc as usize];
+        let method = &self.scenario.method[arrival.method as usize];
+        let elapsed = self.now - arrival.due;
+        let may_retry = number < self.scenario.clients.retries;
+        if may_retry && clients::tries_again(answer, method, elapsed) {
+            let number = number + 1;
+            self.schedule(
+                self.retry_delay(number - 1, answer),
+                SimulationEvent::SendClientAttempt { rpc, number },
+            );
         }
-        let asked = match answer {
+    }
+
+    /// s that a client waits after the attempt with this number.
+    fn retry_delay(&self, number: u8, answer: Answer) -> f64 {
+        let policy = &self.scenario.clients;
+        let retry_after = match answer {
             Answer::PushedBack(Some(after)) if policy.obey_retry_after => f64::from(after),
             _ => 0.0,
         };
-        let wait = policy.wait.0
-            * if policy.backoff {
-                f64::from(1 << number.min(16))
-            } else {
-                1.0
-            };
-        self.schedule(
-            wait.max(asked),
-            SimulationEvent::SendClientAttempt {
-                rpc,
-                number: number + 1,
-            },
-        );
+        let factor = if policy.backoff {
+            f64::from(1 << number.min(MAX_BACKOFF_EXPONENT))
+        } else {
+            1.0
+        };
+        (policy.wait.0 * factor).max(retry_after)
     }
 
+    /// A client closes the connection of an attempt that has no answer.
     pub(super) fn disconnect_client(&mut self, attempt: u64) {
-        let Some(entry) = self.client_attempts.get(&attempt) else {
+        let Some(sent) = self.client_attempts.get(&attempt) else {
             return;
         };
-        let proxy = entry.proxy;
+        let proxy = sent.proxy;
         self.answer_client(attempt, Answer::HungUp);
-        self.send_to_process(
-            proxy,
-            NETWORK_DELAY,
-            ProcessEvent::ClientDisconnected(attempt),
-        );
+        let disconnected = ProcessEvent::ClientDisconnected(attempt);
+        self.send_to_process(proxy, NETWORK_DELAY, disconnected);
     }
 }
--- a/crates/simulation/src/world/commands.rs
+++ b/crates/simulation/src/world/commands.rs
@@ -1,18 +1,22 @@
-//! The commands that a proxy's decisions give, carried out.
+//! Calls of a proxy's decision module, and the commands that it gives.
 use super::attempts::ProxyAttempt;
 use super::event::{ProcessEvent, SimulationEvent};
 use super::platform::{Command, SimulationPlatform};
-use super::process::InFlightRpc;
+use super::process::{InFlightRpc, ProcessId};
 use super::{NETWORK_DELAY, World};
 use birchhub::interface::AttemptOutcome;
-use birchhub::policy::Balancer;
+use birchhub::policy::{Balancer, RpcHandle};
 use birchhub_audit::Answer;
 use std::collections::BTreeMap;
 
-const TIMER_RESOLUTION: f64 = 1e-6; // s, the least time until a wake-up: no timer is finer
+/// s, the shortest delay of a timer: a time that the clock can't tell from now would fire for ever.
+const TIMER_RESOLUTION: f64 = 1e-6;
+
+/// The HTTP status of an answer for an RPC that has failed.
+pub(super) const BAD_GATEWAY: u16 = 502;
 
 impl World<'_> {
-    /// Calls the module of a proxy and does what it asks for.
+    /// Calls the decision module of a proxy and executes its commands.
     pub(super) fn run_decision(
         &mut self,
         proxy: u16,
@@ -22,126 +26,154 @@
         let Some(running) = self.proxies[proxy as usize].as_mut() else {
             return;
         };
-        let process = running.process;
+        let process = running.id;
         let commands = running.run_decision(now, decide);
         for command in commands {
-            self.execute(proxy, process, command);
+            self.execute(process, command);
         }
     }
 
-    #[expect(clippy::too_many_lines)]
-    pub(super) fn execute(&mut self, proxy: u16, process: u32, command: Command) {
-        let now = self.now;
+    /// Calls the decision module for one RPC, which is released if it has finished.
+    pub(super) fn run_rpc_decision(
+        &mut self,
+        proxy: u16,
+        attempt: u64,
+        decide: impl FnOnce(&RpcHandle, &mut SimulationPlatform),
+    ) {
+        self.run_decision(proxy, |_, in_flight, platform| {
+            let held = in_flight.get(&attempt);
+            if let Some(rpc) = held.and_then(|held| held.rpc.as_ref()) {
+                decide(rpc, platform);
+            }
+        });
+        self.release_if_finished(proxy, attempt);
+    }
+
+    fn release_if_finished(&mut self, proxy: u16, attempt: u64) {
         let Some(running) = self.proxies[proxy as usize].as_mut() else {
             return;
         };
+        let held = running.in_flight.get(&attempt);
+        if held.is_some_and(InFlightRpc::is_finished) {
+            running.in_flight.remove(&attempt);
+        }
+    }
+
+    fn execute(&mut self, process: ProcessId, command: Command) {
+        let proxy = process.proxy;
         match command {
             Command::StartAttempt {
                 attempt,
                 backend,
                 timeout,
-            } => {
-                let Some(in_flight_rpc) = running.in_flight.get_mut(&attempt) else {
-                    return;
-                };
-                let (job, attempt_index, until) = (
-                    self.next_job,
-                    in_flight_rpc.attempts.len(),
-                    (now + timeout).min(in_flight_rpc.deadline),
-                );
-                self.next_job += 1;
-                in_flight_rpc.attempts.push(Some(job));
-                let entry = ProxyAttempt {
-                    proxy,
-                    process,
-                    attempt,
-                    attempt_index,
-                    node: backend,
-                    life: None,
-                    fault: None,
-                };
-                self.proxy_attempts.insert(job, entry);
-                self.schedule(
-                    NETWORK_DELAY,
-                    SimulationEvent::AttemptAtBackend {
-                        job,
-                        begun: now + NETWORK_DELAY,
-                    },
-                );
-                self.send_to_process(
-                    proxy,
-                    (until - now).max(0.0),
-                    ProcessEvent::AttemptTimeout { job },
-                );
-            }
+            } => self.start_attempt(process, attempt, backend, timeout),
             Command::CancelAttempt {
                 attempt,
                 attempt_index,
-            } => {
-                let out = running.in_flight.get(&attempt).and_then(|in_flight_rpc| {
-                    in_flight_rpc.attempts.get(attempt_index).copied().flatten()
-                });
-                if let Some(out) = out {
-                    self.schedule(
-                        NETWORK_DELAY,
-                        SimulationEvent::ConnectionClosed { job: out },
-                    );
-                    self.send_to_process(
-                        proxy,
-                        0.0,
-                        ProcessEvent::AttemptEnded {
-                            job: out,
-                            how: AttemptOutcome::Cancelled,
-                            report: None,
-                        },
-                    );
-                }
-            }
+            } => self.cancel_attempt(proxy, attempt, attempt_index),
             Command::Reject {
                 attempt,
                 retry_after,
             } => {
-                let after = (retry_after > 0.0).then_some(retry_after as f32);
-                self.final_answer(proxy, attempt, Answer::PushedBack(after));
+                let retry_after = (retry_after > 0.0).then_some(retry_after as f32);
+                self.send_answer(proxy, attempt, Answer::PushedBack(retry_after));
             }
-            Command::Fail { attempt } => self.final_answer(proxy, attempt, Answer::Aborted(502)),
-            Command::HealthCheck { backend } => self.schedule(
-                NETWORK_DELAY,
-                SimulationEvent::HealthCheckAtBackend {
-                    proxy,
-                    process,
-                    node: backend,
-                },
-            ),
-            Command::WatchEndpoints => self.schedule(
-                NETWORK_DELAY,
-                SimulationEvent::ListCallArrives { proxy, process },
-            ),
-            Command::ScheduleTimer { delay } => {
-                // A time that its clock can't tell from now would wake it for ever.
-                let at = now + delay.max(TIMER_RESOLUTION);
-                if running.timer_at.is_none_or(|earlier| at < earlier) {
-                    running.timer_at = Some(at);
-                    self.queue.put(
-                        at,
-                        SimulationEvent::ToProcess {
-                            proxy,
-                            process,
-                            event: ProcessEvent::Timer,
-                        },
-                    );
-                }
+            Command::Fail { attempt } => {
+                self.send_answer(proxy, attempt, Answer::Aborted(BAD_GATEWAY))
+            }
+            Command::HealthCheck { backend } => {
+                let node = backend;
+                let arrival = SimulationEvent::HealthCheckAtBackend { process, node };
+                self.schedule(NETWORK_DELAY, arrival);
+            }
+            Command::WatchEndpoints => {
+                self.schedule(NETWORK_DELAY, SimulationEvent::ListCallArrives(process))
             }
+            Command::ScheduleTimer { delay } => self.schedule_timer(process, delay),
         }
     }
 
-    pub(super) fn final_answer(&mut self, proxy: u16, attempt: u64, answer: Answer) {
+    fn start_attempt(&mut self, process: ProcessId, attempt: u64, backend: u32, timeout: f64) {
+        let now = self.now;
+        let Some(running) = self.proxies[process.proxy as usize].as_mut() else {
+            return;
+        };
+        let Some(held) = running.in_flight.get_mut(&attempt) else {
+            return;
+        };
+        let job = self.next_job;
+        self.next_job += 1;
+        let attempt_index = held.attempts.len();
+        held.attempts.push(Some(job));
+        let until = (now + timeout).min(held.deadline);
+        self.proxy_attempts.insert(
+            job,
+            ProxyAttempt {
+                process,
+                attempt,
+                attempt_index,
+                node: backend,
+                life: None,
+                fault: None,
+            },
+        );
+        let begun = now + NETWORK_DELAY;
+        self.schedule(
+            NETWORK_DELAY,
+            SimulationEvent::AttemptAtBackend { job, begun },
+        );
+        self.send_to_process(
+            process.proxy,
+            (until - now).max(0.0),
+            ProcessEvent::AttemptTimeout { job },
+        );
+    }
+
+    fn cancel_attempt(&mut self, proxy: u16, attempt: u64, attempt_index: usize) {
+        let running = self.proxies[proxy as usize].as_ref();
+        let held = running.and_then(|running| running.in_flight.get(&attempt));
+        let Some(job) = held.and_then(|held| held.open_job(attempt_index)) else {
+            return;
+        };
+        self.schedule(NETWORK_DELAY, SimulationEvent::ConnectionClosed { job });
+        self.send_to_process(
+            proxy,
+            0.0,
+            ProcessEvent::AttemptEnded {
+                job,
+                outcome: AttemptOutcome::Cancelled,
+                report: None,
+            },
+        );
+    }
+
+    fn schedule_timer(&mut self, process: ProcessId, delay: f64) {
+        let at = self.now + delay.max(TIMER_RESOLUTION);
+        let Some(running) = self.proxies[process.proxy as usize].as_mut() else {
+            return;
+        };
+        if running.timer_at.is_none_or(|earlier| at < earlier) {
+            running.timer_at = Some(at);
+            self.schedule_timer_event(process, at);
+        }
+    }
+
+    /// Puts a timer event into the queue for a time of the simulation.
+    pub(super) fn schedule_timer_event(&mut self, process: ProcessId, at: f64) {
+        let event = ProcessEvent::Timer;
+        self.queue
+            .put(at, SimulationEvent::ToProcess { process, event });
+    }
+
+    /// Sends the answer to a client that has none yet.
+    pub(super) fn send_answer(&mut self, proxy: u16, attempt: u64, answer: Answer) {
         let Some(running) = self.proxies[proxy as usize].as_mut() else {
             return;
         };
-        if let Some(in_flight_rpc) = running.in_flight.get_mut(&attempt)
-            && !std::mem::replace(&mut in_flight_rpc.answered, true)
-        {
+        let Some(held) = running.in_flight.get_mut(&attempt) else {
+            return;
+        };
+        if !std::mem::replace(&mut held.answered, true) {
             self.schedule(
                 NETWORK_DELAY,
                 SimulationEvent::AnswerAtClient { attempt, answer },
--- a/crates/simulation/src/world/discovery.rs
+++ b/crates/simulation/src/world/discovery.rs
@@ -1,14 +1,22 @@
-//! The endpoint list service: what it publishes, and the calls of its readers.
+//! Discovery: changes that the endpoint list service publishes, and the calls of the proxies.
 use super::endpoint_list::ListEntry;
 use super::event::{ProcessEvent, SimulationEvent};
+use super::process::ProcessId;
 use super::{NETWORK_DELAY, World};
 use birchhub::interface::{Endpoint, Readiness};
 use birchhub_audit::{Event, State};
 
-const LIST_CALL_GAP: f64 = 0.02; // s between the list calls of a proxy
-const LIST_FAILURE_DELAY: f64 = 0.05; // s until a list call to a service that is down has failed
+/// s between the list calls of a proxy.
+const LIST_CALL_GAP: f64 = 0.02;
+
+/// s until a list call to a service that is down has failed.
+const LIST_FAILURE_DELAY: f64 = 0.05;
+
+/// A cell is a rack of a zone: the zone's number is in the bits from here on.
+const ZONE_SHIFT: u32 = 16;
 
 impl World<'_> {
+    /// The endpoint list service learns of a change, and sends it to the proxies that wait for one.
     pub(super) fn publish_endpoint(&mut self, node: u32, list_entry: ListEntry) {
         self.record(Event::Changed {
             node,
@@ -20,9 +28,24 @@
         }
     }
 
+    /// The endpoint list service learns of a change after `delay` s, and later during a fault that slows it.
+    pub(super) fn schedule_publication(&mut self, node: u32, list_entry: ListEntry, delay: f64) {
+        self.schedule(
+            delay + self.list_delay.max(0.0),
+            SimulationEvent::PublishEndpoint { node, list_entry },
+        );
+    }
+
+    /// Sends a proxy what has changed since its last update.
     pub(super) fn send_endpoint_update(&mut self, proxy: u16) {
         let update = self.list.take_update(proxy);
-        for (node, list_entry) in &update {
+        self.record_update(proxy, &update);
+        self.send_to_process(proxy, NETWORK_DELAY, ProcessEvent::EndpointUpdate(update));
+    }
+
+    /// Records the entries that a proxy is given.
+    pub(super) fn record_update(&mut self, proxy: u16, update: &[(u32, ListEntry)]) {
+        for (node, list_entry) in update {
             self.record(Event::Told {
                 proxy,
                 node: *node,
@@ -30,21 +53,19 @@
                 state: list_entry.state,
             });
         }
-        self.send_to_process(proxy, NETWORK_DELAY, ProcessEvent::EndpointUpdate(update));
     }
 
-    pub(super) fn start_list_call(&mut self, proxy: u16, process: u32) {
-        if self.proxies[proxy as usize]
-            .as_ref()
-            .is_none_or(|p| p.process != process)
-        {
+    /// A call arrives at the endpoint list service; with a limit on calls the work on it takes time.
+    pub(super) fn start_list_call(&mut self, process: ProcessId) {
+        if !self.is_running(process) {
             return;
         }
+        let proxy = process.proxy;
         if self.list.is_limited() {
             match self.list.accept_call(proxy) {
-                Some(list_entries) => self.schedule(
-                    self.scenario.list.takes(list_entries),
-                    SimulationEvent::ListCallServed { proxy, process },
+                Some(entries) => self.schedule(
+                    self.scenario.list.takes(entries),
+                    SimulationEvent::ListCallServed(process),
                 ),
                 None => self.send_to_process(proxy, NETWORK_DELAY, ProcessEvent::ListFailed),
             }
@@ -55,59 +76,46 @@
         }
     }
 
-    /// What there is is told, and the next call begins; where there is nothing new the call waits, and costs nothing.
-    pub(super) fn serve_list_call(&mut self, proxy: u16, process: u32) {
+    /// The work on a call ends: the proxy has its update and calls again, or waits at the service for a change.
+    pub(super) fn finish_list_call(&mut self, process: ProcessId) {
         self.list.finish_call();
-        if self.proxies[proxy as usize]
-            .as_ref()
-            .is_none_or(|p| p.process != process)
-        {
+        if !self.is_running(process) {
             return;
         }
+        let proxy = process.proxy;
         if !self.list.watch(proxy) {
             self.send_to_process(proxy, NETWORK_DELAY, ProcessEvent::ListFailed);
         } else if self.list.can_update(proxy) {
-            let again = self.list.has_update(proxy);
+            let calls_again = self.list.has_update(proxy);
             self.send_endpoint_update(proxy);
-            if again {
-                self.schedule(
-                    LIST_CALL_GAP,
-                    SimulationEvent::ListCallArrives { proxy, process },
-                );
+            if calls_again {
+                self.schedule(LIST_CALL_GAP, SimulationEvent::ListCallArrives(process));
             }
         }
     }
 
-    /// The list service knows it after so long.
-    pub(super) fn schedule_publication(&mut self, node: u32, list_entry: ListEntry, after: f64) {
-        self.schedule(
-            after + self.list_delay.max(0.0),
-            SimulationEvent::PublishEndpoint { node, list_entry },
-        );
+    /// The entries as the decision module of a proxy sees them, with times by that proxy's clock.
+    pub(super) fn endpoints(&self, proxy: u16, entries: &[(u32, ListEntry)]) -> Vec<Endpoint> {
+        let running = self.proxies[proxy as usize].as_ref();
+        let clock_lag = running.map_or(0.0, |running| running.clock_lag);
+        let endpoint = |(node, entry): &(u32, ListEntry)| self.endpoint(*node, entry, clock_lag);
+        entries.iter().map(endpoint).collect()
     }
 
-    pub(super) fn endpoints(&self, proxy: u16, list_entries: &[(u32, ListEntry)]) -> Vec<Endpoint> {
-        let clock_lag = self.proxies[proxy as usize]
-            .as_ref()
-            .map_or(0.0, |p| p.clock_lag);
-        let entry = |(node, list_entry): &(u32, ListEntry)| {
-            let machine = &self.machines[*node as usize];
-            let readiness = match list_entry.state {
-                State::Ready => Readiness::Ready,
-                State::Draining => Readiness::Draining,
-                State::Gone => Readiness::Removed,
-            };
-            let cell = u64::from(machine.zone) << 16 | u64::from(machine.rack);
-            let started = list_entry.started.map(|at| at - clock_lag);
-            Endpoint {
-                backend: *node,
-                relative_size: 1.0,
-                started_at: started,
-                cell,
-                zone: machine.zone as usize,
-                readiness,
-            }
+    fn endpoint(&self, node: u32, list_entry: &ListEntry, clock_lag: f64) -> Endpoint {
+        let machine = &self.machines[node as usize];
+        let readiness = match list_entry.state {
+            State::Ready => Readiness::Ready,
+            State::Draining => Readiness::Draining,
+            State::Gone => Readiness::Removed,
         };
-        list_entries.iter().map(entry).collect()
+        Endpoint {
+            backend: node,
+            relative_size: 1.0,
+            started_at: list_entry.started.map(|at| at - clock_lag),
+            cell: u64::from(machine.zone) << ZONE_SHIFT | u64::from(machine.rack),
+            zone: machine.zone as usize,
+            readiness,
+        }
     }
 }
--- a/crates/simulation/src/world/endpoint_list.rs
+++ b/crates/simulation/src/world/endpoint_list.rs
@@ -1,21 +1,44 @@
-//! The list service in simulated time: what is true, what each proxy has been told, and what it may be told now.
+//! The endpoint list service: the current entries, what each proxy has received, and what it may receive now.
 use birchhub_audit::State;
 use std::collections::BTreeMap;
 
-/// What the list says of a node.
+/// What the list says of a machine.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct ListEntry {
+    /// The backend process that it speaks of.
     pub life: u32,
+    /// Whether the backend takes work.
     pub state: State,
-    /// When it last started, s; `None` for long ago.
+    /// When it started, s; `None` for long ago.
     pub started: Option<f64>,
 }
 
+impl ListEntry {
+    /// The backend has ended.
+    pub(crate) fn gone(life: u32) -> Self {
+        Self {
+            life,
+            state: State::Gone,
+            started: None,
+        }
+    }
+}
+
+/// An entry, and the version of the list in which it last changed.
+#[derive(Clone, Copy, Debug)]
+struct VersionedEntry {
+    version: u64,
+    entry: ListEntry,
+}
+
+/// A proxy as a reader of the list.
 #[derive(Clone, Debug, Default)]
 struct Reader {
+    /// Whether a call of it waits for a change.
     watching: bool,
-    /// Up to here it has been told.
+    /// The version that it has received.
     version: u64,
+    /// How many faults keep its copy as it is.
     stale_faults: usize,
 }
 
@@ -23,16 +46,17 @@
 #[derive(Debug, Default)]
 pub(crate) struct EndpointListService {
     version: u64,
-    list_entries: BTreeMap<u32, (u64, ListEntry)>,
+    entries: BTreeMap<u32, VersionedEntry>,
     readers: Vec<Reader>,
+    /// How many faults keep it from serving.
     outages: usize,
-    /// Calls that it works on now, and at most; none without a limit.
     calls_in_progress: usize,
+    /// The most calls that it works on at a time; `None` without a limit.
     call_limit: Option<usize>,
 }
 
 impl EndpointListService {
-    /// With a limit, `call_limit` calls are worked on at a time.
+    /// An empty list for so many proxies.
     pub(crate) fn new(proxies: usize, call_limit: Option<usize>) -> Self {
         Self {
             readers: vec![Reader::default(); proxies],
@@ -41,111 +65,110 @@
         }
     }
 
+    /// Whether it works on a limited number of calls at a time.
     pub(crate) fn is_limited(&self) -> bool {
         self.call_limit.is_some()
     }
 
-    /// A proxy's call comes: how many lines there are to be told. `None` where it is refused; else `done` must follow.
+    /// Accepts a proxy's call: how many entries it will return. `None` where the call is refused; otherwise `finish_call`
+    /// must follow.
     pub(crate) fn accept_call(&mut self, proxy: u16) -> Option<usize> {
         self.readers[proxy as usize].watching = false;
-        if self.outages > 0
-            || self
-                .call_limit
-                .is_some_and(|call_limit| self.calls_in_progress >= call_limit)
-        {
+        let is_full = |limit| self.calls_in_progress >= limit;
+        if self.outages > 0 || self.call_limit.is_some_and(is_full) {
             return None;
         }
         self.calls_in_progress += 1;
         Some(self.changed_entries(proxy).count())
     }
 
-    fn changed_entries(&self, proxy: u16) -> impl Iterator<Item = (&u32, &(u64, ListEntry))> {
-        let from = self.readers[proxy as usize].version;
-        self.list_entries
+    /// The work on a call has ended.
+    pub(crate) fn finish_call(&mut self) {
+        self.calls_in_progress -= 1;
+    }
+
+    fn changed_entries(&self, proxy: u16) -> impl Iterator<Item = (u32, ListEntry)> {
+        let received = self.readers[proxy as usize].version;
+        let changed = self
+            .entries
             .iter()
-            .filter(move |(_, (version, _))| *version > from)
+            .filter(move |(_, changed)| changed.version > received);
+        changed.map(|(node, changed)| (*node, changed.entry))
     }
 
-    /// Whether a proxy that watches is to be told something now.
+    /// Whether a proxy waits for changes and there are some that it may receive now.
     pub(crate) fn has_update(&self, proxy: u16) -> bool {
         self.can_update(proxy) && self.changed_entries(proxy).next().is_some()
     }
 
-    /// The work on a call has ended.
-    pub(crate) fn finish_call(&mut self) {
-        self.calls_in_progress -= 1;
-    }
-
-    /// A node is now so; the proxies that are to be told at once.
-    pub(crate) fn publish(&mut self, node: u32, list_entry: ListEntry) -> Vec<u16> {
+    /// Changes the entry of a machine; returns the proxies that are to receive it at once.
+    pub(crate) fn publish(&mut self, node: u32, entry: ListEntry) -> Vec<u16> {
         self.version += 1;
-        self.list_entries.insert(node, (self.version, list_entry));
+        let version = self.version;
+        self.entries.insert(node, VersionedEntry { version, entry });
         (0..self.readers.len() as u16)
             .filter(|proxy| self.can_update(*proxy))
             .collect()
     }
 
-    /// Whether a proxy that watches would be told of a change now.
+    /// Whether a proxy waits for changes and would receive one now.
     pub(crate) fn can_update(&self, proxy: u16) -> bool {
         let reader = &self.readers[proxy as usize];
         self.outages == 0 && reader.watching && reader.stale_faults == 0
     }
 
-    /// A proxy begins to watch; false where the call fails.
+    /// A proxy waits for changes from now on; false where the service is down.
     pub(crate) fn watch(&mut self, proxy: u16) -> bool {
         self.readers[proxy as usize].watching = self.outages == 0;
         self.outages == 0
     }
 
-    /// What has changed since a proxy was told last; from now on it has been told.
+    /// What has changed since a proxy's last update; it counts as received.
     pub(crate) fn take_update(&mut self, proxy: u16) -> Vec<(u32, ListEntry)> {
-        let update = self
-            .changed_entries(proxy)
-            .map(|(node, (_, list_entry))| (*node, *list_entry))
-            .collect();
+        let update = self.changed_entries(proxy).collect();
         self.readers[proxy as usize].version = self.version;
         update
     }
 
-    /// A proxy starts: the list that it has then; it watches nothing yet.
+    /// The whole list for a proxy that starts; it does not wait for changes yet.
     pub(crate) fn snapshot(&mut self, proxy: u16) -> Vec<(u32, ListEntry)> {
         self.reset_reader(proxy);
-        let all = self.take_update(proxy);
-        all.into_iter()
-            .filter(|(_, list_entry)| list_entry.state != State::Gone)
-            .collect()
+        let mut entries = self.take_update(proxy);
+        entries.retain(|(_, entry)| entry.state != State::Gone);
+        entries
     }
 
-    /// A proxy starts and knows nothing.
+    /// A proxy starts, and has received nothing.
     pub(crate) fn reset_reader(&mut self, proxy: u16) {
         self.readers[proxy as usize].watching = false;
         self.readers[proxy as usize].version = 0;
     }
 
-    /// It fails from now on, or no longer; the proxies whose watches end.
+    /// Begins or ends an outage; returns the proxies whose waiting calls fail.
     pub(crate) fn set_down(&mut self, down: bool) -> Vec<u16> {
-        self.outages = if down {
-            self.outages + 1
-        } else {
-            self.outages.saturating_sub(1)
-        };
-        let mut ended = Vec::new();
+        self.outages = count_fault(self.outages, down);
+        let mut failed = Vec::new();
         for (proxy, reader) in (0..).zip(&mut self.readers) {
             if self.outages > 0 && std::mem::take(&mut reader.watching) {
-                ended.push(proxy);
+                failed.push(proxy);
             }
         }
-        ended
+        failed
     }
 
-    /// A proxy's list stands still, or moves on; true if it is to be told what it missed.
+    /// Begins or ends a fault that keeps a proxy's copy as it is; true if it is to receive what it missed.
     pub(crate) fn set_stale(&mut self, proxy: u16, stale: bool) -> bool {
         let reader = &mut self.readers[proxy as usize];
-        reader.stale_faults = if stale {
-            reader.stale_faults + 1
-        } else {
-            reader.stale_faults.saturating_sub(1)
-        };
+        reader.stale_faults = count_fault(reader.stale_faults, stale);
         self.can_update(proxy)
     }
 }
+
+/// The number of faults of a kind after one more begins or ends.
+fn count_fault(faults: usize, begins: bool) -> usize {
+    if begins {
+        faults + 1
+    } else {
+        faults.saturating_sub(1)
+    }
+}
--- a/crates/simulation/src/world/event.rs
+++ b/crates/simulation/src/world/event.rs
@@ -1,107 +1,84 @@
-//! Simulated events: what the queue holds, and what reaches a proxy's process.
+//! Simulated events: what the queue holds, and what a proxy's process receives.
+use super::backends::Retirement;
 use super::endpoint_list::ListEntry;
+use super::process::ProcessId;
 use birchhub::interface::{AttemptOutcome, LoadReport};
 use birchhub_audit::Answer;
 
+/// An event in the queue. `attempt` is the ledger's number of a client's attempt, `job` that of a proxy's attempt at a
+/// backend, and `node` the index of a machine.
 #[derive(Clone, Debug)]
 pub(super) enum SimulationEvent {
+    /// The act with this index in the plan is due.
     PlannedAct(usize),
+    /// An RPC of the plan begins at its client.
     RpcDue(u32),
-    SendClientAttempt {
-        rpc: u32,
-        number: u8,
-    },
-    AttemptAtProxy {
-        attempt: u64,
-        proxy: u16,
-    },
+    /// A client retries an RPC.
+    SendClientAttempt { rpc: u32, number: u8 },
+    /// A client's attempt arrives at a proxy.
+    AttemptAtProxy { attempt: u64, proxy: u16 },
+    /// A process receives an event, unless it has ended by then.
     ToProcess {
-        proxy: u16,
-        process: u32,
+        process: ProcessId,
         event: ProcessEvent,
     },
-    AttemptAtBackend {
-        job: u64,
-        begun: f64,
-    },
-    BackendDue {
-        node: u32,
-        version: u64,
-    },
-    /// The proxy has closed the connection of this pick.
-    ConnectionClosed {
-        job: u64,
-    },
-    HealthCheckAtBackend {
-        proxy: u16,
-        process: u32,
-        node: u32,
-    },
-    AnswerAtClient {
-        attempt: u64,
-        answer: Answer,
-    },
-    ClientGivesUp {
-        attempt: u64,
-    },
-    ClientDisconnects {
-        attempt: u64,
-    },
-    PublishEndpoint {
-        node: u32,
-        list_entry: ListEntry,
-    },
-    ListCallArrives {
-        proxy: u16,
-        process: u32,
-    },
-    /// The list service, which takes only so many calls at a time, has worked on one.
-    ListCallServed {
-        proxy: u16,
-        process: u32,
-    },
-    RetireBackend {
-        node: u32,
-        by: f64,
-        successor: u32,
-        after: f64,
-    },
-    StartBackend {
-        node: u32,
-    },
-    FrontNoticesStop {
-        proxy: u16,
-        process: u32,
-    },
-    StopProxyWhenIdle {
-        proxy: u16,
-        process: u32,
-    },
-    StartProxy {
-        proxy: u16,
-        since: f64,
-    },
+    /// A proxy's attempt arrives at its backend; its connection was opened at `begun`.
+    AttemptAtBackend { job: u64, begun: f64 },
+    /// A backend's own next event is due, unless the machine has had a later version since.
+    BackendDue { node: u32, version: u64 },
+    /// The backend learns that the proxy has closed the connection of this attempt.
+    ConnectionClosed { job: u64 },
+    /// A proxy's health check arrives at a machine.
+    HealthCheckAtBackend { process: ProcessId, node: u32 },
+    /// An answer arrives at the client.
+    AnswerAtClient { attempt: u64, answer: Answer },
+    /// The client waits for this attempt no longer.
+    ClientGivesUp { attempt: u64 },
+    /// The client closes its connection before it has an answer.
+    ClientDisconnects { attempt: u64 },
+    /// The endpoint list service learns of a change.
+    PublishEndpoint { node: u32, list_entry: ListEntry },
+    /// A proxy's call arrives at the endpoint list service.
+    ListCallArrives(ProcessId),
+    /// The endpoint list service, which serves a limited number of calls at a time, has worked on one.
+    ListCallServed(ProcessId),
+    /// A machine may be idle, and then its backend is replaced.
+    RetireBackend(Retirement),
+    /// A backend starts cold on a machine without one.
+    StartBackend { node: u32 },
+    /// The layer before the proxies notices that a process stops or has ended.
+    FrontNoticesStop(ProcessId),
+    /// A process that is to stop may have no RPC left.
+    StopProxyWhenIdle(ProcessId),
+    /// A proxy that was to start at `since` starts once its earlier process has ended.
+    StartProxy { proxy: u16, since: f64 },
 }
 
-/// What reaches a proxy's process.
+/// What a proxy's process receives.
 #[derive(Clone, Debug)]
 pub(super) enum ProcessEvent {
+    /// A timer of the decision module fires.
     Timer,
+    /// The deadline of a client's attempt has passed.
     Deadline(u64),
+    /// The client of an attempt has closed its connection.
     ClientDisconnected(u64),
+    /// An attempt at a backend has its outcome.
     AttemptEnded {
         job: u64,
-        how: AttemptOutcome,
+        outcome: AttemptOutcome,
         report: Option<LoadReport>,
     },
-    AttemptTimeout {
-        job: u64,
-    },
+    /// The time for an attempt at a backend has passed.
+    AttemptTimeout { job: u64 },
+    /// A health check has its outcome.
     HealthChecked {
         node: u32,
-        how: AttemptOutcome,
+        outcome: AttemptOutcome,
         report: Option<LoadReport>,
     },
+    /// The endpoint list service sends changed entries, by machine.
     EndpointUpdate(Vec<(u32, ListEntry)>),
+    /// A call to the endpoint list service has failed.
     ListFailed,
 }
--- a/crates/simulation/src/world/faults.rs
+++ b/crates/simulation/src/world/faults.rs
@@ -1,7 +1,8 @@
-//! Planned faults, applied to machines, proxies and the list service.
+//! The acts of the plan: faults of machines, proxies and the endpoint list service, and the deployments among them.
+use super::backends::Retirement;
 use super::endpoint_list::ListEntry;
 use super::event::{ProcessEvent, SimulationEvent};
-use super::proxies::{PLANNED_STOP_NOTICE_DELAY, PROXY_START_DELAY, SHUTDOWN_GRACE};
+use super::machine::InjectedFault;
 use super::{NETWORK_DELAY, World};
 use birchhub::interface::AttemptOutcome;
 use birchhub_audit::event::End;
@@ -10,216 +11,208 @@
 use birchhub_rehearsal::plan::{Act, Trick};
 use rand::Rng;
 
-const NOTICEABLE_PAUSE: f64 = 0.02; // s of a pause from which on a proxy notices that it stood still
+/// s, the shortest pause that a proxy notices: it sets its clock back, and blames no backend for time-outs meanwhile.
+const NOTICEABLE_PAUSE: f64 = 0.02;
 
 impl World<'_> {
-    #[expect(clippy::too_many_lines)]
+    /// Does what the plan has for now.
     pub(super) fn apply_planned_act(&mut self, act: Act) {
         match act {
-            Act::Begin { trouble } => self.record(Event::Trouble {
-                number: trouble,
-                begins: true,
-            }),
-            Act::End { trouble } => self.record(Event::Trouble {
-                number: trouble,
-                begins: false,
-            }),
+            Act::Begin { trouble } => self.record_trouble(trouble, true),
+            Act::End { trouble } => self.record_trouble(trouble, false),
             Act::Stall { node, number, on } => self.set_stalled(node, number, on),
-            Act::Scale { node, factor } => {
-                self.machines[node as usize].capacity_factor *= factor;
-                self.change_backend(node, |n, now, repeats, out| {
-                    n.scale(now, factor, repeats, out)
-                });
-            }
+            Act::Scale { node, factor } => self.scale_machine(node, factor),
             Act::Slow { method, factor } => self.method_slowdown[method] *= factor,
-            Act::Crash { node } => {
-                if let Some(life) = self.stop_backend(node) {
-                    let list_entry = ListEntry {
-                        life,
-                        state: State::Gone,
-                        started: None,
-                    };
-                    self.schedule_publication(node, list_entry, self.scenario.list.notices.0);
-                }
-            }
+            Act::Crash { node } => self.remove_backend(node, self.scenario.list.notices.0),
             Act::Return { node } => self.start_backend_cold(node),
-            Act::Announce { node } => {
-                let machine = &mut self.machines[node as usize];
-                if let Some((life, _)) = machine.node.as_ref() {
-                    let list_entry = ListEntry {
-                        life: *life,
-                        state: State::Draining,
-                        started: machine.cold_started_at,
-                    };
-                    self.schedule_publication(node, list_entry, self.scenario.list.lag.0);
-                }
-            }
-            Act::Drain { node } => {
-                if let Some((life, n)) = self.machines[node as usize].node.as_mut() {
-                    let life = *life;
-                    n.drain();
-                    self.record(Event::Drained { life });
-                }
-            }
+            Act::Announce { node } => self.announce_drain(node),
+            Act::Drain { node } => self.drain_backend(node),
             Act::Retire {
                 node,
                 by,
                 successor,
                 after,
-            } => {
-                if !std::mem::replace(&mut self.machines[node as usize].retiring, true) {
-                    self.retire_backend(node, by, successor, after);
-                }
-            }
-            Act::Faulty {
+            } => self.start_retirement(Retirement {
                 node,
-                number,
-                fault,
-                on: true,
-            } => {
-                self.machines[node as usize].faults.push((number, fault));
-            }
+                by,
+                successor,
+                after,
+            }),
             Act::Faulty {
                 node,
                 number,
-                on: false,
-                ..
-            } => {
-                self.machines[node as usize]
-                    .faults
-                    .retain(|(n, _)| *n != number);
-            }
+                fault,
+                on,
+            } => self.set_faulty(node, number, fault, on),
             Act::ListLate { by } => self.list_delay += by,
-            Act::ListDown { down } => {
-                for proxy in self.list.set_down(down) {
-                    self.send_to_process(proxy, NETWORK_DELAY, ProcessEvent::ListFailed);
-                }
-            }
-            Act::ListStale { proxy, stale } => {
-                if self.list.set_stale(proxy, stale) {
-                    self.send_endpoint_update(proxy);
-                }
-            }
+            Act::ListDown { down } => self.set_list_down(down),
+            Act::ListStale { proxy, stale } => self.set_list_stale(proxy, stale),
             Act::KillProxy { proxy } => self.kill_proxy(proxy, End::Killed),
-            Act::TermProxy { proxy } => {
-                if let Some(running) = self.proxies[proxy as usize].as_mut() {
-                    running.stopping = true;
-                    let process = running.process;
-                    self.schedule(
-                        PLANNED_STOP_NOTICE_DELAY,
-                        SimulationEvent::FrontNoticesStop { proxy, process },
-                    );
-                    self.schedule(
-                        SHUTDOWN_GRACE,
-                        SimulationEvent::StopProxyWhenIdle { proxy, process },
-                    );
-                }
-            }
-            Act::StartProxy { proxy } => self.schedule(
-                PROXY_START_DELAY,
-                SimulationEvent::StartProxy {
-                    proxy,
-                    since: self.now,
-                },
-            ),
-            Act::PauseProxy { proxy, on } => self.set_paused(proxy, on),
+            Act::TermProxy { proxy } => self.terminate_proxy(proxy),
+            Act::StartProxy { proxy } => self.schedule_proxy_start(proxy, self.now),
+            Act::PauseProxy { proxy, on: true } => self.pause_proxy(proxy),
+            Act::PauseProxy { proxy, on: false } => self.resume_proxy(proxy),
+        }
+    }
+
+    fn record_trouble(&mut self, number: u16, begins: bool) {
+        self.record(Event::Trouble { number, begins });
+    }
+
+    fn scale_machine(&mut self, node: u32, factor: f64) {
+        self.machines[node as usize].capacity_factor *= factor;
+        self.change_backend(node, |node, now, repeats, happenings| {
+            node.scale(now, factor, repeats, happenings)
+        });
+    }
+
+    /// The endpoint list will say that a backend drains.
+    fn announce_drain(&mut self, node: u32) {
+        let machine = &self.machines[node as usize];
+        if let Some(life) = machine.life() {
+            let list_entry = ListEntry {
+                life,
+                state: State::Draining,
+                started: machine.cold_started_at,
+            };
+            self.schedule_publication(node, list_entry, self.scenario.list.lag.0);
+        }
+    }
+
+    /// A backend turns new work away.
+    fn drain_backend(&mut self, node: u32) {
+        if let Some(backend) = self.machines[node as usize].backend.as_mut() {
+            let life = backend.life;
+            backend.node.drain();
+            self.record(Event::Drained { life });
+        }
+    }
+
+    fn start_retirement(&mut self, retirement: Retirement) {
+        let machine = &mut self.machines[retirement.node as usize];
+        if !std::mem::replace(&mut machine.retiring, true) {
+            self.retire_backend(retirement);
         }
     }
 
-    pub(super) fn set_stalled(&mut self, machine_index: u32, number: u64, on: bool) {
-        let machine = &mut self.machines[machine_index as usize];
-        if machine.node.is_none() {
+    fn set_faulty(&mut self, node: u32, number: u64, trick: Trick, on: bool) {
+        let faults = &mut self.machines[node as usize].faults;
+        if on {
+            faults.push(InjectedFault { number, trick });
+        } else {
+            faults.retain(|fault| fault.number != number);
+        }
+    }
+
+    fn set_list_down(&mut self, down: bool) {
+        for proxy in self.list.set_down(down) {
+            self.send_to_process(proxy, NETWORK_DELAY, ProcessEvent::ListFailed);
+        }
+    }
+
+    fn set_list_stale(&mut self, proxy: u16, stale: bool) {
+        if self.list.set_stale(proxy, stale) {
+            self.send_endpoint_update(proxy);
+        }
+    }
+
+    /// Begins or ends a stall of a machine; what arrived meanwhile is handled when the last stall ends.
+    fn set_stalled(&mut self, node: u32, number: u64, on: bool) {
+        let machine = &mut self.machines[node as usize];
+        if machine.backend.is_none() {
             return;
         }
-        let was_running = machine.stalls.is_empty();
+        let was_stalled = !machine.stalls.is_empty();
         if on {
             machine.stalls.insert(number);
         } else {
             machine.stalls.remove(&number);
         }
-        let stalled = !machine.stalls.is_empty();
-        if stalled == was_running {
-            self.change_backend(machine_index, |n, now, repeats, out| {
-                n.stall(now, stalled, repeats, out)
+        let is_stalled = !machine.stalls.is_empty();
+        if is_stalled != was_stalled {
+            self.change_backend(node, |node, now, repeats, happenings| {
+                node.stall(now, is_stalled, repeats, happenings)
             });
         }
-        if !stalled {
-            let deferred_events =
-                std::mem::take(&mut self.machines[machine_index as usize].deferred_events);
-            deferred_events
-                .into_iter()
-                .for_each(|event| self.dispatch(event));
+        if !is_stalled {
+            let deferred_events = std::mem::take(&mut self.machines[node as usize].deferred_events);
+            for event in deferred_events {
+                self.dispatch(event);
+            }
+        }
+    }
+
+    fn pause_proxy(&mut self, proxy: u16) {
+        let now = self.now;
+        if let Some(running) = self.proxies[proxy as usize].as_mut() {
+            running.paused.get_or_insert(now);
         }
     }
 
-    pub(super) fn set_paused(&mut self, proxy: u16, on: bool) {
+    /// A paused proxy goes on, and handles what arrived meanwhile.
+    fn resume_proxy(&mut self, proxy: u16) {
         let now = self.now;
         let Some(running) = self.proxies[proxy as usize].as_mut() else {
             return;
         };
-        if on {
-            running.paused.get_or_insert(now);
-            return;
-        }
         let Some(since) = running.paused.take() else {
             return;
         };
-        let pause_noticed = now - since > NOTICEABLE_PAUSE;
-        if pause_noticed {
-            running.clock_lag += now - since;
-            // Its wake-up moves with its clock: one that comes early is passed over, and none would follow.
-            let process = running.process;
-            running.timer_at = running.timer_at.map(|at| at + (now - since));
-            if let Some(at) = running.timer_at {
-                self.queue.put(
-                    at,
-                    SimulationEvent::ToProcess {
-                        proxy,
-                        process,
-                        event: ProcessEvent::Timer,
-                    },
-                );
-            }
+        let is_noticed = now - since > NOTICEABLE_PAUSE;
+        if is_noticed {
+            self.set_clock_back(proxy, now - since);
         }
         for event in std::mem::take(&mut self.deferred_events[proxy as usize]) {
-            // What ran out while it stood still says nothing of the node.
             match event {
+                // A time-out during a noticed pause says nothing of the backend.
                 SimulationEvent::ToProcess {
                     event: ProcessEvent::AttemptTimeout { job },
                     ..
-                } if pause_noticed => {
-                    if self.is_attempt_open(job) {
-                        self.schedule(NETWORK_DELAY, SimulationEvent::ConnectionClosed { job });
-                        self.end_attempt(job, AttemptOutcome::Cancelled, None);
-                    }
-                }
+                } if is_noticed => self.abort_attempt(job, AttemptOutcome::Cancelled),
                 event => self.dispatch(event),
             }
         }
     }
 
-    /// The fault whose share this pick hits, by the same chance as on sockets.
+    /// Sets a proxy's clock back by a pause. Its timer moves with it: the earlier event is passed over.
+    fn set_clock_back(&mut self, proxy: u16, pause: f64) {
+        let Some(running) = self.proxies[proxy as usize].as_mut() else {
+            return;
+        };
+        running.clock_lag += pause;
+        running.timer_at = running.timer_at.map(|at| at + pause);
+        let process = running.id;
+        if let Some(at) = running.timer_at {
+            self.schedule_timer_event(process, at);
+        }
+    }
+
+    /// The fault that an attempt at a machine meets: drawn by attempt, with the chance that it has on sockets too.
     pub(super) fn injected_fault(&self, node: u32, attempt: u64) -> Option<Trick> {
-        let hit = |(number, fault): &&(u64, Trick)| {
-            let share = match fault {
-                Trick::Reset(share) | Trick::Half(share) | Trick::Garbage(share) => *share,
-                Trick::Mute(share) | Trick::Error(share) | Trick::Trickle(share, _) => *share,
-                Trick::Partition(_) => 0.0,
-            };
-            share > 0.0 && generator(self.plan.seed ^ number, attempt).random::<f64>() < share
+        let hits = |fault: &&InjectedFault| {
+            let share = affected_share(&fault.trick);
+            let seed = self.plan.seed ^ fault.number;
+            share > 0.0 && generator(seed, attempt).random::<f64>() < share
         };
-        self.machines[node as usize]
-            .faults
-            .iter()
-            .find(hit)
-            .map(|(_, fault)| fault.clone())
+        let fault = self.machines[node as usize].faults.iter().find(hits);
+        fault.map(|fault| fault.trick.clone())
     }
 
+    /// Whether nothing passes between a machine and a proxy.
     pub(super) fn is_partitioned(&self, node: u32, proxy: u16) -> bool {
-        let cuts = |(_, fault): &(u64, Trick)| match fault {
+        let mut faults = self.machines[node as usize].faults.iter();
+        faults.any(|fault| match fault.trick {
             Trick::Partition(from) => from.is_none_or(|from| from == proxy),
             _ => false,
-        };
-        self.machines[node as usize].faults.iter().any(cuts)
+        })
+    }
+}
+
+/// The share of the attempts at a machine that meet its fault one by one.
+fn affected_share(trick: &Trick) -> f64 {
+    match trick {
+        Trick::Reset(share) | Trick::Half(share) | Trick::Garbage(share) => *share,
+        Trick::Mute(share) | Trick::Error(share) | Trick::Trickle(share, _) => *share,
+        Trick::Partition(_) => 0.0,
     }
 }
--- a/crates/simulation/src/world/mod.rs
+++ b/crates/simulation/src/world/mod.rs
@@ -1,4 +1,4 @@
-//! The world of a rehearsal in simulated time: every event handled in its order, and what happened noted as stand-ins do.
+//! The simulated world of a rehearsal: its machines, proxies and clients, and the loop that handles one event after another.
 mod attempts;
 mod backends;
 mod clients;
@@ -7,6 +7,7 @@
 mod endpoint_list;
 mod event;
 mod faults;
+mod machine;
 mod platform;
 mod process;
 mod proxies;
@@ -14,7 +15,6 @@
 
 use crate::queue::Queue;
 use attempts::ProxyAttempt;
-use backends::{Machine, machine};
 use birchhub::interface::Settings;
 use birchhub_audit::event::End;
 use birchhub_audit::{Answer, Entry, Event, Head, State};
@@ -25,83 +25,71 @@
 use clients::ClientAttempt;
 use endpoint_list::{EndpointListService, ListEntry};
 use event::SimulationEvent;
+use machine::Machine;
 use process::ProxyProcess;
-use proxies::{PROXY_START_DELAY, SHUTDOWN_MARGIN};
 use std::collections::HashMap;
 
-const NETWORK_DELAY: f64 = 0.0002; // s from one machine to the next: what loopback and two event loops take
-const POLL_INTERVAL: f64 = 0.01; // s between looks at what is to end
-const RUN_TAIL: f64 = 1.0; // s after the last deadline
+/// s from one machine to the next: what loopback and two event loops take.
+const NETWORK_DELAY: f64 = 0.0002;
+
+/// s between looks at whether a process that is to end is idle.
+const POLL_INTERVAL: f64 = 0.01;
+
+/// s that a run goes on after the last deadline, for the answers on their way.
+const RUN_TAIL: f64 = 1.0;
 
 /// What came of a simulation.
 pub struct Outcome {
+    /// The ledger's head: the deployment and the plan.
     pub head: Head,
+    /// The ledger's entries by time.
     pub entries: Vec<Entry>,
-    /// Events handled.
+    /// How many simulated events were handled.
     pub events: u64,
 }
 
+/// The state of a simulation. Machines, proxies, methods and acts are known by their index in the plan or the scenario.
 struct World<'a> {
     scenario: &'a Scenario,
     plan: &'a Plan,
+    /// s since the simulation began.
     now: f64,
     queue: Queue<SimulationEvent>,
+    /// The ledger so far.
     entries: Vec<Entry>,
     machines: Vec<Machine>,
+    /// What groups of backends remember in order to drop repeats.
     repeats: Repeats,
+    /// By method: the factor that faults put on its work.
     method_slowdown: Vec<f64>,
+    /// By proxy: the process that runs.
     proxies: Vec<Option<ProxyProcess>>,
+    /// How many processes of proxies have been started.
     processes: u32,
+    /// By proxy: whether the layer before the proxies gives it traffic.
     accepts_traffic: Vec<bool>,
+    /// By proxy: what arrived during a pause.
     deferred_events: Vec<Vec<SimulationEvent>>,
     list: EndpointListService,
+    /// s that faults add to the delay of the endpoint list service.
     list_delay: f64,
+    /// By job.
     proxy_attempts: HashMap<u64, ProxyAttempt>,
+    /// By the attempt's number in the ledger.
     client_attempts: HashMap<u64, ClientAttempt>,
     next_job: u64,
     next_life: u32,
+    /// By proxy.
     settings: Vec<Settings>,
+    /// s, of all methods.
     longest_deadline: f64,
 }
 
 /// Plays a plan in simulated time. An error is one of the scenario's settings.
 pub fn simulate(scenario: &Scenario, plan: &Plan) -> Result<Outcome, String> {
-    let count = scenario.proxies.count;
-    let read = |proxy: u16| {
-        let mut conf = birchhub_settings::parse_value(&settings::settings(scenario, proxy))
-            .map_err(|error| error.to_string())?;
-        conf.settings.polls_endpoint_list = true;
-        Ok::<_, String>(conf.settings)
-    };
-    let longest_deadline = scenario
-        .method
-        .iter()
-        .map(|m| m.deadline.0)
-        .fold(0.0, f64::max);
-    let mut world = World {
-        scenario,
-        plan,
-        now: 0.0,
-        queue: Queue::default(),
-        entries: Vec::new(),
-        machines: plan.nodes.iter().map(|n| machine(scenario, n)).collect(),
-        repeats: Repeats::default(),
-        method_slowdown: vec![1.0; scenario.method.len()],
-        proxies: (0..count).map(|_| None).collect(),
-        processes: 0,
-        accepts_traffic: vec![false; count],
-        deferred_events: vec![Vec::new(); count],
-        list: EndpointListService::new(count, scenario.list.calls),
-        list_delay: 0.0,
-        proxy_attempts: HashMap::new(),
-        client_attempts: HashMap::new(),
-        next_job: 1,
-        next_life: 1,
-        settings: (0..count as u16).map(read).collect::<Result<_, _>>()?,
-        longest_deadline,
-    };
+    let mut world = World::new(scenario, plan)?;
     world.set_up();
-    let events = world.run(plan.length + longest_deadline + RUN_TAIL);
+    let events = world.run(plan.length + world.longest_deadline + RUN_TAIL);
     world.entries.sort_by(|a, b| a.at.total_cmp(&b.at));
     Ok(Outcome {
         head: settings::head(scenario, plan),
@@ -110,42 +98,79 @@
     })
 }
 
+/// The settings of a proxy, which polls its endpoint list as the simulated service has it.
+fn proxy_settings(scenario: &Scenario, proxy: u16) -> Result<Settings, String> {
+    let file = settings::settings(scenario, proxy);
+    let mut parsed = birchhub_settings::parse_value(&file).map_err(|error| error.to_string())?;
+    parsed.settings.polls_endpoint_list = true;
+    Ok(parsed.settings)
+}
+
+impl<'a> World<'a> {
+    fn new(scenario: &'a Scenario, plan: &'a Plan) -> Result<Self, String> {
+        let proxies = scenario.proxies.count;
+        let settings = (0..proxies as u16).map(|proxy| proxy_settings(scenario, proxy));
+        let machines = plan.nodes.iter().map(|node| Machine::new(scenario, node));
+        let deadlines = scenario.method.iter().map(|method| method.deadline.0);
+        Ok(World {
+            scenario,
+            plan,
+            now: 0.0,
+            queue: Queue::default(),
+            entries: Vec::new(),
+            machines: machines.collect(),
+            repeats: Repeats::default(),
+            method_slowdown: vec![1.0; scenario.method.len()],
+            proxies: (0..proxies).map(|_| None).collect(),
+            processes: 0,
+            accepts_traffic: vec![false; proxies],
+            deferred_events: vec![Vec::new(); proxies],
+            list: EndpointListService::new(proxies, scenario.list.calls),
+            list_delay: 0.0,
+            proxy_attempts: HashMap::new(),
+            client_attempts: HashMap::new(),
+            next_job: 1,
+            next_life: 1,
+            settings: settings.collect::<Result<_, _>>()?,
+            longest_deadline: deadlines.fold(0.0, f64::max),
+        })
+    }
+}
+
 impl World<'_> {
+    /// Adds an event to the ledger.
     fn record(&mut self, event: Event) {
-        self.entries.push(Entry {
-            at: self.now,
-            event,
-        });
+        let at = self.now;
+        self.entries.push(Entry { at, event });
     }
 
+    /// Puts an event into the queue, `delay` s from now.
     fn schedule(&mut self, delay: f64, event: SimulationEvent) {
         self.queue.put(self.now + delay, event);
     }
 
+    /// Starts the first backends and the proxies, and puts the plan into the queue.
     fn set_up(&mut self) {
         for node in 0..self.plan.first_nodes() as u32 {
-            let life = self.start_backend(node, Start::Warm);
-            self.publish_endpoint(
-                node,
-                ListEntry {
-                    life,
-                    state: State::Ready,
-                    started: None,
-                },
-            );
+            let list_entry = ListEntry {
+                life: self.start_backend(node, Start::Warm),
+                state: State::Ready,
+                started: None,
+            };
+            self.publish_endpoint(node, list_entry);
         }
         for proxy in 0..self.proxies.len() as u16 {
             self.start_proxy(proxy);
         }
-        for (n, (at, _)) in self.plan.acts.iter().enumerate() {
-            self.queue.put(*at, SimulationEvent::PlannedAct(n));
+        for (act, (at, _)) in self.plan.acts.iter().enumerate() {
+            self.queue.put(*at, SimulationEvent::PlannedAct(act));
         }
-        for (rpc, arrival) in self.plan.arrivals.iter().enumerate() {
-            self.queue
-                .put(arrival.due, SimulationEvent::RpcDue(rpc as u32));
+        for (rpc, arrival) in (0..).zip(&self.plan.arrivals) {
+            self.queue.put(arrival.due, SimulationEvent::RpcDue(rpc));
         }
     }
 
+    /// Handles events up to `end`, s, and ends the proxies; returns the number of events.
     fn run(&mut self, end: f64) -> u64 {
         let mut events = 0;
         while let Some((at, event)) = self.queue.take().filter(|(at, _)| *at <= end) {
@@ -165,85 +190,30 @@
         events
     }
 
-    #[expect(clippy::too_many_lines)]
+    /// Handles one event.
     fn dispatch(&mut self, event: SimulationEvent) {
+        use SimulationEvent as Due;
         match event {
-            SimulationEvent::PlannedAct(n) => self.apply_planned_act(self.plan.acts[n].1.clone()),
-            SimulationEvent::RpcDue(rpc) => {
-                let arrival = &self.plan.arrivals[rpc as usize];
-                let (method, tenant, within) = (arrival.method, arrival.tenant, arrival.within);
-                self.record(Event::Asked {
-                    rpc,
-                    method,
-                    tenant,
-                    within,
-                });
-                self.send_client_attempt(rpc, 0);
-            }
-            SimulationEvent::SendClientAttempt { rpc, number } => {
-                self.send_client_attempt(rpc, number)
-            }
-            SimulationEvent::AttemptAtProxy { attempt, proxy } => {
-                self.accept_client_attempt(attempt, proxy)
-            }
-            SimulationEvent::ToProcess {
-                proxy,
-                process,
-                event,
-            } => self.deliver_to_process(proxy, process, event),
-            SimulationEvent::AttemptAtBackend { job, begun } => self.offer_to_backend(job, begun),
-            SimulationEvent::BackendDue { node, version } => self.advance_backend(node, version),
-            SimulationEvent::ConnectionClosed { job } => self.close_connection(job),
-            SimulationEvent::HealthCheckAtBackend {
-                proxy,
-                process,
-                node,
-            } => self.answer_health_check(proxy, process, node),
-            SimulationEvent::AnswerAtClient { attempt, answer } => {
-                self.answer_client(attempt, answer)
-            }
-            SimulationEvent::ClientGivesUp { attempt } => {
-                self.answer_client(attempt, Answer::Silence)
-            }
-            SimulationEvent::ClientDisconnects { attempt } => self.disconnect_client(attempt),
-            SimulationEvent::PublishEndpoint { node, list_entry } => {
-                self.publish_endpoint(node, list_entry)
-            }
-            SimulationEvent::ListCallArrives { proxy, process } => {
-                self.start_list_call(proxy, process)
-            }
-            SimulationEvent::ListCallServed { proxy, process } => {
-                self.serve_list_call(proxy, process)
-            }
-            SimulationEvent::RetireBackend {
-                node,
-                by,
-                successor,
-                after,
-            } => self.retire_backend(node, by, successor, after),
-            SimulationEvent::StartBackend { node } => self.start_backend_cold(node),
-            SimulationEvent::FrontNoticesStop { proxy, process } => {
-                let same = self.proxies[proxy as usize].as_ref();
-                if same.is_none_or(|p| p.process == process && p.stopping) {
-                    self.accepts_traffic[proxy as usize] = false;
-                }
-            }
-            SimulationEvent::StopProxyWhenIdle { proxy, process } => {
-                self.stop_proxy_when_idle(proxy, process)
-            }
-            SimulationEvent::StartProxy { proxy, since } => {
-                if self.proxies[proxy as usize].is_none() {
-                    self.start_proxy(proxy);
-                } else if self.now > since + self.longest_deadline + SHUTDOWN_MARGIN {
-                    self.kill_proxy(proxy, End::Forced);
-                    self.schedule(
-                        PROXY_START_DELAY,
-                        SimulationEvent::StartProxy { proxy, since },
-                    );
-                } else {
-                    self.schedule(POLL_INTERVAL, SimulationEvent::StartProxy { proxy, since });
-                }
-            }
+            Due::PlannedAct(act) => self.apply_planned_act(self.plan.acts[act].1.clone()),
+            Due::RpcDue(rpc) => self.start_rpc(rpc),
+            Due::SendClientAttempt { rpc, number } => self.send_client_attempt(rpc, number),
+            Due::AttemptAtProxy { attempt, proxy } => self.accept_client_attempt(attempt, proxy),
+            Due::ToProcess { process, event } => self.deliver_to_process(process, event),
+            Due::AttemptAtBackend { job, begun } => self.offer_to_backend(job, begun),
+            Due::BackendDue { node, version } => self.advance_backend(node, version),
+            Due::ConnectionClosed { job } => self.close_connection(job),
+            Due::HealthCheckAtBackend { process, node } => self.answer_health_check(process, node),
+            Due::AnswerAtClient { attempt, answer } => self.answer_client(attempt, answer),
+            Due::ClientGivesUp { attempt } => self.answer_client(attempt, Answer::Silence),
+            Due::ClientDisconnects { attempt } => self.disconnect_client(attempt),
+            Due::PublishEndpoint { node, list_entry } => self.publish_endpoint(node, list_entry),
+            Due::ListCallArrives(process) => self.start_list_call(process),
+            Due::ListCallServed(process) => self.finish_list_call(process),
+            Due::RetireBackend(retirement) => self.retire_backend(retirement),
+            Due::StartBackend { node } => self.start_backend_cold(node),
+            Due::FrontNoticesStop(process) => self.stop_traffic(process),
+            Due::StopProxyWhenIdle(process) => self.stop_proxy_when_idle(process),
+            Due::StartProxy { proxy, since } => self.replace_proxy(proxy, since),
         }
     }
 }
--- a/crates/simulation/src/world/platform.rs
+++ b/crates/simulation/src/world/platform.rs
@@ -1,38 +1,35 @@
-//! What a proxy's decisions ask of the simulation: the commands, noted in order.
+//! The platform of the decision module in simulated time: it notes the commands that the decisions give.
 use birchhub::interface::Platform;
 
-/// What the module asked for.
+/// A command of the decision module. `attempt` is a client's attempt, `attempt_index` counts its attempts at backends.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Command {
+    /// Sends the RPC to a backend, for at most `timeout` s.
     StartAttempt {
         attempt: u64,
         backend: u32,
         timeout: f64,
     },
-    CancelAttempt {
-        attempt: u64,
-        attempt_index: usize,
-    },
-    Reject {
-        attempt: u64,
-        retry_after: f64,
-    },
-    Fail {
-        attempt: u64,
-    },
-    HealthCheck {
-        backend: u32,
-    },
+    /// Withdraws the RPC from a backend.
+    CancelAttempt { attempt: u64, attempt_index: usize },
+    /// Answers the client that it may retry after so many s; 0 names no time.
+    Reject { attempt: u64, retry_after: f64 },
+    /// Answers the client that the RPC has failed.
+    Fail { attempt: u64 },
+    /// Checks the health of a backend.
+    HealthCheck { backend: u32 },
+    /// Calls the endpoint list service.
     WatchEndpoints,
-    ScheduleTimer {
-        delay: f64,
-    },
+    /// Calls the module's timer after `delay` s.
+    ScheduleTimer { delay: f64 },
 }
 
-/// The module's door outward: notes what it asks for, in order.
+/// Notes the commands of the decision module in their order.
 #[derive(Default)]
 pub(crate) struct SimulationPlatform {
+    /// The time by the proxy's own clock, s.
     pub(super) now: f64,
+    /// The commands of the running call.
     pub commands: Vec<Command>,
 }
 
--- a/crates/simulation/src/world/proxies.rs
+++ b/crates/simulation/src/world/proxies.rs
@@ -1,6 +1,7 @@
-//! The life cycle of a proxy's process, and the traffic that it is given.
+//! The life cycle of a proxy's processes, and the traffic that the layer before them gives.
+use super::endpoint_list::ListEntry;
 use super::event::SimulationEvent;
-use super::process::ProxyProcess;
+use super::process::{ProcessId, ProxyProcess};
 use super::{NETWORK_DELAY, POLL_INTERVAL, World};
 use birchhub::interface::EndpointUpdateKind;
 use birchhub::policy::Balancer;
@@ -9,113 +10,163 @@
 use birchhub_model::work::generator;
 use rand::Rng;
 
-pub(super) const SHUTDOWN_GRACE: f64 = 0.5; // s after SIGTERM for which connections still come
-pub(super) const PROXY_START_DELAY: f64 = 0.02; // s from a proxy's start until it is ready
-pub(super) const SHUTDOWN_MARGIN: f64 = 0.7; // s beyond the longest deadline that a proxy has after SIGTERM
-pub(super) const PLANNED_STOP_NOTICE_DELAY: f64 = 0.3; // s until the layer before the proxies knows of a planned end
+/// s after SIGTERM for which connections still come.
+const SHUTDOWN_GRACE: f64 = 0.5;
+
+/// s from the start of a process until it is ready.
+const PROXY_START_DELAY: f64 = 0.02;
+
+/// s beyond the longest deadline that a process has after SIGTERM before it is killed.
+const SHUTDOWN_MARGIN: f64 = 0.7;
+
+/// s from SIGTERM until the layer before the proxies knows of it.
+const PLANNED_STOP_NOTICE_DELAY: f64 = 0.3;
+
+/// The generator of a process is drawn by proxy in the bits from here on, and by its start in ms below.
+const PROXY_SEED_SHIFT: u32 = 48;
+
+/// ms in a second.
+const MILLISECONDS: f64 = 1e3;
 
 impl World<'_> {
+    /// Whether this process of a proxy still runs.
+    pub(super) fn is_running(&self, process: ProcessId) -> bool {
+        let running = self.proxies[process.proxy as usize].as_ref();
+        running.is_some_and(|running| running.id == process)
+    }
+
+    /// Starts a process with the endpoint list that it knows, if the scenario gives it one.
     pub(super) fn start_proxy(&mut self, proxy: u16) {
         self.processes += 1;
-        let start = (self.now * 1e3) as u64;
-        let seed: u64 = generator(self.plan.seed, u64::from(proxy) << 48 | start).random();
-        let balancer = Balancer::new(&self.settings[proxy as usize], seed);
-        self.proxies[proxy as usize] = Some(ProxyProcess::new(balancer, self.processes));
-        self.record(Event::ProxyStarted { proxy });
-        let known = if self.scenario.list.known {
-            self.list.snapshot(proxy)
-        } else {
-            Vec::new()
+        let process = ProcessId {
+            proxy,
+            number: self.processes,
         };
-        if !self.scenario.list.known {
-            self.list.reset_reader(proxy);
-        }
-        for (node, list_entry) in &known {
-            self.record(Event::Told {
-                proxy,
-                node: *node,
-                life: list_entry.life,
-                state: list_entry.state,
-            });
-        }
-        let entries = self.endpoints(proxy, &known);
+        let balancer = Balancer::new(&self.settings[proxy as usize], self.process_seed(proxy));
+        self.proxies[proxy as usize] = Some(ProxyProcess::new(process, balancer));
+        self.record(Event::ProxyStarted { proxy });
+        let known = self.first_list(proxy);
+        self.record_update(proxy, &known);
+        let endpoints = self.endpoints(proxy, &known);
         self.run_decision(proxy, |balancer, _, platform| {
-            balancer.update_endpoints(EndpointUpdateKind::StaleSnapshot, &entries, platform)
+            balancer.update_endpoints(EndpointUpdateKind::StaleSnapshot, &endpoints, platform)
         });
         if self.scenario.list.known {
             self.mark_ready(proxy);
         }
     }
 
-    /// It has a list, and is taken in by the layer before it.
+    fn process_seed(&self, proxy: u16) -> u64 {
+        let start = (self.now * MILLISECONDS) as u64;
+        let stream = u64::from(proxy) << PROXY_SEED_SHIFT | start;
+        generator(self.plan.seed, stream).random()
+    }
+
+    fn first_list(&mut self, proxy: u16) -> Vec<(u32, ListEntry)> {
+        if self.scenario.list.known {
+            self.list.snapshot(proxy)
+        } else {
+            self.list.reset_reader(proxy);
+            Vec::new()
+        }
+    }
+
+    /// The process of a proxy has an endpoint list: traffic is given to it from now on.
     pub(super) fn mark_ready(&mut self, proxy: u16) {
-        if let Some(running) = self.proxies[proxy as usize]
-            .as_mut()
-            .filter(|running| !running.ready)
-        {
-            (running.ready, self.accepts_traffic[proxy as usize]) = (true, true);
+        let Some(running) = self.proxies[proxy as usize].as_mut() else {
+            return;
+        };
+        if !running.ready {
+            running.ready = true;
+            self.accepts_traffic[proxy as usize] = true;
             self.record(Event::ProxyReady { proxy });
         }
     }
 
+    /// Ends the process of a proxy: its clients and backends find their connections closed.
     pub(super) fn kill_proxy(&mut self, proxy: u16, how: End) {
-        let Some(running) = self.proxies[proxy as usize].take() else {
+        let Some(ended) = self.proxies[proxy as usize].take() else {
             return;
         };
         self.record(Event::ProxyEnded { proxy, how });
-        for (attempt, in_flight_rpc) in &running.in_flight {
-            if !in_flight_rpc.answered {
-                self.schedule(
-                    NETWORK_DELAY,
-                    SimulationEvent::AnswerAtClient {
-                        attempt: *attempt,
-                        answer: Answer::Lost,
-                    },
-                );
+        for (attempt, held) in &ended.in_flight {
+            if !held.answered {
+                self.lose_client_attempt(*attempt);
             }
-            for job in in_flight_rpc.attempts.iter().flatten() {
-                self.schedule(
-                    NETWORK_DELAY,
-                    SimulationEvent::ConnectionClosed { job: *job },
-                );
+            for job in held.attempts.iter().flatten() {
+                let closed = SimulationEvent::ConnectionClosed { job: *job };
+                self.schedule(NETWORK_DELAY, closed);
             }
         }
-        // What had come and was not read is lost with it.
+        // What had arrived during a pause and was not read is lost too.
         for event in std::mem::take(&mut self.deferred_events[proxy as usize]) {
             if let SimulationEvent::AttemptAtProxy { attempt, .. } = event {
-                self.schedule(
-                    NETWORK_DELAY,
-                    SimulationEvent::AnswerAtClient {
-                        attempt,
-                        answer: Answer::Lost,
-                    },
-                );
+                self.lose_client_attempt(attempt);
             }
         }
-        let notices = self.scenario.proxies.front_notices.0;
-        self.schedule(
-            notices,
-            SimulationEvent::FrontNoticesStop {
-                proxy,
-                process: running.process,
-            },
-        );
+        let noticed = SimulationEvent::FrontNoticesStop(ended.id);
+        self.schedule(self.scenario.proxies.front_notices.0, noticed);
     }
 
-    pub(super) fn stop_proxy_when_idle(&mut self, proxy: u16, process: u32) {
-        let Some(running) = self.proxies[proxy as usize]
+    fn lose_client_attempt(&mut self, attempt: u64) {
+        let answer = Answer::Lost;
+        let lost = SimulationEvent::AnswerAtClient { attempt, answer };
+        self.schedule(NETWORK_DELAY, lost);
+    }
+
+    /// SIGTERM: the process serves on until it is idle, and is given no more traffic once that is noticed.
+    pub(super) fn terminate_proxy(&mut self, proxy: u16) {
+        let Some(running) = self.proxies[proxy as usize].as_mut() else {
+            return;
+        };
+        running.stopping = true;
+        let process = running.id;
+        let noticed = SimulationEvent::FrontNoticesStop(process);
+        self.schedule(PLANNED_STOP_NOTICE_DELAY, noticed);
+        let stop = SimulationEvent::StopProxyWhenIdle(process);
+        self.schedule(SHUTDOWN_GRACE, stop);
+    }
+
+    /// The layer before the proxies gives no more traffic to a process that stops or has ended.
+    pub(super) fn stop_traffic(&mut self, process: ProcessId) {
+        let current = self.proxies[process.proxy as usize].as_ref();
+        if current.is_none_or(|current| current.id == process && current.stopping) {
+            self.accepts_traffic[process.proxy as usize] = false;
+        }
+    }
+
+    /// Ends a process without RPCs in flight; otherwise looks again later.
+    pub(super) fn stop_proxy_when_idle(&mut self, process: ProcessId) {
+        let Some(running) = self.proxies[process.proxy as usize]
             .as_ref()
-            .filter(|p| p.process == process)
+            .filter(|running| running.id == process)
         else {
             return;
         };
         if running.in_flight.is_empty() {
-            self.kill_proxy(proxy, End::Stopped);
+            self.kill_proxy(process.proxy, End::Stopped);
+        } else {
+            let retry = SimulationEvent::StopProxyWhenIdle(process);
+            self.schedule(POLL_INTERVAL, retry);
+        }
+    }
+
+    /// Schedules the start of a process.
+    pub(super) fn schedule_proxy_start(&mut self, proxy: u16, since: f64) {
+        let start = SimulationEvent::StartProxy { proxy, since };
+        self.schedule(PROXY_START_DELAY, start);
+    }
+
+    /// Starts a process once the earlier one has ended, which is killed when its time is over.
+    pub(super) fn replace_proxy(&mut self, proxy: u16, since: f64) {
+        if self.proxies[proxy as usize].is_none() {
+            self.start_proxy(proxy);
+        } else if self.now > since + self.longest_deadline + SHUTDOWN_MARGIN {
+            self.kill_proxy(proxy, End::Forced);
+            self.schedule_proxy_start(proxy, since);
         } else {
-            self.schedule(
-                POLL_INTERVAL,
-                SimulationEvent::StopProxyWhenIdle { proxy, process },
-            );
+            let retry = SimulationEvent::StartProxy { proxy, since };
+            self.schedule(POLL_INTERVAL, retry);
         }
     }
 }
--- a/crates/simulation/src/world/rpcs.rs
+++ b/crates/simulation/src/world/rpcs.rs
@@ -1,179 +1,149 @@
-//! RPCs and events that reach a proxy's process.
+//! What a proxy's process receives: clients' attempts, and the events that are sent to it.
+use super::clients::{client_attempt_number, rpc_of_attempt};
+use super::commands::BAD_GATEWAY;
+use super::endpoint_list::ListEntry;
 use super::event::{ProcessEvent, SimulationEvent};
-use super::platform::SimulationPlatform;
-use super::process::InFlightRpc;
+use super::process::{InFlightRpc, ProcessId};
 use super::{NETWORK_DELAY, World};
 use birchhub::interface::{AttemptOutcome, EndpointUpdateKind, IncomingRpc};
 use birchhub_audit::Answer;
 
-const DEADLINE_MARGIN: f64 = 0.005; // s of a client's wait that the proxy keeps for itself
+/// s of a client's patience that the proxy keeps for its own answer.
+const DEADLINE_MARGIN: f64 = 0.005;
 
 impl World<'_> {
-    /// Something is on its way to the process that runs now.
+    /// Sends an event to the process that a proxy has now, if it has one.
     pub(super) fn send_to_process(&mut self, proxy: u16, delay: f64, event: ProcessEvent) {
-        if let Some(process) = self.proxies[proxy as usize].as_ref().map(|p| p.process) {
-            self.schedule(
-                delay,
-                SimulationEvent::ToProcess {
-                    proxy,
-                    process,
-                    event,
-                },
-            );
+        if let Some(running) = self.proxies[proxy as usize].as_ref() {
+            let process = running.id;
+            self.schedule(delay, SimulationEvent::ToProcess { process, event });
         }
     }
 
-    #[expect(clippy::too_many_lines)]
+    fn is_paused(&self, proxy: u16) -> bool {
+        let running = self.proxies[proxy as usize].as_ref();
+        running.is_some_and(|running| running.paused.is_some())
+    }
+
+    /// A client's attempt arrives at a proxy, which accepts it if it runs.
     pub(super) fn accept_client_attempt(&mut self, attempt: u64, proxy: u16) {
-        let proxy_index = proxy as usize;
-        if self.proxies[proxy_index]
-            .as_ref()
-            .is_some_and(|p| p.paused.is_some())
-        {
-            return self.deferred_events[proxy_index]
-                .push(SimulationEvent::AttemptAtProxy { attempt, proxy });
+        if self.is_paused(proxy) {
+            let arrival = SimulationEvent::AttemptAtProxy { attempt, proxy };
+            return self.deferred_events[proxy as usize].push(arrival);
         }
-        let Some(entry) = self.client_attempts.get(&attempt) else {
+        let Some(sent) = self.client_attempts.get(&attempt) else {
             return;
         };
-        let (rpc, number, patience) = (entry.rpc, entry.number, entry.patience);
-        let Some(running) = self.proxies[proxy_index].as_ref() else {
-            return self.schedule(
-                NETWORK_DELAY,
-                SimulationEvent::AnswerAtClient {
-                    attempt,
-                    answer: Answer::Unreachable,
-                },
-            );
+        let Some(running) = self.proxies[proxy as usize].as_ref() else {
+            let answer = Answer::Unreachable;
+            let refusal = SimulationEvent::AnswerAtClient { attempt, answer };
+            return self.schedule(NETWORK_DELAY, refusal);
         };
-        let (arrival, clock_lag) = (&self.plan.arrivals[rpc as usize], running.clock_lag);
-        let until = self.now + patience - NETWORK_DELAY;
-        let asked = IncomingRpc {
+        let until = self.now + sent.patience - NETWORK_DELAY;
+        let incoming = self.incoming_rpc(attempt, until - DEADLINE_MARGIN - running.clock_lag);
+        let accepted = InFlightRpc::new(until - DEADLINE_MARGIN);
+        self.send_to_process(proxy, until - self.now, ProcessEvent::Deadline(attempt));
+        self.run_decision(proxy, |balancer, in_flight, platform| {
+            in_flight.insert(attempt, accepted);
+            let rpc = balancer.accept(&incoming, platform);
+            if let Some(held) = in_flight.get_mut(&attempt) {
+                held.rpc = Some(rpc);
+            }
+        });
+    }
+
+    /// A client's attempt as the decision module sees it; the deadline is by the proxy's own clock.
+    fn incoming_rpc(&self, attempt: u64, deadline: f64) -> IncomingRpc {
+        let arrival = &self.plan.arrivals[rpc_of_attempt(attempt) as usize];
+        let has_tenants = !self.scenario.tenant.is_empty();
+        let is_retry = client_attempt_number(attempt) > 0;
+        IncomingRpc {
             id: attempt,
             method: arrival.method as usize,
-            tenant: (!self.scenario.tenant.is_empty()).then_some(arrival.tenant as usize),
-            deadline: until - DEADLINE_MARGIN - clock_lag,
+            tenant: has_tenants.then_some(arrival.tenant as usize),
+            deadline,
             expected_work: None,
             streams_request: false,
-            client_retry: number > 0 && self.scenario.clients.marks_retries,
+            client_retry: is_retry && self.scenario.clients.marks_retries,
             key: None,
-        };
-        let in_flight_rpc = InFlightRpc {
-            rpc: None,
-            deadline: until - DEADLINE_MARGIN,
-            answered: false,
-            attempts: Vec::new(),
-        };
-        self.send_to_process(proxy, until - self.now, ProcessEvent::Deadline(attempt));
-        self.run_decision(proxy, |balancer, in_flight, platform| {
-            in_flight.insert(attempt, in_flight_rpc);
-            let rpc = balancer.accept(&asked, platform);
-            if let Some(in_flight_rpc) = in_flight.get_mut(&attempt) {
-                in_flight_rpc.rpc = Some(rpc);
-            }
-        });
+        }
     }
 
-    #[expect(clippy::too_many_lines)]
-    pub(super) fn deliver_to_process(&mut self, proxy: u16, process: u32, event: ProcessEvent) {
-        let proxy_index = proxy as usize;
-        let Some(running) = self.proxies[proxy_index]
-            .as_mut()
-            .filter(|p| p.process == process)
-        else {
+    /// Gives an event to its process, if that still runs; a paused process has it when it goes on.
+    pub(super) fn deliver_to_process(&mut self, process: ProcessId, event: ProcessEvent) {
+        let proxy = process.proxy;
+        if !self.is_running(process) {
             return;
-        };
-        if running.paused.is_some() {
-            return self.deferred_events[proxy_index].push(SimulationEvent::ToProcess {
-                proxy,
-                process,
-                event,
-            });
+        }
+        if self.is_paused(proxy) {
+            let deferred = SimulationEvent::ToProcess { process, event };
+            return self.deferred_events[proxy as usize].push(deferred);
         }
         match event {
-            ProcessEvent::Timer => {
-                // Only the latest one set counts.
-                if running.timer_at.is_some_and(|at| at <= self.now) {
-                    running.timer_at = None;
-                    self.run_decision(proxy, |balancer, _, platform| balancer.on_timer(platform));
-                }
-            }
-            ProcessEvent::Deadline(attempt) => {
-                if running
-                    .in_flight
-                    .get(&attempt)
-                    .is_some_and(|in_flight_rpc| !in_flight_rpc.answered)
-                {
-                    self.final_answer(proxy, attempt, Answer::Aborted(502));
-                    self.call_rpc(proxy, attempt, |rpc, platform| {
-                        rpc.on_client_disconnected(platform)
-                    });
-                }
-            }
-            ProcessEvent::ClientDisconnected(attempt) => {
-                if let Some(in_flight_rpc) = running.in_flight.get_mut(&attempt) {
-                    in_flight_rpc.answered = true;
-                }
-                self.call_rpc(proxy, attempt, |rpc, platform| {
-                    rpc.on_client_disconnected(platform)
-                });
-            }
-            ProcessEvent::AttemptEnded { job, how, report } => self.end_attempt(job, how, report),
+            ProcessEvent::Timer => self.fire_timer(proxy),
+            ProcessEvent::Deadline(attempt) => self.expire_rpc(proxy, attempt),
+            ProcessEvent::ClientDisconnected(attempt) => self.abandon_rpc(proxy, attempt),
+            ProcessEvent::AttemptEnded {
+                job,
+                outcome,
+                report,
+            } => self.end_attempt(job, outcome, report),
             ProcessEvent::AttemptTimeout { job } => {
-                if self.is_attempt_open(job) {
-                    self.schedule(NETWORK_DELAY, SimulationEvent::ConnectionClosed { job });
-                    self.end_attempt(job, AttemptOutcome::TimedOut, None);
-                }
-            }
-            ProcessEvent::HealthChecked { node, how, report } => {
-                self.run_decision(proxy, |balancer, _, platform| {
-                    balancer.on_health_check(node, how, report, platform)
-                });
-            }
-            ProcessEvent::EndpointUpdate(list_entries) => {
-                let entries = self.endpoints(proxy, &list_entries);
-                self.run_decision(proxy, |balancer, _, platform| {
-                    balancer.update_endpoints(EndpointUpdateKind::Incremental, &entries, platform)
-                });
-                self.mark_ready(proxy);
+                self.abort_attempt(job, AttemptOutcome::TimedOut)
             }
+            ProcessEvent::HealthChecked {
+                node,
+                outcome,
+                report,
+            } => self.run_decision(proxy, |balancer, _, platform| {
+                balancer.on_health_check(node, outcome, report, platform)
+            }),
+            ProcessEvent::EndpointUpdate(update) => self.update_endpoints(proxy, &update),
             ProcessEvent::ListFailed => self.run_decision(proxy, |balancer, _, platform| {
                 balancer.list_failed(platform)
             }),
         }
     }
 
-    pub(super) fn call_rpc(
-        &mut self,
-        proxy: u16,
-        attempt: u64,
-        decide: impl FnOnce(&birchhub::policy::RpcHandle, &mut SimulationPlatform),
-    ) {
-        self.run_decision(proxy, |_, in_flight, platform| {
-            if let Some(rpc) = in_flight
-                .get(&attempt)
-                .and_then(|in_flight_rpc| in_flight_rpc.rpc.as_ref())
-            {
-                decide(rpc, platform);
-            }
-        });
-        self.release_if_finished(proxy, attempt);
-    }
-
-    /// An RPC that is over is held no longer; a proxy that was to end may do so with its last one.
-    pub(super) fn release_if_finished(&mut self, proxy: u16, attempt: u64) {
+    /// Fires the timer that was scheduled last; earlier ones that it replaced are passed over.
+    fn fire_timer(&mut self, proxy: u16) {
         let Some(running) = self.proxies[proxy as usize].as_mut() else {
             return;
         };
-        let over = |in_flight_rpc: &InFlightRpc| {
-            in_flight_rpc.answered
-                && in_flight_rpc
-                    .rpc
-                    .as_ref()
-                    .is_none_or(|rpc| rpc.is_finished())
-        };
-        if running.in_flight.get(&attempt).is_some_and(over) {
-            running.in_flight.remove(&attempt);
+        if running.timer_at.is_some_and(|at| at <= self.now) {
+            running.timer_at = None;
+            self.run_decision(proxy, |balancer, _, platform| balancer.on_timer(platform));
+        }
+    }
+
+    /// Fails an RPC that has no answer at its deadline.
+    fn expire_rpc(&mut self, proxy: u16, attempt: u64) {
+        let running = self.proxies[proxy as usize].as_ref();
+        let held = running.and_then(|running| running.in_flight.get(&attempt));
+        if held.is_some_and(|held| !held.answered) {
+            self.send_answer(proxy, attempt, Answer::Aborted(BAD_GATEWAY));
+            self.run_rpc_decision(proxy, attempt, |rpc, platform| {
+                rpc.on_client_disconnected(platform)
+            });
+        }
+    }
+
+    /// Ends an RPC whose client has disconnected.
+    fn abandon_rpc(&mut self, proxy: u16, attempt: u64) {
+        let running = self.proxies[proxy as usize].as_mut();
+        if let Some(held) = running.and_then(|running| running.in_flight.get_mut(&attempt)) {
+            held.answered = true;
         }
+        self.run_rpc_decision(proxy, attempt, |rpc, platform| {
+            rpc.on_client_disconnected(platform)
+        });
+    }
+
+    fn update_endpoints(&mut self, proxy: u16, update: &[(u32, ListEntry)]) {
+        let endpoints = self.endpoints(proxy, update);
+        self.run_decision(proxy, |balancer, _, platform| {
+            balancer.update_endpoints(EndpointUpdateKind::Incremental, &endpoints, platform)
+        });
+        self.mark_ready(proxy);
     }
 }
