--- /dev/null
+++ b/crates/simulation/src/world/backends.rs
@@ -0,0 +1,213 @@
+//! The life cycle of backends, their load reports and health checks.
+use super::endpoint_list::ListEntry;
+use super::event::{ProcessEvent, SimulationEvent};
+use super::machine::Backend;
+use super::process::ProcessId;
+use super::{NETWORK_DELAY, POLL_INTERVAL, World};
+use birchhub::interface::{AttemptOutcome, LoadReport};
+use birchhub_audit::event::Left;
+use birchhub_audit::{Event, State};
+use birchhub_model::{Happening, Node, Repeats, Start};
+
+/// s until a health check without an answer has timed out, by the proxy's own clock.
+const HEALTH_CHECK_TIMEOUT: f64 = 0.1;
+
+/// The planned replacement of a backend.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Retirement {
+    /// The machine whose backend ends once it is idle.
+    pub(super) node: u32,
+    /// When it ends at the latest, s.
+    pub(super) by: f64,
+    /// The machine on which its successor starts.
+    pub(super) successor: u32,
+    /// s from its end to the successor's start.
+    pub(super) after: f64,
+}
+
+impl World<'_> {
+    /// Starts a backend on a machine; returns its life.
+    pub(super) fn start_backend(&mut self, node: u32, how: Start) -> u32 {
+        let (now, life) = (self.now, self.next_life);
+        self.next_life += 1;
+        let machine = &mut self.machines[node as usize];
+        let factor = machine.capacity_factor;
+        let mut model = Node::new(machine.spec.clone(), now, how);
+        model.scale(now, factor, &mut self.repeats, &mut Vec::new());
+        let able = (machine.spec.cores as f64 * machine.spec.speed) as f32;
+        machine.backend = Some(Backend { life, node: model });
+        machine.cold_started_at = (how == Start::Cold).then_some(now);
+        machine.stalls.clear();
+        self.record(Event::Born {
+            life,
+            node,
+            cold: how == Start::Cold,
+            able,
+        });
+        life
+    }
+
+    /// Starts a backend cold on a machine without one, and lists it.
+    pub(super) fn start_backend_cold(&mut self, node: u32) {
+        if self.machines[node as usize].backend.is_some() {
+            return;
+        }
+        let list_entry = ListEntry {
+            life: self.start_backend(node, Start::Cold),
+            state: State::Ready,
+            started: Some(self.now),
+        };
+        self.schedule_publication(node, list_entry, self.scenario.list.lag.0);
+    }
+
+    /// Ends the backend of a machine, and breaks the connections of the attempts there; returns its life.
+    fn stop_backend(&mut self, node: u32) -> Option<u32> {
+        let machine = &mut self.machines[node as usize];
+        let Backend { life, .. } = machine.backend.take()?;
+        let held_jobs = std::mem::take(&mut machine.held_jobs);
+        let deferred_events = std::mem::take(&mut machine.deferred_events);
+        machine.stalls.clear();
+        machine.version += 1;
+        self.record(Event::Died { life });
+        for job in held_jobs {
+            self.record(Event::Left {
+                job,
+                how: Left::Broken,
+            });
+            self.send_outcome(job, AttemptOutcome::Reset, 0.0);
+        }
+        for event in deferred_events {
+            if let SimulationEvent::AttemptAtBackend { job, .. } = event {
+                self.send_outcome(job, AttemptOutcome::Reset, 0.0);
+            }
+        }
+        Some(life)
+    }
+
+    /// Ends the backend of a machine; the endpoint list service knows of it after `delay` s.
+    pub(super) fn remove_backend(&mut self, node: u32, delay: f64) {
+        if let Some(life) = self.stop_backend(node) {
+            self.schedule_publication(node, ListEntry::gone(life), delay);
+        }
+    }
+
+    /// Ends a backend that is idle or has no more time, and schedules its successor.
+    pub(super) fn retire_backend(&mut self, retirement: Retirement) {
+        let machine = &self.machines[retirement.node as usize];
+        let backend = machine.backend.as_ref();
+        let is_busy = backend.is_some_and(|backend| backend.node.in_flight() > 0);
+        if is_busy && self.now < retirement.by {
+            let retry = SimulationEvent::RetireBackend(retirement);
+            return self.schedule(POLL_INTERVAL, retry);
+        }
+        self.remove_backend(retirement.node, self.scenario.list.lag.0);
+        let node = retirement.successor;
+        self.schedule(retirement.after, SimulationEvent::StartBackend { node });
+    }
+
+    /// The load that a backend reports now.
+    pub(super) fn load_report(&mut self, node: u32) -> Option<LoadReport> {
+        let now = self.now;
+        let backend = self.machines[node as usize].backend.as_mut()?;
+        let load = backend.node.report(now);
+        Some(LoadReport {
+            in_flight: Some(load.in_flight as f64),
+            queued: Some(load.queued as f64),
+            utilisation: Some(load.utilisation),
+        })
+    }
+
+    /// Applies a backend's own event that was scheduled, unless another one has taken its place.
+    pub(super) fn advance_backend(&mut self, node: u32, version: u64) {
+        if self.machines[node as usize].version == version {
+            self.change_backend(node, |node, now, repeats, happenings| {
+                node.advance(now, repeats, happenings)
+            });
+        }
+    }
+
+    /// Changes the model of a machine's backend, if it has one, and applies what came of it.
+    pub(super) fn change_backend(
+        &mut self,
+        node: u32,
+        change: impl FnOnce(&mut Node, f64, &mut Repeats, &mut Vec<Happening>),
+    ) {
+        let mut happenings = Vec::new();
+        if let Some(backend) = self.machines[node as usize].backend.as_mut() {
+            change(
+                &mut backend.node,
+                self.now,
+                &mut self.repeats,
+                &mut happenings,
+            );
+            self.apply_happenings(node, happenings);
+        }
+    }
+
+    /// Records what happened at a backend, sends its replies, and schedules its next event.
+    pub(super) fn apply_happenings(&mut self, node: u32, happenings: Vec<Happening>) {
+        for happening in happenings {
+            match happening {
+                Happening::Started(job) => self.record(Event::Started { job }),
+                Happening::Finished(job) => {
+                    self.record(Event::Finished { job });
+                    self.send_reply(node, job);
+                }
+                Happening::Repeated(job) => {
+                    self.record(Event::Repeated { job });
+                    self.send_reply(node, job);
+                }
+                Happening::Fell => {
+                    if let Some(life) = self.machines[node as usize].life() {
+                        self.record(Event::Fell { life });
+                        self.stop_backend(node);
+                    }
+                }
+            }
+        }
+        self.schedule_backend(node);
+    }
+
+    fn schedule_backend(&mut self, node: u32) {
+        let machine = &mut self.machines[node as usize];
+        machine.version += 1;
+        let version = machine.version;
+        let backend = machine.backend.as_ref();
+        if let Some(at) = backend.and_then(|backend| backend.node.next_event()) {
+            self.queue.put(
+                at.max(self.now),
+                SimulationEvent::BackendDue { node, version },
+            );
+        }
+    }
+
+    /// A health check arrives at a machine, which answers it if its backend runs.
+    pub(super) fn answer_health_check(&mut self, process: ProcessId, node: u32) {
+        if self.is_partitioned(node, process.proxy) {
+            let event = ProcessEvent::HealthChecked {
+                node,
+                outcome: AttemptOutcome::TimedOut,
+                report: None,
+            };
+            let timeout = SimulationEvent::ToProcess { process, event };
+            return self.schedule(HEALTH_CHECK_TIMEOUT, timeout);
+        }
+        let machine = &mut self.machines[node as usize];
+        if machine.is_stalled() {
+            let arrival = SimulationEvent::HealthCheckAtBackend { process, node };
+            return machine.deferred_events.push(arrival);
+        }
+        let report = self.load_report(node);
+        let outcome = if report.is_some() {
+            AttemptOutcome::Succeeded
+        } else {
+            AttemptOutcome::ConnectFailed
+        };
+        let event = ProcessEvent::HealthChecked {
+            node,
+            outcome,
+            report,
+        };
+        self.schedule(NETWORK_DELAY, SimulationEvent::ToProcess { process, event });
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/world/faults.rs
@@ -0,0 +1,218 @@
+//! The acts of the plan: faults of machines, proxies and the endpoint list service, and the deployments among them.
+use super::backends::Retirement;
+use super::endpoint_list::ListEntry;
+use super::event::{ProcessEvent, SimulationEvent};
+use super::machine::InjectedFault;
+use super::{NETWORK_DELAY, World};
+use birchhub::interface::AttemptOutcome;
+use birchhub_audit::event::End;
+use birchhub_audit::{Event, State};
+use birchhub_model::work::generator;
+use birchhub_rehearsal::plan::{Act, Trick};
+use rand::Rng;
+
+/// s, the shortest pause that a proxy notices: it sets its clock back, and blames no backend for time-outs meanwhile.
+const NOTICEABLE_PAUSE: f64 = 0.02;
+
+impl World<'_> {
+    /// Does what the plan has for now.
+    pub(super) fn apply_planned_act(&mut self, act: Act) {
+        match act {
+            Act::Begin { trouble } => self.record_trouble(trouble, true),
+            Act::End { trouble } => self.record_trouble(trouble, false),
+            Act::Stall { node, number, on } => self.set_stalled(node, number, on),
+            Act::Scale { node, factor } => self.scale_machine(node, factor),
+            Act::Slow { method, factor } => self.method_slowdown[method] *= factor,
+            Act::Crash { node } => self.remove_backend(node, self.scenario.list.notices.0),
+            Act::Return { node } => self.start_backend_cold(node),
+            Act::Announce { node } => self.announce_drain(node),
+            Act::Drain { node } => self.drain_backend(node),
+            Act::Retire {
+                node,
+                by,
+                successor,
+                after,
+            } => self.start_retirement(Retirement {
+                node,
+                by,
+                successor,
+                after,
+            }),
+            Act::Faulty {
+                node,
+                number,
+                fault,
+                on,
+            } => self.set_faulty(node, number, fault, on),
+            Act::ListLate { by } => self.list_delay += by,
+            Act::ListDown { down } => self.set_list_down(down),
+            Act::ListStale { proxy, stale } => self.set_list_stale(proxy, stale),
+            Act::KillProxy { proxy } => self.kill_proxy(proxy, End::Killed),
+            Act::TermProxy { proxy } => self.terminate_proxy(proxy),
+            Act::StartProxy { proxy } => self.schedule_proxy_start(proxy, self.now),
+            Act::PauseProxy { proxy, on: true } => self.pause_proxy(proxy),
+            Act::PauseProxy { proxy, on: false } => self.resume_proxy(proxy),
+        }
+    }
+
+    fn record_trouble(&mut self, number: u16, begins: bool) {
+        self.record(Event::Trouble { number, begins });
+    }
+
+    fn scale_machine(&mut self, node: u32, factor: f64) {
+        self.machines[node as usize].capacity_factor *= factor;
+        self.change_backend(node, |node, now, repeats, happenings| {
+            node.scale(now, factor, repeats, happenings)
+        });
+    }
+
+    /// The endpoint list will say that a backend drains.
+    fn announce_drain(&mut self, node: u32) {
+        let machine = &self.machines[node as usize];
+        if let Some(life) = machine.life() {
+            let list_entry = ListEntry {
+                life,
+                state: State::Draining,
+                started: machine.cold_started_at,
+            };
+            self.schedule_publication(node, list_entry, self.scenario.list.lag.0);
+        }
+    }
+
+    /// A backend turns new work away.
+    fn drain_backend(&mut self, node: u32) {
+        if let Some(backend) = self.machines[node as usize].backend.as_mut() {
+            let life = backend.life;
+            backend.node.drain();
+            self.record(Event::Drained { life });
+        }
+    }
+
+    fn start_retirement(&mut self, retirement: Retirement) {
+        let machine = &mut self.machines[retirement.node as usize];
+        if !std::mem::replace(&mut machine.retiring, true) {
+            self.retire_backend(retirement);
+        }
+    }
+
+    fn set_faulty(&mut self, node: u32, number: u64, trick: Trick, on: bool) {
+        let faults = &mut self.machines[node as usize].faults;
+        if on {
+            faults.push(InjectedFault { number, trick });
+        } else {
+            faults.retain(|fault| fault.number != number);
+        }
+    }
+
+    fn set_list_down(&mut self, down: bool) {
+        for proxy in self.list.set_down(down) {
+            self.send_to_process(proxy, NETWORK_DELAY, ProcessEvent::ListFailed);
+        }
+    }
+
+    fn set_list_stale(&mut self, proxy: u16, stale: bool) {
+        if self.list.set_stale(proxy, stale) {
+            self.send_endpoint_update(proxy);
+        }
+    }
+
+    /// Begins or ends a stall of a machine; what arrived meanwhile is handled when the last stall ends.
+    fn set_stalled(&mut self, node: u32, number: u64, on: bool) {
+        let machine = &mut self.machines[node as usize];
+        if machine.backend.is_none() {
+            return;
+        }
+        let was_stalled = !machine.stalls.is_empty();
+        if on {
+            machine.stalls.insert(number);
+        } else {
+            machine.stalls.remove(&number);
+        }
+        let is_stalled = !machine.stalls.is_empty();
+        if is_stalled != was_stalled {
+            self.change_backend(node, |node, now, repeats, happenings| {
+                node.stall(now, is_stalled, repeats, happenings)
+            });
+        }
+        if !is_stalled {
+            let deferred_events = std::mem::take(&mut self.machines[node as usize].deferred_events);
+            for event in deferred_events {
+                self.dispatch(event);
+            }
+        }
+    }
+
+    fn pause_proxy(&mut self, proxy: u16) {
+        let now = self.now;
+        if let Some(running) = self.proxies[proxy as usize].as_mut() {
+            running.paused.get_or_insert(now);
+        }
+    }
+
+    /// A paused proxy goes on, and handles what arrived meanwhile.
+    fn resume_proxy(&mut self, proxy: u16) {
+        let now = self.now;
+        let Some(running) = self.proxies[proxy as usize].as_mut() else {
+            return;
+        };
+        let Some(since) = running.paused.take() else {
+            return;
+        };
+        let is_noticed = now - since > NOTICEABLE_PAUSE;
+        if is_noticed {
+            self.set_clock_back(proxy, now - since);
+        }
+        for event in std::mem::take(&mut self.deferred_events[proxy as usize]) {
+            match event {
+                // A time-out during a noticed pause says nothing of the backend.
+                SimulationEvent::ToProcess {
+                    event: ProcessEvent::AttemptTimeout { job },
+                    ..
+                } if is_noticed => self.abort_attempt(job, AttemptOutcome::Cancelled),
+                event => self.dispatch(event),
+            }
+        }
+    }
+
+    /// Sets a proxy's clock back by a pause. Its timer moves with it: the earlier event is passed over.
+    fn set_clock_back(&mut self, proxy: u16, pause: f64) {
+        let Some(running) = self.proxies[proxy as usize].as_mut() else {
+            return;
+        };
+        running.clock_lag += pause;
+        running.timer_at = running.timer_at.map(|at| at + pause);
+        let process = running.id;
+        if let Some(at) = running.timer_at {
+            self.schedule_timer_event(process, at);
+        }
+    }
+
+    /// The fault that an attempt at a machine meets: drawn by attempt, with the chance that it has on sockets too.
+    pub(super) fn injected_fault(&self, node: u32, attempt: u64) -> Option<Trick> {
+        let hits = |fault: &&InjectedFault| {
+            let share = affected_share(&fault.trick);
+            let seed = self.plan.seed ^ fault.number;
+            share > 0.0 && generator(seed, attempt).random::<f64>() < share
+        };
+        let fault = self.machines[node as usize].faults.iter().find(hits);
+        fault.map(|fault| fault.trick.clone())
+    }
+
+    /// Whether nothing passes between a machine and a proxy.
+    pub(super) fn is_partitioned(&self, node: u32, proxy: u16) -> bool {
+        let mut faults = self.machines[node as usize].faults.iter();
+        faults.any(|fault| match fault.trick {
+            Trick::Partition(from) => from.is_none_or(|from| from == proxy),
+            _ => false,
+        })
+    }
+}
+
+/// The share of the attempts at a machine that meet its fault one by one.
+fn affected_share(trick: &Trick) -> f64 {
+    match trick {
+        Trick::Reset(share) | Trick::Half(share) | Trick::Garbage(share) => *share,
+        Trick::Mute(share) | Trick::Error(share) | Trick::Trickle(share, _) => *share,
+        Trick::Partition(_) => 0.0,
+    }
+}
