--- a/crates/scale/src/reckon.rs
+++ b/crates/scale/src/reckon.rs
@@ -7,10 +7,10 @@
 const LINES_EACH: f64 = 3.0; // list lines that a restart of a backend makes: draining, gone or back, ready
 const FAILURES: f64 = 15.0; // machines a day; each is one line or a few more
 const DEPLOY: f64 = 0.1; // part of the backends that the busiest minute replaces
-const HOLD: f64 = 4.0; // s that a call of a proxy waits: discovery.rs, SERVICE.hold
+const HOLD: f64 = 4.0; // s that a call of a proxy waits: discovery/timing.rs, SERVICE.hold
 const EMPTY: f64 = 0.3; // KB of a call and its answer that tell nothing
-const ASKS: f64 = 1.0; // s between calls of a proxy that fail: half of 2 s, ASK_AGAIN in policy.rs
-const CALLS_MOST: f64 = 50.0; // list calls a second of a proxy at the most: discovery.rs, GAP
+const ASKS: f64 = 1.0; // s between calls of a proxy that fail: half of 2 s, POLL_PART in policy/discovery.rs
+const CALLS_MOST: f64 = 50.0; // list calls a second of a proxy at the most: discovery/timing.rs, MIN_CALL_INTERVAL
 const BATCHES: f64 = 10.0; // a restart of all goes by tenths, so that nine of ten serve
 const ENDING: f64 = 1.5; // s that a proxy goes on after SIGTERM: half a second and the longest deadline, 1 s
 const ZONES: f64 = 10.0;
@@ -205,7 +205,7 @@
             guess: false,
             crowded: false,
             of: "memory.busy.backends, memory.tenants, memory.methods".into(),
-            mechanism: "here: an actor for each backend (daemon, core.rs)",
+            mechanism: "here: an actor for each backend (daemon, upstream/endpoint.rs)",
         },
         Line {
             key: "control",
@@ -217,7 +217,7 @@
             guess: false,
             crowded: false,
             of: "idle.backends, change.backends; 3 lines a restart are assumed".into(),
-            mechanism: "here: the core's beat (daemon, core.rs) and the list's changes (src/policy.rs, list)",
+            mechanism: "here: the decision actor's heartbeat (daemon, decision/heartbeat.rs) and the list's changes (src/balancer/endpoint_list.rs)",
         },
         Line {
             key: "traffic",
@@ -229,7 +229,7 @@
             guess: true,
             crowded: false,
             of: "list.bytes; 0.3 KB for a call that tells nothing every 4 s are assumed".into(),
-            mechanism: "here: long calls that tell changes only (daemon, discovery.rs)",
+            mechanism: "here: long calls that tell changes only (daemon, discovery/client.rs)",
         },
         Line {
             key: "busy-control",
@@ -241,7 +241,7 @@
             guess: true,
             crowded: false,
             of: "idle.backends, change.backends; a tenth of the backends replaced in a minute is assumed".into(),
-            mechanism: "here: the list's changes (src/policy.rs, list); subsets told as such would be fewer",
+            mechanism: "here: the list's changes (src/balancer/endpoint_list.rs); subsets told as such would be fewer",
         },
         Line {
             key: "busy-traffic",
@@ -265,7 +265,7 @@
             guess: false,
             crowded: crowded("list.in_force")?,
             of: "list.in_force, all on one machine".into(),
-            mechanism: "here: long calls (daemon, discovery.rs)",
+            mechanism: "here: long calls (daemon, discovery/client.rs)",
         },
         Line {
             key: "service",
@@ -290,7 +290,7 @@
             guess: false,
             crowded: crowded("list.crowd")?,
             of: "list.crowd, all on one machine, proxies included".into(),
-            mechanism: "here: half a second of jitter at the start (src/policy.rs, list)",
+            mechanism: "here: half a second of jitter at the start (src/policy/discovery.rs)",
         },
         Line {
             key: "connect",
@@ -374,7 +374,7 @@
             guess: true,
             crowded: false,
             of: "200,000 over 8,700, evenly dealt".into(),
-            mechanism: "here: Join-Idle-Queue (src/policy.rs)",
+            mechanism: "here: Join-Idle-Queue (src/policy/)",
         },
         Line {
             key: "staff",
