--- a/crates/daemon/src/decision/actor.rs
+++ b/crates/daemon/src/decision/actor.rs
@@ -1,696 +1,380 @@
-//! The actor around the decision module: every call on it is made here, in the order in which things
-//! happened, and what it asks for leaves through `Door` without waiting.
+//! The decision actor: one task that owns the decision package, makes every call on it in the order in which
+//! things happened, and never waits for what the package asks for.
 use crate::clock::{Clock, until};
 use crate::config::active::ActiveNames;
 use crate::config::file::Config;
-use crate::config::reload::ConfigUpdate;
-use crate::config::shadow::{Action, RecordedActions, ShadowEvaluator};
-use crate::discovery::client::{EndpointUpdate, ListedEndpoint};
-use crate::downstream::listener::RequestIdGuard;
-use crate::downstream::request::{ParsedRequest, ReceivedRpc};
+use crate::config::shadow::{RecordedCall, ShadowEvaluator};
+use crate::decision::endpoints::EndpointRegistry;
+use crate::decision::heartbeat::Heartbeat;
+use crate::decision::in_flight::{InFlightRpc, RpcClient, RpcLimits, deduplication_windows};
+use crate::decision::platform::DaemonPlatform;
+use crate::downstream::request::ReceivedRpc;
 use crate::downstream::response::ProxyResponse;
-use crate::lifecycle::state::{ProxyState, StateStore};
-use crate::messages::Event;
-use crate::net::sockets::{ClientLiveness, SocketBudget};
-use crate::upstream::endpoint::{
-    CancelSignal, CompletionGuard, ConnectionLimits, EndpointHandle, EndpointInfo, Exchange,
-    ExchangeKind, Times,
-};
-use birchhub::interface::{
-    AttemptOutcome, Endpoint, EndpointUpdateKind, Idempotency, IncomingRpc, LoadReport,
-    MethodSettings, PacedBy, Platform, Readiness,
-};
-use birchhub::policy::{Balancer, RpcHandle};
-use bytes::Bytes;
-use std::collections::{HashMap, HashSet};
+use crate::lifecycle::state::ProxyState;
+use crate::lifecycle::state_store::StateStore;
+use crate::messages::{AttemptId, Event};
+use crate::net::body::StreamedBody;
+use crate::net::socket_budget::SocketBudget;
+use crate::upstream::result::ExchangeResult;
+use birchhub::balancer::{Balancer, RpcHandle};
+use birchhub::interface::{AttemptOutcome, IncomingRpc, LoadReport, PacedBy, Platform};
+use std::collections::HashMap;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::select;
-use tokio::sync::{Notify, mpsc, oneshot, watch};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::{Instant, sleep_until};
 
-pub(crate) const MAILBOX: usize = 8192; // messages: one kept free for the end of each RPC, pick and probe
-const MARGIN: Duration = Duration::from_millis(5); // of a client's wait, for this machine's own delays
-const PROBE_WAITS: Duration = Duration::from_millis(100); // for a probe; a slower answer tells nothing of now
-const BEAT: Duration = Duration::from_millis(10); // the core is busy at least this often ...
-const LAG: Duration = Duration::from_millis(10); // ... or was stopped, if later by more than this
-const FORGET: Duration = Duration::from_secs(2); // after a backend went: one that flaps stays the same
-const RECOVER: f64 = 0.01; // s until the module is woken after it failed in a call
+/// Messages in the actor's mailbox. One place is kept free for the end of each RPC, attempt and health check.
+pub(crate) const MAILBOX: usize = 8192;
 
-/// An RPC on its way: what its picks need, and who waits for its answer.
-struct InFlightRpc {
-    message: ParsedRequest,
-    client: ClientLiveness,
-    deadline: Instant,
-    answer: Option<oneshot::Sender<ProxyResponse>>,
-    attempts: Vec<Option<oneshot::Sender<()>>>, // of those that can still be stopped
-    /// How long after the first pick that may have run another may be sent, where that is limited.
-    window: Option<Duration>,
-    may_have_run: Vec<Option<Instant>>, // when each pick was made; none for one that never ran
-    /// Guards against a second RPC of this name, sent while a pick of this one is still out.
-    _opened: RequestIdGuard,
-}
-
-impl InFlightRpc {
-    /// By when another pick has to be sent. The module judged by its own clock, before a connection was opened and
-    /// perhaps before this process stood still: guards against repeats that come too late to be dropped.
-    fn send_by(&self) -> Option<Instant> {
-        Some(*self.may_have_run.iter().flatten().min()? + self.window?)
-    }
-}
-
-/// The module's door outward.
-struct DaemonPlatform {
-    now: f64,
-    clock: Clock,
-    held: HashMap<u64, InFlightRpc>,
-    backends: HashMap<u32, EndpointHandle>,
-    core: mpsc::Sender<Event>,
-    wanted: Rc<Notify>,
-    wake_at: Option<f64>,
-    unsent: Vec<ExchangeKind>, // found no place in the core's mailbox for their end
-    answered: Vec<u64>,        // in the call at hand
-    asked: Option<RecordedActions>, // in the call at hand, while somebody watches
-}
-
-impl DaemonPlatform {
-    fn give(&mut self, rpc: u64, answer: ProxyResponse) {
-        log::trace!("RPC {rpc}: {answer}");
-        self.answered.push(rpc);
-        if let Some(sender) = self.held.get_mut(&rpc).and_then(|held| held.answer.take()) {
-            // Where the client has gone there is nobody to tell.
-            let _ = sender.send(answer);
-        }
-    }
-
-    fn note(&mut self, rpc: u64, act: Action) {
-        self.asked.iter_mut().for_each(|asked| asked.act(rpc, act));
-    }
-
-    /// Hands a job to a backend. Where that can't be done its ticket, dropped, says so.
-    fn run(
-        &mut self,
-        errand: ExchangeKind,
-        backend: u32,
-        message: ParsedRequest,
-        client: Option<ClientLiveness>,
-        times: Times,
-        stop: CancelSignal,
-    ) {
-        let Ok(permit) = self.core.clone().try_reserve_owned() else {
-            log::error!("the core's mailbox is full");
-            return self.unsent.push(errand);
-        };
-        let job = Exchange {
-            message,
-            client,
-            times,
-            stop,
-            ticket: CompletionGuard::new(errand, self.core.clone(), permit),
-        };
-        if let Some(backend) = self.backends.get(&backend) {
-            let _ = backend.mailbox.try_send(Box::new(job));
-        }
-    }
-}
-
-impl Platform for DaemonPlatform {
-    fn now(&self) -> f64 {
-        self.now
-    }
-    fn start_attempt(&mut self, rpc: u64, backend: u32, time_out: f64) {
-        let Some(held) = self.held.get_mut(&rpc) else {
-            return;
-        };
-        let (sender, stop) = oneshot::channel();
-        let attempt = held.attempts.len();
-        held.attempts.push(Some(sender));
-        let send_by = held.send_by();
-        held.may_have_run.push(Some(Instant::now()));
-        let until = self.clock.instant(self.now + time_out).min(held.deadline);
-        let (message, client) = (held.message.clone(), Some(held.client.clone()));
-        log::trace!("RPC {rpc}: attempt {attempt} to {backend} for {time_out:.3} s");
-        let times = Times { until, send_by };
-        self.run(
-            ExchangeKind::Attempt { rpc, attempt },
-            backend,
-            message,
-            client,
-            times,
-            Some(stop),
-        );
-        self.note(rpc, Action::Attempt(backend));
-    }
-    fn cancel_attempt(&mut self, rpc: u64, attempt: usize) {
-        let attempts = self.held.get_mut(&rpc).map(|held| &mut held.attempts);
-        drop(
-            attempts
-                .and_then(|attempts| attempts.get_mut(attempt))
-                .and_then(Option::take),
-        );
-    }
-    fn reject(&mut self, rpc: u64, come_back: f64) {
-        self.give(rpc, ProxyResponse::PushedBack { come_back });
-        self.note(rpc, Action::PushBack);
-    }
-    fn fail(&mut self, rpc: u64) {
-        self.give(rpc, ProxyResponse::Aborted);
-        self.note(rpc, Action::Abort);
-    }
-    fn health_check(&mut self, backend: u32) {
-        self.asked.iter_mut().for_each(RecordedActions::probe);
-        let times = Times {
-            until: Instant::now() + PROBE_WAITS,
-            send_by: None,
-        };
-        log::trace!("probe to {backend}");
-        self.run(
-            ExchangeKind::HealthCheck { backend },
-            backend,
-            ParsedRequest::probe(),
-            None,
-            times,
-            None,
-        );
-    }
-    fn watch_endpoints(&mut self) {
-        self.wanted.notify_one();
-    }
-    fn schedule_timer(&mut self, delay: f64) {
-        let at = self.now + delay;
-        self.wake_at = Some(self.wake_at.map_or(at, |earlier| earlier.min(at)));
-    }
-}
+/// Of the time that a client waits, what is left for this machine's own delays.
+const CLIENT_MARGIN: Duration = Duration::from_millis(5);
 
-fn window(method: &MethodSettings) -> Option<Duration> {
-    match method.idempotency {
-        Idempotency::Deduplicated { window, .. } => Some(Duration::from_secs_f64(window)),
-        Idempotency::Idempotent | Idempotency::NonIdempotent => None,
-    }
-}
+/// Until the timer event after the decision package panicked in a call, s: it may have lost its own timer.
+const PANIC_RECOVERY: f64 = 0.01;
 
+/// The actor around the decision package.
 pub(crate) struct DecisionActor {
-    balancer: Balancer,
+    pub(super) balancer: Balancer,
+    /// The decision package's part of each RPC in flight, by number.
     rpcs: HashMap<u64, RpcHandle>,
-    door: DaemonPlatform,
-    watch: Option<ShadowEvaluator>,
-    numbers: HashMap<String, (u32, Instant)>, // of backends, by uid, and when they were last heard of
-    leaving: HashSet<String>, // those of `numbers` that are not in the list, to be forgotten in time
-    next: u32,
-    zones: Vec<String>,
-    names: ActiveNames,
-    windows: Vec<Option<Duration>>, // by method, in which its repeats are dropped
-    sized: bool,
-    limits: ConnectionLimits,
-    budget: Rc<SocketBudget>,
-    standings: Rc<StateStore>,
-    standing: watch::Receiver<ProxyState>,
-    listed: HashMap<String, ListedEndpoint>, // the last line of each backend that is not gone
-    beat: Instant,                           // by when the core is busy again
-    stopped: Instant,                        // until when it was not, the last time
+    pub(super) platform: DaemonPlatform,
+    /// Evaluates other settings on the same events, if that is wanted.
+    shadow: Option<ShadowEvaluator>,
+    pub(super) names: ActiveNames,
+    /// By method, the time in which its retries are dropped as duplicates.
+    pub(super) deduplication_windows: Vec<Option<Duration>>,
+    pub(super) state_store: Rc<StateStore>,
+    pub(super) state: watch::Receiver<ProxyState>,
+    heartbeat: Heartbeat,
 }
 
 impl DecisionActor {
-    #[expect(clippy::too_many_lines)]
+    /// An actor that knows the backends of the cached endpoint list; `events` leads to its own mailbox.
     pub(crate) fn new(
         config: &Config,
         clock: Clock,
         budget: Rc<SocketBudget>,
-        core: mpsc::Sender<Event>,
-        wanted: Rc<Notify>,
-        standings: Rc<StateStore>,
+        events: mpsc::Sender<Event>,
+        watch_wanted: Rc<Notify>,
+        state_store: Rc<StateStore>,
         names: ActiveNames,
     ) -> Self {
-        let conf = &config.conf;
-        let door = DaemonPlatform {
-            now: clock.now(),
-            clock,
-            held: HashMap::new(),
-            backends: HashMap::new(),
-            core,
-            wanted,
-            wake_at: None,
-            unsent: Vec::new(),
-            answered: Vec::new(),
-            asked: config.watch.as_ref().map(|_| RecordedActions::default()),
-        };
-        let mut core = Self {
-            balancer: Balancer::new(&conf.settings, config.seed),
+        let parsed = &config.parsed_settings;
+        let endpoints = EndpointRegistry::new(parsed, budget);
+        let mut platform = DaemonPlatform::new(clock, endpoints, events, watch_wanted);
+        let shadow = config
+            .shadow_settings
+            .as_ref()
+            .map(|settings| ShadowEvaluator::new(settings, config.seed));
+        if shadow.is_some() {
+            platform.start_recording();
+        }
+        let mut actor = Self {
+            balancer: Balancer::new(&parsed.settings, config.seed),
             rpcs: HashMap::new(),
-            door,
-            watch: config
-                .watch
-                .as_ref()
-                .map(|settings| ShadowEvaluator::new(settings, config.seed)),
-            numbers: HashMap::new(),
-            leaving: HashSet::new(),
-            next: 0,
-            zones: conf.zones.clone(),
+            platform,
+            shadow,
             names,
-            windows: conf.settings.methods.iter().map(window).collect(),
-            sized: conf.sized,
-            limits: ConnectionLimits {
-                connect: Duration::from_secs_f64(conf.connect_limit),
-                idle: Duration::from_secs_f64(conf.idle_limit),
-            },
-            budget,
-            standing: standings.reader(),
-            standings,
-            listed: HashMap::new(),
-            beat: Instant::now() + BEAT,
-            stopped: Instant::now(),
+            deduplication_windows: deduplication_windows(&parsed.settings),
+            state: state_store.subscribe(),
+            state_store,
+            heartbeat: Heartbeat::start(),
         };
-        let known = config.known.clone().unwrap_or(EndpointUpdate {
-            version: 0,
-            kind: EndpointUpdateKind::StaleSnapshot,
-            listed: vec![],
-        });
-        core.news(&EndpointUpdate {
-            kind: EndpointUpdateKind::StaleSnapshot,
-            ..known
-        });
-        core.ordered();
-        core
+        actor.load_cached_endpoints(config.cached_endpoints.as_ref());
+        actor.apply_admin_state();
+        actor
     }
 
+    /// Handles the events of the mailbox until all its senders have gone.
     pub(crate) async fn run(mut self, mut mailbox: mpsc::Receiver<Event>) {
         loop {
-            self.keep_time();
-            let own = self.door.wake_at.map(|at| self.door.clock.instant(at));
-            let watcher = self
-                .watch
-                .as_ref()
-                .and_then(ShadowEvaluator::wake_at)
-                .map(|at| self.door.clock.instant(at));
-            let wake = own.into_iter().chain(watcher).min();
-            if wake.is_some_and(|at| at <= Instant::now()) {
-                self.wake(own.is_some_and(|at| at <= Instant::now()));
+            // Before a timer is found due, never after: the decision package would take its timer event for an
+            // early one, and schedule no other.
+            self.check_heartbeat();
+            let own = self.timer();
+            let next = own.into_iter().chain(self.shadow_timer()).min();
+            if next.is_some_and(is_due) {
+                self.on_timer(own.is_some_and(is_due));
                 continue;
             }
             select! {
                 biased;
-                Ok(()) = self.standing.changed() => self.ordered(),
-                message = mailbox.recv() => match message {
-                    Some(message) => self.hear(message),
+                Ok(()) = self.state.changed() => self.apply_admin_state(),
+                event = mailbox.recv() => match event {
+                    Some(event) => self.dispatch(event),
                     None => return,
                 },
-                () = until(wake) => {}
-                () = sleep_until(self.beat) => {}
+                () = until(next) => {}
+                () = sleep_until(self.heartbeat.due()) => {}
             }
         }
     }
 
-    /// Wakes those who asked for it by now. Both are held to one reading of the clock.
-    fn wake(&mut self, first: bool) {
-        if first {
-            self.door.wake_at = None;
-            self.call(|core| core.balancer.on_timer(&mut core.door));
-        } else {
-            self.door.now = self.door.clock.now();
+    /// Handles one event, and the ends of the exchanges that could not start because of it.
+    fn dispatch(&mut self, event: Event) {
+        self.check_heartbeat();
+        self.handle(event);
+        while let Some(kind) = self.platform.pop_unsent() {
+            self.dispatch(kind.completion_event(AttemptOutcome::NotSent.into()));
         }
-        self.watch(|watch, now, asked| watch.wake(now, asked));
     }
 
-    /// Lets the watcher hear what the first instance heard in the last call, if there is one.
-    fn watch(&mut self, act: impl FnOnce(&mut ShadowEvaluator, f64, RecordedActions)) {
-        let (Some(watch), now) = (&mut self.watch, self.door.now) else {
-            return;
-        };
-        let asked = self
-            .door
-            .asked
-            .replace(RecordedActions::default())
-            .unwrap_or_default();
-        if catch_unwind(AssertUnwindSafe(|| act(watch, now, asked))).is_err() {
-            log::error!("the watching module panicked: it watches no more");
-            (self.watch, self.door.asked) = (None, None);
-        }
-    }
-
-    #[expect(clippy::too_many_lines)]
-    fn hear(&mut self, message: Event) {
-        self.keep_time();
-        match message {
+    fn handle(&mut self, event: Event) {
+        match event {
             Event::RpcReceived {
                 id,
                 rpc,
-                opened,
-                client,
-                answer,
-            } => self.take(id, *rpc, opened, client, answer),
-            Event::ClientDisconnected(id) => self.hung_up(id),
-            Event::AttemptEnded {
-                rpc,
-                attempt,
-                outcome,
-                report,
-                body,
-            } => self.ended(rpc, attempt, outcome, report, body),
-            Event::RequestSent { rpc, attempt } => {
-                self.on_rpc(rpc, |rpc, door| rpc.on_request_sent(attempt, door));
-                self.watch(|watch, now, asked| watch.whole(now, asked, (rpc, attempt)));
-            }
-            Event::ResponseStarted { rpc, attempt, flow } => {
-                self.on_rpc(rpc, |handle, door| {
-                    door.give(rpc, ProxyResponse::Long(flow));
-                    handle.on_response_started(attempt, PacedBy::Client, door);
-                });
-                self.watch(|watch, now, asked| watch.begun(now, asked, (rpc, attempt)));
+                opened: request_id,
+                client: liveness,
+                answer: responder,
+            } => {
+                let client = RpcClient {
+                    liveness,
+                    responder,
+                    request_id,
+                };
+                self.on_rpc_received(id, *rpc, client);
             }
+            Event::ClientDisconnected(id) => self.on_client_disconnected(id),
+            Event::AttemptEnded { attempt, result } => self.on_attempt_ended(attempt, result),
+            Event::RequestSent { attempt } => self.on_request_sent(attempt),
+            Event::ResponseStarted { attempt, body } => self.on_response_started(attempt, body),
             Event::HealthChecked {
                 backend,
                 outcome,
                 report,
-            } => {
-                log::trace!("probe of {backend}: {outcome:?} {report:?}");
-                let outcome = self.told(outcome, AttemptOutcome::NotSent);
-                self.call(|core| {
-                    core.balancer
-                        .on_health_check(backend, outcome, report, &mut core.door)
-                });
-                self.watch(|watch, now, asked| watch.probed(now, asked, backend, outcome, report));
-            }
-            Event::EndpointsChanged(news) => self.news(&news),
-            Event::SettingsChanged(update) => self.adopt(*update),
-            Event::DiscoveryFailed => {
-                self.call(|core| core.balancer.list_failed(&mut core.door));
-                self.watch(|watch, now, asked| watch.list_failed(now, asked));
-            }
+            } => self.on_health_checked(backend, outcome, report),
+            Event::EndpointsChanged(update) => self.update_endpoints(&update),
+            Event::DiscoveryFailed => self.on_discovery_failed(),
+            Event::SettingsChanged(update) => self.apply_config_update(*update),
         }
-        while let Some(errand) = self.door.unsent.pop() {
-            self.hear(errand.end((AttemptOutcome::NotSent, None, Bytes::new())));
+    }
+}
+
+/// Time: the heartbeat and the timers.
+impl DecisionActor {
+    /// The time of the decisions leaves out what this process was stopped for. Prevents that backends are taken for
+    /// slow, and RPCs rejected for that, because the proxy had used up its share of a core.
+    pub(super) fn check_heartbeat(&mut self) {
+        if let Some(stopped_for) = self.heartbeat.beat() {
+            log::debug!("stopped for {stopped_for:?}");
+            self.platform.clock.skip(stopped_for);
         }
     }
 
-    /// The module's time stands still while this process does. Guards against backends that are taken for slow,
-    /// and what waits for them refused, because the proxy had used up its part of a core. Done before a wake-up
-    /// is found due, never after: the module would take it for an early one, and set no other.
-    fn keep_time(&mut self) {
-        let now = Instant::now();
-        if now > self.beat + LAG {
-            log::debug!("stopped for {:?}", now - self.beat);
-            self.door.clock.stand_still(now - self.beat);
-            self.stopped = now;
+    /// What is known of an exchange that ended like this: one that was out while this process was stopped may have
+    /// timed out for that, which says nothing of its backend.
+    fn reliable_outcome(&self, outcome: AttemptOutcome, unknown: AttemptOutcome) -> AttemptOutcome {
+        if outcome == AttemptOutcome::TimedOut && self.heartbeat.has_just_resumed() {
+            unknown
+        } else {
+            outcome
         }
-        self.beat = now + BEAT;
     }
 
-    /// What a pick or probe that was out while this process stood still tells of its backend.
-    fn told(&self, outcome: AttemptOutcome, unknown: AttemptOutcome) -> AttemptOutcome {
-        let late = outcome == AttemptOutcome::TimedOut && Instant::now() < self.stopped + LAG;
-        if late { unknown } else { outcome }
+    /// When the decision package wants its timer event.
+    fn timer(&self) -> Option<Instant> {
+        let seconds = self.platform.timer_at?;
+        Some(self.platform.clock.instant_at(seconds))
+    }
+
+    /// When the shadow evaluation wants its timer event.
+    fn shadow_timer(&self) -> Option<Instant> {
+        let seconds = self.shadow.as_ref()?.timer_at()?;
+        Some(self.platform.clock.instant_at(seconds))
+    }
+
+    /// A timer is due, that of the decision package or of the shadow evaluation. Both go by one reading of the
+    /// clock.
+    fn on_timer(&mut self, is_own: bool) {
+        if is_own {
+            self.platform.timer_at = None;
+            self.call_balancer(|actor| actor.balancer.on_timer(&mut actor.platform));
+        } else {
+            self.platform.update_now();
+        }
+        self.replay_to_shadow(|shadow, call| shadow.on_timer(call));
     }
+}
 
-    /// Calls the module. A panic in there ends neither the proxy nor what others wait for: the front answers
-    /// what the module no longer knows of.
-    fn call(&mut self, act: impl FnOnce(&mut Self)) {
-        self.door.now = self.door.clock.now();
-        if catch_unwind(AssertUnwindSafe(|| act(self))).is_err() {
+/// Calls on the decision package.
+impl DecisionActor {
+    /// Makes a call on the decision package. A panic in there ends neither the proxy nor what others wait for: the
+    /// listener answers the RPCs that the package lost.
+    pub(super) fn call_balancer(&mut self, call: impl FnOnce(&mut Self)) {
+        self.platform.update_now();
+        if catch_unwind(AssertUnwindSafe(|| call(self))).is_err() {
             log::error!("the decision module panicked");
-            self.door.schedule_timer(RECOVER);
+            self.platform.schedule_timer(PANIC_RECOVERY);
         }
-        // Those that waited may be answered in a call that is about another RPC or about none.
-        while let Some(id) = self.door.answered.pop() {
-            self.let_go(id);
+        // RPCs that were queued may get their response in a call that is about another RPC or about none.
+        while let Some(id) = self.platform.pop_responded() {
+            self.release(id);
         }
     }
 
-    fn on_rpc(&mut self, id: u64, act: impl FnOnce(&RpcHandle, &mut DaemonPlatform)) {
-        self.call(|core| {
-            let Some(rpc) = core.rpcs.get(&id) else {
-                return;
-            };
-            act(rpc, &mut core.door);
-            core.let_go(id);
+    /// Makes a call about one RPC, if the decision package knows it.
+    fn call_rpc(&mut self, id: u64, call: impl FnOnce(&RpcHandle, &mut DaemonPlatform)) {
+        self.call_balancer(|actor| {
+            if let Some(rpc) = actor.rpcs.get(&id) {
+                call(rpc, &mut actor.platform);
+                actor.release(id);
+            }
         });
     }
 
-    /// Withdraws what was not yet sent for an RPC that is over, also where the settings allow no cancelling,
-    /// and gives back what it held once all its picks have ended.
-    fn let_go(&mut self, id: u64) {
-        if let Some(held) = self
-            .door
-            .held
-            .get_mut(&id)
-            .filter(|held| held.answer.is_none())
+    /// Withdraws what was not yet sent for an RPC that is over, also where the settings allow no cancelling, and
+    /// gives back what the RPC holds once all its attempts have ended.
+    fn release(&mut self, id: u64) {
+        if let Some(in_flight) = self.platform.in_flight.get_mut(&id)
+            && !in_flight.awaits_response()
         {
-            held.attempts
-                .iter_mut()
-                .filter_map(Option::take)
-                .for_each(|stop| _ = stop.send(()));
+            in_flight.withdraw_attempts();
         }
         if self.rpcs.get(&id).is_some_and(RpcHandle::is_finished) {
             self.rpcs.remove(&id);
-            self.door.held.remove(&id);
+            self.platform.in_flight.remove(&id);
         }
     }
 
-    /// Puts other settings in force, all in this turn.
-    fn adopt(&mut self, update: ConfigUpdate) {
-        let begun = Instant::now();
-        let ConfigUpdate {
-            settings,
-            kept,
-            names,
-            watch,
-            done,
-        } = update;
-        self.windows = settings.methods.iter().map(window).collect();
-        let before = self.names.replace(names.into());
-        self.call(|core| {
-            core.balancer
-                .apply_settings(&settings, &kept, &mut core.door)
-        });
-        match watch {
-            Some(settings) => {
-                self.watch(|watch, now, asked| watch.adopt(now, asked, &settings, &kept))
-            }
-            None => (self.watch, self.door.asked) = (None, None),
+    /// Replays the last call to the shadow evaluation, if there is one.
+    pub(super) fn replay_to_shadow(
+        &mut self,
+        replay: impl FnOnce(&mut ShadowEvaluator, RecordedCall),
+    ) {
+        let Some(shadow) = &mut self.shadow else {
+            return;
+        };
+        let call = RecordedCall {
+            now: self.platform.now,
+            actions: self.platform.take_recorded(),
+        };
+        if catch_unwind(AssertUnwindSafe(|| replay(shadow, call))).is_err() {
+            log::error!("the shadow evaluation panicked: it has ended");
+            self.end_shadow();
         }
-        let _ = done.send((before, begun.elapsed()));
     }
 
-    fn take(
-        &mut self,
-        id: u64,
-        mut rpc: ReceivedRpc,
-        opened: RequestIdGuard,
-        client: ClientLiveness,
-        answer: oneshot::Sender<ProxyResponse>,
-    ) {
-        if let Err(told) = rpc.by(&self.names.borrow()) {
-            let _ = answer.send(told);
+    /// Ends the shadow evaluation, if there is one.
+    pub(super) fn end_shadow(&mut self) {
+        self.shadow = None;
+        self.platform.stop_recording();
+    }
+}
+
+/// Events of RPCs and health checks.
+impl DecisionActor {
+    fn on_rpc_received(&mut self, id: u64, mut rpc: ReceivedRpc, client: RpcClient) {
+        if let Err(response) = rpc.apply_names(&self.names.borrow()) {
+            let _ = client.responder.send(response);
             return;
         }
-        log::trace!("RPC {id}: method {}, {:?}", rpc.method, rpc.waits);
-        let deadline = rpc.at + rpc.waits.saturating_sub(MARGIN);
-        let arrival = IncomingRpc {
+        log::trace!("RPC {id}: method {}, {:?}", rpc.method, rpc.timeout);
+        let limits = RpcLimits {
+            deadline: rpc.received_at + rpc.timeout.saturating_sub(CLIENT_MARGIN),
+            deduplication_window: self.deduplication_windows[rpc.method],
+        };
+        let incoming = IncomingRpc {
             id,
             method: rpc.method,
             tenant: rpc.tenant,
-            deadline: self.door.clock.seconds(deadline),
+            deadline: self.platform.clock.seconds_at(limits.deadline),
             expected_work: rpc.expected_work,
-            client_retry: rpc.client_repeat,
-            streams_request: rpc.message.upload().is_some(),
+            client_retry: rpc.is_client_retry,
+            streams_request: rpc.request.upload().is_some(),
             key: rpc.key,
         };
-        let (attempts, may_have_run, window) = (Vec::new(), Vec::new(), self.windows[rpc.method]);
-        let (message, answer, _opened) = (rpc.message, Some(answer), opened);
-        self.door.held.insert(
-            id,
-            InFlightRpc {
-                message,
-                client,
-                deadline,
-                answer,
-                attempts,
-                window,
-                may_have_run,
-                _opened,
-            },
-        );
-        self.call(|core| {
-            let rpc = core.balancer.accept(&arrival, &mut core.door);
-            core.rpcs.insert(id, rpc);
+        let in_flight = InFlightRpc::new(rpc.request, client, limits);
+        self.platform.in_flight.insert(id, in_flight);
+        self.call_balancer(|actor| {
+            let rpc = actor.balancer.accept(&incoming, &mut actor.platform);
+            actor.rpcs.insert(id, rpc);
         });
-        self.watch(|watch, now, asked| watch.take(now, asked, &arrival));
+        self.replay_to_shadow(|shadow, call| shadow.accept(call, &incoming));
     }
 
-    fn hung_up(&mut self, id: u64) {
-        log::trace!("RPC {id}: hung up");
+    fn on_client_disconnected(&mut self, id: u64) {
+        log::trace!("RPC {id}: client disconnected");
         if !self.rpcs.contains_key(&id) {
-            self.door.held.remove(&id); // One that the module lost when it panicked.
+            self.platform.in_flight.remove(&id); // One that the decision package lost when it panicked.
         }
-        self.on_rpc(id, |rpc, door| {
-            door.held.get_mut(&id).map(|held| held.answer.take());
-            rpc.on_client_disconnected(door);
+        self.call_rpc(id, |rpc, platform| {
+            if let Some(in_flight) = platform.in_flight.get_mut(&id) {
+                in_flight.record_disconnect();
+            }
+            rpc.on_client_disconnected(platform);
         });
-        self.watch(|watch, now, asked| watch.hung_up(now, asked, id));
+        self.replay_to_shadow(|shadow, call| shadow.on_client_disconnected(call, id));
     }
 
-    fn ended(
-        &mut self,
-        id: u64,
-        attempt: usize,
-        outcome: AttemptOutcome,
-        report: Option<LoadReport>,
-        body: Bytes,
-    ) {
-        log::trace!("RPC {id}: attempt {attempt} {outcome:?}");
-        let outcome = self.told(outcome, AttemptOutcome::Cancelled);
-        // An answer that is ok ends it; it goes to the client below.
-        let held = self.door.held.get(&id);
-        let over =
-            outcome == AttemptOutcome::Succeeded || held.is_none_or(|held| held.answer.is_none());
-        let spent = held
-            .and_then(|held| held.message.upload())
-            .is_some_and(|upload| upload.is_spent());
-        self.on_rpc(id, |rpc, door| {
-            if let Some(held) = door.held.get_mut(&id) {
-                held.attempts[attempt] = None;
-                if outcome.never_ran() {
-                    held.may_have_run[attempt] = None;
-                }
+    fn on_attempt_ended(&mut self, attempt: AttemptId, result: ExchangeResult) {
+        let AttemptId { rpc: id, index } = attempt;
+        let (body, report) = (result.body, result.report);
+        log::trace!("RPC {id}: attempt {index} {:?}", result.outcome);
+        let outcome = self.reliable_outcome(result.outcome, AttemptOutcome::Cancelled);
+        let succeeded = outcome == AttemptOutcome::Succeeded;
+        let in_flight = self.platform.in_flight.get(&id);
+        // A response that is ok ends the RPC; it goes to the client below.
+        let is_over = succeeded || in_flight.is_none_or(|rpc| !rpc.awaits_response());
+        let is_consumed = in_flight.is_some_and(InFlightRpc::is_upload_consumed);
+        self.call_rpc(id, |rpc, platform| {
+            if let Some(in_flight) = platform.in_flight.get_mut(&id) {
+                in_flight.record_attempt_end(index, outcome);
             }
-            if spent {
+            if is_consumed {
                 rpc.forbid_retry();
             }
-            if outcome == AttemptOutcome::Succeeded {
-                door.give(id, ProxyResponse::Ok(body));
+            if succeeded {
+                platform.respond(id, ProxyResponse::Ok(body));
             }
-            rpc.on_attempt_ended(attempt, outcome, over, report, door);
+            rpc.on_attempt_ended(index, outcome, is_over, report, platform);
         });
-        if let Some(watch) = self.watch.as_ref().filter(|_| spent) {
-            watch.unrepeatable(id);
+        if is_consumed && let Some(shadow) = &self.shadow {
+            shadow.forbid_retry(id);
         }
-        self.watch(|watch, now, asked| {
-            watch.ended(now, asked, (id, attempt), outcome, over, report)
+        self.replay_to_shadow(|shadow, call| {
+            shadow.on_attempt_ended(call, attempt, outcome, is_over, report);
         });
     }
 
-    /// Tells the module anew of the backends whose bans have changed, and then that it is done.
-    fn ordered(&mut self) {
-        self.keep_time();
-        let (turn, bans, others) = {
-            let now = self.standing.borrow_and_update();
-            (now.turn, now.orders.bans.clone(), now.others.living)
-        };
-        self.balancer.set_process_count(others + 1);
-        let listed: Vec<_> = bans
-            .keys()
-            .filter_map(|name| self.listed.get(name))
-            .cloned()
-            .collect();
-        if !listed.is_empty() {
-            self.news(&EndpointUpdate {
-                version: 0,
-                kind: EndpointUpdateKind::Administrative,
-                listed,
-            });
-        }
-        self.standings.carried_out(turn);
+    fn on_request_sent(&mut self, attempt: AttemptId) {
+        self.call_rpc(attempt.rpc, |rpc, platform| {
+            rpc.on_request_sent(attempt.index, platform);
+        });
+        self.replay_to_shadow(|shadow, call| shadow.on_request_sent(call, attempt));
     }
 
-    /// Gives up the numbers of backends that went some time ago. Looks at these only: guards against a walk over the fleet
-    /// with every change.
-    fn forget(&mut self, now: Instant) {
-        let (numbers, backends) = (&mut self.numbers, &self.door.backends);
-        self.leaving.retain(|uid| {
-            let Some((number, heard)) = numbers.get(uid) else {
-                return false;
-            };
-            let (back, fresh) = (backends.contains_key(number), now < *heard + FORGET);
-            if !back && !fresh {
-                numbers.remove(uid);
-            }
-            !back && fresh
+    fn on_response_started(&mut self, attempt: AttemptId, body: StreamedBody) {
+        self.call_rpc(attempt.rpc, |rpc, platform| {
+            platform.respond(attempt.rpc, ProxyResponse::Streamed(body));
+            rpc.on_response_started(attempt.index, PacedBy::Client, platform);
         });
+        self.replay_to_shadow(|shadow, call| shadow.on_response_started(call, attempt));
     }
 
-    #[expect(clippy::too_many_lines)]
-    fn news(&mut self, news: &EndpointUpdate) {
-        if news.kind.is_snapshot() {
-            let named: HashSet<_> = news.listed.iter().map(|l| l.uid.as_str()).collect();
-            self.listed.retain(|name, _| named.contains(name.as_str()));
-            let known = news.listed.iter().filter_map(|l| self.numbers.get(&l.uid));
-            let listed: HashSet<_> = known.map(|(number, _)| *number).collect();
-            self.door
-                .backends
-                .retain(|number, _| listed.contains(number));
-        }
-        let (mut entries, now) = (Vec::new(), Instant::now());
-        for listed in &news.listed {
-            match listed.readiness {
-                Readiness::Removed => drop(self.listed.remove(&listed.uid)),
-                _ => drop(self.listed.insert(listed.uid.clone(), listed.clone())),
-            }
-            // The one place where a ban counts: all that follows takes the backend for what this says.
-            let (readiness, boot_ms) =
-                self.standing
-                    .borrow()
-                    .orders
-                    .tells(&listed.uid, listed.readiness, listed.boot_ms);
-            let number = || {
-                self.next += 1;
-                (self.next - 1, now)
-            };
-            let (backend, heard) = self
-                .numbers
-                .entry(listed.uid.clone())
-                .or_insert_with(number);
-            *heard = now;
-            let backend = *backend;
-            let facts = EndpointInfo {
-                endpoint: listed.endpoint,
-                ready: readiness == Readiness::Ready,
-            };
-            if readiness == Readiness::Removed {
-                self.door.backends.remove(&backend);
-                self.leaving.insert(listed.uid.clone());
-            } else if let Some(known) = self.door.backends.get(&backend) {
-                known.facts.send_replace(facts);
-            } else {
-                self.door.backends.insert(
-                    backend,
-                    EndpointHandle::start(facts, self.limits, self.budget.clone()),
-                );
-            }
-            let size = if self.sized { listed.size } else { 1.0 };
-            let started = self.door.clock.unix_ms(boot_ms);
-            // One of no known zone or cell shares it with nobody: it may not drop another's repeats.
-            let zone = self.zones.iter().position(|z| *z == listed.zone);
-            let zone = zone.unwrap_or(self.zones.len() + backend as usize);
-            let cell = listed.cell.unwrap_or(u64::MAX - u64::from(backend));
-            entries.push(Endpoint {
-                backend,
-                relative_size: size,
-                started_at: started,
-                cell,
-                zone,
-                readiness,
-            });
-        }
-        if news.kind.is_snapshot() {
-            let left_out = self
-                .numbers
-                .iter()
-                .filter(|(_, (number, _))| !self.door.backends.contains_key(number));
-            self.leaving = left_out.map(|(uid, _)| uid.clone()).collect();
-        }
-        self.forget(now);
-        if !news.listed.is_empty() && news.kind != EndpointUpdateKind::Administrative {
-            log::info!(
-                "list version {}: {} lines, {:?}",
-                news.version,
-                news.listed.len(),
-                news.kind
-            );
-        }
-        self.call(|core| {
-            core.balancer
-                .update_endpoints(news.kind, &entries, &mut core.door)
+    fn on_health_checked(
+        &mut self,
+        backend: u32,
+        outcome: AttemptOutcome,
+        report: Option<LoadReport>,
+    ) {
+        log::trace!("health check of {backend}: {outcome:?} {report:?}");
+        let outcome = self.reliable_outcome(outcome, AttemptOutcome::NotSent);
+        self.call_balancer(|actor| {
+            let platform = &mut actor.platform;
+            actor
+                .balancer
+                .on_health_check(backend, outcome, report, platform);
+        });
+        self.replay_to_shadow(|shadow, call| {
+            shadow.on_health_check(call, backend, outcome, report);
         });
-        self.watch(|watch, now, asked| watch.list(now, asked, news.kind, &entries));
     }
 }
+
+fn is_due(at: Instant) -> bool {
+    at <= Instant::now()
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -12,16 +12,17 @@
 
 use crate::clock::{Clock, until};
 use crate::config::active::NameTable;
-use crate::config::file::{self, Config};
+use crate::config::file::{self, CachedEndpoints, Config};
+use crate::config::inherited_listener;
 use crate::config::reload::{ActiveConfig, Reload};
 use crate::decision::actor::{self, DecisionActor};
-use crate::discovery::client::Discovery;
+use crate::discovery::client::DiscoveryClient;
 use crate::downstream::listener::Listener;
-use crate::downstream::request::RequestParser;
-use crate::lifecycle::admin::AdminServer;
+use crate::downstream::request_parser::RequestParser;
+use crate::lifecycle::admin_api::AdminServer;
 use crate::lifecycle::siblings::ProcessGroup;
-use crate::lifecycle::state::{LOOK, StateStore};
-use crate::net::sockets::{SocketBudget, SocketClass};
+use crate::lifecycle::state_store::{SIBLING_POLL_INTERVAL, StateStore};
+use crate::net::socket_budget::{SocketBudget, SocketClass};
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -41,8 +42,9 @@
 const LEFT_EVERY: Duration = Duration::from_millis(5); // between looks at whether the last client has left
 
 fn main() -> ExitCode {
-    let outcome = file::passed()
-        .and_then(|passed| Ok((passed, file::load(true)?)))
+    let outcome = inherited_listener::take()
+        .and_then(|passed| Ok((passed, file::load(CachedEndpoints::Decoded)?)))
+        .map_err(|error| error.to_string())
         .and_then(|(passed, config)| {
             let mut builder = tokio::runtime::Builder::new_current_thread();
             // For what stands beside the loop. Guards against memory that each of several threads keeps for itself.
@@ -75,13 +77,13 @@
 
 /// Follows the other processes of this proxy, and keeps to its part of the sockets while they live.
 async fn share(budget: Rc<SocketBudget>, standings: Rc<StateStore>) {
-    let mut reader = standings.reader();
+    let mut reader = standings.subscribe();
     let divide = async {
         loop {
-            let others = reader.borrow_and_update().others.living;
+            let others = reader.borrow_and_update().siblings.alive;
             budget.divide(others + 1);
             if reader
-                .wait_for(|now| now.others.living != others)
+                .wait_for(|now| now.siblings.alive != others)
                 .await
                 .is_err()
             {
@@ -89,27 +91,30 @@
             }
         }
     };
-    tokio::join!(standings.look(), divide);
+    tokio::join!(standings.follow_siblings(), divide);
 }
 
 /// Accepts clients: at once on an own socket, where health tells what is missing, or else once RPCs can be decided
 /// and an older process has made room.
 async fn accept(front: Listener, listener: TcpListener, standings: Rc<StateStore>, pushed: bool) {
-    let (passed, others) = (standings.now().passed, standings.now().others.living);
+    let (passed, others) = (
+        standings.current().inherited_listener,
+        standings.current().siblings.alive,
+    );
     if pushed {
-        let _ = timeout(AGENT_TIME, standings.reader().wait_for(|now| now.ready)).await;
+        let _ = timeout(AGENT_TIME, standings.subscribe().wait_for(|now| now.ready)).await;
     }
     if passed {
         let _ = standings
-            .reader()
-            .wait_for(|now| now.ready || now.ending.is_some())
+            .subscribe()
+            .wait_for(|now| now.ready || now.shutdown.is_some())
             .await
             .map(drop);
     }
     if others > 0 {
-        sleep(LOOK * 2).await;
+        sleep(SIBLING_POLL_INTERVAL * 2).await;
     }
-    standings.set_open();
+    standings.set_accepting();
     Rc::new(front).run(listener).await;
 }
 
@@ -133,7 +138,7 @@
         .map(|at| bound(at, "LB_MANAGEMENT"))
         .transpose()?;
     birchhub_logging::start();
-    if let Some(fault) = &config.known_fault {
+    if let Some(fault) = &config.cached_endpoints_error {
         log::warn!("known is passed over: {fault}");
     }
     // Only where staff or the platform may have another process of this proxy.
@@ -144,16 +149,19 @@
             .ok()
     });
     let config = Arc::new(config);
-    let names = Rc::new(RefCell::new(Arc::new(NameTable::new(0, &config.conf))));
-    let (stand, settings) = watch::channel(ActiveConfig::new(&config.conf));
-    let (clock, budget) = (Clock::start(), SocketBudget::new(config.sockets));
+    let names = Rc::new(RefCell::new(Arc::new(NameTable::new(
+        0,
+        &config.parsed_settings,
+    ))));
+    let (stand, settings) = watch::channel(ActiveConfig::new(&config.parsed_settings));
+    let (clock, budget) = (Clock::start(), SocketBudget::new(config.max_sockets));
     let standings = Rc::new(StateStore::new(shared, outlives));
     spawn_local(share(budget.clone(), standings.clone()));
     if let Some(listener) = management {
         let (standings, settings) = (standings.clone(), settings.clone());
         spawn_local(
             Rc::new(AdminServer {
-                standings,
+                state_store: standings,
                 settings,
             })
             .run(listener),
@@ -173,13 +181,13 @@
     spawn_local(core.run(mailbox));
     // A list as last had is enough to decide by; without one the first answer is waited for. Where lists are pushed,
     // what the agent has counts as told from the start on.
-    let pushed = !config.conf.settings.polls_endpoint_list;
+    let pushed = !config.parsed_settings.settings.polls_endpoint_list;
     if let Some(known) = config
-        .known
+        .cached_endpoints
         .as_ref()
         .filter(|known| !known.listed.is_empty())
     {
-        standings.listed(known.listed.iter().map(|listed| listed.uid.as_str()));
+        standings.record_listed_names(known.listed.iter().map(|listed| listed.uid.as_str()));
         let standings = standings.clone();
         spawn_local(async move {
             if pushed {
@@ -190,44 +198,38 @@
     }
     let (moves, at) = watch::channel(config.discovery);
     spawn_local(Reload::new(config.clone(), moves, sender.clone(), stand).run(hup));
-    let discovery = Discovery {
+    let discovery = DiscoveryClient::new(
         at,
-        core: sender.clone(),
+        sender.clone(),
         wanted,
-        version: config.known.as_ref().map(|known| known.version),
+        config.cached_endpoints.as_ref().map(|known| known.version),
         pushed,
-        standings: standings.clone(),
-        time_outs: 0,
-    };
+        standings.clone(),
+    );
     spawn_local(discovery.run());
-    let intake = RequestParser::new(names);
-    let open = Default::default();
-    let standing = standings.reader();
-    let front = Listener {
-        intake,
-        standing,
-        budget: budget.clone(),
-        core: sender,
-        next: 0.into(),
-        open,
-    };
+    let front = Listener::new(
+        RequestParser::new(names),
+        standings.subscribe(),
+        budget.clone(),
+        sender,
+    );
     let accepting = spawn_local(accept(front, listener, standings.clone(), pushed));
     log::info!("{} listens on {}", config.name, config.listen);
     term.recv().await;
 
     let longest = settings.borrow().longest_deadline;
-    standings.end(longest.map_or(Duration::MAX, Duration::from_secs_f64));
-    let replaced = standings.now().is_replaced();
+    standings.begin_shutdown(longest.map_or(Duration::MAX, Duration::from_secs_f64));
+    let replaced = standings.current().has_successor();
     let goes_on = if replaced {
         "accepts no more, another process does"
     } else {
         "goes on for what still comes"
     };
     log::info!("SIGTERM: {goes_on}");
-    let over = standings.now().over();
+    let over = standings.current().exit_deadline();
     let gone = async {
         let _ = accepting.await;
-        while budget.open(SocketClass::Clients) > 0 {
+        while budget.open_sockets(SocketClass::Clients) > 0 {
             sleep(LEFT_EVERY).await;
         }
     };
@@ -237,7 +239,7 @@
     }
     log::info!(
         "ends with {} client connections open",
-        budget.open(SocketClass::Clients)
+        budget.open_sockets(SocketClass::Clients)
     );
     Ok(())
 }
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -2,11 +2,11 @@
 use crate::list::{Line, List};
 use crate::proxy::{Care, Proxy, Wish};
 use crate::queue::Queue;
+use birchhub::balancer::Balancer;
 use birchhub::interface::{
     AttemptOutcome as PickEnd, Endpoint as Listed, EndpointUpdateKind, IncomingRpc, LoadReport,
     Readiness, Settings,
 };
-use birchhub::policy::Balancer;
 use birchhub_audit::event::{End, Left, Taken};
 use birchhub_audit::{Answer, Entry, Event, Head, Kind, State};
 use birchhub_model::work::generator;
@@ -205,7 +205,8 @@
 pub fn simulate(scenario: &Scenario, plan: &Plan) -> Result<Outcome, String> {
     let count = scenario.proxies.count;
     let read = |proxy: u16| {
-        let mut conf = birchhub_settings::read_value(&settings::settings(scenario, proxy))?;
+        let mut conf = birchhub_settings::parse_value(&settings::settings(scenario, proxy))
+            .map_err(|error| error.to_string())?;
         conf.settings.polls_endpoint_list = true;
         Ok::<_, String>(conf.settings)
     };
@@ -716,7 +717,7 @@
         &mut self,
         proxy: u16,
         attempt: u64,
-        act: impl FnOnce(&birchhub::policy::RpcHandle, &mut crate::proxy::Door),
+        act: impl FnOnce(&birchhub::balancer::RpcHandle, &mut crate::proxy::Door),
     ) {
         self.call(proxy, |_, cares, door| {
             if let Some(rpc) = cares.get(&attempt).and_then(|care| care.rpc.as_ref()) {
