--- a/crates/daemon/src/discovery/error.rs
+++ b/crates/daemon/src/discovery/error.rs
@@ -39,7 +39,7 @@
         known: u64,
     },
     /// The decision actor has ended.
-    #[error("the core has ended")]
+    #[error("the decision actor has ended")]
     ActorEnded,
 }
 
