--- a/crates/daemon/src/config/active.rs
+++ b/crates/daemon/src/config/active.rs
@@ -55,6 +55,7 @@
 }
 
 impl NameTable {
+    /// The names of these settings.
     pub(crate) fn new(version: u64, settings: &ParsedSettings) -> Self {
         let methods = settings.methods.iter().zip(&settings.settings.methods);
         let methods = methods
--- a/crates/daemon/src/config/reload.rs
+++ b/crates/daemon/src/config/reload.rs
@@ -32,6 +32,7 @@
 }
 
 impl ActiveConfig {
+    /// The configuration that a process starts with.
     pub(crate) fn new(settings: &ParsedSettings) -> Self {
         Self {
             version: 0,
@@ -164,6 +165,7 @@
 }
 
 impl Reload {
+    /// A reload that compares with the configuration of the start.
     pub(crate) fn new(
         start: Arc<Config>,
         discovery: watch::Sender<SocketAddr>,
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -25,6 +25,7 @@
         Self { value, path }
     }
 
+    /// Where the value stands in its document.
     pub(crate) fn path(&self) -> &JsonPath {
         &self.path
     }
@@ -71,6 +72,7 @@
         Ok(if seconds > 0.0 { seconds } else { MAX_SECONDS })
     }
 
+    /// The value, if it is a boolean.
     pub(crate) fn boolean(&self) -> Result<bool, SettingsError> {
         self.value
             .as_bool()
@@ -80,6 +82,7 @@
             })
     }
 
+    /// The value, if it is a string.
     pub(crate) fn string(&self) -> Result<&'a str, SettingsError> {
         self.value
             .as_str()
@@ -88,6 +91,7 @@
             })
     }
 
+    /// A reader for each item, if the value is a list.
     pub(crate) fn list(&self) -> Result<Vec<Self>, SettingsError> {
         let list = self
             .value
--- a/crates/settings/src/sections.rs
+++ b/crates/settings/src/sections.rs
@@ -25,6 +25,7 @@
 }
 
 impl Sections {
+    /// Parses all sections of a document.
     pub(crate) fn parse(
         document: &JsonReader,
         ceilings: &JsonReader,
@@ -116,6 +117,7 @@
 }
 
 impl Zones {
+    /// Parses the names of the zones and the proxy's own.
     pub(crate) fn parse(document: &JsonReader) -> Result<Self, SettingsError> {
         let names = document.optional("failure-domains");
         let names = names.map_or(Ok(Vec::new()), |names| names.strings())?;
