lifecycle: the deadlines of a shutdown stand apart from the wait for it

Cause: shutdown.rs held GracefulShutdown, which the state has, and drain, which asks the state's owner: an import in a circle. Change: GracefulShutdown and its constants move to graceful_shutdown.rs; nothing else.

--- a/crates/daemon/src/lifecycle/state.rs
+++ b/crates/daemon/src/lifecycle/state.rs
@@ -1,7 +1,7 @@
 //! The state of this proxy process, as all actors read it: a plain value, and what follows from it.
 
 use crate::lifecycle::admin_state::{AdminState, unix_ms};
-use crate::lifecycle::shutdown::GracefulShutdown;
+use crate::lifecycle::graceful_shutdown::GracefulShutdown;
 use crate::lifecycle::siblings::Siblings;
 use std::fmt;
 use std::time::Duration;
--- a/crates/daemon/src/lifecycle/state_store.rs
+++ b/crates/daemon/src/lifecycle/state_store.rs
@@ -1,7 +1,7 @@
 //! The one owner of the proxy's state: all changes are made here, and every actor may read or follow it.
 
 use crate::lifecycle::admin_state::{AdminCommand, AdminState};
-use crate::lifecycle::shutdown::GracefulShutdown;
+use crate::lifecycle::graceful_shutdown::GracefulShutdown;
 use crate::lifecycle::siblings::{ProcessGroup, ProcessGroupError};
 use crate::lifecycle::state::ProxyState;
 use std::cell::{Cell, RefCell};
