--- a/crates/stand-in/src/caller.rs
+++ b/crates/stand-in/src/caller.rs
@@ -78,7 +78,10 @@
 
 impl Caller {
     pub fn new(notes: Notes) -> Self {
-        Self { notes, idle: RefCell::default() }
+        Self {
+            notes,
+            idle: RefCell::default(),
+        }
     }
 
     fn clock(&self) -> &Clock {
@@ -108,7 +111,11 @@
         }
         let Ok(Ok(peer)) = timeout(CONNECT, Peer::connect(at)).await else {
             // After a crossing the proxy is gone, and nobody can tell what it had read.
-            let answer = if sent { Answer::Lost } else { Answer::Unreachable };
+            let answer = if sent {
+                Answer::Lost
+            } else {
+                Answer::Unreachable
+            };
             if !sent {
                 self.sent(call);
             }
@@ -121,16 +128,36 @@
     }
 
     fn sent(&self, call: &Call) {
-        let Call { attempt, rpc, proxy, .. } = *call;
-        self.notes.tell(Event::Sent { attempt, rpc, proxy, patience: call.patience as f32 });
+        let Call {
+            attempt,
+            rpc,
+            proxy,
+            ..
+        } = *call;
+        self.notes.tell(Event::Sent {
+            attempt,
+            rpc,
+            proxy,
+            patience: call.patience as f32,
+        });
     }
 
     fn answered(&self, call: &Call, answer: Answer) -> Answer {
-        self.notes.tell(Event::Answered { attempt: call.attempt, answer });
+        self.notes.tell(Event::Answered {
+            attempt: call.attempt,
+            answer,
+        });
         answer
     }
 
-    async fn on(&self, mut peer: Peer, call: &Call, at: SocketAddr, kept: bool, sent: &mut bool) -> Went {
+    async fn on(
+        &self,
+        mut peer: Peer,
+        call: &Call,
+        at: SocketAddr,
+        kept: bool,
+        sent: &mut bool,
+    ) -> Went {
         // Told before the bytes leave, so that no pick overtakes it; a crossing is sent twice and told once.
         if !std::mem::replace(sent, true) {
             self.sent(call);
@@ -138,7 +165,9 @@
         let begun = self.clock().now();
         // A write that fails shows when the answer is read.
         let _ = peer.write(&call.encode()).await;
-        let leaves = call.leaves_after.map_or(f64::INFINITY, |after| begun + after);
+        let leaves = call
+            .leaves_after
+            .map_or(f64::INFINITY, |after| begun + after);
         let read = select! {
             biased;
             read = peer.read(Kind::Response, self.clock()) => read,
@@ -162,7 +191,9 @@
         let answer = meaning(call, &message);
         match peer.rest() {
             Rest::Bytes => return Went::Over(Answer::Garbled),
-            Rest::Open if !message.is_last() => self.idle.borrow_mut().entry(at).or_default().push(peer),
+            Rest::Open if !message.is_last() => {
+                self.idle.borrow_mut().entry(at).or_default().push(peer)
+            }
             Rest::Open | Rest::Ended => {}
         }
         Went::Over(answer)
@@ -172,10 +203,17 @@
 /// An answer as the protocol has it; a 200 must carry what a node made for this very try.
 fn meaning(call: &Call, message: &Message) -> Answer {
     match message.status {
-        200 if message.body.starts_with(format!("{:016x} ", call.attempt).as_bytes()) => Answer::Ok,
+        200 if message
+            .body
+            .starts_with(format!("{:016x} ", call.attempt).as_bytes()) =>
+        {
+            Answer::Ok
+        }
         200 => Answer::Garbled,
         429 | 503 => {
-            let after = message.header("retry-after").and_then(|value| value.parse().ok());
+            let after = message
+                .header("retry-after")
+                .and_then(|value| value.parse().ok());
             Answer::PushedBack(after)
         }
         status => Answer::Aborted(status),
--- a/crates/stand-in/src/clock.rs
+++ b/crates/stand-in/src/clock.rs
@@ -12,8 +12,14 @@
 impl Clock {
     /// A clock that reads 0 after `lead`.
     pub fn starting_in(lead: Duration) -> Self {
-        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default() + lead;
-        Self { base: Instant::now() + lead, wall: wall.as_secs_f64() }
+        let wall = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default()
+            + lead;
+        Self {
+            base: Instant::now() + lead,
+            wall: wall.as_secs_f64(),
+        }
     }
 
     /// s; negative before the beginning.
@@ -28,7 +34,11 @@
     /// The moment at which it reads this; times far off are cut to a day.
     pub fn instant(&self, at: f64) -> Instant {
         let span = Duration::from_secs_f64(at.abs().min(86_400.0));
-        if at < 0.0 { self.base.checked_sub(span).unwrap_or(self.base) } else { self.base + span }
+        if at < 0.0 {
+            self.base.checked_sub(span).unwrap_or(self.base)
+        } else {
+            self.base + span
+        }
     }
 
     /// Unix time in ms, as the list tells starts.
--- a/crates/stand-in/src/faults.rs
+++ b/crates/stand-in/src/faults.rs
@@ -54,6 +54,10 @@
             | Fault::Error { share } => share,
             Fault::Partition { .. } => 0.0,
         };
-        self.0.borrow().iter().find(|(number, fault)| hits(*number, share(fault))).map(|(_, fault)| *fault)
+        self.0
+            .borrow()
+            .iter()
+            .find(|(number, fault)| hits(*number, share(fault)))
+            .map(|(_, fault)| *fault)
     }
 }
--- a/crates/stand-in/src/fleet.rs
+++ b/crates/stand-in/src/fleet.rs
@@ -87,7 +87,8 @@
         let mark = match (cost.kind, key) {
             (Kind::Deduplicated { group, window }, Some(key)) => {
                 // FNV-1a: keys are texts of the client's own.
-                let fold = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+                let fold =
+                    |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
                 let key = key.bytes().fold(0xcbf2_9ce4_8422_2325, fold);
                 let group = group.number(zone, rack);
                 Some(Mark { group, key, window })
--- a/crates/stand-in/src/list.rs
+++ b/crates/stand-in/src/list.rs
@@ -44,7 +44,11 @@
             State::Draining => "Terminating",
             State::Gone => "Gone",
         };
-        let endpoint = self.doors.get(proxy as usize).map(ToString::to_string).unwrap_or_default();
+        let endpoint = self
+            .doors
+            .get(proxy as usize)
+            .map(ToString::to_string)
+            .unwrap_or_default();
         json!({"uid": self.name, "endpoint": endpoint, "az": self.zone, "model": self.machine,
             "pod_group": self.rack, "state": state, "capacity_hint": self.capacity, "boot_ms": self.boot_ms})
     }
@@ -78,7 +82,11 @@
 impl Capacity {
     /// `calls` at a time, of `call` each and `line` more for each line that is told.
     pub fn new(calls: usize, call: Duration, line: Duration) -> Self {
-        Self { slots: Rc::new(Semaphore::new(calls)), call, line }
+        Self {
+            slots: Rc::new(Semaphore::new(calls)),
+            call,
+            line,
+        }
     }
 }
 
@@ -98,9 +106,14 @@
 impl ListService {
     /// Begins to listen, on the IP that is given for each proxy.
     pub fn start(notes: Notes, doors: &[IpAddr]) -> io::Result<Rc<Self>> {
-        let listeners =
-            doors.iter().map(|ip| listen((*ip, 0).into(), BACKLOG)).collect::<io::Result<Vec<_>>>()?;
-        let doors = listeners.iter().map(TcpListener::local_addr).collect::<io::Result<_>>()?;
+        let listeners = doors
+            .iter()
+            .map(|ip| listen((*ip, 0).into(), BACKLOG))
+            .collect::<io::Result<Vec<_>>>()?;
+        let doors = listeners
+            .iter()
+            .map(TcpListener::local_addr)
+            .collect::<io::Result<_>>()?;
         let service = Rc::new(Self {
             notes,
             doors,
@@ -143,7 +156,11 @@
 
     /// A node is now so. Proxies that watch are told.
     pub fn change(&self, node: u32, line: Line) {
-        self.notes.tell(Event::Changed { node, life: line.life, state: line.state });
+        self.notes.tell(Event::Changed {
+            node,
+            life: line.life,
+            state: line.state,
+        });
         let mut now = self.now.borrow_mut();
         now.version += 1;
         let version = now.version;
@@ -155,7 +172,11 @@
     /// It fails every call from now on, or answers again.
     pub fn set_down(&self, down: bool) {
         let mut weather = self.weather.borrow_mut();
-        weather.down = if down { weather.down + 1 } else { weather.down.saturating_sub(1) };
+        weather.down = if down {
+            weather.down + 1
+        } else {
+            weather.down.saturating_sub(1)
+        };
         drop(weather);
         self.wake();
     }
@@ -203,9 +224,18 @@
                 Some(from) => *version > from,
             };
             let lines: Vec<_> = copy.lines.iter().filter(wanted).collect();
-            let targets: Vec<_> = lines.iter().map(|(_, (_, line))| line.told(proxy)).collect();
-            let told = lines.iter().map(|(node, (_, line))| (**node, line.life, line.state)).collect();
-            (json!({"rev": copy.version, "all": from.is_none(), "targets": targets}), told)
+            let targets: Vec<_> = lines
+                .iter()
+                .map(|(_, (_, line))| line.told(proxy))
+                .collect();
+            let told = lines
+                .iter()
+                .map(|(node, (_, line))| (**node, line.life, line.state))
+                .collect();
+            (
+                json!({"rev": copy.version, "all": from.is_none(), "targets": targets}),
+                told,
+            )
         })
     }
 
@@ -223,7 +253,12 @@
         }
         for (node, life, state) in news {
             if known.insert((proxy, node), (life, state)) != Some((life, state)) {
-                self.notes.tell(Event::Told { proxy, node, life, state });
+                self.notes.tell(Event::Told {
+                    proxy,
+                    node,
+                    life,
+                    state,
+                });
             }
         }
     }
@@ -237,7 +272,9 @@
         loop {
             match listener.accept().await {
                 Ok((stream, _)) if self.is_down() => Peer::new(stream).reset(),
-                Ok((stream, _)) => drop(spawn_local(self.clone().connection(proxy, Peer::new(stream)))),
+                Ok((stream, _)) => drop(spawn_local(
+                    self.clone().connection(proxy, Peer::new(stream)),
+                )),
                 Err(fault) => {
                     log::warn!("list service: no connection accepted: {fault}");
                     sleep(BUSY).await;
@@ -259,10 +296,17 @@
                 return;
             };
             let capacity = self.capacity.borrow().clone();
-            let mut slot = match capacity.as_ref().map(|capacity| capacity.slots.try_acquire()) {
+            let mut slot = match capacity
+                .as_ref()
+                .map(|capacity| capacity.slots.try_acquire())
+            {
                 Some(Err(_)) => {
                     self.refused.set(self.refused.get() + 1);
-                    if peer.write(&response(503, &[], b"too many calls\n")).await.is_err() {
+                    if peer
+                        .write(&response(503, &[], b"too many calls\n"))
+                        .await
+                        .is_err()
+                    {
                         return;
                     }
                     continue;
@@ -293,7 +337,11 @@
             }
             let (body, told) = self.body(proxy, from);
             drop(slot);
-            let bytes = response(200, &[("Content-Type", "application/json")], body.to_string().as_bytes());
+            let bytes = response(
+                200,
+                &[("Content-Type", "application/json")],
+                body.to_string().as_bytes(),
+            );
             if peer.write(&bytes).await.is_err() {
                 return;
             }
@@ -329,7 +377,9 @@
     }
     let number = |name: &str| {
         let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-        pairs.find(|(key, _)| *key == name).and_then(|(_, value)| value.parse::<u64>().ok())
+        pairs
+            .find(|(key, _)| *key == name)
+            .and_then(|(_, value)| value.parse::<u64>().ok())
     };
     let hold = number("hold_ms").unwrap_or(0).min(HOLD_MOST);
     Some((number("from"), Duration::from_millis(hold)))
--- a/crates/stand-in/src/node.rs
+++ b/crates/stand-in/src/node.rs
@@ -111,14 +111,18 @@
         self.how = Left::Withdrawn;
         self.host.change(self.life, |life, now, fleet, out| {
             life.waiting.remove(&self.job);
-            life.node.cancel(now, self.job, &mut fleet.repeats.borrow_mut(), out);
+            life.node
+                .cancel(now, self.job, &mut fleet.repeats.borrow_mut(), out);
         });
     }
 }
 
 impl Drop for Pick<'_> {
     fn drop(&mut self) {
-        self.host.fleet.notes.tell(Event::Left { job: self.job, how: self.how });
+        self.host.fleet.notes.tell(Event::Left {
+            job: self.job,
+            how: self.how,
+        });
     }
 }
 
@@ -129,7 +133,16 @@
         let doors = doors.iter().map(reserve).collect::<io::Result<_>>()?;
         let (life, faults, moved) = (RefCell::new(None), Faults::default(), Notify::new());
         let machine = Cell::new(1.0);
-        Ok(Rc::new(Self { place, fleet, faults, doors, life, machine, moved, weather: watch::channel(0).0 }))
+        Ok(Rc::new(Self {
+            place,
+            fleet,
+            faults,
+            doors,
+            life,
+            machine,
+            moved,
+            weather: watch::channel(0).0,
+        }))
     }
 
     /// Its address for a proxy.
@@ -144,22 +157,37 @@
 
     /// Whether it holds nothing, or is not there.
     pub fn is_idle(&self) -> bool {
-        self.life.borrow().as_ref().is_none_or(|life| life.node.in_flight() == 0)
+        self.life
+            .borrow()
+            .as_ref()
+            .is_none_or(|life| life.node.in_flight() == 0)
     }
 
     pub fn in_flight(&self) -> usize {
-        self.life.borrow().as_ref().map_or(0, |life| life.node.in_flight())
+        self.life
+            .borrow()
+            .as_ref()
+            .map_or(0, |life| life.node.in_flight())
     }
 
     /// Begins a life; the one before must have ended.
     pub fn start(self: &Rc<Self>, start: Start) -> io::Result<u32> {
-        let listeners = self.doors.iter().map(|at| listen(*at, BACKLOG)).collect::<io::Result<Vec<_>>>()?;
+        let listeners = self
+            .doors
+            .iter()
+            .map(|at| listen(*at, BACKLOG))
+            .collect::<io::Result<Vec<_>>>()?;
         let number = self.fleet.life();
         let now = self.fleet.notes.clock.now();
         let spec = &self.place.spec;
         let able = (spec.cores as f64 * spec.speed) as f32;
         let mut node = Node::new(spec.clone(), now, start);
-        node.scale(now, self.machine.get(), &mut self.fleet.repeats.borrow_mut(), &mut Vec::new());
+        node.scale(
+            now,
+            self.machine.get(),
+            &mut self.fleet.repeats.borrow_mut(),
+            &mut Vec::new(),
+        );
         let (over, seen) = watch::channel(Over::Not);
         self.fleet.notes.tell(Event::Born {
             life: number,
@@ -167,10 +195,18 @@
             cold: start == Start::Cold,
             able,
         });
-        *self.life.borrow_mut() =
-            Some(Life { number, node, waiting: HashMap::new(), over, stalls: BTreeSet::new() });
+        *self.life.borrow_mut() = Some(Life {
+            number,
+            node,
+            waiting: HashMap::new(),
+            over,
+            stalls: BTreeSet::new(),
+        });
         for (proxy, listener) in listeners.into_iter().enumerate() {
-            spawn_local(self.clone().accept(number, proxy as u16, listener, seen.clone()));
+            spawn_local(
+                self.clone()
+                    .accept(number, proxy as u16, listener, seen.clone()),
+            );
         }
         spawn_local(self.clone().drive(number, seen));
         Ok(number)
@@ -218,7 +254,8 @@
             turn(&mut life.stalls);
             let stands = !life.stalls.is_empty();
             if stands == before {
-                life.node.stall(now, stands, &mut fleet.repeats.borrow_mut(), out);
+                life.node
+                    .stall(now, stands, &mut fleet.repeats.borrow_mut(), out);
             }
         });
         self.weather.send_modify(|n| *n += 1);
@@ -229,7 +266,8 @@
         self.machine.set(self.machine.get() * factor);
         if let Some(number) = self.life() {
             self.change(number, |life, now, fleet, out| {
-                life.node.scale(now, factor, &mut fleet.repeats.borrow_mut(), out);
+                life.node
+                    .scale(now, factor, &mut fleet.repeats.borrow_mut(), out);
             });
         }
     }
@@ -246,7 +284,11 @@
 
     /// Looks into a life, if it is still this one.
     fn with<R>(&self, number: u32, look: impl FnOnce(&mut Life) -> R) -> Option<R> {
-        self.life.borrow_mut().as_mut().filter(|life| life.number == number).map(look)
+        self.life
+            .borrow_mut()
+            .as_mut()
+            .filter(|life| life.number == number)
+            .map(look)
     }
 
     /// Changes a life at this moment, then tells what happened by itself.
@@ -285,7 +327,10 @@
                 }
             };
             // A probe's job has nobody who waits, nor has one that was withdrawn.
-            if let Some(waiter) = self.with(number, |life| life.waiting.remove(&over)).flatten() {
+            if let Some(waiter) = self
+                .with(number, |life| life.waiting.remove(&over))
+                .flatten()
+            {
                 let _ = waiter.send(Done);
             }
         }
@@ -304,9 +349,14 @@
             }
             let (now, mut out) = (clock.now(), Vec::new());
             if let Some(due) = next {
-                self.fleet.notes.tell(Event::StageLate { by: (now - due).max(0.0) as f32 });
+                self.fleet.notes.tell(Event::StageLate {
+                    by: (now - due).max(0.0) as f32,
+                });
             }
-            self.with(number, |life| life.node.advance(now, &mut self.fleet.repeats.borrow_mut(), &mut out));
+            self.with(number, |life| {
+                life.node
+                    .advance(now, &mut self.fleet.repeats.borrow_mut(), &mut out)
+            });
             self.tell(number, out);
         }
     }
@@ -321,7 +371,10 @@
 
     async fn until_awake(&self, number: u32) {
         let mut weather = self.weather.subscribe();
-        while self.with(number, |life| !life.stalls.is_empty()).unwrap_or(false) {
+        while self
+            .with(number, |life| !life.stalls.is_empty())
+            .unwrap_or(false)
+        {
             let _ = weather.changed().await;
         }
     }
@@ -350,9 +403,20 @@
             };
             match accepted {
                 Ok((stream, _)) => {
-                    let held = self.with(number, |life| life.node.connect()).unwrap_or(false);
-                    let slot = Slot { host: self.clone(), life: number, held };
-                    spawn_local(self.clone().connection(Peer::new(stream), proxy, slot, over.clone()));
+                    let held = self
+                        .with(number, |life| life.node.connect())
+                        .unwrap_or(false);
+                    let slot = Slot {
+                        host: self.clone(),
+                        life: number,
+                        held,
+                    };
+                    spawn_local(self.clone().connection(
+                        Peer::new(stream),
+                        proxy,
+                        slot,
+                        over.clone(),
+                    ));
                 }
                 Err(fault) => {
                     log::warn!("{}: no connection accepted: {fault}", self.place.name);
@@ -402,14 +466,19 @@
                 _ => self.rpc(peer, &message, proxy, slot).await,
             };
             if next != Next::Read || message.is_last() {
-                return if next == Next::Reset { Next::Reset } else { Next::Close };
+                return if next == Next::Reset {
+                    Next::Reset
+                } else {
+                    Next::Close
+                };
             }
         }
     }
 
     fn report(&self, life: u32) -> Report {
         let now = self.fleet.notes.clock.now();
-        self.with(life, |life| life.node.report(now)).unwrap_or_default()
+        self.with(life, |life| life.node.report(now))
+            .unwrap_or_default()
     }
 
     /// Writes an answer, with the load where answers carry it.
@@ -422,7 +491,11 @@
         body: &[u8],
     ) -> Next {
         let bytes = self.encode(life, status, more, body);
-        if peer.write(&bytes).await.is_ok() { Next::Read } else { Next::Close }
+        if peer.write(&bytes).await.is_ok() {
+            Next::Read
+        } else {
+            Next::Close
+        }
     }
 
     fn encode(&self, life: u32, status: u16, more: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
@@ -439,14 +512,24 @@
             return self.answer(peer, life, 404, &[], b"no probes here\n").await;
         }
         if self.fleet.probe_work > 0.0 {
-            let offer =
-                Offer { job: self.fleet.job(), work: self.fleet.probe_work, mark: None, fresh: false };
+            let offer = Offer {
+                job: self.fleet.job(),
+                work: self.fleet.probe_work,
+                mark: None,
+                fresh: false,
+            };
             // A probe is answered also where its work found no room.
             self.change(life, |life, now, fleet, out| {
-                let _ = life.node.offer(now, offer, &mut fleet.repeats.borrow_mut(), out);
+                let _ = life
+                    .node
+                    .offer(now, offer, &mut fleet.repeats.borrow_mut(), out);
             });
         }
-        let body = if message.path == "/stats" { load_text(&self.report(life)) } else { "ok".to_owned() };
+        let body = if message.path == "/stats" {
+            load_text(&self.report(life))
+        } else {
+            "ok".to_owned()
+        };
         self.answer(peer, life, 200, &[], body.as_bytes()).await
     }
 
@@ -465,10 +548,26 @@
         let job = fleet.job();
         let got = |taken, pushed: f64| {
             let (begun, work, pushed) = (message.begun, work as f32, pushed as f32);
-            fleet.notes.tell(Event::Got { life, job, attempt, proxy, begun, work, pushed, taken });
+            fleet.notes.tell(Event::Got {
+                life,
+                job,
+                attempt,
+                proxy,
+                begun,
+                work,
+                pushed,
+                taken,
+            });
+        };
+        let fault = self
+            .faults
+            .for_rpc(|number, share| fleet.hits(number, attempt, share));
+        let mut pick = Pick {
+            host: self,
+            life,
+            job,
+            how: Left::Broken,
         };
-        let fault = self.faults.for_rpc(|number, share| fleet.hits(number, attempt, share));
-        let mut pick = Pick { host: self, life, job, how: Left::Broken };
         match fault {
             Some(Fault::Mute { .. }) => {
                 got(Taken::Swallowed, 0.0);
@@ -484,14 +583,21 @@
             _ => {}
         }
         let (done, mut ended) = oneshot::channel();
-        let offer = Offer { job, work, mark, fresh: peer.messages == 1 };
+        let offer = Offer {
+            job,
+            work,
+            mark,
+            fresh: peer.messages == 1,
+        };
         let (now, mut out) = (fleet.notes.clock.now(), Vec::new());
         let taken = self.with(life, |life| {
             if !slot.held {
                 return (Err(Why::QueueFull), life.node.pushed());
             }
             life.waiting.insert(job, done);
-            let taken = life.node.offer(now, offer, &mut fleet.repeats.borrow_mut(), &mut out);
+            let taken = life
+                .node
+                .offer(now, offer, &mut fleet.repeats.borrow_mut(), &mut out);
             if taken.is_err() {
                 life.waiting.remove(&job);
             }
@@ -513,7 +619,9 @@
             Err(Why::Down) => return Next::Reset,
             Err(_) => {
                 pick.how = Left::Replied;
-                let next = self.answer(peer, life, 503, &[("Not-Started", "1")], b"not started\n").await;
+                let next = self
+                    .answer(peer, life, 503, &[("Not-Started", "1")], b"not started\n")
+                    .await;
                 return if slot.held { next } else { Next::Close };
             }
         }
@@ -535,7 +643,10 @@
 }
 
 fn load_text(report: &Report) -> String {
-    format!("inflight={},queue={},util={:.3}", report.in_flight, report.queued, report.utilisation)
+    format!(
+        "inflight={},queue={},util={:.3}",
+        report.in_flight, report.queued, report.utilisation
+    )
 }
 
 /// Writes an answer as the fault will have it.
--- a/crates/stand-in/src/wire.rs
+++ b/crates/stand-in/src/wire.rs
@@ -29,18 +29,25 @@
 impl Message {
     /// Its value, by the name in lower case.
     pub fn header(&self, name: &str) -> Option<&str> {
-        self.headers.iter().find(|(n, _)| n == name).map(|(_, value)| value.as_str())
+        self.headers
+            .iter()
+            .find(|(n, _)| n == name)
+            .map(|(_, value)| value.as_str())
     }
 
     /// First part of the path: the method's name.
     pub fn class(&self) -> &str {
         let path = self.path.split(['?', '#']).next().unwrap_or_default();
-        path.trim_start_matches('/').split('/').next().unwrap_or_default()
+        path.trim_start_matches('/')
+            .split('/')
+            .next()
+            .unwrap_or_default()
     }
 
     /// The other side closes the connection after it.
     pub fn is_last(&self) -> bool {
-        self.header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"))
+        self.header("connection")
+            .is_some_and(|value| value.eq_ignore_ascii_case("close"))
     }
 }
 
@@ -100,12 +107,19 @@
             (status, head.headers)
         }
     };
-    let httparse::Status::Complete(length) = status else { return Ok(None) };
+    let httparse::Status::Complete(length) = status else {
+        return Ok(None);
+    };
     for header in headers.iter() {
         let value = String::from_utf8_lossy(header.value).trim().to_owned();
-        message.headers.push((header.name.to_ascii_lowercase(), value));
+        message
+            .headers
+            .push((header.name.to_ascii_lowercase(), value));
     }
-    let body = message.header("content-length").map_or(Ok(0), str::parse).map_err(|_| Stop::Garbled)?;
+    let body = message
+        .header("content-length")
+        .map_or(Ok(0), str::parse)
+        .map_err(|_| Stop::Garbled)?;
     Ok(Some((message, length, body)))
 }
 
@@ -113,7 +127,12 @@
     pub fn new(stream: TcpStream) -> Self {
         // Small messages must not wait for each other.
         let _ = stream.set_nodelay(true);
-        Self { stream, ahead: Vec::new(), since: 0.0, messages: 0 }
+        Self {
+            stream,
+            ahead: Vec::new(),
+            since: 0.0,
+            messages: 0,
+        }
     }
 
     pub async fn connect(at: SocketAddr) -> io::Result<Self> {
@@ -203,7 +222,11 @@
 
 /// A listener that takes its address over at once after the one before has ended.
 pub fn listen(at: SocketAddr, backlog: u32) -> io::Result<TcpListener> {
-    let socket = if at.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    let socket = if at.is_ipv4() {
+        TcpSocket::new_v4()
+    } else {
+        TcpSocket::new_v6()
+    }?;
     socket.set_reuseaddr(true)?;
     let listening = socket.bind(at).and_then(|()| socket.listen(backlog));
     listening.map_err(|fault| io::Error::new(fault.kind(), format!("{at}: {fault}")))
