--- a/tests/common/rule_model.rs
+++ b/tests/common/rule_model.rs
@@ -89,7 +89,7 @@
     pub settings: Settings,
     pub rpcs: BTreeMap<u64, RpcRecord>,
     pub endpoints: BTreeMap<u32, Endpoint>,
-    /// When the decisions were told that a backend drains or is gone.
+    /// When the decisions were notified that a backend drains or is gone.
     pub draining_since: BTreeMap<u32, f64>,
     pub timers: Vec<f64>,
     pub pending_health_checks: Vec<u32>,
--- a/tests/common/sockets/backend.rs
+++ b/tests/common/sockets/backend.rs
@@ -10,12 +10,12 @@
 /// What a backend does with an RPC.
 pub(crate) enum Act {
     Write(Vec<u8>),
-    /// Writes so much and breaks the connection.
+    /// Writes these bytes and closes the connection.
     Cut(Vec<u8>),
-    /// Answers and, once something has been noted or half a second has passed, sends more, or where that is nothing
-    /// breaks the connection.
+    /// Writes bytes and, once this event is in the log or half a second has passed, writes more; without more bytes it
+    /// closes the connection.
     Late(Vec<u8>, Log, String, Vec<u8>),
-    /// Says nothing for as long as the proxy holds on.
+    /// Writes nothing until the proxy closes the connection.
     Hang,
 }
 
@@ -32,8 +32,7 @@
     address
 }
 
-/// A backend that is idle by its reports. It notes `NAME got FIRST-LINE ID` and, when it hangs,
-/// `NAME closed ID`.
+/// A backend that reports to be idle. It logs `NAME got FIRST-LINE ID` and, where it hangs, `NAME closed ID`.
 pub(crate) fn backend(
     name: &'static str,
     log: &Log,
@@ -74,7 +73,7 @@
     })
 }
 
-/// A backend that answers once its gate is open.
+/// A backend that responds once its gate is open.
 pub(crate) fn gated(
     name: &'static str,
     log: &Log,
--- a/tests/common/sockets/client.rs
+++ b/tests/common/sockets/client.rs
@@ -18,13 +18,13 @@
     pub(crate) fn send(&mut self, bytes: &str) -> bool {
         self.0.get_mut().write_all(bytes.as_bytes()).is_ok()
     }
-    /// Its end is a reset.
+    /// The connection ends with a reset.
     pub(crate) fn resets_when_dropped(&self) {
         socket2::SockRef::from(self.0.get_ref())
             .set_linger(Some(Duration::ZERO))
             .expect("no linger");
     }
-    /// The socket, for who writes or reads beside.
+    /// A second handle of the socket, to write or read at the same time.
     pub(crate) fn stream(&self) -> TcpStream {
         self.0.get_ref().try_clone().expect("a second handle")
     }
@@ -43,7 +43,7 @@
     pub(crate) fn text_of(&mut self, bytes: &str) -> String {
         self.call(bytes).expect("a response").text()
     }
-    /// The other side has closed the connection, and nothing more came.
+    /// The peer has closed the connection, and sent nothing more.
     pub(crate) fn is_closed(&mut self) -> bool {
         self.0.read(&mut [0]).map_or_else(
             |e| e.kind() == ErrorKind::ConnectionReset,
@@ -52,7 +52,7 @@
     }
 }
 
-/// An RPC that waits for 3 s; `POST`s carry a key.
+/// An RPC with a deadline of 3 s; a `POST` has an idempotency key.
 pub(crate) fn rpc(verb: &str, path: &str, id: &str, body: &str) -> String {
     let key = if verb == "POST" {
         "Idempotency-Key: k1\r\n"
--- a/tests/common/sockets/daemon.rs
+++ b/tests/common/sockets/daemon.rs
@@ -12,7 +12,7 @@
 use std::thread::sleep;
 use std::time::Duration;
 
-/// A birchhubd, killed when dropped.
+/// A birchhubd process, killed when dropped.
 pub(crate) struct Daemon {
     pub child: Child,
     pub at: SocketAddr,
@@ -20,13 +20,13 @@
     folder: PathBuf,
 }
 
-/// Without probes every backend is drawn blindly.
+/// Without health checks, so that backends are chosen by the random pick of the fallback.
 pub(crate) fn blind(config: &mut Value) {
     config["settings"]["ceilings"]["probes"] = false.into();
 }
 
-/// An address nobody listens on, nor will: the others listen elsewhere in the loopback range. Its port is
-/// none that the system deals out, or a client that comes too early might be connected to itself.
+/// An address nobody listens on, nor will: all others listen elsewhere in the loopback range. Its port is not an
+/// ephemeral one, or a client that connects too early might be connected to itself.
 pub(crate) fn free() -> SocketAddr {
     static NEXT: AtomicU8 = AtomicU8::new(1);
     let (process, number) = (std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
@@ -104,7 +104,7 @@
         daemon
     }
 
-    /// Kills it and starts it again under its name and address.
+    /// Kills it and starts it again with its configuration.
     pub(crate) fn restart(&mut self, program: &str) {
         self.child
             .kill()
@@ -132,7 +132,7 @@
         Client::open(self.at).expect("a connection")
     }
 
-    /// Answers earn the credit that further picks are paid with.
+    /// Sends RPCs whose responses fill the retry budget.
     pub(crate) fn earn_credit(&self) {
         let mut client = self.client();
         for n in 0..30 {
@@ -146,14 +146,14 @@
         }
     }
 
-    /// Descriptors it holds open.
+    /// How many descriptors it has open.
     pub(crate) fn descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id()))
             .expect("its descriptors")
             .count()
     }
 
-    /// Bytes it has in memory.
+    /// Its resident memory, bytes.
     pub(crate) fn memory(&self) -> usize {
         let file = std::fs::read_to_string(format!("/proc/{}/statm", self.child.id()))
             .expect("its memory");
@@ -180,7 +180,7 @@
         );
     }
 
-    /// Replaces its configuration and tells it so.
+    /// Replaces its configuration and sends SIGHUP.
     pub(crate) fn reload(&self, text: &str) {
         std::fs::write(self.folder.join("config.json"), text).expect("a file");
         self.signal("HUP");
--- a/tests/common/sockets/http.rs
+++ b/tests/common/sockets/http.rs
@@ -4,12 +4,12 @@
 
 pub(crate) const HEALTH: &str = "GET /health/ready HTTP/1.1\r\n\r\n";
 
-/// An HTTP message as it came in.
+/// An HTTP message as it was received.
 pub(crate) struct Message {
     pub first: String,
     pub headers: BTreeMap<String, String>,
     pub body: Vec<u8>,
-    /// How many came before it on its connection, where that is counted.
+    /// How many messages came before it on its connection, where that is counted.
     pub before: usize,
 }
 
--- a/tests/common/sockets/shared.rs
+++ b/tests/common/sockets/shared.rs
@@ -23,7 +23,7 @@
         self.0.1.notify_all();
         result
     }
-    /// Waits until it is as it should be; false if it never was.
+    /// Waits until the condition holds; false if it never did.
     pub(crate) fn wait(&self, longest: Duration, so: impl Fn(&T) -> bool) -> bool {
         let guard = self.0.0.lock().expect("a healthy lock");
         let (_guard, late) = self
@@ -35,7 +35,7 @@
     }
 }
 
-/// Tries until it is so; a complaint if it never was.
+/// Tries until the condition holds; fails with the complaint if it never does.
 pub(crate) fn eventually(longest: Duration, complaint: &str, mut so: impl FnMut() -> bool) {
     let begun = Instant::now();
     while !so() {
@@ -44,7 +44,7 @@
     }
 }
 
-/// What was seen, in order, by all stand-ins of a test.
+/// The events that all stand-ins of a test saw, in order.
 pub(crate) type Log = Shared<Vec<String>>;
 
 impl Log {
