Logs: every close, attempt and RPC ends with a typed reason, request and connection

EndReason names each end; lines carry request, connection, attempt and backend as fields of the log crate, so one grep follows a request. Unusual ends are logged at info, the others at debug. No decision is changed.

--- a/crates/daemon/src/decision/actor.rs
+++ b/crates/daemon/src/decision/actor.rs
@@ -272,7 +272,6 @@
             let _ = client.responder.send(response);
             return;
         }
-        log::trace!("RPC {id}: method {}, {:?}", rpc.method, rpc.timeout);
         let limits = RpcLimits {
             deadline: rpc.received_at + rpc.timeout.saturating_sub(CLIENT_MARGIN),
             deduplication_window: self.deduplication_windows[rpc.method],
@@ -297,7 +296,6 @@
     }
 
     fn on_client_disconnected(&mut self, id: u64) {
-        log::trace!("RPC {id}: client disconnected");
         if !self.rpcs.contains_key(&id) {
             self.platform.in_flight.remove(&id); // One that the decision package lost when it panicked.
         }
@@ -313,10 +311,14 @@
     fn on_attempt_ended(&mut self, attempt: AttemptId, result: ExchangeResult) {
         let AttemptId { rpc: id, index } = attempt;
         let (body, report) = (result.body, result.report);
-        log::trace!("RPC {id}: attempt {index} {:?}", result.outcome);
         let outcome = self.reliable_outcome(result.outcome, AttemptOutcome::Cancelled);
         let succeeded = outcome == AttemptOutcome::Succeeded;
         let in_flight = self.platform.in_flight.get(&id);
+        log::debug!(
+            request:% = in_flight.map(InFlightRpc::request_id).unwrap_or_default(),
+            attempt = index, outcome:?, reason:% = result.reason;
+            "attempt ended"
+        );
         // A response that is ok ends the RPC; it goes to the client below.
         let is_over = succeeded || in_flight.is_none_or(|rpc| !rpc.awaits_response());
         let is_consumed = in_flight.is_some_and(InFlightRpc::is_upload_consumed);
--- a/crates/daemon/src/decision/endpoints.rs
+++ b/crates/daemon/src/decision/endpoints.rs
@@ -9,6 +9,7 @@
 use birchhub::interface::{Endpoint, Readiness};
 use birchhub_settings::ParsedSettings;
 use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -65,6 +66,12 @@
         }
     }
 
+    /// Where a backend listens, if it is listed.
+    pub(super) fn address(&self, backend: u32) -> Option<SocketAddr> {
+        let handle = self.handles.get(&backend)?;
+        Some(handle.info.borrow().address)
+    }
+
     /// The last lines of those of these backends that are listed.
     pub(super) fn listed<'a>(&self, uids: impl Iterator<Item = &'a String>) -> Vec<ListedEndpoint> {
         uids.filter_map(|uid| self.listed.get(uid))
--- a/crates/daemon/src/decision/in_flight.rs
+++ b/crates/daemon/src/decision/in_flight.rs
@@ -60,6 +60,11 @@
         }
     }
 
+    /// The `Request-Id`, for the log.
+    pub(super) fn request_id(&self) -> &str {
+        self.request.id_text()
+    }
+
     /// Attempts started so far.
     pub(super) fn attempt_count(&self) -> usize {
         self.attempts.len()
--- a/crates/daemon/src/decision/platform.rs
+++ b/crates/daemon/src/decision/platform.rs
@@ -71,9 +71,12 @@
 
     /// Gives an RPC its response.
     pub(super) fn respond(&mut self, rpc: u64, response: ProxyResponse) {
-        log::trace!("RPC {rpc}: {response}");
         self.responded.push(rpc);
         if let Some(in_flight) = self.in_flight.get_mut(&rpc) {
+            log::debug!(
+                request:% = in_flight.request_id(), attempts = in_flight.attempt_count();
+                "response decided: {response}"
+            );
             in_flight.respond(response);
         }
     }
@@ -140,7 +143,11 @@
         };
         let index = in_flight.attempt_count();
         let request = in_flight.start_attempt(self.clock.instant_at(self.now + timeout));
-        log::trace!("RPC {rpc}: attempt {index} to {backend} for {timeout:.3} s");
+        let address = self.endpoints.address(backend);
+        log::debug!(
+            request:% = in_flight.request_id(), attempt = index, backend, address:?, timeout;
+            "attempt started"
+        );
         let kind = ExchangeKind::Attempt(AttemptId { rpc, index });
         self.start_exchange(backend, kind, request);
         self.record(rpc, Action::Attempt(backend));
--- a/crates/daemon/src/downstream/connection.rs
+++ b/crates/daemon/src/downstream/connection.rs
@@ -1,5 +1,6 @@
 //! One client's connection: what it is doing, by when it ends, and whether it may be evicted for another.
 use crate::downstream::head::{Framings, HeadScan};
+use crate::end_reason::EndReason;
 use crate::net::body::DeliveryStatus;
 use crate::net::observed_stream::IoObserver;
 use crate::net::socket_budget::{Evictable, EvictionCandidate, SocketBudget, SocketClass};
@@ -47,6 +48,8 @@
 
 /// The state of a client's connection, shared by its task, the observer of its stream and the socket budget.
 pub(crate) struct ClientConnection {
+    /// Its number in the log.
+    id: u64,
     phase: Cell<Phase>,
     /// The response at hand is the last, or the stream is malformed: the connection is closed, after the client had
     /// time to read the response.
@@ -69,9 +72,10 @@
 
 impl ClientConnection {
     /// The state of a connection that was opened now, registered as an eviction candidate.
-    pub(crate) fn new(budget: &Rc<SocketBudget>) -> Rc<Self> {
+    pub(crate) fn new(id: u64, budget: &Rc<SocketBudget>) -> Rc<Self> {
         let opened_at = Instant::now();
         let connection = Rc::new_cyclic(|weak_self| Self {
+            id,
             phase: Phase::New.into(),
             is_closing: false.into(),
             deadline: (opened_at + HEAD_TIMEOUT).into(),
@@ -119,6 +123,21 @@
         self.register_evictable();
     }
 
+    /// Its number in the log.
+    pub(crate) fn id(&self) -> u64 {
+        self.id
+    }
+
+    /// Logs that the connection ended.
+    pub(crate) fn log_end(&self, reason: EndReason) {
+        log::log!(
+            reason.level(),
+            connection = self.id, reason:% = reason, phase:? = self.phase.get(),
+            age:? = self.opened_at.elapsed();
+            "client connection ended"
+        );
+    }
+
     /// An RPC is in flight or its response is being written.
     pub(crate) fn is_busy(&self) -> bool {
         self.phase.get() >= Phase::RpcInFlight
@@ -166,12 +185,18 @@
             .filter(|end| self.phase.get() == Phase::New && Instant::now() < *end)
     }
 
-    /// By when the connection ends if nothing else happens; never by itself with an RPC in flight. The
+    /// By when the connection ends if nothing else happens, and why; never by itself with an RPC in flight. The
     /// earliest of three counts: the deadline of the phase, for a client that is silent or too slow; an eviction; and
     /// the drain deadlines.
-    pub(crate) fn ends_at(&self, drain: Option<DrainDeadlines>) -> Option<Instant> {
-        let own = Some(self.deadline.get());
-        let evicted = self.is_evicted.get().then_some(self.opened_at);
+    pub(crate) fn ends_at(&self, drain: Option<DrainDeadlines>) -> Option<(Instant, EndReason)> {
+        let own_reason = match self.phase.get() {
+            Phase::New | Phase::Idle => EndReason::IdleTimeout,
+            Phase::WritingResponse => EndReason::ResponseStalled,
+            _ => EndReason::HeadTimeout,
+        };
+        let own = Some((self.deadline.get(), own_reason));
+        let evicted = self.is_evicted.get();
+        let evicted = evicted.then_some((self.opened_at, EndReason::Evicted));
         let incomplete = drain.map(|drain| drain.incomplete_message);
         let (own, drain) = match self.phase.get() {
             // A new connection may still send an RPC.
@@ -184,7 +209,9 @@
             Phase::RpcInFlight => return None,
             Phase::WritingResponse => return own,
         };
-        [own, drain, evicted].into_iter().flatten().min()
+        let drain = drain.map(|deadline| (deadline, EndReason::Drained));
+        let ends = [own, drain, evicted].into_iter().flatten();
+        ends.min_by_key(|(deadline, _)| *deadline)
     }
 
     /// Waits until the phase changes or the connection is evicted.
--- a/crates/daemon/src/downstream/connection_task.rs
+++ b/crates/daemon/src/downstream/connection_task.rs
@@ -3,6 +3,7 @@
 use crate::downstream::connection::{ClientConnection, DrainDeadlines, Phase};
 use crate::downstream::response::ProxyResponse;
 use crate::downstream::rpc_service::RpcService;
+use crate::end_reason::EndReason;
 use crate::lifecycle::state::ProxyState;
 use crate::net::body::ResponseBody;
 use crate::net::inbound_stream::{ClientLiveness, InboundStream, ReadAhead};
@@ -33,6 +34,8 @@
 
 /// A client's connection from its accept to its close.
 pub(crate) struct ConnectionTask {
+    /// The connection's number in the log.
+    pub id: u64,
     /// Responds to what the client sends.
     pub service: Rc<RpcService>,
     /// Whether this proxy drains.
@@ -50,7 +53,7 @@
     pub(crate) async fn run(self, stream: TcpStream) {
         // Responses are written complete, or a chunk as soon as it is there: waiting for more gains nothing.
         let _ = stream.set_nodelay(true);
-        let client = ClientConnection::new(&self.budget);
+        let client = ClientConnection::new(self.id, &self.budget);
         let stream = InboundStream::new(stream);
         let read_ahead = stream.read_ahead();
         let service = service_fn(|request| {
@@ -63,8 +66,12 @@
                 TokioIo::new(ObservedStream::new(stream, client.clone())),
                 service,
             );
-        if let Err(error) = self.drive(&mut connection, &client, &read_ahead).await {
-            log::debug!("a client's connection ended: {error}");
+        let ended = self.drive(&mut connection, &client, &read_ahead).await;
+        client.log_end(ended);
+        if matches!(
+            ended,
+            EndReason::ConnectionBroken | EndReason::MalformedMessage
+        ) {
             client.set_closing(true);
         }
         if client.is_closing() {
@@ -109,7 +116,7 @@
         connection: &mut C,
         client: &ClientConnection,
         read_ahead: &ReadAhead,
-    ) -> hyper::Result<()> {
+    ) -> EndReason {
         let mut state = self.state.clone();
         let mut disconnected = pin!(read_ahead.disconnected());
         loop {
@@ -125,18 +132,20 @@
             let settles_at = client.settles_at();
             select! {
                 biased;
-                result = &mut *connection => return result,
-                () = disconnected => return Ok(()),
+                result = &mut *connection => return end_of_stream(&result, client),
+                () = disconnected => return EndReason::ClientDisconnected,
                 () = client.changed() => {}
                 _ = state.changed() => {}
                 () = until(settles_at) => client.register_evictable(),
-                () = until(ends_at) => {
+                () = until(ends_at.map(|(deadline, _)| deadline)) => {
                     if let Poll::Ready(result) = read_once_more(connection, read_ahead).await {
-                        return result;
+                        return end_of_stream(&result, client);
                     }
                     let ends_at = client.ends_at(drain_deadlines(&state.borrow()));
-                    if ends_at.is_some_and(|end| end <= Instant::now()) {
-                        return Ok(());
+                    if let Some((deadline, reason)) = ends_at
+                        && deadline <= Instant::now()
+                    {
+                        return reason;
                     }
                 }
             }
@@ -144,6 +153,16 @@
     }
 }
 
+/// Why a connection ended whose stream came to an end by itself.
+fn end_of_stream(result: &hyper::Result<()>, client: &ClientConnection) -> EndReason {
+    match result {
+        Ok(()) if client.is_closing() => EndReason::LastResponse,
+        Ok(()) => EndReason::ClientClosed,
+        Err(error) if error.is_parse() => EndReason::MalformedMessage,
+        Err(_) => EndReason::ConnectionBroken,
+    }
+}
+
 /// By when connections end in this state of the proxy.
 fn drain_deadlines(state: &ProxyState) -> Option<DrainDeadlines> {
     state
--- a/crates/daemon/src/downstream/listener.rs
+++ b/crates/daemon/src/downstream/listener.rs
@@ -6,6 +6,7 @@
 use crate::lifecycle::state::ProxyState;
 use crate::messages::Event;
 use crate::net::socket_budget::{SocketBudget, SocketClass};
+use std::cell::Cell;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -25,6 +26,8 @@
     service: Rc<RpcService>,
     state: watch::Receiver<ProxyState>,
     budget: Rc<SocketBudget>,
+    /// Counts the connections, for the log.
+    next_connection: Cell<u64>,
 }
 
 /// What ends a wait for the next connection.
@@ -46,6 +49,7 @@
             service: Rc::new(RpcService::new(parser, state.clone(), events)),
             state,
             budget,
+            next_connection: Cell::new(0),
         }
     }
 
@@ -93,7 +97,10 @@
         let is_beyond_budget = permit.is_none();
         let permit =
             permit.unwrap_or_else(|| self.budget.acquire_beyond_limit(SocketClass::Clients));
+        let id = self.next_connection.replace(self.next_connection.get() + 1);
+        log::debug!(connection = id, beyond_budget = is_beyond_budget; "client connection accepted");
         let task = ConnectionTask {
+            id,
             service: self.service.clone(),
             state: self.state.clone(),
             budget: self.budget.clone(),
--- a/crates/daemon/src/downstream/request.rs
+++ b/crates/daemon/src/downstream/request.rs
@@ -108,6 +108,12 @@
             .expect("only a health check has no id")
     }
 
+    /// Its `Request-Id` as it stands in the log; empty for a health check.
+    pub(crate) fn id_text(&self) -> &str {
+        let id = self.request_id.as_ref();
+        id.and_then(|id| id.to_str().ok()).unwrap_or_default()
+    }
+
     /// Whether it is a health check, and not of an RPC.
     pub(crate) fn is_health_check(&self) -> bool {
         self.request_id.is_none()
--- a/crates/daemon/src/downstream/rpc_service.rs
+++ b/crates/daemon/src/downstream/rpc_service.rs
@@ -7,6 +7,7 @@
 use crate::downstream::request_parser::RequestParser;
 use crate::downstream::response::ProxyResponse;
 use crate::downstream::rpc_guard::RpcGuard;
+use crate::end_reason::EndReason;
 use crate::lifecycle::state::ProxyState;
 use crate::messages::Event;
 use crate::net::body::RequestUpload;
@@ -61,28 +62,39 @@
         let framings = connection.take_framings();
         let rpc = match self.parser.parse(message, framings).await {
             Ok(rpc) => rpc,
-            Err(response) => return response,
+            Err(response) => {
+                let reason = EndReason::InvalidRequest;
+                log::info!(connection = connection.id(), reason:%; "message answered: {response}");
+                return response;
+            }
         };
         connection.enter(Phase::RpcInFlight);
         let upload = rpc.request.upload().cloned();
-        let response = self.decide(rpc, client).await;
+        let log = RpcLog::begin(&rpc, connection.id());
+        let (response, reason) = self.decide(rpc, client).await;
+        log.end(reason);
         // Nobody reads what the client still sends of a streamed request.
         connection.set_closing(upload.is_some_and(|upload| !upload.is_complete()));
         response
     }
 
     /// The decision actor's response to an RPC, or a failure if there is none by the RPC's deadline.
-    async fn decide(&self, mut rpc: ReceivedRpc, client: ClientLiveness) -> ProxyResponse {
+    async fn decide(
+        &self,
+        mut rpc: ReceivedRpc,
+        client: ClientLiveness,
+    ) -> (ProxyResponse, EndReason) {
         rpc.timeout = self.timeout_before_shutdown(&rpc);
         if rpc.timeout.is_zero() {
-            return ProxyResponse::rejected();
+            return (ProxyResponse::rejected(), EndReason::ShuttingDown);
         }
         // Room in the mailbox is reserved for the client's disconnect. Without it nothing is sent: a retry is safe.
         let Ok(permit) = self.events.clone().try_reserve_owned() else {
-            return ProxyResponse::rejected();
+            return (ProxyResponse::rejected(), EndReason::Overloaded);
         };
         let Some(request_id) = self.active_request_ids.try_insert(rpc.request.id()) else {
-            return RequestError::DuplicateRequestId.into();
+            let response = RequestError::DuplicateRequestId.into();
+            return (response, EndReason::InvalidRequest);
         };
         let id = self.next_rpc.replace(self.next_rpc.get() + 1);
         let guard = RpcGuard::new(id, permit);
@@ -90,17 +102,20 @@
         let deadline = deadline(upload.as_deref(), rpc.received_at, rpc.timeout);
         select! {
             biased;
-            () = exceeded_limit(upload.as_deref()) => RequestError::BodyTooLarge.into(),
+            () = exceeded_limit(upload.as_deref()) => {
+                (RequestError::BodyTooLarge.into(), EndReason::InvalidRequest)
+            }
             Some(response) = self.submit(id, rpc, request_id, client) => {
                 guard.disarm();
-                response
+                let reason = reason_of_decision(&response);
+                (response, reason)
             }
             () = deadline => {
                 log::error!("an RPC had no answer by its deadline");
-                ProxyResponse::Failed
+                (ProxyResponse::Failed, EndReason::DeadlineExceeded)
             }
-            () = self.shutdown() => ProxyResponse::Failed,
-            else => ProxyResponse::Failed,
+            () = self.shutdown() => (ProxyResponse::Failed, EndReason::ShuttingDown),
+            else => (ProxyResponse::Failed, EndReason::LostByDecisions),
         }
     }
 
@@ -145,6 +160,61 @@
     }
 }
 
+/// Logs an RPC from the moment it is handed to the decisions to its end. Dropped before, it logs that the client has
+/// disconnected: its connection, and with it all that waits for a response, is gone.
+struct RpcLog {
+    /// The `Request-Id`.
+    request: String,
+    connection: u64,
+    received_at: Instant,
+    reason: Cell<EndReason>,
+}
+
+impl RpcLog {
+    fn begin(rpc: &ReceivedRpc, connection: u64) -> Self {
+        let request = rpc.request.id_text().to_owned();
+        let streamed = rpc.request.upload().is_some();
+        log::debug!(
+            request:%, connection, method = rpc.method, timeout:? = rpc.timeout, streamed;
+            "RPC received"
+        );
+        Self {
+            request,
+            connection,
+            received_at: rpc.received_at,
+            reason: Cell::new(EndReason::ClientDisconnected),
+        }
+    }
+
+    fn end(self, reason: EndReason) {
+        self.reason.set(reason);
+    }
+}
+
+impl Drop for RpcLog {
+    fn drop(&mut self) {
+        let reason = self.reason.get();
+        log::log!(
+            reason.level(),
+            request:% = self.request, connection = self.connection, reason:%,
+            after:? = self.received_at.elapsed();
+            "RPC ended"
+        );
+    }
+}
+
+/// The reason that a response of the decision actor stands for.
+fn reason_of_decision(response: &ProxyResponse) -> EndReason {
+    match response {
+        ProxyResponse::Ok(_) | ProxyResponse::Streamed(_) | ProxyResponse::Health(_) => {
+            EndReason::Served
+        }
+        ProxyResponse::Rejected { .. } => EndReason::RejectedByDecision,
+        ProxyResponse::Failed => EndReason::FailedByDecision,
+        ProxyResponse::ClientError { .. } => EndReason::InvalidRequest,
+    }
+}
+
 /// Waits until the client waits no longer: it does so from the last byte of its request on.
 async fn deadline(upload: Option<&RequestUpload>, received_at: Instant, timeout: Duration) {
     let received_at = match upload {
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -5,6 +5,7 @@
 mod decision;
 mod discovery;
 mod downstream;
+mod end_reason;
 mod lifecycle;
 mod messages;
 mod net;
--- a/crates/daemon/src/upstream/attempt.rs
+++ b/crates/daemon/src/upstream/attempt.rs
@@ -2,6 +2,7 @@
 //! reads the response, until that ends or something ends it early. The completion guard reports the end.
 use crate::clock;
 use crate::downstream::request::ParsedRequest;
+use crate::end_reason::EndReason;
 use crate::net::body::BUFFERED_BODY_LIMIT;
 use crate::net::connection::{Connection, ConnectionError, Reply};
 use crate::net::inbound_stream::ClientLiveness;
@@ -47,22 +48,23 @@
     };
     let end = select! {
         biased;
-        () = running.cancelled(cancel) => End::Withdrawn,
-        () = running.endpoint_unavailable() => End::Withdrawn,
-        () = running.send_window_closed() => End::Withdrawn,
+        () = running.cancelled(cancel) => End::Withdrawn(EndReason::Cancelled),
+        () = running.endpoint_unavailable() => End::Withdrawn(EndReason::EndpointUnavailable),
+        () = running.send_window_closed() => End::Withdrawn(EndReason::SendWindowClosed),
         result = running.exchange() => End::Completed(result),
         () = running.timed_out() => End::TimedOut,
         () = running.upload_stalled() => End::Stalled,
     };
     // The connection of an exchange that was cut short is closed by now, before the decision actor hears of it.
+    let reason = end.reason();
     let result = running.result(end);
-    completion.set_result(result);
+    completion.set_result(result, reason);
 }
 
 /// What ended an exchange.
 enum End {
     /// It was cancelled, its backend takes nothing more, or it would have been sent too late.
-    Withdrawn,
+    Withdrawn(EndReason),
     /// It ran to its own end.
     Completed(ExchangeResult),
     /// No response in time.
@@ -71,6 +73,18 @@
     Stalled,
 }
 
+impl End {
+    /// What is logged.
+    fn reason(&self) -> EndReason {
+        match self {
+            Self::Withdrawn(reason) => *reason,
+            Self::Completed(_) => EndReason::Completed,
+            Self::TimedOut => EndReason::TimedOut,
+            Self::Stalled => EndReason::UploadStalled,
+        }
+    }
+}
+
 /// Bytes written so far on the connection that the exchange uses, once it has one.
 #[derive(Default)]
 struct WriteProgress(RefCell<Option<Rc<Cell<u64>>>>);
@@ -174,8 +188,8 @@
         let upload = self.request.upload();
         let outcome = match end {
             End::Completed(result) => return Some(result),
-            End::Withdrawn if !self.request.may_be_complete() => AttemptOutcome::NotSent,
-            End::Withdrawn => return None,
+            End::Withdrawn(_) if !self.request.may_be_complete() => AttemptOutcome::NotSent,
+            End::Withdrawn(_) => return None,
             End::Stalled if upload.is_some_and(|upload| upload.is_waiting_for_client()) => {
                 AttemptOutcome::NotSent
             }
--- a/crates/daemon/src/upstream/exchange.rs
+++ b/crates/daemon/src/upstream/exchange.rs
@@ -1,6 +1,7 @@
 //! The messages of an exchange with a backend: the order to run it, how it is cancelled, by when it has to be
 //! sent and answered, and the guard that reports its end.
 use crate::downstream::request::ParsedRequest;
+use crate::end_reason::EndReason;
 use crate::messages::{AttemptId, Event};
 use crate::net::body::StreamedBody;
 use crate::net::inbound_stream::ClientLiveness;
@@ -49,6 +50,8 @@
     response_started: Cell<bool>,
     /// How it ended; none where it was cut short.
     result: Option<ExchangeResult>,
+    /// What cut it short.
+    reason: EndReason,
 }
 
 impl CompletionGuard {
@@ -65,6 +68,7 @@
             sent: Cell::new(false),
             response_started: Cell::new(false),
             result: None,
+            reason: EndReason::Cancelled,
         }
     }
 
@@ -84,8 +88,9 @@
     }
 
     /// Sets what is reported; without a result the exchange counts as cancelled, or as not sent if nothing was.
-    pub(super) fn set_result(&mut self, result: Option<ExchangeResult>) {
+    pub(super) fn set_result(&mut self, result: Option<ExchangeResult>, reason: EndReason) {
         self.result = result;
+        self.reason = reason;
     }
 
     /// Tells that the request's last byte was taken to be sent.
@@ -117,7 +122,8 @@
 impl Drop for CompletionGuard {
     fn drop(&mut self) {
         let unfinished = self.unfinished_outcome();
-        let result = self.result.take().unwrap_or_else(|| unfinished.into());
+        let mut result = self.result.take().unwrap_or_else(|| unfinished.into());
+        result.reason = self.reason;
         if let Some(permit) = self.permit.take() {
             permit.send(self.kind.completion_event(result));
         }
--- a/crates/daemon/src/upstream/response.rs
+++ b/crates/daemon/src/upstream/response.rs
@@ -1,4 +1,5 @@
 //! A backend's response: streaming a long one to its client, and what a response says of its exchange.
+use crate::end_reason::EndReason;
 use crate::net::body::{BODY_LIMIT, streamed_body};
 use crate::net::connection::{Connection, Reply};
 use crate::upstream::exchange::CompletionGuard;
@@ -66,6 +67,7 @@
     let report = report_of(&reply.headers, is_health_check.then_some(&reply.body[..]));
     ExchangeResult {
         outcome,
+        reason: EndReason::Completed,
         report,
         body: reply.body,
     }
--- a/crates/daemon/src/upstream/result.rs
+++ b/crates/daemon/src/upstream/result.rs
@@ -1,5 +1,6 @@
 //! How an exchange with a backend ended.
 
+use crate::end_reason::EndReason;
 use birchhub::interface::{AttemptOutcome, LoadReport};
 use bytes::Bytes;
 
@@ -7,6 +8,8 @@
 pub(crate) struct ExchangeResult {
     /// What became of it.
     pub outcome: AttemptOutcome,
+    /// What ended it, for the log.
+    pub reason: EndReason,
     /// The load report that came with the response.
     pub report: Option<LoadReport>,
     /// The response's body; empty without a response, and where the body was streamed.
@@ -18,6 +21,7 @@
     fn from(outcome: AttemptOutcome) -> Self {
         Self {
             outcome,
+            reason: EndReason::Completed,
             report: None,
             body: Bytes::new(),
         }
--- a/crates/logging/src/lib.rs
+++ b/crates/logging/src/lib.rs
@@ -1,9 +1,12 @@
 //! A small logger behind the `log` crate, the same for all programs: lines go to a thread of their own, and are dropped (and counted) rather than waited for.
+//! The fields of a record follow its text as ` name=value`, so that all lines about one request are found by its id.
 #[cfg(test)]
 mod tests;
 
+use log::kv::{Error, Key, Value, VisitSource};
 use log::{LevelFilter, Log, Metadata, Record};
-use std::io::Write;
+use std::fmt::Write as _;
+use std::io::Write as _;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 use std::thread::sleep;
@@ -22,6 +25,15 @@
     },
 }
 
+/// Appends the fields of a record to its line.
+struct Fields<'a>(&'a mut String);
+
+impl<'kvs> VisitSource<'kvs> for Fields<'_> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        write!(self.0, " {key}={value}").map_err(Error::from)
+    }
+}
+
 struct Logger {
     lines: SyncSender<Entry>,
     dropped: &'static AtomicUsize,
@@ -40,12 +52,15 @@
             .duration_since(UNIX_EPOCH)
             .unwrap_or_default();
         let part = record.target().rsplit("::").next().unwrap_or_default();
-        let line = format!(
-            "{:.3} {:5} {part}: {}\n",
+        let mut line = format!(
+            "{:.3} {:5} {part}: {}",
             at.as_secs_f64(),
             record.level(),
             record.args()
         );
+        // Neither a field nor the text can fail: they are written to memory.
+        let _ = record.key_values().visit(&mut Fields(&mut line));
+        line.push('\n');
         if self.lines.try_send(Entry::Line(line)).is_err() {
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
