Each phase of a client's connection has a deadline of its own, below the 3 s that are owed

Cause: waits on a client whose end was above 3 s (head 4 s, short body 5 s and 10 s, half a head behind a complete request 10 s as idle), moved by each byte (5 s for any byte of a long body) or missing (a long body: the RPC's time counts from a last byte that never comes).

Change: Phase carries its deadline, so none can be without one; ProgressDeadline moves by whole steps only, up to a bound fixed at the start; the body's deadline is fixed with its head and handed on to the upload. MessageScan finds where each message ends, so that what hyper read of a further one is waited for as any head. All figures stand in time_limits.rs.

Related find: the framing of a head behind another message in one read was not looked at, so a request with both Content-Length and Transfer-Encoding was passed on (answered 200 before, 400 now).

--- a/crates/daemon/src/downstream/connection.rs
+++ b/crates/daemon/src/downstream/connection.rs
@@ -1,40 +1,83 @@
 //! One client's connection: what it is doing, by when it ends, and whether it may be evicted for another.
-use crate::downstream::head::{Framings, HeadScan};
+use crate::downstream::head_scan::Framings;
+use crate::downstream::message_scan::MessageScan;
 use crate::end_reason::EndReason;
 use crate::net::body::DeliveryStatus;
 use crate::net::observed_stream::IoObserver;
+use crate::net::progress_deadline::ProgressDeadline;
 use crate::net::socket_budget::{Evictable, EvictionCandidate, SocketBudget, SocketClass};
+use crate::time_limits::{
+    FIRST_BYTE, FIRST_HEAD, HEAD, IDLE, LINGER, RESPONSE, RESPONSE_STALL, SETTLE,
+};
 use std::cell::{Cell, RefCell};
 use std::rc::{Rc, Weak};
-use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-/// For a head, from its first byte or the connect: usual clients take up to 2 s.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(4);
-/// Between messages: usual clients send the next one far sooner.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
-/// For a client that takes no byte of its response.
-const RESPONSE_STALL_TIMEOUT: Duration = Duration::from_secs(30);
-/// For a new connection to send its RPC, also while the proxy drains or another connection could have its place.
-const SETTLE_PERIOD: Duration = Duration::from_millis(300);
+/// Bytes of a response that count as progress: any.
+const RESPONSE_STEP: u64 = 1;
 
-/// What a client's connection is doing. Idle connections are evicted in this order, the one that was silent for the
-/// longest first, but a new one only after those with a part of a head; one with an RPC never is.
-#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+/// What a client's connection is doing, and by when it is over: there is no phase without a deadline.
+#[derive(Clone, Copy, Debug)]
 pub(crate) enum Phase {
-    /// The client has sent nothing yet.
+    /// The client has sent nothing yet, and is to by then.
+    New(Instant),
+    /// Between messages; the next one is to begin by then.
+    Idle(Instant),
+    /// A part of a head was received; the rest is to be by then.
+    ReadingHead(Instant),
+    /// The head is complete, the buffered part of the body is not; the message is to be answered by then.
+    ReadingBody(Instant),
+    /// The decision actor has the RPC, which is to be answered by then.
+    RpcInFlight(Instant),
+    /// The response is being written: each byte that the client takes moves the deadline, up to its bound.
+    WritingResponse(ProgressDeadline),
+    /// The last response was written, and the client may read it until then.
+    Lingering(Instant),
+}
+
+impl Phase {
+    /// Its name in the log.
+    fn name(self) -> &'static str {
+        match self {
+            Self::New(_) => "New",
+            Self::Idle(_) => "Idle",
+            Self::ReadingHead(_) => "ReadingHead",
+            Self::ReadingBody(_) => "ReadingBody",
+            Self::RpcInFlight(_) => "RpcInFlight",
+            Self::WritingResponse(_) => "WritingResponse",
+            Self::Lingering(_) => "Lingering",
+        }
+    }
+
+    /// When it is over, and the reason for which the connection ends then.
+    fn deadline(self) -> (Instant, EndReason) {
+        match self {
+            Self::New(at) | Self::Idle(at) => (at, EndReason::IdleTimeout),
+            Self::ReadingHead(at) => (at, EndReason::HeadTimeout),
+            // Whoever reads the body or waits for the answer ends that before: this only holds if they don't.
+            Self::ReadingBody(at) | Self::RpcInFlight(at) => (at, EndReason::AnswerOverdue),
+            Self::WritingResponse(progress) => (progress.at(), EndReason::ResponseStalled),
+            Self::Lingering(at) => (at, EndReason::LastResponse),
+        }
+    }
+
+    /// An RPC is in flight or its response is being written.
+    fn is_busy(self) -> bool {
+        matches!(self, Self::RpcInFlight(_) | Self::WritingResponse(_))
+    }
+}
+
+/// Ranks of idle connections: the lowest is evicted first, and of one rank the one that was silent for the longest. A
+/// new one is settling at first: new connections would evict each other, while older ones stay idle. One with an RPC
+/// is never evicted.
+#[derive(Clone, Copy)]
+enum EvictionRank {
     New,
-    /// Between messages.
     Idle,
-    /// A part of a head was received.
     ReadingHead,
-    /// The head is complete; the buffered part of the body is not.
+    Settling,
     ReadingBody,
-    /// The decision actor has the RPC.
-    RpcInFlight,
-    /// The response is being written.
-    WritingResponse,
 }
 
 /// By when connections without an RPC in flight end while the proxy drains.
@@ -54,11 +97,11 @@
     /// The response at hand is the last, or the stream is malformed: the connection is closed, after the client had
     /// time to read the response.
     is_closing: Cell<bool>,
-    /// By when the head at hand is to be complete, the next one to begin, or a byte of a response to be taken.
-    deadline: Cell<Instant>,
-    head_scan: RefCell<HeadScan>,
+    scan: RefCell<MessageScan>,
     /// Of the response at hand.
     delivery: RefCell<DeliveryStatus>,
+    /// Bytes of the response at hand that the client has taken.
+    written: Cell<u64>,
     budget: Rc<SocketBudget>,
     /// Held while the connection may be evicted.
     eviction: RefCell<Option<EvictionCandidate>>,
@@ -76,11 +119,11 @@
         let opened_at = Instant::now();
         let connection = Rc::new_cyclic(|weak_self| Self {
             id,
-            phase: Phase::New.into(),
+            phase: Phase::New(opened_at + FIRST_BYTE).into(),
             is_closing: false.into(),
-            deadline: (opened_at + HEAD_TIMEOUT).into(),
-            head_scan: RefCell::default(),
+            scan: RefCell::default(),
             delivery: RefCell::default(),
+            written: Cell::new(0),
             budget: budget.clone(),
             eviction: RefCell::default(),
             weak_self: weak_self.clone(),
@@ -92,16 +135,10 @@
         connection
     }
 
-    /// Enters a phase: the deadline begins anew, and the connection may be evicted or not.
+    /// Enters a phase, and may be evicted or not from then on.
     pub(crate) fn enter(&self, phase: Phase) {
-        let timeout = match phase {
-            Phase::Idle => IDLE_TIMEOUT,
-            Phase::WritingResponse => RESPONSE_STALL_TIMEOUT,
-            _ => HEAD_TIMEOUT,
-        };
-        self.deadline.set(Instant::now() + timeout);
         self.phase.set(phase);
-        if self.is_busy() {
+        if phase.is_busy() {
             self.eviction.take();
             self.is_evicted.set(false);
         } else {
@@ -113,14 +150,21 @@
     /// Enters the phase of writing a response with this delivery.
     pub(crate) fn begin_response(&self, delivery: DeliveryStatus) {
         self.delivery.replace(delivery);
-        self.enter(Phase::WritingResponse);
+        self.written.set(0);
+        let now = Instant::now();
+        let progress = ProgressDeadline::start(now, RESPONSE_STALL, RESPONSE_STEP, now + RESPONSE);
+        self.enter(Phase::WritingResponse(progress));
     }
 
-    /// Lets the budget evict the connection while it only lingers, as any idle one: otherwise rejected clients could
-    /// crowd out others.
-    pub(crate) fn begin_linger(&self) {
-        self.phase.set(Phase::Idle);
-        self.register_evictable();
+    /// The response at hand was written: what was read of a further message is waited for no longer than for any other.
+    fn end_response(&self) {
+        let now = Instant::now();
+        let is_next_begun = self.scan.borrow().is_inside_message();
+        self.enter(if is_next_begun {
+            Phase::ReadingHead(now + HEAD)
+        } else {
+            Phase::Idle(now + IDLE)
+        });
     }
 
     /// Its number in the log.
@@ -132,7 +176,7 @@
     pub(crate) fn log_end(&self, reason: EndReason) {
         log::log!(
             reason.level(),
-            connection = self.id, reason:% = reason, phase:? = self.phase.get(),
+            connection = self.id, reason:%, phase = self.phase.get().name(),
             age:? = self.opened_at.elapsed();
             "client connection ended"
         );
@@ -140,7 +184,7 @@
 
     /// An RPC is in flight or its response is being written.
     pub(crate) fn is_busy(&self) -> bool {
-        self.phase.get() >= Phase::RpcInFlight
+        self.phase.get().is_busy()
     }
 
     /// The connection is closed after the response at hand.
@@ -153,15 +197,15 @@
         self.is_closing.set(is_closing);
     }
 
-    /// Takes the framings that the head at hand declares.
-    pub(crate) fn take_framings(&self) -> Framings {
-        self.head_scan.take().found()
+    /// Takes the framings that the head at hand declares; none if the bytes that were read hold no such head.
+    pub(crate) fn take_framings(&self) -> Option<Framings> {
+        self.scan.borrow_mut().take_framings()
     }
 
     /// Registers the connection with the budget, as the one of its rank that was silent for the shortest time.
     pub(crate) fn register_evictable(&self) {
         if let Some(connection) = self.weak_self.upgrade() {
-            let rank = self.eviction_rank();
+            let rank = self.eviction_rank() as u8;
             let candidate = self
                 .budget
                 .register_evictable(SocketClass::Clients, rank, &connection);
@@ -169,49 +213,52 @@
         }
     }
 
-    /// The lowest rank is evicted first. A new connection has a high one at first: new connections would evict
-    /// each other, while older ones stay idle.
-    fn eviction_rank(&self) -> u8 {
+    fn eviction_rank(&self) -> EvictionRank {
         match self.phase.get() {
-            Phase::New if self.settles_at().is_some() => Phase::ReadingHead as u8 + 1,
-            phase @ (Phase::New | Phase::Idle | Phase::ReadingHead) => phase as u8,
-            phase => phase as u8 + 1,
+            Phase::New(_) if self.settles_at().is_some() => EvictionRank::Settling,
+            Phase::New(_) => EvictionRank::New,
+            // Otherwise rejected clients that linger could crowd out others.
+            Phase::Idle(_) | Phase::Lingering(_) => EvictionRank::Idle,
+            Phase::ReadingHead(_) => EvictionRank::ReadingHead,
+            Phase::ReadingBody(_) | Phase::RpcInFlight(_) | Phase::WritingResponse(_) => {
+                EvictionRank::ReadingBody
+            }
         }
     }
 
     /// The end of the settle period, while it lasts and the client has sent nothing.
     pub(crate) fn settles_at(&self) -> Option<Instant> {
-        Some(self.opened_at + SETTLE_PERIOD)
-            .filter(|end| self.phase.get() == Phase::New && Instant::now() < *end)
+        let is_new = matches!(self.phase.get(), Phase::New(_));
+        Some(self.opened_at + SETTLE).filter(|end| is_new && Instant::now() < *end)
     }
 
-    /// By when the connection ends if nothing else happens, and why; never by itself with an RPC in flight. The
-    /// earliest of three counts: the deadline of the phase, for a client that is silent or too slow; an eviction; and
-    /// the drain deadlines.
-    pub(crate) fn ends_at(&self, drain: Option<DrainDeadlines>) -> Option<(Instant, EndReason)> {
-        let own_reason = match self.phase.get() {
-            Phase::New | Phase::Idle => EndReason::IdleTimeout,
-            Phase::WritingResponse => EndReason::ResponseStalled,
-            _ => EndReason::HeadTimeout,
-        };
-        let own = Some((self.deadline.get(), own_reason));
+    /// By when the connection ends if nothing else happens, and why. The earliest of three counts: the deadline of
+    /// the phase, for a client that is silent or too slow; an eviction; and the drain deadlines. Only the first holds
+    /// with an RPC in flight.
+    pub(crate) fn ends_at(&self, drain: Option<DrainDeadlines>) -> (Instant, EndReason) {
+        let phase = self.phase.get();
+        let own = phase.deadline();
+        if phase.is_busy() {
+            return own;
+        }
         let evicted = self.is_evicted.get();
         let evicted = evicted.then_some((self.opened_at, EndReason::Evicted));
-        let incomplete = drain.map(|drain| drain.incomplete_message);
-        let (own, drain) = match self.phase.get() {
+        let drained = drain.map(|drain| match phase {
             // A new connection may still send an RPC.
-            Phase::New | Phase::Idle => {
-                let settled_at = self.opened_at + SETTLE_PERIOD;
-                (own, drain.map(|drain| drain.idle.max(settled_at)))
-            }
-            Phase::ReadingHead => (own, incomplete),
-            Phase::ReadingBody => (None, incomplete),
-            Phase::RpcInFlight => return None,
-            Phase::WritingResponse => return own,
-        };
-        let drain = drain.map(|deadline| (deadline, EndReason::Drained));
-        let ends = [own, drain, evicted].into_iter().flatten();
-        ends.min_by_key(|(deadline, _)| *deadline)
+            Phase::New(_) | Phase::Idle(_) => drain.idle.max(self.opened_at + SETTLE),
+            _ => drain.incomplete_message,
+        });
+        let drained = drained.map(|deadline| (deadline, EndReason::Drained));
+        let earlier = [evicted, drained].into_iter().flatten();
+        earlier.fold(
+            own,
+            |first, other| if other.0 < first.0 { other } else { first },
+        )
+    }
+
+    /// Lets the client read the last response for a while, unless another connection wants its socket.
+    pub(crate) fn begin_linger(&self) {
+        self.enter(Phase::Lingering(Instant::now() + LINGER));
     }
 
     /// Waits until the phase changes or the connection is evicted.
@@ -225,33 +272,39 @@
             self.changed().await;
         }
     }
+
+    /// By when a head is to be complete whose first byte was received now.
+    fn head_deadline(&self) -> Instant {
+        let deadline = Instant::now() + HEAD;
+        match self.phase.get() {
+            Phase::New(_) => deadline.min(self.opened_at + FIRST_HEAD),
+            _ => deadline,
+        }
+    }
 }
 
 impl IoObserver for Rc<ClientConnection> {
     fn on_read(&self, bytes: &[u8]) {
-        if matches!(self.phase.get(), Phase::New | Phase::Idle) {
-            self.head_scan.replace(HeadScan::default());
-            self.enter(Phase::ReadingHead);
-        }
+        self.scan.borrow_mut().feed(bytes);
         match self.phase.get() {
-            Phase::ReadingHead => {
-                self.head_scan.borrow_mut().feed(bytes);
-                self.register_evictable();
-            }
-            Phase::ReadingBody => self.register_evictable(),
+            Phase::New(_) | Phase::Idle(_) => self.enter(Phase::ReadingHead(self.head_deadline())),
+            Phase::ReadingHead(_) | Phase::ReadingBody(_) => self.register_evictable(),
             _ => {}
         }
     }
 
-    fn on_write(&self, _bytes: u64) {
-        if self.phase.get() == Phase::WritingResponse {
-            self.deadline.set(Instant::now() + RESPONSE_STALL_TIMEOUT);
+    fn on_write(&self, bytes: u64) {
+        if let Phase::WritingResponse(mut progress) = self.phase.get() {
+            self.written.update(|written| written + bytes);
+            progress.record(self.written.get(), Instant::now());
+            self.phase.set(Phase::WritingResponse(progress));
         }
     }
 
     fn on_flush(&self) {
-        if self.phase.get() == Phase::WritingResponse && self.delivery.borrow().is_complete() {
-            self.enter(Phase::Idle);
+        let is_writing = matches!(self.phase.get(), Phase::WritingResponse(_));
+        if is_writing && self.delivery.borrow().is_complete() {
+            self.end_response();
         }
     }
 }
--- a/crates/daemon/src/downstream/connection_task.rs
+++ b/crates/daemon/src/downstream/connection_task.rs
@@ -1,6 +1,8 @@
 //! The task of one client's connection: it owns the socket and its permit, and decides when the connection ends.
 use crate::clock::until;
+use crate::downstream::body_deadline::body_deadline;
 use crate::downstream::connection::{ClientConnection, DrainDeadlines, Phase};
+use crate::downstream::head_scan::HEAD_LIMIT;
 use crate::downstream::response::ProxyResponse;
 use crate::downstream::rpc_service::RpcService;
 use crate::end_reason::EndReason;
@@ -10,6 +12,7 @@
 use crate::net::linger::linger;
 use crate::net::observed_stream::ObservedStream;
 use crate::net::socket_budget::{SocketBudget, SocketPermit};
+use crate::time_limits::{ANSWER_GRACE, LINGER};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -20,17 +23,11 @@
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::Poll;
-use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::select;
 use tokio::sync::watch;
 use tokio::task::yield_now;
-use tokio::time::Instant;
-
-/// Bytes of a message's head, and of a body's frame, at most.
-const HEAD_LIMIT: usize = 16 << 10;
-/// For a client to read the last response on its connection.
-const LINGER_TIME: Duration = Duration::from_millis(500);
+use tokio::time::{Instant, sleep_until};
 
 /// A client's connection from its accept to its close.
 pub(crate) struct ConnectionTask {
@@ -92,11 +89,14 @@
         client: &ClientConnection,
         liveness: ClientLiveness,
     ) -> Response<ResponseBody> {
-        client.enter(Phase::ReadingBody);
+        let body_deadline = body_deadline(request.body());
+        client.enter(Phase::ReadingBody(body_deadline.bound() + ANSWER_GRACE));
         let response = if self.is_beyond_budget {
             ProxyResponse::rejected()
         } else {
-            self.service.respond(request, client, liveness).await
+            self.service
+                .respond(request, body_deadline, client, liveness)
+                .await
         };
         let closes = self.is_beyond_budget
             || matches!(response, ProxyResponse::ClientError { .. })
@@ -128,7 +128,7 @@
                     Poll::Pending
                 }
             });
-            let ends_at = client.ends_at(drain_deadlines(&state.borrow_and_update()));
+            let (ends_at, _) = client.ends_at(drain_deadlines(&state.borrow_and_update()));
             let settles_at = client.settles_at();
             select! {
                 biased;
@@ -137,14 +137,12 @@
                 () = client.changed() => {}
                 _ = state.changed() => {}
                 () = until(settles_at) => client.register_evictable(),
-                () = until(ends_at.map(|(deadline, _)| deadline)) => {
+                () = sleep_until(ends_at) => {
                     if let Poll::Ready(result) = read_once_more(connection, read_ahead).await {
                         return end_of_stream(&result, client);
                     }
-                    let ends_at = client.ends_at(drain_deadlines(&state.borrow()));
-                    if let Some((deadline, reason)) = ends_at
-                        && deadline <= Instant::now()
-                    {
+                    let (ends_at, reason) = client.ends_at(drain_deadlines(&state.borrow()));
+                    if ends_at <= Instant::now() {
                         return reason;
                     }
                 }
@@ -187,7 +185,7 @@
 async fn linger_until_evicted(stream: InboundStream, client: &ClientConnection) {
     client.begin_linger();
     select! {
-        () = linger(stream, LINGER_TIME) => {}
+        () = linger(stream, LINGER) => {}
         () = client.evicted() => {}
     }
 }
--- /dev/null
+++ b/crates/daemon/src/downstream/head_scan/tests.rs
@@ -0,0 +1,51 @@
+use super::*;
+
+#[test]
+fn framings_are_counted_in_any_pieces() {
+    let head = b"\r\nPOST /content-length: HTTP/1.1\r\nCONTENT-Length: 4\r\nx: content-length: 5\r\n\
+                 Transfer-encoding:chunked\r\ncontent-length:4\r\nContent-Length-X: 1\r\n\r\ncontent-length: 9\r\n";
+    let behind = "content-length: 9\r\n".len();
+    for size in 1..head.len() {
+        let mut scan = HeadScan::default();
+        let mut found = None;
+        let mut left = 0;
+        for mut piece in head.chunks(size) {
+            if found.is_none() {
+                found = scan.feed(&mut piece);
+            }
+            left += if found.is_some() { piece.len() } else { 0 };
+        }
+        let expected = ScannedHead {
+            framings: Framings {
+                lengths: 2,
+                codings: 1,
+            },
+            body: BodyFraming::Unclear,
+        };
+        assert_eq!(found, Some(expected), "pieces of {size}");
+        assert_eq!(left, behind, "pieces of {size}");
+    }
+}
+
+#[test]
+fn the_framing_of_a_body_is_read_from_its_head() {
+    let body = |fields: &str| {
+        let head = format!("POST /book HTTP/1.1\r\nHost: a\r\n{fields}\r\n");
+        let found = HeadScan::default().feed(&mut head.as_bytes());
+        found.expect("a complete head").body
+    };
+    assert_eq!(body(""), BodyFraming::Length(0));
+    assert_eq!(body("Content-Length: 12\r\n"), BodyFraming::Length(12));
+    assert_eq!(body("content-length:  7 \r\n"), BodyFraming::Length(7));
+    assert_eq!(body("Transfer-Encoding: Chunked\r\n"), BodyFraming::Chunked);
+    for fields in [
+        "Transfer-Encoding: gzip\r\n",
+        "Content-Length: many\r\n",
+        "Content-Length: -4\r\n",
+        "Content-Length: 4\r\nContent-Length: 4\r\n",
+        "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+        "no field\r\n",
+    ] {
+        assert_eq!(body(fields), BodyFraming::Unclear, "{fields}");
+    }
+}
--- a/crates/daemon/src/downstream/mod.rs
+++ b/crates/daemon/src/downstream/mod.rs
@@ -1,9 +1,11 @@
 //! Clients: the listener, their connections, requests and responses.
 
+pub(crate) mod body_deadline;
 pub(crate) mod connection;
 pub(crate) mod connection_task;
-pub(crate) mod head;
+pub(crate) mod head_scan;
 pub(crate) mod listener;
+pub(crate) mod message_scan;
 pub(crate) mod request;
 pub(crate) mod request_error;
 pub(crate) mod request_ids;
--- a/crates/daemon/src/downstream/request_parser.rs
+++ b/crates/daemon/src/downstream/request_parser.rs
@@ -1,12 +1,13 @@
 //! Parses HTTP from a client into a typed RPC, once.
 use crate::config::active::{ActiveNames, check};
-use crate::downstream::head::Framings;
+use crate::downstream::head_scan::Framings;
 use crate::downstream::request::{
     IDEMPOTENCY_KEY, ParsedRequest, REQUEST_ID, REQUEST_TIMEOUT_MS, ReceivedRpc, RequestPayload,
 };
 use crate::downstream::request_error::RequestError;
 use crate::downstream::response::ProxyResponse;
 use crate::net::body::{BODY_LIMIT, BUFFERED_BODY_LIMIT, RequestUpload};
+use crate::net::progress_deadline::ProgressDeadline;
 use bytes::BytesMut;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -15,10 +16,6 @@
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
-/// For the buffered part of a body: at 64 kB/s it takes one second.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-/// For the next byte of it.
-const BODY_READ_TIMEOUT: Duration = Duration::from_secs(5);
 /// Bytes of a `Request-Id`: no usual one comes near.
 const REQUEST_ID_LIMIT: usize = 128;
 
@@ -50,7 +47,8 @@
     pub(crate) async fn parse(
         &self,
         message: Request<Incoming>,
-        framings: Framings,
+        framings: Option<Framings>,
+        body_deadline: ProgressDeadline,
     ) -> Result<ReceivedRpc, ProxyResponse> {
         let (head, body) = message.into_parts();
         check_framing(&head.headers, framings)?;
@@ -63,7 +61,7 @@
         let idempotency_key =
             single_value(&head.headers, &IDEMPOTENCY_KEY)?.filter(|key| !key.is_empty());
         check(effect, &head.method, idempotency_key.is_some())?;
-        let payload = receive_payload(&head.method, body).await?;
+        let payload = receive_payload(&head.method, body, body_deadline).await?;
         let info = RequestInfo::of(&head.headers);
         let path_and_query = head.uri.path_and_query().cloned();
         Ok(ReceivedRpc {
@@ -90,11 +88,11 @@
 /// Rejects a head that declares its body's framing twice, or in a way that is not supported. hyper drops a
 /// `Content-Length` beside a `Transfer-Encoding` and goes by the other: an RPC could be smuggled in the body of what
 /// another proxy takes for one message.
-fn check_framing(headers: &HeaderMap, framings: Framings) -> Result<(), RequestError> {
+fn check_framing(headers: &HeaderMap, framings: Option<Framings>) -> Result<(), RequestError> {
     let coding = single_value(headers, &TRANSFER_ENCODING)?;
     let is_supported =
         coding.is_none_or(|coding| coding.as_bytes().eq_ignore_ascii_case(b"chunked"));
-    if framings.is_clear() && is_supported {
+    if framings.is_some_and(Framings::is_clear) && is_supported {
         return Ok(());
     }
     Err(RequestError::AmbiguousFraming)
@@ -174,11 +172,15 @@
 }
 
 /// The body of a request of this HTTP method, as far as it is buffered.
-async fn receive_payload(method: &Method, body: Incoming) -> Result<RequestPayload, RequestError> {
+async fn receive_payload(
+    method: &Method,
+    body: Incoming,
+    deadline: ProgressDeadline,
+) -> Result<RequestPayload, RequestError> {
     if body.size_hint().lower() > BODY_LIMIT {
         return Err(RequestError::BodyTooLarge);
     }
-    let payload = buffer_body(body).await?;
+    let payload = buffer_body(body, deadline).await?;
     if *method == Method::GET && !payload.is_empty() {
         return Err(RequestError::UnexpectedBody);
     }
@@ -186,28 +188,26 @@
 }
 
 /// Buffers a body up to its end, or up to the limit where the rest is to be streamed.
-async fn buffer_body(mut body: Incoming) -> Result<RequestPayload, RequestError> {
+async fn buffer_body(
+    mut body: Incoming,
+    mut deadline: ProgressDeadline,
+) -> Result<RequestPayload, RequestError> {
     let declared_length = body.size_hint().lower();
     let capacity = declared_length.min(BUFFERED_BODY_LIMIT as u64) as usize;
     let mut buffered = BytesMut::with_capacity(capacity);
-    let deadline = Instant::now() + BODY_TIMEOUT;
     while !body.is_end_stream() {
-        let read_deadline = deadline.min(Instant::now() + BODY_READ_TIMEOUT);
-        match timeout_at(read_deadline, body.frame()).await {
-            Err(_) => {
-                return Err(RequestError::BodyTimeout);
-            }
+        match timeout_at(deadline.at(), body.frame()).await {
+            Err(_) => return Err(RequestError::BodyTimeout),
             Ok(None) => break,
-            Ok(Some(Err(_))) => {
-                return Err(RequestError::MalformedBody);
-            }
+            Ok(Some(Err(_))) => return Err(RequestError::MalformedBody),
             Ok(Some(Ok(frame))) => {
                 // A frame of trailers has no data.
                 buffered.extend_from_slice(&frame.into_data().unwrap_or_default());
+                deadline.record(buffered.len() as u64, Instant::now());
             }
         }
         if buffered.len() > BUFFERED_BODY_LIMIT && !body.is_end_stream() {
-            let upload = RequestUpload::new(buffered.freeze(), body);
+            let upload = RequestUpload::new(buffered.freeze(), body, deadline);
             return Ok(RequestPayload::Streamed(upload));
         }
     }
--- a/crates/daemon/src/downstream/rpc_service.rs
+++ b/crates/daemon/src/downstream/rpc_service.rs
@@ -10,8 +10,10 @@
 use crate::end_reason::EndReason;
 use crate::lifecycle::state::ProxyState;
 use crate::messages::Event;
-use crate::net::body::RequestUpload;
+use crate::net::body::{RequestUpload, UploadError};
 use crate::net::inbound_stream::ClientLiveness;
+use crate::net::progress_deadline::ProgressDeadline;
+use crate::time_limits::ANSWER_GRACE;
 use hyper::body::Incoming;
 use hyper::{Method, Request};
 use std::cell::Cell;
@@ -53,14 +55,16 @@
     pub(crate) async fn respond(
         &self,
         message: Request<Incoming>,
+        body_deadline: ProgressDeadline,
         connection: &ClientConnection,
         client: ClientLiveness,
     ) -> ProxyResponse {
+        let framings = connection.take_framings();
         if message.method() == Method::GET && message.uri().path() == READINESS_PATH {
             return ProxyResponse::Health(self.state.borrow().is_healthy());
         }
-        let framings = connection.take_framings();
-        let rpc = match self.parser.parse(message, framings).await {
+        let parsed = self.parser.parse(message, framings, body_deadline);
+        let rpc = match parsed.await {
             Ok(rpc) => rpc,
             Err(response) => {
                 let reason = EndReason::InvalidRequest;
@@ -68,7 +72,7 @@
                 return response;
             }
         };
-        connection.enter(Phase::RpcInFlight);
+        connection.enter(Phase::RpcInFlight(answer_deadline(&rpc)));
         let upload = rpc.request.upload().cloned();
         let log = RpcLog::begin(&rpc, connection.id());
         let (response, reason) = self.decide(rpc, client).await;
@@ -102,9 +106,7 @@
         let deadline = deadline(upload.as_deref(), rpc.received_at, rpc.timeout);
         select! {
             biased;
-            () = exceeded_limit(upload.as_deref()) => {
-                (RequestError::BodyTooLarge.into(), EndReason::InvalidRequest)
-            }
+            end = incomplete_upload(upload.as_deref()) => end,
             Some(response) = self.submit(id, rpc, request_id, client) => {
                 guard.disarm();
                 let reason = reason_of_decision(&response);
@@ -224,10 +226,30 @@
     sleep_until(received_at + timeout).await;
 }
 
-/// Waits until a streamed request is longer than allowed.
-async fn exceeded_limit(upload: Option<&RequestUpload>) {
-    match upload {
-        Some(upload) => upload.exceeded_limit().await,
-        None => pending().await,
+/// Waits until a streamed request has ended without its last byte, and returns its answer.
+async fn incomplete_upload(upload: Option<&RequestUpload>) -> (ProxyResponse, EndReason) {
+    let Some(upload) = upload else {
+        return pending().await;
+    };
+    match upload.failed().await {
+        UploadError::LimitExceeded => {
+            (RequestError::BodyTooLarge.into(), EndReason::InvalidRequest)
+        }
+        UploadError::Truncated => (
+            RequestError::MalformedBody.into(),
+            EndReason::InvalidRequest,
+        ),
+        UploadError::Stalled if upload.is_waiting_for_client() => {
+            (RequestError::BodyTimeout.into(), EndReason::BodyStalled)
+        }
+        // No backend had all of it, so none has begun.
+        UploadError::Stalled => (ProxyResponse::rejected(), EndReason::BodyStalled),
     }
 }
+
+/// By when an RPC has its answer, whoever holds it up: its own time, counted from the end of its body's.
+fn answer_deadline(rpc: &ReceivedRpc) -> Instant {
+    let upload = rpc.request.upload();
+    let body_end = upload.map_or(rpc.received_at, |upload| upload.bound());
+    body_end + rpc.timeout + ANSWER_GRACE
+}
--- a/crates/daemon/src/end_reason.rs
+++ b/crates/daemon/src/end_reason.rs
@@ -20,6 +20,8 @@
     HeadTimeout,
     /// Connection: the client took no byte of its response.
     ResponseStalled,
+    /// Connection: a message was not answered by the time at which it had to be.
+    AnswerOverdue,
     /// Connection: its socket was wanted for another one.
     Evicted,
     /// Connection: it was idle, or its message incomplete, for too long while the proxy drained.
@@ -40,6 +42,8 @@
     LostByDecisions,
     /// RPC: what the client sent is no valid request.
     InvalidRequest,
+    /// RPC: its long body made no progress, or was not complete in time.
+    BodyStalled,
     /// Attempt: it ran to its own end.
     Completed,
     /// Attempt: the decisions cancelled it, or its RPC has ended.
@@ -65,6 +69,7 @@
             Self::IdleTimeout => "idle-timeout",
             Self::HeadTimeout => "head-timeout",
             Self::ResponseStalled => "response-stalled",
+            Self::AnswerOverdue => "answer-overdue",
             Self::Evicted => "evicted",
             Self::Drained => "drained",
             Self::Served => "served",
@@ -75,6 +80,7 @@
             Self::Overloaded => "overloaded",
             Self::LostByDecisions => "lost-by-decisions",
             Self::InvalidRequest => "invalid-request",
+            Self::BodyStalled => "body-stalled",
             Self::Completed => "completed",
             Self::Cancelled => "cancelled",
             Self::EndpointUnavailable => "endpoint-unavailable",
@@ -92,12 +98,14 @@
                 | Self::MalformedMessage
                 | Self::HeadTimeout
                 | Self::ResponseStalled
+                | Self::AnswerOverdue
                 | Self::Evicted
                 | Self::FailedByDecision
                 | Self::DeadlineExceeded
                 | Self::Overloaded
                 | Self::LostByDecisions
                 | Self::InvalidRequest
+                | Self::BodyStalled
                 | Self::UploadStalled
         )
     }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -9,6 +9,7 @@
 mod lifecycle;
 mod messages;
 mod net;
+mod time_limits;
 mod upstream;
 
 use crate::clock::Clock;
--- a/crates/daemon/src/net/body/mod.rs
+++ b/crates/daemon/src/net/body/mod.rs
@@ -6,7 +6,7 @@
 
 pub(crate) use response_body::{DeliveryStatus, ResponseBody};
 pub(crate) use streamed_body::{StreamedBody, streamed_body};
-pub(crate) use upload::{RequestBody, RequestUpload};
+pub(crate) use upload::{RequestBody, RequestUpload, UploadError};
 
 use thiserror::Error;
 
--- a/crates/daemon/src/net/body/upload.rs
+++ b/crates/daemon/src/net/body/upload.rs
@@ -1,5 +1,6 @@
 //! Requests on their way to a backend: buffered, or streamed from the client.
 use crate::net::body::{BODY_LIMIT, BodyTruncated};
+use crate::net::progress_deadline::ProgressDeadline;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -9,7 +10,18 @@
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use tokio::sync::watch;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
+
+/// Why a streamed request will never be complete.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum UploadError {
+    /// It is longer than any request may be.
+    LimitExceeded,
+    /// It is malformed, or the client's connection failed before its last byte.
+    Truncated,
+    /// It made no progress, or was not complete in time.
+    Stalled,
+}
 
 /// How much of a streamed request was received.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -18,10 +30,8 @@
     Incomplete,
     /// All of it, with the last byte at this time.
     Complete(Instant),
-    /// More than any request may hold.
-    LimitExceeded,
-    /// The client's connection failed before its last byte.
-    Truncated,
+    /// What is still missing will not be waited for.
+    Failed(UploadError),
 }
 
 /// A request's body that is too long to be buffered. Its first part is buffered;
@@ -34,14 +44,20 @@
     length: Option<u64>,
     received_bytes: Cell<u64>,
     received: watch::Sender<ReceivedPart>,
+    /// By when more of it is to be received and handed over to be sent.
+    deadline: Cell<ProgressDeadline>,
     is_consumed: Cell<bool>,
     has_reader: Cell<bool>,
     is_waiting_for_client: Cell<bool>,
 }
 
 impl RequestUpload {
-    /// A body of which `first_part` was received.
-    pub(crate) fn new(first_part: Bytes, remaining: Incoming) -> Rc<Self> {
+    /// A body of which `first_part` was received; the rest is to be received by the deadline.
+    pub(crate) fn new(
+        first_part: Bytes,
+        remaining: Incoming,
+        deadline: ProgressDeadline,
+    ) -> Rc<Self> {
         let received_bytes = first_part.len() as u64;
         let remaining_length = remaining.size_hint().exact();
         Rc::new(Self {
@@ -50,6 +66,7 @@
             length: remaining_length.map(|length| length + received_bytes),
             received_bytes: received_bytes.into(),
             received: watch::Sender::new(ReceivedPart::Incomplete),
+            deadline: deadline.into(),
             is_consumed: false.into(),
             has_reader: false.into(),
             is_waiting_for_client: false.into(),
@@ -71,7 +88,13 @@
         self.is_waiting_for_client.get()
     }
 
-    /// Waits for its last byte and returns the time at which it was received; for ever if it never is.
+    /// By when all of it is received, or it has failed.
+    pub(crate) fn bound(&self) -> Instant {
+        self.deadline.get().bound()
+    }
+
+    /// Waits for its last byte and returns the time at which it was received. Where that never comes
+    /// [`RequestUpload::failed`] is ready instead.
     pub(crate) async fn completed(&self) -> Instant {
         let mut received = self.received.subscribe();
         let completed = received
@@ -84,15 +107,25 @@
         }
     }
 
-    /// Waits until more was received than any request may hold; for ever if that never happens.
-    pub(crate) async fn exceeded_limit(&self) {
-        let mut received = self.received.subscribe();
-        let exceeded = received
-            .wait_for(|part| *part == ReceivedPart::LimitExceeded)
-            .await
-            .is_ok();
-        if !exceeded {
-            pending().await
+    /// Waits until it is certain that its last byte will not be waited for any longer, and returns why. Once the last
+    /// byte was received this is never ready.
+    pub(crate) async fn failed(&self) -> UploadError {
+        loop {
+            let deadline = self.deadline.get().at();
+            let mut received = self.received.subscribe();
+            let ended = received.wait_for(|part| *part != ReceivedPart::Incomplete);
+            match timeout_at(deadline, ended)
+                .await
+                .map(|part| part.map(|part| *part))
+            {
+                Ok(Ok(ReceivedPart::Failed(error))) => return error,
+                Ok(_) => return pending().await,
+                // It may have moved while this was waited for.
+                Err(_) if self.deadline.get().at() > deadline => {}
+                Err(_) => {
+                    let _ = self.fail(UploadError::Stalled);
+                }
+            }
         }
     }
 
@@ -107,7 +140,7 @@
                     self.complete();
                     return Poll::Ready(None);
                 }
-                Some(Err(_)) => return self.fail(ReceivedPart::Truncated),
+                Some(Err(_)) => return Poll::Ready(Some(Err(self.fail(UploadError::Truncated)))),
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(bytes) => bytes,
                     Err(_trailers) => continue,
@@ -115,8 +148,9 @@
             };
             self.received_bytes
                 .update(|received| received + bytes.len() as u64);
+            self.record_progress();
             if self.received_bytes.get() > BODY_LIMIT {
-                return self.fail(ReceivedPart::LimitExceeded);
+                return Poll::Ready(Some(Err(self.fail(UploadError::LimitExceeded))));
             }
             self.is_consumed.set(true);
             self.first_part.take();
@@ -133,10 +167,16 @@
         self.received.send_replace(complete);
     }
 
+    fn record_progress(&self) {
+        let mut deadline = self.deadline.get();
+        deadline.record(self.received_bytes.get(), Instant::now());
+        self.deadline.set(deadline);
+    }
+
     /// Records why the body will not be complete.
-    fn fail(&self, received: ReceivedPart) -> Poll<Option<Result<Bytes, BodyTruncated>>> {
-        self.received.send_replace(received);
-        Poll::Ready(Some(Err(BodyTruncated)))
+    fn fail(&self, error: UploadError) -> BodyTruncated {
+        self.received.send_replace(ReceivedPart::Failed(error));
+        BodyTruncated
     }
 }
 
--- a/crates/daemon/src/net/mod.rs
+++ b/crates/daemon/src/net/mod.rs
@@ -5,4 +5,5 @@
 pub(crate) mod inbound_stream;
 pub(crate) mod linger;
 pub(crate) mod observed_stream;
+pub(crate) mod progress_deadline;
 pub(crate) mod socket_budget;
--- a/crates/daemon/src/upstream/attempt.rs
+++ b/crates/daemon/src/upstream/attempt.rs
@@ -7,6 +7,7 @@
 use crate::net::connection::{Connection, ConnectionError, Reply};
 use crate::net::inbound_stream::ClientLiveness;
 use crate::net::socket_budget::SocketClass;
+use crate::time_limits::UPLOAD_STALL;
 use crate::upstream::endpoint_state::EndpointState;
 use crate::upstream::exchange::{
     CancelSignal, CompletionGuard, Deadlines, Exchange, ExchangeRequest,
@@ -22,8 +23,8 @@
 use tokio::select;
 use tokio::time::{Instant, sleep, sleep_until};
 
-/// For a long request of which no byte is written: peers pause for seconds.
-const UPLOAD_STALL: Duration = Duration::from_secs(5);
+/// Between looks at whether a long request makes progress.
+const UPLOAD_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Runs an exchange to its end.
 pub(super) async fn run(endpoint: Rc<EndpointState>, exchange: Box<Exchange>) {
@@ -53,7 +54,8 @@
         () = running.send_window_closed() => End::Withdrawn(EndReason::SendWindowClosed),
         result = running.exchange() => End::Completed(result),
         () = running.timed_out() => End::TimedOut,
-        () = running.upload_stalled() => End::Stalled,
+        () = running.upload_failed() => End::Stalled,
+        () = running.backend_stalled() => End::Stalled,
     };
     // The connection of an exchange that was cut short is closed by now, before the decision actor hears of it.
     let reason = end.reason();
@@ -166,21 +168,32 @@
         }
     }
 
-    /// A long request makes no progress for too long before its last byte has come.
-    async fn upload_stalled(&self) {
+    /// The last byte of a long request will not come.
+    async fn upload_failed(&self) {
+        match self.request.upload() {
+            Some(upload) => drop(upload.failed().await),
+            None => pending().await,
+        }
+    }
+
+    /// The backend takes nothing of a long request for too long, while there is something for it to take.
+    async fn backend_stalled(&self) {
         let Some(upload) = self.request.upload() else {
             return pending().await;
         };
-        loop {
-            let before = self.written.bytes();
-            sleep(UPLOAD_STALL).await;
-            if upload.is_complete() {
-                return pending().await;
+        let mut written = self.written.bytes();
+        let mut stalled_since = Instant::now();
+        while !upload.is_complete() {
+            sleep(UPLOAD_CHECK_INTERVAL).await;
+            if upload.is_waiting_for_client() || self.written.bytes() != written {
+                written = self.written.bytes();
+                stalled_since = Instant::now();
             }
-            if self.written.bytes() == before {
+            if stalled_since.elapsed() >= UPLOAD_STALL {
                 return;
             }
         }
+        pending().await
     }
 
     /// What is reported for an end; none leaves it to the completion guard.
--- a/crates/daemon/src/upstream/response.rs
+++ b/crates/daemon/src/upstream/response.rs
@@ -2,17 +2,14 @@
 use crate::end_reason::EndReason;
 use crate::net::body::{BODY_LIMIT, streamed_body};
 use crate::net::connection::{Connection, Reply};
+use crate::time_limits::{RESPONSE, RESPONSE_STALL};
 use crate::upstream::exchange::CompletionGuard;
 use crate::upstream::result::ExchangeResult;
 use birchhub::interface::{AttemptOutcome, LoadReport};
 use birchhub_settings::parse_load_report;
 use hyper::HeaderMap;
-use std::time::Duration;
 use tokio::select;
-use tokio::time::timeout;
-
-/// For a backend that sends no byte of a response that it has started.
-const RESPONSE_STALL: Duration = Duration::from_secs(30);
+use tokio::time::{Instant, timeout_at};
 
 /// The header by which a backend tells of its load.
 const LOAD_REPORT_HEADER: &str = "server-load";
@@ -30,11 +27,12 @@
     let (sender, body) = streamed_body(std::mem::take(&mut reply.body), reply.length);
     completion.report_response_started(body).await;
     let mut bytes_left = BODY_LIMIT;
+    let end = Instant::now() + RESPONSE;
     loop {
         let chunk = select! {
             biased;
             () = sender.closed() => return Err(AttemptOutcome::Cancelled),
-            chunk = timeout(RESPONSE_STALL, connection.next_chunk()) => chunk,
+            chunk = timeout_at(stall_deadline(end), connection.next_chunk()) => chunk,
         };
         let bytes = match chunk {
             Ok(Ok(Some(bytes))) => bytes,
@@ -45,7 +43,8 @@
         bytes_left = bytes_left
             .checked_sub(bytes.len() as u64)
             .ok_or(AttemptOutcome::Reset)?;
-        if !sender.send(bytes).await {
+        let is_taken = timeout_at(stall_deadline(end), sender.send(bytes)).await;
+        if is_taken != Ok(true) {
             return Err(AttemptOutcome::Cancelled);
         }
     }
@@ -53,6 +52,11 @@
     Ok(())
 }
 
+/// By when the next piece of a response that is to be over at `end` has to move on.
+fn stall_deadline(end: Instant) -> Instant {
+    end.min(Instant::now() + RESPONSE_STALL)
+}
+
 /// The outcome and load report that a response stands for, as the protocol has it.
 pub(super) fn classify(reply: Reply, is_health_check: bool) -> ExchangeResult {
     let not_started = reply
--- a/crates/daemon/tests/client_requests.rs
+++ b/crates/daemon/tests/client_requests.rs
@@ -95,6 +95,23 @@
     );
 }
 
+/// Request smuggling behind another message: the framing of each head counts, wherever it stands in what is read.
+#[test]
+fn bad_framing_behind_another_request_is_refused_and_reaches_no_backend() {
+    let log = Log::new(vec![]);
+    let daemon = Daemon::start(PROGRAM, &[("s-1", echo("b1", &log))]);
+    for (number, (message, status)) in bad_framing().into_iter().enumerate() {
+        let id = format!("ahead{number}");
+        let mut client = daemon.client();
+        let first = client.call(&(rpc("GET", "/read", &id, "") + &message));
+        assert_eq!(first.expect("an answer").status(), 200);
+        let second = client.answer().map(|answer| answer.status());
+        assert_eq!(second, Some(status), "{message}");
+        assert!(client.is_closed(), "{message}");
+    }
+    assert_eq!(log.count("POST"), 0, "{:?}", log.all());
+}
+
 /// A client that does not complete a message is refused or cut off, and soon.
 #[test]
 fn messages_that_never_end_are_cut_off() {
--- a/crates/daemon/tests/stalled_clients.rs
+++ b/crates/daemon/tests/stalled_clients.rs
@@ -266,6 +266,44 @@
     assert!(late.is_empty(), "{} are late: {late:#?}", late.len());
 }
 
+/// Sends the pieces with a pause ahead of each but the first, and returns the status of the answer.
+fn status_in_pieces(daemon: &Daemon, pieces: &[&str], pause: Duration) -> u16 {
+    let mut client = daemon.client();
+    for (number, piece) in pieces.iter().enumerate() {
+        sleep(if number > 0 { pause } else { Duration::ZERO });
+        assert!(client.send(piece), "closed at piece {number}");
+    }
+    client.answer().expect("an answer").status()
+}
+
+/// What stopped clients are owed takes nothing from usual ones: they take 2 s for a head, and send a body at 64 kB a
+/// second in pieces of any size.
+#[test]
+fn usual_slow_clients_are_served() {
+    let log = Log::new(vec![]);
+    let daemon = Daemon::start(PROGRAM, &[("s-1", echo("b1", &log))]);
+    let slow_head = rpc("GET", "/read", "slow-head", "");
+    let (head, end) = slow_head.split_at(HALF_HEAD.len());
+    let slow_body = rpc("POST", "/book", "slow-body", &"x".repeat(300_000));
+    let (burst, rest) = slow_body.split_at(128_000);
+    let (second_burst, last) = rest.split_at(128_000);
+    let dribbled = rpc("POST", "/book", "dribbled", &"x".repeat(100_000));
+    let text = |piece| str::from_utf8(piece).expect("plain text");
+    let small_pieces: Vec<_> = dribbled.as_bytes().chunks(1280).map(text).collect();
+    thread::scope(|scope| {
+        let played = [
+            scope.spawn(|| status_in_pieces(&daemon, &[head, end], Duration::from_secs(2))),
+            scope.spawn(|| {
+                let pieces = [burst, second_burst, last];
+                status_in_pieces(&daemon, &pieces, Duration::from_secs(2))
+            }),
+            scope.spawn(|| status_in_pieces(&daemon, &small_pieces, Duration::from_millis(20))),
+        ];
+        let statuses = played.map(|client| client.join().expect("a client"));
+        assert_eq!(statuses, [200; 3]);
+    });
+}
+
 /// The log tells why a connection was closed and in which phase it was, and names a request that failed.
 #[test]
 fn the_log_tells_why_a_connection_and_a_request_ended() {
