Calls to discovery that are overdue keep their turn at a crowded service

The logs show six proxies whose watches fell silent at 3.30 s calling at 6.53 to 6.61 s, and a service that takes 0.35 s a call, in turn: the last proxy's call was given up at 7.36 and 8.61 s, and its answer of 8.64 s with it; its next call was told at 10.05 s. Ruled out: the watch's own end (4.0 s, as set), the backoff (0 to 0.5 s).

A call without an answer in time now stays under way beside the next (two at most), also through the backoff; the first answer counts.

--- a/crates/daemon/src/discovery/client.rs
+++ b/crates/daemon/src/discovery/client.rs
@@ -1,27 +1,25 @@
 //! The actor that follows the endpoint list: one call after another while the decisions want its changes. It has one
-//! connection and never more than one call under way; what it receives goes to the decision actor's mailbox.
+//! connection and one call under way, and a few more where the first ones had no response in time; what it receives goes
+//! to the decision actor's mailbox.
 
 use crate::discovery::LOG_TARGET;
+use crate::discovery::call::{Call, CallEnd, OverdueCalls, make_call};
 use crate::discovery::error::DiscoveryError;
 use crate::discovery::timing::{
-    AGENT, AGENT_RETRY_INTERVAL, CONNECT_TIMEOUT, CallTiming, FIRST_SNAPSHOT, LOG_INTERVAL,
-    MAX_BODY, MIN_CALL_INTERVAL, SERVICE,
+    AGENT, AGENT_RETRY_INTERVAL, CallTiming, FIRST_SNAPSHOT, LOG_INTERVAL, MIN_CALL_INTERVAL,
+    SERVICE,
 };
 use crate::discovery::update::EndpointUpdate;
 use crate::lifecycle::state_store::StateStore;
 use crate::messages::Event;
-use crate::net::body::RequestBody;
-use crate::net::connection::{Connection, ConnectionError};
-use http_body_util::Full;
-use hyper::{Request, StatusCode};
-use std::cell::Cell;
+use crate::net::connection::Connection;
 use std::future::ready;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::select;
 use tokio::sync::{Notify, mpsc, watch};
-use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until};
 
 const INSTANCES_PATH: &str = "/registry/instances";
 
@@ -39,13 +37,11 @@
     /// Told of the first response, and of all names.
     state_store: Rc<StateStore>,
     consecutive_timeouts: usize,
+    overdue: OverdueCalls,
 }
 
-/// A call to be made.
-struct Call {
-    path: String,
-    timeout: Duration,
-}
+/// The decision actor has ended: nobody is left to tell.
+struct ActorEnded;
 
 impl DiscoveryClient {
     /// A client that knows the list up to `version`.
@@ -65,6 +61,7 @@
             pushed,
             state_store,
             consecutive_timeouts: 0,
+            overdue: OverdueCalls::default(),
         }
     }
 
@@ -75,16 +72,24 @@
         let mut watch_at_once = self.pushed;
         let mut last_logged = None;
         loop {
+            let mut connection = None;
             if !watch_at_once {
                 select! {
                     () = self.watch_requested.notified() => {}
                     Ok(()) = address_changes.changed() => self.forget_version(),
+                    late = self.overdue.next_update() => {
+                        // The watch goes on from there, as if the call had not been overdue.
+                        match self.accept_late(late).await {
+                            Ok(usable) => connection = usable,
+                            Err(ActorEnded) => return,
+                        }
+                    }
                 }
             }
             let failure = select! {
                 biased;
                 Ok(()) = address_changes.changed() => None,
-                error = self.watch() => Some(error),
+                error = self.watch(connection) => Some(error),
             };
             watch_at_once = self.pushed || failure.is_none();
             let Some(error) = failure else {
@@ -106,6 +111,25 @@
     fn forget_version(&mut self) {
         self.version = None;
         self.consecutive_timeouts = 0;
+        self.overdue.clear();
+    }
+
+    /// Delivers the update that an overdue call has brought, if it is none of an older list, and returns its connection.
+    async fn accept_late(
+        &mut self,
+        (update, connection): (EndpointUpdate, Option<Connection>),
+    ) -> Result<Option<Connection>, ActorEnded> {
+        if let Ok(update) = self.check_order(update) {
+            self.end_timeouts();
+            self.deliver(update).await?;
+        }
+        Ok(connection)
+    }
+
+    /// A response has come: what is still under way would tell nothing else.
+    fn end_timeouts(&mut self) {
+        self.overdue.clear();
+        self.consecutive_timeouts = 0;
     }
 
     /// Prevents a log full of one outage.
@@ -126,16 +150,15 @@
     }
 
     /// Calls until one fails for good.
-    async fn watch(&mut self) -> DiscoveryError {
+    async fn watch(&mut self, mut connection: Option<Connection>) -> DiscoveryError {
         let timing = if self.pushed { AGENT } else { SERVICE };
-        let mut connection = None;
         // After a timeout, a call that waits at the service would be given up too late if it timed out too.
         let mut catching_up = self.pushed || self.consecutive_timeouts > 0;
         let mut retries = 0;
         loop {
             let call = self.next_call(&timing, catching_up);
             let started = Instant::now();
-            match self.call(&mut connection, &call, started).await {
+            match self.call(&mut connection, call).await {
                 Ok(update) => {
                     (catching_up, retries) = (false, 0);
                     if self.deliver(update).await.is_err() {
@@ -147,7 +170,6 @@
                 // though its response broke off, from costing a backoff.
                 Err(error) if retries < error.immediate_retries(&timing) => {
                     log::warn!(target: LOG_TARGET, "list call goes out again: {error}");
-                    connection = None;
                     catching_up = true;
                     retries += 1;
                 }
@@ -183,23 +205,39 @@
         }
     }
 
-    /// Makes a call, within its timeout, and counts timeouts in a row.
+    /// Makes a call, and counts timeouts in a row. One that times out stays under way: the first response counts.
     async fn call(
         &mut self,
         connection: &mut Option<Connection>,
-        call: &Call,
-        started: Instant,
+        call: Call,
     ) -> Result<EndpointUpdate, DiscoveryError> {
-        let deadline = started + call.timeout;
-        let result = timeout_at(deadline, self.exchange(connection, &call.path, deadline))
-            .await
-            .unwrap_or(Err(DiscoveryError::TimedOut))
-            .and_then(|update| self.check_order(update));
-        self.consecutive_timeouts = if matches!(result, Err(DiscoveryError::TimedOut)) {
-            self.consecutive_timeouts + 1
-        } else {
-            0
+        let deadline = Instant::now() + call.timeout;
+        let address = *self.address.borrow();
+        let mut current = make_call(address, connection.take(), call.path);
+        let CallEnd {
+            result,
+            connection: usable,
+        } = select! {
+            biased;
+            end = &mut current => end,
+            (update, connection) = self.overdue.next_update() => CallEnd {
+                result: Ok(update),
+                connection,
+            },
+            () = sleep_until(deadline) => {
+                self.overdue.push(current);
+                DiscoveryError::TimedOut.into()
+            }
         };
+        let result = result.and_then(|update| self.check_order(update));
+        match &result {
+            Ok(_) => {
+                self.end_timeouts();
+                *connection = usable;
+            }
+            Err(DiscoveryError::TimedOut) => self.consecutive_timeouts += 1,
+            Err(_) => self.consecutive_timeouts = 0,
+        }
         result
     }
 
@@ -218,61 +256,12 @@
     }
 
     /// Hands an update to the decision actor.
-    async fn deliver(
-        &mut self,
-        update: EndpointUpdate,
-    ) -> Result<(), mpsc::error::SendError<Event>> {
+    async fn deliver(&mut self, update: EndpointUpdate) -> Result<(), ActorEnded> {
         self.version = Some(update.version);
         let names = update.listed.iter().map(|endpoint| endpoint.uid.as_str());
         self.state_store.record_listed_names(names);
         self.state_store.set_ready();
-        self.decisions.send(Event::EndpointsChanged(update)).await
-    }
-
-    /// One request and its response, over the connection of the last call if that can still be used.
-    async fn exchange(
-        &self,
-        connection: &mut Option<Connection>,
-        path: &str,
-        deadline: Instant,
-    ) -> Result<EndpointUpdate, DiscoveryError> {
-        let connection = self.connect(connection, deadline).await?;
-        let mut request = Request::new(RequestBody::Buffered(Full::default()));
-        *request.uri_mut() = path.parse().expect("a path of letters and digits");
-        let response = connection
-            .exchange(request, MAX_BODY, false, &Cell::new(false))
-            .await
-            .map_err(|error| match error {
-                ConnectionError::MalformedResponse => DiscoveryError::Truncated,
-                error => DiscoveryError::ConnectionFailed(error),
-            })?;
-        if response.status != StatusCode::OK {
-            return Err(DiscoveryError::Status(response.status));
-        }
-        Ok(EndpointUpdate::decode(&serde_json::from_slice(
-            &response.body,
-        )?)?)
-    }
-
-    /// The connection at hand if it can be used, else a new one.
-    async fn connect<'a>(
-        &self,
-        connection: &'a mut Option<Connection>,
-        deadline: Instant,
-    ) -> Result<&'a mut Connection, DiscoveryError> {
-        let usable = match connection {
-            None => false,
-            Some(connection) => connection.is_usable().await,
-        };
-        if !usable {
-            *connection = None;
-            let address = *self.address.borrow();
-            let connect_by = deadline.min(Instant::now() + CONNECT_TIMEOUT);
-            *connection = Connection::open(address, None, connect_by).await;
-            if connection.is_none() && Instant::now() >= connect_by {
-                return Err(DiscoveryError::TimedOut);
-            }
-        }
-        connection.as_mut().ok_or(DiscoveryError::NoConnection)
+        let event = Event::EndpointsChanged(update);
+        self.decisions.send(event).await.map_err(|_| ActorEnded)
     }
 }
--- a/crates/daemon/src/discovery/mod.rs
+++ b/crates/daemon/src/discovery/mod.rs
@@ -1,5 +1,6 @@
 //! Discovery: following the endpoint list and decoding it.
 
+mod call;
 pub(crate) mod client;
 mod error;
 mod timing;
--- a/crates/daemon/tests/watches.rs
+++ b/crates/daemon/tests/watches.rs
@@ -142,6 +142,31 @@
     assert!(log.wait(PATIENCE, waits), "{:?}", log.all());
 }
 
+/// A call that had no answer in time keeps its turn at a crowded service: its answer counts when it comes, also after the
+/// calls behind it had none either, and the list is followed on from there.
+#[test]
+fn the_late_answer_of_an_overdue_call_counts() {
+    let log = Log::new(vec![]);
+    let daemon = Daemon::start_with(PROGRAM, &[("s-1", echo("b1", &log))], blind);
+    let moved = line("s-1", echo("b2", &log), "Ready");
+    let list = scripted(&log, move |number, _| match number {
+        0 => update(1, true, &[]),
+        // The first call after the watch: two more are overdue, and the backoff runs, when it is answered.
+        2 => {
+            sleep(Duration::from_millis(2100));
+            update(2, true, std::slice::from_ref(&moved))
+        }
+        _ => Act::Hang,
+    });
+    switch_discovery(&daemon, list, |_| {});
+    eventually(PATIENCE, "the late answer was dropped", || {
+        sleep(Duration::from_millis(5));
+        daemon.logged().contains("list version 2:")
+    });
+    check_that_rpcs_go_to_b2(&daemon);
+    log.await_event("list got GET /registry/instances?from=2&hold_ms=3500 HTTP/1.1 ");
+}
+
 /// A connect without an answer times out long before the call that it is for.
 #[test]
 fn a_connect_without_an_answer_times_out_before_its_call() {
