--- /dev/null
+++ b/crates/fault-shim/src/calls.rs
@@ -0,0 +1,206 @@
+//! The calls that stand before those of the C library: each draws whether it fails, and else calls the next one of its
+//! name.
+//!
+//! Every function here has the contract of the C function of its name, and passes its arguments on unchanged but for
+//! lengths, which only get shorter.
+use crate::plan::{Call, Effect};
+use crate::state::{draw, draw_length};
+use libc::{
+    c_char, c_int, c_void, clockid_t, epoll_event, mode_t, size_t, sockaddr, socklen_t, ssize_t,
+    timespec,
+};
+use std::ffi::CStr;
+use std::sync::OnceLock;
+
+/// The function of this name and type that stands behind this library; to be used where its contract is met. The C
+/// library has each of those that are asked for.
+macro_rules! next {
+    ($name:literal as $type:ty) => {{
+        static NEXT: OnceLock<usize> = OnceLock::new();
+        let find = || libc::dlsym(libc::RTLD_NEXT, CStr::as_ptr($name)) as usize;
+        std::mem::transmute::<usize, $type>(*NEXT.get_or_init(find))
+    }};
+}
+
+/// Sets the error of the calling thread, and returns what a call returns that failed.
+fn fail(error: c_int) -> c_int {
+    // SAFETY: the location is that of the calling thread.
+    unsafe { *libc::__errno_location() = error };
+    -1
+}
+
+/// The error that this call is to fail with, if it is to.
+fn drawn_error(call: Call) -> Option<c_int> {
+    match draw(call) {
+        Some(Effect::Error(error)) => Some(error),
+        _ => None,
+    }
+}
+
+/// The length with which a call is to be made, or the error that it is to fail with.
+fn drawn_length(call: Call, length: size_t) -> Result<size_t, c_int> {
+    match draw(call) {
+        Some(Effect::Error(error)) => Err(error),
+        Some(Effect::Short) if length > 1 => Ok(draw_length(length - 1)),
+        _ => Ok(length),
+    }
+}
+
+#[unsafe(no_mangle)]
+unsafe extern "C" fn accept4(
+    socket: c_int,
+    address: *mut sockaddr,
+    length: *mut socklen_t,
+    flags: c_int,
+) -> c_int {
+    type Function = unsafe extern "C" fn(c_int, *mut sockaddr, *mut socklen_t, c_int) -> c_int;
+    match drawn_error(Call::Accept) {
+        Some(error) => fail(error),
+        // SAFETY: the caller's arguments.
+        None => unsafe { next!(c"accept4" as Function)(socket, address, length, flags) },
+    }
+}
+
+#[unsafe(no_mangle)]
+unsafe extern "C" fn accept(
+    socket: c_int,
+    address: *mut sockaddr,
+    length: *mut socklen_t,
+) -> c_int {
+    type Function = unsafe extern "C" fn(c_int, *mut sockaddr, *mut socklen_t) -> c_int;
+    match drawn_error(Call::Accept) {
+        Some(error) => fail(error),
+        // SAFETY: the caller's arguments.
+        None => unsafe { next!(c"accept" as Function)(socket, address, length) },
+    }
+}
+
+#[unsafe(no_mangle)]
+unsafe extern "C" fn socket(domain: c_int, kind: c_int, protocol: c_int) -> c_int {
+    type Function = unsafe extern "C" fn(c_int, c_int, c_int) -> c_int;
+    match drawn_error(Call::Socket) {
+        Some(error) => fail(error),
+        // SAFETY: the caller's arguments.
+        None => unsafe { next!(c"socket" as Function)(domain, kind, protocol) },
+    }
+}
+
+#[unsafe(no_mangle)]
+unsafe extern "C" fn connect(socket: c_int, address: *const sockaddr, length: socklen_t) -> c_int {
+    type Function = unsafe extern "C" fn(c_int, *const sockaddr, socklen_t) -> c_int;
+    match drawn_error(Call::Connect) {
+        Some(error) => fail(error),
+        // SAFETY: the caller's arguments.
+        None => unsafe { next!(c"connect" as Function)(socket, address, length) },
+    }
+}
+
+#[unsafe(no_mangle)]
+unsafe extern "C" fn epoll_wait(
+    epoll: c_int,
+    events: *mut epoll_event,
+    most: c_int,
+    timeout: c_int,
+) -> c_int {
+    type Function = unsafe extern "C" fn(c_int, *mut epoll_event, c_int, c_int) -> c_int;
+    match drawn_error(Call::EpollWait) {
+        Some(error) => fail(error),
+        // SAFETY: the caller's arguments.
+        None => unsafe { next!(c"epoll_wait" as Function)(epoll, events, most, timeout) },
+    }
+}
+
+#[unsafe(no_mangle)]
+unsafe extern "C" fn recv(
+    socket: c_int,
+    buffer: *mut c_void,
+    length: size_t,
+    flags: c_int,
+) -> ssize_t {
+    type Function = unsafe extern "C" fn(c_int, *mut c_void, size_t, c_int) -> ssize_t;
+    match drawn_length(Call::Recv, length) {
+        Err(error) => fail(error) as ssize_t,
+        // SAFETY: the caller's arguments, with a length that is no greater.
+        Ok(length) => unsafe { next!(c"recv" as Function)(socket, buffer, length, flags) },
+    }
+}
+
+#[unsafe(no_mangle)]
+unsafe extern "C" fn send(
+    socket: c_int,
+    buffer: *const c_void,
+    length: size_t,
+    flags: c_int,
+) -> ssize_t {
+    type Function = unsafe extern "C" fn(c_int, *const c_void, size_t, c_int) -> ssize_t;
+    match drawn_length(Call::Send, length) {
+        Err(error) => fail(error) as ssize_t,
+        // SAFETY: the caller's arguments, with a length that is no greater.
+        Ok(length) => unsafe { next!(c"send" as Function)(socket, buffer, length, flags) },
+    }
+}
+
+/// Whether the descriptor is of a regular file, and none of the standard streams.
+fn is_file(descriptor: c_int) -> bool {
+    if descriptor <= libc::STDERR_FILENO {
+        return false;
+    }
+    let mut status = std::mem::MaybeUninit::<libc::stat>::zeroed();
+    // SAFETY: the call writes to `status`, of which all bytes are set before.
+    let status = unsafe {
+        libc::fstat(descriptor, status.as_mut_ptr());
+        status.assume_init()
+    };
+    status.st_mode & libc::S_IFMT == libc::S_IFREG
+}
+
+#[unsafe(no_mangle)]
+unsafe extern "C" fn write(descriptor: c_int, buffer: *const c_void, length: size_t) -> ssize_t {
+    type Function = unsafe extern "C" fn(c_int, *const c_void, size_t) -> ssize_t;
+    let drawn = if is_file(descriptor) {
+        drawn_length(Call::Write, length)
+    } else {
+        Ok(length)
+    };
+    match drawn {
+        Err(error) => fail(error) as ssize_t,
+        // SAFETY: the caller's arguments, with a length that is no greater.
+        Ok(length) => unsafe { next!(c"write" as Function)(descriptor, buffer, length) },
+    }
+}
+
+#[unsafe(no_mangle)]
+unsafe extern "C" fn open64(path: *const c_char, flags: c_int, mode: mode_t) -> c_int {
+    type Function = unsafe extern "C" fn(*const c_char, c_int, mode_t) -> c_int;
+    let is_written = flags & libc::O_ACCMODE != libc::O_RDONLY;
+    match drawn_error(Call::Open).filter(|_| is_written) {
+        Some(error) => fail(error),
+        // SAFETY: the caller's arguments; without O_CREAT the mode is not looked at.
+        None => unsafe { next!(c"open64" as Function)(path, flags, mode) },
+    }
+}
+
+#[unsafe(no_mangle)]
+unsafe extern "C" fn rename(from: *const c_char, to: *const c_char) -> c_int {
+    type Function = unsafe extern "C" fn(*const c_char, *const c_char) -> c_int;
+    match drawn_error(Call::Rename) {
+        Some(error) => fail(error),
+        // SAFETY: the caller's arguments.
+        None => unsafe { next!(c"rename" as Function)(from, to) },
+    }
+}
+
+#[unsafe(no_mangle)]
+unsafe extern "C" fn clock_gettime(clock: clockid_t, time: *mut timespec) -> c_int {
+    type Function = unsafe extern "C" fn(clockid_t, *mut timespec) -> c_int;
+    // SAFETY: the caller's arguments.
+    let result = unsafe { next!(c"clock_gettime" as Function)(clock, time) };
+    if result == 0
+        && clock == libc::CLOCK_REALTIME
+        && let Some(Effect::Step(seconds)) = draw(Call::Clock)
+    {
+        // SAFETY: the call before has written to the caller's place.
+        unsafe { (*time).tv_sec += seconds };
+    }
+    result
+}
