System calls that fail for a moment, are interrupted or short lose no RPC

Seen with the shim on: all six tests red. recv and send that return EINTR ended connections (tokio's streams pass the error on), a short read or write with more to come stood still (tokio takes it for the last and waits for an event), an interrupted signal pipe panics in tokio's driver, a failed accept evicted an idle client, a socket that failed once failed the attempt against its backend, and a failed bind ended the start.

ConnectError is typed.

--- a/crates/daemon/src/config/reload.rs
+++ b/crates/daemon/src/config/reload.rs
@@ -6,13 +6,13 @@
 use crate::config::file::{self, CachedEndpoints, Config};
 use crate::config::update::{AppliedUpdate, ConfigUpdate};
 use crate::messages::Event;
+use crate::signals::SignalFlag;
 use birchhub::interface::{CarriedOver, Settings};
 use birchhub_settings::{Change, ParsedSettings, with_restart_keys_from};
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::signal::unix::Signal;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::spawn_blocking;
 use tokio::time::Instant;
@@ -187,8 +187,9 @@
     }
 
     /// Reloads on each SIGHUP. A configuration that cannot be used changes nothing.
-    pub(crate) async fn run(mut self, mut sighup: Signal) {
-        while sighup.recv().await.is_some() {
+    pub(crate) async fn run(mut self, sighup: SignalFlag) {
+        loop {
+            sighup.received().await;
             let started = Instant::now();
             match self.prepare().await {
                 Ok(prepared) => self.apply(prepared, started).await,
--- a/crates/daemon/src/discovery/call.rs
+++ b/crates/daemon/src/discovery/call.rs
@@ -4,7 +4,7 @@
 use crate::discovery::timing::{CONNECT_TIMEOUT, MAX_BODY};
 use crate::discovery::update::EndpointUpdate;
 use crate::net::body::RequestBody;
-use crate::net::connection::{Connection, ConnectionError};
+use crate::net::connection::{ConnectError, Connection, ConnectionError};
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
 use std::cell::Cell;
@@ -115,10 +115,9 @@
     }
     let connect_by = Instant::now() + CONNECT_TIMEOUT;
     let connection = Connection::open(address, None, connect_by).await;
-    connection.ok_or(if Instant::now() >= connect_by {
-        DiscoveryError::TimedOut
-    } else {
-        DiscoveryError::NoConnection
+    connection.map_err(|error| match error {
+        ConnectError::TimedOut => DiscoveryError::TimedOut,
+        error => DiscoveryError::NoConnection(error),
     })
 }
 
--- a/crates/daemon/src/discovery/error.rs
+++ b/crates/daemon/src/discovery/error.rs
@@ -2,7 +2,7 @@
 
 use crate::discovery::timing::CallTiming;
 use crate::discovery::update::DecodeError;
-use crate::net::connection::ConnectionError;
+use crate::net::connection::{ConnectError, ConnectionError};
 use hyper::StatusCode;
 use thiserror::Error;
 
@@ -21,9 +21,9 @@
     /// The response is JSON, but no endpoint list.
     #[error(transparent)]
     Malformed(#[from] DecodeError),
-    /// The connection was refused.
-    #[error("no connection")]
-    NoConnection,
+    /// The connection could not be opened.
+    #[error(transparent)]
+    NoConnection(ConnectError),
     /// The connection failed before a response.
     #[error("the connection failed: {0:?}")]
     ConnectionFailed(ConnectionError),
@@ -49,7 +49,7 @@
         match self {
             Self::TimedOut => timing.retries_after_timeout,
             Self::Truncated | Self::NotJson(_) | Self::Malformed(_) => 1,
-            Self::NoConnection
+            Self::NoConnection(_)
             | Self::ConnectionFailed(_)
             | Self::Status(_)
             | Self::OutOfOrder { .. }
--- a/crates/daemon/src/downstream/listener.rs
+++ b/crates/daemon/src/downstream/listener.rs
@@ -5,6 +5,7 @@
 use crate::downstream::rpc_service::RpcService;
 use crate::lifecycle::state::ProxyState;
 use crate::messages::Event;
+use crate::net::local_error::is_resource_shortage;
 use crate::net::socket_budget::{SocketBudget, SocketClass};
 use std::cell::Cell;
 use std::io;
@@ -20,6 +21,12 @@
 const EXCESS_CONNECTION_LIMIT: usize = 16;
 /// Before the next accept where no socket is to be had.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
+/// Before the accept after the first that failed; then twice as long each time.
+const FIRST_ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(1);
+/// Failed accepts in a row from which on a shortage is taken to last: an idle connection is evicted for the next.
+const LASTING_SHORTAGE: u32 = 6;
+/// For which a shortage counts as lasting after an eviction was needed.
+const SHORTAGE_PERIOD: Duration = Duration::from_secs(1);
 
 /// Accepts connections of clients.
 pub(crate) struct Listener {
@@ -28,6 +35,8 @@
     budget: Rc<SocketBudget>,
     /// Counts the connections, for the log.
     next_connection: Cell<u64>,
+    /// Until when a shortage of sockets counts as lasting.
+    short_until: Cell<Option<Instant>>,
 }
 
 /// What ends a wait for the next connection.
@@ -50,6 +59,7 @@
             state,
             budget,
             next_connection: Cell::new(0),
+            short_until: Cell::default(),
         }
     }
 
@@ -57,7 +67,7 @@
     pub(crate) async fn run(self: Rc<Self>, listener: TcpListener) {
         let mut state = self.state.clone();
         let mut is_deadline_reached = false;
-        let mut is_failure_logged = false;
+        let mut failures = 0;
         loop {
             let (accepts_until, is_inherited) = {
                 let state = state.borrow_and_update();
@@ -70,15 +80,20 @@
             }
             match next_event(&listener, &mut state, accepts_until).await {
                 AcceptEvent::Accepted(Ok(stream)) => {
-                    is_failure_logged = false;
+                    failures = 0;
                     self.start(stream).await;
                 }
+                // The next one in the queue has nothing to do with it.
+                AcceptEvent::Accepted(Err(error)) if !is_resource_shortage(&error) => {
+                    log::debug!("a connection ended before it was accepted: {error}");
+                    yield_now().await;
+                }
                 AcceptEvent::Accepted(Err(error)) => {
-                    if !is_failure_logged {
+                    if failures == 0 {
                         log::warn!("no connection accepted: {error}");
                     }
-                    is_failure_logged = true;
-                    self.make_room().await;
+                    failures += 1;
+                    self.wait_for_socket(failures).await;
                 }
                 AcceptEvent::StateChanged => {}
                 AcceptEvent::DeadlineReached if is_deadline_reached => return,
@@ -115,10 +130,19 @@
         }
     }
 
-    /// Evicts an idle connection where the system has fewer sockets than were configured.
-    async fn make_room(&self) {
-        self.budget.evict_oldest(SocketClass::Clients);
-        sleep(ACCEPT_RETRY_DELAY).await;
+    /// Waits before the next accept after so many failed in a row for want of a socket. Where that lasts the system has
+    /// fewer sockets than were configured, and an idle connection is evicted; a moment's failure costs no client its
+    /// connection.
+    async fn wait_for_socket(&self, failures: u32) {
+        let now = Instant::now();
+        let is_lasting = self.short_until.get().is_some_and(|until| now < until);
+        if is_lasting || failures >= LASTING_SHORTAGE {
+            self.short_until.set(Some(now + SHORTAGE_PERIOD));
+            self.budget.evict_oldest(SocketClass::Clients);
+            sleep(ACCEPT_RETRY_DELAY).await;
+        } else {
+            sleep(FIRST_ACCEPT_RETRY_DELAY * 2_u32.pow(failures - 1)).await;
+        }
     }
 }
 
--- a/crates/daemon/src/lifecycle/admin_api.rs
+++ b/crates/daemon/src/lifecycle/admin_api.rs
@@ -7,6 +7,7 @@
 use crate::lifecycle::state::ProxyState;
 use crate::lifecycle::state_store::StateStore;
 use crate::net::linger::linger;
+use crate::net::socket::Socket;
 use crate::net::socket_budget::ADMIN_CONNECTIONS;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -204,7 +205,7 @@
         });
         let mut builder = http1::Builder::new();
         builder.keep_alive(false).max_buf_size(MAX_HEAD_BYTES);
-        let mut connection = builder.serve_connection(TokioIo::new(stream), service);
+        let mut connection = builder.serve_connection(TokioIo::new(Socket(stream)), service);
         let call = poll_fn(|cx| connection.poll_without_shutdown(cx));
         match timeout(CALL_TIMEOUT, call).await {
             Err(_) => log::debug!("an admin call was not complete in time"),
--- a/crates/daemon/src/lifecycle/listeners.rs
+++ b/crates/daemon/src/lifecycle/listeners.rs
@@ -2,13 +2,21 @@
 
 use crate::config::file::Config;
 use crate::lifecycle::start_error::StartError;
+use crate::net::local_error::is_local;
 use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
+use tokio::time::{Instant, sleep};
 
 /// Connections that wait to be accepted: none of a burst may be refused.
 const BACKLOG: u32 = 1024;
 
+/// For which a start waits for a socket that this machine has none for.
+const BIND_TIMEOUT: Duration = Duration::from_secs(1);
+/// Between tries.
+const BIND_RETRY_DELAY: Duration = Duration::from_millis(10);
+
 /// The listening sockets of a process.
 pub(crate) struct Listeners {
     /// For clients.
@@ -21,19 +29,19 @@
 
 impl Listeners {
     /// Binds the addresses of the configuration; clients are accepted on `inherited` instead, if there is such a socket.
-    pub(crate) fn bind(
+    pub(crate) async fn bind(
         config: &Config,
         inherited: Option<std::net::TcpListener>,
     ) -> Result<Self, StartError> {
         let is_inherited = inherited.is_some();
         let clients = match inherited {
             Some(socket) => TcpListener::from_std(socket).map_err(StartError::InheritedListener)?,
-            None => bind("LB_LISTEN", config.listen)?,
+            None => bind("LB_LISTEN", config.listen).await?,
+        };
+        let admin = match config.management {
+            Some(address) => Some(bind("LB_MANAGEMENT", address).await?),
+            None => None,
         };
-        let admin = config
-            .management
-            .map(|address| bind("LB_MANAGEMENT", address))
-            .transpose()?;
         Ok(Self {
             clients,
             inherited: is_inherited,
@@ -42,12 +50,24 @@
     }
 }
 
-fn bind(setting: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
-    listen(address).map_err(|source| StartError::Bind {
-        setting,
-        address,
-        source,
-    })
+/// Binds an address; a failure of this machine that is over soon does not end the start.
+async fn bind(setting: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
+    let give_up_at = Instant::now() + BIND_TIMEOUT;
+    loop {
+        match listen(address) {
+            Ok(listener) => return Ok(listener),
+            Err(error) if is_local(&error) && Instant::now() < give_up_at => {
+                sleep(BIND_RETRY_DELAY).await;
+            }
+            Err(source) => {
+                return Err(StartError::Bind {
+                    setting,
+                    address,
+                    source,
+                });
+            }
+        }
+    }
 }
 
 fn listen(address: SocketAddr) -> io::Result<TcpListener> {
--- a/crates/daemon/src/lifecycle/mod.rs
+++ b/crates/daemon/src/lifecycle/mod.rs
@@ -10,7 +10,6 @@
 pub(crate) mod listeners;
 pub(crate) mod shutdown;
 pub(crate) mod siblings;
-pub(crate) mod signals;
 pub(crate) mod start_error;
 pub(crate) mod startup;
 pub(crate) mod state;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -9,6 +9,7 @@
 mod lifecycle;
 mod messages;
 mod net;
+mod signals;
 mod time_limits;
 mod upstream;
 
@@ -24,19 +25,18 @@
 use crate::lifecycle::admin_api::AdminServer;
 use crate::lifecycle::listeners::Listeners;
 use crate::lifecycle::shutdown;
-use crate::lifecycle::signals::Signals;
 use crate::lifecycle::start_error::StartError;
 use crate::lifecycle::startup;
 use crate::lifecycle::state_store::StateStore;
 use crate::messages::Event;
 use crate::net::socket_budget::SocketBudget;
+use crate::signals::{SignalFlag, Signals};
 use std::cell::RefCell;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::signal::unix::Signal;
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::{JoinHandle, LocalSet, spawn_local};
 
@@ -72,8 +72,8 @@
 }
 
 async fn run(config: Config, inherited: Option<std::net::TcpListener>) -> Result<(), StartError> {
-    let mut signals = Signals::subscribe()?;
-    let listeners = Listeners::bind(&config, inherited)?;
+    let signals = Signals::subscribe().map_err(StartError::Signals)?;
+    let listeners = Listeners::bind(&config, inherited).await?;
     birchhub_logging::start();
     if let Some(error) = &config.cached_endpoints_error {
         log::warn!("the cached endpoint list is ignored: {error}");
@@ -84,7 +84,7 @@
     let events = proxy.spawn_decisions(signals.reload, active_config);
     let accepting = proxy.spawn_listener(listeners.clients, events);
     log::info!("{} listens on {}", proxy.config.name, proxy.config.listen);
-    signals.terminate.recv().await;
+    signals.terminate.received().await;
     let longest_rpc = settings.borrow().longest_deadline;
     let longest_rpc = longest_rpc.map(Duration::from_secs_f64);
     shutdown::drain(&proxy.state_store, longest_rpc, accepting, &proxy.budget).await;
@@ -140,7 +140,7 @@
     /// Starts the decision actor, and what it hears of beside clients: reloads and endpoint lists.
     fn spawn_decisions(
         &self,
-        reload: Signal,
+        reload: SignalFlag,
         active_config: watch::Sender<ActiveConfig>,
     ) -> mpsc::Sender<Event> {
         let (events, mailbox) = mpsc::channel(actor::MAILBOX);
--- a/crates/daemon/src/net/connection.rs
+++ b/crates/daemon/src/net/connection.rs
@@ -3,7 +3,9 @@
 //! It belongs to whoever holds the [`Connection`]: dropping it closes the socket and gives its permit back. Its
 //! owner drives it; no task stands behind it that could keep the socket open or send something again.
 use crate::net::body::RequestBody;
+use crate::net::local_error::is_local;
 use crate::net::observed_stream::ObservedStream;
+use crate::net::socket::Socket;
 use crate::net::socket_budget::SocketPermit;
 use bytes::{Bytes, BytesMut};
 use hyper::body::{Body, Incoming};
@@ -13,17 +15,24 @@
 use hyper_util::rt::TokioIo;
 use std::cell::Cell;
 use std::future::{Future, poll_fn};
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 use thiserror::Error;
 use tokio::net::TcpStream;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 
 /// Bytes that hyper buffers of a connection, and so of a response's head, at most.
 const READ_BUFFER_LIMIT: usize = 64 << 10;
 
+/// For this machine to have a socket for a connection.
+const SOCKET_WAIT: Duration = Duration::from_millis(50);
+/// Before the second try to get one; then twice as long each time.
+const FIRST_CONNECT_RETRY_DELAY: Duration = Duration::from_millis(1);
+
 /// How an exchange failed.
 #[derive(Clone, Copy, Debug, Error, PartialEq)]
 pub(crate) enum ConnectionError {
@@ -38,6 +47,41 @@
     MalformedResponse,
 }
 
+/// Why a connection could not be opened.
+#[derive(Debug, Error)]
+pub(crate) enum ConnectError {
+    /// It did not come up in time.
+    #[error("no connection in time")]
+    TimedOut,
+    /// The peer, or the path to it, refused it.
+    #[error("no connection: {0}")]
+    Peer(io::Error),
+    /// This machine had no socket for it, for longer than a moment.
+    #[error("no socket: {0}")]
+    Local(io::Error),
+    /// The HTTP connection could not be set up on it.
+    #[error("no HTTP connection: {0}")]
+    Handshake(hyper::Error),
+}
+
+/// Connects; a failure of this machine alone is often over in a moment, so that it is tried again.
+async fn connect(to: SocketAddr) -> Result<TcpStream, ConnectError> {
+    let mut delay = FIRST_CONNECT_RETRY_DELAY;
+    let give_up_at = Instant::now() + SOCKET_WAIT;
+    loop {
+        // Without an address the ports of this machine are used up.
+        let is_shortage =
+            |error: &io::Error| is_local(error) || error.kind() == ErrorKind::AddrNotAvailable;
+        match TcpStream::connect(to).await {
+            Ok(stream) => return Ok(stream),
+            Err(error) if !is_shortage(&error) => return Err(ConnectError::Peer(error)),
+            Err(error) if Instant::now() >= give_up_at => return Err(ConnectError::Local(error)),
+            Err(_) => sleep(delay).await,
+        }
+        delay *= 2;
+    }
+}
+
 /// A response, with its complete body or the start of it.
 pub(crate) struct Reply {
     /// Its status.
@@ -58,7 +102,8 @@
     is_partial: bool,
 }
 
-type Http1Connection = http1::Connection<TokioIo<ObservedStream<Rc<Cell<u64>>>>, RequestBody>;
+type BackendStream = ObservedStream<Rc<Cell<u64>>, Socket>;
+type Http1Connection = http1::Connection<TokioIo<BackendStream>, RequestBody>;
 
 /// Moves the bytes of a connection; empty once that is closed, and the socket with it.
 struct Driver(Option<Pin<Box<Http1Connection>>>);
@@ -95,18 +140,20 @@
         to: SocketAddr,
         permit: Option<SocketPermit>,
         until: Instant,
-    ) -> Option<Self> {
-        let host = HeaderValue::from_str(&to.to_string()).ok()?;
-        let stream = timeout_at(until, TcpStream::connect(to)).await.ok()?.ok()?;
-        stream.set_nodelay(true).ok()?;
+    ) -> Result<Self, ConnectError> {
+        let host = HeaderValue::from_str(&to.to_string()).expect("an address is a header value");
+        let stream = timeout_at(until, connect(to))
+            .await
+            .unwrap_or(Err(ConnectError::TimedOut))?;
+        stream.set_nodelay(true).map_err(ConnectError::Peer)?;
         let written = Rc::<Cell<u64>>::default();
-        let io = TokioIo::new(ObservedStream::new(stream, written.clone()));
+        let io = TokioIo::new(ObservedStream::new(Socket(stream), written.clone()));
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(READ_BUFFER_LIMIT)
             .handshake(io)
             .await
-            .ok()?;
-        Some(Self {
+            .map_err(ConnectError::Handshake)?;
+        Ok(Self {
             sender,
             driver: Driver(Some(Box::pin(connection))),
             remaining: None,
--- a/crates/daemon/src/net/inbound_stream.rs
+++ b/crates/daemon/src/net/inbound_stream.rs
@@ -3,6 +3,7 @@
 //!
 //! An HTTP/1.1 server reads one message at a time. The end of the stream may stand behind bytes of a further
 //! message, where such a reader does not see it. [`ReadAhead`] buffers those bytes and finds the end.
+use crate::net::socket;
 use bytes::BytesMut;
 use socket2::SockRef;
 use std::cell::RefCell;
@@ -112,7 +113,7 @@
         let mut chunk = [0; READ_AHEAD_CHUNK];
         while self.buffered.len() < READ_AHEAD_LIMIT {
             let mut chunk = ReadBuf::new(&mut chunk);
-            let result = ready!(Pin::new(&mut self.half).poll_read(cx, &mut chunk));
+            let result = ready!(socket::poll_read(self.half.as_ref(), cx, &mut chunk));
             if result.is_err() || chunk.filled().is_empty() {
                 return Poll::Ready(ReadAheadOutcome::Ended);
             }
@@ -185,7 +186,7 @@
             reader,
         } = &mut *self.reads.0.borrow_mut();
         if buffered.is_empty() {
-            let result = Pin::new(half).poll_read(cx, buf);
+            let result = socket::poll_read((*half).as_ref(), cx, buf);
             *reader = result.is_pending().then(|| cx.waker().clone());
             return result;
         }
@@ -197,15 +198,15 @@
 
 impl AsyncWrite for InboundStream {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context,
         buf: &[u8],
     ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.writes).poll_write(cx, buf)
+        socket::poll_write(self.writes.as_ref(), cx, buf)
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.writes).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context) -> Poll<std::io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<std::io::Result<()>> {
--- a/crates/daemon/src/net/observed_stream.rs
+++ b/crates/daemon/src/net/observed_stream.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 
 /// Hears of the bytes that move on an [`ObservedStream`].
 pub(crate) trait IoObserver: Unpin {
@@ -24,7 +23,7 @@
 }
 
 /// A stream and its observer.
-pub(crate) struct ObservedStream<O, S = TcpStream> {
+pub(crate) struct ObservedStream<O, S> {
     stream: S,
     observer: O,
 }
--- /dev/null
+++ b/crates/daemon/src/net/socket.rs
@@ -0,0 +1,71 @@
+//! Reading and writing a socket whatever the system calls return: a call that a signal interrupted is made again, and a
+//! short one says nothing about whether there is more. Only `EWOULDBLOCK` does; the stream types of tokio take a short
+//! read or write for it, and then wait for an event that never comes.
+use std::io::{self, ErrorKind};
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// Reads what there is, as [`AsyncRead::poll_read`] does.
+pub(crate) fn poll_read(
+    stream: &TcpStream,
+    cx: &mut Context,
+    buf: &mut ReadBuf,
+) -> Poll<io::Result<()>> {
+    loop {
+        ready!(stream.poll_read_ready(cx))?;
+        match stream.try_read_buf(buf) {
+            Ok(_) => return Poll::Ready(Ok(())),
+            Err(error) if is_transient(&error) => {}
+            Err(error) => return Poll::Ready(Err(error)),
+        }
+    }
+}
+
+/// Writes what there is room for, as [`AsyncWrite::poll_write`] does.
+pub(crate) fn poll_write(
+    stream: &TcpStream,
+    cx: &mut Context,
+    bytes: &[u8],
+) -> Poll<io::Result<usize>> {
+    loop {
+        ready!(stream.poll_write_ready(cx))?;
+        match stream.try_write(bytes) {
+            Err(error) if is_transient(&error) => {}
+            result => return Poll::Ready(result),
+        }
+    }
+}
+
+/// Nothing has happened to the connection: the call is to be made again, once the stream is ready for it.
+fn is_transient(error: &io::Error) -> bool {
+    matches!(error.kind(), ErrorKind::Interrupted | ErrorKind::WouldBlock)
+}
+
+/// A TCP connection that is read and written like this.
+pub(crate) struct Socket(pub TcpStream);
+
+impl AsyncRead for Socket {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context,
+        buf: &mut ReadBuf,
+    ) -> Poll<io::Result<()>> {
+        poll_read(&self.0, cx, buf)
+    }
+}
+
+impl AsyncWrite for Socket {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        poll_write(&self.0, cx, bytes)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_shutdown(cx)
+    }
+}
--- a/crates/daemon/src/upstream/attempt.rs
+++ b/crates/daemon/src/upstream/attempt.rs
@@ -4,7 +4,7 @@
 use crate::downstream::request::ParsedRequest;
 use crate::end_reason::EndReason;
 use crate::net::body::BUFFERED_BODY_LIMIT;
-use crate::net::connection::{Connection, ConnectionError, Reply};
+use crate::net::connection::{ConnectError, Connection, ConnectionError, Reply};
 use crate::net::inbound_stream::ClientLiveness;
 use crate::net::socket_budget::SocketClass;
 use crate::time_limits::UPLOAD_STALL;
@@ -267,7 +267,11 @@
         let until = self.deadlines.until.min(latest);
         let connection = Connection::open(address, Some(permit), until)
             .await
-            .ok_or(AttemptOutcome::ConnectFailed)?;
+            .map_err(|error| match error {
+                // It says nothing of the backend.
+                ConnectError::Local(_) => AttemptOutcome::NotSent,
+                _ => AttemptOutcome::ConnectFailed,
+            })?;
         Ok(Checkout {
             connection,
             reused: false,
--- /dev/null
+++ b/crates/daemon/tests/system_calls.rs
@@ -0,0 +1,121 @@
+//! System calls that fail, are interrupted or do less than asked, as Linux documents: no RPC is lost for that, no other
+//! client's connection is closed, and the process ends when it is told to.
+#[path = "../../../tests/common/mod.rs"]
+mod common;
+use common::sockets::{Client, Daemon, Log, blind, echo, eventually, rpc, with_faults};
+use std::process::ExitStatus;
+use std::thread;
+use std::time::Duration;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_birchhubd");
+const CLIENTS: usize = 8;
+const RPCS: usize = 60;
+/// Longer than a process may take to end after SIGTERM.
+const SHUTDOWN: Duration = Duration::from_secs(5);
+
+/// Several clients with a connection each send RPCs one after another, with a body that takes several reads; the
+/// statuses of those that were not served.
+fn failures_of_clients(daemon: &Daemon) -> Vec<(String, Option<u16>)> {
+    let play = |client: usize| {
+        let mut connection = daemon.client();
+        let mut failures = Vec::new();
+        for number in 0..RPCS {
+            let id = format!("c{client}-{number}");
+            let length = 200 * number;
+            let answer = connection.call(&rpc("POST", "/log", &id, &"x".repeat(length)));
+            let is_whole = answer
+                .as_ref()
+                .is_some_and(|answer| answer.body.len() == length + "b1:".len());
+            if !is_whole {
+                failures.push((id, answer.map(|answer| answer.status())));
+                connection = daemon.client();
+            }
+        }
+        failures
+    };
+    thread::scope(|scope| {
+        let clients: Vec<_> = (0..CLIENTS).map(|n| scope.spawn(move || play(n))).collect();
+        let played = clients.into_iter();
+        played
+            .flat_map(|client| client.join().expect("a client"))
+            .collect()
+    })
+}
+
+fn end(daemon: &mut Daemon) -> ExitStatus {
+    daemon.signal("TERM");
+    eventually(SHUTDOWN, "it did not end after SIGTERM", || {
+        daemon.child.try_wait().expect("its state").is_some()
+    });
+    daemon.await_end()
+}
+
+/// All RPCs are served under these faults, and the process ends well.
+fn check_that_all_are_served(faults: &str) {
+    let log = Log::new(vec![]);
+    let program = with_faults(PROGRAM, faults);
+    let mut daemon = Daemon::start_with(&program, &[("s-1", echo("b1", &log))], blind);
+    let failures = failures_of_clients(&daemon);
+    assert!(failures.is_empty(), "{faults}: {failures:?}");
+    assert!(end(&mut daemon).success(), "{faults}: {}", daemon.logged());
+    std::fs::remove_file(program).expect("the program");
+}
+
+#[test]
+fn interrupted_reads_and_writes_are_made_again() {
+    check_that_all_are_served("seed=1,recv=EINTR@0.2,send=EINTR@0.2");
+}
+
+#[test]
+fn short_reads_and_writes_with_more_to_come_are_followed_by_others() {
+    check_that_all_are_served("seed=2,recv=short@0.5,send=short@0.5");
+}
+
+#[test]
+fn sockets_that_fail_for_a_moment_are_tried_again() {
+    check_that_all_are_served(
+        "seed=3,accept=EMFILE@0.2,accept=EINTR@0.1,socket=ENOBUFS@0.2,connect=EINTR@0.2,epoll_wait=EINTR@0.2",
+    );
+}
+
+#[test]
+fn connections_that_end_before_they_are_accepted_delay_no_other() {
+    check_that_all_are_served("seed=4,accept=ECONNABORTED@0.3,accept=EPROTO@0.1");
+}
+
+#[test]
+fn all_of_these_faults_together_lose_nothing() {
+    check_that_all_are_served(
+        "seed=5,recv=EINTR@0.1,recv=short@0.2,send=EINTR@0.1,send=short@0.2,accept=EMFILE@0.1,\
+         accept=ECONNABORTED@0.1,socket=EMFILE@0.1,connect=EADDRNOTAVAIL@0.1,epoll_wait=EINTR@0.1",
+    );
+}
+
+/// A failed accept says nothing about the clients that are there: their connections stay.
+#[test]
+fn a_failed_accept_closes_no_idle_connection() {
+    let log = Log::new(vec![]);
+    let program = with_faults(PROGRAM, "seed=6,accept=EMFILE@0.3");
+    let daemon = Daemon::start_with(&program, &[("s-1", echo("b1", &log))], blind);
+    let open = |n: usize| {
+        let mut client = daemon.client();
+        assert_eq!(
+            client.status_of(&rpc("GET", "/read", &format!("first{n}"), "")),
+            200
+        );
+        client
+    };
+    let mut idle: Vec<Client> = (0..20).map(open).collect();
+    for n in 20..120 {
+        open(n);
+    }
+    for (n, client) in idle.iter_mut().enumerate() {
+        let answer = client.call(&rpc("GET", "/read", &format!("again{n}"), ""));
+        assert_eq!(
+            answer.map(|answer| answer.status()),
+            Some(200),
+            "client {n}"
+        );
+    }
+    std::fs::remove_file(program).expect("the program");
+}
--- /dev/null
+++ b/tests/common/sockets/faults.rs
@@ -0,0 +1,39 @@
+//! Programs whose system calls fail, or whose wall clock steps.
+use std::fs::Permissions;
+use std::os::unix::fs::PermissionsExt;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::sync::OnceLock;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+/// The preloaded library, built on the first use: cargo builds none for the tests of another package.
+fn fault_shim() -> &'static Path {
+    static SHIM: OnceLock<PathBuf> = OnceLock::new();
+    SHIM.get_or_init(|| {
+        let cargo = std::env::var_os("CARGO").expect("cargo runs the tests");
+        let built = Command::new(cargo)
+            .args(["build", "--locked", "--offline", "--quiet"])
+            .args(["--package", "birchhub-fault-shim"])
+            .status();
+        assert!(built.expect("cargo").success(), "the shim does not build");
+        // A test's program stands in `deps` of the folder with what cargo builds.
+        let program = std::env::current_exe().expect("a path");
+        let folder = program.ancestors().nth(2).expect("a target folder");
+        folder.join("libbirchhub_fault_shim.so")
+    })
+}
+
+/// The program with these faults, as `birchhub-fault-shim` reads them.
+pub(crate) fn with_faults(program: &str, faults: &str) -> String {
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let name = format!("birchhubd-faults-{}-{number}", std::process::id());
+    let path = std::env::temp_dir().join(name);
+    let shim = fault_shim().display();
+    let text = format!(
+        "#!/bin/sh\nexport BIRCHHUB_FAULTS='{faults}'\nLD_PRELOAD='{shim}' exec {program} \"$@\"\n"
+    );
+    std::fs::write(&path, text).expect("a file");
+    std::fs::set_permissions(&path, Permissions::from_mode(0o755)).expect("a program");
+    path.to_str().expect("a path").to_owned()
+}
