Spans are real time, and commands that could not be stored are still owed

Seen on: a new backend whose boot_ms is an hour old got 50 of 400 RPCs in its first second where 0 are usual; after a clock that steps back an hour an idle connection stayed open through a standby (its start was read from the wall clock again at each look); a command whose file could not be written was undone by the next write of the file.

A state file that can't be read is not written over.

--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -11,7 +11,8 @@
 #[derive(Clone, Copy)]
 pub(crate) struct Clock {
     base: Instant,
-    /// Wall time at the start, as Unix seconds.
+    started: Instant,
+    /// Wall time at the start, as Unix seconds. The wall clock is not read again: it may step.
     wall: f64,
 }
 
@@ -22,8 +23,10 @@
             .duration_since(UNIX_EPOCH)
             .unwrap_or_default()
             .as_secs_f64();
+        let started = Instant::now();
         Self {
-            base: Instant::now(),
+            base: started,
+            started,
             wall,
         }
     }
@@ -33,14 +36,16 @@
         self.base += time;
     }
 
-    /// Seconds since the start.
+    /// Seconds since the start, less than none where more was left out than has passed.
     pub(crate) fn now(&self) -> f64 {
-        self.base.elapsed().as_secs_f64()
+        self.seconds_at(Instant::now())
     }
 
     /// This instant as seconds since the start.
     pub(crate) fn seconds_at(&self, at: Instant) -> f64 {
-        at.duration_since(self.base).as_secs_f64()
+        let after = at.saturating_duration_since(self.base);
+        let before = self.base.saturating_duration_since(at);
+        after.as_secs_f64() - before.as_secs_f64()
     }
 
     /// The instant at which this clock reads so many seconds.
@@ -48,9 +53,9 @@
         self.base + Duration::from_secs_f64(seconds.clamp(0.0, MAX_SECONDS))
     }
 
-    /// A time in Unix milliseconds as seconds since the start; none for 0, which stands for long ago.
-    pub(crate) fn seconds_at_unix_ms(&self, ms: f64) -> Option<f64> {
-        (ms > 0.0).then(|| ms / 1e3 - self.wall)
+    /// Real seconds since a time in Unix milliseconds; none for 0, which stands for long ago.
+    pub(crate) fn seconds_since_unix_ms(&self, ms: f64) -> Option<f64> {
+        (ms > 0.0).then(|| self.wall + self.started.elapsed().as_secs_f64() - ms / 1e3)
     }
 }
 
--- a/crates/daemon/src/decision/endpoints.rs
+++ b/crates/daemon/src/decision/endpoints.rs
@@ -1,5 +1,6 @@
 //! The backends: their numbers by uid, their endpoint actors, and how updates of the endpoint list change them.
 use crate::clock::Clock;
+use crate::decision::start_times::StartTime;
 use crate::discovery::update::{EndpointUpdate, ListedEndpoint};
 use crate::lifecycle::admin_state::AdminState;
 use crate::net::socket_budget::SocketBudget;
@@ -17,10 +18,11 @@
 /// For which a backend that was removed keeps its number: one that comes and goes stays the same backend.
 const FORGET_AFTER: Duration = Duration::from_secs(2);
 
-/// The number by which the decisions know a backend.
-struct BackendNumber {
+/// The number by which the decisions know a backend, and when it started.
+struct KnownBackend {
     number: u32,
     last_listed: Instant,
+    start: StartTime,
 }
 
 /// All that the daemon knows of the backends.
@@ -28,7 +30,7 @@
     /// The actors of the backends that are listed, by number; each ends when it is dropped here.
     handles: HashMap<u32, EndpointHandle>,
     /// By uid; also those of backends that were removed lately.
-    numbers: HashMap<String, BackendNumber>,
+    numbers: HashMap<String, KnownBackend>,
     /// The uids in `numbers` that are not in the list, to be forgotten in time.
     removed: HashSet<String>,
     next_number: u32,
@@ -94,7 +96,7 @@
         let endpoints = update
             .listed
             .iter()
-            .map(|line| self.apply_line(line, admin, clock, now))
+            .map(|line| self.apply_line(line, update.changed_since, admin, clock))
             .collect();
         if is_snapshot {
             self.mark_unlisted_removed();
@@ -122,9 +124,9 @@
     fn apply_line(
         &mut self,
         line: &ListedEndpoint,
+        changed_since: Option<Instant>,
         admin: &AdminState,
         clock: &Clock,
-        now: Instant,
     ) -> Endpoint {
         if line.readiness == Readiness::Removed {
             self.listed.remove(&line.uid);
@@ -134,7 +136,12 @@
         // The one place where maintenance counts: all that follows takes the backend for what this says.
         let (readiness, boot_ms) =
             admin.effective_readiness(&line.uid, line.readiness, line.boot_ms);
-        let backend = self.number_of(&line.uid, now);
+        let start = || StartTime::read(boot_ms, changed_since, clock);
+        let known = self.known(&line.uid, start);
+        if !known.start.is_of(boot_ms) {
+            known.start = start();
+        }
+        let (backend, started_at) = (known.number, known.start.seconds());
         if readiness == Readiness::Removed {
             self.handles.remove(&backend);
             self.removed.insert(line.uid.clone());
@@ -148,24 +155,26 @@
         Endpoint {
             backend,
             relative_size: if self.lists_sizes { line.size } else { 1.0 },
-            started_at: clock.seconds_at_unix_ms(boot_ms),
+            started_at,
             cell: cell_of(line, backend),
             zone: self.zone_of(line, backend),
             readiness,
         }
     }
 
-    /// The number of a backend that is named in the list now; a new one if it has none.
-    fn number_of(&mut self, uid: &str, now: Instant) -> u32 {
+    /// The number and start of a backend that is named in the list now; a new number if it has none.
+    fn known(&mut self, uid: &str, start: impl Fn() -> StartTime) -> &mut KnownBackend {
+        let now = Instant::now();
         let known = self.numbers.entry(uid.to_owned()).or_insert_with(|| {
             self.next_number += 1;
-            BackendNumber {
+            KnownBackend {
                 number: self.next_number - 1,
                 last_listed: now,
+                start: start(),
             }
         });
         known.last_listed = now;
-        known.number
+        known
     }
 
     /// Starts the actor of a backend, or tells it what the list says now.
--- a/crates/daemon/src/decision/mod.rs
+++ b/crates/daemon/src/decision/mod.rs
@@ -6,4 +6,5 @@
 mod heartbeat;
 mod in_flight;
 mod platform;
+mod start_times;
 mod updates;
--- a/crates/daemon/src/decision/updates.rs
+++ b/crates/daemon/src/decision/updates.rs
@@ -13,6 +13,7 @@
             version: cached.map_or(0, |cached| cached.version),
             kind: EndpointUpdateKind::StaleSnapshot,
             listed: cached.map_or(Vec::new(), |cached| cached.listed.clone()),
+            changed_since: None,
         });
     }
 
@@ -58,6 +59,8 @@
                 version: 0,
                 kind: EndpointUpdateKind::Administrative,
                 listed,
+                // The end of a maintenance counts as a start, and is carried out at once.
+                changed_since: Some(Instant::now()),
             });
         }
         self.state_store.confirm_applied(generation);
--- a/crates/daemon/src/discovery/call.rs
+++ b/crates/daemon/src/discovery/call.rs
@@ -20,6 +20,8 @@
 pub(super) struct Call {
     /// Path and query.
     pub path: String,
+    /// It waits at the service until there is something new.
+    pub is_watch: bool,
     /// Time to wait for its response before the next call is made.
     pub timeout: Duration,
 }
--- a/crates/daemon/src/discovery/client.rs
+++ b/crates/daemon/src/discovery/client.rs
@@ -38,6 +38,8 @@
     state_store: Rc<StateStore>,
     consecutive_timeouts: usize,
     overdue: OverdueCalls,
+    /// When a response came last, from whichever address.
+    last_response: Option<Instant>,
 }
 
 /// The decision actor has ended: nobody is left to tell.
@@ -62,6 +64,7 @@
             state_store,
             consecutive_timeouts: 0,
             overdue: OverdueCalls::default(),
+            last_response: None,
         }
     }
 
@@ -120,16 +123,18 @@
         (update, connection): (EndpointUpdate, Option<Connection>),
     ) -> Result<Option<Connection>, ActorEnded> {
         if let Ok(update) = self.check_order(update) {
-            self.end_timeouts();
-            self.deliver(update).await?;
+            let changed_since = self.last_response;
+            self.record_response();
+            self.deliver(update, changed_since).await?;
         }
         Ok(connection)
     }
 
     /// A response has come: what is still under way would tell nothing else.
-    fn end_timeouts(&mut self) {
+    fn record_response(&mut self) {
         self.overdue.clear();
         self.consecutive_timeouts = 0;
+        self.last_response = Some(Instant::now());
     }
 
     /// Prevents a log full of one outage.
@@ -158,10 +163,14 @@
         loop {
             let call = self.next_call(&timing, catching_up);
             let started = Instant::now();
+            let before = self.last_response;
+            let is_watch = call.is_watch && before.is_some();
             match self.call(&mut connection, call).await {
                 Ok(update) => {
                     (catching_up, retries) = (false, 0);
-                    if self.deliver(update).await.is_err() {
+                    // A watch answers as soon as something changes.
+                    let changed_since = if is_watch { self.last_response } else { before };
+                    if self.deliver(update, changed_since).await.is_err() {
                         return DiscoveryError::ActorEnded;
                     }
                     sleep_until(started + MIN_CALL_INTERVAL).await;
@@ -190,6 +199,7 @@
             };
             return Call {
                 path: INSTANCES_PATH.to_owned(),
+                is_watch: false,
                 timeout: nth(timeouts),
             };
         };
@@ -201,6 +211,7 @@
         let hold_ms = hold.as_millis();
         Call {
             path: format!("{INSTANCES_PATH}?from={version}&hold_ms={hold_ms}"),
+            is_watch: !hold.is_zero(),
             timeout,
         }
     }
@@ -232,7 +243,7 @@
         let result = result.and_then(|update| self.check_order(update));
         match &result {
             Ok(_) => {
-                self.end_timeouts();
+                self.record_response();
                 *connection = usable;
             }
             Err(DiscoveryError::TimedOut) => self.consecutive_timeouts += 1,
@@ -255,8 +266,13 @@
         }
     }
 
-    /// Hands an update to the decision actor.
-    async fn deliver(&mut self, update: EndpointUpdate) -> Result<(), ActorEnded> {
+    /// Hands an update to the decision actor, with the time since which what it tells may have been so.
+    async fn deliver(
+        &mut self,
+        mut update: EndpointUpdate,
+        changed_since: Option<Instant>,
+    ) -> Result<(), ActorEnded> {
+        update.changed_since = changed_since;
         self.version = Some(update.version);
         let names = update.listed.iter().map(|endpoint| endpoint.uid.as_str());
         self.state_store.record_listed_names(names);
--- a/crates/daemon/src/discovery/update.rs
+++ b/crates/daemon/src/discovery/update.rs
@@ -5,6 +5,7 @@
 use serde_json::Value;
 use std::net::SocketAddr;
 use thiserror::Error;
+use tokio::time::Instant;
 
 /// An endpoint list that can't be understood.
 #[derive(Debug, Error)]
@@ -51,6 +52,8 @@
     pub kind: EndpointUpdateKind,
     /// The endpoints that it names.
     pub listed: Vec<ListedEndpoint>,
+    /// What it tells and was not told before has become so since then; none where nothing was told before.
+    pub changed_since: Option<Instant>,
 }
 
 /// Stands for an address that can't be read: nothing listens there.
@@ -123,6 +126,7 @@
                 EndpointUpdateKind::Incremental
             },
             listed,
+            changed_since: None,
         })
     }
 }
--- a/crates/daemon/src/lifecycle/admin_state.rs
+++ b/crates/daemon/src/lifecycle/admin_state.rs
@@ -46,10 +46,28 @@
     Activate,
 }
 
+/// A command and when it was given, in Unix ms: it takes effect from then on, however late it can be stored.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct TimedCommand {
+    command: AdminCommand,
+    given_at: f64,
+}
+
+impl TimedCommand {
+    /// A command that is given now.
+    pub(super) fn now(command: AdminCommand) -> Self {
+        Self {
+            command,
+            given_at: unix_ms(),
+        }
+    }
+}
+
 impl AdminState {
     /// Applies a command. The same command again changes nothing.
-    pub(super) fn apply(&mut self, command: &AdminCommand) {
-        match command {
+    pub(super) fn apply(&mut self, command: &TimedCommand) {
+        let given_at = command.given_at;
+        match &command.command {
             AdminCommand::EnterMaintenance(name) => {
                 self.maintenance.insert(name.clone(), Maintenance::Active);
             }
@@ -57,11 +75,11 @@
                 if let Some(maintenance) = self.maintenance.get_mut(name)
                     && *maintenance == Maintenance::Active
                 {
-                    *maintenance = Maintenance::EndedAt(unix_ms());
+                    *maintenance = Maintenance::EndedAt(given_at);
                 }
             }
             AdminCommand::Standby => {
-                self.standby_since.get_or_insert_with(unix_ms);
+                self.standby_since.get_or_insert(given_at);
             }
             AdminCommand::Activate => self.standby_since = None,
         }
--- a/crates/daemon/src/lifecycle/siblings.rs
+++ b/crates/daemon/src/lifecycle/siblings.rs
@@ -8,7 +8,7 @@
 
 use crate::lifecycle::admin_state::AdminState;
 use std::fs::{File, TryLockError};
-use std::io::{self, Write};
+use std::io::{self, ErrorKind, Write};
 use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, SystemTime};
@@ -215,9 +215,10 @@
         if version.is_none() || version == self.seen_version {
             return Ok(None);
         }
-        self.seen_version = version;
         let path = self.state_path();
+        // Where it can't be read now it is read with the next look; a damaged one is the same as long as it stays.
         let bytes = std::fs::read(&path).map_err(ProcessGroupError::io(&path))?;
+        self.seen_version = version;
         serde_json::from_slice(&bytes)
             .map(Some)
             .map_err(|source| ProcessGroupError::Malformed { path, source })
@@ -253,9 +254,12 @@
         change: impl FnOnce(&mut AdminState),
     ) -> Result<AdminState, ProcessGroupError> {
         let path = self.state_path();
-        let stored: Option<AdminState> = std::fs::read(&path)
-            .ok()
-            .and_then(|bytes| serde_json::from_slice(&bytes).ok());
+        let stored = match std::fs::read(&path) {
+            Ok(bytes) => serde_json::from_slice::<AdminState>(&bytes).ok(),
+            Err(error) if error.kind() == ErrorKind::NotFound => None,
+            // What a sibling stored must not be written over unread.
+            Err(error) => return Err(ProcessGroupError::io(&path)(error)),
+        };
         let mut state = stored.unwrap_or_else(|| own.clone());
         let before = state.clone();
         change(&mut state);
--- a/crates/daemon/src/lifecycle/state.rs
+++ b/crates/daemon/src/lifecycle/state.rs
@@ -32,9 +32,32 @@
     pub admin_state: AdminState,
     /// Counts the changes of `admin_state` that this process has seen.
     pub admin_generation: u64,
+    /// When the standby in `admin_state` began: the wall clock, by which it is stored, may step.
+    standby_began: Option<Instant>,
 }
 
 impl ProxyState {
+    /// The state of a process that starts.
+    pub(crate) fn new(inherited_listener: bool) -> Self {
+        Self {
+            inherited_listener,
+            ..Self::default()
+        }
+    }
+
+    /// Replaces what administrators set; false if it is the same.
+    pub(crate) fn set_admin_state(&mut self, admin_state: AdminState) -> bool {
+        if self.admin_state == admin_state {
+            return false;
+        }
+        if self.admin_state.standby_since != admin_state.standby_since {
+            self.standby_began = admin_state.standby_since.map(instant_of);
+        }
+        self.admin_state = admin_state;
+        self.admin_generation += 1;
+        true
+    }
+
     /// A sibling accepts clients where this process shuts down. One that is still starting, or shuts down as well, is
     /// no successor: clients would reach nobody.
     pub(crate) fn has_successor(&self) -> bool {
@@ -82,18 +105,21 @@
         let of_shutdown = self
             .shutdown
             .map(|shutdown| (shutdown.idle_deadline(), shutdown.response_deadline()));
-        let of_standby = self.admin_state.standby_since.map(|ms| {
-            let seconds = ((unix_ms() - ms) / 1e3).clamp(0.0, MAX_STANDBY_SECONDS);
-            let now = Instant::now();
-            let since = now
-                .checked_sub(Duration::from_secs_f64(seconds))
-                .unwrap_or(now);
-            (since + STANDBY_IDLE_GRACE, since + STANDBY_PARTIAL_GRACE)
-        });
+        let of_standby = self
+            .standby_began
+            .map(|began| (began + STANDBY_IDLE_GRACE, began + STANDBY_PARTIAL_GRACE));
         of_shutdown.into_iter().chain(of_standby).min()
     }
 }
 
+/// The monotonic time that a Unix time in ms stands for, by what the wall clock reads now; now for a time to come.
+fn instant_of(ms: f64) -> Instant {
+    let seconds = ((unix_ms() - ms) / 1e3).clamp(0.0, MAX_STANDBY_SECONDS);
+    let now = Instant::now();
+    now.checked_sub(Duration::from_secs_f64(seconds))
+        .unwrap_or(now)
+}
+
 /// One line for the log and for `/status`, whose text is fixed.
 impl fmt::Display for ProxyState {
     fn fmt(&self, to: &mut fmt::Formatter) -> fmt::Result {
--- a/crates/daemon/src/lifecycle/state_store.rs
+++ b/crates/daemon/src/lifecycle/state_store.rs
@@ -1,6 +1,6 @@
 //! The one owner of the proxy's state: all changes are made here, and every actor may read or follow it.
 
-use crate::lifecycle::admin_state::{AdminCommand, AdminState};
+use crate::lifecycle::admin_state::{AdminCommand, AdminState, TimedCommand};
 use crate::lifecycle::graceful_shutdown::GracefulShutdown;
 use crate::lifecycle::siblings::{ProcessGroup, ProcessGroupError};
 use crate::lifecycle::state::ProxyState;
@@ -14,8 +14,8 @@
 pub(crate) const SIBLING_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Names of endpoints that are kept: some fleets give out new ones with each start.
 const MAX_KNOWN_NAMES: usize = 20_000;
-/// Looks between writes of new names: they come with each change of a fleet.
-const LOOKS_PER_NAMES_WRITE: u32 = 20;
+/// Looks between writes of new names, which come with each change of a fleet, and of commands that could not be stored.
+const LOOKS_PER_WRITE: u32 = 20;
 
 /// The owner of the [`ProxyState`].
 pub(crate) struct StateStore {
@@ -23,6 +23,11 @@
     /// The last generation of the administrative state that the decision actor has applied.
     applied_generation: watch::Sender<u64>,
     process_group: Option<Mutex<ProcessGroup>>,
+    /// Commands that are in force here and could not be stored yet, in the order in which they were given: they are
+    /// stored as soon as that can be done, and no state that comes from the file undoes them.
+    unstored: RefCell<Vec<TimedCommand>>,
+    /// The last try to store failed, and that was logged.
+    warned_of_storing: Cell<bool>,
     /// Names of listed endpoints that are not in the administrative state yet.
     new_names: RefCell<BTreeSet<String>>,
     /// The warning that there are too many names was logged.
@@ -33,19 +38,18 @@
     /// A store for a process that starts; with a `process_group` where the proxy may have other processes, whose
     /// administrative state holds from the start.
     pub(crate) fn new(mut process_group: Option<ProcessGroup>, inherited_listener: bool) -> Self {
-        let mut state = ProxyState {
-            inherited_listener,
-            ..ProxyState::default()
-        };
+        let mut state = ProxyState::new(inherited_listener);
         if let Some(group) = &mut process_group {
             state.siblings = group.siblings();
-            state.admin_state = read_admin_state(group).unwrap_or_default();
+            state.set_admin_state(read_admin_state(group).unwrap_or_default());
             log::info!("{state}");
         }
         Self {
             state: watch::Sender::new(state),
             applied_generation: watch::Sender::default(),
             process_group: process_group.map(Mutex::new),
+            unstored: RefCell::default(),
+            warned_of_storing: Cell::default(),
             new_names: RefCell::default(),
             warned_of_names: Cell::default(),
         }
@@ -123,23 +127,19 @@
     }
 
     fn replace_admin_state(&self, admin_state: AdminState) {
-        self.state.send_if_modified(|state| {
-            let changed = state.admin_state != admin_state;
-            state.admin_generation += u64::from(changed);
-            state.admin_state = admin_state;
-            changed
-        });
+        self.state
+            .send_if_modified(|state| state.set_admin_state(admin_state));
     }
 
-    /// Changes the administrative state, for the siblings too if there is a group; an error tells why not for them.
-    async fn change_admin_state(
-        &self,
-        change: impl Fn(&mut AdminState),
-    ) -> Result<(), ProcessGroupError> {
+    /// Puts what is not stored yet in force, for the siblings too if there is a group; an error tells why not for them.
+    async fn store(&self) -> Result<(), ProcessGroupError> {
         let new_names = self.new_names.take();
+        let commands = self.unstored.borrow().clone();
         let change = |admin_state: &mut AdminState| {
             admin_state.known_names.extend(new_names.iter().cloned());
-            change(admin_state);
+            commands
+                .iter()
+                .for_each(|command| admin_state.apply(command));
         };
         let mut own = self.state.borrow().admin_state.clone();
         let stored = match &self.process_group {
@@ -154,14 +154,20 @@
             }
         };
         self.replace_admin_state(admin_state);
+        if outcome.is_ok() {
+            let mut unstored = self.unstored.borrow_mut();
+            unstored.retain(|command| !commands.contains(command));
+        } else {
+            self.new_names.borrow_mut().extend(new_names);
+        }
         outcome
     }
 
     /// Executes an admin command and returns once the decisions follow it. An error tells why a sibling does not.
     pub(crate) async fn execute(&self, command: &AdminCommand) -> Result<(), ProcessGroupError> {
-        let outcome = self
-            .change_admin_state(|admin_state| admin_state.apply(command))
-            .await;
+        let timed = TimedCommand::now(command.clone());
+        self.unstored.borrow_mut().push(timed);
+        let outcome = self.store().await;
         let generation = self.current().admin_generation;
         log::info!("admin command: {command:?}; {}", *self.current());
         let mut applied = self.applied_generation.subscribe();
@@ -184,8 +190,8 @@
             sleep(SIBLING_POLL_INTERVAL).await;
             looks = looks.wrapping_add(1);
             self.look_at_siblings(&mut *group.lock().await);
-            if looks.is_multiple_of(LOOKS_PER_NAMES_WRITE) {
-                self.store_new_names().await;
+            if looks.is_multiple_of(LOOKS_PER_WRITE) {
+                self.store_pending().await;
             }
         }
     }
@@ -200,18 +206,27 @@
                 log::info!("{}", *self.current());
             }
         }
-        if let Some(admin_state) = admin_state {
+        if let Some(mut admin_state) = admin_state {
+            let unstored = self.unstored.borrow();
+            unstored
+                .iter()
+                .for_each(|command| admin_state.apply(command));
             self.replace_admin_state(admin_state);
             log::info!("admin state of a sibling process: {}", *self.current());
         }
     }
 
-    async fn store_new_names(&self) {
-        if self.new_names.borrow().is_empty() {
+    /// Stores new names, and again what could not be stored before.
+    async fn store_pending(&self) {
+        if self.new_names.borrow().is_empty() && self.unstored.borrow().is_empty() {
             return;
         }
-        if let Err(error) = self.change_admin_state(|_| ()).await {
-            log::warn!("listed endpoint names are known to this process only: {error}");
+        let outcome = self.store().await;
+        let is_repeated = self.warned_of_storing.replace(outcome.is_err());
+        if let Err(error) = outcome
+            && !is_repeated
+        {
+            log::warn!("new names and commands are known to this process only: {error}");
         }
     }
 }
