Invariants: one guard for starting, sending, answering and closing, and its counts

The daemon asks it before each attempt starts and before its first byte, and tells it of each answer, close and exit; a violation is one log line and one counter, shown by /status (whose text goes on only then) and at the end of the process. Times that the process was stopped for excuse lateness. Decisions report a warming backend that this proxy alone sent more than all may.

A streamed response no longer asks to be answered a second time at its end.

Test of the slow start in clock_steps: with one proxy in the settings a backend that answers at once may be sent one after another (42 to 50 in some runs, whatever its age), so the test failed by chance; it now has eight, where the count is 0 to 3.

--- a/crates/daemon/src/decision/actor.rs
+++ b/crates/daemon/src/decision/actor.rs
@@ -6,10 +6,11 @@
 use crate::config::shadow::{RecordedCall, ShadowEvaluator};
 use crate::decision::endpoints::EndpointRegistry;
 use crate::decision::heartbeat::Heartbeat;
-use crate::decision::in_flight::{InFlightRpc, RpcClient, RpcLimits, deduplication_windows};
+use crate::decision::in_flight::{InFlightRpc, RpcClient, RpcLimits, repeat_rules};
 use crate::decision::platform::DaemonPlatform;
 use crate::downstream::request::ReceivedRpc;
 use crate::downstream::response::ProxyResponse;
+use crate::invariants::Invariants;
 use crate::lifecycle::state::ProxyState;
 use crate::lifecycle::state_store::StateStore;
 use crate::messages::{AttemptId, Event};
@@ -18,6 +19,7 @@
 use crate::upstream::result::ExchangeResult;
 use birchhub::balancer::{Balancer, RpcHandle};
 use birchhub::interface::{AttemptOutcome, IncomingRpc, LoadReport, PacedBy, Platform};
+use birchhub_invariants::RepeatRule;
 use std::collections::HashMap;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
@@ -44,27 +46,48 @@
     /// Evaluates other settings on the same events, if that is wanted.
     shadow: Option<ShadowEvaluator>,
     pub(super) names: ActiveNames,
-    /// By method, the time in which its retries are dropped as duplicates.
-    pub(super) deduplication_windows: Vec<Option<Duration>>,
+    /// By method, whether its RPCs may be repeated.
+    pub(super) repeat_rules: Vec<RepeatRule>,
     pub(super) state_store: Rc<StateStore>,
     pub(super) state: watch::Receiver<ProxyState>,
     heartbeat: Heartbeat,
+    invariants: Rc<Invariants>,
+}
+
+/// What the actor is given of the rest of the process.
+pub(crate) struct ActorContext {
+    /// Gives the decisions their time.
+    pub clock: Clock,
+    /// Of which connections to backends have their permits.
+    pub budget: Rc<SocketBudget>,
+    /// Leads to the actor's own mailbox.
+    pub events: mpsc::Sender<Event>,
+    /// Tells discovery that the decisions want changes of the list.
+    pub watch_wanted: Rc<Notify>,
+    /// The state of the process.
+    pub state_store: Rc<StateStore>,
+    /// The names of methods and tenants in force.
+    pub names: ActiveNames,
+    /// The guard of all that is started and sent.
+    pub invariants: Rc<Invariants>,
 }
 
 impl DecisionActor {
-    /// An actor that knows the backends of the cached endpoint list; `events` leads to its own mailbox.
-    pub(crate) fn new(
-        config: &Config,
-        clock: Clock,
-        budget: Rc<SocketBudget>,
-        events: mpsc::Sender<Event>,
-        watch_wanted: Rc<Notify>,
-        state_store: Rc<StateStore>,
-        names: ActiveNames,
-    ) -> Self {
+    /// An actor that knows the backends of the cached endpoint list.
+    pub(crate) fn new(config: &Config, context: ActorContext) -> Self {
+        let ActorContext {
+            clock,
+            budget,
+            events,
+            watch_wanted,
+            state_store,
+            names,
+            invariants,
+        } = context;
         let parsed = &config.parsed_settings;
-        let endpoints = EndpointRegistry::new(parsed, budget);
-        let mut platform = DaemonPlatform::new(clock, endpoints, events, watch_wanted);
+        let endpoints = EndpointRegistry::new(parsed, budget, invariants.clone());
+        let mut platform =
+            DaemonPlatform::new(clock, endpoints, events, watch_wanted, invariants.clone());
         let shadow = config
             .shadow_settings
             .as_ref()
@@ -78,10 +101,11 @@
             platform,
             shadow,
             names,
-            deduplication_windows: deduplication_windows(&parsed.settings),
+            repeat_rules: repeat_rules(&parsed.settings),
             state: state_store.subscribe(),
             state_store,
             heartbeat: Heartbeat::start(),
+            invariants,
         };
         actor.load_cached_endpoints(config.cached_endpoints.as_ref());
         actor.apply_admin_state();
@@ -159,7 +183,9 @@
     /// The time of the decisions leaves out what this process was stopped for. Prevents that backends are taken for
     /// slow, and RPCs rejected for that, because the proxy had used up its share of a core.
     pub(super) fn check_heartbeat(&mut self) {
-        if let Some(stopped_for) = self.heartbeat.beat() {
+        let stopped_for = self.heartbeat.beat();
+        self.invariants.record_beat(stopped_for);
+        if let Some(stopped_for) = stopped_for {
             log::debug!("stopped for {stopped_for:?}");
             self.platform.clock.skip(stopped_for);
         }
@@ -274,7 +300,7 @@
         }
         let limits = RpcLimits {
             deadline: rpc.received_at + rpc.timeout.saturating_sub(CLIENT_MARGIN),
-            deduplication_window: self.deduplication_windows[rpc.method],
+            repeat_rule: self.repeat_rules[rpc.method],
         };
         let incoming = IncomingRpc {
             id,
@@ -329,7 +355,8 @@
             if is_consumed {
                 rpc.forbid_retry();
             }
-            if succeeded {
+            // A streamed response is on its way already.
+            if succeeded && platform.awaits_response(id) {
                 platform.respond(id, ProxyResponse::Ok(body));
             }
             rpc.on_attempt_ended(index, outcome, is_over, report, platform);
@@ -351,7 +378,9 @@
 
     fn on_response_started(&mut self, attempt: AttemptId, body: StreamedBody) {
         self.call_rpc(attempt.rpc, |rpc, platform| {
-            platform.respond(attempt.rpc, ProxyResponse::Streamed(body));
+            if platform.awaits_response(attempt.rpc) {
+                platform.respond(attempt.rpc, ProxyResponse::Streamed(body));
+            }
             rpc.on_response_started(attempt.index, PacedBy::Client, platform);
         });
         self.replay_to_shadow(|shadow, call| shadow.on_response_started(call, attempt));
--- a/crates/daemon/src/decision/endpoints.rs
+++ b/crates/daemon/src/decision/endpoints.rs
@@ -2,6 +2,7 @@
 use crate::clock::Clock;
 use crate::decision::start_times::StartTime;
 use crate::discovery::update::{EndpointUpdate, ListedEndpoint};
+use crate::invariants::Invariants;
 use crate::lifecycle::admin_state::AdminState;
 use crate::net::socket_budget::SocketBudget;
 use crate::upstream::endpoint::{ConnectionLimits, EndpointHandle};
@@ -40,11 +41,16 @@
     lists_sizes: bool,
     limits: ConnectionLimits,
     budget: Rc<SocketBudget>,
+    invariants: Rc<Invariants>,
 }
 
 impl EndpointRegistry {
     /// A registry without backends.
-    pub(super) fn new(settings: &ParsedSettings, budget: Rc<SocketBudget>) -> Self {
+    pub(super) fn new(
+        settings: &ParsedSettings,
+        budget: Rc<SocketBudget>,
+        invariants: Rc<Invariants>,
+    ) -> Self {
         Self {
             handles: HashMap::new(),
             numbers: HashMap::new(),
@@ -58,6 +64,7 @@
                 idle: Duration::from_secs_f64(settings.idle_timeout),
             },
             budget,
+            invariants,
         }
     }
 
@@ -182,7 +189,8 @@
         if let Some(handle) = self.handles.get(&backend) {
             handle.info.send_replace(info);
         } else {
-            let handle = EndpointHandle::start(info, self.limits, self.budget.clone());
+            let (budget, invariants) = (self.budget.clone(), self.invariants.clone());
+            let handle = EndpointHandle::start(info, self.limits, budget, invariants);
             self.handles.insert(backend, handle);
         }
     }
--- a/crates/daemon/src/decision/in_flight.rs
+++ b/crates/daemon/src/decision/in_flight.rs
@@ -5,6 +5,7 @@
 use crate::net::inbound_stream::ClientLiveness;
 use crate::upstream::exchange::{Deadlines, ExchangeRequest};
 use birchhub::interface::{AttemptOutcome, Idempotency, MethodSettings, Settings};
+use birchhub_invariants::{AttemptStart, RepeatRule, Violation};
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -23,8 +24,8 @@
 pub(super) struct RpcLimits {
     /// By when the RPC is to be answered.
     pub deadline: Instant,
-    /// How long after the first attempt that may have run a retry may be sent, where that is limited.
-    pub deduplication_window: Option<Duration>,
+    /// Whether it may be sent again after an attempt that may have run.
+    pub repeat_rule: RepeatRule,
 }
 
 /// An attempt that was started.
@@ -42,6 +43,7 @@
     limits: RpcLimits,
     /// None once the client has its response or has disconnected.
     responder: Option<oneshot::Sender<ProxyResponse>>,
+    is_answered: bool,
     attempts: Vec<InFlightAttempt>,
     /// Prevents a second RPC of this name while an attempt of this one is still out.
     _request_id: RequestIdGuard,
@@ -55,6 +57,7 @@
             client: client.liveness,
             limits,
             responder: Some(client.responder),
+            is_answered: false,
             attempts: Vec::new(),
             _request_id: client.request_id,
         }
@@ -83,6 +86,7 @@
             client: Some(self.client.clone()),
             deadlines: Deadlines {
                 until: until.min(self.limits.deadline),
+                client: Some(self.limits.deadline),
                 send_by,
             },
             cancel: Some(cancel),
@@ -93,11 +97,35 @@
     /// perhaps before this process was stopped: prevents a retry so late that the backend no longer drops it as a
     /// duplicate.
     fn send_by(&self) -> Option<Instant> {
-        let started = self
-            .attempts
-            .iter()
-            .filter_map(|attempt| attempt.may_have_run_since);
-        Some(started.min()? + self.limits.deduplication_window?)
+        match self.limits.repeat_rule {
+            RepeatRule::Within(window) => Some(self.first_may_have_run()? + window),
+            RepeatRule::Always | RepeatRule::Never => None,
+        }
+    }
+
+    /// When the first of its attempts was started that may have run.
+    fn first_may_have_run(&self) -> Option<Instant> {
+        let started = self.attempts.iter();
+        started
+            .filter_map(|attempt| attempt.may_have_run_since)
+            .min()
+    }
+
+    /// What an attempt that is to start now is judged by.
+    pub(super) fn attempt_start(&self) -> AttemptStart {
+        AttemptStart {
+            is_answered: !self.awaits_response(),
+            repeat_rule: self.limits.repeat_rule,
+            since_first: self.first_may_have_run().map(|first| first.elapsed()),
+        }
+    }
+
+    /// Records an attempt that was refused before it started; its end is reported as that of any other.
+    pub(super) fn refuse_attempt(&mut self) {
+        self.attempts.push(InFlightAttempt {
+            cancel: None,
+            may_have_run_since: None,
+        });
     }
 
     /// Cancels an attempt, whatever was sent of it.
@@ -138,12 +166,17 @@
             .is_some_and(|upload| upload.is_consumed())
     }
 
-    /// Gives the client its response, unless it has one or has disconnected.
-    pub(super) fn respond(&mut self, response: ProxyResponse) {
+    /// Gives the client its response, unless it has disconnected; an error if it has one already.
+    pub(super) fn respond(&mut self, response: ProxyResponse) -> Result<(), Violation> {
+        if self.is_answered {
+            return Err(Violation::SecondAnswer);
+        }
         if let Some(responder) = self.responder.take() {
+            self.is_answered = true;
             // Where the client has disconnected there is nobody to tell.
             let _ = responder.send(response);
         }
+        Ok(())
     }
 
     /// Records that the client has disconnected.
@@ -152,11 +185,14 @@
     }
 }
 
-/// By method, the time in which its retries are dropped as duplicates, where that is limited.
-pub(super) fn deduplication_windows(settings: &Settings) -> Vec<Option<Duration>> {
-    let window = |method: &MethodSettings| match method.idempotency {
-        Idempotency::Deduplicated { window, .. } => Some(Duration::from_secs_f64(window)),
-        Idempotency::Idempotent | Idempotency::NonIdempotent => None,
+/// By method, whether its RPCs may be sent again after an attempt that may have run.
+pub(super) fn repeat_rules(settings: &Settings) -> Vec<RepeatRule> {
+    let rule = |method: &MethodSettings| match method.idempotency {
+        Idempotency::Idempotent => RepeatRule::Always,
+        Idempotency::NonIdempotent => RepeatRule::Never,
+        Idempotency::Deduplicated { window, .. } => {
+            RepeatRule::Within(Duration::from_secs_f64(window))
+        }
     };
-    settings.methods.iter().map(window).collect()
+    settings.methods.iter().map(rule).collect()
 }
--- a/crates/daemon/src/decision/platform.rs
+++ b/crates/daemon/src/decision/platform.rs
@@ -6,11 +6,13 @@
 use crate::decision::in_flight::InFlightRpc;
 use crate::downstream::request::ParsedRequest;
 use crate::downstream::response::ProxyResponse;
+use crate::invariants::Invariants;
 use crate::messages::{AttemptId, Event};
 use crate::upstream::exchange::{
     CompletionGuard, Deadlines, Exchange, ExchangeKind, ExchangeRequest,
 };
 use birchhub::interface::Platform;
+use birchhub_invariants::Violation;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,6 +22,9 @@
 /// For a health check: a slower response would tell nothing of the load now.
 const HEALTH_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Stands for the request of a violation that is about none.
+const NO_REQUEST: &str = "-";
+
 /// The daemon's implementation of [`Platform`].
 pub(super) struct DaemonPlatform {
     /// The time of the call at hand, s.
@@ -34,6 +39,7 @@
     pub timer_at: Option<f64>,
     events: mpsc::Sender<Event>,
     watch_wanted: Rc<Notify>,
+    invariants: Rc<Invariants>,
     /// Exchanges that could not start, as the actor's mailbox had no place for their end.
     unsent: Vec<ExchangeKind>,
     /// RPCs that got their response in the call at hand.
@@ -49,6 +55,7 @@
         endpoints: EndpointRegistry,
         events: mpsc::Sender<Event>,
         watch_wanted: Rc<Notify>,
+        invariants: Rc<Invariants>,
     ) -> Self {
         Self {
             now: clock.now(),
@@ -58,6 +65,7 @@
             timer_at: None,
             events,
             watch_wanted,
+            invariants,
             unsent: Vec::new(),
             responded: Vec::new(),
             recorded: None,
@@ -77,10 +85,19 @@
                 request:% = in_flight.request_id(), attempts = in_flight.attempt_count();
                 "response decided: {response}"
             );
-            in_flight.respond(response);
+            if let Err(violation) = in_flight.respond(response) {
+                self.invariants.violated(in_flight.request_id(), &violation);
+            }
         }
     }
 
+    /// Whether the client of an RPC still waits for its response.
+    pub(super) fn awaits_response(&self, rpc: u64) -> bool {
+        self.in_flight
+            .get(&rpc)
+            .is_some_and(InFlightRpc::awaits_response)
+    }
+
     /// The next RPC that got its response and was not yet released.
     pub(super) fn pop_responded(&mut self) -> Option<u64> {
         self.responded.pop()
@@ -142,13 +159,18 @@
             return;
         };
         let index = in_flight.attempt_count();
+        let kind = ExchangeKind::Attempt(AttemptId { rpc, index });
+        let facts = in_flight.attempt_start();
+        if !self.invariants.may_start(in_flight.request_id(), &facts) {
+            in_flight.refuse_attempt();
+            return self.unsent.push(kind);
+        }
         let request = in_flight.start_attempt(self.clock.instant_at(self.now + timeout));
         let address = self.endpoints.address(backend);
         log::debug!(
             request:% = in_flight.request_id(), attempt = index, backend, address:?, timeout;
             "attempt started"
         );
-        let kind = ExchangeKind::Attempt(AttemptId { rpc, index });
         self.start_exchange(backend, kind, request);
         self.record(rpc, Action::Attempt(backend));
     }
@@ -178,6 +200,7 @@
             client: None,
             deadlines: Deadlines {
                 until: Instant::now() + HEALTH_CHECK_TIMEOUT,
+                client: None,
                 send_by: None,
             },
             cancel: None,
@@ -190,6 +213,10 @@
         self.watch_wanted.notify_one();
     }
 
+    fn report_violation(&mut self, violation: Violation) {
+        self.invariants.violated(NO_REQUEST, &violation);
+    }
+
     fn schedule_timer(&mut self, delay: f64) {
         let at = self.now + delay;
         self.timer_at = Some(self.timer_at.map_or(at, |earlier| earlier.min(at)));
--- a/crates/daemon/src/decision/updates.rs
+++ b/crates/daemon/src/decision/updates.rs
@@ -1,7 +1,7 @@
 //! Changes of what the decisions go by: the endpoint list, the administrative state and the settings.
 use crate::config::update::ConfigUpdate;
 use crate::decision::actor::DecisionActor;
-use crate::decision::in_flight::deduplication_windows;
+use crate::decision::in_flight::repeat_rules;
 use crate::discovery::update::EndpointUpdate;
 use birchhub::interface::EndpointUpdateKind;
 use tokio::time::Instant;
@@ -76,7 +76,7 @@
             shadow_settings,
             applied,
         } = update;
-        self.deduplication_windows = deduplication_windows(&settings);
+        self.repeat_rules = repeat_rules(&settings);
         let former_names = self.names.replace(names.into());
         self.call_balancer(|actor| {
             let platform = &mut actor.platform;
--- a/crates/daemon/src/downstream/connection.rs
+++ b/crates/daemon/src/downstream/connection.rs
@@ -172,6 +172,11 @@
         self.id
     }
 
+    /// By when its phase is over.
+    pub(crate) fn deadline(&self) -> Instant {
+        self.phase.get().deadline().0
+    }
+
     /// Logs that the connection ended.
     pub(crate) fn log_end(&self, reason: EndReason) {
         log::log!(
--- a/crates/daemon/src/downstream/connection_task.rs
+++ b/crates/daemon/src/downstream/connection_task.rs
@@ -6,6 +6,7 @@
 use crate::downstream::response::ProxyResponse;
 use crate::downstream::rpc_service::RpcService;
 use crate::end_reason::EndReason;
+use crate::invariants::Invariants;
 use crate::lifecycle::state::ProxyState;
 use crate::net::body::ResponseBody;
 use crate::net::inbound_stream::{ClientLiveness, InboundStream, ReadAhead};
@@ -13,6 +14,7 @@
 use crate::net::observed_stream::ObservedStream;
 use crate::net::socket_budget::{SocketBudget, SocketPermit};
 use crate::time_limits::{ANSWER_GRACE, LINGER};
+use birchhub_invariants::Violation;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -39,6 +41,8 @@
     pub state: watch::Receiver<ProxyState>,
     /// Of which the permit is.
     pub budget: Rc<SocketBudget>,
+    /// Told of the connection's end.
+    pub invariants: Rc<Invariants>,
     /// Given back once the connection is closed.
     pub permit: SocketPermit,
     /// The connection is beyond the budget: all it gets is a rejection.
@@ -65,6 +69,7 @@
             );
         let ended = self.drive(&mut connection, &client, &read_ahead).await;
         client.log_end(ended);
+        self.check_end(&client, ended);
         if matches!(
             ended,
             EndReason::ConnectionBroken | EndReason::MalformedMessage
@@ -82,6 +87,16 @@
         drop(self.permit);
     }
 
+    /// No connection outlives the deadline of its phase, and none is closed by this proxy over an RPC.
+    fn check_end(&self, client: &ClientConnection, reason: EndReason) {
+        self.invariants.check_close(client.id(), client.deadline());
+        if reason == EndReason::AnswerOverdue {
+            let connection = format!("connection {}", client.id());
+            self.invariants
+                .violated(&connection, &Violation::Unanswered);
+        }
+    }
+
     /// The response to one message, and whether the connection is closed after it.
     async fn respond(
         &self,
--- a/crates/daemon/src/downstream/listener.rs
+++ b/crates/daemon/src/downstream/listener.rs
@@ -3,6 +3,7 @@
 use crate::downstream::connection_task::ConnectionTask;
 use crate::downstream::request_parser::RequestParser;
 use crate::downstream::rpc_service::RpcService;
+use crate::invariants::Invariants;
 use crate::lifecycle::state::ProxyState;
 use crate::messages::Event;
 use crate::net::local_error::is_resource_shortage;
@@ -33,6 +34,7 @@
     service: Rc<RpcService>,
     state: watch::Receiver<ProxyState>,
     budget: Rc<SocketBudget>,
+    invariants: Rc<Invariants>,
     /// Counts the connections, for the log.
     next_connection: Cell<u64>,
     /// Until when a shortage of sockets counts as lasting.
@@ -52,12 +54,15 @@
         parser: RequestParser,
         state: watch::Receiver<ProxyState>,
         budget: Rc<SocketBudget>,
+        invariants: Rc<Invariants>,
         events: mpsc::Sender<Event>,
     ) -> Self {
+        let service = RpcService::new(parser, state.clone(), invariants.clone(), events);
         Self {
-            service: Rc::new(RpcService::new(parser, state.clone(), events)),
+            service: Rc::new(service),
             state,
             budget,
+            invariants,
             next_connection: Cell::new(0),
             short_until: Cell::default(),
         }
@@ -119,6 +124,7 @@
             service: self.service.clone(),
             state: self.state.clone(),
             budget: self.budget.clone(),
+            invariants: self.invariants.clone(),
             permit,
             is_beyond_budget,
         };
--- a/crates/daemon/src/downstream/rpc_service.rs
+++ b/crates/daemon/src/downstream/rpc_service.rs
@@ -8,6 +8,7 @@
 use crate::downstream::response::ProxyResponse;
 use crate::downstream::rpc_guard::RpcGuard;
 use crate::end_reason::EndReason;
+use crate::invariants::Invariants;
 use crate::lifecycle::state::ProxyState;
 use crate::messages::Event;
 use crate::net::body::{RequestUpload, UploadError};
@@ -18,6 +19,7 @@
 use hyper::{Method, Request};
 use std::cell::Cell;
 use std::future::pending;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::select;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -30,6 +32,7 @@
 pub(crate) struct RpcService {
     parser: RequestParser,
     state: watch::Receiver<ProxyState>,
+    invariants: Rc<Invariants>,
     events: mpsc::Sender<Event>,
     next_rpc: Cell<u64>,
     active_request_ids: ActiveRequestIds,
@@ -40,11 +43,13 @@
     pub(crate) fn new(
         parser: RequestParser,
         state: watch::Receiver<ProxyState>,
+        invariants: Rc<Invariants>,
         events: mpsc::Sender<Event>,
     ) -> Self {
         Self {
             parser,
             state,
+            invariants,
             events,
             next_rpc: Cell::new(0),
             active_request_ids: ActiveRequestIds::default(),
@@ -74,8 +79,18 @@
         };
         connection.enter(Phase::RpcInFlight(answer_deadline(&rpc)));
         let upload = rpc.request.upload().cloned();
-        let log = RpcLog::begin(&rpc, connection.id());
+        let log = RpcLog::begin(&rpc, connection.id(), self.invariants.clone());
+        let (received_at, timeout) = (rpc.received_at, rpc.timeout);
         let (response, reason) = self.decide(rpc, client).await;
+        let received_at = match &upload {
+            Some(upload) => upload.completed_at(),
+            None => Some(received_at),
+        };
+        // The time of a request whose last byte did not come has not begun.
+        if let Some(received_at) = received_at {
+            self.invariants
+                .check_answer(&log.request, received_at + timeout);
+        }
         log.end(reason);
         // Nobody reads what the client still sends of a streamed request.
         connection.set_closing(upload.is_some_and(|upload| !upload.is_complete()));
@@ -165,6 +180,7 @@
 /// Logs an RPC from the moment it is handed to the decisions to its end. Dropped before, it logs that the client has
 /// disconnected: its connection, and with it all that waits for a response, is gone.
 struct RpcLog {
+    invariants: Rc<Invariants>,
     /// The `Request-Id`.
     request: String,
     connection: u64,
@@ -173,7 +189,8 @@
 }
 
 impl RpcLog {
-    fn begin(rpc: &ReceivedRpc, connection: u64) -> Self {
+    fn begin(rpc: &ReceivedRpc, connection: u64, invariants: Rc<Invariants>) -> Self {
+        invariants.record_rpc();
         let request = rpc.request.id_text().to_owned();
         let streamed = rpc.request.upload().is_some();
         log::debug!(
@@ -181,6 +198,7 @@
             "RPC received"
         );
         Self {
+            invariants,
             request,
             connection,
             received_at: rpc.received_at,
@@ -195,6 +213,7 @@
 
 impl Drop for RpcLog {
     fn drop(&mut self) {
+        self.invariants.record_rpc_end();
         let reason = self.reason.get();
         log::log!(
             reason.level(),
--- a/crates/daemon/src/lifecycle/admin_api.rs
+++ b/crates/daemon/src/lifecycle/admin_api.rs
@@ -3,12 +3,14 @@
 //! Paths, status codes and texts of the responses are fixed: scripts read them.
 
 use crate::config::reload::ActiveConfig;
+use crate::invariants::Invariants;
 use crate::lifecycle::admin_state::AdminCommand;
 use crate::lifecycle::state::ProxyState;
 use crate::lifecycle::state_store::StateStore;
 use crate::net::linger::linger;
 use crate::net::socket::Socket;
 use crate::net::socket_budget::ADMIN_CONNECTIONS;
+use birchhub_invariants::Report;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -138,7 +140,8 @@
     response
 }
 
-fn status_response(state: &ProxyState) -> AdminResponse {
+/// The text is fixed, and goes on only where an invariant was violated.
+fn status_response(state: &ProxyState, report: Report) -> AdminResponse {
     let (status, text) = if state.shutdown.is_some() {
         (StatusCode::SERVICE_UNAVAILABLE, "ends: SIGTERM has come")
     } else if !state.ready {
@@ -150,7 +153,11 @@
     } else {
         (StatusCode::OK, "takes clients")
     };
-    text_response(status, format!("{text}; {state}"))
+    let violations = match report.violations() {
+        0 => String::new(),
+        _ => format!("; invariants: {report}"),
+    };
+    text_response(status, format!("{text}; {state}{violations}"))
 }
 
 /// What holds now that a command is in force.
@@ -172,6 +179,8 @@
     pub state_store: Rc<StateStore>,
     /// The settings in force.
     pub settings: watch::Receiver<ActiveConfig>,
+    /// What was violated, which `/status` shows.
+    pub invariants: Rc<Invariants>,
 }
 
 impl AdminServer {
@@ -233,7 +242,9 @@
             return method_not_allowed(&call.method());
         }
         match call {
-            AdminCall::Status => status_response(&self.state_store.current()),
+            AdminCall::Status => {
+                status_response(&self.state_store.current(), self.invariants.report())
+            }
             AdminCall::Settings => {
                 text_response(StatusCode::OK, self.settings.borrow().to_string())
             }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -6,6 +6,7 @@
 mod discovery;
 mod downstream;
 mod end_reason;
+mod invariants;
 mod lifecycle;
 mod messages;
 mod net;
@@ -18,10 +19,11 @@
 use crate::config::file::{self, CachedEndpoints, Config};
 use crate::config::inherited_listener;
 use crate::config::reload::{ActiveConfig, Reload};
-use crate::decision::actor::{self, DecisionActor};
+use crate::decision::actor::{self, ActorContext, DecisionActor};
 use crate::discovery::client::DiscoveryClient;
 use crate::downstream::listener::Listener;
 use crate::downstream::request_parser::RequestParser;
+use crate::invariants::Invariants;
 use crate::lifecycle::admin_api::AdminServer;
 use crate::lifecycle::listeners::Listeners;
 use crate::lifecycle::shutdown;
@@ -88,6 +90,8 @@
     let longest_rpc = settings.borrow().longest_deadline;
     let longest_rpc = longest_rpc.map(Duration::from_secs_f64);
     shutdown::drain(&proxy.state_store, longest_rpc, accepting, &proxy.budget).await;
+    proxy.invariants.check_exit();
+    log::info!("invariants: {}", proxy.invariants.report());
     Ok(())
 }
 
@@ -98,6 +102,7 @@
     names: ActiveNames,
     budget: Rc<SocketBudget>,
     state_store: Rc<StateStore>,
+    invariants: Rc<Invariants>,
     /// Endpoint lists are pushed to this process, and not polled by it.
     pushed: bool,
 }
@@ -111,6 +116,7 @@
             names: Rc::new(RefCell::new(Arc::new(names))),
             budget: SocketBudget::new(config.max_sockets),
             state_store: Rc::new(StateStore::new(process_group, inherited)),
+            invariants: Rc::new(Invariants::new()),
             pushed: !config.parsed_settings.settings.polls_endpoint_list,
             config: Arc::new(config),
         }
@@ -132,6 +138,7 @@
             let server = AdminServer {
                 state_store,
                 settings,
+                invariants: self.invariants.clone(),
             };
             spawn_local(Rc::new(server).run(listener));
         }
@@ -147,12 +154,15 @@
         let watch_wanted = Rc::new(Notify::new());
         let decisions = DecisionActor::new(
             &self.config,
-            self.clock,
-            self.budget.clone(),
-            events.clone(),
-            watch_wanted.clone(),
-            self.state_store.clone(),
-            self.names.clone(),
+            ActorContext {
+                clock: self.clock,
+                budget: self.budget.clone(),
+                events: events.clone(),
+                watch_wanted: watch_wanted.clone(),
+                state_store: self.state_store.clone(),
+                names: self.names.clone(),
+                invariants: self.invariants.clone(),
+            },
         );
         spawn_local(decisions.run(mailbox));
         startup::use_cached_endpoints(&self.config, &self.state_store, self.pushed);
@@ -178,6 +188,7 @@
             RequestParser::new(self.names.clone()),
             self.state_store.subscribe(),
             self.budget.clone(),
+            self.invariants.clone(),
             events,
         );
         let state_store = self.state_store.clone();
--- a/crates/daemon/src/net/body/upload.rs
+++ b/crates/daemon/src/net/body/upload.rs
@@ -83,6 +83,14 @@
         matches!(*self.received.borrow(), ReceivedPart::Complete(_))
     }
 
+    /// When its last byte was received, if it was.
+    pub(crate) fn completed_at(&self) -> Option<Instant> {
+        match *self.received.borrow() {
+            ReceivedPart::Complete(at) => Some(at),
+            ReceivedPart::Incomplete | ReceivedPart::Failed(_) => None,
+        }
+    }
+
     /// The attempt waits for more from the client; the backend is not what holds it up.
     pub(crate) fn is_waiting_for_client(&self) -> bool {
         self.is_waiting_for_client.get()
--- a/crates/daemon/src/upstream/attempt.rs
+++ b/crates/daemon/src/upstream/attempt.rs
@@ -15,6 +15,7 @@
 use crate::upstream::response::{classify, stream_response};
 use crate::upstream::result::ExchangeResult;
 use birchhub::interface::AttemptOutcome;
+use birchhub_invariants::SendFacts;
 use std::cell::{Cell, RefCell};
 use std::future::pending;
 use std::net::SocketAddr;
@@ -229,8 +230,12 @@
             };
             // Prevents work for a client that has disconnected, however long it waited and however late this
             // process runs. The event of that is on its way to the decision actor, which withdraws this.
-            if self.client_disconnected().await {
-                return pending().await;
+            let facts = self.send_facts(self.client_disconnected().await);
+            if !self.may_send(&facts) {
+                if facts.is_client_gone {
+                    return pending().await;
+                }
+                return AttemptOutcome::NotSent.into();
             }
             // The backend moved while the connection was opened or taken: another may live at the old address.
             if self.endpoint.address() != address {
@@ -242,6 +247,30 @@
         }
     }
 
+    /// Whether the guard lets the first byte be sent now.
+    fn may_send(&self, facts: &SendFacts) -> bool {
+        let invariants = &self.endpoint.invariants;
+        invariants.may_send(self.request.id_text(), facts)
+    }
+
+    fn send_facts(&self, is_client_gone: bool) -> SendFacts {
+        let now = Instant::now();
+        // The time of a long request counts from its last byte.
+        let deadline = self.deadlines.client;
+        let deadline = deadline.filter(|_| self.request.may_be_complete());
+        let send_by = self.deadlines.send_by;
+        SendFacts {
+            is_client_gone,
+            time_left: deadline.map(|deadline| deadline.saturating_duration_since(now)),
+            late: deadline.map_or(Duration::ZERO, |deadline| {
+                now.saturating_duration_since(deadline)
+            }),
+            told: self.deadlines.until.saturating_duration_since(now),
+            is_backend_ready: self.endpoint.is_ready(),
+            repeat_time_left: send_by.map(|at| at.saturating_duration_since(now)),
+        }
+    }
+
     /// Whether the client of this exchange has disconnected, by what the machine knows at this moment.
     async fn client_disconnected(&self) -> bool {
         match self.client {
--- a/crates/daemon/src/upstream/endpoint.rs
+++ b/crates/daemon/src/upstream/endpoint.rs
@@ -1,5 +1,6 @@
 //! One actor for each backend. It starts a task for each exchange and drops the backend's idle connections when
 //! the backend leaves the list, stops being ready or moves. A running exchange owns its connection.
+use crate::invariants::Invariants;
 use crate::net::socket_budget::SocketBudget;
 use crate::upstream::attempt;
 use crate::upstream::endpoint_state::{EndpointInfo, EndpointState};
@@ -48,6 +49,7 @@
         info: EndpointInfo,
         limits: ConnectionLimits,
         budget: Rc<SocketBudget>,
+        invariants: Rc<Invariants>,
     ) -> Self {
         let (mailbox, exchanges) = mpsc::channel(MAILBOX);
         let (sender, receiver) = watch::channel(info);
@@ -56,6 +58,7 @@
             idle: Rc::new(IdleConnections::new(limits.max_reuse(), budget.clone())),
             connect_timeout: limits.connect,
             budget,
+            invariants,
         });
         spawn_local(EndpointActor { state }.run(exchanges));
         Self {
--- a/crates/daemon/src/upstream/endpoint_state.rs
+++ b/crates/daemon/src/upstream/endpoint_state.rs
@@ -1,5 +1,6 @@
 //! What an endpoint actor shares with the tasks of its exchanges.
 
+use crate::invariants::Invariants;
 use crate::net::connection::Connection;
 use crate::net::socket_budget::SocketBudget;
 use crate::upstream::idle_connections::IdleConnections;
@@ -29,6 +30,8 @@
     pub connect_timeout: Duration,
     /// Gives the permit for each connection.
     pub budget: Rc<SocketBudget>,
+    /// Judges each attempt before its first byte.
+    pub invariants: Rc<Invariants>,
 }
 
 impl EndpointState {
@@ -37,6 +40,11 @@
         self.info.borrow().address
     }
 
+    /// Whether the backend takes new exchanges and is still in the list.
+    pub(super) fn is_ready(&self) -> bool {
+        self.info.has_changed().is_ok() && self.info.borrow().ready
+    }
+
     /// Waits until the backend takes no new exchanges, or has gone from the list.
     pub(super) async fn unavailable(&self) {
         let mut info = self.info.clone();
--- a/crates/daemon/src/upstream/exchange.rs
+++ b/crates/daemon/src/upstream/exchange.rs
@@ -139,6 +139,8 @@
 pub(crate) struct Deadlines {
     /// By when it is to be answered.
     pub until: Instant,
+    /// By when the client has its answer; none for a health check.
+    pub client: Option<Instant>,
     /// By when its first byte has to be sent, if that is limited.
     pub send_by: Option<Instant>,
 }
--- a/crates/daemon/tests/clock_steps.rs
+++ b/crates/daemon/tests/clock_steps.rs
@@ -118,6 +118,8 @@
     let backends: Vec<_> = warm.collect();
     let daemon = Daemon::start_with(PROGRAM, &backends, |config| {
         blind(config);
+        // Too many for one attempt of each to fit: none is sent just because none is out.
+        config["settings"]["balancers"] = 8.into();
         config["settings"]["contract"]["cold-from"] = 0.05.into();
         config["settings"]["contract"]["cold-ns"] = 20e9.into();
     });
--- a/src/balancer/attempts.rs
+++ b/src/balancer/attempts.rs
@@ -30,6 +30,9 @@
         self.admission.last_attempt_at = now;
         self.retry_budget.pay(rpc);
         to.recent_attempts.add(now, self.rules.slow_start.budget.window);
+        if let Some(violation) = self.rules.slow_start.violation(&to, &self.fleet, now) {
+            platform.report_violation(violation);
+        }
         to.change_in_flight(1, now, AVERAGING_TIME);
         self.reindex(&to, now);
         let time_allowed = deadlines::time_allowed(rpc, now);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,6 +1,8 @@
 //! The interface of the decision package: the settings and events it is handed, and [`Platform`], through which it
 //! acts. All times are seconds as `f64`; the starting point of the clock is the platform's.
 
+use birchhub_invariants::Violation;
+
 /// The settings of a deployment. The balancer derives its own figures from them when they are applied.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings {
@@ -279,6 +281,8 @@
     fn health_check(&mut self, backend: u32);
     /// Asks for the changes of the endpoint list from here on.
     fn watch_endpoints(&mut self);
+    /// An invariant was violated; it is counted, and shown to operators.
+    fn report_violation(&mut self, _violation: Violation) {}
     /// Has [`Balancer::on_timer`] called after this many seconds.
     ///
     /// [`Balancer::on_timer`]: crate::balancer::Balancer::on_timer
--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -2,6 +2,7 @@
 //! the budget or less: a new backend must not be sent all traffic at once.
 use crate::slow_start_budget::{SlowStartBudget, sure_work};
 use crate::{endpoint::Backend, fleet::Fleet, interface::Settings};
+use birchhub_invariants::{Violation, slow_start_limit};
 
 const SAFETY: f64 = 0.7; // part of the budget that is used: the work of one RPC is known only roughly
 const TRAFFIC_PART: f64 = 0.8; // of it split by traffic, the rest evenly: few completions earn few attempts
@@ -40,4 +41,14 @@
             || in_flight <= budget.concurrency(part * work_per_rpc).max(1.0)
                 && (sent <= sure || sent <= most && sample < chance)
     }
+
+    /// That this proxy alone has sent a warming backend more than all proxies may, if it has: its part is far less.
+    pub(crate) fn violation(&self, to: &Backend, fleet: &Fleet, now: f64) -> Option<Violation> {
+        let budget = &self.budget;
+        let work = budget.work(now - to.started_at.get()?)?;
+        let sent = to.recent_attempts.count(now, budget.window);
+        let limit = slow_start_limit(work / SAFETY / fleet.estimates.service_time());
+        let is_counted = sent.is_finite() && sent > limit;
+        is_counted.then_some(Violation::SlowStart { sent: sent as u32, limit })
+    }
 }
