--- a/crates/audit/src/audit.rs
+++ b/crates/audit/src/audit.rs
@@ -11,6 +11,8 @@
 use serde::Serialize;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
+const AFTER_HANG_UP: f64 = 0.1; // s for a pick to begin after its client has hung up
+const TIME_SLACK: f64 = 0.15; // s by which the time that a pick tells its node may exceed what is left to the client
 const INFORMED: f64 = 2.0 / 3.0; // of a push: from as much on, a fall is the doing of proxies that were told of the start
 
 /// Which rule was broken; the number is the rule's.
@@ -94,6 +96,8 @@
     taken: Taken,
     /// When it was over for its proxy.
     over: Option<f64>,
+    /// How long its node was told that the proxy waits, s.
+    time: Option<f64>,
 }
 
 #[derive(Debug)]
@@ -324,6 +328,11 @@
             }
             Event::KitLate { by } => self.late.push(f64::from(by)),
             Event::StageLate { by } => self.stage_late.push(f64::from(by)),
+            Event::TimeTold { job, seconds } => {
+                if let Some(pick) = self.pick_mut(job) {
+                    pick.time = Some(f64::from(seconds));
+                }
+            }
             Event::Drained { .. }
             | Event::Died { .. }
             | Event::Finished { .. }
@@ -397,6 +406,7 @@
             begun,
             taken,
             over,
+            time: None,
         });
     }
 
@@ -548,6 +558,18 @@
                     true,
                 ));
             }
+            let hung_up = entry
+                .answer
+                .filter(|(at, a)| *a == Answer::HungUp && pick.begun > at + AFTER_HANG_UP + slack);
+            if hung_up.is_some() {
+                let what = "sent on after its client had hung up".to_owned();
+                found.push((Rule::OneAnswer, pick.begun, what, true));
+            }
+            let left = entry.deadline() - pick.begun;
+            if let Some(time) = pick.time.filter(|time| *time > left + TIME_SLACK + slack) {
+                let what = format!("told its node {time:.3} s where {left:.3} s are left");
+                found.push((Rule::OneAnswer, pick.begun, what, true));
+            }
             if n >= rules.most_picks {
                 let what = format!("{} picks, {} are allowed", n + 1, rules.most_picks);
                 found.push((Rule::NoEffectTwice, pick.begun, what, false));
--- a/crates/audit/src/event.rs
+++ b/crates/audit/src/event.rs
@@ -175,6 +175,11 @@
     StageLate {
         by: f32,
     },
+    /// A pick told its node that the proxy waits for so long, s.
+    TimeTold {
+        job: u64,
+        seconds: f32,
+    },
 }
 
 /// An event and when it happened.
--- a/crates/audit/src/story.rs
+++ b/crates/audit/src/story.rs
@@ -42,7 +42,8 @@
             Event::Started { job }
             | Event::Repeated { job }
             | Event::Finished { job }
-            | Event::Left { job, .. } => of_job(job),
+            | Event::Left { job, .. }
+            | Event::TimeTold { job, .. } => of_job(job),
             _ => None,
         }
     }
@@ -158,6 +159,9 @@
                     .map_or("?", |t| &t.name);
                 format!("trouble {name} {}", if *begins { "begins" } else { "ends" })
             }
+            Event::TimeTold { job, seconds } => {
+                format!("job {job} was told that the proxy waits {seconds:.3} s")
+            }
             Event::StageLate { by } => format!("a stand-in is {:.2} ms late", by * 1e3),
             Event::KitLate { by } => format!("the kit is {:.2} ms late", by * 1e3),
         };
--- a/crates/audit/tests/stored_form.rs
+++ b/crates/audit/tests/stored_form.rs
@@ -7,7 +7,7 @@
 const LEDGER: &[u8] = include_bytes!("fixtures/ledger-1");
 const RECORDS: &str = include_str!("fixtures/records.jsonl");
 const MAGIC: &str = "birchhub-ledger 1";
-const EVENT_KINDS: u8 = 20;
+const EVENT_KINDS: u8 = 21;
 const ANSWER_KINDS: u8 = 8;
 const ANSWERED: u8 = 2; // number of the kind of record that holds an answer
 
@@ -184,6 +184,10 @@
         },
         Event::KitLate { by: 0.25 },
         Event::StageLate { by: 0.5 },
+        Event::TimeTold {
+            job: 77,
+            seconds: 0.5,
+        },
     ]);
     let timed = |(number, event)| Entry {
         at: number as f64 * 0.25,
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,6 +3,7 @@
 mod rehearse;
 mod scale;
 mod scenario;
+mod soak;
 
 use clap::{CommandFactory, Parser, Subcommand};
 use std::path::PathBuf;
@@ -27,6 +28,7 @@
     Rehearse(rehearse::Arguments),
     Scenario(scenario::Arguments),
     Scale(scale::Arguments),
+    Soak(soak::Arguments),
     Ledger(ledger::Arguments),
     Audit(ledger::Audit),
     /// Print completions for a shell
@@ -55,6 +57,7 @@
         Verb::Rehearse(arguments) => rehearse::run(arguments),
         Verb::Scenario(arguments) => scenario::run(arguments),
         Verb::Scale(arguments) => scale::run(arguments),
+        Verb::Soak(arguments) => soak::run(arguments),
         Verb::Ledger(arguments) => ledger::run(arguments),
         Verb::Audit(arguments) => ledger::audit(arguments),
         Verb::Completions { shell } => {
--- /dev/null
+++ b/crates/cli/src/soak.rs
@@ -0,0 +1,115 @@
+//! `birchhub soak`: random, overlapping faults over real proxies.
+use crate::{Fault, print};
+use birchhub_soak::{Judgement, SoakError, SoakOptions, SoakPlan, play, shrink};
+use clap::Args;
+use std::path::PathBuf;
+
+const SECONDS_PER_MINUTE: f64 = 60.0;
+/// The library that makes system calls fail, as cargo names it.
+const SHIM: &str = "libbirchhub_fault_shim.so";
+const PASSED: u8 = 0;
+const FAILED: u8 = 1;
+const VOID: u8 = 2;
+
+/// Play random, overlapping faults over real proxies and judge them by their invariants
+///
+/// Starts stand-in backends, discovery, fault proxies, clients of all kinds and several birchhubd on loopback addresses,
+/// and plays the faults that the seed draws. Judged by the invariants that the proxies count, by the audit of the ledger and
+/// by clients that stop in a request. Plan, ledger, report and the proxies' logs of each seed are left in the folder --out.
+#[derive(Args)]
+pub(crate) struct Arguments {
+    /// The first seed
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// So many seeds, one after another
+    #[arg(long, default_value_t = 1)]
+    seeds: u64,
+    /// Length of each run
+    #[arg(long, default_value_t = 0.25)]
+    minutes: f64,
+    /// Number of proxies
+    #[arg(long, default_value_t = 24)]
+    proxies: usize,
+    /// Play the plan of this file
+    #[arg(long, value_name = "FILE", conflicts_with_all = ["seed", "seeds", "minutes", "proxies"])]
+    plan: Option<PathBuf>,
+    /// Print the plan and do not play it
+    #[arg(long)]
+    print_plan: bool,
+    /// Leave out faults of a plan that fails for as long as it still does, and print what is left
+    #[arg(long)]
+    shrink: bool,
+    /// Folder for what is left of the runs
+    #[arg(long, value_name = "DIR", default_value = "soak")]
+    out: PathBuf,
+    /// The proxies' program; else birchhubd beside this one
+    #[arg(long, value_name = "PATH")]
+    program: Option<PathBuf>,
+    /// The library that makes system calls fail; else the one beside this program
+    #[arg(long, value_name = "PATH")]
+    shim: Option<PathBuf>,
+}
+
+pub(crate) fn run(arguments: Arguments) -> Result<u8, Fault> {
+    let plans = plans(&arguments)?;
+    if arguments.print_plan {
+        plans.iter().for_each(|plan| print(&plan.to_text()));
+        return Ok(PASSED);
+    }
+    let program = crate::daemon(arguments.program.clone())?;
+    let shim = arguments
+        .shim
+        .clone()
+        .unwrap_or_else(|| program.with_file_name(SHIM));
+    let (mut failed, mut void) = (0, 0);
+    for plan in &plans {
+        let options = SoakOptions {
+            program: program.clone(),
+            shim: shim.clone(),
+            out: arguments.out.join(format!("seed-{}", plan.seed)),
+        };
+        let judgement = play(plan, &options).map_err(fault)?;
+        print(&format!("seed {}: {judgement}\n", plan.seed));
+        failed += usize::from(judgement.has_failed());
+        void += usize::from(judgement.is_void);
+        if judgement.has_failed() && arguments.shrink {
+            print(&shrunk(plan, &options)?.to_text());
+        }
+    }
+    let count = plans.len();
+    print(&format!("{count} played, {failed} failed, {void} void\n"));
+    Ok(match (failed, void) {
+        (0, 0) => PASSED,
+        (0, _) => VOID,
+        _ => FAILED,
+    })
+}
+
+fn plans(arguments: &Arguments) -> Result<Vec<SoakPlan>, Fault> {
+    if let Some(file) = &arguments.plan {
+        return Ok(vec![SoakPlan::read(file).map_err(fault)?]);
+    }
+    let seeds = arguments.seed..arguments.seed + arguments.seeds;
+    let seconds = arguments.minutes * SECONDS_PER_MINUTE;
+    Ok(seeds
+        .map(|seed| SoakPlan::draw(seed, seconds, arguments.proxies))
+        .collect())
+}
+
+/// The smallest plan that still fails.
+fn shrunk(plan: &SoakPlan, options: &SoakOptions) -> Result<SoakPlan, Fault> {
+    let fails = |plan: &SoakPlan| {
+        let judgement = play(plan, options)?;
+        let (left, word) = (plan.faults.len(), judgement.word());
+        eprintln!("with {left} faults: {word}");
+        Ok(Judgement::has_failed(&judgement))
+    };
+    shrink(plan, fails).map_err(fault)
+}
+
+fn fault(error: SoakError) -> Fault {
+    match error {
+        SoakError::Plan(_) | SoakError::Io { .. } => Fault::Input(error.to_string()),
+        SoakError::Rehearsal(_) => Fault::Failed(error.to_string()),
+    }
+}
--- a/crates/rehearsal/src/clients.rs
+++ b/crates/rehearsal/src/clients.rs
@@ -1,4 +1,5 @@
 //! The clients: each RPC goes out when it is due, whether or not answers come, and is tried again as clients do.
+use crate::extras::Extras;
 use crate::plan::{Arrival, Plan};
 use crate::proxies::Front;
 use crate::scenario::{Clients, Method, MethodKind, Scenario};
@@ -34,6 +35,7 @@
     notes: Notes,
     front: Arc<Front>,
     progress: Arc<Progress>,
+    extras: Extras,
 ) -> std::io::Result<Vec<JoinHandle<()>>> {
     let (due, arrivals) = mpsc::channel(AHEAD);
     let (times, clock, stop) = (plan.arrivals.clone(), notes.clock, progress.clone());
@@ -70,6 +72,7 @@
             caller,
             front,
             progress,
+            extras,
         });
         LocalSet::new().block_on(&runtime, clients.run(arrivals));
     })?;
@@ -83,6 +86,7 @@
     caller: Caller,
     front: Arc<Front>,
     progress: Arc<Progress>,
+    extras: Extras,
 }
 
 impl Callers {
@@ -152,6 +156,7 @@
                 patience,
                 leaves_after,
                 body: method.body,
+                pieces: self.extras.pieces_of(arrival.deal),
             };
             let answer = self.caller.call(&call, at).await;
             let counter = match answer {
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -9,6 +9,7 @@
 )]
 
 pub mod clients;
+pub mod extras;
 pub mod page;
 pub mod plan;
 pub mod proxies;
@@ -21,7 +22,8 @@
 pub mod span;
 mod stage;
 
+pub use extras::Extras;
 pub use plan::Plan;
 pub use report::{Report, Verdict};
-pub use run::{Options, rehearse};
+pub use run::{Options, rehearse, rehearse_with};
 pub use scenario::{Fault, Scenario};
--- a/crates/rehearsal/src/plan.rs
+++ b/crates/rehearsal/src/plan.rs
@@ -123,6 +123,10 @@
         proxy: u16,
         on: bool,
     },
+    /// It reads its configuration again.
+    ReloadProxy {
+        proxy: u16,
+    },
 }
 
 impl Act {
@@ -134,6 +138,7 @@
                 | Self::TermProxy { .. }
                 | Self::StartProxy { .. }
                 | Self::PauseProxy { .. }
+                | Self::ReloadProxy { .. }
         )
     }
 }
--- a/crates/rehearsal/src/proxies.rs
+++ b/crates/rehearsal/src/proxies.rs
@@ -1,6 +1,8 @@
 //! The proxies' processes: each has one owner here, which starts, signals and ends it, and the layer before them that deals
 //! clients out.
+use crate::extras::Extras;
 use crate::plan::{Act, proxy_name};
+use crate::run::Options;
 use crate::scenario::Scenario;
 use crate::settings;
 use crate::stage::{Block, StageDoor};
@@ -16,7 +18,7 @@
 use std::cell::RefCell;
 use std::fs::File;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -58,6 +60,11 @@
 }
 
 impl Front {
+    /// Where the proxies listen.
+    pub fn doors(&self) -> &[SocketAddr] {
+        &self.doors
+    }
+
     /// A proxy for this chance: of the zone, or of any where none of it is taken in.
     pub fn deal(&self, zone: u32, chance: u64) -> (u16, SocketAddr) {
         let open = |proxy: &usize| self.taken_in[*proxy].load(Ordering::Relaxed);
@@ -98,9 +105,8 @@
 /// All of them.
 pub struct Proxies {
     scenario: Scenario,
-    seed: u64,
-    program: PathBuf,
-    folder: PathBuf,
+    options: Options,
+    extras: Extras,
     notes: Notes,
     stage: StageDoor,
     pub front: Arc<Front>,
@@ -110,9 +116,8 @@
 impl Proxies {
     pub fn new(
         scenario: &Scenario,
-        seed: u64,
-        program: &Path,
-        folder: &Path,
+        options: &Options,
+        extras: &Extras,
         notes: Notes,
         stage: StageDoor,
         block: Block,
@@ -134,9 +139,8 @@
         });
         Ok(Rc::new(Self {
             scenario: scenario.clone(),
-            seed,
-            program: program.to_owned(),
-            folder: folder.to_owned(),
+            options: options.clone(),
+            extras: extras.clone(),
             notes,
             stage,
             front,
@@ -145,7 +149,9 @@
     }
 
     fn path(&self, proxy: u16, ending: &str) -> PathBuf {
-        self.folder.join(format!("{}.{ending}", proxy_name(proxy)))
+        self.options
+            .out
+            .join(format!("{}.{ending}", proxy_name(proxy)))
     }
 
     /// Starts a proxy and waits until it is ready.
@@ -160,7 +166,7 @@
         let at = self.front.doors[proxy as usize];
         // New with each start, as the platform does it, yet drawn from the rehearsal's own seed.
         let start = (self.notes.clock.now().max(0.0) * 1e3) as u64;
-        let seed: u64 = generator(self.seed, u64::from(proxy) << 48 | start).random();
+        let seed: u64 = generator(self.options.seed, u64::from(proxy) << 48 | start).random();
         let config = json!({
             "name": name, "listen": at.to_string(), "discovery": discovery.to_string(), "seed": format!("{seed:016x}"),
             "limits": {"cores": 1.0, "memory_mb": self.scenario.proxies.memory_mb, "sockets": self.scenario.proxies.sockets},
@@ -175,15 +181,23 @@
             .append(true)
             .open(self.path(proxy, "log"));
         let log = log.map_err(|e| format!("{}: {e}", self.path(proxy, "log").display()))?;
-        let mut command = Command::new(&self.program);
+        let mut command = Command::new(&self.options.program);
         command
             .env("LB_CONFIG", &file)
+            .envs(
+                self.extras
+                    .environment
+                    .get(&proxy)
+                    .into_iter()
+                    .flatten()
+                    .cloned(),
+            )
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log);
         let child = command
             .spawn()
-            .map_err(|e| format!("{} can't be started: {e}", self.program.display()))?;
+            .map_err(|e| format!("{} can't be started: {e}", self.options.program.display()))?;
         *self.processes[proxy as usize].borrow_mut() = Some(Process {
             child,
             stopping: false,
@@ -195,7 +209,7 @@
                 let last = log.lines().last().unwrap_or("it said nothing");
                 return Err(format!(
                     "{name} ended as it started ({}): {last}",
-                    self.program.display()
+                    self.options.program.display()
                 ));
             }
             if Instant::now() > until {
@@ -302,6 +316,7 @@
                 // A planned end is known to the layer before it soon, yet not at once.
                 self.notice(proxy, 0.3);
             }
+            Act::ReloadProxy { proxy } => signal(proxy, Signal::SIGHUP),
             Act::StartProxy { proxy } => drop(spawn_local(self.clone().start_again(proxy))),
             _ => {}
         }
@@ -318,13 +333,7 @@
 
     /// Starts a proxy again; one that is still on its way out has its time for that first.
     async fn start_again(self: Rc<Self>, proxy: u16) {
-        let longest = self
-            .scenario
-            .method
-            .iter()
-            .map(|m| m.deadline.0)
-            .fold(0.0, f64::max);
-        let until = Instant::now() + Duration::from_secs_f64(longest + STOPPING);
+        let until = Instant::now() + self.longest_stop();
         while self.processes[proxy as usize].borrow().is_some() {
             if Instant::now() > until {
                 self.kill(proxy, End::Forced);
@@ -337,6 +346,36 @@
         }
     }
 
+    /// Tells all of them to end, and waits for as long as they may take.
+    pub async fn end_gracefully(self: &Rc<Self>) {
+        for proxy in 0..self.processes.len() as u16 {
+            self.act(Act::PauseProxy { proxy, on: false });
+            self.act(Act::TermProxy { proxy });
+        }
+        let until = Instant::now() + self.longest_stop();
+        while Instant::now() < until {
+            let running = self.processes.iter().filter(|slot| slot.borrow().is_some());
+            if running.count() == 0 {
+                return;
+            }
+            for proxy in 0..self.processes.len() as u16 {
+                if let Some(how) = self.reap(proxy) {
+                    self.ended(proxy, how);
+                }
+            }
+            sleep(LOOK).await;
+        }
+        for proxy in 0..self.processes.len() as u16 {
+            self.kill(proxy, End::Forced);
+        }
+    }
+
+    /// What a process may take to end after SIGTERM.
+    fn longest_stop(&self) -> Duration {
+        let deadlines = self.scenario.method.iter().map(|m| m.deadline.0);
+        Duration::from_secs_f64(deadlines.fold(0.0, f64::max) + STOPPING)
+    }
+
     /// Ends them all.
     pub fn end(&self) {
         for (proxy, slot) in self.processes.iter().enumerate() {
--- a/crates/rehearsal/src/run.rs
+++ b/crates/rehearsal/src/run.rs
@@ -1,6 +1,7 @@
 //! Plays a plan: the stage on one thread, the clients on another with their pacer, the ledger on a third, and here
 //! the proxies' processes, the progress line and the end.
 use crate::clients::{self, Progress};
+use crate::extras::{Companion, Extras};
 use crate::plan::Plan;
 use crate::proxies::Proxies;
 use crate::report::{Kit, Report};
@@ -41,6 +42,17 @@
 
 /// Plays a scenario to its report. An error is one of the machine or the options, not of the proxies.
 pub fn rehearse(scenario: &Scenario, plan: &Plan, options: &Options) -> Result<Report, String> {
+    rehearse_with(scenario, plan, options, &Extras::default(), None)
+}
+
+/// Does so with what a soak adds.
+pub fn rehearse_with(
+    scenario: &Scenario,
+    plan: &Plan,
+    options: &Options,
+    extras: &Extras,
+    companion: Option<Companion>,
+) -> Result<Report, String> {
     let told = |path: &Path, e: std::io::Error| format!("{}: {e}", path.display());
     if !options.program.is_file() {
         let program = options.program.display();
@@ -61,7 +73,10 @@
         .enable_all()
         .build();
     let runtime = runtime.map_err(|e| format!("no event loop: {e}"))?;
-    let played = LocalSet::new().block_on(&runtime, play(scenario, plan, options, notes));
+    let played = LocalSet::new().block_on(
+        &runtime,
+        play(scenario, plan, options, extras, companion, notes),
+    );
     // The tasks that are left hold ways into the ledger: it ends when the last of them does.
     drop(runtime);
     let kept = keeper
@@ -136,6 +151,8 @@
     scenario: &Scenario,
     plan: &Plan,
     options: &Options,
+    extras: &Extras,
+    companion: Option<Companion>,
     notes: Notes,
 ) -> Result<bool, String> {
     let catch = |kind| signal(kind).map_err(|e| format!("no signals: {e}"));
@@ -144,15 +161,17 @@
         catch(SignalKind::terminate())?,
     );
     let (clock, block) = (notes.clock, Block::new());
-    let (door, stage) = stage::start(scenario.clone(), plan.clone(), notes.clone(), block)?;
-    let Options {
-        seed, out, program, ..
-    } = options;
+    let (door, stage) = stage::start(
+        scenario.clone(),
+        plan.clone(),
+        extras.clone(),
+        notes.clone(),
+        block,
+    )?;
     let proxies = Proxies::new(
         scenario,
-        *seed,
-        program,
-        out,
+        options,
+        extras,
         notes.clone(),
         door.clone(),
         block,
@@ -172,8 +191,10 @@
             notes.clone(),
             front,
             progress.clone(),
+            extras.clone(),
         );
         let threads = threads.map_err(|e| format!("the clients can't start: {e}"))?;
+        let companion = companion.map(|play| play(clock, proxies.front.doors().to_vec()));
         let acts = tokio::task::spawn_local(proxies.clone().play(plan.acts.clone()));
         let longest = scenario
             .method
@@ -189,7 +210,7 @@
         };
         progress.stop.store(true, Ordering::Relaxed);
         acts.abort();
-        for thread in threads {
+        for thread in threads.into_iter().chain(companion) {
             while !thread.is_finished() {
                 sleep(Duration::from_millis(5)).await;
             }
@@ -203,6 +224,9 @@
     if options.progress && std::io::stderr().is_terminal() {
         eprintln!();
     }
+    if extras.ends_gracefully {
+        proxies.end_gracefully().await;
+    }
     proxies.end();
     door.end().await;
     stage
--- a/crates/rehearsal/src/stage.rs
+++ b/crates/rehearsal/src/stage.rs
@@ -2,6 +2,7 @@
 #[cfg(test)]
 mod tests;
 
+use crate::extras::Extras;
 use crate::plan::{Act, Plan, Trick};
 use crate::scenario::{Reports, Scenario};
 use crate::settings;
@@ -9,7 +10,8 @@
 use birchhub_audit::{Event, State};
 use birchhub_model::{Start, Work};
 use birchhub_stand_in::list::{Capacity, Line};
-use birchhub_stand_in::{Cost, Fault, Fleet, ListService, NodeHost, Notes, Place};
+use birchhub_stand_in::relay::{Relay, Window};
+use birchhub_stand_in::{Clock, Cost, Fault, Fleet, ListService, NodeHost, Notes, Place};
 use serde_json::Value;
 use std::cell::Cell;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -80,6 +82,7 @@
 pub(crate) fn start(
     scenario: Scenario,
     plan: Plan,
+    extras: Extras,
     notes: Notes,
     block: Block,
 ) -> Result<(StageDoor, std::thread::JoinHandle<()>), String> {
@@ -94,7 +97,7 @@
             Err(fault) => return drop(ready.send(Err(format!("no event loop: {fault}")))),
         };
         LocalSet::new().block_on(&runtime, async move {
-            match Stage::set(&scenario, &plan, notes, block) {
+            match Stage::set(&scenario, &plan, &extras, notes, block) {
                 Ok(stage) => {
                     let _ = ready.send(Ok(()));
                     stage.play(plan.acts, asked).await;
@@ -113,6 +116,22 @@
     Ok((StageDoor(ask), thread))
 }
 
+/// Where the proxies find a node: at its own addresses, or at those of the relays before them.
+fn doors(
+    host: &NodeHost,
+    ips: &[IpAddr],
+    windows: Option<&Vec<Window>>,
+    clock: Clock,
+) -> std::io::Result<Vec<SocketAddr>> {
+    let own = (0..ips.len() as u16).filter_map(|proxy| host.door(proxy));
+    let Some(windows) = windows else {
+        return Ok(own.collect());
+    };
+    own.zip(ips)
+        .map(|(door, ip)| Relay::start(clock, *ip, door, windows.clone()))
+        .collect()
+}
+
 struct Stage {
     notes: Notes,
     fleet: Rc<Fleet>,
@@ -130,6 +149,7 @@
     fn set(
         scenario: &Scenario,
         plan: &Plan,
+        extras: &Extras,
         notes: Notes,
         block: Block,
     ) -> std::io::Result<Rc<Self>> {
@@ -169,7 +189,7 @@
                 rack: u64::from(zone) << 16 | u64::from(rack),
                 machine: machine.name.clone(),
                 capacity: 1.0,
-                doors: (0..proxies).filter_map(|proxy| host.door(proxy)).collect(),
+                doors: doors(&host, &ips, extras.links.get(&index), notes.clock)?,
                 state: State::Ready,
                 life: 0,
                 boot_ms: 0.0,
@@ -343,7 +363,8 @@
             Act::KillProxy { .. }
             | Act::TermProxy { .. }
             | Act::StartProxy { .. }
-            | Act::PauseProxy { .. } => {}
+            | Act::PauseProxy { .. }
+            | Act::ReloadProxy { .. } => {}
         }
     }
 
--- a/crates/simulation/src/world/faults.rs
+++ b/crates/simulation/src/world/faults.rs
@@ -52,6 +52,8 @@
             Act::StartProxy { proxy } => self.schedule_proxy_start(proxy, self.now),
             Act::PauseProxy { proxy, on: true } => self.pause_proxy(proxy),
             Act::PauseProxy { proxy, on: false } => self.resume_proxy(proxy),
+            // The same settings again change nothing.
+            Act::ReloadProxy { .. } => {}
         }
     }
 
--- a/crates/stand-in/src/caller.rs
+++ b/crates/stand-in/src/caller.rs
@@ -30,6 +30,8 @@
     /// It hangs up after so many seconds, if the answer has not come.
     pub leaves_after: Option<f64>,
     pub body: usize,
+    /// The request is sent in so many pieces, with so many seconds between them.
+    pub pieces: Option<(usize, f64)>,
 }
 
 impl Call {
@@ -150,6 +152,25 @@
         answer
     }
 
+    /// Sends a slow request up to its last piece, and returns that; all of a usual one.
+    async fn write_all_but_last<'a>(
+        &self,
+        peer: &mut Peer,
+        call: &Call,
+        bytes: &'a [u8],
+    ) -> &'a [u8] {
+        let Some((pieces, pause)) = call.pieces else {
+            return bytes;
+        };
+        let size = bytes.len().div_ceil(pieces.max(1)).max(1);
+        let (early, last) = bytes.split_at((bytes.len() - 1) / size * size);
+        for piece in early.chunks(size) {
+            let _ = peer.write(piece).await;
+            self.clock().sleep_until(self.clock().now() + pause).await;
+        }
+        last
+    }
+
     async fn on(
         &self,
         mut peer: Peer,
@@ -158,13 +179,15 @@
         kept: bool,
         sent: &mut bool,
     ) -> Went {
-        // Told before the bytes leave, so that no pick overtakes it; a crossing is sent twice and told once.
+        let bytes = call.encode();
+        let last = self.write_all_but_last(&mut peer, call, &bytes).await;
+        // Told before the last bytes leave, so that no pick overtakes it; a crossing is sent twice and told once.
         if !std::mem::replace(sent, true) {
             self.sent(call);
         }
         let begun = self.clock().now();
         // A write that fails shows when the answer is read.
-        let _ = peer.write(&call.encode()).await;
+        let _ = peer.write(last).await;
         let leaves = call
             .leaves_after
             .map_or(f64::INFINITY, |after| begun + after);
--- a/crates/stand-in/src/lib.rs
+++ b/crates/stand-in/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod list;
 pub mod node;
 pub mod notes;
+pub mod relay;
 pub mod wire;
 
 pub use caller::{Call, Caller};
--- a/crates/stand-in/src/node.rs
+++ b/crates/stand-in/src/node.rs
@@ -559,6 +559,9 @@
                 pushed,
                 taken,
             });
+            if let Some(seconds) = time_told(message) {
+                fleet.notes.tell(Event::TimeTold { job, seconds });
+            }
         };
         let fault = self
             .faults
@@ -643,6 +646,12 @@
     }
 }
 
+/// How long the proxy waits, s, as far as it tells.
+fn time_told(message: &Message) -> Option<f32> {
+    let ms = message.header("request-timeout-ms")?.parse::<f32>().ok()?;
+    Some(ms / 1e3)
+}
+
 fn load_text(report: &Report) -> String {
     format!(
         "inflight={},queue={},util={:.3}",
--- a/crates/stand-in/tests/stand_ins.rs
+++ b/crates/stand-in/tests/stand_ins.rs
@@ -680,6 +680,7 @@
         patience,
         leaves_after,
         body,
+        pieces: None,
     }
 }
 
