--- a/crates/stand-in/src/caller.rs
+++ b/crates/stand-in/src/caller.rs
@@ -181,6 +181,13 @@
     ) -> Went {
         let bytes = call.encode();
         let last = self.write_all_but_last(&mut peer, call, &bytes).await;
+        // A proxy that has gone meanwhile never had the whole of it.
+        if call.pieces.is_some() && peer.rest() == Rest::Ended {
+            if !std::mem::replace(sent, true) {
+                self.sent(call);
+            }
+            return Went::Over(Answer::Unreachable);
+        }
         // Told before the last bytes leave, so that no pick overtakes it; a crossing is sent twice and told once.
         if !std::mem::replace(sent, true) {
             self.sent(call);
--- a/crates/stand-in/src/node.rs
+++ b/crates/stand-in/src/node.rs
@@ -103,6 +103,8 @@
     life: u32,
     job: Job,
     how: Left,
+    /// When the proxy gave it up, if that was before the node could take it.
+    closed_at: Option<f64>,
 }
 
 impl Pick<'_> {
@@ -119,10 +121,10 @@
 
 impl Drop for Pick<'_> {
     fn drop(&mut self) {
-        self.host.fleet.notes.tell(Event::Left {
-            job: self.job,
-            how: self.how,
-        });
+        let notes = &self.host.fleet.notes;
+        let at = self.closed_at.unwrap_or_else(|| notes.clock.now());
+        let (job, how) = (self.job, self.how);
+        notes.tell_at(at, Event::Left { job, how });
     }
 }
 
@@ -369,14 +371,22 @@
         }
     }
 
-    async fn until_awake(&self, number: u32) {
+    /// Waits until the process no longer stands still; tells when the peer closed the connection meanwhile, if it did.
+    async fn until_awake(&self, peer: &mut Peer, number: u32) -> Option<f64> {
         let mut weather = self.weather.subscribe();
+        let mut closed_at = None;
         while self
             .with(number, |life| !life.stalls.is_empty())
             .unwrap_or(false)
         {
-            let _ = weather.changed().await;
+            select! {
+                _ = weather.changed() => {}
+                () = peer.ended(), if closed_at.is_none() => {
+                    closed_at = Some(self.fleet.notes.clock.now());
+                }
+            }
         }
+        closed_at
     }
 
     async fn accept(
@@ -460,10 +470,10 @@
             let Ok(Ok(message)) = timeout(idle, peer.read(Kind::Request, &clock)).await else {
                 return Next::Close;
             };
-            self.until_awake(slot.life).await;
+            let closed_at = self.until_awake(peer, slot.life).await;
             let next = match message.path.as_str() {
                 "/health/live" | "/stats" => self.probe(peer, &message, slot.life).await,
-                _ => self.rpc(peer, &message, proxy, slot).await,
+                _ => self.rpc(peer, &message, proxy, slot, closed_at).await,
             };
             if next != Next::Read || message.is_last() {
                 return if next == Next::Reset {
@@ -534,7 +544,14 @@
     }
 
     #[expect(clippy::too_many_lines)]
-    async fn rpc(&self, peer: &mut Peer, message: &Message, proxy: u16, slot: &Slot) -> Next {
+    async fn rpc(
+        &self,
+        peer: &mut Peer,
+        message: &Message,
+        proxy: u16,
+        slot: &Slot,
+        closed_at: Option<f64>,
+    ) -> Next {
         let (fleet, life) = (&self.fleet, slot.life);
         let id = message.header("request-id");
         let Some(attempt) = id.and_then(|id| u64::from_str_radix(id, 16).ok()) else {
@@ -549,16 +566,21 @@
         let job = fleet.job();
         let got = |taken, pushed: f64| {
             let (begun, work, pushed) = (message.begun, work as f32, pushed as f32);
-            fleet.notes.tell(Event::Got {
-                life,
-                job,
-                attempt,
-                proxy,
-                begun,
-                work,
-                pushed,
-                taken,
-            });
+            // A pick that was given up before the node could take it had come by then.
+            let at = closed_at.unwrap_or_else(|| fleet.notes.clock.now());
+            fleet.notes.tell_at(
+                at,
+                Event::Got {
+                    life,
+                    job,
+                    attempt,
+                    proxy,
+                    begun,
+                    work,
+                    pushed,
+                    taken,
+                },
+            );
             if let Some(seconds) = time_told(message) {
                 fleet.notes.tell(Event::TimeTold { job, seconds });
             }
@@ -571,6 +593,7 @@
             life,
             job,
             how: Left::Broken,
+            closed_at,
         };
         match fault {
             Some(Fault::Mute { .. }) => {
