Review case 1: unsafe requests run twice by a backend's second answer

Looked for: whether a second answer can be taken for a refusal of another request, which then counts as never started.

Done: review/1 plays more traffic with work and targets an eighth of the deployment's, and judges unsafe requests too. The paths between zones hold their tasks, which the event loop may drop otherwise.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,6 @@
-"""Case 1: a backend's second answer comes 8 ms after its first, and another request gets it."""
+"""Case 1: a backend's second answer comes 8 ms after its first, and another request gets it.
+
+The other request is served with a foreign body, or it is taken for never started while it runs, and runs once more."""
 import asyncio
 import itertools
 import os
@@ -14,23 +16,30 @@
 SECOND_ANSWERS = 0.05
 # One way between the two zones; the deployment's file says 5.6 to 10 ms. Within a zone nothing is added.
 BETWEEN_ZONES_SECONDS = 0.006
-PLAY_SECONDS = 25
-PROXIES, BACKENDS, CLIENTS_EACH = 2, 6, 12
-# What a backend takes at a time; more is turned away as never started.
+PLAY_SECONDS = 30
+PROXIES, BACKENDS, CLIENTS_EACH = 2, 6, 30
+# What a backend takes at a time: four slots and a queue of one. More is turned away as never started.
 SLOTS_AND_QUEUE = 5
+# The deployment's work, targets and deadlines, an eighth of each, as the pages scale them to the traffic of a proxy.
+WORK_SECONDS = (0.012, 0.022)
+CLASSES = {
+    # Path: effect, target and deadline in ms, utility.
+    "/read": ("read_like", 140, 350, 2.0),
+    "/alarm": ("non_idempotent", 140, 350, 5.0),
+    "/log": ("idempotency_key", 92, 231, 8.0)}
+# Two of five requests are safe, two are unsafe.
+TRAFFIC = ["/read", "/read", "/alarm", "/alarm", "/log"]
 
 
 def settings():
     """A small deployment: no probes, reports in answers, three classes of different effect."""
-    late = {"tardy-utility": 0.5}
+    methods = [s.method(path[1:], *figures, **{
+        "tardy-utility": 0.5, "dedup-scope": "cell", "window-ns": s.milliseconds(10000)})
+        for path, figures in CLASSES.items()]
     return {
         "balancers": PROXIES, "membership-mode": "on_request", "failure-domains": ["east", "west"], "my-zone": "east",
         "callers": {"marks-retry": True}, "weight-source": "none", "utility-by": "request", "workload": "proxy",
-        "methods": [
-            s.method("read", "read_like", 1120, 2800, 2.0, **late),
-            s.method("alarm", "non_idempotent", 1120, 2800, 5.0, **late),
-            s.method("log", "idempotency_key", 740, 1850, 8.0, **late, **{
-                "dedup-scope": "cell", "window-ns": s.milliseconds(10000)})],
+        "methods": methods,
         "report": {"how": "answers", "fields": ["err_ps", "tps", "concurrent"]},
         "ceilings": {
             "most-picks": 3, "cancel": True, "probes": False, "second-copies": False, "retry-after": True,
@@ -53,6 +62,8 @@
         self.held = {}
         # Requests on each connection that a backend has read and not answered.
         self.waiting = {}
+        # The backends at which each request has begun.
+        self.runs = {}
         self.second_answers = 0
         self.tasks = set()
 
@@ -68,8 +79,9 @@
             text = s.answer("503 Service Unavailable", "full", "Not-Started: 1", self.report(held))
         else:
             self.held[server.name] = held + 1
+            self.runs.setdefault(request_id, []).append(server.name)
             self.record("%s begins %s %s" % (server.name, line, request_id))
-            await asyncio.sleep(self.random.uniform(0.06, 0.14))
+            await asyncio.sleep(self.random.uniform(*WORK_SECONDS))
             self.held[server.name] -= 1
             body = "answer to %s" % request_id
             text = s.answer("200 OK", body, self.report(self.held[server.name]))
@@ -116,24 +128,37 @@
         connection = await s.Client.open(proxy.address)
         while s.now() < until:
             request_id = "%08x" % next(ids)
-            path, key, timeout = choice.choice([("/read", None, 2800), ("/alarm", None, 2800), ("/log", "k", 1850)])
+            path = choice.choice(TRAFFIC)
+            timeout = CLASSES[path][2]
             http_method = "GET" if path == "/read" else "POST"
-            key = key and key + request_id
+            key = "key-" + request_id if path == "/log" else None
             case.record("client sends %s %s to %s" % (path, request_id, proxy.configuration["name"]))
             status, body = await connection.call(http_method, path, request_id, timeout, body="x" * 40, key=key)
             case.record("client gets %d '%s' for %s" % (status, body.strip(), request_id))
-            answered[request_id] = status
+            answered[request_id] = (path, status)
             if status == 200 and body != "answer to %s" % request_id:
                 broken.append("lost: %s %s was answered with '%s'" % (path, request_id, body))
             if connection.told_to_close:
                 connection.close()
                 connection = await s.Client.open(proxy.address)
-            await asyncio.sleep(choice.uniform(0.005, 0.05))
+            await asyncio.sleep(choice.uniform(0.002, 0.02))
         connection.close()
 
     await asyncio.gather(*[client(proxy) for proxy in case.proxies for _ in range(CLIENTS_EACH)])
     case.check_proxies()
-    served = sum(1 for status in answered.values() if status == 200)
+    unsafe = {request_id: status for request_id, (path, status) in answered.items() if path == "/alarm"}
+    twice = {request_id: runs for request_id, runs in backends.runs.items() if request_id in unsafe and len(runs) > 1}
+    wrongly_refused = [request_id for request_id, status in unsafe.items()
+                       if status in (429, 503) and request_id in backends.runs]
+    foreign = len(broken)
+    broken = [
+        *["duplicate: unsafe %s ran at %s" % (request_id, " and at ".join(runs)) for request_id, runs in twice.items()],
+        *["duplicate: unsafe %s was refused as harmless to try again, but ran" % request_id
+          for request_id in wrongly_refused],
+        *broken]
+    served = sum(1 for _, status in answered.values() if status == 200)
+    case.record("%d unsafe ran twice, %d unsafe refused that had run, %d served with a foreign body" % (
+        len(twice), len(wrongly_refused), foreign))
     case.record("%d answered, %d served, %d second answers" % (len(answered), served, backends.second_answers))
     if served < 500 or (s.TROUBLE and backends.second_answers < 10):
         raise s.CannotRun("too little was played: %d served, %d second answers" % (served, backends.second_answers))
--- a/review/standins.py
+++ b/review/standins.py
@@ -8,6 +8,7 @@
 import fcntl
 import itertools
 import json
+import logging
 import os
 import re
 import shutil
@@ -138,6 +139,7 @@
     def __init__(self, server, one_way_seconds):
         self.server = server.rsplit(":", 1)
         self.one_way_seconds = one_way_seconds
+        self.tasks = set()
 
     async def start(self):
         self.listener = await asyncio.start_server(self._connect, new_host(), 0)
@@ -145,6 +147,10 @@
         return self
 
     async def _connect(self, reader, writer):
+        task = asyncio.current_task()
+        # The event loop holds its tasks weakly.
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
         try:
             far_reader, far_writer = await asyncio.open_connection(*self.server)
             no_delay(writer)
@@ -349,7 +355,7 @@
         try:
             if not os.access(os.path.join(ROOT, "target/release/birchhubd"), os.X_OK):
                 raise CannotRun("target/release/birchhubd is not built")
-            broken = asyncio.run(scenario(self))
+            broken = asyncio.run(self._run(scenario))
             for line in broken:
                 self.record("BROKEN " + line)
             code = BROKEN if broken else HELD
@@ -366,6 +372,12 @@
         sys.stdout.flush()
         os._exit(code)
 
+    async def _run(self, scenario):
+        broken = await scenario(self)
+        # What the stand-ins' open connections say while the event loop ends is no part of the case.
+        logging.getLogger("asyncio").setLevel(logging.CRITICAL)
+        return broken
+
     def _end(self):
         for proxy in self.proxies:
             proxy.kill()
