--- a/review/10/case.py
+++ b/review/10/case.py
@@ -6,13 +6,16 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
 from standins_2 import *
 
-GRACE = 0.3
+GRACE = 0.5
 SLACK = 0.05
 # The page: "discovery is down for 8 s".
 OUTAGE = 5.0
-SETTINGS = settings([method("status-read", "read_like", deadline=0.52, target=0.21),
-                     method("work-order", "non_idempotent", deadline=0.52, target=0.21)],
-                    membership_mode="pushed", contract={"drain-grace-ns": int(GRACE * 1e9)})
+SETTINGS = settings(
+    [method("dock-status", "read_like", deadline=0.4, target=0.2, **{"tardy-utility": 0.2}),
+     method("start-trip", "idempotency_key", deadline=2.5, target=0.6, **{"window-ns": int(800e6), "tardy-utility": 0.5})],
+    membership_mode="pushed",
+    contract={"drain-grace-ns": int(GRACE * 1e9), "removal-not-binding": True, "cold-from": 0.13, "cold-ns": int(24e9)},
+    ceilings={"most-picks": 3, "connect-timeout-ns": int(75e6), "conn-idle-ns": int(10e9)})
 
 
 class Agent(Discovery):
@@ -92,8 +95,8 @@
         while not ended.is_set():
             count += 1
             request = f"c{number}-{count}"
-            head = "GET /status-read" if count % 2 else "POST /work-order"
-            length = "" if count % 2 else "Content-Length: 0\r\n"
+            head = "GET /dock-status" if count % 2 else "POST /start-trip"
+            more = "" if count % 2 else f"Idempotency-Key: mark-{request}\r\nContent-Length: 0\r\n"
             try:
                 stream = connect(listen, 1)
             except OSError:
@@ -102,7 +105,7 @@
             try:
                 stream.sock.settimeout(2)
                 stream.sock.sendall(f"{head} HTTP/1.1\r\nHost: api.internal\r\nRequest-Id: {request}\r\n"
-                                    f"Request-Timeout-Ms: 520\r\n{length}\r\n".encode())
+                                    f"Request-Timeout-Ms: 400\r\n{more}\r\n".encode())
                 line, fields = stream.head()
                 stream.body(fields)
             except (OSError, EOFError):
