Fix: a Request-Id is in use from the end of its header line on

Cause: the id was reserved when the RPC was handed to the decision actor, after its body or the first 64 KiB of it.

Change: the scanner of a connection claims the id when its line is complete; the claim goes with the message and the RPC, and is dropped before the socket is closed. A copy that found the id in use stays refused. Why this works: no byte of a copy's body, and no later end of the open request, can come between the check and the reservation.

--- a/crates/daemon/src/decision/actor.rs
+++ b/crates/daemon/src/decision/actor.rs
@@ -144,14 +144,12 @@
             Event::RpcReceived {
                 id,
                 rpc,
-                request_id,
                 liveness,
                 responder,
             } => {
                 let client = RpcClient {
                     liveness,
                     responder,
-                    request_id,
                 };
                 self.on_rpc_received(id, *rpc, client);
             }
--- a/crates/daemon/src/decision/client_events.rs
+++ b/crates/daemon/src/decision/client_events.rs
@@ -30,7 +30,7 @@
             streams_request: rpc.request.upload().is_some(),
             key: rpc.key,
         };
-        let in_flight = InFlightRpc::new(rpc.request, client, limits);
+        let in_flight = InFlightRpc::new(rpc.request, rpc.id_guard, client, limits);
         self.platform.in_flight.insert(id, in_flight);
         self.call_balancer(|actor| {
             let rpc = actor.balancer.accept(&incoming, &mut actor.platform);
--- a/crates/daemon/src/decision/in_flight.rs
+++ b/crates/daemon/src/decision/in_flight.rs
@@ -16,8 +16,6 @@
     pub liveness: ClientLiveness,
     /// Receives the response.
     pub responder: oneshot::Sender<ProxyResponse>,
-    /// Reserves the `Request-Id`.
-    pub request_id: RequestIdGuard,
 }
 
 /// The limits on the attempts of an RPC.
@@ -47,12 +45,17 @@
     has_response: bool,
     attempts: Vec<InFlightAttempt>,
     /// Prevents a second RPC with the same `Request-Id` while an attempt of this one is in flight.
-    _request_id: RequestIdGuard,
+    _id_guard: RequestIdGuard,
 }
 
 impl InFlightRpc {
-    /// Creates an RPC without attempts.
-    pub(super) fn new(request: ParsedRequest, client: RpcClient, limits: RpcLimits) -> Self {
+    /// Creates an RPC without attempts. `id_guard` keeps its `Request-Id` in use.
+    pub(super) fn new(
+        request: ParsedRequest,
+        id_guard: RequestIdGuard,
+        client: RpcClient,
+        limits: RpcLimits,
+    ) -> Self {
         Self {
             request,
             client: client.liveness,
@@ -60,7 +63,7 @@
             responder: Some(client.responder),
             has_response: false,
             attempts: Vec::new(),
-            _request_id: client.request_id,
+            _id_guard: id_guard,
         }
     }
 
--- a/crates/daemon/src/downstream/connection.rs
+++ b/crates/daemon/src/downstream/connection.rs
@@ -1,7 +1,7 @@
 //! The state of a client's connection: its phase, when it is to be closed, and whether it may be evicted.
 use crate::downstream::connection_phase::{ConnectionPhase, ScheduledClose};
-use crate::downstream::head_scan::FramingCounts;
-use crate::downstream::message_scan::MessageScanner;
+use crate::downstream::message_scan::{MessageScanner, ReceivedHead};
+use crate::downstream::request_ids::ActiveRequestIds;
 use crate::end_reason::EndReason;
 use crate::lifecycle::state::DrainDeadlines;
 use crate::net::body::DeliveryStatus;
@@ -58,8 +58,13 @@
 }
 
 impl ClientConnection {
-    /// Creates the state of a connection that was accepted now, and registers it as an eviction candidate.
-    pub(crate) fn new(id: u64, budget: &Rc<SocketBudget>) -> Rc<Self> {
+    /// Creates the state of a connection that was accepted now, and registers it as an eviction candidate. Its messages
+    /// claim their ids in `request_ids`.
+    pub(crate) fn new(
+        id: u64,
+        budget: &Rc<SocketBudget>,
+        request_ids: ActiveRequestIds,
+    ) -> Rc<Self> {
         let opened_at = Instant::now();
         let phase = ConnectionPhase::AwaitingFirstByte {
             deadline: opened_at + FIRST_BYTE_TIMEOUT,
@@ -68,7 +73,7 @@
             id,
             phase: phase.into(),
             is_closing: false.into(),
-            scanner: RefCell::default(),
+            scanner: MessageScanner::new(request_ids).into(),
             delivery: RefCell::default(),
             response_bytes_written: Cell::new(0),
             budget: budget.clone(),
@@ -159,9 +164,15 @@
         self.is_closing.set(is_closing);
     }
 
-    /// Takes the framing counts of the head of the current message; none if no complete head was scanned.
-    pub(crate) fn take_framing_counts(&self) -> Option<FramingCounts> {
-        self.scanner.borrow_mut().take_framing_counts()
+    /// Takes the head of the current message; none if no complete head was scanned.
+    pub(crate) fn take_head(&self) -> Option<ReceivedHead> {
+        self.scanner.borrow_mut().take_head()
+    }
+
+    /// Releases the ids of the messages that will have no response. A client may send such a request again on another
+    /// connection as soon as it learns of the close.
+    pub(crate) fn release_request_ids(&self) {
+        self.scanner.borrow_mut().release_request_ids();
     }
 
     /// Registers the connection with the budget as the most recently active one of its rank.
--- a/crates/daemon/src/downstream/connection_task.rs
+++ b/crates/daemon/src/downstream/connection_task.rs
@@ -50,7 +50,8 @@
     pub(crate) async fn run(self, stream: TcpStream) {
         // hyper writes complete responses or chunks, so Nagle's algorithm would only delay them.
         let _ = stream.set_nodelay(true);
-        let client = ClientConnection::new(self.id, &self.budget);
+        let request_ids = self.service.request_ids();
+        let client = ClientConnection::new(self.id, &self.budget, request_ids);
         let stream = InboundStream::new(stream);
         let read_ahead = stream.read_ahead();
         let service = service_fn(|request| {
@@ -67,6 +68,7 @@
             );
         let reason = drive(&mut connection, &client, &read_ahead, self.state.clone()).await;
         client.log_end(reason);
+        client.release_request_ids();
         self.check_end(&client, reason);
         if matches!(
             reason,
--- a/crates/daemon/src/downstream/head_scan.rs
+++ b/crates/daemon/src/downstream/head_scan.rs
@@ -1,11 +1,15 @@
-//! Scans the head of a message for the framing of its body. hyper is not enough: it follows one of several framing
-//! declarations and silently drops the others, and it doesn't report where a message ends.
+//! Scans the head of a message for the framing of its body and for its `Request-Id`. hyper is not enough: it follows one of
+//! several framing declarations and silently drops the others, it doesn't report where a message ends, and it reports a
+//! head only when that is complete.
 use httparse::{EMPTY_HEADER, Request, Status};
+use hyper::header::HeaderValue;
 
 /// Maximum size of a head, in bytes.
 pub(super) const HEAD_LIMIT: usize = 16 << 10;
 /// Maximum number of header fields, the same as in hyper.
 const MAX_FIELDS: usize = 100;
+/// The start of the line that holds the `Request-Id`, in any case.
+const REQUEST_ID_FIELD: &[u8] = b"request-id:";
 
 /// How often a head declares the framing of its body, counted by header field.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -52,6 +56,8 @@
     complete_lines: usize,
     /// Whether the current line has a byte other than its line ending.
     is_line_nonempty: bool,
+    /// Start of the first line that was not searched for the `Request-Id`.
+    unsearched_from: usize,
 }
 
 impl HeadScanner {
@@ -72,6 +78,17 @@
         end.map(|_| parse(&self.head))
     }
 
+    /// Returns the `Request-Id` in the lines that were completed since the last call. The line that ends with the head's
+    /// last byte is empty, so none is missed.
+    pub(super) fn find_request_id(&mut self) -> Option<HeaderValue> {
+        let unsearched = &self.head[self.unsearched_from..];
+        let complete = unsearched.iter().rposition(|byte| *byte == b'\n')?;
+        let mut lines = unsearched[..complete].split(|byte| *byte == b'\n');
+        let id = lines.find_map(request_id_in);
+        self.unsearched_from += complete + 1;
+        id
+    }
+
     /// Whether this byte is the last one of the head. Empty lines before the request line don't end it.
     fn ends_with(&mut self, byte: u8) -> bool {
         match byte {
@@ -90,6 +107,15 @@
     }
 }
 
+/// Returns the `Request-Id` in a line of a head; none if the line holds another field or an invalid value.
+fn request_id_in(line: &[u8]) -> Option<HeaderValue> {
+    let (name, value) = line.split_at_checked(REQUEST_ID_FIELD.len())?;
+    if !name.eq_ignore_ascii_case(REQUEST_ID_FIELD) {
+        return None;
+    }
+    HeaderValue::from_bytes(value.trim_ascii()).ok()
+}
+
 /// Parses a complete head.
 fn parse(head: &[u8]) -> ScannedHead {
     let mut fields = [EMPTY_HEADER; MAX_FIELDS];
--- a/crates/daemon/src/downstream/message_scan.rs
+++ b/crates/daemon/src/downstream/message_scan.rs
@@ -1,6 +1,7 @@
-//! Finds the end of each message in the bytes that a client sends. hyper may have buffered part of the next message,
-//! and doesn't report that the client has stopped in the middle of it.
+//! Finds the end of each message in the bytes that a client sends, and claims its `Request-Id`. hyper may have buffered
+//! part of the next message, and doesn't report that the client has stopped in the middle of it.
 use crate::downstream::head_scan::{BodyFraming, FramingCounts, HeadScanner, ScannedHead};
+use crate::downstream::request_ids::{ActiveRequestIds, RequestIdClaim};
 use std::collections::VecDeque;
 use thiserror::Error;
 
@@ -68,15 +69,35 @@
 #[error("chunk size overflow")]
 struct ChunkSizeOverflow;
 
+/// What the proxy needs to know about a complete head besides what hyper reports.
+pub(crate) struct ReceivedHead {
+    /// How often it declares the framing of its body.
+    pub framing_counts: FramingCounts,
+    /// Its claim to its `Request-Id`; none if it has no valid one.
+    pub request_id: Option<RequestIdClaim>,
+}
+
 /// Tracks where each message on a client's connection ends.
 #[derive(Default)]
 pub(super) struct MessageScanner {
     part: MessagePart,
-    /// The framing counts of the complete heads that were not taken yet, the earliest first.
-    framing_counts: VecDeque<FramingCounts>,
+    /// The ids of all open requests.
+    request_ids: ActiveRequestIds,
+    /// The claim of the message whose head is incomplete.
+    request_id: Option<RequestIdClaim>,
+    /// The complete heads that were not taken yet, the earliest first.
+    heads: VecDeque<ReceivedHead>,
 }
 
 impl MessageScanner {
+    /// Creates a scanner that claims the ids of messages in `request_ids`.
+    pub(super) fn new(request_ids: ActiveRequestIds) -> Self {
+        Self {
+            request_ids,
+            ..Self::default()
+        }
+    }
+
     /// Scans the next bytes of the connection.
     pub(super) fn feed(&mut self, mut bytes: &[u8]) {
         while !bytes.is_empty() {
@@ -84,9 +105,15 @@
         }
     }
 
-    /// Takes the framing counts of the earliest complete head whose counts were not taken yet.
-    pub(super) fn take_framing_counts(&mut self) -> Option<FramingCounts> {
-        self.framing_counts.pop_front()
+    /// Takes the earliest complete head that was not taken yet.
+    pub(super) fn take_head(&mut self) -> Option<ReceivedHead> {
+        self.heads.pop_front()
+    }
+
+    /// Releases the ids of all messages whose heads were not taken.
+    pub(super) fn release_request_ids(&mut self) {
+        self.request_id = None;
+        self.heads.clear();
     }
 
     /// Whether the current message has begun and is incomplete.
@@ -102,6 +129,10 @@
         let next = match &mut self.part {
             MessagePart::Head(scanner) => {
                 let head = scanner.feed(bytes);
+                let new_id = scanner.find_request_id();
+                if let Some(id) = new_id.filter(|_| self.request_id.is_none()) {
+                    self.request_id = Some(self.request_ids.claim(id));
+                }
                 head.map(|head| self.begin_body(head))
             }
             MessagePart::Body { bytes_left } => {
@@ -142,7 +173,10 @@
 
     /// Returns the part that follows a complete head.
     fn begin_body(&mut self, head: ScannedHead) -> MessagePart {
-        self.framing_counts.push_back(head.framing_counts);
+        self.heads.push_back(ReceivedHead {
+            framing_counts: head.framing_counts,
+            request_id: self.request_id.take(),
+        });
         match head.body {
             BodyFraming::Length(0) => MessagePart::default(),
             BodyFraming::Length(length) => MessagePart::Body { bytes_left: length },
--- a/crates/daemon/src/downstream/message_scan/tests.rs
+++ b/crates/daemon/src/downstream/message_scan/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use hyper::header::HeaderValue;
 
 const GET: &str = "GET /read HTTP/1.1\r\nHost: a\r\n\r\n";
 const POST: &str = "POST /book HTTP/1.1\r\nContent-Length: 9\r\n\r\nGET / HT\n";
@@ -23,7 +24,9 @@
         let pieces = bytes.as_bytes().chunks(size);
         pieces.for_each(|piece| scanner.feed(piece));
         Scanned {
-            framing_counts: std::iter::from_fn(|| scanner.take_framing_counts()).collect(),
+            framing_counts: std::iter::from_fn(|| scanner.take_head())
+                .map(|head| head.framing_counts)
+                .collect(),
             is_inside_message: scanner.is_inside_message(),
         }
     });
@@ -80,3 +83,58 @@
     let endless = CHUNKED.replace("0A\r\n", "FFFFFFFFFFFFFFFFF\r\n");
     assert!(scan(&endless).is_inside_message);
 }
+
+/// A copy of an open request must not be forwarded, however little of the open one was received: its id is in use from the
+/// end of its line, and free again once its messages are dropped.
+#[test]
+fn an_id_is_in_use_from_the_end_of_its_line() {
+    let up_to_id = "POST /book HTTP/1.1\r\nHost: a\r\nREQUEST-Id:  x1 \r\n";
+    let message = [up_to_id, "Request-Id: x2\r\nContent-Length: 3\r\n\r\nabc"].concat();
+    let id = HeaderValue::from_static("x1");
+    for size in 1..=message.len() {
+        let ids = ActiveRequestIds::default();
+        let mut scanner = MessageScanner::new(ids.clone());
+        let mut received = 0;
+        for piece in message.as_bytes().chunks(size) {
+            scanner.feed(piece);
+            received += piece.len();
+            let is_in_use = matches!(ids.claim(id.clone()), RequestIdClaim::InUse);
+            assert_eq!(
+                is_in_use,
+                received >= up_to_id.len(),
+                "pieces of {size}, {received}"
+            );
+        }
+        let head = scanner.take_head().expect("a complete head");
+        assert!(matches!(head.request_id, Some(RequestIdClaim::Reserved(_))));
+        drop(head);
+        assert!(matches!(ids.claim(id.clone()), RequestIdClaim::Reserved(_)));
+    }
+}
+
+/// A copy that was sent while the request was open is rejected, also if that one has ended meanwhile.
+#[test]
+fn a_claim_to_an_id_in_use_stays_refused() {
+    let ids = ActiveRequestIds::default();
+    let open = ids.claim(HeaderValue::from_static("x1"));
+    let mut scanner = MessageScanner::new(ids.clone());
+    scanner.feed(b"GET /read HTTP/1.1\r\nRequest-Id: x1\r\n");
+    drop(open);
+    scanner.feed(b"\r\n");
+    let head = scanner.take_head().expect("a complete head");
+    assert!(matches!(head.request_id, Some(RequestIdClaim::InUse)));
+}
+
+#[test]
+fn the_ids_of_messages_that_are_not_taken_can_be_released() {
+    let ids = ActiveRequestIds::default();
+    let mut scanner = MessageScanner::new(ids.clone());
+    scanner.feed(
+        b"GET /read HTTP/1.1\r\nRequest-Id: x1\r\n\r\nGET /read HTTP/1.1\r\nRequest-Id: x2\r\n",
+    );
+    scanner.release_request_ids();
+    for id in ["x1", "x2"] {
+        let claim = ids.claim(HeaderValue::from_static(id));
+        assert!(matches!(claim, RequestIdClaim::Reserved(_)), "{id}");
+    }
+}
--- a/crates/daemon/src/downstream/request.rs
+++ b/crates/daemon/src/downstream/request.rs
@@ -1,5 +1,6 @@
 //! A client's RPC, and the part of it that is forwarded to backends.
 use crate::config::name_table::NameTable;
+use crate::downstream::request_ids::RequestIdGuard;
 use crate::downstream::response::ProxyResponse;
 use crate::net::body::RequestUpload;
 use bytes::Bytes;
@@ -31,6 +32,8 @@
     pub key: Option<u64>,
     /// The request that is forwarded to backends.
     pub request: ParsedRequest,
+    /// Keeps the `Request-Id` in use until no attempt of the RPC is in flight.
+    pub id_guard: RequestIdGuard,
 }
 
 impl ReceivedRpc {
@@ -86,16 +89,6 @@
 }
 
 impl ParsedRequest {
-    /// Returns the `Request-Id`.
-    ///
-    /// # Panics
-    /// The request is a health check.
-    pub(crate) fn id(&self) -> HeaderValue {
-        self.request_id
-            .clone()
-            .expect("a health check has no Request-Id")
-    }
-
     /// Returns the `Request-Id` as text for the log; empty for a health check.
     pub(crate) fn id_text(&self) -> &str {
         let id = self.request_id.as_ref();
--- a/crates/daemon/src/downstream/request_parser.rs
+++ b/crates/daemon/src/downstream/request_parser.rs
@@ -2,9 +2,11 @@
 use crate::config::name_table::ActiveNames;
 use crate::downstream::client_protocol::{self, RequestInfo};
 use crate::downstream::head_scan::FramingCounts;
+use crate::downstream::message_scan::ReceivedHead;
 use crate::downstream::request::{ParsedRequest, ReceivedRpc};
 use crate::downstream::request_body::receive_payload;
 use crate::downstream::request_error::RequestError;
+use crate::downstream::request_ids::{RequestIdClaim, RequestIdGuard};
 use crate::downstream::response::ProxyResponse;
 use crate::net::progress_deadline::ProgressDeadline;
 use hyper::body::Incoming;
@@ -24,17 +26,19 @@
     }
 
     /// Parses a client's message and receives its body, or the first part of a body that is too long to be buffered.
+    /// `scanned` is its head as the scanner of the connection found it; none if it found no complete one.
     ///
     /// # Errors
     /// The message is not a valid RPC; the error is the response to the client.
     pub(crate) async fn parse(
         &self,
         message: Request<Incoming>,
-        framing_counts: Option<FramingCounts>,
+        scanned: Option<ReceivedHead>,
         body_deadline: ProgressDeadline,
     ) -> Result<ReceivedRpc, ProxyResponse> {
         let (head, body) = message.into_parts();
-        check_framing(&head.headers, framing_counts)?;
+        let scanned = scanned.ok_or(RequestError::AmbiguousFraming)?;
+        check_framing(&head.headers, scanned.framing_counts)?;
         let (version, method) = {
             let names = self.names.borrow();
             (names.version, names.method(head.uri.path())?)
@@ -43,6 +47,7 @@
         let timeout = client_protocol::request_timeout(&head.headers)?;
         let idempotency_key = client_protocol::idempotency_key(&head.headers)?;
         method.check_request(&head.method, idempotency_key.is_some())?;
+        let id_guard = reserved_id(scanned.request_id)?;
         let payload = receive_payload(&head.method, body, body_deadline).await?;
         let info = RequestInfo::from_headers(&head.headers);
         let path_and_query = head.uri.path_and_query().cloned();
@@ -65,21 +70,31 @@
                 method: head.method,
                 payload,
             },
+            id_guard,
         })
     }
 }
 
+/// Returns the guard of the `Request-Id` that a message has claimed.
+///
+/// # Errors
+/// The id was in use, or the scanner found no valid one.
+fn reserved_id(claim: Option<RequestIdClaim>) -> Result<RequestIdGuard, RequestError> {
+    match claim {
+        Some(RequestIdClaim::Reserved(guard)) => Ok(guard),
+        Some(RequestIdClaim::InUse) => Err(RequestError::DuplicateRequestId),
+        None => Err(RequestError::InvalidRequestId),
+    }
+}
+
 /// Checks that a head declares the framing of its body at most once, in a supported way. This prevents request
 /// smuggling: hyper ignores a `Content-Length` next to a `Transfer-Encoding`, so a body that another proxy treats as
 /// part of a single message could hold a second RPC.
-fn check_framing(
-    headers: &HeaderMap,
-    framing_counts: Option<FramingCounts>,
-) -> Result<(), RequestError> {
+fn check_framing(headers: &HeaderMap, framing_counts: FramingCounts) -> Result<(), RequestError> {
     let coding = client_protocol::single_value(headers, &TRANSFER_ENCODING)?;
     let is_supported =
         coding.is_none_or(|coding| coding.as_bytes().eq_ignore_ascii_case(b"chunked"));
-    if framing_counts.is_some_and(FramingCounts::is_unambiguous) && is_supported {
+    if framing_counts.is_unambiguous() && is_supported {
         return Ok(());
     }
     Err(RequestError::AmbiguousFraming)
--- a/crates/daemon/src/downstream/rpc_service.rs
+++ b/crates/daemon/src/downstream/rpc_service.rs
@@ -4,8 +4,7 @@
 use crate::downstream::connection::ClientConnection;
 use crate::downstream::connection_phase::ConnectionPhase;
 use crate::downstream::request::ReceivedRpc;
-use crate::downstream::request_error::RequestError;
-use crate::downstream::request_ids::{ActiveRequestIds, RequestIdGuard};
+use crate::downstream::request_ids::ActiveRequestIds;
 use crate::downstream::request_parser::RequestParser;
 use crate::downstream::response::ProxyResponse;
 use crate::downstream::rpc_deadline::{client_timeout, incomplete_upload, response_deadline};
@@ -33,7 +32,7 @@
     invariants: Rc<Invariants>,
     events: mpsc::Sender<Event>,
     next_rpc: Cell<u64>,
-    active_request_ids: ActiveRequestIds,
+    request_ids: ActiveRequestIds,
 }
 
 impl RpcService {
@@ -50,10 +49,15 @@
             invariants,
             events,
             next_rpc: Cell::new(0),
-            active_request_ids: ActiveRequestIds::default(),
+            request_ids: ActiveRequestIds::default(),
         }
     }
 
+    /// Returns the ids of all open requests.
+    pub(crate) fn request_ids(&self) -> ActiveRequestIds {
+        self.request_ids.clone()
+    }
+
     /// Returns the response to one message of a client.
     pub(crate) async fn respond(
         &self,
@@ -62,11 +66,11 @@
         connection: &ClientConnection,
         liveness: ClientLiveness,
     ) -> ProxyResponse {
-        let framing_counts = connection.take_framing_counts();
+        let head = connection.take_head();
         if message.method() == Method::GET && message.uri().path() == READINESS_PATH {
             return ProxyResponse::Health(self.state.borrow().is_healthy());
         }
-        let parsed = self.parser.parse(message, framing_counts, body_deadline);
+        let parsed = self.parser.parse(message, head, body_deadline);
         match parsed.await {
             Ok(rpc) => self.serve(rpc, connection, liveness).await,
             Err(response) => {
@@ -126,9 +130,6 @@
         let Ok(permit) = self.events.clone().try_reserve_owned() else {
             return RpcOutcome::new(ProxyResponse::rejected(), EndReason::Overloaded);
         };
-        let Some(request_id) = self.active_request_ids.try_insert(rpc.request.id()) else {
-            return RpcOutcome::new(RequestError::DuplicateRequestId, EndReason::InvalidRequest);
-        };
         let id = self.next_rpc.replace(self.next_rpc.get() + 1);
         let guard = RpcGuard::new(id, permit);
         let upload = rpc.request.upload().cloned();
@@ -137,7 +138,7 @@
         select! {
             biased;
             outcome = incomplete_upload(upload.as_deref()) => outcome,
-            Some(response) = self.submit(id, rpc, request_id, liveness) => {
+            Some(response) = self.submit(id, rpc, liveness) => {
                 guard.disarm();
                 RpcOutcome::from_decision(response)
             }
@@ -167,14 +168,12 @@
         &self,
         id: u64,
         rpc: ReceivedRpc,
-        request_id: RequestIdGuard,
         liveness: ClientLiveness,
     ) -> Option<ProxyResponse> {
         let (responder, receiver) = oneshot::channel();
         let event = Event::RpcReceived {
             id,
             rpc: Box::new(rpc),
-            request_id,
             liveness,
             responder,
         };
--- a/crates/daemon/src/messages.rs
+++ b/crates/daemon/src/messages.rs
@@ -3,7 +3,6 @@
 use crate::config::update::ConfigUpdate;
 use crate::discovery::update::EndpointUpdate;
 use crate::downstream::request::ReceivedRpc;
-use crate::downstream::request_ids::RequestIdGuard;
 use crate::downstream::response::ProxyResponse;
 use crate::net::body::StreamedBody;
 use crate::net::inbound_stream::ClientLiveness;
@@ -28,8 +27,6 @@
         id: u64,
         /// The parsed RPC.
         rpc: Box<ReceivedRpc>,
-        /// Reserves the `Request-Id` until no attempt of the RPC is in flight.
-        request_id: RequestIdGuard,
         /// Tells whether the client is still connected.
         liveness: ClientLiveness,
         /// Receives the response.
