Fix: the ids of open requests are locked across the processes of a proxy

Seen by callers: while one process replaces another, a copy of a request that the old one holds was forwarded by the new one, so that its id can run twice.

Change: where the listening socket is inherited, ActiveRequestIds also locks one byte of a shared file for each id (an open file description lock). The system releases the locks of a process that ends. A failing lock call leaves each process as if it was alone.

--- a/crates/daemon/src/downstream/rpc_service.rs
+++ b/crates/daemon/src/downstream/rpc_service.rs
@@ -36,9 +36,11 @@
 }
 
 impl RpcService {
-    /// Creates a service that sends RPCs to the decision actor through `events`.
+    /// Creates a service that sends RPCs to the decision actor through `events`. Open requests hold their ids in
+    /// `request_ids`.
     pub(crate) fn new(
         parser: RequestParser,
+        request_ids: ActiveRequestIds,
         state: watch::Receiver<ProxyState>,
         invariants: Rc<Invariants>,
         events: mpsc::Sender<Event>,
@@ -49,7 +51,7 @@
             invariants,
             events,
             next_rpc: Cell::new(0),
-            request_ids: ActiveRequestIds::default(),
+            request_ids,
         }
     }
 
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -9,7 +9,9 @@
 use crate::discovery::client::{DiscoveryClient, DiscoveryContext};
 use crate::discovery::source::DiscoverySource;
 use crate::downstream::listener::Listener;
+use crate::downstream::request_ids::ActiveRequestIds;
 use crate::downstream::request_parser::RequestParser;
+use crate::downstream::rpc_service::RpcService;
 use crate::invariants::Invariants;
 use crate::lifecycle::admin_api::AdminServer;
 use crate::lifecycle::startup;
@@ -147,13 +149,19 @@
         socket: TcpListener,
         events: mpsc::Sender<Event>,
     ) -> JoinHandle<()> {
-        let listener = Listener::new(
+        let service = RpcService::new(
             RequestParser::new(self.names.clone()),
+            ActiveRequestIds::new(self.state_store.request_id_locks()),
             self.state_store.subscribe(),
-            self.budget.clone(),
             self.invariants.clone(),
             events,
         );
+        let listener = Listener::new(
+            service,
+            self.state_store.subscribe(),
+            self.budget.clone(),
+            self.invariants.clone(),
+        );
         spawn_local(startup::accept_clients(
             listener,
             socket,
--- a/crates/daemon/tests/replacing.rs
+++ b/crates/daemon/tests/replacing.rs
@@ -234,6 +234,28 @@
     drop(new);
 }
 
+/// Guards against a copy of an open request that is served by the other process, so that its id runs twice: the processes
+/// are one proxy.
+#[test]
+fn a_copy_of_an_open_request_is_rejected_by_the_new_process() {
+    let log = Log::new(vec![]);
+    let (address, gate) = holding_backend("b1", &log, "");
+    let platform = Platform::new("copies", &[("s-1", address)]);
+    let mut old = platform.start();
+    let mut old_client = platform.client();
+    assert!(old_client.send(&rpc("POST", "/book", "held", "")));
+    log.await_event("b1 got POST /book HTTP/1.1 held");
+    let _new = platform.start();
+    old.signal("TERM");
+    await_shutdown(&old);
+    assert_eq!(platform.rpc_status("held"), 409);
+    gate.change(|open| *open = true);
+    assert_eq!(old_client.response().expect("a response").status(), 200);
+    assert!(old.child.wait().expect("an exit status").success());
+    assert_eq!(log.count("held"), 1, "the id ran more than once");
+    assert_eq!(platform.rpc_status("held"), 200, "the id stays in use");
+}
+
 /// Guards against a key that no process serves after the old process was killed.
 #[test]
 fn ordered_rpcs_run_in_the_new_process_after_the_old_one_was_killed() {
