Fix: an upload has one reader at a time, and only an attempt with its whole body begins

Where the next connection came up at once, its backend was blamed and the client got 503.

Cause: the refused attempt's connection went into the idle pool while its body was still being sent, and was driven on there. The trace has 120,000 bytes at the refusing backend, most of them after the refusal, and none at the next one. That the first part was gone was not checked when an attempt sent.

Change: UploadReader::acquire is the only way to an upload's bytes, from the first one on; it fails while another reader lives or once the first part is gone. A connection is kept only if it is ready for another request. A client that ends its upload early no longer counts against the backend. Why this works: no second owner of the body can exist, whatever comes up late.

--- a/crates/daemon/src/downstream/request.rs
+++ b/crates/daemon/src/downstream/request.rs
@@ -2,7 +2,7 @@
 use crate::config::name_table::NameTable;
 use crate::downstream::request_ids::RequestIdGuard;
 use crate::downstream::response::ProxyResponse;
-use crate::net::body::RequestUpload;
+use crate::net::body::{RequestBody, RequestUpload};
 use bytes::Bytes;
 use hyper::header::HeaderValue;
 use hyper::{Method, Uri};
@@ -82,6 +82,14 @@
 }
 
 impl RequestPayload {
+    /// Returns the body of another attempt; none if the attempt can't have the whole body.
+    pub(crate) fn attempt_body(&self) -> Option<RequestBody> {
+        match self {
+            Self::Buffered(bytes) => Some(RequestBody::buffered(bytes.clone())),
+            Self::Streamed(upload) => RequestBody::streamed(upload),
+        }
+    }
+
     /// Whether the body is empty.
     pub(super) fn is_empty(&self) -> bool {
         matches!(self, Self::Buffered(bytes) if bytes.is_empty())
--- a/crates/daemon/src/net/body/request_body.rs
+++ b/crates/daemon/src/net/body/request_body.rs
@@ -16,13 +16,15 @@
 }
 
 impl RequestBody {
-    /// Creates the body of another attempt, which starts with the first byte of the upload.
-    pub(crate) fn streamed(upload: &Rc<RequestUpload>) -> Self {
-        Self::Streamed(UploadReader {
-            first_part: Some(upload.first_part()),
-            upload: upload.clone(),
-            is_reader: false,
-        })
+    /// Creates the body of an attempt from all of its bytes.
+    pub(crate) fn buffered(bytes: Bytes) -> Self {
+        Self::Buffered(Full::new(bytes))
+    }
+
+    /// Creates the body of an attempt that streams this upload from its first byte on; none if the upload can't be
+    /// streamed by this attempt, see [`UploadReader::acquire`].
+    pub(crate) fn streamed(upload: &Rc<RequestUpload>) -> Option<Self> {
+        UploadReader::acquire(upload).map(Self::Streamed)
     }
 }
 
@@ -57,24 +59,29 @@
 }
 
 /// One attempt's view of an upload that all attempts of an RPC share.
+///
+/// An upload has at most one reader at any time, from its first byte on: whoever holds the reader is the only one that
+/// takes bytes from the client. It is dropped with the connection of its attempt, before the next attempt starts.
 pub(crate) struct UploadReader {
     /// The buffered bytes, until this attempt has sent them.
     first_part: Option<Bytes>,
     upload: Rc<RequestUpload>,
-    /// Whether this attempt is the one that reads the rest from the client.
-    is_reader: bool,
 }
 
 impl UploadReader {
+    /// Becomes the reader of this upload. None if another attempt still is, or if bytes that are no longer buffered were
+    /// sent: what is left would be another request than the client's.
+    fn acquire(upload: &Rc<RequestUpload>) -> Option<Self> {
+        upload.try_acquire_reader().then(|| Self {
+            first_part: Some(upload.first_part()),
+            upload: upload.clone(),
+        })
+    }
+
     fn poll_frame(&mut self, cx: &mut Context) -> Poll<NextFrame> {
         if let Some(first_part) = self.first_part.take() {
             return Poll::Ready(Some(Ok(Frame::data(first_part))));
         }
-        // Two attempts must not each send a part of the rest.
-        if !self.is_reader && !self.upload.try_acquire_reader() {
-            return Poll::Ready(Some(Err(BodyTruncated)));
-        }
-        self.is_reader = true;
         self.upload
             .poll_remaining(cx)
             .map(|next| next.map(|bytes| bytes.map(Frame::data)))
@@ -88,8 +95,6 @@
 /// Allows another attempt to read from the client.
 impl Drop for UploadReader {
     fn drop(&mut self) {
-        if self.is_reader {
-            self.upload.release_reader();
-        }
+        self.upload.release_reader();
     }
 }
--- a/crates/daemon/src/net/body/upload.rs
+++ b/crates/daemon/src/net/body/upload.rs
@@ -95,6 +95,14 @@
         self.is_waiting_for_client.get()
     }
 
+    /// Whether the client has ended the body early, or made it too long.
+    pub(crate) fn has_failed_at_client(&self) -> bool {
+        matches!(
+            *self.state.borrow(),
+            UploadState::Failed(UploadError::LimitExceeded | UploadError::Truncated)
+        )
+    }
+
     /// The latest time at which the body is complete or has failed.
     pub(crate) fn latest_end(&self) -> Instant {
         self.deadline.get().limit()
@@ -145,9 +153,9 @@
         self.declared_length
     }
 
-    /// Makes the calling attempt the only reader of the rest; false if there is one already.
+    /// Makes the calling attempt the only reader; false if there is one already, or if the first part is no longer there.
     pub(super) fn try_acquire_reader(&self) -> bool {
-        !self.has_reader.replace(true)
+        !self.is_consumed() && !self.has_reader.replace(true)
     }
 
     /// Allows another attempt to become the reader.
@@ -190,10 +198,15 @@
         }
     }
 
-    /// Records that the last byte was received now.
+    /// Records that the last byte was received now, unless an earlier attempt has received it.
     fn complete(&self) {
-        let complete = UploadState::Complete(Instant::now());
-        self.state.send_replace(complete);
+        self.state.send_if_modified(|state| {
+            let is_first = *state == UploadState::Receiving;
+            if is_first {
+                *state = UploadState::Complete(Instant::now());
+            }
+            is_first
+        });
     }
 
     /// Extends the deadline if enough bytes were received.
--- a/crates/daemon/src/upstream/attempt/mod.rs
+++ b/crates/daemon/src/upstream/attempt/mod.rs
@@ -125,7 +125,9 @@
             }
             ExchangeEnd::Withdrawn(_) => return None,
             ExchangeEnd::UploadFailed
-                if upload.is_some_and(|upload| upload.is_waiting_for_client()) =>
+                if upload.is_some_and(|upload| {
+                    upload.is_waiting_for_client() || upload.has_failed_at_client()
+                }) =>
             {
                 AttemptOutcome::NotSent
             }
--- a/crates/daemon/src/upstream/attempt/send.rs
+++ b/crates/daemon/src/upstream/attempt/send.rs
@@ -1,7 +1,7 @@
 //! Sends the request of an exchange and reads the response.
 use super::RunningExchange;
 use super::connect::Checkout;
-use crate::net::body::BUFFERED_BODY_LIMIT;
+use crate::net::body::{BUFFERED_BODY_LIMIT, RequestBody};
 use crate::net::outbound_connection::{
     BodyBuffering, ConnectionError, OutboundConnection, ReceivedResponse, ResponseHead,
 };
@@ -41,7 +41,10 @@
             if self.endpoint.address() != address {
                 continue;
             }
-            if let Some(result) = self.send(checkout, address).await {
+            let Some(body) = self.request.payload.attempt_body() else {
+                return AttemptOutcome::NotSent.into();
+            };
+            if let Some(result) = self.send(checkout, body, address).await {
                 return result;
             }
         }
@@ -85,12 +88,20 @@
 
     /// Sends the request on this connection and reads the response. Returns none if a reused connection was closed
     /// before any byte was written, so that another one may be used.
-    async fn send(&self, mut checkout: Checkout, address: SocketAddr) -> Option<ExchangeResult> {
+    async fn send(
+        &self,
+        mut checkout: Checkout,
+        body: RequestBody,
+        address: SocketAddr,
+    ) -> Option<ExchangeResult> {
         let is_reused = checkout.is_reused;
         self.written.observe(&checkout.connection);
         let last_used = checkout.connection.last_used;
         let idle_for = last_used.elapsed();
-        match self.exchange_on(&mut checkout, address, idle_for).await {
+        let received = self
+            .exchange_on(&mut checkout, body, address, idle_for)
+            .await;
+        match received {
             Ok(response) => {
                 if is_reused {
                     self.endpoint.idle.extend_reuse_time();
@@ -125,6 +136,7 @@
     async fn exchange_on(
         &self,
         checkout: &mut Checkout,
+        body: RequestBody,
         address: SocketAddr,
         idle_for: Duration,
     ) -> Result<ReceivedResponse, ConnectionError> {
@@ -134,7 +146,7 @@
             .deadlines
             .response_deadline
             .saturating_duration_since(sent_at);
-        let request = encode_request(self.request, timeout);
+        let request = encode_request(self.request, body, timeout);
         let head = connection
             .send(request, self.completion.sent_flag())
             .await?;
@@ -210,12 +222,13 @@
     }
 
     /// Returns the outcome of an exchange whose connection failed: a backend can't have started a request whose last
-    /// byte was not written.
+    /// byte was not written. If the client has ended the request early, that has ended the connection, and doesn't count
+    /// against the backend.
     fn connection_failure_outcome(&self) -> AttemptOutcome {
-        if self.request.is_fully_received() {
-            AttemptOutcome::Reset
-        } else {
-            AttemptOutcome::ConnectFailed
+        match self.request.upload() {
+            _ if self.request.is_fully_received() => AttemptOutcome::Reset,
+            Some(upload) if upload.has_failed_at_client() => AttemptOutcome::NotSent,
+            _ => AttemptOutcome::ConnectFailed,
         }
     }
 }
--- a/crates/daemon/src/upstream/backend_protocol.rs
+++ b/crates/daemon/src/upstream/backend_protocol.rs
@@ -7,7 +7,6 @@
 use birchhub::interface::{AttemptOutcome, LoadReport};
 use birchhub_settings::parse_load_report;
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::header::{CONTENT_LENGTH, HeaderName, HeaderValue};
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
 use std::time::Duration;
@@ -41,12 +40,13 @@
     }
 }
 
-/// Encodes a request as the HTTP message to a backend that has `timeout` to respond.
-pub(super) fn encode_request(request: &ParsedRequest, timeout: Duration) -> Request<RequestBody> {
-    let mut message = Request::new(match &request.payload {
-        RequestPayload::Buffered(bytes) => RequestBody::Buffered(Full::new(bytes.clone())),
-        RequestPayload::Streamed(upload) => RequestBody::streamed(upload),
-    });
+/// Encodes a request with this body as the HTTP message to a backend that has `timeout` to respond.
+pub(super) fn encode_request(
+    request: &ParsedRequest,
+    body: RequestBody,
+    timeout: Duration,
+) -> Request<RequestBody> {
+    let mut message = Request::new(body);
     *message.method_mut() = request.method.clone();
     *message.uri_mut() = request.uri.clone();
     let headers = message.headers_mut();
--- a/crates/daemon/src/upstream/endpoint_state.rs
+++ b/crates/daemon/src/upstream/endpoint_state.rs
@@ -61,7 +61,8 @@
     }
 
     /// Keeps a connection to `address` for reuse, unless the response closes it, the backend is no longer ready or its
-    /// address has changed. `digest` is that of the response, if it can be compared.
+    /// address has changed. A connection on which the request was not sent whole is closed: its rest would still be read
+    /// from the client, and sent to a backend that has responded. `digest` is that of the response, if it can be compared.
     pub(super) async fn keep(
         &self,
         mut connection: OutboundConnection,
@@ -72,7 +73,8 @@
         let closes = response_headers
             .get(CONNECTION)
             .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
-        if closes || !connection.is_open().await {
+        if closes || !connection.is_usable().await {
+            log::debug!(address:?, closes; "connection is not kept for reuse");
             return;
         }
         let unchanged = EndpointInfo {
