Fix: the time of a long request runs from its last byte, also while its backend reads nothing

Cause: the client's timeout started when an attempt had the last byte, and an attempt reads as fast as its backend. The rest of the request lay in the sockets. The log of a lost request ends with 'attempt started'; only the 2 s for a backend that takes nothing would have ended it, and nothing a slow one.

Change: what an attempt leaves unread for 0.1 s is read ahead, into an eighth of memory_mb for all uploads. 'Received', from which the client's timeout counts, and 'handed over to an attempt', from which on a backend may have run the request, are two states; an upload that has failed hands over nothing more. Without memory the timeout counts from 0.2 s after the earliest time at which the last byte can have been sent. Why this works: a last byte that was sent is read, or its time is bounded.

--- a/crates/daemon/src/config/file.rs
+++ b/crates/daemon/src/config/file.rs
@@ -19,6 +19,11 @@
 /// ahead.
 const BYTES_PER_SOCKET: u64 = 168 << 10;
 
+/// Part of the memory limit that may hold request bodies which were read ahead of their backends.
+const UPLOAD_MEMORY_FRACTION: u64 = 8;
+/// Memory for such bodies if the file sets no limit, in bytes.
+const DEFAULT_UPLOAD_MEMORY_BYTES: u64 = 16 << 20;
+
 /// The configuration of a proxy.
 pub(crate) struct Config {
     /// Name of the proxy.
@@ -33,6 +38,8 @@
     pub seed: u64,
     /// Maximum number of open sockets.
     pub max_sockets: usize,
+    /// Maximum memory for request bodies that are read ahead of their backends, in bytes.
+    pub upload_memory_bytes: usize,
     /// Cached endpoint list, if the file has one that can be decoded. It may be out of date.
     pub cached_endpoints: Option<EndpointUpdate>,
     /// Why the cached endpoint list can't be decoded. The proxy then waits for the first list from discovery.
@@ -57,7 +64,11 @@
                 self.admin_address != other.admin_address,
             ),
             (keys::SEED, self.seed != other.seed),
-            (keys::LIMITS, self.max_sockets != other.max_sockets),
+            (
+                keys::LIMITS,
+                self.max_sockets != other.max_sockets
+                    || self.upload_memory_bytes != other.upload_memory_bytes,
+            ),
         ];
         keys.into_iter()
             .filter(|(_, differs)| *differs)
@@ -138,6 +149,7 @@
             admin_address: self.optional_address(keys::ADMIN_ADDRESS)?,
             seed: parse_seed(seed)?,
             max_sockets: self.max_sockets(),
+            upload_memory_bytes: self.upload_memory_bytes(),
             cached_endpoints,
             cached_endpoints_error,
             parsed_settings: Arc::new(parsed_settings),
@@ -196,13 +208,32 @@
 
     /// Returns the maximum number of sockets that both the socket limit and the memory limit allow.
     fn max_sockets(&self) -> usize {
-        let limits = self.values.get(keys::LIMITS);
-        let limit = |key| limits.and_then(|limits| limits.get(key)?.as_u64());
-        let memory = limit(keys::MEMORY);
-        let for_memory = memory.map_or(u64::MAX, |mebibytes| (mebibytes << 20) / BYTES_PER_SOCKET);
-        let sockets = limit(keys::MAX_SOCKETS).unwrap_or(DEFAULT_MAX_SOCKETS);
+        let for_memory = self
+            .memory_bytes()
+            .map_or(u64::MAX, |bytes| bytes / BYTES_PER_SOCKET);
+        let sockets = self.limit(keys::MAX_SOCKETS).unwrap_or(DEFAULT_MAX_SOCKETS);
         sockets.min(for_memory) as usize
     }
+
+    /// Returns the maximum memory for request bodies that are read ahead of their backends, in bytes.
+    fn upload_memory_bytes(&self) -> usize {
+        let bytes = self
+            .memory_bytes()
+            .map_or(DEFAULT_UPLOAD_MEMORY_BYTES, |bytes| {
+                bytes / UPLOAD_MEMORY_FRACTION
+            });
+        bytes as usize
+    }
+
+    /// Returns the memory limit, in bytes; none if the file sets none.
+    fn memory_bytes(&self) -> Option<u64> {
+        self.limit(keys::MEMORY).map(|mebibytes| mebibytes << 20)
+    }
+
+    /// Returns a resource limit; none if the file does not set it.
+    fn limit(&self, key: &str) -> Option<u64> {
+        self.values.get(keys::LIMITS)?.get(key)?.as_u64()
+    }
 }
 
 /// Removes a field and returns its value, or `None` if the value is null.
--- a/crates/daemon/src/downstream/request.rs
+++ b/crates/daemon/src/downstream/request.rs
@@ -116,9 +116,9 @@
         }
     }
 
-    /// Whether the last byte of the request was received and, if the body is streamed, handed over to an attempt. Until
-    /// then, no backend can have the complete request.
-    pub(crate) fn is_fully_received(&self) -> bool {
-        self.upload().is_none_or(|upload| upload.is_complete())
+    /// Whether an attempt may have sent the last byte of the request: it is short, or the last byte of its streamed body was
+    /// handed over. Until then, no backend can have the complete request.
+    pub(crate) fn is_handed_over(&self) -> bool {
+        self.upload().is_none_or(|upload| upload.is_handed_over())
     }
 }
--- a/crates/daemon/src/downstream/request_body.rs
+++ b/crates/daemon/src/downstream/request_body.rs
@@ -1,27 +1,28 @@
 //! Receives the body of a request: buffers a short one, and prepares a longer one for streaming.
 use crate::downstream::request::RequestPayload;
 use crate::downstream::request_error::RequestError;
-use crate::net::body::{BODY_LIMIT, BUFFERED_BODY_LIMIT, RequestUpload};
+use crate::net::body::{BODY_LIMIT, BUFFERED_BODY_LIMIT, RequestUpload, UploadSource};
 use crate::net::progress_deadline::ProgressDeadline;
 use bytes::BytesMut;
 use http_body_util::BodyExt;
 use hyper::Method;
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 use tokio::time::{Instant, timeout_at};
 
 /// Receives the body of a request with this HTTP method: all of it, or the first part if it is too long to be buffered.
+/// Nothing of the body was read from `source` before.
 ///
 /// # Errors
 /// The body is too long, malformed, not received in time, or not permitted with `GET`.
 pub(super) async fn receive_payload(
     method: &Method,
-    body: Incoming,
+    source: UploadSource,
     deadline: ProgressDeadline,
 ) -> Result<RequestPayload, RequestError> {
-    if body.size_hint().lower() > BODY_LIMIT {
+    if source.remaining.size_hint().lower() > BODY_LIMIT {
         return Err(RequestError::BodyTooLarge);
     }
-    let payload = buffer_body(body, deadline).await?;
+    let payload = buffer_body(source, deadline).await?;
     if *method == Method::GET && !payload.is_empty() {
         return Err(RequestError::UnexpectedBody);
     }
@@ -30,9 +31,10 @@
 
 /// Buffers a body until it ends, or until it exceeds [`BUFFERED_BODY_LIMIT`] and the rest is to be streamed.
 async fn buffer_body(
-    mut body: Incoming,
+    mut source: UploadSource,
     mut deadline: ProgressDeadline,
 ) -> Result<RequestPayload, RequestError> {
+    let body = &mut source.remaining;
     let declared_length = body.size_hint().lower();
     let capacity = declared_length.min(BUFFERED_BODY_LIMIT as u64) as usize;
     let mut buffered = BytesMut::with_capacity(capacity);
@@ -48,7 +50,7 @@
             }
         }
         if buffered.len() > BUFFERED_BODY_LIMIT && !body.is_end_stream() {
-            let upload = RequestUpload::new(buffered.freeze(), body, deadline);
+            let upload = RequestUpload::new(buffered.freeze(), source, deadline);
             return Ok(RequestPayload::Streamed(upload));
         }
     }
--- a/crates/daemon/src/downstream/request_parser.rs
+++ b/crates/daemon/src/downstream/request_parser.rs
@@ -8,21 +8,28 @@
 use crate::downstream::request_error::RequestError;
 use crate::downstream::request_ids::{RequestIdClaim, RequestIdGuard};
 use crate::downstream::response::ProxyResponse;
+use crate::net::body::{UploadMemory, UploadSource};
+use crate::net::inbound_stream::ClientLiveness;
 use crate::net::progress_deadline::ProgressDeadline;
 use hyper::body::Incoming;
 use hyper::header::TRANSFER_ENCODING;
 use hyper::{HeaderMap, Request, Uri};
+use std::rc::Rc;
 use tokio::time::Instant;
 
 /// Parses requests with the method and tenant names of the active settings.
 pub(crate) struct RequestParser {
     names: ActiveNames,
+    upload_memory: Rc<UploadMemory>,
 }
 
 impl RequestParser {
-    /// Creates a parser that uses the latest active names.
-    pub(crate) fn new(names: ActiveNames) -> Self {
-        Self { names }
+    /// Creates a parser that uses the latest active names. Long bodies are read ahead into `upload_memory`.
+    pub(crate) fn new(names: ActiveNames, upload_memory: Rc<UploadMemory>) -> Self {
+        Self {
+            names,
+            upload_memory,
+        }
     }
 
     /// Parses a client's message and receives its body, or the first part of a body that is too long to be buffered.
@@ -35,6 +42,7 @@
         message: Request<Incoming>,
         scanned: Option<ReceivedHead>,
         body_deadline: ProgressDeadline,
+        client: &ClientLiveness,
     ) -> Result<ReceivedRpc, ProxyResponse> {
         let (head, body) = message.into_parts();
         let scanned = scanned.ok_or(RequestError::AmbiguousFraming)?;
@@ -48,7 +56,12 @@
         let idempotency_key = client_protocol::idempotency_key(&head.headers)?;
         method.check_request(&head.method, idempotency_key.is_some())?;
         let id_guard = reserved_id(scanned.request_id)?;
-        let payload = receive_payload(&head.method, body, body_deadline).await?;
+        let source = UploadSource {
+            remaining: body,
+            client: client.clone(),
+            memory: self.upload_memory.clone(),
+        };
+        let payload = receive_payload(&head.method, source, body_deadline).await?;
         let info = RequestInfo::from_headers(&head.headers);
         let path_and_query = head.uri.path_and_query().cloned();
         let tenant_name = client_protocol::tenant(&head.headers);
--- a/crates/daemon/src/downstream/rpc_deadline.rs
+++ b/crates/daemon/src/downstream/rpc_deadline.rs
@@ -6,8 +6,10 @@
 use crate::end_reason::EndReason;
 use crate::net::body::{RequestUpload, UploadError};
 use crate::time_limits::RESPONSE_GRACE_PERIOD;
+use std::convert::Infallible;
 use std::future::pending;
 use std::time::Duration;
+use tokio::select;
 use tokio::time::{Instant, sleep_until};
 
 /// Returns the latest time at which the RPC must have its response, whether the client or a backend delays it: the
@@ -25,19 +27,27 @@
     timeout: Duration,
 ) {
     let received_at = match upload {
-        Some(upload) => upload.completed().await,
+        Some(upload) => upload.received().await,
         None => received_at,
     };
     sleep_until(received_at + timeout).await;
 }
 
-/// Waits until a streamed request fails before its last byte, and returns the outcome of its RPC. Pending forever if
-/// the request is buffered or completes.
-pub(super) async fn incomplete_upload(upload: Option<&RequestUpload>) -> RpcOutcome {
+/// Reads a streamed request ahead of its backend. Returns the outcome of its RPC if it fails before its last byte; pending
+/// forever if the request is buffered or completes.
+pub(super) async fn incomplete_upload(
+    upload: Option<&RequestUpload>,
+    timeout: Duration,
+) -> RpcOutcome {
     let Some(upload) = upload else {
         return pending().await;
     };
-    match upload.failed().await {
+    let error = select! {
+        biased;
+        error = upload.failed() => error,
+        never = read_ahead(upload, timeout) => match never {},
+    };
+    match error {
         UploadError::LimitExceeded => {
             RpcOutcome::new(RequestError::BodyTooLarge, EndReason::InvalidRequest)
         }
@@ -49,5 +59,25 @@
         }
         // No backend has received the complete request, so none has started it.
         UploadError::Stalled => RpcOutcome::new(ProxyResponse::rejected(), EndReason::BodyStalled),
+        UploadError::Overdue => {
+            RpcOutcome::new(ProxyResponse::rejected(), EndReason::DeadlineExceeded)
+        }
     }
 }
+
+/// Reads a streamed request ahead of its backend, see [`RequestUpload::read_ahead`].
+async fn read_ahead(upload: &RequestUpload, timeout: Duration) -> Infallible {
+    upload.read_ahead(timeout).await;
+    pending().await
+}
+
+/// Returns the outcome of an RPC whose client's timeout has expired. If no backend can have received the complete request,
+/// a retry is safe, and from now on none will receive it.
+pub(super) fn deadline_exceeded(upload: Option<&RequestUpload>) -> RpcOutcome {
+    let response = if upload.is_some_and(RequestUpload::fail_as_overdue) {
+        ProxyResponse::rejected()
+    } else {
+        ProxyResponse::Failed
+    };
+    RpcOutcome::new(response, EndReason::DeadlineExceeded)
+}
--- a/crates/daemon/src/downstream/rpc_service.rs
+++ b/crates/daemon/src/downstream/rpc_service.rs
@@ -7,7 +7,9 @@
 use crate::downstream::request_ids::ActiveRequestIds;
 use crate::downstream::request_parser::RequestParser;
 use crate::downstream::response::ProxyResponse;
-use crate::downstream::rpc_deadline::{client_timeout, incomplete_upload, response_deadline};
+use crate::downstream::rpc_deadline::{
+    client_timeout, deadline_exceeded, incomplete_upload, response_deadline,
+};
 use crate::downstream::rpc_guard::RpcGuard;
 use crate::downstream::rpc_log::RpcLog;
 use crate::downstream::rpc_outcome::RpcOutcome;
@@ -72,7 +74,7 @@
         if message.method() == Method::GET && message.uri().path() == READINESS_PATH {
             return ProxyResponse::Health(self.state.borrow().is_healthy());
         }
-        let parsed = self.parser.parse(message, head, body_deadline);
+        let parsed = self.parser.parse(message, head, body_deadline, &liveness);
         match parsed.await {
             Ok(rpc) => self.serve(rpc, connection, liveness).await,
             Err(response) => {
@@ -103,16 +105,24 @@
         let outcome = self.wait_for_outcome(rpc, liveness, log.request_id()).await;
         // The timeout of a streamed request starts with its last byte: without it there is no deadline.
         let received_at = match &upload {
-            Some(upload) => upload.completed_at(),
+            Some(upload) => upload.received_at(),
             None => Some(buffered_at),
         };
         if let Some(received_at) = received_at {
             self.invariants
                 .check_response(log.request_id(), received_at + timeout);
         }
+        if let Some(upload) = &upload {
+            log::debug!(
+                request:% = log.request_id(), received_bytes = upload.received_bytes(),
+                last_byte_ago:? = upload.received_at().map(|at| at.elapsed()),
+                is_handed_over = upload.is_handed_over();
+                "streamed request ended"
+            );
+        }
         log.end(outcome.reason);
         // The rest of a streamed request is no longer read, so the next message can't be found.
-        connection.set_closing(upload.is_some_and(|upload| !upload.is_complete()));
+        connection.set_closing(upload.is_some_and(|upload| upload.received_at().is_none()));
         outcome.response
     }
 
@@ -135,18 +145,23 @@
         let id = self.next_rpc.replace(self.next_rpc.get() + 1);
         let guard = RpcGuard::new(id, permit);
         let upload = rpc.request.upload().cloned();
-        let timeout = client_timeout(upload.as_deref(), rpc.received_at, rpc.timeout);
+        let upload = upload.as_deref();
+        let timeout = rpc.timeout;
+        let expired = client_timeout(upload, rpc.received_at, timeout);
         // An RPC that the decision actor drops without a response ends at one of the deadlines.
         select! {
             biased;
-            outcome = incomplete_upload(upload.as_deref()) => outcome,
+            outcome = incomplete_upload(upload, timeout) => outcome,
             Some(response) = self.submit(id, rpc, liveness) => {
                 guard.disarm();
                 RpcOutcome::from_decision(response)
             }
-            () = timeout => {
-                log::error!(request:% = request_id_text; "RPC exceeded its deadline without a response");
-                RpcOutcome::new(ProxyResponse::Failed, EndReason::DeadlineExceeded)
+            () = expired => {
+                let outcome = deadline_exceeded(upload);
+                if matches!(outcome.response, ProxyResponse::Failed) {
+                    log::error!(request:% = request_id_text; "RPC exceeded its deadline without a response");
+                }
+                outcome
             }
             () = self.shutdown_deadline() => {
                 RpcOutcome::new(ProxyResponse::Failed, EndReason::ShuttingDown)
--- a/crates/daemon/src/net/body/mod.rs
+++ b/crates/daemon/src/net/body/mod.rs
@@ -1,14 +1,17 @@
 //! Bodies of requests and responses. Short ones are buffered; longer ones are streamed frame by frame, as fast as the
 //! receiver reads them.
+mod last_byte;
 pub(crate) mod request_body;
 pub(crate) mod response_body;
 pub(crate) mod streamed_body;
 pub(crate) mod upload;
+pub(crate) mod upload_buffer;
 
 pub(crate) use request_body::RequestBody;
 pub(crate) use response_body::{DeliveryStatus, ResponseBody};
 pub(crate) use streamed_body::{StreamedBody, streamed_body};
-pub(crate) use upload::{RequestUpload, UploadError};
+pub(crate) use upload::{RequestUpload, UploadError, UploadSource};
+pub(crate) use upload_buffer::UploadMemory;
 
 use bytes::Bytes;
 use http_body_util::Full;
--- a/crates/daemon/src/net/body/request_body.rs
+++ b/crates/daemon/src/net/body/request_body.rs
@@ -80,6 +80,7 @@
 
     fn poll_frame(&mut self, cx: &mut Context) -> Poll<NextFrame> {
         if let Some(first_part) = self.first_part.take() {
+            self.upload.hand_over_if_read();
             return Poll::Ready(Some(Ok(Frame::data(first_part))));
         }
         self.upload
@@ -88,7 +89,7 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        self.first_part.is_none() && self.upload.is_complete()
+        self.first_part.is_none() && self.upload.is_handed_over()
     }
 }
 
--- a/crates/daemon/src/net/inbound_stream.rs
+++ b/crates/daemon/src/net/inbound_stream.rs
@@ -16,7 +16,7 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::task::yield_now;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// Number of buffered bytes at which reading ahead stops. Ordinary clients send nothing while their RPC is in flight.
 const READ_AHEAD_LIMIT: usize = 16 << 10;
@@ -37,6 +37,8 @@
     buffered: BytesMut,
     /// Wakes the task that waits for bytes of the stream.
     reader: Option<Waker>,
+    /// When that task last found neither buffered bytes nor any in the socket.
+    drained_at: Instant,
 }
 
 /// Why reading ahead stopped.
@@ -58,6 +60,13 @@
 pub(crate) struct ClientLiveness(Weak<RefCell<ReadState>>);
 
 impl ClientLiveness {
+    /// Returns when all bytes that the client had sent were read, as far as the event loop knew: the latest time at which
+    /// none was left. The present time if the connection is closed.
+    pub(crate) fn drained_at(&self) -> Instant {
+        let state = self.0.upgrade();
+        state.map_or_else(Instant::now, |state| state.borrow().drained_at)
+    }
+
     /// Whether the client has disconnected, as far as the kernel knows now. The event loop may not have been notified
     /// yet, for example after this process was suspended.
     pub(crate) async fn is_disconnected(&self) -> bool {
@@ -87,6 +96,7 @@
             read_half,
             buffered: BytesMut::new(),
             reader: None,
+            drained_at: Instant::now(),
         };
         Self {
             read_ahead: ReadAhead(Rc::new(RefCell::new(state))),
@@ -183,10 +193,16 @@
             read_half,
             buffered,
             reader,
+            drained_at,
         } = &mut *self.read_ahead.0.borrow_mut();
         if buffered.is_empty() {
             let result = socket::poll_read((*read_half).as_ref(), cx, buf);
-            *reader = result.is_pending().then(|| cx.waker().clone());
+            if result.is_pending() {
+                *reader = Some(cx.waker().clone());
+                *drained_at = Instant::now();
+            } else {
+                *reader = None;
+            }
             return result;
         }
         let length = buffered.len().min(buf.remaining());
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -17,6 +17,7 @@
 use crate::lifecycle::startup;
 use crate::lifecycle::state_store::StateStore;
 use crate::messages::Event;
+use crate::net::body::UploadMemory;
 use crate::net::socket_budget::SocketBudget;
 use crate::signals::SignalFlag;
 use std::cell::RefCell;
@@ -149,8 +150,9 @@
         socket: TcpListener,
         events: mpsc::Sender<Event>,
     ) -> JoinHandle<()> {
+        let upload_memory = UploadMemory::new(self.config.upload_memory_bytes);
         let service = RpcService::new(
-            RequestParser::new(self.names.clone()),
+            RequestParser::new(self.names.clone(), upload_memory),
             ActiveRequestIds::new(self.state_store.request_id_locks()),
             self.state_store.subscribe(),
             self.invariants.clone(),
--- a/crates/daemon/src/time_limits.rs
+++ b/crates/daemon/src/time_limits.rs
@@ -9,7 +9,8 @@
 //! | a connection without an RPC in flight may be closed after 2 s | [`IDLE_TIMEOUT`] (lower bound) |
 //! | peers may take seconds to read or write | [`RESPONSE_STALL_TIMEOUT`], [`UPLOAD_STALL_TIMEOUT`] (lower bound) |
 //! | the proxy's process may be suspended for up to 0.15 s | the margin between these timeouts and 3 s |
-//! | `Request-Timeout-Ms` counts from the request's last byte | starts when the timeouts of the message end |
+//! | `Request-Timeout-Ms` counts from the request's last byte, which may lie unread in the machine | starts when the timeouts of the message end; [`READ_AHEAD_DELAY`] |
+//! | a response may come half a second after the client's timeout | [`LAST_BYTE_UNCERTAINTY`], [`READ_AHEAD_DELAY`], [`MAX_ARRIVAL_DELAY`] (upper bound of their sum) |
 //!
 //! Deadlines set by SIGTERM and standby are in `lifecycle/graceful_shutdown.rs` and `lifecycle/state.rs`; they only
 //! shorten these.
@@ -36,6 +37,13 @@
 /// Rate from which the time limit of a whole body is computed: half of the slowest ordinary client's 64 kB/s.
 pub(crate) const MIN_BODY_BYTES_PER_SECOND: u32 = 32_000;
 
+/// Time for which bytes of a streamed request wait in the sockets for a slower backend before the proxy reads ahead.
+pub(crate) const READ_AHEAD_DELAY: Duration = Duration::from_millis(100);
+/// Maximum time by which the proxy takes the last byte of a streamed request for later than it can have been sent, if bytes
+/// lay unread.
+pub(crate) const LAST_BYTE_UNCERTAINTY: Duration = Duration::from_millis(200);
+/// Maximum time in which bytes that a client has sent arrive, while the proxy reads all that comes.
+pub(crate) const MAX_ARRIVAL_DELAY: Duration = Duration::from_millis(50);
 /// Maximum time without a byte of a streamed request being written to its backend while the client has sent more.
 pub(crate) const UPLOAD_STALL_TIMEOUT: Duration = Duration::from_secs(2);
 
--- a/crates/daemon/src/upstream/attempt/early_end.rs
+++ b/crates/daemon/src/upstream/attempt/early_end.rs
@@ -45,7 +45,7 @@
     /// unknown.
     pub(super) async fn timed_out(&self) {
         if let Some(upload) = self.request.upload() {
-            upload.completed().await;
+            upload.handed_over().await;
             self.completion.report_request_sent().await;
         }
         clock::until(self.timeout_at()).await;
@@ -59,7 +59,7 @@
         let deadline = self.deadlines.response_deadline;
         match self.request.upload() {
             None => Some(deadline),
-            Some(upload) => Some(upload.completed_at()? + (deadline - self.started_at)),
+            Some(upload) => Some(upload.received_at()? + (deadline - self.started_at)),
         }
     }
 
@@ -79,7 +79,7 @@
         };
         let mut written = self.written.bytes();
         let mut stalled_since = Instant::now();
-        while !upload.is_complete() {
+        while !upload.is_handed_over() {
             sleep(UPLOAD_CHECK_INTERVAL).await;
             if upload.is_waiting_for_client() || self.written.bytes() != written {
                 written = self.written.bytes();
--- a/crates/daemon/src/upstream/attempt/mod.rs
+++ b/crates/daemon/src/upstream/attempt/mod.rs
@@ -120,9 +120,7 @@
         let upload = self.request.upload();
         let outcome = match end {
             ExchangeEnd::Completed(result) => return Some(result),
-            ExchangeEnd::Withdrawn(_) if !self.request.is_fully_received() => {
-                AttemptOutcome::NotSent
-            }
+            ExchangeEnd::Withdrawn(_) if !self.request.is_handed_over() => AttemptOutcome::NotSent,
             ExchangeEnd::Withdrawn(_) => return None,
             ExchangeEnd::UploadFailed
                 if upload.is_some_and(|upload| {
--- a/crates/daemon/src/upstream/attempt/send.rs
+++ b/crates/daemon/src/upstream/attempt/send.rs
@@ -61,7 +61,7 @@
         let now = Instant::now();
         // The client's deadline of a streamed request is not known before its last byte.
         let client_deadline = self.deadlines.client_deadline;
-        let client_deadline = client_deadline.filter(|_| self.request.is_fully_received());
+        let client_deadline = client_deadline.filter(|_| self.request.is_handed_over());
         let send_deadline = self.deadlines.send_deadline;
         AttemptSend {
             is_client_disconnected,
@@ -155,7 +155,7 @@
             idle_for:?, after:? = sent_at.elapsed(), status:? = head.status, length:? = head.length;
             "response began"
         );
-        if head.status == StatusCode::OK && !self.request.is_fully_received() {
+        if head.status == StatusCode::OK && !self.request.is_handed_over() {
             // A backend starts a request with its last byte, so this is no response to it.
             return Err(ConnectionError::MalformedResponse);
         }
@@ -226,7 +226,7 @@
     /// against the backend.
     fn connection_failure_outcome(&self) -> AttemptOutcome {
         match self.request.upload() {
-            _ if self.request.is_fully_received() => AttemptOutcome::Reset,
+            _ if self.request.is_handed_over() => AttemptOutcome::Reset,
             Some(upload) if upload.has_failed_at_client() => AttemptOutcome::NotSent,
             _ => AttemptOutcome::ConnectFailed,
         }
