--- a/crates/daemon/src/downstream/listener.rs
+++ b/crates/daemon/src/downstream/listener.rs
@@ -1,9 +1,11 @@
 //! The listener for clients: accepts connections within the socket budget and starts a task for each.
 use crate::clock::until;
 use crate::downstream::connection_task::ConnectionTask;
+use crate::downstream::request_parser::RequestParser;
 use crate::downstream::rpc_service::RpcService;
 use crate::invariants::Invariants;
 use crate::lifecycle::state::ProxyState;
+use crate::messages::Event;
 use crate::net::local_error::is_resource_shortage;
 use crate::net::socket_budget::{SocketBudget, SocketClass};
 use std::cell::Cell;
@@ -12,7 +14,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::select;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::task::{spawn_local, yield_now};
 use tokio::time::{Instant, sleep};
 
@@ -51,13 +53,15 @@
 }
 
 impl Listener {
-    /// Creates a listener whose connections are served by this service.
+    /// Creates a listener that sends RPCs to the decision actor through `events`.
     pub(crate) fn new(
-        service: RpcService,
+        parser: RequestParser,
         state: watch::Receiver<ProxyState>,
         budget: Rc<SocketBudget>,
         invariants: Rc<Invariants>,
+        events: mpsc::Sender<Event>,
     ) -> Self {
+        let service = RpcService::new(parser, state.clone(), invariants.clone(), events);
         Self {
             service: Rc::new(service),
             state,
--- a/crates/daemon/src/downstream/rpc_service.rs
+++ b/crates/daemon/src/downstream/rpc_service.rs
@@ -38,11 +38,9 @@
 }
 
 impl RpcService {
-    /// Creates a service that sends RPCs to the decision actor through `events`. Open requests hold their ids in
-    /// `request_ids`.
+    /// Creates a service that sends RPCs to the decision actor through `events`.
     pub(crate) fn new(
         parser: RequestParser,
-        request_ids: ActiveRequestIds,
         state: watch::Receiver<ProxyState>,
         invariants: Rc<Invariants>,
         events: mpsc::Sender<Event>,
@@ -53,7 +51,7 @@
             invariants,
             events,
             next_rpc: Cell::new(0),
-            request_ids,
+            request_ids: ActiveRequestIds::default(),
         }
     }
 
--- a/crates/daemon/src/lifecycle/process_group/folder.rs
+++ b/crates/daemon/src/lifecycle/process_group/folder.rs
@@ -14,8 +14,6 @@
 const LOCK_FILE: &str = "birchhub.lock";
 /// File that the process locks which runs RPCs of methods that are ordered by key.
 const ORDERING_LOCK_FILE: &str = "birchhub.order";
-/// File of which a process locks one byte for each `Request-Id` that it has taken.
-const REQUEST_ID_LOCK_FILE: &str = "birchhub.ids";
 /// File with the administrative state.
 const STATE_FILE: &str = "birchhub.standing";
 /// File into which the next administrative state is written before it replaces [`STATE_FILE`].
@@ -51,11 +49,6 @@
     folder.join(ORDERING_LOCK_FILE)
 }
 
-/// Returns the path of the lock file of `Request-Id`s.
-pub(super) fn request_id_lock_path(folder: &Path) -> PathBuf {
-    folder.join(REQUEST_ID_LOCK_FILE)
-}
-
 /// Returns the path of the administrative state.
 pub(super) fn state_path(folder: &Path) -> PathBuf {
     folder.join(STATE_FILE)
--- a/crates/daemon/src/lifecycle/process_group/mod.rs
+++ b/crates/daemon/src/lifecycle/process_group/mod.rs
@@ -2,19 +2,16 @@
 //!
 //! They communicate through files in one folder below `$TMPDIR` ([`folder`]). Each process has a slot, in which it
 //! publishes whether it accepts clients ([`slots`]), and all share the administrative state ([`state_file`]). One of them
-//! runs RPCs of methods that are ordered by key ([`ordering_lock`]). None takes a request that another one has taken
-//! ([`request_id_locks`]).
+//! runs RPCs of methods that are ordered by key ([`ordering_lock`]).
 
 mod error;
 mod folder;
 mod ordering_lock;
-mod request_id_locks;
 mod slots;
 mod state_file;
 
 pub(crate) use error::ProcessGroupError;
 pub(crate) use ordering_lock::{OrderingLock, PreviousHolder};
-pub(crate) use request_id_locks::RequestIdLocks;
 
 use crate::lifecycle::admin_state::AdminState;
 use folder::folder_name;
@@ -22,9 +19,9 @@
 use state_file::StateFile;
 use std::path::{Path, PathBuf};
 
-/// Maximum number of descriptors of a group: the slot files, the three lock files, and the state file while it is read or
+/// Maximum number of descriptors of a group: the slot files, the two lock files, and the state file while it is read or
 /// written.
-pub(crate) const MAX_DESCRIPTORS: usize = SLOT_COUNT + 4;
+pub(crate) const MAX_DESCRIPTORS: usize = SLOT_COUNT + 3;
 
 /// Counts of the other processes of this proxy.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -62,11 +59,6 @@
         OrderingLock::open(&self.state_file.folder)
     }
 
-    /// Opens the locks of the `Request-Id`s that processes have taken.
-    pub(crate) fn request_id_locks(&self) -> Result<RequestIdLocks, ProcessGroupError> {
-        RequestIdLocks::open(&self.state_file.folder)
-    }
-
     /// Publishes to the siblings whether this process accepts clients, once it holds a slot.
     pub(crate) fn publish_accepting(&mut self, accepting: bool) {
         self.slots.publish_accepting(accepting);
--- a/crates/daemon/src/lifecycle/state_store.rs
+++ b/crates/daemon/src/lifecycle/state_store.rs
@@ -4,12 +4,11 @@
 use crate::lifecycle::graceful_shutdown::GracefulShutdown;
 use crate::lifecycle::pending_changes::{ChangeBatch, PendingChanges};
 use crate::lifecycle::process_group::{
-    OrderingLock, PreviousHolder, ProcessGroup, ProcessGroupError, RequestIdLocks,
+    OrderingLock, PreviousHolder, ProcessGroup, ProcessGroupError,
 };
 use crate::lifecycle::state::ProxyState;
 use birchhub::interface::OrderedRpcs;
 use std::cell::Cell;
-use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{Mutex, watch};
 use tokio::time::sleep;
@@ -33,8 +32,6 @@
     process_group: Option<Mutex<ProcessGroup>>,
     /// `None` without a process group.
     ordering_lock: Option<OrderingLock>,
-    /// `None` if no other process shares the listening socket.
-    request_id_locks: Option<Rc<RequestIdLocks>>,
     /// Changes of the administrative state that wait to be stored.
     pending: PendingChanges,
     /// Whether the last periodic write failed, and the failure was logged.
@@ -54,8 +51,6 @@
             log::info!("initial state: {state}");
         }
         let ordering_lock = process_group.as_ref().and_then(open_ordering_lock);
-        let shared_group = process_group.as_ref().filter(|_| inherited_listener);
-        let request_id_locks = shared_group.and_then(open_request_id_locks).map(Rc::new);
         if ordering_lock.is_some() {
             state.ordered_rpcs = OrderedRpcs::Wait;
         }
@@ -64,7 +59,6 @@
             applied_generation: watch::Sender::default(),
             process_group: process_group.map(Mutex::new),
             ordering_lock,
-            request_id_locks,
             pending: PendingChanges::default(),
             logged_write_failure: Cell::default(),
             logged_excess_names: Cell::default(),
@@ -76,11 +70,6 @@
         self.state.subscribe()
     }
 
-    /// Returns the locks of `Request-Id`s; none if no other process shares the listening socket.
-    pub(crate) fn request_id_locks(&self) -> Option<Rc<RequestIdLocks>> {
-        self.request_id_locks.clone()
-    }
-
     /// Returns the current state.
     pub(crate) fn current(&self) -> watch::Ref<'_, ProxyState> {
         self.state.borrow()
@@ -315,14 +304,6 @@
         .ok()
 }
 
-/// Opens the locks of `Request-Id`s; none if that fails.
-fn open_request_id_locks(group: &ProcessGroup) -> Option<RequestIdLocks> {
-    group
-        .request_id_locks()
-        .inspect_err(|error| log::warn!("request ids are not locked: {error}"))
-        .ok()
-}
-
 /// Returns the stored administrative state if it has changed since the last read.
 fn read_admin_state(group: &mut ProcessGroup) -> Option<AdminState> {
     group.read_if_changed().unwrap_or_else(|error| {
--- a/crates/daemon/src/net/socket_budget.rs
+++ b/crates/daemon/src/net/socket_budget.rs
@@ -10,7 +10,7 @@
 pub(crate) const ADMIN_CONNECTIONS: usize = 8;
 /// Descriptors reserved for standard streams, listeners, epoll, discovery and connections beyond the budget that are
 /// rejected.
-const BASE_RESERVED_DESCRIPTORS: usize = 38;
+const BASE_RESERVED_DESCRIPTORS: usize = 39;
 /// All reserved descriptors, including those of admin connections and of the process group.
 const RESERVED_DESCRIPTORS: usize =
     BASE_RESERVED_DESCRIPTORS + ADMIN_CONNECTIONS + PROCESS_GROUP_DESCRIPTORS;
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -9,9 +9,7 @@
 use crate::discovery::client::{DiscoveryClient, DiscoveryContext};
 use crate::discovery::source::DiscoverySource;
 use crate::downstream::listener::Listener;
-use crate::downstream::request_ids::ActiveRequestIds;
 use crate::downstream::request_parser::RequestParser;
-use crate::downstream::rpc_service::RpcService;
 use crate::invariants::Invariants;
 use crate::lifecycle::admin_api::AdminServer;
 use crate::lifecycle::startup;
@@ -151,18 +149,12 @@
         events: mpsc::Sender<Event>,
     ) -> JoinHandle<()> {
         let upload_memory = UploadMemory::new(self.config.upload_memory_bytes);
-        let service = RpcService::new(
-            RequestParser::new(self.names.clone(), upload_memory),
-            ActiveRequestIds::new(self.state_store.request_id_locks()),
-            self.state_store.subscribe(),
-            self.invariants.clone(),
-            events,
-        );
         let listener = Listener::new(
-            service,
+            RequestParser::new(self.names.clone(), upload_memory),
             self.state_store.subscribe(),
             self.budget.clone(),
             self.invariants.clone(),
+            events,
         );
         spawn_local(startup::accept_clients(
             listener,
