Fix: where lists are pushed, a new process waits for the list of its agent

Cause: use_cached_endpoints made the process ready 0.5 s after its start with the cached list, taking a silent agent for one that has nothing new. A trace of the agent's calls and of the log (postmortem) shows calls from 3 ms after the start on, no response, attempts by list version 4 only, and none to s-1 after the first response; so no lost response and no ignored drain.

Invariant: where lists are pushed, no backend gets a new RPC by a list that is older than what the agent had when the process started. The cached list is the base of the agent's first changes, and its backends count as draining until then. A process without a usable list is ready after 9 s (10 s for nine in ten, 30 s for each), beside another process after 5 s (6 s to say yes), and rejects RPCs, which is harmless. The same limit holds where lists are polled and there is no cached list: such a process was never ready in an outage.

--- a/crates/daemon/src/decision/actor.rs
+++ b/crates/daemon/src/decision/actor.rs
@@ -173,7 +173,7 @@
                 outcome,
                 report,
             } => self.on_health_checked(backend, outcome, report),
-            Event::EndpointsChanged(update) => self.update_endpoints(&update),
+            Event::EndpointsChanged(update) => self.on_endpoints_changed(update),
             Event::DiscoveryFailed => self.on_discovery_failed(),
             Event::SettingsChanged(update) => self.apply_config_update(*update),
         }
--- a/crates/daemon/src/decision/endpoints.rs
+++ b/crates/daemon/src/decision/endpoints.rs
@@ -1,7 +1,9 @@
 //! The registry of backends: applies updates of the endpoint list, and starts and stops the endpoint actors.
 use crate::clock::Clock;
 use crate::decision::endpoint_ids::EndpointIds;
+use crate::decision::list_confirmation::ListConfirmation;
 use crate::decision::start_times::StartTime;
+use crate::discovery::source::DiscoverySource;
 use crate::discovery::update::{EndpointUpdate, ListedEndpoint};
 use crate::event_loop::WorkQueue;
 use crate::invariants::Invariants;
@@ -10,7 +12,7 @@
 use crate::upstream::endpoint::{ConnectionTimeouts, EndpointHandle, EndpointResources};
 use crate::upstream::endpoint_state::{BackendProcess, EndpointInfo};
 use crate::upstream::exchange::Exchange;
-use birchhub::interface::{Endpoint, Readiness};
+use birchhub::interface::{Endpoint, EndpointUpdateKind, Readiness};
 use birchhub_settings::ParsedSettings;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -29,6 +31,8 @@
     ids: EndpointIds,
     /// The last list entry of each backend that is not removed, by uid.
     listed: HashMap<String, ListedEndpoint>,
+    /// Whether the list may be used.
+    confirmation: ListConfirmation,
     /// The names of the zones in the settings.
     zones: Vec<String>,
     /// Whether the endpoint list contains the sizes of the backends.
@@ -49,6 +53,7 @@
             handles: HashMap::new(),
             ids: EndpointIds::default(),
             listed: HashMap::new(),
+            confirmation: ListConfirmation::at_start(DiscoverySource::of(&settings.settings)),
             zones: settings.zones.clone(),
             lists_sizes: settings.lists_endpoint_sizes,
             resources: EndpointResources {
@@ -84,6 +89,41 @@
             .collect()
     }
 
+    /// Returns the list entries of all backends, by uid.
+    pub(super) fn all_listed(&self) -> Vec<ListedEndpoint> {
+        let mut listed: Vec<_> = self.listed.values().cloned().collect();
+        listed.sort_unstable_by(|a, b| a.uid.cmp(&b.uid));
+        listed
+    }
+
+    /// Returns whether the list may be used.
+    pub(super) fn confirmation(&self) -> ListConfirmation {
+        self.confirmation
+    }
+
+    /// Sets whether the list may be used. Applies to the entries of all later updates.
+    pub(super) fn set_confirmation(&mut self, confirmation: ListConfirmation) {
+        self.confirmation = confirmation;
+    }
+
+    /// Returns the snapshot that results from applying changes to the list.
+    pub(super) fn snapshot_with(&self, changes: EndpointUpdate) -> EndpointUpdate {
+        let changed: HashSet<_> = changes
+            .endpoints
+            .iter()
+            .map(|listed| listed.uid.as_str())
+            .collect();
+        let mut endpoints = self.all_listed();
+        endpoints.retain(|listed| !changed.contains(listed.uid.as_str()));
+        endpoints.extend(changes.endpoints);
+        endpoints.retain(|listed| listed.readiness != Readiness::Removed);
+        EndpointUpdate {
+            kind: EndpointUpdateKind::Snapshot,
+            endpoints,
+            ..changes
+        }
+    }
+
     /// Applies an update of the endpoint list. Returns its endpoints as the balancer takes them.
     pub(super) fn apply(
         &mut self,
@@ -130,7 +170,7 @@
         clock: &Clock,
     ) -> Endpoint {
         self.record_listed(listed);
-        // The only place where maintenance overrides the endpoint list: all code below uses the effective status.
+        // Maintenance and an unconfirmed list override the entry here only: all code below uses the effective status.
         let EndpointStatus {
             readiness,
             started_at_ms,
@@ -142,6 +182,7 @@
             },
         );
         let convert_start = || StartTime::convert(started_at_ms, changed_since, clock);
+        let readiness = self.usable_readiness(readiness);
         let known = self.ids.get_or_assign(&listed.uid, convert_start);
         if !known.start.was_converted_from(started_at_ms) {
             known.start = convert_start();
@@ -175,6 +216,14 @@
         }
     }
 
+    /// Returns the readiness of a backend that would be ready if its list entry was up to date.
+    fn usable_readiness(&self, readiness: Readiness) -> Readiness {
+        match readiness {
+            Readiness::Ready if !self.confirmation.is_usable() => Readiness::Draining,
+            readiness => readiness,
+        }
+    }
+
     fn record_listed(&mut self, listed: &ListedEndpoint) {
         if listed.readiness == Readiness::Removed {
             self.listed.remove(&listed.uid);
--- a/crates/daemon/src/decision/mod.rs
+++ b/crates/daemon/src/decision/mod.rs
@@ -9,6 +9,7 @@
 mod exchange_events;
 mod heartbeat;
 mod in_flight;
+mod list_confirmation;
 mod platform;
 mod shadow_replay;
 mod start_times;
--- a/crates/daemon/src/decision/updates.rs
+++ b/crates/daemon/src/decision/updates.rs
@@ -2,12 +2,14 @@
 use crate::config::update::{AppliedUpdate, ConfigUpdate};
 use crate::decision::actor::DecisionActor;
 use crate::decision::in_flight::repeat_rules;
+use crate::decision::list_confirmation::ListConfirmation;
 use crate::discovery::update::EndpointUpdate;
 use birchhub::interface::{EndpointUpdateKind, OrderedRpcs};
 use tokio::time::Instant;
 
 impl DecisionActor {
-    /// Loads the cached endpoint list of the configuration as a stale snapshot.
+    /// Loads the cached endpoint list of the configuration as a stale snapshot. Where lists are pushed, its backends
+    /// receive no RPCs until the local agent has responded.
     pub(super) fn load_cached_endpoints(&mut self, cached: Option<&EndpointUpdate>) {
         self.update_endpoints(&EndpointUpdate {
             version: cached.map_or(0, |cached| cached.version),
@@ -17,6 +19,19 @@
         });
     }
 
+    /// Applies an update from the discovery source, which confirms all other entries of the list.
+    pub(super) fn on_endpoints_changed(&mut self, update: EndpointUpdate) {
+        let endpoints = &mut self.platform.endpoints;
+        let was_usable = endpoints.confirmation().is_usable();
+        endpoints.set_confirmation(ListConfirmation::Confirmed);
+        if !was_usable && update.kind == EndpointUpdateKind::Incremental {
+            let snapshot = endpoints.snapshot_with(update);
+            self.update_endpoints(&snapshot);
+        } else {
+            self.update_endpoints(&update);
+        }
+    }
+
     /// Applies an update of the endpoint list.
     pub(super) fn update_endpoints(&mut self, update: &EndpointUpdate) {
         let kind = update.kind;
--- a/crates/daemon/src/discovery/poller.rs
+++ b/crates/daemon/src/discovery/poller.rs
@@ -87,17 +87,17 @@
         }
     }
 
-    /// Returns the next call: for a snapshot if no version is known, or else for changes. `is_ready` tells whether the
-    /// process has an endpoint list.
-    pub(super) fn next_call(&self, mode: PollMode, is_ready: bool) -> Call {
+    /// Returns the next call: for a snapshot if no version is known, or else for changes. `has_endpoints` tells whether
+    /// the process has an endpoint list.
+    pub(super) fn next_call(&self, mode: PollMode, has_endpoints: bool) -> Call {
         match self.version {
-            None => self.snapshot_call(is_ready),
+            None => self.snapshot_call(has_endpoints),
             Some(version) => self.changes_call(version, mode),
         }
     }
 
-    fn snapshot_call(&self, is_ready: bool) -> Call {
-        let is_first = self.source == DiscoverySource::CentralService && !is_ready;
+    fn snapshot_call(&self, has_endpoints: bool) -> Call {
+        let is_first = self.source == DiscoverySource::CentralService && !has_endpoints;
         let timeouts = if is_first {
             FIRST_SNAPSHOT_TIMEOUTS
         } else {
--- a/crates/daemon/src/discovery/watch.rs
+++ b/crates/daemon/src/discovery/watch.rs
@@ -46,8 +46,8 @@
         let mut mode = self.poller.initial_mode();
         let mut retries = 0;
         loop {
-            let is_ready = self.state_store.current().ready;
-            let call = self.poller.next_call(mode, is_ready);
+            let has_endpoints = self.state_store.current().has_endpoints;
+            let call = self.poller.next_call(mode, has_endpoints);
             let started = Instant::now();
             let previous_response = self.poller.last_response();
             let is_long_poll = call.is_long_poll;
@@ -114,7 +114,7 @@
             .iter()
             .map(|endpoint| endpoint.uid.as_str());
         self.state_store.record_listed_names(names);
-        self.state_store.set_ready();
+        self.state_store.record_endpoint_list();
         self.send(Event::EndpointsChanged(update)).await
     }
 
--- a/crates/daemon/src/lifecycle/startup.rs
+++ b/crates/daemon/src/lifecycle/startup.rs
@@ -11,11 +11,16 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
-use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
-/// Longest wait for the first endpoint list from a local agent. An agent that sends none by then has nothing new.
-const AGENT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for which connections wait to be accepted while the first list from a local agent is awaited, which usually takes a
+/// few milliseconds. RPCs on accepted connections are rejected until then.
+const MAX_ACCEPT_DELAY: Duration = Duration::from_millis(500);
+/// Time from the start until a process is ready even without an endpoint list. Nine in ten restarted processes must be
+/// ready within 10 s, of which a slow start and the next health check need a part.
+const MAX_ENDPOINTS_WAIT: Duration = Duration::from_secs(9);
+/// The same for a process that replaces another one, which must accept clients within 6 s.
+const MAX_ENDPOINTS_WAIT_AT_REPLACEMENT: Duration = Duration::from_secs(5);
 /// Number of poll intervals for which this process waits before it accepts clients if it has siblings, which reduce
 /// their socket budgets in this time.
 const SIBLING_WAIT_POLLS: u32 = 2;
@@ -65,12 +70,11 @@
     }
 }
 
-/// Makes the process ready if there is a cached endpoint list, with which RPCs can be balanced. If lists are pushed,
-/// the first pushed list is awaited for [`AGENT_TIMEOUT`]. Without a cached list, the first response of discovery makes
-/// the process ready.
+/// Records the names in the cached endpoint list. Where lists are polled, the list makes the process ready. Otherwise, and
+/// without a cached list, the first response of discovery makes it ready, or the limit of [`limit_endpoints_wait`].
 pub(crate) fn use_cached_endpoints(
     config: &Config,
-    state_store: &Rc<StateStore>,
+    state_store: &StateStore,
     lists_are_pushed: bool,
 ) {
     let Some(cached) = &config.cached_endpoints else {
@@ -84,13 +88,29 @@
         .iter()
         .map(|endpoint| endpoint.uid.as_str());
     state_store.record_listed_names(names);
-    let state_store = state_store.clone();
-    spawn_local(async move {
-        if lists_are_pushed {
-            sleep(AGENT_TIMEOUT).await;
-        }
+    if !lists_are_pushed {
+        state_store.record_endpoint_list();
+    }
+}
+
+/// Makes the process ready at the latest time that is allowed, if it has no endpoint list by then. It rejects RPCs until it
+/// has one, since any list but that of discovery may name backends that are draining.
+pub(crate) async fn limit_endpoints_wait(state_store: Rc<StateStore>) {
+    let replaces_a_process = state_store.current().siblings.alive > 0;
+    let max_wait = if replaces_a_process {
+        MAX_ENDPOINTS_WAIT_AT_REPLACEMENT
+    } else {
+        MAX_ENDPOINTS_WAIT
+    };
+    let mut state = state_store.subscribe();
+    let has_endpoints = state.wait_for(|state| state.has_endpoints);
+    if timeout(max_wait, has_endpoints).await.is_err() {
+        log::warn!(
+            "no endpoint list after {} s: ready without backends, RPCs are rejected until discovery responds",
+            max_wait.as_secs()
+        );
         state_store.set_ready();
-    });
+    }
 }
 
 /// Accepts clients. On a socket that it has bound itself, the process accepts at once and its health check reports
@@ -117,10 +137,10 @@
     Rc::new(listener).run(socket).await;
 }
 
-/// Waits until the process is ready, for [`AGENT_TIMEOUT`] at most.
+/// Waits until the process is ready, for [`MAX_ACCEPT_DELAY`] at most.
 async fn await_ready(state_store: &StateStore) {
     let mut state = state_store.subscribe();
-    let _ = timeout(AGENT_TIMEOUT, state.wait_for(|state| state.ready)).await;
+    let _ = timeout(MAX_ACCEPT_DELAY, state.wait_for(|state| state.ready)).await;
 }
 
 /// Waits until the process is ready or shuts down.
--- a/crates/daemon/src/lifecycle/state.rs
+++ b/crates/daemon/src/lifecycle/state.rs
@@ -22,7 +22,7 @@
 /// The stage of a process between its start and its exit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum ServingPhase {
-    /// The process has no endpoint list, so it can't balance RPCs.
+    /// The process waits for an endpoint list.
     AwaitingEndpoints,
     /// The process waits until its siblings have reduced their socket budgets.
     AwaitingSiblings,
@@ -45,7 +45,9 @@
 /// The progress of this process, and the administrative state of the proxy.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ProxyState {
-    /// Whether the process has an endpoint list and so can balance RPCs.
+    /// Whether the process has an endpoint list that it may use.
+    pub has_endpoints: bool,
+    /// Whether clients may use the process: it has an endpoint list, or has waited for one as long as it may.
     pub ready: bool,
     /// Whether client connections are accepted.
     pub accepting: bool,
--- a/crates/daemon/src/lifecycle/state_store.rs
+++ b/crates/daemon/src/lifecycle/state_store.rs
@@ -75,7 +75,17 @@
         self.state.borrow()
     }
 
-    /// Records that the process is ready: it has an endpoint list.
+    /// Records that the process has an endpoint list that it may use, which makes it ready.
+    pub(crate) fn record_endpoint_list(&self) {
+        self.state.send_if_modified(|state| {
+            let is_first = !state.has_endpoints;
+            state.has_endpoints = true;
+            state.ready = true;
+            is_first
+        });
+    }
+
+    /// Records that the process is ready, with or without an endpoint list.
     pub(crate) fn set_ready(&self) {
         self.state
             .send_if_modified(|state| !std::mem::replace(&mut state.ready, true));
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -104,6 +104,7 @@
         let actor = self.decision_actor(events.clone(), watch_requested.clone());
         spawn_local(actor.run(mailbox));
         startup::use_cached_endpoints(&self.config, &self.state_store, self.lists_are_pushed());
+        spawn_local(startup::limit_endpoints_wait(self.state_store.clone()));
         let (address_sender, address) = watch::channel(self.config.discovery_address);
         let reloads = Reload::new(
             self.config.clone(),
