Fix: the response of a slow local agent is awaited for 2.5 s, whatever times out meanwhile

With an agent that takes 1.5 s for each call, a process that started never heard it, and one that ran sent to a draining backend past the 6 s. Polls of an agent time out after 0.1 to 0.8 s, so that the end of an outage is noticed. Two overdue calls are kept, and each third one dropped the earliest, which was 1.4 s old at most: no call lived long enough for its response.

The earliest overdue call is kept for 2.5 s since its start, and the latest of the others makes room instead. A lost call and the one after it take 5 s together at most, so a change is applied within the 6 s. Nothing changes where lists are polled.

The tests of an unavailable agent have a target of that name.

--- a/crates/daemon/src/discovery/poller.rs
+++ b/crates/daemon/src/discovery/poller.rs
@@ -54,7 +54,7 @@
             peer: Peer::new(PeerId::Discovery, work),
             version,
             consecutive_timeouts: 0,
-            overdue: OverdueCalls::default(),
+            overdue: OverdueCalls::new(source.timing().min_overdue_wait),
             last_response: None,
         }
     }
@@ -151,7 +151,7 @@
             end = &mut current => end,
             late = self.overdue.next_update() => late.into(),
             () = sleep_until(deadline) => {
-                self.overdue.push(current);
+                self.overdue.push(current, started);
                 DiscoveryError::TimedOut.into()
             }
         };
--- a/crates/daemon/src/discovery/timing.rs
+++ b/crates/daemon/src/discovery/timing.rs
@@ -19,6 +19,8 @@
     pub(super) snapshot: &'static [Duration],
     /// Number of retries without a backoff after timeouts, which take as long as a backoff themselves.
     pub(super) retries_after_timeout: usize,
+    /// Time since the start of a call for which its response is awaited, whatever later calls time out.
+    pub(super) min_overdue_wait: Duration,
 }
 
 const fn ms(ms: u64) -> Duration {
@@ -32,15 +34,20 @@
     catch_up: &[ms(3000), ms(750), ms(1250)],
     snapshot: &[ms(3000), ms(1500), ms(1500)],
     retries_after_timeout: 2,
+    min_overdue_wait: Duration::ZERO,
 };
 
 /// Limits for a local agent, which responds from memory. A proxy must apply what the agent has without delay.
+///
+/// The timeouts are short to notice the end of an outage. A slow agent's response is awaited as an overdue call: twice
+/// `min_overdue_wait`, for a call that is lost and the one after it, stays below the 6 s.
 pub(super) const LOCAL_AGENT: PollTiming = PollTiming {
     hold: ms(2000),
     response_margin: ms(500),
     catch_up: &[ms(100), ms(200), ms(400), ms(800)],
     snapshot: &[ms(300), ms(600), ms(1200), ms(2400)],
     retries_after_timeout: 1,
+    min_overdue_wait: ms(2500),
 };
 
 /// Timeouts of polls for the first snapshot of a process that is not ready, indexed by the number of consecutive
--- a/crates/daemon/tests/start_in_outage/agent.rs
+++ b/crates/daemon/tests/unavailable_agent/agent.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::thread::sleep;
 use std::time::Duration;
 
 /// How the agent handles calls.
@@ -11,6 +12,8 @@
 pub(crate) enum Behaviour {
     /// Responds at once, or to a long poll when there is a change.
     Responding,
+    /// Responds after this time.
+    Slow(Duration),
     /// Holds all calls until it responds again.
     Silent,
     /// Never responds to the calls that it receives.
@@ -21,6 +24,13 @@
     Closing,
 }
 
+impl Behaviour {
+    /// Whether calls get no list.
+    fn is_outage(self) -> bool {
+        !matches!(self, Self::Responding | Self::Slow(_))
+    }
+}
+
 /// Longest time for which a long poll is held.
 const MAX_HOLD: Duration = Duration::from_secs(60);
 
@@ -117,7 +127,7 @@
     if let Some(after) = after {
         let hold = Duration::from_millis(parameter(call, "hold_ms").unwrap_or(0));
         state.wait(hold.min(MAX_HOLD), |state| {
-            state.version > after || state.behaviour != Behaviour::Responding
+            state.version > after || state.behaviour.is_outage()
         });
     }
     state.wait(MAX_HOLD, |state| state.behaviour != Behaviour::Silent);
@@ -125,6 +135,7 @@
         Behaviour::Lost => return Some(Vec::new()),
         Behaviour::Unavailable => return Some(reply("503 Service Unavailable", "")),
         Behaviour::Closing => return None,
+        Behaviour::Slow(delay) => sleep(delay),
         Behaviour::Responding | Behaviour::Silent => {}
     }
     let list = state.change(|state| state.list(after));
