Fix: a late response to a poll for an unknown version does not confirm the cached list

Found by reading the path of the first response. The response to an overdue poll for changes since the unknown version was still accepted, as no version was known then; with no entries in it, it confirmed the whole cached list. Overdue calls are dropped with the version.

Measured: the new test failed without the line (200 from the backend of the cached list instead of 503), and passes with it.

--- a/crates/daemon/src/discovery/poller.rs
+++ b/crates/daemon/src/discovery/poller.rs
@@ -194,6 +194,8 @@
         match self.version {
             Some(known) if update.version < known => {
                 self.version = None;
+                // Their responses would contain changes since a version that the service does not have.
+                self.overdue.clear();
                 Err(DiscoveryError::OutdatedVersion {
                     received: update.version,
                     known,
--- a/crates/daemon/tests/discovery/local_agent.rs
+++ b/crates/daemon/tests/discovery/local_agent.rs
@@ -132,3 +132,28 @@
         "b2:"
     );
 }
+
+/// Guards against a cached list that counts as current although the agent has a list of another numbering: changes since a
+/// version that the agent does not have say nothing about it.
+#[test]
+fn a_late_response_to_a_poll_for_an_unknown_version_is_ignored() {
+    let log = Log::new(vec![]);
+    let address = echo("b1", &log);
+    let agent = start_scripted_discovery(&log, |number, _| match number {
+        0 => {
+            // Longer than the timeout of the poll.
+            sleep(Duration::from_millis(250));
+            update(5, false, &[])
+        }
+        1 => update(5, false, &[]),
+        _ => BackendAction::Hang,
+    });
+    let daemon = Daemon::start_with(PROGRAM, &[("s-1", address)], |config| {
+        with_agent(config);
+        config["discovery"] = agent.to_string().into();
+        config["known"]["rev"] = 41.into();
+    });
+    let request = rpc("POST", "/book", "id", "");
+    assert_eq!(daemon.client().status_of(&request), 503);
+    assert_eq!(log.count("b1 got"), 0);
+}
