Fix: after SIGHUP the list of the previous agent is used for a limited time

What an agent has counts as told 4 s after SIGHUP, whether or not it responds, so RPCs went to a backend of whose drain the new agent knew.

Invariant: a list is used only if the agent of now has confirmed it, or within 3.5 s of the reload that replaced a confirmed one; the rest of the 4 s is for reading the configuration. A further reload does not extend that time. Then the listed backends count as draining, and RPCs are rejected, until the agent responds. Where it responds at once, which it does unless discovery is down, no RPC is rejected.

--- a/crates/daemon/src/decision/timers.rs
+++ b/crates/daemon/src/decision/timers.rs
@@ -1,4 +1,5 @@
-//! The decision actor's timers: the heartbeat, and the timer events of the balancer and of the shadow evaluation.
+//! The decision actor's timers: the heartbeat, the timer events of the balancer and of the shadow evaluation, and the end of
+//! the use of an endpoint list that is not confirmed.
 use crate::decision::actor::DecisionActor;
 use birchhub::interface::AttemptOutcome;
 use tokio::time::Instant;
@@ -10,23 +11,27 @@
     balancer: Option<Instant>,
     /// Due time of the shadow evaluation's timer event.
     shadow: Option<Instant>,
+    /// Time from which on the endpoint list must not be used.
+    list_expiry: Option<Instant>,
 }
 
 impl Timers {
     /// Returns the due time of the earliest timer event.
     pub(super) fn next(self) -> Option<Instant> {
-        self.balancer.into_iter().chain(self.shadow).min()
+        let timer_events = self.balancer.into_iter().chain(self.shadow);
+        timer_events.chain(self.list_expiry).min()
     }
 }
 
 impl DecisionActor {
-    /// Returns the timer events that the balancer and the shadow evaluation have requested.
+    /// Returns the requested timer events and the expiry of the endpoint list.
     pub(super) fn timers(&self) -> Timers {
         let clock = &self.platform.clock;
         let shadow_seconds = self.shadow.as_ref().and_then(|shadow| shadow.timer_at());
         Timers {
             balancer: self.platform.timer_at.map(|at| clock.instant_at(at)),
             shadow: shadow_seconds.map(|at| clock.instant_at(at)),
+            list_expiry: self.platform.endpoints.confirmation().expires_at(),
         }
     }
 
@@ -35,6 +40,10 @@
         if !timers.next().is_some_and(is_due) {
             return false;
         }
+        if timers.list_expiry.is_some_and(is_due) {
+            self.stop_using_endpoints();
+            return true;
+        }
         if timers.balancer.is_some_and(is_due) {
             self.platform.timer_at = None;
             self.call_balancer(|actor| actor.balancer.on_timer(&mut actor.platform));
--- a/crates/daemon/src/decision/updates.rs
+++ b/crates/daemon/src/decision/updates.rs
@@ -32,6 +32,27 @@
         }
     }
 
+    /// Handles a change of the local agent. The list of the previous one is used for a limited time.
+    pub(super) fn on_agent_changed(&mut self) {
+        let endpoints = &mut self.platform.endpoints;
+        let confirmation = endpoints.confirmation().after_move(Instant::now());
+        endpoints.set_confirmation(confirmation);
+    }
+
+    /// Stops sending new RPCs to the listed backends until the local agent has responded.
+    pub(super) fn stop_using_endpoints(&mut self) {
+        log::warn!("no endpoint list from the new agent: RPCs are rejected until it responds");
+        let endpoints = &mut self.platform.endpoints;
+        endpoints.set_confirmation(ListConfirmation::Unconfirmed);
+        let listed = endpoints.all_listed();
+        self.update_endpoints(&EndpointUpdate {
+            version: 0,
+            kind: EndpointUpdateKind::Administrative,
+            endpoints: listed,
+            changed_since: None,
+        });
+    }
+
     /// Applies an update of the endpoint list.
     pub(super) fn update_endpoints(&mut self, update: &EndpointUpdate) {
         let kind = update.kind;
--- a/crates/daemon/src/discovery/client.rs
+++ b/crates/daemon/src/discovery/client.rs
@@ -115,15 +115,20 @@
 
     async fn handle_end(&mut self, end: WatchEnd) -> Result<(), DecisionActorEnded> {
         match end {
-            WatchEnd::AddressChanged => {
-                self.watch.poller.reset();
-                Ok(())
-            }
+            WatchEnd::AddressChanged => self.handle_address_change().await,
             WatchEnd::Failed(error) => self.handle_failure(&error).await,
             WatchEnd::DecisionActorEnded => Err(DecisionActorEnded),
         }
     }
 
+    async fn handle_address_change(&mut self) -> Result<(), DecisionActorEnded> {
+        self.watch.poller.reset();
+        if self.is_local_agent() {
+            self.watch.report_agent_change().await?;
+        }
+        Ok(())
+    }
+
     async fn handle_failure(&mut self, error: &DiscoveryError) -> Result<(), DecisionActorEnded> {
         self.log_failure(error);
         self.discard_pending_request().await;
--- a/crates/daemon/src/discovery/watch.rs
+++ b/crates/daemon/src/discovery/watch.rs
@@ -118,6 +118,11 @@
         self.send(Event::EndpointsChanged(update)).await
     }
 
+    /// Reports to the decision actor that the local agent is another one from now on.
+    pub(super) async fn report_agent_change(&self) -> Result<(), DecisionActorEnded> {
+        self.send(Event::AgentChanged).await
+    }
+
     /// Reports a failed poll to the decision actor.
     pub(super) async fn report_failure(&self) -> Result<(), DecisionActorEnded> {
         self.send(Event::DiscoveryFailed).await
--- a/crates/daemon/src/messages.rs
+++ b/crates/daemon/src/messages.rs
@@ -64,6 +64,8 @@
     },
     /// The discovery client received an update of the endpoint list.
     EndpointsChanged(EndpointUpdate),
+    /// A reload has selected another local agent. Later updates are from that one.
+    AgentChanged,
     /// A poll of the discovery service failed.
     DiscoveryFailed,
     /// A reload changed the settings. All later events in the mailbox use the new ones.
--- a/crates/daemon/tests/unavailable_agent/agent.rs
+++ b/crates/daemon/tests/unavailable_agent/agent.rs
@@ -39,6 +39,7 @@
     version: u64,
     /// The latest entry of each backend by uid, with the version of its change. Removed backends remain.
     entries: BTreeMap<String, (u64, Value)>,
+    calls: usize,
 }
 
 impl AgentState {
@@ -71,6 +72,7 @@
             behaviour: Behaviour::Responding,
             version: 0,
             entries: BTreeMap::new(),
+            calls: 0,
         });
         let served = state.clone();
         let address = serve("127.0.0.1:0", move |stream| {
@@ -102,11 +104,17 @@
         self.state
             .change(|state| serde_json::from_str(&state.list(None)).expect("a list"))
     }
+
+    /// Returns the number of calls so far.
+    pub(crate) fn calls(&self) -> usize {
+        self.state.change(|state| state.calls)
+    }
 }
 
 fn serve_calls(mut stream: TcpStream, state: &Shared<AgentState>) {
     let mut input = BufReader::new(stream.try_clone().expect("a second handle"));
     while let Some(call) = read_message(&mut input) {
+        state.change(|state| state.calls += 1);
         let Some(response) = respond(&call, state) else {
             return;
         };
--- a/crates/daemon/tests/unavailable_agent/harness.rs
+++ b/crates/daemon/tests/unavailable_agent/harness.rs
@@ -1,8 +1,8 @@
 //! A proxy with an agent, two backends and clients that never stop.
 use crate::agent::{Agent, Behaviour};
 use crate::common::sockets::{
-    BackendAction, Client, Daemon, HEALTH, Log, Shared, backend, endpoint_entry, reply, rpc,
-    unused_address, without_health_checks,
+    BackendAction, Client, Daemon, HEALTH, Log, Shared, backend, config, endpoint_entry, reply,
+    rpc, unused_address, without_health_checks,
 };
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -137,6 +137,13 @@
     config["known"] = agent.cached_list();
 }
 
+/// Returns the configuration of a proxy at this address, for a reload.
+pub(crate) fn reloaded_config(address: SocketAddr, agent: &Agent) -> String {
+    let mut config = config(address, agent.address, &[]);
+    with_agent(&mut config, agent);
+    config.to_string()
+}
+
 fn start_backend(uid: &'static str, requests: &Shared<Vec<ReceivedRequest>>) -> SocketAddr {
     let requests = requests.clone();
     backend(uid, &Log::new(vec![]), move |_| {
--- a/crates/daemon/tests/unavailable_agent/main.rs
+++ b/crates/daemon/tests/unavailable_agent/main.rs
@@ -5,5 +5,6 @@
 mod common;
 mod harness;
 mod limits;
+mod reload;
 mod slow_agent;
 mod starts;
