Fix: a process that replaces another one takes over its endpoint list

The same fault where a process knows less than the one that it replaces: in an outage of discovery the new process decided by the cached list of its configuration, and sent RPCs to a backend of whose drain the old one had been told, with pushed and with polled lists. The two are one proxy.

Invariant: a process that starts beside another one knows at least what discovery had told that one. It removes the file birchhub.endpoints.1 in the shared folder before it takes its slot, which asks for a list; a sibling with a list from discovery, or from its own predecessor, writes it with its next look at the siblings (50 ms). So a file of an earlier replacement is never read. Polled lists: the new process waits 0.3 s for it at most; pushed ones: until its agent responds. The time that siblings have to reduce their socket budgets runs from the start of the new process, beside that wait.

The wait for the first list is a module of its own, and takes the kind of source in place of a bool.

--- a/crates/daemon/src/decision/actor.rs
+++ b/crates/daemon/src/decision/actor.rs
@@ -174,6 +174,7 @@
                 report,
             } => self.on_health_checked(backend, outcome, report),
             Event::EndpointsChanged(update) => self.on_endpoints_changed(update),
+            Event::EndpointsHandedOver(update) => self.on_endpoints_handed_over(&update),
             Event::AgentChanged => self.on_agent_changed(),
             Event::DiscoveryFailed => self.on_discovery_failed(),
             Event::SettingsChanged(update) => self.apply_config_update(*update),
--- a/crates/daemon/src/decision/endpoints.rs
+++ b/crates/daemon/src/decision/endpoints.rs
@@ -31,6 +31,9 @@
     ids: EndpointIds,
     /// The last list entry of each backend that is not removed, by uid.
     listed: HashMap<String, ListedEndpoint>,
+    /// Version of the last list that discovery sent to this process or to a sibling; `None` while only the cached list is
+    /// known.
+    version: Option<u64>,
     /// Whether the list may be used.
     confirmation: ListConfirmation,
     /// The names of the zones in the settings.
@@ -53,6 +56,7 @@
             handles: HashMap::new(),
             ids: EndpointIds::default(),
             listed: HashMap::new(),
+            version: None,
             confirmation: ListConfirmation::at_start(DiscoverySource::of(&settings.settings)),
             zones: settings.zones.clone(),
             lists_sizes: settings.lists_endpoint_sizes,
@@ -96,6 +100,17 @@
         listed
     }
 
+    /// Returns the version of the last list that discovery sent to this process or to a sibling; `None` while only the
+    /// cached list is known.
+    pub(super) fn version(&self) -> Option<u64> {
+        self.version
+    }
+
+    /// Records the version of a list that discovery sent to this process or to a sibling.
+    pub(super) fn set_version(&mut self, version: u64) {
+        self.version = Some(version);
+    }
+
     /// Returns whether the list may be used.
     pub(super) fn confirmation(&self) -> ListConfirmation {
         self.confirmation
--- a/crates/daemon/src/decision/updates.rs
+++ b/crates/daemon/src/decision/updates.rs
@@ -24,12 +24,45 @@
         let endpoints = &mut self.platform.endpoints;
         let was_usable = endpoints.confirmation().is_usable();
         endpoints.set_confirmation(ListConfirmation::Confirmed);
+        endpoints.set_version(update.version);
         if !was_usable && update.kind == EndpointUpdateKind::Incremental {
             let snapshot = endpoints.snapshot_with(update);
             self.update_endpoints(&snapshot);
         } else {
             self.update_endpoints(&update);
         }
+        self.hand_over_endpoints();
+    }
+
+    /// Applies the list of a sibling process, which knows all that discovery has reported to this proxy so far. It replaces
+    /// the cached list, but not an update from discovery.
+    pub(super) fn on_endpoints_handed_over(&mut self, list: &EndpointUpdate) {
+        if self.platform.endpoints.version().is_some() {
+            return;
+        }
+        log::info!("endpoint list taken over from a sibling process");
+        let endpoints = &mut self.platform.endpoints;
+        endpoints.set_confirmation(ListConfirmation::Confirmed);
+        endpoints.set_version(list.version);
+        self.update_endpoints(&EndpointUpdate {
+            kind: EndpointUpdateKind::StaleSnapshot,
+            ..list.clone()
+        });
+        self.state_store.record_endpoint_list();
+    }
+
+    /// Hands the endpoint list over to a sibling process that waits for it, if this process has a newer one than the cached
+    /// one that may be used.
+    fn hand_over_endpoints(&mut self) {
+        let endpoints = &self.platform.endpoints;
+        let is_requested = self.state.borrow().endpoint_list_requested;
+        if !is_requested || !endpoints.confirmation().is_usable() {
+            return;
+        }
+        if let Some(version) = endpoints.version() {
+            let list = EndpointUpdate::encode_snapshot(version, &endpoints.all_listed());
+            self.state_store.hand_over_endpoint_list(&list);
+        }
     }
 
     /// Handles a change of the local agent. The list of the previous one is used for a limited time.
@@ -105,6 +138,7 @@
             });
         }
         self.state_store.confirm_applied(generation);
+        self.hand_over_endpoints();
     }
 
     /// Leaves RPCs of methods that are ordered by key to the successor of this process, once this process has none.
--- a/crates/daemon/src/discovery/wire.rs
+++ b/crates/daemon/src/discovery/wire.rs
@@ -4,7 +4,7 @@
 use crate::discovery::LOG_TARGET;
 use crate::discovery::update::{EndpointUpdate, ListedEndpoint};
 use birchhub::interface::{EndpointUpdateKind, Readiness};
-use serde_json::Value;
+use serde_json::{Value, json};
 use std::net::SocketAddr;
 use std::time::Duration;
 use thiserror::Error;
@@ -40,6 +40,8 @@
 
 /// State of a backend that accepts new RPCs.
 const STATE_READY: &str = "Ready";
+/// State of a backend that finishes its RPCs and accepts no new ones.
+const STATE_DRAINING: &str = "Terminating";
 /// State of a backend that is removed.
 const STATE_REMOVED: &str = "Gone";
 
@@ -87,6 +89,12 @@
         Self::decode(&serde_json::from_str(text)?)
     }
 
+    /// Encodes a complete list as JSON text, which [`Self::parse`] decodes.
+    pub(crate) fn encode_snapshot(version: u64, endpoints: &[ListedEndpoint]) -> String {
+        let entries: Vec<_> = endpoints.iter().map(encode_endpoint).collect();
+        json!({VERSION: version, IS_SNAPSHOT: true, ENDPOINTS: entries}).to_string()
+    }
+
     /// Decodes an endpoint list. Ignores entries without a uid and logs a warning about them.
     pub(super) fn decode(value: &Value) -> Result<Self, DecodeError> {
         let version = value
@@ -120,6 +128,23 @@
     }
 }
 
+fn encode_endpoint(endpoint: &ListedEndpoint) -> Value {
+    let state = match endpoint.readiness {
+        Readiness::Ready => STATE_READY,
+        Readiness::Draining => STATE_DRAINING,
+        Readiness::Removed => STATE_REMOVED,
+    };
+    json!({
+        UID: endpoint.uid,
+        ADDRESS: endpoint.address.to_string(),
+        ZONE: endpoint.zone,
+        CELL: endpoint.cell,
+        STATE: state,
+        SIZE: endpoint.size,
+        STARTED_AT_MS: endpoint.started_at_ms,
+    })
+}
+
 /// Decodes an entry of the list. Returns `None` if it has no uid. Other missing or malformed values have defaults.
 fn decode_endpoint(entry: &Value) -> Option<ListedEndpoint> {
     let number = |key| entry.get(key).and_then(Value::as_f64);
--- a/crates/daemon/src/discovery/wire/tests.rs
+++ b/crates/daemon/src/discovery/wire/tests.rs
@@ -85,3 +85,14 @@
         assert_eq!(error.to_string(), expected);
     }
 }
+
+#[test]
+fn an_encoded_list_is_decoded_to_the_same_entries() {
+    let update = decode(&json!({"rev": 7, "all": true, "targets": [
+        {"uid": "s-1", "endpoint": "127.0.0.1:80", "az": "east", "pod_group": 4, "state": "Ready",
+            "capacity_hint": 2.5, "boot_ms": 1796664916637.25},
+        {"uid": "s-2", "endpoint": "127.0.0.1:81", "state": "Terminating"},
+    ]}));
+    let text = EndpointUpdate::encode_snapshot(update.version, &update.endpoints);
+    assert_eq!(EndpointUpdate::parse(&text).expect("a list"), update);
+}
--- a/crates/daemon/src/lifecycle/mod.rs
+++ b/crates/daemon/src/lifecycle/mod.rs
@@ -6,6 +6,7 @@
 
 pub(crate) mod admin_api;
 pub(crate) mod admin_state;
+pub(crate) mod first_endpoint_list;
 pub(crate) mod graceful_shutdown;
 pub(crate) mod listeners;
 mod pending_changes;
--- a/crates/daemon/src/lifecycle/process_group/folder.rs
+++ b/crates/daemon/src/lifecycle/process_group/folder.rs
@@ -21,6 +21,11 @@
 /// File into which the next administrative state is written before it replaces [`STATE_FILE`].
 const NEW_STATE_FILE: &str = "birchhub.standing.new";
 
+/// File with the endpoint list that a process hands over. The number is that of its format.
+const ENDPOINT_LIST_FILE: &str = "birchhub.endpoints.1";
+/// File into which the list is written before it becomes [`ENDPOINT_LIST_FILE`].
+const NEW_ENDPOINT_LIST_FILE: &str = "birchhub.endpoints.1.new";
+
 /// Returns the name of the folder of a proxy.
 ///
 /// Bytes other than ASCII letters, digits and hyphens are escaped, so that different proxies never share a folder.
@@ -56,6 +61,16 @@
     folder.join(REQUEST_IDS_FILE)
 }
 
+/// Returns the path of [`ENDPOINT_LIST_FILE`].
+pub(super) fn endpoint_list_path(folder: &Path) -> PathBuf {
+    folder.join(ENDPOINT_LIST_FILE)
+}
+
+/// Returns the path of [`NEW_ENDPOINT_LIST_FILE`].
+pub(super) fn new_endpoint_list_path(folder: &Path) -> PathBuf {
+    folder.join(NEW_ENDPOINT_LIST_FILE)
+}
+
 /// Returns the path of the administrative state.
 pub(super) fn state_path(folder: &Path) -> PathBuf {
     folder.join(STATE_FILE)
--- a/crates/daemon/src/lifecycle/process_group/mod.rs
+++ b/crates/daemon/src/lifecycle/process_group/mod.rs
@@ -2,14 +2,17 @@
 //!
 //! They communicate through files in one folder below `$TMPDIR` ([`folder`]). Each process has a slot, in which it
 //! publishes whether it accepts clients ([`slots`]), and all share the administrative state ([`state_file`]). One of them
-//! runs RPCs of methods that are ordered by key ([`ordering_lock`]).
+//! runs RPCs of methods that are ordered by key ([`ordering_lock`]), and one that starts gets the endpoint list of another
+//! ([`endpoint_list_file`]).
 
+mod endpoint_list_file;
 mod error;
 mod folder;
 mod ordering_lock;
 mod slots;
 mod state_file;
 
+pub(crate) use endpoint_list_file::EndpointListFile;
 pub(crate) use error::ProcessGroupError;
 pub(crate) use ordering_lock::{OrderingLock, PreviousHolder};
 
@@ -19,8 +22,8 @@
 use state_file::StateFile;
 use std::path::{Path, PathBuf};
 
-/// Maximum number of descriptors of a group: the slot files, the two lock files, and the state file while it is read or
-/// written.
+/// Maximum number of descriptors of a group: the slot files, the two lock files, and the state file or the endpoint list
+/// while it is read or written, which does not wait for anything.
 pub(crate) const MAX_DESCRIPTORS: usize = SLOT_COUNT + 3;
 
 /// Counts of the other processes of this proxy.
@@ -45,9 +48,11 @@
         Self::open_in(Path::new(&parent).join(folder_name(proxy_name)))
     }
 
-    /// Opens this folder, or creates it if it does not exist. The first call of [`Self::siblings`] takes a slot.
+    /// Opens this folder, or creates it if it does not exist, and requests an endpoint list from the siblings. The first
+    /// call of [`Self::siblings`] takes a slot.
     pub(super) fn open_in(folder: PathBuf) -> Result<Self, ProcessGroupError> {
         std::fs::create_dir_all(&folder).map_err(ProcessGroupError::io(&folder))?;
+        EndpointListFile::in_folder(&folder).request()?;
         Ok(Self {
             slots: ProcessSlots::open(&folder)?,
             state_file: StateFile::open(folder)?,
@@ -59,6 +64,11 @@
         OrderingLock::open(&self.state_file.folder)
     }
 
+    /// The file with the endpoint list that a process hands over.
+    pub(crate) fn endpoint_list_file(&self) -> EndpointListFile {
+        EndpointListFile::in_folder(&self.state_file.folder)
+    }
+
     /// The file with the `Request-Id`s of all processes.
     pub(crate) fn request_ids_path(&self) -> PathBuf {
         request_ids_path(&self.state_file.folder)
--- a/crates/daemon/src/lifecycle/process_group/tests.rs
+++ b/crates/daemon/src/lifecycle/process_group/tests.rs
@@ -73,6 +73,21 @@
     });
 }
 
+/// A list of an earlier replacement is not taken over, since the backends may have changed.
+#[test]
+fn a_process_that_starts_gets_a_list_that_was_written_after_its_start() {
+    in_folder(async |make, _| {
+        let old = make().endpoint_list_file();
+        assert!(old.is_requested());
+        old.write("earlier").expect("a file");
+        let new = make().endpoint_list_file();
+        assert!(old.is_requested() && new.read().is_none());
+        old.write("current").expect("a file");
+        assert!(!old.is_requested());
+        assert_eq!(new.read().as_deref(), Some("current"));
+    });
+}
+
 /// Alternating updates of two processes lose no change. A malformed file is reported once and replaced by the next
 /// update. An update fails while another process holds the lock.
 #[test]
--- a/crates/daemon/src/lifecycle/state.rs
+++ b/crates/daemon/src/lifecycle/state.rs
@@ -57,6 +57,8 @@
     pub inherited_listener: bool,
     /// The other processes of this proxy.
     pub siblings: Siblings,
+    /// Whether a sibling that starts waits for the endpoint list of this process.
+    pub endpoint_list_requested: bool,
     /// Whether this process runs RPCs of methods that are ordered by key.
     pub ordered_rpcs: OrderedRpcs,
     /// The administrative state, which all processes of this proxy share.
--- a/crates/daemon/src/lifecycle/state_store.rs
+++ b/crates/daemon/src/lifecycle/state_store.rs
@@ -4,7 +4,7 @@
 use crate::lifecycle::graceful_shutdown::GracefulShutdown;
 use crate::lifecycle::pending_changes::{ChangeBatch, PendingChanges};
 use crate::lifecycle::process_group::{
-    OrderingLock, PreviousHolder, ProcessGroup, ProcessGroupError,
+    EndpointListFile, OrderingLock, PreviousHolder, ProcessGroup, ProcessGroupError,
 };
 use crate::lifecycle::state::ProxyState;
 use birchhub::interface::OrderedRpcs;
@@ -32,6 +32,8 @@
     process_group: Option<Mutex<ProcessGroup>>,
     /// `None` without a process group.
     ordering_lock: Option<OrderingLock>,
+    /// `None` without a process group.
+    endpoint_list_file: Option<EndpointListFile>,
     /// Changes of the administrative state that wait to be stored.
     pending: PendingChanges,
     /// Whether the last periodic write failed, and the failure was logged.
@@ -51,6 +53,7 @@
             log::info!("initial state: {state}");
         }
         let ordering_lock = process_group.as_ref().and_then(open_ordering_lock);
+        let endpoint_list_file = process_group.as_ref().map(ProcessGroup::endpoint_list_file);
         if ordering_lock.is_some() {
             state.ordered_rpcs = OrderedRpcs::Wait;
         }
@@ -59,6 +62,7 @@
             applied_generation: watch::Sender::default(),
             process_group: process_group.map(Mutex::new),
             ordering_lock,
+            endpoint_list_file,
             pending: PendingChanges::default(),
             logged_write_failure: Cell::default(),
             logged_excess_names: Cell::default(),
@@ -155,6 +159,31 @@
             .send_modify(|state| state.ordered_rpcs = ordered_rpcs);
     }
 
+    /// Hands the endpoint list of this process over to a sibling that starts.
+    pub(crate) fn hand_over_endpoint_list(&self, list: &str) {
+        let Some(file) = &self.endpoint_list_file else {
+            return;
+        };
+        match file.write(list) {
+            Ok(()) => log::info!("endpoint list handed over to a sibling process"),
+            Err(error) => log::warn!("handing over the endpoint list failed: {error}"),
+        }
+        // After a failure the next poll of the siblings finds the request again.
+        self.set_endpoint_list_requested(false);
+    }
+
+    /// Returns the endpoint list that a sibling has handed over, if there is one.
+    pub(crate) fn handed_over_endpoint_list(&self) -> Option<String> {
+        self.endpoint_list_file.as_ref()?.read()
+    }
+
+    fn set_endpoint_list_requested(&self, requested: bool) {
+        self.state.send_if_modified(|state| {
+            let before = std::mem::replace(&mut state.endpoint_list_requested, requested);
+            before != requested
+        });
+    }
+
     /// Records the names of listed endpoints, for which admin commands are accepted from now on.
     pub(crate) fn record_listed_names<'a>(&self, names: impl Iterator<Item = &'a str>) {
         let known = &self.state.borrow().admin_state.known_names;
@@ -240,6 +269,10 @@
                 log::info!("number of sibling processes changed: {}", *self.current());
             }
         }
+        let a_sibling_starts = siblings.alive > siblings.accepting;
+        let is_requested = |file: &EndpointListFile| a_sibling_starts && file.is_requested();
+        let is_requested = self.endpoint_list_file.as_ref().is_some_and(is_requested);
+        self.set_endpoint_list_requested(is_requested);
         if let Some(mut admin_state) = admin_state {
             self.pending.apply_commands_to(&mut admin_state);
             self.replace_admin_state(admin_state);
--- a/crates/daemon/src/messages.rs
+++ b/crates/daemon/src/messages.rs
@@ -64,6 +64,8 @@
     },
     /// The discovery client received an update of the endpoint list.
     EndpointsChanged(EndpointUpdate),
+    /// A sibling process has handed over its endpoint list.
+    EndpointsHandedOver(EndpointUpdate),
     /// A reload has selected another local agent. Later updates are from that one.
     AgentChanged,
     /// A poll of the discovery service failed.
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -14,6 +14,7 @@
 use crate::event_loop::{LoopMonitor, WorkQueue};
 use crate::invariants::Invariants;
 use crate::lifecycle::admin_api::AdminServer;
+use crate::lifecycle::first_endpoint_list;
 use crate::lifecycle::startup;
 use crate::lifecycle::state_store::StateStore;
 use crate::messages::Event;
@@ -103,8 +104,18 @@
         let watch_requested = Rc::new(Notify::new());
         let actor = self.decision_actor(events.clone(), watch_requested.clone());
         spawn_local(actor.run(mailbox));
-        startup::use_cached_endpoints(&self.config, &self.state_store, self.lists_are_pushed());
-        spawn_local(startup::limit_endpoints_wait(self.state_store.clone()));
+        first_endpoint_list::use_cached_endpoints(
+            &self.config,
+            &self.state_store,
+            self.discovery_source,
+        );
+        spawn_local(first_endpoint_list::limit_endpoints_wait(
+            self.state_store.clone(),
+        ));
+        spawn_local(first_endpoint_list::take_over_endpoints(
+            self.state_store.clone(),
+            events.clone(),
+        ));
         let (address_sender, address) = watch::channel(self.config.discovery_address);
         let reloads = Reload::new(
             self.config.clone(),
@@ -174,11 +185,7 @@
             listener,
             socket,
             self.state_store.clone(),
-            self.lists_are_pushed(),
+            self.discovery_source,
         ))
     }
-
-    fn lists_are_pushed(&self) -> bool {
-        self.discovery_source == DiscoverySource::LocalAgent
-    }
 }
--- a/crates/daemon/tests/replacing.rs
+++ b/crates/daemon/tests/replacing.rs
@@ -10,7 +10,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::os::fd::OwnedFd;
 use std::process::{Child, Command, Stdio};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_birchhubd");
 
@@ -491,3 +491,43 @@
         );
     }
 }
+
+/// Guards against RPCs to a draining backend at a replacement during an outage: the new process used the cached list of its
+/// configuration, although the old one knew of the drain. A further replacement passes the list on.
+fn check_takeover_in_an_outage(name: &str, membership_mode: &str) {
+    let log = Log::new(vec![]);
+    let (drained, kept) = (echo("b1", &log), echo("b2", &log));
+    let platform = Platform::new(name, &[("s-1", drained), ("s-2", kept)]);
+    let configure = |config: &mut Value| {
+        config["settings"]["membership-mode"] = membership_mode.into();
+    };
+    let mut old = platform.start_with(configure);
+    platform.discovery.publish_and_wait(&[
+        endpoint_entry("s-1", drained, "Terminating"),
+        endpoint_entry("s-2", kept, "Ready"),
+    ]);
+    platform.discovery.respond_with(None);
+    for replacement in 0..2 {
+        let started = Instant::now();
+        let new = platform.start_with(configure);
+        assert!(started.elapsed() < Duration::from_secs(2));
+        old.signal("TERM");
+        await_shutdown(&old);
+        for n in 0..20 {
+            assert_eq!(platform.rpc_status(&format!("{replacement}-{n}")), 200);
+        }
+        assert!(old.child.wait().expect("an exit status").success());
+        old = new;
+    }
+    assert_eq!(log.count("b1 got"), 0);
+}
+
+#[test]
+fn a_new_process_takes_over_the_pushed_list_of_the_old_one() {
+    check_takeover_in_an_outage("takeover-pushed", "pushed");
+}
+
+#[test]
+fn a_new_process_takes_over_the_polled_list_of_the_old_one() {
+    check_takeover_in_an_outage("takeover-polled", "on_request");
+}
