--- a/crates/daemon/src/lifecycle/first_endpoint_list.rs
+++ b/crates/daemon/src/lifecycle/first_endpoint_list.rs
@@ -2,25 +2,33 @@
 
 use crate::config::file::Config;
 use crate::discovery::source::DiscoverySource;
-use crate::discovery::update::EndpointUpdate;
+use crate::discovery::update::{EndpointUpdate, ListedEndpoint};
 use crate::lifecycle::state_store::StateStore;
 use crate::messages::Event;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
-/// Time from the start until a process is ready even without an endpoint list. Nine in ten restarted processes must be
-/// ready within 10 s, of which a slow start and the next health check need a part.
-const MAX_ENDPOINTS_WAIT: Duration = Duration::from_secs(9);
-/// The same for a process that replaces another one, which must accept clients within 6 s.
-const MAX_ENDPOINTS_WAIT_AT_REPLACEMENT: Duration = Duration::from_secs(5);
+/// Time from the start until a restarted process is ready even without an endpoint list that it may use. Restarted processes
+/// must be ready within 10 s, on short days within 6 s, and one that replaces another must accept clients within 6 s.
+const MAX_WAIT_AT_RESTART: Duration = Duration::from_secs(5);
+/// The same for a process that has neither a cached list nor a sibling, as at the first start of a proxy. Each process must
+/// be ready within 30 s, and clients come once all are ready.
+const MAX_WAIT_AT_FIRST_START: Duration = Duration::from_secs(25);
 /// Time for which a process that polls discovery waits for the list of a sibling before it uses its cached one.
 const MAX_HANDOVER_WAIT: Duration = Duration::from_millis(300);
 /// Interval at which a process that starts looks for the list of a sibling.
 const HANDOVER_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Returns the endpoints of the cached list, if there are any.
+fn cached_endpoints(config: &Config) -> Option<&[ListedEndpoint]> {
+    let cached = config.cached_endpoints.as_ref()?;
+    (!cached.endpoints.is_empty()).then_some(&cached.endpoints)
+}
+
 /// Records the names in the cached endpoint list. Where lists are polled, the list makes the process ready, with siblings
 /// only if none hands over a newer one. Otherwise, and without a cached list, the first response of discovery makes it ready,
 /// the list of a sibling, or the limit of [`limit_endpoints_wait`].
@@ -29,16 +37,10 @@
     state_store: &Rc<StateStore>,
     source: DiscoverySource,
 ) {
-    let Some(cached) = &config.cached_endpoints else {
+    let Some(cached) = cached_endpoints(config) else {
         return;
     };
-    if cached.endpoints.is_empty() {
-        return;
-    }
-    let names = cached
-        .endpoints
-        .iter()
-        .map(|endpoint| endpoint.uid.as_str());
+    let names = cached.iter().map(|endpoint| endpoint.uid.as_str());
     state_store.record_listed_names(names);
     if source == DiscoverySource::CentralService {
         spawn_local(use_after_handover(state_store.clone()));
@@ -65,11 +67,7 @@
     if state_store.current().siblings.alive == 0 {
         return;
     }
-    let list = timeout(
-        MAX_ENDPOINTS_WAIT_AT_REPLACEMENT,
-        handed_over_list(&state_store),
-    )
-    .await;
+    let list = timeout(MAX_WAIT_AT_RESTART, handed_over_list(&state_store)).await;
     match list.as_deref().map(EndpointUpdate::parse) {
         Ok(Ok(update)) => drop(
             decision_actor
@@ -90,14 +88,14 @@
     }
 }
 
-/// Makes the process ready at the latest time that is allowed, if it has no endpoint list by then. It rejects RPCs until it
-/// has one, since any list but that of discovery may name backends that are draining.
-pub(crate) async fn limit_endpoints_wait(state_store: Rc<StateStore>) {
-    let replaces_a_process = state_store.current().siblings.alive > 0;
-    let max_wait = if replaces_a_process {
-        MAX_ENDPOINTS_WAIT_AT_REPLACEMENT
+/// Makes the process ready at the latest time that is allowed, if it has no endpoint list that it may use by then. It rejects
+/// RPCs until it has one, since any list but that of discovery may name backends that are draining.
+pub(crate) async fn limit_endpoints_wait(config: Arc<Config>, state_store: Rc<StateStore>) {
+    let has_sibling = state_store.current().siblings.alive > 0;
+    let max_wait = if has_sibling || cached_endpoints(&config).is_some() {
+        MAX_WAIT_AT_RESTART
     } else {
-        MAX_ENDPOINTS_WAIT
+        MAX_WAIT_AT_FIRST_START
     };
     let mut state = state_store.subscribe();
     let has_endpoints = state.wait_for(|state| state.has_endpoints);
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -110,6 +110,7 @@
             self.discovery_source,
         );
         spawn_local(first_endpoint_list::limit_endpoints_wait(
+            self.config.clone(),
             self.state_store.clone(),
         ));
         spawn_local(first_endpoint_list::take_over_endpoints(
