--- a/crates/daemon/src/config/file.rs
+++ b/crates/daemon/src/config/file.rs
@@ -1,10 +1,9 @@
 //! The configuration file that the platform writes for a proxy, and the environment variables that are read for some
 //! keys if the file lacks them.
 
+use crate::config::cached_endpoints::CachedEndpoints;
 use crate::config::error::ConfigError;
 use crate::config::keys::{self, KeyWithEnvFallback};
-use crate::discovery::update::EndpointUpdate;
-use crate::discovery::wire::DecodeError;
 use birchhub::interface::Settings;
 use birchhub_settings::ParsedSettings;
 use serde_json::Value;
@@ -40,10 +39,8 @@
     pub max_sockets: usize,
     /// Maximum memory for request bodies that are read ahead of their backends, in bytes.
     pub upload_memory_bytes: usize,
-    /// Cached endpoint list, if the file has one that can be decoded. It may be out of date.
-    pub cached_endpoints: Option<EndpointUpdate>,
-    /// Why the cached endpoint list can't be decoded. The proxy then waits for the first list from discovery.
-    pub cached_endpoints_error: Option<DecodeError>,
+    /// Cached endpoint list.
+    pub cached_endpoints: CachedEndpoints,
     /// Parsed settings.
     pub parsed_settings: Arc<ParsedSettings>,
     /// Settings of the shadow evaluation; `None` if there is none.
@@ -132,16 +129,12 @@
             .shadow_settings
             .map(|shadow| parse_shadow_settings(shadow, &parsed_settings))
             .transpose()?;
-        // An error in the list must not prevent a whole fleet from starting: discovery soon replaces the list.
-        let endpoints = self
+        let cached_endpoints = self
             .cached_endpoints
             .filter(|_| cached_endpoints == CachedEndpointsMode::Decode)
-            .map(|list| EndpointUpdate::parse(list.get()))
-            .transpose();
-        let (cached_endpoints, cached_endpoints_error) = match endpoints {
-            Ok(endpoints) => (endpoints, None),
-            Err(error) => (None, Some(error)),
-        };
+            .map_or(CachedEndpoints::Absent, |list| {
+                CachedEndpoints::decode(list.get())
+            });
         Ok(Config {
             name: self.text(keys::NAME)?,
             client_address: self.address(keys::CLIENT_ADDRESS)?,
@@ -151,7 +144,6 @@
             max_sockets: self.max_sockets(),
             upload_memory_bytes: self.upload_memory_bytes(),
             cached_endpoints,
-            cached_endpoints_error,
             parsed_settings: Arc::new(parsed_settings),
             shadow_settings,
         })
--- a/crates/daemon/src/config/mod.rs
+++ b/crates/daemon/src/config/mod.rs
@@ -2,6 +2,7 @@
 //! of settings that are not active.
 
 pub(crate) mod active_config;
+pub(crate) mod cached_endpoints;
 pub(crate) mod error;
 pub(crate) mod file;
 pub(crate) mod inherited_listener;
--- a/crates/daemon/src/decision/actor.rs
+++ b/crates/daemon/src/decision/actor.rs
@@ -112,7 +112,7 @@
             work: context.work,
             invariants,
         };
-        actor.load_cached_endpoints(config.cached_endpoints.as_ref());
+        actor.load_cached_endpoints(config.cached_endpoints.list());
         actor.apply_admin_state();
         actor
     }
--- a/crates/daemon/src/lifecycle/first_endpoint_list.rs
+++ b/crates/daemon/src/lifecycle/first_endpoint_list.rs
@@ -2,7 +2,7 @@
 
 use crate::config::file::Config;
 use crate::discovery::source::DiscoverySource;
-use crate::discovery::update::{EndpointUpdate, ListedEndpoint};
+use crate::discovery::update::EndpointUpdate;
 use crate::lifecycle::state_store::StateStore;
 use crate::messages::Event;
 use std::rc::Rc;
@@ -23,12 +23,6 @@
 /// Interval at which a process that starts looks for the list of a sibling.
 const HANDOVER_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Returns the endpoints of the cached list, if there are any.
-fn cached_endpoints(config: &Config) -> Option<&[ListedEndpoint]> {
-    let cached = config.cached_endpoints.as_ref()?;
-    (!cached.endpoints.is_empty()).then_some(&cached.endpoints)
-}
-
 /// Records the names in the cached endpoint list. Where lists are polled, the list makes the process ready, with siblings
 /// only if none hands over a newer one. Otherwise, and without a cached list, the first response of discovery makes it ready,
 /// the list of a sibling, or the limit of [`limit_endpoints_wait`].
@@ -37,7 +31,7 @@
     state_store: &Rc<StateStore>,
     source: DiscoverySource,
 ) {
-    let Some(cached) = cached_endpoints(config) else {
+    let Some(cached) = config.cached_endpoints.endpoints() else {
         return;
     };
     let names = cached.iter().map(|endpoint| endpoint.uid.as_str());
@@ -92,7 +86,7 @@
 /// RPCs until it has one, since any list but that of discovery may name backends that are draining.
 pub(crate) async fn limit_endpoints_wait(config: Arc<Config>, state_store: Rc<StateStore>) {
     let has_sibling = state_store.current().siblings.alive > 0;
-    let max_wait = if has_sibling || cached_endpoints(&config).is_some() {
+    let max_wait = if has_sibling || config.cached_endpoints.endpoints().is_some() {
         MAX_WAIT_AT_RESTART
     } else {
         MAX_WAIT_AT_FIRST_START
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -18,6 +18,7 @@
 mod upstream;
 
 use crate::config::active_config::ActiveConfig;
+use crate::config::cached_endpoints::CachedEndpoints;
 use crate::config::file::{self, CachedEndpointsMode, Config};
 use crate::config::inherited_listener;
 use crate::lifecycle::listeners::Listeners;
@@ -66,7 +67,7 @@
     let signals = Signals::subscribe().map_err(StartError::Signals)?;
     let listeners = Listeners::bind(&config, inherited).await?;
     birchhub_logging::start();
-    if let Some(error) = &config.cached_endpoints_error {
+    if let CachedEndpoints::Malformed(error) = &config.cached_endpoints {
         log::warn!("ignoring the cached endpoint list, waiting for discovery: {error}");
     }
     let (active_config, settings) = watch::channel(ActiveConfig::new(&config.parsed_settings));
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -154,7 +154,7 @@
         decision_actor: mpsc::Sender<Event>,
         watch_requested: Rc<Notify>,
     ) -> DiscoveryClient {
-        let cached = self.config.cached_endpoints.as_ref();
+        let cached = self.config.cached_endpoints.list();
         DiscoveryClient::new(DiscoveryContext {
             address,
             decision_actor,
