Only a confirmed endpoint list is handed over to a sibling process

Found by reading: in the 3.5 s after a reload that selects another agent, the list of the previous one was handed over, and the new process took it as confirmed.

--- a/crates/daemon/src/decision/updates.rs
+++ b/crates/daemon/src/decision/updates.rs
@@ -51,12 +51,12 @@
         self.state_store.record_endpoint_list();
     }
 
-    /// Hands the endpoint list over to a sibling process that waits for it, if this process has a newer one than the cached
-    /// one that may be used.
+    /// Hands the endpoint list over to a sibling process that waits for it, if the list is confirmed and newer than the cached
+    /// one.
     fn hand_over_endpoints(&mut self) {
         let endpoints = &self.platform.endpoints;
         let is_requested = self.state.borrow().endpoint_list_requested;
-        if !is_requested || !endpoints.confirmation().is_usable() {
+        if !is_requested || endpoints.confirmation() != ListConfirmation::Confirmed {
             return;
         }
         if let Some(version) = endpoints.version() {
