--- a/crates/daemon/src/lifecycle/first_endpoint_list.rs
+++ b/crates/daemon/src/lifecycle/first_endpoint_list.rs
@@ -36,8 +36,13 @@
     };
     let names = cached.iter().map(|endpoint| endpoint.uid.as_str());
     state_store.record_listed_names(names);
-    if source == DiscoverySource::CentralService {
-        spawn_local(use_after_handover(state_store.clone()));
+    match source {
+        DiscoverySource::CentralService => {
+            drop(spawn_local(use_after_handover(state_store.clone())))
+        }
+        DiscoverySource::LocalAgent => {
+            log::info!("the cached endpoint list is not used until the agent responds");
+        }
     }
 }
 
