--- a/crates/daemon/tests/unavailable_agent/random_plays.rs
+++ b/crates/daemon/tests/unavailable_agent/random_plays.rs
@@ -6,12 +6,12 @@
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
-/// Seeds of the short run, all at the same time.
-const SHORT_RUN: Range<u64> = 1..17;
-/// Plays of the long run at a time.
-const PARALLEL_PLAYS: u64 = 16;
-/// Environment variable with the first seed of the long run and the number of its seeds, as in `100,320`.
-const LONG_RUN_VARIABLE: &str = "UNAVAILABLE_AGENT_SEEDS";
+/// Seeds that are played unless [`SEEDS_VARIABLE`] is set.
+const DEFAULT_SEEDS: Range<u64> = 1..17;
+/// Number of plays at the same time.
+const PARALLEL_PLAYS: usize = 16;
+/// Environment variable for a long run: the first seed and the number of seeds, as in `100,320`.
+const SEEDS_VARIABLE: &str = "UNAVAILABLE_AGENT_SEEDS";
 
 /// Time that an agent needs at most for a call.
 const SLOW_CALL: Duration = Duration::from_millis(1500);
@@ -215,24 +215,24 @@
         .collect()
 }
 
-#[test]
-fn random_plays_keep_drains_and_readiness() {
-    assert_eq!(failed_plays(SHORT_RUN), [] as [u64; 0]);
-}
-
-/// The long run, which is started by hand:
-/// `UNAVAILABLE_AGENT_SEEDS=100,320 cargo test -p birchhub-daemon --test unavailable_agent -- --ignored`.
-#[test]
-#[ignore = "takes many minutes"]
-fn many_random_plays_keep_drains_and_readiness() {
-    let seeds = env::var(LONG_RUN_VARIABLE).expect("the seeds");
+/// Returns the seeds to play.
+fn seeds() -> Range<u64> {
+    let Ok(seeds) = env::var(SEEDS_VARIABLE) else {
+        return DEFAULT_SEEDS;
+    };
     let (first, count) = seeds.split_once(',').expect("two numbers");
     let first: u64 = first.parse().expect("a number");
     let count: u64 = count.parse().expect("a number");
+    first..first + count
+}
+
+#[test]
+fn random_plays_keep_drains_and_readiness() {
+    let seeds = seeds();
     let mut failed = Vec::new();
-    for batch in (first..first + count).step_by(PARALLEL_PLAYS as usize) {
-        let end = (batch + PARALLEL_PLAYS).min(first + count);
-        failed.extend(failed_plays(batch..end));
+    for first in seeds.clone().step_by(PARALLEL_PLAYS) {
+        let end = (first + PARALLEL_PLAYS as u64).min(seeds.end);
+        failed.extend(failed_plays(first..end));
         println!("seeds up to {}: failed {failed:?}", end - 1);
     }
     assert_eq!(failed, [] as [u64; 0]);
